Read settings and declarations from YAML, strictly and within bounds

An operator's files were not readable yet. A finding list keeps at most 1000 findings and inserts in order instead of sorting at each addition.

--- /dev/null
+++ b/src/codec/yaml_node.cpp
@@ -0,0 +1,197 @@
+#include "codec/yaml_node.h"
+
+#include <sstream>
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Ends the parse at the first thing that makes the rest meaningless. */
+    struct parse_stopped { };
+
+    text_place placeOf(const std::string& file, const YAML::Mark& mark)
+    {
+        return { file, mark.line + 1, mark.column + 1 };
+    }
+
+    /** Builds the tree from yaml-cpp's events, so that nothing past the bounds is ever held. */
+    class tree_builder : public YAML::EventHandler {
+    public:
+        tree_builder(std::string file, finding_list& findings)
+            : m_file(std::move(file))
+            , m_findings(findings)
+        {
+        }
+
+        yaml_node takeRoot() { return std::move(m_root); }
+
+        void OnDocumentStart(const YAML::Mark&) override { }
+        void OnDocumentEnd() override { }
+
+        void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override
+        {
+            checkPlain(mark, "?", anchor);
+            yaml_node node;
+            node.place = placeOf(m_file, mark);
+            add(std::move(node));
+        }
+
+        void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { stop(mark, "an alias", "plain values"); }
+
+        void OnScalar(
+            const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, const std::string& value) override
+        {
+            checkPlain(mark, tag, anchor);
+            yaml_node node;
+            node.type = yaml_node::kind::Scalar;
+            node.place = placeOf(m_file, mark);
+            node.text = value;
+            add(std::move(node));
+        }
+
+        void OnSequenceStart(
+            const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, YAML::EmitterStyle::value) override
+        {
+            open(mark, tag, anchor, yaml_node::kind::List);
+        }
+
+        void OnSequenceEnd() override { close(); }
+
+        void OnMapStart(
+            const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, YAML::EmitterStyle::value) override
+        {
+            open(mark, tag, anchor, yaml_node::kind::Map);
+        }
+
+        void OnMapEnd() override { close(); }
+
+    private:
+        /** A list or map that is being read; a map's key waits for its value. */
+        struct open_node {
+            yaml_node node;
+            bool hasKey = false;
+            yaml_field pending;
+        };
+
+        [[noreturn]] void stop(const YAML::Mark& mark, std::string what, std::string expected)
+        {
+            m_findings.add(placeOf(m_file, mark), std::move(what), std::move(expected));
+            throw parse_stopped();
+        }
+
+        void checkPlain(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor)
+        {
+            if (anchor != YAML::NullAnchor)
+                stop(mark, "an anchor", "plain values");
+            if (!tag.empty() && tag != "?" && tag != "!")
+                stop(mark, absl::StrCat("the tag ", tag), "plain values");
+            if (++m_nodes > largestYamlNodes)
+                stop(mark, "too many values", absl::StrCat("at most ", largestYamlNodes));
+        }
+
+        void open(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, yaml_node::kind type)
+        {
+            checkPlain(mark, tag, anchor);
+            if (m_open.size() >= largestYamlDepth)
+                stop(mark, "nested too deep", absl::StrCat("at most ", largestYamlDepth, " levels"));
+            open_node opened;
+            opened.node.type = type;
+            opened.node.place = placeOf(m_file, mark);
+            m_open.push_back(std::move(opened));
+        }
+
+        void close()
+        {
+            yaml_node closed = std::move(m_open.back().node);
+            m_open.pop_back();
+            add(std::move(closed));
+        }
+
+        void add(yaml_node node)
+        {
+            if (m_open.empty()) {
+                m_root = std::move(node);
+                return;
+            }
+            open_node& parent = m_open.back();
+            if (parent.node.type == yaml_node::kind::List)
+                parent.node.items.push_back(std::move(node));
+            else if (parent.hasKey)
+                addField(parent, std::move(node));
+            else
+                addKey(parent, node);
+        }
+
+        void addKey(open_node& parent, const yaml_node& key)
+        {
+            parent.hasKey = true;
+            parent.pending = {};
+            parent.pending.key = key.text;
+            parent.pending.place = key.place;
+            if (key.type != yaml_node::kind::Scalar)
+                m_findings.add(key.place, "a key that is no word", "a word");
+        }
+
+        void addField(open_node& parent, yaml_node value)
+        {
+            parent.hasKey = false;
+            parent.pending.value = std::move(value);
+            if (parent.node.fields.size() >= largestYamlFields) {
+                m_findings.add(parent.pending.place, "too many keys", absl::StrCat("at most ", largestYamlFields));
+                throw parse_stopped();
+            }
+            for (const yaml_field& field : parent.node.fields) {
+                if (field.key == parent.pending.key)
+                    m_findings.add(
+                        parent.pending.place, absl::StrCat("the key '", field.key, "' stands twice"), "it once");
+            }
+            parent.node.fields.push_back(std::move(parent.pending));
+        }
+
+        std::string m_file;
+        finding_list& m_findings;
+        std::size_t m_nodes = 0;
+        std::vector<open_node> m_open;
+        yaml_node m_root;
+    };
+
+    void parseInto(tree_builder& builder, const std::string& text, const std::string& fileName, finding_list& findings)
+    {
+        try {
+            std::istringstream stream(text);
+            YAML::Parser parser(stream);
+            if (!parser.HandleNextDocument(builder))
+                findings.add({ fileName, 1, 1 }, "an empty file", "a map");
+            else if (parser.HandleNextDocument(builder))
+                findings.add({ fileName, 1, 1 }, "more than one document", "one document");
+        } catch (const parse_stopped&) {
+            return;
+        } catch (const YAML::Exception& error) {
+            findings.add(placeOf(fileName, error.mark), absl::StrCat("no valid YAML: ", error.msg), "");
+        }
+    }
+
+} // namespace
+
+absl::StatusOr<yaml_node> parseYaml(const std::string& text, const std::string& fileName, finding_list& findings)
+{
+    finding_list found;
+    tree_builder builder(fileName, found);
+    if (text.size() > largestYamlText)
+        found.add(
+            { fileName, 0, 0 }, absl::StrCat(text.size(), " bytes of YAML"), absl::StrCat("at most ", largestYamlText));
+    else
+        parseInto(builder, text, fileName, found);
+    findings.append(found);
+    if (!found.empty())
+        return found.toStatus();
+    return builder.takeRoot();
+}
+
+} // namespace plantainlatch
--- a/src/core/findings.cpp
+++ b/src/core/findings.cpp
@@ -8,6 +8,16 @@
 
 namespace plantainlatch {
 
+namespace {
+
+    bool isBefore(const finding& left, const finding& right)
+    {
+        return std::tie(left.place.file, left.place.line, left.place.column)
+            < std::tie(right.place.file, right.place.line, right.place.column);
+    }
+
+} // namespace
+
 std::string formatFinding(const finding& item)
 {
     std::string text;
@@ -25,23 +35,29 @@
 
 void finding_list::add(text_place place, std::string what, std::string expected)
 {
-    m_items.push_back({ std::move(place), std::move(what), std::move(expected) });
-    std::stable_sort(m_items.begin(), m_items.end(), [](const finding& left, const finding& right) {
-        return std::tie(left.place.file, left.place.line, left.place.column)
-            < std::tie(right.place.file, right.place.line, right.place.column);
-    });
+    if (m_items.size() >= largestFindingCount) {
+        ++m_dropped;
+        return;
+    }
+    finding item { std::move(place), std::move(what), std::move(expected) };
+    const auto position = std::upper_bound(m_items.begin(), m_items.end(), item, isBefore);
+    m_items.insert(position, std::move(item));
 }
 
 void finding_list::append(const finding_list& other)
 {
     for (const finding& item : other.m_items)
         add(item.place, item.what, item.expected);
+    m_dropped += other.m_dropped;
 }
 
 std::string finding_list::format() const
 {
-    return absl::StrJoin(
-        m_items, "\n", [](std::string* out, const finding& item) { out->append(formatFinding(item)); });
+    std::string text
+        = absl::StrJoin(m_items, "\n", [](std::string* out, const finding& item) { out->append(formatFinding(item)); });
+    if (m_dropped > 0)
+        absl::StrAppend(&text, "\nand ", m_dropped, " more");
+    return text;
 }
 
 absl::Status finding_list::toStatus() const
--- a/src/core/findings.h
+++ b/src/core/findings.h
@@ -4,6 +4,7 @@
  * User errors: findings collected with their place and reported together.
  */
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
 /** `file:line:column: what, expected ...`; the place is left out where there is none. */
 std::string formatFinding(const finding& item);
 
+/** How many findings a list keeps; further ones are only counted. */
+inline constexpr std::size_t largestFindingCount = 1000;
+
 /** All findings of one input, in the order of their places. */
 class finding_list {
 public:
@@ -37,7 +41,7 @@
     bool empty() const { return m_items.empty(); }
     const std::vector<finding>& items() const { return m_items; }
 
-    /** One finding a line. */
+    /** One finding a line, and how many were not kept. */
     std::string format() const;
 
     /** OK if there are none, otherwise InvalidArgument with format() as its message. */
@@ -45,6 +49,7 @@
 
 private:
     std::vector<finding> m_items;
+    std::size_t m_dropped = 0;
 };
 
 } // namespace plantainlatch
