Add the HTTP client towards upstreams

Cause: the request path needs to know when a byte was first offered, and that an answer is whole and its own. Change: upstream_client publishes upstream_port on evhttp. The first byte is seen by a callback on the output buffer, which evhttp fills only once the connection stands; before that every failure is ConnectFailed. A connection carries one request at a time, and is closed after a failed, late, short, crossed or cancelled one; before reuse its socket is checked for bytes that belong to no request.

--- /dev/null
+++ b/src/services/http_answer_check.cpp
@@ -0,0 +1,105 @@
+#include "services/http_answer_check.h"
+
+#include <charconv>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include "codec/http_fields.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr int firstFinalStatus = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+
+    /** How the fields delimit the body. */
+    struct body_framing {
+        std::optional<std::size_t> length;
+        bool chunked = false;
+        bool contradictory = false;
+    };
+
+    std::optional<std::size_t> parseLength(const std::string& text)
+    {
+        std::size_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
+
+    body_framing framingOf(const std::vector<header_field>& fields)
+    {
+        body_framing framing;
+        for (const header_field& field : fields) {
+            if (http_fields::sameName(field.name, http_fields::contentLength)) {
+                const std::optional<std::size_t> length = parseLength(field.value);
+                framing.contradictory |= !length || (framing.length && framing.length != length);
+                framing.length = length;
+            } else if (http_fields::sameName(field.name, http_fields::transferEncoding)) {
+                framing.contradictory |= framing.chunked || !http_fields::sameName(field.value, "chunked");
+                framing.chunked = true;
+            }
+        }
+        framing.contradictory |= framing.chunked && framing.length.has_value();
+        return framing;
+    }
+
+    bool isWhole(const upstream_answer& answer, const body_framing& framing, bool head)
+    {
+        if (framing.contradictory)
+            return false;
+        if (head || answer.status == noContent || answer.status == notModified)
+            return answer.body.empty();
+        if (framing.chunked)
+            return true;
+        return framing.length.has_value() && *framing.length == answer.body.size();
+    }
+
+    std::vector<header_field> copyFields(evhttp_request* answer)
+    {
+        std::vector<header_field> fields;
+        const evkeyvalq* input = evhttp_request_get_input_headers(answer);
+        for (const evkeyval* item = input->tqh_first; item != nullptr; item = item->next.tqe_next)
+            fields.push_back({ item->key, item->value });
+        return fields;
+    }
+
+    std::string moveBody(evhttp_request* answer)
+    {
+        evbuffer* input = evhttp_request_get_input_buffer(answer);
+        std::string body(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, body.data(), body.size());
+        return body;
+    }
+
+} // namespace
+
+std::optional<upstream_answer> wholeAnswer(evhttp_request* answer, const answered_request& request)
+{
+    upstream_answer result;
+    result.status = evhttp_request_get_response_code(answer);
+    if (result.status < firstFinalStatus)
+        return std::nullopt;
+    result.headers = copyFields(answer);
+    const header_field* echoed = http_fields::find(result.headers, http_fields::call);
+    if (echoed != nullptr && echoed->value != request.name)
+        return std::nullopt;
+    result.body = moveBody(answer);
+    if (!isWhole(result, framingOf(result.headers), request.head))
+        return std::nullopt;
+    const std::optional<std::size_t> length = framingOf(result.headers).length;
+    http_fields::keepEndToEnd(result.headers);
+    if (request.head && length)
+        result.headers.push_back({ http_fields::contentLength, std::to_string(*length) });
+    std::erase_if(
+        result.headers, [](const header_field& field) { return http_fields::sameName(field.name, http_fields::call); });
+    return result;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/services/upstream_connections.cpp
@@ -0,0 +1,225 @@
+#include "services/upstream_connections.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Calls have timers of their own; this only stands in for the library's shorter default. */
+    constexpr timeval libraryTimeout { 3600, 0 };
+
+    evutil_socket_t socketOf(const upstream_connection& connection)
+    {
+        return bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle));
+    }
+
+    void sendWithoutDelay(evutil_socket_t socket)
+    {
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
+} // namespace
+
+upstream_connections::upstream_connections(
+    event_base* base, const kernel_hooks& hooks, upstream_connection_limits limits, upstream_connection_events events)
+    : m_base(base)
+    , m_hooks(hooks)
+    , m_limits(limits)
+    , m_events(std::move(events))
+{
+}
+
+upstream_connections::~upstream_connections()
+{
+    m_hooks.cancel(m_burial);
+    m_hooks.cancel(m_sweep);
+    bury();
+    for (auto& [address, connections] : m_pools) {
+        for (const auto& connection : connections.all)
+            evhttp_connection_free(connection->handle);
+    }
+}
+
+upstream_connection* upstream_connections::acquire(const network_address& address, std::uint32_t limit, bool fresh)
+{
+    pool& connections = m_pools[address];
+    if (!fresh) {
+        if (upstream_connection* idle = takeIdle(connections))
+            return idle;
+    }
+    if (connections.all.size() >= limit)
+        closeOneIdle(connections);
+    if (connections.all.size() >= limit)
+        return nullptr;
+    return open(connections, address);
+}
+
+upstream_connection* upstream_connections::takeIdle(pool& from)
+{
+    for (std::size_t i = from.all.size(); i-- > 0;) {
+        upstream_connection& candidate = *from.all[i];
+        if (!candidate.idle)
+            continue;
+        if (!isSound(candidate)) {
+            discard(candidate);
+            continue;
+        }
+        candidate.idle = false;
+        candidate.firstByteOffered = false;
+        --m_idle;
+        return &candidate;
+    }
+    return nullptr;
+}
+
+upstream_connection* upstream_connections::open(pool& into, const network_address& address)
+{
+    evhttp_connection* handle = evhttp_connection_base_new(m_base, nullptr, address.host.c_str(), address.port);
+    internal_assert(handle != nullptr) << "no memory for a connection";
+    evhttp_connection_set_timeout_tv(handle, &libraryTimeout);
+    evhttp_connection_set_max_headers_size(handle, static_cast<ev_ssize_t>(m_limits.maximumAnswerHeaders.value()));
+    evhttp_connection_set_max_body_size(handle, static_cast<ev_ssize_t>(m_limits.maximumAnswerBody.value()));
+    auto connection = std::make_unique<upstream_connection>();
+    connection->handle = handle;
+    connection->address = address;
+    connection->owner = this;
+    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(handle)), outputChanged, connection.get());
+    into.all.push_back(std::move(connection));
+    ++m_open;
+    return into.all.back().get();
+}
+
+void upstream_connections::outputChanged(evbuffer*, const evbuffer_cb_info* info, void* argument)
+{
+    auto& connection = *static_cast<upstream_connection*>(argument);
+    if (info->n_added == 0 || connection.firstByteOffered || connection.closed)
+        return;
+    connection.firstByteOffered = true;
+    sendWithoutDelay(socketOf(connection));
+    connection.owner->m_events.onFirstByte(connection);
+}
+
+bool upstream_connections::isSound(const upstream_connection& connection) const
+{
+    if (m_hooks.now() - connection.idleSince > m_limits.idleReuse)
+        return false;
+    const evutil_socket_t socket = socketOf(connection);
+    if (socket < 0)
+        return false;
+    // Bytes that wait here belong to no request of ours, and an end means that the upstream closed.
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void upstream_connections::release(upstream_connection& connection)
+{
+    internal_assert(!connection.idle) << "connection to " << formatAddress(connection.address) << " released twice";
+    connection.exchange = 0;
+    bufferevent* channel = evhttp_connection_get_bufferevent(connection.handle);
+    const bool unread = evbuffer_get_length(bufferevent_get_input(channel)) > 0;
+    if (bufferevent_getfd(channel) < 0 || unread || m_idle >= m_limits.maximumIdle) {
+        discard(connection);
+        return;
+    }
+    connection.idle = true;
+    connection.idleSince = m_hooks.now();
+    ++m_idle;
+    armSweep();
+}
+
+void upstream_connections::discard(upstream_connection& connection)
+{
+    const auto found = m_pools.find(connection.address);
+    internal_assert(found != m_pools.end()) << "no connections to " << formatAddress(connection.address);
+    auto& all = found->second.all;
+    const auto position
+        = std::find_if(all.begin(), all.end(), [&](const auto& item) { return item.get() == &connection; });
+    internal_assert(position != all.end()) << "connection to " << formatAddress(connection.address) << " closed twice";
+    if (connection.idle)
+        --m_idle;
+    --m_open;
+    std::unique_ptr<upstream_connection> dead = std::move(*position);
+    all.erase(position);
+    buryLater(std::move(dead));
+}
+
+void upstream_connections::closeOneIdle(pool& from)
+{
+    const auto position = std::find_if(from.all.begin(), from.all.end(), [](const auto& item) { return item->idle; });
+    if (position != from.all.end())
+        discard(**position);
+}
+
+void upstream_connections::forget(const network_address& address)
+{
+    const auto found = m_pools.find(address);
+    if (found == m_pools.end())
+        return;
+    auto& all = found->second.all;
+    for (std::size_t i = all.size(); i-- > 0;) {
+        if (all[i]->idle)
+            discard(*all[i]);
+    }
+    if (all.empty())
+        m_pools.erase(found);
+}
+
+void upstream_connections::closeIdle()
+{
+    std::vector<network_address> addresses;
+    for (const auto& [address, connections] : m_pools)
+        addresses.push_back(address);
+    for (const network_address& address : addresses)
+        forget(address);
+}
+
+void upstream_connections::buryLater(std::unique_ptr<upstream_connection> connection)
+{
+    connection->closed = true;
+    m_dead.push_back(std::move(connection));
+    if (m_burial == timer_id())
+        m_burial = m_hooks.schedule(duration::zero(), [this] { bury(); });
+}
+
+void upstream_connections::bury()
+{
+    m_burial = timer_id();
+    for (const auto& connection : std::exchange(m_dead, {}))
+        evhttp_connection_free(connection->handle);
+}
+
+void upstream_connections::armSweep()
+{
+    if (m_sweep == timer_id())
+        m_sweep = m_hooks.schedule(m_limits.idleReuse, [this] { sweep(); });
+}
+
+void upstream_connections::sweep()
+{
+    m_sweep = timer_id();
+    const time_point now = m_hooks.now();
+    for (auto position = m_pools.begin(); position != m_pools.end();) {
+        auto& all = position->second.all;
+        for (std::size_t i = all.size(); i-- > 0;) {
+            if (all[i]->idle && now - all[i]->idleSince >= m_limits.idleReuse)
+                discard(*all[i]);
+        }
+        position = all.empty() ? m_pools.erase(position) : std::next(position);
+    }
+    if (m_idle > 0)
+        armSweep();
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/error/upstream_client_test.cpp
@@ -0,0 +1,255 @@
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "error/raw_upstream.h"
+#include "runtime/event_loop.h"
+#include "services/upstream_client.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr const char* smallAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nlight";
+
+    /** What one call led to. */
+    struct call_record {
+        int firstBytes = 0;
+        std::optional<upstream_answer> answer;
+        std::optional<call_failure> failure;
+
+        bool ended() const { return answer.has_value() || failure.has_value(); }
+    };
+
+    class upstream_client_fixture {
+    protected:
+        upstream_client_fixture()
+        {
+            upstream_client_options options;
+            options.connections.idleReuse = std::chrono::milliseconds(300);
+            options.connectTimeout = std::chrono::milliseconds(500);
+            subject = upstream_client::create(loop->base(), hooks, options);
+        }
+
+        upstream_call callTo(const network_address& address, duration timeout = std::chrono::seconds(2))
+        {
+            upstream_call call;
+            call.id = call_id(++lastCall);
+            call.address = address;
+            call.method = "GET";
+            call.target = "/courts/7";
+            call.timeout = timeout;
+            call.connectionLimit = 2;
+            return call;
+        }
+
+        call_events recordIn(call_record& record)
+        {
+            call_events events;
+            events.onFirstByte = [&record] { ++record.firstBytes; };
+            events.onAnswer = [&record](upstream_answer answer) {
+                REQUIRE_FALSE(record.ended());
+                REQUIRE(record.firstBytes == 1);
+                record.answer = std::move(answer);
+            };
+            events.onFailure = [&record](call_failure failure) {
+                REQUIRE_FALSE(record.ended());
+                record.failure = failure;
+            };
+            return events;
+        }
+
+        /** Runs the loop until `done` holds, for at most three seconds. */
+        void runUntil(const std::function<bool()>& done)
+        {
+            const time_point end = hooks.now() + std::chrono::seconds(3);
+            std::function<void()> check = [&] {
+                if (done() || hooks.now() > end)
+                    loop->stop();
+                else
+                    hooks.schedule(std::chrono::milliseconds(1), check);
+            };
+            check();
+            if (!done())
+                loop->run();
+            REQUIRE(done());
+        }
+
+        call_record run(upstream_call call)
+        {
+            call_record record;
+            subject->port().start(std::move(call), recordIn(record));
+            runUntil([&] { return record.ended(); });
+            return record;
+        }
+
+        call_record runAgainst(const std::string& bytes, bool closeAfter)
+        {
+            upstream.onRequest = [=, this](std::size_t connection, const std::string&) {
+                upstream.send(connection, bytes);
+                if (closeAfter)
+                    upstream.close(connection);
+            };
+            return run(callTo(upstream.address(), std::chrono::milliseconds(200)));
+        }
+
+        std::unique_ptr<event_loop> loop = *event_loop::create(1);
+        kernel_hooks hooks = loop->hooks([](const log_event&) {});
+        raw_upstream upstream { loop->base() };
+        std::unique_ptr<upstream_client> subject;
+        std::uint64_t lastCall = 0;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.whole_answers.share_one_connection_and_drop_hop_fields")
+{
+    upstream.onRequest = [&](std::size_t connection, const std::string&) {
+        upstream.send(connection, "HTTP/1.1 200 OK\r\nKeep-Alive: 5\r\nX-Court: 7\r\nContent-Length: 5\r\n\r\nlight");
+    };
+    upstream_call call = callTo(upstream.address());
+    call.method = "POST";
+    call.body = "on";
+    call.headers = { { "Upgrade", "h2c" }, { "X-Club", "kokura" } };
+    const call_record first = run(call);
+    REQUIRE(first.answer);
+    REQUIRE(first.answer->body == "light");
+    REQUIRE(first.answer->headers.size() == 1);
+    REQUIRE(run(callTo(upstream.address())).answer);
+    REQUIRE(upstream.accepted == 1);
+    REQUIRE_THAT(upstream.requests[0], Catch::Contains("X-Request-Timeout: 2.000\r\n"));
+    REQUIRE_THAT(upstream.requests[0], Catch::Contains("X-Club: kokura\r\n") && !Catch::Contains("Upgrade"));
+    REQUIRE_THAT(upstream.requests[0], Catch::EndsWith("\r\n\r\non"));
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.nobody_listening.fails_to_connect_without_a_first_byte")
+{
+    upstream.stopListening();
+    const call_record record = run(callTo(upstream.address()));
+    REQUIRE(record.failure == call_failure::ConnectFailed);
+    REQUIRE(record.firstBytes == 0);
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.answers_that_are_not_whole.fail_and_close_the_connection")
+{
+    const auto [bytes, expected] = GENERATE(table<std::string, call_failure>({
+        { "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nlight", call_failure::Lost },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nlight\r\n", call_failure::Lost },
+        { "HTTP/1.1 200 OK\r\nX-Half", call_failure::Lost },
+        { "", call_failure::Lost },
+        { "HTTP/1.1 200 OK\r\n\r\nuntil the end", call_failure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nlight", call_failure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Plantainlatch-Call: 1-1\r\n\r\nlight", call_failure::Malformed },
+        { "no http at all\r\n\r\n", call_failure::Malformed },
+    }));
+    const call_record record = runAgainst(bytes, true);
+    CAPTURE(bytes);
+    REQUIRE(record.failure == expected);
+    REQUIRE(record.firstBytes == 1);
+    REQUIRE(runAgainst(smallAnswer, false).answer);
+    REQUIRE(upstream.accepted == 2);
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.late_answer.times_out_and_never_reaches_the_next_call")
+{
+    upstream.onRequest = [&](std::size_t connection, const std::string&) {
+        if (connection == 0)
+            hooks.schedule(std::chrono::milliseconds(60), [&] { upstream.send(0, smallAnswer); });
+        else
+            upstream.send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+    };
+    const call_record late = run(callTo(upstream.address(), std::chrono::milliseconds(50)));
+    REQUIRE(late.failure == call_failure::Timeout);
+    REQUIRE(late.firstBytes == 1);
+    const call_record next = run(callTo(upstream.address()));
+    REQUIRE(next.answer->body == "next");
+    REQUIRE(upstream.accepted == 2);
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.crossed_answer_on_an_idle_connection.closes_it")
+{
+    // Two answers to one request: the second one must not become the answer to the next request.
+    REQUIRE(runAgainst(std::string(smallAnswer) + smallAnswer, false).answer);
+    REQUIRE(runAgainst("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext", false).answer->body == "next");
+    REQUIRE(upstream.accepted == 2);
+    // Bytes that arrive later on the idle connection, before the loop has seen them.
+    upstream.send(1, smallAnswer);
+    hooks.schedule(std::chrono::milliseconds(20), [&] { loop->stop(); });
+    loop->run();
+    REQUIRE(runAgainst("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthird", false).answer->body == "third");
+    REQUIRE(upstream.accepted == 3);
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_that_was_idle_for_long.is_not_reused")
+{
+    REQUIRE(runAgainst(smallAnswer, false).answer);
+    hooks.schedule(std::chrono::milliseconds(400), [&] { loop->stop(); });
+    loop->run();
+    REQUIRE(runAgainst(smallAnswer, false).answer);
+    REQUIRE(upstream.accepted == 2);
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.fresh_connection_asked_for.opens_one")
+{
+    REQUIRE(runAgainst(smallAnswer, false).answer);
+    upstream_call call = callTo(upstream.address());
+    call.freshConnection = true;
+    REQUIRE(run(call).answer);
+    REQUIRE(upstream.accepted == 2);
+}
+
+TEST_CASE_METHOD(
+    upstream_client_fixture, "upstream_client.connections_in_use_at_the_limit.refuses_without_a_first_byte")
+{
+    call_record first;
+    call_record second;
+    subject->port().start(callTo(upstream.address()), recordIn(first));
+    subject->port().start(callTo(upstream.address()), recordIn(second));
+    const call_record third = run(callTo(upstream.address()));
+    REQUIRE(third.failure == call_failure::ConnectionLimit);
+    REQUIRE(third.firstBytes == 0);
+    subject.reset();
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.cancelled_call.closes_its_connection_and_stays_silent")
+{
+    call_record record;
+    const upstream_call call = callTo(upstream.address());
+    subject->port().start(call, recordIn(record));
+    runUntil([&] { return !upstream.requests.empty(); });
+    subject->port().cancel(call.id);
+    subject->port().cancel(call.id);
+    runUntil([&] { return upstream.closedByPeer == 1; });
+    REQUIRE_FALSE(record.ended());
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.polled_upstream.reports_health_and_load_or_fails")
+{
+    std::string load = R"({"running":2,"queued":1,"draining":true})";
+    upstream.onRequest = [&](std::size_t connection, const std::string& request) {
+        const std::string body = request.starts_with("GET /load ") ? load : "";
+        upstream.send(connection,
+            "HTTP/1.1 " + std::string(body.empty() ? "503 Busy" : "200 OK")
+                + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    std::optional<absl::StatusOr<load_report>> report;
+    const auto poll = [&] {
+        report.reset();
+        subject->port().poll(upstream.address(), std::chrono::milliseconds(200),
+            [&](absl::StatusOr<load_report> result) { report = std::move(result); });
+        runUntil([&] { return report.has_value(); });
+    };
+    poll();
+    REQUIRE(report->ok());
+    REQUIRE_FALSE((*report)->healthy);
+    REQUIRE((*report)->draining);
+    REQUIRE((*report)->running == 2);
+    load = R"({"running":"many"})";
+    poll();
+    REQUIRE(report->status().code() == absl::StatusCode::kUnavailable);
+    upstream.onRequest = nullptr;
+    poll();
+    REQUIRE(report->status().code() == absl::StatusCode::kDeadlineExceeded);
+}
+
+} // namespace plantainlatch
