Add the command line with the subcommand check

Subcommands are values with their options and a function; an unknown one exits with 2 and says so. check reads settings and declarations offline and exits with 2 with findings.

--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -1,7 +1,54 @@
 #include <cstdio>
+#include <string>
+#include <vector>
 
-int main()
+#include "main/check_command.h"
+#include "main/exit_code.h"
+#include "main/subcommand.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    std::vector<subcommand> allSubcommands() { return { checkCommand() }; }
+
+    /** The word by which a subcommand is called. */
+    std::string wordOf(const subcommand& item) { return item.spec.name.substr(item.spec.name.rfind(' ') + 1); }
+
+    void printUsage(std::FILE* out, const std::vector<subcommand>& items)
+    {
+        std::fputs("plantainlatch steers requests from callers to upstreams in several regions.\n\n"
+                   "Usage: plantainlatch SUBCOMMAND [OPTION...]\n\n",
+            out);
+        for (const subcommand& item : items)
+            std::fprintf(out, "  %-8s  %s\n", wordOf(item).c_str(), item.spec.summary.c_str());
+        std::fprintf(out, "\nplantainlatch SUBCOMMAND --help tells more.\n%s\n", exitCodeHelp().c_str());
+    }
+
+    int runProgram(const std::vector<std::string>& arguments)
+    {
+        const std::vector<subcommand> items = allSubcommands();
+        if (arguments.empty()) {
+            printUsage(stderr, items);
+            return exit_code::badInput;
+        }
+        if (arguments.front() == "--help") {
+            printUsage(stdout, items);
+            return exit_code::ok;
+        }
+        for (const subcommand& item : items) {
+            if (wordOf(item) == arguments.front())
+                return runSubcommand(item, { arguments.begin() + 1, arguments.end() });
+        }
+        std::fprintf(stderr, "plantainlatch: there is no subcommand '%s' (see --help)\n", arguments.front().c_str());
+        return exit_code::badInput;
+    }
+
+} // namespace
+
+} // namespace plantainlatch
+
+int main(int argumentCount, char** arguments)
 {
-    std::puts("plantainlatch");
-    return 0;
+    return plantainlatch::runProgram({ arguments + 1, arguments + argumentCount });
 }
