--- a/src/runtime/file_hooks.cpp
+++ b/src/runtime/file_hooks.cpp
@@ -114,10 +114,12 @@
         const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
         if (file < 0)
             return lastError("open", folder);
-        const absl::Status status = ::fsync(file) == 0 ? absl::OkStatus() : lastError("sync", folder);
+        absl::Status status = ::fsync(file) == 0 ? absl::OkStatus() : lastError("sync", folder);
         ::close(file);
         return status;
+        return status;
     }
+}
 
 } // namespace
 
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -171,7 +171,7 @@
         const std::vector<std::uint64_t> numbers = numbersOf(names, statePrefix);
         for (const std::uint64_t number : numbers) {
             const bool isLast = number == numbers.back();
-            const absl::Status status = loadState(path(statePrefix, number), isLast, recovered);
+            absl::Status status = loadState(path(statePrefix, number), isLast, recovered);
             if (!status.ok())
                 return status;
         }
