--- a/src/model/command.h
+++ b/src/model/command.h
@@ -110,10 +110,12 @@
     request_fingerprint fingerprint;
     /** How long the key is kept from now on. */
     duration retention {};
+    /** How long from now on the work may run; a claim that is not settled by then is Unknown. */
+    duration runLimit {};
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.service, self.key, self.fingerprint, self.retention);
+        visit(self.service, self.key, self.fingerprint, self.retention, self.runLimit);
     }
 };
 
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -43,13 +43,15 @@
     proposal_id claim;
     request_fingerprint fingerprint;
     wall_time expiresAt {};
+    /** The work may run until then; when it is still not settled, its end is Unknown. */
+    wall_time runsUntil {};
     /** InProgress until settled. */
     outcome result = outcome::InProgress;
     std::optional<upstream_answer> answer;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.claim, self.fingerprint, self.expiresAt, self.result, self.answer);
+        visit(self.claim, self.fingerprint, self.expiresAt, self.runsUntil, self.result, self.answer);
     }
 };
 
--- a/src/model/http.cpp
+++ b/src/model/http.cpp
@@ -33,6 +33,8 @@
         return "key-taken";
     case answer_reason::Draining:
         return "draining";
+    case answer_reason::AnswerNotKept:
+        return "answer-not-kept";
     }
     internal_assert(false) << "answer reason " << static_cast<int>(value);
     return "unknown";
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -75,6 +75,8 @@
     KeyTaken,
     /** This VM is shutting down. */
     Draining,
+    /** The key's work ran, but its answer was too large to keep. */
+    AnswerNotKept,
 };
 
 /** The reason as it stands in the answer's header, in lower case with hyphens. */
--- /dev/null
+++ b/test/correctness/crash_table_test.cpp
@@ -0,0 +1,54 @@
+#include <catch2/catch.hpp>
+
+#include "decision/control/crash_table.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class crash_table_fixture {
+    protected:
+        void report(std::uint64_t fingerprint, const std::string& upstream)
+        {
+            proposal item;
+            item.proposedAt = now;
+            applyCrashReport(
+                state.crashes, item, { service_id("taller"), request_fingerprint(fingerprint), upstream_id(upstream) });
+        }
+
+        bool refuses(std::uint64_t fingerprint) const
+        {
+            return refusesCrashing(state, { service_id("taller"), request_fingerprint(fingerprint) }, now);
+        }
+
+        control_snapshot state;
+        wall_time now {};
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(crash_table_fixture, "crash_table.crashes_of_two_distinct_upstreams.refuse_equal_requests_for_a_while")
+{
+    report(7, "a");
+    report(7, "a");
+    REQUIRE(!refuses(7));
+    report(7, "b");
+    REQUIRE(refuses(7));
+    REQUIRE(!refuses(8));
+    now += std::chrono::duration_cast<std::chrono::milliseconds>(crashMemory);
+    REQUIRE(!refuses(7));
+}
+
+TEST_CASE_METHOD(crash_table_fixture, "crash_table.many_fingerprints.keep_within_the_bound_and_drop_the_oldest")
+{
+    for (std::uint64_t i = 0; i <= maximumCrashRecords; ++i) {
+        report(i, "a");
+        now += 1ms;
+    }
+    REQUIRE(state.crashes.size() == maximumCrashRecords);
+    REQUIRE(!state.crashes.contains({ service_id("taller"), request_fingerprint(0) }));
+}
+
+} // namespace plantainlatch
