--- /dev/null
+++ b/src/decision/request/retry_budget.cpp
@@ -0,0 +1,27 @@
+#include "decision/request/retry_budget.h"
+
+#include <algorithm>
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+void retry_budget::earn()
+{
+    ++m_requests;
+    if (m_requests > requestsPerRetry)
+        m_saved = std::min(m_saved + 1, maximumSavedRetries * requestsPerRetry);
+}
+
+bool retry_budget::spend()
+{
+    if (m_saved < requestsPerRetry)
+        return false;
+    m_saved -= requestsPerRetry;
+    ++m_spent;
+    internal_assert(m_spent <= std::max<std::uint64_t>(1, m_requests / requestsPerRetry))
+        << m_spent << " retries for " << m_requests << " requests";
+    return true;
+}
+
+} // namespace plantainlatch
