Apply control commands: declarations, directory, drains, roles, shifts

Cause: the log, the front and the slots need the replicated control state. Change: control_service publishes control_port; one pure function for each command; resent proposals are answered with their first result; declarations merge with all findings at once; departed upstreams and flapping are remembered in the state, so that any entry judges the same. Model: departed records, the base of the history, upstream_left.goodbye. Result: ctest passes (correctness, error, layers).

--- /dev/null
+++ b/src/decision/control/apply_change.cpp
@@ -0,0 +1,107 @@
+#include "decision/control/apply_change.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "core/internal_assert.h"
+#include "decision/control/command_results.h"
+#include "decision/control/declaration_difference.h"
+#include "decision/control/declaration_merge.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    const history_record* findNumber(const control_snapshot& state, change_number number)
+    {
+        for (const history_record& record : state.history) {
+            if (record.content.number == number)
+                return &record;
+        }
+        return nullptr;
+    }
+
+    command_result judgeKnownNumber(const history_record& record, const declaration& content)
+    {
+        if (record.content == content)
+            return alreadyAccepted(absl::StrCat("change ", content.number.value(), " was accepted before"));
+        return conflict(absl::StrCat("change ", content.number.value(), " was accepted with other content through ",
+            record.acceptedThrough.value(), ": ", absl::StrJoin(describeDifference(record.content, content), "; ")));
+    }
+
+    /** Shifts begin with their definitions and end with them; a changed one goes on under the new terms. */
+    void followShifts(control_snapshot& state, const declaration& content, wall_time now)
+    {
+        for (const auto& item : content.shifts.added)
+            state.shifts[item.value.id] = { 0, 0, shift_phase::Running, now };
+        for (const auto& item : content.shifts.changed) {
+            shift_record& record = state.shifts[item.value.id];
+            record = { record.step + 1, record.percent, shift_phase::Running, now };
+        }
+        for (const auto& item : content.shifts.withdrawn)
+            state.shifts.erase(item.value.id);
+    }
+
+    void removeWithdrawnUpstreams(control_snapshot& state, const declaration& content)
+    {
+        for (const auto& item : content.upstreams.withdrawn)
+            state.directory.erase(item.value.id);
+    }
+
+    void removeUnknownDrains(control_snapshot& state)
+    {
+        std::erase_if(state.drains, [&](const drain_target& target) {
+            if (target.kind == drain_kind::Region)
+                return !state.config.regions.contains(region_id(target.name));
+            if (target.kind == drain_kind::FailureDomain)
+                return regionOf(state.config, failure_domain_id(target.name)).empty();
+            return false;
+        });
+    }
+
+    void addToHistory(control_snapshot& state, const proposal& item, const declaration& content)
+    {
+        state.history.push_back({ content, item.proposedAt, item.id.vm });
+        if (state.history.size() <= maximumHistory)
+            return;
+        finding_list findings;
+        absl::StatusOr<configuration> base
+            = mergeDeclaration(state.historyBase, state.history.front().content, findings);
+        internal_assert(base.ok()) << "an accepted declaration no longer merges: " << findings.format();
+        state.historyBase = *std::move(base);
+        state.history.erase(state.history.begin());
+    }
+
+} // namespace
+
+command_result judgeNumbers(const control_snapshot& state, const declaration& content)
+{
+    if (const history_record* record = findNumber(state, content.number))
+        return judgeKnownNumber(*record, content);
+    const change_number inForce = state.config.number;
+    if (content.replaces != inForce)
+        return conflict(absl::StrCat("change ", content.number.value(), " replaces ", content.replaces.value(),
+            ", but ", inForce.value(), " is in force"));
+    if (content.number <= inForce)
+        return conflict(absl::StrCat(
+            "change ", content.number.value(), " is not greater than ", inForce.value(), ", which is in force"));
+    return accepted();
+}
+
+command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content)
+{
+    command_result judged = judgeNumbers(state, content);
+    if (judged.verdict != command_verdict::Accepted)
+        return judged;
+    finding_list findings;
+    absl::StatusOr<configuration> merged = mergeDeclaration(state.config, content, findings);
+    if (!merged.ok())
+        return refused(findings.format());
+    state.config = *std::move(merged);
+    followShifts(state, content, item.proposedAt);
+    removeWithdrawnUpstreams(state, content);
+    removeUnknownDrains(state);
+    addToHistory(state, item, content);
+    return accepted();
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/apply_command.cpp
@@ -0,0 +1,47 @@
+#include "decision/control/apply_command.h"
+
+#include "decision/control/apply_change.h"
+#include "decision/control/apply_directory.h"
+#include "decision/control/apply_drain.h"
+#include "decision/control/apply_role.h"
+#include "decision/control/apply_shift.h"
+#include "decision/control/command_results.h"
+#include "decision/control/crash_table.h"
+#include "decision/control/key_table.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** One overload for each command. */
+    struct command_applier {
+        control_snapshot& state;
+        const proposal& item;
+
+        command_result operator()(const no_command&) const { return accepted(); }
+        command_result operator()(const apply_declaration& command) const
+        {
+            return applyChange(state, item, command.content);
+        }
+        command_result operator()(const set_drain& command) const { return applyDrain(state, command); }
+        command_result operator()(const upstream_joined& command) const { return applyJoin(state, item, command); }
+        command_result operator()(const upstream_left& command) const { return applyLeave(state, item, command); }
+        command_result operator()(const claim_key& command) const { return applyClaim(state.keys, item, command); }
+        command_result operator()(const settle_key& command) const { return applySettle(state.keys, item, command); }
+        command_result operator()(const report_crash& command) const
+        {
+            return applyCrashReport(state.crashes, item, command);
+        }
+        command_result operator()(const assign_allocator& command) const { return applyAllocator(state, command); }
+        command_result operator()(const step_shift& command) const { return applyShiftStep(state, item, command); }
+        command_result operator()(const vm_started& command) const { return applyVmStart(state, item, command); }
+    };
+
+} // namespace
+
+command_result applyCommand(control_snapshot& state, const proposal& item)
+{
+    return std::visit(command_applier { state, item }, item.command);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/apply_directory.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/** \file
+ * Applies joins and leaves of upstreams to the directory in the control state.
+ */
+
+#include <chrono>
+#include <cstddef>
+
+#include "absl/status/status.h"
+#include "model/control_snapshot.h"
+
+namespace plantainlatch {
+
+/** How many upstreams the directory takes; more are refused. */
+inline constexpr std::size_t maximumUpstreams = 16384;
+
+/** How many departed upstreams are remembered; the earliest goes first. */
+inline constexpr std::size_t maximumDeparted = 4096;
+
+/** An upstream that stayed away from silence for this long starts with a clean record. */
+inline constexpr duration flapMemory = std::chrono::minutes(5);
+
+/** So many silences are forgiven before a return has to wait. */
+inline constexpr std::uint32_t forgivenSilences = 2;
+
+/** How long the first damped return waits; each further silence doubles it up to the longest. */
+inline constexpr duration firstFlapWait = std::chrono::seconds(5);
+inline constexpr duration longestFlapWait = std::chrono::seconds(60);
+
+/** Whether the announcement may enter the directory now: OK, InvalidArgument (it does not fit the configuration),
+ * PermissionDenied (withdrawn, an earlier generation, or a goodbye was said), AlreadyExists (another upstream has the
+ * address), Unavailable (it flaps and has to wait) or ResourceExhausted. */
+absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now);
+
+/** How long an upstream that fell silent so often waits before it may return. */
+duration flapWait(std::uint32_t silences);
+
+command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command);
+
+/** Takes the upstream out; another generation than the one that left is AlreadyAccepted and changes nothing. */
+command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command);
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/apply_role.cpp
@@ -0,0 +1,41 @@
+#include "decision/control/apply_role.h"
+
+#include "absl/strings/str_cat.h"
+#include "core/internal_assert.h"
+#include "decision/control/command_results.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    allocator_epoch currentEpoch(const control_snapshot& state, const region_id& region)
+    {
+        const auto found = state.allocators.find(region);
+        return found == state.allocators.end() ? allocator_epoch() : found->second.epoch;
+    }
+
+} // namespace
+
+command_result applyVmStart(control_snapshot& state, const proposal& item, const vm_started& command)
+{
+    vm_start_record& record = state.vms[command.record.id];
+    if (record.record == command.record && record.start == command.start)
+        return alreadyAccepted();
+    record = { command.record, command.start, item.proposedAt };
+    return accepted();
+}
+
+command_result applyAllocator(control_snapshot& state, const assign_allocator& command)
+{
+    const allocator_epoch next = currentEpoch(state, command.region).next();
+    if (command.epoch != next)
+        return refused(absl::StrCat("the next allocator epoch of region '", command.region.value(), "' is ",
+            next.value(), ", not ", command.epoch.value()));
+    const auto vm = state.vms.find(command.vm);
+    if (vm == state.vms.end() || vm->second.start != command.start)
+        return refused(absl::StrCat("vm '", command.vm.value(), "' does not run under that incarnation"));
+    state.allocators[command.region] = { command.vm, command.start, command.epoch };
+    return accepted();
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/control_service.cpp
@@ -0,0 +1,87 @@
+#include "decision/control/control_service.h"
+
+#include <utility>
+
+#include "core/internal_assert.h"
+#include "decision/control/apply_command.h"
+#include "decision/control/proposer_table.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+absl::StatusOr<std::unique_ptr<control_service>> control_service::create(
+    const kernel_hooks&, const vm_settings&, control_options options)
+{
+    return std::unique_ptr<control_service>(new control_service(options));
+}
+
+control_service::control_service(control_options options)
+    : m_options(options)
+{
+    m_port.state = [this]() -> const control_snapshot& { return m_state; };
+    m_port.onChange = [this](std::function<void()> listener) { m_listeners.push_back(std::move(listener)); };
+    m_port.apply = [this](const proposal& item) { return apply(item); };
+    m_port.restore = [this](control_snapshot state) { restore(std::move(state)); };
+}
+
+service control_service::asService()
+{
+    service item;
+    item.name = port_names::control;
+    item.start = [this](registry& services) { return services.publish(port_names::control, m_port); };
+    item.dump = [this] { return dump(); };
+    return item;
+}
+
+command_result control_service::apply(const proposal& item)
+{
+    if (m_options.answerDuplicates) {
+        if (std::optional<command_result> former = findFormerResult(m_state, item))
+            return *former;
+    }
+    const change_number before = m_state.config.number;
+    command_result result = applyCommand(m_state, item);
+    internal_assert(m_state.config.number >= before)
+        << "the configuration fell from " << before.value() << " to " << m_state.config.number.value();
+    rememberResult(m_state.proposers, item.id, result);
+    tellListeners();
+    return result;
+}
+
+void control_service::restore(control_snapshot state)
+{
+    internal_assert(state.config.number >= m_state.config.number)
+        << "a snapshot with configuration " << state.config.number.value() << " came after "
+        << m_state.config.number.value();
+    m_state = std::move(state);
+    tellListeners();
+}
+
+void control_service::tellListeners() const
+{
+    for (const auto& listener : m_listeners)
+        listener();
+}
+
+state_dump control_service::dump() const
+{
+    state_dump shown(port_names::control);
+    shown.add("configuration", m_state.config.number.value());
+    shown.add("history", static_cast<std::uint64_t>(m_state.history.size()));
+    shown.add("regions", static_cast<std::uint64_t>(m_state.config.regions.size()));
+    shown.add("services", static_cast<std::uint64_t>(m_state.config.services.size()));
+    shown.add("keys", static_cast<std::uint64_t>(m_state.keys.size()));
+    shown.add("crashes", static_cast<std::uint64_t>(m_state.crashes.size()));
+    state_dump& drains = shown.addList("drains");
+    for (const drain_target& target : m_state.drains)
+        drains.add("drain", target.name);
+    state_dump& upstreams = shown.addObject("upstreams");
+    for (const auto& [id, record] : m_state.directory)
+        upstreams.add(id.value(), formatAddress(record.announcement.address));
+    state_dump& allocators = shown.addObject("allocators");
+    for (const auto& [region, record] : m_state.allocators)
+        allocators.add(region.value(), record.vm.value());
+    return shown;
+}
+
+} // namespace plantainlatch
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -96,10 +96,12 @@
 struct upstream_left {
     upstream_id id;
     upstream_generation generation;
+    /** It said goodbye, so that this generation never comes back; after silence it may. */
+    bool goodbye = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.id, self.generation);
+        visit(self.id, self.generation, self.goodbye);
     }
 };
 
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -134,10 +134,27 @@
 struct proposer_record {
     incarnation start;
     std::map<std::uint64_t, command_result> results;
+    /** The latest earlier incarnations, the newest last; their late proposals are refused. */
+    std::vector<incarnation> formerStarts;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.start, self.results);
+        visit(self.start, self.results, self.formerStarts);
+    }
+};
+
+/** An upstream that left the directory: kept so that late announcements and flapping are recognised. */
+struct departed_record {
+    upstream_generation generation;
+    wall_time leftAt {};
+    /** It said goodbye, so that this generation never comes back. */
+    bool goodbye = false;
+    /** How often it fell silent without a long enough calm between. */
+    std::uint32_t silences = 0;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.generation, self.leftAt, self.goodbye, self.silences);
     }
 };
 
@@ -153,11 +170,14 @@
     std::map<shift_id, shift_record> shifts;
     std::map<vm_id, vm_start_record> vms;
     std::map<vm_id, proposer_record> proposers;
+    std::map<upstream_id, departed_record> departed;
+    /** The configuration before the first record of the history. */
+    configuration historyBase;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.config, self.history, self.directory, self.drains, self.keys, self.crashes, self.allocators,
-            self.shifts, self.vms, self.proposers);
+            self.shifts, self.vms, self.proposers, self.departed, self.historyBase);
     }
 };
 
--- a/src/ports/port_names.h
+++ b/src/ports/port_names.h
@@ -29,4 +29,13 @@
 /** entry_list_port: the entries that callers should use. */
 inline constexpr const char* entryList = "entry_list";
 
+/** liveness_port: when upstreams were last heard of. */
+inline constexpr const char* liveness = "liveness";
+/** membership_port: live VMs and allocator leases. */
+inline constexpr const char* membership = "membership";
+/** measurement_port: what this VM measured. */
+inline constexpr const char* measurements = "measurements";
+/** shift_port: shares and shifts. */
+inline constexpr const char* shifts = "shifts";
+
 } // namespace plantainlatch::port_names
--- /dev/null
+++ b/test/correctness/control_change_test.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+
+#include "decision/control/declaration_difference.h"
+#include "decision/control/declaration_merge.h"
+#include "support/control_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    class change_fixture : public control_fixture {
+    protected:
+        change_fixture() { startWith({}); }
+
+        declaration withShare(std::uint64_t number, std::uint32_t weight)
+        {
+            declaration content;
+            content.number = change_number(number);
+            content.replaces = change_number(number - 1);
+            content.shares.added
+                = { { { service_id("booking"), failure_domain_id("kokura"), weight }, { "note.yaml", 7, 3 } } };
+            return content;
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(change_fixture, "change.same_number_and_content.is_already_accepted")
+{
+    REQUIRE(apply(apply_declaration { kurohaeDeclaration() }).verdict == command_verdict::Accepted);
+    REQUIRE(apply(apply_declaration { kurohaeDeclaration() }).verdict == command_verdict::AlreadyAccepted);
+    REQUIRE(state().history.size() == 1);
+    REQUIRE(state().config.services.size() == 2);
+}
+
+TEST_CASE_METHOD(change_fixture, "change.same_number_and_other_content.is_a_conflict_that_says_the_difference")
+{
+    apply(apply_declaration { kurohaeDeclaration() });
+    REQUIRE(apply(apply_declaration { withShare(2, 5) }).verdict == command_verdict::Accepted);
+    const command_result second = apply(apply_declaration { withShare(2, 6) });
+    REQUIRE(second.verdict == command_verdict::Conflict);
+    REQUIRE_THAT(second.message, Catch::Contains("share of 'booking' in 'kokura', but with other values"));
+    REQUIRE(state().config.shares.begin()->second.weight == 5);
+}
+
+TEST_CASE_METHOD(change_fixture, "change.replacing_what_is_no_longer_in_force.is_a_conflict")
+{
+    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { withShare(2, 5) });
+    declaration late = withShare(3, 6);
+    late.replaces = change_number(1);
+    REQUIRE(apply(apply_declaration { late }).verdict == command_verdict::Conflict);
+    REQUIRE(state().config.number == change_number(2));
+}
+
+TEST_CASE_METHOD(change_fixture, "merge.many_faults.are_found_together_with_their_places")
+{
+    declaration content = kurohaeDeclaration();
+    content.shares.added = { { { service_id("nothing"), failure_domain_id("kokura"), 1 }, { "n.yaml", 3, 1 } },
+        { { service_id("booking"), failure_domain_id("nowhere"), 1 }, { "n.yaml", 4, 1 } } };
+    content.services.withdrawn = { { content.services.added[0].value, { "n.yaml", 9, 1 } } };
+    finding_list findings;
+    REQUIRE_FALSE(mergeDeclaration({}, content, findings).ok());
+    REQUIRE_THAT(findings.format(), Catch::Contains("n.yaml:3:1: share of 'nothing'"));
+    REQUIRE_THAT(findings.format(), Catch::Contains("n.yaml:4:1: share of 'booking' in 'nowhere'"));
+    REQUIRE_THAT(findings.format(), Catch::Contains("n.yaml:9:1: service 'booking' is named twice"));
+}
+
+TEST_CASE_METHOD(change_fixture, "merge.withdrawal_of_a_used_region.is_found_at_the_withdrawal")
+{
+    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { withShare(2, 5) });
+    declaration content;
+    content.number = change_number(3);
+    content.regions.withdrawn = { { { region_id("fukuoka"), {} }, { "n.yaml", 2, 5 } } };
+    finding_list findings;
+    REQUIRE_FALSE(mergeDeclaration(state().config, content, findings).ok());
+    REQUIRE_THAT(findings.format(), Catch::Contains("n.yaml:2:5: share of 'booking' in 'kokura'"));
+}
+
+TEST_CASE_METHOD(change_fixture, "history.difference_to_an_earlier_configuration.leads_back_to_it")
+{
+    apply(apply_declaration { kurohaeDeclaration() });
+    const configuration earlier = state().config;
+    apply(apply_declaration { withShare(2, 5) });
+    declaration back = declarationBetween(state().config, earlier);
+    back.number = change_number(3);
+    back.replaces = change_number(2);
+    REQUIRE(apply(apply_declaration { back }).verdict == command_verdict::Accepted);
+    REQUIRE(state().config.shares.empty());
+    REQUIRE(state().config.number == change_number(3));
+}
+
+TEST_CASE_METHOD(change_fixture, "proposal.resent.is_answered_with_the_first_result_and_changes_nothing")
+{
+    apply(apply_declaration { kurohaeDeclaration() });
+    const proposal joined { { vm_id("b"), incarnation(5), 1 }, {}, upstream_joined { bookingUpstream("u", 9001) } };
+    REQUIRE(port().apply(joined).verdict == command_verdict::Accepted);
+    apply(upstream_left { upstream_id("u"), upstream_generation(1) });
+    REQUIRE(port().apply(joined).verdict == command_verdict::Accepted);
+    REQUIRE(state().directory.empty());
+}
+
+TEST_CASE("proposal.resent_without_duplicate_answers.is_applied_again")
+{
+    paused_runtime runtime { 1 };
+    auto root = *kernel::create(runtime.hooks());
+    auto subject = *control_service::create(runtime.hooks(), {}, { .answerDuplicates = false });
+    root->add(subject->asService());
+    REQUIRE(root->start().ok());
+    control_port& port = **root->services().find<control_port>(port_names::control);
+    port.apply({ { vm_id("a"), incarnation(1), 1 }, {}, apply_declaration { kurohaeDeclaration() } });
+    const proposal joined { { vm_id("b"), incarnation(5), 1 }, {}, upstream_joined { bookingUpstream("u", 9001) } };
+    port.apply(joined);
+    port.apply({ { vm_id("a"), incarnation(1), 2 }, {}, upstream_left { upstream_id("u"), upstream_generation(1) } });
+    port.apply(joined);
+    REQUIRE(port.state().directory.size() == 1);
+}
+
+TEST_CASE_METHOD(change_fixture, "proposal.of_an_earlier_start.is_refused")
+{
+    const drain_target target { drain_kind::Region, "fukuoka" };
+    apply(apply_declaration { kurohaeDeclaration() });
+    port().apply({ { vm_id("b"), incarnation(5), 1 }, {}, set_drain { target, true } });
+    port().apply({ { vm_id("b"), incarnation(6), 1 }, {}, set_drain { target, false } });
+    const command_result late = port().apply({ { vm_id("b"), incarnation(5), 2 }, {}, set_drain { target, true } });
+    REQUIRE(late.verdict == command_verdict::Refused);
+    REQUIRE(state().drains.empty());
+}
+
+} // namespace plantainlatch
