--- a/src/model/consensus_message.h
+++ b/src/model/consensus_message.h
@@ -5,7 +5,7 @@
  */
 
 #include <cstdint>
-#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -133,10 +133,12 @@
     std::uint64_t round = 0;
     /** What the follower has applied, for "in force everywhere". */
     log_index applied;
+    /** What matched is on the follower's disk, so that it may become a voter. */
+    bool durable = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.term, self.follower, self.matched, self.index, self.round, self.applied);
+        visit(self.term, self.follower, self.matched, self.index, self.round, self.applied, self.durable);
     }
 };
 
@@ -182,10 +184,14 @@
     replica_id self;
     bool blank = false;
     vm_id leader;
+    /** Who asked; an answer to an earlier disk of the same VM counts for nothing. */
+    replica_id asker;
+    /** A blank replica takes the first entry of a new log only under the last pledge that it gave. */
+    std::uint64_t pledge = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.self, self.blank, self.leader);
+        visit(self.self, self.blank, self.leader, self.asker, self.pledge);
     }
 };
 
--- a/src/ports/storage_port.h
+++ b/src/ports/storage_port.h
@@ -36,8 +36,9 @@
     std::function<absl::StatusOr<recovered_state>()> load;
     /** Calls back once the write and all before it are synced; writes that wait together are synced together. */
     std::function<void(storage_write, std::function<void(absl::Status)>)> write;
-    /** Replaces all entries up to the snapshot's index. */
-    std::function<void(log_snapshot, std::function<void(absl::Status)>)> saveSnapshot;
+    /** Replaces all entries up to the snapshot's index, and the later ones too unless `keepLaterEntries`, so that they
+     * are gone after a start even if the process ended in between. Durable in the order of write(). */
+    std::function<void(log_snapshot, bool keepLaterEntries, std::function<void(absl::Status)>)> saveSnapshot;
 };
 
 } // namespace plantainlatch
