--- a/src/runtime/file_hooks.cpp
+++ b/src/runtime/file_hooks.cpp
@@ -117,9 +117,7 @@
         absl::Status status = ::fsync(file) == 0 ? absl::OkStatus() : lastError("sync", folder);
         ::close(file);
         return status;
-        return status;
     }
-}
 
 } // namespace
 
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -29,6 +29,18 @@
         }
     };
 
+    /** What a snapshot file holds. */
+    struct snapshot_record {
+        log_snapshot snapshot;
+        /** Whether entries after the snapshot that older state files hold still count. */
+        bool keepsLaterEntries = true;
+
+        template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+        {
+            visit(self.snapshot, self.keepsLaterEntries);
+        }
+    };
+
     std::vector<std::uint64_t> numbersOf(const std::vector<std::string>& names, const std::string& prefix)
     {
         std::vector<std::uint64_t> numbers;
@@ -85,6 +97,8 @@
     file_hooks files;
     storage_port port;
     std::uint64_t generation = 0;
+    /** Entries of state files before this generation do not count. */
+    std::uint64_t firstCounted = 0;
     std::optional<int> stateFile;
     absl::Status failure = absl::OkStatus();
     bool loaded = false;
@@ -106,8 +120,9 @@
         port.write = [this](storage_write write, std::function<void(absl::Status)> done) {
             enqueue(std::move(write), std::move(done));
         };
-        port.saveSnapshot = [this](const log_snapshot& snapshot, const std::function<void(absl::Status)>& done) {
-            done(saveSnapshot(snapshot));
+        port.saveSnapshot = [this](const log_snapshot& snapshot, bool keepLaterEntries,
+                                const std::function<void(absl::Status)>& done) {
+            done(saveSnapshot({ snapshot, keepLaterEntries }));
         };
     }
 
@@ -159,10 +174,11 @@
             return damaged(file, scan.status());
         if (scan->payloads.size() != 1 || scan->wholeBytes != bytes->size())
             return damaged(file, absl::DataLossError("no whole snapshot at offset 0"));
-        absl::StatusOr<log_snapshot> snapshot = msgpack_codec::decode<log_snapshot>(scan->payloads.front());
-        if (!snapshot.ok())
-            return damaged(file, snapshot.status());
-        recovered.snapshot = std::move(*snapshot);
+        absl::StatusOr<snapshot_record> record = msgpack_codec::decode<snapshot_record>(scan->payloads.front());
+        if (!record.ok())
+            return damaged(file, record.status());
+        recovered.snapshot = std::move(record->snapshot);
+        firstCounted = record->keepsLaterEntries ? 0 : generation;
         return absl::OkStatus();
     }
 
@@ -171,10 +187,14 @@
         const std::vector<std::uint64_t> numbers = numbersOf(names, statePrefix);
         for (const std::uint64_t number : numbers) {
             const bool isLast = number == numbers.back();
+            if (number <= firstCounted)
+                recovered.entries.clear();
             absl::Status status = loadState(path(statePrefix, number), isLast, recovered);
             if (!status.ok())
                 return status;
         }
+        if (!numbers.empty() && numbers.back() < firstCounted)
+            recovered.entries.clear();
         if (!numbers.empty())
             generation = std::max(generation, numbers.back());
         return absl::OkStatus();
@@ -272,7 +292,7 @@
         return failure;
     }
 
-    absl::Status saveSnapshot(const log_snapshot& snapshot)
+    absl::Status saveSnapshot(const snapshot_record& record)
     {
         if (!failure.ok() || !loaded)
             return failure.ok() ? absl::FailedPreconditionError("the storage was not loaded") : failure;
@@ -280,9 +300,11 @@
             hooks.cancel(flushTimer);
             flush();
         }
-        std::erase_if(liveEntries, [&snapshot](const log_entry& entry) { return entry.index <= snapshot.index; });
+        std::erase_if(liveEntries, [&record](const log_entry& entry) {
+            return !record.keepsLaterEntries || entry.index <= record.snapshot.index;
+        });
         const std::uint64_t next = generation + 1;
-        absl::Status status = writeWhole(path(snapshotPrefix, next), msgpack_codec::encode(snapshot));
+        absl::Status status = writeWhole(path(snapshotPrefix, next), msgpack_codec::encode(record));
         if (status.ok())
             status
                 = writeWhole(path(statePrefix, next), msgpack_codec::encode(state_record { lastState, liveEntries }));
--- a/test/error/file_storage_test.cpp
+++ b/test/error/file_storage_test.cpp
@@ -31,12 +31,13 @@
             return result;
         }
 
-        absl::Status snapshotAt(std::uint64_t index)
+        absl::Status snapshotAt(std::uint64_t index, bool keepLaterEntries = true)
         {
             log_snapshot snapshot;
             snapshot.index = log_index(index);
             absl::Status result = absl::UnknownError("not called");
-            storage->port().saveSnapshot(snapshot, [&result](const absl::Status& status) { result = status; });
+            storage->port().saveSnapshot(
+                snapshot, keepLaterEntries, [&result](const absl::Status& status) { result = status; });
             return result;
         }
 
@@ -162,4 +163,21 @@
     REQUIRE(recovered->state->term == log_term(3));
 }
 
+TEST_CASE_METHOD(
+    file_storage_fixture, "file_storage.snapshot_without_later_entries.drops_them_even_when_the_new_state_is_missing")
+{
+    REQUIRE(restart().ok());
+    REQUIRE(write(3, 1, 10).ok());
+    const auto before = disk.files;
+    REQUIRE(snapshotAt(7, false).ok());
+    REQUIRE(restart()->entries.empty());
+    const auto snapshotFile = disk.files["data/snapshot.1"];
+    disk.files = before;
+    disk.files["data/snapshot.1"] = snapshotFile;
+    REQUIRE(restart()->entries.empty());
+    REQUIRE(restart()->entries.empty());
+    REQUIRE(write(4, 8, 9).ok());
+    REQUIRE(restart()->entries.size() == 2);
+}
+
 } // namespace plantainlatch
