--- /dev/null
+++ b/tools/load_tool/load_options.cpp
@@ -0,0 +1,114 @@
+#include "load_tool/load_options.h"
+
+#include <limits>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Bounds on what one run can hold. */
+    constexpr double largestRate = 200'000;
+    constexpr std::uint64_t largestRequestCount = 20'000'000;
+    constexpr std::uint32_t largestTries = 20;
+
+    absl::Status readMix(const std::string& text, load_options& options)
+    {
+        const std::vector<std::string> parts = absl::StrSplit(text, ',');
+        if (parts.size() != workKindCount)
+            return absl::InvalidArgumentError("--mix takes three weights, such as 70,25,5");
+        std::uint32_t sum = 0;
+        for (std::size_t i = 0; i < workKindCount; ++i) {
+            if (!absl::SimpleAtoi(parts[i], &options.mix[i]) || options.mix[i] > 1000)
+                return absl::InvalidArgumentError("--mix takes weights from 0 to 1000");
+            sum += options.mix[i];
+        }
+        return sum > 0 ? absl::OkStatus() : absl::InvalidArgumentError("--mix is all 0");
+    }
+
+    absl::Status checkBounds(const load_options& options)
+    {
+        if (options.entries.empty())
+            return absl::InvalidArgumentError("--entry is missing");
+        if (!(options.rate > 0) || options.rate > largestRate)
+            return absl::InvalidArgumentError(absl::StrCat("--rate is above 0 and at most ", largestRate));
+        const double seconds = std::chrono::duration<double>(options.length).count();
+        if (options.rate * seconds > static_cast<double>(largestRequestCount))
+            return absl::InvalidArgumentError(
+                absl::StrCat("--rate and --duration make more than ", largestRequestCount, " requests"));
+        if (options.tries == 0 || options.tries > largestTries)
+            return absl::InvalidArgumentError(absl::StrCat("--tries is 1 to ", largestTries));
+        if (options.timeout <= duration::zero())
+            return absl::InvalidArgumentError("--timeout is 0");
+        return absl::OkStatus();
+    }
+
+} // namespace
+
+std::string workKindName(work_kind kind)
+{
+    switch (kind) {
+    case work_kind::Idempotent:
+        return "idempotent";
+    case work_kind::Keyed:
+        return "keyed";
+    case work_kind::Unkeyed:
+        return "unkeyed";
+    }
+    internal_assert(false) << "work kind " << static_cast<int>(kind);
+    return "unknown";
+}
+
+command_spec loadCommand()
+{
+    return { "load_tool", "Sends requests at a fixed rate, whatever the answers, and reports what became of them.",
+        {
+            { "entry", "IP:PORT", "an entry to ask for the list of entries", {}, true, true },
+            { "near", "FAILURE_DOMAIN", "where the callers are; several are taken in turn", {}, true },
+            { "service", "NAME", "the service to call", {}, false, true },
+            { "rate", "N", "requests a second", "100" },
+            { "duration", "TIME", "how long to send", "10s" },
+            { "mix", "I,K,U", "weights of idempotent, keyed and unkeyed requests", "70,30,0" },
+            { "get-path", "PATH", "of the idempotent requests", "/item" },
+            { "post-path", "PATH", "of the other requests", "/orders" },
+            { "body-bytes", "N", "size of each POST", "100" },
+            { "timeout", "TIME", "from the intended send time to the last answer", "5s" },
+            { "tries", "N", "how often a request is sent when that is safe", "5" },
+            { "json", "FILE", "writes the report as JSON too" },
+            { "seed", "N", "of the mix; 0 takes any", "0" },
+            { "require-all", "", "exit with 1 unless every request got its own whole answer" },
+        },
+        {}, "Latency counts from the intended send time. Exit codes: 0 done, 1 failed, 2 wrong options." };
+}
+
+absl::StatusOr<load_options> readLoadOptions(const command_line& line)
+{
+    absl::Status status = absl::OkStatus();
+    load_options options;
+    options.entries = line.addresses("entry", status);
+    options.near = line.texts("near");
+    if (options.near.empty())
+        options.near.emplace_back();
+    options.service = service_id(line.text("service"));
+    options.rate = line.decimal("rate", status);
+    options.length = line.span("duration", status);
+    status.Update(readMix(line.text("mix"), options));
+    options.getPath = line.text("get-path");
+    options.postPath = line.text("post-path");
+    options.bodyBytes = static_cast<std::uint32_t>(line.number("body-bytes", status));
+    options.timeout = line.span("timeout", status);
+    options.tries = static_cast<std::uint32_t>(line.number("tries", status));
+    options.jsonFile = line.text("json");
+    options.seed = line.number("seed", status);
+    options.requireAll = line.given("require-all");
+    status.Update(checkBounds(options));
+    if (!status.ok())
+        return status;
+    return options;
+}
+
+} // namespace plantainlatch
