--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -26,6 +26,8 @@
     std::function<duration()> allocatorLease;
     /** This VM began its graceful stop: it takes no new roles. */
     std::function<bool()> stopping;
+    /** Begins the graceful stop: the other VMs are told to leave this one out of their entry lists. */
+    std::function<void()> beginStop;
 };
 
 } // namespace plantainlatch
--- /dev/null
+++ b/src/services/caller_front.cpp
@@ -0,0 +1,222 @@
+#include "services/caller_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "codec/http_fields.h"
+#include "core/internal_assert.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr const char* servicePrefix = "/s/";
+    constexpr const char* entriesPath = "/v1/entries";
+    constexpr std::string_view nearParameter = "near=";
+    constexpr std::size_t largestKey = 255;
+    constexpr std::size_t largestServiceName = 64;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusUnavailable = 503;
+    constexpr duration retryElsewhere = std::chrono::seconds(1);
+
+    bool isVisible(char letter) { return letter > ' ' && letter <= '~'; }
+
+    bool isKey(const std::string& text)
+    {
+        return !text.empty() && text.size() <= largestKey && std::all_of(text.begin(), text.end(), isVisible);
+    }
+
+    caller_answer refusal(int status, answer_reason reason, const std::string& text)
+    {
+        caller_answer answer;
+        answer.result = outcome::NotRun;
+        answer.reason = reason;
+        answer.content = { status, { { "Content-Type", "text/plain" } }, text + "\n" };
+        return answer;
+    }
+
+    /** The value of `near` in a query; names need no escapes. */
+    std::string nearOf(std::string_view query)
+    {
+        while (!query.empty()) {
+            const std::size_t end = query.find('&');
+            const std::string_view part = query.substr(0, end);
+            if (part.starts_with(nearParameter))
+                return std::string(part.substr(nearParameter.size()));
+            if (end == std::string_view::npos)
+                break;
+            query.remove_prefix(end + 1);
+        }
+        return {};
+    }
+
+} // namespace
+
+absl::StatusOr<caller_request> readCallerRequest(const http_request_view& request)
+{
+    const std::string_view path = request.path();
+    const std::size_t nameStart = std::string_view(servicePrefix).size();
+    const std::size_t nameEnd = std::min(path.find('/', nameStart), path.size());
+    if (nameEnd == nameStart || nameEnd - nameStart > largestServiceName)
+        return absl::InvalidArgumentError("the path names no service");
+    caller_request result;
+    result.service = service_id(std::string(path.substr(nameStart, nameEnd - nameStart)));
+    result.method = request.method();
+    result.target = nameEnd < path.size() ? request.target(nameEnd) : absl::StrCat("/", request.target(nameEnd));
+    if (const char* text = request.header(http_fields::requestTimeout)) {
+        result.deadline = http_fields::parseSeconds(text);
+        if (!result.deadline)
+            return absl::InvalidArgumentError("X-Request-Timeout must be decimal seconds above 0, up to 86400");
+    }
+    if (const char* text = request.header(http_fields::idempotencyKey)) {
+        result.key = idempotency_key(text);
+        if (!isKey(result.key->value()))
+            return absl::InvalidArgumentError("Idempotency-Key must be 1 to 255 visible ASCII characters");
+    }
+    result.headers = request.headers();
+    http_fields::keepEndToEnd(result.headers);
+    result.body = request.body();
+    return result;
+}
+
+std::unique_ptr<caller_front> caller_front::create(const kernel_hooks& hooks, const vm_settings& settings)
+{
+    return std::unique_ptr<caller_front>(new caller_front(hooks, settings));
+}
+
+caller_front::caller_front(const kernel_hooks& hooks, const vm_settings& settings)
+    : m_hooks(hooks)
+    , m_self(settings.self.id)
+    , m_cacheTime(settings.lookupCacheTime)
+{
+}
+
+service caller_front::asService()
+{
+    service item;
+    item.name = serviceName;
+    item.needs = { http_server::serviceName, metrics::serviceName, port_names::requests, port_names::entryList };
+    item.start = [this](registry& services) { return start(services); };
+    item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
+    item.dump = [this] {
+        state_dump dump;
+        dump.add("requests_in_flight", static_cast<std::uint64_t>(m_pending.size()));
+        dump.add("stopping", m_stopped != nullptr);
+        return dump;
+    };
+    return item;
+}
+
+absl::Status caller_front::start(registry& services)
+{
+    const absl::StatusOr<http_server*> server = services.find<http_server>(http_server::serviceName);
+    const absl::StatusOr<metrics*> numbers = services.find<metrics>(metrics::serviceName);
+    const absl::StatusOr<request_port*> requests = services.find<request_port>(port_names::requests);
+    const absl::StatusOr<entry_list_port*> entries = services.find<entry_list_port>(port_names::entryList);
+    absl::Status status = server.status();
+    status.Update(numbers.status());
+    status.Update(requests.status());
+    status.Update(entries.status());
+    if (!status.ok())
+        return status;
+    m_server = *server;
+    m_metrics = *numbers;
+    m_requests = *requests;
+    m_entries.emplace(**entries, m_self);
+    m_metrics->addGauge("plantainlatch_requests_in_flight", "Requests that wait for their answers.",
+        [this] { return static_cast<double>(m_pending.size()); });
+    m_server->addRoute(
+        { servicePrefix, [this](exchange_id exchange, const http_request_view& request) { steer(exchange, request); },
+            [this](exchange_id exchange) { gone(exchange); } });
+    m_server->addRoute({ entriesPath,
+        [this](exchange_id exchange, const http_request_view& request) { lookUp(exchange, request); }, nullptr });
+    return absl::OkStatus();
+}
+
+void caller_front::steer(exchange_id exchange, const http_request_view& request)
+{
+    if (m_refusing) {
+        caller_answer answer = refusal(statusUnavailable, answer_reason::Draining, "this VM is shutting down");
+        answer.retryAfter = retryElsewhere;
+        m_server->respond(exchange, encodeCallerAnswer(answer, false));
+        return;
+    }
+    absl::StatusOr<caller_request> read = readCallerRequest(request);
+    if (!read.ok()) {
+        const caller_answer answer
+            = refusal(statusBadRequest, answer_reason::MalformedRequest, std::string(read.status().message()));
+        m_server->respond(exchange, encodeCallerAnswer(answer, false));
+        return;
+    }
+    submit(exchange, *std::move(read));
+}
+
+void caller_front::submit(exchange_id exchange, caller_request request)
+{
+    pending_request& added = m_pending[exchange];
+    added.service = request.service;
+    added.arrived = m_hooks.now();
+    added.head = request.method == "HEAD";
+    const request_id id = m_requests->submit(
+        std::move(request), [this, exchange](const caller_answer& result) { answer(exchange, result); });
+    const auto waiting = m_pending.find(exchange);
+    if (waiting != m_pending.end())
+        waiting->second.id = id;
+}
+
+void caller_front::answer(exchange_id exchange, const caller_answer& answer)
+{
+    const auto found = m_pending.find(exchange);
+    internal_assert(found != m_pending.end()) << "exchange " << exchange.value() << " is answered twice";
+    const pending_request request = std::move(found->second);
+    m_pending.erase(found);
+    m_metrics->recordAnswer(request.service, answer.result, answer.reason, m_hooks.now() - request.arrived);
+    m_server->respond(exchange, encodeCallerAnswer(answer, request.head));
+    stopIfIdle();
+}
+
+void caller_front::gone(exchange_id exchange)
+{
+    const auto found = m_pending.find(exchange);
+    if (found == m_pending.end())
+        return;
+    const request_id id = found->second.id;
+    m_pending.erase(found);
+    m_metrics->recordHangUp();
+    m_requests->cancel(id);
+    stopIfIdle();
+}
+
+void caller_front::lookUp(exchange_id exchange, const http_request_view& request)
+{
+    if (request.path() != entriesPath || request.method() != "GET") {
+        m_server->respond(exchange, encodeProblem(http_problem::UnknownPath));
+        return;
+    }
+    m_metrics->recordLookup();
+    m_server->respond(exchange, m_entries->answerFor(nearOf(request.query())));
+}
+
+void caller_front::stop(std::function<void()> stopped)
+{
+    m_entries->leaveOutSelf();
+    m_server->closeAfterAnswers();
+    m_hooks.schedule(m_cacheTime, [this, stopped = std::move(stopped)] {
+        m_refusing = true;
+        m_stopped = stopped;
+        m_server->stopListening();
+        stopIfIdle();
+    });
+}
+
+void caller_front::stopIfIdle()
+{
+    if (!m_refusing || !m_pending.empty() || !m_stopped)
+        return;
+    // On a round of its own: the last answer is not to be written by a service that has stopped.
+    m_hooks.schedule(duration::zero(), std::exchange(m_stopped, nullptr));
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/services/caller_front.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/** \file
+ * The front end for callers: requests to services, and which entries to use.
+ */
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "kernel/hooks.h"
+#include "kernel/service.h"
+#include "model/vm_settings.h"
+#include "ports/request_port.h"
+#include "services/entry_answers.h"
+#include "services/http_server.h"
+#include "services/metrics.h"
+
+namespace plantainlatch {
+
+/** Translates `/s/{service}/...` to request_port and `GET /v1/entries` to entry_list_port.
+ *
+ * Its stop is graceful: it leaves this VM out of its entry lists, ends each connection with its answer, serves for as
+ * long as callers may cache a list, and waits for the requests in flight. */
+class caller_front {
+public:
+    static constexpr const char* serviceName = "caller_front";
+
+    static std::unique_ptr<caller_front> create(const kernel_hooks& hooks, const vm_settings& settings);
+
+    /** The kernel service; it needs "http_server", "requests", "entry_list" and "metrics". */
+    service asService();
+
+private:
+    /** A caller's request that waits for its answer. */
+    struct pending_request {
+        request_id id;
+        service_id service;
+        time_point arrived {};
+        bool head = false;
+    };
+
+    caller_front(const kernel_hooks& hooks, const vm_settings& settings);
+
+    absl::Status start(registry& services);
+    void steer(exchange_id exchange, const http_request_view& request);
+    void submit(exchange_id exchange, caller_request request);
+    void answer(exchange_id exchange, const caller_answer& answer);
+    void gone(exchange_id exchange);
+    void lookUp(exchange_id exchange, const http_request_view& request);
+    void stop(std::function<void()> stopped);
+    void stopIfIdle();
+
+    kernel_hooks m_hooks;
+    vm_id m_self;
+    duration m_cacheTime;
+    http_server* m_server = nullptr;
+    request_port* m_requests = nullptr;
+    metrics* m_metrics = nullptr;
+    std::optional<entry_answers> m_entries;
+    absl::flat_hash_map<exchange_id, pending_request> m_pending;
+    bool m_refusing = false;
+    std::function<void()> m_stopped;
+};
+
+/** The request that `/s/{service}/...` stands for, without hop-by-hop fields; InvalidArgument for a bad service name,
+ * key or timeout. */
+absl::StatusOr<caller_request> readCallerRequest(const http_request_view& request);
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/services/entry_answers.cpp
@@ -0,0 +1,50 @@
+#include "services/entry_answers.h"
+
+#include "absl/strings/str_cat.h"
+#include "codec/json_codec.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Answers kept at once; at the bound all are forgotten, as only made-up names get there. */
+    constexpr std::size_t largestAnswers = 256;
+    constexpr int statusOk = 200;
+
+} // namespace
+
+entry_answers::entry_answers(entry_list_port& port, vm_id self)
+    : m_port(port)
+    , m_self(std::move(self))
+{
+    m_port.onChange([this] { m_encoded.clear(); });
+}
+
+const http_answer& entry_answers::answerFor(const std::string& failureDomain)
+{
+    const auto found = m_encoded.find(failureDomain);
+    if (found != m_encoded.end())
+        return found->second;
+    if (m_encoded.size() >= largestAnswers)
+        m_encoded.clear();
+    return m_encoded.emplace(failureDomain, encode(failure_domain_id(failureDomain))).first->second;
+}
+
+void entry_answers::leaveOutSelf()
+{
+    m_leaveOutSelf = true;
+    m_encoded.clear();
+}
+
+http_answer entry_answers::encode(const failure_domain_id& failureDomain) const
+{
+    entry_list list = m_port.list(failureDomain);
+    if (m_leaveOutSelf)
+        std::erase_if(list.entries, [this](const entry_choice& item) { return item.vm.id == m_self; });
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(list.cacheTime).count();
+    return encodeAnswer(statusOk,
+        { { "Content-Type", "application/json" }, { "Cache-Control", absl::StrCat("max-age=", seconds) } },
+        encodeEntryListJson(list));
+}
+
+} // namespace plantainlatch
