--- a/src/model/command.h
+++ b/src/model/command.h
@@ -96,10 +96,12 @@
 struct upstream_left {
     upstream_id id;
     upstream_generation generation;
+    /** It said goodbye, so that this generation never comes back; after silence it may. */
+    bool goodbye = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.id, self.generation);
+        visit(self.id, self.generation, self.goodbye);
     }
 };
 
@@ -110,10 +112,12 @@
     request_fingerprint fingerprint;
     /** How long the key is kept from now on. */
     duration retention {};
+    /** How long from now on the work may run; a claim that is not settled by then is Unknown. */
+    duration runLimit {};
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.service, self.key, self.fingerprint, self.retention);
+        visit(self.service, self.key, self.fingerprint, self.retention, self.runLimit);
     }
 };
 
