--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -2,15 +2,22 @@
 #include <string>
 #include <vector>
 
+#include "main/apply_command.h"
 #include "main/check_command.h"
+#include "main/drain_command.h"
 #include "main/exit_code.h"
 #include "main/subcommand.h"
+#include "main/view_commands.h"
 
 namespace plantainlatch {
 
 namespace {
 
-    std::vector<subcommand> allSubcommands() { return { checkCommand() }; }
+    std::vector<subcommand> allSubcommands()
+    {
+        return { checkCommand(), planCommand(), applyCommand(), statusCommand(), historyCommand(), dumpCommand(),
+            drainCommand(), undrainCommand() };
+    }
 
     /** The word by which a subcommand is called. */
     std::string wordOf(const subcommand& item) { return item.spec.name.substr(item.spec.name.rfind(' ') + 1); }
--- a/src/runtime/command_line.cpp
+++ b/src/runtime/command_line.cpp
@@ -12,6 +12,13 @@
 
     constexpr std::size_t helpWidth = 110;
 
+    std::string helpOf(const option_spec& option)
+    {
+        if (option.defaultValue.empty())
+            return option.help;
+        return absl::StrCat(option.help, " (default: ", option.defaultValue, ")");
+    }
+
     cxxopts::Options makeOptions(const command_spec& spec)
     {
         cxxopts::Options options(spec.name, spec.summary);
@@ -21,7 +28,7 @@
             if (option.valueName.empty())
                 options.add_options()(option.name, option.help);
             else
-                options.add_options()(option.name, option.help, cxxopts::value<std::string>(), option.valueName);
+                options.add_options()(option.name, helpOf(option), cxxopts::value<std::string>(), option.valueName);
         }
         options.add_options()("help", "print this");
         return options;
