--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 #include <vector>
 
+#include <arpa/inet.h>
 #include <evhtp.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include "absl/container/flat_hash_map.h"
@@ -38,6 +40,19 @@
 
     bool hasByte(const char* text, std::size_t size, char byte) { return std::memchr(text, byte, size) != nullptr; }
 
+    std::uint16_t portOf(const evhtp_t* server)
+    {
+        sockaddr_in local {};
+        socklen_t size = sizeof(local);
+        getsockname(evconnlistener_get_fd(server->server), reinterpret_cast<sockaddr*>(&local), &size);
+        return ntohs(local.sin_port);
+    }
+
+    void endConnectionAfter(evhtp_request_t* request)
+    {
+        request->flags &= static_cast<std::uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
+    }
+
     std::string_view fieldName(const evhtp_header_t& field) { return { field.key, field.klen }; }
 
 } // namespace
@@ -96,6 +111,7 @@
     http_server_options options;
     timeval idleTimeout;
     evhtp_t* server = nullptr;
+    network_address address;
     bool listening = false;
     bool closing = false;
     /** Called once when the last connection has ended. */
@@ -183,7 +199,7 @@
         self->dispatch(connection, request);
         return;
     }
-    evhtp_request_set_keepalive(request, 0);
+    endConnectionAfter(request);
     self->write(request, encodeProblem(connection.problem));
 }
 
@@ -261,7 +277,7 @@
 void http_server::implementation::write(evhtp_request_t* request, const http_answer& answer) const
 {
     if (closing)
-        evhtp_request_set_keepalive(request, 0);
+        endConnectionAfter(request);
     const bool keepAlive = (request->flags & EVHTP_REQ_FLAG_KEEPALIVE) != 0;
     evbuffer* output = bufferevent_get_output(request->conn->bev);
     evbuffer_add(output, answer.head.data(), answer.head.size());
@@ -307,6 +323,7 @@
         return absl::UnavailableError(
             absl::StrCat("can't listen for callers on ", formatAddress(address), ": ", std::strerror(errno)));
     parts->listening = true;
+    parts->address = { address.host, portOf(parts->server) };
     return std::unique_ptr<http_server>(new http_server(std::move(parts)));
 }
 
@@ -365,6 +382,8 @@
     }
 }
 
+network_address http_server::address() const { return m_parts->address; }
+
 std::size_t http_server::inFlight() const { return m_parts->waiting.size(); }
 
 std::size_t http_server::connections() const { return m_parts->connections.size(); }
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -69,6 +69,8 @@
     /** Accepts no further connections and closes those without a request. */
     void stopListening();
 
+    /** Where it listens; a port given as 0 is the one that the operating system chose. */
+    network_address address() const;
     /** Requests that wait for their answers. */
     std::size_t inFlight() const;
     std::size_t connections() const;
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -2,8 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "error/loop_fixture.h"
 #include "error/raw_upstream.h"
-#include "runtime/event_loop.h"
 #include "services/upstream_client.h"
 
 namespace plantainlatch {
@@ -21,7 +21,7 @@
         bool ended() const { return answer.has_value() || failure.has_value(); }
     };
 
-    class upstream_client_fixture {
+    class upstream_client_fixture : protected loop_fixture {
     protected:
         upstream_client_fixture()
         {
@@ -59,22 +59,6 @@
             return events;
         }
 
-        /** Runs the loop until `done` holds, for at most three seconds. */
-        void runUntil(const std::function<bool()>& done)
-        {
-            const time_point end = hooks.now() + std::chrono::seconds(3);
-            std::function<void()> check = [&] {
-                if (done() || hooks.now() > end)
-                    loop->stop();
-                else
-                    hooks.schedule(std::chrono::milliseconds(1), check);
-            };
-            check();
-            if (!done())
-                loop->run();
-            REQUIRE(done());
-        }
-
         call_record run(upstream_call call)
         {
             call_record record;
@@ -93,8 +77,6 @@
             return run(callTo(upstream.address(), std::chrono::milliseconds(200)));
         }
 
-        std::unique_ptr<event_loop> loop = *event_loop::create(1);
-        kernel_hooks hooks = loop->hooks([](const log_event&) {});
         raw_upstream upstream { loop->base() };
         std::unique_ptr<upstream_client> subject;
         std::uint64_t lastCall = 0;
@@ -174,8 +156,7 @@
     REQUIRE(upstream.accepted == 2);
     // Bytes that arrive later on the idle connection, before the loop has seen them.
     upstream.send(1, smallAnswer);
-    hooks.schedule(std::chrono::milliseconds(20), [&] { loop->stop(); });
-    loop->run();
+    runFor(std::chrono::milliseconds(20));
     REQUIRE(runAgainst("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthird", false).answer->body == "third");
     REQUIRE(upstream.accepted == 3);
 }
@@ -183,8 +164,7 @@
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_that_was_idle_for_long.is_not_reused")
 {
     REQUIRE(runAgainst(smallAnswer, false).answer);
-    hooks.schedule(std::chrono::milliseconds(400), [&] { loop->stop(); });
-    loop->run();
+    runFor(std::chrono::milliseconds(400));
     REQUIRE(runAgainst(smallAnswer, false).answer);
     REQUIRE(upstream.accepted == 2);
 }
