Add slots: regional allocators lend, entries hold under leases

Cause: 7 entries that cannot see each other's traffic must together never exceed a slot's one holder. Change: allocator and holder ledgers with stop-and-wait reports, demand and recall, cold start by warm answers, ejection with a floor, link budgets, a bounded queue with early refusal, and a local guess as the baseline.

--- a/src/decision/control/control_service.cpp
+++ b/src/decision/control/control_service.cpp
@@ -9,6 +9,16 @@
 
 namespace plantainlatch {
 
+namespace {
+
+    bool changesSteering(const control_command& command)
+    {
+        return !std::holds_alternative<no_command>(command) && !std::holds_alternative<claim_key>(command)
+            && !std::holds_alternative<settle_key>(command) && !std::holds_alternative<report_crash>(command);
+    }
+
+} // namespace
+
 absl::StatusOr<std::unique_ptr<control_service>> control_service::create(
     const kernel_hooks&, const vm_settings&, control_options options)
 {
@@ -20,6 +30,8 @@
 {
     m_port.state = [this]() -> const control_snapshot& { return m_state; };
     m_port.onChange = [this](std::function<void()> listener) { m_listeners.push_back(std::move(listener)); };
+    m_port.onSteeringChange
+        = [this](std::function<void()> listener) { m_steeringListeners.push_back(std::move(listener)); };
     m_port.apply = [this](const proposal& item) { return apply(item); };
     m_port.restore = [this](control_snapshot state) { restore(std::move(state)); };
 }
@@ -44,7 +56,7 @@
     internal_assert(m_state.config.number >= before)
         << "the configuration fell from " << before.value() << " to " << m_state.config.number.value();
     rememberResult(m_state.proposers, item.id, result);
-    tellListeners();
+    tellListeners(changesSteering(item.command));
     return result;
 }
 
@@ -54,13 +66,17 @@
         << "a snapshot with configuration " << state.config.number.value() << " came after "
         << m_state.config.number.value();
     m_state = std::move(state);
-    tellListeners();
+    tellListeners(true);
 }
 
-void control_service::tellListeners() const
+void control_service::tellListeners(bool steeringChanged) const
 {
     for (const auto& listener : m_listeners)
         listener();
+    if (!steeringChanged)
+        return;
+    for (const auto& listener : m_steeringListeners)
+        listener();
 }
 
 state_dump control_service::dump() const
--- a/src/decision/control/control_service.h
+++ b/src/decision/control/control_service.h
@@ -36,12 +36,13 @@
 
     command_result apply(const proposal& item);
     void restore(control_snapshot state);
-    void tellListeners() const;
+    void tellListeners(bool steeringChanged) const;
     state_dump dump() const;
 
     control_options m_options;
     control_snapshot m_state;
     std::vector<std::function<void()>> m_listeners;
+    std::vector<std::function<void()>> m_steeringListeners;
     control_port m_port;
 };
 
--- /dev/null
+++ b/src/decision/slots/slot_allocator.cpp
@@ -0,0 +1,393 @@
+#include "decision/slots/slot_allocator.h"
+
+#include <algorithm>
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+slot_allocator::slot_allocator(
+    region_id region, allocator_epoch epoch, std::set<vm_id> members, time_point now, slot_allocator_options options)
+    : m_region(std::move(region))
+    , m_epoch(epoch)
+    , m_options(options)
+    , m_unaccountedMembers(std::move(members))
+    , m_begun(now)
+{
+    if (!m_options.waitForEarlierLoans)
+        m_unaccountedMembers.clear();
+}
+
+duration slot_allocator::holdTime() const
+{
+    return m_options.lease + m_options.drift + m_longestWork + m_options.settle;
+}
+
+void slot_allocator::setUpstreams(const upstream_table& table, duration longestWork, time_point now)
+{
+    // Earlier loans may run under an earlier, longer limit, so the longest ever seen counts.
+    m_longestWork = std::max(m_longestWork, longestWork);
+    m_accountedAt = m_begun + holdTime();
+    m_byService.clear();
+    for (auto& [key, item] : m_upstreams)
+        item.info.capacity = 0;
+    for (const auto& [id, info] : table.upstreams) {
+        if (info.announcement.region != m_region)
+            continue;
+        const upstream_key key { id, info.announcement.generation };
+        const auto [position, isNew] = m_upstreams.try_emplace(key);
+        position->second.info = info;
+        if (isNew && !m_hasUpstreams && !m_unaccountedMembers.empty() && now < m_accountedAt)
+            position->second.unaccounted = static_cast<std::uint32_t>(info.announcement.slots.value());
+        m_byService[info.announcement.service].push_back(key);
+    }
+    m_hasUpstreams = true;
+    std::erase_if(m_upstreams, [](const auto& item) {
+        return item.second.info.capacity == 0 && item.second.lent == 0 && item.second.unaccounted == 0;
+    });
+    for (auto& [service, keys] : m_byService)
+        std::erase_if(keys, [this](const upstream_key& key) { return !m_upstreams.contains(key); });
+}
+
+std::vector<addressed_grant> slot_allocator::report(
+    const vm_id& from, bool isHome, const slot_report& report, time_point now)
+{
+    const holder_key key { from, report.start };
+    const auto known = m_holders.find(key);
+    const bool isOld = known != m_holders.end() && report.sequence <= known->second.sequence;
+    if (report.epoch != m_epoch || isOld)
+        return {};
+    holder& item = takeReport(key, isHome, report, now);
+    lendWanted(item);
+    std::set<holder_key> changed { key };
+    for (const holder_key& other : lendToWaiting(&key, now))
+        changed.insert(other);
+    for (const auto& [service, wanted] : item.demands) {
+        const std::uint32_t idle = wanted.idle;
+        if (wanted.waiting <= idle)
+            continue;
+        for (const holder_key& other : recallFor(key, service, wanted.waiting - idle))
+            changed.insert(other);
+    }
+    return makeGrants(changed);
+}
+
+std::vector<addressed_grant> slot_allocator::makeGrants(const std::set<holder_key>& holders)
+{
+    std::vector<addressed_grant> grants;
+    grants.reserve(holders.size());
+    for (const holder_key& key : holders)
+        grants.push_back(makeGrant(key, m_holders.at(key)));
+    return grants;
+}
+
+slot_allocator::holder& slot_allocator::takeReport(
+    const holder_key& key, bool isHome, const slot_report& report, time_point now)
+{
+    const auto [position, isFirst] = m_holders.try_emplace(key);
+    holder& item = position->second;
+    item.isHome = isHome;
+    item.sequence = report.sequence;
+    item.leaseEnd = now + m_options.lease;
+    item.recalled.clear();
+    item.demands.clear();
+    for (const slot_demand& wanted : report.demands)
+        item.demands[wanted.service] = { wanted.waiting, wanted.idle, wanted.preferred };
+    item.ejected = { report.ejected.begin(), report.ejected.end() };
+    takeHeld(item, isFirst, report.held);
+    takeWarmAnswers(report.warmAnswers);
+    accountMember(key.vm, report.running, now);
+    return item;
+}
+
+void slot_allocator::takeHeld(holder& item, bool isFirst, const std::vector<slot_share>& held)
+{
+    std::map<upstream_key, std::uint32_t> now;
+    for (const slot_share& share : held)
+        now[{ share.upstream, share.generation }] += share.count;
+    const auto before = item.held;
+    for (const auto& [key, count] : before) {
+        if (!now.contains(key))
+            setHeld(item, key, 0);
+    }
+    for (const auto& [key, count] : now) {
+        const auto former = before.find(key);
+        const std::uint32_t most = former == before.end() ? 0 : former->second;
+        internal_assert(isFirst || count <= most)
+            << "a holder reports " << count << " slots of " << key.id.value() << " and was lent " << most;
+        setHeld(item, key, count);
+        upstream_state& upstream = m_upstreams[key];
+        if (!isFirst)
+            continue;
+        upstream.unaccounted -= std::min(upstream.unaccounted, count);
+        // An earlier allocator found these slots warm enough to lend.
+        upstream.warmAnswers += count * m_options.warmAnswersPerSlot;
+    }
+}
+
+void slot_allocator::takeWarmAnswers(const std::vector<slot_share>& warm)
+{
+    for (const slot_share& share : warm) {
+        const auto upstream = m_upstreams.find({ share.upstream, share.generation });
+        if (upstream != m_upstreams.end())
+            upstream->second.warmAnswers += share.count;
+    }
+}
+
+void slot_allocator::accountMember(const vm_id& vm, duration running, time_point now)
+{
+    // An earlier incarnation of a VM that started only lately may have left work behind.
+    if (running >= holdTime())
+        m_unaccountedMembers.erase(vm);
+    const bool allAccounted = m_unaccountedMembers.empty() || now >= m_accountedAt;
+    if (!allAccounted)
+        return;
+    for (auto& [key, item] : m_upstreams)
+        item.unaccounted = 0;
+}
+
+void slot_allocator::setHeld(holder& item, const upstream_key& key, std::uint32_t count)
+{
+    const auto position = item.held.find(key);
+    const std::uint32_t before = position == item.held.end() ? 0 : position->second;
+    upstream_state& upstream = m_upstreams[key];
+    internal_assert(upstream.lent >= before) << "more slots of " << key.id.value() << " are held than lent";
+    upstream.lent = upstream.lent - before + count;
+    if (count > 0)
+        item.held[key] = count;
+    else if (position != item.held.end())
+        item.held.erase(position);
+}
+
+std::uint32_t slot_allocator::available(const upstream_state& item) const
+{
+    if (item.info.capacity == 0 || (m_usable && !m_usable(item.info.announcement.id)))
+        return 0;
+    const std::uint32_t warm = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
+    const std::uint32_t limit = std::min(item.info.capacity, warm);
+    const std::uint32_t used = item.lent + item.unaccounted;
+    return limit > used ? limit - used : 0;
+}
+
+std::uint32_t slot_allocator::fairShare(const service_id& service) const
+{
+    const auto keys = m_byService.find(service);
+    if (keys == m_byService.end())
+        return 0;
+    std::uint32_t capacity = 0;
+    for (const upstream_key& key : keys->second)
+        capacity += m_upstreams.at(key).info.capacity;
+    std::uint32_t sharers = 0;
+    for (const auto& [key, item] : m_holders)
+        sharers += item.isHome || item.demands.contains(service) ? 1 : 0;
+    return sharers == 0 ? capacity : (capacity + sharers - 1) / sharers;
+}
+
+std::uint32_t slot_allocator::heldOf(const holder& item, const service_id& service) const
+{
+    std::uint32_t count = 0;
+    for (const auto& [key, held] : item.held) {
+        if (m_upstreams.at(key).info.announcement.service == service)
+            count += held;
+    }
+    return count;
+}
+
+slot_allocator::upstream_state* slot_allocator::bestUpstream(
+    const service_id& service, const holder& item, const failure_domain_id& preferred)
+{
+    const auto keys = m_byService.find(service);
+    if (keys == m_byService.end())
+        return nullptr;
+    upstream_state* best = nullptr;
+    std::uint32_t bestScore = 0;
+    const std::size_t count = keys->second.size();
+    const std::size_t first = m_rotation++ % count;
+    for (std::size_t i = 0; i < count; ++i) {
+        upstream_state& candidate = m_upstreams.at(keys->second[(first + i) % count]);
+        if (item.ejected.contains(candidate.info.announcement.id))
+            continue;
+        const std::uint32_t open = available(candidate);
+        const bool isPreferred = !preferred.empty() && candidate.info.announcement.failureDomain == preferred;
+        const std::uint32_t score = open == 0 ? 0 : open + (isPreferred ? candidate.info.capacity : 0);
+        if (score > bestScore) {
+            best = &candidate;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::uint32_t slot_allocator::lend(
+    holder& item, const service_id& service, const failure_domain_id& preferred, std::uint32_t count)
+{
+    std::uint32_t given = 0;
+    while (given < count) {
+        upstream_state* upstream = bestUpstream(service, item, preferred);
+        if (upstream == nullptr)
+            break;
+        const upstream_key key { upstream->info.announcement.id, upstream->info.announcement.generation };
+        setHeld(item, key, item.held[key] + 1);
+        internal_assert(upstream->lent + upstream->unaccounted <= upstream->info.capacity)
+            << upstream->lent << " slots of " << key.id.value() << " are lent, which has " << upstream->info.capacity;
+        ++given;
+    }
+    return given;
+}
+
+void slot_allocator::lendWanted(holder& item)
+{
+    for (auto& [service, wanted] : item.demands) {
+        const std::uint32_t held = heldOf(item, service);
+        const std::uint32_t fair = item.isHome ? fairShare(service) : 0;
+        const std::uint32_t missing = wanted.waiting > wanted.idle ? wanted.waiting - wanted.idle : 0;
+        const std::uint32_t reserve = fair > held ? fair - held : 0;
+        const std::uint32_t given = lend(item, service, wanted.preferred, std::max(missing, reserve));
+        wanted.idle += given;
+    }
+}
+
+std::vector<slot_allocator::holder_key> slot_allocator::lendToWaiting(const holder_key* except, time_point now)
+{
+    std::vector<holder_key> changed;
+    for (auto& [key, item] : m_holders) {
+        const bool isExcepted = except != nullptr && key == *except;
+        if (isExcepted || now >= item.leaseEnd)
+            continue;
+        bool given = false;
+        for (auto& [service, wanted] : item.demands) {
+            if (wanted.waiting <= wanted.idle)
+                continue;
+            const std::uint32_t count = lend(item, service, wanted.preferred, wanted.waiting - wanted.idle);
+            wanted.idle += count;
+            given = given || count > 0;
+        }
+        if (given)
+            changed.push_back(key);
+    }
+    return changed;
+}
+
+std::vector<slot_allocator::holder_key> slot_allocator::recallFor(
+    const holder_key& wanting, const service_id& service, std::uint32_t count)
+{
+    const std::uint32_t fair = fairShare(service);
+    const bool isBelowFair = heldOf(m_holders.at(wanting), service) < fair;
+    std::vector<holder_key> changed;
+    for (auto& [key, item] : m_holders) {
+        if (key == wanting || count == 0)
+            continue;
+        const auto wanted = item.demands.find(service);
+        const bool hasDemand = wanted != item.demands.end();
+        std::uint32_t spare = hasDemand && wanted->second.idle > wanted->second.waiting
+            ? wanted->second.idle - wanted->second.waiting
+            : 0;
+        const std::uint32_t held = heldOf(item, service);
+        if (isBelowFair && held > fair)
+            spare = std::max(spare, held - fair);
+        const std::uint32_t recalled = recallFrom(item, service, std::min(spare, count));
+        if (recalled == 0)
+            continue;
+        count -= recalled;
+        changed.push_back(key);
+    }
+    return changed;
+}
+
+std::uint32_t slot_allocator::recallFrom(holder& item, const service_id& service, std::uint32_t count)
+{
+    std::uint32_t recalled = 0;
+    for (const auto& [key, held] : item.held) {
+        if (m_upstreams.at(key).info.announcement.service != service)
+            continue;
+        std::uint32_t& already = item.recalled[key];
+        const std::uint32_t more = std::min(held - std::min(held, already), count - recalled);
+        already += more;
+        recalled += more;
+    }
+    return recalled;
+}
+
+addressed_grant slot_allocator::makeGrant(const holder_key& key, holder& item)
+{
+    slot_grant grant;
+    grant.region = m_region;
+    grant.epoch = m_epoch;
+    grant.holder = key.start;
+    grant.sequence = item.sequence;
+    grant.revision = ++item.revision;
+    grant.lease = m_options.lease;
+    for (const auto& [upstream, count] : item.held) {
+        if (m_upstreams.at(upstream).info.capacity > 0 && (!m_usable || m_usable(upstream.id)))
+            grant.granted.push_back({ upstream.id, upstream.generation, count });
+    }
+    for (const auto& [upstream, count] : item.recalled) {
+        if (count > 0)
+            grant.recalled.push_back({ upstream.id, upstream.generation, count });
+    }
+    return { key.vm, std::move(grant) };
+}
+
+void slot_allocator::forget(holder& item)
+{
+    const auto held = item.held;
+    for (const auto& [key, count] : held)
+        setHeld(item, key, 0);
+}
+
+std::vector<addressed_grant> slot_allocator::tick(time_point now)
+{
+    forgetSilent(now);
+    if (now >= m_accountedAt) {
+        m_unaccountedMembers.clear();
+        for (auto& [key, item] : m_upstreams)
+            item.unaccounted = 0;
+    }
+    const std::vector<holder_key> changed = lendToWaiting(nullptr, now);
+    return makeGrants({ changed.begin(), changed.end() });
+}
+
+void slot_allocator::forgetSilent(time_point now)
+{
+    const duration after = m_options.waitForSilentHolders ? holdTime() - m_options.lease : duration::zero();
+    for (auto position = m_holders.begin(); position != m_holders.end();) {
+        if (now < position->second.leaseEnd + after) {
+            ++position;
+            continue;
+        }
+        forget(position->second);
+        position = m_holders.erase(position);
+    }
+}
+
+std::uint32_t slot_allocator::lent(const upstream_id& id) const
+{
+    std::uint32_t count = 0;
+    for (const auto& [key, item] : m_upstreams)
+        count += key.id == id ? item.lent + item.unaccounted : 0;
+    return count;
+}
+
+state_dump slot_allocator::dump(time_point now) const
+{
+    state_dump shown(m_region.value());
+    shown.add("epoch", m_epoch.value());
+    shown.add("unaccounted_vms", static_cast<std::uint64_t>(m_unaccountedMembers.size()));
+    state_dump& upstreams = shown.addObject("upstreams");
+    for (const auto& [key, item] : m_upstreams) {
+        state_dump& shownUpstream = upstreams.addObject(key.id.value());
+        shownUpstream.add("capacity", static_cast<std::uint64_t>(item.info.capacity));
+        shownUpstream.add("lent", static_cast<std::uint64_t>(item.lent));
+        shownUpstream.add("unaccounted", static_cast<std::uint64_t>(item.unaccounted));
+        shownUpstream.add("available", static_cast<std::uint64_t>(available(item)));
+    }
+    state_dump& holders = shown.addObject("holders");
+    for (const auto& [key, item] : m_holders) {
+        state_dump& shownHolder = holders.addObject(key.vm.value());
+        shownHolder.add("lease_left", duration(item.leaseEnd - now));
+        shownHolder.add("upstreams", static_cast<std::uint64_t>(item.held.size()));
+    }
+    return shown;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/slots/slot_service.cpp
@@ -0,0 +1,517 @@
+#include "decision/slots/slot_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/internal_assert.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    std::uint32_t vmsInRegion(const vm_settings& settings)
+    {
+        return static_cast<std::uint32_t>(std::count_if(settings.vms.begin(), settings.vms.end(),
+            [&settings](const vm_record& vm) { return vm.region == settings.self.region; }));
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<slot_service>> slot_service::create(
+    const kernel_hooks& hooks, const vm_settings& settings, slot_options options)
+{
+    return std::unique_ptr<slot_service>(new slot_service(hooks, settings, options));
+}
+
+slot_service::slot_service(const kernel_hooks& hooks, const vm_settings& settings, slot_options options)
+    : m_hooks(hooks)
+    , m_settings(settings)
+    , m_options(options)
+    , m_quality(options.quality)
+    , m_links(settings.self.region, vmsInRegion(settings), options.keepsLinkBudgets)
+    , m_host(hooks, settings, options.host)
+{
+    m_port.acquire = [this](slot_request request, std::function<void(slot_answer)> answer) {
+        return acquire(std::move(request), std::move(answer));
+    };
+    m_port.cancelWait = [this](slot_ticket ticket) { cancelWait(ticket); };
+    m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+}
+
+service slot_service::asService()
+{
+    service item;
+    item.name = port_names::slots;
+    item.needs = { port_names::control, port_names::membership, port_names::liveness, port_names::shifts,
+        port_names::peerRouter, port_names::upstreams };
+    item.start = [this](registry& services) { return start(services); };
+    item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
+    item.dump = [this] { return dump(); };
+    return item;
+}
+
+absl::Status slot_service::start(registry& services)
+{
+    const auto control = services.find<control_port>(port_names::control);
+    const auto membership = services.find<membership_port>(port_names::membership);
+    const auto liveness = services.find<liveness_port>(port_names::liveness);
+    const auto shifts = services.find<shift_port>(port_names::shifts);
+    const auto router = services.find<peer_router>(port_names::peerRouter);
+    const auto upstreams = services.find<upstream_port>(port_names::upstreams);
+    for (const absl::Status& status : { control.status(), membership.status(), liveness.status(), shifts.status(),
+             router.status(), upstreams.status() }) {
+        if (!status.ok())
+            return status;
+    }
+    m_control = *control;
+    m_membership = *membership;
+    m_shifts = *shifts;
+    m_router = *router;
+    m_host.start({ m_control, m_membership, *liveness, *upstreams,
+        [this](const addressed_grant& grant) { m_router->send(grant.to, slot_message(grant.grant)); } });
+    m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { received(from, message); });
+    m_control->onSteeringChange([this] { follow(); });
+    follow();
+    return services.publish(port_names::slots, m_port);
+}
+
+void slot_service::stop(std::function<void()> stopped)
+{
+    internal_assert(m_queue.services().empty()) << "requests wait for slots while the slots stop";
+    for (auto& [region, holdings] : m_holdings) {
+        region_reports& reports = m_reports[region];
+        m_hooks.cancel(reports.timer);
+        if (holdings.allocator() && concerns(holdings, reports)) {
+            // Gives everything idle back at once instead of after the lease.
+            slot_report report = holdings.makeReport(m_hooks.now(), time_point::max());
+            m_router->send(holdings.allocator()->vm, slot_message(std::move(report)));
+        }
+    }
+    m_stopped = true;
+    m_hooks.cancel(m_expiryTimer);
+    for (const auto& [service, timer] : m_leaveTimers)
+        m_hooks.cancel(timer);
+    m_host.stop();
+    stopped();
+}
+
+void slot_service::follow()
+{
+    const time_point now = m_hooks.now();
+    const control_snapshot& state = m_control->state();
+    m_table = makeUpstreamTable(state);
+    m_links.setLinks(state.config, now);
+    std::set<upstream_id> known;
+    for (const auto& [id, upstream] : m_table.upstreams)
+        known.insert(id);
+    m_quality.keepOnly(known);
+    if (m_options.mode == slot_mode::LocalGuess) {
+        followLocalGuess();
+    } else {
+        m_host.follow(m_table);
+        followAllocators();
+    }
+    serveWaiting();
+}
+
+void slot_service::followAllocators()
+{
+    for (const auto& [region, record] : m_control->state().allocators) {
+        const auto [position, isNew] = m_holdings.try_emplace(region, region, m_membership->start(), m_hooks.now());
+        slot_holdings& holdings = position->second;
+        const bool changed = !holdings.allocator() || *holdings.allocator() != record;
+        holdings.setAllocator(record);
+        if (!changed)
+            continue;
+        m_reports[region].reportedEpoch = false;
+        wake(region);
+    }
+}
+
+void slot_service::followLocalGuess()
+{
+    for (const auto& [id, upstream] : m_table.upstreams) {
+        const region_id& region = upstream.announcement.region;
+        const auto [position, isNew] = m_holdings.try_emplace(region, region, m_membership->start(), m_hooks.now());
+        if (isNew)
+            position->second.setAllocator({ m_settings.self.id, m_membership->start(), allocator_epoch(1) });
+    }
+    for (auto& [region, holdings] : m_holdings) {
+        slot_grant grant;
+        const slot_report report = holdings.makeReport(m_hooks.now(), std::nullopt);
+        grant.epoch = report.epoch;
+        grant.holder = report.start;
+        grant.sequence = report.sequence;
+        grant.revision = 1;
+        grant.lease = std::chrono::hours(1);
+        for (const auto& [id, upstream] : m_table.upstreams) {
+            if (upstream.announcement.region == region && upstream.capacity > 0)
+                grant.granted.push_back({ id, upstream.announcement.generation, upstream.capacity });
+        }
+        holdings.takeGrant(grant);
+    }
+}
+
+slot_picker_view slot_service::view()
+{
+    return { m_settings.self.region, &m_table, &m_holdings, &m_quality, &m_links, m_hooks.random };
+}
+
+bool slot_service::anyUsable(const service_id& service, bool homeOnly) const
+{
+    const auto members = m_table.byService.find(service);
+    if (members == m_table.byService.end())
+        return false;
+    return std::any_of(members->second.begin(), members->second.end(), [&](const upstream_id& id) {
+        const usable_upstream& upstream = m_table.upstreams.at(id);
+        return upstream.capacity > 0 && (!homeOnly || upstream.announcement.region == m_settings.self.region);
+    });
+}
+
+bool slot_service::isHopeless(const slot_request& request, time_point now) const
+{
+    const duration usual = m_quality.serviceLatency(request.service);
+    std::uint32_t held = 0;
+    for (const auto& [region, holdings] : m_holdings) {
+        for (const auto& [id, item] : holdings.holdings()) {
+            const usable_upstream* upstream = m_table.find(id);
+            held += upstream != nullptr && upstream->announcement.service == request.service ? item.count : 0;
+        }
+    }
+    if (!m_options.refusesEarly || held == 0 || usual == duration::zero())
+        return false;
+    const duration wait = usual * (m_queue.waiting(request.service) + 1) / held;
+    return now + wait + usual > request.deadline;
+}
+
+slot_ticket slot_service::acquire(slot_request request, std::function<void(slot_answer)> answer)
+{
+    const time_point now = m_hooks.now();
+    if (!anyUsable(request.service, false)) {
+        ++m_counters.refused;
+        answer({ std::nullopt, slot_refusal::NoUpstream });
+        return {};
+    }
+    const domain_choice domain = drawDomain(view(), m_control->state().config, *m_shifts, request.service);
+    slot_waiter waiter { slot_ticket(++m_lastTicket), std::move(request), now, domain.failureDomain,
+        std::move(answer) };
+    if (domain.shift) {
+        // The target's allocator learns that slots are wanted there; this request takes one only if it is here already.
+        const region_id target = regionOf(m_control->state().config, domain.failureDomain);
+        m_reports[target].preferred[waiter.request.service] = domain.failureDomain;
+        wake(target);
+    }
+    const service_id service = waiter.request.service;
+    if (m_queue.waiting(service) == 0) {
+        if (std::optional<held_slot> slot = tryTake(waiter, now)) {
+            waiter.answer({ std::move(slot), {} });
+            return {};
+        }
+    }
+    if (m_queue.waiting(service) >= m_options.largestQueue || isHopeless(waiter.request, now)) {
+        refuse(waiter, slot_refusal::Overloaded);
+        return {};
+    }
+    ++m_counters.waited;
+    const slot_ticket ticket = waiter.ticket;
+    m_queue.push(std::move(waiter));
+    armExpiry();
+    armLeaveRegion(service);
+    wakeIfDemandGrew(service);
+    return ticket;
+}
+
+void slot_service::refuse(const slot_waiter& waiter, slot_refusal why)
+{
+    ++m_counters.refused;
+    waiter.answer({ std::nullopt, why });
+}
+
+std::optional<held_slot> slot_service::tryTake(const slot_waiter& waiter, time_point now)
+{
+    slot_wish wish { waiter.request.service, waiter.request.avoid, waiter.request.bodySize, waiter.preferred, false };
+    wish.mayLeaveRegion = now - waiter.since >= m_options.leaveRegionAfter || !anyUsable(waiter.request.service, true);
+    const usable_upstream* upstream = pickUpstream(view(), wish, now);
+    if (upstream == nullptr)
+        return std::nullopt;
+    return take(*upstream);
+}
+
+held_slot slot_service::take(const usable_upstream& upstream)
+{
+    const region_id& region = upstream.announcement.region;
+    slot_holdings& holdings = m_holdings.at(region);
+    holdings.take(upstream.announcement.id);
+    const slot_hold hold(++m_lastHold);
+    m_uses[hold] = { upstream.announcement, false };
+    ++m_counters.given;
+    m_counters.leftRegion += region == m_settings.self.region ? 0 : 1;
+    return { hold, upstream.announcement, holdings.leaseUntil() };
+}
+
+void slot_service::cancelWait(slot_ticket ticket) { m_queue.remove(ticket); }
+
+void slot_service::release(slot_hold hold, const slot_result& result)
+{
+    const auto found = m_uses.find(hold);
+    internal_assert(found != m_uses.end() && !found->second.settling)
+        << "slot hold " << hold.value() << " is released twice";
+    const time_point now = m_hooks.now();
+    const upstream_announcement upstream = found->second.upstream;
+    if (m_quality.note(upstream, result, now)) {
+        const auto holdings = m_holdings.find(upstream.region);
+        if (holdings != m_holdings.end())
+            holdings->second.countWarmAnswer(upstream.id, upstream.generation);
+    }
+    if (upstream.region != m_settings.self.region)
+        m_links.chargeAnswer(upstream.region, result.answerSize, now);
+    if (result.busyUntil && *result.busyUntil > now) {
+        found->second.settling = true;
+        m_hooks.schedule(*result.busyUntil - now, [this, hold] { freeSlot(hold); });
+        return;
+    }
+    freeSlot(hold);
+}
+
+void slot_service::freeSlot(slot_hold hold)
+{
+    const auto found = m_uses.find(hold);
+    internal_assert(found != m_uses.end()) << "slot hold " << hold.value() << " is freed twice";
+    const upstream_announcement upstream = found->second.upstream;
+    m_uses.erase(found);
+    if (m_stopped)
+        return;
+    slot_holdings& holdings = m_holdings.at(upstream.region);
+    holdings.free(upstream.id, upstream.generation, m_hooks.now());
+    const auto item = holdings.holdings().find(upstream.id);
+    if (item != holdings.holdings().end() && item->second.recalled > 0)
+        wake(upstream.region);
+    serveFront(upstream.service, m_hooks.now());
+}
+
+bool slot_service::serveFront(const service_id& service, time_point now)
+{
+    const slot_waiter* front = m_queue.front(service);
+    if (front == nullptr)
+        return false;
+    std::optional<held_slot> slot = tryTake(*front, now);
+    if (!slot)
+        return false;
+    const std::optional<slot_waiter> waiter = m_queue.remove(front->ticket);
+    waiter->answer({ std::move(slot), {} });
+    return true;
+}
+
+void slot_service::serveWaiting()
+{
+    const time_point now = m_hooks.now();
+    for (const slot_waiter& waiter : m_queue.removeExpired(now))
+        refuse(waiter, slot_refusal::Overloaded);
+    for (const service_id& service : m_queue.services()) {
+        while (serveFront(service, now)) { }
+    }
+}
+
+void slot_service::armExpiry()
+{
+    const std::optional<time_point> next = m_queue.nextDeadline();
+    if (!next || (m_expiryAt && *m_expiryAt <= *next))
+        return;
+    m_hooks.cancel(m_expiryTimer);
+    m_expiryAt = next;
+    m_expiryTimer = m_hooks.schedule(*next - m_hooks.now(), [this] {
+        m_expiryAt.reset();
+        serveWaiting();
+        armExpiry();
+    });
+}
+
+void slot_service::armLeaveRegion(const service_id& service)
+{
+    if (m_leaveTimers.contains(service))
+        return;
+    const duration delay = anyUsable(service, true) ? m_options.leaveRegionAfter : duration::zero();
+    m_leaveTimers[service] = m_hooks.schedule(delay, [this, service] { lookBeyondRegion(service); });
+}
+
+void slot_service::lookBeyondRegion(const service_id& service)
+{
+    m_leaveTimers.erase(service);
+    const time_point now = m_hooks.now();
+    const duration patience = anyUsable(service, true) ? m_options.leaveRegionAfter : duration::zero();
+    const std::uint32_t count = m_queue.waitingSince(service, now - patience);
+    for (auto& [region, reports] : m_reports)
+        reports.wanted.erase(service);
+    serveWaiting();
+    if (m_queue.waiting(service) == 0)
+        return;
+    std::vector<region_id> others;
+    for (const auto& [region, holdings] : m_holdings) {
+        if (region != m_settings.self.region && holdings.allocator())
+            others.push_back(region);
+    }
+    if (count > 0 && !others.empty()) {
+        const region_id& region = others[m_leaveRotation[service]++ % others.size()];
+        m_reports[region].wanted[service] = count;
+        wake(region);
+    }
+    m_leaveTimers[service]
+        = m_hooks.schedule(m_options.waitingInterval * 2, [this, service] { lookBeyondRegion(service); });
+}
+
+bool slot_service::concerns(const slot_holdings& holdings, const region_reports& reports) const
+{
+    return holdings.region() == m_settings.self.region || holdings.holdsAny() || !reports.reportedEpoch
+        || !reports.wanted.empty() || !reports.preferred.empty();
+}
+
+bool slot_service::hasUnmetDemand(const slot_holdings& holdings, const region_reports& reports) const
+{
+    if (holdings.region() != m_settings.self.region)
+        return !reports.wanted.empty();
+    for (const service_id& service : m_queue.services()) {
+        if (m_queue.waiting(service) > 0)
+            return true;
+    }
+    return false;
+}
+
+void slot_service::wakeIfDemandGrew(const service_id& service)
+{
+    const std::uint32_t waiting = m_queue.waiting(service);
+    const std::uint32_t reported = m_reports[m_settings.self.region].reportedWaiting[service];
+    if (waiting >= 2 * reported)
+        wake(m_settings.self.region);
+}
+
+void slot_service::wake(const region_id& region)
+{
+    region_reports& reports = m_reports[region];
+    if (reports.pumpSoon || m_stopped || m_options.mode == slot_mode::LocalGuess)
+        return;
+    reports.pumpSoon = true;
+    m_hooks.cancel(reports.timer);
+    reports.timer = m_hooks.schedule(duration::zero(), [this, region] { pump(region); });
+}
+
+void slot_service::pump(const region_id& region)
+{
+    region_reports& reports = m_reports[region];
+    reports.pumpSoon = false;
+    const auto found = m_holdings.find(region);
+    if (found == m_holdings.end() || !found->second.allocator() || !concerns(found->second, reports))
+        return;
+    slot_holdings& holdings = found->second;
+    const time_point now = m_hooks.now();
+    const bool mustWait = holdings.awaiting() && now - holdings.reportedAt() < m_options.reportTimeout;
+    reports.again = mustWait;
+    if (!mustWait)
+        sendReport(holdings, reports, now);
+    reports.timer = m_hooks.schedule(nextPump(holdings, now), [this, region] { pump(region); });
+}
+
+duration slot_service::nextPump(const slot_holdings& holdings, time_point now) const
+{
+    if (holdings.awaiting())
+        return holdings.reportedAt() + m_options.reportTimeout - now;
+    return m_options.renewInterval;
+}
+
+void slot_service::sendReport(slot_holdings& holdings, region_reports& reports, time_point now)
+{
+    const bool isHome = holdings.region() == m_settings.self.region;
+    const std::optional<time_point> idleBefore
+        = isHome ? std::nullopt : std::optional<time_point>(now - m_options.remoteIdleTime);
+    slot_report report = holdings.makeReport(now, idleBefore);
+    report.demands = demandsOf(holdings, reports);
+    for (const auto& [service, members] : m_table.byService) {
+        for (const upstream_id& id : m_quality.ejected(members, now))
+            report.ejected.push_back(id);
+    }
+    reports.reportedEpoch = true;
+    reports.reportedWaiting.clear();
+    for (const slot_demand& demand : report.demands)
+        reports.reportedWaiting[demand.service] = demand.waiting;
+    reports.preferred.clear();
+    ++m_counters.reports;
+    m_router->send(holdings.allocator()->vm, slot_message(std::move(report)));
+}
+
+std::vector<slot_demand> slot_service::demandsOf(const slot_holdings& holdings, const region_reports& reports) const
+{
+    std::vector<slot_demand> demands;
+    const bool isHome = holdings.region() == m_settings.self.region;
+    for (const auto& [service, members] : m_table.byService) {
+        slot_demand demand;
+        demand.service = service;
+        if (isHome) {
+            demand.waiting = m_queue.waiting(service);
+        } else if (const auto wanted = reports.wanted.find(service); wanted != reports.wanted.end()) {
+            demand.waiting = wanted->second;
+        }
+        const auto preferred = reports.preferred.find(service);
+        if (preferred != reports.preferred.end()) {
+            demand.preferred = preferred->second;
+            demand.waiting = std::max<std::uint32_t>(demand.waiting, 1);
+        }
+        for (const upstream_id& id : members) {
+            const usable_upstream& upstream = m_table.upstreams.at(id);
+            demand.idle += holdings.idle(id, upstream.announcement.generation, m_hooks.now());
+        }
+        if (isHome || demand.waiting > 0 || demand.idle > 0)
+            demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
+void slot_service::received(const vm_id& from, const slot_message& message)
+{
+    if (m_stopped)
+        return;
+    if (const auto* report = std::get_if<slot_report>(&message))
+        m_host.report(from, *report);
+    else
+        granted(std::get<slot_grant>(message));
+}
+
+void slot_service::granted(const slot_grant& grant)
+{
+    const auto holdings = m_holdings.find(grant.region);
+    if (holdings == m_holdings.end() || !holdings->second.takeGrant(grant))
+        return;
+    ++m_counters.grants;
+    serveWaiting();
+    region_reports& reports = m_reports[grant.region];
+    const bool waits = hasUnmetDemand(holdings->second, reports);
+    const bool again = std::exchange(reports.again, false);
+    if (again || !grant.recalled.empty()) {
+        wake(grant.region);
+        return;
+    }
+    if (reports.pumpSoon)
+        return;
+    m_hooks.cancel(reports.timer);
+    const region_id region = grant.region;
+    reports.timer = m_hooks.schedule(
+        waits ? m_options.waitingInterval : m_options.renewInterval, [this, region] { pump(region); });
+}
+
+state_dump slot_service::dump() const
+{
+    state_dump shown(port_names::slots);
+    shown.add("given", m_counters.given);
+    shown.add("waited", m_counters.waited);
+    shown.add("refused", m_counters.refused);
+    shown.add("left_region", m_counters.leftRegion);
+    shown.add("reports", m_counters.reports);
+    shown.add("grants", m_counters.grants);
+    shown.add("in_use", static_cast<std::uint64_t>(m_uses.size()));
+    state_dump& regions = shown.addObject("regions");
+    for (const auto& [region, holdings] : m_holdings)
+        regions.children.push_back(holdings.dump(m_hooks.now()));
+    shown.children.push_back(m_host.dump());
+    return shown;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/slots/upstream_health.cpp
@@ -0,0 +1,62 @@
+#include "decision/slots/upstream_health.h"
+
+#include <algorithm>
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr std::size_t percent = 100;
+
+} // namespace
+
+upstream_health::upstream_health(upstream_health_options options, time_point begun)
+    : m_options(options)
+    , m_begun(begun)
+{
+}
+
+void upstream_health::noteReport(const upstream_id& id, const load_report& report)
+{
+    record& item = m_records[id];
+    item.draining = report.draining;
+    item.badReports = report.healthy ? 0 : item.badReports + 1;
+}
+
+void upstream_health::noteMissingReport(const upstream_id& id) { ++m_records[id].badReports; }
+
+void upstream_health::noteAnswers(const upstream_id& id, time_point now)
+{
+    record& item = m_records[id];
+    item.answered = true;
+    item.answeredAt = now;
+}
+
+bool upstream_health::announced(const upstream_id& id, const liveness_port& liveness, time_point now) const
+{
+    const std::optional<time_point> seen = liveness.lastSeen(id);
+    const time_point latest = seen ? std::max(*seen, m_begun) : m_begun;
+    return now - latest < liveness.silence();
+}
+
+bool upstream_health::speaksAgainst(const upstream_id& id, time_point now) const
+{
+    const auto found = m_records.find(id);
+    if (found == m_records.end())
+        return false;
+    if (found->second.draining)
+        return true;
+    const bool answersNow = found->second.answered && now - found->second.answeredAt < m_options.answerTrust;
+    return found->second.badReports >= m_options.reportsToDoubt && !answersNow;
+}
+
+bool upstream_health::doubted(const upstream_id& id, const std::vector<upstream_id>& members, time_point now) const
+{
+    if (!speaksAgainst(id, now))
+        return false;
+    const auto count = static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [this, now](const upstream_id& member) { return speaksAgainst(member, now); }));
+    return count * percent <= members.size() * m_options.largestDoubtedPercent;
+}
+
+} // namespace plantainlatch
--- a/src/model/slot_message.h
+++ b/src/model/slot_message.h
@@ -26,14 +26,19 @@
     }
 };
 
-/** How many requests of one service wait at a holder, or may soon. */
+/** What a holder wants and has of one service in one region. */
 struct slot_demand {
     service_id service;
+    /** A failure domain whose upstreams are wanted; empty for any. */
+    failure_domain_id preferred;
+    /** Requests that wait for a slot now. */
     std::uint32_t waiting = 0;
+    /** Slots that the holder holds and does not use. */
+    std::uint32_t idle = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.service, self.waiting);
+        visit(self.service, self.preferred, self.waiting, self.idle);
     }
 };
 
@@ -43,32 +48,42 @@
     allocator_epoch epoch;
     incarnation start;
     std::uint64_t sequence = 0;
+    /** How long this incarnation has run; work of an earlier one may still run at upstreams. */
+    duration running {};
     /** All that the holder still holds, in use or not, after what it gave back. */
     std::vector<slot_share> held;
     std::vector<slot_demand> demands;
     /** Upstreams that the holder finds unfit and wants no slots of. */
     std::vector<upstream_id> ejected;
+    /** Answers since the last report that were as fast as those of the other upstreams. */
+    std::vector<slot_share> warmAnswers;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.region, self.epoch, self.start, self.sequence, self.held, self.demands, self.ejected);
+        visit(self.region, self.epoch, self.start, self.sequence, self.running, self.held, self.demands, self.ejected,
+            self.warmAnswers);
     }
 };
 
-/** The allocator's answer: what the holder has now, for `lease` after it sent the report of that number. */
+/**
+ * What the holder has now, for `lease` after it sent the report of that number. A holder takes it only if it has sent
+ * no later report; the allocator may send several for one report, of which the one with the highest revision counts.
+ */
 struct slot_grant {
     region_id region;
     allocator_epoch epoch;
     incarnation holder;
     std::uint64_t sequence = 0;
+    std::uint64_t revision = 0;
     duration lease {};
     std::vector<slot_share> granted;
-    /** How many idle slots of these the holder should give back as soon as it can. */
+    /** How many slots of these the holder should give back as soon as they are idle. */
     std::vector<slot_share> recalled;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.region, self.epoch, self.holder, self.sequence, self.lease, self.granted, self.recalled);
+        visit(self.region, self.epoch, self.holder, self.sequence, self.revision, self.lease, self.granted,
+            self.recalled);
     }
 };
 
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -17,6 +17,8 @@
     std::function<const control_snapshot&()> state;
     /** Adds a listener that is called after each applied command or restored snapshot. */
     std::function<void(std::function<void()>)> onChange;
+    /** Like onChange, but not after commands that change nothing but idempotency keys and crash counts. */
+    std::function<void(std::function<void()>)> onSteeringChange;
     /** For the log alone: applies one proposal; the result depends on the state and the proposal only. */
     std::function<command_result(const proposal&)> apply;
     /** For the log alone: replaces the state. */
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -64,6 +64,8 @@
     kind ended = kind::Unused;
     /** From dispatch to the end. */
     duration latency {};
+    /** The size of the answer, for the budget between regions. */
+    byte_count answerSize;
     /** The work may still run at the upstream until this moment on this VM's clock; the slot is not reused before. */
     std::optional<time_point> busyUntil;
 };
