Run callers' requests from admission to their one answer

Cause: the path between front ends, slots, upstreams and the log was missing. What: request_service with claims, crash guard, attempts, retries and hedges in one budget, deadlines, cancellation and graceful stop; fakes of the ports. An upstream call is told until when its first byte may be offered.

--- a/src/decision/request/outcome_machine.cpp
+++ b/src/decision/request/outcome_machine.cpp
@@ -15,7 +15,8 @@
         attempt_state to;
     };
 
-    /** Every legal transition; from Offered only the upstream's own marked refusal leads to a state that did not run. */
+    /** Every legal transition; from Offered only the upstream's own marked refusal leads to a state that did not run.
+     */
     constexpr std::array transitions {
         transition { attempt_state::Prepared, attempt_event::OfferFirstByte, attempt_state::Offered },
         transition { attempt_state::Prepared, attempt_event::FailBeforeFirstByte, attempt_state::NotOffered },
@@ -55,10 +56,7 @@
     return found->to;
 }
 
-bool surelyNotRun(attempt_state state)
-{
-    return state == attempt_state::NotOffered || state == attempt_state::Refused;
-}
+bool surelyNotRun(attempt_state state) { return state == attempt_state::NotOffered || state == attempt_state::Refused; }
 
 void outcome_machine::close(attempt_state state)
 {
--- /dev/null
+++ b/src/decision/request/request_options.cpp
@@ -0,0 +1,45 @@
+#include "decision/request/request_options.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr int statusUnavailable = 503;
+    constexpr const char* notRunMark = "X-Plantainlatch-Not-Run";
+
+    bool carriesMark(const upstream_answer& answer)
+    {
+        return std::any_of(answer.headers.begin(), answer.headers.end(), [](const header_field& field) {
+            return absl::EqualsIgnoreCase(field.name, notRunMark) && field.value == "1";
+        });
+    }
+
+} // namespace
+
+request_policies defaultRequestPolicies()
+{
+    request_policies policies;
+    policies.claims = [](const request_traits& traits) { return traits.claimed; };
+    policies.unresolvedOutcome
+        = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
+    policies.mayRetry = [](const ended_attempt& attempt) {
+        return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
+    };
+    policies.isMarkedRefusal
+        = [](const upstream_answer& answer) { return answer.status == statusUnavailable && carriesMark(answer); };
+    policies.needsFreshConnection = [](const request_traits& traits) { return !traits.idempotent; };
+    policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
+    policies.budgeted = [] { return true; };
+    policies.hedges = [](const request_traits& traits) { return traits.idempotent; };
+    policies.outlivesCaller = [](const request_traits& traits) { return traits.claimed; };
+    policies.keepsSlotBusy = [](attempt_ending ending) { return ending != attempt_ending::Finished; };
+    policies.releasesLateClaims = [] { return true; };
+    policies.refusesWhileStopping = [] { return true; };
+    return policies;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/request/request_service.cpp
@@ -0,0 +1,245 @@
+#include "decision/request/request_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/internal_assert.h"
+#include "decision/request/request_fingerprint.h"
+#include "decision/request/system_answers.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    template <typename Port> absl::Status findPort(registry& services, const char* name, Port*& port)
+    {
+        absl::StatusOr<Port*> found = services.find<Port>(name);
+        if (!found.ok())
+            return found.status();
+        port = *found;
+        return absl::OkStatus();
+    }
+
+    request_traits traitsOf(const caller_request& request, const service_definition* definition)
+    {
+        request_traits traits;
+        traits.idempotent = definition != nullptr && isIdempotent(*definition, request.method, request.target);
+        traits.claimed = request.key.has_value() && !traits.idempotent;
+        return traits;
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<request_service>> request_service::create(
+    const kernel_hooks& hooks, const vm_settings& settings, request_options options)
+{
+    if (settings.vms.empty())
+        return absl::InvalidArgumentError("the settings name no VM");
+    return std::unique_ptr<request_service>(new request_service(hooks, settings, std::move(options)));
+}
+
+request_service::request_service(const kernel_hooks& hooks, const vm_settings& settings, request_options options)
+    : m_hooks(hooks)
+    , m_settings(settings)
+    , m_options(std::move(options))
+{
+    m_port.submit = [this](caller_request request, std::function<void(caller_answer)> deliver) {
+        return submit(std::move(request), std::move(deliver));
+    };
+    m_port.cancel = [this](request_id id) { cancel(id); };
+}
+
+service request_service::asService()
+{
+    service item;
+    item.name = port_names::requests;
+    item.needs = { port_names::control, port_names::consensus, port_names::slots, port_names::upstreams };
+    item.start = [this](registry& services) { return start(services); };
+    item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
+    item.dump = [this] { return dump(); };
+    return item;
+}
+
+absl::Status request_service::start(registry& services)
+{
+    consensus_port* consensus = nullptr;
+    slot_port* slots = nullptr;
+    upstream_port* upstreams = nullptr;
+    absl::Status status = findPort(services, port_names::control, m_control);
+    status.Update(findPort(services, port_names::consensus, consensus));
+    status.Update(findPort(services, port_names::slots, slots));
+    status.Update(findPort(services, port_names::upstreams, upstreams));
+    if (!status.ok())
+        return status;
+    m_claims = key_claims::create(m_hooks, *consensus, *m_control, m_options.policies.releasesLateClaims);
+    m_crashes = crash_guard::create({ m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout });
+    m_environment = std::make_unique<request_environment>(request_environment { m_hooks, m_options, *slots, *upstreams,
+        *m_claims, *m_crashes, m_budget, m_hedges, m_statistics, [this] { return call_id(++m_lastCall); } });
+    return services.publish(port_names::requests, m_port);
+}
+
+request_id request_service::submit(caller_request request, std::function<void(caller_answer)> deliver)
+{
+    const request_id id(++m_lastRequest);
+    ++m_statistics.requests;
+    const auto& services = m_control->state().config.services;
+    const auto found = services.find(request.service);
+    const service_definition* definition = found != services.end() ? &found->second : nullptr;
+    if (const std::optional<answer_reason> reason = refusalReason(request, definition)) {
+        caller_answer answer
+            = systemAnswer(m_options.policies.unresolvedOutcome(traitsOf(request, definition)), *reason);
+        countAnswer(answer);
+        deliver(std::move(answer));
+        return id;
+    }
+    m_budget.earn();
+    m_bodyBytes += request.body.size();
+    admitted_request admitted = admit(std::move(request), *definition);
+    admitted.id = id;
+    const auto run = request_run::create(*m_environment, std::move(admitted),
+        [this](const admitted_request& ended, caller_answer answer) { onDone(ended, std::move(answer)); });
+    m_running.emplace(id, running_request { run, std::move(deliver) });
+    run->begin();
+    return id;
+}
+
+std::optional<answer_reason> request_service::refusalReason(
+    const caller_request& request, const service_definition* definition)
+{
+    if (m_life == life::Draining)
+        return answer_reason::Draining;
+    if (definition == nullptr)
+        return answer_reason::UnknownService;
+    if (request.body.size() > definition->maximumBody.value())
+        return answer_reason::BodyTooLarge;
+    if (request.key && request.key->empty())
+        return answer_reason::MalformedRequest;
+    if (request.deadline && *request.deadline <= duration::zero())
+        return answer_reason::DeadlineExceeded;
+    const bool full = m_running.size() >= m_options.maximumRequests
+        || m_bodyBytes + request.body.size() > m_options.maximumBodies.value();
+    if (full)
+        return answer_reason::Overloaded;
+    return std::nullopt;
+}
+
+admitted_request request_service::admit(caller_request request, const service_definition& definition)
+{
+    admitted_request admitted;
+    admitted.traits = traitsOf(request, &definition);
+    admitted.fingerprint = fingerprintOf(request);
+    const duration asked = request.deadline.value_or(definition.defaultDeadline);
+    admitted.deadline = m_hooks.now() + std::min(asked, definition.maximumDeadline);
+    admitted.keyRetention = definition.keyRetention;
+    admitted.connectionLimit = connectionShare(definition);
+    admitted.content = std::move(request);
+    return admitted;
+}
+
+std::uint32_t request_service::connectionShare(const service_definition& definition) const
+{
+    const auto vms = static_cast<std::uint32_t>(m_settings.vms.size());
+    return std::max<std::uint32_t>(1, definition.connections / vms);
+}
+
+void request_service::cancel(request_id id)
+{
+    const auto position = m_running.find(id);
+    if (position == m_running.end())
+        return;
+    position->second.deliver = nullptr;
+    ++m_statistics.abandoned;
+    const std::shared_ptr<request_run> run = position->second.run;
+    run->callerLeft();
+}
+
+void request_service::onDone(const admitted_request& request, caller_answer answer)
+{
+    const auto position = m_running.find(request.id);
+    internal_assert(position != m_running.end()) << "request " << request.id.value() << " ends twice";
+    const std::function<void(caller_answer)> deliver = std::move(position->second.deliver);
+    m_running.erase(position);
+    m_bodyBytes -= request.content.body.size();
+    if (deliver) {
+        countAnswer(answer);
+        deliver(std::move(answer));
+    }
+    if (m_life == life::Draining && m_running.empty())
+        finishStop();
+}
+
+void request_service::countAnswer(const caller_answer& answer)
+{
+    switch (answer.result) {
+    case outcome::NotRun:
+        ++m_statistics.notRun;
+        return;
+    case outcome::Unknown:
+        ++m_statistics.unknown;
+        return;
+    case outcome::InProgress:
+        ++m_statistics.inProgress;
+        return;
+    case outcome::Replayed:
+        ++m_statistics.replayed;
+        return;
+    case outcome::Completed:
+        ++m_statistics.completed;
+        return;
+    }
+}
+
+void request_service::stop(std::function<void()> stopped)
+{
+    m_stopped = std::move(stopped);
+    m_life = life::Leaving;
+    m_hooks.schedule(m_settings.lookupCacheTime, [this] { drain(); });
+}
+
+void request_service::drain()
+{
+    if (m_options.policies.refusesWhileStopping())
+        m_life = life::Draining;
+    if (m_running.empty())
+        finishStop();
+}
+
+void request_service::finishStop()
+{
+    if (!m_stopped)
+        return;
+    const auto stopped = std::make_shared<std::function<void()>>(std::exchange(m_stopped, nullptr));
+    const auto once = [this, stopped] {
+        if (!*stopped)
+            return;
+        internal_assert(m_running.empty()) << m_running.size() << " requests are in flight after the stop";
+        internal_assert(m_crashes->openPasses() == 0) << m_crashes->openPasses() << " passes are open after the stop";
+        std::exchange(*stopped, nullptr)();
+    };
+    m_hooks.schedule(m_options.settlementStopTime, once);
+    m_claims->whenSettled(once);
+}
+
+state_dump request_service::dump() const
+{
+    state_dump root;
+    root.add("in_flight", static_cast<std::uint64_t>(m_running.size()));
+    root.add("body_bytes", m_bodyBytes);
+    root.add("draining", m_life != life::Serving);
+    root.add("requests", m_statistics.requests);
+    root.add("completed", m_statistics.completed);
+    root.add("replayed", m_statistics.replayed);
+    root.add("not_run", m_statistics.notRun);
+    root.add("unknown", m_statistics.unknown);
+    root.add("in_progress", m_statistics.inProgress);
+    root.add("abandoned", m_statistics.abandoned);
+    root.add("retries", m_statistics.retries);
+    root.add("hedges", m_statistics.hedges);
+    root.add("late_dispatches", m_statistics.lateDispatches);
+    root.add("owed_settlements", static_cast<std::uint64_t>(m_claims->owedSettlements()));
+    root.add("late_claims", static_cast<std::uint64_t>(m_claims->lateClaims()));
+    return root;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/request/request_service.h
@@ -0,0 +1,84 @@
+#pragma once
+
+/** \file
+ * The service that takes callers' requests and gives each one its one answer.
+ */
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/statusor.h"
+#include "decision/request/request_environment.h"
+#include "decision/request/request_run.h"
+#include "kernel/service.h"
+#include "model/vm_settings.h"
+#include "ports/request_port.h"
+
+namespace plantainlatch {
+
+/** Admits, runs and answers requests; published as "requests". */
+class request_service {
+public:
+    static absl::StatusOr<std::unique_ptr<request_service>> create(
+        const kernel_hooks& hooks, const vm_settings& settings, request_options options = {});
+
+    /** The kernel service; it needs "control", "consensus", "slots" and "upstreams". */
+    service asService();
+
+    const request_statistics& statistics() const { return m_statistics; }
+    std::size_t requestsInFlight() const { return m_running.size(); }
+    std::size_t lateClaims() const { return m_claims->lateClaims(); }
+
+private:
+    /** A request in flight; `deliver` is empty once the caller has left. */
+    struct running_request {
+        std::shared_ptr<request_run> run;
+        std::function<void(caller_answer)> deliver;
+    };
+    enum class life {
+        Serving,
+        /** Stopping, but callers may still hold a list of entries with this VM. */
+        Leaving,
+        /** New work is refused. */
+        Draining,
+    };
+
+    request_service(const kernel_hooks& hooks, const vm_settings& settings, request_options options);
+
+    absl::Status start(registry& services);
+    void stop(std::function<void()> stopped);
+    void drain();
+    void finishStop();
+    state_dump dump() const;
+
+    request_id submit(caller_request request, std::function<void(caller_answer)> deliver);
+    void cancel(request_id id);
+    std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
+    admitted_request admit(caller_request request, const service_definition& definition);
+    void onDone(const admitted_request& request, caller_answer answer);
+    void countAnswer(const caller_answer& answer);
+    std::uint32_t connectionShare(const service_definition& definition) const;
+
+    kernel_hooks m_hooks;
+    vm_settings m_settings;
+    request_options m_options;
+    request_port m_port;
+    control_port* m_control = nullptr;
+    std::unique_ptr<key_claims> m_claims;
+    std::unique_ptr<crash_guard> m_crashes;
+    retry_budget m_budget;
+    hedge_policy m_hedges;
+    request_statistics m_statistics;
+    std::unique_ptr<request_environment> m_environment;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_bodyBytes = 0;
+    absl::flat_hash_map<request_id, running_request> m_running;
+    life m_life = life::Serving;
+    std::function<void()> m_stopped;
+};
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/request/upstream_attempt.cpp
@@ -0,0 +1,240 @@
+#include "decision/request/upstream_attempt.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr int statusUnavailable = 503;
+    constexpr int firstServerError = 500;
+
+    bool isBeforeFirstByte(call_failure failure)
+    {
+        return failure == call_failure::ConnectFailed || failure == call_failure::ConnectionLimit;
+    }
+
+    slot_result::kind slotResultOf(call_failure failure)
+    {
+        switch (failure) {
+        case call_failure::ConnectFailed:
+            return slot_result::kind::ConnectFailed;
+        case call_failure::ConnectionLimit:
+            return slot_result::kind::Unused;
+        case call_failure::Timeout:
+            return slot_result::kind::Timeout;
+        case call_failure::Lost:
+        case call_failure::Malformed:
+            return slot_result::kind::Lost;
+        }
+        internal_assert(false) << "call failure " << static_cast<int>(failure);
+        return slot_result::kind::Lost;
+    }
+
+    attempt_ending endingOf(call_failure failure)
+    {
+        if (isBeforeFirstByte(failure))
+            return attempt_ending::Finished;
+        return failure == call_failure::Lost ? attempt_ending::Lost : attempt_ending::Cancelled;
+    }
+
+} // namespace
+
+std::shared_ptr<upstream_attempt> upstream_attempt::create(
+    request_environment& environment, const admitted_request& request, attempt_events events)
+{
+    return std::shared_ptr<upstream_attempt>(new upstream_attempt(environment, request, std::move(events)));
+}
+
+upstream_attempt::upstream_attempt(
+    request_environment& environment, const admitted_request& request, attempt_events events)
+    : m_environment(environment)
+    , m_request(request)
+    , m_events(std::move(events))
+{
+}
+
+void upstream_attempt::start(const std::vector<upstream_id>& avoid)
+{
+    slot_request asked { m_request.content.service, m_request.deadline, avoid,
+        byte_count(m_request.content.body.size()) };
+    slot_port& slots = m_environment.slots;
+    const slot_ticket ticket
+        = slots.acquire(std::move(asked), [weak = weak_from_this(), &slots](const slot_answer& answer) {
+              const auto self = weak.lock();
+              if (self && !self->m_ended)
+                  self->onSlot(answer);
+              else if (answer.slot)
+                  slots.release(answer.slot->hold, {});
+          });
+    if (!m_ended && !m_holdsSlot)
+        m_ticket = ticket;
+}
+
+void upstream_attempt::onSlot(const slot_answer& answer)
+{
+    m_ticket.reset();
+    if (!answer.slot) {
+        m_state = nextState(m_state, attempt_event::FailBeforeFirstByte);
+        attempt_end ended;
+        ended.refusal = answer.refusal;
+        end(std::move(ended));
+        return;
+    }
+    m_slot = *answer.slot;
+    m_holdsSlot = true;
+    const time_point now = m_environment.hooks.now();
+    m_startedAt = now;
+    if (now < m_request.deadline && now < m_slot.dispatchBefore) {
+        call();
+        return;
+    }
+    release(slot_result::kind::Unused, attempt_ending::Finished);
+    m_state = nextState(m_state, attempt_event::FailBeforeFirstByte);
+    attempt_end ended;
+    ended.refusal = slot_refusal::Overloaded;
+    end(std::move(ended));
+}
+
+void upstream_attempt::call()
+{
+    m_call = m_environment.nextCall();
+    call_events events;
+    const auto weak = weak_from_this();
+    events.onFirstByte = [weak] {
+        if (const auto self = weak.lock(); self && !self->m_ended)
+            self->onFirstByte();
+    };
+    events.onAnswer = [weak](upstream_answer answer) {
+        if (const auto self = weak.lock(); self && !self->m_ended)
+            self->onAnswer(std::move(answer));
+    };
+    events.onFailure = [weak](call_failure failure) {
+        if (const auto self = weak.lock(); self && !self->m_ended)
+            self->onFailure(failure);
+    };
+    m_environment.upstreams.start(callFor(m_slot), std::move(events));
+    if (!m_ended)
+        m_events.onStarted();
+}
+
+upstream_call upstream_attempt::callFor(const held_slot& slot) const
+{
+    const time_point now = m_environment.hooks.now();
+    upstream_call call;
+    call.id = m_call;
+    call.upstream = slot.upstream.id;
+    call.address = slot.upstream.address;
+    call.method = m_request.content.method;
+    call.target = m_request.content.target;
+    call.headers = m_request.content.headers;
+    call.body = m_request.content.body;
+    call.timeout = m_request.deadline - now;
+    call.offerWithin = std::min(call.timeout, slot.dispatchBefore - now);
+    call.freshConnection = m_environment.options.policies.needsFreshConnection(m_request.traits);
+    call.connectionLimit = m_request.connectionLimit;
+    return call;
+}
+
+void upstream_attempt::onFirstByte()
+{
+    m_state = nextState(m_state, attempt_event::OfferFirstByte);
+    if (m_environment.hooks.now() <= m_slot.dispatchBefore)
+        return;
+    ++m_environment.statistics.lateDispatches;
+    m_environment.hooks.log({ log_level::Error, "requests", "work was dispatched after the slot's lease",
+        { { "upstream", m_slot.upstream.id.value() } } });
+}
+
+void upstream_attempt::onAnswer(upstream_answer answer)
+{
+    attempt_end ended;
+    slot_result::kind kind = slot_result::kind::Answered;
+    attempt_event event = attempt_event::Answer;
+    if (m_environment.options.policies.isMarkedRefusal(answer)) {
+        ended.ended = attempt_end::kind::Refused;
+        kind = slot_result::kind::Shed;
+        event = attempt_event::Refuse;
+    } else if (answer.status == statusUnavailable) {
+        ended.ended = attempt_end::kind::Shed;
+        kind = slot_result::kind::Shed;
+        event = m_request.traits.idempotent ? attempt_event::Answer : attempt_event::Lose;
+    } else {
+        ended.ended = attempt_end::kind::Answered;
+        if (answer.status >= firstServerError)
+            kind = slot_result::kind::Failed;
+        else if (m_request.traits.idempotent)
+            m_environment.hedges.observe(m_request.content.service, m_environment.hooks.now() - m_startedAt);
+    }
+    m_state = nextState(m_state, event);
+    ended.answer = std::move(answer);
+    release(kind, attempt_ending::Finished);
+    end(std::move(ended));
+}
+
+void upstream_attempt::onFailure(call_failure failure)
+{
+    attempt_end ended;
+    ended.failure = failure;
+    const bool early = isBeforeFirstByte(failure) || m_state == attempt_state::Prepared;
+    ended.ended = early ? attempt_end::kind::NotOffered : attempt_end::kind::Lost;
+    m_state = nextState(m_state, early ? attempt_event::FailBeforeFirstByte : attempt_event::Lose);
+    release(slotResultOf(failure), early ? attempt_ending::Finished : endingOf(failure));
+    end(std::move(ended));
+}
+
+attempt_state upstream_attempt::abandon(abandon_cause cause)
+{
+    internal_assert(!m_ended) << "an attempt ends twice";
+    m_ended = true;
+    if (m_ticket)
+        m_environment.slots.cancelWait(*m_ticket);
+    if (m_holdsSlot) {
+        m_environment.upstreams.cancel(m_call);
+        const bool offered = m_state == attempt_state::Offered;
+        const auto unanswered = offered ? slot_result::kind::Timeout : slot_result::kind::ConnectFailed;
+        const auto unwanted = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
+        release(cause == abandon_cause::Deadline ? unanswered : unwanted,
+            offered ? attempt_ending::Cancelled : attempt_ending::Finished);
+    }
+    const bool offered = m_state == attempt_state::Offered;
+    m_state = nextState(m_state, offered ? attempt_event::Lose : attempt_event::FailBeforeFirstByte);
+    return m_state;
+}
+
+void upstream_attempt::release(slot_result::kind kind, attempt_ending ending)
+{
+    internal_assert(m_holdsSlot) << "a slot is released twice";
+    m_holdsSlot = false;
+    slot_result result;
+    result.ended = kind;
+    result.latency = m_environment.hooks.now() - m_startedAt;
+    result.busyUntil = busyUntil(ending);
+    m_environment.slots.release(m_slot.hold, result);
+}
+
+std::optional<time_point> upstream_attempt::busyUntil(attempt_ending ending) const
+{
+    if (!m_environment.options.policies.keepsSlotBusy(ending))
+        return std::nullopt;
+    const time_point now = m_environment.hooks.now();
+    const time_point cancelled = now + m_environment.options.cancellationGrace;
+    if (ending == attempt_ending::Lost)
+        return std::max(m_request.deadline, cancelled);
+    return cancelled;
+}
+
+void upstream_attempt::end(attempt_end ended)
+{
+    const auto self = shared_from_this();
+    m_ended = true;
+    ended.state = m_state;
+    ended.upstream = m_slot.upstream.id;
+    m_events.onEnd(ended);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/support/fake_log.cpp
@@ -0,0 +1,76 @@
+#include "support/fake_log.h"
+
+#include "decision/control/crash_table.h"
+#include "decision/control/key_table.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    command_result applyTo(control_snapshot& state, const proposal& item)
+    {
+        if (const auto* claim = std::get_if<claim_key>(&item.command))
+            return applyClaim(state.keys, item, *claim);
+        if (const auto* settle = std::get_if<settle_key>(&item.command))
+            return applySettle(state.keys, item, *settle);
+        if (const auto* crash = std::get_if<report_crash>(&item.command))
+            return applyCrashReport(state.crashes, item, *crash);
+        return {};
+    }
+
+} // namespace
+
+fake_log_member::fake_log_member(fake_log& log, const vm_id& vm, incarnation start)
+    : m_log(log)
+    , m_last { vm, start, 0 }
+    , m_state(log.state)
+{
+    consensus.propose
+        = [this](control_command command, duration timeout, std::function<void(absl::StatusOr<command_result>)> done) {
+              return propose(std::move(command), timeout, std::move(done));
+          };
+    control.state = [this]() -> const control_snapshot& { return m_state; };
+    control.onChange = [this](std::function<void()> listener) { m_listeners.push_back(std::move(listener)); };
+    m_log.m_members.insert(this);
+}
+
+proposal_id fake_log_member::propose(
+    control_command command, duration timeout, std::function<void(absl::StatusOr<command_result>)> done)
+{
+    ++m_last.sequence;
+    const proposal item { m_last, {}, std::move(command) };
+    const proposal_fate decided = fate(item.command);
+    paused_runtime& runtime = m_log.m_runtime;
+    const bool inTime = decided.agreed && decided.answered && decided.delay <= timeout;
+    if (decided.agreed) {
+        runtime.schedule(decided.delay, [log = &m_log, item, inTime, done] {
+            const command_result result = log->append(item);
+            if (inTime)
+                done(result);
+        });
+    }
+    if (!inTime)
+        runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("no answer from the log")); });
+    return m_last;
+}
+
+command_result fake_log::append(const proposal& item)
+{
+    proposal stamped = item;
+    stamped.proposedAt = m_runtime.hooks().wallNow();
+    const command_result result = applyTo(state, stamped);
+    for (fake_log_member* member : m_members) {
+        const auto apply = [member, stamped] {
+            applyTo(member->m_state, stamped);
+            for (const auto& listener : member->m_listeners)
+                listener();
+        };
+        if (member->applyLag == duration::zero())
+            apply();
+        else
+            m_runtime.schedule(member->applyLag, apply);
+    }
+    return result;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/support/fake_upstreams.cpp
@@ -0,0 +1,204 @@
+#include "support/fake_upstreams.h"
+
+#include <algorithm>
+
+namespace plantainlatch {
+
+fake_upstreams::fake_upstreams(
+    paused_runtime& runtime, const service_id& service, std::size_t count, std::uint32_t slots)
+    : m_runtime(runtime)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        upstream_record record;
+        record.announcement.id = upstream_id("u" + std::to_string(i));
+        record.announcement.service = service;
+        record.announcement.address = { "127.0.0.1", static_cast<std::uint16_t>(9000 + i) };
+        record.announcement.slots = slot_count(slots);
+        m_upstreams.emplace(record.announcement.id, record);
+    }
+}
+
+fake_upstreams::entry_ports fake_upstreams::ports()
+{
+    const std::size_t entry = m_entries++;
+    entry_ports made;
+    made.slots.acquire = [this, entry](slot_request asked, std::function<void(slot_answer)> given) {
+        return acquire(entry, std::move(asked), std::move(given));
+    };
+    made.slots.cancelWait = [this](slot_ticket ticket) { m_waiters.erase(ticket.value()); };
+    made.slots.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    made.upstreams.start
+        = [this, entry](const upstream_call& call, call_events events) { start(entry, call, std::move(events)); };
+    made.upstreams.cancel = [this, entry](call_id call) { cancelCall({ entry, call.value() }); };
+    return made;
+}
+
+void fake_upstreams::killEntry(std::size_t entry)
+{
+    std::erase_if(m_open, [entry](const auto& item) { return item.second.entry == entry; });
+    std::erase_if(m_waiters, [entry](const auto& item) { return item.second.entry == entry; });
+}
+
+slot_ticket fake_upstreams::acquire(std::size_t entry, slot_request asked, std::function<void(slot_answer)> given)
+{
+    const std::uint64_t ticket = ++m_last;
+    const time_point deadline = asked.deadline;
+    m_waiters.emplace(ticket, slot_waiter { entry, std::move(asked), std::move(given) });
+    serveWaiters();
+    if (m_waiters.contains(ticket)) {
+        m_runtime.schedule(deadline - m_runtime.now(), [this, ticket] {
+            auto waiter = m_waiters.extract(ticket);
+            if (!waiter.empty())
+                waiter.mapped().given({ std::nullopt, slot_refusal::Overloaded });
+        });
+    }
+    return slot_ticket(ticket);
+}
+
+void fake_upstreams::release(slot_hold hold, const slot_result& result)
+{
+    released.push_back(result);
+    const upstream_id id = m_holds.at(hold);
+    m_holds.erase(hold);
+    const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
+    m_runtime.schedule(busy, [this, id] {
+        --m_upstreams.at(id).inUse;
+        serveWaiters();
+    });
+}
+
+void fake_upstreams::serveWaiters()
+{
+    for (auto position = m_waiters.begin(); position != m_waiters.end();) {
+        const std::optional<upstream_id> chosen = choose(position->second.asked);
+        if (!chosen)
+            return;
+        auto waiter = m_waiters.extract(position);
+        waiter.mapped().given(give(*chosen));
+        position = m_waiters.begin();
+    }
+}
+
+std::optional<upstream_id> fake_upstreams::choose(const slot_request& asked) const
+{
+    const upstream_record* best = nullptr;
+    bool bestAvoided = false;
+    for (const auto& [id, record] : m_upstreams) {
+        if (record.crashed || record.inUse >= record.announcement.slots.value())
+            continue;
+        const bool avoided = std::find(asked.avoid.begin(), asked.avoid.end(), id) != asked.avoid.end();
+        const bool better
+            = best == nullptr || (bestAvoided && !avoided) || (bestAvoided == avoided && record.inUse < best->inUse);
+        if (!better)
+            continue;
+        best = &record;
+        bestAvoided = avoided;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return best->announcement.id;
+}
+
+slot_answer fake_upstreams::give(const upstream_id& chosen)
+{
+    upstream_record& record = m_upstreams.at(chosen);
+    ++record.inUse;
+    const slot_hold hold(++m_last);
+    m_holds.emplace(hold, chosen);
+    return { held_slot { hold, record.announcement, m_runtime.now() + std::chrono::seconds(2) }, {} };
+}
+
+void fake_upstreams::start(std::size_t entry, const upstream_call& call, call_events events)
+{
+    const call_name name { entry, call.id.value() };
+    calls.push_back({ call, fate(call), m_runtime.now() });
+    const call_fate& decided = calls.back().fate;
+    m_open.emplace(name, open_call { entry, calls.size() - 1, std::move(events) });
+    const bool offered
+        = decided.ends != call_fate::kind::ConnectFailed && decided.ends != call_fate::kind::ConnectionLimit;
+    const bool crashed = m_upstreams.at(call.upstream).crashed;
+    if (offered && !crashed)
+        m_open.at(name).events.onFirstByte();
+    const bool runsWork = decided.ends == call_fate::kind::Answer || decided.ends == call_fate::kind::LostAnswer
+        || decided.ends == call_fate::kind::Crash;
+    if (runsWork && !crashed)
+        runWork(call.upstream, call.body, decided.delay);
+    if (crashed)
+        calls.back().fate.ends = call_fate::kind::ConnectFailed;
+    if (decided.ends == call_fate::kind::Crash)
+        m_runtime.schedule(decided.delay, [this, id = call.upstream] { crash(id); });
+    else if (decided.ends != call_fate::kind::Silent)
+        m_runtime.schedule(decided.delay, [this, name] { endCall(name); });
+    m_runtime.schedule(call.timeout, [this, name] {
+        auto open = m_open.extract(name);
+        if (!open.empty())
+            open.mapped().events.onFailure(call_failure::Timeout);
+    });
+}
+
+void fake_upstreams::runWork(const upstream_id& id, const std::string& body, duration delay)
+{
+    ++runs[body];
+    upstream_record& record = m_upstreams.at(id);
+    mostRunning = std::max(mostRunning, ++record.running);
+    m_runtime.schedule(delay, [&record] { --record.running; });
+}
+
+void fake_upstreams::crash(const upstream_id& id)
+{
+    ++crashes;
+    m_upstreams.at(id).crashed = true;
+    std::vector<call_events> lost;
+    std::erase_if(m_open, [&](const auto& item) {
+        if (calls[item.second.index].call.upstream != id)
+            return false;
+        lost.push_back(item.second.events);
+        return true;
+    });
+    for (const call_events& events : lost)
+        events.onFailure(call_failure::Lost);
+}
+
+void fake_upstreams::endCall(const call_name& name)
+{
+    auto open = m_open.extract(name);
+    if (open.empty())
+        return;
+    const seen_call seen = calls[open.mapped().index];
+    const call_events& events = open.mapped().events;
+    switch (seen.fate.ends) {
+    case call_fate::kind::Answer:
+        events.onAnswer({ 200, {}, "answer to " + seen.call.target + seen.call.body });
+        return;
+    case call_fate::kind::ConnectFailed:
+        events.onFailure(call_failure::ConnectFailed);
+        return;
+    case call_fate::kind::ConnectionLimit:
+        events.onFailure(call_failure::ConnectionLimit);
+        return;
+    case call_fate::kind::MarkedRefusal:
+        events.onAnswer({ 503, { { "x-plantainlatch-not-run", "1" } }, "full" });
+        return;
+    case call_fate::kind::BareRefusal:
+        events.onAnswer({ 503, {}, "full" });
+        return;
+    case call_fate::kind::Crash:
+    case call_fate::kind::LostRequest:
+    case call_fate::kind::LostAnswer:
+        events.onFailure(call_failure::Lost);
+        return;
+    case call_fate::kind::Silent:
+        return;
+    }
+}
+
+void fake_upstreams::cancelCall(const call_name& name)
+{
+    const auto open = m_open.find(name);
+    if (open == m_open.end())
+        return;
+    calls[open->second.index].cancelled = true;
+    m_open.erase(open);
+}
+
+} // namespace plantainlatch
