Add membership with allocator leases, and the directory of upstreams

Cause: slots need an allocator for each region and the liveness of upstreams. Change: heartbeats to the leader, roles leased by region and epoch so that no two epochs hold one at once, also over a change of leader; announcements to any entry, renewals passed to the region's allocator, removal after silence, damping of restarts in the replicated state. Stopping and dead VMs are told to all by the answers to heartbeats. Result: ctest passes; without waiting for leases the test sees two allocators at once.

--- /dev/null
+++ b/src/decision/control/allocator_assignment.cpp
@@ -0,0 +1,85 @@
+#include "decision/control/allocator_assignment.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "decision/control/apply_drain.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    bool isOfRegion(const control_snapshot& state, const vm_id& vm, const region_id& region)
+    {
+        const auto found = state.vms.find(vm);
+        return found != state.vms.end() && found->second.record.region == region;
+    }
+
+    bool isFit(const control_snapshot& state, const vm_report& report)
+    {
+        const auto found = state.vms.find(report.last.vm);
+        return !report.last.draining && found != state.vms.end() && !isVmDraining(state, found->second.record);
+    }
+
+    std::size_t roleCount(const control_snapshot& state, const vm_id& vm)
+    {
+        return static_cast<std::size_t>(std::count_if(state.allocators.begin(), state.allocators.end(),
+            [&](const auto& entry) { return entry.second.vm == vm; }));
+    }
+
+    const vm_report* findReport(const std::vector<vm_report>& live, const allocator_record& record)
+    {
+        const auto found = std::find_if(live.begin(), live.end(),
+            [&](const vm_report& report) { return report.last.vm == record.vm && report.last.start == record.start; });
+        return found == live.end() ? nullptr : &*found;
+    }
+
+    const vm_report* findBest(
+        const control_snapshot& state, const region_id& region, const std::vector<vm_report>& live)
+    {
+        const vm_report* best = nullptr;
+        const auto rank = [&](const vm_report& report) {
+            return std::make_tuple(!isFit(state, report), !isOfRegion(state, report.last.vm, region),
+                roleCount(state, report.last.vm), report.last.vm);
+        };
+        for (const vm_report& report : live) {
+            if (best == nullptr || rank(report) < rank(*best))
+                best = &report;
+        }
+        return best;
+    }
+
+    bool isSteadyAtHome(const control_snapshot& state, const region_id& region, const vm_report& report, time_point now)
+    {
+        return isFit(state, report) && isOfRegion(state, report.last.vm, region)
+            && now - report.aliveSince >= returnHomeAfter;
+    }
+
+    assign_allocator assignmentTo(const vm_report& report, const region_id& region, allocator_epoch current)
+    {
+        return { region, report.last.vm, report.last.start, current.next() };
+    }
+
+} // namespace
+
+std::optional<assign_allocator> chooseAllocator(
+    const control_snapshot& state, const region_id& region, const std::vector<vm_report>& live, time_point now)
+{
+    const vm_report* best = findBest(state, region, live);
+    if (best == nullptr)
+        return {};
+    const auto current = state.allocators.find(region);
+    if (current == state.allocators.end())
+        return assignmentTo(*best, region, allocator_epoch());
+    const allocator_record& record = current->second;
+    const vm_report* holder = findReport(live, record);
+    const bool canImprove = isFit(state, *best) || holder == nullptr;
+    if (holder == nullptr || (!isFit(state, *holder) && canImprove && best != holder))
+        return assignmentTo(*best, region, record.epoch);
+    const bool away = !isOfRegion(state, record.vm, region);
+    if (away && isSteadyAtHome(state, region, *best, now))
+        return assignmentTo(*best, region, record.epoch);
+    return {};
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/allocator_leases.cpp
@@ -0,0 +1,39 @@
+#include "decision/control/allocator_leases.h"
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+void allocator_leases::beginTerm(time_point now)
+{
+    m_held.clear();
+    m_earlierLeasesEnd = now + longest();
+}
+
+void allocator_leases::adopt(const region_id& region, allocator_epoch epoch, time_point now)
+{
+    m_held.try_emplace(region, held_lease { epoch, now + longest() });
+}
+
+bool allocator_leases::grant(const region_id& region, allocator_epoch epoch, time_point now)
+{
+    const auto found = m_held.find(region);
+    const bool mayBeEarlier = found == m_held.end() && now < m_earlierLeasesEnd;
+    const bool heldByOther = found != m_held.end() && found->second.epoch != epoch && now < found->second.endsAt;
+    if (m_options.waitOut && (mayBeEarlier || heldByOther))
+        return false;
+    internal_assert(found == m_held.end() || found->second.epoch <= epoch)
+        << "region " << region.value() << " went back from epoch " << found->second.epoch.value() << " to "
+        << epoch.value();
+    m_held[region] = { epoch, now + longest() };
+    return true;
+}
+
+void allocator_leases::giveUp(const region_id& region, allocator_epoch epoch)
+{
+    const auto found = m_held.find(region);
+    if (found != m_held.end() && found->second.epoch == epoch)
+        found->second.endsAt = time_point::min();
+}
+
+} // namespace plantainlatch
--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "core/internal_assert.h"
+#include "decision/control/apply_directory.h"
 #include "decision/control/command_results.h"
 #include "decision/control/declaration_difference.h"
 #include "decision/control/declaration_merge.h"
@@ -45,6 +46,8 @@
     {
         for (const auto& item : content.upstreams.withdrawn)
             state.directory.erase(item.value.id);
+        std::erase_if(state.directory,
+            [&](const auto& entry) { return !fitsPlaceAndService(state.config, entry.second.announcement); });
     }
 
     void removeUnknownDrains(control_snapshot& state)
--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -87,14 +87,14 @@
 
     absl::Status checkRoom(const control_snapshot& state, const upstream_announcement& offered, wall_time now)
     {
-        if (state.directory.contains(offered.id))
+        const auto known = state.directory.find(offered.id);
+        const bool isKnown = known != state.directory.end();
+        if (isKnown && known->second.announcement.generation == offered.generation)
             return absl::OkStatus();
-        if (state.directory.size() >= maximumUpstreams)
+        if (!isKnown && state.directory.size() >= maximumUpstreams)
             return absl::ResourceExhaustedError("the directory is full");
         const auto gone = state.departed.find(offered.id);
-        if (gone == state.departed.end())
-            return absl::OkStatus();
-        if (now < gone->second.leftAt + flapWait(gone->second.silences))
+        if (gone != state.departed.end() && now < gone->second.leftAt + flapWait(gone->second.silences))
             return absl::UnavailableError("the upstream came and went too often and has to wait");
         return absl::OkStatus();
     }
@@ -145,6 +145,23 @@
     return status;
 }
 
+slot_count effectiveSlots(const configuration& config, const upstream_announcement& announcement)
+{
+    slot_count slots = announcement.slots;
+    const auto limits = config.services.find(announcement.service);
+    if (limits != config.services.end())
+        slots = std::min(slots, limits->second.slots);
+    const auto definition = config.upstreams.find(announcement.id);
+    if (definition != config.upstreams.end() && definition->second.slots.has_value())
+        slots = std::min(slots, *definition->second.slots);
+    return slots;
+}
+
+bool fitsPlaceAndService(const configuration& config, const upstream_announcement& announcement)
+{
+    return checkPlace(config, announcement).ok() && config.services.contains(announcement.service);
+}
+
 command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command)
 {
     const upstream_announcement& offered = command.announcement;
@@ -154,6 +171,11 @@
     const absl::Status status = checkAnnouncement(state, offered, item.proposedAt);
     if (!status.ok())
         return refused(std::string(status.message()));
+    if (known != state.directory.end()) {
+        const upstream_generation former = known->second.announcement.generation;
+        if (former != offered.generation)
+            rememberDeparture(state, { offered.id, former, false }, item.proposedAt);
+    }
     state.directory[offered.id] = { offered, item.proposedAt };
     internal_assert(state.directory.size() <= maximumUpstreams) << state.directory.size();
     return accepted();
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -36,6 +36,12 @@
 /** How long an upstream that fell silent so often waits before it may return. */
 duration flapWait(std::uint32_t silences);
 
+/** The slots that may be used: the least of what is announced and what is declared. */
+slot_count effectiveSlots(const configuration& config, const upstream_announcement& announcement);
+
+/** Whether the announcement's service and place are declared. */
+bool fitsPlaceAndService(const configuration& config, const upstream_announcement& announcement);
+
 command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command);
 
 /** Takes the upstream out; another generation than the one that left is AlreadyAccepted and changes nothing. */
--- /dev/null
+++ b/src/decision/control/directory_service.cpp
@@ -0,0 +1,231 @@
+#include "decision/control/directory_service.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "decision/control/apply_directory.h"
+#include "decision/peers/peer_router.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr duration tickInterval = std::chrono::milliseconds(500);
+
+    /** Upstreams that may be joining through this VM at once, and answers that wait for each. */
+    constexpr std::size_t maximumJoining = 1024;
+    constexpr std::size_t maximumWaiting = 8;
+
+    /** Silent upstreams whose removal is proposed at once. */
+    constexpr std::size_t maximumRemoving = 64;
+
+    /** Sightings of upstreams that the directory does not hold are kept for this long. */
+    constexpr duration unknownMemory = std::chrono::minutes(1);
+
+    /** What the upstream is told: some refusals hold only for now. */
+    absl::Status refusalStatus(const absl::Status& status)
+    {
+        if (absl::IsAlreadyExists(status) || absl::IsResourceExhausted(status))
+            return absl::UnavailableError(status.message());
+        return status;
+    }
+
+    absl::Status proposalStatus(const absl::StatusOr<command_result>& result)
+    {
+        if (!result.ok())
+            return absl::UnavailableError(result.status().message());
+        if (result->verdict == command_verdict::Refused || result->verdict == command_verdict::Conflict)
+            return absl::UnavailableError(result->message);
+        return absl::OkStatus();
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<directory_service>> directory_service::create(
+    const kernel_hooks& hooks, const vm_settings& settings, directory_options options)
+{
+    if (options.renewalInterval >= options.silence || options.silence > options.leaveAfter)
+        return absl::InvalidArgumentError("upstreams must renew more often than they are taken for silent and gone");
+    return std::unique_ptr<directory_service>(new directory_service(hooks, settings, options));
+}
+
+directory_service::directory_service(const kernel_hooks& hooks, const vm_settings& settings, directory_options options)
+    : m_hooks(hooks)
+    , m_self(settings.self.id)
+    , m_options(options)
+{
+    m_port.announce = [this](const upstream_announcement& offered, const answer& done) { announce(offered, done); };
+    m_port.leave = [this](const upstream_id& id, upstream_generation generation, const answer& done) {
+        leave(id, generation, done);
+    };
+    m_port.renewalInterval = [this] { return m_options.renewalInterval; };
+    m_livenessPort.lastSeen = [this](const upstream_id& id) { return lastSeen(id); };
+    m_livenessPort.silence = [this] { return m_options.silence; };
+}
+
+service directory_service::asService()
+{
+    service item;
+    item.name = port_names::directory;
+    item.needs = { port_names::control, port_names::consensus, port_names::membership, port_names::peerRouter };
+    item.start = [this](registry& services) { return start(services); };
+    item.stop = [this](std::function<void()> stopped) {
+        m_hooks.cancel(m_timer);
+        stopped();
+    };
+    item.dump = [this] { return dump(); };
+    return item;
+}
+
+absl::Status directory_service::start(registry& services)
+{
+    m_control = *services.find<control_port>(port_names::control);
+    m_consensus = *services.find<consensus_port>(port_names::consensus);
+    m_membership = *services.find<membership_port>(port_names::membership);
+    m_router = *services.find<peer_router>(port_names::peerRouter);
+    m_router->subscribeControl([this](const vm_id&, const control_message& message) {
+        if (const auto* seen = std::get_if<announcement_seen>(&message))
+            m_liveness.note(seen->announcement.id, seen->announcement.generation, m_hooks.now());
+    });
+    m_timer = m_hooks.schedule(tickInterval, [this] { tick(); });
+    absl::Status status = services.publish(port_names::directory, m_port);
+    status.Update(services.publish(port_names::liveness, m_livenessPort));
+    return status;
+}
+
+bool directory_service::isRenewal(const upstream_announcement& offered) const
+{
+    const auto known = m_control->state().directory.find(offered.id);
+    if (known == m_control->state().directory.end())
+        return false;
+    const upstream_announcement& former = known->second.announcement;
+    if (former == offered)
+        return true;
+    const bool samePlace = former.generation == offered.generation && former.address == offered.address
+        && former.service == offered.service && former.failureDomain == offered.failureDomain
+        && former.region == offered.region;
+    return samePlace && m_hooks.wallNow() < known->second.joinedAt + m_options.changeInterval;
+}
+
+void directory_service::announce(const upstream_announcement& offered, const answer& done)
+{
+    if (isRenewal(offered)) {
+        passOn(offered);
+        done(absl::OkStatus());
+        return;
+    }
+    const absl::Status status = checkAnnouncement(m_control->state(), offered, m_hooks.wallNow());
+    if (!status.ok())
+        done(refusalStatus(status));
+    else
+        join(offered, done);
+}
+
+void directory_service::join(const upstream_announcement& offered, const answer& done)
+{
+    const auto joining = m_joining.find(offered.id);
+    if (joining != m_joining.end() && joining->second.size() < maximumWaiting) {
+        joining->second.push_back(done);
+        return;
+    }
+    if (joining != m_joining.end() || m_joining.size() >= maximumJoining) {
+        done(absl::UnavailableError("too many upstreams are joining"));
+        return;
+    }
+    m_joining[offered.id].push_back(done);
+    m_consensus->propose(upstream_joined { offered }, m_options.proposalTimeout,
+        [this, offered](const absl::StatusOr<command_result>& result) { finishJoin(offered, result); });
+}
+
+void directory_service::finishJoin(const upstream_announcement& offered, const absl::StatusOr<command_result>& result)
+{
+    const absl::Status status = proposalStatus(result);
+    if (status.ok())
+        passOn(offered);
+    const std::vector<answer> waiting = std::move(m_joining[offered.id]);
+    m_joining.erase(offered.id);
+    for (const answer& done : waiting)
+        done(status);
+}
+
+void directory_service::leave(const upstream_id& id, upstream_generation generation, const answer& done)
+{
+    const auto known = m_control->state().directory.find(id);
+    const bool isHere
+        = known != m_control->state().directory.end() && known->second.announcement.generation == generation;
+    if (!isHere && !m_joining.contains(id)) {
+        done(absl::OkStatus());
+        return;
+    }
+    m_consensus->propose(upstream_left { id, generation, true }, m_options.proposalTimeout,
+        [done](const absl::StatusOr<command_result>& result) { done(proposalStatus(result)); });
+}
+
+void directory_service::passOn(const upstream_announcement& offered)
+{
+    m_liveness.note(offered.id, offered.generation, m_hooks.now());
+    const auto& allocators = m_control->state().allocators;
+    const auto allocator = allocators.find(offered.region);
+    if (allocator != allocators.end() && allocator->second.vm != m_self)
+        m_router->send(allocator->second.vm, control_message(announcement_seen { offered }));
+}
+
+void directory_service::tick()
+{
+    m_timer = m_hooks.schedule(tickInterval, [this] { tick(); });
+    followRoles();
+    removeSilent();
+    m_liveness.forgetUnknown(m_control->state().directory, m_hooks.now() - unknownMemory);
+}
+
+void directory_service::followRoles()
+{
+    for (const auto& [region, definition] : m_control->state().config.regions)
+        m_liveness.setAllocating(region, m_membership->allocatorUntil(region).has_value(), m_hooks.now());
+}
+
+void directory_service::removeSilent()
+{
+    std::vector<upstream_announcement> silent;
+    for (const auto& [id, record] : m_control->state().directory) {
+        const upstream_announcement& upstream = record.announcement;
+        if (!m_liveness.allocates(upstream.region) || m_removing.contains(id))
+            continue;
+        const std::optional<time_point> seen = m_liveness.lastSeen(upstream);
+        if (seen.has_value() && m_hooks.now() - *seen > m_options.leaveAfter)
+            silent.push_back(upstream);
+    }
+    for (const upstream_announcement& upstream : silent) {
+        if (m_removing.size() >= maximumRemoving)
+            return;
+        m_removing.insert(upstream.id);
+        m_consensus->propose(upstream_left { upstream.id, upstream.generation, false }, m_options.proposalTimeout,
+            [this, id = upstream.id](const absl::StatusOr<command_result>&) { m_removing.erase(id); });
+    }
+}
+
+std::optional<time_point> directory_service::lastSeen(const upstream_id& id)
+{
+    followRoles();
+    const auto known = m_control->state().directory.find(id);
+    if (known == m_control->state().directory.end())
+        return {};
+    return m_liveness.lastSeen(known->second.announcement);
+}
+
+state_dump directory_service::dump() const
+{
+    state_dump shown(port_names::directory);
+    shown.add("joining", static_cast<std::uint64_t>(m_joining.size()));
+    shown.add("removing", static_cast<std::uint64_t>(m_removing.size()));
+    state_dump& upstreams = shown.addObject("last_seen");
+    for (const auto& [id, record] : m_control->state().directory) {
+        const std::optional<time_point> seen = m_liveness.lastSeen(record.announcement);
+        if (seen.has_value())
+            upstreams.add(id.value(), m_hooks.now() - *seen);
+    }
+    return shown;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/directory_service.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/** \file
+ * The service that takes announcements of upstreams, enters changes into the log and passes renewals to the allocator.
+ */
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "decision/control/liveness_tracker.h"
+#include "kernel/hooks.h"
+#include "kernel/service.h"
+#include "model/vm_settings.h"
+#include "ports/consensus_port.h"
+#include "ports/control_port.h"
+#include "ports/directory_port.h"
+#include "ports/liveness_port.h"
+#include "ports/membership_port.h"
+
+namespace plantainlatch {
+
+class peer_router;
+
+/** What may be varied in directory_service. */
+struct directory_options {
+    duration renewalInterval = std::chrono::seconds(1);
+    /** An upstream that was not heard of for this long gets no new work. */
+    duration silence = std::chrono::seconds(3);
+    /** An upstream that was not heard of for this long leaves the directory. */
+    duration leaveAfter = std::chrono::seconds(10);
+    /** One generation's slots or connections change at most this often. */
+    duration changeInterval = std::chrono::seconds(5);
+    duration proposalTimeout = std::chrono::seconds(2);
+};
+
+/** Announcements of upstreams; published as "directory" and "liveness". */
+class directory_service {
+public:
+    static absl::StatusOr<std::unique_ptr<directory_service>> create(
+        const kernel_hooks& hooks, const vm_settings& settings, directory_options options = {});
+
+    /** The kernel service; it needs "control", "consensus", "membership" and "peer_router". */
+    service asService();
+
+private:
+    using answer = std::function<void(absl::Status)>;
+
+    directory_service(const kernel_hooks& hooks, const vm_settings& settings, directory_options options);
+
+    absl::Status start(registry& services);
+    void announce(const upstream_announcement& offered, const answer& done);
+    void join(const upstream_announcement& offered, const answer& done);
+    void finishJoin(const upstream_announcement& offered, const absl::StatusOr<command_result>& result);
+    void leave(const upstream_id& id, upstream_generation generation, const answer& done);
+    bool isRenewal(const upstream_announcement& offered) const;
+    void passOn(const upstream_announcement& offered);
+    void tick();
+    void followRoles();
+    void removeSilent();
+    std::optional<time_point> lastSeen(const upstream_id& id);
+    state_dump dump() const;
+
+    kernel_hooks m_hooks;
+    vm_id m_self;
+    directory_options m_options;
+    directory_port m_port;
+    liveness_port m_livenessPort;
+    control_port* m_control = nullptr;
+    consensus_port* m_consensus = nullptr;
+    membership_port* m_membership = nullptr;
+    peer_router* m_router = nullptr;
+    timer_id m_timer;
+    liveness_tracker m_liveness;
+    std::map<upstream_id, std::vector<answer>> m_joining;
+    std::set<upstream_id> m_removing;
+};
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/membership_service.cpp
@@ -0,0 +1,355 @@
+#include "decision/control/membership_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/internal_assert.h"
+#include "decision/control/allocator_assignment.h"
+#include "decision/peers/peer_router.h"
+#include "ports/measurement_port.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Heartbeats that wait for an answer; the oldest is forgotten beyond. */
+    constexpr std::size_t maximumUnanswered = 64;
+
+    bool isKnownStart(const control_snapshot& state, const vm_heartbeat& heartbeat)
+    {
+        const auto found = state.vms.find(heartbeat.vm);
+        return found != state.vms.end() && found->second.start == heartbeat.start;
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<membership_service>> membership_service::create(
+    const kernel_hooks& hooks, const vm_settings& settings, membership_options options)
+{
+    if (options.heartbeatInterval <= duration::zero() || options.deadAfter <= options.heartbeatInterval)
+        return absl::InvalidArgumentError("heartbeats must come more often than a VM is taken for dead");
+    return std::unique_ptr<membership_service>(new membership_service(hooks, settings, options));
+}
+
+membership_service::membership_service(
+    const kernel_hooks& hooks, const vm_settings& settings, membership_options options)
+    : m_hooks(hooks)
+    , m_settings(settings)
+    , m_options(options)
+    , m_start(hooks.random())
+    , m_leases(options.leases)
+{
+    fillPort();
+}
+
+void membership_service::fillPort()
+{
+    m_port.start = [this] { return m_start; };
+    m_port.liveVms = [this] {
+        std::vector<vm_id> live;
+        for (const vm_report& report : reports())
+            live.push_back(report.last.vm);
+        return live;
+    };
+    m_port.allocatorUntil = [this](const region_id& region) { return allocatorUntil(region); };
+    m_port.allocatorLease = [this] { return m_options.leases.lease + m_options.leases.drift; };
+    m_port.stopping = [this] { return m_stopping; };
+    m_port.beginStop = [this] {
+        m_stopping = true;
+        sendHeartbeat();
+    };
+    m_port.avoided = [this] { return m_avoided; };
+    m_port.reports = [this] { return reports(); };
+    m_port.leadsFully = [this] { return leadsFully(); };
+    m_port.onSend = [this](auto part) { m_onSend.push_back(std::move(part)); };
+    m_port.onHeartbeat = [this](auto reader) { m_onHeartbeat.push_back(std::move(reader)); };
+    m_port.onAnswer = [this](auto reader) { m_onAnswer.push_back(std::move(reader)); };
+    m_port.onAvoided = [this](auto listener) { m_onAvoided.push_back(std::move(listener)); };
+}
+
+service membership_service::asService()
+{
+    service item;
+    item.name = port_names::membership;
+    item.needs = { port_names::control, port_names::consensus, port_names::peerRouter };
+    item.start = [this](registry& services) { return start(services); };
+    item.stop = [this](std::function<void()> stopped) {
+        m_hooks.cancel(m_timer);
+        m_timer = timer_id();
+        stopped();
+    };
+    item.dump = [this] { return dump(); };
+    return item;
+}
+
+absl::Status membership_service::start(registry& services)
+{
+    m_services = &services;
+    m_control = *services.find<control_port>(port_names::control);
+    m_consensus = *services.find<consensus_port>(port_names::consensus);
+    m_router = *services.find<peer_router>(port_names::peerRouter);
+    m_router->subscribeControl([this](const vm_id& from, const control_message& message) { receive(from, message); });
+    m_consensus->onLeadership([this](const leadership& led) { followLeadership(led); });
+    m_timer = m_hooks.schedule(duration::zero(), [this] { tick(); });
+    return services.publish(port_names::membership, m_port);
+}
+
+void membership_service::tick()
+{
+    m_timer = m_hooks.schedule(m_options.heartbeatInterval, [this] { tick(); });
+    followLeadership(m_consensus->state());
+    proposeStart();
+    sendHeartbeat();
+    if (leadsFully())
+        assignAllocators();
+}
+
+void membership_service::proposeStart()
+{
+    const auto known = m_control->state().vms.find(m_settings.self.id);
+    const bool noted = known != m_control->state().vms.end() && known->second.start == m_start
+        && known->second.record == m_settings.self;
+    if (noted || m_startProposed || m_stopping)
+        return;
+    m_startProposed = true;
+    m_consensus->propose(vm_started { m_settings.self, m_start }, m_options.proposalTimeout,
+        [this](const absl::StatusOr<command_result>&) { m_startProposed = false; });
+}
+
+vm_heartbeat membership_service::makeHeartbeat(const leadership& led)
+{
+    vm_heartbeat heartbeat;
+    heartbeat.vm = m_settings.self.id;
+    heartbeat.start = m_start;
+    heartbeat.sequence = ++m_sequence;
+    heartbeat.applied = m_consensus->applied();
+    heartbeat.inForce = m_control->state().config.number;
+    heartbeat.draining = m_stopping;
+    heartbeat.term = led.term;
+    for (const auto& [role, until] : m_roles) {
+        if (until > m_hooks.now() && !m_stopping)
+            heartbeat.held.push_back(role);
+    }
+    // The service that measures starts after this one, so that it is looked up late.
+    const auto measurements = m_services->find<measurement_port>(port_names::measurements);
+    if (measurements.ok())
+        heartbeat.measurements = (*measurements)->take();
+    for (const auto& part : m_onSend)
+        part(heartbeat);
+    return heartbeat;
+}
+
+void membership_service::sendHeartbeat()
+{
+    const leadership led = m_consensus->state();
+    if (led.leader.empty())
+        return;
+    const vm_heartbeat heartbeat = makeHeartbeat(led);
+    m_sent.push_back({ heartbeat.sequence, m_hooks.now() });
+    if (m_sent.size() > maximumUnanswered)
+        m_sent.pop_front();
+    if (led.leader != m_settings.self.id)
+        m_router->send(led.leader, control_message(heartbeat));
+    else if (led.leading)
+        receiveAnswer(answerHeartbeat(heartbeat));
+}
+
+void membership_service::receive(const vm_id& from, const control_message& message)
+{
+    if (const auto* heartbeat = std::get_if<vm_heartbeat>(&message)) {
+        if (heartbeat->vm == from && m_consensus->state().leading)
+            m_router->send(from, control_message(answerHeartbeat(*heartbeat)));
+        return;
+    }
+    const auto* answer = std::get_if<heartbeat_answer>(&message);
+    if (answer != nullptr && answer->start == m_start)
+        receiveAnswer(*answer);
+}
+
+heartbeat_answer membership_service::answerHeartbeat(const vm_heartbeat& heartbeat)
+{
+    followLeadership(m_consensus->state());
+    noteHeartbeat(heartbeat);
+    heartbeat_answer answer;
+    answer.sequence = heartbeat.sequence;
+    answer.start = heartbeat.start;
+    answer.term = m_term;
+    answer.avoided = findAvoided();
+    if (!leadsFully() || heartbeat.term != m_term || !isKnownStart(m_control->state(), heartbeat))
+        return answer;
+    leaseRoles(heartbeat, answer);
+    for (const auto& reader : m_onHeartbeat)
+        reader(heartbeat, answer);
+    return answer;
+}
+
+void membership_service::noteHeartbeat(const vm_heartbeat& heartbeat)
+{
+    if (!isKnownStart(m_control->state(), heartbeat))
+        return;
+    const time_point now = m_hooks.now();
+    vm_report& report = m_reports[heartbeat.vm];
+    const bool sameStart = report.last.start == heartbeat.start;
+    if (sameStart && report.last.sequence >= heartbeat.sequence)
+        return;
+    if (!sameStart || now - report.heardAt > m_options.deadAfter)
+        report.aliveSince = now;
+    report.last = heartbeat;
+    report.heardAt = now;
+    internal_assert(m_reports.size() <= m_control->state().vms.size()) << m_reports.size();
+}
+
+void membership_service::leaseRoles(const vm_heartbeat& heartbeat, heartbeat_answer& answer)
+{
+    const time_point now = m_hooks.now();
+    for (const allocator_role& role : heartbeat.held)
+        m_leases.adopt(role.region, role.epoch, now);
+    for (const auto& [region, record] : m_control->state().allocators) {
+        if (record.vm != heartbeat.vm || record.start != heartbeat.start)
+            continue;
+        if (heartbeat.draining)
+            m_leases.giveUp(region, record.epoch);
+        else if (m_leases.grant(region, record.epoch, now))
+            answer.leased.push_back({ region, record.epoch });
+    }
+    answer.allocatorLease = m_options.leases.lease;
+}
+
+void membership_service::receiveAnswer(const heartbeat_answer& answer)
+{
+    const auto sent = std::find_if(m_sent.begin(), m_sent.end(),
+        [&](const sent_heartbeat& candidate) { return candidate.sequence == answer.sequence; });
+    if (sent == m_sent.end())
+        return;
+    const time_point sentAt = sent->sentAt;
+    m_sent.erase(m_sent.begin(), std::next(sent));
+    for (const allocator_role& role : answer.leased) {
+        time_point& until = m_roles[role];
+        until = std::max(until, sentAt + answer.allocatorLease);
+    }
+    std::erase_if(m_roles, [&](const auto& entry) { return entry.second <= m_hooks.now(); });
+    setAvoided(answer.avoided);
+    for (const auto& reader : m_onAnswer)
+        reader(answer, sentAt);
+}
+
+void membership_service::setAvoided(std::vector<vm_id> avoided)
+{
+    if (avoided == m_avoided)
+        return;
+    m_avoided = std::move(avoided);
+    for (const auto& listener : m_onAvoided)
+        listener();
+}
+
+void membership_service::followLeadership(const leadership& led)
+{
+    if (!led.leading) {
+        m_term = log_term();
+        m_ready = false;
+        m_reports.clear();
+        m_assigning.clear();
+        return;
+    }
+    if (led.term == m_term)
+        return;
+    m_term = led.term;
+    m_ready = false;
+    m_reports.clear();
+    m_assigning.clear();
+    m_leadsSince = m_hooks.now();
+    m_leases.beginTerm(m_leadsSince);
+    // Once an entry of its own term is applied, so are all that earlier leaders could have committed.
+    m_consensus->propose(
+        no_command {}, m_options.proposalTimeout, [this, term = m_term](const absl::StatusOr<command_result>& result) {
+            if (m_term != term)
+                return;
+            m_ready = result.ok();
+            if (!m_ready)
+                m_term = log_term(); // Tried again on the next tick.
+        });
+}
+
+void membership_service::assignAllocators()
+{
+    const time_point now = m_hooks.now();
+    const std::vector<vm_report> live = reports();
+    for (const auto& [region, definition] : m_control->state().config.regions) {
+        const auto pending = m_assigning.find(region);
+        if (pending != m_assigning.end() && now < pending->second)
+            continue;
+        std::optional<assign_allocator> wanted = chooseAllocator(m_control->state(), region, live, now);
+        if (!wanted.has_value())
+            continue;
+        m_assigning[region] = now + m_options.proposalTimeout;
+        m_consensus->propose(*wanted, m_options.proposalTimeout,
+            [this, name = region](const absl::StatusOr<command_result>&) { m_assigning.erase(name); });
+        return; // The next region waits for the next tick, as this may have changed the state.
+    }
+}
+
+std::vector<vm_report> membership_service::reports() const
+{
+    std::vector<vm_report> live;
+    if (!m_consensus->state().leading)
+        return live;
+    for (const auto& [vm, report] : m_reports) {
+        if (m_hooks.now() - report.heardAt <= m_options.deadAfter)
+            live.push_back(report);
+    }
+    return live;
+}
+
+std::vector<vm_id> membership_service::findAvoided() const
+{
+    std::vector<vm_id> avoided;
+    const bool knowsAll = leadsFully() && m_hooks.now() >= m_leadsSince + m_options.deadAfter;
+    for (const auto& [vm, record] : m_control->state().vms) {
+        const auto report = m_reports.find(vm);
+        const bool heard = report != m_reports.end() && m_hooks.now() - report->second.heardAt <= m_options.deadAfter;
+        if (heard ? report->second.last.draining : knowsAll)
+            avoided.push_back(vm);
+    }
+    return avoided;
+}
+
+std::optional<time_point> membership_service::allocatorUntil(const region_id& region) const
+{
+    const auto& allocators = m_control->state().allocators;
+    const auto record = allocators.find(region);
+    if (m_stopping || record == allocators.end())
+        return {};
+    if (record->second.vm != m_settings.self.id || record->second.start != m_start)
+        return {};
+    const auto role = m_roles.find({ region, record->second.epoch });
+    if (role == m_roles.end() || role->second <= m_hooks.now())
+        return {};
+    return role->second;
+}
+
+bool membership_service::leadsFully() const
+{
+    const leadership led = m_consensus->state();
+    return led.leading && led.term == m_term && m_ready;
+}
+
+state_dump membership_service::dump() const
+{
+    state_dump shown(port_names::membership);
+    shown.add("start", m_start.value());
+    shown.add("stopping", m_stopping);
+    shown.add("leads", leadsFully());
+    state_dump& roles = shown.addObject("allocator_roles");
+    for (const auto& [role, until] : m_roles)
+        roles.add(role.region.value(), until - m_hooks.now());
+    state_dump& avoided = shown.addList("avoided");
+    for (const vm_id& vm : m_avoided)
+        avoided.add("vm", vm.value());
+    state_dump& heard = shown.addObject("heard");
+    for (const auto& [vm, report] : m_reports)
+        heard.add(vm.value(), m_hooks.now() - report.heardAt);
+    return shown;
+}
+
+} // namespace plantainlatch
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -42,6 +42,42 @@
     }
 };
 
+/** A region's allocator role under one epoch. */
+struct allocator_role {
+    region_id region;
+    allocator_epoch epoch;
+
+    friend auto operator<=>(const allocator_role&, const allocator_role&) = default;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.region, self.epoch);
+    }
+};
+
+/** How many requests a second a VM may send to the target of a shift because of it. */
+struct shift_allowance {
+    shift_id shift;
+    double perSecond = 0;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.shift, self.perSecond);
+    }
+};
+
+/** What one VM spent of a shift's cap, and would have spent without it, since the last heartbeat. */
+struct shift_usage {
+    shift_id shift;
+    std::uint64_t spent = 0;
+    std::uint64_t wanted = 0;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.shift, self.spent, self.wanted);
+    }
+};
+
 /** A VM's heartbeat to the leader, with what it measured and what it has in force. */
 struct vm_heartbeat {
     vm_id vm;
@@ -52,11 +88,16 @@
     bool draining = false;
     std::uint64_t requestsInFlight = 0;
     std::vector<service_measurement> measurements;
+    /** The term of the leader that the VM sends to. */
+    log_term term;
+    /** The allocator roles whose lease the VM holds when it sends. */
+    std::vector<allocator_role> held;
+    std::vector<shift_usage> shiftUsage;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.vm, self.start, self.sequence, self.applied, self.inForce, self.draining, self.requestsInFlight,
-            self.measurements);
+            self.measurements, self.term, self.held, self.shiftUsage);
     }
 };
 
@@ -65,12 +106,21 @@
 struct heartbeat_answer {
     std::uint64_t sequence = 0;
     log_term term;
-    /** How long the VM may act as the allocator of the regions that the log assigns to it; zero for not at all. */
+    /** How long the VM may act in the allocator roles listed; zero for not at all. */
     duration allocatorLease {};
+    std::vector<allocator_role> leased;
+    /** VMs that callers should not be sent to: dead or stopping as far as the leader knows. */
+    std::vector<vm_id> avoided;
+    /** How long the allowances hold. */
+    duration allowanceLease {};
+    std::vector<shift_allowance> allowances;
+    /** The start of the VM that is answered. */
+    incarnation start;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.sequence, self.term, self.allocatorLease);
+        visit(self.sequence, self.term, self.allocatorLease, self.leased, self.avoided, self.allowanceLease,
+            self.allowances, self.start);
     }
 };
 
--- /dev/null
+++ b/test/correctness/directory_test.cpp
@@ -0,0 +1,156 @@
+#include <catch2/catch.hpp>
+
+#include "decision/control/apply_directory.h"
+#include "decision/control/directory_service.h"
+#include "support/control_cluster.h"
+#include "support/control_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class directory_fixture {
+    protected:
+        directory_fixture()
+            : cluster(3, 3, {}, [this](control_cluster& owner, cluster_vm& vm) {
+                services.push_back(*directory_service::create(owner.runtime.hooks(), vm.settings));
+                vm.root->add(services.back()->asService());
+            })
+        {
+            cluster.apply(apply_declaration { kurohaeDeclaration() });
+            cluster.runtime.advance(6s);
+        }
+
+        directory_port& port(const std::string& vm) { return cluster.vm(vm).port<directory_port>("directory"); }
+
+        absl::StatusCode announce(const std::string& vm, const upstream_announcement& offered)
+        {
+            absl::StatusCode code = absl::StatusCode::kUnknown;
+            port(vm).announce(offered, [&](const absl::Status& status) { code = status.code(); });
+            cluster.runtime.advance(300ms);
+            return code;
+        }
+
+        void renewFor(const std::string& vm, const upstream_announcement& offered, duration span)
+        {
+            for (duration passed {}; passed < span; passed += 1s) {
+                announce(vm, offered);
+                cluster.runtime.advance(700ms);
+            }
+        }
+
+        bool isKnown(const std::string& id) { return cluster.vm("a").state().directory.contains(upstream_id(id)); }
+
+        std::vector<std::unique_ptr<directory_service>> services;
+        control_cluster cluster;
+        upstream_announcement first = bookingUpstream("u1", 9001);
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(directory_fixture, "directory.announcement_to_any_entry.joins_and_stays_while_renewed")
+{
+    REQUIRE(announce("c", first) == absl::StatusCode::kOk);
+    renewFor("c", first, 15s);
+    REQUIRE(isKnown("u1"));
+    const auto seen = cluster.vm("a").port<liveness_port>("liveness").lastSeen(upstream_id("u1"));
+    REQUIRE(cluster.runtime.now() - *seen < 2s);
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.silent_upstream.is_seen_as_silent_and_then_leaves")
+{
+    renewFor("c", first, 3s);
+    cluster.runtime.advance(4s);
+    const auto seen = cluster.vm("a").port<liveness_port>("liveness").lastSeen(upstream_id("u1"));
+    REQUIRE(cluster.runtime.now() - *seen > 3s);
+    cluster.runtime.advance(8s);
+    REQUIRE_FALSE(isKnown("u1"));
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.new_allocator.gives_upstreams_one_grace")
+{
+    renewFor("c", first, 3s);
+    cluster.cut("a");
+    cluster.setLeader("b");
+    for (int i = 0; i < 80; ++i) {
+        cluster.runtime.advance(100ms);
+        auto& membership = cluster.vm("b").port<membership_port>(port_names::membership);
+        if (membership.allocatorUntil(region_id("fukuoka")).has_value())
+            break;
+    }
+    const auto seen = cluster.vm("b").port<liveness_port>("liveness").lastSeen(upstream_id("u1"));
+    REQUIRE(seen.has_value());
+    REQUIRE(cluster.runtime.now() - *seen < 1s);
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.goodbye.ends_the_generation_for_good")
+{
+    announce("b", first);
+    port("c").leave(first.id, first.generation, [](const absl::Status&) {});
+    cluster.runtime.advance(300ms);
+    REQUIRE_FALSE(isKnown("u1"));
+    REQUIRE(announce("b", first) == absl::StatusCode::kPermissionDenied);
+    first.generation = upstream_generation(2);
+    REQUIRE(announce("b", first) == absl::StatusCode::kOk);
+    port("c").leave(first.id, upstream_generation(1), [](const absl::Status&) {});
+    cluster.runtime.advance(300ms);
+    REQUIRE(isKnown("u1"));
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.late_announcement_of_an_earlier_generation.is_refused")
+{
+    first.generation = upstream_generation(2);
+    announce("b", first);
+    first.generation = upstream_generation(1);
+    REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.untrue_announcements.are_refused")
+{
+    upstream_announcement wrong = first;
+    wrong.region = region_id("kumamoto");
+    REQUIRE(announce("a", wrong) == absl::StatusCode::kInvalidArgument);
+    wrong = first;
+    wrong.slots = slot_count(7);
+    REQUIRE(announce("a", wrong) == absl::StatusCode::kInvalidArgument);
+    REQUIRE(announce("a", first) == absl::StatusCode::kOk);
+    REQUIRE(announce("b", bookingUpstream("u2", 9001)) == absl::StatusCode::kUnavailable);
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.upstream_at_the_address_of_a_silent_one.joins_once_that_left")
+{
+    announce("a", first);
+    renewFor("b", bookingUpstream("u2", 9001), 14s);
+    REQUIRE(isKnown("u2"));
+    REQUIRE_FALSE(isKnown("u1"));
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.restarting_upstream.is_damped_and_returns")
+{
+    int joined = 0;
+    for (std::uint64_t generation = 1; generation <= 20; ++generation) {
+        first.generation = upstream_generation(generation);
+        if (announce("b", first) == absl::StatusCode::kOk)
+            ++joined;
+    }
+    REQUIRE(joined <= 5);
+    cluster.runtime.advance(flapMemory);
+    REQUIRE(announce("b", first) == absl::StatusCode::kOk);
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.withdrawn_upstream.is_taken_out_and_refused")
+{
+    announce("a", first);
+    declaration content;
+    content.number = change_number(2);
+    content.replaces = change_number(1);
+    content.upstreams.withdrawn = { { { first.id, {}, {}, {} }, {} } };
+    REQUIRE(cluster.apply(apply_declaration { content }).verdict == command_verdict::Accepted);
+    REQUIRE_FALSE(isKnown("u1"));
+    cluster.runtime.advance(1s);
+    REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/correctness/membership_test.cpp
@@ -0,0 +1,135 @@
+#include <catch2/catch.hpp>
+
+#include "support/control_cluster.h"
+#include "support/control_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class membership_fixture {
+    protected:
+        void begin(membership_options options = {})
+        {
+            cluster = std::make_unique<control_cluster>(7, 4, options);
+            cluster->apply(apply_declaration { kurohaeDeclaration() });
+        }
+
+        membership_port& port(const std::string& name)
+        {
+            return cluster->vm(name).port<membership_port>(port_names::membership);
+        }
+
+        std::vector<std::string> allocatorsOf(const std::string& region)
+        {
+            std::vector<std::string> found;
+            for (const auto& [id, vm] : cluster->vms) {
+                if (port(id.value()).allocatorUntil(region_id(region)).has_value())
+                    found.push_back(id.value());
+            }
+            return found;
+        }
+
+        /** The most VMs that ever allocated one region at once over the span. */
+        std::size_t mostAllocators(duration span)
+        {
+            std::size_t most = 0;
+            for (duration passed {}; passed < span; passed += 10ms) {
+                cluster->runtime.advance(10ms);
+                for (const char* region : { "fukuoka", "kumamoto", "kagoshima" })
+                    most = std::max(most, allocatorsOf(region).size());
+            }
+            return most;
+        }
+
+        std::unique_ptr<control_cluster> cluster;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(membership_fixture, "membership.started.gives_each_region_an_allocator_of_its_own")
+{
+    begin();
+    REQUIRE(mostAllocators(6s) == 1);
+    REQUIRE(allocatorsOf("fukuoka").size() == 1);
+    REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
+    REQUIRE(allocatorsOf("kagoshima") == std::vector<std::string> { "c" });
+    REQUIRE(port("a").liveVms().size() == 4);
+}
+
+TEST_CASE_METHOD(membership_fixture, "membership.dead_allocator.is_replaced_after_its_lease_and_never_before")
+{
+    begin();
+    mostAllocators(6s);
+    cluster->cut("b");
+    REQUIRE(mostAllocators(8s) == 1);
+    REQUIRE(allocatorsOf("kumamoto").size() == 1);
+    REQUIRE(allocatorsOf("kumamoto") != std::vector<std::string> { "b" });
+    cluster->heal("b");
+    REQUIRE(mostAllocators(60s) == 1);
+    REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
+}
+
+TEST_CASE_METHOD(membership_fixture, "membership.leases_not_waited_out.let_two_vms_allocate_at_once")
+{
+    membership_options options;
+    options.leases.waitOut = false;
+    options.leases.lease = 6s;
+    begin(options);
+    mostAllocators(6s);
+    cluster->cut("b");
+    REQUIRE(mostAllocators(8s) == 2);
+}
+
+TEST_CASE_METHOD(membership_fixture, "membership.new_leader.never_lets_two_vms_allocate_at_once")
+{
+    begin();
+    mostAllocators(6s);
+    cluster->cut("b");
+    std::size_t most = 0;
+    for (const char* leader : { "c", "d", "a", "c" }) {
+        most = std::max(most, mostAllocators(1700ms));
+        cluster->setLeader(leader);
+    }
+    most = std::max(most, mostAllocators(10s));
+    REQUIRE(most == 1);
+    REQUIRE(allocatorsOf("kumamoto").size() == 1);
+}
+
+TEST_CASE_METHOD(membership_fixture, "membership.new_leader.renews_leases_that_hold_without_a_gap")
+{
+    begin();
+    mostAllocators(6s);
+    cluster->setLeader("c");
+    for (int i = 0; i < 60; ++i) {
+        cluster->runtime.advance(100ms);
+        REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
+    }
+}
+
+TEST_CASE_METHOD(membership_fixture, "membership.stopping_vm.is_avoided_and_gives_its_roles_up_at_once")
+{
+    begin();
+    mostAllocators(6s);
+    port("b").beginStop();
+    REQUIRE(allocatorsOf("kumamoto").empty());
+    REQUIRE(mostAllocators(2500ms) == 1);
+    REQUIRE(allocatorsOf("kumamoto").size() == 1);
+    REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("b") });
+}
+
+TEST_CASE_METHOD(membership_fixture, "membership.silent_vm.is_avoided_everywhere_within_seconds")
+{
+    begin();
+    mostAllocators(6s);
+    cluster->cut("d");
+    cluster->runtime.advance(4s);
+    REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("d") });
+    cluster->heal("d");
+    cluster->runtime.advance(2s);
+    REQUIRE(port("c").avoided().empty());
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/support/control_cluster.cpp
@@ -0,0 +1,166 @@
+#include "support/control_cluster.h"
+
+#include <stdexcept>
+
+#include "support/control_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    template <typename Port> service portService(const char* name, Port& port)
+    {
+        service item;
+        item.name = name;
+        item.start = [name, &port](registry& services) { return services.publish(name, port); };
+        return item;
+    }
+
+    std::vector<vm_record> makeRecords(std::size_t size)
+    {
+        const std::vector<std::pair<std::string, std::string>> places
+            = { { "fukuoka", "kokura" }, { "kumamoto", "chuo-ku" }, { "kagoshima", "tenmonkan" },
+                  { "fukuoka", "hakata" }, { "kumamoto", "yatsushiro" }, { "kagoshima", "kirishima" } };
+        std::vector<vm_record> records;
+        for (std::size_t i = 0; i < size; ++i) {
+            const auto& [region, domain] = places[i % places.size()];
+            records.push_back(vmRecord(std::string(1, static_cast<char>('a' + i)), region, domain));
+        }
+        return records;
+    }
+
+} // namespace
+
+control_cluster::control_cluster(std::uint64_t seed, std::size_t size, membership_options options,
+    std::function<void(control_cluster&, cluster_vm&)> add)
+    : runtime(seed)
+{
+    const std::vector<vm_record> records = makeRecords(size);
+    for (std::size_t i = 0; i < size; ++i)
+        makeVm(records, i, options);
+    setLeader("a");
+    for (auto& [id, made] : vms) {
+        if (add)
+            add(*this, *made);
+        const absl::Status status = made->root->start();
+        if (!status.ok())
+            throw std::runtime_error(std::string(status.message()));
+    }
+}
+
+void control_cluster::makeVm(const std::vector<vm_record>& records, std::size_t position, membership_options options)
+{
+    auto made = std::make_unique<cluster_vm>();
+    cluster_vm& item = *made;
+    item.settings.self = records[position];
+    item.settings.vms = records;
+    item.start = incarnation(runtime.random());
+    const vm_id id = item.settings.self.id;
+    item.root = *kernel::create(runtime.hooks());
+    item.control = *control_service::create(runtime.hooks(), item.settings);
+    item.router = peer_router::create();
+    item.membership = *membership_service::create(runtime.hooks(), item.settings, options);
+    item.peers.send = [this, id](const vm_id& to, const peer_message& message) { send(id, to, message); };
+    item.peers.setReceiver = [&item](auto receiver) { item.receiver = std::move(receiver); };
+    makeConsensus(item);
+    item.root->add(portService(port_names::peers, item.peers));
+    item.root->add(portService(port_names::consensus, item.consensus));
+    item.root->add(item.control->asService());
+    item.root->add(item.router->asService());
+    item.root->add(item.membership->asService());
+    vms[id] = std::move(made);
+}
+
+void control_cluster::makeConsensus(cluster_vm& made)
+{
+    const vm_id id = made.settings.self.id;
+    made.consensus.propose = [this, &made, id](const control_command& command, duration timeout, auto done) {
+        const proposal_id name { id, made.start, ++made.sequence };
+        runtime.schedule(someDelay(), [this, id, name, command, timeout, done] {
+            if (isCut(id) || isCut(leader)) {
+                runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("cut off")); });
+                return;
+            }
+            append({ name, runtime.hooks().wallNow(), command }, [this, done](const command_result& result) {
+                runtime.schedule(someDelay(), [done, result] { done(result); });
+            });
+        });
+        return name;
+    };
+    made.consensus.state = [this, id] { return stateOf(id); };
+    made.consensus.onLeadership = [&made](auto listener) { made.leadershipListeners.push_back(std::move(listener)); };
+    made.consensus.applied = [&made] { return log_index(made.applied); };
+    made.consensus.voters = [this] {
+        voter_set set;
+        for (const auto& [vm, item] : vms)
+            set.voters.insert({ vm, incarnation(1) });
+        return set;
+    };
+    made.consensus.appliedElsewhere = [] { return std::vector<std::pair<vm_id, log_index>>(); };
+}
+
+leadership control_cluster::stateOf(const vm_id& vm) const
+{
+    return { leader, term, vm == leader && !isCut(vm), !isCut(vm) };
+}
+
+duration control_cluster::someDelay()
+{
+    return duration(static_cast<std::int64_t>(runtime.random() % static_cast<std::uint64_t>(longestDelay.count() + 1)));
+}
+
+void control_cluster::setLeader(const std::string& name)
+{
+    leader = vm_id(name);
+    term = term.next();
+    // A leader is elected with all that was committed.
+    cluster_vm& elected = *vms.at(leader);
+    if (elected.root != nullptr && elected.receiver)
+        catchUp(elected);
+    for (auto& [id, item] : vms) {
+        for (const auto& listener : item->leadershipListeners)
+            listener(stateOf(id));
+    }
+}
+
+void control_cluster::send(const vm_id& from, const vm_id& to, const peer_message& message)
+{
+    runtime.schedule(someDelay(), [this, from, to, message] {
+        if (!isCut(from) && !isCut(to) && vms.at(to)->receiver)
+            vms.at(to)->receiver(from, message);
+    });
+}
+
+void control_cluster::append(const proposal& item, std::function<void(command_result)> applied)
+{
+    m_log.push_back(item);
+    cluster_vm& led = *vms.at(leader);
+    while (led.applied + 1 < m_log.size())
+        led.port<control_port>(port_names::control).apply(m_log[led.applied++]);
+    ++led.applied;
+    const command_result result = led.port<control_port>(port_names::control).apply(item);
+    for (auto& [id, follower] : vms)
+        runtime.schedule(someDelay(), [this, &follower = *follower] { catchUp(follower); });
+    applied(result);
+}
+
+void control_cluster::catchUp(cluster_vm& follower)
+{
+    if (isCut(follower.settings.self.id)) {
+        runtime.schedule(std::chrono::milliseconds(500), [this, &follower] { catchUp(follower); });
+        return;
+    }
+    while (follower.applied < m_log.size())
+        follower.port<control_port>(port_names::control).apply(m_log[follower.applied++]);
+}
+
+command_result control_cluster::apply(control_command command)
+{
+    cluster_vm& led = *vms.at(leader);
+    command_result result;
+    append({ { leader, led.start, ++led.sequence }, runtime.hooks().wallNow(), std::move(command) },
+        [&result](command_result applied) { result = std::move(applied); });
+    return result;
+}
+
+} // namespace plantainlatch
