--- /dev/null
+++ b/src/decision/consensus/log_leader.cpp
@@ -0,0 +1,386 @@
+#include "decision/consensus/log_leader.h"
+
+#include <algorithm>
+
+#include "core/internal_assert.h"
+#include "decision/consensus/quorum.h"
+#include "decision/consensus/voter_changes.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Rounds whose beginnings are remembered; older answers prove nothing of use. */
+    constexpr std::size_t rememberedRounds = 64;
+    /** A replica this close to the end of the log counts as up to date. */
+    constexpr std::uint64_t smallLag = 256;
+
+} // namespace
+
+log_leader::log_leader(replica& self)
+    : m_replica(self)
+{
+}
+
+log_leader::~log_leader() { m_replica.hooks().cancel(m_flush); }
+
+void log_leader::begin()
+{
+    m_replica.lead();
+    m_replica.report(log_level::Info, "leads the log");
+    m_elected = m_replica.hooks().now();
+    m_nextRound = m_elected;
+    m_transferring = false;
+    m_unwritten.clear();
+    m_uncommitted.clear();
+    m_followers.clear();
+    for (const vm_record& vm : m_replica.settings().vms)
+        addFollower(vm.id);
+    for (const replica_id& voter : m_replica.log().voters().voters)
+        addFollower(voter.vm);
+    for (log_index i = m_replica.applied().next(); i <= m_replica.log().lastIndex(); i = i.next()) {
+        if (const auto* item = std::get_if<proposal>(&m_replica.log().at(i).content))
+            m_uncommitted.insert(item->id);
+    }
+    m_firstOfTerm = m_replica.log().lastIndex().next();
+    m_unwritten.push_back({ proposal_id {}, m_replica.hooks().wallNow(), no_command {} });
+    appendUnwritten();
+    beginRound();
+    for (auto& [vm, progress] : m_followers)
+        sendEntries(vm, progress);
+}
+
+void log_leader::addFollower(const vm_id& vm)
+{
+    if (vm == m_replica.vm() || m_followers.contains(vm))
+        return;
+    if (m_followers.size() >= m_replica.options().largestFollowerCount) {
+        m_replica.report(log_level::Warning, "too many followers", { { "refused", vm.value() } });
+        return;
+    }
+    follower_progress progress;
+    progress.next = m_replica.log().lastIndex().next();
+    progress.lastProgress = m_replica.hooks().now();
+    m_followers.emplace(vm, progress);
+}
+
+void log_leader::stepDown(const char* why)
+{
+    m_replica.report(log_level::Info, "steps down", { { "why", why } });
+    m_replica.setRole(replica_role::Follower);
+    m_replica.forgetLeader();
+    m_unwritten.clear();
+}
+
+void log_leader::onTick()
+{
+    if (!leads())
+        return;
+    const time_point now = m_replica.hooks().now();
+    if (now >= std::max(leaseBasis(), m_elected) + m_replica.options().electionTimeout) {
+        stepDown("no majority answers");
+        return;
+    }
+    if (now >= m_nextRound)
+        beginRound();
+    retransmitLate();
+    changeVoters();
+    if (m_transferring)
+        handOver();
+}
+
+void log_leader::beginRound()
+{
+    const time_point now = m_replica.hooks().now();
+    m_nextRound = now + m_replica.options().heartbeatInterval;
+    m_rounds.push_back(now);
+    if (m_rounds.size() > rememberedRounds) {
+        m_rounds.pop_front();
+        ++m_firstRound;
+    }
+    for (const auto& [vm, progress] : m_followers)
+        sendHeartbeat(vm, progress);
+}
+
+time_point log_leader::roundBegan(std::uint64_t round) const
+{
+    if (round < m_firstRound || round >= m_firstRound + m_rounds.size())
+        return time_point::min();
+    return m_rounds[round - m_firstRound];
+}
+
+time_point log_leader::leaseBasis() const
+{
+    const time_point now = m_replica.hooks().now();
+    if (!m_replica.mechanisms().leaseNeedsQuorum)
+        return now;
+    return quorumValue<time_point>(m_replica.log().voters(), [this, now](const replica_id& voter) {
+        if (voter == m_replica.self())
+            return now;
+        const auto progress = m_followers.find(voter.vm);
+        const bool isKnown = progress != m_followers.end() && progress->second.id == voter;
+        return isKnown ? progress->second.heardAt : time_point::min();
+    });
+}
+
+bool log_leader::holdsLease() const
+{
+    const consensus_options& options = m_replica.options();
+    const duration lease = options.electionTimeout - options.leaseMargin;
+    return leads() && !m_transferring && m_replica.hooks().now() < leaseBasis() + lease;
+}
+
+bool log_leader::submit(const proposal_id& id, const control_command& command, std::optional<command_result>& result)
+{
+    if (!leads() || m_transferring)
+        return false;
+    const auto proposer = m_replica.state().proposers.find(id.vm);
+    if (proposer != m_replica.state().proposers.end() && proposer->second.start == id.start) {
+        const auto former = proposer->second.results.find(id.sequence);
+        if (former != proposer->second.results.end()) {
+            result = former->second;
+            return true;
+        }
+    }
+    if (m_uncommitted.contains(id))
+        return true;
+    if (m_uncommitted.size() >= m_replica.options().largestUncommitted)
+        return false;
+    m_uncommitted.insert(id);
+    m_unwritten.push_back({ id, m_replica.hooks().wallNow(), command });
+    scheduleFlush();
+    return true;
+}
+
+void log_leader::scheduleFlush()
+{
+    if (m_flush != timer_id {})
+        return;
+    m_flush = m_replica.hooks().schedule(duration::zero(), [this] {
+        m_flush = timer_id {};
+        flush();
+    });
+}
+
+void log_leader::flush()
+{
+    if (!leads())
+        return;
+    appendUnwritten();
+    for (auto& [vm, progress] : m_followers) {
+        if (!progress.probing)
+            sendEntries(vm, progress);
+    }
+}
+
+void log_leader::appendUnwritten()
+{
+    std::vector<log_entry> entries;
+    log_index index = m_replica.log().lastIndex();
+    for (proposal& item : m_unwritten) {
+        index = index.next();
+        entries.push_back({ m_replica.term(), index, std::move(item) });
+    }
+    m_unwritten.clear();
+    m_replica.append(std::move(entries));
+    m_replica.whenDurable([this] { commitMatched(); });
+}
+
+void log_leader::appendVoters(voter_set next)
+{
+    m_replica.report(log_level::Info, "changes the voters");
+    appendUnwritten();
+    std::vector<log_entry> entries;
+    entries.push_back({ m_replica.term(), m_replica.log().lastIndex().next(), std::move(next) });
+    m_replica.append(std::move(entries));
+    m_replica.whenDurable([this] { commitMatched(); });
+    scheduleFlush();
+}
+
+void log_leader::sendHeartbeat(const vm_id& to, const follower_progress& progress)
+{
+    sendAppend(to, log_index(progress.next.value() - 1), {});
+}
+
+void log_leader::sendAppend(const vm_id& to, log_index previous, std::vector<log_entry> entries)
+{
+    // A follower behind the base refuses this one and gets a snapshot.
+    previous = std::max(previous, m_replica.log().base());
+    m_replica.send(to,
+        append_request { m_replica.term(), m_replica.self(), previous, *m_replica.log().termAt(previous),
+            std::move(entries), m_replica.committed(), m_firstRound + m_rounds.size() - 1 });
+}
+
+void log_leader::sendEntries(const vm_id& to, follower_progress& progress)
+{
+    if (progress.next <= m_replica.log().base()) {
+        sendSnapshot(to, progress);
+        return;
+    }
+    const std::uint64_t window = m_replica.options().largestWindow;
+    while (progress.next <= m_replica.log().lastIndex() && progress.next.value() <= progress.match.value() + window) {
+        std::vector<log_entry> batch = batchFrom(progress.next);
+        const log_index previous(progress.next.value() - 1);
+        const log_index next(progress.next.value() + batch.size());
+        sendAppend(to, previous, std::move(batch));
+        if (progress.probing)
+            return;
+        progress.next = next;
+    }
+}
+
+std::vector<log_entry> log_leader::batchFrom(log_index first) const
+{
+    std::vector<log_entry> batch;
+    const log_store& log = m_replica.log();
+    for (log_index i = first; i <= log.lastIndex() && batch.size() < m_replica.options().largestBatch; i = i.next())
+        batch.push_back(log.at(i));
+    return batch;
+}
+
+void log_leader::sendSnapshot(const vm_id& to, follower_progress& progress)
+{
+    const time_point now = m_replica.hooks().now();
+    const bool isWaiting
+        = progress.snapshotSentAt && now < *progress.snapshotSentAt + m_replica.options().snapshotRetry;
+    if (isWaiting || !m_replica.mechanisms().snapshotCatchUp)
+        return;
+    progress.snapshotSentAt = now;
+    m_replica.send(to,
+        snapshot_request {
+            m_replica.term(), m_replica.self(), m_replica.snapshot(), m_firstRound + m_rounds.size() - 1 });
+}
+
+bool log_leader::isRecent(const follower_progress& progress) const
+{
+    return m_replica.hooks().now() < progress.lastAnswer + m_replica.options().electionTimeout;
+}
+
+void log_leader::retransmitLate()
+{
+    const time_point now = m_replica.hooks().now();
+    for (auto& [vm, progress] : m_followers) {
+        const bool isLate = progress.match < m_replica.log().lastIndex()
+            && now >= progress.lastProgress + m_replica.options().retransmitAfter;
+        if (!isLate || !isRecent(progress))
+            continue;
+        progress.lastProgress = now;
+        progress.probing = true;
+        progress.next = progress.match.next();
+        sendEntries(vm, progress);
+    }
+}
+
+void log_leader::onAppendAnswer(const vm_id& from, const append_answer& answer)
+{
+    if (answer.term > m_replica.term()) {
+        m_replica.adoptTerm(answer.term);
+        return;
+    }
+    const auto found = m_followers.find(from);
+    if (!leads() || answer.term != m_replica.term() || found == m_followers.end())
+        return;
+    follower_progress& progress = found->second;
+    recognise(progress, answer);
+    if (progress.id != answer.follower)
+        return;
+    progress.lastAnswer = m_replica.hooks().now();
+    progress.applied = std::max(progress.applied, answer.applied);
+    if (answer.round > progress.round) {
+        progress.round = answer.round;
+        progress.heardAt = std::max(progress.heardAt, roundBegan(answer.round));
+    }
+    takeMatch(progress, answer);
+    commitMatched();
+    sendEntries(from, progress);
+}
+
+void log_leader::recognise(follower_progress& progress, const append_answer& answer)
+{
+    // A later round is answered by a later start of the VM, so a late answer cannot bring an earlier disk back.
+    if (progress.id == answer.follower || answer.round <= progress.round)
+        return;
+    progress = follower_progress {};
+    progress.id = answer.follower;
+    progress.durable = answer.durable;
+    progress.next = m_replica.log().lastIndex().next();
+    progress.lastProgress = m_replica.hooks().now();
+}
+
+void log_leader::takeMatch(follower_progress& progress, const append_answer& answer)
+{
+    if (!answer.matched) {
+        progress.next = std::max(progress.match.next(), std::min(progress.next, answer.index.next()));
+        progress.probing = true;
+        return;
+    }
+    internal_assert(answer.index <= m_replica.log().lastIndex())
+        << "follower " << answer.follower.vm.value() << " matched " << answer.index.value();
+    progress.probing = false;
+    if (answer.index <= progress.match)
+        return;
+    progress.match = answer.index;
+    progress.lastProgress = m_replica.hooks().now();
+    progress.next = std::max(progress.next, progress.match.next());
+    progress.snapshotSentAt.reset();
+}
+
+void log_leader::commitMatched()
+{
+    if (!leads())
+        return;
+    const log_index matched = quorumValue<log_index>(m_replica.log().voters(), [this](const replica_id& voter) {
+        if (voter == m_replica.self())
+            return m_replica.durableIndex();
+        const auto progress = m_followers.find(voter.vm);
+        const bool isKnown = progress != m_followers.end() && progress->second.id == voter;
+        return isKnown ? progress->second.match : log_index(0);
+    });
+    // Only an entry of the own term commits, and with it all before it.
+    if (matched > m_replica.committed() && m_replica.log().termAt(matched) == m_replica.term())
+        m_replica.commitTo(matched);
+}
+
+void log_leader::changeVoters()
+{
+    const bool isPending = m_replica.log().votersIndex() > m_replica.committed();
+    if (isPending || m_transferring || !ownsTerm() || !holdsLease())
+        return;
+    std::set<replica_id> upToDate { m_replica.self() };
+    for (const auto& [vm, progress] : m_followers) {
+        const bool isClose = progress.match.value() + smallLag >= m_replica.log().lastIndex().value();
+        if (progress.durable && isRecent(progress) && isClose && progress.match > log_index(0))
+            upToDate.insert(progress.id);
+    }
+    std::optional<voter_set> next
+        = nextVoters(m_replica.log().voters(), upToDate, m_replica.options().largestVoterCount);
+    if (next)
+        appendVoters(std::move(*next));
+}
+
+void log_leader::handOver()
+{
+    flush();
+    if (m_replica.log().voters().voters.size() <= 1)
+        return;
+    for (const auto& [vm, progress] : m_followers) {
+        const bool isVoter = m_replica.log().voters().voters.contains(progress.id);
+        if (!isVoter || !isRecent(progress) || progress.match != m_replica.log().lastIndex())
+            continue;
+        m_replica.send(vm, transfer_request { m_replica.term(), m_replica.self() });
+        stepDown("hands over");
+        return;
+    }
+}
+
+std::vector<std::pair<vm_id, log_index>> log_leader::appliedElsewhere() const
+{
+    std::vector<std::pair<vm_id, log_index>> result;
+    if (!leads())
+        return result;
+    for (const auto& [vm, progress] : m_followers)
+        result.emplace_back(vm, progress.applied);
+    return result;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -0,0 +1,129 @@
+#include "decision/consensus/proposal_queue.h"
+
+#include <utility>
+#include <vector>
+
+namespace plantainlatch {
+
+proposal_queue::proposal_queue(replica& self, log_leader& leader, incarnation start)
+    : m_replica(self)
+    , m_leader(leader)
+    , m_start(start)
+{
+}
+
+proposal_queue::~proposal_queue()
+{
+    for (const auto& [sequence, timer] : m_refusals)
+        m_replica.hooks().cancel(timer);
+}
+
+proposal_id proposal_queue::propose(control_command command, duration timeout, result_callback callback)
+{
+    const std::uint64_t sequence = ++m_lastSequence;
+    if (m_pending.size() >= m_replica.options().largestPending) {
+        refuseSoon(std::move(callback));
+        return idOf(sequence);
+    }
+    pending_proposal item;
+    item.command = std::move(command);
+    item.callback = std::move(callback);
+    item.deadline = m_replica.hooks().now() + timeout;
+    trySend(sequence, m_pending.emplace(sequence, std::move(item)).first->second);
+    return idOf(sequence);
+}
+
+void proposal_queue::refuseSoon(result_callback callback)
+{
+    const std::uint64_t sequence = m_lastSequence;
+    m_refusals[sequence]
+        = m_replica.hooks().schedule(duration::zero(), [this, sequence, callback = std::move(callback)] {
+              m_refusals.erase(sequence);
+              callback(absl::UnavailableError("too many proposals wait for the log"));
+          });
+}
+
+void proposal_queue::trySend(std::uint64_t sequence, pending_proposal& item)
+{
+    const bool isResend = item.sent;
+    if (m_replica.leader() == replica_id {} || (isResend && !m_replica.mechanisms().resendProposals))
+        return;
+    item.sentAt = m_replica.hooks().now();
+    if (m_replica.role() != replica_role::Leader) {
+        item.sent = true;
+        m_replica.send(m_replica.leader().vm, propose_request { idOf(sequence), item.command });
+        return;
+    }
+    item.sent = m_leader.submit(idOf(sequence), item.command, item.former) || item.sent;
+}
+
+void proposal_queue::finishKnown()
+{
+    std::vector<std::uint64_t> known;
+    for (const auto& [sequence, item] : m_pending) {
+        if (item.former)
+            known.push_back(sequence);
+    }
+    for (std::uint64_t sequence : known) {
+        const auto item = m_pending.find(sequence);
+        if (item != m_pending.end())
+            finish(sequence, *item->second.former);
+    }
+}
+
+void proposal_queue::onTick()
+{
+    const time_point now = m_replica.hooks().now();
+    std::vector<std::uint64_t> overdue;
+    for (auto& [sequence, item] : m_pending) {
+        if (now >= item.deadline)
+            overdue.push_back(sequence);
+        else if (!item.sent || now >= item.sentAt + m_replica.options().proposalResend)
+            trySend(sequence, item);
+    }
+    finishKnown();
+    for (std::uint64_t sequence : overdue) {
+        const auto item = m_pending.find(sequence);
+        if (item == m_pending.end())
+            continue;
+        if (item->second.sent)
+            finish(sequence, absl::DeadlineExceededError("the log did not answer in time; it may still apply this"));
+        else
+            finish(sequence, absl::UnavailableError("no leader of the log was known in time"));
+    }
+}
+
+void proposal_queue::onLeader()
+{
+    for (auto& [sequence, item] : m_pending)
+        trySend(sequence, item);
+}
+
+void proposal_queue::onResult(const proposal_id& id, const command_result& result)
+{
+    if (id.vm == m_replica.vm() && id.start == m_start)
+        finish(id.sequence, result);
+}
+
+void proposal_queue::finish(std::uint64_t sequence, absl::StatusOr<command_result> result)
+{
+    auto item = m_pending.extract(sequence);
+    if (!item.empty())
+        item.mapped().callback(std::move(result));
+}
+
+void proposal_queue::onRequest(const vm_id& from, const propose_request& request)
+{
+    std::optional<command_result> result;
+    const bool isTaken = m_leader.submit(request.id, request.command, result);
+    if (!isTaken || result)
+        m_replica.send(from, propose_answer { request.id, std::move(result), m_replica.leader().vm });
+}
+
+void proposal_queue::onAnswer(const propose_answer& answer)
+{
+    if (answer.result)
+        onResult(answer.id, *answer.result);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/consensus/replica.cpp
@@ -0,0 +1,253 @@
+#include "decision/consensus/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+replica::replica(kernel_hooks hooks, vm_settings settings, consensus_options options)
+    : m_hooks(std::move(hooks))
+    , m_settings(std::move(settings))
+    , m_options(options)
+{
+}
+
+absl::Status replica::load(links found)
+{
+    m_links = found;
+    // Before the start this VM may have promised a leader to wait; the wait begins anew.
+    m_leaderHeard = m_hooks.now();
+    if (m_links.storage == nullptr) {
+        beginWithNewDisk();
+        return absl::OkStatus();
+    }
+    absl::StatusOr<recovered_state> recovered = m_links.storage->load();
+    if (!recovered.ok())
+        return recovered.status();
+    return restore(std::move(*recovered));
+}
+
+void replica::beginWithNewDisk()
+{
+    const std::uint64_t disk = mechanisms().newIdentityOnBlankDisk ? m_hooks.random() | 1 : 1;
+    m_self = { vm(), incarnation(disk) };
+}
+
+absl::Status replica::restore(recovered_state found)
+{
+    if (!found.state) {
+        if (found.snapshot || !found.entries.empty())
+            return absl::DataLossError("the data folder has a log, but not whose it is");
+        beginWithNewDisk();
+        return absl::OkStatus();
+    }
+    if (found.state->self.vm != vm())
+        return absl::InvalidArgumentError(
+            absl::StrCat("the data folder belongs to VM '", found.state->self.vm.value(), "'"));
+    m_self = found.state->self;
+    m_term = found.state->term;
+    m_votedFor = found.state->votedFor;
+    if (found.snapshot) {
+        m_log.reset(found.snapshot->index, found.snapshot->term, found.snapshot->voters);
+        m_links.control->restore(std::move(found.snapshot->state));
+        m_committed = m_applied = m_snapshotIndex = m_log.base();
+    }
+    for (log_entry& entry : found.entries)
+        m_log.append(std::move(entry));
+    m_writes.setDurableIndex(m_log.lastIndex());
+    return absl::OkStatus();
+}
+
+void replica::hearLeader(const replica_id& leader)
+{
+    internal_assert(m_leader == replica_id {} || m_leader == leader)
+        << "two leaders of term " << m_term.value() << ": " << m_leader.vm.value() << " and " << leader.vm.value();
+    internal_assert(m_role != replica_role::Leader)
+        << "term " << m_term.value() << " is led by " << leader.vm.value() << " too";
+    m_leader = leader;
+    m_leaderHeard = m_hooks.now();
+    m_role = replica_role::Follower;
+}
+
+void replica::lead()
+{
+    internal_assert(m_leader == replica_id {}) << "term " << m_term.value() << " has leader " << m_leader.vm.value();
+    internal_assert(m_votedFor == m_self) << "leader of term " << m_term.value() << " without its own vote";
+    m_role = replica_role::Leader;
+    m_leader = m_self;
+}
+
+void replica::adoptTerm(log_term term)
+{
+    internal_assert(term > m_term) << "term " << term.value() << " after " << m_term.value();
+    m_term = term;
+    m_votedFor = replica_id {};
+    m_role = replica_role::Follower;
+    m_leader = replica_id {};
+    writeState();
+}
+
+void replica::vote(const replica_id& candidate)
+{
+    internal_assert(m_votedFor == replica_id {} || m_votedFor == candidate)
+        << "second vote in term " << m_term.value() << " for " << candidate.vm.value();
+    internal_assert(mayVote()) << "a vote without a log on a working disk";
+    m_votedFor = candidate;
+    writeState();
+}
+
+void replica::append(std::vector<log_entry> entries)
+{
+    if (entries.empty())
+        return;
+    for (const log_entry& entry : entries)
+        m_log.append(entry);
+    write({ hardState(), std::move(entries) }, m_log.lastIndex());
+}
+
+void replica::truncateFrom(log_index index)
+{
+    internal_assert(index > m_committed) << "committed entry " << index.value() << " of " << m_committed.value()
+                                         << " would change";
+    m_log.truncateFrom(index);
+    m_writes.truncateFrom(index);
+}
+
+void replica::install(const log_snapshot& snapshot)
+{
+    internal_assert(snapshot.index > m_applied)
+        << "applied index " << m_applied.value() << " would fall to " << snapshot.index.value();
+    const bool keepLater = m_log.termAt(snapshot.index) == snapshot.term;
+    if (keepLater) {
+        m_log.compactTo(snapshot.index);
+    } else {
+        m_writes.truncateFrom(snapshot.index);
+        m_log.reset(snapshot.index, snapshot.term, snapshot.voters);
+    }
+    m_committed = m_applied = m_snapshotIndex = snapshot.index;
+    m_links.control->restore(snapshot.state);
+    if (!hasDisk())
+        return;
+    writeState();
+    const std::uint64_t number = m_writes.begin(snapshot.index);
+    m_links.storage->saveSnapshot(
+        snapshot, keepLater, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
+            if (!alive.expired())
+                finishWrite(number, status);
+        });
+}
+
+void replica::commitTo(log_index index)
+{
+    internal_assert(index <= m_log.lastIndex())
+        << "commit of " << index.value() << " beyond " << m_log.lastIndex().value();
+    if (index <= m_committed)
+        return;
+    m_committed = index;
+    internal_assert(!m_applying) << "an applied command commits another";
+    m_applying = true;
+    while (m_applied < m_committed) {
+        m_applied = m_applied.next();
+        applyEntry(m_log.at(m_applied));
+    }
+    m_applying = false;
+    if (m_applied.value() - m_snapshotIndex.value() >= m_options.snapshotEvery)
+        compact();
+}
+
+void replica::applyEntry(const log_entry& entry)
+{
+    const auto* item = std::get_if<proposal>(&entry.content);
+    if (item == nullptr || item->id.vm.empty())
+        return;
+    const command_result result = m_links.control->apply(*item);
+    if (m_onApplied)
+        m_onApplied(*item, result);
+}
+
+void replica::compact()
+{
+    m_snapshotIndex = m_applied;
+    if (hasDisk()) {
+        const std::uint64_t number = m_writes.begin(log_index(0));
+        m_links.storage->saveSnapshot(
+            snapshot(), true, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
+                if (!alive.expired())
+                    finishWrite(number, status);
+            });
+    }
+    if (m_applied.value() > m_options.trailingEntries)
+        m_log.compactTo(log_index(m_applied.value() - m_options.trailingEntries));
+}
+
+log_snapshot replica::snapshot() const
+{
+    return { m_applied, *m_log.termAt(m_applied), m_log.votersAt(m_applied), m_links.control->state() };
+}
+
+void replica::writeState() { write({ hardState(), {} }, log_index(0)); }
+
+void replica::write(storage_write content, log_index lastIndex)
+{
+    if (!hasDisk())
+        return;
+    const std::uint64_t number = m_writes.begin(lastIndex);
+    m_links.storage->write(
+        std::move(content), [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
+            if (!alive.expired())
+                finishWrite(number, status);
+        });
+}
+
+void replica::finishWrite(std::uint64_t number, const absl::Status& status)
+{
+    if (m_failed)
+        return;
+    if (status.ok() || !mechanisms().stopAfterFailedWrite)
+        m_writes.complete(number);
+    else
+        fail(status);
+}
+
+void replica::fail(const absl::Status& status)
+{
+    report(
+        log_level::Error, "the disk failed; this VM no longer votes", { { "status", std::string(status.message()) } });
+    m_failed = true;
+    m_writes.abandon();
+    m_role = replica_role::Follower;
+    m_leader = replica_id {};
+    // What it matched may be gone after a restart, so it follows under another identity from now on.
+    m_self.disk = incarnation(m_hooks.random() | 1);
+    if (m_onFailure)
+        m_onFailure();
+}
+
+void replica::whenDurable(std::function<void()> action)
+{
+    if (hasDisk() && mechanisms().durableBeforeAnswer)
+        m_writes.whenDurable(std::move(action));
+    else
+        action();
+}
+
+log_index replica::durableIndex() const
+{
+    return hasDisk() && mechanisms().durableBeforeAnswer ? m_writes.durableIndex() : m_log.lastIndex();
+}
+
+void replica::send(const vm_id& to, consensus_message message)
+{
+    m_links.peers->send(to, peer_message(std::move(message)));
+}
+
+void replica::report(log_level level, std::string what, std::vector<log_field> fields) const
+{
+    fields.push_back({ "term", absl::StrCat(m_term.value()) });
+    m_hooks.log({ level, "consensus", std::move(what), std::move(fields) });
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/consensus/vote_rules.cpp
@@ -0,0 +1,38 @@
+#include "decision/consensus/vote_rules.h"
+
+#include <tuple>
+
+namespace plantainlatch {
+
+namespace {
+
+    /** A leader that hands over has given up its lease, which was of the term just before. */
+    bool endsLease(const voter_view& voter, const vote_request& request)
+    {
+        return request.transfer && request.term == voter.term.next();
+    }
+
+} // namespace
+
+bool isUpToDate(log_term lastTerm, log_index lastIndex, log_term ownLastTerm, log_index ownLastIndex)
+{
+    return std::tie(lastTerm, lastIndex) >= std::tie(ownLastTerm, ownLastIndex);
+}
+
+vote_decision decideVote(const voter_view& voter, const vote_request& request)
+{
+    if (!voter.mayVote || request.term < voter.term)
+        return vote_decision::Refuse;
+    if (voter.underLease && !endsLease(voter, request))
+        return vote_decision::Refuse;
+    const bool fits = isUpToDate(request.lastTerm, request.lastIndex, voter.lastTerm, voter.lastIndex);
+    if (request.preVote)
+        return fits && request.term > voter.term ? vote_decision::Grant : vote_decision::Refuse;
+    const bool isNewTerm = request.term > voter.term;
+    const bool isFree = isNewTerm || voter.votedFor == replica_id {} || voter.votedFor == request.candidate;
+    if (fits && isFree)
+        return vote_decision::Grant;
+    return isNewTerm ? vote_decision::RefuseAndAdoptTerm : vote_decision::Refuse;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/support/process_hooks.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/** \file
+ * The hooks of one simulated process on a shared paused clock: nothing fires once it was killed.
+ */
+
+#include <memory>
+
+#include "support/paused_runtime.h"
+
+namespace plantainlatch {
+
+/** Ends with the process. */
+using process_life = std::shared_ptr<bool>;
+
+/** Hooks on the shared clock whose timers fire only while the process lives. */
+inline kernel_hooks processHooks(paused_runtime& runtime, const process_life& life)
+{
+    kernel_hooks hooks = runtime.hooks();
+    hooks.schedule = [&runtime, alive = std::weak_ptr<bool>(life)](duration delay, std::function<void()> fire) {
+        return runtime.schedule(delay, [alive, fire = std::move(fire)] {
+            if (!alive.expired())
+                fire();
+        });
+    };
+    return hooks;
+}
+
+} // namespace plantainlatch
