--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -99,7 +99,7 @@
             return storage.status();
         links.storage = *storage;
     }
-    const absl::Status loaded = m_replica.load(links);
+    absl::Status loaded = m_replica.load(links);
     if (!loaded.ok())
         return loaded;
     m_replica.setAppliedListener(
--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -57,7 +57,8 @@
     bool hasDisk() const { return m_links.storage != nullptr && !m_failed; }
     bool failed() const { return m_failed; }
     bool blank() const { return m_log.empty(); }
-    bool mayVote() const { return hasDisk() && !blank(); }
+    /** A blank disk may have lost a vote or a match, so it has no vote until it has a log again. */
+    bool mayVote() const { return hasDisk() && (!blank() || !mechanisms().newIdentityOnBlankDisk); }
     bool isVoter() const { return m_log.voters().voters.contains(m_self); }
 
     replica_role role() const { return m_role; }
--- /dev/null
+++ b/test/correctness/consensus_catch_up_test.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+
+#include "support/consensus_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class catch_up_fixture {
+    protected:
+        void begin(consensus_mechanisms mechanisms = {})
+        {
+            consensus_options options;
+            options.snapshotEvery = 100;
+            options.trailingEntries = 20;
+            options.mechanisms = mechanisms;
+            cluster = std::make_unique<consensus_cluster>(4, 3, 11, options);
+            cluster->network.onSend = [this](const vm_id&, const vm_id&, const peer_message& message) {
+                const auto* item = std::get_if<consensus_message>(&message);
+                snapshots += item != nullptr && std::holds_alternative<snapshot_request>(*item) ? 1 : 0;
+            };
+            cluster->startAll();
+            REQUIRE(cluster->waitForLeader());
+        }
+
+        void change(std::uint64_t from, std::uint64_t to, int through)
+        {
+            for (std::uint64_t i = from; i <= to; ++i) {
+                cluster->propose(through, i, 20s);
+                cluster->advance(3ms);
+            }
+            REQUIRE(cluster->until([&] { return cluster->results.contains(to); }));
+        }
+
+        /** A replica and a VM without a disk miss 500 changes. */
+        void missChanges()
+        {
+            const int late = cluster->leader() % 3 + 1;
+            cluster->kill(late);
+            cluster->kill(4);
+            change(1, 500, cluster->leader());
+            snapshots = 0;
+            REQUIRE(cluster->start(late).ok());
+            REQUIRE(cluster->start(4).ok());
+        }
+
+        std::unique_ptr<consensus_cluster> cluster;
+        int snapshots = 0;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(catch_up_fixture, "vm.that_missed_500_changes.catches_up_by_a_snapshot")
+{
+    begin();
+    missChanges();
+    REQUIRE(cluster->until([&] { return cluster->allApplied(500); }, 5s));
+    REQUIRE(snapshots >= 2);
+    change(501, 510, 4);
+    REQUIRE(cluster->until([&] { return cluster->allApplied(510); }, 5s));
+}
+
+TEST_CASE_METHOD(catch_up_fixture, "vm.that_missed_500_changes.would_stay_behind_without_snapshots")
+{
+    consensus_mechanisms mechanisms;
+    mechanisms.snapshotCatchUp = false;
+    begin(mechanisms);
+    missChanges();
+    REQUIRE_FALSE(cluster->until([&] { return cluster->allApplied(500); }, 5s));
+}
+
+TEST_CASE_METHOD(catch_up_fixture, "replicas.restarted_after_compaction.begin_from_their_snapshots")
+{
+    begin();
+    change(1, 250, 1);
+    for (int i = 1; i <= 4; ++i)
+        cluster->kill(i);
+    REQUIRE(cluster->vm(1).disk->content().snapshot.has_value());
+    REQUIRE(cluster->vm(1).disk->content().entries.size() < 150);
+    cluster->startAll();
+    REQUIRE(cluster->waitForLeader());
+    REQUIRE(cluster->until([&] { return cluster->allApplied(250); }));
+}
+
+TEST_CASE_METHOD(catch_up_fixture, "proposal.whose_leader_dies.is_resent_and_applied_once")
+{
+    begin();
+    const int first = cluster->leader();
+    cluster->propose(4, 1, 10s);
+    cluster->advance(1ms);
+    cluster->kill(first);
+    REQUIRE(cluster->until([&] { return cluster->results.contains(1); }));
+    REQUIRE(cluster->results.at(1).ok());
+    cluster->advance(5s);
+    REQUIRE(cluster->vm(4).control->numbers() == std::vector<std::uint64_t> { 1 });
+}
+
+TEST_CASE_METHOD(catch_up_fixture, "proposal.not_resent.would_get_no_answer")
+{
+    consensus_mechanisms mechanisms;
+    mechanisms.resendProposals = false;
+    begin(mechanisms);
+    const int first = cluster->leader();
+    cluster->propose(4, 1, 10s);
+    cluster->kill(first);
+    REQUIRE(cluster->until([&] { return cluster->results.contains(1); }));
+    REQUIRE(cluster->results.at(1).status().code() == absl::StatusCode::kDeadlineExceeded);
+}
+
+TEST_CASE_METHOD(catch_up_fixture, "doubled_and_late_proposals.are_applied_once")
+{
+    begin();
+    cluster->network.faults = { 100, 500, 300, 3s };
+    change(1, 100, 4);
+    cluster->network.faults = {};
+    cluster->advance(5s);
+    REQUIRE(cluster->until([&] { return cluster->results.size() == 100; }));
+    REQUIRE(cluster->vm(4).control->numbers().size() == 100);
+}
+
+TEST_CASE_METHOD(catch_up_fixture, "proposal.without_any_leader.is_never_applied_and_says_so")
+{
+    begin();
+    cluster->network.isolate(cluster->name(4));
+    cluster->kill(1);
+    cluster->kill(2);
+    cluster->kill(3);
+    cluster->kill(4);
+    REQUIRE(cluster->start(4).ok());
+    cluster->propose(4, 1, 2s);
+    REQUIRE(cluster->until([&] { return cluster->results.contains(1); }));
+    REQUIRE(cluster->results.at(1).status().code() == absl::StatusCode::kUnavailable);
+}
+
+} // namespace plantainlatch
--- a/test/support/consensus_fixture.cpp
+++ b/test/support/consensus_fixture.cpp
@@ -90,7 +90,7 @@
     item.runningKernel->add(item.router->asService());
     item.runningKernel->add(item.control->asService());
     item.runningKernel->add(item.subject->asService());
-    const absl::Status status = item.runningKernel->start();
+    absl::Status status = item.runningKernel->start();
     if (!status.ok()) {
         kill(number);
         return status;
--- a/test/support/fake_disk.cpp
+++ b/test/support/fake_disk.cpp
@@ -93,7 +93,8 @@
 {
     ++m_generation;
     m_isSyncing = false;
-    const std::size_t kept = m_pending.empty() || failing ? 0 : m_runtime.random() % (m_pending.size() + 1);
+    const bool keepsNone = m_pending.empty() || failing || !keepsSomeUnsynced;
+    const std::size_t kept = keepsNone ? 0 : m_runtime.random() % (m_pending.size() + 1);
     for (std::size_t i = 0; i < kept; ++i)
         m_pending[i].apply(m_content);
     m_pending.clear();
--- a/test/support/fake_disk.h
+++ b/test/support/fake_disk.h
@@ -23,6 +23,8 @@
     duration syncTime = std::chrono::milliseconds(2);
     /** All further writes fail, as on a full disk; nothing of them is kept. */
     bool failing = false;
+    /** A crash may leave some of what was not synced, as real disks do. */
+    bool keepsSomeUnsynced = true;
     /** What load() reports instead of the content. */
     absl::Status damage;
 
