--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -137,8 +137,8 @@
     void granted(const slot_grant& grant);
     slot_picker_view view();
 
-    const kernel_hooks& m_hooks;
-    const vm_settings& m_settings;
+    kernel_hooks m_hooks;
+    vm_settings m_settings;
     slot_options m_options;
     slot_port m_port;
     control_port* m_control = nullptr;
--- /dev/null
+++ b/src/decision/vm/steering_vm.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/** \file
+ * All decision services of one VM, assembled into a kernel.
+ *
+ * The services that reach the world ("peers", "upstreams", and "storage" on a replica) are added by whoever runs the
+ * VM: the real ones by `serve`, fakes by tests. The same objects run in both.
+ */
+
+#include <memory>
+
+#include "absl/status/statusor.h"
+#include "decision/consensus/consensus_service.h"
+#include "decision/control/control_service.h"
+#include "decision/control/directory_service.h"
+#include "decision/control/entry_list_service.h"
+#include "decision/control/membership_service.h"
+#include "decision/control/shift_service.h"
+#include "decision/peers/peer_router.h"
+#include "decision/request/request_service.h"
+#include "decision/slots/slot_service.h"
+#include "kernel/kernel.h"
+#include "model/vm_settings.h"
+
+namespace plantainlatch {
+
+/** What may be varied in the decisions of a VM. */
+struct steering_options {
+    consensus_options consensus;
+    control_options control;
+    membership_options membership;
+    directory_options directory;
+    shift_options shifts;
+    slot_options slots;
+    request_options requests;
+    entry_list_options entryList;
+};
+
+/** The decision services of one VM; it must outlive the kernel's stop. */
+class steering_vm {
+public:
+    /** Makes all decision services; InvalidArgument when the settings don't fit one of them. */
+    static absl::StatusOr<std::unique_ptr<steering_vm>> create(
+        const kernel_hooks& hooks, const vm_settings& settings, steering_options options = {});
+
+    /** Adds the services to a kernel that has not started. */
+    void addTo(kernel& core);
+
+    const request_service& requests() const { return *m_requests; }
+
+private:
+    steering_vm() = default;
+
+    std::unique_ptr<peer_router> m_router;
+    std::unique_ptr<control_service> m_control;
+    std::unique_ptr<consensus_service> m_consensus;
+    std::unique_ptr<membership_service> m_membership;
+    std::unique_ptr<directory_service> m_directory;
+    std::unique_ptr<shift_service> m_shifts;
+    std::unique_ptr<slot_service> m_slots;
+    std::unique_ptr<request_service> m_requests;
+    std::unique_ptr<entry_list_service> m_entryList;
+};
+
+} // namespace plantainlatch
