Add shifts under a cap, their gate, and the list of entries

Cause: the choice of upstreams follows shares and shifts, and callers ask which entries to use. Change: the leader leases parts of a shift's cap with its answers to heartbeats, counted until no window holds them; steps wait for the target's measurements, room and health, and are undone when it suffers. Entry lists leave out dead, stopping and drained VMs.

--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -1,5 +1,7 @@
 #include "decision/control/apply_change.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "core/internal_assert.h"
@@ -33,10 +35,11 @@
     void followShifts(control_snapshot& state, const declaration& content, wall_time now)
     {
         for (const auto& item : content.shifts.added)
-            state.shifts[item.value.id] = { 0, 0, shift_phase::Running, now };
+            state.shifts[item.value.id] = { 0, 0, shift_phase::Running, now, {}, 0 };
         for (const auto& item : content.shifts.changed) {
             shift_record& record = state.shifts[item.value.id];
-            record = { record.step + 1, record.percent, shift_phase::Running, now };
+            record
+                = { record.step + 1, std::min(record.percent, item.value.percent), shift_phase::Running, now, {}, 0 };
         }
         for (const auto& item : content.shifts.withdrawn)
             state.shifts.erase(item.value.id);
--- a/src/decision/control/apply_shift.cpp
+++ b/src/decision/control/apply_shift.cpp
@@ -17,7 +17,15 @@
     if (command.percent > definition->second.percent)
         return refused(
             absl::StrCat("shift '", command.shift.value(), "' moves at most ", definition->second.percent, " percent"));
-    record->second = { command.afterStep + 1, command.percent, command.phase, item.proposedAt };
+    shift_record& stepped = record->second;
+    if (command.percent < stepped.percent && command.phase != shift_phase::Reverting)
+        ++stepped.setbacks;
+    if (stepped.baseline == duration::zero())
+        stepped.baseline = command.baseline;
+    stepped.step = command.afterStep + 1;
+    stepped.percent = command.percent;
+    stepped.phase = command.phase;
+    stepped.steppedAt = item.proposedAt;
     return accepted();
 }
 
--- /dev/null
+++ b/src/decision/control/entry_list_service.cpp
@@ -0,0 +1,127 @@
+#include "decision/control/entry_list_service.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "absl/hash/hash.h"
+#include "decision/control/apply_drain.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Weights of the nearest entries, of those one step farther, and of the farthest. */
+    constexpr std::uint32_t distanceWeights[] = { 100, 10, 1 };
+
+    /** 0 for the same failure domain, 1 for the same region, 2 for others. */
+    std::size_t distanceOf(const vm_record& vm, const failure_domain_id& near, const region_id& nearRegion)
+    {
+        if (vm.failureDomain == near)
+            return 0;
+        return !nearRegion.empty() && vm.region == nearRegion ? 1 : 2;
+    }
+
+    /** Spreads callers of different places over entries of equal distance. */
+    std::size_t spreadOf(const vm_record& vm, const failure_domain_id& near)
+    {
+        return absl::HashOf(vm.id.value(), near.value());
+    }
+
+    bool contains(const std::vector<vm_id>& items, const vm_id& wanted)
+    {
+        return std::find(items.begin(), items.end(), wanted) != items.end();
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<entry_list_service>> entry_list_service::create(
+    const kernel_hooks&, const vm_settings& settings, entry_list_options options)
+{
+    if (options.maximumEntries == 0)
+        return absl::InvalidArgumentError("a list has at least one entry");
+    return std::unique_ptr<entry_list_service>(new entry_list_service(settings, options));
+}
+
+entry_list_service::entry_list_service(const vm_settings& settings, entry_list_options options)
+    : m_settings(settings)
+    , m_options(options)
+{
+    m_port.list = [this](const failure_domain_id& near) { return list(near); };
+    m_port.onChange = [this](auto listener) { m_listeners.push_back(std::move(listener)); };
+}
+
+service entry_list_service::asService()
+{
+    service item;
+    item.name = port_names::entryList;
+    item.needs = { port_names::control, port_names::membership };
+    item.start = [this](registry& services) { return start(services); };
+    return item;
+}
+
+absl::Status entry_list_service::start(registry& services)
+{
+    m_control = *services.find<control_port>(port_names::control);
+    m_membership = *services.find<membership_port>(port_names::membership);
+    m_control->onChange([this] { refresh(); });
+    m_membership->onAvoided([this] { refresh(); });
+    m_basis = findBasis();
+    return services.publish(port_names::entryList, m_port);
+}
+
+entry_list_service::list_basis entry_list_service::findBasis() const
+{
+    list_basis basis;
+    const control_snapshot& state = m_control->state();
+    for (const auto& [id, started] : state.vms)
+        basis.vms.push_back(started.record);
+    if (basis.vms.empty())
+        basis.vms = m_settings.vms;
+    basis.unfit = m_membership->avoided();
+    for (const vm_record& vm : basis.vms) {
+        const bool isStopping = vm.id == m_settings.self.id && m_membership->stopping();
+        if ((isStopping || isVmDraining(state, vm)) && !contains(basis.unfit, vm.id))
+            basis.unfit.push_back(vm.id);
+    }
+    return basis;
+}
+
+void entry_list_service::refresh()
+{
+    list_basis basis = findBasis();
+    if (basis == m_basis)
+        return;
+    m_basis = std::move(basis);
+    for (const auto& listener : m_listeners)
+        listener();
+}
+
+entry_list entry_list_service::list(const failure_domain_id& near) const
+{
+    std::vector<vm_record> chosen;
+    for (const vm_record& vm : m_basis.vms) {
+        if (!m_options.leaveOutUnfit || !contains(m_basis.unfit, vm.id))
+            chosen.push_back(vm);
+    }
+    if (chosen.empty())
+        chosen = m_basis.vms; // An unfit entry may still answer; an empty list never does.
+    const region_id nearRegion = regionOf(m_control->state().config, near);
+    const auto rank = [&](const vm_record& vm) {
+        return std::make_tuple(distanceOf(vm, near, nearRegion), spreadOf(vm, near), vm.id);
+    };
+    std::sort(chosen.begin(), chosen.end(),
+        [&](const vm_record& left, const vm_record& right) { return rank(left) < rank(right); });
+    chosen.resize(std::min(chosen.size(), m_options.maximumEntries));
+    entry_list made;
+    made.cacheTime = m_settings.lookupCacheTime;
+    const std::size_t nearest = chosen.empty() ? 0 : distanceOf(chosen.front(), near, nearRegion);
+    for (vm_record& vm : chosen) {
+        const std::size_t farther = distanceOf(vm, near, nearRegion) - nearest;
+        made.entries.push_back({ std::move(vm), distanceWeights[farther] });
+    }
+    return made;
+}
+
+} // namespace plantainlatch
--- a/src/decision/control/membership_service.cpp
+++ b/src/decision/control/membership_service.cpp
@@ -58,6 +58,8 @@
     m_port.beginStop = [this] {
         m_stopping = true;
         sendHeartbeat();
+        for (const auto& listener : m_onAvoided)
+            listener();
     };
     m_port.avoided = [this] { return m_avoided; };
     m_port.reports = [this] { return reports(); };
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -179,10 +179,12 @@
     std::uint64_t afterStep = 0;
     std::uint32_t percent = 0;
     shift_phase phase = shift_phase::Running;
+    /** The target's latency before the shift, which later steps are judged by. */
+    duration baseline {};
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.shift, self.afterStep, self.percent, self.phase);
+        visit(self.shift, self.afterStep, self.percent, self.phase, self.baseline);
     }
 };
 
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -55,14 +55,14 @@
     }
 };
 
-/** How many requests a second a VM may send to the target of a shift because of it. */
+/** How many requests a VM may send to the target of a shift because of it, in any one window. */
 struct shift_allowance {
     shift_id shift;
-    double perSecond = 0;
+    std::uint32_t perWindow = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.shift, self.perSecond);
+        visit(self.shift, self.perWindow);
     }
 };
 
@@ -71,10 +71,12 @@
     shift_id shift;
     std::uint64_t spent = 0;
     std::uint64_t wanted = 0;
+    /** The allowance that holds when the heartbeat is sent. */
+    std::uint32_t held = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.shift, self.spent, self.wanted);
+        visit(self.shift, self.spent, self.wanted, self.held);
     }
 };
 
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -99,10 +99,14 @@
     std::uint32_t percent = 0;
     shift_phase phase = shift_phase::Running;
     wall_time steppedAt {};
+    /** The target's latency before the shift; zero until known. */
+    duration baseline {};
+    /** How often a step had to be undone. */
+    std::uint32_t setbacks = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.step, self.percent, self.phase, self.steppedAt);
+        visit(self.step, self.percent, self.phase, self.steppedAt, self.baseline, self.setbacks);
     }
 };
 
--- /dev/null
+++ b/test/random/shift_random_test.cpp
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <deque>
+
+#include <catch2/catch.hpp>
+
+#include "decision/control/shift_service.h"
+#include "support/control_cluster.h"
+#include "support/control_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** VMs that spend as much of one shift's cap as they are let, over a log and network that fail at random. */
+    class shift_random_fixture {
+    protected:
+        void begin(std::uint64_t seed, std::uint32_t cap, const shift_options& options)
+        {
+            capPerSecond = cap;
+            cluster = std::make_unique<control_cluster>(
+                seed, 5, membership_options {}, [this, options](control_cluster& owner, cluster_vm& vm) {
+                    services.push_back(*shift_service::create(owner.runtime.hooks(), vm.settings, options));
+                    vm.root->add(services.back()->asService());
+                });
+            declaration content = kurohaeDeclaration();
+            content.shifts.added = { { { shift, service_id("booking"), failure_domain_id("kokura"),
+                                           failure_domain_id("kirishima"), 100, cap, 50, 2s },
+                {} } };
+            cluster->apply(apply_declaration { content });
+        }
+
+        std::uint64_t chance(std::uint64_t sides) { return cluster->runtime.random() % sides; }
+
+        /** One millisecond: each VM may try to spend, in bursts that move between the VMs. */
+        void spendSome()
+        {
+            if (chance(400) == 0)
+                eager = chance(cluster->vms.size());
+            std::uint64_t position = 0;
+            for (auto& [id, vm] : cluster->vms) {
+                const std::uint64_t attempts = position++ == eager ? 2 : (chance(20) == 0 ? 1 : 0);
+                for (std::uint64_t i = 0; i < attempts; ++i) {
+                    if (!vm->port<shift_port>(port_names::shifts).trySpend(shift))
+                        continue;
+                    spends.push_back(cluster->runtime.now());
+                    ++total;
+                }
+            }
+            while (!spends.empty() && spends.front() + 1s <= cluster->runtime.now())
+                spends.pop_front();
+            most = std::max(most, spends.size());
+        }
+
+        void failSome()
+        {
+            const std::string name(1, static_cast<char>('a' + chance(5)));
+            switch (chance(6000)) {
+            case 0:
+            case 1:
+                cluster->setLeader(name);
+                break;
+            case 2:
+                if (vm_id(name) != cluster->leader)
+                    cluster->cut(name);
+                break;
+            case 3:
+            case 4:
+                cluster->heal(name);
+                break;
+            default:
+                break;
+            }
+            if (cluster->isCut(cluster->leader))
+                cluster->heal(cluster->leader.value());
+        }
+
+        void run(duration span, bool failing)
+        {
+            for (duration passed {}; passed < span; passed += 1ms) {
+                cluster->runtime.advance(1ms);
+                spendSome();
+                if (failing)
+                    failSome();
+            }
+        }
+
+        const shift_id shift { "move" };
+        std::uint32_t capPerSecond = 0;
+        std::unique_ptr<control_cluster> cluster;
+        std::vector<std::unique_ptr<shift_service>> services;
+        std::uint64_t eager = 0;
+        std::deque<time_point> spends;
+        std::size_t most = 0;
+        std::uint64_t total = 0;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(shift_random_fixture, "shift.random_failures_and_leaders.never_exceed_the_cap")
+{
+    const std::uint64_t seed = GENERATE(range(1, 101));
+    const std::uint32_t caps[] = { 1, 3, 10, 40, 200 };
+    INFO("seed " << seed);
+    begin(seed, caps[seed % 5], {});
+    run(60s, true);
+    INFO("most in one second " << most << " of " << capPerSecond << ", spent " << total);
+    REQUIRE(most <= capPerSecond);
+    REQUIRE(total > 0);
+}
+
+TEST_CASE_METHOD(shift_random_fixture, "shift.without_failures.uses_most_of_the_cap")
+{
+    begin(5, 200, {});
+    run(20s, false);
+    REQUIRE(most <= 200);
+    REQUIRE(most > 140);
+}
+
+TEST_CASE_METHOD(shift_random_fixture, "shift.earlier_allowances_not_counted.exceed_the_cap")
+{
+    shift_options options;
+    options.cap.countEarlier = false;
+    begin(1, 40, options);
+    run(60s, true);
+    REQUIRE(most > 40);
+}
+
+} // namespace plantainlatch
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -75,7 +75,7 @@
 {
     const vm_id id = made.settings.self.id;
     made.consensus.propose = [this, &made, id](const control_command& command, duration timeout, auto done) {
-        const proposal_id name { id, made.start, ++made.sequence };
+        proposal_id name { id, made.start, ++made.sequence };
         runtime.schedule(someDelay(), [this, id, name, command, timeout, done] {
             if (isCut(id) || isCut(leader)) {
                 runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("cut off")); });
