Keep serving until other VMs have left this one out of their lists

Cause: a list that another VM gave just before it heard of the stop is cached from then on. Change: the stop serves for the cache time plus one second of propagation.

--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -81,15 +81,16 @@
     return result;
 }
 
-std::unique_ptr<caller_front> caller_front::create(const kernel_hooks& hooks, const vm_settings& settings)
+std::unique_ptr<caller_front> caller_front::create(
+    const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options)
 {
-    return std::unique_ptr<caller_front>(new caller_front(hooks, settings));
+    return std::unique_ptr<caller_front>(new caller_front(hooks, settings, options));
 }
 
-caller_front::caller_front(const kernel_hooks& hooks, const vm_settings& settings)
+caller_front::caller_front(const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options)
     : m_hooks(hooks)
     , m_self(settings.self.id)
-    , m_cacheTime(settings.lookupCacheTime)
+    , m_serveBeforeStop(settings.lookupCacheTime + options.listPropagation)
 {
 }
 
@@ -203,7 +204,7 @@
 {
     m_entries->leaveOutSelf();
     m_server->closeAfterAnswers();
-    m_hooks.schedule(m_cacheTime, [this, stopped = std::move(stopped)] {
+    m_hooks.schedule(m_serveBeforeStop, [this, stopped = std::move(stopped)] {
         m_refusing = true;
         m_stopped = stopped;
         m_server->stopListening();
--- a/src/services/caller_front.h
+++ b/src/services/caller_front.h
@@ -20,15 +20,22 @@
 
 namespace plantainlatch {
 
+/** Times of the front end. */
+struct caller_front_options {
+    /** How long the other VMs take to leave a stopping VM out of their entry lists. */
+    duration listPropagation = std::chrono::seconds(1);
+};
+
 /** Translates `/s/{service}/...` to request_port and `GET /v1/entries` to entry_list_port.
  *
  * Its stop is graceful: it leaves this VM out of its entry lists, ends each connection with its answer, serves for as
- * long as callers may cache a list, and waits for the requests in flight. */
+ * long as callers may be given or cache a list with it, and waits for the requests in flight. */
 class caller_front {
 public:
     static constexpr const char* serviceName = "caller_front";
 
-    static std::unique_ptr<caller_front> create(const kernel_hooks& hooks, const vm_settings& settings);
+    static std::unique_ptr<caller_front> create(
+        const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options = {});
 
     /** The kernel service; it needs "http_server", "requests", "entry_list" and "metrics". */
     service asService();
@@ -42,7 +49,7 @@
         bool head = false;
     };
 
-    caller_front(const kernel_hooks& hooks, const vm_settings& settings);
+    caller_front(const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options);
 
     absl::Status start(registry& services);
     void steer(exchange_id exchange, const http_request_view& request);
@@ -55,7 +62,7 @@
 
     kernel_hooks m_hooks;
     vm_id m_self;
-    duration m_cacheTime;
+    duration m_serveBeforeStop;
     http_server* m_server = nullptr;
     request_port* m_requests = nullptr;
     metrics* m_metrics = nullptr;
--- a/test/error/http_front_test.cpp
+++ b/test/error/http_front_test.cpp
@@ -32,7 +32,7 @@
             settings.limits.maximumBody = byte_count(300);
             settings.limits.maximumHeaders = byte_count(1000);
             settings.lookupCacheTime = std::chrono::milliseconds(50);
-            callers = caller_front::create(hooks, settings);
+            callers = caller_front::create(hooks, settings, { duration::zero() });
             makeFakes();
             server = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, { settings.limits });
             subject->add(fake(port_names::requests, requests));
