Test keys, crashes, limits and the stop of the request path

Cause: a caller's resends, late claims, dead entries and crashing requests must be met by tests that can fail.

--- a/src/decision/control/crash_table.cpp
+++ b/src/decision/control/crash_table.cpp
@@ -38,7 +38,9 @@
     record.lastSeen = std::max(record.lastSeen, reported.proposedAt);
     if (record.upstreams.size() < maximumCrashedUpstreams)
         record.upstreams.insert(command.upstream);
-    return {};
+    command_result result;
+    result.crashRefused = record.upstreams.size() >= crashedUpstreamsToRefuse;
+    return result;
 }
 
 bool refusesCrashing(const control_snapshot& state, const crash_key& key, wall_time now)
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -25,7 +25,7 @@
 /** The most upstreams kept in one record; more change nothing. */
 inline constexpr std::size_t maximumCrashedUpstreams = 8;
 
-/** Counts a crash. Time is the proposal's own. */
+/** Counts a crash and says whether equal requests are refused from now on. Time is the proposal's own. */
 command_result applyCrashReport(
     std::map<crash_key, crash_record>& crashes, const proposal& reported, const report_crash& command);
 
--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -69,7 +69,7 @@
     entered.running = next.pass;
     if (refuses(key))
         next.decided(crash_verdict::Refuse);
-    else if (crashedBefore(key))
+    else if (crashedUpstreams(key) > 0)
         askPermit(key, std::move(next));
     else
         next.decided(crash_verdict::Pass);
@@ -106,27 +106,43 @@
     }
     noteSeenHere(key, upstream);
     m_parts.consensus.propose(report_crash { key.service, key.fingerprint, upstream }, m_parts.reportTimeout,
-        [alive = m_alive, reported = std::move(reported)](const absl::StatusOr<command_result>&) {
-            if (*alive)
-                reported(true);
+        [this, alive = m_alive, key, reported = std::move(reported)](const absl::StatusOr<command_result>& result) {
+            if (!*alive)
+                return;
+            onReported(key, result);
+            reported(true);
         });
 }
 
+void crash_guard::onReported(const crash_key& key, const absl::StatusOr<command_result>& result)
+{
+    const auto seen = m_seenHere.find(key);
+    if (seen != m_seenHere.end() && result.ok() && result->crashRefused)
+        seen->second.refused = true;
+}
+
 bool crash_guard::refuses(const crash_key& key) const
 {
     if (refusesCrashing(m_parts.control.state(), key, m_parts.hooks.wallNow()))
         return true;
+    const seen_crash* seen = seenHere(key);
+    if (seen != nullptr && seen->refused)
+        return true;
     return crashedUpstreams(key) >= crashedUpstreamsToRefuse;
 }
 
-bool crash_guard::crashedBefore(const crash_key& key) const { return crashedUpstreams(key) > 0; }
+const crash_guard::seen_crash* crash_guard::seenHere(const crash_key& key) const
+{
+    const auto seen = m_seenHere.find(key);
+    const bool recent = seen != m_seenHere.end() && m_parts.hooks.now() < seen->second.lastSeen + crashMemory;
+    return recent ? &seen->second : nullptr;
+}
 
 std::size_t crash_guard::crashedUpstreams(const crash_key& key) const
 {
     std::set<upstream_id> upstreams;
-    const auto seen = m_seenHere.find(key);
-    if (seen != m_seenHere.end() && m_parts.hooks.now() < seen->second.lastSeen + crashMemory)
-        upstreams = seen->second.upstreams;
+    if (const seen_crash* seen = seenHere(key))
+        upstreams = seen->upstreams;
     const auto& crashes = m_parts.control.state().crashes;
     const auto agreed = crashes.find(key);
     if (agreed != crashes.end() && m_parts.hooks.wallNow() < agreed->second.lastSeen + crashMemory)
@@ -140,6 +156,8 @@
         m_seenHere.erase(std::min_element(m_seenHere.begin(), m_seenHere.end(),
             [](const auto& left, const auto& right) { return left.second.lastSeen < right.second.lastSeen; }));
     }
+    if (seenHere(key) == nullptr)
+        m_seenHere.erase(key);
     seen_crash& seen = m_seenHere[key];
     seen.lastSeen = m_parts.hooks.now();
     if (seen.upstreams.size() < maximumCrashedUpstreams)
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -98,11 +98,13 @@
     struct seen_crash {
         std::set<upstream_id> upstreams;
         time_point lastSeen;
+        /** The log said that equal requests are refused, which this VM's state may not show yet. */
+        bool refused = false;
     };
 
     explicit crash_guard(const crash_guard_parts& parts);
 
-    bool crashedBefore(const crash_key& key) const;
+    const seen_crash* seenHere(const crash_key& key) const;
     std::size_t crashedUpstreams(const crash_key& key) const;
     void admit(const crash_key& key, waiter next);
     void askPermit(const crash_key& key, waiter next);
@@ -110,6 +112,7 @@
     void leaveGate(const crash_key& key, crash_pass pass, bool completed);
     void admitNext(const crash_key& key);
     void admitAll(const crash_key& key);
+    void onReported(const crash_key& key, const absl::StatusOr<command_result>& result);
     void noteSeenHere(const crash_key& key, const upstream_id& upstream);
 
     crash_guard_parts m_parts;
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -244,10 +244,12 @@
     std::optional<claim_finding> claim;
     /** Only for claim_key that found Completed. */
     std::optional<upstream_answer> answer;
+    /** Only for report_crash: equal requests are refused from now on. */
+    bool crashRefused = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.verdict, self.message, self.claim, self.answer);
+        visit(self.verdict, self.message, self.claim, self.answer, self.crashRefused);
     }
 };
 
--- /dev/null
+++ b/test/correctness/request_limits_test.cpp
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include "support/broken_invariant.h"
+#include "support/request_world.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using kind = call_fate::kind;
+
+    class request_limits_fixture {
+    protected:
+        static std::uint64_t extraAttempts(const request_world& world)
+        {
+            const request_statistics& counts = world.entries[0].requests->statistics();
+            return counts.retries + counts.hedges;
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(request_limits_fixture, "retry_budget.total_failure.stays_within_a_tenth_of_the_requests")
+{
+    const auto exceeds = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.budgeted = [] { return false; };
+        request_world world(1, 1, 3, 2, options);
+        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::BareRefusal, 5ms }; };
+        for (int i = 0; i < 500; ++i) {
+            world.get(0, "/frames/" + std::to_string(i));
+            world.runtime.advance(20ms);
+        }
+        world.runtime.advance(2s);
+        return extraAttempts(world) > 50;
+    };
+    REQUIRE(exceeds(true));
+    REQUIRE_FALSE(exceeds(false));
+}
+
+TEST_CASE_METHOD(request_limits_fixture, "hedge.one_slow_answer.is_overtaken_by_a_second_attempt")
+{
+    const auto slow = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.hedges = [](const request_traits&) { return false; };
+        request_world world(1, 1, 3, 2, options);
+        for (int i = 0; i < 100; ++i) {
+            world.get(0, "/frames/" + std::to_string(i));
+            world.runtime.advance(50ms);
+        }
+        const std::size_t before = world.upstreams.calls.size();
+        world.upstreams.fate = [&world, before](const upstream_call&) {
+            return call_fate { kind::Answer, world.upstreams.calls.size() == before ? 900ms : 20ms };
+        };
+        const caller_record& sent = world.get(0, "/frames/slow");
+        world.runtime.advance(100ms);
+        REQUIRE((!sent.answer || world.upstreams.calls[before].cancelled));
+        return !sent.answer;
+    };
+    REQUIRE(slow(true));
+    REQUIRE_FALSE(slow(false));
+}
+
+TEST_CASE_METHOD(request_limits_fixture, "admission.unfit_requests.are_refused_without_a_call")
+{
+    request_options options;
+    options.maximumRequests = 2;
+    request_world world(1, 1, 1, 1, options);
+    caller_request unknown;
+    unknown.service = service_id("nowhere");
+    REQUIRE(world.send(0, unknown).answer->content.status == 404);
+    REQUIRE(world.post(0, std::string(1025, 'x')).answer->content.status == 413);
+    REQUIRE(world.upstreams.calls.empty());
+    world.get(0, "/a");
+    world.get(0, "/b");
+    const caller_record& third = world.get(0, "/c");
+    REQUIRE(third.answer->reason == answer_reason::Overloaded);
+    REQUIRE(third.answer->result == outcome::NotRun);
+}
+
+TEST_CASE_METHOD(request_limits_fixture, "stop.request_within_the_cache_time.is_served_and_later_ones_are_refused")
+{
+    const auto cutsOff = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.refusesWhileStopping = [] { return false; };
+        request_world world(1, 1, 3, 2, options);
+        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 500ms }; };
+        bool stopped = false;
+        world.entries[0].core->stop([&] { stopped = true; });
+        world.runtime.advance(1900ms);
+        const caller_record& early = world.post(0, "early", "k");
+        REQUIRE_FALSE(early.answer);
+        world.runtime.advance(150ms);
+        const caller_record& late = world.get(0, "/late");
+        const bool refused = late.answer && late.answer->reason == answer_reason::Draining;
+        REQUIRE_FALSE(stopped);
+        world.runtime.advance(2s);
+        REQUIRE(early.answer->result == outcome::Completed);
+        return !stopped || !refused || world.entries[0].requests->requestsInFlight() != 0;
+    };
+    REQUIRE(breaksInvariant([&] { return cutsOff(true); }));
+    REQUIRE_FALSE(breaksInvariant([&] { return cutsOff(false); }));
+}
+
+} // namespace plantainlatch
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -58,7 +58,7 @@
 {
     proposal stamped = item;
     stamped.proposedAt = m_runtime.hooks().wallNow();
-    const command_result result = applyTo(state, stamped);
+    command_result result = applyTo(state, stamped);
     for (fake_log_member* member : m_members) {
         const auto apply = [member, stamped] {
             applyTo(member->m_state, stamped);
