Run the request path at random over faults, and mend what it found

Cause: fixtures show one fault at a time. What: random_run sends, resends, leaves, restarts entries and crashes upstreams over late and lost proposals; invariants stop the run. Found at seed 1: a run whose claim was open outlived its service, and its deadline timer read freed memory; the claim's callback now holds no run.

--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -36,17 +36,18 @@
 {
     claim_key command { m_request.content.service, *m_request.content.key, m_request.fingerprint,
         m_request.keyRetention, remaining() };
-    m_environment.claims.claim(
-        command, remaining(), [self = shared_from_this()](const claim_answer& answer) { self->onClaim(answer); });
+    key_claims& claims = m_environment.claims;
+    claims.claim(command, remaining(), [weak = weak_from_this(), &claims](const claim_answer& answer) {
+        const auto self = weak.lock();
+        if (self && !self->m_finished)
+            self->onClaim(answer);
+        else if (answer.state == claim_state::Claimed)
+            claims.settle(answer.held, outcome::NotRun, std::nullopt);
+    });
 }
 
 void request_run::onClaim(const claim_answer& answer)
 {
-    if (m_finished) {
-        if (answer.state == claim_state::Claimed)
-            m_environment.claims.settle(answer.held, outcome::NotRun, std::nullopt);
-        return;
-    }
     m_claimResolved = answer.state != claim_state::Unresolved;
     switch (answer.state) {
     case claim_state::Claimed:
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -30,6 +30,7 @@
 
     const request_statistics& statistics() const { return m_statistics; }
     std::size_t requestsInFlight() const { return m_running.size(); }
+    std::size_t owedSettlements() const { return m_claims->owedSettlements(); }
     std::size_t lateClaims() const { return m_claims->lateClaims(); }
 
 private:
--- /dev/null
+++ b/test/random/request_random_test.cpp
@@ -0,0 +1,284 @@
+#include <cstdlib>
+
+#include <catch2/catch.hpp>
+
+#include "support/broken_invariant.h"
+#include "support/request_world.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using kind = call_fate::kind;
+
+    constexpr std::size_t entryCount = 4;
+    constexpr std::size_t upstreamCount = 6;
+    constexpr std::uint32_t slotsPerUpstream = 1;
+    constexpr const char* submissionHeader = "X-Submission";
+
+    /** One request as its caller sent it. */
+    struct submission {
+        std::size_t entry = 0;
+        request_id id;
+        caller_request content;
+        std::optional<caller_answer> answer;
+        /** The caller left, or the entry died: no answer may come. */
+        bool gone = false;
+        int sends = 1;
+    };
+
+    /** Callers, faults and invariants over one world. */
+    class random_run {
+    public:
+        random_run(std::uint64_t seed, const request_options& options)
+            : m_world(seed, entryCount, upstreamCount, slotsPerUpstream, options)
+        {
+            m_world.upstreams.restartAfter = 2s;
+            m_world.upstreams.fate = [this](const upstream_call& call) { return callFate(call); };
+            m_world.upstreams.onCall = [this](const upstream_call& call) { checkCall(call); };
+            for (std::size_t entry = 0; entry < entryCount; ++entry)
+                setFaults(entry);
+        }
+
+        void run(int steps)
+        {
+            for (int i = 0; i < steps; ++i) {
+                step();
+                m_world.runtime.advance(std::chrono::milliseconds(below(12)));
+            }
+            m_calm = true;
+            m_world.runtime.advance(60s);
+            checkEnd();
+        }
+
+        std::size_t answered = 0;
+
+    private:
+        std::uint64_t below(std::uint64_t bound) { return m_world.runtime.random() % bound; }
+        bool oneIn(std::uint64_t count) { return below(count) == 0; }
+
+        void setFaults(std::size_t entry)
+        {
+            m_world.entries[entry].log->applyLag = std::chrono::milliseconds(below(80));
+            m_world.entries[entry].log->fate = [this](const control_command&) { return proposalFate(); };
+        }
+
+        proposal_fate proposalFate()
+        {
+            proposal_fate fate;
+            fate.delay = std::chrono::milliseconds(1 + below(30));
+            if (m_calm)
+                return fate;
+            if (oneIn(20))
+                fate.delay = std::chrono::milliseconds(below(4000));
+            fate.agreed = !oneIn(30);
+            fate.answered = !oneIn(30);
+            return fate;
+        }
+
+        call_fate callFate(const upstream_call& call)
+        {
+            if (call.target == "/bad")
+                return { kind::Crash, 10ms };
+            const auto delay = std::chrono::milliseconds(5 + below(40));
+            if (m_calm || !oneIn(6))
+                return { kind::Answer, oneIn(40) ? std::chrono::milliseconds(below(2500)) : delay };
+            constexpr kind faults[] = { kind::ConnectFailed, kind::ConnectionLimit, kind::MarkedRefusal,
+                kind::BareRefusal, kind::LostRequest, kind::LostAnswer, kind::Silent };
+            return { faults[below(std::size(faults))], delay };
+        }
+
+        void step()
+        {
+            const std::uint64_t choice = below(1000);
+            if (choice < 400)
+                sendLookup();
+            else if (choice < 800)
+                sendOrder();
+            else if (choice < 880)
+                resend();
+            else if (choice < 920)
+                leave();
+            else if (choice < 924)
+                restart(below(entryCount));
+            else if (choice < 930)
+                sendCrashing();
+        }
+
+        caller_request requestOf(const std::string& method, const std::string& target)
+        {
+            caller_request request;
+            request.service = service_id("taller");
+            request.method = method;
+            request.target = target;
+            request.deadline = std::chrono::milliseconds(100 + below(2000));
+            return request;
+        }
+
+        void sendLookup() { send(below(entryCount), requestOf("GET", "/frames/" + std::to_string(below(200)))); }
+
+        void sendOrder()
+        {
+            caller_request request = requestOf("POST", "/orders");
+            request.body = "order-" + std::to_string(++m_lastOrder);
+            if (!oneIn(4))
+                request.key = idempotency_key("key-" + std::to_string(m_lastOrder));
+            send(below(entryCount), std::move(request));
+        }
+
+        void sendCrashing()
+        {
+            for (std::size_t entry = 0; entry < entryCount; ++entry)
+                send(entry, requestOf("GET", "/bad"));
+        }
+
+        /** A caller of keyed work that has no final answer sends it again, anywhere. */
+        void resend()
+        {
+            if (m_submissions.empty())
+                return;
+            const submission former = *m_submissions[below(m_submissions.size())];
+            if (former.content.key)
+                send(below(entryCount), former.content);
+        }
+
+        void send(std::size_t entry, caller_request request)
+        {
+            const std::size_t number = m_submissions.size();
+            request.headers = { { submissionHeader, std::to_string(number) } };
+            m_submissions.push_back(std::make_unique<submission>());
+            submission& sent = *m_submissions.back();
+            sent.entry = entry;
+            sent.content = request;
+            sent.id = m_world.entries[entry].port->submit(
+                std::move(request), [this, &sent](caller_answer answer) { onAnswer(sent, std::move(answer)); });
+        }
+
+        void leave()
+        {
+            if (m_submissions.empty())
+                return;
+            const std::size_t recent = std::min<std::size_t>(m_submissions.size(), 20);
+            submission& left = *m_submissions[m_submissions.size() - 1 - below(recent)];
+            if (left.answer || left.gone)
+                return;
+            left.gone = true;
+            m_world.entries[left.entry].port->cancel(left.id);
+        }
+
+        void restart(std::size_t entry)
+        {
+            for (const auto& sent : m_submissions)
+                sent->gone = sent->gone || (sent->entry == entry && !sent->answer);
+            m_world.kill(entry);
+            m_world.start(entry);
+            setFaults(entry);
+        }
+
+        int runsOf(const submission& sent) { return m_world.upstreams.runs[sent.content.body]; }
+
+        void onAnswer(submission& sent, caller_answer answer)
+        {
+            internal_assert(!sent.answer && !sent.gone) << "an answer too many for " << sent.content.body;
+            const bool order = sent.content.method == "POST";
+            const bool ran = answer.result == outcome::Completed || answer.result == outcome::Replayed;
+            if (answer.result == outcome::NotRun && order)
+                internal_assert(runsOf(sent) == 0) << sent.content.body << " ran and is called not run";
+            if (ran && order)
+                internal_assert(runsOf(sent) == 1) << sent.content.body << " ran " << runsOf(sent) << " times";
+            if (ran && answer.content.status == 200)
+                internal_assert(answer.content.body == "answer to " + sent.content.target + sent.content.body)
+                    << sent.content.body << " got " << answer.content.body;
+            sent.answer = std::move(answer);
+            ++answered;
+        }
+
+        void checkCall(const upstream_call& call)
+        {
+            const submission& sent = *m_submissions[std::stoul(call.headers.front().value)];
+            internal_assert(!sent.answer) << "a call for " << sent.content.body << " after its answer";
+            if (call.method == "POST")
+                internal_assert(runsOf(sent) == 0) << sent.content.body << " is sent again after it ran";
+        }
+
+        void checkEnd()
+        {
+            for (const auto& sent : m_submissions)
+                internal_assert(sent->answer || sent->gone) << "no answer for " << sent->content.body;
+            for (const auto& [body, count] : m_world.upstreams.runs)
+                internal_assert(body.empty() || count <= 1) << body << " ran " << count << " times";
+            internal_assert(m_world.upstreams.holds() == 0) << m_world.upstreams.holds() << " slots were not released";
+            internal_assert(m_world.upstreams.mostRunning <= slotsPerUpstream)
+                << m_world.upstreams.mostRunning << " ran at once";
+            internal_assert(m_world.upstreams.crashes <= entryCount + 2) << m_world.upstreams.crashes << " crashes";
+            for (const fake_entry& entry : m_world.entries) {
+                internal_assert(entry.requests->requestsInFlight() == 0) << "requests are left";
+                internal_assert(entry.requests->owedSettlements() == 0) << "settlements are left";
+            }
+        }
+
+        request_world m_world;
+        std::vector<std::unique_ptr<submission>> m_submissions;
+        std::uint64_t m_lastOrder = 0;
+        bool m_calm = false;
+    };
+
+    std::uint64_t fromEnvironment(const char* name, std::uint64_t otherwise)
+    {
+        const char* text = std::getenv(name);
+        return text != nullptr ? std::strtoull(text, nullptr, 10) : otherwise;
+    }
+
+    class request_random_fixture {
+    protected:
+        static bool fails(std::uint64_t seed, int steps, const request_options& options)
+        {
+            return breaksInvariant([&] {
+                random_run(seed, options).run(steps);
+                return false;
+            });
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(request_random_fixture, "requests.random_faults.break_no_promise")
+{
+    const std::uint64_t first = fromEnvironment("PLANTAINLATCH_SEED", 1);
+    const std::uint64_t count = fromEnvironment("PLANTAINLATCH_SEEDS", 8);
+    const invariant_catcher catcher;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        INFO("PLANTAINLATCH_SEED=" << seed << " PLANTAINLATCH_SEEDS=1");
+        std::string broken;
+        try {
+            random_run tried(seed, {});
+            tried.run(4000);
+            REQUIRE(tried.answered > 2000);
+        } catch (const broken_invariant& error) {
+            broken = error.what();
+        }
+        REQUIRE(broken == "");
+    }
+}
+
+TEST_CASE_METHOD(request_random_fixture, "requests.random_faults_with_a_mechanism_off.break_a_promise")
+{
+    request_options noClaims;
+    noClaims.policies.claims = [](const request_traits&) { return false; };
+    REQUIRE(fails(1, 4000, noClaims));
+    request_options allRetries;
+    allRetries.policies.mayRetry = [](const ended_attempt&) { return true; };
+    REQUIRE(fails(1, 4000, allRetries));
+    request_options notRunUnresolved;
+    notRunUnresolved.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
+    REQUIRE(fails(1, 4000, notRunUnresolved));
+    request_options earlySlots;
+    earlySlots.policies.keepsSlotBusy = [](attempt_ending) { return false; };
+    REQUIRE(fails(1, 4000, earlySlots));
+    request_options noCrashes;
+    noCrashes.policies.mayBeCrash = [](call_failure) { return false; };
+    REQUIRE(fails(1, 4000, noCrashes));
+}
+
+} // namespace plantainlatch
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -33,10 +33,24 @@
     return made;
 }
 
-void fake_upstreams::killEntry(std::size_t entry)
+void fake_upstreams::killEntry(std::size_t entry, duration lease)
 {
-    std::erase_if(m_open, [entry](const auto& item) { return item.second.entry == entry; });
+    std::erase_if(m_open, [&](const auto& item) {
+        if (item.second.entry != entry)
+            return false;
+        stopWork(item.second);
+        return true;
+    });
     std::erase_if(m_waiters, [entry](const auto& item) { return item.second.entry == entry; });
+    slot_result returned;
+    returned.busyUntil = m_runtime.now() + lease;
+    std::vector<slot_hold> orphans;
+    for (const auto& [hold, holder] : m_holds) {
+        if (holder.entry == entry)
+            orphans.push_back(hold);
+    }
+    for (const slot_hold hold : orphans)
+        release(hold, returned);
 }
 
 slot_ticket fake_upstreams::acquire(std::size_t entry, slot_request asked, std::function<void(slot_answer)> given)
@@ -58,7 +72,7 @@
 void fake_upstreams::release(slot_hold hold, const slot_result& result)
 {
     released.push_back(result);
-    const upstream_id id = m_holds.at(hold);
+    const upstream_id id = m_holds.at(hold).upstream;
     m_holds.erase(hold);
     const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
     m_runtime.schedule(busy, [this, id] {
@@ -74,7 +88,7 @@
         if (!chosen)
             return;
         auto waiter = m_waiters.extract(position);
-        waiter.mapped().given(give(*chosen));
+        waiter.mapped().given(give(waiter.mapped().entry, *chosen));
         position = m_waiters.begin();
     }
 }
@@ -99,21 +113,22 @@
     return best->announcement.id;
 }
 
-slot_answer fake_upstreams::give(const upstream_id& chosen)
+slot_answer fake_upstreams::give(std::size_t entry, const upstream_id& chosen)
 {
     upstream_record& record = m_upstreams.at(chosen);
     ++record.inUse;
     const slot_hold hold(++m_last);
-    m_holds.emplace(hold, chosen);
+    m_holds.emplace(hold, held { entry, chosen });
     return { held_slot { hold, record.announcement, m_runtime.now() + std::chrono::seconds(2) }, {} };
 }
 
 void fake_upstreams::start(std::size_t entry, const upstream_call& call, call_events events)
 {
     const call_name name { entry, call.id.value() };
+    onCall(call);
     calls.push_back({ call, fate(call), m_runtime.now() });
     const call_fate& decided = calls.back().fate;
-    m_open.emplace(name, open_call { entry, calls.size() - 1, std::move(events) });
+    m_open.emplace(name, open_call { entry, calls.size() - 1, std::move(events), {}, {} });
     const bool offered
         = decided.ends != call_fate::kind::ConnectFailed && decided.ends != call_fate::kind::ConnectionLimit;
     const bool crashed = m_upstreams.at(call.upstream).crashed;
@@ -122,7 +137,7 @@
     const bool runsWork = decided.ends == call_fate::kind::Answer || decided.ends == call_fate::kind::LostAnswer
         || decided.ends == call_fate::kind::Crash;
     if (runsWork && !crashed)
-        runWork(call.upstream, call.body, decided.delay);
+        runWork(m_open.at(name), calls.back());
     if (crashed)
         calls.back().fate.ends = call_fate::kind::ConnectFailed;
     if (decided.ends == call_fate::kind::Crash)
@@ -136,18 +151,36 @@
     });
 }
 
-void fake_upstreams::runWork(const upstream_id& id, const std::string& body, duration delay)
+void fake_upstreams::runWork(open_call& open, const seen_call& seen)
 {
-    ++runs[body];
-    upstream_record& record = m_upstreams.at(id);
+    ++runs[seen.call.body];
+    upstream_record& record = m_upstreams.at(seen.call.upstream);
     mostRunning = std::max(mostRunning, ++record.running);
-    m_runtime.schedule(delay, [&record] { --record.running; });
+    const duration span = std::min(seen.fate.delay, seen.call.timeout);
+    open.workEndsAt = m_runtime.now() + span;
+    open.workEnd = m_runtime.schedule(span, [&record] { --record.running; });
+}
+
+void fake_upstreams::stopWork(const open_call& open)
+{
+    const duration noticed = std::chrono::milliseconds(m_runtime.random() % 200);
+    if (open.workEndsAt <= m_runtime.now() + noticed)
+        return;
+    m_runtime.cancel(open.workEnd);
+    upstream_record& record = m_upstreams.at(calls[open.index].call.upstream);
+    m_runtime.schedule(noticed, [&record] { --record.running; });
 }
 
 void fake_upstreams::crash(const upstream_id& id)
 {
     ++crashes;
     m_upstreams.at(id).crashed = true;
+    if (restartAfter) {
+        m_runtime.schedule(*restartAfter, [this, id] {
+            m_upstreams.at(id).crashed = false;
+            serveWaiters();
+        });
+    }
     std::vector<call_events> lost;
     std::erase_if(m_open, [&](const auto& item) {
         if (calls[item.second.index].call.upstream != id)
@@ -198,6 +231,7 @@
     if (open == m_open.end())
         return;
     calls[open->second.index].cancelled = true;
+    stopWork(open->second);
     m_open.erase(open);
 }
 
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -59,14 +59,21 @@
     };
     entry_ports ports();
 
-    /** Ends one entry's calls as when its process dies; the work goes on and no event follows. */
-    void killEntry(std::size_t entry);
+    /** Ends one entry's calls as when its process dies; no event follows, and its slots come back after `lease`. */
+    void killEntry(std::size_t entry, duration lease = std::chrono::seconds(12));
+
+    /** Slots that entries hold. */
+    std::size_t holds() const { return m_holds.size(); }
+    /** Called before each call begins. */
+    std::function<void(const upstream_call&)> onCall = [](const upstream_call&) {};
 
     std::function<call_fate(const upstream_call&)> fate = [](const upstream_call&) { return call_fate(); };
     std::vector<seen_call> calls;
     /** How often the work of each body ran. */
     std::map<std::string, int> runs;
     std::size_t crashes = 0;
+    /** How long a crashed upstream stays away; for good without one. */
+    std::optional<duration> restartAfter;
     std::vector<slot_result> released;
     /** The most work that ever ran at one upstream at once. */
     std::uint32_t mostRunning = 0;
@@ -87,6 +94,13 @@
         std::size_t entry;
         std::size_t index;
         call_events events;
+        /** Ends the work, when it runs. */
+        timer_id workEnd;
+        time_point workEndsAt;
+    };
+    struct held {
+        std::size_t entry;
+        upstream_id upstream;
     };
     using call_name = std::pair<std::size_t, std::uint64_t>;
 
@@ -94,9 +108,10 @@
     void release(slot_hold hold, const slot_result& result);
     void serveWaiters();
     std::optional<upstream_id> choose(const slot_request& asked) const;
-    slot_answer give(const upstream_id& chosen);
+    slot_answer give(std::size_t entry, const upstream_id& chosen);
     void start(std::size_t entry, const upstream_call& call, call_events events);
-    void runWork(const upstream_id& id, const std::string& body, duration delay);
+    void runWork(open_call& open, const seen_call& seen);
+    void stopWork(const open_call& open);
     void crash(const upstream_id& id);
     void endCall(const call_name& name);
     void cancelCall(const call_name& name);
@@ -104,7 +119,7 @@
     paused_runtime& m_runtime;
     std::map<upstream_id, upstream_record> m_upstreams;
     std::map<std::uint64_t, slot_waiter> m_waiters;
-    std::map<slot_hold, upstream_id> m_holds;
+    std::map<slot_hold, held> m_holds;
     std::map<call_name, open_call> m_open;
     std::uint64_t m_last = 0;
     std::size_t m_entries = 0;
