Bound the messages of the log by their bytes; leave resent proposals to the control state

Cause: results kept for resent proposals leave out claimed answers, so the leader must not answer from them; a batch of large settlements could exceed a frame. Change: approximateSize over visitFields, batches bounded by it; the leader's own look-up is gone.

--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -5,6 +5,7 @@
 #include "core/internal_assert.h"
 #include "decision/consensus/quorum.h"
 #include "decision/consensus/voter_changes.h"
+#include "model/approximate_size.h"
 
 namespace plantainlatch {
 
@@ -130,18 +131,10 @@
     return leads() && !m_transferring && m_replica.hooks().now() < leaseBasis() + lease;
 }
 
-bool log_leader::submit(const proposal_id& id, const control_command& command, std::optional<command_result>& result)
+bool log_leader::submit(const proposal_id& id, const control_command& command)
 {
     if (!leads() || m_transferring)
         return false;
-    const auto proposer = m_replica.state().proposers.find(id.vm);
-    if (proposer != m_replica.state().proposers.end() && proposer->second.start == id.start) {
-        const auto former = proposer->second.results.find(id.sequence);
-        if (former != proposer->second.results.end()) {
-            result = former->second;
-            return true;
-        }
-    }
     if (m_uncommitted.contains(id))
         return true;
     if (m_uncommitted.size() >= m_replica.options().largestUncommitted)
@@ -231,10 +224,16 @@
 
 std::vector<log_entry> log_leader::batchFrom(log_index first) const
 {
-    std::vector<log_entry> batch;
+    const consensus_options& options = m_replica.options();
     const log_store& log = m_replica.log();
-    for (log_index i = first; i <= log.lastIndex() && batch.size() < m_replica.options().largestBatch; i = i.next())
+    std::vector<log_entry> batch;
+    std::size_t bytes = 0;
+    for (log_index i = first; i <= log.lastIndex() && batch.size() < options.largestBatch; i = i.next()) {
+        bytes += approximateSize(log.at(i));
+        if (!batch.empty() && bytes > options.largestBatchBytes)
+            break;
         batch.push_back(log.at(i));
+    }
     return batch;
 }
 
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -32,9 +32,9 @@
     /** A VM that is not in the settings wants the log. */
     void addFollower(const vm_id& vm);
 
-    /** Takes a proposal into the log, once, or gives the result that it has had already; false when this VM does not
-     * lead or has no room. */
-    bool submit(const proposal_id& id, const control_command& command, std::optional<command_result>& result);
+    /** Takes a proposal into the log, unless it is there and not yet applied; the control state tells one that was
+     * applied before. False when this VM does not lead or has no room. */
+    bool submit(const proposal_id& id, const control_command& command);
     /** A proposal was applied. */
     void onApplied(const proposal_id& id) { m_uncommitted.erase(id); }
 
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -54,21 +54,7 @@
         m_replica.send(m_replica.leader().vm, propose_request { idOf(sequence), item.command });
         return;
     }
-    item.sent = m_leader.submit(idOf(sequence), item.command, item.former) || item.sent;
-}
-
-void proposal_queue::finishKnown()
-{
-    std::vector<std::uint64_t> known;
-    for (const auto& [sequence, item] : m_pending) {
-        if (item.former)
-            known.push_back(sequence);
-    }
-    for (std::uint64_t sequence : known) {
-        const auto item = m_pending.find(sequence);
-        if (item != m_pending.end())
-            finish(sequence, *item->second.former);
-    }
+    item.sent = m_leader.submit(idOf(sequence), item.command) || item.sent;
 }
 
 void proposal_queue::onTick()
@@ -81,7 +67,6 @@
         else if (!item.sent || now >= item.sentAt + m_replica.options().proposalResend)
             trySend(sequence, item);
     }
-    finishKnown();
     for (std::uint64_t sequence : overdue) {
         const auto item = m_pending.find(sequence);
         if (item == m_pending.end())
@@ -114,10 +99,8 @@
 
 void proposal_queue::onRequest(const vm_id& from, const propose_request& request)
 {
-    std::optional<command_result> result;
-    const bool isTaken = m_leader.submit(request.id, request.command, result);
-    if (!isTaken || result)
-        m_replica.send(from, propose_answer { request.id, std::move(result), m_replica.leader().vm });
+    if (!m_leader.submit(request.id, request.command))
+        m_replica.send(from, propose_answer { request.id, std::nullopt, m_replica.leader().vm });
 }
 
 void proposal_queue::onAnswer(const propose_answer& answer)
--- a/src/decision/consensus/proposal_queue.h
+++ b/src/decision/consensus/proposal_queue.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 
 #include "absl/status/statusor.h"
 #include "decision/consensus/log_leader.h"
@@ -48,13 +47,10 @@
         /** It may have reached a log. */
         bool sent = false;
         time_point sentAt {};
-        /** The result of an earlier sending, which a snapshot brought here unseen. */
-        std::optional<command_result> former;
     };
 
     proposal_id idOf(std::uint64_t sequence) const { return { m_replica.vm(), m_start, sequence }; }
     void trySend(std::uint64_t sequence, pending_proposal& item);
-    void finishKnown();
     void finish(std::uint64_t sequence, absl::StatusOr<command_result> result);
     void refuseSoon(result_callback callback);
 
