--- a/src/decision/consensus/election.cpp
+++ b/src/decision/consensus/election.cpp
@@ -22,12 +22,13 @@
         m_waitEnd = m_replica.hooks().now();
 }
 
-void election::restartWait()
+void election::restartWait() { waitFor(m_replica.options().electionTimeout); }
+
+void election::waitFor(duration least)
 {
-    const consensus_options& options = m_replica.options();
-    const auto spread = static_cast<std::uint64_t>(options.electionSpread.count());
+    const auto spread = static_cast<std::uint64_t>(m_replica.options().electionSpread.count());
     const duration extra(m_replica.hooks().random() % (spread + 1));
-    m_waitEnd = m_replica.hooks().now() + options.electionTimeout + extra;
+    m_waitEnd = m_replica.hooks().now() + least + extra;
 }
 
 void election::onTick()
@@ -36,7 +37,7 @@
         return;
     if (m_replica.hooks().now() < m_waitEnd)
         return;
-    restartWait();
+    waitFor(m_replica.options().electionRetry);
     m_replica.forgetLeader();
     if (m_replica.mechanisms().preVote)
         askBeforehand();
@@ -58,7 +59,7 @@
     m_replica.setRole(replica_role::Candidate);
     m_replica.vote(m_replica.self());
     m_votes.clear();
-    restartWait();
+    waitFor(m_replica.options().electionRetry);
     m_replica.whenDurable([this, transfer, term = m_replica.term()] {
         if (m_replica.term() != term || m_replica.role() != replica_role::Candidate || !canCampaign())
             return;
--- a/src/decision/consensus/election.h
+++ b/src/decision/consensus/election.h
@@ -34,6 +34,7 @@
 private:
     bool canCampaign() const { return m_replica.mayVote() && m_replica.isVoter(); }
     bool underLease() const;
+    void waitFor(duration least);
     voter_view view() const;
     void askBeforehand();
     void campaign(bool transfer);
--- a/src/model/approximate_size.h
+++ b/src/model/approximate_size.h
@@ -63,7 +63,7 @@
         template <typename... Alternatives> void add(const std::variant<Alternatives...>& value)
         {
             bytes += scalarSize;
-            std::visit([this](const auto& alternative) { add(alternative); }, value);
+            std::visit([this](const auto& alternative) { this->add(alternative); }, value);
         }
         template <sizable Value> void add(const Value& value)
         {
