--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -1,8 +1,11 @@
 #include "decision/control/apply_change.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "core/internal_assert.h"
+#include "decision/control/apply_directory.h"
 #include "decision/control/command_results.h"
 #include "decision/control/declaration_difference.h"
 #include "decision/control/declaration_merge.h"
@@ -32,10 +35,11 @@
     void followShifts(control_snapshot& state, const declaration& content, wall_time now)
     {
         for (const auto& item : content.shifts.added)
-            state.shifts[item.value.id] = { 0, 0, shift_phase::Running, now };
+            state.shifts[item.value.id] = { 0, 0, shift_phase::Running, now, {}, 0 };
         for (const auto& item : content.shifts.changed) {
             shift_record& record = state.shifts[item.value.id];
-            record = { record.step + 1, record.percent, shift_phase::Running, now };
+            record
+                = { record.step + 1, std::min(record.percent, item.value.percent), shift_phase::Running, now, {}, 0 };
         }
         for (const auto& item : content.shifts.withdrawn)
             state.shifts.erase(item.value.id);
@@ -45,6 +49,8 @@
     {
         for (const auto& item : content.upstreams.withdrawn)
             state.directory.erase(item.value.id);
+        std::erase_if(state.directory,
+            [&](const auto& entry) { return !fitsPlaceAndService(state.config, entry.second.announcement); });
     }
 
     void removeUnknownDrains(control_snapshot& state)
