Add the operator service: plans with numbers, risks by name, drains, status, history

Cause: operators declare, plan, drain and look; nothing they ask for may overload a region unseen. Change: the leader tells every VM the measured loads; capacity_model estimates slots and requests at once by place; changes and drains that the rest could not bear, or whose load is not known, are refused unless accepted by name or forced. The history leads back to an earlier configuration as a new change.

--- /dev/null
+++ b/src/decision/control/capacity_model.cpp
@@ -0,0 +1,245 @@
+#include "decision/control/capacity_model.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+
+#include "absl/strings/str_format.h"
+#include "core/internal_assert.h"
+#include "decision/control/apply_directory.h"
+#include "decision/control/apply_drain.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr double wholePercent = 100.0;
+
+    /** Differences below this are none. */
+    constexpr double negligible = 1e-9;
+
+    using domain_amounts = std::map<failure_domain_id, double>;
+
+    double sumOf(const domain_amounts& amounts)
+    {
+        double sum = 0;
+        for (const auto& [domain, amount] : amounts)
+            sum += amount;
+        return sum;
+    }
+
+    bool isDrained(const std::set<drain_target>& drains, const upstream_announcement& upstream)
+    {
+        return drains.contains({ drain_kind::Upstream, upstream.id.value() })
+            || drains.contains({ drain_kind::FailureDomain, upstream.failureDomain.value() })
+            || drains.contains({ drain_kind::Region, upstream.region.value() });
+    }
+
+    domain_amounts slotsOf(const capacity_question& question, const service_id& service)
+    {
+        domain_amounts slots;
+        for (const auto& [id, record] : question.state.directory) {
+            const upstream_announcement& upstream = record.announcement;
+            const bool counts = upstream.service == service && !question.config.withdrawnUpstreams.contains(id)
+                && fitsPlaceAndService(question.config, upstream) && !isDrained(question.drains, upstream);
+            if (counts)
+                slots[upstream.failureDomain] += static_cast<double>(effectiveSlots(question.config, upstream).value());
+        }
+        return slots;
+    }
+
+    /** Adds `amount` to the places in proportion to their weights; nothing happens when all weights are 0. */
+    void spread(domain_amounts& demand, double amount, const domain_amounts& weights)
+    {
+        const double total = sumOf(weights);
+        if (total <= 0)
+            return;
+        for (const auto& [domain, weight] : weights)
+            demand[domain] += amount * weight / total;
+    }
+
+    domain_amounts sharesOf(const capacity_question& question, const service_id& service, const domain_amounts& slots)
+    {
+        domain_amounts weights;
+        for (const auto& [key, share] : question.config.shares) {
+            const auto found = slots.find(share.failureDomain);
+            if (key.first == service && found != slots.end() && found->second > 0)
+                weights[share.failureDomain] = share.weight;
+        }
+        return weights;
+    }
+
+    domain_amounts regionPart(const configuration& config, const domain_amounts& slots, const region_id& region)
+    {
+        domain_amounts part;
+        for (const auto& [domain, count] : slots) {
+            if (regionOf(config, domain) == region)
+                part[domain] = count;
+        }
+        return part;
+    }
+
+    domain_amounts measuredDemand(const capacity_question& question, const service_id& service)
+    {
+        domain_amounts demand;
+        for (const service_load& load : question.loads) {
+            if (load.service == service)
+                demand[load.failureDomain] += load.perSecond * std::chrono::duration<double>(load.latency).count();
+        }
+        return demand;
+    }
+
+    domain_amounts demandByNearness(
+        const capacity_question& question, const domain_amounts& measured, const domain_amounts& slots)
+    {
+        domain_amounts demand;
+        for (const auto& [domain, amount] : measured) {
+            const auto here = slots.find(domain);
+            const domain_amounts near = regionPart(question.config, slots, regionOf(question.config, domain));
+            if (here != slots.end() && here->second > 0)
+                demand[domain] += amount;
+            else
+                spread(demand, amount, sumOf(near) > 0 ? near : slots);
+        }
+        return demand;
+    }
+
+    double meanLatency(const capacity_question& question, const service_id& service)
+    {
+        double requests = 0;
+        double time = 0;
+        for (const service_load& load : question.loads) {
+            if (load.service != service)
+                continue;
+            requests += load.perSecond;
+            time += load.perSecond * std::chrono::duration<double>(load.latency).count();
+        }
+        return requests > 0 ? time / requests : 0;
+    }
+
+    void moveByShifts(const capacity_question& question, const service_id& service, domain_amounts& demand)
+    {
+        const double latency = meanLatency(question, service);
+        for (const auto& [id, shift] : question.config.shifts) {
+            if (shift.service != service)
+                continue;
+            const double wanted = demand[shift.from] * shift.percent / wholePercent;
+            const double moved = std::min(wanted, shift.capPerSecond * latency);
+            demand[shift.from] -= moved;
+            demand[shift.to] += moved;
+        }
+    }
+
+    domain_amounts demandOf(const capacity_question& question, const service_id& service, const domain_amounts& slots)
+    {
+        const domain_amounts measured = measuredDemand(question, service);
+        const domain_amounts weights = sharesOf(question, service, slots);
+        domain_amounts demand;
+        if (sumOf(weights) > 0)
+            spread(demand, sumOf(measured), weights);
+        else
+            demand = demandByNearness(question, measured, slots);
+        moveByShifts(question, service, demand);
+        return demand;
+    }
+
+    using region_key = std::pair<service_id, region_id>;
+
+    std::map<region_key, capacity_risk> sumByRegion(const std::vector<place_capacity>& places)
+    {
+        std::map<region_key, capacity_risk> sums;
+        for (const place_capacity& place : places) {
+            capacity_risk& sum = sums[{ place.service, place.region }];
+            sum.service = place.service;
+            sum.region = place.region;
+            sum.slots += place.slots;
+            sum.demand += place.demand;
+        }
+        return sums;
+    }
+
+    bool isOverloaded(const capacity_risk& sum)
+    {
+        return sum.demand > negligible && sum.demand > bearableRegionUse * sum.slots;
+    }
+
+    std::map<service_id, double> slotsByService(const std::vector<place_capacity>& places)
+    {
+        std::map<service_id, double> slots;
+        for (const place_capacity& place : places)
+            slots[place.service] += place.slots;
+        return slots;
+    }
+
+} // namespace
+
+std::vector<place_capacity> estimateCapacity(const capacity_question& question)
+{
+    std::vector<place_capacity> places;
+    for (const auto& [service, definition] : question.config.services) {
+        const domain_amounts slots = slotsOf(question, service);
+        const domain_amounts demand = demandOf(question, service, slots);
+        for (const auto& [region, regionDefinition] : question.config.regions) {
+            for (const failure_domain_id& domain : regionDefinition.failureDomains) {
+                const auto slot = slots.find(domain);
+                const auto asked = demand.find(domain);
+                places.push_back({ service, region, domain, slot == slots.end() ? 0 : slot->second,
+                    asked == demand.end() ? 0 : asked->second });
+            }
+        }
+    }
+    return places;
+}
+
+std::vector<capacity_risk> findRisks(const std::vector<place_capacity>& places)
+{
+    std::vector<capacity_risk> risks;
+    for (const auto& [key, sum] : sumByRegion(places)) {
+        if (isOverloaded(sum))
+            risks.push_back(sum);
+    }
+    return risks;
+}
+
+std::vector<capacity_risk> findNewRisks(
+    const std::vector<place_capacity>& before, const std::vector<place_capacity>& after)
+{
+    std::vector<capacity_risk> risks;
+    const auto sumsBefore = sumByRegion(before);
+    for (const capacity_risk& risk : findRisks(after)) {
+        const auto former = sumsBefore.find({ risk.service, risk.region });
+        const bool wasSame = former != sumsBefore.end() && isOverloaded(former->second)
+            && former->second.demand * risk.slots + negligible >= risk.demand * former->second.slots;
+        if (!wasSame)
+            risks.push_back(risk);
+    }
+    const auto slotsAfter = slotsByService(after);
+    for (const auto& [service, slots] : slotsByService(before)) {
+        const auto found = slotsAfter.find(service);
+        if (slots > 0 && found != slotsAfter.end() && found->second <= 0)
+            risks.push_back({ accepted_risk::NoUpstream, service, {}, 0, 0 });
+    }
+    return risks;
+}
+
+std::string describeRisk(const capacity_risk& risk)
+{
+    if (risk.kind == accepted_risk::NoUpstream)
+        return absl::StrFormat("service '%s' would have no upstream left", risk.service.value());
+    return absl::StrFormat("region '%s' would run %.1f requests of service '%s' at once on %.0f slots, and bears %.1f",
+        risk.region.value(), risk.demand, risk.service.value(), risk.slots, bearableRegionUse * risk.slots);
+}
+
+const char* riskName(accepted_risk risk)
+{
+    switch (risk) {
+    case accepted_risk::RegionOverload:
+        return "region-overload";
+    case accepted_risk::NoUpstream:
+        return "no-upstream";
+    }
+    internal_assert(false) << "risk " << static_cast<int>(risk);
+    return "unknown";
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/declaration_plan.cpp
@@ -0,0 +1,134 @@
+#include "decision/control/declaration_plan.h"
+
+#include <algorithm>
+#include <map>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "decision/control/apply_change.h"
+#include "decision/control/capacity_model.h"
+#include "decision/control/declaration_merge.h"
+#include "decision/control/definition_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    std::string describeValue(const region_definition& item)
+    {
+        return absl::StrCat(" with ", item.failureDomains.size(), " failure domains");
+    }
+
+    std::string describeValue(const link_definition& item)
+    {
+        return absl::StrCat(" with ", item.budget.value(), " bytes a second each way");
+    }
+
+    std::string describeValue(const service_definition& item)
+    {
+        return absl::StrCat(" with ", item.slots.value(), " slots and ", item.connections, " connections an upstream");
+    }
+
+    std::string describeValue(const share_definition& item) { return absl::StrCat(" with weight ", item.weight); }
+
+    std::string describeValue(const upstream_definition& item)
+    {
+        return item.slots.has_value() ? absl::StrCat(" with ", item.slots->value(), " slots") : std::string();
+    }
+
+    std::string describeValue(const shift_definition& item)
+    {
+        return absl::StrCat(" moving ", item.percent, " percent of '", item.service.value(), "' from '",
+            item.from.value(), "' to '", item.to.value(), "' under ", item.capPerSecond, " requests a second");
+    }
+
+    template <typename Definition>
+    void describeKind(const definition_changes<Definition>& changes, std::vector<std::string>& sentences)
+    {
+        for (const auto& item : changes.added)
+            sentences.push_back(absl::StrCat("adds ", describeName(item.value), describeValue(item.value)));
+        for (const auto& item : changes.changed)
+            sentences.push_back(absl::StrCat("changes ", describeName(item.value), describeValue(item.value)));
+        for (const auto& item : changes.withdrawn)
+            sentences.push_back(absl::StrCat("withdraws ", describeName(item.value)));
+    }
+
+    using place_key = std::pair<service_id, failure_domain_id>;
+
+    void describeCapacity(const std::vector<place_capacity>& before, const std::vector<place_capacity>& after,
+        std::vector<std::string>& sentences)
+    {
+        std::map<place_key, place_capacity> former;
+        for (const place_capacity& place : before)
+            former[{ place.service, place.failureDomain }] = place;
+        for (const place_capacity& place : after) {
+            const place_capacity& was = former[{ place.service, place.failureDomain }];
+            if (was.slots == place.slots && was.demand == place.demand)
+                continue;
+            sentences.push_back(absl::StrFormat(
+                "service '%s' in '%s': %.0f slots for %.1f requests at once, before %.0f for %.1f",
+                place.service.value(), place.failureDomain.value(), place.slots, place.demand, was.slots, was.demand));
+        }
+    }
+
+    /** Whether the change may move traffic at once; shifts do so in gated steps and do not count. */
+    bool movesTraffic(const declaration& content)
+    {
+        return !content.shares.empty() || !content.upstreams.withdrawn.empty() || !content.services.withdrawn.empty()
+            || !content.services.changed.empty() || !content.regions.changed.empty()
+            || !content.regions.withdrawn.empty();
+    }
+
+    void addUnknownLoad(declaration_plan& plan)
+    {
+        if (std::find(plan.risks.begin(), plan.risks.end(), accepted_risk::RegionOverload) == plan.risks.end())
+            plan.risks.push_back(accepted_risk::RegionOverload);
+        plan.riskTexts.push_back(absl::StrCat(riskName(accepted_risk::RegionOverload),
+            ": the load is not known now, so that nobody can tell what the change would do"));
+    }
+
+    void addRisks(const std::vector<capacity_risk>& risks, declaration_plan& plan)
+    {
+        for (const capacity_risk& risk : risks) {
+            if (std::find(plan.risks.begin(), plan.risks.end(), risk.kind) == plan.risks.end())
+                plan.risks.push_back(risk.kind);
+            plan.riskTexts.push_back(absl::StrCat(riskName(risk.kind), ": ", describeRisk(risk)));
+        }
+    }
+
+} // namespace
+
+declaration_plan planDeclaration(const control_snapshot& state, const declaration& content, const known_loads& measured)
+{
+    declaration_plan plan;
+    const command_result numbers = judgeNumbers(state, content);
+    if (numbers.verdict == command_verdict::AlreadyAccepted) {
+        plan.changes.push_back(numbers.message);
+        return plan;
+    }
+    if (numbers.verdict == command_verdict::Conflict)
+        plan.findings.add({}, numbers.message, absl::StrCat("a change that replaces ", state.config.number.value()));
+    forEachKind(content, content, [&](const auto& changes, const auto&) { describeKind(changes, plan.changes); });
+    const absl::StatusOr<configuration> merged = mergeDeclaration(state.config, content, plan.findings);
+    if (!merged.ok())
+        return plan;
+    const auto before = estimateCapacity({ state, state.config, state.drains, measured.loads });
+    const auto after = estimateCapacity({ state, *merged, state.drains, measured.loads });
+    describeCapacity(before, after, plan.changes);
+    addRisks(findNewRisks(before, after), plan);
+    if (!measured.known && !state.directory.empty() && movesTraffic(content))
+        addUnknownLoad(plan);
+    return plan;
+}
+
+std::vector<std::string> findUnacceptedRisks(const declaration_plan& plan, const declaration& content)
+{
+    const auto& accepted = content.acceptedRisks;
+    const bool allAccepted = std::all_of(plan.risks.begin(), plan.risks.end(),
+        [&](accepted_risk risk) { return std::find(accepted.begin(), accepted.end(), risk) != accepted.end(); });
+    if (allAccepted)
+        return {};
+    return plan.riskTexts;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/control/load_view.cpp
@@ -0,0 +1,52 @@
+#include "decision/control/load_view.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** What the leader told counts for this long. */
+    constexpr duration freshness = std::chrono::seconds(5);
+
+    /** Loads are means over this time. */
+    constexpr duration measurementSpan = std::chrono::seconds(5);
+
+} // namespace
+
+load_view::load_view()
+    : m_measurements(measurementSpan)
+{
+}
+
+void load_view::beginTerm(time_point now)
+{
+    m_measurements.clear();
+    m_termBegan = now;
+}
+
+void load_view::answer(
+    const configuration& config, const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now)
+{
+    m_measurements.add(heartbeat, now);
+    answer.loadsKnown = now - m_termBegan >= measurementSpan;
+    for (const auto& [service, definition] : config.services) {
+        for (const auto& [region, places] : config.regions) {
+            for (const failure_domain_id& domain : places.failureDomains) {
+                const std::optional<domain_signal> signal = m_measurements.signal(service, domain, now);
+                if (signal.has_value())
+                    answer.loads.push_back({ service, domain, signal->perSecond, signal->medianLatency });
+            }
+        }
+    }
+}
+
+void load_view::receive(const heartbeat_answer& answer, time_point now)
+{
+    m_known = answer.loadsKnown;
+    m_toldAt = now;
+    m_loads = answer.loads;
+    m_lowestInForce = answer.lowestInForce;
+}
+
+bool load_view::known(time_point now) const { return m_known && now - m_toldAt <= freshness; }
+
+} // namespace plantainlatch
--- a/src/decision/control/measurement_window.cpp
+++ b/src/decision/control/measurement_window.cpp
@@ -6,7 +6,6 @@
 
 void measurement_window::add(const vm_heartbeat& heartbeat, time_point now)
 {
-    m_lastReport = now;
     for (const service_measurement& measured : heartbeat.measurements) {
         auto& samples = m_samples[{ measured.service, measured.failureDomain }];
         samples.push_back({ now, measured });
--- a/src/decision/control/measurement_window.h
+++ b/src/decision/control/measurement_window.h
@@ -45,9 +45,6 @@
     std::optional<domain_signal> signal(
         const service_id& service, const failure_domain_id& domain, time_point now) const;
 
-    /** Whether any VM reported within the window, with or without requests. */
-    bool hasReports(time_point now) const { return m_lastReport + m_span > now; }
-
 private:
     struct sample {
         time_point at {};
@@ -58,7 +55,6 @@
     static constexpr std::size_t maximumSamples = 4096;
 
     duration m_span;
-    time_point m_lastReport = time_point() - std::chrono::hours(1);
     std::map<std::pair<service_id, failure_domain_id>, std::deque<sample>> m_samples;
 };
 
--- /dev/null
+++ b/src/decision/control/operator_service.cpp
@@ -0,0 +1,234 @@
+#include "decision/control/operator_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "core/internal_assert.h"
+#include "decision/control/apply_change.h"
+#include "decision/control/apply_drain.h"
+#include "decision/control/capacity_model.h"
+#include "decision/control/command_results.h"
+#include "decision/control/declaration_difference.h"
+#include "decision/control/declaration_merge.h"
+#include "decision/control/declaration_plan.h"
+#include "decision/control/drain_check.h"
+#include "decision/control/shift_step.h"
+#include "ports/alert_port.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+absl::StatusOr<configuration> configurationAt(const control_snapshot& state, change_number number)
+{
+    configuration config = state.historyBase;
+    if (config.number == number && number != change_number())
+        return config;
+    for (const history_record& record : state.history) {
+        finding_list findings;
+        absl::StatusOr<configuration> merged = mergeDeclaration(config, record.content, findings);
+        internal_assert(merged.ok()) << "an accepted declaration no longer merges: " << findings.format();
+        config = *std::move(merged);
+        if (config.number == number)
+            return config;
+    }
+    return absl::NotFoundError(absl::StrCat("the history holds no change ", number.value()));
+}
+
+absl::StatusOr<std::unique_ptr<operator_service>> operator_service::create(
+    const kernel_hooks& hooks, const vm_settings& settings, operator_options options)
+{
+    return std::unique_ptr<operator_service>(new operator_service(hooks, settings, options));
+}
+
+operator_service::operator_service(const kernel_hooks& hooks, const vm_settings& settings, operator_options options)
+    : m_hooks(hooks)
+    , m_self(settings.self.id)
+    , m_options(options)
+{
+    m_port.apply = [this](const declaration& content, const answer& done) { apply(content, done); };
+    m_port.plan = [this](const declaration& content) { return plan(content); };
+    m_port.drain = [this](const drain_target& target, bool draining, bool force, const answer& done) {
+        drain(target, draining, force, done);
+    };
+    m_port.status = [this] { return status(); };
+    m_port.history = [this] { return m_control->state().history; };
+    m_port.declarationBackTo = [this](change_number earlier) { return declarationBackTo(earlier); };
+}
+
+service operator_service::asService()
+{
+    service item;
+    item.name = port_names::operators;
+    item.needs = { port_names::control, port_names::consensus, port_names::membership };
+    item.start = [this](registry& services) { return start(services); };
+    return item;
+}
+
+absl::Status operator_service::start(registry& services)
+{
+    m_services = &services;
+    m_control = *services.find<control_port>(port_names::control);
+    m_consensus = *services.find<consensus_port>(port_names::consensus);
+    m_membership = *services.find<membership_port>(port_names::membership);
+    m_membership->onHeartbeat(
+        [this](const vm_heartbeat& heartbeat, heartbeat_answer& reply) { answerHeartbeat(heartbeat, reply); });
+    m_membership->onAnswer(
+        [this](const heartbeat_answer& reply, time_point) { m_loads.receive(reply, m_hooks.now()); });
+    return services.publish(port_names::operators, m_port);
+}
+
+void operator_service::answerHeartbeat(const vm_heartbeat& heartbeat, heartbeat_answer& reply)
+{
+    if (std::exchange(m_ledTerm, reply.term) != reply.term)
+        m_loads.beginTerm(m_hooks.now());
+    m_loads.answer(m_control->state().config, heartbeat, reply, m_hooks.now());
+    reply.lowestInForce = findLowestInForce();
+}
+
+change_number operator_service::findLowestInForce() const
+{
+    change_number lowest = m_control->state().config.number;
+    for (const vm_report& report : m_membership->reports())
+        lowest = std::min(lowest, report.last.inForce);
+    return lowest;
+}
+
+std::optional<absl::StatusOr<command_result>> operator_service::judge(const declaration& content) const
+{
+    const control_snapshot& state = m_control->state();
+    if (content.replaces > state.config.number)
+        return absl::UnavailableError(absl::StrCat("change ", content.replaces.value(),
+            " is not in force here yet; this VM has ", state.config.number.value()));
+    const command_result numbers = judgeNumbers(state, content);
+    if (numbers.verdict != command_verdict::Accepted)
+        return numbers;
+    const declaration_plan planned = plan(content);
+    if (!planned.findings.empty())
+        return refused(planned.findings.format());
+    if (!m_options.refuseRisks)
+        return {};
+    const std::vector<std::string> risks = findUnacceptedRisks(planned, content);
+    if (!risks.empty())
+        return refused(absl::StrCat(
+            "the change puts promises at risk and does not accept that by name:\n", absl::StrJoin(risks, "\n")));
+    return {};
+}
+
+declaration_plan operator_service::plan(const declaration& content) const
+{
+    return planDeclaration(m_control->state(), content, { m_loads.known(m_hooks.now()), m_loads.loads() });
+}
+
+void operator_service::apply(const declaration& content, const answer& done)
+{
+    if (const auto judged = judge(content)) {
+        done(*judged);
+        return;
+    }
+    m_consensus->propose(apply_declaration { content }, m_options.proposalTimeout, done);
+}
+
+void operator_service::drain(const drain_target& target, bool draining, bool force, const answer& done)
+{
+    const control_snapshot& state = m_control->state();
+    if (draining && !isKnownTarget(state, target)) {
+        done(refused(absl::StrCat(describeTarget(target), " is not known")));
+        return;
+    }
+    if (draining && !force && m_options.refuseRisks && !state.drains.contains(target)) {
+        std::vector<std::string> reasons = findDrainRisks(state, target, m_loads.loads());
+        if (!m_loads.known(m_hooks.now()) && target.kind != drain_kind::Vm)
+            reasons.emplace_back("the load is not known now, so that nobody can tell what the rest would bear");
+        if (!reasons.empty()) {
+            done(refused(absl::StrJoin(reasons, "\n")));
+            return;
+        }
+    }
+    m_consensus->propose(set_drain { target, draining }, m_options.proposalTimeout, done);
+}
+
+absl::StatusOr<declaration> operator_service::declarationBackTo(change_number earlier) const
+{
+    const control_snapshot& state = m_control->state();
+    const absl::StatusOr<configuration> wanted = configurationAt(state, earlier);
+    if (!wanted.ok())
+        return wanted.status();
+    declaration back = declarationBetween(state.config, *wanted);
+    back.number = state.config.number.next();
+    back.replaces = state.config.number;
+    back.note = absl::StrCat("back to change ", earlier.value());
+    return back;
+}
+
+system_status operator_service::status() const
+{
+    const leadership led = m_consensus->state();
+    system_status shown;
+    shown.answeredBy = m_self;
+    shown.leader = led.leader;
+    shown.current = led.current;
+    shown.inForceHere = m_control->state().config.number;
+    shown.inForceEverywhere = m_membership->leadsFully() ? findLowestInForce() : m_loads.lowestInForce();
+    const auto alerts = m_services->find<alert_port>(port_names::alerts);
+    if (alerts.ok())
+        shown.alerts = (*alerts)->active();
+    addDetails(shown.details);
+    return shown;
+}
+
+void operator_service::addDetails(state_dump& details) const
+{
+    const control_snapshot& state = m_control->state();
+    details.add("upstreams", static_cast<std::uint64_t>(state.directory.size()));
+    details.add("load_known", m_loads.known(m_hooks.now()));
+    state_dump& allocators = details.addObject("allocators");
+    for (const auto& [region, record] : state.allocators)
+        allocators.add(region.value(), record.vm.value());
+    state_dump& shifts = details.addObject("shifts");
+    for (const auto& [id, record] : state.shifts) {
+        state_dump& shift = shifts.addObject(id.value());
+        shift.add("percent", static_cast<std::uint64_t>(record.percent));
+        shift.add("phase", phaseName(record.phase));
+        shift.add("setbacks", static_cast<std::uint64_t>(record.setbacks));
+    }
+    state_dump& avoided = details.addList("vms_avoided");
+    for (const vm_id& vm : m_membership->avoided())
+        avoided.add("vm", vm.value());
+    addDrains(details);
+    addCapacity(details);
+}
+
+void operator_service::addDrains(state_dump& details) const
+{
+    const control_snapshot& state = m_control->state();
+    state_dump& drains = details.addObject("drains");
+    for (const drain_target& target : state.drains) {
+        state_dump& shown = drains.addObject(describeTarget(target));
+        if (target.kind != drain_kind::Vm) {
+            shown.add("requests_per_second", runningAt(state, target, m_loads.loads()));
+            continue;
+        }
+        for (const vm_report& report : m_membership->reports()) {
+            if (report.last.vm.value() == target.name)
+                shown.add("requests_in_flight", report.last.requestsInFlight);
+        }
+    }
+}
+
+void operator_service::addCapacity(state_dump& details) const
+{
+    const control_snapshot& state = m_control->state();
+    state_dump& capacity = details.addObject("capacity");
+    for (const place_capacity& place : estimateCapacity({ state, state.config, state.drains, m_loads.loads() })) {
+        if (place.slots == 0 && place.demand == 0)
+            continue;
+        state_dump& shown
+            = capacity.addObject(absl::StrCat(place.service.value(), " in ", place.failureDomain.value()));
+        shown.add("slots", place.slots);
+        shown.add("requests_at_once", place.demand);
+    }
+}
+
+} // namespace plantainlatch
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -103,6 +103,22 @@
     }
 };
 
+/** How much work of one service runs in one failure domain, as the VMs measured it together. */
+struct service_load {
+    service_id service;
+    failure_domain_id failureDomain;
+    /** Requests a second. */
+    double perSecond = 0;
+    duration latency {};
+
+    friend bool operator==(const service_load&, const service_load&) = default;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.service, self.failureDomain, self.perSecond, self.latency);
+    }
+};
+
 /** The leader's answer: the allocator leases that the VM may rely on, and its shift budgets, from when it sent the
  * heartbeat. */
 struct heartbeat_answer {
@@ -118,11 +134,16 @@
     std::vector<shift_allowance> allowances;
     /** The start of the VM that is answered. */
     incarnation start;
+    /** The leader has fresh measurements, so that a place without a load has none. */
+    bool loadsKnown = false;
+    std::vector<service_load> loads;
+    /** The lowest configuration in force on any VM that the leader hears from. */
+    change_number lowestInForce;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.sequence, self.term, self.allocatorLease, self.leased, self.avoided, self.allowanceLease,
-            self.allowances, self.start);
+            self.allowances, self.start, self.loadsKnown, self.loads, self.lowestInForce);
     }
 };
 
--- a/src/ports/operator_port.h
+++ b/src/ports/operator_port.h
@@ -57,6 +57,9 @@
         drain;
     std::function<system_status()> status;
     std::function<std::vector<history_record>()> history;
+    /** A new change that leads from the configuration in force back to that of an earlier number; NotFound when the
+     * history no longer reaches it. */
+    std::function<absl::StatusOr<declaration>(change_number earlier)> declarationBackTo;
 };
 
 } // namespace plantainlatch
--- a/src/ports/port_names.h
+++ b/src/ports/port_names.h
@@ -38,4 +38,7 @@
 /** shift_port: shares and shifts. */
 inline constexpr const char* shifts = "shifts";
 
+/** alert_port: promises at risk. */
+inline constexpr const char* alerts = "alerts";
+
 } // namespace plantainlatch::port_names
