--- /dev/null
+++ b/test/integration/network_fault_test.cpp
@@ -0,0 +1,93 @@
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "integration/test_system.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    const std::string stopBoth = R"({"stop_up":true,"stop_down":true})";
+    const std::string noFaults = "{}";
+
+    class network_fault_fixture {
+    protected:
+        network_fault_fixture() { system.start(); }
+
+        /** Cuts a VM off from all others silently, or heals that. */
+        void setPartition(int vm, const std::string& faults)
+        {
+            system.setFaults(absl::StrCat("peer-", vm, "-*"), faults);
+            for (int other = 1; other <= system.vmCount(); ++other) {
+                if (other != vm)
+                    system.setFaults(absl::StrCat("peer-", other, "-", vm), faults);
+            }
+        }
+
+        std::string noteOf(int vm, int number)
+        {
+            const auto answer = system.caller().send(system.callerAddress(vm), { "GET", "/v1/history" });
+            const nlohmann::json json = answer ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
+            for (const nlohmann::json& item : json.is_object() ? json["history"] : nlohmann::json::array()) {
+                if (item.value("number", 0) == number)
+                    return item.value("note", "");
+            }
+            return "";
+        }
+
+        test_system system { { 4, true } };
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(network_fault_fixture, "partitioned_leader.operators_race.one_change_wins_everywhere")
+{
+    const int leader = system.leaderKnownBy(4);
+    REQUIRE(leader > 0);
+    const int other = leader == 1 ? 2 : 1;
+    setPartition(leader, stopBoth);
+    test_system::waitUntil("another leader", std::chrono::seconds(15), [&] {
+        const int known = system.leaderKnownBy(other);
+        return known != 0 && known != leader;
+    });
+    CHECK(system.apply(leader, test_system::harmlessDeclaration(2, 1, "lost"), std::chrono::seconds(2)) != 0);
+    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "won"), std::chrono::seconds(5)) == 0);
+    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "won"), std::chrono::seconds(5)) == 0);
+    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "late"), std::chrono::seconds(5)) == 1);
+    setPartition(leader, noFaults);
+    for (int vm = 1; vm <= system.vmCount(); ++vm) {
+        system.waitUntilCurrent(vm, 2);
+        CHECK(noteOf(vm, 2) == "won");
+    }
+}
+
+TEST_CASE_METHOD(network_fault_fixture, "silent_connections.to_upstreams.cost_no_request_and_no_double_run")
+{
+    system.startUpstreams(6, false);
+    load_run load = system.startLoad(40, std::chrono::seconds(8), "70,30,0");
+    pause(std::chrono::seconds(2));
+    system.commandProxy("upstream-*", "silence-open");
+    pause(std::chrono::seconds(3));
+    system.commandProxy("upstream-*", "silence-open");
+    const nlohmann::json report = system.finishLoad(load);
+    INFO(report.dump(2));
+    CHECK(report["answered"] == report["sent"]);
+    CHECK(report["foreign_answers"] == 0);
+    // Keyed work that was on a connection when it went silent stays unknown; nothing may run twice.
+    CHECK(report["served_by_kind"]["idempotent"] == report["sent_by_kind"]["idempotent"]);
+    CHECK(report["outcomes"].value("unknown", 0U) <= 10);
+    CHECK(system.runTwice() == 0);
+}
+
+TEST_CASE_METHOD(network_fault_fixture, "truncated_answers.from_an_upstream.never_reach_a_caller")
+{
+    system.startUpstreams(6, false, { "--answer-bytes", "2000" });
+    system.setFaults("upstream-1", R"({"truncate_after":700})");
+    load_run load = system.startLoad(40, std::chrono::seconds(5), "100,0,0");
+    const nlohmann::json report = system.finishLoad(load);
+    INFO(report.dump(2));
+    CHECK(report["served"] == report["sent"]);
+    CHECK(report["foreign_answers"] == 0);
+}
+
+} // namespace plantainlatch
--- a/tools/upstream_standin/main.cpp
+++ b/tools/upstream_standin/main.cpp
@@ -48,14 +48,19 @@
         }
 
     private:
+        static network_address addressOf(network_address first, std::uint32_t index)
+        {
+            first.port = static_cast<std::uint16_t>(first.port + index);
+            return first;
+        }
+
         upstream_announcement announcementOf(std::uint32_t index, upstream_generation generation) const
         {
             upstream_announcement self;
             self.id = upstream_id(absl::StrCat(m_options.idPrefix, "-", index + 1));
             self.generation = generation;
             self.service = m_options.service;
-            self.address = m_options.firstAddress;
-            self.address.port = static_cast<std::uint16_t>(self.address.port + index);
+            self.address = addressOf(m_options.firstAddress, index);
             const standin_place& place = m_options.places[index % m_options.places.size()];
             self.region = place.region;
             self.failureDomain = place.failureDomain;
--- a/tools/upstream_standin/standin_options.cpp
+++ b/tools/upstream_standin/standin_options.cpp
@@ -85,6 +85,7 @@
             { "id", "PREFIX", "upstreams are named PREFIX-1, PREFIX-2, ... (default: the service)" },
             { "count", "N", "how many upstreams live in this process", "1" },
             { "address", "IP:PORT", "of the first one; the next ones take the next ports", {}, false, true },
+            { "announce", "IP:PORT", "what to announce instead of --address, for a proxy before it" },
             { "place", "REGION/FAILURE_DOMAIN", "where it is; several are taken in turn", {}, true, true },
             { "entry", "IP:PORT", "an entry to announce to; the next one is tried when it fails", {}, true },
             { "slots", "N", "requests that run at once", "4" },
@@ -119,6 +120,9 @@
     const std::vector<network_address> addresses = line.addresses("address", reader.status);
     if (!addresses.empty())
         options.firstAddress = addresses.front();
+    const std::vector<network_address> announced = line.addresses("announce", reader.status);
+    if (!announced.empty())
+        options.announcedAddress = announced.front();
     if (options.firstAddress.port + options.count > std::numeric_limits<std::uint16_t>::max())
         reader.fail("--address leaves too few ports");
     readPlaces(reader, options);
--- a/tools/upstream_standin/standin_options.h
+++ b/tools/upstream_standin/standin_options.h
@@ -43,6 +43,8 @@
     std::uint32_t count = 1;
     /** Of the first one; the next ones follow on the next ports. */
     network_address firstAddress;
+    /** What the first one announces as its address, if it is reached through another one; the next ports follow. */
+    std::optional<network_address> announcedAddress;
     /** Taken in turn. */
     std::vector<standin_place> places;
     std::vector<network_address> entries;
