--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -43,7 +43,7 @@
 {
     service item;
     item.name = port_names::slots;
-    item.needs = { port_names::control, port_names::membership, port_names::liveness, port_names::shifts,
+    item.needs = { port_names::control, port_names::membership, port_names::directory, port_names::shifts,
         port_names::peerRouter, port_names::upstreams };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
