Keep a caller's own call name from an upstream; run both users' arrangements whole

A request that carried X-Plantainlatch-Call was sent on with two such fields; the upstream echoed the caller's, so each answer was taken for a crossed one (502, unknown).

--- a/apps/common/run_app.sh
+++ b/apps/common/run_app.sh
@@ -129,10 +129,9 @@
     [ "$twice" = 0 ] || fail "$1: $twice requests ran twice"
 }
 
-# Sends SIGTERM to a process and checks that it ends with 0 in time: NAME PID
-stop_gracefully() {
+# Checks that a process that got SIGTERM ends with 0 in time: NAME PID
+wait_for_stop() {
     local end=$((SECONDS + stop_limit))
-    kill -TERM "$2"
     while kill -0 "$2" 2>/dev/null; do
         if [ $SECONDS -ge $end ]; then
             fail "$1 did not stop within $stop_limit s"
@@ -156,7 +155,7 @@
         kill -TERM "${serve_pids[$vm]}"
     done
     for vm in "${!serve_pids[@]}"; do
-        stop_gracefully "$vm" "${serve_pids[$vm]}"
+        wait_for_stop "$vm" "${serve_pids[$vm]}"
     done
     serve_pids=()
 }
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -41,6 +41,13 @@
         return found != methods.end() ? std::optional(found->second) : std::nullopt;
     }
 
+    /** Fields that each call writes itself, whatever the caller sent. */
+    bool isWrittenByCall(const std::string& name)
+    {
+        return http_fields::sameName(name, http_fields::call)
+            || http_fields::sameName(name, http_fields::requestTimeout);
+    }
+
     call_failure failureOf(evhttp_request_error error)
     {
         switch (error) {
@@ -143,12 +150,11 @@
     });
     evkeyvalq* output = evhttp_request_get_output_headers(request);
     for (const header_field& field : item.call.headers) {
-        if (!http_fields::isHopByHop(field.name))
+        if (!http_fields::isHopByHop(field.name) && !isWrittenByCall(field.name))
             evhttp_add_header(output, field.name.c_str(), field.value.c_str());
     }
     if (http_fields::find(item.call.headers, "Host") == nullptr)
         evhttp_add_header(output, "Host", formatAddress(item.call.address).c_str());
-    evhttp_remove_header(output, http_fields::requestTimeout);
     evhttp_add_header(output, http_fields::requestTimeout, http_fields::formatSeconds(item.call.timeout).c_str());
     evhttp_add_header(output, http_fields::call, item.name.c_str());
     if (!item.call.body.empty()) {
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -132,6 +132,19 @@
     REQUIRE(upstream.accepted == 2);
 }
 
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.callers_own_call_name.is_not_passed_on")
+{
+    std::string received;
+    upstream.onRequest = [&](std::size_t connection, const std::string& text) {
+        received = text;
+        upstream.send(connection, smallAnswer);
+    };
+    upstream_call call = callTo(upstream.address());
+    call.headers = { { "x-plantainlatch-call", "forged" }, { "X-Request-Timeout", "77" }, { "X-Kept", "yes" } };
+    REQUIRE(run(std::move(call)).answer.has_value());
+    CHECK_THAT(received, Catch::Contains("X-Kept: yes") && !Catch::Contains("forged") && !Catch::Contains("77"));
+}
+
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.late_answer.times_out_and_never_reaches_the_next_call")
 {
     upstream.onRequest = [&](std::size_t connection, const std::string&) {
