--- a/src/decision/vm/steering_vm.cpp
+++ b/src/decision/vm/steering_vm.cpp
@@ -34,6 +34,8 @@
     make(status, vm->m_slots, hooks, settings, options.slots);
     make(status, vm->m_requests, hooks, settings, options.requests);
     make(status, vm->m_entryList, hooks, settings, options.entryList);
+    make(status, vm->m_alerts, hooks, settings, options.alerts);
+    make(status, vm->m_operators, hooks, settings, options.operators);
     if (!status.ok())
         return status;
     return vm;
@@ -50,6 +52,8 @@
     core.add(m_slots->asService());
     core.add(m_requests->asService());
     core.add(m_entryList->asService());
+    core.add(m_alerts->asService());
+    core.add(m_operators->asService());
 }
 
 } // namespace plantainlatch
--- a/src/decision/vm/steering_vm.h
+++ b/src/decision/vm/steering_vm.h
@@ -11,10 +11,12 @@
 
 #include "absl/status/statusor.h"
 #include "decision/consensus/consensus_service.h"
+#include "decision/control/alert_service.h"
 #include "decision/control/control_service.h"
 #include "decision/control/directory_service.h"
 #include "decision/control/entry_list_service.h"
 #include "decision/control/membership_service.h"
+#include "decision/control/operator_service.h"
 #include "decision/control/shift_service.h"
 #include "decision/peers/peer_router.h"
 #include "decision/request/request_service.h"
@@ -33,6 +35,8 @@
     shift_options shifts;
     slot_options slots;
     request_options requests;
+    operator_options operators;
+    alert_options alerts;
     entry_list_options entryList;
 };
 
@@ -60,6 +64,8 @@
     std::unique_ptr<slot_service> m_slots;
     std::unique_ptr<request_service> m_requests;
     std::unique_ptr<entry_list_service> m_entryList;
+    std::unique_ptr<operator_service> m_operators;
+    std::unique_ptr<alert_service> m_alerts;
 };
 
 } // namespace plantainlatch
