--- a/src/decision/control/key_table.cpp
+++ b/src/decision/control/key_table.cpp
@@ -111,8 +111,11 @@
     const auto existing = keys.find(name);
     if (existing != keys.end())
         return existingFinding(existing->second, claimed, command);
-    if (keys.size() >= limits.keys)
-        return refused(absl::StrCat("the table of idempotency keys is full at ", limits.keys));
+    if (keys.size() >= limits.keys) {
+        command_result full = refused(absl::StrCat("the table of idempotency keys is full at ", limits.keys));
+        full.claim = claim_finding::TableFull;
+        return full;
+    }
     keys.emplace(name, newRecord(claimed, command));
     return found(claim_finding::Claimed);
 }
--- a/src/decision/request/key_claims.cpp
+++ b/src/decision/request/key_claims.cpp
@@ -24,6 +24,8 @@
             return claim_state::Unknown;
         case claim_finding::Reused:
             return claim_state::Reused;
+        case claim_finding::TableFull:
+            return claim_state::TableFull;
         }
         internal_assert(false) << "claim finding " << static_cast<int>(finding);
         return claim_state::Unresolved;
@@ -32,10 +34,6 @@
     claim_answer answerOf(const held_key& held, const command_result& result)
     {
         claim_answer answer;
-        if (!result.claim) {
-            answer.state = claim_state::TableFull;
-            return answer;
-        }
         answer.state = stateOf(*result.claim);
         answer.answer = result.answer;
         if (answer.state == claim_state::Claimed)
@@ -121,11 +119,12 @@
 void key_claims::finishClaim(const open_claim& claim, const absl::StatusOr<command_result>& result)
 {
     const held_key held { claim.name, *claim.id };
-    if (result.ok()) {
+    if (result.ok() && result->claim) {
         claim.done(answerOf(held, *result));
         return;
     }
-    if (result.status().code() != absl::StatusCode::kUnavailable)
+    // A claim that was refused without a finding may have been applied before under the same id.
+    if (!absl::IsUnavailable(result.status()))
         watchLateClaim(held);
     claim.done({});
 }
@@ -195,7 +194,7 @@
     if (position == m_settlements.end())
         return;
     owed_settlement& owed = position->second;
-    if (result.ok() || owed.giveUp <= m_hooks.now()) {
+    if (isTaken(owed, result) || owed.giveUp <= m_hooks.now()) {
         endSettlement(number);
         return;
     }
@@ -204,6 +203,13 @@
     m_hooks.schedule(delay, guarded([this, number] { proposeSettlement(number); }));
 }
 
+bool key_claims::isTaken(owed_settlement& owed, const absl::StatusOr<command_result>& result)
+{
+    if (!result.ok())
+        return false;
+    return result->verdict != command_verdict::Refused || ++owed.refusals >= refusalsToEnd;
+}
+
 void key_claims::endSettlement(std::uint64_t number)
 {
     m_settlements.erase(number);
--- a/src/decision/request/key_claims.h
+++ b/src/decision/request/key_claims.h
@@ -57,6 +57,10 @@
     static constexpr duration proposalTimeout = std::chrono::seconds(2);
     static constexpr duration firstRetryDelay = std::chrono::milliseconds(200);
     static constexpr duration maximumRetryDelay = std::chrono::seconds(5);
+    /** A settlement that was refused so often is one that had been applied; once may mean that its proposal was too
+     * old.
+     */
+    static constexpr int refusalsToEnd = 3;
 
     static std::unique_ptr<key_claims> create(const kernel_hooks& hooks, consensus_port& consensus,
         control_port& control, std::function<bool()> releasesLateClaims);
@@ -84,6 +88,7 @@
         settle_key command;
         time_point giveUp;
         duration nextDelay = firstRetryDelay;
+        int refusals = 0;
     };
     struct late_claim {
         held_key held;
@@ -101,6 +106,7 @@
     void scheduleLook();
     void proposeSettlement(std::uint64_t number);
     void onSettlement(std::uint64_t number, const absl::StatusOr<command_result>& result);
+    static bool isTaken(owed_settlement& owed, const absl::StatusOr<command_result>& result);
     void endSettlement(std::uint64_t number);
     std::function<void()> guarded(std::function<void()> work) const;
 
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -234,6 +234,8 @@
     Unknown,
     /** The key was used with another request. */
     Reused,
+    /** Nobody holds the key, and there is no room for it. */
+    TableFull,
 };
 
 /** The result of applying one command; the same on every VM. */
--- a/test/correctness/key_table_test.cpp
+++ b/test/correctness/key_table_test.cpp
@@ -102,7 +102,7 @@
     limits.keys = 3;
     for (std::uint64_t i = 1; i <= 3; ++i)
         REQUIRE(claim(i, "order-" + std::to_string(i)).claim == claim_finding::Claimed);
-    REQUIRE(claim(4, "order-4").verdict == command_verdict::Refused);
+    REQUIRE(claim(4, "order-4").claim == claim_finding::TableFull);
     REQUIRE(claim(5, "order-1").claim == claim_finding::InProgress);
     now += 60s;
     REQUIRE(claim(6, "order-4").claim == claim_finding::Claimed);
