--- /dev/null
+++ b/test/random/fake_operators.cpp
@@ -0,0 +1,151 @@
+#include "fake_operators.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration patience = 4s;
+
+    bool isAccepted(const absl::StatusOr<command_result>& result)
+    {
+        return result.ok()
+            && (result->verdict == command_verdict::Accepted || result->verdict == command_verdict::AlreadyAccepted);
+    }
+
+} // namespace
+
+void fake_operators::accept(const declaration& content)
+{
+    const auto [item, isNew] = m_accepted.emplace(content.number, content);
+    if (!isNew && !(item->second == content))
+        m_journal.violate("two contents accepted under number " + std::to_string(content.number.value()));
+}
+
+void fake_operators::declareFirst(const declaration& first)
+{
+    consensus_port* log = pickLog();
+    if (log != nullptr) {
+        log->propose(apply_declaration { first }, patience, [this, first](const auto& result) {
+            if (result.ok() && result->verdict == command_verdict::Refused)
+                m_journal.violate("the first declaration is refused: " + result->message);
+            if (isAccepted(result))
+                accept(first);
+        });
+    }
+    m_runtime.schedule(patience + 1s, [this, first] {
+        if (!isDeclared())
+            declareFirst(first);
+    });
+}
+
+void fake_operators::start()
+{
+    m_active = true;
+    act();
+}
+
+void fake_operators::act()
+{
+    if (!m_active)
+        return;
+    if (isDeclared() && m_runtime.random() % 3 == 0)
+        drainUpstream();
+    else if (isDeclared())
+        raceDeclarations();
+    m_runtime.schedule(500ms + duration(m_runtime.random() % duration(4s).count()), [this] { act(); });
+}
+
+declaration fake_operators::nextDeclaration()
+{
+    declaration content;
+    content.replaces = pickedState().config.number;
+    content.number = content.replaces.next();
+    content.note = "note " + std::to_string(++m_lastNote);
+    // A shift begins, or the present one is withdrawn: its cap is what the runner watches.
+    shift_definition shift { shift_id("move"), service_id("booking"), failure_domain_id("a1"), failure_domain_id("b1"),
+        50, 5, 25, 1s };
+    const bool exists = pickedState().config.shifts.contains(shift.id);
+    (exists ? content.shifts.withdrawn : content.shifts.added).push_back({ shift, {} });
+    return content;
+}
+
+void fake_operators::raceDeclarations()
+{
+    const int rivals = m_runtime.random() % 2 == 0 ? 2 : 1;
+    for (int i = 0; i < rivals; ++i) {
+        if (pickLog() != nullptr)
+            apply(nextDeclaration(), 2);
+    }
+}
+
+void fake_operators::apply(const declaration& content, int resends)
+{
+    consensus_port* log = pickLog();
+    if (log == nullptr)
+        return;
+    m_journal.note("operator declares " + std::to_string(content.number.value()) + ", " + content.note);
+    log->propose(apply_declaration { content }, patience, [this, content, resends](const auto& result) {
+        if (isAccepted(result))
+            accept(content);
+        // The answer may have been lost; a resend of the same change must change nothing.
+        if (resends > 0 && (!result.ok() || m_runtime.random() % 4 == 0))
+            m_runtime.schedule(1ms, [this, content, resends] { apply(content, resends - 1); });
+    });
+}
+
+void fake_operators::drainUpstream()
+{
+    const upstream_id id = m_upstreams.idOf(m_runtime.random() % m_upstreams.size());
+    setDrain(id, !m_drains[id]);
+}
+
+void fake_operators::setDrain(const upstream_id& id, bool draining)
+{
+    consensus_port* log = pickLog();
+    if (log == nullptr)
+        return;
+    if (!draining)
+        m_upstreams.noteDrain(id, false);
+    m_drains[id] = draining;
+    m_journal.note(std::string(draining ? "drain of " : "end of the drain of ") + id.value());
+    log->propose(set_drain { { drain_kind::Upstream, id.value() }, draining }, patience,
+        [this, id, draining](const auto& result) {
+            if (isAccepted(result) && draining && m_drains[id])
+                m_upstreams.noteDrain(id, true);
+        });
+}
+
+void fake_operators::endDrains()
+{
+    for (const auto& [id, draining] : m_drains)
+        setDrain(id, false);
+}
+
+void fake_operators::probe(std::function<void(bool accepted)> done)
+{
+    consensus_port* log = pickLog();
+    if (log == nullptr) {
+        done(false);
+        return;
+    }
+    const declaration content = nextDeclaration();
+    log->propose(apply_declaration { content }, patience, [this, content, done](const auto& result) {
+        if (isAccepted(result))
+            accept(content);
+        done(isAccepted(result));
+    });
+}
+
+void fake_operators::check(const vm_id& vm, const std::vector<history_record>& history)
+{
+    for (const history_record& record : history) {
+        const auto accepted = m_accepted.emplace(record.content.number, record.content).first;
+        if (!(accepted->second == record.content))
+            m_journal.violate(
+                vm.value() + " has another content under number " + std::to_string(record.content.number.value()));
+    }
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/random/fake_upstreams.cpp
@@ -0,0 +1,301 @@
+#include "fake_upstreams.h"
+
+#include <algorithm>
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration networkDelay = 2ms;
+
+    bool isWrite(const upstream_call& call) { return call.method != "GET"; }
+
+    bool isCrashing(const upstream_call& call) { return call.target.find("crash") != std::string::npos; }
+
+} // namespace
+
+fake_upstreams::fake_upstreams(paused_runtime& runtime, run_journal& journal)
+    : m_runtime(runtime)
+    , m_journal(journal)
+{
+}
+
+void fake_upstreams::add(upstream_announcement announced)
+{
+    m_upstreams.push_back(std::make_unique<upstream_state>());
+    m_upstreams.back()->announced = std::move(announced);
+    announce(m_upstreams.back()->announced.id);
+}
+
+fake_upstreams::upstream_state* fake_upstreams::find(const upstream_id& id)
+{
+    const auto found = std::find_if(
+        m_upstreams.begin(), m_upstreams.end(), [&id](const auto& item) { return item->announced.id == id; });
+    return found == m_upstreams.end() ? nullptr : found->get();
+}
+
+fake_upstreams::upstream_state* fake_upstreams::findAddress(const network_address& address)
+{
+    const auto found = std::find_if(m_upstreams.begin(), m_upstreams.end(),
+        [&address](const auto& item) { return item->announced.address == address; });
+    return found == m_upstreams.end() ? nullptr : found->get();
+}
+
+void fake_upstreams::announce(const upstream_id& id)
+{
+    upstream_state* upstream = find(id);
+    directory_port* directory = pickDirectory ? pickDirectory() : nullptr;
+    if (upstream->up && !upstream->hasLeft && directory != nullptr)
+        directory->announce(upstream->announced, [](const absl::Status&) {});
+    const duration wait = directory != nullptr ? directory->renewalInterval() : duration(500ms);
+    m_runtime.schedule(wait, [this, id] { announce(id); });
+}
+
+upstream_port fake_upstreams::attach(const vm_id& vm, const process_life& life)
+{
+    const std::weak_ptr<bool> alive = life;
+    upstream_port port;
+    port.start = [this, vm, alive](
+                     upstream_call call, call_events events) { start(vm, alive, std::move(call), std::move(events)); };
+    port.cancel = [this, vm](call_id id) { cancel(vm, id); };
+    port.poll = [this, vm, alive](const network_address& address, duration timeout,
+                    std::function<void(absl::StatusOr<load_report>)> done) {
+        const upstream_state* upstream = findAddress(address);
+        const bool isLost = upstream == nullptr || !upstream->up || !reaches(vm, upstream->announced.region)
+            || happens(faults.missingReportPerMille);
+        load_report report;
+        report.running = isLost || happens(faults.lyingReportPerMille) ? 0 : upstream->running;
+        m_runtime.schedule(isLost ? timeout : 2 * networkDelay, [alive, isLost, report, done = std::move(done)] {
+            if (alive.expired())
+                return;
+            if (isLost)
+                done(absl::DeadlineExceededError("no load report"));
+            else
+                done(report);
+        });
+    };
+    port.forget = [](const network_address&) {};
+    return port;
+}
+
+void fake_upstreams::start(const vm_id& vm, const std::weak_ptr<bool>& life, upstream_call call, call_events events)
+{
+    const auto open = std::make_shared<open_call>();
+    open->call = std::move(call);
+    open->events = std::move(events);
+    open->vm = vm;
+    open->life = life;
+    open->upstream = findAddress(open->call.address);
+    m_calls[{ vm, open->call.id }] = open;
+    m_runtime.schedule(open->call.timeout, [this, open] {
+        if (!open->ended)
+            fail(open, call_failure::Timeout);
+    });
+    const bool isPooled = !open->call.freshConnection && m_idleConnections.erase({ vm, open->call.upstream }) > 0;
+    if (!isPooled)
+        m_silent.erase({ vm, open->call.upstream });
+    m_runtime.schedule(isPooled ? duration(0) : 2 * networkDelay, [this, open, isPooled] {
+        if (open->ended || open->life.expired())
+            return;
+        const bool isRefused = open->upstream == nullptr || !open->upstream->up;
+        if (!isPooled && (isRefused || !reachesNow(*open)))
+            fail(open, call_failure::ConnectFailed);
+        else
+            offer(open);
+    });
+}
+
+void fake_upstreams::offer(const call_pointer& call)
+{
+    call->events.onFirstByte();
+    if (call->ended || m_silent.contains({ call->vm, call->call.upstream }) || !reachesNow(*call))
+        return;
+    m_runtime.schedule(networkDelay, [this, call] { arrive(call); });
+}
+
+bool fake_upstreams::sheds(const call_pointer& call)
+{
+    if (!happens(faults.shedPerMille))
+        return false;
+    upstream_answer refusal { 503, { { "X-Plantainlatch-Not-Run", "1" } }, "busy" };
+    answer(call, std::move(refusal));
+    return true;
+}
+
+void fake_upstreams::arrive(const call_pointer& call)
+{
+    upstream_state& upstream = *call->upstream;
+    if (!upstream.up) {
+        fail(call, call_failure::Lost);
+        return;
+    }
+    if (sheds(call))
+        return;
+    checkStart(*call);
+    ++upstream.running;
+    ++m_runs[call->call.target];
+    call->running = true;
+    call->upstreamLife = upstream.life;
+    if (isCrashing(call->call)) {
+        ++m_crashes[call->call.target];
+        crash(upstream.announced.id, 2s);
+        return;
+    }
+    m_runtime.schedule(std::min(workTime(upstream), call->call.timeout), [this, call] { complete(call); });
+}
+
+void fake_upstreams::checkStart(const open_call& call)
+{
+    const upstream_state& upstream = *call.upstream;
+    const std::string where = upstream.announced.id.value() + " from " + call.vm.value() + " for " + call.call.target;
+    m_journal.note("run on " + where);
+    if (upstream.running >= upstream.announced.slots.value())
+        m_journal.violate("more work than slots on " + where);
+    if (upstream.mustBeIdleFrom && m_runtime.now() > *upstream.mustBeIdleFrom)
+        m_journal.violate("new work after leaving on " + where);
+    if (isWrite(call.call) && m_runs[call.call.target] > 0)
+        m_journal.violate("second run of " + where);
+    if (m_notRun.contains(call.call.target))
+        m_journal.violate("a run after the answer not-run on " + where);
+}
+
+duration fake_upstreams::workTime(const upstream_state& upstream)
+{
+    duration work = 20ms + duration(m_runtime.random() % duration(60ms).count());
+    if (m_runtime.now() < upstream.coldUntil)
+        work *= 5;
+    return happens(faults.slowPerMille) ? work + 1500ms : work;
+}
+
+void fake_upstreams::complete(const call_pointer& call)
+{
+    if (!call->running || call->upstreamLife != call->upstream->life)
+        return;
+    stopRunning(call);
+    answer(call, { 200, {}, "answer to " + call->call.target });
+}
+
+void fake_upstreams::stopRunning(const call_pointer& call)
+{
+    if (!call->running)
+        return;
+    call->running = false;
+    if (call->upstreamLife == call->upstream->life)
+        --call->upstream->running;
+}
+
+void fake_upstreams::answer(const call_pointer& call, upstream_answer content)
+{
+    if (!reachesNow(*call))
+        return;
+    m_runtime.schedule(networkDelay, [this, call, content = std::move(content)] {
+        if (call->ended || call->life.expired() || !reachesNow(*call))
+            return;
+        call->ended = true;
+        m_calls.erase({ call->vm, call->call.id });
+        m_idleConnections.insert({ call->vm, call->call.upstream });
+        call->events.onAnswer(content);
+    });
+}
+
+void fake_upstreams::fail(const call_pointer& call, call_failure failure)
+{
+    if (call->ended || call->life.expired())
+        return;
+    cancel(call->vm, call->call.id);
+    call->events.onFailure(failure);
+}
+
+void fake_upstreams::cancel(const vm_id& vm, call_id id)
+{
+    const auto found = m_calls.find({ vm, id });
+    if (found == m_calls.end())
+        return;
+    const call_pointer call = found->second;
+    m_calls.erase(found);
+    call->ended = true;
+    // The end of a connection is seen a little later, and not at all across a partition: the deadline ends work there.
+    if (call->upstream != nullptr && reachesNow(*call))
+        m_runtime.schedule(networkDelay, [this, call] { stopRunning(call); });
+}
+
+void fake_upstreams::crash(const upstream_id& id, duration downTime)
+{
+    upstream_state& upstream = *find(id);
+    if (!upstream.up)
+        return;
+    m_journal.note("crash of upstream " + id.value());
+    upstream.up = false;
+    ++upstream.life;
+    upstream.running = 0;
+    std::vector<call_pointer> lost;
+    for (const auto& [key, call] : m_calls) {
+        if (call->upstream == &upstream && call->running && reachesNow(*call))
+            lost.push_back(call);
+    }
+    for (const call_pointer& call : lost)
+        m_runtime.schedule(networkDelay, [this, call] { fail(call, call_failure::Lost); });
+    m_runtime.schedule(downTime, [this, id] { comeBack(id); });
+}
+
+void fake_upstreams::comeBack(const upstream_id& id)
+{
+    upstream_state& upstream = *find(id);
+    upstream.announced.generation = upstream.announced.generation.next();
+    upstream.coldUntil = m_runtime.now() + 2s;
+    upstream.mustBeIdleFrom.reset();
+    upstream.hasLeft = false;
+    upstream.up = true;
+    m_journal.note("upstream " + id.value() + " is back");
+}
+
+void fake_upstreams::leave(const upstream_id& id, duration awayTime)
+{
+    upstream_state& upstream = *find(id);
+    directory_port* directory = pickDirectory();
+    if (!upstream.up || upstream.hasLeft || directory == nullptr)
+        return;
+    upstream.hasLeft = true;
+    const upstream_generation generation = upstream.announced.generation;
+    directory->leave(id, generation, [this, id, generation](const absl::Status& status) {
+        upstream_state& left = *find(id);
+        if (!status.ok() || left.announced.generation != generation)
+            return;
+        m_journal.note("goodbye of upstream " + id.value() + " accepted");
+        left.mustBeIdleFrom = m_runtime.now() + leaveLimit;
+    });
+    m_runtime.schedule(awayTime, [this, id] {
+        if (find(id)->hasLeft && find(id)->up)
+            comeBack(id);
+    });
+}
+
+void fake_upstreams::noteDrain(const upstream_id& id, bool draining)
+{
+    upstream_state& upstream = *find(id);
+    upstream.mustBeIdleFrom.reset();
+    if (draining)
+        upstream.mustBeIdleFrom = m_runtime.now() + leaveLimit;
+}
+
+void fake_upstreams::calm()
+{
+    faults = {};
+    m_silent.clear();
+}
+
+int fake_upstreams::runsOf(const std::string& target) const
+{
+    const auto found = m_runs.find(target);
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+int fake_upstreams::crashesBy(const std::string& target) const
+{
+    const auto found = m_crashes.find(target);
+    return found == m_crashes.end() ? 0 : found->second;
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/random/simulated_vm.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/** \file
+ * One whole VM of a randomised run: its disk stays while its processes come and go.
+ */
+
+#include <memory>
+
+#include "decision/vm/steering_vm.h"
+#include "fake_callers.h"
+#include "fake_upstreams.h"
+#include "ports/port_names.h"
+#include "support/fake_disk.h"
+#include "support/fake_network.h"
+
+namespace plantainlatch {
+
+/** What the processes of all VMs of a run share. */
+struct simulated_world {
+    paused_runtime& runtime;
+    fake_network& network;
+    fake_upstreams& upstreams;
+    const std::vector<vm_record>& records;
+    const steering_options& options;
+};
+
+/** A VM and its present process, if one runs. */
+struct simulated_vm {
+    vm_record record;
+    std::unique_ptr<fake_disk> disk;
+
+    process_life life;
+    peer_port peers;
+    storage_port storage;
+    upstream_port calls;
+    std::unique_ptr<steering_vm> decisions;
+    std::unique_ptr<kernel> core;
+    consensus_port* log = nullptr;
+    control_port* control = nullptr;
+    directory_port* directory = nullptr;
+    request_port* requests = nullptr;
+    shift_port* shifts = nullptr;
+    /** The highest that this process has shown. */
+    log_index highestApplied;
+    change_number highestNumber;
+    bool stopping = false;
+
+    bool running() const { return life != nullptr; }
+    /** Starts a process; its disk may refuse. */
+    absl::Status start(const simulated_world& world);
+    /** The process ends at once; what it had not synced may be lost. */
+    void kill();
+
+private:
+    absl::Status startServices();
+};
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/random/vm_runner.cpp
@@ -0,0 +1,553 @@
+#include "vm_runner.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "core/internal_assert.h"
+#include "simulated_vm.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration stepTime = 100ms;
+    constexpr duration callInterval = 25ms;
+    constexpr duration capWindow = 1s;
+    /** Replicas whose disks may be lost or full at once without a loss of agreed changes. */
+    constexpr int tolerableDiskFaults = 2;
+    constexpr std::array<const char*, 6> domains { "a1", "b1", "c1", "a2", "b2", "c2" };
+
+    region_id regionOfDomain(const std::string& domain) { return region_id(domain.substr(0, 1)); }
+
+    declaration firstDeclaration()
+    {
+        declaration first;
+        first.number = change_number(1);
+        for (const char* region : { "a", "b", "c" }) {
+            const std::string name = region;
+            region_definition item { region_id(name),
+                { failure_domain_id(name + "1"), failure_domain_id(name + "2") } };
+            first.regions.added.push_back({ item, {} });
+        }
+        for (const char* name : { "booking", "billing" }) {
+            service_definition item;
+            item.id = service_id(name);
+            item.slots = slot_count(std::string(name) == "booking" ? 4 : 2);
+            item.connections = 100;
+            item.defaultDeadline = 2s;
+            item.maximumDeadline = 3s;
+            item.maximumBody = byte_count(10'000);
+            item.keyRetention = std::chrono::minutes(10);
+            first.services.added.push_back({ item, {} });
+        }
+        first.shares.added.push_back({ { service_id("booking"), failure_domain_id("a1"), 100 }, {} });
+        return first;
+    }
+
+    /** A whole run. */
+    class vm_run {
+    public:
+        explicit vm_run(const run_plan& plan);
+        ~vm_run();
+        vm_run(const vm_run&) = delete;
+        vm_run& operator=(const vm_run&) = delete;
+
+        run_result finish();
+
+    private:
+        void run();
+        void addVms();
+        void addUpstreams();
+        void connect();
+        void startVm(simulated_vm& vm);
+        void watchCap(simulated_vm& vm);
+        void checkStep();
+        void checkVm(simulated_vm& vm);
+
+        simulated_vm& anyVm() { return *m_vms[m_runtime.random() % m_vms.size()]; }
+        simulated_vm* anyRunning();
+        duration upTo(duration longest)
+        {
+            return duration(m_runtime.random() % static_cast<std::uint64_t>(longest.count()));
+        }
+        void later(duration delay, std::function<void()> action);
+
+        void injectNext();
+        void injectOne();
+        void disturbMessages();
+        void cutOneWay();
+        void isolateLong();
+        void killAndRestart(simulated_vm& vm, bool loseDisk);
+        void fillDisk(simulated_vm& vm);
+        void stopAndRestart(simulated_vm& vm);
+        void loseRegion();
+        void partRegions();
+        void disturbUpstreams();
+        int diskFaults();
+
+        void endFaults();
+        bool isWhole();
+        void requireLiveness();
+        void probeAll();
+
+        run_plan m_plan;
+        paused_runtime m_runtime;
+        run_journal m_journal { m_runtime };
+        fake_network m_network { m_runtime };
+        fake_upstreams m_upstreams { m_runtime, m_journal };
+        fake_callers m_callers { m_runtime, m_journal, m_upstreams };
+        fake_operators m_operators { m_runtime, m_journal, m_upstreams };
+        std::vector<vm_record> m_records;
+        std::vector<std::unique_ptr<simulated_vm>> m_vms;
+        simulated_vm* m_picked = nullptr;
+        std::set<std::pair<region_id, region_id>> m_parted;
+        std::deque<time_point> m_spent;
+        bool m_faulty = false;
+        std::set<std::string> m_probesLeft;
+    };
+
+    vm_run::vm_run(const run_plan& plan)
+        : m_plan(plan)
+        , m_runtime(plan.seed)
+    {
+        connect();
+        addVms();
+        addUpstreams();
+    }
+
+    vm_run::~vm_run()
+    {
+        for (const auto& vm : m_vms)
+            vm->kill();
+    }
+
+    void vm_run::connect()
+    {
+        m_network.onSend = [this](const vm_id& from, const vm_id& to, const peer_message& message) {
+            m_journal.hashOnly(from.value() + to.value() + std::to_string(message.index()));
+        };
+        m_network.delay = [this](const vm_id& from, const vm_id& to) -> duration {
+            const auto regionOf = [this](const vm_id& id) {
+                const auto found = std::find_if(
+                    m_records.begin(), m_records.end(), [&id](const vm_record& item) { return item.id == id; });
+                return found->region;
+            };
+            return (regionOf(from) == regionOf(to) ? 1ms : 12ms) + upTo(500us);
+        };
+        m_upstreams.reaches = [this](const vm_id& vm, const region_id& region) {
+            for (const vm_record& record : m_records) {
+                if (record.id == vm)
+                    return !m_parted.contains({ record.region, region });
+            }
+            return true;
+        };
+        m_upstreams.pickDirectory = [this] {
+            simulated_vm* vm = anyRunning();
+            return vm == nullptr ? nullptr : vm->directory;
+        };
+        m_callers.pickEntry = [this]() -> reachable_entry {
+            simulated_vm* vm = anyRunning();
+            return vm == nullptr ? reachable_entry {} : reachable_entry { vm->requests, vm->life, vm->record.id };
+        };
+        m_operators.pickLog = [this] {
+            m_picked = anyRunning();
+            return m_picked == nullptr ? nullptr : m_picked->log;
+        };
+        m_operators.pickedState = [this]() -> const control_snapshot& { return m_picked->control->state(); };
+    }
+
+    void vm_run::addVms()
+    {
+        for (int i = 0; i < m_plan.vms; ++i) {
+            vm_record record;
+            record.id = vm_id("vm" + std::to_string(i + 1));
+            record.failureDomain = failure_domain_id(domains[i % domains.size()]);
+            record.region = regionOfDomain(record.failureDomain.value());
+            record.replica = i < m_plan.replicas;
+            m_records.push_back(record);
+        }
+        for (const vm_record& record : m_records) {
+            m_vms.push_back(std::make_unique<simulated_vm>());
+            m_vms.back()->record = record;
+            m_vms.back()->disk = std::make_unique<fake_disk>(m_runtime);
+        }
+    }
+
+    void vm_run::addUpstreams()
+    {
+        std::uint16_t port = 1;
+        for (const char* name : { "booking", "billing" }) {
+            for (const std::string domain : domains) {
+                upstream_announcement item;
+                item.id = upstream_id(std::string(name) + "-" + domain);
+                item.generation = upstream_generation(1);
+                item.service = service_id(name);
+                item.address = { "10.0.0.1", ++port };
+                item.region = regionOfDomain(domain);
+                item.failureDomain = failure_domain_id(domain);
+                item.slots = slot_count(std::string(name) == "booking" ? 4 : 2);
+                item.connections = 100;
+                m_upstreams.add(item);
+            }
+        }
+    }
+
+    void vm_run::startVm(simulated_vm& vm)
+    {
+        if (vm.running())
+            return;
+        const absl::Status status = vm.start({ m_runtime, m_network, m_upstreams, m_records, m_plan.options });
+        m_journal.note("start of " + vm.record.id.value() + (status.ok() ? "" : ": " + std::string(status.message())));
+        if (!status.ok())
+            m_journal.violate("a VM does not start: " + std::string(status.message()));
+        watchCap(vm);
+    }
+
+    void vm_run::watchCap(simulated_vm& vm)
+    {
+        if (vm.shifts == nullptr)
+            return;
+        vm.shifts->trySpend = [this, &vm, spend = vm.shifts->trySpend](const shift_id& id) {
+            const auto shift = vm.control->state().config.shifts.find(id);
+            if (!spend(id))
+                return false;
+            const time_point now = m_runtime.now();
+            while (!m_spent.empty() && m_spent.front() + capWindow <= now)
+                m_spent.pop_front();
+            m_spent.push_back(now);
+            if (m_spent.size() > shift->second.capPerSecond)
+                m_journal.violate("a shift went beyond its cap through " + vm.record.id.value());
+            return true;
+        };
+    }
+
+    simulated_vm* vm_run::anyRunning()
+    {
+        simulated_vm& vm = anyVm();
+        return vm.running() && !vm.stopping ? &vm : nullptr;
+    }
+
+    void vm_run::later(duration delay, std::function<void()> action) { m_runtime.schedule(delay, std::move(action)); }
+
+    void vm_run::checkStep()
+    {
+        std::string leaders;
+        int count = 0;
+        for (const auto& vm : m_vms) {
+            if (!vm->running())
+                continue;
+            checkVm(*vm);
+            if (vm->log->state().leading) {
+                ++count;
+                leaders += " " + vm->record.id.value();
+            }
+        }
+        if (count > 1)
+            m_journal.violate("two leaders at once:" + leaders);
+    }
+
+    void vm_run::checkVm(simulated_vm& vm)
+    {
+        const log_index applied = vm.log->applied();
+        if (applied < vm.highestApplied)
+            m_journal.violate("the applied index fell on " + vm.record.id.value());
+        vm.highestApplied = applied;
+        const control_snapshot& state = vm.control->state();
+        if (state.config.number < vm.highestNumber)
+            m_journal.violate("the number in force fell on " + vm.record.id.value());
+        if (state.config.number > vm.highestNumber)
+            m_operators.check(vm.record.id, state.history);
+        vm.highestNumber = state.config.number;
+    }
+
+    void vm_run::injectNext()
+    {
+        if (!m_faulty)
+            return;
+        injectOne();
+        later(200ms + upTo(2500ms), [this] { injectNext(); });
+    }
+
+    void vm_run::injectOne()
+    {
+        switch (m_runtime.random() % 13) {
+        case 0:
+            return disturbMessages();
+        case 1:
+            return cutOneWay();
+        case 2:
+            return isolateLong();
+        case 3:
+            return killAndRestart(anyVm(), false);
+        case 4:
+            return killAndRestart(anyVm(), m_operators.isDeclared());
+        case 5:
+            return fillDisk(anyVm());
+        case 6:
+            return stopAndRestart(anyVm());
+        case 7:
+            return loseRegion();
+        case 8:
+            return partRegions();
+        case 9:
+            return disturbUpstreams();
+        case 10:
+            return m_upstreams.crash(m_upstreams.idOf(m_runtime.random() % m_upstreams.size()), 500ms + upTo(5s));
+        case 11:
+            return m_upstreams.leave(m_upstreams.idOf(m_runtime.random() % m_upstreams.size()), 7s + upTo(5s));
+        default:
+            for (std::size_t i = 0; i < m_upstreams.size(); i += 1 + m_runtime.random() % 2)
+                m_upstreams.silence(anyVm().record.id, m_upstreams.idOf(i));
+        }
+    }
+
+    void vm_run::disturbMessages()
+    {
+        m_network.faults
+            = { m_runtime.random() % 200, m_runtime.random() % 200, m_runtime.random() % 300, 100ms + upTo(3s) };
+        m_journal.note("messages are lost, late and doubled");
+        later(upTo(8s), [this] { m_network.faults = {}; });
+    }
+
+    void vm_run::cutOneWay()
+    {
+        const vm_id from = anyVm().record.id;
+        const vm_id to = anyVm().record.id;
+        m_journal.note("cut from " + from.value() + " to " + to.value());
+        m_network.cut(from, to);
+        later(upTo(10s), [this, from, to] { m_network.heal(from, to); });
+    }
+
+    void vm_run::isolateLong()
+    {
+        const vm_id vm = anyVm().record.id;
+        m_journal.note("isolation of " + vm.value());
+        m_network.isolate(vm);
+        later(3s + upTo(15s), [this, vm] { m_network.rejoin(vm); });
+    }
+
+    int vm_run::diskFaults()
+    {
+        const auto leader = std::find_if(
+            m_vms.begin(), m_vms.end(), [](const auto& vm) { return vm->running() && vm->log->state().leading; });
+        if (leader == m_vms.end())
+            return tolerableDiskFaults;
+        const std::set<replica_id> voters = (*leader)->log->voters().voters;
+        int faults = 0;
+        for (const auto& vm : m_vms) {
+            const auto& state = vm->disk->content().state;
+            const bool isSound = state && voters.contains(state->self) && !vm->disk->failing;
+            faults += vm->record.replica && !isSound ? 1 : 0;
+        }
+        return faults;
+    }
+
+    void vm_run::killAndRestart(simulated_vm& vm, bool loseDisk)
+    {
+        const bool loses = loseDisk && diskFaults() < tolerableDiskFaults;
+        m_journal.note("kill of " + vm.record.id.value() + (loses ? " with its disk" : ""));
+        vm.kill();
+        if (loses)
+            vm.disk->lose();
+        later(upTo(6s), [this, &vm] { startVm(vm); });
+    }
+
+    void vm_run::fillDisk(simulated_vm& vm)
+    {
+        if (!vm.record.replica || vm.disk->failing || diskFaults() >= tolerableDiskFaults)
+            return;
+        m_journal.note("full disk on " + vm.record.id.value());
+        vm.disk->failing = true;
+        later(2s + upTo(6s), [this, &vm] {
+            vm.disk->failing = false;
+            killAndRestart(vm, false);
+        });
+    }
+
+    void vm_run::stopAndRestart(simulated_vm& vm)
+    {
+        if (!vm.running() || vm.stopping)
+            return;
+        m_journal.note("graceful stop of " + vm.record.id.value());
+        vm.stopping = true;
+        const std::weak_ptr<bool> life = vm.life;
+        vm.core->stop([this, &vm, life] {
+            m_journal.note("stopped " + vm.record.id.value());
+            later(upTo(3s), [this, &vm, life] {
+                if (!life.expired())
+                    vm.kill();
+                startVm(vm);
+            });
+        });
+    }
+
+    void vm_run::loseRegion()
+    {
+        const region_id region = anyVm().record.region;
+        m_journal.note("loss of region " + region.value());
+        for (const auto& vm : m_vms) {
+            if (vm->record.region == region)
+                killAndRestart(*vm, false);
+        }
+        for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+            if (regionOfDomain(m_upstreams.idOf(i).value().substr(8)) == region)
+                m_upstreams.crash(m_upstreams.idOf(i), 2s + upTo(4s));
+        }
+    }
+
+    void vm_run::partRegions()
+    {
+        const region_id left = anyVm().record.region;
+        const region_id right = anyVm().record.region;
+        if (left == right)
+            return;
+        m_journal.note("regions " + left.value() + " and " + right.value() + " lose each other");
+        const auto eachPair = [this, left, right](const std::function<void(const vm_id&, const vm_id&)>& act) {
+            for (const vm_record& from : m_records) {
+                for (const vm_record& to : m_records) {
+                    const bool isAcross
+                        = (from.region == left && to.region == right) || (from.region == right && to.region == left);
+                    if (isAcross)
+                        act(from.id, to.id);
+                }
+            }
+        };
+        eachPair([this](const vm_id& from, const vm_id& to) { m_network.cut(from, to); });
+        m_parted.insert({ left, right });
+        m_parted.insert({ right, left });
+        later(1s + upTo(10s), [this, eachPair, left, right] {
+            eachPair([this](const vm_id& from, const vm_id& to) { m_network.heal(from, to); });
+            m_parted.erase({ left, right });
+            m_parted.erase({ right, left });
+        });
+    }
+
+    void vm_run::disturbUpstreams()
+    {
+        m_journal.note("upstreams shed, are slow and lie");
+        m_upstreams.faults = { m_runtime.random() % 100, m_runtime.random() % 100, m_runtime.random() % 1000,
+            m_runtime.random() % 1000 };
+        later(upTo(8s), [this] { m_upstreams.faults = {}; });
+    }
+
+    void vm_run::endFaults()
+    {
+        m_journal.note("the faults end");
+        m_faulty = false;
+        m_callers.stop();
+        m_operators.stop();
+        m_network.faults = {};
+        m_network.healAll();
+        m_parted.clear();
+        m_upstreams.calm();
+        for (const auto& vm : m_vms) {
+            if (vm->disk->failing) {
+                vm->disk->failing = false;
+                vm->kill();
+            }
+        }
+    }
+
+    bool vm_run::isWhole()
+    {
+        int leaders = 0;
+        for (const auto& vm : m_vms) {
+            if (!vm->running() || vm->stopping || !vm->log->state().current)
+                return false;
+            leaders += vm->log->state().leading ? 1 : 0;
+        }
+        return leaders == 1 && diskFaults() == 0 && m_operators.isDeclared();
+    }
+
+    void vm_run::requireLiveness()
+    {
+        const time_point end = m_runtime.now() + m_plan.healTime;
+        while (!isWhole() || !m_probesLeft.empty()) {
+            if (m_runtime.now() >= end)
+                m_journal.violate("not live: "
+                    + (m_probesLeft.empty() ? std::string("the VMs are not whole") : *m_probesLeft.begin()));
+            if (isWhole())
+                probeAll();
+            for (int i = 0; i < 20; ++i) {
+                m_runtime.advance(stepTime);
+                checkStep();
+            }
+            for (const auto& vm : m_vms)
+                startVm(*vm);
+        }
+    }
+
+    void vm_run::probeAll()
+    {
+        m_operators.endDrains();
+        for (const auto& vm : m_vms) {
+            for (const bool keyed : { false, true }) {
+                const std::string name = vm->record.id.value() + (keyed ? " completes a POST" : " completes a GET");
+                if (!m_probesLeft.contains(name))
+                    continue;
+                m_callers.probe({ vm->requests, vm->life, vm->record.id }, keyed, [this, name](bool completed) {
+                    if (completed)
+                        m_probesLeft.erase(name);
+                });
+            }
+        }
+        if (m_probesLeft.contains("a declaration"))
+            m_operators.probe([this](bool accepted) {
+                if (accepted)
+                    m_probesLeft.erase("a declaration");
+            });
+    }
+
+    void vm_run::run()
+    {
+        for (const auto& vm : m_vms)
+            startVm(*vm);
+        m_operators.declareFirst(firstDeclaration());
+        m_callers.start(callInterval);
+        m_operators.start();
+        m_faulty = true;
+        later(upTo(5s), [this] { injectNext(); });
+        const time_point end = m_runtime.now() + m_plan.faultTime;
+        while (m_runtime.now() < end) {
+            m_runtime.advance(stepTime);
+            checkStep();
+        }
+        endFaults();
+        m_probesLeft = { "a declaration" };
+        for (const auto& vm : m_vms) {
+            m_probesLeft.insert(vm->record.id.value() + " completes a GET");
+            m_probesLeft.insert(vm->record.id.value() + " completes a POST");
+        }
+        requireLiveness();
+    }
+
+    run_result vm_run::finish()
+    {
+        run_result result;
+        const internal_error_handler former = setInternalErrorHandler(
+            [this](const std::string& text) { m_journal.violate("internal error: " + text); });
+        try {
+            run();
+        } catch (const run_violation& violation) {
+            result.violation = violation.what();
+        }
+        setInternalErrorHandler(former);
+        result.hash = m_journal.hash();
+        result.completed = m_callers.completed();
+        result.trace.assign(m_journal.latest().begin(), m_journal.latest().end());
+        return result;
+    }
+
+} // namespace
+
+run_result runVms(const run_plan& plan)
+{
+    vm_run run(plan);
+    return run.finish();
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/random/vm_runner_test.cpp
@@ -0,0 +1,68 @@
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "vm_runner.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise)
+    {
+        const char* text = std::getenv(variable);
+        return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+    }
+
+    class vm_runner_fixture {
+    protected:
+        /** Runs a seed; a broken invariant is printed with its trace and the command that repeats it. */
+        static run_result runSeed(std::uint64_t seed)
+        {
+            run_plan plan;
+            plan.seed = seed;
+            run_result result = runVms(plan);
+            if (!result.violation.empty()) {
+                std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), result.violation.c_str());
+                for (const std::string& line : result.trace)
+                    std::printf("    %s\n", line.c_str());
+                std::printf("repeat: tools/run_seeds %llu 1\n", static_cast<unsigned long long>(seed));
+            }
+            return result;
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(vm_runner_fixture, "vms.under_random_faults.keep_every_promise")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const run_result result = runSeed(seed);
+        REQUIRE(result.violation.empty());
+        REQUIRE(result.completed > 0);
+    }
+}
+
+TEST_CASE_METHOD(vm_runner_fixture, "random_run.with_an_equal_seed.is_equal_to_the_last_event")
+{
+    REQUIRE(runSeed(3).hash == runSeed(3).hash);
+    REQUIRE(runSeed(3).hash != runSeed(4).hash);
+}
+
+/** Many seeds; see tools/run_seeds. */
+TEST_CASE_METHOD(vm_runner_fixture, "vms.under_the_seeds_of_the_command.keep_every_promise", "[.seeds]")
+{
+    const std::uint64_t first = numberFrom("SEED_FIRST", 1);
+    const std::uint64_t count = numberFrom("SEED_COUNT", 1);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const run_result result = runSeed(seed);
+        std::printf("seed %llu %s hash %016llx completed %llu\n", static_cast<unsigned long long>(seed),
+            result.violation.empty() ? "ok" : "FAILED", static_cast<unsigned long long>(result.hash),
+            static_cast<unsigned long long>(result.completed));
+        std::fflush(stdout);
+    }
+}
+
+} // namespace plantainlatch
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -46,6 +46,7 @@
     void heal(const vm_id& from, const vm_id& to) { m_cuts.erase({ from, to }); }
     /** Cuts a VM off in both directions. */
     void isolate(const vm_id& vm) { m_isolated.insert(vm); }
+    void rejoin(const vm_id& vm) { m_isolated.erase(vm); }
     void healAll();
 
 private:
