--- a/src/decision/control/membership_service.cpp
+++ b/src/decision/control/membership_service.cpp
@@ -310,7 +310,9 @@
     for (const auto& [vm, record] : m_control->state().vms) {
         const auto report = m_reports.find(vm);
         const bool heard = report != m_reports.end() && m_hooks.now() - report->second.heardAt <= m_options.deadAfter;
-        if (heard ? report->second.last.draining : knowsAll)
+        // A new leader goes by the list of the one before until it could have heard from all.
+        const bool missing = knowsAll || std::find(m_avoided.begin(), m_avoided.end(), vm) != m_avoided.end();
+        if (heard ? report->second.last.draining : missing)
             avoided.push_back(vm);
     }
     return avoided;
--- a/src/decision/control/system_risks.cpp
+++ b/src/decision/control/system_risks.cpp
@@ -115,6 +115,7 @@
             ++unknown[name.service];
     }
     std::vector<risk_condition> found;
+    found.reserve(unknown.size());
     for (const auto& [service, count] : unknown)
         found.push_back({ absl::StrCat("outcome:", service.value()), "the outcome of every request is known",
             absl::StrCat(count, " keyed requests of service '", service.value(), "' have an unknown outcome"),
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -127,6 +127,11 @@
     cluster->cut("d");
     cluster->runtime.advance(4s);
     REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("d") });
+    cluster->setLeader("b");
+    for (int i = 0; i < 40; ++i) {
+        cluster->runtime.advance(100ms);
+        REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("d") });
+    }
     cluster->heal("d");
     cluster->runtime.advance(2s);
     REQUIRE(port("c").avoided().empty());
