--- a/test/performance/hop_benchmark.cpp
+++ b/test/performance/hop_benchmark.cpp
@@ -60,9 +60,10 @@
         return true;
     }
 
+    /** The body is also an idle upstream's load report. */
     constexpr std::string_view upstreamAnswer
         = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 64\r\n\r\n"
-          "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+          R"({"running":0,"queued":0,"draining":false}                       )";
 
     int runUpstream(event_loop& loop, std::uint16_t port)
     {
