--- a/src/decision/vm/steering_vm.h
+++ b/src/decision/vm/steering_vm.h
@@ -35,9 +35,9 @@
     shift_options shifts;
     slot_options slots;
     request_options requests;
-    entry_list_options entryList;
-    alert_options alerts;
     operator_options operators;
+    alert_options alerts;
+    entry_list_options entryList;
 };
 
 /** The decision services of one VM; it must outlive the kernel's stop. */
@@ -64,8 +64,8 @@
     std::unique_ptr<slot_service> m_slots;
     std::unique_ptr<request_service> m_requests;
     std::unique_ptr<entry_list_service> m_entryList;
-    std::unique_ptr<alert_service> m_alerts;
     std::unique_ptr<operator_service> m_operators;
+    std::unique_ptr<alert_service> m_alerts;
 };
 
 } // namespace plantainlatch
