Lend a slot that was given back to who waits before it is lent in reserve

A holder that gave back a recalled idle slot got it again as its reserve in the same report, so that another VM of the region, with requests waiting, got none for as long as the upstream was cold (one slot lent). Seen in whole_path.key_that_is_sent_again_elsewhere: e4 or e1 without an answer for 20 s.

--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -58,10 +58,12 @@
     if (report.epoch != m_epoch || isOld)
         return {};
     holder& item = takeReport(key, isHome, report, now);
-    lendWanted(item);
+    lendMissing(item);
     std::set<holder_key> changed { key };
     for (const holder_key& other : lendToWaiting(&key, now))
         changed.insert(other);
+    // Only what no request waits for is lent in reserve, or a slot that was recalled would go back at once.
+    lendReserve(item);
     for (const auto& [service, wanted] : item.demands) {
         const std::uint32_t idle = wanted.idle;
         if (wanted.waiting <= idle)
@@ -235,15 +237,21 @@
     return given;
 }
 
-void slot_allocator::lendWanted(holder& item)
+void slot_allocator::lendMissing(holder& item)
+{
+    for (auto& [service, wanted] : item.demands) {
+        if (wanted.waiting > wanted.idle)
+            wanted.idle += lend(item, service, wanted.preferred, wanted.waiting - wanted.idle);
+    }
+}
+
+void slot_allocator::lendReserve(holder& item)
 {
     for (auto& [service, wanted] : item.demands) {
         const std::uint32_t held = heldOf(item, service);
         const std::uint32_t fair = item.isHome ? fairShare(service) : 0;
-        const std::uint32_t missing = wanted.waiting > wanted.idle ? wanted.waiting - wanted.idle : 0;
-        const std::uint32_t reserve = fair > held ? fair - held : 0;
-        const std::uint32_t given = lend(item, service, wanted.preferred, std::max(missing, reserve));
-        wanted.idle += given;
+        if (fair > held)
+            wanted.idle += lend(item, service, wanted.preferred, fair - held);
     }
 }
 
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -129,7 +129,10 @@
     upstream_state* bestUpstream(const service_id& service, const holder& item, const failure_domain_id& preferred);
     std::uint32_t lend(
         holder& item, const service_id& service, const failure_domain_id& preferred, std::uint32_t count);
-    void lendWanted(holder& item);
+    /** Lends what a holder's waiting requests lack. */
+    void lendMissing(holder& item);
+    /** Lends a holder of the region its equal share of what is left. */
+    void lendReserve(holder& item);
     std::vector<holder_key> lendToWaiting(const holder_key* except, time_point now);
     void forgetSilent(time_point now);
     std::vector<addressed_grant> makeGrants(const std::set<holder_key>& holders);
--- a/test/integration/test_system.cpp
+++ b/test/integration/test_system.cpp
@@ -109,6 +109,8 @@
 
 test_system::~test_system()
 {
+    if (std::uncaught_exceptions() > 0)
+        keepDumps();
     m_upstreams.clear();
     m_vms.clear();
     m_proxy.reset();
@@ -119,6 +121,14 @@
         std::filesystem::remove_all(m_folder);
 }
 
+void test_system::keepDumps()
+{
+    for (const auto& [vm, process] : m_vms) {
+        const auto answer = m_caller.send(callerAddress(vm), { "GET", "/v1/dump", {}, {}, std::chrono::seconds(1) });
+        std::ofstream(file(absl::StrCat("dump-e", vm, ".json"))) << (answer ? answer->body : "no answer");
+    }
+}
+
 std::string test_system::host(int number) const { return absl::StrCat(m_network, ".", number); }
 
 network_address test_system::callerAddress(int vm) const { return { host(vm), callerPort }; }
--- a/test/integration/test_system.h
+++ b/test/integration/test_system.h
@@ -94,6 +94,8 @@
     std::string settingsOf(int vm) const;
     void writeFile(const std::string& name, const std::string& text) const;
     void startProxy();
+    /** Writes the state of each VM beside its log, for whoever reads a failure. */
+    void keepDumps();
     std::vector<std::string> entryOptions() const;
 
     test_system_options m_options;
