Tell epoll of changed interests once a round

Cause: strace counts 6.0 epoll_ctl for each proxied request, as evhttp switches reading and writing for each answer; perf gives them 8 percent of a VM's time. Change: the event base keeps a list of changes (no descriptor is duplicated).

--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -32,6 +32,19 @@
         return value;
     }
 
+    /** A base that tells the operating system of changed interests once a round; no descriptor is duplicated here,
+     * which that would not bear. */
+    event_base* newBase()
+    {
+        event_config* config = event_config_new();
+        if (config == nullptr)
+            return nullptr;
+        event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+        event_base* base = event_base_new_with_config(config);
+        event_config_free(config);
+        return base;
+    }
+
 } // namespace
 
 struct event_loop::implementation {
@@ -109,7 +122,7 @@
 absl::StatusOr<std::unique_ptr<event_loop>> event_loop::create(std::uint64_t seed)
 {
     auto parts = std::make_unique<implementation>();
-    parts->base = event_base_new();
+    parts->base = newBase();
     if (parts->base == nullptr)
         return absl::ResourceExhaustedError("the event loop can't be created");
     std::random_device device;
