--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -107,7 +107,8 @@
     if (info->n_added == 0 || connection.firstByteOffered || connection.closed)
         return;
     connection.firstByteOffered = true;
-    sendWithoutDelay(socketOf(connection));
+    if (!std::exchange(connection.sendsWithoutDelay, true))
+        sendWithoutDelay(socketOf(connection));
     connection.owner->m_events.onFirstByte(connection);
 }
 
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -31,6 +31,7 @@
     /** The exchange that uses it; 0 for none. */
     std::uint64_t exchange = 0;
     bool firstByteOffered = false;
+    bool sendsWithoutDelay = false;
     bool closed = false;
     bool idle = false;
     time_point idleSince {};
