A request of a shift that has to wait goes to the source again

Cause: a shift's cap is taken out when a request asks for a slot; requests that waited for a slot of the target could all be dispatched within one second, beyond the cap (found on reading; no test yet, as slots have no fixture here). Change: a request that cannot be dispatched at once prefers the shift's source from then on. Result: correctness tests pass.

--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -213,6 +213,9 @@
         refuse(waiter, slot_refusal::Overloaded);
         return {};
     }
+    // What was taken out of the shift's cap holds for now only: a request that waits is no longer part of the shift.
+    if (domain.shift)
+        waiter.preferred = sourceOf(*domain.shift);
     ++m_counters.waited;
     const slot_ticket ticket = waiter.ticket;
     m_queue.push(std::move(waiter));
@@ -222,6 +225,13 @@
     return ticket;
 }
 
+failure_domain_id slot_service::sourceOf(const shift_id& shift) const
+{
+    const auto& shifts = m_control->state().config.shifts;
+    const auto found = shifts.find(shift);
+    return found == shifts.end() ? failure_domain_id() : found->second.from;
+}
+
 void slot_service::refuse(const slot_waiter& waiter, slot_refusal why)
 {
     ++m_counters.refused;
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -120,6 +120,7 @@
     held_slot take(const usable_upstream& upstream);
     void serveWaiting();
     bool serveFront(const service_id& service, time_point now);
+    failure_domain_id sourceOf(const shift_id& shift) const;
     void refuse(const slot_waiter& waiter, slot_refusal why);
     void armExpiry();
     void armLeaveRegion(const service_id& service);
