--- a/src/decision/request/hedge_policy.cpp
+++ b/src/decision/request/hedge_policy.cpp
@@ -28,12 +28,24 @@
     m_slow = percentile95(m_samples);
 }
 
+void hedge_policy::observeSlot(const service_id& service, bool waited)
+{
+    record& seen = m_records[service];
+    seen.waitingPart += waitingWeight * ((waited ? 1.0 : 0.0) - seen.waitingPart);
+}
+
+bool hedge_policy::hasRoom(const service_id& service) const
+{
+    const auto found = m_records.find(service);
+    return found == m_records.end() || found->second.waitingPart <= largestWaitingPart;
+}
+
 std::optional<duration> hedge_policy::delay(const service_id& service) const
 {
-    const auto window = m_windows.find(service);
-    if (window == m_windows.end() || !window->second.slow())
+    const auto found = m_records.find(service);
+    if (found == m_records.end() || !found->second.latencies.slow())
         return std::nullopt;
-    return std::max(*window->second.slow(), minimumDelay);
+    return std::max(*found->second.latencies.slow(), minimumDelay);
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/hedge_policy.h
+++ b/src/decision/request/hedge_policy.h
@@ -36,19 +36,32 @@
     std::optional<duration> m_slow;
 };
 
-/** Latency windows by service; it keeps one for each service that answered. */
+/** When to hedge, by service; it keeps a record for each service that answered. */
 class hedge_policy {
 public:
     /** Never hedge sooner than this, as the second attempt costs about as much. */
     static constexpr duration minimumDelay = std::chrono::milliseconds(5);
+    /** The weight of the last request in the part of requests that waited for a slot. */
+    static constexpr double waitingWeight = 1.0 / 16;
+    /** When a larger part of the requests waits, slots are short and hedges would take them from first attempts. */
+    static constexpr double largestWaitingPart = 0.2;
 
-    void observe(const service_id& service, duration latency) { m_windows[service].add(latency); }
+    void observeLatency(const service_id& service, duration latency) { m_records[service].latencies.add(latency); }
+    /** Whether a request's first attempt had to wait for its slot, or got none. */
+    void observeSlot(const service_id& service, bool waited);
 
+    /** Whether slots are plentiful enough for second attempts. */
+    bool hasRoom(const service_id& service) const;
     /** How long after its dispatch an attempt counts as slow; none when that is not known. */
     std::optional<duration> delay(const service_id& service) const;
 
 private:
-    std::map<service_id, latency_window> m_windows;
+    struct record {
+        latency_window latencies;
+        double waitingPart = 0;
+    };
+
+    std::map<service_id, record> m_records;
 };
 
 } // namespace plantainlatch
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -35,6 +35,7 @@
     policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
     policies.budgeted = [] { return true; };
     policies.hedges = [](const request_traits& traits) { return traits.idempotent; };
+    policies.hasRoomToHedge = [](bool hasRoom) { return hasRoom; };
     policies.outlivesCaller = [](const request_traits& traits) { return traits.claimed; };
     policies.keepsSlotBusy = [](attempt_ending ending) { return ending != attempt_ending::Finished; };
     policies.releasesLateClaims = [] { return true; };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -58,6 +58,8 @@
     std::function<bool()> budgeted;
     /** Whether a slow attempt of such a request may be hedged. */
     std::function<bool(const request_traits&)> hedges;
+    /** Whether a hedge may be made, given whether slots are plentiful. */
+    std::function<bool(bool hasRoom)> hasRoomToHedge;
     /** Whether dispatched work goes on when its caller has left. */
     std::function<bool(const request_traits&)> outlivesCaller;
     /** Whether the slot of an attempt that ended so stays busy while the work may still run. */
@@ -79,8 +81,9 @@
     byte_count maximumBodies { 64 * 1024 * 1024 };
     /** Attempts of one request, hedges among them. */
     std::size_t maximumAttempts = 4;
-    /** How long after its close the work of a cancelled call may still run at the upstream. */
-    duration cancellationGrace = std::chrono::milliseconds(250);
+    /** How long after its close the work of a cancelled call may still run at the upstream: the way there and its
+     * reaction. */
+    duration cancellationGrace = std::chrono::milliseconds(100);
     /** How long a crash report may take before the entry goes on with what it knows itself. */
     duration crashReportTimeout = std::chrono::milliseconds(500);
     /** How long a caller's answer waits after a crash report, so that a resend finds it applied at every entry. */
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -129,6 +129,8 @@
 {
     if (m_open.size() != 1 || m_attemptCount != 1 || m_attemptCount >= m_environment.options.maximumAttempts)
         return;
+    if (!m_environment.options.policies.hasRoomToHedge(m_environment.hedges.hasRoom(m_request.content.service)))
+        return;
     if (m_environment.options.policies.budgeted() && !m_environment.budget.spend())
         return;
     ++m_environment.statistics.hedges;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -71,7 +71,8 @@
               else if (answer.slot)
                   slots.release(answer.slot->hold, {});
           });
-    if (!m_ended && !m_holdsSlot)
+    m_environment.hedges.observeSlot(m_request.content.service, !m_gotSlot);
+    if (!m_ended && !m_gotSlot)
         m_ticket = ticket;
 }
 
@@ -87,6 +88,7 @@
     }
     m_slot = *answer.slot;
     m_holdsSlot = true;
+    m_gotSlot = true;
     const time_point now = m_environment.hooks.now();
     m_startedAt = now;
     if (now < m_request.deadline && now < m_slot.dispatchBefore) {
@@ -168,7 +170,7 @@
         if (answer.status >= firstServerError)
             kind = slot_result::kind::Failed;
         else if (m_request.traits.idempotent)
-            m_environment.hedges.observe(m_request.content.service, m_environment.hooks.now() - m_startedAt);
+            m_environment.hedges.observeLatency(m_request.content.service, m_environment.hooks.now() - m_startedAt);
     }
     m_state = nextState(m_state, event);
     ended.answer = std::move(answer);
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -91,6 +91,7 @@
     bool m_ended = false;
     std::optional<slot_ticket> m_ticket;
     held_slot m_slot;
+    bool m_gotSlot = false;
     bool m_holdsSlot = false;
     call_id m_call;
     time_point m_startedAt;
