--- a/src/decision/slots/allocator_host.h
+++ b/src/decision/slots/allocator_host.h
@@ -74,8 +74,8 @@
     void host(const region_id& region, allocator_epoch epoch);
     void sendAll(const std::vector<addressed_grant>& grants);
 
-    const kernel_hooks& m_hooks;
-    const vm_settings& m_settings;
+    kernel_hooks m_hooks;
+    vm_settings m_settings;
     allocator_host_options m_options;
     allocator_host_ports m_ports;
     upstream_table m_table;
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -197,7 +197,7 @@
     const service_id& service, const holder& item, const failure_domain_id& preferred)
 {
     const auto keys = m_byService.find(service);
-    if (keys == m_byService.end())
+    if (keys == m_byService.end() || keys->second.empty())
         return nullptr;
     upstream_state* best = nullptr;
     std::uint32_t bestScore = 0;
