--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -137,6 +137,8 @@
     ++upstream.running;
     ++m_runs[call->call.target];
     call->running = true;
+    call->startedAt = m_runtime.now();
+    upstream.work.insert(call.get());
     call->upstreamLife = upstream.life;
     if (isCrashing(call->call)) {
         ++m_crashes[call->call.target];
@@ -151,8 +153,10 @@
     const upstream_state& upstream = *call.upstream;
     const std::string where = upstream.announced.id.value() + " from " + call.vm.value() + " for " + call.call.target;
     m_journal.note("run on " + where);
-    if (upstream.running >= upstream.announced.slots.value())
+    if (upstream.running >= upstream.announced.slots.value()) {
+        noteRunning(upstream);
         m_journal.violate("more work than slots on " + where);
+    }
     if (upstream.mustBeIdleFrom && m_runtime.now() > *upstream.mustBeIdleFrom)
         m_journal.violate("new work after leaving on " + where);
     if (isWrite(call.call) && m_runs[call.call.target] > 0)
@@ -161,6 +165,15 @@
         m_journal.violate("a run after the answer not-run on " + where);
 }
 
+void fake_upstreams::noteRunning(const upstream_state& upstream)
+{
+    for (const open_call* call : upstream.work) {
+        const auto since = (m_runtime.now() - call->startedAt) / 1ms;
+        m_journal.noteFault(upstream.announced.id.value() + " runs " + call->call.target + " from " + call->vm.value()
+            + " since " + std::to_string(since) + " ms");
+    }
+}
+
 duration fake_upstreams::workTime(const upstream_state& upstream)
 {
     duration work = 20ms + duration(m_runtime.random() % duration(60ms).count());
@@ -182,6 +195,7 @@
     if (!call->running)
         return;
     call->running = false;
+    call->upstream->work.erase(call.get());
     if (call->upstreamLife == call->upstream->life)
         --call->upstream->running;
 }
@@ -226,10 +240,11 @@
     upstream_state& upstream = *find(id);
     if (!upstream.up)
         return;
-    m_journal.note("crash of upstream " + id.value());
+    m_journal.noteFault("crash of upstream " + id.value());
     upstream.up = false;
     ++upstream.life;
     upstream.running = 0;
+    upstream.work.clear();
     std::vector<call_pointer> lost;
     for (const auto& [key, call] : m_calls) {
         if (call->upstream == &upstream && call->running && reachesNow(*call))
@@ -248,7 +263,7 @@
     upstream.mustBeIdleFrom.reset();
     upstream.hasLeft = false;
     upstream.up = true;
-    m_journal.note("upstream " + id.value() + " is back");
+    m_journal.noteFault("upstream " + id.value() + " is back");
 }
 
 void fake_upstreams::leave(const upstream_id& id, duration awayTime)
@@ -263,7 +278,7 @@
         upstream_state& left = *find(id);
         if (!status.ok() || left.announced.generation != generation)
             return;
-        m_journal.note("goodbye of upstream " + id.value() + " accepted");
+        m_journal.noteFault("goodbye of upstream " + id.value() + " accepted");
         left.mustBeIdleFrom = m_runtime.now() + leaveLimit;
     });
     m_runtime.schedule(awayTime, [this, id] {
--- a/test/random/fake_upstreams.h
+++ b/test/random/fake_upstreams.h
@@ -67,6 +67,7 @@
     int crashesBy(const std::string& target) const;
 
 private:
+    struct open_call;
     struct upstream_state {
         upstream_announcement announced;
         bool up = true;
@@ -76,6 +77,7 @@
         std::optional<time_point> mustBeIdleFrom;
         time_point coldUntil {};
         bool hasLeft = false;
+        std::set<const open_call*> work;
     };
     struct open_call {
         upstream_call call;
@@ -86,6 +88,7 @@
         int upstreamLife = 0;
         bool ended = false;
         bool running = false;
+        time_point startedAt {};
     };
     using call_pointer = std::shared_ptr<open_call>;
     using pair_key = std::pair<vm_id, upstream_id>;
@@ -101,6 +104,7 @@
     void arrive(const call_pointer& call);
     bool sheds(const call_pointer& call);
     void checkStart(const open_call& call);
+    void noteRunning(const upstream_state& upstream);
     duration workTime(const upstream_state& upstream);
     void complete(const call_pointer& call);
     void stopRunning(const call_pointer& call);
--- a/test/random/run_journal.h
+++ b/test/random/run_journal.h
@@ -36,6 +36,15 @@
             m_latest.pop_front();
     }
 
+    /** As note(), and keeps the line among the faults, which the latest events do not crowd out. */
+    void noteFault(const std::string& line)
+    {
+        note(line);
+        m_faults.push_back(m_latest.back());
+        if (m_faults.size() > keptLines)
+            m_faults.pop_front();
+    }
+
     /** Hashes an event that would crowd out the others. */
     void hashOnly(const std::string& line)
     {
@@ -53,15 +62,17 @@
 
     std::uint64_t hash() const { return m_hash; }
     const std::deque<std::string>& latest() const { return m_latest; }
+    const std::deque<std::string>& faults() const { return m_faults; }
 
 private:
-    static constexpr std::size_t keptLines = 60;
+    static constexpr std::size_t keptLines = 40;
 
     void add(std::uint64_t value) { m_hash = (m_hash ^ value) * 1099511628211ULL; }
 
     paused_runtime& m_runtime;
     std::uint64_t m_hash = 14695981039346656037ULL;
     std::deque<std::string> m_latest;
+    std::deque<std::string> m_faults;
 };
 
 } // namespace plantainlatch
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -201,7 +201,8 @@
         if (vm.running())
             return;
         const absl::Status status = vm.start({ m_runtime, m_network, m_upstreams, m_records, m_plan.options });
-        m_journal.note("start of " + vm.record.id.value() + (status.ok() ? "" : ": " + std::string(status.message())));
+        m_journal.noteFault(
+            "start of " + vm.record.id.value() + (status.ok() ? "" : ": " + std::string(status.message())));
         if (!status.ok())
             m_journal.violate("a VM does not start: " + std::string(status.message()));
         watchCap(vm);
@@ -309,7 +310,7 @@
     {
         m_network.faults
             = { m_runtime.random() % 200, m_runtime.random() % 200, m_runtime.random() % 300, 100ms + upTo(3s) };
-        m_journal.note("messages are lost, late and doubled");
+        m_journal.noteFault("messages are lost, late and doubled");
         later(upTo(8s), [this] { m_network.faults = {}; });
     }
 
@@ -317,7 +318,7 @@
     {
         const vm_id from = anyVm().record.id;
         const vm_id to = anyVm().record.id;
-        m_journal.note("cut from " + from.value() + " to " + to.value());
+        m_journal.noteFault("cut from " + from.value() + " to " + to.value());
         m_network.cut(from, to);
         later(upTo(10s), [this, from, to] { m_network.heal(from, to); });
     }
@@ -325,7 +326,7 @@
     void vm_run::isolateLong()
     {
         const vm_id vm = anyVm().record.id;
-        m_journal.note("isolation of " + vm.value());
+        m_journal.noteFault("isolation of " + vm.value());
         m_network.isolate(vm);
         later(3s + upTo(15s), [this, vm] { m_network.rejoin(vm); });
     }
@@ -349,7 +350,7 @@
     void vm_run::killAndRestart(simulated_vm& vm, bool loseDisk)
     {
         const bool loses = loseDisk && diskFaults() < tolerableDiskFaults;
-        m_journal.note("kill of " + vm.record.id.value() + (loses ? " with its disk" : ""));
+        m_journal.noteFault("kill of " + vm.record.id.value() + (loses ? " with its disk" : ""));
         vm.kill();
         if (loses)
             vm.disk->lose();
@@ -360,7 +361,7 @@
     {
         if (!vm.record.replica || vm.disk->failing || diskFaults() >= tolerableDiskFaults)
             return;
-        m_journal.note("full disk on " + vm.record.id.value());
+        m_journal.noteFault("full disk on " + vm.record.id.value());
         vm.disk->failing = true;
         later(2s + upTo(6s), [this, &vm] {
             vm.disk->failing = false;
@@ -372,11 +373,11 @@
     {
         if (!vm.running() || vm.stopping)
             return;
-        m_journal.note("graceful stop of " + vm.record.id.value());
+        m_journal.noteFault("graceful stop of " + vm.record.id.value());
         vm.stopping = true;
         const std::weak_ptr<bool> life = vm.life;
         vm.core->stop([this, &vm, life] {
-            m_journal.note("stopped " + vm.record.id.value());
+            m_journal.noteFault("stopped " + vm.record.id.value());
             later(upTo(3s), [this, &vm, life] {
                 if (!life.expired())
                     vm.kill();
@@ -388,7 +389,7 @@
     void vm_run::loseRegion()
     {
         const region_id region = anyVm().record.region;
-        m_journal.note("loss of region " + region.value());
+        m_journal.noteFault("loss of region " + region.value());
         for (const auto& vm : m_vms) {
             if (vm->record.region == region)
                 killAndRestart(*vm, false);
@@ -405,7 +406,7 @@
         const region_id right = anyVm().record.region;
         if (left == right)
             return;
-        m_journal.note("regions " + left.value() + " and " + right.value() + " lose each other");
+        m_journal.noteFault("regions " + left.value() + " and " + right.value() + " lose each other");
         const auto eachPair = [this, left, right](const std::function<void(const vm_id&, const vm_id&)>& act) {
             for (const vm_record& from : m_records) {
                 for (const vm_record& to : m_records) {
@@ -428,7 +429,7 @@
 
     void vm_run::disturbUpstreams()
     {
-        m_journal.note("upstreams shed, are slow and lie");
+        m_journal.noteFault("upstreams shed, are slow and lie");
         m_upstreams.faults = { m_runtime.random() % 100, m_runtime.random() % 100, m_runtime.random() % 1000,
             m_runtime.random() % 1000 };
         later(upTo(8s), [this] { m_upstreams.faults = {}; });
@@ -436,7 +437,7 @@
 
     void vm_run::endFaults()
     {
-        m_journal.note("the faults end");
+        m_journal.noteFault("the faults end");
         m_faulty = false;
         m_callers.stop();
         m_operators.stop();
@@ -538,7 +539,9 @@
         setInternalErrorHandler(former);
         result.hash = m_journal.hash();
         result.completed = m_callers.completed();
-        result.trace.assign(m_journal.latest().begin(), m_journal.latest().end());
+        result.trace.assign(m_journal.faults().begin(), m_journal.faults().end());
+        result.trace.emplace_back("the latest events:");
+        result.trace.insert(result.trace.end(), m_journal.latest().begin(), m_journal.latest().end());
         return result;
     }
 
