Lead back to an earlier change from the command line

Cause: going back to an earlier configuration is a new change, and the history held enough for it but did not show it. Not run on real processes yet.

--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -127,6 +127,8 @@
     return written({ { "history", list } });
 }
 
+std::string encodeDeclarationTextJson(const std::string& yaml) { return written({ { "declaration", yaml } }); }
+
 std::string encodePlanJson(const declaration_plan& plan)
 {
     json risks = json::array();
--- a/src/codec/json_codec.h
+++ b/src/codec/json_codec.h
@@ -21,6 +21,9 @@
 /** The entries in order, with weights and how long to cache them. */
 std::string encodeEntryListJson(const entry_list& list);
 
+/** `{"declaration": TEXT}`: a declaration as YAML. */
+std::string encodeDeclarationTextJson(const std::string& yaml);
+
 std::string encodeStatusJson(const system_status& status);
 std::string encodeHistoryJson(const std::vector<history_record>& history);
 std::string encodePlanJson(const declaration_plan& plan);
--- a/src/main/view_commands.cpp
+++ b/src/main/view_commands.cpp
@@ -56,6 +56,15 @@
         printTable(rows);
     }
 
+    int runHistory(const command_line& line)
+    {
+        const std::string target = "/v1/history";
+        if (!line.given("back-to"))
+            return askAndPrint(line, { "GET", target }, printHistory);
+        return askAndPrint(line, { "GET", target + "?back_to=" + line.text("back-to") },
+            [](const nlohmann::json& answer) { std::printf("%s", memberText(answer, "declaration").c_str()); });
+    }
+
     void printDump(const nlohmann::json& answer)
     {
         std::printf("%s\n", answer.dump(2, ' ', false, nlohmann::json::error_handler_t::replace).c_str());
@@ -80,7 +89,9 @@
 
 subcommand historyCommand()
 {
-    return viewCommand("history", "Shows the accepted declarations.", true, "/v1/history", printHistory);
+    std::vector<option_spec> options = operatorOptions(true);
+    options.push_back({ "back-to", "NUMBER", "print a new declaration that leads back to this change" });
+    return { { "plantainlatch history", "Shows the accepted declarations.", options, {}, exitCodeHelp() }, runHistory };
 }
 
 subcommand dumpCommand()
--- a/src/services/operator_front.cpp
+++ b/src/services/operator_front.cpp
@@ -1,5 +1,8 @@
 #include "services/operator_front.h"
 
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "codec/declaration_writer.h"
 #include "codec/declaration_yaml.h"
 #include "codec/json_codec.h"
 #include "codec/json_requests.h"
@@ -13,6 +16,7 @@
     constexpr int statusOk = 200;
     constexpr int statusMethodNotAllowed = 405;
     constexpr const char* fileNameField = "X-File-Name";
+    const std::string backToField = "back_to=";
     constexpr const char* metricsType = "text/plain; version=0.0.4";
 
     std::string fileNameOf(const http_request_view& request)
@@ -66,8 +70,7 @@
         "/v1/declarations", "POST", [this](exchange_id exchange, const auto& request) { apply(exchange, request); });
     addPath("/v1/plan", "POST", [this](exchange_id exchange, const auto& request) { plan(exchange, request); });
     addPath("/v1/drains", "POST", [this](exchange_id exchange, const auto& request) { drain(exchange, request); });
-    addPath("/v1/history", "GET",
-        [this](exchange_id exchange, const auto&) { answerJson(exchange, encodeHistoryJson(m_operators->history())); });
+    addPath("/v1/history", "GET", [this](exchange_id exchange, const auto& request) { history(exchange, request); });
     addPath("/v1/status", "GET",
         [this](exchange_id exchange, const auto&) { answerJson(exchange, encodeStatusJson(m_operators->status())); });
     addPath("/v1/dump", "GET",
@@ -128,6 +131,25 @@
     m_operators->drain(order->target, order->draining, order->force, answerWithResult(*m_server, exchange));
 }
 
+void operator_front::history(exchange_id exchange, const http_request_view& request)
+{
+    const std::string query(request.query());
+    if (query.empty()) {
+        answerJson(exchange, encodeHistoryJson(m_operators->history()));
+        return;
+    }
+    std::uint64_t number = 0;
+    if (!absl::StartsWith(query, backToField) || !absl::SimpleAtoi(query.substr(backToField.size()), &number)) {
+        m_server->respond(exchange, encodeStatus(absl::InvalidArgumentError("back_to=NUMBER is expected")));
+        return;
+    }
+    const absl::StatusOr<declaration> back = m_operators->declarationBackTo(change_number(number));
+    if (back.ok())
+        answerJson(exchange, encodeDeclarationTextJson(writeDeclaration(*back)));
+    else
+        m_server->respond(exchange, encodeStatus(back.status()));
+}
+
 void operator_front::answerJson(exchange_id exchange, std::string json)
 {
     m_server->respond(exchange, encodeJsonAnswer(statusOk, std::move(json)));
--- a/src/services/operator_front.h
+++ b/src/services/operator_front.h
@@ -38,6 +38,7 @@
     void apply(exchange_id exchange, const http_request_view& request);
     void plan(exchange_id exchange, const http_request_view& request);
     void drain(exchange_id exchange, const http_request_view& request);
+    void history(exchange_id exchange, const http_request_view& request);
     void answerJson(exchange_id exchange, std::string json);
 
     std::function<state_dump()> m_dump;
