--- a/src/codec/declaration_writer.cpp
+++ b/src/codec/declaration_writer.cpp
@@ -47,6 +47,7 @@
     template <typename Names> std::vector<std::string> textsOf(const Names& names)
     {
         std::vector<std::string> texts;
+        texts.reserve(names.size());
         for (const auto& name : names)
             texts.push_back(name.value());
         return texts;
