--- /dev/null
+++ b/src/decision/lookup/block_table.cpp
@@ -0,0 +1,131 @@
+#include "decision/lookup/block_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+#include "absl/strings/str_cat.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr unsigned addressBits = 32;
+    constexpr unsigned indexBits = 16;
+    constexpr std::size_t indexSize = (std::size_t { 1 } << indexBits) + 1;
+    /** The site of ranges that no block holds. */
+    constexpr std::uint16_t noSite = std::numeric_limits<std::uint16_t>::max();
+
+    std::uint64_t blockSize(const client_block& block)
+    {
+        return std::uint64_t { 1 } << (addressBits - block.prefixBits);
+    }
+
+    std::uint64_t blockEnd(const client_block& block) { return block.address + blockSize(block); }
+
+    absl::Status checkBlock(const client_block& block)
+    {
+        const std::string shown = absl::StrCat(block.address, "/", static_cast<int>(block.prefixBits));
+        if (block.prefixBits > addressBits)
+            return absl::InvalidArgumentError(absl::StrCat("block ", shown, " has more than 32 prefix bits"));
+        if ((block.address & (blockSize(block) - 1)) != 0)
+            return absl::InvalidArgumentError(absl::StrCat("block ", shown, " has address bits behind its prefix"));
+        if (block.site.value() >= block_table::largestSiteCount)
+            return absl::InvalidArgumentError(absl::StrCat("block ", shown, " names a site beyond the largest number"));
+        return absl::OkStatus();
+    }
+
+    bool beginsEarlierOrHolds(const client_block& left, const client_block& right)
+    {
+        return std::tie(left.address, left.prefixBits) < std::tie(right.address, right.prefixBits);
+    }
+
+    absl::Status checkBlocks(const std::vector<client_block>& sorted)
+    {
+        for (std::size_t i = 0; i < sorted.size(); ++i) {
+            absl::Status status = checkBlock(sorted[i]);
+            if (!status.ok())
+                return status;
+            const bool isSame = i > 0 && !beginsEarlierOrHolds(sorted[i - 1], sorted[i]);
+            if (isSame)
+                return absl::InvalidArgumentError(absl::StrCat(
+                    "block ", sorted[i].address, "/", static_cast<int>(sorted[i].prefixBits), " stands twice"));
+        }
+        return absl::OkStatus();
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<const block_table>> block_table::create(std::vector<client_block> blocks)
+{
+    std::sort(blocks.begin(), blocks.end(), beginsEarlierOrHolds);
+    const absl::Status status = checkBlocks(blocks);
+    if (!status.ok())
+        return status;
+    std::unique_ptr<block_table> table(new block_table);
+    table->addRange(0, noSite);
+    // The blocks that hold the current place, each inside the one before it.
+    std::vector<client_block> open;
+    const auto closeUntil = [&](std::uint64_t place) {
+        while (!open.empty() && blockEnd(open.back()) <= place) {
+            const std::uint64_t end = blockEnd(open.back());
+            open.pop_back();
+            const std::uint16_t outer = open.empty() ? noSite : static_cast<std::uint16_t>(open.back().site.value());
+            if (end <= std::numeric_limits<client_address>::max())
+                table->addRange(static_cast<client_address>(end), outer);
+        }
+    };
+    for (const client_block& block : blocks) {
+        closeUntil(block.address);
+        table->addRange(block.address, static_cast<std::uint16_t>(block.site.value()));
+        open.push_back(block);
+    }
+    closeUntil(std::uint64_t { 1 } << addressBits);
+    table->m_firsts.shrink_to_fit();
+    table->m_sites.shrink_to_fit();
+    table->buildIndex();
+    return std::unique_ptr<const block_table>(std::move(table));
+}
+
+void block_table::addRange(client_address first, std::uint16_t site)
+{
+    if (!m_firsts.empty() && m_firsts.back() == first) {
+        m_sites.back() = site;
+        return;
+    }
+    if (!m_sites.empty() && m_sites.back() == site)
+        return;
+    m_firsts.push_back(first);
+    m_sites.push_back(site);
+}
+
+void block_table::buildIndex()
+{
+    m_index.resize(indexSize);
+    std::uint32_t range = 0;
+    for (std::size_t upper = 0; upper < indexSize; ++upper) {
+        const std::uint64_t place = static_cast<std::uint64_t>(upper) << (addressBits - indexBits);
+        while (range < m_firsts.size() && m_firsts[range] < place)
+            ++range;
+        m_index[upper] = range;
+    }
+}
+
+site_index block_table::find(client_address address, site_index fallback) const
+{
+    const std::size_t upper = address >> (addressBits - indexBits);
+    const auto first = m_firsts.begin() + m_index[upper];
+    const auto last = m_firsts.begin() + m_index[upper + 1];
+    const auto after = std::upper_bound(first, last, address);
+    // The first range begins at address 0, so there is always one that begins at or before the address.
+    const std::uint16_t site = m_sites[static_cast<std::size_t>(after - m_firsts.begin()) - 1];
+    return site == noSite ? fallback : site_index(site);
+}
+
+std::size_t block_table::memoryBytes() const
+{
+    return sizeof(*this) + m_firsts.capacity() * sizeof(client_address) + m_sites.capacity() * sizeof(std::uint16_t)
+        + m_index.capacity() * sizeof(std::uint32_t);
+}
+
+} // namespace plantainlatch
