Let a goodbye that overtakes its join keep the upstream out

Change: the log remembers such a goodbye; an entry sends it to the log also when it does not know the join.

--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -184,11 +184,19 @@
 command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command)
 {
     const auto known = state.directory.find(command.id);
-    if (known == state.directory.end() || known->second.announcement.generation != command.generation)
-        return alreadyAccepted();
-    state.directory.erase(known);
-    rememberDeparture(state, command, item.proposedAt);
-    return accepted();
+    const bool isHere = known != state.directory.end();
+    if (isHere && known->second.announcement.generation == command.generation) {
+        state.directory.erase(known);
+        rememberDeparture(state, command, item.proposedAt);
+        return accepted();
+    }
+    // A goodbye may overtake the join of its generation, which must not enter the directory after it.
+    const auto gone = state.departed.find(command.id);
+    const bool isEarlier = (isHere && known->second.announcement.generation > command.generation)
+        || (gone != state.departed.end() && gone->second.generation > command.generation);
+    if (command.goodbye && !isEarlier)
+        rememberDeparture(state, command, item.proposedAt);
+    return alreadyAccepted();
 }
 
 } // namespace plantainlatch
--- a/src/decision/control/directory_service.cpp
+++ b/src/decision/control/directory_service.cpp
@@ -151,10 +151,11 @@
 
 void directory_service::leave(const upstream_id& id, upstream_generation generation, const answer& done)
 {
-    const auto known = m_control->state().directory.find(id);
-    const bool isHere
-        = known != m_control->state().directory.end() && known->second.announcement.generation == generation;
-    if (!isHere && !m_joining.contains(id)) {
+    // The join may be on its way through another VM, so a goodbye that finds nothing here goes to the log all the same.
+    const auto gone = m_control->state().departed.find(id);
+    const bool isGone
+        = gone != m_control->state().departed.end() && gone->second.goodbye && gone->second.generation == generation;
+    if (isGone) {
         done(absl::OkStatus());
         return;
     }
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -153,4 +153,16 @@
     REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
 }
 
+TEST_CASE_METHOD(directory_fixture, "directory.goodbye_that_overtakes_its_join.keeps_the_upstream_out")
+{
+    absl::StatusCode left = absl::StatusCode::kUnknown;
+    port("b").leave(first.id, first.generation, [&](const absl::Status& status) { left = status.code(); });
+    cluster.runtime.advance(300ms);
+    REQUIRE(left == absl::StatusCode::kOk);
+    REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
+    REQUIRE_FALSE(isKnown("u1"));
+    first.generation = first.generation.next();
+    REQUIRE(announce("c", first) == absl::StatusCode::kOk);
+}
+
 } // namespace plantainlatch
