--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -159,13 +159,23 @@
         item.held.erase(position);
 }
 
+std::uint32_t slot_allocator::lentOfAllGenerations(const upstream_id& id) const
+{
+    std::uint32_t count = 0;
+    for (auto item = m_upstreams.lower_bound({ id, upstream_generation() });
+         item != m_upstreams.end() && item->first.id == id; ++item)
+        count += item->second.lent + item->second.unaccounted;
+    return count;
+}
+
 std::uint32_t slot_allocator::available(const upstream_state& item) const
 {
     if (item.info.capacity == 0 || (m_usable && !m_usable(item.info.announcement.id)))
         return 0;
     const std::uint32_t warm = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
     const std::uint32_t limit = std::min(item.info.capacity, warm);
-    const std::uint32_t used = item.lent + item.unaccounted;
+    // A holder that does not know of a restart yet still sends to the same address.
+    const std::uint32_t used = lentOfAllGenerations(item.info.announcement.id);
     return limit > used ? limit - used : 0;
 }
 
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -123,6 +123,7 @@
     void accountMember(const vm_id& vm, duration running, time_point now);
     void setHeld(holder& item, const upstream_key& key, std::uint32_t count);
 
+    std::uint32_t lentOfAllGenerations(const upstream_id& id) const;
     std::uint32_t available(const upstream_state& item) const;
     std::uint32_t fairShare(const service_id& service) const;
     std::uint32_t heldOf(const holder& item, const service_id& service) const;
--- /dev/null
+++ b/test/correctness/slot_generation_test.cpp
@@ -0,0 +1,74 @@
+#include <catch2/catch.hpp>
+
+#include "decision/slots/slot_allocator.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** One upstream with two slots, and a holder of both. */
+    class slot_generation_fixture {
+    protected:
+        slot_generation_fixture()
+        {
+            options.coldSlots = 2;
+            subject = std::make_unique<slot_allocator>(
+                region_id("r"), allocator_epoch(1), std::set<vm_id> {}, now, options);
+            setGeneration(1);
+            REQUIRE(lentTo("holder", 1, 2, {}) == 2);
+        }
+
+        void setGeneration(std::uint64_t generation)
+        {
+            upstream_table table;
+            usable_upstream& item = table.upstreams[upstream_id("u")];
+            item.announcement.id = upstream_id("u");
+            item.announcement.generation = upstream_generation(generation);
+            item.announcement.service = service_id("s");
+            item.announcement.region = region_id("r");
+            item.announcement.slots = slot_count(2);
+            item.capacity = 2;
+            subject->setUpstreams(table, 1s, now);
+        }
+
+        /** Reports for a VM and returns how many slots it holds then. */
+        std::uint32_t lentTo(
+            const std::string& vm, std::uint64_t sequence, std::uint32_t waiting, std::vector<slot_share> held)
+        {
+            slot_report report;
+            report.region = region_id("r");
+            report.epoch = allocator_epoch(1);
+            report.start = incarnation(1);
+            report.sequence = sequence;
+            report.held = std::move(held);
+            if (waiting > 0) {
+                report.demands.emplace_back();
+                report.demands.back().service = service_id("s");
+                report.demands.back().waiting = waiting;
+            }
+            std::uint32_t count = 0;
+            for (const addressed_grant& item : subject->report(vm_id(vm), true, report, now)) {
+                for (const slot_share& share : item.grant.granted)
+                    count += item.to == vm_id(vm) ? share.count : 0;
+            }
+            return count;
+        }
+
+        time_point now { 1h };
+        slot_allocator_options options;
+        std::unique_ptr<slot_allocator> subject;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(slot_generation_fixture, "slot_allocator.restarted_upstream.is_not_lent_beside_its_earlier_generation")
+{
+    setGeneration(2);
+    REQUIRE(lentTo("other", 1, 2, {}) == 0);
+    REQUIRE(lentTo("holder", 2, 0, {}) == 0);
+    REQUIRE(lentTo("other", 2, 2, {}) == 2);
+}
+
+} // namespace plantainlatch
