Measure upstreams for the leader, and take missing measurements for no known load

Cause: a run with real processes showed every load as 0, since nothing published the measurements, and drains of whole regions were accepted on that. Change: slots publish what released uses showed, by service and failure domain; heartbeats say whether the VM measures, and loads count as known only while all VMs that the leader hears from do.

--- a/src/decision/control/load_view.cpp
+++ b/src/decision/control/load_view.cpp
@@ -20,14 +20,16 @@
 void load_view::beginTerm(time_point now)
 {
     m_measurements.clear();
-    m_termBegan = now;
+    m_incompleteUntil = now + measurementSpan;
 }
 
 void load_view::answer(
     const configuration& config, const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now)
 {
     m_measurements.add(heartbeat, now);
-    answer.loadsKnown = now - m_termBegan >= measurementSpan;
+    if (!heartbeat.measured)
+        m_incompleteUntil = now + measurementSpan;
+    answer.loadsKnown = now >= m_incompleteUntil;
     for (const auto& [service, definition] : config.services) {
         for (const auto& [region, places] : config.regions) {
             for (const failure_domain_id& domain : places.failureDomains) {
--- a/src/decision/control/load_view.h
+++ b/src/decision/control/load_view.h
@@ -33,7 +33,8 @@
 
 private:
     measurement_window m_measurements;
-    time_point m_termBegan {};
+    /** Until then some VM's measurements are missing. */
+    time_point m_incompleteUntil {};
     bool m_known = false;
     time_point m_toldAt {};
     std::vector<service_load> m_loads;
--- a/src/decision/control/membership_service.cpp
+++ b/src/decision/control/membership_service.cpp
@@ -135,7 +135,8 @@
     }
     // The service that measures starts after this one, so that it is looked up late.
     const auto measurements = m_services->find<measurement_port>(port_names::measurements);
-    if (measurements.ok())
+    heartbeat.measured = measurements.ok();
+    if (heartbeat.measured)
         heartbeat.measurements = (*measurements)->take();
     for (const auto& part : m_onSend)
         part(heartbeat);
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -37,6 +37,7 @@
     };
     m_port.cancelWait = [this](slot_ticket ticket) { cancelWait(ticket); };
     m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    m_measurementPort.take = [this] { return m_measurements.take(); };
 }
 
 service slot_service::asService()
@@ -73,7 +74,9 @@
     m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { received(from, message); });
     m_control->onSteeringChange([this] { follow(); });
     follow();
-    return services.publish(port_names::slots, m_port);
+    absl::Status status = services.publish(port_names::measurements, m_measurementPort);
+    status.Update(services.publish(port_names::slots, m_port));
+    return status;
 }
 
 void slot_service::stop(std::function<void()> stopped)
@@ -269,6 +272,7 @@
         << "slot hold " << hold.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
+    m_measurements.note(upstream, result);
     if (m_quality.note(upstream, result, now)) {
         const auto holdings = m_holdings.find(upstream.region);
         if (holdings != m_holdings.end())
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -17,6 +17,7 @@
 #include "decision/peers/peer_router.h"
 #include "decision/slots/allocator_host.h"
 #include "decision/slots/link_budget.h"
+#include "decision/slots/measurement_recorder.h"
 #include "decision/slots/slot_holdings.h"
 #include "decision/slots/slot_picker.h"
 #include "decision/slots/slot_queue.h"
@@ -26,6 +27,7 @@
 #include "kernel/service.h"
 #include "model/vm_settings.h"
 #include "ports/control_port.h"
+#include "ports/measurement_port.h"
 #include "ports/membership_port.h"
 #include "ports/shift_port.h"
 #include "ports/slot_port.h"
@@ -63,7 +65,8 @@
     bool keepsLinkBudgets = true;
 };
 
-/** Holds slots, hands them to requests, and runs the allocators of this VM; published as "slots". */
+/** Holds slots, hands them to requests, and runs the allocators of this VM; published as "slots", with "measurements"
+ * of the upstreams. */
 class slot_service {
 public:
     static absl::StatusOr<std::unique_ptr<slot_service>> create(
@@ -149,6 +152,8 @@
 
     upstream_table m_table;
     upstream_quality m_quality;
+    measurement_recorder m_measurements;
+    measurement_port m_measurementPort;
     link_budget m_links;
     allocator_host m_host;
     slot_queue m_queue;
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -95,11 +95,13 @@
     /** The allocator roles whose lease the VM holds when it sends. */
     std::vector<allocator_role> held;
     std::vector<shift_usage> shiftUsage;
+    /** The VM measures its upstreams, so that a place without a measurement had no traffic from it. */
+    bool measured = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.vm, self.start, self.sequence, self.applied, self.inForce, self.draining, self.requestsInFlight,
-            self.measurements, self.term, self.held, self.shiftUsage);
+            self.measurements, self.term, self.held, self.shiftUsage, self.measured);
     }
 };
 
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -142,6 +142,13 @@
     REQUIRE_THAT(drain(drain_kind::Region, "fukuoka").message, Catch::Contains("load is not known"));
 }
 
+TEST_CASE_METHOD(operator_fixture, "drain.while_a_vm_does_not_measure.is_refused")
+{
+    cluster.vm("b").root->services().withdraw(port_names::measurements);
+    cluster.runtime.advance(2s);
+    REQUIRE_THAT(drain(drain_kind::Region, "fukuoka").message, Catch::Contains("load is not known"));
+}
+
 TEST_CASE_METHOD(operator_fixture, "apply.change_that_overloads_a_region.needs_the_risk_by_name")
 {
     load(17);
