--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -14,7 +14,7 @@
     {
         const region_id region = regionOf(config, offered.failureDomain);
         if (region.empty())
-            return absl::InvalidArgumentError(
+            return absl::NotFoundError(
                 absl::StrCat("failure domain '", offered.failureDomain.value(), "' is not declared"));
         if (region != offered.region)
             return absl::InvalidArgumentError(absl::StrCat("failure domain '", offered.failureDomain.value(),
@@ -26,7 +26,7 @@
     {
         const auto found = config.services.find(offered.service);
         if (found == config.services.end())
-            return absl::InvalidArgumentError(absl::StrCat("service '", offered.service.value(), "' is not declared"));
+            return absl::NotFoundError(absl::StrCat("service '", offered.service.value(), "' is not declared"));
         const service_definition& limits = found->second;
         if (offered.slots.value() == 0 || offered.slots > limits.slots)
             return absl::InvalidArgumentError(absl::StrCat("an upstream of service '", offered.service.value(),
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -28,7 +28,8 @@
 inline constexpr duration firstFlapWait = std::chrono::seconds(5);
 inline constexpr duration longestFlapWait = std::chrono::seconds(60);
 
-/** Whether the announcement may enter the directory now: OK, InvalidArgument (it does not fit the configuration),
+/** Whether the announcement may enter the directory now: OK, NotFound (its service or place is not declared),
+ * InvalidArgument (it does not fit the configuration),
  * PermissionDenied (withdrawn, an earlier generation, or a goodbye was said), AlreadyExists (another upstream has the
  * address), Unavailable (it flaps and has to wait) or ResourceExhausted. */
 absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now);
--- a/src/decision/control/directory_service.cpp
+++ b/src/decision/control/directory_service.cpp
@@ -23,10 +23,12 @@
     /** Sightings of upstreams that the directory does not hold are kept for this long. */
     constexpr duration unknownMemory = std::chrono::minutes(1);
 
-    /** What the upstream is told: some refusals hold only for now. */
+    /** What the upstream is told: some refusals hold only for now. What is not declared here may be so elsewhere. */
     absl::Status refusalStatus(const absl::Status& status)
     {
-        if (absl::IsAlreadyExists(status) || absl::IsResourceExhausted(status))
+        const bool passes
+            = absl::IsAlreadyExists(status) || absl::IsResourceExhausted(status) || absl::IsNotFound(status);
+        if (passes)
             return absl::UnavailableError(status.message());
         return status;
     }
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -119,6 +119,16 @@
     REQUIRE(announce("b", bookingUpstream("u2", 9001)) == absl::StatusCode::kUnavailable);
 }
 
+TEST_CASE_METHOD(directory_fixture, "directory.undeclared_service_or_place.is_refused_for_now_only")
+{
+    upstream_announcement early = first;
+    early.failureDomain = failure_domain_id("not-yet");
+    REQUIRE(announce("a", early) == absl::StatusCode::kUnavailable);
+    early = first;
+    early.service = service_id("not-yet");
+    REQUIRE(announce("a", early) == absl::StatusCode::kUnavailable);
+}
+
 TEST_CASE_METHOD(directory_fixture, "directory.upstream_at_the_address_of_a_silent_one.joins_once_that_left")
 {
     announce("a", first);
