--- /dev/null
+++ b/test/performance/capacity_benchmark.cpp
@@ -0,0 +1,250 @@
+/** \file
+ * Measures the slopes of docs/CAPACITY.md: bytes and processor time of each control message, and of the control state,
+ * for each entry, upstream, change and key more.
+ */
+
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <string>
+
+#include "codec/msgpack_codec.h"
+#include "codec/peer_message_codec.h"
+#include "decision/control/control_service.h"
+#include "decision/slots/upstream_table.h"
+#include "kernel/kernel.h"
+#include "ports/port_names.h"
+#include "support/paused_runtime.h"
+
+namespace {
+
+using namespace plantainlatch;
+using clock_type = std::chrono::steady_clock;
+
+constexpr int rounds = 2000;
+
+double nanosecondsEach(int count, const std::function<void()>& action)
+{
+    const auto begun = clock_type::now();
+    for (int i = 0; i < count; ++i)
+        action();
+    return std::chrono::duration<double, std::nano>(clock_type::now() - begun).count() / count;
+}
+
+void showMessage(const char* name, const peer_message& message)
+{
+    const std::string bytes = encodePeerMessage(message);
+    const double encodeTime = nanosecondsEach(rounds, [&] { encodePeerMessage(message); });
+    const double decodeTime = nanosecondsEach(rounds, [&] { decodePeerMessage(bytes).IgnoreError(); });
+    std::printf("%-44s %8zu bytes %9.0f ns encode %9.0f ns decode\n", name, bytes.size(), encodeTime, decodeTime);
+}
+
+upstream_announcement makeAnnouncement(int number)
+{
+    const std::string text = std::to_string(number);
+    upstream_announcement item;
+    item.id = upstream_id("booking-" + text);
+    item.generation = upstream_generation(1764800000000 + static_cast<std::uint64_t>(number));
+    item.service = service_id("booking");
+    item.address = { "10.20." + std::to_string(number / 250) + "." + std::to_string(number % 250), 9001 };
+    item.region = region_id("fukuoka");
+    item.failureDomain = failure_domain_id("hakata");
+    item.slots = slot_count(6);
+    item.connections = 360;
+    return item;
+}
+
+declaration makeChange(std::uint64_t number)
+{
+    declaration change;
+    change.number = change_number(number);
+    change.replaces = change_number(number - 1);
+    change.note = "moves a share of booking between two places, reviewed and numbered by the operators";
+    share_definition share { service_id("booking"), failure_domain_id("hakata"),
+        static_cast<std::uint32_t>(1 + number % 100) };
+    change.shares.changed.push_back({ share, {} });
+    share.failureDomain = failure_domain_id("kokura");
+    change.shares.changed.push_back({ share, {} });
+    return change;
+}
+
+proposal makeProposal(std::uint64_t sequence, control_command command)
+{
+    proposal item;
+    item.id = { vm_id("e1"), incarnation(7), sequence };
+    item.command = std::move(command);
+    return item;
+}
+
+log_entry makeEntry(std::uint64_t index, control_command command)
+{
+    return { log_term(3), log_index(index), makeProposal(index, std::move(command)) };
+}
+
+append_request makeAppend(int entries, const control_command& command)
+{
+    append_request request;
+    request.term = log_term(3);
+    request.leader = { vm_id("e1"), incarnation(0x123456789abcdef) };
+    request.previousIndex = log_index(100000);
+    request.committed = log_index(100000);
+    for (int i = 0; i < entries; ++i)
+        request.entries.push_back(makeEntry(100001 + static_cast<std::uint64_t>(i), command));
+    return request;
+}
+
+slot_report makeReport(int upstreams)
+{
+    slot_report report;
+    report.region = region_id("fukuoka");
+    report.epoch = allocator_epoch(4);
+    report.start = incarnation(0x123456789abcdef);
+    report.sequence = 123456;
+    report.demands.resize(2, { service_id("booking"), {}, 3, 5 });
+    for (int i = 0; i < upstreams; ++i)
+        report.held.push_back({ makeAnnouncement(i).id, makeAnnouncement(i).generation, 2 });
+    return report;
+}
+
+slot_grant makeGrant(int upstreams)
+{
+    slot_grant grant;
+    grant.region = region_id("fukuoka");
+    grant.granted = makeReport(upstreams).held;
+    return grant;
+}
+
+vm_heartbeat makeHeartbeat(int measurements)
+{
+    vm_heartbeat heartbeat;
+    heartbeat.vm = vm_id("e1");
+    heartbeat.start = incarnation(0x123456789abcdef);
+    heartbeat.sequence = 123456;
+    heartbeat.measurements.resize(
+        static_cast<std::size_t>(measurements), { service_id("booking"), failure_domain_id("hakata"), 1000, 10, 10 });
+    return heartbeat;
+}
+
+void showMessages()
+{
+    std::puts("messages:");
+    showMessage("append_request without entries (heartbeat)", consensus_message(makeAppend(0, {})));
+    showMessage("append_answer", consensus_message(append_answer {}));
+    showMessage(
+        "append_request with one declaration", consensus_message(makeAppend(1, apply_declaration { makeChange(500) })));
+    claim_key claim { service_id("billing"), idempotency_key("0123456789abcdef0123456789abcdef"),
+        request_fingerprint(77) };
+    showMessage("append_request with one key claim", consensus_message(makeAppend(1, claim)));
+    showMessage("append_request with 100 key claims", consensus_message(makeAppend(100, claim)));
+    showMessage("vm_heartbeat without measurements", control_message(makeHeartbeat(0)));
+    showMessage("vm_heartbeat with 12 measurements", control_message(makeHeartbeat(12)));
+    showMessage("heartbeat_answer", control_message(heartbeat_answer {}));
+    showMessage("slot_report of 0 upstreams", slot_message(makeReport(0)));
+    showMessage("slot_report of 12 upstreams", slot_message(makeReport(12)));
+    showMessage("slot_grant of 12 upstreams", slot_message(makeGrant(12)));
+    showMessage("announcement_seen", control_message(announcement_seen { makeAnnouncement(1) }));
+}
+
+void showStateSlope(const char* name, int count, const std::function<void(control_snapshot&, int)>& addOne)
+{
+    control_snapshot state;
+    const std::size_t empty = msgpack_codec::encode(state).size();
+    for (int i = 0; i < count; ++i)
+        addOne(state, i);
+    const std::string bytes = msgpack_codec::encode(state);
+    const double encodeTime = nanosecondsEach(3, [&] { msgpack_codec::encode(state); });
+    const double decodeTime = nanosecondsEach(3, [&] { msgpack_codec::decode<control_snapshot>(bytes).IgnoreError(); });
+    std::printf("%-44s %8.0f bytes %9.0f ns encode %9.0f ns decode, each of %d\n", name,
+        static_cast<double>(bytes.size() - empty) / count, encodeTime / count, decodeTime / count, count);
+}
+
+void showState()
+{
+    constexpr int count = 20000;
+    std::puts("snapshot of the control state:");
+    showStateSlope("upstream in the directory", count, [](control_snapshot& state, int i) {
+        state.directory[makeAnnouncement(i).id].announcement = makeAnnouncement(i);
+    });
+    showStateSlope("idempotency key without answer", count, [](control_snapshot& state, int i) {
+        state.keys[{ service_id("billing"), idempotency_key("0123456789abcdef0123456789a" + std::to_string(i)) }]
+            = key_record { { vm_id("e1"), incarnation(7), 9 } };
+    });
+    showStateSlope("change in the history", count, [](control_snapshot& state, int i) {
+        state.history.push_back({ makeChange(static_cast<std::uint64_t>(i) + 1), {}, vm_id("e1") });
+    });
+    showStateSlope("VM", count, [](control_snapshot& state, int i) {
+        const vm_id id("e" + std::to_string(i));
+        state.vms[id] = { { id, region_id("fukuoka"), failure_domain_id("hakata"), { "10.20.30.40", 7080 },
+            { "10.20.30.40", 7070 }, false } };
+    });
+}
+
+/** Applies a command; a refused one is said, as its cost would mean nothing. */
+void applyAccepted(control_port& port, std::uint64_t sequence, control_command command)
+{
+    const command_result result = port.apply(makeProposal(sequence, std::move(command)));
+    if (result.verdict != command_verdict::Accepted)
+        std::printf("refused: %s\n", result.message.c_str());
+}
+
+/** The cost of applying commands on one VM, with `upstreams` in the directory. */
+void showApply(int upstreams)
+{
+    paused_runtime runtime(1);
+    const kernel_hooks hooks = runtime.hooks();
+    auto core = std::move(*kernel::create(hooks));
+    auto control = std::move(*control_service::create(hooks, {}));
+    core->add(control->asService());
+    if (!core->start().ok())
+        return;
+    control_port& port = **core->services().find<control_port>(port_names::control);
+    std::uint64_t sequence = 0;
+    declaration first;
+    first.number = change_number(1);
+    first.regions.added.push_back(
+        { { region_id("fukuoka"), { failure_domain_id("hakata"), failure_domain_id("kokura") } }, {} });
+    service_definition service;
+    service.id = service_id("booking");
+    service.slots = slot_count(6);
+    service.connections = 360;
+    service.defaultDeadline = std::chrono::seconds(1);
+    service.maximumDeadline = std::chrono::seconds(5);
+    service.maximumBody = byte_count(1 << 20);
+    service.keyRetention = std::chrono::hours(24);
+    first.services.added.push_back({ service, {} });
+    first.shares.added.push_back({ { service.id, failure_domain_id("hakata"), 1 }, {} });
+    first.shares.added.push_back({ { service.id, failure_domain_id("kokura"), 1 }, {} });
+    const command_result applied = port.apply(makeProposal(++sequence, apply_declaration { first }));
+    if (applied.verdict != command_verdict::Accepted) {
+        std::printf("the first declaration was refused: %s\n", applied.message.c_str());
+        return;
+    }
+    for (int i = 0; i < upstreams; ++i)
+        applyAccepted(port, ++sequence, upstream_joined { makeAnnouncement(i) });
+    std::uint64_t number = 1;
+    const double change = nanosecondsEach(200, [&] {
+        ++number;
+        applyAccepted(port, ++sequence, apply_declaration { makeChange(number) });
+    });
+    std::uint64_t key = 0;
+    const double claim = nanosecondsEach(rounds, [&] {
+        claim_key command { service_id("booking"), idempotency_key("key" + std::to_string(++key)),
+            request_fingerprint(1), std::chrono::hours(1) };
+        applyAccepted(port, ++sequence, command);
+    });
+    const double table = nanosecondsEach(20, [&] { makeUpstreamTable(port.state()); });
+    std::printf("with %5d upstreams: declaration %8.0f ns, claim %6.0f ns, table of upstreams %10.0f ns\n", upstreams,
+        change, claim, table);
+}
+
+} // namespace
+
+int main()
+{
+    showMessages();
+    showState();
+    std::puts("applying a command:");
+    for (const int upstreams : { 36, 360, 3600 })
+        showApply(upstreams);
+    return 0;
+}
