--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -15,9 +15,10 @@
     template <typename Part>
     absl::Status keep(absl::StatusOr<std::unique_ptr<Part>> created, std::unique_ptr<Part>& place)
     {
-        if (created.ok())
-            place = *std::move(created);
-        return created.status();
+        if (!created.ok())
+            return created.status();
+        place = *std::move(created);
+        return absl::OkStatus();
     }
 
 } // namespace
--- /dev/null
+++ b/test/error/serve_vm_test.cpp
@@ -0,0 +1,122 @@
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "error/loop_fixture.h"
+#include "error/raw_client.h"
+#include "error/raw_upstream.h"
+#include "services/serve_vm.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using Catch::Contains;
+
+    /** Settings of a system of one VM in a folder of its own. */
+    class serve_vm_fixture : protected loop_fixture {
+    protected:
+        serve_vm_fixture()
+        {
+            std::ofstream(folder / "shared.key") << std::string(64, 'k');
+            std::filesystem::permissions(folder / "shared.key", std::filesystem::perms::owner_read);
+            settings.self.id = vm_id("alone");
+            settings.self.region = region_id("fukuoka");
+            settings.self.failureDomain = failure_domain_id("hakata");
+            settings.self.callerAddress = freeAddress();
+            settings.self.peerAddress = freeAddress();
+            settings.self.replica = true;
+            settings.vms = { settings.self };
+            settings.dataFolder = (folder / "state").string();
+            settings.sharedKeyFile = (folder / "shared.key").string();
+            settings.lookupCacheTime = std::chrono::milliseconds(100);
+            settings.logLevel = "error";
+        }
+
+        ~serve_vm_fixture() { std::filesystem::remove_all(folder); }
+
+        network_address freeAddress() { return raw_upstream(loop->base()).address(); }
+
+        static std::filesystem::path makeFolder()
+        {
+            std::string name = (std::filesystem::temp_directory_path() / "plantainlatch-serve.XXXXXX").string();
+            REQUIRE(mkdtemp(name.data()) != nullptr);
+            return name;
+        }
+
+        /** Asks once and tells whether the last answer named the VM as the leader. */
+        bool leads()
+        {
+            if (m_asked && m_asked->received.find("\"leader\":\"alone\"") != std::string::npos)
+                return true;
+            if (!m_asked || m_asked->ended) {
+                m_asked.emplace(loop->base(), settings.self.callerAddress);
+                m_asked->send("GET /v1/status HTTP/1.0\r\n\r\n");
+            }
+            return false;
+        }
+
+        std::filesystem::path folder = makeFolder();
+        vm_settings settings;
+
+    private:
+        std::optional<raw_client> m_asked;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.caller_address_in_use.is_refused_in_one_line")
+{
+    const raw_upstream other(loop->base());
+    settings.self.callerAddress = other.address();
+    const absl::Status status = serve_vm::create(*loop, settings).status();
+    REQUIRE(status.code() == absl::StatusCode::kUnavailable);
+    REQUIRE_THAT(std::string(status.message()), Contains(formatAddress(other.address())) && !Contains("\n"));
+}
+
+TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.peer_address_in_use.is_refused_in_one_line")
+{
+    const raw_upstream other(loop->base());
+    settings.self.peerAddress = other.address();
+    settings.vms = { settings.self };
+    const auto subject = serve_vm::create(*loop, settings);
+    REQUIRE(subject.ok());
+    const absl::Status status = (*subject)->start();
+    REQUIRE_THAT(std::string(status.message()), Contains(formatAddress(other.address())) && !Contains("\n"));
+}
+
+TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.data_folder_that_is_a_file.is_refused_in_one_line")
+{
+    std::ofstream(*settings.dataFolder) << "no folder";
+    const absl::Status status = serve_vm::create(*loop, settings).status();
+    REQUIRE_FALSE(status.ok());
+    REQUIRE_THAT(std::string(status.message()), Contains(*settings.dataFolder) && !Contains("\n"));
+}
+
+TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.terminated_twice.answers_until_its_one_graceful_stop")
+{
+    const auto subject = serve_vm::create(*loop, settings);
+    REQUIRE(subject.ok());
+    REQUIRE((*subject)->start().ok());
+    runUntil([&] { return leads(); });
+    std::raise(SIGTERM);
+    std::raise(SIGTERM);
+    runFor(std::chrono::milliseconds(50));
+    raw_client late(loop->base(), settings.self.callerAddress);
+    late.send("GET /s/nothing/ HTTP/1.1\r\n\r\n");
+    bool stopped = true;
+    hooks.schedule(std::chrono::seconds(20), [&] {
+        stopped = false;
+        loop->stop();
+    });
+    loop->run();
+    REQUIRE(stopped);
+    REQUIRE_THAT(late.received, Contains("X-Plantainlatch-Reason: unknown-service") && Contains("Connection: close"));
+    (*subject)->checkIdle();
+}
+
+} // namespace plantainlatch
