--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -14,7 +14,7 @@
     {
         const region_id region = regionOf(config, offered.failureDomain);
         if (region.empty())
-            return absl::InvalidArgumentError(
+            return absl::NotFoundError(
                 absl::StrCat("failure domain '", offered.failureDomain.value(), "' is not declared"));
         if (region != offered.region)
             return absl::InvalidArgumentError(absl::StrCat("failure domain '", offered.failureDomain.value(),
@@ -26,7 +26,7 @@
     {
         const auto found = config.services.find(offered.service);
         if (found == config.services.end())
-            return absl::InvalidArgumentError(absl::StrCat("service '", offered.service.value(), "' is not declared"));
+            return absl::NotFoundError(absl::StrCat("service '", offered.service.value(), "' is not declared"));
         const service_definition& limits = found->second;
         if (offered.slots.value() == 0 || offered.slots > limits.slots)
             return absl::InvalidArgumentError(absl::StrCat("an upstream of service '", offered.service.value(),
@@ -184,11 +184,19 @@
 command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command)
 {
     const auto known = state.directory.find(command.id);
-    if (known == state.directory.end() || known->second.announcement.generation != command.generation)
-        return alreadyAccepted();
-    state.directory.erase(known);
-    rememberDeparture(state, command, item.proposedAt);
-    return accepted();
+    const bool isHere = known != state.directory.end();
+    if (isHere && known->second.announcement.generation == command.generation) {
+        state.directory.erase(known);
+        rememberDeparture(state, command, item.proposedAt);
+        return accepted();
+    }
+    // A goodbye may overtake the join of its generation, which must not enter the directory after it.
+    const auto gone = state.departed.find(command.id);
+    const bool isEarlier = (isHere && known->second.announcement.generation > command.generation)
+        || (gone != state.departed.end() && gone->second.generation > command.generation);
+    if (command.goodbye && !isEarlier)
+        rememberDeparture(state, command, item.proposedAt);
+    return alreadyAccepted();
 }
 
 } // namespace plantainlatch
