Start no call that can hardly be answered, and blame no upstream for it

What: worthStarting refuses as not-run what has less time left than the 95th percentile (or half its deadline); a timeout counts against the upstream only if the call had that time. Broken variants of both, of hedging with slots short, and of proposals that the log refuses, are tests.

--- a/src/decision/request/hedge_policy.cpp
+++ b/src/decision/request/hedge_policy.cpp
@@ -42,10 +42,16 @@
 
 std::optional<duration> hedge_policy::delay(const service_id& service) const
 {
-    const auto found = m_records.find(service);
-    if (found == m_records.end() || !found->second.latencies.slow())
+    const std::optional<duration> slow = slowLatency(service);
+    if (!slow)
         return std::nullopt;
-    return std::max(*found->second.latencies.slow(), minimumDelay);
+    return std::max(*slow, minimumDelay);
+}
+
+std::optional<duration> hedge_policy::slowLatency(const service_id& service) const
+{
+    const auto found = m_records.find(service);
+    return found != m_records.end() ? found->second.latencies.slow() : std::nullopt;
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -39,6 +39,7 @@
     caller_request content;
     request_traits traits;
     request_fingerprint fingerprint;
+    time_point arrivedAt;
     time_point deadline;
     duration keyRetention {};
     /** This VM's part of the connections to one upstream. */
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr int statusUnavailable = 503;
+    /** With no latency known, work is expected to take this part of its whole deadline. */
+    constexpr int unknownLatencyPart = 4;
     constexpr const char* notRunMark = "X-Plantainlatch-Not-Run";
 
     bool carriesMark(const upstream_answer& answer)
@@ -26,6 +28,13 @@
     policies.claims = [](const request_traits& traits) { return traits.claimed; };
     policies.unresolvedOutcome
         = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
+    policies.worthStarting = [](const dispatch_chance& chance) {
+        const duration likely = chance.slowLatency.value_or(chance.whole / unknownLatencyPart);
+        return chance.remaining >= std::min(likely, chance.whole / 2);
+    };
+    policies.blamesUpstream = [](const dispatch_chance& chance) {
+        return chance.remaining >= chance.slowLatency.value_or(chance.whole / 2);
+    };
     policies.mayRetry = [](const ended_attempt& attempt) {
         return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
     };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -39,6 +39,15 @@
     Cancelled,
 };
 
+/** What is known when a slot came and a call could be started. */
+struct dispatch_chance {
+    /** Until the request's deadline, now and when it arrived. */
+    duration remaining {};
+    duration whole {};
+    /** The 95th percentile of the service's latencies; none when that is not known. */
+    std::optional<duration> slowLatency;
+};
+
 /** The policies of the request path; each has a sound default and can be replaced, as tests do to show what it is for.
  */
 struct request_policies {
@@ -46,6 +55,10 @@
     std::function<bool(const request_traits&)> claims;
     /** What is said of claimed work that ends before its claim is resolved: an earlier request may have run it. */
     std::function<outcome(const request_traits&)> unresolvedOutcome;
+    /** Whether a call is likely enough to be answered before the deadline to be started. */
+    std::function<bool(const dispatch_chance&)> worthStarting;
+    /** Whether a call that had this chance and timed out speaks against its upstream. */
+    std::function<bool(const dispatch_chance&)> blamesUpstream;
     /** Whether an ended attempt may be followed by another. */
     std::function<bool(const ended_attempt&)> mayRetry;
     /** Whether an answer says that the upstream did not run the work. */
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -130,7 +130,8 @@
     admitted.traits = traitsOf(request, &definition);
     admitted.fingerprint = fingerprintOf(request);
     const duration asked = request.deadline.value_or(definition.defaultDeadline);
-    admitted.deadline = m_hooks.now() + std::min(asked, definition.maximumDeadline);
+    admitted.arrivedAt = m_hooks.now();
+    admitted.deadline = admitted.arrivedAt + std::min(asked, definition.maximumDeadline);
     admitted.keyRetention = definition.keyRetention;
     admitted.connectionLimit = connectionShare(definition);
     admitted.content = std::move(request);
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -91,7 +91,7 @@
     m_gotSlot = true;
     const time_point now = m_environment.hooks.now();
     m_startedAt = now;
-    if (now < m_request.deadline && now < m_slot.dispatchBefore) {
+    if (now < m_slot.dispatchBefore && m_environment.options.policies.worthStarting(chanceAt(now))) {
         call();
         return;
     }
@@ -102,6 +102,18 @@
     end(std::move(ended));
 }
 
+dispatch_chance upstream_attempt::chanceAt(time_point begin) const
+{
+    return { m_request.deadline - begin, m_request.deadline - m_request.arrivedAt,
+        m_environment.hedges.slowLatency(m_request.content.service) };
+}
+
+slot_result::kind upstream_attempt::timeoutResult() const
+{
+    const bool blames = m_environment.options.policies.blamesUpstream(chanceAt(m_startedAt));
+    return blames ? slot_result::kind::Timeout : slot_result::kind::Cancelled;
+}
+
 void upstream_attempt::call()
 {
     m_call = m_environment.nextCall();
@@ -169,7 +181,7 @@
         ended.ended = attempt_end::kind::Answered;
         if (answer.status >= firstServerError)
             kind = slot_result::kind::Failed;
-        else if (m_request.traits.idempotent)
+        else
             m_environment.hedges.observeLatency(m_request.content.service, m_environment.hooks.now() - m_startedAt);
     }
     m_state = nextState(m_state, event);
@@ -185,7 +197,8 @@
     const bool early = isBeforeFirstByte(failure) || m_state == attempt_state::Prepared;
     ended.ended = early ? attempt_end::kind::NotOffered : attempt_end::kind::Lost;
     m_state = nextState(m_state, early ? attempt_event::FailBeforeFirstByte : attempt_event::Lose);
-    release(slotResultOf(failure), early ? attempt_ending::Finished : endingOf(failure));
+    const bool timedOut = failure == call_failure::Timeout && !early;
+    release(timedOut ? timeoutResult() : slotResultOf(failure), early ? attempt_ending::Finished : endingOf(failure));
     end(std::move(ended));
 }
 
@@ -198,7 +211,7 @@
     if (m_holdsSlot) {
         m_environment.upstreams.cancel(m_call);
         const bool offered = m_state == attempt_state::Offered;
-        const auto unanswered = offered ? slot_result::kind::Timeout : slot_result::kind::ConnectFailed;
+        const auto unanswered = offered ? timeoutResult() : slot_result::kind::ConnectFailed;
         const auto unwanted = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
         release(cause == abandon_cause::Deadline ? unanswered : unwanted,
             offered ? attempt_ending::Cancelled : attempt_ending::Finished);
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -75,6 +75,8 @@
     upstream_attempt(request_environment& environment, const admitted_request& request, attempt_events events);
 
     void onSlot(const slot_answer& answer);
+    dispatch_chance chanceAt(time_point begin) const;
+    slot_result::kind timeoutResult() const;
     void call();
     upstream_call callFor(const held_slot& slot) const;
     void onFirstByte();
--- a/test/correctness/request_key_test.cpp
+++ b/test/correctness/request_key_test.cpp
@@ -191,6 +191,24 @@
     REQUIRE(record(world, "k")->result == outcome::Completed);
 }
 
+TEST_CASE_METHOD(request_key_fixture, "key.proposal_refused_by_the_log.leaves_a_claim_unknown_and_a_settlement_owed")
+{
+    bool refusing = true;
+    world.entries[0].log->fate = [&](const control_command&) {
+        return proposal_fate { 2ms, true, true, std::exchange(refusing, false) };
+    };
+    const caller_record& unresolved = world.post(0, "order", "k");
+    world.runtime.advance(1s);
+    REQUIRE(unresolved.answer->result == outcome::Unknown);
+    REQUIRE(unresolved.answer->reason == answer_reason::KeyUnavailable);
+    world.post(0, "order", "k");
+    world.runtime.advance(4ms);
+    refusing = true;
+    world.runtime.advance(1s);
+    REQUIRE_FALSE(refusing);
+    REQUIRE(record(world, "k")->result == outcome::Completed);
+}
+
 TEST_CASE_METHOD(request_key_fixture, "key.answer_too_large_to_keep.resend_is_told_so")
 {
     world.post(0, std::string(1020, 'x'), "k");
--- a/test/correctness/request_limits_test.cpp
+++ b/test/correctness/request_limits_test.cpp
@@ -64,6 +64,67 @@
     REQUIRE_FALSE(slow(false));
 }
 
+TEST_CASE_METHOD(request_limits_fixture, "hedge.slots_short.takes_none_from_first_attempts")
+{
+    const auto hedges = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.hasRoomToHedge = [](bool) { return true; };
+        request_world world(1, 1, 3, 1, options);
+        for (int i = 0; i < 300; ++i) {
+            world.upstreams.fate = [i](const upstream_call&) {
+                return call_fate { kind::Answer, i % 30 != 0 ? 30ms : 200ms };
+            };
+            world.get(0, "/frames/" + std::to_string(i));
+            world.runtime.advance(11ms);
+        }
+        return extraAttempts(world) > 0;
+    };
+    REQUIRE(hedges(true));
+    REQUIRE_FALSE(hedges(false));
+}
+
+TEST_CASE_METHOD(request_limits_fixture, "dispatch.little_time_left.is_refused_as_not_run_instead_of_ending_unknown")
+{
+    const auto endsUnknown = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.worthStarting = [](const dispatch_chance&) { return true; };
+        request_world world(1, 1, 1, 1, options);
+        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 950ms }; };
+        world.post(0, "first");
+        const caller_record& second = world.post(0, "second");
+        world.runtime.advance(2s);
+        return second.answer->result == outcome::Unknown;
+    };
+    REQUIRE(endsUnknown(true));
+    REQUIRE_FALSE(endsUnknown(false));
+}
+
+TEST_CASE_METHOD(request_limits_fixture, "timeout.of_a_call_with_a_short_deadline.does_not_blame_the_upstream")
+{
+    const auto blames = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.blamesUpstream = [](const dispatch_chance&) { return true; };
+        request_world world(1, 1, 1, 1, options);
+        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 300ms }; };
+        for (int i = 0; i < 40; ++i) {
+            world.post(0, std::to_string(i));
+            world.runtime.advance(400ms);
+        }
+        caller_request hasty;
+        hasty.method = "POST";
+        hasty.target = "/orders";
+        hasty.deadline = 100ms;
+        world.send(0, hasty);
+        world.runtime.advance(1s);
+        return world.upstreams.released.back().ended == slot_result::kind::Timeout;
+    };
+    REQUIRE(blames(true));
+    REQUIRE_FALSE(blames(false));
+}
+
 TEST_CASE_METHOD(request_limits_fixture, "admission.unfit_requests.are_refused_without_a_call")
 {
     request_options options;
--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -67,6 +67,13 @@
         return left == right ? insideRegion : betweenRegions;
     }
 
+    /** One of a region's entries, evenly. */
+    std::size_t entryIn(paused_runtime& runtime, std::size_t region)
+    {
+        const std::size_t inRegion = (entryCount - region + regionCount - 1) / regionCount;
+        return region + regionCount * (runtime.random() % inRegion);
+    }
+
     vm_record entryRecord(std::size_t entry)
     {
         vm_record record;
@@ -269,13 +276,10 @@
             return left == right ? duration::zero() : oneWay(regionOfNumber(left), regionOfNumber(right));
         }
 
-        /** Owners in the entry's region in turn, then one of another region for each refusal. */
+        /** Owners in the entry's region evenly, then one of another region for each refusal. */
         void ask(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft)
         {
-            const std::size_t region = (entry + regionCount - regionsLeft) % regionCount;
-            std::size_t asked = m_turn++ % entryCount;
-            while (asked % regionCount != region)
-                asked = m_turn++ % entryCount;
+            const std::size_t asked = entryIn(m_runtime, (entry + regionCount - regionsLeft) % regionCount);
             m_runtime.schedule(way(entry, asked), [this, entry, asked, ticket, deadline, regionsLeft] {
                 arrive(asked, { entry, ticket, deadline }, regionsLeft);
             });
@@ -343,7 +347,6 @@
         std::map<slot_ticket, std::function<void(slot_answer)>> m_waiting;
         std::map<slot_hold, std::pair<std::size_t, std::size_t>> m_holds;
         std::uint64_t m_last = 0;
-        std::size_t m_turn = 0;
     };
 
     template <typename Port> void addPort(kernel& core, const std::string& name, Port& port)
@@ -495,11 +498,8 @@
             const bool counted = m_counting;
             m_row.sent += counted ? 1 : 0;
             const time_point sentAt = m_runtime.now();
-            // Callers stay near: each region's callers use its entries in turn.
-            const std::size_t region = m_runtime.random() % regionCount;
-            std::size_t entry = m_turn++ % entryCount;
-            while (entry % regionCount != region)
-                entry = m_turn++ % entryCount;
+            // Callers stay near: each region's callers use its entries evenly.
+            const std::size_t entry = entryIn(m_runtime, m_runtime.random() % regionCount);
             m_entries[entry]->port->submit(std::move(request),
                 [this, counted, sentAt](const caller_answer& answer) { count(counted, sentAt, answer); });
         }
@@ -537,7 +537,6 @@
         result_row m_row;
         bool m_counting = false;
         std::uint64_t m_sent = 0;
-        std::size_t m_turn = 0;
     };
 
     double milliseconds(std::vector<duration>& sorted, std::size_t percent)
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -44,8 +44,12 @@
     paused_runtime& runtime = m_log.m_runtime;
     const bool inTime = decided.agreed && decided.answered && decided.delay <= timeout;
     if (decided.agreed) {
-        runtime.schedule(decided.delay, [log = &m_log, item, inTime, done] {
-            const command_result result = log->append(item);
+        runtime.schedule(decided.delay, [log = &m_log, item, inTime, done, refused = decided.refused] {
+            command_result result;
+            if (refused)
+                result.verdict = command_verdict::Refused;
+            else
+                result = log->append(item);
             if (inTime)
                 done(result);
         });
--- a/test/support/fake_log.h
+++ b/test/support/fake_log.h
@@ -25,6 +25,8 @@
     bool agreed = true;
     /** The proposer hears of it; otherwise it gets DeadlineExceeded. */
     bool answered = true;
+    /** The log refuses the proposal itself, as one too old to know. */
+    bool refused = false;
 };
 
 class fake_log;
