--- /dev/null
+++ b/test/support/owner_slots.cpp
@@ -0,0 +1,110 @@
+#include "support/owner_slots.h"
+
+#include <optional>
+
+namespace plantainlatch {
+
+using namespace simulated_site;
+
+owner_slots::owner_slots(paused_runtime& runtime)
+    : m_runtime(runtime)
+    , m_owners(entryCount)
+{
+    for (std::size_t number = 0; number < upstreamCount; ++number) {
+        std::vector<std::size_t> inRegion;
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
+            if (entry % regionCount == number % regionCount)
+                inRegion.push_back(entry);
+        }
+        owner& chosen = m_owners[inRegion[number / regionCount % inRegion.size()]];
+        for (std::uint32_t slot = 0; slot < slotsPerUpstream; ++slot)
+            chosen.free.push_back(number);
+        chosen.slots += slotsPerUpstream;
+    }
+}
+
+slot_port owner_slots::portOf(std::size_t entry)
+{
+    slot_port port;
+    port.acquire = [this, entry](const slot_request& asked, std::function<void(slot_answer)> given) {
+        const slot_ticket ticket(++m_last);
+        m_waiting[ticket] = std::move(given);
+        ask(entry, ticket, asked.deadline, regionCount);
+        return ticket;
+    };
+    port.cancelWait = [this](slot_ticket ticket) { m_waiting.erase(ticket); };
+    port.release = [this, entry](slot_hold hold, const slot_result& result) { release(entry, hold, result); };
+    return port;
+}
+
+duration owner_slots::way(std::size_t left, std::size_t right) const
+{
+    return left == right ? duration::zero() : oneWay(regionOfNumber(left), regionOfNumber(right));
+}
+
+void owner_slots::ask(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft)
+{
+    const std::size_t asked = entryIn(m_runtime, (entry + regionCount - regionsLeft) % regionCount);
+    m_runtime.schedule(way(entry, asked), [this, entry, asked, ticket, deadline, regionsLeft] {
+        arrive(asked, { entry, ticket, deadline }, regionsLeft);
+    });
+}
+
+void owner_slots::arrive(std::size_t asked, const waiter& item, std::size_t regionsLeft)
+{
+    owner& found = m_owners[asked];
+    const duration wait = meanWork * (found.queue.size() + 1) / found.slots;
+    if (!found.free.empty() || m_runtime.now() + wait * 2 < item.deadline) {
+        found.queue.push_back(item);
+        serve(asked);
+        return;
+    }
+    m_runtime.schedule(way(asked, item.entry), [this, item, regionsLeft] {
+        if (regionsLeft > 1)
+            ask(item.entry, item.ticket, item.deadline, regionsLeft - 1);
+        else
+            give(item.ticket, { std::nullopt, slot_refusal::Overloaded });
+    });
+}
+
+void owner_slots::serve(std::size_t number)
+{
+    owner& found = m_owners[number];
+    while (!found.free.empty() && !found.queue.empty()) {
+        const waiter item = found.queue.front();
+        found.queue.pop_front();
+        if (item.deadline <= m_runtime.now() || !m_waiting.contains(item.ticket))
+            continue;
+        const std::size_t upstream = found.free.front();
+        found.free.pop_front();
+        const slot_hold hold(++m_last);
+        m_holds[hold] = { number, upstream };
+        m_runtime.schedule(way(number, item.entry), [this, item, hold, upstream] {
+            const held_slot slot { hold, upstreamRecord(upstream), time_point::max() };
+            if (!give(item.ticket, { slot, {} }))
+                release(item.entry, hold, {});
+        });
+    }
+}
+
+bool owner_slots::give(slot_ticket ticket, const slot_answer& answer)
+{
+    auto waiting = m_waiting.extract(ticket);
+    if (waiting.empty())
+        return false;
+    waiting.mapped()(answer);
+    return true;
+}
+
+void owner_slots::release(std::size_t entry, slot_hold hold, const slot_result& result)
+{
+    const auto [number, upstream] = m_holds.at(hold);
+    m_holds.erase(hold);
+    const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
+    m_runtime.schedule(busy + way(entry, number), [this, number = number, upstream = upstream] {
+        m_owners[number].free.push_back(upstream);
+        serve(number);
+    });
+}
+
+} // namespace plantainlatch
