--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -62,6 +62,8 @@
     std::set<holder_key> changed { key };
     for (const holder_key& other : lendToWaiting(&key, now))
         changed.insert(other);
+    // What waits elsewhere comes before a reserve here: the slot may just have been recalled for it.
+    lendReserve(item);
     for (const auto& [service, wanted] : item.demands) {
         const std::uint32_t idle = wanted.idle;
         if (wanted.waiting <= idle)
@@ -248,12 +250,19 @@
 void slot_allocator::lendWanted(holder& item)
 {
     for (auto& [service, wanted] : item.demands) {
-        const std::uint32_t held = heldOf(item, service);
-        const std::uint32_t fair = item.isHome ? fairShare(service) : 0;
         const std::uint32_t missing = wanted.waiting > wanted.idle ? wanted.waiting - wanted.idle : 0;
-        const std::uint32_t reserve = fair > held ? fair - held : 0;
-        const std::uint32_t given = lend(item, service, wanted.preferred, std::max(missing, reserve));
-        wanted.idle += given;
+        wanted.idle += lend(item, service, wanted.preferred, missing);
+    }
+}
+
+void slot_allocator::lendReserve(holder& item)
+{
+    if (!item.isHome)
+        return;
+    for (auto& [service, wanted] : item.demands) {
+        const std::uint32_t held = heldOf(item, service);
+        const std::uint32_t fair = fairShare(service);
+        wanted.idle += lend(item, service, wanted.preferred, fair > held ? fair - held : 0);
     }
 }
 
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -131,6 +131,7 @@
     std::uint32_t lend(
         holder& item, const service_id& service, const failure_domain_id& preferred, std::uint32_t count);
     void lendWanted(holder& item);
+    void lendReserve(holder& item);
     std::vector<holder_key> lendToWaiting(const holder_key* except, time_point now);
     void forgetSilent(time_point now);
     std::vector<addressed_grant> makeGrants(const std::set<holder_key>& holders);
