--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -65,6 +65,8 @@
     /** Waits for a slot elsewhere than at `avoid` where it can be had, and calls. */
     void start(const std::vector<upstream_id>& avoid);
 
+    bool hasEnded() const { return m_ended; }
+
     /** Ends the attempt without an event and returns its last state. */
     attempt_state abandon(abandon_cause cause);
 
@@ -91,6 +93,7 @@
     bool m_ended = false;
     std::optional<slot_ticket> m_ticket;
     held_slot m_slot;
+    bool m_gotSlot = false;
     bool m_holdsSlot = false;
     call_id m_call;
     time_point m_startedAt;
--- a/test/random/fake_callers.cpp
+++ b/test/random/fake_callers.cpp
@@ -119,7 +119,8 @@
             m_upstreams.promiseNotRun(item.target);
     }
     if (m_upstreams.crashesBy(item.target) > mostCrashes)
-        m_journal.violate("one request crashed too many upstreams: " + item.target);
+        m_journal.violate("one request crashed too many upstreams: " + item.target + ", "
+            + std::to_string(m_upstreams.crashesBy(item.target)) + " times");
 }
 
 void fake_callers::probe(const reachable_entry& entry, bool keyed, std::function<void(bool completed)> done)
