--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -65,6 +65,8 @@
     /** Waits for a slot elsewhere than at `avoid` where it can be had, and calls. */
     void start(const std::vector<upstream_id>& avoid);
 
+    bool hasEnded() const { return m_ended; }
+
     /** Ends the attempt without an event and returns its last state. */
     attempt_state abandon(abandon_cause cause);
 
--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -96,11 +96,13 @@
     const bool isPooled = !open->call.freshConnection && m_idleConnections.erase({ vm, open->call.upstream }) > 0;
     if (!isPooled)
         m_silent.erase({ vm, open->call.upstream });
-    m_runtime.schedule(isPooled ? duration(0) : 2 * networkDelay, [this, open, isPooled] {
+    const duration connectTime = isPooled ? duration(0) : 2 * networkDelay;
+    const bool isTooLate = open->call.offerWithin > duration(0) && connectTime > open->call.offerWithin;
+    m_runtime.schedule(connectTime, [this, open, isPooled, isTooLate] {
         if (open->ended || open->life.expired())
             return;
-        const bool isRefused = open->upstream == nullptr || !open->upstream->up;
-        if (!isPooled && (isRefused || !reachesNow(*open)))
+        const bool isRefused = isTooLate || open->upstream == nullptr || !open->upstream->up;
+        if (isTooLate || (!isPooled && (isRefused || !reachesNow(*open))))
             fail(open, call_failure::ConnectFailed);
         else
             offer(open);
