A drained place keeps its slot allocator

Cause: a region that was drained and undrained had no slots for half a minute in a run with real processes: its allocator moved away and back, and each new one waits for earlier loans. Change: only a drain of the VM itself, or its stop, moves the role.

--- a/src/decision/control/allocator_assignment.cpp
+++ b/src/decision/control/allocator_assignment.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "decision/control/apply_drain.h"
 
 namespace plantainlatch {
 
@@ -17,8 +16,8 @@
 
     bool isFit(const control_snapshot& state, const vm_report& report)
     {
-        const auto found = state.vms.find(report.last.vm);
-        return !report.last.draining && found != state.vms.end() && !isVmDraining(state, found->second.record);
+        // A drain of its place alone moves no role: the VM is well, and a new allocator has to wait for earlier loans.
+        return !report.last.draining && !state.drains.contains({ drain_kind::Vm, report.last.vm.value() });
     }
 
     std::size_t roleCount(const control_snapshot& state, const vm_id& vm)
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -120,6 +120,18 @@
     REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("b") });
 }
 
+TEST_CASE_METHOD(membership_fixture, "membership.drained_region.keeps_its_allocator_and_a_drained_vm_does_not")
+{
+    begin();
+    mostAllocators(6s);
+    cluster->apply(set_drain { { drain_kind::Region, "kumamoto" }, true });
+    mostAllocators(10s);
+    REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
+    cluster->apply(set_drain { { drain_kind::Vm, "b" }, true });
+    REQUIRE(mostAllocators(10s) == 1);
+    REQUIRE(allocatorsOf("kumamoto") != std::vector<std::string> { "b" });
+}
+
 TEST_CASE_METHOD(membership_fixture, "membership.silent_vm.is_avoided_everywhere_within_seconds")
 {
     begin();
