--- /dev/null
+++ b/test/fuzz/frame_fuzz.cpp
@@ -0,0 +1,19 @@
+/** \file
+ * Fuzzes the frames between VMs and the messages in them.
+ */
+
+#include <cstddef>
+#include <cstdint>
+
+#include "codec/frame_codec.h"
+#include "codec/peer_message_codec.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    constexpr std::size_t largestPayload = 4096;
+    plantainlatch::frame_decoder decoder(largestPayload);
+    decoder.feed({ reinterpret_cast<const char*>(data), size });
+    for (auto frame = decoder.next(); frame.ok() && frame->has_value(); frame = decoder.next())
+        plantainlatch::decodePeerMessage(**frame).status().IgnoreError();
+    return 0;
+}
--- /dev/null
+++ b/test/fuzz/storage_fuzz.cpp
@@ -0,0 +1,27 @@
+/** \file
+ * Fuzzes the data folder: any bytes in its files are loaded or refused.
+ */
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "services/file_storage.h"
+#include "support/fake_files.h"
+#include "support/paused_runtime.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    using namespace plantainlatch;
+    const std::string bytes(reinterpret_cast<const char*>(data), size);
+    paused_runtime runtime(1);
+    fake_files disk;
+    // The first byte says how much of the rest is the snapshot; what is left is the newer state file.
+    const std::size_t cut = bytes.empty() ? 0 : std::min<std::size_t>(static_cast<unsigned char>(bytes[0]), size);
+    if (cut > 0)
+        disk.files["data/snapshot.1"].bytes = bytes.substr(0, cut);
+    disk.files["data/state.1"].bytes = bytes.substr(cut);
+    auto storage = file_storage::create(runtime.hooks(), "data", disk.hooks());
+    (*storage)->port().load().status().IgnoreError();
+    return 0;
+}
--- /dev/null
+++ b/test/random/outcome_property_test.cpp
@@ -0,0 +1,72 @@
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "decision/request/outcome_machine.h"
+#include "support/broken_invariant.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    class outcome_property_fixture {
+    protected:
+        static attempt_event anyEvent()
+        {
+            return static_cast<attempt_event>(*rc::gen::inRange(0, static_cast<int>(attempt_event::Lose) + 1));
+        }
+
+        /** Walks an attempt through events; those that the table refuses are passed over. Returns whether a byte was
+         * offered. */
+        static bool walk(attempt_state& state, int steps)
+        {
+            bool offered = false;
+            for (int i = 0; i < steps; ++i) {
+                const attempt_event event = anyEvent();
+                attempt_state next = state;
+                if (breaksInvariant([&] {
+                        next = nextState(state, event);
+                        return false;
+                    }))
+                    continue;
+                state = next;
+                offered = offered || state == attempt_state::Offered;
+            }
+            return offered;
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(outcome_property_fixture, "outcome.any_events_after_the_first_byte.not_run_only_by_a_marked_refusal")
+{
+    REQUIRE(rc::check("one attempt", [] {
+        attempt_state state = attempt_state::Prepared;
+        const bool offered = walk(state, *rc::gen::inRange(0, 12));
+        if (offered && state != attempt_state::Refused)
+            RC_ASSERT(!surelyNotRun(state) || state == attempt_state::Prepared);
+        if (state == attempt_state::Lost || state == attempt_state::Answered)
+            RC_ASSERT(!surelyNotRun(state));
+    }));
+}
+
+TEST_CASE_METHOD(outcome_property_fixture, "outcome.several_attempts.not_run_only_when_none_may_have_run")
+{
+    REQUIRE(rc::check("attempts of one request", [] {
+        outcome_machine machine;
+        bool mayHaveRun = false;
+        const int attempts = *rc::gen::inRange(0, 6);
+        for (int i = 0; i < attempts; ++i) {
+            attempt_state state = attempt_state::Prepared;
+            walk(state, *rc::gen::inRange(1, 12));
+            if (state == attempt_state::Prepared || state == attempt_state::Offered)
+                continue;
+            machine.close(state);
+            mayHaveRun = mayHaveRun || state == attempt_state::Lost || state == attempt_state::Answered;
+        }
+        RC_ASSERT(machine.withoutAnswer() == (mayHaveRun ? outcome::Unknown : outcome::NotRun));
+    }));
+}
+
+} // namespace plantainlatch
