Keep the name of a call to one hop

Cause: a caller's own X-Plantainlatch-Call went on to the upstream beside ours; an upstream that echoed the caller's made its whole answer Malformed.

--- a/src/codec/http_fields.cpp
+++ b/src/codec/http_fields.cpp
@@ -42,8 +42,9 @@
 
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 10> names { "connection", "content-length", "expect", "keep-alive",
-        "proxy-authenticate", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade" };
+    static constexpr std::array<std::string_view, 11> names { "connection", "content-length", "expect", "keep-alive",
+        "proxy-authenticate", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+        "x-plantainlatch-call" };
     return std::any_of(names.begin(), names.end(), [&](std::string_view item) { return sameName(item, name); });
 }
 
--- a/src/codec/http_fields.h
+++ b/src/codec/http_fields.h
@@ -33,7 +33,7 @@
 /** The first field of that name; none without one. */
 const header_field* find(const std::vector<header_field>& fields, std::string_view name);
 
-/** Whether a field concerns one connection only (RFC 9110, 7.6.1), or is written anew by each hop. */
+/** Whether a field concerns one hop only (RFC 9110, 7.6.1), or is written anew by each. */
 bool isHopByHop(std::string_view name);
 
 /** Whether `name` is listed in the comma-separated `list`. */
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -97,8 +97,6 @@
     http_fields::keepEndToEnd(result.headers);
     if (request.head && length)
         result.headers.push_back({ http_fields::contentLength, std::to_string(*length) });
-    std::erase_if(
-        result.headers, [](const header_field& field) { return http_fields::sameName(field.name, http_fields::call); });
     return result;
 }
 
--- a/test/error/http_front_test.cpp
+++ b/test/error/http_front_test.cpp
@@ -156,7 +156,8 @@
 {
     raw_client client(loop->base(), server->address());
     client.send(post("/s/booking/courts/7%2F?a=b&c", "on",
-        "Idempotency-Key: k-1\r\nX-Request-Timeout: 1.5\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Club: kokura\r\n"));
+        "Idempotency-Key: k-1\r\nX-Request-Timeout: 1.5\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Plantainlatch-Call: "
+        "x\r\nX-Club: kokura\r\n"));
     runUntil([&] { return !answers.empty(); });
     const caller_request& request = submitted.front();
     REQUIRE(request.service.value() == "booking");
