Count calls that timed out among the latencies, as slow ones

What: a timeout counts as twice its time; work needs the percentile or three quarters of its deadline left.

--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -30,11 +30,12 @@
         = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
     policies.worthStarting = [](const dispatch_chance& chance) {
         const duration likely = chance.slowLatency.value_or(chance.whole / unknownLatencyPart);
-        return chance.remaining >= std::min(likely, chance.whole / 2);
+        return chance.remaining >= std::min(likely, chance.whole * 3 / 4);
     };
     policies.blamesUpstream = [](const dispatch_chance& chance) {
         return chance.remaining >= chance.slowLatency.value_or(chance.whole / 2);
     };
+    policies.learnsFromTimeouts = [] { return true; };
     policies.mayRetry = [](const ended_attempt& attempt) {
         return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
     };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -59,6 +59,8 @@
     std::function<bool(const dispatch_chance&)> worthStarting;
     /** Whether a call that had this chance and timed out speaks against its upstream. */
     std::function<bool(const dispatch_chance&)> blamesUpstream;
+    /** Whether calls that timed out count among the latencies, as slow ones. */
+    std::function<bool()> learnsFromTimeouts;
     /** Whether an ended attempt may be followed by another. */
     std::function<bool(const ended_attempt&)> mayRetry;
     /** Whether an answer says that the upstream did not run the work. */
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -12,6 +12,8 @@
 
     constexpr int statusUnavailable = 503;
     constexpr int firstServerError = 500;
+    /** A call that timed out counts as an answer after this many times as long. */
+    constexpr int timeoutLatencyFactor = 2;
 
     bool isBeforeFirstByte(call_failure failure)
     {
@@ -108,8 +110,12 @@
         m_environment.hedges.slowLatency(m_request.content.service) };
 }
 
-slot_result::kind upstream_attempt::timeoutResult() const
+slot_result::kind upstream_attempt::endAtDeadline() const
 {
+    // The answer would have taken longer; leaving it out would make the slow end of the latencies look ever faster.
+    const duration atLeast = m_environment.hooks.now() - m_startedAt;
+    if (m_environment.options.policies.learnsFromTimeouts())
+        m_environment.hedges.observeLatency(m_request.content.service, atLeast * timeoutLatencyFactor);
     const bool blames = m_environment.options.policies.blamesUpstream(chanceAt(m_startedAt));
     return blames ? slot_result::kind::Timeout : slot_result::kind::Cancelled;
 }
@@ -198,7 +204,7 @@
     ended.ended = early ? attempt_end::kind::NotOffered : attempt_end::kind::Lost;
     m_state = nextState(m_state, early ? attempt_event::FailBeforeFirstByte : attempt_event::Lose);
     const bool timedOut = failure == call_failure::Timeout && !early;
-    release(timedOut ? timeoutResult() : slotResultOf(failure), early ? attempt_ending::Finished : endingOf(failure));
+    release(timedOut ? endAtDeadline() : slotResultOf(failure), early ? attempt_ending::Finished : endingOf(failure));
     end(std::move(ended));
 }
 
@@ -211,7 +217,7 @@
     if (m_holdsSlot) {
         m_environment.upstreams.cancel(m_call);
         const bool offered = m_state == attempt_state::Offered;
-        const auto unanswered = offered ? timeoutResult() : slot_result::kind::ConnectFailed;
+        const auto unanswered = offered ? endAtDeadline() : slot_result::kind::ConnectFailed;
         const auto unwanted = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
         release(cause == abandon_cause::Deadline ? unanswered : unwanted,
             offered ? attempt_ending::Cancelled : attempt_ending::Finished);
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -76,7 +76,8 @@
 
     void onSlot(const slot_answer& answer);
     dispatch_chance chanceAt(time_point begin) const;
-    slot_result::kind timeoutResult() const;
+    /** Takes note of a call that timed out; says whether that speaks against its upstream. */
+    slot_result::kind endAtDeadline() const;
     void call();
     upstream_call callFor(const held_slot& slot) const;
     void onFirstByte();
--- a/test/correctness/request_limits_test.cpp
+++ b/test/correctness/request_limits_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "support/broken_invariant.h"
@@ -125,6 +127,33 @@
     REQUIRE_FALSE(blames(false));
 }
 
+TEST_CASE_METHOD(
+    request_limits_fixture, "dispatch.upstreams_grown_slow.is_learned_from_timeouts_and_late_work_is_refused")
+{
+    const auto keepsTrying = [](bool broken) {
+        request_options options;
+        if (broken)
+            options.policies.learnsFromTimeouts = [] { return false; };
+        request_world world(1, 1, 1, 1, options);
+        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 100ms }; };
+        for (int i = 0; i < 64; ++i) {
+            world.post(0, "fast-" + std::to_string(i));
+            world.runtime.advance(200ms);
+        }
+        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 700ms }; };
+        for (int i = 0; i < 200; ++i) {
+            world.post(0, "slow-" + std::to_string(i));
+            world.runtime.advance(350ms);
+        }
+        world.runtime.advance(2s);
+        const std::size_t last = world.sent.size() - 40;
+        return std::any_of(world.sent.begin() + static_cast<std::ptrdiff_t>(last), world.sent.end(),
+            [](const auto& sent) { return sent->answer->result == outcome::Unknown; });
+    };
+    REQUIRE(keepsTrying(true));
+    REQUIRE_FALSE(keepsTrying(false));
+}
+
 TEST_CASE_METHOD(request_limits_fixture, "admission.unfit_requests.are_refused_without_a_call")
 {
     request_options options;
