--- a/src/decision/control/membership_service.cpp
+++ b/src/decision/control/membership_service.cpp
@@ -135,7 +135,8 @@
     }
     // The service that measures starts after this one, so that it is looked up late.
     const auto measurements = m_services->find<measurement_port>(port_names::measurements);
-    if (measurements.ok())
+    heartbeat.measured = measurements.ok();
+    if (heartbeat.measured)
         heartbeat.measurements = (*measurements)->take();
     for (const auto& part : m_onSend)
         part(heartbeat);
@@ -310,7 +311,9 @@
     for (const auto& [vm, record] : m_control->state().vms) {
         const auto report = m_reports.find(vm);
         const bool heard = report != m_reports.end() && m_hooks.now() - report->second.heardAt <= m_options.deadAfter;
-        if (heard ? report->second.last.draining : knowsAll)
+        // A new leader goes by the list of the one before until it could have heard from all.
+        const bool missing = knowsAll || std::find(m_avoided.begin(), m_avoided.end(), vm) != m_avoided.end();
+        if (heard ? report->second.last.draining : missing)
             avoided.push_back(vm);
     }
     return avoided;
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -74,6 +74,7 @@
     admitted_request m_request;
     done_handler m_done;
     bool m_finished = false;
+    bool m_abandoning = false;
     timer_id m_deadlineTimer;
     timer_id m_hedgeTimer;
     timer_id m_spreadTimer;
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -58,10 +58,12 @@
     if (report.epoch != m_epoch || isOld)
         return {};
     holder& item = takeReport(key, isHome, report, now);
-    lendWanted(item);
+    lendMissing(item);
     std::set<holder_key> changed { key };
     for (const holder_key& other : lendToWaiting(&key, now))
         changed.insert(other);
+    // Only what no request waits for is lent in reserve, or a slot that was recalled would go back at once.
+    lendReserve(item);
     for (const auto& [service, wanted] : item.demands) {
         const std::uint32_t idle = wanted.idle;
         if (wanted.waiting <= idle)
@@ -159,13 +161,23 @@
         item.held.erase(position);
 }
 
+std::uint32_t slot_allocator::lentOfAllGenerations(const upstream_id& id) const
+{
+    std::uint32_t count = 0;
+    for (auto item = m_upstreams.lower_bound({ id, upstream_generation() });
+         item != m_upstreams.end() && item->first.id == id; ++item)
+        count += item->second.lent + item->second.unaccounted;
+    return count;
+}
+
 std::uint32_t slot_allocator::available(const upstream_state& item) const
 {
     if (item.info.capacity == 0 || (m_usable && !m_usable(item.info.announcement.id)))
         return 0;
     const std::uint32_t warm = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
     const std::uint32_t limit = std::min(item.info.capacity, warm);
-    const std::uint32_t used = item.lent + item.unaccounted;
+    // A holder that does not know of a restart yet still sends to the same address.
+    const std::uint32_t used = lentOfAllGenerations(item.info.announcement.id);
     return limit > used ? limit - used : 0;
 }
 
@@ -197,7 +209,7 @@
     const service_id& service, const holder& item, const failure_domain_id& preferred)
 {
     const auto keys = m_byService.find(service);
-    if (keys == m_byService.end())
+    if (keys == m_byService.end() || keys->second.empty())
         return nullptr;
     upstream_state* best = nullptr;
     std::uint32_t bestScore = 0;
@@ -235,15 +247,21 @@
     return given;
 }
 
-void slot_allocator::lendWanted(holder& item)
+void slot_allocator::lendMissing(holder& item)
+{
+    for (auto& [service, wanted] : item.demands) {
+        if (wanted.waiting > wanted.idle)
+            wanted.idle += lend(item, service, wanted.preferred, wanted.waiting - wanted.idle);
+    }
+}
+
+void slot_allocator::lendReserve(holder& item)
 {
     for (auto& [service, wanted] : item.demands) {
         const std::uint32_t held = heldOf(item, service);
         const std::uint32_t fair = item.isHome ? fairShare(service) : 0;
-        const std::uint32_t missing = wanted.waiting > wanted.idle ? wanted.waiting - wanted.idle : 0;
-        const std::uint32_t reserve = fair > held ? fair - held : 0;
-        const std::uint32_t given = lend(item, service, wanted.preferred, std::max(missing, reserve));
-        wanted.idle += given;
+        if (fair > held)
+            wanted.idle += lend(item, service, wanted.preferred, fair - held);
     }
 }
 
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -37,13 +37,14 @@
     };
     m_port.cancelWait = [this](slot_ticket ticket) { cancelWait(ticket); };
     m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    m_measurementPort.take = [this] { return m_measurements.take(); };
 }
 
 service slot_service::asService()
 {
     service item;
     item.name = port_names::slots;
-    item.needs = { port_names::control, port_names::membership, port_names::liveness, port_names::shifts,
+    item.needs = { port_names::control, port_names::membership, port_names::directory, port_names::shifts,
         port_names::peerRouter, port_names::upstreams };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
@@ -73,7 +74,9 @@
     m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { received(from, message); });
     m_control->onSteeringChange([this] { follow(); });
     follow();
-    return services.publish(port_names::slots, m_port);
+    absl::Status status = services.publish(port_names::measurements, m_measurementPort);
+    status.Update(services.publish(port_names::slots, m_port));
+    return status;
 }
 
 void slot_service::stop(std::function<void()> stopped)
@@ -213,6 +216,9 @@
         refuse(waiter, slot_refusal::Overloaded);
         return {};
     }
+    // What was taken out of the shift's cap holds for now only: a request that waits is no longer part of the shift.
+    if (domain.shift)
+        waiter.preferred = sourceOf(*domain.shift);
     ++m_counters.waited;
     const slot_ticket ticket = waiter.ticket;
     m_queue.push(std::move(waiter));
@@ -222,6 +228,13 @@
     return ticket;
 }
 
+failure_domain_id slot_service::sourceOf(const shift_id& shift) const
+{
+    const auto& shifts = m_control->state().config.shifts;
+    const auto found = shifts.find(shift);
+    return found == shifts.end() ? failure_domain_id() : found->second.from;
+}
+
 void slot_service::refuse(const slot_waiter& waiter, slot_refusal why)
 {
     ++m_counters.refused;
@@ -259,6 +272,7 @@
         << "slot hold " << hold.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
+    m_measurements.note(upstream, result);
     if (m_quality.note(upstream, result, now)) {
         const auto holdings = m_holdings.find(upstream.region);
         if (holdings != m_holdings.end())
@@ -429,7 +443,6 @@
         for (const upstream_id& id : m_quality.ejected(members, now))
             report.ejected.push_back(id);
     }
-    reports.reportedEpoch = true;
     reports.reportedWaiting.clear();
     for (const slot_demand& demand : report.demands)
         reports.reportedWaiting[demand.service] = demand.waiting;
@@ -483,6 +496,8 @@
     ++m_counters.grants;
     serveWaiting();
     region_reports& reports = m_reports[grant.region];
+    // Only an answer shows that the allocator has counted this VM: one without a lease yet drops reports.
+    reports.reportedEpoch = true;
     const bool waits = hasUnmetDemand(holdings->second, reports);
     const bool again = std::exchange(reports.again, false);
     if (again || !grant.recalled.empty()) {
