Offer no byte of a call after its moment has passed

Cause: upstream_call gained offerWithin, the end of a slot's dispatch right, and the client did not keep it: a connection that came late within its second still sent. Change: the connect phase ends at the least of timeout, connect timeout and offerWithin; when the connection stands later than that, the socket is shut before the loop writes, and the call is ConnectFailed without a first byte.

--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -70,6 +70,8 @@
         upstream_connection* connection = nullptr;
         timer_id timer;
         time_point deadline {};
+        /** The first byte must be offered by then. */
+        time_point offerBy {};
         std::string name;
         call_failure failure = call_failure::Lost;
     };
@@ -84,6 +86,7 @@
     }
 
     void start(std::uint64_t key, upstream_call call, call_events events);
+    duration offerLimit(const upstream_call& call) const;
     evhttp_request* makeRequest(const exchange& item);
     void firstByte(std::uint64_t key);
     void requestDone(upstream_connection& connection, evhttp_request* request);
@@ -125,7 +128,9 @@
     item.name = absl::StrCat(namePrefix, key);
     connection->exchange = key;
     exchanges.emplace(key, std::move(added));
-    item.timer = hooks.schedule(std::min(item.call.timeout, options.connectTimeout), [this, key] { timeUp(key); });
+    const duration offerWithin = offerLimit(item.call);
+    item.offerBy = hooks.now() + offerWithin;
+    item.timer = hooks.schedule(offerWithin, [this, key] { timeUp(key); });
     // From here on the exchange may end at any time.
     const std::string target = item.call.target;
     evhttp_request* request = makeRequest(item);
@@ -133,6 +138,12 @@
         hooks.schedule(duration::zero(), [this, key] { fail(key, call_failure::Lost); });
 }
 
+duration upstream_client::implementation::offerLimit(const upstream_call& call) const
+{
+    const duration limit = std::min(call.timeout, options.connectTimeout);
+    return call.offerWithin > duration::zero() ? std::min(limit, call.offerWithin) : limit;
+}
+
 evhttp_request* upstream_client::implementation::makeRequest(const exchange& item)
 {
     evhttp_request* request = evhttp_request_new(
@@ -169,11 +180,15 @@
     const auto found = exchanges.find(key);
     internal_assert(found != exchanges.end()) << "bytes of call " << key << ", which has ended";
     exchange& item = *found->second;
-    const duration left = item.deadline - hooks.now();
-    if (item.call.timeout > options.connectTimeout) {
-        hooks.cancel(item.timer);
-        item.timer = hooks.schedule(left, [this, key] { timeUp(key); });
+    const time_point now = hooks.now();
+    hooks.cancel(item.timer);
+    if (now > item.offerBy) {
+        // Too late for this call, and nothing has left: the bytes end with the socket.
+        connections.sever(*item.connection);
+        item.timer = hooks.schedule(duration::zero(), [this, key] { timeUp(key); });
+        return;
     }
+    item.timer = hooks.schedule(item.deadline - now, [this, key] { timeUp(key); });
     const std::function<void()> onFirstByte = std::move(item.events.onFirstByte);
     if (onFirstByte)
         onFirstByte();
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -156,6 +156,12 @@
     buryLater(std::move(dead));
 }
 
+void upstream_connections::sever(upstream_connection& connection)
+{
+    connection.firstByteOffered = false;
+    shutdown(socketOf(connection), SHUT_RDWR);
+}
+
 void upstream_connections::closeOneIdle(pool& from)
 {
     const auto position = std::find_if(from.all.begin(), from.all.end(), [](const auto& item) { return item->idle; });
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -73,6 +73,10 @@
     /** Closes a connection for good; its memory is freed on the next round of the loop. */
     void discard(upstream_connection& connection);
 
+    /** Ends a connection whose first byte is in the output buffer, so that no byte reaches the other end; the call
+     * still counts as not offered. */
+    void sever(upstream_connection& connection);
+
     /** Closes the idle connections to an address. */
     void forget(const network_address& address);
 
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -112,6 +112,25 @@
     REQUIRE(record.firstBytes == 0);
 }
 
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_that_comes_too_late.offers_no_byte")
+{
+    duration jump {};
+    kernel_hooks jumping = hooks;
+    jumping.now = [&] { return hooks.now() + jump; };
+    subject = upstream_client::create(loop->base(), jumping);
+    upstream_call call = callTo(upstream.address());
+    call.offerWithin = std::chrono::milliseconds(100);
+    call_record record;
+    subject->port().start(call, recordIn(record));
+    jump = std::chrono::milliseconds(200);
+    runUntil([&] { return record.ended(); });
+    REQUIRE(record.failure == call_failure::ConnectFailed);
+    REQUIRE(record.firstBytes == 0);
+    runUntil([&] { return upstream.closedByPeer == 1; });
+    REQUIRE(upstream.requests.empty());
+    subject.reset();
+}
+
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.answers_that_are_not_whole.fail_and_close_the_connection")
 {
     const auto [bytes, expected] = GENERATE(table<std::string, call_failure>({
