--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -142,6 +142,8 @@
 {
     std::erase(m_open, attempt);
     m_machine.close(ended.state);
+    if (m_abandoning)
+        return;
     if (ended.ended != attempt_end::kind::NoSlot || !m_lastEnd)
         m_lastEnd = ended;
     if (ended.ended == attempt_end::kind::Answered) {
@@ -217,8 +219,13 @@
 void request_run::abandonAttempts(abandon_cause cause)
 {
     const auto open = std::exchange(m_open, {});
-    for (const auto& attempt : open)
-        m_machine.close(attempt->abandon(cause));
+    // A slot that one attempt frees may go to another one of these and end it first.
+    m_abandoning = true;
+    for (const auto& attempt : open) {
+        if (!attempt->hasEnded())
+            m_machine.close(attempt->abandon(cause));
+    }
+    m_abandoning = false;
 }
 
 outcome request_run::withoutAnswer() const
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -37,6 +37,7 @@
     };
     m_port.cancelWait = [this](slot_ticket ticket) { cancelWait(ticket); };
     m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    m_measurementPort.take = [this] { return m_measurements.take(); };
 }
 
 service slot_service::asService()
@@ -73,7 +74,9 @@
     m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { received(from, message); });
     m_control->onSteeringChange([this] { follow(); });
     follow();
-    return services.publish(port_names::slots, m_port);
+    absl::Status status = services.publish(port_names::measurements, m_measurementPort);
+    status.Update(services.publish(port_names::slots, m_port));
+    return status;
 }
 
 void slot_service::stop(std::function<void()> stopped)
@@ -269,6 +272,7 @@
         << "slot hold " << hold.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
+    m_measurements.note(upstream, result);
     if (m_quality.note(upstream, result, now)) {
         const auto holdings = m_holdings.find(upstream.region);
         if (holdings != m_holdings.end())
@@ -439,7 +443,6 @@
         for (const upstream_id& id : m_quality.ejected(members, now))
             report.ejected.push_back(id);
     }
-    reports.reportedEpoch = true;
     reports.reportedWaiting.clear();
     for (const slot_demand& demand : report.demands)
         reports.reportedWaiting[demand.service] = demand.waiting;
@@ -493,6 +496,8 @@
     ++m_counters.grants;
     serveWaiting();
     region_reports& reports = m_reports[grant.region];
+    // Only an answer shows that the allocator has counted this VM: one without a lease yet drops reports.
+    reports.reportedEpoch = true;
     const bool waits = hasUnmetDemand(holdings->second, reports);
     const bool again = std::exchange(reports.again, false);
     if (again || !grant.recalled.empty()) {
