--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -87,7 +87,6 @@
         bool pumpSoon = false;
         /** Something changed while a report waited for its grant. */
         bool again = false;
-        /** The allocator of this epoch has answered a report. */
         bool reportedEpoch = false;
         std::map<service_id, std::uint32_t> reportedWaiting;
         std::map<service_id, std::uint32_t> wanted;
