--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -39,6 +39,15 @@
     Cancelled,
 };
 
+/** What is known when a slot came and a call could be started. */
+struct dispatch_chance {
+    /** Until the request's deadline, now and when it arrived. */
+    duration remaining {};
+    duration whole {};
+    /** The 95th percentile of the service's latencies; none when that is not known. */
+    std::optional<duration> slowLatency;
+};
+
 /** The policies of the request path; each has a sound default and can be replaced, as tests do to show what it is for.
  */
 struct request_policies {
@@ -46,6 +55,12 @@
     std::function<bool(const request_traits&)> claims;
     /** What is said of claimed work that ends before its claim is resolved: an earlier request may have run it. */
     std::function<outcome(const request_traits&)> unresolvedOutcome;
+    /** Whether a call is likely enough to be answered before the deadline to be started. */
+    std::function<bool(const dispatch_chance&)> worthStarting;
+    /** Whether a call that had this chance and timed out speaks against its upstream. */
+    std::function<bool(const dispatch_chance&)> blamesUpstream;
+    /** Whether calls that timed out count among the latencies, as slow ones. */
+    std::function<bool()> learnsFromTimeouts;
     /** Whether an ended attempt may be followed by another. */
     std::function<bool(const ended_attempt&)> mayRetry;
     /** Whether an answer says that the upstream did not run the work. */
@@ -58,6 +73,8 @@
     std::function<bool()> budgeted;
     /** Whether a slow attempt of such a request may be hedged. */
     std::function<bool(const request_traits&)> hedges;
+    /** Whether a hedge may be made, given whether slots are plentiful. */
+    std::function<bool(bool hasRoom)> hasRoomToHedge;
     /** Whether dispatched work goes on when its caller has left. */
     std::function<bool(const request_traits&)> outlivesCaller;
     /** Whether the slot of an attempt that ended so stays busy while the work may still run. */
@@ -79,8 +96,9 @@
     byte_count maximumBodies { 64 * 1024 * 1024 };
     /** Attempts of one request, hedges among them. */
     std::size_t maximumAttempts = 4;
-    /** How long after its close the work of a cancelled call may still run at the upstream. */
-    duration cancellationGrace = std::chrono::milliseconds(250);
+    /** How long after its close the work of a cancelled call may still run at the upstream: the way there and its
+     * reaction. */
+    duration cancellationGrace = std::chrono::milliseconds(100);
     /** How long a crash report may take before the entry goes on with what it knows itself. */
     duration crashReportTimeout = std::chrono::milliseconds(500);
     /** How long a caller's answer waits after a crash report, so that a resend finds it applied at every entry. */
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -65,6 +65,8 @@
     /** Waits for a slot elsewhere than at `avoid` where it can be had, and calls. */
     void start(const std::vector<upstream_id>& avoid);
 
+    bool hasEnded() const { return m_ended; }
+
     /** Ends the attempt without an event and returns its last state. */
     attempt_state abandon(abandon_cause cause);
 
@@ -75,6 +77,9 @@
     upstream_attempt(request_environment& environment, const admitted_request& request, attempt_events events);
 
     void onSlot(const slot_answer& answer);
+    dispatch_chance chanceAt(time_point begin) const;
+    /** Takes note of a call that timed out; says whether that speaks against its upstream. */
+    slot_result::kind endAtDeadline() const;
     void call();
     upstream_call callFor(const held_slot& slot) const;
     void onFirstByte();
@@ -91,6 +96,7 @@
     bool m_ended = false;
     std::optional<slot_ticket> m_ticket;
     held_slot m_slot;
+    bool m_gotSlot = false;
     bool m_holdsSlot = false;
     call_id m_call;
     time_point m_startedAt;
