--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -26,7 +26,8 @@
     std::string body;
     /** Ends the call; also sent to the upstream as its deadline. */
     duration timeout {};
-    /** The first byte must be offered within this time, or the call ends as ConnectFailed; zero for no limit of its own.
+    /** The first byte must be offered within this time, or the call ends as ConnectFailed; zero for no limit of its
+     * own.
      */
     duration offerWithin {};
     /** Use a new connection, so that a silent idle one cannot swallow work that must not be sent twice. */
--- a/test/random/merge_property_test.cpp
+++ b/test/random/merge_property_test.cpp
@@ -42,7 +42,7 @@
         static declaration anyChange()
         {
             declaration change;
-        change.number = change_number(1);
+            change.number = change_number(1);
             const int count = *rc::gen::inRange(1, 4);
             for (int i = 0; i < count; ++i) {
                 const int region = *rc::gen::inRange(0, 3);
