Refuse announced lengths beyond the bytes before memory is taken for them

Cause: tools/run_fuzz (frame_fuzz): six bytes that claim a map of 2^24 - 1 pairs made the decoder take 800 MB. Change: no array, map or text may be longer than the bytes given.

--- a/src/codec/msgpack_codec.h
+++ b/src/codec/msgpack_codec.h
@@ -28,8 +28,6 @@
 
 /** The deepest nesting that is decoded. */
 inline constexpr std::size_t largestDepth = 32;
-/** The most elements of one array, map or string that are decoded; a frame is bounded as well. */
-inline constexpr std::size_t largestElements = 64 * 1024 * 1024;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -306,8 +304,9 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::unpack_limit limit(
-            largestElements, largestElements, largestElements, largestElements, 0, largestDepth);
+        // An element takes a byte or more, so a longer announced length is false; its memory would be taken before it
+        // is read.
+        const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), 0, largestDepth);
         const msgpack::object_handle handle
             = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         Value value {};
--- a/test/error/peer_message_codec_test.cpp
+++ b/test/error/peer_message_codec_test.cpp
@@ -1,6 +1,7 @@
 #include <string>
 
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 
 #include "codec/peer_message_codec.h"
 
@@ -46,4 +47,20 @@
     REQUIRE_FALSE(decodePeerMessage("hello").ok());
 }
 
+TEST_CASE_METHOD(peer_message_codec_fixture,
+    "peer_message_codec.announced_length_beyond_the_bytes.is_refused_before_memory_is_taken")
+{
+    // An array of 8 whose first element claims to be a map of 2^24 - 1 pairs; found by tools/run_fuzz.
+    const std::string claim("\x98\xdf\x00\xff\xff\xff", 6);
+    rlimit former {};
+    REQUIRE(getrlimit(RLIMIT_AS, &former) == 0);
+    rlimit bounded = former;
+    bounded.rlim_cur = 512UL * 1024 * 1024;
+    REQUIRE(setrlimit(RLIMIT_AS, &bounded) == 0);
+    const auto decoded = decodePeerMessage(claim);
+    REQUIRE(setrlimit(RLIMIT_AS, &former) == 0);
+    REQUIRE_FALSE(decoded.ok());
+    REQUIRE_THAT(std::string(decoded.status().message()), Catch::Contains("size overflow"));
+}
+
 } // namespace plantainlatch
