--- a/src/decision/control/allocator_assignment.cpp
+++ b/src/decision/control/allocator_assignment.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <tuple>
 
-
 namespace plantainlatch {
 
 namespace {
