--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -15,6 +15,7 @@
 #include "decision/request/request_service.h"
 #include "decision/slots/slot_service.h"
 #include "kernel/kernel.h"
+#include "ports/directory_port.h"
 #include "ports/port_names.h"
 #include "support/fake_log.h"
 #include "support/fake_network.h"
@@ -74,6 +75,7 @@
         std::unique_ptr<fake_log_member> log;
         peer_port peers;
         membership_port membership;
+        directory_port directory;
         liveness_port liveness;
         shift_port shifts;
         slot_port ownedSlots;
@@ -165,6 +167,7 @@
             entry.slots = *slot_service::create(entry.core->hooks(), settings, options);
             addPort(*entry.core, port_names::peers, entry.peers);
             addPort(*entry.core, port_names::membership, entry.membership);
+            addPort(*entry.core, port_names::directory, entry.directory);
             addPort(*entry.core, port_names::liveness, entry.liveness);
             addPort(*entry.core, port_names::shifts, entry.shifts);
             entry.core->add(entry.router->asService());
