Repeat the first report to a new slot allocator until it answers

Cause: an allocator without its lease yet drops reports, so VMs that hold nothing there were never counted and the allocator waited out the longest deadline.

--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -443,7 +443,6 @@
         for (const upstream_id& id : m_quality.ejected(members, now))
             report.ejected.push_back(id);
     }
-    reports.reportedEpoch = true;
     reports.reportedWaiting.clear();
     for (const slot_demand& demand : report.demands)
         reports.reportedWaiting[demand.service] = demand.waiting;
@@ -497,6 +496,8 @@
     ++m_counters.grants;
     serveWaiting();
     region_reports& reports = m_reports[grant.region];
+    // Only an answer shows that the allocator has counted this VM: one without a lease yet drops reports.
+    reports.reportedEpoch = true;
     const bool waits = hasUnmetDemand(holdings->second, reports);
     const bool again = std::exchange(reports.again, false);
     if (again || !grant.recalled.empty()) {
