Expect at most 250 ms of work whose latency is not known

Cause: a VM that just started refused what had waited 7.5 s of a deadline of 10 s, in integration planned_stop.each_vm_in_turn_under_load.

--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -9,8 +9,9 @@
 namespace {
 
     constexpr int statusUnavailable = 503;
-    /** With no latency known, work is expected to take this part of its whole deadline. */
+    /** With no latency known, work is expected to take this part of its whole deadline, but not longer than that. */
     constexpr int unknownLatencyPart = 4;
+    constexpr duration longestUnknownLatency = std::chrono::milliseconds(250);
     constexpr const char* notRunMark = "X-Plantainlatch-Not-Run";
 
     bool carriesMark(const upstream_answer& answer)
@@ -29,7 +30,8 @@
     policies.unresolvedOutcome
         = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
     policies.worthStarting = [](const dispatch_chance& chance) {
-        const duration likely = chance.slowLatency.value_or(chance.whole / unknownLatencyPart);
+        const duration unknown = std::min(chance.whole / unknownLatencyPart, longestUnknownLatency);
+        const duration likely = chance.slowLatency.value_or(unknown);
         return chance.remaining >= std::min(likely, chance.whole * 3 / 4);
     };
     policies.blamesUpstream = [](const dispatch_chance& chance) {
