Ask for at most 750 ms before the deadline to start a call

Cause: a few timeouts of 10 s made a VM refuse all that had waited 2.5 s of a deadline of 10 s, in integration planned_stop.each_vm_in_turn_under_load.

--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -12,6 +12,8 @@
     /** With no latency known, work is expected to take this part of its whole deadline, but not longer than that. */
     constexpr int unknownLatencyPart = 4;
     constexpr duration longestUnknownLatency = std::chrono::milliseconds(250);
+    /** Never ask for more time than this: a few timeouts must not refuse what could still be answered. */
+    constexpr duration mostTimeAskedFor = std::chrono::milliseconds(750);
     constexpr const char* notRunMark = "X-Plantainlatch-Not-Run";
 
     bool carriesMark(const upstream_answer& answer)
@@ -32,7 +34,7 @@
     policies.worthStarting = [](const dispatch_chance& chance) {
         const duration unknown = std::min(chance.whole / unknownLatencyPart, longestUnknownLatency);
         const duration likely = chance.slowLatency.value_or(unknown);
-        return chance.remaining >= std::min(likely, chance.whole * 3 / 4);
+        return chance.remaining >= std::min({ likely, chance.whole * 3 / 4, mostTimeAskedFor });
     };
     policies.blamesUpstream = [](const dispatch_chance& chance) {
         return chance.remaining >= chance.slowLatency.value_or(chance.whole / 2);
