--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -9,8 +9,11 @@
 namespace {
 
     constexpr int statusUnavailable = 503;
-    /** With no latency known, work is expected to take this part of its whole deadline. */
+    /** With no latency known, work is expected to take this part of its whole deadline, but not longer than that. */
     constexpr int unknownLatencyPart = 4;
+    constexpr duration longestUnknownLatency = std::chrono::milliseconds(250);
+    /** Never ask for more time than this: a few timeouts must not refuse what could still be answered. */
+    constexpr duration mostTimeAskedFor = std::chrono::milliseconds(750);
     constexpr const char* notRunMark = "X-Plantainlatch-Not-Run";
 
     bool carriesMark(const upstream_answer& answer)
@@ -29,8 +32,9 @@
     policies.unresolvedOutcome
         = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
     policies.worthStarting = [](const dispatch_chance& chance) {
-        const duration likely = chance.slowLatency.value_or(chance.whole / unknownLatencyPart);
-        return chance.remaining >= std::min(likely, chance.whole * 3 / 4);
+        const duration unknown = std::min(chance.whole / unknownLatencyPart, longestUnknownLatency);
+        const duration likely = chance.slowLatency.value_or(unknown);
+        return chance.remaining >= std::min({ likely, chance.whole * 3 / 4, mostTimeAskedFor });
     };
     policies.blamesUpstream = [](const dispatch_chance& chance) {
         return chance.remaining >= chance.slowLatency.value_or(chance.whole / 2);
