--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -244,7 +244,7 @@
 std::optional<held_slot> slot_service::tryTake(const slot_waiter& waiter, time_point now)
 {
     slot_wish wish { waiter.request.service, waiter.request.avoid, waiter.request.bodySize, waiter.preferred, false };
-    wish.mayLeaveRegion = now - waiter.since >= m_options.leaveRegionAfter || !anyUsable(waiter.request.service, true);
+    wish.mayLeaveRegion = now - waiter.since >= patienceInRegion(waiter.request.service);
     const usable_upstream* upstream = pickUpstream(view(), wish, now);
     if (upstream == nullptr)
         return std::nullopt;
@@ -341,11 +341,18 @@
     });
 }
 
+duration slot_service::patienceInRegion(const service_id& service) const
+{
+    if (!anyUsable(service, true))
+        return duration::zero();
+    return std::max(m_options.leaveRegionAfter, m_quality.serviceLatency(service) * m_options.leaveRegionLatencies);
+}
+
 void slot_service::armLeaveRegion(const service_id& service)
 {
     if (m_leaveTimers.contains(service))
         return;
-    const duration delay = anyUsable(service, true) ? m_options.leaveRegionAfter : duration::zero();
+    const duration delay = patienceInRegion(service);
     m_leaveTimers[service] = m_hooks.schedule(delay, [this, service] { lookBeyondRegion(service); });
 }
 
@@ -353,7 +360,7 @@
 {
     m_leaveTimers.erase(service);
     const time_point now = m_hooks.now();
-    const duration patience = anyUsable(service, true) ? m_options.leaveRegionAfter : duration::zero();
+    const duration patience = patienceInRegion(service);
     const std::uint32_t count = m_queue.waitingSince(service, now - patience);
     for (auto& [region, reports] : m_reports)
         reports.wanted.erase(service);
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -53,8 +53,10 @@
     duration waitingInterval = std::chrono::milliseconds(50);
     /** A report without an answer for this long is sent anew. */
     duration reportTimeout = std::chrono::milliseconds(300);
-    /** A request that waited this long may be sent to another region. */
+    /** A request that waited this long, and this many times the usual latency of its service, may be sent to another
+     * region: a slot that moves between regions is idle for a round trip. */
     duration leaveRegionAfter = std::chrono::milliseconds(25);
+    int leaveRegionLatencies = 2;
     /** Slots of other regions that were idle this long are given back. */
     duration remoteIdleTime = std::chrono::seconds(1);
     /** The most requests of one service that wait. */
@@ -126,6 +128,8 @@
     failure_domain_id sourceOf(const shift_id& shift) const;
     void refuse(const slot_waiter& waiter, slot_refusal why);
     void armExpiry();
+    /** How long a request of a service waits for a slot of its own region. */
+    duration patienceInRegion(const service_id& service) const;
     void armLeaveRegion(const service_id& service);
     void lookBeyondRegion(const service_id& service);
 
--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -170,8 +170,6 @@
             addPort(*entry.core, port_names::directory, entry.directory);
             addPort(*entry.core, port_names::liveness, entry.liveness);
             addPort(*entry.core, port_names::shifts, entry.shifts);
-            // The slots start after whoever publishes the liveness.
-            entry.core->add({ port_names::directory, {}, [](registry&) { return absl::OkStatus(); } });
             entry.core->add(entry.router->asService());
             entry.core->add(entry.slots->asService());
         }
