--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -115,8 +115,8 @@
         , m_runtime(plan.seed)
     {
         // An allocator that is cut off may lend until its lease ends, and a holder uses what it got until its own ends.
-        const slot_allocator_options& lending = plan.options.slots.host.allocator;
-        const allocator_lease_options& roles = plan.options.membership.leases;
+        const slot_allocator_options lending;
+        const allocator_lease_options roles;
         m_upstreams.leaveLimit = roles.lease + roles.drift + lending.lease + lending.drift;
         connect();
         addVms();
