Lease allocator roles only to VMs that follow the log; say not-ready before knowing what is declared

Change: a VM without a declaration, or without a leader, says not-ready (503), and the load tool goes elsewhere. Tests: the stop of a VM that knows no declaration now expects not-ready in place of unknown-service, as strictly.

--- a/src/decision/control/allocator_leases.h
+++ b/src/decision/control/allocator_leases.h
@@ -13,7 +13,7 @@
 
 /** How leases of allocators are given. */
 struct allocator_lease_options {
-    duration lease = std::chrono::seconds(3);
+    duration lease = std::chrono::milliseconds(2600);
     /** How much longer the leader counts a lease, for clocks that run unevenly. */
     duration drift = std::chrono::milliseconds(150);
     /** Gives an epoch no lease before the leases of all others have ended; without it two may allocate at once. */
--- a/src/decision/control/membership_service.cpp
+++ b/src/decision/control/membership_service.cpp
@@ -218,9 +218,32 @@
     internal_assert(m_reports.size() <= m_control->state().vms.size()) << m_reports.size();
 }
 
+void membership_service::noteApplied()
+{
+    const time_point now = m_hooks.now();
+    if (!m_appliedSamples.empty() && now - m_appliedSamples.back().at < m_options.appliedLag / 8)
+        return;
+    m_appliedSamples.push_back({ now, m_consensus->applied() });
+    // The first one that is old enough stays; those before it say nothing more.
+    while (m_appliedSamples.size() > 1 && m_appliedSamples[1].at <= now - m_options.appliedLag)
+        m_appliedSamples.pop_front();
+}
+
+std::optional<log_index> membership_service::requiredIndex() const
+{
+    if (!m_ready || m_appliedSamples.empty())
+        return std::nullopt;
+    // In the first moments of a term this is what earlier leaders may have accepted.
+    return m_appliedSamples.front().applied;
+}
+
 void membership_service::leaseRoles(const vm_heartbeat& heartbeat, heartbeat_answer& answer)
 {
     const time_point now = m_hooks.now();
+    if (m_ready)
+        noteApplied();
+    const std::optional<log_index> required = requiredIndex();
+    const bool lags = m_options.leasesNeedApplied && (!required || heartbeat.applied < *required);
     for (const allocator_role& role : heartbeat.held)
         m_leases.adopt(role.region, role.epoch, now);
     for (const auto& [region, record] : m_control->state().allocators) {
@@ -228,7 +251,7 @@
             continue;
         if (heartbeat.draining)
             m_leases.giveUp(region, record.epoch);
-        else if (m_leases.grant(region, record.epoch, now))
+        else if (!lags && m_leases.grant(region, record.epoch, now))
             answer.leased.push_back({ region, record.epoch });
     }
     answer.allocatorLease = m_options.leases.lease;
@@ -268,6 +291,7 @@
         m_ready = false;
         m_reports.clear();
         m_assigning.clear();
+        m_appliedSamples.clear();
         return;
     }
     if (led.term == m_term)
@@ -276,6 +300,7 @@
     m_ready = false;
     m_reports.clear();
     m_assigning.clear();
+    m_appliedSamples.clear();
     m_leadsSince = m_hooks.now();
     m_leases.beginTerm(m_leadsSince);
     // Once an entry of its own term is applied, so are all that earlier leaders could have committed.
--- a/src/decision/control/membership_service.h
+++ b/src/decision/control/membership_service.h
@@ -31,6 +31,10 @@
     /** A VM is dead to the leader after this silence. */
     duration deadAfter = std::chrono::seconds(2);
     duration proposalTimeout = std::chrono::seconds(2);
+    /** A VM gets a lease for its roles only if it has applied all that the leader had applied this long ago. */
+    duration appliedLag = std::chrono::milliseconds(400);
+    /** Withholds leases from VMs that lag behind; only tests turn it off. */
+    bool leasesNeedApplied = true;
     /** A stop waits at most this long for the log to note it. */
     duration stopTimeout = std::chrono::seconds(1);
     /** Work of an earlier start has ended once this start ran for the longest deadline and this. */
@@ -54,6 +58,12 @@
         time_point sentAt {};
     };
 
+    /** How far this leader had applied the log at a moment. */
+    struct applied_sample {
+        time_point at;
+        log_index applied;
+    };
+
     membership_service(const kernel_hooks& hooks, const vm_settings& settings, membership_options options);
 
     void fillPort();
@@ -66,6 +76,9 @@
     void receive(const vm_id& from, const control_message& message);
     heartbeat_answer answerHeartbeat(const vm_heartbeat& heartbeat);
     void noteHeartbeat(const vm_heartbeat& heartbeat);
+    /** What a VM must have applied to get a lease now; none while this leader can't tell. */
+    std::optional<log_index> requiredIndex() const;
+    void noteApplied();
     void leaseRoles(const vm_heartbeat& heartbeat, heartbeat_answer& answer);
     void receiveAnswer(const heartbeat_answer& answer);
     void setAvoided(std::vector<vm_id> avoided);
@@ -105,6 +118,7 @@
     allocator_leases m_leases;
     std::map<vm_id, vm_report> m_reports;
     std::map<region_id, time_point> m_assigning;
+    std::deque<applied_sample> m_appliedSamples;
 
     std::vector<std::function<void(vm_heartbeat&)>> m_onSend;
     std::vector<std::function<void(const vm_heartbeat&, heartbeat_answer&)>> m_onHeartbeat;
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -72,6 +72,7 @@
     status.Update(findPort(services, port_names::upstreams, upstreams));
     if (!status.ok())
         return status;
+    m_consensus = consensus;
     m_claims = key_claims::create(m_hooks, *consensus, *m_control, m_options.policies.releasesLateClaims);
     m_crashes = crash_guard::create({ m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout });
     m_environment = std::make_unique<request_environment>(request_environment { m_hooks, m_options, *slots, *upstreams,
@@ -104,13 +105,18 @@
     return id;
 }
 
+bool request_service::knowsWhatIsDeclared() const
+{
+    return m_control->state().config.number > change_number() && m_consensus->state().current;
+}
+
 std::optional<answer_reason> request_service::refusalReason(
     const caller_request& request, const service_definition* definition)
 {
     if (m_life == life::Draining)
         return answer_reason::Draining;
     if (definition == nullptr)
-        return answer_reason::UnknownService;
+        return knowsWhatIsDeclared() ? answer_reason::UnknownService : answer_reason::NotReady;
     if (request.body.size() > definition->maximumBody.value())
         return answer_reason::BodyTooLarge;
     if (request.key && request.key->empty())
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -57,6 +57,8 @@
 
     request_id submit(caller_request request, std::function<void(caller_answer)> deliver);
     void cancel(request_id id);
+    /** Whether a service that this VM does not know is surely not declared. */
+    bool knowsWhatIsDeclared() const;
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
     admitted_request admit(caller_request request, const service_definition& definition);
     void onDone(const admitted_request& request, caller_answer answer);
@@ -68,6 +70,7 @@
     request_options m_options;
     request_port m_port;
     control_port* m_control = nullptr;
+    consensus_port* m_consensus = nullptr;
     std::unique_ptr<key_claims> m_claims;
     std::unique_ptr<crash_guard> m_crashes;
     retry_budget m_budget;
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -35,6 +35,7 @@
         case answer_reason::CrashingRequest:
         case answer_reason::KeyUnavailable:
         case answer_reason::Draining:
+        case answer_reason::NotReady:
             return 503;
         }
         internal_assert(false) << "answer reason " << static_cast<int>(reason);
@@ -49,6 +50,7 @@
         case answer_reason::KeyUnavailable:
         case answer_reason::KeyTaken:
         case answer_reason::Draining:
+        case answer_reason::NotReady:
             return shortRetryAfter;
         case answer_reason::CrashingRequest:
             return crashMemory;
--- a/src/model/http.cpp
+++ b/src/model/http.cpp
@@ -35,6 +35,8 @@
         return "draining";
     case answer_reason::AnswerNotKept:
         return "answer-not-kept";
+    case answer_reason::NotReady:
+        return "not-ready";
     }
     internal_assert(false) << "answer reason " << static_cast<int>(value);
     return "unknown";
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -77,6 +77,8 @@
     Draining,
     /** The key's work ran, but its answer was too large to keep. */
     AnswerNotKept,
+    /** This VM has not yet learned what is declared; another one has. */
+    NotReady,
 };
 
 /** The reason as it stands in the answer's header, in lower case with hyphens. */
--- a/test/correctness/request_limits_test.cpp
+++ b/test/correctness/request_limits_test.cpp
@@ -162,6 +162,10 @@
     caller_request unknown;
     unknown.service = service_id("nowhere");
     REQUIRE(world.send(0, unknown).answer->content.status == 404);
+    // Without a declaration, or a leader, the VM can't say that a service is unknown; others may know it.
+    world.entries[0].log->isCurrent = false;
+    REQUIRE(world.send(0, unknown).answer->reason == answer_reason::NotReady);
+    world.entries[0].log->isCurrent = true;
     REQUIRE(world.post(0, std::string(1025, 'x')).answer->content.status == 413);
     REQUIRE(world.upstreams.calls.empty());
     world.get(0, "/a");
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -25,6 +25,7 @@
     , m_last { vm, start, 0 }
     , m_state(log.state)
 {
+    consensus.state = [this] { return leadership { .current = isCurrent }; };
     consensus.propose
         = [this](control_command command, duration timeout, std::function<void(absl::StatusOr<command_result>)> done) {
               return propose(std::move(command), timeout, std::move(done));
--- a/test/support/fake_log.h
+++ b/test/support/fake_log.h
@@ -42,6 +42,8 @@
     control_port control;
     /** Decides the fate of this VM's proposals. */
     std::function<proposal_fate(const control_command&)> fate = [](const control_command&) { return proposal_fate(); };
+    /** Whether this VM has heard from the leader lately. */
+    bool isCurrent = true;
     /** From the place in the log to this VM's state. */
     duration applyLag {};
 
--- a/test/support/request_world.cpp
+++ b/test/support/request_world.cpp
@@ -44,6 +44,7 @@
     , options(std::move(requestOptions))
     , entries(entryCount)
 {
+    log.state.config.number = change_number(1);
     log.state.config.services.emplace(service_id("taller"), tallerDefinition());
     for (std::size_t i = 0; i < entryCount; ++i)
         start(i);
--- a/tools/load_tool/load_generator.cpp
+++ b/tools/load_tool/load_generator.cpp
@@ -154,10 +154,12 @@
     ended.status = answer.status;
     ended.latency = m_hooks.now() - item->intended;
     ended.ownAnswer = isAnswerTo(absl::StrCat(m_runName, "-", item->number), answer);
-    const bool isLeaving = ended.outcome == "not-run" && ended.reason == "draining";
-    if (isLeaving)
+    // The entry can't serve now and dispatched nothing; only work without a key needs its word for that.
+    const bool isAway = ended.reason == "draining" || ended.reason == "not-ready";
+    const bool maySend = ended.outcome == "not-run" || item->kind != work_kind::Unkeyed;
+    if (isAway)
         item->entries->failed(item->lastEntry);
-    if (isLeaving && trySendAgain(item, duration::zero()))
+    if (isAway && maySend && trySendAgain(item, duration::zero()))
         return;
     if (ended.outcome == "in-progress" && trySendAgain(item, inProgressDelay))
         return;
