Split the reports to allocators from the slots; name slots and risks in one place

Change: slot_reporting keeps the talk with allocators; effectiveSlots() and riskName() are used by all.

--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "core/internal_assert.h"
+#include "decision/control/capacity_model.h"
 
 namespace plantainlatch {
 
@@ -39,18 +40,6 @@
         return {};
     }
 
-    std::string riskName(accepted_risk risk)
-    {
-        switch (risk) {
-        case accepted_risk::RegionOverload:
-            return "region-overload";
-        case accepted_risk::NoUpstream:
-            return "no-upstream";
-        }
-        internal_assert(false) << "risk " << static_cast<int>(risk);
-        return {};
-    }
-
     json dumpValue(const state_dump& node)
     {
         if (node.isList) {
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -31,6 +31,7 @@
     , m_quality(options.quality)
     , m_links(settings.self.region, vmsInRegion(settings), options.keepsLinkBudgets)
     , m_host(hooks, settings, options.host)
+    , m_reporting({ m_hooks, m_settings.self.region, m_table, m_quality, m_queue }, options.reporting)
 {
     m_port.acquire = [this](slot_request request, std::function<void(slot_answer)> answer) {
         return acquire(std::move(request), std::move(answer));
@@ -72,6 +73,11 @@
     m_host.start({ m_control, m_membership, *liveness, *upstreams,
         [this](const addressed_grant& grant) { m_router->send(grant.to, slot_message(grant.grant)); } });
     m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { received(from, message); });
+    std::function<void(const vm_id&, slot_report)> sendReport;
+    if (m_options.mode == slot_mode::Leased)
+        sendReport
+            = [this](const vm_id& to, slot_report report) { m_router->send(to, slot_message(std::move(report))); };
+    m_reporting.start(m_membership->start(), std::move(sendReport));
     m_control->onSteeringChange([this] { follow(); });
     follow();
     absl::Status status = services.publish(port_names::measurements, m_measurementPort);
@@ -99,15 +105,7 @@
 void slot_service::finishStop()
 {
     m_hooks.cancel(m_idleTimer);
-    for (auto& [region, holdings] : m_holdings) {
-        region_reports& reports = m_reports[region];
-        m_hooks.cancel(reports.timer);
-        if (holdings.allocator() && concerns(holdings, reports)) {
-            // Gives everything idle back at once instead of after the lease.
-            slot_report report = holdings.makeReport(m_hooks.now(), time_point::max());
-            m_router->send(holdings.allocator()->vm, slot_message(std::move(report)));
-        }
-    }
+    m_reporting.stop();
     m_stopped = true;
     m_hooks.cancel(m_expiryTimer);
     for (const auto& [service, timer] : m_leaveTimers)
@@ -129,34 +127,20 @@
         followLocalGuess();
     } else {
         m_host.follow(m_table);
-        followAllocators();
+        m_reporting.followAllocators(m_control->state().allocators);
     }
     serveWaiting();
 }
 
-void slot_service::followAllocators()
-{
-    for (const auto& [region, record] : m_control->state().allocators) {
-        const auto [position, isNew] = m_holdings.try_emplace(region, region, m_membership->start(), m_hooks.now());
-        slot_holdings& holdings = position->second;
-        const bool changed = !holdings.allocator() || *holdings.allocator() != record;
-        holdings.setAllocator(record);
-        if (!changed)
-            continue;
-        m_reports[region].reportedEpoch = false;
-        wake(region);
-    }
-}
-
 void slot_service::followLocalGuess()
 {
     for (const auto& [id, upstream] : m_table.upstreams) {
         const region_id& region = upstream.announcement.region;
-        const auto [position, isNew] = m_holdings.try_emplace(region, region, m_membership->start(), m_hooks.now());
-        if (isNew)
-            position->second.setAllocator({ m_settings.self.id, m_membership->start(), allocator_epoch(1) });
+        slot_holdings& holdings = m_reporting.holdingsOf(region);
+        if (!holdings.allocator())
+            holdings.setAllocator({ m_settings.self.id, m_membership->start(), allocator_epoch(1) });
     }
-    for (auto& [region, holdings] : m_holdings) {
+    for (auto& [region, holdings] : m_reporting.holdings()) {
         slot_grant grant;
         const slot_report report = holdings.makeReport(m_hooks.now(), std::nullopt);
         grant.epoch = report.epoch;
@@ -174,7 +158,7 @@
 
 slot_picker_view slot_service::view()
 {
-    return { m_settings.self.region, &m_table, &m_holdings, &m_quality, &m_links, m_hooks.random };
+    return { m_settings.self.region, &m_table, &m_reporting.holdings(), &m_quality, &m_links, m_hooks.random };
 }
 
 bool slot_service::anyUsable(const service_id& service, bool homeOnly) const
@@ -192,7 +176,7 @@
 {
     const duration usual = m_quality.serviceLatency(request.service);
     std::uint32_t held = 0;
-    for (const auto& [region, holdings] : m_holdings) {
+    for (const auto& [region, holdings] : m_reporting.holdings()) {
         for (const auto& [id, item] : holdings.holdings()) {
             const usable_upstream* upstream = m_table.find(id);
             held += upstream != nullptr && upstream->announcement.service == request.service ? item.count : 0;
@@ -218,8 +202,7 @@
     if (domain.shift) {
         // The target's allocator learns that slots are wanted there; this request takes one only if it is here already.
         const region_id target = regionOf(m_control->state().config, domain.failureDomain);
-        m_reports[target].preferred[waiter.request.service] = domain.failureDomain;
-        wake(target);
+        m_reporting.prefer(target, waiter.request.service, domain.failureDomain);
     }
     const service_id service = waiter.request.service;
     if (m_queue.waiting(service) == 0) {
@@ -240,7 +223,7 @@
     m_queue.push(std::move(waiter));
     armExpiry();
     armLeaveRegion(service);
-    wakeIfDemandGrew(service);
+    m_reporting.wakeIfDemandGrew(service);
     return ticket;
 }
 
@@ -270,7 +253,7 @@
 held_slot slot_service::take(const usable_upstream& upstream)
 {
     const region_id& region = upstream.announcement.region;
-    slot_holdings& holdings = m_holdings.at(region);
+    slot_holdings& holdings = m_reporting.holdingsOf(region);
     holdings.take(upstream.announcement.id);
     const slot_hold hold(++m_lastHold);
     m_uses[hold] = { upstream.announcement, false };
@@ -289,11 +272,8 @@
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
     m_measurements.note(upstream, result);
-    if (m_quality.note(upstream, result, now)) {
-        const auto holdings = m_holdings.find(upstream.region);
-        if (holdings != m_holdings.end())
-            holdings->second.countWarmAnswer(upstream.id, upstream.generation);
-    }
+    if (m_quality.note(upstream, result, now))
+        m_reporting.holdingsOf(upstream.region).countWarmAnswer(upstream.id, upstream.generation);
     if (upstream.region != m_settings.self.region)
         m_links.chargeAnswer(upstream.region, result.answerSize, now);
     if (result.busyUntil && *result.busyUntil > now) {
@@ -312,11 +292,11 @@
     m_uses.erase(found);
     if (m_stopped)
         return;
-    slot_holdings& holdings = m_holdings.at(upstream.region);
+    slot_holdings& holdings = m_reporting.holdingsOf(upstream.region);
     holdings.free(upstream.id, upstream.generation, m_hooks.now());
     const auto item = holdings.holdings().find(upstream.id);
     if (item != holdings.holdings().end() && item->second.recalled > 0)
-        wake(upstream.region);
+        m_reporting.wake(upstream.region);
     serveFront(upstream.service, m_hooks.now());
     if (m_uses.empty() && m_onIdle)
         std::exchange(m_onIdle, nullptr)();
@@ -380,127 +360,15 @@
     const time_point now = m_hooks.now();
     const duration patience = patienceInRegion(service);
     const std::uint32_t count = m_queue.waitingSince(service, now - patience);
-    for (auto& [region, reports] : m_reports)
-        reports.wanted.erase(service);
+    m_reporting.wantNowhere(service);
     serveWaiting();
     if (m_queue.waiting(service) == 0)
         return;
-    std::vector<region_id> others;
-    for (const auto& [region, holdings] : m_holdings) {
-        if (region != m_settings.self.region && holdings.allocator())
-            others.push_back(region);
-    }
-    if (count > 0 && !others.empty()) {
-        const region_id& region = others[m_leaveRotation[service]++ % others.size()];
-        m_reports[region].wanted[service] = count;
-        wake(region);
-    }
+    const std::vector<region_id> others = m_reporting.otherRegions();
+    if (count > 0 && !others.empty())
+        m_reporting.want(others[m_leaveRotation[service]++ % others.size()], service, count);
     m_leaveTimers[service]
-        = m_hooks.schedule(m_options.waitingInterval * 2, [this, service] { lookBeyondRegion(service); });
-}
-
-bool slot_service::concerns(const slot_holdings& holdings, const region_reports& reports) const
-{
-    return holdings.region() == m_settings.self.region || holdings.holdsAny() || !reports.reportedEpoch
-        || !reports.wanted.empty() || !reports.preferred.empty();
-}
-
-bool slot_service::hasUnmetDemand(const slot_holdings& holdings, const region_reports& reports) const
-{
-    if (holdings.region() != m_settings.self.region)
-        return !reports.wanted.empty();
-    for (const service_id& service : m_queue.services()) {
-        if (m_queue.waiting(service) > 0)
-            return true;
-    }
-    return false;
-}
-
-void slot_service::wakeIfDemandGrew(const service_id& service)
-{
-    const std::uint32_t waiting = m_queue.waiting(service);
-    const std::uint32_t reported = m_reports[m_settings.self.region].reportedWaiting[service];
-    if (waiting >= 2 * reported)
-        wake(m_settings.self.region);
-}
-
-void slot_service::wake(const region_id& region)
-{
-    region_reports& reports = m_reports[region];
-    if (reports.pumpSoon || m_stopped || m_options.mode == slot_mode::LocalGuess)
-        return;
-    reports.pumpSoon = true;
-    m_hooks.cancel(reports.timer);
-    reports.timer = m_hooks.schedule(duration::zero(), [this, region] { pump(region); });
-}
-
-void slot_service::pump(const region_id& region)
-{
-    region_reports& reports = m_reports[region];
-    reports.pumpSoon = false;
-    const auto found = m_holdings.find(region);
-    if (found == m_holdings.end() || !found->second.allocator() || !concerns(found->second, reports))
-        return;
-    slot_holdings& holdings = found->second;
-    const time_point now = m_hooks.now();
-    const bool mustWait = holdings.awaiting() && now - holdings.reportedAt() < m_options.reportTimeout;
-    reports.again = mustWait;
-    if (!mustWait)
-        sendReport(holdings, reports, now);
-    reports.timer = m_hooks.schedule(nextPump(holdings, now), [this, region] { pump(region); });
-}
-
-duration slot_service::nextPump(const slot_holdings& holdings, time_point now) const
-{
-    if (holdings.awaiting())
-        return holdings.reportedAt() + m_options.reportTimeout - now;
-    return m_options.renewInterval;
-}
-
-void slot_service::sendReport(slot_holdings& holdings, region_reports& reports, time_point now)
-{
-    const bool isHome = holdings.region() == m_settings.self.region;
-    const std::optional<time_point> idleBefore
-        = isHome ? std::nullopt : std::optional<time_point>(now - m_options.remoteIdleTime);
-    slot_report report = holdings.makeReport(now, idleBefore);
-    report.demands = demandsOf(holdings, reports);
-    for (const auto& [service, members] : m_table.byService) {
-        for (const upstream_id& id : m_quality.ejected(members, now))
-            report.ejected.push_back(id);
-    }
-    reports.reportedWaiting.clear();
-    for (const slot_demand& demand : report.demands)
-        reports.reportedWaiting[demand.service] = demand.waiting;
-    reports.preferred.clear();
-    ++m_counters.reports;
-    m_router->send(holdings.allocator()->vm, slot_message(std::move(report)));
-}
-
-std::vector<slot_demand> slot_service::demandsOf(const slot_holdings& holdings, const region_reports& reports) const
-{
-    std::vector<slot_demand> demands;
-    const bool isHome = holdings.region() == m_settings.self.region;
-    for (const auto& [service, members] : m_table.byService) {
-        slot_demand demand;
-        demand.service = service;
-        if (isHome) {
-            demand.waiting = m_queue.waiting(service);
-        } else if (const auto wanted = reports.wanted.find(service); wanted != reports.wanted.end()) {
-            demand.waiting = wanted->second;
-        }
-        const auto preferred = reports.preferred.find(service);
-        if (preferred != reports.preferred.end()) {
-            demand.preferred = preferred->second;
-            demand.waiting = std::max<std::uint32_t>(demand.waiting, 1);
-        }
-        for (const upstream_id& id : members) {
-            const usable_upstream& upstream = m_table.upstreams.at(id);
-            demand.idle += holdings.idle(id, upstream.announcement.generation, m_hooks.now());
-        }
-        if (isHome || demand.waiting > 0 || demand.idle > 0)
-            demands.push_back(std::move(demand));
-    }
-    return demands;
+        = m_hooks.schedule(m_options.askRegionInterval, [this, service] { lookBeyondRegion(service); });
 }
 
 void slot_service::received(const vm_id& from, const slot_message& message)
@@ -515,26 +383,10 @@
 
 void slot_service::granted(const slot_grant& grant)
 {
-    const auto holdings = m_holdings.find(grant.region);
-    if (holdings == m_holdings.end() || !holdings->second.takeGrant(grant))
+    if (!m_reporting.takeGrant(grant))
         return;
-    ++m_counters.grants;
     serveWaiting();
-    region_reports& reports = m_reports[grant.region];
-    // Only an answer shows that the allocator has counted this VM: one without a lease yet drops reports.
-    reports.reportedEpoch = true;
-    const bool waits = hasUnmetDemand(holdings->second, reports);
-    const bool again = std::exchange(reports.again, false);
-    if (again || !grant.recalled.empty()) {
-        wake(grant.region);
-        return;
-    }
-    if (reports.pumpSoon)
-        return;
-    m_hooks.cancel(reports.timer);
-    const region_id region = grant.region;
-    reports.timer = m_hooks.schedule(
-        waits ? m_options.waitingInterval : m_options.renewInterval, [this, region] { pump(region); });
+    m_reporting.planNext(grant);
 }
 
 state_dump slot_service::dump() const
@@ -544,11 +396,11 @@
     shown.add("waited", m_counters.waited);
     shown.add("refused", m_counters.refused);
     shown.add("left_region", m_counters.leftRegion);
-    shown.add("reports", m_counters.reports);
-    shown.add("grants", m_counters.grants);
+    shown.add("reports", m_reporting.reportsSent());
+    shown.add("grants", m_reporting.grantsTaken());
     shown.add("in_use", static_cast<std::uint64_t>(m_uses.size()));
     state_dump& regions = shown.addObject("regions");
-    for (const auto& [region, holdings] : m_holdings)
+    for (const auto& [region, holdings] : m_reporting.holdings())
         regions.children.push_back(holdings.dump(m_hooks.now()));
     shown.children.push_back(m_host.dump());
     return shown;
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -21,6 +21,7 @@
 #include "decision/slots/slot_holdings.h"
 #include "decision/slots/slot_picker.h"
 #include "decision/slots/slot_queue.h"
+#include "decision/slots/slot_reporting.h"
 #include "decision/slots/upstream_quality.h"
 #include "decision/slots/upstream_table.h"
 #include "kernel/hooks.h"
@@ -47,18 +48,13 @@
     slot_mode mode = slot_mode::Leased;
     allocator_host_options host;
     upstream_quality_options quality;
-    /** A report renews the lease this often. */
-    duration renewInterval = std::chrono::milliseconds(500);
-    /** While requests wait, reports tell their number this often. */
-    duration waitingInterval = std::chrono::milliseconds(50);
-    /** A report without an answer for this long is sent anew. */
-    duration reportTimeout = std::chrono::milliseconds(300);
+    slot_reporting_options reporting;
     /** A request that waited this long, and this many times the usual latency of its service, may be sent to another
      * region: a slot that moves between regions is idle for a round trip. */
     duration leaveRegionAfter = std::chrono::milliseconds(25);
     int leaveRegionLatencies = 2;
-    /** Slots of other regions that were idle this long are given back. */
-    duration remoteIdleTime = std::chrono::seconds(1);
+    /** While requests wait beyond that, another region is asked this often. */
+    duration askRegionInterval = std::chrono::milliseconds(100);
     /** The most requests of one service that wait. */
     std::uint32_t largestQueue = 1024;
     /** A stop waits at most this long for work that was given up to end at its upstream. */
@@ -86,24 +82,11 @@
         bool settling = false;
     };
 
-    struct region_reports {
-        timer_id timer;
-        bool pumpSoon = false;
-        /** Something changed while a report waited for its grant. */
-        bool again = false;
-        bool reportedEpoch = false;
-        std::map<service_id, std::uint32_t> reportedWaiting;
-        std::map<service_id, std::uint32_t> wanted;
-        std::map<service_id, failure_domain_id> preferred;
-    };
-
     struct counters {
         std::uint64_t given = 0;
         std::uint64_t waited = 0;
         std::uint64_t refused = 0;
         std::uint64_t leftRegion = 0;
-        std::uint64_t reports = 0;
-        std::uint64_t grants = 0;
     };
 
     slot_service(const kernel_hooks& hooks, const vm_settings& settings, slot_options options);
@@ -113,7 +96,6 @@
     state_dump dump() const;
 
     void follow();
-    void followAllocators();
     void followLocalGuess();
 
     slot_ticket acquire(slot_request request, std::function<void(slot_answer)> answer);
@@ -136,14 +118,6 @@
     void armLeaveRegion(const service_id& service);
     void lookBeyondRegion(const service_id& service);
 
-    void wake(const region_id& region);
-    void pump(const region_id& region);
-    void sendReport(slot_holdings& holdings, region_reports& reports, time_point now);
-    std::vector<slot_demand> demandsOf(const slot_holdings& holdings, const region_reports& reports) const;
-    duration nextPump(const slot_holdings& holdings, time_point now) const;
-    bool concerns(const slot_holdings& holdings, const region_reports& reports) const;
-    void wakeIfDemandGrew(const service_id& service);
-    bool hasUnmetDemand(const slot_holdings& holdings, const region_reports& reports) const;
     void received(const vm_id& from, const slot_message& message);
     void granted(const slot_grant& grant);
     slot_picker_view view();
@@ -164,8 +138,7 @@
     link_budget m_links;
     allocator_host m_host;
     slot_queue m_queue;
-    std::map<region_id, slot_holdings> m_holdings;
-    std::map<region_id, region_reports> m_reports;
+    slot_reporting m_reporting;
     std::map<slot_hold, use> m_uses;
     std::map<service_id, timer_id> m_leaveTimers;
     std::map<service_id, std::size_t> m_leaveRotation;
--- a/src/decision/slots/upstream_table.cpp
+++ b/src/decision/slots/upstream_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decision/control/apply_directory.h"
+
 namespace plantainlatch {
 
 namespace {
@@ -16,15 +18,6 @@
             || drained(drain_kind::Region, upstream.region.value());
     }
 
-    std::uint32_t declaredSlots(const configuration& config, const service_definition& service, const upstream_id& id)
-    {
-        const auto definition = config.upstreams.find(id);
-        const bool limited = definition != config.upstreams.end() && definition->second.slots;
-        const std::uint64_t slots
-            = limited ? std::min(definition->second.slots->value(), service.slots.value()) : service.slots.value();
-        return static_cast<std::uint32_t>(slots);
-    }
-
     usable_upstream makeUsable(const control_snapshot& state, const upstream_announcement& announcement)
     {
         usable_upstream result;
@@ -36,8 +29,7 @@
         result.connections = std::min(announcement.connections, service->second.connections);
         if (isDrained(state, announcement) || state.config.withdrawnUpstreams.contains(announcement.id))
             return result;
-        const std::uint32_t declared = declaredSlots(state.config, service->second, announcement.id);
-        result.capacity = std::min(declared, static_cast<std::uint32_t>(announcement.slots.value()));
+        result.capacity = static_cast<std::uint32_t>(effectiveSlots(state.config, announcement).value());
         return result;
     }
 
