Sort the control folder by job

Change: alerts, declarations, directory, entries, membership, operators and shifts have folders of their own; control keeps the replicated state. Result: correctness, random, error and layers pass.

--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -5,7 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "core/internal_assert.h"
-#include "decision/control/capacity_model.h"
+#include "decision/operators/capacity_model.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/alert_book.cpp
+++ b/src/decision/alerts/alert_book.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/alert_book.h"
+#include "decision/alerts/alert_book.h"
 
 #include <algorithm>
 
--- a/src/decision/control/alert_service.cpp
+++ b/src/decision/alerts/alert_service.cpp
@@ -1,9 +1,9 @@
-#include "decision/control/alert_service.h"
+#include "decision/alerts/alert_service.h"
 
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "decision/control/system_risks.h"
+#include "decision/alerts/system_risks.h"
 #include "ports/port_names.h"
 
 namespace plantainlatch {
--- a/src/decision/control/alert_service.h
+++ b/src/decision/alerts/alert_service.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "decision/control/alert_book.h"
-#include "decision/control/load_view.h"
+#include "decision/alerts/alert_book.h"
+#include "decision/operators/load_view.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
--- a/src/decision/control/system_risks.cpp
+++ b/src/decision/alerts/system_risks.cpp
@@ -1,11 +1,11 @@
-#include "decision/control/system_risks.h"
+#include "decision/alerts/system_risks.h"
 
 #include <algorithm>
 #include <map>
 
 #include "absl/strings/str_cat.h"
-#include "decision/control/capacity_model.h"
-#include "decision/control/shift_step.h"
+#include "decision/operators/capacity_model.h"
+#include "decision/shifts/shift_step.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/system_risks.h
+++ b/src/decision/alerts/system_risks.h
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-#include "decision/control/alert_book.h"
+#include "decision/alerts/alert_book.h"
 #include "model/consensus_message.h"
 #include "model/control_message.h"
 #include "model/control_snapshot.h"
--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -7,8 +7,8 @@
 #include "core/internal_assert.h"
 #include "decision/control/apply_directory.h"
 #include "decision/control/command_results.h"
-#include "decision/control/declaration_difference.h"
-#include "decision/control/declaration_merge.h"
+#include "decision/declarations/declaration_difference.h"
+#include "decision/declarations/declaration_merge.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/configuration_check.cpp
+++ b/src/decision/declarations/configuration_check.cpp
@@ -1,9 +1,9 @@
-#include "decision/control/configuration_check.h"
+#include "decision/declarations/configuration_check.h"
 
 #include <chrono>
 
 #include "absl/strings/str_cat.h"
-#include "decision/control/definition_names.h"
+#include "decision/declarations/definition_names.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/declaration_difference.cpp
+++ b/src/decision/declarations/declaration_difference.cpp
@@ -1,7 +1,7 @@
-#include "decision/control/declaration_difference.h"
+#include "decision/declarations/declaration_difference.h"
 
 #include "absl/strings/str_cat.h"
-#include "decision/control/definition_names.h"
+#include "decision/declarations/definition_names.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/declaration_merge.cpp
+++ b/src/decision/declarations/declaration_merge.cpp
@@ -1,11 +1,11 @@
-#include "decision/control/declaration_merge.h"
+#include "decision/declarations/declaration_merge.h"
 
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
-#include "decision/control/configuration_check.h"
-#include "decision/control/definition_names.h"
+#include "decision/declarations/configuration_check.h"
+#include "decision/declarations/definition_names.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/definition_names.cpp
+++ b/src/decision/declarations/definition_names.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/definition_names.h"
+#include "decision/declarations/definition_names.h"
 
 #include "absl/strings/str_cat.h"
 
--- a/src/decision/control/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/directory_service.h"
+#include "decision/directory/directory_service.h"
 
 #include <utility>
 
--- a/src/decision/control/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "decision/control/liveness_tracker.h"
+#include "decision/directory/liveness_tracker.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
--- a/src/decision/control/liveness_tracker.cpp
+++ b/src/decision/directory/liveness_tracker.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/liveness_tracker.h"
+#include "decision/directory/liveness_tracker.h"
 
 #include <algorithm>
 
--- a/src/decision/control/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/entry_list_service.h"
+#include "decision/entries/entry_list_service.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/decision/control/allocator_assignment.cpp
+++ b/src/decision/membership/allocator_assignment.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/allocator_assignment.h"
+#include "decision/membership/allocator_assignment.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/decision/control/allocator_leases.cpp
+++ b/src/decision/membership/allocator_leases.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/allocator_leases.h"
+#include "decision/membership/allocator_leases.h"
 
 #include "core/internal_assert.h"
 
--- a/src/decision/control/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -1,10 +1,10 @@
-#include "decision/control/membership_service.h"
+#include "decision/membership/membership_service.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "core/internal_assert.h"
-#include "decision/control/allocator_assignment.h"
+#include "decision/membership/allocator_assignment.h"
 #include "decision/peers/peer_router.h"
 #include "ports/measurement_port.h"
 #include "ports/port_names.h"
--- a/src/decision/control/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "decision/control/allocator_leases.h"
+#include "decision/membership/allocator_leases.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
--- a/src/decision/control/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/capacity_model.h"
+#include "decision/operators/capacity_model.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/decision/control/declaration_plan.cpp
+++ b/src/decision/operators/declaration_plan.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/declaration_plan.h"
+#include "decision/operators/declaration_plan.h"
 
 #include <algorithm>
 #include <map>
@@ -6,9 +6,9 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "decision/control/apply_change.h"
-#include "decision/control/capacity_model.h"
-#include "decision/control/declaration_merge.h"
-#include "decision/control/definition_names.h"
+#include "decision/declarations/declaration_merge.h"
+#include "decision/declarations/definition_names.h"
+#include "decision/operators/capacity_model.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/drain_check.cpp
+++ b/src/decision/operators/drain_check.cpp
@@ -1,7 +1,7 @@
-#include "decision/control/drain_check.h"
+#include "decision/operators/drain_check.h"
 
 #include "decision/control/apply_drain.h"
-#include "decision/control/capacity_model.h"
+#include "decision/operators/capacity_model.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/load_view.cpp
+++ b/src/decision/operators/load_view.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/load_view.h"
+#include "decision/operators/load_view.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/load_view.h
+++ b/src/decision/operators/load_view.h
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-#include "decision/control/measurement_window.h"
+#include "decision/shifts/measurement_window.h"
 #include "model/configuration.h"
 
 namespace plantainlatch {
--- a/src/decision/control/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/operator_service.h"
+#include "decision/operators/operator_service.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,13 +8,13 @@
 #include "core/internal_assert.h"
 #include "decision/control/apply_change.h"
 #include "decision/control/apply_drain.h"
-#include "decision/control/capacity_model.h"
 #include "decision/control/command_results.h"
-#include "decision/control/declaration_difference.h"
-#include "decision/control/declaration_merge.h"
-#include "decision/control/declaration_plan.h"
-#include "decision/control/drain_check.h"
-#include "decision/control/shift_step.h"
+#include "decision/declarations/declaration_difference.h"
+#include "decision/declarations/declaration_merge.h"
+#include "decision/operators/capacity_model.h"
+#include "decision/operators/declaration_plan.h"
+#include "decision/operators/drain_check.h"
+#include "decision/shifts/shift_step.h"
 #include "ports/alert_port.h"
 #include "ports/port_names.h"
 
--- a/src/decision/control/operator_service.h
+++ b/src/decision/operators/operator_service.h
@@ -8,7 +8,7 @@
 #include <memory>
 
 #include "absl/status/statusor.h"
-#include "decision/control/load_view.h"
+#include "decision/operators/load_view.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
--- a/src/decision/control/cap_shares.cpp
+++ b/src/decision/shifts/cap_shares.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/cap_shares.h"
+#include "decision/shifts/cap_shares.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decision/control/measurement_window.cpp
+++ b/src/decision/shifts/measurement_window.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/measurement_window.h"
+#include "decision/shifts/measurement_window.h"
 
 #include <chrono>
 
--- a/src/decision/control/shift_gate.cpp
+++ b/src/decision/shifts/shift_gate.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/shift_gate.h"
+#include "decision/shifts/shift_gate.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/shift_gate.h
+++ b/src/decision/shifts/shift_gate.h
@@ -8,7 +8,7 @@
 #include <optional>
 
 #include "core/clock.h"
-#include "decision/control/measurement_window.h"
+#include "decision/shifts/measurement_window.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/shift_leader.cpp
+++ b/src/decision/shifts/shift_leader.cpp
@@ -1,10 +1,10 @@
-#include "decision/control/shift_leader.h"
+#include "decision/shifts/shift_leader.h"
 
 #include <algorithm>
 
 #include "decision/control/apply_directory.h"
 #include "decision/control/apply_drain.h"
-#include "decision/control/cap_shares.h"
+#include "decision/shifts/cap_shares.h"
 
 namespace plantainlatch {
 
--- a/src/decision/control/shift_leader.h
+++ b/src/decision/shifts/shift_leader.h
@@ -8,9 +8,9 @@
 #include <optional>
 #include <vector>
 
-#include "decision/control/shift_gate.h"
-#include "decision/control/shift_ledger.h"
-#include "decision/control/shift_step.h"
+#include "decision/shifts/shift_gate.h"
+#include "decision/shifts/shift_ledger.h"
+#include "decision/shifts/shift_step.h"
 #include "model/control_snapshot.h"
 
 namespace plantainlatch {
--- a/src/decision/control/shift_ledger.cpp
+++ b/src/decision/shifts/shift_ledger.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/shift_ledger.h"
+#include "decision/shifts/shift_ledger.h"
 
 #include <algorithm>
 
--- a/src/decision/control/shift_pacer.cpp
+++ b/src/decision/shifts/shift_pacer.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/shift_pacer.h"
+#include "decision/shifts/shift_pacer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decision/control/shift_service.cpp
+++ b/src/decision/shifts/shift_service.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/shift_service.h"
+#include "decision/shifts/shift_service.h"
 
 #include <utility>
 
--- a/src/decision/control/shift_service.h
+++ b/src/decision/shifts/shift_service.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "decision/control/shift_leader.h"
-#include "decision/control/shift_spending.h"
+#include "decision/shifts/shift_leader.h"
+#include "decision/shifts/shift_spending.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
--- a/src/decision/control/shift_spending.cpp
+++ b/src/decision/shifts/shift_spending.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/shift_spending.h"
+#include "decision/shifts/shift_spending.h"
 
 #include <utility>
 
--- a/src/decision/control/shift_spending.h
+++ b/src/decision/shifts/shift_spending.h
@@ -8,8 +8,8 @@
 #include <map>
 #include <vector>
 
-#include "decision/control/shift_ledger.h"
-#include "decision/control/shift_pacer.h"
+#include "decision/shifts/shift_ledger.h"
+#include "decision/shifts/shift_pacer.h"
 #include "model/configuration.h"
 #include "model/control_message.h"
 
--- a/src/decision/control/shift_step.cpp
+++ b/src/decision/shifts/shift_step.cpp
@@ -1,4 +1,4 @@
-#include "decision/control/shift_step.h"
+#include "decision/shifts/shift_step.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/decision/control/shift_step.h
+++ b/src/decision/shifts/shift_step.h
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-#include "decision/control/shift_gate.h"
+#include "decision/shifts/shift_gate.h"
 #include "model/control_snapshot.h"
 
 namespace plantainlatch {
--- a/test/correctness/alert_test.cpp
+++ b/test/correctness/alert_test.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "decision/control/alert_service.h"
+#include "decision/alerts/alert_service.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
 
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "decision/control/declaration_difference.h"
-#include "decision/control/declaration_merge.h"
+#include "decision/declarations/declaration_difference.h"
+#include "decision/declarations/declaration_merge.h"
 #include "support/control_fixture.h"
 
 namespace plantainlatch {
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "decision/control/apply_directory.h"
-#include "decision/control/directory_service.h"
+#include "decision/directory/directory_service.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
 
--- a/test/correctness/entry_list_test.cpp
+++ b/test/correctness/entry_list_test.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "decision/control/entry_list_service.h"
+#include "decision/entries/entry_list_service.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
 
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "decision/control/operator_service.h"
+#include "decision/operators/operator_service.h"
 #include "ports/measurement_port.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
--- a/test/correctness/shift_test.cpp
+++ b/test/correctness/shift_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "decision/control/cap_shares.h"
-#include "decision/control/shift_service.h"
+#include "decision/shifts/cap_shares.h"
+#include "decision/shifts/shift_service.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
 
--- a/test/performance/alert_benchmark.cpp
+++ b/test/performance/alert_benchmark.cpp
@@ -4,7 +4,7 @@
 #include <cstdio>
 #include <random>
 
-#include "decision/control/alert_book.h"
+#include "decision/alerts/alert_book.h"
 
 namespace plantainlatch {
 
--- a/test/performance/shift_gate_benchmark.cpp
+++ b/test/performance/shift_gate_benchmark.cpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "decision/control/shift_gate.h"
+#include "decision/shifts/shift_gate.h"
 
 namespace plantainlatch {
 
--- a/test/random/merge_property_test.cpp
+++ b/test/random/merge_property_test.cpp
@@ -3,8 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include "decision/control/declaration_difference.h"
-#include "decision/control/declaration_merge.h"
+#include "decision/declarations/declaration_difference.h"
+#include "decision/declarations/declaration_merge.h"
 
 namespace plantainlatch {
 
--- a/test/random/shift_random_test.cpp
+++ b/test/random/shift_random_test.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "decision/control/shift_service.h"
+#include "decision/shifts/shift_service.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
 
--- a/test/support/control_cluster.h
+++ b/test/support/control_cluster.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "decision/control/control_service.h"
-#include "decision/control/membership_service.h"
+#include "decision/membership/membership_service.h"
 #include "decision/peers/peer_router.h"
 #include "kernel/kernel.h"
 #include "ports/consensus_port.h"
