--- a/test/fuzz/frame_fuzz.cpp
+++ b/test/fuzz/frame_fuzz.cpp
@@ -8,6 +8,7 @@
 #include "codec/frame_codec.h"
 #include "codec/peer_message_codec.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the library calls it by this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     constexpr std::size_t largestPayload = 4096;
--- a/test/fuzz/storage_fuzz.cpp
+++ b/test/fuzz/storage_fuzz.cpp
@@ -10,6 +10,7 @@
 #include "support/fake_files.h"
 #include "support/paused_runtime.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the library calls it by this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     using namespace plantainlatch;
--- a/test/fuzz/yaml_fuzz.cpp
+++ b/test/fuzz/yaml_fuzz.cpp
@@ -9,6 +9,7 @@
 #include "codec/declaration_yaml.h"
 #include "codec/settings_yaml.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the library calls it by this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string text(reinterpret_cast<const char*>(data), size);
--- a/test/random/fake_callers.cpp
+++ b/test/random/fake_callers.cpp
@@ -32,7 +32,7 @@
 
 fake_callers::work_pointer fake_callers::makeWork()
 {
-    const auto item = std::make_shared<work>();
+    auto item = std::make_shared<work>();
     const std::uint64_t kind = m_runtime.random() % 200;
     item->write = kind < 100;
     item->keyed = kind < 70;
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -258,7 +258,8 @@
         } catch (const broken_invariant& error) {
             broken = error.what();
         }
-        REQUIRE(broken == "");
+        INFO(broken);
+        REQUIRE(broken.empty());
     }
 }
 
