Say rightly what a settling slot is

Cause: on the last reading, the comment on slot_service's settling uses said the opposite of the code: the slot is not free yet. Change: the comment.

--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -78,7 +78,7 @@
 private:
     struct use {
         upstream_announcement upstream;
-        /** The last moment at which the work may still run was reached, so the slot is free. */
+        /** The use has ended, but its work may still run at the upstream, so the slot is not free yet. */
         bool settling = false;
     };
 
