--- a/src/codec/settings_yaml.cpp
+++ b/src/codec/settings_yaml.cpp
@@ -24,6 +24,7 @@
         reader.require("caller_address", record.callerAddress);
         reader.require("peer_address", record.peerAddress);
         reader.allow("replica", record.replica);
+        reader.allow("entry", record.entry);
         reader.finish();
         return record;
     }
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -17,6 +17,7 @@
 using region_id = strong_name<struct region_tag>;
 using failure_domain_id = strong_name<struct failure_domain_tag>;
 using service_id = strong_name<struct service_tag>;
+using route_id = strong_name<struct route_tag>;
 using upstream_id = strong_name<struct upstream_tag>;
 
 /** One start of one upstream; an upstream that comes back at the same address announces a new one. */
--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -68,6 +68,8 @@
     /** Proposals of this VM that wait for their result; more are refused as Unavailable. */
     std::size_t largestPending = 1024;
     std::size_t largestVoterCount = 7;
+    /** A voter that was silent for so long gives its place to an up-to-date replica that waits for one. */
+    duration replaceVoterAfter = std::chrono::seconds(3);
     /** VMs that a leader sends to; beyond it a tree by region must take over. */
     std::size_t largestFollowerCount = 64;
 
--- a/src/decision/consensus/log_joiner.cpp
+++ b/src/decision/consensus/log_joiner.cpp
@@ -1,6 +1,7 @@
 #include "decision/consensus/log_joiner.h"
 
 #include <algorithm>
+#include <set>
 
 namespace plantainlatch {
 
@@ -29,7 +30,8 @@
 
 bool log_joiner::decides() const
 {
-    return m_replica.hasDisk() && m_replica.blank()
+    const vm_settings& settings = m_replica.settings();
+    return settings.mayFoundLog && settings.self.replica && m_replica.hasDisk() && m_replica.blank()
         && std::all_of(m_others.begin(), m_others.end(), [this](const vm_id& vm) { return m_replica.vm() < vm; });
 }
 
@@ -42,19 +44,31 @@
 void log_joiner::onTick()
 {
     const time_point now = m_replica.hooks().now();
-    const bool hasLeader = m_replica.leader() != replica_id {};
-    if (now < m_nextAsk || hasLeader)
+    const bool hasLeader = m_replica.leader() != replica_id {}
+        && now < m_replica.leaderHeard() + m_replica.options().electionTimeout;
+    if (now < m_nextAsk || hasLeader || m_replica.role() == replica_role::Leader)
         return;
     m_nextAsk = now + m_replica.options().joinInterval;
     if (decides() || holdsFirstEntryOnly()) {
         askAll(m_others);
         return;
     }
-    const std::vector<vm_record>& vms = m_replica.settings().vms;
+    const std::vector<vm_id> vms = vmsToAsk();
     if (vms.empty())
         return;
     m_nextVm = (m_nextVm + 1) % vms.size();
-    ask(vms[m_nextVm].id);
+    ask(vms[m_nextVm]);
+}
+
+std::vector<vm_id> log_joiner::vmsToAsk() const
+{
+    std::set<vm_id> vms;
+    for (const vm_record& vm : m_replica.settings().vms)
+        vms.insert(vm.id);
+    for (const replica_id& voter : m_replica.log().voters().voters)
+        vms.insert(voter.vm);
+    vms.erase(m_replica.vm());
+    return { vms.begin(), vms.end() };
 }
 
 void log_joiner::askAll(const std::vector<vm_id>& vms)
@@ -84,7 +98,9 @@
 {
     if (answer.asker != m_replica.self())
         return;
-    if (!answer.leader.empty() && answer.leader != from && m_replica.leader() == replica_id {})
+    // A learner that lost its leader still holds the former one's name.
+    const bool isNews = m_replica.leader() == replica_id {} || answer.leader != m_replica.leader().vm;
+    if (!answer.leader.empty() && answer.leader != from && isNews)
         ask(answer.leader);
     if (!answer.blank) {
         m_pledges.erase(from);
--- a/src/decision/consensus/log_joiner.h
+++ b/src/decision/consensus/log_joiner.h
@@ -41,6 +41,8 @@
 
     bool decides() const;
     bool holdsFirstEntryOnly() const;
+    /** The seeds of the settings and the voters as last known. */
+    std::vector<vm_id> vmsToAsk() const;
     void ask(const vm_id& vm);
     void askAll(const std::vector<vm_id>& vms);
     void beginWhenAllBlank();
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -39,6 +39,10 @@
         addFollower(vm.id);
     for (const replica_id& voter : m_replica.log().voters().voters)
         addFollower(voter.vm);
+    for (const auto& [vm, started] : m_replica.state().vms) {
+        if (!started.stopped)
+            addFollower(vm);
+    }
     for (log_index i = m_replica.applied().next(); i <= m_replica.log().lastIndex(); i = i.next()) {
         if (const auto* item = std::get_if<proposal>(&m_replica.log().at(i).content))
             m_uncommitted.insert(item->id);
@@ -340,6 +344,21 @@
         m_replica.commitTo(matched);
 }
 
+std::set<replica_id> log_leader::silentVoters() const
+{
+    const time_point now = m_replica.hooks().now();
+    const duration silence = m_replica.options().replaceVoterAfter;
+    std::set<replica_id> silent;
+    for (const replica_id& voter : m_replica.log().voters().voters) {
+        const auto progress = m_followers.find(voter.vm);
+        const bool heard = progress != m_followers.end() && progress->second.id == voter
+            && now < std::max(progress->second.lastAnswer, m_elected) + silence;
+        if (voter != m_replica.self() && !heard && now >= m_elected + silence)
+            silent.insert(voter);
+    }
+    return silent;
+}
+
 void log_leader::changeVoters()
 {
     const bool isPending = m_replica.log().votersIndex() > m_replica.committed();
@@ -352,7 +371,7 @@
             upToDate.insert(progress.id);
     }
     std::optional<voter_set> next
-        = nextVoters(m_replica.log().voters(), upToDate, m_replica.options().largestVoterCount);
+        = nextVoters({ m_replica.log().voters(), upToDate, silentVoters(), m_replica.options().largestVoterCount });
     if (next)
         appendVoters(std::move(*next));
 }
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -38,6 +38,9 @@
     /** A proposal was applied. */
     void onApplied(const proposal_id& id) { m_uncommitted.erase(id); }
 
+    /** Voters that were not heard of for so long that another replica may take their place. */
+    std::set<replica_id> silentVoters() const;
+
     /** Stops taking proposals, brings a voter up to date, asks it to take over, and steps down. */
     void transfer() { m_transferring = true; }
 
--- a/src/decision/consensus/voter_changes.cpp
+++ b/src/decision/consensus/voter_changes.cpp
@@ -12,26 +12,47 @@
             voters.voters.begin(), voters.voters.end(), [&vm](const replica_id& voter) { return voter.vm == vm; });
     }
 
+    /** The voters without the former identity of a VM that came back with another disk. */
+    std::optional<voter_set> withoutLostDisk(const voter_situation& situation)
+    {
+        for (const replica_id& present : situation.upToDate) {
+            const auto former = voterOfVm(situation.current, present.vm);
+            if (former == situation.current.voters.end() || *former == present)
+                continue;
+            voter_set next = situation.current;
+            next.voters.erase(*former);
+            return next;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<replica_id> waitingReplica(const voter_situation& situation)
+    {
+        for (const replica_id& present : situation.upToDate) {
+            if (voterOfVm(situation.current, present.vm) == situation.current.voters.end())
+                return present;
+        }
+        return std::nullopt;
+    }
+
 } // namespace
 
-std::optional<voter_set> nextVoters(
-    const voter_set& current, const std::set<replica_id>& upToDate, std::size_t largestCount)
+std::optional<voter_set> nextVoters(const voter_situation& situation)
 {
-    for (const replica_id& present : upToDate) {
-        const auto former = voterOfVm(current, present.vm);
-        if (former == current.voters.end() || *former == present)
-            continue;
-        voter_set next = current;
-        next.voters.erase(*former);
+    if (std::optional<voter_set> next = withoutLostDisk(situation))
         return next;
-    }
-    for (const replica_id& present : upToDate) {
-        if (voterOfVm(current, present.vm) != current.voters.end() || current.voters.size() >= largestCount)
-            continue;
-        voter_set next = current;
-        next.voters.insert(present);
+    const std::optional<replica_id> waiting = waitingReplica(situation);
+    if (!waiting)
+        return std::nullopt;
+    voter_set next = situation.current;
+    if (next.voters.size() < situation.largestCount) {
+        next.voters.insert(*waiting);
         return next;
     }
+    for (const replica_id& voter : situation.silent) {
+        if (next.voters.erase(voter) > 0)
+            return next;
+    }
     return std::nullopt;
 }
 
--- a/src/decision/consensus/voter_changes.h
+++ b/src/decision/consensus/voter_changes.h
@@ -11,9 +11,19 @@
 
 namespace plantainlatch {
 
-/** The voters after the next change, given the replicas with a working disk that are up to date: a lost disk's identity
- * goes first, then the new one of its VM comes; none when nothing is to be done. */
-std::optional<voter_set> nextVoters(
-    const voter_set& current, const std::set<replica_id>& upToDate, std::size_t largestCount);
+/** What a change of the voters is chosen from. */
+struct voter_situation {
+    voter_set current;
+    /** Replicas with a working disk that have all but the newest entries. */
+    std::set<replica_id> upToDate;
+    /** Voters that were not heard of for long. */
+    std::set<replica_id> silent;
+    /** The most voters; a replica beyond them is a voter only in place of a silent one. */
+    std::size_t largestCount = 0;
+};
+
+/** The voters after the next change: a lost disk's identity goes first, then the new one of its VM comes; a silent voter
+ * goes when an up-to-date replica waits for its place; none when nothing is to be done. */
+std::optional<voter_set> nextVoters(const voter_situation& situation);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -93,6 +93,16 @@
     return accepted();
 }
 
+command_result applyReplacement(control_snapshot& state, const replace_configuration& command)
+{
+    if (command.content.number <= state.config.number)
+        return alreadyAccepted();
+    state.config = command.content;
+    state.history.clear();
+    state.historyBase = state.config;
+    return accepted();
+}
+
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content)
 {
     command_result judged = judgeNumbers(state, content);
--- a/src/decision/control/apply_change.h
+++ b/src/decision/control/apply_change.h
@@ -17,6 +17,9 @@
  * number is AlreadyAccepted; other content is a Conflict that says how they differ. */
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content);
 
+/** Puts a whole configuration in force if its number is above that in force; otherwise AlreadyAccepted. */
+command_result applyReplacement(control_snapshot& state, const replace_configuration& command);
+
 /** Whether the declaration's numbers allow it to be accepted now: Accepted, AlreadyAccepted or Conflict. */
 command_result judgeNumbers(const control_snapshot& state, const declaration& content);
 
--- a/src/decision/control/apply_command.cpp
+++ b/src/decision/control/apply_command.cpp
@@ -17,6 +17,7 @@
     struct command_applier {
         control_snapshot& state;
         const proposal& item;
+        const directory_rules& rules;
 
         command_result operator()(const no_command&) const { return accepted(); }
         command_result operator()(const apply_declaration& command) const
@@ -24,7 +25,7 @@
             return applyChange(state, item, command.content);
         }
         command_result operator()(const set_drain& command) const { return applyDrain(state, command); }
-        command_result operator()(const upstream_joined& command) const { return applyJoin(state, item, command); }
+        command_result operator()(const upstream_joined& command) const { return applyJoin(state, item, command, rules); }
         command_result operator()(const upstream_left& command) const { return applyLeave(state, item, command); }
         command_result operator()(const claim_key& command) const { return applyClaim(state.keys, item, command); }
         command_result operator()(const settle_key& command) const { return applySettle(state.keys, item, command); }
@@ -36,13 +37,17 @@
         command_result operator()(const step_shift& command) const { return applyShiftStep(state, item, command); }
         command_result operator()(const vm_started& command) const { return applyVmStart(state, item, command); }
         command_result operator()(const vm_stopped& command) const { return applyVmStop(state, command); }
+        command_result operator()(const replace_configuration& command) const
+        {
+            return applyReplacement(state, command);
+        }
     };
 
 } // namespace
 
-command_result applyCommand(control_snapshot& state, const proposal& item)
+command_result applyCommand(control_snapshot& state, const proposal& item, const directory_rules& rules)
 {
-    return std::visit(command_applier { state, item }, item.command);
+    return std::visit(command_applier { state, item, rules }, item.command);
 }
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -67,10 +67,12 @@
         return absl::OkStatus();
     }
 
-    absl::Status checkIdentity(const control_snapshot& state, const upstream_announcement& offered)
+    absl::Status checkIdentity(
+        const control_snapshot& state, const upstream_announcement& offered, const directory_rules& rules)
     {
         for (const auto& [id, record] : state.directory) {
-            if (id != offered.id && record.announcement.address == offered.address)
+            const bool yields = rules.addressToLatest && record.announcement.generation < offered.generation;
+            if (id != offered.id && record.announcement.address == offered.address && !yields)
                 return absl::AlreadyExistsError(
                     absl::StrCat("upstream '", id.value(), "' has the address ", formatAddress(offered.address)));
         }
@@ -85,7 +87,21 @@
         return absl::OkStatus();
     }
 
-    absl::Status checkRoom(const control_snapshot& state, const upstream_announcement& offered, wall_time now)
+    /** Takes upstreams out whose address an upstream of a later generation has. */
+    void dropFormerHolders(control_snapshot& state, const upstream_announcement& offered)
+    {
+        std::erase_if(state.directory, [&offered](const auto& item) {
+            return item.first != offered.id && item.second.announcement.address == offered.address;
+        });
+    }
+
+    bool isLate(const upstream_announcement& former, const upstream_announcement& offered)
+    {
+        return former.generation == offered.generation && offered.sequence < former.sequence;
+    }
+
+    absl::Status checkRoom(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
+        const directory_rules& rules)
     {
         const auto known = state.directory.find(offered.id);
         const bool isKnown = known != state.directory.end();
@@ -94,7 +110,7 @@
         if (!isKnown && state.directory.size() >= maximumUpstreams)
             return absl::ResourceExhaustedError("the directory is full");
         const auto gone = state.departed.find(offered.id);
-        if (gone != state.departed.end() && now < gone->second.leftAt + flapWait(gone->second.silences))
+        if (rules.dampsFlapping && gone != state.departed.end() && now < gone->second.leftAt + flapWait(gone->second.silences))
             return absl::UnavailableError("the upstream came and went too often and has to wait");
         return absl::OkStatus();
     }
@@ -134,17 +150,31 @@
     return std::min(wait, longestFlapWait);
 }
 
-absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now)
+absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
+    const directory_rules& rules)
 {
-    absl::Status status = checkPlace(state.config, offered);
-    status.Update(checkLimits(state.config, offered));
+    absl::Status status;
+    if (rules.declaredOnly) {
+        status.Update(checkPlace(state.config, offered));
+        status.Update(checkLimits(state.config, offered));
+    }
     status.Update(checkDefinition(state.config, offered));
     status.Update(checkGeneration(state, offered));
-    status.Update(checkIdentity(state, offered));
-    status.Update(checkRoom(state, offered, now));
+    status.Update(checkIdentity(state, offered, rules));
+    status.Update(checkRoom(state, offered, now, rules));
     return status;
 }
 
+bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right)
+{
+    upstream_announcement comparable = right;
+    comparable.sequence = left.sequence;
+    const bool bothCold = left.coldFor > duration::zero() && right.coldFor > duration::zero();
+    if (bothCold)
+        comparable.coldFor = left.coldFor;
+    return left == comparable;
+}
+
 slot_count effectiveSlots(const configuration& config, const upstream_announcement& announcement)
 {
     slot_count slots = announcement.slots;
@@ -162,13 +192,15 @@
     return checkPlace(config, announcement).ok() && config.services.contains(announcement.service);
 }
 
-command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command)
+command_result applyJoin(
+    control_snapshot& state, const proposal& item, const upstream_joined& command, const directory_rules& rules)
 {
     const upstream_announcement& offered = command.announcement;
     const auto known = state.directory.find(offered.id);
-    if (known != state.directory.end() && known->second.announcement == offered)
+    if (known != state.directory.end()
+        && (known->second.announcement == offered || isLate(known->second.announcement, offered)))
         return alreadyAccepted();
-    const absl::Status status = checkAnnouncement(state, offered, item.proposedAt);
+    const absl::Status status = checkAnnouncement(state, offered, item.proposedAt, rules);
     if (!status.ok())
         return refused(std::string(status.message()));
     if (known != state.directory.end()) {
@@ -176,6 +208,8 @@
         if (former != offered.generation)
             rememberDeparture(state, { offered.id, former, false }, item.proposedAt);
     }
+    if (rules.addressToLatest)
+        dropFormerHolders(state, offered);
     state.directory[offered.id] = { offered, item.proposedAt };
     internal_assert(state.directory.size() <= maximumUpstreams) << state.directory.size();
     return accepted();
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -28,11 +28,23 @@
 inline constexpr duration firstFlapWait = std::chrono::seconds(5);
 inline constexpr duration longestFlapWait = std::chrono::seconds(60);
 
+/** What an announcement must fulfil; all VMs of a system have the same rules. */
+struct directory_rules {
+    /** Its service and place must be declared. */
+    bool declaredOnly = true;
+    /** Of two upstreams at one address the later generation holds it; otherwise the one that came first does.
+     * Generations of different upstreams must then be comparable. */
+    bool addressToLatest = false;
+    /** An upstream that comes and goes too often has to wait. */
+    bool dampsFlapping = true;
+};
+
 /** Whether the announcement may enter the directory now: OK, NotFound (its service or place is not declared),
  * InvalidArgument (it does not fit the configuration),
  * PermissionDenied (withdrawn, an earlier generation, or a goodbye was said), AlreadyExists (another upstream has the
  * address), Unavailable (it flaps and has to wait) or ResourceExhausted. */
-absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now);
+absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
+    const directory_rules& rules = {});
 
 /** How long an upstream that fell silent so often waits before it may return. */
 duration flapWait(std::uint32_t silences);
@@ -43,7 +55,11 @@
 /** Whether the announcement's service and place are declared. */
 bool fitsPlaceAndService(const configuration& config, const upstream_announcement& announcement);
 
-command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command);
+/** Whether two announcements of one generation say the same, but for their numbers and how much of a cold time is left. */
+bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right);
+
+command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command,
+    const directory_rules& rules = {});
 
 /** Takes the upstream out; another generation than the one that left is AlreadyAccepted and changes nothing. */
 command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command);
--- a/src/decision/control/control_service.cpp
+++ b/src/decision/control/control_service.cpp
@@ -52,7 +52,7 @@
             return *former;
     }
     const change_number before = m_state.config.number;
-    command_result result = applyCommand(m_state, item);
+    command_result result = applyCommand(m_state, item, m_options.directory);
     internal_assert(m_state.config.number >= before)
         << "the configuration fell from " << before.value() << " to " << m_state.config.number.value();
     rememberResult(m_state.proposers, item.id, result);
--- a/src/decision/control/control_service.h
+++ b/src/decision/control/control_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "decision/control/apply_directory.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
@@ -20,6 +21,7 @@
 struct control_options {
     /** Answers resent proposals with the first result; without it each one is applied again. */
     bool answerDuplicates = true;
+    directory_rules directory;
 };
 
 /** Holds the control_snapshot of this VM; published as "control". */
--- a/src/decision/control/crash_table.cpp
+++ b/src/decision/control/crash_table.cpp
@@ -39,16 +39,16 @@
     if (record.upstreams.size() < maximumCrashedUpstreams)
         record.upstreams.insert(command.upstream);
     command_result result;
-    result.crashRefused = record.upstreams.size() >= crashedUpstreamsToRefuse;
+    result.crashedUpstreams = record.upstreams.size();
     return result;
 }
 
-bool refusesCrashing(const control_snapshot& state, const crash_key& key, wall_time now)
+bool refusesCrashing(const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit)
 {
     const auto position = state.crashes.find(key);
     if (position == state.crashes.end())
         return false;
-    return position->second.upstreams.size() >= crashedUpstreamsToRefuse && remembered(position->second, now);
+    return position->second.upstreams.size() >= limit && remembered(position->second, now);
 }
 
 } // namespace plantainlatch
--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "core/internal_assert.h"
 #include "decision/control/apply_directory.h"
 #include "decision/peers/peer_router.h"
 #include "ports/port_names.h"
@@ -102,8 +103,14 @@
     if (known == m_control->state().directory.end())
         return false;
     const upstream_announcement& former = known->second.announcement;
-    if (former == offered)
+    if (saysTheSame(former, offered))
         return true;
+    if (former.generation == offered.generation && offered.sequence < former.sequence)
+        return true;
+    const bool sameState = former.draining == offered.draining
+        && (former.coldFor > duration::zero()) == (offered.coldFor > duration::zero());
+    if (!sameState)
+        return false;
     const bool samePlace = former.generation == offered.generation && former.address == offered.address
         && former.service == offered.service && former.failureDomain == offered.failureDomain
         && former.region == offered.region;
@@ -117,7 +124,7 @@
         done(absl::OkStatus());
         return;
     }
-    const absl::Status status = checkAnnouncement(m_control->state(), offered, m_hooks.wallNow());
+    const absl::Status status = checkAnnouncement(m_control->state(), offered, m_hooks.wallNow(), m_options.rules);
     if (!status.ok())
         done(refusalStatus(status));
     else
@@ -126,28 +133,31 @@
 
 void directory_service::join(const upstream_announcement& offered, const answer& done)
 {
-    const auto joining = m_joining.find(offered.id);
-    if (joining != m_joining.end() && joining->second.size() < maximumWaiting) {
-        joining->second.push_back(done);
-        return;
+    for (auto& [number, pending] : m_joining) {
+        const bool same = pending.offered.id == offered.id && saysTheSame(pending.offered, offered);
+        if (same && pending.waiting.size() < maximumWaiting) {
+            pending.waiting.push_back(done);
+            return;
+        }
     }
-    if (joining != m_joining.end() || m_joining.size() >= maximumJoining) {
+    if (m_joining.size() >= maximumJoining) {
         done(absl::UnavailableError("too many upstreams are joining"));
         return;
     }
-    m_joining[offered.id].push_back(done);
+    const std::uint64_t number = ++m_lastJoin;
+    m_joining[number] = { offered, { done } };
     m_consensus->propose(upstream_joined { offered }, m_options.proposalTimeout,
-        [this, offered](const absl::StatusOr<command_result>& result) { finishJoin(offered, result); });
+        [this, number](const absl::StatusOr<command_result>& result) { finishJoin(number, result); });
 }
 
-void directory_service::finishJoin(const upstream_announcement& offered, const absl::StatusOr<command_result>& result)
+void directory_service::finishJoin(std::uint64_t number, const absl::StatusOr<command_result>& result)
 {
     const absl::Status status = proposalStatus(result);
+    const auto ended = m_joining.extract(number);
+    internal_assert(!ended.empty()) << "join " << number << " ends twice";
     if (status.ok())
-        passOn(offered);
-    const std::vector<answer> waiting = std::move(m_joining[offered.id]);
-    m_joining.erase(offered.id);
-    for (const answer& done : waiting)
+        passOn(ended.mapped().offered);
+    for (const answer& done : ended.mapped().waiting)
         done(status);
 }
 
@@ -168,10 +178,18 @@
 void directory_service::passOn(const upstream_announcement& offered)
 {
     m_liveness.note(offered.id, offered.generation, m_hooks.now());
+    const vm_id keeper = keeperOf(offered.region);
+    if (!keeper.empty() && keeper != m_self)
+        m_router->send(keeper, control_message(announcement_seen { offered }));
+}
+
+vm_id directory_service::keeperOf(const region_id& region) const
+{
+    if (m_options.keeper == renewal_keeper::Leader)
+        return m_consensus->state().leader;
     const auto& allocators = m_control->state().allocators;
-    const auto allocator = allocators.find(offered.region);
-    if (allocator != allocators.end() && allocator->second.vm != m_self)
-        m_router->send(allocator->second.vm, control_message(announcement_seen { offered }));
+    const auto allocator = allocators.find(region);
+    return allocator != allocators.end() ? allocator->second.vm : vm_id();
 }
 
 void directory_service::tick()
@@ -184,8 +202,12 @@
 
 void directory_service::followRoles()
 {
-    for (const auto& [region, definition] : m_control->state().config.regions)
-        m_liveness.setAllocating(region, m_membership->allocatorUntil(region).has_value(), m_hooks.now());
+    for (const auto& [region, definition] : m_control->state().config.regions) {
+        const bool keeps = m_options.keeper == renewal_keeper::Leader
+            ? m_membership->leadsFully()
+            : m_membership->allocatorUntil(region).has_value();
+        m_liveness.setAllocating(region, keeps, m_hooks.now());
+    }
 }
 
 void directory_service::removeSilent()
--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "decision/control/apply_directory.h"
 #include "decision/directory/liveness_tracker.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
@@ -25,6 +26,14 @@
 
 class peer_router;
 
+/** Which VM keeps the renewals of upstreams and takes the silent ones out. */
+enum class renewal_keeper {
+    /** The slot allocator of the upstream's region. */
+    Allocator,
+    /** The leader of the log, for all regions. */
+    Leader,
+};
+
 /** What may be varied in directory_service. */
 struct directory_options {
     duration renewalInterval = std::chrono::seconds(1);
@@ -35,6 +44,9 @@
     /** One generation's slots or connections change at most this often. */
     duration changeInterval = std::chrono::seconds(5);
     duration proposalTimeout = std::chrono::seconds(2);
+    renewal_keeper keeper = renewal_keeper::Allocator;
+    /** The same as those of the control state. */
+    directory_rules rules;
 };
 
 /** Announcements of upstreams; published as "directory" and "liveness". */
@@ -49,12 +61,20 @@
 private:
     using answer = std::function<void(absl::Status)>;
 
+    /** A join that waits for the log, with those who want its result. */
+    struct pending_join {
+        upstream_announcement offered;
+        std::vector<answer> waiting;
+    };
+
     directory_service(const kernel_hooks& hooks, const vm_settings& settings, directory_options options);
 
     absl::Status start(registry& services);
     void announce(const upstream_announcement& offered, const answer& done);
     void join(const upstream_announcement& offered, const answer& done);
-    void finishJoin(const upstream_announcement& offered, const absl::StatusOr<command_result>& result);
+    void finishJoin(std::uint64_t number, const absl::StatusOr<command_result>& result);
+    /** The VM that keeps the renewals of a region; empty while there is none. */
+    vm_id keeperOf(const region_id& region) const;
     void leave(const upstream_id& id, upstream_generation generation, const answer& done);
     bool isRenewal(const upstream_announcement& offered) const;
     void passOn(const upstream_announcement& offered);
@@ -75,7 +95,8 @@
     peer_router* m_router = nullptr;
     timer_id m_timer;
     liveness_tracker m_liveness;
-    std::map<upstream_id, std::vector<answer>> m_joining;
+    std::map<std::uint64_t, pending_join> m_joining;
+    std::uint64_t m_lastJoin = 0;
     std::set<upstream_id> m_removing;
 };
 
--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -75,14 +75,17 @@
 {
     list_basis basis;
     const control_snapshot& state = m_control->state();
-    for (const auto& [id, started] : state.vms)
-        basis.vms.push_back(started.record);
+    for (const auto& [id, started] : state.vms) {
+        if (started.record.entry)
+            basis.vms.push_back(started.record);
+    }
     if (basis.vms.empty())
         basis.vms = m_settings.vms;
     basis.unfit = m_membership->avoided();
     for (const vm_record& vm : basis.vms) {
         const bool isStopping = vm.id == m_settings.self.id && m_membership->stopping();
-        if ((isStopping || isVmDraining(state, vm)) && !contains(basis.unfit, vm.id))
+        const bool isDraining = m_options.drainsCoverVms && isVmDraining(state, vm);
+        if ((isStopping || isDraining) && !contains(basis.unfit, vm.id))
             basis.unfit.push_back(vm.id);
     }
     return basis;
@@ -113,6 +116,11 @@
     };
     std::sort(chosen.begin(), chosen.end(),
         [&](const vm_record& left, const vm_record& right) { return rank(left) < rank(right); });
+    const auto isFar = [&](const vm_record& vm) { return nearRegion.empty() || vm.region != nearRegion; };
+    const auto firstFar = std::find_if(chosen.begin(), chosen.end(), isFar);
+    const auto nearCount = static_cast<std::size_t>(firstFar - chosen.begin());
+    if (m_options.enoughInRegion > 0 && nearCount >= m_options.enoughInRegion)
+        chosen.erase(firstFar, chosen.end());
     chosen.resize(std::min(chosen.size(), m_options.maximumEntries));
     entry_list made;
     made.cacheTime = m_settings.lookupCacheTime;
--- a/src/decision/entries/entry_list_service.h
+++ b/src/decision/entries/entry_list_service.h
@@ -24,6 +24,10 @@
     std::size_t maximumEntries = 16;
     /** Leaves out VMs that are dead, stopping or drained. */
     bool leaveOutUnfit = true;
+    /** Entries of the caller's region alone are listed once there are so many; 0 lists the others too. */
+    std::size_t enoughInRegion = 0;
+    /** A drain of a place takes the VMs there out too, and not only its upstreams. */
+    bool drainsCoverVms = true;
 };
 
 /** Lists entries, the nearest first; published as "entry_list". A list costs time in proportion to the number of VMs,
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -65,6 +65,10 @@
     m_port.avoided = [this] { return m_avoided; };
     m_port.reports = [this] { return reports(); };
     m_port.leadsFully = [this] { return leadsFully(); };
+    m_port.joined = [this] {
+        const auto known = m_control->state().vms.find(m_settings.self.id);
+        return known != m_control->state().vms.end() && known->second.start == m_start;
+    };
     m_port.onSend = [this](auto part) { m_onSend.push_back(std::move(part)); };
     m_port.onHeartbeat = [this](auto reader) { m_onHeartbeat.push_back(std::move(reader)); };
     m_port.onAnswer = [this](auto reader) { m_onAnswer.push_back(std::move(reader)); };
@@ -118,7 +122,7 @@
     followLeadership(m_consensus->state());
     proposeStart();
     sendHeartbeat();
-    if (leadsFully())
+    if (leadsFully() && m_options.assignsAllocators)
         assignAllocators();
 }
 
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -40,6 +40,8 @@
     /** Work of an earlier start has ended once this start ran for the longest deadline and this. */
     duration workMargin = std::chrono::seconds(10);
     allocator_lease_options leases;
+    /** The leader names slot allocators. */
+    bool assignsAllocators = true;
 };
 
 /** Sends and receives heartbeats; published as "membership". The cost at the leader grows with the number of VMs; at
--- /dev/null
+++ b/src/decision/operators/configuration_service.cpp
@@ -0,0 +1,105 @@
+#include "decision/operators/configuration_service.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "decision/control/apply_drain.h"
+#include "decision/routes/route_table.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    absl::Status statusOf(const absl::StatusOr<command_result>& result)
+    {
+        if (!result.ok())
+            return result.status();
+        const bool accepted
+            = result->verdict == command_verdict::Accepted || result->verdict == command_verdict::AlreadyAccepted;
+        return accepted ? absl::OkStatus() : absl::FailedPreconditionError(result->message);
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<configuration_service>> configuration_service::create(
+    const kernel_hooks& hooks, const vm_settings&, configuration_options options)
+{
+    return std::unique_ptr<configuration_service>(new configuration_service(hooks, options));
+}
+
+configuration_service::configuration_service(const kernel_hooks& hooks, configuration_options options)
+    : m_hooks(hooks)
+    , m_options(options)
+{
+    m_port.put
+        = [this](configuration content, const done_handler& done) { put(std::move(content), done); };
+    m_port.read = [this](const std::function<void(absl::StatusOr<configuration>)>& done) { read(done); };
+    m_port.drain = [this](const set_drain& order, const done_handler& done) { drain(order, done); };
+}
+
+service configuration_service::asService()
+{
+    service item;
+    item.name = port_names::configurations;
+    item.needs = { port_names::control, port_names::consensus };
+    item.start = [this](registry& services) { return start(services); };
+    return item;
+}
+
+absl::Status configuration_service::start(registry& services)
+{
+    m_control = *services.find<control_port>(port_names::control);
+    m_consensus = *services.find<consensus_port>(port_names::consensus);
+    return services.publish(port_names::configurations, m_port);
+}
+
+void configuration_service::put(configuration content, const done_handler& done)
+{
+    finding_list findings;
+    checkRoutes(content, "configuration", findings);
+    if (!findings.empty()) {
+        done(findings.toStatus());
+        return;
+    }
+    // What is applied here was accepted by a majority, and a lower number changes nothing.
+    if (content.number <= m_control->state().config.number) {
+        done(absl::OkStatus());
+        return;
+    }
+    const std::string what = absl::StrCat("configuration ", content.number.value());
+    propose(replace_configuration { std::move(content) }, what, done);
+}
+
+void configuration_service::read(const std::function<void(absl::StatusOr<configuration>)>& done)
+{
+    // An empty command that is applied here stands behind everything that was accepted before it was proposed.
+    m_consensus->propose(
+        no_command {}, m_options.proposalTimeout, [this, done](const absl::StatusOr<command_result>& result) {
+            if (!result.ok())
+                done(absl::UnavailableError(result.status().message()));
+            else if (m_control->state().config.number == change_number())
+                done(absl::UnavailableError("no configuration was put yet"));
+            else
+                done(m_control->state().config);
+        });
+}
+
+void configuration_service::drain(const set_drain& order, const done_handler& done)
+{
+    propose(order, absl::StrCat(order.draining ? "drain of " : "end of the drain of ", describeTarget(order.target)),
+        done);
+}
+
+void configuration_service::propose(control_command command, const std::string& what, const done_handler& done)
+{
+    m_consensus->propose(std::move(command), m_options.proposalTimeout,
+        [this, what, done](const absl::StatusOr<command_result>& result) {
+            const absl::Status status = statusOf(result);
+            m_hooks.log({ log_level::Info, "configurations", status.ok() ? "accepted" : "not accepted",
+                { { "order", what }, { "why", std::string(status.message()) } } });
+            done(status);
+        });
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/operators/configuration_service.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/** \file
+ * The service that puts whole configurations and drains into the log, and reads the newest configuration.
+ */
+
+#include <memory>
+
+#include "absl/status/statusor.h"
+#include "kernel/hooks.h"
+#include "kernel/service.h"
+#include "model/vm_settings.h"
+#include "ports/configuration_port.h"
+#include "ports/consensus_port.h"
+#include "ports/control_port.h"
+
+namespace plantainlatch {
+
+/** What may be varied in configuration_service. */
+struct configuration_options {
+    /** Callers ask another VM after a second without an answer. */
+    duration proposalTimeout = std::chrono::milliseconds(1500);
+};
+
+/** Puts and reads configurations; published as "configurations". */
+class configuration_service {
+public:
+    static absl::StatusOr<std::unique_ptr<configuration_service>> create(
+        const kernel_hooks& hooks, const vm_settings& settings, configuration_options options = {});
+
+    /** The kernel service; it needs "control" and "consensus". */
+    service asService();
+
+private:
+    using done_handler = std::function<void(absl::Status)>;
+
+    configuration_service(const kernel_hooks& hooks, configuration_options options);
+
+    absl::Status start(registry& services);
+    void put(configuration content, const done_handler& done);
+    void read(const std::function<void(absl::StatusOr<configuration>)>& done);
+    void drain(const set_drain& order, const done_handler& done);
+    void propose(control_command command, const std::string& what, const done_handler& done);
+
+    kernel_hooks m_hooks;
+    configuration_options m_options;
+    configuration_port m_port;
+    control_port* m_control = nullptr;
+    consensus_port* m_consensus = nullptr;
+};
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/placement/placement_service.cpp
@@ -0,0 +1,271 @@
+#include "decision/placement/placement_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/internal_assert.h"
+#include "decision/control/apply_drain.h"
+#include "ports/port_names.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    bool contains(const std::vector<upstream_id>& items, const upstream_id& wanted)
+    {
+        return std::find(items.begin(), items.end(), wanted) != items.end();
+    }
+
+    duration scaled(duration span, double factor)
+    {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
+    }
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<placement_service>> placement_service::create(
+    const kernel_hooks& hooks, const vm_settings& settings, placement_options options)
+{
+    if (options.compared == 0)
+        return absl::InvalidArgumentError("at least one upstream must be looked at");
+    return std::unique_ptr<placement_service>(new placement_service(hooks, settings, options));
+}
+
+placement_service::placement_service(
+    const kernel_hooks& hooks, const vm_settings& settings, placement_options options)
+    : m_hooks(hooks)
+    , m_self(settings.self.id)
+    , m_region(settings.self.region)
+    , m_options(options)
+{
+    m_port.acquire = [this](const slot_request& request, const std::function<void(slot_answer)>& done) {
+        return acquire(request, done);
+    };
+    m_port.cancelWait = [](slot_ticket) {};
+    m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+}
+
+service placement_service::asService()
+{
+    service item;
+    item.name = port_names::slots;
+    item.needs = { port_names::control, port_names::upstreams };
+    item.start = [this](registry& services) { return start(services); };
+    item.dump = [this] { return dump(); };
+    return item;
+}
+
+absl::Status placement_service::start(registry& services)
+{
+    m_control = *services.find<control_port>(port_names::control);
+    m_upstreams = *services.find<upstream_port>(port_names::upstreams);
+    m_control->onSteeringChange([this] { follow(); });
+    follow();
+    return services.publish(port_names::slots, m_port);
+}
+
+void placement_service::follow()
+{
+    const control_snapshot& state = m_control->state();
+    for (const auto& [id, record] : state.directory) {
+        const auto former = m_known.find(id);
+        if (former == m_known.end() || !(former->second.announcement == record.announcement))
+            noteJoin(record.announcement);
+    }
+    for (const auto& [id, record] : m_known) {
+        if (state.directory.contains(id))
+            continue;
+        m_upstreams->forget(record.announcement.address);
+        m_standings.erase(id);
+    }
+    m_known = state.directory;
+    noteEndedDrains();
+    m_entries.clear();
+    for (const auto& [vm, started] : state.vms) {
+        if (started.record.entry && !started.stopped)
+            m_entries.push_back(vm);
+    }
+    m_orders.clear();
+}
+
+void placement_service::noteJoin(const upstream_announcement& upstream)
+{
+    const auto former = m_known.find(upstream.id);
+    const bool isNewStart
+        = former == m_known.end() || former->second.announcement.generation != upstream.generation;
+    if (isNewStart)
+        m_standings[upstream.id] = {};
+    if (upstream.coldFor > duration::zero())
+        m_standings[upstream.id].coolUntil(m_hooks.now() + upstream.coldFor);
+    else
+        m_standings[upstream.id].setColdUntil(m_hooks.now());
+}
+
+void placement_service::noteEndedDrains()
+{
+    const control_snapshot& state = m_control->state();
+    for (const drain_target& target : m_drains) {
+        if (state.drains.contains(target) || target.kind != drain_kind::FailureDomain)
+            continue;
+        // Upstreams that had no work for a while may have gone cold without saying so yet.
+        for (const auto& [id, record] : m_known) {
+            const auto service = state.config.services.find(record.announcement.service);
+            if (record.announcement.failureDomain.value() == target.name && service != state.config.services.end())
+                m_standings[id].coolUntil(m_hooks.now() + service->second.coldTime);
+        }
+    }
+    m_drains = state.drains;
+}
+
+std::map<region_id, double> placement_service::demand(const order_key& key) const
+{
+    // Callers are taken to be spread evenly over the failure domains.
+    std::map<region_id, double> shares;
+    double domains = 0;
+    for (const auto& [region, definition] : m_control->state().config.regions) {
+        const auto count = static_cast<double>(definition.failureDomains.size());
+        domains += count;
+        shares[region] = count;
+    }
+    for (auto& [region, share] : shares)
+        share = domains > 0 ? share / domains : 0;
+    if (!key.allowed.empty()) {
+        std::erase_if(shares, [&key](const auto& item) {
+            return std::find(key.allowed.begin(), key.allowed.end(), item.first) == key.allowed.end();
+        });
+    }
+    return shares;
+}
+
+const home_order& placement_service::orderFor(const order_key& key)
+{
+    const auto found = m_orders.find(key);
+    if (found != m_orders.end())
+        return found->second;
+    std::vector<upstream_announcement> fit;
+    for (const auto& [id, record] : m_known) {
+        const upstream_announcement& upstream = record.announcement;
+        const bool allowed = key.allowed.empty()
+            || std::find(key.allowed.begin(), key.allowed.end(), upstream.region) != key.allowed.end();
+        const bool draining = upstream.draining || isUpstreamDraining(m_control->state(), upstream);
+        if (upstream.service == key.service && allowed && !draining)
+            fit.push_back(upstream);
+    }
+    return m_orders.emplace(key, home_order(std::move(fit), m_region, demand(key))).first->second;
+}
+
+bool placement_service::mayPassCold(const upstream_announcement& upstream, upstream_standing& standing)
+{
+    const time_point now = m_hooks.now();
+    if (!standing.isCold(now))
+        return true;
+    const auto& services = m_control->state().config.services;
+    const auto service = services.find(upstream.service);
+    if (service == services.end())
+        return false;
+    const double total = service->second.coldRate * m_options.cold.factor + m_options.cold.slack;
+    return standing.gate().pass(coldShare(total, m_entries, m_self, upstream.id), now);
+}
+
+placement_service::choice placement_service::weigh(
+    const slot_request& request, const upstream_announcement& upstream, std::uint64_t object, bool isHome)
+{
+    const time_point now = m_hooks.now();
+    const upstream_standing& standing = m_standings[upstream.id];
+    choice weighed;
+    weighed.upstream = &upstream;
+    const bool known = !standing.isCold(now) && (isHome || standing.remembers(object, now));
+    weighed.state = known ? object_state::Known : object_state::Unknown;
+    const duration usual = m_latencies.expected(request.terms.route, weighed.state, request.terms.objective);
+    weighed.work = scaled(usual, standing.slowness(now));
+    const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
+    const std::uint32_t load = standing.load(now);
+    weighed.queued = load >= slots;
+    weighed.total = weighed.work;
+    if (weighed.queued)
+        weighed.total += scaled(weighed.work, static_cast<double>(load - slots + 1) / slots);
+    if (upstream.region != m_region)
+        weighed.total += m_options.farPenalty;
+    return weighed;
+}
+
+placement_service::choice placement_service::choose(const slot_request& request, std::uint64_t object, bool evenAvoided)
+{
+    const time_point now = m_hooks.now();
+    const home_order& order = orderFor({ request.service, request.terms.allowedRegions });
+    std::vector<choice> compared;
+    bool isHome = true;
+    for (const upstream_announcement* upstream : order.of(object)) {
+        upstream_standing& standing = m_standings[upstream->id];
+        if (contains(request.avoid, upstream->id) || standing.isShunned(now))
+            continue;
+        if (!evenAvoided && standing.avoids(now))
+            continue;
+        compared.push_back(weigh(request, *upstream, object, isHome));
+        isHome = false;
+        if (compared.size() >= m_options.compared)
+            break;
+    }
+    std::stable_sort(compared.begin(), compared.end(),
+        [](const choice& left, const choice& right) { return left.total < right.total; });
+    for (const choice& item : compared) {
+        if (mayPassCold(*item.upstream, m_standings[item.upstream->id]))
+            return item;
+    }
+    return {};
+}
+
+slot_ticket placement_service::acquire(const slot_request& request, const std::function<void(slot_answer)>& done)
+{
+    const time_point now = m_hooks.now();
+    const std::uint64_t object
+        = request.terms.object.empty() ? m_hooks.random() : objectNumber(request.terms.object);
+    choice chosen = choose(request, object, false);
+    if (chosen.upstream == nullptr)
+        chosen = choose(request, object, true);
+    slot_answer answer;
+    const bool isEmpty = orderFor({ request.service, request.terms.allowedRegions }).empty();
+    answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
+    const bool inTime = chosen.upstream != nullptr && now + chosen.total < request.deadline;
+    if (!inTime) {
+        ++m_refused;
+        done(answer);
+        return {};
+    }
+    ++m_placed;
+    const slot_hold hold(++m_lastHold);
+    m_held.emplace(
+        hold, held_place { chosen.upstream->id, request.terms.route, chosen.state, chosen.work, chosen.queued });
+    m_standings[chosen.upstream->id].begin(object, now);
+    answer.slot = held_slot { hold, *chosen.upstream, request.deadline };
+    done(answer);
+    return {};
+}
+
+void placement_service::release(slot_hold hold, const slot_result& result)
+{
+    const auto found = m_held.find(hold);
+    internal_assert(found != m_held.end()) << "place " << hold.value() << " is released twice";
+    const held_place place = found->second;
+    m_held.erase(found);
+    const auto standing = m_standings.find(place.upstream);
+    if (standing == m_standings.end())
+        return;
+    const duration expected = place.queued ? duration::zero() : place.expected;
+    standing->second.end(result, expected, m_hooks.now());
+    if (result.ended == slot_result::kind::Answered && !place.queued)
+        m_latencies.observe(place.route, place.state, result.latency);
+}
+
+state_dump placement_service::dump() const
+{
+    state_dump shown(port_names::slots);
+    shown.add("placed", m_placed);
+    shown.add("refused", m_refused);
+    state_dump& upstreams = shown.addObject("own_requests");
+    for (const auto& [id, standing] : m_standings)
+        upstreams.add(id.value(), static_cast<std::uint64_t>(standing.ownRequests()));
+    return shown;
+}
+
+} // namespace plantainlatch
--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -46,7 +46,7 @@
         return;
     }
     m_passes.emplace(pass, key);
-    if (m_proven.contains(key, m_parts.hooks.now())) {
+    if (!m_parts.options.oneAtATime || m_proven.contains(key, m_parts.hooks.now())) {
         decided(crash_verdict::Pass);
         return;
     }
@@ -117,18 +117,18 @@
 void crash_guard::onReported(const crash_key& key, const absl::StatusOr<command_result>& result)
 {
     const auto seen = m_seenHere.find(key);
-    if (seen != m_seenHere.end() && result.ok() && result->crashRefused)
+    if (seen != m_seenHere.end() && result.ok() && result->crashedUpstreams >= m_parts.options.limit)
         seen->second.refused = true;
 }
 
 bool crash_guard::refuses(const crash_key& key) const
 {
-    if (refusesCrashing(m_parts.control.state(), key, m_parts.hooks.wallNow()))
+    if (refusesCrashing(m_parts.control.state(), key, m_parts.hooks.wallNow(), m_parts.options.limit))
         return true;
     const seen_crash* seen = seenHere(key);
     if (seen != nullptr && seen->refused)
         return true;
-    return crashedUpstreams(key) >= crashedUpstreamsToRefuse;
+    return crashedUpstreams(key) >= m_parts.options.limit;
 }
 
 const crash_guard::seen_crash* crash_guard::seenHere(const crash_key& key) const
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <set>
 
+#include "decision/control/crash_table.h"
 #include "decision/request/key_claims.h"
 #include "decision/request/proven_requests.h"
 #include "kernel/hooks.h"
@@ -41,6 +42,14 @@
     Refuse,
 };
 
+/** When equal requests are held back. */
+struct crash_guard_options {
+    /** Crashed upstreams after which equal requests are refused. */
+    std::size_t limit = crashedUpstreamsToRefuse;
+    /** Of the equal requests that no success has proven, an entry runs one at a time. */
+    bool oneAtATime = true;
+};
+
 /** What the guard is made of. */
 struct crash_guard_parts {
     const kernel_hooks& hooks;
@@ -48,6 +57,7 @@
     control_port& control;
     key_claims& claims;
     duration reportTimeout {};
+    crash_guard_options options;
 };
 
 /** Decides which requests may run, and learns from how they ended. */
--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -11,7 +11,6 @@
 #include "decision/request/hedge_policy.h"
 #include "decision/request/key_claims.h"
 #include "decision/request/request_options.h"
-#include "decision/request/retry_budget.h"
 #include "kernel/hooks.h"
 #include "ports/slot_port.h"
 #include "ports/upstream_port.h"
@@ -38,6 +37,7 @@
     request_id id;
     caller_request content;
     request_traits traits;
+    steering_terms terms;
     request_fingerprint fingerprint;
     time_point arrivedAt;
     time_point deadline;
@@ -54,7 +54,8 @@
     upstream_port& upstreams;
     key_claims& claims;
     crash_guard& crashes;
-    retry_budget& budget;
+    /** Takes one retry or hedge of a service's requests out of the budget; false when it is spent. */
+    std::function<bool(const service_id&)> spendRetry;
     hedge_policy& hedges;
     request_statistics& statistics;
     /** A call number that was not used before. */
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -44,10 +44,13 @@
         return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
     };
     policies.isMarkedRefusal
-        = [](const upstream_answer& answer) { return answer.status == statusUnavailable && carriesMark(answer); };
+        = [](const upstream_answer& answer) {
+              return answer.marks.notRun || (answer.status == statusUnavailable && carriesMark(answer));
+          };
     policies.needsFreshConnection = [](const request_traits& traits) { return !traits.idempotent; };
     policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
     policies.budgeted = [] { return true; };
+    policies.isFree = [](const ended_attempt&) { return false; };
     policies.hedges = [](const request_traits& traits) { return traits.idempotent; };
     policies.hasRoomToHedge = [](bool hasRoom) { return hasRoom; };
     policies.outlivesCaller = [](const request_traits& traits) { return traits.claimed; };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -12,7 +12,9 @@
 #include "core/clock.h"
 #include "core/outcome.h"
 #include "core/units.h"
+#include "decision/request/crash_guard.h"
 #include "decision/request/outcome_machine.h"
+#include "decision/request/retry_window.h"
 #include "model/http.h"
 #include "ports/upstream_port.h"
 
@@ -71,6 +73,8 @@
     std::function<bool(call_failure)> mayBeCrash;
     /** Whether retries and hedges are held to the budget. */
     std::function<bool()> budgeted;
+    /** Whether a retry after this end is outside the budget. */
+    std::function<bool(const ended_attempt&)> isFree;
     /** Whether a slow attempt of such a request may be hedged. */
     std::function<bool(const request_traits&)> hedges;
     /** Whether a hedge may be made, given whether slots are plentiful. */
@@ -103,6 +107,11 @@
     duration crashReportTimeout = std::chrono::milliseconds(500);
     /** How long a caller's answer waits after a crash report, so that a resend finds it applied at every entry. */
     duration crashReportSpread = std::chrono::milliseconds(250);
+    /** How long a stop goes on taking requests; the cache time of the settings if there is none. */
+    std::optional<duration> leaveTime;
+    crash_guard_options crashes;
+    /** Bounds retries by a sliding window instead of by all that came since the start. */
+    std::optional<retry_window_options> retryWindow;
     /** How long a stop goes on settling keys after the last request ended. */
     duration settlementStopTime = std::chrono::seconds(5);
     request_policies policies = defaultRequestPolicies();
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -131,7 +131,7 @@
         return;
     if (!m_environment.options.policies.hasRoomToHedge(m_environment.hedges.hasRoom(m_request.content.service)))
         return;
-    if (m_environment.options.policies.budgeted() && !m_environment.budget.spend())
+    if (m_environment.options.policies.budgeted() && !m_environment.spendRetry(m_request.content.service))
         return;
     ++m_environment.statistics.hedges;
     m_avoid.push_back(m_open.front()->upstream());
@@ -142,6 +142,9 @@
 {
     std::erase(m_open, attempt);
     m_machine.close(ended.state);
+    const bool offered = ended.ended != attempt_end::kind::NoSlot && ended.ended != attempt_end::kind::NotOffered;
+    if (offered)
+        ++m_offerCount;
     if (m_abandoning)
         return;
     if (ended.ended != attempt_end::kind::NoSlot || !m_lastEnd)
@@ -187,11 +190,15 @@
     const request_options& options = m_environment.options;
     if (ended.ended == attempt_end::kind::NoSlot || m_attemptCount >= options.maximumAttempts)
         return false;
-    if (!options.policies.mayRetry({ m_request.traits, ended.state, remaining() }))
+    if (m_request.terms.maximumAttempts != 0 && m_offerCount >= m_request.terms.maximumAttempts)
+        return false;
+    const ended_attempt end { m_request.traits, ended.state, remaining() };
+    if (!options.policies.mayRetry(end))
         return false;
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
         return false;
-    if (options.policies.budgeted() && !m_environment.budget.spend())
+    const bool charged = options.policies.budgeted() && !options.policies.isFree(end);
+    if (charged && !m_environment.spendRetry(m_request.content.service))
         return false;
     ++m_environment.statistics.retries;
     return true;
@@ -248,6 +255,8 @@
         return systemAnswer(withoutAnswer(),
             ended.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
     case attempt_end::kind::Refused:
+        if (ended.answer->marks.otherInstance)
+            return systemAnswer(withoutAnswer(), answer_reason::NoUpstream);
         return upstreamAnswer(withoutAnswer(), *ended.answer);
     case attempt_end::kind::Shed:
         return upstreamAnswer(
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -85,6 +85,8 @@
     crash_pass m_pass;
     outcome_machine m_machine;
     std::size_t m_attemptCount = 0;
+    /** Attempts that an upstream may have seen. */
+    std::size_t m_offerCount = 0;
     std::vector<std::shared_ptr<upstream_attempt>> m_open;
     std::vector<upstream_id> m_avoid;
     /** The end that is answered with when no further attempt is made; a missing slot does not replace a call's end. */
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
+#include "decision/entries/entry_count.h"
 #include "decision/request/request_fingerprint.h"
 #include "decision/request/system_answers.h"
 #include "ports/port_names.h"
@@ -21,14 +23,32 @@
         return absl::OkStatus();
     }
 
-    request_traits traitsOf(const caller_request& request, const service_definition* definition)
+    request_traits traitsOf(
+        const caller_request& request, const route_definition* route, const service_definition* definition)
     {
         request_traits traits;
+        if (route != nullptr) {
+            traits.idempotent = route->idempotent;
+            return traits;
+        }
         traits.idempotent = definition != nullptr && isIdempotent(*definition, request.method, request.target);
         traits.claimed = request.key.has_value() && !traits.idempotent;
         return traits;
     }
 
+    steering_terms termsOf(const route_definition& route, const caller_request& request)
+    {
+        steering_terms terms;
+        terms.route = route.id;
+        if (route.sticky && !request.affinity.empty())
+            terms.object = absl::StrCat(route.id.value(), "/", request.affinity);
+        terms.allowedRegions = route.allowedRegions;
+        terms.objective = route.objective;
+        terms.priority = route.priority;
+        terms.maximumAttempts = route.maximumAttempts;
+        return terms;
+    }
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<request_service>> request_service::create(
@@ -44,6 +64,8 @@
     , m_settings(settings)
     , m_options(std::move(options))
 {
+    if (m_options.retryWindow)
+        m_retryWindow.emplace(*m_options.retryWindow);
     m_port.submit = [this](caller_request request, std::function<void(caller_answer)> deliver) {
         return submit(std::move(request), std::move(deliver));
     };
@@ -74,30 +96,70 @@
         return status;
     m_consensus = consensus;
     m_claims = key_claims::create(m_hooks, *consensus, *m_control, m_options.policies.releasesLateClaims);
-    m_crashes = crash_guard::create({ m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout });
+    m_crashes = crash_guard::create({ m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout, m_options.crashes });
     m_environment = std::make_unique<request_environment>(request_environment { m_hooks, m_options, *slots, *upstreams,
-        *m_claims, *m_crashes, m_budget, m_hedges, m_statistics, [this] { return call_id(++m_lastCall); } });
+        *m_claims, *m_crashes, [this](const service_id& service) { return spendRetry(service); }, m_hedges, m_statistics, [this] { return call_id(++m_lastCall); } });
     return services.publish(port_names::requests, m_port);
 }
 
+void request_service::earnRetry(const service_id& service)
+{
+    if (m_retryWindow)
+        m_retryWindow->earn(service, m_hooks.now());
+    else
+        m_budget.earn();
+}
+
+bool request_service::spendRetry(const service_id& service)
+{
+    return m_retryWindow ? m_retryWindow->spend(service, m_hooks.now()) : m_budget.spend();
+}
+
 request_id request_service::submit(caller_request request, std::function<void(caller_answer)> deliver)
+{
+    if (!request.host.empty())
+        return submitRouted(std::move(request), std::move(deliver));
+    return submitTo(nullptr, std::move(request), std::move(deliver));
+}
+
+request_id request_service::submitRouted(caller_request request, std::function<void(caller_answer)> deliver)
+{
+    m_routes.follow(m_control->state().config);
+    const route_definition* route = m_routes.find(request.host, request.target);
+    if (route == nullptr) {
+        const request_id id(++m_lastRequest);
+        ++m_statistics.requests;
+        const auto reason = knowsWhatIsDeclared() ? answer_reason::UnknownRoute : answer_reason::NotReady;
+        caller_answer answer = systemAnswer(outcome::NotRun, reason);
+        countAnswer(answer);
+        deliver(std::move(answer));
+        return id;
+    }
+    request.service = m_routes.chooseService(*route);
+    return submitTo(route, std::move(request), std::move(deliver));
+}
+
+request_id request_service::submitTo(
+    const route_definition* route, caller_request request, std::function<void(caller_answer)> deliver)
 {
     const request_id id(++m_lastRequest);
     ++m_statistics.requests;
     const auto& services = m_control->state().config.services;
     const auto found = services.find(request.service);
     const service_definition* definition = found != services.end() ? &found->second : nullptr;
+    const request_traits traits = traitsOf(request, route, definition);
     if (const std::optional<answer_reason> reason = refusalReason(request, definition)) {
         caller_answer answer
-            = systemAnswer(m_options.policies.unresolvedOutcome(traitsOf(request, definition)), *reason);
+            = systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason);
         countAnswer(answer);
         deliver(std::move(answer));
         return id;
     }
-    m_budget.earn();
+    earnRetry(request.service);
     m_bodyBytes += request.body.size();
-    admitted_request admitted = admit(std::move(request), *definition);
+    admitted_request admitted = admit(std::move(request), route, *definition);
     admitted.id = id;
+    admitted.traits = traits;
     const auto run = request_run::create(*m_environment, std::move(admitted),
         [this](const admitted_request& ended, caller_answer answer) { onDone(ended, std::move(answer)); });
     m_running.emplace(id, running_request { run, std::move(deliver) });
@@ -130,14 +192,17 @@
     return std::nullopt;
 }
 
-admitted_request request_service::admit(caller_request request, const service_definition& definition)
+admitted_request request_service::admit(
+    caller_request request, const route_definition* route, const service_definition& definition)
 {
     admitted_request admitted;
-    admitted.traits = traitsOf(request, &definition);
+    if (route != nullptr)
+        admitted.terms = termsOf(*route, request);
     admitted.fingerprint = fingerprintOf(request);
     const duration asked = request.deadline.value_or(definition.defaultDeadline);
     admitted.arrivedAt = m_hooks.now();
-    admitted.deadline = admitted.arrivedAt + std::min(asked, definition.maximumDeadline);
+    const duration limit = route != nullptr ? route->timeLimit : definition.maximumDeadline;
+    admitted.deadline = admitted.arrivedAt + std::min(asked, limit);
     admitted.keyRetention = definition.keyRetention;
     admitted.connectionLimit = connectionShare(definition);
     admitted.content = std::move(request);
@@ -146,7 +211,8 @@
 
 std::uint32_t request_service::connectionShare(const service_definition& definition) const
 {
-    const auto vms = static_cast<std::uint32_t>(m_settings.vms.size());
+    const std::size_t entries = entryCount(m_control->state());
+    const auto vms = static_cast<std::uint32_t>(std::max(entries, m_settings.vms.size()));
     return std::max<std::uint32_t>(1, definition.connections / vms);
 }
 
@@ -201,7 +267,7 @@
 {
     m_stopped = std::move(stopped);
     m_life = life::Leaving;
-    m_hooks.schedule(m_settings.lookupCacheTime, [this] { drain(); });
+    m_hooks.schedule(m_options.leaveTime.value_or(m_settings.lookupCacheTime), [this] { drain(); });
 }
 
 void request_service::drain()
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -13,6 +13,8 @@
 #include "absl/status/statusor.h"
 #include "decision/request/request_environment.h"
 #include "decision/request/request_run.h"
+#include "decision/request/retry_budget.h"
+#include "decision/routes/route_table.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
 #include "ports/request_port.h"
@@ -56,11 +58,17 @@
     state_dump dump() const;
 
     request_id submit(caller_request request, std::function<void(caller_answer)> deliver);
+    request_id submitRouted(caller_request request, std::function<void(caller_answer)> deliver);
+    request_id submitTo(
+        const route_definition* route, caller_request request, std::function<void(caller_answer)> deliver);
+    void earnRetry(const service_id& service);
+    bool spendRetry(const service_id& service);
     void cancel(request_id id);
     /** Whether a service that this VM does not know is surely not declared. */
     bool knowsWhatIsDeclared() const;
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
-    admitted_request admit(caller_request request, const service_definition& definition);
+    admitted_request admit(
+        caller_request request, const route_definition* route, const service_definition& definition);
     void onDone(const admitted_request& request, caller_answer answer);
     void countAnswer(const caller_answer& answer);
     std::uint32_t connectionShare(const service_definition& definition) const;
@@ -74,6 +82,8 @@
     std::unique_ptr<key_claims> m_claims;
     std::unique_ptr<crash_guard> m_crashes;
     retry_budget m_budget;
+    std::optional<retry_window> m_retryWindow;
+    route_table m_routes;
     hedge_policy m_hedges;
     request_statistics m_statistics;
     std::unique_ptr<request_environment> m_environment;
--- /dev/null
+++ b/src/decision/request/retry_window.cpp
@@ -0,0 +1,47 @@
+#include "decision/request/retry_window.h"
+
+#include <utility>
+
+namespace plantainlatch {
+
+namespace {
+
+    /** Slices of a window; a retry is forgotten with its slice, up to one slice late. */
+    constexpr int slicesPerWindow = 20;
+
+} // namespace
+
+retry_window::retry_window(retry_window_options options)
+    : m_options(std::move(options))
+{
+}
+
+retry_window::counts& retry_window::current(const service_id& service, time_point now)
+{
+    std::deque<counts>& slices = m_slices[service];
+    const duration slice = m_options.window / slicesPerWindow;
+    while (!slices.empty() && slices.front().begin + slice + m_options.window <= now)
+        slices.pop_front();
+    if (slices.empty() || slices.back().begin + slice <= now)
+        slices.push_back({ now, 0, 0 });
+    return slices.back();
+}
+
+void retry_window::earn(const service_id& service, time_point now) { ++current(service, now).requests; }
+
+bool retry_window::spend(const service_id& service, time_point now)
+{
+    counts& latest = current(service, now);
+    double requests = 0;
+    double retries = 0;
+    for (const counts& slice : m_slices[service]) {
+        requests += static_cast<double>(slice.requests);
+        retries += static_cast<double>(slice.retries);
+    }
+    if (retries + 1 > requests * m_options.share + m_options.slack())
+        return false;
+    ++latest.retries;
+    return true;
+}
+
+} // namespace plantainlatch
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -15,6 +15,7 @@
         case answer_reason::Upstream:
             return 200;
         case answer_reason::UnknownService:
+        case answer_reason::UnknownRoute:
             return 404;
         case answer_reason::MalformedRequest:
             return 400;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -63,7 +63,7 @@
 void upstream_attempt::start(const std::vector<upstream_id>& avoid)
 {
     slot_request asked { m_request.content.service, m_request.deadline, avoid,
-        byte_count(m_request.content.body.size()) };
+        byte_count(m_request.content.body.size()), m_request.terms };
     slot_port& slots = m_environment.slots;
     const slot_ticket ticket
         = slots.acquire(std::move(asked), [weak = weak_from_this(), &slots](const slot_answer& answer) {
@@ -157,6 +157,7 @@
     call.offerWithin = std::min(call.timeout, slot.dispatchBefore - now);
     call.freshConnection = m_environment.options.policies.needsFreshConnection(m_request.traits);
     call.connectionLimit = m_request.connectionLimit;
+    call.requestName = m_request.content.name;
     return call;
 }
 
@@ -191,6 +192,7 @@
             m_environment.hedges.observeLatency(m_request.content.service, m_environment.hooks.now() - m_startedAt);
     }
     m_state = nextState(m_state, event);
+    m_marks = answer.marks;
     ended.answer = std::move(answer);
     release(kind, attempt_ending::Finished);
     end(std::move(ended));
@@ -235,6 +237,7 @@
     result.ended = kind;
     result.latency = m_environment.hooks.now() - m_startedAt;
     result.busyUntil = busyUntil(ending);
+    result.marks = m_marks;
     m_environment.slots.release(m_slot.hold, result);
 }
 
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -99,6 +99,7 @@
     bool m_gotSlot = false;
     bool m_holdsSlot = false;
     call_id m_call;
+    answer_marks m_marks;
     time_point m_startedAt;
 };
 
--- /dev/null
+++ b/src/decision/routes/route_table.cpp
@@ -0,0 +1,91 @@
+#include "decision/routes/route_table.h"
+
+#include <algorithm>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** An objective so far above the time limit can't be meant. */
+    constexpr duration largestObjectiveExcess = std::chrono::minutes(1);
+
+    std::string hostName(std::string_view host) { return absl::AsciiStrToLower(std::string(host.substr(0, host.find(':')))); }
+
+    void checkRoute(
+        const configuration& config, const route_definition& route, const text_place& place, finding_list& findings)
+    {
+        const std::string name = absl::StrCat("route '", route.id.value(), "'");
+        for (const weighted_service& part : route.services) {
+            if (!config.services.contains(part.service))
+                findings.add(place, absl::StrCat(name, " names the unknown service '", part.service.value(), "'"),
+                    "a service of the configuration");
+        }
+        if (route.services.empty())
+            findings.add(place, name + " names no service", "one service or a split");
+        if (route.maximumAttempts == 0)
+            findings.add(place, name + " allows no attempt", "1 or more");
+        if (route.objective >= route.timeLimit + largestObjectiveExcess)
+            findings.add(place, name + " has an objective far above its time limit", "one below the limit");
+        const bool isPath = route.pathPrefix.starts_with('/') && route.pathPrefix.ends_with('/');
+        if (!isPath)
+            findings.add(place, name + " has a prefix without slashes", "one that begins and ends with a slash");
+        if (route.host.empty())
+            findings.add(place, name + " has no host", "a host");
+    }
+
+} // namespace
+
+void route_table::follow(const configuration& config)
+{
+    if (config.number == m_number)
+        return;
+    m_number = config.number;
+    m_byHost.clear();
+    for (const route_definition& route : config.routes)
+        m_byHost[hostName(route.host)].push_back(route);
+    for (auto& [host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(),
+            [](const auto& left, const auto& right) { return left.pathPrefix.size() > right.pathPrefix.size(); });
+    }
+    m_owed.clear();
+}
+
+const route_definition* route_table::find(std::string_view host, std::string_view target) const
+{
+    const auto found = m_byHost.find(hostName(host));
+    if (found == m_byHost.end())
+        return nullptr;
+    const std::string_view path = target.substr(0, target.find('?'));
+    for (const route_definition& route : found->second) {
+        if (path.starts_with(route.pathPrefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+service_id route_table::chooseService(const route_definition& route)
+{
+    if (route.services.size() == 1)
+        return route.services.front().service;
+    std::vector<double>& owed = m_owed[route.id];
+    owed.resize(route.services.size());
+    double total = 0;
+    for (std::size_t i = 0; i < owed.size(); ++i) {
+        owed[i] += route.services[i].weight;
+        total += route.services[i].weight;
+    }
+    const auto most = std::max_element(owed.begin(), owed.end());
+    *most -= total;
+    return route.services[static_cast<std::size_t>(most - owed.begin())].service;
+}
+
+void checkRoutes(const configuration& config, const std::string& fileName, finding_list& findings)
+{
+    for (const route_definition& route : config.routes)
+        checkRoute(config, route, { fileName, 0, 0 }, findings);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/vm/routed_vm.cpp
@@ -0,0 +1,87 @@
+#include "decision/vm/routed_vm.h"
+
+#include <utility>
+
+#include "decision/vm/make_service.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** A crashing request is known once it crashed three upstreams. */
+    constexpr std::size_t crashLimit = 3;
+    /** Attempts of one request, those that no upstream saw among them. */
+    constexpr std::size_t mostAttempts = 6;
+    /** A request with less time left is not worth an upstream's work. */
+    constexpr duration leastRemaining = std::chrono::milliseconds(20);
+    /** Entries of its own region that a caller can do with. */
+    constexpr std::size_t enoughInRegion = 2;
+
+    request_policies routedPolicies()
+    {
+        request_policies policies = defaultRequestPolicies();
+        policies.worthStarting = [](const dispatch_chance& chance) { return chance.remaining > leastRemaining; };
+        // The upstream's name goes with each request and a refusal comes with proof, so that an idle connection costs a
+        // request only when it went silent.
+        policies.needsFreshConnection = [](const request_traits&) { return false; };
+        policies.isFree = [](const ended_attempt& ended) { return ended.state == attempt_state::NotOffered; };
+        policies.hedges = [](const request_traits&) { return false; };
+        return policies;
+    }
+
+} // namespace
+
+routed_options defaultRoutedOptions()
+{
+    routed_options options;
+    options.control.directory = { false, true, false };
+    options.directory.rules = options.control.directory;
+    options.directory.keeper = renewal_keeper::Leader;
+    options.membership.assignsAllocators = false;
+    options.entryList.enoughInRegion = enoughInRegion;
+    options.entryList.drainsCoverVms = false;
+    options.requests.crashes = { crashLimit, false };
+    options.requests.maximumAttempts = mostAttempts;
+    // The front end has served out its callers before.
+    options.requests.leaveTime = duration::zero();
+    options.requests.policies = routedPolicies();
+    return options;
+}
+
+absl::StatusOr<std::unique_ptr<routed_vm>> routed_vm::create(
+    const kernel_hooks& hooks, const vm_settings& settings, routed_options options)
+{
+    std::unique_ptr<routed_vm> vm(new routed_vm);
+    absl::Status status;
+    vm->m_router = peer_router::create();
+    makeService(status, vm->m_control, hooks, settings, options.control);
+    makeService(status, vm->m_consensus, hooks, settings, options.consensus);
+    makeService(status, vm->m_membership, hooks, settings, options.membership);
+    makeService(status, vm->m_directory, hooks, settings, options.directory);
+    makeService(status, vm->m_entryList, hooks, settings, options.entryList);
+    makeService(status, vm->m_configurations, hooks, settings, options.configurations);
+    if (settings.self.entry) {
+        makeService(status, vm->m_placement, hooks, settings, options.placement);
+        makeService(status, vm->m_requests, hooks, settings, std::move(options.requests));
+    }
+    if (!status.ok())
+        return status;
+    return vm;
+}
+
+void routed_vm::addTo(kernel& core)
+{
+    core.add(m_router->asService());
+    core.add(m_control->asService());
+    core.add(m_consensus->asService());
+    core.add(m_membership->asService());
+    core.add(m_directory->asService());
+    core.add(m_entryList->asService());
+    core.add(m_configurations->asService());
+    if (m_placement != nullptr)
+        core.add(m_placement->asService());
+    if (m_requests != nullptr)
+        core.add(m_requests->asService());
+}
+
+} // namespace plantainlatch
--- a/src/decision/vm/steering_vm.cpp
+++ b/src/decision/vm/steering_vm.cpp
@@ -1,24 +1,8 @@
 #include "decision/vm/steering_vm.h"
 
-namespace plantainlatch {
-
-namespace {
+#include "decision/vm/make_service.h"
 
-    /** Makes one service into its place; a failure is kept in `status` and ends the making of the later ones. */
-    template <typename Service, typename Options>
-    void make(absl::Status& status, std::unique_ptr<Service>& place, const kernel_hooks& hooks,
-        const vm_settings& settings, Options options)
-    {
-        if (!status.ok())
-            return;
-        absl::StatusOr<std::unique_ptr<Service>> made = Service::create(hooks, settings, std::move(options));
-        if (made.ok())
-            place = std::move(*made);
-        else
-            status = made.status();
-    }
-
-} // namespace
+namespace plantainlatch {
 
 absl::StatusOr<std::unique_ptr<steering_vm>> steering_vm::create(
     const kernel_hooks& hooks, const vm_settings& settings, steering_options options)
@@ -26,16 +10,16 @@
     std::unique_ptr<steering_vm> vm(new steering_vm);
     absl::Status status;
     vm->m_router = peer_router::create();
-    make(status, vm->m_control, hooks, settings, options.control);
-    make(status, vm->m_consensus, hooks, settings, options.consensus);
-    make(status, vm->m_membership, hooks, settings, options.membership);
-    make(status, vm->m_directory, hooks, settings, options.directory);
-    make(status, vm->m_shifts, hooks, settings, options.shifts);
-    make(status, vm->m_slots, hooks, settings, options.slots);
-    make(status, vm->m_requests, hooks, settings, options.requests);
-    make(status, vm->m_entryList, hooks, settings, options.entryList);
-    make(status, vm->m_alerts, hooks, settings, options.alerts);
-    make(status, vm->m_operators, hooks, settings, options.operators);
+    makeService(status, vm->m_control, hooks, settings, options.control);
+    makeService(status, vm->m_consensus, hooks, settings, options.consensus);
+    makeService(status, vm->m_membership, hooks, settings, options.membership);
+    makeService(status, vm->m_directory, hooks, settings, options.directory);
+    makeService(status, vm->m_shifts, hooks, settings, options.shifts);
+    makeService(status, vm->m_slots, hooks, settings, options.slots);
+    makeService(status, vm->m_requests, hooks, settings, options.requests);
+    makeService(status, vm->m_entryList, hooks, settings, options.entryList);
+    makeService(status, vm->m_alerts, hooks, settings, options.alerts);
+    makeService(status, vm->m_operators, hooks, settings, options.operators);
     if (!status.ok())
         return status;
     return vm;
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -9,6 +9,7 @@
 #include "main/serve_command.h"
 #include "main/subcommand.h"
 #include "main/view_commands.h"
+#include "platform/platform_command.h"
 
 namespace plantainlatch {
 
@@ -17,7 +18,7 @@
     std::vector<subcommand> allSubcommands()
     {
         return { serveCommand(), checkCommand(), planCommand(), applyCommand(), statusCommand(), historyCommand(),
-            dumpCommand(), drainCommand(), undrainCommand() };
+            dumpCommand(), drainCommand(), undrainCommand(), platform::platformCommand() };
     }
 
     /** The word by which a subcommand is called. */
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -50,6 +50,16 @@
     }
 };
 
+/** Puts a whole configuration in force if its number is above that in force; a lower or equal one changes nothing. */
+struct replace_configuration {
+    configuration content;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.content);
+    }
+};
+
 /** What an operator drains. */
 enum class drain_kind {
     Vm,
@@ -214,7 +224,7 @@
 
 /** Any command; new ones go to the end, as their positions are stored. */
 using control_command = std::variant<no_command, apply_declaration, set_drain, upstream_joined, upstream_left,
-    claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped>;
+    claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration>;
 
 /** A command with who proposed it and the leader's wall clock when it did. */
 struct proposal {
@@ -261,12 +271,12 @@
     std::optional<claim_finding> claim;
     /** Only for claim_key that found Completed. */
     std::optional<upstream_answer> answer;
-    /** Only for report_crash: equal requests are refused from now on. */
-    bool crashRefused = false;
+    /** Only for report_crash: how many upstreams equal requests have crashed. */
+    std::uint64_t crashedUpstreams = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.verdict, self.message, self.claim, self.answer, self.crashRefused);
+        visit(self.verdict, self.message, self.claim, self.answer, self.crashedUpstreams);
     }
 };
 
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "model/declaration.h"
+#include "model/route.h"
 
 namespace plantainlatch {
 
@@ -29,13 +30,16 @@
     /** Upstreams that an operator withdrew; their announcements are refused until they are added again. */
     std::set<upstream_id> withdrawnUpstreams;
     std::map<shift_id, shift_definition> shifts;
+    std::vector<route_definition> routes;
+    /** What the operator wrote, when the configuration was put as a whole; empty otherwise. */
+    std::string document;
 
     friend bool operator==(const configuration&, const configuration&) = default;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.number, self.regions, self.links, self.services, self.shares, self.upstreams,
-            self.withdrawnUpstreams, self.shifts);
+            self.withdrawnUpstreams, self.shifts, self.routes, self.document);
     }
 };
 
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -70,13 +70,17 @@
     /** How long a claimed idempotency key and its answer are kept. */
     duration keyRetention {};
     std::vector<route_rule> routes;
+    /** How long an upstream is cold after its start; zero when it never is. */
+    duration coldTime {};
+    /** The requests a second that a cold upstream bears, from all VMs together. */
+    double coldRate = 0;
 
     friend bool operator==(const service_definition&, const service_definition&) = default;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.id, self.slots, self.connections, self.defaultDeadline, self.maximumDeadline, self.maximumBody,
-            self.keyRetention, self.routes);
+            self.keyRetention, self.routes, self.coldTime, self.coldRate);
     }
 };
 
--- a/src/model/http.cpp
+++ b/src/model/http.cpp
@@ -11,6 +11,8 @@
         return "upstream";
     case answer_reason::UnknownService:
         return "unknown-service";
+    case answer_reason::UnknownRoute:
+        return "unknown-route";
     case answer_reason::MalformedRequest:
         return "malformed-request";
     case answer_reason::BodyTooLarge:
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/outcome.h"
+#include "model/upstream.h"
 
 namespace plantainlatch {
 
@@ -26,9 +27,15 @@
     }
 };
 
-/** A whole request of a caller to one service. */
+/** A whole request of a caller, to a service that it names or to where a route sends it. */
 struct caller_request {
     service_id service;
+    /** The host that selects the route; empty when the caller names the service. */
+    std::string host;
+    /** The caller's own name for the request; empty without one. */
+    std::string name;
+    /** Names the object that the request concerns; empty without one. */
+    std::string affinity;
     std::string method;
     /** Path and query behind `/s/{service}`, beginning with `/`. */
     std::string target;
@@ -39,11 +46,24 @@
     std::optional<idempotency_key> key;
 };
 
+/** What an upstream tells of itself beside its answer. */
+struct answer_marks {
+    /** It promises that it did not run the request. */
+    bool notRun = false;
+    /** Another upstream than the expected one has the address, and did not run the request. */
+    bool otherInstance = false;
+    std::optional<load_report> load;
+    /** How long it still is cold, if it says so. */
+    std::optional<duration> coldFor;
+};
+
 /** An upstream's whole answer. */
 struct upstream_answer {
     int status = 0;
     std::vector<header_field> headers;
     std::string body;
+    /** Not kept with the answers of idempotency keys. */
+    answer_marks marks;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
@@ -56,6 +76,8 @@
     /** The upstream answered. */
     Upstream,
     UnknownService,
+    /** No route fits the host and path. */
+    UnknownRoute,
     MalformedRequest,
     BodyTooLarge,
     /** No slot came free before the deadline, or none was going to. */
--- a/src/model/upstream.h
+++ b/src/model/upstream.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "core/units.h"
 #include "model/address.h"
@@ -22,13 +23,19 @@
     failure_domain_id failureDomain;
     slot_count slots;
     std::uint32_t connections = 0;
+    /** It asks for no new work. */
+    bool draining = false;
+    /** How long it still is cold; zero when it is warm. */
+    duration coldFor {};
+    /** Numbers what the generation says of itself, so that a late message is told from a new one. */
+    std::uint64_t sequence = 0;
 
     friend bool operator==(const upstream_announcement&, const upstream_announcement&) = default;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.id, self.generation, self.service, self.address, self.region, self.failureDomain, self.slots,
-            self.connections);
+            self.connections, self.draining, self.coldFor, self.sequence);
     }
 };
 
@@ -38,6 +45,8 @@
     bool draining = false;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    /** As the upstream tells it; 0 when it doesn't. */
+    std::uint32_t slots = 0;
 };
 
 } // namespace plantainlatch
--- a/src/model/vm_settings.h
+++ b/src/model/vm_settings.h
@@ -26,12 +26,14 @@
     network_address peerAddress;
     /** Whether it has a data folder and holds a copy of the control state. */
     bool replica = false;
+    /** Whether callers may be sent to it. */
+    bool entry = true;
 
     friend bool operator==(const vm_record&, const vm_record&) = default;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.id, self.region, self.failureDomain, self.callerAddress, self.peerAddress, self.replica);
+        visit(self.id, self.region, self.failureDomain, self.callerAddress, self.peerAddress, self.replica, self.entry);
     }
 };
 
@@ -41,11 +43,24 @@
     byte_count maximumBody { 1024 * 1024 };
 };
 
+/** Whether VMs that the settings don't list may take part. */
+enum class membership_mode {
+    /** The list of VMs is complete. */
+    Listed,
+    /** The list has this VM and seeds; others are found through them. A VM's name is its peer address. */
+    Seeded,
+};
+
 /** All settings of one VM. */
 struct vm_settings {
     vm_record self;
-    /** All VMs of the system, this one among them. */
+    /** The VMs that are known beforehand, this one among them. */
     std::vector<vm_record> vms;
+    membership_mode membership = membership_mode::Listed;
+    /** Whether this VM may help to found a new log with the other replicas of `vms`. */
+    bool mayFoundLog = true;
+    /** VMs trust whoever reaches their peer address, instead of proving that they have the shared key. */
+    bool trustedNetwork = false;
     /** Where a replica keeps its state; none on other VMs. */
     std::optional<std::string> dataFolder;
     /** The file with the key that the VMs share; at least 32 bytes. */
--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -45,6 +45,8 @@
     std::function<std::vector<vm_report>()> reports;
     /** This VM leads and has applied all that earlier leaders could have decided. */
     std::function<bool()> leadsFully;
+    /** The log has this start of this VM, and so this VM has all that was accepted before. */
+    std::function<bool()> joined;
     /** Adds a part to each heartbeat that this VM sends. */
     std::function<void(std::function<void(vm_heartbeat&)>)> onSend;
     /** Adds a reader of heartbeats at the leader, which may add to the answer. */
--- a/src/ports/port_names.h
+++ b/src/ports/port_names.h
@@ -38,6 +38,9 @@
 /** shift_port: shares and shifts. */
 inline constexpr const char* shifts = "shifts";
 
+/** configuration_port: whole configurations and drains of places. */
+inline constexpr const char* configurations = "configurations";
+
 /** alert_port: promises at risk. */
 inline constexpr const char* alerts = "alerts";
 
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/units.h"
+#include "model/http.h"
 #include "model/upstream.h"
 
 namespace plantainlatch {
@@ -18,6 +20,22 @@
 /** A slot that is held; numbered within this VM. */
 using slot_hold = strong_number<struct slot_hold_tag>;
 
+/** The terms under which a request is steered. */
+struct steering_terms {
+    /** Empty for a request that no route selected. */
+    route_id route;
+    /** Names the object that the request concerns within its service; empty without one. */
+    std::string object;
+    /** The only regions that may serve it; any if empty. */
+    std::vector<region_id> allowedRegions;
+    /** The time within which the answer is worth most. */
+    duration objective {};
+    /** 0 is the most urgent. */
+    std::uint32_t priority = 0;
+    /** The most upstreams that it is offered to; 0 for the path's own bound. */
+    std::size_t maximumAttempts = 0;
+};
+
 /** What is asked of the slots. */
 struct slot_request {
     service_id service;
@@ -27,6 +45,7 @@
     std::vector<upstream_id> avoid;
     /** Bytes to send, for the budget between regions. */
     byte_count bodySize;
+    steering_terms terms;
 };
 
 /** A slot that the holder may use until it releases it. */
@@ -68,6 +87,8 @@
     byte_count answerSize;
     /** The work may still run at the upstream until this moment on this VM's clock; the slot is not reused before. */
     std::optional<time_point> busyUntil;
+    /** What the upstream told of itself with its answer. */
+    answer_marks marks;
 };
 
 /** A slot or the reason why there is none. */
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -34,6 +34,8 @@
     bool freshConnection = false;
     /** The most connections that this VM may have to the upstream. */
     std::uint32_t connectionLimit = 1;
+    /** The caller's own name for the request; empty without one. */
+    std::string requestName;
 };
 
 /** Why a call failed; only the first two promise that no byte was offered to the upstream. */
--- a/src/runtime/peer_handshake.cpp
+++ b/src/runtime/peer_handshake.cpp
@@ -70,6 +70,8 @@
     return shared_key(std::move(bytes));
 }
 
+shared_key shared_key::ofTrustedNetwork() { return shared_key(std::string(smallestBytes, '\0')); }
+
 absl::StatusOr<shared_key> shared_key::readFile(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
--- a/src/runtime/peer_handshake.h
+++ b/src/runtime/peer_handshake.h
@@ -27,6 +27,8 @@
     /** InvalidArgument for fewer than smallestBytes bytes. */
     static absl::StatusOr<shared_key> create(std::string bytes);
     /** Reads a file whose content, less white space at the end, is the key. */
+    /** The same key for everyone, for a network in which every sender is trusted. */
+    static shared_key ofTrustedNetwork();
     static absl::StatusOr<shared_key> readFile(const std::string& path);
 
     const std::string& bytes() const { return m_bytes; }
--- /dev/null
+++ b/src/services/caller_exchanges.cpp
@@ -0,0 +1,85 @@
+#include "services/caller_exchanges.h"
+
+#include <utility>
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+caller_exchanges::caller_exchanges(caller_exchange_parts parts)
+    : m_parts(std::move(parts))
+{
+    m_parts.numbers.addGauge("plantainlatch_requests_in_flight", "Requests that wait for their answers.",
+        [this] { return static_cast<double>(m_pending.size()); });
+}
+
+void caller_exchanges::submit(exchange_id exchange, caller_request request)
+{
+    pending_request& added = m_pending[exchange];
+    added.service = request.service;
+    added.arrived = m_parts.hooks.now();
+    added.head = request.method == "HEAD";
+    const request_id id = m_parts.requests.submit(
+        std::move(request), [this, exchange](const caller_answer& result) { answer(exchange, result); });
+    const auto waiting = m_pending.find(exchange);
+    if (waiting != m_pending.end())
+        waiting->second.id = id;
+}
+
+void caller_exchanges::refuse(exchange_id exchange, const caller_answer& answer, bool head)
+{
+    m_parts.server.respond(exchange, m_parts.encode(answer, head));
+}
+
+void caller_exchanges::answer(exchange_id exchange, const caller_answer& answer)
+{
+    const auto found = m_pending.find(exchange);
+    internal_assert(found != m_pending.end()) << "exchange " << exchange.value() << " is answered twice";
+    const pending_request request = std::move(found->second);
+    m_pending.erase(found);
+    m_parts.numbers.recordAnswer(
+        request.service, answer.result, answer.reason, m_parts.hooks.now() - request.arrived);
+    m_parts.server.respond(exchange, m_parts.encode(answer, request.head));
+    stopIfIdle();
+}
+
+void caller_exchanges::gone(exchange_id exchange)
+{
+    const auto found = m_pending.find(exchange);
+    if (found == m_pending.end())
+        return;
+    const request_id id = found->second.id;
+    m_pending.erase(found);
+    m_parts.numbers.recordHangUp();
+    m_parts.requests.cancel(id);
+    stopIfIdle();
+}
+
+void caller_exchanges::stop(std::function<void()> stopped)
+{
+    m_parts.server.closeAfterAnswers();
+    m_parts.hooks.schedule(m_parts.serveBeforeStop, [this, stopped = std::move(stopped)] {
+        m_refusing = true;
+        m_stopped = stopped;
+        m_parts.server.stopListening();
+        stopIfIdle();
+    });
+}
+
+void caller_exchanges::stopIfIdle()
+{
+    if (!m_refusing || !m_pending.empty() || !m_stopped)
+        return;
+    // On a round of its own: the last answer is not to be written by a service that has stopped.
+    m_parts.hooks.schedule(duration::zero(), std::exchange(m_stopped, nullptr));
+}
+
+state_dump caller_exchanges::dump() const
+{
+    state_dump dump;
+    dump.add("requests_in_flight", static_cast<std::uint64_t>(m_pending.size()));
+    dump.add("stopping", m_refusing);
+    return dump;
+}
+
+} // namespace plantainlatch
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -101,12 +101,7 @@
     item.needs = { http_server::serviceName, metrics::serviceName, port_names::requests, port_names::entryList };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
-    item.dump = [this] {
-        state_dump dump;
-        dump.add("requests_in_flight", static_cast<std::uint64_t>(m_pending.size()));
-        dump.add("stopping", m_stopped != nullptr);
-        return dump;
-    };
+    item.dump = [this] { return m_exchanges ? m_exchanges->dump() : state_dump(); };
     return item;
 }
 
@@ -124,13 +119,12 @@
         return status;
     m_server = *server;
     m_metrics = *numbers;
-    m_requests = *requests;
     m_entries.emplace(**entries, m_self);
-    m_metrics->addGauge("plantainlatch_requests_in_flight", "Requests that wait for their answers.",
-        [this] { return static_cast<double>(m_pending.size()); });
+    m_exchanges.emplace(caller_exchange_parts {
+        m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_serveBeforeStop });
     m_server->addRoute(
         { servicePrefix, [this](exchange_id exchange, const http_request_view& request) { steer(exchange, request); },
-            [this](exchange_id exchange) { gone(exchange); } });
+            [this](exchange_id exchange) { m_exchanges->gone(exchange); } });
     m_server->addRoute({ entriesPath,
         [this](exchange_id exchange, const http_request_view& request) { lookUp(exchange, request); }, nullptr });
     return absl::OkStatus();
@@ -138,56 +132,19 @@
 
 void caller_front::steer(exchange_id exchange, const http_request_view& request)
 {
-    if (m_refusing) {
+    if (m_exchanges->refusing()) {
         caller_answer answer = refusal(statusUnavailable, answer_reason::Draining, "this VM is shutting down");
         answer.retryAfter = retryElsewhere;
-        m_server->respond(exchange, encodeCallerAnswer(answer, false));
+        m_exchanges->refuse(exchange, answer, false);
         return;
     }
     absl::StatusOr<caller_request> read = readCallerRequest(request);
     if (!read.ok()) {
-        const caller_answer answer
-            = refusal(statusBadRequest, answer_reason::MalformedRequest, std::string(read.status().message()));
-        m_server->respond(exchange, encodeCallerAnswer(answer, false));
+        m_exchanges->refuse(exchange,
+            refusal(statusBadRequest, answer_reason::MalformedRequest, std::string(read.status().message())), false);
         return;
     }
-    submit(exchange, *std::move(read));
-}
-
-void caller_front::submit(exchange_id exchange, caller_request request)
-{
-    pending_request& added = m_pending[exchange];
-    added.service = request.service;
-    added.arrived = m_hooks.now();
-    added.head = request.method == "HEAD";
-    const request_id id = m_requests->submit(
-        std::move(request), [this, exchange](const caller_answer& result) { answer(exchange, result); });
-    const auto waiting = m_pending.find(exchange);
-    if (waiting != m_pending.end())
-        waiting->second.id = id;
-}
-
-void caller_front::answer(exchange_id exchange, const caller_answer& answer)
-{
-    const auto found = m_pending.find(exchange);
-    internal_assert(found != m_pending.end()) << "exchange " << exchange.value() << " is answered twice";
-    const pending_request request = std::move(found->second);
-    m_pending.erase(found);
-    m_metrics->recordAnswer(request.service, answer.result, answer.reason, m_hooks.now() - request.arrived);
-    m_server->respond(exchange, encodeCallerAnswer(answer, request.head));
-    stopIfIdle();
-}
-
-void caller_front::gone(exchange_id exchange)
-{
-    const auto found = m_pending.find(exchange);
-    if (found == m_pending.end())
-        return;
-    const request_id id = found->second.id;
-    m_pending.erase(found);
-    m_metrics->recordHangUp();
-    m_requests->cancel(id);
-    stopIfIdle();
+    m_exchanges->submit(exchange, *std::move(read));
 }
 
 void caller_front::lookUp(exchange_id exchange, const http_request_view& request)
@@ -203,21 +160,7 @@
 void caller_front::stop(std::function<void()> stopped)
 {
     m_entries->leaveOutSelf();
-    m_server->closeAfterAnswers();
-    m_hooks.schedule(m_serveBeforeStop, [this, stopped = std::move(stopped)] {
-        m_refusing = true;
-        m_stopped = stopped;
-        m_server->stopListening();
-        stopIfIdle();
-    });
-}
-
-void caller_front::stopIfIdle()
-{
-    if (!m_refusing || !m_pending.empty() || !m_stopped)
-        return;
-    // On a round of its own: the last answer is not to be written by a service that has stopped.
-    m_hooks.schedule(duration::zero(), std::exchange(m_stopped, nullptr));
+    m_exchanges->stop(std::move(stopped));
 }
 
 } // namespace plantainlatch
--- a/src/services/caller_front.h
+++ b/src/services/caller_front.h
@@ -9,11 +9,11 @@
 #include <optional>
 #include <string>
 
-#include "absl/container/flat_hash_map.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
 #include "ports/request_port.h"
+#include "services/caller_exchanges.h"
 #include "services/entry_answers.h"
 #include "services/http_server.h"
 #include "services/metrics.h"
@@ -41,35 +41,20 @@
     service asService();
 
 private:
-    /** A caller's request that waits for its answer. */
-    struct pending_request {
-        request_id id;
-        service_id service;
-        time_point arrived {};
-        bool head = false;
-    };
-
     caller_front(const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options);
 
     absl::Status start(registry& services);
     void steer(exchange_id exchange, const http_request_view& request);
-    void submit(exchange_id exchange, caller_request request);
-    void answer(exchange_id exchange, const caller_answer& answer);
-    void gone(exchange_id exchange);
     void lookUp(exchange_id exchange, const http_request_view& request);
     void stop(std::function<void()> stopped);
-    void stopIfIdle();
 
     kernel_hooks m_hooks;
     vm_id m_self;
     duration m_serveBeforeStop;
     http_server* m_server = nullptr;
-    request_port* m_requests = nullptr;
     metrics* m_metrics = nullptr;
     std::optional<entry_answers> m_entries;
-    absl::flat_hash_map<exchange_id, pending_request> m_pending;
-    bool m_refusing = false;
-    std::function<void()> m_stopped;
+    std::optional<caller_exchanges> m_exchanges;
 };
 
 /** The request that `/s/{service}/...` stands for, without hop-by-hop fields; InvalidArgument for a bad service name,
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -50,15 +50,17 @@
         return framing;
     }
 
-    bool isWhole(const upstream_answer& answer, const body_framing& framing, bool head)
+    bool isWhole(const upstream_answer& answer, const body_framing& framing, const answered_request& request)
     {
         if (framing.contradictory)
             return false;
-        if (head || answer.status == noContent || answer.status == notModified)
+        if (request.head || answer.status == noContent || answer.status == notModified)
             return answer.body.empty();
         if (framing.chunked)
             return true;
-        return framing.length.has_value() && *framing.length == answer.body.size();
+        if (!framing.length.has_value())
+            return request.mayEndWithConnection;
+        return *framing.length == answer.body.size();
     }
 
     std::vector<header_field> copyFields(evhttp_request* answer)
@@ -87,11 +89,11 @@
     if (result.status < firstFinalStatus)
         return std::nullopt;
     result.headers = copyFields(answer);
-    const header_field* echoed = http_fields::find(result.headers, http_fields::call);
+    const header_field* echoed = http_fields::find(result.headers, request.nameField);
     if (echoed != nullptr && echoed->value != request.name)
         return std::nullopt;
     result.body = moveBody(answer);
-    if (!isWhole(result, framingOf(result.headers), request.head))
+    if (!isWhole(result, framingOf(result.headers), request))
         return std::nullopt;
     const std::optional<std::size_t> length = framingOf(result.headers).length;
     http_fields::keepEndToEnd(result.headers);
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -17,8 +17,11 @@
 struct answered_request {
     /** A HEAD request: the answer has no body, whatever its fields say. */
     bool head = false;
-    /** The call's name, as sent in X-Plantainlatch-Call. */
+    /** The field that names the call; an answer that has it must have it with `name`. */
+    const char* nameField;
     const std::string& name;
+    /** An answer without a length may end with its connection, in order. */
+    bool mayEndWithConnection = false;
 };
 
 /** The answer without its hop-by-hop fields, its body moved out; none when it is not whole, is framed in two ways, or
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -115,8 +115,8 @@
 
     implementation(const kernel_hooks& kernelHooks, http_server_options serverOptions)
         : hooks(kernelHooks)
-        , options(serverOptions)
-        , idleTimeout(toTimeval(serverOptions.idleTimeout))
+        , options(std::move(serverOptions))
+        , idleTimeout(toTimeval(options.idleTimeout))
     {
     }
 
@@ -335,7 +335,7 @@
 absl::StatusOr<std::unique_ptr<http_server>> http_server::create(
     event_base* base, const kernel_hooks& hooks, const network_address& address, http_server_options options)
 {
-    auto parts = std::make_unique<implementation>(hooks, options);
+    auto parts = std::make_unique<implementation>(hooks, std::move(options));
     parts->server = evhtp_new(base, nullptr);
     internal_assert(parts->server != nullptr) << "no memory for the HTTP server";
     evhtp_set_pre_accept_cb(parts->server, implementation::accepting, parts.get());
@@ -416,8 +416,8 @@
 service http_server::asService()
 {
     service item;
-    item.name = serviceName;
-    item.start = [this](registry& services) { return services.publish(serviceName, *this); };
+    item.name = m_parts->options.name;
+    item.start = [this](registry& services) { return services.publish(m_parts->options.name, *this); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] {
         state_dump dump;
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -40,6 +40,8 @@
     duration idleTimeout = std::chrono::seconds(60);
     /** At a stop, how long a request that has begun to arrive may take to arrive as a whole. */
     duration unfinishedGrace = std::chrono::seconds(5);
+    /** The name under which it is published. */
+    std::string name = "http_server";
 };
 
 /** Receives requests with evhtp; published as "http_server".
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -26,6 +26,7 @@
     peer_transport_options options;
     shared_key key;
     std::set<vm_id> known;
+    std::function<bool(const vm_id&)> mayJoin;
     peer_port port;
     std::function<void(const vm_id&, peer_message)> deliver;
     std::unique_ptr<frame_listener> listener;
@@ -44,6 +45,9 @@
     {
         for (const vm_record& vm : settings.vms)
             known.insert(vm.id);
+        mayJoin = [this](const vm_id& vm) {
+            return known.contains(vm) || (settings.membership == membership_mode::Seeded && parseAddress(vm.value()).ok());
+        };
     }
 
     absl::Status start(registry& services)
@@ -76,9 +80,24 @@
             hooks.schedule(duration::zero(), [this, message] { receive(settings.self.id, message); });
             return;
         }
-        const auto sender = senders.find(to);
-        if (sender != senders.end())
-            sender->second->send(encodePeerMessage(message));
+        if (peer_sender* sender = senderTo(to))
+            sender->send(encodePeerMessage(message));
+    }
+
+    /** The connection to a VM; a VM that is not listed is reached by its name, which is its peer address. */
+    peer_sender* senderTo(const vm_id& to)
+    {
+        const auto found = senders.find(to);
+        if (found != senders.end())
+            return found->second.get();
+        const absl::StatusOr<network_address> address = parseAddress(to.value());
+        if (settings.membership != membership_mode::Seeded || !address.ok())
+            return nullptr;
+        vm_record peer;
+        peer.id = to;
+        peer.peerAddress = *address;
+        return senders.emplace(to, peer_sender::create(loop, hooks, settings.self.id, peer, key, options))
+            .first->second.get();
     }
 
     void receive(const vm_id& from, const peer_message& message)
@@ -98,7 +117,7 @@
         events.onMessage = [this](const vm_id& from, const std::string& encoded) { received(from, encoded); };
         events.onClosed = [this, number](const absl::Status& why) { closed(number, why); };
         receivers[number]
-            = peer_receiver::create(loop, hooks, socket, settings.self.id, known, key, options, std::move(events));
+            = peer_receiver::create(loop, hooks, socket, settings.self.id, mayJoin, key, options, std::move(events));
     }
 
     void received(const vm_id& from, const std::string& encoded)
@@ -148,7 +167,10 @@
 absl::StatusOr<std::unique_ptr<peer_transport>> peer_transport::create(
     event_loop& loop, const kernel_hooks& hooks, const vm_settings& settings, peer_transport_options options)
 {
-    absl::StatusOr<shared_key> key = shared_key::readFile(settings.sharedKeyFile);
+    if (settings.trustedNetwork)
+        hooks.log({ log_level::Warning, "peers", "VMs are not authenticated: the settings trust the network", {} });
+    absl::StatusOr<shared_key> key
+        = settings.trustedNetwork ? shared_key::ofTrustedNetwork() : shared_key::readFile(settings.sharedKeyFile);
     if (!key.ok())
         return key.status();
     auto parts = std::make_unique<implementation>(loop, hooks, settings, options, std::move(*key));
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -41,12 +41,6 @@
         return found != methods.end() ? std::optional(found->second) : std::nullopt;
     }
 
-    /** Fields that each call writes itself, whatever the caller sent. */
-    bool isWrittenByCall(const std::string& name)
-    {
-        return http_fields::sameName(name, http_fields::call)
-            || http_fields::sameName(name, http_fields::requestTimeout);
-    }
 
     call_failure failureOf(evhttp_request_error error)
     {
@@ -125,7 +119,7 @@
     item.call = std::move(call);
     item.events = std::move(events);
     item.connection = connection;
-    item.name = absl::StrCat(namePrefix, key);
+    item.name = options.dialect.nameOf(item.call, absl::StrCat(namePrefix, key));
     connection->exchange = key;
     exchanges.emplace(key, std::move(added));
     const duration offerWithin = offerLimit(item.call);
@@ -160,14 +154,16 @@
         self->requestFailed(connection, error);
     });
     evkeyvalq* output = evhttp_request_get_output_headers(request);
+    std::vector<header_field> own = options.dialect.fieldsOf(item.call);
+    own.push_back({ options.dialect.nameField, item.name });
     for (const header_field& field : item.call.headers) {
-        if (!http_fields::isHopByHop(field.name) && !isWrittenByCall(field.name))
+        if (!http_fields::isHopByHop(field.name) && http_fields::find(own, field.name) == nullptr)
             evhttp_add_header(output, field.name.c_str(), field.value.c_str());
     }
     if (http_fields::find(item.call.headers, "Host") == nullptr)
         evhttp_add_header(output, "Host", formatAddress(item.call.address).c_str());
-    evhttp_add_header(output, http_fields::requestTimeout, http_fields::formatSeconds(item.call.timeout).c_str());
-    evhttp_add_header(output, http_fields::call, item.name.c_str());
+    for (const header_field& field : own)
+        evhttp_add_header(output, field.name.c_str(), field.value.c_str());
     if (!item.call.body.empty()) {
         evhttp_add_header(output, http_fields::contentLength, absl::StrCat(item.call.body.size()).c_str());
         evbuffer_add(evhttp_request_get_output_buffer(request), item.call.body.data(), item.call.body.size());
@@ -212,11 +208,14 @@
         fail(key, item.failure);
         return;
     }
-    std::optional<upstream_answer> answer = wholeAnswer(request, { item.call.method == "HEAD", item.name });
+    const upstream_dialect& dialect = options.dialect;
+    std::optional<upstream_answer> answer = wholeAnswer(
+        request, { item.call.method == "HEAD", dialect.nameField, item.name, dialect.mayEndWithConnection });
     if (!answer) {
         fail(key, call_failure::Malformed);
         return;
     }
+    answer->marks = dialect.marksOf(item.call, *answer);
     const exchange ended = remove(key);
     connections.release(connection);
     ended.events.onAnswer(std::move(*answer));
--- a/src/services/upstream_client.h
+++ b/src/services/upstream_client.h
@@ -9,6 +9,7 @@
 #include "kernel/service.h"
 #include "ports/upstream_port.h"
 #include "services/upstream_connections.h"
+#include "services/upstream_dialect.h"
 
 namespace plantainlatch {
 
@@ -17,6 +18,7 @@
     upstream_connection_limits connections;
     /** A connection that is not established by then has failed, also when the call has more time. */
     duration connectTimeout = std::chrono::seconds(1);
+    upstream_dialect dialect = ownDialect();
 };
 
 /** Calls upstreams with evhttp and checks that each answer is whole; published as "upstreams".
