List no control VM as an entry, and read the configuration only when it is applied here

A read was answered on the leader's word before the reader had applied the log that far (CONFIG: version 8 after 14). Ruled out: a stale leader committing alone.

--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -119,6 +119,9 @@
     port.propose = [this](control_command command, duration timeout, proposal_queue::result_callback callback) {
         return m_proposals.propose(std::move(command), timeout, std::move(callback));
     };
+    port.catchUp = [this](duration timeout, std::function<void(absl::Status)> callback) {
+        m_proposals.catchUp(timeout, std::move(callback));
+    };
     port.state = [this] { return currentLeadership(); };
     port.onLeadership
         = [this](std::function<void(const leadership&)> listener) { m_listeners.push_back(std::move(listener)); };
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -20,15 +20,32 @@
 
 proposal_id proposal_queue::propose(control_command command, duration timeout, result_callback callback)
 {
-    const std::uint64_t sequence = ++m_lastSequence;
-    if (m_pending.size() >= m_replica.options().largestPending) {
-        refuseSoon(std::move(callback));
-        return idOf(sequence);
-    }
     pending_proposal item;
     item.command = std::move(command);
     item.callback = std::move(callback);
     item.deadline = m_replica.hooks().now() + timeout;
+    return add(std::move(item));
+}
+
+void proposal_queue::catchUp(duration timeout, std::function<void(absl::Status)> callback)
+{
+    // An empty command stands in the log behind everything that was accepted before it was proposed.
+    pending_proposal item;
+    item.command = no_command {};
+    item.callback
+        = [callback = std::move(callback)](const absl::StatusOr<command_result>& result) { callback(result.status()); };
+    item.deadline = m_replica.hooks().now() + timeout;
+    item.untilAppliedHere = true;
+    add(std::move(item));
+}
+
+proposal_id proposal_queue::add(pending_proposal item)
+{
+    const std::uint64_t sequence = ++m_lastSequence;
+    if (m_pending.size() >= m_replica.options().largestPending) {
+        refuseSoon(std::move(item.callback));
+        return idOf(sequence);
+    }
     trySend(sequence, m_pending.emplace(sequence, std::move(item)).first->second);
     return idOf(sequence);
 }
@@ -105,7 +122,9 @@
 
 void proposal_queue::onAnswer(const propose_answer& answer)
 {
-    if (answer.result)
+    const auto item = m_pending.find(answer.id.sequence);
+    const bool isEnough = item != m_pending.end() && !item->second.untilAppliedHere;
+    if (answer.result && isEnough)
         onResult(answer.id, *answer.result);
 }
 
--- a/src/decision/consensus/proposal_queue.h
+++ b/src/decision/consensus/proposal_queue.h
@@ -27,6 +27,9 @@
     /** See consensus_port::propose. */
     proposal_id propose(control_command command, duration timeout, result_callback callback);
 
+    /** See consensus_port::catchUp. */
+    void catchUp(duration timeout, std::function<void(absl::Status)> callback);
+
     /** Ends what is overdue and sends again what was not answered. */
     void onTick();
     /** The leader is known, or another one. */
@@ -44,6 +47,8 @@
         control_command command;
         result_callback callback;
         time_point deadline;
+        /** The leader's word is not enough: it must be applied here. */
+        bool untilAppliedHere = false;
         /** It may have reached a log. */
         bool sent = false;
         time_point sentAt {};
@@ -52,6 +57,7 @@
     proposal_id idOf(std::uint64_t sequence) const { return { m_replica.vm(), m_start, sequence }; }
     void trySend(std::uint64_t sequence, pending_proposal& item);
     void finish(std::uint64_t sequence, absl::StatusOr<command_result> result);
+    proposal_id add(pending_proposal item);
     void refuseSoon(result_callback callback);
 
     replica& m_replica;
--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -1,6 +1,7 @@
 #include "decision/entries/entry_list_service.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -79,8 +80,10 @@
         if (started.record.entry)
             basis.vms.push_back(started.record);
     }
-    if (basis.vms.empty())
-        basis.vms = m_settings.vms;
+    if (basis.vms.empty()) {
+        std::copy_if(m_settings.vms.begin(), m_settings.vms.end(), std::back_inserter(basis.vms),
+            [](const vm_record& vm) { return vm.entry; });
+    }
     basis.unfit = m_membership->avoided();
     for (const vm_record& vm : basis.vms) {
         const bool isStopping = vm.id == m_settings.self.id && m_membership->stopping();
--- a/src/decision/operators/configuration_service.cpp
+++ b/src/decision/operators/configuration_service.cpp
@@ -73,16 +73,14 @@
 
 void configuration_service::read(const std::function<void(absl::StatusOr<configuration>)>& done)
 {
-    // An empty command that is applied here stands behind everything that was accepted before it was proposed.
-    m_consensus->propose(
-        no_command {}, m_options.proposalTimeout, [this, done](const absl::StatusOr<command_result>& result) {
-            if (!result.ok())
-                done(absl::UnavailableError(result.status().message()));
-            else if (m_control->state().config.number == change_number())
-                done(absl::UnavailableError("no configuration was put yet"));
-            else
-                done(m_control->state().config);
-        });
+    m_consensus->catchUp(m_options.proposalTimeout, [this, done](const absl::Status& status) {
+        if (!status.ok())
+            done(absl::UnavailableError(status.message()));
+        else if (m_control->state().config.number == change_number())
+            done(absl::UnavailableError("no configuration was put yet"));
+        else
+            done(m_control->state().config);
+    });
 }
 
 void configuration_service::drain(const set_drain& order, const done_handler& done)
--- a/src/ports/consensus_port.h
+++ b/src/ports/consensus_port.h
@@ -30,6 +30,9 @@
      * Unavailable: it never will be. The id names the proposal. */
     std::function<proposal_id(control_command, duration timeout, std::function<void(absl::StatusOr<command_result>)>)>
         propose;
+    /** Calls back with OK once this VM has applied all that any VM accepted before the call; DeadlineExceeded or
+     * Unavailable when that can't be told in time. */
+    std::function<void(duration timeout, std::function<void(absl::Status)>)> catchUp;
     std::function<leadership()> state;
     /** Adds a listener to changes of leadership(). */
     std::function<void(std::function<void(const leadership&)>)> onLeadership;
