--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -128,6 +128,7 @@
     port.transferLeadership
         = [this](duration timeout, std::function<void()> done) { transferLeadership(timeout, std::move(done)); };
     port.applied = [this] { return m_replica.applied(); };
+    port.setSeeds = [this](std::vector<vm_id> seeds) { m_joiner.setSeeds(std::move(seeds)); };
     port.voters = [this] { return m_replica.log().voters(); };
     port.appliedElsewhere = [this] { return m_leader.appliedElsewhere(); };
     return port;
--- a/src/decision/consensus/log_joiner.cpp
+++ b/src/decision/consensus/log_joiner.cpp
@@ -22,6 +22,7 @@
 void log_joiner::start()
 {
     for (const vm_record& vm : m_replica.settings().vms) {
+        m_seeds.push_back(vm.id);
         if (vm.replica && vm.id != m_replica.vm())
             m_others.push_back(vm.id);
     }
@@ -62,9 +63,7 @@
 
 std::vector<vm_id> log_joiner::vmsToAsk() const
 {
-    std::set<vm_id> vms;
-    for (const vm_record& vm : m_replica.settings().vms)
-        vms.insert(vm.id);
+    std::set<vm_id> vms(m_seeds.begin(), m_seeds.end());
     for (const replica_id& voter : m_replica.log().voters().voters)
         vms.insert(voter.vm);
     vms.erase(m_replica.vm());
--- a/src/decision/consensus/log_joiner.h
+++ b/src/decision/consensus/log_joiner.h
@@ -26,6 +26,8 @@
     log_joiner(replica& self, log_leader& leader);
 
     void start();
+    /** Replaces the VMs of the settings among those that are asked for the log. */
+    void setSeeds(std::vector<vm_id> seeds) { m_seeds = std::move(seeds); }
     void onTick();
     void onJoinRequest(const vm_id& from, const join_request& request);
     void onJoinAnswer(const vm_id& from, const join_answer& answer);
@@ -52,6 +54,7 @@
     log_leader& m_leader;
     /** The other replicas of the settings. */
     std::vector<vm_id> m_others;
+    std::vector<vm_id> m_seeds;
     time_point m_nextAsk {};
     std::size_t m_nextVm = 0;
     std::map<vm_id, pledge_record> m_pledges;
--- a/src/ports/consensus_port.h
+++ b/src/ports/consensus_port.h
@@ -40,6 +40,8 @@
     std::function<void(duration timeout, std::function<void()>)> transferLeadership;
     std::function<log_index()> applied;
     std::function<voter_set()> voters;
+    /** Replaces the VMs that this one asks for the log when no leader sends it. */
+    std::function<void(std::vector<vm_id>)> setSeeds;
     /** The applied index that each other VM last told the leader; empty elsewhere. */
     std::function<std::vector<std::pair<vm_id, log_index>>()> appliedElsewhere;
 };
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -60,6 +60,7 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<timer>> timers;
     std::vector<event*> signals;
     std::function<void()> terminate;
+    std::function<void()> reload;
     std::mt19937_64 random;
 
     static void timerFired(evutil_socket_t, short, void* argument)
@@ -71,11 +72,21 @@
         fire();
     }
 
-    static void signalled(evutil_socket_t, short, void* argument)
+    static void signalled(evutil_socket_t number, short, void* argument)
     {
         auto* owner = static_cast<implementation*>(argument);
-        if (owner->terminate)
-            owner->terminate();
+        const std::function<void()>& handler = number == SIGHUP ? owner->reload : owner->terminate;
+        if (handler)
+            handler();
+    }
+
+    absl::Status watch(int number)
+    {
+        event* item = evsignal_new(base, number, signalled, this);
+        if (item == nullptr || evsignal_add(item, nullptr) != 0)
+            return absl::InternalError("a signal handler can't be added");
+        signals.push_back(item);
+        return absl::OkStatus();
     }
 
     timer_id addTimer(duration delay, std::function<void()> fire)
@@ -138,13 +149,15 @@
 absl::Status event_loop::onTerminate(std::function<void()> handler)
 {
     m_parts->terminate = std::move(handler);
-    for (const int number : { SIGTERM, SIGINT }) {
-        event* item = evsignal_new(m_parts->base, number, implementation::signalled, m_parts.get());
-        if (item == nullptr || evsignal_add(item, nullptr) != 0)
-            return absl::InternalError("a signal handler can't be added");
-        m_parts->signals.push_back(item);
-    }
-    return absl::OkStatus();
+    absl::Status status = m_parts->watch(SIGTERM);
+    status.Update(m_parts->watch(SIGINT));
+    return status;
+}
+
+absl::Status event_loop::onReload(std::function<void()> handler)
+{
+    m_parts->reload = std::move(handler);
+    return m_parts->watch(SIGHUP);
 }
 
 kernel_hooks event_loop::hooks(std::function<void(const log_event&)> log)
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -30,6 +30,9 @@
     /** Calls `handler` on the loop for SIGTERM and SIGINT. */
     absl::Status onTerminate(std::function<void()> handler);
 
+    /** Calls `handler` on the loop for SIGHUP, which otherwise ends the process. */
+    absl::Status onReload(std::function<void()> handler);
+
     /** Hooks on this loop, with `log` as the log hook. */
     kernel_hooks hooks(std::function<void(const log_event&)> log);
 
