--- a/src/decision/consensus/log_joiner.cpp
+++ b/src/decision/consensus/log_joiner.cpp
@@ -45,8 +45,8 @@
 void log_joiner::onTick()
 {
     const time_point now = m_replica.hooks().now();
-    const bool hasLeader = m_replica.leader() != replica_id {}
-        && now < m_replica.leaderHeard() + m_replica.options().electionTimeout;
+    const bool hasLeader
+        = m_replica.leader() != replica_id {} && now < m_replica.leaderHeard() + m_replica.options().electionTimeout;
     if (now < m_nextAsk || hasLeader || m_replica.role() == replica_role::Leader)
         return;
     m_nextAsk = now + m_replica.options().joinInterval;
--- a/src/decision/consensus/voter_changes.h
+++ b/src/decision/consensus/voter_changes.h
@@ -22,8 +22,8 @@
     std::size_t largestCount = 0;
 };
 
-/** The voters after the next change: a lost disk's identity goes first, then the new one of its VM comes; a silent voter
- * goes when an up-to-date replica waits for its place; none when nothing is to be done. */
+/** The voters after the next change: a lost disk's identity goes first, then the new one of its VM comes; a silent
+ * voter goes when an up-to-date replica waits for its place; none when nothing is to be done. */
 std::optional<voter_set> nextVoters(const voter_situation& situation);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_command.cpp
+++ b/src/decision/control/apply_command.cpp
@@ -25,7 +25,10 @@
             return applyChange(state, item, command.content);
         }
         command_result operator()(const set_drain& command) const { return applyDrain(state, command); }
-        command_result operator()(const upstream_joined& command) const { return applyJoin(state, item, command, rules); }
+        command_result operator()(const upstream_joined& command) const
+        {
+            return applyJoin(state, item, command, rules);
+        }
         command_result operator()(const upstream_left& command) const { return applyLeave(state, item, command); }
         command_result operator()(const claim_key& command) const { return applyClaim(state.keys, item, command); }
         command_result operator()(const settle_key& command) const { return applySettle(state.keys, item, command); }
--- a/src/decision/control/apply_command.h
+++ b/src/decision/control/apply_command.h
@@ -10,7 +10,6 @@
 namespace plantainlatch {
 
 /** Changes the state as the command says; the result depends on the state and the proposal only. */
-command_result applyCommand(
-    control_snapshot& state, const proposal& item, const directory_rules& rules = {});
+command_result applyCommand(control_snapshot& state, const proposal& item, const directory_rules& rules = {});
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -110,7 +110,8 @@
         if (!isKnown && state.directory.size() >= maximumUpstreams)
             return absl::ResourceExhaustedError("the directory is full");
         const auto gone = state.departed.find(offered.id);
-        if (rules.dampsFlapping && gone != state.departed.end() && now < gone->second.leftAt + flapWait(gone->second.silences))
+        if (rules.dampsFlapping && gone != state.departed.end()
+            && now < gone->second.leftAt + flapWait(gone->second.silences))
             return absl::UnavailableError("the upstream came and went too often and has to wait");
         return absl::OkStatus();
     }
@@ -150,8 +151,8 @@
     return std::min(wait, longestFlapWait);
 }
 
-absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
-    const directory_rules& rules)
+absl::Status checkAnnouncement(
+    const control_snapshot& state, const upstream_announcement& offered, wall_time now, const directory_rules& rules)
 {
     absl::Status status;
     if (rules.declaredOnly) {
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -55,11 +55,12 @@
 /** Whether the announcement's service and place are declared. */
 bool fitsPlaceAndService(const configuration& config, const upstream_announcement& announcement);
 
-/** Whether two announcements of one generation say the same, but for their numbers and how much of a cold time is left. */
+/** Whether two announcements of one generation say the same, but for their numbers and how much of a cold time is left.
+ */
 bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right);
 
-command_result applyJoin(control_snapshot& state, const proposal& item, const upstream_joined& command,
-    const directory_rules& rules = {});
+command_result applyJoin(
+    control_snapshot& state, const proposal& item, const upstream_joined& command, const directory_rules& rules = {});
 
 /** Takes the upstream out; another generation than the one that left is AlreadyAccepted and changes nothing. */
 command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command);
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -30,7 +30,7 @@
     std::map<crash_key, crash_record>& crashes, const proposal& reported, const report_crash& command);
 
 /** Whether requests of this fingerprint are refused at `now`. */
-bool refusesCrashing(const control_snapshot& state, const crash_key& key, wall_time now,
-    std::size_t limit = crashedUpstreamsToRefuse);
+bool refusesCrashing(
+    const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit = crashedUpstreamsToRefuse);
 
 } // namespace plantainlatch
--- a/src/decision/entries/entry_count.h
+++ b/src/decision/entries/entry_count.h
@@ -10,8 +10,8 @@
 
 namespace plantainlatch {
 
-/** The entries that started and did not stop gracefully; those that may be dead count too, so that the parts of all that
- * run never add up to more than the whole. */
+/** The entries that started and did not stop gracefully; those that may be dead count too, so that the parts of all
+ * that run never add up to more than the whole. */
 std::size_t entryCount(const control_snapshot& state);
 
 } // namespace plantainlatch
--- a/src/decision/entries/readiness.h
+++ b/src/decision/entries/readiness.h
@@ -9,8 +9,8 @@
 
 namespace plantainlatch {
 
-/** Whether this VM may serve: it has a configuration, and all that was accepted before it started. Once true it stays so:
- * a VM that loses the log goes on with what it knows. */
+/** Whether this VM may serve: it has a configuration, and all that was accepted before it started. Once true it stays
+ * so: a VM that loses the log goes on with what it knows. */
 inline bool mayServe(const control_port& control, const membership_port& membership)
 {
     return membership.joined() && control.state().config.number > change_number();
--- a/src/decision/placement/cold_gate.cpp
+++ b/src/decision/placement/cold_gate.cpp
@@ -26,8 +26,8 @@
     const auto whole = static_cast<std::size_t>(total);
     const std::size_t remainder = whole % entries.size();
     const std::uint64_t own = rankOf(self, upstream);
-    const auto before = static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(),
-        [&](const vm_id& vm) { return vm != self && rankOf(vm, upstream) < own; }));
+    const auto before = static_cast<std::size_t>(std::count_if(
+        entries.begin(), entries.end(), [&](const vm_id& vm) { return vm != self && rankOf(vm, upstream) < own; }));
     return whole / entries.size() + (before < remainder ? 1 : 0);
 }
 
--- a/src/decision/placement/cold_gate.h
+++ b/src/decision/placement/cold_gate.h
@@ -23,8 +23,7 @@
 
 /** This entry's whole number of requests a second out of `total` for all entries: equal parts, and the remainder to the
  * entries that hash first for the upstream. */
-std::size_t coldShare(
-    double total, const std::vector<vm_id>& entries, const vm_id& self, const upstream_id& upstream);
+std::size_t coldShare(double total, const std::vector<vm_id>& entries, const vm_id& self, const upstream_id& upstream);
 
 /** Lets at most so many through in any window. */
 class cold_gate {
--- a/src/decision/placement/home_order.cpp
+++ b/src/decision/placement/home_order.cpp
@@ -37,8 +37,8 @@
 
 } // namespace
 
-home_order::home_order(std::vector<upstream_announcement> upstreams, const region_id& ownRegion,
-    const std::map<region_id, double>& demand)
+home_order::home_order(
+    std::vector<upstream_announcement> upstreams, const region_id& ownRegion, const std::map<region_id, double>& demand)
 {
     std::map<region_id, double> slots;
     double total = 0;
--- a/src/decision/placement/home_order.h
+++ b/src/decision/placement/home_order.h
@@ -4,8 +4,8 @@
  * The steady order in which the upstreams of a service are tried for an object.
  *
  * Upstreams answer faster on objects that they handled lately, so each object keeps to few of them. Every entry of a
- * region computes the same order from the same directory, by weighted rendezvous hashing (Thaler and Ravishankar, 1998):
- * an upstream that joins or leaves moves only the objects that it gains or loses.
+ * region computes the same order from the same directory, by weighted rendezvous hashing (Thaler and Ravishankar,
+ * 1998): an upstream that joins or leaves moves only the objects that it gains or loses.
  */
 
 #include <cstdint>
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -31,8 +31,7 @@
     return std::unique_ptr<placement_service>(new placement_service(hooks, settings, options));
 }
 
-placement_service::placement_service(
-    const kernel_hooks& hooks, const vm_settings& settings, placement_options options)
+placement_service::placement_service(const kernel_hooks& hooks, const vm_settings& settings, placement_options options)
     : m_hooks(hooks)
     , m_self(settings.self.id)
     , m_region(settings.self.region)
@@ -91,8 +90,7 @@
 void placement_service::noteJoin(const upstream_announcement& upstream)
 {
     const auto former = m_known.find(upstream.id);
-    const bool isNewStart
-        = former == m_known.end() || former->second.announcement.generation != upstream.generation;
+    const bool isNewStart = former == m_known.end() || former->second.announcement.generation != upstream.generation;
     if (isNewStart)
         m_standings[upstream.id] = {};
     if (upstream.coldFor > duration::zero())
@@ -218,8 +216,7 @@
 slot_ticket placement_service::acquire(const slot_request& request, const std::function<void(slot_answer)>& done)
 {
     const time_point now = m_hooks.now();
-    const std::uint64_t object
-        = request.terms.object.empty() ? m_hooks.random() : objectNumber(request.terms.object);
+    const std::uint64_t object = request.terms.object.empty() ? m_hooks.random() : objectNumber(request.terms.object);
     choice chosen = choose(request, object, false);
     if (chosen.upstream == nullptr)
         chosen = choose(request, object, true);
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -3,8 +3,9 @@
 /** \file
  * The service that chooses an upstream for each request from this entry's own counts and the upstreams' load reports.
  *
- * It is the other implementation of slot_port beside the leased slots, for upstreams that refuse work beyond their slots with
- * proof. Nothing waits here: a request goes to the upstream that is expected to finish it first, or is refused at once.
+ * It is the other implementation of slot_port beside the leased slots, for upstreams that refuse work beyond their
+ * slots with proof. Nothing waits here: a request goes to the upstream that is expected to finish it first, or is
+ * refused at once.
  */
 
 #include <map>
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -43,10 +43,9 @@
     policies.mayRetry = [](const ended_attempt& attempt) {
         return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
     };
-    policies.isMarkedRefusal
-        = [](const upstream_answer& answer) {
-              return answer.marks.notRun || (answer.status == statusUnavailable && carriesMark(answer));
-          };
+    policies.isMarkedRefusal = [](const upstream_answer& answer) {
+        return answer.marks.notRun || (answer.status == statusUnavailable && carriesMark(answer));
+    };
     policies.needsFreshConnection = [](const request_traits& traits) { return !traits.idempotent; };
     policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
     policies.budgeted = [] { return true; };
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -96,9 +96,11 @@
         return status;
     m_consensus = consensus;
     m_claims = key_claims::create(m_hooks, *consensus, *m_control, m_options.policies.releasesLateClaims);
-    m_crashes = crash_guard::create({ m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout, m_options.crashes });
+    m_crashes = crash_guard::create(
+        { m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout, m_options.crashes });
     m_environment = std::make_unique<request_environment>(request_environment { m_hooks, m_options, *slots, *upstreams,
-        *m_claims, *m_crashes, [this](const service_id& service) { return spendRetry(service); }, m_hedges, m_statistics, [this] { return call_id(++m_lastCall); } });
+        *m_claims, *m_crashes, [this](const service_id& service) { return spendRetry(service); }, m_hedges,
+        m_statistics, [this] { return call_id(++m_lastCall); } });
     return services.publish(port_names::requests, m_port);
 }
 
@@ -149,8 +151,7 @@
     const service_definition* definition = found != services.end() ? &found->second : nullptr;
     const request_traits traits = traitsOf(request, route, definition);
     if (const std::optional<answer_reason> reason = refusalReason(request, definition)) {
-        caller_answer answer
-            = systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason);
+        caller_answer answer = systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason);
         countAnswer(answer);
         deliver(std::move(answer));
         return id;
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -67,8 +67,7 @@
     /** Whether a service that this VM does not know is surely not declared. */
     bool knowsWhatIsDeclared() const;
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
-    admitted_request admit(
-        caller_request request, const route_definition* route, const service_definition& definition);
+    admitted_request admit(caller_request request, const route_definition* route, const service_definition& definition);
     void onDone(const admitted_request& request, caller_answer answer);
     void countAnswer(const caller_answer& answer);
     std::uint32_t connectionShare(const service_definition& definition) const;
--- a/src/decision/routes/route_table.cpp
+++ b/src/decision/routes/route_table.cpp
@@ -12,7 +12,10 @@
     /** An objective so far above the time limit can't be meant. */
     constexpr duration largestObjectiveExcess = std::chrono::minutes(1);
 
-    std::string hostName(std::string_view host) { return absl::AsciiStrToLower(std::string(host.substr(0, host.find(':')))); }
+    std::string hostName(std::string_view host)
+    {
+        return absl::AsciiStrToLower(std::string(host.substr(0, host.find(':'))));
+    }
 
     void checkRoute(
         const configuration& config, const route_definition& route, const text_place& place, finding_list& findings)
--- a/src/decision/routes/route_table.h
+++ b/src/decision/routes/route_table.h
@@ -16,8 +16,8 @@
 /** The routes of the configuration in force, by host and path. */
 class route_table {
 public:
-    /** Takes over the routes of a configuration, unless they are those that it has. The configuration must outlive their
-     * use until the next follow(). */
+    /** Takes over the routes of a configuration, unless they are those that it has. The configuration must outlive
+     * their use until the next follow(). */
     void follow(const configuration& config);
 
     /** The route of this host with the longest prefix that begins the target's path; null without one. The host's port
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -4,8 +4,8 @@
  * The decision services of a VM that steers by routes, with upstreams that refuse with proof; control and entries may
  * be different VMs.
  *
- * It has the same parts as steering_vm but for leased slots, shifts, alerts and the operators of declarations; placement
- * chooses upstreams instead.
+ * It has the same parts as steering_vm but for leased slots, shifts, alerts and the operators of declarations;
+ * placement chooses upstreams instead.
  */
 
 #include <memory>
--- a/src/ports/configuration_port.h
+++ b/src/ports/configuration_port.h
@@ -15,8 +15,8 @@
 
 /** Whole configurations, of which the highest number is in force, and drains. */
 struct configuration_port {
-    /** OK once the configuration, or a higher one, is accepted for good; InvalidArgument with all findings when it can't
-     * be put in force; Unavailable or DeadlineExceeded when the log did not answer. */
+    /** OK once the configuration, or a higher one, is accepted for good; InvalidArgument with all findings when it
+     * can't be put in force; Unavailable or DeadlineExceeded when the log did not answer. */
     std::function<void(configuration, std::function<void(absl::Status)>)> put;
     /** The newest accepted configuration; Unavailable when this VM can't be sure which that is. */
     std::function<void(std::function<void(absl::StatusOr<configuration>)>)> read;
--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -37,8 +37,7 @@
     internal_assert(found != m_pending.end()) << "exchange " << exchange.value() << " is answered twice";
     const pending_request request = std::move(found->second);
     m_pending.erase(found);
-    m_parts.numbers.recordAnswer(
-        request.service, answer.result, answer.reason, m_parts.hooks.now() - request.arrived);
+    m_parts.numbers.recordAnswer(request.service, answer.result, answer.reason, m_parts.hooks.now() - request.arrived);
     m_parts.server.respond(exchange, m_parts.encode(answer, request.head));
     stopIfIdle();
 }
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -46,7 +46,8 @@
         for (const vm_record& vm : settings.vms)
             known.insert(vm.id);
         mayJoin = [this](const vm_id& vm) {
-            return known.contains(vm) || (settings.membership == membership_mode::Seeded && parseAddress(vm.value()).ok());
+            return known.contains(vm)
+                || (settings.membership == membership_mode::Seeded && parseAddress(vm.value()).ok());
         };
     }
 
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -41,7 +41,6 @@
         return found != methods.end() ? std::optional(found->second) : std::nullopt;
     }
 
-
     call_failure failureOf(evhttp_request_error error)
     {
         switch (error) {
--- /dev/null
+++ b/test/correctness/placement_test.cpp
@@ -0,0 +1,342 @@
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "decision/placement/placement_service.h"
+#include "ports/port_names.h"
+#include "support/control_fixture.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr int objects = 2000;
+
+    upstream_announcement makeUpstream(const std::string& id, const std::string& region, std::uint64_t slots = 6)
+    {
+        upstream_announcement upstream;
+        upstream.id = upstream_id(id);
+        upstream.generation = upstream_generation(1);
+        upstream.service = service_id("booking");
+        upstream.address = { "127.0.0.1", static_cast<std::uint16_t>(9000 + std::hash<std::string>()(id) % 1000) };
+        upstream.region = region_id(region);
+        upstream.failureDomain = failure_domain_id(region + "-1");
+        upstream.slots = slot_count(slots);
+        return upstream;
+    }
+
+    std::vector<upstream_announcement> manyUpstreams(int local, int far)
+    {
+        std::vector<upstream_announcement> upstreams;
+        for (int i = 0; i < local; ++i)
+            upstreams.push_back(makeUpstream("local" + std::to_string(i), "here"));
+        for (int i = 0; i < far; ++i)
+            upstreams.push_back(makeUpstream("far" + std::to_string(i), "there"));
+        return upstreams;
+    }
+
+    const std::map<region_id, double> evenDemand { { region_id("here"), 0.5 }, { region_id("there"), 0.5 } };
+
+    /** One entry in region "here" over a control state that the test fills, and calls that never leave. */
+    class placement_fixture {
+    protected:
+        placement_fixture()
+        {
+            settings.self.id = vm_id("e1");
+            settings.self.region = region_id("here");
+            control.state = [this]() -> const control_snapshot& { return state; };
+            control.onSteeringChange = [this](std::function<void()> listener) { changed = std::move(listener); };
+            upstreams.forget = [this](const network_address& address) { forgotten.insert(address); };
+            state.config.services[service_id("booking")].coldTime = 3s;
+            state.config.services[service_id("booking")].coldRate = 2;
+            for (const char* region : { "here", "there" }) {
+                region_definition& definition = state.config.regions[region_id(region)];
+                definition.failureDomains = { failure_domain_id(std::string(region) + "-1") };
+            }
+            addEntry("e1");
+        }
+
+        void addEntry(const std::string& id)
+        {
+            vm_record record;
+            record.id = vm_id(id);
+            state.vms[record.id].record = record;
+        }
+
+        void add(const upstream_announcement& upstream) { state.directory[upstream.id] = { upstream, {} }; }
+
+        void start()
+        {
+            options.cold = { 1.5, 1 };
+            subject = *placement_service::create(runtime.hooks(), settings, options);
+            core = *kernel::create(runtime.hooks());
+            service fakeControl;
+            fakeControl.name = port_names::control;
+            fakeControl.start = [this](registry& services) { return services.publish(port_names::control, control); };
+            service fakeUpstreams;
+            fakeUpstreams.name = port_names::upstreams;
+            fakeUpstreams.start
+                = [this](registry& services) { return services.publish(port_names::upstreams, upstreams); };
+            core->add(fakeControl);
+            core->add(fakeUpstreams);
+            core->add(subject->asService());
+            REQUIRE(core->start().ok());
+            slots = *core->services().find<slot_port>(port_names::slots);
+        }
+
+        slot_answer place(const std::string& object, duration left = 3s, std::vector<upstream_id> avoid = {})
+        {
+            slot_request request;
+            request.service = service_id("booking");
+            request.deadline = runtime.now() + left;
+            request.avoid = std::move(avoid);
+            request.terms.route = route_id("r");
+            request.terms.object = object;
+            request.terms.objective = 600ms;
+            request.terms.allowedRegions = allowed;
+            slot_answer got;
+            slots->acquire(request, [&](const slot_answer& answer) { got = answer; });
+            return got;
+        }
+
+        std::string placedAt(const std::string& object, duration left = 3s)
+        {
+            const slot_answer got = place(object, left);
+            return got.slot ? got.slot->upstream.id.value() : "";
+        }
+
+        void release(const slot_answer& placed, slot_result::kind ended, duration latency = 200ms)
+        {
+            slot_result result;
+            result.ended = ended;
+            result.latency = latency;
+            slots->release(placed.slot->hold, result);
+        }
+
+        paused_runtime runtime { 1 };
+        vm_settings settings;
+        placement_options options;
+        control_snapshot state;
+        control_port control;
+        upstream_port upstreams;
+        std::function<void()> changed;
+        std::set<network_address> forgotten;
+        std::vector<region_id> allowed;
+        std::unique_ptr<placement_service> subject;
+        std::unique_ptr<kernel> core;
+        slot_port* slots = nullptr;
+    };
+
+} // namespace
+
+TEST_CASE("home_order.upstream_leaves.moves_only_its_own_objects", "[placement]")
+{
+    std::vector<upstream_announcement> upstreams = manyUpstreams(8, 0);
+    const home_order before(upstreams, region_id("here"), evenDemand);
+    upstreams.erase(upstreams.begin() + 3);
+    const home_order after(upstreams, region_id("here"), evenDemand);
+    for (int i = 0; i < objects; ++i) {
+        const std::uint64_t object = objectNumber(std::to_string(i));
+        const upstream_id home = before.of(object).front()->id;
+        if (home != upstream_id("local3"))
+            REQUIRE(after.of(object).front()->id == home);
+    }
+}
+
+TEST_CASE("home_order.equal_upstreams.get_similar_numbers_of_objects", "[placement]")
+{
+    const home_order order(manyUpstreams(8, 0), region_id("here"), evenDemand);
+    std::map<upstream_id, int> homes;
+    for (int i = 0; i < objects; ++i)
+        ++homes[order.of(objectNumber(std::to_string(i))).front()->id];
+    for (const auto& [id, count] : homes)
+        REQUIRE(count == Approx(objects / 8.0).epsilon(0.25));
+}
+
+TEST_CASE("home_order.region_with_few_slots.keeps_only_its_share_of_objects", "[placement]")
+{
+    // One in ten slots for half of the requests: one object in five stays.
+    const home_order order(manyUpstreams(2, 18), region_id("here"), evenDemand);
+    int kept = 0;
+    for (int i = 0; i < objects; ++i)
+        kept += order.of(objectNumber(std::to_string(i))).front()->region == region_id("here") ? 1 : 0;
+    REQUIRE(kept == Approx(objects * 0.2).epsilon(0.15));
+}
+
+TEST_CASE("home_order.region_without_upstreams.sends_all_elsewhere", "[placement]")
+{
+    const home_order order(manyUpstreams(0, 3), region_id("here"), evenDemand);
+    REQUIRE(order.of(objectNumber("x")).size() == 3);
+}
+
+TEST_CASE("cold_share.any_number_of_entries.adds_up_to_no_more_than_the_whole", "[placement]")
+{
+    for (const double total : { 0.5, 1.0, 5.1, 9.05, 16.0 }) {
+        for (std::size_t count = 1; count <= 30; ++count) {
+            std::vector<vm_id> entries;
+            for (std::size_t i = 0; i < count; ++i)
+                entries.emplace_back("e" + std::to_string(i));
+            std::size_t sum = 0;
+            for (const vm_id& entry : entries)
+                sum += coldShare(total, entries, entry, upstream_id("u"));
+            REQUIRE(sum == static_cast<std::size_t>(total < 1 ? 0 : total));
+        }
+    }
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.object.keeps_its_home_while_it_has_room")
+{
+    for (int i = 0; i < 6; ++i)
+        add(makeUpstream("u" + std::to_string(i), "here"));
+    start();
+    const std::string home = placedAt("court 7");
+    for (int i = 0; i < 4; ++i)
+        REQUIRE(placedAt("court 7") == home);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.long_queue_at_home.spills_to_another")
+{
+    for (int i = 0; i < 3; ++i)
+        add(makeUpstream("u" + std::to_string(i), "here", 1));
+    start();
+    std::set<std::string> used;
+    for (int i = 0; i < 8; ++i)
+        used.insert(placedAt("court 7"));
+    REQUIRE(used.size() > 1);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.nothing_in_time.is_refused_at_once")
+{
+    add(makeUpstream("u", "here", 1));
+    start();
+    REQUIRE(placedAt("court 7", 50ms).empty());
+    REQUIRE(place("court 7", 50ms).refusal == slot_refusal::Overloaded);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.draining_upstream.gets_nothing")
+{
+    upstream_announcement leaving = makeUpstream("u", "here");
+    leaving.draining = true;
+    add(leaving);
+    start();
+    const slot_answer got = place("court 7");
+    REQUIRE_FALSE(got.slot);
+    REQUIRE(got.refusal == slot_refusal::NoUpstream);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.drained_place.gets_nothing_until_the_drain_ends")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    REQUIRE(placedAt("court 7") == "u");
+    state.drains.insert({ drain_kind::FailureDomain, "here-1" });
+    changed();
+    REQUIRE(placedAt("court 7").empty());
+    state.drains.clear();
+    changed();
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.ended_drain.treats_its_upstreams_as_cold")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    state.drains.insert({ drain_kind::FailureDomain, "here-1" });
+    changed();
+    state.drains.clear();
+    changed();
+    // 2 a second by 1.5 and one more.
+    int placed = 0;
+    for (int i = 0; i < 20; ++i)
+        placed += placedAt("court 7", 10s).empty() ? 0 : 1;
+    REQUIRE(placed == 4);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.cold_upstream.gets_this_entry_s_part_of_what_it_bears")
+{
+    upstream_announcement cold = makeUpstream("u", "here", 100);
+    cold.coldFor = 3s;
+    add(cold);
+    for (const char* other : { "e2", "e3", "e4" })
+        addEntry(other);
+    start();
+    int placed = 0;
+    for (int i = 0; i < 20; ++i)
+        placed += placedAt("court 7", 10s).empty() ? 0 : 1;
+    REQUIRE(placed == 1);
+    runtime.advance(3s);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.allowed_regions.bind_even_when_full")
+{
+    add(makeUpstream("u", "here", 1));
+    add(makeUpstream("v", "there", 1));
+    allowed = { region_id("there") };
+    start();
+    for (int i = 0; i < 10; ++i) {
+        const std::string at = placedAt("court " + std::to_string(i));
+        REQUIRE((at.empty() || at == "v"));
+    }
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.lost_connection.shuns_the_upstream_for_a_while")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    release(first, slot_result::kind::Lost);
+    REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
+    runtime.advance(400ms);
+    REQUIRE(placedAt("court 7") == first.slot->upstream.id.value());
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.upstream_that_often_fails.gets_single_chances")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const std::string home = place("court 7").slot->upstream.id.value();
+    for (int i = 0; i < 6; ++i) {
+        const slot_answer placed = place("court 7");
+        if (placed.slot->upstream.id.value() == home)
+            release(placed, slot_result::kind::Failed);
+    }
+    int chances = 0;
+    for (int i = 0; i < 10; ++i)
+        chances += placedAt("court 7") == home ? 1 : 0;
+    REQUIRE(chances <= 1);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.reported_load_of_others.counts")
+{
+    add(makeUpstream("u", "here", 2));
+    add(makeUpstream("v", "here", 2));
+    start();
+    const slot_answer first = place("court 7");
+    slot_result result;
+    result.ended = slot_result::kind::Answered;
+    result.latency = 200ms;
+    result.marks.load = load_report { true, false, 2, 8, 2 };
+    slots->release(first.slot->hold, result);
+    REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.upstream_that_left.is_forgotten_with_its_connections")
+{
+    const upstream_announcement upstream = makeUpstream("u", "here");
+    add(upstream);
+    start();
+    const slot_answer held = place("court 7");
+    state.directory.clear();
+    changed();
+    REQUIRE(forgotten.contains(upstream.address));
+    REQUIRE(placedAt("court 7").empty());
+    release(held, slot_result::kind::Answered);
+}
+
+} // namespace plantainlatch
--- a/test/support/consensus_fixture.cpp
+++ b/test/support/consensus_fixture.cpp
@@ -78,6 +78,8 @@
     vm_settings settings;
     settings.self = item.record;
     settings.vms = m_records;
+    if (adjust)
+        adjust(settings);
     item.subject = *consensus_service::create(hooks, settings, options);
     item.runningKernel = *kernel::create(hooks);
     registry& services = item.runningKernel->services();
--- a/test/support/consensus_fixture.h
+++ b/test/support/consensus_fixture.h
@@ -5,6 +5,7 @@
  * state that records what was applied.
  */
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -56,6 +57,9 @@
     consensus_cluster(const consensus_cluster&) = delete;
     consensus_cluster& operator=(const consensus_cluster&) = delete;
 
+    /** Changes the settings of each VM before it starts. */
+    std::function<void(vm_settings&)> adjust;
+
     consensus_vm& vm(int number) { return *m_vms.at(number - 1); }
     int size() const { return static_cast<int>(m_vms.size()); }
     static vm_id name(int number) { return vm_id("vm" + std::to_string(number)); }
--- a/test/support/fake_network.cpp
+++ b/test/support/fake_network.cpp
@@ -27,6 +27,8 @@
 
 void fake_network::send(const vm_id& from, const vm_id& to, peer_message message)
 {
+    if (drops && drops(from, to, message))
+        return;
     if (onSend)
         onSend(from, to, message);
     if (isCut(from, to) || happens(faults.lostPerMille))
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -35,6 +35,8 @@
     /** The one-way delay between two VMs. */
     std::function<duration(const vm_id& from, const vm_id& to)> delay
         = [](const vm_id&, const vm_id&) { return std::chrono::milliseconds(1); };
+    /** Loses the messages for which it is true; none if empty. */
+    std::function<bool(const vm_id& from, const vm_id& to, const peer_message&)> drops;
     /** Sees each message as it is sent. */
     std::function<void(const vm_id& from, const vm_id& to, const peer_message&)> onSend;
 
