--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
 #include "decision/control/apply_drain.h"
 #include "ports/port_names.h"
@@ -178,6 +179,7 @@
     weighed.work = scaled(usual, standing.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
     const std::uint32_t load = standing.load(now);
+    weighed.load = load;
     weighed.queued = load >= slots;
     weighed.total = weighed.work;
     if (weighed.queued)
@@ -234,11 +236,21 @@
     m_held.emplace(
         hold, held_place { chosen.upstream->id, request.terms.route, chosen.state, chosen.work, chosen.queued });
     m_standings[chosen.upstream->id].begin(object, now);
-    answer.slot = held_slot { hold, *chosen.upstream, request.deadline };
+    answer.slot = held_slot { hold, *chosen.upstream, request.deadline, inputsOf(chosen) };
     done(answer);
     return {};
 }
 
+std::vector<log_field> placement_service::inputsOf(const choice& chosen) const
+{
+    const auto milliseconds = [](duration span) {
+        return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    };
+    return { { "object", chosen.state == object_state::Known ? "known" : "unknown" },
+        { "load", absl::StrCat(chosen.load) }, { "expected_ms", milliseconds(chosen.total) },
+        { "configuration", absl::StrCat(m_control->state().config.number.value()) } };
+}
+
 void placement_service::release(slot_hold hold, const slot_result& result)
 {
     const auto found = m_held.find(hold);
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -61,6 +61,7 @@
         duration work {};
         duration total {};
         bool queued = false;
+        std::uint32_t load = 0;
     };
     /** What an order of homes depends on beside the state. */
     struct order_key {
@@ -82,6 +83,7 @@
     choice choose(const slot_request& request, std::uint64_t object, bool evenAvoided);
     choice weigh(const slot_request& request, const upstream_announcement& upstream, std::uint64_t object, bool isHome);
     bool mayPassCold(const upstream_announcement& upstream, upstream_standing& standing);
+    std::vector<log_field> inputsOf(const choice& chosen) const;
     state_dump dump() const;
 
     kernel_hooks m_hooks;
--- /dev/null
+++ b/src/decision/request/request_log.cpp
@@ -0,0 +1,118 @@
+#include "decision/request/request_log.h"
+
+#include "absl/strings/str_cat.h"
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr const char* serviceName = "requests";
+
+    std::string milliseconds(duration span)
+    {
+        return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    }
+
+    std::string_view nameOf(attempt_end::kind kind)
+    {
+        switch (kind) {
+        case attempt_end::kind::NoSlot:
+            return "no-slot";
+        case attempt_end::kind::NotOffered:
+            return "not-offered";
+        case attempt_end::kind::Refused:
+            return "refused";
+        case attempt_end::kind::Shed:
+            return "shed";
+        case attempt_end::kind::Answered:
+            return "answered";
+        case attempt_end::kind::Lost:
+            return "lost";
+        }
+        internal_assert(false) << "attempt end " << static_cast<int>(kind);
+        return "";
+    }
+
+    std::string_view nameOf(call_failure failure)
+    {
+        switch (failure) {
+        case call_failure::ConnectFailed:
+            return "connect-failed";
+        case call_failure::ConnectionLimit:
+            return "connection-limit";
+        case call_failure::Lost:
+            return "connection-lost";
+        case call_failure::Timeout:
+            return "timeout";
+        case call_failure::Malformed:
+            return "malformed-answer";
+        }
+        internal_assert(false) << "call failure " << static_cast<int>(failure);
+        return "";
+    }
+
+    std::vector<log_field> fieldsOf(const admitted_request& request)
+    {
+        return { { "request", request.content.name }, { "route", request.terms.route.value() },
+            { "upstream_service", request.content.service.value() } };
+    }
+
+    void addAnswer(std::vector<log_field>& fields, const caller_answer& answer)
+    {
+        fields.push_back({ "outcome", std::string(outcomeName(answer.result)) });
+        fields.push_back({ "reason", std::string(answerReasonName(answer.reason)) });
+        fields.push_back({ "status", absl::StrCat(answer.content.status) });
+    }
+
+} // namespace
+
+log_event attemptBegan(const admitted_request& request, const held_slot& slot, duration left)
+{
+    log_event event { log_level::Info, serviceName, "attempt-began", fieldsOf(request) };
+    event.fields.push_back({ "upstream", slot.upstream.id.value() });
+    event.fields.push_back({ "upstream_region", slot.upstream.region.value() });
+    for (const log_field& input : slot.inputs)
+        event.fields.push_back(input);
+    event.fields.push_back({ "left_ms", milliseconds(left) });
+    return event;
+}
+
+log_event attemptEnded(const admitted_request& request, const attempt_end& ended, duration took)
+{
+    log_event event { log_level::Info, serviceName, "attempt-ended", fieldsOf(request) };
+    event.fields.push_back({ "upstream", ended.upstream.value() });
+    event.fields.push_back({ "end", std::string(nameOf(ended.ended)) });
+    if (ended.ended == attempt_end::kind::NotOffered || ended.ended == attempt_end::kind::Lost)
+        event.fields.push_back({ "failure", std::string(nameOf(ended.failure)) });
+    if (ended.ended == attempt_end::kind::NoSlot)
+        event.fields.push_back({ "failure", ended.refusal == slot_refusal::NoUpstream ? "no-upstream" : "no-room" });
+    if (ended.answer)
+        event.fields.push_back({ "status", absl::StrCat(ended.answer->status) });
+    event.fields.push_back({ "took_ms", milliseconds(took) });
+    return event;
+}
+
+log_event requestAnswered(const admitted_request& request, const caller_answer& answer, duration took)
+{
+    log_event event { log_level::Info, serviceName, "request-answered", fieldsOf(request) };
+    addAnswer(event.fields, answer);
+    event.fields.push_back({ "took_ms", milliseconds(took) });
+    event.fields.push_back({ "limit_ms", milliseconds(request.deadline - request.arrivedAt) });
+    return event;
+}
+
+log_event requestRefused(const caller_request& request, const caller_answer& answer)
+{
+    log_event event { log_level::Info, serviceName, "request-refused",
+        { { "request", request.name }, { "host", request.host }, { "target", request.target } } };
+    addAnswer(event.fields, answer);
+    return event;
+}
+
+log_event callerLeft(const std::string& name)
+{
+    return { log_level::Info, serviceName, "caller-left", { { "request", name } } };
+}
+
+} // namespace plantainlatch
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -25,6 +25,7 @@
         request_environment& environment, admitted_request request, done_handler done);
 
     void begin();
+    const admitted_request& request() const { return m_request; }
 
     /** Ends the run, unless its work is claimed and was dispatched: that goes on, so that a resend finds its answer. */
     void callerLeft();
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -7,6 +7,7 @@
 #include "core/internal_assert.h"
 #include "decision/entries/entry_count.h"
 #include "decision/request/request_fingerprint.h"
+#include "decision/request/request_log.h"
 #include "decision/request/system_answers.h"
 #include "ports/port_names.h"
 
@@ -133,6 +134,7 @@
         ++m_statistics.requests;
         const auto reason = knowsWhatIsDeclared() ? answer_reason::UnknownRoute : answer_reason::NotReady;
         caller_answer answer = systemAnswer(outcome::NotRun, reason);
+        m_hooks.log(requestRefused(request, answer));
         countAnswer(answer);
         deliver(std::move(answer));
         return id;
@@ -152,6 +154,7 @@
     const request_traits traits = traitsOf(request, route, definition);
     if (const std::optional<answer_reason> reason = refusalReason(request, definition)) {
         caller_answer answer = systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason);
+        m_hooks.log(requestRefused(request, answer));
         countAnswer(answer);
         deliver(std::move(answer));
         return id;
@@ -225,6 +228,7 @@
     position->second.deliver = nullptr;
     ++m_statistics.abandoned;
     const std::shared_ptr<request_run> run = position->second.run;
+    m_hooks.log(callerLeft(run->request().content.name));
     run->callerLeft();
 }
 
@@ -236,6 +240,7 @@
     m_running.erase(position);
     m_bodyBytes -= request.content.body.size();
     if (deliver) {
+        m_hooks.log(requestAnswered(request, answer, m_hooks.now() - request.arrivedAt));
         countAnswer(answer);
         deliver(std::move(answer));
     }
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
+#include "decision/request/request_log.h"
 
 namespace plantainlatch {
 
@@ -138,6 +139,8 @@
             self->onFailure(failure);
     };
     m_environment.upstreams.start(callFor(m_slot), std::move(events));
+    m_environment.hooks.log(
+        attemptBegan(m_request, m_slot, m_request.deadline - m_environment.hooks.now()));
     if (!m_ended)
         m_events.onStarted();
 }
@@ -258,6 +261,8 @@
     m_ended = true;
     ended.state = m_state;
     ended.upstream = m_slot.upstream.id;
+    m_environment.hooks.log(attemptEnded(
+        m_request, ended, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
     m_events.onEnd(ended);
 }
 
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -53,6 +53,7 @@
 {
     std::unique_ptr<routed_vm> vm(new routed_vm);
     absl::Status status;
+    vm->m_changes = change_log::create(hooks);
     vm->m_router = peer_router::create();
     makeService(status, vm->m_control, hooks, settings, options.control);
     makeService(status, vm->m_consensus, hooks, settings, options.consensus);
@@ -74,6 +75,7 @@
     core.add(m_router->asService());
     core.add(m_control->asService());
     core.add(m_consensus->asService());
+    core.add(m_changes->asService());
     core.add(m_membership->asService());
     core.add(m_directory->asService());
     core.add(m_entryList->asService());
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -12,6 +12,7 @@
 
 #include "absl/status/statusor.h"
 #include "decision/consensus/consensus_service.h"
+#include "decision/control/change_log.h"
 #include "decision/control/control_service.h"
 #include "decision/directory/directory_service.h"
 #include "decision/entries/entry_list_service.h"
@@ -52,6 +53,7 @@
 private:
     routed_vm() = default;
 
+    std::unique_ptr<change_log> m_changes;
     std::unique_ptr<peer_router> m_router;
     std::unique_ptr<control_service> m_control;
     std::unique_ptr<consensus_service> m_consensus;
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/units.h"
+#include "kernel/hooks.h"
 #include "model/http.h"
 #include "model/upstream.h"
 
@@ -54,6 +55,8 @@
     upstream_announcement upstream;
     /** No new work may be dispatched on it after this moment, on this VM's clock. */
     time_point dispatchBefore;
+    /** What decided for this upstream, for the log. */
+    std::vector<log_field> inputs;
 };
 
 /** Why no slot was given. */
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -3,13 +3,27 @@
 #include <memory>
 
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include "services/bounded_sink.h"
+#include "services/line_limiter.h"
 
 namespace plantainlatch {
 
 namespace {
 
+    /** What waits for a reader that is slow. */
+    constexpr std::size_t bufferBytes = 256 * 1024;
+    /** Lines of one kind; the others are counted. */
+    constexpr std::uint64_t linesPerInterval = 400;
+    constexpr duration limitInterval = std::chrono::seconds(1);
+
+    time_point steadyNow()
+    {
+        return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    }
+
     spdlog::level::level_enum toSpdlog(log_level level)
     {
         switch (level) {
@@ -40,14 +54,25 @@
 
 } // namespace
 
-std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel)
+std::function<void(const log_event&)> jsonLog(
+    const std::string& vmName, const std::string& lowestLevel, log_stream to)
 {
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-    auto logger = std::make_shared<spdlog::logger>("json", std::move(sink));
+    const int descriptor = to == log_stream::Output ? STDOUT_FILENO : STDERR_FILENO;
+    auto logger = std::make_shared<spdlog::logger>("json", std::make_shared<bounded_sink>(descriptor, bufferBytes));
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","vm":)" + quoted(vmName) + ",%v}");
     logger->set_level(spdlog::level::from_str(lowestLevel));
-    logger->flush_on(spdlog::level::debug);
-    return [logger](const log_event& event) { logger->log(toSpdlog(event.level), fieldsAsJson(event)); };
+    auto limiter = std::make_shared<line_limiter>(linesPerInterval, limitInterval);
+    return [logger, limiter](const log_event& event) {
+        if (!logger->should_log(toSpdlog(event.level)))
+            return;
+        const line_limiter::verdict verdict = limiter->check(event.service + event.what, steadyNow());
+        if (!verdict.passes)
+            return;
+        std::string fields = fieldsAsJson(event);
+        if (verdict.leftOut > 0)
+            fields += ",\"left_out_before\":" + std::to_string(verdict.leftOut);
+        logger->log(toSpdlog(event.level), fields);
+    };
 }
 
 } // namespace plantainlatch
--- a/src/services/json_log.h
+++ b/src/services/json_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Log lines as JSON, one object a line, on standard error.
+ * Log lines as JSON, one object a line, on a standard stream; they never block, and their number is bounded by kind.
  */
 
 #include <functional>
@@ -11,8 +11,12 @@
 
 namespace plantainlatch {
 
+/** The standard stream that takes the lines. */
+enum class log_stream { Output, Error };
+
 /** A log hook that writes lines of at least this level (`debug`, `info`, `warning`, `error`), each with the VM's name.
  */
-std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel);
+std::function<void(const log_event&)> jsonLog(
+    const std::string& vmName, const std::string& lowestLevel, log_stream to = log_stream::Output);
 
 } // namespace plantainlatch
--- a/tools/fault_proxy/main.cpp
+++ b/tools/fault_proxy/main.cpp
@@ -52,7 +52,7 @@
         const auto loop = event_loop::create(0);
         if (!loop.ok())
             return fail(loop.status(), exitFailed);
-        const kernel_hooks hooks = (*loop)->hooks(jsonLog("fault_proxy", "info"));
+        const kernel_hooks hooks = (*loop)->hooks(jsonLog("fault_proxy", "info", log_stream::Error));
         std::vector<std::unique_ptr<proxy_route>> routes;
         if (const absl::Status status = openRoutes(**loop, hooks, line, routes); !status.ok())
             return fail(status, status.code() == absl::StatusCode::kInvalidArgument ? exitBadInput : exitFailed);
--- a/tools/load_tool/main.cpp
+++ b/tools/load_tool/main.cpp
@@ -41,7 +41,7 @@
         const auto loop = event_loop::create(options.seed);
         if (!loop.ok())
             return fail(loop.status(), exitFailed);
-        const kernel_hooks hooks = (*loop)->hooks(jsonLog("load_tool", "warning"));
+        const kernel_hooks hooks = (*loop)->hooks(jsonLog("load_tool", "warning", log_stream::Error));
         const auto client = upstream_client::create((*loop)->base(), hooks);
         run_report report;
         load_generator generator(hooks, client->port(), options, report);
--- a/tools/upstream_standin/main.cpp
+++ b/tools/upstream_standin/main.cpp
@@ -25,7 +25,7 @@
             : m_loop(loop)
             , m_options(std::move(options))
             , m_record(record)
-            , m_hooks(loop.hooks(jsonLog(m_options.idPrefix, "info")))
+            , m_hooks(loop.hooks(jsonLog(m_options.idPrefix, "info", log_stream::Error)))
             , m_client(upstream_client::create(loop.base(), m_hooks))
         {
         }
