--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -186,6 +186,7 @@
         weighed.total += scaled(weighed.work, static_cast<double>(load - slots + 1) / slots);
     if (upstream.region != m_region)
         weighed.total += m_options.farPenalty;
+    weighed.cost = known ? weighed.total : scaled(weighed.total, m_options.unknownFactor);
     return weighed;
 }
 
@@ -207,7 +208,7 @@
             break;
     }
     std::stable_sort(compared.begin(), compared.end(),
-        [](const choice& left, const choice& right) { return left.total < right.total; });
+        [](const choice& left, const choice& right) { return left.cost < right.cost; });
     for (const choice& item : compared) {
         if (mayPassCold(*item.upstream, m_standings[item.upstream->id]))
             return item;
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -31,7 +31,10 @@
 struct placement_options {
     cold_bound cold;
     /** How many of an object's upstreams are compared. */
-    std::size_t compared = 6;
+    std::size_t compared = 4;
+    /** How many times longer an upstream that doesn't know the object counts: its work there also displaces what the
+     * upstream knows and takes capacity from others. */
+    double unknownFactor = 2;
     /** What a request to another region is expected to take longer. */
     duration farPenalty = std::chrono::milliseconds(60);
 };
@@ -60,6 +63,8 @@
         object_state state = object_state::Unknown;
         duration work {};
         duration total {};
+        /** What the choice goes by. */
+        duration cost {};
         bool queued = false;
         std::uint32_t load = 0;
     };
