--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -35,6 +35,10 @@
     /** How many times longer an upstream that doesn't know the object counts: its work there also displaces what the
      * upstream knows and takes capacity from others. */
     double unknownFactor = 2;
+    /** Requests of this priority and below are refused when they would take so many objectives: a late answer is worth
+     * little, and its work makes more urgent ones late. */
+    std::uint32_t leastUrgent = 2;
+    double patience = 3;
     /** What a request to another region is expected to take longer. */
     duration farPenalty = std::chrono::milliseconds(60);
 };
