--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -6,6 +6,7 @@
 #include "main/check_command.h"
 #include "main/drain_command.h"
 #include "main/exit_code.h"
+#include "main/explain_command.h"
 #include "main/serve_command.h"
 #include "main/subcommand.h"
 #include "main/view_commands.h"
@@ -18,7 +19,7 @@
     std::vector<subcommand> allSubcommands()
     {
         return { serveCommand(), checkCommand(), planCommand(), applyCommand(), statusCommand(), historyCommand(),
-            dumpCommand(), drainCommand(), undrainCommand(), platform::platformCommand() };
+            dumpCommand(), drainCommand(), undrainCommand(), explainCommand(), platform::platformCommand() };
     }
 
     /** The word by which a subcommand is called. */
--- /dev/null
+++ b/test/error/log_test.cpp
@@ -0,0 +1,101 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <spdlog/logger.h>
+
+#include "codec/log_json.h"
+#include "services/bounded_sink.h"
+#include "services/line_limiter.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** A logger into a pipe whose reader the test plays. */
+    class bounded_sink_fixture {
+    protected:
+        bounded_sink_fixture()
+        {
+            REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
+            sink = std::make_shared<bounded_sink>(ends[1], 64 * 1024);
+            logger = std::make_unique<spdlog::logger>("test", sink);
+            logger->set_pattern("%v");
+        }
+        ~bounded_sink_fixture()
+        {
+            close(ends[0]);
+            close(ends[1]);
+        }
+
+        std::string readSome()
+        {
+            std::string text(256 * 1024, '\0');
+            fcntl(ends[0], F_SETFL, O_NONBLOCK);
+            const ssize_t size = read(ends[0], text.data(), text.size());
+            text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+            return text;
+        }
+
+        int ends[2] = {};
+        std::shared_ptr<bounded_sink> sink;
+        std::unique_ptr<spdlog::logger> logger;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(bounded_sink_fixture, "log_sink.reader_that_reads.gets_each_line")
+{
+    logger->info("one");
+    logger->info("two");
+    REQUIRE(readSome() == "one\ntwo\n");
+    REQUIRE(sink->lostLines() == 0);
+}
+
+TEST_CASE_METHOD(bounded_sink_fixture, "log_sink.reader_that_stops.blocks_nothing_and_lines_are_counted")
+{
+    const std::string line(1000, 'x');
+    for (int i = 0; i < 1000; ++i)
+        logger->info(line);
+    REQUIRE(sink->lostLines() > 0);
+    std::string all;
+    for (int i = 0; i < 20; ++i) {
+        all += readSome();
+        logger->info("later");
+    }
+    all += readSome();
+    REQUIRE(all.find("\"lines-lost\",\"count\":") != std::string::npos);
+    REQUIRE(all.find("later") != std::string::npos);
+}
+
+TEST_CASE("line_limiter.more_than_the_bound.is_left_out_and_told_with_the_next", "[log]")
+{
+    line_limiter limiter(2, 1s);
+    const time_point begin = time_point(10s);
+    REQUIRE(limiter.check("a", begin).passes);
+    REQUIRE(limiter.check("a", begin).passes);
+    REQUIRE_FALSE(limiter.check("a", begin).passes);
+    REQUIRE_FALSE(limiter.check("a", begin + 900ms).passes);
+    REQUIRE(limiter.check("b", begin).passes);
+    const line_limiter::verdict next = limiter.check("a", begin + 1s);
+    REQUIRE(next.passes);
+    REQUIRE(next.leftOut == 2);
+    REQUIRE(limiter.check("a", begin + 1s).leftOut == 0);
+}
+
+TEST_CASE("log_line.json_of_a_vm.is_read_back", "[log]")
+{
+    const auto line = parseLogLine(
+        R"(front-1 {"time":"t","level":"info","vm":"v","service":"requests","message":"request-answered","request":"r"})");
+    REQUIRE(line);
+    REQUIRE(line->what == "request-answered");
+    REQUIRE(line->field("request") == "r");
+    REQUIRE(line->vm == "v");
+    REQUIRE_FALSE(parseLogLine("[error] something else"));
+    REQUIRE_FALSE(parseLogLine("{\"time\":"));
+    REQUIRE_FALSE(parseLogLine("{\"other\":1}"));
+}
+
+} // namespace plantainlatch
