--- a/src/main/explain_command.cpp
+++ b/src/main/explain_command.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "codec/log_json.h"
 #include "decision/operators/request_explanation.h"
 #include "main/exit_code.h"
@@ -45,7 +46,7 @@
         std::string text = line.time + " " + line.vm + " " + line.what;
         for (const auto& [name, value] : line.fields) {
             if (name != "time" && name != "vm" && name != "message" && name != "service" && name != "level")
-                text += " " + name + "=" + value;
+                absl::StrAppend(&text, " ", name, "=", value);
         }
         std::printf("%s\n", text.c_str());
     }
