--- a/src/decision/control/change_log.cpp
+++ b/src/decision/control/change_log.cpp
@@ -58,8 +58,7 @@
     if (state.config.number != m_number) {
         write("configuration-in-force",
             { { "configuration", absl::StrCat(state.config.number.value()) },
-                { "former", absl::StrCat(m_number.value()) },
-                { "routes", absl::StrCat(state.config.routes.size()) } });
+                { "former", absl::StrCat(m_number.value()) }, { "routes", absl::StrCat(state.config.routes.size()) } });
     }
     m_number = state.config.number;
     compareUpstreams(state);
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -226,7 +226,8 @@
     slot_answer answer;
     const bool isEmpty = orderFor({ request.service, request.terms.allowedRegions }).empty();
     answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
-    const duration patience = request.terms.priority >= m_options.leastUrgent && request.terms.objective > duration::zero()
+    const duration patience
+        = request.terms.priority >= m_options.leastUrgent && request.terms.objective > duration::zero()
         ? std::min(request.deadline - now, scaled(request.terms.objective, m_options.patience))
         : request.deadline - now;
     const bool inTime = chosen.upstream != nullptr && chosen.total < patience;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -139,8 +139,7 @@
             self->onFailure(failure);
     };
     m_environment.upstreams.start(callFor(m_slot), std::move(events));
-    m_environment.hooks.log(
-        attemptBegan(m_request, m_slot, m_request.deadline - m_environment.hooks.now()));
+    m_environment.hooks.log(attemptBegan(m_request, m_slot, m_request.deadline - m_environment.hooks.now()));
     if (!m_ended)
         m_events.onStarted();
 }
@@ -261,8 +260,8 @@
     m_ended = true;
     ended.state = m_state;
     ended.upstream = m_slot.upstream.id;
-    m_environment.hooks.log(attemptEnded(
-        m_request, ended, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
+    m_environment.hooks.log(
+        attemptEnded(m_request, ended, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
     m_events.onEnd(ended);
 }
 
--- a/src/services/bounded_sink.cpp
+++ b/src/services/bounded_sink.cpp
@@ -21,8 +21,8 @@
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
     if (m_untold > 0) {
-        const std::string told = absl::StrCat("{\"level\":\"warning\",\"message\":\"lines-lost\",\"count\":", m_untold,
-            "}\n");
+        const std::string told
+            = absl::StrCat("{\"level\":\"warning\",\"message\":\"lines-lost\",\"count\":", m_untold, "}\n");
         if (m_buffer.size() + told.size() + line.size() <= m_capacity) {
             keep(told.data(), told.size());
             m_untold = 0;
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -54,8 +54,7 @@
 
 } // namespace
 
-std::function<void(const log_event&)> jsonLog(
-    const std::string& vmName, const std::string& lowestLevel, log_stream to)
+std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel, log_stream to)
 {
     const int descriptor = to == log_stream::Output ? STDOUT_FILENO : STDERR_FILENO;
     auto logger = std::make_shared<spdlog::logger>("json", std::make_shared<bounded_sink>(descriptor, bufferBytes));
