--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -31,6 +31,7 @@
     std::vector<upstream_announcement> manyUpstreams(int local, int far)
     {
         std::vector<upstream_announcement> upstreams;
+        upstreams.reserve(static_cast<std::size_t>(local + far));
         for (int i = 0; i < local; ++i)
             upstreams.push_back(makeUpstream("local" + std::to_string(i), "here"));
         for (int i = 0; i < far; ++i)
@@ -177,6 +178,7 @@
     for (const double total : { 0.5, 1.0, 5.1, 9.05, 16.0 }) {
         for (std::size_t count = 1; count <= 30; ++count) {
             std::vector<vm_id> entries;
+            entries.reserve(count);
             for (std::size_t i = 0; i < count; ++i)
                 entries.emplace_back("e" + std::to_string(i));
             std::size_t sum = 0;
