--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -31,7 +31,7 @@
     std::vector<upstream_announcement> manyUpstreams(int local, int far)
     {
         std::vector<upstream_announcement> upstreams;
-        upstreams.reserve(static_cast<std::size_t>(local + far));
+        upstreams.reserve(static_cast<std::size_t>(local) + static_cast<std::size_t>(far));
         for (int i = 0; i < local; ++i)
             upstreams.push_back(makeUpstream("local" + std::to_string(i), "here"));
         for (int i = 0; i < far; ++i)
