Compare a still longer queue in the test of reported load

A queue of 12 was no reason to spill either: with 200 ms seen on the known upstream, 7.5 times that is 1500 ms, and the unknown one counts 1680 ms. 20 waiting are 2300 ms. The check itself is as before.

--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -328,7 +328,7 @@
     const slot_answer second = place("court 7");
     REQUIRE(second.slot->upstream.id == first.slot->upstream.id);
     // So long a queue that even an upstream that doesn't know the object, which counts twice, is better.
-    result.marks.load = load_report { true, false, 2, 12, 2 };
+    result.marks.load = load_report { true, false, 2, 20, 2 };
     slots->release(second.slot->hold, result);
     REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
 }
