--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -26,4 +26,10 @@
 /** A moment on the wall clock, as stamped by the leader into log entries and shown to people. */
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/** A span times a factor. */
+inline duration scaled(duration span, double factor)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
+}
+
 } // namespace plantainlatch
--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -95,11 +95,6 @@
         });
     }
 
-    bool isLate(const upstream_announcement& former, const upstream_announcement& offered)
-    {
-        return former.generation == offered.generation && offered.sequence < former.sequence;
-    }
-
     absl::Status checkRoom(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
         const directory_rules& rules)
     {
@@ -166,6 +161,11 @@
     return status;
 }
 
+bool isLate(const upstream_announcement& former, const upstream_announcement& offered)
+{
+    return former.generation == offered.generation && offered.sequence < former.sequence;
+}
+
 bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right)
 {
     upstream_announcement comparable = right;
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -59,6 +59,9 @@
  */
 bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right);
 
+/** Whether an announcement was overtaken by a later one of its generation. */
+bool isLate(const upstream_announcement& former, const upstream_announcement& offered);
+
 command_result applyJoin(
     control_snapshot& state, const proposal& item, const upstream_joined& command, const directory_rules& rules = {});
 
--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -103,9 +103,7 @@
     if (known == m_control->state().directory.end())
         return false;
     const upstream_announcement& former = known->second.announcement;
-    if (saysTheSame(former, offered))
-        return true;
-    if (former.generation == offered.generation && offered.sequence < former.sequence)
+    if (saysTheSame(former, offered) || isLate(former, offered))
         return true;
     const bool sameState = former.draining == offered.draining
         && (former.coldFor > duration::zero()) == (offered.coldFor > duration::zero());
--- a/src/decision/placement/latency_model.cpp
+++ b/src/decision/placement/latency_model.cpp
@@ -13,11 +13,6 @@
     /** An object is never expected to be faster where it is unknown. */
     constexpr double leastRatio = 1.5;
 
-    duration scaled(duration span, double factor)
-    {
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
-    }
-
     void average(duration& kept, duration seen)
     {
         kept = kept == duration::zero() ? seen : kept + (seen - kept) / averagedOver;
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
 #include "decision/control/apply_drain.h"
+#include "decision/entries/known_entries.h"
 #include "ports/port_names.h"
 
 namespace plantainlatch {
@@ -17,11 +18,6 @@
         return std::find(items.begin(), items.end(), wanted) != items.end();
     }
 
-    duration scaled(duration span, double factor)
-    {
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
-    }
-
 } // namespace
 
 absl::StatusOr<std::unique_ptr<placement_service>> placement_service::create(
@@ -80,11 +76,7 @@
     }
     m_known = state.directory;
     noteEndedDrains();
-    m_entries.clear();
-    for (const auto& [vm, started] : state.vms) {
-        if (started.record.entry && !started.stopped)
-            m_entries.push_back(vm);
-    }
+    m_entries = knownEntries(state);
     m_orders.clear();
 }
 
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -5,7 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
-#include "decision/entries/entry_count.h"
+#include "decision/entries/known_entries.h"
 #include "decision/request/request_fingerprint.h"
 #include "decision/request/request_log.h"
 #include "decision/request/system_answers.h"
@@ -15,15 +15,6 @@
 
 namespace {
 
-    template <typename Port> absl::Status findPort(registry& services, const char* name, Port*& port)
-    {
-        absl::StatusOr<Port*> found = services.find<Port>(name);
-        if (!found.ok())
-            return found.status();
-        port = *found;
-        return absl::OkStatus();
-    }
-
     request_traits traitsOf(
         const caller_request& request, const route_definition* route, const service_definition* definition)
     {
@@ -89,10 +80,10 @@
     consensus_port* consensus = nullptr;
     slot_port* slots = nullptr;
     upstream_port* upstreams = nullptr;
-    absl::Status status = findPort(services, port_names::control, m_control);
-    status.Update(findPort(services, port_names::consensus, consensus));
-    status.Update(findPort(services, port_names::slots, slots));
-    status.Update(findPort(services, port_names::upstreams, upstreams));
+    absl::Status status = services.findInto(port_names::control, m_control);
+    status.Update(services.findInto(port_names::consensus, consensus));
+    status.Update(services.findInto(port_names::slots, slots));
+    status.Update(services.findInto(port_names::upstreams, upstreams));
     if (!status.ok())
         return status;
     m_consensus = consensus;
@@ -115,7 +106,9 @@
 
 bool request_service::spendRetry(const service_id& service)
 {
-    return m_retryWindow ? m_retryWindow->spend(service, m_hooks.now()) : m_budget.spend();
+    if (!m_retryWindow)
+        return m_budget.spend();
+    return m_retryWindow->spend(service, m_hooks.now(), knownEntries(m_control->state()).size());
 }
 
 request_id request_service::submit(caller_request request, std::function<void(caller_answer)> deliver)
@@ -215,7 +208,7 @@
 
 std::uint32_t request_service::connectionShare(const service_definition& definition) const
 {
-    const std::size_t entries = entryCount(m_control->state());
+    const std::size_t entries = knownEntries(m_control->state()).size();
     const auto vms = static_cast<std::uint32_t>(std::max(entries, m_settings.vms.size()));
     return std::max<std::uint32_t>(1, definition.connections / vms);
 }
--- a/src/decision/request/retry_window.cpp
+++ b/src/decision/request/retry_window.cpp
@@ -1,6 +1,6 @@
 #include "decision/request/retry_window.h"
 
-#include <utility>
+#include <algorithm>
 
 namespace plantainlatch {
 
@@ -12,7 +12,7 @@
 } // namespace
 
 retry_window::retry_window(retry_window_options options)
-    : m_options(std::move(options))
+    : m_options(options)
 {
 }
 
@@ -29,7 +29,7 @@
 
 void retry_window::earn(const service_id& service, time_point now) { ++current(service, now).requests; }
 
-bool retry_window::spend(const service_id& service, time_point now)
+bool retry_window::spend(const service_id& service, time_point now, std::size_t sharers)
 {
     counts& latest = current(service, now);
     double requests = 0;
@@ -38,7 +38,8 @@
         requests += static_cast<double>(slice.requests);
         retries += static_cast<double>(slice.retries);
     }
-    if (retries + 1 > requests * m_options.share + m_options.slack())
+    if (retries + 1
+        > requests * m_options.share + m_options.slack / static_cast<double>(std::max<std::size_t>(1, sharers)))
         return false;
     ++latest.retries;
     return true;
--- a/src/decision/request/retry_window.h
+++ b/src/decision/request/retry_window.h
@@ -4,9 +4,9 @@
  * The budget of retries within a sliding window, for each service.
  */
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 
 #include "core/clock.h"
@@ -19,9 +19,8 @@
     duration window = std::chrono::seconds(10);
     /** Retries in the window, as a share of its requests. */
     double share = 0.2;
-    /** Retries in the window beyond that share, from this VM; read at each decision, as it depends on how many VMs
-     * share the whole. */
-    std::function<double()> slack = [] { return 0.0; };
+    /** Retries in the window beyond that share, from all VMs together. */
+    double slack = 0;
 };
 
 /** Counts requests and retries of each service in the window. */
@@ -31,8 +30,8 @@
 
     /** A request of a service came for the first time. */
     void earn(const service_id& service, time_point now);
-    /** Takes one retry; false when the window holds as many as it may. */
-    bool spend(const service_id& service, time_point now);
+    /** Takes one retry; false when the window holds as many as it may. `sharers` VMs have equal parts of the slack. */
+    bool spend(const service_id& service, time_point now, std::size_t sharers);
 
 private:
     struct counts {
--- a/src/decision/vm/make_service.h
+++ b/src/decision/vm/make_service.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "kernel/hooks.h"
+#include "kernel/keep_created.h"
 #include "model/vm_settings.h"
 
 namespace plantainlatch {
@@ -20,11 +21,7 @@
 {
     if (!status.ok())
         return;
-    absl::StatusOr<std::unique_ptr<Service>> made = Service::create(hooks, settings, std::move(options));
-    if (made.ok())
-        place = std::move(*made);
-    else
-        status = made.status();
+    status = keepCreated(Service::create(hooks, settings, std::move(options)), place);
 }
 
 } // namespace plantainlatch
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -17,6 +17,11 @@
     /** Entries of its own region that a caller can do with. */
     constexpr std::size_t enoughInRegion = 2;
 
+    /** An upstream is taken out of the directory after so many missed renewals. */
+    constexpr int missedRenewals = 4;
+    /** The part of the shared budget that is used, as entries count a little late and apart. */
+    constexpr double safeShare = 0.8;
+
     request_policies routedPolicies()
     {
         request_policies policies = defaultRequestPolicies();
@@ -31,7 +36,7 @@
 
 } // namespace
 
-routed_options defaultRoutedOptions()
+routed_options routedOptionsFor(const routed_bounds& bounds)
 {
     routed_options options;
     options.control.directory = { false, true, false };
@@ -45,6 +50,16 @@
     // The front end has served out its callers before.
     options.requests.leaveTime = duration::zero();
     options.requests.policies = routedPolicies();
+    options.requests.retryWindow
+        = retry_window_options { bounds.retryWindow, bounds.retryShare * safeShare, bounds.retrySlack * safeShare };
+    options.placement.cold = bounds.cold;
+    if (bounds.replicasThatMayFail > 0)
+        options.consensus.largestVoterCount = 2 * bounds.replicasThatMayFail + 1;
+    if (bounds.renewalInterval > duration::zero()) {
+        options.directory.renewalInterval = bounds.renewalInterval;
+        options.directory.silence = bounds.renewalInterval * (missedRenewals - 1);
+        options.directory.leaveAfter = bounds.renewalInterval * missedRenewals;
+    }
     return options;
 }
 
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -37,8 +37,23 @@
     configuration_options configurations;
 };
 
-/** The options that fit routes and upstreams with proof of what they did not run. */
-routed_options defaultRoutedOptions();
+/** What those who run a system require of it and give it. */
+struct routed_bounds {
+    /** Repeats of a service's requests within the window, from all VMs together: a share of the requests, and a number
+     * beyond it. */
+    double retryShare = 0;
+    duration retryWindow {};
+    double retrySlack = 0;
+    /** Requests a second that a cold upstream bears, as a multiple of its rate and a number beyond it. */
+    cold_bound cold;
+    /** Replicas that may be lost at once; 0 when that is not said. */
+    std::size_t replicasThatMayFail = 0;
+    /** How often upstreams renew; zero when that is not said. */
+    duration renewalInterval {};
+};
+
+/** The options that fit routes and upstreams with proof of what they did not run, within the bounds. */
+routed_options routedOptionsFor(const routed_bounds& bounds);
 
 /** The decision services of one routed VM; it must outlive the kernel's stop. An entry has "slots" and "requests", and
  * needs "upstreams"; every VM needs "peers", and a replica "storage". */
--- a/src/kernel/registry.h
+++ b/src/kernel/registry.h
@@ -34,6 +34,15 @@
         return static_cast<Interface*>(*object);
     }
 
+    /** Sets `place` to the interface of that name; the status says why there is none. */
+    template <typename Interface> absl::Status findInto(std::string_view name, Interface*& place) const
+    {
+        absl::StatusOr<Interface*> found = find<Interface>(name);
+        if (found.ok())
+            place = *found;
+        return found.status();
+    }
+
     /** Forgets a name; one that is not there is ignored. */
     void withdraw(std::string_view name);
 
--- a/src/main/serve_command.cpp
+++ b/src/main/serve_command.cpp
@@ -6,26 +6,19 @@
 #include "codec/settings_yaml.h"
 #include "codec/yaml_node.h"
 #include "main/exit_code.h"
+#include "main/run_vm.h"
 #include "services/serve_vm.h"
 
 namespace plantainlatch {
 
 namespace {
 
-    int fail(const absl::Status& status)
-    {
-        std::fprintf(stderr, "plantainlatch serve: %s\n", std::string(status.message()).c_str());
-        return exit_code::failed;
-    }
-
     int run(const command_line& line)
     {
         const std::string path = line.text("settings");
         const absl::StatusOr<std::string> text = readFile(path, largestYamlText);
-        if (!text.ok()) {
-            std::fprintf(stderr, "plantainlatch serve: %s\n", std::string(text.status().message()).c_str());
-            return exit_code::badInput;
-        }
+        if (!text.ok())
+            return failCommand("serve", text.status(), exit_code::badInput);
         finding_list findings;
         const absl::StatusOr<vm_settings> settings = parseSettings(*text, path, findings);
         if (!settings.ok()) {
@@ -54,18 +47,9 @@
 
 int runServe(const vm_settings& settings)
 {
-    const absl::StatusOr<std::unique_ptr<event_loop>> loop = event_loop::create(0);
-    if (!loop.ok())
-        return fail(loop.status());
-    const absl::StatusOr<std::unique_ptr<serve_vm>> vm = serve_vm::create(**loop, settings);
-    if (!vm.ok())
-        return fail(vm.status());
-    const absl::Status started = (*vm)->start();
-    if (!started.ok())
-        return fail(started);
-    (*loop)->run();
-    (*vm)->checkIdle();
-    return exit_code::ok;
+    return runVm<serve_vm>(
+        "serve", [&settings](event_loop& loop) { return serve_vm::create(loop, settings); },
+        [](const serve_vm& vm) { vm.checkIdle(); });
 }
 
 } // namespace plantainlatch
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -3,26 +3,13 @@
 #include <utility>
 
 #include "core/internal_assert.h"
+#include "kernel/keep_created.h"
 #include "ports/membership_port.h"
 #include "ports/port_names.h"
 #include "services/json_log.h"
 
 namespace plantainlatch {
 
-namespace {
-
-    /** Moves what was created into `place`, or returns why it was not. */
-    template <typename Part>
-    absl::Status keep(absl::StatusOr<std::unique_ptr<Part>> created, std::unique_ptr<Part>& place)
-    {
-        if (!created.ok())
-            return created.status();
-        place = *std::move(created);
-        return absl::OkStatus();
-    }
-
-} // namespace
-
 serve_vm::serve_vm(event_loop& loop, const vm_settings& settings)
     : m_loop(loop)
     , m_settings(settings)
@@ -42,17 +29,18 @@
 
 absl::Status serve_vm::createParts()
 {
-    absl::Status status = keep(kernel::create(m_hooks), m_kernel);
+    absl::Status status = keepCreated(kernel::create(m_hooks), m_kernel);
     if (status.ok())
         status = createStorage();
     if (status.ok())
-        status = keep(peer_transport::create(m_loop, m_hooks, m_settings), m_peers);
+        status = keepCreated(peer_transport::create(m_loop, m_hooks, m_settings), m_peers);
     if (status.ok())
-        status = keep(steering_vm::create(m_hooks, m_settings), m_steering);
+        status = keepCreated(steering_vm::create(m_hooks, m_settings), m_steering);
     http_server_options options;
     options.limits = m_settings.limits;
     if (status.ok())
-        status = keep(http_server::create(m_loop.base(), m_hooks, m_settings.self.callerAddress, options), m_server);
+        status = keepCreated(
+            http_server::create(m_loop.base(), m_hooks, m_settings.self.callerAddress, options), m_server);
     if (!status.ok())
         return status;
     m_upstreams = upstream_client::create(m_loop.base(), m_hooks);
@@ -67,7 +55,7 @@
 {
     if (!m_settings.dataFolder)
         return absl::OkStatus();
-    return keep(file_storage::create(m_hooks, *m_settings.dataFolder, posixFiles()), m_storage);
+    return keepCreated(file_storage::create(m_hooks, *m_settings.dataFolder, posixFiles()), m_storage);
 }
 
 void serve_vm::addServices()
--- a/test/correctness/retry_window_test.cpp
+++ b/test/correctness/retry_window_test.cpp
@@ -15,14 +15,14 @@
             retry_window_options made;
             made.window = 10s;
             made.share = 0.2;
-            made.slack = [] { return 3.0; };
+            made.slack = 6;
             return made;
         }
 
         int spendAll()
         {
             int spent = 0;
-            while (subject.spend(booking, now))
+            while (subject.spend(booking, now, 2))
                 ++spent;
             return spent;
         }
@@ -46,7 +46,7 @@
 TEST_CASE_METHOD(retry_window_fixture, "retry_window.services.have_budgets_of_their_own")
 {
     REQUIRE(spendAll() == 3);
-    REQUIRE(subject.spend(service_id("billing"), now));
+    REQUIRE(subject.spend(service_id("billing"), now, 2));
 }
 
 TEST_CASE_METHOD(retry_window_fixture, "retry_window.any_window.holds_no_more_than_the_bound")
@@ -54,7 +54,7 @@
     std::vector<time_point> spent;
     for (int tick = 0; tick < 400; ++tick) {
         now += 100ms;
-        while (subject.spend(booking, now))
+        while (subject.spend(booking, now, 2))
             spent.push_back(now);
         int within = 0;
         for (const time_point at : spent)
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -144,7 +144,7 @@
     REQUIRE(settings.vm.vms.size() == 2);
     REQUIRE(settings.vm.vms[1].id == vm_id("10.2.0.29:7660"));
     REQUIRE(settings.bounds.retryShare == 0.2);
-    REQUIRE(settings.bounds.coldSlack == 5);
+    REQUIRE(settings.bounds.cold.slack == 5);
 }
 
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_settings.later_start_or_no_seed.founds_no_log")
