Read callers' requests with http-parser, so that a field may be as large as the limit allows

Ruled out: a filter in front of evhtp that shortens fields (it would have to follow the framing of every message), and evhttp (it gives up a caller's early close, and writes answers of its own). Change: http_request_parser (http-parser), http_connection and lingering_close over libevent in place of evhtp. A refused request is answered at once, and its connection closed so that the answer can be read.

--- /dev/null
+++ b/src/services/http_connection.cpp
@@ -0,0 +1,217 @@
+#include "services/http_connection.h"
+
+#include <array>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+
+#include "core/internal_assert.h"
+#include "services/lingering_close.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** What may wait on a connection behind the request that runs. */
+    constexpr std::size_t pipelinedBytes = 64 * 1024;
+    constexpr std::string_view goAhead = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    timeval toTimeval(duration span)
+    {
+        const auto whole = std::chrono::duration_cast<std::chrono::seconds>(span);
+        return { whole.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - whole).count() };
+    }
+
+    void sendWithoutDelay(int socket)
+    {
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
+    /** Sends the parts at once where nothing waits before them, which spares the loop a round; what the socket does not
+     * take waits in the output buffer. */
+    void sendOrKeep(bufferevent* channel, std::array<std::string_view, 3> parts)
+    {
+        evbuffer* output = bufferevent_get_output(channel);
+        std::size_t sent = 0;
+        if (evbuffer_get_length(output) == 0) {
+            std::array<iovec, 3> vectors {};
+            for (std::size_t i = 0; i < parts.size(); ++i)
+                vectors[i] = { const_cast<char*>(parts[i].data()), parts[i].size() };
+            msghdr message {};
+            message.msg_iov = vectors.data();
+            message.msg_iovlen = vectors.size();
+            const ssize_t result = sendmsg(bufferevent_getfd(channel), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+            sent = result > 0 ? static_cast<std::size_t>(result) : 0;
+        }
+        for (std::string_view& part : parts) {
+            const std::size_t skipped = std::min(sent, part.size());
+            part.remove_prefix(skipped);
+            sent -= skipped;
+            evbuffer_add(output, part.data(), part.size());
+        }
+    }
+
+} // namespace
+
+std::shared_ptr<http_connection> http_connection::accept(const http_connection_parts& parts, int socket)
+{
+    std::shared_ptr<http_connection> connection(new http_connection(parts, socket));
+    connection->begin();
+    return connection;
+}
+
+http_connection::http_connection(const http_connection_parts& parts, int socket)
+    : m_parts(parts)
+    , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
+    , m_parser(parts.limits)
+{
+    internal_assert(m_channel != nullptr) << "no memory for a connection";
+    sendWithoutDelay(socket);
+}
+
+http_connection::~http_connection()
+{
+    if (m_channel != nullptr)
+        bufferevent_free(m_channel);
+}
+
+void http_connection::begin()
+{
+    const timeval idle = toTimeval(m_parts.idleTimeout);
+    bufferevent_setcb(m_channel, readable, written, happened, this);
+    bufferevent_setwatermark(m_channel, EV_READ, 0, pipelinedBytes);
+    bufferevent_set_timeouts(m_channel, &idle, &idle);
+    bufferevent_enable(m_channel, EV_READ | EV_WRITE);
+}
+
+void http_connection::readable(bufferevent*, void* argument)
+{
+    const auto keep = static_cast<http_connection*>(argument)->shared_from_this();
+    keep->readRequests();
+}
+
+void http_connection::written(bufferevent*, void* argument)
+{
+    const auto keep = static_cast<http_connection*>(argument)->shared_from_this();
+    keep->outputWritten();
+}
+
+void http_connection::happened(bufferevent*, short what, void* argument)
+{
+    const auto keep = static_cast<http_connection*>(argument)->shared_from_this();
+    const bool writes = keep->m_state == state::Writing || keep->m_state == state::WritingLast;
+    const bool silent = (what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0;
+    if (silent && (keep->isRunning() || writes)) {
+        // It is the caller who waits; the library has stopped reading.
+        bufferevent_enable(keep->m_channel, EV_READ);
+        return;
+    }
+    if ((what & BEV_EVENT_EOF) != 0 && writes) {
+        keep->m_state = state::WritingLast;
+        keep->m_callerEnded = true;
+        return;
+    }
+    keep->fail();
+}
+
+void http_connection::readRequests()
+{
+    if (std::exchange(m_reading, true))
+        return;
+    evbuffer* input = m_channel != nullptr ? bufferevent_get_input(m_channel) : nullptr;
+    while (m_state == state::Reading && evbuffer_get_length(input) > 0) {
+        const std::size_t size = evbuffer_get_contiguous_space(input);
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const std::size_t used = m_parser.feed({ bytes, size });
+        evbuffer_drain(input, used);
+        takeParsed();
+    }
+    m_reading = false;
+}
+
+void http_connection::takeParsed()
+{
+    if (m_parser.problem() != http_problem::None) {
+        write(encodeProblem(m_parser.problem()), true);
+        return;
+    }
+    if (m_parser.takeWaitsForContinue() && !m_parser.isComplete())
+        sendOrKeep(m_channel, { goAhead, {}, {} });
+    if (!m_parser.isComplete())
+        return;
+    m_state = state::Running;
+    m_parts.onRequest(*this);
+}
+
+void http_connection::answer(const http_answer& answer, bool last)
+{
+    internal_assert(m_state == state::Running) << "a connection without a request is answered";
+    const auto keep = shared_from_this();
+    write(answer, last || !m_parser.request().keepsConnection);
+    if (m_state == state::Reading)
+        readRequests();
+}
+
+void http_connection::write(const http_answer& answer, bool last)
+{
+    std::string_view headEnd = "\r\n";
+    if (last)
+        headEnd = "Connection: close\r\n\r\n";
+    else if (m_parser.request().isVersion10)
+        headEnd = "Connection: keep-alive\r\n\r\n";
+    m_state = last ? state::WritingLast : state::Writing;
+    sendOrKeep(m_channel, { answer.head, headEnd, answer.body });
+    if (evbuffer_get_length(bufferevent_get_output(m_channel)) == 0)
+        outputWritten();
+}
+
+void http_connection::outputWritten()
+{
+    if (m_state == state::Writing) {
+        m_parser.next();
+        m_state = state::Reading;
+        readRequests();
+        return;
+    }
+    if (m_state != state::WritingLast)
+        return;
+    if (!m_callerEnded)
+        m_parts.closing.add(std::exchange(m_channel, nullptr));
+    finish();
+}
+
+void http_connection::close()
+{
+    if (m_state == state::Closed)
+        return;
+    m_parts.closing.add(std::exchange(m_channel, nullptr));
+    finish();
+}
+
+void http_connection::fail()
+{
+    if (m_state == state::Running) {
+        m_state = state::Closed;
+        m_parts.onGone(*this);
+    }
+    finish();
+}
+
+void http_connection::finish()
+{
+    const auto keep = shared_from_this();
+    m_state = state::Closed;
+    if (m_channel != nullptr)
+        bufferevent_free(std::exchange(m_channel, nullptr));
+    m_parts.onClosed(*this);
+}
+
+} // namespace plantainlatch
--- a/src/services/http_request_view.cpp
+++ b/src/services/http_request_view.cpp
@@ -1,42 +1,25 @@
 #include "services/http_request_view.h"
 
-#include <evhtp.h>
+#include "codec/http_fields.h"
 
 namespace plantainlatch {
 
-std::string_view http_request_view::method() const { return htparser_get_methodstr(m_request->conn->parser); }
-
-std::string_view http_request_view::path() const { return m_request->uri->path->full; }
-
-std::string_view http_request_view::query() const
-{
-    const unsigned char* query = m_request->uri->query_raw;
-    return query == nullptr ? std::string_view() : std::string_view(reinterpret_cast<const char*>(query));
-}
-
-std::string http_request_view::target(std::size_t from) const
+std::string_view http_request_view::path() const
 {
-    std::string text(path().substr(from));
-    if (m_request->uri->query_raw != nullptr)
-        text.append("?").append(query());
-    return text;
+    const std::string_view target = m_request.target;
+    return target.substr(0, target.find('?'));
 }
 
-const char* http_request_view::header(const char* name) const { return evhtp_header_find(m_request->headers_in, name); }
-
-std::vector<header_field> http_request_view::headers() const
+std::string_view http_request_view::query() const
 {
-    std::vector<header_field> fields;
-    for (const evhtp_header_t* field = m_request->headers_in->tqh_first; field != nullptr; field = field->next.tqe_next)
-        fields.push_back({ { field->key, field->klen }, { field->val, field->vlen } });
-    return fields;
+    const std::size_t mark = m_request.target.find('?');
+    return mark == std::string::npos ? std::string_view() : std::string_view(m_request.target).substr(mark + 1);
 }
 
-std::string http_request_view::body() const
+const char* http_request_view::header(const char* name) const
 {
-    std::string bytes(evbuffer_get_length(m_request->buffer_in), '\0');
-    evbuffer_copyout(m_request->buffer_in, bytes.data(), bytes.size());
-    return bytes;
+    const header_field* field = http_fields::find(m_request.headers, name);
+    return field == nullptr ? nullptr : field->value.c_str();
 }
 
 } // namespace plantainlatch
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -44,10 +44,8 @@
     std::string name = "http_server";
 };
 
-/** Receives requests with evhtp; published as "http_server".
- *
- * One request runs at a time on a connection; what a caller pipelines behind it waits in a bounded buffer. A caller
- * that closes its sending side has left. Malformed and oversized requests are answered here. */
+/** Receives requests; published as "http_server" or under the name of its options. Malformed and oversized requests are
+ * answered here. */
 class http_server {
 public:
     static constexpr const char* serviceName = "http_server";
--- /dev/null
+++ b/src/services/lingering_close.cpp
@@ -0,0 +1,58 @@
+#include "services/lingering_close.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr duration longestLinger = std::chrono::milliseconds(500);
+
+} // namespace
+
+lingering_close::lingering_close(const kernel_hooks& hooks)
+    : m_hooks(hooks)
+{
+}
+
+lingering_close::~lingering_close()
+{
+    while (!m_channels.empty())
+        free(m_channels.begin()->first);
+}
+
+void lingering_close::add(bufferevent* channel)
+{
+    shutdown(bufferevent_getfd(channel), SHUT_WR);
+    bufferevent_setcb(channel, dropInput, nullptr, ended, this);
+    bufferevent_set_timeouts(channel, nullptr, nullptr);
+    bufferevent_enable(channel, EV_READ);
+    m_channels[channel] = m_hooks.schedule(longestLinger, [this, channel] { free(channel); });
+    dropInput(channel, this);
+}
+
+void lingering_close::dropInput(bufferevent* channel, void*)
+{
+    evbuffer* input = bufferevent_get_input(channel);
+    evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+void lingering_close::ended(bufferevent* channel, short, void* argument)
+{
+    static_cast<lingering_close*>(argument)->free(channel);
+}
+
+void lingering_close::free(bufferevent* channel)
+{
+    const auto found = m_channels.find(channel);
+    if (found == m_channels.end())
+        return;
+    m_hooks.cancel(found->second);
+    m_channels.erase(found);
+    bufferevent_free(channel);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/error/http_connection_test.cpp
@@ -0,0 +1,183 @@
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "error/loop_fixture.h"
+#include "error/raw_client.h"
+#include "services/http_server.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using Catch::Contains;
+    using Catch::EndsWith;
+    using Catch::StartsWith;
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t headerLimit = 16 * 1024;
+    constexpr std::size_t bodyLimit = 200 * 1024;
+
+    /** A server that keeps what it received and answers when a test says so. */
+    class server_fixture : protected loop_fixture {
+    protected:
+        /** What a handler saw of a request. */
+        struct seen_request {
+            exchange_id exchange;
+            std::string method;
+            std::string path;
+            std::string query;
+            std::string body;
+            std::vector<header_field> headers;
+        };
+
+        server_fixture()
+        {
+            http_server_options options;
+            options.limits = { byte_count(headerLimit), byte_count(bodyLimit) };
+            options.idleTimeout = 300ms;
+            server = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, options);
+            server->addRoute({ "/",
+                [this](exchange_id exchange, const http_request_view& request) {
+                    seen.push_back({ exchange, std::string(request.method()), std::string(request.path()),
+                        std::string(request.query()), request.body(), request.headers() });
+                    if (answersAtOnce)
+                        answer(exchange);
+                },
+                [this](exchange_id exchange) { gone.push_back(exchange); } });
+        }
+
+        void answer(exchange_id exchange) { server->respond(exchange, encodeAnswer(200, {}, "lit")); }
+
+        std::string ask(const std::string& bytes)
+        {
+            raw_client client(loop->base(), server->address());
+            client.send(bytes);
+            runUntil([&] { return !client.received.empty(); });
+            runFor(5ms);
+            return client.received;
+        }
+
+        std::unique_ptr<http_server> server;
+        std::vector<seen_request> seen;
+        std::vector<exchange_id> gone;
+        bool answersAtOnce = true;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(server_fixture, "http_server.request_in_single_bytes.is_read_like_one_sent_at_once")
+{
+    raw_client client(loop->base(), server->address());
+    for (const char byte : std::string("PUT /a/b?c=%20d HTTP/1.1\r\nX-Club: kokura\r\nContent-Length: 4\r\n\r\nlamp")) {
+        client.send(std::string(1, byte));
+        runFor(100us);
+    }
+    runUntil([&] { return !client.received.empty(); });
+    REQUIRE(seen.size() == 1);
+    REQUIRE(seen.front().method == "PUT");
+    REQUIRE(seen.front().path == "/a/b");
+    REQUIRE(seen.front().query == "c=%20d");
+    REQUIRE(seen.front().body == "lamp");
+    REQUIRE(seen.front().headers.size() == 2);
+    REQUIRE(seen.front().headers.front().value == "kokura");
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.chunked_body.is_joined_and_its_trailer_dropped")
+{
+    ask("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nlam\r\n2;x=y\r\nps\r\n0\r\nX-Late: 1\r\n\r\n");
+    REQUIRE(seen.at(0).body == "lamps");
+    REQUIRE(seen.at(0).headers.size() == 1);
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.field_as_large_as_the_limit_allows.is_taken_whole")
+{
+    const std::string value(headerLimit - 200, 'x');
+    REQUIRE_THAT(ask("GET /a HTTP/1.1\r\nX-Filler: " + value + "\r\n\r\n"), StartsWith("HTTP/1.1 200 "));
+    REQUIRE(seen.at(0).headers.at(0).value == value);
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.target_beyond_the_header_limit.is_refused")
+{
+    REQUIRE_THAT(ask("GET /" + std::string(headerLimit, 'x') + " HTTP/1.1\r\n\r\n"), StartsWith("HTTP/1.1 431 "));
+    REQUIRE(seen.empty());
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.target_with_scheme_and_host.is_reduced_to_path_and_query")
+{
+    ask("GET http://ficu95.example/lohu930/2f?x=1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(seen.at(0).path == "/lohu930/2f");
+    REQUIRE(seen.at(0).query == "x=1");
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.caller_that_waits_for_a_go_ahead.gets_one_before_it_sends_the_body")
+{
+    raw_client client(loop->base(), server->address());
+    client.send("POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    runUntil([&] { return !client.received.empty(); });
+    REQUIRE(client.received == "HTTP/1.1 100 Continue\r\n\r\n");
+    REQUIRE(seen.empty());
+    client.send("lamp");
+    runUntil([&] { return client.received.ends_with("lit"); });
+    REQUIRE(seen.at(0).body == "lamp");
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.refusal_of_a_body_that_still_arrives.can_be_read_by_the_caller")
+{
+    raw_client client(loop->base(), server->address());
+    client.send("POST /a HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n" + std::string(4 * bodyLimit, 'x'));
+    runUntil([&] { return client.ended; });
+    REQUIRE_THAT(client.received, StartsWith("HTTP/1.1 413 "));
+    REQUIRE_THAT(client.received, Contains("Connection: close\r\n") && EndsWith("too large\n"));
+    REQUIRE(server->connections() == 0);
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.caller_of_version_1_0.is_told_that_its_connection_is_kept")
+{
+    const std::string answer = ask("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+    REQUIRE_THAT(answer, Contains("Connection: keep-alive\r\n"));
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.idle_connection.is_closed_and_one_that_waits_for_an_answer_is_not")
+{
+    answersAtOnce = false;
+    raw_client idle(loop->base(), server->address());
+    raw_client waiting(loop->base(), server->address());
+    waiting.send("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return idle.ended && !seen.empty(); });
+    runFor(400ms);
+    REQUIRE_FALSE(waiting.ended);
+    REQUIRE(gone.empty());
+    answer(seen.front().exchange);
+    runUntil([&] { return waiting.received.ends_with("lit"); });
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.caller_that_resets_after_long_waiting.is_noticed")
+{
+    answersAtOnce = false;
+    raw_client client(loop->base(), server->address());
+    client.send("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return !seen.empty(); });
+    runFor(400ms);
+    client.close();
+    runUntil([&] { return gone.size() == 1; });
+    answer(seen.front().exchange);
+    REQUIRE(server->inFlight() == 0);
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.answer_beyond_the_socket_s_buffer.is_delivered_whole")
+{
+    answersAtOnce = false;
+    raw_client client(loop->base(), server->address());
+    client.send("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return !seen.empty(); });
+    const std::string body(8 * 1024 * 1024, 'y');
+    server->respond(seen.front().exchange, encodeAnswer(200, {}, body));
+    runUntil([&] { return client.received.size() > body.size(); });
+    REQUIRE_THAT(client.received, StartsWith("HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n"));
+    REQUIRE_FALSE(client.ended);
+}
+
+} // namespace plantainlatch
