Let nothing leave on a connection whose call has ended

Cause: a call that ended while its connection was being made was closed one round of the loop later. Ruled out: the late first byte (sever() shuts the socket before the write). Change: the library's callbacks are taken off and the socket is shut at once; only the memory waits for the next round. Seen: upstream_client.connection_made_after_the_call_ended.carries_no_byte failed before (a request arrived) and passes.

--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -195,6 +195,12 @@
 void upstream_connections::buryLater(std::unique_ptr<upstream_connection> connection)
 {
     connection->closed = true;
+    // A connection that is made before the burial would send its request at once: the library must not hear of it, and
+    // what is in its buffer must not leave.
+    bufferevent* channel = evhttp_connection_get_bufferevent(connection->handle);
+    bufferevent_setcb(channel, nullptr, nullptr, nullptr, nullptr);
+    if (bufferevent_getfd(channel) >= 0)
+        shutdown(bufferevent_getfd(channel), SHUT_RDWR);
     m_dead.push_back(std::move(connection));
     if (m_burial == timer_id())
         m_burial = m_hooks.schedule(duration::zero(), [this] { bury(); });
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "error/full_listener.h"
 #include "error/loop_fixture.h"
 #include "error/raw_upstream.h"
 #include "services/upstream_client.h"
@@ -166,6 +167,27 @@
         Catch::Contains("X-Kept: yes") && !Catch::Contains("forged") && !Catch::Contains("X-Request-Timeout: 77"));
 }
 
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_made_after_the_call_ended.carries_no_byte")
+{
+    // The call ends while its connection is being made. If the other end still accepts it, that is done before the loop
+    // comes round again.
+    full_listener listener;
+    call_events events;
+    std::optional<call_failure> failure;
+    events.onFailure = [&](call_failure why) {
+        failure = why;
+        listener.makeRoom();
+        listener.acceptWithin(std::chrono::milliseconds(1500));
+    };
+    upstream_call call = callTo(listener.address());
+    call.offerWithin = std::chrono::milliseconds(100);
+    subject->port().start(std::move(call), std::move(events));
+    runUntil([&] { return failure.has_value(); });
+    REQUIRE(failure == call_failure::ConnectFailed);
+    runFor(std::chrono::milliseconds(20));
+    REQUIRE(listener.received().empty());
+}
+
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.late_answer.times_out_and_never_reaches_the_next_call")
 {
     upstream.onRequest = [&](std::size_t connection, const std::string&) {
