Avoid only upstreams that stand out from their service, and log what decided a refusal

Cause: an entry avoided each upstream that failed or refused a quarter of its requests. Seen in the new fields of attempt-ended: best, load, slowness, expected_ms, patience_ms, left_out. Ruled out: capacity (load below the slots), patience (the best upstream of those left was really full). Change: tolerated is the larger of 0.25 and 1.5 times the service's mean plus 0.1. Refusals name their inputs. Test placement.all_upstreams_refuse_alike.each_object_still_goes_to_its_home; it fails with the old bound.

--- a/src/decision/placement/home_order.cpp
+++ b/src/decision/placement/home_order.cpp
@@ -84,6 +84,15 @@
     return order;
 }
 
+std::vector<const upstream_announcement*> home_order::all() const
+{
+    std::vector<const upstream_announcement*> upstreams;
+    upstreams.reserve(m_members.size());
+    for (const member& item : m_members)
+        upstreams.push_back(&item.upstream);
+    return upstreams;
+}
+
 std::uint64_t objectNumber(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
 
 } // namespace plantainlatch
--- a/src/decision/placement/home_order.h
+++ b/src/decision/placement/home_order.h
@@ -31,6 +31,9 @@
     /** The upstreams in the order of an object; an object without a name may be any number. */
     std::vector<const upstream_announcement*> of(std::uint64_t object) const;
 
+    /** The upstreams in no particular order. */
+    std::vector<const upstream_announcement*> all() const;
+
     bool empty() const { return m_members.empty(); }
 
 private:
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "core/internal_assert.h"
 #include "decision/control/apply_drain.h"
 #include "decision/entries/known_entries.h"
@@ -13,6 +14,13 @@
 
 namespace {
 
+    /** An upstream is avoided when it fails this part of its requests, and so much more than the service's mean: where
+     * all fail alike, leaving some out only overloads the others. */
+    constexpr double leastAvoidedShare = 0.25;
+    constexpr double outlierFactor = 1.5;
+    constexpr double outlierMargin = 0.1;
+    constexpr duration judgeInterval = std::chrono::milliseconds(100);
+
     bool contains(const std::vector<upstream_id>& items, const upstream_id& wanted)
     {
         return std::find(items.begin(), items.end(), wanted) != items.end();
@@ -128,7 +136,7 @@
     return shares;
 }
 
-const home_order& placement_service::orderFor(const order_key& key)
+placement_service::ranked_service& placement_service::orderFor(const order_key& key)
 {
     const auto found = m_orders.find(key);
     if (found != m_orders.end())
@@ -142,7 +150,21 @@
         if (upstream.service == key.service && allowed && !draining)
             fit.push_back(upstream);
     }
-    return m_orders.emplace(key, home_order(std::move(fit), m_region, demand(key))).first->second;
+    return m_orders.emplace(key, ranked_service { home_order(std::move(fit), m_region, demand(key)) }).first->second;
+}
+
+double placement_service::toleratedFailures(ranked_service& service)
+{
+    const time_point now = m_hooks.now();
+    if (service.toleratedFailures > 0 && now < service.judgedAt + judgeInterval)
+        return service.toleratedFailures;
+    double total = 0;
+    for (const upstream_announcement* upstream : service.homes.all())
+        total += m_standings[upstream->id].failureShare();
+    const double mean = service.homes.empty() ? 0 : total / static_cast<double>(service.homes.all().size());
+    service.judgedAt = now;
+    service.toleratedFailures = std::max(leastAvoidedShare, mean * outlierFactor + outlierMargin);
+    return service.toleratedFailures;
 }
 
 bool placement_service::mayPassCold(const upstream_announcement& upstream, upstream_standing& standing)
@@ -182,18 +204,26 @@
     return weighed;
 }
 
-placement_service::choice placement_service::choose(const slot_request& request, std::uint64_t object, bool evenAvoided)
+placement_service::choice placement_service::choose(
+    const slot_request& request, std::uint64_t object, bool evenAvoided, left_out& without)
 {
     const time_point now = m_hooks.now();
-    const home_order& order = orderFor({ request.service, request.terms.allowedRegions });
+    ranked_service& service = orderFor({ request.service, request.terms.allowedRegions });
+    const double tolerated = toleratedFailures(service);
     std::vector<choice> compared;
     bool isHome = true;
-    for (const upstream_announcement* upstream : order.of(object)) {
+    for (const upstream_announcement* upstream : service.homes.of(object)) {
         upstream_standing& standing = m_standings[upstream->id];
-        if (contains(request.avoid, upstream->id) || standing.isShunned(now))
+        if (contains(request.avoid, upstream->id))
+            continue;
+        if (standing.isShunned(now)) {
+            ++without.shunned;
             continue;
-        if (!evenAvoided && standing.avoids(now))
+        }
+        if (!evenAvoided && standing.avoids(tolerated, now)) {
+            ++without.avoided;
             continue;
+        }
         compared.push_back(weigh(request, *upstream, object, isHome));
         isHome = false;
         if (compared.size() >= m_options.compared)
@@ -204,6 +234,7 @@
     for (const choice& item : compared) {
         if (mayPassCold(*item.upstream, m_standings[item.upstream->id]))
             return item;
+        ++without.cold;
     }
     return {};
 }
@@ -212,17 +243,15 @@
 {
     const time_point now = m_hooks.now();
     const std::uint64_t object = request.terms.object.empty() ? m_hooks.random() : objectNumber(request.terms.object);
-    choice chosen = choose(request, object, false);
+    left_out without;
+    choice chosen = choose(request, object, false, without);
     if (chosen.upstream == nullptr)
-        chosen = choose(request, object, true);
+        chosen = choose(request, object, true, without);
     slot_answer answer;
-    const bool isEmpty = orderFor({ request.service, request.terms.allowedRegions }).empty();
+    answer.inputs = inputsOf(request, chosen, without);
+    const bool isEmpty = orderFor({ request.service, request.terms.allowedRegions }).homes.empty();
     answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
-    const duration patience
-        = request.terms.priority >= m_options.leastUrgent && request.terms.objective > duration::zero()
-        ? std::min(request.deadline - now, scaled(request.terms.objective, m_options.patience))
-        : request.deadline - now;
-    const bool inTime = chosen.upstream != nullptr && chosen.total < patience;
+    const bool inTime = chosen.upstream != nullptr && chosen.total < patienceOf(request);
     if (!inTime) {
         ++m_refused;
         done(answer);
@@ -233,19 +262,40 @@
     m_held.emplace(
         hold, held_place { chosen.upstream->id, request.terms.route, chosen.state, chosen.work, chosen.queued });
     m_standings[chosen.upstream->id].begin(object, now);
-    answer.slot = held_slot { hold, *chosen.upstream, request.deadline, inputsOf(chosen) };
+    answer.slot = held_slot { hold, *chosen.upstream, request.deadline };
     done(answer);
     return {};
 }
 
-std::vector<log_field> placement_service::inputsOf(const choice& chosen) const
+duration placement_service::patienceOf(const slot_request& request) const
+{
+    const duration left = request.deadline - m_hooks.now();
+    const bool urgent = request.terms.priority < m_options.leastUrgent;
+    if (urgent || request.terms.objective <= duration::zero())
+        return left;
+    return std::min(left, scaled(request.terms.objective, m_options.patience));
+}
+
+std::vector<log_field> placement_service::inputsOf(
+    const slot_request& request, const choice& chosen, const left_out& without)
 {
     const auto milliseconds = [](duration span) {
         return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
     };
-    return { { "object", chosen.state == object_state::Known ? "known" : "unknown" },
-        { "load", absl::StrCat(chosen.load) }, { "expected_ms", milliseconds(chosen.total) },
-        { "configuration", absl::StrCat(m_control->state().config.number.value()) } };
+    std::vector<log_field> inputs { { "configuration", absl::StrCat(m_control->state().config.number.value()) },
+        { "patience_ms", milliseconds(patienceOf(request)) } };
+    if (without.shunned + without.avoided + without.cold > 0)
+        inputs.push_back({ "left_out",
+            absl::StrCat("shunned ", without.shunned, ", avoided ", without.avoided, ", cold ", without.cold) });
+    if (chosen.upstream == nullptr)
+        return inputs;
+    const upstream_standing& standing = m_standings[chosen.upstream->id];
+    inputs.push_back({ "best", chosen.upstream->id.value() });
+    inputs.push_back({ "object", chosen.state == object_state::Known ? "known" : "unknown" });
+    inputs.push_back({ "load", absl::StrCat(chosen.load) });
+    inputs.push_back({ "slowness", absl::StrFormat("%.1f", standing.slowness(m_hooks.now())) });
+    inputs.push_back({ "expected_ms", milliseconds(chosen.total) });
+    return inputs;
 }
 
 void placement_service::release(slot_hold hold, const slot_result& result)
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -72,6 +72,19 @@
         bool queued = false;
         std::uint32_t load = 0;
     };
+    /** Upstreams that were left out of a comparison, by reason. */
+    struct left_out {
+        std::uint32_t shunned = 0;
+        std::uint32_t avoided = 0;
+        std::uint32_t cold = 0;
+    };
+    /** The homes of a service, and when one of its upstreams stands out. */
+    struct ranked_service {
+        home_order homes;
+        /** Upstreams that fail more than this part of their requests are avoided. */
+        double toleratedFailures = 0;
+        time_point judgedAt {};
+    };
     /** What an order of homes depends on beside the state. */
     struct order_key {
         service_id service;
@@ -87,12 +100,14 @@
     void noteEndedDrains();
     slot_ticket acquire(const slot_request& request, const std::function<void(slot_answer)>& done);
     void release(slot_hold hold, const slot_result& result);
-    const home_order& orderFor(const order_key& key);
+    ranked_service& orderFor(const order_key& key);
+    double toleratedFailures(ranked_service& service);
     std::map<region_id, double> demand(const order_key& key) const;
-    choice choose(const slot_request& request, std::uint64_t object, bool evenAvoided);
+    choice choose(const slot_request& request, std::uint64_t object, bool evenAvoided, left_out& without);
     choice weigh(const slot_request& request, const upstream_announcement& upstream, std::uint64_t object, bool isHome);
     bool mayPassCold(const upstream_announcement& upstream, upstream_standing& standing);
-    std::vector<log_field> inputsOf(const choice& chosen) const;
+    std::vector<log_field> inputsOf(const slot_request& request, const choice& chosen, const left_out& without);
+    duration patienceOf(const slot_request& request) const;
     state_dump dump() const;
 
     kernel_hooks m_hooks;
@@ -105,7 +120,7 @@
     std::map<upstream_id, directory_record> m_known;
     std::set<drain_target> m_drains;
     std::vector<vm_id> m_entries;
-    std::map<order_key, home_order> m_orders;
+    std::map<order_key, ranked_service> m_orders;
     std::map<upstream_id, upstream_standing> m_standings;
     latency_model m_latencies;
     absl::flat_hash_map<slot_hold, held_place> m_held;
--- a/src/decision/placement/upstream_standing.cpp
+++ b/src/decision/placement/upstream_standing.cpp
@@ -14,8 +14,7 @@
     constexpr duration longestShun = std::chrono::seconds(3);
     constexpr std::uint32_t mostDoublings = 4;
     constexpr double failureWeight = 0.12;
-    /** An upstream that fails more than this part of its requests gets single ones, so that its recovery is seen. */
-    constexpr double avoidedFailureShare = 0.25;
+    /** An avoided upstream gets single requests, so that its recovery is seen. */
     constexpr duration chanceInterval = std::chrono::milliseconds(800);
     constexpr double slownessWeight = 0.2;
     constexpr double largestSlowness = 8;
@@ -79,9 +78,9 @@
     m_shunnedUntil = now + std::min(longestShun, shortestShun * (1U << doublings));
 }
 
-bool upstream_standing::avoids(time_point now)
+bool upstream_standing::avoids(double toleratedShare, time_point now)
 {
-    if (m_failureShare < avoidedFailureShare)
+    if (m_failureShare < toleratedShare)
         return false;
     if (now < m_nextChance)
         return true;
--- a/src/decision/placement/upstream_standing.h
+++ b/src/decision/placement/upstream_standing.h
@@ -31,8 +31,10 @@
 
     /** Nothing should be sent for now: it failed lately. */
     bool isShunned(time_point now) const { return now < m_shunnedUntil; }
-    /** Takes the chance of one request to an upstream that often fails; true when it is to be avoided. */
-    bool avoids(time_point now);
+    /** The part of its recent requests that failed or were refused. */
+    double failureShare() const { return m_failureShare; }
+    /** Takes the chance of one request to an upstream that fails more than this part; true when it is to be avoided. */
+    bool avoids(double toleratedShare, time_point now);
 
     /** Requests that run or wait there, as far as is known. */
     std::uint32_t load(time_point now) const;
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -67,12 +67,13 @@
 
 } // namespace
 
-log_event attemptBegan(const admitted_request& request, const held_slot& slot, duration left)
+log_event attemptBegan(
+    const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration left)
 {
     log_event event { log_level::Info, serviceName, "attempt-began", fieldsOf(request) };
     event.fields.push_back({ "upstream", slot.upstream.id.value() });
     event.fields.push_back({ "upstream_region", slot.upstream.region.value() });
-    for (const log_field& input : slot.inputs)
+    for (const log_field& input : inputs)
         event.fields.push_back(input);
     event.fields.push_back({ "left_ms", milliseconds(left) });
     return event;
@@ -87,6 +88,8 @@
         event.fields.push_back({ "failure", std::string(nameOf(ended.failure)) });
     if (ended.ended == attempt_end::kind::NoSlot)
         event.fields.push_back({ "failure", ended.refusal == slot_refusal::NoUpstream ? "no-upstream" : "no-room" });
+    for (const log_field& input : ended.refusalInputs)
+        event.fields.push_back(input);
     if (ended.answer)
         event.fields.push_back({ "status", absl::StrCat(ended.answer->status) });
     event.fields.push_back({ "took_ms", milliseconds(took) });
--- a/src/decision/request/request_log.h
+++ b/src/decision/request/request_log.h
@@ -10,7 +10,8 @@
 namespace plantainlatch {
 
 /** A call to an upstream begins. */
-log_event attemptBegan(const admitted_request& request, const held_slot& slot, duration left);
+log_event attemptBegan(
+    const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration left);
 
 /** An attempt ended, with or without a call. */
 log_event attemptEnded(const admitted_request& request, const attempt_end& ended, duration took);
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -86,10 +86,12 @@
         m_state = nextState(m_state, attempt_event::FailBeforeFirstByte);
         attempt_end ended;
         ended.refusal = answer.refusal;
+        ended.refusalInputs = answer.inputs;
         end(std::move(ended));
         return;
     }
     m_slot = *answer.slot;
+    m_inputs = answer.inputs;
     m_holdsSlot = true;
     m_gotSlot = true;
     const time_point now = m_environment.hooks.now();
@@ -139,7 +141,7 @@
             self->onFailure(failure);
     };
     m_environment.upstreams.start(callFor(m_slot), std::move(events));
-    m_environment.hooks.log(attemptBegan(m_request, m_slot, m_request.deadline - m_environment.hooks.now()));
+    m_environment.hooks.log(attemptBegan(m_request, m_slot, m_inputs, m_request.deadline - m_environment.hooks.now()));
     if (!m_ended)
         m_events.onStarted();
 }
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -33,6 +33,8 @@
     attempt_state state = attempt_state::NotOffered;
     /** Why there was no slot. */
     slot_refusal refusal = slot_refusal::NoUpstream;
+    /** What decided against all upstreams, for NoSlot. */
+    std::vector<log_field> refusalInputs;
     /** Why the call failed, for NotOffered and Lost. */
     call_failure failure = call_failure::ConnectFailed;
     /** Empty without a slot. */
@@ -98,6 +100,8 @@
     held_slot m_slot;
     bool m_gotSlot = false;
     bool m_holdsSlot = false;
+    /** What decided for the slot, for the log. */
+    std::vector<log_field> m_inputs;
     call_id m_call;
     answer_marks m_marks;
     time_point m_startedAt;
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -55,8 +55,6 @@
     upstream_announcement upstream;
     /** No new work may be dispatched on it after this moment, on this VM's clock. */
     time_point dispatchBefore;
-    /** What decided for this upstream, for the log. */
-    std::vector<log_field> inputs;
 };
 
 /** Why no slot was given. */
@@ -98,6 +96,8 @@
 struct slot_answer {
     std::optional<held_slot> slot;
     slot_refusal refusal = slot_refusal::NoUpstream;
+    /** What decided for the upstream, or against all of them; for the log. */
+    std::vector<log_field> inputs;
 };
 
 /** A waiting request for a slot; 0 is none. */
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -346,4 +346,45 @@
     release(held, slot_result::kind::Answered);
 }
 
+TEST_CASE_METHOD(placement_fixture, "placement.all_upstreams_refuse_alike.each_object_still_goes_to_its_home")
+{
+    for (const upstream_announcement& upstream : manyUpstreams(6, 0))
+        add(upstream);
+    start();
+    std::map<std::string, std::string> homes;
+    for (int i = 0; i < 60; ++i) {
+        const std::string object = "o" + std::to_string(i);
+        const slot_answer placed = place(object);
+        homes[object] = placed.slot->upstream.id.value();
+        release(placed, slot_result::kind::Answered);
+    }
+    // Every second request is refused, wherever it goes.
+    for (int i = 0; i < 600; ++i) {
+        release(place("o" + std::to_string(i / 2 % 60)),
+            i % 2 == 0 ? slot_result::kind::Shed : slot_result::kind::Answered);
+        runtime.advance(20ms);
+    }
+    for (const auto& [object, home] : homes) {
+        const slot_answer placed = place(object);
+        REQUIRE(placed.slot);
+        REQUIRE(placed.slot->upstream.id.value() == home);
+        release(placed, slot_result::kind::Answered);
+    }
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.refused_for_want_of_room.tells_what_decided")
+{
+    add(makeUpstream("local0", "here"));
+    start();
+    const slot_answer refused = place("o", 20ms);
+    REQUIRE_FALSE(refused.slot);
+    std::set<std::string> named;
+    for (const log_field& input : refused.inputs)
+        named.insert(input.name);
+    for (const char* name : { "best", "object", "load", "slowness", "expected_ms", "patience_ms", "configuration" }) {
+        CAPTURE(name);
+        REQUIRE(named.contains(name));
+    }
+}
+
 } // namespace plantainlatch
