Learn latencies only where an upstream surely knew the object, or surely did not

Cause: the home of an object counted as knowing it, though the first request there was still to come. Change: an object is known where this entry was answered on it, likely known at its home, else unknown; likely ones are chosen like known ones and teach nothing. As estimates are shorter now, the least urgent are refused beyond two objectives, not three. Tests latency_model.object_that_was_only_likely_known..., placement.first_answers_on_new_objects...

--- a/src/decision/placement/latency_model.cpp
+++ b/src/decision/placement/latency_model.cpp
@@ -25,7 +25,7 @@
     const auto found = m_routes.find(route);
     const averages seen = found != m_routes.end() ? found->second : averages {};
     const duration known = seen.known != duration::zero() ? seen.known : scaled(objective, knownPart);
-    if (state == object_state::Known)
+    if (state != object_state::Unknown)
         return known;
     const duration unknown = seen.unknown != duration::zero() ? seen.unknown : scaled(objective, unknownPart);
     return std::max(unknown, scaled(known, leastRatio));
@@ -33,6 +33,8 @@
 
 void latency_model::observe(const route_id& route, object_state state, duration latency)
 {
+    if (state == object_state::Likely)
+        return;
     averages& seen = m_routes[route];
     average(state == object_state::Known ? seen.known : seen.unknown, latency);
 }
--- a/src/decision/placement/latency_model.h
+++ b/src/decision/placement/latency_model.h
@@ -11,8 +11,14 @@
 
 namespace plantainlatch {
 
-/** Whether the upstream is expected to know the object. */
-enum class object_state { Known, Unknown };
+/** Whether the upstream knows the object. */
+enum class object_state {
+    /** It answered this entry on it lately. */
+    Known,
+    /** It is the object's home, so that other entries may have used it there. */
+    Likely,
+    Unknown,
+};
 
 /** Moving averages of latencies without queueing. */
 class latency_model {
@@ -20,7 +26,8 @@
     /** The expected latency; before anything was seen, a part or multiple of the objective. */
     duration expected(const route_id& route, object_state state, duration objective) const;
 
-    /** An answer took so long on an upstream with free slots. */
+    /** An answer took so long on an upstream with free slots. Where the object was only likely to be known, nothing is
+     * learnt. */
     void observe(const route_id& route, object_state state, duration latency);
 
 private:
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -21,6 +21,20 @@
     constexpr double outlierMargin = 0.1;
     constexpr duration judgeInterval = std::chrono::milliseconds(100);
 
+    std::string_view nameOf(object_state state)
+    {
+        switch (state) {
+        case object_state::Known:
+            return "known";
+        case object_state::Likely:
+            return "likely";
+        case object_state::Unknown:
+            return "unknown";
+        }
+        internal_assert(false) << "object state " << static_cast<int>(state);
+        return "";
+    }
+
     bool contains(const std::vector<upstream_id>& items, const upstream_id& wanted)
     {
         return std::find(items.begin(), items.end(), wanted) != items.end();
@@ -187,8 +201,10 @@
     const upstream_standing& standing = m_standings[upstream.id];
     choice weighed;
     weighed.upstream = &upstream;
-    const bool known = !standing.isCold(now) && (isHome || standing.remembers(object, now));
-    weighed.state = known ? object_state::Known : object_state::Unknown;
+    if (!standing.isCold(now) && standing.remembers(object, now))
+        weighed.state = object_state::Known;
+    else if (!standing.isCold(now) && isHome)
+        weighed.state = object_state::Likely;
     const duration usual = m_latencies.expected(request.terms.route, weighed.state, request.terms.objective);
     weighed.work = scaled(usual, standing.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
@@ -200,7 +216,8 @@
         weighed.total += scaled(weighed.work, static_cast<double>(load - slots + 1) / slots);
     if (upstream.region != m_region)
         weighed.total += m_options.farPenalty;
-    weighed.cost = known ? weighed.total : scaled(weighed.total, m_options.unknownFactor);
+    weighed.cost
+        = weighed.state == object_state::Unknown ? scaled(weighed.total, m_options.unknownFactor) : weighed.total;
     return weighed;
 }
 
@@ -241,7 +258,6 @@
 
 slot_ticket placement_service::acquire(const slot_request& request, const std::function<void(slot_answer)>& done)
 {
-    const time_point now = m_hooks.now();
     const std::uint64_t object = request.terms.object.empty() ? m_hooks.random() : objectNumber(request.terms.object);
     left_out without;
     choice chosen = choose(request, object, false, without);
@@ -259,9 +275,9 @@
     }
     ++m_placed;
     const slot_hold hold(++m_lastHold);
-    m_held.emplace(
-        hold, held_place { chosen.upstream->id, request.terms.route, chosen.state, chosen.work, chosen.queued });
-    m_standings[chosen.upstream->id].begin(object, now);
+    m_held.emplace(hold,
+        held_place { chosen.upstream->id, request.terms.route, object, chosen.state, chosen.work, chosen.queued });
+    m_standings[chosen.upstream->id].begin();
     answer.slot = held_slot { hold, *chosen.upstream, request.deadline };
     done(answer);
     return {};
@@ -291,7 +307,7 @@
         return inputs;
     const upstream_standing& standing = m_standings[chosen.upstream->id];
     inputs.push_back({ "best", chosen.upstream->id.value() });
-    inputs.push_back({ "object", chosen.state == object_state::Known ? "known" : "unknown" });
+    inputs.push_back({ "object", std::string(nameOf(chosen.state)) });
     inputs.push_back({ "load", absl::StrCat(chosen.load) });
     inputs.push_back({ "slowness", absl::StrFormat("%.1f", standing.slowness(m_hooks.now())) });
     inputs.push_back({ "expected_ms", milliseconds(chosen.total) });
@@ -307,8 +323,8 @@
     const auto standing = m_standings.find(place.upstream);
     if (standing == m_standings.end())
         return;
-    const duration expected = place.queued ? duration::zero() : place.expected;
-    standing->second.end(result, expected, m_hooks.now());
+    const bool tells = !place.queued && place.state != object_state::Likely;
+    standing->second.end(result, place.object, tells ? place.expected : duration::zero(), m_hooks.now());
     if (result.ended == slot_result::kind::Answered && !place.queued)
         m_latencies.observe(place.route, place.state, result.latency);
 }
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -38,7 +38,7 @@
     /** Requests of this priority and below are refused when they would take so many objectives: a late answer is worth
      * little, and its work makes more urgent ones late. */
     std::uint32_t leastUrgent = 2;
-    double patience = 3;
+    double patience = 2;
     /** What a request to another region is expected to take longer. */
     duration farPenalty = std::chrono::milliseconds(60);
 };
@@ -57,6 +57,7 @@
     struct held_place {
         upstream_id upstream;
         route_id route;
+        std::uint64_t object = 0;
         object_state state = object_state::Unknown;
         duration expected {};
         bool queued = false;
--- a/src/decision/placement/upstream_standing.cpp
+++ b/src/decision/placement/upstream_standing.cpp
@@ -34,16 +34,15 @@
 
 void upstream_standing::coolUntil(time_point until) { m_coldUntil = std::max(m_coldUntil, until); }
 
-void upstream_standing::begin(std::uint64_t object, time_point now)
+void upstream_standing::remember(std::uint64_t object, time_point now)
 {
-    ++m_own;
     std::erase_if(m_handled, [object](const handled_object& item) { return item.object == object; });
     m_handled.push_back({ object, now });
     if (m_handled.size() > rememberedObjects)
         m_handled.pop_front();
 }
 
-void upstream_standing::end(const slot_result& result, duration expected, time_point now)
+void upstream_standing::end(const slot_result& result, std::uint64_t object, duration expected, time_point now)
 {
     m_own = m_own > 0 ? m_own - 1 : 0;
     if (result.marks.load) {
@@ -64,6 +63,7 @@
         shun(now);
     if (result.ended == slot_result::kind::Answered) {
         m_failuresInRow = 0;
+        remember(object, now);
         if (expected > duration::zero())
             noteSlowness(static_cast<double>(result.latency.count()) / static_cast<double>(expected.count()), now);
     }
--- a/src/decision/placement/upstream_standing.h
+++ b/src/decision/placement/upstream_standing.h
@@ -24,10 +24,10 @@
     bool isCold(time_point now) const { return now < m_coldUntil; }
     cold_gate& gate() { return m_gate; }
 
-    /** A request for an object was sent. */
-    void begin(std::uint64_t object, time_point now);
-    /** A request ended; `expected` is what it was expected to take. */
-    void end(const slot_result& result, duration expected, time_point now);
+    /** A request was sent. */
+    void begin() { ++m_own; }
+    /** A request for an object ended; `expected` is what it was expected to take, or zero if that says nothing. */
+    void end(const slot_result& result, std::uint64_t object, duration expected, time_point now);
 
     /** Nothing should be sent for now: it failed lately. */
     bool isShunned(time_point now) const { return now < m_shunnedUntil; }
@@ -41,7 +41,7 @@
     std::uint32_t ownRequests() const { return m_own; }
     /** How many times as long as usual it takes. */
     double slowness(time_point now) const;
-    /** Whether this entry lately sent a request for the object there. */
+    /** Whether this entry lately got an answer on the object from there. */
     bool remembers(std::uint64_t object, time_point now) const;
 
 private:
@@ -51,6 +51,7 @@
     };
 
     void shun(time_point now);
+    void remember(std::uint64_t object, time_point now);
     void noteSlowness(double ratio, time_point now);
 
     std::uint32_t m_own = 0;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -387,4 +387,33 @@
     }
 }
 
+TEST_CASE("latency_model.object_that_was_only_likely_known.teaches_nothing", "[placement]")
+{
+    latency_model subject;
+    subject.observe(route_id("r"), object_state::Known, 200ms);
+    subject.observe(route_id("r"), object_state::Likely, 900ms);
+    REQUIRE(subject.expected(route_id("r"), object_state::Known, 600ms) == duration(200ms));
+    REQUIRE(subject.expected(route_id("r"), object_state::Likely, 600ms) == duration(200ms));
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.first_answers_on_new_objects.leave_what_is_expected_of_known_ones")
+{
+    add(makeUpstream("local0", "here"));
+    start();
+    const auto expectedOf = [](const slot_answer& placed) {
+        for (const log_field& input : placed.inputs) {
+            if (input.name == "expected_ms")
+                return input.value;
+        }
+        return std::string();
+    };
+    release(place("known"), slot_result::kind::Answered, 200ms);
+    release(place("known"), slot_result::kind::Answered, 200ms);
+    const slot_answer before = place("known");
+    release(before, slot_result::kind::Unused);
+    for (int i = 0; i < 12; ++i)
+        release(place("new" + std::to_string(i)), slot_result::kind::Answered, 900ms);
+    REQUIRE(expectedOf(place("known")) == expectedOf(before));
+}
+
 } // namespace plantainlatch
