Acknowledge an upstream's renewal only in touch with the leader, and count a join as a sighting

Ruled out: crashes (same generations), overload, configuration. Change: membership_port::inTouch (a heartbeat was answered within 1.5 s); joins are noted as sightings; upstream_left has the last known sequence.

--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -220,6 +220,9 @@
 {
     const auto known = state.directory.find(command.id);
     const bool isHere = known != state.directory.end();
+    const bool isNews = isHere && !command.goodbye && known->second.announcement.sequence != command.sequence;
+    if (isNews)
+        return alreadyAccepted();
     if (isHere && known->second.announcement.generation == command.generation) {
         state.directory.erase(known);
         rememberDeparture(state, command, item.proposedAt);
--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -118,6 +118,11 @@
 void directory_service::announce(const upstream_announcement& offered, const answer& done)
 {
     if (isRenewal(offered)) {
+        if (!m_membership->inTouch()) {
+            // The keeper would not hear of it and take the upstream out.
+            done(absl::UnavailableError("the leader is out of touch"));
+            return;
+        }
         passOn(offered);
         done(absl::OkStatus());
         return;
@@ -190,10 +195,24 @@
     return allocator != allocators.end() ? allocator->second.vm : vm_id();
 }
 
+void directory_service::noteJoins()
+{
+    const auto& directory = m_control->state().directory;
+    std::erase_if(m_notedJoins, [&directory](const auto& item) { return !directory.contains(item.first); });
+    for (const auto& [id, record] : directory) {
+        const auto [noted, isNew] = m_notedJoins.try_emplace(id, record.joinedAt);
+        if (!isNew && noted->second == record.joinedAt)
+            continue;
+        noted->second = record.joinedAt;
+        m_liveness.note(id, record.announcement.generation, m_hooks.now());
+    }
+}
+
 void directory_service::tick()
 {
     m_timer = m_hooks.schedule(tickInterval, [this] { tick(); });
     followRoles();
+    noteJoins();
     removeSilent();
     m_liveness.forgetUnknown(m_control->state().directory, m_hooks.now() - unknownMemory);
 }
@@ -223,7 +242,8 @@
         if (m_removing.size() >= maximumRemoving)
             return;
         m_removing.insert(upstream.id);
-        m_consensus->propose(upstream_left { upstream.id, upstream.generation, false }, m_options.proposalTimeout,
+        m_consensus->propose(upstream_left { upstream.id, upstream.generation, false, upstream.sequence },
+            m_options.proposalTimeout,
             [this, id = upstream.id](const absl::StatusOr<command_result>&) { m_removing.erase(id); });
     }
 }
--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -78,6 +78,7 @@
     void leave(const upstream_id& id, upstream_generation generation, const answer& done);
     bool isRenewal(const upstream_announcement& offered) const;
     void passOn(const upstream_announcement& offered);
+    void noteJoins();
     void tick();
     void followRoles();
     void removeSilent();
@@ -98,6 +99,8 @@
     std::map<std::uint64_t, pending_join> m_joining;
     std::uint64_t m_lastJoin = 0;
     std::set<upstream_id> m_removing;
+    /** When each upstream joined, as far as it was noted as heard of. */
+    std::map<upstream_id, wall_time> m_notedJoins;
 };
 
 } // namespace plantainlatch
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -65,6 +65,7 @@
     m_port.avoided = [this] { return m_avoided; };
     m_port.reports = [this] { return reports(); };
     m_port.leadsFully = [this] { return leadsFully(); };
+    m_port.inTouch = [this] { return m_answeredAt && m_hooks.now() - *m_answeredAt <= m_options.touchLasts; };
     m_port.joined = [this] {
         const auto known = m_control->state().vms.find(m_settings.self.id);
         return known != m_control->state().vms.end() && known->second.start == m_start;
@@ -268,6 +269,7 @@
     if (sent == m_sent.end())
         return;
     const time_point sentAt = sent->sentAt;
+    m_answeredAt = sentAt;
     m_sent.erase(m_sent.begin(), std::next(sent));
     for (const allocator_role& role : answer.leased) {
         time_point& until = m_roles[role];
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -30,6 +30,8 @@
     duration heartbeatInterval = std::chrono::milliseconds(500);
     /** A VM is dead to the leader after this silence. */
     duration deadAfter = std::chrono::seconds(2);
+    /** A VM is out of touch when the leader answered no heartbeat that it sent within this time. */
+    duration touchLasts = std::chrono::milliseconds(1500);
     duration proposalTimeout = std::chrono::seconds(2);
     /** A VM gets a lease for its roles only if it has applied all that the leader had applied this long ago. */
     duration appliedLag = std::chrono::milliseconds(400);
@@ -111,6 +113,8 @@
     std::uint64_t m_sequence = 0;
     std::deque<sent_heartbeat> m_sent;
     std::map<allocator_role, time_point> m_roles;
+    /** When the last heartbeat that was answered was sent. */
+    std::optional<time_point> m_answeredAt;
     std::vector<vm_id> m_avoided;
 
     // As the leader.
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -108,10 +108,12 @@
     upstream_generation generation;
     /** It said goodbye, so that this generation never comes back; after silence it may. */
     bool goodbye = false;
+    /** What was last known of an upstream that fell silent; one that was heard of since then stays. */
+    std::uint64_t sequence = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.id, self.generation, self.goodbye);
+        visit(self.id, self.generation, self.goodbye, self.sequence);
     }
 };
 
--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -45,6 +45,8 @@
     std::function<std::vector<vm_report>()> reports;
     /** This VM leads and has applied all that earlier leaders could have decided. */
     std::function<bool()> leadsFully;
+    /** The leader answered a heartbeat of this VM lately, so that messages arrive both ways. */
+    std::function<bool()> inTouch;
     /** The log has this start of this VM, and so this VM has all that was accepted before. */
     std::function<bool()> joined;
     /** Adds a part to each heartbeat that this VM sends. */
--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -23,7 +23,7 @@
 
         command_verdict leave(const upstream_announcement& offered, bool goodbye)
         {
-            return applyLeave(state, {}, { offered.id, offered.generation, goodbye }).verdict;
+            return applyLeave(state, {}, { offered.id, offered.generation, goodbye, offered.sequence }).verdict;
         }
 
         bool drains(const std::string& id) { return state.directory.at(upstream_id(id)).announcement.draining; }
@@ -110,4 +110,18 @@
     REQUIRE_FALSE(saysTheSame(first, later));
 }
 
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.removal_for_silence_that_comes_after_news.changes_nothing")
+{
+    first.sequence = 4;
+    join(first);
+    const upstream_announcement silent = first;
+    first.sequence = 9;
+    first.draining = true;
+    join(first);
+    leave(silent, false);
+    REQUIRE(state.directory.contains(first.id));
+    leave(first, false);
+    REQUIRE_FALSE(state.directory.contains(first.id));
+}
+
 } // namespace plantainlatch
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -175,4 +175,28 @@
     REQUIRE(announce("c", first) == absl::StatusCode::kOk);
 }
 
+TEST_CASE_METHOD(
+    directory_fixture, "directory.renewal_at_a_vm_that_lost_the_leader.is_refused_so_that_another_is_tried")
+{
+    REQUIRE(announce("c", first) == absl::StatusCode::kOk);
+    cluster.cut("c");
+    cluster.runtime.advance(2s);
+    REQUIRE(announce("c", first) == absl::StatusCode::kUnavailable);
+    REQUIRE(announce("b", first) == absl::StatusCode::kOk);
+    cluster.heal("c");
+    cluster.runtime.advance(2s);
+    REQUIRE(announce("c", first) == absl::StatusCode::kOk);
+}
+
+TEST_CASE_METHOD(directory_fixture, "directory.upstream_that_joins_again_after_silence.is_not_taken_for_silent")
+{
+    renewFor("c", first, 3s);
+    cluster.runtime.advance(14s);
+    REQUIRE_FALSE(isKnown("u1"));
+    // It is heard of by the log alone, as the VM that it reached has no touch with the keeper yet.
+    cluster.apply(upstream_joined { first });
+    cluster.runtime.advance(5s);
+    REQUIRE(isKnown("u1"));
+}
+
 } // namespace plantainlatch
