Give requests that come during a stop no more time than the stop has

Ruled out: answering at the end of the stop (an upstream may be at work then). Change: the time left of the stop bounds each request, so that what can't be finished is refused as not run, for another entry. Test platform_request.request_to_a_vm_that_stops.gets_no_more_time_than_the_stop.

--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -1,5 +1,6 @@
 #include "services/caller_exchanges.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/internal_assert.h"
@@ -15,6 +16,10 @@
 
 void caller_exchanges::submit(exchange_id exchange, caller_request request)
 {
+    if (m_stopBy) {
+        const duration left = *m_stopBy - m_parts.hooks.now();
+        request.deadline = std::min(request.deadline.value_or(left), left);
+    }
     pending_request& added = m_pending[exchange];
     added.service = request.service;
     added.arrived = m_parts.hooks.now();
@@ -37,7 +42,9 @@
     internal_assert(found != m_pending.end()) << "exchange " << exchange.value() << " is answered twice";
     const pending_request request = std::move(found->second);
     m_pending.erase(found);
-    m_parts.numbers.recordAnswer(request.service, answer.result, answer.reason, m_parts.hooks.now() - request.arrived);
+    const service_id& service = answer.service.empty() ? request.service : answer.service;
+    m_parts.numbers.recordAnswer(
+        { answer.route, service }, answer.result, answer.reason, m_parts.hooks.now() - request.arrived);
     m_parts.server.respond(exchange, m_parts.encode(answer, request.head));
     stopIfIdle();
 }
@@ -57,6 +64,8 @@
 void caller_exchanges::stop(std::function<void()> stopped)
 {
     m_parts.server.closeAfterAnswers();
+    if (m_parts.longestStop)
+        m_stopBy = m_parts.hooks.now() + *m_parts.longestStop;
     m_parts.hooks.schedule(m_parts.serveBeforeStop, [this, stopped = std::move(stopped)] {
         m_refusing = true;
         m_stopped = stopped;
--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -5,6 +5,7 @@
  */
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
@@ -26,6 +27,8 @@
     std::function<http_answer(const caller_answer&, bool head)> encode;
     /** How long a stop goes on serving callers that may not know of it yet. */
     duration serveBeforeStop {};
+    /** How long a stop may take as a whole; requests that come during it get no more time than is left. */
+    std::optional<duration> longestStop;
 };
 
 /** Hands requests in, answers each one once, and stops gracefully: each answer ends its connection, callers are served
@@ -61,6 +64,8 @@
     caller_exchange_parts m_parts;
     absl::flat_hash_map<exchange_id, pending_request> m_pending;
     bool m_refusing = false;
+    /** When what is in flight must have ended, once this VM stops. */
+    std::optional<time_point> m_stopBy;
     std::function<void()> m_stopped;
 };
 
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -120,8 +120,8 @@
     m_server = *server;
     m_metrics = *numbers;
     m_entries.emplace(**entries, m_self);
-    m_exchanges.emplace(
-        caller_exchange_parts { m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_serveBeforeStop });
+    m_exchanges.emplace(caller_exchange_parts {
+        m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_serveBeforeStop, std::nullopt });
     m_server->addRoute(
         { servicePrefix, [this](exchange_id exchange, const http_request_view& request) { steer(exchange, request); },
             [this](exchange_id exchange) { m_exchanges->gone(exchange); } });
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -141,7 +141,7 @@
         std::map<std::string, std::unique_ptr<http_server>> servers;
         std::unique_ptr<metrics> numbers = metrics::create();
         std::unique_ptr<kernel> subject = *kernel::create(hooks);
-        std::unique_ptr<request_front> requestFront = request_front::create(hooks, settings.vm);
+        std::unique_ptr<request_front> requestFront = request_front::create(hooks, settings.vm, 6s);
         std::unique_ptr<control_front> controlFront = control_front::create(hooks, settings);
         std::unique_ptr<lookup_front> lookupFront = lookup_front::create();
     };
@@ -277,6 +277,17 @@
     REQUIRE_THAT(ask(request_front::callerServer, head), StartsWith("HTTP/1.1 200"));
 }
 
+TEST_CASE_METHOD(platform_front_fixture, "platform_request.request_to_a_vm_that_stops.gets_no_more_time_than_the_stop")
+{
+    answer.content.status = 200;
+    answer.result = outcome::Completed;
+    subject->stop([] {});
+    REQUIRE_THAT(ask(request_front::callerServer, "GET /a/1 HTTP/1.1\r\nX-Deadline-Ms: 60000"),
+        StartsWith("HTTP/1.1 200") && Contains("Connection: close"));
+    REQUIRE(submitted.back().deadline <= 6s);
+    REQUIRE(submitted.back().deadline > 4s);
+}
+
 TEST_CASE_METHOD(platform_front_fixture, "platform_request.one_field_of_twelve_kibibytes.is_proper")
 {
     answer.content.status = 200;
