Expose routes, events, lost lines and the numbers of the state dump as metrics

Change: answers carry their route and service; log_statistics counts each event by kind and end before the limit on lines; exposed_state turns the kernel's state dump into samples, so that a number that a service shows is a metric without more code. Ruled out: counters written by hand in each decision service (a second list of the same numbers to keep true). Seen: log_statistics.events..., exposed_state.numbers..., metrics.answers_of_routes...; the processor time of counting was not measured.

--- a/src/decision/placement/cold_gate.cpp
+++ b/src/decision/placement/cold_gate.cpp
@@ -31,6 +31,12 @@
     return whole / entries.size() + (before < remainder ? 1 : 0);
 }
 
+std::size_t cold_gate::passed(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_passed.begin(), m_passed.end(), [now](time_point at) { return now < at + gateWindow; }));
+}
+
 bool cold_gate::pass(std::size_t most, time_point now)
 {
     while (!m_passed.empty() && m_passed.front() + gateWindow <= now)
--- a/src/decision/placement/cold_gate.h
+++ b/src/decision/placement/cold_gate.h
@@ -30,6 +30,8 @@
 public:
     /** Takes one passage; false when `most` went through within the last window. */
     bool pass(std::size_t most, time_point now);
+    /** How many went through within the last window. */
+    std::size_t passed(time_point now) const;
 
 private:
     std::deque<time_point> m_passed;
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -337,6 +337,11 @@
     state_dump& upstreams = shown.addObject("own_requests");
     for (const auto& [id, standing] : m_standings)
         upstreams.add(id.value(), static_cast<std::uint64_t>(standing.ownRequests()));
+    state_dump& cold = shown.addObject("sent_to_cold");
+    for (const auto& [id, standing] : m_standings) {
+        if (standing.isCold(m_hooks.now()))
+            cold.add(id.value(), static_cast<std::uint64_t>(standing.gate().passed(m_hooks.now())));
+    }
     return shown;
 }
 
--- a/src/decision/placement/upstream_standing.h
+++ b/src/decision/placement/upstream_standing.h
@@ -23,6 +23,7 @@
     void setColdUntil(time_point until) { m_coldUntil = until; }
     bool isCold(time_point now) const { return now < m_coldUntil; }
     cold_gate& gate() { return m_gate; }
+    const cold_gate& gate() const { return m_gate; }
 
     /** A request was sent. */
     void begin() { ++m_own; }
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -233,6 +233,8 @@
     m_running.erase(position);
     m_bodyBytes -= request.content.body.size();
     if (deliver) {
+        answer.route = request.terms.route;
+        answer.service = request.content.service;
         m_hooks.log(requestAnswered(request, answer, m_hooks.now() - request.arrivedAt));
         countAnswer(answer);
         deliver(std::move(answer));
@@ -310,6 +312,12 @@
     root.add("hedges", m_statistics.hedges);
     root.add("late_dispatches", m_statistics.lateDispatches);
     root.add("owed_settlements", static_cast<std::uint64_t>(m_claims->owedSettlements()));
+    if (m_retryWindow) {
+        state_dump& left = root.addObject("retries_left");
+        for (const auto& [service, definition] : m_control->state().config.services)
+            left.add(
+                service.value(), m_retryWindow->left(service, m_hooks.now(), knownEntries(m_control->state()).size()));
+    }
     root.add("late_claims", static_cast<std::uint64_t>(m_claims->lateClaims()));
     return root;
 }
--- a/src/decision/request/retry_window.cpp
+++ b/src/decision/request/retry_window.cpp
@@ -32,17 +32,27 @@
 bool retry_window::spend(const service_id& service, time_point now, std::size_t sharers)
 {
     counts& latest = current(service, now);
+    if (left(service, now, sharers) < 1)
+        return false;
+    ++latest.retries;
+    return true;
+}
+
+double retry_window::left(const service_id& service, time_point now, std::size_t sharers) const
+{
+    const double slack = m_options.slack / static_cast<double>(std::max<std::size_t>(1, sharers));
+    const auto found = m_slices.find(service);
+    if (found == m_slices.end())
+        return slack;
     double requests = 0;
     double retries = 0;
-    for (const counts& slice : m_slices[service]) {
+    for (const counts& slice : found->second) {
+        if (slice.begin + m_options.window / slicesPerWindow + m_options.window <= now)
+            continue;
         requests += static_cast<double>(slice.requests);
         retries += static_cast<double>(slice.retries);
     }
-    if (retries + 1
-        > requests * m_options.share + m_options.slack / static_cast<double>(std::max<std::size_t>(1, sharers)))
-        return false;
-    ++latest.retries;
-    return true;
+    return requests * m_options.share + slack - retries;
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/retry_window.h
+++ b/src/decision/request/retry_window.h
@@ -32,6 +32,8 @@
     void earn(const service_id& service, time_point now);
     /** Takes one retry; false when the window holds as many as it may. `sharers` VMs have equal parts of the slack. */
     bool spend(const service_id& service, time_point now, std::size_t sharers);
+    /** How many retries this VM may still spend now. */
+    double left(const service_id& service, time_point now, std::size_t sharers) const;
 
 private:
     struct counts {
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -113,6 +113,9 @@
     upstream_answer content;
     /** When to try again, if that is worth it. */
     std::optional<duration> retryAfter;
+    /** What selected the upstream's service, and the service; empty where the request was refused before. */
+    route_id route;
+    service_id service;
 };
 
 } // namespace plantainlatch
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -105,6 +105,8 @@
     std::vector<waiting_write> waiting;
     timer_id flushTimer;
     std::uint64_t syncs = 0;
+    duration syncTime {};
+    duration slowestSync {};
     std::uint64_t writes = 0;
     std::uint64_t bytesWritten = 0;
     /** What a new state file begins with. */
@@ -272,9 +274,13 @@
     {
         if (!failure.ok() || !stateFile)
             return failure.ok() ? absl::FailedPreconditionError("the storage was not loaded") : failure;
+        const time_point began = hooks.now();
         absl::Status status = files.append(*stateFile, bytes);
         if (status.ok())
             status = files.sync(*stateFile);
+        const duration took = hooks.now() - began;
+        syncTime += took;
+        slowestSync = std::max(slowestSync, took);
         ++syncs;
         bytesWritten += bytes.size();
         return status.ok() ? status : fail(status);
@@ -357,6 +363,8 @@
         root.add("generation", generation);
         root.add("writes", writes);
         root.add("syncs", syncs);
+        root.add("sync_time", syncTime);
+        root.add("slowest_sync", slowestSync);
         root.add("bytes_written", bytesWritten);
         root.add("failure", std::string(failure.message()));
         return root;
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -1,6 +1,7 @@
 #include "services/json_log.h"
 
 #include <memory>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
@@ -54,23 +55,29 @@
 
 } // namespace
 
-std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel, log_stream to)
+std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel, log_stream to,
+    std::shared_ptr<log_statistics> statistics)
 {
     const int descriptor = to == log_stream::Output ? STDOUT_FILENO : STDERR_FILENO;
-    auto logger = std::make_shared<spdlog::logger>("json", std::make_shared<bounded_sink>(descriptor, bufferBytes));
+    auto sink = std::make_shared<bounded_sink>(descriptor, bufferBytes);
+    auto logger = std::make_shared<spdlog::logger>("json", sink);
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","vm":)" + quoted(vmName) + ",%v}");
     logger->set_level(spdlog::level::from_str(lowestLevel));
     auto limiter = std::make_shared<line_limiter>(linesPerInterval, limitInterval);
-    return [logger, limiter](const log_event& event) {
+    return [logger, sink, limiter, statistics = std::move(statistics)](const log_event& event) {
+        statistics->note(event);
         if (!logger->should_log(toSpdlog(event.level)))
             return;
         const line_limiter::verdict verdict = limiter->check(event.service + event.what, steadyNow());
-        if (!verdict.passes)
+        if (!verdict.passes) {
+            statistics->noteLeftOut();
             return;
+        }
         std::string fields = fieldsAsJson(event);
         if (verdict.leftOut > 0)
             fields += ",\"left_out_before\":" + std::to_string(verdict.leftOut);
         logger->log(toSpdlog(event.level), fields);
+        statistics->setLost(sink->lostLines());
     };
 }
 
--- a/src/services/json_log.h
+++ b/src/services/json_log.h
@@ -5,9 +5,11 @@
  */
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "kernel/hooks.h"
+#include "services/log_statistics.h"
 
 namespace plantainlatch {
 
@@ -15,8 +17,9 @@
 enum class log_stream { Output, Error };
 
 /** A log hook that writes lines of at least this level (`debug`, `info`, `warning`, `error`), each with the VM's name.
- */
-std::function<void(const log_event&)> jsonLog(
-    const std::string& vmName, const std::string& lowestLevel, log_stream to = log_stream::Output);
+ * All events are counted in `statistics`. */
+std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel,
+    log_stream to = log_stream::Output,
+    std::shared_ptr<log_statistics> statistics = std::make_shared<log_statistics>());
 
 } // namespace plantainlatch
--- a/src/services/metrics.cpp
+++ b/src/services/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <vector>
 
 #include <boost/histogram.hpp>
@@ -17,8 +18,9 @@
     using latency_axis = histogram::axis::variable<double, histogram::use_default, histogram::axis::option::overflow_t>;
     using latency_histogram = histogram::histogram<std::tuple<latency_axis>>;
 
-    constexpr std::size_t largestServices = 256;
-    constexpr const char* otherServices = "other";
+    /** Names of routes and services. */
+    constexpr std::size_t largestNames = 512;
+    constexpr const char* otherNames = "other";
 
     /** Where the buckets of latencies end, in seconds; the first begins at 0. */
     constexpr std::array<double, 16> bucketEnds { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
@@ -40,6 +42,7 @@
 
     /** Which answers are counted together. */
     struct series_key {
+        std::string route;
         std::string service;
         outcome result = outcome::NotRun;
         answer_reason reason = answer_reason::Upstream;
@@ -47,12 +50,6 @@
         friend auto operator<=>(const series_key&, const series_key&) = default;
     };
 
-    struct gauge {
-        std::string name;
-        std::string help;
-        std::function<double()> read;
-    };
-
     void addHeader(std::string& text, const std::string& name, const std::string& help, const std::string& type)
     {
         absl::StrAppend(&text, "# HELP ", name, " ", help, "\n# TYPE ", name, " ", type, "\n");
@@ -64,11 +61,37 @@
         absl::StrAppend(&text, name, " ", value, "\n");
     }
 
+    std::string escaped(const std::string& value)
+    {
+        std::string text;
+        for (const char letter : value) {
+            if (letter == '"' || letter == '\\')
+                text += '\\';
+            text += letter == '\n' ? ' ' : letter;
+        }
+        return text;
+    }
+
+    void addSamples(std::string& text, const metric_family& family)
+    {
+        addHeader(text, family.name, family.help, family.type);
+        for (const metric_sample& sample : family.read()) {
+            std::string labels;
+            for (const auto& [name, value] : sample.labels)
+                absl::StrAppend(&labels, labels.empty() ? "" : ",", name, "=\"", escaped(value), "\"");
+            absl::StrAppend(&text, family.name);
+            if (!labels.empty())
+                absl::StrAppend(&text, "{", labels, "}");
+            absl::StrAppend(&text, " ", sample.value, "\n");
+        }
+    }
+
     void addSeries(std::string& text, const series_key& key, const answer_series& series)
     {
         static const std::string name = "plantainlatch_answer_seconds";
-        const std::string labels = absl::StrCat("service=\"", key.service, "\",outcome=\"",
-            std::string(outcomeName(key.result)), "\",reason=\"", std::string(answerReasonName(key.reason)), "\"");
+        const std::string labels = absl::StrCat(key.route.empty() ? "" : absl::StrCat("route=\"", key.route, "\","),
+            "service=\"", key.service, "\",outcome=\"", std::string(outcomeName(key.result)), "\",reason=\"",
+            std::string(answerReasonName(key.reason)), "\"");
         std::uint64_t below = 0;
         for (std::size_t i = 0; i < bucketEnds.size(); ++i) {
             below += static_cast<std::uint64_t>(series.latencies.at(static_cast<int>(i)));
@@ -83,18 +106,18 @@
 
 struct metrics::implementation {
     std::map<series_key, answer_series> answers;
-    std::map<std::string, std::uint64_t> services;
-    std::vector<gauge> gauges;
+    std::set<std::string> names;
+    std::vector<metric_family> families;
     std::uint64_t lookups = 0;
     std::uint64_t hangUps = 0;
 
     const std::string& boundedName(const std::string& name)
     {
-        static const std::string other = otherServices;
-        const auto found = services.find(name);
-        if (found != services.end())
-            return found->first;
-        return services.size() < largestServices ? services.emplace(name, 0).first->first : other;
+        static const std::string other = otherNames;
+        const auto found = names.find(name);
+        if (found != names.end())
+            return *found;
+        return names.size() < largestNames ? *names.insert(name).first : other;
     }
 };
 
@@ -118,11 +141,12 @@
     return item;
 }
 
-void metrics::recordAnswer(const service_id& target, outcome result, answer_reason reason, duration latency)
+void metrics::recordAnswer(const answer_source& source, outcome result, answer_reason reason, duration latency)
 {
-    const bool known = reason != answer_reason::UnknownService;
-    const std::string& name = known ? m_parts->boundedName(target.value()) : m_parts->boundedName(otherServices);
-    answer_series& series = m_parts->answers[{ name, result, reason }];
+    const bool known = reason != answer_reason::UnknownService && reason != answer_reason::UnknownRoute;
+    const std::string& route = m_parts->boundedName(source.route.value());
+    const std::string& name = m_parts->boundedName(known ? source.service.value() : otherNames);
+    answer_series& series = m_parts->answers[{ route, name, result, reason }];
     const double seconds = std::chrono::duration<double>(latency).count();
     series.latencies(seconds);
     series.secondsTotal += seconds;
@@ -135,18 +159,20 @@
 
 void metrics::addGauge(std::string name, std::string help, std::function<double()> read)
 {
-    m_parts->gauges.push_back({ std::move(name), std::move(help), std::move(read) });
+    addFamily({ std::move(name), std::move(help), "gauge", [read = std::move(read)]() -> std::vector<metric_sample> {
+                   return { { {}, read() } };
+               } });
 }
 
+void metrics::addFamily(metric_family family) { m_parts->families.push_back(std::move(family)); }
+
 std::string metrics::exposition() const
 {
     std::string text;
     addSample(text, "plantainlatch_lookups_total", "Answered look-ups of entries.", m_parts->lookups);
     addSample(text, "plantainlatch_hang_ups_total", "Callers that left before their answer.", m_parts->hangUps);
-    for (const gauge& item : m_parts->gauges) {
-        addHeader(text, item.name, item.help, "gauge");
-        absl::StrAppend(&text, item.name, " ", item.read(), "\n");
-    }
+    for (const metric_family& family : m_parts->families)
+        addSamples(text, family);
     addHeader(text, "plantainlatch_answer_seconds", "Time from a whole request to its answer.", "histogram");
     for (const auto& [key, series] : m_parts->answers)
         addSeries(text, key, series);
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -6,6 +6,7 @@
 #include "kernel/keep_created.h"
 #include "ports/membership_port.h"
 #include "ports/port_names.h"
+#include "services/exposed_state.h"
 #include "services/json_log.h"
 
 namespace plantainlatch {
@@ -13,7 +14,8 @@
 serve_vm::serve_vm(event_loop& loop, const vm_settings& settings)
     : m_loop(loop)
     , m_settings(settings)
-    , m_hooks(loop.hooks(jsonLog(settings.self.id.value(), settings.logLevel)))
+    , m_logged(std::make_shared<log_statistics>())
+    , m_hooks(loop.hooks(jsonLog(settings.self.id.value(), settings.logLevel, log_stream::Output, m_logged)))
 {
 }
 
@@ -45,6 +47,8 @@
         return status;
     m_upstreams = upstream_client::create(m_loop.base(), m_hooks);
     m_metrics = metrics::create();
+    exposeState(
+        *m_metrics, [this] { return m_kernel->dump(); }, m_logged);
     m_announcements = announcement_front::create();
     m_operators = operator_front::create([this] { return m_kernel->dump(); });
     m_callers = caller_front::create(m_hooks, m_settings);
--- a/src/services/serve_vm.h
+++ b/src/services/serve_vm.h
@@ -16,6 +16,7 @@
 #include "services/caller_front.h"
 #include "services/file_storage.h"
 #include "services/http_server.h"
+#include "services/log_statistics.h"
 #include "services/metrics.h"
 #include "services/operator_front.h"
 #include "services/peer_transport.h"
@@ -47,6 +48,7 @@
 
     event_loop& m_loop;
     vm_settings m_settings;
+    std::shared_ptr<log_statistics> m_logged;
     kernel_hooks m_hooks;
     // The kernel is destroyed before the services that its hooks refer to.
     std::unique_ptr<file_storage> m_storage;
--- a/test/error/log_test.cpp
+++ b/test/error/log_test.cpp
@@ -6,6 +6,7 @@
 
 #include "codec/log_json.h"
 #include "services/bounded_sink.h"
+#include "services/exposed_state.h"
 #include "services/line_limiter.h"
 
 namespace plantainlatch {
@@ -98,4 +99,51 @@
     REQUIRE_FALSE(parseLogLine("{\"other\":1}"));
 }
 
+TEST_CASE("log_statistics.events.are_counted_by_service_kind_and_end")
+{
+    log_statistics subject;
+    subject.note({ log_level::Info, "requests", "attempt-ended", { { "end", "lost" }, { "failure", "timeout" } } });
+    subject.note({ log_level::Info, "requests", "attempt-ended", { { "failure", "timeout" } } });
+    subject.note({ log_level::Debug, "requests", "attempt-ended", { { "end", "answered" } } });
+    REQUIRE(subject.events().at({ "requests", "attempt-ended", "timeout" }) == 2);
+    REQUIRE(subject.events().at({ "requests", "attempt-ended", "answered" }) == 1);
+}
+
+TEST_CASE("exposed_state.numbers_and_flags.become_samples_and_events_counters")
+{
+    state_dump root;
+    state_dump& service = root.addObject("slots");
+    service.add("placed", 7);
+    service.add("leading", true);
+    service.add("why", "text");
+    service.addObject("own_requests").add("u1", 3);
+    const auto logged = std::make_shared<log_statistics>();
+    logged->note({ log_level::Info, "requests", "caller-left", {} });
+    logged->noteLeftOut();
+    logged->setLost(4);
+    const std::unique_ptr<metrics> numbers = metrics::create();
+    exposeState(
+        *numbers, [&root] { return root; }, logged);
+    const std::string text = numbers->exposition();
+    for (const char* line : { "plantainlatch_state{service=\"slots\",item=\"placed\"} 7\n",
+             "plantainlatch_state{service=\"slots\",item=\"leading\"} 1\n",
+             "plantainlatch_state{service=\"slots\",item=\"own_requests.u1\"} 3\n",
+             "plantainlatch_events_total{service=\"requests\",event=\"caller-left\",detail=\"\"} 1\n",
+             "plantainlatch_log_lines_missing_total{why=\"limit\"} 1\n",
+             "plantainlatch_log_lines_missing_total{why=\"reader\"} 4\n" }) {
+        CAPTURE(line);
+        REQUIRE_THAT(text, Catch::Contains(line));
+    }
+    REQUIRE_THAT(text, !Catch::Contains("item=\"why\""));
+}
+
+TEST_CASE("metrics.answers_of_routes.are_told_apart")
+{
+    const std::unique_ptr<metrics> numbers = metrics::create();
+    numbers->recordAnswer(
+        { route_id("r1"), service_id("booking") }, outcome::Completed, answer_reason::Upstream, 300ms);
+    REQUIRE_THAT(numbers->exposition(),
+        Catch::Contains("plantainlatch_answer_seconds_count{route=\"r1\",service=\"booking\",outcome=\"completed\""));
+}
+
 } // namespace plantainlatch
