--- a/test/integration/test_system.cpp
+++ b/test/integration/test_system.cpp
@@ -226,7 +226,17 @@
 int test_system::stopVm(int vm)
 {
     m_vms.at(vm)->terminate();
-    return m_vms.at(vm)->waitForExit(stopLimit).value_or(-1);
+    return waitForExit(vm);
+}
+
+int test_system::waitForExit(int vm) { return m_vms.at(vm)->waitForExit(stopLimit).value_or(-1); }
+
+void test_system::signalVm(int vm, int number) { m_vms.at(vm)->signal(number); }
+
+std::uint64_t test_system::inForce(int vm)
+{
+    const nlohmann::json json = status(vm);
+    return json.is_null() ? 0 : json.value("in_force_here", std::uint64_t(0));
 }
 
 void test_system::killVm(int vm) { m_vms.at(vm)->kill(); }
--- a/test/integration/test_system.h
+++ b/test/integration/test_system.h
@@ -50,6 +50,11 @@
     /** SIGTERM; the result is the exit code, or -1 if it did not end in time. */
     int stopVm(int vm);
     void killVm(int vm);
+    void signalVm(int vm, int number);
+    /** The exit code of a VM that was told to stop, or -1 if it did not end in time. */
+    int waitForExit(int vm);
+    /** The number that is in force at a VM; 0 without an answer. */
+    std::uint64_t inForce(int vm);
     /** Waits until the VM names a leader and has the number in force. */
     void waitUntilCurrent(int vm, std::uint64_t number);
     /** The leader as the VM knows it; 0 for none. */
--- /dev/null
+++ b/test/soak/soak_run.cpp
@@ -0,0 +1,221 @@
+#include "soak/soak_run.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include "absl/strings/str_cat.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr double loadRate = 40;
+    constexpr const char* loadMix = "60,30,10";
+    constexpr duration step = std::chrono::milliseconds(100);
+    constexpr duration applyLimit = std::chrono::seconds(1);
+    /** What the load goes on for after the last fault. */
+    constexpr duration healedLoad = std::chrono::seconds(2);
+    constexpr const char* noFaults = "{}";
+    constexpr const char* stopUp = R"({"stop_up":true})";
+    constexpr const char* stopBoth = R"({"stop_up":true,"stop_down":true})";
+
+    std::string delayOf(duration span)
+    {
+        return absl::StrCat(
+            R"({"delay_ms":)", std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), "}");
+    }
+
+} // namespace
+
+soak_run::soak_run(std::uint64_t seed, soak_size size)
+    : m_size(size)
+    , m_schedule(drawSchedule(seed, size))
+    , m_system({ size.vms, true })
+{
+}
+
+void soak_run::note(const std::string& what)
+{
+    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_began).count();
+    absl::StrAppend(&m_journal, at, " ms: ", what, "\n");
+}
+
+void soak_run::violate(const std::string& what)
+{
+    note(absl::StrCat("BROKEN: ", what));
+    m_broken.push_back(what);
+}
+
+void soak_run::play()
+{
+    m_system.start();
+    m_system.startUpstreams(m_size.upstreams, false);
+    load_run load = m_system.startLoad(loadRate, m_size.length + healedLoad, loadMix);
+    m_began = steadyNow();
+    std::vector<soak_event> active;
+    auto next = m_schedule.begin();
+    while (steadyNow() < m_began + m_size.length) {
+        const duration now = steadyNow() - m_began;
+        std::erase_if(active, [&](const soak_event& event) {
+            const bool over = now >= event.at + event.lasts;
+            if (over)
+                end(event);
+            return over;
+        });
+        for (; next != m_schedule.end() && next->at <= now; ++next) {
+            begin(*next);
+            active.push_back(*next);
+        }
+        checkNumbers();
+        pause(step);
+    }
+    for (const soak_event& event : active)
+        end(event);
+    heal();
+    const nlohmann::json report = m_system.finishLoad(load);
+    note(report.dump());
+    if (report["foreign_answers"] != 0)
+        violate("an answer of another request reached a caller");
+    checkHealed();
+}
+
+void soak_run::setPeerFaults(int vm, const std::string& outwards, const std::string& inwards)
+{
+    m_system.setFaults(absl::StrCat("peer-", vm, "-*"), outwards);
+    for (int other = 1; other <= m_size.vms; ++other) {
+        if (other != vm)
+            m_system.setFaults(absl::StrCat("peer-", other, "-", vm), inwards);
+    }
+}
+
+void soak_run::begin(const soak_event& event)
+{
+    note(absl::StrCat(nameOf(event.fault), " e", event.vm, " upstream ", event.upstream));
+    switch (event.fault) {
+    case soak_fault::Kill:
+        m_away.insert(event.vm);
+        m_system.killVm(event.vm);
+        return;
+    case soak_fault::Stop:
+        m_away.insert(event.vm);
+        m_system.signalVm(event.vm, SIGTERM);
+        return;
+    case soak_fault::Pause:
+        m_away.insert(event.vm);
+        m_system.signalVm(event.vm, SIGSTOP);
+        return;
+    case soak_fault::DelayPeers:
+        setPeerFaults(event.vm, delayOf(event.delay), delayOf(event.delay));
+        return;
+    case soak_fault::CutOneWay:
+        setPeerFaults(event.vm, stopUp, noFaults);
+        return;
+    case soak_fault::CutPeers:
+        setPeerFaults(event.vm, stopBoth, stopBoth);
+        return;
+    case soak_fault::SilenceUpstreams:
+        m_system.commandProxy("upstream-*", "silence-open");
+        return;
+    case soak_fault::RefuseUpstream:
+        m_system.setFaults(absl::StrCat("upstream-", event.upstream), R"({"refuse":true})");
+        return;
+    case soak_fault::TruncateUpstream:
+        m_system.setFaults(absl::StrCat("upstream-", event.upstream), R"({"truncate_after":40})");
+        return;
+    case soak_fault::Change:
+        change(event);
+        return;
+    }
+}
+
+void soak_run::end(const soak_event& event)
+{
+    note(absl::StrCat("end of ", nameOf(event.fault), " e", event.vm, " upstream ", event.upstream));
+    switch (event.fault) {
+    case soak_fault::Kill:
+        m_inForce.erase(event.vm);
+        m_system.startVm(event.vm);
+        m_away.erase(event.vm);
+        return;
+    case soak_fault::Stop:
+        if (m_system.waitForExit(event.vm) != 0)
+            violate(absl::StrCat("e", event.vm, " did not end its stop well"));
+        m_inForce.erase(event.vm);
+        m_system.startVm(event.vm);
+        m_away.erase(event.vm);
+        return;
+    case soak_fault::Pause:
+        m_system.signalVm(event.vm, SIGCONT);
+        m_away.erase(event.vm);
+        return;
+    case soak_fault::DelayPeers:
+    case soak_fault::CutOneWay:
+    case soak_fault::CutPeers:
+        setPeerFaults(event.vm, noFaults, noFaults);
+        return;
+    case soak_fault::RefuseUpstream:
+    case soak_fault::TruncateUpstream:
+        m_system.setFaults(absl::StrCat("upstream-", event.upstream), noFaults);
+        return;
+    case soak_fault::SilenceUpstreams:
+    case soak_fault::Change:
+        return;
+    }
+}
+
+void soak_run::change(const soak_event& event)
+{
+    if (m_away.contains(event.vm))
+        return;
+    const std::uint64_t number = m_lastNumber + 1;
+    const std::string text = test_system::harmlessDeclaration(
+        static_cast<int>(number), static_cast<int>(m_lastNumber), absl::StrCat("change-", number));
+    if (m_system.apply(event.vm, text, applyLimit) != 0) {
+        note("not acknowledged");
+        // It may be in force all the same; the next change builds on whatever is.
+        for (int vm = 1; vm <= m_size.vms; ++vm) {
+            if (!m_away.contains(vm))
+                m_lastNumber = std::max(m_lastNumber, m_system.inForce(vm));
+        }
+        return;
+    }
+    m_lastNumber = number;
+    m_acknowledged = number;
+    note(absl::StrCat("acknowledged ", number));
+}
+
+void soak_run::checkNumbers()
+{
+    for (int vm = 1; vm <= m_size.vms; ++vm) {
+        if (m_away.contains(vm))
+            continue;
+        const std::uint64_t number = m_system.inForce(vm);
+        std::uint64_t& highest = m_inForce[vm];
+        // A VM without an answer, or that has just started, shows 0.
+        if (number != 0 && number < highest)
+            violate(absl::StrCat("e", vm, " went back from ", highest, " to ", number));
+        highest = std::max(highest, number);
+    }
+}
+
+void soak_run::heal()
+{
+    m_system.setFaults("peer-*", noFaults);
+    m_system.setFaults("upstream-*", noFaults);
+    note("healed");
+}
+
+void soak_run::checkHealed()
+{
+    for (int vm = 1; vm <= m_size.vms; ++vm)
+        m_system.waitUntilCurrent(vm, m_acknowledged);
+    m_system.waitUntilServed();
+    load_run load = m_system.startLoad(loadRate, healedLoad, "100,0,0");
+    const nlohmann::json report = m_system.finishLoad(load);
+    if (report["served"] != report["sent"])
+        violate(absl::StrCat("not all is served after the faults: ", report.dump()));
+    if (const std::size_t twice = m_system.runTwice(); twice != 0)
+        violate(absl::StrCat(twice, " requests ran twice"));
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/test/soak/soak_schedule.cpp
@@ -0,0 +1,89 @@
+#include "soak/soak_schedule.h"
+
+#include <algorithm>
+#include <random>
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    constexpr int faultCount = static_cast<int>(soak_fault::Change) + 1;
+    constexpr duration longestPause = std::chrono::milliseconds(1500);
+    constexpr duration shortestFault = std::chrono::milliseconds(200);
+    constexpr duration longestFault = std::chrono::seconds(4);
+    constexpr duration longestDelay = std::chrono::milliseconds(400);
+
+    class draw {
+    public:
+        explicit draw(std::uint64_t seed)
+            : m_source(seed)
+        {
+        }
+        int below(int count) { return static_cast<int>(m_source() % static_cast<std::uint64_t>(count)); }
+        duration upTo(duration most) { return duration(m_source() % static_cast<std::uint64_t>(most.count())); }
+
+    private:
+        std::mt19937_64 m_source;
+    };
+
+    bool strikesProcess(soak_fault fault)
+    {
+        return fault == soak_fault::Kill || fault == soak_fault::Stop || fault == soak_fault::Pause;
+    }
+
+} // namespace
+
+std::vector<soak_event> drawSchedule(std::uint64_t seed, const soak_size& size)
+{
+    draw from(seed);
+    std::vector<soak_event> events;
+    duration processFree {};
+    for (duration at = from.upTo(longestPause); at < size.length; at += from.upTo(longestPause)) {
+        soak_event event;
+        event.fault = static_cast<soak_fault>(from.below(faultCount));
+        event.at = at;
+        event.lasts = shortestFault + from.upTo(longestFault);
+        event.vm = 1 + from.below(size.vms);
+        event.upstream = 1 + from.below(size.upstreams);
+        event.delay = from.upTo(longestDelay);
+        if (strikesProcess(event.fault)) {
+            if (at < processFree)
+                continue;
+            processFree = at + event.lasts;
+        }
+        events.push_back(event);
+    }
+    return events;
+}
+
+std::string nameOf(soak_fault fault)
+{
+    switch (fault) {
+    case soak_fault::Kill:
+        return "kill";
+    case soak_fault::Stop:
+        return "stop";
+    case soak_fault::Pause:
+        return "pause";
+    case soak_fault::DelayPeers:
+        return "delay peers";
+    case soak_fault::CutOneWay:
+        return "cut one way";
+    case soak_fault::CutPeers:
+        return "cut peers";
+    case soak_fault::SilenceUpstreams:
+        return "silence upstreams";
+    case soak_fault::RefuseUpstream:
+        return "refuse upstream";
+    case soak_fault::TruncateUpstream:
+        return "truncate upstream";
+    case soak_fault::Change:
+        return "change";
+    }
+    internal_assert(false) << "soak fault " << static_cast<int>(fault);
+    return "";
+}
+
+} // namespace plantainlatch
