--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -9,10 +9,10 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
-#include <netinet/tcp.h>
 
 #include "absl/strings/str_cat.h"
 #include "codec/frame_codec.h"
+#include "runtime/sockets.h"
 
 namespace plantainlatch {
 
@@ -21,21 +21,6 @@
     constexpr std::size_t readChunkBytes = 64 * 1024;
     constexpr int listenBacklog = 512;
 
-    sockaddr_in toSocketAddress(const network_address& address)
-    {
-        sockaddr_in result {};
-        result.sin_family = AF_INET;
-        result.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
-        return result;
-    }
-
-    void sendWithoutDelay(evutil_socket_t socket)
-    {
-        const int on = 1;
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    }
-
 } // namespace
 
 struct frame_stream::implementation : std::enable_shared_from_this<frame_stream::implementation> {
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -7,12 +7,12 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/uio.h>
 
 #include "core/internal_assert.h"
+#include "runtime/sockets.h"
 #include "services/lingering_close.h"
 
 namespace plantainlatch {
@@ -29,12 +29,6 @@
         return { whole.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - whole).count() };
     }
 
-    void sendWithoutDelay(int socket)
-    {
-        const int on = 1;
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    }
-
     /** Sends the parts at once where nothing waits before them, which spares the loop a round; what the socket does not
      * take waits in the output buffer. */
     void sendOrKeep(bufferevent* channel, std::array<std::string_view, 3> parts)
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
+#include "runtime/sockets.h"
 #include "services/http_connection.h"
 #include "services/lingering_close.h"
 
@@ -26,15 +27,6 @@
     /** How long nothing is accepted after the operating system had no descriptor to give. */
     constexpr duration acceptPause = std::chrono::milliseconds(100);
 
-    sockaddr_in toSocketAddress(const network_address& address)
-    {
-        sockaddr_in result {};
-        result.sin_family = AF_INET;
-        result.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
-        return result;
-    }
-
     std::uint16_t portOf(evconnlistener* listener)
     {
         sockaddr_in local {};
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -7,10 +7,10 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "core/internal_assert.h"
+#include "runtime/sockets.h"
 
 namespace plantainlatch {
 
@@ -24,12 +24,6 @@
         return bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle));
     }
 
-    void sendWithoutDelay(evutil_socket_t socket)
-    {
-        const int on = 1;
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    }
-
 } // namespace
 
 upstream_connections::upstream_connections(
