--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -10,6 +10,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "runtime/sockets.h"
+
 namespace plantainlatch {
 
 namespace {
@@ -19,21 +21,6 @@
     constexpr std::size_t readSize = 64 * 1024;
     constexpr duration heldCheckInterval = std::chrono::milliseconds(5);
 
-    sockaddr_in socketAddress(const network_address& address)
-    {
-        sockaddr_in result {};
-        result.sin_family = AF_INET;
-        result.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
-        return result;
-    }
-
-    void setNoDelay(bufferevent* side)
-    {
-        const int on = 1;
-        setsockopt(bufferevent_getfd(side), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    }
-
 } // namespace
 
 std::unique_ptr<proxied_connection> proxied_connection::create(event_base* base, const kernel_hooks& hooks,
@@ -79,14 +66,14 @@
             [](bufferevent* side, short what, void* argument) {
                 auto& closedBy = *static_cast<direction*>(argument);
                 if ((what & BEV_EVENT_CONNECTED) != 0)
-                    setNoDelay(side);
+                    sendWithoutDelay(bufferevent_getfd(side));
                 else
                     closedBy.owner->senderClosed(closedBy);
             },
             &item);
     }
-    setNoDelay(caller);
-    const sockaddr_in address = socketAddress(target);
+    sendWithoutDelay(bufferevent_getfd(caller));
+    const sockaddr_in address = toSocketAddress(target);
     if (bufferevent_socket_connect(callee, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
         m_hooks.schedule(duration::zero(), [this, alive = m_alive] {
             if (*alive)
