Judge a service's failures from one list of its upstreams, and drop a clear that did nothing

Found on reading the change again: toleratedFailures() built the list of upstreams twice for one mean, and http_server's destructor cleared a map that is destroyed right after, with a comment that promised more. Ruled out for now: http_server's `running` map beside `waiting` could be a field of the connection; that moves the server's numbers into http_connection and wants its own tests.

--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -172,10 +172,11 @@
     const time_point now = m_hooks.now();
     if (service.toleratedFailures > 0 && now < service.judgedAt + judgeInterval)
         return service.toleratedFailures;
+    const std::vector<const upstream_announcement*> upstreams = service.homes.all();
     double total = 0;
-    for (const upstream_announcement* upstream : service.homes.all())
+    for (const upstream_announcement* upstream : upstreams)
         total += m_standings[upstream->id].failureShare();
-    const double mean = service.homes.empty() ? 0 : total / static_cast<double>(service.homes.all().size());
+    const double mean = upstreams.empty() ? 0 : total / static_cast<double>(upstreams.size());
     service.judgedAt = now;
     service.toleratedFailures = std::max(leastAvoidedShare, mean * outlierFactor + outlierMargin);
     return service.toleratedFailures;
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -53,8 +53,6 @@
     {
         hooks.cancel(resume);
         stopListening();
-        // Whoever waits for an answer is not told any more: the services that would be may be gone.
-        waiting.clear();
     }
 
     /** A request that waits for its answer. */
