--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -84,7 +84,7 @@
 std::string encodeEntryListJson(const entry_list& list)
 {
     json entries = json::array();
-    for (const entry_choice& item : list.entries) {
+    for (const weighted_entry& item : list.entries) {
         entries.push_back({ { "vm", item.vm.id.value() }, { "address", formatAddress(item.vm.callerAddress) },
             { "region", item.vm.region.value() }, { "failure_domain", item.vm.failureDomain.value() },
             { "weight", item.weight } });
--- a/src/codec/settings_yaml.cpp
+++ b/src/codec/settings_yaml.cpp
@@ -36,7 +36,7 @@
         std::map<failure_domain_id, region_id> regionOfDomain;
     };
 
-    void checkUnique(const vm_record& record, const text_place& place, taken_names& taken, finding_list& findings)
+    void checkUnique(const vm_record& record, const text_position& place, taken_names& taken, finding_list& findings)
     {
         if (!record.id.empty() && !taken.vms.insert(record.id).second)
             findings.add(place, absl::StrCat("the VM '", record.id.value(), "' stands twice"), "it once");
--- a/src/codec/yaml_node.cpp
+++ b/src/codec/yaml_node.cpp
@@ -15,7 +15,7 @@
     /** Ends the parse at the first thing that makes the rest meaningless. */
     struct parse_stopped { };
 
-    text_place placeOf(const std::string& file, const YAML::Mark& mark)
+    text_position placeOf(const std::string& file, const YAML::Mark& mark)
     {
         return { file, mark.line + 1, mark.column + 1 };
     }
--- a/src/codec/yaml_node.h
+++ b/src/codec/yaml_node.h
@@ -19,7 +19,7 @@
     enum class kind { Null, Scalar, List, Map };
 
     kind type = kind::Null;
-    text_place place;
+    text_position place;
     /** Of a scalar. */
     std::string text;
     /** Of a list. */
@@ -31,7 +31,7 @@
 /** A key of a map with its value. */
 struct yaml_field {
     std::string key;
-    text_place place;
+    text_position place;
     yaml_node value;
 };
 
--- a/src/core/findings.cpp
+++ b/src/core/findings.cpp
@@ -33,7 +33,7 @@
     return text;
 }
 
-void finding_list::add(text_place place, std::string what, std::string expected)
+void finding_list::add(text_position place, std::string what, std::string expected)
 {
     if (m_items.size() >= largestFindingCount) {
         ++m_dropped;
--- a/src/core/findings.h
+++ b/src/core/findings.h
@@ -13,7 +13,7 @@
 namespace plantainlatch {
 
 /** A place in a text; line and column count from 1, and 0 means the whole file. */
-struct text_place {
+struct text_position {
     std::string file;
     int line = 0;
     int column = 0;
@@ -21,7 +21,7 @@
 
 /** One thing that is wrong with what a user wrote, and what was expected instead. */
 struct finding {
-    text_place place;
+    text_position place;
     std::string what;
     std::string expected;
 };
@@ -35,7 +35,7 @@
 /** All findings of one input, in the order of their places. */
 class finding_list {
 public:
-    void add(text_place place, std::string what, std::string expected);
+    void add(text_position place, std::string what, std::string expected);
     void append(const finding_list& other);
 
     bool empty() const { return m_items.empty(); }
--- a/src/decision/alerts/alert_service.cpp
+++ b/src/decision/alerts/alert_service.cpp
@@ -40,7 +40,7 @@
 {
     service item;
     item.name = port_names::alerts;
-    item.needs = { port_names::control, port_names::consensus, port_names::membership };
+    item.dependencies = { port_names::control, port_names::consensus, port_names::membership };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) {
         m_hooks.cancel(m_timer);
@@ -74,7 +74,7 @@
 std::vector<risk_condition> alert_service::findRisks()
 {
     std::vector<risk_condition> risks = findOwnRisks();
-    if (m_membership->leadsFully() && !m_membership->stopping())
+    if (m_membership->isCaughtUpLeader() && !m_membership->stopping())
         append(risks, findSystemRisks());
     return risks;
 }
--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -75,9 +75,9 @@
 {
     service item;
     item.name = port_names::consensus;
-    item.needs = { port_names::peerRouter, port_names::control };
+    item.dependencies = { port_names::peerRouter, port_names::control };
     if (m_replica.settings().self.replica)
-        item.needs.push_back(port_names::storage);
+        item.dependencies.push_back(port_names::storage);
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return dump(); };
@@ -119,8 +119,8 @@
     port.propose = [this](control_command command, duration timeout, proposal_queue::result_callback callback) {
         return m_proposals.propose(std::move(command), timeout, std::move(callback));
     };
-    port.catchUp = [this](duration timeout, std::function<void(absl::Status)> callback) {
-        m_proposals.catchUp(timeout, std::move(callback));
+    port.readBarrier = [this](duration timeout, std::function<void(absl::Status)> callback) {
+        m_proposals.readBarrier(timeout, std::move(callback));
     };
     port.state = [this] { return currentLeadership(); };
     port.onLeadership
@@ -130,7 +130,7 @@
     port.applied = [this] { return m_replica.applied(); };
     port.setSeeds = [this](std::vector<vm_id> seeds) { m_joiner.setSeeds(std::move(seeds)); };
     port.voters = [this] { return m_replica.log().voters(); };
-    port.appliedElsewhere = [this] { return m_leader.appliedElsewhere(); };
+    port.followerAppliedIndices = [this] { return m_leader.followerAppliedIndices(); };
     return port;
 }
 
--- a/src/decision/consensus/log_joiner.cpp
+++ b/src/decision/consensus/log_joiner.cpp
@@ -32,7 +32,7 @@
 bool log_joiner::decides() const
 {
     const vm_settings& settings = m_replica.settings();
-    return settings.mayFoundLog && settings.self.replica && m_replica.hasDisk() && m_replica.blank()
+    return settings.mayBootstrapLog && settings.self.replica && m_replica.hasDisk() && m_replica.blank()
         && std::all_of(m_others.begin(), m_others.end(), [this](const vm_id& vm) { return m_replica.vm() < vm; });
 }
 
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -48,7 +48,7 @@
             m_uncommitted.insert(item->id);
     }
     m_firstOfTerm = m_replica.log().lastIndex().next();
-    m_unwritten.push_back({ proposal_id {}, m_replica.hooks().wallNow(), no_command {} });
+    m_unwritten.push_back({ proposal_id {}, m_replica.hooks().wallNow(), noop_command {} });
     appendUnwritten();
     beginRound();
     for (auto& [vm, progress] : m_followers)
@@ -391,7 +391,7 @@
     }
 }
 
-std::vector<std::pair<vm_id, log_index>> log_leader::appliedElsewhere() const
+std::vector<std::pair<vm_id, log_index>> log_leader::followerAppliedIndices() const
 {
     std::vector<std::pair<vm_id, log_index>> result;
     if (!leads())
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -51,7 +51,7 @@
     /** The state here has all that earlier leaders committed. */
     bool ownsTerm() const { return m_replica.applied() >= m_firstOfTerm; }
 
-    std::vector<std::pair<vm_id, log_index>> appliedElsewhere() const;
+    std::vector<std::pair<vm_id, log_index>> followerAppliedIndices() const;
 
 private:
     bool leads() const { return m_replica.role() == replica_role::Leader; }
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -27,11 +27,11 @@
     return add(std::move(item));
 }
 
-void proposal_queue::catchUp(duration timeout, std::function<void(absl::Status)> callback)
+void proposal_queue::readBarrier(duration timeout, std::function<void(absl::Status)> callback)
 {
     // An empty command stands in the log behind everything that was accepted before it was proposed.
     pending_proposal item;
-    item.command = no_command {};
+    item.command = noop_command {};
     item.callback
         = [callback = std::move(callback)](const absl::StatusOr<command_result>& result) { callback(result.status()); };
     item.deadline = m_replica.hooks().now() + timeout;
--- a/src/decision/consensus/proposal_queue.h
+++ b/src/decision/consensus/proposal_queue.h
@@ -27,8 +27,8 @@
     /** See consensus_port::propose. */
     proposal_id propose(control_command command, duration timeout, result_callback callback);
 
-    /** See consensus_port::catchUp. */
-    void catchUp(duration timeout, std::function<void(absl::Status)> callback);
+    /** See consensus_port::readBarrier. */
+    void readBarrier(duration timeout, std::function<void(absl::Status)> callback);
 
     /** Ends what is overdue and sends again what was not answered. */
     void onTick();
--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -50,7 +50,7 @@
         for (const auto& item : content.upstreams.withdrawn)
             state.directory.erase(item.value.id);
         std::erase_if(state.directory,
-            [&](const auto& entry) { return !fitsPlaceAndService(state.config, entry.second.announcement); });
+            [&](const auto& entry) { return !isLocationDeclared(state.config, entry.second.announcement); });
     }
 
     void removeUnknownDrains(control_snapshot& state)
@@ -79,7 +79,7 @@
 
 } // namespace
 
-command_result judgeNumbers(const control_snapshot& state, const declaration& content)
+command_result checkChangeNumber(const control_snapshot& state, const declaration& content)
 {
     if (const history_record* record = findNumber(state, content.number))
         return judgeKnownNumber(*record, content);
@@ -105,7 +105,7 @@
 
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content)
 {
-    command_result judged = judgeNumbers(state, content);
+    command_result judged = checkChangeNumber(state, content);
     if (judged.verdict != command_verdict::Accepted)
         return judged;
     finding_list findings;
--- a/src/decision/control/apply_change.h
+++ b/src/decision/control/apply_change.h
@@ -21,6 +21,6 @@
 command_result applyReplacement(control_snapshot& state, const replace_configuration& command);
 
 /** Whether the declaration's numbers allow it to be accepted now: Accepted, AlreadyAccepted or Conflict. */
-command_result judgeNumbers(const control_snapshot& state, const declaration& content);
+command_result checkChangeNumber(const control_snapshot& state, const declaration& content);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_command.cpp
+++ b/src/decision/control/apply_command.cpp
@@ -19,7 +19,7 @@
         const proposal& item;
         const directory_rules& rules;
 
-        command_result operator()(const no_command&) const { return accepted(); }
+        command_result operator()(const noop_command&) const { return accepted(); }
         command_result operator()(const apply_declaration& command) const
         {
             return applyChange(state, item, command.content);
--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -62,7 +62,7 @@
             return absl::OkStatus();
         if (gone->second.generation > offered.generation)
             return absl::PermissionDeniedError("a later generation of the upstream has joined and left");
-        if (gone->second.generation == offered.generation && gone->second.goodbye)
+        if (gone->second.generation == offered.generation && gone->second.deregistered)
             return absl::PermissionDeniedError("this generation of the upstream said goodbye");
         return absl::OkStatus();
     }
@@ -106,7 +106,7 @@
             return absl::ResourceExhaustedError("the directory is full");
         const auto gone = state.departed.find(offered.id);
         if (rules.dampsFlapping && gone != state.departed.end()
-            && now < gone->second.leftAt + flapWait(gone->second.silences))
+            && now < gone->second.leftAt + flapWait(gone->second.expirations))
             return absl::UnavailableError("the upstream came and went too often and has to wait");
         return absl::OkStatus();
     }
@@ -123,12 +123,12 @@
     void rememberDeparture(control_snapshot& state, const upstream_left& command, wall_time now)
     {
         departed_record& record = state.departed[command.id];
-        if (now - record.leftAt > flapMemory)
-            record.silences = 0;
-        if (!command.goodbye)
-            ++record.silences;
+        if (now - record.leftAt > flapResetTime)
+            record.expirations = 0;
+        if (!command.deregistered)
+            ++record.expirations;
         record.generation = command.generation;
-        record.goodbye = command.goodbye;
+        record.deregistered = command.deregistered;
         record.leftAt = now;
         dropEarliestDeparted(state.departed);
         internal_assert(state.departed.size() <= maximumDeparted) << state.departed.size();
@@ -136,12 +136,12 @@
 
 } // namespace
 
-duration flapWait(std::uint32_t silences)
+duration flapWait(std::uint32_t expirations)
 {
-    if (silences <= forgivenSilences)
+    if (expirations <= forgivenSilences)
         return duration::zero();
     duration wait = firstFlapWait;
-    for (std::uint32_t i = forgivenSilences + 1; i < silences && wait < longestFlapWait; ++i)
+    for (std::uint32_t i = forgivenSilences + 1; i < expirations && wait < longestFlapWait; ++i)
         wait *= 2;
     return std::min(wait, longestFlapWait);
 }
@@ -161,12 +161,12 @@
     return status;
 }
 
-bool isLate(const upstream_announcement& former, const upstream_announcement& offered)
+bool isStaleAnnouncement(const upstream_announcement& former, const upstream_announcement& offered)
 {
     return former.generation == offered.generation && offered.sequence < former.sequence;
 }
 
-bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right)
+bool hasSameContent(const upstream_announcement& left, const upstream_announcement& right)
 {
     upstream_announcement comparable = right;
     comparable.sequence = left.sequence;
@@ -188,7 +188,7 @@
     return slots;
 }
 
-bool fitsPlaceAndService(const configuration& config, const upstream_announcement& announcement)
+bool isLocationDeclared(const configuration& config, const upstream_announcement& announcement)
 {
     return checkPlace(config, announcement).ok() && config.services.contains(announcement.service);
 }
@@ -199,7 +199,7 @@
     const upstream_announcement& offered = command.announcement;
     const auto known = state.directory.find(offered.id);
     if (known != state.directory.end()
-        && (known->second.announcement == offered || isLate(known->second.announcement, offered)))
+        && (known->second.announcement == offered || isStaleAnnouncement(known->second.announcement, offered)))
         return alreadyAccepted();
     const absl::Status status = checkAnnouncement(state, offered, item.proposedAt, rules);
     if (!status.ok())
@@ -220,7 +220,7 @@
 {
     const auto known = state.directory.find(command.id);
     const bool isHere = known != state.directory.end();
-    const bool isNews = isHere && !command.goodbye && known->second.announcement.sequence != command.sequence;
+    const bool isNews = isHere && !command.deregistered && known->second.announcement.sequence != command.sequence;
     if (isNews)
         return alreadyAccepted();
     if (isHere && known->second.announcement.generation == command.generation) {
@@ -232,7 +232,7 @@
     const auto gone = state.departed.find(command.id);
     const bool isEarlier = (isHere && known->second.announcement.generation > command.generation)
         || (gone != state.departed.end() && gone->second.generation > command.generation);
-    if (command.goodbye && !isEarlier)
+    if (command.deregistered && !isEarlier)
         rememberDeparture(state, command, item.proposedAt);
     return alreadyAccepted();
 }
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -19,7 +19,7 @@
 inline constexpr std::size_t maximumDeparted = 4096;
 
 /** An upstream that stayed away from silence for this long starts with a clean record. */
-inline constexpr duration flapMemory = std::chrono::minutes(5);
+inline constexpr duration flapResetTime = std::chrono::minutes(5);
 
 /** So many silences are forgiven before a return has to wait. */
 inline constexpr std::uint32_t forgivenSilences = 2;
@@ -47,20 +47,20 @@
     const directory_rules& rules = {});
 
 /** How long an upstream that fell silent so often waits before it may return. */
-duration flapWait(std::uint32_t silences);
+duration flapWait(std::uint32_t expirations);
 
 /** The slots that may be used: the least of what is announced and what is declared. */
 slot_count effectiveSlots(const configuration& config, const upstream_announcement& announcement);
 
 /** Whether the announcement's service and place are declared. */
-bool fitsPlaceAndService(const configuration& config, const upstream_announcement& announcement);
+bool isLocationDeclared(const configuration& config, const upstream_announcement& announcement);
 
 /** Whether two announcements of one generation say the same, but for their numbers and how much of a cold time is left.
  */
-bool saysTheSame(const upstream_announcement& left, const upstream_announcement& right);
+bool hasSameContent(const upstream_announcement& left, const upstream_announcement& right);
 
 /** Whether an announcement was overtaken by a later one of its generation. */
-bool isLate(const upstream_announcement& former, const upstream_announcement& offered);
+bool isStaleAnnouncement(const upstream_announcement& former, const upstream_announcement& offered);
 
 command_result applyJoin(
     control_snapshot& state, const proposal& item, const upstream_joined& command, const directory_rules& rules = {});
--- a/src/decision/control/change_log.cpp
+++ b/src/decision/control/change_log.cpp
@@ -33,7 +33,7 @@
 {
     service item;
     item.name = "change_log";
-    item.needs = { port_names::control, port_names::consensus };
+    item.dependencies = { port_names::control, port_names::consensus };
     item.start = [this](registry& services) { return start(services); };
     return item;
 }
--- a/src/decision/control/control_service.cpp
+++ b/src/decision/control/control_service.cpp
@@ -13,7 +13,7 @@
 
     bool changesSteering(const control_command& command)
     {
-        return !std::holds_alternative<no_command>(command) && !std::holds_alternative<claim_key>(command)
+        return !std::holds_alternative<noop_command>(command) && !std::holds_alternative<claim_key>(command)
             && !std::holds_alternative<settle_key>(command) && !std::holds_alternative<report_crash>(command);
     }
 
--- a/src/decision/control/crash_table.cpp
+++ b/src/decision/control/crash_table.cpp
@@ -10,7 +10,7 @@
 
     bool remembered(const crash_record& record, wall_time now)
     {
-        return now < record.lastSeen + std::chrono::ceil<std::chrono::milliseconds>(crashMemory);
+        return now < record.lastSeen + std::chrono::ceil<std::chrono::milliseconds>(crashRetention);
     }
 
     void dropForgotten(crash_map& crashes, wall_time now)
@@ -43,7 +43,7 @@
     return result;
 }
 
-bool refusesCrashing(const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit)
+bool isBlockedByCrashes(const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit)
 {
     const auto position = state.crashes.find(key);
     if (position == state.crashes.end())
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -14,10 +14,10 @@
 namespace plantainlatch {
 
 /** From this many distinct upstreams on, equal requests are refused. */
-inline constexpr std::size_t crashedUpstreamsToRefuse = 2;
+inline constexpr std::size_t crashedUpstreamThreshold = 2;
 
 /** How long after the last crash equal requests are refused, and a record is kept. */
-inline constexpr duration crashMemory = std::chrono::minutes(10);
+inline constexpr duration crashRetention = std::chrono::minutes(10);
 
 /** The most fingerprints kept at once; a report beyond them replaces the one seen longest ago. */
 inline constexpr std::size_t maximumCrashRecords = 1024;
@@ -30,7 +30,7 @@
     std::map<crash_key, crash_record>& crashes, const proposal& reported, const report_crash& command);
 
 /** Whether requests of this fingerprint are refused at `now`. */
-bool refusesCrashing(
-    const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit = crashedUpstreamsToRefuse);
+bool isBlockedByCrashes(
+    const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit = crashedUpstreamThreshold);
 
 } // namespace plantainlatch
--- a/src/decision/control/key_table.cpp
+++ b/src/decision/control/key_table.cpp
@@ -43,31 +43,31 @@
         return result;
     }
 
-    command_result found(claim_finding finding)
+    command_result found(claim_result finding)
     {
         command_result result;
         result.claim = finding;
         return result;
     }
 
-    claim_finding unsettledFinding(const key_record& record, wall_time now)
+    claim_result unsettledFinding(const key_record& record, wall_time now)
     {
-        return now < record.runsUntil ? claim_finding::InProgress : claim_finding::Unknown;
+        return now < record.runsUntil ? claim_result::InProgress : claim_result::Unknown;
     }
 
     command_result existingFinding(const key_record& record, const proposal& claimed, const claim_key& command)
     {
         if (record.claim == claimed.id)
-            return found(claim_finding::Claimed);
+            return found(claim_result::Claimed);
         if (record.fingerprint != command.fingerprint)
-            return found(claim_finding::Reused);
+            return found(claim_result::Reused);
         switch (record.result) {
         case outcome::InProgress:
             return found(unsettledFinding(record, claimed.proposedAt));
         case outcome::Unknown:
-            return found(claim_finding::Unknown);
+            return found(claim_result::Unknown);
         case outcome::Completed: {
-            command_result result = found(claim_finding::Completed);
+            command_result result = found(claim_result::Completed);
             result.answer = record.answer;
             return result;
         }
@@ -76,7 +76,7 @@
             break;
         }
         internal_assert(false) << "key " << command.key.value() << " is kept with " << outcomeName(record.result);
-        return found(claim_finding::Unknown);
+        return found(claim_result::Unknown);
     }
 
     key_record newRecord(const proposal& claimed, const claim_key& command)
@@ -113,11 +113,11 @@
         return existingFinding(existing->second, claimed, command);
     if (keys.size() >= limits.keys) {
         command_result full = refused(absl::StrCat("the table of idempotency keys is full at ", limits.keys));
-        full.claim = claim_finding::TableFull;
+        full.claim = claim_result::TableFull;
         return full;
     }
     keys.emplace(name, newRecord(claimed, command));
-    return found(claim_finding::Claimed);
+    return found(claim_result::Claimed);
 }
 
 command_result applySettle(
--- a/src/decision/control/proposer_table.cpp
+++ b/src/decision/control/proposer_table.cpp
@@ -20,7 +20,7 @@
     void fillAnswer(const control_snapshot& state, const proposal& item, command_result& result)
     {
         const claim_key* claim = std::get_if<claim_key>(&item.command);
-        if (claim == nullptr || result.claim != claim_finding::Completed)
+        if (claim == nullptr || result.claim != claim_result::Completed)
             return;
         const auto key = state.keys.find({ claim->service, claim->key });
         if (key != state.keys.end())
--- a/src/decision/declarations/configuration_check.cpp
+++ b/src/decision/declarations/configuration_check.cpp
@@ -12,7 +12,7 @@
     constexpr std::uint32_t wholePercent = 100;
 
     template <typename Definition>
-    const text_place* findPlace(const std::vector<declared<Definition>>& items, const Definition& wanted)
+    const text_position* findPlace(const std::vector<declared<Definition>>& items, const Definition& wanted)
     {
         for (const auto& item : items) {
             if (keyOf(item.value) == keyOf(wanted))
@@ -23,9 +23,9 @@
 
     /** Where the declaration adds or changes the definition, or null. */
     template <typename Definition>
-    const text_place* touchedPlace(const definition_changes<Definition>& changes, const Definition& wanted)
+    const text_position* touchedPlace(const definition_changes<Definition>& changes, const Definition& wanted)
     {
-        const text_place* added = findPlace(changes.added, wanted);
+        const text_position* added = findPlace(changes.added, wanted);
         return added != nullptr ? added : findPlace(changes.changed, wanted);
     }
 
@@ -38,14 +38,14 @@
         /** A finding at the definition, or where what it refers to went away. */
         template <typename Definition>
         void report(const definition_changes<Definition>& changes, const Definition& item, const std::string& what,
-            const std::string& expected, const text_place& elsewhere = {})
+            const std::string& expected, const text_position& elsewhere = {})
         {
-            const text_place* place = touchedPlace(changes, item);
+            const text_position* place = touchedPlace(changes, item);
             findings.add(place != nullptr ? *place : elsewhere, absl::StrCat(describeName(item), " ", what), expected);
         }
 
         /** Where the declaration took a failure domain away, as far as can be told. */
-        text_place lostDomainPlace() const
+        text_position lostDomainPlace() const
         {
             if (!content.regions.withdrawn.empty())
                 return content.regions.withdrawn.front().place;
@@ -54,18 +54,18 @@
             return {};
         }
 
-        text_place lostServicePlace(const service_id& service) const
+        text_position lostServicePlace(const service_id& service) const
         {
             service_definition wanted;
             wanted.id = service;
-            const text_place* place = findPlace(content.services.withdrawn, wanted);
-            return place != nullptr ? *place : text_place();
+            const text_position* place = findPlace(content.services.withdrawn, wanted);
+            return place != nullptr ? *place : text_position();
         }
 
-        text_place lostRegionPlace(const region_id& region) const
+        text_position lostRegionPlace(const region_id& region) const
         {
-            const text_place* place = findPlace(content.regions.withdrawn, region_definition { region, {} });
-            return place != nullptr ? *place : text_place();
+            const text_position* place = findPlace(content.regions.withdrawn, region_definition { region, {} });
+            return place != nullptr ? *place : text_position();
         }
 
         template <typename Definition>
--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -48,7 +48,7 @@
 absl::StatusOr<std::unique_ptr<directory_service>> directory_service::create(
     const kernel_hooks& hooks, const vm_settings& settings, directory_options options)
 {
-    if (options.renewalInterval >= options.silence || options.silence > options.leaveAfter)
+    if (options.renewalInterval >= options.silenceTimeout || options.silenceTimeout > options.removalTimeout)
         return absl::InvalidArgumentError("upstreams must renew more often than they are taken for silent and gone");
     return std::unique_ptr<directory_service>(new directory_service(hooks, settings, options));
 }
@@ -64,14 +64,14 @@
     };
     m_port.renewalInterval = [this] { return m_options.renewalInterval; };
     m_livenessPort.lastSeen = [this](const upstream_id& id) { return lastSeen(id); };
-    m_livenessPort.silence = [this] { return m_options.silence; };
+    m_livenessPort.silenceTimeout = [this] { return m_options.silenceTimeout; };
 }
 
 service directory_service::asService()
 {
     service item;
     item.name = port_names::directory;
-    item.needs = { port_names::control, port_names::consensus, port_names::membership, port_names::peerRouter };
+    item.dependencies = { port_names::control, port_names::consensus, port_names::membership, port_names::peerRouter };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) {
         m_hooks.cancel(m_timer);
@@ -88,7 +88,7 @@
     m_membership = *services.find<membership_port>(port_names::membership);
     m_router = *services.find<peer_router>(port_names::peerRouter);
     m_router->subscribeControl([this](const vm_id&, const control_message& message) {
-        if (const auto* seen = std::get_if<announcement_seen>(&message))
+        if (const auto* seen = std::get_if<forwarded_announcement>(&message))
             m_liveness.note(seen->announcement.id, seen->announcement.generation, m_hooks.now());
     });
     m_timer = m_hooks.schedule(tickInterval, [this] { tick(); });
@@ -103,7 +103,7 @@
     if (known == m_control->state().directory.end())
         return false;
     const upstream_announcement& former = known->second.announcement;
-    if (saysTheSame(former, offered) || isLate(former, offered))
+    if (hasSameContent(former, offered) || isStaleAnnouncement(former, offered))
         return true;
     const bool sameState = former.draining == offered.draining
         && (former.coldFor > duration::zero()) == (offered.coldFor > duration::zero());
@@ -118,7 +118,7 @@
 void directory_service::announce(const upstream_announcement& offered, const answer& done)
 {
     if (isRenewal(offered)) {
-        if (!m_membership->inTouch()) {
+        if (!m_membership->hasLeaderContact()) {
             // The keeper would not hear of it and take the upstream out.
             done(absl::UnavailableError("the leader is out of touch"));
             return;
@@ -137,7 +137,7 @@
 void directory_service::join(const upstream_announcement& offered, const answer& done)
 {
     for (auto& [number, pending] : m_joining) {
-        const bool same = pending.offered.id == offered.id && saysTheSame(pending.offered, offered);
+        const bool same = pending.offered.id == offered.id && hasSameContent(pending.offered, offered);
         if (same && pending.waiting.size() < maximumWaiting) {
             pending.waiting.push_back(done);
             return;
@@ -168,8 +168,8 @@
 {
     // The join may be on its way through another VM, so a goodbye that finds nothing here goes to the log all the same.
     const auto gone = m_control->state().departed.find(id);
-    const bool isGone
-        = gone != m_control->state().departed.end() && gone->second.goodbye && gone->second.generation == generation;
+    const bool isGone = gone != m_control->state().departed.end() && gone->second.deregistered
+        && gone->second.generation == generation;
     if (isGone) {
         done(absl::OkStatus());
         return;
@@ -181,14 +181,14 @@
 void directory_service::passOn(const upstream_announcement& offered)
 {
     m_liveness.note(offered.id, offered.generation, m_hooks.now());
-    const vm_id keeper = keeperOf(offered.region);
-    if (!keeper.empty() && keeper != m_self)
-        m_router->send(keeper, control_message(announcement_seen { offered }));
+    const vm_id renewalOwner = keeperOf(offered.region);
+    if (!renewalOwner.empty() && renewalOwner != m_self)
+        m_router->send(renewalOwner, control_message(forwarded_announcement { offered }));
 }
 
 vm_id directory_service::keeperOf(const region_id& region) const
 {
-    if (m_options.keeper == renewal_keeper::Leader)
+    if (m_options.renewalOwner == renewal_owner::Leader)
         return m_consensus->state().leader;
     const auto& allocators = m_control->state().allocators;
     const auto allocator = allocators.find(region);
@@ -220,9 +220,9 @@
 void directory_service::followRoles()
 {
     for (const auto& [region, definition] : m_control->state().config.regions) {
-        const bool keeps = m_options.keeper == renewal_keeper::Leader
-            ? m_membership->leadsFully()
-            : m_membership->allocatorUntil(region).has_value();
+        const bool keeps = m_options.renewalOwner == renewal_owner::Leader
+            ? m_membership->isCaughtUpLeader()
+            : m_membership->allocatorLeaseEnd(region).has_value();
         m_liveness.setAllocating(region, keeps, m_hooks.now());
     }
 }
@@ -235,7 +235,7 @@
         if (!m_liveness.allocates(upstream.region) || m_removing.contains(id))
             continue;
         const std::optional<time_point> seen = m_liveness.lastSeen(upstream);
-        if (seen.has_value() && m_hooks.now() - *seen > m_options.leaveAfter)
+        if (seen.has_value() && m_hooks.now() - *seen > m_options.removalTimeout)
             silent.push_back(upstream);
     }
     for (const upstream_announcement& upstream : silent) {
--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -27,7 +27,7 @@
 class peer_router;
 
 /** Which VM keeps the renewals of upstreams and takes the silent ones out. */
-enum class renewal_keeper {
+enum class renewal_owner {
     /** The slot allocator of the upstream's region. */
     Allocator,
     /** The leader of the log, for all regions. */
@@ -38,13 +38,13 @@
 struct directory_options {
     duration renewalInterval = std::chrono::seconds(1);
     /** An upstream that was not heard of for this long gets no new work. */
-    duration silence = std::chrono::seconds(3);
+    duration silenceTimeout = std::chrono::seconds(3);
     /** An upstream that was not heard of for this long leaves the directory. */
-    duration leaveAfter = std::chrono::seconds(10);
+    duration removalTimeout = std::chrono::seconds(10);
     /** One generation's slots or connections change at most this often. */
     duration changeInterval = std::chrono::seconds(5);
     duration proposalTimeout = std::chrono::seconds(2);
-    renewal_keeper keeper = renewal_keeper::Allocator;
+    renewal_owner renewalOwner = renewal_owner::Allocator;
     /** The same as those of the control state. */
     directory_rules rules;
 };
--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -57,7 +57,7 @@
 {
     service item;
     item.name = port_names::entryList;
-    item.needs = { port_names::control, port_names::membership };
+    item.dependencies = { port_names::control, port_names::membership };
     item.start = [this](registry& services) { return start(services); };
     return item;
 }
@@ -67,7 +67,7 @@
     m_control = *services.find<control_port>(port_names::control);
     m_membership = *services.find<membership_port>(port_names::membership);
     m_control->onChange([this] { refresh(); });
-    m_membership->onAvoided([this] { refresh(); });
+    m_membership->onAvoidedChange([this] { refresh(); });
     m_basis = findBasis();
     return services.publish(port_names::entryList, m_port);
 }
@@ -108,7 +108,7 @@
 {
     std::vector<vm_record> chosen;
     for (const vm_record& vm : m_basis.vms) {
-        if (!m_options.leaveOutUnfit || !contains(m_basis.unfit, vm.id))
+        if (!m_options.excludeUnavailable || !contains(m_basis.unfit, vm.id))
             chosen.push_back(vm);
     }
     if (chosen.empty())
@@ -122,7 +122,7 @@
     const auto isFar = [&](const vm_record& vm) { return nearRegion.empty() || vm.region != nearRegion; };
     const auto firstFar = std::find_if(chosen.begin(), chosen.end(), isFar);
     const auto nearCount = static_cast<std::size_t>(firstFar - chosen.begin());
-    if (m_options.enoughInRegion > 0 && nearCount >= m_options.enoughInRegion)
+    if (m_options.regionOnlyThreshold > 0 && nearCount >= m_options.regionOnlyThreshold)
         chosen.erase(firstFar, chosen.end());
     chosen.resize(std::min(chosen.size(), m_options.maximumEntries));
     entry_list made;
--- a/src/decision/entries/entry_list_service.h
+++ b/src/decision/entries/entry_list_service.h
@@ -23,9 +23,9 @@
     /** The most entries in one list. */
     std::size_t maximumEntries = 16;
     /** Leaves out VMs that are dead, stopping or drained. */
-    bool leaveOutUnfit = true;
+    bool excludeUnavailable = true;
     /** Entries of the caller's region alone are listed once there are so many; 0 lists the others too. */
-    std::size_t enoughInRegion = 0;
+    std::size_t regionOnlyThreshold = 0;
     /** A drain of a place takes the VMs there out too, and not only its upstreams. */
     bool drainsCoverVms = true;
 };
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -52,10 +52,10 @@
             live.push_back(report.last.vm);
         return live;
     };
-    m_port.allocatorUntil = [this](const region_id& region) { return allocatorUntil(region); };
+    m_port.allocatorLeaseEnd = [this](const region_id& region) { return allocatorLeaseEnd(region); };
     m_port.allocatorLease = [this] { return m_options.leases.lease + m_options.leases.drift; };
     m_port.stopping = [this] { return m_stopping; };
-    m_port.leavesWork = [this] { m_leavesWork = true; };
+    m_port.markUnfinishedWork = [this] { m_leavesWork = true; };
     m_port.beginStop = [this] {
         m_stopping = true;
         sendHeartbeat();
@@ -64,8 +64,8 @@
     };
     m_port.avoided = [this] { return m_avoided; };
     m_port.reports = [this] { return reports(); };
-    m_port.leadsFully = [this] { return leadsFully(); };
-    m_port.inTouch = [this] { return m_answeredAt && m_hooks.now() - *m_answeredAt <= m_options.touchLasts; };
+    m_port.isCaughtUpLeader = [this] { return isCaughtUpLeader(); };
+    m_port.hasLeaderContact = [this] { return m_answeredAt && m_hooks.now() - *m_answeredAt <= m_options.touchLasts; };
     m_port.joined = [this] {
         const auto known = m_control->state().vms.find(m_settings.self.id);
         return known != m_control->state().vms.end() && known->second.start == m_start;
@@ -73,14 +73,14 @@
     m_port.onSend = [this](auto part) { m_onSend.push_back(std::move(part)); };
     m_port.onHeartbeat = [this](auto reader) { m_onHeartbeat.push_back(std::move(reader)); };
     m_port.onAnswer = [this](auto reader) { m_onAnswer.push_back(std::move(reader)); };
-    m_port.onAvoided = [this](auto listener) { m_onAvoided.push_back(std::move(listener)); };
+    m_port.onAvoidedChange = [this](auto listener) { m_onAvoided.push_back(std::move(listener)); };
 }
 
 service membership_service::asService()
 {
     service item;
     item.name = port_names::membership;
-    item.needs = { port_names::control, port_names::consensus, port_names::peerRouter };
+    item.dependencies = { port_names::control, port_names::consensus, port_names::peerRouter };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return dump(); };
@@ -123,7 +123,7 @@
     followLeadership(m_consensus->state());
     proposeStart();
     sendHeartbeat();
-    if (leadsFully() && m_options.assignsAllocators)
+    if (isCaughtUpLeader() && m_options.assignsAllocators)
         assignAllocators();
 }
 
@@ -199,7 +199,7 @@
     answer.start = heartbeat.start;
     answer.term = m_term;
     answer.avoided = findAvoided();
-    if (!leadsFully() || heartbeat.term != m_term || !isKnownStart(m_control->state(), heartbeat))
+    if (!isCaughtUpLeader() || heartbeat.term != m_term || !isKnownStart(m_control->state(), heartbeat))
         return answer;
     leaseRoles(heartbeat, answer);
     for (const auto& reader : m_onHeartbeat)
@@ -216,10 +216,10 @@
     const bool sameStart = report.last.start == heartbeat.start;
     if (sameStart && report.last.sequence >= heartbeat.sequence)
         return;
-    if (!sameStart || now - report.heardAt > m_options.deadAfter)
+    if (!sameStart || now - report.receivedAt > m_options.deadAfter)
         report.aliveSince = now;
     report.last = heartbeat;
-    report.heardAt = now;
+    report.receivedAt = now;
     internal_assert(m_reports.size() <= m_control->state().vms.size()) << m_reports.size();
 }
 
@@ -310,8 +310,8 @@
     m_leadsSince = m_hooks.now();
     m_leases.beginTerm(m_leadsSince);
     // Once an entry of its own term is applied, so are all that earlier leaders could have committed.
-    m_consensus->propose(
-        no_command {}, m_options.proposalTimeout, [this, term = m_term](const absl::StatusOr<command_result>& result) {
+    m_consensus->propose(noop_command {}, m_options.proposalTimeout,
+        [this, term = m_term](const absl::StatusOr<command_result>& result) {
             if (m_term != term)
                 return;
             m_ready = result.ok();
@@ -344,7 +344,7 @@
     if (!m_consensus->state().leading)
         return live;
     for (const auto& [vm, report] : m_reports) {
-        if (m_hooks.now() - report.heardAt <= m_options.deadAfter)
+        if (m_hooks.now() - report.receivedAt <= m_options.deadAfter)
             live.push_back(report);
     }
     return live;
@@ -353,10 +353,11 @@
 std::vector<vm_id> membership_service::findAvoided() const
 {
     std::vector<vm_id> avoided;
-    const bool knowsAll = leadsFully() && m_hooks.now() >= m_leadsSince + m_options.deadAfter;
+    const bool knowsAll = isCaughtUpLeader() && m_hooks.now() >= m_leadsSince + m_options.deadAfter;
     for (const auto& [vm, record] : m_control->state().vms) {
         const auto report = m_reports.find(vm);
-        const bool heard = report != m_reports.end() && m_hooks.now() - report->second.heardAt <= m_options.deadAfter;
+        const bool heard
+            = report != m_reports.end() && m_hooks.now() - report->second.receivedAt <= m_options.deadAfter;
         // A new leader goes by the list of the one before until it could have heard from all.
         const bool missing = knowsAll || std::find(m_avoided.begin(), m_avoided.end(), vm) != m_avoided.end();
         if (heard ? report->second.last.draining : missing)
@@ -365,7 +366,7 @@
     return avoided;
 }
 
-std::optional<time_point> membership_service::allocatorUntil(const region_id& region) const
+std::optional<time_point> membership_service::allocatorLeaseEnd(const region_id& region) const
 {
     const auto& allocators = m_control->state().allocators;
     const auto record = allocators.find(region);
@@ -379,7 +380,7 @@
     return role->second;
 }
 
-bool membership_service::leadsFully() const
+bool membership_service::isCaughtUpLeader() const
 {
     const leadership led = m_consensus->state();
     return led.leading && led.term == m_term && m_ready;
@@ -390,7 +391,7 @@
     state_dump shown(port_names::membership);
     shown.add("start", m_start.value());
     shown.add("stopping", m_stopping);
-    shown.add("leads", leadsFully());
+    shown.add("leads", isCaughtUpLeader());
     state_dump& roles = shown.addObject("allocator_roles");
     for (const auto& [role, until] : m_roles)
         roles.add(role.region.value(), until - m_hooks.now());
@@ -399,7 +400,7 @@
         avoided.add("vm", vm.value());
     state_dump& heard = shown.addObject("heard");
     for (const auto& [vm, report] : m_reports)
-        heard.add(vm.value(), m_hooks.now() - report.heardAt);
+        heard.add(vm.value(), m_hooks.now() - report.receivedAt);
     return shown;
 }
 
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -90,8 +90,8 @@
     void assignAllocators();
     std::vector<vm_report> reports() const;
     std::vector<vm_id> findAvoided() const;
-    std::optional<time_point> allocatorUntil(const region_id& region) const;
-    bool leadsFully() const;
+    std::optional<time_point> allocatorLeaseEnd(const region_id& region) const;
+    bool isCaughtUpLeader() const;
     state_dump dump() const;
 
     kernel_hooks m_hooks;
--- a/src/decision/operators/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -41,7 +41,7 @@
         for (const auto& [id, record] : question.state.directory) {
             const upstream_announcement& upstream = record.announcement;
             const bool counts = upstream.service == service && !question.config.withdrawnUpstreams.contains(id)
-                && fitsPlaceAndService(question.config, upstream) && !isDrained(question.drains, upstream);
+                && isLocationDeclared(question.config, upstream) && !isDrained(question.drains, upstream);
             if (counts)
                 slots[upstream.failureDomain] += static_cast<double>(effectiveSlots(question.config, upstream).value());
         }
--- a/src/decision/operators/configuration_service.cpp
+++ b/src/decision/operators/configuration_service.cpp
@@ -41,7 +41,7 @@
 {
     service item;
     item.name = port_names::configurations;
-    item.needs = { port_names::control, port_names::consensus };
+    item.dependencies = { port_names::control, port_names::consensus };
     item.start = [this](registry& services) { return start(services); };
     return item;
 }
@@ -72,7 +72,7 @@
 
 void configuration_service::read(const std::function<void(absl::StatusOr<configuration>)>& done)
 {
-    m_consensus->catchUp(m_options.proposalTimeout, [this, done](const absl::Status& status) {
+    m_consensus->readBarrier(m_options.proposalTimeout, [this, done](const absl::Status& status) {
         if (!status.ok())
             done(absl::UnavailableError(status.message()));
         else if (m_control->state().config.number == change_number())
--- a/src/decision/operators/declaration_plan.cpp
+++ b/src/decision/operators/declaration_plan.cpp
@@ -101,7 +101,7 @@
 declaration_plan planDeclaration(const control_snapshot& state, const declaration& content, const known_loads& measured)
 {
     declaration_plan plan;
-    const command_result numbers = judgeNumbers(state, content);
+    const command_result numbers = checkChangeNumber(state, content);
     if (numbers.verdict == command_verdict::AlreadyAccepted) {
         plan.changes.push_back(numbers.message);
         return plan;
--- a/src/decision/operators/load_view.cpp
+++ b/src/decision/operators/load_view.cpp
@@ -33,9 +33,9 @@
     for (const auto& [service, definition] : config.services) {
         for (const auto& [region, places] : config.regions) {
             for (const failure_domain_id& domain : places.failureDomains) {
-                const std::optional<domain_signal> signal = m_measurements.signal(service, domain, now);
-                if (signal.has_value())
-                    answer.loads.push_back({ service, domain, signal->perSecond, signal->medianLatency });
+                const std::optional<domain_statistics> statistics = m_measurements.statistics(service, domain, now);
+                if (statistics.has_value())
+                    answer.loads.push_back({ service, domain, statistics->perSecond, statistics->medianLatency });
             }
         }
     }
--- a/src/decision/operators/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -61,7 +61,7 @@
 {
     service item;
     item.name = port_names::operators;
-    item.needs = { port_names::control, port_names::consensus, port_names::membership };
+    item.dependencies = { port_names::control, port_names::consensus, port_names::membership };
     item.start = [this](registry& services) { return start(services); };
     return item;
 }
@@ -101,7 +101,7 @@
     if (content.replaces > state.config.number)
         return absl::UnavailableError(absl::StrCat("change ", content.replaces.value(),
             " is not in force here yet; this VM has ", state.config.number.value()));
-    const command_result numbers = judgeNumbers(state, content);
+    const command_result numbers = checkChangeNumber(state, content);
     if (numbers.verdict != command_verdict::Accepted)
         return numbers;
     const declaration_plan planned = plan(content);
@@ -170,7 +170,7 @@
     shown.leader = led.leader;
     shown.current = led.current;
     shown.inForceHere = m_control->state().config.number;
-    shown.inForceEverywhere = m_membership->leadsFully() ? findLowestInForce() : m_loads.lowestInForce();
+    shown.inForceEverywhere = m_membership->isCaughtUpLeader() ? findLowestInForce() : m_loads.lowestInForce();
     const auto alerts = m_services->find<alert_port>(port_names::alerts);
     if (alerts.ok())
         shown.alerts = (*alerts)->active();
--- a/src/decision/peers/peer_router.cpp
+++ b/src/decision/peers/peer_router.cpp
@@ -26,7 +26,7 @@
 {
     service item;
     item.name = port_names::peerRouter;
-    item.needs = { port_names::peers };
+    item.dependencies = { port_names::peers };
     item.start = [this](registry& services) -> absl::Status {
         absl::StatusOr<peer_port*> peers = services.find<peer_port>(port_names::peers);
         if (!peers.ok())
--- a/src/decision/placement/cold_gate.h
+++ b/src/decision/placement/cold_gate.h
@@ -14,7 +14,7 @@
 namespace plantainlatch {
 
 /** The most requests that all entries together may send to a cold upstream within a second. */
-struct cold_bound {
+struct cold_rate_limit {
     /** Multiplies the rate that the upstream bears. */
     double factor = 1;
     /** Requests beyond that. */
--- a/src/decision/placement/latency_model.cpp
+++ b/src/decision/placement/latency_model.cpp
@@ -20,14 +20,14 @@
 
 } // namespace
 
-duration latency_model::expected(const route_id& route, object_state state, duration objective) const
+duration latency_model::expected(const route_id& route, object_state state, duration targetLatency) const
 {
     const auto found = m_routes.find(route);
     const averages seen = found != m_routes.end() ? found->second : averages {};
-    const duration known = seen.known != duration::zero() ? seen.known : scaled(objective, knownPart);
+    const duration known = seen.known != duration::zero() ? seen.known : scaled(targetLatency, knownPart);
     if (state != object_state::Unknown)
         return known;
-    const duration unknown = seen.unknown != duration::zero() ? seen.unknown : scaled(objective, unknownPart);
+    const duration unknown = seen.unknown != duration::zero() ? seen.unknown : scaled(targetLatency, unknownPart);
     return std::max(unknown, scaled(known, leastRatio));
 }
 
--- a/src/decision/placement/latency_model.h
+++ b/src/decision/placement/latency_model.h
@@ -24,7 +24,7 @@
 class latency_model {
 public:
     /** The expected latency; before anything was seen, a part or multiple of the objective. */
-    duration expected(const route_id& route, object_state state, duration objective) const;
+    duration expected(const route_id& route, object_state state, duration targetLatency) const;
 
     /** An answer took so long on an upstream with free slots. Where the object was only likely to be known, nothing is
      * learnt. */
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -60,14 +60,14 @@
         return acquire(request, done);
     };
     m_port.cancelWait = [](slot_ticket) {};
-    m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    m_port.release = [this](slot_handle handle, const slot_result& result) { release(handle, result); };
 }
 
 service placement_service::asService()
 {
     service item;
     item.name = port_names::slots;
-    item.needs = { port_names::control, port_names::upstreams };
+    item.dependencies = { port_names::control, port_names::upstreams };
     item.start = [this](registry& services) { return start(services); };
     item.dump = [this] { return dump(); };
     return item;
@@ -93,7 +93,7 @@
     for (const auto& [id, record] : m_known) {
         if (state.directory.contains(id))
             continue;
-        m_upstreams->forget(record.announcement.address);
+        m_upstreams->closeIdleConnections(record.announcement.address);
         m_standings.erase(id);
     }
     m_known = state.directory;
@@ -206,7 +206,7 @@
         weighed.state = object_state::Known;
     else if (!standing.isCold(now) && isHome)
         weighed.state = object_state::Likely;
-    const duration usual = m_latencies.expected(request.terms.route, weighed.state, request.terms.objective);
+    const duration usual = m_latencies.expected(request.policy.route, weighed.state, request.policy.targetLatency);
     weighed.work = scaled(usual, standing.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
     const std::uint32_t load = standing.load(now);
@@ -226,7 +226,7 @@
     const slot_request& request, std::uint64_t object, bool evenAvoided, left_out& without)
 {
     const time_point now = m_hooks.now();
-    ranked_service& service = orderFor({ request.service, request.terms.allowedRegions });
+    ranked_service& service = orderFor({ request.service, request.policy.allowedRegions });
     const double tolerated = toleratedFailures(service);
     std::vector<choice> compared;
     bool isHome = true;
@@ -259,14 +259,14 @@
 
 slot_ticket placement_service::acquire(const slot_request& request, const std::function<void(slot_answer)>& done)
 {
-    const std::uint64_t object = request.terms.object.empty() ? m_hooks.random() : objectNumber(request.terms.object);
+    const std::uint64_t object = request.policy.object.empty() ? m_hooks.random() : objectNumber(request.policy.object);
     left_out without;
     choice chosen = choose(request, object, false, without);
     if (chosen.upstream == nullptr)
         chosen = choose(request, object, true, without);
     slot_answer answer;
     answer.inputs = inputsOf(request, chosen, without);
-    const bool isEmpty = orderFor({ request.service, request.terms.allowedRegions }).homes.empty();
+    const bool isEmpty = orderFor({ request.service, request.policy.allowedRegions }).homes.empty();
     answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
     const bool inTime = chosen.upstream != nullptr && chosen.total < patienceOf(request);
     if (!inTime) {
@@ -275,11 +275,11 @@
         return {};
     }
     ++m_placed;
-    const slot_hold hold(++m_lastHold);
-    m_held.emplace(hold,
-        held_place { chosen.upstream->id, request.terms.route, object, chosen.state, chosen.work, chosen.queued });
+    const slot_handle handle(++m_lastHandle);
+    m_held.emplace(handle,
+        held_place { chosen.upstream->id, request.policy.route, object, chosen.state, chosen.work, chosen.queued });
     m_standings[chosen.upstream->id].begin();
-    answer.slot = held_slot { hold, *chosen.upstream, request.deadline };
+    answer.slot = held_slot { handle, *chosen.upstream, request.deadline };
     done(answer);
     return {};
 }
@@ -287,10 +287,10 @@
 duration placement_service::patienceOf(const slot_request& request) const
 {
     const duration left = request.deadline - m_hooks.now();
-    const bool urgent = request.terms.priority < m_options.leastUrgent;
-    if (urgent || request.terms.objective <= duration::zero())
+    const bool urgent = request.policy.priority < m_options.leastUrgent;
+    if (urgent || request.policy.targetLatency <= duration::zero())
         return left;
-    return std::min(left, scaled(request.terms.objective, m_options.patience));
+    return std::min(left, scaled(request.policy.targetLatency, m_options.patience));
 }
 
 std::vector<log_field> placement_service::inputsOf(
@@ -315,10 +315,10 @@
     return inputs;
 }
 
-void placement_service::release(slot_hold hold, const slot_result& result)
+void placement_service::release(slot_handle handle, const slot_result& result)
 {
-    const auto found = m_held.find(hold);
-    internal_assert(found != m_held.end()) << "place " << hold.value() << " is released twice";
+    const auto found = m_held.find(handle);
+    internal_assert(found != m_held.end()) << "place " << handle.value() << " is released twice";
     const held_place place = found->second;
     m_held.erase(found);
     const auto standing = m_standings.find(place.upstream);
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -29,7 +29,7 @@
 
 /** What may be varied in placement_service. */
 struct placement_options {
-    cold_bound cold;
+    cold_rate_limit cold;
     /** How many of an object's upstreams are compared. */
     std::size_t compared = 4;
     /** How many times longer an upstream that doesn't know the object counts: its work there also displaces what the
@@ -100,7 +100,7 @@
     void noteJoin(const upstream_announcement& upstream);
     void noteEndedDrains();
     slot_ticket acquire(const slot_request& request, const std::function<void(slot_answer)>& done);
-    void release(slot_hold hold, const slot_result& result);
+    void release(slot_handle handle, const slot_result& result);
     ranked_service& orderFor(const order_key& key);
     double toleratedFailures(ranked_service& service);
     std::map<region_id, double> demand(const order_key& key) const;
@@ -124,8 +124,8 @@
     std::map<order_key, ranked_service> m_orders;
     std::map<upstream_id, upstream_standing> m_standings;
     latency_model m_latencies;
-    absl::flat_hash_map<slot_hold, held_place> m_held;
-    std::uint64_t m_lastHold = 0;
+    absl::flat_hash_map<slot_handle, held_place> m_held;
+    std::uint64_t m_lastHandle = 0;
     std::uint64_t m_placed = 0;
     std::uint64_t m_refused = 0;
 };
--- a/src/decision/placement/upstream_standing.cpp
+++ b/src/decision/placement/upstream_standing.cpp
@@ -45,21 +45,21 @@
 void upstream_standing::end(const slot_result& result, std::uint64_t object, duration expected, time_point now)
 {
     m_own = m_own > 0 ? m_own - 1 : 0;
-    if (result.marks.load) {
-        m_reported = result.marks.load->running + result.marks.load->queued;
+    if (result.metadata.load) {
+        m_reported = result.metadata.load->running + result.metadata.load->queued;
         m_ownAtReport = m_own;
         m_reportedAt = now;
     }
-    if (result.marks.coldFor)
-        m_coldUntil = now + *result.marks.coldFor;
+    if (result.metadata.coldFor)
+        m_coldUntil = now + *result.metadata.coldFor;
     const bool neutral = result.ended == slot_result::kind::Unused || result.ended == slot_result::kind::Cancelled;
     if (neutral)
         return;
-    const bool failed = isFailure(result.ended) || result.marks.otherInstance;
+    const bool failed = isFailure(result.ended) || result.metadata.wrongInstance;
     const bool refused = result.ended == slot_result::kind::Shed;
     m_failureShare += failureWeight * ((failed || refused ? 1.0 : 0.0) - m_failureShare);
     if (result.ended == slot_result::kind::ConnectFailed || result.ended == slot_result::kind::Lost
-        || result.marks.otherInstance)
+        || result.metadata.wrongInstance)
         shun(now);
     if (result.ended == slot_result::kind::Answered) {
         m_failuresInRow = 0;
--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -123,7 +123,7 @@
 
 bool crash_guard::refuses(const crash_key& key) const
 {
-    if (refusesCrashing(m_parts.control.state(), key, m_parts.hooks.wallNow(), m_parts.options.limit))
+    if (isBlockedByCrashes(m_parts.control.state(), key, m_parts.hooks.wallNow(), m_parts.options.limit))
         return true;
     const seen_crash* seen = seenHere(key);
     if (seen != nullptr && seen->refused)
@@ -134,7 +134,7 @@
 const crash_guard::seen_crash* crash_guard::seenHere(const crash_key& key) const
 {
     const auto seen = m_seenHere.find(key);
-    const bool recent = seen != m_seenHere.end() && m_parts.hooks.now() < seen->second.lastSeen + crashMemory;
+    const bool recent = seen != m_seenHere.end() && m_parts.hooks.now() < seen->second.lastSeen + crashRetention;
     return recent ? &seen->second : nullptr;
 }
 
@@ -145,7 +145,7 @@
         upstreams = seen->upstreams;
     const auto& crashes = m_parts.control.state().crashes;
     const auto agreed = crashes.find(key);
-    if (agreed != crashes.end() && m_parts.hooks.wallNow() < agreed->second.lastSeen + crashMemory)
+    if (agreed != crashes.end() && m_parts.hooks.wallNow() < agreed->second.lastSeen + crashRetention)
         upstreams.insert(agreed->second.upstreams.begin(), agreed->second.upstreams.end());
     return upstreams.size();
 }
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -45,7 +45,7 @@
 /** When equal requests are held back. */
 struct crash_guard_options {
     /** Crashed upstreams after which equal requests are refused. */
-    std::size_t limit = crashedUpstreamsToRefuse;
+    std::size_t limit = crashedUpstreamThreshold;
     /** Of the equal requests that no success has proven, an entry runs one at a time. */
     bool oneAtATime = true;
 };
--- a/src/decision/request/hedge_policy.cpp
+++ b/src/decision/request/hedge_policy.cpp
@@ -42,13 +42,13 @@
 
 std::optional<duration> hedge_policy::delay(const service_id& service) const
 {
-    const std::optional<duration> slow = slowLatency(service);
+    const std::optional<duration> slow = p95Latency(service);
     if (!slow)
         return std::nullopt;
     return std::max(*slow, minimumDelay);
 }
 
-std::optional<duration> hedge_policy::slowLatency(const service_id& service) const
+std::optional<duration> hedge_policy::p95Latency(const service_id& service) const
 {
     const auto found = m_records.find(service);
     return found != m_records.end() ? found->second.latencies.slow() : std::nullopt;
--- a/src/decision/request/hedge_policy.h
+++ b/src/decision/request/hedge_policy.h
@@ -55,7 +55,7 @@
     /** How long after its dispatch an attempt counts as slow; none when that is not known. */
     std::optional<duration> delay(const service_id& service) const;
     /** The 95th percentile of the service's latencies; none when that is not known. */
-    std::optional<duration> slowLatency(const service_id& service) const;
+    std::optional<duration> p95Latency(const service_id& service) const;
 
 private:
     struct record {
--- a/src/decision/request/key_claims.cpp
+++ b/src/decision/request/key_claims.cpp
@@ -11,20 +11,20 @@
 
     constexpr duration lateClaimLookInterval = std::chrono::milliseconds(250);
 
-    claim_state stateOf(claim_finding finding)
+    claim_state stateOf(claim_result finding)
     {
         switch (finding) {
-        case claim_finding::Claimed:
+        case claim_result::Claimed:
             return claim_state::Claimed;
-        case claim_finding::InProgress:
+        case claim_result::InProgress:
             return claim_state::InProgress;
-        case claim_finding::Completed:
+        case claim_result::Completed:
             return claim_state::Completed;
-        case claim_finding::Unknown:
+        case claim_result::Unknown:
             return claim_state::Unknown;
-        case claim_finding::Reused:
+        case claim_result::Reused:
             return claim_state::Reused;
-        case claim_finding::TableFull:
+        case claim_result::TableFull:
             return claim_state::TableFull;
         }
         internal_assert(false) << "claim finding " << static_cast<int>(finding);
--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -37,7 +37,7 @@
     request_id id;
     caller_request content;
     request_traits traits;
-    steering_terms terms;
+    routing_policy policy;
     request_fingerprint fingerprint;
     time_point arrivedAt;
     time_point deadline;
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -54,7 +54,7 @@
 
     std::vector<log_field> fieldsOf(const admitted_request& request)
     {
-        return { { "request", request.content.name }, { "route", request.terms.route.value() },
+        return { { "request", request.content.name }, { "route", request.policy.route.value() },
             { "upstream_service", request.content.service.value() } };
     }
 
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -31,25 +31,25 @@
     policies.claims = [](const request_traits& traits) { return traits.claimed; };
     policies.unresolvedOutcome
         = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
-    policies.worthStarting = [](const dispatch_chance& chance) {
+    policies.worthStarting = [](const dispatch_timing& chance) {
         const duration unknown = std::min(chance.whole / unknownLatencyPart, longestUnknownLatency);
-        const duration likely = chance.slowLatency.value_or(unknown);
+        const duration likely = chance.p95Latency.value_or(unknown);
         return chance.remaining >= std::min({ likely, chance.whole * 3 / 4, mostTimeAskedFor });
     };
-    policies.blamesUpstream = [](const dispatch_chance& chance) {
-        return chance.remaining >= chance.slowLatency.value_or(chance.whole / 2);
+    policies.blamesUpstream = [](const dispatch_timing& chance) {
+        return chance.remaining >= chance.p95Latency.value_or(chance.whole / 2);
     };
     policies.learnsFromTimeouts = [] { return true; };
-    policies.mayRetry = [](const ended_attempt& attempt) {
+    policies.mayRetry = [](const failed_attempt& attempt) {
         return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
     };
     policies.isMarkedRefusal = [](const upstream_answer& answer) {
-        return answer.marks.notRun || (answer.status == statusUnavailable && carriesMark(answer));
+        return answer.metadata.notRun || (answer.status == statusUnavailable && carriesMark(answer));
     };
     policies.needsFreshConnection = [](const request_traits& traits) { return !traits.idempotent; };
     policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
     policies.budgeted = [] { return true; };
-    policies.isFree = [](const ended_attempt&) { return false; };
+    policies.isExemptFromBudget = [](const failed_attempt&) { return false; };
     policies.hedges = [](const request_traits& traits) { return traits.idempotent; };
     policies.hasRoomToHedge = [](bool hasRoom) { return hasRoom; };
     policies.outlivesCaller = [](const request_traits& traits) { return traits.claimed; };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -28,7 +28,7 @@
 };
 
 /** An attempt that ended without an answer to pass on, and what is known when its retry is weighed. */
-struct ended_attempt {
+struct failed_attempt {
     request_traits traits;
     attempt_state state = attempt_state::Lost;
     duration remaining {};
@@ -42,12 +42,12 @@
 };
 
 /** What is known when a slot came and a call could be started. */
-struct dispatch_chance {
+struct dispatch_timing {
     /** Until the request's deadline, now and when it arrived. */
     duration remaining {};
     duration whole {};
     /** The 95th percentile of the service's latencies; none when that is not known. */
-    std::optional<duration> slowLatency;
+    std::optional<duration> p95Latency;
 };
 
 /** The policies of the request path; each has a sound default and can be replaced, as tests do to show what it is for.
@@ -58,13 +58,13 @@
     /** What is said of claimed work that ends before its claim is resolved: an earlier request may have run it. */
     std::function<outcome(const request_traits&)> unresolvedOutcome;
     /** Whether a call is likely enough to be answered before the deadline to be started. */
-    std::function<bool(const dispatch_chance&)> worthStarting;
+    std::function<bool(const dispatch_timing&)> worthStarting;
     /** Whether a call that had this chance and timed out speaks against its upstream. */
-    std::function<bool(const dispatch_chance&)> blamesUpstream;
+    std::function<bool(const dispatch_timing&)> blamesUpstream;
     /** Whether calls that timed out count among the latencies, as slow ones. */
     std::function<bool()> learnsFromTimeouts;
     /** Whether an ended attempt may be followed by another. */
-    std::function<bool(const ended_attempt&)> mayRetry;
+    std::function<bool(const failed_attempt&)> mayRetry;
     /** Whether an answer says that the upstream did not run the work. */
     std::function<bool(const upstream_answer&)> isMarkedRefusal;
     /** Whether a call must not use an idle connection. */
@@ -74,7 +74,7 @@
     /** Whether retries and hedges are held to the budget. */
     std::function<bool()> budgeted;
     /** Whether a retry after this end is outside the budget. */
-    std::function<bool(const ended_attempt&)> isFree;
+    std::function<bool(const failed_attempt&)> isExemptFromBudget;
     /** Whether a slow attempt of such a request may be hedged. */
     std::function<bool(const request_traits&)> hedges;
     /** Whether a hedge may be made, given whether slots are plentiful. */
@@ -108,7 +108,7 @@
     /** How long a caller's answer waits after a crash report, so that a resend finds it applied at every entry. */
     duration crashReportSpread = std::chrono::milliseconds(250);
     /** How long a stop goes on taking requests; the cache time of the settings if there is none. */
-    std::optional<duration> leaveTime;
+    std::optional<duration> lameDuckTime;
     crash_guard_options crashes;
     /** Bounds retries by a sliding window instead of by all that came since the start. */
     std::optional<retry_window_options> retryWindow;
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -190,14 +190,14 @@
     const request_options& options = m_environment.options;
     if (ended.ended == attempt_end::kind::NoSlot || m_attemptCount >= options.maximumAttempts)
         return false;
-    if (m_request.terms.maximumAttempts != 0 && m_offerCount >= m_request.terms.maximumAttempts)
+    if (m_request.policy.maximumAttempts != 0 && m_offerCount >= m_request.policy.maximumAttempts)
         return false;
-    const ended_attempt end { m_request.traits, ended.state, remaining() };
+    const failed_attempt end { m_request.traits, ended.state, remaining() };
     if (!options.policies.mayRetry(end))
         return false;
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
         return false;
-    const bool charged = options.policies.budgeted() && !options.policies.isFree(end);
+    const bool charged = options.policies.budgeted() && !options.policies.isExemptFromBudget(end);
     if (charged && !m_environment.spendRetry(m_request.content.service))
         return false;
     ++m_environment.statistics.retries;
@@ -255,7 +255,7 @@
         return systemAnswer(withoutAnswer(),
             ended.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
     case attempt_end::kind::Refused:
-        if (ended.answer->marks.otherInstance)
+        if (ended.answer->metadata.wrongInstance)
             return systemAnswer(withoutAnswer(), answer_reason::NoUpstream);
         return upstreamAnswer(withoutAnswer(), *ended.answer);
     case attempt_end::kind::Shed:
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -28,17 +28,17 @@
         return traits;
     }
 
-    steering_terms termsOf(const route_definition& route, const caller_request& request)
+    routing_policy policyOf(const route_definition& route, const caller_request& request)
     {
-        steering_terms terms;
-        terms.route = route.id;
+        routing_policy policy;
+        policy.route = route.id;
         if (route.sticky && !request.affinity.empty())
-            terms.object = absl::StrCat(route.id.value(), "/", request.affinity);
-        terms.allowedRegions = route.allowedRegions;
-        terms.objective = route.objective;
-        terms.priority = route.priority;
-        terms.maximumAttempts = route.maximumAttempts;
-        return terms;
+            policy.object = absl::StrCat(route.id.value(), "/", request.affinity);
+        policy.allowedRegions = route.allowedRegions;
+        policy.targetLatency = route.targetLatency;
+        policy.priority = route.priority;
+        policy.maximumAttempts = route.maximumAttempts;
+        return policy;
     }
 
 } // namespace
@@ -68,7 +68,7 @@
 {
     service item;
     item.name = port_names::requests;
-    item.needs = { port_names::control, port_names::consensus, port_names::slots, port_names::upstreams };
+    item.dependencies = { port_names::control, port_names::consensus, port_names::slots, port_names::upstreams };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return dump(); };
@@ -194,7 +194,7 @@
 {
     admitted_request admitted;
     if (route != nullptr)
-        admitted.terms = termsOf(*route, request);
+        admitted.policy = policyOf(*route, request);
     admitted.fingerprint = fingerprintOf(request);
     const duration asked = request.deadline.value_or(definition.defaultDeadline);
     admitted.arrivedAt = m_hooks.now();
@@ -233,7 +233,7 @@
     m_running.erase(position);
     m_bodyBytes -= request.content.body.size();
     if (deliver) {
-        answer.route = request.terms.route;
+        answer.route = request.policy.route;
         answer.service = request.content.service;
         m_hooks.log(requestAnswered(request, answer, m_hooks.now() - request.arrivedAt));
         countAnswer(answer);
@@ -268,7 +268,7 @@
 {
     m_stopped = std::move(stopped);
     m_life = life::Leaving;
-    m_hooks.schedule(m_options.leaveTime.value_or(m_settings.lookupCacheTime), [this] { drain(); });
+    m_hooks.schedule(m_options.lameDuckTime.value_or(m_settings.lookupCacheTime), [this] { drain(); });
 }
 
 void request_service::drain()
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -54,7 +54,7 @@
         case answer_reason::NotReady:
             return shortRetryAfter;
         case answer_reason::CrashingRequest:
-            return crashMemory;
+            return crashRetention;
         default:
             return std::nullopt;
         }
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -64,7 +64,7 @@
 void upstream_attempt::start(const std::vector<upstream_id>& avoid)
 {
     slot_request asked { m_request.content.service, m_request.deadline, avoid,
-        byte_count(m_request.content.body.size()), m_request.terms };
+        byte_count(m_request.content.body.size()), m_request.policy };
     slot_port& slots = m_environment.slots;
     const slot_ticket ticket
         = slots.acquire(std::move(asked), [weak = weak_from_this(), &slots](const slot_answer& answer) {
@@ -72,7 +72,7 @@
               if (self && !self->m_ended)
                   self->onSlot(answer);
               else if (answer.slot)
-                  slots.release(answer.slot->hold, {});
+                  slots.release(answer.slot->handle, {});
           });
     m_environment.hedges.observeSlot(m_request.content.service, !m_gotSlot);
     if (!m_ended && !m_gotSlot)
@@ -107,10 +107,10 @@
     end(std::move(ended));
 }
 
-dispatch_chance upstream_attempt::chanceAt(time_point begin) const
+dispatch_timing upstream_attempt::chanceAt(time_point begin) const
 {
     return { m_request.deadline - begin, m_request.deadline - m_request.arrivedAt,
-        m_environment.hedges.slowLatency(m_request.content.service) };
+        m_environment.hedges.p95Latency(m_request.content.service) };
 }
 
 slot_result::kind upstream_attempt::endAtDeadline() const
@@ -128,9 +128,9 @@
     m_call = m_environment.nextCall();
     call_events events;
     const auto weak = weak_from_this();
-    events.onFirstByte = [weak] {
+    events.onDispatch = [weak] {
         if (const auto self = weak.lock(); self && !self->m_ended)
-            self->onFirstByte();
+            self->onDispatch();
     };
     events.onAnswer = [weak](upstream_answer answer) {
         if (const auto self = weak.lock(); self && !self->m_ended)
@@ -158,14 +158,14 @@
     call.headers = m_request.content.headers;
     call.body = m_request.content.body;
     call.timeout = m_request.deadline - now;
-    call.offerWithin = std::min(call.timeout, slot.dispatchBefore - now);
+    call.dispatchTimeout = std::min(call.timeout, slot.dispatchBefore - now);
     call.freshConnection = m_environment.options.policies.needsFreshConnection(m_request.traits);
     call.connectionLimit = m_request.connectionLimit;
     call.requestName = m_request.content.name;
     return call;
 }
 
-void upstream_attempt::onFirstByte()
+void upstream_attempt::onDispatch()
 {
     m_state = nextState(m_state, attempt_event::OfferFirstByte);
     if (m_environment.hooks.now() <= m_slot.dispatchBefore)
@@ -196,7 +196,7 @@
             m_environment.hedges.observeLatency(m_request.content.service, m_environment.hooks.now() - m_startedAt);
     }
     m_state = nextState(m_state, event);
-    m_marks = answer.marks;
+    m_marks = answer.metadata;
     ended.answer = std::move(answer);
     release(kind, attempt_ending::Finished);
     end(std::move(ended));
@@ -241,8 +241,8 @@
     result.ended = kind;
     result.latency = m_environment.hooks.now() - m_startedAt;
     result.busyUntil = busyUntil(ending);
-    result.marks = m_marks;
-    m_environment.slots.release(m_slot.hold, result);
+    result.metadata = m_marks;
+    m_environment.slots.release(m_slot.handle, result);
 }
 
 std::optional<time_point> upstream_attempt::busyUntil(attempt_ending ending) const
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -79,12 +79,12 @@
     upstream_attempt(request_environment& environment, const admitted_request& request, attempt_events events);
 
     void onSlot(const slot_answer& answer);
-    dispatch_chance chanceAt(time_point begin) const;
+    dispatch_timing chanceAt(time_point begin) const;
     /** Takes note of a call that timed out; says whether that speaks against its upstream. */
     slot_result::kind endAtDeadline() const;
     void call();
     upstream_call callFor(const held_slot& slot) const;
-    void onFirstByte();
+    void onDispatch();
     void onAnswer(upstream_answer answer);
     void onFailure(call_failure failure);
     void release(slot_result::kind kind, attempt_ending ending);
@@ -103,7 +103,7 @@
     /** What decided for the slot, for the log. */
     std::vector<log_field> m_inputs;
     call_id m_call;
-    answer_marks m_marks;
+    answer_metadata m_marks;
     time_point m_startedAt;
 };
 
--- a/src/decision/routes/route_table.cpp
+++ b/src/decision/routes/route_table.cpp
@@ -18,7 +18,7 @@
     }
 
     void checkRoute(
-        const configuration& config, const route_definition& route, const text_place& place, finding_list& findings)
+        const configuration& config, const route_definition& route, const text_position& place, finding_list& findings)
     {
         const std::string name = absl::StrCat("route '", route.id.value(), "'");
         for (const weighted_service& part : route.services) {
@@ -30,7 +30,7 @@
             findings.add(place, name + " names no service", "one service or a split");
         if (route.maximumAttempts == 0)
             findings.add(place, name + " allows no attempt", "1 or more");
-        if (route.objective >= route.timeLimit + largestObjectiveExcess)
+        if (route.targetLatency >= route.timeLimit + largestObjectiveExcess)
             findings.add(place, name + " has an objective far above its time limit", "one below the limit");
         const bool isPath = route.pathPrefix.starts_with('/') && route.pathPrefix.ends_with('/');
         if (!isPath)
--- a/src/decision/shifts/measurement_window.cpp
+++ b/src/decision/shifts/measurement_window.cpp
@@ -14,13 +14,13 @@
     }
 }
 
-std::optional<domain_signal> measurement_window::signal(
+std::optional<domain_statistics> measurement_window::statistics(
     const service_id& service, const failure_domain_id& domain, time_point now) const
 {
     const auto found = m_samples.find({ service, domain });
     if (found == m_samples.end())
         return {};
-    domain_signal sum;
+    domain_statistics sum;
     duration medians {};
     duration slows {};
     for (const sample& item : found->second) {
@@ -31,12 +31,12 @@
         sum.requests += requests;
         sum.failed += measured.failed + measured.refused;
         medians += measured.medianLatency * requests;
-        slows += measured.slowLatency * requests;
+        slows += measured.p95Latency * requests;
     }
     if (sum.requests == 0)
         return {};
     sum.medianLatency = medians / sum.requests;
-    sum.slowLatency = slows / sum.requests;
+    sum.p95Latency = slows / sum.requests;
     sum.perSecond = static_cast<double>(sum.requests) / std::chrono::duration<double>(m_span).count();
     return sum;
 }
--- a/src/decision/shifts/measurement_window.h
+++ b/src/decision/shifts/measurement_window.h
@@ -15,14 +15,14 @@
 namespace plantainlatch {
 
 /** What was seen of one service in one failure domain over the window. */
-struct domain_signal {
+struct domain_statistics {
     std::uint64_t requests = 0;
     std::uint64_t failed = 0;
     /** Requests a second. */
     double perSecond = 0;
     /** The mean of the reported medians and of the reported slow latencies, by requests. */
     duration medianLatency {};
-    duration slowLatency {};
+    duration p95Latency {};
 
     double errorRatio() const
     {
@@ -42,7 +42,7 @@
     void clear() { m_samples.clear(); }
 
     /** None when nothing was measured of the place within the window. */
-    std::optional<domain_signal> signal(
+    std::optional<domain_statistics> statistics(
         const service_id& service, const failure_domain_id& domain, time_point now) const;
 
 private:
--- a/src/decision/shifts/shift_leader.cpp
+++ b/src/decision/shifts/shift_controller.cpp
@@ -1,10 +1,10 @@
-#include "decision/shifts/shift_leader.h"
+#include "decision/shifts/shift_controller.h"
 
 #include <algorithm>
 
 #include "decision/control/apply_directory.h"
 #include "decision/control/apply_drain.h"
-#include "decision/shifts/cap_shares.h"
+#include "decision/shifts/split_cap.h"
 
 namespace plantainlatch {
 
@@ -29,7 +29,7 @@
 
 } // namespace
 
-shift_leader::shift_leader(
+shift_controller::shift_controller(
     shift_cap_options cap, shift_gate_options gate, duration measurementSpan, time_point termBegan)
     : m_cap(cap)
     , m_gate(gate)
@@ -39,12 +39,12 @@
 {
 }
 
-shift_leader::driven_shift& shift_leader::drivenShift(
+shift_controller::driven_shift& shift_controller::drivenShift(
     const control_snapshot& state, const shift_id& shift, time_point now)
 {
     const std::uint64_t step = state.shifts.at(shift).step;
     const auto [found, isNew] = m_shifts.try_emplace(
-        shift, driven_shift { shift_ledger(m_cap, m_termBegan), shift_gate(m_gate), step, now, {}, {} });
+        shift, driven_shift { shift_quota_allocator(m_cap, m_termBegan), shift_gate(m_gate), step, now, {}, {} });
     driven_shift& driven = found->second;
     if (driven.step != step) {
         driven.step = step;
@@ -53,74 +53,75 @@
     return driven;
 }
 
-void shift_leader::answer(
+void shift_controller::answer(
     const control_snapshot& state, const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now)
 {
     m_measurements.add(heartbeat, now);
-    answer.allowanceLease = m_cap.lease;
+    answer.quotaLease = m_cap.lease;
     for (const shift_usage& usage : heartbeat.shiftUsage) {
         const auto definition = state.config.shifts.find(usage.shift);
         if (definition == state.config.shifts.end() || !state.shifts.contains(usage.shift))
             continue;
         driven_shift& driven = drivenShift(state, usage.shift, now);
-        answer.allowances.push_back({ usage.shift, allowance(driven, definition->second, heartbeat, usage, now) });
+        answer.quotas.push_back({ usage.shift, allowance(driven, definition->second, heartbeat, usage, now) });
     }
 }
 
-std::uint32_t shift_leader::allowance(driven_shift& driven, const shift_definition& definition,
+std::uint32_t shift_controller::allowance(driven_shift& driven, const shift_definition& definition,
     const vm_heartbeat& heartbeat, const shift_usage& usage, time_point now)
 {
-    const shift_ledger::holder self { heartbeat.vm, heartbeat.start };
-    double& wish = driven.wanted[self];
-    wish = (1 - wishWeight) * wish + wishWeight * static_cast<double>(usage.wanted);
+    const shift_quota_allocator::holder self { heartbeat.vm, heartbeat.start };
+    double& wish = driven.requested[self];
+    wish = (1 - wishWeight) * wish + wishWeight * static_cast<double>(usage.requested);
     driven.heardAt[self] = now;
     std::erase_if(driven.heardAt, [&](const auto& entry) { return now - entry.second > wishMemory; });
-    std::erase_if(driven.wanted, [&](const auto& entry) { return !driven.heardAt.contains(entry.first); });
+    std::erase_if(driven.requested, [&](const auto& entry) { return !driven.heardAt.contains(entry.first); });
     std::map<vm_id, double> wishes;
-    for (const auto& [holder, wanted] : driven.wanted)
-        wishes[holder.first] = wanted;
-    const std::uint32_t share = shareCap(definition.capPerSecond, wishes)[heartbeat.vm];
+    for (const auto& [holder, requested] : driven.requested)
+        wishes[holder.first] = requested;
+    const std::uint32_t share = splitCap(definition.capPerSecond, wishes)[heartbeat.vm];
     return driven.ledger.grant(self, share, usage.held, definition.capPerSecond, now);
 }
 
-double shift_leader::wantedPerSecond(const shift_id& shift) const
+double shift_controller::wantedPerSecond(const shift_id& shift) const
 {
     const auto found = m_shifts.find(shift);
     double sum = 0;
     if (found == m_shifts.end())
         return sum;
-    for (const auto& [holder, wanted] : found->second.wanted)
-        sum += wanted;
+    for (const auto& [holder, requested] : found->second.requested)
+        sum += requested;
     return sum;
 }
 
-duration shift_leader::baselineOf(const shift_definition& definition, const shift_record& record, time_point now) const
+duration shift_controller::baselineOf(
+    const shift_definition& definition, const shift_record& record, time_point now) const
 {
     if (record.baseline > duration::zero())
         return record.baseline;
     for (const failure_domain_id& domain : { definition.to, definition.from }) {
-        const std::optional<domain_signal> signal = m_measurements.signal(definition.service, domain, now);
-        if (signal.has_value())
-            return signal->medianLatency;
+        const std::optional<domain_statistics> statistics = m_measurements.statistics(definition.service, domain, now);
+        if (statistics.has_value())
+            return statistics->medianLatency;
     }
     return {};
 }
 
-shift_advice shift_leader::advise(const control_snapshot& state, driven_shift& driven,
+shift_advice shift_controller::advise(const control_snapshot& state, driven_shift& driven,
     const shift_definition& definition, const shift_record& record, duration baseline, time_point now) const
 {
-    const auto target = m_measurements.signal(definition.service, definition.to, now);
-    const auto source = m_measurements.signal(definition.service, definition.from, now);
+    const auto target = m_measurements.statistics(definition.service, definition.to, now);
+    const auto source = m_measurements.statistics(definition.service, definition.from, now);
     // Before the first step the target may have no traffic to measure; the source stands in for it.
     const bool unmeasuredStart = record.percent == 0 && !target.has_value();
     const shift_advice advice = driven.gate.judge(unmeasuredStart ? source : target, baseline, now);
     const std::uint64_t slots = slotsAt(state, definition.service, definition.to);
-    if (advice == shift_advice::Advance && !canBearStep(definition, record, target, source, slots))
+    if (advice == shift_advice::Advance && !hasCapacityForStep(definition, record, target, source, slots))
         return shift_advice::Hold;
     return advice;
 }
 
-std::vector<step_shift> shift_leader::decide(const control_snapshot& state, time_point now)
+std::vector<step_shift> shift_controller::decide(const control_snapshot& state, time_point now)
 {
     std::erase_if(m_shifts, [&](const auto& entry) { return !state.shifts.contains(entry.first); });
     std::vector<step_shift> steps;
--- a/src/decision/shifts/shift_leader.h
+++ b/src/decision/shifts/shift_controller.h
@@ -9,16 +9,16 @@
 #include <vector>
 
 #include "decision/shifts/shift_gate.h"
-#include "decision/shifts/shift_ledger.h"
+#include "decision/shifts/shift_quota_allocator.h"
 #include "decision/shifts/shift_step.h"
 #include "model/control_snapshot.h"
 
 namespace plantainlatch {
 
 /** All shifts as one leader drives them; a new leader begins with a new one. */
-class shift_leader {
+class shift_controller {
 public:
-    shift_leader(shift_cap_options cap, shift_gate_options gate, duration measurementSpan, time_point termBegan);
+    shift_controller(shift_cap_options cap, shift_gate_options gate, duration measurementSpan, time_point termBegan);
 
     /** Takes in a VM's heartbeat and answers with its allowances. */
     void answer(const control_snapshot& state, const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now);
@@ -33,12 +33,12 @@
 
 private:
     struct driven_shift {
-        shift_ledger ledger;
+        shift_quota_allocator ledger;
         shift_gate gate;
         std::uint64_t step = 0;
         time_point stepSeenAt {};
-        std::map<shift_ledger::holder, double> wanted;
-        std::map<shift_ledger::holder, time_point> heardAt;
+        std::map<shift_quota_allocator::holder, double> requested;
+        std::map<shift_quota_allocator::holder, time_point> heardAt;
     };
 
     driven_shift& drivenShift(const control_snapshot& state, const shift_id& shift, time_point now);
--- a/src/decision/shifts/shift_gate.cpp
+++ b/src/decision/shifts/shift_gate.cpp
@@ -13,10 +13,10 @@
 
 } // namespace
 
-shift_gate::health shift_gate::assess(const domain_signal& signal, duration baseline) const
+shift_gate::health shift_gate::assess(const domain_statistics& statistics, duration baseline) const
 {
-    const double latency = latencyRatio(signal.medianLatency, baseline);
-    const double errors = signal.errorRatio();
+    const double latency = latencyRatio(statistics.medianLatency, baseline);
+    const double errors = statistics.errorRatio();
     if (latency > m_options.highLatency || errors > m_options.highErrorRatio)
         return health::Suffering;
     if (latency < m_options.lowLatency && errors < m_options.lowErrorRatio)
@@ -24,13 +24,13 @@
     return health::Between;
 }
 
-shift_advice shift_gate::judge(const std::optional<domain_signal>& signal, duration baseline, time_point now)
+shift_advice shift_gate::judge(const std::optional<domain_statistics>& statistics, duration baseline, time_point now)
 {
-    if (!signal.has_value() || signal->requests < m_options.minimumRequests) {
+    if (!statistics.has_value() || statistics->requests < m_options.minimumRequests) {
         m_sufferingSince.reset();
         return shift_advice::Hold;
     }
-    const health found = assess(*signal, baseline);
+    const health found = assess(*statistics, baseline);
     if (found != health::Suffering)
         m_sufferingSince.reset();
     else if (!m_sufferingSince.has_value())
--- a/src/decision/shifts/shift_gate.h
+++ b/src/decision/shifts/shift_gate.h
@@ -47,7 +47,7 @@
     }
 
     /** Judges the latest signal; none stands for missing measurements, which hold the shift. */
-    shift_advice judge(const std::optional<domain_signal>& signal, duration baseline, time_point now);
+    shift_advice judge(const std::optional<domain_statistics>& statistics, duration baseline, time_point now);
 
 private:
     enum class health {
@@ -56,7 +56,7 @@
         Suffering,
     };
 
-    health assess(const domain_signal& signal, duration baseline) const;
+    health assess(const domain_statistics& statistics, duration baseline) const;
 
     shift_gate_options m_options;
     std::optional<time_point> m_sufferingSince;
--- a/src/decision/shifts/shift_spending.h
+++ b/src/decision/shifts/shift_limiters.h
@@ -8,17 +8,17 @@
 #include <map>
 #include <vector>
 
-#include "decision/shifts/shift_ledger.h"
-#include "decision/shifts/shift_pacer.h"
+#include "decision/shifts/shift_quota_allocator.h"
+#include "decision/shifts/shift_rate_limiter.h"
 #include "model/configuration.h"
 #include "model/control_message.h"
 
 namespace plantainlatch {
 
 /** The pacers of all shifts on this VM. */
-class shift_spending {
+class shift_limiters {
 public:
-    explicit shift_spending(shift_cap_options options)
+    explicit shift_limiters(shift_cap_options options)
         : m_options(options)
     {
     }
@@ -30,7 +30,7 @@
     void receive(const heartbeat_answer& answer, time_point sentAt);
 
     /** Takes one request out of the allowance; false also for an unknown shift. */
-    bool trySpend(const shift_id& shift, time_point now);
+    bool tryAcquire(const shift_id& shift, time_point now);
 
     /** What was spent since the last call. */
     std::vector<shift_usage> takeUsage(time_point now);
@@ -38,9 +38,9 @@
 private:
     struct spending {
         shift_definition definition;
-        shift_pacer pacer;
-        std::uint64_t spent = 0;
-        std::uint64_t wanted = 0;
+        shift_rate_limiter pacer;
+        std::uint64_t admitted = 0;
+        std::uint64_t requested = 0;
     };
 
     shift_cap_options m_options;
--- a/src/decision/shifts/shift_ledger.cpp
+++ b/src/decision/shifts/shift_quota_allocator.cpp
@@ -1,4 +1,4 @@
-#include "decision/shifts/shift_ledger.h"
+#include "decision/shifts/shift_quota_allocator.h"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 
 namespace plantainlatch {
 
-std::uint32_t shift_ledger::reservedBy(const std::vector<allowance>& given, time_point now) const
+std::uint32_t shift_quota_allocator::reservedBy(const std::vector<allowance>& given, time_point now) const
 {
     std::uint32_t most = 0;
     for (const allowance& item : given) {
@@ -16,7 +16,7 @@
     return most;
 }
 
-std::uint32_t shift_ledger::reservedByOthers(const holder& vm, time_point now) const
+std::uint32_t shift_quota_allocator::reservedByOthers(const holder& vm, time_point now) const
 {
     std::uint32_t sum = 0;
     for (const auto& [other, given] : m_given) {
@@ -27,7 +27,7 @@
     return sum;
 }
 
-std::uint32_t shift_ledger::reserved(time_point now) const
+std::uint32_t shift_quota_allocator::reserved(time_point now) const
 {
     std::uint32_t sum = 0;
     for (const auto& [vm, given] : m_given)
@@ -35,20 +35,20 @@
     return sum;
 }
 
-void shift_ledger::prune(time_point now)
+void shift_quota_allocator::prune(time_point now)
 {
     for (auto& [vm, given] : m_given)
         std::erase_if(given, [&](const allowance& item) { return item.countsUntil <= now; });
     std::erase_if(m_given, [](const auto& entry) { return entry.second.empty(); });
 }
 
-std::uint32_t shift_ledger::grant(
-    const holder& vm, std::uint32_t wanted, std::uint32_t held, std::uint32_t cap, time_point now)
+std::uint32_t shift_quota_allocator::grant(
+    const holder& vm, std::uint32_t requested, std::uint32_t held, std::uint32_t cap, time_point now)
 {
     prune(now);
     const std::uint32_t others = reservedByOthers(vm, now);
     const std::uint32_t room = cap > others ? cap - others : 0;
-    std::uint32_t given = std::min(wanted, room);
+    std::uint32_t given = std::min(requested, room);
     if (m_options.countEarlier && now < m_earlierEnd)
         given = std::min(given, held);
     m_given[vm].push_back({ given, now + m_options.lease + m_options.drift + m_options.window });
--- a/src/decision/shifts/shift_ledger.h
+++ b/src/decision/shifts/shift_quota_allocator.h
@@ -27,9 +27,9 @@
 };
 
 /** Gives allowances whose sum never exceeds the cap over any window, whoever led before. */
-class shift_ledger {
+class shift_quota_allocator {
 public:
-    shift_ledger(shift_cap_options options, time_point termBegan)
+    shift_quota_allocator(shift_cap_options options, time_point termBegan)
         : m_options(options)
         , m_earlierEnd(termBegan + options.lease + options.drift + options.window)
     {
@@ -40,7 +40,8 @@
 
     /** The allowance of a VM from now on: at most `wanted`, and what is free. While allowances of an earlier leader may
      * hold, a VM keeps at most what it already has. */
-    std::uint32_t grant(const holder& vm, std::uint32_t wanted, std::uint32_t held, std::uint32_t cap, time_point now);
+    std::uint32_t grant(
+        const holder& vm, std::uint32_t requested, std::uint32_t held, std::uint32_t cap, time_point now);
 
     /** What all VMs together may spend in a window that has not passed. */
     std::uint32_t reserved(time_point now) const;
--- a/src/decision/shifts/shift_pacer.cpp
+++ b/src/decision/shifts/shift_rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "decision/shifts/shift_pacer.h"
+#include "decision/shifts/shift_rate_limiter.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,13 +7,13 @@
 
 namespace plantainlatch {
 
-void shift_pacer::allow(std::uint32_t perWindow, time_point until)
+void shift_rate_limiter::allow(std::uint32_t perWindow, time_point until)
 {
     m_perWindow = perWindow;
     m_until = until;
 }
 
-void shift_pacer::moveTo(std::int64_t bucket)
+void shift_rate_limiter::moveTo(std::int64_t bucket)
 {
     const std::int64_t count = bucketCount;
     const std::int64_t first = std::max(m_lastBucket + 1, bucket - count + 1);
@@ -22,7 +22,7 @@
     m_lastBucket = std::max(m_lastBucket, bucket);
 }
 
-bool shift_pacer::trySpend(time_point now)
+bool shift_rate_limiter::tryAcquire(time_point now)
 {
     moveTo(bucketOf(now));
     if (m_spent >= held(now))
--- a/src/decision/shifts/shift_pacer.h
+++ b/src/decision/shifts/shift_rate_limiter.h
@@ -12,9 +12,9 @@
 namespace plantainlatch {
 
 /** Lets through at most the allowance within any window. It counts in buckets and rounds against the spender. */
-class shift_pacer {
+class shift_rate_limiter {
 public:
-    explicit shift_pacer(duration window)
+    explicit shift_rate_limiter(duration window)
         : m_bucketSpan(window / static_cast<std::int64_t>(bucketCount - 1))
     {
     }
@@ -25,7 +25,7 @@
     void forbid() { m_perWindow = 0; }
 
     /** Takes one request out of the allowance. */
-    bool trySpend(time_point now);
+    bool tryAcquire(time_point now);
 
     /** The allowance that holds now. */
     std::uint32_t held(time_point now) const { return now < m_until ? m_perWindow : 0; }
--- a/src/decision/shifts/shift_service.cpp
+++ b/src/decision/shifts/shift_service.cpp
@@ -27,14 +27,14 @@
 {
     m_port.weights = [this](const service_id& name) { return weights(name); };
     m_port.shifts = [this](const service_id& name) { return shifts(name); };
-    m_port.trySpend = [this](const shift_id& shift) { return m_spending.trySpend(shift, m_hooks.now()); };
+    m_port.tryAcquire = [this](const shift_id& shift) { return m_spending.tryAcquire(shift, m_hooks.now()); };
 }
 
 service shift_service::asService()
 {
     service item;
     item.name = port_names::shifts;
-    item.needs = { port_names::control, port_names::consensus, port_names::membership };
+    item.dependencies = { port_names::control, port_names::consensus, port_names::membership };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) {
         m_hooks.cancel(m_timer);
@@ -66,7 +66,7 @@
     return services.publish(port_names::shifts, m_port);
 }
 
-shift_leader& shift_service::led()
+shift_controller& shift_service::led()
 {
     const log_term term = m_consensus->state().term;
     if (!m_leader.has_value() || m_leaderTerm != term) {
@@ -80,7 +80,7 @@
 void shift_service::tick()
 {
     m_timer = m_hooks.schedule(m_options.tickInterval, [this] { tick(); });
-    if (!m_membership->leadsFully()) {
+    if (!m_membership->isCaughtUpLeader()) {
         m_leader.reset();
         return;
     }
--- a/src/decision/shifts/shift_service.h
+++ b/src/decision/shifts/shift_service.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "decision/shifts/shift_leader.h"
-#include "decision/shifts/shift_spending.h"
+#include "decision/shifts/shift_controller.h"
+#include "decision/shifts/shift_limiters.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
@@ -49,7 +49,7 @@
     absl::Status start(registry& services);
     void tick();
     void propose(const step_shift& step);
-    shift_leader& led();
+    shift_controller& led();
     std::vector<domain_weight> weights(const service_id& service) const;
     std::vector<active_shift> shifts(const service_id& service) const;
     state_dump dump() const;
@@ -61,9 +61,9 @@
     consensus_port* m_consensus = nullptr;
     membership_port* m_membership = nullptr;
     timer_id m_timer;
-    shift_spending m_spending;
+    shift_limiters m_spending;
     change_number m_followed;
-    std::optional<shift_leader> m_leader;
+    std::optional<shift_controller> m_leader;
     log_term m_leaderTerm;
     std::set<shift_id> m_stepping;
 };
--- a/src/decision/shifts/shift_step.cpp
+++ b/src/decision/shifts/shift_step.cpp
@@ -64,8 +64,9 @@
     return {};
 }
 
-bool canBearStep(const shift_definition& definition, const shift_record& record,
-    const std::optional<domain_signal>& target, const std::optional<domain_signal>& source, std::uint64_t targetSlots)
+bool hasCapacityForStep(const shift_definition& definition, const shift_record& record,
+    const std::optional<domain_statistics>& target, const std::optional<domain_statistics>& source,
+    std::uint64_t targetSlots)
 {
     if (targetSlots == 0)
         return false;
--- a/src/decision/shifts/shift_step.h
+++ b/src/decision/shifts/shift_step.h
@@ -20,8 +20,9 @@
 
 /** Whether the target can bear the next step: the work it would run at once, by rate and latency, stays below its slots
  * with some headroom. `target` is none before the target has traffic. */
-bool canBearStep(const shift_definition& definition, const shift_record& record,
-    const std::optional<domain_signal>& target, const std::optional<domain_signal>& source, std::uint64_t targetSlots);
+bool hasCapacityForStep(const shift_definition& definition, const shift_record& record,
+    const std::optional<domain_statistics>& target, const std::optional<domain_statistics>& source,
+    std::uint64_t targetSlots);
 
 /** `running`, `held` and so on. */
 const char* phaseName(shift_phase phase);
--- a/src/decision/shifts/cap_shares.cpp
+++ b/src/decision/shifts/split_cap.cpp
@@ -1,4 +1,4 @@
-#include "decision/shifts/cap_shares.h"
+#include "decision/shifts/split_cap.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,15 +20,15 @@
 
 } // namespace
 
-std::map<vm_id, std::uint32_t> shareCap(std::uint32_t cap, const std::map<vm_id, double>& wanted)
+std::map<vm_id, std::uint32_t> splitCap(std::uint32_t cap, const std::map<vm_id, double>& requested)
 {
     std::map<vm_id, std::uint32_t> shares;
     double total = 0;
-    for (const auto& [vm, wish] : wanted)
+    for (const auto& [vm, wish] : requested)
         total += wish + baseWish;
     std::uint32_t given = 0;
     std::vector<remainder> remainders;
-    for (const auto& [vm, wish] : wanted) {
+    for (const auto& [vm, wish] : requested) {
         const double exact = cap * (wish + baseWish) / total;
         const double whole = std::floor(exact);
         shares[vm] = static_cast<std::uint32_t>(whole);
--- a/src/decision/shifts/cap_shares.h
+++ b/src/decision/shifts/split_cap.h
@@ -13,6 +13,6 @@
 
 /** Whole parts of `cap` in proportion to what each VM wants, each wanting at least a little; they sum to `cap` unless
  * there is no VM. */
-std::map<vm_id, std::uint32_t> shareCap(std::uint32_t cap, const std::map<vm_id, double>& wanted);
+std::map<vm_id, std::uint32_t> splitCap(std::uint32_t cap, const std::map<vm_id, double>& requested);
 
 } // namespace plantainlatch
--- a/src/decision/slots/allocator_host.cpp
+++ b/src/decision/slots/allocator_host.cpp
@@ -47,7 +47,7 @@
         item->allocator.setUpstreams(m_table, longest, m_hooks.now());
         for (const auto& [vm, record] : state.vms) {
             if (record.stopped && record.earlierWorkEnded)
-                item->allocator.accountStopped(vm);
+                item->allocator.markStopped(vm);
         }
         item->members.clear();
         for (const auto& [id, upstream] : m_table.upstreams) {
@@ -97,7 +97,7 @@
     const time_point now = m_hooks.now();
     if (found == m_hosted.end() || found->second->epoch != report.epoch)
         return;
-    const std::optional<time_point> until = m_ports.membership->allocatorUntil(report.region);
+    const std::optional<time_point> until = m_ports.membership->allocatorLeaseEnd(report.region);
     if (!until || now >= *until)
         return;
     // A start that the log does not know yet gets nothing: later ones could not tell that it left work behind.
@@ -121,7 +121,7 @@
 {
     const time_point now = m_hooks.now();
     for (auto& [region, item] : m_hosted) {
-        const std::optional<time_point> until = m_ports.membership->allocatorUntil(region);
+        const std::optional<time_point> until = m_ports.membership->allocatorLeaseEnd(region);
         if (until && now < *until)
             sendAll(item->allocator.tick(now));
     }
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -43,7 +43,7 @@
     }
     m_hasUpstreams = true;
     std::erase_if(m_upstreams, [](const auto& item) {
-        return item.second.info.capacity == 0 && item.second.lent == 0 && item.second.unaccounted == 0;
+        return item.second.info.capacity == 0 && item.second.allocated == 0 && item.second.unaccounted == 0;
     });
     for (auto& [service, keys] : m_byService)
         std::erase_if(keys, [this](const upstream_key& key) { return !m_upstreams.contains(key); });
@@ -139,7 +139,7 @@
     }
 }
 
-void slot_allocator::accountStopped(const vm_id& vm) { m_unaccountedMembers.erase(vm); }
+void slot_allocator::markStopped(const vm_id& vm) { m_unaccountedMembers.erase(vm); }
 
 void slot_allocator::accountAll(time_point now)
 {
@@ -156,8 +156,8 @@
     const auto position = item.held.find(key);
     const std::uint32_t before = position == item.held.end() ? 0 : position->second;
     upstream_state& upstream = m_upstreams[key];
-    internal_assert(upstream.lent >= before) << "more slots of " << key.id.value() << " are held than lent";
-    upstream.lent = upstream.lent - before + count;
+    internal_assert(upstream.allocated >= before) << "more slots of " << key.id.value() << " are held than lent";
+    upstream.allocated = upstream.allocated - before + count;
     if (count > 0)
         item.held[key] = count;
     else if (position != item.held.end())
@@ -169,7 +169,7 @@
     std::uint32_t count = 0;
     for (auto item = m_upstreams.lower_bound({ id, upstream_generation() });
          item != m_upstreams.end() && item->first.id == id; ++item)
-        count += item->second.lent + item->second.unaccounted;
+        count += item->second.allocated + item->second.unaccounted;
     return count;
 }
 
@@ -243,8 +243,9 @@
             break;
         const upstream_key key { upstream->info.announcement.id, upstream->info.announcement.generation };
         setHeld(item, key, item.held[key] + 1);
-        internal_assert(upstream->lent + upstream->unaccounted <= upstream->info.capacity)
-            << upstream->lent << " slots of " << key.id.value() << " are lent, which has " << upstream->info.capacity;
+        internal_assert(upstream->allocated + upstream->unaccounted <= upstream->info.capacity)
+            << upstream->allocated << " slots of " << key.id.value() << " are lent, which has "
+            << upstream->info.capacity;
         ++given;
     }
     return given;
@@ -377,11 +378,11 @@
     }
 }
 
-std::uint32_t slot_allocator::lent(const upstream_id& id) const
+std::uint32_t slot_allocator::allocated(const upstream_id& id) const
 {
     std::uint32_t count = 0;
     for (const auto& [key, item] : m_upstreams)
-        count += key.id == id ? item.lent + item.unaccounted : 0;
+        count += key.id == id ? item.allocated + item.unaccounted : 0;
     return count;
 }
 
@@ -394,7 +395,7 @@
     for (const auto& [key, item] : m_upstreams) {
         state_dump& shownUpstream = upstreams.addObject(key.id.value());
         shownUpstream.add("capacity", static_cast<std::uint64_t>(item.info.capacity));
-        shownUpstream.add("lent", static_cast<std::uint64_t>(item.lent));
+        shownUpstream.add("lent", static_cast<std::uint64_t>(item.allocated));
         shownUpstream.add("unaccounted", static_cast<std::uint64_t>(item.unaccounted));
         shownUpstream.add("available", static_cast<std::uint64_t>(available(item)));
     }
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -77,14 +77,14 @@
     std::vector<addressed_grant> report(const slot_reporter& from, const slot_report& report, time_point now);
 
     /** Takes in that a VM has stopped and left no work: earlier allocators' loans to it have ended. */
-    void accountStopped(const vm_id& vm);
+    void markStopped(const vm_id& vm);
 
     /** Forgets silent holders whose work must have ended and lends what came free; call it a few times a second. */
     std::vector<addressed_grant> tick(time_point now);
 
     /** How many slots of an upstream are lent now, over all holders, with those that may be lent from earlier epochs.
      */
-    std::uint32_t lent(const upstream_id& id) const;
+    std::uint32_t allocated(const upstream_id& id) const;
 
     state_dump dump(time_point now) const;
 
@@ -120,7 +120,7 @@
 
     struct upstream_state {
         usable_upstream info;
-        std::uint32_t lent = 0;
+        std::uint32_t allocated = 0;
         /** Slots that an earlier allocator may have lent and no report has accounted for. */
         std::uint32_t unaccounted = 0;
         std::uint32_t warmAnswers = 0;
--- a/src/decision/slots/slot_picker.cpp
+++ b/src/decision/slots/slot_picker.cpp
@@ -124,7 +124,7 @@
     for (const active_shift& shift : shifts.shifts(service)) {
         const bool applies = shift.from == choice.failureDomain
             || (choice.failureDomain.empty() && regionOf(config, shift.from) == view.home);
-        if (!applies || randomFraction(view.random) >= shift.fraction || !shifts.trySpend(shift.id))
+        if (!applies || randomFraction(view.random) >= shift.fraction || !shifts.tryAcquire(shift.id))
             continue;
         choice.failureDomain = shift.to;
         choice.shift = shift.id;
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -37,7 +37,7 @@
         return acquire(std::move(request), std::move(answer));
     };
     m_port.cancelWait = [this](slot_ticket ticket) { cancelWait(ticket); };
-    m_port.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    m_port.release = [this](slot_handle handle, const slot_result& result) { release(handle, result); };
     m_measurementPort.take = [this] { return m_measurements.take(); };
 }
 
@@ -45,7 +45,7 @@
 {
     service item;
     item.name = port_names::slots;
-    item.needs = { port_names::control, port_names::membership, port_names::directory, port_names::shifts,
+    item.dependencies = { port_names::control, port_names::membership, port_names::directory, port_names::shifts,
         port_names::peerRouter, port_names::upstreams };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
@@ -97,7 +97,7 @@
         return;
     }
     m_idleTimer = m_hooks.schedule(m_options.stopPatience, [this] {
-        m_membership->leavesWork();
+        m_membership->markUnfinishedWork();
         std::exchange(m_onIdle, nullptr)();
     });
 }
@@ -255,20 +255,20 @@
     const region_id& region = upstream.announcement.region;
     slot_holdings& holdings = m_reporting.holdingsOf(region);
     holdings.take(upstream.announcement.id);
-    const slot_hold hold(++m_lastHold);
-    m_uses[hold] = { upstream.announcement, false };
+    const slot_handle handle(++m_lastHandle);
+    m_uses[handle] = { upstream.announcement, false };
     ++m_counters.given;
     m_counters.leftRegion += region == m_settings.self.region ? 0 : 1;
-    return { hold, upstream.announcement, holdings.leaseUntil() };
+    return { handle, upstream.announcement, holdings.leaseUntil() };
 }
 
 void slot_service::cancelWait(slot_ticket ticket) { m_queue.remove(ticket); }
 
-void slot_service::release(slot_hold hold, const slot_result& result)
+void slot_service::release(slot_handle handle, const slot_result& result)
 {
-    const auto found = m_uses.find(hold);
+    const auto found = m_uses.find(handle);
     internal_assert(found != m_uses.end() && !found->second.settling)
-        << "slot hold " << hold.value() << " is released twice";
+        << "slot hold " << handle.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
     m_measurements.note(upstream, result);
@@ -278,16 +278,16 @@
         m_links.chargeAnswer(upstream.region, result.answerSize, now);
     if (result.busyUntil && *result.busyUntil > now) {
         found->second.settling = true;
-        m_hooks.schedule(*result.busyUntil - now, [this, hold] { freeSlot(hold); });
+        m_hooks.schedule(*result.busyUntil - now, [this, handle] { freeSlot(handle); });
         return;
     }
-    freeSlot(hold);
+    freeSlot(handle);
 }
 
-void slot_service::freeSlot(slot_hold hold)
+void slot_service::freeSlot(slot_handle handle)
 {
-    const auto found = m_uses.find(hold);
-    internal_assert(found != m_uses.end()) << "slot hold " << hold.value() << " is freed twice";
+    const auto found = m_uses.find(handle);
+    internal_assert(found != m_uses.end()) << "slot hold " << handle.value() << " is freed twice";
     const upstream_announcement upstream = found->second.upstream;
     m_uses.erase(found);
     if (m_stopped)
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -100,8 +100,8 @@
 
     slot_ticket acquire(slot_request request, std::function<void(slot_answer)> answer);
     void cancelWait(slot_ticket ticket);
-    void release(slot_hold hold, const slot_result& result);
-    void freeSlot(slot_hold hold);
+    void release(slot_handle handle, const slot_result& result);
+    void freeSlot(slot_handle handle);
     void finishStop();
 
     bool anyUsable(const service_id& service, bool homeOnly) const;
@@ -139,12 +139,12 @@
     allocator_host m_host;
     slot_queue m_queue;
     slot_reporting m_reporting;
-    std::map<slot_hold, use> m_uses;
+    std::map<slot_handle, use> m_uses;
     std::map<service_id, timer_id> m_leaveTimers;
     std::map<service_id, std::size_t> m_leaveRotation;
     timer_id m_expiryTimer;
     std::optional<time_point> m_expiryAt;
-    std::uint64_t m_lastHold = 0;
+    std::uint64_t m_lastHandle = 0;
     std::uint64_t m_lastTicket = 0;
     counters m_counters;
     bool m_stopped = false;
--- a/src/decision/slots/upstream_health.cpp
+++ b/src/decision/slots/upstream_health.cpp
@@ -36,7 +36,7 @@
 {
     const std::optional<time_point> seen = liveness.lastSeen(id);
     const time_point latest = seen ? std::max(*seen, m_begun) : m_begun;
-    return now - latest < liveness.silence();
+    return now - latest < liveness.silenceTimeout();
 }
 
 bool upstream_health::speaksAgainst(const upstream_id& id, time_point now) const
--- a/src/decision/vm/make_service.h
+++ b/src/decision/vm/make_service.h
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "absl/status/statusor.h"
+#include "kernel/assign_if_ok.h"
 #include "kernel/hooks.h"
-#include "kernel/keep_created.h"
 #include "model/vm_settings.h"
 
 namespace plantainlatch {
@@ -21,7 +21,7 @@
 {
     if (!status.ok())
         return;
-    status = keepCreated(Service::create(hooks, settings, std::move(options)), place);
+    status = assignIfOk(Service::create(hooks, settings, std::move(options)), place);
 }
 
 } // namespace plantainlatch
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -15,7 +15,7 @@
     /** A request with less time left is not worth an upstream's work. */
     constexpr duration leastRemaining = std::chrono::milliseconds(20);
     /** Entries of its own region that a caller can do with. */
-    constexpr std::size_t enoughInRegion = 2;
+    constexpr std::size_t regionOnlyThreshold = 2;
 
     /** An upstream is taken out of the directory after so many missed renewals. */
     constexpr int missedRenewals = 4;
@@ -25,11 +25,12 @@
     request_policies routedPolicies()
     {
         request_policies policies = defaultRequestPolicies();
-        policies.worthStarting = [](const dispatch_chance& chance) { return chance.remaining > leastRemaining; };
+        policies.worthStarting = [](const dispatch_timing& chance) { return chance.remaining > leastRemaining; };
         // The upstream's name goes with each request and a refusal comes with proof, so that an idle connection costs a
         // request only when it went silent.
         policies.needsFreshConnection = [](const request_traits&) { return false; };
-        policies.isFree = [](const ended_attempt& ended) { return ended.state == attempt_state::NotOffered; };
+        policies.isExemptFromBudget
+            = [](const failed_attempt& ended) { return ended.state == attempt_state::NotOffered; };
         policies.hedges = [](const request_traits&) { return false; };
         return policies;
     }
@@ -41,14 +42,14 @@
     routed_options options;
     options.control.directory = { false, true, false };
     options.directory.rules = options.control.directory;
-    options.directory.keeper = renewal_keeper::Leader;
+    options.directory.renewalOwner = renewal_owner::Leader;
     options.membership.assignsAllocators = false;
-    options.entryList.enoughInRegion = enoughInRegion;
+    options.entryList.regionOnlyThreshold = regionOnlyThreshold;
     options.entryList.drainsCoverVms = false;
     options.requests.crashes = { crashLimit, false };
     options.requests.maximumAttempts = mostAttempts;
     // The front end has served out its callers before.
-    options.requests.leaveTime = duration::zero();
+    options.requests.lameDuckTime = duration::zero();
     options.requests.policies = routedPolicies();
     options.requests.retryWindow
         = retry_window_options { bounds.retryWindow, bounds.retryShare * safeShare, bounds.retrySlack * safeShare };
@@ -57,8 +58,8 @@
         options.consensus.largestVoterCount = 2 * bounds.replicasThatMayFail + 1;
     if (bounds.renewalInterval > duration::zero()) {
         options.directory.renewalInterval = bounds.renewalInterval;
-        options.directory.silence = bounds.renewalInterval * (missedRenewals - 1);
-        options.directory.leaveAfter = bounds.renewalInterval * missedRenewals;
+        options.directory.silenceTimeout = bounds.renewalInterval * (missedRenewals - 1);
+        options.directory.removalTimeout = bounds.renewalInterval * missedRenewals;
     }
     return options;
 }
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -45,7 +45,7 @@
     duration retryWindow {};
     double retrySlack = 0;
     /** Requests a second that a cold upstream bears, as a multiple of its rate and a number beyond it. */
-    cold_bound cold;
+    cold_rate_limit cold;
     /** Replicas that may be lost at once; 0 when that is not said. */
     std::size_t replicasThatMayFail = 0;
     /** How often upstreams renew; zero when that is not said. */
--- a/src/kernel/keep_created.h
+++ b/src/kernel/assign_if_ok.h
@@ -13,7 +13,7 @@
 
 /** Moves what was created into `place`, or returns why it was not. */
 template <typename Part>
-absl::Status keepCreated(absl::StatusOr<std::unique_ptr<Part>> created, std::unique_ptr<Part>& place)
+absl::Status assignIfOk(absl::StatusOr<std::unique_ptr<Part>> created, std::unique_ptr<Part>& place)
 {
     if (!created.ok())
         return created.status();
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -26,7 +26,7 @@
     void findMissingNeeds(const std::vector<service>& services, const position_map& positions, finding_list& findings)
     {
         for (const service& item : services) {
-            for (const std::string& need : item.needs) {
+            for (const std::string& need : item.dependencies) {
                 if (!positions.contains(need))
                     findings.add({}, absl::StrCat("service '", item.name, "' needs '", need, "', which is missing"),
                         "a service of that name");
@@ -36,7 +36,7 @@
 
     bool allNeedsPlaced(const service& item, const position_map& positions, const std::vector<bool>& placed)
     {
-        for (const std::string& need : item.needs) {
+        for (const std::string& need : item.dependencies) {
             const auto position = positions.find(need);
             if (position != positions.end() && !placed[position->second])
                 return false;
--- a/src/kernel/registry.cpp
+++ b/src/kernel/registry.cpp
@@ -4,7 +4,7 @@
 
 namespace plantainlatch {
 
-void registry::withdraw(std::string_view name)
+void registry::unpublish(std::string_view name)
 {
     const auto position = m_published.find(name);
     if (position != m_published.end())
--- a/src/kernel/registry.h
+++ b/src/kernel/registry.h
@@ -44,7 +44,7 @@
     }
 
     /** Forgets a name; one that is not there is ignored. */
-    void withdraw(std::string_view name);
+    void unpublish(std::string_view name);
 
 private:
     struct published {
--- a/src/kernel/service.h
+++ b/src/kernel/service.h
@@ -18,7 +18,7 @@
 struct service {
     std::string name;
     /** Services that start before this one and stop after it. */
-    std::vector<std::string> needs;
+    std::vector<std::string> dependencies;
     /** Finds what it needs, publishes its own interface and begins work. */
     std::function<absl::Status(registry&)> start;
     /** Ends all work gracefully and then calls `stopped` once; may be empty. */
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -36,7 +36,7 @@
 };
 
 /** Does nothing; a new leader begins its term with one. */
-struct no_command {
+struct noop_command {
     template <typename Self, typename Visitor> static void visitFields(Self&, Visitor&& visit) { visit(); }
 };
 
@@ -107,13 +107,13 @@
     upstream_id id;
     upstream_generation generation;
     /** It said goodbye, so that this generation never comes back; after silence it may. */
-    bool goodbye = false;
+    bool deregistered = false;
     /** What was last known of an upstream that fell silent; one that was heard of since then stays. */
     std::uint64_t sequence = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.id, self.generation, self.goodbye, self.sequence);
+        visit(self.id, self.generation, self.deregistered, self.sequence);
     }
 };
 
@@ -225,7 +225,7 @@
 };
 
 /** Any command; new ones go to the end, as their positions are stored. */
-using control_command = std::variant<no_command, apply_declaration, set_drain, upstream_joined, upstream_left,
+using control_command = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left,
     claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration>;
 
 /** A command with who proposed it and the leader's wall clock when it did. */
@@ -252,7 +252,7 @@
 };
 
 /** What a claim found. */
-enum class claim_finding {
+enum class claim_result {
     Claimed,
     /** Another request holds the key and has not settled it. */
     InProgress,
@@ -270,7 +270,7 @@
     command_verdict verdict = command_verdict::Accepted;
     std::string message;
     /** Only for claim_key. */
-    std::optional<claim_finding> claim;
+    std::optional<claim_result> claim;
     /** Only for claim_key that found Completed. */
     std::optional<upstream_answer> answer;
     /** Only for report_crash: how many upstreams equal requests have crashed. */
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -16,7 +16,7 @@
 namespace plantainlatch {
 
 /** An announcement passed on to the allocator of the upstream's region, which keeps the renewals. */
-struct announcement_seen {
+struct forwarded_announcement {
     upstream_announcement announcement;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -33,12 +33,12 @@
     std::uint64_t failed = 0;
     std::uint64_t refused = 0;
     duration medianLatency {};
-    duration slowLatency {};
+    duration p95Latency {};
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.service, self.failureDomain, self.answered, self.failed, self.refused, self.medianLatency,
-            self.slowLatency);
+            self.p95Latency);
     }
 };
 
@@ -56,7 +56,7 @@
 };
 
 /** How many requests a VM may send to the target of a shift because of it, in any one window. */
-struct shift_allowance {
+struct shift_quota {
     shift_id shift;
     std::uint32_t perWindow = 0;
 
@@ -69,14 +69,14 @@
 /** What one VM spent of a shift's cap, and would have spent without it, since the last heartbeat. */
 struct shift_usage {
     shift_id shift;
-    std::uint64_t spent = 0;
-    std::uint64_t wanted = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t requested = 0;
     /** The allowance that holds when the heartbeat is sent. */
     std::uint32_t held = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.shift, self.spent, self.wanted, self.held);
+        visit(self.shift, self.admitted, self.requested, self.held);
     }
 };
 
@@ -132,8 +132,8 @@
     /** VMs that callers should not be sent to: dead or stopping as far as the leader knows. */
     std::vector<vm_id> avoided;
     /** How long the allowances hold. */
-    duration allowanceLease {};
-    std::vector<shift_allowance> allowances;
+    duration quotaLease {};
+    std::vector<shift_quota> quotas;
     /** The start of the VM that is answered. */
     incarnation start;
     /** The leader has fresh measurements, so that a place without a load has none. */
@@ -144,12 +144,12 @@
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.sequence, self.term, self.allocatorLease, self.leased, self.avoided, self.allowanceLease,
-            self.allowances, self.start, self.loadsKnown, self.loads, self.lowestInForce);
+        visit(self.sequence, self.term, self.allocatorLease, self.leased, self.avoided, self.quotaLease, self.quotas,
+            self.start, self.loadsKnown, self.loads, self.lowestInForce);
     }
 };
 
 /** Any message about control. */
-using control_message = std::variant<announcement_seen, vm_heartbeat, heartbeat_answer>;
+using control_message = std::variant<forwarded_announcement, vm_heartbeat, heartbeat_answer>;
 
 } // namespace plantainlatch
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -156,13 +156,13 @@
     upstream_generation generation;
     wall_time leftAt {};
     /** It said goodbye, so that this generation never comes back. */
-    bool goodbye = false;
+    bool deregistered = false;
     /** How often it fell silent without a long enough calm between. */
-    std::uint32_t silences = 0;
+    std::uint32_t expirations = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.generation, self.leftAt, self.goodbye, self.silences);
+        visit(self.generation, self.leftAt, self.deregistered, self.expirations);
     }
 };
 
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -140,7 +140,7 @@
 /** A definition with its place in the operator's file; the place takes no part in comparisons and is not sent. */
 template <typename Definition> struct declared {
     Definition value;
-    text_place place;
+    text_position place;
 
     friend bool operator==(const declared& left, const declared& right) { return left.value == right.value; }
 
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -47,11 +47,11 @@
 };
 
 /** What an upstream tells of itself beside its answer. */
-struct answer_marks {
+struct answer_metadata {
     /** It promises that it did not run the request. */
     bool notRun = false;
     /** Another upstream than the expected one has the address, and did not run the request. */
-    bool otherInstance = false;
+    bool wrongInstance = false;
     std::optional<load_report> load;
     /** How long it still is cold, if it says so. */
     std::optional<duration> coldFor;
@@ -63,7 +63,7 @@
     std::vector<header_field> headers;
     std::string body;
     /** Not kept with the answers of idempotency keys. */
-    answer_marks marks;
+    answer_metadata metadata;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
--- a/src/model/route.h
+++ b/src/model/route.h
@@ -38,7 +38,7 @@
     /** The longest that a request is kept waiting. */
     duration timeLimit {};
     /** The time within which an answer is worth most. */
-    duration objective {};
+    duration targetLatency {};
     /** 0 is the most urgent. */
     std::uint32_t priority = 0;
     /** The most upstreams that one request is offered to. */
@@ -54,7 +54,7 @@
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.id, self.host, self.pathPrefix, self.idempotent, self.timeLimit, self.objective, self.priority,
+        visit(self.id, self.host, self.pathPrefix, self.idempotent, self.timeLimit, self.targetLatency, self.priority,
             self.maximumAttempts, self.sticky, self.allowedRegions, self.services);
     }
 };
--- a/src/model/vm_settings.h
+++ b/src/model/vm_settings.h
@@ -58,7 +58,7 @@
     std::vector<vm_record> vms;
     membership_mode membership = membership_mode::Listed;
     /** Whether this VM may help to found a new log with the other replicas of `vms`. */
-    bool mayFoundLog = true;
+    bool mayBootstrapLog = true;
     /** VMs trust whoever reaches their peer address, instead of proving that they have the shared key. */
     bool trustedNetwork = false;
     /** Where a replica keeps its state; none on other VMs. */
--- a/src/ports/consensus_port.h
+++ b/src/ports/consensus_port.h
@@ -32,7 +32,7 @@
         propose;
     /** Calls back with OK once this VM has applied all that any VM accepted before the call; DeadlineExceeded or
      * Unavailable when that can't be told in time. */
-    std::function<void(duration timeout, std::function<void(absl::Status)>)> catchUp;
+    std::function<void(duration timeout, std::function<void(absl::Status)>)> readBarrier;
     std::function<leadership()> state;
     /** Adds a listener to changes of leadership(). */
     std::function<void(std::function<void(const leadership&)>)> onLeadership;
@@ -43,7 +43,7 @@
     /** Replaces the VMs that this one asks for the log when no leader sends it. */
     std::function<void(std::vector<vm_id>)> setSeeds;
     /** The applied index that each other VM last told the leader; empty elsewhere. */
-    std::function<std::vector<std::pair<vm_id, log_index>>()> appliedElsewhere;
+    std::function<std::vector<std::pair<vm_id, log_index>>()> followerAppliedIndices;
 };
 
 } // namespace plantainlatch
--- a/src/ports/entry_list_port.h
+++ b/src/ports/entry_list_port.h
@@ -14,14 +14,14 @@
 namespace plantainlatch {
 
 /** One entry in the order in which a caller should try them. */
-struct entry_choice {
+struct weighted_entry {
     vm_record vm;
     std::uint32_t weight = 0;
 };
 
 /** The entries for callers near one failure domain. */
 struct entry_list {
-    std::vector<entry_choice> entries;
+    std::vector<weighted_entry> entries;
     duration cacheTime {};
 };
 
--- a/src/ports/liveness_port.h
+++ b/src/ports/liveness_port.h
@@ -17,7 +17,7 @@
     /** None when this VM never heard of it; the moment is on this VM's clock. */
     std::function<std::optional<time_point>(const upstream_id&)> lastSeen;
     /** After this silence an upstream gets no new work. */
-    std::function<duration()> silence;
+    std::function<duration()> silenceTimeout;
 };
 
 } // namespace plantainlatch
--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -17,7 +17,7 @@
 /** The last heartbeat of a VM and when it came, on this VM's clock. */
 struct vm_report {
     vm_heartbeat last;
-    time_point heardAt {};
+    time_point receivedAt {};
     /** Since when the VM was heard of without a gap. */
     time_point aliveSince {};
 };
@@ -30,7 +30,7 @@
     std::function<std::vector<vm_id>()> liveVms;
     /** Until when this VM may grant slots of a region, on its own clock; none when it is not the allocator or has no
      * lease. */
-    std::function<std::optional<time_point>(const region_id&)> allocatorUntil;
+    std::function<std::optional<time_point>(const region_id&)> allocatorLeaseEnd;
     /** The longest allocator lease that any VM may still hold after it was last renewed. */
     std::function<duration()> allocatorLease;
     /** This VM began its graceful stop: it takes no new roles. */
@@ -38,15 +38,15 @@
     /** Begins the graceful stop: callers are sent elsewhere and roles move away. */
     std::function<void()> beginStop;
     /** Tells, during the stop, that work of this VM may still run at upstreams when it ends. */
-    std::function<void()> leavesWork;
+    std::function<void()> markUnfinishedWork;
     /** VMs that callers should not be sent to: dead or stopping as far as the leader told this VM. */
     std::function<std::vector<vm_id>()> avoided;
     /** The last heartbeat of each live VM; only the leader knows, elsewhere empty. */
     std::function<std::vector<vm_report>()> reports;
     /** This VM leads and has applied all that earlier leaders could have decided. */
-    std::function<bool()> leadsFully;
+    std::function<bool()> isCaughtUpLeader;
     /** The leader answered a heartbeat of this VM lately, so that messages arrive both ways. */
-    std::function<bool()> inTouch;
+    std::function<bool()> hasLeaderContact;
     /** The log has this start of this VM, and so this VM has all that was accepted before. */
     std::function<bool()> joined;
     /** Adds a part to each heartbeat that this VM sends. */
@@ -56,7 +56,7 @@
     /** Adds a reader of the leader's answers, with when the answered heartbeat was sent. */
     std::function<void(std::function<void(const heartbeat_answer&, time_point sentAt)>)> onAnswer;
     /** Adds a listener to changes of avoided(). */
-    std::function<void(std::function<void()>)> onAvoided;
+    std::function<void(std::function<void()>)> onAvoidedChange;
 };
 
 } // namespace plantainlatch
--- a/src/ports/shift_port.h
+++ b/src/ports/shift_port.h
@@ -33,7 +33,7 @@
     std::function<std::vector<domain_weight>(const service_id&)> weights;
     std::function<std::vector<active_shift>(const service_id&)> shifts;
     /** Takes one request out of this VM's part of the shift's cap; false when none is left. */
-    std::function<bool(const shift_id&)> trySpend;
+    std::function<bool(const shift_id&)> tryAcquire;
 };
 
 } // namespace plantainlatch
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -19,10 +19,10 @@
 namespace plantainlatch {
 
 /** A slot that is held; numbered within this VM. */
-using slot_hold = strong_number<struct slot_hold_tag>;
+using slot_handle = strong_number<struct slot_handle_tag>;
 
 /** The terms under which a request is steered. */
-struct steering_terms {
+struct routing_policy {
     /** Empty for a request that no route selected. */
     route_id route;
     /** Names the object that the request concerns within its service; empty without one. */
@@ -30,7 +30,7 @@
     /** The only regions that may serve it; any if empty. */
     std::vector<region_id> allowedRegions;
     /** The time within which the answer is worth most. */
-    duration objective {};
+    duration targetLatency {};
     /** 0 is the most urgent. */
     std::uint32_t priority = 0;
     /** The most upstreams that it is offered to; 0 for the path's own bound. */
@@ -46,12 +46,12 @@
     std::vector<upstream_id> avoid;
     /** Bytes to send, for the budget between regions. */
     byte_count bodySize;
-    steering_terms terms;
+    routing_policy policy;
 };
 
 /** A slot that the holder may use until it releases it. */
 struct held_slot {
-    slot_hold hold;
+    slot_handle handle;
     upstream_announcement upstream;
     /** No new work may be dispatched on it after this moment, on this VM's clock. */
     time_point dispatchBefore;
@@ -89,7 +89,7 @@
     /** The work may still run at the upstream until this moment on this VM's clock; the slot is not reused before. */
     std::optional<time_point> busyUntil;
     /** What the upstream told of itself with its answer. */
-    answer_marks marks;
+    answer_metadata metadata;
 };
 
 /** A slot or the reason why there is none. */
@@ -108,7 +108,7 @@
     /** Calls back once, perhaps at once; the ticket is for cancelWait(). */
     std::function<slot_ticket(slot_request, std::function<void(slot_answer)>)> acquire;
     std::function<void(slot_ticket)> cancelWait;
-    std::function<void(slot_hold, slot_result)> release;
+    std::function<void(slot_handle, slot_result)> release;
 };
 
 } // namespace plantainlatch
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -29,7 +29,7 @@
     /** The first byte must be offered within this time, or the call ends as ConnectFailed; zero for no limit of its
      * own.
      */
-    duration offerWithin {};
+    duration dispatchTimeout {};
     /** Use a new connection, so that a silent idle one cannot swallow work that must not be sent twice. */
     bool freshConnection = false;
     /** The most connections that this VM may have to the upstream. */
@@ -52,7 +52,7 @@
 /** What happens to a call; after onAnswer or onFailure nothing more does. */
 struct call_events {
     /** Called before the first byte of the request is offered to the operating system. */
-    std::function<void()> onFirstByte;
+    std::function<void()> onDispatch;
     std::function<void(upstream_answer)> onAnswer;
     std::function<void(call_failure)> onFailure;
 };
@@ -66,7 +66,7 @@
     std::function<void(const network_address&, duration timeout, std::function<void(absl::StatusOr<load_report>)>)>
         poll;
     /** Closes the idle connections to an address that has gone. */
-    std::function<void(const network_address&)> forget;
+    std::function<void(const network_address&)> closeIdleConnections;
 };
 
 } // namespace plantainlatch
--- a/src/services/announcement_front.cpp
+++ b/src/services/announcement_front.cpp
@@ -38,7 +38,7 @@
 {
     service item;
     item.name = "announcement_front";
-    item.needs = { http_server::serviceName, port_names::directory };
+    item.dependencies = { http_server::serviceName, port_names::directory };
     item.start = [this](registry& services) -> absl::Status {
         const absl::StatusOr<http_server*> server = services.find<http_server>(http_server::serviceName);
         const absl::StatusOr<directory_port*> directory = services.find<directory_port>(port_names::directory);
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -98,7 +98,7 @@
 {
     service item;
     item.name = serviceName;
-    item.needs = { http_server::serviceName, metrics::serviceName, port_names::requests, port_names::entryList };
+    item.dependencies = { http_server::serviceName, metrics::serviceName, port_names::requests, port_names::entryList };
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return m_exchanges ? m_exchanges->dump() : state_dump(); };
--- a/src/services/entry_answers.cpp
+++ b/src/services/entry_answers.cpp
@@ -40,7 +40,7 @@
 {
     entry_list list = m_port.list(failureDomain);
     if (m_leaveOutSelf)
-        std::erase_if(list.entries, [this](const entry_choice& item) { return item.vm.id == m_self; });
+        std::erase_if(list.entries, [this](const weighted_entry& item) { return item.vm.id == m_self; });
     const auto seconds = std::chrono::floor<std::chrono::seconds>(list.cacheTime).count();
     return encodeAnswer(statusOk,
         { { "Content-Type", "application/json" }, { "Cache-Control", absl::StrCat("max-age=", seconds) } },
--- a/src/services/inspection_front.cpp
+++ b/src/services/inspection_front.cpp
@@ -27,7 +27,7 @@
 {
     service item;
     item.name = "inspection_front";
-    item.needs = { server, metrics::serviceName };
+    item.dependencies = { server, metrics::serviceName };
     item.start = [this](registry& services) -> absl::Status {
         const absl::StatusOr<http_server*> found = services.find<http_server>(server);
         const absl::StatusOr<metrics*> numbers = services.find<metrics>(metrics::serviceName);
--- a/src/services/operator_front.cpp
+++ b/src/services/operator_front.cpp
@@ -48,7 +48,7 @@
 {
     service item;
     item.name = "operator_front";
-    item.needs = { http_server::serviceName, metrics::serviceName, port_names::operators };
+    item.dependencies = { http_server::serviceName, metrics::serviceName, port_names::operators };
     item.start = [this](registry& services) { return start(services); };
     return item;
 }
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "core/internal_assert.h"
-#include "kernel/keep_created.h"
+#include "kernel/assign_if_ok.h"
 #include "ports/membership_port.h"
 #include "ports/port_names.h"
 #include "services/exposed_state.h"
@@ -31,18 +31,18 @@
 
 absl::Status serve_vm::createParts()
 {
-    absl::Status status = keepCreated(kernel::create(m_hooks), m_kernel);
+    absl::Status status = assignIfOk(kernel::create(m_hooks), m_kernel);
     if (status.ok())
         status = createStorage();
     if (status.ok())
-        status = keepCreated(peer_transport::create(m_loop, m_hooks, m_settings), m_peers);
+        status = assignIfOk(peer_transport::create(m_loop, m_hooks, m_settings), m_peers);
     if (status.ok())
-        status = keepCreated(steering_vm::create(m_hooks, m_settings), m_steering);
+        status = assignIfOk(steering_vm::create(m_hooks, m_settings), m_steering);
     http_server_options options;
     options.limits = m_settings.limits;
     if (status.ok())
-        status = keepCreated(
-            http_server::create(m_loop.base(), m_hooks, m_settings.self.callerAddress, options), m_server);
+        status
+            = assignIfOk(http_server::create(m_loop.base(), m_hooks, m_settings.self.callerAddress, options), m_server);
     if (!status.ok())
         return status;
     m_upstreams = upstream_client::create(m_loop.base(), m_hooks);
@@ -59,7 +59,7 @@
 {
     if (!m_settings.dataFolder)
         return absl::OkStatus();
-    return keepCreated(file_storage::create(m_hooks, *m_settings.dataFolder, posixFiles()), m_storage);
+    return assignIfOk(file_storage::create(m_hooks, *m_settings.dataFolder, posixFiles()), m_storage);
 }
 
 void serve_vm::addServices()
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -121,9 +121,9 @@
     item.name = options.dialect.nameOf(item.call, absl::StrCat(namePrefix, key));
     connection->exchange = key;
     exchanges.emplace(key, std::move(added));
-    const duration offerWithin = offerLimit(item.call);
-    item.offerBy = hooks.now() + offerWithin;
-    item.timer = hooks.schedule(offerWithin, [this, key] { timeUp(key); });
+    const duration dispatchTimeout = offerLimit(item.call);
+    item.offerBy = hooks.now() + dispatchTimeout;
+    item.timer = hooks.schedule(dispatchTimeout, [this, key] { timeUp(key); });
     // From here on the exchange may end at any time.
     const std::string target = item.call.target;
     evhttp_request* request = makeRequest(item);
@@ -134,7 +134,7 @@
 duration upstream_client::implementation::offerLimit(const upstream_call& call) const
 {
     const duration limit = std::min(call.timeout, options.connectTimeout);
-    return call.offerWithin > duration::zero() ? std::min(limit, call.offerWithin) : limit;
+    return call.dispatchTimeout > duration::zero() ? std::min(limit, call.dispatchTimeout) : limit;
 }
 
 evhttp_request* upstream_client::implementation::makeRequest(const exchange& item)
@@ -184,9 +184,9 @@
         return;
     }
     item.timer = hooks.schedule(item.deadline - now, [this, key] { timeUp(key); });
-    const std::function<void()> onFirstByte = std::move(item.events.onFirstByte);
-    if (onFirstByte)
-        onFirstByte();
+    const std::function<void()> onDispatch = std::move(item.events.onDispatch);
+    if (onDispatch)
+        onDispatch();
 }
 
 void upstream_client::implementation::requestFailed(upstream_connection& connection, evhttp_request_error error)
@@ -214,7 +214,7 @@
         fail(key, call_failure::Malformed);
         return;
     }
-    answer->marks = dialect.marksOf(item.call, *answer);
+    answer->metadata = dialect.metadataOf(item.call, *answer);
     const exchange ended = remove(key);
     connections.release(connection);
     ended.events.onAnswer(std::move(*answer));
@@ -324,7 +324,8 @@
                       std::function<void(absl::StatusOr<load_report>)> done) {
         client->poll(address, timeout, std::move(done));
     };
-    m_port.forget = [client](const network_address& address) { client->connections.forget(address); };
+    m_port.closeIdleConnections
+        = [client](const network_address& address) { client->connections.closeIdleConnections(address); };
 }
 
 upstream_client::~upstream_client() = default;
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -103,7 +103,7 @@
     connection.firstByteOffered = true;
     if (!std::exchange(connection.sendsWithoutDelay, true))
         sendWithoutDelay(socketOf(connection));
-    connection.owner->m_events.onFirstByte(connection);
+    connection.owner->m_events.onDispatch(connection);
 }
 
 bool upstream_connections::isSound(const upstream_connection& connection) const
@@ -163,7 +163,7 @@
         discard(**position);
 }
 
-void upstream_connections::forget(const network_address& address)
+void upstream_connections::closeIdleConnections(const network_address& address)
 {
     const auto found = m_pools.find(address);
     if (found == m_pools.end())
@@ -183,7 +183,7 @@
     for (const auto& [address, connections] : m_pools)
         addresses.push_back(address);
     for (const network_address& address : addresses)
-        forget(address);
+        closeIdleConnections(address);
 }
 
 void upstream_connections::buryLater(std::unique_ptr<upstream_connection> connection)
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -51,7 +51,7 @@
 struct upstream_connection_events {
     /** The first byte of the request enters the output buffer, which is before any byte reaches the operating system.
      */
-    std::function<void(upstream_connection&)> onFirstByte;
+    std::function<void(upstream_connection&)> onDispatch;
 };
 
 /** Opens, keeps and closes connections. */
@@ -78,7 +78,7 @@
     void sever(upstream_connection& connection);
 
     /** Closes the idle connections to an address. */
-    void forget(const network_address& address);
+    void closeIdleConnections(const network_address& address);
 
     /** Closes all idle connections. */
     void closeIdle();
--- a/src/services/upstream_dialect.cpp
+++ b/src/services/upstream_dialect.cpp
@@ -12,7 +12,7 @@
     dialect.fieldsOf = [](const upstream_call& call) -> std::vector<header_field> {
         return { { http_fields::requestTimeout, http_fields::formatSeconds(call.timeout) } };
     };
-    dialect.marksOf = [](const upstream_call&, const upstream_answer&) { return answer_marks {}; };
+    dialect.metadataOf = [](const upstream_call&, const upstream_answer&) { return answer_metadata {}; };
     return dialect;
 }
 
--- a/src/services/upstream_dialect.h
+++ b/src/services/upstream_dialect.h
@@ -22,7 +22,7 @@
     /** Fields of a call, beside its name, that replace the caller's own. */
     std::function<std::vector<header_field>(const upstream_call&)> fieldsOf;
     /** Reads what the answer tells of the upstream. */
-    std::function<answer_marks(const upstream_call&, const upstream_answer&)> marksOf;
+    std::function<answer_metadata(const upstream_call&, const upstream_answer&)> metadataOf;
     /** An answer without a length may end with its connection. */
     bool mayEndWithConnection = false;
 };
--- a/test/correctness/configuration_service_test.cpp
+++ b/test/correctness/configuration_service_test.cpp
@@ -31,7 +31,7 @@
     protected:
         configuration_service_fixture()
         {
-            log.catchUp = [this](duration, std::function<void(absl::Status)> callback) { callback(caughtUp); };
+            log.readBarrier = [this](duration, std::function<void(absl::Status)> callback) { callback(caughtUp); };
             subject = *configuration_service::create(runtime.hooks(), settings);
             startWith({ subject->asService() });
             desk = *root->services().find<configuration_port>(port_names::configurations);
--- a/test/correctness/consensus_storage_test.cpp
+++ b/test/correctness/consensus_storage_test.cpp
@@ -43,7 +43,7 @@
         void loseDisk(int number)
         {
             cluster->kill(number);
-            cluster->vm(number).disk->lose();
+            cluster->vm(number).disk->wipe();
             REQUIRE(cluster->start(number).ok());
         }
 
@@ -79,7 +79,7 @@
             REQUIRE(accept(1, leader));
             cluster->kill(leader);
             cluster->kill(second);
-            cluster->vm(second).disk->lose();
+            cluster->vm(second).disk->wipe();
             REQUIRE(cluster->start(third).ok());
             REQUIRE(cluster->start(second).ok());
             return !cluster->until([&] { return cluster->leader() != 0; }, 10s);
@@ -154,7 +154,7 @@
     begin(5);
     REQUIRE(accept(1, 1));
     cluster->kill(1);
-    cluster->vm(1).disk->lose();
+    cluster->vm(1).disk->wipe();
     loseDisk(2);
     REQUIRE(cluster->start(1).ok());
     REQUIRE(cluster->until([&] { return isWhole(); }));
--- a/test/correctness/crash_table_test.cpp
+++ b/test/correctness/crash_table_test.cpp
@@ -20,7 +20,7 @@
 
         bool refuses(std::uint64_t fingerprint) const
         {
-            return refusesCrashing(state, { service_id("taller"), request_fingerprint(fingerprint) }, now);
+            return isBlockedByCrashes(state, { service_id("taller"), request_fingerprint(fingerprint) }, now);
         }
 
         control_snapshot state;
@@ -37,7 +37,7 @@
     report(7, "b");
     REQUIRE(refuses(7));
     REQUIRE(!refuses(8));
-    now += std::chrono::duration_cast<std::chrono::milliseconds>(crashMemory);
+    now += std::chrono::duration_cast<std::chrono::milliseconds>(crashRetention);
     REQUIRE(!refuses(7));
 }
 
--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -21,9 +21,9 @@
             return applyJoin(state, item, { offered }, openRules).verdict;
         }
 
-        command_verdict leave(const upstream_announcement& offered, bool goodbye)
+        command_verdict leave(const upstream_announcement& offered, bool deregistered)
         {
-            return applyLeave(state, {}, { offered.id, offered.generation, goodbye, offered.sequence }).verdict;
+            return applyLeave(state, {}, { offered.id, offered.generation, deregistered, offered.sequence }).verdict;
         }
 
         bool drains(const std::string& id) { return state.directory.at(upstream_id(id)).announcement.draining; }
@@ -102,12 +102,12 @@
     upstream_announcement later = first;
     later.coldFor = 1s;
     later.sequence = 7;
-    REQUIRE(saysTheSame(first, later));
+    REQUIRE(hasSameContent(first, later));
     later.coldFor = 0s;
-    REQUIRE_FALSE(saysTheSame(first, later));
+    REQUIRE_FALSE(hasSameContent(first, later));
     later.coldFor = 1s;
     later.draining = true;
-    REQUIRE_FALSE(saysTheSame(first, later));
+    REQUIRE_FALSE(hasSameContent(first, later));
 }
 
 TEST_CASE_METHOD(directory_state_fixture, "directory_state.removal_for_silence_that_comes_after_news.changes_nothing")
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -77,7 +77,7 @@
     for (int i = 0; i < 80; ++i) {
         cluster.runtime.advance(100ms);
         auto& membership = cluster.vm("b").port<membership_port>(port_names::membership);
-        if (membership.allocatorUntil(region_id("fukuoka")).has_value())
+        if (membership.allocatorLeaseEnd(region_id("fukuoka")).has_value())
             break;
     }
     const auto seen = cluster.vm("b").port<liveness_port>("liveness").lastSeen(upstream_id("u1"));
@@ -146,7 +146,7 @@
             ++joined;
     }
     REQUIRE(joined <= 5);
-    cluster.runtime.advance(flapMemory);
+    cluster.runtime.advance(flapResetTime);
     REQUIRE(announce("b", first) == absl::StatusCode::kOk);
 }
 
--- a/test/correctness/entry_list_test.cpp
+++ b/test/correctness/entry_list_test.cpp
@@ -33,7 +33,7 @@
         std::vector<std::string> list(const std::string& near)
         {
             std::vector<std::string> names;
-            for (const entry_choice& entry : port().list(failure_domain_id(near)).entries)
+            for (const weighted_entry& entry : port().list(failure_domain_id(near)).entries)
                 names.push_back(entry.vm.id.value());
             return names;
         }
@@ -51,7 +51,7 @@
     class unfit_entries_fixture : public entry_list_fixture {
     protected:
         unfit_entries_fixture()
-            : entry_list_fixture({ .leaveOutUnfit = false })
+            : entry_list_fixture({ .excludeUnavailable = false })
         {
         }
     };
--- a/test/correctness/kernel_test.cpp
+++ b/test/correctness/kernel_test.cpp
@@ -12,11 +12,11 @@
 
     class kernel_fixture {
     protected:
-        service recorded(const std::string& name, std::vector<std::string> needs)
+        service recorded(const std::string& name, std::vector<std::string> dependencies)
         {
             service item;
             item.name = name;
-            item.needs = std::move(needs);
+            item.dependencies = std::move(dependencies);
             item.start = [this, name](registry&) {
                 events.push_back("start " + name);
                 return absl::OkStatus();
--- a/test/correctness/key_table_test.cpp
+++ b/test/correctness/key_table_test.cpp
@@ -41,41 +41,41 @@
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.second_claim.finds_the_first_in_progress_and_then_its_answer")
 {
-    REQUIRE(claim(1, "order").claim == claim_finding::Claimed);
-    REQUIRE(claim(2, "order").claim == claim_finding::InProgress);
+    REQUIRE(claim(1, "order").claim == claim_result::Claimed);
+    REQUIRE(claim(2, "order").claim == claim_result::InProgress);
     REQUIRE(settle(1, "order", outcome::Completed, upstream_answer { 201, {}, "made" }).verdict
         == command_verdict::Accepted);
     const command_result replay = claim(3, "order");
-    REQUIRE(replay.claim == claim_finding::Completed);
+    REQUIRE(replay.claim == claim_result::Completed);
     REQUIRE(replay.answer->body == "made");
 }
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.claim_applied_twice.is_claimed_both_times")
 {
-    REQUIRE(claim(1, "order").claim == claim_finding::Claimed);
-    REQUIRE(claim(1, "order").claim == claim_finding::Claimed);
+    REQUIRE(claim(1, "order").claim == claim_result::Claimed);
+    REQUIRE(claim(1, "order").claim == claim_result::Claimed);
 }
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.other_request_with_a_used_key.is_reused")
 {
     claim(1, "order", 1);
-    REQUIRE(claim(2, "order", 2).claim == claim_finding::Reused);
+    REQUIRE(claim(2, "order", 2).claim == claim_result::Reused);
 }
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.claim_not_settled_in_its_run_limit.is_unknown_and_never_free")
 {
     claim(1, "order");
     now += 6s;
-    REQUIRE(claim(2, "order").claim == claim_finding::Unknown);
+    REQUIRE(claim(2, "order").claim == claim_result::Unknown);
     now += 50s;
-    REQUIRE(claim(3, "order").claim == claim_finding::Unknown);
+    REQUIRE(claim(3, "order").claim == claim_result::Unknown);
 }
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.settled_not_run.frees_the_key_for_the_same_or_another_request")
 {
     claim(1, "order", 1);
     settle(1, "order", outcome::NotRun);
-    REQUIRE(claim(2, "order", 2).claim == claim_finding::Claimed);
+    REQUIRE(claim(2, "order", 2).claim == claim_result::Claimed);
 }
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.settlement_of_another_claim_or_after_the_end.is_refused")
@@ -86,7 +86,7 @@
     settle(1, "order", outcome::Completed);
     REQUIRE(settle(1, "order", outcome::NotRun).verdict == command_verdict::Refused);
     REQUIRE(settle(1, "order", outcome::Unknown).verdict == command_verdict::Refused);
-    REQUIRE(claim(2, "order").claim == claim_finding::Completed);
+    REQUIRE(claim(2, "order").claim == claim_result::Completed);
 }
 
 TEST_CASE_METHOD(key_table_fixture, "key_table.unknown.can_become_completed_but_not_not_run")
@@ -101,11 +101,11 @@
 {
     limits.keys = 3;
     for (std::uint64_t i = 1; i <= 3; ++i)
-        REQUIRE(claim(i, "order-" + std::to_string(i)).claim == claim_finding::Claimed);
-    REQUIRE(claim(4, "order-4").claim == claim_finding::TableFull);
-    REQUIRE(claim(5, "order-1").claim == claim_finding::InProgress);
+        REQUIRE(claim(i, "order-" + std::to_string(i)).claim == claim_result::Claimed);
+    REQUIRE(claim(4, "order-4").claim == claim_result::TableFull);
+    REQUIRE(claim(5, "order-1").claim == claim_result::InProgress);
     now += 60s;
-    REQUIRE(claim(6, "order-4").claim == claim_finding::Claimed);
+    REQUIRE(claim(6, "order-4").claim == claim_result::Claimed);
     REQUIRE(keys.size() == 1);
 }
 
@@ -115,7 +115,7 @@
     claim(1, "order");
     settle(1, "order", outcome::Completed, upstream_answer { 201, { { "name", "value" } }, "four" });
     const command_result replay = claim(2, "order");
-    REQUIRE(replay.claim == claim_finding::Completed);
+    REQUIRE(replay.claim == claim_result::Completed);
     REQUIRE(!replay.answer);
 }
 
--- a/test/correctness/measurement_recorder_test.cpp
+++ b/test/correctness/measurement_recorder_test.cpp
@@ -38,7 +38,7 @@
     REQUIRE(taken[0].refused == 1);
     REQUIRE(taken[0].failed == 1);
     REQUIRE(taken[0].medianLatency == 50ms);
-    REQUIRE(taken[0].slowLatency == 95ms);
+    REQUIRE(taken[0].p95Latency == 95ms);
     REQUIRE(subject.take().empty());
 }
 
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -26,7 +26,7 @@
         {
             std::vector<std::string> found;
             for (const auto& [id, vm] : cluster->vms) {
-                if (port(id.value()).allocatorUntil(region_id(region)).has_value())
+                if (port(id.value()).allocatorLeaseEnd(region_id(region)).has_value())
                     found.push_back(id.value());
             }
             return found;
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -144,7 +144,7 @@
 
 TEST_CASE_METHOD(operator_fixture, "drain.while_a_vm_does_not_measure.is_refused")
 {
-    cluster.vm("b").root->services().withdraw(port_names::measurements);
+    cluster.vm("b").root->services().unpublish(port_names::measurements);
     cluster.runtime.advance(2s);
     REQUIRE_THAT(drain(drain_kind::Region, "fukuoka").message, Catch::Contains("load is not known"));
 }
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -50,7 +50,7 @@
             settings.self.region = region_id("here");
             control.state = [this]() -> const control_snapshot& { return state; };
             control.onSteeringChange = [this](std::function<void()> listener) { changed = std::move(listener); };
-            upstreams.forget = [this](const network_address& address) { forgotten.insert(address); };
+            upstreams.closeIdleConnections = [this](const network_address& address) { forgotten.insert(address); };
             state.config.services[service_id("booking")].coldTime = 3s;
             state.config.services[service_id("booking")].coldRate = 2;
             for (const char* region : { "here", "there" }) {
@@ -94,10 +94,10 @@
             request.service = service_id("booking");
             request.deadline = runtime.now() + left;
             request.avoid = std::move(avoid);
-            request.terms.route = route_id("r");
-            request.terms.object = object;
-            request.terms.objective = 600ms;
-            request.terms.allowedRegions = allowed;
+            request.policy.route = route_id("r");
+            request.policy.object = object;
+            request.policy.targetLatency = 600ms;
+            request.policy.allowedRegions = allowed;
             slot_answer got;
             slots->acquire(request, [&](const slot_answer& answer) { got = answer; });
             return got;
@@ -114,7 +114,7 @@
             slot_result result;
             result.ended = ended;
             result.latency = latency;
-            slots->release(placed.slot->hold, result);
+            slots->release(placed.slot->handle, result);
         }
 
         paused_runtime runtime { 1 };
@@ -323,13 +323,13 @@
     slot_result result;
     result.ended = slot_result::kind::Answered;
     result.latency = 200ms;
-    result.marks.load = load_report { true, false, 1, 0, 2 };
-    slots->release(first.slot->hold, result);
+    result.metadata.load = load_report { true, false, 1, 0, 2 };
+    slots->release(first.slot->handle, result);
     const slot_answer second = place("court 7");
     REQUIRE(second.slot->upstream.id == first.slot->upstream.id);
     // So long a queue that even an upstream that doesn't know the object, which counts twice, is better.
-    result.marks.load = load_report { true, false, 2, 20, 2 };
-    slots->release(second.slot->hold, result);
+    result.metadata.load = load_report { true, false, 2, 20, 2 };
+    slots->release(second.slot->handle, result);
     REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
 }
 
--- a/test/correctness/request_crash_test.cpp
+++ b/test/correctness/request_crash_test.cpp
@@ -1,23 +1,23 @@
 #include <catch2/catch.hpp>
 
-#include "support/request_world.h"
+#include "support/request_cluster.h"
 
 namespace plantainlatch {
 
 namespace {
 
     using namespace std::chrono_literals;
-    using kind = call_fate::kind;
+    using kind = call_behaviour::kind;
 
     class request_crash_fixture {
     protected:
         static constexpr std::size_t entryCount = 7;
         static constexpr std::size_t upstreamCount = 12;
 
-        static void crashOn(request_world& world, const std::string& target)
+        static void crashOn(request_cluster& world, const std::string& target)
         {
-            world.upstreams.fate = [target](const upstream_call& call) {
-                return call_fate { call.target == target ? kind::Crash : kind::Answer, 20ms };
+            world.upstreams.behaviour = [target](const upstream_call& call) {
+                return call_behaviour { call.target == target ? kind::Crash : kind::Answer, 20ms };
             };
             for (fake_entry& entry : world.entries)
                 entry.log->applyLag = 60ms;
@@ -26,7 +26,7 @@
         /** The caller waits for an answer and then resends at all entries at once, again and again. */
         static std::size_t crashesOfResends(const request_options& options)
         {
-            request_world world(1, entryCount, upstreamCount, 3, options);
+            request_cluster world(1, entryCount, upstreamCount, 3, options);
             crashOn(world, "/bad");
             world.get(0, "/bad");
             for (int round = 0; round < 20; ++round) {
@@ -41,7 +41,7 @@
 
         static std::size_t crashesOfOneWave(std::size_t resendsPerEntry)
         {
-            request_world world(1, entryCount, upstreamCount, 3);
+            request_cluster world(1, entryCount, upstreamCount, 3);
             crashOn(world, "/bad");
             for (std::size_t i = 0; i < entryCount * resendsPerEntry; ++i)
                 world.get(i % entryCount, "/bad");
@@ -81,7 +81,7 @@
 
 TEST_CASE_METHOD(request_crash_fixture, "crash.after_two_upstreams.is_refused_with_the_reason_and_others_still_run")
 {
-    request_world world(1, 2, upstreamCount, 3);
+    request_cluster world(1, 2, upstreamCount, 3);
     crashOn(world, "/bad");
     world.get(0, "/bad");
     world.runtime.advance(2s);
@@ -95,9 +95,9 @@
 
 TEST_CASE_METHOD(request_crash_fixture, "crash.without_the_log.is_still_refused_at_the_entry_that_saw_it")
 {
-    request_world world(1, 1, upstreamCount, 3);
+    request_cluster world(1, 1, upstreamCount, 3);
     crashOn(world, "/bad");
-    world.entries[0].log->fate = [](const control_command&) { return proposal_fate { 0ms, false }; };
+    world.entries[0].log->behaviour = [](const control_command&) { return proposal_behaviour { 0ms, false }; };
     for (int i = 0; i < 20; ++i) {
         world.get(0, "/bad");
         world.runtime.advance(2s);
@@ -108,10 +108,10 @@
 TEST_CASE_METHOD(
     request_crash_fixture, "crash.equal_lookups_that_completed_before.survive_the_restarts_of_their_upstreams")
 {
-    request_world world(1, 1, upstreamCount, 3);
+    request_cluster world(1, 1, upstreamCount, 3);
     bool restarting = false;
-    world.upstreams.fate = [&](const upstream_call&) {
-        return call_fate { std::exchange(restarting, false) ? kind::LostRequest : kind::Answer, 20ms };
+    world.upstreams.behaviour = [&](const upstream_call&) {
+        return call_behaviour { std::exchange(restarting, false) ? kind::LostRequest : kind::Answer, 20ms };
     };
     for (int i = 0; i < 100; ++i) {
         restarting = i % 20 == 19;
--- a/test/correctness/request_key_test.cpp
+++ b/test/correctness/request_key_test.cpp
@@ -1,26 +1,26 @@
 #include <catch2/catch.hpp>
 
 #include "support/broken_invariant.h"
-#include "support/request_world.h"
+#include "support/request_cluster.h"
 
 namespace plantainlatch {
 
 namespace {
 
     using namespace std::chrono_literals;
-    using kind = call_fate::kind;
+    using kind = call_behaviour::kind;
 
     class request_key_fixture {
     protected:
-        static call_fate slowAnswer(const upstream_call&) { return { kind::Answer, 100ms }; }
+        static call_behaviour slowAnswer(const upstream_call&) { return { kind::Answer, 100ms }; }
 
-        static const key_record* record(const request_world& world, const std::string& key)
+        static const key_record* record(const request_cluster& world, const std::string& key)
         {
             const auto found = world.log.state.keys.find({ service_id("taller"), idempotency_key(key) });
             return found != world.log.state.keys.end() ? &found->second : nullptr;
         }
 
-        request_world world { 1, 2, 3, 2 };
+        request_cluster world { 1, 2, 3, 2 };
     };
 
 } // namespace
@@ -31,8 +31,8 @@
         request_options options;
         if (broken)
             options.policies.claims = [](const request_traits&) { return false; };
-        request_world tried(1, 2, 3, 2, options);
-        tried.upstreams.fate = slowAnswer;
+        request_cluster tried(1, 2, 3, 2, options);
+        tried.upstreams.behaviour = slowAnswer;
         const caller_record& first = tried.post(0, "order", "k");
         tried.runtime.advance(50ms);
         const caller_record& early = tried.post(1, "order", "k");
@@ -64,7 +64,7 @@
 
 TEST_CASE_METHOD(request_key_fixture, "key.answer_lost.stays_unknown_at_every_entry")
 {
-    world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::LostAnswer, 20ms }; };
+    world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::LostAnswer, 20ms }; };
     world.post(0, "order", "k");
     world.runtime.advance(2s);
     const caller_record& again = world.post(1, "order", "k");
@@ -76,12 +76,12 @@
 
 TEST_CASE_METHOD(request_key_fixture, "key.work_not_run.is_freed_for_a_resend")
 {
-    world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::MarkedRefusal, 20ms }; };
+    world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::MarkedRefusal, 20ms }; };
     const caller_record& refused = world.post(0, "order", "k");
     world.runtime.advance(1s);
     REQUIRE(refused.answer->result == outcome::NotRun);
     REQUIRE(record(world, "k") == nullptr);
-    world.upstreams.fate = slowAnswer;
+    world.upstreams.behaviour = slowAnswer;
     const caller_record& again = world.post(1, "order", "k");
     world.runtime.advance(1s);
     REQUIRE(again.answer->result == outcome::Completed);
@@ -93,9 +93,9 @@
         request_options options;
         if (broken)
             options.policies.releasesLateClaims = [] { return false; };
-        request_world tried(1, 2, 3, 2, options);
-        tried.entries[0].log->fate = [](const control_command& command) {
-            return proposal_fate { std::holds_alternative<claim_key>(command) ? 3000ms : 2ms };
+        request_cluster tried(1, 2, 3, 2, options);
+        tried.entries[0].log->behaviour = [](const control_command& command) {
+            return proposal_behaviour { std::holds_alternative<claim_key>(command) ? 3000ms : 2ms };
         };
         const caller_record& late = tried.post(0, "order", "k");
         tried.runtime.advance(1s);
@@ -116,13 +116,13 @@
         request_options options;
         if (broken)
             options.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
-        request_world tried(1, 2, 3, 2, options);
+        request_cluster tried(1, 2, 3, 2, options);
         const control_snapshot stale = tried.log.state;
         tried.post(0, "order", "k");
         tried.runtime.advance(1s);
         REQUIRE(tried.upstreams.runs["order"] == 1);
         tried.entries[1].log->control.state = [&stale]() -> const control_snapshot& { return stale; };
-        tried.entries[1].log->fate = [](const control_command&) { return proposal_fate { 0ms, false }; };
+        tried.entries[1].log->behaviour = [](const control_command&) { return proposal_behaviour { 0ms, false }; };
         const caller_record& again = tried.post(1, "order", "k");
         tried.runtime.advance(2s);
         return again.answer->result == outcome::NotRun;
@@ -134,7 +134,7 @@
 TEST_CASE_METHOD(
     request_key_fixture, "key.entry_died_with_the_claim.is_in_progress_and_then_unknown_and_never_runs_again")
 {
-    world.upstreams.fate = slowAnswer;
+    world.upstreams.behaviour = slowAnswer;
     world.post(0, "order", "k");
     world.runtime.advance(50ms);
     world.kill(0);
@@ -154,8 +154,8 @@
         request_options options;
         if (broken)
             options.policies.outlivesCaller = [](const request_traits&) { return false; };
-        request_world tried(1, 2, 3, 2, options);
-        tried.upstreams.fate = slowAnswer;
+        request_cluster tried(1, 2, 3, 2, options);
+        tried.upstreams.behaviour = slowAnswer;
         const caller_record& left = tried.post(0, "order", "k");
         tried.runtime.advance(50ms);
         tried.entries[0].port->cancel(left.id);
@@ -182,9 +182,9 @@
 TEST_CASE_METHOD(request_key_fixture, "key.settlement_lost.is_proposed_again_until_the_log_has_it")
 {
     int settlements = 0;
-    world.entries[0].log->fate = [&](const control_command& command) {
+    world.entries[0].log->behaviour = [&](const control_command& command) {
         const bool settles = std::holds_alternative<settle_key>(command);
-        return proposal_fate { 2ms, !settles || ++settlements > 3 };
+        return proposal_behaviour { 2ms, !settles || ++settlements > 3 };
     };
     world.post(0, "order", "k");
     world.runtime.advance(20s);
@@ -194,8 +194,8 @@
 TEST_CASE_METHOD(request_key_fixture, "key.proposal_refused_by_the_log.leaves_a_claim_unknown_and_a_settlement_owed")
 {
     bool refusing = true;
-    world.entries[0].log->fate = [&](const control_command&) {
-        return proposal_fate { 2ms, true, true, std::exchange(refusing, false) };
+    world.entries[0].log->behaviour = [&](const control_command&) {
+        return proposal_behaviour { 2ms, true, true, std::exchange(refusing, false) };
     };
     const caller_record& unresolved = world.post(0, "order", "k");
     world.runtime.advance(1s);
--- a/test/correctness/request_limits_test.cpp
+++ b/test/correctness/request_limits_test.cpp
@@ -3,18 +3,18 @@
 #include <catch2/catch.hpp>
 
 #include "support/broken_invariant.h"
-#include "support/request_world.h"
+#include "support/request_cluster.h"
 
 namespace plantainlatch {
 
 namespace {
 
     using namespace std::chrono_literals;
-    using kind = call_fate::kind;
+    using kind = call_behaviour::kind;
 
     class request_limits_fixture {
     protected:
-        static std::uint64_t extraAttempts(const request_world& world)
+        static std::uint64_t extraAttempts(const request_cluster& world)
         {
             const request_statistics& counts = world.entries[0].requests->statistics();
             return counts.retries + counts.hedges;
@@ -29,8 +29,8 @@
         request_options options;
         if (broken)
             options.policies.budgeted = [] { return false; };
-        request_world world(1, 1, 3, 2, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::BareRefusal, 5ms }; };
+        request_cluster world(1, 1, 3, 2, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::BareRefusal, 5ms }; };
         for (int i = 0; i < 500; ++i) {
             world.get(0, "/frames/" + std::to_string(i));
             world.runtime.advance(20ms);
@@ -48,14 +48,14 @@
         request_options options;
         if (broken)
             options.policies.hedges = [](const request_traits&) { return false; };
-        request_world world(1, 1, 3, 2, options);
+        request_cluster world(1, 1, 3, 2, options);
         for (int i = 0; i < 100; ++i) {
             world.get(0, "/frames/" + std::to_string(i));
             world.runtime.advance(50ms);
         }
         const std::size_t before = world.upstreams.calls.size();
-        world.upstreams.fate = [&world, before](const upstream_call&) {
-            return call_fate { kind::Answer, world.upstreams.calls.size() == before ? 900ms : 20ms };
+        world.upstreams.behaviour = [&world, before](const upstream_call&) {
+            return call_behaviour { kind::Answer, world.upstreams.calls.size() == before ? 900ms : 20ms };
         };
         const caller_record& sent = world.get(0, "/frames/slow");
         world.runtime.advance(100ms);
@@ -72,10 +72,10 @@
         request_options options;
         if (broken)
             options.policies.hasRoomToHedge = [](bool) { return true; };
-        request_world world(1, 1, 3, 1, options);
+        request_cluster world(1, 1, 3, 1, options);
         for (int i = 0; i < 300; ++i) {
-            world.upstreams.fate = [i](const upstream_call&) {
-                return call_fate { kind::Answer, i % 30 != 0 ? 30ms : 200ms };
+            world.upstreams.behaviour = [i](const upstream_call&) {
+                return call_behaviour { kind::Answer, i % 30 != 0 ? 30ms : 200ms };
             };
             world.get(0, "/frames/" + std::to_string(i));
             world.runtime.advance(11ms);
@@ -91,9 +91,9 @@
     const auto endsUnknown = [](bool broken) {
         request_options options;
         if (broken)
-            options.policies.worthStarting = [](const dispatch_chance&) { return true; };
-        request_world world(1, 1, 1, 1, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 950ms }; };
+            options.policies.worthStarting = [](const dispatch_timing&) { return true; };
+        request_cluster world(1, 1, 1, 1, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 950ms }; };
         world.post(0, "first");
         const caller_record& second = world.post(0, "second");
         world.runtime.advance(2s);
@@ -108,9 +108,9 @@
     const auto blames = [](bool broken) {
         request_options options;
         if (broken)
-            options.policies.blamesUpstream = [](const dispatch_chance&) { return true; };
-        request_world world(1, 1, 1, 1, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 300ms }; };
+            options.policies.blamesUpstream = [](const dispatch_timing&) { return true; };
+        request_cluster world(1, 1, 1, 1, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 300ms }; };
         for (int i = 0; i < 40; ++i) {
             world.post(0, std::to_string(i));
             world.runtime.advance(400ms);
@@ -134,13 +134,13 @@
         request_options options;
         if (broken)
             options.policies.learnsFromTimeouts = [] { return false; };
-        request_world world(1, 1, 1, 1, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 100ms }; };
+        request_cluster world(1, 1, 1, 1, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 100ms }; };
         for (int i = 0; i < 64; ++i) {
             world.post(0, "fast-" + std::to_string(i));
             world.runtime.advance(200ms);
         }
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 700ms }; };
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 700ms }; };
         for (int i = 0; i < 200; ++i) {
             world.post(0, "slow-" + std::to_string(i));
             world.runtime.advance(350ms);
@@ -158,7 +158,7 @@
 {
     request_options options;
     options.maximumRequests = 2;
-    request_world world(1, 1, 1, 1, options);
+    request_cluster world(1, 1, 1, 1, options);
     caller_request unknown;
     unknown.service = service_id("nowhere");
     REQUIRE(world.send(0, unknown).answer->content.status == 404);
@@ -181,8 +181,8 @@
         request_options options;
         if (broken)
             options.policies.refusesWhileStopping = [] { return false; };
-        request_world world(1, 1, 3, 2, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 500ms }; };
+        request_cluster world(1, 1, 3, 2, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 500ms }; };
         bool stopped = false;
         world.entries[0].core->stop([&] { stopped = true; });
         world.runtime.advance(1900ms);
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -2,27 +2,27 @@
 
 #include "decision/request/outcome_machine.h"
 #include "support/broken_invariant.h"
-#include "support/request_world.h"
+#include "support/request_cluster.h"
 
 namespace plantainlatch {
 
 namespace {
 
     using namespace std::chrono_literals;
-    using kind = call_fate::kind;
+    using kind = call_behaviour::kind;
 
     class request_outcome_fixture {
     protected:
-        void firstCallEnds(request_world& world, kind ends)
+        void firstCallEnds(request_cluster& world, kind ends)
         {
-            world.upstreams.fate = [&world, ends](const upstream_call&) {
-                return call_fate { world.upstreams.calls.empty() ? ends : kind::Answer, 20ms };
+            world.upstreams.behaviour = [&world, ends](const upstream_call&) {
+                return call_behaviour { world.upstreams.calls.empty() ? ends : kind::Answer, 20ms };
             };
         }
 
         caller_answer answerTo(const std::string& method, kind ends)
         {
-            request_world world(1, 1, 3, 2);
+            request_cluster world(1, 1, 3, 2);
             firstCallEnds(world, ends);
             const caller_record& sent = method == "GET" ? world.get(0, "/frames/7") : world.post(0, "order");
             world.runtime.advance(11s);
@@ -84,9 +84,9 @@
     const auto runsTwice = [](bool broken) {
         request_options options;
         if (broken)
-            options.policies.mayRetry = [](const ended_attempt&) { return true; };
-        request_world world(1, 1, 3, 2, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::LostAnswer, 20ms }; };
+            options.policies.mayRetry = [](const failed_attempt&) { return true; };
+        request_cluster world(1, 1, 3, 2, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::LostAnswer, 20ms }; };
         world.post(0, "order");
         world.runtime.advance(3s);
         return world.upstreams.runs["order"] > 1;
@@ -101,10 +101,10 @@
         request_options options;
         if (broken)
             options.policies.isMarkedRefusal = [](const upstream_answer& answer) { return answer.status == 503; };
-        request_world world(1, 1, 3, 2, options);
-        world.upstreams.fate = [&](const upstream_call& call) {
+        request_cluster world(1, 1, 3, 2, options);
+        world.upstreams.behaviour = [&](const upstream_call& call) {
             ++world.upstreams.runs[call.body]; // the upstream ran the work and then could not answer
-            return call_fate { kind::BareRefusal, 20ms };
+            return call_behaviour { kind::BareRefusal, 20ms };
         };
         world.post(0, "order");
         world.runtime.advance(3s);
@@ -120,9 +120,9 @@
         request_options options;
         if (broken)
             options.policies.needsFreshConnection = [](const request_traits&) { return false; };
-        request_world world(1, 1, 3, 2, options);
-        world.upstreams.fate = [](const upstream_call& call) {
-            return call_fate { call.freshConnection ? kind::Answer : kind::Silent, 20ms };
+        request_cluster world(1, 1, 3, 2, options);
+        world.upstreams.behaviour = [](const upstream_call& call) {
+            return call_behaviour { call.freshConnection ? kind::Answer : kind::Silent, 20ms };
         };
         const caller_record& sent = world.post(0, "order");
         world.runtime.advance(3s);
@@ -134,8 +134,8 @@
 
 TEST_CASE_METHOD(request_outcome_fixture, "request.deadline_passed.is_unknown_after_dispatch_and_not_run_before")
 {
-    request_world world(1, 1, 1, 1);
-    world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Silent, 0ms }; };
+    request_cluster world(1, 1, 1, 1);
+    world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Silent, 0ms }; };
     const caller_record& dispatched = world.post(0, "first");
     const caller_record& waiting = world.post(0, "second");
     world.runtime.advance(1s);
@@ -151,8 +151,8 @@
         request_options options;
         if (broken)
             options.policies.keepsSlotBusy = [](attempt_ending) { return false; };
-        request_world world(1, 1, 1, 1, options);
-        world.upstreams.fate = [](const upstream_call&) { return call_fate { kind::Answer, 100ms }; };
+        request_cluster world(1, 1, 1, 1, options);
+        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 100ms }; };
         const caller_record& left = world.post(0, "first");
         const caller_record& waiting = world.post(0, "second");
         world.runtime.advance(50ms);
--- a/test/correctness/route_table_test.cpp
+++ b/test/correctness/route_table_test.cpp
@@ -17,7 +17,7 @@
         route.host = "Courts.example";
         route.pathPrefix = prefix;
         route.timeLimit = 3s;
-        route.objective = 600ms;
+        route.targetLatency = 600ms;
         route.services = std::move(services);
         return route;
     }
@@ -114,9 +114,9 @@
 
 TEST_CASE_METHOD(route_table_fixture, "route_check.objective_a_minute_above_the_limit.is_a_finding")
 {
-    config.routes[0].objective = config.routes[0].timeLimit + 59s;
+    config.routes[0].targetLatency = config.routes[0].timeLimit + 59s;
     REQUIRE(wrong().empty());
-    config.routes[0].objective = config.routes[0].timeLimit + 60s;
+    config.routes[0].targetLatency = config.routes[0].timeLimit + 60s;
     REQUIRE(wrong().find("objective") != std::string::npos);
 }
 
--- a/test/correctness/shift_test.cpp
+++ b/test/correctness/shift_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "decision/shifts/cap_shares.h"
 #include "decision/shifts/shift_service.h"
+#include "decision/shifts/split_cap.h"
 #include "support/control_cluster.h"
 #include "support/control_fixture.h"
 
@@ -141,10 +141,10 @@
 
 TEST_CASE("cap_shares.small_cap.goes_whole_to_those_who_want_it")
 {
-    const auto shares = shareCap(2, { { vm_id("a"), 0 }, { vm_id("b"), 30 }, { vm_id("c"), 0 } });
+    const auto shares = splitCap(2, { { vm_id("a"), 0 }, { vm_id("b"), 30 }, { vm_id("c"), 0 } });
     REQUIRE(shares.at(vm_id("b")) == 2);
-    REQUIRE(shareCap(7, { { vm_id("a"), 1 }, { vm_id("b"), 1 } }).at(vm_id("a")) == 4);
-    REQUIRE(shareCap(5, {}).empty());
+    REQUIRE(splitCap(7, { { vm_id("a"), 1 }, { vm_id("b"), 1 } }).at(vm_id("a")) == 4);
+    REQUIRE(splitCap(5, {}).empty());
 }
 
 } // namespace plantainlatch
--- a/test/correctness/vm_stop_test.cpp
+++ b/test/correctness/vm_stop_test.cpp
@@ -33,21 +33,21 @@
         bool earlierWorkEnded() const { return state.vms.at(vm.id).earlierWorkEnded; }
 
         /** What the second allocator of a region lends at once to e2, while e1 is as the log says. */
-        std::uint32_t lentByNewAllocator()
+        std::uint32_t allocatedByNewAllocator()
         {
             const time_point now;
             slot_allocator allocator(region_id("r"), allocator_epoch(2), { vm_id("e1"), vm_id("e2") }, now, {});
             allocator.setUpstreams(table, std::chrono::seconds(30), now);
             const vm_start_record& record = state.vms.at(vm.id);
             if (record.stopped && record.earlierWorkEnded)
-                allocator.accountStopped(vm.id);
+                allocator.markStopped(vm.id);
             slot_report report;
             report.epoch = allocator_epoch(2);
             report.start = incarnation(1);
             report.sequence = 1;
             report.demands.push_back({ service_id("booking"), {}, 1, 0 });
             allocator.report({ vm_id("e2"), true, true }, report, now);
-            return allocator.lent(upstream_id("u"));
+            return allocator.allocated(upstream_id("u"));
         }
 
         control_snapshot state;
@@ -90,9 +90,9 @@
 TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.stopped_vm.does_not_hold_up_a_new_slot_allocator")
 {
     start(1);
-    REQUIRE(lentByNewAllocator() == 2); // all unaccounted, none lent
+    REQUIRE(allocatedByNewAllocator() == 2); // all unaccounted, none lent
     stop(1);
-    REQUIRE(lentByNewAllocator() == 1);
+    REQUIRE(allocatedByNewAllocator() == 1);
 }
 
 } // namespace plantainlatch
--- a/test/correctness/voter_changes_test.cpp
+++ b/test/correctness/voter_changes_test.cpp
@@ -37,7 +37,7 @@
                 }
                 settings.vms = known;
                 settings.membership = membership_mode::Seeded;
-                settings.mayFoundLog = founding && seeds.contains(settings.self.id);
+                settings.mayBootstrapLog = founding && seeds.contains(settings.self.id);
             };
         }
 
@@ -138,7 +138,7 @@
     REQUIRE(cluster.until([&] { return cluster.vm(leader).control->numbers().size() == 1; }));
     std::size_t seen = 0;
     bool told = false;
-    cluster.vm(7).port->catchUp(20s, [&](const absl::Status& status) {
+    cluster.vm(7).port->readBarrier(20s, [&](const absl::Status& status) {
         told = status.ok();
         seen = cluster.vm(7).control->numbers().size();
     });
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -70,7 +70,7 @@
     REQUIRE(config.routes.size() == 2);
     REQUIRE_FALSE(config.routes[0].idempotent);
     REQUIRE(config.routes[0].timeLimit == 3s);
-    REQUIRE(config.routes[0].objective == 800ms);
+    REQUIRE(config.routes[0].targetLatency == 800ms);
     REQUIRE(config.routes[0].maximumAttempts == 2);
     REQUIRE(config.routes[0].allowedRegions == std::vector<region_id> { region_id("fukuoka") });
     REQUIRE(config.routes[1].idempotent);
@@ -140,7 +140,7 @@
     REQUIRE(settings.vm.self.id == vm_id("10.1.0.37:7660"));
     REQUIRE(settings.vm.self.replica);
     REQUIRE_FALSE(settings.vm.self.entry);
-    REQUIRE(settings.vm.mayFoundLog);
+    REQUIRE(settings.vm.mayBootstrapLog);
     REQUIRE(settings.vm.vms.size() == 2);
     REQUIRE(settings.vm.vms[1].id == vm_id("10.2.0.29:7660"));
     REQUIRE(settings.bounds.retryShare == 0.2);
@@ -149,8 +149,8 @@
 
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_settings.later_start_or_no_seed.founds_no_log")
 {
-    REQUIRE_FALSE(readText(with(text, "found_log: true", "found_log: false"))->vm.mayFoundLog);
-    REQUIRE_FALSE(readText(with(text, "address: \"10.1.0.37\"", "address: \"10.9.0.1\""))->vm.mayFoundLog);
+    REQUIRE_FALSE(readText(with(text, "found_log: true", "found_log: false"))->vm.mayBootstrapLog);
+    REQUIRE_FALSE(readText(with(text, "address: \"10.1.0.37\"", "address: \"10.9.0.1\""))->vm.mayBootstrapLog);
 }
 
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_settings.mistakes.are_findings")
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -357,7 +357,7 @@
 
 TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.fields.name_the_upstream_and_the_time_left")
 {
-    REQUIRE(call(whole + "X-Server-Load: 3,2,6\r\n\r\nok")->marks.load->queued == 2);
+    REQUIRE(call(whole + "X-Server-Load: 3,2,6\r\n\r\nok")->metadata.load->queued == 2);
     REQUIRE_THAT(upstream.requests.at(0), Contains("X-Expect-Instance: i-7"));
     REQUIRE_THAT(upstream.requests.at(0), Contains("X-Request-Id: abc"));
     REQUIRE_THAT(upstream.requests.at(0), Contains("X-Deadline-Ms: 800"));
@@ -367,17 +367,17 @@
 TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.marked_refusal.is_proof")
 {
     const auto refused = call("HTTP/1.1 503 x\r\nX-Request-Id: abc\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
-    REQUIRE(refused->marks.notRun);
-    REQUIRE_FALSE(refused->marks.otherInstance);
+    REQUIRE(refused->metadata.notRun);
+    REQUIRE_FALSE(refused->metadata.wrongInstance);
     const auto bare = call("HTTP/1.1 503 x\r\nX-Request-Id: abc\r\nContent-Length: 0\r\n\r\n");
-    REQUIRE_FALSE(bare->marks.notRun);
+    REQUIRE_FALSE(bare->metadata.notRun);
 }
 
 TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.other_instance.did_not_run_it")
 {
     const auto other = call("HTTP/1.1 421 x\r\nX-Instance-Id: i-8\r\nContent-Length: 0\r\n\r\n");
-    REQUIRE(other->marks.otherInstance);
-    REQUIRE(other->marks.notRun);
+    REQUIRE(other->metadata.wrongInstance);
+    REQUIRE(other->metadata.notRun);
 }
 
 TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.answer_to_another_request.is_none")
@@ -397,7 +397,7 @@
 
 TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.cold_time.is_read")
 {
-    REQUIRE(call(whole + "X-Cold-Ms: 1250\r\n\r\nok")->marks.coldFor == 1250ms);
+    REQUIRE(call(whole + "X-Cold-Ms: 1250\r\n\r\nok")->metadata.coldFor == 1250ms);
 }
 
 } // namespace plantainlatch::platform
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -47,7 +47,7 @@
         call_events recordIn(call_record& record)
         {
             call_events events;
-            events.onFirstByte = [&record] { ++record.firstBytes; };
+            events.onDispatch = [&record] { ++record.firstBytes; };
             events.onAnswer = [&record](upstream_answer answer) {
                 REQUIRE_FALSE(record.ended());
                 REQUIRE(record.firstBytes == 1);
@@ -120,7 +120,7 @@
     jumping.now = [&] { return hooks.now() + jump; };
     subject = upstream_client::create(loop->base(), jumping);
     upstream_call call = callTo(upstream.address());
-    call.offerWithin = std::chrono::milliseconds(100);
+    call.dispatchTimeout = std::chrono::milliseconds(100);
     call_record record;
     subject->port().start(call, recordIn(record));
     jump = std::chrono::milliseconds(200);
@@ -180,7 +180,7 @@
         listener.acceptWithin(std::chrono::milliseconds(1500));
     };
     upstream_call call = callTo(listener.address());
-    call.offerWithin = std::chrono::milliseconds(100);
+    call.dispatchTimeout = std::chrono::milliseconds(100);
     subject->port().start(std::move(call), std::move(events));
     runUntil([&] { return failure.has_value(); });
     REQUIRE(failure == call_failure::ConnectFailed);
--- a/test/performance/capacity_benchmark.cpp
+++ b/test/performance/capacity_benchmark.cpp
@@ -142,7 +142,7 @@
     showMessage("slot_report of 0 upstreams", slot_message(makeReport(0)));
     showMessage("slot_report of 12 upstreams", slot_message(makeReport(12)));
     showMessage("slot_grant of 12 upstreams", slot_message(makeGrant(12)));
-    showMessage("announcement_seen", control_message(announcement_seen { makeAnnouncement(1) }));
+    showMessage("announcement_seen", control_message(forwarded_announcement { makeAnnouncement(1) }));
 }
 
 void showStateSlope(const char* name, int count, const std::function<void(control_snapshot&, int)>& addOne)
--- a/test/performance/request_path_benchmark.cpp
+++ b/test/performance/request_path_benchmark.cpp
@@ -43,13 +43,13 @@
                 return propose(command, done);
             };
             slots.acquire = [this](const slot_request&, const std::function<void(slot_answer)>& given) {
-                given({ held_slot { slot_hold(++m_last), m_upstream, time_point::max() }, {} });
+                given({ held_slot { slot_handle(++m_last), m_upstream, time_point::max() }, {} });
                 return slot_ticket();
             };
             slots.cancelWait = [](slot_ticket) {};
-            slots.release = [](slot_hold, const slot_result&) {};
+            slots.release = [](slot_handle, const slot_result&) {};
             upstreams.start = [](const upstream_call&, const call_events& events) {
-                events.onFirstByte();
+                events.onDispatch();
                 events.onAnswer({ 200, {}, "answer" });
             };
             upstreams.cancel = [](call_id) {};
--- a/test/performance/shift_gate_benchmark.cpp
+++ b/test/performance/shift_gate_benchmark.cpp
@@ -36,7 +36,7 @@
 
         bool suffers(int percent) const { return m_limited && percent > bearablePercent; }
 
-        domain_signal measure(int percent, duration sinceStep)
+        domain_statistics measure(int percent, duration sinceStep)
         {
             const double cold = 1.2 * std::exp(-std::chrono::duration<double>(sinceStep).count() / 2.0);
             double ratio = (1.0 + cold) * m_noise(m_random);
@@ -51,11 +51,11 @@
                 ratio *= 3.5;
                 errors += 0.04;
             }
-            domain_signal signal;
-            signal.requests = 200;
-            signal.failed = static_cast<std::uint64_t>(errors * 200);
-            signal.medianLatency = duration(static_cast<std::int64_t>(baseline.count() * ratio));
-            return signal;
+            domain_statistics statistics;
+            statistics.requests = 200;
+            statistics.failed = static_cast<std::uint64_t>(errors * 200);
+            statistics.medianLatency = duration(static_cast<std::int64_t>(baseline.count() * ratio));
+            return statistics;
         }
 
     private:
