--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -71,7 +71,7 @@
     /** One entry with its services. */
     struct simulated_entry {
         vm_settings settings;
-        process_life life = std::make_shared<bool>(true);
+        process_lifetime life = std::make_shared<bool>(true);
         std::unique_ptr<fake_log_member> log;
         peer_port peers;
         membership_port membership;
@@ -134,7 +134,7 @@
             const kernel_hooks hooks = m_runtime.hooks();
             entry.core = *kernel::create(hooks);
             entry.log = std::make_unique<fake_log_member>(m_log, settings.self.id, incarnation(number + 1));
-            entry.log->fate = [](const control_command&) { return proposal_fate { betweenRegions * 2 }; };
+            entry.log->behaviour = [](const control_command&) { return proposal_behaviour { betweenRegions * 2 }; };
             entry.upstreams = m_upstreams.portOf(number);
             addPort(*entry.core, port_names::control, entry.log->control);
             addPort(*entry.core, port_names::consensus, entry.log->consensus);
@@ -159,12 +159,13 @@
             options.host.polls = false;
             entry.peers = m_network.attach(settings.self.id, entry.life);
             entry.membership.start = [number] { return incarnation(number + 1); };
-            entry.membership.allocatorUntil = [this](const region_id&) { return std::optional(m_runtime.now() + 2s); };
+            entry.membership.allocatorLeaseEnd
+                = [this](const region_id&) { return std::optional(m_runtime.now() + 2s); };
             entry.liveness.lastSeen = [this](const upstream_id&) { return std::optional(m_runtime.now()); };
-            entry.liveness.silence = [] { return 6s; };
+            entry.liveness.silenceTimeout = [] { return 6s; };
             entry.shifts.weights = [](const service_id&) { return std::vector<domain_weight>(); };
             entry.shifts.shifts = [](const service_id&) { return std::vector<active_shift>(); };
-            entry.shifts.trySpend = [](const shift_id&) { return false; };
+            entry.shifts.tryAcquire = [](const shift_id&) { return false; };
             entry.router = peer_router::create();
             entry.slots = *slot_service::create(entry.core->hooks(), settings, options);
             addPort(*entry.core, port_names::peers, entry.peers);
--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -53,7 +53,7 @@
     m_runtime.schedule(wait, [this, id] { announce(id); });
 }
 
-upstream_port fake_upstreams::attach(const vm_id& vm, const process_life& life)
+upstream_port fake_upstreams::attach(const vm_id& vm, const process_lifetime& life)
 {
     const std::weak_ptr<bool> alive = life;
     upstream_port port;
@@ -76,7 +76,7 @@
                 done(report);
         });
     };
-    port.forget = [](const network_address&) {};
+    port.closeIdleConnections = [](const network_address&) {};
     return port;
 }
 
@@ -97,7 +97,7 @@
     if (!isPooled)
         m_silent.erase({ vm, open->call.upstream });
     const duration connectTime = isPooled ? duration(0) : 2 * networkDelay;
-    const bool isTooLate = open->call.offerWithin > duration(0) && connectTime > open->call.offerWithin;
+    const bool isTooLate = open->call.dispatchTimeout > duration(0) && connectTime > open->call.dispatchTimeout;
     m_runtime.schedule(connectTime, [this, open, isPooled, isTooLate] {
         if (open->ended || open->life.expired())
             return;
@@ -111,7 +111,7 @@
 
 void fake_upstreams::offer(const call_pointer& call)
 {
-    call->events.onFirstByte();
+    call->events.onDispatch();
     if (call->ended || m_silent.contains({ call->vm, call->call.upstream }) || !reachesNow(*call))
         return;
     m_runtime.schedule(networkDelay, [this, call] { arrive(call); });
--- a/test/random/fake_upstreams.h
+++ b/test/random/fake_upstreams.h
@@ -46,7 +46,7 @@
     upstream_id idOf(std::size_t position) const { return m_upstreams[position]->announced.id; }
 
     /** The calls of one process. */
-    upstream_port attach(const vm_id& vm, const process_life& life);
+    upstream_port attach(const vm_id& vm, const process_lifetime& life);
 
     /** The process dies and comes back as a new generation. */
     void crash(const upstream_id& id, duration downTime);
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -3,14 +3,14 @@
 #include <catch2/catch.hpp>
 
 #include "support/broken_invariant.h"
-#include "support/request_world.h"
+#include "support/request_cluster.h"
 
 namespace plantainlatch {
 
 namespace {
 
     using namespace std::chrono_literals;
-    using kind = call_fate::kind;
+    using kind = call_behaviour::kind;
 
     constexpr std::size_t entryCount = 4;
     constexpr std::size_t upstreamCount = 6;
@@ -35,7 +35,7 @@
             : m_world(seed, entryCount, upstreamCount, slotsPerUpstream, options)
         {
             m_world.upstreams.restartAfter = 2s;
-            m_world.upstreams.fate = [this](const upstream_call& call) { return callFate(call); };
+            m_world.upstreams.behaviour = [this](const upstream_call& call) { return callFate(call); };
             m_world.upstreams.onCall = [this](const upstream_call& call) { checkCall(call); };
             for (std::size_t entry = 0; entry < entryCount; ++entry)
                 setFaults(entry);
@@ -61,23 +61,23 @@
         void setFaults(std::size_t entry)
         {
             m_world.entries[entry].log->applyLag = std::chrono::milliseconds(below(80));
-            m_world.entries[entry].log->fate = [this](const control_command&) { return proposalFate(); };
+            m_world.entries[entry].log->behaviour = [this](const control_command&) { return proposalFate(); };
         }
 
-        proposal_fate proposalFate()
+        proposal_behaviour proposalFate()
         {
-            proposal_fate fate;
-            fate.delay = std::chrono::milliseconds(1 + below(30));
+            proposal_behaviour behaviour;
+            behaviour.delay = std::chrono::milliseconds(1 + below(30));
             if (m_calm)
-                return fate;
+                return behaviour;
             if (oneIn(20))
-                fate.delay = std::chrono::milliseconds(below(4000));
-            fate.agreed = !oneIn(30);
-            fate.answered = !oneIn(30);
-            return fate;
+                behaviour.delay = std::chrono::milliseconds(below(4000));
+            behaviour.agreed = !oneIn(30);
+            behaviour.answered = !oneIn(30);
+            return behaviour;
         }
 
-        call_fate callFate(const upstream_call& call)
+        call_behaviour callFate(const upstream_call& call)
         {
             if (call.target == "/bad")
                 return { kind::Crash, 10ms };
@@ -218,7 +218,7 @@
             }
         }
 
-        request_world m_world;
+        request_cluster m_world;
         std::vector<std::unique_ptr<submission>> m_submissions;
         std::uint64_t m_lastOrder = 0;
         bool m_calm = false;
@@ -269,7 +269,7 @@
     noClaims.policies.claims = [](const request_traits&) { return false; };
     REQUIRE(fails(1, 4000, noClaims));
     request_options allRetries;
-    allRetries.policies.mayRetry = [](const ended_attempt&) { return true; };
+    allRetries.policies.mayRetry = [](const failed_attempt&) { return true; };
     REQUIRE(fails(1, 4000, allRetries));
     request_options notRunUnresolved;
     notRunUnresolved.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
--- a/test/random/shift_random_test.cpp
+++ b/test/random/shift_random_test.cpp
@@ -42,7 +42,7 @@
             for (auto& [id, vm] : cluster->vms) {
                 const std::uint64_t attempts = position++ == eager ? 2 : (chance(20) == 0 ? 1 : 0);
                 for (std::uint64_t i = 0; i < attempts; ++i) {
-                    if (!vm->port<shift_port>(port_names::shifts).trySpend(shift))
+                    if (!vm->port<shift_port>(port_names::shifts).tryAcquire(shift))
                         continue;
                     spends.push_back(cluster->runtime.now());
                     ++total;
--- a/test/random/simulated_vm.h
+++ b/test/random/simulated_vm.h
@@ -29,7 +29,7 @@
     vm_record record;
     std::unique_ptr<fake_disk> disk;
 
-    process_life life;
+    process_lifetime life;
     peer_port peers;
     storage_port storage;
     upstream_port calls;
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -217,7 +217,7 @@
     {
         if (vm.shifts == nullptr)
             return;
-        vm.shifts->trySpend = [this, &vm, spend = vm.shifts->trySpend](const shift_id& id) {
+        vm.shifts->tryAcquire = [this, &vm, spend = vm.shifts->tryAcquire](const shift_id& id) {
             const auto shift = vm.control->state().config.shifts.find(id);
             if (!spend(id))
                 return false;
@@ -358,7 +358,7 @@
         m_journal.noteFault("kill of " + vm.record.id.value() + (loses ? " with its disk" : ""));
         vm.kill();
         if (loses)
-            vm.disk->lose();
+            vm.disk->wipe();
         later(upTo(6s), [this, &vm] { startVm(vm); });
     }
 
--- a/test/support/consensus_fixture.h
+++ b/test/support/consensus_fixture.h
@@ -37,7 +37,7 @@
 struct consensus_vm {
     vm_record record;
     std::unique_ptr<fake_disk> disk;
-    process_life life;
+    process_lifetime life;
     peer_port peers;
     storage_port storage;
     std::unique_ptr<peer_router> router;
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -96,7 +96,7 @@
             set.voters.insert({ vm, incarnation(1) });
         return set;
     };
-    made.consensus.appliedElsewhere = [] { return std::vector<std::pair<vm_id, log_index>>(); };
+    made.consensus.followerAppliedIndices = [] { return std::vector<std::pair<vm_id, log_index>>(); };
 }
 
 leadership control_cluster::stateOf(const vm_id& vm) const
--- a/test/support/control_fixture.cpp
+++ b/test/support/control_fixture.cpp
@@ -82,7 +82,7 @@
             set.voters.insert({ vm.id, incarnation(1) });
         return set;
     };
-    log.appliedElsewhere = [] { return std::vector<std::pair<vm_id, log_index>>(); };
+    log.followerAppliedIndices = [] { return std::vector<std::pair<vm_id, log_index>>(); };
 }
 
 command_result control_fixture::apply(control_command command)
--- a/test/support/fake_disk.cpp
+++ b/test/support/fake_disk.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-storage_port fake_disk::attach(const process_life& life)
+storage_port fake_disk::attach(const process_lifetime& life)
 {
     storage_port port;
     port.load = [this]() -> absl::StatusOr<recovered_state> {
@@ -100,7 +100,7 @@
     m_pending.clear();
 }
 
-void fake_disk::lose()
+void fake_disk::wipe()
 {
     crash();
     m_content = recovered_state {};
--- a/test/support/fake_disk.h
+++ b/test/support/fake_disk.h
@@ -29,12 +29,12 @@
     absl::Status damage;
 
     /** The port for a new process. */
-    storage_port attach(const process_life& life);
+    storage_port attach(const process_lifetime& life);
 
     /** The process was killed: a prefix of what was not synced may be there all the same. */
     void crash();
     /** The disk is replaced by a blank one. */
-    void lose();
+    void wipe();
 
     const recovered_state& content() const { return m_content; }
 
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -41,7 +41,7 @@
 {
     ++m_last.sequence;
     const proposal item { m_last, {}, std::move(command) };
-    const proposal_fate decided = fate(item.command);
+    const proposal_behaviour decided = behaviour(item.command);
     paused_runtime& runtime = m_log.m_runtime;
     const bool inTime = decided.agreed && decided.answered && decided.delay <= timeout;
     if (decided.agreed) {
--- a/test/support/fake_log.h
+++ b/test/support/fake_log.h
@@ -18,7 +18,7 @@
 namespace plantainlatch {
 
 /** What becomes of one proposal. */
-struct proposal_fate {
+struct proposal_behaviour {
     /** From the proposal to its place in the log. */
     duration delay = std::chrono::milliseconds(2);
     /** It gets a place in the log. */
@@ -41,7 +41,8 @@
     consensus_port consensus;
     control_port control;
     /** Decides the fate of this VM's proposals. */
-    std::function<proposal_fate(const control_command&)> fate = [](const control_command&) { return proposal_fate(); };
+    std::function<proposal_behaviour(const control_command&)> behaviour
+        = [](const control_command&) { return proposal_behaviour(); };
     /** Whether this VM has heard from the leader lately. */
     bool isCurrent = true;
     /** From the place in the log to this VM's state. */
--- a/test/support/fake_network.cpp
+++ b/test/support/fake_network.cpp
@@ -2,7 +2,7 @@
 
 namespace plantainlatch {
 
-peer_port fake_network::attach(const vm_id& vm, const process_life& life)
+peer_port fake_network::attach(const vm_id& vm, const process_lifetime& life)
 {
     m_processes[vm] = { life, {} };
     peer_port port;
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -41,7 +41,7 @@
     std::function<void(const vm_id& from, const vm_id& to, const peer_message&)> onSend;
 
     /** The port of one process; messages reach it while it lives and nobody else was attached under its name. */
-    peer_port attach(const vm_id& vm, const process_life& life);
+    peer_port attach(const vm_id& vm, const process_lifetime& life);
 
     /** Cuts one direction. */
     void cut(const vm_id& from, const vm_id& to) { m_cuts.insert({ from, to }); }
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -26,7 +26,7 @@
         return acquire(entry, std::move(asked), std::move(given));
     };
     made.slots.cancelWait = [this](slot_ticket ticket) { m_waiters.erase(ticket.value()); };
-    made.slots.release = [this](slot_hold hold, const slot_result& result) { release(hold, result); };
+    made.slots.release = [this](slot_handle handle, const slot_result& result) { release(handle, result); };
     made.upstreams.start
         = [this, entry](const upstream_call& call, call_events events) { start(entry, call, std::move(events)); };
     made.upstreams.cancel = [this, entry](call_id call) { cancelCall({ entry, call.value() }); };
@@ -44,13 +44,13 @@
     std::erase_if(m_waiters, [entry](const auto& item) { return item.second.entry == entry; });
     slot_result returned;
     returned.busyUntil = m_runtime.now() + lease;
-    std::vector<slot_hold> orphans;
-    for (const auto& [hold, holder] : m_holds) {
+    std::vector<slot_handle> orphans;
+    for (const auto& [handle, holder] : m_holds) {
         if (holder.entry == entry)
-            orphans.push_back(hold);
+            orphans.push_back(handle);
     }
-    for (const slot_hold hold : orphans)
-        release(hold, returned);
+    for (const slot_handle handle : orphans)
+        release(handle, returned);
 }
 
 slot_ticket fake_upstreams::acquire(std::size_t entry, slot_request asked, std::function<void(slot_answer)> given)
@@ -69,11 +69,11 @@
     return slot_ticket(ticket);
 }
 
-void fake_upstreams::release(slot_hold hold, const slot_result& result)
+void fake_upstreams::release(slot_handle handle, const slot_result& result)
 {
     released.push_back(result);
-    const upstream_id id = m_holds.at(hold).upstream;
-    m_holds.erase(hold);
+    const upstream_id id = m_holds.at(handle).upstream;
+    m_holds.erase(handle);
     const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
     m_runtime.schedule(busy, [this, id] {
         --m_upstreams.at(id).inUse;
@@ -117,32 +117,32 @@
 {
     upstream_record& record = m_upstreams.at(chosen);
     ++record.inUse;
-    const slot_hold hold(++m_last);
-    m_holds.emplace(hold, held { entry, chosen });
-    return { held_slot { hold, record.announcement, m_runtime.now() + std::chrono::seconds(2) }, {} };
+    const slot_handle handle(++m_last);
+    m_holds.emplace(handle, held { entry, chosen });
+    return { held_slot { handle, record.announcement, m_runtime.now() + std::chrono::seconds(2) }, {} };
 }
 
 void fake_upstreams::start(std::size_t entry, const upstream_call& call, call_events events)
 {
     const call_name name { entry, call.id.value() };
     onCall(call);
-    calls.push_back({ call, fate(call), m_runtime.now() });
-    const call_fate& decided = calls.back().fate;
+    calls.push_back({ call, behaviour(call), m_runtime.now() });
+    const call_behaviour& decided = calls.back().behaviour;
     m_open.emplace(name, open_call { entry, calls.size() - 1, std::move(events), {}, {} });
     const bool offered
-        = decided.ends != call_fate::kind::ConnectFailed && decided.ends != call_fate::kind::ConnectionLimit;
+        = decided.ends != call_behaviour::kind::ConnectFailed && decided.ends != call_behaviour::kind::ConnectionLimit;
     const bool crashed = m_upstreams.at(call.upstream).crashed;
     if (offered && !crashed)
-        m_open.at(name).events.onFirstByte();
-    const bool runsWork = decided.ends == call_fate::kind::Answer || decided.ends == call_fate::kind::LostAnswer
-        || decided.ends == call_fate::kind::Crash;
+        m_open.at(name).events.onDispatch();
+    const bool runsWork = decided.ends == call_behaviour::kind::Answer
+        || decided.ends == call_behaviour::kind::LostAnswer || decided.ends == call_behaviour::kind::Crash;
     if (runsWork && !crashed)
         runWork(m_open.at(name), calls.back());
     if (crashed)
-        calls.back().fate.ends = call_fate::kind::ConnectFailed;
-    if (decided.ends == call_fate::kind::Crash)
+        calls.back().behaviour.ends = call_behaviour::kind::ConnectFailed;
+    if (decided.ends == call_behaviour::kind::Crash)
         m_runtime.schedule(decided.delay, [this, id = call.upstream] { crash(id); });
-    else if (decided.ends != call_fate::kind::Silent)
+    else if (decided.ends != call_behaviour::kind::Silent)
         m_runtime.schedule(decided.delay, [this, name] { endCall(name); });
     m_runtime.schedule(call.timeout, [this, name] {
         auto open = m_open.extract(name);
@@ -156,7 +156,7 @@
     ++runs[seen.call.body];
     upstream_record& record = m_upstreams.at(seen.call.upstream);
     mostRunning = std::max(mostRunning, ++record.running);
-    const duration span = std::min(seen.fate.delay, seen.call.timeout);
+    const duration span = std::min(seen.behaviour.delay, seen.call.timeout);
     open.workEndsAt = m_runtime.now() + span;
     open.workEnd = m_runtime.schedule(span, [&record] { --record.running; });
 }
@@ -199,28 +199,28 @@
         return;
     const seen_call seen = calls[open.mapped().index];
     const call_events& events = open.mapped().events;
-    switch (seen.fate.ends) {
-    case call_fate::kind::Answer:
+    switch (seen.behaviour.ends) {
+    case call_behaviour::kind::Answer:
         events.onAnswer({ 200, {}, "answer to " + seen.call.target + seen.call.body });
         return;
-    case call_fate::kind::ConnectFailed:
+    case call_behaviour::kind::ConnectFailed:
         events.onFailure(call_failure::ConnectFailed);
         return;
-    case call_fate::kind::ConnectionLimit:
+    case call_behaviour::kind::ConnectionLimit:
         events.onFailure(call_failure::ConnectionLimit);
         return;
-    case call_fate::kind::MarkedRefusal:
+    case call_behaviour::kind::MarkedRefusal:
         events.onAnswer({ 503, { { "x-plantainlatch-not-run", "1" } }, "full" });
         return;
-    case call_fate::kind::BareRefusal:
+    case call_behaviour::kind::BareRefusal:
         events.onAnswer({ 503, {}, "full" });
         return;
-    case call_fate::kind::Crash:
-    case call_fate::kind::LostRequest:
-    case call_fate::kind::LostAnswer:
+    case call_behaviour::kind::Crash:
+    case call_behaviour::kind::LostRequest:
+    case call_behaviour::kind::LostAnswer:
         events.onFailure(call_failure::Lost);
         return;
-    case call_fate::kind::Silent:
+    case call_behaviour::kind::Silent:
         return;
     }
 }
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -17,7 +17,7 @@
 namespace plantainlatch {
 
 /** How one call goes. */
-struct call_fate {
+struct call_behaviour {
     enum class kind {
         Answer,
         ConnectFailed,
@@ -40,7 +40,7 @@
 /** One call as an upstream saw it. */
 struct seen_call {
     upstream_call call;
-    call_fate fate;
+    call_behaviour behaviour;
     time_point startedAt;
     bool cancelled = false;
 };
@@ -67,7 +67,8 @@
     /** Called before each call begins. */
     std::function<void(const upstream_call&)> onCall = [](const upstream_call&) {};
 
-    std::function<call_fate(const upstream_call&)> fate = [](const upstream_call&) { return call_fate(); };
+    std::function<call_behaviour(const upstream_call&)> behaviour
+        = [](const upstream_call&) { return call_behaviour(); };
     std::vector<seen_call> calls;
     /** How often the work of each body ran. */
     std::map<std::string, int> runs;
@@ -105,7 +106,7 @@
     using call_name = std::pair<std::size_t, std::uint64_t>;
 
     slot_ticket acquire(std::size_t entry, slot_request asked, std::function<void(slot_answer)> given);
-    void release(slot_hold hold, const slot_result& result);
+    void release(slot_handle handle, const slot_result& result);
     void serveWaiters();
     std::optional<upstream_id> choose(const slot_request& asked) const;
     slot_answer give(std::size_t entry, const upstream_id& chosen);
@@ -119,7 +120,7 @@
     paused_runtime& m_runtime;
     std::map<upstream_id, upstream_record> m_upstreams;
     std::map<std::uint64_t, slot_waiter> m_waiters;
-    std::map<slot_hold, held> m_holds;
+    std::map<slot_handle, held> m_holds;
     std::map<call_name, open_call> m_open;
     std::uint64_t m_last = 0;
     std::size_t m_entries = 0;
--- a/test/support/owner_slots.cpp
+++ b/test/support/owner_slots.cpp
@@ -33,7 +33,7 @@
         return ticket;
     };
     port.cancelWait = [this](slot_ticket ticket) { m_waiting.erase(ticket); };
-    port.release = [this, entry](slot_hold hold, const slot_result& result) { release(entry, hold, result); };
+    port.release = [this, entry](slot_handle handle, const slot_result& result) { release(entry, handle, result); };
     return port;
 }
 
@@ -77,12 +77,12 @@
             continue;
         const std::size_t upstream = found.free.front();
         found.free.pop_front();
-        const slot_hold hold(++m_last);
-        m_holds[hold] = { number, upstream };
-        m_runtime.schedule(way(number, item.entry), [this, item, hold, upstream] {
-            const held_slot slot { hold, upstreamRecord(upstream), time_point::max() };
+        const slot_handle handle(++m_last);
+        m_holds[handle] = { number, upstream };
+        m_runtime.schedule(way(number, item.entry), [this, item, handle, upstream] {
+            const held_slot slot { handle, upstreamRecord(upstream), time_point::max() };
             if (!give(item.ticket, { slot, {} }))
-                release(item.entry, hold, {});
+                release(item.entry, handle, {});
         });
     }
 }
@@ -96,10 +96,10 @@
     return true;
 }
 
-void owner_slots::release(std::size_t entry, slot_hold hold, const slot_result& result)
+void owner_slots::release(std::size_t entry, slot_handle handle, const slot_result& result)
 {
-    const auto [number, upstream] = m_holds.at(hold);
-    m_holds.erase(hold);
+    const auto [number, upstream] = m_holds.at(handle);
+    m_holds.erase(handle);
     const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
     m_runtime.schedule(busy + way(entry, number), [this, number = number, upstream = upstream] {
         m_owners[number].free.push_back(upstream);
--- a/test/support/owner_slots.h
+++ b/test/support/owner_slots.h
@@ -45,12 +45,12 @@
 
     bool give(slot_ticket ticket, const slot_answer& answer);
 
-    void release(std::size_t entry, slot_hold hold, const slot_result& result);
+    void release(std::size_t entry, slot_handle handle, const slot_result& result);
 
     paused_runtime& m_runtime;
     std::vector<owner> m_owners;
     std::map<slot_ticket, std::function<void(slot_answer)>> m_waiting;
-    std::map<slot_hold, std::pair<std::size_t, std::size_t>> m_holds;
+    std::map<slot_handle, std::pair<std::size_t, std::size_t>> m_holds;
     std::uint64_t m_last = 0;
 };
 
--- a/test/support/process_hooks.h
+++ b/test/support/process_hooks.h
@@ -11,10 +11,10 @@
 namespace plantainlatch {
 
 /** Ends with the process. */
-using process_life = std::shared_ptr<bool>;
+using process_lifetime = std::shared_ptr<bool>;
 
 /** Hooks on the shared clock whose timers fire only while the process lives. */
-inline kernel_hooks processHooks(paused_runtime& runtime, const process_life& life)
+inline kernel_hooks processHooks(paused_runtime& runtime, const process_lifetime& life)
 {
     kernel_hooks hooks = runtime.hooks();
     hooks.schedule = [&runtime, alive = std::weak_ptr<bool>(life)](duration delay, std::function<void()> fire) {
--- a/test/support/request_world.cpp
+++ b/test/support/request_cluster.cpp
@@ -1,4 +1,4 @@
-#include "support/request_world.h"
+#include "support/request_cluster.h"
 
 #include "core/internal_assert.h"
 #include "ports/port_names.h"
@@ -36,8 +36,8 @@
 
 } // namespace
 
-request_world::request_world(std::uint64_t seed, std::size_t entryCount, std::size_t upstreamCount, std::uint32_t slots,
-    request_options requestOptions)
+request_cluster::request_cluster(std::uint64_t seed, std::size_t entryCount, std::size_t upstreamCount,
+    std::uint32_t slots, request_options requestOptions)
     : runtime(seed)
     , log(runtime)
     , upstreams(runtime, service_id("taller"), upstreamCount, slots)
@@ -50,7 +50,7 @@
         start(i);
 }
 
-void request_world::start(std::size_t entry)
+void request_cluster::start(std::size_t entry)
 {
     fake_entry made;
     vm_settings settings;
@@ -73,7 +73,7 @@
     started.port = *started.core->services().find<request_port>(port_names::requests);
 }
 
-void request_world::kill(std::size_t entry)
+void request_cluster::kill(std::size_t entry)
 {
     upstreams.killEntry(entries[entry].portsNumber);
     entries[entry].requests.reset();
@@ -81,7 +81,7 @@
     m_dead.push_back(std::move(entries[entry]));
 }
 
-caller_record& request_world::send(std::size_t entry, caller_request request)
+caller_record& request_cluster::send(std::size_t entry, caller_request request)
 {
     sent.push_back(std::make_unique<caller_record>());
     caller_record& record = *sent.back();
@@ -95,7 +95,7 @@
     return record;
 }
 
-caller_record& request_world::get(std::size_t entry, const std::string& target)
+caller_record& request_cluster::get(std::size_t entry, const std::string& target)
 {
     caller_request request;
     request.method = "GET";
@@ -103,7 +103,7 @@
     return send(entry, std::move(request));
 }
 
-caller_record& request_world::post(std::size_t entry, const std::string& body, std::optional<std::string> key)
+caller_record& request_cluster::post(std::size_t entry, const std::string& body, std::optional<std::string> key)
 {
     caller_request request;
     request.method = "POST";
--- a/test/support/request_world.h
+++ b/test/support/request_cluster.h
@@ -36,9 +36,9 @@
 };
 
 /** Entries with one service `taller`: GET is idempotent, POST is not. */
-class request_world {
+class request_cluster {
 public:
-    request_world(std::uint64_t seed, std::size_t entryCount, std::size_t upstreamCount, std::uint32_t slots,
+    request_cluster(std::uint64_t seed, std::size_t entryCount, std::size_t upstreamCount, std::uint32_t slots,
         request_options requestOptions = {});
 
     /** Sends a request; the record's address holds for the life of the world. */
--- a/test/support/simulated_upstreams.cpp
+++ b/test/support/simulated_upstreams.cpp
@@ -20,7 +20,7 @@
         = [this, entry](const upstream_call& call, call_events events) { start(entry, call, std::move(events)); };
     port.cancel = [this, entry](call_id call) { cancel({ entry, call.value() }); };
     port.poll = [](const network_address&, duration, const auto& done) { done(load_report()); };
-    port.forget = [](const network_address&) {};
+    port.closeIdleConnections = [](const network_address&) {};
     return port;
 }
 
@@ -28,7 +28,7 @@
 {
     const call_name name { entry, call.id.value() };
     const duration way = oneWay(regionOfNumber(entry), regionOfUpstream(call.upstream));
-    events.onFirstByte();
+    events.onDispatch();
     m_open.emplace(name, open_call { call.upstream, std::move(events), way, {} });
     m_runtime.schedule(call.timeout, [this, name] { timeOut(name); });
     m_runtime.schedule(way, [this, name, body = call.body] {
