--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The times and bounds of the replicated log, and the switches by which tests show that its mechanisms are needed.
+ * Timeouts and limits of the replicated log, and switches that tests use to show that each mechanism is needed.
  */
 
 #include <chrono>
@@ -12,66 +12,68 @@
 
 namespace plantainlatch {
 
-/** Mechanisms that tests turn off one at a time to see the promise that rests on them fail. */
+/** Mechanisms of the protocol. Tests turn off one at a time and check that its guarantee is then violated. */
 struct consensus_mechanisms {
-    /** A candidate first asks whether it would be elected. */
+    /** A candidate runs a pre-vote round before it increases its term. */
     bool preVote = true;
-    /** Voters refuse votes while they heard a leader within the minimum election timeout. */
+    /** Voters refuse a candidate within electionTimeout of their last contact with a leader. */
     bool voteRefusalUnderLease = true;
-    /** A leader's lease ends with the answers of its quorum. */
+    /** A leader's lease expires unless a majority keeps answering. */
     bool leaseNeedsQuorum = true;
-    /** Votes and matches are answered only once they are on disk. */
+    /** Votes and appended entries are acknowledged only after they were synced to disk. */
     bool durableBeforeAnswer = true;
-    /** A blank disk gets a new identity. */
+    /** A replica with a blank disk gets a new identity. */
     bool newIdentityOnBlankDisk = true;
-    /** A failed write ends the replica's vote. */
+    /** A replica stops voting after a failed write. */
     bool stopAfterFailedWrite = true;
-    /** Far followers are sent snapshots. */
+    /** Followers that need compacted entries are sent a snapshot. */
     bool snapshotCatchUp = true;
-    /** Pending proposals are sent again to a new leader. */
+    /** Unanswered proposals are resent to the current leader. */
     bool resendProposals = true;
 };
 
-/** The times and bounds of the replicated log. */
 struct consensus_options {
-    /** How often timeouts are looked at. */
+    /** The interval at which timeouts are checked. */
     duration tick = std::chrono::milliseconds(25);
     duration heartbeatInterval = std::chrono::milliseconds(100);
-    /** No voter helps a rival within this time after it heard the leader. */
+    /** The minimum election timeout; a voter refuses other candidates for this long after its last contact with a
+     * leader. */
     duration electionTimeout = std::chrono::milliseconds(600);
-    /** Each wait for an election is longer by a random part of this. */
-    duration electionSpread = std::chrono::milliseconds(400);
-    /** A candidate without a majority asks again after this and the random part: two rounds of messages. */
+    /** The maximum random time added to each election timeout. */
+    duration electionJitter = std::chrono::milliseconds(400);
+    /** A candidate without a majority starts over after this and the jitter; two message round trips fit into it. */
     duration electionRetry = std::chrono::milliseconds(250);
-    /** By how much a leader's lease is shorter than the election timeout, for clocks that run unevenly. */
+    /** The leader's lease is shorter than the election timeout by this, to tolerate clocks that run at different
+     * rates. */
     duration leaseMargin = std::chrono::milliseconds(100);
-    /** A follower that matched nothing new for so long is sent its entries again. */
+    /** Entries are resent to a follower whose matched index did not advance for this long. */
     duration retransmitAfter = std::chrono::milliseconds(500);
-    /** A snapshot is sent again after this silence. */
+    /** A snapshot that was not acknowledged is resent after this. */
     duration snapshotRetry = std::chrono::seconds(2);
-    duration proposalResend = std::chrono::milliseconds(700);
+    duration proposalResendInterval = std::chrono::milliseconds(700);
     duration joinInterval = std::chrono::milliseconds(300);
-    /** How long a stop waits for another leader. */
+    /** How long a stopping leader waits for another leader. */
     duration transferTimeout = std::chrono::seconds(3);
 
-    /** Applied entries after which the log is compacted. */
+    /** The log is compacted after this many applied entries. */
     std::uint64_t snapshotEvery = 1000;
-    /** Entries kept in memory behind a snapshot, for followers that are a little late. */
+    /** Entries before a snapshot that are kept in memory, so that slightly slow followers need no snapshot. */
     std::uint64_t trailingEntries = 256;
-    /** The most entries of one message; their approximate bytes are bounded as well. */
-    std::size_t largestBatch = 256;
-    std::size_t largestBatchBytes = 512 * 1024;
-    /** Entries sent to a follower beyond what it matched. */
-    std::uint64_t largestWindow = 2048;
-    /** Entries that a leader takes beyond what is committed; more are refused. */
-    std::uint64_t largestUncommitted = 8192;
-    /** Proposals of this VM that wait for their result; more are refused as Unavailable. */
-    std::size_t largestPending = 1024;
-    std::size_t largestVoterCount = 7;
-    /** A voter that was silent for so long gives its place to an up-to-date replica that waits for one. */
+    /** Limits on the entries of one message, by number and by approximate size. */
+    std::size_t maximumBatch = 256;
+    std::size_t maximumBatchBytes = 512 * 1024;
+    /** The maximum number of unacknowledged entries in flight to one follower. */
+    std::uint64_t maximumWindow = 2048;
+    /** The maximum number of proposals that a leader has accepted and not yet applied; more are refused. */
+    std::uint64_t maximumUncommitted = 8192;
+    /** The maximum number of proposals of this VM that wait for a result; more fail with Unavailable. */
+    std::size_t maximumPending = 1024;
+    std::size_t maximumVoterCount = 7;
+    /** A voter that has not answered for this long may be replaced by an up-to-date replica that is not a voter. */
     duration replaceVoterAfter = std::chrono::seconds(3);
-    /** VMs that a leader sends to; beyond it a tree by region must take over. */
-    std::size_t largestFollowerCount = 64;
+    /** The maximum number of followers, as the leader sends to each one directly. Larger systems would need a relay in
+     * each region. */
+    std::size_t maximumFollowerCount = 64;
 
     consensus_mechanisms mechanisms;
 };
--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -60,9 +60,9 @@
     : m_hooks(hooks)
     , m_replica(hooks, settings, options)
     , m_leader(m_replica)
-    , m_follower(m_replica, [this] { m_election.restartWait(); })
+    , m_follower(m_replica, [this] { m_election.resetElectionTimeout(); })
     , m_election(
-          m_replica, [this] { m_leader.begin(); }, [this] { return m_leader.leaseBasis(); })
+          m_replica, [this] { m_leader.startTerm(); }, [this] { return m_leader.leaseStart(); })
     , m_proposals(m_replica, m_leader, incarnation(hooks.random() | 1))
     , m_joiner(m_replica, m_leader)
     , m_port(makePort())
@@ -92,19 +92,19 @@
     absl::StatusOr<control_port*> control = services.find<control_port>(port_names::control);
     if (!control.ok())
         return control.status();
-    replica::links links { *peers, *control, nullptr };
+    replica::dependencies dependencies { *peers, *control, nullptr };
     if (m_replica.settings().self.replica) {
         absl::StatusOr<storage_port*> storage = services.find<storage_port>(port_names::storage);
         if (!storage.ok())
             return storage.status();
-        links.storage = *storage;
+        dependencies.storage = *storage;
     }
-    absl::Status loaded = m_replica.load(links);
+    absl::Status loaded = m_replica.load(dependencies);
     if (!loaded.ok())
         return loaded;
     m_replica.setAppliedListener(
         [this](const proposal& item, const command_result& result) { onApplied(item, result); });
-    m_replica.setFailureListener([this] { noteLeadership(); });
+    m_replica.setFailureListener([this] { updateLeadership(); });
     (*peers)->subscribeConsensus(
         [this](const vm_id& from, const consensus_message& message) { receive(from, message); });
     m_joiner.start();
@@ -141,7 +141,7 @@
     m_election.onTick();
     m_joiner.onTick();
     m_proposals.onTick();
-    noteLeadership();
+    updateLeadership();
     if (m_transferDone && m_hooks.now() >= m_transferEnd)
         finishTransfer();
 }
@@ -164,7 +164,7 @@
         void operator()(const propose_answer& item) const { service.m_proposals.onAnswer(item); }
     };
     std::visit(receiver { *this, from }, message);
-    noteLeadership();
+    updateLeadership();
 }
 
 void consensus_service::receiveAppend(const vm_id& from, const append_request& request)
@@ -187,25 +187,25 @@
 {
     leadership now { m_replica.leader().vm, m_replica.term() };
     if (m_replica.role() == replica_role::Leader) {
-        now.leading = m_leader.holdsLease() && m_leader.ownsTerm();
+        now.leading = m_leader.holdsLease() && m_leader.hasAppliedOwnTerm();
         now.current = now.leading;
         return now;
     }
     const consensus_options& options = m_replica.options();
-    const time_point end = m_replica.leaderHeard() + options.electionTimeout - options.leaseMargin;
+    const time_point end = m_replica.lastLeaderContact() + options.electionTimeout - options.leaseMargin;
     now.current = m_replica.leader() != replica_id {} && m_hooks.now() < end && m_follower.caughtUp();
     return now;
 }
 
-void consensus_service::noteLeadership()
+void consensus_service::updateLeadership()
 {
     const leadership now = currentLeadership();
-    if (sameLeadership(now, m_noted))
+    if (sameLeadership(now, m_lastLeadership))
         return;
-    const bool isOtherLeader = now.leader != m_noted.leader || now.term != m_noted.term;
-    m_noted = now;
+    const bool isOtherLeader = now.leader != m_lastLeadership.leader || now.term != m_lastLeadership.term;
+    m_lastLeadership = now;
     if (isOtherLeader && !now.leader.empty())
-        m_proposals.onLeader();
+        m_proposals.onLeaderChange();
     for (std::size_t i = 0; i < m_listeners.size(); ++i)
         m_listeners[i](now);
     if (m_transferDone && !now.leader.empty() && now.leader != m_replica.vm())
@@ -214,14 +214,14 @@
 
 void consensus_service::transferLeadership(duration timeout, std::function<void()> done)
 {
-    const bool isAlone = m_replica.log().voters().voters.size() <= 1;
-    if (m_replica.role() != replica_role::Leader || isAlone || m_transferDone) {
+    const bool isOnlyVoter = m_replica.log().voters().voters.size() <= 1;
+    if (m_replica.role() != replica_role::Leader || isOnlyVoter || m_transferDone) {
         done();
         return;
     }
     m_transferDone = std::move(done);
     m_transferEnd = m_hooks.now() + timeout;
-    m_leader.transfer();
+    m_leader.startTransfer();
 }
 
 void consensus_service::finishTransfer()
--- a/src/decision/consensus/consensus_service.h
+++ b/src/decision/consensus/consensus_service.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The service that keeps the replicated log on one VM.
+ * The service that runs the consensus protocol for the replicated log on one VM. The protocol is Raft with pre-votes,
+ * leader leases, learners and changes of one voter at a time.
  */
 
 #include <functional>
@@ -46,7 +47,7 @@
     void receiveAppend(const vm_id& from, const append_request& request);
     void onTick();
     void onApplied(const proposal& item, const command_result& result);
-    void noteLeadership();
+    void updateLeadership();
     leadership currentLeadership() const;
     void transferLeadership(duration timeout, std::function<void()> done);
     void finishTransfer();
@@ -60,7 +61,7 @@
     log_joiner m_joiner;
     consensus_port m_port;
     timer_id m_tick;
-    leadership m_noted;
+    leadership m_lastLeadership;
     std::vector<std::function<void(const leadership&)>> m_listeners;
     std::function<void()> m_transferDone;
     time_point m_transferEnd {};
--- a/src/decision/consensus/durable_writes.cpp
+++ b/src/decision/consensus/durable_writes.cpp
@@ -17,17 +17,17 @@
     if (write == m_pending.end())
         return;
     write->second.completed = true;
-    settle();
+    processCompleted();
 }
 
-void durable_writes::settle()
+void durable_writes::processCompleted()
 {
     while (!m_pending.empty() && m_pending.begin()->second.completed) {
         m_durableIndex = std::max(m_durableIndex, m_pending.begin()->second.lastIndex);
         m_pending.erase(m_pending.begin());
     }
-    const std::uint64_t settled = m_pending.empty() ? m_lastNumber : m_pending.begin()->first - 1;
-    while (!m_waiting.empty() && m_waiting.begin()->first <= settled) {
+    const std::uint64_t lastDurable = m_pending.empty() ? m_lastNumber : m_pending.begin()->first - 1;
+    while (!m_waiting.empty() && m_waiting.begin()->first <= lastDurable) {
         const std::function<void()> action = std::move(m_waiting.extract(m_waiting.begin()).mapped());
         action();
     }
--- a/src/decision/consensus/durable_writes.h
+++ b/src/decision/consensus/durable_writes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Which of a replica's writes are on disk.
+ * Tracks which of a replica's writes are durable.
  */
 
 #include <cstdint>
@@ -12,21 +12,21 @@
 
 namespace plantainlatch {
 
-/** Follows writes that become durable in order, and holds back what must wait for them. */
+/** Tracks writes that become durable in order, and defers actions until the writes before them are durable. */
 class durable_writes {
 public:
-    /** Notes a write that makes the log durable up to `lastIndex`; returns its number. */
+    /** Registers a write that makes the log durable up to `lastIndex`; returns its number. */
     std::uint64_t begin(log_index lastIndex);
-    /** The write is durable; runs what waited for it and all before it. */
+    /** Marks a write as completed. Actions that wait for it run once all earlier writes are completed too. */
     void complete(std::uint64_t number);
-    /** The entry at `index` and all after it were replaced: neither past nor pending writes reach it any more. */
+    /** Lowers the durable index of past and pending writes to before `index`, as later entries were replaced. */
     void truncateFrom(log_index index);
-    /** Runs `action` once all writes so far are durable, perhaps at once. */
+    /** Runs `action` once all writes registered so far are durable; immediately if none is pending. */
     void whenDurable(std::function<void()> action);
-    /** Forgets pending writes and what waits for them; nothing becomes durable any more. */
+    /** Drops all pending writes and deferred actions. */
     void abandon();
 
-    /** The log is durable up to here. */
+    /** The last index up to which the log is durable. */
     log_index durableIndex() const { return m_durableIndex; }
     void setDurableIndex(log_index index) { m_durableIndex = index; }
     bool idle() const { return m_pending.empty(); }
@@ -37,11 +37,11 @@
         bool completed = false;
     };
 
-    void settle();
+    void processCompleted();
 
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, pending_write> m_pending;
-    /** By the number of the last write that each waits for. */
+    /** Deferred actions by the number of the last write that they wait for. */
     std::multimap<std::uint64_t, std::function<void()>> m_waiting;
     log_index m_durableIndex;
 };
--- a/src/decision/consensus/election.cpp
+++ b/src/decision/consensus/election.cpp
@@ -7,45 +7,45 @@
 
 namespace plantainlatch {
 
-election::election(replica& self, std::function<void()> elected, std::function<time_point()> leaseBasis)
+election::election(replica& self, std::function<void()> onElected, std::function<time_point()> leaseStart)
     : m_replica(self)
-    , m_elected(std::move(elected))
-    , m_leaseBasis(std::move(leaseBasis))
+    , m_onElected(std::move(onElected))
+    , m_leaseStart(std::move(leaseStart))
 {
 }
 
 void election::start()
 {
-    restartWait();
-    // A lone voter has no rival whose lease it could cut short.
+    resetElectionTimeout();
+    // A single voter needs no timeout, as no other replica can hold a lease.
     if (m_replica.log().voters().voters.size() == 1)
-        m_waitEnd = m_replica.hooks().now();
+        m_electionDeadline = m_replica.hooks().now();
 }
 
-void election::restartWait() { waitFor(m_replica.options().electionTimeout); }
+void election::resetElectionTimeout() { setElectionDeadline(m_replica.options().electionTimeout); }
 
-void election::waitFor(duration least)
+void election::setElectionDeadline(duration minimum)
 {
-    const auto spread = static_cast<std::uint64_t>(m_replica.options().electionSpread.count());
-    const duration extra(m_replica.hooks().random() % (spread + 1));
-    m_waitEnd = m_replica.hooks().now() + least + extra;
+    const auto maximumJitter = static_cast<std::uint64_t>(m_replica.options().electionJitter.count());
+    const duration jitter(m_replica.hooks().random() % (maximumJitter + 1));
+    m_electionDeadline = m_replica.hooks().now() + minimum + jitter;
 }
 
 void election::onTick()
 {
     if (m_replica.role() == replica_role::Leader || !canCampaign())
         return;
-    if (m_replica.hooks().now() < m_waitEnd)
+    if (m_replica.hooks().now() < m_electionDeadline)
         return;
-    waitFor(m_replica.options().electionRetry);
-    m_replica.forgetLeader();
+    setElectionDeadline(m_replica.options().electionRetry);
+    m_replica.clearLeader();
     if (m_replica.mechanisms().preVote)
-        askBeforehand();
+        startPreVote();
     else
         campaign(false);
 }
 
-void election::askBeforehand()
+void election::startPreVote()
 {
     m_replica.setRole(replica_role::PreCandidate);
     m_votes = { m_replica.self() };
@@ -57,9 +57,9 @@
 {
     m_replica.adoptTerm(m_replica.term().next());
     m_replica.setRole(replica_role::Candidate);
-    m_replica.vote(m_replica.self());
+    m_replica.castVote(m_replica.self());
     m_votes.clear();
-    waitFor(m_replica.options().electionRetry);
+    setElectionDeadline(m_replica.options().electionRetry);
     m_replica.whenDurable([this, transfer, term = m_replica.term()] {
         if (m_replica.term() != term || m_replica.role() != replica_role::Candidate || !canCampaign())
             return;
@@ -86,7 +86,7 @@
     if (m_replica.role() == replica_role::PreCandidate)
         campaign(false);
     else if (m_replica.role() == replica_role::Candidate)
-        m_elected();
+        m_onElected();
 }
 
 bool election::underLease() const
@@ -94,11 +94,11 @@
     if (!m_replica.mechanisms().voteRefusalUnderLease)
         return false;
     const bool leads = m_replica.role() == replica_role::Leader;
-    const time_point heard = leads ? m_leaseBasis() : m_replica.leaderHeard();
-    return m_replica.hooks().now() < heard + m_replica.options().electionTimeout;
+    const time_point lastContact = leads ? m_leaseStart() : m_replica.lastLeaderContact();
+    return m_replica.hooks().now() < lastContact + m_replica.options().electionTimeout;
 }
 
-voter_view election::view() const
+voter_state election::voterState() const
 {
     const log_store& log = m_replica.log();
     return { m_replica.term(), m_replica.votedFor(), log.lastIndex(), log.lastTerm(), m_replica.mayVote(),
@@ -107,7 +107,7 @@
 
 void election::onVoteRequest(const vm_id& from, const vote_request& request)
 {
-    const vote_decision decision = decideVote(view(), request);
+    const vote_decision decision = decideVote(voterState(), request);
     if (decision == vote_decision::Refuse || request.preVote) {
         answer(from, request, decision == vote_decision::Grant);
         return;
@@ -118,8 +118,8 @@
         answer(from, request, false);
         return;
     }
-    m_replica.vote(request.candidate);
-    restartWait();
+    m_replica.castVote(request.candidate);
+    resetElectionTimeout();
     m_replica.whenDurable([this, from, request] {
         if (m_replica.mayVote() && m_replica.term() == request.term)
             answer(from, request, true);
@@ -139,10 +139,10 @@
             m_replica.adoptTerm(answer.term);
         return;
     }
-    const bool wanted = answer.preVote
+    const bool isExpected = answer.preVote
         ? m_replica.role() == replica_role::PreCandidate && answer.term == m_replica.term().next()
         : m_replica.role() == replica_role::Candidate && answer.term == m_replica.term();
-    if (!wanted)
+    if (!isExpected)
         return;
     m_votes.insert(answer.voter);
     countVotes();
--- a/src/decision/consensus/election.h
+++ b/src/decision/consensus/election.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * How a replica becomes the leader of a term: timeouts, pre-votes and votes.
+ * Leader election: election timeouts, pre-votes and votes.
  */
 
 #include <functional>
@@ -12,40 +12,40 @@
 
 namespace plantainlatch {
 
-/** The election part of one replica. */
+/** Runs elections for one replica, as candidate and as voter. */
 class election {
 public:
-    /** `elected` is called when this replica won a term; `leaseBasis` tells when a leader was last heard by a majority.
-     */
-    election(replica& self, std::function<void()> elected, std::function<time_point()> leaseBasis);
+    /** `onElected` is called when this replica wins an election. While it leads, `leaseStart` returns the start
+     * of its lease. */
+    election(replica& self, std::function<void()> onElected, std::function<time_point()> leaseStart);
 
-    /** Begins to wait for a leader. */
+    /** Starts the first election timeout. */
     void start();
-    /** Looks whether the wait is over. */
+    /** Starts an election if the timeout has expired. */
     void onTick();
-    /** A leader was heard, or a vote given: the wait begins anew. */
-    void restartWait();
+    /** Restarts the election timeout, after contact with a leader or after granting a vote. */
+    void resetElectionTimeout();
 
     void onVoteRequest(const vm_id& from, const vote_request& request);
     void onVoteAnswer(const vote_answer& answer);
-    /** The leader asks this replica to take over. */
+    /** Starts an election at once, without a pre-vote, if the request is from the current leader. */
     void onTransferRequest(const transfer_request& request);
 
 private:
     bool canCampaign() const { return m_replica.mayVote() && m_replica.isVoter(); }
     bool underLease() const;
-    void waitFor(duration least);
-    voter_view view() const;
-    void askBeforehand();
+    void setElectionDeadline(duration minimum);
+    voter_state voterState() const;
+    void startPreVote();
     void campaign(bool transfer);
     void requestVotes(log_term term, bool preVote, bool transfer);
     void countVotes();
     void answer(const vm_id& to, const vote_request& request, bool granted);
 
     replica& m_replica;
-    std::function<void()> m_elected;
-    std::function<time_point()> m_leaseBasis;
-    time_point m_waitEnd {};
+    std::function<void()> m_onElected;
+    std::function<time_point()> m_leaseStart;
+    time_point m_electionDeadline {};
     std::set<replica_id> m_votes;
 };
 
--- a/src/decision/consensus/follower_progress.h
+++ b/src/decision/consensus/follower_progress.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What a leader knows of one follower.
+ * A leader's record of one follower.
  */
 
 #include <cstdint>
@@ -12,25 +12,25 @@
 
 namespace plantainlatch {
 
-/** One follower's progress through the leader's log. */
+/** The replication progress of one follower. */
 struct follower_progress {
-    /** Empty until it answered. */
+    /** Empty until the follower has answered. */
     replica_id id;
-    /** It keeps on disk what it matched. */
+    /** The follower keeps its log on disk. */
     bool durable = false;
-    /** It has all entries up to here, on disk if it has one. */
+    /** The last index up to which the follower's log matches; durable there if it has a disk. */
     log_index match;
     /** The next entry to send. */
     log_index next { 1 };
-    /** Where the logs meet is not known: one message at a time. */
+    /** The matching index is not known yet, so entries are sent one message at a time. */
     bool probing = true;
-    /** The latest round that it answered, and when that round began. */
-    std::uint64_t round = 0;
-    time_point heardAt = time_point::min();
+    /** The latest heartbeat round that the follower answered, and when that round started. */
+    std::uint64_t ackedRound = 0;
+    time_point ackedRoundStart = time_point::min();
     time_point lastAnswer = time_point::min();
-    /** When `match` last rose, or entries were sent again. */
+    /** When `match` last advanced or entries were resent. */
     time_point lastProgress {};
-    /** When a snapshot was last sent that was not answered yet. */
+    /** When the snapshot that is not acknowledged yet was sent; none if there is no such snapshot. */
     std::optional<time_point> snapshotSentAt;
     log_index applied;
 };
--- a/src/decision/consensus/log_follower.cpp
+++ b/src/decision/consensus/log_follower.cpp
@@ -5,13 +5,13 @@
 
 namespace plantainlatch {
 
-log_follower::log_follower(replica& self, std::function<void()> heard)
+log_follower::log_follower(replica& self, std::function<void()> onLeaderContact)
     : m_replica(self)
-    , m_heard(std::move(heard))
+    , m_onLeaderContact(std::move(onLeaderContact))
 {
 }
 
-bool log_follower::accepts(const vm_id& from, log_term term, const replica_id& leader, std::uint64_t round)
+bool log_follower::acceptLeader(const vm_id& from, log_term term, const replica_id& leader, std::uint64_t round)
 {
     if (term < m_replica.term()) {
         answer(from, round, false, log_index(0));
@@ -19,23 +19,23 @@
     }
     if (term > m_replica.term())
         m_replica.adoptTerm(term);
-    m_replica.hearLeader(leader);
-    m_heard();
+    m_replica.noteLeaderContact(leader);
+    m_onLeaderContact();
     return true;
 }
 
 void log_follower::onAppend(const vm_id& from, const append_request& request)
 {
-    if (!accepts(from, request.term, request.leader, request.round))
+    if (!acceptLeader(from, request.term, request.leader, request.round))
         return;
     m_leaderCommitted = std::max(m_leaderCommitted, request.committed);
     const log_index previous = request.previousIndex;
     const bool isKnown = previous < m_replica.log().base() || m_replica.log().termAt(previous) == request.previousTerm;
     if (!isKnown) {
-        answer(from, request.round, false, whereToTryNext(previous));
+        answer(from, request.round, false, matchHint(previous));
         return;
     }
-    const bool isNew = takeEntries(request);
+    const bool isNew = appendNewEntries(request);
     const log_index matched(std::max(previous.value() + request.entries.size(), m_replica.log().base().value()));
     m_replica.commitTo(std::min(request.committed, matched));
     if (!isNew && m_replica.writesIdle()) {
@@ -48,7 +48,7 @@
     });
 }
 
-bool log_follower::takeEntries(const append_request& request)
+bool log_follower::appendNewEntries(const append_request& request)
 {
     std::vector<log_entry> added;
     for (const log_entry& entry : request.entries) {
@@ -65,7 +65,7 @@
     return isNew;
 }
 
-log_index log_follower::whereToTryNext(log_index previous) const
+log_index log_follower::matchHint(log_index previous) const
 {
     if (previous > m_replica.log().lastIndex())
         return m_replica.log().lastIndex();
@@ -76,12 +76,12 @@
 
 void log_follower::onSnapshot(const vm_id& from, const snapshot_request& request)
 {
-    if (!accepts(from, request.term, request.leader, request.round))
+    if (!acceptLeader(from, request.term, request.leader, request.round))
         return;
     const log_index index = request.snapshot.index;
     m_leaderCommitted = std::max(m_leaderCommitted, index);
     if (index > m_replica.applied()) {
-        m_replica.install(request.snapshot);
+        m_replica.installSnapshot(request.snapshot);
         m_replica.report(log_level::Info, "took a snapshot");
     }
     m_replica.whenDurable([this, from, index, round = request.round, term = request.term] {
--- a/src/decision/consensus/log_follower.h
+++ b/src/decision/consensus/log_follower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The follower's part of the replicated log: taking a leader's entries and snapshots.
+ * The follower's side of log replication: accepts entries and snapshots from the leader.
  */
 
 #include <functional>
@@ -10,26 +10,26 @@
 
 namespace plantainlatch {
 
-/** What this VM does while another leads; a VM without a vote does the same. */
+/** Handles the messages of a leader on voters and learners alike. */
 class log_follower {
 public:
-    /** `heard` is called for each message of the current leader. */
-    log_follower(replica& self, std::function<void()> heard);
+    /** `onLeaderContact` is called for each message from the current leader. */
+    log_follower(replica& self, std::function<void()> onLeaderContact);
 
     void onAppend(const vm_id& from, const append_request& request);
     void onSnapshot(const vm_id& from, const snapshot_request& request);
 
-    /** All that the leader said was committed when it was last heard is applied here. */
+    /** Whether this VM has applied everything that the leader last reported as committed. */
     bool caughtUp() const { return m_replica.applied() >= m_leaderCommitted; }
 
 private:
-    bool accepts(const vm_id& from, log_term term, const replica_id& leader, std::uint64_t round);
-    bool takeEntries(const append_request& request);
-    log_index whereToTryNext(log_index previous) const;
+    bool acceptLeader(const vm_id& from, log_term term, const replica_id& leader, std::uint64_t round);
+    bool appendNewEntries(const append_request& request);
+    log_index matchHint(log_index previous) const;
     void answer(const vm_id& to, std::uint64_t round, bool matched, log_index index);
 
     replica& m_replica;
-    std::function<void()> m_heard;
+    std::function<void()> m_onLeaderContact;
     log_index m_leaderCommitted;
 };
 
--- a/src/decision/consensus/log_joiner.h
+++ b/src/decision/consensus/log_joiner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * How a log begins, and how a VM without a leader finds one.
+ * Bootstrap of a new log, and discovery of the leader by VMs that have none.
  */
 
 #include <map>
@@ -14,52 +14,56 @@
 
 namespace plantainlatch {
 
-/** Begins a new log when all replicas of the settings are blank, and asks for the log when none arrives.
+/** Bootstraps a new log when all replicas of the settings are blank, and asks other VMs for the log while this VM has
+ * no leader.
  *
- * The replica with the lowest name asks all others. Each blank one answers with its identity and a pledge: it will take
- * a first entry only under the last pledge it gave. With all pledges at hand the asker writes the first entry, the set
- * of voters, under term 1, which no election uses. From then on any replica that has the entry hands it to blank ones,
- * again under fresh pledges. An asker that loses its disk meanwhile collects new pledges, which void the old ones, so
- * no two first entries can both be taken. */
+ * The replica with the lowest name is the bootstrapper and sends a join request to all other replicas of the settings.
+ * Each blank one answers with its identity and a random bootstrap token; a blank replica accepts a first entry only
+ * with the last token that it issued. Once the bootstrapper has a token from every other replica, it writes the first
+ * entry, which is the set of voters, in term 1. No election uses this term. From then on, each replica that has the
+ * entry sends it to blank voters, with new tokens that it requests from them. If the bootstrapper loses its disk
+ * meanwhile, it requests new tokens, which invalidate the earlier ones, so two different first entries cannot both be
+ * accepted. */
 class log_joiner {
 public:
     log_joiner(replica& self, log_leader& leader);
 
     void start();
-    /** Replaces the VMs of the settings among those that are asked for the log. */
+    /** Replaces the seeds, which are initially the VMs of the settings. */
     void setSeeds(std::vector<vm_id> seeds) { m_seeds = std::move(seeds); }
     void onTick();
     void onJoinRequest(const vm_id& from, const join_request& request);
     void onJoinAnswer(const vm_id& from, const join_answer& answer);
-    /** Whether a message carries the first entry of a new log. */
+    /** Whether the request has the first entry of a new log, which is the only one in term 1. */
     static bool isFirstEntry(const append_request& request);
     void onFirstEntry(const append_request& request);
 
 private:
-    struct pledge_record {
-        replica_id by;
-        std::uint64_t pledge = 0;
+    struct bootstrap_token {
+        replica_id issuer;
+        std::uint64_t value = 0;
     };
 
-    bool decides() const;
+    /** Whether this VM is the blank replica that may bootstrap a new log. */
+    bool isBootstrapper() const;
     bool holdsFirstEntryOnly() const;
-    /** The seeds of the settings and the voters as last known. */
-    std::vector<vm_id> vmsToAsk() const;
-    void ask(const vm_id& vm);
-    void askAll(const std::vector<vm_id>& vms);
-    void beginWhenAllBlank();
-    void handOutFirstEntry(const vm_id& to, const join_answer& answer);
+    /** The seeds and the last known voters. */
+    std::vector<vm_id> joinTargets() const;
+    void sendJoinRequest(const vm_id& vm);
+    void sendJoinRequests(const std::vector<vm_id>& vms);
+    void bootstrapIfAllBlank();
+    void sendFirstEntry(const vm_id& to, const join_answer& answer);
 
     replica& m_replica;
     log_leader& m_leader;
     /** The other replicas of the settings. */
-    std::vector<vm_id> m_others;
+    std::vector<vm_id> m_otherReplicas;
     std::vector<vm_id> m_seeds;
-    time_point m_nextAsk {};
-    std::size_t m_nextVm = 0;
-    std::map<vm_id, pledge_record> m_pledges;
-    /** The pledge that this blank replica gave last; 0 for none. */
-    std::uint64_t m_ownPledge = 0;
+    time_point m_nextRequestAt {};
+    std::size_t m_nextTarget = 0;
+    std::map<vm_id, bootstrap_token> m_tokens;
+    /** The last bootstrap token that this replica issued while it was blank; 0 for none. */
+    std::uint64_t m_issuedToken = 0;
 };
 
 } // namespace plantainlatch
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-    /** Rounds whose beginnings are remembered; older answers prove nothing of use. */
+    /** The number of rounds whose start times are kept; an answer to an older round is too late to extend the lease. */
     constexpr std::size_t rememberedRounds = 64;
-    /** A replica this close to the end of the log counts as up to date. */
-    constexpr std::uint64_t smallLag = 256;
+    /** A replica counts as up to date if at most this many entries are missing. */
+    constexpr std::uint64_t upToDateLag = 256;
 
 } // namespace
 
@@ -25,15 +25,15 @@
 
 log_leader::~log_leader() { m_replica.hooks().cancel(m_flush); }
 
-void log_leader::begin()
+void log_leader::startTerm()
 {
-    m_replica.lead();
+    m_replica.becomeLeader();
     m_replica.report(log_level::Info, "leads the log");
-    m_elected = m_replica.hooks().now();
-    m_nextRound = m_elected;
+    m_electedAt = m_replica.hooks().now();
+    m_nextRound = m_electedAt;
     m_transferring = false;
-    m_unwritten.clear();
-    m_uncommitted.clear();
+    m_buffered.clear();
+    m_unapplied.clear();
     m_followers.clear();
     for (const vm_record& vm : m_replica.settings().vms)
         addFollower(vm.id);
@@ -45,11 +45,11 @@
     }
     for (log_index i = m_replica.applied().next(); i <= m_replica.log().lastIndex(); i = i.next()) {
         if (const auto* item = std::get_if<proposal>(&m_replica.log().at(i).content))
-            m_uncommitted.insert(item->id);
+            m_unapplied.insert(item->id);
     }
     m_firstOfTerm = m_replica.log().lastIndex().next();
-    m_unwritten.push_back({ proposal_id {}, m_replica.hooks().wallNow(), noop_command {} });
-    appendUnwritten();
+    m_buffered.push_back({ proposal_id {}, m_replica.hooks().wallNow(), noop_command {} });
+    appendBuffered();
     beginRound();
     for (auto& [vm, progress] : m_followers)
         sendEntries(vm, progress);
@@ -59,7 +59,7 @@
 {
     if (vm == m_replica.vm() || m_followers.contains(vm))
         return;
-    if (m_followers.size() >= m_replica.options().largestFollowerCount) {
+    if (m_followers.size() >= m_replica.options().maximumFollowerCount) {
         m_replica.report(log_level::Warning, "too many followers", { { "refused", vm.value() } });
         return;
     }
@@ -73,8 +73,8 @@
 {
     m_replica.report(log_level::Info, "steps down", { { "why", why } });
     m_replica.setRole(replica_role::Follower);
-    m_replica.forgetLeader();
-    m_unwritten.clear();
+    m_replica.clearLeader();
+    m_buffered.clear();
 }
 
 void log_leader::onTick()
@@ -82,8 +82,8 @@
     if (!leads())
         return;
     const time_point now = m_replica.hooks().now();
-    if (now >= std::max(leaseBasis(), m_elected) + m_replica.options().electionTimeout) {
-        stepDown("no majority answers");
+    if (now >= std::max(leaseStart(), m_electedAt) + m_replica.options().electionTimeout) {
+        stepDown("no answers from a majority");
         return;
     }
     if (now >= m_nextRound)
@@ -91,7 +91,7 @@
     retransmitLate();
     changeVoters();
     if (m_transferring)
-        handOver();
+        tryTransfer();
 }
 
 void log_leader::beginRound()
@@ -107,14 +107,14 @@
         sendHeartbeat(vm, progress);
 }
 
-time_point log_leader::roundBegan(std::uint64_t round) const
+time_point log_leader::roundStart(std::uint64_t round) const
 {
     if (round < m_firstRound || round >= m_firstRound + m_rounds.size())
         return time_point::min();
     return m_rounds[round - m_firstRound];
 }
 
-time_point log_leader::leaseBasis() const
+time_point log_leader::leaseStart() const
 {
     const time_point now = m_replica.hooks().now();
     if (!m_replica.mechanisms().leaseNeedsQuorum)
@@ -124,7 +124,7 @@
             return now;
         const auto progress = m_followers.find(voter.vm);
         const bool isKnown = progress != m_followers.end() && progress->second.id == voter;
-        return isKnown ? progress->second.heardAt : time_point::min();
+        return isKnown ? progress->second.ackedRoundStart : time_point::min();
     });
 }
 
@@ -132,19 +132,19 @@
 {
     const consensus_options& options = m_replica.options();
     const duration lease = options.electionTimeout - options.leaseMargin;
-    return leads() && !m_transferring && m_replica.hooks().now() < leaseBasis() + lease;
+    return leads() && !m_transferring && m_replica.hooks().now() < leaseStart() + lease;
 }
 
 bool log_leader::submit(const proposal_id& id, const control_command& command)
 {
     if (!leads() || m_transferring)
         return false;
-    if (m_uncommitted.contains(id))
+    if (m_unapplied.contains(id))
         return true;
-    if (m_uncommitted.size() >= m_replica.options().largestUncommitted)
+    if (m_unapplied.size() >= m_replica.options().maximumUncommitted)
         return false;
-    m_uncommitted.insert(id);
-    m_unwritten.push_back({ id, m_replica.hooks().wallNow(), command });
+    m_unapplied.insert(id);
+    m_buffered.push_back({ id, m_replica.hooks().wallNow(), command });
     scheduleFlush();
     return true;
 }
@@ -163,34 +163,34 @@
 {
     if (!leads())
         return;
-    appendUnwritten();
+    appendBuffered();
     for (auto& [vm, progress] : m_followers) {
         if (!progress.probing)
             sendEntries(vm, progress);
     }
 }
 
-void log_leader::appendUnwritten()
+void log_leader::appendBuffered()
 {
     std::vector<log_entry> entries;
     log_index index = m_replica.log().lastIndex();
-    for (proposal& item : m_unwritten) {
+    for (proposal& item : m_buffered) {
         index = index.next();
         entries.push_back({ m_replica.term(), index, std::move(item) });
     }
-    m_unwritten.clear();
+    m_buffered.clear();
     m_replica.append(std::move(entries));
-    m_replica.whenDurable([this] { commitMatched(); });
+    m_replica.whenDurable([this] { advanceCommitIndex(); });
 }
 
 void log_leader::appendVoters(voter_set next)
 {
     m_replica.report(log_level::Info, "changes the voters");
-    appendUnwritten();
+    appendBuffered();
     std::vector<log_entry> entries;
     entries.push_back({ m_replica.term(), m_replica.log().lastIndex().next(), std::move(next) });
     m_replica.append(std::move(entries));
-    m_replica.whenDurable([this] { commitMatched(); });
+    m_replica.whenDurable([this] { advanceCommitIndex(); });
     scheduleFlush();
 }
 
@@ -201,7 +201,7 @@
 
 void log_leader::sendAppend(const vm_id& to, log_index previous, std::vector<log_entry> entries)
 {
-    // A follower behind the base refuses this one and gets a snapshot.
+    // A follower whose log ends before the base rejects this message and is sent a snapshot then.
     previous = std::max(previous, m_replica.log().base());
     m_replica.send(to,
         append_request { m_replica.term(), m_replica.self(), previous, *m_replica.log().termAt(previous),
@@ -214,7 +214,7 @@
         sendSnapshot(to, progress);
         return;
     }
-    const std::uint64_t window = m_replica.options().largestWindow;
+    const std::uint64_t window = m_replica.options().maximumWindow;
     while (progress.next <= m_replica.log().lastIndex() && progress.next.value() <= progress.match.value() + window) {
         std::vector<log_entry> batch = batchFrom(progress.next);
         const log_index previous(progress.next.value() - 1);
@@ -232,9 +232,9 @@
     const log_store& log = m_replica.log();
     std::vector<log_entry> batch;
     std::size_t bytes = 0;
-    for (log_index i = first; i <= log.lastIndex() && batch.size() < options.largestBatch; i = i.next()) {
+    for (log_index i = first; i <= log.lastIndex() && batch.size() < options.maximumBatch; i = i.next()) {
         bytes += approximateSize(log.at(i));
-        if (!batch.empty() && bytes > options.largestBatchBytes)
+        if (!batch.empty() && bytes > options.maximumBatchBytes)
             break;
         batch.push_back(log.at(i));
     }
@@ -254,7 +254,7 @@
             m_replica.term(), m_replica.self(), m_replica.snapshot(), m_firstRound + m_rounds.size() - 1 });
 }
 
-bool log_leader::isRecent(const follower_progress& progress) const
+bool log_leader::isResponsive(const follower_progress& progress) const
 {
     return m_replica.hooks().now() < progress.lastAnswer + m_replica.options().electionTimeout;
 }
@@ -265,7 +265,7 @@
     for (auto& [vm, progress] : m_followers) {
         const bool isLate = progress.match < m_replica.log().lastIndex()
             && now >= progress.lastProgress + m_replica.options().retransmitAfter;
-        if (!isLate || !isRecent(progress))
+        if (!isLate || !isResponsive(progress))
             continue;
         progress.lastProgress = now;
         progress.probing = true;
@@ -284,24 +284,25 @@
     if (!leads() || answer.term != m_replica.term() || found == m_followers.end())
         return;
     follower_progress& progress = found->second;
-    recognise(progress, answer);
+    identifyFollower(progress, answer);
     if (progress.id != answer.follower)
         return;
     progress.lastAnswer = m_replica.hooks().now();
     progress.applied = std::max(progress.applied, answer.applied);
-    if (answer.round > progress.round) {
-        progress.round = answer.round;
-        progress.heardAt = std::max(progress.heardAt, roundBegan(answer.round));
+    if (answer.round > progress.ackedRound) {
+        progress.ackedRound = answer.round;
+        progress.ackedRoundStart = std::max(progress.ackedRoundStart, roundStart(answer.round));
     }
-    takeMatch(progress, answer);
-    commitMatched();
+    updateMatch(progress, answer);
+    advanceCommitIndex();
     sendEntries(from, progress);
 }
 
-void log_leader::recognise(follower_progress& progress, const append_answer& answer)
+void log_leader::identifyFollower(follower_progress& progress, const append_answer& answer)
 {
-    // A later round is answered by a later start of the VM, so a late answer cannot bring an earlier disk back.
-    if (progress.id == answer.follower || answer.round <= progress.round)
+    // Only an answer to a later round may change the identity. A delayed answer from an earlier identity of the VM is
+    // for an earlier round, so it cannot replace the current identity.
+    if (progress.id == answer.follower || answer.round <= progress.ackedRound)
         return;
     progress = follower_progress {};
     progress.id = answer.follower;
@@ -310,7 +311,7 @@
     progress.lastProgress = m_replica.hooks().now();
 }
 
-void log_leader::takeMatch(follower_progress& progress, const append_answer& answer)
+void log_leader::updateMatch(follower_progress& progress, const append_answer& answer)
 {
     if (!answer.matched) {
         progress.next = std::max(progress.match.next(), std::min(progress.next, answer.index.next()));
@@ -328,7 +329,7 @@
     progress.snapshotSentAt.reset();
 }
 
-void log_leader::commitMatched()
+void log_leader::advanceCommitIndex()
 {
     if (!leads())
         return;
@@ -339,7 +340,8 @@
         const bool isKnown = progress != m_followers.end() && progress->second.id == voter;
         return isKnown ? progress->second.match : log_index(0);
     });
-    // Only an entry of the own term commits, and with it all before it.
+    // Raft's commitment rule: only entries of the current term are committed by counting replicas; earlier entries are
+    // committed with them.
     if (matched > m_replica.committed() && m_replica.log().termAt(matched) == m_replica.term())
         m_replica.commitTo(matched);
 }
@@ -351,9 +353,9 @@
     std::set<replica_id> silent;
     for (const replica_id& voter : m_replica.log().voters().voters) {
         const auto progress = m_followers.find(voter.vm);
-        const bool heard = progress != m_followers.end() && progress->second.id == voter
-            && now < std::max(progress->second.lastAnswer, m_elected) + silence;
-        if (voter != m_replica.self() && !heard && now >= m_elected + silence)
+        const bool hasAnswered = progress != m_followers.end() && progress->second.id == voter
+            && now < std::max(progress->second.lastAnswer, m_electedAt) + silence;
+        if (voter != m_replica.self() && !hasAnswered && now >= m_electedAt + silence)
             silent.insert(voter);
     }
     return silent;
@@ -362,31 +364,31 @@
 void log_leader::changeVoters()
 {
     const bool isPending = m_replica.log().votersIndex() > m_replica.committed();
-    if (isPending || m_transferring || !ownsTerm() || !holdsLease())
+    if (isPending || m_transferring || !hasAppliedOwnTerm() || !holdsLease())
         return;
     std::set<replica_id> upToDate { m_replica.self() };
     for (const auto& [vm, progress] : m_followers) {
-        const bool isClose = progress.match.value() + smallLag >= m_replica.log().lastIndex().value();
-        if (progress.durable && isRecent(progress) && isClose && progress.match > log_index(0))
+        const bool isClose = progress.match.value() + upToDateLag >= m_replica.log().lastIndex().value();
+        if (progress.durable && isResponsive(progress) && isClose && progress.match > log_index(0))
             upToDate.insert(progress.id);
     }
     std::optional<voter_set> next
-        = nextVoters({ m_replica.log().voters(), upToDate, silentVoters(), m_replica.options().largestVoterCount });
+        = nextVoters({ m_replica.log().voters(), upToDate, silentVoters(), m_replica.options().maximumVoterCount });
     if (next)
         appendVoters(std::move(*next));
 }
 
-void log_leader::handOver()
+void log_leader::tryTransfer()
 {
     flush();
     if (m_replica.log().voters().voters.size() <= 1)
         return;
     for (const auto& [vm, progress] : m_followers) {
         const bool isVoter = m_replica.log().voters().voters.contains(progress.id);
-        if (!isVoter || !isRecent(progress) || progress.match != m_replica.log().lastIndex())
+        if (!isVoter || !isResponsive(progress) || progress.match != m_replica.log().lastIndex())
             continue;
         m_replica.send(vm, transfer_request { m_replica.term(), m_replica.self() });
-        stepDown("hands over");
+        stepDown("leadership transfer");
         return;
     }
 }
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The leader's part of the replicated log: rounds of heartbeats, replication, commitment and the lease.
+ * The leader's side of log replication: heartbeat rounds, replication, commitment and the leader lease.
  */
 
 #include <deque>
@@ -16,8 +16,8 @@
 
 namespace plantainlatch {
 
-/** What this VM does while it leads. It sends to each VM directly; a relay for each region takes over beyond
- * consensus_options::largestFollowerCount. */
+/** Replicates the log while this VM is the leader. It sends to each follower directly and therefore refuses followers
+ * beyond consensus_options::maximumFollowerCount. */
 class log_leader {
 public:
     explicit log_leader(replica& self);
@@ -25,31 +25,33 @@
     log_leader(const log_leader&) = delete;
     log_leader& operator=(const log_leader&) = delete;
 
-    /** This replica won its term. */
-    void begin();
+    /** Takes over as leader after this replica has won an election. */
+    void startTerm();
     void onTick();
     void onAppendAnswer(const vm_id& from, const append_answer& answer);
-    /** A VM that is not in the settings wants the log. */
+    /** Starts replicating to a VM; does nothing if it is a follower already or there are too many followers. */
     void addFollower(const vm_id& vm);
 
-    /** Takes a proposal into the log, unless it is there and not yet applied; the control state tells one that was
-     * applied before. False when this VM does not lead or has no room. */
+    /** Appends a proposal to the log unless it is already there and not yet applied. A proposal that was applied
+     * earlier is appended again; the control state detects the duplicate. False when this VM is not the leader, is
+     * transferring leadership, or has maximumUncommitted proposals in progress. */
     bool submit(const proposal_id& id, const control_command& command);
-    /** A proposal was applied. */
-    void onApplied(const proposal_id& id) { m_uncommitted.erase(id); }
+    void onApplied(const proposal_id& id) { m_unapplied.erase(id); }
 
-    /** Voters that were not heard of for so long that another replica may take their place. */
+    /** Voters that have not answered for consensus_options::replaceVoterAfter. */
     std::set<replica_id> silentVoters() const;
 
-    /** Stops taking proposals, brings a voter up to date, asks it to take over, and steps down. */
-    void transfer() { m_transferring = true; }
+    /** Stops accepting proposals and waits for a voter to be up to date; then asks it to start an election and steps
+     * down. */
+    void startTransfer() { m_transferring = true; }
 
-    /** When a majority of the voters had surely heard this leader; only while it leads. */
-    time_point leaseBasis() const;
-    /** The lease holds: no other leader can have been elected. */
+    /** The start of the lease: the latest time such that a majority of the voters answered a round that began then or
+     * later. Valid only while this VM leads. */
+    time_point leaseStart() const;
+    /** Whether the lease is valid, so that no other leader can have been elected. */
     bool holdsLease() const;
-    /** The state here has all that earlier leaders committed. */
-    bool ownsTerm() const { return m_replica.applied() >= m_firstOfTerm; }
+    /** Whether the first entry of the own term is applied, and with it everything that earlier leaders committed. */
+    bool hasAppliedOwnTerm() const { return m_replica.applied() >= m_firstOfTerm; }
 
     std::vector<std::pair<vm_id, log_index>> followerAppliedIndices() const;
 
@@ -57,11 +59,11 @@
     bool leads() const { return m_replica.role() == replica_role::Leader; }
     void stepDown(const char* why);
     void beginRound();
-    time_point roundBegan(std::uint64_t round) const;
+    time_point roundStart(std::uint64_t round) const;
     void scheduleFlush();
     void appendVoters(voter_set next);
-    void appendUnwritten();
-    bool isRecent(const follower_progress& progress) const;
+    void appendBuffered();
+    bool isResponsive(const follower_progress& progress) const;
     void flush();
     void sendEntries(const vm_id& to, follower_progress& progress);
     void sendHeartbeat(const vm_id& to, const follower_progress& progress);
@@ -69,24 +71,24 @@
     void sendSnapshot(const vm_id& to, follower_progress& progress);
     std::vector<log_entry> batchFrom(log_index first) const;
     void retransmitLate();
-    void recognise(follower_progress& progress, const append_answer& answer);
-    void takeMatch(follower_progress& progress, const append_answer& answer);
-    void commitMatched();
+    void identifyFollower(follower_progress& progress, const append_answer& answer);
+    void updateMatch(follower_progress& progress, const append_answer& answer);
+    void advanceCommitIndex();
     void changeVoters();
-    void handOver();
+    void tryTransfer();
 
     replica& m_replica;
     std::map<vm_id, follower_progress> m_followers;
-    /** When recent rounds began; the first is number m_firstRound. */
+    /** The start times of recent rounds; the first one has the number m_firstRound. */
     std::deque<time_point> m_rounds;
     std::uint64_t m_firstRound = 1;
     time_point m_nextRound {};
-    time_point m_elected {};
+    time_point m_electedAt {};
     log_index m_firstOfTerm;
-    /** Proposals in the log that are not applied yet. */
-    std::set<proposal_id> m_uncommitted;
-    /** Proposals that wait for the flush, so that those of one moment are written and sent together. */
-    std::vector<proposal> m_unwritten;
+    /** Accepted proposals that are not applied yet. */
+    std::set<proposal_id> m_unapplied;
+    /** Proposals that wait for the next flush, which writes and sends them as one batch. */
+    std::vector<proposal> m_buffered;
     timer_id m_flush;
     bool m_transferring = false;
 };
--- a/src/decision/consensus/log_store.h
+++ b/src/decision/consensus/log_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The entries of the replicated log in memory, after the snapshot that stands for the earlier ones.
+ * The in-memory part of the replicated log: the entries after the snapshot that replaces the earlier ones.
  */
 
 #include <deque>
@@ -12,36 +12,36 @@
 
 namespace plantainlatch {
 
-/** Entries without a gap from base() + 1 to lastIndex(). */
+/** Consecutive entries from base() + 1 to lastIndex(). */
 class log_store {
 public:
-    /** The last index that the snapshot stands for. */
+    /** The last index that was compacted into a snapshot. */
     log_index base() const { return m_base; }
     log_index lastIndex() const { return log_index(m_base.value() + m_entries.size()); }
     log_term lastTerm() const;
     bool empty() const { return lastIndex() == log_index(0); }
 
-    /** None for an index before the base or after the end. */
+    /** The term of an entry; none for an index before the base or after the last entry. */
     std::optional<log_term> termAt(log_index index) const;
     /** The entry at an index after the base. */
     const log_entry& at(log_index index) const;
-    /** The first index of the run of entries that share the term of `index`. */
+    /** The first index in the log with the same term as `index`, but not before the base. */
     log_index firstOfTerm(log_index index) const;
 
-    /** Adds the next entry. */
+    /** Appends an entry, whose index must be lastIndex() + 1. */
     void append(log_entry entry);
-    /** Drops the entry at `index` and all after it. */
+    /** Removes the entry at `index` and all later ones. */
     void truncateFrom(log_index index);
-    /** Drops the entries up to `index`. */
+    /** Removes the entries up to `index`, which becomes the base. */
     void compactTo(log_index index);
-    /** Drops everything; a snapshot stands for all entries up to `index`. */
+    /** Removes all entries; a snapshot replaces those up to `index`, which becomes the base. */
     void reset(log_index index, log_term term, voter_set voters);
 
-    /** The voters as of the last entry, committed or not. */
+    /** The voters as of the last entry, which may be uncommitted. */
     const voter_set& voters() const { return m_voters.back().voters; }
-    /** Where they were set; the base when the snapshot has them. */
+    /** The index of the entry that set voters(); the base if they come from the snapshot. */
     log_index votersIndex() const { return m_voters.back().index; }
-    /** The voters as of the entry at `index`, not before the base. */
+    /** The voters as of the entry at `index`, which must not be before the base. */
     const voter_set& votersAt(log_index index) const;
 
 private:
@@ -53,7 +53,7 @@
     log_index m_base;
     log_term m_baseTerm;
     std::deque<log_entry> m_entries;
-    /** The voters at the base, then each change after it. */
+    /** The voters at the base, followed by each later change. */
     std::vector<voters_record> m_voters { voters_record {} };
 };
 
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -14,7 +14,7 @@
 
 proposal_queue::~proposal_queue()
 {
-    for (const auto& [sequence, timer] : m_refusals)
+    for (const auto& [sequence, timer] : m_rejections)
         m_replica.hooks().cancel(timer);
 }
 
@@ -29,33 +29,34 @@
 
 void proposal_queue::readBarrier(duration timeout, std::function<void(absl::Status)> callback)
 {
-    // An empty command stands in the log behind everything that was accepted before it was proposed.
+    // The no-op entry follows every command that was accepted before it was proposed, so once it is applied here, those
+    // are too.
     pending_proposal item;
     item.command = noop_command {};
     item.callback
         = [callback = std::move(callback)](const absl::StatusOr<command_result>& result) { callback(result.status()); };
     item.deadline = m_replica.hooks().now() + timeout;
-    item.untilAppliedHere = true;
+    item.requiresLocalApply = true;
     add(std::move(item));
 }
 
 proposal_id proposal_queue::add(pending_proposal item)
 {
     const std::uint64_t sequence = ++m_lastSequence;
-    if (m_pending.size() >= m_replica.options().largestPending) {
-        refuseSoon(std::move(item.callback));
+    if (m_pending.size() >= m_replica.options().maximumPending) {
+        rejectLater(std::move(item.callback));
         return idOf(sequence);
     }
     trySend(sequence, m_pending.emplace(sequence, std::move(item)).first->second);
     return idOf(sequence);
 }
 
-void proposal_queue::refuseSoon(result_callback callback)
+void proposal_queue::rejectLater(result_callback callback)
 {
     const std::uint64_t sequence = m_lastSequence;
-    m_refusals[sequence]
+    m_rejections[sequence]
         = m_replica.hooks().schedule(duration::zero(), [this, sequence, callback = std::move(callback)] {
-              m_refusals.erase(sequence);
+              m_rejections.erase(sequence);
               callback(absl::UnavailableError("too many proposals wait for the log"));
           });
 }
@@ -81,7 +82,7 @@
     for (auto& [sequence, item] : m_pending) {
         if (now >= item.deadline)
             overdue.push_back(sequence);
-        else if (!item.sent || now >= item.sentAt + m_replica.options().proposalResend)
+        else if (!item.sent || now >= item.sentAt + m_replica.options().proposalResendInterval)
             trySend(sequence, item);
     }
     for (std::uint64_t sequence : overdue) {
@@ -95,7 +96,7 @@
     }
 }
 
-void proposal_queue::onLeader()
+void proposal_queue::onLeaderChange()
 {
     for (auto& [sequence, item] : m_pending)
         trySend(sequence, item);
@@ -123,7 +124,7 @@
 void proposal_queue::onAnswer(const propose_answer& answer)
 {
     const auto item = m_pending.find(answer.id.sequence);
-    const bool isEnough = item != m_pending.end() && !item->second.untilAppliedHere;
+    const bool isEnough = item != m_pending.end() && !item->second.requiresLocalApply;
     if (answer.result && isEnough)
         onResult(answer.id, *answer.result);
 }
--- a/src/decision/consensus/proposal_queue.h
+++ b/src/decision/consensus/proposal_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The proposals of this VM on their way to the leader and back.
+ * Forwards the proposals of this VM to the leader and returns their results.
  */
 
 #include <functional>
@@ -13,12 +13,12 @@
 
 namespace plantainlatch {
 
-/** Sends proposals to the leader, again to a new one, and answers each once. */
+/** Sends proposals to the leader, resends them until they are answered or time out, and calls each callback once. */
 class proposal_queue {
 public:
     using result_callback = std::function<void(absl::StatusOr<command_result>)>;
 
-    /** `start` tells this start of the VM from others, so that its numbers are new. */
+    /** `start` identifies this start of the VM, so that proposal ids are not reused after a restart. */
     proposal_queue(replica& self, log_leader& leader, incarnation start);
     ~proposal_queue();
     proposal_queue(const proposal_queue&) = delete;
@@ -30,13 +30,13 @@
     /** See consensus_port::readBarrier. */
     void readBarrier(duration timeout, std::function<void(absl::Status)> callback);
 
-    /** Ends what is overdue and sends again what was not answered. */
+    /** Fails proposals whose deadline has passed, and resends unanswered ones. */
     void onTick();
-    /** The leader is known, or another one. */
-    void onLeader();
-    /** A proposal was applied here, or the leader gave its result. */
+    /** Sends pending proposals to a newly known leader. */
+    void onLeaderChange();
+    /** Finishes a proposal that was applied here or whose result the leader sent; others are ignored. */
     void onResult(const proposal_id& id, const command_result& result);
-    /** At the leader: another VM's proposal. */
+    /** Submits another VM's proposal to the log, or tells that VM who the leader is. */
     void onRequest(const vm_id& from, const propose_request& request);
     void onAnswer(const propose_answer& answer);
 
@@ -47,9 +47,9 @@
         control_command command;
         result_callback callback;
         time_point deadline;
-        /** The leader's word is not enough: it must be applied here. */
-        bool untilAppliedHere = false;
-        /** It may have reached a log. */
+        /** The leader's result does not finish the proposal; it must be applied on this VM. */
+        bool requiresLocalApply = false;
+        /** The proposal may have reached the leader's log. */
         bool sent = false;
         time_point sentAt {};
     };
@@ -58,14 +58,14 @@
     void trySend(std::uint64_t sequence, pending_proposal& item);
     void finish(std::uint64_t sequence, absl::StatusOr<command_result> result);
     proposal_id add(pending_proposal item);
-    void refuseSoon(result_callback callback);
+    void rejectLater(result_callback callback);
 
     replica& m_replica;
     log_leader& m_leader;
     incarnation m_start;
     std::uint64_t m_lastSequence = 0;
     std::map<std::uint64_t, pending_proposal> m_pending;
-    std::map<std::uint64_t, timer_id> m_refusals;
+    std::map<std::uint64_t, timer_id> m_rejections;
 };
 
 } // namespace plantainlatch
--- a/src/decision/consensus/quorum.h
+++ b/src/decision/consensus/quorum.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What a majority of the voters agrees on.
+ * Majority decisions of the voters.
  */
 
 #include <algorithm>
@@ -13,24 +13,25 @@
 
 namespace plantainlatch {
 
-/** How many of the voters are a majority. */
+/** The number of voters that form a majority. */
 inline std::size_t majorityOf(const voter_set& voters) { return voters.voters.size() / 2 + 1; }
 
-/** Whether the yes-sayers among the voters are a majority; others do not count. */
-inline bool hasMajority(const voter_set& voters, const std::set<replica_id>& yes)
+/** Whether a majority of the voters is in `granted`; replicas that are not voters are ignored. */
+inline bool hasMajority(const voter_set& voters, const std::set<replica_id>& granted)
 {
     std::size_t count = 0;
     for (const replica_id& voter : voters.voters)
-        count += yes.contains(voter) ? 1 : 0;
+        count += granted.contains(voter) ? 1 : 0;
     return !voters.voters.empty() && count >= majorityOf(voters);
 }
 
-/** The greatest value that a majority of the voters has reached; the lowest value without voters. */
-template <typename Value> Value quorumValue(const voter_set& voters, const std::function<Value(const replica_id&)>& of)
+/** The greatest value that a majority of the voters has reached; a default-constructed value without voters. */
+template <typename Value>
+Value quorumValue(const voter_set& voters, const std::function<Value(const replica_id&)>& valueOf)
 {
     std::vector<Value> values;
     for (const replica_id& voter : voters.voters)
-        values.push_back(of(voter));
+        values.push_back(valueOf(voter));
     if (values.empty())
         return Value {};
     std::sort(values.begin(), values.end(), std::greater<>());
--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -15,22 +15,23 @@
 {
 }
 
-absl::Status replica::load(links found)
-{
-    m_links = found;
-    // Before the start this VM may have promised a leader to wait; the wait begins anew.
-    m_leaderHeard = m_hooks.now();
-    if (m_links.storage == nullptr) {
-        beginWithNewDisk();
+absl::Status replica::load(dependencies services)
+{
+    m_dependencies = services;
+    // Before its restart this VM may have extended a leader's lease, so it waits for a full election timeout again
+    // before it votes.
+    m_lastLeaderContact = m_hooks.now();
+    if (m_dependencies.storage == nullptr) {
+        assignNewIdentity();
         return absl::OkStatus();
     }
-    absl::StatusOr<recovered_state> recovered = m_links.storage->load();
+    absl::StatusOr<recovered_state> recovered = m_dependencies.storage->load();
     if (!recovered.ok())
         return recovered.status();
     return restore(std::move(*recovered));
 }
 
-void replica::beginWithNewDisk()
+void replica::assignNewIdentity()
 {
     const std::uint64_t disk = mechanisms().newIdentityOnBlankDisk ? m_hooks.random() | 1 : 1;
     m_self = { vm(), incarnation(disk) };
@@ -40,8 +41,8 @@
 {
     if (!found.state) {
         if (found.snapshot || !found.entries.empty())
-            return absl::DataLossError("the data folder has a log, but not whose it is");
-        beginWithNewDisk();
+            return absl::DataLossError("the data folder has a log, but no record of the replica that it belongs to");
+        assignNewIdentity();
         return absl::OkStatus();
     }
     if (found.state->self.vm != vm())
@@ -52,7 +53,7 @@
     m_votedFor = found.state->votedFor;
     if (found.snapshot) {
         m_log.reset(found.snapshot->index, found.snapshot->term, found.snapshot->voters);
-        m_links.control->restore(std::move(found.snapshot->state));
+        m_dependencies.control->restore(std::move(found.snapshot->state));
         m_committed = m_applied = m_snapshotIndex = m_log.base();
     }
     for (log_entry& entry : found.entries)
@@ -61,18 +62,18 @@
     return absl::OkStatus();
 }
 
-void replica::hearLeader(const replica_id& leader)
+void replica::noteLeaderContact(const replica_id& leader)
 {
     internal_assert(m_leader == replica_id {} || m_leader == leader)
         << "two leaders of term " << m_term.value() << ": " << m_leader.vm.value() << " and " << leader.vm.value();
     internal_assert(m_role != replica_role::Leader)
         << "term " << m_term.value() << " is led by " << leader.vm.value() << " too";
     m_leader = leader;
-    m_leaderHeard = m_hooks.now();
+    m_lastLeaderContact = m_hooks.now();
     m_role = replica_role::Follower;
 }
 
-void replica::lead()
+void replica::becomeLeader()
 {
     internal_assert(m_leader == replica_id {}) << "term " << m_term.value() << " has leader " << m_leader.vm.value();
     internal_assert(m_votedFor == m_self) << "leader of term " << m_term.value() << " without its own vote";
@@ -90,7 +91,7 @@
     writeState();
 }
 
-void replica::vote(const replica_id& candidate)
+void replica::castVote(const replica_id& candidate)
 {
     internal_assert(m_votedFor == replica_id {} || m_votedFor == candidate)
         << "second vote in term " << m_term.value() << " for " << candidate.vm.value();
@@ -111,15 +112,15 @@
 void replica::truncateFrom(log_index index)
 {
     internal_assert(index > m_committed) << "committed entry " << index.value() << " of " << m_committed.value()
-                                         << " would change";
+                                         << " would be truncated";
     m_log.truncateFrom(index);
     m_writes.truncateFrom(index);
 }
 
-void replica::install(const log_snapshot& snapshot)
+void replica::installSnapshot(const log_snapshot& snapshot)
 {
     internal_assert(snapshot.index > m_applied)
-        << "applied index " << m_applied.value() << " would fall to " << snapshot.index.value();
+        << "applied index " << m_applied.value() << " would go back to " << snapshot.index.value();
     const bool keepLater = m_log.termAt(snapshot.index) == snapshot.term;
     if (keepLater) {
         m_log.compactTo(snapshot.index);
@@ -128,12 +129,12 @@
         m_log.reset(snapshot.index, snapshot.term, snapshot.voters);
     }
     m_committed = m_applied = m_snapshotIndex = snapshot.index;
-    m_links.control->restore(snapshot.state);
+    m_dependencies.control->restore(snapshot.state);
     if (!hasDisk())
         return;
     writeState();
     const std::uint64_t number = m_writes.begin(snapshot.index);
-    m_links.storage->saveSnapshot(
+    m_dependencies.storage->saveSnapshot(
         snapshot, keepLater, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
             if (!alive.expired())
                 finishWrite(number, status);
@@ -147,7 +148,7 @@
     if (index <= m_committed)
         return;
     m_committed = index;
-    internal_assert(!m_applying) << "an applied command commits another";
+    internal_assert(!m_applying) << "commitTo called while an entry is applied";
     m_applying = true;
     while (m_applied < m_committed) {
         m_applied = m_applied.next();
@@ -163,7 +164,7 @@
     const auto* item = std::get_if<proposal>(&entry.content);
     if (item == nullptr || item->id.vm.empty())
         return;
-    const command_result result = m_links.control->apply(*item);
+    const command_result result = m_dependencies.control->apply(*item);
     if (m_onApplied)
         m_onApplied(*item, result);
 }
@@ -173,7 +174,7 @@
     m_snapshotIndex = m_applied;
     if (hasDisk()) {
         const std::uint64_t number = m_writes.begin(log_index(0));
-        m_links.storage->saveSnapshot(
+        m_dependencies.storage->saveSnapshot(
             snapshot(), true, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
                 if (!alive.expired())
                     finishWrite(number, status);
@@ -185,7 +186,7 @@
 
 log_snapshot replica::snapshot() const
 {
-    return { m_applied, *m_log.termAt(m_applied), m_log.votersAt(m_applied), m_links.control->state() };
+    return { m_applied, *m_log.termAt(m_applied), m_log.votersAt(m_applied), m_dependencies.control->state() };
 }
 
 void replica::writeState() { write({ hardState(), {} }, log_index(0)); }
@@ -195,7 +196,7 @@
     if (!hasDisk())
         return;
     const std::uint64_t number = m_writes.begin(lastIndex);
-    m_links.storage->write(
+    m_dependencies.storage->write(
         std::move(content), [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
             if (!alive.expired())
                 finishWrite(number, status);
@@ -220,7 +221,7 @@
     m_writes.abandon();
     m_role = replica_role::Follower;
     m_leader = replica_id {};
-    // What it matched may be gone after a restart, so it follows under another identity from now on.
+    // Entries that it acknowledged may be missing after a restart, so it continues as a learner with a new identity.
     m_self.disk = incarnation(m_hooks.random() | 1);
     if (m_onFailure)
         m_onFailure();
@@ -241,7 +242,7 @@
 
 void replica::send(const vm_id& to, consensus_message message)
 {
-    m_links.peers->send(to, peer_message(std::move(message)));
+    m_dependencies.peers->send(to, peer_message(std::move(message)));
 }
 
 void replica::report(log_level level, std::string what, std::vector<log_field> fields) const
--- a/src/decision/consensus/vote_rules.cpp
+++ b/src/decision/consensus/vote_rules.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /** A leader that hands over has given up its lease, which was of the term just before. */
-    bool endsLease(const voter_view& voter, const vote_request& request)
+    /** Whether the leader of the current term asked for this election, which ends its lease. */
+    bool leaderGaveUpLease(const voter_state& voter, const vote_request& request)
     {
         return request.transfer && request.term == voter.term.next();
     }
@@ -19,18 +19,18 @@
     return std::tie(lastTerm, lastIndex) >= std::tie(ownLastTerm, ownLastIndex);
 }
 
-vote_decision decideVote(const voter_view& voter, const vote_request& request)
+vote_decision decideVote(const voter_state& voter, const vote_request& request)
 {
     if (!voter.mayVote || request.term < voter.term)
         return vote_decision::Refuse;
-    if (voter.underLease && !endsLease(voter, request))
+    if (voter.underLease && !leaderGaveUpLease(voter, request))
         return vote_decision::Refuse;
-    const bool fits = isUpToDate(request.lastTerm, request.lastIndex, voter.lastTerm, voter.lastIndex);
+    const bool isUpToDateLog = isUpToDate(request.lastTerm, request.lastIndex, voter.lastTerm, voter.lastIndex);
     if (request.preVote)
-        return fits && request.term > voter.term ? vote_decision::Grant : vote_decision::Refuse;
+        return isUpToDateLog && request.term > voter.term ? vote_decision::Grant : vote_decision::Refuse;
     const bool isNewTerm = request.term > voter.term;
-    const bool isFree = isNewTerm || voter.votedFor == replica_id {} || voter.votedFor == request.candidate;
-    if (fits && isFree)
+    const bool hasFreeVote = isNewTerm || voter.votedFor == replica_id {} || voter.votedFor == request.candidate;
+    if (isUpToDateLog && hasFreeVote)
         return vote_decision::Grant;
     return isNewTerm ? vote_decision::RefuseAndAdoptTerm : vote_decision::Refuse;
 }
--- a/src/decision/consensus/vote_rules.h
+++ b/src/decision/consensus/vote_rules.h
@@ -1,37 +1,39 @@
 #pragma once
 
 /** \file
- * The rules by which a replica gives its vote.
+ * The rules for granting votes and pre-votes.
  */
 
 #include "model/consensus_message.h"
 
 namespace plantainlatch {
 
-/** What a replica knows when it is asked for its vote. */
-struct voter_view {
+/** The state of a replica that a vote request is checked against. */
+struct voter_state {
     log_term term;
     replica_id votedFor;
     log_index lastIndex;
     log_term lastTerm;
-    /** It has a working disk and a log. */
+    /** The replica has a working disk and a log. */
     bool mayVote = false;
-    /** It heard a leader within the minimum election timeout, or leads and was heard by a majority within it. */
+    /** The last contact with a leader, or for a leader with a majority, is less than the minimum election timeout
+     * ago. */
     bool underLease = false;
 };
 
 enum class vote_decision {
-    /** Refuse; the asker's term changes nothing. */
+    /** Refuse and keep the current term. */
     Refuse,
-    /** Refuse, but move on to the asker's term. */
+    /** Refuse, but adopt the candidate's later term. */
     RefuseAndAdoptTerm,
     Grant,
 };
 
-/** Whether a log that ends at the first pair has all that one that ends at the second may have committed. */
+/** Raft's election restriction: whether a log that ends with the first pair contains every entry that may be committed
+ * in a log that ends with the second. */
 bool isUpToDate(log_term lastTerm, log_index lastIndex, log_term ownLastTerm, log_index ownLastIndex);
 
-/** Decides on a request for a vote or a pre-vote; a pre-vote changes nothing. */
-vote_decision decideVote(const voter_view& voter, const vote_request& request);
+/** Decides on a request for a vote or a pre-vote; neither the term nor the vote changes on a pre-vote. */
+vote_decision decideVote(const voter_state& voter, const vote_request& request);
 
 } // namespace plantainlatch
--- a/src/decision/consensus/voter_changes.cpp
+++ b/src/decision/consensus/voter_changes.cpp
@@ -12,8 +12,8 @@
             voters.voters.begin(), voters.voters.end(), [&vm](const replica_id& voter) { return voter.vm == vm; });
     }
 
-    /** The voters without the former identity of a VM that came back with another disk. */
-    std::optional<voter_set> withoutLostDisk(const voter_situation& situation)
+    /** The voters without the former identity of a VM that came back with another one; none if there is no such VM. */
+    std::optional<voter_set> withoutFormerIdentity(const voter_change_input& situation)
     {
         for (const replica_id& present : situation.upToDate) {
             const auto former = voterOfVm(situation.current, present.vm);
@@ -26,7 +26,7 @@
         return std::nullopt;
     }
 
-    std::optional<replica_id> waitingReplica(const voter_situation& situation)
+    std::optional<replica_id> replicaToAdd(const voter_change_input& situation)
     {
         for (const replica_id& present : situation.upToDate) {
             if (voterOfVm(situation.current, present.vm) == situation.current.voters.end())
@@ -37,15 +37,15 @@
 
 } // namespace
 
-std::optional<voter_set> nextVoters(const voter_situation& situation)
+std::optional<voter_set> nextVoters(const voter_change_input& situation)
 {
-    if (std::optional<voter_set> next = withoutLostDisk(situation))
+    if (std::optional<voter_set> next = withoutFormerIdentity(situation))
         return next;
-    const std::optional<replica_id> waiting = waitingReplica(situation);
+    const std::optional<replica_id> waiting = replicaToAdd(situation);
     if (!waiting)
         return std::nullopt;
     voter_set next = situation.current;
-    if (next.voters.size() < situation.largestCount) {
+    if (next.voters.size() < situation.maximumCount) {
         next.voters.insert(*waiting);
         return next;
     }
--- a/src/decision/consensus/voter_changes.h
+++ b/src/decision/consensus/voter_changes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Which change of the voters comes next, one replica at a time.
+ * Selects the next change of the set of voters; each change adds or removes one replica.
  */
 
 #include <optional>
@@ -11,19 +11,20 @@
 
 namespace plantainlatch {
 
-/** What a change of the voters is chosen from. */
-struct voter_situation {
+/** The state that a change of the voters is based on. */
+struct voter_change_input {
     voter_set current;
-    /** Replicas with a working disk that have all but the newest entries. */
+    /** Replicas with a working disk that miss at most a few of the latest entries. */
     std::set<replica_id> upToDate;
-    /** Voters that were not heard of for long. */
+    /** Voters that have not answered for consensus_options::replaceVoterAfter. */
     std::set<replica_id> silent;
-    /** The most voters; a replica beyond them is a voter only in place of a silent one. */
-    std::size_t largestCount = 0;
+    /** The maximum number of voters. When it is reached, another replica can only replace a silent voter. */
+    std::size_t maximumCount = 0;
 };
 
-/** The voters after the next change: a lost disk's identity goes first, then the new one of its VM comes; a silent
- * voter goes when an up-to-date replica waits for its place; none when nothing is to be done. */
-std::optional<voter_set> nextVoters(const voter_situation& situation);
+/** The voters after the next change; none if no change is needed. A voter whose VM came back with another identity is
+ * removed first. Otherwise an up-to-date replica that is not a voter is added, or at the maximum count a silent voter
+ * is removed to make room for it. */
+std::optional<voter_set> nextVoters(const voter_change_input& situation);
 
 } // namespace plantainlatch
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -8,26 +8,27 @@
 
 namespace {
 
-    /** A crashing request is known once it crashed three upstreams. */
+    /** Equal requests are refused once three upstreams crashed while they ran one. */
     constexpr std::size_t crashLimit = 3;
-    /** Attempts of one request, those that no upstream saw among them. */
-    constexpr std::size_t mostAttempts = 6;
-    /** A request with less time left is not worth an upstream's work. */
-    constexpr duration leastRemaining = std::chrono::milliseconds(20);
-    /** Entries of its own region that a caller can do with. */
+    /** The maximum number of attempts of one request, including those that reached no upstream. */
+    constexpr std::size_t maximumAttempts = 6;
+    /** A request with less time left until its deadline is not sent, as its answer would likely come too late. */
+    constexpr duration minimumRemaining = std::chrono::milliseconds(20);
+    /** With this many entries in its own region, a caller is given no entries of other regions. */
     constexpr std::size_t regionOnlyThreshold = 2;
 
-    /** An upstream is taken out of the directory after so many missed renewals. */
+    /** The directory removes an upstream after this many missed renewals. */
     constexpr int missedRenewals = 4;
-    /** The part of the shared budget that is used, as entries count a little late and apart. */
-    constexpr double safeShare = 0.8;
+    /** The share of the retry budget that is used; the rest is a margin, as each entry counts on its own and with a
+     * delay. */
+    constexpr double usedBudgetShare = 0.8;
 
     request_policies routedPolicies()
     {
         request_policies policies = defaultRequestPolicies();
-        policies.worthStarting = [](const dispatch_timing& chance) { return chance.remaining > leastRemaining; };
-        // The upstream's name goes with each request and a refusal comes with proof, so that an idle connection costs a
-        // request only when it went silent.
+        policies.worthStarting = [](const dispatch_timing& timing) { return timing.remaining > minimumRemaining; };
+        // Each request names its upstream, and a refusal reports that the upstream did not execute it. Idle connections
+        // can therefore be reused; a request is lost only if the peer of such a connection no longer answers.
         policies.needsFreshConnection = [](const request_traits&) { return false; };
         policies.isExemptFromBudget
             = [](const failed_attempt& ended) { return ended.state == attempt_state::NotOffered; };
@@ -47,15 +48,15 @@
     options.entryList.regionOnlyThreshold = regionOnlyThreshold;
     options.entryList.drainsCoverVms = false;
     options.requests.crashes = { crashLimit, false };
-    options.requests.maximumAttempts = mostAttempts;
-    // The front end has served out its callers before.
+    options.requests.maximumAttempts = maximumAttempts;
+    // When this service stops, the front end has already answered its callers' requests.
     options.requests.lameDuckTime = duration::zero();
     options.requests.policies = routedPolicies();
-    options.requests.retryWindow
-        = retry_window_options { bounds.retryWindow, bounds.retryShare * safeShare, bounds.retrySlack * safeShare };
+    options.requests.retryWindow = retry_window_options { bounds.retryWindow, bounds.retryShare * usedBudgetShare,
+        bounds.retrySlack * usedBudgetShare };
     options.placement.cold = bounds.cold;
     if (bounds.replicasThatMayFail > 0)
-        options.consensus.largestVoterCount = 2 * bounds.replicasThatMayFail + 1;
+        options.consensus.maximumVoterCount = 2 * bounds.replicasThatMayFail + 1;
     if (bounds.renewalInterval > duration::zero()) {
         options.directory.renewalInterval = bounds.renewalInterval;
         options.directory.silenceTimeout = bounds.renewalInterval * (missedRenewals - 1);
--- a/src/model/consensus_message.h
+++ b/src/model/consensus_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Messages and durable records of the replicated log.
+ * Messages and durable records of the consensus protocol.
  */
 
 #include <cstdint>
@@ -16,7 +16,8 @@
 
 namespace plantainlatch {
 
-/** A copy of the log: a VM with one particular disk. */
+/** The identity of a replica: a VM and the incarnation of its disk. A VM whose disk was lost comes back as another
+ * replica. */
 struct replica_id {
     vm_id vm;
     incarnation disk;
@@ -29,7 +30,7 @@
     }
 };
 
-/** The replicas that vote; two sets that follow each other differ by one. */
+/** The replicas that vote. Consecutive sets in the log differ by one replica. */
 struct voter_set {
     std::set<replica_id> voters;
 
@@ -41,7 +42,7 @@
     }
 };
 
-/** One entry of the log: a proposal, or a change of the voters. */
+/** One entry of the log: a proposal, or a new set of voters. */
 struct log_entry {
     log_term term;
     log_index index;
@@ -53,11 +54,11 @@
     }
 };
 
-/** What a replica must not forget between two starts, beside its log. */
+/** The state beside the log that a replica must keep across restarts (Raft's persistent state). */
 struct hard_state {
     replica_id self;
     log_term term;
-    /** For whom it voted in that term; empty for none. */
+    /** The candidate that it voted for in `term`; empty for none. */
     replica_id votedFor;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -66,7 +67,7 @@
     }
 };
 
-/** The control state after the entry at `index`, which stands for all entries up to it. */
+/** The control state after applying the entry at `index`; it replaces all entries up to that index. */
 struct log_snapshot {
     log_index index;
     log_term term;
@@ -79,14 +80,14 @@
     }
 };
 
-/** Asks for a vote, or with `preVote` whether one would be given; a pre-vote changes no state. */
+/** Requests a vote, or with `preVote` whether the vote would be granted; a pre-vote changes no state of the voter. */
 struct vote_request {
     log_term term;
     replica_id candidate;
     log_index lastIndex;
     log_term lastTerm;
     bool preVote = false;
-    /** Set when the leader itself asked for this election; a leader's lease does not prevent it then. */
+    /** The leader itself asked for this election, so its lease does not prevent it. */
     bool transfer = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -107,7 +108,7 @@
     }
 };
 
-/** Sends entries, and with none is the leader's heartbeat. */
+/** Replicates entries; without entries it is a heartbeat. */
 struct append_request {
     log_term term;
     replica_id leader;
@@ -115,7 +116,8 @@
     log_term previousTerm;
     std::vector<log_entry> entries;
     log_index committed;
-    /** Numbers the leader's rounds, so that an answer proves that the follower heard it after a moment. */
+    /** The number of the leader's heartbeat round. An answer with it shows that the follower received a message that
+     * was sent after this round began. In a first entry (see log_joiner), the bootstrap token of the receiver. */
     std::uint64_t round = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -128,12 +130,13 @@
     log_term term;
     replica_id follower;
     bool matched = false;
-    /** The last durable index that matches the leader's, or where to try next when not matched. */
+    /** If `matched`, the last durable index that matches the leader's log; otherwise, the last index that may match. */
     log_index index;
     std::uint64_t round = 0;
-    /** What the follower has applied, for "in force everywhere". */
+    /** The last index that the follower has applied, so that the leader can tell whether a change is in force on all
+     * VMs. */
     log_index applied;
-    /** What matched is on the follower's disk, so that it may become a voter. */
+    /** The follower keeps its log on disk, so it may become a voter. */
     bool durable = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -142,7 +145,7 @@
     }
 };
 
-/** Sends the whole state to a VM that is too far behind for entries. */
+/** Sends a snapshot to a follower that needs entries which were compacted. */
 struct snapshot_request {
     log_term term;
     replica_id leader;
@@ -155,7 +158,7 @@
     }
 };
 
-/** Asks the most advanced replica to start an election at once. */
+/** Asks an up-to-date voter to start an election at once, to transfer leadership to it. */
 struct transfer_request {
     log_term term;
     replica_id leader;
@@ -166,11 +169,12 @@
     }
 };
 
-/** A VM without a vote asks to be sent the log; an empty disk asks so too, and says so. */
+/** Sent by a VM that has no leader, to find the log or, with a blank disk, to bootstrap one. */
 struct join_request {
     replica_id self;
+    /** The VM has a working disk. */
     bool replica = false;
-    /** Nothing durable was found. */
+    /** The VM has no log. */
     bool blank = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -179,23 +183,23 @@
     }
 };
 
-/** Answers join_request: whether this VM knows of a log, and of a leader. */
+/** Answers join_request: whether this VM has a log, and which leader it knows. */
 struct join_answer {
     replica_id self;
     bool blank = false;
     vm_id leader;
-    /** Who asked; an answer to an earlier disk of the same VM counts for nothing. */
-    replica_id asker;
-    /** A blank replica takes the first entry of a new log only under the last pledge that it gave. */
-    std::uint64_t pledge = 0;
+    /** The sender of the request; answers to an earlier identity of the same VM are ignored. */
+    replica_id requester;
+    /** Issued by a blank replica, which accepts the first entry of a new log only with its last token; 0 for none. */
+    std::uint64_t bootstrapToken = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.self, self.blank, self.leader, self.asker, self.pledge);
+        visit(self.self, self.blank, self.leader, self.requester, self.bootstrapToken);
     }
 };
 
-/** A proposal on its way to the leader; it may be sent again. */
+/** Forwards a proposal to the leader; it may be sent more than once. */
 struct propose_request {
     proposal_id id;
     control_command command;
@@ -206,7 +210,8 @@
     }
 };
 
-/** The result of a proposal, once applied at the leader; or who may be the leader. */
+/** The result of a proposal that the leader has applied; or, if the receiver did not accept it, the leader that it
+ * knows. */
 struct propose_answer {
     proposal_id id;
     std::optional<command_result> result;
@@ -218,7 +223,7 @@
     }
 };
 
-/** Any message of the replicated log. */
+/** Any message of the consensus protocol. The order of the alternatives is part of the encoding. */
 using consensus_message = std::variant<vote_request, vote_answer, append_request, append_answer, snapshot_request,
     transfer_request, join_request, join_answer, propose_request, propose_answer>;
 
--- a/test/correctness/consensus_catch_up_test.cpp
+++ b/test/correctness/consensus_catch_up_test.cpp
@@ -25,7 +25,7 @@
             REQUIRE(cluster->waitForLeader());
         }
 
-        void change(std::uint64_t from, std::uint64_t to, int through)
+        void proposeRange(std::uint64_t from, std::uint64_t to, int through)
         {
             for (std::uint64_t i = from; i <= to; ++i) {
                 cluster->propose(through, i, 20s);
@@ -34,13 +34,13 @@
             REQUIRE(cluster->until([&] { return cluster->results.contains(to); }));
         }
 
-        /** A replica and a VM without a disk miss 500 changes. */
+        /** A replica and a learner are down while 500 changes are committed, and are then restarted. */
         void missChanges()
         {
             const int late = cluster->leader() % 3 + 1;
             cluster->kill(late);
             cluster->kill(4);
-            change(1, 500, cluster->leader());
+            proposeRange(1, 500, cluster->leader());
             snapshots = 0;
             REQUIRE(cluster->start(late).ok());
             REQUIRE(cluster->start(4).ok());
@@ -58,11 +58,11 @@
     missChanges();
     REQUIRE(cluster->until([&] { return cluster->allApplied(500); }, 5s));
     REQUIRE(snapshots >= 2);
-    change(501, 510, 4);
+    proposeRange(501, 510, 4);
     REQUIRE(cluster->until([&] { return cluster->allApplied(510); }, 5s));
 }
 
-TEST_CASE_METHOD(catch_up_fixture, "vm.that_missed_500_changes.would_stay_behind_without_snapshots")
+TEST_CASE_METHOD(catch_up_fixture, "vm.that_missed_500_changes.stays_behind_without_snapshots")
 {
     consensus_mechanisms mechanisms;
     mechanisms.snapshotCatchUp = false;
@@ -71,10 +71,10 @@
     REQUIRE_FALSE(cluster->until([&] { return cluster->allApplied(500); }, 5s));
 }
 
-TEST_CASE_METHOD(catch_up_fixture, "replicas.restarted_after_compaction.begin_from_their_snapshots")
+TEST_CASE_METHOD(catch_up_fixture, "replicas.restarted_after_compaction.restore_their_snapshots")
 {
     begin();
-    change(1, 250, 1);
+    proposeRange(1, 250, 1);
     for (int i = 1; i <= 4; ++i)
         cluster->kill(i);
     REQUIRE(cluster->vm(1).disk->content().snapshot.has_value());
@@ -97,7 +97,7 @@
     REQUIRE(cluster->vm(4).control->numbers() == std::vector<std::uint64_t> { 1 });
 }
 
-TEST_CASE_METHOD(catch_up_fixture, "proposal.not_resent.would_get_no_answer")
+TEST_CASE_METHOD(catch_up_fixture, "proposal.not_resent.gets_no_answer")
 {
     consensus_mechanisms mechanisms;
     mechanisms.resendProposals = false;
@@ -109,18 +109,18 @@
     REQUIRE(cluster->results.at(1).status().code() == absl::StatusCode::kDeadlineExceeded);
 }
 
-TEST_CASE_METHOD(catch_up_fixture, "doubled_and_late_proposals.are_applied_once")
+TEST_CASE_METHOD(catch_up_fixture, "proposals.duplicated_and_delayed.are_applied_once")
 {
     begin();
     cluster->network.faults = { 100, 500, 300, 3s };
-    change(1, 100, 4);
+    proposeRange(1, 100, 4);
     cluster->network.faults = {};
     cluster->advance(5s);
     REQUIRE(cluster->until([&] { return cluster->results.size() == 100; }));
     REQUIRE(cluster->vm(4).control->numbers().size() == 100);
 }
 
-TEST_CASE_METHOD(catch_up_fixture, "proposal.without_any_leader.is_never_applied_and_says_so")
+TEST_CASE_METHOD(catch_up_fixture, "proposal.without_any_leader.fails_as_never_applied")
 {
     begin();
     cluster->network.isolate(cluster->name(4));
--- a/test/correctness/consensus_election_test.cpp
+++ b/test/correctness/consensus_election_test.cpp
@@ -22,7 +22,7 @@
             other = first % 5 + 1;
         }
 
-        /** Whether two VMs hold a lease at once at any step. */
+        /** Whether two VMs hold a leader lease at the same time within `span`. */
         bool sawTwoLeaders(duration span)
         {
             return cluster->until([this] { return cluster->allLeaders().size() > 1; }, span);
@@ -30,7 +30,7 @@
 
         bool isLedByAnother() { return cluster->leader() != 0 && cluster->leader() != first; }
 
-        /** Only the leader and this one do not hear each other. */
+        /** Cuts the connection between `first` and `other` in both directions; all other connections work. */
         void cutOffFromLeaderOnly()
         {
             cluster->network.cut(cluster->name(first), cluster->name(other));
@@ -44,7 +44,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(election_fixture, "leader.cut_off.loses_its_lease_before_a_rival_leads")
+TEST_CASE_METHOD(election_fixture, "leader.isolated.loses_its_lease_before_another_replica_leads")
 {
     begin();
     cluster->network.isolate(cluster->name(first));
@@ -53,7 +53,7 @@
     REQUIRE_FALSE(cluster->vm(first).port->state().current);
 }
 
-TEST_CASE_METHOD(election_fixture, "leader.cut_off_without_quorum_leases.would_lead_beside_a_rival")
+TEST_CASE_METHOD(election_fixture, "leader.isolated_with_a_lease_without_quorum.leads_beside_another_leader")
 {
     consensus_mechanisms mechanisms;
     mechanisms.leaseNeedsQuorum = false;
@@ -62,7 +62,7 @@
     REQUIRE(sawTwoLeaders(5s));
 }
 
-TEST_CASE_METHOD(election_fixture, "voter.that_hears_the_leader.refuses_a_rival_that_does_not")
+TEST_CASE_METHOD(election_fixture, "voter.in_contact_with_the_leader.refuses_a_candidate_that_is_not")
 {
     begin();
     cutOffFromLeaderOnly();
@@ -70,7 +70,7 @@
     REQUIRE(cluster->leader() == first);
 }
 
-TEST_CASE_METHOD(election_fixture, "voter.without_refusal_under_lease.would_make_two_leaders")
+TEST_CASE_METHOD(election_fixture, "voter.without_vote_refusal_under_lease.allows_two_leaders")
 {
     consensus_mechanisms mechanisms;
     mechanisms.voteRefusalUnderLease = false;
@@ -89,7 +89,7 @@
     REQUIRE(cluster->leader() == first);
 }
 
-TEST_CASE_METHOD(election_fixture, "replica.back_after_isolation_without_pre_vote.would_end_the_term")
+TEST_CASE_METHOD(election_fixture, "replica.back_after_isolation_without_pre_vote.forces_a_new_term")
 {
     consensus_mechanisms mechanisms;
     mechanisms.preVote = false;
@@ -102,7 +102,7 @@
     REQUIRE(cluster->vm(first).port->state().term > term);
 }
 
-TEST_CASE_METHOD(election_fixture, "restarted_voter.within_a_lease.does_not_help_a_rival")
+TEST_CASE_METHOD(election_fixture, "restarted_voter.within_a_lease.does_not_elect_another_leader")
 {
     begin();
     for (int i = 1; i <= 5; ++i) {
@@ -116,7 +116,7 @@
     REQUIRE(isLedByAnother());
 }
 
-TEST_CASE_METHOD(election_fixture, "leader.stopped.hands_over_faster_than_an_election_timeout")
+TEST_CASE_METHOD(election_fixture, "leader.stopped.transfers_leadership_within_an_election_timeout")
 {
     begin();
     bool stopped = false;
@@ -127,7 +127,7 @@
     REQUIRE(cluster->runtime.now() - began < cluster->options.electionTimeout);
 }
 
-TEST_CASE_METHOD(election_fixture, "leader.handing_over_under_lost_messages.never_leads_beside_another")
+TEST_CASE_METHOD(election_fixture, "leadership_transfer.under_message_loss.never_makes_two_leaders")
 {
     begin();
     cluster->network.faults = { 200, 200, 300, 3s };
@@ -141,7 +141,7 @@
     REQUIRE(cluster->waitForLeader());
 }
 
-TEST_CASE_METHOD(election_fixture, "vm.cut_off.knows_that_it_is_not_current")
+TEST_CASE_METHOD(election_fixture, "vm.isolated.reports_that_it_is_not_current")
 {
     begin();
     REQUIRE(cluster->vm(other).port->state().current);
--- a/test/correctness/consensus_replication_test.cpp
+++ b/test/correctness/consensus_replication_test.cpp
@@ -8,7 +8,7 @@
 
     using namespace std::chrono_literals;
 
-    /** Seven VMs, five of them replicas, as each user has today. */
+    /** Seven VMs of which five are replicas, as in the current deployments. */
     class seven_vms_fixture {
     protected:
         void begin()
@@ -22,14 +22,14 @@
 
 } // namespace
 
-TEST_CASE_METHOD(seven_vms_fixture, "log.blank_replicas.begin_one_log_and_elect_a_leader")
+TEST_CASE_METHOD(seven_vms_fixture, "log.blank_replicas.bootstrap_one_log_and_elect_a_leader")
 {
     begin();
     REQUIRE(cluster.until([this] { return cluster.voterCount(7) == 5; }));
     REQUIRE(cluster.allLeaders().size() == 1);
 }
 
-TEST_CASE("log.lone_replica.leads_and_applies", "[consensus]")
+TEST_CASE("log.single_replica.leads_and_applies", "[consensus]")
 {
     consensus_cluster cluster(1, 1);
     cluster.startAll();
@@ -68,7 +68,7 @@
     REQUIRE(cluster.vm(7).control->numbers() == std::vector<std::uint64_t> { 1, 2 });
 }
 
-TEST_CASE_METHOD(seven_vms_fixture, "log.all_vms_killed.come_back_with_every_acknowledged_change")
+TEST_CASE_METHOD(seven_vms_fixture, "log.all_vms_killed.keeps_every_acknowledged_change")
 {
     begin();
     for (std::uint64_t i = 1; i <= 20; ++i)
--- a/test/correctness/voter_changes_test.cpp
+++ b/test/correctness/voter_changes_test.cpp
@@ -19,17 +19,18 @@
             return changed ? changed->voters : situation.current.voters;
         }
 
-        voter_situation situation { { { replicaOf("a"), replicaOf("b"), replicaOf("c") } }, {}, {}, 3 };
+        voter_change_input situation { { { replicaOf("a"), replicaOf("b"), replicaOf("c") } }, {}, {}, 3 };
     };
 
-    /** Five replicas of which three are seeds; the others are found through them. */
+    /** Five replicas and two learners. Each VM knows the three seeds and itself, and finds the others through the
+     * seeds. */
     class seeded_cluster_fixture {
     protected:
         seeded_cluster_fixture()
         {
-            options.largestVoterCount = 5;
+            options.maximumVoterCount = 5;
             cluster.options = options;
-            cluster.adjust = [this](vm_settings& settings) {
+            cluster.adjustSettings = [this](vm_settings& settings) {
                 std::vector<vm_record> known;
                 for (const vm_record& vm : settings.vms) {
                     if (seeds.contains(vm.id) || vm.id == settings.self.id)
@@ -37,25 +38,25 @@
                 }
                 settings.vms = known;
                 settings.membership = membership_mode::Seeded;
-                settings.mayBootstrapLog = founding && seeds.contains(settings.self.id);
+                settings.mayBootstrapLog = mayBootstrap && seeds.contains(settings.self.id);
             };
         }
 
         consensus_options options;
         std::set<vm_id> seeds { vm_id("vm1"), vm_id("vm2"), vm_id("vm3") };
-        bool founding = true;
+        bool mayBootstrap = true;
         consensus_cluster cluster { 7, 5 };
     };
 
 } // namespace
 
-TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.replica_beside_full_and_living_voters.waits")
+TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.replica_beside_the_maximum_of_live_voters.is_not_added")
 {
     situation.upToDate = { replicaOf("a"), replicaOf("d") };
     REQUIRE_FALSE(nextVoters(situation));
 }
 
-TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.silent_voter.gives_its_place_to_a_waiting_replica")
+TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.silent_voter.is_replaced_by_an_up_to_date_replica")
 {
     situation.upToDate = { replicaOf("a"), replicaOf("b"), replicaOf("d") };
     situation.silent = { replicaOf("c") };
@@ -64,35 +65,35 @@
     REQUIRE(next() == std::set<replica_id> { replicaOf("a"), replicaOf("b"), replicaOf("d") });
 }
 
-TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.silent_voter_without_a_waiting_replica.stays")
+TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.silent_voter_without_a_replacement.stays")
 {
     situation.upToDate = { replicaOf("a"), replicaOf("b") };
     situation.silent = { replicaOf("c") };
     REQUIRE_FALSE(nextVoters(situation));
 }
 
-TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.lost_disk.goes_before_anything_else")
+TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.lost_disk.is_removed_first")
 {
     situation.upToDate = { replicaOf("c", 2), replicaOf("d") };
     situation.silent = { replicaOf("b") };
     REQUIRE(next() == std::set<replica_id> { replicaOf("a"), replicaOf("b") });
 }
 
-TEST_CASE_METHOD(seeded_cluster_fixture, "seeded_log.three_seeds.found_it_and_all_others_join")
+TEST_CASE_METHOD(seeded_cluster_fixture, "seeded_log.three_seeds.bootstrap_it_and_all_others_join")
 {
     cluster.startAll();
     REQUIRE(cluster.waitForLeader());
     REQUIRE(cluster.until([this] { return cluster.voterCount(7) == 5; }));
 }
 
-TEST_CASE_METHOD(seeded_cluster_fixture, "seeded_log.no_founding.never_begins_a_log")
+TEST_CASE_METHOD(seeded_cluster_fixture, "seeded_log.without_bootstrap_permission.has_no_leader")
 {
-    founding = false;
+    mayBootstrap = false;
     cluster.startAll();
     REQUIRE_FALSE(cluster.until([this] { return !cluster.allLeaders().empty(); }, 20s));
 }
 
-TEST_CASE_METHOD(seeded_cluster_fixture, "seeded_log.replica_that_is_no_seed.founds_nothing_alone")
+TEST_CASE_METHOD(seeded_cluster_fixture, "seeded_log.replica_that_is_not_a_seed.does_not_bootstrap_alone")
 {
     REQUIRE(cluster.start(4).ok());
     REQUIRE_FALSE(cluster.until([this] { return !cluster.allLeaders().empty(); }, 20s));
@@ -115,20 +116,20 @@
         REQUIRE(cluster.start(number).ok());
     REQUIRE(cluster.waitForLeader());
     REQUIRE(cluster.until([this] { return cluster.voterCount(7) == 4; }));
-    options.largestVoterCount = 4;
+    options.maximumVoterCount = 4;
     cluster.kill(1);
     REQUIRE(cluster.until([this] { return !cluster.allLeaders().empty(); }));
     REQUIRE(cluster.start(5).ok());
     REQUIRE(cluster.until([this] { return cluster.voterCount(7) == 5; }, 20s));
 }
 
-TEST_CASE_METHOD(seeded_cluster_fixture, "catch_up.leader_s_word_without_the_entries.is_not_enough")
+TEST_CASE_METHOD(seeded_cluster_fixture, "read_barrier.answered_by_the_leader_without_local_entries.does_not_complete")
 {
     cluster.startAll();
     REQUIRE(cluster.waitForLeader());
     REQUIRE(cluster.until([this] { return cluster.voterCount(7) == 5; }));
     const int leader = cluster.allLeaders().front();
-    // A learner that hears everything but the entries.
+    // The learner vm7 receives all messages except those with entries.
     cluster.network.drops = [](const vm_id&, const vm_id& to, const peer_message& message) {
         const auto* consensus = std::get_if<consensus_message>(&message);
         const auto* append = consensus == nullptr ? nullptr : std::get_if<append_request>(consensus);
@@ -136,16 +137,16 @@
     };
     cluster.propose(leader, 1);
     REQUIRE(cluster.until([&] { return cluster.vm(leader).control->numbers().size() == 1; }));
-    std::size_t seen = 0;
-    bool told = false;
+    std::size_t appliedAtCompletion = 0;
+    bool completed = false;
     cluster.vm(7).port->readBarrier(20s, [&](const absl::Status& status) {
-        told = status.ok();
-        seen = cluster.vm(7).control->numbers().size();
+        completed = status.ok();
+        appliedAtCompletion = cluster.vm(7).control->numbers().size();
     });
-    REQUIRE_FALSE(cluster.until([&] { return told; }, 2s));
+    REQUIRE_FALSE(cluster.until([&] { return completed; }, 2s));
     cluster.network.drops = nullptr;
-    REQUIRE(cluster.until([&] { return told; }, 8s));
-    REQUIRE(seen == 1);
+    REQUIRE(cluster.until([&] { return completed; }, 8s));
+    REQUIRE(appliedAtCompletion == 1);
 }
 
 } // namespace plantainlatch
--- a/test/support/consensus_fixture.cpp
+++ b/test/support/consensus_fixture.cpp
@@ -45,9 +45,9 @@
     return numbers;
 }
 
-consensus_cluster::consensus_cluster(int vms, int replicas, std::uint64_t seed, consensus_options with)
+consensus_cluster::consensus_cluster(int vms, int replicas, std::uint64_t seed, consensus_options initialOptions)
     : runtime(seed)
-    , options(with)
+    , options(initialOptions)
 {
     for (int i = 1; i <= vms; ++i) {
         vm_record record;
@@ -78,8 +78,8 @@
     vm_settings settings;
     settings.self = item.record;
     settings.vms = m_records;
-    if (adjust)
-        adjust(settings);
+    if (adjustSettings)
+        adjustSettings(settings);
     item.subject = *consensus_service::create(hooks, settings, options);
     item.runningKernel = *kernel::create(hooks);
     registry& services = item.runningKernel->services();
--- a/test/support/consensus_fixture.h
+++ b/test/support/consensus_fixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * Several VMs with the replicated log alone, on a paused clock, with a fake network, fake disks and a small control
- * state that records what was applied.
+ * A cluster of VMs that run only the consensus service, on a simulated clock, with a fake network, fake disks and a
+ * control state that records the applied proposals.
  */
 
 #include <functional>
@@ -18,12 +18,12 @@
 
 namespace plantainlatch {
 
-/** A control state that keeps the numbers of applied declarations in the order of their application. */
+/** A control state that records the numbers of applied declarations in order. */
 class recording_control {
 public:
     control_port port();
     service asService();
-    /** Numbers in the order applied, each proposal once. */
+    /** The numbers of the applied declarations in order; a proposal that is applied repeatedly counts once. */
     std::vector<std::uint64_t> numbers() const;
 
 private:
@@ -33,7 +33,7 @@
     control_port m_port = port();
 };
 
-/** One VM: its disk stays while its processes come and go. */
+/** One VM. Its disk persists when its process is killed and restarted. */
 struct consensus_vm {
     vm_record record;
     std::unique_ptr<fake_disk> disk;
@@ -49,16 +49,16 @@
     bool running() const { return life != nullptr; }
 };
 
-/** VMs named vm1, vm2, ...; the first `replicas` of them have a disk. */
+/** VMs named vm1, vm2, ...; the first `replicas` of them are replicas, the others learners. */
 class consensus_cluster {
 public:
-    consensus_cluster(int vms, int replicas, std::uint64_t seed = 1, consensus_options with = {});
+    consensus_cluster(int vms, int replicas, std::uint64_t seed = 1, consensus_options initialOptions = {});
     ~consensus_cluster();
     consensus_cluster(const consensus_cluster&) = delete;
     consensus_cluster& operator=(const consensus_cluster&) = delete;
 
-    /** Changes the settings of each VM before it starts. */
-    std::function<void(vm_settings&)> adjust;
+    /** Modifies the settings of each VM before it starts; may be empty. */
+    std::function<void(vm_settings&)> adjustSettings;
 
     consensus_vm& vm(int number) { return *m_vms.at(number - 1); }
     int size() const { return static_cast<int>(m_vms.size()); }
@@ -68,19 +68,19 @@
     void startAll();
     void kill(int number);
     void advance(duration span) { runtime.advance(span); }
-    /** Advances until the condition holds; false after `limit`. */
+    /** Advances the clock until the condition holds; false if it does not hold within `limit`. */
     bool until(const std::function<bool()>& condition, duration limit = std::chrono::seconds(20));
 
-    /** The number of the VM that leads under a lease; 0 for none. */
+    /** The number of the first VM that is the leader with a valid lease; 0 for none. */
     int leader() const;
     std::vector<int> allLeaders() const;
     bool waitForLeader()
     {
         return until([this] { return leader() != 0; });
     }
-    /** Proposes a declaration of this number through a VM; the result goes to `results`. */
+    /** Proposes a declaration with the number `declared` on VM `number`; the result is stored in `results`. */
     void propose(int number, std::uint64_t declared, duration timeout = std::chrono::seconds(5));
-    /** Whether all running VMs have applied just the same numbers, up to `last`. */
+    /** Whether all running VMs have applied the same sequence of numbers, which ends with `last`. */
     bool allApplied(std::uint64_t last) const;
     std::size_t voterCount(int number) { return vm(number).port->voters().voters.size(); }
 
--- a/test/support/fake_network.cpp
+++ b/test/support/fake_network.cpp
@@ -34,11 +34,11 @@
     if (isCut(from, to) || happens(faults.lostPerMille))
         return;
     const auto shared = std::make_shared<const peer_message>(std::move(message));
-    const int copies = happens(faults.doubledPerMille) ? 2 : 1;
+    const int copies = happens(faults.duplicatedPerMille) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
         duration span = delay(from, to);
-        if (happens(faults.latePerMille))
-            span += duration(m_runtime.random() % static_cast<std::uint64_t>(faults.lateness.count()));
+        if (happens(faults.delayedPerMille))
+            span += duration(m_runtime.random() % static_cast<std::uint64_t>(faults.maximumExtraDelay.count()));
         deliverAfter(span, from, to, shared);
     }
 }
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A network between simulated VMs that loses, delays, doubles, reorders and cuts messages.
+ * A simulated network between VMs that can lose, delay, duplicate and reorder messages, and cut connections.
  */
 
 #include <functional>
@@ -14,13 +14,13 @@
 
 namespace plantainlatch {
 
-/** How the network treats every message; the chances are out of 1000. */
+/** The random faults of the network; probabilities are per mille of the messages. */
 struct network_faults {
     std::uint64_t lostPerMille = 0;
-    std::uint64_t doubledPerMille = 0;
-    /** A late message takes up to `lateness` longer, and others pass it. */
-    std::uint64_t latePerMille = 0;
-    duration lateness = std::chrono::seconds(2);
+    std::uint64_t duplicatedPerMille = 0;
+    /** Delayed messages take a random extra time below `maximumExtraDelay`, so later messages may overtake them. */
+    std::uint64_t delayedPerMille = 0;
+    duration maximumExtraDelay = std::chrono::seconds(2);
 };
 
 /** Delivers messages between the processes that are attached. */
@@ -32,18 +32,19 @@
     }
 
     network_faults faults;
-    /** The one-way delay between two VMs. */
+    /** The one-way latency from one VM to another. */
     std::function<duration(const vm_id& from, const vm_id& to)> delay
         = [](const vm_id&, const vm_id&) { return std::chrono::milliseconds(1); };
-    /** Loses the messages for which it is true; none if empty. */
+    /** Returns whether to drop a message; may be empty. */
     std::function<bool(const vm_id& from, const vm_id& to, const peer_message&)> drops;
-    /** Sees each message as it is sent. */
+    /** Called for each message that is sent and that `drops` does not match; may be empty. */
     std::function<void(const vm_id& from, const vm_id& to, const peer_message&)> onSend;
 
-    /** The port of one process; messages reach it while it lives and nobody else was attached under its name. */
+    /** The peer port for one process. It receives messages while the process lives, until another one is attached under
+     * the same name. */
     peer_port attach(const vm_id& vm, const process_lifetime& life);
 
-    /** Cuts one direction. */
+    /** Drops all messages in one direction. */
     void cut(const vm_id& from, const vm_id& to) { m_cuts.insert({ from, to }); }
     void heal(const vm_id& from, const vm_id& to) { m_cuts.erase({ from, to }); }
     /** Cuts a VM off in both directions. */
