--- a/src/decision/peers/peer_router.h
+++ b/src/decision/peers/peer_router.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that hands received peer messages to the services that subscribed to their type.
+ * The service that dispatches messages from other VMs to the services that subscribed to their type.
  */
 
 #include <functional>
@@ -13,7 +13,7 @@
 
 namespace plantainlatch {
 
-/** Sends peer messages and delivers received ones by type; published as "peer_router". */
+/** Sends messages to other VMs and dispatches received ones by type; published as "peer_router". */
 class peer_router {
 public:
     using consensus_handler = std::function<void(const vm_id& from, consensus_message)>;
@@ -22,10 +22,10 @@
 
     static std::unique_ptr<peer_router> create();
 
-    /** The kernel service; it needs "peers". The router must outlive the kernel. */
+    /** The kernel service; it depends on "peers". The router must outlive the kernel. */
     service asService();
 
-    /** Sends to another VM; it may never arrive. */
+    /** Sends a message to another VM, without a delivery guarantee. */
     void send(const vm_id& to, peer_message message);
 
     void subscribeConsensus(consensus_handler handler) { m_consensus.push_back(std::move(handler)); }
--- a/src/decision/vm/make_service.h
+++ b/src/decision/vm/make_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Makes the services of a VM one after the other, keeping the first failure.
+ * Creates the services of a VM in sequence and keeps the first error.
  */
 
 #include <memory>
@@ -14,7 +14,8 @@
 
 namespace plantainlatch {
 
-/** Makes one service into its place; a failure is kept in `status` and ends the making of the later ones. */
+/** Creates a service and stores it in `place`. Does nothing if `status` is already an error; an error of the creation
+ * is stored in `status`. */
 template <typename Service, typename Options>
 void makeService(absl::Status& status, std::unique_ptr<Service>& place, const kernel_hooks& hooks,
     const vm_settings& settings, Options options)
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -1,11 +1,11 @@
 #pragma once
 
 /** \file
- * The decision services of a VM that steers by routes, with upstreams that refuse with proof; control and entries may
- * be different VMs.
+ * Assembles the decision services of one VM that steers by configured routes. Its upstreams report in a refusal
+ * that they did not execute the request. Entries and the replicas of the control state may be different VMs.
  *
- * It has the same parts as steering_vm but for leased slots, shifts, alerts and the operators of declarations;
- * placement chooses upstreams instead.
+ * Compared with steering_vm, it has no leased slots, traffic shifts, alerts or declarations. The placement service
+ * selects the upstream of each request, and the configuration service takes whole configurations from operators.
  */
 
 #include <memory>
@@ -25,7 +25,7 @@
 
 namespace plantainlatch {
 
-/** What may be varied in the decisions of a routed VM. */
+/** The options of all decision services of a routed VM. */
 struct routed_options {
     consensus_options consensus;
     control_options control;
@@ -37,32 +37,32 @@
     configuration_options configurations;
 };
 
-/** What those who run a system require of it and give it. */
+/** Limits and system properties that operators set for a routed VM. */
 struct routed_bounds {
-    /** Repeats of a service's requests within the window, from all VMs together: a share of the requests, and a number
-     * beyond it. */
+    /** The retry budget of each service, over all VMs together: within `retryWindow`, retries may be at most
+     * `retryShare` of the requests plus `retrySlack`. */
     double retryShare = 0;
     duration retryWindow {};
     double retrySlack = 0;
-    /** Requests a second that a cold upstream bears, as a multiple of its rate and a number beyond it. */
+    /** The limit on requests per second to a cold upstream: a multiple of its rate plus a constant. */
     cold_rate_limit cold;
-    /** Replicas that may be lost at once; 0 when that is not said. */
+    /** The number of replicas that may fail at the same time; 0 if not set. */
     std::size_t replicasThatMayFail = 0;
-    /** How often upstreams renew; zero when that is not said. */
+    /** The interval at which upstreams renew their registration; zero if not set. */
     duration renewalInterval {};
 };
 
-/** The options that fit routes and upstreams with proof of what they did not run, within the bounds. */
+/** The options for a routed VM within the given bounds. */
 routed_options routedOptionsFor(const routed_bounds& bounds);
 
-/** The decision services of one routed VM; it must outlive the kernel's stop. An entry has "slots" and "requests", and
- * needs "upstreams"; every VM needs "peers", and a replica "storage". */
+/** The decision services of one routed VM; they must not be destroyed before the kernel has stopped. An entry provides
+ * "slots" and "requests" and depends on "upstreams"; every VM depends on "peers", and a replica also on "storage". */
 class routed_vm {
 public:
     static absl::StatusOr<std::unique_ptr<routed_vm>> create(
         const kernel_hooks& hooks, const vm_settings& settings, routed_options options);
 
-    /** Adds the services to a kernel that has not started. */
+    /** Adds the services to a kernel, which must not have started yet. */
     void addTo(kernel& core);
 
 private:
--- a/src/decision/vm/steering_vm.h
+++ b/src/decision/vm/steering_vm.h
@@ -1,10 +1,10 @@
 #pragma once
 
 /** \file
- * All decision services of one VM, assembled into a kernel.
+ * Assembles the decision services of one VM that steers by leased slots.
  *
- * The services that reach the world ("peers", "upstreams", and "storage" on a replica) are added by whoever runs the
- * VM: the real ones by `serve`, fakes by tests. The same objects run in both.
+ * The services for network and disk ("peers", "upstreams", and "storage" on a replica) are added separately: the real
+ * ones by `serve`, fakes by tests. The decision services are the same in both.
  */
 
 #include <memory>
@@ -26,7 +26,7 @@
 
 namespace plantainlatch {
 
-/** What may be varied in the decisions of a VM. */
+/** The options of all decision services of a VM. */
 struct steering_options {
     consensus_options consensus;
     control_options control;
@@ -40,14 +40,14 @@
     entry_list_options entryList;
 };
 
-/** The decision services of one VM; it must outlive the kernel's stop. */
+/** The decision services of one VM; they must not be destroyed before the kernel has stopped. */
 class steering_vm {
 public:
-    /** Makes all decision services; InvalidArgument when the settings don't fit one of them. */
+    /** Creates all decision services; InvalidArgument when one of them rejects the settings. */
     static absl::StatusOr<std::unique_ptr<steering_vm>> create(
         const kernel_hooks& hooks, const vm_settings& settings, steering_options options = {});
 
-    /** Adds the services to a kernel that has not started. */
+    /** Adds the services to a kernel, which must not have started yet. */
     void addTo(kernel& core);
 
     const request_service& requests() const { return *m_requests; }
--- a/src/model/peer_message.h
+++ b/src/model/peer_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Any message from one VM of the system to another.
+ * The messages between VMs.
  */
 
 #include <variant>
@@ -12,7 +12,7 @@
 
 namespace plantainlatch {
 
-/** Any message between VMs; the kinds keep their positions, as these are sent. */
+/** Any message between VMs. The order of the alternatives is part of the encoding. */
 using peer_message = std::variant<consensus_message, slot_message, control_message>;
 
 } // namespace plantainlatch
--- a/src/ports/peer_port.h
+++ b/src/ports/peer_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which VMs send each other messages.
+ * The interface for messages between VMs.
  */
 
 #include <functional>
@@ -11,11 +11,11 @@
 
 namespace plantainlatch {
 
-/** Messages to and from other VMs: they may be lost, late, doubled or out of order, and their senders are
- * authenticated. */
+/** Sends and receives messages between VMs. Senders are authenticated. Messages may be lost, delayed, duplicated or
+ * reordered. */
 struct peer_port {
     std::function<void(const vm_id& to, peer_message)> send;
-    /** Sets who gets what arrives; there is one receiver. */
+    /** Sets the only receiver of incoming messages. */
     std::function<void(std::function<void(const vm_id& from, peer_message)>)> setReceiver;
 };
 
--- a/src/ports/storage_port.h
+++ b/src/ports/storage_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which a replica keeps its state on disk.
+ * The interface for the durable state of a replica.
  */
 
 #include <functional>
@@ -14,30 +14,33 @@
 
 namespace plantainlatch {
 
-/** What a start found on disk. */
+/** The durable state that was read at startup. */
 struct recovered_state {
     /** None on a blank disk. */
     std::optional<hard_state> state;
     std::optional<log_snapshot> snapshot;
-    /** The entries after the snapshot, without a gap. */
+    /** Consecutive entries that follow the snapshot. */
     std::vector<log_entry> entries;
 };
 
 /** One durable write. */
 struct storage_write {
     std::optional<hard_state> state;
-    /** Replaces everything from the first one's index on. */
+    /** Replace all stored entries from the index of the first one on. */
     std::vector<log_entry> entries;
 };
 
-/** Durable state. Writes become durable in order; after a failed one, all later ones fail too. */
+/** Durable storage. Writes become durable in order; after a failed write, all later ones fail too. */
 struct storage_port {
-    /** DataLoss names the file and offset of damage that is no torn tail. */
+    /** Reads the stored state. An incomplete last record, as a crash leaves it, is dropped; DataLoss names the file and
+     * offset of any other damage. */
     std::function<absl::StatusOr<recovered_state>()> load;
-    /** Calls back once the write and all before it are synced; writes that wait together are synced together. */
+    /** Calls back once this write and all earlier ones are synced to disk. Writes that are queued at the same time
+     * share one sync. */
     std::function<void(storage_write, std::function<void(absl::Status)>)> write;
-    /** Replaces all entries up to the snapshot's index, and the later ones too unless `keepLaterEntries`, so that they
-     * are gone after a start even if the process ended in between. Durable in the order of write(). */
+    /** Replaces all entries up to the snapshot's index, and the later ones too unless `keepLaterEntries` is set. The
+     * replaced entries do not reappear after a restart, even if the process ends during the call. Becomes durable in
+     * the same order as calls of write(). */
     std::function<void(log_snapshot, bool keepLaterEntries, std::function<void(absl::Status)>)> saveSnapshot;
 };
 
