Fakes for disk and files, VM stop tests: plain comments

Cause: comments and test names needed a second reading. Change: comments, test names and the text of one assert; no check changed.

--- a/test/correctness/vm_stop_test.cpp
+++ b/test/correctness/vm_stop_test.cpp
@@ -32,7 +32,8 @@
         }
         bool earlierWorkEnded() const { return state.vms.at(vm.id).earlierWorkEnded; }
 
-        /** What the second allocator of a region lends at once to e2, while e1 is as the log says. */
+        /** The number of slots of u that a new allocator counts as allocated after e2 has requested one: those that it
+         * allocated to e2, and those that an earlier epoch may have allocated to a VM that has not reported yet. */
         std::uint32_t allocatedByNewAllocator()
         {
             const time_point now;
@@ -79,7 +80,7 @@
     REQUIRE(earlierWorkEnded());
 }
 
-TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.of_another_start.is_refused")
+TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.of_an_earlier_start.is_refused")
 {
     start(1);
     start(2);
@@ -87,10 +88,10 @@
     REQUIRE_FALSE(state.vms.at(vm.id).stopped);
 }
 
-TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.stopped_vm.does_not_hold_up_a_new_slot_allocator")
+TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.stopped_vm.does_not_delay_a_new_slot_allocator")
 {
     start(1);
-    REQUIRE(allocatedByNewAllocator() == 2); // all unaccounted, none lent
+    REQUIRE(allocatedByNewAllocator() == 2); // an earlier epoch may have allocated both, so e2 gets none
     stop(1);
     REQUIRE(allocatedByNewAllocator() == 1);
 }
--- a/test/support/fake_disk.cpp
+++ b/test/support/fake_disk.cpp
@@ -22,7 +22,7 @@
         while (!content.entries.empty() && content.entries.back().index >= write.entries.front().index)
             content.entries.pop_back();
         internal_assert(write.entries.front().index == lastIndexOf(content).next())
-            << "a gap before entry " << write.entries.front().index.value();
+            << "gap before entry " << write.entries.front().index.value();
         content.entries.insert(content.entries.end(), write.entries.begin(), write.entries.end());
     }
 
--- a/test/support/fake_disk.h
+++ b/test/support/fake_disk.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * A disk that outlives simulated processes: writes last once they are synced, and it can fail or be lost.
+ * A simulated disk that persists across simulated process restarts. Writes are durable once they are synced; writes can
+ * fail, and the content can be wiped or reported as damaged.
  */
 
 #include <deque>
@@ -20,20 +21,22 @@
     {
     }
 
+    /** The time from the first queued write to the end of the sync that makes it durable. */
     duration syncTime = std::chrono::milliseconds(2);
-    /** All further writes fail, as on a full disk; nothing of them is kept. */
+    /** All writes fail, as on a full disk, and leave the content unchanged. */
     bool failing = false;
-    /** A crash may leave some of what was not synced, as real disks do. */
+    /** A crash may keep some of the writes that were not synced, as on real disks. */
     bool keepsSomeUnsynced = true;
-    /** What load() reports instead of the content. */
+    /** The error that load() returns; OK if it returns the content. */
     absl::Status damage;
 
-    /** The port for a new process. */
+    /** The storage port for a new process. */
     storage_port attach(const process_lifetime& life);
 
-    /** The process was killed: a prefix of what was not synced may be there all the same. */
+    /** Simulates the end of the process. A random prefix of the writes that were not synced is kept if
+     * keepsSomeUnsynced is set. */
     void crash();
-    /** The disk is replaced by a blank one. */
+    /** Replaces the disk by a blank one. */
     void wipe();
 
     const recovered_state& content() const { return m_content; }
--- a/test/support/fake_files.h
+++ b/test/support/fake_files.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Files in memory with an unsynced tail, for tests of durable state.
+ * In-memory files that track how much was synced, for tests of durable storage.
  */
 
 #include <map>
@@ -11,7 +11,7 @@
 
 namespace plantainlatch {
 
-/** A disk whose power can fail and whose steps can be made to fail. */
+/** A file system on which power loss can be simulated, and appends and syncs can be made to fail. */
 class fake_files {
 public:
     struct file {
@@ -21,7 +21,7 @@
 
     file_hooks hooks();
 
-    /** Loses what was not synced, but for `tornBytes` of each tail. */
+    /** Discards the bytes that were not synced, except for the first `tornBytes` of them in each file. */
     void losePower(std::size_t tornBytes);
 
     std::map<std::string, file> files;
