Reword the request and upstream ports and the HTTP and route models

Cause: comments had figurative verbs, clipped phrases and private terms. Change: comments only. Dispatch is defined once, at the head of upstream_port.h.

--- a/src/model/http.h
+++ b/src/model/http.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Requests and answers as the decisions see them, free of any encoding.
+ * Requests and answers, independent of their encoding on the wire.
  */
 
 #include <cstdint>
@@ -16,7 +16,6 @@
 
 namespace plantainlatch {
 
-/** One header field. */
 struct header_field {
     std::string name;
     std::string value;
@@ -27,42 +26,44 @@
     }
 };
 
-/** A whole request of a caller, to a service that it names or to where a route sends it. */
+/** A complete request of a caller. Either the caller names the service, or a route selects it by host and path. */
 struct caller_request {
+    /** Empty until a route has selected it, if the caller does not name the service. */
     service_id service;
-    /** The host that selects the route; empty when the caller names the service. */
+    /** The host that selects the route; empty if the caller names the service. */
     std::string host;
-    /** The caller's own name for the request; empty without one. */
+    /** The request id that the caller chose (X-Request-Id); empty if there is none. */
     std::string name;
-    /** Names the object that the request concerns; empty without one. */
+    /** Identifies the object that the request is about, for routing by affinity; empty if there is none. */
     std::string affinity;
     std::string method;
-    /** Path and query behind `/s/{service}`, beginning with `/`. */
+    /** Path and query, beginning with `/`; if the caller names the service, without the prefix `/s/{service}`. */
     std::string target;
     std::vector<header_field> headers;
     std::string body;
-    /** How long the caller waits, counted from the arrival; the service's default without one. */
+    /** How long the caller waits, counted from the arrival of the request; by default the service's default deadline.
+     */
     std::optional<duration> deadline;
     std::optional<idempotency_key> key;
 };
 
-/** What an upstream tells of itself beside its answer. */
+/** What an upstream reports about itself and the request together with its answer. */
 struct answer_metadata {
-    /** It promises that it did not run the request. */
+    /** The upstream guarantees that it did not run the request. */
     bool notRun = false;
-    /** Another upstream than the expected one has the address, and did not run the request. */
+    /** Another upstream now has the address; it did not run the request. */
     bool wrongInstance = false;
     std::optional<load_report> load;
-    /** How long it still is cold, if it says so. */
+    /** The rest of the upstream's cold start, if it reports one. */
     std::optional<duration> coldFor;
 };
 
-/** An upstream's whole answer. */
+/** A complete answer of an upstream. */
 struct upstream_answer {
     int status = 0;
     std::vector<header_field> headers;
     std::string body;
-    /** Not kept with the answers of idempotency keys. */
+    /** Not stored with the answers that are kept for idempotency keys. */
     answer_metadata metadata;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -71,50 +72,51 @@
     }
 };
 
-/** Why the system itself answered, for the answer's reason header and the metrics. */
+/** The source of an answer, or why the system answered itself; used in the reason header and the metrics. */
 enum class answer_reason {
     /** The upstream answered. */
     Upstream,
     UnknownService,
-    /** No route fits the host and path. */
+    /** No route matches the host and path. */
     UnknownRoute,
     MalformedRequest,
     BodyTooLarge,
-    /** No slot came free before the deadline, or none was going to. */
+    /** No slot became free before the deadline, or none was expected to. */
     Overloaded,
-    /** No working upstream is known. */
+    /** No healthy upstream is known. */
     NoUpstream,
     DeadlineExceeded,
     /** The connection to the upstream was lost after dispatch. */
     ConnectionLost,
-    /** Equal requests have crashed upstreams. */
+    /** Equal requests crashed upstreams. */
     CrashingRequest,
-    /** The idempotency key was used with another request. */
+    /** The idempotency key was used with a different request. */
     KeyReused,
-    /** The idempotency key's claim could not be agreed. */
+    /** The idempotency key could not be claimed in the replicated log. */
     KeyUnavailable,
-    /** The idempotency key's first request is still running, or was lost. */
+    /** The first request with the idempotency key is still running, or its outcome is unknown. */
     KeyTaken,
     /** This VM is shutting down. */
     Draining,
-    /** The key's work ran, but its answer was too large to keep. */
+    /** The first request with the idempotency key ran, but its answer was too large to keep. */
     AnswerNotKept,
-    /** This VM has not yet learned what is declared; another one has. */
+    /** This VM does not have the current configuration; another VM may have it. */
     NotReady,
 };
 
-/** The reason as it stands in the answer's header, in lower case with hyphens. */
+/** The value of the reason header: lower case with hyphens. */
 std::string_view answerReasonName(answer_reason value);
 
-/** What a caller gets back. */
+/** The answer to a caller. */
 struct caller_answer {
     outcome result = outcome::NotRun;
     answer_reason reason = answer_reason::Upstream;
     upstream_answer content;
-    /** When to try again, if that is worth it. */
+    /** When the caller should try again, if that may help. */
     std::optional<duration> retryAfter;
-    /** What selected the upstream's service, and the service; empty where the request was refused before. */
+    /** The matched route; empty if the caller named the service or the request was refused before admission. */
     route_id route;
+    /** Empty if the request was refused before admission. */
     service_id service;
 };
 
--- a/src/model/route.h
+++ b/src/model/route.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Routes: which requests go to which services, and under which terms.
+ * Routes: which requests go to which services, and with which limits and preferences.
  */
 
 #include <cstdint>
@@ -14,7 +14,7 @@
 
 namespace plantainlatch {
 
-/** A service that takes a part of a route's requests, by weight. */
+/** A service of a route, which receives requests in proportion to its weight. */
 struct weighted_service {
     service_id service;
     double weight = 1;
@@ -27,27 +27,28 @@
     }
 };
 
-/** The requests of one host below one path, and the terms under which they are steered. */
+/** Applies to the requests of one host whose path begins with one prefix. */
 struct route_definition {
     route_id id;
     std::string host;
-    /** Begins and ends with a slash; the longest one that begins a path wins. */
+    /** Begins and ends with a slash. If several routes match a path, the one with the longest prefix is used. */
     std::string pathPrefix;
-    /** Its requests may run more than once. */
+    /** Requests may run more than once, so they can be retried after any failure. */
     bool idempotent = false;
-    /** The longest that a request is kept waiting. */
+    /** Upper bound on a request's deadline, counted from its arrival. */
     duration timeLimit {};
-    /** The time within which an answer is worth most. */
+    /** The latency that routing aims for, counted from the request's arrival; a later answer is still useful. */
     duration targetLatency {};
-    /** 0 is the most urgent. */
+    /** 0 is the highest priority. */
     std::uint32_t priority = 0;
-    /** The most upstreams that one request is offered to. */
+    /** The maximum number of upstreams that one request is sent to. */
     std::uint32_t maximumAttempts = 1;
-    /** Upstreams work faster on objects that they handled lately. */
+    /** Prefer the same upstream for all requests about an object, as it answers faster about objects that it handled
+     * recently. */
     bool sticky = false;
-    /** The only regions that may serve it; any if empty. */
+    /** The regions whose upstreams may be used; all regions if empty. */
     std::vector<region_id> allowedRegions;
-    /** One service, or several that share the requests by weight. */
+    /** One service, or several among which the requests are split by weight. */
     std::vector<weighted_service> services;
 
     friend bool operator==(const route_definition&, const route_definition&) = default;
--- a/src/ports/request_port.h
+++ b/src/ports/request_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which a front end hands in requests of callers.
+ * The interface through which a front end submits callers' requests.
  */
 
 #include <functional>
@@ -11,11 +11,11 @@
 
 namespace plantainlatch {
 
-/** Requests of callers. */
 struct request_port {
-    /** Answers once, perhaps before it returns. */
+    /** Submits a request. The callback receives the answer once, possibly before submit() returns. */
     std::function<request_id(caller_request, std::function<void(caller_answer)>)> submit;
-    /** The caller left: no answer follows, and work in flight is cancelled at the upstream. */
+    /** Cancels a request whose caller has disconnected. Its callback is not called any more. Calls in flight are
+     * cancelled too, except that a dispatched request with a claimed idempotency key runs to its end. */
     std::function<void(request_id)> cancel;
 };
 
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The hooks by which decisions call upstreams.
+ * The interface through which the decision code calls upstreams. A call is dispatched when the first byte of its
+ * request is passed to the operating system; from then on the upstream may run the request.
  */
 
 #include <functional>
@@ -15,7 +16,7 @@
 
 namespace plantainlatch {
 
-/** One attempt to run a request on one upstream. */
+/** A request to one upstream. */
 struct upstream_call {
     call_id id;
     upstream_id upstream;
@@ -24,48 +25,48 @@
     std::string target;
     std::vector<header_field> headers;
     std::string body;
-    /** Ends the call; also sent to the upstream as its deadline. */
+    /** The call fails with Timeout after this time. It is also sent to the upstream as the deadline. */
     duration timeout {};
-    /** The first byte must be offered within this time, or the call ends as ConnectFailed; zero for no limit of its
-     * own.
-     */
+    /** The call fails with ConnectFailed if it is not dispatched within this time. Zero means that only `timeout`
+     * applies. */
     duration dispatchTimeout {};
-    /** Use a new connection, so that a silent idle one cannot swallow work that must not be sent twice. */
+    /** Use a new connection. An idle connection may be dead, and a request that must not be sent twice would be lost on
+     * it. */
     bool freshConnection = false;
-    /** The most connections that this VM may have to the upstream. */
+    /** The maximum number of connections from this VM to the upstream. */
     std::uint32_t connectionLimit = 1;
-    /** The caller's own name for the request; empty without one. */
+    /** The caller's X-Request-Id; empty if there is none. */
     std::string requestName;
 };
 
-/** Why a call failed; only the first two promise that no byte was offered to the upstream. */
+/** Why a call failed. Only ConnectFailed and ConnectionLimit guarantee that the call was not dispatched. */
 enum class call_failure {
     ConnectFailed,
     ConnectionLimit,
-    /** The connection ended before a whole answer, after the first byte was offered. */
+    /** The connection closed after dispatch and before the answer was complete. */
     Lost,
     Timeout,
-    /** The answer was no whole HTTP answer to this request. */
+    /** The answer is invalid, incomplete or too large, or it belongs to another request. */
     Malformed,
 };
 
-/** What happens to a call; after onAnswer or onFailure nothing more does. */
+/** Callbacks of a call. onAnswer or onFailure is the last one. */
 struct call_events {
-    /** Called before the first byte of the request is offered to the operating system. */
+    /** Called just before the call is dispatched. */
     std::function<void()> onDispatch;
     std::function<void(upstream_answer)> onAnswer;
     std::function<void(call_failure)> onFailure;
 };
 
-/** Calls to upstreams; one request in flight to a connection, and a connection with a failed call is closed. */
+/** Makes calls to upstreams. A connection carries one call at a time and is closed if the call fails. */
 struct upstream_port {
     std::function<void(upstream_call, call_events)> start;
-    /** Closes the call's connection; no event follows. A call that has ended is ignored. */
+    /** Cancels a call by closing its connection; no callback follows. A call that has ended is ignored. */
     std::function<void(call_id)> cancel;
-    /** Asks the upstream for its load; fails with DeadlineExceeded or Unavailable. */
+    /** Requests the upstream's load report; fails with DeadlineExceeded or Unavailable. */
     std::function<void(const network_address&, duration timeout, std::function<void(absl::StatusOr<load_report>)>)>
         poll;
-    /** Closes the idle connections to an address that has gone. */
+    /** Closes the idle connections to an address that is no longer in use. */
     std::function<void(const network_address&)> closeIdleConnections;
 };
 
