--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    /** Permits are keys of the service without a name, which no caller can name. */
+    /** A permit is an idempotency key of the service with the empty name, which callers cannot address. */
     key_name permitName(const crash_key& key)
     {
         return { service_id(),
@@ -39,43 +39,43 @@
 crash_guard::~crash_guard() { *m_alive = false; }
 
 void crash_guard::enter(
-    crash_pass pass, const crash_key& key, time_point runUntil, std::function<void(crash_verdict)> decided)
+    crash_guard_ticket ticket, const crash_key& key, time_point runUntil, std::function<void(crash_verdict)> decided)
 {
     if (refuses(key)) {
         decided(crash_verdict::Refuse);
         return;
     }
-    m_passes.emplace(pass, key);
-    if (!m_parts.options.oneAtATime || m_proven.contains(key, m_parts.hooks.now())) {
-        decided(crash_verdict::Pass);
+    m_tickets.emplace(ticket, key);
+    if (!m_parts.options.serializeEqualRequests || m_knownGood.contains(key, m_parts.hooks.now())) {
+        decided(crash_verdict::Allow);
         return;
     }
-    gate& entered = m_gates[key];
-    if (entered.running == crash_pass()) {
-        admit(key, { pass, runUntil, std::move(decided) });
+    fingerprint_queue& queue = m_queues[key];
+    if (queue.running == crash_guard_ticket()) {
+        admit(key, { ticket, runUntil, std::move(decided) });
         return;
     }
-    if (entered.waiting.size() >= maximumWaiting) {
-        m_passes.erase(pass);
+    if (queue.waiting.size() >= maximumWaiting) {
+        m_tickets.erase(ticket);
         decided(crash_verdict::Refuse);
         return;
     }
-    entered.waiting.push_back({ pass, runUntil, std::move(decided) });
+    queue.waiting.push_back({ ticket, runUntil, std::move(decided) });
 }
 
 void crash_guard::admit(const crash_key& key, waiter next)
 {
-    gate& entered = m_gates[key];
-    entered.running = next.pass;
+    fingerprint_queue& queue = m_queues[key];
+    queue.running = next.ticket;
     if (refuses(key))
         next.decided(crash_verdict::Refuse);
     else if (crashedUpstreams(key) > 0)
-        askPermit(key, std::move(next));
+        requestPermit(key, std::move(next));
     else
-        next.decided(crash_verdict::Pass);
+        next.decided(crash_verdict::Allow);
 }
 
-void crash_guard::askPermit(const crash_key& key, waiter next)
+void crash_guard::requestPermit(const crash_key& key, waiter next)
 {
     const duration runLimit = next.runUntil - m_parts.hooks.now();
     m_parts.claims.claim(permitClaim(key, runLimit), runLimit,
@@ -88,23 +88,23 @@
 void crash_guard::onPermit(const crash_key& key, const waiter& next, const claim_answer& answer)
 {
     const bool permitted = answer.state == claim_state::Claimed;
-    const bool stillHere = m_passes.contains(next.pass);
-    if (permitted && !stillHere)
+    const bool stillOpen = m_tickets.contains(next.ticket);
+    if (permitted && !stillOpen)
         m_parts.claims.settle(answer.held, outcome::NotRun, std::nullopt);
-    if (!stillHere)
+    if (!stillOpen)
         return;
     if (permitted)
-        m_gates[key].permit = answer.held;
-    next.decided(permitted && !refuses(key) ? crash_verdict::Pass : crash_verdict::Refuse);
+        m_queues[key].permit = answer.held;
+    next.decided(permitted && !refuses(key) ? crash_verdict::Allow : crash_verdict::Refuse);
 }
 
 void crash_guard::report(const crash_key& key, const upstream_id& upstream, std::function<void(bool)> reported)
 {
-    if (!m_proven.countLoss(key, m_parts.hooks.now())) {
+    if (!m_knownGood.countLoss(key, m_parts.hooks.now())) {
         reported(false);
         return;
     }
-    noteSeenHere(key, upstream);
+    recordLocalCrash(key, upstream);
     m_parts.consensus.propose(report_crash { key.service, key.fingerprint, upstream }, m_parts.reportTimeout,
         [this, alive = m_alive, key, reported = std::move(reported)](const absl::StatusOr<command_result>& result) {
             if (!*alive)
@@ -116,8 +116,8 @@
 
 void crash_guard::onReported(const crash_key& key, const absl::StatusOr<command_result>& result)
 {
-    const auto seen = m_seenHere.find(key);
-    if (seen != m_seenHere.end() && result.ok() && result->crashedUpstreams >= m_parts.options.limit)
+    const auto seen = m_localCrashes.find(key);
+    if (seen != m_localCrashes.end() && result.ok() && result->crashedUpstreams >= m_parts.options.limit)
         seen->second.refused = true;
 }
 
@@ -125,65 +125,65 @@
 {
     if (isBlockedByCrashes(m_parts.control.state(), key, m_parts.hooks.wallNow(), m_parts.options.limit))
         return true;
-    const seen_crash* seen = seenHere(key);
+    const local_crash* seen = recentLocalCrash(key);
     if (seen != nullptr && seen->refused)
         return true;
     return crashedUpstreams(key) >= m_parts.options.limit;
 }
 
-const crash_guard::seen_crash* crash_guard::seenHere(const crash_key& key) const
+const crash_guard::local_crash* crash_guard::recentLocalCrash(const crash_key& key) const
 {
-    const auto seen = m_seenHere.find(key);
-    const bool recent = seen != m_seenHere.end() && m_parts.hooks.now() < seen->second.lastSeen + crashRetention;
+    const auto seen = m_localCrashes.find(key);
+    const bool recent = seen != m_localCrashes.end() && m_parts.hooks.now() < seen->second.lastSeen + crashRetention;
     return recent ? &seen->second : nullptr;
 }
 
 std::size_t crash_guard::crashedUpstreams(const crash_key& key) const
 {
     std::set<upstream_id> upstreams;
-    if (const seen_crash* seen = seenHere(key))
+    if (const local_crash* seen = recentLocalCrash(key))
         upstreams = seen->upstreams;
     const auto& crashes = m_parts.control.state().crashes;
-    const auto agreed = crashes.find(key);
-    if (agreed != crashes.end() && m_parts.hooks.wallNow() < agreed->second.lastSeen + crashRetention)
-        upstreams.insert(agreed->second.upstreams.begin(), agreed->second.upstreams.end());
+    const auto replicated = crashes.find(key);
+    if (replicated != crashes.end() && m_parts.hooks.wallNow() < replicated->second.lastSeen + crashRetention)
+        upstreams.insert(replicated->second.upstreams.begin(), replicated->second.upstreams.end());
     return upstreams.size();
 }
 
-void crash_guard::noteSeenHere(const crash_key& key, const upstream_id& upstream)
+void crash_guard::recordLocalCrash(const crash_key& key, const upstream_id& upstream)
 {
-    if (!m_seenHere.contains(key) && m_seenHere.size() >= maximumSeenHere) {
-        m_seenHere.erase(std::min_element(m_seenHere.begin(), m_seenHere.end(),
+    if (!m_localCrashes.contains(key) && m_localCrashes.size() >= maximumLocalCrashes) {
+        m_localCrashes.erase(std::min_element(m_localCrashes.begin(), m_localCrashes.end(),
             [](const auto& left, const auto& right) { return left.second.lastSeen < right.second.lastSeen; }));
     }
-    if (seenHere(key) == nullptr)
-        m_seenHere.erase(key);
-    seen_crash& seen = m_seenHere[key];
+    if (recentLocalCrash(key) == nullptr)
+        m_localCrashes.erase(key);
+    local_crash& seen = m_localCrashes[key];
     seen.lastSeen = m_parts.hooks.now();
     if (seen.upstreams.size() < maximumCrashedUpstreams)
         seen.upstreams.insert(upstream);
 }
 
-void crash_guard::leave(crash_pass pass, bool completed)
+void crash_guard::leave(crash_guard_ticket ticket, bool completed)
 {
-    const auto position = m_passes.find(pass);
-    if (position == m_passes.end())
+    const auto position = m_tickets.find(ticket);
+    if (position == m_tickets.end())
         return;
     const crash_key key = position->second;
-    m_passes.erase(position);
+    m_tickets.erase(position);
     if (completed)
-        m_proven.add(key, m_parts.hooks.now());
-    leaveGate(key, pass, completed);
+        m_knownGood.add(key, m_parts.hooks.now());
+    leaveQueue(key, ticket, completed);
 }
 
-void crash_guard::leaveGate(const crash_key& key, crash_pass pass, bool completed)
+void crash_guard::leaveQueue(const crash_key& key, crash_guard_ticket ticket, bool completed)
 {
-    const auto position = m_gates.find(key);
-    if (position == m_gates.end())
+    const auto position = m_queues.find(key);
+    if (position == m_queues.end())
         return;
-    gate& left = position->second;
-    if (left.running != pass) {
-        std::erase_if(left.waiting, [pass](const waiter& item) { return item.pass == pass; });
+    fingerprint_queue& left = position->second;
+    if (left.running != ticket) {
+        std::erase_if(left.waiting, [ticket](const waiter& item) { return item.ticket == ticket; });
         return;
     }
     if (left.permit)
@@ -198,23 +198,23 @@
 
 void crash_guard::admitNext(const crash_key& key)
 {
-    gate& entered = m_gates[key];
-    if (entered.waiting.empty()) {
-        m_gates.erase(key);
+    fingerprint_queue& queue = m_queues[key];
+    if (queue.waiting.empty()) {
+        m_queues.erase(key);
         return;
     }
-    waiter next = std::move(entered.waiting.front());
-    entered.waiting.pop_front();
+    waiter next = std::move(queue.waiting.front());
+    queue.waiting.pop_front();
     admit(key, std::move(next));
 }
 
 void crash_guard::admitAll(const crash_key& key)
 {
-    const std::deque<waiter> waiting = std::move(m_gates[key].waiting);
-    m_gates.erase(key);
+    const std::deque<waiter> waiting = std::move(m_queues[key].waiting);
+    m_queues.erase(key);
     for (const waiter& item : waiting) {
-        if (m_passes.contains(item.pass))
-            item.decided(crash_verdict::Pass);
+        if (m_tickets.contains(item.ticket))
+            item.decided(crash_verdict::Allow);
     }
 }
 
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -1,17 +1,20 @@
 #pragma once
 
 /** \file
- * Keeps one request from crashing upstream after upstream, however often and wherever it is sent again.
+ * Limits the number of upstreams that a request which crashes its server ("query of death") can take down, even if
+ * callers resend it through several entries.
  *
- * A fingerprint that completed here lately is proven and passes freely. Of unproven equal requests one at a time runs
- * at an entry; the others wait. A lost connection is reported to the log before anyone may run the request again. After
- * one reported crash a request needs a permit from the log, which one entry at a time gets, and after two crashed
- * upstreams it is refused everywhere for a while.
+ * Requests with the same service and fingerprint count as equal. If an equal request completed at this entry recently,
+ * a request is known good and runs without restriction. Of other equal requests, an entry runs one at a time and queues
+ * the rest. When a connection is lost, the entry reports a crash to the replicated log before it retries or answers the
+ * request. After the first reported crash, an entry needs a permit to run an equal request; the replicated log grants
+ * it to one entry at a time. After crashes of two different upstreams, all entries refuse equal requests for
+ * `crashRetention`.
  *
- * The bound: with E entries that dispatched the request before they had applied its first crash report, at most E + 2
- * upstreams fall: E at first, one more by the retry of the first reporter, and one by the permit. A caller that resends
- * only after an answer, to as many entries at once as it likes, has E = 1, so 3 at most. Each entry that has proof of
- * an earlier success, and each hedge of a first attempt, adds one.
+ * Bound: if E entries dispatched the request before they applied its first crash report, at most E + 2 upstreams crash:
+ * E by the first attempts, one by the retry of the entry that reported first, and one by the permit. A caller that
+ * resends only after it got an answer has E = 1, even if it resends to several entries at once; so at most 3 upstreams
+ * crash. Each entry at which the request is known good, and each hedge of a first attempt, can add one.
  */
 
 #include <cstdint>
@@ -24,7 +27,7 @@
 
 #include "decision/control/crash_table.h"
 #include "decision/request/key_claims.h"
-#include "decision/request/proven_requests.h"
+#include "decision/request/known_good_requests.h"
 #include "kernel/hooks.h"
 #include "model/control_snapshot.h"
 #include "ports/consensus_port.h"
@@ -32,25 +35,24 @@
 
 namespace plantainlatch {
 
-/** A request that asked to pass; 0 is none. */
-using crash_pass = strong_number<struct crash_pass_tag>;
+/** Identifies a request at the guard; 0 means none. */
+using crash_guard_ticket = strong_number<struct crash_guard_ticket_tag>;
 
-/** Whether a request may run. */
 enum class crash_verdict {
-    Pass,
-    /** Equal requests have crashed upstreams, or may be about to. */
+    Allow,
+    /** Equal requests crashed upstreams, or too many of them are waiting, or another entry holds the permit. */
     Refuse,
 };
 
-/** When equal requests are held back. */
+/** When equal requests are queued or refused. */
 struct crash_guard_options {
-    /** Crashed upstreams after which equal requests are refused. */
+    /** Equal requests are refused after crashes of this many upstreams. */
     std::size_t limit = crashedUpstreamThreshold;
-    /** Of the equal requests that no success has proven, an entry runs one at a time. */
-    bool oneAtATime = true;
+    /** Each entry runs equal requests one at a time unless they are known good. */
+    bool serializeEqualRequests = true;
 };
 
-/** What the guard is made of. */
+/** Dependencies and settings of a crash_guard. */
 struct crash_guard_parts {
     const kernel_hooks& hooks;
     consensus_port& consensus;
@@ -60,77 +62,81 @@
     crash_guard_options options;
 };
 
-/** Decides which requests may run, and learns from how they ended. */
+/** Decides whether a request may run, based on how equal requests ended. */
 class crash_guard {
 public:
-    /** Equal requests that wait for one that runs, at most; more are refused. */
+    /** The maximum number of equal requests in a queue; further ones are refused. */
     static constexpr std::size_t maximumWaiting = 256;
-    /** Fingerprints of which this entry itself saw a crash, at most; the oldest is forgotten first. */
-    static constexpr std::size_t maximumSeenHere = 256;
+    /** The maximum number of fingerprints for which this entry remembers crashes that it observed itself; the one whose
+     * last crash is oldest is dropped first. */
+    static constexpr std::size_t maximumLocalCrashes = 256;
 
     static std::unique_ptr<crash_guard> create(const crash_guard_parts& parts);
     ~crash_guard();
     crash_guard(const crash_guard&) = delete;
     crash_guard& operator=(const crash_guard&) = delete;
 
-    /** A pass that was not used before. */
-    crash_pass newPass() { return crash_pass(++m_lastPass); }
+    /** Returns a ticket that was not used before. */
+    crash_guard_ticket newTicket() { return crash_guard_ticket(++m_lastTicket); }
 
-    /** Calls back once, perhaps at once; then, or before, the pass is ended by leave(). The request runs until
-     * `runUntil`. */
-    void enter(crash_pass pass, const crash_key& key, time_point runUntil, std::function<void(crash_verdict)> decided);
+    /** Asks for permission to run a request until `runUntil`. `decided` is called once, possibly before enter()
+     * returns. The caller must end the ticket with leave(), which it may do before the decision. */
+    void enter(crash_guard_ticket ticket, const crash_key& key, time_point runUntil,
+        std::function<void(crash_verdict)> decided);
 
-    /** Counts a crash and calls back when the log has it, or after the timeout; perhaps at once. A proven request's
-     * first loss does not count. */
+    /** Reports a crash of `upstream` to the replicated log. `reported` is called when the report was applied or timed
+     * out, possibly before report() returns; `counted` is false if nothing was reported, because this is the first
+     * connection lost under a known-good request. */
     void report(const crash_key& key, const upstream_id& upstream, std::function<void(bool counted)> reported);
 
-    /** Whether a request of this fingerprint may be dispatched once more. */
+    /** Whether requests with this fingerprint are refused now. */
     bool refuses(const crash_key& key) const;
 
-    /** Ends a pass; a completed request proves its fingerprint. A pass that is not there is ignored. */
-    void leave(crash_pass pass, bool completed);
+    /** Ends a ticket. If its request completed, the fingerprint becomes known good. An unknown ticket is ignored. */
+    void leave(crash_guard_ticket ticket, bool completed);
 
-    /** Passes that were not left yet. */
-    std::size_t openPasses() const { return m_passes.size(); }
+    /** The number of tickets that leave() has not ended yet. */
+    std::size_t openTickets() const { return m_tickets.size(); }
 
 private:
     struct waiter {
-        crash_pass pass;
+        crash_guard_ticket ticket;
         time_point runUntil;
         std::function<void(crash_verdict)> decided;
     };
-    /** The unproven equal requests of one fingerprint. */
-    struct gate {
-        crash_pass running;
+    /** Equal requests that are not known good: the running one and those that wait for it. */
+    struct fingerprint_queue {
+        crash_guard_ticket running;
         std::optional<held_key> permit;
         std::deque<waiter> waiting;
     };
-    struct seen_crash {
+    struct local_crash {
         std::set<upstream_id> upstreams;
         time_point lastSeen;
-        /** The log said that equal requests are refused, which this VM's state may not show yet. */
+        /** The replicated log answered a report by refusing equal requests; this VM's copy of the state may not show
+         * that yet. */
         bool refused = false;
     };
 
     explicit crash_guard(const crash_guard_parts& parts);
 
-    const seen_crash* seenHere(const crash_key& key) const;
+    const local_crash* recentLocalCrash(const crash_key& key) const;
     std::size_t crashedUpstreams(const crash_key& key) const;
     void admit(const crash_key& key, waiter next);
-    void askPermit(const crash_key& key, waiter next);
+    void requestPermit(const crash_key& key, waiter next);
     void onPermit(const crash_key& key, const waiter& next, const claim_answer& answer);
-    void leaveGate(const crash_key& key, crash_pass pass, bool completed);
+    void leaveQueue(const crash_key& key, crash_guard_ticket ticket, bool completed);
     void admitNext(const crash_key& key);
     void admitAll(const crash_key& key);
     void onReported(const crash_key& key, const absl::StatusOr<command_result>& result);
-    void noteSeenHere(const crash_key& key, const upstream_id& upstream);
+    void recordLocalCrash(const crash_key& key, const upstream_id& upstream);
 
     crash_guard_parts m_parts;
-    std::uint64_t m_lastPass = 0;
-    std::map<crash_pass, crash_key> m_passes;
-    std::map<crash_key, gate> m_gates;
-    std::map<crash_key, seen_crash> m_seenHere;
-    proven_requests m_proven;
+    std::uint64_t m_lastTicket = 0;
+    std::map<crash_guard_ticket, crash_key> m_tickets;
+    std::map<crash_key, fingerprint_queue> m_queues;
+    std::map<crash_key, local_crash> m_localCrashes;
+    known_good_requests m_knownGood;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/decision/request/hedge_policy.cpp
+++ b/src/decision/request/hedge_policy.cpp
@@ -22,36 +22,36 @@
     else
         m_samples[m_next] = latency;
     m_next = (m_next + 1) % size;
-    if (++m_sinceLook < samplesPerLook || m_samples.size() < minimumSamples)
+    if (++m_sinceUpdate < samplesPerUpdate || m_samples.size() < minimumSamples)
         return;
-    m_sinceLook = 0;
-    m_slow = percentile95(m_samples);
+    m_sinceUpdate = 0;
+    m_p95 = percentile95(m_samples);
 }
 
 void hedge_policy::observeSlot(const service_id& service, bool waited)
 {
     record& seen = m_records[service];
-    seen.waitingPart += waitingWeight * ((waited ? 1.0 : 0.0) - seen.waitingPart);
+    seen.waitingShare += waitingWeight * ((waited ? 1.0 : 0.0) - seen.waitingShare);
 }
 
-bool hedge_policy::hasRoom(const service_id& service) const
+bool hedge_policy::hasSpareSlots(const service_id& service) const
 {
     const auto found = m_records.find(service);
-    return found == m_records.end() || found->second.waitingPart <= largestWaitingPart;
+    return found == m_records.end() || found->second.waitingShare <= maximumWaitingShare;
 }
 
 std::optional<duration> hedge_policy::delay(const service_id& service) const
 {
-    const std::optional<duration> slow = p95Latency(service);
-    if (!slow)
+    const std::optional<duration> p95 = p95Latency(service);
+    if (!p95)
         return std::nullopt;
-    return std::max(*slow, minimumDelay);
+    return std::max(*p95, minimumDelay);
 }
 
 std::optional<duration> hedge_policy::p95Latency(const service_id& service) const
 {
     const auto found = m_records.find(service);
-    return found != m_records.end() ? found->second.latencies.slow() : std::nullopt;
+    return found != m_records.end() ? found->second.latencies.p95() : std::nullopt;
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/hedge_policy.h
+++ b/src/decision/request/hedge_policy.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * When a slow idempotent request is worth a second attempt.
+ * Request hedging: when to send a slow idempotent request to a second upstream.
  */
 
 #include <cstddef>
@@ -14,53 +14,55 @@
 
 namespace plantainlatch {
 
-/** The slow end of the recent latencies of one service. */
+/** A sliding window of one service's latencies and their 95th percentile. */
 class latency_window {
 public:
-    /** How many latencies are kept. */
+    /** The number of samples kept. */
     static constexpr std::size_t size = 128;
-    /** With fewer than these nothing is said. */
+    /** The minimum number of samples needed to compute the percentile. */
     static constexpr std::size_t minimumSamples = 32;
-    /** How many new latencies come between two looks at the percentile. */
-    static constexpr std::size_t samplesPerLook = 32;
+    /** The percentile is recomputed after this many new samples. */
+    static constexpr std::size_t samplesPerUpdate = 32;
 
     void add(duration latency);
 
-    /** The 95th percentile; none with too few samples. */
-    std::optional<duration> slow() const { return m_slow; }
+    /** The 95th percentile; none if there are too few samples. */
+    std::optional<duration> p95() const { return m_p95; }
 
 private:
     std::vector<duration> m_samples;
     std::size_t m_next = 0;
-    std::size_t m_sinceLook = 0;
-    std::optional<duration> m_slow;
+    std::size_t m_sinceUpdate = 0;
+    std::optional<duration> m_p95;
 };
 
-/** When to hedge, by service; it keeps a record for each service that answered. */
+/** Decides when to hedge, from the latencies and the slot waits of each service. */
 class hedge_policy {
 public:
-    /** Never hedge sooner than this, as the second attempt costs about as much. */
+    /** The minimum delay before a hedge. An earlier hedge gains nothing, as the second attempt itself takes about as
+     * long.
+     */
     static constexpr duration minimumDelay = std::chrono::milliseconds(5);
-    /** The weight of the last request in the part of requests that waited for a slot. */
+    /** The smoothing factor of the moving average of the share of attempts that waited for a slot. */
     static constexpr double waitingWeight = 1.0 / 16;
-    /** When a larger part of the requests waits, slots are short and hedges would take them from first attempts. */
-    static constexpr double largestWaitingPart = 0.2;
+    /** If a larger share of the attempts waits, slots are scarce and hedges would take them from first attempts. */
+    static constexpr double maximumWaitingShare = 0.2;
 
     void observeLatency(const service_id& service, duration latency) { m_records[service].latencies.add(latency); }
-    /** Whether a request's first attempt had to wait for its slot, or got none. */
+    /** Records whether an attempt had to wait for its slot. An attempt that got no slot counts as waiting. */
     void observeSlot(const service_id& service, bool waited);
 
-    /** Whether slots are plentiful enough for second attempts. */
-    bool hasRoom(const service_id& service) const;
-    /** How long after its dispatch an attempt counts as slow; none when that is not known. */
+    /** Whether the service has enough slots for hedges. */
+    bool hasSpareSlots(const service_id& service) const;
+    /** How long after its dispatch an attempt may be hedged; none if there are too few samples. */
     std::optional<duration> delay(const service_id& service) const;
-    /** The 95th percentile of the service's latencies; none when that is not known. */
+    /** The 95th percentile of the service's latencies; none if there are too few samples. */
     std::optional<duration> p95Latency(const service_id& service) const;
 
 private:
     struct record {
         latency_window latencies;
-        double waitingPart = 0;
+        double waitingShare = 0;
     };
 
     std::map<service_id, record> m_records;
--- a/src/decision/request/key_claims.cpp
+++ b/src/decision/request/key_claims.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr duration lateClaimLookInterval = std::chrono::milliseconds(250);
+    constexpr duration lateClaimCheckInterval = std::chrono::milliseconds(250);
 
     claim_state stateOf(claim_result finding)
     {
@@ -43,12 +43,13 @@
 
 } // namespace
 
-/** A claim whose proposal has not ended; its id is known when propose() has returned, which may be after its end. */
+/** A claim whose proposal is in progress. The proposal may end before propose() returns its id; its result is then kept
+ * in `earlyResult` until the id is known. */
 struct key_claims::open_claim {
     key_name name;
     std::function<void(const claim_answer&)> done;
     std::optional<proposal_id> id;
-    std::optional<absl::StatusOr<command_result>> early;
+    std::optional<absl::StatusOr<command_result>> earlyResult;
 };
 
 std::unique_ptr<key_claims> key_claims::create(const kernel_hooks& hooks, consensus_port& consensus,
@@ -69,7 +70,7 @@
 key_claims::~key_claims()
 {
     *m_alive = false;
-    m_hooks.cancel(m_lookTimer);
+    m_hooks.cancel(m_lateClaimTimer);
 }
 
 void key_claims::claim(const claim_key& command, duration timeout, std::function<void(const claim_answer&)> done)
@@ -78,7 +79,7 @@
         done(*known);
         return;
     }
-    if (m_settlements.size() + m_lateClaims.size() >= maximumOwed) {
+    if (m_settlements.size() + m_lateClaims.size() >= maximumPending) {
         done({});
         return;
     }
@@ -91,11 +92,11 @@
         if (open->id)
             finishClaim(*open, result);
         else
-            open->early = std::move(result);
+            open->earlyResult = std::move(result);
     };
     open->id = m_consensus.propose(command, timeout, ended);
-    if (open->early)
-        finishClaim(*open, *open->early);
+    if (open->earlyResult)
+        finishClaim(*open, *open->earlyResult);
 }
 
 std::optional<claim_answer> key_claims::knownAnswer(const claim_key& command) const
@@ -123,7 +124,8 @@
         claim.done(answerOf(held, *result));
         return;
     }
-    // A claim that was refused without a finding may have been applied before under the same id.
+    // A proposal that was refused without a finding may have been applied earlier under the same id, and one that timed
+    // out may be applied later. Unavailable means that it never will be.
     if (!absl::IsUnavailable(result.status()))
         watchLateClaim(held);
     claim.done({});
@@ -133,32 +135,32 @@
 {
     if (!m_releasesLateClaims())
         return;
-    m_lateClaims.push_back({ held, m_hooks.now() + owedTime });
+    m_lateClaims.push_back({ held, m_hooks.now() + pendingTimeout });
     if (m_lateClaims.size() == 1)
-        scheduleLook();
+        scheduleLateClaimCheck();
 }
 
-void key_claims::scheduleLook()
+void key_claims::scheduleLateClaimCheck()
 {
-    m_lookTimer = m_hooks.schedule(lateClaimLookInterval, [this] { lookForLateClaims(); });
+    m_lateClaimTimer = m_hooks.schedule(lateClaimCheckInterval, [this] { checkLateClaims(); });
 }
 
-void key_claims::lookForLateClaims()
+void key_claims::checkLateClaims()
 {
     std::vector<held_key> found;
     std::erase_if(m_lateClaims, [&](const late_claim& late) {
-        if (!appeared(late))
-            return late.giveUp <= m_hooks.now();
+        if (!isApplied(late))
+            return late.giveUpAt <= m_hooks.now();
         found.push_back(late.held);
         return true;
     });
     for (const held_key& held : found)
         settle(held, outcome::NotRun, std::nullopt);
     if (!m_lateClaims.empty())
-        scheduleLook();
+        scheduleLateClaimCheck();
 }
 
-bool key_claims::appeared(const late_claim& late) const
+bool key_claims::isApplied(const late_claim& late) const
 {
     const auto& keys = m_control.state().keys;
     const auto position = keys.find(late.held.name);
@@ -167,11 +169,11 @@
 
 void key_claims::settle(const held_key& held, outcome result, std::optional<upstream_answer> answer)
 {
-    owed_settlement owed;
-    owed.command = { held.name.service, held.name.key, held.claim, result, std::move(answer) };
-    owed.giveUp = m_hooks.now() + owedTime;
+    pending_settlement pending;
+    pending.command = { held.name.service, held.name.key, held.claim, result, std::move(answer) };
+    pending.giveUpAt = m_hooks.now() + pendingTimeout;
     const std::uint64_t number = ++m_lastSettlement;
-    m_settlements.emplace(number, std::move(owed));
+    m_settlements.emplace(number, std::move(pending));
     proposeSettlement(number);
 }
 
@@ -193,24 +195,24 @@
     const auto position = m_settlements.find(number);
     if (position == m_settlements.end())
         return;
-    owed_settlement& owed = position->second;
-    if (isTaken(owed, result) || owed.giveUp <= m_hooks.now()) {
-        endSettlement(number);
+    pending_settlement& pending = position->second;
+    if (isDone(pending, result) || pending.giveUpAt <= m_hooks.now()) {
+        removeSettlement(number);
         return;
     }
-    const duration delay = owed.nextDelay;
-    owed.nextDelay = std::min(delay * 2, maximumRetryDelay);
-    m_hooks.schedule(delay, guarded([this, number] { proposeSettlement(number); }));
+    const duration delay = pending.nextDelay;
+    pending.nextDelay = std::min(delay * 2, maximumRetryDelay);
+    m_hooks.schedule(delay, ifAlive([this, number] { proposeSettlement(number); }));
 }
 
-bool key_claims::isTaken(owed_settlement& owed, const absl::StatusOr<command_result>& result)
+bool key_claims::isDone(pending_settlement& pending, const absl::StatusOr<command_result>& result)
 {
     if (!result.ok())
         return false;
-    return result->verdict != command_verdict::Refused || ++owed.refusals >= refusalsToEnd;
+    return result->verdict != command_verdict::Refused || ++pending.refusals >= refusalsUntilDone;
 }
 
-void key_claims::endSettlement(std::uint64_t number)
+void key_claims::removeSettlement(std::uint64_t number)
 {
     m_settlements.erase(number);
     if (m_settlements.empty() && m_settled)
@@ -226,7 +228,7 @@
     m_settled = std::move(settled);
 }
 
-std::function<void()> key_claims::guarded(std::function<void()> work) const
+std::function<void()> key_claims::ifAlive(std::function<void()> work) const
 {
     return [alive = m_alive, work = std::move(work)] {
         if (*alive)
--- a/src/decision/request/key_claims.h
+++ b/src/decision/request/key_claims.h
@@ -1,7 +1,11 @@
 #pragma once
 
 /** \file
- * Claims and settlements of idempotency keys at one VM: what it proposed to the log and still owes it.
+ * Exclusive claims on idempotency keys, held in the replicated log.
+ *
+ * A VM claims a key before it dispatches the request, and afterwards settles the claim with the outcome. Settlements
+ * are proposed again until the log has applied them. A claim whose proposal timed out may still be applied later; it is
+ * then released, as its request was not dispatched.
  */
 
 #include <cstddef>
@@ -19,20 +23,20 @@
 
 namespace plantainlatch {
 
-/** What a claim came to. */
+/** The result of a claim. */
 enum class claim_state {
     Claimed,
     InProgress,
     Completed,
     Unknown,
     Reused,
-    /** The log's table is full; nobody holds the key. */
+    /** The replicated table of keys is full; nobody holds the key. */
     TableFull,
-    /** Whether the key is held, by this claim or another, could not be learned in time. */
+    /** It could not be determined in time whether the key is held by this claim, by another one or not at all. */
     Unresolved,
 };
 
-/** A key that this VM holds, by the proposal that claimed it. */
+/** A key that this VM holds, and the proposal by which it claimed the key. */
 struct held_key {
     key_name name;
     proposal_id claim;
@@ -41,26 +45,26 @@
 /** The answer to a claim. */
 struct claim_answer {
     claim_state state = claim_state::Unresolved;
-    /** Only when Claimed. */
+    /** Set only for Claimed. */
     held_key held;
-    /** Only when Completed, and only if it was kept. */
+    /** The answer to the earlier request; set only for Completed, if the answer was kept. */
     std::optional<upstream_answer> answer;
 };
 
-/** Claims keys before dispatch and settles them afterwards, until the log has taken each settlement. */
+/** Claims and settles idempotency keys for one VM. */
 class key_claims {
 public:
-    /** Settlements and late claims that may be owed at once; beyond them new claims are Unresolved. */
-    static constexpr std::size_t maximumOwed = 1024;
-    /** How long a settlement is proposed again, and a late claim is watched for. */
-    static constexpr duration owedTime = std::chrono::minutes(10);
+    /** The maximum number of unapplied settlements and late claims together; when it is reached, a new claim that needs
+     * the log is Unresolved. */
+    static constexpr std::size_t maximumPending = 1024;
+    /** How long a settlement is retried, and how long a timed-out claim is watched for. */
+    static constexpr duration pendingTimeout = std::chrono::minutes(10);
     static constexpr duration proposalTimeout = std::chrono::seconds(2);
     static constexpr duration firstRetryDelay = std::chrono::milliseconds(200);
     static constexpr duration maximumRetryDelay = std::chrono::seconds(5);
-    /** A settlement that was refused so often is one that had been applied; once may mean that its proposal was too
-     * old.
-     */
-    static constexpr int refusalsToEnd = 3;
+    /** A settlement that was refused this many times counts as already applied. One refusal is not enough: it may mean
+     * that the log discarded the proposal as too old. */
+    static constexpr int refusalsUntilDone = 3;
 
     static std::unique_ptr<key_claims> create(const kernel_hooks& hooks, consensus_port& consensus,
         control_port& control, std::function<bool()> releasesLateClaims);
@@ -68,31 +72,31 @@
     key_claims(const key_claims&) = delete;
     key_claims& operator=(const key_claims&) = delete;
 
-    /** Calls back once, perhaps at once. A claim whose proposal may still be applied later is watched for and released.
-     */
+    /** Claims a key. `done` is called once, possibly before claim() returns. If the proposal may still be applied after
+     * an Unresolved answer, the claim is released once it shows in the replicated state. */
     void claim(const claim_key& command, duration timeout, std::function<void(const claim_answer&)> done);
 
-    /** Settles a held key; only a key whose work ran keeps an answer. */
+    /** Settles a held key with the outcome of its request; the answer is kept only if the outcome is Completed. */
     void settle(const held_key& held, outcome result, std::optional<upstream_answer> answer);
 
-    /** Settlements that the log has not taken yet. */
-    std::size_t owedSettlements() const { return m_settlements.size(); }
-    /** Claims that may still show up. */
+    /** The number of settlements that the log has not applied yet. */
+    std::size_t pendingSettlements() const { return m_settlements.size(); }
+    /** The number of unresolved claims that may still be applied. */
     std::size_t lateClaims() const { return m_lateClaims.size(); }
-    /** Calls back when no settlement is owed any more, perhaps at once. */
+    /** Calls back when no settlement is pending, possibly before it returns. */
     void whenSettled(std::function<void()> settled);
 
 private:
     struct open_claim;
-    struct owed_settlement {
+    struct pending_settlement {
         settle_key command;
-        time_point giveUp;
+        time_point giveUpAt;
         duration nextDelay = firstRetryDelay;
         int refusals = 0;
     };
     struct late_claim {
         held_key held;
-        time_point giveUp;
+        time_point giveUpAt;
     };
 
     key_claims(const kernel_hooks& hooks, consensus_port& consensus, control_port& control,
@@ -101,25 +105,25 @@
     std::optional<claim_answer> knownAnswer(const claim_key& command) const;
     void finishClaim(const open_claim& claim, const absl::StatusOr<command_result>& result);
     void watchLateClaim(const held_key& held);
-    void lookForLateClaims();
-    bool appeared(const late_claim& late) const;
-    void scheduleLook();
+    void checkLateClaims();
+    bool isApplied(const late_claim& late) const;
+    void scheduleLateClaimCheck();
     void proposeSettlement(std::uint64_t number);
     void onSettlement(std::uint64_t number, const absl::StatusOr<command_result>& result);
-    static bool isTaken(owed_settlement& owed, const absl::StatusOr<command_result>& result);
-    void endSettlement(std::uint64_t number);
-    std::function<void()> guarded(std::function<void()> work) const;
+    static bool isDone(pending_settlement& pending, const absl::StatusOr<command_result>& result);
+    void removeSettlement(std::uint64_t number);
+    std::function<void()> ifAlive(std::function<void()> work) const;
 
     const kernel_hooks& m_hooks;
     consensus_port& m_consensus;
     control_port& m_control;
     std::function<bool()> m_releasesLateClaims;
     std::uint64_t m_lastSettlement = 0;
-    std::map<std::uint64_t, owed_settlement> m_settlements;
+    std::map<std::uint64_t, pending_settlement> m_settlements;
     std::vector<late_claim> m_lateClaims;
-    timer_id m_lookTimer;
+    timer_id m_lateClaimTimer;
     std::function<void()> m_settled;
-    /** Callbacks that outlive this object find it gone. */
+    /** Set to false by the destructor, for callbacks that outlive this object. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What the requests of one VM share.
+ * Services, limits and statistics that all requests of one VM share.
  */
 
 #include <cstdint>
@@ -17,7 +17,7 @@
 
 namespace plantainlatch {
 
-/** Counts since the start. */
+/** Counters since the start of the VM. */
 struct request_statistics {
     std::uint64_t requests = 0;
     std::uint64_t completed = 0;
@@ -25,14 +25,16 @@
     std::uint64_t notRun = 0;
     std::uint64_t unknown = 0;
     std::uint64_t inProgress = 0;
+    /** Requests whose caller left before the answer. */
     std::uint64_t abandoned = 0;
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
-    /** First bytes offered after the slot's dispatchBefore; the upstream port should let none through. */
+    /** Calls that were dispatched after the slot's `dispatchBefore`. The upstream port must prevent this, so any count
+     * above 0 is a fault. */
     std::uint64_t lateDispatches = 0;
 };
 
-/** One request after its admission. */
+/** A request that was admitted, with its routing policy and limits. */
 struct admitted_request {
     request_id id;
     caller_request content;
@@ -42,11 +44,11 @@
     time_point arrivedAt;
     time_point deadline;
     duration keyRetention {};
-    /** This VM's part of the connections to one upstream. */
+    /** This VM's share of the connections that all VMs together may have to one upstream. */
     std::uint32_t connectionLimit = 1;
 };
 
-/** The parts that requests use; all outlive them. */
+/** The services that requests use; all of them outlive the requests. */
 struct request_environment {
     const kernel_hooks& hooks;
     const request_options& options;
@@ -54,11 +56,11 @@
     upstream_port& upstreams;
     key_claims& claims;
     crash_guard& crashes;
-    /** Takes one retry or hedge of a service's requests out of the budget; false when it is spent. */
-    std::function<bool(const service_id&)> spendRetry;
+    /** Charges one retry or hedge to the service's retry budget; false if the budget is exhausted. */
+    std::function<bool(const service_id&)> tryAcquireRetry;
     hedge_policy& hedges;
     request_statistics& statistics;
-    /** A call number that was not used before. */
+    /** Returns a call id that was not used before. */
     std::function<call_id()> nextCall;
 };
 
--- a/src/decision/request/request_fingerprint.h
+++ b/src/decision/request/request_fingerprint.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The fingerprint that tells equal requests from different ones.
+ * A hash by which requests are compared.
  */
 
 #include "core/ids.h"
@@ -9,7 +9,8 @@
 
 namespace plantainlatch {
 
-/** Hashes method, target and body, each with its length; headers take no part, as they differ between resends. */
+/** Hashes method, target and body, each with its length. Headers are excluded because they differ when a caller resends
+ * a request. */
 request_fingerprint fingerprintOf(const caller_request& request);
 
 } // namespace plantainlatch
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -14,20 +14,20 @@
         return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
     }
 
-    std::string_view nameOf(attempt_end::kind kind)
+    std::string_view nameOf(attempt_result::kind kind)
     {
         switch (kind) {
-        case attempt_end::kind::NoSlot:
+        case attempt_result::kind::NoSlot:
             return "no-slot";
-        case attempt_end::kind::NotOffered:
+        case attempt_result::kind::NotOffered:
             return "not-offered";
-        case attempt_end::kind::Refused:
+        case attempt_result::kind::Refused:
             return "refused";
-        case attempt_end::kind::Shed:
+        case attempt_result::kind::Shed:
             return "shed";
-        case attempt_end::kind::Answered:
+        case attempt_result::kind::Answered:
             return "answered";
-        case attempt_end::kind::Lost:
+        case attempt_result::kind::Lost:
             return "lost";
         }
         internal_assert(false) << "attempt end " << static_cast<int>(kind);
@@ -79,19 +79,19 @@
     return event;
 }
 
-log_event attemptEnded(const admitted_request& request, const attempt_end& ended, duration took)
+log_event attemptEnded(const admitted_request& request, const attempt_result& result, duration took)
 {
     log_event event { log_level::Info, serviceName, "attempt-ended", fieldsOf(request) };
-    event.fields.push_back({ "upstream", ended.upstream.value() });
-    event.fields.push_back({ "end", std::string(nameOf(ended.ended)) });
-    if (ended.ended == attempt_end::kind::NotOffered || ended.ended == attempt_end::kind::Lost)
-        event.fields.push_back({ "failure", std::string(nameOf(ended.failure)) });
-    if (ended.ended == attempt_end::kind::NoSlot)
-        event.fields.push_back({ "failure", ended.refusal == slot_refusal::NoUpstream ? "no-upstream" : "no-room" });
-    for (const log_field& input : ended.refusalInputs)
+    event.fields.push_back({ "upstream", result.upstream.value() });
+    event.fields.push_back({ "end", std::string(nameOf(result.ended)) });
+    if (result.ended == attempt_result::kind::NotOffered || result.ended == attempt_result::kind::Lost)
+        event.fields.push_back({ "failure", std::string(nameOf(result.failure)) });
+    if (result.ended == attempt_result::kind::NoSlot)
+        event.fields.push_back({ "failure", result.refusal == slot_refusal::NoUpstream ? "no-upstream" : "no-room" });
+    for (const log_field& input : result.refusalInputs)
         event.fields.push_back(input);
-    if (ended.answer)
-        event.fields.push_back({ "status", absl::StrCat(ended.answer->status) });
+    if (result.answer)
+        event.fields.push_back({ "status", absl::StrCat(result.answer->status) });
     event.fields.push_back({ "took_ms", milliseconds(took) });
     return event;
 }
--- a/src/decision/request/request_log.h
+++ b/src/decision/request/request_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The log records of the request path; docs/OPERATIONS.md lists their fields.
+ * The structured log events of the request path. docs/OPERATIONS.md lists their fields.
  */
 
 #include "decision/request/request_environment.h"
@@ -9,20 +9,20 @@
 
 namespace plantainlatch {
 
-/** A call to an upstream begins. */
+/** A call to an upstream was started; `left` is the time until the deadline. */
 log_event attemptBegan(
     const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration left);
 
 /** An attempt ended, with or without a call. */
-log_event attemptEnded(const admitted_request& request, const attempt_end& ended, duration took);
+log_event attemptEnded(const admitted_request& request, const attempt_result& result, duration took);
 
-/** The caller gets its answer. */
+/** The request was answered. */
 log_event requestAnswered(const admitted_request& request, const caller_answer& answer, duration took);
 
-/** A request is refused before it is admitted. */
+/** The request was refused before admission. */
 log_event requestRefused(const caller_request& request, const caller_answer& answer);
 
-/** The caller left before its answer. */
+/** The caller disconnected before it was answered. */
 log_event callerLeft(const std::string& name);
 
 } // namespace plantainlatch
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -9,17 +9,18 @@
 namespace {
 
     constexpr int statusUnavailable = 503;
-    /** With no latency known, work is expected to take this part of its whole deadline, but not longer than that. */
-    constexpr int unknownLatencyPart = 4;
-    constexpr duration longestUnknownLatency = std::chrono::milliseconds(250);
-    /** Never ask for more time than this: a few timeouts must not refuse what could still be answered. */
-    constexpr duration mostTimeAskedFor = std::chrono::milliseconds(750);
-    constexpr const char* notRunMark = "X-Plantainlatch-Not-Run";
-
-    bool carriesMark(const upstream_answer& answer)
+    /** Without latency samples, a call is expected to take the total deadline divided by this, up to the maximum. */
+    constexpr int unknownLatencyDivisor = 4;
+    constexpr duration maximumUnknownLatency = std::chrono::milliseconds(250);
+    /** The most remaining time that is required to start a call. Without this limit, a few timeouts would raise the
+     * expected latency until requests that could still be answered are refused. */
+    constexpr duration maximumRequiredTime = std::chrono::milliseconds(750);
+    constexpr const char* notRunHeader = "X-Plantainlatch-Not-Run";
+
+    bool hasNotRunHeader(const upstream_answer& answer)
     {
         return std::any_of(answer.headers.begin(), answer.headers.end(), [](const header_field& field) {
-            return absl::EqualsIgnoreCase(field.name, notRunMark) && field.value == "1";
+            return absl::EqualsIgnoreCase(field.name, notRunHeader) && field.value == "1";
         });
     }
 
@@ -28,32 +29,32 @@
 request_policies defaultRequestPolicies()
 {
     request_policies policies;
-    policies.claims = [](const request_traits& traits) { return traits.claimed; };
+    policies.claimsKey = [](const request_traits& traits) { return traits.needsClaim; };
     policies.unresolvedOutcome
-        = [](const request_traits& traits) { return traits.claimed ? outcome::Unknown : outcome::NotRun; };
-    policies.worthStarting = [](const dispatch_timing& chance) {
-        const duration unknown = std::min(chance.whole / unknownLatencyPart, longestUnknownLatency);
-        const duration likely = chance.p95Latency.value_or(unknown);
-        return chance.remaining >= std::min({ likely, chance.whole * 3 / 4, mostTimeAskedFor });
+        = [](const request_traits& traits) { return traits.needsClaim ? outcome::Unknown : outcome::NotRun; };
+    policies.worthStarting = [](const dispatch_timing& timing) {
+        const duration unknown = std::min(timing.total / unknownLatencyDivisor, maximumUnknownLatency);
+        const duration likely = timing.p95Latency.value_or(unknown);
+        return timing.remaining >= std::min({ likely, timing.total * 3 / 4, maximumRequiredTime });
     };
-    policies.blamesUpstream = [](const dispatch_timing& chance) {
-        return chance.remaining >= chance.p95Latency.value_or(chance.whole / 2);
+    policies.countsAgainstUpstream = [](const dispatch_timing& timing) {
+        return timing.remaining >= timing.p95Latency.value_or(timing.total / 2);
     };
-    policies.learnsFromTimeouts = [] { return true; };
+    policies.recordsTimeoutLatencies = [] { return true; };
     policies.mayRetry = [](const failed_attempt& attempt) {
-        return attempt.remaining > duration::zero() && (attempt.traits.idempotent || surelyNotRun(attempt.state));
+        return attempt.remaining > duration::zero() && (attempt.traits.idempotent || definitelyNotRun(attempt.state));
     };
     policies.isMarkedRefusal = [](const upstream_answer& answer) {
-        return answer.metadata.notRun || (answer.status == statusUnavailable && carriesMark(answer));
+        return answer.metadata.notRun || (answer.status == statusUnavailable && hasNotRunHeader(answer));
     };
     policies.needsFreshConnection = [](const request_traits& traits) { return !traits.idempotent; };
     policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
-    policies.budgeted = [] { return true; };
+    policies.limitsRetries = [] { return true; };
     policies.isExemptFromBudget = [](const failed_attempt&) { return false; };
     policies.hedges = [](const request_traits& traits) { return traits.idempotent; };
-    policies.hasRoomToHedge = [](bool hasRoom) { return hasRoom; };
-    policies.outlivesCaller = [](const request_traits& traits) { return traits.claimed; };
-    policies.keepsSlotBusy = [](attempt_ending ending) { return ending != attempt_ending::Finished; };
+    policies.allowsHedge = [](bool hasSpareSlots) { return hasSpareSlots; };
+    policies.continuesWithoutCaller = [](const request_traits& traits) { return traits.needsClaim; };
+    policies.keepsSlotBusy = [](attempt_termination ending) { return ending != attempt_termination::Finished; };
     policies.releasesLateClaims = [] { return true; };
     policies.refusesWhileStopping = [] { return true; };
     return policies;
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Bounds of the request path, and the hooks by which its policies vary.
+ * Limits of the request path and its replaceable policies.
  */
 
 #include <cstddef>
@@ -13,107 +13,114 @@
 #include "core/outcome.h"
 #include "core/units.h"
 #include "decision/request/crash_guard.h"
-#include "decision/request/outcome_machine.h"
+#include "decision/request/outcome_tracker.h"
 #include "decision/request/retry_window.h"
 #include "model/http.h"
 #include "ports/upstream_port.h"
 
 namespace plantainlatch {
 
-/** What the path knows of a request from its service's definition. */
+/** Properties of a request that follow from its route or its service's definition. */
 struct request_traits {
     bool idempotent = false;
-    /** It carries a key and is not idempotent. */
-    bool claimed = false;
+    /** The request carries an idempotency key and is not idempotent. */
+    bool needsClaim = false;
 };
 
-/** An attempt that ended without an answer to pass on, and what is known when its retry is weighed. */
+/** An attempt that ended without an answer to pass on; the input to the decision whether to retry. */
 struct failed_attempt {
     request_traits traits;
     attempt_state state = attempt_state::Lost;
+    /** Time until the request's deadline. */
     duration remaining {};
 };
 
-/** How an attempt ended, for when its slot may be used again. */
-enum class attempt_ending {
+/** How an attempt ended, which determines when its slot can be reused. */
+enum class attempt_termination {
+    /** No work can still be running at the upstream. */
     Finished,
+    /** The connection was lost; the work may run until the request's deadline. */
     Lost,
+    /** The call was closed on this side; the work may run until the upstream notices. */
     Cancelled,
 };
 
-/** What is known when a slot came and a call could be started. */
+/** The times that are known when a slot was granted and a call could be started. */
 struct dispatch_timing {
-    /** Until the request's deadline, now and when it arrived. */
+    /** Time from now until the request's deadline. */
     duration remaining {};
-    duration whole {};
-    /** The 95th percentile of the service's latencies; none when that is not known. */
+    /** Time from the request's arrival until its deadline. */
+    duration total {};
+    /** The 95th percentile of the service's recent latencies, if there are enough samples. */
     std::optional<duration> p95Latency;
 };
 
-/** The policies of the request path; each has a sound default and can be replaced, as tests do to show what it is for.
- */
+/** The policies of the request path. Each has a default and can be replaced; tests do so to show which failure a policy
+ * prevents. */
 struct request_policies {
-    /** Whether the work needs its key claimed before dispatch. */
-    std::function<bool(const request_traits&)> claims;
-    /** What is said of claimed work that ends before its claim is resolved: an earlier request may have run it. */
+    /** Whether the request's idempotency key must be claimed before dispatch. */
+    std::function<bool(const request_traits&)> claimsKey;
+    /** The outcome of a request that ends before its claim is resolved; an earlier request with the same key may have
+     * run. */
     std::function<outcome(const request_traits&)> unresolvedOutcome;
-    /** Whether a call is likely enough to be answered before the deadline to be started. */
+    /** Whether a call should be started, given the likelihood of an answer before the deadline. */
     std::function<bool(const dispatch_timing&)> worthStarting;
-    /** Whether a call that had this chance and timed out speaks against its upstream. */
-    std::function<bool(const dispatch_timing&)> blamesUpstream;
-    /** Whether calls that timed out count among the latencies, as slow ones. */
-    std::function<bool()> learnsFromTimeouts;
-    /** Whether an ended attempt may be followed by another. */
+    /** Whether the timeout of a call that was started with these times counts as a failure of the upstream. */
+    std::function<bool(const dispatch_timing&)> countsAgainstUpstream;
+    /** Whether calls that timed out are added to the latency samples. */
+    std::function<bool()> recordsTimeoutLatencies;
+    /** Whether a failed attempt may be followed by another one. */
     std::function<bool(const failed_attempt&)> mayRetry;
-    /** Whether an answer says that the upstream did not run the work. */
+    /** Whether an answer is a marked refusal, that is, states that the upstream did not run the request. */
     std::function<bool(const upstream_answer&)> isMarkedRefusal;
-    /** Whether a call must not use an idle connection. */
+    /** Whether a call must use a new connection instead of an idle one. */
     std::function<bool(const request_traits&)> needsFreshConnection;
-    /** Whether a failed call may be a crash of the upstream. */
+    /** Whether a failed call may mean that the upstream crashed. */
     std::function<bool(call_failure)> mayBeCrash;
-    /** Whether retries and hedges are held to the budget. */
-    std::function<bool()> budgeted;
-    /** Whether a retry after this end is outside the budget. */
+    /** Whether retries and hedges are limited by the retry budget. */
+    std::function<bool()> limitsRetries;
+    /** Whether a retry after this failed attempt is not charged to the budget. */
     std::function<bool(const failed_attempt&)> isExemptFromBudget;
-    /** Whether a slow attempt of such a request may be hedged. */
+    /** Whether a request of this kind may be hedged when its first attempt is slow. */
     std::function<bool(const request_traits&)> hedges;
-    /** Whether a hedge may be made, given whether slots are plentiful. */
-    std::function<bool(bool hasRoom)> hasRoomToHedge;
-    /** Whether dispatched work goes on when its caller has left. */
-    std::function<bool(const request_traits&)> outlivesCaller;
-    /** Whether the slot of an attempt that ended so stays busy while the work may still run. */
-    std::function<bool(attempt_ending)> keepsSlotBusy;
-    /** Whether a claim that may be applied after its proposal's timeout is watched for and released. */
+    /** Whether a hedge may be started, given whether the service has spare slots. */
+    std::function<bool(bool hasSpareSlots)> allowsHedge;
+    /** Whether a dispatched request continues after its caller has left. */
+    std::function<bool(const request_traits&)> continuesWithoutCaller;
+    /** Whether the slot of an attempt that ended in this way is kept busy while the work may still run. */
+    std::function<bool(attempt_termination)> keepsSlotBusy;
+    /** Whether a claim that is applied after its proposal timed out is released. */
     std::function<bool()> releasesLateClaims;
-    /** Whether new requests are refused once a stop's cache time has passed. */
+    /** Whether a stopping service refuses new requests after `lameDuckTime`. */
     std::function<bool()> refusesWhileStopping;
 };
 
-/** The sound policies. */
 request_policies defaultRequestPolicies();
 
-/** Bounds of the request path of one VM. */
+/** Limits of the request path of one VM. */
 struct request_options {
-    /** Requests in flight or waiting, at most. */
+    /** The maximum number of requests that run or wait for a slot. */
     std::size_t maximumRequests = 4096;
-    /** Bytes of all their bodies, at most. */
-    byte_count maximumBodies { 64 * 1024 * 1024 };
-    /** Attempts of one request, hedges among them. */
+    /** The maximum total size of their bodies. */
+    byte_count maximumBodyBytes { 64 * 1024 * 1024 };
+    /** The maximum number of attempts of one request, including hedges. */
     std::size_t maximumAttempts = 4;
-    /** How long after its close the work of a cancelled call may still run at the upstream: the way there and its
-     * reaction. */
+    /** How long the work of a cancelled call may still run after its connection was closed: network delay plus the
+     * upstream's reaction time. */
     duration cancellationGrace = std::chrono::milliseconds(100);
-    /** How long a crash report may take before the entry goes on with what it knows itself. */
+    /** How long an entry waits for its crash report to be applied before it continues with its local knowledge. */
     duration crashReportTimeout = std::chrono::milliseconds(500);
-    /** How long a caller's answer waits after a crash report, so that a resend finds it applied at every entry. */
-    duration crashReportSpread = std::chrono::milliseconds(250);
-    /** How long a stop goes on taking requests; the cache time of the settings if there is none. */
+    /** How long the answer to the caller is delayed after a crash report, so that every entry has applied the report
+     * when the caller resends. */
+    duration crashReportPropagationTime = std::chrono::milliseconds(250);
+    /** How long a stopping service still accepts requests, as callers may have cached this entry; by default the lookup
+     * cache time of the VM's settings. */
     std::optional<duration> lameDuckTime;
     crash_guard_options crashes;
-    /** Bounds retries by a sliding window instead of by all that came since the start. */
+    /** Limits retries within a sliding window. By default the budget is based on all requests since the start. */
     std::optional<retry_window_options> retryWindow;
-    /** How long a stop goes on settling keys after the last request ended. */
-    duration settlementStopTime = std::chrono::seconds(5);
+    /** How long a stop waits for pending key settlements after the last request ended. */
+    duration settlementStopTimeout = std::chrono::seconds(5);
     request_policies policies = defaultRequestPolicies();
 };
 
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -24,12 +24,12 @@
 
 void request_run::begin()
 {
-    m_claims = m_environment.options.policies.claims(m_request.traits);
+    m_claimsKey = m_environment.options.policies.claimsKey(m_request.traits);
     m_deadlineTimer = m_environment.hooks.schedule(remaining(), whileRunning(&request_run::onDeadline));
-    if (m_claims)
+    if (m_claimsKey)
         claim();
     else
-        enterGuard();
+        enterCrashGuard();
 }
 
 void request_run::claim()
@@ -51,8 +51,8 @@
     m_claimResolved = answer.state != claim_state::Unresolved;
     switch (answer.state) {
     case claim_state::Claimed:
-        m_held = answer.held;
-        enterGuard();
+        m_heldKey = answer.held;
+        enterCrashGuard();
         return;
     case claim_state::InProgress:
         finish(systemAnswer(outcome::InProgress, answer_reason::KeyTaken));
@@ -68,24 +68,25 @@
         return;
     case claim_state::TableFull:
     case claim_state::Unresolved:
-        finish(systemAnswer(withoutAnswer(), answer_reason::KeyUnavailable));
+        finish(systemAnswer(outcomeWithoutAnswer(), answer_reason::KeyUnavailable));
         return;
     }
 }
 
-void request_run::enterGuard()
+void request_run::enterCrashGuard()
 {
-    m_pass = m_environment.crashes.newPass();
-    m_environment.crashes.enter(m_pass, crashKey(), m_request.deadline, whileRunning(&request_run::onGuard));
+    m_crashGuardTicket = m_environment.crashes.newTicket();
+    m_environment.crashes.enter(
+        m_crashGuardTicket, crashKey(), m_request.deadline, whileRunning(&request_run::onCrashVerdict));
 }
 
-void request_run::onGuard(crash_verdict verdict)
+void request_run::onCrashVerdict(crash_verdict verdict)
 {
-    if (verdict == crash_verdict::Pass) {
+    if (verdict == crash_verdict::Allow) {
         startAttempt();
         return;
     }
-    caller_answer answer = systemAnswer(withoutAnswer(), answer_reason::CrashingRequest);
+    caller_answer answer = systemAnswer(outcomeWithoutAnswer(), answer_reason::CrashingRequest);
     if (!m_environment.crashes.refuses(crashKey()))
         answer.retryAfter = shortRetryAfter;
     finish(std::move(answer));
@@ -93,21 +94,21 @@
 
 void request_run::startAttempt()
 {
-    internal_assert(m_request.traits.idempotent || m_machine.withoutAnswer() == outcome::NotRun)
+    internal_assert(m_request.traits.idempotent || m_outcome.outcomeWithoutAnswer() == outcome::NotRun)
         << "request " << m_request.id.value() << " is not idempotent, may have run, and would be sent again";
     ++m_attemptCount;
     attempt_events events;
     events.onStarted = whileRunning(&request_run::onAttemptStarted);
     const auto slot = std::make_shared<std::weak_ptr<upstream_attempt>>();
-    events.onEnd = [weak = weak_from_this(), slot](const attempt_end& ended) {
+    events.onEnd = [weak = weak_from_this(), slot](const attempt_result& result) {
         const auto self = weak.lock();
         if (self && !self->m_finished)
-            self->onAttemptEnd(slot->lock(), ended);
+            self->onAttemptEnd(slot->lock(), result);
     };
     const auto attempt = upstream_attempt::create(m_environment, m_request, std::move(events));
     *slot = attempt;
-    m_open.push_back(attempt);
-    attempt->start(m_avoid);
+    m_openAttempts.push_back(attempt);
+    attempt->start(m_upstreamsToAvoid);
 }
 
 void request_run::onAttemptStarted()
@@ -127,38 +128,39 @@
 
 void request_run::onHedgeTime()
 {
-    if (m_open.size() != 1 || m_attemptCount != 1 || m_attemptCount >= m_environment.options.maximumAttempts)
+    if (m_openAttempts.size() != 1 || m_attemptCount != 1 || m_attemptCount >= m_environment.options.maximumAttempts)
         return;
-    if (!m_environment.options.policies.hasRoomToHedge(m_environment.hedges.hasRoom(m_request.content.service)))
+    if (!m_environment.options.policies.allowsHedge(m_environment.hedges.hasSpareSlots(m_request.content.service)))
         return;
-    if (m_environment.options.policies.budgeted() && !m_environment.spendRetry(m_request.content.service))
+    if (m_environment.options.policies.limitsRetries() && !m_environment.tryAcquireRetry(m_request.content.service))
         return;
     ++m_environment.statistics.hedges;
-    m_avoid.push_back(m_open.front()->upstream());
+    m_upstreamsToAvoid.push_back(m_openAttempts.front()->upstream());
     startAttempt();
 }
 
-void request_run::onAttemptEnd(const std::shared_ptr<upstream_attempt>& attempt, const attempt_end& ended)
+void request_run::onAttemptEnd(const std::shared_ptr<upstream_attempt>& attempt, const attempt_result& result)
 {
-    std::erase(m_open, attempt);
-    m_machine.close(ended.state);
-    const bool offered = ended.ended != attempt_end::kind::NoSlot && ended.ended != attempt_end::kind::NotOffered;
+    std::erase(m_openAttempts, attempt);
+    m_outcome.recordEnd(result.state);
+    const bool offered
+        = result.ended != attempt_result::kind::NoSlot && result.ended != attempt_result::kind::NotOffered;
     if (offered)
-        ++m_offerCount;
+        ++m_dispatchCount;
     if (m_abandoning)
         return;
-    if (ended.ended != attempt_end::kind::NoSlot || !m_lastEnd)
-        m_lastEnd = ended;
-    if (ended.ended == attempt_end::kind::Answered) {
-        finishWithLastEnd();
+    if (result.ended != attempt_result::kind::NoSlot || !m_lastResult)
+        m_lastResult = result;
+    if (result.ended == attempt_result::kind::Answered) {
+        finishWithLastResult();
         return;
     }
-    if (!ended.upstream.empty())
-        m_avoid.push_back(ended.upstream);
+    if (!result.upstream.empty())
+        m_upstreamsToAvoid.push_back(result.upstream);
     const bool crashed
-        = ended.ended == attempt_end::kind::Lost && m_environment.options.policies.mayBeCrash(ended.failure);
+        = result.ended == attempt_result::kind::Lost && m_environment.options.policies.mayBeCrash(result.failure);
     if (crashed)
-        m_environment.crashes.report(crashKey(), ended.upstream, whileRunning(&request_run::onCrashReported));
+        m_environment.crashes.report(crashKey(), result.upstream, whileRunning(&request_run::onCrashReported));
     else
         continueOrFinish();
 }
@@ -171,34 +173,34 @@
 
 void request_run::continueOrFinish()
 {
-    if (!m_open.empty())
+    if (!m_openAttempts.empty())
         return;
-    if (takeRetry(*m_lastEnd)) {
+    if (tryRetry(*m_lastResult)) {
         startAttempt();
         return;
     }
     if (!m_crashCounted) {
-        finishWithLastEnd();
+        finishWithLastResult();
         return;
     }
-    const duration spread = std::min(m_environment.options.crashReportSpread, remaining());
-    m_spreadTimer = m_environment.hooks.schedule(spread, whileRunning(&request_run::finishWithLastEnd));
+    const duration propagation = std::min(m_environment.options.crashReportPropagationTime, remaining());
+    m_crashReportTimer = m_environment.hooks.schedule(propagation, whileRunning(&request_run::finishWithLastResult));
 }
 
-bool request_run::takeRetry(const attempt_end& ended)
+bool request_run::tryRetry(const attempt_result& result)
 {
     const request_options& options = m_environment.options;
-    if (ended.ended == attempt_end::kind::NoSlot || m_attemptCount >= options.maximumAttempts)
+    if (result.ended == attempt_result::kind::NoSlot || m_attemptCount >= options.maximumAttempts)
         return false;
-    if (m_request.policy.maximumAttempts != 0 && m_offerCount >= m_request.policy.maximumAttempts)
+    if (m_request.policy.maximumAttempts != 0 && m_dispatchCount >= m_request.policy.maximumAttempts)
         return false;
-    const failed_attempt end { m_request.traits, ended.state, remaining() };
-    if (!options.policies.mayRetry(end))
+    const failed_attempt failed { m_request.traits, result.state, remaining() };
+    if (!options.policies.mayRetry(failed))
         return false;
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
         return false;
-    const bool charged = options.policies.budgeted() && !options.policies.isExemptFromBudget(end);
-    if (charged && !m_environment.spendRetry(m_request.content.service))
+    const bool charged = options.policies.limitsRetries() && !options.policies.isExemptFromBudget(failed);
+    if (charged && !m_environment.tryAcquireRetry(m_request.content.service))
         return false;
     ++m_environment.statistics.retries;
     return true;
@@ -206,77 +208,78 @@
 
 void request_run::onDeadline()
 {
-    const bool trying = !m_open.empty();
+    const bool trying = !m_openAttempts.empty();
     abandonAttempts(abandon_cause::Deadline);
-    if (m_lastEnd && !trying)
-        finishWithLastEnd();
+    if (m_lastResult && !trying)
+        finishWithLastResult();
     else
-        finish(systemAnswer(withoutAnswer(), answer_reason::DeadlineExceeded));
+        finish(systemAnswer(outcomeWithoutAnswer(), answer_reason::DeadlineExceeded));
 }
 
 void request_run::callerLeft()
 {
-    const bool dispatched = !m_open.empty() && m_held;
-    if (dispatched && m_environment.options.policies.outlivesCaller(m_request.traits))
+    const bool dispatched = !m_openAttempts.empty() && m_heldKey;
+    if (dispatched && m_environment.options.policies.continuesWithoutCaller(m_request.traits))
         return;
-    abandonAttempts(abandon_cause::NotWanted);
-    finish(systemAnswer(withoutAnswer(), answer_reason::DeadlineExceeded));
+    abandonAttempts(abandon_cause::NoLongerNeeded);
+    finish(systemAnswer(outcomeWithoutAnswer(), answer_reason::DeadlineExceeded));
 }
 
 void request_run::abandonAttempts(abandon_cause cause)
 {
-    const auto open = std::exchange(m_open, {});
-    // A slot that one attempt frees may go to another one of these and end it first.
+    const auto open = std::exchange(m_openAttempts, {});
+    // An abandoned attempt frees its slot, which may be granted to the next attempt in this list and end that one at
+    // once. The flag keeps onAttemptEnd() from acting on it.
     m_abandoning = true;
     for (const auto& attempt : open) {
         if (!attempt->hasEnded())
-            m_machine.close(attempt->abandon(cause));
+            m_outcome.recordEnd(attempt->abandon(cause));
     }
     m_abandoning = false;
 }
 
-outcome request_run::withoutAnswer() const
+outcome request_run::outcomeWithoutAnswer() const
 {
-    if (m_claims && !m_claimResolved)
+    if (m_claimsKey && !m_claimResolved)
         return m_environment.options.policies.unresolvedOutcome(m_request.traits);
-    return m_machine.withoutAnswer();
+    return m_outcome.outcomeWithoutAnswer();
 }
 
-void request_run::finishWithLastEnd() { finish(answerToLastEnd()); }
+void request_run::finishWithLastResult() { finish(answerForLastResult()); }
 
-caller_answer request_run::answerToLastEnd() const
+caller_answer request_run::answerForLastResult() const
 {
-    const attempt_end& ended = *m_lastEnd;
-    switch (ended.ended) {
-    case attempt_end::kind::NoSlot:
-        return systemAnswer(withoutAnswer(),
-            ended.refusal == slot_refusal::NoUpstream ? answer_reason::NoUpstream : answer_reason::Overloaded);
-    case attempt_end::kind::NotOffered:
-        return systemAnswer(withoutAnswer(),
-            ended.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
-    case attempt_end::kind::Refused:
-        if (ended.answer->metadata.wrongInstance)
-            return systemAnswer(withoutAnswer(), answer_reason::NoUpstream);
-        return upstreamAnswer(withoutAnswer(), *ended.answer);
-    case attempt_end::kind::Shed:
+    const attempt_result& result = *m_lastResult;
+    switch (result.ended) {
+    case attempt_result::kind::NoSlot:
+        return systemAnswer(outcomeWithoutAnswer(),
+            result.refusal == slot_refusal::NoUpstream ? answer_reason::NoUpstream : answer_reason::Overloaded);
+    case attempt_result::kind::NotOffered:
+        return systemAnswer(outcomeWithoutAnswer(),
+            result.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
+    case attempt_result::kind::Refused:
+        if (result.answer->metadata.wrongInstance)
+            return systemAnswer(outcomeWithoutAnswer(), answer_reason::NoUpstream);
+        return upstreamAnswer(outcomeWithoutAnswer(), *result.answer);
+    case attempt_result::kind::Shed:
         return upstreamAnswer(
-            m_request.traits.idempotent ? outcome::Completed : m_machine.withoutAnswer(), *ended.answer);
-    case attempt_end::kind::Answered:
-        return upstreamAnswer(outcome::Completed, *ended.answer);
-    case attempt_end::kind::Lost:
-        return answerToLost();
+            m_request.traits.idempotent ? outcome::Completed : m_outcome.outcomeWithoutAnswer(), *result.answer);
+    case attempt_result::kind::Answered:
+        return upstreamAnswer(outcome::Completed, *result.answer);
+    case attempt_result::kind::Lost:
+        return answerForLostConnection();
     }
-    internal_assert(false) << "attempt end " << static_cast<int>(ended.ended);
+    internal_assert(false) << "attempt end " << static_cast<int>(result.ended);
     return systemAnswer(outcome::Unknown, answer_reason::ConnectionLost);
 }
 
-caller_answer request_run::answerToLost() const
+caller_answer request_run::answerForLostConnection() const
 {
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
-        return systemAnswer(withoutAnswer(), answer_reason::CrashingRequest);
-    if (m_lastEnd->failure == call_failure::Timeout)
-        return systemAnswer(withoutAnswer(), answer_reason::DeadlineExceeded);
-    return systemAnswer(withoutAnswer(), answer_reason::ConnectionLost);
+        return systemAnswer(outcomeWithoutAnswer(), answer_reason::CrashingRequest);
+    if (m_lastResult->failure == call_failure::Timeout)
+        return systemAnswer(outcomeWithoutAnswer(), answer_reason::DeadlineExceeded);
+    return systemAnswer(outcomeWithoutAnswer(), answer_reason::ConnectionLost);
 }
 
 void request_run::finish(caller_answer answer)
@@ -284,24 +287,25 @@
     internal_assert(!m_finished) << "request " << m_request.id.value() << " is answered twice";
     const auto self = shared_from_this();
     m_finished = true;
-    for (const timer_id timer : { m_deadlineTimer, m_hedgeTimer, m_spreadTimer })
+    for (const timer_id timer : { m_deadlineTimer, m_hedgeTimer, m_crashReportTimer })
         m_environment.hooks.cancel(timer);
-    abandonAttempts(abandon_cause::NotWanted);
-    m_environment.crashes.leave(m_pass, m_lastEnd && m_lastEnd->ended == attempt_end::kind::Answered);
+    abandonAttempts(abandon_cause::NoLongerNeeded);
+    m_environment.crashes.leave(
+        m_crashGuardTicket, m_lastResult && m_lastResult->ended == attempt_result::kind::Answered);
     settleKey(answer);
     m_done(m_request, std::move(answer));
 }
 
 void request_run::settleKey(const caller_answer& answer)
 {
-    if (!m_held)
+    if (!m_heldKey)
         return;
-    internal_assert(answer.result != outcome::NotRun || m_machine.withoutAnswer() == outcome::NotRun)
+    internal_assert(answer.result != outcome::NotRun || m_outcome.outcomeWithoutAnswer() == outcome::NotRun)
         << "request " << m_request.id.value() << " is settled as not run, but may have run";
     std::optional<upstream_answer> kept;
     if (answer.result == outcome::Completed && answerSize(answer.content) <= maximumKeptAnswer)
         kept = answer.content;
-    m_environment.claims.settle(*m_held, answer.result, std::move(kept));
+    m_environment.claims.settle(*m_heldKey, answer.result, std::move(kept));
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -1,7 +1,10 @@
 #pragma once
 
 /** \file
- * One request from its admission to its one answer: claim, crash guard, attempts, retries, hedges, settlement.
+ * The execution of one request, from admission to its single answer.
+ *
+ * The steps are: claim the idempotency key, if the request has one and is not idempotent; pass the crash guard; attempt
+ * the request on upstreams, with retries and hedges within the limits; settle the key; answer.
  */
 
 #include <functional>
@@ -9,31 +12,32 @@
 #include <optional>
 #include <vector>
 
-#include "decision/request/outcome_machine.h"
+#include "decision/request/outcome_tracker.h"
 #include "decision/request/request_environment.h"
 #include "decision/request/upstream_attempt.h"
 
 namespace plantainlatch {
 
-/** The run of one admitted request. */
+/** The execution of one admitted request. */
 class request_run : public std::enable_shared_from_this<request_run> {
 public:
     using done_handler = std::function<void(const admitted_request&, caller_answer)>;
 
-    /** `done` is called once, perhaps during begin(), and also when the caller has left. */
+    /** `done` is called once, possibly during begin(), even if the caller has left. */
     static std::shared_ptr<request_run> create(
         request_environment& environment, admitted_request request, done_handler done);
 
     void begin();
     const admitted_request& request() const { return m_request; }
 
-    /** Ends the run, unless its work is claimed and was dispatched: that goes on, so that a resend finds its answer. */
+    /** Ends the run when its caller has disconnected. A request that holds a claimed key and was dispatched continues,
+     * so that the caller gets its answer by resending it. */
     void callerLeft();
 
 private:
     request_run(request_environment& environment, admitted_request request, done_handler done);
 
-    /** Makes a callback that does nothing once the run has ended. */
+    /** Wraps a member function into a callback that does nothing after the run has ended. */
     template <typename... Arguments>
     std::function<void(Arguments...)> whileRunning(void (request_run::*member)(Arguments...))
     {
@@ -46,27 +50,27 @@
 
     void claim();
     void onClaim(const claim_answer& answer);
-    void enterGuard();
-    void onGuard(crash_verdict verdict);
+    void enterCrashGuard();
+    void onCrashVerdict(crash_verdict verdict);
 
     void startAttempt();
     void onAttemptStarted();
-    void onAttemptEnd(const std::shared_ptr<upstream_attempt>& attempt, const attempt_end& ended);
+    void onAttemptEnd(const std::shared_ptr<upstream_attempt>& attempt, const attempt_result& result);
     void onCrashReported(bool counted);
     void continueOrFinish();
-    bool takeRetry(const attempt_end& ended);
+    bool tryRetry(const attempt_result& result);
     void scheduleHedge();
     void onHedgeTime();
 
     void onDeadline();
-    void finishWithLastEnd();
-    caller_answer answerToLastEnd() const;
-    caller_answer answerToLost() const;
+    void finishWithLastResult();
+    caller_answer answerForLastResult() const;
+    caller_answer answerForLostConnection() const;
     void finish(caller_answer answer);
     void abandonAttempts(abandon_cause cause);
     void settleKey(const caller_answer& answer);
-    /** What can be said when no attempt brought an answer. */
-    outcome withoutAnswer() const;
+    /** The outcome to report if no attempt brought an answer. */
+    outcome outcomeWithoutAnswer() const;
 
     crash_key crashKey() const { return { m_request.content.service, m_request.fingerprint }; }
     duration remaining() const { return m_request.deadline - m_environment.hooks.now(); }
@@ -78,20 +82,21 @@
     bool m_abandoning = false;
     timer_id m_deadlineTimer;
     timer_id m_hedgeTimer;
-    timer_id m_spreadTimer;
-    bool m_claims = false;
-    /** The claim's answer came; before it the key may be held by an earlier request. */
+    timer_id m_crashReportTimer;
+    bool m_claimsKey = false;
+    /** The result of the claim is known. Until then, an earlier request may hold the key. */
     bool m_claimResolved = false;
-    std::optional<held_key> m_held;
-    crash_pass m_pass;
-    outcome_machine m_machine;
+    std::optional<held_key> m_heldKey;
+    crash_guard_ticket m_crashGuardTicket;
+    outcome_tracker m_outcome;
     std::size_t m_attemptCount = 0;
-    /** Attempts that an upstream may have seen. */
-    std::size_t m_offerCount = 0;
-    std::vector<std::shared_ptr<upstream_attempt>> m_open;
-    std::vector<upstream_id> m_avoid;
-    /** The end that is answered with when no further attempt is made; a missing slot does not replace a call's end. */
-    std::optional<attempt_end> m_lastEnd;
+    /** The number of attempts that an upstream may have received. */
+    std::size_t m_dispatchCount = 0;
+    std::vector<std::shared_ptr<upstream_attempt>> m_openAttempts;
+    std::vector<upstream_id> m_upstreamsToAvoid;
+    /** The result from which the answer is made if no further attempt follows. The result of a call is not replaced by
+     * a later attempt that got no slot. */
+    std::optional<attempt_result> m_lastResult;
     bool m_crashCounted = false;
 };
 
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -24,7 +24,7 @@
             return traits;
         }
         traits.idempotent = definition != nullptr && isIdempotent(*definition, request.method, request.target);
-        traits.claimed = request.key.has_value() && !traits.idempotent;
+        traits.needsClaim = request.key.has_value() && !traits.idempotent;
         return traits;
     }
 
@@ -91,24 +91,24 @@
     m_crashes = crash_guard::create(
         { m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout, m_options.crashes });
     m_environment = std::make_unique<request_environment>(request_environment { m_hooks, m_options, *slots, *upstreams,
-        *m_claims, *m_crashes, [this](const service_id& service) { return spendRetry(service); }, m_hedges,
+        *m_claims, *m_crashes, [this](const service_id& service) { return tryAcquireRetry(service); }, m_hedges,
         m_statistics, [this] { return call_id(++m_lastCall); } });
     return services.publish(port_names::requests, m_port);
 }
 
-void request_service::earnRetry(const service_id& service)
+void request_service::creditRetryBudget(const service_id& service)
 {
     if (m_retryWindow)
-        m_retryWindow->earn(service, m_hooks.now());
+        m_retryWindow->recordRequest(service, m_hooks.now());
     else
-        m_budget.earn();
+        m_budget.recordRequest();
 }
 
-bool request_service::spendRetry(const service_id& service)
+bool request_service::tryAcquireRetry(const service_id& service)
 {
     if (!m_retryWindow)
-        return m_budget.spend();
-    return m_retryWindow->spend(service, m_hooks.now(), knownEntries(m_control->state()).size());
+        return m_budget.tryAcquire();
+    return m_retryWindow->tryAcquire(service, m_hooks.now(), knownEntries(m_control->state()).size());
 }
 
 request_id request_service::submit(caller_request request, std::function<void(caller_answer)> deliver)
@@ -120,12 +120,12 @@
 
 request_id request_service::submitRouted(caller_request request, std::function<void(caller_answer)> deliver)
 {
-    m_routes.follow(m_control->state().config);
+    m_routes.update(m_control->state().config);
     const route_definition* route = m_routes.find(request.host, request.target);
     if (route == nullptr) {
         const request_id id(++m_lastRequest);
         ++m_statistics.requests;
-        const auto reason = knowsWhatIsDeclared() ? answer_reason::UnknownRoute : answer_reason::NotReady;
+        const auto reason = hasCurrentConfiguration() ? answer_reason::UnknownRoute : answer_reason::NotReady;
         caller_answer answer = systemAnswer(outcome::NotRun, reason);
         m_hooks.log(requestRefused(request, answer));
         countAnswer(answer);
@@ -152,7 +152,7 @@
         deliver(std::move(answer));
         return id;
     }
-    earnRetry(request.service);
+    creditRetryBudget(request.service);
     m_bodyBytes += request.body.size();
     admitted_request admitted = admit(std::move(request), route, *definition);
     admitted.id = id;
@@ -164,7 +164,7 @@
     return id;
 }
 
-bool request_service::knowsWhatIsDeclared() const
+bool request_service::hasCurrentConfiguration() const
 {
     return m_control->state().config.number > change_number() && m_consensus->state().current;
 }
@@ -172,10 +172,10 @@
 std::optional<answer_reason> request_service::refusalReason(
     const caller_request& request, const service_definition* definition)
 {
-    if (m_life == life::Draining)
+    if (m_lifecycle == lifecycle::Draining)
         return answer_reason::Draining;
     if (definition == nullptr)
-        return knowsWhatIsDeclared() ? answer_reason::UnknownService : answer_reason::NotReady;
+        return hasCurrentConfiguration() ? answer_reason::UnknownService : answer_reason::NotReady;
     if (request.body.size() > definition->maximumBody.value())
         return answer_reason::BodyTooLarge;
     if (request.key && request.key->empty())
@@ -183,7 +183,7 @@
     if (request.deadline && *request.deadline <= duration::zero())
         return answer_reason::DeadlineExceeded;
     const bool full = m_running.size() >= m_options.maximumRequests
-        || m_bodyBytes + request.body.size() > m_options.maximumBodies.value();
+        || m_bodyBytes + request.body.size() > m_options.maximumBodyBytes.value();
     if (full)
         return answer_reason::Overloaded;
     return std::nullopt;
@@ -239,7 +239,7 @@
         countAnswer(answer);
         deliver(std::move(answer));
     }
-    if (m_life == life::Draining && m_running.empty())
+    if (m_lifecycle == lifecycle::Draining && m_running.empty())
         finishStop();
 }
 
@@ -267,14 +267,14 @@
 void request_service::stop(std::function<void()> stopped)
 {
     m_stopped = std::move(stopped);
-    m_life = life::Leaving;
+    m_lifecycle = lifecycle::LameDuck;
     m_hooks.schedule(m_options.lameDuckTime.value_or(m_settings.lookupCacheTime), [this] { drain(); });
 }
 
 void request_service::drain()
 {
     if (m_options.policies.refusesWhileStopping())
-        m_life = life::Draining;
+        m_lifecycle = lifecycle::Draining;
     if (m_running.empty())
         finishStop();
 }
@@ -288,10 +288,11 @@
         if (!*stopped)
             return;
         internal_assert(m_running.empty()) << m_running.size() << " requests are in flight after the stop";
-        internal_assert(m_crashes->openPasses() == 0) << m_crashes->openPasses() << " passes are open after the stop";
+        internal_assert(m_crashes->openTickets() == 0)
+            << m_crashes->openTickets() << " crash guard tickets are open after the stop";
         std::exchange(*stopped, nullptr)();
     };
-    m_hooks.schedule(m_options.settlementStopTime, once);
+    m_hooks.schedule(m_options.settlementStopTimeout, once);
     m_claims->whenSettled(once);
 }
 
@@ -300,7 +301,7 @@
     state_dump root;
     root.add("in_flight", static_cast<std::uint64_t>(m_running.size()));
     root.add("body_bytes", m_bodyBytes);
-    root.add("draining", m_life != life::Serving);
+    root.add("draining", m_lifecycle != lifecycle::Serving);
     root.add("requests", m_statistics.requests);
     root.add("completed", m_statistics.completed);
     root.add("replayed", m_statistics.replayed);
@@ -311,12 +312,12 @@
     root.add("retries", m_statistics.retries);
     root.add("hedges", m_statistics.hedges);
     root.add("late_dispatches", m_statistics.lateDispatches);
-    root.add("owed_settlements", static_cast<std::uint64_t>(m_claims->owedSettlements()));
+    root.add("owed_settlements", static_cast<std::uint64_t>(m_claims->pendingSettlements()));
     if (m_retryWindow) {
         state_dump& left = root.addObject("retries_left");
         for (const auto& [service, definition] : m_control->state().config.services)
-            left.add(
-                service.value(), m_retryWindow->left(service, m_hooks.now(), knownEntries(m_control->state()).size()));
+            left.add(service.value(),
+                m_retryWindow->remaining(service, m_hooks.now(), knownEntries(m_control->state()).size()));
     }
     root.add("late_claims", static_cast<std::uint64_t>(m_claims->lateClaims()));
     return root;
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that takes callers' requests and gives each one its one answer.
+ * The entry point of the request path: admits callers' requests, runs them on upstreams and answers each one once.
  */
 
 #include <functional>
@@ -21,18 +21,18 @@
 
 namespace plantainlatch {
 
-/** Admits, runs and answers requests; published as "requests". */
+/** Admits, runs and answers requests. Publishes a request_port under the name "requests". */
 class request_service {
 public:
     static absl::StatusOr<std::unique_ptr<request_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, request_options options = {});
 
-    /** The kernel service; it needs "control", "consensus", "slots" and "upstreams". */
+    /** The kernel service, which depends on "control", "consensus", "slots" and "upstreams". */
     service asService();
 
     const request_statistics& statistics() const { return m_statistics; }
     std::size_t requestsInFlight() const { return m_running.size(); }
-    std::size_t owedSettlements() const { return m_claims->owedSettlements(); }
+    std::size_t pendingSettlements() const { return m_claims->pendingSettlements(); }
     std::size_t lateClaims() const { return m_claims->lateClaims(); }
 
 private:
@@ -41,11 +41,11 @@
         std::shared_ptr<request_run> run;
         std::function<void(caller_answer)> deliver;
     };
-    enum class life {
+    enum class lifecycle {
         Serving,
-        /** Stopping, but callers may still hold a list of entries with this VM. */
-        Leaving,
-        /** New work is refused. */
+        /** Stopping, but still accepting requests, as callers may have cached a list of entries with this VM. */
+        LameDuck,
+        /** New requests are refused. */
         Draining,
     };
 
@@ -61,11 +61,11 @@
     request_id submitRouted(caller_request request, std::function<void(caller_answer)> deliver);
     request_id submitTo(
         const route_definition* route, caller_request request, std::function<void(caller_answer)> deliver);
-    void earnRetry(const service_id& service);
-    bool spendRetry(const service_id& service);
+    void creditRetryBudget(const service_id& service);
+    bool tryAcquireRetry(const service_id& service);
     void cancel(request_id id);
-    /** Whether a service that this VM does not know is surely not declared. */
-    bool knowsWhatIsDeclared() const;
+    /** Whether this VM's configuration is up to date, so that a service or route missing from it does not exist. */
+    bool hasCurrentConfiguration() const;
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
     admitted_request admit(caller_request request, const route_definition* route, const service_definition& definition);
     void onDone(const admitted_request& request, caller_answer answer);
@@ -90,7 +90,7 @@
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_bodyBytes = 0;
     absl::flat_hash_map<request_id, running_request> m_running;
-    life m_life = life::Serving;
+    lifecycle m_lifecycle = lifecycle::Serving;
     std::function<void()> m_stopped;
 };
 
--- a/src/decision/request/retry_budget.cpp
+++ b/src/decision/request/retry_budget.cpp
@@ -6,14 +6,14 @@
 
 namespace plantainlatch {
 
-void retry_budget::earn()
+void retry_budget::recordRequest()
 {
     ++m_requests;
     if (m_requests > requestsPerRetry)
         m_saved = std::min(m_saved + 1, maximumSavedRetries * requestsPerRetry);
 }
 
-bool retry_budget::spend()
+bool retry_budget::tryAcquire()
 {
     if (m_saved < requestsPerRetry)
         return false;
--- a/src/decision/request/retry_budget.h
+++ b/src/decision/request/retry_budget.h
@@ -1,26 +1,26 @@
 #pragma once
 
 /** \file
- * The budget that retries and hedges share.
+ * A token bucket that limits retries and hedges to a share of the requests.
  */
 
 #include <cstdint>
 
 namespace plantainlatch {
 
-/** Every so many requests earn one retry or hedge: 10 % of the traffic. */
+/** One retry or hedge is allowed for this many requests, which is 10 % of the traffic. */
 inline constexpr std::uint64_t requestsPerRetry = 10;
 
-/** The most retries saved up for a burst. */
+/** The maximum number of unused retries that are saved for a burst. */
 inline constexpr std::uint64_t maximumSavedRetries = 20;
 
-/** Earned by first attempts, spent by retries and hedges; over any start it spends at most max(1, 10 % of requests). */
+/** Limits retries and hedges since the start of the VM to max(1, 10 % of the requests). */
 class retry_budget {
 public:
-    /** A request came for the first time. */
-    void earn();
-    /** Takes one retry or hedge; false when the budget is spent. */
-    bool spend();
+    /** Counts a new request; retries and hedges are not counted here. */
+    void recordRequest();
+    /** Charges one retry or hedge; returns false if the budget is exhausted. */
+    bool tryAcquire();
 
     std::uint64_t requests() const { return m_requests; }
     std::uint64_t spent() const { return m_spent; }
@@ -28,7 +28,8 @@
 private:
     std::uint64_t m_requests = 0;
     std::uint64_t m_spent = 0;
-    /** In requests earned; the first retry is lent, and the first ten requests pay for it. */
+    /** The saved budget in units of requests. The first retry is granted in advance; so the first `requestsPerRetry`
+     * requests add nothing. */
     std::uint64_t m_saved = requestsPerRetry;
 };
 
--- a/src/decision/request/retry_window.cpp
+++ b/src/decision/request/retry_window.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    /** Slices of a window; a retry is forgotten with its slice, up to one slice late. */
+    /** The window is counted in this many slices. A retry leaves the window together with its slice, so at most one
+     * slice too late. */
     constexpr int slicesPerWindow = 20;
 
 } // namespace
@@ -16,9 +17,9 @@
 {
 }
 
-retry_window::counts& retry_window::current(const service_id& service, time_point now)
+retry_window::slice_counts& retry_window::current(const service_id& service, time_point now)
 {
-    std::deque<counts>& slices = m_slices[service];
+    std::deque<slice_counts>& slices = m_slices[service];
     const duration slice = m_options.window / slicesPerWindow;
     while (!slices.empty() && slices.front().begin + slice + m_options.window <= now)
         slices.pop_front();
@@ -27,26 +28,26 @@
     return slices.back();
 }
 
-void retry_window::earn(const service_id& service, time_point now) { ++current(service, now).requests; }
+void retry_window::recordRequest(const service_id& service, time_point now) { ++current(service, now).requests; }
 
-bool retry_window::spend(const service_id& service, time_point now, std::size_t sharers)
+bool retry_window::tryAcquire(const service_id& service, time_point now, std::size_t vmCount)
 {
-    counts& latest = current(service, now);
-    if (left(service, now, sharers) < 1)
+    slice_counts& latest = current(service, now);
+    if (remaining(service, now, vmCount) < 1)
         return false;
     ++latest.retries;
     return true;
 }
 
-double retry_window::left(const service_id& service, time_point now, std::size_t sharers) const
+double retry_window::remaining(const service_id& service, time_point now, std::size_t vmCount) const
 {
-    const double slack = m_options.slack / static_cast<double>(std::max<std::size_t>(1, sharers));
+    const double slack = m_options.slack / static_cast<double>(std::max<std::size_t>(1, vmCount));
     const auto found = m_slices.find(service);
     if (found == m_slices.end())
         return slack;
     double requests = 0;
     double retries = 0;
-    for (const counts& slice : found->second) {
+    for (const slice_counts& slice : found->second) {
         if (slice.begin + m_options.window / slicesPerWindow + m_options.window <= now)
             continue;
         requests += static_cast<double>(slice.requests);
--- a/src/decision/request/retry_window.h
+++ b/src/decision/request/retry_window.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The budget of retries within a sliding window, for each service.
+ * A retry budget for each service: retries are limited to a share of the requests within a sliding window.
  */
 
 #include <cstddef>
@@ -14,38 +14,38 @@
 
 namespace plantainlatch {
 
-/** The bound on retries. */
+/** Settings of the retry budget. */
 struct retry_window_options {
     duration window = std::chrono::seconds(10);
-    /** Retries in the window, as a share of its requests. */
+    /** Allowed retries per request in the window. */
     double share = 0.2;
-    /** Retries in the window beyond that share, from all VMs together. */
+    /** Retries that are allowed in the window in addition to the share; divided equally among the VMs. */
     double slack = 0;
 };
 
-/** Counts requests and retries of each service in the window. */
+/** Counts the requests and retries of each service and limits the retries. */
 class retry_window {
 public:
     explicit retry_window(retry_window_options options);
 
-    /** A request of a service came for the first time. */
-    void earn(const service_id& service, time_point now);
-    /** Takes one retry; false when the window holds as many as it may. `sharers` VMs have equal parts of the slack. */
-    bool spend(const service_id& service, time_point now, std::size_t sharers);
-    /** How many retries this VM may still spend now. */
-    double left(const service_id& service, time_point now, std::size_t sharers) const;
+    /** Counts a new request; retries and hedges are not counted here. */
+    void recordRequest(const service_id& service, time_point now);
+    /** Charges one retry; returns false if the budget of the window is exhausted. `vmCount` VMs share the slack. */
+    bool tryAcquire(const service_id& service, time_point now, std::size_t vmCount);
+    /** How many retries this VM may still make now; not rounded, and negative if the budget has shrunk. */
+    double remaining(const service_id& service, time_point now, std::size_t vmCount) const;
 
 private:
-    struct counts {
+    struct slice_counts {
         time_point begin;
         std::uint64_t requests = 0;
         std::uint64_t retries = 0;
     };
 
-    counts& current(const service_id& service, time_point now);
+    slice_counts& current(const service_id& service, time_point now);
 
     retry_window_options m_options;
-    std::map<service_id, std::deque<counts>> m_slices;
+    std::map<service_id, std::deque<slice_counts>> m_slices;
 };
 
 } // namespace plantainlatch
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -13,10 +13,10 @@
 
     constexpr int statusUnavailable = 503;
     constexpr int firstServerError = 500;
-    /** A call that timed out counts as an answer after this many times as long. */
+    /** A call that timed out is recorded as a latency of this many times its duration. */
     constexpr int timeoutLatencyFactor = 2;
 
-    bool isBeforeFirstByte(call_failure failure)
+    bool isBeforeDispatch(call_failure failure)
     {
         return failure == call_failure::ConnectFailed || failure == call_failure::ConnectionLimit;
     }
@@ -38,11 +38,11 @@
         return slot_result::kind::Lost;
     }
 
-    attempt_ending endingOf(call_failure failure)
+    attempt_termination terminationOf(call_failure failure)
     {
-        if (isBeforeFirstByte(failure))
-            return attempt_ending::Finished;
-        return failure == call_failure::Lost ? attempt_ending::Lost : attempt_ending::Cancelled;
+        if (isBeforeDispatch(failure))
+            return attempt_termination::Finished;
+        return failure == call_failure::Lost ? attempt_termination::Lost : attempt_termination::Cancelled;
     }
 
 } // namespace
@@ -83,11 +83,11 @@
 {
     m_ticket.reset();
     if (!answer.slot) {
-        m_state = nextState(m_state, attempt_event::FailBeforeFirstByte);
-        attempt_end ended;
-        ended.refusal = answer.refusal;
-        ended.refusalInputs = answer.inputs;
-        end(std::move(ended));
+        m_state = nextState(m_state, attempt_event::FailBeforeDispatch);
+        attempt_result result;
+        result.refusal = answer.refusal;
+        result.refusalInputs = answer.inputs;
+        end(std::move(result));
         return;
     }
     m_slot = *answer.slot;
@@ -96,31 +96,32 @@
     m_gotSlot = true;
     const time_point now = m_environment.hooks.now();
     m_startedAt = now;
-    if (now < m_slot.dispatchBefore && m_environment.options.policies.worthStarting(chanceAt(now))) {
+    if (now < m_slot.dispatchBefore && m_environment.options.policies.worthStarting(timingAt(now))) {
         call();
         return;
     }
-    release(slot_result::kind::Unused, attempt_ending::Finished);
-    m_state = nextState(m_state, attempt_event::FailBeforeFirstByte);
-    attempt_end ended;
-    ended.refusal = slot_refusal::Overloaded;
-    end(std::move(ended));
+    release(slot_result::kind::Unused, attempt_termination::Finished);
+    m_state = nextState(m_state, attempt_event::FailBeforeDispatch);
+    attempt_result result;
+    result.refusal = slot_refusal::Overloaded;
+    end(std::move(result));
 }
 
-dispatch_timing upstream_attempt::chanceAt(time_point begin) const
+dispatch_timing upstream_attempt::timingAt(time_point begin) const
 {
     return { m_request.deadline - begin, m_request.deadline - m_request.arrivedAt,
         m_environment.hedges.p95Latency(m_request.content.service) };
 }
 
-slot_result::kind upstream_attempt::endAtDeadline() const
+slot_result::kind upstream_attempt::recordTimeout() const
 {
-    // The answer would have taken longer; leaving it out would make the slow end of the latencies look ever faster.
+    // The answer would have taken longer than this. Without timed-out calls among the samples, the 95th percentile
+    // would become too low.
     const duration atLeast = m_environment.hooks.now() - m_startedAt;
-    if (m_environment.options.policies.learnsFromTimeouts())
+    if (m_environment.options.policies.recordsTimeoutLatencies())
         m_environment.hedges.observeLatency(m_request.content.service, atLeast * timeoutLatencyFactor);
-    const bool blames = m_environment.options.policies.blamesUpstream(chanceAt(m_startedAt));
-    return blames ? slot_result::kind::Timeout : slot_result::kind::Cancelled;
+    const bool countsAgainst = m_environment.options.policies.countsAgainstUpstream(timingAt(m_startedAt));
+    return countsAgainst ? slot_result::kind::Timeout : slot_result::kind::Cancelled;
 }
 
 void upstream_attempt::call()
@@ -167,7 +168,7 @@
 
 void upstream_attempt::onDispatch()
 {
-    m_state = nextState(m_state, attempt_event::OfferFirstByte);
+    m_state = nextState(m_state, attempt_event::Dispatch);
     if (m_environment.hooks.now() <= m_slot.dispatchBefore)
         return;
     ++m_environment.statistics.lateDispatches;
@@ -177,41 +178,42 @@
 
 void upstream_attempt::onAnswer(upstream_answer answer)
 {
-    attempt_end ended;
+    attempt_result result;
     slot_result::kind kind = slot_result::kind::Answered;
     attempt_event event = attempt_event::Answer;
     if (m_environment.options.policies.isMarkedRefusal(answer)) {
-        ended.ended = attempt_end::kind::Refused;
+        result.ended = attempt_result::kind::Refused;
         kind = slot_result::kind::Shed;
         event = attempt_event::Refuse;
     } else if (answer.status == statusUnavailable) {
-        ended.ended = attempt_end::kind::Shed;
+        result.ended = attempt_result::kind::Shed;
         kind = slot_result::kind::Shed;
         event = m_request.traits.idempotent ? attempt_event::Answer : attempt_event::Lose;
     } else {
-        ended.ended = attempt_end::kind::Answered;
+        result.ended = attempt_result::kind::Answered;
         if (answer.status >= firstServerError)
             kind = slot_result::kind::Failed;
         else
             m_environment.hedges.observeLatency(m_request.content.service, m_environment.hooks.now() - m_startedAt);
     }
     m_state = nextState(m_state, event);
-    m_marks = answer.metadata;
-    ended.answer = std::move(answer);
-    release(kind, attempt_ending::Finished);
-    end(std::move(ended));
+    m_metadata = answer.metadata;
+    result.answer = std::move(answer);
+    release(kind, attempt_termination::Finished);
+    end(std::move(result));
 }
 
 void upstream_attempt::onFailure(call_failure failure)
 {
-    attempt_end ended;
-    ended.failure = failure;
-    const bool early = isBeforeFirstByte(failure) || m_state == attempt_state::Prepared;
-    ended.ended = early ? attempt_end::kind::NotOffered : attempt_end::kind::Lost;
-    m_state = nextState(m_state, early ? attempt_event::FailBeforeFirstByte : attempt_event::Lose);
-    const bool timedOut = failure == call_failure::Timeout && !early;
-    release(timedOut ? endAtDeadline() : slotResultOf(failure), early ? attempt_ending::Finished : endingOf(failure));
-    end(std::move(ended));
+    attempt_result result;
+    result.failure = failure;
+    const bool beforeDispatch = isBeforeDispatch(failure) || m_state == attempt_state::Prepared;
+    result.ended = beforeDispatch ? attempt_result::kind::NotOffered : attempt_result::kind::Lost;
+    m_state = nextState(m_state, beforeDispatch ? attempt_event::FailBeforeDispatch : attempt_event::Lose);
+    const bool timedOut = failure == call_failure::Timeout && !beforeDispatch;
+    release(timedOut ? recordTimeout() : slotResultOf(failure),
+        beforeDispatch ? attempt_termination::Finished : terminationOf(failure));
+    end(std::move(result));
 }
 
 attempt_state upstream_attempt::abandon(abandon_cause cause)
@@ -223,48 +225,48 @@
     if (m_holdsSlot) {
         m_environment.upstreams.cancel(m_call);
         const bool offered = m_state == attempt_state::Offered;
-        const auto unanswered = offered ? endAtDeadline() : slot_result::kind::ConnectFailed;
-        const auto unwanted = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
-        release(cause == abandon_cause::Deadline ? unanswered : unwanted,
-            offered ? attempt_ending::Cancelled : attempt_ending::Finished);
+        const auto atDeadline = offered ? recordTimeout() : slot_result::kind::ConnectFailed;
+        const auto whenUnneeded = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
+        release(cause == abandon_cause::Deadline ? atDeadline : whenUnneeded,
+            offered ? attempt_termination::Cancelled : attempt_termination::Finished);
     }
     const bool offered = m_state == attempt_state::Offered;
-    m_state = nextState(m_state, offered ? attempt_event::Lose : attempt_event::FailBeforeFirstByte);
+    m_state = nextState(m_state, offered ? attempt_event::Lose : attempt_event::FailBeforeDispatch);
     return m_state;
 }
 
-void upstream_attempt::release(slot_result::kind kind, attempt_ending ending)
+void upstream_attempt::release(slot_result::kind kind, attempt_termination termination)
 {
     internal_assert(m_holdsSlot) << "a slot is released twice";
     m_holdsSlot = false;
     slot_result result;
     result.ended = kind;
     result.latency = m_environment.hooks.now() - m_startedAt;
-    result.busyUntil = busyUntil(ending);
-    result.metadata = m_marks;
+    result.busyUntil = busyUntil(termination);
+    result.metadata = m_metadata;
     m_environment.slots.release(m_slot.handle, result);
 }
 
-std::optional<time_point> upstream_attempt::busyUntil(attempt_ending ending) const
+std::optional<time_point> upstream_attempt::busyUntil(attempt_termination termination) const
 {
-    if (!m_environment.options.policies.keepsSlotBusy(ending))
+    if (!m_environment.options.policies.keepsSlotBusy(termination))
         return std::nullopt;
     const time_point now = m_environment.hooks.now();
     const time_point cancelled = now + m_environment.options.cancellationGrace;
-    if (ending == attempt_ending::Lost)
+    if (termination == attempt_termination::Lost)
         return std::max(m_request.deadline, cancelled);
     return cancelled;
 }
 
-void upstream_attempt::end(attempt_end ended)
+void upstream_attempt::end(attempt_result result)
 {
     const auto self = shared_from_this();
     m_ended = true;
-    ended.state = m_state;
-    ended.upstream = m_slot.upstream.id;
+    result.state = m_state;
+    result.upstream = m_slot.upstream.id;
     m_environment.hooks.log(
-        attemptEnded(m_request, ended, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
-    m_events.onEnd(ended);
+        attemptEnded(m_request, result, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
+    m_events.onEnd(result);
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One attempt to run a request on one upstream: a slot, a call, and how they ended.
+ * One attempt to run a request on one upstream: acquires a slot, makes the call, and releases the slot with the result.
  */
 
 #include <functional>
@@ -9,87 +9,89 @@
 #include <optional>
 #include <vector>
 
-#include "decision/request/outcome_machine.h"
+#include "decision/request/outcome_tracker.h"
 #include "decision/request/request_environment.h"
 
 namespace plantainlatch {
 
 /** How an attempt ended. */
-struct attempt_end {
+struct attempt_result {
     enum class kind {
-        /** No slot was given. */
+        /** No slot was granted. */
         NoSlot,
-        /** The call ended before its first byte. */
+        /** The call ended before it was dispatched. */
         NotOffered,
-        /** The upstream refused the work in a marked refusal. */
+        /** The upstream answered with a marked refusal. */
         Refused,
-        /** The upstream answered 503 without the mark. */
+        /** The upstream answered 503 without stating that the request did not run. */
         Shed,
         Answered,
-        /** The call ended after its first byte and without a whole answer. */
+        /** The call ended after dispatch and without a complete answer. */
         Lost,
     };
     kind ended = kind::NoSlot;
     attempt_state state = attempt_state::NotOffered;
-    /** Why there was no slot. */
+    /** Why no slot was granted, for NoSlot. */
     slot_refusal refusal = slot_refusal::NoUpstream;
-    /** What decided against all upstreams, for NoSlot. */
+    /** The inputs to the decision that no upstream fits, for NoSlot. */
     std::vector<log_field> refusalInputs;
     /** Why the call failed, for NotOffered and Lost. */
     call_failure failure = call_failure::ConnectFailed;
-    /** Empty without a slot. */
+    /** Empty if no slot was granted. */
     upstream_id upstream;
     /** For Refused, Shed and Answered. */
     std::optional<upstream_answer> answer;
 };
 
-/** Why an attempt is given up. */
+/** Why an attempt is abandoned. */
 enum class abandon_cause {
     Deadline,
-    /** The caller left, or another attempt won. */
-    NotWanted,
+    /** The caller left, or another attempt was answered. */
+    NoLongerNeeded,
 };
 
-/** What the request is told of its attempt. */
+/** Callbacks from an attempt to its request. */
 struct attempt_events {
     /** The call was started on an upstream. */
     std::function<void()> onStarted;
-    std::function<void(const attempt_end&)> onEnd;
+    std::function<void(const attempt_result&)> onEnd;
 };
 
-/** An attempt from the wait for its slot to its end. */
+/** An attempt, from waiting for a slot to its end. */
 class upstream_attempt : public std::enable_shared_from_this<upstream_attempt> {
 public:
-    /** The request and its environment must outlive the attempt's end. */
+    /** `environment` and `request` must exist until the attempt has ended. */
     static std::shared_ptr<upstream_attempt> create(
         request_environment& environment, const admitted_request& request, attempt_events events);
 
-    /** Waits for a slot elsewhere than at `avoid` where it can be had, and calls. */
+    /** Waits for a slot and starts the call. Upstreams in `avoid`, and those in their failure domains, are used only if
+     * no other one has a free slot. */
     void start(const std::vector<upstream_id>& avoid);
 
     bool hasEnded() const { return m_ended; }
 
-    /** Ends the attempt without an event and returns its last state. */
+    /** Ends the attempt without calling onEnd() and returns its final state. */
     attempt_state abandon(abandon_cause cause);
 
-    /** Empty before a slot was given. */
+    /** Empty until a slot is granted. */
     const upstream_id& upstream() const { return m_slot.upstream.id; }
 
 private:
     upstream_attempt(request_environment& environment, const admitted_request& request, attempt_events events);
 
     void onSlot(const slot_answer& answer);
-    dispatch_timing chanceAt(time_point begin) const;
-    /** Takes note of a call that timed out; says whether that speaks against its upstream. */
-    slot_result::kind endAtDeadline() const;
+    dispatch_timing timingAt(time_point begin) const;
+    /** Adds a timed-out call to the latency samples and returns the result with which its slot is released: Timeout if
+     * it counts as a failure of the upstream, Cancelled otherwise. */
+    slot_result::kind recordTimeout() const;
     void call();
     upstream_call callFor(const held_slot& slot) const;
     void onDispatch();
     void onAnswer(upstream_answer answer);
     void onFailure(call_failure failure);
-    void release(slot_result::kind kind, attempt_ending ending);
-    std::optional<time_point> busyUntil(attempt_ending ending) const;
-    void end(attempt_end ended);
+    void release(slot_result::kind kind, attempt_termination termination);
+    std::optional<time_point> busyUntil(attempt_termination termination) const;
+    void end(attempt_result result);
 
     request_environment& m_environment;
     const admitted_request& m_request;
@@ -100,10 +102,10 @@
     held_slot m_slot;
     bool m_gotSlot = false;
     bool m_holdsSlot = false;
-    /** What decided for the slot, for the log. */
+    /** The inputs to the choice of the slot, for the log. */
     std::vector<log_field> m_inputs;
     call_id m_call;
-    answer_metadata m_marks;
+    answer_metadata m_metadata;
     time_point m_startedAt;
 };
 
--- a/src/decision/routes/route_table.cpp
+++ b/src/decision/routes/route_table.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    /** An objective so far above the time limit can't be meant. */
-    constexpr duration largestObjectiveExcess = std::chrono::minutes(1);
+    /** A target latency that exceeds the time limit by this much or more is taken for a mistake. */
+    constexpr duration maximumTargetLatencyExcess = std::chrono::minutes(1);
 
     std::string hostName(std::string_view host)
     {
@@ -30,18 +30,18 @@
             findings.add(place, name + " names no service", "one service or a split");
         if (route.maximumAttempts == 0)
             findings.add(place, name + " allows no attempt", "1 or more");
-        if (route.targetLatency >= route.timeLimit + largestObjectiveExcess)
-            findings.add(place, name + " has an objective far above its time limit", "one below the limit");
+        if (route.targetLatency >= route.timeLimit + maximumTargetLatencyExcess)
+            findings.add(place, name + " has a target latency far above its time limit", "one below the time limit");
         const bool isPath = route.pathPrefix.starts_with('/') && route.pathPrefix.ends_with('/');
         if (!isPath)
-            findings.add(place, name + " has a prefix without slashes", "one that begins and ends with a slash");
+            findings.add(place, name + " has a path prefix without a slash at each end", "one like '/path/'");
         if (route.host.empty())
             findings.add(place, name + " has no host", "a host");
     }
 
 } // namespace
 
-void route_table::follow(const configuration& config)
+void route_table::update(const configuration& config)
 {
     if (config.number == m_number)
         return;
@@ -53,7 +53,7 @@
         std::stable_sort(routes.begin(), routes.end(),
             [](const auto& left, const auto& right) { return left.pathPrefix.size() > right.pathPrefix.size(); });
     }
-    m_owed.clear();
+    m_currentWeights.clear();
 }
 
 const route_definition* route_table::find(std::string_view host, std::string_view target) const
@@ -73,16 +73,16 @@
 {
     if (route.services.size() == 1)
         return route.services.front().service;
-    std::vector<double>& owed = m_owed[route.id];
-    owed.resize(route.services.size());
+    std::vector<double>& currentWeights = m_currentWeights[route.id];
+    currentWeights.resize(route.services.size());
     double total = 0;
-    for (std::size_t i = 0; i < owed.size(); ++i) {
-        owed[i] += route.services[i].weight;
+    for (std::size_t i = 0; i < currentWeights.size(); ++i) {
+        currentWeights[i] += route.services[i].weight;
         total += route.services[i].weight;
     }
-    const auto most = std::max_element(owed.begin(), owed.end());
-    *most -= total;
-    return route.services[static_cast<std::size_t>(most - owed.begin())].service;
+    const auto heaviest = std::max_element(currentWeights.begin(), currentWeights.end());
+    *heaviest -= total;
+    return route.services[static_cast<std::size_t>(heaviest - currentWeights.begin())].service;
 }
 
 void checkRoutes(const configuration& config, const std::string& fileName, finding_list& findings)
--- a/src/decision/routes/route_table.h
+++ b/src/decision/routes/route_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Finds the route of a request and the service that takes it.
+ * Matches requests to routes and splits the requests of a route among its services.
  */
 
 #include <map>
@@ -13,30 +13,31 @@
 
 namespace plantainlatch {
 
-/** The routes of the configuration in force, by host and path. */
+/** The routes of the configuration in force, indexed by host. */
 class route_table {
 public:
-    /** Takes over the routes of a configuration, unless they are those that it has. The configuration must outlive
-     * their use until the next follow(). */
-    void follow(const configuration& config);
+    /** Loads the routes of a configuration, if its number differs from that of the current one. Pointers that find()
+     * returned become invalid. */
+    void update(const configuration& config);
 
-    /** The route of this host with the longest prefix that begins the target's path; null without one. The host's port
-     * and case don't count. */
+    /** Returns the route of this host with the longest path prefix that matches the target, or null if none matches.
+     * The port and the case of the host are ignored. */
     const route_definition* find(std::string_view host, std::string_view target) const;
 
-    /** The next service of a route: over any run of requests each service has its weight's share, but for one
-     * request. */
+    /** Chooses the service for the next request of a route by smooth weighted round robin. At any time, a service has
+     * received less than one request more than its weight's share; with two services, also less than one fewer. */
     service_id chooseService(const route_definition& route);
 
 private:
     change_number m_number;
     /** By host; the longest prefix first. */
     std::map<std::string, std::vector<route_definition>, std::less<>> m_byHost;
-    /** How much of its share each service of a split route is owed, in units of the weights. */
-    std::map<route_id, std::vector<double>> m_owed;
+    /** The current weights of the round robin, for routes with several services: how far each service is behind its
+     * share, in units of the weights. */
+    std::map<route_id, std::vector<double>> m_currentWeights;
 };
 
-/** What is wrong with the routes of a configuration that is to be put in force. */
+/** Validates the routes of a proposed configuration and adds what is wrong to `findings`. */
 void checkRoutes(const configuration& config, const std::string& fileName, finding_list& findings);
 
 } // namespace plantainlatch
--- a/test/correctness/request_crash_test.cpp
+++ b/test/correctness/request_crash_test.cpp
@@ -14,45 +14,46 @@
         static constexpr std::size_t entryCount = 7;
         static constexpr std::size_t upstreamCount = 12;
 
-        static void crashOn(request_cluster& world, const std::string& target)
+        static void crashOn(request_cluster& cluster, const std::string& target)
         {
-            world.upstreams.behaviour = [target](const upstream_call& call) {
+            cluster.upstreams.behaviour = [target](const upstream_call& call) {
                 return call_behaviour { call.target == target ? kind::Crash : kind::Answer, 20ms };
             };
-            for (fake_entry& entry : world.entries)
+            for (fake_entry& entry : cluster.entries)
                 entry.log->applyLag = 60ms;
         }
 
-        /** The caller waits for an answer and then resends at all entries at once, again and again. */
+        /** Counts the crashes caused by a caller that repeatedly waits for an answer and then resends to all entries.
+         */
         static std::size_t crashesOfResends(const request_options& options)
         {
-            request_cluster world(1, entryCount, upstreamCount, 3, options);
-            crashOn(world, "/bad");
-            world.get(0, "/bad");
+            request_cluster cluster(1, entryCount, upstreamCount, 3, options);
+            crashOn(cluster, "/bad");
+            cluster.get(0, "/bad");
             for (int round = 0; round < 20; ++round) {
-                while (!world.sent.back()->answer)
-                    world.runtime.advance(1ms);
+                while (!cluster.sent.back()->answer)
+                    cluster.runtime.advance(1ms);
                 for (std::size_t entry = 0; entry < entryCount; ++entry)
-                    world.get(entry, "/bad");
+                    cluster.get(entry, "/bad");
             }
-            world.runtime.advance(3s);
-            return world.upstreams.crashes;
+            cluster.runtime.advance(3s);
+            return cluster.upstreams.crashes;
         }
 
         static std::size_t crashesOfOneWave(std::size_t resendsPerEntry)
         {
-            request_cluster world(1, entryCount, upstreamCount, 3);
-            crashOn(world, "/bad");
+            request_cluster cluster(1, entryCount, upstreamCount, 3);
+            crashOn(cluster, "/bad");
             for (std::size_t i = 0; i < entryCount * resendsPerEntry; ++i)
-                world.get(i % entryCount, "/bad");
-            world.runtime.advance(3s);
-            return world.upstreams.crashes;
+                cluster.get(i % entryCount, "/bad");
+            cluster.runtime.advance(3s);
+            return cluster.upstreams.crashes;
         }
     };
 
 } // namespace
 
-TEST_CASE_METHOD(request_crash_fixture, "crash.resent_at_all_entries_after_each_answer.takes_three_upstreams_at_most")
+TEST_CASE_METHOD(request_crash_fixture, "crash.resent_to_all_entries_after_each_answer.crashes_at_most_three_upstreams")
 {
     request_options broken;
     broken.policies.mayBeCrash = [](call_failure) { return false; };
@@ -61,10 +62,10 @@
 }
 
 TEST_CASE_METHOD(
-    request_crash_fixture, "crash.answer_sent_before_the_report_has_spread.takes_more_than_three_upstreams")
+    request_crash_fixture, "crash.answer_sent_before_the_report_reaches_all_entries.crashes_more_than_three_upstreams")
 {
     request_options broken;
-    broken.crashReportSpread = 0ms;
+    broken.crashReportPropagationTime = 0ms;
     broken.maximumAttempts = 1;
     request_options sound;
     sound.maximumAttempts = 1;
@@ -73,53 +74,53 @@
 }
 
 TEST_CASE_METHOD(
-    request_crash_fixture, "crash.sent_to_all_entries_at_the_same_moment.takes_one_for_each_and_two_at_most")
+    request_crash_fixture, "crash.sent_to_all_entries_at_once.crashes_at_most_one_upstream_per_entry_and_two_more")
 {
     REQUIRE(crashesOfOneWave(1) <= entryCount + 2);
     REQUIRE(crashesOfOneWave(5) <= entryCount + 2);
 }
 
-TEST_CASE_METHOD(request_crash_fixture, "crash.after_two_upstreams.is_refused_with_the_reason_and_others_still_run")
+TEST_CASE_METHOD(request_crash_fixture, "crash.two_upstreams_crashed.equal_requests_are_refused_and_others_still_run")
 {
-    request_cluster world(1, 2, upstreamCount, 3);
-    crashOn(world, "/bad");
-    world.get(0, "/bad");
-    world.runtime.advance(2s);
-    const caller_record& refused = world.get(1, "/bad");
-    const caller_record& other = world.get(1, "/good");
-    world.runtime.advance(1s);
+    request_cluster cluster(1, 2, upstreamCount, 3);
+    crashOn(cluster, "/bad");
+    cluster.get(0, "/bad");
+    cluster.runtime.advance(2s);
+    const caller_record& refused = cluster.get(1, "/bad");
+    const caller_record& other = cluster.get(1, "/good");
+    cluster.runtime.advance(1s);
     REQUIRE(refused.answer->result == outcome::NotRun);
     REQUIRE(refused.answer->reason == answer_reason::CrashingRequest);
     REQUIRE(other.answer->result == outcome::Completed);
 }
 
-TEST_CASE_METHOD(request_crash_fixture, "crash.without_the_log.is_still_refused_at_the_entry_that_saw_it")
+TEST_CASE_METHOD(request_crash_fixture, "crash.log_unavailable.is_still_refused_at_the_entry_that_observed_it")
 {
-    request_cluster world(1, 1, upstreamCount, 3);
-    crashOn(world, "/bad");
-    world.entries[0].log->behaviour = [](const control_command&) { return proposal_behaviour { 0ms, false }; };
+    request_cluster cluster(1, 1, upstreamCount, 3);
+    crashOn(cluster, "/bad");
+    cluster.entries[0].log->behaviour = [](const control_command&) { return proposal_behaviour { 0ms, false }; };
     for (int i = 0; i < 20; ++i) {
-        world.get(0, "/bad");
-        world.runtime.advance(2s);
+        cluster.get(0, "/bad");
+        cluster.runtime.advance(2s);
     }
-    REQUIRE(world.upstreams.crashes <= 2);
+    REQUIRE(cluster.upstreams.crashes <= 2);
 }
 
 TEST_CASE_METHOD(
-    request_crash_fixture, "crash.equal_lookups_that_completed_before.survive_the_restarts_of_their_upstreams")
+    request_crash_fixture, "crash.known_good_requests_during_upstream_restarts.complete_without_a_crash_report")
 {
-    request_cluster world(1, 1, upstreamCount, 3);
+    request_cluster cluster(1, 1, upstreamCount, 3);
     bool restarting = false;
-    world.upstreams.behaviour = [&](const upstream_call&) {
+    cluster.upstreams.behaviour = [&](const upstream_call&) {
         return call_behaviour { std::exchange(restarting, false) ? kind::LostRequest : kind::Answer, 20ms };
     };
     for (int i = 0; i < 100; ++i) {
         restarting = i % 20 == 19;
-        const caller_record& sent = world.get(0, "/courts");
-        world.runtime.advance(1s);
+        const caller_record& sent = cluster.get(0, "/courts");
+        cluster.runtime.advance(1s);
         REQUIRE(sent.answer->result == outcome::Completed);
     }
-    REQUIRE(world.log.state.crashes.empty());
+    REQUIRE(cluster.log.state.crashes.empty());
 }
 
 } // namespace plantainlatch
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "decision/request/outcome_machine.h"
+#include "decision/request/outcome_tracker.h"
 #include "support/broken_invariant.h"
 #include "support/request_cluster.h"
 
@@ -13,21 +13,21 @@
 
     class request_outcome_fixture {
     protected:
-        void firstCallEnds(request_cluster& world, kind ends)
+        void firstCallEnds(request_cluster& cluster, kind ends)
         {
-            world.upstreams.behaviour = [&world, ends](const upstream_call&) {
-                return call_behaviour { world.upstreams.calls.empty() ? ends : kind::Answer, 20ms };
+            cluster.upstreams.behaviour = [&cluster, ends](const upstream_call&) {
+                return call_behaviour { cluster.upstreams.calls.empty() ? ends : kind::Answer, 20ms };
             };
         }
 
         caller_answer answerTo(const std::string& method, kind ends)
         {
-            request_cluster world(1, 1, 3, 2);
-            firstCallEnds(world, ends);
-            const caller_record& sent = method == "GET" ? world.get(0, "/frames/7") : world.post(0, "order");
-            world.runtime.advance(11s);
+            request_cluster cluster(1, 1, 3, 2);
+            firstCallEnds(cluster, ends);
+            const caller_record& sent = method == "GET" ? cluster.get(0, "/frames/7") : cluster.post(0, "order");
+            cluster.runtime.advance(11s);
             REQUIRE(sent.answers == 1);
-            calls = world.upstreams.calls.size();
+            calls = cluster.upstreams.calls.size();
             return *sent.answer;
         }
 
@@ -36,96 +36,97 @@
 
 } // namespace
 
-TEST_CASE_METHOD(request_outcome_fixture, "outcome_machine.every_pair.has_a_transition_only_where_the_table_says")
+TEST_CASE_METHOD(request_outcome_fixture, "outcome_tracker.attempt_events.follow_the_transition_table")
 {
     const invariant_catcher catcher;
     REQUIRE(nextState(attempt_state::Offered, attempt_event::Refuse) == attempt_state::Refused);
-    REQUIRE_THROWS_AS(nextState(attempt_state::Offered, attempt_event::FailBeforeFirstByte), broken_invariant);
+    REQUIRE_THROWS_AS(nextState(attempt_state::Offered, attempt_event::FailBeforeDispatch), broken_invariant);
     REQUIRE_THROWS_AS(nextState(attempt_state::Lost, attempt_event::Refuse), broken_invariant);
-    outcome_machine machine;
-    machine.close(attempt_state::Refused);
-    REQUIRE(machine.withoutAnswer() == outcome::NotRun);
-    machine.close(attempt_state::Lost);
-    machine.close(attempt_state::NotOffered);
-    REQUIRE(machine.withoutAnswer() == outcome::Unknown);
-    REQUIRE_THROWS_AS(machine.close(attempt_state::Offered), broken_invariant);
+    outcome_tracker tracker;
+    tracker.recordEnd(attempt_state::Refused);
+    REQUIRE(tracker.outcomeWithoutAnswer() == outcome::NotRun);
+    tracker.recordEnd(attempt_state::Lost);
+    tracker.recordEnd(attempt_state::NotOffered);
+    REQUIRE(tracker.outcomeWithoutAnswer() == outcome::Unknown);
+    REQUIRE_THROWS_AS(tracker.recordEnd(attempt_state::Offered), broken_invariant);
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.answer_of_the_upstream.is_passed_on_untouched")
+TEST_CASE_METHOD(request_outcome_fixture, "request.answer_of_the_upstream.is_passed_on_unchanged")
 {
     const caller_answer answer = answerTo("POST", kind::Answer);
     REQUIRE(answer.result == outcome::Completed);
     REQUIRE(answer.content.body == "answer to /ordersorder");
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.work_not_idempotent.is_sent_again_only_when_it_surely_did_not_run")
+TEST_CASE_METHOD(request_outcome_fixture, "request.not_idempotent.is_retried_only_if_it_definitely_did_not_run")
 {
     for (const kind ends : { kind::ConnectFailed, kind::ConnectionLimit, kind::MarkedRefusal }) {
         REQUIRE(answerTo("POST", ends).result == outcome::Completed);
         REQUIRE(calls == 2);
     }
-    for (const kind ends : { kind::BareRefusal, kind::LostRequest, kind::LostAnswer, kind::Silent, kind::Crash }) {
+    for (const kind ends : { kind::UnmarkedRefusal, kind::LostRequest, kind::LostAnswer, kind::Silent, kind::Crash }) {
         REQUIRE(answerTo("POST", ends).result == outcome::Unknown);
         REQUIRE(calls == 1);
     }
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.idempotent_work.is_sent_again_after_any_failure")
+TEST_CASE_METHOD(request_outcome_fixture, "request.idempotent.is_retried_after_any_failure")
 {
-    for (const kind ends : { kind::ConnectFailed, kind::MarkedRefusal, kind::BareRefusal, kind::LostRequest,
+    for (const kind ends : { kind::ConnectFailed, kind::MarkedRefusal, kind::UnmarkedRefusal, kind::LostRequest,
              kind::LostAnswer, kind::Silent, kind::Crash }) {
         REQUIRE(answerTo("GET", ends).result == outcome::Completed);
         REQUIRE(calls == 2);
     }
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.retried_without_the_retry_policy.runs_twice_and_is_found")
+TEST_CASE_METHOD(request_outcome_fixture, "request.retried_without_the_retry_policy.runs_twice_and_is_detected")
 {
     const auto runsTwice = [](bool broken) {
         request_options options;
         if (broken)
             options.policies.mayRetry = [](const failed_attempt&) { return true; };
-        request_cluster world(1, 1, 3, 2, options);
-        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::LostAnswer, 20ms }; };
-        world.post(0, "order");
-        world.runtime.advance(3s);
-        return world.upstreams.runs["order"] > 1;
+        request_cluster cluster(1, 1, 3, 2, options);
+        cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::LostAnswer, 20ms }; };
+        cluster.post(0, "order");
+        cluster.runtime.advance(3s);
+        return cluster.upstreams.runs["order"] > 1;
     };
     REQUIRE(breaksInvariant([&] { return runsTwice(true); }));
     REQUIRE_FALSE(breaksInvariant([&] { return runsTwice(false); }));
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.bare_503_taken_for_a_refusal.runs_twice")
+TEST_CASE_METHOD(request_outcome_fixture, "request.unmarked_503_treated_as_a_refusal.runs_twice")
 {
     const auto runsTwice = [](bool broken) {
         request_options options;
         if (broken)
             options.policies.isMarkedRefusal = [](const upstream_answer& answer) { return answer.status == 503; };
-        request_cluster world(1, 1, 3, 2, options);
-        world.upstreams.behaviour = [&](const upstream_call& call) {
-            ++world.upstreams.runs[call.body]; // the upstream ran the work and then could not answer
-            return call_behaviour { kind::BareRefusal, 20ms };
+        request_cluster cluster(1, 1, 3, 2, options);
+        cluster.upstreams.behaviour = [&](const upstream_call& call) {
+            ++cluster.upstreams.runs[call.body]; // the upstream ran the request before it answered 503
+            return call_behaviour { kind::UnmarkedRefusal, 20ms };
         };
-        world.post(0, "order");
-        world.runtime.advance(3s);
-        return world.upstreams.runs["order"] > 1;
+        cluster.post(0, "order");
+        cluster.runtime.advance(3s);
+        return cluster.upstreams.runs["order"] > 1;
     };
     REQUIRE(breaksInvariant([&] { return runsTwice(true); }));
     REQUIRE_FALSE(breaksInvariant([&] { return runsTwice(false); }));
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.silent_connection.swallows_no_work_that_must_not_be_sent_twice")
+TEST_CASE_METHOD(
+    request_outcome_fixture, "request.idle_connection_is_dead.is_sent_on_a_new_connection_if_not_idempotent")
 {
     const auto lost = [](bool broken) {
         request_options options;
         if (broken)
             options.policies.needsFreshConnection = [](const request_traits&) { return false; };
-        request_cluster world(1, 1, 3, 2, options);
-        world.upstreams.behaviour = [](const upstream_call& call) {
+        request_cluster cluster(1, 1, 3, 2, options);
+        cluster.upstreams.behaviour = [](const upstream_call& call) {
             return call_behaviour { call.freshConnection ? kind::Answer : kind::Silent, 20ms };
         };
-        const caller_record& sent = world.post(0, "order");
-        world.runtime.advance(3s);
+        const caller_record& sent = cluster.post(0, "order");
+        cluster.runtime.advance(3s);
         return sent.answer->result != outcome::Completed;
     };
     REQUIRE(lost(true));
@@ -134,34 +135,35 @@
 
 TEST_CASE_METHOD(request_outcome_fixture, "request.deadline_passed.is_unknown_after_dispatch_and_not_run_before")
 {
-    request_cluster world(1, 1, 1, 1);
-    world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Silent, 0ms }; };
-    const caller_record& dispatched = world.post(0, "first");
-    const caller_record& waiting = world.post(0, "second");
-    world.runtime.advance(1s);
+    request_cluster cluster(1, 1, 1, 1);
+    cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Silent, 0ms }; };
+    const caller_record& dispatched = cluster.post(0, "first");
+    const caller_record& waiting = cluster.post(0, "second");
+    cluster.runtime.advance(1s);
     REQUIRE(dispatched.answer->result == outcome::Unknown);
     REQUIRE(dispatched.answer->reason == answer_reason::DeadlineExceeded);
     REQUIRE(waiting.answer->result == outcome::NotRun);
-    REQUIRE(world.upstreams.calls.size() == 1);
+    REQUIRE(cluster.upstreams.calls.size() == 1);
 }
 
-TEST_CASE_METHOD(request_outcome_fixture, "request.caller_left.cancels_the_call_and_frees_the_slot_after_the_work")
+TEST_CASE_METHOD(
+    request_outcome_fixture, "request.caller_left.cancels_the_call_and_frees_the_slot_when_the_work_has_ended")
 {
     const auto overlaps = [](bool broken) {
         request_options options;
         if (broken)
-            options.policies.keepsSlotBusy = [](attempt_ending) { return false; };
-        request_cluster world(1, 1, 1, 1, options);
-        world.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 100ms }; };
-        const caller_record& left = world.post(0, "first");
-        const caller_record& waiting = world.post(0, "second");
-        world.runtime.advance(50ms);
-        world.entries[0].port->cancel(left.id);
-        REQUIRE(world.upstreams.calls.front().cancelled);
-        world.runtime.advance(1s);
+            options.policies.keepsSlotBusy = [](attempt_termination) { return false; };
+        request_cluster cluster(1, 1, 1, 1, options);
+        cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 100ms }; };
+        const caller_record& left = cluster.post(0, "first");
+        const caller_record& waiting = cluster.post(0, "second");
+        cluster.runtime.advance(50ms);
+        cluster.entries[0].port->cancel(left.id);
+        REQUIRE(cluster.upstreams.calls.front().cancelled);
+        cluster.runtime.advance(1s);
         REQUIRE(left.answers == 0);
         REQUIRE(waiting.answers == 1);
-        return world.upstreams.mostRunning > 1;
+        return cluster.upstreams.peakRunning > 1;
     };
     REQUIRE(overlaps(true));
     REQUIRE_FALSE(overlaps(false));
--- a/test/correctness/retry_window_test.cpp
+++ b/test/correctness/retry_window_test.cpp
@@ -22,7 +22,7 @@
         int spendAll()
         {
             int spent = 0;
-            while (subject.spend(booking, now, 2))
+            while (subject.tryAcquire(booking, now, 2))
                 ++spent;
             return spent;
         }
@@ -34,27 +34,27 @@
 
 } // namespace
 
-TEST_CASE_METHOD(retry_window_fixture, "retry_window.no_requests.lends_the_slack_alone") { REQUIRE(spendAll() == 3); }
+TEST_CASE_METHOD(retry_window_fixture, "retry_window.no_requests.allows_only_the_slack") { REQUIRE(spendAll() == 3); }
 
 TEST_CASE_METHOD(retry_window_fixture, "retry_window.requests.add_their_share")
 {
     for (int i = 0; i < 50; ++i)
-        subject.earn(booking, now);
+        subject.recordRequest(booking, now);
     REQUIRE(spendAll() == 13);
 }
 
-TEST_CASE_METHOD(retry_window_fixture, "retry_window.services.have_budgets_of_their_own")
+TEST_CASE_METHOD(retry_window_fixture, "retry_window.two_services.have_separate_budgets")
 {
     REQUIRE(spendAll() == 3);
-    REQUIRE(subject.spend(service_id("billing"), now, 2));
+    REQUIRE(subject.tryAcquire(service_id("billing"), now, 2));
 }
 
-TEST_CASE_METHOD(retry_window_fixture, "retry_window.any_window.holds_no_more_than_the_bound")
+TEST_CASE_METHOD(retry_window_fixture, "retry_window.any_window.contains_at_most_the_allowed_retries")
 {
     std::vector<time_point> spent;
     for (int tick = 0; tick < 400; ++tick) {
         now += 100ms;
-        while (subject.spend(booking, now, 2))
+        while (subject.tryAcquire(booking, now, 2))
             spent.push_back(now);
         int within = 0;
         for (const time_point at : spent)
--- a/test/correctness/route_table_test.cpp
+++ b/test/correctness/route_table_test.cpp
@@ -31,7 +31,7 @@
             config.services[service_id("billing")] = {};
             config.routes = { makeRoute("short", "/a/", { { service_id("booking"), 1 } }),
                 makeRoute("long", "/a/b/", { { service_id("billing"), 1 } }) };
-            table.follow(config);
+            table.update(config);
         }
 
         std::string found(const std::string& host, const std::string& target)
@@ -40,7 +40,7 @@
             return route == nullptr ? "none" : route->id.value();
         }
 
-        std::string wrong()
+        std::string findingsText()
         {
             finding_list findings;
             checkRoutes(config, "c", findings);
@@ -66,13 +66,13 @@
     REQUIRE(found("other.example", "/a/") == "none");
 }
 
-TEST_CASE_METHOD(route_table_fixture, "route_table.path_that_holds_prefix_in_query.has_no_route")
+TEST_CASE_METHOD(route_table_fixture, "route_table.prefix_only_in_the_query.matches_no_route")
 {
     REQUIRE(found("courts.example", "/x?y=/a/") == "none");
     REQUIRE(found("courts.example", "/x/a/") == "none");
 }
 
-TEST_CASE_METHOD(route_table_fixture, "route_table.split.gives_each_service_its_share_over_any_run")
+TEST_CASE_METHOD(route_table_fixture, "route_table.split.gives_each_service_its_share_at_any_time")
 {
     const route_definition split
         = makeRoute("split", "/s/", { { service_id("booking"), 90 }, { service_id("billing"), 10 } });
@@ -87,37 +87,37 @@
 {
     config.number = change_number(2);
     config.routes.pop_back();
-    table.follow(config);
+    table.update(config);
     REQUIRE(found("courts.example", "/a/b/7") == "short");
 }
 
-TEST_CASE_METHOD(route_table_fixture, "route_check.sound_routes.finds_nothing")
+TEST_CASE_METHOD(route_table_fixture, "route_check.valid_routes.has_no_findings")
 {
     for (route_definition& route : config.routes)
         route.maximumAttempts = 2;
-    REQUIRE(wrong().empty());
+    REQUIRE(findingsText().empty());
 }
 
 TEST_CASE_METHOD(route_table_fixture, "route_check.unknown_service.is_a_finding")
 {
     config.routes[0].services[0].service = service_id("gone");
-    REQUIRE(wrong().find("unknown service 'gone'") != std::string::npos);
+    REQUIRE(findingsText().find("unknown service 'gone'") != std::string::npos);
 }
 
 TEST_CASE_METHOD(route_table_fixture, "route_check.no_attempts_or_no_service.is_a_finding_each")
 {
     config.routes[0].maximumAttempts = 0;
     config.routes[1].services.clear();
-    REQUIRE(wrong().find("allows no attempt") != std::string::npos);
-    REQUIRE(wrong().find("names no service") != std::string::npos);
+    REQUIRE(findingsText().find("allows no attempt") != std::string::npos);
+    REQUIRE(findingsText().find("names no service") != std::string::npos);
 }
 
-TEST_CASE_METHOD(route_table_fixture, "route_check.objective_a_minute_above_the_limit.is_a_finding")
+TEST_CASE_METHOD(route_table_fixture, "route_check.target_latency_a_minute_above_the_limit.is_a_finding")
 {
     config.routes[0].targetLatency = config.routes[0].timeLimit + 59s;
-    REQUIRE(wrong().empty());
+    REQUIRE(findingsText().empty());
     config.routes[0].targetLatency = config.routes[0].timeLimit + 60s;
-    REQUIRE(wrong().find("objective") != std::string::npos);
+    REQUIRE(findingsText().find("target latency") != std::string::npos);
 }
 
 } // namespace plantainlatch
--- a/test/random/outcome_property_test.cpp
+++ b/test/random/outcome_property_test.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include "decision/request/outcome_machine.h"
+#include "decision/request/outcome_tracker.h"
 #include "support/broken_invariant.h"
 
 namespace plantainlatch {
@@ -17,9 +17,9 @@
             return static_cast<attempt_event>(*rc::gen::inRange(0, static_cast<int>(attempt_event::Lose) + 1));
         }
 
-        /** Walks an attempt through events; those that the table refuses are passed over. Returns whether a byte was
-         * offered. */
-        static bool walk(attempt_state& state, int steps)
+        /** Applies random events to an attempt and skips those that are invalid in its state. Returns whether the first
+         * byte was offered. */
+        static bool applyRandomEvents(attempt_state& state, int steps)
         {
             bool offered = false;
             for (int i = 0; i < steps; ++i) {
@@ -43,29 +43,29 @@
 {
     REQUIRE(rc::check("one attempt", [] {
         attempt_state state = attempt_state::Prepared;
-        const bool offered = walk(state, *rc::gen::inRange(0, 12));
+        const bool offered = applyRandomEvents(state, *rc::gen::inRange(0, 12));
         if (offered && state != attempt_state::Refused)
-            RC_ASSERT(!surelyNotRun(state) || state == attempt_state::Prepared);
+            RC_ASSERT(!definitelyNotRun(state) || state == attempt_state::Prepared);
         if (state == attempt_state::Lost || state == attempt_state::Answered)
-            RC_ASSERT(!surelyNotRun(state));
+            RC_ASSERT(!definitelyNotRun(state));
     }));
 }
 
 TEST_CASE_METHOD(outcome_property_fixture, "outcome.several_attempts.not_run_only_when_none_may_have_run")
 {
     REQUIRE(rc::check("attempts of one request", [] {
-        outcome_machine machine;
+        outcome_tracker tracker;
         bool mayHaveRun = false;
         const int attempts = *rc::gen::inRange(0, 6);
         for (int i = 0; i < attempts; ++i) {
             attempt_state state = attempt_state::Prepared;
-            walk(state, *rc::gen::inRange(1, 12));
+            applyRandomEvents(state, *rc::gen::inRange(1, 12));
             if (state == attempt_state::Prepared || state == attempt_state::Offered)
                 continue;
-            machine.close(state);
+            tracker.recordEnd(state);
             mayHaveRun = mayHaveRun || state == attempt_state::Lost || state == attempt_state::Answered;
         }
-        RC_ASSERT(machine.withoutAnswer() == (mayHaveRun ? outcome::Unknown : outcome::NotRun));
+        RC_ASSERT(tracker.outcomeWithoutAnswer() == (mayHaveRun ? outcome::Unknown : outcome::NotRun));
     }));
 }
 
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -17,26 +17,26 @@
     constexpr std::uint32_t slotsPerUpstream = 1;
     constexpr const char* submissionHeader = "X-Submission";
 
-    /** One request as its caller sent it. */
+    /** A request that a caller sent. */
     struct submission {
         std::size_t entry = 0;
         request_id id;
         caller_request content;
         std::optional<caller_answer> answer;
-        /** The caller left, or the entry died: no answer may come. */
+        /** The caller left or the entry crashed, so no answer may arrive. */
         bool gone = false;
         int sends = 1;
     };
 
-    /** Callers, faults and invariants over one world. */
+    /** Sends random requests to a cluster with random faults and checks the guarantees given to callers. */
     class random_run {
     public:
         random_run(std::uint64_t seed, const request_options& options)
-            : m_world(seed, entryCount, upstreamCount, slotsPerUpstream, options)
+            : m_cluster(seed, entryCount, upstreamCount, slotsPerUpstream, options)
         {
-            m_world.upstreams.restartAfter = 2s;
-            m_world.upstreams.behaviour = [this](const upstream_call& call) { return callFate(call); };
-            m_world.upstreams.onCall = [this](const upstream_call& call) { checkCall(call); };
+            m_cluster.upstreams.restartAfter = 2s;
+            m_cluster.upstreams.behaviour = [this](const upstream_call& call) { return callBehaviour(call); };
+            m_cluster.upstreams.onCall = [this](const upstream_call& call) { checkCall(call); };
             for (std::size_t entry = 0; entry < entryCount; ++entry)
                 setFaults(entry);
         }
@@ -45,30 +45,30 @@
         {
             for (int i = 0; i < steps; ++i) {
                 step();
-                m_world.runtime.advance(std::chrono::milliseconds(below(12)));
+                m_cluster.runtime.advance(std::chrono::milliseconds(below(12)));
             }
-            m_calm = true;
-            m_world.runtime.advance(60s);
+            m_faultsOff = true;
+            m_cluster.runtime.advance(60s);
             checkEnd();
         }
 
         std::size_t answered = 0;
 
     private:
-        std::uint64_t below(std::uint64_t bound) { return m_world.runtime.random() % bound; }
+        std::uint64_t below(std::uint64_t bound) { return m_cluster.runtime.random() % bound; }
         bool oneIn(std::uint64_t count) { return below(count) == 0; }
 
         void setFaults(std::size_t entry)
         {
-            m_world.entries[entry].log->applyLag = std::chrono::milliseconds(below(80));
-            m_world.entries[entry].log->behaviour = [this](const control_command&) { return proposalFate(); };
+            m_cluster.entries[entry].log->applyLag = std::chrono::milliseconds(below(80));
+            m_cluster.entries[entry].log->behaviour = [this](const control_command&) { return proposalBehaviour(); };
         }
 
-        proposal_behaviour proposalFate()
+        proposal_behaviour proposalBehaviour()
         {
             proposal_behaviour behaviour;
             behaviour.delay = std::chrono::milliseconds(1 + below(30));
-            if (m_calm)
+            if (m_faultsOff)
                 return behaviour;
             if (oneIn(20))
                 behaviour.delay = std::chrono::milliseconds(below(4000));
@@ -77,15 +77,15 @@
             return behaviour;
         }
 
-        call_behaviour callFate(const upstream_call& call)
+        call_behaviour callBehaviour(const upstream_call& call)
         {
             if (call.target == "/bad")
                 return { kind::Crash, 10ms };
             const auto delay = std::chrono::milliseconds(5 + below(40));
-            if (m_calm || !oneIn(6))
+            if (m_faultsOff || !oneIn(6))
                 return { kind::Answer, oneIn(40) ? std::chrono::milliseconds(below(2500)) : delay };
             constexpr kind faults[] = { kind::ConnectFailed, kind::ConnectionLimit, kind::MarkedRefusal,
-                kind::BareRefusal, kind::LostRequest, kind::LostAnswer, kind::Silent };
+                kind::UnmarkedRefusal, kind::LostRequest, kind::LostAnswer, kind::Silent };
             return { faults[below(std::size(faults))], delay };
         }
 
@@ -133,7 +133,7 @@
                 send(entry, requestOf("GET", "/bad"));
         }
 
-        /** A caller of keyed work that has no final answer sends it again, anywhere. */
+        /** Resends a random earlier request through any entry, if it has an idempotency key. */
         void resend()
         {
             if (m_submissions.empty())
@@ -151,7 +151,7 @@
             submission& sent = *m_submissions.back();
             sent.entry = entry;
             sent.content = request;
-            sent.id = m_world.entries[entry].port->submit(
+            sent.id = m_cluster.entries[entry].port->submit(
                 std::move(request), [this, &sent](caller_answer answer) { onAnswer(sent, std::move(answer)); });
         }
 
@@ -164,27 +164,27 @@
             if (left.answer || left.gone)
                 return;
             left.gone = true;
-            m_world.entries[left.entry].port->cancel(left.id);
+            m_cluster.entries[left.entry].port->cancel(left.id);
         }
 
         void restart(std::size_t entry)
         {
             for (const auto& sent : m_submissions)
                 sent->gone = sent->gone || (sent->entry == entry && !sent->answer);
-            m_world.kill(entry);
-            m_world.start(entry);
+            m_cluster.kill(entry);
+            m_cluster.start(entry);
             setFaults(entry);
         }
 
-        int runsOf(const submission& sent) { return m_world.upstreams.runs[sent.content.body]; }
+        int runsOf(const submission& sent) { return m_cluster.upstreams.runs[sent.content.body]; }
 
         void onAnswer(submission& sent, caller_answer answer)
         {
-            internal_assert(!sent.answer && !sent.gone) << "an answer too many for " << sent.content.body;
+            internal_assert(!sent.answer && !sent.gone) << "unexpected answer to " << sent.content.body;
             const bool order = sent.content.method == "POST";
             const bool ran = answer.result == outcome::Completed || answer.result == outcome::Replayed;
             if (answer.result == outcome::NotRun && order)
-                internal_assert(runsOf(sent) == 0) << sent.content.body << " ran and is called not run";
+                internal_assert(runsOf(sent) == 0) << sent.content.body << " ran, but was reported as not run";
             if (ran && order)
                 internal_assert(runsOf(sent) == 1) << sent.content.body << " ran " << runsOf(sent) << " times";
             if (ran && answer.content.status == 200)
@@ -206,22 +206,24 @@
         {
             for (const auto& sent : m_submissions)
                 internal_assert(sent->answer || sent->gone) << "no answer for " << sent->content.body;
-            for (const auto& [body, count] : m_world.upstreams.runs)
+            for (const auto& [body, count] : m_cluster.upstreams.runs)
                 internal_assert(body.empty() || count <= 1) << body << " ran " << count << " times";
-            internal_assert(m_world.upstreams.holds() == 0) << m_world.upstreams.holds() << " slots were not released";
-            internal_assert(m_world.upstreams.mostRunning <= slotsPerUpstream)
-                << m_world.upstreams.mostRunning << " ran at once";
-            internal_assert(m_world.upstreams.crashes <= entryCount + 2) << m_world.upstreams.crashes << " crashes";
-            for (const fake_entry& entry : m_world.entries) {
-                internal_assert(entry.requests->requestsInFlight() == 0) << "requests are left";
-                internal_assert(entry.requests->owedSettlements() == 0) << "settlements are left";
+            internal_assert(m_cluster.upstreams.heldSlots() == 0)
+                << m_cluster.upstreams.heldSlots() << " slots were not released";
+            internal_assert(m_cluster.upstreams.peakRunning <= slotsPerUpstream)
+                << m_cluster.upstreams.peakRunning << " requests ran at one upstream at once";
+            internal_assert(m_cluster.upstreams.crashes <= entryCount + 2) << m_cluster.upstreams.crashes << " crashes";
+            for (const fake_entry& entry : m_cluster.entries) {
+                internal_assert(entry.requests->requestsInFlight() == 0) << "requests are still in flight at the end";
+                internal_assert(entry.requests->pendingSettlements() == 0)
+                    << "settlements are still pending at the end";
             }
         }
 
-        request_cluster m_world;
+        request_cluster m_cluster;
         std::vector<std::unique_ptr<submission>> m_submissions;
         std::uint64_t m_lastOrder = 0;
-        bool m_calm = false;
+        bool m_faultsOff = false;
     };
 
     std::uint64_t fromEnvironment(const char* name, std::uint64_t otherwise)
@@ -243,7 +245,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(request_random_fixture, "requests.random_faults.break_no_promise")
+TEST_CASE_METHOD(request_random_fixture, "requests.random_faults.break_no_guarantee")
 {
     const std::uint64_t first = fromEnvironment("PLANTAINLATCH_SEED", 1);
     const std::uint64_t count = fromEnvironment("PLANTAINLATCH_SEEDS", 8);
@@ -252,9 +254,9 @@
         INFO("PLANTAINLATCH_SEED=" << seed << " PLANTAINLATCH_SEEDS=1");
         std::string broken;
         try {
-            random_run tried(seed, {});
-            tried.run(4000);
-            REQUIRE(tried.answered > 2000);
+            random_run trial(seed, {});
+            trial.run(4000);
+            REQUIRE(trial.answered > 2000);
         } catch (const broken_invariant& error) {
             broken = error.what();
         }
@@ -263,10 +265,10 @@
     }
 }
 
-TEST_CASE_METHOD(request_random_fixture, "requests.random_faults_with_a_mechanism_off.break_a_promise")
+TEST_CASE_METHOD(request_random_fixture, "requests.random_faults_with_a_mechanism_off.break_a_guarantee")
 {
     request_options noClaims;
-    noClaims.policies.claims = [](const request_traits&) { return false; };
+    noClaims.policies.claimsKey = [](const request_traits&) { return false; };
     REQUIRE(fails(1, 4000, noClaims));
     request_options allRetries;
     allRetries.policies.mayRetry = [](const failed_attempt&) { return true; };
@@ -275,7 +277,7 @@
     notRunUnresolved.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
     REQUIRE(fails(1, 4000, notRunUnresolved));
     request_options earlySlots;
-    earlySlots.policies.keepsSlotBusy = [](attempt_ending) { return false; };
+    earlySlots.policies.keepsSlotBusy = [](attempt_termination) { return false; };
     REQUIRE(fails(1, 4000, earlySlots));
     request_options noCrashes;
     noCrashes.policies.mayBeCrash = [](call_failure) { return false; };
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -21,16 +21,16 @@
 fake_upstreams::entry_ports fake_upstreams::ports()
 {
     const std::size_t entry = m_entries++;
-    entry_ports made;
-    made.slots.acquire = [this, entry](slot_request asked, std::function<void(slot_answer)> given) {
-        return acquire(entry, std::move(asked), std::move(given));
+    entry_ports created;
+    created.slots.acquire = [this, entry](slot_request request, std::function<void(slot_answer)> onSlot) {
+        return acquire(entry, std::move(request), std::move(onSlot));
     };
-    made.slots.cancelWait = [this](slot_ticket ticket) { m_waiters.erase(ticket.value()); };
-    made.slots.release = [this](slot_handle handle, const slot_result& result) { release(handle, result); };
-    made.upstreams.start
+    created.slots.cancelWait = [this](slot_ticket ticket) { m_waiters.erase(ticket.value()); };
+    created.slots.release = [this](slot_handle handle, const slot_result& result) { release(handle, result); };
+    created.upstreams.start
         = [this, entry](const upstream_call& call, call_events events) { start(entry, call, std::move(events)); };
-    made.upstreams.cancel = [this, entry](call_id call) { cancelCall({ entry, call.value() }); };
-    return made;
+    created.upstreams.cancel = [this, entry](call_id call) { cancelCall({ entry, call.value() }); };
+    return created;
 }
 
 void fake_upstreams::killEntry(std::size_t entry, duration lease)
@@ -45,7 +45,7 @@
     slot_result returned;
     returned.busyUntil = m_runtime.now() + lease;
     std::vector<slot_handle> orphans;
-    for (const auto& [handle, holder] : m_holds) {
+    for (const auto& [handle, holder] : m_heldSlots) {
         if (holder.entry == entry)
             orphans.push_back(handle);
     }
@@ -53,17 +53,17 @@
         release(handle, returned);
 }
 
-slot_ticket fake_upstreams::acquire(std::size_t entry, slot_request asked, std::function<void(slot_answer)> given)
+slot_ticket fake_upstreams::acquire(std::size_t entry, slot_request request, std::function<void(slot_answer)> onSlot)
 {
-    const std::uint64_t ticket = ++m_last;
-    const time_point deadline = asked.deadline;
-    m_waiters.emplace(ticket, slot_waiter { entry, std::move(asked), std::move(given) });
+    const std::uint64_t ticket = ++m_lastId;
+    const time_point deadline = request.deadline;
+    m_waiters.emplace(ticket, slot_waiter { entry, std::move(request), std::move(onSlot) });
     serveWaiters();
     if (m_waiters.contains(ticket)) {
         m_runtime.schedule(deadline - m_runtime.now(), [this, ticket] {
             auto waiter = m_waiters.extract(ticket);
             if (!waiter.empty())
-                waiter.mapped().given({ std::nullopt, slot_refusal::Overloaded });
+                waiter.mapped().onSlot({ std::nullopt, slot_refusal::Overloaded });
         });
     }
     return slot_ticket(ticket);
@@ -72,8 +72,8 @@
 void fake_upstreams::release(slot_handle handle, const slot_result& result)
 {
     released.push_back(result);
-    const upstream_id id = m_holds.at(handle).upstream;
-    m_holds.erase(handle);
+    const upstream_id id = m_heldSlots.at(handle).upstream;
+    m_heldSlots.erase(handle);
     const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
     m_runtime.schedule(busy, [this, id] {
         --m_upstreams.at(id).inUse;
@@ -84,23 +84,23 @@
 void fake_upstreams::serveWaiters()
 {
     for (auto position = m_waiters.begin(); position != m_waiters.end();) {
-        const std::optional<upstream_id> chosen = choose(position->second.asked);
+        const std::optional<upstream_id> chosen = choose(position->second.request);
         if (!chosen)
             return;
         auto waiter = m_waiters.extract(position);
-        waiter.mapped().given(give(waiter.mapped().entry, *chosen));
+        waiter.mapped().onSlot(grant(waiter.mapped().entry, *chosen));
         position = m_waiters.begin();
     }
 }
 
-std::optional<upstream_id> fake_upstreams::choose(const slot_request& asked) const
+std::optional<upstream_id> fake_upstreams::choose(const slot_request& request) const
 {
     const upstream_record* best = nullptr;
     bool bestAvoided = false;
     for (const auto& [id, record] : m_upstreams) {
         if (record.crashed || record.inUse >= record.announcement.slots.value())
             continue;
-        const bool avoided = std::find(asked.avoid.begin(), asked.avoid.end(), id) != asked.avoid.end();
+        const bool avoided = std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end();
         const bool better
             = best == nullptr || (bestAvoided && !avoided) || (bestAvoided == avoided && record.inUse < best->inUse);
         if (!better)
@@ -113,49 +113,49 @@
     return best->announcement.id;
 }
 
-slot_answer fake_upstreams::give(std::size_t entry, const upstream_id& chosen)
+slot_answer fake_upstreams::grant(std::size_t entry, const upstream_id& chosen)
 {
     upstream_record& record = m_upstreams.at(chosen);
     ++record.inUse;
-    const slot_handle handle(++m_last);
-    m_holds.emplace(handle, held { entry, chosen });
+    const slot_handle handle(++m_lastId);
+    m_heldSlots.emplace(handle, slot_holder { entry, chosen });
     return { held_slot { handle, record.announcement, m_runtime.now() + std::chrono::seconds(2) }, {} };
 }
 
 void fake_upstreams::start(std::size_t entry, const upstream_call& call, call_events events)
 {
-    const call_name name { entry, call.id.value() };
+    const call_key key { entry, call.id.value() };
     onCall(call);
     calls.push_back({ call, behaviour(call), m_runtime.now() });
-    const call_behaviour& decided = calls.back().behaviour;
-    m_open.emplace(name, open_call { entry, calls.size() - 1, std::move(events), {}, {} });
+    const call_behaviour& chosen = calls.back().behaviour;
+    m_open.emplace(key, open_call { entry, calls.size() - 1, std::move(events), {}, {} });
     const bool offered
-        = decided.ends != call_behaviour::kind::ConnectFailed && decided.ends != call_behaviour::kind::ConnectionLimit;
+        = chosen.ends != call_behaviour::kind::ConnectFailed && chosen.ends != call_behaviour::kind::ConnectionLimit;
     const bool crashed = m_upstreams.at(call.upstream).crashed;
     if (offered && !crashed)
-        m_open.at(name).events.onDispatch();
-    const bool runsWork = decided.ends == call_behaviour::kind::Answer
-        || decided.ends == call_behaviour::kind::LostAnswer || decided.ends == call_behaviour::kind::Crash;
+        m_open.at(key).events.onDispatch();
+    const bool runsWork = chosen.ends == call_behaviour::kind::Answer || chosen.ends == call_behaviour::kind::LostAnswer
+        || chosen.ends == call_behaviour::kind::Crash;
     if (runsWork && !crashed)
-        runWork(m_open.at(name), calls.back());
+        runWork(m_open.at(key), calls.back());
     if (crashed)
         calls.back().behaviour.ends = call_behaviour::kind::ConnectFailed;
-    if (decided.ends == call_behaviour::kind::Crash)
-        m_runtime.schedule(decided.delay, [this, id = call.upstream] { crash(id); });
-    else if (decided.ends != call_behaviour::kind::Silent)
-        m_runtime.schedule(decided.delay, [this, name] { endCall(name); });
-    m_runtime.schedule(call.timeout, [this, name] {
-        auto open = m_open.extract(name);
+    if (chosen.ends == call_behaviour::kind::Crash)
+        m_runtime.schedule(chosen.delay, [this, id = call.upstream] { crash(id); });
+    else if (chosen.ends != call_behaviour::kind::Silent)
+        m_runtime.schedule(chosen.delay, [this, key] { endCall(key); });
+    m_runtime.schedule(call.timeout, [this, key] {
+        auto open = m_open.extract(key);
         if (!open.empty())
             open.mapped().events.onFailure(call_failure::Timeout);
     });
 }
 
-void fake_upstreams::runWork(open_call& open, const seen_call& seen)
+void fake_upstreams::runWork(open_call& open, const recorded_call& seen)
 {
     ++runs[seen.call.body];
     upstream_record& record = m_upstreams.at(seen.call.upstream);
-    mostRunning = std::max(mostRunning, ++record.running);
+    peakRunning = std::max(peakRunning, ++record.running);
     const duration span = std::min(seen.behaviour.delay, seen.call.timeout);
     open.workEndsAt = m_runtime.now() + span;
     open.workEnd = m_runtime.schedule(span, [&record] { --record.running; });
@@ -163,12 +163,12 @@
 
 void fake_upstreams::stopWork(const open_call& open)
 {
-    const duration noticed = std::chrono::milliseconds(m_runtime.random() % 100);
-    if (open.workEndsAt <= m_runtime.now() + noticed)
+    const duration cancellationDelay = std::chrono::milliseconds(m_runtime.random() % 100);
+    if (open.workEndsAt <= m_runtime.now() + cancellationDelay)
         return;
     m_runtime.cancel(open.workEnd);
     upstream_record& record = m_upstreams.at(calls[open.index].call.upstream);
-    m_runtime.schedule(noticed, [&record] { --record.running; });
+    m_runtime.schedule(cancellationDelay, [&record] { --record.running; });
 }
 
 void fake_upstreams::crash(const upstream_id& id)
@@ -192,12 +192,12 @@
         events.onFailure(call_failure::Lost);
 }
 
-void fake_upstreams::endCall(const call_name& name)
+void fake_upstreams::endCall(const call_key& key)
 {
-    auto open = m_open.extract(name);
+    auto open = m_open.extract(key);
     if (open.empty())
         return;
-    const seen_call seen = calls[open.mapped().index];
+    const recorded_call seen = calls[open.mapped().index];
     const call_events& events = open.mapped().events;
     switch (seen.behaviour.ends) {
     case call_behaviour::kind::Answer:
@@ -212,7 +212,7 @@
     case call_behaviour::kind::MarkedRefusal:
         events.onAnswer({ 503, { { "x-plantainlatch-not-run", "1" } }, "full" });
         return;
-    case call_behaviour::kind::BareRefusal:
+    case call_behaviour::kind::UnmarkedRefusal:
         events.onAnswer({ 503, {}, "full" });
         return;
     case call_behaviour::kind::Crash:
@@ -225,9 +225,9 @@
     }
 }
 
-void fake_upstreams::cancelCall(const call_name& name)
+void fake_upstreams::cancelCall(const call_key& key)
 {
-    const auto open = m_open.find(name);
+    const auto open = m_open.find(key);
     if (open == m_open.end())
         return;
     calls[open->second.index].cancelled = true;
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Upstreams in memory: slots shared by all entries, calls that end as a test's hook says, and a count of what ran.
+ * In-memory upstreams for tests of the request path. All entries share their slots. A test decides with a hook how each
+ * call ends, and can check which requests ran.
  */
 
 #include <functional>
@@ -16,74 +17,75 @@
 
 namespace plantainlatch {
 
-/** How one call goes. */
+/** How the fakes handle one call. */
 struct call_behaviour {
     enum class kind {
         Answer,
         ConnectFailed,
         ConnectionLimit,
         MarkedRefusal,
-        BareRefusal,
-        /** The request is lost on its way; the connection ends. */
+        UnmarkedRefusal,
+        /** The request does not run, and the connection is lost. */
         LostRequest,
-        /** The work runs, its answer is lost, the connection ends. */
+        /** The request runs, and the connection is lost before the answer. */
         LostAnswer,
-        /** The request is swallowed; nothing more happens. */
+        /** The request does not run, and the connection stays open without an answer. */
         Silent,
-        /** The upstream crashes while it runs the work; all calls to it are lost. */
+        /** The upstream crashes while it runs the request; the connections of all calls to it are lost. */
         Crash,
     };
     kind ends = kind::Answer;
     duration delay = std::chrono::milliseconds(20);
 };
 
-/** One call as an upstream saw it. */
-struct seen_call {
+/** A call to an upstream and how it was handled. */
+struct recorded_call {
     upstream_call call;
     call_behaviour behaviour;
     time_point startedAt;
     bool cancelled = false;
 };
 
-/** The upstreams of one service with their slots; entries share it through ports(). */
+/** The upstreams of one service and their slots, used by all entries through ports(). */
 class fake_upstreams {
 public:
     fake_upstreams(paused_runtime& runtime, const service_id& service, std::size_t count, std::uint32_t slots);
     fake_upstreams(const fake_upstreams&) = delete;
     fake_upstreams& operator=(const fake_upstreams&) = delete;
 
-    /** One entry's ports; the upstreams outlive them. */
+    /** The ports of one entry; they are valid as long as this object. */
     struct entry_ports {
         slot_port slots;
         upstream_port upstreams;
     };
     entry_ports ports();
 
-    /** Ends one entry's calls as when its process dies; no event follows, and its slots come back after `lease`. */
+    /** Ends an entry's calls without callbacks, as if its process had crashed. Its slots become free after `lease`. */
     void killEntry(std::size_t entry, duration lease = std::chrono::seconds(12));
 
-    /** Slots that entries hold. */
-    std::size_t holds() const { return m_holds.size(); }
-    /** Called before each call begins. */
+    /** The number of slots that entries hold. */
+    std::size_t heldSlots() const { return m_heldSlots.size(); }
+    /** Called before each call starts. */
     std::function<void(const upstream_call&)> onCall = [](const upstream_call&) {};
 
+    /** Decides how each call is handled. */
     std::function<call_behaviour(const upstream_call&)> behaviour
         = [](const upstream_call&) { return call_behaviour(); };
-    std::vector<seen_call> calls;
-    /** How often the work of each body ran. */
+    std::vector<recorded_call> calls;
+    /** How many times a request with each body ran. */
     std::map<std::string, int> runs;
     std::size_t crashes = 0;
-    /** How long a crashed upstream stays away; for good without one. */
+    /** The time after which a crashed upstream is available again; never if empty. */
     std::optional<duration> restartAfter;
     std::vector<slot_result> released;
-    /** The most work that ever ran at one upstream at once. */
-    std::uint32_t mostRunning = 0;
+    /** The highest number of requests that ran at one upstream at the same time. */
+    std::uint32_t peakRunning = 0;
 
 private:
     struct slot_waiter {
         std::size_t entry;
-        slot_request asked;
-        std::function<void(slot_answer)> given;
+        slot_request request;
+        std::function<void(slot_answer)> onSlot;
     };
     struct upstream_record {
         upstream_announcement announcement;
@@ -95,34 +97,34 @@
         std::size_t entry;
         std::size_t index;
         call_events events;
-        /** Ends the work, when it runs. */
+        /** Fires when the request has finished running; set only if it runs. */
         timer_id workEnd;
         time_point workEndsAt;
     };
-    struct held {
+    struct slot_holder {
         std::size_t entry;
         upstream_id upstream;
     };
-    using call_name = std::pair<std::size_t, std::uint64_t>;
+    using call_key = std::pair<std::size_t, std::uint64_t>;
 
-    slot_ticket acquire(std::size_t entry, slot_request asked, std::function<void(slot_answer)> given);
+    slot_ticket acquire(std::size_t entry, slot_request request, std::function<void(slot_answer)> onSlot);
     void release(slot_handle handle, const slot_result& result);
     void serveWaiters();
-    std::optional<upstream_id> choose(const slot_request& asked) const;
-    slot_answer give(std::size_t entry, const upstream_id& chosen);
+    std::optional<upstream_id> choose(const slot_request& request) const;
+    slot_answer grant(std::size_t entry, const upstream_id& chosen);
     void start(std::size_t entry, const upstream_call& call, call_events events);
-    void runWork(open_call& open, const seen_call& seen);
+    void runWork(open_call& open, const recorded_call& seen);
     void stopWork(const open_call& open);
     void crash(const upstream_id& id);
-    void endCall(const call_name& name);
-    void cancelCall(const call_name& name);
+    void endCall(const call_key& key);
+    void cancelCall(const call_key& key);
 
     paused_runtime& m_runtime;
     std::map<upstream_id, upstream_record> m_upstreams;
     std::map<std::uint64_t, slot_waiter> m_waiters;
-    std::map<slot_handle, held> m_holds;
-    std::map<call_name, open_call> m_open;
-    std::uint64_t m_last = 0;
+    std::map<slot_handle, slot_holder> m_heldSlots;
+    std::map<call_key, open_call> m_open;
+    std::uint64_t m_lastId = 0;
     std::size_t m_entries = 0;
 };
 
--- a/test/support/request_cluster.cpp
+++ b/test/support/request_cluster.cpp
@@ -52,16 +52,16 @@
 
 void request_cluster::start(std::size_t entry)
 {
-    fake_entry made;
+    fake_entry created;
     vm_settings settings;
     settings.self.id = vm_id("vm" + std::to_string(entry));
     settings.vms.assign(entries.size(), settings.self);
-    made.core = *kernel::create(runtime.hooks());
-    made.log = std::make_unique<fake_log_member>(log, settings.self.id, incarnation(++m_starts));
-    made.ports = upstreams.ports();
-    made.portsNumber = m_portsGiven++;
-    made.requests = *request_service::create(runtime.hooks(), settings, options);
-    entries[entry] = std::move(made);
+    created.core = *kernel::create(runtime.hooks());
+    created.log = std::make_unique<fake_log_member>(log, settings.self.id, incarnation(++m_starts));
+    created.ports = upstreams.ports();
+    created.portsIndex = m_portsCount++;
+    created.requests = *request_service::create(runtime.hooks(), settings, options);
+    entries[entry] = std::move(created);
     fake_entry& started = entries[entry];
     started.core->add(portService(port_names::control, started.log->control));
     started.core->add(portService(port_names::consensus, started.log->consensus));
@@ -75,10 +75,10 @@
 
 void request_cluster::kill(std::size_t entry)
 {
-    upstreams.killEntry(entries[entry].portsNumber);
+    upstreams.killEntry(entries[entry].portsIndex);
     entries[entry].requests.reset();
     entries[entry].port = nullptr;
-    m_dead.push_back(std::move(entries[entry]));
+    m_killed.push_back(std::move(entries[entry]));
 }
 
 caller_record& request_cluster::send(std::size_t entry, caller_request request)
--- a/test/support/request_cluster.h
+++ b/test/support/request_cluster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Some entries' request services over one log and one set of upstreams, on one paused clock.
+ * The request services of several entries with a shared fake log and shared fake upstreams, in simulated time.
  */
 
 #include <memory>
@@ -16,7 +16,7 @@
 
 namespace plantainlatch {
 
-/** What one caller sent and got. */
+/** A request and the answers to it. */
 struct caller_record {
     std::size_t entry = 0;
     request_id id;
@@ -25,30 +25,30 @@
     int answers = 0;
 };
 
-/** One VM of the system, with a request service and ports to the fakes. */
+/** An entry: a kernel that runs a request service with ports to the fakes. */
 struct fake_entry {
     std::unique_ptr<kernel> core;
     std::unique_ptr<fake_log_member> log;
     fake_upstreams::entry_ports ports;
     std::unique_ptr<request_service> requests;
     request_port* port = nullptr;
-    std::size_t portsNumber = 0;
+    std::size_t portsIndex = 0;
 };
 
-/** Entries with one service `taller`: GET is idempotent, POST is not. */
+/** Several entries and the service `taller`, for which GET is idempotent and POST is not. */
 class request_cluster {
 public:
     request_cluster(std::uint64_t seed, std::size_t entryCount, std::size_t upstreamCount, std::uint32_t slots,
         request_options requestOptions = {});
 
-    /** Sends a request; the record's address holds for the life of the world. */
+    /** Sends a request. The returned record stays valid until the cluster is destroyed. */
     caller_record& send(std::size_t entry, caller_request request);
     caller_record& get(std::size_t entry, const std::string& target);
     caller_record& post(std::size_t entry, const std::string& body, std::optional<std::string> key = {});
 
-    /** The entry's process dies: no event reaches it, and its callers hear nothing. */
+    /** Simulates a crash of the entry's process: it gets no more events, and its callers get no answers. */
     void kill(std::size_t entry);
-    /** The entry's process starts anew, as a new incarnation. */
+    /** Starts the entry's process as a new incarnation. */
     void start(std::size_t entry);
 
     paused_runtime runtime;
@@ -60,9 +60,9 @@
 
 private:
     std::uint64_t m_starts = 0;
-    std::size_t m_portsGiven = 0;
-    /** What dead processes were made of; late events find it and do nothing. */
-    std::vector<fake_entry> m_dead;
+    std::size_t m_portsCount = 0;
+    /** The fakes of killed entries, kept because scheduled events still refer to them. */
+    std::vector<fake_entry> m_killed;
 };
 
 } // namespace plantainlatch
