--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -85,7 +85,7 @@
     std::function<bool(const request_traits&)> hedges;
     /** Whether a hedge may be started, given whether the service has spare slots. */
     std::function<bool(bool hasSpareSlots)> allowsHedge;
-    /** Whether a dispatched request continues after its caller has left. */
+    /** Whether a request that holds its key and has an open attempt continues after its caller has left. */
     std::function<bool(const request_traits&)> continuesWithoutCaller;
     /** Whether the slot of an attempt that ended in this way is kept busy while the work may still run. */
     std::function<bool(attempt_termination)> keepsSlotBusy;
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -30,8 +30,8 @@
     void begin();
     const admitted_request& request() const { return m_request; }
 
-    /** Ends the run when its caller has disconnected. A request that holds a claimed key and was dispatched continues,
-     * so that the caller gets its answer by resending it. */
+    /** Ends the run when its caller has disconnected. A request that holds a claimed key and has an open attempt
+     * continues, so that the caller gets its answer by resending it. */
     void callerLeft();
 
 private:
