--- a/src/decision/request/proven_requests.cpp
+++ b/src/decision/request/known_good_requests.cpp
@@ -1,10 +1,10 @@
-#include "decision/request/proven_requests.h"
+#include "decision/request/known_good_requests.h"
 
 #include <utility>
 
 namespace plantainlatch {
 
-const proven_requests::proof* proven_requests::find(const crash_key& key) const
+const known_good_requests::completion_record* known_good_requests::find(const crash_key& key) const
 {
     const auto younger = m_younger.find(key);
     if (younger != m_younger.end())
@@ -13,13 +13,13 @@
     return older != m_older.end() ? &older->second : nullptr;
 }
 
-bool proven_requests::contains(const crash_key& key, time_point now) const
+bool known_good_requests::contains(const crash_key& key, time_point now) const
 {
-    const proof* found = find(key);
-    return found != nullptr && found->losses < lossesToVoid && now < found->completedAt + memory;
+    const completion_record* found = find(key);
+    return found != nullptr && found->losses < lossesToForget && now < found->completedAt + retention;
 }
 
-void proven_requests::add(const crash_key& key, time_point now)
+void known_good_requests::add(const crash_key& key, time_point now)
 {
     const auto known = m_younger.find(key);
     if (known != m_younger.end()) {
@@ -30,18 +30,18 @@
         m_older = std::move(m_younger);
         m_younger.clear();
     }
-    m_younger.emplace(key, proof { now, 0 });
+    m_younger.emplace(key, completion_record { now, 0 });
 }
 
-bool proven_requests::countLoss(const crash_key& key, time_point now)
+bool known_good_requests::countLoss(const crash_key& key, time_point now)
 {
     if (!contains(key, now))
         return true;
-    proof changed = *find(key);
+    completion_record changed = *find(key);
     ++changed.losses;
     add(key, now);
     m_younger[key] = changed;
-    return changed.losses >= lossesToVoid;
+    return changed.losses >= lossesToForget;
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/outcome_machine.cpp
+++ b/src/decision/request/outcome_tracker.cpp
@@ -1,4 +1,4 @@
-#include "decision/request/outcome_machine.h"
+#include "decision/request/outcome_tracker.h"
 
 #include <algorithm>
 #include <array>
@@ -15,11 +15,11 @@
         attempt_state to;
     };
 
-    /** Every legal transition; from Offered only the upstream's own marked refusal leads to a state that did not run.
-     */
+    /** All valid transitions. From Offered, only a marked refusal by the upstream itself leads to a state in which the
+     * request is known not to have run. */
     constexpr std::array transitions {
-        transition { attempt_state::Prepared, attempt_event::OfferFirstByte, attempt_state::Offered },
-        transition { attempt_state::Prepared, attempt_event::FailBeforeFirstByte, attempt_state::NotOffered },
+        transition { attempt_state::Prepared, attempt_event::Dispatch, attempt_state::Offered },
+        transition { attempt_state::Prepared, attempt_event::FailBeforeDispatch, attempt_state::NotOffered },
         transition { attempt_state::Offered, attempt_event::Refuse, attempt_state::Refused },
         transition { attempt_state::Offered, attempt_event::Answer, attempt_state::Answered },
         transition { attempt_state::Offered, attempt_event::Lose, attempt_state::Lost },
@@ -51,18 +51,21 @@
 {
     const auto* const found = std::find_if(transitions.begin(), transitions.end(),
         [&](const transition& item) { return item.from == state && item.event == event; });
-    internal_assert(found != transitions.end())
-        << "attempt is " << attemptStateName(state) << ", event " << static_cast<int>(event);
+    internal_assert(found != transitions.end()) << "invalid attempt transition from state " << attemptStateName(state)
+                                                << " by event " << static_cast<int>(event);
     return found->to;
 }
 
-bool surelyNotRun(attempt_state state) { return state == attempt_state::NotOffered || state == attempt_state::Refused; }
+bool definitelyNotRun(attempt_state state)
+{
+    return state == attempt_state::NotOffered || state == attempt_state::Refused;
+}
 
-void outcome_machine::close(attempt_state state)
+void outcome_tracker::recordEnd(attempt_state state)
 {
     internal_assert(state != attempt_state::Prepared && state != attempt_state::Offered)
-        << "an attempt ends as " << attemptStateName(state);
-    if (!surelyNotRun(state))
+        << "attempt ended in the non-final state " << attemptStateName(state);
+    if (!definitelyNotRun(state))
         m_mayHaveRun = true;
 }
 
