Placement: reworded in the terms of load balancing

Cause: private terms (standing, shun, cold gate, home order) hid rendezvous hashing, ejection, outlier detection and a rate limiter. Change: comments; private names and files: cold_gate -> cold_rate_limiter, home_order -> affinity_order, upstream_standing -> upstream_stats, objectNumber -> objectHash and others. The value of the log field left_out reads "ejected N, outliers N, cold N" instead of "shunned N, avoided N, cold N"; no test or tool matches it. Test names reworded. Names, comments and texts only.

--- a/src/decision/placement/home_order.cpp
+++ b/src/decision/placement/affinity_order.cpp
@@ -1,4 +1,4 @@
-#include "decision/placement/home_order.h"
+#include "decision/placement/affinity_order.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,10 +10,10 @@
 
 namespace {
 
-    /** Keeps the choice whether a region keeps an object apart from the choice of its upstream. */
+    /** Makes the choice between local and remote homes independent of the choice of the upstream. */
     constexpr std::uint64_t regionSeed = 0x9e3779b97f4a7c15ULL;
-    /** A weight that only orders upstreams behind all others. */
-    constexpr double leastWeight = 1e-9;
+    /** Puts upstreams of regions without spare slots behind all other remote ones. */
+    constexpr double minimumWeight = 1e-9;
 
     std::uint64_t mix(std::uint64_t left, std::uint64_t right)
     {
@@ -21,8 +21,8 @@
         return XXH3_64bits(pair, sizeof(pair));
     }
 
-    /** A number in (0, 1). */
-    double unit(std::uint64_t hash) { return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53; }
+    /** Maps a hash to a number in (0, 1). */
+    double toUnitInterval(std::uint64_t hash) { return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53; }
 
     double slotsOf(const upstream_announcement& upstream)
     {
@@ -37,7 +37,7 @@
 
 } // namespace
 
-home_order::home_order(
+affinity_order::affinity_order(
     std::vector<upstream_announcement> upstreams, const region_id& ownRegion, const std::map<region_id, double>& demand)
 {
     std::map<region_id, double> slots;
@@ -48,7 +48,7 @@
     }
     const double ownDemand = shareOf(demand, ownRegion);
     const double ownSlots = total > 0 ? shareOf(slots, ownRegion) / total : 0;
-    m_kept = ownDemand > 0 ? std::min(1.0, ownSlots / ownDemand) : 1;
+    m_localShare = ownDemand > 0 ? std::min(1.0, ownSlots / ownDemand) : 1;
     for (upstream_announcement& upstream : upstreams) {
         const double regionSlots = slots[upstream.region];
         const double spare = std::max(0.0, regionSlots / total - shareOf(demand, upstream.region));
@@ -56,20 +56,20 @@
         added.local = upstream.region == ownRegion;
         added.weight = slotsOf(upstream);
         if (!added.local)
-            added.weight = std::max(leastWeight, spare * slotsOf(upstream) / regionSlots);
+            added.weight = std::max(minimumWeight, spare * slotsOf(upstream) / regionSlots);
         added.hash = XXH3_64bits(upstream.id.value().data(), upstream.id.value().size());
         added.upstream = std::move(upstream);
         m_members.push_back(std::move(added));
     }
 }
 
-std::vector<const upstream_announcement*> home_order::of(std::uint64_t object) const
+std::vector<const upstream_announcement*> affinity_order::of(std::uint64_t object) const
 {
-    const bool localFirst = unit(mix(object, regionSeed)) < m_kept;
+    const bool localFirst = toUnitInterval(mix(object, regionSeed)) < m_localShare;
     std::vector<std::pair<double, const member*>> ranked;
     ranked.reserve(m_members.size());
     for (const member& item : m_members) {
-        const double score = -item.weight / std::log(unit(mix(object, item.hash)));
+        const double score = -item.weight / std::log(toUnitInterval(mix(object, item.hash)));
         ranked.emplace_back(score, &item);
     }
     std::sort(ranked.begin(), ranked.end(), [localFirst](const auto& left, const auto& right) {
@@ -84,7 +84,7 @@
     return order;
 }
 
-std::vector<const upstream_announcement*> home_order::all() const
+std::vector<const upstream_announcement*> affinity_order::all() const
 {
     std::vector<const upstream_announcement*> upstreams;
     upstreams.reserve(m_members.size());
@@ -93,6 +93,6 @@
     return upstreams;
 }
 
-std::uint64_t objectNumber(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
+std::uint64_t objectHash(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
 
 } // namespace plantainlatch
--- a/src/decision/placement/cold_gate.cpp
+++ b/src/decision/placement/cold_rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "decision/placement/cold_gate.h"
+#include "decision/placement/cold_rate_limiter.h"
 
 #include <algorithm>
 
@@ -8,8 +8,9 @@
 
 namespace {
 
-    /** Longer than the second that counts, as requests don't all take equally long to arrive. */
-    constexpr duration gateWindow = std::chrono::milliseconds(1200);
+    /** Longer than the one second that the limit is stated for: delays vary, so that requests sent more than a second
+     * apart may still arrive within the same second. */
+    constexpr duration rateWindow = std::chrono::milliseconds(1200);
 
     std::uint64_t rankOf(const vm_id& vm, const upstream_id& upstream)
     {
@@ -31,19 +32,19 @@
     return whole / entries.size() + (before < remainder ? 1 : 0);
 }
 
-std::size_t cold_gate::passed(time_point now) const
+std::size_t cold_rate_limiter::admitted(time_point now) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_passed.begin(), m_passed.end(), [now](time_point at) { return now < at + gateWindow; }));
+        std::count_if(m_admitted.begin(), m_admitted.end(), [now](time_point at) { return now < at + rateWindow; }));
 }
 
-bool cold_gate::pass(std::size_t most, time_point now)
+bool cold_rate_limiter::tryAcquire(std::size_t limit, time_point now)
 {
-    while (!m_passed.empty() && m_passed.front() + gateWindow <= now)
-        m_passed.pop_front();
-    if (m_passed.size() >= most)
+    while (!m_admitted.empty() && m_admitted.front() + rateWindow <= now)
+        m_admitted.pop_front();
+    if (m_admitted.size() >= limit)
         return false;
-    m_passed.push_back(now);
+    m_admitted.push_back(now);
     return true;
 }
 
--- a/src/decision/placement/latency_model.cpp
+++ b/src/decision/placement/latency_model.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-    constexpr int averagedOver = 16;
-    /** What an unseen route is expected to take, in objectives. */
-    constexpr double knownPart = 0.5;
-    constexpr double unknownPart = 1.4;
-    /** An object is never expected to be faster where it is unknown. */
-    constexpr double leastRatio = 1.5;
-
-    void average(duration& kept, duration seen)
+    constexpr int smoothingDivisor = 16;
+    /** The expected latency of a route without observations, as a multiple of its target latency. */
+    constexpr double initialKnownFactor = 0.5;
+    constexpr double initialUnknownFactor = 1.4;
+    /** The least ratio of the latency for unknown objects to that for known ones. */
+    constexpr double minimumUnknownRatio = 1.5;
+
+    void updateAverage(duration& mean, duration sample)
     {
-        kept = kept == duration::zero() ? seen : kept + (seen - kept) / averagedOver;
+        mean = mean == duration::zero() ? sample : mean + (sample - mean) / smoothingDivisor;
     }
 
 } // namespace
@@ -24,11 +24,12 @@
 {
     const auto found = m_routes.find(route);
     const averages seen = found != m_routes.end() ? found->second : averages {};
-    const duration known = seen.known != duration::zero() ? seen.known : scaled(targetLatency, knownPart);
+    const duration known = seen.known != duration::zero() ? seen.known : scaled(targetLatency, initialKnownFactor);
     if (state != object_state::Unknown)
         return known;
-    const duration unknown = seen.unknown != duration::zero() ? seen.unknown : scaled(targetLatency, unknownPart);
-    return std::max(unknown, scaled(known, leastRatio));
+    const duration unknown
+        = seen.unknown != duration::zero() ? seen.unknown : scaled(targetLatency, initialUnknownFactor);
+    return std::max(unknown, scaled(known, minimumUnknownRatio));
 }
 
 void latency_model::observe(const route_id& route, object_state state, duration latency)
@@ -36,7 +37,7 @@
     if (state == object_state::Likely)
         return;
     averages& seen = m_routes[route];
-    average(state == object_state::Known ? seen.known : seen.unknown, latency);
+    updateAverage(state == object_state::Known ? seen.known : seen.unknown, latency);
 }
 
 } // namespace plantainlatch
--- a/src/decision/placement/latency_model.h
+++ b/src/decision/placement/latency_model.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * How long the requests of a route take on an upstream that handled their object lately, and on one that did not.
+ * Estimates the latency of a route's requests, separately for upstreams that recently handled the requested object and
+ * for those that did not.
  */
 
 #include <map>
@@ -11,23 +12,23 @@
 
 namespace plantainlatch {
 
-/** Whether the upstream knows the object. */
+/** Whether the upstream recently handled the object. */
 enum class object_state {
-    /** It answered this entry on it lately. */
+    /** It recently answered a request of this entry for the object. */
     Known,
-    /** It is the object's home, so that other entries may have used it there. */
+    /** It is the object's home, so that other entries may have sent requests for the object there. */
     Likely,
     Unknown,
 };
 
-/** Moving averages of latencies without queueing. */
+/** Exponential moving averages, per route, of latencies without queueing. */
 class latency_model {
 public:
-    /** The expected latency; before anything was seen, a part or multiple of the objective. */
+    /** The expected latency; before the first observation, a multiple of the route's target latency. */
     duration expected(const route_id& route, object_state state, duration targetLatency) const;
 
-    /** An answer took so long on an upstream with free slots. Where the object was only likely to be known, nothing is
-     * learnt. */
+    /** Adds the latency of an answer from an upstream that had free slots. Ignored for Likely, as the latency then
+     * can't be attributed to either average. */
     void observe(const route_id& route, object_state state, duration latency);
 
 private:
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -14,12 +14,13 @@
 
 namespace {
 
-    /** An upstream is avoided when it fails this part of its requests, and so much more than the service's mean: where
-     * all fail alike, leaving some out only overloads the others. */
-    constexpr double leastAvoidedShare = 0.25;
+    /** An upstream is an outlier when its failure rate reaches both this minimum and the service's mean rate times the
+     * factor plus the margin. The comparison with the mean matters when all upstreams fail at a similar rate: excluding
+     * some of them would only overload the others. */
+    constexpr double minimumOutlierRate = 0.25;
     constexpr double outlierFactor = 1.5;
     constexpr double outlierMargin = 0.1;
-    constexpr duration judgeInterval = std::chrono::milliseconds(100);
+    constexpr duration thresholdInterval = std::chrono::milliseconds(100);
 
     std::string_view nameOf(object_state state)
     {
@@ -45,8 +46,8 @@
 absl::StatusOr<std::unique_ptr<placement_service>> placement_service::create(
     const kernel_hooks& hooks, const vm_settings& settings, placement_options options)
 {
-    if (options.compared == 0)
-        return absl::InvalidArgumentError("at least one upstream must be looked at");
+    if (options.maximumCandidates == 0)
+        return absl::InvalidArgumentError("maximumCandidates must be at least 1");
     return std::unique_ptr<placement_service>(new placement_service(hooks, settings, options));
 }
 
@@ -77,54 +78,55 @@
 {
     m_control = *services.find<control_port>(port_names::control);
     m_upstreams = *services.find<upstream_port>(port_names::upstreams);
-    m_control->onSteeringChange([this] { follow(); });
-    follow();
+    m_control->onSteeringChange([this] { onControlChange(); });
+    onControlChange();
     return services.publish(port_names::slots, m_port);
 }
 
-void placement_service::follow()
+void placement_service::onControlChange()
 {
     const control_snapshot& state = m_control->state();
     for (const auto& [id, record] : state.directory) {
-        const auto former = m_known.find(id);
-        if (former == m_known.end() || !(former->second.announcement == record.announcement))
-            noteJoin(record.announcement);
+        const auto former = m_directory.find(id);
+        if (former == m_directory.end() || !(former->second.announcement == record.announcement))
+            noteAnnouncement(record.announcement);
     }
-    for (const auto& [id, record] : m_known) {
+    for (const auto& [id, record] : m_directory) {
         if (state.directory.contains(id))
             continue;
         m_upstreams->closeIdleConnections(record.announcement.address);
-        m_standings.erase(id);
+        m_stats.erase(id);
     }
-    m_known = state.directory;
-    noteEndedDrains();
+    m_directory = state.directory;
+    markColdAfterDrains();
     m_entries = knownEntries(state);
     m_orders.clear();
 }
 
-void placement_service::noteJoin(const upstream_announcement& upstream)
+void placement_service::noteAnnouncement(const upstream_announcement& upstream)
 {
-    const auto former = m_known.find(upstream.id);
-    const bool isNewStart = former == m_known.end() || former->second.announcement.generation != upstream.generation;
+    const auto former = m_directory.find(upstream.id);
+    const bool isNewStart
+        = former == m_directory.end() || former->second.announcement.generation != upstream.generation;
     if (isNewStart)
-        m_standings[upstream.id] = {};
+        m_stats[upstream.id] = {};
     if (upstream.coldFor > duration::zero())
-        m_standings[upstream.id].coolUntil(m_hooks.now() + upstream.coldFor);
+        m_stats[upstream.id].extendColdUntil(m_hooks.now() + upstream.coldFor);
     else
-        m_standings[upstream.id].setColdUntil(m_hooks.now());
+        m_stats[upstream.id].setColdUntil(m_hooks.now());
 }
 
-void placement_service::noteEndedDrains()
+void placement_service::markColdAfterDrains()
 {
     const control_snapshot& state = m_control->state();
     for (const drain_target& target : m_drains) {
         if (state.drains.contains(target) || target.kind != drain_kind::FailureDomain)
             continue;
-        // Upstreams that had no work for a while may have gone cold without saying so yet.
-        for (const auto& [id, record] : m_known) {
+        // Upstreams without requests may have become cold during the drain, before they report it.
+        for (const auto& [id, record] : m_directory) {
             const auto service = state.config.services.find(record.announcement.service);
             if (record.announcement.failureDomain.value() == target.name && service != state.config.services.end())
-                m_standings[id].coolUntil(m_hooks.now() + service->second.coldTime);
+                m_stats[id].extendColdUntil(m_hooks.now() + service->second.coldTime);
         }
     }
     m_drains = state.drains;
@@ -132,7 +134,7 @@
 
 std::map<region_id, double> placement_service::demand(const order_key& key) const
 {
-    // Callers are taken to be spread evenly over the failure domains.
+    // Assumes that the callers are spread evenly over the failure domains.
     std::map<region_id, double> shares;
     double domains = 0;
     for (const auto& [region, definition] : m_control->state().config.regions) {
@@ -150,125 +152,126 @@
     return shares;
 }
 
-placement_service::ranked_service& placement_service::orderFor(const order_key& key)
+placement_service::service_order& placement_service::orderFor(const order_key& key)
 {
     const auto found = m_orders.find(key);
     if (found != m_orders.end())
         return found->second;
-    std::vector<upstream_announcement> fit;
-    for (const auto& [id, record] : m_known) {
+    std::vector<upstream_announcement> eligible;
+    for (const auto& [id, record] : m_directory) {
         const upstream_announcement& upstream = record.announcement;
         const bool allowed = key.allowed.empty()
             || std::find(key.allowed.begin(), key.allowed.end(), upstream.region) != key.allowed.end();
         const bool draining = upstream.draining || isUpstreamDraining(m_control->state(), upstream);
         if (upstream.service == key.service && allowed && !draining)
-            fit.push_back(upstream);
+            eligible.push_back(upstream);
     }
-    return m_orders.emplace(key, ranked_service { home_order(std::move(fit), m_region, demand(key)) }).first->second;
+    return m_orders.emplace(key, service_order { affinity_order(std::move(eligible), m_region, demand(key)) })
+        .first->second;
 }
 
-double placement_service::toleratedFailures(ranked_service& service)
+double placement_service::outlierThreshold(service_order& service)
 {
     const time_point now = m_hooks.now();
-    if (service.toleratedFailures > 0 && now < service.judgedAt + judgeInterval)
-        return service.toleratedFailures;
-    const std::vector<const upstream_announcement*> upstreams = service.homes.all();
+    if (service.outlierThreshold > 0 && now < service.thresholdAt + thresholdInterval)
+        return service.outlierThreshold;
+    const std::vector<const upstream_announcement*> upstreams = service.order.all();
     double total = 0;
     for (const upstream_announcement* upstream : upstreams)
-        total += m_standings[upstream->id].failureShare();
+        total += m_stats[upstream->id].failureRate();
     const double mean = upstreams.empty() ? 0 : total / static_cast<double>(upstreams.size());
-    service.judgedAt = now;
-    service.toleratedFailures = std::max(leastAvoidedShare, mean * outlierFactor + outlierMargin);
-    return service.toleratedFailures;
+    service.thresholdAt = now;
+    service.outlierThreshold = std::max(minimumOutlierRate, mean * outlierFactor + outlierMargin);
+    return service.outlierThreshold;
 }
 
-bool placement_service::mayPassCold(const upstream_announcement& upstream, upstream_standing& standing)
+bool placement_service::tryAdmit(const upstream_announcement& upstream, upstream_stats& stats)
 {
     const time_point now = m_hooks.now();
-    if (!standing.isCold(now))
+    if (!stats.isCold(now))
         return true;
     const auto& services = m_control->state().config.services;
     const auto service = services.find(upstream.service);
     if (service == services.end())
         return false;
     const double total = service->second.coldRate * m_options.cold.factor + m_options.cold.slack;
-    return standing.gate().pass(coldShare(total, m_entries, m_self, upstream.id), now);
+    return stats.coldLimiter().tryAcquire(coldShare(total, m_entries, m_self, upstream.id), now);
 }
 
-placement_service::choice placement_service::weigh(
+placement_service::candidate placement_service::evaluate(
     const slot_request& request, const upstream_announcement& upstream, std::uint64_t object, bool isHome)
 {
     const time_point now = m_hooks.now();
-    const upstream_standing& standing = m_standings[upstream.id];
-    choice weighed;
-    weighed.upstream = &upstream;
-    if (!standing.isCold(now) && standing.remembers(object, now))
-        weighed.state = object_state::Known;
-    else if (!standing.isCold(now) && isHome)
-        weighed.state = object_state::Likely;
-    const duration usual = m_latencies.expected(request.policy.route, weighed.state, request.policy.targetLatency);
-    weighed.work = scaled(usual, standing.slowness(now));
+    const upstream_stats& stats = m_stats[upstream.id];
+    candidate evaluated;
+    evaluated.upstream = &upstream;
+    if (!stats.isCold(now) && stats.hasHandled(object, now))
+        evaluated.state = object_state::Known;
+    else if (!stats.isCold(now) && isHome)
+        evaluated.state = object_state::Likely;
+    const duration usual = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency);
+    evaluated.runTime = scaled(usual, stats.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
-    const std::uint32_t load = standing.load(now);
-    weighed.load = load;
-    weighed.queued = load >= slots;
-    weighed.total = weighed.work;
-    if (weighed.queued)
-        weighed.total += scaled(weighed.work, static_cast<double>(load - slots + 1) / slots);
+    const std::uint32_t load = stats.load(now);
+    evaluated.load = load;
+    evaluated.queued = load >= slots;
+    evaluated.total = evaluated.runTime;
+    if (evaluated.queued)
+        evaluated.total += scaled(evaluated.runTime, static_cast<double>(load - slots + 1) / slots);
     if (upstream.region != m_region)
-        weighed.total += m_options.farPenalty;
-    weighed.cost
-        = weighed.state == object_state::Unknown ? scaled(weighed.total, m_options.unknownFactor) : weighed.total;
-    return weighed;
+        evaluated.total += m_options.crossRegionPenalty;
+    evaluated.cost = evaluated.state == object_state::Unknown ? scaled(evaluated.total, m_options.unknownCostFactor)
+                                                              : evaluated.total;
+    return evaluated;
 }
 
-placement_service::choice placement_service::choose(
-    const slot_request& request, std::uint64_t object, bool evenAvoided, left_out& without)
+placement_service::candidate placement_service::choose(
+    const slot_request& request, std::uint64_t object, bool includeOutliers, excluded_counts& excluded)
 {
     const time_point now = m_hooks.now();
-    ranked_service& service = orderFor({ request.service, request.policy.allowedRegions });
-    const double tolerated = toleratedFailures(service);
-    std::vector<choice> compared;
+    service_order& service = orderFor({ request.service, request.policy.allowedRegions });
+    const double threshold = outlierThreshold(service);
+    std::vector<candidate> candidates;
     bool isHome = true;
-    for (const upstream_announcement* upstream : service.homes.of(object)) {
-        upstream_standing& standing = m_standings[upstream->id];
+    for (const upstream_announcement* upstream : service.order.of(object)) {
+        upstream_stats& stats = m_stats[upstream->id];
         if (contains(request.avoid, upstream->id))
             continue;
-        if (standing.isShunned(now)) {
-            ++without.shunned;
+        if (stats.isEjected(now)) {
+            ++excluded.ejected;
             continue;
         }
-        if (!evenAvoided && standing.avoids(tolerated, now)) {
-            ++without.avoided;
+        if (!includeOutliers && stats.skipAsOutlier(threshold, now)) {
+            ++excluded.outliers;
             continue;
         }
-        compared.push_back(weigh(request, *upstream, object, isHome));
+        candidates.push_back(evaluate(request, *upstream, object, isHome));
         isHome = false;
-        if (compared.size() >= m_options.compared)
+        if (candidates.size() >= m_options.maximumCandidates)
             break;
     }
-    std::stable_sort(compared.begin(), compared.end(),
-        [](const choice& left, const choice& right) { return left.cost < right.cost; });
-    for (const choice& item : compared) {
-        if (mayPassCold(*item.upstream, m_standings[item.upstream->id]))
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [](const candidate& left, const candidate& right) { return left.cost < right.cost; });
+    for (const candidate& item : candidates) {
+        if (tryAdmit(*item.upstream, m_stats[item.upstream->id]))
             return item;
-        ++without.cold;
+        ++excluded.cold;
     }
     return {};
 }
 
 slot_ticket placement_service::acquire(const slot_request& request, const std::function<void(slot_answer)>& done)
 {
-    const std::uint64_t object = request.policy.object.empty() ? m_hooks.random() : objectNumber(request.policy.object);
-    left_out without;
-    choice chosen = choose(request, object, false, without);
+    const std::uint64_t object = request.policy.object.empty() ? m_hooks.random() : objectHash(request.policy.object);
+    excluded_counts excluded;
+    candidate chosen = choose(request, object, false, excluded);
     if (chosen.upstream == nullptr)
-        chosen = choose(request, object, true, without);
+        chosen = choose(request, object, true, excluded);
     slot_answer answer;
-    answer.inputs = inputsOf(request, chosen, without);
-    const bool isEmpty = orderFor({ request.service, request.policy.allowedRegions }).homes.empty();
+    answer.inputs = inputsOf(request, chosen, excluded);
+    const bool isEmpty = orderFor({ request.service, request.policy.allowedRegions }).order.empty();
     answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
-    const bool inTime = chosen.upstream != nullptr && chosen.total < patienceOf(request);
+    const bool inTime = chosen.upstream != nullptr && chosen.total < timeLimit(request);
     if (!inTime) {
         ++m_refused;
         done(answer);
@@ -277,40 +280,41 @@
     ++m_placed;
     const slot_handle handle(++m_lastHandle);
     m_held.emplace(handle,
-        held_place { chosen.upstream->id, request.policy.route, object, chosen.state, chosen.work, chosen.queued });
-    m_standings[chosen.upstream->id].begin();
+        placed_request {
+            chosen.upstream->id, request.policy.route, object, chosen.state, chosen.runTime, chosen.queued });
+    m_stats[chosen.upstream->id].noteRequest();
     answer.slot = held_slot { handle, *chosen.upstream, request.deadline };
     done(answer);
     return {};
 }
 
-duration placement_service::patienceOf(const slot_request& request) const
+duration placement_service::timeLimit(const slot_request& request) const
 {
     const duration left = request.deadline - m_hooks.now();
-    const bool urgent = request.policy.priority < m_options.leastUrgent;
+    const bool urgent = request.policy.priority < m_options.sheddablePriority;
     if (urgent || request.policy.targetLatency <= duration::zero())
         return left;
-    return std::min(left, scaled(request.policy.targetLatency, m_options.patience));
+    return std::min(left, scaled(request.policy.targetLatency, m_options.sheddableTimeFactor));
 }
 
 std::vector<log_field> placement_service::inputsOf(
-    const slot_request& request, const choice& chosen, const left_out& without)
+    const slot_request& request, const candidate& chosen, const excluded_counts& excluded)
 {
     const auto milliseconds = [](duration span) {
         return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
     };
     std::vector<log_field> inputs { { "configuration", absl::StrCat(m_control->state().config.number.value()) },
-        { "patience_ms", milliseconds(patienceOf(request)) } };
-    if (without.shunned + without.avoided + without.cold > 0)
+        { "patience_ms", milliseconds(timeLimit(request)) } };
+    if (excluded.ejected + excluded.outliers + excluded.cold > 0)
         inputs.push_back({ "left_out",
-            absl::StrCat("shunned ", without.shunned, ", avoided ", without.avoided, ", cold ", without.cold) });
+            absl::StrCat("ejected ", excluded.ejected, ", outliers ", excluded.outliers, ", cold ", excluded.cold) });
     if (chosen.upstream == nullptr)
         return inputs;
-    const upstream_standing& standing = m_standings[chosen.upstream->id];
+    const upstream_stats& stats = m_stats[chosen.upstream->id];
     inputs.push_back({ "best", chosen.upstream->id.value() });
     inputs.push_back({ "object", std::string(nameOf(chosen.state)) });
     inputs.push_back({ "load", absl::StrCat(chosen.load) });
-    inputs.push_back({ "slowness", absl::StrFormat("%.1f", standing.slowness(m_hooks.now())) });
+    inputs.push_back({ "slowness", absl::StrFormat("%.1f", stats.slowness(m_hooks.now())) });
     inputs.push_back({ "expected_ms", milliseconds(chosen.total) });
     return inputs;
 }
@@ -318,16 +322,16 @@
 void placement_service::release(slot_handle handle, const slot_result& result)
 {
     const auto found = m_held.find(handle);
-    internal_assert(found != m_held.end()) << "place " << handle.value() << " is released twice";
-    const held_place place = found->second;
+    internal_assert(found != m_held.end()) << "slot handle " << handle.value() << " is released twice";
+    const placed_request placed = found->second;
     m_held.erase(found);
-    const auto standing = m_standings.find(place.upstream);
-    if (standing == m_standings.end())
+    const auto stats = m_stats.find(placed.upstream);
+    if (stats == m_stats.end())
         return;
-    const bool tells = !place.queued && place.state != object_state::Likely;
-    standing->second.end(result, place.object, tells ? place.expected : duration::zero(), m_hooks.now());
-    if (result.ended == slot_result::kind::Answered && !place.queued)
-        m_latencies.observe(place.route, place.state, result.latency);
+    const bool isMeaningful = !placed.queued && placed.state != object_state::Likely;
+    stats->second.noteResult(result, placed.object, isMeaningful ? placed.expected : duration::zero(), m_hooks.now());
+    if (result.ended == slot_result::kind::Answered && !placed.queued)
+        m_latencies.observe(placed.route, placed.state, result.latency);
 }
 
 state_dump placement_service::dump() const
@@ -336,12 +340,12 @@
     shown.add("placed", m_placed);
     shown.add("refused", m_refused);
     state_dump& upstreams = shown.addObject("own_requests");
-    for (const auto& [id, standing] : m_standings)
-        upstreams.add(id.value(), static_cast<std::uint64_t>(standing.ownRequests()));
+    for (const auto& [id, stats] : m_stats)
+        upstreams.add(id.value(), static_cast<std::uint64_t>(stats.ownRequests()));
     state_dump& cold = shown.addObject("sent_to_cold");
-    for (const auto& [id, standing] : m_standings) {
-        if (standing.isCold(m_hooks.now()))
-            cold.add(id.value(), static_cast<std::uint64_t>(standing.gate().passed(m_hooks.now())));
+    for (const auto& [id, stats] : m_stats) {
+        if (stats.isCold(m_hooks.now()))
+            cold.add(id.value(), static_cast<std::uint64_t>(stats.coldLimiter().admitted(m_hooks.now())));
     }
     return shown;
 }
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -1,11 +1,12 @@
 #pragma once
 
 /** \file
- * The service that chooses an upstream for each request from this entry's own counts and the upstreams' load reports.
+ * Load balancing without coordination between entries: each request goes to the upstream with the lowest expected cost,
+ * estimated from this entry's own requests and the upstreams' load reports.
  *
- * It is the other implementation of slot_port beside the leased slots, for upstreams that refuse work beyond their
- * slots with proof. Nothing waits here: a request goes to the upstream that is expected to finish it first, or is
- * refused at once.
+ * This is an implementation of slot_port without slot leases. It is meant for upstreams that enforce their own
+ * concurrency limit and state, when they refuse a request, that they did not run it. Requests are never queued here:
+ * each is placed or refused at once.
  */
 
 #include <map>
@@ -14,10 +15,10 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
-#include "decision/placement/cold_gate.h"
-#include "decision/placement/home_order.h"
+#include "decision/placement/affinity_order.h"
+#include "decision/placement/cold_rate_limiter.h"
 #include "decision/placement/latency_model.h"
-#include "decision/placement/upstream_standing.h"
+#include "decision/placement/upstream_stats.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
@@ -27,20 +28,21 @@
 
 namespace plantainlatch {
 
-/** What may be varied in placement_service. */
+/** Options of placement_service. */
 struct placement_options {
     cold_rate_limit cold;
-    /** How many of an object's upstreams are compared. */
-    std::size_t compared = 4;
-    /** How many times longer an upstream that doesn't know the object counts: its work there also displaces what the
-     * upstream knows and takes capacity from others. */
-    double unknownFactor = 2;
-    /** Requests of this priority and below are refused when they would take so many objectives: a late answer is worth
-     * little, and its work makes more urgent ones late. */
-    std::uint32_t leastUrgent = 2;
-    double patience = 2;
-    /** What a request to another region is expected to take longer. */
-    duration farPenalty = std::chrono::milliseconds(60);
+    /** How many upstreams of an object's preference list are compared. */
+    std::size_t maximumCandidates = 4;
+    /** Multiplies the cost of an upstream that doesn't know the object: running the request there also evicts other
+     * objects from the upstream's cache and takes capacity from requests that have their home there. */
+    double unknownCostFactor = 2;
+    /** Requests whose priority number is this or higher (less urgent) are refused when their expected time exceeds
+     * their target latency times `sheddableTimeFactor`: a late answer is of little use, and its work delays more
+     * urgent requests. */
+    std::uint32_t sheddablePriority = 2;
+    double sheddableTimeFactor = 2;
+    /** The extra latency expected of a request to another region. */
+    duration crossRegionPenalty = std::chrono::milliseconds(60);
 };
 
 /** Chooses upstreams; published as "slots". */
@@ -49,12 +51,12 @@
     static absl::StatusOr<std::unique_ptr<placement_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, placement_options options = {});
 
-    /** The kernel service; it needs "control" and "upstreams". */
+    /** The kernel service; it depends on "control" and "upstreams". */
     service asService();
 
 private:
-    /** A request that was placed. */
-    struct held_place {
+    /** A placed request that has not been released. */
+    struct placed_request {
         upstream_id upstream;
         route_id route;
         std::uint64_t object = 0;
@@ -62,31 +64,34 @@
         duration expected {};
         bool queued = false;
     };
-    /** An upstream for a request, and what is expected of it. */
-    struct choice {
+    /** An upstream that a request may go to, with the estimates for it. */
+    struct candidate {
         const upstream_announcement* upstream = nullptr;
         object_state state = object_state::Unknown;
-        duration work {};
+        /** The expected time that the request runs at the upstream. */
+        duration runTime {};
+        /** The run time, the wait in the upstream's queue and the extra latency to another region. */
         duration total {};
-        /** What the choice goes by. */
+        /** The total, weighted for objects that the upstream doesn't know; the lowest cost wins. */
         duration cost {};
+        /** All slots are in use, so that the request would wait in the upstream's queue. */
         bool queued = false;
         std::uint32_t load = 0;
     };
-    /** Upstreams that were left out of a comparison, by reason. */
-    struct left_out {
-        std::uint32_t shunned = 0;
-        std::uint32_t avoided = 0;
+    /** The number of upstreams that were not considered, by reason. */
+    struct excluded_counts {
+        std::uint32_t ejected = 0;
+        std::uint32_t outliers = 0;
         std::uint32_t cold = 0;
     };
-    /** The homes of a service, and when one of its upstreams stands out. */
-    struct ranked_service {
-        home_order homes;
-        /** Upstreams that fail more than this part of their requests are avoided. */
-        double toleratedFailures = 0;
-        time_point judgedAt {};
+    /** The preference lists of a service, with the failure rate at which one of its upstreams is an outlier. */
+    struct service_order {
+        affinity_order order;
+        /** A fraction of the requests; 0 until computed. */
+        double outlierThreshold = 0;
+        time_point thresholdAt {};
     };
-    /** What an order of homes depends on beside the state. */
+    /** Identifies a service_order; all of them are recomputed when the control state changes. */
     struct order_key {
         service_id service;
         std::vector<region_id> allowed;
@@ -96,19 +101,22 @@
     placement_service(const kernel_hooks& hooks, const vm_settings& settings, placement_options options);
 
     absl::Status start(registry& services);
-    void follow();
-    void noteJoin(const upstream_announcement& upstream);
-    void noteEndedDrains();
+    void onControlChange();
+    void noteAnnouncement(const upstream_announcement& upstream);
+    void markColdAfterDrains();
     slot_ticket acquire(const slot_request& request, const std::function<void(slot_answer)>& done);
     void release(slot_handle handle, const slot_result& result);
-    ranked_service& orderFor(const order_key& key);
-    double toleratedFailures(ranked_service& service);
+    service_order& orderFor(const order_key& key);
+    double outlierThreshold(service_order& service);
     std::map<region_id, double> demand(const order_key& key) const;
-    choice choose(const slot_request& request, std::uint64_t object, bool evenAvoided, left_out& without);
-    choice weigh(const slot_request& request, const upstream_announcement& upstream, std::uint64_t object, bool isHome);
-    bool mayPassCold(const upstream_announcement& upstream, upstream_standing& standing);
-    std::vector<log_field> inputsOf(const slot_request& request, const choice& chosen, const left_out& without);
-    duration patienceOf(const slot_request& request) const;
+    candidate choose(
+        const slot_request& request, std::uint64_t object, bool includeOutliers, excluded_counts& excluded);
+    candidate evaluate(
+        const slot_request& request, const upstream_announcement& upstream, std::uint64_t object, bool isHome);
+    bool tryAdmit(const upstream_announcement& upstream, upstream_stats& stats);
+    std::vector<log_field> inputsOf(
+        const slot_request& request, const candidate& chosen, const excluded_counts& excluded);
+    duration timeLimit(const slot_request& request) const;
     state_dump dump() const;
 
     kernel_hooks m_hooks;
@@ -118,13 +126,13 @@
     slot_port m_port;
     control_port* m_control = nullptr;
     upstream_port* m_upstreams = nullptr;
-    std::map<upstream_id, directory_record> m_known;
+    std::map<upstream_id, directory_record> m_directory;
     std::set<drain_target> m_drains;
     std::vector<vm_id> m_entries;
-    std::map<order_key, ranked_service> m_orders;
-    std::map<upstream_id, upstream_standing> m_standings;
+    std::map<order_key, service_order> m_orders;
+    std::map<upstream_id, upstream_stats> m_stats;
     latency_model m_latencies;
-    absl::flat_hash_map<slot_handle, held_place> m_held;
+    absl::flat_hash_map<slot_handle, placed_request> m_held;
     std::uint64_t m_lastHandle = 0;
     std::uint64_t m_placed = 0;
     std::uint64_t m_refused = 0;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -41,7 +41,7 @@
 
     const std::map<region_id, double> evenDemand { { region_id("here"), 0.5 }, { region_id("there"), 0.5 } };
 
-    /** One entry in region "here" over a control state that the test fills, and calls that never leave. */
+    /** An entry in region "here" with a control state that the test fills; no requests are sent to upstreams. */
     class placement_fixture {
     protected:
         placement_fixture()
@@ -133,47 +133,48 @@
 
 } // namespace
 
-TEST_CASE("home_order.upstream_leaves.moves_only_its_own_objects", "[placement]")
+TEST_CASE("affinity_order.upstream_leaves.moves_only_its_own_objects", "[placement]")
 {
     std::vector<upstream_announcement> upstreams = manyUpstreams(8, 0);
-    const home_order before(upstreams, region_id("here"), evenDemand);
+    const affinity_order before(upstreams, region_id("here"), evenDemand);
     upstreams.erase(upstreams.begin() + 3);
-    const home_order after(upstreams, region_id("here"), evenDemand);
+    const affinity_order after(upstreams, region_id("here"), evenDemand);
     for (int i = 0; i < objects; ++i) {
-        const std::uint64_t object = objectNumber(std::to_string(i));
+        const std::uint64_t object = objectHash(std::to_string(i));
         const upstream_id home = before.of(object).front()->id;
         if (home != upstream_id("local3"))
             REQUIRE(after.of(object).front()->id == home);
     }
 }
 
-TEST_CASE("home_order.equal_upstreams.get_similar_numbers_of_objects", "[placement]")
+TEST_CASE("affinity_order.equal_upstreams.get_similar_numbers_of_objects", "[placement]")
 {
-    const home_order order(manyUpstreams(8, 0), region_id("here"), evenDemand);
+    const affinity_order order(manyUpstreams(8, 0), region_id("here"), evenDemand);
     std::map<upstream_id, int> homes;
     for (int i = 0; i < objects; ++i)
-        ++homes[order.of(objectNumber(std::to_string(i))).front()->id];
+        ++homes[order.of(objectHash(std::to_string(i))).front()->id];
     for (const auto& [id, count] : homes)
         REQUIRE(count == Approx(objects / 8.0).epsilon(0.25));
 }
 
-TEST_CASE("home_order.region_with_few_slots.keeps_only_its_share_of_objects", "[placement]")
+TEST_CASE(
+    "affinity_order.region_with_few_slots.is_home_to_the_share_of_objects_that_its_slots_suffice_for", "[placement]")
 {
-    // One in ten slots for half of the requests: one object in five stays.
-    const home_order order(manyUpstreams(2, 18), region_id("here"), evenDemand);
-    int kept = 0;
+    // A tenth of the slots for half of the requests: one object in five has a local home.
+    const affinity_order order(manyUpstreams(2, 18), region_id("here"), evenDemand);
+    int local = 0;
     for (int i = 0; i < objects; ++i)
-        kept += order.of(objectNumber(std::to_string(i))).front()->region == region_id("here") ? 1 : 0;
-    REQUIRE(kept == Approx(objects * 0.2).epsilon(0.15));
+        local += order.of(objectHash(std::to_string(i))).front()->region == region_id("here") ? 1 : 0;
+    REQUIRE(local == Approx(objects * 0.2).epsilon(0.15));
 }
 
-TEST_CASE("home_order.region_without_upstreams.sends_all_elsewhere", "[placement]")
+TEST_CASE("affinity_order.region_without_upstreams.lists_upstreams_of_other_regions", "[placement]")
 {
-    const home_order order(manyUpstreams(0, 3), region_id("here"), evenDemand);
-    REQUIRE(order.of(objectNumber("x")).size() == 3);
+    const affinity_order order(manyUpstreams(0, 3), region_id("here"), evenDemand);
+    REQUIRE(order.of(objectHash("x")).size() == 3);
 }
 
-TEST_CASE("cold_share.any_number_of_entries.adds_up_to_no_more_than_the_whole", "[placement]")
+TEST_CASE("cold_share.any_number_of_entries.adds_up_to_no_more_than_the_total", "[placement]")
 {
     for (const double total : { 0.5, 1.0, 5.1, 9.05, 16.0 }) {
         for (std::size_t count = 1; count <= 30; ++count) {
@@ -189,7 +190,7 @@
     }
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.object.keeps_its_home_while_it_has_room")
+TEST_CASE_METHOD(placement_fixture, "placement.object.keeps_its_home_while_it_has_free_slots")
 {
     for (int i = 0; i < 6; ++i)
         add(makeUpstream("u" + std::to_string(i), "here"));
@@ -210,7 +211,7 @@
     REQUIRE(used.size() > 1);
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.nothing_in_time.is_refused_at_once")
+TEST_CASE_METHOD(placement_fixture, "placement.no_answer_expected_in_time.is_refused_at_once")
 {
     add(makeUpstream("u", "here", 1));
     start();
@@ -218,7 +219,7 @@
     REQUIRE(place("court 7", 50ms).refusal == slot_refusal::Overloaded);
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.draining_upstream.gets_nothing")
+TEST_CASE_METHOD(placement_fixture, "placement.draining_upstream.gets_no_requests")
 {
     upstream_announcement leaving = makeUpstream("u", "here");
     leaving.draining = true;
@@ -229,7 +230,7 @@
     REQUIRE(got.refusal == slot_refusal::NoUpstream);
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.drained_place.gets_nothing_until_the_drain_ends")
+TEST_CASE_METHOD(placement_fixture, "placement.drained_failure_domain.gets_no_requests_until_the_drain_ends")
 {
     add(makeUpstream("u", "here"));
     start();
@@ -250,14 +251,14 @@
     changed();
     state.drains.clear();
     changed();
-    // 2 a second by 1.5 and one more.
+    // The cold rate of 2 per second times the factor of 1.5, plus the slack of 1.
     int placed = 0;
     for (int i = 0; i < 20; ++i)
         placed += placedAt("court 7", 10s).empty() ? 0 : 1;
     REQUIRE(placed == 4);
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.cold_upstream.gets_this_entry_s_part_of_what_it_bears")
+TEST_CASE_METHOD(placement_fixture, "placement.cold_upstream.gets_this_entry_s_share_of_the_cold_rate")
 {
     upstream_announcement cold = makeUpstream("u", "here", 100);
     cold.coldFor = 3s;
@@ -273,7 +274,7 @@
     REQUIRE(placedAt("court 7") == "u");
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.allowed_regions.bind_even_when_full")
+TEST_CASE_METHOD(placement_fixture, "placement.allowed_regions.apply_even_without_free_slots_there")
 {
     add(makeUpstream("u", "here", 1));
     add(makeUpstream("v", "there", 1));
@@ -285,7 +286,7 @@
     }
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.lost_connection.shuns_the_upstream_for_a_while")
+TEST_CASE_METHOD(placement_fixture, "placement.lost_connection.ejects_the_upstream_for_a_while")
 {
     add(makeUpstream("u", "here"));
     add(makeUpstream("v", "here"));
@@ -297,7 +298,7 @@
     REQUIRE(placedAt("court 7") == first.slot->upstream.id.value());
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.upstream_that_often_fails.gets_single_chances")
+TEST_CASE_METHOD(placement_fixture, "placement.upstream_that_often_fails.gets_single_probes")
 {
     add(makeUpstream("u", "here"));
     add(makeUpstream("v", "here"));
@@ -308,13 +309,13 @@
         if (placed.slot->upstream.id.value() == home)
             release(placed, slot_result::kind::Failed);
     }
-    int chances = 0;
+    int probes = 0;
     for (int i = 0; i < 10; ++i)
-        chances += placedAt("court 7") == home ? 1 : 0;
-    REQUIRE(chances <= 1);
+        probes += placedAt("court 7") == home ? 1 : 0;
+    REQUIRE(probes <= 1);
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.reported_load_of_others.counts")
+TEST_CASE_METHOD(placement_fixture, "placement.reported_load_of_other_entries.diverts_requests")
 {
     add(makeUpstream("u", "here", 2));
     add(makeUpstream("v", "here", 2));
@@ -327,13 +328,14 @@
     slots->release(first.slot->handle, result);
     const slot_answer second = place("court 7");
     REQUIRE(second.slot->upstream.id == first.slot->upstream.id);
-    // So long a queue that even an upstream that doesn't know the object, which counts twice, is better.
+    // The queue is so long that the other upstream is better, although its cost is doubled as it doesn't know the
+    // object.
     result.metadata.load = load_report { true, false, 2, 20, 2 };
     slots->release(second.slot->handle, result);
     REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.upstream_that_left.is_forgotten_with_its_connections")
+TEST_CASE_METHOD(placement_fixture, "placement.removed_upstream.gets_no_requests_and_has_its_connections_closed")
 {
     const upstream_announcement upstream = makeUpstream("u", "here");
     add(upstream);
@@ -346,7 +348,8 @@
     release(held, slot_result::kind::Answered);
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.all_upstreams_refuse_alike.each_object_still_goes_to_its_home")
+TEST_CASE_METHOD(
+    placement_fixture, "placement.all_upstreams_refuse_at_the_same_rate.each_object_still_goes_to_its_home")
 {
     for (const upstream_announcement& upstream : manyUpstreams(6, 0))
         add(upstream);
@@ -358,7 +361,7 @@
         homes[object] = placed.slot->upstream.id.value();
         release(placed, slot_result::kind::Answered);
     }
-    // Every second request is refused, wherever it goes.
+    // Every second request is refused, by whichever upstream gets it.
     for (int i = 0; i < 600; ++i) {
         release(place("o" + std::to_string(i / 2 % 60)),
             i % 2 == 0 ? slot_result::kind::Shed : slot_result::kind::Answered);
@@ -372,7 +375,7 @@
     }
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.refused_for_want_of_room.tells_what_decided")
+TEST_CASE_METHOD(placement_fixture, "placement.refused_for_lack_of_capacity.reports_the_inputs_of_the_decision")
 {
     add(makeUpstream("local0", "here"));
     start();
@@ -387,7 +390,7 @@
     }
 }
 
-TEST_CASE("latency_model.object_that_was_only_likely_known.teaches_nothing", "[placement]")
+TEST_CASE("latency_model.answer_for_a_likely_known_object.does_not_change_the_averages", "[placement]")
 {
     latency_model subject;
     subject.observe(route_id("r"), object_state::Known, 200ms);
@@ -396,7 +399,7 @@
     REQUIRE(subject.expected(route_id("r"), object_state::Likely, 600ms) == duration(200ms));
 }
 
-TEST_CASE_METHOD(placement_fixture, "placement.first_answers_on_new_objects.leave_what_is_expected_of_known_ones")
+TEST_CASE_METHOD(placement_fixture, "placement.answers_for_new_objects.do_not_change_the_estimate_for_known_ones")
 {
     add(makeUpstream("local0", "here"));
     start();
