Membership: reworded in the terms of leases and heartbeats

Cause: figurative comments and names. Change: comments, error texts, private names (touchLasts -> leaderContactTimeout, giveUp -> release, waitOut -> waitForExpiry and others), test names. Names, comments and texts only.

--- a/src/decision/membership/allocator_assignment.cpp
+++ b/src/decision/membership/allocator_assignment.cpp
@@ -13,9 +13,10 @@
         return found != state.vms.end() && found->second.record.region == region;
     }
 
-    bool isFit(const control_snapshot& state, const vm_report& report)
+    bool isEligible(const control_snapshot& state, const vm_report& report)
     {
-        // A drain of its place alone moves no role: the VM is well, and a new allocator has to wait for earlier loans.
+        // A drain of its failure domain or region does not move the role: the VM works, and a new allocator would have
+        // to wait until the earlier slot leases have ended.
         return !report.last.draining && !state.drains.contains({ drain_kind::Vm, report.last.vm.value() });
     }
 
@@ -37,7 +38,7 @@
     {
         const vm_report* best = nullptr;
         const auto rank = [&](const vm_report& report) {
-            return std::make_tuple(!isFit(state, report), !isOfRegion(state, report.last.vm, region),
+            return std::make_tuple(!isEligible(state, report), !isOfRegion(state, report.last.vm, region),
                 roleCount(state, report.last.vm), report.last.vm);
         };
         for (const vm_report& report : live) {
@@ -47,10 +48,11 @@
         return best;
     }
 
-    bool isSteadyAtHome(const control_snapshot& state, const region_id& region, const vm_report& report, time_point now)
+    bool isStableInRegion(
+        const control_snapshot& state, const region_id& region, const vm_report& report, time_point now)
     {
-        return isFit(state, report) && isOfRegion(state, report.last.vm, region)
-            && now - report.aliveSince >= returnHomeAfter;
+        return isEligible(state, report) && isOfRegion(state, report.last.vm, region)
+            && now - report.aliveSince >= homeReturnDelay;
     }
 
     assign_allocator assignmentTo(const vm_report& report, const region_id& region, allocator_epoch current)
@@ -71,11 +73,11 @@
         return assignmentTo(*best, region, allocator_epoch());
     const allocator_record& record = current->second;
     const vm_report* holder = findReport(live, record);
-    const bool canImprove = isFit(state, *best) || holder == nullptr;
-    if (holder == nullptr || (!isFit(state, *holder) && canImprove && best != holder))
+    const bool canImprove = isEligible(state, *best) || holder == nullptr;
+    if (holder == nullptr || (!isEligible(state, *holder) && canImprove && best != holder))
         return assignmentTo(*best, region, record.epoch);
-    const bool away = !isOfRegion(state, record.vm, region);
-    if (away && isSteadyAtHome(state, region, *best, now))
+    const bool isOutside = !isOfRegion(state, record.vm, region);
+    if (isOutside && isStableInRegion(state, region, *best, now))
         return assignmentTo(*best, region, record.epoch);
     return {};
 }
--- a/src/decision/membership/allocator_assignment.h
+++ b/src/decision/membership/allocator_assignment.h
@@ -13,11 +13,12 @@
 
 namespace plantainlatch {
 
-/** A VM of another region hands the role back once one of the region has been alive for this long. */
-inline constexpr duration returnHomeAfter = std::chrono::seconds(30);
+/** A VM of another region hands the allocator role back once a VM of the region has been alive for this long. */
+inline constexpr duration homeReturnDelay = std::chrono::seconds(30);
 
-/** The assignment that the region needs now, or none when its allocator is fit: alive, not stopping, and of the region
- * or without a steady VM there. Prefers VMs of the region, then those with the fewest roles. */
+/** Proposes a new allocator for the region if it has none, or if the current one is dead, stopping or drained, or is
+ * outside the region while a VM inside has been alive for homeReturnDelay. Prefers VMs of the region, then those with
+ * the fewest allocator roles. None when the allocator stays. */
 std::optional<assign_allocator> chooseAllocator(
     const control_snapshot& state, const region_id& region, const std::vector<vm_report>& live, time_point now);
 
--- a/src/decision/membership/allocator_leases.h
+++ b/src/decision/membership/allocator_leases.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The leader's record of the allocator leases that VMs may still hold.
+ * The leader's table of the allocator leases that VMs may still hold.
  */
 
 #include <map>
@@ -11,17 +11,19 @@
 
 namespace plantainlatch {
 
-/** How leases of allocators are given. */
+/** Options of allocator_leases. */
 struct allocator_lease_options {
+    /** How long the holder may rely on a lease, from when it sent its heartbeat. */
     duration lease = std::chrono::milliseconds(2600);
-    /** How much longer the leader counts a lease, for clocks that run unevenly. */
+    /** How much longer the leader treats a lease as held, for clocks that run at different rates. */
     duration drift = std::chrono::milliseconds(150);
-    /** Gives an epoch no lease before the leases of all others have ended; without it two may allocate at once. */
-    bool waitOut = true;
+    /** Refuses a lease to an epoch until the leases of all other epochs of the region have ended. Without this, two VMs
+     * may allocate slots of one region at once. */
+    bool waitForExpiry = true;
 };
 
-/** Grants leases so that no two epochs of a region ever hold one at once: neither by this leader nor, with beginTerm(),
- * by it and one before. */
+/** Grants leases to the allocator epochs of each region. Invariant: at most one epoch of a region holds a lease at any
+ * time, also across a change of leader, as beginTerm() waits out the leases of earlier leaders. */
 class allocator_leases {
 public:
     explicit allocator_leases(allocator_lease_options options)
@@ -29,17 +31,19 @@
     {
     }
 
-    /** This VM became leader: an earlier leader may have given any lease until now. */
+    /** This VM became leader. An earlier leader may have granted leases until now, so they are treated as held until a
+     * lease that was granted now would end. */
     void beginTerm(time_point now);
 
-    /** A VM showed that it held this epoch's lease after the term began, so that no other epoch had one. */
+    /** A VM reported that it held this epoch's lease after the term began, which means that no other epoch of the
+     * region held one. */
     void adopt(const region_id& region, allocator_epoch epoch, time_point now);
 
-    /** Whether the epoch gets, or keeps, a lease from now on. */
+    /** Grants or renews the epoch's lease, or returns false while another epoch may hold one. */
     bool grant(const region_id& region, allocator_epoch epoch, time_point now);
 
-    /** The holder gave its role up. */
-    void giveUp(const region_id& region, allocator_epoch epoch);
+    /** Ends the epoch's lease early, because its holder gave up the role. */
+    void release(const region_id& region, allocator_epoch epoch);
 
     const allocator_lease_options& options() const { return m_options; }
 
@@ -49,7 +53,7 @@
         time_point endsAt {};
     };
 
-    duration longest() const { return m_options.lease + m_options.drift; }
+    duration leaseWithDrift() const { return m_options.lease + m_options.drift; }
 
     allocator_lease_options m_options;
     time_point m_earlierLeasesEnd {};
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    /** Heartbeats that wait for an answer; the oldest is forgotten beyond. */
+    /** How many unanswered heartbeats are tracked; beyond that the oldest is dropped. */
     constexpr std::size_t maximumUnanswered = 64;
 
     bool isKnownStart(const control_snapshot& state, const vm_heartbeat& heartbeat)
@@ -28,7 +28,7 @@
     const kernel_hooks& hooks, const vm_settings& settings, membership_options options)
 {
     if (options.heartbeatInterval <= duration::zero() || options.deadAfter <= options.heartbeatInterval)
-        return absl::InvalidArgumentError("heartbeats must come more often than a VM is taken for dead");
+        return absl::InvalidArgumentError("heartbeatInterval must be positive and less than deadAfter");
     return std::unique_ptr<membership_service>(new membership_service(hooks, settings, options));
 }
 
@@ -55,7 +55,7 @@
     m_port.allocatorLeaseEnd = [this](const region_id& region) { return allocatorLeaseEnd(region); };
     m_port.allocatorLease = [this] { return m_options.leases.lease + m_options.leases.drift; };
     m_port.stopping = [this] { return m_stopping; };
-    m_port.markUnfinishedWork = [this] { m_leavesWork = true; };
+    m_port.markUnfinishedWork = [this] { m_hasUnfinishedWork = true; };
     m_port.beginStop = [this] {
         m_stopping = true;
         sendHeartbeat();
@@ -65,7 +65,9 @@
     m_port.avoided = [this] { return m_avoided; };
     m_port.reports = [this] { return reports(); };
     m_port.isCaughtUpLeader = [this] { return isCaughtUpLeader(); };
-    m_port.hasLeaderContact = [this] { return m_answeredAt && m_hooks.now() - *m_answeredAt <= m_options.touchLasts; };
+    m_port.hasLeaderContact = [this] {
+        return m_lastLeaderContact && m_hooks.now() - *m_lastLeaderContact <= m_options.leaderContactTimeout;
+    };
     m_port.joined = [this] {
         const auto known = m_control->state().vms.find(m_settings.self.id);
         return known != m_control->state().vms.end() && known->second.start == m_start;
@@ -91,15 +93,15 @@
 {
     m_hooks.cancel(m_timer);
     m_timer = timer_id();
-    if (m_leavesWork || m_consensus->state().leader.empty()) {
+    if (m_hasUnfinishedWork || m_consensus->state().leader.empty()) {
         stopped();
         return;
     }
-    // Whoever lends slots later need not wait for work of this VM.
+    // Recording a clean stop lets later slot allocators grant slots without waiting for requests of this VM.
     duration longest {};
     for (const auto& [id, service] : m_control->state().config.services)
         longest = std::max(longest, service.maximumDeadline);
-    const bool earlierWorkEnded = m_hooks.now() - m_startedAt >= longest + m_options.workMargin;
+    const bool earlierWorkEnded = m_hooks.now() - m_startedAt >= longest + m_options.earlierWorkMargin;
     m_consensus->propose(vm_stopped { m_settings.self.id, m_start, earlierWorkEnded }, m_options.stopTimeout,
         [stopped = std::move(stopped)](const absl::StatusOr<command_result>&) { stopped(); });
 }
@@ -112,7 +114,7 @@
     m_consensus = *services.find<consensus_port>(port_names::consensus);
     m_router = *services.find<peer_router>(port_names::peerRouter);
     m_router->subscribeControl([this](const vm_id& from, const control_message& message) { receive(from, message); });
-    m_consensus->onLeadership([this](const leadership& led) { followLeadership(led); });
+    m_consensus->onLeadership([this](const leadership& led) { updateLeadership(led); });
     m_timer = m_hooks.schedule(duration::zero(), [this] { tick(); });
     return services.publish(port_names::membership, m_port);
 }
@@ -120,7 +122,7 @@
 void membership_service::tick()
 {
     m_timer = m_hooks.schedule(m_options.heartbeatInterval, [this] { tick(); });
-    followLeadership(m_consensus->state());
+    updateLeadership(m_consensus->state());
     proposeStart();
     sendHeartbeat();
     if (isCaughtUpLeader() && m_options.assignsAllocators)
@@ -130,9 +132,9 @@
 void membership_service::proposeStart()
 {
     const auto known = m_control->state().vms.find(m_settings.self.id);
-    const bool noted = known != m_control->state().vms.end() && known->second.start == m_start
+    const bool isRecorded = known != m_control->state().vms.end() && known->second.start == m_start
         && known->second.record == m_settings.self;
-    if (noted || m_startProposed || m_stopping)
+    if (isRecorded || m_startProposed || m_stopping)
         return;
     m_startProposed = true;
     m_consensus->propose(vm_started { m_settings.self, m_start }, m_options.proposalTimeout,
@@ -153,7 +155,7 @@
         if (until > m_hooks.now() && !m_stopping)
             heartbeat.held.push_back(role);
     }
-    // The service that measures starts after this one, so that it is looked up late.
+    // Looked up on each heartbeat, as the measuring service starts after this one.
     const auto measurements = m_services->find<measurement_port>(port_names::measurements);
     heartbeat.measured = measurements.ok();
     if (heartbeat.measured)
@@ -192,7 +194,7 @@
 
 heartbeat_answer membership_service::answerHeartbeat(const vm_heartbeat& heartbeat)
 {
-    followLeadership(m_consensus->state());
+    updateLeadership(m_consensus->state());
     noteHeartbeat(heartbeat);
     heartbeat_answer answer;
     answer.sequence = heartbeat.sequence;
@@ -201,7 +203,7 @@
     answer.avoided = findAvoided();
     if (!isCaughtUpLeader() || heartbeat.term != m_term || !isKnownStart(m_control->state(), heartbeat))
         return answer;
-    leaseRoles(heartbeat, answer);
+    grantRoleLeases(heartbeat, answer);
     for (const auto& reader : m_onHeartbeat)
         reader(heartbeat, answer);
     return answer;
@@ -223,40 +225,40 @@
     internal_assert(m_reports.size() <= m_control->state().vms.size()) << m_reports.size();
 }
 
-void membership_service::noteApplied()
+void membership_service::sampleApplied()
 {
     const time_point now = m_hooks.now();
     if (!m_appliedSamples.empty() && now - m_appliedSamples.back().at < m_options.appliedLag / 8)
         return;
     m_appliedSamples.push_back({ now, m_consensus->applied() });
-    // The first one that is old enough stays; those before it say nothing more.
+    // Keeps the latest sample that is at least appliedLag old as the first one.
     while (m_appliedSamples.size() > 1 && m_appliedSamples[1].at <= now - m_options.appliedLag)
         m_appliedSamples.pop_front();
 }
 
-std::optional<log_index> membership_service::requiredIndex() const
+std::optional<log_index> membership_service::requiredAppliedIndex() const
 {
-    if (!m_ready || m_appliedSamples.empty())
+    if (!m_isCaughtUp || m_appliedSamples.empty())
         return std::nullopt;
-    // In the first moments of a term this is what earlier leaders may have accepted.
+    // At the start of a term, the first sample covers all entries that earlier leaders may have committed.
     return m_appliedSamples.front().applied;
 }
 
-void membership_service::leaseRoles(const vm_heartbeat& heartbeat, heartbeat_answer& answer)
+void membership_service::grantRoleLeases(const vm_heartbeat& heartbeat, heartbeat_answer& answer)
 {
     const time_point now = m_hooks.now();
-    if (m_ready)
-        noteApplied();
-    const std::optional<log_index> required = requiredIndex();
-    const bool lags = m_options.leasesNeedApplied && (!required || heartbeat.applied < *required);
+    if (m_isCaughtUp)
+        sampleApplied();
+    const std::optional<log_index> required = requiredAppliedIndex();
+    const bool isLagging = m_options.leasesNeedApplied && (!required || heartbeat.applied < *required);
     for (const allocator_role& role : heartbeat.held)
         m_leases.adopt(role.region, role.epoch, now);
     for (const auto& [region, record] : m_control->state().allocators) {
         if (record.vm != heartbeat.vm || record.start != heartbeat.start)
             continue;
         if (heartbeat.draining)
-            m_leases.giveUp(region, record.epoch);
-        else if (!lags && m_leases.grant(region, record.epoch, now))
+            m_leases.release(region, record.epoch);
+        else if (!isLagging && m_leases.grant(region, record.epoch, now))
             answer.leased.push_back({ region, record.epoch });
     }
     answer.allocatorLease = m_options.leases.lease;
@@ -269,7 +271,7 @@
     if (sent == m_sent.end())
         return;
     const time_point sentAt = sent->sentAt;
-    m_answeredAt = sentAt;
+    m_lastLeaderContact = sentAt;
     m_sent.erase(m_sent.begin(), std::next(sent));
     for (const allocator_role& role : answer.leased) {
         time_point& until = m_roles[role];
@@ -290,11 +292,11 @@
         listener();
 }
 
-void membership_service::followLeadership(const leadership& led)
+void membership_service::updateLeadership(const leadership& led)
 {
     if (!led.leading) {
         m_term = log_term();
-        m_ready = false;
+        m_isCaughtUp = false;
         m_reports.clear();
         m_assigning.clear();
         m_appliedSamples.clear();
@@ -303,20 +305,21 @@
     if (led.term == m_term)
         return;
     m_term = led.term;
-    m_ready = false;
+    m_isCaughtUp = false;
     m_reports.clear();
     m_assigning.clear();
     m_appliedSamples.clear();
-    m_leadsSince = m_hooks.now();
-    m_leases.beginTerm(m_leadsSince);
-    // Once an entry of its own term is applied, so are all that earlier leaders could have committed.
+    m_leaderSince = m_hooks.now();
+    m_leases.beginTerm(m_leaderSince);
+    // Once this leader has applied an entry of its own term, it has applied all entries that earlier leaders could have
+    // committed.
     m_consensus->propose(noop_command {}, m_options.proposalTimeout,
         [this, term = m_term](const absl::StatusOr<command_result>& result) {
             if (m_term != term)
                 return;
-            m_ready = result.ok();
-            if (!m_ready)
-                m_term = log_term(); // Tried again on the next tick.
+            m_isCaughtUp = result.ok();
+            if (!m_isCaughtUp)
+                m_term = log_term(); // Retried on the next tick.
         });
 }
 
@@ -334,7 +337,7 @@
         m_assigning[region] = now + m_options.proposalTimeout;
         m_consensus->propose(*wanted, m_options.proposalTimeout,
             [this, name = region](const absl::StatusOr<command_result>&) { m_assigning.erase(name); });
-        return; // The next region waits for the next tick, as this may have changed the state.
+        return; // The proposal may have changed the state; the next region is handled on the next tick.
     }
 }
 
@@ -353,14 +356,14 @@
 std::vector<vm_id> membership_service::findAvoided() const
 {
     std::vector<vm_id> avoided;
-    const bool knowsAll = isCaughtUpLeader() && m_hooks.now() >= m_leadsSince + m_options.deadAfter;
+    const bool knowsAll = isCaughtUpLeader() && m_hooks.now() >= m_leaderSince + m_options.deadAfter;
     for (const auto& [vm, record] : m_control->state().vms) {
         const auto report = m_reports.find(vm);
-        const bool heard
+        const bool isAlive
             = report != m_reports.end() && m_hooks.now() - report->second.receivedAt <= m_options.deadAfter;
-        // A new leader goes by the list of the one before until it could have heard from all.
+        // Until every live VM has had time to send a heartbeat, a new leader relies on the list of the previous leader.
         const bool missing = knowsAll || std::find(m_avoided.begin(), m_avoided.end(), vm) != m_avoided.end();
-        if (heard ? report->second.last.draining : missing)
+        if (isAlive ? report->second.last.draining : missing)
             avoided.push_back(vm);
     }
     return avoided;
@@ -383,7 +386,7 @@
 bool membership_service::isCaughtUpLeader() const
 {
     const leadership led = m_consensus->state();
-    return led.leading && led.term == m_term && m_ready;
+    return led.leading && led.term == m_term && m_isCaughtUp;
 }
 
 state_dump membership_service::dump() const
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * The service of heartbeats: every VM tells the leader that it is alive, and the leader assigns and leases the
- * allocator roles of the regions.
+ * Cluster membership by heartbeats: every VM sends heartbeats to the leader. From them the leader derives which VMs are
+ * alive, assigns the allocator role of each region and grants its holder a lease.
  */
 
 #include <deque>
@@ -25,35 +25,36 @@
 
 class peer_router;
 
-/** What may be varied in membership_service. */
+/** Options of membership_service. */
 struct membership_options {
     duration heartbeatInterval = std::chrono::milliseconds(500);
-    /** A VM is dead to the leader after this silence. */
+    /** The leader considers a VM dead when it has received no heartbeat from it for this long. */
     duration deadAfter = std::chrono::seconds(2);
-    /** A VM is out of touch when the leader answered no heartbeat that it sent within this time. */
-    duration touchLasts = std::chrono::milliseconds(1500);
+    /** A VM has lost contact with the leader when no heartbeat that it sent within this time was answered. */
+    duration leaderContactTimeout = std::chrono::milliseconds(1500);
     duration proposalTimeout = std::chrono::seconds(2);
-    /** A VM gets a lease for its roles only if it has applied all that the leader had applied this long ago. */
+    /** A VM gets role leases only if it has applied all log entries that the leader had applied this long ago. */
     duration appliedLag = std::chrono::milliseconds(400);
-    /** Withholds leases from VMs that lag behind; only tests turn it off. */
+    /** Enforces appliedLag; only tests turn it off. */
     bool leasesNeedApplied = true;
-    /** A stop waits at most this long for the log to note it. */
+    /** The longest wait, during a stop, for the stop to be committed to the log. */
     duration stopTimeout = std::chrono::seconds(1);
-    /** Work of an earlier start has ended once this start ran for the longest deadline and this. */
-    duration workMargin = std::chrono::seconds(10);
+    /** Requests sent by an earlier start of this VM have ended once this start has run for the longest deadline of any
+     * service plus this margin. */
+    duration earlierWorkMargin = std::chrono::seconds(10);
     allocator_lease_options leases;
-    /** The leader names slot allocators. */
+    /** The leader assigns slot allocators to the regions. */
     bool assignsAllocators = true;
 };
 
-/** Sends and receives heartbeats; published as "membership". The cost at the leader grows with the number of VMs; at
- * 2,800 nodes heartbeats go to an aggregator of each region, which sends the leader one for all. */
+/** Sends and receives heartbeats; published as "membership". The leader's load grows linearly with the number of VMs.
+ * For 2,800 VMs, each region would need an aggregator that sends the leader one heartbeat for all of its VMs. */
 class membership_service {
 public:
     static absl::StatusOr<std::unique_ptr<membership_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, membership_options options = {});
 
-    /** The kernel service; it needs "control", "consensus" and "peer_router". */
+    /** The kernel service; it depends on "control", "consensus" and "peer_router". */
     service asService();
 
 private:
@@ -62,7 +63,7 @@
         time_point sentAt {};
     };
 
-    /** How far this leader had applied the log at a moment. */
+    /** The log index that this leader had applied at a point in time. */
     struct applied_sample {
         time_point at;
         log_index applied;
@@ -80,13 +81,14 @@
     void receive(const vm_id& from, const control_message& message);
     heartbeat_answer answerHeartbeat(const vm_heartbeat& heartbeat);
     void noteHeartbeat(const vm_heartbeat& heartbeat);
-    /** What a VM must have applied to get a lease now; none while this leader can't tell. */
-    std::optional<log_index> requiredIndex() const;
-    void noteApplied();
-    void leaseRoles(const vm_heartbeat& heartbeat, heartbeat_answer& answer);
+    /** The index up to which a VM must have applied the log to get a lease now; none while this leader has not caught
+     * up. */
+    std::optional<log_index> requiredAppliedIndex() const;
+    void sampleApplied();
+    void grantRoleLeases(const vm_heartbeat& heartbeat, heartbeat_answer& answer);
     void receiveAnswer(const heartbeat_answer& answer);
     void setAvoided(std::vector<vm_id> avoided);
-    void followLeadership(const leadership& led);
+    void updateLeadership(const leadership& led);
     void assignAllocators();
     std::vector<vm_report> reports() const;
     std::vector<vm_id> findAvoided() const;
@@ -107,20 +109,20 @@
     bool m_stopping = false;
     bool m_startProposed = false;
     time_point m_startedAt;
-    bool m_leavesWork = false;
+    bool m_hasUnfinishedWork = false;
 
-    // As any VM.
+    // State of every VM.
     std::uint64_t m_sequence = 0;
     std::deque<sent_heartbeat> m_sent;
     std::map<allocator_role, time_point> m_roles;
-    /** When the last heartbeat that was answered was sent. */
-    std::optional<time_point> m_answeredAt;
+    /** When the latest heartbeat that the leader answered was sent. */
+    std::optional<time_point> m_lastLeaderContact;
     std::vector<vm_id> m_avoided;
 
-    // As the leader.
+    // State of the leader.
     log_term m_term;
-    bool m_ready = false;
-    time_point m_leadsSince {};
+    bool m_isCaughtUp = false;
+    time_point m_leaderSince {};
     allocator_leases m_leases;
     std::map<vm_id, vm_report> m_reports;
     std::map<region_id, time_point> m_assigning;
--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which services learn which VMs are alive and which regions this VM allocates slots for.
+ * The interface to cluster membership: which VMs are alive, and for which regions this VM is the slot allocator.
  */
 
 #include <functional>
@@ -14,46 +14,47 @@
 
 namespace plantainlatch {
 
-/** The last heartbeat of a VM and when it came, on this VM's clock. */
+/** The last heartbeat of a VM and when it was received, on this VM's clock. */
 struct vm_report {
     vm_heartbeat last;
     time_point receivedAt {};
-    /** Since when the VM was heard of without a gap. */
+    /** Since when heartbeats have arrived without a gap longer than the time-out for dead VMs. */
     time_point aliveSince {};
 };
 
-/** The membership of the system as this VM knows it. */
+/** The cluster's membership, as far as this VM knows it. */
 struct membership_port {
     /** The random number of this start of this VM. */
     std::function<incarnation()> start;
-    /** The VMs that the leader hears from; only the leader knows, elsewhere empty. */
+    /** The VMs whose heartbeats reach the leader; empty on other VMs than the leader. */
     std::function<std::vector<vm_id>()> liveVms;
-    /** Until when this VM may grant slots of a region, on its own clock; none when it is not the allocator or has no
-     * lease. */
+    /** When this VM's lease as the region's slot allocator ends, on its own clock; none when it is not the allocator or
+     * holds no lease. */
     std::function<std::optional<time_point>(const region_id&)> allocatorLeaseEnd;
-    /** The longest allocator lease that any VM may still hold after it was last renewed. */
+    /** How long an allocator lease may be held after its last renewal, including the margin for clock drift. */
     std::function<duration()> allocatorLease;
-    /** This VM began its graceful stop: it takes no new roles. */
+    /** Whether this VM's graceful stop has begun; it then takes no new roles. */
     std::function<bool()> stopping;
-    /** Begins the graceful stop: callers are sent elsewhere and roles move away. */
+    /** Begins the graceful stop: callers are directed to other entries, and the allocator roles are given up. */
     std::function<void()> beginStop;
-    /** Tells, during the stop, that work of this VM may still run at upstreams when it ends. */
+    /** Called during the stop if requests of this VM may still run at upstreams when it ends; the stop is then not
+     * recorded as clean. */
     std::function<void()> markUnfinishedWork;
-    /** VMs that callers should not be sent to: dead or stopping as far as the leader told this VM. */
+    /** The VMs that callers should not be sent to because they are dead or stopping, as last reported by the leader. */
     std::function<std::vector<vm_id>()> avoided;
-    /** The last heartbeat of each live VM; only the leader knows, elsewhere empty. */
+    /** The last heartbeat of each live VM; empty on other VMs than the leader. */
     std::function<std::vector<vm_report>()> reports;
-    /** This VM leads and has applied all that earlier leaders could have decided. */
+    /** Whether this VM is the leader and has applied all log entries that earlier leaders could have committed. */
     std::function<bool()> isCaughtUpLeader;
-    /** The leader answered a heartbeat of this VM lately, so that messages arrive both ways. */
+    /** Whether the leader recently answered a heartbeat of this VM, so that messages pass in both directions. */
     std::function<bool()> hasLeaderContact;
-    /** The log has this start of this VM, and so this VM has all that was accepted before. */
+    /** Whether this VM has applied the log entry that records its own start, and so all entries committed before it. */
     std::function<bool()> joined;
-    /** Adds a part to each heartbeat that this VM sends. */
+    /** Adds a function that fills in its part of each heartbeat that this VM sends. */
     std::function<void(std::function<void(vm_heartbeat&)>)> onSend;
-    /** Adds a reader of heartbeats at the leader, which may add to the answer. */
+    /** Adds a handler, called on the leader for each heartbeat; it may add to the answer. */
     std::function<void(std::function<void(const vm_heartbeat&, heartbeat_answer&)>)> onHeartbeat;
-    /** Adds a reader of the leader's answers, with when the answered heartbeat was sent. */
+    /** Adds a handler of the leader's answers; `sentAt` is when the answered heartbeat was sent. */
     std::function<void(std::function<void(const heartbeat_answer&, time_point sentAt)>)> onAnswer;
     /** Adds a listener to changes of avoided(). */
     std::function<void(std::function<void()>)> onAvoidedChange;
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -32,8 +32,8 @@
             return found;
         }
 
-        /** The most VMs that ever allocated one region at once over the span. */
-        std::size_t mostAllocators(duration span)
+        /** The maximum number of VMs that were allocators of one region at the same time during the span. */
+        std::size_t maximumAllocators(duration span)
         {
             std::size_t most = 0;
             for (duration passed {}; passed < span; passed += 10ms) {
@@ -52,7 +52,7 @@
 TEST_CASE_METHOD(membership_fixture, "membership.started.gives_each_region_an_allocator_of_its_own")
 {
     begin();
-    REQUIRE(mostAllocators(6s) == 1);
+    REQUIRE(maximumAllocators(6s) == 1);
     REQUIRE(allocatorsOf("fukuoka").size() == 1);
     REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
     REQUIRE(allocatorsOf("kagoshima") == std::vector<std::string> { "c" });
@@ -62,46 +62,46 @@
 TEST_CASE_METHOD(membership_fixture, "membership.dead_allocator.is_replaced_after_its_lease_and_never_before")
 {
     begin();
-    mostAllocators(6s);
+    maximumAllocators(6s);
     cluster->cut("b");
-    REQUIRE(mostAllocators(8s) == 1);
+    REQUIRE(maximumAllocators(8s) == 1);
     REQUIRE(allocatorsOf("kumamoto").size() == 1);
     REQUIRE(allocatorsOf("kumamoto") != std::vector<std::string> { "b" });
     cluster->heal("b");
-    REQUIRE(mostAllocators(60s) == 1);
+    REQUIRE(maximumAllocators(60s) == 1);
     REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
 }
 
 TEST_CASE_METHOD(membership_fixture, "membership.leases_not_waited_out.let_two_vms_allocate_at_once")
 {
     membership_options options;
-    options.leases.waitOut = false;
+    options.leases.waitForExpiry = false;
     options.leases.lease = 6s;
     begin(options);
-    mostAllocators(6s);
+    maximumAllocators(6s);
     cluster->cut("b");
-    REQUIRE(mostAllocators(8s) == 2);
+    REQUIRE(maximumAllocators(8s) == 2);
 }
 
 TEST_CASE_METHOD(membership_fixture, "membership.new_leader.never_lets_two_vms_allocate_at_once")
 {
     begin();
-    mostAllocators(6s);
+    maximumAllocators(6s);
     cluster->cut("b");
     std::size_t most = 0;
     for (const char* leader : { "c", "d", "a", "c" }) {
-        most = std::max(most, mostAllocators(1700ms));
+        most = std::max(most, maximumAllocators(1700ms));
         cluster->setLeader(leader);
     }
-    most = std::max(most, mostAllocators(10s));
+    most = std::max(most, maximumAllocators(10s));
     REQUIRE(most == 1);
     REQUIRE(allocatorsOf("kumamoto").size() == 1);
 }
 
-TEST_CASE_METHOD(membership_fixture, "membership.new_leader.renews_leases_that_hold_without_a_gap")
+TEST_CASE_METHOD(membership_fixture, "membership.new_leader.renews_held_leases_without_a_gap")
 {
     begin();
-    mostAllocators(6s);
+    maximumAllocators(6s);
     cluster->setLeader("c");
     for (int i = 0; i < 60; ++i) {
         cluster->runtime.advance(100ms);
@@ -109,33 +109,33 @@
     }
 }
 
-TEST_CASE_METHOD(membership_fixture, "membership.stopping_vm.is_avoided_and_gives_its_roles_up_at_once")
+TEST_CASE_METHOD(membership_fixture, "membership.stopping_vm.is_avoided_and_gives_up_its_roles_at_once")
 {
     begin();
-    mostAllocators(6s);
+    maximumAllocators(6s);
     port("b").beginStop();
     REQUIRE(allocatorsOf("kumamoto").empty());
-    REQUIRE(mostAllocators(2500ms) == 1);
+    REQUIRE(maximumAllocators(2500ms) == 1);
     REQUIRE(allocatorsOf("kumamoto").size() == 1);
     REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("b") });
 }
 
-TEST_CASE_METHOD(membership_fixture, "membership.drained_region.keeps_its_allocator_and_a_drained_vm_does_not")
+TEST_CASE_METHOD(membership_fixture, "membership.drained_region.keeps_its_allocator_but_a_drained_vm_loses_the_role")
 {
     begin();
-    mostAllocators(6s);
+    maximumAllocators(6s);
     cluster->apply(set_drain { { drain_kind::Region, "kumamoto" }, true });
-    mostAllocators(10s);
+    maximumAllocators(10s);
     REQUIRE(allocatorsOf("kumamoto") == std::vector<std::string> { "b" });
     cluster->apply(set_drain { { drain_kind::Vm, "b" }, true });
-    REQUIRE(mostAllocators(10s) == 1);
+    REQUIRE(maximumAllocators(10s) == 1);
     REQUIRE(allocatorsOf("kumamoto") != std::vector<std::string> { "b" });
 }
 
 TEST_CASE_METHOD(membership_fixture, "membership.silent_vm.is_avoided_everywhere_within_seconds")
 {
     begin();
-    mostAllocators(6s);
+    maximumAllocators(6s);
     cluster->cut("d");
     cluster->runtime.advance(4s);
     REQUIRE(port("c").avoided() == std::vector<vm_id> { vm_id("d") });
