Directory: reworded in the terms of service registration

Cause: figurative comments and names (keeper, sighting, goodbye). Change: comments, one error text of create(), private names, test names. Names, comments and texts only.

--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -14,22 +14,23 @@
 
     constexpr duration tickInterval = std::chrono::milliseconds(500);
 
-    /** Upstreams that may be joining through this VM at once, and answers that wait for each. */
+    /** The limit on concurrent joins through this VM, and on the callbacks that wait for each. */
     constexpr std::size_t maximumJoining = 1024;
     constexpr std::size_t maximumWaiting = 8;
 
-    /** Silent upstreams whose removal is proposed at once. */
+    /** The limit on concurrent proposals to remove upstreams. */
     constexpr std::size_t maximumRemoving = 64;
 
-    /** Sightings of upstreams that the directory does not hold are kept for this long. */
-    constexpr duration unknownMemory = std::chrono::minutes(1);
+    /** How long the last announcement of an upstream that is not in the directory is kept. */
+    constexpr duration unknownRetention = std::chrono::minutes(1);
 
-    /** What the upstream is told: some refusals hold only for now. What is not declared here may be so elsewhere. */
+    /** Maps refusals that may not last to Unavailable. NotFound is one of them: another VM may already have applied the
+     * declaration that this one lacks. */
     absl::Status refusalStatus(const absl::Status& status)
     {
-        const bool passes
+        const bool isTemporary
             = absl::IsAlreadyExists(status) || absl::IsResourceExhausted(status) || absl::IsNotFound(status);
-        if (passes)
+        if (isTemporary)
             return absl::UnavailableError(status.message());
         return status;
     }
@@ -49,7 +50,8 @@
     const kernel_hooks& hooks, const vm_settings& settings, directory_options options)
 {
     if (options.renewalInterval >= options.silenceTimeout || options.silenceTimeout > options.removalTimeout)
-        return absl::InvalidArgumentError("upstreams must renew more often than they are taken for silent and gone");
+        return absl::InvalidArgumentError(
+            "silenceTimeout must be longer than renewalInterval and not longer than removalTimeout");
     return std::unique_ptr<directory_service>(new directory_service(hooks, settings, options));
 }
 
@@ -109,21 +111,21 @@
         && (former.coldFor > duration::zero()) == (offered.coldFor > duration::zero());
     if (!sameState)
         return false;
-    const bool samePlace = former.generation == offered.generation && former.address == offered.address
+    const bool sameInstance = former.generation == offered.generation && former.address == offered.address
         && former.service == offered.service && former.failureDomain == offered.failureDomain
         && former.region == offered.region;
-    return samePlace && m_hooks.wallNow() < known->second.joinedAt + m_options.changeInterval;
+    return sameInstance && m_hooks.wallNow() < known->second.joinedAt + m_options.changeInterval;
 }
 
 void directory_service::announce(const upstream_announcement& offered, const answer& done)
 {
     if (isRenewal(offered)) {
         if (!m_membership->hasLeaderContact()) {
-            // The keeper would not hear of it and take the upstream out.
+            // The renewal would not reach the VM that tracks it, which would then remove the upstream.
             done(absl::UnavailableError("the leader is out of touch"));
             return;
         }
-        passOn(offered);
+        forward(offered);
         done(absl::OkStatus());
         return;
     }
@@ -159,14 +161,15 @@
     const auto ended = m_joining.extract(number);
     internal_assert(!ended.empty()) << "join " << number << " ends twice";
     if (status.ok())
-        passOn(ended.mapped().offered);
+        forward(ended.mapped().offered);
     for (const answer& done : ended.mapped().waiting)
         done(status);
 }
 
 void directory_service::leave(const upstream_id& id, upstream_generation generation, const answer& done)
 {
-    // The join may be on its way through another VM, so a goodbye that finds nothing here goes to the log all the same.
+    // Proposed even if the upstream is not in the directory here, as its join through another VM may not be applied
+    // yet.
     const auto gone = m_control->state().departed.find(id);
     const bool isGone = gone != m_control->state().departed.end() && gone->second.deregistered
         && gone->second.generation == generation;
@@ -178,15 +181,15 @@
         [done](const absl::StatusOr<command_result>& result) { done(proposalStatus(result)); });
 }
 
-void directory_service::passOn(const upstream_announcement& offered)
+void directory_service::forward(const upstream_announcement& offered)
 {
     m_liveness.note(offered.id, offered.generation, m_hooks.now());
-    const vm_id renewalOwner = keeperOf(offered.region);
+    const vm_id renewalOwner = renewalOwnerOf(offered.region);
     if (!renewalOwner.empty() && renewalOwner != m_self)
         m_router->send(renewalOwner, control_message(forwarded_announcement { offered }));
 }
 
-vm_id directory_service::keeperOf(const region_id& region) const
+vm_id directory_service::renewalOwnerOf(const region_id& region) const
 {
     if (m_options.renewalOwner == renewal_owner::Leader)
         return m_consensus->state().leader;
@@ -195,15 +198,15 @@
     return allocator != allocators.end() ? allocator->second.vm : vm_id();
 }
 
-void directory_service::noteJoins()
+void directory_service::recordJoins()
 {
     const auto& directory = m_control->state().directory;
-    std::erase_if(m_notedJoins, [&directory](const auto& item) { return !directory.contains(item.first); });
+    std::erase_if(m_recordedJoins, [&directory](const auto& item) { return !directory.contains(item.first); });
     for (const auto& [id, record] : directory) {
-        const auto [noted, isNew] = m_notedJoins.try_emplace(id, record.joinedAt);
-        if (!isNew && noted->second == record.joinedAt)
+        const auto [recorded, isNew] = m_recordedJoins.try_emplace(id, record.joinedAt);
+        if (!isNew && recorded->second == record.joinedAt)
             continue;
-        noted->second = record.joinedAt;
+        recorded->second = record.joinedAt;
         m_liveness.note(id, record.announcement.generation, m_hooks.now());
     }
 }
@@ -211,34 +214,34 @@
 void directory_service::tick()
 {
     m_timer = m_hooks.schedule(tickInterval, [this] { tick(); });
-    followRoles();
-    noteJoins();
-    removeSilent();
-    m_liveness.forgetUnknown(m_control->state().directory, m_hooks.now() - unknownMemory);
+    updateTrackedRegions();
+    recordJoins();
+    removeExpired();
+    m_liveness.forgetUnknown(m_control->state().directory, m_hooks.now() - unknownRetention);
 }
 
-void directory_service::followRoles()
+void directory_service::updateTrackedRegions()
 {
     for (const auto& [region, definition] : m_control->state().config.regions) {
-        const bool keeps = m_options.renewalOwner == renewal_owner::Leader
+        const bool tracks = m_options.renewalOwner == renewal_owner::Leader
             ? m_membership->isCaughtUpLeader()
             : m_membership->allocatorLeaseEnd(region).has_value();
-        m_liveness.setAllocating(region, keeps, m_hooks.now());
+        m_liveness.setTracked(region, tracks, m_hooks.now());
     }
 }
 
-void directory_service::removeSilent()
+void directory_service::removeExpired()
 {
-    std::vector<upstream_announcement> silent;
+    std::vector<upstream_announcement> expired;
     for (const auto& [id, record] : m_control->state().directory) {
         const upstream_announcement& upstream = record.announcement;
-        if (!m_liveness.allocates(upstream.region) || m_removing.contains(id))
+        if (!m_liveness.tracks(upstream.region) || m_removing.contains(id))
             continue;
         const std::optional<time_point> seen = m_liveness.lastSeen(upstream);
         if (seen.has_value() && m_hooks.now() - *seen > m_options.removalTimeout)
-            silent.push_back(upstream);
+            expired.push_back(upstream);
     }
-    for (const upstream_announcement& upstream : silent) {
+    for (const upstream_announcement& upstream : expired) {
         if (m_removing.size() >= maximumRemoving)
             return;
         m_removing.insert(upstream.id);
@@ -250,7 +253,7 @@
 
 std::optional<time_point> directory_service::lastSeen(const upstream_id& id)
 {
-    followRoles();
+    updateTrackedRegions();
     const auto known = m_control->state().directory.find(id);
     if (known == m_control->state().directory.end())
         return {};
--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The service that takes announcements of upstreams, enters changes into the log and passes renewals to the allocator.
+ * Service registration: accepts announcements of upstreams, proposes changes of the directory to the replicated log,
+ * and forwards renewals to the VM that tracks them.
  */
 
 #include <functional>
@@ -26,7 +27,7 @@
 
 class peer_router;
 
-/** Which VM keeps the renewals of upstreams and takes the silent ones out. */
+/** Which VM tracks the renewals of upstreams and removes an upstream whose renewals have stopped. */
 enum class renewal_owner {
     /** The slot allocator of the upstream's region. */
     Allocator,
@@ -34,34 +35,34 @@
     Leader,
 };
 
-/** What may be varied in directory_service. */
+/** Options of directory_service. */
 struct directory_options {
     duration renewalInterval = std::chrono::seconds(1);
-    /** An upstream that was not heard of for this long gets no new work. */
+    /** An upstream gets no new requests when it has not been renewed for this long. */
     duration silenceTimeout = std::chrono::seconds(3);
-    /** An upstream that was not heard of for this long leaves the directory. */
+    /** An upstream is removed from the directory when it has not been renewed for this long. */
     duration removalTimeout = std::chrono::seconds(10);
-    /** One generation's slots or connections change at most this often. */
+    /** The least time between changes of the announced slots or connections of one generation. */
     duration changeInterval = std::chrono::seconds(5);
     duration proposalTimeout = std::chrono::seconds(2);
     renewal_owner renewalOwner = renewal_owner::Allocator;
-    /** The same as those of the control state. */
+    /** Must equal the rules of the control state. */
     directory_rules rules;
 };
 
-/** Announcements of upstreams; published as "directory" and "liveness". */
+/** Handles announcements of upstreams; published as "directory" and "liveness". */
 class directory_service {
 public:
     static absl::StatusOr<std::unique_ptr<directory_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, directory_options options = {});
 
-    /** The kernel service; it needs "control", "consensus", "membership" and "peer_router". */
+    /** The kernel service; it depends on "control", "consensus", "membership" and "peer_router". */
     service asService();
 
 private:
     using answer = std::function<void(absl::Status)>;
 
-    /** A join that waits for the log, with those who want its result. */
+    /** A join that is being committed to the log, with the callbacks that wait for its result. */
     struct pending_join {
         upstream_announcement offered;
         std::vector<answer> waiting;
@@ -73,15 +74,15 @@
     void announce(const upstream_announcement& offered, const answer& done);
     void join(const upstream_announcement& offered, const answer& done);
     void finishJoin(std::uint64_t number, const absl::StatusOr<command_result>& result);
-    /** The VM that keeps the renewals of a region; empty while there is none. */
-    vm_id keeperOf(const region_id& region) const;
+    /** The VM that tracks the renewals of a region's upstreams; empty while there is none. */
+    vm_id renewalOwnerOf(const region_id& region) const;
     void leave(const upstream_id& id, upstream_generation generation, const answer& done);
     bool isRenewal(const upstream_announcement& offered) const;
-    void passOn(const upstream_announcement& offered);
-    void noteJoins();
+    void forward(const upstream_announcement& offered);
+    void recordJoins();
     void tick();
-    void followRoles();
-    void removeSilent();
+    void updateTrackedRegions();
+    void removeExpired();
     std::optional<time_point> lastSeen(const upstream_id& id);
     state_dump dump() const;
 
@@ -99,8 +100,8 @@
     std::map<std::uint64_t, pending_join> m_joining;
     std::uint64_t m_lastJoin = 0;
     std::set<upstream_id> m_removing;
-    /** When each upstream joined, as far as it was noted as heard of. */
-    std::map<upstream_id, wall_time> m_notedJoins;
+    /** The joins that m_liveness has recorded as announcements, by the time of the join. */
+    std::map<upstream_id, wall_time> m_recordedJoins;
 };
 
 } // namespace plantainlatch
--- a/src/decision/directory/liveness_tracker.cpp
+++ b/src/decision/directory/liveness_tracker.cpp
@@ -8,46 +8,46 @@
 
 void liveness_tracker::note(const upstream_id& id, upstream_generation generation, time_point now)
 {
-    sighting& last = m_sightings[id];
+    last_announcement& last = m_lastAnnouncements[id];
     if (generation < last.generation)
         return;
     last = { generation, now };
-    if (m_sightings.size() > maximumTracked)
+    if (m_lastAnnouncements.size() > maximumTracked)
         dropOldest();
-    internal_assert(m_sightings.size() <= maximumTracked) << m_sightings.size();
+    internal_assert(m_lastAnnouncements.size() <= maximumTracked) << m_lastAnnouncements.size();
 }
 
 void liveness_tracker::dropOldest()
 {
-    const auto oldest = std::min_element(m_sightings.begin(), m_sightings.end(),
+    const auto oldest = std::min_element(m_lastAnnouncements.begin(), m_lastAnnouncements.end(),
         [](const auto& left, const auto& right) { return left.second.at < right.second.at; });
-    m_sightings.erase(oldest);
+    m_lastAnnouncements.erase(oldest);
 }
 
-void liveness_tracker::setAllocating(const region_id& region, bool allocating, time_point now)
+void liveness_tracker::setTracked(const region_id& region, bool tracked, time_point now)
 {
-    if (allocating)
-        m_allocatingSince.try_emplace(region, now);
+    if (tracked)
+        m_trackedSince.try_emplace(region, now);
     else
-        m_allocatingSince.erase(region);
+        m_trackedSince.erase(region);
 }
 
 std::optional<time_point> liveness_tracker::lastSeen(const upstream_announcement& upstream) const
 {
     std::optional<time_point> seen;
-    const auto sighted = m_sightings.find(upstream.id);
-    if (sighted != m_sightings.end() && sighted->second.generation == upstream.generation)
-        seen = sighted->second.at;
-    const auto since = m_allocatingSince.find(upstream.region);
-    if (since != m_allocatingSince.end())
+    const auto found = m_lastAnnouncements.find(upstream.id);
+    if (found != m_lastAnnouncements.end() && found->second.generation == upstream.generation)
+        seen = found->second.at;
+    const auto since = m_trackedSince.find(upstream.region);
+    if (since != m_trackedSince.end())
         seen = std::max(seen.value_or(since->second), since->second);
     return seen;
 }
 
 void liveness_tracker::forgetUnknown(const std::map<upstream_id, directory_record>& directory, time_point before)
 {
-    std::erase_if(
-        m_sightings, [&](const auto& entry) { return entry.second.at < before && !directory.contains(entry.first); });
+    std::erase_if(m_lastAnnouncements,
+        [&](const auto& entry) { return entry.second.at < before && !directory.contains(entry.first); });
 }
 
 } // namespace plantainlatch
--- a/src/decision/directory/liveness_tracker.h
+++ b/src/decision/directory/liveness_tracker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * When upstreams were last heard of on this VM.
+ * Tracks on this VM when each upstream was last announced.
  */
 
 #include <cstddef>
@@ -13,37 +13,38 @@
 
 namespace plantainlatch {
 
-/** How many upstreams are tracked; the one heard longest ago goes first. */
+/** How many upstreams are tracked; beyond that, the one with the oldest announcement is dropped. */
 inline constexpr std::size_t maximumTracked = 16384;
 
-/** Remembers the last announcement of each upstream's generation, and since when this VM allocates each region. */
+/** Holds when each upstream was last announced, and since when this VM has tracked each region's renewals. */
 class liveness_tracker {
 public:
-    /** An announcement arrived here or was passed on. A generation below the last heard one is ignored. */
+    /** Records an announcement that was received here or forwarded to this VM; one of an earlier generation than the
+     * last is ignored. */
     void note(const upstream_id& id, upstream_generation generation, time_point now);
 
-    /** This VM is, or is not, the allocator of the region. */
-    void setAllocating(const region_id& region, bool allocating, time_point now);
+    /** Sets whether this VM tracks the renewals of the region. */
+    void setTracked(const region_id& region, bool tracked, time_point now);
 
-    /** The last announcement of this generation, or when this VM became the region's allocator if that was later:
-     * before then, announcements went elsewhere. None when neither is known. */
+    /** When this generation was last announced, or when this VM began to track the region's renewals if that was later,
+     * as earlier announcements may have gone to another VM. None when neither is known. */
     std::optional<time_point> lastSeen(const upstream_announcement& upstream) const;
 
-    /** Forgets upstreams that the directory does not hold and that were not heard of since `before`. */
+    /** Drops the upstreams that are not in the directory and were last announced before `before`. */
     void forgetUnknown(const std::map<upstream_id, directory_record>& directory, time_point before);
 
-    bool allocates(const region_id& region) const { return m_allocatingSince.contains(region); }
+    bool tracks(const region_id& region) const { return m_trackedSince.contains(region); }
 
 private:
-    struct sighting {
+    struct last_announcement {
         upstream_generation generation;
         time_point at {};
     };
 
     void dropOldest();
 
-    std::map<upstream_id, sighting> m_sightings;
-    std::map<region_id, time_point> m_allocatingSince;
+    std::map<upstream_id, last_announcement> m_lastAnnouncements;
+    std::map<region_id, time_point> m_trackedSince;
 };
 
 } // namespace plantainlatch
--- a/src/model/address.cpp
+++ b/src/model/address.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    constexpr std::uint32_t largestOctet = 255;
-    constexpr std::uint32_t largestPort = 65535;
+    constexpr std::uint32_t maximumOctet = 255;
+    constexpr std::uint32_t maximumPort = 65535;
 
     bool isNumericHost(const std::string& host)
     {
@@ -20,7 +20,7 @@
             return false;
         for (const std::string& octet : octets) {
             std::uint32_t value = 0;
-            if (!absl::SimpleAtoi(octet, &value) || value > largestOctet)
+            if (!absl::SimpleAtoi(octet, &value) || value > maximumOctet)
                 return false;
         }
         return true;
@@ -33,7 +33,7 @@
     const std::vector<std::string> parts = absl::StrSplit(text, ':');
     std::uint32_t port = 0;
     const bool valid = parts.size() == 2 && isNumericHost(parts[0]) && absl::SimpleAtoi(parts[1], &port) && port > 0
-        && port <= largestPort;
+        && port <= maximumPort;
     if (!valid)
         return absl::InvalidArgumentError(absl::StrCat("'", text, "' is not a numeric address with a port"));
     return network_address { parts[0], static_cast<std::uint16_t>(port) };
--- a/src/model/address.h
+++ b/src/model/address.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A numeric IP address with a port.
+ * A numeric IPv4 address with a port.
  */
 
 #include <compare>
@@ -12,7 +12,7 @@
 
 namespace plantainlatch {
 
-/** Where a process listens; host is a numeric IPv4 address. */
+/** The address at which a process listens; host is a numeric IPv4 address. */
 struct network_address {
     std::string host;
     std::uint16_t port = 0;
@@ -25,7 +25,7 @@
     }
 };
 
-/** Reads `192.0.2.1:8080`; InvalidArgument for a name, another form, or port 0. */
+/** Parses `192.0.2.1:8080`; InvalidArgument for a name, another form, or port 0. */
 absl::StatusOr<network_address> parseAddress(const std::string& text);
 
 /** `host:port`. */
--- a/src/model/upstream.h
+++ b/src/model/upstream.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What the system knows of an upstream.
+ * What an upstream reports about itself: its announcement and its load.
  */
 
 #include <cstdint>
@@ -13,7 +13,7 @@
 
 namespace plantainlatch {
 
-/** An upstream as it announces itself; renewed by announcing again. */
+/** The registration that an upstream announces, and renews by announcing it again. */
 struct upstream_announcement {
     upstream_id id;
     upstream_generation generation;
@@ -23,11 +23,11 @@
     failure_domain_id failureDomain;
     slot_count slots;
     std::uint32_t connections = 0;
-    /** It asks for no new work. */
+    /** The upstream accepts no new requests. */
     bool draining = false;
-    /** How long it still is cold; zero when it is warm. */
+    /** The remaining time of its cold start; zero once it is warm. */
     duration coldFor {};
-    /** Numbers what the generation says of itself, so that a late message is told from a new one. */
+    /** The announcement's sequence number within its generation, by which outdated announcements are recognised. */
     std::uint64_t sequence = 0;
 
     friend bool operator==(const upstream_announcement&, const upstream_announcement&) = default;
@@ -39,13 +39,13 @@
     }
 };
 
-/** A report of an upstream's own load; it may lag or mislead. */
+/** An upstream's report of its own load; it may be outdated or wrong. */
 struct load_report {
     bool healthy = true;
     bool draining = false;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
-    /** As the upstream tells it; 0 when it doesn't. */
+    /** 0 if the upstream does not report it. */
     std::uint32_t slots = 0;
 };
 
--- a/src/ports/directory_port.h
+++ b/src/ports/directory_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which a front end hands in announcements of upstreams.
+ * The interface through which front ends register and deregister upstreams.
  */
 
 #include <functional>
@@ -13,14 +13,14 @@
 
 namespace plantainlatch {
 
-/** Announcements of upstreams; each answers once. */
+/** Registration of upstreams; each callback is called once. */
 struct directory_port {
-    /** First announcement and renewal alike. InvalidArgument and PermissionDenied refuse it for good, Unavailable for
-     * now. */
+    /** Registers an upstream or renews its registration. InvalidArgument and PermissionDenied are final; after
+     * Unavailable the upstream may try again. */
     std::function<void(upstream_announcement, std::function<void(absl::Status)>)> announce;
-    /** A goodbye: the upstream takes no new work. */
+    /** Deregisters an upstream that accepts no new requests; this generation can't register again. */
     std::function<void(upstream_id, upstream_generation, std::function<void(absl::Status)>)> leave;
-    /** How often an upstream should renew. */
+    /** The interval at which an upstream should renew its registration. */
     std::function<duration()> renewalInterval;
 };
 
--- a/src/ports/liveness_port.h
+++ b/src/ports/liveness_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which the allocator learns which upstreams still announce themselves.
+ * The interface through which the slot allocator learns which upstreams still renew their registration.
  */
 
 #include <functional>
@@ -12,11 +12,11 @@
 
 namespace plantainlatch {
 
-/** When upstreams were last heard of, as far as this VM was told. */
+/** When upstreams were last announced, as far as this VM knows. */
 struct liveness_port {
-    /** None when this VM never heard of it; the moment is on this VM's clock. */
+    /** On this VM's clock; none when no announcement of the upstream is known here. */
     std::function<std::optional<time_point>(const upstream_id&)> lastSeen;
-    /** After this silence an upstream gets no new work. */
+    /** An upstream gets no new requests when it has not been announced for this long. */
     std::function<duration()> silenceTimeout;
 };
 
--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -9,7 +9,8 @@
 
     using namespace std::chrono_literals;
 
-    /** Generations are comparable here, and nothing need be declared. */
+    /** Any service and failure domain may join, a later generation takes over an address, and flapping is not damped.
+     */
     constexpr directory_rules openRules { false, true, false };
 
     class directory_state_fixture {
@@ -40,7 +41,7 @@
     REQUIRE(join(first) == command_verdict::Accepted);
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.late_ready_after_draining.changes_nothing")
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.outdated_announcement_after_draining.changes_nothing")
 {
     first.sequence = 3;
     join(first);
@@ -53,7 +54,8 @@
     REQUIRE(drains("u1"));
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.later_generation_at_the_address.displaces_the_former")
+TEST_CASE_METHOD(
+    directory_state_fixture, "directory_state.later_generation_at_the_same_address.replaces_the_earlier_upstream")
 {
     first.generation = upstream_generation(100);
     join(first);
@@ -65,7 +67,7 @@
     REQUIRE(state.directory.contains(upstream_id("u2")));
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.same_id_of_a_later_start.begins_anew")
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.same_id_with_a_later_generation.replaces_the_earlier_state")
 {
     first.generation = upstream_generation(100);
     first.sequence = 50;
@@ -78,7 +80,7 @@
     REQUIRE_FALSE(drains("u1"));
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.heartbeat_after_goodbye.does_not_bring_it_back")
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.renewal_after_deregistration.does_not_bring_it_back")
 {
     join(first);
     leave(first, true);
@@ -87,7 +89,7 @@
     REQUIRE(state.directory.empty());
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.return_after_silence.is_not_held_up_under_open_rules")
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.return_after_expiration.is_not_delayed_under_open_rules")
 {
     for (int i = 0; i < 10; ++i) {
         first.generation = upstream_generation(100 + static_cast<std::uint64_t>(i));
@@ -96,7 +98,8 @@
     }
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.cold_time_that_runs_down.says_the_same")
+TEST_CASE_METHOD(
+    directory_state_fixture, "directory_state.announcement_with_less_remaining_cold_time.counts_as_the_same")
 {
     first.coldFor = 3s;
     upstream_announcement later = first;
@@ -110,15 +113,16 @@
     REQUIRE_FALSE(hasSameContent(first, later));
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.removal_for_silence_that_comes_after_news.changes_nothing")
+TEST_CASE_METHOD(
+    directory_state_fixture, "directory_state.removal_of_an_announcement_that_was_replaced.changes_nothing")
 {
     first.sequence = 4;
     join(first);
-    const upstream_announcement silent = first;
+    const upstream_announcement replaced = first;
     first.sequence = 9;
     first.draining = true;
     join(first);
-    leave(silent, false);
+    leave(replaced, false);
     REQUIRE(state.directory.contains(first.id));
     leave(first, false);
     REQUIRE_FALSE(state.directory.contains(first.id));
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -59,7 +59,7 @@
     REQUIRE(cluster.runtime.now() - *seen < 2s);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.silent_upstream.is_seen_as_silent_and_then_leaves")
+TEST_CASE_METHOD(directory_fixture, "directory.upstream_without_renewals.counts_as_expired_and_is_then_removed")
 {
     renewFor("c", first, 3s);
     cluster.runtime.advance(4s);
@@ -69,7 +69,7 @@
     REQUIRE_FALSE(isKnown("u1"));
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.new_allocator.gives_upstreams_one_grace")
+TEST_CASE_METHOD(directory_fixture, "directory.new_allocator.counts_upstreams_as_seen_when_its_role_began")
 {
     renewFor("c", first, 3s);
     cluster.cut("a");
@@ -85,7 +85,7 @@
     REQUIRE(cluster.runtime.now() - *seen < 1s);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.goodbye.ends_the_generation_for_good")
+TEST_CASE_METHOD(directory_fixture, "directory.deregistration.ends_the_generation_for_good")
 {
     announce("b", first);
     port("c").leave(first.id, first.generation, [](const absl::Status&) {});
@@ -107,7 +107,7 @@
     REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.untrue_announcements.are_refused")
+TEST_CASE_METHOD(directory_fixture, "directory.announcements_with_a_wrong_region_slots_or_address.are_refused")
 {
     upstream_announcement wrong = first;
     wrong.region = region_id("kumamoto");
@@ -119,7 +119,7 @@
     REQUIRE(announce("b", bookingUpstream("u2", 9001)) == absl::StatusCode::kUnavailable);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.undeclared_service_or_place.is_refused_for_now_only")
+TEST_CASE_METHOD(directory_fixture, "directory.undeclared_service_or_failure_domain.is_refused_as_unavailable")
 {
     upstream_announcement early = first;
     early.failureDomain = failure_domain_id("not-yet");
@@ -129,7 +129,7 @@
     REQUIRE(announce("a", early) == absl::StatusCode::kUnavailable);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.upstream_at_the_address_of_a_silent_one.joins_once_that_left")
+TEST_CASE_METHOD(directory_fixture, "directory.upstream_at_the_address_of_an_expired_one.joins_once_that_is_removed")
 {
     announce("a", first);
     renewFor("b", bookingUpstream("u2", 9001), 14s);
@@ -137,7 +137,7 @@
     REQUIRE_FALSE(isKnown("u1"));
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.restarting_upstream.is_damped_and_returns")
+TEST_CASE_METHOD(directory_fixture, "directory.flapping_upstream.is_damped_and_accepted_again_later")
 {
     int joined = 0;
     for (std::uint64_t generation = 1; generation <= 20; ++generation) {
@@ -150,7 +150,7 @@
     REQUIRE(announce("b", first) == absl::StatusCode::kOk);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.withdrawn_upstream.is_taken_out_and_refused")
+TEST_CASE_METHOD(directory_fixture, "directory.withdrawn_upstream.is_removed_and_refused")
 {
     announce("a", first);
     declaration content;
@@ -163,7 +163,7 @@
     REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.goodbye_that_overtakes_its_join.keeps_the_upstream_out")
+TEST_CASE_METHOD(directory_fixture, "directory.deregistration_that_overtakes_its_join.keeps_the_upstream_out")
 {
     absl::StatusCode left = absl::StatusCode::kUnknown;
     port("b").leave(first.id, first.generation, [&](const absl::Status& status) { left = status.code(); });
@@ -176,7 +176,7 @@
 }
 
 TEST_CASE_METHOD(
-    directory_fixture, "directory.renewal_at_a_vm_that_lost_the_leader.is_refused_so_that_another_is_tried")
+    directory_fixture, "directory.renewal_at_a_vm_without_leader_contact.is_refused_so_that_another_is_tried")
 {
     REQUIRE(announce("c", first) == absl::StatusCode::kOk);
     cluster.cut("c");
@@ -188,12 +188,13 @@
     REQUIRE(announce("c", first) == absl::StatusCode::kOk);
 }
 
-TEST_CASE_METHOD(directory_fixture, "directory.upstream_that_joins_again_after_silence.is_not_taken_for_silent")
+TEST_CASE_METHOD(directory_fixture, "directory.upstream_that_joins_again_after_removal.counts_as_seen_when_it_joined")
 {
     renewFor("c", first, 3s);
     cluster.runtime.advance(14s);
     REQUIRE_FALSE(isKnown("u1"));
-    // It is heard of by the log alone, as the VM that it reached has no touch with the keeper yet.
+    // The allocator learns of the join through the log only: the VM that the upstream reached could not forward the
+    // announcement to it.
     cluster.apply(upstream_joined { first });
     cluster.runtime.advance(5s);
     REQUIRE(isKnown("u1"));
