Entries: reworded

Cause: vague comments and names (basis, unfit). Change: comments, one error text of create(), private names, test names. Names, comments and texts only.

--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    /** Weights of the nearest entries, of those one step farther, and of the farthest. */
+    /** The weights by distance from the nearest entries of the list. */
     constexpr std::uint32_t distanceWeights[] = { 100, 10, 1 };
 
     /** 0 for the same failure domain, 1 for the same region, 2 for others. */
@@ -24,8 +24,8 @@
         return !nearRegion.empty() && vm.region == nearRegion ? 1 : 2;
     }
 
-    /** Spreads callers of different places over entries of equal distance. */
-    std::size_t spreadOf(const vm_record& vm, const failure_domain_id& near)
+    /** Orders entries of equal distance differently for each failure domain, which spreads the callers over them. */
+    std::size_t spreadRankOf(const vm_record& vm, const failure_domain_id& near)
     {
         return absl::HashOf(vm.id.value(), near.value());
     }
@@ -41,7 +41,7 @@
     const kernel_hooks&, const vm_settings& settings, entry_list_options options)
 {
     if (options.maximumEntries == 0)
-        return absl::InvalidArgumentError("a list has at least one entry");
+        return absl::InvalidArgumentError("maximumEntries must be at least 1");
     return std::unique_ptr<entry_list_service>(new entry_list_service(settings, options));
 }
 
@@ -68,38 +68,38 @@
     m_membership = *services.find<membership_port>(port_names::membership);
     m_control->onChange([this] { refresh(); });
     m_membership->onAvoidedChange([this] { refresh(); });
-    m_basis = findBasis();
+    m_inputs = collectInputs();
     return services.publish(port_names::entryList, m_port);
 }
 
-entry_list_service::list_basis entry_list_service::findBasis() const
+entry_list_service::list_inputs entry_list_service::collectInputs() const
 {
-    list_basis basis;
+    list_inputs inputs;
     const control_snapshot& state = m_control->state();
     for (const auto& [id, started] : state.vms) {
         if (started.record.entry)
-            basis.vms.push_back(started.record);
+            inputs.vms.push_back(started.record);
     }
-    if (basis.vms.empty()) {
-        std::copy_if(m_settings.vms.begin(), m_settings.vms.end(), std::back_inserter(basis.vms),
+    if (inputs.vms.empty()) {
+        std::copy_if(m_settings.vms.begin(), m_settings.vms.end(), std::back_inserter(inputs.vms),
             [](const vm_record& vm) { return vm.entry; });
     }
-    basis.unfit = m_membership->avoided();
-    for (const vm_record& vm : basis.vms) {
+    inputs.unavailable = m_membership->avoided();
+    for (const vm_record& vm : inputs.vms) {
         const bool isStopping = vm.id == m_settings.self.id && m_membership->stopping();
         const bool isDraining = m_options.drainsCoverVms && isVmDraining(state, vm);
-        if ((isStopping || isDraining) && !contains(basis.unfit, vm.id))
-            basis.unfit.push_back(vm.id);
+        if ((isStopping || isDraining) && !contains(inputs.unavailable, vm.id))
+            inputs.unavailable.push_back(vm.id);
     }
-    return basis;
+    return inputs;
 }
 
 void entry_list_service::refresh()
 {
-    list_basis basis = findBasis();
-    if (basis == m_basis)
+    list_inputs inputs = collectInputs();
+    if (inputs == m_inputs)
         return;
-    m_basis = std::move(basis);
+    m_inputs = std::move(inputs);
     for (const auto& listener : m_listeners)
         listener();
 }
@@ -107,15 +107,15 @@
 entry_list entry_list_service::list(const failure_domain_id& near) const
 {
     std::vector<vm_record> chosen;
-    for (const vm_record& vm : m_basis.vms) {
-        if (!m_options.excludeUnavailable || !contains(m_basis.unfit, vm.id))
+    for (const vm_record& vm : m_inputs.vms) {
+        if (!m_options.excludeUnavailable || !contains(m_inputs.unavailable, vm.id))
             chosen.push_back(vm);
     }
     if (chosen.empty())
-        chosen = m_basis.vms; // An unfit entry may still answer; an empty list never does.
+        chosen = m_inputs.vms; // Listed entries may still answer; an empty list is of no use.
     const region_id nearRegion = regionOf(m_control->state().config, near);
     const auto rank = [&](const vm_record& vm) {
-        return std::make_tuple(distanceOf(vm, near, nearRegion), spreadOf(vm, near), vm.id);
+        return std::make_tuple(distanceOf(vm, near, nearRegion), spreadRankOf(vm, near), vm.id);
     };
     std::sort(chosen.begin(), chosen.end(),
         [&](const vm_record& left, const vm_record& right) { return rank(left) < rank(right); });
--- a/src/decision/entries/entry_list_service.h
+++ b/src/decision/entries/entry_list_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that tells callers which entries to use.
+ * Entry discovery: computes the weighted list of entries that a caller should use.
  */
 
 #include <functional>
@@ -18,41 +18,42 @@
 
 namespace plantainlatch {
 
-/** What may be varied in entry_list_service. */
+/** Options of entry_list_service. */
 struct entry_list_options {
-    /** The most entries in one list. */
+    /** The maximum length of a list. */
     std::size_t maximumEntries = 16;
-    /** Leaves out VMs that are dead, stopping or drained. */
+    /** Leaves out VMs that are dead, stopping or drained, unless all are. */
     bool excludeUnavailable = true;
-    /** Entries of the caller's region alone are listed once there are so many; 0 lists the others too. */
+    /** Lists only entries of the caller's region if it has at least this many; 0 always includes other regions. */
     std::size_t regionOnlyThreshold = 0;
-    /** A drain of a place takes the VMs there out too, and not only its upstreams. */
+    /** A drain of a failure domain or region leaves out the VMs there as well as the upstreams. */
     bool drainsCoverVms = true;
 };
 
-/** Lists entries, the nearest first; published as "entry_list". A list costs time in proportion to the number of VMs,
- * and front ends keep the encoded lists until a change. At 2,800 nodes each region's list is made once for a change. */
+/** Lists entries, the nearest first; published as "entry_list". Sorting a list takes O(n log n) time for n VMs, so
+ * front ends cache the encoded lists until a change. With 2,800 VMs, the lists should be computed per region,
+ * once per change. */
 class entry_list_service {
 public:
     static absl::StatusOr<std::unique_ptr<entry_list_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, entry_list_options options = {});
 
-    /** The kernel service; it needs "control" and "membership". */
+    /** The kernel service; it depends on "control" and "membership". */
     service asService();
 
 private:
-    /** What the lists depend on. */
-    struct list_basis {
+    /** The inputs that the lists are computed from. */
+    struct list_inputs {
         std::vector<vm_record> vms;
-        std::vector<vm_id> unfit;
+        std::vector<vm_id> unavailable;
 
-        friend bool operator==(const list_basis&, const list_basis&) = default;
+        friend bool operator==(const list_inputs&, const list_inputs&) = default;
     };
 
     entry_list_service(const vm_settings& settings, entry_list_options options);
 
     absl::Status start(registry& services);
-    list_basis findBasis() const;
+    list_inputs collectInputs() const;
     void refresh();
     entry_list list(const failure_domain_id& near) const;
 
@@ -61,7 +62,7 @@
     entry_list_port m_port;
     control_port* m_control = nullptr;
     membership_port* m_membership = nullptr;
-    list_basis m_basis;
+    list_inputs m_inputs;
     std::vector<std::function<void()>> m_listeners;
 };
 
--- a/src/decision/entries/known_entries.h
+++ b/src/decision/entries/known_entries.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The VMs that share what the entries may do together.
+ * The entries among which cluster-wide limits are divided.
  */
 
 #include <vector>
@@ -10,8 +10,8 @@
 
 namespace plantainlatch {
 
-/** The entries that started and did not stop gracefully; those that may be dead count too, so that the parts of all
- * that run never add up to more than the whole. */
+/** The entries that have started and not stopped gracefully. Entries that seem dead are included, as they may still
+ * run: the shares of all running entries then never add up to more than the limit. */
 std::vector<vm_id> knownEntries(const control_snapshot& state);
 
 } // namespace plantainlatch
--- a/src/ports/entry_list_port.h
+++ b/src/ports/entry_list_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which a front end answers which entries a caller should use.
+ * The interface through which front ends look up the entries that a caller should use.
  */
 
 #include <functional>
@@ -13,23 +13,23 @@
 
 namespace plantainlatch {
 
-/** One entry in the order in which a caller should try them. */
+/** An entry with its load-balancing weight. */
 struct weighted_entry {
     vm_record vm;
     std::uint32_t weight = 0;
 };
 
-/** The entries for callers near one failure domain. */
+/** The entries for the callers of one failure domain, in the order in which to try them. */
 struct entry_list {
     std::vector<weighted_entry> entries;
+    /** How long a caller may cache the list. */
     duration cacheTime {};
 };
 
-/** The entries that callers should use. */
 struct entry_list_port {
-    /** Made for one failure domain; an empty one stands for callers of unknown place. */
+    /** The list for callers of one failure domain; an empty id stands for callers whose failure domain is unknown. */
     std::function<entry_list(const failure_domain_id&)> list;
-    /** Adds a listener that is called when any list may have changed, so that encoded answers are made anew. */
+    /** Adds a listener that is called when any list may have changed, so that cached encodings are dropped. */
     std::function<void(std::function<void()>)> onChange;
 };
 
--- a/test/correctness/entry_list_test.cpp
+++ b/test/correctness/entry_list_test.cpp
@@ -12,7 +12,7 @@
 
     using namespace std::chrono_literals;
 
-    /** VMs a to f: kokura, chuo-ku, tenmonkan, hakata, yatsushiro and kirishima. */
+    /** VMs a to f in the failure domains kokura, chuo-ku, tenmonkan, hakata, yatsushiro and kirishima. */
     class entry_list_fixture {
     protected:
         explicit entry_list_fixture(entry_list_options options = {})
@@ -48,9 +48,9 @@
         control_cluster cluster;
     };
 
-    class unfit_entries_fixture : public entry_list_fixture {
+    class unavailable_entries_fixture : public entry_list_fixture {
     protected:
-        unfit_entries_fixture()
+        unavailable_entries_fixture()
             : entry_list_fixture({ .excludeUnavailable = false })
         {
         }
@@ -58,7 +58,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(entry_list_fixture, "entries.for_a_known_place.are_ordered_by_distance_with_weights")
+TEST_CASE_METHOD(entry_list_fixture, "entries.for_a_known_failure_domain.are_ordered_by_distance_with_weights")
 {
     const std::vector<std::string> names = list("hakata");
     REQUIRE(names.size() == 6);
@@ -70,14 +70,14 @@
     REQUIRE(made.cacheTime == 2s);
 }
 
-TEST_CASE_METHOD(entry_list_fixture, "entries.for_an_unknown_place.weigh_the_same")
+TEST_CASE_METHOD(entry_list_fixture, "entries.for_an_unknown_failure_domain.have_equal_weights")
 {
     const entry_list made = port().list({});
     REQUIRE(made.entries.size() == 6);
     REQUIRE(made.entries.front().weight == made.entries.back().weight);
 }
 
-TEST_CASE_METHOD(entry_list_fixture, "entries.drained_dead_or_stopping.are_left_out_and_told_once")
+TEST_CASE_METHOD(entry_list_fixture, "entries.drained_dead_or_stopping.are_left_out_and_each_change_is_notified_once")
 {
     int changes = 0;
     port().onChange([&] { ++changes; });
@@ -92,7 +92,7 @@
     REQUIRE(changes == 3);
 }
 
-TEST_CASE_METHOD(unfit_entries_fixture, "entries.without_leaving_out.send_callers_to_the_dead")
+TEST_CASE_METHOD(unavailable_entries_fixture, "entries.unavailable_ones_not_left_out.include_dead_vms")
 {
     cluster.cut("b");
     cluster.runtime.advance(10s);
