Core and kernel: reworded

Cause: clipped or figurative comments and messages. Change: comments; largestFindingCount -> maximumFindings; the messages of the kernel about dependencies (the parts that kernel_test matches stay). Names, comments and texts only.

--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The types of time: every signature that holds a time uses one of these.
+ * The time types; every signature that holds a time uses one of them.
  */
 
 #include <chrono>
@@ -20,13 +20,12 @@
 /** A span of time, in nanoseconds. */
 using duration = runtime_clock::duration;
 
-/** A moment on one VM's monotonic clock; moments of two VMs cannot be compared. */
+/** A point in time on one VM's monotonic clock; values of different VMs cannot be compared. */
 using time_point = runtime_clock::time_point;
 
-/** A moment on the wall clock, as stamped by the leader into log entries and shown to people. */
+/** A point in time on the wall clock, as the leader writes it into log entries and as it is shown to operators. */
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
-/** A span times a factor. */
 inline duration scaled(duration span, double factor)
 {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>(span) * factor);
--- a/src/core/findings.cpp
+++ b/src/core/findings.cpp
@@ -35,13 +35,13 @@
 
 void finding_list::add(text_position place, std::string what, std::string expected)
 {
-    if (m_items.size() >= largestFindingCount) {
+    if (m_items.size() >= maximumFindings) {
         ++m_dropped;
         return;
     }
     finding item { std::move(place), std::move(what), std::move(expected) };
-    const auto position = std::upper_bound(m_items.begin(), m_items.end(), item, isBefore);
-    m_items.insert(position, std::move(item));
+    const auto next = std::upper_bound(m_items.begin(), m_items.end(), item, isBefore);
+    m_items.insert(next, std::move(item));
 }
 
 void finding_list::append(const finding_list& other)
--- a/src/core/findings.h
+++ b/src/core/findings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * User errors: findings collected with their place and reported together.
+ * Diagnostics for errors in user input, which are collected with their position and reported together.
  */
 
 #include <cstddef>
@@ -12,27 +12,27 @@
 
 namespace plantainlatch {
 
-/** A place in a text; line and column count from 1, and 0 means the whole file. */
+/** A position in a text file; lines and columns count from 1, and 0 stands for the whole file. */
 struct text_position {
     std::string file;
     int line = 0;
     int column = 0;
 };
 
-/** One thing that is wrong with what a user wrote, and what was expected instead. */
+/** One error in user input, and what was expected instead. */
 struct finding {
     text_position place;
     std::string what;
     std::string expected;
 };
 
-/** `file:line:column: what, expected ...`; the place is left out where there is none. */
+/** `file:line:column: what, expected ...`; unset parts are omitted. */
 std::string formatFinding(const finding& item);
 
-/** How many findings a list keeps; further ones are only counted. */
-inline constexpr std::size_t largestFindingCount = 1000;
+/** How many findings a list stores; further ones are only counted. */
+inline constexpr std::size_t maximumFindings = 1000;
 
-/** All findings of one input, in the order of their places. */
+/** All findings of one input, sorted by position. */
 class finding_list {
 public:
     void add(text_position place, std::string what, std::string expected);
@@ -41,7 +41,7 @@
     bool empty() const { return m_items.empty(); }
     const std::vector<finding>& items() const { return m_items; }
 
-    /** One finding a line, and how many were not kept. */
+    /** One finding per line, then the number of findings that were not stored. */
     std::string format() const;
 
     /** OK if there are none, otherwise InvalidArgument with format() as its message. */
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -1,17 +1,18 @@
 #pragma once
 
 /** \file
- * The names and numbers by which the parts of the system refer to things.
+ * The identifier types of the system's entities.
  */
 
 #include "core/strong_id.h"
 
 namespace plantainlatch {
 
-/** A VM of the system's own. */
+/** A VM that runs this system. */
 using vm_id = strong_name<struct vm_tag>;
 
-/** One start of one VM with one disk; a VM that lost its disk comes back under a new incarnation. */
+/** Identifies one start of a VM or, in replica_id, one disk of a VM: a VM that has lost its disk returns as a new
+ * replica. */
 using incarnation = strong_number<struct incarnation_tag>;
 
 using region_id = strong_name<struct region_tag>;
@@ -20,19 +21,19 @@
 using route_id = strong_name<struct route_tag>;
 using upstream_id = strong_name<struct upstream_tag>;
 
-/** One start of one upstream; an upstream that comes back at the same address announces a new one. */
+/** One start of one upstream; after a restart it announces a new generation. */
 using upstream_generation = strong_number<struct upstream_generation_tag>;
 
-/** The number that an operator gives a declaration; it only rises. */
+/** The number that an operator gives to a declaration; it only increases. */
 using change_number = strong_number<struct change_tag>;
 
 /** A shift of traffic between two failure domains. */
 using shift_id = strong_name<struct shift_tag>;
 
-/** The key by which a caller names one piece of non-idempotent work. */
+/** The key by which a caller identifies retries of one non-idempotent request. */
 using idempotency_key = strong_name<struct idempotency_key_tag>;
 
-/** A hash of method, target and body that tells equal requests from different ones. */
+/** A hash of a request's method, target and body, for comparing requests. */
 using request_fingerprint = strong_number<struct request_fingerprint_tag>;
 
 /** One caller request on one VM; unique within an incarnation. */
@@ -47,7 +48,7 @@
 /** A position in the replicated log; 0 is before the first entry. */
 using log_index = strong_number<struct log_index_tag>;
 
-/** The epoch of a region's slot allocator; a later one replaces all earlier ones. */
+/** The epoch of a region's slot allocator; a later epoch supersedes all earlier ones. */
 using allocator_epoch = strong_number<struct allocator_epoch_tag>;
 
 } // namespace plantainlatch
--- a/src/core/internal_assert.h
+++ b/src/core/internal_assert.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Internal errors: a broken invariant of the program stops the process with its place and reason.
+ * Internal errors: a violated invariant of the program ends the process with a message that gives the source location
+ * and the reason.
  */
 
 #include <functional>
@@ -10,14 +11,14 @@
 
 namespace plantainlatch {
 
-/** Receives the text of a broken invariant; it may throw (tests do) and must not return. */
+/** Receives the message for a violated invariant; it may throw (tests do) and must not return. */
 using internal_error_handler = std::function<void(const std::string& text)>;
 
-/** Replaces what happens on a broken invariant and returns the former handler. The default writes to stderr and aborts.
+/** Replaces the handler for violated invariants and returns the previous one. The default writes to stderr and aborts.
  */
 internal_error_handler setInternalErrorHandler(internal_error_handler handler);
 
-/** Collects the reason of one broken invariant and reports it at the end of the statement. */
+/** Collects the message for one violated invariant and reports it at the end of the statement. */
 class internal_error_report {
 public:
     internal_error_report(const char* file, int line, const char* condition);
@@ -35,7 +36,7 @@
     std::ostringstream m_text;
 };
 
-/** Lets the macro below be an expression of type void. */
+/** Makes the macro below an expression of type void. */
 struct internal_error_voidify {
     void operator&(internal_error_report&) { }
     void operator&(internal_error_report&&) { }
--- a/src/core/units.h
+++ b/src/core/units.h
@@ -11,7 +11,7 @@
 /** A number of bytes. */
 using byte_count = strong_number<struct byte_count_tag>;
 
-/** A rate in bytes a second. */
+/** A rate in bytes per second. */
 using bytes_per_second = strong_number<struct bytes_per_second_tag>;
 
 /** How many requests an upstream can run at once. */
--- a/src/kernel/assign_if_ok.h
+++ b/src/kernel/assign_if_ok.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Keeps what a static factory made.
+ * Stores the result of a static factory function.
  */
 
 #include <memory>
@@ -11,13 +11,13 @@
 
 namespace plantainlatch {
 
-/** Moves what was created into `place`, or returns why it was not. */
+/** Moves the created object into `target`, or returns the error. */
 template <typename Part>
-absl::Status assignIfOk(absl::StatusOr<std::unique_ptr<Part>> created, std::unique_ptr<Part>& place)
+absl::Status assignIfOk(absl::StatusOr<std::unique_ptr<Part>> created, std::unique_ptr<Part>& target)
 {
     if (!created.ok())
         return created.status();
-    place = *std::move(created);
+    target = *std::move(created);
     return absl::OkStatus();
 }
 
--- a/src/kernel/hooks.h
+++ b/src/kernel/hooks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks through which the kernel reaches the loop, the clock, chance and the log.
+ * The hooks through which the kernel and its services use timers, clocks, random numbers and logging.
  */
 
 #include <cstdint>
@@ -34,17 +34,17 @@
     std::vector<log_field> fields;
 };
 
-/** Everything that the kernel and its services may ask of the world around them. */
+/** All access of the kernel and its services to their environment, so that tests can simulate it. */
 struct kernel_hooks {
     /** The monotonic time of this VM. */
     std::function<time_point()> now;
     /** The wall clock of this VM; it may jump. */
     std::function<wall_time()> wallNow;
-    /** Calls `fire` once on the loop after `delay`; a negative delay counts as 0. */
+    /** Calls `fire` once on the event loop after `delay`; a negative delay counts as 0. */
     std::function<timer_id(duration delay, std::function<void()> fire)> schedule;
-    /** Ends a timer; one that has fired or was ended is ignored. */
+    /** Cancels a timer; has no effect on one that has fired or was cancelled. */
     std::function<void(timer_id)> cancel;
-    /** 64 evenly distributed bits from the seeded source. */
+    /** 64 uniformly distributed bits from a seeded generator. */
     std::function<std::uint64_t()> random;
     /** Writes one log line. */
     std::function<void(const log_event&)> log;
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -18,26 +18,28 @@
         for (std::size_t i = 0; i < services.size(); ++i) {
             if (!positions.try_emplace(services[i].name, i).second)
                 findings.add(
-                    {}, absl::StrCat("service '", services[i].name, "' is added twice"), "one service of each name");
+                    {}, absl::StrCat("service '", services[i].name, "' is added twice"), "unique service names");
         }
         return positions;
     }
 
-    void findMissingNeeds(const std::vector<service>& services, const position_map& positions, finding_list& findings)
+    void findMissingDependencies(
+        const std::vector<service>& services, const position_map& positions, finding_list& findings)
     {
         for (const service& item : services) {
-            for (const std::string& need : item.dependencies) {
-                if (!positions.contains(need))
-                    findings.add({}, absl::StrCat("service '", item.name, "' needs '", need, "', which is missing"),
+            for (const std::string& dependency : item.dependencies) {
+                if (!positions.contains(dependency))
+                    findings.add({},
+                        absl::StrCat("service '", item.name, "' depends on '", dependency, "', which is missing"),
                         "a service of that name");
             }
         }
     }
 
-    bool allNeedsPlaced(const service& item, const position_map& positions, const std::vector<bool>& placed)
+    bool allDependenciesPlaced(const service& item, const position_map& positions, const std::vector<bool>& placed)
     {
-        for (const std::string& need : item.dependencies) {
-            const auto position = positions.find(need);
+        for (const std::string& dependency : item.dependencies) {
+            const auto position = positions.find(dependency);
             if (position != positions.end() && !placed[position->second])
                 return false;
         }
@@ -49,14 +51,14 @@
 std::vector<std::size_t> startOrder(const std::vector<service>& services, finding_list& findings)
 {
     const position_map positions = positionsByName(services, findings);
-    findMissingNeeds(services, positions, findings);
+    findMissingDependencies(services, positions, findings);
     std::vector<std::size_t> order;
     std::vector<bool> placed(services.size(), false);
     bool progressed = true;
     while (progressed) {
         progressed = false;
         for (std::size_t i = 0; i < services.size(); ++i) {
-            if (placed[i] || !allNeedsPlaced(services[i], positions, placed))
+            if (placed[i] || !allDependenciesPlaced(services[i], positions, placed))
                 continue;
             placed[i] = true;
             order.push_back(i);
@@ -66,8 +68,8 @@
     for (std::size_t i = 0; i < services.size(); ++i) {
         if (!placed[i])
             findings.add({},
-                absl::StrCat("service '", services[i].name, "' is part of, or waits for, a circle of needs"),
-                "needs without a circle");
+                absl::StrCat("service '", services[i].name, "' is part of, or depends on, a dependency cycle"),
+                "dependencies without a cycle");
     }
     return order;
 }
@@ -80,13 +82,13 @@
 absl::StatusOr<std::unique_ptr<kernel>> kernel::create(kernel_hooks hooks)
 {
     if (!hooks.now || !hooks.wallNow || !hooks.schedule || !hooks.cancel || !hooks.random || !hooks.log)
-        return absl::InvalidArgumentError("a kernel needs all of its hooks");
+        return absl::InvalidArgumentError("a kernel hook is not set");
     return std::unique_ptr<kernel>(new kernel(std::move(hooks)));
 }
 
 void kernel::add(service item)
 {
-    internal_assert(m_started.empty()) << "service " << item.name << " is added after the start";
+    internal_assert(m_started.empty()) << "service " << item.name << " was added after the start";
     m_services.push_back(std::move(item));
 }
 
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * The micro-kernel: it starts services in the order of their needs, stops them in reverse, and knows nothing of
- * steering.
+ * The micro-kernel: starts services in the order of their dependencies and stops them in reverse order. It contains
+ * nothing specific to traffic steering.
  */
 
 #include <cstddef>
@@ -30,14 +30,14 @@
     /** Adds a service before start(). */
     void add(service item);
 
-    /** Starts all services; missing, doubled and circular needs are reported together, and nothing starts then. */
+    /** Starts all services. Duplicate names, missing dependencies and dependency cycles are reported together, before
+     * any service starts. */
     absl::Status start();
 
-    /** Stops all started services, the last started first, each after the one before has stopped; then calls `stopped`.
-     */
+    /** Stops all started services one after the other, in reverse order of their start, and then calls `stopped`. */
     void stop(std::function<void()> stopped);
 
-    /** The state of all services that show one. */
+    /** The state of all started services that have a dump hook. */
     state_dump dump() const;
 
 private:
@@ -51,7 +51,7 @@
     std::vector<std::size_t> m_started;
 };
 
-/** The order in which services can start, as positions in `services`; all that prevents one goes to `findings`. */
+/** The order in which the services can start, as indices into `services`; errors go to `findings`. */
 std::vector<std::size_t> startOrder(const std::vector<service>& services, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/kernel/registry.h
+++ b/src/kernel/registry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The registry in which services find each other's interfaces by name.
+ * The registry through which services find each other's interfaces by name.
  */
 
 #include <functional>
@@ -15,17 +15,17 @@
 
 namespace plantainlatch {
 
-/** Maps a name to one typed interface; it does not own what it names. */
+/** Maps names to typed interfaces, which it does not own. */
 class registry {
 public:
-    /** Publishes an interface under a name; AlreadyExists when the name is taken. The object must outlive the kernel's
-     * stop. */
+    /** Publishes an interface under a name; AlreadyExists when the name is taken. The object must live until the kernel
+     * has stopped. */
     template <typename Interface> absl::Status publish(std::string name, Interface& object)
     {
         return publishErased(std::move(name), typeid(Interface), &object);
     }
 
-    /** The interface of that name; NotFound without one, FailedPrecondition when it has another type. */
+    /** The interface of that name; NotFound if there is none, FailedPrecondition if it has another type. */
     template <typename Interface> absl::StatusOr<Interface*> find(std::string_view name) const
     {
         absl::StatusOr<void*> object = findErased(name, typeid(Interface));
@@ -34,16 +34,16 @@
         return static_cast<Interface*>(*object);
     }
 
-    /** Sets `place` to the interface of that name; the status says why there is none. */
-    template <typename Interface> absl::Status findInto(std::string_view name, Interface*& place) const
+    /** Sets `target` to the interface of that name, or returns the error of find(). */
+    template <typename Interface> absl::Status findInto(std::string_view name, Interface*& target) const
     {
         absl::StatusOr<Interface*> found = find<Interface>(name);
         if (found.ok())
-            place = *found;
+            target = *found;
         return found.status();
     }
 
-    /** Forgets a name; one that is not there is ignored. */
+    /** Removes a name; has no effect if it is not published. */
     void unpublish(std::string_view name);
 
 private:
--- a/src/kernel/service.h
+++ b/src/kernel/service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What the kernel needs to know of a service.
+ * The description by which the kernel manages a service.
  */
 
 #include <functional>
@@ -14,16 +14,16 @@
 
 namespace plantainlatch {
 
-/** A service as the kernel sees it: a name, the names it needs, and hooks for each part of its life. */
+/** A service's name, its dependencies, and hooks for its life cycle. */
 struct service {
     std::string name;
-    /** Services that start before this one and stop after it. */
+    /** Names of the services that start before this one and stop after it. */
     std::vector<std::string> dependencies;
-    /** Finds what it needs, publishes its own interface and begins work. */
+    /** Looks up the interfaces that it depends on, publishes its own and begins work. */
     std::function<absl::Status(registry&)> start;
     /** Ends all work gracefully and then calls `stopped` once; may be empty. */
     std::function<void(std::function<void()> stopped)> stop;
-    /** Shows the service's state; may be empty. */
+    /** Returns the service's state for inspection; may be empty. */
     std::function<state_dump()> dump;
 };
 
--- a/src/kernel/state_dump.h
+++ b/src/kernel/state_dump.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The typed tree in which services show their state on request; the codec writes it as JSON.
+ * A tree of typed values in which services report their state for inspection; the codec encodes it as JSON.
  */
 
 #include <cstdint>
@@ -13,14 +13,14 @@
 
 namespace plantainlatch {
 
-/** A named node: a value, or children when there are any. */
+/** A named node: a value, or children if there are any. */
 struct state_dump {
     using scalar = std::variant<std::monostate, bool, std::int64_t, double, std::string>;
 
     std::string name;
     scalar value;
     std::vector<state_dump> children;
-    /** Whether the children are an ordered list whose names do not matter. */
+    /** Whether the children form a list, in which their names are ignored. */
     bool isList = false;
 
     state_dump() = default;
@@ -36,7 +36,7 @@
     state_dump& add(std::string childName, std::uint64_t number);
     state_dump& add(std::string childName, int number);
     state_dump& add(std::string childName, double number);
-    /** Shown in milliseconds, with `_ms` after the name. */
+    /** Adds the time in milliseconds, with `_ms` appended to the name. */
     state_dump& add(std::string childName, duration span);
 
     /** Adds an empty object and returns it; the reference holds until the next addition to this node. */
