Test support: comments reworded

Cause: figurative comments. Change: comments of paused_runtime, process_hooks and broken_invariant. Names, comments and texts only.

--- a/test/support/broken_invariant.h
+++ b/test/support/broken_invariant.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Turns a broken internal invariant into an exception, so that a test can show that a fault is found.
+ * Turns violated internal invariants into exceptions, so that tests can check that a fault is detected.
  */
 
 #include <functional>
@@ -12,12 +12,12 @@
 
 namespace plantainlatch {
 
-/** A broken invariant. */
+/** Thrown for a violated invariant. */
 struct broken_invariant : std::logic_error {
     using std::logic_error::logic_error;
 };
 
-/** Invariants throw while it lives. */
+/** While an object of this class exists, violated invariants throw broken_invariant. */
 class invariant_catcher {
 public:
     invariant_catcher()
@@ -32,7 +32,7 @@
     internal_error_handler m_former;
 };
 
-/** Whether `scenario` breaks an invariant of the program, or returns true for a broken one of its own. */
+/** Whether `scenario` violates an invariant of the program, or returns true to report a violation that it found. */
 inline bool breaksInvariant(const std::function<bool()>& scenario)
 {
     const invariant_catcher catcher;
--- a/test/support/paused_runtime.h
+++ b/test/support/paused_runtime.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A paused clock with a queue of timers; tests advance it by hand. Many VMs may share one.
+ * A simulated clock with a timer queue, which tests advance explicitly. Several simulated VMs may share one.
  */
 
 #include <cstdint>
@@ -16,12 +16,12 @@
 
 namespace plantainlatch {
 
-/** Virtual time: timers fire in the order of their times, and equal times in the order of scheduling. */
+/** Virtual time: timers fire in the order of their times, and those of equal times in the order of scheduling. */
 class paused_runtime {
 public:
     explicit paused_runtime(std::uint64_t seed);
 
-    /** Hooks on this clock; the log lines go to `logLines`. */
+    /** Hooks that use this clock and append log lines to `logLines`. */
     kernel_hooks hooks();
 
     time_point now() const { return m_now; }
@@ -29,9 +29,9 @@
     void cancel(timer_id timer);
     std::uint64_t random() { return m_random(); }
 
-    /** Fires all timers due within `span` and moves the clock by it. */
+    /** Fires all timers due within `span` and advances the clock by it. */
     void advance(duration span);
-    /** Fires the earliest timer; false when there is none. */
+    /** Advances the clock to the earliest timer and fires it; returns false if there is none. */
     bool step();
 
     std::vector<log_event> logLines;
--- a/test/support/process_hooks.h
+++ b/test/support/process_hooks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks of one simulated process on a shared paused clock: nothing fires once it was killed.
+ * The hooks of one simulated process on a shared simulated clock; its timers no longer fire once it was killed.
  */
 
 #include <memory>
@@ -10,10 +10,10 @@
 
 namespace plantainlatch {
 
-/** Ends with the process. */
+/** Released when the process ends; its hooks hold weak references to it. */
 using process_lifetime = std::shared_ptr<bool>;
 
-/** Hooks on the shared clock whose timers fire only while the process lives. */
+/** Hooks on the shared clock whose timers fire only while the process runs. */
 inline kernel_hooks processHooks(paused_runtime& runtime, const process_lifetime& life)
 {
     kernel_hooks hooks = runtime.hooks();
