Reword the control state machine in the terms of the field

Cause: comments and private names were figurative or hinted at meanings. Change: comments say what each command does and returns; private names are those of the field (deduplicateProposals, cacheResult, notifyListeners, recordDeparture, flapDelay, eraseExpired). Texts of internal assertions in apply_change, control_service and key_table are reworded; nothing matches them. Names of test cases read as subject, condition and result. Comments, names and texts only.

--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    const history_record* findNumber(const control_snapshot& state, change_number number)
+    const history_record* findByNumber(const control_snapshot& state, change_number number)
     {
         for (const history_record& record : state.history) {
             if (record.content.number == number)
@@ -23,7 +23,7 @@
         return nullptr;
     }
 
-    command_result judgeKnownNumber(const history_record& record, const declaration& content)
+    command_result compareWithAccepted(const history_record& record, const declaration& content)
     {
         if (record.content == content)
             return alreadyAccepted(absl::StrCat("change ", content.number.value(), " was accepted before"));
@@ -31,8 +31,9 @@
             record.acceptedThrough.value(), ": ", absl::StrJoin(describeDifference(record.content, content), "; ")));
     }
 
-    /** Shifts begin with their definitions and end with them; a changed one goes on under the new terms. */
-    void followShifts(control_snapshot& state, const declaration& content, wall_time now)
+    /** Creates shift records for added definitions and erases those of withdrawn ones. A changed definition resets
+     * phase, baseline and setbacks, and keeps the percentage up to its new maximum. */
+    void updateShifts(control_snapshot& state, const declaration& content, wall_time now)
     {
         for (const auto& item : content.shifts.added)
             state.shifts[item.value.id] = { 0, 0, shift_phase::Running, now, {}, 0 };
@@ -72,7 +73,8 @@
         finding_list findings;
         absl::StatusOr<configuration> base
             = mergeDeclaration(state.historyBase, state.history.front().content, findings);
-        internal_assert(base.ok()) << "an accepted declaration no longer merges: " << findings.format();
+        internal_assert(base.ok()) << "an accepted declaration fails to merge into the history base: "
+                                   << findings.format();
         state.historyBase = *std::move(base);
         state.history.erase(state.history.begin());
     }
@@ -81,8 +83,8 @@
 
 command_result checkChangeNumber(const control_snapshot& state, const declaration& content)
 {
-    if (const history_record* record = findNumber(state, content.number))
-        return judgeKnownNumber(*record, content);
+    if (const history_record* record = findByNumber(state, content.number))
+        return compareWithAccepted(*record, content);
     const change_number inForce = state.config.number;
     if (content.replaces != inForce)
         return conflict(absl::StrCat("change ", content.number.value(), " replaces ", content.replaces.value(),
@@ -105,15 +107,15 @@
 
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content)
 {
-    command_result judged = checkChangeNumber(state, content);
-    if (judged.verdict != command_verdict::Accepted)
-        return judged;
+    command_result checked = checkChangeNumber(state, content);
+    if (checked.verdict != command_verdict::Accepted)
+        return checked;
     finding_list findings;
     absl::StatusOr<configuration> merged = mergeDeclaration(state.config, content, findings);
     if (!merged.ok())
         return refused(findings.format());
     state.config = *std::move(merged);
-    followShifts(state, content, item.proposedAt);
+    updateShifts(state, content, item.proposedAt);
     removeWithdrawnUpstreams(state, content);
     removeUnknownDrains(state);
     addToHistory(state, item, content);
--- a/src/decision/control/apply_change.h
+++ b/src/decision/control/apply_change.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Applies an operator's declaration to the control state.
+ * Applies operators' declarations and whole configurations to the control state.
  */
 
 #include <cstddef>
@@ -10,17 +10,20 @@
 
 namespace plantainlatch {
 
-/** How many declarations the history keeps; older ones go into its base. */
+/** The most declarations kept in the history; older ones are merged into `historyBase`. */
 inline constexpr std::size_t maximumHistory = 512;
 
-/** Accepts the declaration if it replaces the configuration in force and fits it. The same content under the same
- * number is AlreadyAccepted; other content is a Conflict that says how they differ. */
+/** Merges the declaration into the configuration if the one that it replaces is in force. Returns AlreadyAccepted if
+ * the same content was accepted under this number, Conflict if other content was or the numbers do not fit, and Refused
+ * with all findings if the merged configuration is invalid. */
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content);
 
-/** Puts a whole configuration in force if its number is above that in force; otherwise AlreadyAccepted. */
+/** Replaces the configuration if the new number is higher than the one in force, and returns AlreadyAccepted otherwise.
+ * Clears the history, since the declarations in it no longer lead to the configuration in force. */
 command_result applyReplacement(control_snapshot& state, const replace_configuration& command);
 
-/** Whether the declaration's numbers allow it to be accepted now: Accepted, AlreadyAccepted or Conflict. */
+/** Checks the declaration's number and the number that it replaces against the configuration in force and the history.
+ * Returns Accepted, AlreadyAccepted or Conflict, and leaves the content to mergeDeclaration(). */
 command_result checkChangeNumber(const control_snapshot& state, const declaration& content);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_command.cpp
+++ b/src/decision/control/apply_command.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-    /** One overload for each command. */
     struct command_applier {
         control_snapshot& state;
         const proposal& item;
--- a/src/decision/control/apply_command.h
+++ b/src/decision/control/apply_command.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Applies one command of the replicated log to the control state.
+ * Applies one command of the replicated log to the control state. This is the transition function of the replicated
+ * state machine.
  */
 
 #include "decision/control/apply_directory.h"
@@ -9,7 +10,8 @@
 
 namespace plantainlatch {
 
-/** Changes the state as the command says; the result depends on the state and the proposal only. */
+/** Applies the proposal's command to `state`. The new state and the result must depend on the arguments only, so that
+ * all VMs stay identical: time is `item.proposedAt`, never the local clock. */
 command_result applyCommand(control_snapshot& state, const proposal& item, const directory_rules& rules = {});
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    absl::Status checkPlace(const configuration& config, const upstream_announcement& offered)
+    absl::Status checkLocation(const configuration& config, const upstream_announcement& offered)
     {
         const region_id region = regionOf(config, offered.failureDomain);
         if (region.empty())
@@ -54,15 +54,15 @@
 
     absl::Status checkGeneration(const control_snapshot& state, const upstream_announcement& offered)
     {
-        const auto known = state.directory.find(offered.id);
-        if (known != state.directory.end() && known->second.announcement.generation > offered.generation)
+        const auto registered = state.directory.find(offered.id);
+        if (registered != state.directory.end() && registered->second.announcement.generation > offered.generation)
             return absl::PermissionDeniedError("a later generation of the upstream has joined");
-        const auto gone = state.departed.find(offered.id);
-        if (gone == state.departed.end())
+        const auto departure = state.departed.find(offered.id);
+        if (departure == state.departed.end())
             return absl::OkStatus();
-        if (gone->second.generation > offered.generation)
+        if (departure->second.generation > offered.generation)
             return absl::PermissionDeniedError("a later generation of the upstream has joined and left");
-        if (gone->second.generation == offered.generation && gone->second.deregistered)
+        if (departure->second.generation == offered.generation && departure->second.deregistered)
             return absl::PermissionDeniedError("this generation of the upstream said goodbye");
         return absl::OkStatus();
     }
@@ -71,15 +71,15 @@
         const control_snapshot& state, const upstream_announcement& offered, const directory_rules& rules)
     {
         for (const auto& [id, record] : state.directory) {
-            const bool yields = rules.addressToLatest && record.announcement.generation < offered.generation;
-            if (id != offered.id && record.announcement.address == offered.address && !yields)
+            const bool replaced = rules.latestOwnsAddress && record.announcement.generation < offered.generation;
+            if (id != offered.id && record.announcement.address == offered.address && !replaced)
                 return absl::AlreadyExistsError(
                     absl::StrCat("upstream '", id.value(), "' has the address ", formatAddress(offered.address)));
         }
-        const auto known = state.directory.find(offered.id);
-        if (known == state.directory.end() || known->second.announcement.generation != offered.generation)
+        const auto registered = state.directory.find(offered.id);
+        if (registered == state.directory.end() || registered->second.announcement.generation != offered.generation)
             return absl::OkStatus();
-        const upstream_announcement& former = known->second.announcement;
+        const upstream_announcement& former = registered->second.announcement;
         if (former.address != offered.address || former.service != offered.service
             || former.failureDomain != offered.failureDomain)
             return absl::InvalidArgumentError(
@@ -87,31 +87,31 @@
         return absl::OkStatus();
     }
 
-    /** Takes upstreams out whose address an upstream of a later generation has. */
-    void dropFormerHolders(control_snapshot& state, const upstream_announcement& offered)
+    /** Removes other upstreams at this address, which checkIdentity() found to be of earlier generations. */
+    void removeFormerAddressOwners(control_snapshot& state, const upstream_announcement& offered)
     {
         std::erase_if(state.directory, [&offered](const auto& item) {
             return item.first != offered.id && item.second.announcement.address == offered.address;
         });
     }
 
-    absl::Status checkRoom(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
+    absl::Status checkAdmission(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
         const directory_rules& rules)
     {
-        const auto known = state.directory.find(offered.id);
-        const bool isKnown = known != state.directory.end();
-        if (isKnown && known->second.announcement.generation == offered.generation)
+        const auto registered = state.directory.find(offered.id);
+        const bool isRegistered = registered != state.directory.end();
+        if (isRegistered && registered->second.announcement.generation == offered.generation)
             return absl::OkStatus();
-        if (!isKnown && state.directory.size() >= maximumUpstreams)
+        if (!isRegistered && state.directory.size() >= maximumUpstreams)
             return absl::ResourceExhaustedError("the directory is full");
-        const auto gone = state.departed.find(offered.id);
-        if (rules.dampsFlapping && gone != state.departed.end()
-            && now < gone->second.leftAt + flapWait(gone->second.expirations))
+        const auto departure = state.departed.find(offered.id);
+        if (rules.dampFlapping && departure != state.departed.end()
+            && now < departure->second.leftAt + flapDelay(departure->second.expirations))
             return absl::UnavailableError("the upstream came and went too often and has to wait");
         return absl::OkStatus();
     }
 
-    void dropEarliestDeparted(std::map<upstream_id, departed_record>& departed)
+    void evictEarliestDeparted(std::map<upstream_id, departed_record>& departed)
     {
         if (departed.size() <= maximumDeparted)
             return;
@@ -120,7 +120,7 @@
         departed.erase(earliest);
     }
 
-    void rememberDeparture(control_snapshot& state, const upstream_left& command, wall_time now)
+    void recordDeparture(control_snapshot& state, const upstream_left& command, wall_time now)
     {
         departed_record& record = state.departed[command.id];
         if (now - record.leftAt > flapResetTime)
@@ -130,34 +130,34 @@
         record.generation = command.generation;
         record.deregistered = command.deregistered;
         record.leftAt = now;
-        dropEarliestDeparted(state.departed);
+        evictEarliestDeparted(state.departed);
         internal_assert(state.departed.size() <= maximumDeparted) << state.departed.size();
     }
 
 } // namespace
 
-duration flapWait(std::uint32_t expirations)
+duration flapDelay(std::uint32_t expirations)
 {
-    if (expirations <= forgivenSilences)
+    if (expirations <= allowedExpirations)
         return duration::zero();
-    duration wait = firstFlapWait;
-    for (std::uint32_t i = forgivenSilences + 1; i < expirations && wait < longestFlapWait; ++i)
+    duration wait = initialFlapDelay;
+    for (std::uint32_t i = allowedExpirations + 1; i < expirations && wait < maximumFlapDelay; ++i)
         wait *= 2;
-    return std::min(wait, longestFlapWait);
+    return std::min(wait, maximumFlapDelay);
 }
 
 absl::Status checkAnnouncement(
     const control_snapshot& state, const upstream_announcement& offered, wall_time now, const directory_rules& rules)
 {
     absl::Status status;
-    if (rules.declaredOnly) {
-        status.Update(checkPlace(state.config, offered));
+    if (rules.requireDeclared) {
+        status.Update(checkLocation(state.config, offered));
         status.Update(checkLimits(state.config, offered));
     }
     status.Update(checkDefinition(state.config, offered));
     status.Update(checkGeneration(state, offered));
     status.Update(checkIdentity(state, offered, rules));
-    status.Update(checkRoom(state, offered, now, rules));
+    status.Update(checkAdmission(state, offered, now, rules));
     return status;
 }
 
@@ -190,27 +190,28 @@
 
 bool isLocationDeclared(const configuration& config, const upstream_announcement& announcement)
 {
-    return checkPlace(config, announcement).ok() && config.services.contains(announcement.service);
+    return checkLocation(config, announcement).ok() && config.services.contains(announcement.service);
 }
 
 command_result applyJoin(
     control_snapshot& state, const proposal& item, const upstream_joined& command, const directory_rules& rules)
 {
     const upstream_announcement& offered = command.announcement;
-    const auto known = state.directory.find(offered.id);
-    if (known != state.directory.end()
-        && (known->second.announcement == offered || isStaleAnnouncement(known->second.announcement, offered)))
+    const auto registered = state.directory.find(offered.id);
+    if (registered != state.directory.end()
+        && (registered->second.announcement == offered
+            || isStaleAnnouncement(registered->second.announcement, offered)))
         return alreadyAccepted();
     const absl::Status status = checkAnnouncement(state, offered, item.proposedAt, rules);
     if (!status.ok())
         return refused(std::string(status.message()));
-    if (known != state.directory.end()) {
-        const upstream_generation former = known->second.announcement.generation;
+    if (registered != state.directory.end()) {
+        const upstream_generation former = registered->second.announcement.generation;
         if (former != offered.generation)
-            rememberDeparture(state, { offered.id, former, false }, item.proposedAt);
+            recordDeparture(state, { offered.id, former, false }, item.proposedAt);
     }
-    if (rules.addressToLatest)
-        dropFormerHolders(state, offered);
+    if (rules.latestOwnsAddress)
+        removeFormerAddressOwners(state, offered);
     state.directory[offered.id] = { offered, item.proposedAt };
     internal_assert(state.directory.size() <= maximumUpstreams) << state.directory.size();
     return accepted();
@@ -218,22 +219,23 @@
 
 command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command)
 {
-    const auto known = state.directory.find(command.id);
-    const bool isHere = known != state.directory.end();
-    const bool isNews = isHere && !command.deregistered && known->second.announcement.sequence != command.sequence;
-    if (isNews)
+    const auto registered = state.directory.find(command.id);
+    const bool isRegistered = registered != state.directory.end();
+    const bool isRenewed
+        = isRegistered && !command.deregistered && registered->second.announcement.sequence != command.sequence;
+    if (isRenewed)
         return alreadyAccepted();
-    if (isHere && known->second.announcement.generation == command.generation) {
-        state.directory.erase(known);
-        rememberDeparture(state, command, item.proposedAt);
+    if (isRegistered && registered->second.announcement.generation == command.generation) {
+        state.directory.erase(registered);
+        recordDeparture(state, command, item.proposedAt);
         return accepted();
     }
-    // A goodbye may overtake the join of its generation, which must not enter the directory after it.
-    const auto gone = state.departed.find(command.id);
-    const bool isEarlier = (isHere && known->second.announcement.generation > command.generation)
-        || (gone != state.departed.end() && gone->second.generation > command.generation);
-    if (command.deregistered && !isEarlier)
-        rememberDeparture(state, command, item.proposedAt);
+    // A deregistration can be applied before the join of the same generation. Recording it makes the join fail.
+    const auto departure = state.departed.find(command.id);
+    const bool isOutdated = (isRegistered && registered->second.announcement.generation > command.generation)
+        || (departure != state.departed.end() && departure->second.generation > command.generation);
+    if (command.deregistered && !isOutdated)
+        recordDeparture(state, command, item.proposedAt);
     return alreadyAccepted();
 }
 
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Applies joins and leaves of upstreams to the directory in the control state.
+ * Registers upstreams in the replicated directory and removes them from it, with damping of upstreams that flap.
  */
 
 #include <chrono>
@@ -12,60 +12,69 @@
 
 namespace plantainlatch {
 
-/** How many upstreams the directory takes; more are refused. */
+/** The most upstreams in the directory; further ones are refused. */
 inline constexpr std::size_t maximumUpstreams = 16384;
 
-/** How many departed upstreams are remembered; the earliest goes first. */
+/** The most records of departed upstreams; the one that left first is evicted. */
 inline constexpr std::size_t maximumDeparted = 4096;
 
-/** An upstream that stayed away from silence for this long starts with a clean record. */
+/** If more than this time passes between two departures of an upstream, its count of expirations starts again at 0. */
 inline constexpr duration flapResetTime = std::chrono::minutes(5);
 
-/** So many silences are forgiven before a return has to wait. */
-inline constexpr std::uint32_t forgivenSilences = 2;
+/** How many expirations are allowed before an upstream has to wait before it can register again. */
+inline constexpr std::uint32_t allowedExpirations = 2;
 
-/** How long the first damped return waits; each further silence doubles it up to the longest. */
-inline constexpr duration firstFlapWait = std::chrono::seconds(5);
-inline constexpr duration longestFlapWait = std::chrono::seconds(60);
+/** The delay before an upstream can register again after the first expiration beyond the allowed ones. Each further
+ * expiration doubles the delay, up to the maximum. */
+inline constexpr duration initialFlapDelay = std::chrono::seconds(5);
+inline constexpr duration maximumFlapDelay = std::chrono::seconds(60);
 
-/** What an announcement must fulfil; all VMs of a system have the same rules. */
+/** Rules for accepting announcements. They are part of the state machine, so all VMs of a system must use the same. */
 struct directory_rules {
-    /** Its service and place must be declared. */
-    bool declaredOnly = true;
-    /** Of two upstreams at one address the later generation holds it; otherwise the one that came first does.
-     * Generations of different upstreams must then be comparable. */
-    bool addressToLatest = false;
-    /** An upstream that comes and goes too often has to wait. */
-    bool dampsFlapping = true;
+    /** Refuses announcements whose service, region or failure domain is not declared. */
+    bool requireDeclared = true;
+    /** If two upstreams announce the same address, the one with the later generation keeps it; otherwise the one that
+     * registered first does. Requires that generations of different upstreams are comparable. */
+    bool latestOwnsAddress = false;
+    /** Delays the registration of an upstream whose announcements expired too often; see flapDelay(). */
+    bool dampFlapping = true;
 };
 
-/** Whether the announcement may enter the directory now: OK, NotFound (its service or place is not declared),
- * InvalidArgument (it does not fit the configuration),
- * PermissionDenied (withdrawn, an earlier generation, or a goodbye was said), AlreadyExists (another upstream has the
- * address), Unavailable (it flaps and has to wait) or ResourceExhausted. */
+/** Checks whether the announcement can be registered at `now`. Returns OK or one of:
+ * - NotFound: the service or the failure domain is not declared;
+ * - InvalidArgument: the announcement contradicts the configuration or an earlier one of its generation;
+ * - PermissionDenied: the upstream is withdrawn, the generation is outdated, or it has deregistered;
+ * - AlreadyExists: another upstream has the address;
+ * - Unavailable: the upstream flaps and has to wait;
+ * - ResourceExhausted: the directory is full. */
 absl::Status checkAnnouncement(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
     const directory_rules& rules = {});
 
-/** How long an upstream that fell silent so often waits before it may return. */
-duration flapWait(std::uint32_t expirations);
+/** The delay before an upstream can register again after this many expirations. */
+duration flapDelay(std::uint32_t expirations);
 
-/** The slots that may be used: the least of what is announced and what is declared. */
+/** The upstream's usable slots: the minimum of the announced slots and the limits declared for the service and for the
+ * upstream. */
 slot_count effectiveSlots(const configuration& config, const upstream_announcement& announcement);
 
-/** Whether the announcement's service and place are declared. */
+/** Whether the announcement's service is declared, and its failure domain belongs to its region. */
 bool isLocationDeclared(const configuration& config, const upstream_announcement& announcement);
 
-/** Whether two announcements of one generation say the same, but for their numbers and how much of a cold time is left.
- */
+/** Whether two announcements of one generation are equal apart from their sequence numbers and, if both upstreams are
+ * cold, the remaining cold time. Such a renewal needs no entry in the log. */
 bool hasSameContent(const upstream_announcement& left, const upstream_announcement& right);
 
-/** Whether an announcement was overtaken by a later one of its generation. */
+/** Whether `former` is of the same generation as `offered` and was sent after it. */
 bool isStaleAnnouncement(const upstream_announcement& former, const upstream_announcement& offered);
 
+/** Registers or updates an upstream. Returns AlreadyAccepted without a change if the announcement is equal to the
+ * registered one or older, and Refused if checkAnnouncement() fails. */
 command_result applyJoin(
     control_snapshot& state, const proposal& item, const upstream_joined& command, const directory_rules& rules = {});
 
-/** Takes the upstream out; another generation than the one that left is AlreadyAccepted and changes nothing. */
+/** Removes the upstream if this generation is registered and, for an expiration, its sequence number is still the same.
+ * Otherwise returns AlreadyAccepted and leaves the directory as it is. A deregistration is recorded in both cases
+ * unless a later generation is known. */
 command_result applyLeave(control_snapshot& state, const proposal& item, const upstream_left& command);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_drain.cpp
+++ b/src/decision/control/apply_drain.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    bool isPlaceDraining(const control_snapshot& state, const region_id& region, const failure_domain_id& failureDomain)
+    bool isLocationDraining(
+        const control_snapshot& state, const region_id& region, const failure_domain_id& failureDomain)
     {
         return state.drains.contains({ drain_kind::Region, region.value() })
             || state.drains.contains({ drain_kind::FailureDomain, failureDomain.value() });
@@ -50,8 +51,8 @@
 
 command_result applyDrain(control_snapshot& state, const set_drain& command)
 {
-    const bool drainsNow = state.drains.contains(command.target);
-    if (drainsNow == command.draining)
+    const bool isDraining = state.drains.contains(command.target);
+    if (isDraining == command.draining)
         return alreadyAccepted();
     if (!command.draining) {
         state.drains.erase(command.target);
@@ -66,13 +67,13 @@
 bool isUpstreamDraining(const control_snapshot& state, const upstream_announcement& upstream)
 {
     return state.drains.contains({ drain_kind::Upstream, upstream.id.value() })
-        || isPlaceDraining(state, upstream.region, upstream.failureDomain);
+        || isLocationDraining(state, upstream.region, upstream.failureDomain);
 }
 
 bool isVmDraining(const control_snapshot& state, const vm_record& vm)
 {
     return state.drains.contains({ drain_kind::Vm, vm.id.value() })
-        || isPlaceDraining(state, vm.region, vm.failureDomain);
+        || isLocationDraining(state, vm.region, vm.failureDomain);
 }
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_drain.h
+++ b/src/decision/control/apply_drain.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Applies the beginning and end of a drain to the control state.
+ * Starts and ends drains in the control state, and tells which upstreams and VMs are draining.
  */
 
 #include <string>
@@ -10,19 +10,20 @@
 
 namespace plantainlatch {
 
-/** Refuses a target that nobody knows; a drain that is set already is AlreadyAccepted. */
+/** Starts or ends a drain. Returns AlreadyAccepted if the target is in that state already, and Refused if the target of
+ * a new drain is unknown. */
 command_result applyDrain(control_snapshot& state, const set_drain& command);
 
-/** Whether a drain target is known: a VM that started, an upstream of the directory, a declared domain or region. */
+/** Whether the target exists: a VM that has started, a registered upstream, or a declared failure domain or region. */
 bool isKnownTarget(const control_snapshot& state, const drain_target& target);
 
-/** `region 'fukuoka'`. */
+/** The target for messages, such as `region 'fukuoka'`. */
 std::string describeTarget(const drain_target& target);
 
-/** Whether a drain of the upstream itself, its failure domain or its region is set. */
+/** Whether the upstream itself, its failure domain or its region is draining. */
 bool isUpstreamDraining(const control_snapshot& state, const upstream_announcement& upstream);
 
-/** Whether a drain of the VM itself, its failure domain or its region is set. */
+/** Whether the VM itself, its failure domain or its region is draining. */
 bool isVmDraining(const control_snapshot& state, const vm_record& vm);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_role.cpp
+++ b/src/decision/control/apply_role.cpp
@@ -22,8 +22,8 @@
     if (record.record == command.record && record.start == command.start)
         return alreadyAccepted();
     const bool isFirstStart = record.record.id.empty();
-    const bool sameStart = !isFirstStart && record.start == command.start;
-    const bool earlierWorkEnded = isFirstStart || (record.earlierWorkEnded && (sameStart || record.stopped));
+    const bool isSameStart = !isFirstStart && record.start == command.start;
+    const bool earlierWorkEnded = isFirstStart || (record.earlierWorkEnded && (isSameStart || record.stopped));
     record = { command.record, command.start, item.proposedAt, false, earlierWorkEnded };
     return accepted();
 }
--- a/src/decision/control/apply_role.h
+++ b/src/decision/control/apply_role.h
@@ -1,20 +1,21 @@
 #pragma once
 
 /** \file
- * Applies starts of VMs and assignments of slot allocators to the control state.
+ * Applies starts and stops of VMs and assignments of slot allocators to the control state.
  */
 
 #include "model/control_snapshot.h"
 
 namespace plantainlatch {
 
-/** Notes where a VM is and under which incarnation it runs. */
+/** Records the VM's location and the incarnation that it runs under. */
 command_result applyVmStart(control_snapshot& state, const proposal& item, const vm_started& command);
 
-/** Notes the graceful end of a start; refused for one that is not the VM's last. */
+/** Records that an incarnation stopped gracefully; Refused unless it is the VM's latest. */
 command_result applyVmStop(control_snapshot& state, const vm_stopped& command);
 
-/** Makes a VM the allocator of a region; refuses any epoch but the next. */
+/** Makes a VM the slot allocator of a region. Refused if the VM does not run under the given incarnation, or the epoch
+ * is not the successor of the current one. So only one of several concurrent assignments takes effect. */
 command_result applyAllocator(control_snapshot& state, const assign_allocator& command);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_shift.h
+++ b/src/decision/control/apply_shift.h
@@ -8,7 +8,8 @@
 
 namespace plantainlatch {
 
-/** Moves a shift on; refuses a step that does not follow the last one, or goes beyond the definition. */
+/** Sets the shift's percentage and phase. Refused if the step does not follow the current one or exceeds the percentage
+ * in the definition. */
 command_result applyShiftStep(control_snapshot& state, const proposal& item, const step_shift& command);
 
 } // namespace plantainlatch
--- a/src/decision/control/change_log.cpp
+++ b/src/decision/control/change_log.cpp
@@ -68,10 +68,10 @@
 void change_log::compareUpstreams(const control_snapshot& state)
 {
     for (const auto& [id, record] : state.directory) {
-        const auto former = m_upstreams.find(id);
-        if (former == m_upstreams.end())
+        const auto previous = m_upstreams.find(id);
+        if (previous == m_upstreams.end())
             write("upstream-joined", fieldsOf(record.announcement));
-        else if (!(former->second.announcement == record.announcement))
+        else if (!(previous->second.announcement == record.announcement))
             write("upstream-changed", fieldsOf(record.announcement));
     }
     for (const auto& [id, record] : m_upstreams) {
--- a/src/decision/control/change_log.h
+++ b/src/decision/control/change_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that logs each change of what this VM believes of the system.
+ * Logs changes of this VM's copy of the control state, and of the leadership as this VM sees it.
  */
 
 #include <map>
@@ -17,8 +17,8 @@
 
 namespace plantainlatch {
 
-/** Compares the control state with the former one after each change, and follows the leadership; needs "control" and
- * "consensus". */
+/** Compares the control state with its previous value after each change and writes a log line for each difference.
+ * Needs "control" and "consensus". */
 class change_log {
 public:
     static std::unique_ptr<change_log> create(const kernel_hooks& hooks);
--- a/src/decision/control/command_results.h
+++ b/src/decision/control/command_results.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Short ways to make the results of commands.
+ * Factory functions for command results.
  */
 
 #include <string>
@@ -11,19 +11,16 @@
 
 namespace plantainlatch {
 
-/** The command changed the state. */
 inline command_result accepted() { return {}; }
 
-/** The state is as the command wants it already. */
+/** For a command that has already taken effect. */
 inline command_result alreadyAccepted(std::string message = {})
 {
     return { command_verdict::AlreadyAccepted, std::move(message), {}, {} };
 }
 
-/** The command does not fit the state. */
 inline command_result refused(std::string message) { return { command_verdict::Refused, std::move(message), {}, {} }; }
 
-/** Another change has the number. */
 inline command_result conflict(std::string message)
 {
     return { command_verdict::Conflict, std::move(message), {}, {} };
--- a/src/decision/control/control_service.cpp
+++ b/src/decision/control/control_service.cpp
@@ -47,29 +47,29 @@
 
 command_result control_service::apply(const proposal& item)
 {
-    if (m_options.answerDuplicates) {
-        if (std::optional<command_result> former = findFormerResult(m_state, item))
-            return *former;
+    if (m_options.deduplicateProposals) {
+        if (std::optional<command_result> cached = findCachedResult(m_state, item))
+            return *cached;
     }
     const change_number before = m_state.config.number;
     command_result result = applyCommand(m_state, item, m_options.directory);
     internal_assert(m_state.config.number >= before)
-        << "the configuration fell from " << before.value() << " to " << m_state.config.number.value();
-    rememberResult(m_state.proposers, item.id, result);
-    tellListeners(changesSteering(item.command));
+        << "the configuration number decreased from " << before.value() << " to " << m_state.config.number.value();
+    cacheResult(m_state.proposers, item.id, result);
+    notifyListeners(changesSteering(item.command));
     return result;
 }
 
 void control_service::restore(control_snapshot state)
 {
     internal_assert(state.config.number >= m_state.config.number)
-        << "a snapshot with configuration " << state.config.number.value() << " came after "
+        << "snapshot with configuration " << state.config.number.value() << " is older than configuration "
         << m_state.config.number.value();
     m_state = std::move(state);
-    tellListeners(true);
+    notifyListeners(true);
 }
 
-void control_service::tellListeners(bool steeringChanged) const
+void control_service::notifyListeners(bool steeringChanged) const
 {
     for (const auto& listener : m_listeners)
         listener();
--- a/src/decision/control/control_service.h
+++ b/src/decision/control/control_service.h
@@ -17,20 +17,20 @@
 
 namespace plantainlatch {
 
-/** What may be varied in control_service. */
+/** Options of control_service. All VMs of a system must use the same, since they affect the results of commands. */
 struct control_options {
-    /** Answers resent proposals with the first result; without it each one is applied again. */
-    bool answerDuplicates = true;
+    /** Returns the cached result for a resent proposal. If false, each copy is applied again. */
+    bool deduplicateProposals = true;
     directory_rules directory;
 };
 
-/** Holds the control_snapshot of this VM; published as "control". */
+/** Holds this VM's copy of the control state and applies committed proposals to it; published as "control". */
 class control_service {
 public:
     static absl::StatusOr<std::unique_ptr<control_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, control_options options = {});
 
-    /** The kernel service; it needs nothing. */
+    /** The kernel service; it depends on no other service. */
     service asService();
 
 private:
@@ -38,7 +38,7 @@
 
     command_result apply(const proposal& item);
     void restore(control_snapshot state);
-    void tellListeners(bool steeringChanged) const;
+    void notifyListeners(bool steeringChanged) const;
     state_dump dump() const;
 
     control_options m_options;
--- a/src/decision/control/crash_table.cpp
+++ b/src/decision/control/crash_table.cpp
@@ -8,17 +8,17 @@
 
     using crash_map = std::map<crash_key, crash_record>;
 
-    bool remembered(const crash_record& record, wall_time now)
+    bool isRetained(const crash_record& record, wall_time now)
     {
         return now < record.lastSeen + std::chrono::ceil<std::chrono::milliseconds>(crashRetention);
     }
 
-    void dropForgotten(crash_map& crashes, wall_time now)
+    void eraseExpired(crash_map& crashes, wall_time now)
     {
-        std::erase_if(crashes, [now](const auto& item) { return !remembered(item.second, now); });
+        std::erase_if(crashes, [now](const auto& item) { return !isRetained(item.second, now); });
     }
 
-    void dropOldest(crash_map& crashes)
+    void evictOldest(crash_map& crashes)
     {
         const auto oldest = std::min_element(crashes.begin(), crashes.end(),
             [](const auto& left, const auto& right) { return left.second.lastSeen < right.second.lastSeen; });
@@ -31,9 +31,9 @@
     std::map<crash_key, crash_record>& crashes, const proposal& reported, const report_crash& command)
 {
     const crash_key key { command.service, command.fingerprint };
-    dropForgotten(crashes, reported.proposedAt);
+    eraseExpired(crashes, reported.proposedAt);
     if (!crashes.contains(key) && crashes.size() >= maximumCrashRecords)
-        dropOldest(crashes);
+        evictOldest(crashes);
     crash_record& record = crashes[key];
     record.lastSeen = std::max(record.lastSeen, reported.proposedAt);
     if (record.upstreams.size() < maximumCrashedUpstreams)
@@ -48,7 +48,7 @@
     const auto position = state.crashes.find(key);
     if (position == state.crashes.end())
         return false;
-    return position->second.upstreams.size() >= limit && remembered(position->second, now);
+    return position->second.upstreams.size() >= limit && isRetained(position->second, now);
 }
 
 } // namespace plantainlatch
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The replicated table of requests under which upstreams crashed, by fingerprint.
+ * The replicated table of requests that crashed upstreams, by request fingerprint. Requests equal to one that crashed
+ * several upstreams are refused, so that retries of a "query of death" do not take down one upstream after another.
  */
 
 #include <cstddef>
@@ -13,23 +14,25 @@
 
 namespace plantainlatch {
 
-/** From this many distinct upstreams on, equal requests are refused. */
+/** Requests are refused once equal ones have crashed this many distinct upstreams. */
 inline constexpr std::size_t crashedUpstreamThreshold = 2;
 
-/** How long after the last crash equal requests are refused, and a record is kept. */
+/** How long after the last crash a record is kept and equal requests are refused. */
 inline constexpr duration crashRetention = std::chrono::minutes(10);
 
-/** The most fingerprints kept at once; a report beyond them replaces the one seen longest ago. */
+/** The most records kept; a new one beyond them evicts the record with the earliest last crash. */
 inline constexpr std::size_t maximumCrashRecords = 1024;
 
-/** The most upstreams kept in one record; more change nothing. */
+/** The most upstreams kept in one record; further ones are not added. */
 inline constexpr std::size_t maximumCrashedUpstreams = 8;
 
-/** Counts a crash and says whether equal requests are refused from now on. Time is the proposal's own. */
+/** Adds the upstream to the record of the fingerprint and returns the number of distinct upstreams in it. The current
+ * time is the time of the proposal. */
 command_result applyCrashReport(
     std::map<crash_key, crash_record>& crashes, const proposal& reported, const report_crash& command);
 
-/** Whether requests of this fingerprint are refused at `now`. */
+/** Whether requests of this fingerprint are refused at `now`: at least `limit` distinct upstreams have crashed, the
+ * last one within the retention. */
 bool isBlockedByCrashes(
     const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit = crashedUpstreamThreshold);
 
--- a/src/decision/control/key_table.cpp
+++ b/src/decision/control/key_table.cpp
@@ -11,9 +11,10 @@
 
     using key_map = std::map<key_name, key_record>;
 
-    /** How many records each claim checks for expiry; more than one, so that the table shrinks faster than it grows. */
+    /** How many records each claim checks for expiry. More than one, so that expired records are removed faster than
+     * new ones are added. */
     constexpr std::size_t sweepLength = 8;
-    /** How many it checks when the table is full. */
+    /** How many records each claim checks when the table is full. */
     constexpr std::size_t fullSweepLength = 256;
 
     wall_time after(wall_time start, duration span)
@@ -23,8 +24,8 @@
 
     bool expired(const key_record& record, wall_time now) { return record.expiresAt <= now; }
 
-    /** Removes the expired ones of the `length` records from `start` on, in a circle. */
-    void sweep(key_map& keys, const key_name& start, wall_time now, std::size_t length)
+    /** Checks `length` records from `start` on, wrapping around at the end, and removes the expired ones. */
+    void sweepExpired(key_map& keys, const key_name& start, wall_time now, std::size_t length)
     {
         auto position = keys.lower_bound(start);
         const std::size_t checks = std::min(length, keys.size());
@@ -43,31 +44,31 @@
         return result;
     }
 
-    command_result found(claim_result finding)
+    command_result resultWith(claim_result finding)
     {
         command_result result;
         result.claim = finding;
         return result;
     }
 
-    claim_result unsettledFinding(const key_record& record, wall_time now)
+    claim_result unsettledClaim(const key_record& record, wall_time now)
     {
         return now < record.runsUntil ? claim_result::InProgress : claim_result::Unknown;
     }
 
-    command_result existingFinding(const key_record& record, const proposal& claimed, const claim_key& command)
+    command_result existingClaim(const key_record& record, const proposal& claimed, const claim_key& command)
     {
         if (record.claim == claimed.id)
-            return found(claim_result::Claimed);
+            return resultWith(claim_result::Claimed);
         if (record.fingerprint != command.fingerprint)
-            return found(claim_result::Reused);
+            return resultWith(claim_result::Reused);
         switch (record.result) {
         case outcome::InProgress:
-            return found(unsettledFinding(record, claimed.proposedAt));
+            return resultWith(unsettledClaim(record, claimed.proposedAt));
         case outcome::Unknown:
-            return found(claim_result::Unknown);
+            return resultWith(claim_result::Unknown);
         case outcome::Completed: {
-            command_result result = found(claim_result::Completed);
+            command_result result = resultWith(claim_result::Completed);
             result.answer = record.answer;
             return result;
         }
@@ -75,8 +76,9 @@
         case outcome::Replayed:
             break;
         }
-        internal_assert(false) << "key " << command.key.value() << " is kept with " << outcomeName(record.result);
-        return found(claim_result::Unknown);
+        internal_assert(false) << "key " << command.key.value() << " is stored with outcome "
+                               << outcomeName(record.result);
+        return resultWith(claim_result::Unknown);
     }
 
     key_record newRecord(const proposal& claimed, const claim_key& command)
@@ -94,7 +96,7 @@
         return result == outcome::NotRun || result == outcome::Unknown || result == outcome::Completed;
     }
 
-    bool mayFollow(outcome next, outcome current)
+    bool canReplace(outcome next, outcome current)
     {
         if (current == outcome::InProgress || current == next)
             return true;
@@ -107,17 +109,17 @@
     const key_table_limits& limits)
 {
     const key_name name { command.service, command.key };
-    sweep(keys, name, claimed.proposedAt, keys.size() < limits.keys ? sweepLength : fullSweepLength);
+    sweepExpired(keys, name, claimed.proposedAt, keys.size() < limits.keys ? sweepLength : fullSweepLength);
     const auto existing = keys.find(name);
     if (existing != keys.end())
-        return existingFinding(existing->second, claimed, command);
+        return existingClaim(existing->second, claimed, command);
     if (keys.size() >= limits.keys) {
         command_result full = refused(absl::StrCat("the table of idempotency keys is full at ", limits.keys));
         full.claim = claim_result::TableFull;
         return full;
     }
     keys.emplace(name, newRecord(claimed, command));
-    return found(claim_result::Claimed);
+    return resultWith(claim_result::Claimed);
 }
 
 command_result applySettle(
@@ -129,7 +131,7 @@
     if (position == keys.end() || position->second.claim != command.claim)
         return refused("the key is not held by that claim");
     key_record& record = position->second;
-    if (!mayFollow(command.result, record.result))
+    if (!canReplace(command.result, record.result))
         return refused(absl::StrCat("the key is settled as ", std::string(outcomeName(record.result))));
     if (command.result == outcome::NotRun) {
         keys.erase(position);
--- a/src/decision/control/key_table.h
+++ b/src/decision/control/key_table.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The replicated table of idempotency keys: pure functions that apply claims and settlements to it.
+ * The replicated table of idempotency keys. A request claims its key before it is dispatched and settles the claim with
+ * its outcome, which later requests with the same key then get.
  */
 
 #include <cstddef>
@@ -12,27 +13,29 @@
 
 namespace plantainlatch {
 
-/** The most keys kept at once; further claims are refused, since forgetting a key early could run its work twice. */
+/** The most keys kept. Further claims are refused, since evicting a key before it expires could run its work twice. */
 inline constexpr std::size_t maximumKeys = 100'000;
 
-/** The largest answer, headers and body together, that is kept for replay. */
+/** The largest answer that is kept for replay, as measured by answerSize(). */
 inline constexpr byte_count maximumKeptAnswer { 1024 };
 
-/** Bounds of the table; tests make them small. */
+/** Bounds of the table, which tests lower. */
 struct key_table_limits {
     std::size_t keys = maximumKeys;
     byte_count keptAnswer = maximumKeptAnswer;
 };
 
-/** Claims a key for a proposal, or finds who has it. Time is the proposal's own; Refused when the table is full. */
+/** Claims the key for the proposal, or returns the state of the existing claim. Refused if the table is full. The
+ * current time is the time of the proposal. */
 command_result applyClaim(std::map<key_name, key_record>& keys, const proposal& claimed, const claim_key& command,
     const key_table_limits& limits = {});
 
-/** Records the end of a claim; NotRun frees the key. Refused when another claim, or a final result, stands there. */
+/** Settles a claim with NotRun, which frees the key, Unknown, or Completed, which may also follow Unknown. Refused if
+ * another claim holds the key or the claim has been settled otherwise. */
 command_result applySettle(std::map<key_name, key_record>& keys, const proposal& settled, const settle_key& command,
     const key_table_limits& limits = {});
 
-/** The bytes of an answer that count against the bound. */
+/** The size of an answer's headers and body together. */
 byte_count answerSize(const upstream_answer& answer);
 
 } // namespace plantainlatch
--- a/src/decision/control/proposer_table.cpp
+++ b/src/decision/control/proposer_table.cpp
@@ -12,12 +12,13 @@
 
     bool isFormerStart(const proposer_record& record, incarnation start)
     {
-        const auto& former = record.formerStarts;
-        return std::find(former.begin(), former.end(), start) != former.end();
+        const auto& earlier = record.formerStarts;
+        return std::find(earlier.begin(), earlier.end(), start) != earlier.end();
     }
 
-    /** The kept answer of a claim that found its work completed; answers are not stored twice. */
-    void fillAnswer(const control_snapshot& state, const proposal& item, command_result& result)
+    /** Copies the answer from the key table into the result of a claim that found Completed. Cached results carry no
+     * answers, which would be stored twice otherwise. */
+    void restoreAnswer(const control_snapshot& state, const proposal& item, command_result& result)
     {
         const claim_key* claim = std::get_if<claim_key>(&item.command);
         if (claim == nullptr || result.claim != claim_result::Completed)
@@ -27,7 +28,7 @@
             result.answer = key->second.answer;
     }
 
-    void beginStart(proposer_record& record, incarnation start)
+    void beginIncarnation(proposer_record& record, incarnation start)
     {
         if (record.start != incarnation())
             record.formerStarts.push_back(record.start);
@@ -39,7 +40,7 @@
 
 } // namespace
 
-std::optional<command_result> findFormerResult(const control_snapshot& state, const proposal& item)
+std::optional<command_result> findCachedResult(const control_snapshot& state, const proposal& item)
 {
     const auto found = state.proposers.find(item.id.vm);
     if (found == state.proposers.end())
@@ -52,9 +53,9 @@
     }
     const auto result = record.results.find(item.id.sequence);
     if (result != record.results.end()) {
-        command_result former = result->second;
-        fillAnswer(state, item, former);
-        return former;
+        command_result earlier = result->second;
+        restoreAnswer(state, item, earlier);
+        return earlier;
     }
     const bool full = record.results.size() >= maximumResultsPerProposer;
     if (full && item.id.sequence < record.results.begin()->first)
@@ -62,11 +63,11 @@
     return {};
 }
 
-void rememberResult(std::map<vm_id, proposer_record>& proposers, const proposal_id& id, const command_result& result)
+void cacheResult(std::map<vm_id, proposer_record>& proposers, const proposal_id& id, const command_result& result)
 {
     proposer_record& record = proposers[id.vm];
     if (record.start != id.start)
-        beginStart(record, id.start);
+        beginIncarnation(record, id.start);
     command_result kept = result;
     kept.answer.reset();
     record.results[id.sequence] = std::move(kept);
--- a/src/decision/control/proposer_table.h
+++ b/src/decision/control/proposer_table.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Answers proposals that were applied before, so that a resent one changes nothing twice.
+ * Deduplicates proposals: caches the results of applied ones by proposal id, so that a resent proposal gets the first
+ * result and is not applied twice.
  */
 
 #include <cstddef>
@@ -12,17 +13,17 @@
 
 namespace plantainlatch {
 
-/** How many results are kept for each VM; an older proposal that comes again is refused. */
+/** The most results cached for each VM; a resent proposal older than these is refused. */
 inline constexpr std::size_t maximumResultsPerProposer = 1024;
 
-/** How many earlier incarnations of a VM are remembered. */
+/** The most earlier incarnations kept for each VM. */
 inline constexpr std::size_t maximumFormerStarts = 16;
 
-/** The result of this proposal if it was applied before, or a refusal if that can no longer be told; none for a new
- * one. */
-std::optional<command_result> findFormerResult(const control_snapshot& state, const proposal& item);
+/** The cached result if the proposal was applied before. Refused if the proposal is older than the cached results or
+ * comes from an earlier incarnation, as it may or may not have been applied. None for a new proposal. */
+std::optional<command_result> findCachedResult(const control_snapshot& state, const proposal& item);
 
-/** Keeps the result for resent proposals; the oldest goes when there are too many. */
-void rememberResult(std::map<vm_id, proposer_record>& proposers, const proposal_id& id, const command_result& result);
+/** Caches the result of an applied proposal and evicts the oldest one beyond the maximum. */
+void cacheResult(std::map<vm_id, proposer_record>& proposers, const proposal_id& id, const command_result& result);
 
 } // namespace plantainlatch
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -33,7 +33,7 @@
     REQUIRE(state().config.services.size() == 2);
 }
 
-TEST_CASE_METHOD(change_fixture, "change.same_number_and_other_content.is_a_conflict_that_says_the_difference")
+TEST_CASE_METHOD(change_fixture, "change.same_number_and_other_content.is_a_conflict_that_describes_the_difference")
 {
     apply(apply_declaration { kurohaeDeclaration() });
     REQUIRE(apply(apply_declaration { withShare(2, 5) }).verdict == command_verdict::Accepted);
@@ -43,7 +43,7 @@
     REQUIRE(state().config.shares.begin()->second.weight == 5);
 }
 
-TEST_CASE_METHOD(change_fixture, "change.replacing_what_is_no_longer_in_force.is_a_conflict")
+TEST_CASE_METHOD(change_fixture, "change.replacing_an_earlier_configuration.is_a_conflict")
 {
     apply(apply_declaration { kurohaeDeclaration() });
     apply(apply_declaration { withShare(2, 5) });
@@ -53,7 +53,7 @@
     REQUIRE(state().config.number == change_number(2));
 }
 
-TEST_CASE_METHOD(change_fixture, "merge.many_faults.are_found_together_with_their_places")
+TEST_CASE_METHOD(change_fixture, "merge.several_errors.are_all_reported_with_their_positions")
 {
     declaration content = kurohaeDeclaration();
     content.shares.added = { { { service_id("nothing"), failure_domain_id("kokura"), 1 }, { "n.yaml", 3, 1 } },
@@ -66,7 +66,7 @@
     REQUIRE_THAT(findings.format(), Catch::Contains("n.yaml:9:1: service 'booking' is named twice"));
 }
 
-TEST_CASE_METHOD(change_fixture, "merge.withdrawal_of_a_used_region.is_found_at_the_withdrawal")
+TEST_CASE_METHOD(change_fixture, "merge.withdrawal_of_a_used_region.is_reported_at_the_withdrawal")
 {
     apply(apply_declaration { kurohaeDeclaration() });
     apply(apply_declaration { withShare(2, 5) });
@@ -78,7 +78,7 @@
     REQUIRE_THAT(findings.format(), Catch::Contains("n.yaml:2:5: share of 'booking' in 'kokura'"));
 }
 
-TEST_CASE_METHOD(change_fixture, "history.difference_to_an_earlier_configuration.leads_back_to_it")
+TEST_CASE_METHOD(change_fixture, "history.difference_to_an_earlier_configuration.restores_it")
 {
     apply(apply_declaration { kurohaeDeclaration() });
     const configuration earlier = state().config;
@@ -91,7 +91,7 @@
     REQUIRE(state().config.number == change_number(3));
 }
 
-TEST_CASE_METHOD(change_fixture, "proposal.resent.is_answered_with_the_first_result_and_changes_nothing")
+TEST_CASE_METHOD(change_fixture, "proposal.resent.gets_the_first_result_and_changes_nothing")
 {
     apply(apply_declaration { kurohaeDeclaration() });
     const proposal joined { { vm_id("b"), incarnation(5), 1 }, {}, upstream_joined { bookingUpstream("u", 9001) } };
@@ -101,11 +101,11 @@
     REQUIRE(state().directory.empty());
 }
 
-TEST_CASE("proposal.resent_without_duplicate_answers.is_applied_again")
+TEST_CASE("proposal.resent_without_deduplication.is_applied_again")
 {
     paused_runtime runtime { 1 };
     auto root = *kernel::create(runtime.hooks());
-    auto subject = *control_service::create(runtime.hooks(), {}, { .answerDuplicates = false });
+    auto subject = *control_service::create(runtime.hooks(), {}, { .deduplicateProposals = false });
     root->add(subject->asService());
     REQUIRE(root->start().ok());
     control_port& port = **root->services().find<control_port>(port_names::control);
@@ -117,7 +117,7 @@
     REQUIRE(port.state().directory.size() == 1);
 }
 
-TEST_CASE_METHOD(change_fixture, "proposal.of_an_earlier_start.is_refused")
+TEST_CASE_METHOD(change_fixture, "proposal.of_an_earlier_incarnation.is_refused")
 {
     const drain_target target { drain_kind::Region, "fukuoka" };
     apply(apply_declaration { kurohaeDeclaration() });
--- a/test/correctness/crash_table_test.cpp
+++ b/test/correctness/crash_table_test.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(crash_table_fixture, "crash_table.crashes_of_two_distinct_upstreams.refuse_equal_requests_for_a_while")
+TEST_CASE_METHOD(
+    crash_table_fixture, "crash_table.crashes_of_two_distinct_upstreams.block_equal_requests_until_the_record_expires")
 {
     report(7, "a");
     report(7, "a");
@@ -41,7 +42,7 @@
     REQUIRE(!refuses(7));
 }
 
-TEST_CASE_METHOD(crash_table_fixture, "crash_table.many_fingerprints.keep_within_the_bound_and_drop_the_oldest")
+TEST_CASE_METHOD(crash_table_fixture, "crash_table.too_many_fingerprints.evict_the_oldest_record")
 {
     for (std::uint64_t i = 0; i <= maximumCrashRecords; ++i) {
         report(i, "a");
--- a/test/correctness/key_table_test.cpp
+++ b/test/correctness/key_table_test.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.second_claim.finds_the_first_in_progress_and_then_its_answer")
+TEST_CASE_METHOD(key_table_fixture, "key_table.second_claim.is_in_progress_and_then_gets_the_answer_of_the_first")
 {
     REQUIRE(claim(1, "order").claim == claim_result::Claimed);
     REQUIRE(claim(2, "order").claim == claim_result::InProgress);
@@ -50,19 +50,19 @@
     REQUIRE(replay.answer->body == "made");
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.claim_applied_twice.is_claimed_both_times")
+TEST_CASE_METHOD(key_table_fixture, "key_table.claim_applied_twice.succeeds_both_times")
 {
     REQUIRE(claim(1, "order").claim == claim_result::Claimed);
     REQUIRE(claim(1, "order").claim == claim_result::Claimed);
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.other_request_with_a_used_key.is_reused")
+TEST_CASE_METHOD(key_table_fixture, "key_table.other_request_with_a_used_key.gets_reused")
 {
     claim(1, "order", 1);
     REQUIRE(claim(2, "order", 2).claim == claim_result::Reused);
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.claim_not_settled_in_its_run_limit.is_unknown_and_never_free")
+TEST_CASE_METHOD(key_table_fixture, "key_table.claim_not_settled_within_the_run_limit.is_unknown_and_not_freed")
 {
     claim(1, "order");
     now += 6s;
@@ -78,7 +78,7 @@
     REQUIRE(claim(2, "order", 2).claim == claim_result::Claimed);
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.settlement_of_another_claim_or_after_the_end.is_refused")
+TEST_CASE_METHOD(key_table_fixture, "key_table.settlement_of_another_or_a_completed_claim.is_refused")
 {
     claim(1, "order");
     REQUIRE(settle(2, "order", outcome::NotRun).verdict == command_verdict::Refused);
@@ -89,7 +89,7 @@
     REQUIRE(claim(2, "order").claim == claim_result::Completed);
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.unknown.can_become_completed_but_not_not_run")
+TEST_CASE_METHOD(key_table_fixture, "key_table.unknown_outcome.can_become_completed_but_not_not_run")
 {
     claim(1, "order");
     settle(1, "order", outcome::Unknown);
@@ -109,7 +109,7 @@
     REQUIRE(keys.size() == 1);
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.answer_too_large_to_keep.settles_completed_without_it")
+TEST_CASE_METHOD(key_table_fixture, "key_table.answer_too_large_to_keep.settles_as_completed_without_it")
 {
     limits.keptAnswer = byte_count(10);
     claim(1, "order");
