--- a/src/decision/shifts/measurement_window.cpp
+++ b/src/decision/shifts/measurement_window.cpp
@@ -9,7 +9,7 @@
     for (const service_measurement& measured : heartbeat.measurements) {
         auto& samples = m_samples[{ measured.service, measured.failureDomain }];
         samples.push_back({ now, measured });
-        while (samples.size() > maximumSamples || samples.front().at + m_span <= now)
+        while (samples.size() > maximumSamples || samples.front().receivedAt + m_span <= now)
             samples.pop_front();
     }
 }
@@ -24,7 +24,7 @@
     duration medians {};
     duration slows {};
     for (const sample& item : found->second) {
-        if (item.at + m_span <= now)
+        if (item.receivedAt + m_span <= now)
             continue;
         const service_measurement& measured = item.measured;
         const std::uint64_t requests = measured.answered + measured.failed + measured.refused;
--- a/src/decision/shifts/measurement_window.h
+++ b/src/decision/shifts/measurement_window.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What the VMs measured of the upstreams over the last seconds, as the leader collects it.
+ * Collects the VMs' measurements of upstreams at the leader, over a sliding window.
  */
 
 #include <deque>
@@ -14,13 +14,14 @@
 
 namespace plantainlatch {
 
-/** What was seen of one service in one failure domain over the window. */
+/** The measurements of all VMs of one service in one failure domain, aggregated over the window. */
 struct domain_statistics {
     std::uint64_t requests = 0;
+    /** Failed or refused requests. */
     std::uint64_t failed = 0;
     /** Requests a second. */
     double perSecond = 0;
-    /** The mean of the reported medians and of the reported slow latencies, by requests. */
+    /** The means of the reported medians and 95th percentiles, weighted by requests. */
     duration medianLatency {};
     duration p95Latency {};
 
@@ -30,7 +31,7 @@
     }
 };
 
-/** Keeps the measurements of all VMs for some seconds. */
+/** A sliding window over the measurements in heartbeats. */
 class measurement_window {
 public:
     explicit measurement_window(duration span)
@@ -41,17 +42,17 @@
     void add(const vm_heartbeat& heartbeat, time_point now);
     void clear() { m_samples.clear(); }
 
-    /** None when nothing was measured of the place within the window. */
+    /** The aggregate of one service in one failure domain; none without requests within the window. */
     std::optional<domain_statistics> statistics(
         const service_id& service, const failure_domain_id& domain, time_point now) const;
 
 private:
     struct sample {
-        time_point at {};
+        time_point receivedAt {};
         service_measurement measured;
     };
 
-    /** The most samples of one place; the earliest goes first. */
+    /** The most samples of one service and failure domain; the earliest is dropped first. */
     static constexpr std::size_t maximumSamples = 4096;
 
     duration m_span;
--- a/src/decision/shifts/shift_controller.cpp
+++ b/src/decision/shifts/shift_controller.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-    /** A VM that was not heard of for this long wants nothing of a cap. */
-    constexpr duration wishMemory = std::chrono::seconds(3);
+    /** A VM without a heartbeat for this long counts as having no demand. */
+    constexpr duration demandTimeout = std::chrono::seconds(3);
 
-    /** How much the latest heartbeat counts in what a VM wants. */
-    constexpr double wishWeight = 0.3;
+    /** The weight of the latest heartbeat in the moving average of a VM's demand. */
+    constexpr double demandSmoothing = 0.3;
 
-    std::uint64_t slotsAt(const control_snapshot& state, const service_id& service, const failure_domain_id& domain)
+    std::uint64_t usableSlots(const control_snapshot& state, const service_id& service, const failure_domain_id& domain)
     {
         std::uint64_t slots = 0;
         for (const auto& [id, record] : state.directory) {
@@ -39,18 +39,18 @@
 {
 }
 
-shift_controller::driven_shift& shift_controller::drivenShift(
+shift_controller::shift_state& shift_controller::findOrCreate(
     const control_snapshot& state, const shift_id& shift, time_point now)
 {
     const std::uint64_t step = state.shifts.at(shift).step;
     const auto [found, isNew] = m_shifts.try_emplace(
-        shift, driven_shift { shift_quota_allocator(m_cap, m_termBegan), shift_gate(m_gate), step, now, {}, {} });
-    driven_shift& driven = found->second;
-    if (driven.step != step) {
-        driven.step = step;
-        driven.stepSeenAt = now;
+        shift, shift_state { shift_quota_allocator(m_cap, m_termBegan), shift_gate(m_gate), step, now, {}, {} });
+    shift_state& tracked = found->second;
+    if (tracked.step != step) {
+        tracked.step = step;
+        tracked.stepSeenAt = now;
     }
-    return driven;
+    return tracked;
 }
 
 void shift_controller::answer(
@@ -62,35 +62,35 @@
         const auto definition = state.config.shifts.find(usage.shift);
         if (definition == state.config.shifts.end() || !state.shifts.contains(usage.shift))
             continue;
-        driven_shift& driven = drivenShift(state, usage.shift, now);
-        answer.quotas.push_back({ usage.shift, allowance(driven, definition->second, heartbeat, usage, now) });
+        shift_state& tracked = findOrCreate(state, usage.shift, now);
+        answer.quotas.push_back({ usage.shift, grantQuota(tracked, definition->second, heartbeat, usage, now) });
     }
 }
 
-std::uint32_t shift_controller::allowance(driven_shift& driven, const shift_definition& definition,
+std::uint32_t shift_controller::grantQuota(shift_state& tracked, const shift_definition& definition,
     const vm_heartbeat& heartbeat, const shift_usage& usage, time_point now)
 {
     const shift_quota_allocator::holder self { heartbeat.vm, heartbeat.start };
-    double& wish = driven.requested[self];
-    wish = (1 - wishWeight) * wish + wishWeight * static_cast<double>(usage.requested);
-    driven.heardAt[self] = now;
-    std::erase_if(driven.heardAt, [&](const auto& entry) { return now - entry.second > wishMemory; });
-    std::erase_if(driven.requested, [&](const auto& entry) { return !driven.heardAt.contains(entry.first); });
-    std::map<vm_id, double> wishes;
-    for (const auto& [holder, requested] : driven.requested)
-        wishes[holder.first] = requested;
-    const std::uint32_t share = splitCap(definition.capPerSecond, wishes)[heartbeat.vm];
-    return driven.ledger.grant(self, share, usage.held, definition.capPerSecond, now);
+    double& demand = tracked.demands[self];
+    demand = (1 - demandSmoothing) * demand + demandSmoothing * static_cast<double>(usage.requested);
+    tracked.lastHeartbeatAt[self] = now;
+    std::erase_if(tracked.lastHeartbeatAt, [&](const auto& entry) { return now - entry.second > demandTimeout; });
+    std::erase_if(tracked.demands, [&](const auto& entry) { return !tracked.lastHeartbeatAt.contains(entry.first); });
+    std::map<vm_id, double> demandByVm;
+    for (const auto& [holder, value] : tracked.demands)
+        demandByVm[holder.first] = value;
+    const std::uint32_t share = splitCap(definition.capPerSecond, demandByVm)[heartbeat.vm];
+    return tracked.quotas.grant(self, share, usage.held, definition.capPerSecond, now);
 }
 
-double shift_controller::wantedPerSecond(const shift_id& shift) const
+double shift_controller::totalDemand(const shift_id& shift) const
 {
     const auto found = m_shifts.find(shift);
     double sum = 0;
     if (found == m_shifts.end())
         return sum;
-    for (const auto& [holder, requested] : found->second.requested)
-        sum += requested;
+    for (const auto& [holder, value] : found->second.demands)
+        sum += value;
     return sum;
 }
 
@@ -107,15 +107,15 @@
     return {};
 }
 
-shift_advice shift_controller::advise(const control_snapshot& state, driven_shift& driven,
+shift_advice shift_controller::advise(const control_snapshot& state, shift_state& tracked,
     const shift_definition& definition, const shift_record& record, duration baseline, time_point now) const
 {
     const auto target = m_measurements.statistics(definition.service, definition.to, now);
     const auto source = m_measurements.statistics(definition.service, definition.from, now);
-    // Before the first step the target may have no traffic to measure; the source stands in for it.
+    // Before the first step, the target may have no traffic to measure, so the gate uses the source's measurements.
     const bool unmeasuredStart = record.percent == 0 && !target.has_value();
-    const shift_advice advice = driven.gate.judge(unmeasuredStart ? source : target, baseline, now);
-    const std::uint64_t slots = slotsAt(state, definition.service, definition.to);
+    const shift_advice advice = tracked.gate.evaluate(unmeasuredStart ? source : target, baseline, now);
+    const std::uint64_t slots = usableSlots(state, definition.service, definition.to);
     if (advice == shift_advice::Advance && !hasCapacityForStep(definition, record, target, source, slots))
         return shift_advice::Hold;
     return advice;
@@ -129,10 +129,10 @@
         const auto record = state.shifts.find(id);
         if (record == state.shifts.end())
             continue;
-        driven_shift& driven = drivenShift(state, id, now);
+        shift_state& tracked = findOrCreate(state, id, now);
         const duration baseline = baselineOf(definition, record->second, now);
-        const shift_advice advice = advise(state, driven, definition, record->second, baseline, now);
-        const bool intervalPassed = now - driven.stepSeenAt >= std::max(definition.stepInterval, m_measurementSpan);
+        const shift_advice advice = advise(state, tracked, definition, record->second, baseline, now);
+        const bool intervalPassed = now - tracked.stepSeenAt >= std::max(definition.stepInterval, m_measurementSpan);
         std::optional<step_shift> step = decideStep(definition, record->second, advice, intervalPassed);
         if (!step.has_value())
             continue;
--- a/src/decision/shifts/shift_controller.h
+++ b/src/decision/shifts/shift_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The leader's side of the shifts: it splits their caps over the VMs and decides their steps.
+ * The leader's part of traffic shifting: splits the rate caps over the VMs and decides the steps of all shifts.
  */
 
 #include <map>
@@ -15,36 +15,38 @@
 
 namespace plantainlatch {
 
-/** All shifts as one leader drives them; a new leader begins with a new one. */
+/** Controls all shifts during one term of one leader. Its state is not replicated: a new leader starts with an empty
+ * one, and `termBegan` bounds the quotas that the previous leader may have leased. */
 class shift_controller {
 public:
     shift_controller(shift_cap_options cap, shift_gate_options gate, duration measurementSpan, time_point termBegan);
 
-    /** Takes in a VM's heartbeat and answers with its allowances. */
+    /** Records the measurements and demand in a VM's heartbeat, and adds the VM's quotas to the answer. */
     void answer(const control_snapshot& state, const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now);
 
-    /** The steps that are due now. */
+    /** Returns the steps to propose now. */
     std::vector<step_shift> decide(const control_snapshot& state, time_point now);
 
     const measurement_window& measurements() const { return m_measurements; }
 
-    /** What a VM wants of a shift's cap, in requests a second, over the last heartbeats. */
-    double wantedPerSecond(const shift_id& shift) const;
+    /** The smoothed demand of all VMs for a shift's cap, in requests per heartbeat interval. */
+    double totalDemand(const shift_id& shift) const;
 
 private:
-    struct driven_shift {
-        shift_quota_allocator ledger;
+    struct shift_state {
+        shift_quota_allocator quotas;
         shift_gate gate;
         std::uint64_t step = 0;
         time_point stepSeenAt {};
-        std::map<shift_quota_allocator::holder, double> requested;
-        std::map<shift_quota_allocator::holder, time_point> heardAt;
+        std::map<shift_quota_allocator::holder, double> demands;
+        std::map<shift_quota_allocator::holder, time_point> lastHeartbeatAt;
     };
 
-    driven_shift& drivenShift(const control_snapshot& state, const shift_id& shift, time_point now);
-    std::uint32_t allowance(driven_shift& driven, const shift_definition& definition, const vm_heartbeat& heartbeat,
+    /** The state of a shift, with the time at which its current step was first seen. */
+    shift_state& findOrCreate(const control_snapshot& state, const shift_id& shift, time_point now);
+    std::uint32_t grantQuota(shift_state& tracked, const shift_definition& definition, const vm_heartbeat& heartbeat,
         const shift_usage& usage, time_point now);
-    shift_advice advise(const control_snapshot& state, driven_shift& driven, const shift_definition& definition,
+    shift_advice advise(const control_snapshot& state, shift_state& tracked, const shift_definition& definition,
         const shift_record& record, duration baseline, time_point now) const;
     duration baselineOf(const shift_definition& definition, const shift_record& record, time_point now) const;
 
@@ -53,7 +55,7 @@
     time_point m_termBegan;
     duration m_measurementSpan;
     measurement_window m_measurements;
-    std::map<shift_id, driven_shift> m_shifts;
+    std::map<shift_id, shift_state> m_shifts;
 };
 
 } // namespace plantainlatch
--- a/src/decision/shifts/shift_gate.cpp
+++ b/src/decision/shifts/shift_gate.cpp
@@ -17,32 +17,32 @@
 {
     const double latency = latencyRatio(statistics.medianLatency, baseline);
     const double errors = statistics.errorRatio();
-    if (latency > m_options.highLatency || errors > m_options.highErrorRatio)
-        return health::Suffering;
-    if (latency < m_options.lowLatency && errors < m_options.lowErrorRatio)
-        return health::Well;
-    return health::Between;
+    if (latency > m_options.highLatencyRatio || errors > m_options.highErrorRatio)
+        return health::Unhealthy;
+    if (latency < m_options.lowLatencyRatio && errors < m_options.lowErrorRatio)
+        return health::Healthy;
+    return health::Marginal;
 }
 
-shift_advice shift_gate::judge(const std::optional<domain_statistics>& statistics, duration baseline, time_point now)
+shift_advice shift_gate::evaluate(const std::optional<domain_statistics>& statistics, duration baseline, time_point now)
 {
     if (!statistics.has_value() || statistics->requests < m_options.minimumRequests) {
-        m_sufferingSince.reset();
+        m_unhealthySince.reset();
         return shift_advice::Hold;
     }
     const health found = assess(*statistics, baseline);
-    if (found != health::Suffering)
-        m_sufferingSince.reset();
-    else if (!m_sufferingSince.has_value())
-        m_sufferingSince = now;
+    if (found != health::Unhealthy)
+        m_unhealthySince.reset();
+    else if (!m_unhealthySince.has_value())
+        m_unhealthySince = now;
 
-    if (m_sufferingSince.has_value() && now - *m_sufferingSince >= m_options.undoDelay) {
+    if (m_unhealthySince.has_value() && now - *m_unhealthySince >= m_options.undoDelay) {
         m_undoneAt = now;
-        m_sufferingSince = now + m_options.settle;
+        m_unhealthySince = now + m_options.settlingTime;
         return shift_advice::Undo;
     }
-    const bool isCalm = !m_undoneAt.has_value() || now - *m_undoneAt >= m_options.calm;
-    return found == health::Well && isCalm ? shift_advice::Advance : shift_advice::Hold;
+    const bool cooldownEnded = !m_undoneAt.has_value() || now - *m_undoneAt >= m_options.cooldown;
+    return found == health::Healthy && cooldownEnded ? shift_advice::Advance : shift_advice::Hold;
 }
 
 } // namespace plantainlatch
--- a/src/decision/shifts/shift_gate.h
+++ b/src/decision/shifts/shift_gate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Judges from the target's measurements whether a shift may go on, has to wait, or has to go back.
+ * Decides from the target's latency and error ratio whether a traffic shift advances, holds or steps back.
  */
 
 #include <cstdint>
@@ -12,33 +12,36 @@
 
 namespace plantainlatch {
 
-/** What a shift may do now. */
+/** The gate's verdict on a shift. */
 enum class shift_advice {
     Hold,
     Advance,
     Undo,
 };
 
-/** Bounds of the gate. Latencies are multiples of the target's latency before the shift. The two marks with room
- * between them, the delay above the high mark and the calm after an undone step follow the Watermark Pod Autoscaler
- * (v0.7.0). Of its means they are the ones that measure better than a plain threshold in
- * test/performance/shift_gate_benchmark.cpp: a delay before a step forward only made shifts slower. */
+/** Thresholds of the gate. Low and high watermarks with a dead band between them, a delay before a step is undone and a
+ * cooldown after one was undone follow the Watermark Pod Autoscaler (v0.7.0). These performed better than a single
+ * threshold in test/performance/shift_gate_benchmark.cpp. The autoscaler's delay before a step forward is left out,
+ * since it only made shifts slower there. */
 struct shift_gate_options {
-    double lowLatency = 1.5;
-    double highLatency = 3.0;
+    /** Latency watermarks, as multiples of the target's median latency before the shift. */
+    double lowLatencyRatio = 1.5;
+    double highLatencyRatio = 3.0;
+    /** Error watermarks, as fractions of all requests. */
     double lowErrorRatio = 0.01;
     double highErrorRatio = 0.05;
-    /** Fewer requests over the window than this say nothing. */
+    /** With fewer requests in the window, the measurements are too noisy to be used, and the shift is held. */
     std::uint64_t minimumRequests = 20;
-    /** The target has to stay above a high mark for this long before a step is undone. */
+    /** How long the target has to stay above a high watermark before a step is undone. */
     duration undoDelay = std::chrono::seconds(2);
-    /** For so long after an undone step the measurements still show what was before it. */
-    duration settle = std::chrono::seconds(3);
-    /** No step forward for this long after one was undone. */
-    duration calm = std::chrono::seconds(15);
+    /** How long after an undone step the window still contains measurements from before it. The undo delay of the next
+     * step starts only after that time. */
+    duration settlingTime = std::chrono::seconds(3);
+    /** How long no step forward is taken after one was undone. */
+    duration cooldown = std::chrono::seconds(15);
 };
 
-/** The gate of one shift; it remembers since when the target suffered. */
+/** The health gate of one shift. */
 class shift_gate {
 public:
     explicit shift_gate(shift_gate_options options)
@@ -46,20 +49,22 @@
     {
     }
 
-    /** Judges the latest signal; none stands for missing measurements, which hold the shift. */
-    shift_advice judge(const std::optional<domain_statistics>& statistics, duration baseline, time_point now);
+    /** Evaluates the target's latest measurements; the shift is held if there are none. The undo delay counts from the
+     * first call that finds the target unhealthy. */
+    shift_advice evaluate(const std::optional<domain_statistics>& statistics, duration baseline, time_point now);
 
 private:
     enum class health {
-        Well,
-        Between,
-        Suffering,
+        Healthy,
+        /** Between the watermarks. */
+        Marginal,
+        Unhealthy,
     };
 
     health assess(const domain_statistics& statistics, duration baseline) const;
 
     shift_gate_options m_options;
-    std::optional<time_point> m_sufferingSince;
+    std::optional<time_point> m_unhealthySince;
     std::optional<time_point> m_undoneAt;
 };
 
--- a/src/decision/shifts/shift_limiters.cpp
+++ b/src/decision/shifts/shift_limiters.cpp
@@ -4,25 +4,25 @@
 
 namespace plantainlatch {
 
-void shift_limiters::follow(const std::map<shift_id, shift_definition>& definitions)
+void shift_limiters::update(const std::map<shift_id, shift_definition>& definitions)
 {
     std::erase_if(m_shifts, [&](const auto& entry) { return !definitions.contains(entry.first); });
     for (const auto& [id, definition] : definitions) {
         const auto [found, isNew]
-            = m_shifts.try_emplace(id, spending { definition, shift_rate_limiter(m_options.window) });
+            = m_shifts.try_emplace(id, limited_shift { definition, shift_rate_limiter(m_options.window) });
         if (isNew || found->second.definition == definition)
             continue;
         found->second.definition = definition;
-        found->second.pacer.forbid();
+        found->second.limiter.clearQuota();
     }
 }
 
 void shift_limiters::receive(const heartbeat_answer& answer, time_point sentAt)
 {
-    for (const shift_quota& allowance : answer.quotas) {
-        const auto found = m_shifts.find(allowance.shift);
-        if (found != m_shifts.end() && allowance.perWindow <= found->second.definition.capPerSecond)
-            found->second.pacer.allow(allowance.perWindow, sentAt + answer.quotaLease);
+    for (const shift_quota& quota : answer.quotas) {
+        const auto found = m_shifts.find(quota.shift);
+        if (found != m_shifts.end() && quota.perWindow <= found->second.definition.capPerSecond)
+            found->second.limiter.setQuota(quota.perWindow, sentAt + answer.quotaLease);
     }
 }
 
@@ -32,7 +32,7 @@
     if (found == m_shifts.end())
         return false;
     ++found->second.requested;
-    if (!found->second.pacer.tryAcquire(now))
+    if (!found->second.limiter.tryAcquire(now))
         return false;
     ++found->second.admitted;
     return true;
@@ -43,7 +43,7 @@
     std::vector<shift_usage> usage;
     for (auto& [id, item] : m_shifts)
         usage.push_back(
-            { id, std::exchange(item.admitted, 0), std::exchange(item.requested, 0), item.pacer.held(now) });
+            { id, std::exchange(item.admitted, 0), std::exchange(item.requested, 0), item.limiter.held(now) });
     return usage;
 }
 
--- a/src/decision/shifts/shift_limiters.h
+++ b/src/decision/shifts/shift_limiters.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One VM's side of the shifts: what it may spend of their caps, and what it spent.
+ * The rate limits of all shifts on one VM, with counts of requests for the leader.
  */
 
 #include <cstddef>
@@ -15,7 +15,7 @@
 
 namespace plantainlatch {
 
-/** The pacers of all shifts on this VM. */
+/** The rate limiters of all shifts on this VM. */
 class shift_limiters {
 public:
     explicit shift_limiters(shift_cap_options options)
@@ -23,28 +23,29 @@
     {
     }
 
-    /** Forgets shifts that are gone, and ends the allowances of those that changed. */
-    void follow(const std::map<shift_id, shift_definition>& definitions);
+    /** Adopts new definitions: drops shifts that are no longer defined, and clears the quotas of changed ones. */
+    void update(const std::map<shift_id, shift_definition>& definitions);
 
-    /** The leader's answer to a heartbeat that was sent then. */
+    /** Adopts the quotas in the leader's answer to a heartbeat that was sent at `sentAt`. Quotas above the cap are
+     * ignored, since they were granted under another definition. */
     void receive(const heartbeat_answer& answer, time_point sentAt);
 
-    /** Takes one request out of the allowance; false also for an unknown shift. */
+    /** Admits one request to the shift's target if the quota allows it; false for an unknown shift. */
     bool tryAcquire(const shift_id& shift, time_point now);
 
-    /** What was spent since the last call. */
+    /** Returns the request counts of each shift and resets them. */
     std::vector<shift_usage> takeUsage(time_point now);
 
 private:
-    struct spending {
+    struct limited_shift {
         shift_definition definition;
-        shift_rate_limiter pacer;
+        shift_rate_limiter limiter;
         std::uint64_t admitted = 0;
         std::uint64_t requested = 0;
     };
 
     shift_cap_options m_options;
-    std::map<shift_id, spending> m_shifts;
+    std::map<shift_id, limited_shift> m_shifts;
 };
 
 } // namespace plantainlatch
--- a/src/decision/shifts/shift_quota_allocator.cpp
+++ b/src/decision/shifts/shift_quota_allocator.cpp
@@ -6,10 +6,10 @@
 
 namespace plantainlatch {
 
-std::uint32_t shift_quota_allocator::reservedBy(const std::vector<allowance>& given, time_point now) const
+std::uint32_t shift_quota_allocator::reservedBy(const std::vector<quota_lease>& leases, time_point now) const
 {
     std::uint32_t most = 0;
-    for (const allowance& item : given) {
+    for (const quota_lease& item : leases) {
         if (item.countsUntil > now)
             most = std::max(most, item.perWindow);
     }
@@ -19,10 +19,10 @@
 std::uint32_t shift_quota_allocator::reservedByOthers(const holder& vm, time_point now) const
 {
     std::uint32_t sum = 0;
-    for (const auto& [other, given] : m_given) {
+    for (const auto& [other, leases] : m_leases) {
         if (other == vm)
             continue;
-        sum += m_options.countEarlier ? reservedBy(given, now) : given.back().perWindow;
+        sum += m_options.countEarlierQuotas ? reservedBy(leases, now) : leases.back().perWindow;
     }
     return sum;
 }
@@ -30,16 +30,16 @@
 std::uint32_t shift_quota_allocator::reserved(time_point now) const
 {
     std::uint32_t sum = 0;
-    for (const auto& [vm, given] : m_given)
-        sum += reservedBy(given, now);
+    for (const auto& [vm, leases] : m_leases)
+        sum += reservedBy(leases, now);
     return sum;
 }
 
 void shift_quota_allocator::prune(time_point now)
 {
-    for (auto& [vm, given] : m_given)
-        std::erase_if(given, [&](const allowance& item) { return item.countsUntil <= now; });
-    std::erase_if(m_given, [](const auto& entry) { return entry.second.empty(); });
+    for (auto& [vm, leases] : m_leases)
+        std::erase_if(leases, [&](const quota_lease& item) { return item.countsUntil <= now; });
+    std::erase_if(m_leases, [](const auto& entry) { return entry.second.empty(); });
 }
 
 std::uint32_t shift_quota_allocator::grant(
@@ -47,12 +47,12 @@
 {
     prune(now);
     const std::uint32_t others = reservedByOthers(vm, now);
-    const std::uint32_t room = cap > others ? cap - others : 0;
-    std::uint32_t given = std::min(requested, room);
-    if (m_options.countEarlier && now < m_earlierEnd)
-        given = std::min(given, held);
-    m_given[vm].push_back({ given, now + m_options.lease + m_options.drift + m_options.window });
-    return given;
+    const std::uint32_t available = cap > others ? cap - others : 0;
+    std::uint32_t granted = std::min(requested, available);
+    if (m_options.countEarlierQuotas && now < m_earlierLeasesEnd)
+        granted = std::min(granted, held);
+    m_leases[vm].push_back({ granted, now + m_options.lease + m_options.drift + m_options.window });
+    return granted;
 }
 
 } // namespace plantainlatch
--- a/src/decision/shifts/shift_quota_allocator.h
+++ b/src/decision/shifts/shift_quota_allocator.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The leader's record of what VMs may still spend of the cap of one shift.
+ * Enforces the rate cap of a shift over all VMs: the leader leases each VM a quota, and counts every quota until no
+ * request admitted under it can fall into a window that has not ended.
  */
 
 #include <cstdint>
@@ -14,52 +15,55 @@
 
 namespace plantainlatch {
 
-/** How the cap of a shift is spent. */
+/** Options of the distributed rate limit of a shift. */
 struct shift_cap_options {
-    /** The cap holds over this time at the VMs: one second at the target, and the spread of delays on the way. */
+    /** The window of the rate limit at the VMs: the one second for which the cap holds at the target, and 100 ms for
+     * differences in network delay. */
     duration window = std::chrono::milliseconds(1100);
-    /** How long an allowance holds. */
+    /** How long a quota is valid, from the time when the VM sent its heartbeat. */
     duration lease = std::chrono::seconds(2);
-    /** How much longer the leader counts it, for clocks that run unevenly. */
+    /** How much longer the leader counts a quota, for differences in clock rate. */
     duration drift = std::chrono::milliseconds(100);
-    /** Counts allowances until no window holds them any more; without it the cap is overshot. */
-    bool countEarlier = true;
+    /** Counts a VM's earlier quotas until no window contains requests admitted under them. If false, only the latest
+     * quota counts, and the cap can be exceeded; tests use this to show that the counting is needed. */
+    bool countEarlierQuotas = true;
 };
 
-/** Gives allowances whose sum never exceeds the cap over any window, whoever led before. */
+/** Leases quotas to VMs. The requests admitted by all VMs together never exceed the cap within any window, also across
+ * a change of leader. */
 class shift_quota_allocator {
 public:
     shift_quota_allocator(shift_cap_options options, time_point termBegan)
         : m_options(options)
-        , m_earlierEnd(termBegan + options.lease + options.drift + options.window)
+        , m_earlierLeasesEnd(termBegan + options.lease + options.drift + options.window)
     {
     }
 
-    /** One start of a VM. */
+    /** One incarnation of a VM. */
     using holder = std::pair<vm_id, incarnation>;
 
-    /** The allowance of a VM from now on: at most `wanted`, and what is free. While allowances of an earlier leader may
-     * hold, a VM keeps at most what it already has. */
+    /** Leases a VM a quota of at most `requested` and at most the part of the cap that is not reserved by others. While
+     * a quota of an earlier leader may still count, the quota is also at most `held`, the one that the VM has. */
     std::uint32_t grant(
         const holder& vm, std::uint32_t requested, std::uint32_t held, std::uint32_t cap, time_point now);
 
-    /** What all VMs together may spend in a window that has not passed. */
+    /** The most requests that all VMs together may admit in a window that has not ended. */
     std::uint32_t reserved(time_point now) const;
 
 private:
-    struct allowance {
+    struct quota_lease {
         std::uint32_t perWindow = 0;
-        /** No window that begins after this holds a request spent under it. */
+        /** Windows that begin after this contain no request admitted under the lease. */
         time_point countsUntil {};
     };
 
     void prune(time_point now);
     std::uint32_t reservedByOthers(const holder& vm, time_point now) const;
-    std::uint32_t reservedBy(const std::vector<allowance>& given, time_point now) const;
+    std::uint32_t reservedBy(const std::vector<quota_lease>& leases, time_point now) const;
 
     shift_cap_options m_options;
-    time_point m_earlierEnd;
-    std::map<holder, std::vector<allowance>> m_given;
+    time_point m_earlierLeasesEnd;
+    std::map<holder, std::vector<quota_lease>> m_leases;
 };
 
 } // namespace plantainlatch
--- a/src/decision/shifts/shift_rate_limiter.h
+++ b/src/decision/shifts/shift_rate_limiter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Spends one VM's allowance of the cap of a shift.
+ * Limits the rate of one VM's requests under its quota of a shift's cap.
  */
 
 #include <array>
@@ -11,7 +11,8 @@
 
 namespace plantainlatch {
 
-/** Lets through at most the allowance within any window. It counts in buckets and rounds against the spender. */
+/** A sliding-window rate limiter: admits at most the quota within any window. Requests are counted in buckets, which
+ * cover one bucket more than the window, so that the error is on the strict side. */
 class shift_rate_limiter {
 public:
     explicit shift_rate_limiter(duration window)
@@ -19,16 +20,16 @@
     {
     }
 
-    /** The allowance holds until then, on this VM's clock; an earlier one ends. */
-    void allow(std::uint32_t perWindow, time_point until);
-    /** Ends the allowance at once. */
-    void forbid() { m_perWindow = 0; }
+    /** Replaces the quota; the new one is valid until `until`, on this VM's clock. */
+    void setQuota(std::uint32_t perWindow, time_point until);
+    /** Sets the quota to 0. */
+    void clearQuota() { m_quota = 0; }
 
-    /** Takes one request out of the allowance. */
+    /** Admits one request if the quota allows it. */
     bool tryAcquire(time_point now);
 
-    /** The allowance that holds now. */
-    std::uint32_t held(time_point now) const { return now < m_until ? m_perWindow : 0; }
+    /** The quota that is valid now; 0 if there is none. */
+    std::uint32_t held(time_point now) const { return now < m_validUntil ? m_quota : 0; }
 
 private:
     static constexpr std::size_t bucketCount = 23;
@@ -37,10 +38,10 @@
     void moveTo(std::int64_t bucket);
 
     duration m_bucketSpan;
-    std::uint32_t m_perWindow = 0;
-    time_point m_until {};
+    std::uint32_t m_quota = 0;
+    time_point m_validUntil {};
     std::int64_t m_lastBucket = 0;
-    std::uint32_t m_spent = 0;
+    std::uint32_t m_admitted = 0;
     std::array<std::uint32_t, bucketCount> m_buckets {};
 };
 
--- a/src/decision/shifts/shift_service.cpp
+++ b/src/decision/shifts/shift_service.cpp
@@ -16,18 +16,18 @@
     const kernel_hooks& hooks, const vm_settings&, shift_options options)
 {
     if (options.cap.window < std::chrono::seconds(1))
-        return absl::InvalidArgumentError("a cap a second needs a window of at least one second");
+        return absl::InvalidArgumentError("the window of a cap per second has to be at least one second");
     return std::unique_ptr<shift_service>(new shift_service(hooks, options));
 }
 
 shift_service::shift_service(const kernel_hooks& hooks, shift_options options)
     : m_hooks(hooks)
     , m_options(options)
-    , m_spending(options.cap)
+    , m_limiters(options.cap)
 {
     m_port.weights = [this](const service_id& name) { return weights(name); };
     m_port.shifts = [this](const service_id& name) { return shifts(name); };
-    m_port.tryAcquire = [this](const shift_id& shift) { return m_spending.tryAcquire(shift, m_hooks.now()); };
+    m_port.tryAcquire = [this](const shift_id& shift) { return m_limiters.tryAcquire(shift, m_hooks.now()); };
 }
 
 service shift_service::asService()
@@ -50,53 +50,53 @@
     m_consensus = *services.find<consensus_port>(port_names::consensus);
     m_membership = *services.find<membership_port>(port_names::membership);
     m_control->onChange([this] {
-        if (std::exchange(m_followed, m_control->state().config.number) != m_control->state().config.number)
-            m_spending.follow(m_control->state().config.shifts);
+        if (std::exchange(m_configurationNumber, m_control->state().config.number) != m_control->state().config.number)
+            m_limiters.update(m_control->state().config.shifts);
     });
     m_membership->onSend(
-        [this](vm_heartbeat& heartbeat) { heartbeat.shiftUsage = m_spending.takeUsage(m_hooks.now()); });
+        [this](vm_heartbeat& heartbeat) { heartbeat.shiftUsage = m_limiters.takeUsage(m_hooks.now()); });
     m_membership->onAnswer(
-        [this](const heartbeat_answer& answer, time_point sentAt) { m_spending.receive(answer, sentAt); });
+        [this](const heartbeat_answer& answer, time_point sentAt) { m_limiters.receive(answer, sentAt); });
     m_membership->onHeartbeat([this](const vm_heartbeat& heartbeat, heartbeat_answer& answer) {
-        led().answer(m_control->state(), heartbeat, answer, m_hooks.now());
+        controller().answer(m_control->state(), heartbeat, answer, m_hooks.now());
     });
-    m_followed = m_control->state().config.number;
-    m_spending.follow(m_control->state().config.shifts);
+    m_configurationNumber = m_control->state().config.number;
+    m_limiters.update(m_control->state().config.shifts);
     m_timer = m_hooks.schedule(m_options.tickInterval, [this] { tick(); });
     return services.publish(port_names::shifts, m_port);
 }
 
-shift_controller& shift_service::led()
+shift_controller& shift_service::controller()
 {
     const log_term term = m_consensus->state().term;
-    if (!m_leader.has_value() || m_leaderTerm != term) {
-        m_leaderTerm = term;
-        m_leader.emplace(m_options.cap, m_options.gate, m_options.measurementSpan, m_hooks.now());
-        m_stepping.clear();
+    if (!m_controller.has_value() || m_controllerTerm != term) {
+        m_controllerTerm = term;
+        m_controller.emplace(m_options.cap, m_options.gate, m_options.measurementSpan, m_hooks.now());
+        m_pendingSteps.clear();
     }
-    return *m_leader;
+    return *m_controller;
 }
 
 void shift_service::tick()
 {
     m_timer = m_hooks.schedule(m_options.tickInterval, [this] { tick(); });
     if (!m_membership->isCaughtUpLeader()) {
-        m_leader.reset();
+        m_controller.reset();
         return;
     }
-    for (const step_shift& step : led().decide(m_control->state(), m_hooks.now()))
+    for (const step_shift& step : controller().decide(m_control->state(), m_hooks.now()))
         propose(step);
 }
 
 void shift_service::propose(const step_shift& step)
 {
-    if (!m_stepping.insert(step.shift).second)
+    if (!m_pendingSteps.insert(step.shift).second)
         return;
     m_hooks.log({ log_level::Info, port_names::shifts, "shift steps",
         { { "shift", step.shift.value() }, { "percent", std::to_string(step.percent) },
             { "phase", phaseName(step.phase) } } });
     m_consensus->propose(step, m_options.proposalTimeout,
-        [this, shift = step.shift](const absl::StatusOr<command_result>&) { m_stepping.erase(shift); });
+        [this, shift = step.shift](const absl::StatusOr<command_result>&) { m_pendingSteps.erase(shift); });
 }
 
 std::vector<domain_weight> shift_service::weights(const service_id& service) const
--- a/src/decision/shifts/shift_service.h
+++ b/src/decision/shifts/shift_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service of shares and shifts: every VM follows them, and the leader drives them under their caps.
+ * Applies traffic shares and shifts on every VM, and controls the steps and rate caps of shifts on the leader.
  */
 
 #include <memory>
@@ -23,24 +23,25 @@
 
 namespace plantainlatch {
 
-/** What may be varied in shift_service. */
+/** Options of shift_service. */
 struct shift_options {
     shift_cap_options cap;
     shift_gate_options gate;
-    /** The gate judges the measurements of this last time. */
+    /** The length of the window of measurements that the gate evaluates. */
     duration measurementSpan = std::chrono::seconds(3);
     duration tickInterval = std::chrono::milliseconds(500);
     duration proposalTimeout = std::chrono::seconds(2);
 };
 
-/** Shares and shifts; published as "shifts". The cap is spent by allowances that the leader leases with its answers to
- * heartbeats: the sum over all VMs never exceeds the cap within any window, also over a change of leader. */
+/** Traffic shares and shifts; published as "shifts". The rate cap of a shift is enforced by quotas that the leader
+ * leases to the VMs with its answers to their heartbeats. Requests admitted by all VMs together never exceed the cap
+ * within any window, also across a change of leader. */
 class shift_service {
 public:
     static absl::StatusOr<std::unique_ptr<shift_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, shift_options options = {});
 
-    /** The kernel service; it needs "control", "consensus" and "membership". */
+    /** The kernel service; it depends on "control", "consensus" and "membership". */
     service asService();
 
 private:
@@ -49,7 +50,7 @@
     absl::Status start(registry& services);
     void tick();
     void propose(const step_shift& step);
-    shift_controller& led();
+    shift_controller& controller();
     std::vector<domain_weight> weights(const service_id& service) const;
     std::vector<active_shift> shifts(const service_id& service) const;
     state_dump dump() const;
@@ -61,11 +62,11 @@
     consensus_port* m_consensus = nullptr;
     membership_port* m_membership = nullptr;
     timer_id m_timer;
-    shift_limiters m_spending;
-    change_number m_followed;
-    std::optional<shift_controller> m_leader;
-    log_term m_leaderTerm;
-    std::set<shift_id> m_stepping;
+    shift_limiters m_limiters;
+    change_number m_configurationNumber;
+    std::optional<shift_controller> m_controller;
+    log_term m_controllerTerm;
+    std::set<shift_id> m_pendingSteps;
 };
 
 } // namespace plantainlatch
--- a/src/decision/shifts/shift_step.cpp
+++ b/src/decision/shifts/shift_step.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    /** The part of the target's slots that a step may fill. */
-    constexpr double bearableUse = 0.85;
+    /** The part of the target's slots that may be in use after a step. */
+    constexpr double maximumUtilization = 0.85;
 
     constexpr double wholePercent = 100.0;
 
@@ -72,14 +72,14 @@
         return false;
     if (!source.has_value())
         return target.has_value();
-    const double stays = (wholePercent - record.percent) / wholePercent;
-    const double all = stays > 0 ? source->perSecond / stays : source->perSecond;
-    const double added = all * (percentAfter(definition, record) - record.percent) / wholePercent;
+    const double remaining = (wholePercent - record.percent) / wholePercent;
+    const double sourceTotal = remaining > 0 ? source->perSecond / remaining : source->perSecond;
+    const double added = sourceTotal * (percentAfter(definition, record) - record.percent) / wholePercent;
     const double rate
         = std::min(added, static_cast<double>(definition.capPerSecond)) + (target.has_value() ? target->perSecond : 0);
     const duration latency = target.has_value() ? target->medianLatency : source->medianLatency;
-    const double atOnce = rate * std::chrono::duration<double>(latency).count();
-    return atOnce <= bearableUse * static_cast<double>(targetSlots);
+    const double concurrency = rate * std::chrono::duration<double>(latency).count();
+    return concurrency <= maximumUtilization * static_cast<double>(targetSlots);
 }
 
 const char* phaseName(shift_phase phase)
--- a/src/decision/shifts/shift_step.h
+++ b/src/decision/shifts/shift_step.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Decides the next step of a shift.
+ * Decides the next step of a shift from the gate's verdict and the target's capacity.
  */
 
 #include <optional>
@@ -11,20 +11,21 @@
 
 namespace plantainlatch {
 
-/** A shift whose steps were undone more often than this goes back altogether. */
+/** If a step has to be undone after this many setbacks, the whole shift is reverted. */
 inline constexpr std::uint32_t maximumSetbacks = 3;
 
-/** The step that follows from the advice, or none. Steps forward wait for the step interval; an undone one does not. */
+/** The next step, or none. A step forward waits for the step interval to pass; undoing a step because of the gate does
+ * not. */
 std::optional<step_shift> decideStep(
     const shift_definition& definition, const shift_record& record, shift_advice advice, bool intervalPassed);
 
-/** Whether the target can bear the next step: the work it would run at once, by rate and latency, stays below its slots
- * with some headroom. `target` is none before the target has traffic. */
+/** Whether the target has capacity for the next step: the expected concurrency, as rate times latency (Little's law),
+ * stays below a fixed part of its slots. `target` is none before the target has traffic. */
 bool hasCapacityForStep(const shift_definition& definition, const shift_record& record,
     const std::optional<domain_statistics>& target, const std::optional<domain_statistics>& source,
     std::uint64_t targetSlots);
 
-/** `running`, `held` and so on. */
+/** The phase for messages and dumps, such as `running`. */
 const char* phaseName(shift_phase phase);
 
 } // namespace plantainlatch
--- a/src/decision/shifts/split_cap.cpp
+++ b/src/decision/shifts/split_cap.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    /** Counted for each VM beside what it wants, so that a VM that wants nothing yet can begin. */
-    constexpr double baseWish = 0.5;
+    /** Added to each VM's demand, so that a VM without demand so far can get a part for its first requests. */
+    constexpr double baseDemand = 0.5;
 
     struct remainder {
         vm_id vm;
@@ -20,30 +20,30 @@
 
 } // namespace
 
-std::map<vm_id, std::uint32_t> splitCap(std::uint32_t cap, const std::map<vm_id, double>& requested)
+std::map<vm_id, std::uint32_t> splitCap(std::uint32_t cap, const std::map<vm_id, double>& demands)
 {
     std::map<vm_id, std::uint32_t> shares;
     double total = 0;
-    for (const auto& [vm, wish] : requested)
-        total += wish + baseWish;
-    std::uint32_t given = 0;
+    for (const auto& [vm, demand] : demands)
+        total += demand + baseDemand;
+    std::uint32_t assigned = 0;
     std::vector<remainder> remainders;
-    for (const auto& [vm, wish] : requested) {
-        const double exact = cap * (wish + baseWish) / total;
+    for (const auto& [vm, demand] : demands) {
+        const double exact = cap * (demand + baseDemand) / total;
         const double whole = std::floor(exact);
         shares[vm] = static_cast<std::uint32_t>(whole);
-        given += shares[vm];
+        assigned += shares[vm];
         remainders.push_back({ vm, exact - whole });
     }
     std::stable_sort(remainders.begin(), remainders.end(),
         [](const remainder& left, const remainder& right) { return left.part > right.part; });
     for (const remainder& item : remainders) {
-        if (given >= cap)
+        if (assigned >= cap)
             break;
         ++shares[item.vm];
-        ++given;
+        ++assigned;
     }
-    internal_assert(given <= cap) << given << " given out of " << cap;
+    internal_assert(assigned <= cap) << assigned << " assigned of " << cap;
     return shares;
 }
 
--- a/src/decision/shifts/split_cap.h
+++ b/src/decision/shifts/split_cap.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Splits the cap of a shift over the VMs that want to spend it.
+ * Splits the rate cap of a shift over the VMs by their demand.
  */
 
 #include <cstdint>
@@ -11,8 +11,8 @@
 
 namespace plantainlatch {
 
-/** Whole parts of `cap` in proportion to what each VM wants, each wanting at least a little; they sum to `cap` unless
- * there is no VM. */
-std::map<vm_id, std::uint32_t> splitCap(std::uint32_t cap, const std::map<vm_id, double>& requested);
+/** Splits `cap` into integers in proportion to each VM's demand, by the largest remainder method. They sum to `cap`
+ * unless there is no VM. A VM without demand so far can get a part, too. */
+std::map<vm_id, std::uint32_t> splitCap(std::uint32_t cap, const std::map<vm_id, double>& demands);
 
 } // namespace plantainlatch
--- a/test/correctness/shift_test.cpp
+++ b/test/correctness/shift_test.cpp
@@ -31,7 +31,7 @@
             vm.root->add(services.back()->asService());
             measurements.push_back(std::make_unique<measurement_port>());
             measurement_port& port = *measurements.back();
-            port.take = [this] { return measured; };
+            port.take = [this] { return reported; };
             service item;
             item.name = port_names::measurements;
             item.start = [&port](registry& names) { return names.publish(port_names::measurements, port); };
@@ -40,7 +40,7 @@
 
         void measure(duration targetLatency, std::uint64_t failed = 0)
         {
-            measured = { { service_id("booking"), kokura, 20, 0, 0, 10ms, 20ms },
+            reported = { { service_id("booking"), kokura, 20, 0, 0, 10ms, 20ms },
                 { service_id("booking"), kirishima, 10, failed, 0, targetLatency, 2 * targetLatency } };
         }
 
@@ -51,13 +51,13 @@
         const failure_domain_id kirishima { "kirishima" };
         std::vector<std::unique_ptr<shift_service>> services;
         std::vector<std::unique_ptr<measurement_port>> measurements;
-        std::vector<service_measurement> measured;
+        std::vector<service_measurement> reported;
         control_cluster cluster;
     };
 
 } // namespace
 
-TEST_CASE_METHOD(shift_fixture, "shift.target_well.steps_to_its_end_and_no_farther")
+TEST_CASE_METHOD(shift_fixture, "shift.healthy_target.advances_to_the_final_percentage")
 {
     measure(10ms);
     cluster.runtime.advance(6s);
@@ -69,7 +69,7 @@
     REQUIRE(record().phase == shift_phase::Done);
 }
 
-TEST_CASE_METHOD(shift_fixture, "shift.measurements_missing.is_held_and_goes_on_with_them")
+TEST_CASE_METHOD(shift_fixture, "shift.missing_measurements.hold_it_until_they_return")
 {
     cluster.runtime.advance(20s);
     REQUIRE(record().percent == 0);
@@ -77,13 +77,13 @@
     measure(10ms);
     cluster.runtime.advance(3s);
     REQUIRE(record().percent == 20);
-    measured.clear();
+    reported.clear();
     cluster.runtime.advance(30s);
     REQUIRE(record().percent <= 40);
     REQUIRE(record().phase == shift_phase::Held);
 }
 
-TEST_CASE_METHOD(shift_fixture, "shift.target_suffering.is_undone_step_by_step")
+TEST_CASE_METHOD(shift_fixture, "shift.unhealthy_target.undoes_a_step")
 {
     measure(10ms);
     cluster.runtime.advance(10s);
@@ -94,7 +94,7 @@
     REQUIRE(record().phase == shift_phase::Held);
 }
 
-TEST_CASE_METHOD(shift_fixture, "shift.target_cold.waits_until_it_has_warmed_up")
+TEST_CASE_METHOD(shift_fixture, "shift.cold_target.holds_the_shift_until_it_is_warm")
 {
     measure(10ms);
     cluster.runtime.advance(6s);
@@ -107,12 +107,12 @@
     REQUIRE(record().percent == 40);
 }
 
-TEST_CASE_METHOD(shift_fixture, "shift.target_without_room.is_held")
+TEST_CASE_METHOD(shift_fixture, "shift.target_without_capacity.holds_the_shift")
 {
     measure(10ms);
     cluster.runtime.advance(6s);
     REQUIRE(record().percent == 20);
-    measured[1].answered = 200;
+    reported[1].answered = 200;
     cluster.runtime.advance(20s);
     REQUIRE(record().percent == 20);
 }
@@ -139,7 +139,7 @@
     REQUIRE(record().percent == 20);
 }
 
-TEST_CASE("cap_shares.small_cap.goes_whole_to_those_who_want_it")
+TEST_CASE("split_cap.small_cap.goes_to_the_vms_with_demand")
 {
     const auto shares = splitCap(2, { { vm_id("a"), 0 }, { vm_id("b"), 30 }, { vm_id("c"), 0 } });
     REQUIRE(shares.at(vm_id("b")) == 2);
--- a/test/performance/shift_gate_benchmark.cpp
+++ b/test/performance/shift_gate_benchmark.cpp
@@ -1,5 +1,7 @@
-// Compares a plain gate for shifts with the means that the Watermark Pod Autoscaler offers, on noisy traces of a target
-// that is cold after each step and truly suffers in some runs. Fixed seeds; no timing.
+// Compares shift gates with a single threshold and with the mechanisms of the Watermark Pod Autoscaler: two watermarks,
+// a delay, and a cooldown. The simulated target has noisy latency, is cold after each step, and is overloaded beyond a
+// given percentage in half of the runs ("limited"). Seeds are fixed and no run time is measured, so the results are
+// deterministic.
 
 #include <cmath>
 #include <cstdio>
@@ -21,20 +23,20 @@
     constexpr int ticksOfRun = 600;
     constexpr int finalPercent = 100;
     constexpr int stepPercent = 10;
-    /** In runs that suffer, the target cannot bear more than this. */
-    constexpr int bearablePercent = 45;
+    /** In runs with limited capacity, the target is overloaded above this percentage. */
+    constexpr int capacityPercent = 45;
     constexpr duration baseline = 10ms;
 
-    /** A target whose latency is noisy, high while it is cold, and truly high beyond what it can bear. */
+    /** A target with noisy latency, which is higher while the target is cold, and high when it is overloaded. */
     class noisy_target {
     public:
-        noisy_target(std::uint64_t seed, bool limited)
+        noisy_target(std::uint64_t seed, bool limitedCapacity)
             : m_random(seed)
-            , m_limited(limited)
+            , m_limitedCapacity(limitedCapacity)
         {
         }
 
-        bool suffers(int percent) const { return m_limited && percent > bearablePercent; }
+        bool isOverloaded(int percent) const { return m_limitedCapacity && percent > capacityPercent; }
 
         domain_statistics measure(int percent, duration sinceStep)
         {
@@ -47,7 +49,7 @@
                 ratio *= 3.5;
             }
             double errors = m_spike(m_random) ? 0.03 : 0.002;
-            if (suffers(percent)) {
+            if (isOverloaded(percent)) {
                 ratio *= 3.5;
                 errors += 0.04;
             }
@@ -60,46 +62,47 @@
 
     private:
         std::mt19937_64 m_random;
-        bool m_limited;
+        bool m_limitedCapacity;
         std::lognormal_distribution<double> m_noise { 0.0, 0.18 };
         std::bernoulli_distribution m_spike { 0.03 };
         int m_spikeTicks = 0;
     };
 
     struct gate_score {
-        double wrongUndos = 0;
-        double secondsSuffering = 0;
-        double secondsToEnd = 0;
+        double falseUndos = 0;
+        double overloadedSeconds = 0;
+        double secondsToFinish = 0;
         int unfinished = 0;
     };
 
-    /** One run; the score counts undone steps of a target that was well, and time spent where it suffers. */
-    void runOnce(const shift_gate_options& options, std::uint64_t seed, bool limited, gate_score& score)
+    /** Simulates one run and adds to the score: steps that were undone although the target was not overloaded, and the
+     * time for which it was overloaded. */
+    void runOnce(const shift_gate_options& options, std::uint64_t seed, bool limitedCapacity, gate_score& score)
     {
         shift_gate gate(options);
-        noisy_target target(seed, limited);
+        noisy_target target(seed, limitedCapacity);
         int percent = 0;
         time_point now {};
         time_point steppedAt {};
         for (int i = 0; i < ticksOfRun; ++i) {
             now += tick;
-            const shift_advice advice = gate.judge(target.measure(percent, now - steppedAt), baseline, now);
-            if (target.suffers(percent))
-                score.secondsSuffering += 0.5;
+            const shift_advice advice = gate.evaluate(target.measure(percent, now - steppedAt), baseline, now);
+            if (target.isOverloaded(percent))
+                score.overloadedSeconds += 0.5;
             if (advice == shift_advice::Undo && percent > 0) {
-                score.wrongUndos += target.suffers(percent) ? 0 : 1;
+                score.falseUndos += target.isOverloaded(percent) ? 0 : 1;
                 percent -= stepPercent;
                 steppedAt = now;
             } else if (advice == shift_advice::Advance && now - steppedAt >= stepInterval && percent < finalPercent) {
                 percent += stepPercent;
                 steppedAt = now;
             }
-            if (!limited && percent == finalPercent) {
-                score.secondsToEnd += std::chrono::duration<double>(now.time_since_epoch()).count();
+            if (!limitedCapacity && percent == finalPercent) {
+                score.secondsToFinish += std::chrono::duration<double>(now.time_since_epoch()).count();
                 return;
             }
         }
-        score.unfinished += limited ? 0 : 1;
+        score.unfinished += limitedCapacity ? 0 : 1;
     }
 
     void runAll(const std::string& name, const shift_gate_options& options)
@@ -109,18 +112,18 @@
             runOnce(options, static_cast<std::uint64_t>(seed), seed % 2 == 1, score);
         const int half = runs / 2;
         const int finished = std::max(1, half - score.unfinished);
-        std::printf("%-34s %6.2f undone wrongly a run, %6.1f s suffering a limited run, %6.1f s to the end, %3d of %d "
+        std::printf("%-34s %6.2f false undos per run, %6.1f s overloaded per limited run, %6.1f s to finish, %3d of %d "
                     "unfinished\n",
-            name.c_str(), score.wrongUndos / runs, score.secondsSuffering / half, score.secondsToEnd / finished,
+            name.c_str(), score.falseUndos / runs, score.overloadedSeconds / half, score.secondsToFinish / finished,
             score.unfinished, half);
     }
 
-    shift_gate_options plainGate()
+    shift_gate_options singleThresholdGate()
     {
         shift_gate_options options;
-        options.lowLatency = options.highLatency = 2.0;
+        options.lowLatencyRatio = options.highLatencyRatio = 2.0;
         options.lowErrorRatio = options.highErrorRatio = 0.02;
-        options.undoDelay = options.settle = options.calm = duration::zero();
+        options.undoDelay = options.settlingTime = options.cooldown = duration::zero();
         return options;
     }
 
@@ -131,23 +134,23 @@
 int main()
 {
     using namespace plantainlatch;
-    shift_gate_options options = plainGate();
-    runAll("plain threshold", options);
+    shift_gate_options options = singleThresholdGate();
+    runAll("single threshold", options);
     const shift_gate_options chosen;
-    options.lowLatency = chosen.lowLatency;
-    options.highLatency = chosen.highLatency;
+    options.lowLatencyRatio = chosen.lowLatencyRatio;
+    options.highLatencyRatio = chosen.highLatencyRatio;
     options.lowErrorRatio = chosen.lowErrorRatio;
     options.highErrorRatio = chosen.highErrorRatio;
-    runAll("two marks", options);
+    runAll("watermarks", options);
     options.undoDelay = chosen.undoDelay;
-    runAll("two marks, undo delay", options);
-    options.calm = chosen.calm;
-    runAll("two marks, undo delay, calm", options);
-    runAll("chosen (and settling)", chosen);
-    options = plainGate();
+    runAll("watermarks, undo delay", options);
+    options.cooldown = chosen.cooldown;
+    runAll("watermarks, undo delay, cooldown", options);
+    runAll("chosen (with settling time)", chosen);
+    options = singleThresholdGate();
     options.undoDelay = chosen.undoDelay;
-    runAll("plain threshold, undo delay", options);
-    options.calm = chosen.calm;
-    runAll("plain threshold, delay, calm", options);
+    runAll("single threshold, undo delay", options);
+    options.cooldown = chosen.cooldown;
+    runAll("single threshold, delay, cooldown", options);
     return 0;
 }
--- a/test/random/shift_random_test.cpp
+++ b/test/random/shift_random_test.cpp
@@ -13,7 +13,7 @@
 
     using namespace std::chrono_literals;
 
-    /** VMs that spend as much of one shift's cap as they are let, over a log and network that fail at random. */
+    /** VMs that use as much of one shift's rate cap as they can, with random changes of leader and partitions. */
     class shift_random_fixture {
     protected:
         void begin(std::uint64_t seed, std::uint32_t cap, const shift_options& options)
@@ -31,32 +31,32 @@
             cluster->apply(apply_declaration { content });
         }
 
-        std::uint64_t chance(std::uint64_t sides) { return cluster->runtime.random() % sides; }
+        std::uint64_t randomBelow(std::uint64_t bound) { return cluster->runtime.random() % bound; }
 
-        /** One millisecond: each VM may try to spend, in bursts that move between the VMs. */
-        void spendSome()
+        /** One millisecond of load: one VM at a time has a burst of requests, the others have a few at random. */
+        void sendRequests()
         {
-            if (chance(400) == 0)
-                eager = chance(cluster->vms.size());
+            if (randomBelow(400) == 0)
+                busyVm = randomBelow(cluster->vms.size());
             std::uint64_t position = 0;
             for (auto& [id, vm] : cluster->vms) {
-                const std::uint64_t attempts = position++ == eager ? 2 : (chance(20) == 0 ? 1 : 0);
-                for (std::uint64_t i = 0; i < attempts; ++i) {
+                const std::uint64_t requests = position++ == busyVm ? 2 : (randomBelow(20) == 0 ? 1 : 0);
+                for (std::uint64_t i = 0; i < requests; ++i) {
                     if (!vm->port<shift_port>(port_names::shifts).tryAcquire(shift))
                         continue;
-                    spends.push_back(cluster->runtime.now());
-                    ++total;
+                    admittedAt.push_back(cluster->runtime.now());
+                    ++totalAdmitted;
                 }
             }
-            while (!spends.empty() && spends.front() + 1s <= cluster->runtime.now())
-                spends.pop_front();
-            most = std::max(most, spends.size());
+            while (!admittedAt.empty() && admittedAt.front() + 1s <= cluster->runtime.now())
+                admittedAt.pop_front();
+            mostInOneSecond = std::max(mostInOneSecond, admittedAt.size());
         }
 
-        void failSome()
+        void injectFault()
         {
-            const std::string name(1, static_cast<char>('a' + chance(5)));
-            switch (chance(6000)) {
+            const std::string name(1, static_cast<char>('a' + randomBelow(5)));
+            switch (randomBelow(6000)) {
             case 0:
             case 1:
                 cluster->setLeader(name);
@@ -76,13 +76,13 @@
                 cluster->heal(cluster->leader.value());
         }
 
-        void run(duration span, bool failing)
+        void run(duration span, bool withFaults)
         {
             for (duration passed {}; passed < span; passed += 1ms) {
                 cluster->runtime.advance(1ms);
-                spendSome();
-                if (failing)
-                    failSome();
+                sendRequests();
+                if (withFaults)
+                    injectFault();
             }
         }
 
@@ -90,41 +90,41 @@
         std::uint32_t capPerSecond = 0;
         std::unique_ptr<control_cluster> cluster;
         std::vector<std::unique_ptr<shift_service>> services;
-        std::uint64_t eager = 0;
-        std::deque<time_point> spends;
-        std::size_t most = 0;
-        std::uint64_t total = 0;
+        std::uint64_t busyVm = 0;
+        std::deque<time_point> admittedAt;
+        std::size_t mostInOneSecond = 0;
+        std::uint64_t totalAdmitted = 0;
     };
 
 } // namespace
 
-TEST_CASE_METHOD(shift_random_fixture, "shift.random_failures_and_leaders.never_exceed_the_cap")
+TEST_CASE_METHOD(shift_random_fixture, "shift.random_partitions_and_leaders.never_exceed_the_cap")
 {
     const std::uint64_t seed = GENERATE(range(1, 101));
     const std::uint32_t caps[] = { 1, 3, 10, 40, 200 };
     INFO("seed " << seed);
     begin(seed, caps[seed % 5], {});
     run(60s, true);
-    INFO("most in one second " << most << " of " << capPerSecond << ", spent " << total);
-    REQUIRE(most <= capPerSecond);
-    REQUIRE(total > 0);
+    INFO("most in one second " << mostInOneSecond << " of " << capPerSecond << ", admitted " << totalAdmitted);
+    REQUIRE(mostInOneSecond <= capPerSecond);
+    REQUIRE(totalAdmitted > 0);
 }
 
 TEST_CASE_METHOD(shift_random_fixture, "shift.without_failures.uses_most_of_the_cap")
 {
     begin(5, 200, {});
     run(20s, false);
-    REQUIRE(most <= 200);
-    REQUIRE(most > 140);
+    REQUIRE(mostInOneSecond <= 200);
+    REQUIRE(mostInOneSecond > 140);
 }
 
-TEST_CASE_METHOD(shift_random_fixture, "shift.earlier_allowances_not_counted.exceed_the_cap")
+TEST_CASE_METHOD(shift_random_fixture, "shift.earlier_quotas_not_counted.exceed_the_cap")
 {
     shift_options options;
-    options.cap.countEarlier = false;
+    options.cap.countEarlierQuotas = false;
     begin(1, 40, options);
     run(60s, true);
-    REQUIRE(most > 40);
+    REQUIRE(mostInOneSecond > 40);
 }
 
 } // namespace plantainlatch
