Reword the merging and checking of declarations

Cause: comments hinted at what is checked and where findings are reported. Change: comments state results and findings; private names say position, require and conflict. The texts of findings stay, as they reach operators over HTTP. Comments and names only.

--- a/src/decision/declarations/configuration_check.cpp
+++ b/src/decision/declarations/configuration_check.cpp
@@ -12,7 +12,7 @@
     constexpr std::uint32_t wholePercent = 100;
 
     template <typename Definition>
-    const text_position* findPlace(const std::vector<declared<Definition>>& items, const Definition& wanted)
+    const text_position* findPosition(const std::vector<declared<Definition>>& items, const Definition& wanted)
     {
         for (const auto& item : items) {
             if (keyOf(item.value) == keyOf(wanted))
@@ -21,31 +21,31 @@
         return nullptr;
     }
 
-    /** Where the declaration adds or changes the definition, or null. */
+    /** The position at which the declaration adds or changes the definition, or null. */
     template <typename Definition>
-    const text_position* touchedPlace(const definition_changes<Definition>& changes, const Definition& wanted)
+    const text_position* changedPosition(const definition_changes<Definition>& changes, const Definition& wanted)
     {
-        const text_position* added = findPlace(changes.added, wanted);
-        return added != nullptr ? added : findPlace(changes.changed, wanted);
+        const text_position* added = findPosition(changes.added, wanted);
+        return added != nullptr ? added : findPosition(changes.changed, wanted);
     }
 
-    /** Checks one merged configuration for one declaration. */
     struct configuration_checker {
         const configuration& merged;
         const declaration& content;
         finding_list& findings;
 
-        /** A finding at the definition, or where what it refers to went away. */
+        /** Adds a finding at the definition, or at `fallback` if the declaration neither adds nor changes it. */
         template <typename Definition>
         void report(const definition_changes<Definition>& changes, const Definition& item, const std::string& what,
-            const std::string& expected, const text_position& elsewhere = {})
+            const std::string& expected, const text_position& fallback = {})
         {
-            const text_position* place = touchedPlace(changes, item);
-            findings.add(place != nullptr ? *place : elsewhere, absl::StrCat(describeName(item), " ", what), expected);
+            const text_position* position = changedPosition(changes, item);
+            findings.add(
+                position != nullptr ? *position : fallback, absl::StrCat(describeName(item), " ", what), expected);
         }
 
-        /** Where the declaration took a failure domain away, as far as can be told. */
-        text_position lostDomainPlace() const
+        /** The first withdrawn or changed region, which is the likely cause of a missing failure domain. */
+        text_position removedDomainPosition() const
         {
             if (!content.regions.withdrawn.empty())
                 return content.regions.withdrawn.front().place;
@@ -54,40 +54,40 @@
             return {};
         }
 
-        text_position lostServicePlace(const service_id& service) const
+        text_position removedServicePosition(const service_id& service) const
         {
             service_definition wanted;
             wanted.id = service;
-            const text_position* place = findPlace(content.services.withdrawn, wanted);
-            return place != nullptr ? *place : text_position();
+            const text_position* position = findPosition(content.services.withdrawn, wanted);
+            return position != nullptr ? *position : text_position();
         }
 
-        text_position lostRegionPlace(const region_id& region) const
+        text_position removedRegionPosition(const region_id& region) const
         {
-            const text_position* place = findPlace(content.regions.withdrawn, region_definition { region, {} });
-            return place != nullptr ? *place : text_position();
+            const text_position* position = findPosition(content.regions.withdrawn, region_definition { region, {} });
+            return position != nullptr ? *position : text_position();
         }
 
         template <typename Definition>
-        void needDomain(
+        void requireDomain(
             const definition_changes<Definition>& changes, const Definition& item, const failure_domain_id& domain)
         {
             if (regionOf(merged, domain).empty())
                 report(changes, item, absl::StrCat("names the unknown failure domain '", domain.value(), "'"),
-                    "a failure domain of a declared region", lostDomainPlace());
+                    "a failure domain of a declared region", removedDomainPosition());
         }
 
         template <typename Definition>
-        void needService(
+        void requireService(
             const definition_changes<Definition>& changes, const Definition& item, const service_id& service)
         {
             if (!merged.services.contains(service))
                 report(changes, item, absl::StrCat("names the unknown service '", service.value(), "'"),
-                    "a declared service", lostServicePlace(service));
+                    "a declared service", removedServicePosition(service));
         }
 
         template <typename Definition>
-        void need(const definition_changes<Definition>& changes, const Definition& item, bool holds,
+        void require(const definition_changes<Definition>& changes, const Definition& item, bool holds,
             const std::string& what, const std::string& expected)
         {
             if (!holds)
@@ -106,8 +106,8 @@
     {
         std::map<failure_domain_id, region_id> owners;
         for (const auto& [id, region] : merged.regions) {
-            need(content.regions, region, !id.empty(), "has no name", "a name");
-            need(content.regions, region, !region.failureDomains.empty(), "has no failure domain",
+            require(content.regions, region, !id.empty(), "has no name", "a name");
+            require(content.regions, region, !region.failureDomains.empty(), "has no failure domain",
                 "at least one failure domain");
             for (const failure_domain_id& domain : region.failureDomains) {
                 const auto [owner, isNew] = owners.try_emplace(domain, id);
@@ -123,12 +123,12 @@
     void configuration_checker::checkLinks()
     {
         for (const auto& [key, link] : merged.links) {
-            need(content.links, link, link.left != link.right, "joins a region with itself", "two regions");
-            need(content.links, link, link.budget.value() > 0, "has no budget", "a budget above 0");
+            require(content.links, link, link.left != link.right, "joins a region with itself", "two regions");
+            require(content.links, link, link.budget.value() > 0, "has no budget", "a budget above 0");
             for (const region_id& region : { link.left, link.right }) {
                 if (!merged.regions.contains(region))
                     report(content.links, link, absl::StrCat("names the unknown region '", region.value(), "'"),
-                        "a declared region", lostRegionPlace(region));
+                        "a declared region", removedRegionPosition(region));
             }
         }
     }
@@ -137,14 +137,14 @@
     {
         for (const auto& [id, item] : merged.services) {
             const auto& changes = content.services;
-            need(changes, item, !id.empty(), "has no name", "a name");
-            need(changes, item, item.slots.value() > 0, "has no slots", "at least 1 slot");
-            need(changes, item, item.connections > 0, "has no connections", "at least 1 connection");
-            need(changes, item, item.defaultDeadline > duration::zero(), "has no default deadline",
+            require(changes, item, !id.empty(), "has no name", "a name");
+            require(changes, item, item.slots.value() > 0, "has no slots", "at least 1 slot");
+            require(changes, item, item.connections > 0, "has no connections", "at least 1 connection");
+            require(changes, item, item.defaultDeadline > duration::zero(), "has no default deadline",
                 "a deadline above 0");
-            need(changes, item, item.maximumDeadline >= item.defaultDeadline,
+            require(changes, item, item.maximumDeadline >= item.defaultDeadline,
                 "has a longest deadline below its default", "a longest deadline of at least the default");
-            need(changes, item, item.keyRetention > item.maximumDeadline,
+            require(changes, item, item.keyRetention > item.maximumDeadline,
                 "forgets idempotency keys before its longest deadline", "a retention above the longest deadline");
         }
     }
@@ -153,8 +153,8 @@
     {
         std::map<service_id, std::uint64_t> totals;
         for (const auto& [key, share] : merged.shares) {
-            needService(content.shares, share, share.service);
-            needDomain(content.shares, share, share.failureDomain);
+            requireService(content.shares, share, share.service);
+            requireDomain(content.shares, share, share.failureDomain);
             totals[share.service] += share.weight;
         }
         for (const auto& [key, share] : merged.shares) {
@@ -166,13 +166,13 @@
     void configuration_checker::checkUpstreams()
     {
         for (const auto& [id, item] : merged.upstreams) {
-            needService(content.upstreams, item, item.service);
-            needDomain(content.upstreams, item, item.failureDomain);
+            requireService(content.upstreams, item, item.service);
+            requireDomain(content.upstreams, item, item.failureDomain);
             const auto found = merged.services.find(item.service);
             if (!item.slots.has_value() || found == merged.services.end())
                 continue;
             const bool fits = item.slots->value() > 0 && *item.slots <= found->second.slots;
-            need(content.upstreams, item, fits, absl::StrCat("has ", item.slots->value(), " slots"),
+            require(content.upstreams, item, fits, absl::StrCat("has ", item.slots->value(), " slots"),
                 absl::StrCat("1 to ", found->second.slots.value(), ", the limit of its service"));
         }
     }
@@ -181,19 +181,20 @@
     {
         for (const auto& [id, item] : merged.shifts) {
             const auto& changes = content.shifts;
-            needService(changes, item, item.service);
-            needDomain(changes, item, item.from);
-            needDomain(changes, item, item.to);
-            need(changes, item, item.from != item.to, "moves traffic to where it is", "two failure domains");
-            need(changes, item, item.percent >= 1 && item.percent <= wholePercent,
+            requireService(changes, item, item.service);
+            requireDomain(changes, item, item.from);
+            requireDomain(changes, item, item.to);
+            require(changes, item, item.from != item.to, "moves traffic to where it is", "two failure domains");
+            require(changes, item, item.percent >= 1 && item.percent <= wholePercent,
                 absl::StrCat("moves ", item.percent, " percent"), "1 to 100 percent");
-            need(changes, item, item.stepPercent >= 1 && item.stepPercent <= wholePercent,
+            require(changes, item, item.stepPercent >= 1 && item.stepPercent <= wholePercent,
                 absl::StrCat("steps by ", item.stepPercent, " percent"), "1 to 100 percent");
-            need(changes, item, item.capPerSecond > 0, "has a cap of 0", "a cap above 0 requests a second");
-            need(changes, item, item.stepInterval > duration::zero(), "has no step interval", "an interval above 0");
+            require(changes, item, item.capPerSecond > 0, "has a cap of 0", "a cap above 0 requests a second");
+            require(changes, item, item.stepInterval > duration::zero(), "has no step interval", "an interval above 0");
             for (const auto& [otherId, other] : merged.shifts) {
-                const bool clashes = otherId < id && other.service == item.service && other.from == item.from;
-                need(changes, item, !clashes, absl::StrCat("moves the same traffic as shift '", otherId.value(), "'"),
+                const bool conflicts = otherId < id && other.service == item.service && other.from == item.from;
+                require(changes, item, !conflicts,
+                    absl::StrCat("moves the same traffic as shift '", otherId.value(), "'"),
                     "one shift for each service and source");
             }
         }
--- a/src/decision/declarations/configuration_check.h
+++ b/src/decision/declarations/configuration_check.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Checks that the definitions of a configuration fit each other.
+ * Validates a merged configuration: references between definitions and ranges of values.
  */
 
 #include "core/findings.h"
@@ -9,8 +9,8 @@
 
 namespace plantainlatch {
 
-/** Reports names that nothing defines and values that make no sense, at the places of the declaration that brought
- * them about. */
+/** Reports references to undefined names and invalid values in `merged`. Each finding has the position in `content`
+ * that caused it, as far as that can be determined. */
 void checkConfiguration(const configuration& merged, const declaration& content, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/decision/declarations/declaration_difference.cpp
+++ b/src/decision/declarations/declaration_difference.cpp
@@ -18,35 +18,35 @@
     }
 
     template <typename Definition>
-    void describeList(const std::vector<declared<Definition>>& acceptedOnes,
-        const std::vector<declared<Definition>>& offeredOnes, const char* verb, std::vector<std::string>& sentences)
+    void describeList(const std::vector<declared<Definition>>& acceptedItems,
+        const std::vector<declared<Definition>>& offeredItems, const char* verb, std::vector<std::string>& clauses)
     {
-        for (const auto& item : acceptedOnes) {
-            const declared<Definition>* offered = findSame(offeredOnes, item.value);
-            if (offered == nullptr)
-                sentences.push_back(
+        for (const auto& item : acceptedItems) {
+            const declared<Definition>* counterpart = findSame(offeredItems, item.value);
+            if (counterpart == nullptr)
+                clauses.push_back(
                     absl::StrCat("the accepted one ", verb, " ", describeName(item.value), ", yours does not"));
-            else if (!(offered->value == item.value))
-                sentences.push_back(absl::StrCat("both have ", describeName(item.value), ", but with other values"));
+            else if (!(counterpart->value == item.value))
+                clauses.push_back(absl::StrCat("both have ", describeName(item.value), ", but with other values"));
         }
-        for (const auto& item : offeredOnes) {
-            if (findSame(acceptedOnes, item.value) == nullptr)
-                sentences.push_back(
+        for (const auto& item : offeredItems) {
+            if (findSame(acceptedItems, item.value) == nullptr)
+                clauses.push_back(
                     absl::StrCat("yours ", verb, " ", describeName(item.value), ", the accepted one does not"));
         }
     }
 
     template <typename Definition>
-    void describeKind(const definition_changes<Definition>& acceptedOnes,
-        const definition_changes<Definition>& offeredOnes, std::vector<std::string>& sentences)
+    void describeKind(const definition_changes<Definition>& acceptedItems,
+        const definition_changes<Definition>& offeredItems, std::vector<std::string>& clauses)
     {
-        describeList(acceptedOnes.added, offeredOnes.added, "adds", sentences);
-        describeList(acceptedOnes.changed, offeredOnes.changed, "changes", sentences);
-        describeList(acceptedOnes.withdrawn, offeredOnes.withdrawn, "withdraws", sentences);
+        describeList(acceptedItems.added, offeredItems.added, "adds", clauses);
+        describeList(acceptedItems.changed, offeredItems.changed, "changes", clauses);
+        describeList(acceptedItems.withdrawn, offeredItems.withdrawn, "withdraws", clauses);
     }
 
     template <typename Definition, typename Map>
-    void changesBetween(definition_changes<Definition>& changes, const Map& from, const Map& to)
+    void collectChanges(definition_changes<Definition>& changes, const Map& from, const Map& to)
     {
         for (const auto& [key, item] : to) {
             const auto former = from.find(key);
@@ -63,30 +63,29 @@
 
 } // namespace
 
-std::vector<std::string> describeDifference(const declaration& acceptedOne, const declaration& offered)
+std::vector<std::string> describeDifference(const declaration& existing, const declaration& offered)
 {
-    std::vector<std::string> sentences;
-    if (acceptedOne.replaces != offered.replaces)
-        sentences.push_back(absl::StrCat(
-            "the accepted one replaces ", acceptedOne.replaces.value(), ", yours replaces ", offered.replaces.value()));
-    forEachKind(
-        acceptedOne, offered, [&](const auto& left, const auto& right) { describeKind(left, right, sentences); });
-    if (acceptedOne.note != offered.note)
-        sentences.push_back(absl::StrCat("the accepted one's note is '", acceptedOne.note, "'"));
-    if (acceptedOne.acceptedRisks != offered.acceptedRisks)
-        sentences.emplace_back("the accepted risks differ");
-    return sentences;
+    std::vector<std::string> clauses;
+    if (existing.replaces != offered.replaces)
+        clauses.push_back(absl::StrCat(
+            "the accepted one replaces ", existing.replaces.value(), ", yours replaces ", offered.replaces.value()));
+    forEachKind(existing, offered, [&](const auto& left, const auto& right) { describeKind(left, right, clauses); });
+    if (existing.note != offered.note)
+        clauses.push_back(absl::StrCat("the accepted one's note is '", existing.note, "'"));
+    if (existing.acceptedRisks != offered.acceptedRisks)
+        clauses.emplace_back("the accepted risks differ");
+    return clauses;
 }
 
 declaration declarationBetween(const configuration& from, const configuration& to)
 {
     declaration between;
-    changesBetween(between.regions, from.regions, to.regions);
-    changesBetween(between.links, from.links, to.links);
-    changesBetween(between.services, from.services, to.services);
-    changesBetween(between.shares, from.shares, to.shares);
-    changesBetween(between.upstreams, from.upstreams, to.upstreams);
-    changesBetween(between.shifts, from.shifts, to.shifts);
+    collectChanges(between.regions, from.regions, to.regions);
+    collectChanges(between.links, from.links, to.links);
+    collectChanges(between.services, from.services, to.services);
+    collectChanges(between.shares, from.shares, to.shares);
+    collectChanges(between.upstreams, from.upstreams, to.upstreams);
+    collectChanges(between.shifts, from.shifts, to.shifts);
     for (const upstream_id& id : to.withdrawnUpstreams) {
         const bool listed = from.withdrawnUpstreams.contains(id) || from.upstreams.contains(id);
         if (!listed)
--- a/src/decision/declarations/declaration_difference.h
+++ b/src/decision/declarations/declaration_difference.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Says how declarations and configurations differ, for people and as a declaration.
+ * Differences between declarations, as messages, and between configurations, as a declaration.
  */
 
 #include <string>
@@ -11,11 +11,11 @@
 
 namespace plantainlatch {
 
-/** One sentence for each definition that only one of the two has, or that they hold differently; none when equal. */
-std::vector<std::string> describeDifference(const declaration& acceptedOne, const declaration& offered);
+/** Describes how an offered declaration differs from the existing, accepted one with the same number: one clause for
+ * each difference, and none if they are equal. */
+std::vector<std::string> describeDifference(const declaration& existing, const declaration& offered);
 
-/** The changes that lead from one configuration to another; its number and the replaced one are left for the caller.
- */
+/** The changes that turn `from` into `to`. The number and the replaced number are left at 0. */
 declaration declarationBetween(const configuration& from, const configuration& to);
 
 } // namespace plantainlatch
--- a/src/decision/declarations/declaration_merge.cpp
+++ b/src/decision/declarations/declaration_merge.cpp
@@ -43,7 +43,8 @@
         }
     }
 
-    /** Upstreams announce themselves, so that one may be withdrawn without a definition. */
+    /** Records withdrawn upstreams, so that their announcements are refused. An upstream needs no definition to be
+     * withdrawn, since upstreams register themselves. */
     void withdrawUpstreams(
         const definition_changes<upstream_definition>& changes, configuration& config, finding_list& findings)
     {
@@ -61,7 +62,7 @@
     }
 
     template <typename Definition>
-    void findDoubled(const definition_changes<Definition>& changes, finding_list& findings)
+    void checkUnique(const definition_changes<Definition>& changes, finding_list& findings)
     {
         std::map<decltype(keyOf(std::declval<Definition>())), int> seen;
         for (const auto* list : { &changes.added, &changes.changed, &changes.withdrawn }) {
@@ -76,7 +77,7 @@
     template <typename Definition, typename Map>
     void mergeKind(const definition_changes<Definition>& changes, Map& map, finding_list& findings)
     {
-        findDoubled(changes, findings);
+        checkUnique(changes, findings);
         addNew(changes, map, findings);
         changeExisting(changes, map, findings);
         if constexpr (!std::is_same_v<Definition, upstream_definition>)
--- a/src/decision/declarations/declaration_merge.h
+++ b/src/decision/declarations/declaration_merge.h
@@ -12,12 +12,13 @@
 
 namespace plantainlatch {
 
-/** How many withdrawn upstreams a configuration names; a declaration that would exceed it is refused. */
+/** The most withdrawn upstreams in a configuration; a declaration that would exceed this is refused. */
 inline constexpr std::size_t maximumWithdrawnUpstreams = 4096;
 
-/** The configuration after the declaration, or InvalidArgument with everything that is wrong in `findings`: additions
- * of what exists, changes and withdrawals of what does not, unknown names, limits that make no sense, and withdrawals
- * of what is still used. The numbers are not judged here. */
+/** Returns the configuration with the declaration's changes and number. If there is anything wrong, returns
+ * InvalidArgument and appends all findings to `findings`: additions of existing definitions, changes and withdrawals of
+ * unknown ones, withdrawals of definitions that others refer to, references to unknown names, and invalid limits.
+ * Whether the declaration replaces the configuration in force is checked by checkChangeNumber(). */
 absl::StatusOr<configuration> mergeDeclaration(
     const configuration& config, const declaration& content, finding_list& findings);
 
--- a/src/decision/declarations/definition_names.h
+++ b/src/decision/declarations/definition_names.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The names of definitions, as keys and as words for people.
+ * The keys of definitions in a configuration, and their names in messages.
  */
 
 #include <string>
@@ -20,7 +20,7 @@
     return item.left < item.right ? link_key { item.left, item.right } : link_key { item.right, item.left };
 }
 
-/** `region 'fukuoka'`, `share of 'booking' in 'kokura'` and so on. */
+/** The definition for messages, such as `region 'fukuoka'` or `share of 'booking' in 'kokura'`. */
 std::string describeName(const region_definition& item);
 std::string describeName(const service_definition& item);
 std::string describeName(const upstream_definition& item);
@@ -28,7 +28,8 @@
 std::string describeName(const share_definition& item);
 std::string describeName(const link_definition& item);
 
-/** Calls `visit(changes, map)` for each kind of definition in a declaration with the map that holds that kind. */
+/** Calls `visit(changes, map)` for each kind of definition, with the changes in the declaration and the map of that
+ * kind in the configuration. */
 template <typename Declaration, typename Configuration, typename Visit>
 void forEachKind(Declaration& content, Configuration& config, Visit visit)
 {
--- a/test/random/merge_property_test.cpp
+++ b/test/random/merge_property_test.cpp
@@ -17,9 +17,9 @@
             return kind + std::to_string(*rc::gen::inRange(0, kinds));
         }
 
-        /** Where a change of one definition goes: it is added, changed or withdrawn, whether that fits or not. */
+        /** Adds the definition at random as an addition, a change or a withdrawal, which may be invalid. */
         template <typename Definition>
-        static void addSomewhere(definition_changes<Definition>& changes, const Definition& value)
+        static void addChange(definition_changes<Definition>& changes, const Definition& value)
         {
             const int kind = *rc::gen::inRange(0, 3);
             auto& list = kind == 0 ? changes.added : kind == 1 ? changes.changed : changes.withdrawn;
@@ -50,18 +50,18 @@
                 const failure_domain_id domain("domain" + number);
                 switch (*rc::gen::inRange(0, 4)) {
                 case 0:
-                    addSomewhere(change.regions, region_definition { region_id("region" + number), { domain } });
+                    addChange(change.regions, region_definition { region_id("region" + number), { domain } });
                     break;
                 case 1:
-                    addSomewhere(change.services, anyService());
+                    addChange(change.services, anyService());
                     break;
                 case 2:
-                    addSomewhere(change.shares,
+                    addChange(change.shares,
                         share_definition {
                             service_id(anyName("service", 2)), domain, *rc::gen::inRange<std::uint32_t>(0, 5) });
                     break;
                 default:
-                    addSomewhere(change.upstreams,
+                    addChange(change.upstreams,
                         upstream_definition {
                             upstream_id(anyName("upstream", 3)), service_id(anyName("service", 2)), domain, {} });
                     break;
@@ -70,7 +70,7 @@
             return change;
         }
 
-        /** A configuration as any sequence of changes leaves it; those that don't fit are refused. */
+        /** The result of merging random changes one after another; invalid ones are skipped. */
         static configuration anyConfiguration(int changes)
         {
             configuration config;
@@ -87,9 +87,9 @@
 
 } // namespace
 
-TEST_CASE_METHOD(merge_property_fixture, "merge.difference_between_any_two_configurations.leads_from_one_to_the_other")
+TEST_CASE_METHOD(merge_property_fixture, "merge.difference_between_two_configurations.turns_one_into_the_other")
 {
-    REQUIRE(rc::check("there and back", [] {
+    REQUIRE(rc::check("the difference restores the first configuration", [] {
         const configuration first = anyConfiguration(*rc::gen::inRange(0, 30));
         configuration second = first;
         for (int i = 0; i < 20; ++i) {
@@ -100,16 +100,16 @@
         }
         RC_PRE(second.withdrawnUpstreams.empty() && first.withdrawnUpstreams.empty());
         finding_list findings;
-        declaration wayBack = declarationBetween(second, first);
-        wayBack.number = change_number(1);
-        const absl::StatusOr<configuration> back = mergeDeclaration(second, wayBack, findings);
+        declaration reversal = declarationBetween(second, first);
+        reversal.number = change_number(1);
+        const absl::StatusOr<configuration> merged = mergeDeclaration(second, reversal, findings);
         RC_CLASSIFY(second != first);
         RC_LOG() << findings.format();
-        RC_ASSERT(back.ok());
-        configuration reached = *back;
-        reached.withdrawnUpstreams.clear();
-        reached.number = first.number;
-        RC_ASSERT(reached == first);
+        RC_ASSERT(merged.ok());
+        configuration restored = *merged;
+        restored.withdrawnUpstreams.clear();
+        restored.number = first.number;
+        RC_ASSERT(restored == first);
     }));
 }
 
