Reword the commands, the control state, declarations and their ports

Cause: many comments were clipped phrases that need a second reading. Change: each says what the type holds, with units, times and conditions of results. Comments only, but for one local name in configuration.cpp.

--- a/src/model/command.h
+++ b/src/model/command.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The commands of the replicated log and what applying one results in.
+ * The commands of the replicated log, and the results of applying them.
  */
 
 #include <cstdint>
@@ -21,7 +21,7 @@
 
 namespace plantainlatch {
 
-/** Names one proposal; the log applies each at most once, however often it is resent. */
+/** Identifies a proposal, so that one that is resent is applied only once. */
 struct proposal_id {
     vm_id vm;
     incarnation start;
@@ -35,12 +35,12 @@
     }
 };
 
-/** Does nothing; a new leader begins its term with one. */
+/** A no-op; a new leader begins its term with one. */
 struct noop_command {
     template <typename Self, typename Visitor> static void visitFields(Self&, Visitor&& visit) { visit(); }
 };
 
-/** Accepts a declaration if it replaces the configuration in force. */
+/** Merges a declaration into the configuration that it replaces, if that is the one in force. */
 struct apply_declaration {
     declaration content;
 
@@ -50,7 +50,7 @@
     }
 };
 
-/** Puts a whole configuration in force if its number is above that in force; a lower or equal one changes nothing. */
+/** Replaces the whole configuration if the number is higher than the one in force; otherwise changes nothing. */
 struct replace_configuration {
     configuration content;
 
@@ -60,7 +60,6 @@
     }
 };
 
-/** What an operator drains. */
 enum class drain_kind {
     Vm,
     Upstream,
@@ -68,7 +67,7 @@
     Region,
 };
 
-/** A thing that is drained, by kind and name. */
+/** What an operator drains, by kind and name. */
 struct drain_target {
     drain_kind kind = drain_kind::Upstream;
     std::string name;
@@ -81,7 +80,7 @@
     }
 };
 
-/** Begins or ends a drain. */
+/** Starts or ends a drain. */
 struct set_drain {
     drain_target target;
     bool draining = false;
@@ -92,7 +91,7 @@
     }
 };
 
-/** Enters an upstream into the directory, or replaces an earlier generation of it. */
+/** Registers an upstream in the directory, or updates its announcement. */
 struct upstream_joined {
     upstream_announcement announcement;
 
@@ -102,13 +101,14 @@
     }
 };
 
-/** Takes an upstream out of the directory, after a goodbye or after silence. */
+/** Removes an upstream from the directory because it deregistered or its announcement expired. */
 struct upstream_left {
     upstream_id id;
     upstream_generation generation;
-    /** It said goodbye, so that this generation never comes back; after silence it may. */
+    /** The upstream deregistered itself, so this generation cannot register again. After an expiration it can. */
     bool deregistered = false;
-    /** What was last known of an upstream that fell silent; one that was heard of since then stays. */
+    /** For an expiration: the sequence number of the announcement that expired. The upstream stays if a later one has
+     * been applied. */
     std::uint64_t sequence = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -117,14 +117,14 @@
     }
 };
 
-/** Claims an idempotency key for one request; only the first claim of a key wins. */
+/** Claims an idempotency key for one request. Only the first claim of a key succeeds. */
 struct claim_key {
     service_id service;
     idempotency_key key;
     request_fingerprint fingerprint;
-    /** How long the key is kept from now on. */
+    /** How long the key is kept, from the time of the proposal. */
     duration retention {};
-    /** How long from now on the work may run; a claim that is not settled by then is Unknown. */
+    /** How long the work may run, from the time of the proposal. A claim not settled by then counts as Unknown. */
     duration runLimit {};
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -133,14 +133,14 @@
     }
 };
 
-/** Records how the work of a claimed key ended; NotRun frees the key again. */
+/** Records the outcome of the request that claimed a key. NotRun frees the key. */
 struct settle_key {
     service_id service;
     idempotency_key key;
     /** The proposal that claimed the key. */
     proposal_id claim;
     outcome result = outcome::Unknown;
-    /** The answer to replay; none unless Completed. */
+    /** The answer to replay; only with Completed. */
     std::optional<upstream_answer> answer;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -149,7 +149,7 @@
     }
 };
 
-/** Counts a crash of an upstream while it ran a request of this fingerprint. */
+/** Reports that an upstream crashed while it ran a request with this fingerprint. */
 struct report_crash {
     service_id service;
     request_fingerprint fingerprint;
@@ -161,7 +161,7 @@
     }
 };
 
-/** Makes a VM the slot allocator of a region, under the next epoch. */
+/** Makes a VM the slot allocator of a region under a new epoch. */
 struct assign_allocator {
     region_id region;
     vm_id vm;
@@ -174,24 +174,27 @@
     }
 };
 
-/** Where a shift of traffic stands. */
+/** The phase of a traffic shift. */
 enum class shift_phase {
     Running,
-    /** Waiting for measurements or for the target to recover. */
+    /** Waits for measurements, or for the target to recover or have capacity. */
     Held,
+    /** Steps back to 0 percent after too many setbacks. */
     Reverting,
     Reverted,
+    /** Has reached its final percentage. */
     Done,
 };
 
-/** Moves a shift to another percentage or phase. */
+/** Sets a shift's percentage and phase. */
 struct step_shift {
     shift_id shift;
-    /** The step that this one follows; another one is refused, so that two leaders cannot both step. */
+    /** The shift's current step number. The command is refused if it has changed, so that two leaders cannot both take
+     * the same step. */
     std::uint64_t afterStep = 0;
     std::uint32_t percent = 0;
     shift_phase phase = shift_phase::Running;
-    /** The target's latency before the shift, which later steps are judged by. */
+    /** The target's median latency before the shift, to which the gate compares later measurements. */
     duration baseline {};
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -200,7 +203,7 @@
     }
 };
 
-/** Notes that a VM started, with where it is. */
+/** Records that a VM started, and its location and addresses. */
 struct vm_started {
     vm_record record;
     incarnation start;
@@ -211,11 +214,11 @@
     }
 };
 
-/** Notes that a start of a VM ended gracefully: no work that it dispatched runs any more. */
+/** Records that an incarnation of a VM stopped gracefully: none of the work that it dispatched still runs. */
 struct vm_stopped {
     vm_id vm;
     incarnation start;
-    /** Work of earlier starts of the VM has ended as well, by the time that this start ran. */
+    /** Work of earlier incarnations has ended as well, since this one ran longer than any such work could. */
     bool earlierWorkEnded = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -224,11 +227,12 @@
     }
 };
 
-/** Any command; new ones go to the end, as their positions are stored. */
+/** Any command. New alternatives are added at the end, since stored entries identify a command by its index. */
 using control_command = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left,
     claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration>;
 
-/** A command with who proposed it and the leader's wall clock when it did. */
+/** A command as an entry of the log carries it. `proposedAt` is the leader's wall clock at the proposal. It serves as
+ * the current time when the command is applied. */
 struct proposal {
     proposal_id id;
     wall_time proposedAt {};
@@ -240,32 +244,34 @@
     }
 };
 
-/** How the application of a command ended. */
+/** Whether a command was applied. */
 enum class command_verdict {
     Accepted,
-    /** The same change was accepted before; the answer is the same. */
+    /** The command had taken effect before, or was superseded; it changes nothing. */
     AlreadyAccepted,
-    /** Another change has that number; see the message. */
+    /** A declaration with another content has this number, or its number does not follow the configuration in force.
+     * The message has the details. */
     Conflict,
-    /** The command does not fit the state; see the message. */
+    /** The command is invalid in the current state. The message has the reason. */
     Refused,
 };
 
-/** What a claim found. */
+/** The result of a claim of an idempotency key. */
 enum class claim_result {
     Claimed,
     /** Another request holds the key and has not settled it. */
     InProgress,
-    /** The key's work ran; the answer is there unless it was too large to keep. */
+    /** The request with this key has completed. Its answer is included unless it was too large to keep. */
     Completed,
+    /** The request with this key may or may not have run. */
     Unknown,
-    /** The key was used with another request. */
+    /** The key was used with a different request. */
     Reused,
-    /** Nobody holds the key, and there is no room for it. */
+    /** The key is free, but the table has no space for it. */
     TableFull,
 };
 
-/** The result of applying one command; the same on every VM. */
+/** The result of applying a command, which is the same on every VM. */
 struct command_result {
     command_verdict verdict = command_verdict::Accepted;
     std::string message;
@@ -273,7 +279,7 @@
     std::optional<claim_result> claim;
     /** Only for claim_key that found Completed. */
     std::optional<upstream_answer> answer;
-    /** Only for report_crash: how many upstreams equal requests have crashed. */
+    /** Only for report_crash: how many distinct upstreams equal requests have crashed. */
     std::uint64_t crashedUpstreams = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -27,14 +27,14 @@
 
 bool isIdempotent(const service_definition& service, const std::string& method, const std::string& target)
 {
-    const route_rule* best = nullptr;
+    const route_rule* longest = nullptr;
     for (const route_rule& rule : service.routes) {
         if (rule.method != method || !absl::StartsWith(target, rule.pathPrefix))
             continue;
-        if (best == nullptr || rule.pathPrefix.size() > best->pathPrefix.size())
-            best = &rule;
+        if (longest == nullptr || rule.pathPrefix.size() > longest->pathPrefix.size())
+            longest = &rule;
     }
-    return best != nullptr ? best->idempotent : isSafeMethod(method);
+    return longest != nullptr ? longest->idempotent : isSafeMethod(method);
 }
 
 } // namespace plantainlatch
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The configuration in force: all declarations up to a number, merged.
+ * The configuration: the result of merging all declarations up to a number, or a configuration that was set as a whole.
  */
 
 #include <map>
@@ -13,13 +13,13 @@
 
 namespace plantainlatch {
 
-/** Names a share: a service and a failure domain. */
+/** Identifies a share by service and failure domain. */
 using share_key = std::pair<service_id, failure_domain_id>;
 
-/** Names a link: two regions, the lesser first. */
+/** Identifies a link by its two regions in ascending order. */
 using link_key = std::pair<region_id, region_id>;
 
-/** Everything declared, by name. A value: a change makes a new one. */
+/** All definitions by key. */
 struct configuration {
     change_number number;
     std::map<region_id, region_definition> regions;
@@ -27,11 +27,11 @@
     std::map<service_id, service_definition> services;
     std::map<share_key, share_definition> shares;
     std::map<upstream_id, upstream_definition> upstreams;
-    /** Upstreams that an operator withdrew; their announcements are refused until they are added again. */
+    /** Upstreams that an operator withdrew. Their announcements are refused until an operator adds them again. */
     std::set<upstream_id> withdrawnUpstreams;
     std::map<shift_id, shift_definition> shifts;
     std::vector<route_definition> routes;
-    /** What the operator wrote, when the configuration was put as a whole; empty otherwise. */
+    /** The source text of a configuration that was set as a whole; empty otherwise. */
     std::string document;
 
     friend bool operator==(const configuration&, const configuration&) = default;
@@ -43,11 +43,11 @@
     }
 };
 
-/** The region of a failure domain; empty when no region has it. */
+/** The region of a failure domain; empty if no region contains it. */
 region_id regionOf(const configuration& config, const failure_domain_id& domain);
 
-/** Whether a request of this method and target is idempotent: by the longest matching rule, else by HTTP's safe
- * methods. */
+/** Whether a request with this method and target is idempotent. The service's rule with the longest matching prefix
+ * decides. Without a matching rule, only HTTP's safe methods count as idempotent. */
 bool isIdempotent(const service_definition& service, const std::string& method, const std::string& target);
 
 } // namespace plantainlatch
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Messages between VMs about announcements, measurements and what operators see.
+ * Messages between VMs: forwarded announcements, and heartbeats with measurements, leases and quotas.
  */
 
 #include <cstdint>
@@ -15,7 +15,7 @@
 
 namespace plantainlatch {
 
-/** An announcement passed on to the allocator of the upstream's region, which keeps the renewals. */
+/** An announcement that a VM forwards to the VM that tracks the renewals of the upstream's region. */
 struct forwarded_announcement {
     upstream_announcement announcement;
 
@@ -25,13 +25,14 @@
     }
 };
 
-/** What one VM saw of one service in one failure domain over the last interval. */
+/** One VM's measurements of one service in one failure domain over the last heartbeat interval. */
 struct service_measurement {
     service_id service;
     failure_domain_id failureDomain;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
     std::uint64_t refused = 0;
+    /** Median and 95th percentile of the latencies of answered requests. */
     duration medianLatency {};
     duration p95Latency {};
 
@@ -42,7 +43,7 @@
     }
 };
 
-/** A region's allocator role under one epoch. */
+/** The role of a region's slot allocator under one epoch. */
 struct allocator_role {
     region_id region;
     allocator_epoch epoch;
@@ -55,7 +56,7 @@
     }
 };
 
-/** How many requests a VM may send to the target of a shift because of it, in any one window. */
+/** A VM's quota of a shift's rate cap: the most requests that it may shift to the target within any window. */
 struct shift_quota {
     shift_id shift;
     std::uint32_t perWindow = 0;
@@ -66,12 +67,13 @@
     }
 };
 
-/** What one VM spent of a shift's cap, and would have spent without it, since the last heartbeat. */
+/** One VM's use of its quota of a shift since the last heartbeat: admitted requests, and all that asked for admission.
+ */
 struct shift_usage {
     shift_id shift;
     std::uint64_t admitted = 0;
     std::uint64_t requested = 0;
-    /** The allowance that holds when the heartbeat is sent. */
+    /** The quota that is valid when the heartbeat is sent. */
     std::uint32_t held = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -80,22 +82,23 @@
     }
 };
 
-/** A VM's heartbeat to the leader, with what it measured and what it has in force. */
+/** A VM's periodic report to the leader. */
 struct vm_heartbeat {
     vm_id vm;
     incarnation start;
     std::uint64_t sequence = 0;
     log_index applied;
+    /** The number of the configuration in force on the VM. */
     change_number inForce;
     bool draining = false;
     std::uint64_t requestsInFlight = 0;
     std::vector<service_measurement> measurements;
-    /** The term of the leader that the VM sends to. */
+    /** The term of the leader to which the heartbeat is sent. */
     log_term term;
-    /** The allocator roles whose lease the VM holds when it sends. */
+    /** The allocator roles for which the VM has a valid lease when the heartbeat is sent. */
     std::vector<allocator_role> held;
     std::vector<shift_usage> shiftUsage;
-    /** The VM measures its upstreams, so that a place without a measurement had no traffic from it. */
+    /** The VM measures its upstreams. A failure domain without a measurement then had no traffic from this VM. */
     bool measured = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -105,12 +108,13 @@
     }
 };
 
-/** How much work of one service runs in one failure domain, as the VMs measured it together. */
+/** The load of one service in one failure domain, aggregated over the measurements of all VMs. */
 struct service_load {
     service_id service;
     failure_domain_id failureDomain;
     /** Requests a second. */
     double perSecond = 0;
+    /** The median latency. */
     duration latency {};
 
     friend bool operator==(const service_load&, const service_load&) = default;
@@ -121,25 +125,24 @@
     }
 };
 
-/** The leader's answer: the allocator leases that the VM may rely on, and its shift budgets, from when it sent the
- * heartbeat. */
+/** The leader's answer to a heartbeat. Leases are valid from the time when the VM sent the heartbeat. */
 struct heartbeat_answer {
     std::uint64_t sequence = 0;
     log_term term;
-    /** How long the VM may act in the allocator roles listed; zero for not at all. */
+    /** The duration of the lease of the allocator roles in `leased`; zero for no lease. */
     duration allocatorLease {};
     std::vector<allocator_role> leased;
-    /** VMs that callers should not be sent to: dead or stopping as far as the leader knows. */
+    /** VMs to which callers should not be sent, since the leader considers them dead or stopping. */
     std::vector<vm_id> avoided;
-    /** How long the allowances hold. */
+    /** The duration of the lease of the quotas. */
     duration quotaLease {};
     std::vector<shift_quota> quotas;
-    /** The start of the VM that is answered. */
+    /** The incarnation of the VM that sent the heartbeat. */
     incarnation start;
-    /** The leader has fresh measurements, so that a place without a load has none. */
+    /** The leader has recent measurements. A failure domain that is not in `loads` then has no load. */
     bool loadsKnown = false;
     std::vector<service_load> loads;
-    /** The lowest configuration in force on any VM that the leader hears from. */
+    /** The lowest number of the configurations in force on live VMs. */
     change_number lowestInForce;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -149,7 +152,7 @@
     }
 };
 
-/** Any message about control. */
+/** Any message of the control plane. */
 using control_message = std::variant<forwarded_announcement, vm_heartbeat, heartbeat_answer>;
 
 } // namespace plantainlatch
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The whole replicated control state as a value, for snapshots and for readers.
+ * The replicated control state: the state of the replicated state machine, also as it is stored in snapshots.
  */
 
 #include <map>
@@ -38,14 +38,13 @@
     }
 };
 
-/** What is known of a claimed key. */
+/** The claim of an idempotency key. */
 struct key_record {
     proposal_id claim;
     request_fingerprint fingerprint;
     wall_time expiresAt {};
-    /** The work may run until then; when it is still not settled, its end is Unknown. */
+    /** When the work has ended at the latest. A claim that is not settled by then counts as Unknown. */
     wall_time runsUntil {};
-    /** InProgress until settled. */
     outcome result = outcome::InProgress;
     std::optional<upstream_answer> answer;
 
@@ -55,7 +54,7 @@
     }
 };
 
-/** A fingerprint of a service's requests. */
+/** Identifies equal requests of a service. */
 struct crash_key {
     service_id service;
     request_fingerprint fingerprint;
@@ -68,7 +67,7 @@
     }
 };
 
-/** Upstreams that crashed under equal requests. */
+/** Upstreams that crashed while they ran equal requests. */
 struct crash_record {
     std::set<upstream_id> upstreams;
     wall_time lastSeen {};
@@ -93,15 +92,15 @@
     }
 };
 
-/** Where a shift stands. */
+/** The progress of a shift. */
 struct shift_record {
     std::uint64_t step = 0;
     std::uint32_t percent = 0;
     shift_phase phase = shift_phase::Running;
     wall_time steppedAt {};
-    /** The target's latency before the shift; zero until known. */
+    /** The target's median latency before the shift; zero until known. */
     duration baseline {};
-    /** How often a step had to be undone. */
+    /** How many steps were undone. */
     std::uint32_t setbacks = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -110,14 +109,14 @@
     }
 };
 
-/** A VM as it last started. */
+/** The latest start of a VM. */
 struct vm_start_record {
     vm_record record;
     incarnation start;
     wall_time startedAt {};
-    /** This start ended gracefully and left no work at upstreams. */
+    /** This incarnation stopped gracefully and left no work at upstreams. */
     bool stopped = false;
-    /** No work of earlier starts of the VM can still run at upstreams. */
+    /** No work of earlier incarnations of the VM can still run at upstreams. */
     bool earlierWorkEnded = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -126,10 +125,11 @@
     }
 };
 
-/** An accepted declaration in the history. */
+/** An accepted declaration. */
 struct history_record {
     declaration content;
     wall_time acceptedAt {};
+    /** The VM that proposed it. */
     vm_id acceptedThrough;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -138,11 +138,12 @@
     }
 };
 
-/** The last proposal of a VM's incarnation that was applied, and recent results for resent ones. */
+/** Cached results of a VM's recent proposals, for proposals that are resent. */
 struct proposer_record {
     incarnation start;
+    /** By the sequence number of the proposal. */
     std::map<std::uint64_t, command_result> results;
-    /** The latest earlier incarnations, the newest last; their late proposals are refused. */
+    /** The most recent earlier incarnations, the latest last. Their proposals are refused. */
     std::vector<incarnation> formerStarts;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -151,13 +152,13 @@
     }
 };
 
-/** An upstream that left the directory: kept so that late announcements and flapping are recognised. */
+/** A tombstone of an upstream that left the directory, by which delayed announcements and flapping are detected. */
 struct departed_record {
     upstream_generation generation;
     wall_time leftAt {};
-    /** It said goodbye, so that this generation never comes back. */
+    /** The upstream deregistered itself, so this generation cannot register again. */
     bool deregistered = false;
-    /** How often it fell silent without a long enough calm between. */
+    /** How often the upstream left without deregistering; starts again at 0 after `flapResetTime`. */
     std::uint32_t expirations = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -166,7 +167,7 @@
     }
 };
 
-/** All replicated control state. */
+/** The whole replicated control state. */
 struct control_snapshot {
     configuration config;
     std::vector<history_record> history;
@@ -179,7 +180,7 @@
     std::map<vm_id, vm_start_record> vms;
     std::map<vm_id, proposer_record> proposers;
     std::map<upstream_id, departed_record> departed;
-    /** The configuration before the first record of the history. */
+    /** The configuration that the first declaration in the history was merged into. */
     configuration historyBase;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What an operator declares: the definitions, and the changes to them under one number.
+ * The definitions that operators declare, and declarations, which are numbered sets of changes to them.
  */
 
 #include <cstdint>
@@ -29,7 +29,7 @@
     }
 };
 
-/** The budget of the link between two regions, for each direction. */
+/** The bandwidth budget of the link between two regions, for each direction. */
 struct link_definition {
     region_id left;
     region_id right;
@@ -43,7 +43,7 @@
     }
 };
 
-/** Whether requests of one method and path prefix are idempotent; the longest prefix wins. */
+/** Whether requests with a method and path prefix are idempotent. The rule with the longest matching prefix applies. */
 struct route_rule {
     std::string method;
     std::string pathPrefix;
@@ -57,12 +57,12 @@
     }
 };
 
-/** A service and the limits that hold for each of its upstreams. */
+/** A service, its defaults, and the limits for its upstreams. */
 struct service_definition {
     service_id id;
-    /** The most requests that one upstream runs at once; an announcement may say less, not more. */
+    /** The most requests that one upstream runs concurrently. An announcement with a higher number is refused. */
     slot_count slots;
-    /** The most connections to one upstream, over all VMs together. */
+    /** The most connections to one upstream from all VMs together. */
     std::uint32_t connections = 0;
     duration defaultDeadline {};
     duration maximumDeadline {};
@@ -70,9 +70,9 @@
     /** How long a claimed idempotency key and its answer are kept. */
     duration keyRetention {};
     std::vector<route_rule> routes;
-    /** How long an upstream is cold after its start; zero when it never is. */
+    /** How long an upstream is cold after its start; zero if it never is. */
     duration coldTime {};
-    /** The requests a second that a cold upstream bears, from all VMs together. */
+    /** The request rate that a cold upstream can handle, in requests a second from all VMs together. */
     double coldRate = 0;
 
     friend bool operator==(const service_definition&, const service_definition&) = default;
@@ -98,12 +98,12 @@
     }
 };
 
-/** What an operator says of one upstream beyond its own announcement. */
+/** An operator's constraints on one upstream, which its announcements have to match. */
 struct upstream_definition {
     upstream_id id;
     service_id service;
     failure_domain_id failureDomain;
-    /** A limit below the service's. */
+    /** A lower limit than the service's. */
     std::optional<slot_count> slots;
 
     friend bool operator==(const upstream_definition&, const upstream_definition&) = default;
@@ -114,18 +114,20 @@
     }
 };
 
-/** A move of part of a service's traffic from one failure domain to another, in gated steps under a cap. */
+/** A gradual shift of a service's traffic from one failure domain to another. A health gate controls the steps, and a
+ * cap limits the rate of shifted requests. */
 struct shift_definition {
     shift_id id;
     service_id service;
     failure_domain_id from;
     failure_domain_id to;
-    /** How much of the source's traffic moves in the end, 1 to 100. */
+    /** The final percentage of the source's traffic to shift, 1 to 100. */
     std::uint32_t percent = 0;
-    /** The most requests that the shift sends to the target within any second, over all VMs together. */
+    /** The most requests that are shifted to the target within any second, by all VMs together. */
     std::uint32_t capPerSecond = 0;
-    /** How much each step adds, in percent of the source's traffic. */
+    /** The size of a step, in percent of the source's traffic. */
     std::uint32_t stepPercent = 0;
+    /** The minimum time between steps. */
     duration stepInterval {};
 
     friend bool operator==(const shift_definition&, const shift_definition&) = default;
@@ -137,7 +139,7 @@
     }
 };
 
-/** A definition with its place in the operator's file; the place takes no part in comparisons and is not sent. */
+/** A definition with its position in the operator's file. The position is ignored in comparisons and not encoded. */
 template <typename Definition> struct declared {
     Definition value;
     text_position place;
@@ -150,11 +152,11 @@
     }
 };
 
-/** What a declaration adds, changes and withdraws of one kind of definition. */
+/** A declaration's changes to one kind of definition. */
 template <typename Definition> struct definition_changes {
     std::vector<declared<Definition>> added;
     std::vector<declared<Definition>> changed;
-    /** Only the fields that name the definition count. */
+    /** Only the fields of the key are used. */
     std::vector<declared<Definition>> withdrawn;
 
     bool empty() const { return added.empty() && changed.empty() && withdrawn.empty(); }
@@ -167,15 +169,15 @@
     }
 };
 
-/** A risk that an operator accepts by name, without which a dangerous change is refused. */
+/** A risk that a declaration is refused for unless it names the risk as accepted. */
 enum class accepted_risk {
-    /** A region may be asked for more than it can bear. */
+    /** The load of a region may exceed its capacity. */
     RegionOverload,
-    /** A service may be left without an upstream. */
+    /** A service may have no upstream left. */
     NoUpstream,
 };
 
-/** One declaration: a number, the number that it replaces, and the changes. */
+/** A numbered set of changes to the configuration with the number `replaces`. */
 struct declaration {
     change_number number;
     change_number replaces;
--- a/src/ports/configuration_port.h
+++ b/src/ports/configuration_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which a front end for operators puts and reads whole configurations.
+ * The interface through which a front end replaces and reads whole configurations and sets drains.
  */
 
 #include <functional>
@@ -13,14 +13,16 @@
 
 namespace plantainlatch {
 
-/** Whole configurations, of which the highest number is in force, and drains. */
+/** Whole configurations, of which the one with the highest number is in force, and drains. */
 struct configuration_port {
-    /** OK once the configuration, or a higher one, is accepted for good; InvalidArgument with all findings when it
-     * can't be put in force; Unavailable or DeadlineExceeded when the log did not answer. */
+    /** Calls back with OK once this configuration or one with a higher number is committed, with InvalidArgument and
+     * all findings if it is invalid, and with Unavailable or DeadlineExceeded if the log did not answer. */
     std::function<void(configuration, std::function<void(absl::Status)>)> put;
-    /** The newest accepted configuration; Unavailable when this VM can't be sure which that is. */
+    /** Calls back with the latest committed configuration, or with Unavailable if there is none or this VM cannot
+     * confirm that its own is the latest. */
     std::function<void(std::function<void(absl::StatusOr<configuration>)>)> read;
-    /** Begins or ends a drain; OK once that is accepted for good. */
+    /** Starts or ends a drain, and calls back with OK once that is committed or FailedPrecondition if the target of a
+     * new drain is unknown. */
     std::function<void(set_drain, std::function<void(absl::Status)>)> drain;
 };
 
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which services read the replicated control state, and by which the log changes it.
+ * The interface through which services read the replicated control state, and the replicated log changes it.
  */
 
 #include <functional>
@@ -11,17 +11,17 @@
 
 namespace plantainlatch {
 
-/** The control state of this VM, as far as its log is applied. */
+/** This VM's copy of the control state, which reflects all entries of the log that this VM has applied. */
 struct control_port {
-    /** The state; the reference holds until the next change. */
+    /** The current state; the reference is valid until the next change. */
     std::function<const control_snapshot&()> state;
-    /** Adds a listener that is called after each applied command or restored snapshot. */
+    /** Adds a listener that is called after each applied command and each restored snapshot. */
     std::function<void(std::function<void()>)> onChange;
-    /** Like onChange, but not after commands that change nothing but idempotency keys and crash counts. */
+    /** Like onChange, but skips commands that affect only idempotency keys or crash records, and no-ops. */
     std::function<void(std::function<void()>)> onSteeringChange;
-    /** For the log alone: applies one proposal; the result depends on the state and the proposal only. */
+    /** Applies a committed proposal; only for the log. The result depends on the state and the proposal only. */
     std::function<command_result(const proposal&)> apply;
-    /** For the log alone: replaces the state. */
+    /** Replaces the state by a snapshot; only for the log. */
     std::function<void(control_snapshot)> restore;
 };
 
--- a/src/ports/shift_port.h
+++ b/src/ports/shift_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which the choice of an upstream follows shares and shifts.
+ * The interface through which the choice of an upstream takes traffic shares and shifts into account.
  */
 
 #include <functional>
@@ -12,7 +12,7 @@
 
 namespace plantainlatch {
 
-/** The part of a service's traffic that a failure domain should take now. */
+/** The weight of a failure domain among all that take traffic of a service. */
 struct domain_weight {
     failure_domain_id failureDomain;
     double weight = 0;
@@ -23,16 +23,17 @@
     shift_id id;
     failure_domain_id from;
     failure_domain_id to;
-    /** How much of the source's traffic the shift moves now, 0 to 1. */
+    /** The fraction of the source's traffic that the shift moves at present, 0 to 1. */
     double fraction = 0;
 };
 
-/** Shares and shifts as this VM should follow them. */
+/** The traffic shares and shifts that are in force on this VM. */
 struct shift_port {
-    /** The declared shares of a service; empty when none are declared, and then nearness alone decides. */
+    /** The declared shares of a service. If there are none, traffic is distributed by proximity alone. */
     std::function<std::vector<domain_weight>(const service_id&)> weights;
+    /** The shifts of a service that move traffic at present. */
     std::function<std::vector<active_shift>(const service_id&)> shifts;
-    /** Takes one request out of this VM's part of the shift's cap; false when none is left. */
+    /** Admits one request under this VM's quota of the shift's rate cap; false if the quota is used up. */
     std::function<bool(const shift_id&)> tryAcquire;
 };
 
