Reword the control fixtures and the configuration service's tests

Cause: fixtures were described by figures of speech, and some test names did not name their condition. Change: comments, private names (randomDelay, maximumDelay, leaderVm) and names of test cases. Assertions, seeds and values stay.

--- a/test/correctness/configuration_service_test.cpp
+++ b/test/correctness/configuration_service_test.cpp
@@ -34,27 +34,27 @@
             log.readBarrier = [this](duration, std::function<void(absl::Status)> callback) { callback(caughtUp); };
             subject = *configuration_service::create(runtime.hooks(), settings);
             startWith({ subject->asService() });
-            desk = *root->services().find<configuration_port>(port_names::configurations);
+            configurations = *root->services().find<configuration_port>(port_names::configurations);
         }
 
         absl::Status put(const configuration& content)
         {
-            absl::Status told = absl::UnknownError("not told");
-            desk->put(content, [&](const absl::Status& status) { told = status; });
+            absl::Status answer = absl::UnknownError("not told");
+            configurations->put(content, [&](const absl::Status& status) { answer = status; });
             runtime.advance(100ms);
-            return told;
+            return answer;
         }
 
         absl::StatusOr<configuration> read()
         {
-            absl::StatusOr<configuration> told = absl::UnknownError("not told");
-            desk->read([&](const absl::StatusOr<configuration>& result) { told = result; });
-            return told;
+            absl::StatusOr<configuration> answer = absl::UnknownError("not told");
+            configurations->read([&](const absl::StatusOr<configuration>& result) { answer = result; });
+            return answer;
         }
 
         absl::Status caughtUp;
         std::unique_ptr<configuration_service> subject;
-        configuration_port* desk = nullptr;
+        configuration_port* configurations = nullptr;
     };
 
 } // namespace
@@ -66,7 +66,8 @@
     REQUIRE(read()->routes[0].host == "b");
 }
 
-TEST_CASE_METHOD(configuration_service_fixture, "configuration.old_or_equal_number.is_acknowledged_and_changes_nothing")
+TEST_CASE_METHOD(
+    configuration_service_fixture, "configuration.lower_or_equal_number.is_acknowledged_and_changes_nothing")
 {
     REQUIRE(put(makeConfiguration(9, "b")).ok());
     REQUIRE(put(makeConfiguration(7, "a")).ok());
@@ -75,14 +76,14 @@
     REQUIRE(read()->routes[0].host == "b");
 }
 
-TEST_CASE_METHOD(configuration_service_fixture, "configuration.overtaken_in_the_log.changes_nothing")
+TEST_CASE_METHOD(configuration_service_fixture, "configuration.superseded_in_the_log.changes_nothing")
 {
     put(makeConfiguration(9, "b")).IgnoreError();
     REQUIRE(apply(replace_configuration { makeConfiguration(8, "a") }).verdict == command_verdict::AlreadyAccepted);
     REQUIRE(state().config.number == change_number(9));
 }
 
-TEST_CASE_METHOD(configuration_service_fixture, "configuration.invalid_routes.are_refused_with_findings")
+TEST_CASE_METHOD(configuration_service_fixture, "configuration.invalid_routes.are_refused_as_an_invalid_argument")
 {
     configuration content = makeConfiguration(7, "a");
     content.routes[0].maximumAttempts = 0;
@@ -90,27 +91,27 @@
     REQUIRE(state().config.number == change_number());
 }
 
-TEST_CASE_METHOD(configuration_service_fixture, "configuration.read_that_is_not_caught_up.is_unavailable")
+TEST_CASE_METHOD(configuration_service_fixture, "configuration.read_without_a_leader.is_unavailable")
 {
     put(makeConfiguration(7, "a")).IgnoreError();
     caughtUp = absl::DeadlineExceededError("no leader");
     REQUIRE(absl::IsUnavailable(read().status()));
 }
 
-TEST_CASE_METHOD(configuration_service_fixture, "configuration.read_before_any.is_unavailable")
+TEST_CASE_METHOD(configuration_service_fixture, "configuration.read_before_the_first_put.is_unavailable")
 {
     REQUIRE(absl::IsUnavailable(read().status()));
 }
 
-TEST_CASE_METHOD(configuration_service_fixture, "configuration.drain_of_a_place.is_accepted_again_and_again")
+TEST_CASE_METHOD(configuration_service_fixture, "configuration.repeated_drain_command.is_accepted_each_time")
 {
     put(makeConfiguration(7, "a")).IgnoreError();
     for (const bool begins : { true, true, false, false }) {
-        absl::Status told = absl::UnknownError("not told");
-        desk->drain(
-            { { drain_kind::FailureDomain, "kokura" }, begins }, [&](const absl::Status& status) { told = status; });
+        absl::Status answer = absl::UnknownError("not told");
+        configurations->drain(
+            { { drain_kind::FailureDomain, "kokura" }, begins }, [&](const absl::Status& status) { answer = status; });
         runtime.advance(100ms);
-        REQUIRE(told.ok());
+        REQUIRE(answer.ok());
         REQUIRE(state().drains.size() == (begins ? 1 : 0));
     }
 }
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -76,13 +76,13 @@
     const vm_id id = made.settings.self.id;
     made.consensus.propose = [this, &made, id](const control_command& command, duration timeout, auto done) {
         proposal_id name { id, made.start, ++made.sequence };
-        runtime.schedule(someDelay(), [this, id, name, command, timeout, done] {
+        runtime.schedule(randomDelay(), [this, id, name, command, timeout, done] {
             if (isCut(id) || isCut(leader)) {
                 runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("cut off")); });
                 return;
             }
             append({ name, runtime.hooks().wallNow(), command }, [this, done](const command_result& result) {
-                runtime.schedule(someDelay(), [done, result] { done(result); });
+                runtime.schedule(randomDelay(), [done, result] { done(result); });
             });
         });
         return name;
@@ -104,16 +104,16 @@
     return { leader, term, vm == leader && !isCut(vm), !isCut(vm) };
 }
 
-duration control_cluster::someDelay()
+duration control_cluster::randomDelay()
 {
-    return duration(static_cast<std::int64_t>(runtime.random() % static_cast<std::uint64_t>(longestDelay.count() + 1)));
+    return duration(static_cast<std::int64_t>(runtime.random() % static_cast<std::uint64_t>(maximumDelay.count() + 1)));
 }
 
 void control_cluster::setLeader(const std::string& name)
 {
     leader = vm_id(name);
     term = term.next();
-    // A leader is elected with all that was committed.
+    // A leader can be elected only if it has all committed entries.
     cluster_vm& elected = *vms.at(leader);
     if (elected.root != nullptr && elected.receiver)
         catchUp(elected);
@@ -125,7 +125,7 @@
 
 void control_cluster::send(const vm_id& from, const vm_id& to, const peer_message& message)
 {
-    runtime.schedule(someDelay(), [this, from, to, message] {
+    runtime.schedule(randomDelay(), [this, from, to, message] {
         if (!isCut(from) && !isCut(to) && vms.at(to)->receiver)
             vms.at(to)->receiver(from, message);
     });
@@ -134,13 +134,13 @@
 void control_cluster::append(const proposal& item, std::function<void(command_result)> applied)
 {
     m_log.push_back(item);
-    cluster_vm& led = *vms.at(leader);
-    while (led.applied + 1 < m_log.size())
-        led.port<control_port>(port_names::control).apply(m_log[led.applied++]);
-    ++led.applied;
-    const command_result result = led.port<control_port>(port_names::control).apply(item);
+    cluster_vm& leaderVm = *vms.at(leader);
+    while (leaderVm.applied + 1 < m_log.size())
+        leaderVm.port<control_port>(port_names::control).apply(m_log[leaderVm.applied++]);
+    ++leaderVm.applied;
+    const command_result result = leaderVm.port<control_port>(port_names::control).apply(item);
     for (auto& [id, follower] : vms)
-        runtime.schedule(someDelay(), [this, &follower = *follower] { catchUp(follower); });
+        runtime.schedule(randomDelay(), [this, &follower = *follower] { catchUp(follower); });
     applied(result);
 }
 
@@ -156,9 +156,9 @@
 
 command_result control_cluster::apply(control_command command)
 {
-    cluster_vm& led = *vms.at(leader);
+    cluster_vm& leaderVm = *vms.at(leader);
     command_result result;
-    append({ { leader, led.start, ++led.sequence }, runtime.hooks().wallNow(), std::move(command) },
+    append({ { leader, leaderVm.start, ++leaderVm.sequence }, runtime.hooks().wallNow(), std::move(command) },
         [&result](command_result applied) { result = std::move(applied); });
     return result;
 }
--- a/test/support/control_cluster.h
+++ b/test/support/control_cluster.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * Some VMs with their control services on one paused clock, over a log that applies in order and a network that the
- * test cuts.
+ * A cluster of VMs with their control services on one simulated clock. The log is a stub that applies commands in
+ * order, and tests can isolate VMs from the network.
  */
 
 #include <map>
@@ -25,7 +25,6 @@
 
 class control_cluster;
 
-/** One VM of the cluster. */
 struct cluster_vm {
     vm_settings settings;
     std::unique_ptr<kernel> root;
@@ -44,7 +43,7 @@
     const control_snapshot& state() { return port<control_port>(port_names::control).state(); }
 };
 
-/** VMs "a", "b", "c" and so on; three regions as in kurohaeDeclaration(). */
+/** VMs "a", "b", "c" and so on, in the regions and failure domains of kurohaeDeclaration() in turn. */
 class control_cluster {
 public:
     /** `add` adds further services to each VM before it starts. */
@@ -53,11 +52,11 @@
 
     cluster_vm& vm(const std::string& name) { return *vms.at(vm_id(name)); }
     void setLeader(const std::string& name);
-    /** Cuts a VM off from all others, and from the log. */
+    /** Isolates a VM from all others and from the log. */
     void cut(const std::string& name) { m_cut.insert(vm_id(name)); }
     void heal(const std::string& name) { m_cut.erase(vm_id(name)); }
     bool isCut(const vm_id& vm) const { return m_cut.contains(vm); }
-    /** Applies a command through the leader at once. */
+    /** Applies a command at the leader without delay; the other VMs follow after theirs. */
     command_result apply(control_command command);
     /** Stops a VM for good. */
     void kill(const std::string& name) { cut(name); }
@@ -66,8 +65,8 @@
     std::map<vm_id, std::unique_ptr<cluster_vm>> vms;
     vm_id leader;
     log_term term;
-    /** Messages and log entries take a random time up to this. */
-    duration longestDelay = std::chrono::milliseconds(40);
+    /** Messages and log entries are delivered after a random delay up to this. */
+    duration maximumDelay = std::chrono::milliseconds(40);
 
 private:
     void makeVm(const std::vector<vm_record>& records, std::size_t position, membership_options options);
@@ -76,7 +75,7 @@
     void append(const proposal& item, std::function<void(command_result)> applied);
     void catchUp(cluster_vm& follower);
     leadership stateOf(const vm_id& vm) const;
-    duration someDelay();
+    duration randomDelay();
 
     std::vector<proposal> m_log;
     std::set<vm_id> m_cut;
--- a/test/support/control_fixture.h
+++ b/test/support/control_fixture.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * A control service on the paused clock with Kurohae's places and services declared, and a log that applies at once.
+ * A fixture with a control service on a simulated clock and a stub of the replicated log that applies commands at once;
+ * and the declarations, announcements and VM records that tests share.
  */
 
 #include <memory>
@@ -16,26 +17,26 @@
 
 namespace plantainlatch {
 
-/** Kurohae's regions, links and services under change 1. */
+/** Three regions with two failure domains each and two services, as change 1. */
 declaration kurohaeDeclaration();
 
-/** An announcement of a booking upstream in kokura. */
+/** An announcement of an upstream of the service "booking" in the failure domain "kokura". */
 upstream_announcement bookingUpstream(const std::string& id, std::uint16_t port);
 
-/** The settings of a VM in a failure domain of a region, one of `vms`. */
+/** A VM in a failure domain of a region, with defaults for all other fields. */
 vm_record vmRecord(const std::string& id, const std::string& region, const std::string& failureDomain);
 
-/** Base of fixtures: one VM whose log is this process alone. */
+/** Base of fixtures with one VM, whose consensus_port is a stub without replication. */
 class control_fixture {
 public:
     control_fixture();
 
 protected:
-    /** Applies a command as the log would. */
+    /** Applies a command under a new proposal id, as the log would. */
     command_result apply(control_command command);
     const control_snapshot& state() const { return port().state(); }
     control_port& port() const { return **root->services().find<control_port>(port_names::control); }
-    /** Adds a service and starts the kernel with it. */
+    /** Starts the kernel with the control service, the stub log and `items`. */
     void startWith(std::vector<service> items);
 
     paused_runtime runtime { 1 };
