Name a key table test and two comments of the control folder more clearly

Cause: a name that reads as another statement, and comments that were less than the code does. Change: comments and one test name.

--- a/src/decision/control/change_log.h
+++ b/src/decision/control/change_log.h
@@ -18,7 +18,7 @@
 namespace plantainlatch {
 
 /** Compares the control state with its previous value after each change and writes a log line for each difference.
- * Needs "control" and "consensus". */
+ * Depends on "control" and "consensus". */
 class change_log {
 public:
     static std::unique_ptr<change_log> create(const kernel_hooks& hooks);
--- a/src/decision/control/command_results.h
+++ b/src/decision/control/command_results.h
@@ -13,7 +13,7 @@
 
 inline command_result accepted() { return {}; }
 
-/** For a command that has already taken effect. */
+/** For a command that changes nothing because it took effect before or was superseded. */
 inline command_result alreadyAccepted(std::string message = {})
 {
     return { command_verdict::AlreadyAccepted, std::move(message), {}, {} };
--- a/test/correctness/key_table_test.cpp
+++ b/test/correctness/key_table_test.cpp
@@ -56,7 +56,7 @@
     REQUIRE(claim(1, "order").claim == claim_result::Claimed);
 }
 
-TEST_CASE_METHOD(key_table_fixture, "key_table.other_request_with_a_used_key.gets_reused")
+TEST_CASE_METHOD(key_table_fixture, "key_table.other_request_with_a_used_key.is_reported_as_reused")
 {
     claim(1, "order", 1);
     REQUIRE(claim(2, "order", 2).claim == claim_result::Reused);
