--- a/src/decision/slots/allocator_host.cpp
+++ b/src/decision/slots/allocator_host.cpp
@@ -28,7 +28,7 @@
     m_hooks.cancel(m_pollTimer);
 }
 
-void allocator_host::follow(const upstream_table& table)
+void allocator_host::applyControlState(const upstream_table& table)
 {
     m_table = table;
     const control_snapshot& state = m_ports.control->state();
@@ -40,7 +40,7 @@
     for (const auto& [region, record] : state.allocators) {
         const bool isHere = record.vm == m_settings.self.id && record.start == start;
         if (isHere && !m_hosted.contains(region))
-            host(region, record.epoch);
+            startAllocator(region, record.epoch);
     }
     const duration longest = longestDeadline(state.config);
     for (auto& [region, item] : m_hosted) {
@@ -57,18 +57,18 @@
     }
 }
 
-void allocator_host::host(const region_id& region, allocator_epoch epoch)
+void allocator_host::startAllocator(const region_id& region, allocator_epoch epoch)
 {
     const time_point now = m_hooks.now();
-    std::set<vm_id> members;
+    std::set<vm_id> earlierHolders;
     const bool hadEarlier = epoch > allocator_epoch(1);
     for (const vm_record& vm : m_settings.vms) {
         if (hadEarlier)
-            members.insert(vm.id);
+            earlierHolders.insert(vm.id);
     }
     auto item = std::make_unique<hosted>(hosted {
         epoch,
-        slot_allocator(region, epoch, std::move(members), now, m_options.allocator),
+        slot_allocator(region, epoch, std::move(earlierHolders), now, m_options.allocator),
         upstream_health(m_options.health, now),
         {},
     });
@@ -82,13 +82,13 @@
 bool allocator_host::usable(const hosted& item, const upstream_id& id) const
 {
     const time_point now = m_hooks.now();
-    if (!item.health.announced(id, *m_ports.liveness, now))
+    if (!item.health.recentlyAnnounced(id, *m_ports.liveness, now))
         return false;
     const usable_upstream* upstream = m_table.find(id);
     if (upstream == nullptr)
         return false;
     const auto members = item.members.find(upstream->announcement.service);
-    return members == item.members.end() || !item.health.doubted(id, members->second, now);
+    return members == item.members.end() || !item.health.isUnhealthy(id, members->second, now);
 }
 
 void allocator_host::report(const vm_id& from, const slot_report& report)
@@ -97,15 +97,16 @@
     const time_point now = m_hooks.now();
     if (found == m_hosted.end() || found->second->epoch != report.epoch)
         return;
-    const std::optional<time_point> until = m_ports.membership->allocatorLeaseEnd(report.region);
-    if (!until || now >= *until)
+    const std::optional<time_point> leaseEnd = m_ports.membership->allocatorLeaseEnd(report.region);
+    if (!leaseEnd || now >= *leaseEnd)
         return;
-    // A start that the log does not know yet gets nothing: later ones could not tell that it left work behind.
+    // An incarnation that is not in the log yet gets no slots: later incarnations of the VM could not know that
+    // requests of it may still run.
     const auto& members = m_ports.control->state().vms;
     const auto member = members.find(from);
     if (member == members.end() || member->second.start != report.start)
         return;
-    for (const slot_share& warm : report.warmAnswers)
+    for (const per_upstream_count& warm : report.warmAnswers)
         found->second->health.noteAnswers(warm.upstream, now);
     sendAll(found->second->allocator.report(
         { from, member->second.record.region == report.region, member->second.earlierWorkEnded }, report, now));
@@ -121,8 +122,8 @@
 {
     const time_point now = m_hooks.now();
     for (auto& [region, item] : m_hosted) {
-        const std::optional<time_point> until = m_ports.membership->allocatorLeaseEnd(region);
-        if (until && now < *until)
+        const std::optional<time_point> leaseEnd = m_ports.membership->allocatorLeaseEnd(region);
+        if (leaseEnd && now < *leaseEnd)
             sendAll(item->allocator.tick(now));
     }
     m_tickTimer = m_hooks.schedule(m_options.tickInterval, [this] { tick(); });
--- a/src/decision/slots/allocator_host.h
+++ b/src/decision/slots/allocator_host.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Runs the slot allocators of the regions that the log assigns to this VM, while the leader's lease for that holds.
+ * Runs the slot allocators of the regions that the replicated log assigns to this VM, as long as this VM has the
+ * leader's lease for the region.
  */
 
 #include <functional>
@@ -21,18 +22,18 @@
 
 namespace plantainlatch {
 
-/** How allocators are run. */
 struct allocator_host_options {
     slot_allocator_options allocator;
     upstream_health_options health;
+    /** Interval of slot_allocator::tick(). */
     duration tickInterval = std::chrono::milliseconds(100);
+    /** Interval and time-out of the requests to upstreams for their load. */
     duration pollInterval = std::chrono::seconds(1);
     duration pollTimeout = std::chrono::milliseconds(800);
-    /** Asks upstreams for their load; only tests turn it off. */
+    /** Polls the load of upstreams; only tests turn it off. */
     bool polls = true;
 };
 
-/** What an allocator_host uses. */
 struct allocator_host_ports {
     control_port* control = nullptr;
     membership_port* membership = nullptr;
@@ -41,7 +42,6 @@
     std::function<void(const addressed_grant&)> send;
 };
 
-/** The allocators of this VM. */
 class allocator_host {
 public:
     allocator_host(const kernel_hooks& hooks, const vm_settings& settings, allocator_host_options options);
@@ -52,9 +52,9 @@
     void start(allocator_host_ports ports);
     void stop();
 
-    /** Takes over roles and upstreams after a change of the control state. */
-    void follow(const upstream_table& table);
-    /** Answers a report if this VM is that region's allocator now. */
+    /** Starts and stops allocators and updates their upstreams after a change of the control state. */
+    void applyControlState(const upstream_table& table);
+    /** Answers a report if this VM is the region's allocator and has its lease. */
     void report(const vm_id& from, const slot_report& report);
 
     state_dump dump() const;
@@ -71,7 +71,7 @@
     void poll();
     void pollUpstream(const region_id& region, const usable_upstream& upstream);
     bool usable(const hosted& item, const upstream_id& id) const;
-    void host(const region_id& region, allocator_epoch epoch);
+    void startAllocator(const region_id& region, allocator_epoch epoch);
     void sendAll(const std::vector<addressed_grant>& grants);
 
     kernel_hooks m_hooks;
@@ -82,7 +82,7 @@
     std::map<region_id, std::unique_ptr<hosted>> m_hosted;
     timer_id m_tickTimer;
     timer_id m_pollTimer;
-    /** Ends the callbacks of polls that outlive this object. */
+    /** False after stop(): callbacks of polls that are still pending then do nothing. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/decision/slots/link_budget.cpp
+++ b/src/decision/slots/link_budget.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /** A bucket holds at most what the budget allows in this span. */
-    constexpr duration bucketSpan = std::chrono::milliseconds(250);
+    /** The capacity of a bucket, as the time in which the budget fills it. */
+    constexpr duration burstDuration = std::chrono::milliseconds(250);
 
     double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -35,16 +35,16 @@
         for (bucket* direction : { &item.toRemote, &item.fromRemote }) {
             direction->bytesPerSecond = static_cast<double>(definition.budget.value()) / m_vmsInRegion;
             if (before == former.end())
-                direction->filledAt = now;
+                direction->refilledAt = now;
         }
     }
 }
 
-void link_budget::fill(bucket& item, time_point now)
+void link_budget::refill(bucket& item, time_point now)
 {
-    const double gained = item.bytesPerSecond * seconds(now - item.filledAt);
-    item.balance = std::min(item.balance + gained, item.bytesPerSecond * seconds(bucketSpan));
-    item.filledAt = now;
+    const double gained = item.bytesPerSecond * seconds(now - item.refilledAt);
+    item.balance = std::min(item.balance + gained, item.bytesPerSecond * seconds(burstDuration));
+    item.refilledAt = now;
 }
 
 bool link_budget::trySend(const region_id& target, byte_count size, time_point now)
@@ -52,8 +52,8 @@
     const auto found = m_links.find(target);
     if (!m_enforced || found == m_links.end())
         return true;
-    fill(found->second.toRemote, now);
-    fill(found->second.fromRemote, now);
+    refill(found->second.toRemote, now);
+    refill(found->second.fromRemote, now);
     const auto bytes = static_cast<double>(size.value());
     if (found->second.toRemote.balance < bytes || found->second.fromRemote.balance < 0)
         return false;
@@ -66,7 +66,7 @@
     const auto found = m_links.find(source);
     if (found == m_links.end())
         return;
-    fill(found->second.fromRemote, now);
+    refill(found->second.fromRemote, now);
     found->second.fromRemote.balance -= static_cast<double>(size.value());
 }
 
--- a/src/decision/slots/link_budget.h
+++ b/src/decision/slots/link_budget.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * This VM's part of the bytes that the links between regions may carry for the system.
+ * Rate limits, in bytes per second, for the traffic of this VM between regions.
  */
 
 #include <cstdint>
@@ -16,9 +16,9 @@
 namespace plantainlatch {
 
 /**
- * One token bucket for each other region and direction. The declared budget is split evenly among the VMs of this
- * region, so that together they stay within it without talking. An answer's size is known only afterwards; what it took
- * beyond the balance is paid back before the next request may cross.
+ * One token bucket for each other region and direction. The declared budget of a link is divided evenly among the VMs
+ * of this region, so that they stay within it without coordination. The size of an answer is known only after the fact:
+ * it may overdraw the bucket, and no request is sent over the link while the balance is negative.
  */
 class link_budget {
 public:
@@ -26,17 +26,17 @@
 
     void setLinks(const configuration& config, time_point now);
 
-    /** Whether a request of this size may cross to `target`; it is charged then. */
+    /** Whether a request of this size may be sent to `target`; if so, it is charged. */
     bool trySend(const region_id& target, byte_count size, time_point now);
-    /** Charges an answer that came from `source`. */
+    /** Charges an answer from `source`. */
     void chargeAnswer(const region_id& source, byte_count size, time_point now);
 
 private:
     struct bucket {
         double bytesPerSecond = 0;
-        /** Bytes that may be sent now; below zero while an answer is paid back. */
+        /** Bytes that may be sent now; negative after an answer that overdrew it. */
         double balance = 0;
-        time_point filledAt;
+        time_point refilledAt;
     };
 
     struct link {
@@ -44,7 +44,7 @@
         bucket fromRemote;
     };
 
-    static void fill(bucket& item, time_point now);
+    static void refill(bucket& item, time_point now);
 
     region_id m_self;
     std::uint32_t m_vmsInRegion;
--- a/src/decision/slots/measurement_recorder.cpp
+++ b/src/decision/slots/measurement_recorder.cpp
@@ -7,9 +7,9 @@
 namespace {
 
     constexpr double medianRank = 0.5;
-    constexpr double slowRank = 0.95;
+    constexpr double p95Rank = 0.95;
 
-    duration atRank(std::vector<duration>& latencies, double rank)
+    duration quantile(std::vector<duration>& latencies, double rank)
     {
         if (latencies.empty())
             return {};
@@ -26,30 +26,30 @@
     using kind = slot_result::kind;
     if (result.ended == kind::Unused || result.ended == kind::Cancelled)
         return;
-    place_record& place = m_places[{ upstream.service, upstream.failureDomain }];
+    domain_counts& counts = m_counts[{ upstream.service, upstream.failureDomain }];
     if (result.ended == kind::Shed) {
-        ++place.refused;
+        ++counts.refused;
         return;
     }
     if (result.ended != kind::Answered) {
-        ++place.failed;
+        ++counts.failed;
         return;
     }
-    if (place.latencies.size() < maximumLatencies)
-        place.latencies.push_back(result.latency);
+    if (counts.latencies.size() < maximumLatencies)
+        counts.latencies.push_back(result.latency);
     else
-        place.latencies[place.answered % maximumLatencies] = result.latency;
-    ++place.answered;
+        counts.latencies[counts.answered % maximumLatencies] = result.latency;
+    ++counts.answered;
 }
 
 std::vector<service_measurement> measurement_recorder::take()
 {
     std::vector<service_measurement> taken;
-    taken.reserve(m_places.size());
-    for (auto& [key, place] : m_places)
-        taken.push_back({ key.first, key.second, place.answered, place.failed, place.refused,
-            atRank(place.latencies, medianRank), atRank(place.latencies, slowRank) });
-    m_places.clear();
+    taken.reserve(m_counts.size());
+    for (auto& [key, counts] : m_counts)
+        taken.push_back({ key.first, key.second, counts.answered, counts.failed, counts.refused,
+            quantile(counts.latencies, medianRank), quantile(counts.latencies, p95Rank) });
+    m_counts.clear();
     return taken;
 }
 
--- a/src/decision/slots/measurement_recorder.h
+++ b/src/decision/slots/measurement_recorder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What this VM saw of the upstreams, summed up for the heartbeats to the leader.
+ * Aggregates this VM's measurements of the upstreams for the heartbeats to the leader.
  */
 
 #include <cstddef>
@@ -15,26 +15,26 @@
 
 namespace plantainlatch {
 
-/** Counts results and latencies by service and failure domain until they are taken. */
+/** Collects results and latencies for each service and failure domain. */
 class measurement_recorder {
 public:
     void note(const upstream_announcement& upstream, const slot_result& result);
 
-    /** The measurements since the last call. */
+    /** Returns the measurements since the last call. */
     std::vector<service_measurement> take();
 
 private:
-    /** Latencies kept of one place until they are taken; later ones replace the earliest. */
+    /** Latencies kept for each service and failure domain; further ones replace the oldest. */
     static constexpr std::size_t maximumLatencies = 512;
 
-    struct place_record {
+    struct domain_counts {
         std::uint64_t answered = 0;
         std::uint64_t failed = 0;
         std::uint64_t refused = 0;
         std::vector<duration> latencies;
     };
 
-    std::map<std::pair<service_id, failure_domain_id>, place_record> m_places;
+    std::map<std::pair<service_id, failure_domain_id>, domain_counts> m_counts;
 };
 
 } // namespace plantainlatch
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -6,28 +6,28 @@
 
 namespace plantainlatch {
 
-slot_allocator::slot_allocator(
-    region_id region, allocator_epoch epoch, std::set<vm_id> members, time_point now, slot_allocator_options options)
+slot_allocator::slot_allocator(region_id region, allocator_epoch epoch, std::set<vm_id> earlierHolders, time_point now,
+    slot_allocator_options options)
     : m_region(std::move(region))
     , m_epoch(epoch)
     , m_options(options)
-    , m_unaccountedMembers(std::move(members))
-    , m_begun(now)
+    , m_unaccountedVms(std::move(earlierHolders))
+    , m_startedAt(now)
 {
-    if (!m_options.waitForEarlierLoans)
-        m_unaccountedMembers.clear();
+    if (!m_options.waitForEarlierAllocations)
+        m_unaccountedVms.clear();
 }
 
-duration slot_allocator::holdTime() const
+duration slot_allocator::maximumUseTime() const
 {
-    return m_options.lease + m_options.drift + m_longestWork + m_options.settle;
+    return m_options.lease + m_options.drift + m_maximumWorkTime + m_options.settleTime;
 }
 
-void slot_allocator::setUpstreams(const upstream_table& table, duration longestWork, time_point now)
+void slot_allocator::setUpstreams(const upstream_table& table, duration maximumWorkTime, time_point now)
 {
-    // Earlier loans may run under an earlier, longer limit, so the longest ever seen counts.
-    m_longestWork = std::max(m_longestWork, longestWork);
-    m_accountedAt = m_begun + holdTime();
+    // Requests may still run under an earlier, longer limit, so the maximum never decreases.
+    m_maximumWorkTime = std::max(m_maximumWorkTime, maximumWorkTime);
+    m_earlierAllocationsEnd = m_startedAt + maximumUseTime();
     m_byService.clear();
     for (auto& [key, item] : m_upstreams)
         item.info.capacity = 0;
@@ -37,7 +37,7 @@
         const upstream_key key { id, info.announcement.generation };
         const auto [position, isNew] = m_upstreams.try_emplace(key);
         position->second.info = info;
-        if (isNew && !m_hasUpstreams && !m_unaccountedMembers.empty() && now < m_accountedAt)
+        if (isNew && !m_hasUpstreams && !m_unaccountedVms.empty() && now < m_earlierAllocationsEnd)
             position->second.unaccounted = static_cast<std::uint32_t>(info.announcement.slots.value());
         m_byService[info.announcement.service].push_back(key);
     }
@@ -49,21 +49,20 @@
         std::erase_if(keys, [this](const upstream_key& key) { return !m_upstreams.contains(key); });
 }
 
-std::vector<addressed_grant> slot_allocator::report(
-    const slot_reporter& from, const slot_report& report, time_point now)
+std::vector<addressed_grant> slot_allocator::report(const reporting_vm& from, const slot_report& report, time_point now)
 {
     const holder_key key { from.vm, report.start };
     const auto known = m_holders.find(key);
     const bool isOld = known != m_holders.end() && report.sequence <= known->second.sequence;
     if (report.epoch != m_epoch || isOld)
         return {};
-    holder& item = takeReport(key, from, report, now);
-    lendMissing(item);
+    holder& item = applyReport(key, from, report, now);
+    allocateForDemand(item);
     std::set<holder_key> changed { key };
-    for (const holder_key& other : lendToWaiting(&key, now))
+    for (const holder_key& other : allocateToWaitingHolders(&key, now))
         changed.insert(other);
-    // Only what no request waits for is lent in reserve, or a slot that was recalled would go back at once.
-    lendReserve(item);
+    // Waiting requests come first: otherwise the reserve would return a recalled slot to its holder at once.
+    allocateReserve(item);
     for (const auto& [service, wanted] : item.demands) {
         const std::uint32_t idle = wanted.idle;
         if (wanted.waiting <= idle)
@@ -83,12 +82,12 @@
     return grants;
 }
 
-slot_allocator::holder& slot_allocator::takeReport(
-    const holder_key& key, const slot_reporter& from, const slot_report& report, time_point now)
+slot_allocator::holder& slot_allocator::applyReport(
+    const holder_key& key, const reporting_vm& from, const slot_report& report, time_point now)
 {
     const auto [position, isFirst] = m_holders.try_emplace(key);
     holder& item = position->second;
-    item.isHome = from.isHome;
+    item.isLocal = from.isLocal;
     item.sequence = report.sequence;
     item.leaseEnd = now + m_options.lease;
     item.recalled.clear();
@@ -96,56 +95,56 @@
     for (const slot_demand& wanted : report.demands)
         item.demands[wanted.service] = { wanted.waiting, wanted.idle, wanted.preferred };
     item.ejected = { report.ejected.begin(), report.ejected.end() };
-    takeHeld(item, isFirst, report.held);
-    takeWarmAnswers(report.warmAnswers);
-    // Otherwise an earlier start of the VM may have left work behind.
-    if (from.earlierWorkEnded || report.running >= holdTime())
-        m_unaccountedMembers.erase(key.vm);
-    accountAll(now);
+    applyHeldSlots(item, isFirst, report.held);
+    addWarmAnswers(report.warmAnswers);
+    // Otherwise requests of an earlier incarnation of the VM may still run.
+    if (from.earlierWorkEnded || report.uptime >= maximumUseTime())
+        m_unaccountedVms.erase(key.vm);
+    expireUnaccounted(now);
     return item;
 }
 
-void slot_allocator::takeHeld(holder& item, bool isFirst, const std::vector<slot_share>& held)
+void slot_allocator::applyHeldSlots(holder& item, bool isFirst, const std::vector<per_upstream_count>& held)
 {
     std::map<upstream_key, std::uint32_t> now;
-    for (const slot_share& share : held)
-        now[{ share.upstream, share.generation }] += share.count;
+    for (const per_upstream_count& entry : held)
+        now[{ entry.upstream, entry.generation }] += entry.count;
     const auto before = item.held;
     for (const auto& [key, count] : before) {
         if (!now.contains(key))
             setHeld(item, key, 0);
     }
     for (const auto& [key, count] : now) {
-        const auto former = before.find(key);
-        const std::uint32_t most = former == before.end() ? 0 : former->second;
-        internal_assert(isFirst || count <= most)
-            << "a holder reports " << count << " slots of " << key.id.value() << " and was lent " << most;
+        const auto previous = before.find(key);
+        const std::uint32_t maximum = previous == before.end() ? 0 : previous->second;
+        internal_assert(isFirst || count <= maximum)
+            << "a holder reports " << count << " slots of " << key.id.value() << " but its allocation is " << maximum;
         setHeld(item, key, count);
         upstream_state& upstream = m_upstreams[key];
         if (!isFirst)
             continue;
         upstream.unaccounted -= std::min(upstream.unaccounted, count);
-        // An earlier allocator found these slots warm enough to lend.
+        // An earlier allocator had already ramped the upstream up to these slots.
         upstream.warmAnswers += count * m_options.warmAnswersPerSlot;
     }
 }
 
-void slot_allocator::takeWarmAnswers(const std::vector<slot_share>& warm)
+void slot_allocator::addWarmAnswers(const std::vector<per_upstream_count>& warm)
 {
-    for (const slot_share& share : warm) {
-        const auto upstream = m_upstreams.find({ share.upstream, share.generation });
+    for (const per_upstream_count& entry : warm) {
+        const auto upstream = m_upstreams.find({ entry.upstream, entry.generation });
         if (upstream != m_upstreams.end())
-            upstream->second.warmAnswers += share.count;
+            upstream->second.warmAnswers += entry.count;
     }
 }
 
-void slot_allocator::markStopped(const vm_id& vm) { m_unaccountedMembers.erase(vm); }
+void slot_allocator::markStopped(const vm_id& vm) { m_unaccountedVms.erase(vm); }
 
-void slot_allocator::accountAll(time_point now)
+void slot_allocator::expireUnaccounted(time_point now)
 {
-    if (now >= m_accountedAt)
-        m_unaccountedMembers.clear();
-    if (!m_unaccountedMembers.empty())
+    if (now >= m_earlierAllocationsEnd)
+        m_unaccountedVms.clear();
+    if (!m_unaccountedVms.empty())
         return;
     for (auto& [key, item] : m_upstreams)
         item.unaccounted = 0;
@@ -156,7 +155,7 @@
     const auto position = item.held.find(key);
     const std::uint32_t before = position == item.held.end() ? 0 : position->second;
     upstream_state& upstream = m_upstreams[key];
-    internal_assert(upstream.allocated >= before) << "more slots of " << key.id.value() << " are held than lent";
+    internal_assert(upstream.allocated >= before) << "more slots of " << key.id.value() << " are held than allocated";
     upstream.allocated = upstream.allocated - before + count;
     if (count > 0)
         item.held[key] = count;
@@ -164,7 +163,7 @@
         item.held.erase(position);
 }
 
-std::uint32_t slot_allocator::lentOfAllGenerations(const upstream_id& id) const
+std::uint32_t slot_allocator::allocatedInAllGenerations(const upstream_id& id) const
 {
     std::uint32_t count = 0;
     for (auto item = m_upstreams.lower_bound({ id, upstream_generation() });
@@ -179,8 +178,8 @@
         return 0;
     const std::uint32_t warm = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
     const std::uint32_t limit = std::min(item.info.capacity, warm);
-    // A holder that does not know of a restart yet still sends to the same address.
-    const std::uint32_t used = lentOfAllGenerations(item.info.announcement.id);
+    // A holder that does not know yet that the upstream restarted still sends requests to the same address.
+    const std::uint32_t used = allocatedInAllGenerations(item.info.announcement.id);
     return limit > used ? limit - used : 0;
 }
 
@@ -194,7 +193,7 @@
         capacity += m_upstreams.at(key).info.capacity;
     std::uint32_t sharers = 0;
     for (const auto& [key, item] : m_holders)
-        sharers += item.isHome || item.demands.contains(service) ? 1 : 0;
+        sharers += item.isLocal || item.demands.contains(service) ? 1 : 0;
     return sharers == 0 ? capacity : (capacity + sharers - 1) / sharers;
 }
 
@@ -233,7 +232,7 @@
     return best;
 }
 
-std::uint32_t slot_allocator::lend(
+std::uint32_t slot_allocator::allocate(
     holder& item, const service_id& service, const failure_domain_id& preferred, std::uint32_t count)
 {
     std::uint32_t given = 0;
@@ -244,43 +243,44 @@
         const upstream_key key { upstream->info.announcement.id, upstream->info.announcement.generation };
         setHeld(item, key, item.held[key] + 1);
         internal_assert(upstream->allocated + upstream->unaccounted <= upstream->info.capacity)
-            << upstream->allocated << " slots of " << key.id.value() << " are lent, which has "
+            << upstream->allocated << " slots of " << key.id.value() << " are allocated, above its capacity of "
             << upstream->info.capacity;
         ++given;
     }
     return given;
 }
 
-void slot_allocator::lendMissing(holder& item)
+void slot_allocator::allocateForDemand(holder& item)
 {
     for (auto& [service, wanted] : item.demands) {
         if (wanted.waiting > wanted.idle)
-            wanted.idle += lend(item, service, wanted.preferred, wanted.waiting - wanted.idle);
+            wanted.idle += allocate(item, service, wanted.preferred, wanted.waiting - wanted.idle);
     }
 }
 
-void slot_allocator::lendReserve(holder& item)
+void slot_allocator::allocateReserve(holder& item)
 {
     for (auto& [service, wanted] : item.demands) {
         const std::uint32_t held = heldOf(item, service);
-        const std::uint32_t fair = item.isHome ? fairShare(service) : 0;
+        const std::uint32_t fair = item.isLocal ? fairShare(service) : 0;
         if (fair > held)
-            wanted.idle += lend(item, service, wanted.preferred, fair - held);
+            wanted.idle += allocate(item, service, wanted.preferred, fair - held);
     }
 }
 
-std::vector<slot_allocator::holder_key> slot_allocator::lendToWaiting(const holder_key* except, time_point now)
+std::vector<slot_allocator::holder_key> slot_allocator::allocateToWaitingHolders(
+    const holder_key* excluded, time_point now)
 {
     std::vector<holder_key> changed;
     for (auto& [key, item] : m_holders) {
-        const bool isExcepted = except != nullptr && key == *except;
-        if (isExcepted || now >= item.leaseEnd)
+        const bool isExcluded = excluded != nullptr && key == *excluded;
+        if (isExcluded || now >= item.leaseEnd)
             continue;
         bool given = false;
         for (auto& [service, wanted] : item.demands) {
             if (wanted.waiting <= wanted.idle)
                 continue;
-            const std::uint32_t count = lend(item, service, wanted.preferred, wanted.waiting - wanted.idle);
+            const std::uint32_t count = allocate(item, service, wanted.preferred, wanted.waiting - wanted.idle);
             wanted.idle += count;
             given = given || count > 0;
         }
@@ -291,13 +291,13 @@
 }
 
 std::vector<slot_allocator::holder_key> slot_allocator::recallFor(
-    const holder_key& wanting, const service_id& service, std::uint32_t count)
+    const holder_key& requester, const service_id& service, std::uint32_t count)
 {
     const std::uint32_t fair = fairShare(service);
-    const bool isBelowFair = heldOf(m_holders.at(wanting), service) < fair;
+    const bool isBelowFair = heldOf(m_holders.at(requester), service) < fair;
     std::vector<holder_key> changed;
     for (auto& [key, item] : m_holders) {
-        if (key == wanting || count == 0)
+        if (key == requester || count == 0)
             continue;
         const auto wanted = item.demands.find(service);
         const bool hasDemand = wanted != item.demands.end();
@@ -350,7 +350,7 @@
     return { key.vm, std::move(grant) };
 }
 
-void slot_allocator::forget(holder& item)
+void slot_allocator::reclaim(holder& item)
 {
     const auto held = item.held;
     for (const auto& [key, count] : held)
@@ -359,21 +359,21 @@
 
 std::vector<addressed_grant> slot_allocator::tick(time_point now)
 {
-    forgetSilent(now);
-    accountAll(now);
-    const std::vector<holder_key> changed = lendToWaiting(nullptr, now);
+    reclaimFromSilentHolders(now);
+    expireUnaccounted(now);
+    const std::vector<holder_key> changed = allocateToWaitingHolders(nullptr, now);
     return makeGrants({ changed.begin(), changed.end() });
 }
 
-void slot_allocator::forgetSilent(time_point now)
+void slot_allocator::reclaimFromSilentHolders(time_point now)
 {
-    const duration after = m_options.waitForSilentHolders ? holdTime() - m_options.lease : duration::zero();
+    const duration after = m_options.waitForSilentHolders ? maximumUseTime() - m_options.lease : duration::zero();
     for (auto position = m_holders.begin(); position != m_holders.end();) {
         if (now < position->second.leaseEnd + after) {
             ++position;
             continue;
         }
-        forget(position->second);
+        reclaim(position->second);
         position = m_holders.erase(position);
     }
 }
@@ -390,7 +390,7 @@
 {
     state_dump shown(m_region.value());
     shown.add("epoch", m_epoch.value());
-    shown.add("unaccounted_vms", static_cast<std::uint64_t>(m_unaccountedMembers.size()));
+    shown.add("unaccounted_vms", static_cast<std::uint64_t>(m_unaccountedVms.size()));
     state_dump& upstreams = shown.addObject("upstreams");
     for (const auto& [key, item] : m_upstreams) {
         state_dump& shownUpstream = upstreams.addObject(key.id.value());
--- a/src/decision/slots/slot_holdings.cpp
+++ b/src/decision/slots/slot_holdings.cpp
@@ -18,7 +18,7 @@
     if (m_allocator && *m_allocator == record)
         return;
     m_allocator = record;
-    m_awaiting = false;
+    m_awaitingGrant = false;
     m_revision = 0;
 }
 
@@ -30,28 +30,29 @@
         item.count = std::min(item.count, item.inUse);
 }
 
-void slot_holdings::giveBack(slot_holding& item, std::optional<time_point> idleBefore)
+void slot_holdings::returnIdleSlots(slot_holding& item, std::optional<time_point> idleBefore)
 {
     const std::uint32_t unused = item.count > item.inUse ? item.count - item.inUse : 0;
     const std::uint32_t returned = std::min(item.recalled, unused);
     item.count -= returned;
     item.recalled -= returned;
-    if (idleBefore && item.usedAt < *idleBefore)
+    if (idleBefore && item.lastUsedAt < *idleBefore)
         item.count = std::min(item.count, item.inUse);
 }
 
 slot_report slot_holdings::makeReport(time_point now, std::optional<time_point> idleBefore)
 {
-    internal_assert(m_allocator.has_value()) << "a report for " << m_region.value() << " has nowhere to go";
+    internal_assert(m_allocator.has_value())
+        << "report for region " << m_region.value() << " made before its allocator is known";
     dropIdleAfterLease(now);
     slot_report report;
     report.region = m_region;
     report.epoch = m_allocator->epoch;
     report.start = m_start;
     report.sequence = ++m_sequence;
-    report.running = now - m_startedAt;
+    report.uptime = now - m_startedAt;
     for (auto& [id, item] : m_holdings) {
-        giveBack(item, idleBefore);
+        returnIdleSlots(item, idleBefore);
         const std::uint32_t held = std::max(item.count, item.inUse);
         if (held > 0)
             report.held.push_back({ id, item.generation, held });
@@ -59,43 +60,43 @@
             report.warmAnswers.push_back({ id, item.generation, item.warmAnswers });
         item.warmAnswers = 0;
     }
-    for (const auto& [id, generations] : m_former) {
+    for (const auto& [id, generations] : m_earlierGenerations) {
         for (const auto& [generation, inUse] : generations)
             report.held.push_back({ id, generation, inUse });
     }
     std::erase_if(m_holdings, [](const auto& item) { return item.second.count == 0 && item.second.inUse == 0; });
-    m_awaiting = true;
+    m_awaitingGrant = true;
     m_reportedAt = now;
     m_revision = 0;
     return report;
 }
 
-bool slot_holdings::takeGrant(const slot_grant& grant)
+bool slot_holdings::applyGrant(const slot_grant& grant)
 {
     const bool answers
         = m_allocator && grant.epoch == m_allocator->epoch && grant.holder == m_start && grant.sequence == m_sequence;
     if (!answers || grant.revision <= m_revision)
         return false;
-    m_awaiting = false;
+    m_awaitingGrant = false;
     m_revision = grant.revision;
     m_leaseUntil = m_reportedAt + grant.lease;
     for (auto& [id, item] : m_holdings) {
         item.count = 0;
         item.recalled = 0;
     }
-    for (const slot_share& share : grant.granted) {
-        slot_holding& item = m_holdings[share.upstream];
-        if (item.generation != share.generation && item.inUse > 0)
-            m_former[share.upstream][item.generation] += item.inUse;
-        if (item.generation != share.generation)
+    for (const per_upstream_count& entry : grant.granted) {
+        slot_holding& item = m_holdings[entry.upstream];
+        if (item.generation != entry.generation && item.inUse > 0)
+            m_earlierGenerations[entry.upstream][item.generation] += item.inUse;
+        if (item.generation != entry.generation)
             item = slot_holding {};
-        item.generation = share.generation;
-        item.count = share.count;
+        item.generation = entry.generation;
+        item.count = entry.count;
     }
-    for (const slot_share& share : grant.recalled) {
-        const auto item = m_holdings.find(share.upstream);
-        if (item != m_holdings.end() && item->second.generation == share.generation)
-            item->second.recalled = share.count;
+    for (const per_upstream_count& entry : grant.recalled) {
+        const auto item = m_holdings.find(entry.upstream);
+        if (item != m_holdings.end() && item->second.generation == entry.generation)
+            item->second.recalled = entry.count;
     }
     return true;
 }
@@ -120,18 +121,18 @@
 {
     const auto item = m_holdings.find(id);
     if (item != m_holdings.end() && item->second.generation == generation) {
-        internal_assert(item->second.inUse > 0) << "a slot of " << id.value() << " is freed twice";
+        internal_assert(item->second.inUse > 0) << "a slot of " << id.value() << " is released twice";
         --item->second.inUse;
-        item->second.usedAt = now;
+        item->second.lastUsedAt = now;
         return;
     }
-    auto& generations = m_former[id];
+    auto& generations = m_earlierGenerations[id];
     internal_assert(generations[generation] > 0)
-        << "a slot of a former generation of " << id.value() << " is freed twice";
+        << "a slot of an earlier generation of " << id.value() << " is released twice";
     if (--generations[generation] == 0)
         generations.erase(generation);
     if (generations.empty())
-        m_former.erase(id);
+        m_earlierGenerations.erase(id);
 }
 
 void slot_holdings::countWarmAnswer(const upstream_id& id, upstream_generation generation)
--- a/src/decision/slots/slot_holdings.h
+++ b/src/decision/slots/slot_holdings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What this VM holds of one region's slots: the holder's side of slot_allocator.
+ * The slots of one region that this VM holds: the holder's side of the protocol of slot_allocator.
  */
 
 #include <cstdint>
@@ -17,18 +17,18 @@
 
 namespace plantainlatch {
 
-/** Slots of one upstream that this VM holds. */
+/** The slots of one upstream. */
 struct slot_holding {
     upstream_generation generation;
-    /** How many this VM may use. */
+    /** Granted slots. */
     std::uint32_t count = 0;
-    /** How many it uses; above count only while a lowered count waits for work to end. */
+    /** Slots in use; above `count` only after a grant lowered it, until the requests that run on them end. */
     std::uint32_t inUse = 0;
-    /** How many the allocator wants back. */
+    /** Slots to return as soon as they are idle. */
     std::uint32_t recalled = 0;
-    /** When the last use ended. */
-    time_point usedAt;
-    /** Answers to report as warm. */
+    /** When a slot was last released. */
+    time_point lastUsedAt;
+    /** Warm answers since the last report. */
     std::uint32_t warmAnswers = 0;
 
     std::uint32_t idle() const
@@ -38,48 +38,48 @@
     }
 };
 
-/** The holder's ledger for one region. */
 class slot_holdings {
 public:
     slot_holdings(region_id region, incarnation start, time_point startedAt);
 
-    /** Follows the allocator that the log names; its predecessor's grants no longer count, what is held stays until its
-     * lease. */
+    /** Sets the allocator of the region by the replicated log. Later grants of its predecessor are ignored; held slots
+     * stay usable until their lease ends. */
     void setAllocator(const allocator_record& record);
-    /** None before the log names an allocator. */
+    /** None before the log assigns an allocator. */
     const std::optional<allocator_record>& allocator() const { return m_allocator; }
     const region_id& region() const { return m_region; }
 
-    /** No work may begin on the held slots from this moment on. */
+    /** When the lease ends: from then on no request may be dispatched on the held slots. */
     time_point leaseUntil() const { return m_leaseUntil; }
     bool leased(time_point now) const { return now < m_leaseUntil; }
 
-    /** Whether a report waits for its grant. */
-    bool awaiting() const { return m_awaiting; }
+    /** Whether the last report has no grant yet. */
+    bool awaitingGrant() const { return m_awaitingGrant; }
     time_point reportedAt() const { return m_reportedAt; }
     bool holdsAny() const { return !m_holdings.empty(); }
 
-    /** The report to send now; it gives back recalled idle slots, and with `idleBefore` those not used since that
-     * moment. */
+    /** Makes the next report; it returns recalled slots that are idle and, with `idleBefore`, the idle slots of
+     * upstreams not used since then. */
     slot_report makeReport(time_point now, std::optional<time_point> idleBefore);
-    /** Takes a grant; false when it answers no report of this start, epoch and number, or is older than one already
-     * taken. */
-    bool takeGrant(const slot_grant& grant);
+    /** Applies a grant; false when it does not answer the latest report of this incarnation in this epoch, or a grant
+     * with its revision or a later one was applied before. */
+    bool applyGrant(const slot_grant& grant);
 
     const std::map<upstream_id, slot_holding>& holdings() const { return m_holdings; }
-    /** The idle slots of an upstream of that generation under the lease. */
+    /** The idle slots of an upstream of that generation; 0 after the lease. */
     std::uint32_t idle(const upstream_id& id, upstream_generation generation, time_point now) const;
+    /** Marks an idle slot as in use. */
     void take(const upstream_id& id);
-    /** Ends the use of a slot. */
+    /** Marks a slot as idle again. */
     void free(const upstream_id& id, upstream_generation generation, time_point now);
     void countWarmAnswer(const upstream_id& id, upstream_generation generation);
 
     state_dump dump(time_point now) const;
 
 private:
-    /** After the lease only what is in use is still held. */
+    /** After the lease only slots in use are still held. */
     void dropIdleAfterLease(time_point now);
-    void giveBack(slot_holding& item, std::optional<time_point> idleBefore);
+    void returnIdleSlots(slot_holding& item, std::optional<time_point> idleBefore);
 
     region_id m_region;
     incarnation m_start;
@@ -87,12 +87,12 @@
     std::optional<allocator_record> m_allocator;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_revision = 0;
-    bool m_awaiting = false;
+    bool m_awaitingGrant = false;
     time_point m_reportedAt;
     time_point m_leaseUntil;
     std::map<upstream_id, slot_holding> m_holdings;
-    /** Slots of earlier generations of an upstream that are still in use. */
-    std::map<upstream_id, std::map<upstream_generation, std::uint32_t>> m_former;
+    /** Slots in use of earlier generations of an upstream. */
+    std::map<upstream_id, std::map<upstream_generation, std::uint32_t>> m_earlierGenerations;
 };
 
 } // namespace plantainlatch
--- a/src/decision/slots/slot_picker.cpp
+++ b/src/decision/slots/slot_picker.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    /** Random bits that a double takes exactly. */
+    /** Bits that a double represents exactly. */
     constexpr unsigned fractionBits = 53;
     constexpr unsigned randomBits = 64;
 
@@ -17,10 +17,10 @@
         return static_cast<double>(random() >> (randomBits - fractionBits)) / static_cast<double>(1ULL << fractionBits);
     }
 
-    /** The candidates of one service by how near they are. */
+    /** The candidates of one service in the order of preference. */
     struct candidate_tiers {
         std::vector<const usable_upstream*> preferred;
-        std::vector<const usable_upstream*> home;
+        std::vector<const usable_upstream*> local;
         std::vector<const usable_upstream*> remote;
     };
 
@@ -32,23 +32,25 @@
         return region->second.idle(upstream.announcement.id, upstream.announcement.generation, now) > 0;
     }
 
-    candidate_tiers findCandidates(const slot_picker_view& view, const slot_wish& wish, bool avoiding, time_point now)
+    candidate_tiers findCandidates(
+        const slot_picker_view& view, const upstream_criteria& criteria, bool avoiding, time_point now)
     {
         candidate_tiers tiers;
-        const auto members = view.table->byService.find(wish.service);
+        const auto members = view.table->byService.find(criteria.service);
         if (members == view.table->byService.end())
             return tiers;
         const std::set<upstream_id> ejected = view.quality->ejected(members->second, now);
         for (const upstream_id& id : members->second) {
             const usable_upstream& upstream = view.table->upstreams.at(id);
-            const bool avoided = avoiding && std::find(wish.avoid.begin(), wish.avoid.end(), id) != wish.avoid.end();
+            const bool avoided
+                = avoiding && std::find(criteria.avoid.begin(), criteria.avoid.end(), id) != criteria.avoid.end();
             if (avoided || ejected.contains(id) || view.quality->paused(id, now) || !isIdle(view, upstream, now))
                 continue;
-            if (!wish.preferred.empty() && upstream.announcement.failureDomain == wish.preferred)
+            if (!criteria.preferred.empty() && upstream.announcement.failureDomain == criteria.preferred)
                 tiers.preferred.push_back(&upstream);
-            else if (upstream.announcement.region == view.home)
-                tiers.home.push_back(&upstream);
-            else if (wish.mayLeaveRegion)
+            else if (upstream.announcement.region == view.localRegion)
+                tiers.local.push_back(&upstream);
+            else if (criteria.allowOtherRegions)
                 tiers.remote.push_back(&upstream);
         }
         return tiers;
@@ -66,29 +68,29 @@
     }
 
     const usable_upstream* pickFrom(
-        const slot_picker_view& view, const slot_wish& wish, const candidate_tiers& tiers, time_point now)
+        const slot_picker_view& view, const upstream_criteria& criteria, const candidate_tiers& tiers, time_point now)
     {
-        for (const auto* tier : { &tiers.preferred, &tiers.home, &tiers.remote }) {
+        for (const auto* tier : { &tiers.preferred, &tiers.local, &tiers.remote }) {
             const usable_upstream* choice = fasterOfTwo(view, *tier);
             if (choice == nullptr)
                 continue;
             const region_id& region = choice->announcement.region;
-            if (region == view.home || view.links->trySend(region, wish.bodySize, now))
+            if (region == view.localRegion || view.links->trySend(region, criteria.bodySize, now))
                 return choice;
         }
         return nullptr;
     }
 
-    /** The declared weights that count here: those of the home region, or all when it has none. */
-    std::vector<domain_weight> weightsThatCount(
+    /** The declared weights of the local region, or all when none of them is positive. */
+    std::vector<domain_weight> effectiveWeights(
         const slot_picker_view& view, const configuration& config, std::vector<domain_weight> all)
     {
-        std::vector<domain_weight> home;
+        std::vector<domain_weight> local;
         for (const domain_weight& item : all) {
-            if (item.weight > 0 && regionOf(config, item.failureDomain) == view.home)
-                home.push_back(item);
+            if (item.weight > 0 && regionOf(config, item.failureDomain) == view.localRegion)
+                local.push_back(item);
         }
-        return home.empty() ? all : home;
+        return local.empty() ? all : local;
     }
 
     failure_domain_id drawByWeight(const std::vector<domain_weight>& weights, double fraction)
@@ -107,23 +109,23 @@
 
 } // namespace
 
-const usable_upstream* pickUpstream(const slot_picker_view& view, const slot_wish& wish, time_point now)
+const usable_upstream* pickUpstream(const slot_picker_view& view, const upstream_criteria& criteria, time_point now)
 {
-    const usable_upstream* choice = pickFrom(view, wish, findCandidates(view, wish, true, now), now);
-    if (choice != nullptr || wish.avoid.empty())
+    const usable_upstream* choice = pickFrom(view, criteria, findCandidates(view, criteria, true, now), now);
+    if (choice != nullptr || criteria.avoid.empty())
         return choice;
-    return pickFrom(view, wish, findCandidates(view, wish, false, now), now);
+    return pickFrom(view, criteria, findCandidates(view, criteria, false, now), now);
 }
 
 domain_choice drawDomain(
     const slot_picker_view& view, const configuration& config, const shift_port& shifts, const service_id& service)
 {
     domain_choice choice;
-    const std::vector<domain_weight> weights = weightsThatCount(view, config, shifts.weights(service));
+    const std::vector<domain_weight> weights = effectiveWeights(view, config, shifts.weights(service));
     choice.failureDomain = drawByWeight(weights, randomFraction(view.random));
     for (const active_shift& shift : shifts.shifts(service)) {
         const bool applies = shift.from == choice.failureDomain
-            || (choice.failureDomain.empty() && regionOf(config, shift.from) == view.home);
+            || (choice.failureDomain.empty() && regionOf(config, shift.from) == view.localRegion);
         if (!applies || randomFraction(view.random) >= shift.fraction || !shifts.tryAcquire(shift.id))
             continue;
         choice.failureDomain = shift.to;
--- a/src/decision/slots/slot_picker.h
+++ b/src/decision/slots/slot_picker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The choice of an upstream among those of which this VM holds an idle slot.
+ * Chooses an upstream among those of which this VM holds an idle slot.
  */
 
 #include <functional>
@@ -19,9 +19,9 @@
 
 namespace plantainlatch {
 
-/** What the choice looks at. */
+/** The state that the choice depends on. */
 struct slot_picker_view {
-    region_id home;
+    region_id localRegion;
     const upstream_table* table = nullptr;
     const std::map<region_id, slot_holdings>* holdings = nullptr;
     const upstream_quality* quality = nullptr;
@@ -29,32 +29,33 @@
     std::function<std::uint64_t()> random;
 };
 
-/** What is asked of the choice. */
-struct slot_wish {
+/** The conditions that an upstream must or should meet. */
+struct upstream_criteria {
     service_id service;
+    /** Upstreams that are chosen only when no other has an idle slot. */
     std::vector<upstream_id> avoid;
     byte_count bodySize;
-    /** The failure domain that should take the request; empty for any. */
+    /** The failure domain whose upstreams come first; empty for any. */
     failure_domain_id preferred;
-    /** Upstreams of other regions may take it too. */
-    bool mayLeaveRegion = false;
+    /** Whether upstreams of other regions may be chosen outside the preferred failure domain. */
+    bool allowOtherRegions = false;
 };
 
 /**
- * The upstream to use: in the preferred failure domain before the home region, that before other regions, and of two
- * drawn at random the one that answered faster lately (the power of two choices). None when no slot is idle. A slot in
- * another region is charged to the link's budget.
+ * Returns an upstream in the preferred failure domain, otherwise in the local region, otherwise in another one; null
+ * when none has an idle slot. Among these it draws two at random and takes the one with the lower average latency (the
+ * power of two choices). The request's size is charged to the link budget when the upstream is in another region.
  */
-const usable_upstream* pickUpstream(const slot_picker_view& view, const slot_wish& wish, time_point now);
+const usable_upstream* pickUpstream(const slot_picker_view& view, const upstream_criteria& criteria, time_point now);
 
 /** The failure domain that a request of a service should go to. */
 struct domain_choice {
     failure_domain_id failureDomain;
-    /** The shift that sent it there, if one did. */
+    /** The shift that moved the request there, if any. */
     std::optional<shift_id> shift;
 };
 
-/** Draws a failure domain by the declared shares, those of the home region first, and then by the shifts that run. */
+/** Draws a failure domain by the declared weights, those of the local region first, and then applies active shifts. */
 domain_choice drawDomain(
     const slot_picker_view& view, const configuration& config, const shift_port& shifts, const service_id& service);
 
--- a/src/decision/slots/slot_queue.cpp
+++ b/src/decision/slots/slot_queue.cpp
@@ -11,20 +11,20 @@
     m_deadlines.emplace(waiter.request.deadline, ticket);
     service_queue& queue = m_queues[service];
     queue.push_back(std::move(waiter));
-    m_places[ticket] = { service, std::prev(queue.end()) };
+    m_positions[ticket] = { service, std::prev(queue.end()) };
 }
 
 std::optional<slot_waiter> slot_queue::remove(slot_ticket ticket)
 {
-    const auto found = m_places.find(ticket);
-    if (found == m_places.end())
+    const auto found = m_positions.find(ticket);
+    if (found == m_positions.end())
         return std::nullopt;
     service_queue& queue = m_queues[found->second.service];
     slot_waiter waiter = std::move(*found->second.position);
     queue.erase(found->second.position);
     if (queue.empty())
         m_queues.erase(found->second.service);
-    m_places.erase(found);
+    m_positions.erase(found);
     auto [first, last] = m_deadlines.equal_range(waiter.request.deadline);
     const auto deadline = std::find_if(first, last, [ticket](const auto& item) { return item.second == ticket; });
     m_deadlines.erase(deadline);
@@ -50,8 +50,8 @@
     const auto queue = m_queues.find(service);
     if (queue == m_queues.end())
         return 0;
-    const auto later = std::find_if(
-        queue->second.begin(), queue->second.end(), [moment](const slot_waiter& item) { return item.since > moment; });
+    const auto later = std::find_if(queue->second.begin(), queue->second.end(),
+        [moment](const slot_waiter& item) { return item.queuedAt > moment; });
     return static_cast<std::uint32_t>(std::distance(queue->second.begin(), later));
 }
 
--- a/src/decision/slots/slot_queue.h
+++ b/src/decision/slots/slot_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Requests that wait for a slot, first come first served within a service, bounded in number.
+ * The queue of requests that wait for a slot, in order of arrival for each service.
  */
 
 #include <cstdint>
@@ -17,45 +17,46 @@
 
 namespace plantainlatch {
 
-/** One waiting request. */
+/** A queued request. */
 struct slot_waiter {
     slot_ticket ticket;
     slot_request request;
-    time_point since;
-    /** The failure domain that should take it; empty for any. */
+    time_point queuedAt;
+    /** The failure domain whose upstreams come first; empty for any. */
     failure_domain_id preferred;
     std::function<void(slot_answer)> answer;
 };
 
-/** All waiting requests of this VM. */
+/** All queued requests of this VM. Its user bounds the length. */
 class slot_queue {
 public:
-    /** The queue of one service, in order of arrival. */
+    /** In order of arrival. */
     using service_queue = std::list<slot_waiter>;
 
     void push(slot_waiter waiter);
-    /** Takes a waiter out; none when it is not there any more. */
+    /** Removes and returns a waiter; none when it is no longer queued. */
     std::optional<slot_waiter> remove(slot_ticket ticket);
-    /** Takes out the waiters whose deadline has come. */
+    /** Removes and returns the waiters whose deadline has passed. */
     std::vector<slot_waiter> removeExpired(time_point now);
 
     std::uint32_t waiting(const service_id& service) const;
-    /** How many wait since that moment or longer. */
+    /** The number of waiters that were queued at `moment` or before. */
     std::uint32_t waitingSince(const service_id& service, time_point moment) const;
-    /** The first waiter of a service, none when nobody waits. */
+    /** The waiter that arrived first; null when the queue of the service is empty. */
     const slot_waiter* front(const service_id& service) const;
+    /** The services that have waiters. */
     std::vector<service_id> services() const;
-    /** The earliest deadline of all. */
+    /** The earliest deadline of all waiters. */
     std::optional<time_point> nextDeadline() const;
 
 private:
-    struct place {
+    struct queue_position {
         service_id service;
         service_queue::iterator position;
     };
 
     std::map<service_id, service_queue> m_queues;
-    std::map<slot_ticket, place> m_places;
+    std::map<slot_ticket, queue_position> m_positions;
     std::multimap<time_point, slot_ticket> m_deadlines;
 };
 
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -29,9 +29,9 @@
     , m_settings(settings)
     , m_options(options)
     , m_quality(options.quality)
-    , m_links(settings.self.region, vmsInRegion(settings), options.keepsLinkBudgets)
+    , m_links(settings.self.region, vmsInRegion(settings), options.enforcesLinkBudgets)
     , m_host(hooks, settings, options.host)
-    , m_reporting({ m_hooks, m_settings.self.region, m_table, m_quality, m_queue }, options.reporting)
+    , m_allocatorClient({ m_hooks, m_settings.self.region, m_table, m_quality, m_queue }, options.allocatorClient)
 {
     m_port.acquire = [this](slot_request request, std::function<void(slot_answer)> answer) {
         return acquire(std::move(request), std::move(answer));
@@ -72,14 +72,14 @@
     m_router = *router;
     m_host.start({ m_control, m_membership, *liveness, *upstreams,
         [this](const addressed_grant& grant) { m_router->send(grant.to, slot_message(grant.grant)); } });
-    m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { received(from, message); });
+    m_router->subscribeSlots([this](const vm_id& from, const slot_message& message) { onMessage(from, message); });
     std::function<void(const vm_id&, slot_report)> sendReport;
     if (m_options.mode == slot_mode::Leased)
         sendReport
             = [this](const vm_id& to, slot_report report) { m_router->send(to, slot_message(std::move(report))); };
-    m_reporting.start(m_membership->start(), std::move(sendReport));
-    m_control->onSteeringChange([this] { follow(); });
-    follow();
+    m_allocatorClient.start(m_membership->start(), std::move(sendReport));
+    m_control->onSteeringChange([this] { applyControlState(); });
+    applyControlState();
     absl::Status status = services.publish(port_names::measurements, m_measurementPort);
     status.Update(services.publish(port_names::slots, m_port));
     return status;
@@ -87,7 +87,7 @@
 
 void slot_service::stop(std::function<void()> stopped)
 {
-    internal_assert(m_queue.services().empty()) << "requests wait for slots while the slots stop";
+    internal_assert(m_queue.services().empty()) << "requests still wait for slots when the service stops";
     m_onIdle = [this, stopped = std::move(stopped)] {
         finishStop();
         stopped();
@@ -96,7 +96,7 @@
         std::exchange(m_onIdle, nullptr)();
         return;
     }
-    m_idleTimer = m_hooks.schedule(m_options.stopPatience, [this] {
+    m_stopTimer = m_hooks.schedule(m_options.stopTimeout, [this] {
         m_membership->markUnfinishedWork();
         std::exchange(m_onIdle, nullptr)();
     });
@@ -104,16 +104,16 @@
 
 void slot_service::finishStop()
 {
-    m_hooks.cancel(m_idleTimer);
-    m_reporting.stop();
+    m_hooks.cancel(m_stopTimer);
+    m_allocatorClient.stop();
     m_stopped = true;
     m_hooks.cancel(m_expiryTimer);
-    for (const auto& [service, timer] : m_leaveTimers)
+    for (const auto& [service, timer] : m_spilloverTimers)
         m_hooks.cancel(timer);
     m_host.stop();
 }
 
-void slot_service::follow()
+void slot_service::applyControlState()
 {
     const time_point now = m_hooks.now();
     const control_snapshot& state = m_control->state();
@@ -123,24 +123,24 @@
     for (const auto& [id, upstream] : m_table.upstreams)
         known.insert(id);
     m_quality.keepOnly(known);
-    if (m_options.mode == slot_mode::LocalGuess) {
-        followLocalGuess();
+    if (m_options.mode == slot_mode::Uncoordinated) {
+        grantFullCapacity();
     } else {
-        m_host.follow(m_table);
-        m_reporting.followAllocators(m_control->state().allocators);
+        m_host.applyControlState(m_table);
+        m_allocatorClient.setAllocators(m_control->state().allocators);
     }
     serveWaiting();
 }
 
-void slot_service::followLocalGuess()
+void slot_service::grantFullCapacity()
 {
     for (const auto& [id, upstream] : m_table.upstreams) {
         const region_id& region = upstream.announcement.region;
-        slot_holdings& holdings = m_reporting.holdingsOf(region);
+        slot_holdings& holdings = m_allocatorClient.holdingsOf(region);
         if (!holdings.allocator())
             holdings.setAllocator({ m_settings.self.id, m_membership->start(), allocator_epoch(1) });
     }
-    for (auto& [region, holdings] : m_reporting.holdings()) {
+    for (auto& [region, holdings] : m_allocatorClient.holdings()) {
         slot_grant grant;
         const slot_report report = holdings.makeReport(m_hooks.now(), std::nullopt);
         grant.epoch = report.epoch;
@@ -152,31 +152,31 @@
             if (upstream.announcement.region == region && upstream.capacity > 0)
                 grant.granted.push_back({ id, upstream.announcement.generation, upstream.capacity });
         }
-        holdings.takeGrant(grant);
+        holdings.applyGrant(grant);
     }
 }
 
 slot_picker_view slot_service::view()
 {
-    return { m_settings.self.region, &m_table, &m_reporting.holdings(), &m_quality, &m_links, m_hooks.random };
+    return { m_settings.self.region, &m_table, &m_allocatorClient.holdings(), &m_quality, &m_links, m_hooks.random };
 }
 
-bool slot_service::anyUsable(const service_id& service, bool homeOnly) const
+bool slot_service::anyUsable(const service_id& service, bool localOnly) const
 {
     const auto members = m_table.byService.find(service);
     if (members == m_table.byService.end())
         return false;
     return std::any_of(members->second.begin(), members->second.end(), [&](const upstream_id& id) {
         const usable_upstream& upstream = m_table.upstreams.at(id);
-        return upstream.capacity > 0 && (!homeOnly || upstream.announcement.region == m_settings.self.region);
+        return upstream.capacity > 0 && (!localOnly || upstream.announcement.region == m_settings.self.region);
     });
 }
 
-bool slot_service::isHopeless(const slot_request& request, time_point now) const
+bool slot_service::wouldMissDeadline(const slot_request& request, time_point now) const
 {
     const duration usual = m_quality.serviceLatency(request.service);
     std::uint32_t held = 0;
-    for (const auto& [region, holdings] : m_reporting.holdings()) {
+    for (const auto& [region, holdings] : m_allocatorClient.holdings()) {
         for (const auto& [id, item] : holdings.holdings()) {
             const usable_upstream* upstream = m_table.find(id);
             held += upstream != nullptr && upstream->announcement.service == request.service ? item.count : 0;
@@ -200,9 +200,9 @@
     slot_waiter waiter { slot_ticket(++m_lastTicket), std::move(request), now, domain.failureDomain,
         std::move(answer) };
     if (domain.shift) {
-        // The target's allocator learns that slots are wanted there; this request takes one only if it is here already.
+        // This asks the target's allocator for slots for later requests; this one needs a slot that is already held.
         const region_id target = regionOf(m_control->state().config, domain.failureDomain);
-        m_reporting.prefer(target, waiter.request.service, domain.failureDomain);
+        m_allocatorClient.requestInDomain(target, waiter.request.service, domain.failureDomain);
     }
     const service_id service = waiter.request.service;
     if (m_queue.waiting(service) == 0) {
@@ -211,19 +211,19 @@
             return {};
         }
     }
-    if (m_queue.waiting(service) >= m_options.largestQueue || isHopeless(waiter.request, now)) {
+    if (m_queue.waiting(service) >= m_options.maximumQueueLength || wouldMissDeadline(waiter.request, now)) {
         refuse(waiter, slot_refusal::Overloaded);
         return {};
     }
-    // What was taken out of the shift's cap holds for now only: a request that waits is no longer part of the shift.
+    // What was charged to the shift's cap counts only for an immediate dispatch, so a queued request leaves the shift.
     if (domain.shift)
         waiter.preferred = sourceOf(*domain.shift);
     ++m_counters.waited;
     const slot_ticket ticket = waiter.ticket;
     m_queue.push(std::move(waiter));
-    armExpiry();
-    armLeaveRegion(service);
-    m_reporting.wakeIfDemandGrew(service);
+    armExpiryTimer();
+    armSpilloverTimer(service);
+    m_allocatorClient.reportIfDemandGrew(service);
     return ticket;
 }
 
@@ -234,17 +234,18 @@
     return found == shifts.end() ? failure_domain_id() : found->second.from;
 }
 
-void slot_service::refuse(const slot_waiter& waiter, slot_refusal why)
+void slot_service::refuse(const slot_waiter& waiter, slot_refusal reason)
 {
     ++m_counters.refused;
-    waiter.answer({ std::nullopt, why });
+    waiter.answer({ std::nullopt, reason });
 }
 
 std::optional<held_slot> slot_service::tryTake(const slot_waiter& waiter, time_point now)
 {
-    slot_wish wish { waiter.request.service, waiter.request.avoid, waiter.request.bodySize, waiter.preferred, false };
-    wish.mayLeaveRegion = now - waiter.since >= patienceInRegion(waiter.request.service);
-    const usable_upstream* upstream = pickUpstream(view(), wish, now);
+    upstream_criteria criteria { waiter.request.service, waiter.request.avoid, waiter.request.bodySize,
+        waiter.preferred, false };
+    criteria.allowOtherRegions = now - waiter.queuedAt >= spilloverWait(waiter.request.service);
+    const usable_upstream* upstream = pickUpstream(view(), criteria, now);
     if (upstream == nullptr)
         return std::nullopt;
     return take(*upstream);
@@ -253,12 +254,12 @@
 held_slot slot_service::take(const usable_upstream& upstream)
 {
     const region_id& region = upstream.announcement.region;
-    slot_holdings& holdings = m_reporting.holdingsOf(region);
+    slot_holdings& holdings = m_allocatorClient.holdingsOf(region);
     holdings.take(upstream.announcement.id);
     const slot_handle handle(++m_lastHandle);
     m_uses[handle] = { upstream.announcement, false };
     ++m_counters.given;
-    m_counters.leftRegion += region == m_settings.self.region ? 0 : 1;
+    m_counters.spilledOver += region == m_settings.self.region ? 0 : 1;
     return { handle, upstream.announcement, holdings.leaseUntil() };
 }
 
@@ -268,12 +269,12 @@
 {
     const auto found = m_uses.find(handle);
     internal_assert(found != m_uses.end() && !found->second.settling)
-        << "slot hold " << handle.value() << " is released twice";
+        << "slot " << handle.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
     m_measurements.note(upstream, result);
     if (m_quality.note(upstream, result, now))
-        m_reporting.holdingsOf(upstream.region).countWarmAnswer(upstream.id, upstream.generation);
+        m_allocatorClient.holdingsOf(upstream.region).countWarmAnswer(upstream.id, upstream.generation);
     if (upstream.region != m_settings.self.region)
         m_links.chargeAnswer(upstream.region, result.answerSize, now);
     if (result.busyUntil && *result.busyUntil > now) {
@@ -287,16 +288,16 @@
 void slot_service::freeSlot(slot_handle handle)
 {
     const auto found = m_uses.find(handle);
-    internal_assert(found != m_uses.end()) << "slot hold " << handle.value() << " is freed twice";
+    internal_assert(found != m_uses.end()) << "slot " << handle.value() << " is freed twice";
     const upstream_announcement upstream = found->second.upstream;
     m_uses.erase(found);
     if (m_stopped)
         return;
-    slot_holdings& holdings = m_reporting.holdingsOf(upstream.region);
+    slot_holdings& holdings = m_allocatorClient.holdingsOf(upstream.region);
     holdings.free(upstream.id, upstream.generation, m_hooks.now());
     const auto item = holdings.holdings().find(upstream.id);
     if (item != holdings.holdings().end() && item->second.recalled > 0)
-        m_reporting.wake(upstream.region);
+        m_allocatorClient.reportSoon(upstream.region);
     serveFront(upstream.service, m_hooks.now());
     if (m_uses.empty() && m_onIdle)
         std::exchange(m_onIdle, nullptr)();
@@ -325,7 +326,7 @@
     }
 }
 
-void slot_service::armExpiry()
+void slot_service::armExpiryTimer()
 {
     const std::optional<time_point> next = m_queue.nextDeadline();
     if (!next || (m_expiryAt && *m_expiryAt <= *next))
@@ -335,58 +336,57 @@
     m_expiryTimer = m_hooks.schedule(*next - m_hooks.now(), [this] {
         m_expiryAt.reset();
         serveWaiting();
-        armExpiry();
+        armExpiryTimer();
     });
 }
 
-duration slot_service::patienceInRegion(const service_id& service) const
+duration slot_service::spilloverWait(const service_id& service) const
 {
     if (!anyUsable(service, true))
         return duration::zero();
-    return std::max(m_options.leaveRegionAfter, m_quality.serviceLatency(service) * m_options.leaveRegionLatencies);
+    return std::max(m_options.spilloverDelay, m_quality.serviceLatency(service) * m_options.spilloverLatencyFactor);
 }
 
-void slot_service::armLeaveRegion(const service_id& service)
+void slot_service::armSpilloverTimer(const service_id& service)
 {
-    if (m_leaveTimers.contains(service))
+    if (m_spilloverTimers.contains(service))
         return;
-    const duration delay = patienceInRegion(service);
-    m_leaveTimers[service] = m_hooks.schedule(delay, [this, service] { lookBeyondRegion(service); });
+    const duration delay = spilloverWait(service);
+    m_spilloverTimers[service] = m_hooks.schedule(delay, [this, service] { spillOver(service); });
 }
 
-void slot_service::lookBeyondRegion(const service_id& service)
+void slot_service::spillOver(const service_id& service)
 {
-    m_leaveTimers.erase(service);
+    m_spilloverTimers.erase(service);
     const time_point now = m_hooks.now();
-    const duration patience = patienceInRegion(service);
-    const std::uint32_t count = m_queue.waitingSince(service, now - patience);
-    m_reporting.wantNowhere(service);
+    const duration wait = spilloverWait(service);
+    const std::uint32_t count = m_queue.waitingSince(service, now - wait);
+    m_allocatorClient.cancelSlotRequests(service);
     serveWaiting();
     if (m_queue.waiting(service) == 0)
         return;
-    const std::vector<region_id> others = m_reporting.otherRegions();
+    const std::vector<region_id> others = m_allocatorClient.otherRegions();
     if (count > 0 && !others.empty())
-        m_reporting.want(others[m_leaveRotation[service]++ % others.size()], service, count);
-    m_leaveTimers[service]
-        = m_hooks.schedule(m_options.askRegionInterval, [this, service] { lookBeyondRegion(service); });
+        m_allocatorClient.requestSlots(others[m_spilloverRotation[service]++ % others.size()], service, count);
+    m_spilloverTimers[service] = m_hooks.schedule(m_options.spilloverInterval, [this, service] { spillOver(service); });
 }
 
-void slot_service::received(const vm_id& from, const slot_message& message)
+void slot_service::onMessage(const vm_id& from, const slot_message& message)
 {
     if (m_stopped)
         return;
     if (const auto* report = std::get_if<slot_report>(&message))
         m_host.report(from, *report);
     else
-        granted(std::get<slot_grant>(message));
+        onGrant(std::get<slot_grant>(message));
 }
 
-void slot_service::granted(const slot_grant& grant)
+void slot_service::onGrant(const slot_grant& grant)
 {
-    if (!m_reporting.takeGrant(grant))
+    if (!m_allocatorClient.applyGrant(grant))
         return;
     serveWaiting();
-    m_reporting.planNext(grant);
+    m_allocatorClient.scheduleNextReport(grant);
 }
 
 state_dump slot_service::dump() const
@@ -395,12 +395,12 @@
     shown.add("given", m_counters.given);
     shown.add("waited", m_counters.waited);
     shown.add("refused", m_counters.refused);
-    shown.add("left_region", m_counters.leftRegion);
-    shown.add("reports", m_reporting.reportsSent());
-    shown.add("grants", m_reporting.grantsTaken());
+    shown.add("left_region", m_counters.spilledOver);
+    shown.add("reports", m_allocatorClient.reportsSent());
+    shown.add("grants", m_allocatorClient.grantsApplied());
     shown.add("in_use", static_cast<std::uint64_t>(m_uses.size()));
     state_dump& regions = shown.addObject("regions");
-    for (const auto& [region, holdings] : m_reporting.holdings())
+    for (const auto& [region, holdings] : m_allocatorClient.holdings())
         regions.children.push_back(holdings.dump(m_hooks.now()));
     shown.children.push_back(m_host.dump());
     return shown;
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -1,11 +1,11 @@
 #pragma once
 
 /** \file
- * The service that gives this VM's requests the right to use upstreams.
+ * The service that limits the concurrent requests to each upstream across all entry VMs.
  *
- * Three ways to share slots were weighed (docs/DESIGN.md): slots lent to entries by a regional allocator and moved with
- * demand, which is built here; one owning entry for each upstream; and each entry's own guess, kept as
- * slot_mode::LocalGuess for comparison.
+ * Three designs were compared (docs/DESIGN.md): slots leased to the entries by a regional allocator, which moves them
+ * with demand, as implemented here; one owning entry for each upstream; and entries that do not coordinate, which is
+ * kept as slot_mode::Uncoordinated for comparison.
  */
 
 #include <functional>
@@ -15,13 +15,13 @@
 
 #include "absl/status/statusor.h"
 #include "decision/peers/peer_router.h"
+#include "decision/slots/allocator_client.h"
 #include "decision/slots/allocator_host.h"
 #include "decision/slots/link_budget.h"
 #include "decision/slots/measurement_recorder.h"
 #include "decision/slots/slot_holdings.h"
 #include "decision/slots/slot_picker.h"
 #include "decision/slots/slot_queue.h"
-#include "decision/slots/slot_reporting.h"
 #include "decision/slots/upstream_quality.h"
 #include "decision/slots/upstream_table.h"
 #include "kernel/hooks.h"
@@ -35,38 +35,39 @@
 
 namespace plantainlatch {
 
-/** How entries share slots. */
+/** How the capacity of the upstreams is shared among the entries. */
 enum class slot_mode {
-    /** Slots are lent by the region's allocator. */
+    /** The region's allocator leases slots to the entries. */
     Leased,
-    /** Each entry counts only its own work against the whole capacity; a baseline. */
-    LocalGuess,
+    /** Each entry counts only its own requests against the whole capacity; a baseline for benchmarks. */
+    Uncoordinated,
 };
 
-/** What may be varied in slot_service. */
 struct slot_options {
     slot_mode mode = slot_mode::Leased;
     allocator_host_options host;
     upstream_quality_options quality;
-    slot_reporting_options reporting;
-    /** A request that waited this long, and this many times the usual latency of its service, may be sent to another
-     * region: a slot that moves between regions is idle for a round trip. */
-    duration leaveRegionAfter = std::chrono::milliseconds(25);
-    int leaveRegionLatencies = 2;
-    /** While requests wait beyond that, another region is asked this often. */
-    duration askRegionInterval = std::chrono::milliseconds(100);
-    /** The most requests of one service that wait. */
-    std::uint32_t largestQueue = 1024;
-    /** A stop waits at most this long for work that was given up to end at its upstream. */
-    duration stopPatience = std::chrono::seconds(3);
-    /** Refuses at once what would wait beyond its deadline; only tests turn it off. */
+    allocator_client_options allocatorClient;
+    /** A request spills over to other regions after it has waited this long and `spilloverLatencyFactor` times the
+     * average latency of its service. The wait avoids needless moves: a slot that moves between regions is idle for a
+     * round trip. */
+    duration spilloverDelay = std::chrono::milliseconds(25);
+    int spilloverLatencyFactor = 2;
+    /** While requests wait longer than that, slots are requested from the next of the other regions at this interval.
+     */
+    duration spilloverInterval = std::chrono::milliseconds(100);
+    /** Maximum number of waiting requests of one service; further ones are refused. */
+    std::uint32_t maximumQueueLength = 1024;
+    /** Maximum time that a stop waits for abandoned requests to end at their upstreams. */
+    duration stopTimeout = std::chrono::seconds(3);
+    /** Refuses a request at once when its expected wait exceeds its deadline; only tests turn it off. */
     bool refusesEarly = true;
-    /** Keeps to the budgets of the links between regions; only tests turn it off. */
-    bool keepsLinkBudgets = true;
+    /** Enforces the byte budgets of the links between regions; only tests turn it off. */
+    bool enforcesLinkBudgets = true;
 };
 
-/** Holds slots, hands them to requests, and runs the allocators of this VM; published as "slots", with "measurements"
- * of the upstreams. */
+/** Assigns held slots to requests and runs the allocators of this VM. It publishes the ports "slots" and
+ * "measurements". */
 class slot_service {
 public:
     static absl::StatusOr<std::unique_ptr<slot_service>> create(
@@ -78,7 +79,8 @@
 private:
     struct use {
         upstream_announcement upstream;
-        /** The use has ended, but its work may still run at the upstream, so the slot is not free yet. */
+        /** The slot was released while its request may still run at the upstream; it becomes free when that must have
+         * ended. */
         bool settling = false;
     };
 
@@ -86,7 +88,7 @@
         std::uint64_t given = 0;
         std::uint64_t waited = 0;
         std::uint64_t refused = 0;
-        std::uint64_t leftRegion = 0;
+        std::uint64_t spilledOver = 0;
     };
 
     slot_service(const kernel_hooks& hooks, const vm_settings& settings, slot_options options);
@@ -95,8 +97,8 @@
     void stop(std::function<void()> stopped);
     state_dump dump() const;
 
-    void follow();
-    void followLocalGuess();
+    void applyControlState();
+    void grantFullCapacity();
 
     slot_ticket acquire(slot_request request, std::function<void(slot_answer)> answer);
     void cancelWait(slot_ticket ticket);
@@ -104,22 +106,23 @@
     void freeSlot(slot_handle handle);
     void finishStop();
 
-    bool anyUsable(const service_id& service, bool homeOnly) const;
-    bool isHopeless(const slot_request& request, time_point now) const;
+    bool anyUsable(const service_id& service, bool localOnly) const;
+    bool wouldMissDeadline(const slot_request& request, time_point now) const;
     std::optional<held_slot> tryTake(const slot_waiter& waiter, time_point now);
     held_slot take(const usable_upstream& upstream);
     void serveWaiting();
     bool serveFront(const service_id& service, time_point now);
     failure_domain_id sourceOf(const shift_id& shift) const;
-    void refuse(const slot_waiter& waiter, slot_refusal why);
-    void armExpiry();
-    /** How long a request of a service waits for a slot of its own region. */
-    duration patienceInRegion(const service_id& service) const;
-    void armLeaveRegion(const service_id& service);
-    void lookBeyondRegion(const service_id& service);
-
-    void received(const vm_id& from, const slot_message& message);
-    void granted(const slot_grant& grant);
+    void refuse(const slot_waiter& waiter, slot_refusal reason);
+    void armExpiryTimer();
+    /** How long a request waits for a slot of the local region before it spills over; zero when the local region has
+     * no usable upstream. */
+    duration spilloverWait(const service_id& service) const;
+    void armSpilloverTimer(const service_id& service);
+    void spillOver(const service_id& service);
+
+    void onMessage(const vm_id& from, const slot_message& message);
+    void onGrant(const slot_grant& grant);
     slot_picker_view view();
 
     kernel_hooks m_hooks;
@@ -138,19 +141,19 @@
     link_budget m_links;
     allocator_host m_host;
     slot_queue m_queue;
-    slot_reporting m_reporting;
+    allocator_client m_allocatorClient;
     std::map<slot_handle, use> m_uses;
-    std::map<service_id, timer_id> m_leaveTimers;
-    std::map<service_id, std::size_t> m_leaveRotation;
+    std::map<service_id, timer_id> m_spilloverTimers;
+    std::map<service_id, std::size_t> m_spilloverRotation;
     timer_id m_expiryTimer;
     std::optional<time_point> m_expiryAt;
     std::uint64_t m_lastHandle = 0;
     std::uint64_t m_lastTicket = 0;
     counters m_counters;
     bool m_stopped = false;
-    /** Called once the last slot is free; set while a stop waits for that. */
+    /** Completes a stop once the last slot is free; empty unless a stop waits for that. */
     std::function<void()> m_onIdle;
-    timer_id m_idleTimer;
+    timer_id m_stopTimer;
 };
 
 } // namespace plantainlatch
--- a/src/decision/slots/upstream_health.cpp
+++ b/src/decision/slots/upstream_health.cpp
@@ -10,9 +10,9 @@
 
 } // namespace
 
-upstream_health::upstream_health(upstream_health_options options, time_point begun)
+upstream_health::upstream_health(upstream_health_options options, time_point startedAt)
     : m_options(options)
-    , m_begun(begun)
+    , m_startedAt(startedAt)
 {
 }
 
@@ -32,31 +32,31 @@
     item.answeredAt = now;
 }
 
-bool upstream_health::announced(const upstream_id& id, const liveness_port& liveness, time_point now) const
+bool upstream_health::recentlyAnnounced(const upstream_id& id, const liveness_port& liveness, time_point now) const
 {
     const std::optional<time_point> seen = liveness.lastSeen(id);
-    const time_point latest = seen ? std::max(*seen, m_begun) : m_begun;
+    const time_point latest = seen ? std::max(*seen, m_startedAt) : m_startedAt;
     return now - latest < liveness.silenceTimeout();
 }
 
-bool upstream_health::speaksAgainst(const upstream_id& id, time_point now) const
+bool upstream_health::isReportedUnhealthy(const upstream_id& id, time_point now) const
 {
     const auto found = m_records.find(id);
     if (found == m_records.end())
         return false;
     if (found->second.draining)
         return true;
-    const bool answersNow = found->second.answered && now - found->second.answeredAt < m_options.answerTrust;
-    return found->second.badReports >= m_options.reportsToDoubt && !answersNow;
+    const bool answersNow = found->second.answered && now - found->second.answeredAt < m_options.recentAnswerTime;
+    return found->second.badReports >= m_options.unhealthyThreshold && !answersNow;
 }
 
-bool upstream_health::doubted(const upstream_id& id, const std::vector<upstream_id>& members, time_point now) const
+bool upstream_health::isUnhealthy(const upstream_id& id, const std::vector<upstream_id>& members, time_point now) const
 {
-    if (!speaksAgainst(id, now))
+    if (!isReportedUnhealthy(id, now))
         return false;
-    const auto count = static_cast<std::size_t>(std::count_if(
-        members.begin(), members.end(), [this, now](const upstream_id& member) { return speaksAgainst(member, now); }));
-    return count * percent <= members.size() * m_options.largestDoubtedPercent;
+    const auto count = static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+        [this, now](const upstream_id& member) { return isReportedUnhealthy(member, now); }));
+    return count * percent <= members.size() * m_options.maximumUnhealthyPercent;
 }
 
 } // namespace plantainlatch
--- a/src/decision/slots/upstream_health.h
+++ b/src/decision/slots/upstream_health.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Which upstreams of a region may be lent, by their announcements, their own reports, and the answers they give.
+ * Health checks of the upstreams of a region: announcements, polled load reports, and observed answers decide which
+ * upstreams receive new requests.
  */
 
 #include <cstdint>
@@ -15,29 +16,30 @@
 
 namespace plantainlatch {
 
-/** How reports of upstreams are judged. */
 struct upstream_health_options {
-    /** Unhealthy reports, or missing ones, in a row that count. */
-    std::uint32_t reportsToDoubt = 3;
-    /** An upstream that answered within this time is in order, whatever its reports say. */
-    duration answerTrust = std::chrono::seconds(3);
-    /** Reports are ignored when they would exclude more than this part of a service's upstreams, in percent. */
-    std::uint32_t largestDoubtedPercent = 50;
+    /** Consecutive unhealthy or missing reports that make an upstream unhealthy. */
+    std::uint32_t unhealthyThreshold = 3;
+    /** Unhealthy reports of an upstream that answered a request within this time are ignored. */
+    duration recentAnswerTime = std::chrono::seconds(3);
+    /** Reports are ignored when they would exclude more than this percentage of a service's upstreams. */
+    std::uint32_t maximumUnhealthyPercent = 50;
 };
 
-/** Judges upstreams; observed answers go before reports, and a missing report is no report of health or load. */
+/** A missing report counts as an unhealthy one. Recent answers override unhealthy reports, but not a report that the
+ * upstream is draining. */
 class upstream_health {
 public:
-    upstream_health(upstream_health_options options, time_point begun);
+    upstream_health(upstream_health_options options, time_point startedAt);
 
     void noteReport(const upstream_id& id, const load_report& report);
     void noteMissingReport(const upstream_id& id);
     void noteAnswers(const upstream_id& id, time_point now);
 
-    /** Whether the upstream announced itself lately; before the first one counts from the beginning. */
-    bool announced(const upstream_id& id, const liveness_port& liveness, time_point now) const;
-    /** Whether reports speak against new work on the upstream, given all upstreams of its service in the region. */
-    bool doubted(const upstream_id& id, const std::vector<upstream_id>& members, time_point now) const;
+    /** Whether the upstream's last announcement is recent enough; one is assumed at `startedAt`. */
+    bool recentlyAnnounced(const upstream_id& id, const liveness_port& liveness, time_point now) const;
+    /** Whether the reports exclude the upstream from new requests. `members` are all upstreams of its service in the
+     * region. */
+    bool isUnhealthy(const upstream_id& id, const std::vector<upstream_id>& members, time_point now) const;
 
 private:
     struct record {
@@ -47,10 +49,10 @@
         bool answered = false;
     };
 
-    bool speaksAgainst(const upstream_id& id, time_point now) const;
+    bool isReportedUnhealthy(const upstream_id& id, time_point now) const;
 
     upstream_health_options m_options;
-    time_point m_begun;
+    time_point m_startedAt;
     std::map<upstream_id, record> m_records;
 };
 
--- a/src/decision/slots/upstream_quality.cpp
+++ b/src/decision/slots/upstream_quality.cpp
@@ -7,9 +7,9 @@
 namespace {
 
     constexpr std::size_t percent = 100;
-    /** An average moves by one part in this many with each new value. */
+    /** Each new value has the weight 1/smoothing in the exponential moving average. */
     constexpr int smoothing = 8;
-    constexpr std::uint32_t largestBackoffSteps = 10;
+    constexpr std::uint32_t maximumBackoffSteps = 10;
 
     duration smoothed(duration average, duration latest)
     {
@@ -50,21 +50,21 @@
     const bool warm = usual == duration::zero() || latency <= usual * m_options.warmFactor;
     item.latency = smoothed(item.latency, latency);
     usual = smoothed(usual, latency);
-    item.failuresInRow = 0;
+    item.consecutiveFailures = 0;
     item.ejections = 0;
     return warm;
 }
 
 void upstream_quality::noteFailure(record& item, time_point now)
 {
-    ++item.failuresInRow;
-    if (!m_options.ejects || item.failuresInRow < m_options.failuresToEject)
+    ++item.consecutiveFailures;
+    if (!m_options.ejects || item.consecutiveFailures < m_options.failuresToEject)
         return;
-    const std::uint32_t steps = std::min(item.ejections, largestBackoffSteps);
-    item.ejectedUntil = now + std::min(m_options.shortestEjection * (1U << steps), m_options.longestEjection);
+    const std::uint32_t steps = std::min(item.ejections, maximumBackoffSteps);
+    item.ejectedUntil = now + std::min(m_options.baseEjectionTime * (1U << steps), m_options.maximumEjectionTime);
     ++item.ejections;
-    // One more failure after the ejection is enough for the next one.
-    item.failuresInRow = m_options.failuresToEject - 1;
+    // A single failure after the ejection ejects the upstream again.
+    item.consecutiveFailures = m_options.failuresToEject - 1;
 }
 
 std::set<upstream_id> upstream_quality::ejected(const std::vector<upstream_id>& members, time_point now) const
@@ -75,9 +75,9 @@
         if (item != m_records.end() && now < item->second.ejectedUntil)
             found.emplace_back(item->second.ejectedUntil, id);
     }
-    const std::size_t most = members.size() * m_options.largestEjectedPercent / percent;
+    const std::size_t maximum = members.size() * m_options.maximumEjectedPercent / percent;
     std::sort(found.begin(), found.end(), std::greater<>());
-    found.resize(std::min(found.size(), most));
+    found.resize(std::min(found.size(), maximum));
     std::set<upstream_id> result;
     for (const auto& [until, id] : found)
         result.insert(id);
--- a/src/decision/slots/upstream_quality.h
+++ b/src/decision/slots/upstream_quality.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * How well upstreams answer, as this VM observed: latency, and ejection of those that fail.
+ * Passive health checks: the average latency of the upstreams as this VM observed it, and ejection of those that fail.
  */
 
 #include <cstdint>
@@ -15,48 +15,48 @@
 
 namespace plantainlatch {
 
-/** When upstreams are ejected and when an answer counts as warm. */
 struct upstream_quality_options {
-    /** Failures in a row that eject an upstream. */
+    /** Consecutive failures that eject an upstream. */
     std::uint32_t failuresToEject = 3;
-    duration shortestEjection = std::chrono::seconds(2);
-    duration longestEjection = std::chrono::seconds(30);
-    /** After a refusal the upstream gets no work for this long. */
+    /** Duration of the first ejection; it doubles with each further one until the upstream answers. */
+    duration baseEjectionTime = std::chrono::seconds(2);
+    duration maximumEjectionTime = std::chrono::seconds(30);
+    /** After a refusal the upstream receives no requests for this time. */
     duration shedPause = std::chrono::milliseconds(50);
-    /** At most this part of a service's upstreams in a region is ejected at once, in percent. */
-    std::uint32_t largestEjectedPercent = 50;
-    /** An answer is warm when it took at most this many times the usual latency of the service. */
+    /** Maximum percentage of a service's upstreams that is ejected at once. */
+    std::uint32_t maximumEjectedPercent = 50;
+    /** An answer is warm when its latency is at most this many times the average latency of the service. */
     std::uint32_t warmFactor = 3;
     /** Ejects failing upstreams; only tests turn it off. */
     bool ejects = true;
 };
 
-/** Observations of one VM; those of an upstream's earlier generation do not count. */
+/** The observations of one VM. Those of an earlier generation of an upstream are dropped. */
 class upstream_quality {
 public:
     explicit upstream_quality(upstream_quality_options options);
 
-    /** Notes how a use ended. Returns whether it was a warm answer. */
+    /** Records how the use of a slot ended. Returns whether it was a warm answer. */
     bool note(const upstream_announcement& upstream, const slot_result& result, time_point now);
 
-    /** The upstreams of a service in a region that should get no work now; never more than the allowed part of
-     * `members`. */
+    /** The ejected upstreams among `members`, the upstreams of a service in a region. If they exceed
+     * `maximumEjectedPercent`, only those whose ejections end last. */
     std::set<upstream_id> ejected(const std::vector<upstream_id>& members, time_point now) const;
-    /** Whether the upstream just refused work. */
+    /** Whether the upstream refused a request within the last `shedPause`. */
     bool paused(const upstream_id& id, time_point now) const;
 
-    /** The usual time from dispatch to answer; zero before any answer. */
+    /** The moving average of the time from dispatch to answer; zero before any answer. */
     duration latency(const upstream_id& id) const;
     duration serviceLatency(const service_id& service) const;
 
-    /** Forgets upstreams that are no longer known. */
+    /** Drops the observations of all other upstreams. */
     void keepOnly(const std::set<upstream_id>& known);
 
 private:
     struct record {
         upstream_generation generation;
         duration latency {};
-        std::uint32_t failuresInRow = 0;
+        std::uint32_t consecutiveFailures = 0;
         std::uint32_t ejections = 0;
         time_point ejectedUntil;
         time_point pausedUntil;
--- a/src/decision/slots/upstream_table.h
+++ b/src/decision/slots/upstream_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The upstreams that may get work, with their limits, as a value made from the control state.
+ * A snapshot of the upstreams in the directory with the limits that apply to each.
  */
 
 #include <cstdint>
@@ -14,30 +14,30 @@
 
 namespace plantainlatch {
 
-/** An upstream with the limits that hold for it now. */
+/** An upstream and its current limits. */
 struct usable_upstream {
     upstream_announcement announcement;
-    /** How many requests it may run; 0 while it is drained, withdrawn or of no declared service. */
+    /** Maximum number of concurrent requests; 0 while it is drained or withdrawn or its service is not declared. */
     std::uint32_t capacity = 0;
-    /** The longest that work may run on it. */
+    /** The longest deadline of a request to it. */
     duration maximumDeadline {};
-    /** The most connections to it from all VMs together. */
+    /** Maximum number of connections to it from all VMs together. */
     std::uint32_t connections = 0;
 };
 
-/** All upstreams of the directory by name and by service. */
+/** All upstreams of the directory. */
 struct upstream_table {
     std::map<upstream_id, usable_upstream> upstreams;
     std::map<service_id, std::vector<upstream_id>> byService;
 
-    /** None for an upstream that is not in the directory. */
+    /** Null for an upstream that is not in the directory. */
     const usable_upstream* find(const upstream_id& id) const;
 };
 
-/** Reads the directory with the limits, withdrawals and drains that hold for each upstream. */
+/** Combines the directory with the limits, withdrawals and drains that apply to each upstream. */
 upstream_table makeUpstreamTable(const control_snapshot& state);
 
-/** The longest deadline of any service; work dispatched on a slot ends by then. */
+/** The longest deadline of any service, and so the longest time that a request may run after its dispatch. */
 duration longestDeadline(const configuration& config);
 
 } // namespace plantainlatch
--- a/src/model/slot_message.h
+++ b/src/model/slot_message.h
@@ -1,7 +1,10 @@
 #pragma once
 
 /** \file
- * Messages between the holders of slots and the allocator of a region.
+ * Messages between the slot allocator of a region and the VMs that hold its slots.
+ *
+ * A slot is the right to run one request on an upstream at a time. The allocator of a region leases the slots of the
+ * region's upstreams to VMs, the holders. A holder sends slot_report; the allocator answers with slot_grant.
  */
 
 #include <cstdint>
@@ -14,8 +17,8 @@
 
 namespace plantainlatch {
 
-/** How many slots of one generation of an upstream a VM holds or is given. */
-struct slot_share {
+/** A number of slots, or of answers, of one generation of an upstream. */
+struct per_upstream_count {
     upstream_id upstream;
     upstream_generation generation;
     std::uint32_t count = 0;
@@ -26,14 +29,14 @@
     }
 };
 
-/** What a holder wants and has of one service in one region. */
+/** A holder's demand for slots of one service in one region. */
 struct slot_demand {
     service_id service;
-    /** A failure domain whose upstreams are wanted; empty for any. */
+    /** The failure domain whose upstreams are allocated first; empty for any. */
     failure_domain_id preferred;
-    /** Requests that wait for a slot now. */
+    /** Requests that wait for a slot. */
     std::uint32_t waiting = 0;
-    /** Slots that the holder holds and does not use. */
+    /** Slots that are held and not in use. */
     std::uint32_t idle = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -42,32 +45,40 @@
     }
 };
 
-/** A holder renews its lease, gives slots back, and says what it holds and wants; numbered by the holder. */
+/**
+ * Renews the holder's lease, returns slots, and states the slots that it holds and its demand.
+ *
+ * Slots that the holder had and that `held` does not list are returned to the allocator.
+ */
 struct slot_report {
     region_id region;
     allocator_epoch epoch;
+    /** The incarnation of the holder that sends the report. */
     incarnation start;
+    /** Increases by one with each report of the incarnation. */
     std::uint64_t sequence = 0;
-    /** How long this incarnation has run; work of an earlier one may still run at upstreams. */
-    duration running {};
-    /** All that the holder still holds, in use or not, after what it gave back. */
-    std::vector<slot_share> held;
+    /** Time since this incarnation began; requests of an earlier one may still run at upstreams. */
+    duration uptime {};
+    /** All slots that the holder keeps, in use or idle. */
+    std::vector<per_upstream_count> held;
     std::vector<slot_demand> demands;
-    /** Upstreams that the holder finds unfit and wants no slots of. */
+    /** Upstreams that the holder has ejected because they fail; it needs no slots of them. */
     std::vector<upstream_id> ejected;
-    /** Answers since the last report that were as fast as those of the other upstreams. */
-    std::vector<slot_share> warmAnswers;
+    /** Answers since the last report whose latency was in the usual range of the service (upstream_quality). */
+    std::vector<per_upstream_count> warmAnswers;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.region, self.epoch, self.start, self.sequence, self.running, self.held, self.demands, self.ejected,
+        visit(self.region, self.epoch, self.start, self.sequence, self.uptime, self.held, self.demands, self.ejected,
             self.warmAnswers);
     }
 };
 
 /**
- * What the holder has now, for `lease` after it sent the report of that number. A holder takes it only if it has sent
- * no later report; the allocator may send several for one report, of which the one with the highest revision counts.
+ * All slots on which the holder may start requests until `lease` after it sent the report with this sequence number.
+ *
+ * The holder ignores a grant that answers any report but its latest. The allocator may send several grants for one
+ * report; the one with the highest revision replaces the others.
  */
 struct slot_grant {
     region_id region;
@@ -76,9 +87,9 @@
     std::uint64_t sequence = 0;
     std::uint64_t revision = 0;
     duration lease {};
-    std::vector<slot_share> granted;
-    /** How many slots of these the holder should give back as soon as they are idle. */
-    std::vector<slot_share> recalled;
+    std::vector<per_upstream_count> granted;
+    /** Slots that the holder should return as soon as they are idle. */
+    std::vector<per_upstream_count> recalled;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
@@ -87,7 +98,6 @@
     }
 };
 
-/** Any message about slots. */
 using slot_message = std::variant<slot_report, slot_grant>;
 
 } // namespace plantainlatch
--- a/src/ports/measurement_port.h
+++ b/src/ports/measurement_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hook by which heartbeats get what this VM measured of its upstreams.
+ * The port that provides this VM's measurements of the upstreams for its heartbeats.
  */
 
 #include <functional>
@@ -11,9 +11,8 @@
 
 namespace plantainlatch {
 
-/** What this VM measured. */
 struct measurement_port {
-    /** The measurements since the last call. */
+    /** Returns the measurements since the last call. */
     std::function<std::vector<service_measurement>()> take;
 };
 
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The hooks by which the request path gets the right to use an upstream.
+ * The port through which the request path acquires and releases slots: each slot is the right to run one request on an
+ * upstream.
  */
 
 #include <functional>
@@ -18,77 +19,76 @@
 
 namespace plantainlatch {
 
-/** A slot that is held; numbered within this VM. */
+/** Identifies an acquired slot within this VM. */
 using slot_handle = strong_number<struct slot_handle_tag>;
 
-/** The terms under which a request is steered. */
+/** What the matched route prescribes for a request. */
 struct routing_policy {
-    /** Empty for a request that no route selected. */
+    /** Empty when no route matched the request. */
     route_id route;
-    /** Names the object that the request concerns within its service; empty without one. */
+    /** The object of its service that the request reads or changes, for affinity; empty without one. */
     std::string object;
     /** The only regions that may serve it; any if empty. */
     std::vector<region_id> allowedRegions;
-    /** The time within which the answer is worth most. */
+    /** An answer within this time has its full value. */
     duration targetLatency {};
     /** 0 is the most urgent. */
     std::uint32_t priority = 0;
-    /** The most upstreams that it is offered to; 0 for the path's own bound. */
+    /** Upper bound on the upstreams that are tried; 0 for the default of the request path. */
     std::size_t maximumAttempts = 0;
 };
 
-/** What is asked of the slots. */
+/** A request for one slot of a service. */
 struct slot_request {
     service_id service;
-    /** The wait ends here, on this VM's clock. */
+    /** When the wait ends without a slot, on this VM's clock. */
     time_point deadline;
-    /** Failure domains and upstreams of earlier attempts, to be avoided where others have room. */
+    /** Upstreams of earlier attempts; used only when no other has an idle slot. */
     std::vector<upstream_id> avoid;
-    /** Bytes to send, for the budget between regions. */
+    /** Bytes to send; charged to the link budget when the upstream is in another region. */
     byte_count bodySize;
     routing_policy policy;
 };
 
-/** A slot that the holder may use until it releases it. */
+/** An acquired slot; it must be released. */
 struct held_slot {
     slot_handle handle;
     upstream_announcement upstream;
-    /** No new work may be dispatched on it after this moment, on this VM's clock. */
+    /** No request may be dispatched on the slot after this time, on this VM's clock. */
     time_point dispatchBefore;
 };
 
-/** Why no slot was given. */
 enum class slot_refusal {
-    /** No working upstream is known. */
+    /** No usable upstream of the service is known. */
     NoUpstream,
-    /** None came free in time, or none was going to. */
+    /** No slot became free before the deadline, or none was expected to. */
     Overloaded,
 };
 
-/** How the use of a slot went, for latency, ejection and cold start. */
+/** The outcome of the request that used a slot, for latency statistics, ejection and the ramp-up of new upstreams. */
 struct slot_result {
     enum class kind {
         /** Released unused. */
         Unused,
         Answered,
-        /** The upstream refused with a marked or a bare 503. */
+        /** The upstream refused the request: it reported that it did not execute it, or answered with a 503. */
         Shed,
         /** The upstream answered with another 5xx. */
         Failed,
         ConnectFailed,
         Lost,
         Timeout,
-        /** The caller left; the upstream may still run the work. */
+        /** The caller disconnected; the upstream may still run the request. */
         Cancelled,
     };
     kind ended = kind::Unused;
-    /** From dispatch to the end. */
+    /** From dispatch to the answer or failure. */
     duration latency {};
-    /** The size of the answer, for the budget between regions. */
+    /** The size of the answer; charged to the link budget when the upstream is in another region. */
     byte_count answerSize;
-    /** The work may still run at the upstream until this moment on this VM's clock; the slot is not reused before. */
+    /** Until when the request may still run at the upstream, on this VM's clock; the slot is not reused before. */
     std::optional<time_point> busyUntil;
-    /** What the upstream told of itself with its answer. */
+    /** What the upstream reported about itself with its answer. */
     answer_metadata metadata;
 };
 
@@ -96,16 +96,16 @@
 struct slot_answer {
     std::optional<held_slot> slot;
     slot_refusal refusal = slot_refusal::NoUpstream;
-    /** What decided for the upstream, or against all of them; for the log. */
+    /** Log fields with the inputs of the decision. */
     std::vector<log_field> inputs;
 };
 
-/** A waiting request for a slot; 0 is none. */
+/** Identifies a queued slot request; 0 is none. */
 using slot_ticket = strong_number<struct slot_ticket_tag>;
 
-/** Slots of upstreams. */
+/** Published by slot_service and by placement_service. */
 struct slot_port {
-    /** Calls back once, perhaps at once; the ticket is for cancelWait(). */
+    /** Calls back once, possibly before it returns, unless cancelWait() is called with the ticket first. */
     std::function<slot_ticket(slot_request, std::function<void(slot_answer)>)> acquire;
     std::function<void(slot_ticket)> cancelWait;
     std::function<void(slot_handle, slot_result)> release;
--- a/test/correctness/measurement_recorder_test.cpp
+++ b/test/correctness/measurement_recorder_test.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(measurement_recorder_fixture, "measurements.results_of_one_place.are_summed_and_taken_once")
+TEST_CASE_METHOD(
+    measurement_recorder_fixture, "measurements.results_of_one_service_and_failure_domain.are_summed_and_taken_once")
 {
     for (int i = 1; i <= 100; ++i)
         note(slot_result::kind::Answered, i * 1ms);
--- a/test/correctness/slot_lending_order_test.cpp
+++ b/test/correctness/slot_allocation_order_test.cpp
@@ -8,10 +8,10 @@
 
     constexpr time_point start { std::chrono::hours(1) };
 
-    /** Two VMs of one region and one new upstream, of which only one slot is lent before it has answered. */
-    class slot_lending_fixture {
+    /** Two VMs of one region and one new upstream: only one of its slots is allocated before it has answered. */
+    class slot_allocation_order_fixture {
     protected:
-        slot_lending_fixture()
+        slot_allocation_order_fixture()
         {
             usable_upstream upstream;
             upstream.announcement.id = upstream_id("work-1");
@@ -42,8 +42,8 @@
         {
             std::uint32_t count = 0;
             for (const addressed_grant& grant : grants) {
-                for (const slot_share& share : grant.grant.granted)
-                    count += grant.to == vm_id(vm) ? share.count : 0;
+                for (const per_upstream_count& entry : grant.grant.granted)
+                    count += grant.to == vm_id(vm) ? entry.count : 0;
             }
             return count;
         }
@@ -54,7 +54,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(slot_lending_fixture, "slot_allocator.slot_given_back_by_an_idle_holder.goes_to_the_waiting_one")
+TEST_CASE_METHOD(
+    slot_allocation_order_fixture, "slot_allocator.slot_returned_by_an_idle_holder.is_allocated_to_the_waiting_one")
 {
     REQUIRE(grantedTo("e4", report("e4", 0, 0, 0)) == 1);
     REQUIRE(grantedTo("e1", report("e1", 0, 1, 0)) == 0);
--- a/test/correctness/slot_lending_test.cpp
+++ b/test/correctness/slot_allocator_test.cpp
@@ -8,8 +8,8 @@
 
     using namespace std::chrono_literals;
 
-    /** One upstream of four slots, and a holder of all that may be lent. */
-    class slot_lending_fixture {
+    /** One upstream with four slots, and a holder to which all available ones are allocated. */
+    class slot_allocator_fixture {
     protected:
         void begin(std::uint32_t warmSlots)
         {
@@ -17,7 +17,7 @@
             subject = std::make_unique<slot_allocator>(
                 region_id("r"), allocator_epoch(1), std::set<vm_id> {}, now, options);
             setGeneration(1);
-            REQUIRE(lentTo("holder", 1, warmSlots, {}) == warmSlots);
+            REQUIRE(grantedTo("holder", 1, warmSlots, {}) == warmSlots);
         }
 
         void setGeneration(std::uint64_t generation)
@@ -33,9 +33,9 @@
             subject->setUpstreams(table, 1s, now);
         }
 
-        /** Reports for a VM and returns how many slots it holds then. */
-        std::uint32_t lentTo(
-            const std::string& vm, std::uint64_t sequence, std::uint32_t waiting, std::vector<slot_share> held)
+        /** Sends a report of a VM and returns how many slots the grant gives it. */
+        std::uint32_t grantedTo(
+            const std::string& vm, std::uint64_t sequence, std::uint32_t waiting, std::vector<per_upstream_count> held)
         {
             slot_report report;
             report.region = region_id("r");
@@ -48,8 +48,8 @@
             report.demands.back().waiting = waiting;
             std::uint32_t count = 0;
             for (const addressed_grant& item : subject->report({ vm_id(vm), true, false }, report, now)) {
-                for (const slot_share& share : item.grant.granted)
-                    count += item.to == vm_id(vm) ? share.count : 0;
+                for (const per_upstream_count& entry : item.grant.granted)
+                    count += item.to == vm_id(vm) ? entry.count : 0;
             }
             return count;
         }
@@ -61,21 +61,23 @@
 
 } // namespace
 
-TEST_CASE_METHOD(slot_lending_fixture, "slot_allocator.restarted_upstream.is_not_lent_beside_its_earlier_generation")
+TEST_CASE_METHOD(slot_allocator_fixture,
+    "slot_allocator.restarted_upstream.is_not_allocated_before_its_earlier_generation_is_returned")
 {
     begin(4);
     setGeneration(2);
-    REQUIRE(lentTo("other", 1, 2, {}) == 0);
-    lentTo("holder", 2, 0, {});
-    REQUIRE(lentTo("other", 2, 2, {}) == 2);
+    REQUIRE(grantedTo("other", 1, 2, {}) == 0);
+    grantedTo("holder", 2, 0, {});
+    REQUIRE(grantedTo("other", 2, 2, {}) == 2);
 }
 
-TEST_CASE_METHOD(slot_lending_fixture, "slot_allocator.recalled_slot.goes_to_the_waiting_vm_and_not_back")
+TEST_CASE_METHOD(
+    slot_allocator_fixture, "slot_allocator.recalled_slot.is_allocated_to_the_waiting_vm_not_to_its_former_holder")
 {
     begin(1);
-    REQUIRE(lentTo("other", 1, 1, {}) == 0);
-    REQUIRE(lentTo("holder", 2, 0, {}) == 0);
-    REQUIRE(lentTo("other", 2, 1, { { upstream_id("u"), upstream_generation(1), 1 } }) == 1);
+    REQUIRE(grantedTo("other", 1, 1, {}) == 0);
+    REQUIRE(grantedTo("holder", 2, 0, {}) == 0);
+    REQUIRE(grantedTo("other", 2, 1, { { upstream_id("u"), upstream_generation(1), 1 } }) == 1);
 }
 
 } // namespace plantainlatch
--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Compares three ways to share slots under load, in virtual time: leased slots, one owning entry for each upstream, and
- * each entry's own guess. Upstreams are a slot count and a delay; above its slots an upstream gets slower in
- * proportion.
+ * Compares three ways to share the slots of upstreams among entries under load, in virtual time: leased slots, one
+ * owning entry for each upstream, and entries that do not coordinate. With more requests than slots, the service time
+ * of an upstream grows in proportion.
  */
 
 #include <algorithm>
@@ -27,13 +27,13 @@
 namespace {
 
     using namespace std::chrono_literals;
-    using namespace simulated_site;
+    using namespace simulated_deployment;
 
     constexpr duration warmUp = 15s;
     constexpr duration measured = 15s;
     constexpr double orderShare = 0.1;
 
-    enum class sharing { Leased, Owner, LocalGuess };
+    enum class sharing { Leased, Owner, Uncoordinated };
 
     const char* sharingName(sharing mode)
     {
@@ -41,9 +41,9 @@
         case sharing::Leased:
             return "leased slots";
         case sharing::Owner:
-            return "one owner, one hop";
-        case sharing::LocalGuess:
-            return "local guess";
+            return "one owning entry";
+        case sharing::Uncoordinated:
+            return "uncoordinated";
         }
         return "";
     }
@@ -56,14 +56,13 @@
         core.add(std::move(item));
     }
 
-    /** What a run measured. */
     struct result_row {
         std::uint64_t sent = 0;
         std::uint64_t useful = 0;
         std::uint64_t refused = 0;
         std::uint64_t late = 0;
         std::uint64_t extraAttempts = 0;
-        double mostOverCapacity = 0;
+        double maximumLoad = 0;
         int doubleRuns = 0;
         std::vector<duration> latencies;
     };
@@ -87,7 +86,7 @@
         request_port* port = nullptr;
     };
 
-    /** Seven entries under one load. */
+    /** One run of all entries in one mode at one load, as a fraction of the capacity. */
     class comparison {
     public:
         comparison(sharing mode, double load)
@@ -97,8 +96,8 @@
         {
             m_log.state = initialState();
             m_network.delay = [](const vm_id& from, const vm_id& to) {
-                return from.value().back() % regionCount == to.value().back() % regionCount ? insideRegion
-                                                                                            : betweenRegions;
+                return from.value().back() % regionCount == to.value().back() % regionCount ? delayInRegion
+                                                                                            : delayBetweenRegions;
             };
             for (std::size_t i = 0; i < entryCount; ++i)
                 m_log.state.vms[entryRecord(i).id] = { entryRecord(i), incarnation(i + 1), {}, false, true };
@@ -116,7 +115,7 @@
             m_counting = false;
             m_row.extraAttempts = extraAttempts() - before;
             m_runtime.advance(callerDeadline);
-            m_row.mostOverCapacity = m_upstreams.mostOverCapacity;
+            m_row.maximumLoad = m_upstreams.maximumLoad;
             for (const auto& [body, count] : m_upstreams.runs)
                 m_row.doubleRuns += count > 1 ? 1 : 0;
             return m_row;
@@ -134,7 +133,8 @@
             const kernel_hooks hooks = m_runtime.hooks();
             entry.core = *kernel::create(hooks);
             entry.log = std::make_unique<fake_log_member>(m_log, settings.self.id, incarnation(number + 1));
-            entry.log->behaviour = [](const control_command&) { return proposal_behaviour { betweenRegions * 2 }; };
+            entry.log->behaviour
+                = [](const control_command&) { return proposal_behaviour { delayBetweenRegions * 2 }; };
             entry.upstreams = m_upstreams.portOf(number);
             addPort(*entry.core, port_names::control, entry.log->control);
             addPort(*entry.core, port_names::consensus, entry.log->consensus);
@@ -155,7 +155,7 @@
                 return;
             }
             slot_options options;
-            options.mode = m_mode == sharing::Leased ? slot_mode::Leased : slot_mode::LocalGuess;
+            options.mode = m_mode == sharing::Leased ? slot_mode::Leased : slot_mode::Uncoordinated;
             options.host.polls = false;
             entry.peers = m_network.attach(settings.self.id, entry.life);
             entry.membership.start = [number] { return incarnation(number + 1); };
@@ -179,8 +179,8 @@
 
         void scheduleArrival()
         {
-            const double even = static_cast<double>(m_runtime.random() % 1'000'000 + 1) / 1'000'000;
-            const auto wait = std::chrono::duration_cast<duration>(m_interval * -std::log(even));
+            const double uniform = static_cast<double>(m_runtime.random() % 1'000'000 + 1) / 1'000'000;
+            const auto wait = std::chrono::duration_cast<duration>(m_interval * -std::log(uniform));
             m_runtime.schedule(wait, [this] {
                 send();
                 scheduleArrival();
@@ -202,8 +202,8 @@
             const bool counted = m_counting;
             m_row.sent += counted ? 1 : 0;
             const time_point sentAt = m_runtime.now();
-            // Callers stay near: each region's callers use its entries evenly.
-            const std::size_t entry = entryIn(m_runtime, m_runtime.random() % regionCount);
+            // Callers use a random entry of their own region; the regions have equal numbers of requests.
+            const std::size_t entry = randomEntryIn(m_runtime, m_runtime.random() % regionCount);
             m_entries[entry]->port->submit(std::move(request),
                 [this, counted, sentAt](const caller_answer& answer) { count(counted, sentAt, answer); });
         }
@@ -257,7 +257,7 @@
         const double seconds = std::chrono::duration<double>(measured).count();
         std::printf("%-20s %4.1f  %6.3f  %7.3f  %5.3f  %7.3f  %6.2f  %6d  %6.0f  %6.0f\n", sharingName(mode), load,
             static_cast<double>(row.useful) / (capacityPerSecond * seconds), static_cast<double>(row.refused) / sent,
-            static_cast<double>(row.late) / sent, static_cast<double>(row.extraAttempts) / sent, row.mostOverCapacity,
+            static_cast<double>(row.late) / sent, static_cast<double>(row.extraAttempts) / sent, row.maximumLoad,
             row.doubleRuns, milliseconds(row.latencies, 50), milliseconds(row.latencies, 99));
         std::fflush(stdout);
     }
@@ -269,12 +269,12 @@
 int main()
 {
     using namespace plantainlatch;
-    std::printf(
-        "useful: answers in time over capacity; refused, late, retries and hedges: parts of the requests sent;\n"
-        "in use: the most at one upstream over its slots; p50 and p99 in ms\n");
+    std::printf("useful: timely answers per capacity; refused, late, retries with hedges: per request sent;\n"
+                "in use: maximum concurrent requests of an upstream per slot; double: requests that ran twice;\n"
+                "p50 and p99 in ms\n");
     std::printf("%-20s load  useful  refused  late   retries  in use  double     p50     p99\n", "");
     for (const double load : { 0.5, 0.9, 1.2, 2.0 }) {
-        for (const sharing mode : { sharing::Leased, sharing::Owner, sharing::LocalGuess })
+        for (const sharing mode : { sharing::Leased, sharing::Owner, sharing::Uncoordinated })
             print(mode, load, comparison(mode, load).run());
     }
     return 0;
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -17,27 +17,28 @@
     constexpr int vmCount = 5;
     constexpr int upstreamCount = 4;
     constexpr std::uint32_t capacity = 3;
-    constexpr duration longestWork = std::chrono::seconds(3);
+    constexpr duration maximumRequestTime = std::chrono::seconds(3);
     constexpr duration step = std::chrono::milliseconds(20);
     constexpr int steps = 3000;
 
-    /** Which protections of the slots are turned off. */
-    struct broken_parts {
-        bool earlierLoans = false;
+    /** The waits of the allocator that are disabled, to check that the test finds the resulting overload. */
+    struct disabled_waits {
+        bool earlierAllocations = false;
         bool silentHolders = false;
     };
 
     /**
-     * Holders and allocators of one region over a network that loses, delays and doubles messages, while holders freeze
-     * and restart and the allocator is replaced. The truth is the work that runs at each upstream.
+     * Simulates the holders and the allocator of one region. The network loses, delays and duplicates messages, holders
+     * freeze and restart, and the allocator is replaced. The simulation counts the requests that run on each upstream
+     * itself, independently of what the holders and the allocator record.
      */
-    class slot_world {
+    class slot_simulation {
     public:
-        slot_world(std::uint64_t seed, broken_parts broken)
+        slot_simulation(std::uint64_t seed, disabled_waits disabled)
             : m_runtime(seed)
         {
-            m_options.waitForEarlierLoans = !broken.earlierLoans;
-            m_options.waitForSilentHolders = !broken.silentHolders;
+            m_options.waitForEarlierAllocations = !disabled.earlierAllocations;
+            m_options.waitForSilentHolders = !disabled.silentHolders;
             for (int i = 0; i < vmCount; ++i)
                 m_holders.push_back({ vm_id("e" + std::to_string(i)),
                     slot_holdings(m_region, incarnation(1), m_runtime.now()), {}, 1, {} });
@@ -49,31 +50,31 @@
                 upstream.announcement.region = m_region;
                 upstream.announcement.slots = slot_count(capacity);
                 upstream.capacity = capacity;
-                upstream.maximumDeadline = longestWork;
+                upstream.maximumDeadline = maximumRequestTime;
                 m_table.upstreams[upstream.announcement.id] = upstream;
                 m_table.byService[m_service].push_back(upstream.announcement.id);
             }
             replaceAllocator();
         }
 
-        /** The most work that ran at once on one upstream. */
+        /** Runs the simulation and returns the maximum number of concurrent requests on one upstream. */
         std::uint32_t run()
         {
             std::uint32_t largest = 0;
             for (int i = 0; i < steps; ++i) {
                 act();
                 m_runtime.advance(step);
-                endWork();
+                endRequests();
                 for (const auto& [id, ends] : m_running)
                     largest = std::max(largest, static_cast<std::uint32_t>(ends.size()));
             }
             return largest;
         }
 
-        std::uint64_t worksBegun() const { return m_begun; }
+        std::uint64_t requestsStarted() const { return m_requestsStarted; }
 
     private:
-        struct work {
+        struct running_request {
             upstream_id upstream;
             upstream_generation generation;
             time_point end;
@@ -84,7 +85,7 @@
             slot_holdings holdings;
             time_point frozenUntil;
             std::uint64_t start;
-            std::vector<work> running;
+            std::vector<running_request> running;
         };
 
         std::uint64_t draw(std::uint64_t bound) { return m_runtime.random() % bound; }
@@ -98,7 +99,7 @@
                     members.insert(holder.id);
             }
             m_allocator = std::make_unique<slot_allocator>(m_region, m_epoch, members, m_runtime.now(), m_options);
-            m_allocator->setUpstreams(m_table, longestWork, m_runtime.now());
+            m_allocator->setUpstreams(m_table, maximumRequestTime, m_runtime.now());
             for (holder_vm& holder : m_holders)
                 holder.holdings.setAllocator({ vm_id("e0"), incarnation(1), m_epoch });
         }
@@ -111,7 +112,7 @@
                     continue;
                 if (draw(4) == 0)
                     report(i);
-                beginWork(holder);
+                startRequests(holder);
                 if (draw(400) == 0)
                     holder.frozenUntil = m_runtime.now() + std::chrono::milliseconds(draw(9000));
                 if (draw(500) == 0)
@@ -140,9 +141,9 @@
             for (const auto& [id, item] : holder.holdings.holdings())
                 demand.idle += item.idle();
             message.demands.push_back(demand);
-            for (const slot_share& share : message.held)
+            for (const per_upstream_count& share : message.held)
                 message.warmAnswers.push_back(share);
-            overNetwork([this, from, message] {
+            sendOverNetwork([this, from, message] {
                 sendGrants(m_allocator->report({ m_holders[from].id, true, false }, message, m_runtime.now()));
             });
         }
@@ -150,16 +151,16 @@
         void sendGrants(const std::vector<addressed_grant>& grants)
         {
             for (const addressed_grant& grant : grants) {
-                overNetwork([this, grant] {
+                sendOverNetwork([this, grant] {
                     for (holder_vm& holder : m_holders) {
                         if (holder.id == grant.to && m_runtime.now() >= holder.frozenUntil)
-                            holder.holdings.takeGrant(grant.grant);
+                            holder.holdings.applyGrant(grant.grant);
                     }
                 });
             }
         }
 
-        void overNetwork(const std::function<void()>& deliver)
+        void sendOverNetwork(const std::function<void()>& deliver)
         {
             const int copies = draw(10) == 0 ? 0 : draw(10) == 0 ? 2 : 1;
             for (int i = 0; i < copies; ++i) {
@@ -168,28 +169,28 @@
             }
         }
 
-        void beginWork(holder_vm& holder)
+        void startRequests(holder_vm& holder)
         {
             for (const auto& [id, item] : holder.holdings.holdings()) {
-                const bool begins = draw(3) == 0 && holder.holdings.idle(id, item.generation, m_runtime.now()) > 0;
-                if (!begins)
+                const bool starts = draw(3) == 0 && holder.holdings.idle(id, item.generation, m_runtime.now()) > 0;
+                if (!starts)
                     continue;
                 const duration length = std::chrono::milliseconds(1 + draw(3000));
-                const time_point end = m_runtime.now() + std::min<duration>(length, longestWork);
+                const time_point end = m_runtime.now() + std::min<duration>(length, maximumRequestTime);
                 holder.holdings.take(id);
                 holder.running.push_back({ id, item.generation, end });
                 m_running[id].push_back(end);
-                ++m_begun;
+                ++m_requestsStarted;
             }
         }
 
-        void endWork()
+        void endRequests()
         {
             const time_point now = m_runtime.now();
             for (auto& [id, ends] : m_running)
                 std::erase_if(ends, [now](time_point end) { return end <= now; });
             for (holder_vm& holder : m_holders) {
-                std::erase_if(holder.running, [&](const work& item) {
+                std::erase_if(holder.running, [&](const running_request& item) {
                     if (item.end <= now)
                         holder.holdings.free(item.upstream, item.generation, now);
                     return item.end <= now;
@@ -206,50 +207,49 @@
         std::unique_ptr<slot_allocator> m_allocator;
         std::vector<holder_vm> m_holders;
         std::map<upstream_id, std::vector<time_point>> m_running;
-        std::uint64_t m_begun = 0;
+        std::uint64_t m_requestsStarted = 0;
     };
 
     class slot_random_fixture {
     protected:
-        /** How many seeds to run; PLANTAINLATCH_SEEDS asks for more. */
+        /** The number of seeds to run; PLANTAINLATCH_SEEDS overrides it. */
         static std::uint64_t seedCount()
         {
             const char* asked = std::getenv("PLANTAINLATCH_SEEDS");
             return asked != nullptr ? std::strtoull(asked, nullptr, 10) : 30;
         }
 
-        /** The first seed at which more work ran on an upstream than it has slots, or an invariant broke; none if there
-         * is none. */
-        static std::optional<std::uint64_t> firstOverload(broken_parts broken)
+        /** The first seed with which an upstream ran more requests than it has slots, or an invariant was violated. */
+        static std::optional<std::uint64_t> firstOverload(disabled_waits disabled)
         {
-            std::uint64_t begun = 0;
+            std::uint64_t requestsStarted = 0;
             for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
-                slot_world world(seed, broken);
-                if (breaksInvariant([&world] { return world.run() > capacity; }))
+                slot_simulation simulation(seed, disabled);
+                if (breaksInvariant([&simulation] { return simulation.run() > capacity; }))
                     return seed;
-                begun += world.worksBegun();
+                requestsStarted += simulation.requestsStarted();
             }
-            // Worlds in which little work ran would prove little; 12 slots for 60 s allow about 480 pieces.
-            REQUIRE(begun > 100 * seedCount());
+            // A pass proves little when only few requests ran; 12 slots for 60 s allow about 480 requests.
+            REQUIRE(requestsStarted > 100 * seedCount());
             return std::nullopt;
         }
     };
 
 } // namespace
 
-TEST_CASE_METHOD(slot_random_fixture, "slots.random_faults.never_more_work_than_slots")
+TEST_CASE_METHOD(slot_random_fixture, "slots.random_faults.never_more_requests_than_slots")
 {
     const std::optional<std::uint64_t> seed = firstOverload({});
     INFO("seed " << seed.value_or(0));
     REQUIRE_FALSE(seed.has_value());
 }
 
-TEST_CASE_METHOD(slot_random_fixture, "slots.new_allocator_that_does_not_wait.overloads")
+TEST_CASE_METHOD(slot_random_fixture, "slots.new_allocator_that_does_not_wait.overloads_upstreams")
 {
-    REQUIRE(firstOverload({ .earlierLoans = true }).has_value());
+    REQUIRE(firstOverload({ .earlierAllocations = true }).has_value());
 }
 
-TEST_CASE_METHOD(slot_random_fixture, "slots.silent_holders_forgotten_early.overloads")
+TEST_CASE_METHOD(slot_random_fixture, "slots.slots_of_silent_holders_reclaimed_early.overloads_upstreams")
 {
     REQUIRE(firstOverload({ .silentHolders = true }).has_value());
 }
--- a/test/support/owner_slots.cpp
+++ b/test/support/owner_slots.cpp
@@ -4,7 +4,7 @@
 
 namespace plantainlatch {
 
-using namespace simulated_site;
+using namespace simulated_deployment;
 
 owner_slots::owner_slots(paused_runtime& runtime)
     : m_runtime(runtime)
@@ -37,15 +37,15 @@
     return port;
 }
 
-duration owner_slots::way(std::size_t left, std::size_t right) const
+duration owner_slots::delay(std::size_t left, std::size_t right) const
 {
     return left == right ? duration::zero() : oneWay(regionOfNumber(left), regionOfNumber(right));
 }
 
 void owner_slots::ask(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft)
 {
-    const std::size_t asked = entryIn(m_runtime, (entry + regionCount - regionsLeft) % regionCount);
-    m_runtime.schedule(way(entry, asked), [this, entry, asked, ticket, deadline, regionsLeft] {
+    const std::size_t asked = randomEntryIn(m_runtime, (entry + regionCount - regionsLeft) % regionCount);
+    m_runtime.schedule(delay(entry, asked), [this, entry, asked, ticket, deadline, regionsLeft] {
         arrive(asked, { entry, ticket, deadline }, regionsLeft);
     });
 }
@@ -53,17 +53,17 @@
 void owner_slots::arrive(std::size_t asked, const waiter& item, std::size_t regionsLeft)
 {
     owner& found = m_owners[asked];
-    const duration wait = meanWork * (found.queue.size() + 1) / found.slots;
+    const duration wait = meanServiceTime * (found.queue.size() + 1) / found.slots;
     if (!found.free.empty() || m_runtime.now() + wait * 2 < item.deadline) {
         found.queue.push_back(item);
         serve(asked);
         return;
     }
-    m_runtime.schedule(way(asked, item.entry), [this, item, regionsLeft] {
+    m_runtime.schedule(delay(asked, item.entry), [this, item, regionsLeft] {
         if (regionsLeft > 1)
             ask(item.entry, item.ticket, item.deadline, regionsLeft - 1);
         else
-            give(item.ticket, { std::nullopt, slot_refusal::Overloaded });
+            deliver(item.ticket, { std::nullopt, slot_refusal::Overloaded });
     });
 }
 
@@ -78,16 +78,16 @@
         const std::size_t upstream = found.free.front();
         found.free.pop_front();
         const slot_handle handle(++m_last);
-        m_holds[handle] = { number, upstream };
-        m_runtime.schedule(way(number, item.entry), [this, item, handle, upstream] {
-            const held_slot slot { handle, upstreamRecord(upstream), time_point::max() };
-            if (!give(item.ticket, { slot, {} }))
+        m_handles[handle] = { number, upstream };
+        m_runtime.schedule(delay(number, item.entry), [this, item, handle, upstream] {
+            const held_slot slot { handle, announcementOf(upstream), time_point::max() };
+            if (!deliver(item.ticket, { slot, {} }))
                 release(item.entry, handle, {});
         });
     }
 }
 
-bool owner_slots::give(slot_ticket ticket, const slot_answer& answer)
+bool owner_slots::deliver(slot_ticket ticket, const slot_answer& answer)
 {
     auto waiting = m_waiting.extract(ticket);
     if (waiting.empty())
@@ -98,10 +98,10 @@
 
 void owner_slots::release(std::size_t entry, slot_handle handle, const slot_result& result)
 {
-    const auto [number, upstream] = m_holds.at(handle);
-    m_holds.erase(handle);
+    const auto [number, upstream] = m_handles.at(handle);
+    m_handles.erase(handle);
     const duration busy = result.busyUntil ? *result.busyUntil - m_runtime.now() : duration::zero();
-    m_runtime.schedule(busy + way(entry, number), [this, number = number, upstream = upstream] {
+    m_runtime.schedule(busy + delay(entry, number), [this, number = number, upstream = upstream] {
         m_owners[number].free.push_back(upstream);
         serve(number);
     });
--- a/test/support/owner_slots.h
+++ b/test/support/owner_slots.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Slots by one owning entry for each upstream, one hop away: a way that was weighed and not taken, for comparison.
+ * An alternative to leased slots that the system does not use, for the comparison benchmark: one entry owns all slots
+ * of an upstream, and the other entries request them from it over the network.
  */
 
 #include <deque>
@@ -11,11 +12,11 @@
 #include <vector>
 
 #include "ports/slot_port.h"
-#include "support/simulated_site.h"
+#include "support/simulated_deployment.h"
 
 namespace plantainlatch {
 
-/** One owning entry for each upstream: others ask it, one hop away, and it queues them. */
+/** The owning entry of each upstream queues the requests of all entries for its slots. */
 class owner_slots {
 public:
     explicit owner_slots(paused_runtime& runtime);
@@ -34,23 +35,23 @@
         std::uint32_t slots = 0;
     };
 
-    duration way(std::size_t left, std::size_t right) const;
+    duration delay(std::size_t left, std::size_t right) const;
 
-    /** Owners in the entry's region evenly, then one of another region for each refusal. */
+    /** Asks a random owner in the entry's region, and after each refusal one in the next region. */
     void ask(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft);
 
     void arrive(std::size_t asked, const waiter& item, std::size_t regionsLeft);
 
     void serve(std::size_t number);
 
-    bool give(slot_ticket ticket, const slot_answer& answer);
+    bool deliver(slot_ticket ticket, const slot_answer& answer);
 
     void release(std::size_t entry, slot_handle handle, const slot_result& result);
 
     paused_runtime& m_runtime;
     std::vector<owner> m_owners;
     std::map<slot_ticket, std::function<void(slot_answer)>> m_waiting;
-    std::map<slot_handle, std::pair<std::size_t, std::size_t>> m_holds;
+    std::map<slot_handle, std::pair<std::size_t, std::size_t>> m_handles;
     std::uint64_t m_last = 0;
 };
 
--- a/test/support/simulated_site.cpp
+++ b/test/support/simulated_deployment.cpp
@@ -1,12 +1,15 @@
-#include "support/simulated_site.h"
+#include "support/simulated_deployment.h"
 
-namespace plantainlatch::simulated_site {
+namespace plantainlatch::simulated_deployment {
 
 region_id regionOfNumber(std::size_t number) { return region_id("region-" + std::to_string(number % regionCount)); }
 vm_id entryName(std::size_t entry) { return vm_id("entry-" + std::to_string(entry)); }
-duration oneWay(const region_id& left, const region_id& right) { return left == right ? insideRegion : betweenRegions; }
+duration oneWay(const region_id& left, const region_id& right)
+{
+    return left == right ? delayInRegion : delayBetweenRegions;
+}
 
-std::size_t entryIn(paused_runtime& runtime, std::size_t region)
+std::size_t randomEntryIn(paused_runtime& runtime, std::size_t region)
 {
     const std::size_t inRegion = (entryCount - region + regionCount - 1) / regionCount;
     return region + regionCount * (runtime.random() % inRegion);
@@ -21,7 +24,7 @@
     return record;
 }
 
-upstream_announcement upstreamRecord(std::size_t number)
+upstream_announcement announcementOf(std::size_t number)
 {
     upstream_announcement upstream;
     upstream.id = upstream_id("u" + std::to_string(number));
@@ -53,8 +56,8 @@
         state.allocators[region] = { entryName(i), incarnation(i + 1), allocator_epoch(1) };
     }
     for (std::size_t i = 0; i < upstreamCount; ++i)
-        state.directory[upstreamRecord(i).id] = { upstreamRecord(i), {} };
+        state.directory[announcementOf(i).id] = { announcementOf(i), {} };
     return state;
 }
 
-} // namespace plantainlatch::simulated_site
+} // namespace plantainlatch::simulated_deployment
--- a/test/support/simulated_upstreams.cpp
+++ b/test/support/simulated_upstreams.cpp
@@ -6,7 +6,7 @@
 
 namespace plantainlatch {
 
-using namespace simulated_site;
+using namespace simulated_deployment;
 
 simulated_upstreams::simulated_upstreams(paused_runtime& runtime)
     : m_runtime(runtime)
@@ -26,63 +26,63 @@
 
 void simulated_upstreams::start(std::size_t entry, const upstream_call& call, call_events events)
 {
-    const call_name name { entry, call.id.value() };
-    const duration way = oneWay(regionOfNumber(entry), regionOfUpstream(call.upstream));
+    const call_key key { entry, call.id.value() };
+    const duration delay = oneWay(regionOfNumber(entry), regionOfUpstream(call.upstream));
     events.onDispatch();
-    m_open.emplace(name, open_call { call.upstream, std::move(events), way, {} });
-    m_runtime.schedule(call.timeout, [this, name] { timeOut(name); });
-    m_runtime.schedule(way, [this, name, body = call.body] {
-        if (m_open.contains(name))
-            arrive(name, body);
+    m_open.emplace(key, open_call { call.upstream, std::move(events), delay, {} });
+    m_runtime.schedule(call.timeout, [this, key] { timeOut(key); });
+    m_runtime.schedule(delay, [this, key, body = call.body] {
+        if (m_open.contains(key))
+            arrive(key, body);
     });
 }
 
-void simulated_upstreams::arrive(const call_name& name, const std::string& body)
+void simulated_upstreams::arrive(const call_key& key, const std::string& body)
 {
     if (!body.empty())
         ++runs[body];
-    open_call& call = m_open.at(name);
+    open_call& call = m_open.at(key);
     const std::uint32_t running = ++m_running[call.upstream];
     const double load = static_cast<double>(running) / slotsPerUpstream;
-    mostOverCapacity = std::max(mostOverCapacity, load);
-    const double even = static_cast<double>(m_runtime.random() % 1'000'000 + 1) / 1'000'000;
-    const double factor = std::clamp(-std::log(even), 0.2, 5.0) / meanOfClampedFactor * std::max(1.0, load);
-    call.work
-        = m_runtime.schedule(std::chrono::duration_cast<duration>(meanWork * factor), [this, name] { finish(name); });
+    maximumLoad = std::max(maximumLoad, load);
+    const double uniform = static_cast<double>(m_runtime.random() % 1'000'000 + 1) / 1'000'000;
+    const double factor = std::clamp(-std::log(uniform), 0.2, 5.0) / meanOfClampedFactor * std::max(1.0, load);
+    call.runTimer = m_runtime.schedule(
+        std::chrono::duration_cast<duration>(meanServiceTime * factor), [this, key] { finish(key); });
 }
 
-void simulated_upstreams::finish(const call_name& name)
+void simulated_upstreams::finish(const call_key& key)
 {
-    open_call& call = m_open.at(name);
+    open_call& call = m_open.at(key);
     --m_running[call.upstream];
-    call.work = {};
-    m_runtime.schedule(call.way, [this, name] {
-        auto open = m_open.extract(name);
+    call.runTimer = {};
+    m_runtime.schedule(call.delay, [this, key] {
+        auto open = m_open.extract(key);
         if (!open.empty())
             open.mapped().events.onAnswer({ 200, {}, "answer" });
     });
 }
 
-void simulated_upstreams::timeOut(const call_name& name)
+void simulated_upstreams::timeOut(const call_key& key)
 {
-    const auto open = m_open.find(name);
+    const auto open = m_open.find(key);
     if (open == m_open.end())
         return;
     const call_events events = open->second.events;
-    cancel(name);
+    cancel(key);
     events.onFailure(call_failure::Timeout);
 }
 
-void simulated_upstreams::cancel(const call_name& name)
+void simulated_upstreams::cancel(const call_key& key)
 {
-    auto open = m_open.extract(name);
+    auto open = m_open.extract(key);
     if (open.empty())
         return;
     const open_call call = open.mapped();
-    if (call.work == timer_id())
+    if (call.runTimer == timer_id())
         return;
-    m_runtime.cancel(call.work);
-    m_runtime.schedule(call.way, [this, id = call.upstream] { --m_running[id]; });
+    m_runtime.cancel(call.runTimer);
+    m_runtime.schedule(call.delay, [this, id = call.upstream] { --m_running[id]; });
 }
 
 region_id simulated_upstreams::regionOfUpstream(const upstream_id& id)
