--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -269,7 +269,7 @@
 {
     const auto found = m_uses.find(handle);
     internal_assert(found != m_uses.end() && !found->second.settling)
-        << "slot " << handle.value() << " is released twice";
+        << "slot handle " << handle.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
     m_measurements.note(upstream, result);
@@ -288,7 +288,7 @@
 void slot_service::freeSlot(slot_handle handle)
 {
     const auto found = m_uses.find(handle);
-    internal_assert(found != m_uses.end()) << "slot " << handle.value() << " is freed twice";
+    internal_assert(found != m_uses.end()) << "slot handle " << handle.value() << " is freed twice";
     const upstream_announcement upstream = found->second.upstream;
     m_uses.erase(found);
     if (m_stopped)
