--- a/src/codec/declaration_writer.cpp
+++ b/src/codec/declaration_writer.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-    /** How much of a definition is written: a withdrawal names it only. */
-    enum class extent {
-        Name,
-        Whole,
+    /** Which fields of a definition are written; a withdrawn definition has only its key fields. */
+    enum class detail_level {
+        KeyOnly,
+        Full,
     };
 
-    std::string timeText(duration span)
+    std::string durationText(duration span)
     {
         const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(span).count();
         if (micros % 1000000 == 0)
@@ -22,7 +22,7 @@
         return micros % 1000 == 0 ? absl::StrCat(micros / 1000, "ms") : absl::StrCat(micros, "us");
     }
 
-    /** One flow map on a line. */
+    /** Emits one map in YAML's flow style, from construction to destruction. */
     class map_writer {
     public:
         explicit map_writer(YAML::Emitter& out)
@@ -53,19 +53,19 @@
         return texts;
     }
 
-    void write(YAML::Emitter& out, const region_definition& item, extent part)
+    void write(YAML::Emitter& out, const region_definition& item, detail_level detail)
     {
         map_writer map(out);
         map.add("id", item.id.value());
-        if (part == extent::Whole)
+        if (detail == detail_level::Full)
             map.add("failure_domains", textsOf(item.failureDomains));
     }
 
-    void write(YAML::Emitter& out, const link_definition& item, extent part)
+    void write(YAML::Emitter& out, const link_definition& item, detail_level detail)
     {
         map_writer map(out);
         map.add("between", std::vector<std::string> { item.left.value(), item.right.value() });
-        if (part == extent::Whole)
+        if (detail == detail_level::Full)
             map.add("budget", absl::StrCat(item.budget.value(), "B/s"));
     }
 
@@ -77,59 +77,60 @@
         out << YAML::EndSeq;
     }
 
-    void write(YAML::Emitter& out, const service_definition& item, extent part)
+    void write(YAML::Emitter& out, const service_definition& item, detail_level detail)
     {
         map_writer map(out);
         map.add("id", item.id.value());
-        if (part == extent::Name)
+        if (detail == detail_level::KeyOnly)
             return;
         map.add("slots", item.slots.value()).add("connections", item.connections);
-        map.add("default_deadline", timeText(item.defaultDeadline));
-        map.add("maximum_deadline", timeText(item.maximumDeadline));
+        map.add("default_deadline", durationText(item.defaultDeadline));
+        map.add("maximum_deadline", durationText(item.maximumDeadline));
         map.add("maximum_body", absl::StrCat(item.maximumBody.value(), "B"));
-        map.add("key_retention", timeText(item.keyRetention));
+        map.add("key_retention", durationText(item.keyRetention));
         if (!item.routes.empty())
             writeRoutes(out, item.routes);
     }
 
-    void write(YAML::Emitter& out, const share_definition& item, extent part)
+    void write(YAML::Emitter& out, const share_definition& item, detail_level detail)
     {
         map_writer map(out);
         map.add("service", item.service.value()).add("failure_domain", item.failureDomain.value());
-        if (part == extent::Whole)
+        if (detail == detail_level::Full)
             map.add("weight", item.weight);
     }
 
-    void write(YAML::Emitter& out, const upstream_definition& item, extent part)
+    void write(YAML::Emitter& out, const upstream_definition& item, detail_level detail)
     {
         map_writer map(out);
         map.add("id", item.id.value());
-        if (part == extent::Name)
+        if (detail == detail_level::KeyOnly)
             return;
         map.add("service", item.service.value()).add("failure_domain", item.failureDomain.value());
         if (item.slots.has_value())
             map.add("slots", item.slots->value());
     }
 
-    void write(YAML::Emitter& out, const shift_definition& item, extent part)
+    void write(YAML::Emitter& out, const shift_definition& item, detail_level detail)
     {
         map_writer map(out);
         map.add("id", item.id.value());
-        if (part == extent::Name)
+        if (detail == detail_level::KeyOnly)
             return;
         map.add("service", item.service.value()).add("from", item.from.value()).add("to", item.to.value());
         map.add("percent", item.percent).add("cap_per_second", item.capPerSecond);
-        map.add("step_percent", item.stepPercent).add("step_interval", timeText(item.stepInterval));
+        map.add("step_percent", item.stepPercent).add("step_interval", durationText(item.stepInterval));
     }
 
     template <typename Definition>
-    void writeList(YAML::Emitter& out, const char* key, const std::vector<declared<Definition>>& items, extent part)
+    void writeList(
+        YAML::Emitter& out, const char* key, const std::vector<declared<Definition>>& items, detail_level detail)
     {
         if (items.empty())
             return;
         out << YAML::Key << key << YAML::Value << YAML::BeginSeq;
         for (const auto& item : items)
-            write(out, item.value, part);
+            write(out, item.value, detail);
         out << YAML::EndSeq;
     }
 
@@ -139,9 +140,9 @@
         if (changes.empty())
             return;
         out << YAML::Key << key << YAML::Value << YAML::BeginMap;
-        writeList(out, "add", changes.added, extent::Whole);
-        writeList(out, "change", changes.changed, extent::Whole);
-        writeList(out, "withdraw", changes.withdrawn, extent::Name);
+        writeList(out, "add", changes.added, detail_level::Full);
+        writeList(out, "change", changes.changed, detail_level::Full);
+        writeList(out, "withdraw", changes.withdrawn, detail_level::KeyOnly);
         out << YAML::EndMap;
     }
 
--- a/src/codec/declaration_writer.h
+++ b/src/codec/declaration_writer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Writes a declaration as the YAML that operators keep.
+ * Serializes a declaration as YAML in the format of declaration files.
  */
 
 #include <string>
@@ -10,7 +10,7 @@
 
 namespace plantainlatch {
 
-/** YAML that parseDeclaration() reads back as the same declaration, without places. */
+/** The result parses with parseDeclaration() to an equal declaration; text positions are not written. */
 std::string writeDeclaration(const declaration& content);
 
 } // namespace plantainlatch
--- a/src/codec/declaration_yaml.cpp
+++ b/src/codec/declaration_yaml.cpp
@@ -9,35 +9,35 @@
 
 namespace {
 
-    constexpr std::uint32_t wholePercent = 100;
-    constexpr std::size_t largestNote = 1000;
+    constexpr std::uint32_t maximumPercent = 100;
+    constexpr std::size_t maximumNoteBytes = 1000;
 
-    /** How much of a definition stands in the text. */
-    enum class extent {
-        Whole,
-        /** Only the fields that name it: it is withdrawn. */
-        Name,
+    /** Which fields of a definition the text must have. */
+    enum class detail_level {
+        Full,
+        /** Only the fields that identify the definition, as in the list of withdrawn ones. */
+        KeyOnly,
     };
 
     void checkPercent(yaml_map_reader& reader, const std::string& key, std::uint32_t value, finding_list& findings)
     {
-        if (value > wholePercent)
+        if (value > maximumPercent)
             findings.add(reader.find(key)->place, absl::StrCat("'", key, "' is ", value), "1 to 100");
     }
 
-    std::string read(yaml_map_reader& reader, region_definition& region, extent part, finding_list& findings)
+    std::string read(yaml_map_reader& reader, region_definition& region, detail_level detail, finding_list& findings)
     {
         reader.require("id", region.id);
-        if (part == extent::Whole && reader.require("failure_domains", region.failureDomains)) {
+        if (detail == detail_level::Full && reader.require("failure_domains", region.failureDomains)) {
             const std::set<failure_domain_id> distinct(region.failureDomains.begin(), region.failureDomains.end());
             if (distinct.empty() || distinct.size() != region.failureDomains.size())
-                findings.add(reader.find("failure_domains")->place, "an empty list or a doubled failure domain",
-                    "each once, at least one");
+                findings.add(reader.find("failure_domains")->place, "an empty list or a duplicate failure domain",
+                    "at least one, each once");
         }
         return region.id.value();
     }
 
-    std::string read(yaml_map_reader& reader, link_definition& link, extent part, finding_list& findings)
+    std::string read(yaml_map_reader& reader, link_definition& link, detail_level detail, finding_list& findings)
     {
         std::vector<region_id> ends;
         if (reader.require("between", ends)) {
@@ -45,10 +45,10 @@
                 link.left = std::min(ends[0], ends[1]);
                 link.right = std::max(ends[0], ends[1]);
             } else {
-                findings.add(reader.find("between")->place, "no pair of regions", "two different regions");
+                findings.add(reader.find("between")->place, "not a pair of regions", "two different regions");
             }
         }
-        if (part == extent::Whole)
+        if (detail == detail_level::Full)
             reader.requirePositive("budget", link.budget);
         return absl::StrCat(link.left.value(), " ", link.right.value());
     }
@@ -64,7 +64,8 @@
         if (hasMethod && !isToken)
             findings.add(reader.find("method")->place, absl::StrCat("'", rule.method, "'"), "a method such as POST");
         if (reader.require("path", rule.pathPrefix) && !rule.pathPrefix.starts_with('/'))
-            findings.add(reader.find("path")->place, absl::StrCat("'", rule.pathPrefix, "'"), "a path from / on");
+            findings.add(
+                reader.find("path")->place, absl::StrCat("'", rule.pathPrefix, "'"), "a path that begins with /");
         reader.require("idempotent", rule.idempotent);
         reader.finish();
         return rule;
@@ -76,15 +77,15 @@
         for (const yaml_node& item : yamlItems(list, findings)) {
             const route_rule rule = readRoute(item, findings);
             if (!seen.emplace(rule.method, rule.pathPrefix).second)
-                findings.add(item.place, "a doubled route", "each method and path once");
+                findings.add(item.place, "a duplicate route", "each method and path once");
             service.routes.push_back(rule);
         }
     }
 
-    std::string read(yaml_map_reader& reader, service_definition& service, extent part, finding_list& findings)
+    std::string read(yaml_map_reader& reader, service_definition& service, detail_level detail, finding_list& findings)
     {
         reader.require("id", service.id);
-        if (part == extent::Name)
+        if (detail == detail_level::KeyOnly)
             return service.id.value();
         reader.requirePositive("slots", service.slots);
         reader.requirePositive("connections", service.connections);
@@ -92,7 +93,7 @@
         const bool hasMaximum = reader.requirePositive("maximum_deadline", service.maximumDeadline);
         if (hasDefault && hasMaximum && service.defaultDeadline > service.maximumDeadline)
             findings.add(reader.find("default_deadline")->place, "'default_deadline' is above 'maximum_deadline'",
-                "at most that");
+                "at most 'maximum_deadline'");
         reader.requirePositive("maximum_body", service.maximumBody);
         reader.requirePositive("key_retention", service.keyRetention);
         if (const yaml_node* routes = reader.find("routes"))
@@ -100,19 +101,19 @@
         return service.id.value();
     }
 
-    std::string read(yaml_map_reader& reader, share_definition& share, extent part, finding_list&)
+    std::string read(yaml_map_reader& reader, share_definition& share, detail_level detail, finding_list&)
     {
         reader.require("service", share.service);
         reader.require("failure_domain", share.failureDomain);
-        if (part == extent::Whole)
+        if (detail == detail_level::Full)
             reader.require("weight", share.weight);
         return absl::StrCat(share.service.value(), " ", share.failureDomain.value());
     }
 
-    std::string read(yaml_map_reader& reader, upstream_definition& upstream, extent part, finding_list&)
+    std::string read(yaml_map_reader& reader, upstream_definition& upstream, detail_level detail, finding_list&)
     {
         reader.require("id", upstream.id);
-        if (part == extent::Name)
+        if (detail == detail_level::KeyOnly)
             return upstream.id.value();
         reader.require("service", upstream.service);
         reader.require("failure_domain", upstream.failureDomain);
@@ -122,10 +123,10 @@
         return upstream.id.value();
     }
 
-    std::string read(yaml_map_reader& reader, shift_definition& shift, extent part, finding_list& findings)
+    std::string read(yaml_map_reader& reader, shift_definition& shift, detail_level detail, finding_list& findings)
     {
         reader.require("id", shift.id);
-        if (part == extent::Name)
+        if (detail == detail_level::KeyOnly)
             return shift.id.value();
         reader.require("service", shift.service);
         const bool hasFrom = reader.require("from", shift.from);
@@ -141,7 +142,7 @@
         return shift.id.value();
     }
 
-    /** Reads the lists of one kind; a definition that stands in them twice is a finding. */
+    /** Reads the lists of changes to one kind of definition; a definition may appear only once in all of them. */
     template <typename Definition> class changes_reader {
     public:
         changes_reader(definition_changes<Definition>& changes, finding_list& findings)
@@ -153,30 +154,30 @@
         void read(const yaml_node& node)
         {
             yaml_map_reader reader(node, m_findings);
-            readList(reader.find("add"), m_changes.added, extent::Whole);
-            readList(reader.find("change"), m_changes.changed, extent::Whole);
-            readList(reader.find("withdraw"), m_changes.withdrawn, extent::Name);
+            readList(reader.find("add"), m_changes.added, detail_level::Full);
+            readList(reader.find("change"), m_changes.changed, detail_level::Full);
+            readList(reader.find("withdraw"), m_changes.withdrawn, detail_level::KeyOnly);
             reader.finish();
         }
 
     private:
-        void readList(const yaml_node* list, std::vector<declared<Definition>>& values, extent part)
+        void readList(const yaml_node* list, std::vector<declared<Definition>>& values, detail_level detail)
         {
             if (list == nullptr)
                 return;
             for (const yaml_node& item : yamlItems(*list, m_findings))
-                values.push_back(readOne(item, part));
+                values.push_back(readOne(item, detail));
         }
 
-        declared<Definition> readOne(const yaml_node& node, extent part)
+        declared<Definition> readOne(const yaml_node& node, detail_level detail)
         {
             declared<Definition> result;
             result.place = node.place;
             yaml_map_reader reader(node, m_findings);
-            const std::string name = plantainlatch::read(reader, result.value, part, m_findings);
+            const std::string name = plantainlatch::read(reader, result.value, detail, m_findings);
             reader.finish();
             if (node.type == yaml_node::kind::Map && !m_names.insert(name).second)
-                m_findings.add(node.place, absl::StrCat("'", name, "' stands twice"), "each once");
+                m_findings.add(node.place, absl::StrCat("'", name, "' appears twice"), "each once");
             return result;
         }
 
@@ -211,8 +212,9 @@
         const bool hasReplaced = reader.require("replaces", result.replaces);
         if (hasNumber && hasReplaced && result.replaces >= result.number)
             findings.add(reader.find("replaces")->place, "'replaces' is not below 'number'", "a lower number");
-        if (reader.allow("note", result.note) && result.note.size() > largestNote)
-            findings.add(reader.find("note")->place, "a long note", absl::StrCat("at most ", largestNote, " bytes"));
+        if (reader.allow("note", result.note) && result.note.size() > maximumNoteBytes)
+            findings.add(reader.find("note")->place, "the note is too long",
+                absl::StrCat("at most ", maximumNoteBytes, " bytes"));
     }
 
     bool changesNothing(const declaration& value)
@@ -236,7 +238,7 @@
         readChanges(reader, "shifts", result.shifts, findings);
         reader.finish();
         if (findings.empty() && changesNothing(result))
-            findings.add(root.place, "a declaration without a change", "something to add, change or withdraw");
+            findings.add(root.place, "a declaration without a change", "a definition to add, change or withdraw");
         return result;
     }
 
--- a/src/codec/declaration_yaml.h
+++ b/src/codec/declaration_yaml.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A declaration as an operator writes it.
+ * Parses the YAML of a declaration file.
  */
 
 #include <string>
@@ -12,8 +12,11 @@
 
 namespace plantainlatch {
 
-/** Reads a declaration with the place of each definition; everything wrong goes to `findings`, and the status is
- * InvalidArgument then. What a declaration refers to is checked where it is merged. */
+/**
+ * Parses a declaration and records the text position of each definition. All errors are added to `findings`, and the
+ * status is InvalidArgument if there are any. References to existing definitions are not checked here but when the
+ * declaration is merged into the configuration.
+ */
 absl::StatusOr<declaration> parseDeclaration(
     const std::string& text, const std::string& fileName, finding_list& findings);
 
--- a/src/codec/frame_codec.cpp
+++ b/src/codec/frame_codec.cpp
@@ -8,7 +8,7 @@
 
     constexpr std::size_t lengthBytes = 4;
     constexpr unsigned bitsPerByte = 8;
-    /** Consumed bytes are dropped from the front of the buffer once there are this many. */
+    /** The number of decoded bytes from which on they are erased from the buffer, which moves the rest. */
     constexpr std::size_t compactionBytes = 64 * 1024;
 
     std::size_t readLength(const char* bytes)
@@ -31,8 +31,8 @@
     return frame;
 }
 
-frame_decoder::frame_decoder(std::size_t largestPayload)
-    : m_largestPayload(largestPayload)
+frame_decoder::frame_decoder(std::size_t maximumPayload)
+    : m_maximumPayload(maximumPayload)
 {
 }
 
@@ -51,8 +51,9 @@
     if (available < lengthBytes)
         return std::optional<std::string>();
     const std::size_t length = readLength(m_buffer.data() + m_consumed);
-    if (length > m_largestPayload)
-        return absl::InvalidArgumentError(absl::StrCat("a frame of ", length, " bytes exceeds ", m_largestPayload));
+    if (length > m_maximumPayload)
+        return absl::InvalidArgumentError(
+            absl::StrCat("a frame of ", length, " bytes exceeds the limit of ", m_maximumPayload));
     if (available < lengthBytes + length)
         return std::optional<std::string>();
     std::string payload = m_buffer.substr(m_consumed + lengthBytes, length);
--- a/src/codec/frame_codec.h
+++ b/src/codec/frame_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Length-prefixed frames on a byte stream.
+ * Encodes and decodes length-prefixed frames on a byte stream.
  */
 
 #include <cstddef>
@@ -14,25 +14,26 @@
 
 namespace plantainlatch {
 
-/** The bytes of a frame: a length of four bytes, most significant first, and the payload. */
+/** A frame is the length of the payload in bytes as a 32-bit big-endian number, followed by the payload. */
 std::string encodeFrame(std::string_view payload);
 
-/** Cuts a byte stream into frames; it never holds more than one frame and what came with it. */
+/** Splits a byte stream into frames. Received bytes are buffered until next() has returned their frame. */
 class frame_decoder {
 public:
-    /** Frames with a payload above `largestPayload` bytes are errors. */
-    explicit frame_decoder(std::size_t largestPayload);
+    /** A frame with a payload above `maximumPayload` bytes is an error. */
+    explicit frame_decoder(std::size_t maximumPayload);
 
-    void setLargestPayload(std::size_t bytes) { m_largestPayload = bytes; }
+    void setLargestPayload(std::size_t bytes) { m_maximumPayload = bytes; }
 
-    /** Adds received bytes. */
+    /** Appends received bytes to the buffer. */
     void feed(std::string_view bytes);
 
-    /** The next whole frame's payload, none until more bytes come, InvalidArgument when a frame is too large. */
+    /** The payload of the next complete frame, or none if more bytes are needed; InvalidArgument for a frame that is
+     * too large. */
     absl::StatusOr<std::optional<std::string>> next();
 
 private:
-    std::size_t m_largestPayload;
+    std::size_t m_maximumPayload;
     std::string m_buffer;
     std::size_t m_consumed = 0;
 };
--- a/src/codec/http_fields.cpp
+++ b/src/codec/http_fields.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    constexpr double longestSeconds = 86'400;
+    constexpr double maximumSeconds = 86'400;
     constexpr std::int64_t millisecondsPerSecond = 1000;
 
     char lower(char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter; }
@@ -78,7 +78,7 @@
     double seconds = 0;
     const auto [end, error]
         = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
-    if (error != std::errc() || end != text.data() + text.size() || !(seconds > 0) || seconds > longestSeconds)
+    if (error != std::errc() || end != text.data() + text.size() || !(seconds > 0) || seconds > maximumSeconds)
         return std::nullopt;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -11,10 +11,13 @@
 
 namespace {
 
-    /** Keeps the order in which fields are added, as people read them. */
+    /** Fields keep the order of insertion, so that related ones stay together for human readers. */
     using json = nlohmann::ordered_json;
 
-    std::string written(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"; }
+    std::string serialize(const json& value)
+    {
+        return value.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+    }
 
     std::int64_t milliseconds(duration span) { return std::chrono::floor<std::chrono::milliseconds>(span).count(); }
 
@@ -78,7 +81,7 @@
 
 std::string encodeRenewalJson(duration renewAfter)
 {
-    return written({ { "renew_after_ms", milliseconds(renewAfter) } });
+    return serialize({ { "renew_after_ms", milliseconds(renewAfter) } });
 }
 
 std::string encodeEntryListJson(const entry_list& list)
@@ -89,7 +92,7 @@
             { "region", item.vm.region.value() }, { "failure_domain", item.vm.failureDomain.value() },
             { "weight", item.weight } });
     }
-    return written({ { "entries", entries }, { "cache_ms", milliseconds(list.cacheTime) } });
+    return serialize({ { "entries", entries }, { "cache_ms", milliseconds(list.cacheTime) } });
 }
 
 std::string encodeStatusJson(const system_status& status)
@@ -99,7 +102,7 @@
         alerts.push_back({ { "id", item.id }, { "promise", item.promise }, { "what", item.what },
             { "action", item.action }, { "since", formatWallTime(item.since) } });
     }
-    return written({ { "answered_by", status.answeredBy.value() }, { "leader", status.leader.value() },
+    return serialize({ { "answered_by", status.answeredBy.value() }, { "leader", status.leader.value() },
         { "current", status.current }, { "in_force_here", status.inForceHere.value() },
         { "in_force_everywhere", status.inForceEverywhere.value() }, { "alerts", alerts },
         { "details", dumpValue(status.details) } });
@@ -113,10 +116,10 @@
             { "note", item.content.note }, { "accepted_at", formatWallTime(item.acceptedAt) },
             { "accepted_through", item.acceptedThrough.value() } });
     }
-    return written({ { "history", list } });
+    return serialize({ { "history", list } });
 }
 
-std::string encodeDeclarationTextJson(const std::string& yaml) { return written({ { "declaration", yaml } }); }
+std::string encodeDeclarationTextJson(const std::string& yaml) { return serialize({ { "declaration", yaml } }); }
 
 std::string encodePlanJson(const declaration_plan& plan)
 {
@@ -125,19 +128,19 @@
         risks.push_back({ { "name", riskName(plan.risks[i]) },
             { "text", i < plan.riskTexts.size() ? plan.riskTexts[i] : std::string() } });
     }
-    return written({ { "changes", plan.changes }, { "risks", risks }, { "findings", findingsValue(plan.findings) } });
+    return serialize({ { "changes", plan.changes }, { "risks", risks }, { "findings", findingsValue(plan.findings) } });
 }
 
 std::string encodeCommandResultJson(const command_result& result)
 {
-    return written({ { "verdict", verdictName(result.verdict) }, { "message", result.message } });
+    return serialize({ { "verdict", verdictName(result.verdict) }, { "message", result.message } });
 }
 
-std::string encodeDumpJson(const state_dump& dump) { return written(dumpValue(dump)); }
+std::string encodeDumpJson(const state_dump& dump) { return serialize(dumpValue(dump)); }
 
 std::string encodeErrorJson(const std::string& message, const finding_list& findings)
 {
-    return written({ { "error", message }, { "findings", findingsValue(findings) } });
+    return serialize({ { "error", message }, { "findings", findingsValue(findings) } });
 }
 
 } // namespace plantainlatch
--- a/src/codec/json_codec.h
+++ b/src/codec/json_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What callers, upstreams and operators get, as JSON.
+ * JSON bodies of the answers to callers, upstreams and operators.
  */
 
 #include <string>
@@ -18,10 +18,10 @@
 /** `{"renew_after_ms":N}`. */
 std::string encodeRenewalJson(duration renewAfter);
 
-/** The entries in order, with weights and how long to cache them. */
+/** The entries in the order of the list, with their weights and the time in ms that the list may be cached. */
 std::string encodeEntryListJson(const entry_list& list);
 
-/** `{"declaration": TEXT}`: a declaration as YAML. */
+/** `{"declaration": TEXT}`, where TEXT is YAML. */
 std::string encodeDeclarationTextJson(const std::string& yaml);
 
 std::string encodeStatusJson(const system_status& status);
--- a/src/codec/json_requests.cpp
+++ b/src/codec/json_requests.cpp
@@ -15,22 +15,23 @@
 
     using json = nlohmann::json;
 
-    constexpr std::size_t largestName = 64;
-    constexpr std::uint32_t largestSlots = 10'000;
-    constexpr std::uint32_t largestConnections = 1'000'000;
+    constexpr std::size_t maximumNameLength = 64;
+    constexpr std::uint32_t maximumSlots = 10'000;
+    constexpr std::uint32_t maximumConnections = 1'000'000;
 
-    bool isNameLetter(char letter)
+    bool isNameCharacter(char character)
     {
-        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9')
-            || letter == '-' || letter == '_' || letter == '.';
+        return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+            || (character >= '0' && character <= '9') || character == '-' || character == '_' || character == '.';
     }
 
     bool isName(const std::string& text)
     {
-        return !text.empty() && text.size() <= largestName && std::all_of(text.begin(), text.end(), isNameLetter);
+        return !text.empty() && text.size() <= maximumNameLength
+            && std::all_of(text.begin(), text.end(), isNameCharacter);
     }
 
-    /** Reads the fields of one object; everything wrong becomes a finding. */
+    /** Reads the fields of one JSON object; each missing or invalid field adds a finding. */
     class object_reader {
     public:
         object_reader(const std::string& text, finding_list& findings)
@@ -48,7 +49,7 @@
                 return {};
             if (value->is_string() && isName(value->get<std::string>()))
                 return value->get<std::string>();
-            refuse(field, "1 to 64 letters, digits, hyphens, underscores and dots");
+            reportInvalid(field, "1 to 64 letters, digits, hyphens, underscores and dots");
             return {};
         }
 
@@ -59,37 +60,37 @@
                 return {};
             if (value->is_string())
                 return value->get<std::string>();
-            refuse(field, "a text");
+            reportInvalid(field, "a text");
             return {};
         }
 
-        std::uint64_t number(const char* field, std::uint64_t least, std::uint64_t most)
+        std::uint64_t number(const char* field, std::uint64_t minimum, std::uint64_t maximum)
         {
             const json* value = require(field);
             if (value == nullptr)
                 return 0;
             if (value->is_number_unsigned()) {
                 const auto number = value->get<std::uint64_t>();
-                if (number >= least && number <= most)
+                if (number >= minimum && number <= maximum)
                     return number;
             }
-            refuse(field, absl::StrCat("a whole number from ", least, " to ", most));
+            reportInvalid(field, absl::StrCat("a whole number from ", minimum, " to ", maximum));
             return 0;
         }
 
-        bool flag(const char* field, std::optional<bool> otherwise)
+        bool flag(const char* field, std::optional<bool> defaultValue)
         {
-            if (otherwise && !m_value.contains(field))
-                return *otherwise;
+            if (defaultValue && !m_value.contains(field))
+                return *defaultValue;
             const json* value = require(field);
             if (value != nullptr && value->is_boolean())
                 return value->get<bool>();
             if (value != nullptr)
-                refuse(field, "true or false");
+                reportInvalid(field, "true or false");
             return false;
         }
 
-        /** Reports the fields that were never asked for. */
+        /** Adds a finding for each field that is not in `known`. */
         void finish(const std::set<std::string>& known)
         {
             if (!m_value.is_object())
@@ -100,7 +101,7 @@
             }
         }
 
-        void refuse(const char* field, const std::string& expected)
+        void reportInvalid(const char* field, const std::string& expected)
         {
             m_findings.add({}, absl::StrCat("field '", field, "' has no valid value"), expected);
         }
@@ -148,11 +149,11 @@
     if (parsed.ok())
         result.address = *parsed;
     else if (!address.empty())
-        reader.refuse("address", "a numeric address with a port, such as 192.0.2.1:8080");
+        reader.reportInvalid("address", "a numeric address with a port, such as 192.0.2.1:8080");
     result.region = region_id(reader.name("region"));
     result.failureDomain = failure_domain_id(reader.name("failure_domain"));
-    result.slots = slot_count(reader.number("slots", 1, largestSlots));
-    result.connections = static_cast<std::uint32_t>(reader.number("connections", 1, largestConnections));
+    result.slots = slot_count(reader.number("slots", 1, maximumSlots));
+    result.connections = static_cast<std::uint32_t>(reader.number("connections", 1, maximumConnections));
     reader.finish({ "id", "generation", "service", "address", "region", "failure_domain", "slots", "connections" });
     if (!findings.empty())
         return findings.toStatus();
@@ -168,7 +169,7 @@
     if (known)
         result.target.kind = *known;
     else if (!kind.empty())
-        reader.refuse("kind", "vm, upstream, failure_domain or region");
+        reader.reportInvalid("kind", "vm, upstream, failure_domain or region");
     result.target.name = reader.name("name");
     result.draining = reader.flag("draining", std::nullopt);
     result.force = reader.flag("force", false);
--- a/src/codec/json_requests.h
+++ b/src/codec/json_requests.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What upstreams and operators send as JSON.
+ * Parses the JSON bodies of requests from upstreams and operators.
  */
 
 #include <string>
@@ -13,18 +13,18 @@
 
 namespace plantainlatch {
 
-/** A drain as an operator asks for it. */
+/** An operator's request to start or end a drain. */
 struct drain_order {
     drain_target target;
     bool draining = false;
-    /** Drains also where that puts a promise at risk. */
+    /** Whether to drain even if that puts one of the system's guarantees at risk. */
     bool force = false;
 };
 
-/** Reads an announcement; everything wrong with it goes to `findings`, and the status is InvalidArgument then. */
+/** Parses an announcement. All errors are added to `findings`, and the status is InvalidArgument if there are any. */
 absl::StatusOr<upstream_announcement> parseAnnouncementJson(const std::string& text, finding_list& findings);
 
-/** Reads a drain; everything wrong with it goes to `findings`, and the status is InvalidArgument then. */
+/** Parses a drain request. All errors are added to `findings`, and the status is InvalidArgument if there are any. */
 absl::StatusOr<drain_order> parseDrainJson(const std::string& text, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/codec/load_report_json.h
+++ b/src/codec/load_report_json.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * An upstream's load report as JSON.
+ * Parses an upstream's load report.
  */
 
 #include <string>
@@ -11,7 +11,8 @@
 
 namespace plantainlatch {
 
-/** Reads `{"running":N,"queued":N,"draining":bool}`; `draining` may be left out. InvalidArgument for anything else. */
+/** Parses `{"running":N,"queued":N,"draining":bool}`, where `draining` is optional and further fields are ignored;
+ * InvalidArgument for anything else. */
 absl::StatusOr<load_report> parseLoadReport(const std::string& text);
 
 } // namespace plantainlatch
--- a/src/codec/log_json.h
+++ b/src/codec/log_json.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Log lines read back from their JSON.
+ * Parses log lines in the JSON format that a VM writes.
  */
 
 #include <optional>
@@ -11,7 +11,7 @@
 
 namespace plantainlatch {
 
-/** One line; what stands before the first brace is passed over. None when it is no log line. */
+/** Parses one line, skipping a prefix before the first brace; none if the rest is not a log line. */
 std::optional<log_line> parseLogLine(const std::string& text);
 
 } // namespace plantainlatch
--- a/src/codec/msgpack_codec.h
+++ b/src/codec/msgpack_codec.h
@@ -1,10 +1,11 @@
 #pragma once
 
 /** \file
- * The encoding of every type that has visitFields() as msgpack, in one place for all messages and durable records.
+ * Encodes and decodes as MessagePack every type that has visitFields(): the messages between VMs and durable records.
  *
- * Structures are arrays of their fields in the order of visitFields(), variants are pairs of position and value, times
- * are counts of their unit. Include this in .cpp files only.
+ * A structure is an array of its fields in the order of visitFields(), a variant is a pair of the index of its
+ * alternative and the value, and a duration is its number of ticks. So the order of fields and of alternatives is part
+ * of the format. Include this header in .cpp files only, as it pulls in the whole msgpack library.
  */
 
 #include <chrono>
@@ -26,8 +27,8 @@
 
 namespace plantainlatch::msgpack_codec {
 
-/** The deepest nesting that is decoded. */
-inline constexpr std::size_t largestDepth = 32;
+/** The maximum nesting of arrays in decoded bytes. */
+inline constexpr std::size_t maximumDepth = 32;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -57,8 +58,7 @@
         static void pack(packer& out, const Value& value) { out.pack(value); }
         static bool unpack(const msgpack::object& in, Value& value)
         {
-            // The library's conversions throw on a wrong type or range; the type is checked first, the range by the
-            // caller's catch.
+            // The type is checked here; convert() throws if the value is out of range, which decode() catches.
             const bool isNumber = in.type == msgpack::type::POSITIVE_INTEGER
                 || in.type == msgpack::type::NEGATIVE_INTEGER || in.type == msgpack::type::FLOAT32
                 || in.type == msgpack::type::FLOAT64 || in.type == msgpack::type::BOOLEAN;
@@ -112,7 +112,7 @@
         }
     };
 
-    /** Only the wall clock's moments are sent; a monotonic moment means nothing elsewhere. */
+    /** Only wall-clock times are encoded, because a monotonic time has no meaning on another machine. */
     template <typename Span> struct coder<std::chrono::time_point<std::chrono::system_clock, Span>> {
         using moment = std::chrono::time_point<std::chrono::system_clock, Span>;
         static void pack(packer& out, const moment& value) { coder<Span>::pack(out, value.time_since_epoch()); }
@@ -290,7 +290,7 @@
     return detail::coder<Value>::unpack(in, value);
 }
 
-/** The value as bytes. */
+/** Encodes a value. */
 template <typename Value> std::string encode(const Value& value)
 {
     msgpack::sbuffer buffer;
@@ -299,19 +299,19 @@
     return std::string(buffer.data(), buffer.size());
 }
 
-/** The value from exactly these bytes; InvalidArgument for anything else. */
+/** Decodes a value that takes up all of `bytes`; InvalidArgument if they are malformed or of another type. */
 template <typename Value> absl::StatusOr<Value> decode(std::string_view bytes)
 {
     try {
         std::size_t offset = 0;
-        // An element takes a byte or more, so a longer announced length is false; its memory would be taken before it
-        // is read.
-        const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), 0, largestDepth);
+        // The library allocates the announced number of elements before it reads them. Each element takes at least one
+        // byte, so a larger number than there are bytes is rejected before the allocation.
+        const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), 0, maximumDepth);
         const msgpack::object_handle handle
             = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         Value value {};
         if (offset != bytes.size() || !unpack(handle.get(), value))
-            return absl::InvalidArgumentError("the bytes do not have the form of the expected type");
+            return absl::InvalidArgumentError("the bytes do not encode a value of the expected type");
         return value;
     } catch (const std::exception& error) {
         return absl::InvalidArgumentError(error.what());
--- a/src/codec/peer_message_codec.h
+++ b/src/codec/peer_message_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Messages between VMs as bytes.
+ * Encodes and decodes messages between VMs.
  */
 
 #include <string>
@@ -14,7 +14,7 @@
 
 std::string encodePeerMessage(const peer_message& message);
 
-/** InvalidArgument for bytes that are no message. */
+/** InvalidArgument for bytes that are not exactly one message. */
 absl::StatusOr<peer_message> decodePeerMessage(std::string_view bytes);
 
 } // namespace plantainlatch
--- a/src/codec/record_codec.cpp
+++ b/src/codec/record_codec.cpp
@@ -13,8 +13,8 @@
     constexpr std::size_t lengthBytes = 4;
     constexpr std::size_t lengthChecksumBytes = 4;
     constexpr std::size_t payloadChecksumBytes = 8;
-    constexpr std::size_t payloadChecksumAt = lengthBytes + lengthChecksumBytes;
-    constexpr std::size_t headerBytes = payloadChecksumAt + payloadChecksumBytes;
+    constexpr std::size_t payloadChecksumOffset = lengthBytes + lengthChecksumBytes;
+    constexpr std::size_t headerBytes = payloadChecksumOffset + payloadChecksumBytes;
     constexpr std::uint64_t lengthChecksumMask = 0xffffffffU;
     constexpr unsigned bitsPerByte = 8;
 
@@ -66,12 +66,12 @@
         if (lengthChecksum(length) != readNumber(rest.substr(lengthBytes, lengthChecksumBytes))) {
             if (isAllZero(rest))
                 return scan;
-            return absl::DataLossError(absl::StrCat("a damaged record at offset ", scan.wholeBytes));
+            return absl::DataLossError(absl::StrCat("a corrupted record header at offset ", scan.wholeBytes));
         }
         if (rest.size() - headerBytes < length)
             return scan;
         const std::string_view payload = rest.substr(headerBytes, length);
-        if (payloadChecksum(payload) != readNumber(rest.substr(payloadChecksumAt, payloadChecksumBytes))) {
+        if (payloadChecksum(payload) != readNumber(rest.substr(payloadChecksumOffset, payloadChecksumBytes))) {
             const bool isLast = rest.size() - headerBytes == length;
             if (isLast)
                 return scan;
--- a/src/codec/record_codec.h
+++ b/src/codec/record_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Records of length, checksum and bytes in a file, and the reading of a file that may be cut or damaged.
+ * Checksummed records of an append-only file, and the scan of a file that may be truncated or corrupted.
  */
 
 #include <cstddef>
@@ -13,21 +13,22 @@
 
 namespace plantainlatch {
 
-/** A record: 4 bytes of length, 4 bytes of checksum of the length, 8 bytes of checksum of the payload (both XXH3),
- * payload. */
+/** A record is the length of the payload (4 bytes), a checksum of the length (4 bytes), a checksum of the payload
+ * (8 bytes) and the payload. Numbers are little-endian, both checksums are XXH3. */
 std::string encodeRecord(std::string_view payload);
 
-/** The records of a file. */
+/** The records that were read from a file. */
 struct record_scan {
     std::vector<std::string> payloads;
-    /** The offset behind the last whole record; what follows is a torn tail. */
+    /** The length of the valid prefix in bytes, up to the end of the last complete record. Any bytes after it are a
+     * torn tail. */
     std::size_t wholeBytes = 0;
 };
 
 /**
- * Reads all records. The bytes after the last whole record count as a torn tail when the file's end cuts a record
- * short, when the very last record has a wrong checksum, or when they are all zero; DataLoss names the offset of any
- * other damage.
+ * Reads all records. A write that was interrupted by a crash leaves a torn tail: an incomplete record, a last record
+ * with a wrong checksum, or nothing but zero bytes. The scan ends before such a tail without an error. Any other
+ * corruption gives DataLoss with its offset.
  */
 absl::StatusOr<record_scan> scanRecords(std::string_view bytes);
 
--- a/src/codec/settings_yaml.cpp
+++ b/src/codec/settings_yaml.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-    constexpr std::size_t largestReplicaCount = 7;
-    constexpr duration shortestCacheTime = std::chrono::milliseconds(100);
-    constexpr duration longestCacheTime = std::chrono::minutes(5);
+    constexpr std::size_t maximumReplicas = 7;
+    constexpr duration minimumCacheTime = std::chrono::milliseconds(100);
+    constexpr duration maximumCacheTime = std::chrono::minutes(5);
 
     vm_record readVm(const yaml_node& node, finding_list& findings)
     {
@@ -29,39 +29,40 @@
         return record;
     }
 
-    /** What must be unique over all VMs. */
-    struct taken_names {
+    /** The values seen so far that must be unique over all VMs, and the region of each failure domain. */
+    struct seen_values {
         std::set<vm_id> vms;
         std::set<network_address> addresses;
         std::map<failure_domain_id, region_id> regionOfDomain;
     };
 
-    void checkUnique(const vm_record& record, const text_position& place, taken_names& taken, finding_list& findings)
+    void checkUnique(const vm_record& record, const text_position& place, seen_values& seen, finding_list& findings)
     {
-        if (!record.id.empty() && !taken.vms.insert(record.id).second)
-            findings.add(place, absl::StrCat("the VM '", record.id.value(), "' stands twice"), "it once");
+        if (!record.id.empty() && !seen.vms.insert(record.id).second)
+            findings.add(place, absl::StrCat("the VM '", record.id.value(), "' appears twice"), "each VM once");
         for (const network_address& address : { record.callerAddress, record.peerAddress }) {
-            if (address.port != 0 && !taken.addresses.insert(address).second)
-                findings.add(
-                    place, absl::StrCat("the address ", formatAddress(address), " is taken"), "one of its own");
+            if (address.port != 0 && !seen.addresses.insert(address).second)
+                findings.add(place, absl::StrCat("the address ", formatAddress(address), " is already in use"),
+                    "a unique address");
         }
-        const auto [known, added] = taken.regionOfDomain.emplace(record.failureDomain, record.region);
+        const auto [known, added] = seen.regionOfDomain.emplace(record.failureDomain, record.region);
         if (!added && known->second != record.region)
             findings.add(place,
-                absl::StrCat("the failure domain '", record.failureDomain.value(), "' is in two regions"), "one");
+                absl::StrCat("the failure domain '", record.failureDomain.value(), "' is in two regions"),
+                "one region");
     }
 
     void readVms(const yaml_node& list, vm_settings& settings, finding_list& findings)
     {
-        taken_names taken;
+        seen_values seen;
         for (const yaml_node& item : yamlItems(list, findings)) {
             settings.vms.push_back(readVm(item, findings));
-            checkUnique(settings.vms.back(), item.place, taken, findings);
+            checkUnique(settings.vms.back(), item.place, seen, findings);
         }
         const auto replicas = static_cast<std::size_t>(std::count_if(
             settings.vms.begin(), settings.vms.end(), [](const vm_record& record) { return record.replica; }));
-        if (replicas == 0 || replicas > largestReplicaCount)
-            findings.add(list.place, absl::StrCat(replicas, " replicas"), absl::StrCat("1 to ", largestReplicaCount));
+        if (replicas == 0 || replicas > maximumReplicas)
+            findings.add(list.place, absl::StrCat(replicas, " replicas"), absl::StrCat("1 to ", maximumReplicas));
     }
 
     void selectSelf(const yaml_node& node, const vm_id& id, vm_settings& settings, finding_list& findings)
@@ -93,9 +94,9 @@
         if (settings.self.id.empty())
             return;
         if (settings.self.replica && node == nullptr)
-            findings.add(root.place, "no 'data_folder' for a replica", "the folder of its state");
+            findings.add(root.place, "no 'data_folder' for a replica", "the folder for its state");
         if (!settings.self.replica && node != nullptr)
-            findings.add(node->place, "a 'data_folder' for a VM that is no replica", "none, or 'replica: true'");
+            findings.add(node->place, "a 'data_folder' for a VM that is not a replica", "none, or 'replica: true'");
         if (node != nullptr && folder.empty())
             findings.add(node->place, "an empty 'data_folder'", "a folder");
     }
@@ -112,7 +113,7 @@
     {
         if (!reader.allow("lookup_cache_time", settings.lookupCacheTime))
             return;
-        if (settings.lookupCacheTime < shortestCacheTime || settings.lookupCacheTime > longestCacheTime)
+        if (settings.lookupCacheTime < minimumCacheTime || settings.lookupCacheTime > maximumCacheTime)
             findings.add(
                 reader.find("lookup_cache_time")->place, "a 'lookup_cache_time' out of range", "100ms to 5min");
     }
--- a/src/codec/settings_yaml.h
+++ b/src/codec/settings_yaml.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The settings file of one VM.
+ * Parses the settings file of a VM.
  */
 
 #include <string>
@@ -12,7 +12,8 @@
 
 namespace plantainlatch {
 
-/** Reads and checks settings; everything wrong goes to `findings`, and the status is InvalidArgument then. */
+/** Parses and validates settings. All errors are added to `findings`, and the status is InvalidArgument if there are
+ * any. */
 absl::StatusOr<vm_settings> parseSettings(const std::string& text, const std::string& fileName, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/codec/unit_text.cpp
+++ b/src/codec/unit_text.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-    /** A unit and how many of the base it stands for. */
+    /** A unit and its size in the base unit: nanoseconds, bytes or bits per second. */
     struct unit {
         std::string name;
         std::uint64_t factor;
     };
 
     constexpr std::uint64_t bitsPerByte = 8;
-    constexpr std::uint64_t largestAmount = std::numeric_limits<std::int64_t>::max();
+    constexpr std::uint64_t maximumAmount = std::numeric_limits<std::int64_t>::max();
 
     const std::vector<unit>& timeUnits()
     {
@@ -35,7 +35,6 @@
         return units;
     }
 
-    /** In bits a second. */
     const std::vector<unit>& rateUnits()
     {
         static const std::vector<unit> units { { "bit/s", 1 }, { "kbit/s", 1'000 }, { "Mbit/s", 1'000'000 },
@@ -63,8 +62,8 @@
         for (const unit& item : units) {
             if (item.name != name)
                 continue;
-            if (number > largestAmount / item.factor)
-                return absl::InvalidArgumentError(absl::StrCat("at most ", largestAmount / item.factor, name));
+            if (number > maximumAmount / item.factor)
+                return absl::InvalidArgumentError(absl::StrCat("at most ", maximumAmount / item.factor, name));
             return number * item.factor;
         }
         return absl::InvalidArgumentError(describe(units, example));
--- a/src/codec/unit_text.h
+++ b/src/codec/unit_text.h
@@ -1,7 +1,9 @@
 #pragma once
 
 /** \file
- * Times, sizes and rates as people write them: a whole number and a unit without a space, such as `250ms`.
+ * Parses durations, sizes and rates that are written as a whole number and a unit without a space, such as `250ms`.
+ *
+ * For any other text the functions return InvalidArgument with a message that says what was expected.
  */
 
 #include <string>
@@ -12,13 +14,14 @@
 
 namespace plantainlatch {
 
-/** Reads `250ms`; the units are us, ms, s, min, h and d. InvalidArgument says what was expected. */
+/** The units are us, ms, s, min, h and d. */
 absl::StatusOr<duration> parseDuration(const std::string& text);
 
-/** Reads `1MiB`; the units are B, kB, MB, GB, KiB, MiB and GiB. */
+/** The units are B, kB, MB, GB, KiB, MiB and GiB. */
 absl::StatusOr<byte_count> parseSize(const std::string& text);
 
-/** Reads `4Gbit/s` or `500MB/s`; the units are bit/s, kbit/s, Mbit/s, Gbit/s, B/s, kB/s, MB/s and GB/s. */
+/** The units are bit/s, kbit/s, Mbit/s, Gbit/s, B/s, kB/s, MB/s and GB/s. A rate in bits is rounded down to whole
+ * bytes per second. */
 absl::StatusOr<bytes_per_second> parseRate(const std::string& text);
 
 } // namespace plantainlatch
--- a/src/codec/yaml_node.cpp
+++ b/src/codec/yaml_node.cpp
@@ -12,15 +12,15 @@
 
 namespace {
 
-    /** Ends the parse at the first thing that makes the rest meaningless. */
-    struct parse_stopped { };
+    /** Thrown to stop yaml-cpp's parser after an error that makes the rest of the document meaningless. */
+    struct parse_aborted { };
 
-    text_position placeOf(const std::string& file, const YAML::Mark& mark)
+    text_position positionOf(const std::string& file, const YAML::Mark& mark)
     {
         return { file, mark.line + 1, mark.column + 1 };
     }
 
-    /** Builds the tree from yaml-cpp's events, so that nothing past the bounds is ever held. */
+    /** Builds the tree from yaml-cpp's events, so that the limits bound the memory during the parse. */
     class tree_builder : public YAML::EventHandler {
     public:
         tree_builder(std::string file, finding_list& findings)
@@ -36,21 +36,21 @@
 
         void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override
         {
-            checkPlain(mark, "?", anchor);
+            checkNode(mark, "?", anchor);
             yaml_node node;
-            node.place = placeOf(m_file, mark);
+            node.place = positionOf(m_file, mark);
             add(std::move(node));
         }
 
-        void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { stop(mark, "an alias", "plain values"); }
+        void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { abortParse(mark, "an alias", "plain values"); }
 
         void OnScalar(
             const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, const std::string& value) override
         {
-            checkPlain(mark, tag, anchor);
+            checkNode(mark, tag, anchor);
             yaml_node node;
             node.type = yaml_node::kind::Scalar;
-            node.place = placeOf(m_file, mark);
+            node.place = positionOf(m_file, mark);
             node.text = value;
             add(std::move(node));
         }
@@ -72,37 +72,37 @@
         void OnMapEnd() override { close(); }
 
     private:
-        /** A list or map that is being read; a map's key waits for its value. */
+        /** A list or map that is being read; `pending` holds the key of a map until its value has been read. */
         struct open_node {
             yaml_node node;
             bool hasKey = false;
             yaml_field pending;
         };
 
-        [[noreturn]] void stop(const YAML::Mark& mark, std::string what, std::string expected)
+        [[noreturn]] void abortParse(const YAML::Mark& mark, std::string what, std::string expected)
         {
-            m_findings.add(placeOf(m_file, mark), std::move(what), std::move(expected));
-            throw parse_stopped();
+            m_findings.add(positionOf(m_file, mark), std::move(what), std::move(expected));
+            throw parse_aborted();
         }
 
-        void checkPlain(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor)
+        void checkNode(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor)
         {
             if (anchor != YAML::NullAnchor)
-                stop(mark, "an anchor", "plain values");
+                abortParse(mark, "an anchor", "plain values");
             if (!tag.empty() && tag != "?" && tag != "!")
-                stop(mark, absl::StrCat("the tag ", tag), "plain values");
-            if (++m_nodes > largestYamlNodes)
-                stop(mark, "too many values", absl::StrCat("at most ", largestYamlNodes));
+                abortParse(mark, absl::StrCat("the tag ", tag), "plain values");
+            if (++m_nodes > maximumYamlNodes)
+                abortParse(mark, "too many values", absl::StrCat("at most ", maximumYamlNodes));
         }
 
         void open(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor, yaml_node::kind type)
         {
-            checkPlain(mark, tag, anchor);
-            if (m_open.size() >= largestYamlDepth)
-                stop(mark, "nested too deep", absl::StrCat("at most ", largestYamlDepth, " levels"));
+            checkNode(mark, tag, anchor);
+            if (m_open.size() >= maximumYamlDepth)
+                abortParse(mark, "nested too deeply", absl::StrCat("at most ", maximumYamlDepth, " levels"));
             open_node opened;
             opened.node.type = type;
-            opened.node.place = placeOf(m_file, mark);
+            opened.node.place = positionOf(m_file, mark);
             m_open.push_back(std::move(opened));
         }
 
@@ -135,21 +135,21 @@
             parent.pending.key = key.text;
             parent.pending.place = key.place;
             if (key.type != yaml_node::kind::Scalar)
-                m_findings.add(key.place, "a key that is no word", "a word");
+                m_findings.add(key.place, "a key that is not a scalar", "a scalar key");
         }
 
         void addField(open_node& parent, yaml_node value)
         {
             parent.hasKey = false;
             parent.pending.value = std::move(value);
-            if (parent.node.fields.size() >= largestYamlFields) {
-                m_findings.add(parent.pending.place, "too many keys", absl::StrCat("at most ", largestYamlFields));
-                throw parse_stopped();
+            if (parent.node.fields.size() >= maximumYamlFields) {
+                m_findings.add(parent.pending.place, "too many keys", absl::StrCat("at most ", maximumYamlFields));
+                throw parse_aborted();
             }
             for (const yaml_field& field : parent.node.fields) {
                 if (field.key == parent.pending.key)
                     m_findings.add(
-                        parent.pending.place, absl::StrCat("the key '", field.key, "' stands twice"), "it once");
+                        parent.pending.place, absl::StrCat("the key '", field.key, "' appears twice"), "each key once");
             }
             parent.node.fields.push_back(std::move(parent.pending));
         }
@@ -170,10 +170,10 @@
                 findings.add({ fileName, 1, 1 }, "an empty file", "a map");
             else if (parser.HandleNextDocument(builder))
                 findings.add({ fileName, 1, 1 }, "more than one document", "one document");
-        } catch (const parse_stopped&) {
+        } catch (const parse_aborted&) {
             return;
         } catch (const YAML::Exception& error) {
-            findings.add(placeOf(fileName, error.mark), absl::StrCat("no valid YAML: ", error.msg), "");
+            findings.add(positionOf(fileName, error.mark), absl::StrCat("invalid YAML: ", error.msg), "");
         }
     }
 
--- a/src/codec/yaml_node.h
+++ b/src/codec/yaml_node.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A YAML document as a bounded tree whose every part knows its place.
+ * Parses a YAML document into a tree of limited size and depth whose nodes have their text positions.
  */
 
 #include <string>
@@ -20,33 +20,35 @@
 
     kind type = kind::Null;
     text_position place;
-    /** Of a scalar. */
+    /** The value of a scalar. */
     std::string text;
-    /** Of a list. */
+    /** The items of a list. */
     std::vector<yaml_node> items;
-    /** Of a map, in the order of the text. */
+    /** The fields of a map, in the order of the text. */
     std::vector<yaml_field> fields;
 };
 
-/** A key of a map with its value. */
+/** A key of a map with its value; the position is that of the key. */
 struct yaml_field {
     std::string key;
     text_position place;
     yaml_node value;
 };
 
-/** The largest text that is read, in bytes. */
+/** The maximum size of a document in bytes. */
 inline constexpr std::size_t largestYamlText = 4 * 1024 * 1024;
-/** The deepest nesting of lists and maps. */
-inline constexpr std::size_t largestYamlDepth = 16;
-/** The most scalars, lists and maps of one document. */
-inline constexpr std::size_t largestYamlNodes = 200'000;
+/** The maximum nesting of lists and maps. */
+inline constexpr std::size_t maximumYamlDepth = 16;
+/** The maximum number of scalars, lists and maps in a document. */
+inline constexpr std::size_t maximumYamlNodes = 200'000;
 
-/** The most keys of one map. */
-inline constexpr std::size_t largestYamlFields = 100;
+/** The maximum number of keys in a map. */
+inline constexpr std::size_t maximumYamlFields = 100;
 
-/** Reads one document; anchors, aliases, tags, doubled keys and anything past the bounds are findings. The status is
- * InvalidArgument when there were any. */
+/**
+ * Parses a single document. Anchors, aliases, tags, duplicate keys and documents that exceed the limits above add a
+ * finding; the status is InvalidArgument if there are any.
+ */
 absl::StatusOr<yaml_node> parseYaml(const std::string& text, const std::string& fileName, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/codec/yaml_reader.cpp
+++ b/src/codec/yaml_reader.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-    constexpr std::size_t largestName = 64;
-    constexpr std::size_t largestShownText = 40;
+    constexpr std::size_t maximumNameLength = 64;
+    constexpr std::size_t maximumQuotedLength = 40;
 
-    std::string shown(const yaml_node& node)
+    std::string describe(const yaml_node& node)
     {
         switch (node.type) {
         case yaml_node::kind::Null:
@@ -26,14 +26,14 @@
         case yaml_node::kind::Scalar:
             break;
         }
-        if (node.text.size() > largestShownText)
-            return absl::StrCat("'", node.text.substr(0, largestShownText), "...'");
+        if (node.text.size() > maximumQuotedLength)
+            return absl::StrCat("'", node.text.substr(0, maximumQuotedLength), "...'");
         return absl::StrCat("'", node.text, "'");
     }
 
-    bool refuse(const yaml_node& node, const std::string& expected, finding_list& findings)
+    bool addFinding(const yaml_node& node, const std::string& expected, finding_list& findings)
     {
-        findings.add(node.place, shown(node), expected);
+        findings.add(node.place, describe(node), expected);
         return false;
     }
 
@@ -43,13 +43,13 @@
             || character == '.';
     }
 
-    /** Reads a scalar by a parser whose error message says what it expected. */
+    /** Reads a scalar with `parse`, whose error message says what was expected. */
     template <typename Value, typename Parser>
     bool readParsed(const yaml_node& node, Value& value, finding_list& findings, Parser parse)
     {
         const absl::StatusOr<Value> parsed = parse(node.text);
         if (node.type != yaml_node::kind::Scalar || !parsed.ok())
-            return refuse(node, std::string(parsed.status().message()), findings);
+            return addFinding(node, std::string(parsed.status().message()), findings);
         value = *parsed;
         return true;
     }
@@ -62,7 +62,7 @@
             value = parsed;
             return true;
         }
-        return refuse(node, absl::StrCat("a whole number up to ", std::numeric_limits<Number>::max()), findings);
+        return addFinding(node, absl::StrCat("a whole number up to ", std::numeric_limits<Number>::max()), findings);
     }
 
 } // namespace
@@ -70,7 +70,7 @@
 bool readYaml(const yaml_node& node, std::string& value, finding_list& findings)
 {
     if (node.type != yaml_node::kind::Scalar)
-        return refuse(node, "a text", findings);
+        return addFinding(node, "a string", findings);
     value = node.text;
     return true;
 }
@@ -78,7 +78,7 @@
 bool readYaml(const yaml_node& node, bool& value, finding_list& findings)
 {
     if (node.type != yaml_node::kind::Scalar || (node.text != "true" && node.text != "false"))
-        return refuse(node, "true or false", findings);
+        return addFinding(node, "true or false", findings);
     value = node.text == "true";
     return true;
 }
@@ -112,18 +112,18 @@
 {
     const absl::StatusOr<network_address> parsed = parseAddress(node.text);
     if (node.type != yaml_node::kind::Scalar || !parsed.ok())
-        return refuse(node, "a numeric address with a port, such as 192.0.2.1:8080", findings);
+        return addFinding(node, "a numeric address with a port, such as 192.0.2.1:8080", findings);
     value = *parsed;
     return true;
 }
 
 bool readYamlName(const yaml_node& node, std::string& value, finding_list& findings)
 {
-    bool valid = node.type == yaml_node::kind::Scalar && !node.text.empty() && node.text.size() <= largestName;
+    bool valid = node.type == yaml_node::kind::Scalar && !node.text.empty() && node.text.size() <= maximumNameLength;
     for (const char character : node.text)
         valid = valid && isNameCharacter(character);
     if (!valid)
-        return refuse(node, "a name of 1 to 64 letters, digits, hyphens, underscores and dots", findings);
+        return addFinding(node, "a name of 1 to 64 letters, digits, hyphens, underscores and dots", findings);
     value = node.text;
     return true;
 }
@@ -131,7 +131,7 @@
 const std::vector<yaml_node>& yamlItems(const yaml_node& node, finding_list& findings)
 {
     if (node.type != yaml_node::kind::List)
-        refuse(node, "a list", findings);
+        addFinding(node, "a list", findings);
     return node.items;
 }
 
@@ -141,7 +141,7 @@
     , m_isMap(node.type == yaml_node::kind::Map)
 {
     if (!m_isMap)
-        refuse(node, "a map", findings);
+        addFinding(node, "a map", findings);
 }
 
 const yaml_node* yaml_map_reader::find(const std::string& key)
@@ -158,7 +158,7 @@
 {
     for (const yaml_field& field : m_node.fields) {
         if (!m_known.contains(field.key))
-            m_findings.add(field.place, absl::StrCat("the unknown key '", field.key, "'"),
+            m_findings.add(field.place, absl::StrCat("unknown key '", field.key, "'"),
                 absl::StrCat("one of ", absl::StrJoin(m_known, ", ")));
     }
 }
--- a/src/codec/yaml_reader.h
+++ b/src/codec/yaml_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Strict reading of typed values from a YAML tree: everything wrong becomes a finding with its place.
+ * Strict conversion of a YAML tree to typed values; each error becomes a finding with its text position.
  */
 
 #include <cstdint>
@@ -18,7 +18,7 @@
 
 namespace plantainlatch {
 
-/** Each of these sets `value` and is true, or adds a finding and is false. */
+/** These overloads set `value` and return true, or add a finding and return false. */
 bool readYaml(const yaml_node& node, std::string& value, finding_list& findings);
 bool readYaml(const yaml_node& node, bool& value, finding_list& findings);
 bool readYaml(const yaml_node& node, std::uint32_t& value, finding_list& findings);
@@ -49,7 +49,7 @@
     return true;
 }
 
-/** The items of a list; a finding and none when the node is no list. */
+/** The items of a list. A node that is not a list adds a finding and has no items. */
 const std::vector<yaml_node>& yamlItems(const yaml_node& node, finding_list& findings);
 
 template <typename Value> bool readYaml(const yaml_node& node, std::vector<Value>& values, finding_list& findings)
@@ -60,16 +60,16 @@
     return valid;
 }
 
-/** Reads the fields of one map; what was never asked for is a finding at finish(). */
+/** Reads the fields of one map. A key that was never looked up is unknown, which finish() reports. */
 class yaml_map_reader {
 public:
-    /** A finding when the node is no map; all fields are missing then, without further findings. */
+    /** A node that is not a map adds one finding; its fields then count as missing without further findings. */
     yaml_map_reader(const yaml_node& node, finding_list& findings);
 
-    /** The value of a key, or null. */
+    /** The value of a key, or null. Marks the key as known. */
     const yaml_node* find(const std::string& key);
 
-    /** Reads a value that must be there; a missing one is a finding. */
+    /** Reads the value of a required key; a missing key adds a finding. */
     template <typename Value> bool require(const std::string& key, Value& value)
     {
         const yaml_node* node = find(key);
@@ -80,7 +80,7 @@
         return false;
     }
 
-    /** Reads a number that must be there and be above 0. */
+    /** Reads the value of a required key, which must be above 0. */
     template <typename Number> bool requirePositive(const std::string& key, Number& value)
     {
         if (!require(key, value))
@@ -91,14 +91,14 @@
         return false;
     }
 
-    /** Reads a value if it is there. */
+    /** Reads the value of an optional key; false if it is missing or invalid. Only an invalid value adds a finding. */
     template <typename Value> bool allow(const std::string& key, Value& value)
     {
         const yaml_node* node = find(key);
         return node != nullptr && readYaml(*node, value, m_findings);
     }
 
-    /** Adds a finding for each key that was not asked for. */
+    /** Adds a finding for each unknown key. */
     void finish();
 
 private:
--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -28,8 +28,8 @@
     frame_decoder decoder;
     frame_stream_events events;
 
-    explicit implementation(std::size_t largestPayload)
-        : decoder(largestPayload)
+    explicit implementation(std::size_t maximumPayload)
+        : decoder(maximumPayload)
     {
     }
 
@@ -88,7 +88,7 @@
         }
         const bool failed = (what & BEV_EVENT_ERROR) != 0;
         keep->closed(absl::UnavailableError(
-            failed ? evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()) : "the other side closed"));
+            failed ? evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()) : "the peer closed the connection"));
     }
 
     void begin()
@@ -105,29 +105,30 @@
 
 frame_stream::~frame_stream()
 {
-    // A callback of this stream may be running; the hooks stay until it returns, and none is called after release().
+    // A callback may be running. It holds a reference to the implementation, which so stays alive until the callback
+    // returns; after release() no further callback is called.
     m_parts->release();
 }
 
 absl::StatusOr<std::unique_ptr<frame_stream>> frame_stream::connect(
-    event_loop& loop, const network_address& address, std::size_t largestPayload, frame_stream_events events)
+    event_loop& loop, const network_address& address, std::size_t maximumPayload, frame_stream_events events)
 {
-    auto parts = std::make_shared<implementation>(largestPayload);
+    auto parts = std::make_shared<implementation>(maximumPayload);
     parts->events = std::move(events);
     parts->connection = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     parts->begin();
     sockaddr_in target = toSocketAddress(address);
     if (bufferevent_socket_connect(parts->connection, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0) {
         parts->release();
-        return absl::UnavailableError(absl::StrCat("no connection to ", formatAddress(address), " can be begun"));
+        return absl::UnavailableError(absl::StrCat("the connection to ", formatAddress(address), " can't be started"));
     }
     return std::unique_ptr<frame_stream>(new frame_stream(std::move(parts)));
 }
 
 std::unique_ptr<frame_stream> frame_stream::accept(
-    event_loop& loop, int socket, std::size_t largestPayload, frame_stream_events events)
+    event_loop& loop, int socket, std::size_t maximumPayload, frame_stream_events events)
 {
-    auto parts = std::make_shared<implementation>(largestPayload);
+    auto parts = std::make_shared<implementation>(maximumPayload);
     parts->events = std::move(events);
     sendWithoutDelay(socket);
     parts->connection = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
--- a/src/runtime/frame_stream.h
+++ b/src/runtime/frame_stream.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Frames over one TCP connection.
+ * Sends and receives length-prefixed frames over TCP.
  */
 
 #include <cstddef>
@@ -17,28 +17,31 @@
 
 namespace plantainlatch {
 
-/** What happens on a frame_stream; the stream may be destroyed within any of these. */
+/** Callbacks of a frame_stream. The stream may be destroyed within any of them. */
 struct frame_stream_events {
-    /** Only for connect(). */
+    /** The connection is established; only for streams that are created by connect(). */
     std::function<void()> onConnected;
     std::function<void(std::string payload)> onFrame;
-    /** The connection ended by itself or by an error; not called after close(). */
+    /** The peer closed the connection, the connection failed, or a frame was too large; not called when the stream is
+     * destroyed. */
     std::function<void(absl::Status)> onClosed;
 };
 
-/** One TCP connection that carries frames. Destroying it closes the connection. */
+/** A TCP connection that carries frames. Destroying the stream closes the connection. */
 class frame_stream {
 public:
-    /** Begins to connect; the result comes as onConnected or onClosed. */
+    /** Starts a non-blocking connect, which ends with onConnected or onClosed. Payloads received above `maximumPayload`
+     * bytes close the connection. */
     static absl::StatusOr<std::unique_ptr<frame_stream>> connect(
-        event_loop& loop, const network_address& address, std::size_t largestPayload, frame_stream_events events);
-    /** Takes over an accepted socket. */
+        event_loop& loop, const network_address& address, std::size_t maximumPayload, frame_stream_events events);
+    /** Takes ownership of an accepted socket. */
     static std::unique_ptr<frame_stream> accept(
-        event_loop& loop, int socket, std::size_t largestPayload, frame_stream_events events);
+        event_loop& loop, int socket, std::size_t maximumPayload, frame_stream_events events);
     ~frame_stream();
 
+    /** Queues a frame; does nothing after the connection was closed. */
     void send(std::string_view payload);
-    /** Bytes that wait to be taken by the operating system. */
+    /** The number of queued bytes that were not passed to the operating system yet. */
     std::size_t backlog() const;
     void setLargestPayload(std::size_t bytes);
 
@@ -48,10 +51,11 @@
     std::shared_ptr<implementation> m_parts;
 };
 
-/** A listening socket. */
+/** A listening TCP socket. Destroying it closes the socket. */
 class frame_listener {
 public:
-    /** AlreadyExists when the address is in use, Unavailable when it can't be bound for another reason. */
+    /** AlreadyExists when the address is in use, Unavailable when it can't be bound for another reason. `onAccept` owns
+     * the socket that it is given. */
     static absl::StatusOr<std::unique_ptr<frame_listener>> create(
         event_loop& loop, const network_address& address, std::function<void(int socket)> onAccept);
     ~frame_listener();
--- a/test/error/codec_property_test.cpp
+++ b/test/error/codec_property_test.cpp
@@ -16,24 +16,24 @@
 
     class codec_property_fixture {
     protected:
-        static constexpr std::size_t largestPayload = 4096;
+        static constexpr std::size_t maximumPayload = 4096;
     };
 
 } // namespace
 
-TEST_CASE_METHOD(codec_property_fixture, "frame_codec.any_frames_cut_anywhere.decode_to_the_same_frames")
+TEST_CASE_METHOD(codec_property_fixture, "frame_codec.frames_split_at_any_offset.decode_to_the_same_frames")
 {
     REQUIRE(rc::check("frames", [](const std::vector<std::string>& payloads) {
         std::string stream;
         for (const std::string& payload : payloads)
             stream += encodeFrame(payload);
-        frame_decoder decoder(largestPayload);
+        frame_decoder decoder(maximumPayload);
         std::vector<std::string> decoded;
-        std::size_t place = 0;
-        while (place < stream.size()) {
+        std::size_t offset = 0;
+        while (offset < stream.size()) {
             const std::size_t step = *rc::gen::inRange<std::size_t>(1, 20);
-            decoder.feed(std::string_view(stream).substr(place, step));
-            place += step;
+            decoder.feed(std::string_view(stream).substr(offset, step));
+            offset += step;
             for (auto frame = decoder.next(); frame.ok() && frame->has_value(); frame = decoder.next())
                 decoded.push_back(**frame);
         }
@@ -42,7 +42,7 @@
 }
 
 TEST_CASE_METHOD(
-    codec_property_fixture, "record_codec.any_records_cut_anywhere.scan_to_the_whole_records_before_the_cut")
+    codec_property_fixture, "record_codec.file_truncated_at_any_offset.yields_the_complete_records_before_it")
 {
     REQUIRE(rc::check("records", [](const std::vector<std::string>& payloads) {
         std::string file;
@@ -54,16 +54,16 @@
         const std::size_t cut = *rc::gen::inRange<std::size_t>(0, file.size() + 1);
         const auto scan = scanRecords(std::string_view(file).substr(0, cut));
         RC_ASSERT(scan.ok());
-        std::size_t whole = 0;
-        while (whole < ends.size() && ends[whole] <= cut)
-            ++whole;
+        std::size_t complete = 0;
+        while (complete < ends.size() && ends[complete] <= cut)
+            ++complete;
         RC_ASSERT(scan->payloads
-            == std::vector<std::string>(payloads.begin(), payloads.begin() + static_cast<std::ptrdiff_t>(whole)));
-        RC_ASSERT(scan->wholeBytes == (whole == 0 ? 0 : ends[whole - 1]));
+            == std::vector<std::string>(payloads.begin(), payloads.begin() + static_cast<std::ptrdiff_t>(complete)));
+        RC_ASSERT(scan->wholeBytes == (complete == 0 ? 0 : ends[complete - 1]));
     }));
 }
 
-TEST_CASE_METHOD(codec_property_fixture, "codecs.any_bytes.are_refused_or_read_but_never_more")
+TEST_CASE_METHOD(codec_property_fixture, "codecs.arbitrary_bytes.are_decoded_or_rejected")
 {
     REQUIRE(rc::check("bytes", [](const std::string& bytes) {
         const auto message = decodePeerMessage(bytes);
--- a/test/error/declaration_yaml_test.cpp
+++ b/test/error/declaration_yaml_test.cpp
@@ -56,7 +56,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.valid_text.gives_all_definitions_with_places")
+TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.valid_text.gives_all_definitions_with_positions")
 {
     finding_list findings;
     const auto result = parseDeclaration(validDeclaration, "2.yaml", findings);
@@ -74,7 +74,7 @@
     REQUIRE(result->shifts.added[0].value.stepInterval == std::chrono::seconds(2));
 }
 
-TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.one_wrong_part.is_a_finding_with_its_place")
+TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.one_invalid_value.is_a_finding_with_its_position")
 {
     using Catch::Matchers::Contains;
     CHECK_THAT(findingsWith("replaces: 1", "replaces: 2"), Contains("2.yaml:2:11: 'replaces' is not below 'number'"));
@@ -87,24 +87,24 @@
     CHECK_THAT(findingsWith("slots: 6", "slots: 0"), Contains("2.yaml:14:14: 'slots' is 0, expected more than 0"));
     CHECK_THAT(findingsWith("percent: 50", "percent: 101"), Contains("'percent' is 101"));
     CHECK_THAT(findingsWith("to: kirishima, percent", "to: kokura, percent"), Contains("the same as 'from'"));
-    CHECK_THAT(findingsWith("path: /search", "path: search"), Contains("a path from / on"));
+    CHECK_THAT(findingsWith("path: /search", "path: search"), Contains("a path that begins with /"));
     CHECK_THAT(findingsWith("id: booking-7", "id: a b"), Contains("'a b', expected a name"));
     CHECK_THAT(findingsWith("      connections: 360\n", ""), Contains("2.yaml:13:7: no 'connections'"));
-    CHECK_THAT(findingsWith("links:", "regions:"), Contains("'regions' stands twice"));
-    CHECK_THAT(findingsWith("  withdraw:\n", "  remove:\n"), Contains("the unknown key 'remove'"));
+    CHECK_THAT(findingsWith("links:", "regions:"), Contains("'regions' appears twice"));
+    CHECK_THAT(findingsWith("  withdraw:\n", "  remove:\n"), Contains("unknown key 'remove'"));
 }
 
-TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.definition_that_stands_twice.is_refused")
+TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.duplicate_definition.is_rejected")
 {
     finding_list findings;
     REQUIRE_FALSE(parseDeclaration("number: 1\nreplaces: 0\nregions:\n  add:\n    - {id: a, failure_domains: [x]}\n"
                                    "  withdraw:\n    - {id: a}\n",
         "1.yaml", findings)
                       .ok());
-    REQUIRE(findings.format() == "1.yaml:7:7: 'a' stands twice, expected each once");
+    REQUIRE(findings.format() == "1.yaml:7:7: 'a' appears twice, expected each once");
 }
 
-TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.no_change_or_cut_text.is_never_accepted_silently")
+TEST_CASE_METHOD(declaration_yaml_fixture, "declaration_yaml.no_change_or_truncated_text.is_never_accepted_silently")
 {
     finding_list none;
     REQUIRE_FALSE(parseDeclaration("number: 1\nreplaces: 0\n", "1.yaml", none).ok());
--- a/test/error/peer_message_codec_test.cpp
+++ b/test/error/peer_message_codec_test.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(peer_message_codec_fixture, "peer_message_codec.whole_snapshot.decodes_to_what_was_encoded")
+TEST_CASE_METHOD(peer_message_codec_fixture, "peer_message_codec.snapshot_message.decodes_to_what_was_encoded")
 {
     const std::string bytes = encodePeerMessage(snapshotMessage());
     const auto decoded = decodePeerMessage(bytes);
@@ -37,7 +37,7 @@
     REQUIRE(request.snapshot.state.keys.begin()->second.answer->body == "done");
 }
 
-TEST_CASE_METHOD(peer_message_codec_fixture, "peer_message_codec.truncated_or_foreign_bytes.are_refused")
+TEST_CASE_METHOD(peer_message_codec_fixture, "peer_message_codec.truncated_or_malformed_bytes.are_rejected")
 {
     const std::string bytes = encodePeerMessage(snapshotMessage());
     for (std::size_t size = 0; size < bytes.size(); ++size)
@@ -48,9 +48,10 @@
 }
 
 TEST_CASE_METHOD(peer_message_codec_fixture,
-    "peer_message_codec.announced_length_beyond_the_bytes.is_refused_before_memory_is_taken")
+    "peer_message_codec.announced_length_beyond_the_bytes.is_rejected_before_memory_is_allocated")
 {
-    // An array of 8 whose first element claims to be a map of 2^24 - 1 pairs; found by tools/run_fuzz.
+    // An array of 8 whose first element announces a map of 2^24 - 1 pairs. Found by tools/run_fuzz: the decoder
+    // allocated the memory for the announced elements before it noticed that their bytes were missing.
     const std::string claim("\x98\xdf\x00\xff\xff\xff", 6);
     rlimit former {};
     REQUIRE(getrlimit(RLIMIT_AS, &former) == 0);
--- a/test/error/settings_yaml_test.cpp
+++ b/test/error/settings_yaml_test.cpp
@@ -23,7 +23,7 @@
 
     class settings_yaml_fixture {
     protected:
-        /** The findings of the valid settings with one part replaced. */
+        /** The findings for the valid settings with `part` replaced. */
         std::string findingsWith(const std::string& part, const std::string& replacement)
         {
             REQUIRE(validSettings.find(part) != std::string::npos);
@@ -52,26 +52,26 @@
     REQUIRE(settings->lookupCacheTime == std::chrono::milliseconds(1500));
 }
 
-TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.one_wrong_part.is_a_finding_with_its_place")
+TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.one_invalid_value.is_a_finding_with_its_position")
 {
     using Catch::Matchers::Contains;
-    CHECK_THAT(
-        findingsWith("log_level:", "log_livel:"), Contains("e1.yaml:8:1: the unknown key 'log_livel', expected"));
+    CHECK_THAT(findingsWith("log_level:", "log_livel:"), Contains("e1.yaml:8:1: unknown key 'log_livel', expected"));
     CHECK_THAT(findingsWith("log_level: warning", "log_level: loud"), Contains("e1.yaml:8:12: 'loud', expected debug"));
     CHECK_THAT(findingsWith("1500ms", "1500"), Contains("e1.yaml:9:20: '1500', expected a whole number and one of us"));
     CHECK_THAT(findingsWith("1500ms", "99999999999d"), Contains("expected at most"));
     CHECK_THAT(findingsWith("8KiB", "8 KiB"), Contains("'8 KiB', expected a whole number and one of B"));
     CHECK_THAT(findingsWith("127.0.1.2:8080", "localhost:80"), Contains("e1.yaml:4:73: 'localhost:80', expected"));
-    CHECK_THAT(findingsWith("127.0.1.2:8081", "127.0.1.1:8081"), Contains("the address 127.0.1.1:8081 is taken"));
-    CHECK_THAT(findingsWith("vm: e2", "vm: e1"), Contains("the VM 'e1' stands twice"));
+    CHECK_THAT(
+        findingsWith("127.0.1.2:8081", "127.0.1.1:8081"), Contains("the address 127.0.1.1:8081 is already in use"));
+    CHECK_THAT(findingsWith("vm: e2", "vm: e1"), Contains("the VM 'e1' appears twice"));
     CHECK_THAT(findingsWith("vm: e1\nvms", "vm: e3\nvms"), Contains("e1.yaml:1:5: 'e3' is not in 'vms'"));
     CHECK_THAT(findingsWith("replica: true", "replica: yes"), Contains("'yes', expected true or false"));
     CHECK_THAT(findingsWith(", replica: true", ""), Contains("0 replicas, expected 1 to 7"));
     CHECK_THAT(findingsWith("data_folder: state/e1\n", ""), Contains("no 'data_folder' for a replica"));
-    CHECK_THAT(findingsWith("shared_key_file: key", "data_folder: other"), Contains("'data_folder' stands twice"));
+    CHECK_THAT(findingsWith("shared_key_file: key", "data_folder: other"), Contains("'data_folder' appears twice"));
 }
 
-TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.several_wrong_parts.are_reported_together_in_order")
+TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.several_invalid_values.are_reported_together_in_order")
 {
     finding_list findings;
     REQUIRE_FALSE(parseSettings("vm: [e1]\nvms: none\ncolour: red\n", "e1.yaml", findings).ok());
@@ -79,7 +79,7 @@
     REQUIRE(findings.items().front().place.line <= findings.items().back().place.line);
 }
 
-TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.hostile_text.is_refused_within_bounds")
+TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.malformed_or_oversized_text.is_rejected")
 {
     using Catch::Matchers::Contains;
     const auto findingsOf = [](const std::string& text) {
@@ -87,13 +87,13 @@
         REQUIRE_FALSE(parseSettings(text, "e1.yaml", findings).ok());
         return findings.format();
     };
-    CHECK_THAT(findingsOf(std::string(10'000, '[')), Contains("nested too deep"));
-    CHECK_THAT(findingsOf(std::string(10'000, '{')), Contains("nested too deep"));
+    CHECK_THAT(findingsOf(std::string(10'000, '[')), Contains("nested too deeply"));
+    CHECK_THAT(findingsOf(std::string(10'000, '{')), Contains("nested too deeply"));
     CHECK_THAT(findingsOf("a: &x [1]\nb: *x\n"), Contains("an anchor"));
     CHECK_THAT(findingsOf("vm: !!binary x\n"), Contains("the tag"));
     CHECK_THAT(findingsOf(""), Contains("an empty file"));
     CHECK_THAT(findingsOf("vm: e1\n---\nvm: e2\n"), Contains("more than one document"));
-    CHECK_THAT(findingsOf("vm: [e1\n"), Contains("no valid YAML"));
+    CHECK_THAT(findingsOf("vm: [e1\n"), Contains("invalid YAML"));
     CHECK_THAT(findingsOf(std::string("\0\xff\xfe", 3)), Contains("e1.yaml"));
     CHECK_THAT(findingsOf(std::string(largestYamlText + 1, 'x')), Contains("bytes of YAML"));
     std::string manyKeys;
--- a/test/fuzz/frame_fuzz.cpp
+++ b/test/fuzz/frame_fuzz.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Fuzzes the frames between VMs and the messages in them.
+ * Fuzzes the decoders of frames and of the messages in them.
  */
 
 #include <cstddef>
@@ -11,8 +11,8 @@
 // NOLINTNEXTLINE(readability-identifier-naming): the library calls it by this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
-    constexpr std::size_t largestPayload = 4096;
-    plantainlatch::frame_decoder decoder(largestPayload);
+    constexpr std::size_t maximumPayload = 4096;
+    plantainlatch::frame_decoder decoder(maximumPayload);
     decoder.feed({ reinterpret_cast<const char*>(data), size });
     for (auto frame = decoder.next(); frame.ok() && frame->has_value(); frame = decoder.next())
         plantainlatch::decodePeerMessage(**frame).status().IgnoreError();
