Runtime: plain comments and error texts

Cause: comments hinted at behaviour instead of stating it, one doc comment stood above the wrong function (shared_key), and event_loop::stop() was described as running callbacks that it doesn't run. Change: comments give errors, ownership and the handshake in terms of the field (challenge-response, MAC, sequence number).

--- a/src/runtime/command_line.cpp
+++ b/src/runtime/command_line.cpp
@@ -30,11 +30,11 @@
             else
                 options.add_options()(option.name, helpOf(option), cxxopts::value<std::string>(), option.valueName);
         }
-        options.add_options()("help", "print this");
+        options.add_options()("help", "print this help");
         return options;
     }
 
-    void keepFirst(absl::Status& status, const std::string& option, const std::string& expected)
+    void recordFirstError(absl::Status& status, const std::string& option, const std::string& expected)
     {
         if (status.ok())
             status = absl::InvalidArgumentError(absl::StrCat("--", option, " takes ", expected));
@@ -103,7 +103,7 @@
 {
     std::uint64_t value = 0;
     if (!absl::SimpleAtoi(text(name), &value))
-        keepFirst(status, name, "a whole number");
+        recordFirstError(status, name, "a whole number");
     return value;
 }
 
@@ -111,7 +111,7 @@
 {
     double value = 0;
     if (!absl::SimpleAtod(text(name), &value) || !(value >= 0))
-        keepFirst(status, name, "a number from 0 on");
+        recordFirstError(status, name, "a number that is 0 or more");
     return value;
 }
 
@@ -120,7 +120,7 @@
     const absl::StatusOr<duration> value = parseDuration(text(name));
     if (value.ok())
         return *value;
-    keepFirst(status, name, std::string(value.status().message()));
+    recordFirstError(status, name, std::string(value.status().message()));
     return {};
 }
 
@@ -132,7 +132,7 @@
         if (address.ok())
             result.push_back(*address);
         else
-            keepFirst(status, name, "a numeric address with a port, such as 192.0.2.1:8080");
+            recordFirstError(status, name, "a numeric address with a port, such as 192.0.2.1:8080");
     }
     return result;
 }
--- a/src/runtime/command_line.h
+++ b/src/runtime/command_line.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A command's options as declared, and as given by a user.
+ * Parses the command line of a subcommand or tool, given a description of its options.
  */
 
 #include <cstdint>
@@ -16,45 +16,46 @@
 
 namespace plantainlatch {
 
-/** One option; it takes a value unless `valueName` is empty. */
+/** An option of a command. It takes a value unless `valueName` is empty. */
 struct option_spec {
     std::string name;
-    /** Stands for the value in the help text. */
+    /** The placeholder for the value in the help text. */
     std::string valueName;
     std::string help;
-    /** The value when the option is not given. */
+    /** The value if the option is not given. */
     std::string defaultValue = {};
     bool repeated = false;
     bool required = false;
 };
 
-/** A command with its options. */
+/** A command with its options, for parsing and for the help text. */
 struct command_spec {
     std::string name;
     std::string summary;
     std::vector<option_spec> options;
-    /** Stands for the arguments that are no options; a command without it takes none. */
+    /** The placeholder for positional arguments in the help text; if empty, the command takes none. */
     std::string argumentsName = {};
     /** Printed below the options. */
     std::string footer = {};
 };
 
-/** Given options and arguments. The readers of values are for options that the spec declares. */
+/** The parsed options and positional arguments. Values may be read only for options that the spec declares. */
 class command_line {
 public:
-    /** InvalidArgument for unknown or missing options. `--help` is always known and makes nothing required. */
+    /** InvalidArgument for unknown, repeated or missing options. `--help` is always accepted; if it is given, required
+     * options may be missing. */
     static absl::StatusOr<command_line> parse(const command_spec& spec, const std::vector<std::string>& arguments);
 
     bool helpWanted() const { return m_helpWanted; }
-    /** Whether the option was given. */
     bool given(const std::string& name) const;
-    /** The last value, or the default. */
+    /** The last given value, or the default. */
     std::string text(const std::string& name) const;
-    /** All values in the order given. */
+    /** All given values in their order; empty if the option was not given, even if it has a default. */
     std::vector<std::string> texts(const std::string& name) const;
     const std::vector<std::string>& arguments() const { return m_arguments; }
 
-    /** These collect the first error in `status`, which must be OK for the value to count. */
+    /** These parse the values of an option. An invalid value sets `status` unless it holds an earlier error; the
+     * result is valid only if `status` is OK. */
     std::uint64_t number(const std::string& name, absl::Status& status) const;
     double decimal(const std::string& name, absl::Status& status) const;
     duration span(const std::string& name, absl::Status& status) const;
@@ -67,7 +68,6 @@
     std::vector<std::string> m_arguments;
 };
 
-/** The help text of a command. */
 std::string commandHelp(const command_spec& spec);
 
 } // namespace plantainlatch
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -32,8 +32,8 @@
         return value;
     }
 
-    /** A base that tells the operating system of changed interests once a round; no descriptor is duplicated here,
-     * which that would not bear. */
+    /** Creates an event base that collects changes of the watched events and passes them to epoll once per loop
+     * iteration, which saves system calls. This does not work with duplicated file descriptors, and there are none. */
     event_base* newBase()
     {
         event_config* config = event_config_new();
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The one loop on the one thread of a process, and kernel hooks on it.
+ * The event loop that runs everything in a process on a single thread, with kernel hooks that use it.
  */
 
 #include <cstdint>
@@ -15,25 +15,26 @@
 
 namespace plantainlatch {
 
-/** A libevent loop with timers, signals and the process's clocks. */
+/** A libevent loop with timers, signal handlers, clocks and a random source. */
 class event_loop {
 public:
-    /** `seed` feeds the random source; 0 takes one from the operating system. */
+    /** `seed` is the seed of the random source; 0 takes a random seed from the operating system. SIGPIPE is ignored
+     * from then on. ResourceExhausted if libevent can't create a loop. */
     static absl::StatusOr<std::unique_ptr<event_loop>> create(std::uint64_t seed);
     ~event_loop();
 
     /** Runs until stop(). */
     void run();
-    /** Ends run() after the callbacks that are due now. */
+    /** Makes run() return after the callback that is running now. */
     void stop();
 
-    /** Calls `handler` on the loop for SIGTERM and SIGINT. */
+    /** Calls `handler` from the loop on SIGTERM and SIGINT. */
     absl::Status onTerminate(std::function<void()> handler);
 
-    /** Calls `handler` on the loop for SIGHUP, which otherwise ends the process. */
+    /** Calls `handler` from the loop on SIGHUP, whose default action terminates the process. */
     absl::Status onReload(std::function<void()> handler);
 
-    /** Hooks on this loop, with `log` as the log hook. */
+    /** Kernel hooks that use this loop, with `log` as the log hook. The loop must outlive them. */
     kernel_hooks hooks(std::function<void(const log_event&)> log);
 
     event_base* base() const;
--- a/src/runtime/file_hooks.cpp
+++ b/src/runtime/file_hooks.cpp
@@ -18,10 +18,10 @@
 
     constexpr int fileMode = 0640;
 
-    absl::Status lastError(const std::string& doing, const std::string& path)
+    absl::Status statusFromErrno(const std::string& operation, const std::string& path)
     {
         const int error = errno;
-        const std::string text = absl::StrCat("can't ", doing, " ", path, ": ", std::strerror(error));
+        const std::string text = absl::StrCat("can't ", operation, " ", path, ": ", std::strerror(error));
         if (error == ENOSPC || error == EDQUOT)
             return absl::ResourceExhaustedError(text);
         if (error == ENOENT)
@@ -36,12 +36,12 @@
         std::error_code error;
         std::filesystem::create_directories(folder, error);
         if (error)
-            return absl::PermissionDeniedError(absl::StrCat("can't make the folder ", folder, ": ", error.message()));
+            return absl::PermissionDeniedError(absl::StrCat("can't create the folder ", folder, ": ", error.message()));
         const std::string path = folder + "/lock";
         const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, fileMode);
         if (file < 0)
-            return lastError("open", path);
-        // The lock lasts as long as the process; the descriptor is kept open for that.
+            return statusFromErrno("open", path);
+        // The descriptor stays open on purpose: closing it would release the lock.
         if (::flock(file, LOCK_EX | LOCK_NB) != 0) {
             ::close(file);
             return absl::AlreadyExistsError(absl::StrCat("the folder ", folder, " is in use by another process"));
@@ -64,10 +64,10 @@
     {
         std::ifstream file(path, std::ios::binary);
         if (!file)
-            return lastError("read", path);
+            return statusFromErrno("read", path);
         std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
         if (file.bad())
-            return lastError("read", path);
+            return statusFromErrno("read", path);
         return bytes;
     }
 
@@ -75,7 +75,7 @@
     {
         const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, fileMode);
         if (file < 0)
-            return lastError("open", path);
+            return statusFromErrno("open", path);
         return file;
     }
 
@@ -86,35 +86,39 @@
             if (written < 0 && errno == EINTR)
                 continue;
             if (written < 0)
-                return lastError("write", "a file");
+                return statusFromErrno("write", "a file");
             bytes.remove_prefix(static_cast<std::size_t>(written));
         }
         return absl::OkStatus();
     }
 
-    absl::Status syncFile(int file) { return ::fdatasync(file) == 0 ? absl::OkStatus() : lastError("sync", "a file"); }
+    absl::Status syncFile(int file)
+    {
+        return ::fdatasync(file) == 0 ? absl::OkStatus() : statusFromErrno("sync", "a file");
+    }
 
     absl::Status truncateFile(const std::string& path, std::size_t size)
     {
-        return ::truncate(path.c_str(), static_cast<off_t>(size)) == 0 ? absl::OkStatus() : lastError("truncate", path);
+        return ::truncate(path.c_str(), static_cast<off_t>(size)) == 0 ? absl::OkStatus()
+                                                                       : statusFromErrno("truncate", path);
     }
 
     absl::Status renameFile(const std::string& from, const std::string& to)
     {
-        return ::rename(from.c_str(), to.c_str()) == 0 ? absl::OkStatus() : lastError("rename", from);
+        return ::rename(from.c_str(), to.c_str()) == 0 ? absl::OkStatus() : statusFromErrno("rename", from);
     }
 
     absl::Status removeFile(const std::string& path)
     {
-        return ::unlink(path.c_str()) == 0 ? absl::OkStatus() : lastError("remove", path);
+        return ::unlink(path.c_str()) == 0 ? absl::OkStatus() : statusFromErrno("remove", path);
     }
 
     absl::Status syncFolder(const std::string& folder)
     {
         const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
         if (file < 0)
-            return lastError("open", folder);
-        absl::Status status = ::fsync(file) == 0 ? absl::OkStatus() : lastError("sync", folder);
+            return statusFromErrno("open", folder);
+        absl::Status status = ::fsync(file) == 0 ? absl::OkStatus() : statusFromErrno("sync", folder);
         ::close(file);
         return status;
     }
--- a/src/runtime/file_hooks.h
+++ b/src/runtime/file_hooks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which durable state reaches the file system, so that tests can make each step fail.
+ * The file operations that durable storage uses, as hooks, so that tests can make each of them fail.
  */
 
 #include <functional>
@@ -14,14 +14,16 @@
 
 namespace plantainlatch {
 
-/** Steps on files; each fails with ResourceExhausted when the disk is full and Unavailable or NotFound otherwise. */
+/** File operations. They fail with ResourceExhausted when the disk or quota is full, NotFound for a missing file,
+ * PermissionDenied when access is denied, and Unavailable otherwise. */
 struct file_hooks {
-    /** Makes the folder if it is missing, and locks it for this process. */
+    /** Creates the folder if it is missing and locks it until the process ends; AlreadyExists when another process
+     * holds the lock. */
     std::function<absl::Status(const std::string& folder)> claimFolder;
-    /** The names of the files in the folder. */
+    /** The names of the entries in the folder. */
     std::function<absl::StatusOr<std::vector<std::string>>(const std::string& folder)> list;
     std::function<absl::StatusOr<std::string>(const std::string& path)> read;
-    /** Opens a file for appending and makes it when missing; the number names it in the calls below. */
+    /** Opens a file for appending, creating it if it is missing. The result identifies it in append, sync and close. */
     std::function<absl::StatusOr<int>(const std::string& path)> open;
     std::function<absl::Status(int file, std::string_view bytes)> append;
     std::function<absl::Status(int file)> sync;
@@ -32,7 +34,7 @@
     std::function<absl::Status(const std::string& folder)> syncFolder;
 };
 
-/** The operating system's files. */
+/** Hooks that use the POSIX calls. */
 file_hooks posixFiles();
 
 } // namespace plantainlatch
--- a/src/runtime/peer_handshake.cpp
+++ b/src/runtime/peer_handshake.cpp
@@ -17,7 +17,7 @@
 namespace {
 
     constexpr int nonceBytes = 32;
-    constexpr std::size_t sealBytes = 16;
+    constexpr std::size_t macBytes = 16;
     constexpr unsigned bitsPerByte = 8;
 
     std::string hmacSha256(const std::string& key, const std::string& text)
@@ -27,7 +27,7 @@
         const auto* data = reinterpret_cast<const unsigned char*>(text.data());
         const unsigned char* done
             = HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), data, text.size(), digest.data(), &size);
-        internal_assert(done != nullptr) << "HMAC-SHA256 is not available";
+        internal_assert(done != nullptr) << "HMAC-SHA256 failed";
         return std::string(reinterpret_cast<const char*>(digest.data()), size);
     }
 
@@ -64,13 +64,13 @@
 
 absl::StatusOr<shared_key> shared_key::create(std::string bytes)
 {
-    if (bytes.size() < smallestBytes)
+    if (bytes.size() < minimumBytes)
         return absl::InvalidArgumentError(
-            absl::StrCat("the shared key has ", bytes.size(), " bytes, expected ", smallestBytes, " or more"));
+            absl::StrCat("the shared key has ", bytes.size(), " bytes, expected ", minimumBytes, " or more"));
     return shared_key(std::move(bytes));
 }
 
-shared_key shared_key::ofTrustedNetwork() { return shared_key(std::string(smallestBytes, '\0')); }
+shared_key shared_key::ofTrustedNetwork() { return shared_key(std::string(minimumBytes, '\0')); }
 
 absl::StatusOr<shared_key> shared_key::readFile(const std::string& path)
 {
@@ -86,7 +86,7 @@
 {
     std::array<unsigned char, nonceBytes> bytes {};
     const int done = RAND_bytes(bytes.data(), nonceBytes);
-    internal_assert(done == 1) << "the operating system gives no random bytes";
+    internal_assert(done == 1) << "no random bytes from the operating system";
     return std::string(reinterpret_cast<const char*>(bytes.data()), bytes.size());
 }
 
@@ -107,32 +107,33 @@
 {
 }
 
-std::string frame_seal::nextSeal(std::string_view payload) const
+std::string frame_seal::nextMac(std::string_view payload) const
 {
     std::string text;
-    text.reserve(sizeof(m_position) + payload.size());
-    for (std::size_t i = 0; i < sizeof(m_position); ++i)
-        text += static_cast<char>((m_position >> (bitsPerByte * i)) & 0xffU);
+    text.reserve(sizeof(m_sequence) + payload.size());
+    for (std::size_t i = 0; i < sizeof(m_sequence); ++i)
+        text += static_cast<char>((m_sequence >> (bitsPerByte * i)) & 0xffU);
     text.append(payload);
-    return hmacSha256(m_key, text).substr(0, sealBytes);
+    return hmacSha256(m_key, text).substr(0, macBytes);
 }
 
 std::string frame_seal::seal(std::string_view payload)
 {
-    std::string sealed = nextSeal(payload);
+    std::string sealed = nextMac(payload);
     sealed.append(payload);
-    ++m_position;
+    ++m_sequence;
     return sealed;
 }
 
 absl::StatusOr<std::string> frame_seal::open(std::string_view sealed)
 {
-    if (sealed.size() < sealBytes)
-        return absl::UnauthenticatedError("a frame has no seal");
-    const std::string_view payload = sealed.substr(sealBytes);
-    if (!equalInConstantTime(sealed.substr(0, sealBytes), nextSeal(payload)))
-        return absl::UnauthenticatedError("a frame's seal does not fit this session and position");
-    ++m_position;
+    if (sealed.size() < macBytes)
+        return absl::UnauthenticatedError("a frame is too short for its authentication code");
+    const std::string_view payload = sealed.substr(macBytes);
+    if (!equalInConstantTime(sealed.substr(0, macBytes), nextMac(payload)))
+        return absl::UnauthenticatedError(
+            "a frame's authentication code does not match this session and sequence number");
+    ++m_sequence;
     return std::string(payload);
 }
 
--- a/src/runtime/peer_handshake.h
+++ b/src/runtime/peer_handshake.h
@@ -1,12 +1,14 @@
 #pragma once
 
 /** \file
- * Mutual authentication of two VMs by a shared key, and the seal of each frame that follows.
+ * Mutual authentication of two VMs by a shared key, and a message authentication code (MAC) for each later frame.
  *
- * The connecting side sends a hello with a nonce, the accepting side answers with its own nonce and a proof, and the
- * connecting side proves itself in turn. Both proofs are HMAC-SHA256 over the role, both names and both nonces, so that
- * a recorded handshake proves nothing later. Each later frame carries a truncated HMAC under a key of the session, over
- * its position and payload, so that a frame can be neither changed, moved, repeated nor taken from another session.
+ * It is a challenge-response handshake: the connecting side sends a hello with a nonce, the accepting side answers with
+ * its own nonce and a proof, and the connecting side answers with its proof. Both proofs are HMAC-SHA256 under the
+ * shared key over the role, the protocol version, both names and both nonces, so that a recorded handshake can't be
+ * replayed. A session key for each direction is derived from the same values. Each later frame carries an HMAC-SHA256
+ * under that key, truncated to 16 bytes, over its sequence number and payload, so that changed, reordered, replayed and
+ * foreign frames are rejected. Frames are authenticated, but not encrypted.
  */
 
 #include <array>
@@ -19,16 +21,17 @@
 
 namespace plantainlatch {
 
-/** The key that all VMs of a system share. */
+/** The secret key that all VMs of a system share. */
 class shared_key {
 public:
-    static constexpr std::size_t smallestBytes = 32;
+    static constexpr std::size_t minimumBytes = 32;
 
-    /** InvalidArgument for fewer than smallestBytes bytes. */
+    /** InvalidArgument for fewer than minimumBytes bytes. */
     static absl::StatusOr<shared_key> create(std::string bytes);
-    /** Reads a file whose content, less white space at the end, is the key. */
-    /** The same key for everyone, for a network in which every sender is trusted. */
+    /** A fixed key that is not secret, for a network in which every sender is trusted. */
     static shared_key ofTrustedNetwork();
+    /** Reads the key from a file, without white space at its end. NotFound if the file can't be read, otherwise like
+     * create(). */
     static absl::StatusOr<shared_key> readFile(const std::string& path);
 
     const std::string& bytes() const { return m_bytes; }
@@ -38,7 +41,7 @@
     std::string m_bytes;
 };
 
-/** Random bytes that make a handshake unique. */
+/** 32 cryptographically random bytes. */
 std::string randomNonce();
 
 struct peer_hello {
@@ -77,29 +80,31 @@
     Accepting,
 };
 
-/** What a side must send to prove that it has the key. */
+/** The proof that the side in `role` has the key. */
 std::string handshakeProof(
     const shared_key& key, handshake_role role, const peer_hello& hello, const std::string& acceptingNonce);
 
-/** Compares in a time that does not depend on where the texts differ. */
+/** Compares in a time that does not depend on the content, so that a MAC can't be guessed byte by byte from response
+ * times. */
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
-/** Seals and opens the frames of one direction of one session. */
+/** Adds and verifies the MACs of the frames in one direction of a session. Each end has an object of its own; both
+ * count the frames. */
 class frame_seal {
 public:
     frame_seal(
         const shared_key& key, handshake_role sender, const peer_hello& hello, const std::string& acceptingNonce);
 
-    /** The seal followed by the payload. */
+    /** The MAC of the next frame, followed by the payload. */
     std::string seal(std::string_view payload);
-    /** The payload of the next sealed frame; Unauthenticated when it is not the next one of this session. */
+    /** The payload of a received frame; Unauthenticated if it is not the next one of this session. */
     absl::StatusOr<std::string> open(std::string_view sealed);
 
 private:
-    std::string nextSeal(std::string_view payload) const;
+    std::string nextMac(std::string_view payload) const;
 
     std::string m_key;
-    std::uint64_t m_position = 0;
+    std::uint64_t m_sequence = 0;
 };
 
 } // namespace plantainlatch
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What every TCP socket of the program needs.
+ * Helpers for TCP sockets.
  */
 
 #include <netinet/in.h>
@@ -10,9 +10,10 @@
 
 namespace plantainlatch {
 
+/** Converts a numeric IPv4 address. */
 sockaddr_in toSocketAddress(const network_address& address);
 
-/** Turns Nagle's algorithm off. */
+/** Disables Nagle's algorithm, which would delay small messages (TCP_NODELAY). */
 void sendWithoutDelay(int socket);
 
 } // namespace plantainlatch
--- a/test/error/loop_fixture.h
+++ b/test/error/loop_fixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A real loop for tests that need sockets, run for a bounded time.
+ * A fixture with a real event loop for tests that use sockets; each run has a time limit.
  */
 
 #include <functional>
@@ -13,10 +13,9 @@
 
 namespace plantainlatch {
 
-/** Runs the loop until something holds. */
 class loop_fixture {
 protected:
-    /** Runs until `done` holds, for at most three seconds. */
+    /** Runs the loop until `done` returns true; fails the test if that takes more than three seconds. */
     void runUntil(const std::function<bool()>& done)
     {
         const time_point end = hooks.now() + std::chrono::seconds(3);
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -18,9 +18,9 @@
 namespace {
 
     constexpr std::uint16_t firstPort = 21870;
-    constexpr duration patience = std::chrono::seconds(5);
+    constexpr duration waitLimit = std::chrono::seconds(5);
 
-    /** VMs e1 and e2 on one loop, each with a key of its own. */
+    /** VMs e1 and e2 on one event loop, each with its own shared key file. */
     class peer_transport_fixture {
     protected:
         struct node {
@@ -72,18 +72,18 @@
             return **nodes[id].core->services().find<peer_port>(port_names::peers);
         }
 
-        /** Runs the loop until the condition holds or patience ends. */
-        bool runUntil(const std::function<bool()>& condition, duration longest = patience)
+        /** Runs the loop until the condition holds or the timeout expires; returns whether it holds. */
+        bool runUntil(const std::function<bool()>& condition, duration timeout = waitLimit)
         {
             const kernel_hooks hooks = loop->hooks([](const log_event&) {});
-            const time_point end = hooks.now() + longest;
-            std::function<void()> look = [&] {
+            const time_point end = hooks.now() + timeout;
+            std::function<void()> poll = [&] {
                 if (condition() || hooks.now() >= end)
                     loop->stop();
                 else
-                    hooks.schedule(std::chrono::milliseconds(5), look);
+                    hooks.schedule(std::chrono::milliseconds(5), poll);
             };
-            look();
+            poll();
             loop->run();
             return condition();
         }
@@ -113,7 +113,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.two_vms_with_one_key.exchange_messages_in_order")
+TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.two_vms_with_the_same_key.exchange_messages_in_order")
 {
     start("e1", goodKey);
     start("e2", goodKey);
@@ -148,7 +148,7 @@
     start("e2", goodKey);
     peer_hello hello { 1, vm_id("e1"), vm_id("e2"), "recorded nonce" };
     const shared_key key = *shared_key::create(goodKey);
-    // A recording of an earlier session: a right proof, but for another nonce of the accepting side.
+    // Replays an earlier session: the proof is valid, but for another nonce of the accepting side.
     frame_seal seal(key, handshake_role::Connecting, hello, "earlier nonce");
     const std::string proof = handshakeProof(key, handshake_role::Connecting, hello, "earlier nonce");
     bool closed = false;
@@ -181,7 +181,7 @@
     REQUIRE_THAT(std::string(status.message()), Catch::Contains(formatAddress(vms[0].peerAddress)));
 }
 
-TEST_CASE("frame_seal.frame_moved_changed_or_repeated.is_unauthenticated")
+TEST_CASE("frame_seal.frame_reordered_changed_or_replayed.is_unauthenticated")
 {
     const shared_key key = *shared_key::create("0123456789abcdef0123456789abcdef");
     const peer_hello hello { 1, vm_id("e1"), vm_id("e2"), "nonce" };
