--- a/test/error/log_test.cpp
+++ b/test/error/log_test.cpp
@@ -15,7 +15,7 @@
 
     using namespace std::chrono_literals;
 
-    /** A logger into a pipe whose reader the test plays. */
+    /** A logger that writes into a pipe, which the test reads. */
     class bounded_sink_fixture {
     protected:
         bounded_sink_fixture()
@@ -47,7 +47,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(bounded_sink_fixture, "log_sink.reader_that_reads.gets_each_line")
+TEST_CASE_METHOD(bounded_sink_fixture, "log_sink.active_reader.gets_each_line")
 {
     logger->info("one");
     logger->info("two");
@@ -55,7 +55,7 @@
     REQUIRE(sink->lostLines() == 0);
 }
 
-TEST_CASE_METHOD(bounded_sink_fixture, "log_sink.reader_that_stops.blocks_nothing_and_lines_are_counted")
+TEST_CASE_METHOD(bounded_sink_fixture, "log_sink.stalled_reader.does_not_block_the_logger_and_lost_lines_are_counted")
 {
     const std::string line(1000, 'x');
     for (int i = 0; i < 1000; ++i)
@@ -71,7 +71,7 @@
     REQUIRE(all.find("later") != std::string::npos);
 }
 
-TEST_CASE("line_limiter.more_than_the_bound.is_left_out_and_told_with_the_next", "[log]")
+TEST_CASE("line_limiter.lines_above_the_limit.are_suppressed_and_reported_with_the_next", "[log]")
 {
     line_limiter limiter(2, 1s);
     const time_point begin = time_point(10s);
@@ -86,7 +86,7 @@
     REQUIRE(limiter.check("a", begin + 1s).leftOut == 0);
 }
 
-TEST_CASE("log_line.json_of_a_vm.is_read_back", "[log]")
+TEST_CASE("log_line.json_of_a_vm.is_parsed", "[log]")
 {
     const auto line = parseLogLine(
         R"(front-1 {"time":"t","level":"info","vm":"v","service":"requests","message":"request-answered","request":"r"})");
@@ -99,7 +99,7 @@
     REQUIRE_FALSE(parseLogLine("{\"other\":1}"));
 }
 
-TEST_CASE("log_statistics.events.are_counted_by_service_kind_and_end")
+TEST_CASE("log_statistics.events.are_counted_by_service_name_and_detail")
 {
     log_statistics subject;
     subject.note({ log_level::Info, "requests", "attempt-ended", { { "end", "lost" }, { "failure", "timeout" } } });
@@ -109,7 +109,7 @@
     REQUIRE(subject.events().at({ "requests", "attempt-ended", "answered" }) == 1);
 }
 
-TEST_CASE("exposed_state.numbers_and_flags.become_samples_and_events_counters")
+TEST_CASE("exposed_state.numbers_flags_and_events.become_metrics")
 {
     state_dump root;
     state_dump& service = root.addObject("slots");
@@ -137,7 +137,7 @@
     REQUIRE_THAT(text, !Catch::Contains("item=\"why\""));
 }
 
-TEST_CASE("metrics.answers_of_routes.are_told_apart")
+TEST_CASE("metrics.answer_times.are_labelled_by_route")
 {
     const std::unique_ptr<metrics> numbers = metrics::create();
     numbers->recordAnswer(
--- a/test/fuzz/storage_fuzz.cpp
+++ b/test/fuzz/storage_fuzz.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Fuzzes the data folder: any bytes in its files are loaded or refused.
+ * Fuzzes loading the data folder: arbitrary bytes in its files are either loaded or rejected with an error.
  */
 
 #include <cstddef>
@@ -17,7 +17,7 @@
     const std::string bytes(reinterpret_cast<const char*>(data), size);
     paused_runtime runtime(1);
     fake_files disk;
-    // The first byte says how much of the rest is the snapshot; what is left is the newer state file.
+    // The first byte is the length of the snapshot, which starts with it; the remaining bytes are the newer state file.
     const std::size_t cut = bytes.empty() ? 0 : std::min<std::size_t>(static_cast<unsigned char>(bytes[0]), size);
     if (cut > 0)
         disk.files["data/snapshot.1"].bytes = bytes.substr(0, cut);
--- a/test/fuzz/yaml_fuzz.cpp
+++ b/test/fuzz/yaml_fuzz.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Fuzzes the readers of settings and declarations.
+ * Fuzzes the parsers of settings and declarations.
  */
 
 #include <cstddef>
