--- a/test/error/declaration_writer_test.cpp
+++ b/test/error/declaration_writer_test.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(declaration_writer_fixture, "declaration.written.is_read_back_as_the_same")
+TEST_CASE_METHOD(declaration_writer_fixture, "declaration_writer.full_declaration.parses_to_an_equal_one")
 {
     const std::string text = writeDeclaration(content);
     INFO(text);
