--- a/src/services/announcement_front.h
+++ b/src/services/announcement_front.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The front end for upstreams: announcements, renewals and goodbyes.
+ * The HTTP front end for upstreams: announcements, renewals and deregistrations.
  */
 
 #include <memory>
@@ -17,7 +17,7 @@
 public:
     static std::unique_ptr<announcement_front> create();
 
-    /** The kernel service; it needs "http_server" and "directory". */
+    /** The kernel service; it depends on "http_server" and "directory". */
     service asService();
 
 private:
--- a/src/services/bounded_sink.cpp
+++ b/src/services/bounded_sink.cpp
@@ -20,32 +20,32 @@
 {
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
-    if (m_untold > 0) {
-        const std::string told
-            = absl::StrCat("{\"level\":\"warning\",\"message\":\"lines-lost\",\"count\":", m_untold, "}\n");
-        if (m_buffer.size() + told.size() + line.size() <= m_capacity) {
-            keep(told.data(), told.size());
-            m_untold = 0;
+    if (m_unreportedLost > 0) {
+        const std::string report
+            = absl::StrCat("{\"level\":\"warning\",\"message\":\"lines-lost\",\"count\":", m_unreportedLost, "}\n");
+        if (m_buffer.size() + report.size() + line.size() <= m_capacity) {
+            append(report.data(), report.size());
+            m_unreportedLost = 0;
         }
     }
-    keep(line.data(), line.size());
+    append(line.data(), line.size());
     flush_();
 }
 
-void bounded_sink::keep(const char* text, std::size_t size)
+void bounded_sink::append(const char* text, std::size_t size)
 {
     if (m_buffer.size() + size <= m_capacity) {
         m_buffer.append(text, size);
         return;
     }
     ++m_lost;
-    ++m_untold;
+    ++m_unreportedLost;
 }
 
 void bounded_sink::flush_()
 {
     while (!m_buffer.empty()) {
-        // A pipe that is ready takes this much without blocking.
+        // A pipe that polls as writable takes up to PIPE_BUF bytes without blocking.
         pollfd ready { m_descriptor, POLLOUT, 0 };
         if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0)
             return;
--- a/src/services/bounded_sink.h
+++ b/src/services/bounded_sink.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * A sink of log lines that never blocks: what the reader doesn't take waits in a bounded buffer, and what doesn't fit
- * there is counted.
+ * A log sink that never blocks: lines that the reader has not taken yet are kept in a bounded buffer, and lines that
+ * do not fit there are dropped and counted.
  */
 
 #include <cstdint>
@@ -14,10 +14,11 @@
 
 namespace plantainlatch {
 
-/** Writes whole lines to a file descriptor, which it doesn't own. */
+/** Writes complete lines to a file descriptor, which it does not own. */
 class bounded_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
-    /** `capacity` is in bytes; a line that is lost is told in the next one that fits. */
+    /** `capacity` is the size of the buffer in bytes. Once there is room again, a line of its own reports how many
+     * lines were dropped. */
     bounded_sink(int descriptor, std::size_t capacity);
 
     std::uint64_t lostLines() const { return m_lost; }
@@ -27,13 +28,13 @@
     void flush_() override;
 
 private:
-    void keep(const char* text, std::size_t size);
+    void append(const char* text, std::size_t size);
 
     int m_descriptor;
     std::size_t m_capacity;
     std::string m_buffer;
     std::uint64_t m_lost = 0;
-    std::uint64_t m_untold = 0;
+    std::uint64_t m_unreportedLost = 0;
 };
 
 } // namespace plantainlatch
--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -16,8 +16,8 @@
 
 void caller_exchanges::submit(exchange_id exchange, caller_request request)
 {
-    if (m_stopBy) {
-        const duration left = *m_stopBy - m_parts.hooks.now();
+    if (m_stopDeadline) {
+        const duration left = *m_stopDeadline - m_parts.hooks.now();
         request.deadline = std::min(request.deadline.value_or(left), left);
     }
     pending_request& added = m_pending[exchange];
@@ -56,7 +56,7 @@
         return;
     const request_id id = found->second.id;
     m_pending.erase(found);
-    m_parts.numbers.recordHangUp();
+    m_parts.numbers.recordDisconnect();
     m_parts.requests.cancel(id);
     stopIfIdle();
 }
@@ -64,8 +64,8 @@
 void caller_exchanges::stop(std::function<void()> stopped)
 {
     m_parts.server.closeAfterAnswers();
-    if (m_parts.longestStop)
-        m_stopBy = m_parts.hooks.now() + *m_parts.longestStop;
+    if (m_parts.maximumStopTime)
+        m_stopDeadline = m_parts.hooks.now() + *m_parts.maximumStopTime;
     m_parts.hooks.schedule(m_parts.serveBeforeStop, [this, stopped = std::move(stopped)] {
         m_refusing = true;
         m_stopped = stopped;
@@ -78,7 +78,7 @@
 {
     if (!m_refusing || !m_pending.empty() || !m_stopped)
         return;
-    // On a round of its own: the last answer is not to be written by a service that has stopped.
+    // Deferred to the next loop iteration, so that the last answer is written before the service has stopped.
     m_parts.hooks.schedule(duration::zero(), std::exchange(m_stopped, nullptr));
 }
 
--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The callers' requests that are in flight on one HTTP server, whatever the front end's interface is.
+ * Tracks the callers' requests in flight on one HTTP server; shared by the front ends, whose interfaces differ.
  */
 
 #include <functional>
@@ -17,40 +17,40 @@
 
 namespace plantainlatch {
 
-/** What the exchanges use; all outlive them. */
+/** Dependencies and options of caller_exchanges; the references must outlive it. */
 struct caller_exchange_parts {
     const kernel_hooks& hooks;
     http_server& server;
     request_port& requests;
     metrics& numbers;
-    /** Encodes an answer; `head` says that the request was a HEAD. */
+    /** Encodes an answer; `head` is set if the request was a HEAD. */
     std::function<http_answer(const caller_answer&, bool head)> encode;
-    /** How long a stop goes on serving callers that may not know of it yet. */
+    /** How long requests are still served after the stop began, for callers whose entry lists still contain this VM. */
     duration serveBeforeStop {};
-    /** How long a stop may take as a whole; requests that come during it get no more time than is left. */
-    std::optional<duration> longestStop;
+    /** The maximum duration of the stop. The deadlines of requests that arrive during the stop are cut to the rest. */
+    std::optional<duration> maximumStopTime;
 };
 
-/** Hands requests in, answers each one once, and stops gracefully: each answer ends its connection, callers are served
- * for as long as they may come, and what is in flight is finished. */
+/** Submits requests and answers each one once. The stop is graceful: each answer closes its connection, new requests
+ * are served for `serveBeforeStop`, and requests in flight are finished. */
 class caller_exchanges {
 public:
     explicit caller_exchanges(caller_exchange_parts parts);
 
     void submit(exchange_id exchange, caller_request request);
-    /** Answers without handing the request in. */
+    /** Answers without submitting the request. */
     void refuse(exchange_id exchange, const caller_answer& answer, bool head);
-    /** The caller left. */
+    /** Cancels the request of a caller that disconnected before its answer. */
     void gone(exchange_id exchange);
 
-    /** Whether new requests must be refused, as this VM has stopped serving. */
+    /** Whether new requests must be refused because this VM has stopped serving. */
     bool refusing() const { return m_refusing; }
     void stop(std::function<void()> stopped);
 
     state_dump dump() const;
 
 private:
-    /** A caller's request that waits for its answer. */
+    /** A request that was submitted and is not answered yet. */
     struct pending_request {
         request_id id;
         service_id service;
@@ -64,8 +64,8 @@
     caller_exchange_parts m_parts;
     absl::flat_hash_map<exchange_id, pending_request> m_pending;
     bool m_refusing = false;
-    /** When what is in flight must have ended, once this VM stops. */
-    std::optional<time_point> m_stopBy;
+    /** Set by a stop with a maximum duration: requests in flight must have ended by then. */
+    std::optional<time_point> m_stopDeadline;
     std::function<void()> m_stopped;
 };
 
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -15,8 +15,8 @@
     constexpr const char* servicePrefix = "/s/";
     constexpr const char* entriesPath = "/v1/entries";
     constexpr std::string_view nearParameter = "near=";
-    constexpr std::size_t largestKey = 255;
-    constexpr std::size_t largestServiceName = 64;
+    constexpr std::size_t maximumKeyLength = 255;
+    constexpr std::size_t maximumServiceNameLength = 64;
     constexpr int statusBadRequest = 400;
     constexpr int statusUnavailable = 503;
     constexpr duration retryElsewhere = std::chrono::seconds(1);
@@ -25,7 +25,7 @@
 
     bool isKey(const std::string& text)
     {
-        return !text.empty() && text.size() <= largestKey && std::all_of(text.begin(), text.end(), isVisible);
+        return !text.empty() && text.size() <= maximumKeyLength && std::all_of(text.begin(), text.end(), isVisible);
     }
 
     caller_answer refusal(int status, answer_reason reason, const std::string& text)
@@ -37,7 +37,7 @@
         return answer;
     }
 
-    /** The value of `near` in a query; names need no escapes. */
+    /** The value of `near` in a query. It is not percent-decoded: names of failure domains need no escapes. */
     std::string nearOf(std::string_view query)
     {
         while (!query.empty()) {
@@ -59,7 +59,7 @@
     const std::string_view path = request.path();
     const std::size_t nameStart = std::string_view(servicePrefix).size();
     const std::size_t nameEnd = std::min(path.find('/', nameStart), path.size());
-    if (nameEnd == nameStart || nameEnd - nameStart > largestServiceName)
+    if (nameEnd == nameStart || nameEnd - nameStart > maximumServiceNameLength)
         return absl::InvalidArgumentError("the path names no service");
     caller_request result;
     result.service = service_id(std::string(path.substr(nameStart, nameEnd - nameStart)));
@@ -122,15 +122,15 @@
     m_entries.emplace(**entries, m_self);
     m_exchanges.emplace(caller_exchange_parts {
         m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_serveBeforeStop, std::nullopt });
-    m_server->addRoute(
-        { servicePrefix, [this](exchange_id exchange, const http_request_view& request) { steer(exchange, request); },
-            [this](exchange_id exchange) { m_exchanges->gone(exchange); } });
+    m_server->addRoute({ servicePrefix,
+        [this](exchange_id exchange, const http_request_view& request) { handleRequest(exchange, request); },
+        [this](exchange_id exchange) { m_exchanges->gone(exchange); } });
     m_server->addRoute({ entriesPath,
-        [this](exchange_id exchange, const http_request_view& request) { lookUp(exchange, request); }, nullptr });
+        [this](exchange_id exchange, const http_request_view& request) { handleLookup(exchange, request); }, nullptr });
     return absl::OkStatus();
 }
 
-void caller_front::steer(exchange_id exchange, const http_request_view& request)
+void caller_front::handleRequest(exchange_id exchange, const http_request_view& request)
 {
     if (m_exchanges->refusing()) {
         caller_answer answer = refusal(statusUnavailable, answer_reason::Draining, "this VM is shutting down");
@@ -147,7 +147,7 @@
     m_exchanges->submit(exchange, *std::move(read));
 }
 
-void caller_front::lookUp(exchange_id exchange, const http_request_view& request)
+void caller_front::handleLookup(exchange_id exchange, const http_request_view& request)
 {
     if (request.path() != entriesPath || request.method() != "GET") {
         m_server->respond(exchange, encodeProblem(http_problem::UnknownPath));
@@ -159,7 +159,7 @@
 
 void caller_front::stop(std::function<void()> stopped)
 {
-    m_entries->leaveOutSelf();
+    m_entries->excludeSelf();
     m_exchanges->stop(std::move(stopped));
 }
 
--- a/src/services/caller_front.h
+++ b/src/services/caller_front.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The front end for callers: requests to services, and which entries to use.
+ * The HTTP front end for callers: requests to services, and look-ups of the entries to use.
  */
 
 #include <functional>
@@ -20,16 +20,16 @@
 
 namespace plantainlatch {
 
-/** Times of the front end. */
 struct caller_front_options {
-    /** How long the other VMs take to leave a stopping VM out of their entry lists. */
+    /** The maximum time until the other VMs have removed a stopping VM from their entry lists. */
     duration listPropagation = std::chrono::seconds(1);
 };
 
 /** Translates `/s/{service}/...` to request_port and `GET /v1/entries` to entry_list_port.
  *
- * Its stop is graceful: it leaves this VM out of its entry lists, ends each connection with its answer, serves for as
- * long as callers may be given or cache a list with it, and waits for the requests in flight. */
+ * The stop is graceful (lame duck): this VM is removed from the entry lists that it gives out, each answer closes its
+ * connection, requests are served until no caller can still hold a cached list with this VM (`lookupCacheTime` plus
+ * `listPropagation`), and the requests in flight are finished. */
 class caller_front {
 public:
     static constexpr const char* serviceName = "caller_front";
@@ -37,15 +37,15 @@
     static std::unique_ptr<caller_front> create(
         const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options = {});
 
-    /** The kernel service; it needs "http_server", "requests", "entry_list" and "metrics". */
+    /** The kernel service; it depends on "http_server", "requests", "entry_list" and "metrics". */
     service asService();
 
 private:
     caller_front(const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options);
 
     absl::Status start(registry& services);
-    void steer(exchange_id exchange, const http_request_view& request);
-    void lookUp(exchange_id exchange, const http_request_view& request);
+    void handleRequest(exchange_id exchange, const http_request_view& request);
+    void handleLookup(exchange_id exchange, const http_request_view& request);
     void stop(std::function<void()> stopped);
 
     kernel_hooks m_hooks;
@@ -57,8 +57,8 @@
     std::optional<caller_exchanges> m_exchanges;
 };
 
-/** The request that `/s/{service}/...` stands for, without hop-by-hop fields; InvalidArgument for a bad service name,
- * key or timeout. */
+/** Parses a request to `/s/{service}/...` and drops its hop-by-hop fields; InvalidArgument for an invalid service name,
+ * idempotency key or timeout. */
 absl::StatusOr<caller_request> readCallerRequest(const http_request_view& request);
 
 } // namespace plantainlatch
--- a/src/services/entry_answers.cpp
+++ b/src/services/entry_answers.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /** Answers kept at once; at the bound all are forgotten, as only made-up names get there. */
-    constexpr std::size_t largestAnswers = 256;
+    /** When the cache is full it is cleared: only made-up names of failure domains can fill it. */
+    constexpr std::size_t maximumCachedAnswers = 256;
     constexpr int statusOk = 200;
 
 } // namespace
@@ -25,21 +25,21 @@
     const auto found = m_encoded.find(failureDomain);
     if (found != m_encoded.end())
         return found->second;
-    if (m_encoded.size() >= largestAnswers)
+    if (m_encoded.size() >= maximumCachedAnswers)
         m_encoded.clear();
     return m_encoded.emplace(failureDomain, encode(failure_domain_id(failureDomain))).first->second;
 }
 
-void entry_answers::leaveOutSelf()
+void entry_answers::excludeSelf()
 {
-    m_leaveOutSelf = true;
+    m_excludeSelf = true;
     m_encoded.clear();
 }
 
 http_answer entry_answers::encode(const failure_domain_id& failureDomain) const
 {
     entry_list list = m_port.list(failureDomain);
-    if (m_leaveOutSelf)
+    if (m_excludeSelf)
         std::erase_if(list.entries, [this](const weighted_entry& item) { return item.vm.id == m_self; });
     const auto seconds = std::chrono::floor<std::chrono::seconds>(list.cacheTime).count();
     return encodeAnswer(statusOk,
--- a/src/services/entry_answers.h
+++ b/src/services/entry_answers.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Encoded answers to look-ups of entries, made once for each failure domain.
+ * Caches encoded answers to look-ups of entries, one for each failure domain.
  */
 
 #include <map>
@@ -12,24 +12,24 @@
 
 namespace plantainlatch {
 
-/** Keeps encoded answers until the entry list changes. */
+/** The cache; cleared whenever the entry list changes. */
 class entry_answers {
 public:
-    /** `self` is this VM, which leaveOut() takes out of the answers. */
+    /** `self` is this VM, which excludeSelf() removes from the answers. */
     entry_answers(entry_list_port& port, vm_id self);
 
-    /** The answer for callers near that failure domain; an unknown one gets the answer for any place. */
+    /** The answer for callers near that failure domain; for an unknown one, the answer without a preferred location. */
     const http_answer& answerFor(const std::string& failureDomain);
 
-    /** This VM stops: the answers name the others only. */
-    void leaveOutSelf();
+    /** Removes this VM from the answers from now on, as it is stopping. */
+    void excludeSelf();
 
 private:
     http_answer encode(const failure_domain_id& failureDomain) const;
 
     entry_list_port& m_port;
     vm_id m_self;
-    bool m_leaveOutSelf = false;
+    bool m_excludeSelf = false;
     std::map<std::string, http_answer, std::less<>> m_encoded;
 };
 
--- a/src/services/exposed_state.cpp
+++ b/src/services/exposed_state.cpp
@@ -25,7 +25,7 @@
     {
         if (const std::optional<double> number = numberOf(node.value))
             samples.push_back({ { { "service", service }, { "item", path } }, *number });
-        // The entries of a list come and go, and have no names to tell them by.
+        // The items of a list come and go and have no stable name that could be a label.
         if (node.isList)
             return;
         for (const state_dump& child : node.children)
--- a/src/services/exposed_state.h
+++ b/src/services/exposed_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What services show of their state and what was logged, as metrics.
+ * Exports the state dump of the services and the counts of log events as metrics.
  */
 
 #include <memory>
@@ -13,10 +13,11 @@
 
 namespace plantainlatch {
 
-/** Each number and flag of a state dump, labelled with its service and its path there; texts are left out. */
+/** Converts a state dump: one sample for each number and flag, labelled with the service and the path within its dump.
+ * Texts and the items of lists are skipped. */
 std::vector<metric_sample> samplesOf(const state_dump& dump);
 
-/** Adds the numbers of the state dump, and the counts of logged events and lost lines. */
+/** Registers metric families for the state dump, the counts of log events, and the log lines that were not written. */
 void exposeState(metrics& numbers, std::function<state_dump()> dump, std::shared_ptr<const log_statistics> logged);
 
 } // namespace plantainlatch
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -18,7 +18,7 @@
     constexpr const char* snapshotPrefix = "snapshot.";
     constexpr const char* unfinishedSuffix = ".new";
 
-    /** What one record of a state file holds. */
+    /** The payload of one record of a state file. */
     struct state_record {
         std::optional<hard_state> state;
         std::vector<log_entry> entries;
@@ -29,10 +29,10 @@
         }
     };
 
-    /** What a snapshot file holds. */
+    /** The payload of a snapshot file. */
     struct snapshot_record {
         log_snapshot snapshot;
-        /** Whether entries after the snapshot that older state files hold still count. */
+        /** Whether log entries after the snapshot in older state files are still valid. */
         bool keepsLaterEntries = true;
 
         template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -58,7 +58,7 @@
         return absl::DataLossError(absl::StrCat(path, ": ", std::string(why.message())));
     }
 
-    /** Replaces everything from the first new entry's index on; DataLoss when that leaves a gap. */
+    /** Appends entries; each one replaces the entries from its index on. DataLoss if there is a gap in the indexes. */
     absl::Status mergeEntries(std::vector<log_entry>& entries, const std::vector<log_entry>& added)
     {
         for (const log_entry& entry : added) {
@@ -66,13 +66,13 @@
                 entries.pop_back();
             if (!entries.empty() && entries.back().index.next() != entry.index)
                 return absl::DataLossError(
-                    absl::StrCat("log entry ", entry.index.value(), " follows ", entries.back().index.value()));
+                    absl::StrCat("log entry ", entry.index.value(), " follows entry ", entries.back().index.value()));
             entries.push_back(entry);
         }
         return absl::OkStatus();
     }
 
-    absl::Status dropCovered(recovered_state& recovered)
+    absl::Status dropCoveredEntries(recovered_state& recovered)
     {
         if (!recovered.snapshot)
             return absl::OkStatus();
@@ -97,8 +97,8 @@
     file_hooks files;
     storage_port port;
     std::uint64_t generation = 0;
-    /** Entries of state files before this generation do not count. */
-    std::uint64_t firstCounted = 0;
+    /** Log entries in state files of earlier generations are discarded, since the snapshot was saved without them. */
+    std::uint64_t firstValidGeneration = 0;
     std::optional<int> stateFile;
     absl::Status failure = absl::OkStatus();
     bool loaded = false;
@@ -109,7 +109,7 @@
     duration slowestSync {};
     std::uint64_t writes = 0;
     std::uint64_t bytesWritten = 0;
-    /** What a new state file begins with. */
+    /** The latest hard state and the log entries after the snapshot; a new state file begins with them. */
     std::optional<hard_state> lastState;
     std::vector<log_entry> liveEntries;
 
@@ -150,7 +150,7 @@
         if (status.ok())
             status = loadStates(*names, recovered);
         if (status.ok())
-            status = dropCovered(recovered);
+            status = dropCoveredEntries(recovered);
         if (status.ok())
             status = openState();
         if (!status.ok())
@@ -175,12 +175,12 @@
         if (!scan.ok())
             return damaged(file, scan.status());
         if (scan->payloads.size() != 1 || scan->wholeBytes != bytes->size())
-            return damaged(file, absl::DataLossError("no whole snapshot at offset 0"));
+            return damaged(file, absl::DataLossError("the snapshot record at offset 0 is incomplete"));
         absl::StatusOr<snapshot_record> record = msgpack_codec::decode<snapshot_record>(scan->payloads.front());
         if (!record.ok())
             return damaged(file, record.status());
         recovered.snapshot = std::move(record->snapshot);
-        firstCounted = record->keepsLaterEntries ? 0 : generation;
+        firstValidGeneration = record->keepsLaterEntries ? 0 : generation;
         return absl::OkStatus();
     }
 
@@ -189,13 +189,13 @@
         const std::vector<std::uint64_t> numbers = numbersOf(names, statePrefix);
         for (const std::uint64_t number : numbers) {
             const bool isLast = number == numbers.back();
-            if (number <= firstCounted)
+            if (number <= firstValidGeneration)
                 recovered.entries.clear();
             absl::Status status = loadState(path(statePrefix, number), isLast, recovered);
             if (!status.ok())
                 return status;
         }
-        if (!numbers.empty() && numbers.back() < firstCounted)
+        if (!numbers.empty() && numbers.back() < firstValidGeneration)
             recovered.entries.clear();
         if (!numbers.empty())
             generation = std::max(generation, numbers.back());
@@ -254,14 +254,14 @@
         std::string bytes;
         for (const waiting_write& item : batch) {
             bytes += encodeRecord(msgpack_codec::encode(state_record { item.write.state, item.write.entries }));
-            remember(item.write);
+            applyWrite(item.write);
         }
         const absl::Status status = appendAndSync(bytes);
         for (const waiting_write& item : batch)
             item.done(status);
     }
 
-    void remember(const storage_write& write)
+    void applyWrite(const storage_write& write)
     {
         if (write.state)
             lastState = write.state;
@@ -286,8 +286,8 @@
         return status.ok() ? status : fail(status);
     }
 
-    /** After a failed write or sync nobody knows what is on disk, so nothing more is promised until a restart reads it.
-     */
+    /** Fails all further writes. After a failed write or sync it is unknown what is on disk; only a restart, which
+     * reads the files again, ends this state. */
     absl::Status fail(const absl::Status& status)
     {
         if (failure.ok()) {
@@ -310,10 +310,10 @@
             return !record.keepsLaterEntries || entry.index <= record.snapshot.index;
         });
         const std::uint64_t next = generation + 1;
-        absl::Status status = writeWhole(path(snapshotPrefix, next), msgpack_codec::encode(record));
+        absl::Status status = writeAtomically(path(snapshotPrefix, next), msgpack_codec::encode(record));
         if (status.ok())
-            status
-                = writeWhole(path(statePrefix, next), msgpack_codec::encode(state_record { lastState, liveEntries }));
+            status = writeAtomically(
+                path(statePrefix, next), msgpack_codec::encode(state_record { lastState, liveEntries }));
         if (!status.ok())
             return fail(status);
         files.close(*stateFile);
@@ -325,8 +325,8 @@
         return absl::OkStatus();
     }
 
-    /** Makes a file with one record appear whole or not at all. */
-    absl::Status writeWhole(const std::string& file, const std::string& payload)
+    /** Writes a file with one record atomically: after a crash it is there completely or not at all. */
+    absl::Status writeAtomically(const std::string& file, const std::string& payload)
     {
         const std::string unfinished = file + unfinishedSuffix;
         absl::Status status = files.remove(unfinished);
--- a/src/services/file_storage.h
+++ b/src/services/file_storage.h
@@ -1,12 +1,13 @@
 #pragma once
 
 /** \file
- * The durable state of a replica in files of one folder: the service behind "storage".
+ * Stores the durable state of a consensus replica in one folder; implements the service "storage".
  *
- * `state.N` holds hard states and log entries as records of length, checksum and bytes; `snapshot.N` holds one record.
- * A snapshot is written to a new file, synced, renamed and its folder synced; then a new `state.N` begins with what the
- * snapshot does not cover, and the older files go. A record that the file's end cuts short was never acknowledged and
- * is removed; any other damage is reported with its file and offset and nothing is loaded.
+ * `state.N` is an append-only log of hard states and log entries, as records of length, checksum and payload;
+ * `snapshot.N` holds a single record. A snapshot is written to a temporary file, synced and renamed, and its folder is
+ * synced. Then a new `state.N` is written that begins with the entries after the snapshot, and the older files are
+ * removed. An incomplete record at the end of the newest state file was never acknowledged and is truncated. Any other
+ * corruption is reported with file and offset, and nothing is loaded.
  */
 
 #include <memory>
@@ -20,18 +21,17 @@
 
 namespace plantainlatch {
 
-/** Keeps a replica's state in one folder. */
+/** The storage of one replica. */
 class file_storage {
 public:
-    /** NotFound or PermissionDenied when the folder can't be made or used; AlreadyExists when another process uses it.
-     */
+    /** NotFound or PermissionDenied if the folder is unusable; AlreadyExists if another process uses it. */
     static absl::StatusOr<std::unique_ptr<file_storage>> create(
         const kernel_hooks& hooks, const std::string& folder, file_hooks files);
     ~file_storage();
 
     service asService();
 
-    /** The same interface that asService() publishes. */
+    /** The port that asService() publishes. */
     storage_port& port();
 
 private:
--- a/src/services/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -13,7 +13,7 @@
 
     constexpr int noContent = 204;
     constexpr int notModified = 304;
-    constexpr std::size_t usualHeadSize = 512;
+    constexpr std::size_t initialHeadCapacity = 512;
 
     bool hasNoBody(int status) { return status == noContent || status == notModified; }
 
@@ -25,7 +25,7 @@
     std::string startHead(int status)
     {
         std::string head;
-        head.reserve(usualHeadSize);
+        head.reserve(initialHeadCapacity);
         head.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(statusPhrase(status));
         head.append("\r\n");
         return head;
--- a/src/services/http_answer.h
+++ b/src/services/http_answer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Answers to callers as bytes.
+ * Encodes HTTP/1.1 answers to callers.
  */
 
 #include <string>
@@ -12,14 +12,14 @@
 
 namespace plantainlatch {
 
-/** An encoded answer. The server adds a Connection field where one is needed, and the empty line. */
+/** An encoded answer. The connection adds a Connection field if one is needed, and the empty line after the fields. */
 struct http_answer {
-    /** The status line and the fields, each with its line end. */
+    /** The status line and the header fields, each ending with CRLF. */
     std::string head;
     std::string body;
 };
 
-/** What is wrong with a request that no route can answer. */
+/** Why the server itself refuses a request. */
 enum class http_problem {
     None,
     Malformed,
@@ -29,20 +29,19 @@
     UnknownPath,
 };
 
-/** The standard phrase of a status. */
+/** The standard reason phrase of a status code; "Status" for a code that is not listed. */
 std::string_view statusPhrase(int status);
 
-/** An answer of this status; a Content-Length is added unless the status has no body. */
+/** Adds a Content-Length unless answers with this status have no body. */
 http_answer encodeAnswer(int status, const std::vector<header_field>& fields, std::string body);
 
-/** An answer of JSON text. */
 http_answer encodeJsonAnswer(int status, std::string json);
 
-/** What a caller gets back, with the fields that name the outcome. `head` says that the request was a HEAD, whose
- * answer has no body. */
+/** Encodes the answer to a caller's request, with the fields for outcome and reason. `head` is set if the request was a
+ * HEAD, whose answer has no body. */
 http_answer encodeCallerAnswer(const caller_answer& answer, bool head);
 
-/** The answer to a request that has a problem; it says that the request was not run. */
+/** The answer to a refused request, with the outcome "not-run". `problem` must not be None. */
 http_answer encodeProblem(http_problem problem);
 
 } // namespace plantainlatch
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -17,7 +17,7 @@
     constexpr int noContent = 204;
     constexpr int notModified = 304;
 
-    /** How the fields delimit the body. */
+    /** How the header fields delimit the body (RFC 9112, 6). */
     struct body_framing {
         std::optional<std::size_t> length;
         bool chunked = false;
@@ -50,7 +50,7 @@
         return framing;
     }
 
-    bool isWhole(const upstream_answer& answer, const body_framing& framing, const answered_request& request)
+    bool isComplete(const upstream_answer& answer, const body_framing& framing, const answered_request& request)
     {
         if (framing.contradictory)
             return false;
@@ -82,7 +82,7 @@
 
 } // namespace
 
-std::optional<upstream_answer> wholeAnswer(evhttp_request* answer, const answered_request& request)
+std::optional<upstream_answer> takeCompleteAnswer(evhttp_request* answer, const answered_request& request)
 {
     upstream_answer result;
     result.status = evhttp_request_get_response_code(answer);
@@ -93,7 +93,7 @@
     if (echoed != nullptr && echoed->value != request.name)
         return std::nullopt;
     result.body = moveBody(answer);
-    if (!isWhole(result, framingOf(result.headers), request))
+    if (!isComplete(result, framingOf(result.headers), request))
         return std::nullopt;
     const std::optional<std::size_t> length = framingOf(result.headers).length;
     http_fields::keepEndToEnd(result.headers);
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Checks that an answer received by evhttp is whole and belongs to its request.
+ * Checks that an answer received by evhttp is complete and belongs to its request.
  */
 
 #include <optional>
@@ -13,19 +13,19 @@
 
 namespace plantainlatch {
 
-/** What is known of the request that is answered. */
+/** The properties of a request that decide whether an answer is valid. */
 struct answered_request {
-    /** A HEAD request: the answer has no body, whatever its fields say. */
+    /** A HEAD request: the answer has no body even if it has a Content-Length. */
     bool head = false;
-    /** The field that names the call; an answer that has it must have it with `name`. */
+    /** The header field with the name of the call. If the answer has this field, its value must be `name`. */
     const char* nameField;
     const std::string& name;
-    /** An answer without a length may end with its connection, in order. */
+    /** Accepts an answer whose body is delimited by an orderly close of the connection. */
     bool mayEndWithConnection = false;
 };
 
-/** The answer without its hop-by-hop fields, its body moved out; none when it is not whole, is framed in two ways, or
- * echoes the name of another call. */
-std::optional<upstream_answer> wholeAnswer(evhttp_request* answer, const answered_request& request);
+/** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. None if the answer is
+ * incomplete, has contradictory framing fields, or echoes the name of another call. */
+std::optional<upstream_answer> takeCompleteAnswer(evhttp_request* answer, const answered_request& request);
 
 } // namespace plantainlatch
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -19,9 +19,9 @@
 
 namespace {
 
-    /** What may wait on a connection behind the request that runs. */
+    /** The maximum number of unread bytes that are buffered while a request is handled. */
     constexpr std::size_t pipelinedBytes = 64 * 1024;
-    constexpr std::string_view goAhead = "HTTP/1.1 100 Continue\r\n\r\n";
+    constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
     timeval toTimeval(duration span)
     {
@@ -29,9 +29,9 @@
         return { whole.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - whole).count() };
     }
 
-    /** Sends the parts at once where nothing waits before them, which spares the loop a round; what the socket does not
-     * take waits in the output buffer. */
-    void sendOrKeep(bufferevent* channel, std::array<std::string_view, 3> parts)
+    /** Sends the parts directly if the output buffer is empty, which saves an iteration of the event loop; what the
+     * socket does not take is added to the output buffer. */
+    void sendOrBuffer(bufferevent* channel, std::array<std::string_view, 3> parts)
     {
         evbuffer* output = bufferevent_get_output(channel);
         std::size_t sent = 0;
@@ -80,7 +80,7 @@
 void http_connection::begin()
 {
     const timeval idle = toTimeval(m_parts.idleTimeout);
-    bufferevent_setcb(m_channel, readable, written, happened, this);
+    bufferevent_setcb(m_channel, readable, written, onEvent, this);
     bufferevent_setwatermark(m_channel, EV_READ, 0, pipelinedBytes);
     bufferevent_set_timeouts(m_channel, &idle, &idle);
     bufferevent_enable(m_channel, EV_READ | EV_WRITE);
@@ -88,32 +88,32 @@
 
 void http_connection::readable(bufferevent*, void* argument)
 {
-    const auto keep = static_cast<http_connection*>(argument)->shared_from_this();
-    keep->readRequests();
+    const auto self = static_cast<http_connection*>(argument)->shared_from_this();
+    self->readRequests();
 }
 
 void http_connection::written(bufferevent*, void* argument)
 {
-    const auto keep = static_cast<http_connection*>(argument)->shared_from_this();
-    keep->outputWritten();
+    const auto self = static_cast<http_connection*>(argument)->shared_from_this();
+    self->outputWritten();
 }
 
-void http_connection::happened(bufferevent*, short what, void* argument)
+void http_connection::onEvent(bufferevent*, short what, void* argument)
 {
-    const auto keep = static_cast<http_connection*>(argument)->shared_from_this();
-    const bool writes = keep->m_state == state::Writing || keep->m_state == state::WritingLast;
+    const auto self = static_cast<http_connection*>(argument)->shared_from_this();
+    const bool writes = self->m_state == state::Writing || self->m_state == state::WritingLast;
     const bool silent = (what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0;
-    if (silent && (keep->isRunning() || writes)) {
-        // It is the caller who waits; the library has stopped reading.
-        bufferevent_enable(keep->m_channel, EV_READ);
+    if (silent && (self->isAwaitingAnswer() || writes)) {
+        // No read time-out applies until the answer is written. Libevent disabled reading when the timer fired.
+        bufferevent_enable(self->m_channel, EV_READ);
         return;
     }
     if ((what & BEV_EVENT_EOF) != 0 && writes) {
-        keep->m_state = state::WritingLast;
-        keep->m_callerEnded = true;
+        self->m_state = state::WritingLast;
+        self->m_callerClosed = true;
         return;
     }
-    keep->fail();
+    self->fail();
 }
 
 void http_connection::readRequests()
@@ -126,29 +126,29 @@
         const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
         const std::size_t used = m_parser.feed({ bytes, size });
         evbuffer_drain(input, used);
-        takeParsed();
+        handleParsed();
     }
     m_reading = false;
 }
 
-void http_connection::takeParsed()
+void http_connection::handleParsed()
 {
     if (m_parser.problem() != http_problem::None) {
         write(encodeProblem(m_parser.problem()), true);
         return;
     }
     if (m_parser.takeWaitsForContinue() && !m_parser.isComplete())
-        sendOrKeep(m_channel, { goAhead, {}, {} });
+        sendOrBuffer(m_channel, { continueResponse, {}, {} });
     if (!m_parser.isComplete())
         return;
-    m_state = state::Running;
+    m_state = state::Handling;
     m_parts.onRequest(*this);
 }
 
 void http_connection::answer(const http_answer& answer, bool last)
 {
-    internal_assert(m_state == state::Running) << "a connection without a request is answered";
-    const auto keep = shared_from_this();
+    internal_assert(m_state == state::Handling) << "a connection without a request is answered";
+    const auto self = shared_from_this();
     write(answer, last || !m_parser.request().keepsConnection);
     if (m_state == state::Reading)
         readRequests();
@@ -162,7 +162,7 @@
     else if (m_parser.request().isVersion10)
         headEnd = "Connection: keep-alive\r\n\r\n";
     m_state = last ? state::WritingLast : state::Writing;
-    sendOrKeep(m_channel, { answer.head, headEnd, answer.body });
+    sendOrBuffer(m_channel, { answer.head, headEnd, answer.body });
     if (evbuffer_get_length(bufferevent_get_output(m_channel)) == 0)
         outputWritten();
 }
@@ -177,7 +177,7 @@
     }
     if (m_state != state::WritingLast)
         return;
-    if (!m_callerEnded)
+    if (!m_callerClosed)
         m_parts.closing.add(std::exchange(m_channel, nullptr));
     finish();
 }
@@ -192,16 +192,16 @@
 
 void http_connection::fail()
 {
-    if (m_state == state::Running) {
+    if (m_state == state::Handling) {
         m_state = state::Closed;
-        m_parts.onGone(*this);
+        m_parts.onDisconnect(*this);
     }
     finish();
 }
 
 void http_connection::finish()
 {
-    const auto keep = shared_from_this();
+    const auto self = shared_from_this();
     m_state = state::Closed;
     if (m_channel != nullptr)
         bufferevent_free(std::exchange(m_channel, nullptr));
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One caller's connection: requests are read, handed on and answered one at a time.
+ * A caller's HTTP/1 connection. Requests are read, passed to the server and answered one at a time.
  */
 
 #include <functional>
@@ -19,23 +19,24 @@
 class http_connection;
 class lingering_close;
 
-/** What all connections of a server share; it outlives them. */
+/** Shared by all connections of a server; must outlive them. */
 struct http_connection_parts {
     event_base* base = nullptr;
     caller_limits limits;
-    /** A request must arrive, and an answer be taken, within this time of silence. */
+    /** The connection is closed if for this time no byte of the next request arrives, or the caller takes no byte of an
+     * answer. */
     duration idleTimeout {};
     lingering_close& closing;
-    /** A request is whole; it is answered now or later. */
+    /** A request is complete. The handler calls answer() at once or later. */
     std::function<void(http_connection&)> onRequest;
-    /** The caller left before the answer to its request. */
-    std::function<void(http_connection&)> onGone;
-    /** The connection is over; its owner drops it. */
+    /** The caller disconnected before its request was answered. */
+    std::function<void(http_connection&)> onDisconnect;
+    /** The connection has ended, and its owner releases it. */
     std::function<void(http_connection&)> onClosed;
 };
 
-/** A connection from the first byte to the last. What a caller pipelines behind the request that runs waits in a
- * bounded buffer. A caller that closes its sending side has left. */
+/** Pipelined requests behind the current one wait in a bounded buffer. A caller that closes its sending side counts as
+ * disconnected. */
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
     static std::shared_ptr<http_connection> accept(const http_connection_parts& parts, int socket);
@@ -44,25 +45,24 @@
     http_connection& operator=(const http_connection&) = delete;
 
     const received_request& request() const { return m_parser.request(); }
-    /** A request waits for its answer. */
-    bool isRunning() const { return m_state == state::Running; }
-    /** A request has begun to arrive, or its answer is not written yet. */
+    /** Whether a request has been received and not been answered. */
+    bool isAwaitingAnswer() const { return m_state == state::Handling; }
+    /** Whether a request has begun to arrive, or its answer is not written completely. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
 
-    /** Answers the request that runs; `last` ends the connection after the answer. */
+    /** Answers the current request; `last` closes the connection after the answer. */
     void answer(const http_answer& answer, bool last);
-    /** Ends the connection. */
     void close();
 
 private:
     enum class state {
-        /** Waits for a request or reads one. */
+        /** Waiting for a request or reading one. */
         Reading,
-        /** A request waits for its answer. */
-        Running,
-        /** An answer is being written, and another request may follow. */
+        /** The server is handling a request. */
+        Handling,
+        /** Writing an answer, after which the next request is read. */
         Writing,
-        /** The last answer is being written. */
+        /** Writing the last answer, after which the connection is closed. */
         WritingLast,
         Closed,
     };
@@ -71,11 +71,11 @@
 
     static void readable(bufferevent*, void* argument);
     static void written(bufferevent*, void* argument);
-    static void happened(bufferevent*, short what, void* argument);
+    static void onEvent(bufferevent*, short what, void* argument);
 
     void begin();
     void readRequests();
-    void takeParsed();
+    void handleParsed();
     void write(const http_answer& answer, bool last);
     void outputWritten();
     void fail();
@@ -86,7 +86,7 @@
     http_request_parser m_parser;
     state m_state = state::Reading;
     bool m_reading = false;
-    bool m_callerEnded = false;
+    bool m_callerClosed = false;
 };
 
 } // namespace plantainlatch
--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-    /** What a header line has beside its name and its value. */
+    /** The bytes of a header line beside name and value: ": " and CRLF. */
     constexpr std::size_t headerLineOverhead = 4;
     constexpr std::uint64_t noContentLength = std::numeric_limits<std::uint64_t>::max();
     constexpr int stopParsing = -1;
 
     bool isMethodLetter(char letter) { return letter >= 'A' && letter <= 'Z'; }
 
-    /** Whether bytes begin with what could be a method and a target: a request, though with an unknown method. */
+    /** Whether the bytes begin like a method and a target; then only the method is unknown. */
     bool looksLikeRequestLine(std::string_view bytes)
     {
         const auto end = std::find_if_not(bytes.begin(), bytes.end(), isMethodLetter);
@@ -27,7 +27,7 @@
         return end != bytes.begin() && rest.starts_with(" /");
     }
 
-    /** The path and the query of a target that may begin with a scheme and a host; empty if it can't be read. */
+    /** Reduces a target, possibly in absolute form, to path and query; empty if it is invalid. */
     std::string originForm(const std::string& target)
     {
         if (target.starts_with('/') || target == "*")
@@ -99,11 +99,11 @@
     const std::size_t used = http_parser_execute(m_parser.get(), &settings, bytes.data(), bytes.size());
     const bool failed = HTTP_PARSER_ERRNO(m_parser.get()) != HPE_OK && !m_complete;
     if (failed && m_problem == http_problem::None)
-        noteParserError(bytes);
+        recordParserError(bytes);
     return used;
 }
 
-void http_request_parser::noteParserError(std::string_view bytes)
+void http_request_parser::recordParserError(std::string_view bytes)
 {
     switch (HTTP_PARSER_ERRNO(m_parser.get())) {
     case HPE_INVALID_METHOD:
@@ -155,7 +155,7 @@
 int http_request_parser::addFieldName(std::string_view bytes)
 {
     if (m_headersDone)
-        return 0; // The trailer of a chunked body; nothing here needs it.
+        return 0; // Trailer fields of a chunked body are ignored.
     if (m_inValue || m_request.headers.empty()) {
         m_inValue = false;
         m_request.headers.emplace_back();
@@ -178,7 +178,7 @@
 {
     const bool framing = http_fields::sameName(field.name, http_fields::contentLength)
         || http_fields::sameName(field.name, http_fields::transferEncoding);
-    // A body that is delimited twice could be read differently by the next hop.
+    // Duplicate framing fields allow request smuggling: the next hop could delimit the body differently.
     if (framing && std::exchange(m_hasFraming, true))
         m_problem = http_problem::Malformed;
 }
@@ -216,7 +216,7 @@
 {
     m_request.keepsConnection = http_should_keep_alive(m_parser.get()) != 0;
     m_complete = true;
-    // What follows is another request, which is read once this one is answered.
+    // Bytes that follow belong to the next request, which is parsed after this one is answered.
     http_parser_pause(m_parser.get(), 1);
     return 0;
 }
--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Reads HTTP/1 requests from the bytes of a connection, one after the other.
+ * Parses a sequence of HTTP/1 requests from the byte stream of a connection.
  */
 
 #include <cstdint>
@@ -18,19 +18,20 @@
 
 namespace plantainlatch {
 
-/** A whole request as it was sent. */
+/** A complete request as it was sent. */
 struct received_request {
     std::string method;
-    /** Path and query as they were sent; of a target with scheme and host, what follows these. */
+    /** Path and query as they were sent; scheme and host of an absolute target are removed. */
     std::string target;
     std::vector<header_field> headers;
     std::string body;
-    /** The caller wants to use the connection further. */
+    /** Whether the connection stays open after the answer (keep-alive). */
     bool keepsConnection = true;
     bool isVersion10 = false;
 };
 
-/** Parses with http-parser, whose buffers grow with a field, and enforces the limits while bytes arrive. */
+/** Wraps http-parser, which passes on fields and bodies piece by piece, so that the size limits are enforced while
+ * bytes arrive. */
 class http_request_parser {
 public:
     explicit http_request_parser(const caller_limits& limits);
@@ -38,20 +39,20 @@
     http_request_parser(const http_request_parser&) = delete;
     http_request_parser& operator=(const http_request_parser&) = delete;
 
-    /** Reads up to the end of a request or to its first problem; returns how many bytes were used. */
+    /** Parses up to the end of the request or its first problem; returns the number of bytes consumed. */
     std::size_t feed(std::string_view bytes);
 
-    /** A part of a request has come. */
+    /** Whether a part of a request has arrived. */
     bool hasBegun() const { return m_begun; }
     bool isComplete() const { return m_complete; }
-    /** What is wrong with the request; nothing after it can be read. */
+    /** What is wrong with the request. After a problem nothing more can be parsed from the connection. */
     http_problem problem() const { return m_problem; }
     const received_request& request() const { return m_request; }
 
-    /** Whether the caller waits for a go-ahead before it sends the body; tells so once. */
+    /** Whether the caller expects "100 Continue" before it sends the body; true only once for each request. */
     bool takeWaitsForContinue();
 
-    /** Forgets the request and is ready for the next one. */
+    /** Resets the parser for the next request. */
     void next();
 
 private:
@@ -66,7 +67,7 @@
     int finishRequest();
     int countHeaderBytes(std::size_t bytes);
     void checkFraming(const header_field& field);
-    void noteParserError(std::string_view bytes);
+    void recordParserError(std::string_view bytes);
 
     caller_limits m_limits;
     std::unique_ptr<http_parser> m_parser;
--- a/src/services/http_request_view.h
+++ b/src/services/http_request_view.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A received request as its handler reads it.
+ * Read access to a received request for its handler.
  */
 
 #include <string>
@@ -12,7 +12,7 @@
 
 namespace plantainlatch {
 
-/** A whole request, to be read within its handler only. */
+/** A complete request; valid only during the call of its handler. */
 class http_request_view {
 public:
     explicit http_request_view(const received_request& request)
@@ -21,13 +21,13 @@
     }
 
     std::string_view method() const { return m_request.method; }
-    /** The path as it was sent. */
+    /** The path, not percent-decoded. */
     std::string_view path() const;
-    /** What follows the `?`, without it. */
+    /** The query without its `?`; empty if there is none. */
     std::string_view query() const;
-    /** The path from `from` on with the query, as they were sent. */
+    /** The path from position `from` on, with the query; not percent-decoded. */
     std::string target(std::size_t from) const { return m_request.target.substr(from); }
-    /** The first field of that name; null without one. */
+    /** The value of the first field with that name; null if there is none. */
     const char* header(const char* name) const;
     const std::vector<header_field>& headers() const { return m_request.headers; }
     const std::string& body() const { return m_request.body; }
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -24,7 +24,7 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
-    /** How long nothing is accepted after the operating system had no descriptor to give. */
+    /** How long accepting pauses after accept() failed, usually because there are no file descriptors left. */
     constexpr duration acceptPause = std::chrono::milliseconds(100);
 
     std::uint16_t portOf(evconnlistener* listener)
@@ -44,18 +44,18 @@
         , lingering(hooks)
         , shared { base, options.limits, options.idleTimeout, lingering,
             [this](http_connection& connection) { dispatch(connection); },
-            [this](http_connection& connection) { abandon(connection); },
+            [this](http_connection& connection) { callerDisconnected(connection); },
             [this](http_connection& connection) { closed(connection); } }
     {
     }
 
     ~implementation()
     {
-        hooks.cancel(resume);
+        hooks.cancel(resumeTimer);
         stopListening();
     }
 
-    /** A request that waits for its answer. */
+    /** A request that is not answered yet. */
     struct exchange {
         http_connection* connection = nullptr;
         const http_route* route = nullptr;
@@ -66,9 +66,9 @@
     void accepted(int socket);
     void pauseAccepting();
     void dispatch(http_connection& connection);
-    void abandon(const http_connection& connection);
+    void callerDisconnected(const http_connection& connection);
     void closed(http_connection& connection);
-    void closeWhere(const std::function<bool(const http_connection&)>& fits);
+    void closeIf(const std::function<bool(const http_connection&)>& matches);
     const http_route* routeOf(std::string_view path) const;
 
     const kernel_hooks hooks;
@@ -77,14 +77,14 @@
     http_connection_parts shared;
     evconnlistener* listener = nullptr;
     network_address address;
-    timer_id resume;
+    timer_id resumeTimer;
     bool closing = false;
-    /** Called once when the last connection has ended. */
+    /** Called once after the last connection has ended. */
     std::function<void()> onEmpty;
     std::vector<std::unique_ptr<http_route>> routes;
     absl::flat_hash_map<const http_connection*, std::shared_ptr<http_connection>> connections;
-    absl::flat_hash_map<const http_connection*, exchange_id> running;
-    absl::flat_hash_map<exchange_id, exchange> waiting;
+    absl::flat_hash_map<const http_connection*, exchange_id> exchangeIds;
+    absl::flat_hash_map<exchange_id, exchange> exchanges;
     std::uint64_t lastExchange = 0;
 };
 
@@ -118,7 +118,7 @@
     hooks.log({ log_level::Warning, options.name, "accepts nothing for now",
         { { "why", std::strerror(errno) }, { "connections", absl::StrCat(connections.size()) } } });
     evconnlistener_disable(listener);
-    resume = hooks.schedule(acceptPause, [this] {
+    resumeTimer = hooks.schedule(acceptPause, [this] {
         if (listener != nullptr)
             evconnlistener_enable(listener);
     });
@@ -144,36 +144,36 @@
         return;
     }
     const exchange_id number(++lastExchange);
-    waiting.emplace(number, exchange { &connection, route });
-    running.emplace(&connection, number);
+    exchanges.emplace(number, exchange { &connection, route });
+    exchangeIds.emplace(&connection, number);
     route->onRequest(number, view);
 }
 
-void http_server::implementation::abandon(const http_connection& connection)
+void http_server::implementation::callerDisconnected(const http_connection& connection)
 {
-    const auto found = running.find(&connection);
-    if (found == running.end())
+    const auto found = exchangeIds.find(&connection);
+    if (found == exchangeIds.end())
         return;
     const exchange_id number = found->second;
-    running.erase(found);
-    const auto left = waiting.extract(number);
-    if (!left.empty() && left.mapped().route->onGone)
-        left.mapped().route->onGone(number);
+    exchangeIds.erase(found);
+    const auto left = exchanges.extract(number);
+    if (!left.empty() && left.mapped().route->onDisconnect)
+        left.mapped().route->onDisconnect(number);
 }
 
 void http_server::implementation::closed(http_connection& connection)
 {
-    running.erase(&connection);
+    exchangeIds.erase(&connection);
     connections.erase(&connection);
     if (connections.empty() && onEmpty)
         hooks.schedule(duration::zero(), std::exchange(onEmpty, nullptr));
 }
 
-void http_server::implementation::closeWhere(const std::function<bool(const http_connection&)>& fits)
+void http_server::implementation::closeIf(const std::function<bool(const http_connection&)>& matches)
 {
     std::vector<std::shared_ptr<http_connection>> open;
     for (const auto& [key, connection] : connections) {
-        if (fits(*connection))
+        if (matches(*connection))
             open.push_back(connection);
     }
     for (const auto& connection : open)
@@ -216,11 +216,11 @@
 
 void http_server::respond(exchange_id exchange, const http_answer& answer)
 {
-    const auto answered = m_parts->waiting.extract(exchange);
+    const auto answered = m_parts->exchanges.extract(exchange);
     if (answered.empty())
         return;
     http_connection& connection = *answered.mapped().connection;
-    m_parts->running.erase(&connection);
+    m_parts->exchangeIds.erase(&connection);
     connection.answer(answer, m_parts->closing);
 }
 
@@ -240,18 +240,18 @@
 
 void http_server::closeUnfinished()
 {
-    m_parts->closeWhere([](const http_connection& connection) { return !connection.isRunning(); });
+    m_parts->closeIf([](const http_connection& connection) { return !connection.isAwaitingAnswer(); });
 }
 
 void http_server::stopListening()
 {
     m_parts->stopListening();
-    m_parts->closeWhere([](const http_connection& connection) { return !connection.isBusy(); });
+    m_parts->closeIf([](const http_connection& connection) { return !connection.isBusy(); });
 }
 
 network_address http_server::address() const { return m_parts->address; }
 
-std::size_t http_server::inFlight() const { return m_parts->waiting.size(); }
+std::size_t http_server::inFlight() const { return m_parts->exchanges.size(); }
 
 std::size_t http_server::connections() const { return m_parts->connections.size(); }
 
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The HTTP server of a VM: it receives whole requests, hands them to routes, and writes encoded answers.
+ * The HTTP server of a VM. It receives requests, dispatches complete ones to routes and writes encoded answers.
  */
 
 #include <cstdint>
@@ -21,36 +21,36 @@
 
 namespace plantainlatch {
 
-/** One request that waits for its answer; unique within a server. */
+/** Identifies a request that is not answered yet; unique within a server. */
 using exchange_id = strong_number<struct http_exchange_tag>;
 
-/** Who answers the requests of one path prefix. */
+/** The handler of requests whose path begins with a prefix. */
 struct http_route {
     std::string prefix;
     std::function<void(exchange_id, const http_request_view&)> onRequest;
-    /** The caller left before its answer; may be empty. */
-    std::function<void(exchange_id)> onGone;
+    /** Called if the caller disconnects before its answer; may be empty. */
+    std::function<void(exchange_id)> onDisconnect;
 };
 
-/** Bounds of the server. */
 struct http_server_options {
     caller_limits limits;
     std::size_t maximumConnections = 10'000;
-    /** A request must arrive, and an answer be taken, within this time of silence. */
+    /** A connection is closed if for this time no byte of the next request arrives, or the caller takes no byte of an
+     * answer. */
     duration idleTimeout = std::chrono::seconds(60);
-    /** At a stop, how long a request that has begun to arrive may take to arrive as a whole. */
+    /** During a stop, connections whose request is still incomplete after this time are closed. */
     duration unfinishedGrace = std::chrono::seconds(5);
-    /** The name under which it is published. */
+    /** The name under which the server is published. */
     std::string name = "http_server";
 };
 
-/** Receives requests; published as "http_server" or under the name of its options. Malformed and oversized requests are
- * answered here. */
+/** Published as "http_server" or under the name in its options. Malformed and oversized requests are answered by the
+ * server itself. */
 class http_server {
 public:
     static constexpr const char* serviceName = "http_server";
 
-    /** Fails when the address can't be bound. */
+    /** Unavailable if the address can't be bound. */
     static absl::StatusOr<std::unique_ptr<http_server>> create(
         event_base* base, const kernel_hooks& hooks, const network_address& address, http_server_options options = {});
     ~http_server();
@@ -58,20 +58,20 @@
     /** The kernel service; the server must outlive the kernel. */
     service asService();
 
-    /** Adds a route; the longest prefix that fits a path wins. */
+    /** Adds a route; a request goes to the route with the longest matching prefix. */
     void addRoute(http_route route);
 
-    /** Answers a request; one whose caller has left is ignored. */
+    /** Answers a request; no effect if its caller has disconnected. */
     void respond(exchange_id exchange, const http_answer& answer);
 
-    /** From now on each answer ends its connection. */
+    /** From now on each answer closes its connection. */
     void closeAfterAnswers();
-    /** Accepts no further connections and closes those without a request. */
+    /** Stops accepting connections and closes the idle ones. */
     void stopListening();
 
-    /** Where it listens; a port given as 0 is the one that the operating system chose. */
+    /** The address it listens on, with the port that the operating system chose if 0 was given. */
     network_address address() const;
-    /** Requests that wait for their answers. */
+    /** The number of requests that are not answered yet. */
     std::size_t inFlight() const;
     std::size_t connections() const;
 
--- a/src/services/inspection_front.h
+++ b/src/services/inspection_front.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Metrics and the state dump on an address of their own, for VMs whose other servers speak a foreign interface.
+ * Serves metrics and the state dump on a separate address, for VMs whose other servers have externally defined
+ * interfaces.
  */
 
 #include <functional>
@@ -21,7 +22,7 @@
 
     static std::unique_ptr<inspection_front> create(std::function<state_dump()> dump);
 
-    /** The kernel service; it needs its server and "metrics". */
+    /** The kernel service; it depends on "inspection_server" and "metrics". */
     service asService();
 
 private:
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-    /** What waits for a reader that is slow. */
+    /** How much is buffered for a slow reader. */
     constexpr std::size_t bufferBytes = 256 * 1024;
-    /** Lines of one kind; the others are counted. */
+    /** The maximum number of lines of one kind in an interval; further ones are only counted. */
     constexpr std::uint64_t linesPerInterval = 400;
     constexpr duration limitInterval = std::chrono::seconds(1);
 
--- a/src/services/json_log.h
+++ b/src/services/json_log.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Log lines as JSON, one object a line, on a standard stream; they never block, and their number is bounded by kind.
+ * Writes log events as JSON, one object per line, to a standard stream. Logging never blocks, and the rate of each kind
+ * of line is limited.
  */
 
 #include <functional>
@@ -13,11 +14,11 @@
 
 namespace plantainlatch {
 
-/** The standard stream that takes the lines. */
+/** The standard stream that lines are written to. */
 enum class log_stream { Output, Error };
 
-/** A log hook that writes lines of at least this level (`debug`, `info`, `warning`, `error`), each with the VM's name.
- * All events are counted in `statistics`. */
+/** Creates a log hook that writes events of at least `lowestLevel` (`debug`, `info`, `warning`, `error`) with the name
+ * of the VM. Events of all levels are counted in `statistics`. */
 std::function<void(const log_event&)> jsonLog(const std::string& vmName, const std::string& lowestLevel,
     log_stream to = log_stream::Output,
     std::shared_ptr<log_statistics> statistics = std::make_shared<log_statistics>());
--- a/src/services/line_limiter.cpp
+++ b/src/services/line_limiter.cpp
@@ -4,8 +4,8 @@
 
 namespace plantainlatch {
 
-line_limiter::line_limiter(std::uint64_t most, duration interval)
-    : m_most(most)
+line_limiter::line_limiter(std::uint64_t maximum, duration interval)
+    : m_maximum(maximum)
     , m_interval(interval)
 {
 }
@@ -17,7 +17,7 @@
         seen.begin = now;
         seen.passed = 0;
     }
-    if (seen.passed >= m_most) {
+    if (seen.passed >= m_maximum) {
         ++seen.leftOut;
         return {};
     }
--- a/src/services/line_limiter.h
+++ b/src/services/line_limiter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Bounds how many log lines of one kind are written in a while.
+ * Limits the rate of log lines by kind.
  */
 
 #include <cstdint>
@@ -12,15 +12,14 @@
 
 namespace plantainlatch {
 
-/** Lets so many lines of each kind through in each interval and counts the others. */
+/** Passes at most `maximum` lines of each kind in an interval and counts the lines that it suppresses. */
 class line_limiter {
 public:
-    line_limiter(std::uint64_t most, duration interval);
+    line_limiter(std::uint64_t maximum, duration interval);
 
-    /** What becomes of a line. */
     struct verdict {
         bool passes = false;
-        /** Lines of this kind left out before this one; told once. */
+        /** The number of lines of this kind that were suppressed since the last one that passed. */
         std::uint64_t leftOut = 0;
     };
     verdict check(const std::string& kind, time_point now);
@@ -32,7 +31,7 @@
         std::uint64_t leftOut = 0;
     };
 
-    std::uint64_t m_most;
+    std::uint64_t m_maximum;
     duration m_interval;
     absl::flat_hash_map<std::string, counts> m_kinds;
 };
--- a/src/services/lingering_close.cpp
+++ b/src/services/lingering_close.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr duration longestLinger = std::chrono::milliseconds(500);
+    constexpr duration maximumLinger = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -30,7 +30,7 @@
     bufferevent_setcb(channel, dropInput, nullptr, ended, this);
     bufferevent_set_timeouts(channel, nullptr, nullptr);
     bufferevent_enable(channel, EV_READ);
-    m_channels[channel] = m_hooks.schedule(longestLinger, [this, channel] { free(channel); });
+    m_channels[channel] = m_hooks.schedule(maximumLinger, [this, channel] { free(channel); });
     dropInput(channel, this);
 }
 
--- a/src/services/lingering_close.h
+++ b/src/services/lingering_close.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Closes connections so that what was sent last can still be read at the other end.
+ * Closes TCP connections in a way that lets the peer still read the last answer.
  */
 
 #include <map>
@@ -12,8 +12,8 @@
 
 namespace plantainlatch {
 
-/** Closes the sending side at once and drops what still arrives until the other end closes too, or a time has passed: a
- * socket that is closed with unread bytes is reset, and the reset can overtake the last answer. */
+/** Closes the sending side at once, and discards input until the peer closes too or a time-out of 500 ms has passed.
+ * Closing a socket that has unread input would reset the connection, and the reset can overtake the last answer. */
 class lingering_close {
 public:
     explicit lingering_close(const kernel_hooks& hooks);
@@ -21,7 +21,7 @@
     lingering_close(const lingering_close&) = delete;
     lingering_close& operator=(const lingering_close&) = delete;
 
-    /** Takes over a channel whose output was written. */
+    /** Takes ownership of a channel whose output has been written. */
     void add(bufferevent* channel);
 
 private:
--- a/src/services/log_statistics.cpp
+++ b/src/services/log_statistics.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    /** Kinds beyond this many are counted as one without a detail. */
-    constexpr std::size_t largestKinds = 512;
-    /** The fields that tell how an event ended; the first one that an event has counts. */
+    /** Bounds the number of kinds; once it is reached, events of new kinds are counted without their detail. */
+    constexpr std::size_t maximumKinds = 512;
+    /** The fields that can be the detail of an event, in order of preference. */
     constexpr const char* detailFields[] = { "failure", "reason", "end" };
 
     std::string detailOf(const log_event& event)
@@ -28,7 +28,7 @@
 void log_statistics::note(const log_event& event)
 {
     event_kind kind { event.service, event.what, detailOf(event) };
-    if (m_events.size() >= largestKinds && !m_events.contains(kind))
+    if (m_events.size() >= maximumKinds && !m_events.contains(kind))
         kind.detail.clear();
     ++m_events[std::move(kind)];
 }
--- a/src/services/log_statistics.h
+++ b/src/services/log_statistics.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * How often each kind of decision was logged, whether or not its line was written.
+ * Counts log events by kind, whether or not their lines were written.
  */
 
 #include <cstdint>
@@ -12,22 +12,22 @@
 
 namespace plantainlatch {
 
-/** Counts events by kind; the lines that a limit or a slow reader cost are counted too. */
+/** Also counts the lines that were not written, because of the rate limit or a slow reader. */
 class log_statistics {
 public:
-    /** What is counted together. */
+    /** Events that agree in all of these are counted together. */
     struct event_kind {
         std::string service;
         std::string what;
-        /** How it ended or why, for events that tell. */
+        /** The failure, reason or end of the event; empty if the event has none of these fields. */
         std::string detail;
         friend auto operator<=>(const event_kind&, const event_kind&) = default;
     };
 
     void note(const log_event& event);
-    /** A line was not written, as its kind had reached its limit. */
+    /** Counts a line that was suppressed by the rate limit of its kind. */
     void noteLeftOut() { ++m_leftOut; }
-    /** So many lines were lost so far, as nobody read them. */
+    /** Sets the total number of lines that were dropped because the reader was too slow. */
     void setLost(std::uint64_t lines) { m_lost = lines; }
 
     const std::map<event_kind, std::uint64_t>& events() const { return m_events; }
--- a/src/services/metrics.cpp
+++ b/src/services/metrics.cpp
@@ -18,11 +18,11 @@
     using latency_axis = histogram::axis::variable<double, histogram::use_default, histogram::axis::option::overflow_t>;
     using latency_histogram = histogram::histogram<std::tuple<latency_axis>>;
 
-    /** Names of routes and services. */
-    constexpr std::size_t largestNames = 512;
-    constexpr const char* otherNames = "other";
+    /** The maximum number of names of routes and services together, which bounds the number of series. */
+    constexpr std::size_t maximumNames = 512;
+    constexpr const char* otherName = "other";
 
-    /** Where the buckets of latencies end, in seconds; the first begins at 0. */
+    /** Upper bounds of the latency buckets, in seconds. */
     constexpr std::array<double, 16> bucketEnds { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
         10, 30, 60 };
 
@@ -33,14 +33,14 @@
         return latency_histogram(latency_axis(edges));
     }
 
-    /** The answers of one kind to the callers of one service. */
+    /** The latencies of the answers with one series_key. */
     struct answer_series {
         latency_histogram latencies = makeLatencyHistogram();
         double secondsTotal = 0;
         std::uint64_t count = 0;
     };
 
-    /** Which answers are counted together. */
+    /** Answers that agree in all of these are counted together. */
     struct series_key {
         std::string route;
         std::string service;
@@ -109,15 +109,15 @@
     std::set<std::string> names;
     std::vector<metric_family> families;
     std::uint64_t lookups = 0;
-    std::uint64_t hangUps = 0;
+    std::uint64_t disconnects = 0;
 
     const std::string& boundedName(const std::string& name)
     {
-        static const std::string other = otherNames;
+        static const std::string other = otherName;
         const auto found = names.find(name);
         if (found != names.end())
             return *found;
-        return names.size() < largestNames ? *names.insert(name).first : other;
+        return names.size() < maximumNames ? *names.insert(name).first : other;
     }
 };
 
@@ -145,7 +145,7 @@
 {
     const bool known = reason != answer_reason::UnknownService && reason != answer_reason::UnknownRoute;
     const std::string& route = m_parts->boundedName(source.route.value());
-    const std::string& name = m_parts->boundedName(known ? source.service.value() : otherNames);
+    const std::string& name = m_parts->boundedName(known ? source.service.value() : otherName);
     answer_series& series = m_parts->answers[{ route, name, result, reason }];
     const double seconds = std::chrono::duration<double>(latency).count();
     series.latencies(seconds);
@@ -153,7 +153,7 @@
     ++series.count;
 }
 
-void metrics::recordHangUp() { ++m_parts->hangUps; }
+void metrics::recordDisconnect() { ++m_parts->disconnects; }
 
 void metrics::recordLookup() { ++m_parts->lookups; }
 
@@ -170,7 +170,7 @@
 {
     std::string text;
     addSample(text, "plantainlatch_lookups_total", "Answered look-ups of entries.", m_parts->lookups);
-    addSample(text, "plantainlatch_hang_ups_total", "Callers that left before their answer.", m_parts->hangUps);
+    addSample(text, "plantainlatch_hang_ups_total", "Callers that left before their answer.", m_parts->disconnects);
     for (const metric_family& family : m_parts->families)
         addSamples(text, family);
     addHeader(text, "plantainlatch_answer_seconds", "Time from a whole request to its answer.", "histogram");
--- a/src/services/metrics.h
+++ b/src/services/metrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Counters and latencies of this VM, in the text exposition format.
+ * Counters, gauges and latency histograms of this VM, in the Prometheus text exposition format.
  */
 
 #include <functional>
@@ -18,13 +18,13 @@
 
 namespace plantainlatch {
 
-/** One value of a family and what tells it from the others. */
+/** One value of a family, with its labels. */
 struct metric_sample {
     std::vector<std::pair<std::string, std::string>> labels;
     double value = 0;
 };
 
-/** Values of one name that are read when the metrics are. */
+/** Samples with a common name; `read` is called at each exposition. */
 struct metric_family {
     std::string name;
     std::string help;
@@ -33,14 +33,14 @@
     std::function<std::vector<metric_sample>()> read;
 };
 
-/** What the answers that are counted together have in common. */
+/** The route and service that an answer is counted for. */
 struct answer_source {
-    /** Empty where no route selects. */
+    /** Empty if the service was not selected by a route. */
     route_id route;
     service_id service;
 };
 
-/** Collects what the front ends see; published as "metrics". */
+/** Collects the metrics of the front ends and the registered families; published as "metrics". */
 class metrics {
 public:
     static constexpr const char* serviceName = "metrics";
@@ -51,20 +51,19 @@
     /** The kernel service; the metrics must outlive the kernel. */
     service asService();
 
-    /** Counts one answer to a caller and its latency. Routes and services beyond a bound are counted together as
-     * "other".
-     */
+    /** Counts an answer to a caller and its latency. Beyond a limit on the number of names, further routes and services
+     * are counted together as "other". */
     void recordAnswer(const answer_source& source, outcome result, answer_reason reason, duration latency);
-    /** Counts one caller that left before its answer. */
-    void recordHangUp();
-    /** Counts one answered look-up of entries. */
+    /** Counts a caller that disconnected before its answer. */
+    void recordDisconnect();
+    /** Counts an answered look-up of entries. */
     void recordLookup();
 
     void addFamily(metric_family family);
     /** Adds a family of a single value. */
     void addGauge(std::string name, std::string help, std::function<double()> read);
 
-    /** Everything as text, one sample a line. */
+    /** All metrics as text, one sample per line. */
     std::string exposition() const;
 
 private:
--- a/src/services/operator_client.cpp
+++ b/src/services/operator_client.cpp
@@ -15,7 +15,7 @@
     {
         switch (failure) {
         case call_failure::ConnectFailed:
-            return "can't be connected to";
+            return "could not be connected to";
         case call_failure::ConnectionLimit:
             return "has too many connections";
         case call_failure::Lost:
@@ -23,7 +23,7 @@
         case call_failure::Timeout:
             return "did not answer in time";
         case call_failure::Malformed:
-            return "gave no valid answer";
+            return "gave an invalid answer";
         }
         return "failed";
     }
--- a/src/services/operator_client.h
+++ b/src/services/operator_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Asks the system what an operator wants, through any entry that answers.
+ * A blocking client that sends an operator's requests to the first entry that is available.
  */
 
 #include <memory>
@@ -17,7 +17,7 @@
 
 namespace plantainlatch {
 
-/** One request of an operator; asking it twice must be the same as asking it once. */
+/** A request of an operator. It must be idempotent, as it may be sent to several entries. */
 struct operator_request {
     std::string method;
     std::string target;
@@ -25,22 +25,22 @@
     std::string body = {};
 };
 
-/** The answer, and who gave it. */
+/** The answer, and the entry that gave it. */
 struct operator_answer {
     int status = 0;
     std::string body;
     network_address entry;
 };
 
-/** Sends requests and waits for their answers, on a loop of its own. */
+/** Sends one request at a time and blocks until it is answered; has its own event loop. */
 class operator_client {
 public:
-    /** `timeout` is for each entry that is tried. */
+    /** `timeout` applies to each entry that is tried. */
     static absl::StatusOr<std::unique_ptr<operator_client>> create(
         std::vector<network_address> entries, duration timeout);
 
-    /** The first answer that is not 502, 503 or 504, from the entries in turn. Unavailable when there was none: then
-     * the message tells each entry's failure, and the request may or may not have been carried out. */
+    /** Tries the entries in order until one answers with a status other than 502, 503 and 504. Unavailable if none
+     * does: the message then lists the failure of each entry, and the request may or may not have been executed. */
     absl::StatusOr<operator_answer> ask(const operator_request& request);
 
 private:
--- a/src/services/operator_front.cpp
+++ b/src/services/operator_front.cpp
@@ -16,7 +16,7 @@
     constexpr int statusOk = 200;
     constexpr int statusMethodNotAllowed = 405;
     constexpr const char* fileNameField = "X-File-Name";
-    const std::string backToField = "back_to=";
+    const std::string backToParameter = "back_to=";
     constexpr const char* metricsType = "text/plain; version=0.0.4";
 
     std::string fileNameOf(const http_request_view& request)
@@ -139,7 +139,7 @@
         return;
     }
     std::uint64_t number = 0;
-    if (!absl::StartsWith(query, backToField) || !absl::SimpleAtoi(query.substr(backToField.size()), &number)) {
+    if (!absl::StartsWith(query, backToParameter) || !absl::SimpleAtoi(query.substr(backToParameter.size()), &number)) {
         m_server->respond(exchange, encodeStatus(absl::InvalidArgumentError("back_to=NUMBER is expected")));
         return;
     }
--- a/src/services/operator_front.h
+++ b/src/services/operator_front.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The front end for operators: declarations, drains, and what the system shows of itself.
+ * The HTTP front end for operators: declarations, drains, status, the state dump and metrics.
  */
 
 #include <functional>
@@ -18,17 +18,17 @@
 
 /** Translates `/v1/declarations`, `/v1/plan`, `/v1/drains`, `/v1/history`, `/v1/status`, `/v1/dump` and `/metrics`.
  *
- * A declaration is the YAML text as written; an X-File-Name field names its file in findings. */
+ * A declaration is sent as its YAML text; the header field X-File-Name gives the file name that findings refer to. */
 class operator_front {
 public:
-    /** `dump` shows the state of all services. */
+    /** `dump` returns the state dump of all services. */
     static std::unique_ptr<operator_front> create(std::function<state_dump()> dump);
 
-    /** The kernel service; it needs "http_server", "operators" and "metrics". */
+    /** The kernel service; it depends on "http_server", "operators" and "metrics". */
     service asService();
 
 private:
-    /** Answers one method of one path. */
+    /** Answers requests with one method and path. */
     using handler = std::function<void(exchange_id, const http_request_view&)>;
 
     explicit operator_front(std::function<state_dump()> dump);
--- a/src/services/peer_receiver.cpp
+++ b/src/services/peer_receiver.cpp
@@ -14,8 +14,8 @@
     frame_stream_events streamEvents;
     streamEvents.onFrame = [raw](const std::string& payload) { raw->receive(payload); };
     streamEvents.onClosed = [raw](const absl::Status& why) { raw->fail(why); };
-    receiver->m_stream = frame_stream::accept(loop, socket, largestHandshakeBytes, std::move(streamEvents));
-    receiver->watchSilence(options.handshakeTimeout);
+    receiver->m_stream = frame_stream::accept(loop, socket, maximumHandshakeBytes, std::move(streamEvents));
+    receiver->restartSilenceTimer(options.handshakeTimeout);
     return receiver;
 }
 
@@ -32,10 +32,11 @@
 
 peer_receiver::~peer_receiver() { m_hooks.cancel(m_timer); }
 
-void peer_receiver::watchSilence(duration timeout)
+void peer_receiver::restartSilenceTimer(duration timeout)
 {
     m_hooks.cancel(m_timer);
-    m_timer = m_hooks.schedule(timeout, [this] { fail(absl::DeadlineExceededError("the connection went silent")); });
+    m_timer = m_hooks.schedule(timeout,
+        [this] { fail(absl::DeadlineExceededError("nothing was received on the connection within the time-out")); });
 }
 
 void peer_receiver::fail(const absl::Status& why)
@@ -52,20 +53,20 @@
     if (m_failed)
         return;
     if (!m_hello)
-        greeted(payload);
-    else if (!m_seal)
-        proved(payload);
+        handleHello(payload);
+    else if (!m_incoming)
+        handleProof(payload);
     else
-        opened(payload);
+        handleFrame(payload);
 }
 
-void peer_receiver::greeted(const std::string& payload)
+void peer_receiver::handleHello(const std::string& payload)
 {
     absl::StatusOr<peer_hello> hello = msgpack_codec::decode<peer_hello>(payload);
     const bool acceptable
         = hello.ok() && hello->version == peerProtocolVersion && hello->to == m_self && m_mayJoin(hello->from);
     if (!acceptable) {
-        fail(absl::UnauthenticatedError("the greeting is none of a known VM to this one in this protocol version"));
+        fail(absl::UnauthenticatedError("the hello is not from a known VM to this VM in this protocol version"));
         return;
     }
     m_hello = std::move(*hello);
@@ -74,30 +75,30 @@
         peer_challenge { m_nonce, handshakeProof(m_key, handshake_role::Accepting, *m_hello, m_nonce) }));
 }
 
-void peer_receiver::proved(const std::string& payload)
+void peer_receiver::handleProof(const std::string& payload)
 {
     const absl::StatusOr<peer_proof> proof = msgpack_codec::decode<peer_proof>(payload);
     if (!proof.ok()
         || !equalInConstantTime(proof->proof, handshakeProof(m_key, handshake_role::Connecting, *m_hello, m_nonce))) {
-        fail(absl::UnauthenticatedError("the other side does not prove that it has the shared key"));
+        fail(absl::UnauthenticatedError("the peer did not prove that it has the shared key"));
         return;
     }
-    m_seal.emplace(m_key, handshake_role::Connecting, *m_hello, m_nonce);
-    m_answers.emplace(m_key, handshake_role::Accepting, *m_hello, m_nonce);
-    m_stream->setLargestPayload(m_options.largestFrame);
-    watchSilence(m_options.silenceTimeout);
+    m_incoming.emplace(m_key, handshake_role::Connecting, *m_hello, m_nonce);
+    m_outgoing.emplace(m_key, handshake_role::Accepting, *m_hello, m_nonce);
+    m_stream->setLargestPayload(m_options.maximumFrame);
+    restartSilenceTimer(m_options.silenceTimeout);
 }
 
-void peer_receiver::opened(const std::string& payload)
+void peer_receiver::handleFrame(const std::string& payload)
 {
-    const absl::StatusOr<std::string> frame = m_seal->open(payload);
+    const absl::StatusOr<std::string> frame = m_incoming->open(payload);
     if (!frame.ok() || frame->empty()) {
-        fail(frame.ok() ? absl::InvalidArgumentError("an empty frame") : frame.status());
+        fail(frame.ok() ? absl::InvalidArgumentError("the frame is empty") : frame.status());
         return;
     }
-    watchSilence(m_options.silenceTimeout);
+    restartSilenceTimer(m_options.silenceTimeout);
     if (frame->front() == static_cast<char>(peer_frame_kind::Ping)) {
-        m_stream->send(m_answers->seal(*frame));
+        m_stream->send(m_outgoing->seal(*frame));
         return;
     }
     m_events.onMessage(m_hello->from, frame->substr(1));
--- a/src/services/peer_receiver.h
+++ b/src/services/peer_receiver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One connection on which another VM sends to this one.
+ * The accepting side of a connection between VMs, which carries messages from another VM to this one.
  */
 
 #include <functional>
@@ -18,13 +18,15 @@
 
 namespace plantainlatch {
 
-/** What a receiver tells its owner; the receiver may be destroyed within onClosed. */
+/** Callbacks to the owner. onClosed is called at most once and is the last one; the receiver is not to be destroyed
+ * within it. */
 struct peer_receiver_events {
     std::function<void(const vm_id& from, const std::string& encoded)> onMessage;
     std::function<void(const absl::Status& why)> onClosed;
 };
 
-/** Authenticates the other side and takes its frames; an unauthenticated peer causes no event but onClosed. */
+/** Authenticates the peer, checks its frames and answers its pings. A peer that is not authenticated causes no event
+ * but onClosed. */
 class peer_receiver {
 public:
     static std::unique_ptr<peer_receiver> create(event_loop& loop, const kernel_hooks& hooks, int socket,
@@ -37,10 +39,10 @@
         const shared_key& key, const peer_transport_options& options, peer_receiver_events events);
 
     void receive(const std::string& payload);
-    void greeted(const std::string& payload);
-    void proved(const std::string& payload);
-    void opened(const std::string& payload);
-    void watchSilence(duration timeout);
+    void handleHello(const std::string& payload);
+    void handleProof(const std::string& payload);
+    void handleFrame(const std::string& payload);
+    void restartSilenceTimer(duration timeout);
     void fail(const absl::Status& why);
 
     const kernel_hooks& m_hooks;
@@ -52,8 +54,8 @@
     std::unique_ptr<frame_stream> m_stream;
     std::optional<peer_hello> m_hello;
     std::string m_nonce;
-    std::optional<frame_seal> m_seal;
-    std::optional<frame_seal> m_answers;
+    std::optional<frame_seal> m_incoming;
+    std::optional<frame_seal> m_outgoing;
     timer_id m_timer;
     bool m_failed = false;
 };
--- a/src/services/peer_sender.cpp
+++ b/src/services/peer_sender.cpp
@@ -22,7 +22,7 @@
     , m_peer(std::move(peer))
     , m_key(key)
     , m_options(options)
-    , m_reconnect(options.shortestReconnect)
+    , m_reconnectDelay(options.minimumReconnectDelay)
 {
 }
 
@@ -30,13 +30,13 @@
 
 void peer_sender::send(const std::string& encoded)
 {
-    if (!m_seal || m_stream->backlog() > m_options.largestBacklog) {
+    if (!m_outgoing || m_stream->backlog() > m_options.maximumBacklog) {
         ++m_dropped;
         return;
     }
     std::string payload(1, static_cast<char>(peer_frame_kind::Message));
     payload += encoded;
-    m_stream->send(m_seal->seal(payload));
+    m_stream->send(m_outgoing->seal(payload));
 }
 
 void peer_sender::setTimer(duration delay, void (peer_sender::*fire)())
@@ -48,11 +48,11 @@
 void peer_sender::connect()
 {
     frame_stream_events events;
-    events.onConnected = [this] { greet(); };
+    events.onConnected = [this] { sendHello(); };
     events.onFrame = [this](const std::string& payload) { receive(payload); };
     events.onClosed = [this](const absl::Status& why) { disconnected(why); };
     absl::StatusOr<std::unique_ptr<frame_stream>> stream
-        = frame_stream::connect(m_loop, m_peer.peerAddress, largestHandshakeBytes, std::move(events));
+        = frame_stream::connect(m_loop, m_peer.peerAddress, maximumHandshakeBytes, std::move(events));
     if (!stream.ok()) {
         disconnected(stream.status());
         return;
@@ -61,22 +61,25 @@
     setTimer(m_options.handshakeTimeout, &peer_sender::checkHandshake);
 }
 
-void peer_sender::checkHandshake() { disconnected(absl::DeadlineExceededError("no answer to the handshake")); }
+void peer_sender::checkHandshake()
+{
+    disconnected(absl::DeadlineExceededError("the handshake did not finish within its time-out"));
+}
 
 void peer_sender::disconnected(const absl::Status& why)
 {
     m_stream.reset();
-    m_seal.reset();
-    m_answers.reset();
+    m_outgoing.reset();
+    m_incoming.reset();
     if (!m_reported)
         m_hooks.log({ log_level::Warning, "peers", "no connection to a VM",
             { { "to", m_peer.id.value() }, { "why", std::string(why.message()) } } });
     m_reported = true;
-    setTimer(m_reconnect, &peer_sender::connect);
-    m_reconnect = std::min(m_reconnect * 2, m_options.longestReconnect);
+    setTimer(m_reconnectDelay, &peer_sender::connect);
+    m_reconnectDelay = std::min(m_reconnectDelay * 2, m_options.maximumReconnectDelay);
 }
 
-void peer_sender::greet()
+void peer_sender::sendHello()
 {
     m_hello = peer_hello { peerProtocolVersion, m_self, m_peer.id, randomNonce() };
     m_stream->send(msgpack_codec::encode(m_hello));
@@ -84,11 +87,11 @@
 
 void peer_sender::receive(const std::string& payload)
 {
-    if (!m_seal) {
-        challenged(payload);
+    if (!m_outgoing) {
+        handleChallenge(payload);
         return;
     }
-    const absl::StatusOr<std::string> answer = m_answers->open(payload);
+    const absl::StatusOr<std::string> answer = m_incoming->open(payload);
     if (!answer.ok()) {
         disconnected(answer.status());
         return;
@@ -96,21 +99,21 @@
     m_lastAnswer = m_hooks.now();
 }
 
-void peer_sender::challenged(const std::string& payload)
+void peer_sender::handleChallenge(const std::string& payload)
 {
     const absl::StatusOr<peer_challenge> challenge = msgpack_codec::decode<peer_challenge>(payload);
     if (!challenge.ok()
         || !equalInConstantTime(
             challenge->proof, handshakeProof(m_key, handshake_role::Accepting, m_hello, challenge->nonce))) {
-        disconnected(absl::UnauthenticatedError("the other side does not prove that it has the shared key"));
+        disconnected(absl::UnauthenticatedError("the peer did not prove that it has the shared key"));
         return;
     }
     m_stream->send(msgpack_codec::encode(
         peer_proof { handshakeProof(m_key, handshake_role::Connecting, m_hello, challenge->nonce) }));
-    m_seal.emplace(m_key, handshake_role::Connecting, m_hello, challenge->nonce);
-    m_answers.emplace(m_key, handshake_role::Accepting, m_hello, challenge->nonce);
+    m_outgoing.emplace(m_key, handshake_role::Connecting, m_hello, challenge->nonce);
+    m_incoming.emplace(m_key, handshake_role::Accepting, m_hello, challenge->nonce);
     m_lastAnswer = m_hooks.now();
-    m_reconnect = m_options.shortestReconnect;
+    m_reconnectDelay = m_options.minimumReconnectDelay;
     m_reported = false;
     m_hooks.log({ log_level::Info, "peers", "connected to a VM", { { "to", m_peer.id.value() } } });
     setTimer(m_options.pingInterval, &peer_sender::ping);
@@ -119,10 +122,10 @@
 void peer_sender::ping()
 {
     if (m_hooks.now() - m_lastAnswer > m_options.silenceTimeout) {
-        disconnected(absl::DeadlineExceededError("the connection went silent"));
+        disconnected(absl::DeadlineExceededError("no ping was answered within the time-out"));
         return;
     }
-    m_stream->send(m_seal->seal(std::string(1, static_cast<char>(peer_frame_kind::Ping))));
+    m_stream->send(m_outgoing->seal(std::string(1, static_cast<char>(peer_frame_kind::Ping))));
     setTimer(m_options.pingInterval, &peer_sender::ping);
 }
 
--- a/src/services/peer_sender.h
+++ b/src/services/peer_sender.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The connection on which this VM sends to one other VM; it authenticates, reconnects and notices silence by itself.
+ * The connecting side of a connection between VMs, which carries messages from this VM to one other VM. It
+ * authenticates, reconnects with exponential backoff, and detects a dead connection by pings.
  */
 
 #include <memory>
@@ -17,28 +18,26 @@
 
 namespace plantainlatch {
 
-/** The first byte of each sealed payload between VMs. */
+/** The first byte of each authenticated payload between VMs. */
 enum class peer_frame_kind : char {
     Ping = 'p',
     Message = 'm',
 };
 
-/** The version of the protocol between VMs. */
 inline constexpr std::uint32_t peerProtocolVersion = 1;
-/** The largest frame before a peer is authenticated. */
-inline constexpr std::size_t largestHandshakeBytes = 1024;
+/** The maximum payload of a frame in bytes before the peer is authenticated. */
+inline constexpr std::size_t maximumHandshakeBytes = 1024;
 
-/** Sends to one VM. */
 class peer_sender {
 public:
     static std::unique_ptr<peer_sender> create(event_loop& loop, const kernel_hooks& hooks, const vm_id& self,
         const vm_record& peer, const shared_key& key, const peer_transport_options& options);
     ~peer_sender();
 
-    /** Sends an encoded message, or drops it while there is no authenticated connection and the backlog is full. */
+    /** Sends an encoded message. It is dropped if there is no authenticated connection or if the backlog is full. */
     void send(const std::string& encoded);
 
-    bool connected() const { return m_seal.has_value(); }
+    bool connected() const { return m_outgoing.has_value(); }
     std::uint64_t dropped() const { return m_dropped; }
 
 private:
@@ -47,9 +46,9 @@
 
     void connect();
     void disconnected(const absl::Status& why);
-    void greet();
+    void sendHello();
     void receive(const std::string& payload);
-    void challenged(const std::string& payload);
+    void handleChallenge(const std::string& payload);
     void ping();
     void setTimer(duration delay, void (peer_sender::*fire)());
     void checkHandshake();
@@ -63,11 +62,11 @@
 
     std::unique_ptr<frame_stream> m_stream;
     peer_hello m_hello;
-    std::optional<frame_seal> m_seal;
-    std::optional<frame_seal> m_answers;
+    std::optional<frame_seal> m_outgoing;
+    std::optional<frame_seal> m_incoming;
     timer_id m_timer;
     time_point m_lastAnswer;
-    duration m_reconnect;
+    duration m_reconnectDelay;
     bool m_reported = false;
     std::uint64_t m_dropped = 0;
 };
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-    /** Unauthenticated connections beyond this many are closed at once. */
-    constexpr std::size_t largestReceivers = 4096;
+    /** The maximum number of accepted connections; further ones are closed at once. */
+    constexpr std::size_t maximumReceivers = 4096;
 
 } // namespace
 
@@ -85,7 +85,8 @@
             sender->send(encodePeerMessage(message));
     }
 
-    /** The connection to a VM; a VM that is not listed is reached by its name, which is its peer address. */
+    /** The connection to a VM; null if it is unknown. With seeded membership, a VM that is not in the settings is
+     * connected to by its id, which is its peer address. */
     peer_sender* senderTo(const vm_id& to)
     {
         const auto found = senders.find(to);
@@ -109,8 +110,8 @@
 
     void accepted(int socket)
     {
-        if (receivers.size() >= largestReceivers) {
-            frame_stream::accept(loop, socket, largestHandshakeBytes, {});
+        if (receivers.size() >= maximumReceivers) {
+            frame_stream::accept(loop, socket, maximumHandshakeBytes, {});
             return;
         }
         const std::uint64_t number = ++lastReceiver;
@@ -138,7 +139,7 @@
         if (absl::IsUnauthenticated(why))
             hooks.log({ log_level::Warning, "peers", "a connection was not authenticated",
                 { { "why", std::string(why.message()) } } });
-        // The receiver is on the stack of this call, so it goes in the next round of the loop.
+        // This is called by the receiver, so that it can be destroyed only in the next iteration of the event loop.
         hooks.schedule(duration::zero(), [this, number] { receivers.erase(number); });
     }
 
--- a/src/services/peer_transport.h
+++ b/src/services/peer_transport.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Messages between VMs over TCP: the service behind "peers".
+ * Transports messages between VMs over TCP; implements the service "peers".
  */
 
 #include <memory>
@@ -17,22 +17,23 @@
 
 namespace plantainlatch {
 
-/** How connections between VMs behave. */
 struct peer_transport_options {
     duration pingInterval = std::chrono::milliseconds(500);
-    /** A connection without an answer for so long is closed and opened anew. */
+    /** Without a ping answer for this time, the connection is closed and reconnected. */
     duration silenceTimeout = std::chrono::seconds(2);
     duration handshakeTimeout = std::chrono::seconds(3);
-    duration shortestReconnect = std::chrono::milliseconds(50);
-    duration longestReconnect = std::chrono::seconds(1);
-    std::size_t largestFrame = 64 * 1024 * 1024;
-    /** Messages to a VM are dropped while so many bytes wait for it. */
-    std::size_t largestBacklog = 80 * 1024 * 1024;
+    duration minimumReconnectDelay = std::chrono::milliseconds(50);
+    duration maximumReconnectDelay = std::chrono::seconds(1);
+    /** The maximum payload of a frame, in bytes. */
+    std::size_t maximumFrame = 64 * 1024 * 1024;
+    /** Messages to a VM are dropped while more bytes than this are waiting to be sent to it. */
+    std::size_t maximumBacklog = 80 * 1024 * 1024;
 };
 
 /**
- * One connection from each VM to each VM that it sends to. A lost connection loses what was under way; senders send
- * again. Messages to the VM itself come back through the loop.
+ * Each VM opens one connection to each VM that it sends to. Delivery is not guaranteed: messages in transit are lost
+ * with their connection, and the senders have to repeat them. Messages to the VM itself are delivered through the event
+ * loop.
  */
 class peer_transport {
 public:
@@ -40,7 +41,7 @@
         event_loop& loop, const kernel_hooks& hooks, const vm_settings& settings, peer_transport_options options = {});
     ~peer_transport();
 
-    /** The service "peers"; its start fails when the peer address is in use. */
+    /** The service "peers"; its start fails if the peer address is in use. */
     service asService();
 
 private:
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -73,7 +73,7 @@
     m_kernel->add(m_metrics->asService());
     m_kernel->add(m_announcements->asService());
     m_kernel->add(m_operators->asService());
-    // Started last, so that it is the first to stop and the others serve it until its last answer.
+    // Services stop in reverse order: the caller front end stops first, while all others still run.
     m_kernel->add(m_callers->asService());
 }
 
@@ -107,7 +107,7 @@
 
 void serve_vm::checkIdle() const
 {
-    internal_assert(m_server->inFlight() == 0) << m_server->inFlight() << " requests were cut off by the stop";
+    internal_assert(m_server->inFlight() == 0) << m_server->inFlight() << " requests were not answered before the stop";
 }
 
 void serve_vm::log(log_level level, const std::string& what) const { m_hooks.log({ level, "serve", what, {} }); }
--- a/src/services/serve_vm.h
+++ b/src/services/serve_vm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One VM of the system as a process: the decisions with the services that reach the world for them.
+ * One VM of the system as a process: the decision code together with the services that do its input and output.
  */
 
 #include <memory>
@@ -24,17 +24,17 @@
 
 namespace plantainlatch {
 
-/** All services of one VM on one loop. */
+/** All services of one VM on one event loop. */
 class serve_vm {
 public:
-    /** Fails when an address, the data folder or the shared key can't be used. The loop must outlive the VM. */
+    /** Fails if the caller address, the data folder or the shared key can't be used. The loop must outlive the VM. */
     static absl::StatusOr<std::unique_ptr<serve_vm>> create(event_loop& loop, const vm_settings& settings);
 
-    /** Starts all services and waits for SIGTERM or SIGINT, which begin a graceful stop that ends the loop's run. A
-     * second signal changes nothing. */
+    /** Starts all services and installs handlers for SIGTERM and SIGINT, which begin a graceful stop that ends the
+     * loop. A second signal has no effect. */
     absl::Status start();
 
-    /** Asserts that nothing was in flight when the loop ended. */
+    /** Asserts that no request was in flight when the loop ended. */
     void checkIdle() const;
 
 private:
@@ -50,7 +50,7 @@
     vm_settings m_settings;
     std::shared_ptr<log_statistics> m_logged;
     kernel_hooks m_hooks;
-    // The kernel is destroyed before the services that its hooks refer to.
+    // Order matters: the kernel is declared after the services, so that it is destroyed before those that it refers to.
     std::unique_ptr<file_storage> m_storage;
     std::unique_ptr<peer_transport> m_peers;
     std::unique_ptr<upstream_client> m_upstreams;
--- a/src/services/status_answer.h
+++ b/src/services/status_answer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Results of what upstreams and operators ask for, as answers.
+ * Encodes results of requests of upstreams and operators as HTTP answers.
  */
 
 #include <string>
@@ -13,14 +13,14 @@
 
 namespace plantainlatch {
 
-/** A failure as JSON: InvalidArgument is 400, PermissionDenied 403, NotFound 404, DeadlineExceeded 504, Unavailable 503
- * with Retry-After, everything else 500. */
+/** Encodes a failure as JSON: InvalidArgument is 400, PermissionDenied 403, NotFound 404, DeadlineExceeded 504,
+ * Unavailable 503 with Retry-After, everything else 500. */
 http_answer encodeStatus(const absl::Status& status);
 
-/** Findings as JSON, with status 400. */
+/** Encodes findings as JSON, with status 400. */
 http_answer encodeFindings(const std::string& message, const finding_list& findings);
 
-/** A command's result as JSON: accepted is 200, a conflict 409, a refusal 422. */
+/** Encodes the result of a command as JSON: accepted is 200, a conflict 409, a refusal 422. */
 http_answer encodeCommandResult(const command_result& result);
 
 } // namespace plantainlatch
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -20,9 +20,9 @@
 
 namespace {
 
-    /** Polls share the table of exchanges with calls; this bit keeps their numbers apart. */
+    /** Polls share the table of exchanges with calls; this bit distinguishes their keys. */
     constexpr std::uint64_t pollBit = std::uint64_t(1) << 63U;
-    /** Polls add few connections, which the upstream's limit is not meant for. */
+    /** The upstream's connection limit is for calls; polls add only few connections and must not be refused by it. */
     constexpr std::uint32_t pollConnectionLimit = 1U << 16U;
     constexpr int statusOk = 200;
 
@@ -63,8 +63,8 @@
         upstream_connection* connection = nullptr;
         timer_id timer;
         time_point deadline {};
-        /** The first byte must be offered by then. */
-        time_point offerBy {};
+        /** The call fails if it is not dispatched by then. */
+        time_point dispatchDeadline {};
         std::string name;
         call_failure failure = call_failure::Lost;
     };
@@ -74,17 +74,17 @@
         , options(clientOptions)
         , namePrefix(absl::StrCat(kernelHooks.random(), "-"))
         , connections(base, hooks, clientOptions.connections,
-              { [this](upstream_connection& connection) { firstByte(connection.exchange); } })
+              { [this](upstream_connection& connection) { beginDispatch(connection.exchange); } })
     {
     }
 
     void start(std::uint64_t key, upstream_call call, call_events events);
-    duration offerLimit(const upstream_call& call) const;
+    duration dispatchTimeoutOf(const upstream_call& call) const;
     evhttp_request* makeRequest(const exchange& item);
-    void firstByte(std::uint64_t key);
+    void beginDispatch(std::uint64_t key);
     void requestDone(upstream_connection& connection, evhttp_request* request);
     void requestFailed(upstream_connection& connection, evhttp_request_error error);
-    void timeUp(std::uint64_t key);
+    void timedOut(std::uint64_t key);
     void fail(std::uint64_t key, call_failure failure);
     void refuse(call_events events, call_failure failure);
     exchange remove(std::uint64_t key);
@@ -121,17 +121,17 @@
     item.name = options.dialect.nameOf(item.call, absl::StrCat(namePrefix, key));
     connection->exchange = key;
     exchanges.emplace(key, std::move(added));
-    const duration dispatchTimeout = offerLimit(item.call);
-    item.offerBy = hooks.now() + dispatchTimeout;
-    item.timer = hooks.schedule(dispatchTimeout, [this, key] { timeUp(key); });
-    // From here on the exchange may end at any time.
+    const duration dispatchTimeout = dispatchTimeoutOf(item.call);
+    item.dispatchDeadline = hooks.now() + dispatchTimeout;
+    item.timer = hooks.schedule(dispatchTimeout, [this, key] { timedOut(key); });
+    // evhttp_make_request may end the exchange, so `item` must not be used after it.
     const std::string target = item.call.target;
     evhttp_request* request = makeRequest(item);
     if (evhttp_make_request(connection->handle, request, *method, target.c_str()) != 0)
         hooks.schedule(duration::zero(), [this, key] { fail(key, call_failure::Lost); });
 }
 
-duration upstream_client::implementation::offerLimit(const upstream_call& call) const
+duration upstream_client::implementation::dispatchTimeoutOf(const upstream_call& call) const
 {
     const duration limit = std::min(call.timeout, options.connectTimeout);
     return call.dispatchTimeout > duration::zero() ? std::min(limit, call.dispatchTimeout) : limit;
@@ -170,20 +170,20 @@
     return request;
 }
 
-void upstream_client::implementation::firstByte(std::uint64_t key)
+void upstream_client::implementation::beginDispatch(std::uint64_t key)
 {
     const auto found = exchanges.find(key);
-    internal_assert(found != exchanges.end()) << "bytes of call " << key << ", which has ended";
+    internal_assert(found != exchanges.end()) << "call " << key << " is dispatched after its end";
     exchange& item = *found->second;
     const time_point now = hooks.now();
     hooks.cancel(item.timer);
-    if (now > item.offerBy) {
-        // Too late for this call, and nothing has left: the bytes end with the socket.
-        connections.sever(*item.connection);
-        item.timer = hooks.schedule(duration::zero(), [this, key] { timeUp(key); });
+    if (now > item.dispatchDeadline) {
+        // The dispatch timeout has passed and no byte was sent yet: the buffered bytes are discarded with the socket.
+        connections.abortDispatch(*item.connection);
+        item.timer = hooks.schedule(duration::zero(), [this, key] { timedOut(key); });
         return;
     }
-    item.timer = hooks.schedule(item.deadline - now, [this, key] { timeUp(key); });
+    item.timer = hooks.schedule(item.deadline - now, [this, key] { timedOut(key); });
     const std::function<void()> onDispatch = std::move(item.events.onDispatch);
     if (onDispatch)
         onDispatch();
@@ -208,7 +208,7 @@
         return;
     }
     const upstream_dialect& dialect = options.dialect;
-    std::optional<upstream_answer> answer = wholeAnswer(
+    std::optional<upstream_answer> answer = takeCompleteAnswer(
         request, { item.call.method == "HEAD", dialect.nameField, item.name, dialect.mayEndWithConnection });
     if (!answer) {
         fail(key, call_failure::Malformed);
@@ -220,10 +220,10 @@
     ended.events.onAnswer(std::move(*answer));
 }
 
-void upstream_client::implementation::timeUp(std::uint64_t key)
+void upstream_client::implementation::timedOut(std::uint64_t key)
 {
     const auto found = exchanges.find(key);
-    internal_assert(found != exchanges.end()) << "time is up for call " << key << ", which has ended";
+    internal_assert(found != exchanges.end()) << "call " << key << " times out after its end";
     found->second->timer = timer_id();
     fail(key, call_failure::Timeout);
 }
@@ -234,10 +234,10 @@
     if (found == exchanges.end())
         return;
     upstream_connection& connection = *found->second->connection;
-    const bool offered = connection.firstByteOffered;
+    const bool dispatched = connection.dispatched;
     const exchange ended = remove(key);
     connections.discard(connection);
-    ended.events.onFailure(offered ? failure : call_failure::ConnectFailed);
+    ended.events.onFailure(dispatched ? failure : call_failure::ConnectFailed);
 }
 
 void upstream_client::implementation::refuse(call_events events, call_failure failure)
@@ -274,7 +274,7 @@
         }
         absl::StatusOr<load_report> report = parseLoadReport(answer->body);
         if (!report.ok() || answer->status != statusOk) {
-            done(absl::UnavailableError("the upstream gives no load report"));
+            done(absl::UnavailableError("the upstream did not answer with a valid load report"));
             return;
         }
         report->healthy = healthy;
@@ -304,7 +304,7 @@
     events.onAnswer = [done](upstream_answer answer) { done(std::move(answer)); };
     events.onFailure = [done](call_failure failure) {
         done(failure == call_failure::Timeout ? absl::DeadlineExceededError("the upstream did not answer in time")
-                                              : absl::UnavailableError("the upstream can't be asked"));
+                                              : absl::UnavailableError("the upstream could not be polled"));
     };
     start(++lastPoll | pollBit, std::move(call), std::move(events));
 }
@@ -316,7 +316,8 @@
     client->connections.setUser(client);
     m_port.start = [client](upstream_call call, call_events events) {
         const std::uint64_t key = call.id.value();
-        internal_assert(key != 0 && (key & pollBit) == 0) << "call " << key << " has no usable number";
+        internal_assert(key != 0 && (key & pollBit) == 0)
+            << "call " << key << " has a number that is 0 or reserved for polls";
         client->start(key, std::move(call), std::move(events));
     };
     m_port.cancel = [client](call_id id) { client->cancel(id.value()); };
--- a/src/services/upstream_client.h
+++ b/src/services/upstream_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that calls upstreams over HTTP.
+ * The HTTP client for upstreams; implements the service "upstreams".
  */
 
 #include <memory>
@@ -13,19 +13,19 @@
 
 namespace plantainlatch {
 
-/** Bounds and times of the client. */
 struct upstream_client_options {
     upstream_connection_limits connections;
-    /** A connection that is not established by then has failed, also when the call has more time. */
+    /** The maximum time to establish a connection, even if the call has more time left. */
     duration connectTimeout = std::chrono::seconds(1);
     upstream_dialect dialect = ownDialect();
 };
 
-/** Calls upstreams with evhttp and checks that each answer is whole; published as "upstreams".
+/** Calls upstreams with evhttp and checks that each answer is complete.
  *
- * An answer counts as whole when it has a Content-Length that is met, ends its chunks, or can have no body. One that
- * only the end of the connection delimits is Malformed, as it can't be told from a cut one. A call carries its name in
- * X-Plantainlatch-Call; an answer that echoes another name is Malformed. */
+ * An answer is complete if its body matches the Content-Length, if its last chunk has arrived, or if its status allows
+ * no body. A body that is delimited only by the end of the connection can't be told from a truncated one, so it is
+ * Malformed unless the dialect allows it. Each call has a name of its own, by default in X-Plantainlatch-Call; an
+ * answer that echoes another name is Malformed. */
 class upstream_client {
 public:
     static std::unique_ptr<upstream_client> create(
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-    /** Calls have timers of their own; this only stands in for the library's shorter default. */
+    /** Replaces evhttp's shorter default. Each call has its own timer, which fires long before this time-out. */
     constexpr timeval libraryTimeout { 3600, 0 };
 
     evutil_socket_t socketOf(const upstream_connection& connection)
@@ -37,9 +37,9 @@
 
 upstream_connections::~upstream_connections()
 {
-    m_hooks.cancel(m_burial);
-    m_hooks.cancel(m_sweep);
-    bury();
+    m_hooks.cancel(m_freeTimer);
+    m_hooks.cancel(m_expiryTimer);
+    freeClosed();
     for (auto& [address, connections] : m_pools) {
         for (const auto& connection : connections.all)
             evhttp_connection_free(connection->handle);
@@ -66,12 +66,12 @@
         upstream_connection& candidate = *from.all[i];
         if (!candidate.idle)
             continue;
-        if (!isSound(candidate)) {
+        if (!isReusable(candidate)) {
             discard(candidate);
             continue;
         }
         candidate.idle = false;
-        candidate.firstByteOffered = false;
+        candidate.dispatched = false;
         --m_idle;
         return &candidate;
     }
@@ -98,22 +98,22 @@
 void upstream_connections::outputChanged(evbuffer*, const evbuffer_cb_info* info, void* argument)
 {
     auto& connection = *static_cast<upstream_connection*>(argument);
-    if (info->n_added == 0 || connection.firstByteOffered || connection.closed)
+    if (info->n_added == 0 || connection.dispatched || connection.closed)
         return;
-    connection.firstByteOffered = true;
-    if (!std::exchange(connection.sendsWithoutDelay, true))
+    connection.dispatched = true;
+    if (!std::exchange(connection.nagleDisabled, true))
         sendWithoutDelay(socketOf(connection));
     connection.owner->m_events.onDispatch(connection);
 }
 
-bool upstream_connections::isSound(const upstream_connection& connection) const
+bool upstream_connections::isReusable(const upstream_connection& connection) const
 {
     if (m_hooks.now() - connection.idleSince > m_limits.idleReuse)
         return false;
     const evutil_socket_t socket = socketOf(connection);
     if (socket < 0)
         return false;
-    // Bytes that wait here belong to no request of ours, and an end means that the upstream closed.
+    // Waiting input answers no request of this client, and an end of the stream means that the upstream has closed.
     char byte = 0;
     return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
@@ -131,7 +131,7 @@
     connection.idle = true;
     connection.idleSince = m_hooks.now();
     ++m_idle;
-    armSweep();
+    scheduleExpiry();
 }
 
 void upstream_connections::discard(upstream_connection& connection)
@@ -145,14 +145,14 @@
     if (connection.idle)
         --m_idle;
     --m_open;
-    std::unique_ptr<upstream_connection> dead = std::move(*position);
+    std::unique_ptr<upstream_connection> removed = std::move(*position);
     all.erase(position);
-    buryLater(std::move(dead));
+    freeLater(std::move(removed));
 }
 
-void upstream_connections::sever(upstream_connection& connection)
+void upstream_connections::abortDispatch(upstream_connection& connection)
 {
-    connection.firstByteOffered = false;
+    connection.dispatched = false;
     shutdown(socketOf(connection), SHUT_RDWR);
 }
 
@@ -186,36 +186,36 @@
         closeIdleConnections(address);
 }
 
-void upstream_connections::buryLater(std::unique_ptr<upstream_connection> connection)
+void upstream_connections::freeLater(std::unique_ptr<upstream_connection> connection)
 {
     connection->closed = true;
-    // A connection that is made before the burial would send its request at once: the library must not hear of it, and
-    // what is in its buffer must not leave.
+    // If the connection is established before it is freed, evhttp would send the request at once. Removing the
+    // callbacks keeps evhttp from noticing, and the shutdown keeps buffered bytes from being sent.
     bufferevent* channel = evhttp_connection_get_bufferevent(connection->handle);
     bufferevent_setcb(channel, nullptr, nullptr, nullptr, nullptr);
     if (bufferevent_getfd(channel) >= 0)
         shutdown(bufferevent_getfd(channel), SHUT_RDWR);
-    m_dead.push_back(std::move(connection));
-    if (m_burial == timer_id())
-        m_burial = m_hooks.schedule(duration::zero(), [this] { bury(); });
+    m_closed.push_back(std::move(connection));
+    if (m_freeTimer == timer_id())
+        m_freeTimer = m_hooks.schedule(duration::zero(), [this] { freeClosed(); });
 }
 
-void upstream_connections::bury()
+void upstream_connections::freeClosed()
 {
-    m_burial = timer_id();
-    for (const auto& connection : std::exchange(m_dead, {}))
+    m_freeTimer = timer_id();
+    for (const auto& connection : std::exchange(m_closed, {}))
         evhttp_connection_free(connection->handle);
 }
 
-void upstream_connections::armSweep()
+void upstream_connections::scheduleExpiry()
 {
-    if (m_sweep == timer_id())
-        m_sweep = m_hooks.schedule(m_limits.idleReuse, [this] { sweep(); });
+    if (m_expiryTimer == timer_id())
+        m_expiryTimer = m_hooks.schedule(m_limits.idleReuse, [this] { closeExpired(); });
 }
 
-void upstream_connections::sweep()
+void upstream_connections::closeExpired()
 {
-    m_sweep = timer_id();
+    m_expiryTimer = timer_id();
     const time_point now = m_hooks.now();
     for (auto position = m_pools.begin(); position != m_pools.end();) {
         auto& all = position->second.all;
@@ -226,7 +226,7 @@
         position = all.empty() ? m_pools.erase(position) : std::next(position);
     }
     if (m_idle > 0)
-        armSweep();
+        scheduleExpiry();
 }
 
 } // namespace plantainlatch
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The keep-alive connections to upstreams, each used by one request at a time.
+ * Pools of keep-alive connections to upstreams. A connection is used by one request at a time.
  */
 
 #include <cstdint>
@@ -28,33 +28,33 @@
     evhttp_connection* handle = nullptr;
     network_address address;
     upstream_connections* owner = nullptr;
-    /** The exchange that uses it; 0 for none. */
+    /** The key of the exchange that uses the connection; 0 if there is none. */
     std::uint64_t exchange = 0;
-    bool firstByteOffered = false;
-    bool sendsWithoutDelay = false;
+    /** Whether the request's first byte has entered the output buffer. */
+    bool dispatched = false;
+    bool nagleDisabled = false;
     bool closed = false;
     bool idle = false;
     time_point idleSince {};
 };
 
-/** Bounds on connections. */
 struct upstream_connection_limits {
-    /** An idle connection is not reused after this time, as something between the ends may have lost track of it. */
+    /** Connections that were idle for longer are not reused, as a firewall or NAT on the way may have dropped their
+     * state. */
     duration idleReuse = std::chrono::seconds(4);
-    /** The most idle connections to all upstreams together; further ones are closed. */
+    /** The maximum number of idle connections to all upstreams together; further ones are closed. */
     std::size_t maximumIdle = 4096;
     byte_count maximumAnswerHeaders { 64 * 1024 };
     byte_count maximumAnswerBody { 8 * 1024 * 1024 };
 };
 
-/** What happens on connections that are in use. */
 struct upstream_connection_events {
-    /** The first byte of the request enters the output buffer, which is before any byte reaches the operating system.
-     */
+    /** Called when the first byte of the request enters the output buffer, before any byte is passed to the operating
+     * system. */
     std::function<void(upstream_connection&)> onDispatch;
 };
 
-/** Opens, keeps and closes connections. */
+/** Opens, reuses and closes connections. */
 class upstream_connections {
 public:
     upstream_connections(event_base* base, const kernel_hooks& hooks, upstream_connection_limits limits,
@@ -63,27 +63,27 @@
     upstream_connections(const upstream_connections&) = delete;
     upstream_connections& operator=(const upstream_connections&) = delete;
 
-    /** A connection for one request: an idle one that is still sound unless `fresh`, else a new one that connects with
-     * the request; none when the address has `limit` connections in use. */
+    /** Returns a connection for one request: an idle one that can be reused, or a new one, which connects when the
+     * request is made. `fresh` requires a new one. Null if `limit` connections to the address are in use. */
     upstream_connection* acquire(const network_address& address, std::uint32_t limit, bool fresh);
 
-    /** Keeps a connection whose whole answer was read; closes it if the upstream asked for that or sent more. */
+    /** Returns a connection to its pool after the complete answer was read. It is closed instead if the upstream closes
+     * it or has sent further bytes, or if there are too many idle connections. */
     void release(upstream_connection& connection);
 
-    /** Closes a connection for good; its memory is freed on the next round of the loop. */
+    /** Closes a connection. It is freed in the next iteration of the event loop. */
     void discard(upstream_connection& connection);
 
-    /** Ends a connection whose first byte is in the output buffer, so that no byte reaches the other end; the call
-     * still counts as not offered. */
-    void sever(upstream_connection& connection);
+    /** Shuts down the socket of a connection whose request is in the output buffer, so that no byte of it is sent; the
+     * request counts as not dispatched. To be called within onDispatch. */
+    void abortDispatch(upstream_connection& connection);
 
-    /** Closes the idle connections to an address. */
     void closeIdleConnections(const network_address& address);
 
-    /** Closes all idle connections. */
+    /** Closes the idle connections to all addresses. */
     void closeIdle();
 
-    /** What request callbacks of the library reach through their connection. */
+    /** User data for the request callbacks, which libevent gives only the connection. */
     void* user() const { return m_user; }
     void setUser(void* user) { m_user = user; }
 
@@ -99,21 +99,21 @@
 
     upstream_connection* takeIdle(pool& from);
     upstream_connection* open(pool& into, const network_address& address);
-    bool isSound(const upstream_connection& connection) const;
+    bool isReusable(const upstream_connection& connection) const;
     void closeOneIdle(pool& from);
-    void buryLater(std::unique_ptr<upstream_connection> connection);
-    void bury();
-    void sweep();
-    void armSweep();
+    void freeLater(std::unique_ptr<upstream_connection> connection);
+    void freeClosed();
+    void closeExpired();
+    void scheduleExpiry();
 
     event_base* m_base;
     const kernel_hooks& m_hooks;
     upstream_connection_limits m_limits;
     upstream_connection_events m_events;
     std::map<network_address, pool> m_pools;
-    std::vector<std::unique_ptr<upstream_connection>> m_dead;
-    timer_id m_burial;
-    timer_id m_sweep;
+    std::vector<std::unique_ptr<upstream_connection>> m_closed;
+    timer_id m_freeTimer;
+    timer_id m_expiryTimer;
     void* m_user = nullptr;
     std::size_t m_open = 0;
     std::size_t m_idle = 0;
--- a/src/services/upstream_dialect.cpp
+++ b/src/services/upstream_dialect.cpp
@@ -8,7 +8,7 @@
 {
     upstream_dialect dialect;
     dialect.nameField = http_fields::call;
-    dialect.nameOf = [](const upstream_call&, const std::string& made) { return made; };
+    dialect.nameOf = [](const upstream_call&, const std::string& generated) { return generated; };
     dialect.fieldsOf = [](const upstream_call& call) -> std::vector<header_field> {
         return { { http_fields::requestTimeout, http_fields::formatSeconds(call.timeout) } };
     };
--- a/src/services/upstream_dialect.h
+++ b/src/services/upstream_dialect.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The fields by which this system and upstreams talk beside the request itself.
+ * The header fields that are exchanged with upstreams in addition to those of the caller's request.
  */
 
 #include <functional>
@@ -13,21 +13,22 @@
 
 namespace plantainlatch {
 
-/** How calls are marked, and what answers tell of the upstream. */
+/** Defines the header fields of calls to upstreams, and how metadata is read from their answers. */
 struct upstream_dialect {
-    /** The field that names the call and that the upstream echoes. */
+    /** The header field with the name of the call, which upstreams may echo in the answer. */
     const char* nameField = nullptr;
-    /** The name of a call; `made` is one that no other call has. */
-    std::function<std::string(const upstream_call&, const std::string& made)> nameOf;
-    /** Fields of a call, beside its name, that replace the caller's own. */
+    /** Returns the name of a call; `generated` is a unique name that it can use. */
+    std::function<std::string(const upstream_call&, const std::string& generated)> nameOf;
+    /** Returns further header fields of the call; they replace fields of the same name in the caller's request. */
     std::function<std::vector<header_field>(const upstream_call&)> fieldsOf;
-    /** Reads what the answer tells of the upstream. */
+    /** Reads the metadata of an answer. */
     std::function<answer_metadata(const upstream_call&, const upstream_answer&)> metadataOf;
-    /** An answer without a length may end with its connection. */
+    /** Whether the body of an answer may be delimited by the end of the connection. */
     bool mayEndWithConnection = false;
 };
 
-/** The project's own: X-Plantainlatch-Call, X-Request-Timeout, X-Plantainlatch-Not-Run. */
+/** The project's own dialect: X-Plantainlatch-Call and X-Request-Timeout in calls, and X-Plantainlatch-Not-Run in
+ * answers, which the decision code reads. */
 upstream_dialect ownDialect();
 
 } // namespace plantainlatch
--- a/test/error/raw_upstream.cpp
+++ b/test/error/raw_upstream.cpp
@@ -56,12 +56,12 @@
         [](bufferevent*, void* item) {
             auto& from = *static_cast<channel*>(item);
             if (from.closing)
-                from.owner->ended(from);
+                from.owner->closeNow(from);
         },
         [](bufferevent*, short, void* item) {
             auto& from = *static_cast<channel*>(item);
             ++from.owner->closedByPeer;
-            from.owner->ended(from);
+            from.owner->closeNow(from);
         },
         added.get());
     bufferevent_enable(added->handle, EV_READ | EV_WRITE);
@@ -93,10 +93,10 @@
     channel& item = *m_channels[connection];
     item.closing = true;
     if (item.handle != nullptr && evbuffer_get_length(bufferevent_get_output(item.handle)) == 0)
-        ended(item);
+        closeNow(item);
 }
 
-void raw_upstream::ended(channel& from)
+void raw_upstream::closeNow(channel& from)
 {
     if (from.handle != nullptr)
         bufferevent_free(from.handle);
--- a/test/error/raw_upstream.h
+++ b/test/error/raw_upstream.h
@@ -52,7 +52,7 @@
 
     void accept(int socket);
     void readable(channel& from);
-    void ended(channel& from);
+    void closeNow(channel& from);
 
     event_base* m_base;
     evconnlistener* m_listener = nullptr;
