--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -41,7 +41,7 @@
         }
     };
 
-    std::vector<std::uint64_t> numbersOf(const std::vector<std::string>& names, const std::string& prefix)
+    std::vector<std::uint64_t> generationsOf(const std::vector<std::string>& names, const std::string& prefix)
     {
         std::vector<std::uint64_t> numbers;
         for (const std::string& name : names) {
@@ -163,7 +163,7 @@
 
     absl::Status loadSnapshot(const std::vector<std::string>& names, recovered_state& recovered)
     {
-        const std::vector<std::uint64_t> numbers = numbersOf(names, snapshotPrefix);
+        const std::vector<std::uint64_t> numbers = generationsOf(names, snapshotPrefix);
         if (numbers.empty())
             return absl::OkStatus();
         generation = numbers.back();
@@ -186,7 +186,7 @@
 
     absl::Status loadStates(const std::vector<std::string>& names, recovered_state& recovered)
     {
-        const std::vector<std::uint64_t> numbers = numbersOf(names, statePrefix);
+        const std::vector<std::uint64_t> numbers = generationsOf(names, statePrefix);
         for (const std::uint64_t number : numbers) {
             const bool isLast = number == numbers.back();
             if (number <= firstValidGeneration)
@@ -350,7 +350,7 @@
         if (!names.ok())
             return;
         for (const char* prefix : { statePrefix, snapshotPrefix }) {
-            for (const std::uint64_t number : numbersOf(*names, prefix)) {
+            for (const std::uint64_t number : generationsOf(*names, prefix)) {
                 if (number < generation)
                     files.remove(path(prefix, number)).IgnoreError();
             }
--- a/test/error/file_storage_test.cpp
+++ b/test/error/file_storage_test.cpp
@@ -67,7 +67,7 @@
     REQUIRE(recovered->entries[2].term == log_term(2));
 }
 
-TEST_CASE_METHOD(file_storage_fixture, "file_storage.writes_of_one_moment.share_one_sync")
+TEST_CASE_METHOD(file_storage_fixture, "file_storage.writes_in_one_loop_iteration.share_one_sync")
 {
     REQUIRE(restart().ok());
     const int before = disk.syncs;
@@ -79,31 +79,33 @@
     REQUIRE(disk.syncs == before + 1);
 }
 
-TEST_CASE_METHOD(file_storage_fixture, "file_storage.torn_tail_of_any_length.is_cut_and_earlier_records_stay")
+TEST_CASE_METHOD(
+    file_storage_fixture, "file_storage.torn_last_record_of_any_length.is_truncated_and_earlier_records_are_kept")
 {
     REQUIRE(restart().ok());
     REQUIRE(write(1, 1, 3).ok());
-    const std::string whole = stateBytes("state.0");
+    const std::string complete = stateBytes("state.0");
     REQUIRE(write(1, 4, 4).ok());
-    const std::string longer = stateBytes("state.0");
-    for (std::size_t size = whole.size(); size < longer.size(); ++size) {
-        stateBytes("state.0") = longer.substr(0, size);
+    const std::string withLastRecord = stateBytes("state.0");
+    for (std::size_t size = complete.size(); size < withLastRecord.size(); ++size) {
+        stateBytes("state.0") = withLastRecord.substr(0, size);
         const auto recovered = restart();
         REQUIRE(recovered.ok());
         REQUIRE(recovered->entries.size() == 3);
-        REQUIRE(stateBytes("state.0").size() == whole.size());
+        REQUIRE(stateBytes("state.0").size() == complete.size());
     }
 }
 
-TEST_CASE_METHOD(file_storage_fixture, "file_storage.damage_before_the_last_record.is_data_loss_with_file_and_offset")
+TEST_CASE_METHOD(
+    file_storage_fixture, "file_storage.corruption_before_the_last_record.is_data_loss_with_file_and_offset")
 {
     REQUIRE(restart().ok());
     REQUIRE(write(1, 1, 3).ok());
     const std::size_t firstEnd = stateBytes("state.0").size();
     REQUIRE(write(1, 4, 6).ok());
-    const std::string whole = stateBytes("state.0");
+    const std::string complete = stateBytes("state.0");
     for (std::size_t offset = 0; offset < firstEnd; ++offset) {
-        stateBytes("state.0") = whole;
+        stateBytes("state.0") = complete;
         stateBytes("state.0")[offset] = static_cast<char>(stateBytes("state.0")[offset] ^ 0x10);
         const auto recovered = restart();
         REQUIRE(recovered.status().code() == absl::StatusCode::kDataLoss);
@@ -135,7 +137,8 @@
     REQUIRE(write(1, 1, 1).code() == absl::StatusCode::kResourceExhausted);
 }
 
-TEST_CASE_METHOD(file_storage_fixture, "file_storage.snapshot.replaces_the_entries_that_it_covers_and_older_files_go")
+TEST_CASE_METHOD(
+    file_storage_fixture, "file_storage.snapshot.replaces_the_entries_that_it_covers_and_older_files_are_removed")
 {
     REQUIRE(restart().ok());
     REQUIRE(write(3, 1, 10).ok());
@@ -151,7 +154,7 @@
     REQUIRE(disk.files.size() == 2);
 }
 
-TEST_CASE_METHOD(file_storage_fixture, "file_storage.stop_between_snapshot_and_new_state.loses_nothing")
+TEST_CASE_METHOD(file_storage_fixture, "file_storage.crash_between_snapshot_and_new_state_file.loses_nothing")
 {
     REQUIRE(restart().ok());
     REQUIRE(write(3, 1, 10).ok());
@@ -166,8 +169,8 @@
     REQUIRE(recovered->state->term == log_term(3));
 }
 
-TEST_CASE_METHOD(
-    file_storage_fixture, "file_storage.snapshot_without_later_entries.drops_them_even_when_the_new_state_is_missing")
+TEST_CASE_METHOD(file_storage_fixture,
+    "file_storage.snapshot_without_later_entries.drops_them_even_if_the_new_state_file_is_missing")
 {
     REQUIRE(restart().ok());
     REQUIRE(write(3, 1, 10).ok());
--- a/test/error/full_listener.cpp
+++ b/test/error/full_listener.cpp
@@ -21,10 +21,10 @@
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(local);
     auto* address = reinterpret_cast<sockaddr*>(&local);
-    // With a backlog of 0 one connection may wait.
+    // With a backlog of 0 the queue holds one connection.
     const bool ready = bind(m_listener, address, size) == 0 && listen(m_listener, 0) == 0
         && getsockname(m_listener, address, &size) == 0 && connect(m_filler, address, size) == 0;
-    internal_assert(ready) << "no listening socket can be made";
+    internal_assert(ready) << "can't create a listening socket with a full accept queue";
     m_address = { "127.0.0.1", ntohs(local.sin_port) };
 }
 
--- a/test/error/full_listener.h
+++ b/test/error/full_listener.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A listening loopback socket whose queue is full, so that the next connection is made only once there is room.
+ * A listening loopback socket whose accept queue is full, so that further connections can't be established for now.
  */
 
 #include <string>
@@ -11,7 +11,7 @@
 
 namespace plantainlatch {
 
-/** Leaves new connections unanswered until makeRoom(); everything blocks the calling thread. */
+/** New connections stay in progress until makeRoom(). All functions block the calling thread. */
 class full_listener {
 public:
     full_listener();
@@ -20,10 +20,11 @@
     full_listener& operator=(const full_listener&) = delete;
 
     network_address address() const { return m_address; }
+    /** Accepts the connection that fills the queue. */
     void makeRoom();
-    /** Waits for the next connection; false when none came in time. */
+    /** Waits for the next connection; false if there is none within `span`. */
     bool acceptWithin(duration span);
-    /** What has arrived on the accepted connection. */
+    /** The bytes that have arrived on the accepted connection. */
     std::string received() const;
 
 private:
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -20,10 +20,10 @@
     constexpr std::size_t headerLimit = 16 * 1024;
     constexpr std::size_t bodyLimit = 200 * 1024;
 
-    /** A server that keeps what it received and answers when a test says so. */
+    /** A server that records the requests and answers each one at once or when the test calls answer(). */
     class server_fixture : protected loop_fixture {
     protected:
-        /** What a handler saw of a request. */
+        /** A request as the handler received it. */
         struct seen_request {
             exchange_id exchange;
             std::string method;
@@ -68,7 +68,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(server_fixture, "http_server.request_in_single_bytes.is_read_like_one_sent_at_once")
+TEST_CASE_METHOD(server_fixture, "http_server.request_sent_byte_by_byte.is_parsed_like_one_sent_at_once")
 {
     raw_client client(loop->base(), server->address());
     for (const char byte : std::string("PUT /a/b?c=%20d HTTP/1.1\r\nX-Club: kokura\r\nContent-Length: 4\r\n\r\nlamp")) {
@@ -85,14 +85,14 @@
     REQUIRE(seen.front().headers.front().value == "kokura");
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.chunked_body.is_joined_and_its_trailer_dropped")
+TEST_CASE_METHOD(server_fixture, "http_server.chunked_body.is_joined_and_its_trailer_fields_are_dropped")
 {
     ask("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nlam\r\n2;x=y\r\nps\r\n0\r\nX-Late: 1\r\n\r\n");
     REQUIRE(seen.at(0).body == "lamps");
     REQUIRE(seen.at(0).headers.size() == 1);
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.field_as_large_as_the_limit_allows.is_taken_whole")
+TEST_CASE_METHOD(server_fixture, "http_server.header_field_close_to_the_limit.is_accepted_completely")
 {
     const std::string value(headerLimit - 200, 'x');
     REQUIRE_THAT(ask("GET /a HTTP/1.1\r\nX-Filler: " + value + "\r\n\r\n"), StartsWith("HTTP/1.1 200 "));
@@ -112,7 +112,7 @@
     REQUIRE(seen.at(0).query == "x=1");
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.caller_that_waits_for_a_go_ahead.gets_one_before_it_sends_the_body")
+TEST_CASE_METHOD(server_fixture, "http_server.caller_that_expects_100_continue.gets_it_before_it_sends_the_body")
 {
     raw_client client(loop->base(), server->address());
     client.send("POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
@@ -124,7 +124,7 @@
     REQUIRE(seen.at(0).body == "lamp");
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.refusal_of_a_body_that_still_arrives.can_be_read_by_the_caller")
+TEST_CASE_METHOD(server_fixture, "http_server.refusal_while_the_body_still_arrives.can_be_read_by_the_caller")
 {
     raw_client client(loop->base(), server->address());
     client.send("POST /a HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n" + std::string(4 * bodyLimit, 'x'));
@@ -134,13 +134,13 @@
     REQUIRE(server->connections() == 0);
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.caller_of_version_1_0.is_told_that_its_connection_is_kept")
+TEST_CASE_METHOD(server_fixture, "http_server.http_1_0_request_with_keep_alive.gets_a_keep_alive_field")
 {
     const std::string answer = ask("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
     REQUIRE_THAT(answer, Contains("Connection: keep-alive\r\n"));
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.idle_connection.is_closed_and_one_that_waits_for_an_answer_is_not")
+TEST_CASE_METHOD(server_fixture, "http_server.idle_connection.is_closed_but_one_that_waits_for_an_answer_is_not")
 {
     answersAtOnce = false;
     raw_client idle(loop->base(), server->address());
@@ -154,7 +154,7 @@
     runUntil([&] { return waiting.received.ends_with("lit"); });
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.caller_that_resets_after_long_waiting.is_noticed")
+TEST_CASE_METHOD(server_fixture, "http_server.caller_that_disconnects_after_the_idle_timeout.is_noticed")
 {
     answersAtOnce = false;
     raw_client client(loop->base(), server->address());
@@ -167,7 +167,7 @@
     REQUIRE(server->inFlight() == 0);
 }
 
-TEST_CASE_METHOD(server_fixture, "http_server.answer_beyond_the_socket_s_buffer.is_delivered_whole")
+TEST_CASE_METHOD(server_fixture, "http_server.answer_larger_than_the_socket_buffer.is_delivered_completely")
 {
     answersAtOnce = false;
     raw_client client(loop->base(), server->address());
--- a/test/error/http_front_test.cpp
+++ b/test/error/http_front_test.cpp
@@ -23,7 +23,7 @@
     using Catch::EndsWith;
     using Catch::StartsWith;
 
-    /** All front ends over fakes of the ports behind them. */
+    /** All front ends, with fakes of the ports that they use. */
     class front_fixture : protected loop_fixture {
     protected:
         front_fixture()
@@ -152,7 +152,7 @@
 } // namespace
 
 TEST_CASE_METHOD(
-    front_fixture, "caller_front.request_to_a_service.reaches_the_port_and_its_answer_comes_back_untouched")
+    front_fixture, "caller_front.request_to_a_service.reaches_the_port_and_its_answer_is_returned_unchanged")
 {
     raw_client client(loop->base(), server->address());
     client.send(post("/s/booking/courts/7%2F?a=b&c", "on",
@@ -175,7 +175,7 @@
     REQUIRE(server->inFlight() == 0);
 }
 
-TEST_CASE_METHOD(front_fixture, "caller_front.system_answer.names_outcome_reason_and_when_to_try_again")
+TEST_CASE_METHOD(front_fixture, "caller_front.answer_of_the_system.names_outcome_reason_and_retry_time")
 {
     raw_client client(loop->base(), server->address());
     client.send("GET /s/booking HTTP/1.1\r\n\r\n");
@@ -238,14 +238,14 @@
     }
 }
 
-TEST_CASE_METHOD(front_fixture, "caller_front.requests_answered_at_once.may_be_pipelined_too")
+TEST_CASE_METHOD(front_fixture, "caller_front.pipelined_requests_answered_synchronously.are_all_answered")
 {
     answerEachAtOnce();
     REQUIRE_THAT(
         ask("GET /s/a/1 HTTP/1.1\r\n\r\nGET /s/a/2 HTTP/1.1\r\n\r\nGET /s/a/3 HTTP/1.1\r\n\r\n", 3), EndsWith("/3"));
 }
 
-TEST_CASE_METHOD(front_fixture, "caller_front.caller_that_leaves.cancels_its_request_and_takes_no_answer")
+TEST_CASE_METHOD(front_fixture, "caller_front.caller_that_disconnects.cancels_its_request_and_gets_no_answer")
 {
     raw_client client(loop->base(), server->address());
     client.send("GET /s/a/1 HTTP/1.1\r\n\r\nGET /s/a/2 HTTP/1.1\r\n\r\n");
@@ -270,7 +270,7 @@
     REQUIRE(listsMade == 2);
 }
 
-TEST_CASE_METHOD(front_fixture, "caller_front.stopped.serves_for_the_cache_time_and_ends_with_nothing_in_flight")
+TEST_CASE_METHOD(front_fixture, "caller_front.stop.serves_for_the_cache_time_and_ends_with_nothing_in_flight")
 {
     raw_client busy(loop->base(), server->address());
     raw_client idle(loop->base(), server->address());
@@ -306,7 +306,7 @@
     REQUIRE_THAT(ask("DELETE /v1/upstreams/b1 HTTP/1.1\r\n\r\n"), StartsWith("HTTP/1.1 400 "));
 }
 
-TEST_CASE_METHOD(front_fixture, "operator_front.wrong_input.is_reported_and_refusals_keep_their_text")
+TEST_CASE_METHOD(front_fixture, "operator_front.invalid_input.is_reported_and_refusals_keep_their_text")
 {
     REQUIRE_THAT(ask(post("/v1/declarations", "number: [", "X-File-Name: day.yaml\r\n")),
         StartsWith("HTTP/1.1 400 ") && Contains(R"("file":"day.yaml","line":1)"));
--- a/test/error/raw_client.h
+++ b/test/error/raw_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A caller on a loopback socket that sends exactly the bytes a test wants.
+ * A TCP client for tests of servers; it sends arbitrary bytes.
  */
 
 #include <string>
@@ -13,7 +13,7 @@
 
 namespace plantainlatch {
 
-/** Connects at once and collects what it receives. */
+/** Connects in its constructor and collects the bytes that it receives. */
 class raw_client {
 public:
     raw_client(event_base* base, const network_address& address);
@@ -25,7 +25,7 @@
     void close();
 
     std::string received;
-    /** The other end closed. */
+    /** Whether the server has closed or reset the connection. */
     bool ended = false;
 
 private:
--- a/test/error/raw_upstream.h
+++ b/test/error/raw_upstream.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A little upstream on a loopback socket that sends exactly the bytes a test wants.
+ * A TCP server on a loopback port that stands in for an upstream; it sends arbitrary bytes.
  */
 
 #include <cstdint>
@@ -18,7 +18,8 @@
 
 namespace plantainlatch {
 
-/** Accepts connections and hands each whole request head (with any body that came along) to a hook. */
+/** Accepts connections and passes each request to a hook once its header is complete, with any part of the body that
+ * has arrived by then. */
 class raw_upstream {
 public:
     explicit raw_upstream(event_base* base);
@@ -28,18 +29,18 @@
 
     network_address address() const { return m_address; }
 
-    /** Answers a request: `connection` counts from 0 in the order of acceptance. */
+    /** Called for each request; connections are numbered from 0 in the order in which they were accepted. */
     std::function<void(std::size_t connection, const std::string& request)> onRequest;
 
     void send(std::size_t connection, const std::string& bytes);
-    /** Closes once all bytes are sent. */
+    /** Closes the connection once all bytes are sent. */
     void close(std::size_t connection);
-    /** Takes no further connections; the port is free then. */
+    /** Stops accepting connections and frees the port. */
     void stopListening();
 
     std::vector<std::string> requests;
     std::size_t accepted = 0;
-    /** Connections that the other end closed. */
+    /** The number of connections that the client closed. */
     std::size_t closedByPeer = 0;
 
 private:
--- a/test/error/serve_vm_test.cpp
+++ b/test/error/serve_vm_test.cpp
@@ -17,7 +17,7 @@
 
     using Catch::Contains;
 
-    /** Settings of a system of one VM in a folder of its own. */
+    /** Settings of a system with one VM, whose data is in a temporary folder. */
     class serve_vm_fixture : protected loop_fixture {
     protected:
         serve_vm_fixture()
@@ -48,7 +48,7 @@
             return name;
         }
 
-        /** Asks once and tells whether the last answer named the VM as the leader. */
+        /** Whether the last status answer names the VM as the leader; asks for the status again if it does not. */
         bool leads()
         {
             if (m_asked && m_asked->received.find("\"leader\":\"alone\"") != std::string::npos)
@@ -97,7 +97,7 @@
     REQUIRE_THAT(std::string(status.message()), Contains(*settings.dataFolder) && !Contains("\n"));
 }
 
-TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.terminated_twice.answers_until_its_one_graceful_stop")
+TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.terminated_twice.answers_requests_until_the_end_of_one_graceful_stop")
 {
     const auto subject = serve_vm::create(*loop, settings);
     REQUIRE(subject.ok());
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -13,9 +13,9 @@
 
     constexpr const char* smallAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nlight";
 
-    /** What one call led to. */
+    /** The callbacks that one call received. */
     struct call_record {
-        int firstBytes = 0;
+        int dispatches = 0;
         std::optional<upstream_answer> answer;
         std::optional<call_failure> failure;
 
@@ -47,10 +47,10 @@
         call_events recordIn(call_record& record)
         {
             call_events events;
-            events.onDispatch = [&record] { ++record.firstBytes; };
+            events.onDispatch = [&record] { ++record.dispatches; };
             events.onAnswer = [&record](upstream_answer answer) {
                 REQUIRE_FALSE(record.ended());
-                REQUIRE(record.firstBytes == 1);
+                REQUIRE(record.dispatches == 1);
                 record.answer = std::move(answer);
             };
             events.onFailure = [&record](call_failure failure) {
@@ -85,7 +85,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.whole_answers.share_one_connection_and_drop_hop_fields")
+TEST_CASE_METHOD(
+    upstream_client_fixture, "upstream_client.complete_answers.share_one_connection_and_drop_hop_by_hop_fields")
 {
     upstream.onRequest = [&](std::size_t connection, const std::string&) {
         upstream.send(connection, "HTTP/1.1 200 OK\r\nKeep-Alive: 5\r\nX-Court: 7\r\nContent-Length: 5\r\n\r\nlight");
@@ -105,15 +106,16 @@
     REQUIRE_THAT(upstream.requests[0], Catch::EndsWith("\r\n\r\non"));
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.nobody_listening.fails_to_connect_without_a_first_byte")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.refused_connection.fails_to_connect_without_a_dispatch")
 {
     upstream.stopListening();
     const call_record record = run(callTo(upstream.address()));
     REQUIRE(record.failure == call_failure::ConnectFailed);
-    REQUIRE(record.firstBytes == 0);
+    REQUIRE(record.dispatches == 0);
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_that_comes_too_late.offers_no_byte")
+TEST_CASE_METHOD(
+    upstream_client_fixture, "upstream_client.connection_established_after_the_dispatch_timeout.carries_no_byte")
 {
     duration jump {};
     kernel_hooks jumping = hooks;
@@ -126,13 +128,13 @@
     jump = std::chrono::milliseconds(200);
     runUntil([&] { return record.ended(); });
     REQUIRE(record.failure == call_failure::ConnectFailed);
-    REQUIRE(record.firstBytes == 0);
+    REQUIRE(record.dispatches == 0);
     runUntil([&] { return upstream.closedByPeer == 1; });
     REQUIRE(upstream.requests.empty());
     subject.reset();
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.answers_that_are_not_whole.fail_and_close_the_connection")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.incomplete_or_invalid_answers.fail_and_close_the_connection")
 {
     const auto [bytes, expected] = GENERATE(table<std::string, call_failure>({
         { "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nlight", call_failure::Lost },
@@ -147,12 +149,12 @@
     const call_record record = runAgainst(bytes, true);
     CAPTURE(bytes);
     REQUIRE(record.failure == expected);
-    REQUIRE(record.firstBytes == 1);
+    REQUIRE(record.dispatches == 1);
     REQUIRE(runAgainst(smallAnswer, false).answer);
     REQUIRE(upstream.accepted == 2);
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.callers_own_call_name.is_not_passed_on")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.call_name_sent_by_the_caller.is_not_passed_on")
 {
     std::string received;
     upstream.onRequest = [&](std::size_t connection, const std::string& text) {
@@ -167,10 +169,10 @@
         Catch::Contains("X-Kept: yes") && !Catch::Contains("forged") && !Catch::Contains("X-Request-Timeout: 77"));
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_made_after_the_call_ended.carries_no_byte")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_established_after_the_call_ended.carries_no_byte")
 {
-    // The call ends while its connection is being made. If the other end still accepts it, that is done before the loop
-    // comes round again.
+    // The call ends while its connection is being established. The listener then accepts it within onFailure, before
+    // the client frees the connection in the next loop iteration: evhttp must not send the request at that point.
     full_listener listener;
     call_events events;
     std::optional<call_failure> failure;
@@ -198,26 +200,26 @@
     };
     const call_record late = run(callTo(upstream.address(), std::chrono::milliseconds(50)));
     REQUIRE(late.failure == call_failure::Timeout);
-    REQUIRE(late.firstBytes == 1);
+    REQUIRE(late.dispatches == 1);
     const call_record next = run(callTo(upstream.address()));
     REQUIRE(next.answer->body == "next");
     REQUIRE(upstream.accepted == 2);
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.crossed_answer_on_an_idle_connection.closes_it")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.unsolicited_answer_on_an_idle_connection.closes_it")
 {
-    // Two answers to one request: the second one must not become the answer to the next request.
+    // Two answers to one request: the second one must not be taken for the answer to the next request.
     REQUIRE(runAgainst(std::string(smallAnswer) + smallAnswer, false).answer);
     REQUIRE(runAgainst("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext", false).answer->body == "next");
     REQUIRE(upstream.accepted == 2);
-    // Bytes that arrive later on the idle connection, before the loop has seen them.
+    // Bytes that arrive while the connection is idle must not be taken for the answer to the next request either.
     upstream.send(1, smallAnswer);
     runFor(std::chrono::milliseconds(20));
     REQUIRE(runAgainst("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthird", false).answer->body == "third");
     REQUIRE(upstream.accepted == 3);
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_that_was_idle_for_long.is_not_reused")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_idle_beyond_the_reuse_limit.is_not_reused")
 {
     REQUIRE(runAgainst(smallAnswer, false).answer);
     runFor(std::chrono::milliseconds(400));
@@ -225,7 +227,7 @@
     REQUIRE(upstream.accepted == 2);
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.fresh_connection_asked_for.opens_one")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.request_for_a_fresh_connection.opens_one")
 {
     REQUIRE(runAgainst(smallAnswer, false).answer);
     upstream_call call = callTo(upstream.address());
@@ -235,7 +237,7 @@
 }
 
 TEST_CASE_METHOD(
-    upstream_client_fixture, "upstream_client.connections_in_use_at_the_limit.refuses_without_a_first_byte")
+    upstream_client_fixture, "upstream_client.call_beyond_the_connection_limit.is_refused_without_a_dispatch")
 {
     call_record first;
     call_record second;
@@ -243,11 +245,11 @@
     subject->port().start(callTo(upstream.address()), recordIn(second));
     const call_record third = run(callTo(upstream.address()));
     REQUIRE(third.failure == call_failure::ConnectionLimit);
-    REQUIRE(third.firstBytes == 0);
+    REQUIRE(third.dispatches == 0);
     subject.reset();
 }
 
-TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.cancelled_call.closes_its_connection_and_stays_silent")
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.cancelled_call.closes_its_connection_without_a_callback")
 {
     call_record record;
     const upstream_call call = callTo(upstream.address());
