Placement, kernel and membership: last words after a second reading

Cause: the second reading found "preference list" beside "affinity order", and test names with old words. Change: comments and test names only.

--- a/src/decision/placement/affinity_order.h
+++ b/src/decision/placement/affinity_order.h
@@ -1,12 +1,13 @@
 #pragma once
 
 /** \file
- * Maps each object to its preference list of upstreams, by weighted rendezvous hashing (Thaler and Ravishankar, 1998).
- * The object is the affinity key of a request (routing_policy::object).
+ * Computes the affinity order of an object, which is the order in which its requests prefer the upstreams of a service,
+ * by weighted rendezvous hashing (Thaler and Ravishankar, 1998). The object is the affinity key of a request
+ * (routing_policy::object).
  *
  * Upstreams answer faster for objects that they handled recently, so requests for one object should reach the same few
  * upstreams. All entries of a region compute the same order from the same directory. When an upstream joins or leaves,
- * only the objects that it gains or loses change their home, which is the first upstream in the list.
+ * only the objects that it gains or loses change their home, which is the first upstream in their order.
  */
 
 #include <cstdint>
@@ -18,7 +19,7 @@
 
 namespace plantainlatch {
 
-/** The preference lists for one service, as the entries of one region compute them. */
+/** The affinity orders of one service's objects, as the entries of one region compute them. */
 class affinity_order {
 public:
     affinity_order() = default;
@@ -30,8 +31,8 @@
     affinity_order(std::vector<upstream_announcement> upstreams, const region_id& ownRegion,
         const std::map<region_id, double>& demand);
 
-    /** All upstreams in the order of preference for the object with this hash; for a request that names no object, pass
-     * a random number. */
+    /** All upstreams in the affinity order of the object with this hash; for a request that names no object, pass a
+     * random number. */
     std::vector<const upstream_announcement*> of(std::uint64_t object) const;
 
     /** The upstreams in no particular order. */
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -31,12 +31,12 @@
 /** Options of placement_service. */
 struct placement_options {
     cold_rate_limit cold;
-    /** How many upstreams of an object's preference list are compared. */
+    /** How many upstreams are compared, in the object's affinity order. */
     std::size_t maximumCandidates = 4;
     /** Multiplies the cost of an upstream that doesn't know the object: running the request there also evicts other
      * objects from the upstream's cache and takes capacity from requests that have their home there. */
     double unknownCostFactor = 2;
-    /** Requests whose priority number is this or higher (less urgent) are refused when their expected time exceeds
+    /** Requests whose priority number is this or higher (less urgent) are refused when their expected time reaches
      * their target latency times `sheddableTimeFactor`: a late answer is of little use, and its work delays more
      * urgent requests. */
     std::uint32_t sheddablePriority = 2;
@@ -84,7 +84,8 @@
         std::uint32_t outliers = 0;
         std::uint32_t cold = 0;
     };
-    /** The preference lists of a service, with the failure rate at which one of its upstreams is an outlier. */
+    /** The affinity orders of a service's objects, with the failure rate at which one of its upstreams is an outlier.
+     */
     struct service_order {
         affinity_order order;
         /** A fraction of the requests; 0 until computed. */
--- a/test/correctness/kernel_test.cpp
+++ b/test/correctness/kernel_test.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(kernel_fixture, "kernel.services_with_needs.start_in_order_and_stop_in_reverse")
+TEST_CASE_METHOD(kernel_fixture, "kernel.services_with_dependencies.start_in_order_and_stop_in_reverse")
 {
     subject->add(recorded("routing", { "directory" }));
     subject->add(recorded("directory", {}));
@@ -46,7 +46,7 @@
             "start directory", "start routing", "stop routing", "stop directory", "stopped" });
 }
 
-TEST_CASE_METHOD(kernel_fixture, "kernel.missing_and_circular_needs.are_reported_together_and_nothing_starts")
+TEST_CASE_METHOD(kernel_fixture, "kernel.missing_and_circular_dependencies.are_reported_together_and_nothing_starts")
 {
     subject->add(recorded("routing", { "directory" }));
     subject->add(recorded("left", { "right" }));
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -132,7 +132,7 @@
     REQUIRE(allocatorsOf("kumamoto") != std::vector<std::string> { "b" });
 }
 
-TEST_CASE_METHOD(membership_fixture, "membership.silent_vm.is_avoided_everywhere_within_seconds")
+TEST_CASE_METHOD(membership_fixture, "membership.vm_without_heartbeats.is_avoided_everywhere_within_seconds")
 {
     begin();
     maximumAllocators(6s);
