--- a/tools/fault_proxy/control_server.cpp
+++ b/tools/fault_proxy/control_server.cpp
@@ -13,7 +13,7 @@
     constexpr int statusOk = 200;
     constexpr int statusBadRequest = 400;
     constexpr int statusNotFound = 404;
-    constexpr std::size_t largestBody = 4096;
+    constexpr std::size_t maximumBody = 4096;
 
     void reply(evhttp_request* request, int status, const std::string& text)
     {
@@ -38,7 +38,7 @@
 {
     std::unique_ptr<control_server> created(new control_server(routes));
     created->m_server = evhttp_new(base);
-    evhttp_set_max_body_size(created->m_server, largestBody);
+    evhttp_set_max_body_size(created->m_server, maximumBody);
     evhttp_set_allowed_methods(created->m_server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT);
     evhttp_set_gencb(
         created->m_server,
@@ -65,20 +65,20 @@
     const std::vector<std::string> parts = absl::StrSplit(evhttp_request_get_uri(request), '/');
     const bool isCommand = parts.size() == 4 && parts[1] == "routes";
     if (parts.size() == 2 && parts[1] == "routes")
-        reply(request, statusOk, describe());
+        reply(request, statusOk, routesAsJson());
     else if (isCommand && evhttp_request_get_command(request) != EVHTTP_REQ_GET)
-        command(request, parts[2], parts[3]);
+        runCommand(request, parts[2], parts[3]);
     else
         reply(request, statusNotFound, "no such path\n");
 }
 
-void control_server::command(evhttp_request* request, const std::string& name, const std::string& what)
+void control_server::runCommand(evhttp_request* request, const std::string& name, const std::string& command)
 {
-    const std::vector<proxy_route*> routes = matching(name);
+    const std::vector<proxy_route*> routes = findRoutes(name);
     const absl::StatusOr<fault_set> faults
-        = what == "faults" ? parseFaults(bodyOf(request)) : absl::StatusOr<fault_set>(fault_set {});
-    const bool isKnown = what == "faults" || what == "cut" || what == "silence-open";
-    if (routes.empty() || !isKnown) {
+        = command == "faults" ? parseFaults(bodyOf(request)) : absl::StatusOr<fault_set>(fault_set {});
+    const bool isKnownCommand = command == "faults" || command == "cut" || command == "silence-open";
+    if (routes.empty() || !isKnownCommand) {
         reply(request, statusNotFound, "no such route or command\n");
         return;
     }
@@ -87,9 +87,9 @@
         return;
     }
     for (proxy_route* route : routes) {
-        if (what == "faults")
+        if (command == "faults")
             route->setFaults(*faults);
-        else if (what == "cut")
+        else if (command == "cut")
             route->cut();
         else
             route->silenceOpen();
@@ -97,7 +97,7 @@
     reply(request, statusOk, "done\n");
 }
 
-std::string control_server::describe() const
+std::string control_server::routesAsJson() const
 {
     nlohmann::json list = nlohmann::json::array();
     for (const auto& route : m_routes) {
@@ -108,7 +108,7 @@
     return list.dump(2) + "\n";
 }
 
-std::vector<proxy_route*> control_server::matching(const std::string& name) const
+std::vector<proxy_route*> control_server::findRoutes(const std::string& name) const
 {
     std::vector<proxy_route*> result;
     const bool isPrefix = name.ends_with('*');
--- a/tools/fault_proxy/control_server.h
+++ b/tools/fault_proxy/control_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The HTTP port over which faults are commanded.
+ * The HTTP interface for injecting faults into the routes of the proxy.
  */
 
 #include <memory>
@@ -16,12 +16,13 @@
 
 namespace plantainlatch {
 
-/** `GET /routes` shows all routes. `PUT /routes/NAME/faults` replaces a route's faults by those of the JSON body, `POST
- * /routes/NAME/cut` resets its open connections, `POST /routes/NAME/silence-open` stops them for good. A NAME that ends
- * with `*` stands for all routes that begin so. */
+/** `GET /routes` lists all routes. `PUT /routes/NAME/faults` replaces the faults of a route with those in the JSON
+ * body. `POST /routes/NAME/cut` resets its open connections. `POST /routes/NAME/silence-open` permanently stops
+ * forwarding on its open connections without closing them. A NAME that ends with `*` selects all routes with this
+ * prefix. */
 class control_server {
 public:
-    /** Unavailable when the address can't be listened on. The routes must outlive the server. */
+    /** Unavailable if the address can't be listened on. The routes must outlive the server. */
     static absl::StatusOr<std::unique_ptr<control_server>> create(
         event_base* base, const network_address& address, std::vector<std::unique_ptr<proxy_route>>& routes);
     ~control_server();
@@ -32,9 +33,9 @@
     explicit control_server(std::vector<std::unique_ptr<proxy_route>>& routes);
 
     void handle(evhttp_request* request);
-    void command(evhttp_request* request, const std::string& name, const std::string& what);
-    std::string describe() const;
-    std::vector<proxy_route*> matching(const std::string& name) const;
+    void runCommand(evhttp_request* request, const std::string& name, const std::string& command);
+    std::string routesAsJson() const;
+    std::vector<proxy_route*> findRoutes(const std::string& name) const;
 
     std::vector<std::unique_ptr<proxy_route>>& m_routes;
     evhttp* m_server = nullptr;
--- a/tools/fault_proxy/fault_set.cpp
+++ b/tools/fault_proxy/fault_set.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::uint64_t longestDelayMilliseconds = 600'000;
+    constexpr std::uint64_t maximumDelayMilliseconds = 600'000;
 
     bool readFlag(const std::string& name, const nlohmann::json& value, fault_set& faults)
     {
@@ -33,7 +33,7 @@
         if (!value.is_number_unsigned())
             return false;
         const auto number = value.get<std::uint64_t>();
-        if (name == "delay_ms" && number <= longestDelayMilliseconds)
+        if (name == "delay_ms" && number <= maximumDelayMilliseconds)
             faults.delay = std::chrono::milliseconds(number);
         else if (name == "truncate_after")
             faults.truncateAfter = byte_count(number);
--- a/tools/fault_proxy/fault_set.h
+++ b/tools/fault_proxy/fault_set.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The faults of one route of the proxy, as they are commanded.
+ * The faults that are injected into the connections of one route.
  */
 
 #include <cstdint>
@@ -14,31 +14,31 @@
 
 namespace plantainlatch {
 
-/** The two ways of a connection. */
-enum class flow { Up, Down };
+/** The direction of bytes on a connection: Up is from the side that connects to the target, Down is the reverse. */
+enum class stream_direction { Up, Down };
 
-/** Faults that hold for all connections of a route, open and new, until they are replaced. Up is from the side that
- * connects. */
+/** Faults that apply to all open and new connections of a route until they are replaced. */
 struct fault_set {
-    /** Bytes arrive this much later. */
+    /** Latency that is added in each direction. */
     duration delay {};
-    /** No byte passes in this direction; the sender sees no error, and what it sent passes when the fault ends. */
+    /** Nothing is forwarded in this direction. The sender sees no error, and its bytes are forwarded when the fault
+     * ends. */
     bool stopUp = false;
     bool stopDown = false;
-    /** New connections are reset at once. */
+    /** New connections are reset immediately. */
     bool refuse = false;
-    /** When one side closes, the other side is not told. */
+    /** When one side closes its connection, the connection to the other side stays open. */
     bool halfOpen = false;
-    /** A connection is reset after this many bytes downwards. */
+    /** A connection is closed after this number of bytes in the direction Down. */
     std::optional<byte_count> truncateAfter;
-    /** The most bytes a second, for each connection and direction; 0 is no limit. */
+    /** Maximum throughput of each connection in each direction; 0 means no limit. */
     bytes_per_second rate;
 
-    bool stops(flow way) const { return way == flow::Up ? stopUp : stopDown; }
+    bool stops(stream_direction direction) const { return direction == stream_direction::Up ? stopUp : stopDown; }
 };
 
-/** Reads `{"delay_ms":N,"stop_up":B,"stop_down":B,"refuse":B,"half_open":B,"truncate_after":N,"rate":N}`, each of which
- * may be left out; InvalidArgument for anything else. */
+/** Parses `{"delay_ms":N,"stop_up":B,"stop_down":B,"refuse":B,"half_open":B,"truncate_after":N,"rate":N}`, where all
+ * fields are optional; InvalidArgument for anything else. */
 absl::StatusOr<fault_set> parseFaults(const std::string& text);
 
 } // namespace plantainlatch
--- a/tools/fault_proxy/proxied_connection.h
+++ b/tools/fault_proxy/proxied_connection.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One connection through the proxy, with its faults.
+ * One connection through the proxy, to which the faults of its route are applied.
  */
 
 #include <array>
@@ -21,61 +21,62 @@
 
 namespace plantainlatch {
 
-/** Passes bytes both ways between an accepted socket and a connection to the target. */
+/** Forwards bytes in both directions between an accepted socket and a connection to the target. */
 class proxied_connection {
 public:
-    /** Takes over the accepted socket. `ended` is called once, on a later round of the loop than what caused it. */
+    /** Takes ownership of the accepted socket. `onEnd` is called once, from a later iteration of the event loop than
+     * the event that ended the connection, so that it may destroy this object. */
     static std::unique_ptr<proxied_connection> create(event_base* base, const kernel_hooks& hooks, int accepted,
-        const network_address& target, const fault_set& faults, std::function<void()> ended);
+        const network_address& target, const fault_set& faults, std::function<void()> onEnd);
     ~proxied_connection();
     proxied_connection(const proxied_connection&) = delete;
     proxied_connection& operator=(const proxied_connection&) = delete;
 
-    /** The route's faults have changed. */
-    void faultsChanged();
+    /** Must be called after each change of the route's faults. */
+    void onFaultsChanged();
 
-    /** Stops both directions for good. */
+    /** Permanently stops forwarding in both directions; both connections stay open. */
     void silence();
 
-    /** Resets both sides. */
+    /** Resets the connections to both sides. */
     void cut();
 
 private:
     /** One direction: bytes read from `from` and written to `to`. */
-    struct direction {
+    struct byte_stream {
         proxied_connection* owner = nullptr;
-        flow way = flow::Up;
+        stream_direction direction = stream_direction::Up;
         bufferevent* from = nullptr;
         bufferevent* to = nullptr;
-        /** Bytes on their delayed way, and when the last of them arrive. */
-        std::size_t delayed = 0;
+        /** Bytes whose delivery is delayed by a fault, and when the last of them are due. */
+        std::size_t delayedBytes = 0;
         time_point lastDue {};
-        std::uint64_t passed = 0;
-        /** The sender has closed; the receiver is told when everything has arrived. */
+        std::uint64_t forwardedBytes = 0;
+        /** The sender has closed; the connection ends when everything has been delivered. */
         bool closing = false;
     };
 
-    proxied_connection(const kernel_hooks& hooks, const fault_set& faults, std::function<void()> ended);
+    proxied_connection(const kernel_hooks& hooks, const fault_set& faults, std::function<void()> onEnd);
 
     void connect(event_base* base, int accepted, const network_address& target);
-    void readable(direction& item);
-    void pass(direction& item, std::string bytes);
-    void arrive(direction& item, const std::string& bytes);
-    void senderClosed(direction& item);
-    void closeIfPassed(direction& item);
-    void applyFaults(direction& item);
-    bool isBlocked(const direction& item) const;
-    void reset(bufferevent* side);
+    void onReadable(byte_stream& stream);
+    void forward(byte_stream& stream, std::string bytes);
+    void deliver(byte_stream& stream, const std::string& bytes);
+    void onSenderClosed(byte_stream& stream);
+    void closeWhenDelivered(byte_stream& stream);
+    void applyFaults(byte_stream& stream);
+    bool isBlocked(const byte_stream& stream) const;
+    void resetOnClose(bufferevent* side);
     void end();
 
     const kernel_hooks& m_hooks;
     const fault_set& m_faults;
-    std::function<void()> m_ended;
+    std::function<void()> m_onEnd;
     bool m_silent = false;
-    bool m_over = false;
-    std::array<direction, 2> m_directions;
+    bool m_closed = false;
+    std::array<byte_stream, 2> m_streams;
     ev_token_bucket_cfg* m_rate = nullptr;
-    /** Lets late timers see that the connection has gone. */
+    /** False after the destructor; timers that fire later check it. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tools/fault_proxy/proxy_route.cpp
+++ b/tools/fault_proxy/proxy_route.cpp
@@ -15,8 +15,8 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
-    /** Further connections are reset. */
-    constexpr std::size_t largestOpen = 10'000;
+    /** Above this number, new connections are reset. */
+    constexpr std::size_t maximumOpenConnections = 10'000;
 
     void resetSocket(int socket)
     {
@@ -82,7 +82,7 @@
 
 void proxy_route::accept(int socket)
 {
-    if (m_faults.refuse || m_connections.size() >= largestOpen) {
+    if (m_faults.refuse || m_connections.size() >= maximumOpenConnections) {
         resetSocket(socket);
         return;
     }
@@ -95,7 +95,7 @@
 {
     m_faults = faults;
     for (const auto& [number, connection] : m_connections)
-        connection->faultsChanged();
+        connection->onFaultsChanged();
 }
 
 void proxy_route::cut()
--- a/tools/fault_proxy/proxy_route.h
+++ b/tools/fault_proxy/proxy_route.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One route of the proxy: an address on which it listens and the target behind it.
+ * One route of the proxy: an address on which it listens and the target to which it forwards.
  */
 
 #include <cstdint>
@@ -20,20 +20,20 @@
 
 namespace plantainlatch {
 
-/** Where a route listens and where it leads. */
+/** The configuration of a route. */
 struct route_spec {
     std::string name;
     network_address listen;
     network_address target;
 };
 
-/** Reads `NAME=LISTEN/TARGET`; InvalidArgument for anything else. */
+/** Parses `NAME=LISTEN/TARGET`; InvalidArgument for anything else. */
 absl::StatusOr<route_spec> parseRoute(const std::string& text);
 
-/** Accepts connections and passes them on, with the route's faults. */
+/** Accepts connections and forwards them to the target with the route's faults. */
 class proxy_route {
 public:
-    /** Unavailable when the address can't be listened on. */
+    /** Unavailable if the address can't be listened on. The hooks must outlive the route. */
     static absl::StatusOr<std::unique_ptr<proxy_route>> create(
         event_base* base, const kernel_hooks& hooks, route_spec spec);
     ~proxy_route();
@@ -45,9 +45,9 @@
     std::size_t open() const { return m_connections.size(); }
 
     void setFaults(const fault_set& faults);
-    /** Resets all open connections; new ones work. */
+    /** Resets all open connections; new ones are not affected. */
     void cut();
-    /** Stops all open connections for good, without an error; new ones work. */
+    /** Permanently stops forwarding on all open connections without closing them; new ones are not affected. */
     void silenceOpen();
 
 private:
--- a/tools/load_tool/entry_source.cpp
+++ b/tools/load_tool/entry_source.cpp
@@ -15,21 +15,21 @@
     constexpr duration lookupTimeout = std::chrono::seconds(1);
     constexpr duration retryDelay = std::chrono::milliseconds(100);
     constexpr duration avoidTime = std::chrono::seconds(1);
-    constexpr duration shortestCacheTime = std::chrono::milliseconds(50);
+    constexpr duration minimumCacheTime = std::chrono::milliseconds(50);
     constexpr std::uint32_t connectionLimit = 4096;
     constexpr std::uint32_t defaultCacheMilliseconds = 1000;
     constexpr int statusOk = 200;
 
     std::string textOf(const nlohmann::json& json, const char* name)
     {
-        const bool isThere = json.is_object() && json.contains(name) && json[name].is_string();
-        return isThere ? json[name].get<std::string>() : "";
+        const bool isPresent = json.is_object() && json.contains(name) && json[name].is_string();
+        return isPresent ? json[name].get<std::string>() : "";
     }
 
-    std::uint32_t numberOf(const nlohmann::json& json, const char* name, std::uint32_t otherwise)
+    std::uint32_t numberOf(const nlohmann::json& json, const char* name, std::uint32_t defaultValue)
     {
-        const bool isThere = json.is_object() && json.contains(name) && json[name].is_number_unsigned();
-        return isThere ? json[name].get<std::uint32_t>() : otherwise;
+        const bool isPresent = json.is_object() && json.contains(name) && json[name].is_number_unsigned();
+        return isPresent ? json[name].get<std::uint32_t>() : defaultValue;
     }
 
 } // namespace
@@ -44,10 +44,10 @@
 {
 }
 
-void entry_source::start(std::function<void()> ready)
+void entry_source::start(std::function<void()> onFirstList)
 {
-    m_ready = std::move(ready);
-    ask();
+    m_onFirstList = std::move(onFirstList);
+    lookUp();
 }
 
 void entry_source::stop()
@@ -56,7 +56,7 @@
     m_hooks.cancel(m_timer);
 }
 
-network_address entry_source::whomToAsk()
+network_address entry_source::nextLookupAddress()
 {
     for (const entry& item : m_entries) {
         if (item.avoidUntil <= m_hooks.now())
@@ -65,29 +65,29 @@
     return m_bootstrap[m_nextBootstrap++ % m_bootstrap.size()];
 }
 
-void entry_source::ask()
+void entry_source::lookUp()
 {
-    if (m_asking || m_stopped)
+    if (m_lookupPending || m_stopped)
         return;
-    m_asking = true;
+    m_lookupPending = true;
     ++m_lookups;
     upstream_call call;
     call.id = m_nextCall();
-    call.address = whomToAsk();
+    call.address = nextLookupAddress();
     call.method = "GET";
     call.target = m_near.empty() ? "/v1/entries" : absl::StrCat("/v1/entries?near=", m_near);
     call.timeout = lookupTimeout;
     call.connectionLimit = connectionLimit;
     call_events events;
-    const network_address asked = call.address;
-    events.onAnswer = [this](const upstream_answer& answer) { answered(answer); };
-    events.onFailure = [this, asked](call_failure) { lookupFailed(asked); };
+    const network_address lookupAddress = call.address;
+    events.onAnswer = [this](const upstream_answer& answer) { handleAnswer(answer); };
+    events.onFailure = [this, lookupAddress](call_failure) { handleLookupFailure(lookupAddress); };
     m_client.start(std::move(call), std::move(events));
 }
 
-void entry_source::answered(const upstream_answer& answer)
+void entry_source::handleAnswer(const upstream_answer& answer)
 {
-    m_asking = false;
+    m_lookupPending = false;
     const nlohmann::json json = nlohmann::json::parse(answer.body, nullptr, false);
     std::vector<entry> entries;
     if (answer.status == statusOk && json.is_object() && json.contains("entries")) {
@@ -99,7 +99,7 @@
     }
     if (entries.empty()) {
         ++m_failedLookups;
-        askAfter(retryDelay);
+        lookUpAfter(retryDelay);
         return;
     }
     for (entry& item : entries) {
@@ -107,25 +107,25 @@
             item.avoidUntil = known->avoidUntil;
     }
     m_entries = std::move(entries);
-    askAfter(std::max(
-        duration(std::chrono::milliseconds(numberOf(json, "cache_ms", defaultCacheMilliseconds))), shortestCacheTime));
-    if (m_ready)
-        std::exchange(m_ready, nullptr)();
+    lookUpAfter(std::max(
+        duration(std::chrono::milliseconds(numberOf(json, "cache_ms", defaultCacheMilliseconds))), minimumCacheTime));
+    if (m_onFirstList)
+        std::exchange(m_onFirstList, nullptr)();
 }
 
-void entry_source::lookupFailed(const network_address& asked)
+void entry_source::handleLookupFailure(const network_address& lookupAddress)
 {
-    m_asking = false;
+    m_lookupPending = false;
     ++m_failedLookups;
-    if (entry* item = find(asked))
+    if (entry* item = find(lookupAddress))
         item->avoidUntil = m_hooks.now() + avoidTime;
-    askAfter(retryDelay);
+    lookUpAfter(retryDelay);
 }
 
-void entry_source::askAfter(duration delay)
+void entry_source::lookUpAfter(duration delay)
 {
     m_hooks.cancel(m_timer);
-    m_timer = m_hooks.schedule(delay, [this] { ask(); });
+    m_timer = m_hooks.schedule(delay, [this] { lookUp(); });
 }
 
 entry_source::entry* entry_source::find(const network_address& address)
@@ -135,7 +135,7 @@
     return found != m_entries.end() ? &*found : nullptr;
 }
 
-std::size_t entry_source::firstByWeight()
+std::size_t entry_source::pickByWeight()
 {
     std::uint64_t sum = 0;
     for (const entry& item : m_entries)
@@ -154,7 +154,7 @@
 network_address entry_source::pick(std::uint32_t tryNumber, const network_address& lastTried)
 {
     internal_assert(!m_entries.empty()) << "no list of entries yet";
-    std::size_t start = firstByWeight();
+    std::size_t start = pickByWeight();
     if (tryNumber > 0) {
         if (const entry* last = find(lastTried))
             start = static_cast<std::size_t>(last - m_entries.data()) + 1;
@@ -167,11 +167,11 @@
     return m_entries[start % m_entries.size()].address;
 }
 
-void entry_source::failed(const network_address& address)
+void entry_source::reportFailure(const network_address& address)
 {
     if (entry* item = find(address))
         item->avoidUntil = m_hooks.now() + avoidTime;
-    ask();
+    lookUp();
 }
 
 } // namespace plantainlatch
--- a/tools/load_tool/entry_source.h
+++ b/tools/load_tool/entry_source.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The entries that one group of callers uses, as the system told it.
+ * Looks up the list of entries for one group of callers and selects the entry for each request.
  */
 
 #include <functional>
@@ -14,23 +14,26 @@
 
 namespace plantainlatch {
 
-/** Asks /v1/entries, keeps the answer for its cache time, and picks entries by its order and weights. */
+/** Queries /v1/entries, caches the answer for its cache time, and picks entries by the order and weights of the list.
+ */
 class entry_source {
 public:
-    /** `nextCall` numbers the calls of the process. */
+    /** `bootstrap` holds the entries that are queried while no listed entry is usable. `near` is the callers' failure
+     * domain, or empty. `nextCall` generates call ids that are unique in the process. */
     entry_source(const kernel_hooks& hooks, upstream_port& client, std::vector<network_address> bootstrap,
         std::string near, std::function<call_id()> nextCall);
 
-    /** Asks for the first list; `ready` is called once there is one. */
-    void start(std::function<void()> ready);
+    /** Starts the look-ups; `onFirstList` is called after the first one that succeeds. */
+    void start(std::function<void()> onFirstList);
     void stop();
 
-    /** For a first try: one by the weights. For later tries: those after it in order. An entry that failed lately is
-     * passed over while there is another. */
+    /** Returns the entry for a try of a request. The first try (`tryNumber` 0) gets a random entry by weight, and later
+     * tries get the next one in the list after `lastTried`. Entries that failed within the last second are skipped if
+     * there is another one. Requires that the first list has arrived. */
     network_address pick(std::uint32_t tryNumber, const network_address& lastTried);
 
-    /** Notes that an entry could not be used, and asks for a new list. */
-    void failed(const network_address& address);
+    /** Reports that an entry could not be used; picks avoid it for a second, and a new list is looked up. */
+    void reportFailure(const network_address& address);
 
     std::uint64_t lookups() const { return m_lookups; }
     std::uint64_t failedLookups() const { return m_failedLookups; }
@@ -42,23 +45,23 @@
         time_point avoidUntil {};
     };
 
-    void ask();
-    void answered(const upstream_answer& answer);
-    void lookupFailed(const network_address& asked);
-    void askAfter(duration delay);
-    network_address whomToAsk();
+    void lookUp();
+    void handleAnswer(const upstream_answer& answer);
+    void handleLookupFailure(const network_address& lookupAddress);
+    void lookUpAfter(duration delay);
+    network_address nextLookupAddress();
     entry* find(const network_address& address);
-    std::size_t firstByWeight();
+    std::size_t pickByWeight();
 
     const kernel_hooks& m_hooks;
     upstream_port& m_client;
     std::vector<network_address> m_bootstrap;
     std::string m_near;
     std::function<call_id()> m_nextCall;
-    std::function<void()> m_ready;
+    std::function<void()> m_onFirstList;
     std::vector<entry> m_entries;
     std::size_t m_nextBootstrap = 0;
-    bool m_asking = false;
+    bool m_lookupPending = false;
     bool m_stopped = false;
     timer_id m_timer;
     std::uint64_t m_lookups = 0;
--- a/tools/load_tool/load_generator.cpp
+++ b/tools/load_tool/load_generator.cpp
@@ -17,8 +17,8 @@
     constexpr std::uint32_t connectionLimit = 4096;
     constexpr duration resendDelay = std::chrono::milliseconds(20);
     constexpr duration inProgressDelay = std::chrono::milliseconds(100);
-    /** Less time than this is not worth another try. */
-    constexpr duration shortestTry = std::chrono::milliseconds(20);
+    /** A request with less time left is not sent again, and no try gets a shorter time-out. */
+    constexpr duration minimumTryTime = std::chrono::milliseconds(20);
 
     std::string fieldOf(const upstream_answer& answer, const char* name)
     {
@@ -26,7 +26,8 @@
         return field != nullptr ? field->value : "";
     }
 
-    /** Whether header and body name the request: a crossed or mixed answer does not. */
+    /** Whether header and body both name the request. Detects answers that belong, in whole or in part, to another
+     * request. */
     bool isAnswerTo(const std::string& requestName, const upstream_answer& answer)
     {
         const nlohmann::json json = nlohmann::json::parse(answer.body, nullptr, false);
@@ -44,7 +45,8 @@
     , m_report(report)
     , m_runName(absl::StrCat("r", absl::Hex(hooks.random())))
     , m_body(options.bodyBytes, 'b')
-    , m_total(static_cast<std::uint64_t>(options.rate * std::chrono::duration<double>(options.length).count()))
+    , m_requestCount(
+          static_cast<std::uint64_t>(options.rate * std::chrono::duration<double>(options.sendDuration).count()))
 {
 }
 
@@ -78,19 +80,19 @@
 
 void load_generator::sendDue()
 {
-    while (m_next < m_total && intendedAt(m_next) <= m_hooks.now()) {
+    while (m_nextNumber < m_requestCount && intendedAt(m_nextNumber) <= m_hooks.now()) {
         auto item = std::make_shared<request>();
-        item->number = m_next;
+        item->number = m_nextNumber;
         item->kind = nextKind();
-        item->intended = intendedAt(m_next);
-        item->entries = m_sources[m_next % m_sources.size()].get();
-        ++m_next;
-        ++m_open;
+        item->intended = intendedAt(m_nextNumber);
+        item->entries = m_sources[m_nextNumber % m_sources.size()].get();
+        ++m_nextNumber;
+        ++m_openRequests;
         m_report.sent(item->kind);
         send(item);
     }
-    if (m_next < m_total)
-        m_hooks.schedule(intendedAt(m_next) - m_hooks.now(), [this] { sendDue(); });
+    if (m_nextNumber < m_requestCount)
+        m_hooks.schedule(intendedAt(m_nextNumber) - m_hooks.now(), [this] { sendDue(); });
     else
         finishIfDone();
 }
@@ -106,7 +108,7 @@
             return static_cast<work_kind>(i);
         left -= m_options.mix[i];
     }
-    internal_assert(false) << "the mix of " << sum;
+    internal_assert(false) << "no request kind selected; the weights of the mix sum to " << sum;
     return work_kind::Idempotent;
 }
 
@@ -120,8 +122,8 @@
     item->lastEntry = item->entries->pick(item->tries, item->lastEntry);
     ++item->tries;
     call_events events;
-    events.onAnswer = [this, item](const upstream_answer& answer) { answered(item, answer); };
-    events.onFailure = [this, item](call_failure failure) { failed(item, failure); };
+    events.onAnswer = [this, item](const upstream_answer& answer) { handleAnswer(item, answer); };
+    events.onFailure = [this, item](call_failure failure) { handleFailure(item, failure); };
     m_client.start(makeCall(*item), std::move(events));
 }
 
@@ -139,13 +141,13 @@
         call.headers.push_back({ http_fields::idempotencyKey, absl::StrCat("k-", name) });
     if (!isGet)
         call.body = m_body;
-    call.timeout = std::max(timeLeft(item), shortestTry);
+    call.timeout = std::max(timeLeft(item), minimumTryTime);
     call.freshConnection = item.kind == work_kind::Unkeyed;
     call.connectionLimit = connectionLimit;
     return call;
 }
 
-void load_generator::answered(const request_pointer& item, const upstream_answer& answer)
+void load_generator::handleAnswer(const request_pointer& item, const upstream_answer& answer)
 {
     request_end ended;
     ended.kind = item->kind;
@@ -154,25 +156,26 @@
     ended.status = answer.status;
     ended.latency = m_hooks.now() - item->intended;
     ended.ownAnswer = isAnswerTo(absl::StrCat(m_runName, "-", item->number), answer);
-    // The entry can't serve now and dispatched nothing; only work without a key needs its word for that.
-    const bool isAway = ended.reason == "draining" || ended.reason == "not-ready";
-    const bool maySend = ended.outcome == "not-run" || item->kind != work_kind::Unkeyed;
-    if (isAway)
-        item->entries->failed(item->lastEntry);
-    if (isAway && maySend && trySendAgain(item, duration::zero()))
+    // The entry is stopping or not ready. A request without an idempotency key is sent again only if the answer states
+    // that it was not executed.
+    const bool isUnavailable = ended.reason == "draining" || ended.reason == "not-ready";
+    const bool maySendAgain = ended.outcome == "not-run" || item->kind != work_kind::Unkeyed;
+    if (isUnavailable)
+        item->entries->reportFailure(item->lastEntry);
+    if (isUnavailable && maySendAgain && trySendAgain(item, duration::zero()))
         return;
     if (ended.outcome == "in-progress" && trySendAgain(item, inProgressDelay))
         return;
     end(*item, ended);
 }
 
-void load_generator::failed(const request_pointer& item, call_failure failure)
+void load_generator::handleFailure(const request_pointer& item, call_failure failure)
 {
     const bool nothingSent = failure == call_failure::ConnectFailed || failure == call_failure::ConnectionLimit;
     if (failure != call_failure::ConnectionLimit)
-        item->entries->failed(item->lastEntry);
-    const bool maySend = nothingSent || item->kind != work_kind::Unkeyed;
-    if (maySend && trySendAgain(item, resendDelay))
+        item->entries->reportFailure(item->lastEntry);
+    const bool maySendAgain = nothingSent || item->kind != work_kind::Unkeyed;
+    if (maySendAgain && trySendAgain(item, resendDelay))
         return;
     request_end ended;
     ended.kind = item->kind;
@@ -182,7 +185,7 @@
 
 bool load_generator::trySendAgain(const request_pointer& item, duration delay)
 {
-    if (item->tries >= m_options.tries || timeLeft(*item) < delay + shortestTry)
+    if (item->tries >= m_options.tries || timeLeft(*item) < delay + minimumTryTime)
         return false;
     m_report.resent();
     m_hooks.schedule(delay, [this, item] { send(item); });
@@ -191,15 +194,15 @@
 
 void load_generator::end(const request& item, request_end end)
 {
-    internal_assert(item.tries > 0) << "request " << item.number << " ended unsent";
+    internal_assert(item.tries > 0) << "request " << item.number << " ended before it was sent";
     m_report.ended(end);
-    --m_open;
+    --m_openRequests;
     finishIfDone();
 }
 
 void load_generator::finishIfDone()
 {
-    if (m_next < m_total || m_open > 0 || !m_done)
+    if (m_nextNumber < m_requestCount || m_openRequests > 0 || !m_done)
         return;
     std::uint64_t lookups = 0;
     std::uint64_t failedLookups = 0;
--- a/tools/load_tool/load_generator.h
+++ b/tools/load_tool/load_generator.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The open loop: requests leave at their intended times, whatever became of the earlier ones.
+ * Open-loop load generator: each request is sent at its scheduled time, independently of the answers to earlier ones.
  */
 
 #include <functional>
@@ -17,12 +17,12 @@
 
 namespace plantainlatch {
 
-/** Sends all requests of a run and sends those again for which that is safe. */
+/** Sends all requests of a run, and resends failed ones if that can't execute a request twice. */
 class load_generator {
 public:
     load_generator(const kernel_hooks& hooks, upstream_port& client, const load_options& options, run_report& report);
 
-    /** Runs the load; `done` is called when all requests have ended. */
+    /** Starts the run; `done` is called when all requests have ended. */
     void start(std::function<void()> done);
 
 private:
@@ -40,9 +40,9 @@
     void sendDue();
     void send(const request_pointer& item);
     upstream_call makeCall(const request& item);
-    void answered(const request_pointer& item, const upstream_answer& answer);
-    void failed(const request_pointer& item, call_failure failure);
-    /** Whether a request may be sent again now, after `delay`. */
+    void handleAnswer(const request_pointer& item, const upstream_answer& answer);
+    void handleFailure(const request_pointer& item, call_failure failure);
+    /** Schedules another try after `delay`; returns false if the request has no tries or not enough time left. */
     bool trySendAgain(const request_pointer& item, duration delay);
     void end(const request& item, request_end end);
     void finishIfDone();
@@ -60,9 +60,9 @@
     std::string m_runName;
     std::string m_body;
     time_point m_start;
-    std::uint64_t m_total = 0;
-    std::uint64_t m_next = 0;
-    std::uint64_t m_open = 0;
+    std::uint64_t m_requestCount = 0;
+    std::uint64_t m_nextNumber = 0;
+    std::uint64_t m_openRequests = 0;
     std::uint64_t m_lastCall = 0;
 };
 
--- a/tools/load_tool/load_options.cpp
+++ b/tools/load_tool/load_options.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-    /** Bounds on what one run can hold. */
-    constexpr double largestRate = 200'000;
-    constexpr std::uint64_t largestRequestCount = 20'000'000;
-    constexpr std::uint32_t largestTries = 20;
+    /** Upper bounds for the options of one run. */
+    constexpr double maximumRate = 200'000;
+    constexpr std::uint64_t maximumRequestCount = 20'000'000;
+    constexpr std::uint32_t maximumTries = 20;
 
     absl::Status readMix(const std::string& text, load_options& options)
     {
@@ -27,23 +27,23 @@
                 return absl::InvalidArgumentError("--mix takes weights from 0 to 1000");
             sum += options.mix[i];
         }
-        return sum > 0 ? absl::OkStatus() : absl::InvalidArgumentError("--mix is all 0");
+        return sum > 0 ? absl::OkStatus() : absl::InvalidArgumentError("--mix needs a weight above 0");
     }
 
     absl::Status checkBounds(const load_options& options)
     {
         if (options.entries.empty())
             return absl::InvalidArgumentError("--entry is missing");
-        if (!(options.rate > 0) || options.rate > largestRate)
-            return absl::InvalidArgumentError(absl::StrCat("--rate is above 0 and at most ", largestRate));
-        const double seconds = std::chrono::duration<double>(options.length).count();
-        if (options.rate * seconds > static_cast<double>(largestRequestCount))
+        if (!(options.rate > 0) || options.rate > maximumRate)
+            return absl::InvalidArgumentError(absl::StrCat("--rate must be above 0 and at most ", maximumRate));
+        const double seconds = std::chrono::duration<double>(options.sendDuration).count();
+        if (options.rate * seconds > static_cast<double>(maximumRequestCount))
             return absl::InvalidArgumentError(
-                absl::StrCat("--rate and --duration make more than ", largestRequestCount, " requests"));
-        if (options.tries == 0 || options.tries > largestTries)
-            return absl::InvalidArgumentError(absl::StrCat("--tries is 1 to ", largestTries));
+                absl::StrCat("--rate and --duration make more than ", maximumRequestCount, " requests"));
+        if (options.tries == 0 || options.tries > maximumTries)
+            return absl::InvalidArgumentError(absl::StrCat("--tries must be from 1 to ", maximumTries));
         if (options.timeout <= duration::zero())
-            return absl::InvalidArgumentError("--timeout is 0");
+            return absl::InvalidArgumentError("--timeout must be above 0");
         return absl::OkStatus();
     }
 
@@ -95,7 +95,7 @@
         options.near.emplace_back();
     options.service = service_id(line.text("service"));
     options.rate = line.decimal("rate", status);
-    options.length = line.span("duration", status);
+    options.sendDuration = line.span("duration", status);
     status.Update(readMix(line.text("mix"), options));
     options.getPath = line.text("get-path");
     options.postPath = line.text("post-path");
--- a/tools/load_tool/load_options.h
+++ b/tools/load_tool/load_options.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What load the tool makes.
+ * The command-line options of the load tool.
  */
 
 #include <array>
@@ -16,43 +16,44 @@
 
 namespace plantainlatch {
 
-/** The kinds of work in the mix. */
+/** The kinds of requests in the mix. */
 enum class work_kind {
-    /** A GET: it may be sent again. */
+    /** A GET, which may be sent again. */
     Idempotent,
-    /** A POST with an idempotency key: it may be sent again with the same key. */
+    /** A POST with an idempotency key, which may be sent again with the same key. */
     Keyed,
-    /** A POST without a key: it is sent once. */
+    /** A POST without a key, which is sent again only if it is known not to have been executed. */
     Unkeyed,
 };
 
 inline constexpr std::size_t workKindCount = 3;
 
-/** The kind as it stands in options and reports. */
+/** The name of the kind in reports. */
 std::string workKindName(work_kind kind);
 
-/** All of one run's load. */
+/** The load of one run. */
 struct load_options {
-    /** Where to ask for the list of entries first. */
+    /** The entries that are asked for the first list of entries. */
     std::vector<network_address> entries;
-    /** The failure domains that the callers are near to, in turn; an empty one for callers of unknown place. */
+    /** The failure domains of the callers, assigned to requests round-robin; empty for callers of unknown location. */
     std::vector<std::string> near;
     service_id service;
-    /** Requests a second. */
+    /** Requests per second. */
     double rate = 0;
-    duration length {};
-    /** Weights by kind. */
+    /** How long requests are sent. */
+    duration sendDuration {};
+    /** Weights, indexed by work_kind. */
     std::array<std::uint32_t, workKindCount> mix {};
     std::string getPath;
     std::string postPath;
     std::uint32_t bodyBytes = 0;
-    /** From the intended send time to the end of the last try. */
+    /** From the scheduled send time to the end of the last try. */
     duration timeout {};
-    /** The most times that one request is sent. */
+    /** The maximum number of times that one request is sent. */
     std::uint32_t tries = 1;
     std::string jsonFile;
     std::uint64_t seed = 0;
-    /** Whether a request without its own complete answer makes the run fail. */
+    /** Whether the run fails if any request did not get a complete answer of its own. */
     bool requireAll = false;
 };
 
--- a/tools/load_tool/main.cpp
+++ b/tools/load_tool/main.cpp
@@ -13,8 +13,9 @@
     constexpr int exitOk = 0;
     constexpr int exitFailed = 1;
     constexpr int exitBadInput = 2;
-    /** How long the run may wait for a first list of entries, or for late answers. */
-    constexpr duration patience = std::chrono::seconds(20);
+    /** Time beyond the duration and the time-out of the load that a run may take for the first list of entries and for
+     * late answers. */
+    constexpr duration maximumOverrun = std::chrono::seconds(20);
 
     int fail(const absl::Status& status, int code)
     {
@@ -50,7 +51,7 @@
             finished = true;
             (*loop)->stop();
         });
-        hooks.schedule(options.length + options.timeout + patience, [&] { (*loop)->stop(); });
+        hooks.schedule(options.sendDuration + options.timeout + maximumOverrun, [&] { (*loop)->stop(); });
         (*loop)->run();
         if (!finished)
             return fail(absl::DeadlineExceededError("the run did not end in time"), exitFailed);
--- a/tools/load_tool/run_report.cpp
+++ b/tools/load_tool/run_report.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-    /** Bins of about 1% width between these bounds, in milliseconds. */
-    constexpr double shortestLatency = 0.01;
-    constexpr double longestLatency = 100'000;
+    /** Range of the histogram in milliseconds; each of its logarithmic bins is about 1% wide. */
+    constexpr double minimumLatency = 0.01;
+    constexpr double maximumLatency = 100'000;
     constexpr unsigned binCount = 1600;
 
     using latency_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
@@ -39,8 +39,8 @@
 } // namespace
 
 struct run_report::histogram {
-    decltype(boost::histogram::make_histogram(latency_axis(binCount, shortestLatency, longestLatency))) counts
-        = boost::histogram::make_histogram(latency_axis(binCount, shortestLatency, longestLatency));
+    decltype(boost::histogram::make_histogram(latency_axis(binCount, minimumLatency, maximumLatency))) counts
+        = boost::histogram::make_histogram(latency_axis(binCount, minimumLatency, maximumLatency));
     std::uint64_t total = 0;
 };
 
--- a/tools/load_tool/run_report.h
+++ b/tools/load_tool/run_report.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Counts and latencies of a load run.
+ * Statistics of a load run: counts by outcome and a latency histogram.
  */
 
 #include <cstdint>
@@ -14,20 +14,20 @@
 
 namespace plantainlatch {
 
-/** How one request ended. */
+/** The result of one request. */
 struct request_end {
     work_kind kind = work_kind::Idempotent;
-    /** The outcome that the answer names; `none` when there was no answer. */
+    /** The outcome in the answer; without an answer, `not-sent` if nothing was sent, else `no-answer`. */
     std::string outcome;
     std::string reason;
     int status = 0;
-    /** Whether the answer is whole and names this request. */
+    /** Whether the answer is complete and names this request. */
     bool ownAnswer = false;
-    /** From the intended send time. */
+    /** Measured from the scheduled send time. */
     duration latency {};
 };
 
-/** Requests by how they ended. */
+/** Collects the results of a run and formats them as text and JSON. */
 class run_report {
 public:
     run_report();
@@ -41,7 +41,7 @@
     void setLookups(std::uint64_t all, std::uint64_t failed);
     void setElapsed(duration elapsed) { m_elapsed = elapsed; }
 
-    /** Whether every request that was sent got its own whole answer from an upstream. */
+    /** Whether every request that was sent got a complete answer of its own from an upstream. */
     bool allServed() const;
 
     std::string json() const;
--- a/tools/upstream_standin/announcer.cpp
+++ b/tools/upstream_standin/announcer.cpp
@@ -12,9 +12,9 @@
 
     constexpr duration callTimeout = std::chrono::seconds(2);
     constexpr duration retryDelay = std::chrono::milliseconds(200);
-    constexpr duration shortestRenewal = std::chrono::milliseconds(20);
+    constexpr duration minimumRenewal = std::chrono::milliseconds(20);
     constexpr std::uint32_t connectionLimit = 1024;
-    constexpr int firstError = 300;
+    constexpr int firstNonSuccess = 300;
 
     std::string toJson(const upstream_announcement& content)
     {
@@ -25,7 +25,7 @@
         return json.dump();
     }
 
-    /** The renewal time of an answer; 0 when it names none. */
+    /** Returns the renewal interval in an answer; 0 if it contains none. */
     duration renewalOf(const std::string& body)
     {
         const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
@@ -43,7 +43,7 @@
     , m_entries(std::move(entries))
     , m_content(std::move(content))
     , m_nextCall(std::move(nextCall))
-    , m_entry(m_entries.empty() ? 0 : m_hooks.random() % m_entries.size())
+    , m_entryIndex(m_entries.empty() ? 0 : m_hooks.random() % m_entries.size())
 {
 }
 
@@ -58,27 +58,27 @@
     if (m_leaving)
         return;
     call_events events;
-    events.onAnswer = [this](const upstream_answer& answer) { answered(answer); };
-    events.onFailure = [this](call_failure) { failed(); };
+    events.onAnswer = [this](const upstream_answer& answer) { handleAnswer(answer); };
+    events.onFailure = [this](call_failure) { handleFailure(); };
     m_client.start(makeCall("POST", "/v1/upstreams", toJson(m_content)), std::move(events));
 }
 
-void announcer::answered(const upstream_answer& answer)
+void announcer::handleAnswer(const upstream_answer& answer)
 {
     const duration renewal = renewalOf(answer.body);
-    if (answer.status >= firstError || renewal == duration::zero()) {
+    if (answer.status >= firstNonSuccess || renewal == duration::zero()) {
         m_hooks.log({ log_level::Warning, "announcer", "announcement refused",
             { { "upstream", m_content.id.value() }, { "status", absl::StrCat(answer.status) },
                 { "body", answer.body } } });
-        failed();
+        handleFailure();
         return;
     }
-    m_renewal = m_hooks.schedule(std::max(renewal, shortestRenewal), [this] { announce(); });
+    m_renewal = m_hooks.schedule(std::max(renewal, minimumRenewal), [this] { announce(); });
 }
 
-void announcer::failed()
+void announcer::handleFailure()
 {
-    m_entry = (m_entry + 1) % m_entries.size();
+    m_entryIndex = (m_entryIndex + 1) % m_entries.size();
     m_renewal = m_hooks.schedule(retryDelay, [this] { announce(); });
 }
 
@@ -86,22 +86,22 @@
 {
     m_leaving = true;
     m_hooks.cancel(m_renewal);
-    sendGoodbye(m_entries.size(), std::move(done));
+    deregister(m_entries.size(), std::move(done));
 }
 
-void announcer::sendGoodbye(std::size_t triesLeft, std::function<void()> done)
+void announcer::deregister(std::size_t triesLeft, std::function<void()> done)
 {
     if (triesLeft == 0) {
         done();
         return;
     }
     const auto tryNext = [this, triesLeft, done] {
-        m_entry = (m_entry + 1) % m_entries.size();
-        sendGoodbye(triesLeft - 1, done);
+        m_entryIndex = (m_entryIndex + 1) % m_entries.size();
+        deregister(triesLeft - 1, done);
     };
     call_events events;
     events.onAnswer = [done, tryNext](const upstream_answer& answer) {
-        if (answer.status < firstError)
+        if (answer.status < firstNonSuccess)
             done();
         else
             tryNext();
@@ -116,7 +116,7 @@
 {
     upstream_call call;
     call.id = m_nextCall();
-    call.address = m_entries[m_entry];
+    call.address = m_entries[m_entryIndex];
     call.method = method;
     call.target = target;
     call.body = body;
--- a/tools/upstream_standin/announcer.h
+++ b/tools/upstream_standin/announcer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Announces one upstream to the system, renews, and says goodbye.
+ * Announces one upstream to the system, renews the announcement, and deregisters the upstream at the end.
  */
 
 #include <functional>
@@ -14,24 +14,24 @@
 
 namespace plantainlatch {
 
-/** Keeps one upstream announced at any one of the entries. */
+/** Keeps one upstream announced at one of the entries; after a failure, the next entry is tried. */
 class announcer {
 public:
-    /** `nextCall` numbers the calls of the process. */
+    /** `nextCall` generates call ids that are unique in the process. */
     announcer(const kernel_hooks& hooks, upstream_port& client, std::vector<network_address> entries,
         upstream_announcement content, std::function<call_id()> nextCall);
 
     void start();
 
-    /** Ends the renewals and says goodbye to the entries in turn until one accepts it; then calls `done`, also when
-     * none did. */
+    /** Ends the renewals and sends the deregistration to one entry after another until one accepts it. Calls `done`
+     * when one has accepted it or all have failed. */
     void leave(std::function<void()> done);
 
 private:
     void announce();
-    void answered(const upstream_answer& answer);
-    void failed();
-    void sendGoodbye(std::size_t triesLeft, std::function<void()> done);
+    void handleAnswer(const upstream_answer& answer);
+    void handleFailure();
+    void deregister(std::size_t triesLeft, std::function<void()> done);
     upstream_call makeCall(const std::string& method, const std::string& target, const std::string& body);
 
     const kernel_hooks& m_hooks;
@@ -39,7 +39,7 @@
     std::vector<network_address> m_entries;
     upstream_announcement m_content;
     std::function<call_id()> m_nextCall;
-    std::size_t m_entry = 0;
+    std::size_t m_entryIndex = 0;
     bool m_leaving = false;
     timer_id m_renewal;
 };
--- a/tools/upstream_standin/main.cpp
+++ b/tools/upstream_standin/main.cpp
@@ -61,9 +61,9 @@
             self.generation = generation;
             self.service = m_options.service;
             self.address = addressOf(m_options.firstAddress, index);
-            const standin_place& place = m_options.places[index % m_options.places.size()];
-            self.region = place.region;
-            self.failureDomain = place.failureDomain;
+            const standin_location& location = m_options.locations[index % m_options.locations.size()];
+            self.region = location.region;
+            self.failureDomain = location.failureDomain;
             self.slots = slot_count(m_options.slots);
             self.connections = m_options.connections;
             return self;
@@ -74,10 +74,10 @@
             if (m_stopping)
                 return;
             m_stopping = true;
-            m_goodbyes = m_announcers.size();
+            m_pendingDeregistrations = m_announcers.size();
             for (std::size_t i = 0; i < m_standins.size(); ++i) {
                 m_standins[i]->drain();
-                m_announcers[i]->leave([this] { --m_goodbyes; });
+                m_announcers[i]->leave([this] { --m_pendingDeregistrations; });
             }
             m_hooks.schedule(m_options.drainTime, [this] { stopWhenIdle(); });
         }
@@ -87,7 +87,7 @@
             std::size_t inFlight = 0;
             for (const auto& item : m_standins)
                 inFlight += item->inFlight();
-            if (inFlight > 0 || m_goodbyes > 0) {
+            if (inFlight > 0 || m_pendingDeregistrations > 0) {
                 m_hooks.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
                 return;
             }
@@ -110,7 +110,7 @@
         std::vector<std::unique_ptr<standin>> m_standins;
         std::vector<std::unique_ptr<announcer>> m_announcers;
         std::uint64_t m_lastCall = 0;
-        std::size_t m_goodbyes = 0;
+        std::size_t m_pendingDeregistrations = 0;
         bool m_stopping = false;
     };
 
--- a/tools/upstream_standin/run_record.h
+++ b/tools/upstream_standin/run_record.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The record of the requests that ran, for counting those that ran twice.
+ * A log of executed requests, from which requests that were executed twice are counted.
  */
 
 #include <memory>
@@ -11,16 +11,16 @@
 
 namespace plantainlatch {
 
-/** Appends a line to a file for each request, before the request does anything; every process may share the file. */
+/** Appends a line to a file for each request before it is executed. Several processes may append to the same file. */
 class run_record {
 public:
-    /** An empty path records nothing. */
+    /** With an empty path, nothing is recorded. PermissionDenied if the file can't be opened for writing. */
     static absl::StatusOr<std::unique_ptr<run_record>> create(const std::string& path);
     ~run_record();
     run_record(const run_record&) = delete;
     run_record& operator=(const run_record&) = delete;
 
-    /** One line: upstream, method, request and key, each `-` where there is none. */
+    /** Appends the line `UPSTREAM METHOD REQUEST KEY`, in which an empty request or key is written as `-`. */
     void add(
         const std::string& upstream, const std::string& method, const std::string& request, const std::string& key);
 
--- a/tools/upstream_standin/standin.cpp
+++ b/tools/upstream_standin/standin.cpp
@@ -18,7 +18,7 @@
 
     constexpr int listenBacklog = 1024;
     constexpr int crashExitCode = 70;
-    constexpr std::uint64_t largestBody = 8 * 1024 * 1024;
+    constexpr std::uint64_t maximumBody = 8 * 1024 * 1024;
     constexpr duration defaultTimeout = std::chrono::seconds(30);
     constexpr duration sampleInterval = std::chrono::milliseconds(50);
     constexpr const char* requestNameField = "X-Request-Id";
@@ -26,7 +26,7 @@
     constexpr const char* hangField = "X-Standin-Hang";
     constexpr const char* upstreamField = "X-Standin-Upstream";
 
-    /** The library takes all hooks under one type. */
+    /** libevhtp takes callbacks of different signatures as one function pointer type. */
     evhtp_hook asHook(evhtp_hook_request_fini_cb hook)
     {
         return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook));
@@ -100,7 +100,7 @@
     m_server = evhtp_new(base, nullptr);
     if (m_server == nullptr)
         return absl::ResourceExhaustedError("no memory for a server");
-    evhtp_set_max_body_size(m_server, largestBody);
+    evhtp_set_max_body_size(m_server, maximumBody);
     evhtp_enable_flag(m_server, EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_gencb(
         m_server, [](evhtp_request* request, void* argument) { static_cast<standin*>(argument)->handle(request); },
@@ -157,7 +157,7 @@
     };
     events.onDone = [this, key] { answer(key, EVHTP_RES_OK); };
     events.onNotRun = [this, key] { answerNotRun(key); };
-    events.onCut = [this, key] { answer(key, EVHTP_RES_GWTIMEOUT); };
+    events.onDeadline = [this, key] { answer(key, EVHTP_RES_GWTIMEOUT); };
     const duration timeout
         = http_fields::parseSeconds(field(request, http_fields::requestTimeout)).value_or(defaultTimeout);
     const work_id work = m_queue.add(timeout, field(request, hangField) == "1", std::move(events));
@@ -168,7 +168,7 @@
     m_exchanges.emplace(key, exchange { request, field(request, http_fields::call), requestName, work });
     m_byRequest.emplace(request, key);
     const evhtp_hook_request_fini_cb onEnd = [](evhtp_request* ended, void* argument) -> evhtp_res {
-        static_cast<standin*>(argument)->gone(ended);
+        static_cast<standin*>(argument)->onRequestEnded(ended);
         return EVHTP_RES_OK;
     };
     evhtp_request_set_hook(request, evhtp_hook_on_request_fini, asHook(onEnd), this);
@@ -185,7 +185,7 @@
 
 void standin::answer(std::uint64_t key, int status)
 {
-    const exchange ended = take(key);
+    const exchange ended = removeExchange(key);
     addField(ended.request, http_fields::call, ended.call);
     addField(ended.request, upstreamField, m_self.id.value());
     addField(ended.request, requestNameField, ended.requestName);
@@ -196,9 +196,9 @@
     evhtp_send_reply(ended.request, static_cast<evhtp_res>(status));
 }
 
-void standin::answerNotRun(std::uint64_t key) { refuse(take(key).request); }
+void standin::answerNotRun(std::uint64_t key) { refuse(removeExchange(key).request); }
 
-standin::exchange standin::take(std::uint64_t key)
+standin::exchange standin::removeExchange(std::uint64_t key)
 {
     const auto found = m_exchanges.find(key);
     internal_assert(found != m_exchanges.end()) << "exchange " << key << " has ended";
@@ -208,12 +208,12 @@
     return ended;
 }
 
-void standin::gone(evhtp_request* request)
+void standin::onRequestEnded(evhtp_request* request)
 {
     const auto found = m_byRequest.find(request);
     if (found == m_byRequest.end())
         return;
-    const exchange ended = take(found->second);
+    const exchange ended = removeExchange(found->second);
     m_queue.cancel(ended.work);
 }
 
--- a/tools/upstream_standin/standin.h
+++ b/tools/upstream_standin/standin.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One stand-in upstream: its HTTP server round a work queue.
+ * One stand-in upstream: an HTTP server that executes requests in a work queue.
  */
 
 #include <deque>
@@ -23,20 +23,20 @@
 
 namespace plantainlatch {
 
-/** Serves /health, /load and everything else as work. */
+/** Answers /health and /load, and treats every other path as a request to execute. */
 class standin {
 public:
-    /** Unavailable when the address can't be bound. The hooks, options and record must outlive it. */
+    /** Unavailable if the address can't be listened on. The hooks, options and record must outlive the stand-in. */
     static absl::StatusOr<std::unique_ptr<standin>> create(event_base* base, const kernel_hooks& hooks,
         const standin_options& options, upstream_announcement self, run_record& record);
     ~standin();
     standin(const standin&) = delete;
     standin& operator=(const standin&) = delete;
 
-    /** Reports itself as draining. */
+    /** Reports draining in /load and unhealthy in /health from now on; requests are still executed. */
     void drain() { m_draining = true; }
 
-    /** Requests that were accepted and are not answered. */
+    /** The number of accepted requests that are not answered yet. */
     std::size_t inFlight() const { return m_exchanges.size(); }
     std::uint64_t runCount() const { return m_queue.runCount(); }
     std::uint64_t shedCount() const { return m_shedCount; }
@@ -63,9 +63,9 @@
     void refuse(evhtp_request* request);
     void answer(std::uint64_t key, int status);
     void answerNotRun(std::uint64_t key);
-    void gone(evhtp_request* request);
-    /** Forgets an exchange and returns it; its request no longer reports its end. */
-    exchange take(std::uint64_t key);
+    void onRequestEnded(evhtp_request* request);
+    /** Removes and returns an exchange; the end of its request is then ignored. */
+    exchange removeExchange(std::uint64_t key);
     void sampleLoad();
 
     const kernel_hooks& m_hooks;
--- a/tools/upstream_standin/standin_options.cpp
+++ b/tools/upstream_standin/standin_options.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-    constexpr std::uint32_t largestCount = 200;
+    constexpr std::uint32_t maximumCount = 200;
 
-    /** Collects the first error of all options. */
+    /** Reads options and keeps the first error. */
     struct option_reader {
         const command_line& line;
         absl::Status status = absl::OkStatus();
 
-        std::uint32_t small(const std::string& name)
+        std::uint32_t smallNumber(const std::string& name)
         {
             const std::uint64_t value = line.number(name, status);
             if (value > std::numeric_limits<std::int32_t>::max())
@@ -30,7 +30,7 @@
             const auto found = values.find(line.text(name));
             if (found != values.end())
                 return found->second;
-            fail(absl::StrCat("--", name, " can't be '", line.text(name), "'"));
+            fail(absl::StrCat("--", name, " does not accept '", line.text(name), "'"));
             return Value {};
         }
 
@@ -41,12 +41,12 @@
         }
     };
 
-    void readPlaces(option_reader& reader, standin_options& options)
+    void readLocations(option_reader& reader, standin_options& options)
     {
         for (const std::string& text : reader.line.texts("place")) {
             const std::vector<std::string> parts = absl::StrSplit(text, '/');
             if (parts.size() == 2)
-                options.places.push_back({ region_id(parts[0]), failure_domain_id(parts[1]) });
+                options.locations.push_back({ region_id(parts[0]), failure_domain_id(parts[1]) });
             else
                 reader.fail(absl::StrCat("--place takes REGION/FAILURE_DOMAIN, not '", text, "'"));
         }
@@ -54,16 +54,16 @@
 
     void readWork(option_reader& reader, standin_options& options)
     {
-        options.slots = reader.small("slots");
-        options.connections = reader.small("connections");
-        options.queueLength = reader.small("queue");
+        options.slots = reader.smallNumber("slots");
+        options.connections = reader.smallNumber("connections");
+        options.queueLength = reader.smallNumber("queue");
         options.serviceTime = reader.line.span("service-time", reader.status);
         options.distribution = reader.choice<time_distribution>("distribution",
             { { "constant", time_distribution::Constant }, { "exponential", time_distribution::Exponential },
                 { "lognormal", time_distribution::Lognormal } });
-        options.coldRequests = reader.small("cold-requests");
+        options.coldRequests = reader.smallNumber("cold-requests");
         options.coldFactor = reader.line.decimal("cold-factor", reader.status);
-        options.answerBytes = reader.small("answer-bytes");
+        options.answerBytes = reader.smallNumber("answer-bytes");
     }
 
     void readReports(option_reader& reader, standin_options& options)
@@ -114,9 +114,9 @@
     standin_options options;
     options.service = service_id(line.text("service"));
     options.idPrefix = line.given("id") ? line.text("id") : line.text("service");
-    options.count = reader.small("count");
-    if (options.count == 0 || options.count > largestCount)
-        reader.fail(absl::StrCat("--count is 1 to ", largestCount));
+    options.count = reader.smallNumber("count");
+    if (options.count == 0 || options.count > maximumCount)
+        reader.fail(absl::StrCat("--count must be from 1 to ", maximumCount));
     const std::vector<network_address> addresses = line.addresses("address", reader.status);
     if (!addresses.empty())
         options.firstAddress = addresses.front();
@@ -125,7 +125,7 @@
         options.announcedAddress = announced.front();
     if (options.firstAddress.port + options.count > std::numeric_limits<std::uint16_t>::max())
         reader.fail("--address leaves too few ports");
-    readPlaces(reader, options);
+    readLocations(reader, options);
     options.entries = line.addresses("entry", reader.status);
     readWork(reader, options);
     readReports(reader, options);
--- a/tools/upstream_standin/standin_options.h
+++ b/tools/upstream_standin/standin_options.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * How a stand-in upstream behaves.
+ * The command-line options of the stand-in upstreams.
  */
 
 #include <optional>
@@ -16,22 +16,22 @@
 
 namespace plantainlatch {
 
-/** How service times spread round their mean. */
+/** The distribution of service times around their mean. */
 enum class time_distribution { Constant, Exponential, Lognormal };
 
-/** What the load endpoint says. */
+/** What /load reports. */
 enum class load_answer {
     Truth,
-    /** Always nothing running. */
+    /** Always no running requests. */
     Idle,
-    /** Always all slots running. */
+    /** Always as many running requests as slots. */
     Busy,
     /** No answer at all. */
     Silent,
 };
 
-/** Where a stand-in is. */
-struct standin_place {
+/** The location of a stand-in. */
+struct standin_location {
     region_id region;
     failure_domain_id failureDomain;
 };
@@ -41,29 +41,30 @@
     service_id service;
     std::string idPrefix;
     std::uint32_t count = 1;
-    /** Of the first one; the next ones follow on the next ports. */
+    /** The address of the first stand-in; the others use the ports after it. */
     network_address firstAddress;
-    /** What the first one announces as its address, if it is reached through another one; the next ports follow. */
+    /** The address that the first stand-in announces if it is reached through a proxy; the others announce the ports
+     * after it. */
     std::optional<network_address> announcedAddress;
-    /** Taken in turn. */
-    std::vector<standin_place> places;
+    /** Assigned to the stand-ins round-robin. */
+    std::vector<standin_location> locations;
     std::vector<network_address> entries;
     std::uint32_t slots = 1;
     std::uint32_t connections = 1;
-    /** Requests that wait for a slot; further ones are shed. */
+    /** The maximum number of requests that wait for a slot; further ones are shed. */
     std::uint32_t queueLength = 0;
     duration serviceTime {};
     time_distribution distribution = time_distribution::Constant;
-    /** How many requests warm a cold start; none for a warm start. */
+    /** The number of requests after a start until the service time is normal; 0 for a warm start. */
     std::uint32_t coldRequests = 0;
-    /** How many times longer the first request of a cold start takes. */
+    /** The factor on the service time of the first request; it falls linearly to 1 over the cold requests. */
     double coldFactor = 1;
     std::uint32_t answerBytes = 0;
     load_answer load = load_answer::Truth;
-    /** How old the reported load is. */
+    /** The age of the load that /load reports. */
     duration loadLag {};
     bool healthy = true;
-    /** How long it still accepts work after SIGTERM, until the goodbye has spread. */
+    /** How long requests are still accepted after SIGTERM, until all entries know of the deregistration. */
     duration drainTime {};
     std::string recordFile;
     std::uint64_t seed = 0;
--- a/tools/upstream_standin/work_queue.cpp
+++ b/tools/upstream_standin/work_queue.cpp
@@ -25,14 +25,14 @@
 {
 }
 
-work_id work_queue::add(duration timeout, bool holds, work_events events)
+work_id work_queue::add(duration timeout, bool holdsSlot, work_events events)
 {
     if (m_work.size() >= std::size_t(m_options.slots) + m_options.queueLength)
         return {};
     const work_id id(++m_lastWork);
     work& added = m_work[id];
     added.events = std::move(events);
-    added.holds = holds;
+    added.holdsSlot = holdsSlot;
     added.deadline = m_hooks.schedule(timeout, [this, id] { expire(id); });
     m_waiting.push_back(id);
     m_hooks.schedule(duration::zero(), [this] { startWaiting(); });
@@ -59,11 +59,11 @@
 void work_queue::run(work_id id)
 {
     work& started = m_work.at(id);
-    started.runs = true;
+    started.isRunning = true;
     ++m_running;
     const duration span = nextServiceTime();
     ++m_runCount;
-    if (!started.holds)
+    if (!started.holdsSlot)
         started.end = m_hooks.schedule(span, [this, id] { finish(id); });
     const std::function<void()> onRun = started.events.onRun;
     onRun();
@@ -80,8 +80,8 @@
 {
     const work ended = remove(id);
     startWaiting();
-    if (ended.runs)
-        ended.events.onCut();
+    if (ended.isRunning)
+        ended.events.onDeadline();
     else
         ended.events.onNotRun();
 }
@@ -94,7 +94,7 @@
     m_work.erase(found);
     m_hooks.cancel(ended.deadline);
     m_hooks.cancel(ended.end);
-    if (ended.runs)
+    if (ended.isRunning)
         --m_running;
     else
         m_waiting.remove(id);
@@ -103,13 +103,13 @@
 
 duration work_queue::nextServiceTime()
 {
-    double cold = 1;
+    double coldSlowdown = 1;
     if (m_runCount < m_options.coldRequests) {
         const double left = 1 - static_cast<double>(m_runCount) / m_options.coldRequests;
-        cold += (m_options.coldFactor - 1) * left;
+        coldSlowdown += (m_options.coldFactor - 1) * left;
     }
     const double mean = static_cast<double>(m_options.serviceTime.count());
-    return duration(static_cast<duration::rep>(mean * cold * nextFactor()));
+    return duration(static_cast<duration::rep>(mean * coldSlowdown * nextFactor()));
 }
 
 double work_queue::nextFactor()
@@ -118,9 +118,10 @@
     case time_distribution::Constant:
         return 1;
     case time_distribution::Exponential:
-        return -std::log(1 - uniform());
+        return -std::log(1 - uniformRandom());
     case time_distribution::Lognormal: {
-        const double normal = std::sqrt(-2 * std::log(1 - uniform())) * std::cos(2 * std::numbers::pi * uniform());
+        const double normal
+            = std::sqrt(-2 * std::log(1 - uniformRandom())) * std::cos(2 * std::numbers::pi * uniformRandom());
         return std::exp(lognormalSigma * normal - lognormalSigma * lognormalSigma / 2);
     }
     }
@@ -128,6 +129,9 @@
     return 1;
 }
 
-double work_queue::uniform() { return static_cast<double>(m_hooks.random() >> droppedRandomBits) * randomSpacing; }
+double work_queue::uniformRandom()
+{
+    return static_cast<double>(m_hooks.random() >> droppedRandomBits) * randomSpacing;
+}
 
 } // namespace plantainlatch
--- a/tools/upstream_standin/work_queue.h
+++ b/tools/upstream_standin/work_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The slots and the queue of one stand-in upstream, without any socket.
+ * Simulates the execution of requests by one stand-in upstream, with a fixed number of slots and a bounded queue.
  */
 
 #include <cstdint>
@@ -14,30 +14,33 @@
 
 namespace plantainlatch {
 
-/** One request in the queue or in a slot; 0 is none. */
+/** Identifies a request in the queue or in a slot; 0 means none. */
 using work_id = strong_number<struct work_tag>;
 
-/** What happens to a request; after onDone or onNotRun nothing more does. */
+/** Callbacks for one request. Exactly one of onDone, onNotRun and onDeadline is called, as the last one, unless the
+ * request is cancelled. */
 struct work_events {
-    /** It gets a slot and begins to run. */
+    /** The request got a slot and its execution begins. */
     std::function<void()> onRun;
+    /** Its service time is over. */
     std::function<void()> onDone;
-    /** The deadline came while it waited: it did not run. */
+    /** The deadline passed while it was queued, so that it was not executed. */
     std::function<void()> onNotRun;
-    /** The deadline came while it ran. */
-    std::function<void()> onCut;
+    /** The deadline passed during its execution. */
+    std::function<void()> onDeadline;
 };
 
-/** Runs requests in slots, with a service time each; what finds no slot waits in a bounded queue. */
+/** Executes each request in a slot for its service time. Requests that find no free slot wait in a bounded queue.
+ */
 class work_queue {
 public:
     work_queue(const kernel_hooks& hooks, const standin_options& options);
 
-    /** Takes a request; 0 when the queue is full. Events never come before this returns. `holds` keeps the slot until
-     * cancel(). */
-    work_id add(duration timeout, bool holds, work_events events);
+    /** Adds a request; returns 0 if the queue is full. No callback is called before this returns. With `holdsSlot`, the
+     * request keeps its slot until its deadline or cancel(). */
+    work_id add(duration timeout, bool holdsSlot, work_events events);
 
-    /** Ends a request at once, without an event. */
+    /** Removes a request without calling any of its callbacks. */
     void cancel(work_id id);
 
     std::uint32_t running() const { return m_running; }
@@ -47,8 +50,8 @@
 private:
     struct work {
         work_events events;
-        bool runs = false;
-        bool holds = false;
+        bool isRunning = false;
+        bool holdsSlot = false;
         timer_id deadline;
         timer_id end;
     };
@@ -60,7 +63,7 @@
     work remove(work_id id);
     duration nextServiceTime();
     double nextFactor();
-    double uniform();
+    double uniformRandom();
 
     const kernel_hooks& m_hooks;
     const standin_options& m_options;
