Word the alerts in the terms of the field

Cause: alert_book and its members used private words (book, follow, calm), and comments and alert texts were hard to read at first sight. Test names reworded; assertions, seeds and bounds as before. No test or tool matches the changed texts.

--- a/src/decision/alerts/alert_service.cpp
+++ b/src/decision/alerts/alert_service.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    /** How long a VM may miss the leader before that is told. */
+    /** How long a VM may be without leader contact before it raises an alert. */
     constexpr duration controlDelay = std::chrono::seconds(10);
 
     void append(std::vector<risk_condition>& risks, std::vector<risk_condition> more)
@@ -31,9 +31,9 @@
     : m_hooks(hooks)
     , m_self(settings.self.id)
     , m_options(options)
-    , m_book(options.filter)
+    , m_tracker(options.filter)
 {
-    m_port.active = [this] { return m_book.active(); };
+    m_port.active = [this] { return m_tracker.active(); };
 }
 
 service alert_service::asService()
@@ -64,7 +64,7 @@
 void alert_service::tick()
 {
     m_timer = m_hooks.schedule(m_options.tickInterval, [this] { tick(); });
-    const alert_changes changes = m_book.update(findRisks(), m_hooks.now(), m_hooks.wallNow());
+    const alert_changes changes = m_tracker.update(findRisks(), m_hooks.now(), m_hooks.wallNow());
     for (const alert& item : changes.raised)
         log(log_level::Error, "alert raised", item);
     for (const alert& item : changes.resolved)
@@ -84,8 +84,8 @@
     if (m_consensus->state().current || m_membership->stopping())
         return {};
     return { { absl::StrCat("control:", m_self.value()), "a configuration is in force everywhere within seconds",
-        absl::StrCat("vm '", m_self.value(), "' has not heard from the leader"),
-        "it keeps its configuration and uses only slots that nobody else can be given", controlDelay } };
+        absl::StrCat("vm '", m_self.value(), "' has no leader contact"),
+        "it keeps its configuration and uses only slots that cannot be allocated to other VMs", controlDelay } };
 }
 
 std::vector<risk_condition> alert_service::findSystemRisks()
@@ -117,7 +117,7 @@
 state_dump alert_service::dump() const
 {
     state_dump shown(port_names::alerts);
-    for (const alert& item : m_book.active())
+    for (const alert& item : m_tracker.active())
         shown.add(item.id, item.what);
     return shown;
 }
--- a/src/decision/alerts/alert_service.h
+++ b/src/decision/alerts/alert_service.h
@@ -1,14 +1,14 @@
 #pragma once
 
 /** \file
- * The service that wakes operators, and only for a promise at risk.
+ * The service that alerts operators when a promise of the system is at risk.
  */
 
 #include <memory>
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "decision/alerts/alert_book.h"
+#include "decision/alerts/alert_tracker.h"
 #include "decision/operators/load_view.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
@@ -20,22 +20,24 @@
 
 namespace plantainlatch {
 
-/** What may be varied in alert_service. */
+/** Options of alert_service. */
 struct alert_options {
     alert_filter filter = alert_filter::Leaky;
     duration tickInterval = std::chrono::milliseconds(500);
-    /** How often the kept keys are searched for unknown outcomes. */
+    /** How often all idempotency keys are searched for unknown outcomes; less often than a tick because it visits every
+     * key. */
     duration outcomeInterval = std::chrono::seconds(5);
 };
 
-/** Raises each alert once, as a log line of level error and in the status, and resolves it by itself; published as
- * "alerts". The leader watches the whole system; any VM tells of itself when it is cut off from control. */
+/** Checks for risks at each tick. An alert that is raised or resolved is logged once, at level error or info; active
+ * alerts are part of the status. The leader checks the whole system; every VM alerts on its own loss of leader contact.
+ * Published as "alerts". */
 class alert_service {
 public:
     static absl::StatusOr<std::unique_ptr<alert_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, alert_options options = {});
 
-    /** The kernel service; it needs "control", "consensus" and "membership". */
+    /** The kernel service; it depends on "control", "consensus" and "membership". */
     service asService();
 
 private:
@@ -58,7 +60,7 @@
     membership_port* m_membership = nullptr;
     timer_id m_timer;
     load_view m_loads;
-    alert_book m_book;
+    alert_tracker m_tracker;
     time_point m_outcomesFoundAt {};
     std::vector<risk_condition> m_outcomeRisks;
 };
--- a/src/decision/alerts/system_risks.cpp
+++ b/src/decision/alerts/system_risks.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-    /** With fewer replicas than this every loss stops control; that is declared and no news. */
-    constexpr std::size_t leastReplicasToGuard = 3;
+    /** With fewer replicas than this, any loss stops the control log; that follows from the declared set of replicas
+     * and raises no alert. */
+    constexpr std::size_t minimumReplicasToGuard = 3;
 
     constexpr duration quorumDelay = std::chrono::seconds(5);
     constexpr duration capacityDelay = std::chrono::seconds(10);
-    /** A configuration has to be in force everywhere within this time. */
+    /** The time limit for a configuration to be in force on every VM. */
     constexpr duration configurationDelay = std::chrono::seconds(7);
     constexpr duration allocatorDelay = std::chrono::seconds(8);
     constexpr duration shiftDelay = std::chrono::minutes(2);
@@ -41,11 +42,11 @@
     const auto live = static_cast<std::size_t>(std::count_if(
         voters.begin(), voters.end(), [&](const replica_id& voter) { return isLive(view.reports, voter.vm); }));
     const std::size_t majority = voters.size() / 2 + 1;
-    if (voters.size() < leastReplicasToGuard || live > majority)
+    if (voters.size() < minimumReplicasToGuard || live > majority)
         return {};
     return { { "quorum", "control survives the loss of a VM",
-        absl::StrCat(live, " of ", voters.size(), " replicas answer, and ", majority, " are needed"),
-        "traffic goes on as it is; a replica that returns, or a new one, joins by itself", quorumDelay } };
+        absl::StrCat(live, " of ", voters.size(), " replicas answer; ", majority, " are needed for a majority"),
+        "traffic continues unchanged; a replica that returns, or a new one, joins automatically", quorumDelay } };
 }
 
 std::vector<risk_condition> findCapacityRisks(const system_view& view)
@@ -53,11 +54,11 @@
     std::vector<risk_condition> found;
     if (!view.loadsKnown)
         return found;
-    const auto places = estimateCapacity({ view.state, view.state.config, view.state.drains, view.loads });
-    for (const capacity_risk& risk : findRisks(places))
+    const auto locations = estimateCapacity({ view.state, view.state.config, view.state.drains, view.loads });
+    for (const capacity_risk& risk : findRisks(locations))
         found.push_back({ absl::StrCat("capacity:", risk.service.value(), ":", risk.region.value()),
-            "no region is pushed past what it can bear", describeRisk(risk),
-            "requests beyond the slots go to other regions or are told not-run", capacityDelay });
+            "no region is loaded beyond its capacity", describeRisk(risk),
+            "requests without a slot go to other regions or are answered not-run", capacityDelay });
     return found;
 }
 
@@ -73,7 +74,7 @@
         return {};
     return { { "configuration", "a configuration is in force everywhere within seconds",
         absl::StrCat("change ", view.state.config.number.value(), " is not in force everywhere: ", behind),
-        "the leader goes on sending the log, or a snapshot, to the VMs behind", configurationDelay } };
+        "the leader keeps sending the log, or a snapshot, to these VMs", configurationDelay } };
 }
 
 std::vector<risk_condition> findAllocatorRisks(const system_view& view)
@@ -98,10 +99,10 @@
             || record.phase == shift_phase::Reverted;
         if (!stuck)
             continue;
-        found.push_back({ absl::StrCat("shift:", id.value()), "what is declared becomes true",
+        found.push_back({ absl::StrCat("shift:", id.value()), "accepted declarations take effect",
             absl::StrCat("shift '", id.value(), "' is ", phaseName(record.phase), " at ", record.percent,
-                " percent after ", record.setbacks, " undone steps"),
-            "the shift goes on by itself when the target is measured and well; a reverted one waits for a change",
+                " percent after ", record.setbacks, " reverted steps"),
+            "the shift resumes when the target is measured and healthy; a reverted shift waits for a new declaration",
             shiftDelay });
     }
     return found;
@@ -119,7 +120,7 @@
     for (const auto& [service, count] : unknown)
         found.push_back({ absl::StrCat("outcome:", service.value()), "the outcome of every request is known",
             absl::StrCat(count, " keyed requests of service '", service.value(), "' have an unknown outcome"),
-            "they are not run again; callers that resend them are told unknown", outcomeDelay });
+            "they are not run again; callers that resend them get the outcome unknown", outcomeDelay });
     return found;
 }
 
--- a/src/decision/alerts/system_risks.h
+++ b/src/decision/alerts/system_risks.h
@@ -1,12 +1,12 @@
 #pragma once
 
 /** \file
- * Finds the promises of the whole system that are at risk, as the leader sees them.
+ * Finds the risks of the whole system from the state that the leader has.
  */
 
 #include <vector>
 
-#include "decision/alerts/alert_book.h"
+#include "decision/alerts/alert_tracker.h"
 #include "model/consensus_message.h"
 #include "model/control_message.h"
 #include "model/control_snapshot.h"
@@ -14,7 +14,7 @@
 
 namespace plantainlatch {
 
-/** What the leader knows of the system at one moment. */
+/** The leader's state of the system at one moment. */
 struct system_view {
     const control_snapshot& state;
     const voter_set& voters;
@@ -24,22 +24,22 @@
     wall_time now {};
 };
 
-/** One more lost replica would stop control. */
+/** The loss of one more replica would stop the control log. */
 std::vector<risk_condition> findQuorumRisk(const system_view& view);
 
-/** Regions that are asked for more than they can bear. */
+/** Regions whose demand exceeds their usable slots (see capacity_model.h); none while the loads are not known. */
 std::vector<risk_condition> findCapacityRisks(const system_view& view);
 
-/** A configuration that is not in force on a live VM. */
+/** The newest configuration is not in force on every live VM. */
 std::vector<risk_condition> findConfigurationRisk(const system_view& view);
 
 /** Regions without a live slot allocator. */
 std::vector<risk_condition> findAllocatorRisks(const system_view& view);
 
-/** Shifts that cannot go on. */
+/** Shifts that are held, are being reverted or were reverted. */
 std::vector<risk_condition> findShiftRisks(const system_view& view);
 
-/** Services with keyed work whose outcome nobody knows. It looks at every kept key. */
+/** Services with keyed requests whose outcome is unknown. Visits every idempotency key in the state. */
 std::vector<risk_condition> findOutcomeRisks(const system_view& view);
 
 } // namespace plantainlatch
--- a/test/correctness/alert_test.cpp
+++ b/test/correctness/alert_test.cpp
@@ -45,10 +45,10 @@
 
     risk_condition condition(duration raiseAfter) { return { "id", "promise", "what", "action", raiseAfter }; }
 
-    /** How often a book raises on a condition that holds two ticks of three, half a second each, for a minute. */
+    /** The number of alerts raised for a condition that holds in two of three ticks of 500 ms, for one minute. */
     std::size_t raisedOnFlicker(alert_filter filter)
     {
-        alert_book book(filter);
+        alert_tracker tracker(filter);
         std::size_t raised = 0;
         time_point now {};
         for (int i = 0; i < 120; ++i) {
@@ -56,21 +56,21 @@
             std::vector<risk_condition> found;
             if (i % 3 != 2)
                 found.push_back(condition(5s));
-            raised += book.update(found, now, {}).raised.size();
+            raised += tracker.update(found, now, {}).raised.size();
         }
         return raised;
     }
 
 } // namespace
 
-TEST_CASE_METHOD(alert_fixture, "alerts.sound_system.has_none")
+TEST_CASE_METHOD(alert_fixture, "alerts.healthy_system.has_none")
 {
     cluster.runtime.advance(120s);
     REQUIRE(active().empty());
     REQUIRE(logged("alert raised", "quorum") == 0);
 }
 
-TEST_CASE_METHOD(alert_fixture, "alerts.one_lost_replica.wakes_nobody")
+TEST_CASE_METHOD(alert_fixture, "alerts.one_lost_replica.raises_none")
 {
     cluster.cut("e");
     cluster.runtime.advance(60s);
@@ -90,7 +90,7 @@
     REQUIRE(logged("alert resolved", "quorum") == 1);
 }
 
-TEST_CASE_METHOD(alert_fixture, "alerts.vm_without_the_leader.tells_of_itself")
+TEST_CASE_METHOD(alert_fixture, "alerts.vm_without_leader_contact.alerts_on_itself")
 {
     cluster.cut("e");
     cluster.runtime.advance(20s);
@@ -100,7 +100,7 @@
     REQUIRE(active("e").empty());
 }
 
-TEST_CASE_METHOD(alert_fixture, "alerts.keyed_work_of_unknown_outcome.is_told")
+TEST_CASE_METHOD(alert_fixture, "alerts.keyed_request_of_unknown_outcome.raises_one")
 {
     claim_key claim { service_id("billing"), idempotency_key("k"), request_fingerprint(1), 1h, 1s };
     cluster.apply(claim);
@@ -108,7 +108,7 @@
     REQUIRE(active() == std::vector<std::string> { "outcome:billing" });
 }
 
-TEST_CASE("alert_book.flickering_risk.is_raised_once_and_only_by_the_leaky_filter")
+TEST_CASE("alert_tracker.flickering_risk.is_raised_once_and_only_by_the_leaky_filter")
 {
     REQUIRE(raisedOnFlicker(alert_filter::Leaky) == 1);
     REQUIRE(raisedOnFlicker(alert_filter::Plain) == 40);
--- a/test/performance/alert_benchmark.cpp
+++ b/test/performance/alert_benchmark.cpp
@@ -1,10 +1,10 @@
-// Counts false, missed and repeated alerts of each filter on noisy traces with fixed seeds: a condition that is seen
-// wrongly in bursts, and real risks of half a minute to five minutes.
+// Counts the false, missed and repeated alerts of each filter on random traces with fixed seeds: real risks of half a
+// minute to five minutes, observed with bursts of wrong readings.
 
 #include <cstdio>
 #include <random>
 
-#include "decision/alerts/alert_book.h"
+#include "decision/alerts/alert_tracker.h"
 
 namespace plantainlatch {
 
@@ -16,10 +16,10 @@
     constexpr duration raiseAfter = 8s;
     constexpr int runs = 200;
     constexpr int ticksOfRun = 7200;
-    /** A raise this long after the risk ended still belongs to it. */
-    constexpr int belongingTicks = 40;
+    /** An alert raised within this time after the risk ended is attributed to it. */
+    constexpr int attributionTicks = 40;
 
-    /** Whether a promise is at risk, and whether it looks so. */
+    /** A simulated risk, and its noisy observation. */
     class noisy_risk {
     public:
         explicit noisy_risk(std::uint64_t seed)
@@ -31,7 +31,7 @@
         int ticksSinceReal() const { return m_sinceReal; }
         bool beganNow() const { return m_began; }
 
-        bool look()
+        bool observe()
         {
             m_began = false;
             if (m_realTicks > 0) {
@@ -43,22 +43,22 @@
                 if (m_began)
                     m_realTicks = m_length(m_random);
             }
-            if (m_wrongTicks > 0)
-                --m_wrongTicks;
-            else if (m_goesWrong(m_random))
-                m_wrongTicks = m_wrongLength(m_random);
-            return isReal() != (m_wrongTicks > 0);
+            if (m_misreadTicks > 0)
+                --m_misreadTicks;
+            else if (m_misreadBegins(m_random))
+                m_misreadTicks = m_misreadLength(m_random);
+            return isReal() != (m_misreadTicks > 0);
         }
 
     private:
         std::mt19937_64 m_random;
         std::bernoulli_distribution m_begins { 0.002 };
         std::uniform_int_distribution<int> m_length { 60, 600 };
-        std::bernoulli_distribution m_goesWrong { 0.05 };
-        std::uniform_int_distribution<int> m_wrongLength { 1, 6 };
+        std::bernoulli_distribution m_misreadBegins { 0.05 };
+        std::uniform_int_distribution<int> m_misreadLength { 1, 6 };
         int m_realTicks = 0;
         int m_sinceReal = 100000;
-        int m_wrongTicks = 0;
+        int m_misreadTicks = 0;
         bool m_began = false;
     };
 
@@ -71,14 +71,14 @@
 
     void runOnce(alert_filter filter, std::uint64_t seed, alert_score& score)
     {
-        alert_book book(filter);
+        alert_tracker tracker(filter);
         noisy_risk risk(seed);
         time_point now {};
         int raisedForRisk = 0;
         bool open = false;
         for (int i = 0; i < ticksOfRun; ++i) {
             now += tick;
-            const bool seen = risk.look();
+            const bool seen = risk.observe();
             if (risk.beganNow()) {
                 ++score.risks;
                 raisedForRisk = 0;
@@ -87,10 +87,10 @@
             std::vector<risk_condition> found;
             if (seen)
                 found.push_back({ "risk", "", "", "", raiseAfter });
-            const int raised = static_cast<int>(book.update(found, now, {}).raised.size());
-            const bool belongs = risk.isReal() || risk.ticksSinceReal() <= belongingTicks;
-            (belongs ? raisedForRisk : score.falseAlerts) += raised;
-            if (open && !belongs) {
+            const int raised = static_cast<int>(tracker.update(found, now, {}).raised.size());
+            const bool attributed = risk.isReal() || risk.ticksSinceReal() <= attributionTicks;
+            (attributed ? raisedForRisk : score.falseAlerts) += raised;
+            if (open && !attributed) {
                 score.missed += raisedForRisk == 0 ? 1 : 0;
                 score.repeated += raisedForRisk > 1 ? raisedForRisk - 1 : 0;
                 open = false;
