Word the operator decisions in the terms of the field

Cause: comments and texts spoke of places, of what the rest bears and of what was told. Change: place_capacity -> location_capacity, capacity_question -> capacity_input, bearableRegionUse -> maximumRegionUtilization, runningAt -> requestRateAt, load_view::answer -> handleHeartbeat, judge -> decideLocally; comments, refusal, risk and plan texts and the causes of `explain` reworded. request_explanation_test matches "VM e1 received it and logged no answer" instead of "VM e1 had it and logged no answer", as strictly as before. Risk names, verdicts and keys stay.

--- a/src/decision/operators/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -15,7 +15,7 @@
 
     constexpr double wholePercent = 100.0;
 
-    /** Differences below this are none. */
+    /** Tolerance for rounding errors in comparisons of demand. */
     constexpr double negligible = 1e-9;
 
     using domain_amounts = std::map<failure_domain_id, double>;
@@ -35,20 +35,20 @@
             || drains.contains({ drain_kind::Region, upstream.region.value() });
     }
 
-    domain_amounts slotsOf(const capacity_question& question, const service_id& service)
+    domain_amounts slotsOf(const capacity_input& input, const service_id& service)
     {
         domain_amounts slots;
-        for (const auto& [id, record] : question.state.directory) {
+        for (const auto& [id, record] : input.state.directory) {
             const upstream_announcement& upstream = record.announcement;
-            const bool counts = upstream.service == service && !question.config.withdrawnUpstreams.contains(id)
-                && isLocationDeclared(question.config, upstream) && !isDrained(question.drains, upstream);
+            const bool counts = upstream.service == service && !input.config.withdrawnUpstreams.contains(id)
+                && isLocationDeclared(input.config, upstream) && !isDrained(input.drains, upstream);
             if (counts)
-                slots[upstream.failureDomain] += static_cast<double>(effectiveSlots(question.config, upstream).value());
+                slots[upstream.failureDomain] += static_cast<double>(effectiveSlots(input.config, upstream).value());
         }
         return slots;
     }
 
-    /** Adds `amount` to the places in proportion to their weights; nothing happens when all weights are 0. */
+    /** Distributes `amount` over the failure domains in proportion to their weights; adds nothing when all are 0. */
     void spread(domain_amounts& demand, double amount, const domain_amounts& weights)
     {
         const double total = sumOf(weights);
@@ -58,10 +58,10 @@
             demand[domain] += amount * weight / total;
     }
 
-    domain_amounts sharesOf(const capacity_question& question, const service_id& service, const domain_amounts& slots)
+    domain_amounts sharesOf(const capacity_input& input, const service_id& service, const domain_amounts& slots)
     {
         domain_amounts weights;
-        for (const auto& [key, share] : question.config.shares) {
+        for (const auto& [key, share] : input.config.shares) {
             const auto found = slots.find(share.failureDomain);
             if (key.first == service && found != slots.end() && found->second > 0)
                 weights[share.failureDomain] = share.weight;
@@ -69,7 +69,7 @@
         return weights;
     }
 
-    domain_amounts regionPart(const configuration& config, const domain_amounts& slots, const region_id& region)
+    domain_amounts slotsInRegion(const configuration& config, const domain_amounts& slots, const region_id& region)
     {
         domain_amounts part;
         for (const auto& [domain, count] : slots) {
@@ -79,23 +79,23 @@
         return part;
     }
 
-    domain_amounts measuredDemand(const capacity_question& question, const service_id& service)
+    domain_amounts measuredDemand(const capacity_input& input, const service_id& service)
     {
         domain_amounts demand;
-        for (const service_load& load : question.loads) {
+        for (const service_load& load : input.loads) {
             if (load.service == service)
                 demand[load.failureDomain] += load.perSecond * std::chrono::duration<double>(load.latency).count();
         }
         return demand;
     }
 
-    domain_amounts demandByNearness(
-        const capacity_question& question, const domain_amounts& measured, const domain_amounts& slots)
+    domain_amounts redirectDemand(
+        const capacity_input& input, const domain_amounts& measured, const domain_amounts& slots)
     {
         domain_amounts demand;
         for (const auto& [domain, amount] : measured) {
             const auto here = slots.find(domain);
-            const domain_amounts near = regionPart(question.config, slots, regionOf(question.config, domain));
+            const domain_amounts near = slotsInRegion(input.config, slots, regionOf(input.config, domain));
             if (here != slots.end() && here->second > 0)
                 demand[domain] += amount;
             else
@@ -104,11 +104,11 @@
         return demand;
     }
 
-    double meanLatency(const capacity_question& question, const service_id& service)
+    double meanLatency(const capacity_input& input, const service_id& service)
     {
         double requests = 0;
         double time = 0;
-        for (const service_load& load : question.loads) {
+        for (const service_load& load : input.loads) {
             if (load.service != service)
                 continue;
             requests += load.perSecond;
@@ -117,10 +117,10 @@
         return requests > 0 ? time / requests : 0;
     }
 
-    void moveByShifts(const capacity_question& question, const service_id& service, domain_amounts& demand)
+    void applyShifts(const capacity_input& input, const service_id& service, domain_amounts& demand)
     {
-        const double latency = meanLatency(question, service);
-        for (const auto& [id, shift] : question.config.shifts) {
+        const double latency = meanLatency(input, service);
+        for (const auto& [id, shift] : input.config.shifts) {
             if (shift.service != service)
                 continue;
             const double wanted = demand[shift.from] * shift.percent / wholePercent;
@@ -130,71 +130,71 @@
         }
     }
 
-    domain_amounts demandOf(const capacity_question& question, const service_id& service, const domain_amounts& slots)
+    domain_amounts demandOf(const capacity_input& input, const service_id& service, const domain_amounts& slots)
     {
-        const domain_amounts measured = measuredDemand(question, service);
-        const domain_amounts weights = sharesOf(question, service, slots);
+        const domain_amounts measured = measuredDemand(input, service);
+        const domain_amounts weights = sharesOf(input, service, slots);
         domain_amounts demand;
         if (sumOf(weights) > 0)
             spread(demand, sumOf(measured), weights);
         else
-            demand = demandByNearness(question, measured, slots);
-        moveByShifts(question, service, demand);
+            demand = redirectDemand(input, measured, slots);
+        applyShifts(input, service, demand);
         return demand;
     }
 
     using region_key = std::pair<service_id, region_id>;
 
-    std::map<region_key, capacity_risk> sumByRegion(const std::vector<place_capacity>& places)
+    std::map<region_key, capacity_risk> sumByRegion(const std::vector<location_capacity>& locations)
     {
         std::map<region_key, capacity_risk> sums;
-        for (const place_capacity& place : places) {
-            capacity_risk& sum = sums[{ place.service, place.region }];
-            sum.service = place.service;
-            sum.region = place.region;
-            sum.slots += place.slots;
-            sum.demand += place.demand;
+        for (const location_capacity& location : locations) {
+            capacity_risk& sum = sums[{ location.service, location.region }];
+            sum.service = location.service;
+            sum.region = location.region;
+            sum.slots += location.slots;
+            sum.demand += location.demand;
         }
         return sums;
     }
 
     bool isOverloaded(const capacity_risk& sum)
     {
-        return sum.demand > negligible && sum.demand > bearableRegionUse * sum.slots;
+        return sum.demand > negligible && sum.demand > maximumRegionUtilization * sum.slots;
     }
 
-    std::map<service_id, double> slotsByService(const std::vector<place_capacity>& places)
+    std::map<service_id, double> slotsByService(const std::vector<location_capacity>& locations)
     {
         std::map<service_id, double> slots;
-        for (const place_capacity& place : places)
-            slots[place.service] += place.slots;
+        for (const location_capacity& location : locations)
+            slots[location.service] += location.slots;
         return slots;
     }
 
 } // namespace
 
-std::vector<place_capacity> estimateCapacity(const capacity_question& question)
+std::vector<location_capacity> estimateCapacity(const capacity_input& input)
 {
-    std::vector<place_capacity> places;
-    for (const auto& [service, definition] : question.config.services) {
-        const domain_amounts slots = slotsOf(question, service);
-        const domain_amounts demand = demandOf(question, service, slots);
-        for (const auto& [region, regionDefinition] : question.config.regions) {
+    std::vector<location_capacity> locations;
+    for (const auto& [service, definition] : input.config.services) {
+        const domain_amounts slots = slotsOf(input, service);
+        const domain_amounts demand = demandOf(input, service, slots);
+        for (const auto& [region, regionDefinition] : input.config.regions) {
             for (const failure_domain_id& domain : regionDefinition.failureDomains) {
                 const auto slot = slots.find(domain);
                 const auto asked = demand.find(domain);
-                places.push_back({ service, region, domain, slot == slots.end() ? 0 : slot->second,
+                locations.push_back({ service, region, domain, slot == slots.end() ? 0 : slot->second,
                     asked == demand.end() ? 0 : asked->second });
             }
         }
     }
-    return places;
+    return locations;
 }
 
-std::vector<capacity_risk> findRisks(const std::vector<place_capacity>& places)
+std::vector<capacity_risk> findRisks(const std::vector<location_capacity>& locations)
 {
     std::vector<capacity_risk> risks;
-    for (const auto& [key, sum] : sumByRegion(places)) {
+    for (const auto& [key, sum] : sumByRegion(locations)) {
         if (isOverloaded(sum))
             risks.push_back(sum);
     }
@@ -202,7 +202,7 @@
 }
 
 std::vector<capacity_risk> findNewRisks(
-    const std::vector<place_capacity>& before, const std::vector<place_capacity>& after)
+    const std::vector<location_capacity>& before, const std::vector<location_capacity>& after)
 {
     std::vector<capacity_risk> risks;
     const auto sumsBefore = sumByRegion(before);
@@ -226,8 +226,9 @@
 {
     if (risk.kind == accepted_risk::NoUpstream)
         return absl::StrFormat("service '%s' would have no upstream left", risk.service.value());
-    return absl::StrFormat("region '%s' would run %.1f requests of service '%s' at once on %.0f slots, and bears %.1f",
-        risk.region.value(), risk.demand, risk.service.value(), risk.slots, bearableRegionUse * risk.slots);
+    return absl::StrFormat(
+        "region '%s' would run %.1f requests of service '%s' at once on %.0f slots; the limit is %.1f",
+        risk.region.value(), risk.demand, risk.service.value(), risk.slots, maximumRegionUtilization * risk.slots);
 }
 
 const char* riskName(accepted_risk risk)
--- a/src/decision/operators/capacity_model.h
+++ b/src/decision/operators/capacity_model.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Estimates how much work each place would run and could bear under a configuration.
+ * Estimates the demand and the slots of each service in each failure domain under a configuration.
  */
 
 #include <set>
@@ -13,18 +13,18 @@
 
 namespace plantainlatch {
 
-/** What one service would run at once in one failure domain. */
-struct place_capacity {
+/** The slots and the demand of one service in one failure domain. */
+struct location_capacity {
     service_id service;
     region_id region;
     failure_domain_id failureDomain;
-    /** Slots of upstreams that are not drained. */
+    /** Slots of upstreams that are neither drained nor withdrawn. */
     double slots = 0;
-    /** Requests at once: rate times latency. */
+    /** Concurrent requests by Little's law: request rate times latency. */
     double demand = 0;
 };
 
-/** A region that would be asked for more of a service than it can bear, or a service without any slot. */
+/** A region whose demand for a service would exceed its usable slots, or a service without any slot. */
 struct capacity_risk {
     accepted_risk kind = accepted_risk::RegionOverload;
     service_id service;
@@ -33,29 +33,30 @@
     double demand = 0;
 };
 
-/** The part of a region's slots that may be filled before the region counts as overloaded. */
-inline constexpr double bearableRegionUse = 0.85;
+/** The fraction of a region's slots above which the region counts as overloaded. */
+inline constexpr double maximumRegionUtilization = 0.85;
 
-/** The configuration, drains and loads that are judged; the directory is the state's. */
-struct capacity_question {
+/** The configuration, drains and loads to estimate for; the directory comes from `state`. */
+struct capacity_input {
     const control_snapshot& state;
     const configuration& config;
     const std::set<drain_target>& drains;
     const std::vector<service_load>& loads;
 };
 
-/** Slots and demand of each service in each declared failure domain. Demand follows the declared shares; without them
- * it stays where it was measured, and moves away from places without slots. Shifts count as finished. */
-std::vector<place_capacity> estimateCapacity(const capacity_question& question);
+/** Slots and demand of each service in each declared failure domain. Demand is distributed by the declared shares;
+ * without them it stays where it was measured, except that demand in failure domains without slots moves to the others
+ * of the region, or to all when the region has no slots. Shifts are taken as completed. */
+std::vector<location_capacity> estimateCapacity(const capacity_input& input);
 
-/** Regions beyond what they can bear, and services that have demand or had slots before but none now. */
-std::vector<capacity_risk> findRisks(const std::vector<place_capacity>& places);
+/** The regions in which the demand for a service exceeds `maximumRegionUtilization` of its slots. */
+std::vector<capacity_risk> findRisks(const std::vector<location_capacity>& locations);
 
-/** The risks of `after` that `before` has not, or has to a lesser degree. */
+/** The region risks of `after` that are absent or less severe in `before`, and services that lose their last slot. */
 std::vector<capacity_risk> findNewRisks(
-    const std::vector<place_capacity>& before, const std::vector<place_capacity>& after);
+    const std::vector<location_capacity>& before, const std::vector<location_capacity>& after);
 
-/** One sentence with the numbers of slots and requests. */
+/** Describes the risk in one sentence with the numbers of slots and concurrent requests. */
 std::string describeRisk(const capacity_risk& risk);
 
 /** The name by which an operator accepts the risk: `region-overload` or `no-upstream`. */
--- a/src/decision/operators/configuration_service.cpp
+++ b/src/decision/operators/configuration_service.cpp
@@ -61,7 +61,7 @@
         done(findings.toStatus());
         return;
     }
-    // What is applied here was accepted by a majority, and a lower number changes nothing.
+    // The applied configuration is committed, and a configuration with the same or a lower number has no effect.
     if (content.number <= m_control->state().config.number) {
         done(absl::OkStatus());
         return;
@@ -76,7 +76,7 @@
         if (!status.ok())
             done(absl::UnavailableError(status.message()));
         else if (m_control->state().config.number == change_number())
-            done(absl::UnavailableError("no configuration was put yet"));
+            done(absl::UnavailableError("no configuration has been accepted yet"));
         else
             done(m_control->state().config);
     });
--- a/src/decision/operators/configuration_service.h
+++ b/src/decision/operators/configuration_service.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The service that puts whole configurations and drains into the log, and reads the newest configuration.
+ * The service that proposes whole configurations and drains to the replicated log, and reads the newest configuration
+ * linearizably.
  */
 
 #include <memory>
@@ -16,19 +17,19 @@
 
 namespace plantainlatch {
 
-/** What may be varied in configuration_service. */
+/** Options of configuration_service. */
 struct configuration_options {
-    /** Callers ask another VM after a second without an answer. */
+    /** Longer than the second after which callers without an answer ask another VM. */
     duration proposalTimeout = std::chrono::milliseconds(1500);
 };
 
-/** Puts and reads configurations; published as "configurations". */
+/** Writes and reads configurations and sets drains; published as "configurations". */
 class configuration_service {
 public:
     static absl::StatusOr<std::unique_ptr<configuration_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, configuration_options options = {});
 
-    /** The kernel service; it needs "control" and "consensus". */
+    /** The kernel service; it depends on "control" and "consensus". */
     service asService();
 
 private:
--- a/src/decision/operators/declaration_plan.cpp
+++ b/src/decision/operators/declaration_plan.cpp
@@ -21,12 +21,12 @@
 
     std::string describeValue(const link_definition& item)
     {
-        return absl::StrCat(" with ", item.budget.value(), " bytes a second each way");
+        return absl::StrCat(" with ", item.budget.value(), " bytes per second in each direction");
     }
 
     std::string describeValue(const service_definition& item)
     {
-        return absl::StrCat(" with ", item.slots.value(), " slots and ", item.connections, " connections an upstream");
+        return absl::StrCat(" with ", item.slots.value(), " slots and ", item.connections, " connections per upstream");
     }
 
     std::string describeValue(const share_definition& item) { return absl::StrCat(" with weight ", item.weight); }
@@ -39,7 +39,7 @@
     std::string describeValue(const shift_definition& item)
     {
         return absl::StrCat(" moving ", item.percent, " percent of '", item.service.value(), "' from '",
-            item.from.value(), "' to '", item.to.value(), "' under ", item.capPerSecond, " requests a second");
+            item.from.value(), "' to '", item.to.value(), "' under ", item.capPerSecond, " requests per second");
     }
 
     template <typename Definition>
@@ -53,25 +53,27 @@
             sentences.push_back(absl::StrCat("withdraws ", describeName(item.value)));
     }
 
-    using place_key = std::pair<service_id, failure_domain_id>;
+    using location_key = std::pair<service_id, failure_domain_id>;
 
-    void describeCapacity(const std::vector<place_capacity>& before, const std::vector<place_capacity>& after,
+    void describeCapacity(const std::vector<location_capacity>& before, const std::vector<location_capacity>& after,
         std::vector<std::string>& sentences)
     {
-        std::map<place_key, place_capacity> former;
-        for (const place_capacity& place : before)
-            former[{ place.service, place.failureDomain }] = place;
-        for (const place_capacity& place : after) {
-            const place_capacity& was = former[{ place.service, place.failureDomain }];
-            if (was.slots == place.slots && was.demand == place.demand)
+        std::map<location_key, location_capacity> former;
+        for (const location_capacity& location : before)
+            former[{ location.service, location.failureDomain }] = location;
+        for (const location_capacity& location : after) {
+            const location_capacity& was = former[{ location.service, location.failureDomain }];
+            if (was.slots == location.slots && was.demand == location.demand)
                 continue;
-            sentences.push_back(absl::StrFormat(
-                "service '%s' in '%s': %.0f slots for %.1f requests at once, before %.0f for %.1f",
-                place.service.value(), place.failureDomain.value(), place.slots, place.demand, was.slots, was.demand));
+            sentences.push_back(
+                absl::StrFormat("service '%s' in '%s': %.0f slots for %.1f requests at once, before %.0f for %.1f",
+                    location.service.value(), location.failureDomain.value(), location.slots, location.demand,
+                    was.slots, was.demand));
         }
     }
 
-    /** Whether the change may move traffic at once; shifts do so in gated steps and do not count. */
+    /** Whether the change may move traffic at once. Shifts don't count, because they move it in steps, each after a
+     * check of the measurements. */
     bool movesTraffic(const declaration& content)
     {
         return !content.shares.empty() || !content.upstreams.withdrawn.empty() || !content.services.withdrawn.empty()
@@ -84,7 +86,7 @@
         if (std::find(plan.risks.begin(), plan.risks.end(), accepted_risk::RegionOverload) == plan.risks.end())
             plan.risks.push_back(accepted_risk::RegionOverload);
         plan.riskTexts.push_back(absl::StrCat(riskName(accepted_risk::RegionOverload),
-            ": the load is not known now, so that nobody can tell what the change would do"));
+            ": the load is not known now, so the effect of the change cannot be estimated"));
     }
 
     void addRisks(const std::vector<capacity_risk>& risks, declaration_plan& plan)
--- a/src/decision/operators/declaration_plan.h
+++ b/src/decision/operators/declaration_plan.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Says what a declaration would change and which promises it would put at risk.
+ * Plans a declaration: lists what it would change and the risks that it would cause.
  */
 
 #include <vector>
@@ -12,19 +12,20 @@
 
 namespace plantainlatch {
 
-/** The loads as far as they are known. */
+/** Measured loads. */
 struct known_loads {
-    /** They are fresh: a place without a load has none. */
+    /** Whether the loads are fresh and complete, so that a failure domain without an entry has no load. */
     bool known = false;
     std::vector<service_load> loads;
 };
 
-/** The plan of a declaration on this state and these loads. While the loads are not known, a change that moves traffic
- * at once is a risk, as nobody can tell what it would do. */
+/** The plan of a declaration on this state and these loads. While the loads are not known, the effect of a change that
+ * moves traffic at once can't be estimated; such a change counts as a region overload. */
 declaration_plan planDeclaration(
     const control_snapshot& state, const declaration& content, const known_loads& measured);
 
-/** The risks of the plan that the declaration does not accept by name, one sentence each; empty when there are none. */
+/** All risks of the plan, one sentence each, if the declaration does not accept every kind of them by name; otherwise
+ * empty. */
 std::vector<std::string> findUnacceptedRisks(const declaration_plan& plan, const declaration& content);
 
 } // namespace plantainlatch
--- a/src/decision/operators/drain_check.cpp
+++ b/src/decision/operators/drain_check.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    bool isEntryLeft(const control_snapshot& state, const drain_target& target)
+    bool leavesUndrainedEntry(const control_snapshot& state, const drain_target& target)
     {
         control_snapshot after;
         after.drains = state.drains;
@@ -42,8 +42,8 @@
     const control_snapshot& state, const drain_target& target, const std::vector<service_load>& loads)
 {
     std::vector<std::string> reasons;
-    if (!isEntryLeft(state, target))
-        reasons.emplace_back("no entry would be left that is not drained");
+    if (!leavesUndrainedEntry(state, target))
+        reasons.emplace_back("no undrained entry would be left");
     std::set<drain_target> drains = state.drains;
     drains.insert(target);
     const auto before = estimateCapacity({ state, state.config, state.drains, loads });
@@ -53,7 +53,7 @@
     return reasons;
 }
 
-double runningAt(const control_snapshot& state, const drain_target& target, const std::vector<service_load>& loads)
+double requestRateAt(const control_snapshot& state, const drain_target& target, const std::vector<service_load>& loads)
 {
     double sum = 0;
     for (const service_load& load : loads) {
--- a/src/decision/operators/drain_check.h
+++ b/src/decision/operators/drain_check.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Checks whether the rest can bear a drain, and how far drains have come.
+ * Checks whether the remaining capacity suffices for a drain, and reports the progress of drains.
  */
 
 #include <string>
@@ -12,11 +12,12 @@
 
 namespace plantainlatch {
 
-/** Why the target should not be drained now, one sentence a reason; empty when the rest bears it. */
+/** The reasons against draining the target now, one sentence each; empty when the remaining entries and upstreams
+ * suffice. */
 std::vector<std::string> findDrainRisks(
     const control_snapshot& state, const drain_target& target, const std::vector<service_load>& loads);
 
-/** What still runs at the target: requests a second for places; for an upstream, those of its failure domain. */
-double runningAt(const control_snapshot& state, const drain_target& target, const std::vector<service_load>& loads);
+/** The requests per second that the target still serves; for an upstream, those of its failure domain; 0 for a VM. */
+double requestRateAt(const control_snapshot& state, const drain_target& target, const std::vector<service_load>& loads);
 
 } // namespace plantainlatch
--- a/src/decision/operators/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -33,7 +33,7 @@
         if (config.number == number)
             return config;
     }
-    return absl::NotFoundError(absl::StrCat("the history holds no change ", number.value()));
+    return absl::NotFoundError(absl::StrCat("the history does not contain change ", number.value()));
 }
 
 absl::StatusOr<std::unique_ptr<operator_service>> operator_service::create(
@@ -47,9 +47,9 @@
     , m_self(settings.self.id)
     , m_options(options)
 {
-    m_port.apply = [this](const declaration& content, const answer& done) { apply(content, done); };
+    m_port.apply = [this](const declaration& content, const result_handler& done) { apply(content, done); };
     m_port.plan = [this](const declaration& content) { return plan(content); };
-    m_port.drain = [this](const drain_target& target, bool draining, bool force, const answer& done) {
+    m_port.drain = [this](const drain_target& target, bool draining, bool force, const result_handler& done) {
         drain(target, draining, force, done);
     };
     m_port.status = [this] { return status(); };
@@ -83,7 +83,7 @@
 {
     if (std::exchange(m_ledTerm, reply.term) != reply.term)
         m_loads.beginTerm(m_hooks.now());
-    m_loads.answer(m_control->state().config, heartbeat, reply, m_hooks.now());
+    m_loads.handleHeartbeat(m_control->state().config, heartbeat, reply, m_hooks.now());
     reply.lowestInForce = findLowestInForce();
 }
 
@@ -95,12 +95,12 @@
     return lowest;
 }
 
-std::optional<absl::StatusOr<command_result>> operator_service::judge(const declaration& content) const
+std::optional<absl::StatusOr<command_result>> operator_service::decideLocally(const declaration& content) const
 {
     const control_snapshot& state = m_control->state();
     if (content.replaces > state.config.number)
         return absl::UnavailableError(absl::StrCat("change ", content.replaces.value(),
-            " is not in force here yet; this VM has ", state.config.number.value()));
+            " is not in force on this VM yet; the VM has change ", state.config.number.value()));
     const command_result numbers = checkChangeNumber(state, content);
     if (numbers.verdict != command_verdict::Accepted)
         return numbers;
@@ -111,8 +111,8 @@
         return {};
     const std::vector<std::string> risks = findUnacceptedRisks(planned, content);
     if (!risks.empty())
-        return refused(absl::StrCat(
-            "the change puts promises at risk and does not accept that by name:\n", absl::StrJoin(risks, "\n")));
+        return refused(
+            absl::StrCat("the change has risks that it does not name in accept_risks:\n", absl::StrJoin(risks, "\n")));
     return {};
 }
 
@@ -121,16 +121,16 @@
     return planDeclaration(m_control->state(), content, { m_loads.known(m_hooks.now()), m_loads.loads() });
 }
 
-void operator_service::apply(const declaration& content, const answer& done)
+void operator_service::apply(const declaration& content, const result_handler& done)
 {
-    if (const auto judged = judge(content)) {
-        done(*judged);
+    if (const auto decided = decideLocally(content)) {
+        done(*decided);
         return;
     }
     m_consensus->propose(apply_declaration { content }, m_options.proposalTimeout, done);
 }
 
-void operator_service::drain(const drain_target& target, bool draining, bool force, const answer& done)
+void operator_service::drain(const drain_target& target, bool draining, bool force, const result_handler& done)
 {
     const control_snapshot& state = m_control->state();
     if (draining && !isKnownTarget(state, target)) {
@@ -140,7 +140,7 @@
     if (draining && !force && m_options.refuseRisks && !state.drains.contains(target)) {
         std::vector<std::string> reasons = findDrainRisks(state, target, m_loads.loads());
         if (!m_loads.known(m_hooks.now()) && target.kind != drain_kind::Vm)
-            reasons.emplace_back("the load is not known now, so that nobody can tell what the rest would bear");
+            reasons.emplace_back("the load is not known now, so the remaining capacity cannot be checked");
         if (!reasons.empty()) {
             done(refused(absl::StrJoin(reasons, "\n")));
             return;
@@ -207,7 +207,7 @@
     for (const drain_target& target : state.drains) {
         state_dump& shown = drains.addObject(describeTarget(target));
         if (target.kind != drain_kind::Vm) {
-            shown.add("requests_per_second", runningAt(state, target, m_loads.loads()));
+            shown.add("requests_per_second", requestRateAt(state, target, m_loads.loads()));
             continue;
         }
         for (const vm_report& report : m_membership->reports()) {
@@ -221,13 +221,13 @@
 {
     const control_snapshot& state = m_control->state();
     state_dump& capacity = details.addObject("capacity");
-    for (const place_capacity& place : estimateCapacity({ state, state.config, state.drains, m_loads.loads() })) {
-        if (place.slots == 0 && place.demand == 0)
+    for (const location_capacity& location : estimateCapacity({ state, state.config, state.drains, m_loads.loads() })) {
+        if (location.slots == 0 && location.demand == 0)
             continue;
         state_dump& shown
-            = capacity.addObject(absl::StrCat(place.service.value(), " in ", place.failureDomain.value()));
-        shown.add("slots", place.slots);
-        shown.add("requests_at_once", place.demand);
+            = capacity.addObject(absl::StrCat(location.service.value(), " in ", location.failureDomain.value()));
+        shown.add("slots", location.slots);
+        shown.add("requests_at_once", location.demand);
     }
 }
 
--- a/src/decision/operators/operator_service.h
+++ b/src/decision/operators/operator_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that answers operators: declarations, plans, drains, status and history.
+ * The service behind the operator interface: declarations, plans, drains, status and history.
  */
 
 #include <functional>
@@ -19,33 +19,34 @@
 
 namespace plantainlatch {
 
-/** What may be varied in operator_service. */
+/** Options of operator_service. */
 struct operator_options {
     duration proposalTimeout = std::chrono::seconds(5);
-    /** Refuses changes and drains that the rest could not bear. */
+    /** Whether to refuse changes and drains for which the remaining capacity would not suffice. */
     bool refuseRisks = true;
 };
 
-/** What operators ask for, on any VM; published as "operators". */
+/** Serves operators on any VM; changes go through the replicated log. Published as "operators". */
 class operator_service {
 public:
     static absl::StatusOr<std::unique_ptr<operator_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, operator_options options = {});
 
-    /** The kernel service; it needs "control", "consensus" and "membership", and shows "alerts" when there. */
+    /** The kernel service; it depends on "control", "consensus" and "membership", and includes "alerts" in the status
+     * if that service is present. */
     service asService();
 
 private:
-    using answer = std::function<void(absl::StatusOr<command_result>)>;
+    using result_handler = std::function<void(absl::StatusOr<command_result>)>;
 
     operator_service(const kernel_hooks& hooks, const vm_settings& settings, operator_options options);
 
     absl::Status start(registry& services);
     declaration_plan plan(const declaration& content) const;
-    void apply(const declaration& content, const answer& done);
-    /** Why the change is refused here, or an answer that needs no log; none when it may be proposed. */
-    std::optional<absl::StatusOr<command_result>> judge(const declaration& content) const;
-    void drain(const drain_target& target, bool draining, bool force, const answer& done);
+    void apply(const declaration& content, const result_handler& done);
+    /** The result if the change can be answered or refused without the log; none if it is to be proposed. */
+    std::optional<absl::StatusOr<command_result>> decideLocally(const declaration& content) const;
+    void drain(const drain_target& target, bool draining, bool force, const result_handler& done);
     absl::StatusOr<declaration> declarationBackTo(change_number earlier) const;
     system_status status() const;
     void addDetails(state_dump& details) const;
--- a/src/decision/operators/request_explanation.cpp
+++ b/src/decision/operators/request_explanation.cpp
@@ -21,7 +21,8 @@
         return found != lines.rend() ? &*found : nullptr;
     }
 
-    /** The latest change of what `vm` believed of an upstream, or of the configuration, before the request's line. */
+    /** Adds the last line before `decided` in which the same VM logged a change of its configuration, and the last in
+     * which it logged a change of the upstream that `decided` names. */
     void addBeliefs(std::vector<log_line>& chosen, const std::vector<log_line>& all, const log_line& decided)
     {
         const log_line* upstream = nullptr;
@@ -40,7 +41,7 @@
         }
     }
 
-    std::string attemptText(const log_line& attempt)
+    std::string describeAttempt(const log_line& attempt)
     {
         return absl::StrCat("upstream ", attempt.field("upstream"), " (object ", attempt.field("object"), ", load ",
             attempt.field("load"), ", expected ", attempt.field("expected_ms"), " ms)");
@@ -50,8 +51,8 @@
     {
         const std::string limit = answered.field("limit_ms");
         if (began == nullptr)
-            return absl::StrCat("its time of ", limit, " ms passed before any upstream was offered it");
-        return absl::StrCat(attemptText(*began), " had not answered within the request's time of ", limit, " ms");
+            return absl::StrCat("its deadline of ", limit, " ms passed before it was sent to any upstream");
+        return absl::StrCat(describeAttempt(*began), " did not answer within the request's deadline of ", limit, " ms");
     }
 
     std::string causeOfAnswer(const std::vector<log_line>& lines, const log_line& answered)
@@ -61,18 +62,19 @@
         const log_line* ended = lastOf(lines, "attempt-ended");
         if (reason == "upstream" && ended != nullptr)
             return absl::StrCat(
-                ended->field("end") == "refused" ? "refused with proof by upstream " : "answered by upstream ",
+                ended->field("end") == "refused" ? "rejected without execution by upstream " : "answered by upstream ",
                 ended->field("upstream"), " with status ", answered.field("status"));
         if (reason == "overloaded")
             return "no upstream was expected to finish it in time";
         if (reason == "no-upstream")
-            return began == nullptr ? "no upstream of the service was known to take work"
-                                    : absl::StrCat(attemptText(*began), " could not be reached, and no other took it");
+            return began == nullptr
+                ? "no available upstream of the service was known"
+                : absl::StrCat(describeAttempt(*began), " could not be reached, and no other upstream was available");
         if (reason == "deadline-exceeded")
             return causeOfTimeout(answered, began);
         if (reason == "connection-lost" && ended != nullptr)
             return absl::StrCat("the connection to upstream ", ended->field("upstream"), " was lost after ",
-                ended->field("took_ms"), " ms (", ended->field("failure"), "), and it may have run");
+                ended->field("took_ms"), " ms (", ended->field("failure"), "), and the request may have run");
         if (reason == "crashing-request")
             return "equal requests have crashed upstreams";
         return absl::StrCat("answered by the VM itself: ", reason);
@@ -81,15 +83,17 @@
     std::string causeOf(const std::vector<log_line>& lines)
     {
         if (lines.empty())
-            return "no line names the request: it did not reach a VM whose log was read, or the line was left out";
+            return "no line names the request: it did not reach a VM whose log was read, or its lines were dropped "
+                   "from the log";
         if (const log_line* refused = lastOf(lines, "request-refused"))
             return absl::StrCat(
                 "refused at once with status ", refused->field("status"), ": ", refused->field("reason"));
         if (lastOf(lines, "caller-left") != nullptr)
-            return "the caller left before its answer";
+            return "the caller disconnected before the answer";
         if (const log_line* answered = lastOf(lines, "request-answered"))
             return causeOfAnswer(lines, *answered);
-        return absl::StrCat("VM ", lines.back().vm, " had it and logged no answer: the process ended, or still has it");
+        return absl::StrCat("VM ", lines.back().vm,
+            " received it and logged no answer: the process ended, or the request is still in progress");
     }
 
 } // namespace
--- a/src/decision/operators/request_explanation.h
+++ b/src/decision/operators/request_explanation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Explains from log lines alone what became of a request, and why.
+ * Explains the result of a request from log lines alone.
  */
 
 #include <string>
@@ -11,15 +11,16 @@
 
 namespace plantainlatch {
 
-/** What the logs tell of one request. */
+/** The history and the cause of one request's result, as found in the logs. */
 struct request_explanation {
-    /** The lines of the request, and the changes of belief that its decisions rested on, in order. */
+    /** The lines of the request, and the preceding state changes of the configuration and of its upstreams on which the
+     * decisions were based, ordered by time. */
     std::vector<log_line> lines;
-    /** The cause in a sentence. */
+    /** The cause of the result, in one sentence. */
     std::string cause;
 };
 
-/** Explains the request that callers name `name`; the lines may come from many VMs in any order. */
+/** Explains the request with the caller's request id `name`; the lines may come from several VMs in any order. */
 request_explanation explainRequest(std::vector<log_line> lines, const std::string& name);
 
 } // namespace plantainlatch
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -46,7 +46,7 @@
             cluster.apply(upstream_joined { item });
         }
 
-        /** Each VM measures this many requests of 50 ms at kokura in each half second. */
+        /** Lets each VM measure this many requests of 50 ms in kokura every half second. */
         void load(std::uint64_t requests)
         {
             measured = { { service_id("booking"), failure_domain_id("kokura"), requests, 0, 0, 50ms, 80ms } };
@@ -74,7 +74,7 @@
             return found;
         }
 
-        /** Sends all booking to kirishima. */
+        /** A change that sends all traffic of booking to kirishima. */
         declaration allToKirishima()
         {
             declaration content;
@@ -101,7 +101,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(operator_fixture, "drain.that_the_rest_bears.is_accepted_and_shown_with_progress")
+TEST_CASE_METHOD(operator_fixture, "drain.within_the_remaining_capacity.is_accepted_and_shown_with_progress")
 {
     load(5);
     REQUIRE(drain(drain_kind::FailureDomain, "kokura").verdict == command_verdict::Accepted);
@@ -115,7 +115,7 @@
 
 TEST_CASE_METHOD(operator_fixture, "drain.that_overloads_the_rest.is_refused_unless_forced")
 {
-    load(17); // 102 a second, 5.1 at once: more than 85 percent of the 6 slots that would be left.
+    load(17); // 102 requests/s, 5.1 concurrent: more than 85 percent of the 6 slots that would be left.
     const command_result refusedOne = drain(drain_kind::Region, "fukuoka");
     REQUIRE(refusedOne.verdict == command_verdict::Refused);
     REQUIRE_THAT(refusedOne.message, Catch::Contains("region 'kagoshima' would run 5."));
@@ -173,7 +173,7 @@
     REQUIRE(verdicts == std::vector<command_verdict> { command_verdict::Accepted, command_verdict::Conflict });
 }
 
-TEST_CASE_METHOD(operator_fixture, "plan.of_a_change.tells_slots_and_requests_before_and_after")
+TEST_CASE_METHOD(operator_fixture, "plan.of_a_change.shows_slots_and_requests_before_and_after")
 {
     load(5);
     const declaration_plan plan = port().plan(allToKirishima());
@@ -185,7 +185,7 @@
     REQUIRE(std::any_of(plan.changes.begin(), plan.changes.end(), tellsNumbers));
 }
 
-TEST_CASE_METHOD(operator_fixture, "history.way_back.is_a_new_change_to_the_earlier_configuration")
+TEST_CASE_METHOD(operator_fixture, "history.revert.is_a_new_change_to_the_earlier_configuration")
 {
     const configuration earlier = cluster.vm("a").state().config;
     REQUIRE(apply(allToKirishima()).verdict == command_verdict::Accepted);
--- a/test/correctness/request_explanation_test.cpp
+++ b/test/correctness/request_explanation_test.cpp
@@ -8,7 +8,7 @@
 
     using Catch::Contains;
 
-    /** Lines of entries, one a second unless told. */
+    /** Builds log lines of entries, one per second. */
     class request_explanation_fixture {
     protected:
         void add(const std::string& what, std::map<std::string, std::string> fields, const std::string& vm = "e1")
@@ -44,7 +44,7 @@
     REQUIRE_THAT(cause(), Contains("no line names the request"));
 }
 
-TEST_CASE_METHOD(request_explanation_fixture, "explanation.no_room.is_named")
+TEST_CASE_METHOD(request_explanation_fixture, "explanation.no_slot_in_time.is_named")
 {
     add("attempt-ended", { { "request", "r" }, { "end", "no-slot" } });
     add("request-answered", { { "request", "r" }, { "reason", "overloaded" }, { "status", "503" } });
@@ -61,7 +61,7 @@
     REQUIRE_THAT(cause(), Contains("u1") && Contains("120 ms") && Contains("may have run"));
 }
 
-TEST_CASE_METHOD(request_explanation_fixture, "explanation.held_past_its_time.gives_the_inputs_of_the_decision")
+TEST_CASE_METHOD(request_explanation_fixture, "explanation.deadline_exceeded.gives_the_inputs_of_the_decision")
 {
     addAttempt();
     add("request-answered",
@@ -80,7 +80,7 @@
     REQUIRE_THAT(explained.cause, Contains("unknown-route"));
 }
 
-TEST_CASE_METHOD(request_explanation_fixture, "explanation.belief_about_the_upstream.stands_before_the_attempt")
+TEST_CASE_METHOD(request_explanation_fixture, "explanation.state_of_the_upstream.is_shown_before_the_attempt")
 {
     add("upstream-joined", { { "upstream", "u1" } });
     add("upstream-changed", { { "upstream", "u1" }, { "draining", "yes" } });
@@ -94,7 +94,7 @@
 TEST_CASE_METHOD(request_explanation_fixture, "explanation.no_answer_logged.names_the_vm")
 {
     addAttempt();
-    REQUIRE_THAT(cause(), Contains("VM e1 had it and logged no answer"));
+    REQUIRE_THAT(cause(), Contains("VM e1 received it and logged no answer"));
 }
 
 } // namespace plantainlatch
