Word ports, settings, commands and the fake log plainly

Cause: comments used figurative or clipped phrases; messages of the program were worded oddly. Change: comments; help, usage and error texts that the program prints on the terminal. Options, exit codes, columns and JSON stay. main.cpp: wordOf -> subcommandName.

--- a/src/main/apply_command.cpp
+++ b/src/main/apply_command.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    /** Prints the texts of a list of texts or of objects with `field`. */
+    /** Prints a heading and the items of list `name`: strings as they are, objects as their name and `field`. */
     void printList(const nlohmann::json& answer, const char* name, const char* heading, const char* field)
     {
         if (!answer.is_object() || !answer.contains(name) || answer[name].empty())
--- a/src/main/apply_command.h
+++ b/src/main/apply_command.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * `plantainlatch apply` and `plantainlatch plan`: declarations and what they would change.
+ * `plantainlatch apply` applies a declaration; `plantainlatch plan` shows what it would change.
  */
 
 #include "main/subcommand.h"
--- a/src/main/check_command.cpp
+++ b/src/main/check_command.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    /** Settings list VMs; everything else is taken for a declaration. */
+    /** Settings have the key `vms` or `vm`; any other file is checked as a declaration. */
     bool looksLikeSettings(const yaml_node& root)
     {
         for (const yaml_field& field : root.fields) {
@@ -39,14 +39,14 @@
     int run(const command_line& line)
     {
         if (line.arguments().empty()) {
-            std::fputs("check: no FILE (see --help)\n", stderr);
+            std::fputs("check: at least one FILE is expected (see --help)\n", stderr);
             return exit_code::badInput;
         }
         finding_list findings;
         for (const std::string& path : line.arguments())
             checkFile(path, findings);
         if (findings.empty()) {
-            std::printf("%zu files are right\n", line.arguments().size());
+            std::printf("%zu files are valid\n", line.arguments().size());
             return exit_code::ok;
         }
         std::fprintf(stderr, "%s\n", findings.format().c_str());
--- a/src/main/drain_command.cpp
+++ b/src/main/drain_command.cpp
@@ -37,9 +37,9 @@
 subcommand drainCommand()
 {
     std::vector<option_spec> options = operatorOptions(true);
-    options.push_back({ "force", "", "drain also where that puts a promise at risk" });
-    return { { "plantainlatch drain", "Takes new work away from a VM, an upstream, a failure domain or a region.",
-                 options, "KIND NAME", exitCodeHelp() },
+    options.push_back({ "force", "", "drain even if that puts a promise at risk" });
+    return { { "plantainlatch drain", "Stops new work on a VM, an upstream, a failure domain or a region.", options,
+                 "KIND NAME", exitCodeHelp() },
         [](const command_line& line) { return runDrain(line, true); } };
 }
 
--- a/src/main/drain_command.h
+++ b/src/main/drain_command.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * `plantainlatch drain` and `plantainlatch undrain`.
+ * `plantainlatch drain` and `plantainlatch undrain`: begin and end a drain.
  */
 
 #include "main/subcommand.h"
--- a/src/main/explain_command.cpp
+++ b/src/main/explain_command.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    /** The lines of one file; what can't be read is counted. */
+    /** The parsed lines of one file, and the number of lines that are not valid log lines. */
     struct read_result {
         std::vector<log_line> lines;
         std::uint64_t unreadable = 0;
@@ -22,7 +22,7 @@
         std::uint64_t firstUnreadable = 0;
     };
 
-    /** False when the file can't be opened. */
+    /** Appends the lines of the file to `result`; returns false when the file can't be opened. */
     bool readLog(const std::string& path, read_result& result, std::uint64_t& position)
     {
         std::ifstream file(path);
@@ -54,7 +54,7 @@
     int run(const command_line& line)
     {
         if (line.arguments().empty()) {
-            std::fputs("explain: no FILE (see --help)\n", stderr);
+            std::fputs("explain: at least one FILE is expected (see --help)\n", stderr);
             return exit_code::badInput;
         }
         std::vector<log_line> all;
@@ -62,12 +62,12 @@
         for (const std::string& path : line.arguments()) {
             read_result read;
             if (!readLog(path, read, position)) {
-                std::fprintf(stderr, "explain: %s can't be read\n", path.c_str());
+                std::fprintf(stderr, "explain: %s: can't be opened\n", path.c_str());
                 return exit_code::badInput;
             }
             if (read.unreadable > 0)
-                std::fprintf(stderr, "explain: %s: %llu lines are no log lines, the first is line %llu\n", path.c_str(),
-                    static_cast<unsigned long long>(read.unreadable),
+                std::fprintf(stderr, "explain: %s: skipped %llu invalid log lines, the first is line %llu\n",
+                    path.c_str(), static_cast<unsigned long long>(read.unreadable),
                     static_cast<unsigned long long>(read.firstUnreadable));
             all.insert(all.end(), read.lines.begin(), read.lines.end());
         }
@@ -85,11 +85,11 @@
     option_spec id;
     id.name = "id";
     id.valueName = "ID";
-    id.help = "the request's id, as its caller names it";
+    id.help = "the request id that the caller set";
     id.required = true;
     command_spec spec;
     spec.name = "plantainlatch explain";
-    spec.summary = "Says from log files what became of a request, and why.";
+    spec.summary = "Explains the result of a request from log files.";
     spec.options = { id };
     spec.argumentsName = "FILE...";
     spec.footer = exitCodeHelp();
--- a/src/main/explain_command.h
+++ b/src/main/explain_command.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * `plantainlatch explain`: what became of a request, from log files.
+ * `plantainlatch explain`: explains the result of a request from log files.
  */
 
 #include "main/subcommand.h"
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -22,8 +22,8 @@
             dumpCommand(), drainCommand(), undrainCommand(), explainCommand(), platform::platformCommand() };
     }
 
-    /** The word by which a subcommand is called. */
-    std::string wordOf(const subcommand& item) { return item.spec.name.substr(item.spec.name.rfind(' ') + 1); }
+    /** The last word of the command's name, which selects the subcommand. */
+    std::string subcommandName(const subcommand& item) { return item.spec.name.substr(item.spec.name.rfind(' ') + 1); }
 
     void printUsage(std::FILE* out, const std::vector<subcommand>& items)
     {
@@ -31,8 +31,9 @@
                    "Usage: plantainlatch SUBCOMMAND [OPTION...]\n\n",
             out);
         for (const subcommand& item : items)
-            std::fprintf(out, "  %-8s  %s\n", wordOf(item).c_str(), item.spec.summary.c_str());
-        std::fprintf(out, "\nplantainlatch SUBCOMMAND --help tells more.\n%s\n", exitCodeHelp().c_str());
+            std::fprintf(out, "  %-8s  %s\n", subcommandName(item).c_str(), item.spec.summary.c_str());
+        std::fprintf(
+            out, "\nplantainlatch SUBCOMMAND --help shows the options of a subcommand.\n%s\n", exitCodeHelp().c_str());
     }
 
     int runProgram(const std::vector<std::string>& arguments)
@@ -47,10 +48,10 @@
             return exit_code::ok;
         }
         for (const subcommand& item : items) {
-            if (wordOf(item) == arguments.front())
+            if (subcommandName(item) == arguments.front())
                 return runSubcommand(item, { arguments.begin() + 1, arguments.end() });
         }
-        std::fprintf(stderr, "plantainlatch: there is no subcommand '%s' (see --help)\n", arguments.front().c_str());
+        std::fprintf(stderr, "plantainlatch: unknown subcommand '%s' (see --help)\n", arguments.front().c_str());
         return exit_code::badInput;
     }
 
--- a/src/main/operator_call.cpp
+++ b/src/main/operator_call.cpp
@@ -70,8 +70,8 @@
 std::vector<option_spec> operatorOptions(bool withJson)
 {
     std::vector<option_spec> options {
-        { "entry", "IP:PORT", "an entry to ask; the next one is asked when it does not answer", {}, true, true },
-        { "timeout", "TIME", "how long to wait for each entry", "10s" },
+        { "entry", "IP:PORT", "an entry to call; the next one is tried if it does not answer", {}, true, true },
+        { "timeout", "TIME", "time limit for the answer of each entry", "10s" },
     };
     if (withJson)
         options.push_back({ "json", "", "print the answer as JSON" });
--- a/src/main/operator_call.h
+++ b/src/main/operator_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What the operators' subcommands share: their options, the call, and how its failures are shown.
+ * Shared code of the subcommands that call the operator API: options, the call, and output of its result.
  */
 
 #include <functional>
@@ -15,22 +15,24 @@
 
 namespace plantainlatch {
 
-/** Options for whom to ask; `withJson` adds `--json`. */
+/** The options `--entry` and `--timeout`; `withJson` adds `--json`. */
 std::vector<option_spec> operatorOptions(bool withJson);
 
-/** Shows a successful answer to a person. */
+/** Prints a successful answer in readable form. */
 using answer_printer = std::function<void(const nlohmann::json&)>;
 
-/** Asks the entries of `--entry` and prints the answer, as JSON with `--json`. The result is an exit code. */
+/** Sends the request to the entries of `--entry`, in order until one answers, and prints the answer, as JSON with
+ * `--json`. Returns an exit code. */
 int askAndPrint(const command_line& line, const operator_request& request, const answer_printer& print);
 
-/** A request with the text of a declaration file; prints why a file can't be read or is not valid. */
+/** A request with the text of the declaration file; if the file is unreadable or invalid, prints why and returns an
+ * error. */
 absl::StatusOr<operator_request> declarationRequest(const command_line& line, const std::string& target);
 
-/** The text of a member, empty without one; a number is written out. */
+/** A string member as is, any other member as JSON text; empty if the object has no such member. */
 std::string memberText(const nlohmann::json& object, const char* name);
 
-/** Prints rows in columns as wide as their longest text; the first row is the heading. */
+/** Prints rows in aligned columns; the first row is the heading. */
 void printTable(const std::vector<std::vector<std::string>>& rows);
 
 } // namespace plantainlatch
--- a/src/main/run_vm.h
+++ b/src/main/run_vm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Runs a VM as a process, whatever its front ends are.
+ * Runs a VM as a process; shared by all programs that differ in the VM's front ends.
  */
 
 #include <cstdio>
@@ -15,14 +15,15 @@
 
 namespace plantainlatch {
 
-/** Prints why a command failed; returns `code`. */
+/** Prints the error of a command; returns `code`. */
 inline int failCommand(const char* command, const absl::Status& status, int code)
 {
     std::fprintf(stderr, "plantainlatch %s: %s\n", command, std::string(status.message()).c_str());
     return code;
 }
 
-/** Makes a VM on a loop of its own, starts it and runs until it has stopped; `stopped` may check it then. */
+/** Creates a VM on its own event loop, starts it and runs it until it has stopped; then calls `stopped`, for example to
+ * check invariants. Returns an exit code. */
 template <typename Vm>
 int runVm(const char* command, const std::function<absl::StatusOr<std::unique_ptr<Vm>>(event_loop&)>& make,
     const std::function<void(Vm&)>& stopped)
--- a/src/main/serve_command.h
+++ b/src/main/serve_command.h
@@ -11,7 +11,7 @@
 
 subcommand serveCommand();
 
-/** Runs a VM until SIGTERM or SIGINT and its graceful stop; the result is an exit code. What prevents the start is
+/** Runs a VM until it has stopped gracefully after SIGTERM or SIGINT; returns an exit code. A failure to start is
  * written to standard error as one line. */
 int runServe(const vm_settings& settings);
 
--- a/src/main/subcommand.cpp
+++ b/src/main/subcommand.cpp
@@ -25,8 +25,8 @@
 
 std::string exitCodeHelp()
 {
-    return "Exit codes: 0 done, 1 refused or failed, 2 wrong command line or file (nothing was sent),\n"
-           "3 no entry answered (asking again is safe).";
+    return "Exit codes: 0 success, 1 refused or failed, 2 invalid command line or file (nothing was sent),\n"
+           "3 no entry answered (it is safe to repeat the command).";
 }
 
 absl::StatusOr<std::string> readFile(const std::string& path, std::size_t limit)
--- a/src/main/subcommand.h
+++ b/src/main/subcommand.h
@@ -12,16 +12,16 @@
 
 namespace plantainlatch {
 
-/** A subcommand: its options, and what it does; the result is an exit code. */
+/** A subcommand: its options and its function, which returns an exit code. */
 struct subcommand {
     command_spec spec;
     std::function<int(const command_line&)> run;
 };
 
-/** Parses the arguments, prints help or what is wrong with them, or runs the subcommand. */
+/** Parses the arguments and runs the subcommand; prints the help or a parse error instead. Returns an exit code. */
 int runSubcommand(const subcommand& item, const std::vector<std::string>& arguments);
 
-/** The text below the options that lists the exit codes. */
+/** The footer of the help text, which lists the exit codes. */
 std::string exitCodeHelp();
 
 /** The content of a file, up to `limit` bytes; NotFound, or ResourceExhausted when it is larger. */
--- a/src/main/view_commands.cpp
+++ b/src/main/view_commands.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    /** Prints a tree with two spaces for each level; objects and lists follow their name. */
+    /** Prints a JSON value as an indented tree, two spaces for each level. */
     void printTree(const nlohmann::json& value, const std::string& indent)
     {
         for (const auto& [name, child] : value.items()) {
@@ -90,7 +90,8 @@
 subcommand historyCommand()
 {
     std::vector<option_spec> options = operatorOptions(true);
-    options.push_back({ "back-to", "NUMBER", "print a new declaration that leads back to this change" });
+    options.push_back(
+        { "back-to", "NUMBER", "print a new declaration that reverts to the configuration of this change" });
     return { { "plantainlatch history", "Shows the accepted declarations.", options, {}, exitCodeHelp() }, runHistory };
 }
 
--- a/src/main/view_commands.h
+++ b/src/main/view_commands.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * `plantainlatch status`, `history` and `dump`: what the system shows of itself.
+ * `plantainlatch status`, `history` and `dump`: read-only views of the system.
  */
 
 #include "main/subcommand.h"
--- a/src/model/approximate_size.h
+++ b/src/model/approximate_size.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The approximate size of a value with visitFields() once it is encoded, for bounds on messages and memory.
+ * Estimates the encoded size of a value with visitFields(), to bound the size of messages and memory.
  */
 
 #include <chrono>
@@ -19,7 +19,7 @@
 
 namespace detail {
 
-    /** Bytes of a number, or of the frame of a string or collection. */
+    /** Bytes of a number, or of the length prefix of a string or collection. */
     constexpr std::size_t scalarSize = 5;
 
     struct size_adder;
@@ -82,7 +82,7 @@
 
 } // namespace detail
 
-/** The approximate size of the value in bytes; it costs a walk over the whole value. */
+/** The approximate encoded size in bytes; visits the whole value. */
 template <typename Value> std::size_t approximateSize(const Value& value)
 {
     detail::size_adder adder;
--- a/src/model/log_line.h
+++ b/src/model/log_line.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A log line as it is read back.
+ * A parsed line of a VM's log.
  */
 
 #include <cstdint>
@@ -10,19 +10,19 @@
 
 namespace plantainlatch {
 
-/** One line of a VM's log. */
+/** A parsed line of a VM's log. */
 struct log_line {
-    /** As written; lines of one zone offset sort by it. */
+    /** The timestamp as written; timestamps with the same time zone offset sort as text. */
     std::string time;
     std::string vm;
     std::string service;
-    /** The kind of line. */
+    /** The event name. */
     std::string what;
     std::map<std::string, std::string> fields;
-    /** Its position among all lines read, which breaks ties. */
+    /** The position among all lines read; orders lines with equal timestamps. */
     std::uint64_t position = 0;
 
-    /** A field; empty without one. */
+    /** The value of a field; empty if the line does not have it. */
     std::string field(const std::string& name) const
     {
         const auto found = fields.find(name);
--- a/src/model/vm_settings.h
+++ b/src/model/vm_settings.h
@@ -15,16 +15,16 @@
 
 namespace plantainlatch {
 
-/** A VM of the system: where it is and how to reach it. */
+/** A VM of the system: its location, addresses and roles. */
 struct vm_record {
     vm_id id;
     region_id region;
     failure_domain_id failureDomain;
-    /** Where callers, upstreams and operators reach it, over HTTP. */
+    /** The HTTP address for callers, upstreams and operators. */
     network_address callerAddress;
-    /** Where the other VMs reach it. */
+    /** The address for the other VMs. */
     network_address peerAddress;
-    /** Whether it has a data folder and holds a copy of the control state. */
+    /** Whether it has a data folder and is a replica of the control log. */
     bool replica = false;
     /** Whether callers may be sent to it. */
     bool entry = true;
@@ -47,27 +47,28 @@
 enum class membership_mode {
     /** The list of VMs is complete. */
     Listed,
-    /** The list has this VM and seeds; others are found through them. A VM's name is its peer address. */
+    /** The list holds this VM and seeds, through which the other VMs are discovered. A VM's id is its peer address. */
     Seeded,
 };
 
 /** All settings of one VM. */
 struct vm_settings {
     vm_record self;
-    /** The VMs that are known beforehand, this one among them. */
+    /** The listed VMs, including this one. */
     std::vector<vm_record> vms;
     membership_mode membership = membership_mode::Listed;
-    /** Whether this VM may help to found a new log with the other replicas of `vms`. */
+    /** Whether this VM may bootstrap a new log with the other replicas of `vms`. */
     bool mayBootstrapLog = true;
-    /** VMs trust whoever reaches their peer address, instead of proving that they have the shared key. */
+    /** Peer connections are not authenticated; otherwise both sides prove that they have the shared key. */
     bool trustedNetwork = false;
-    /** Where a replica keeps its state; none on other VMs. */
+    /** The folder in which a replica stores its state; none on other VMs. */
     std::optional<std::string> dataFolder;
-    /** The file with the key that the VMs share; at least 32 bytes. */
+    /** The file with the key that all VMs share; at least 32 bytes. */
     std::string sharedKeyFile;
     caller_limits limits;
     std::string logLevel = "info";
-    /** How long callers may cache the list of entries; a stopping VM serves for as long. */
+    /** How long callers may cache the list of entries; a VM that stops keeps serving callers (lame duck) for as long.
+     */
     duration lookupCacheTime = std::chrono::seconds(2);
 };
 
--- a/src/ports/alert_port.h
+++ b/src/ports/alert_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hook by which operators learn which promises are at risk.
+ * The interface that lists the active alerts.
  */
 
 #include <functional>
@@ -11,7 +11,7 @@
 
 namespace plantainlatch {
 
-/** Promises at risk as far as this VM knows; the leader knows of the whole system. */
+/** The active alerts of this VM: on the leader those of the whole system, on other VMs only their own. */
 struct alert_port {
     std::function<std::vector<alert>()> active;
 };
--- a/src/ports/operator_port.h
+++ b/src/ports/operator_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The hooks by which a front end hands in what operators ask for.
+ * The interface through which a front end serves operators.
  */
 
 #include <functional>
@@ -17,17 +17,17 @@
 
 namespace plantainlatch {
 
-/** What a declaration would change, and which promises it would put at risk. */
+/** What a declaration would change, and the risks that it would cause. */
 struct declaration_plan {
-    /** One sentence a change, with numbers of slots and requests. */
+    /** One sentence for each change, with the numbers of slots and concurrent requests. */
     std::vector<std::string> changes;
     finding_list findings;
     std::vector<accepted_risk> risks;
-    /** One sentence a risk. */
+    /** One sentence for each risk. */
     std::vector<std::string> riskTexts;
 };
 
-/** An alert: a promise at risk, and what the system does about it. */
+/** A promise (a guarantee of the system) that is at risk, and how the system reacts. */
 struct alert {
     std::string id;
     std::string promise;
@@ -40,16 +40,17 @@
 struct system_status {
     vm_id answeredBy;
     vm_id leader;
-    /** Whether this VM can know that its view is current. */
+    /** Whether this VM has leader contact, so that its state is current. */
     bool current = false;
     change_number inForceHere;
-    /** The lowest number in force on any VM that the leader hears from; only the leader knows. */
+    /** The lowest number in force on any VM that sends heartbeats to the leader; other VMs have it from the leader's
+     * last answer. */
     change_number inForceEverywhere;
     std::vector<alert> alerts;
     state_dump details;
 };
 
-/** What operators ask for; each call answers once. */
+/** The operations for operators; each callback is called once. */
 struct operator_port {
     std::function<void(declaration, std::function<void(absl::StatusOr<command_result>)>)> apply;
     std::function<declaration_plan(const declaration&)> plan;
@@ -57,8 +58,8 @@
         drain;
     std::function<system_status()> status;
     std::function<std::vector<history_record>()> history;
-    /** A new change that leads from the configuration in force back to that of an earlier number; NotFound when the
-     * history no longer reaches it. */
+    /** A new declaration that reverts the configuration in force to that of an earlier number; NotFound when the
+     * history does not hold that number. */
     std::function<absl::StatusOr<declaration>(change_number earlier)> declarationBackTo;
 };
 
--- a/src/ports/port_names.h
+++ b/src/ports/port_names.h
@@ -24,24 +24,24 @@
 inline constexpr const char* slots = "slots";
 /** request_port: requests of callers. */
 inline constexpr const char* requests = "requests";
-/** operator_port: what operators ask for. */
+/** operator_port: declarations, drains and status for operators. */
 inline constexpr const char* operators = "operators";
 /** entry_list_port: the entries that callers should use. */
 inline constexpr const char* entryList = "entry_list";
 
-/** liveness_port: when upstreams were last heard of. */
+/** liveness_port: when upstreams last renewed their announcements. */
 inline constexpr const char* liveness = "liveness";
 /** membership_port: live VMs and allocator leases. */
 inline constexpr const char* membership = "membership";
-/** measurement_port: what this VM measured. */
+/** measurement_port: request rates, failures and latencies measured by this VM. */
 inline constexpr const char* measurements = "measurements";
-/** shift_port: shares and shifts. */
+/** shift_port: traffic shares and shifts. */
 inline constexpr const char* shifts = "shifts";
 
-/** configuration_port: whole configurations and drains of places. */
+/** configuration_port: whole configurations, and drains. */
 inline constexpr const char* configurations = "configurations";
 
-/** alert_port: promises at risk. */
+/** alert_port: active alerts. */
 inline constexpr const char* alerts = "alerts";
 
 } // namespace plantainlatch::port_names
--- a/test/support/fake_log.h
+++ b/test/support/fake_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A replicated log in memory: one order of proposals, applied at each VM after that VM's own lag.
+ * An in-memory replacement of the replicated log: it orders the proposals, and each VM applies them after its own lag.
  */
 
 #include <functional>
@@ -17,21 +17,22 @@
 
 namespace plantainlatch {
 
-/** What becomes of one proposal. */
+/** How the log treats one proposal. */
 struct proposal_behaviour {
-    /** From the proposal to its place in the log. */
+    /** From the proposal until it is committed. */
     duration delay = std::chrono::milliseconds(2);
-    /** It gets a place in the log. */
+    /** Whether the proposal is committed. */
     bool agreed = true;
-    /** The proposer hears of it; otherwise it gets DeadlineExceeded. */
+    /** Whether the proposer gets the result; otherwise it gets DeadlineExceeded. */
     bool answered = true;
-    /** The log refuses the proposal itself, as one too old to know. */
+    /** The log refuses the proposal without applying it, as it does when the proposal is too old to detect duplicates.
+     */
     bool refused = false;
 };
 
 class fake_log;
 
-/** One VM's view of the log; give its ports to services. */
+/** One VM's replica of the state, with the ports that its services use. */
 class fake_log_member {
 public:
     fake_log_member(fake_log& log, const vm_id& vm, incarnation start);
@@ -40,12 +41,12 @@
 
     consensus_port consensus;
     control_port control;
-    /** Decides the fate of this VM's proposals. */
+    /** Decides how the log treats each proposal of this VM. */
     std::function<proposal_behaviour(const control_command&)> behaviour
         = [](const control_command&) { return proposal_behaviour(); };
-    /** Whether this VM has heard from the leader lately. */
+    /** Whether this VM has leader contact. */
     bool isCurrent = true;
-    /** From the place in the log to this VM's state. */
+    /** From the commit of an entry until this VM applies it. */
     duration applyLag {};
 
 private:
@@ -60,7 +61,7 @@
     std::vector<std::function<void()>> m_listeners;
 };
 
-/** The log that all members share; it outlives them. */
+/** The log that all members share; it must outlive them. */
 class fake_log {
 public:
     explicit fake_log(paused_runtime& runtime)
