Word benchmarks and app scripts plainly

Cause: heads of benchmarks and comments of scripts needed a second reading. Change: comments and labels of printed figures; in the app scripts the variable places is called locations. Keys, values and options stay.

--- a/apps/common/run_app.sh
+++ b/apps/common/run_app.sh
@@ -1,10 +1,11 @@
-# Common part of apps/NAME/run: starts the system and its upstreams on loopback, makes load, and checks the counts.
-# The caller sets: app, vms, network (second byte of the addresses in the settings), and calls the functions below.
+# Functions for apps/NAME/run: start the system and its upstreams on loopback, send load, and check the request counts.
+# The including script sets app, vms, locations (REGION/FAILURE_DOMAIN each) and network (the second byte of the
+# addresses in the settings), and calls the functions below.
 # shellcheck shell=bash
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 bin=${PLANTAINLATCH_BIN:-$root/build/bin}
-# The seconds that the system gets for starting, and for ending.
+# Time limits in seconds for the start and the stop of the system.
 start_limit=20
 stop_limit=30
 
@@ -19,7 +20,7 @@
     failures=$((failures + 1))
 }
 
-# Ends everything that this run started, by id.
+# Kills all processes that this run started, by process id, and removes their files unless a check failed.
 clean_up() {
     local pid
     for pid in "${standin_pids[@]}" "${serve_pids[@]}"; do
@@ -33,7 +34,7 @@
     fi
 }
 
-# A folder and a loopback network of its own, so that runs do not meet.
+# Gives the run its own folder and loopback network, so that concurrent runs do not conflict.
 prepare() {
     folder=$(mktemp -d "${TMPDIR:-/tmp}/plantainlatch-$app.XXXXXX")
     trap clean_up EXIT
@@ -63,14 +64,14 @@
     serve_pids[$1]=$!
 }
 
-# Calls a command until it succeeds; fails after start_limit seconds.
+# Repeats a command until it succeeds; exits with a failure after start_limit seconds: WHAT COMMAND...
 wait_for() {
     local what=$1
     shift
     local end=$((SECONDS + start_limit))
     until "$@" > /dev/null 2> last_error; do
         if [ $SECONDS -ge $end ]; then
-            fail "$what did not come about within $start_limit s: $(cat last_error)"
+            fail "$what: not reached within $start_limit s: $(cat last_error)"
             exit 1
         fi
         sleep 0.2
@@ -82,26 +83,27 @@
 
 has_leader() { operate status --json | grep -q '"leader":"e'; }
 
-# Starts COUNT stand-ins of a service in one process, in turn over $places: NAME COUNT SLOTS CONNECTIONS HOST TIME
+# Starts COUNT stand-in upstreams of a service in one process, assigned to $locations round-robin:
+# NAME COUNT SLOTS CONNECTIONS HOST TIME
 start_upstreams() {
-    local place_options=()
-    local place
-    for place in $places; do
-        place_options+=(--place "$place")
+    local location_options=()
+    local location
+    for location in $locations; do
+        location_options+=(--place "$location")
     done
     # shellcheck disable=SC2046
     "$bin/upstream_standin" --service "$1" --count "$2" --slots "$3" --connections "$4" \
         --address "$own_network.$5:9001" --service-time "$6" --distribution lognormal --queue 4 \
-        "${place_options[@]}" $(entry_options) --drain-time 3s --record "$1.record" 2>> "$1.log" &
+        "${location_options[@]}" $(entry_options) --drain-time 3s --record "$1.record" 2>> "$1.log" &
     standin_pids+=($!)
 }
 
-# SERVICE RATE SECONDS MIX GET_PATH POST_PATH
+# Sends load from callers near every failure domain: SERVICE RATE SECONDS MIX GET_PATH POST_PATH
 make_load() {
     local near_options=()
-    local place
-    for place in $places; do
-        near_options+=(--near "${place#*/}")
+    local location
+    for location in $locations; do
+        near_options+=(--near "${location#*/}")
     done
     # shellcheck disable=SC2046
     "$bin/load_tool" $(entry_options) "${near_options[@]}" --service "$1" --rate "$2" --duration "${3}s" --mix "$4" \
@@ -129,7 +131,7 @@
     [ "$twice" = 0 ] || fail "$1: $twice requests ran twice"
 }
 
-# Checks that a process that got SIGTERM ends with 0 in time: NAME PID
+# Checks that a process that got SIGTERM exits with status 0 within stop_limit seconds: NAME PID
 wait_for_stop() {
     local end=$((SECONDS + stop_limit))
     while kill -0 "$2" 2>/dev/null; do
@@ -139,7 +141,7 @@
         fi
         sleep 0.1
     done
-    wait "$2" || fail "$1 ended with $?"
+    wait "$2" || fail "$1 exited with status $?"
 }
 
 stop_all() {
@@ -148,7 +150,7 @@
         kill -TERM "$pid"
     done
     for pid in "${standin_pids[@]}"; do
-        wait "$pid" || fail "stand-in $pid ended with $?"
+        wait "$pid" || fail "stand-in $pid exited with status $?"
     done
     standin_pids=()
     for vm in "${!serve_pids[@]}"; do
--- a/test/performance/capacity_benchmark.cpp
+++ b/test/performance/capacity_benchmark.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Measures the slopes of docs/CAPACITY.md: bytes and processor time of each control message, and of the control state,
- * for each entry, upstream, change and key more.
+ * Measures the unit costs in docs/CAPACITY.md: bytes and processor time of each control message, and of the control
+ * state for each additional VM, upstream, change and key.
  */
 
 #include <chrono>
@@ -142,7 +142,7 @@
     showMessage("slot_report of 0 upstreams", slot_message(makeReport(0)));
     showMessage("slot_report of 12 upstreams", slot_message(makeReport(12)));
     showMessage("slot_grant of 12 upstreams", slot_message(makeGrant(12)));
-    showMessage("announcement_seen", control_message(forwarded_announcement { makeAnnouncement(1) }));
+    showMessage("forwarded_announcement", control_message(forwarded_announcement { makeAnnouncement(1) }));
 }
 
 void showStateSlope(const char* name, int count, const std::function<void(control_snapshot&, int)>& addOne)
@@ -179,7 +179,7 @@
     });
 }
 
-/** Applies a command; a refused one is said, as its cost would mean nothing. */
+/** Applies a command; prints a refusal, since the measured time would then be meaningless. */
 void applyAccepted(control_port& port, std::uint64_t sequence, control_command command)
 {
     const command_result result = port.apply(makeProposal(sequence, std::move(command)));
@@ -187,7 +187,7 @@
         std::printf("refused: %s\n", result.message.c_str());
 }
 
-/** The cost of applying commands on one VM, with `upstreams` in the directory. */
+/** Prints the time to apply commands on one VM with `upstreams` entries in its directory. */
 void showApply(int upstreams)
 {
     paused_runtime runtime(1);
--- a/test/performance/consensus_benchmark.cpp
+++ b/test/performance/consensus_benchmark.cpp
@@ -1,6 +1,7 @@
 /** \file
- * Measures the replicated log: work for each change, commit latency, time to a new leader and the cost of catching up.
- * Latencies are of the paused clock with the users' delays between regions and 2 ms for each sync.
+ * Measures the replicated log: processor time for each change, commit latency, time to elect a new leader, and time and
+ * bytes for a restarted VM to catch up. Latencies are simulated time, with the users' delays between regions (12 ms and
+ * 55 ms) and 2 ms for each disk sync.
  */
 
 #include <algorithm>
--- a/test/performance/hop_benchmark.cpp
+++ b/test/performance/hop_benchmark.cpp
@@ -1,10 +1,10 @@
 /** \file
- * Measures what the HTTP rim costs without any decision behind it. One program in three roles, which run_hop_benchmark
- * starts as three processes:
+ * Measures the cost of the HTTP front end without any routing decisions. One program with three roles, which
+ * run_hop_benchmark starts as three processes:
  *
  *   hop_benchmark upstream PORT              answers each request with a small body
- *   hop_benchmark front PORT UPSTREAM_PORT   forwards /s/..., answers /v1/entries, shows its processor time at /cpu
- *   hop_benchmark load PORT PATH CONNECTIONS SECONDS   closed loop; prints rate and latencies
+ *   hop_benchmark front PORT UPSTREAM_PORT   forwards /s/..., answers /v1/entries, reports its processor time at /cpu
+ *   hop_benchmark load PORT PATH CONNECTIONS SECONDS ANSWER_BODY_BYTES   closed-loop load; prints rate and latencies
  */
 
 #include <algorithm>
@@ -47,7 +47,7 @@
         return address;
     }
 
-    /** Removes one message that ends with its head or with a body of `body` bytes; false when it is not whole yet. */
+    /** Removes one message with a head and a body of `body` bytes; false if it has not arrived completely. */
     bool takeMessage(evbuffer* input, std::size_t body)
     {
         const evbuffer_ptr end = evbuffer_search(input, headEnd.data(), headEnd.size(), nullptr);
@@ -60,7 +60,7 @@
         return true;
     }
 
-    /** The body is also an idle upstream's load report. */
+    /** The body is also a valid load report of an idle upstream. */
     constexpr std::string_view upstreamAnswer
         = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 64\r\n\r\n"
           R"({"running":0,"queued":0,"draining":false}                       )";
@@ -97,7 +97,7 @@
         return item;
     }
 
-    /** Forwards each request to one upstream. */
+    /** A request port that forwards each request to one upstream. */
     request_port forwardTo(upstream_port& upstreams, const network_address& address)
     {
         request_port port;
@@ -193,7 +193,7 @@
         return 0;
     }
 
-    /** Sends a request on each connection as soon as the one before is answered. */
+    /** Closed-loop load: sends the next request on a connection as soon as the previous one is answered. */
     class load_run {
     public:
         load_run(event_loop& loop, std::string request, std::size_t answerBody)
--- a/test/performance/request_path_benchmark.cpp
+++ b/test/performance/request_path_benchmark.cpp
@@ -1,5 +1,5 @@
 /** \file
- * The cost of the decision path for one request, with ports that do nothing but answer at once.
+ * Measures the processor time of the decision code for one request, with ports that answer immediately.
  */
 
 #include <chrono>
@@ -22,7 +22,7 @@
     constexpr int warmUpRequests = 20'000;
     constexpr int measuredRequests = 70'000;
 
-    /** Ports that answer before they return. */
+    /** Ports that call their callbacks before they return. */
     class instant_ports {
     public:
         instant_ports()
@@ -85,7 +85,7 @@
         core.add(std::move(item));
     }
 
-    /** One request service over instant ports. */
+    /** A request service on instant_ports. */
     class benchmark {
     public:
         benchmark()
@@ -104,7 +104,7 @@
             m_port = *m_core->services().find<request_port>(port_names::requests);
         }
 
-        /** Nanoseconds for each request that `make` gives. */
+        /** Nanoseconds for each request that `make` returns. */
         template <typename Make> double measure(Make make)
         {
             for (int i = 0; i < warmUpRequests; ++i)
@@ -169,17 +169,17 @@
     print("fingerprint of 1 KiB", fingerprintCost());
     {
         benchmark subject;
-        print("equal look-ups", subject.measure([](std::uint64_t) { return requestOf("GET", "/courts"); }));
+        print("identical look-ups", subject.measure([](std::uint64_t) { return requestOf("GET", "/courts"); }));
     }
     {
         benchmark subject;
-        print("look-ups, each another", subject.measure([](std::uint64_t number) {
+        print("look-ups, all different", subject.measure([](std::uint64_t number) {
             return requestOf("GET", "/frames/" + std::to_string(number));
         }));
     }
     {
         benchmark subject;
-        print("orders with a key, table up to its bound", subject.measure([](std::uint64_t number) {
+        print("orders with a key, key table up to its maximum size", subject.measure([](std::uint64_t number) {
             caller_request request = requestOf("POST", "/orders/" + std::to_string(number));
             request.key = idempotency_key("key-" + std::to_string(number));
             return request;
