--- a/src/services/peer_transport.h
+++ b/src/services/peer_transport.h
@@ -19,7 +19,7 @@
 
 struct peer_transport_options {
     duration pingInterval = std::chrono::milliseconds(500);
-    /** Without a ping answer for this time, the connection is closed and reconnected. */
+    /** A connection on which the peer sends nothing for this time is closed; the connecting side reconnects. */
     duration silenceTimeout = std::chrono::seconds(2);
     duration handshakeTimeout = std::chrono::seconds(3);
     duration minimumReconnectDelay = std::chrono::milliseconds(50);
