--- a/test/random/fake_callers.h
+++ b/test/random/fake_callers.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Callers that send requests through the VMs, resend keyed ones, and hold the system to every answer.
+ * Simulated callers. They send requests through the VMs, resend reads and requests with an idempotency key, and check
+ * every answer against the runs that the upstreams recorded.
  */
 
 #include <functional>
@@ -13,14 +14,14 @@
 
 namespace plantainlatch {
 
-/** The requests port of a VM's process, and its life; empty when the VM does not run. */
+/** The request port and the lifetime of a VM's process; `requests` is null when the VM does not run. */
 struct reachable_entry {
     request_port* requests = nullptr;
     std::weak_ptr<bool> life;
     vm_id vm;
 };
 
-/** The callers of a run. */
+/** All callers of one run. */
 class fake_callers {
 public:
     fake_callers(paused_runtime& runtime, run_journal& journal, fake_upstreams& upstreams)
@@ -30,42 +31,45 @@
     {
     }
 
-    /** An entry that works now. */
+    /** Chooses a VM to send a request to; `requests` of the result is null when the chosen VM does not serve. */
     std::function<reachable_entry()> pickEntry;
 
-    /** Sends requests of every kind, one each `interval` on average, until stop(). */
+    /** Sends reads and writes, with and without an idempotency key, at a mean interval of `interval` until stop(). */
     void start(duration interval);
     void stop() { m_active = false; }
 
-    /** Sends one piece of work through one entry, and tells whether it was completed. */
+    /** Sends one request through `entry`; `done` receives true when it completed with status 200. */
     void probe(const reachable_entry& entry, bool keyed, std::function<void(bool completed)> done);
 
     std::uint64_t completed() const { return m_completed; }
 
 private:
-    struct work {
+    /** One logical request; each resend is a further attempt. */
+    struct logical_request {
         std::string target;
         bool write = false;
         bool keyed = false;
         int attempts = 0;
-        int open = 0;
+        /** Attempts that a live entry has not answered yet. */
+        int pending = 0;
+        /** Whether an attempt was completed or replayed. */
         bool settled = false;
     };
-    using work_pointer = std::shared_ptr<work>;
+    using request_pointer = std::shared_ptr<logical_request>;
 
     void sendNext(duration interval);
-    work_pointer makeWork();
-    caller_request requestFor(const work& item) const;
-    void send(const work_pointer& item);
-    void submit(const work_pointer& item, const reachable_entry& entry, std::function<void(bool)> done);
-    void check(work& item, const caller_answer& answer);
-    void resendLater(const work_pointer& item);
+    request_pointer makeRequest();
+    caller_request requestFor(const logical_request& item) const;
+    void send(const request_pointer& item);
+    void submit(const request_pointer& item, const reachable_entry& entry, std::function<void(bool)> done);
+    void check(logical_request& item, const caller_answer& answer);
+    void resendLater(const request_pointer& item);
 
     paused_runtime& m_runtime;
     run_journal& m_journal;
     fake_upstreams& m_upstreams;
     bool m_active = false;
-    std::uint64_t m_lastWork = 0;
+    std::uint64_t m_lastRequest = 0;
     std::uint64_t m_completed = 0;
 };
 
--- a/test/random/fake_operators.cpp
+++ b/test/random/fake_operators.cpp
@@ -6,7 +6,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr duration patience = 4s;
+    constexpr duration proposalTimeout = 4s;
 
     bool isAccepted(const absl::StatusOr<command_result>& result)
     {
@@ -20,21 +20,22 @@
 {
     const auto [item, isNew] = m_accepted.emplace(content.number, content);
     if (!isNew && !(item->second == content))
-        m_journal.violate("two contents accepted under number " + std::to_string(content.number.value()));
+        m_journal.reportViolation(
+            "two different declarations were accepted under number " + std::to_string(content.number.value()));
 }
 
 void fake_operators::declareFirst(const declaration& first)
 {
     consensus_port* log = pickLog();
     if (log != nullptr) {
-        log->propose(apply_declaration { first }, patience, [this, first](const auto& result) {
+        log->propose(apply_declaration { first }, proposalTimeout, [this, first](const auto& result) {
             if (result.ok() && result->verdict == command_verdict::Refused)
-                m_journal.violate("the first declaration is refused: " + result->message);
+                m_journal.reportViolation("the first declaration was refused: " + result->message);
             if (isAccepted(result))
                 accept(first);
         });
     }
-    m_runtime.schedule(patience + 1s, [this, first] {
+    m_runtime.schedule(proposalTimeout + 1s, [this, first] {
         if (!isDeclared())
             declareFirst(first);
     });
@@ -53,7 +54,7 @@
     if (isDeclared() && m_runtime.random() % 3 == 0)
         drainUpstream();
     else if (isDeclared())
-        raceDeclarations();
+        proposeCompeting();
     m_runtime.schedule(500ms + duration(m_runtime.random() % duration(4s).count()), [this] { act(); });
 }
 
@@ -63,7 +64,7 @@
     content.replaces = pickedState().config.number;
     content.number = content.replaces.next();
     content.note = "note " + std::to_string(++m_lastNote);
-    // A shift begins, or the present one is withdrawn: its cap is what the runner watches.
+    // Starts the shift, or withdraws it if it exists; the runner checks that its cap is kept.
     shift_definition shift { shift_id("move"), service_id("booking"), failure_domain_id("a1"), failure_domain_id("b1"),
         50, 5, 25, 1s };
     const bool exists = pickedState().config.shifts.contains(shift.id);
@@ -71,10 +72,10 @@
     return content;
 }
 
-void fake_operators::raceDeclarations()
+void fake_operators::proposeCompeting()
 {
-    const int rivals = m_runtime.random() % 2 == 0 ? 2 : 1;
-    for (int i = 0; i < rivals; ++i) {
+    const int proposals = m_runtime.random() % 2 == 0 ? 2 : 1;
+    for (int i = 0; i < proposals; ++i) {
         if (pickLog() != nullptr)
             apply(nextDeclaration(), 2);
     }
@@ -86,10 +87,10 @@
     if (log == nullptr)
         return;
     m_journal.note("operator declares " + std::to_string(content.number.value()) + ", " + content.note);
-    log->propose(apply_declaration { content }, patience, [this, content, resends](const auto& result) {
+    log->propose(apply_declaration { content }, proposalTimeout, [this, content, resends](const auto& result) {
         if (isAccepted(result))
             accept(content);
-        // The answer may have been lost; a resend of the same change must change nothing.
+        // The answer may have been lost. Resending an accepted declaration must have no effect.
         if (resends > 0 && (!result.ok() || m_runtime.random() % 4 == 0))
             m_runtime.schedule(1ms, [this, content, resends] { apply(content, resends - 1); });
     });
@@ -110,7 +111,7 @@
         m_upstreams.noteDrain(id, false);
     m_drains[id] = draining;
     m_journal.note(std::string(draining ? "drain of " : "end of the drain of ") + id.value());
-    log->propose(set_drain { { drain_kind::Upstream, id.value() }, draining }, patience,
+    log->propose(set_drain { { drain_kind::Upstream, id.value() }, draining }, proposalTimeout,
         [this, id, draining](const auto& result) {
             if (isAccepted(result) && draining && m_drains[id])
                 m_upstreams.noteDrain(id, true);
@@ -131,7 +132,7 @@
         return;
     }
     const declaration content = nextDeclaration();
-    log->propose(apply_declaration { content }, patience, [this, content, done](const auto& result) {
+    log->propose(apply_declaration { content }, proposalTimeout, [this, content, done](const auto& result) {
         if (isAccepted(result))
             accept(content);
         done(isAccepted(result));
@@ -143,8 +144,8 @@
     for (const history_record& record : history) {
         const auto accepted = m_accepted.emplace(record.content.number, record.content).first;
         if (!(accepted->second == record.content))
-            m_journal.violate(
-                vm.value() + " has another content under number " + std::to_string(record.content.number.value()));
+            m_journal.reportViolation(vm.value() + " has a different declaration under number "
+                + std::to_string(record.content.number.value()));
     }
 }
 
--- a/test/random/fake_operators.h
+++ b/test/random/fake_operators.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Operators that race each other with declarations under equal numbers, resend them, drain and shift.
+ * Simulated operators. They propose competing declarations under the same number, resend them, drain upstreams, and
+ * start and withdraw shifts.
  */
 
 #include <functional>
@@ -12,7 +13,7 @@
 
 namespace plantainlatch {
 
-/** The operators of a run. */
+/** All operators of one run. */
 class fake_operators {
 public:
     fake_operators(paused_runtime& runtime, run_journal& journal, fake_upstreams& upstreams)
@@ -22,28 +23,29 @@
     {
     }
 
-    /** The log of a VM that works now; null for none. */
+    /** Chooses a VM and returns its consensus port; null when the VM does not serve. */
     std::function<consensus_port*()> pickLog;
-    /** The state of the same VM as the last pickLog(). */
+    /** The control state of the VM that pickLog() chose last; pickLog() must have returned a port. */
     std::function<const control_snapshot&()> pickedState;
 
-    /** Declares the regions, services and links until accepted. */
+    /** Proposes `first`, and again after each time-out until it is accepted. */
     void declareFirst(const declaration& first);
+    /** Whether a declaration was accepted. */
     bool isDeclared() const { return !m_accepted.empty(); }
-    /** Acts at random until stop(). */
+    /** Proposes declarations and drains at random until stop(). */
     void start();
     void stop() { m_active = false; }
-    /** Ends all drains. */
+    /** Proposes the end of all drains. */
     void endDrains();
-    /** Declares something new and tells whether it was accepted. */
+    /** Proposes one new declaration; `done` receives whether it was accepted. */
     void probe(std::function<void(bool accepted)> done);
 
-    /** Holds a history against what was accepted: one content for each number. */
+    /** Checks a VM's history: all VMs must hold the same declaration under each number. */
     void check(const vm_id& vm, const std::vector<history_record>& history);
 
 private:
     void act();
-    void raceDeclarations();
+    void proposeCompeting();
     declaration nextDeclaration();
     void apply(const declaration& content, int resends);
     void drainUpstream();
--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -47,7 +47,7 @@
 {
     upstream_state* upstream = find(id);
     directory_port* directory = pickDirectory ? pickDirectory() : nullptr;
-    if (upstream->up && !upstream->hasLeft && directory != nullptr)
+    if (upstream->up && !upstream->isDeregistered && directory != nullptr)
         directory->announce(upstream->announced, [](const absl::Status&) {});
     const duration wait = directory != nullptr ? directory->renewalInterval() : duration(500ms);
     m_runtime.schedule(wait, [this, id] { announce(id); });
@@ -66,7 +66,7 @@
         const bool isLost = upstream == nullptr || !upstream->up || !reaches(vm, upstream->announced.region)
             || happens(faults.missingReportPerMille);
         load_report report;
-        report.running = isLost || happens(faults.lyingReportPerMille) ? 0 : upstream->running;
+        report.running = isLost || happens(faults.wrongReportPerMille) ? 0 : upstream->running;
         m_runtime.schedule(isLost ? timeout : 2 * networkDelay, [alive, isLost, report, done = std::move(done)] {
             if (alive.expired())
                 return;
@@ -95,7 +95,7 @@
     });
     const bool isPooled = !open->call.freshConnection && m_idleConnections.erase({ vm, open->call.upstream }) > 0;
     if (!isPooled)
-        m_silent.erase({ vm, open->call.upstream });
+        m_silentConnections.erase({ vm, open->call.upstream });
     const duration connectTime = isPooled ? duration(0) : 2 * networkDelay;
     const bool isTooLate = open->call.dispatchTimeout > duration(0) && connectTime > open->call.dispatchTimeout;
     m_runtime.schedule(connectTime, [this, open, isPooled, isTooLate] {
@@ -105,14 +105,14 @@
         if (isTooLate || (!isPooled && (isRefused || !reachesNow(*open))))
             fail(open, call_failure::ConnectFailed);
         else
-            offer(open);
+            dispatch(open);
     });
 }
 
-void fake_upstreams::offer(const call_pointer& call)
+void fake_upstreams::dispatch(const call_pointer& call)
 {
     call->events.onDispatch();
-    if (call->ended || m_silent.contains({ call->vm, call->call.upstream }) || !reachesNow(*call))
+    if (call->ended || m_silentConnections.contains({ call->vm, call->call.upstream }) || !reachesNow(*call))
         return;
     m_runtime.schedule(networkDelay, [this, call] { arrive(call); });
 }
@@ -140,14 +140,14 @@
     ++m_runs[call->call.target];
     call->running = true;
     call->startedAt = m_runtime.now();
-    upstream.work.insert(call.get());
-    call->upstreamLife = upstream.life;
+    upstream.runningCalls.insert(call.get());
+    call->upstreamIncarnation = upstream.incarnation;
     if (isCrashing(call->call)) {
         ++m_crashes[call->call.target];
         crash(upstream.announced.id, 2s);
         return;
     }
-    m_runtime.schedule(std::min(workTime(upstream), call->call.timeout), [this, call] { complete(call); });
+    m_runtime.schedule(std::min(serviceTime(upstream), call->call.timeout), [this, call] { complete(call); });
 }
 
 void fake_upstreams::checkStart(const open_call& call)
@@ -157,36 +157,36 @@
     m_journal.note("run on " + where);
     if (upstream.running >= upstream.announced.slots.value()) {
         noteRunning(upstream);
-        m_journal.violate("more work than slots on " + where);
+        m_journal.reportViolation("more running requests than slots on " + where);
     }
-    if (upstream.mustBeIdleFrom && m_runtime.now() > *upstream.mustBeIdleFrom)
-        m_journal.violate("new work after leaving on " + where);
+    if (upstream.quiescedFrom && m_runtime.now() > *upstream.quiescedFrom)
+        m_journal.reportViolation("new request after deregistration or drain on " + where);
     if (isWrite(call.call) && m_runs[call.call.target] > 0)
-        m_journal.violate("second run of " + where);
+        m_journal.reportViolation("second run of a write on " + where);
     if (m_notRun.contains(call.call.target))
-        m_journal.violate("a run after the answer not-run on " + where);
+        m_journal.reportViolation("run after the answer not-run on " + where);
 }
 
 void fake_upstreams::noteRunning(const upstream_state& upstream)
 {
-    for (const open_call* call : upstream.work) {
+    for (const open_call* call : upstream.runningCalls) {
         const auto since = (m_runtime.now() - call->startedAt) / 1ms;
         m_journal.noteFault(upstream.announced.id.value() + " runs " + call->call.target + " from " + call->vm.value()
             + " since " + std::to_string(since) + " ms");
     }
 }
 
-duration fake_upstreams::workTime(const upstream_state& upstream)
+duration fake_upstreams::serviceTime(const upstream_state& upstream)
 {
-    duration work = 20ms + duration(m_runtime.random() % duration(60ms).count());
-    if (m_runtime.now() < upstream.coldUntil)
-        work *= 5;
-    return happens(faults.slowPerMille) ? work + 1500ms : work;
+    duration time = 20ms + duration(m_runtime.random() % duration(60ms).count());
+    if (m_runtime.now() < upstream.slowUntil)
+        time *= 5;
+    return happens(faults.slowPerMille) ? time + 1500ms : time;
 }
 
 void fake_upstreams::complete(const call_pointer& call)
 {
-    if (!call->running || call->upstreamLife != call->upstream->life)
+    if (!call->running || call->upstreamIncarnation != call->upstream->incarnation)
         return;
     stopRunning(call);
     answer(call, { 200, {}, "answer to " + call->call.target });
@@ -197,8 +197,8 @@
     if (!call->running)
         return;
     call->running = false;
-    call->upstream->work.erase(call.get());
-    if (call->upstreamLife == call->upstream->life)
+    call->upstream->runningCalls.erase(call.get());
+    if (call->upstreamIncarnation == call->upstream->incarnation)
         --call->upstream->running;
 }
 
@@ -232,7 +232,8 @@
     const call_pointer call = found->second;
     m_calls.erase(found);
     call->ended = true;
-    // The end of a connection is seen a little later, and not at all across a partition: the deadline ends work there.
+    // The upstream notices the closed connection after the network delay. Across a partition it does not notice, and
+    // the request's timeout bounds how long it runs.
     if (call->upstream != nullptr && reachesNow(*call))
         m_runtime.schedule(networkDelay, [this, call] { stopRunning(call); });
 }
@@ -244,9 +245,9 @@
         return;
     m_journal.noteFault("crash of upstream " + id.value());
     upstream.up = false;
-    ++upstream.life;
+    ++upstream.incarnation;
     upstream.running = 0;
-    upstream.work.clear();
+    upstream.runningCalls.clear();
     std::vector<call_pointer> lost;
     for (const auto& [key, call] : m_calls) {
         if (call->upstream == &upstream && call->running && reachesNow(*call))
@@ -254,53 +255,53 @@
     }
     for (const call_pointer& call : lost)
         m_runtime.schedule(networkDelay, [this, call] { fail(call, call_failure::Lost); });
-    m_runtime.schedule(downTime, [this, id] { comeBack(id); });
+    m_runtime.schedule(downTime, [this, id] { restart(id); });
 }
 
-void fake_upstreams::comeBack(const upstream_id& id)
+void fake_upstreams::restart(const upstream_id& id)
 {
     upstream_state& upstream = *find(id);
     upstream.announced.generation = upstream.announced.generation.next();
-    upstream.coldUntil = m_runtime.now() + 2s;
-    upstream.mustBeIdleFrom.reset();
-    upstream.hasLeft = false;
+    upstream.slowUntil = m_runtime.now() + 2s;
+    upstream.quiescedFrom.reset();
+    upstream.isDeregistered = false;
     upstream.up = true;
     m_journal.noteFault("upstream " + id.value() + " is back");
 }
 
-void fake_upstreams::leave(const upstream_id& id, duration awayTime)
+void fake_upstreams::leave(const upstream_id& id, duration absentTime)
 {
     upstream_state& upstream = *find(id);
     directory_port* directory = pickDirectory();
-    if (!upstream.up || upstream.hasLeft || directory == nullptr)
+    if (!upstream.up || upstream.isDeregistered || directory == nullptr)
         return;
-    upstream.hasLeft = true;
+    upstream.isDeregistered = true;
     const upstream_generation generation = upstream.announced.generation;
     directory->leave(id, generation, [this, id, generation](const absl::Status& status) {
         upstream_state& left = *find(id);
         if (!status.ok() || left.announced.generation != generation)
             return;
         m_journal.noteFault("goodbye of upstream " + id.value() + " accepted");
-        left.mustBeIdleFrom = m_runtime.now() + leaveLimit;
+        left.quiescedFrom = m_runtime.now() + quiesceLimit;
     });
-    m_runtime.schedule(awayTime, [this, id] {
-        if (find(id)->hasLeft && find(id)->up)
-            comeBack(id);
+    m_runtime.schedule(absentTime, [this, id] {
+        if (find(id)->isDeregistered && find(id)->up)
+            restart(id);
     });
 }
 
 void fake_upstreams::noteDrain(const upstream_id& id, bool draining)
 {
     upstream_state& upstream = *find(id);
-    upstream.mustBeIdleFrom.reset();
+    upstream.quiescedFrom.reset();
     if (draining)
-        upstream.mustBeIdleFrom = m_runtime.now() + leaveLimit;
+        upstream.quiescedFrom = m_runtime.now() + quiesceLimit;
 }
 
-void fake_upstreams::calm()
+void fake_upstreams::endFaults()
 {
     faults = {};
-    m_silent.clear();
+    m_silentConnections.clear();
 }
 
 int fake_upstreams::runsOf(const std::string& target) const
--- a/test/random/fake_upstreams.h
+++ b/test/random/fake_upstreams.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * Upstreams with a slot count and a delay, and the calls of VMs to them: they crash, lie, shed, fall silent and leave.
+ * Simulated upstreams with a slot count and a service time, and the calls of VMs to them. They can crash, shed load,
+ * answer slowly, report a wrong load, stop answering on idle connections, and deregister.
  */
 
 #include <map>
@@ -18,52 +19,56 @@
 
 namespace plantainlatch {
 
-/** How upstreams misbehave; the chances are out of 1000. */
+/** The probabilities of upstream faults, per mille. */
 struct upstream_faults {
     std::uint64_t shedPerMille = 0;
     std::uint64_t slowPerMille = 0;
-    /** A load report that is missing, or says that all is well and idle. */
+    /** Load polls that get no report. */
     std::uint64_t missingReportPerMille = 0;
-    std::uint64_t lyingReportPerMille = 0;
+    /** Load reports that claim an idle upstream. */
+    std::uint64_t wrongReportPerMille = 0;
 };
 
-/** The upstreams of a run and all that was ever run on them. */
+/** All upstreams of one run, with a count of how often each request ran on them. */
 class fake_upstreams {
 public:
     fake_upstreams(paused_runtime& runtime, run_journal& journal);
 
     upstream_faults faults;
-    /** Whether bytes get through between a VM and an upstream's region just now. */
+    /** Whether a VM and the upstreams of a region can currently reach each other. */
     std::function<bool(const vm_id&, const region_id&)> reaches = [](const vm_id&, const region_id&) { return true; };
-    /** The directory of a VM that works now; null for none. */
+    /** Chooses a VM and returns its directory port; null when the VM does not serve. */
     std::function<directory_port*()> pickDirectory;
-    /** After a goodbye or a drain was accepted, new work stops within this time. */
-    duration leaveLimit = std::chrono::seconds(5);
+    /** How long after an accepted deregistration or drain an upstream may still receive new requests. */
+    duration quiesceLimit = std::chrono::seconds(5);
 
-    /** Adds an upstream and lets it announce itself. */
+    /** Adds an upstream, which announces itself periodically. */
     void add(upstream_announcement announced);
     std::size_t size() const { return m_upstreams.size(); }
     upstream_id idOf(std::size_t position) const { return m_upstreams[position]->announced.id; }
 
-    /** The calls of one process. */
+    /** The upstream port of one VM process. */
     upstream_port attach(const vm_id& vm, const process_lifetime& life);
 
-    /** The process dies and comes back as a new generation. */
+    /** Kills the upstream's process; it restarts after `downTime` as a new generation. */
     void crash(const upstream_id& id, duration downTime);
-    /** Says goodbye, and comes back as a new generation. */
-    void leave(const upstream_id& id, duration awayTime);
-    /** A drain of the upstream was accepted, or is about to end. */
+    /** Deregisters the upstream; it comes back after `absentTime` as a new generation. */
+    void leave(const upstream_id& id, duration absentTime);
+    /** Records that a drain of the upstream was accepted, or that its end is about to be proposed. */
     void noteDrain(const upstream_id& id, bool draining);
-    /** Idle connections between a VM and an upstream swallow what is sent. */
-    void silence(const vm_id& vm, const upstream_id& id) { m_silent.insert({ vm, id }); }
-    /** Ends all misbehaviour. */
-    void calm();
+    /** Requests on pooled connections between the VM and the upstream get no answer until a new connection is opened.
+     */
+    void silence(const vm_id& vm, const upstream_id& id) { m_silentConnections.insert({ vm, id }); }
+    /** Ends the faults in `faults` and restores silent connections. */
+    void endFaults();
 
-    /** How often the work of this target ran. */
+    /** How often the request with this target ran. */
     int runsOf(const std::string& target) const;
-    /** A caller was told that this work did not run, or it is being sent again. */
-    void promiseNotRun(const std::string& target) { m_notRun.insert(target); }
-    void endPromise(const std::string& target) { m_notRun.erase(target); }
+    /** Records that a caller was told that this request did not run: a run of it is a violation until the next attempt.
+     */
+    void markNotRun(const std::string& target) { m_notRun.insert(target); }
+    /** Permits the request to run, as it is being sent again. */
+    void clearNotRun(const std::string& target) { m_notRun.erase(target); }
     int crashesBy(const std::string& target) const;
 
 private:
@@ -71,13 +76,13 @@
     struct upstream_state {
         upstream_announcement announced;
         bool up = true;
-        /** Raised by each crash; work of an earlier life is gone. */
-        int life = 1;
+        /** Incremented by each crash, which drops all running requests. */
+        int incarnation = 1;
         std::uint32_t running = 0;
-        std::optional<time_point> mustBeIdleFrom;
-        time_point coldUntil {};
-        bool hasLeft = false;
-        std::set<const open_call*> work;
+        std::optional<time_point> quiescedFrom;
+        time_point slowUntil {};
+        bool isDeregistered = false;
+        std::set<const open_call*> runningCalls;
     };
     struct open_call {
         upstream_call call;
@@ -85,7 +90,7 @@
         vm_id vm;
         std::weak_ptr<bool> life;
         upstream_state* upstream = nullptr;
-        int upstreamLife = 0;
+        int upstreamIncarnation = 0;
         bool ended = false;
         bool running = false;
         time_point startedAt {};
@@ -98,14 +103,14 @@
     bool happens(std::uint64_t perMille) { return perMille > 0 && m_runtime.random() % 1000 < perMille; }
     bool reachesNow(const open_call& call) const { return reaches(call.vm, call.upstream->announced.region); }
     void announce(const upstream_id& id);
-    void comeBack(const upstream_id& id);
+    void restart(const upstream_id& id);
     void start(const vm_id& vm, const std::weak_ptr<bool>& life, upstream_call call, call_events events);
-    void offer(const call_pointer& call);
+    void dispatch(const call_pointer& call);
     void arrive(const call_pointer& call);
     bool sheds(const call_pointer& call);
     void checkStart(const open_call& call);
     void noteRunning(const upstream_state& upstream);
-    duration workTime(const upstream_state& upstream);
+    duration serviceTime(const upstream_state& upstream);
     void complete(const call_pointer& call);
     void stopRunning(const call_pointer& call);
     void answer(const call_pointer& call, upstream_answer content);
@@ -117,7 +122,7 @@
     std::vector<std::unique_ptr<upstream_state>> m_upstreams;
     std::map<std::pair<vm_id, call_id>, call_pointer> m_calls;
     std::set<pair_key> m_idleConnections;
-    std::set<pair_key> m_silent;
+    std::set<pair_key> m_silentConnections;
     std::map<std::string, int> m_runs;
     std::map<std::string, int> m_crashes;
     std::set<std::string> m_notRun;
--- a/test/random/run_journal.h
+++ b/test/random/run_journal.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * What happens in one randomised run: a hash over all of it, the latest lines, and the first broken invariant.
+ * Records the events of one randomised run: a hash of all events, the latest lines, and the first violated invariant.
  */
 
 #include <cstdint>
@@ -13,7 +13,7 @@
 
 namespace plantainlatch {
 
-/** A broken invariant; it ends the run. */
+/** Thrown when an invariant is violated; ends the run. */
 class run_violation : public std::runtime_error {
 public:
     using std::runtime_error::runtime_error;
@@ -32,20 +32,20 @@
     {
         hashOnly(line);
         m_latest.push_back(std::to_string(m_runtime.now().time_since_epoch().count() / 1000) + " us " + line);
-        if (m_latest.size() > keptLines)
+        if (m_latest.size() > maximumLines)
             m_latest.pop_front();
     }
 
-    /** As note(), and keeps the line among the faults, which the latest events do not crowd out. */
+    /** As note(), and also keeps the line in faults(), where frequent events do not displace it. */
     void noteFault(const std::string& line)
     {
         note(line);
         m_faults.push_back(m_latest.back());
-        if (m_faults.size() > keptLines)
+        if (m_faults.size() > maximumLines)
             m_faults.pop_front();
     }
 
-    /** Hashes an event that would crowd out the others. */
+    /** Hashes an event but keeps no line; for events so frequent that they would displace all others. */
     void hashOnly(const std::string& line)
     {
         add(static_cast<std::uint64_t>(m_runtime.now().time_since_epoch().count()));
@@ -53,19 +53,20 @@
             add(static_cast<unsigned char>(c));
     }
 
-    /** Ends the run. */
-    [[noreturn]] void violate(const std::string& what)
+    /** Records a violated invariant and throws run_violation. */
+    [[noreturn]] void reportViolation(const std::string& what)
     {
         note("VIOLATION " + what);
         throw run_violation(what);
     }
 
+    /** The FNV-1a hash of the times and lines of all events. */
     std::uint64_t hash() const { return m_hash; }
     const std::deque<std::string>& latest() const { return m_latest; }
     const std::deque<std::string>& faults() const { return m_faults; }
 
 private:
-    static constexpr std::size_t keptLines = 40;
+    static constexpr std::size_t maximumLines = 40;
 
     void add(std::uint64_t value) { m_hash = (m_hash ^ value) * 1099511628211ULL; }
 
--- a/test/random/simulated_vm.cpp
+++ b/test/random/simulated_vm.cpp
@@ -20,23 +20,23 @@
 
 } // namespace
 
-absl::Status simulated_vm::start(const simulated_world& world)
+absl::Status simulated_vm::start(const simulation_context& context)
 {
     life = std::make_shared<bool>(true);
     stopping = false;
     highestApplied = log_index();
     highestNumber = change_number();
-    const kernel_hooks hooks = processHooks(world.runtime, life);
-    peers = world.network.attach(record.id, life);
+    const kernel_hooks hooks = processHooks(context.runtime, life);
+    peers = context.network.attach(record.id, life);
     storage = disk->attach(life);
-    calls = world.upstreams.attach(record.id, life);
+    calls = context.upstreams.attach(record.id, life);
     vm_settings settings;
     settings.self = record;
-    settings.vms = world.records;
-    absl::StatusOr<std::unique_ptr<steering_vm>> made = steering_vm::create(hooks, settings, world.options);
-    if (!made.ok())
-        return made.status();
-    decisions = std::move(*made);
+    settings.vms = context.records;
+    absl::StatusOr<std::unique_ptr<steering_vm>> created = steering_vm::create(hooks, settings, context.options);
+    if (!created.ok())
+        return created.status();
+    decisions = std::move(*created);
     core = *kernel::create(hooks);
     absl::Status status = startServices();
     if (!status.ok())
--- a/test/random/simulated_vm.h
+++ b/test/random/simulated_vm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One whole VM of a randomised run: its disk stays while its processes come and go.
+ * One complete VM of a randomised run. Its disk outlives its processes, which are started and killed repeatedly.
  */
 
 #include <memory>
@@ -15,8 +15,8 @@
 
 namespace plantainlatch {
 
-/** What the processes of all VMs of a run share. */
-struct simulated_world {
+/** The objects that the processes of all VMs of a run share. */
+struct simulation_context {
     paused_runtime& runtime;
     fake_network& network;
     fake_upstreams& upstreams;
@@ -24,7 +24,7 @@
     const steering_options& options;
 };
 
-/** A VM and its present process, if one runs. */
+/** A VM and its current process, if one runs. */
 struct simulated_vm {
     vm_record record;
     std::unique_ptr<fake_disk> disk;
@@ -40,15 +40,15 @@
     directory_port* directory = nullptr;
     request_port* requests = nullptr;
     shift_port* shifts = nullptr;
-    /** The highest that this process has shown. */
+    /** The highest applied index and configuration number seen in this process. */
     log_index highestApplied;
     change_number highestNumber;
     bool stopping = false;
 
     bool running() const { return life != nullptr; }
-    /** Starts a process; its disk may refuse. */
-    absl::Status start(const simulated_world& world);
-    /** The process ends at once; what it had not synced may be lost. */
+    /** Starts a process; fails with the status of the first service that does not start. */
+    absl::Status start(const simulation_context& context);
+    /** Kills the process; writes that it has not synced may be lost. */
     void kill();
 
 private:
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -17,8 +17,8 @@
     constexpr duration stepTime = 100ms;
     constexpr duration callInterval = 25ms;
     constexpr duration capWindow = 1s;
-    /** Replicas whose disks may be lost or full at once without a loss of agreed changes. */
-    constexpr int tolerableDiskFaults = 2;
+    /** How many of the five replicas may have lost or full disks at the same time without loss of committed changes. */
+    constexpr int maximumDiskFaults = 2;
     constexpr std::array<const char*, 6> domains { "a1", "b1", "c1", "a2", "b2", "c2" };
 
     region_id regionOfDomain(const std::string& domain) { return region_id(domain.substr(0, 1)); }
@@ -48,13 +48,13 @@
         return first;
     }
 
-    /** A whole run. */
-    class vm_run {
+    /** The state of one run: the VMs, the fake network, upstreams, callers and operators. */
+    class simulation_run {
     public:
-        explicit vm_run(const run_plan& plan);
-        ~vm_run();
-        vm_run(const vm_run&) = delete;
-        vm_run& operator=(const vm_run&) = delete;
+        explicit simulation_run(const run_plan& plan);
+        ~simulation_run();
+        simulation_run(const simulation_run&) = delete;
+        simulation_run& operator=(const simulation_run&) = delete;
 
         run_result finish();
 
@@ -64,34 +64,34 @@
         void addUpstreams();
         void connect();
         void startVm(simulated_vm& vm);
-        void watchCap(simulated_vm& vm);
+        void checkCap(simulated_vm& vm);
         void checkStep();
         void checkVm(simulated_vm& vm);
 
-        simulated_vm& anyVm() { return *m_vms[m_runtime.random() % m_vms.size()]; }
-        simulated_vm* anyRunning();
-        duration upTo(duration longest)
+        simulated_vm& randomVm() { return *m_vms[m_runtime.random() % m_vms.size()]; }
+        simulated_vm* randomServingVm();
+        duration randomUpTo(duration limit)
         {
-            return duration(m_runtime.random() % static_cast<std::uint64_t>(longest.count()));
+            return duration(m_runtime.random() % static_cast<std::uint64_t>(limit.count()));
         }
-        void later(duration delay, std::function<void()> action);
+        void schedule(duration delay, std::function<void()> action);
 
         void injectNext();
         void injectOne();
         void disturbMessages();
         void cutOneWay();
-        void isolateLong();
+        void isolateVm();
         void killAndRestart(simulated_vm& vm, bool loseDisk);
         void fillDisk(simulated_vm& vm);
         void stopAndRestart(simulated_vm& vm);
-        void loseRegion();
-        void partRegions();
+        void crashRegion();
+        void partitionRegions();
         void disturbUpstreams();
         int diskFaults();
 
         void endFaults();
-        bool isWhole();
-        void requireLiveness();
+        bool isRecovered();
+        void requireRecovery();
         void probeAll();
 
         run_plan m_plan;
@@ -103,34 +103,36 @@
         fake_operators m_operators { m_runtime, m_journal, m_upstreams };
         std::vector<vm_record> m_records;
         std::vector<std::unique_ptr<simulated_vm>> m_vms;
-        simulated_vm* m_picked = nullptr;
-        std::set<std::pair<region_id, region_id>> m_parted;
-        std::deque<time_point> m_spent;
-        bool m_faulty = false;
-        std::set<std::string> m_probesLeft;
+        simulated_vm* m_pickedVm = nullptr;
+        std::set<std::pair<region_id, region_id>> m_partitioned;
+        std::deque<time_point> m_acquisitions;
+        bool m_injecting = false;
+        std::set<std::string> m_pendingProbes;
     };
 
-    vm_run::vm_run(const run_plan& plan)
+    simulation_run::simulation_run(const run_plan& plan)
         : m_plan(plan)
         , m_runtime(plan.seed)
     {
-        // An allocator that is cut off may lend until its lease ends, and a holder uses what it got until its own ends.
-        const slot_allocator_options lending;
-        const allocator_lease_options roles;
-        const membership_options sound;
-        m_upstreams.leaveLimit = roles.lease + roles.drift + sound.appliedLag + lending.lease + lending.drift;
+        // An isolated allocator may grant slots until its allocator lease expires, and a holder may use granted slots
+        // until its slot lease expires.
+        const slot_allocator_options slotDefaults;
+        const allocator_lease_options leaseDefaults;
+        const membership_options membershipDefaults;
+        m_upstreams.quiesceLimit = leaseDefaults.lease + leaseDefaults.drift + membershipDefaults.appliedLag
+            + slotDefaults.lease + slotDefaults.drift;
         connect();
         addVms();
         addUpstreams();
     }
 
-    vm_run::~vm_run()
+    simulation_run::~simulation_run()
     {
         for (const auto& vm : m_vms)
             vm->kill();
     }
 
-    void vm_run::connect()
+    void simulation_run::connect()
     {
         m_network.onSend = [this](const vm_id& from, const vm_id& to, const peer_message& message) {
             m_journal.hashOnly(from.value() + to.value() + std::to_string(message.index()));
@@ -141,31 +143,31 @@
                     m_records.begin(), m_records.end(), [&id](const vm_record& item) { return item.id == id; });
                 return found->region;
             };
-            return (regionOf(from) == regionOf(to) ? 1ms : 12ms) + upTo(500us);
+            return (regionOf(from) == regionOf(to) ? 1ms : 12ms) + randomUpTo(500us);
         };
         m_upstreams.reaches = [this](const vm_id& vm, const region_id& region) {
             for (const vm_record& record : m_records) {
                 if (record.id == vm)
-                    return !m_parted.contains({ record.region, region });
+                    return !m_partitioned.contains({ record.region, region });
             }
             return true;
         };
         m_upstreams.pickDirectory = [this] {
-            simulated_vm* vm = anyRunning();
+            simulated_vm* vm = randomServingVm();
             return vm == nullptr ? nullptr : vm->directory;
         };
         m_callers.pickEntry = [this]() -> reachable_entry {
-            simulated_vm* vm = anyRunning();
+            simulated_vm* vm = randomServingVm();
             return vm == nullptr ? reachable_entry {} : reachable_entry { vm->requests, vm->life, vm->record.id };
         };
         m_operators.pickLog = [this] {
-            m_picked = anyRunning();
-            return m_picked == nullptr ? nullptr : m_picked->log;
+            m_pickedVm = randomServingVm();
+            return m_pickedVm == nullptr ? nullptr : m_pickedVm->log;
         };
-        m_operators.pickedState = [this]() -> const control_snapshot& { return m_picked->control->state(); };
+        m_operators.pickedState = [this]() -> const control_snapshot& { return m_pickedVm->control->state(); };
     }
 
-    void vm_run::addVms()
+    void simulation_run::addVms()
     {
         for (int i = 0; i < m_plan.vms; ++i) {
             vm_record record;
@@ -182,7 +184,7 @@
         }
     }
 
-    void vm_run::addUpstreams()
+    void simulation_run::addUpstreams()
     {
         std::uint16_t port = 1;
         for (const char* name : { "booking", "billing" }) {
@@ -201,7 +203,7 @@
         }
     }
 
-    void vm_run::startVm(simulated_vm& vm)
+    void simulation_run::startVm(simulated_vm& vm)
     {
         if (vm.running())
             return;
@@ -209,37 +211,40 @@
         m_journal.noteFault(
             "start of " + vm.record.id.value() + (status.ok() ? "" : ": " + std::string(status.message())));
         if (!status.ok())
-            m_journal.violate("a VM does not start: " + std::string(status.message()));
-        watchCap(vm);
+            m_journal.reportViolation("a VM did not start: " + std::string(status.message()));
+        checkCap(vm);
     }
 
-    void vm_run::watchCap(simulated_vm& vm)
+    void simulation_run::checkCap(simulated_vm& vm)
     {
         if (vm.shifts == nullptr)
             return;
-        vm.shifts->tryAcquire = [this, &vm, spend = vm.shifts->tryAcquire](const shift_id& id) {
+        vm.shifts->tryAcquire = [this, &vm, acquire = vm.shifts->tryAcquire](const shift_id& id) {
             const auto shift = vm.control->state().config.shifts.find(id);
-            if (!spend(id))
+            if (!acquire(id))
                 return false;
             const time_point now = m_runtime.now();
-            while (!m_spent.empty() && m_spent.front() + capWindow <= now)
-                m_spent.pop_front();
-            m_spent.push_back(now);
-            if (m_spent.size() > shift->second.capPerSecond)
-                m_journal.violate("a shift went beyond its cap through " + vm.record.id.value());
+            while (!m_acquisitions.empty() && m_acquisitions.front() + capWindow <= now)
+                m_acquisitions.pop_front();
+            m_acquisitions.push_back(now);
+            if (m_acquisitions.size() > shift->second.capPerSecond)
+                m_journal.reportViolation("a shift exceeded its rate cap through " + vm.record.id.value());
             return true;
         };
     }
 
-    simulated_vm* vm_run::anyRunning()
+    simulated_vm* simulation_run::randomServingVm()
     {
-        simulated_vm& vm = anyVm();
+        simulated_vm& vm = randomVm();
         return vm.running() && !vm.stopping ? &vm : nullptr;
     }
 
-    void vm_run::later(duration delay, std::function<void()> action) { m_runtime.schedule(delay, std::move(action)); }
+    void simulation_run::schedule(duration delay, std::function<void()> action)
+    {
+        m_runtime.schedule(delay, std::move(action));
+    }
 
-    void vm_run::checkStep()
+    void simulation_run::checkStep()
     {
         std::string leaders;
         int count = 0;
@@ -253,32 +258,32 @@
             }
         }
         if (count > 1)
-            m_journal.violate("two leaders at once:" + leaders);
+            m_journal.reportViolation("more than one leader at the same time:" + leaders);
     }
 
-    void vm_run::checkVm(simulated_vm& vm)
+    void simulation_run::checkVm(simulated_vm& vm)
     {
         const log_index applied = vm.log->applied();
         if (applied < vm.highestApplied)
-            m_journal.violate("the applied index fell on " + vm.record.id.value());
+            m_journal.reportViolation("the applied index decreased on " + vm.record.id.value());
         vm.highestApplied = applied;
         const control_snapshot& state = vm.control->state();
         if (state.config.number < vm.highestNumber)
-            m_journal.violate("the number in force fell on " + vm.record.id.value());
+            m_journal.reportViolation("the configuration number in force decreased on " + vm.record.id.value());
         if (state.config.number > vm.highestNumber)
             m_operators.check(vm.record.id, state.history);
         vm.highestNumber = state.config.number;
     }
 
-    void vm_run::injectNext()
+    void simulation_run::injectNext()
     {
-        if (!m_faulty)
+        if (!m_injecting)
             return;
         injectOne();
-        later(200ms + upTo(2500ms), [this] { injectNext(); });
+        schedule(200ms + randomUpTo(2500ms), [this] { injectNext(); });
     }
 
-    void vm_run::injectOne()
+    void simulation_run::injectOne()
     {
         switch (m_runtime.random() % 13) {
         case 0:
@@ -286,95 +291,95 @@
         case 1:
             return cutOneWay();
         case 2:
-            return isolateLong();
+            return isolateVm();
         case 3:
-            return killAndRestart(anyVm(), false);
+            return killAndRestart(randomVm(), false);
         case 4:
-            return killAndRestart(anyVm(), m_operators.isDeclared());
+            return killAndRestart(randomVm(), m_operators.isDeclared());
         case 5:
-            return fillDisk(anyVm());
+            return fillDisk(randomVm());
         case 6:
-            return stopAndRestart(anyVm());
+            return stopAndRestart(randomVm());
         case 7:
-            return loseRegion();
+            return crashRegion();
         case 8:
-            return partRegions();
+            return partitionRegions();
         case 9:
             return disturbUpstreams();
         case 10:
-            return m_upstreams.crash(m_upstreams.idOf(m_runtime.random() % m_upstreams.size()), 500ms + upTo(5s));
+            return m_upstreams.crash(m_upstreams.idOf(m_runtime.random() % m_upstreams.size()), 500ms + randomUpTo(5s));
         case 11:
-            return m_upstreams.leave(m_upstreams.idOf(m_runtime.random() % m_upstreams.size()), 7s + upTo(5s));
+            return m_upstreams.leave(m_upstreams.idOf(m_runtime.random() % m_upstreams.size()), 7s + randomUpTo(5s));
         default:
             for (std::size_t i = 0; i < m_upstreams.size(); i += 1 + m_runtime.random() % 2)
-                m_upstreams.silence(anyVm().record.id, m_upstreams.idOf(i));
+                m_upstreams.silence(randomVm().record.id, m_upstreams.idOf(i));
         }
     }
 
-    void vm_run::disturbMessages()
+    void simulation_run::disturbMessages()
     {
         m_network.faults
-            = { m_runtime.random() % 200, m_runtime.random() % 200, m_runtime.random() % 300, 100ms + upTo(3s) };
+            = { m_runtime.random() % 200, m_runtime.random() % 200, m_runtime.random() % 300, 100ms + randomUpTo(3s) };
         m_journal.noteFault("messages are lost, late and doubled");
-        later(upTo(8s), [this] { m_network.faults = {}; });
+        schedule(randomUpTo(8s), [this] { m_network.faults = {}; });
     }
 
-    void vm_run::cutOneWay()
+    void simulation_run::cutOneWay()
     {
-        const vm_id from = anyVm().record.id;
-        const vm_id to = anyVm().record.id;
+        const vm_id from = randomVm().record.id;
+        const vm_id to = randomVm().record.id;
         m_journal.noteFault("cut from " + from.value() + " to " + to.value());
         m_network.cut(from, to);
-        later(upTo(10s), [this, from, to] { m_network.heal(from, to); });
+        schedule(randomUpTo(10s), [this, from, to] { m_network.heal(from, to); });
     }
 
-    void vm_run::isolateLong()
+    void simulation_run::isolateVm()
     {
-        const vm_id vm = anyVm().record.id;
+        const vm_id vm = randomVm().record.id;
         m_journal.noteFault("isolation of " + vm.value());
         m_network.isolate(vm);
-        later(3s + upTo(15s), [this, vm] { m_network.rejoin(vm); });
+        schedule(3s + randomUpTo(15s), [this, vm] { m_network.rejoin(vm); });
     }
 
-    int vm_run::diskFaults()
+    int simulation_run::diskFaults()
     {
         const auto leader = std::find_if(
             m_vms.begin(), m_vms.end(), [](const auto& vm) { return vm->running() && vm->log->state().leading; });
         if (leader == m_vms.end())
-            return tolerableDiskFaults;
+            return maximumDiskFaults;
         const std::set<replica_id> voters = (*leader)->log->voters().voters;
         int faults = 0;
         for (const auto& vm : m_vms) {
             const auto& state = vm->disk->content().state;
-            const bool isSound = state && voters.contains(state->self) && !vm->disk->failing;
-            faults += vm->record.replica && !isSound ? 1 : 0;
+            const bool isIntact = state && voters.contains(state->self) && !vm->disk->failing;
+            faults += vm->record.replica && !isIntact ? 1 : 0;
         }
         return faults;
     }
 
-    void vm_run::killAndRestart(simulated_vm& vm, bool loseDisk)
+    void simulation_run::killAndRestart(simulated_vm& vm, bool loseDisk)
     {
-        const bool loses = loseDisk && diskFaults() < tolerableDiskFaults;
+        const bool loses = loseDisk && diskFaults() < maximumDiskFaults;
         m_journal.noteFault("kill of " + vm.record.id.value() + (loses ? " with its disk" : ""));
         vm.kill();
         if (loses)
             vm.disk->wipe();
-        later(upTo(6s), [this, &vm] { startVm(vm); });
+        schedule(randomUpTo(6s), [this, &vm] { startVm(vm); });
     }
 
-    void vm_run::fillDisk(simulated_vm& vm)
+    void simulation_run::fillDisk(simulated_vm& vm)
     {
-        if (!vm.record.replica || vm.disk->failing || diskFaults() >= tolerableDiskFaults)
+        if (!vm.record.replica || vm.disk->failing || diskFaults() >= maximumDiskFaults)
             return;
         m_journal.noteFault("full disk on " + vm.record.id.value());
         vm.disk->failing = true;
-        later(2s + upTo(6s), [this, &vm] {
+        schedule(2s + randomUpTo(6s), [this, &vm] {
             vm.disk->failing = false;
             killAndRestart(vm, false);
         });
     }
 
-    void vm_run::stopAndRestart(simulated_vm& vm)
+    void simulation_run::stopAndRestart(simulated_vm& vm)
     {
         if (!vm.running() || vm.stopping)
             return;
@@ -383,7 +388,7 @@
         const std::weak_ptr<bool> life = vm.life;
         vm.core->stop([this, &vm, life] {
             m_journal.noteFault("stopped " + vm.record.id.value());
-            later(upTo(3s), [this, &vm, life] {
+            schedule(randomUpTo(3s), [this, &vm, life] {
                 if (!life.expired())
                     vm.kill();
                 startVm(vm);
@@ -391,9 +396,9 @@
         });
     }
 
-    void vm_run::loseRegion()
+    void simulation_run::crashRegion()
     {
-        const region_id region = anyVm().record.region;
+        const region_id region = randomVm().record.region;
         m_journal.noteFault("loss of region " + region.value());
         for (const auto& vm : m_vms) {
             if (vm->record.region == region)
@@ -401,14 +406,14 @@
         }
         for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
             if (regionOfDomain(m_upstreams.idOf(i).value().substr(8)) == region)
-                m_upstreams.crash(m_upstreams.idOf(i), 2s + upTo(4s));
+                m_upstreams.crash(m_upstreams.idOf(i), 2s + randomUpTo(4s));
         }
     }
 
-    void vm_run::partRegions()
+    void simulation_run::partitionRegions()
     {
-        const region_id left = anyVm().record.region;
-        const region_id right = anyVm().record.region;
+        const region_id left = randomVm().record.region;
+        const region_id right = randomVm().record.region;
         if (left == right)
             return;
         m_journal.noteFault("regions " + left.value() + " and " + right.value() + " lose each other");
@@ -423,33 +428,33 @@
             }
         };
         eachPair([this](const vm_id& from, const vm_id& to) { m_network.cut(from, to); });
-        m_parted.insert({ left, right });
-        m_parted.insert({ right, left });
-        later(1s + upTo(10s), [this, eachPair, left, right] {
+        m_partitioned.insert({ left, right });
+        m_partitioned.insert({ right, left });
+        schedule(1s + randomUpTo(10s), [this, eachPair, left, right] {
             eachPair([this](const vm_id& from, const vm_id& to) { m_network.heal(from, to); });
-            m_parted.erase({ left, right });
-            m_parted.erase({ right, left });
+            m_partitioned.erase({ left, right });
+            m_partitioned.erase({ right, left });
         });
     }
 
-    void vm_run::disturbUpstreams()
+    void simulation_run::disturbUpstreams()
     {
         m_journal.noteFault("upstreams shed, are slow and lie");
         m_upstreams.faults = { m_runtime.random() % 100, m_runtime.random() % 100, m_runtime.random() % 1000,
             m_runtime.random() % 1000 };
-        later(upTo(8s), [this] { m_upstreams.faults = {}; });
+        schedule(randomUpTo(8s), [this] { m_upstreams.faults = {}; });
     }
 
-    void vm_run::endFaults()
+    void simulation_run::endFaults()
     {
         m_journal.noteFault("the faults end");
-        m_faulty = false;
+        m_injecting = false;
         m_callers.stop();
         m_operators.stop();
         m_network.faults = {};
         m_network.healAll();
-        m_parted.clear();
-        m_upstreams.calm();
+        m_partitioned.clear();
+        m_upstreams.endFaults();
         for (const auto& vm : m_vms) {
             if (vm->disk->failing) {
                 vm->disk->failing = false;
@@ -458,7 +463,7 @@
         }
     }
 
-    bool vm_run::isWhole()
+    bool simulation_run::isRecovered()
     {
         int leaders = 0;
         for (const auto& vm : m_vms) {
@@ -469,14 +474,15 @@
         return leaders == 1 && diskFaults() == 0 && m_operators.isDeclared();
     }
 
-    void vm_run::requireLiveness()
+    void simulation_run::requireRecovery()
     {
-        const time_point end = m_runtime.now() + m_plan.healTime;
-        while (!isWhole() || !m_probesLeft.empty()) {
+        const time_point end = m_runtime.now() + m_plan.recoveryTime;
+        while (!isRecovered() || !m_pendingProbes.empty()) {
             if (m_runtime.now() >= end)
-                m_journal.violate("not live: "
-                    + (m_probesLeft.empty() ? std::string("the VMs are not whole") : *m_probesLeft.begin()));
-            if (isWhole())
+                m_journal.reportViolation("no recovery after the faults ended: "
+                    + (m_pendingProbes.empty() ? std::string("VMs, leader or disks have not recovered")
+                                               : *m_pendingProbes.begin()));
+            if (isRecovered())
                 probeAll();
             for (int i = 0; i < 20; ++i) {
                 m_runtime.advance(stepTime);
@@ -487,55 +493,55 @@
         }
     }
 
-    void vm_run::probeAll()
+    void simulation_run::probeAll()
     {
         m_operators.endDrains();
         for (const auto& vm : m_vms) {
             for (const bool keyed : { false, true }) {
                 const std::string name = vm->record.id.value() + (keyed ? " completes a POST" : " completes a GET");
-                if (!m_probesLeft.contains(name))
+                if (!m_pendingProbes.contains(name))
                     continue;
                 m_callers.probe({ vm->requests, vm->life, vm->record.id }, keyed, [this, name](bool completed) {
                     if (completed)
-                        m_probesLeft.erase(name);
+                        m_pendingProbes.erase(name);
                 });
             }
         }
-        if (m_probesLeft.contains("a declaration"))
+        if (m_pendingProbes.contains("a declaration"))
             m_operators.probe([this](bool accepted) {
                 if (accepted)
-                    m_probesLeft.erase("a declaration");
+                    m_pendingProbes.erase("a declaration");
             });
     }
 
-    void vm_run::run()
+    void simulation_run::run()
     {
         for (const auto& vm : m_vms)
             startVm(*vm);
         m_operators.declareFirst(firstDeclaration());
         m_callers.start(callInterval);
         m_operators.start();
-        m_faulty = true;
-        later(upTo(5s), [this] { injectNext(); });
+        m_injecting = true;
+        schedule(randomUpTo(5s), [this] { injectNext(); });
         const time_point end = m_runtime.now() + m_plan.faultTime;
         while (m_runtime.now() < end) {
             m_runtime.advance(stepTime);
             checkStep();
         }
         endFaults();
-        m_probesLeft = { "a declaration" };
+        m_pendingProbes = { "a declaration" };
         for (const auto& vm : m_vms) {
-            m_probesLeft.insert(vm->record.id.value() + " completes a GET");
-            m_probesLeft.insert(vm->record.id.value() + " completes a POST");
+            m_pendingProbes.insert(vm->record.id.value() + " completes a GET");
+            m_pendingProbes.insert(vm->record.id.value() + " completes a POST");
         }
-        requireLiveness();
+        requireRecovery();
     }
 
-    run_result vm_run::finish()
+    run_result simulation_run::finish()
     {
         run_result result;
         const internal_error_handler former = setInternalErrorHandler(
-            [this](const std::string& text) { m_journal.violate("internal error: " + text); });
+            [this](const std::string& text) { m_journal.reportViolation("internal error: " + text); });
         try {
             run();
         } catch (const run_violation& violation) {
@@ -554,7 +560,7 @@
 
 run_result runVms(const run_plan& plan)
 {
-    vm_run run(plan);
+    simulation_run run(plan);
     return run.finish();
 }
 
--- a/test/random/vm_runner.h
+++ b/test/random/vm_runner.h
@@ -1,8 +1,9 @@
 #pragma once
 
 /** \file
- * Randomised runs: many whole VMs in one process on a paused clock, under faults of every kind, alone, together and
- * twice. Promises are checked at every step, and once the faults end the system must work again.
+ * Randomised simulation of several complete VMs in one process on a simulated clock. Faults of every kind are injected,
+ * also several at once. Invariants are checked at every step. After the faults have ended, the system must recover and
+ * serve requests again within a bounded time.
  */
 
 #include <array>
@@ -18,29 +19,32 @@
 
 namespace plantainlatch {
 
-/** One randomised run. */
+/** The parameters of one randomised run. */
 struct run_plan {
     std::uint64_t seed = 1;
     int vms = 7;
     int replicas = 5;
-    /** How long faults go on. */
+    /** How long faults are injected. */
     duration faultTime = std::chrono::seconds(40);
-    /** After the faults the system must be whole within this. */
-    duration healTime = std::chrono::seconds(40);
-    /** The decisions of each VM; tests break one of their mechanisms. */
+    /** The time limit for full recovery after the faults have ended. */
+    duration recoveryTime = std::chrono::seconds(40);
+    /** The options of the decision services of every VM; a test can disable one of their mechanisms here. */
     steering_options options;
 };
 
-/** How a run ended. */
+/** The result of a run. */
 struct run_result {
-    /** The broken invariant; empty when all held. */
+    /** The violated invariant; empty when all held. */
     std::string violation;
+    /** The hash of all recorded events; equal seeds give equal hashes. */
     std::uint64_t hash = 0;
+    /** The number of answers with outcome Completed or Replayed. */
     std::uint64_t completed = 0;
+    /** The latest faults, then the latest events. */
     std::vector<std::string> trace;
 };
 
-/** Runs one plan; equal plans give equal results. */
+/** Runs one plan; the run is deterministic, so equal plans give equal results. */
 run_result runVms(const run_plan& plan);
 
 } // namespace plantainlatch
--- a/test/random/vm_runner_test.cpp
+++ b/test/random/vm_runner_test.cpp
@@ -10,15 +10,15 @@
 
 namespace {
 
-    std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise)
+    std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
     {
         const char* text = std::getenv(variable);
-        return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+        return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
     }
 
     class vm_runner_fixture {
     protected:
-        /** Runs a seed; a broken invariant is printed with its trace and the command that repeats it. */
+        /** Runs a seed; a violated invariant is printed with its trace and the command that reproduces it. */
         static run_result runSeed(std::uint64_t seed)
         {
             run_plan plan;
@@ -36,7 +36,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(vm_runner_fixture, "vms.under_random_faults.keep_every_promise")
+TEST_CASE_METHOD(vm_runner_fixture, "vms.under_random_faults.hold_all_invariants")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         const run_result result = runSeed(seed);
@@ -45,14 +45,14 @@
     }
 }
 
-TEST_CASE_METHOD(vm_runner_fixture, "random_run.with_an_equal_seed.is_equal_to_the_last_event")
+TEST_CASE_METHOD(vm_runner_fixture, "random_run.with_an_equal_seed.has_the_same_event_hash")
 {
     REQUIRE(runSeed(3).hash == runSeed(3).hash);
     REQUIRE(runSeed(3).hash != runSeed(4).hash);
 }
 
-/** Many seeds; see tools/run_seeds. */
-TEST_CASE_METHOD(vm_runner_fixture, "vms.under_the_seeds_of_the_command.keep_every_promise", "[.seeds]")
+/** Run by tools/run_seeds; SEED_FIRST and SEED_COUNT in the environment select the seeds. */
+TEST_CASE_METHOD(vm_runner_fixture, "vms.with_seeds_from_the_environment.hold_all_invariants", "[.seeds]")
 {
     const std::uint64_t first = numberFrom("SEED_FIRST", 1);
     const std::uint64_t count = numberFrom("SEED_COUNT", 1);
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -40,7 +40,7 @@
     absl::StrAppend(&m_journal, at, " ms: ", what, "\n");
 }
 
-void soak_run::violate(const std::string& what)
+void soak_run::reportViolation(const std::string& what)
 {
     note(absl::StrCat("BROKEN: ", what));
     m_broken.push_back(what);
@@ -75,7 +75,7 @@
     const nlohmann::json report = m_system.finishLoad(load);
     note(report.dump());
     if (report["foreign_answers"] != 0)
-        violate("an answer of another request reached a caller");
+        reportViolation("an answer of another request reached a caller");
     checkHealed();
 }
 
@@ -139,7 +139,7 @@
         return;
     case soak_fault::Stop:
         if (m_system.waitForExit(event.vm) != 0)
-            violate(absl::StrCat("e", event.vm, " did not end its stop well"));
+            reportViolation(absl::StrCat("e", event.vm, " did not end its stop well"));
         m_inForce.erase(event.vm);
         m_system.startVm(event.vm);
         m_away.erase(event.vm);
@@ -193,7 +193,7 @@
         std::uint64_t& highest = m_inForce[vm];
         // A VM without an answer, or that has just started, shows 0.
         if (number != 0 && number < highest)
-            violate(absl::StrCat("e", vm, " went back from ", highest, " to ", number));
+            reportViolation(absl::StrCat("e", vm, " went back from ", highest, " to ", number));
         highest = std::max(highest, number);
     }
 }
@@ -213,9 +213,9 @@
     load_run load = m_system.startLoad(loadRate, healedLoad, "100,0,0");
     const nlohmann::json report = m_system.finishLoad(load);
     if (report["served"] != report["sent"])
-        violate(absl::StrCat("not all is served after the faults: ", report.dump()));
+        reportViolation(absl::StrCat("not all is served after the faults: ", report.dump()));
     if (const std::size_t twice = m_system.runTwice(); twice != 0)
-        violate(absl::StrCat(twice, " requests ran twice"));
+        reportViolation(absl::StrCat(twice, " requests ran twice"));
 }
 
 } // namespace plantainlatch
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -38,7 +38,7 @@
     void heal();
     void checkHealed();
     void note(const std::string& what);
-    void violate(const std::string& what);
+    void reportViolation(const std::string& what);
 
     soak_size m_size;
     std::vector<soak_event> m_schedule;
