--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -170,9 +170,9 @@
 void fake_upstreams::noteRunning(const upstream_state& upstream)
 {
     for (const open_call* call : upstream.runningCalls) {
-        const auto since = (m_runtime.now() - call->startedAt) / 1ms;
+        const auto runningFor = (m_runtime.now() - call->startedAt) / 1ms;
         m_journal.noteFault(upstream.announced.id.value() + " runs " + call->call.target + " from " + call->vm.value()
-            + " since " + std::to_string(since) + " ms");
+            + " for " + std::to_string(runningFor) + " ms");
     }
 }
 
@@ -266,7 +266,7 @@
     upstream.quiescedFrom.reset();
     upstream.isDeregistered = false;
     upstream.up = true;
-    m_journal.noteFault("upstream " + id.value() + " is back");
+    m_journal.noteFault("upstream " + id.value() + " has restarted");
 }
 
 void fake_upstreams::leave(const upstream_id& id, duration absentTime)
@@ -281,7 +281,7 @@
         upstream_state& left = *find(id);
         if (!status.ok() || left.announced.generation != generation)
             return;
-        m_journal.noteFault("goodbye of upstream " + id.value() + " accepted");
+        m_journal.noteFault("deregistration of upstream " + id.value() + " accepted");
         left.quiescedFrom = m_runtime.now() + quiesceLimit;
     });
     m_runtime.schedule(absentTime, [this, id] {
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -64,11 +64,13 @@
         void addUpstreams();
         void connect();
         void startVm(simulated_vm& vm);
+        /** Makes each quota acquisition of a VM check the cap of the shift over all VMs. */
         void checkCap(simulated_vm& vm);
         void checkStep();
         void checkVm(simulated_vm& vm);
 
         simulated_vm& randomVm() { return *m_vms[m_runtime.random() % m_vms.size()]; }
+        /** A random VM, or null if that VM is not running or is stopping. */
         simulated_vm* randomServingVm();
         duration randomUpTo(duration limit)
         {
@@ -87,10 +89,13 @@
         void crashRegion();
         void partitionRegions();
         void disturbUpstreams();
+        /** The number of replicas whose disk is failing or does not hold the state of a voter. */
         int diskFaults();
 
         void endFaults();
+        /** Whether all VMs run, one of them leads, and all replicas have an intact disk. */
         bool isRecovered();
+        /** Reports a violation unless the VMs recover and all probes succeed within the recovery time. */
         void requireRecovery();
         void probeAll();
 
@@ -320,7 +325,7 @@
     {
         m_network.faults
             = { m_runtime.random() % 200, m_runtime.random() % 200, m_runtime.random() % 300, 100ms + randomUpTo(3s) };
-        m_journal.noteFault("messages are lost, late and doubled");
+        m_journal.noteFault("messages are lost, delayed and duplicated");
         schedule(randomUpTo(8s), [this] { m_network.faults = {}; });
     }
 
@@ -328,7 +333,7 @@
     {
         const vm_id from = randomVm().record.id;
         const vm_id to = randomVm().record.id;
-        m_journal.noteFault("cut from " + from.value() + " to " + to.value());
+        m_journal.noteFault("one-way partition from " + from.value() + " to " + to.value());
         m_network.cut(from, to);
         schedule(randomUpTo(10s), [this, from, to] { m_network.heal(from, to); });
     }
@@ -387,7 +392,7 @@
         vm.stopping = true;
         const std::weak_ptr<bool> life = vm.life;
         vm.core->stop([this, &vm, life] {
-            m_journal.noteFault("stopped " + vm.record.id.value());
+            m_journal.noteFault("end of the graceful stop of " + vm.record.id.value());
             schedule(randomUpTo(3s), [this, &vm, life] {
                 if (!life.expired())
                     vm.kill();
@@ -416,7 +421,7 @@
         const region_id right = randomVm().record.region;
         if (left == right)
             return;
-        m_journal.noteFault("regions " + left.value() + " and " + right.value() + " lose each other");
+        m_journal.noteFault("regions " + left.value() + " and " + right.value() + " are partitioned");
         const auto eachPair = [this, left, right](const std::function<void(const vm_id&, const vm_id&)>& act) {
             for (const vm_record& from : m_records) {
                 for (const vm_record& to : m_records) {
@@ -439,7 +444,7 @@
 
     void simulation_run::disturbUpstreams()
     {
-        m_journal.noteFault("upstreams shed, are slow and lie");
+        m_journal.noteFault("upstreams shed load, answer slowly and report a wrong load");
         m_upstreams.faults = { m_runtime.random() % 100, m_runtime.random() % 100, m_runtime.random() % 1000,
             m_runtime.random() % 1000 };
         schedule(randomUpTo(8s), [this] { m_upstreams.faults = {}; });
@@ -551,7 +556,7 @@
         result.hash = m_journal.hash();
         result.completed = m_callers.completed();
         result.trace.assign(m_journal.faults().begin(), m_journal.faults().end());
-        result.trace.emplace_back("the latest events:");
+        result.trace.emplace_back("latest events:");
         result.trace.insert(result.trace.end(), m_journal.latest().begin(), m_journal.latest().end());
         return result;
     }
