--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -12,9 +12,9 @@
     constexpr double loadRate = 40;
     constexpr const char* loadMix = "60,30,10";
     constexpr duration step = std::chrono::milliseconds(100);
-    constexpr duration applyLimit = std::chrono::seconds(1);
-    /** What the load goes on for after the last fault. */
-    constexpr duration healedLoad = std::chrono::seconds(2);
+    constexpr duration applyTimeout = std::chrono::seconds(1);
+    /** How long the load continues after the last fault. */
+    constexpr duration recoveryLoad = std::chrono::seconds(2);
     constexpr const char* noFaults = "{}";
     constexpr const char* stopUp = R"({"stop_up":true})";
     constexpr const char* stopBoth = R"({"stop_up":true,"stop_down":true})";
@@ -29,35 +29,35 @@
 
 soak_run::soak_run(std::uint64_t seed, soak_size size)
     : m_size(size)
-    , m_schedule(drawSchedule(seed, size))
+    , m_schedule(generateSchedule(seed, size))
     , m_system({ size.vms, true })
 {
 }
 
 void soak_run::note(const std::string& what)
 {
-    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_began).count();
+    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_startTime).count();
     absl::StrAppend(&m_journal, at, " ms: ", what, "\n");
 }
 
 void soak_run::reportViolation(const std::string& what)
 {
-    note(absl::StrCat("BROKEN: ", what));
-    m_broken.push_back(what);
+    note(absl::StrCat("VIOLATION: ", what));
+    m_violations.push_back(what);
 }
 
-void soak_run::play()
+void soak_run::run()
 {
     m_system.start();
     m_system.startUpstreams(m_size.upstreams, false);
-    load_run load = m_system.startLoad(loadRate, m_size.length + healedLoad, loadMix);
-    m_began = steadyNow();
+    load_run load = m_system.startLoad(loadRate, m_size.length + recoveryLoad, loadMix);
+    m_startTime = steadyNow();
     std::vector<soak_event> active;
     auto next = m_schedule.begin();
-    while (steadyNow() < m_began + m_size.length) {
-        const duration now = steadyNow() - m_began;
+    while (steadyNow() < m_startTime + m_size.length) {
+        const duration now = steadyNow() - m_startTime;
         std::erase_if(active, [&](const soak_event& event) {
-            const bool over = now >= event.at + event.lasts;
+            const bool over = now >= event.at + event.length;
             if (over)
                 end(event);
             return over;
@@ -71,20 +71,20 @@
     }
     for (const soak_event& event : active)
         end(event);
-    heal();
+    endAllFaults();
     const nlohmann::json report = m_system.finishLoad(load);
     note(report.dump());
     if (report["foreign_answers"] != 0)
         reportViolation("an answer of another request reached a caller");
-    checkHealed();
+    checkRecovery();
 }
 
-void soak_run::setPeerFaults(int vm, const std::string& outwards, const std::string& inwards)
+void soak_run::setPeerFaults(int vm, const std::string& outgoing, const std::string& incoming)
 {
-    m_system.setFaults(absl::StrCat("peer-", vm, "-*"), outwards);
+    m_system.setFaults(absl::StrCat("peer-", vm, "-*"), outgoing);
     for (int other = 1; other <= m_size.vms; ++other) {
         if (other != vm)
-            m_system.setFaults(absl::StrCat("peer-", other, "-", vm), inwards);
+            m_system.setFaults(absl::StrCat("peer-", other, "-", vm), incoming);
     }
 }
 
@@ -93,15 +93,15 @@
     note(absl::StrCat(nameOf(event.fault), " e", event.vm, " upstream ", event.upstream));
     switch (event.fault) {
     case soak_fault::Kill:
-        m_away.insert(event.vm);
+        m_unavailable.insert(event.vm);
         m_system.killVm(event.vm);
         return;
     case soak_fault::Stop:
-        m_away.insert(event.vm);
+        m_unavailable.insert(event.vm);
         m_system.signalVm(event.vm, SIGTERM);
         return;
     case soak_fault::Pause:
-        m_away.insert(event.vm);
+        m_unavailable.insert(event.vm);
         m_system.signalVm(event.vm, SIGSTOP);
         return;
     case soak_fault::DelayPeers:
@@ -135,18 +135,18 @@
     case soak_fault::Kill:
         m_inForce.erase(event.vm);
         m_system.startVm(event.vm);
-        m_away.erase(event.vm);
+        m_unavailable.erase(event.vm);
         return;
     case soak_fault::Stop:
         if (m_system.waitForExit(event.vm) != 0)
-            reportViolation(absl::StrCat("e", event.vm, " did not end its stop well"));
+            reportViolation(absl::StrCat("e", event.vm, " did not exit with code 0 after SIGTERM"));
         m_inForce.erase(event.vm);
         m_system.startVm(event.vm);
-        m_away.erase(event.vm);
+        m_unavailable.erase(event.vm);
         return;
     case soak_fault::Pause:
         m_system.signalVm(event.vm, SIGCONT);
-        m_away.erase(event.vm);
+        m_unavailable.erase(event.vm);
         return;
     case soak_fault::DelayPeers:
     case soak_fault::CutOneWay:
@@ -165,16 +165,16 @@
 
 void soak_run::change(const soak_event& event)
 {
-    if (m_away.contains(event.vm))
+    if (m_unavailable.contains(event.vm))
         return;
     const std::uint64_t number = m_lastNumber + 1;
     const std::string text = test_system::harmlessDeclaration(
         static_cast<int>(number), static_cast<int>(m_lastNumber), absl::StrCat("change-", number));
-    if (m_system.apply(event.vm, text, applyLimit) != 0) {
-        note("not acknowledged");
-        // It may be in force all the same; the next change builds on whatever is.
+    if (m_system.apply(event.vm, text, applyTimeout) != 0) {
+        note("change not acknowledged");
+        // The change may still have been accepted, so the next change replaces the highest number in force.
         for (int vm = 1; vm <= m_size.vms; ++vm) {
-            if (!m_away.contains(vm))
+            if (!m_unavailable.contains(vm))
                 m_lastNumber = std::max(m_lastNumber, m_system.inForce(vm));
         }
         return;
@@ -187,35 +187,36 @@
 void soak_run::checkNumbers()
 {
     for (int vm = 1; vm <= m_size.vms; ++vm) {
-        if (m_away.contains(vm))
+        if (m_unavailable.contains(vm))
             continue;
         const std::uint64_t number = m_system.inForce(vm);
         std::uint64_t& highest = m_inForce[vm];
-        // A VM without an answer, or that has just started, shows 0.
+        // inForce() is 0 when the VM does not answer or has no configuration yet.
         if (number != 0 && number < highest)
-            reportViolation(absl::StrCat("e", vm, " went back from ", highest, " to ", number));
+            reportViolation(
+                absl::StrCat("e", vm, ": the configuration number in force decreased from ", highest, " to ", number));
         highest = std::max(highest, number);
     }
 }
 
-void soak_run::heal()
+void soak_run::endAllFaults()
 {
     m_system.setFaults("peer-*", noFaults);
     m_system.setFaults("upstream-*", noFaults);
-    note("healed");
+    note("all network faults ended");
 }
 
-void soak_run::checkHealed()
+void soak_run::checkRecovery()
 {
     for (int vm = 1; vm <= m_size.vms; ++vm)
         m_system.waitUntilCurrent(vm, m_acknowledged);
     m_system.waitUntilServed();
-    load_run load = m_system.startLoad(loadRate, healedLoad, "100,0,0");
+    load_run load = m_system.startLoad(loadRate, recoveryLoad, "100,0,0");
     const nlohmann::json report = m_system.finishLoad(load);
     if (report["served"] != report["sent"])
-        reportViolation(absl::StrCat("not all is served after the faults: ", report.dump()));
+        reportViolation(absl::StrCat("not all requests were served after the faults: ", report.dump()));
     if (const std::size_t twice = m_system.runTwice(); twice != 0)
-        reportViolation(absl::StrCat(twice, " requests ran twice"));
+        reportViolation(absl::StrCat(twice, " requests ran more than once"));
 }
 
 } // namespace plantainlatch
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * One soak run: real processes under load, struck by the faults of a schedule, with the promises checked meanwhile.
+ * One soak run: real processes under load with the faults of a schedule injected. Invariants are checked during the run
+ * and after recovery.
  */
 
 #include <functional>
@@ -15,40 +16,40 @@
 
 namespace plantainlatch {
 
-/** Plays a schedule; everything that it starts ends with it. */
+/** Injects the faults of a schedule; its destructor ends all processes that it started. */
 class soak_run {
 public:
     soak_run(std::uint64_t seed, soak_size size);
 
-    /** Plays all events, heals, and checks what must hold then. Broken promises are in broken(). */
-    void play();
+    /** Injects all faults, ends them, and checks that the system has recovered. Violations are in violations(). */
+    void run();
 
-    /** What was broken, with the time in the run. */
-    const std::vector<std::string>& broken() const { return m_broken; }
-    /** What was done, for whoever reads a failure. */
+    /** The violated invariants; the journal gives their times. */
+    const std::vector<std::string>& violations() const { return m_violations; }
+    /** The events of the run with their times, to diagnose a failure. */
     const std::string& journal() const { return m_journal; }
 
 private:
     void begin(const soak_event& event);
     void end(const soak_event& event);
-    void setPeerFaults(int vm, const std::string& outwards, const std::string& inwards);
+    void setPeerFaults(int vm, const std::string& outgoing, const std::string& incoming);
     void change(const soak_event& event);
-    /** Each VM's configuration never goes back while its process lives. */
+    /** Checks that the configuration number in force at a VM never decreases while its process runs. */
     void checkNumbers();
-    void heal();
-    void checkHealed();
+    void endAllFaults();
+    void checkRecovery();
     void note(const std::string& what);
     void reportViolation(const std::string& what);
 
     soak_size m_size;
     std::vector<soak_event> m_schedule;
     test_system m_system;
-    time_point m_began;
-    std::set<int> m_away;
+    time_point m_startTime;
+    std::set<int> m_unavailable;
     std::map<int, std::uint64_t> m_inForce;
     std::uint64_t m_lastNumber = 1;
     std::uint64_t m_acknowledged = 1;
-    std::vector<std::string> m_broken;
+    std::vector<std::string> m_violations;
     std::string m_journal;
 };
 
--- a/test/soak/soak_schedule.cpp
+++ b/test/soak/soak_schedule.cpp
@@ -10,48 +10,48 @@
 namespace {
 
     constexpr int faultCount = static_cast<int>(soak_fault::Change) + 1;
-    constexpr duration longestPause = std::chrono::milliseconds(1500);
-    constexpr duration shortestFault = std::chrono::milliseconds(200);
-    constexpr duration longestFault = std::chrono::seconds(4);
-    constexpr duration longestDelay = std::chrono::milliseconds(400);
+    constexpr duration maximumInterval = std::chrono::milliseconds(1500);
+    constexpr duration minimumFaultLength = std::chrono::milliseconds(200);
+    constexpr duration maximumExtraLength = std::chrono::seconds(4);
+    constexpr duration maximumDelay = std::chrono::milliseconds(400);
 
-    class draw {
+    class random_source {
     public:
-        explicit draw(std::uint64_t seed)
+        explicit random_source(std::uint64_t seed)
             : m_source(seed)
         {
         }
         int below(int count) { return static_cast<int>(m_source() % static_cast<std::uint64_t>(count)); }
-        duration upTo(duration most) { return duration(m_source() % static_cast<std::uint64_t>(most.count())); }
+        duration upTo(duration limit) { return duration(m_source() % static_cast<std::uint64_t>(limit.count())); }
 
     private:
         std::mt19937_64 m_source;
     };
 
-    bool strikesProcess(soak_fault fault)
+    bool affectsProcess(soak_fault fault)
     {
         return fault == soak_fault::Kill || fault == soak_fault::Stop || fault == soak_fault::Pause;
     }
 
 } // namespace
 
-std::vector<soak_event> drawSchedule(std::uint64_t seed, const soak_size& size)
+std::vector<soak_event> generateSchedule(std::uint64_t seed, const soak_size& size)
 {
-    draw from(seed);
+    random_source random(seed);
     std::vector<soak_event> events;
-    duration processFree {};
-    for (duration at = from.upTo(longestPause); at < size.length; at += from.upTo(longestPause)) {
+    duration processFaultsEnd {};
+    for (duration at = random.upTo(maximumInterval); at < size.length; at += random.upTo(maximumInterval)) {
         soak_event event;
-        event.fault = static_cast<soak_fault>(from.below(faultCount));
+        event.fault = static_cast<soak_fault>(random.below(faultCount));
         event.at = at;
-        event.lasts = shortestFault + from.upTo(longestFault);
-        event.vm = 1 + from.below(size.vms);
-        event.upstream = 1 + from.below(size.upstreams);
-        event.delay = from.upTo(longestDelay);
-        if (strikesProcess(event.fault)) {
-            if (at < processFree)
+        event.length = minimumFaultLength + random.upTo(maximumExtraLength);
+        event.vm = 1 + random.below(size.vms);
+        event.upstream = 1 + random.below(size.upstreams);
+        event.delay = random.upTo(maximumDelay);
+        if (affectsProcess(event.fault)) {
+            if (at < processFaultsEnd)
                 continue;
-            processFree = at + event.lasts;
+            processFaultsEnd = at + event.length;
         }
         events.push_back(event);
     }
--- a/test/soak/soak_schedule.h
+++ b/test/soak/soak_schedule.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Which faults a soak run injects and when, drawn from a seed.
+ * The fault schedule of a soak run, generated from a seed.
  */
 
 #include <cstdint>
@@ -12,26 +12,27 @@
 
 namespace plantainlatch {
 
+/** The kinds of faults. */
 enum class soak_fault {
-    /** SIGKILL, and a new start when the fault ends. */
+    /** SIGKILL; the process is restarted when the fault ends. */
     Kill,
-    /** SIGTERM, and a new start when the fault ends. */
+    /** SIGTERM; the process is restarted when the fault ends. */
     Stop,
-    /** SIGSTOP, and SIGCONT when the fault ends. */
+    /** SIGSTOP; SIGCONT when the fault ends. */
     Pause,
-    /** Bytes between VMs arrive late. */
+    /** Bytes between a VM and the others are delayed, in both directions. */
     DelayPeers,
-    /** Bytes of a VM to the others don't arrive; those to it do. */
+    /** Bytes from a VM to the others are dropped; bytes to it arrive. */
     CutOneWay,
-    /** No byte passes between a VM and the others. */
+    /** All bytes between a VM and the others are dropped. */
     CutPeers,
-    /** Open connections to upstreams go silent for good. */
+    /** Open connections to upstreams stop passing bytes permanently; new connections work. */
     SilenceUpstreams,
     /** An upstream resets new connections. */
     RefuseUpstream,
-    /** An upstream's answers end early. */
+    /** An upstream's answers are truncated. */
     TruncateUpstream,
-    /** The configuration changes. */
+    /** No fault: an operator changes the configuration. */
     Change,
 };
 
@@ -40,24 +41,25 @@
     soak_fault fault = soak_fault::Kill;
     /** From the start of the run. */
     duration at {};
-    duration lasts {};
-    /** The VM that it strikes, from 1. */
+    duration length {};
+    /** The affected VM, from 1. */
     int vm = 1;
-    /** The upstream that it strikes, from 1. */
+    /** The affected upstream, from 1. */
     int upstream = 1;
+    /** The added delay of DelayPeers. */
     duration delay {};
 };
 
-/** What a run is made of. */
+/** The size of a run. */
 struct soak_size {
     int vms = 4;
     int upstreams = 6;
     duration length {};
 };
 
-/** The events of a seed in the order of their times. Processes of VMs are struck one at a time; faults of the network
- * overlap with these and with each other. */
-std::vector<soak_event> drawSchedule(std::uint64_t seed, const soak_size& size);
+/** The events of a seed, ordered by time. Faults of VM processes (Kill, Stop, Pause) never overlap with each other;
+ * other faults may overlap with these and with each other. */
+std::vector<soak_event> generateSchedule(std::uint64_t seed, const soak_size& size);
 
 std::string nameOf(soak_fault fault);
 
