--- a/test/integration/child_process.cpp
+++ b/test/integration/child_process.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     constexpr duration exitCheckInterval = std::chrono::milliseconds(10);
-    constexpr int signalExitBase = 128;
+    constexpr int signalExitOffset = 128;
     constexpr int startFailed = 127;
     constexpr int logMode = 0644;
 
@@ -42,10 +42,10 @@
     const std::vector<std::string>& arguments, const std::string& folder, const std::string& logFile)
 {
     const char* binFolder = std::getenv("PLANTAINLATCH_BIN");
-    internal_assert(binFolder != nullptr) << "PLANTAINLATCH_BIN must name the folder of the programs";
+    internal_assert(binFolder != nullptr) << "PLANTAINLATCH_BIN must name the folder of the built programs";
     const std::string path = std::string(binFolder) + "/" + program;
     const pid_t id = fork();
-    internal_assert(id >= 0) << "no process can be started";
+    internal_assert(id >= 0) << "fork failed";
     if (id == 0)
         runChild(path, arguments, folder, logFile);
     return std::unique_ptr<child_process>(new child_process(id));
@@ -68,7 +68,7 @@
     ::kill(m_id, SIGKILL);
     int status = 0;
     waitpid(m_id, &status, 0);
-    m_exitCode = signalExitBase + SIGKILL;
+    m_exitCode = signalExitOffset + SIGKILL;
 }
 
 std::optional<int> child_process::waitForExit(duration limit)
@@ -77,7 +77,7 @@
     while (!m_exitCode) {
         int status = 0;
         if (waitpid(m_id, &status, WNOHANG) == m_id) {
-            m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : signalExitBase + WTERMSIG(status);
+            m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : signalExitOffset + WTERMSIG(status);
             break;
         }
         if (steadyNow() >= end)
--- a/test/integration/child_process.h
+++ b/test/integration/child_process.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A process that a test starts and ends.
+ * Child processes of a test.
  */
 
 #include <memory>
@@ -15,21 +15,24 @@
 
 namespace plantainlatch {
 
-/** A child process; it is killed when the test is done with it. */
+/** A child process; the destructor kills it. */
 class child_process {
 public:
-    /** Starts `program` of the folder PLANTAINLATCH_BIN in `folder`; its output goes to `logFile`, appended. */
+    /** Starts `program` from the folder that the environment variable PLANTAINLATCH_BIN names, with `folder` as its
+     * working folder. Its standard output and standard error are appended to `logFile`. */
     static std::unique_ptr<child_process> start(const std::string& program, const std::vector<std::string>& arguments,
         const std::string& folder, const std::string& logFile);
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    /** Sends SIGTERM. */
     void terminate();
     void signal(int number);
-    /** Ends it without a chance to clean up, and waits for that. */
+    /** Sends SIGKILL and waits for the end of the process. */
     void kill();
-    /** The exit code if it ends in time; 128 and the signal's number when a signal ended it. */
+    /** The exit code, or 128 plus the signal number if a signal ended the process; none if it still runs after `limit`.
+     */
     std::optional<int> waitForExit(duration limit);
     bool isRunning() { return !waitForExit(duration::zero()).has_value(); }
 
@@ -43,7 +46,7 @@
     std::optional<int> m_exitCode;
 };
 
-/** Blocks for a while; the test's own process has nothing else to do. */
+/** Blocks the calling thread for `span`, rounded up to milliseconds. */
 void pause(duration span);
 
 /** The system's monotonic clock. */
--- a/test/integration/crashing_request_test.cpp
+++ b/test/integration/crashing_request_test.cpp
@@ -19,18 +19,18 @@
 
 } // namespace
 
-TEST_CASE_METHOD(crashing_request_fixture, "crashing_request.sent_again_and_again.ends_two_upstreams_at_most")
+TEST_CASE_METHOD(crashing_request_fixture, "crashing_request.sent_repeatedly.crashes_at_most_two_upstreams")
 {
-    const test_request killer { "GET", "/s/work/killer", { { "X-Standin-Crash", "1" } } };
+    const test_request crashing { "GET", "/s/work/killer", { { "X-Standin-Crash", "1" } } };
     std::string lastReason;
     for (int i = 0; i < 8; ++i) {
-        const auto answer = system.caller().send(system.callerAddress(1 + i % system.vmCount()), killer);
+        const auto answer = system.caller().send(system.callerAddress(1 + i % system.vmCount()), crashing);
         REQUIRE(answer);
         CHECK(answer->status >= 500);
         lastReason = headerOf(*answer, "X-Plantainlatch-Reason");
     }
     CHECK(lastReason == "crashing-request");
-    CHECK(system.recorded("CRASH").size() <= 2);
+    CHECK(system.recordedLines("CRASH").size() <= 2);
     CHECK(system.runningUpstreams() >= 4);
     const auto other = system.caller().send(system.callerAddress(1), { "GET", "/s/work/other" });
     REQUIRE(other);
--- a/test/integration/http_caller.h
+++ b/test/integration/http_caller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One HTTP request at a time, for tests.
+ * A blocking HTTP client for tests, with one request at a time.
  */
 
 #include <memory>
@@ -30,7 +30,7 @@
 public:
     http_caller();
 
-    /** None when there was no whole answer in time. */
+    /** The answer; none if no complete answer arrived within the timeout. */
     std::optional<upstream_answer> send(const network_address& to, const test_request& request);
 
 private:
@@ -40,7 +40,7 @@
     std::uint64_t m_lastCall = 0;
 };
 
-/** A header's value, empty without it. */
+/** The value of a header; empty if the answer lacks it. */
 std::string headerOf(const upstream_answer& answer, const std::string& name);
 
 } // namespace plantainlatch
--- a/test/integration/network_fault_test.cpp
+++ b/test/integration/network_fault_test.cpp
@@ -14,7 +14,8 @@
     protected:
         network_fault_fixture() { system.start(); }
 
-        /** Cuts a VM off from all others silently, or heals that. */
+        /** Sets the faults of all connections between a VM and the others: `stopBoth` isolates it, `noFaults` ends
+         * that. */
         void setPartition(int vm, const std::string& faults)
         {
             system.setFaults(absl::StrCat("peer-", vm, "-*"), faults);
@@ -40,7 +41,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(network_fault_fixture, "partitioned_leader.operators_race.one_change_wins_everywhere")
+TEST_CASE_METHOD(network_fault_fixture, "partitioned_leader.concurrent_changes.only_one_is_in_force_on_all_vms")
 {
     const int leader = system.leaderKnownBy(4);
     REQUIRE(leader > 0);
@@ -50,10 +51,10 @@
         const int known = system.leaderKnownBy(other);
         return known != 0 && known != leader;
     });
-    CHECK(system.apply(leader, test_system::harmlessDeclaration(2, 1, "lost"), std::chrono::seconds(2)) != 0);
-    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "won"), std::chrono::seconds(5)) == 0);
-    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "won"), std::chrono::seconds(5)) == 0);
-    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "late"), std::chrono::seconds(5)) == 1);
+    CHECK(system.apply(leader, test_system::regionDeclaration(2, 1, "lost"), std::chrono::seconds(2)) != 0);
+    CHECK(system.apply(other, test_system::regionDeclaration(2, 1, "won"), std::chrono::seconds(5)) == 0);
+    CHECK(system.apply(other, test_system::regionDeclaration(2, 1, "won"), std::chrono::seconds(5)) == 0);
+    CHECK(system.apply(other, test_system::regionDeclaration(2, 1, "late"), std::chrono::seconds(5)) == 1);
     setPartition(leader, noFaults);
     for (int vm = 1; vm <= system.vmCount(); ++vm) {
         system.waitUntilCurrent(vm, 2);
@@ -61,7 +62,7 @@
     }
 }
 
-TEST_CASE_METHOD(network_fault_fixture, "silent_connections.to_upstreams.cost_no_request_and_no_double_run")
+TEST_CASE_METHOD(network_fault_fixture, "silent_connections.to_upstreams.lose_no_answer_and_run_nothing_twice")
 {
     system.startUpstreams(6, false);
     load_run load = system.startLoad(40, std::chrono::seconds(8), "70,30,0");
@@ -73,10 +74,10 @@
     INFO(report.dump(2));
     CHECK(report["answered"] == report["sent"]);
     CHECK(report["foreign_answers"] == 0);
-    // Keyed work that was on a connection when it went silent stays unknown; nothing may run twice.
+    // A keyed request in flight on a connection that goes silent ends with outcome unknown; no request may run twice.
     CHECK(report["served_by_kind"]["idempotent"] == report["sent_by_kind"]["idempotent"]);
     CHECK(report["outcomes"].value("unknown", 0U) <= 10);
-    CHECK(system.runTwice() == 0);
+    CHECK(system.requestsRunTwice() == 0);
 }
 
 TEST_CASE_METHOD(network_fault_fixture, "truncated_answers.from_an_upstream.never_reach_a_caller")
--- a/test/integration/test_system.cpp
+++ b/test/integration/test_system.cpp
@@ -23,32 +23,33 @@
     constexpr int peerPort = 7081;
     constexpr int proxyPort = 7082;
     constexpr int upstreamPort = 9001;
-    constexpr int largestUpstreamCount = 12;
-    /** Host numbers of the system's loopback network. */
+    constexpr int maximumUpstreamCount = 12;
+    /** The last octets of the addresses in the system's loopback network. */
     constexpr int proxyHost = 200;
     constexpr int upstreamHost = 201;
     constexpr int upstreamRouteHost = 202;
     constexpr int peerRouteHost = 100;
     constexpr int lockHost = 250;
-    constexpr int largestVmCount = 9;
+    constexpr int maximumVmCount = 9;
     constexpr duration startLimit = std::chrono::seconds(20);
     constexpr duration stopLimit = std::chrono::seconds(20);
     constexpr duration checkInterval = std::chrono::milliseconds(50);
-    constexpr duration loadPatience = std::chrono::seconds(30);
+    constexpr duration loadExitLimit = std::chrono::seconds(30);
 
-    const std::vector<std::pair<std::string, std::string>>& places()
+    const std::vector<std::pair<std::string, std::string>>& locations()
     {
         static const std::vector<std::pair<std::string, std::string>> all { { "north", "north-a" },
             { "south", "south-a" }, { "west", "west-a" } };
         return all;
     }
 
-    const std::pair<std::string, std::string>& placeOf(int vm)
+    const std::pair<std::string, std::string>& locationOf(int vm)
     {
-        return places()[static_cast<std::size_t>(vm - 1) % places().size()];
+        return locations()[static_cast<std::size_t>(vm - 1) % locations().size()];
     }
 
-    /** Binds a socket on a network's lock address, which keeps other test systems off it; -1 if one has it. */
+    /** Reserves a network for this test system by binding a socket to its lock address; -1 if another test system has
+     * reserved it. */
     int tryLock(const std::string& network)
     {
         const int lock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -110,7 +111,7 @@
 test_system::~test_system()
 {
     if (std::uncaught_exceptions() > 0)
-        keepDumps();
+        writeStateDumps();
     m_upstreams.clear();
     m_vms.clear();
     m_proxy.reset();
@@ -121,7 +122,7 @@
         std::filesystem::remove_all(m_folder);
 }
 
-void test_system::keepDumps()
+void test_system::writeStateDumps()
 {
     for (const auto& [vm, process] : m_vms) {
         const auto answer = m_caller.send(callerAddress(vm), { "GET", "/v1/dump", {}, {}, std::chrono::seconds(1) });
@@ -137,7 +138,7 @@
 
 network_address test_system::peerRoute(int from, int to) const
 {
-    return { host(peerRouteHost + from * (largestVmCount + 1) + to), peerPort };
+    return { host(peerRouteHost + from * (maximumVmCount + 1) + to), peerPort };
 }
 
 network_address test_system::upstreamAddress(int number) const
@@ -164,10 +165,10 @@
         absl::StrAppend(&text, "data_folder: state-e", vm, "\n");
     std::string list;
     for (int other = 1; other <= vmCount(); ++other) {
-        const bool direct = other == vm || !m_options.throughProxy;
-        absl::StrAppend(&list, "  - {vm: e", other, ", region: ", placeOf(other).first,
-            ", failure_domain: ", placeOf(other).second, ", caller_address: \"", formatAddress(callerAddress(other)),
-            "\", peer_address: \"", formatAddress(direct ? peerAddress(other) : peerRoute(vm, other)),
+        const bool isDirect = other == vm || !m_options.throughProxy;
+        absl::StrAppend(&list, "  - {vm: e", other, ", region: ", locationOf(other).first,
+            ", failure_domain: ", locationOf(other).second, ", caller_address: \"", formatAddress(callerAddress(other)),
+            "\", peer_address: \"", formatAddress(isDirect ? peerAddress(other) : peerRoute(vm, other)),
             "\", replica: ", other <= replicaCount ? "true" : "false", "}\n");
     }
     text.insert(text.find("vms:\n") + 5, list);
@@ -187,7 +188,7 @@
                 addRoute(absl::StrCat("peer-", from, "-", to), peerRoute(from, to), peerAddress(to));
         }
     }
-    for (int i = 0; i < largestUpstreamCount; ++i)
+    for (int i = 0; i < maximumUpstreamCount; ++i)
         addRoute(absl::StrCat("upstream-", i), upstreamRoute(i), upstreamAddress(i));
     m_proxy = child_process::start("fault_proxy", arguments, m_folder, file("proxy.log"));
     waitUntil("the fault proxy", startLimit, [this] {
@@ -275,34 +276,34 @@
     return process->waitForExit(timeout + std::chrono::seconds(5)).value_or(-1);
 }
 
-std::string test_system::harmlessDeclaration(int number, int replaces, const std::string& note)
+std::string test_system::regionDeclaration(int number, int replaces, const std::string& note)
 {
     return absl::StrCat("number: ", number, "\nreplaces: ", replaces, "\nnote: ", note,
         "\naccept_risks: [no-upstream]\nregions:\n  add:\n    - {id: ", note, ", failure_domains: [", note, "-a]}\n");
 }
 
-void test_system::startUpstreams(int count, bool separately, const std::vector<std::string>& moreOptions)
+void test_system::startUpstreams(int count, bool separateProcesses, const std::vector<std::string>& extraOptions)
 {
-    const int processes = separately ? count : 1;
+    const int processes = separateProcesses ? count : 1;
     for (int i = 0; i < processes; ++i) {
         std::vector<std::string> arguments { "--service", "work", "--slots", "4", "--drain-time", "2s", "--record",
-            "record", "--id", absl::StrCat("work-", m_upstreamCount), "--count", absl::StrCat(separately ? 1 : count),
-            "--address", formatAddress(upstreamAddress(m_upstreamCount)) };
+            "record", "--id", absl::StrCat("work-", m_upstreamCount), "--count",
+            absl::StrCat(separateProcesses ? 1 : count), "--address", formatAddress(upstreamAddress(m_upstreamCount)) };
         if (m_options.throughProxy) {
             arguments.push_back("--announce");
             arguments.push_back(formatAddress(upstreamRoute(m_upstreamCount)));
         }
-        for (std::size_t place = 0; place < places().size(); ++place) {
-            const auto& [region, domain] = places()[(place + static_cast<std::size_t>(m_upstreamCount)) % 3];
+        for (std::size_t location = 0; location < locations().size(); ++location) {
+            const auto& [region, domain] = locations()[(location + static_cast<std::size_t>(m_upstreamCount)) % 3];
             arguments.insert(arguments.end(), { "--place", absl::StrCat(region, "/", domain) });
         }
         const std::vector<std::string> entries = entryOptions();
         arguments.insert(arguments.end(), entries.begin(), entries.end());
-        arguments.insert(arguments.end(), moreOptions.begin(), moreOptions.end());
+        arguments.insert(arguments.end(), extraOptions.begin(), extraOptions.end());
         m_upstreams.push_back(child_process::start("upstream_standin", arguments, m_folder, file("upstreams.log")));
-        m_upstreamCount += separately ? 1 : count;
+        m_upstreamCount += separateProcesses ? 1 : count;
     }
-    REQUIRE(m_upstreamCount <= largestUpstreamCount);
+    REQUIRE(m_upstreamCount <= maximumUpstreamCount);
     waitUntilServed();
 }
 
@@ -331,7 +332,7 @@
     std::vector<std::string> arguments { "--service", "work", "--rate", absl::StrCat(rate), "--duration",
         absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(length).count(), "ms"), "--mix", mix,
         "--timeout", "10s", "--json", load.reportFile };
-    for (const auto& [region, domain] : places())
+    for (const auto& [region, domain] : locations())
         arguments.insert(arguments.end(), { "--near", domain });
     const std::vector<std::string> entries = entryOptions();
     arguments.insert(arguments.end(), entries.begin(), entries.end());
@@ -341,7 +342,7 @@
 
 nlohmann::json test_system::finishLoad(load_run& load)
 {
-    REQUIRE(load.process->waitForExit(loadPatience + std::chrono::seconds(60)) == 0);
+    REQUIRE(load.process->waitForExit(loadExitLimit + std::chrono::seconds(60)) == 0);
     std::ifstream stream(load.reportFile);
     nlohmann::json report = nlohmann::json::parse(stream, nullptr, false);
     REQUIRE(report.is_object());
@@ -364,7 +365,7 @@
     REQUIRE((answer && answer->status == 200));
 }
 
-std::vector<std::string> test_system::recorded(const std::string& kind)
+std::vector<std::string> test_system::recordedLines(const std::string& kind)
 {
     std::vector<std::string> lines;
     std::ifstream stream(file("record"));
@@ -375,10 +376,10 @@
     return lines;
 }
 
-std::size_t test_system::runTwice()
+std::size_t test_system::requestsRunTwice()
 {
     std::map<std::string, int> runs;
-    for (const std::string& line : recorded("POST")) {
+    for (const std::string& line : recordedLines("POST")) {
         const std::size_t start = line.find(" POST ") + 6;
         ++runs[line.substr(start, line.find(' ', start) - start)];
     }
@@ -390,7 +391,7 @@
 {
     const time_point end = steadyNow() + limit;
     while (!isDone()) {
-        INFO(what << " did not come about in time");
+        INFO(what << ": not reached within the time limit");
         REQUIRE(steadyNow() < end);
         pause(checkInterval);
     }
--- a/test/integration/test_system.h
+++ b/test/integration/test_system.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * A small system of real processes on a loopback network of its own: VMs, stand-in upstreams, load, and a fault proxy.
+ * A small system of real processes on its own loopback network: VMs, stand-in upstreams, a load generator, and a fault
+ * proxy.
  */
 
 #include <functional>
@@ -18,21 +19,25 @@
 
 namespace plantainlatch {
 
-/** How a test system is made. */
+/** The options of a test system. */
 struct test_system_options {
-    /** VMs e1 to eN, in turn over three regions; the first three are replicas. */
+    /** The number N of VMs. They are named e1 to eN and assigned to three regions round-robin; the first three are
+     * replicas. */
     int vmCount = 4;
-    /** Whether VMs reach each other, and entries their upstreams, through the fault proxy. */
+    /** Whether connections between VMs, and from entries to upstreams, go through the fault proxy. */
     bool throughProxy = false;
 };
 
-/** Load that runs beside the test. */
+/** A load generator that runs in parallel with the test. */
 struct load_run {
     std::unique_ptr<child_process> process;
     std::string reportFile;
 };
 
-/** Starts, breaks and ends processes; everything ends with it. What does not come about in time fails the test. */
+/** Starts processes, injects faults, and stops processes. The destructor kills all processes, and keeps the logs
+ * and writes state dumps if the test failed with an exception. The waitUntil functions fail the test after their time
+ * limit.
+ */
 class test_system {
 public:
     explicit test_system(test_system_options options);
@@ -44,49 +49,56 @@
     network_address callerAddress(int vm) const;
     http_caller& caller() { return m_caller; }
 
-    /** Starts all VMs, waits for a leader and applies a first declaration of three regions and a service "work". */
+    /** Starts all VMs, waits for a leader, and applies a first declaration with three regions and the service "work".
+     */
     void start();
     void startVm(int vm);
-    /** SIGTERM; the result is the exit code, or -1 if it did not end in time. */
+    /** Sends SIGTERM; returns the exit code, or -1 if the process did not exit in time. */
     int stopVm(int vm);
     void killVm(int vm);
     void signalVm(int vm, int number);
-    /** The exit code of a VM that was told to stop, or -1 if it did not end in time. */
+    /** Waits for the exit of a VM that was told to stop; the exit code, or -1 if it did not exit in time. */
     int waitForExit(int vm);
-    /** The number that is in force at a VM; 0 without an answer. */
+    /** The number of the configuration in force at a VM; 0 if the VM does not answer. */
     std::uint64_t inForce(int vm);
-    /** Waits until the VM names a leader and has the number in force. */
+    /** Waits until the VM knows a leader and has a configuration of at least `number` in force. */
     void waitUntilCurrent(int vm, std::uint64_t number);
-    /** The leader as the VM knows it; 0 for none. */
+    /** The number of the VM that this VM considers the leader; 0 if it knows none or does not answer. */
     int leaderKnownBy(int vm);
-    /** `status` of a VM; null without an answer. */
+    /** The answer of a VM to GET /v1/status; null if it does not answer. */
     nlohmann::json status(int vm);
 
-    /** Applies a declaration through one VM; its exit code. */
+    /** Runs `plantainlatch apply` for a declaration through one VM; the exit code, or -1 after 5 s beyond `timeout`. */
     int apply(int vm, const std::string& yaml, duration timeout);
-    /** A declaration that only adds a region, so that its number can be told apart by the note. */
-    static std::string harmlessDeclaration(int number, int replaces, const std::string& note);
-
-    /** Starts upstreams of "work", in turn over all failure domains; `separately` makes each a process of its own. */
-    void startUpstreams(int count, bool separately, const std::vector<std::string>& moreOptions = {});
+    /** A declaration that only adds a region; `note` is its note and the region's name, and tells declarations with
+     * equal numbers apart. */
+    static std::string regionDeclaration(int number, int replaces, const std::string& note);
+
+    /** Starts `count` upstreams of "work", assigned round-robin to the failure domains; in one process, or with
+     * `separateProcesses` in one process each. */
+    void startUpstreams(int count, bool separateProcesses, const std::vector<std::string>& extraOptions = {});
+    /** The number of upstream processes that run. */
     int runningUpstreams();
-    /** Waits until that many upstreams are known to every running VM. */
+    /** Waits until a request through each running VM is answered with status 200. */
     void waitUntilServed();
 
+    /** Starts load of `rate` requests per second; `mix` is the --mix option of load_tool. */
     load_run startLoad(double rate, duration length, const std::string& mix);
-    /** The report, once the load has ended. */
+    /** Waits for the end of the load and returns its report. */
     nlohmann::json finishLoad(load_run& load);
 
-    /** Sets the faults of all routes that begin with a name: `peer-FROM-TO` and `upstream-N`. */
+    /** Sets the faults of all proxy routes that match `routes`: a route's name, or a prefix followed by `*`. Routes are
+     * called `peer-FROM-TO` and `upstream-N`. */
     void setFaults(const std::string& routes, const std::string& json);
+    /** Sends a command, such as `silence-open`, to all matching routes of the proxy. */
     void commandProxy(const std::string& routes, const std::string& command);
 
-    /** The lines of the record of a kind, POST or CRASH. */
-    std::vector<std::string> recorded(const std::string& kind);
-    /** How many POST requests ran more than once. */
-    std::size_t runTwice();
+    /** The lines of one kind, POST or CRASH, in the file in which the upstreams record their requests. */
+    std::vector<std::string> recordedLines(const std::string& kind);
+    /** The number of POST requests that ran more than once. */
+    std::size_t requestsRunTwice();
 
-    /** Calls `isDone` until it holds; fails the test after `limit`. */
+    /** Polls `isDone` until it returns true; fails the test after `limit`. */
     static void waitUntil(const std::string& what, duration limit, const std::function<bool()>& isDone);
 
 private:
@@ -99,8 +111,8 @@
     std::string settingsOf(int vm) const;
     void writeFile(const std::string& name, const std::string& text) const;
     void startProxy();
-    /** Writes the state of each VM beside its log, for whoever reads a failure. */
-    void keepDumps();
+    /** Writes the state dump of each VM next to its log, to diagnose a failure. */
+    void writeStateDumps();
     std::vector<std::string> entryOptions() const;
 
     test_system_options m_options;
--- a/test/integration/vm_loss_test.cpp
+++ b/test/integration/vm_loss_test.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(vm_loss_fixture, "planned_stop.each_vm_in_turn_under_load.fails_no_request")
+TEST_CASE_METHOD(vm_loss_fixture, "planned_stop.one_vm_after_another_under_load.fails_no_request")
 {
     load_run load = system.startLoad(40, std::chrono::seconds(30), "60,30,10");
     for (int vm = 1; vm <= system.vmCount(); ++vm) {
@@ -32,7 +32,7 @@
     INFO(report.dump(2));
     CHECK(report["served"] == report["sent"]);
     CHECK(report["foreign_answers"] == 0);
-    CHECK(system.runTwice() == 0);
+    CHECK(system.requestsRunTwice() == 0);
 }
 
 TEST_CASE_METHOD(vm_loss_fixture, "killed_leader.under_load.is_replaced_and_safe_requests_are_served")
@@ -47,17 +47,18 @@
         const int known = system.leaderKnownBy(other);
         return known != 0 && known != leader;
     });
-    CHECK(system.apply(other, test_system::harmlessDeclaration(2, 1, "east"), std::chrono::seconds(5)) == 0);
+    CHECK(system.apply(other, test_system::regionDeclaration(2, 1, "east"), std::chrono::seconds(5)) == 0);
     system.startVm(leader);
     system.waitUntilCurrent(leader, 2);
     const nlohmann::json report = system.finishLoad(load);
     INFO(report.dump(2));
     CHECK(report["answered"] == report["sent"]);
-    // A request that ran on the killed VM may stay unknown, as its outcome died with it.
+    // Requests in flight through the killed VM may end with outcome unknown, because the record of their outcome is
+    // lost.
     const std::uint64_t unknown = report["outcomes"].value("unknown", 0U);
     CHECK(report["served"].get<std::uint64_t>() + unknown == report["sent"].get<std::uint64_t>());
     CHECK(unknown <= 20);
-    CHECK(system.runTwice() == 0);
+    CHECK(system.requestsRunTwice() == 0);
 }
 
 } // namespace plantainlatch
--- a/test/integration/whole_path_test.cpp
+++ b/test/integration/whole_path_test.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(whole_path_fixture, "whole_path.mixed_load_over_all_vms.is_served_whole_and_runs_once")
+TEST_CASE_METHOD(whole_path_fixture, "whole_path.mixed_load_over_all_vms.is_fully_served_and_runs_once")
 {
     system.startUpstreams(6, false);
     load_run load = system.startLoad(60, std::chrono::seconds(4), "60,30,10");
@@ -29,10 +29,10 @@
     CHECK(report["answered"] == report["sent"]);
     CHECK(report["served"] == report["sent"]);
     CHECK(report["foreign_answers"] == 0);
-    CHECK(system.runTwice() == 0);
+    CHECK(system.requestsRunTwice() == 0);
 }
 
-TEST_CASE_METHOD(whole_path_fixture, "whole_path.key_that_is_sent_again_elsewhere.is_replayed_and_runs_once")
+TEST_CASE_METHOD(whole_path_fixture, "whole_path.key_resent_through_every_vm.is_replayed_and_runs_once")
 {
     system.startUpstreams(3, false);
     const auto first = system.caller().send(system.callerAddress(1), charge("k1"));
@@ -44,14 +44,14 @@
         CHECK(headerOf(*again, "X-Plantainlatch-Outcome") == "replayed");
         CHECK(again->body == first->body);
     }
-    CHECK(system.recorded("POST").size() == 1);
+    CHECK(system.recordedLines("POST").size() == 1);
 }
 
-TEST_CASE_METHOD(whole_path_fixture, "whole_path.all_vms_killed_and_started.keeps_configuration_and_keys")
+TEST_CASE_METHOD(whole_path_fixture, "whole_path.all_vms_killed_and_restarted.keep_configuration_and_keys")
 {
     system.startUpstreams(3, false);
     REQUIRE(system.caller().send(system.callerAddress(2), charge("k1")));
-    REQUIRE(system.apply(2, test_system::harmlessDeclaration(2, 1, "east"), std::chrono::seconds(5)) == 0);
+    REQUIRE(system.apply(2, test_system::regionDeclaration(2, 1, "east"), std::chrono::seconds(5)) == 0);
     for (int vm = 1; vm <= system.vmCount(); ++vm)
         system.killVm(vm);
     for (int vm = 1; vm <= system.vmCount(); ++vm)
@@ -62,7 +62,7 @@
     const auto again = system.caller().send(system.callerAddress(3), charge("k1"));
     REQUIRE(again);
     CHECK(headerOf(*again, "X-Plantainlatch-Outcome") == "replayed");
-    CHECK(system.recorded("POST").size() == 1);
+    CHECK(system.recordedLines("POST").size() == 1);
 }
 
 } // namespace plantainlatch
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -168,7 +168,7 @@
     if (m_unavailable.contains(event.vm))
         return;
     const std::uint64_t number = m_lastNumber + 1;
-    const std::string text = test_system::harmlessDeclaration(
+    const std::string text = test_system::regionDeclaration(
         static_cast<int>(number), static_cast<int>(m_lastNumber), absl::StrCat("change-", number));
     if (m_system.apply(event.vm, text, applyTimeout) != 0) {
         note("change not acknowledged");
@@ -215,7 +215,7 @@
     const nlohmann::json report = m_system.finishLoad(load);
     if (report["served"] != report["sent"])
         reportViolation(absl::StrCat("not all requests were served after the faults: ", report.dump()));
-    if (const std::size_t twice = m_system.runTwice(); twice != 0)
+    if (const std::size_t twice = m_system.requestsRunTwice(); twice != 0)
         reportViolation(absl::StrCat(twice, " requests ran more than once"));
 }
 
