--- a/test/integration/test_system.h
+++ b/test/integration/test_system.h
@@ -35,9 +35,8 @@
 };
 
 /** Starts processes, injects faults, and stops processes. The destructor kills all processes, and keeps the logs
- * and writes state dumps if the test failed with an exception. The waitUntil functions fail the test after their time
- * limit.
- */
+ * and writes state dumps if the test failed with an exception. The waitUntil functions fail the test when their time
+ * limit expires. */
 class test_system {
 public:
     explicit test_system(test_system_options options);
@@ -52,9 +51,11 @@
     /** Starts all VMs, waits for a leader, and applies a first declaration with three regions and the service "work".
      */
     void start();
+    /** Starts the process of a VM; does not wait until it serves. */
     void startVm(int vm);
     /** Sends SIGTERM; returns the exit code, or -1 if the process did not exit in time. */
     int stopVm(int vm);
+    /** Sends SIGKILL and waits for the end of the process. */
     void killVm(int vm);
     void signalVm(int vm, int number);
     /** Waits for the exit of a VM that was told to stop; the exit code, or -1 if it did not exit in time. */
@@ -68,7 +69,8 @@
     /** The answer of a VM to GET /v1/status; null if it does not answer. */
     nlohmann::json status(int vm);
 
-    /** Runs `plantainlatch apply` for a declaration through one VM; the exit code, or -1 after 5 s beyond `timeout`. */
+    /** Runs `plantainlatch apply` for a declaration through one VM. Returns its exit code, or -1 if it runs 5 s longer
+     * than `timeout`. */
     int apply(int vm, const std::string& yaml, duration timeout);
     /** A declaration that only adds a region; `note` is its note and the region's name, and tells declarations with
      * equal numbers apart. */
@@ -108,6 +110,7 @@
     network_address upstreamRoute(int number) const;
     std::string host(int number) const;
     std::string file(const std::string& name) const { return m_folder + "/" + name; }
+    /** The text of the VM's settings file. */
     std::string settingsOf(int vm) const;
     void writeFile(const std::string& name, const std::string& text) const;
     void startProxy();
--- a/test/random/fake_callers.h
+++ b/test/random/fake_callers.h
@@ -41,6 +41,7 @@
     /** Sends one request through `entry`; `done` receives true when it completed with status 200. */
     void probe(const reachable_entry& entry, bool keyed, std::function<void(bool completed)> done);
 
+    /** The number of answers with outcome Completed or Replayed. */
     std::uint64_t completed() const { return m_completed; }
 
 private:
--- a/test/random/fake_upstreams.h
+++ b/test/random/fake_upstreams.h
@@ -56,16 +56,14 @@
     void leave(const upstream_id& id, duration absentTime);
     /** Records that a drain of the upstream was accepted, or that its end is about to be proposed. */
     void noteDrain(const upstream_id& id, bool draining);
-    /** Requests on pooled connections between the VM and the upstream get no answer until a new connection is opened.
-     */
+    /** Makes pooled connections from the VM to the upstream drop requests until a new connection is opened. */
     void silence(const vm_id& vm, const upstream_id& id) { m_silentConnections.insert({ vm, id }); }
     /** Ends the faults in `faults` and restores silent connections. */
     void endFaults();
 
     /** How often the request with this target ran. */
     int runsOf(const std::string& target) const;
-    /** Records that a caller was told that this request did not run: a run of it is a violation until the next attempt.
-     */
+    /** Records that a caller was told that the request did not run: until clearNotRun(), a run is a violation. */
     void markNotRun(const std::string& target) { m_notRun.insert(target); }
     /** Permits the request to run, as it is being sent again. */
     void clearNotRun(const std::string& target) { m_notRun.erase(target); }
@@ -79,7 +77,9 @@
         /** Incremented by each crash, which drops all running requests. */
         int incarnation = 1;
         std::uint32_t running = 0;
+        /** A new request after this time is a violation; unset while the upstream is in service. */
         std::optional<time_point> quiescedFrom;
+        /** The end of the cold start, during which requests take five times as long. */
         time_point slowUntil {};
         bool isDeregistered = false;
         std::set<const open_call*> runningCalls;
@@ -99,7 +99,9 @@
     using pair_key = std::pair<vm_id, upstream_id>;
 
     upstream_state* find(const upstream_id& id);
+    /** Null if no upstream has the address. */
     upstream_state* findAddress(const network_address& address);
+    /** True with a probability of `perMille` / 1000. */
     bool happens(std::uint64_t perMille) { return perMille > 0 && m_runtime.random() % 1000 < perMille; }
     bool reachesNow(const open_call& call) const { return reaches(call.vm, call.upstream->announced.region); }
     void announce(const upstream_id& id);
