--- a/src/codec/declaration_yaml.cpp
+++ b/src/codec/declaration_yaml.cpp
@@ -22,7 +22,7 @@
     void checkPercent(yaml_map_reader& reader, const std::string& key, std::uint32_t value, finding_list& findings)
     {
         if (value > maximumPercent)
-            findings.add(reader.find(key)->place, absl::StrCat("'", key, "' is ", value), "1 to 100");
+            findings.add(reader.find(key)->position, absl::StrCat("'", key, "' is ", value), "1 to 100");
     }
 
     std::string read(yaml_map_reader& reader, region_definition& region, detail_level detail, finding_list& findings)
@@ -31,7 +31,7 @@
         if (detail == detail_level::Full && reader.require("failure_domains", region.failureDomains)) {
             const std::set<failure_domain_id> distinct(region.failureDomains.begin(), region.failureDomains.end());
             if (distinct.empty() || distinct.size() != region.failureDomains.size())
-                findings.add(reader.find("failure_domains")->place, "an empty list or a duplicate failure domain",
+                findings.add(reader.find("failure_domains")->position, "an empty list or a duplicate failure domain",
                     "at least one, each once");
         }
         return region.id.value();
@@ -45,7 +45,7 @@
                 link.left = std::min(ends[0], ends[1]);
                 link.right = std::max(ends[0], ends[1]);
             } else {
-                findings.add(reader.find("between")->place, "not a pair of regions", "two different regions");
+                findings.add(reader.find("between")->position, "not a pair of regions", "two different regions");
             }
         }
         if (detail == detail_level::Full)
@@ -62,10 +62,10 @@
             && std::all_of(
                 rule.method.begin(), rule.method.end(), [](char letter) { return letter >= 'A' && letter <= 'Z'; });
         if (hasMethod && !isToken)
-            findings.add(reader.find("method")->place, absl::StrCat("'", rule.method, "'"), "a method such as POST");
+            findings.add(reader.find("method")->position, absl::StrCat("'", rule.method, "'"), "a method such as POST");
         if (reader.require("path", rule.pathPrefix) && !rule.pathPrefix.starts_with('/'))
             findings.add(
-                reader.find("path")->place, absl::StrCat("'", rule.pathPrefix, "'"), "a path that begins with /");
+                reader.find("path")->position, absl::StrCat("'", rule.pathPrefix, "'"), "a path that begins with /");
         reader.require("idempotent", rule.idempotent);
         reader.finish();
         return rule;
@@ -77,7 +77,7 @@
         for (const yaml_node& item : yamlItems(list, findings)) {
             const route_rule rule = readRoute(item, findings);
             if (!seen.emplace(rule.method, rule.pathPrefix).second)
-                findings.add(item.place, "a duplicate route", "each method and path once");
+                findings.add(item.position, "a duplicate route", "each method and path once");
             service.routes.push_back(rule);
         }
     }
@@ -92,7 +92,7 @@
         const bool hasDefault = reader.requirePositive("default_deadline", service.defaultDeadline);
         const bool hasMaximum = reader.requirePositive("maximum_deadline", service.maximumDeadline);
         if (hasDefault && hasMaximum && service.defaultDeadline > service.maximumDeadline)
-            findings.add(reader.find("default_deadline")->place, "'default_deadline' is above 'maximum_deadline'",
+            findings.add(reader.find("default_deadline")->position, "'default_deadline' is above 'maximum_deadline'",
                 "at most 'maximum_deadline'");
         reader.requirePositive("maximum_body", service.maximumBody);
         reader.requirePositive("key_retention", service.keyRetention);
@@ -132,7 +132,7 @@
         const bool hasFrom = reader.require("from", shift.from);
         const bool hasTo = reader.require("to", shift.to);
         if (hasFrom && hasTo && shift.from == shift.to)
-            findings.add(reader.find("to")->place, "'to' is the same as 'from'", "another failure domain");
+            findings.add(reader.find("to")->position, "'to' is the same as 'from'", "another failure domain");
         if (reader.requirePositive("percent", shift.percent))
             checkPercent(reader, "percent", shift.percent, findings);
         reader.requirePositive("cap_per_second", shift.capPerSecond);
@@ -172,12 +172,12 @@
         declared<Definition> readOne(const yaml_node& node, detail_level detail)
         {
             declared<Definition> result;
-            result.place = node.place;
+            result.position = node.position;
             yaml_map_reader reader(node, m_findings);
             const std::string name = plantainlatch::read(reader, result.value, detail, m_findings);
             reader.finish();
             if (node.type == yaml_node::kind::Map && !m_names.insert(name).second)
-                m_findings.add(node.place, absl::StrCat("'", name, "' appears twice"), "each once");
+                m_findings.add(node.position, absl::StrCat("'", name, "' appears twice"), "each once");
             return result;
         }
 
@@ -202,7 +202,8 @@
             else if (item.text == "no-upstream")
                 risks.push_back(accepted_risk::NoUpstream);
             else
-                findings.add(item.place, absl::StrCat("the risk '", item.text, "'"), "region-overload or no-upstream");
+                findings.add(
+                    item.position, absl::StrCat("the risk '", item.text, "'"), "region-overload or no-upstream");
         }
     }
 
@@ -211,9 +212,9 @@
         const bool hasNumber = reader.requirePositive("number", result.number);
         const bool hasReplaced = reader.require("replaces", result.replaces);
         if (hasNumber && hasReplaced && result.replaces >= result.number)
-            findings.add(reader.find("replaces")->place, "'replaces' is not below 'number'", "a lower number");
-        if (reader.allow("note", result.note) && result.note.size() > maximumNoteBytes)
-            findings.add(reader.find("note")->place, "the note is too long",
+            findings.add(reader.find("replaces")->position, "'replaces' is not below 'number'", "a lower number");
+        if (reader.readOptional("note", result.note) && result.note.size() > maximumNoteBytes)
+            findings.add(reader.find("note")->position, "the note is too long",
                 absl::StrCat("at most ", maximumNoteBytes, " bytes"));
     }
 
@@ -238,7 +239,7 @@
         readChanges(reader, "shifts", result.shifts, findings);
         reader.finish();
         if (findings.empty() && changesNothing(result))
-            findings.add(root.place, "a declaration without a change", "a definition to add, change or withdraw");
+            findings.add(root.position, "a declaration without a change", "a definition to add, change or withdraw");
         return result;
     }
 
--- a/src/codec/frame_codec.h
+++ b/src/codec/frame_codec.h
@@ -23,7 +23,7 @@
     /** A frame with a payload above `maximumPayload` bytes is an error. */
     explicit frame_decoder(std::size_t maximumPayload);
 
-    void setLargestPayload(std::size_t bytes) { m_maximumPayload = bytes; }
+    void setMaximumPayload(std::size_t bytes) { m_maximumPayload = bytes; }
 
     /** Appends received bytes to the buffer. */
     void feed(std::string_view bytes);
--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -71,8 +71,8 @@
     {
         json list = json::array();
         for (const finding& item : findings.items()) {
-            list.push_back({ { "file", item.place.file }, { "line", item.place.line }, { "column", item.place.column },
-                { "what", item.what }, { "expected", item.expected } });
+            list.push_back({ { "file", item.position.file }, { "line", item.position.line },
+                { "column", item.position.column }, { "what", item.what }, { "expected", item.expected } });
         }
         return list;
     }
--- a/src/codec/json_requests.cpp
+++ b/src/codec/json_requests.cpp
@@ -160,10 +160,10 @@
     return result;
 }
 
-absl::StatusOr<drain_order> parseDrainJson(const std::string& text, finding_list& findings)
+absl::StatusOr<drain_request> parseDrainJson(const std::string& text, finding_list& findings)
 {
     object_reader reader(text, findings);
-    drain_order result;
+    drain_request result;
     const std::string kind = reader.name("kind");
     const std::optional<drain_kind> known = drainKind(kind);
     if (known)
--- a/src/codec/json_requests.h
+++ b/src/codec/json_requests.h
@@ -14,7 +14,7 @@
 namespace plantainlatch {
 
 /** An operator's request to start or end a drain. */
-struct drain_order {
+struct drain_request {
     drain_target target;
     bool draining = false;
     /** Whether to drain even if that puts one of the system's guarantees at risk. */
@@ -25,6 +25,6 @@
 absl::StatusOr<upstream_announcement> parseAnnouncementJson(const std::string& text, finding_list& findings);
 
 /** Parses a drain request. All errors are added to `findings`, and the status is InvalidArgument if there are any. */
-absl::StatusOr<drain_order> parseDrainJson(const std::string& text, finding_list& findings);
+absl::StatusOr<drain_request> parseDrainJson(const std::string& text, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/codec/record_codec.cpp
+++ b/src/codec/record_codec.cpp
@@ -60,13 +60,13 @@
 absl::StatusOr<record_scan> scanRecords(std::string_view bytes)
 {
     record_scan scan;
-    while (bytes.size() - scan.wholeBytes >= headerBytes) {
-        const std::string_view rest = bytes.substr(scan.wholeBytes);
+    while (bytes.size() - scan.validBytes >= headerBytes) {
+        const std::string_view rest = bytes.substr(scan.validBytes);
         const std::uint64_t length = readNumber(rest.substr(0, lengthBytes));
         if (lengthChecksum(length) != readNumber(rest.substr(lengthBytes, lengthChecksumBytes))) {
             if (isAllZero(rest))
                 return scan;
-            return absl::DataLossError(absl::StrCat("a corrupted record header at offset ", scan.wholeBytes));
+            return absl::DataLossError(absl::StrCat("a corrupted record header at offset ", scan.validBytes));
         }
         if (rest.size() - headerBytes < length)
             return scan;
@@ -75,10 +75,10 @@
             const bool isLast = rest.size() - headerBytes == length;
             if (isLast)
                 return scan;
-            return absl::DataLossError(absl::StrCat("a record with a wrong checksum at offset ", scan.wholeBytes));
+            return absl::DataLossError(absl::StrCat("a record with a wrong checksum at offset ", scan.validBytes));
         }
         scan.payloads.emplace_back(payload);
-        scan.wholeBytes += headerBytes + length;
+        scan.validBytes += headerBytes + length;
     }
     return scan;
 }
--- a/src/codec/record_codec.h
+++ b/src/codec/record_codec.h
@@ -22,7 +22,7 @@
     std::vector<std::string> payloads;
     /** The length of the valid prefix in bytes, up to the end of the last complete record. Any bytes after it are a
      * torn tail. */
-    std::size_t wholeBytes = 0;
+    std::size_t validBytes = 0;
 };
 
 /**
--- a/src/codec/settings_yaml.cpp
+++ b/src/codec/settings_yaml.cpp
@@ -23,8 +23,8 @@
         reader.require("failure_domain", record.failureDomain);
         reader.require("caller_address", record.callerAddress);
         reader.require("peer_address", record.peerAddress);
-        reader.allow("replica", record.replica);
-        reader.allow("entry", record.entry);
+        reader.readOptional("replica", record.replica);
+        reader.readOptional("entry", record.entry);
         reader.finish();
         return record;
     }
@@ -36,18 +36,18 @@
         std::map<failure_domain_id, region_id> regionOfDomain;
     };
 
-    void checkUnique(const vm_record& record, const text_position& place, seen_values& seen, finding_list& findings)
+    void checkUnique(const vm_record& record, const text_position& position, seen_values& seen, finding_list& findings)
     {
         if (!record.id.empty() && !seen.vms.insert(record.id).second)
-            findings.add(place, absl::StrCat("the VM '", record.id.value(), "' appears twice"), "each VM once");
+            findings.add(position, absl::StrCat("the VM '", record.id.value(), "' appears twice"), "each VM once");
         for (const network_address& address : { record.callerAddress, record.peerAddress }) {
             if (address.port != 0 && !seen.addresses.insert(address).second)
-                findings.add(place, absl::StrCat("the address ", formatAddress(address), " is already in use"),
+                findings.add(position, absl::StrCat("the address ", formatAddress(address), " is already in use"),
                     "a unique address");
         }
         const auto [known, added] = seen.regionOfDomain.emplace(record.failureDomain, record.region);
         if (!added && known->second != record.region)
-            findings.add(place,
+            findings.add(position,
                 absl::StrCat("the failure domain '", record.failureDomain.value(), "' is in two regions"),
                 "one region");
     }
@@ -57,12 +57,12 @@
         seen_values seen;
         for (const yaml_node& item : yamlItems(list, findings)) {
             settings.vms.push_back(readVm(item, findings));
-            checkUnique(settings.vms.back(), item.place, seen, findings);
+            checkUnique(settings.vms.back(), item.position, seen, findings);
         }
         const auto replicas = static_cast<std::size_t>(std::count_if(
             settings.vms.begin(), settings.vms.end(), [](const vm_record& record) { return record.replica; }));
         if (replicas == 0 || replicas > maximumReplicas)
-            findings.add(list.place, absl::StrCat(replicas, " replicas"), absl::StrCat("1 to ", maximumReplicas));
+            findings.add(list.position, absl::StrCat(replicas, " replicas"), absl::StrCat("1 to ", maximumReplicas));
     }
 
     void selectSelf(const yaml_node& node, const vm_id& id, vm_settings& settings, finding_list& findings)
@@ -72,7 +72,7 @@
                 settings.self = record;
         }
         if (settings.self.id.empty())
-            findings.add(node.place, absl::StrCat("'", id.value(), "' is not in 'vms'"), "one of 'vms'");
+            findings.add(node.position, absl::StrCat("'", id.value(), "' is not in 'vms'"), "one of 'vms'");
     }
 
     void readLimits(const yaml_node& node, caller_limits& limits, finding_list& findings)
@@ -89,33 +89,33 @@
     {
         std::string folder;
         const yaml_node* node = reader.find("data_folder");
-        if (reader.allow("data_folder", folder))
+        if (reader.readOptional("data_folder", folder))
             settings.dataFolder = folder;
         if (settings.self.id.empty())
             return;
         if (settings.self.replica && node == nullptr)
-            findings.add(root.place, "no 'data_folder' for a replica", "the folder for its state");
+            findings.add(root.position, "no 'data_folder' for a replica", "the folder for its state");
         if (!settings.self.replica && node != nullptr)
-            findings.add(node->place, "a 'data_folder' for a VM that is not a replica", "none, or 'replica: true'");
+            findings.add(node->position, "a 'data_folder' for a VM that is not a replica", "none, or 'replica: true'");
         if (node != nullptr && folder.empty())
-            findings.add(node->place, "an empty 'data_folder'", "a folder");
+            findings.add(node->position, "an empty 'data_folder'", "a folder");
     }
 
     void readLogLevel(yaml_map_reader& reader, vm_settings& settings, finding_list& findings)
     {
         static const std::set<std::string> levels { "debug", "info", "warning", "error" };
-        if (reader.allow("log_level", settings.logLevel) && !levels.contains(settings.logLevel))
-            findings.add(reader.find("log_level")->place, absl::StrCat("'", settings.logLevel, "'"),
+        if (reader.readOptional("log_level", settings.logLevel) && !levels.contains(settings.logLevel))
+            findings.add(reader.find("log_level")->position, absl::StrCat("'", settings.logLevel, "'"),
                 "debug, info, warning or error");
     }
 
     void readCacheTime(yaml_map_reader& reader, vm_settings& settings, finding_list& findings)
     {
-        if (!reader.allow("lookup_cache_time", settings.lookupCacheTime))
+        if (!reader.readOptional("lookup_cache_time", settings.lookupCacheTime))
             return;
         if (settings.lookupCacheTime < minimumCacheTime || settings.lookupCacheTime > maximumCacheTime)
             findings.add(
-                reader.find("lookup_cache_time")->place, "a 'lookup_cache_time' out of range", "100ms to 5min");
+                reader.find("lookup_cache_time")->position, "a 'lookup_cache_time' out of range", "100ms to 5min");
     }
 
     vm_settings readSettings(const yaml_node& root, finding_list& findings)
@@ -127,7 +127,7 @@
         if (const yaml_node* list = reader.find("vms"))
             readVms(*list, settings, findings);
         else
-            findings.add(root.place, "no 'vms'", "the list of all VMs");
+            findings.add(root.position, "no 'vms'", "the list of all VMs");
         if (named)
             selectSelf(*reader.find("vm"), id, settings, findings);
         readDataFolder(reader, root, settings, findings);
--- a/src/codec/yaml_node.cpp
+++ b/src/codec/yaml_node.cpp
@@ -38,7 +38,7 @@
         {
             checkNode(mark, "?", anchor);
             yaml_node node;
-            node.place = positionOf(m_file, mark);
+            node.position = positionOf(m_file, mark);
             add(std::move(node));
         }
 
@@ -50,7 +50,7 @@
             checkNode(mark, tag, anchor);
             yaml_node node;
             node.type = yaml_node::kind::Scalar;
-            node.place = positionOf(m_file, mark);
+            node.position = positionOf(m_file, mark);
             node.text = value;
             add(std::move(node));
         }
@@ -102,7 +102,7 @@
                 abortParse(mark, "nested too deeply", absl::StrCat("at most ", maximumYamlDepth, " levels"));
             open_node opened;
             opened.node.type = type;
-            opened.node.place = positionOf(m_file, mark);
+            opened.node.position = positionOf(m_file, mark);
             m_open.push_back(std::move(opened));
         }
 
@@ -133,9 +133,9 @@
             parent.hasKey = true;
             parent.pending = {};
             parent.pending.key = key.text;
-            parent.pending.place = key.place;
+            parent.pending.position = key.position;
             if (key.type != yaml_node::kind::Scalar)
-                m_findings.add(key.place, "a key that is not a scalar", "a scalar key");
+                m_findings.add(key.position, "a key that is not a scalar", "a scalar key");
         }
 
         void addField(open_node& parent, yaml_node value)
@@ -143,13 +143,13 @@
             parent.hasKey = false;
             parent.pending.value = std::move(value);
             if (parent.node.fields.size() >= maximumYamlFields) {
-                m_findings.add(parent.pending.place, "too many keys", absl::StrCat("at most ", maximumYamlFields));
+                m_findings.add(parent.pending.position, "too many keys", absl::StrCat("at most ", maximumYamlFields));
                 throw parse_aborted();
             }
             for (const yaml_field& field : parent.node.fields) {
                 if (field.key == parent.pending.key)
-                    m_findings.add(
-                        parent.pending.place, absl::StrCat("the key '", field.key, "' appears twice"), "each key once");
+                    m_findings.add(parent.pending.position, absl::StrCat("the key '", field.key, "' appears twice"),
+                        "each key once");
             }
             parent.node.fields.push_back(std::move(parent.pending));
         }
@@ -183,9 +183,9 @@
 {
     finding_list found;
     tree_builder builder(fileName, found);
-    if (text.size() > largestYamlText)
-        found.add(
-            { fileName, 0, 0 }, absl::StrCat(text.size(), " bytes of YAML"), absl::StrCat("at most ", largestYamlText));
+    if (text.size() > maximumYamlBytes)
+        found.add({ fileName, 0, 0 }, absl::StrCat(text.size(), " bytes of YAML"),
+            absl::StrCat("at most ", maximumYamlBytes));
     else
         parseInto(builder, text, fileName, found);
     findings.append(found);
--- a/src/codec/yaml_node.h
+++ b/src/codec/yaml_node.h
@@ -19,7 +19,7 @@
     enum class kind { Null, Scalar, List, Map };
 
     kind type = kind::Null;
-    text_position place;
+    text_position position;
     /** The value of a scalar. */
     std::string text;
     /** The items of a list. */
@@ -31,12 +31,12 @@
 /** A key of a map with its value; the position is that of the key. */
 struct yaml_field {
     std::string key;
-    text_position place;
+    text_position position;
     yaml_node value;
 };
 
 /** The maximum size of a document in bytes. */
-inline constexpr std::size_t largestYamlText = 4 * 1024 * 1024;
+inline constexpr std::size_t maximumYamlBytes = 4 * 1024 * 1024;
 /** The maximum nesting of lists and maps. */
 inline constexpr std::size_t maximumYamlDepth = 16;
 /** The maximum number of scalars, lists and maps in a document. */
--- a/src/codec/yaml_reader.cpp
+++ b/src/codec/yaml_reader.cpp
@@ -33,7 +33,7 @@
 
     bool addFinding(const yaml_node& node, const std::string& expected, finding_list& findings)
     {
-        findings.add(node.place, describe(node), expected);
+        findings.add(node.position, describe(node), expected);
         return false;
     }
 
@@ -158,7 +158,7 @@
 {
     for (const yaml_field& field : m_node.fields) {
         if (!m_known.contains(field.key))
-            m_findings.add(field.place, absl::StrCat("unknown key '", field.key, "'"),
+            m_findings.add(field.position, absl::StrCat("unknown key '", field.key, "'"),
                 absl::StrCat("one of ", absl::StrJoin(m_known, ", ")));
     }
 }
--- a/src/codec/yaml_reader.h
+++ b/src/codec/yaml_reader.h
@@ -76,7 +76,7 @@
         if (node != nullptr)
             return readYaml(*node, value, m_findings);
         if (m_isMap)
-            m_findings.add(m_node.place, absl::StrCat("no '", key, "'"), absl::StrCat("a map with '", key, "'"));
+            m_findings.add(m_node.position, absl::StrCat("no '", key, "'"), absl::StrCat("a map with '", key, "'"));
         return false;
     }
 
@@ -87,12 +87,12 @@
             return false;
         if (!(value == Number {}))
             return true;
-        m_findings.add(find(key)->place, absl::StrCat("'", key, "' is 0"), "more than 0");
+        m_findings.add(find(key)->position, absl::StrCat("'", key, "' is 0"), "more than 0");
         return false;
     }
 
     /** Reads the value of an optional key; false if it is missing or invalid. Only an invalid value adds a finding. */
-    template <typename Value> bool allow(const std::string& key, Value& value)
+    template <typename Value> bool readOptional(const std::string& key, Value& value)
     {
         const yaml_node* node = find(key);
         return node != nullptr && readYaml(*node, value, m_findings);
--- a/src/core/findings.cpp
+++ b/src/core/findings.cpp
@@ -12,8 +12,8 @@
 
     bool isBefore(const finding& left, const finding& right)
     {
-        return std::tie(left.place.file, left.place.line, left.place.column)
-            < std::tie(right.place.file, right.place.line, right.place.column);
+        return std::tie(left.position.file, left.position.line, left.position.column)
+            < std::tie(right.position.file, right.position.line, right.position.column);
     }
 
 } // namespace
@@ -21,10 +21,10 @@
 std::string formatFinding(const finding& item)
 {
     std::string text;
-    if (!item.place.file.empty())
-        absl::StrAppend(&text, item.place.file, ":");
-    if (item.place.line > 0)
-        absl::StrAppend(&text, item.place.line, ":", item.place.column, ":");
+    if (!item.position.file.empty())
+        absl::StrAppend(&text, item.position.file, ":");
+    if (item.position.line > 0)
+        absl::StrAppend(&text, item.position.line, ":", item.position.column, ":");
     if (!text.empty())
         text += ' ';
     text += item.what;
@@ -33,13 +33,13 @@
     return text;
 }
 
-void finding_list::add(text_position place, std::string what, std::string expected)
+void finding_list::add(text_position position, std::string what, std::string expected)
 {
     if (m_items.size() >= maximumFindings) {
         ++m_dropped;
         return;
     }
-    finding item { std::move(place), std::move(what), std::move(expected) };
+    finding item { std::move(position), std::move(what), std::move(expected) };
     const auto next = std::upper_bound(m_items.begin(), m_items.end(), item, isBefore);
     m_items.insert(next, std::move(item));
 }
@@ -47,7 +47,7 @@
 void finding_list::append(const finding_list& other)
 {
     for (const finding& item : other.m_items)
-        add(item.place, item.what, item.expected);
+        add(item.position, item.what, item.expected);
     m_dropped += other.m_dropped;
 }
 
--- a/src/core/findings.h
+++ b/src/core/findings.h
@@ -21,7 +21,7 @@
 
 /** One error in user input, and what was expected instead. */
 struct finding {
-    text_position place;
+    text_position position;
     std::string what;
     std::string expected;
 };
@@ -35,7 +35,7 @@
 /** All findings of one input, sorted by position. */
 class finding_list {
 public:
-    void add(text_position place, std::string what, std::string expected);
+    void add(text_position position, std::string what, std::string expected);
     void append(const finding_list& other);
 
     bool empty() const { return m_items.empty(); }
--- a/src/decision/declarations/configuration_check.cpp
+++ b/src/decision/declarations/configuration_check.cpp
@@ -16,7 +16,7 @@
     {
         for (const auto& item : items) {
             if (keyOf(item.value) == keyOf(wanted))
-                return &item.place;
+                return &item.position;
         }
         return nullptr;
     }
@@ -48,9 +48,9 @@
         text_position removedDomainPosition() const
         {
             if (!content.regions.withdrawn.empty())
-                return content.regions.withdrawn.front().place;
+                return content.regions.withdrawn.front().position;
             if (!content.regions.changed.empty())
-                return content.regions.changed.front().place;
+                return content.regions.changed.front().position;
             return {};
         }
 
--- a/src/decision/declarations/declaration_merge.cpp
+++ b/src/decision/declarations/declaration_merge.cpp
@@ -16,7 +16,7 @@
     {
         for (const auto& item : changes.added) {
             if (!map.try_emplace(keyOf(item.value), item.value).second)
-                findings.add(item.place, absl::StrCat(describeName(item.value), " exists already"),
+                findings.add(item.position, absl::StrCat(describeName(item.value), " exists already"),
                     "it under 'changed', or another name");
         }
     }
@@ -27,7 +27,7 @@
         for (const auto& item : changes.changed) {
             const auto found = map.find(keyOf(item.value));
             if (found == map.end())
-                findings.add(item.place, absl::StrCat(describeName(item.value), " does not exist"),
+                findings.add(item.position, absl::StrCat(describeName(item.value), " does not exist"),
                     "it under 'added', or an existing name");
             else
                 found->second = item.value;
@@ -39,7 +39,8 @@
     {
         for (const auto& item : changes.withdrawn) {
             if (map.erase(keyOf(item.value)) == 0)
-                findings.add(item.place, absl::StrCat(describeName(item.value), " does not exist"), "an existing name");
+                findings.add(
+                    item.position, absl::StrCat(describeName(item.value), " does not exist"), "an existing name");
         }
     }
 
@@ -52,12 +53,12 @@
             config.upstreams.erase(item.value.id);
             if (!config.withdrawnUpstreams.insert(item.value.id).second)
                 findings.add(
-                    item.place, absl::StrCat(describeName(item.value), " is withdrawn already"), "another name");
+                    item.position, absl::StrCat(describeName(item.value), " is withdrawn already"), "another name");
         }
         for (const auto& item : changes.added)
             config.withdrawnUpstreams.erase(item.value.id);
         if (!changes.withdrawn.empty() && config.withdrawnUpstreams.size() > maximumWithdrawnUpstreams)
-            findings.add(changes.withdrawn.back().place, "too many withdrawn upstreams",
+            findings.add(changes.withdrawn.back().position, "too many withdrawn upstreams",
                 absl::StrCat("at most ", maximumWithdrawnUpstreams));
     }
 
@@ -68,7 +69,7 @@
         for (const auto* list : { &changes.added, &changes.changed, &changes.withdrawn }) {
             for (const auto& item : *list) {
                 if (++seen[keyOf(item.value)] == 2)
-                    findings.add(item.place, absl::StrCat(describeName(item.value), " is named twice"),
+                    findings.add(item.position, absl::StrCat(describeName(item.value), " is named twice"),
                         "one change of each definition");
             }
         }
--- a/src/decision/routes/route_table.cpp
+++ b/src/decision/routes/route_table.cpp
@@ -17,26 +17,26 @@
         return absl::AsciiStrToLower(std::string(host.substr(0, host.find(':'))));
     }
 
-    void checkRoute(
-        const configuration& config, const route_definition& route, const text_position& place, finding_list& findings)
+    void checkRoute(const configuration& config, const route_definition& route, const text_position& position,
+        finding_list& findings)
     {
         const std::string name = absl::StrCat("route '", route.id.value(), "'");
         for (const weighted_service& part : route.services) {
             if (!config.services.contains(part.service))
-                findings.add(place, absl::StrCat(name, " names the unknown service '", part.service.value(), "'"),
+                findings.add(position, absl::StrCat(name, " names the unknown service '", part.service.value(), "'"),
                     "a service of the configuration");
         }
         if (route.services.empty())
-            findings.add(place, name + " names no service", "one service or a split");
+            findings.add(position, name + " names no service", "one service or a split");
         if (route.maximumAttempts == 0)
-            findings.add(place, name + " allows no attempt", "1 or more");
+            findings.add(position, name + " allows no attempt", "1 or more");
         if (route.targetLatency >= route.timeLimit + maximumTargetLatencyExcess)
-            findings.add(place, name + " has a target latency far above its time limit", "one below the time limit");
+            findings.add(position, name + " has a target latency far above its time limit", "one below the time limit");
         const bool isPath = route.pathPrefix.starts_with('/') && route.pathPrefix.ends_with('/');
         if (!isPath)
-            findings.add(place, name + " has a path prefix without a slash at each end", "one like '/path/'");
+            findings.add(position, name + " has a path prefix without a slash at each end", "one like '/path/'");
         if (route.host.empty())
-            findings.add(place, name + " has no host", "a host");
+            findings.add(position, name + " has no host", "a host");
     }
 
 } // namespace
--- a/src/main/check_command.cpp
+++ b/src/main/check_command.cpp
@@ -23,7 +23,7 @@
 
     void checkFile(const std::string& path, finding_list& findings)
     {
-        const absl::StatusOr<std::string> text = readFile(path, largestYamlText);
+        const absl::StatusOr<std::string> text = readFile(path, maximumYamlBytes);
         if (!text.ok()) {
             findings.add({ path, 0, 0 }, std::string(text.status().message()), "");
             return;
--- a/src/main/operator_call.cpp
+++ b/src/main/operator_call.cpp
@@ -20,11 +20,11 @@
     finding findingOf(const nlohmann::json& item)
     {
         finding result;
-        result.place.file = memberText(item, "file");
+        result.position.file = memberText(item, "file");
         if (item.is_object() && item.contains("line") && item["line"].is_number_integer())
-            result.place.line = item["line"].get<int>();
+            result.position.line = item["line"].get<int>();
         if (item.is_object() && item.contains("column") && item["column"].is_number_integer())
-            result.place.column = item["column"].get<int>();
+            result.position.column = item["column"].get<int>();
         result.what = memberText(item, "what");
         result.expected = memberText(item, "expected");
         return result;
@@ -103,7 +103,7 @@
         return absl::InvalidArgumentError("FILE");
     }
     const std::string& path = line.arguments().front();
-    const absl::StatusOr<std::string> text = readFile(path, largestYamlText);
+    const absl::StatusOr<std::string> text = readFile(path, maximumYamlBytes);
     const absl::Status status = text.ok() ? checkDeclaration(*text, path) : text.status();
     if (!status.ok()) {
         std::fprintf(stderr, "%s\n", std::string(status.message()).c_str());
--- a/src/main/serve_command.cpp
+++ b/src/main/serve_command.cpp
@@ -16,7 +16,7 @@
     int run(const command_line& line)
     {
         const std::string path = line.text("settings");
-        const absl::StatusOr<std::string> text = readFile(path, largestYamlText);
+        const absl::StatusOr<std::string> text = readFile(path, maximumYamlBytes);
         if (!text.ok())
             return failCommand("serve", text.status(), exit_code::badInput);
         finding_list findings;
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -142,7 +142,7 @@
 /** A definition with its position in the operator's file. The position is ignored in comparisons and not encoded. */
 template <typename Definition> struct declared {
     Definition value;
-    text_position place;
+    text_position position;
 
     friend bool operator==(const declared& left, const declared& right) { return left.value == right.value; }
 
--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -81,7 +81,7 @@
     {
         const auto keep = static_cast<implementation*>(argument)->shared_from_this();
         if ((what & BEV_EVENT_CONNECTED) != 0) {
-            sendWithoutDelay(bufferevent_getfd(keep->connection));
+            disableNagle(bufferevent_getfd(keep->connection));
             if (keep->events.onConnected)
                 keep->events.onConnected();
             return;
@@ -130,7 +130,7 @@
 {
     auto parts = std::make_shared<implementation>(maximumPayload);
     parts->events = std::move(events);
-    sendWithoutDelay(socket);
+    disableNagle(socket);
     parts->connection = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     parts->begin();
     return std::unique_ptr<frame_stream>(new frame_stream(std::move(parts)));
@@ -151,7 +151,7 @@
     return evbuffer_get_length(bufferevent_get_output(m_parts->connection));
 }
 
-void frame_stream::setLargestPayload(std::size_t bytes) { m_parts->decoder.setLargestPayload(bytes); }
+void frame_stream::setMaximumPayload(std::size_t bytes) { m_parts->decoder.setMaximumPayload(bytes); }
 
 struct frame_listener::implementation {
     evconnlistener* listener = nullptr;
--- a/src/runtime/frame_stream.h
+++ b/src/runtime/frame_stream.h
@@ -43,7 +43,7 @@
     void send(std::string_view payload);
     /** The number of queued bytes that were not passed to the operating system yet. */
     std::size_t backlog() const;
-    void setLargestPayload(std::size_t bytes);
+    void setMaximumPayload(std::size_t bytes);
 
 private:
     struct implementation;
--- a/src/runtime/peer_handshake.cpp
+++ b/src/runtime/peer_handshake.cpp
@@ -70,7 +70,7 @@
     return shared_key(std::move(bytes));
 }
 
-shared_key shared_key::ofTrustedNetwork() { return shared_key(std::string(minimumBytes, '\0')); }
+shared_key shared_key::forTrustedNetwork() { return shared_key(std::string(minimumBytes, '\0')); }
 
 absl::StatusOr<shared_key> shared_key::readFile(const std::string& path)
 {
@@ -101,13 +101,13 @@
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
-frame_seal::frame_seal(
+frame_authenticator::frame_authenticator(
     const shared_key& key, handshake_role sender, const peer_hello& hello, const std::string& acceptingNonce)
     : m_key(hmacSha256(key.bytes(), handshakeText(sealPurpose(sender), hello, acceptingNonce)))
 {
 }
 
-std::string frame_seal::nextMac(std::string_view payload) const
+std::string frame_authenticator::nextMac(std::string_view payload) const
 {
     std::string text;
     text.reserve(sizeof(m_sequence) + payload.size());
@@ -117,7 +117,7 @@
     return hmacSha256(m_key, text).substr(0, macBytes);
 }
 
-std::string frame_seal::seal(std::string_view payload)
+std::string frame_authenticator::seal(std::string_view payload)
 {
     std::string sealed = nextMac(payload);
     sealed.append(payload);
@@ -125,7 +125,7 @@
     return sealed;
 }
 
-absl::StatusOr<std::string> frame_seal::open(std::string_view sealed)
+absl::StatusOr<std::string> frame_authenticator::open(std::string_view sealed)
 {
     if (sealed.size() < macBytes)
         return absl::UnauthenticatedError("a frame is too short for its authentication code");
--- a/src/runtime/peer_handshake.h
+++ b/src/runtime/peer_handshake.h
@@ -29,7 +29,7 @@
     /** InvalidArgument for fewer than minimumBytes bytes. */
     static absl::StatusOr<shared_key> create(std::string bytes);
     /** A fixed key that is not secret, for a network in which every sender is trusted. */
-    static shared_key ofTrustedNetwork();
+    static shared_key forTrustedNetwork();
     /** Reads the key from a file, without white space at its end. NotFound if the file can't be read, otherwise like
      * create(). */
     static absl::StatusOr<shared_key> readFile(const std::string& path);
@@ -90,9 +90,9 @@
 
 /** Adds and verifies the MACs of the frames in one direction of a session. Each end has an object of its own; both
  * count the frames. */
-class frame_seal {
+class frame_authenticator {
 public:
-    frame_seal(
+    frame_authenticator(
         const shared_key& key, handshake_role sender, const peer_hello& hello, const std::string& acceptingNonce);
 
     /** The MAC of the next frame, followed by the payload. */
--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -15,7 +15,7 @@
     return result;
 }
 
-void sendWithoutDelay(int socket)
+void disableNagle(int socket)
 {
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -14,6 +14,6 @@
 sockaddr_in toSocketAddress(const network_address& address);
 
 /** Disables Nagle's algorithm, which would delay small messages (TCP_NODELAY). */
-void sendWithoutDelay(int socket);
+void disableNagle(int socket);
 
 } // namespace plantainlatch
--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -49,7 +49,7 @@
     stopIfIdle();
 }
 
-void caller_exchanges::gone(exchange_id exchange)
+void caller_exchanges::callerDisconnected(exchange_id exchange)
 {
     const auto found = m_pending.find(exchange);
     if (found == m_pending.end())
--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -41,7 +41,7 @@
     /** Answers without submitting the request. */
     void refuse(exchange_id exchange, const caller_answer& answer, bool head);
     /** Cancels the request of a caller that disconnected before its answer. */
-    void gone(exchange_id exchange);
+    void callerDisconnected(exchange_id exchange);
 
     /** Whether new requests must be refused because this VM has stopped serving. */
     bool refusing() const { return m_refusing; }
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -124,7 +124,7 @@
         m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_serveBeforeStop, std::nullopt });
     m_server->addRoute({ servicePrefix,
         [this](exchange_id exchange, const http_request_view& request) { handleRequest(exchange, request); },
-        [this](exchange_id exchange) { m_exchanges->gone(exchange); } });
+        [this](exchange_id exchange) { m_exchanges->callerDisconnected(exchange); } });
     m_server->addRoute({ entriesPath,
         [this](exchange_id exchange, const http_request_view& request) { handleLookup(exchange, request); }, nullptr });
     return absl::OkStatus();
--- a/src/services/exposed_state.cpp
+++ b/src/services/exposed_state.cpp
@@ -60,7 +60,7 @@
         "counter", [logged] { return eventSamples(*logged); } });
     numbers.addFamily({ "plantainlatch_log_lines_missing_total", "Lines that were not written.", "counter",
         [logged]() -> std::vector<metric_sample> {
-            return { { { { "why", "limit" } }, static_cast<double>(logged->leftOut()) },
+            return { { { { "why", "limit" } }, static_cast<double>(logged->suppressed()) },
                 { { { "why", "reader" } }, static_cast<double>(logged->lost()) } };
         } });
     numbers.addFamily({ "plantainlatch_state", "Numbers and flags of the state dump.", "gauge",
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -174,7 +174,7 @@
         const absl::StatusOr<record_scan> scan = scanRecords(*bytes);
         if (!scan.ok())
             return damaged(file, scan.status());
-        if (scan->payloads.size() != 1 || scan->wholeBytes != bytes->size())
+        if (scan->payloads.size() != 1 || scan->validBytes != bytes->size())
             return damaged(file, absl::DataLossError("the snapshot record at offset 0 is incomplete"));
         absl::StatusOr<snapshot_record> record = msgpack_codec::decode<snapshot_record>(scan->payloads.front());
         if (!record.ok())
@@ -220,14 +220,14 @@
             if (!merged.ok())
                 return damaged(file, merged);
         }
-        if (scan->wholeBytes == bytes->size())
+        if (scan->validBytes == bytes->size())
             return absl::OkStatus();
         if (!mayBeTorn)
             return damaged(
-                file, absl::DataLossError(absl::StrCat("a record is cut short at offset ", scan->wholeBytes)));
+                file, absl::DataLossError(absl::StrCat("a record is cut short at offset ", scan->validBytes)));
         hooks.log({ log_level::Warning, "storage", "a torn tail was cut",
-            { { "file", file }, { "offset", absl::StrCat(scan->wholeBytes) } } });
-        return files.truncate(file, scan->wholeBytes);
+            { { "file", file }, { "offset", absl::StrCat(scan->validBytes) } } });
+        return files.truncate(file, scan->validBytes);
     }
 
     absl::Status openState()
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -59,7 +59,7 @@
         if (framing.chunked)
             return true;
         if (!framing.length.has_value())
-            return request.mayEndWithConnection;
+            return request.allowsCloseDelimitedBody;
         return *framing.length == answer.body.size();
     }
 
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -21,7 +21,7 @@
     const char* nameField;
     const std::string& name;
     /** Accepts an answer whose body is delimited by an orderly close of the connection. */
-    bool mayEndWithConnection = false;
+    bool allowsCloseDelimitedBody = false;
 };
 
 /** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. None if the answer is
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -68,7 +68,7 @@
     , m_parser(parts.limits)
 {
     internal_assert(m_channel != nullptr) << "no memory for a connection";
-    sendWithoutDelay(socket);
+    disableNagle(socket);
 }
 
 http_connection::~http_connection()
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -70,12 +70,12 @@
             return;
         const line_limiter::verdict verdict = limiter->check(event.service + event.what, steadyNow());
         if (!verdict.passes) {
-            statistics->noteLeftOut();
+            statistics->countSuppressed();
             return;
         }
         std::string fields = fieldsAsJson(event);
-        if (verdict.leftOut > 0)
-            fields += ",\"left_out_before\":" + std::to_string(verdict.leftOut);
+        if (verdict.suppressed > 0)
+            fields += ",\"left_out_before\":" + std::to_string(verdict.suppressed);
         logger->log(toSpdlog(event.level), fields);
         statistics->setLost(sink->lostLines());
     };
--- a/src/services/line_limiter.cpp
+++ b/src/services/line_limiter.cpp
@@ -18,11 +18,11 @@
         seen.passed = 0;
     }
     if (seen.passed >= m_maximum) {
-        ++seen.leftOut;
+        ++seen.suppressed;
         return {};
     }
     ++seen.passed;
-    return { true, std::exchange(seen.leftOut, 0) };
+    return { true, std::exchange(seen.suppressed, 0) };
 }
 
 } // namespace plantainlatch
--- a/src/services/line_limiter.h
+++ b/src/services/line_limiter.h
@@ -20,7 +20,7 @@
     struct verdict {
         bool passes = false;
         /** The number of lines of this kind that were suppressed since the last one that passed. */
-        std::uint64_t leftOut = 0;
+        std::uint64_t suppressed = 0;
     };
     verdict check(const std::string& kind, time_point now);
 
@@ -28,7 +28,7 @@
     struct counts {
         time_point begin;
         std::uint64_t passed = 0;
-        std::uint64_t leftOut = 0;
+        std::uint64_t suppressed = 0;
     };
 
     std::uint64_t m_maximum;
--- a/src/services/log_statistics.h
+++ b/src/services/log_statistics.h
@@ -26,17 +26,17 @@
 
     void note(const log_event& event);
     /** Counts a line that was suppressed by the rate limit of its kind. */
-    void noteLeftOut() { ++m_leftOut; }
+    void countSuppressed() { ++m_suppressed; }
     /** Sets the total number of lines that were dropped because the reader was too slow. */
     void setLost(std::uint64_t lines) { m_lost = lines; }
 
     const std::map<event_kind, std::uint64_t>& events() const { return m_events; }
-    std::uint64_t leftOut() const { return m_leftOut; }
+    std::uint64_t suppressed() const { return m_suppressed; }
     std::uint64_t lost() const { return m_lost; }
 
 private:
     std::map<event_kind, std::uint64_t> m_events;
-    std::uint64_t m_leftOut = 0;
+    std::uint64_t m_suppressed = 0;
     std::uint64_t m_lost = 0;
 };
 
--- a/src/services/operator_front.cpp
+++ b/src/services/operator_front.cpp
@@ -123,7 +123,7 @@
 void operator_front::drain(exchange_id exchange, const http_request_view& request)
 {
     finding_list findings;
-    const absl::StatusOr<drain_order> order = parseDrainJson(request.body(), findings);
+    const absl::StatusOr<drain_request> order = parseDrainJson(request.body(), findings);
     if (!order.ok()) {
         m_server->respond(exchange, encodeFindings("the drain is not valid", findings));
         return;
--- a/src/services/peer_receiver.cpp
+++ b/src/services/peer_receiver.cpp
@@ -85,7 +85,7 @@
     }
     m_incoming.emplace(m_key, handshake_role::Connecting, *m_hello, m_nonce);
     m_outgoing.emplace(m_key, handshake_role::Accepting, *m_hello, m_nonce);
-    m_stream->setLargestPayload(m_options.maximumFrame);
+    m_stream->setMaximumPayload(m_options.maximumFrame);
     restartSilenceTimer(m_options.silenceTimeout);
 }
 
--- a/src/services/peer_receiver.h
+++ b/src/services/peer_receiver.h
@@ -54,8 +54,8 @@
     std::unique_ptr<frame_stream> m_stream;
     std::optional<peer_hello> m_hello;
     std::string m_nonce;
-    std::optional<frame_seal> m_incoming;
-    std::optional<frame_seal> m_outgoing;
+    std::optional<frame_authenticator> m_incoming;
+    std::optional<frame_authenticator> m_outgoing;
     timer_id m_timer;
     bool m_failed = false;
 };
--- a/src/services/peer_sender.h
+++ b/src/services/peer_sender.h
@@ -62,8 +62,8 @@
 
     std::unique_ptr<frame_stream> m_stream;
     peer_hello m_hello;
-    std::optional<frame_seal> m_outgoing;
-    std::optional<frame_seal> m_incoming;
+    std::optional<frame_authenticator> m_outgoing;
+    std::optional<frame_authenticator> m_incoming;
     timer_id m_timer;
     time_point m_lastAnswer;
     duration m_reconnectDelay;
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -172,7 +172,7 @@
     if (settings.trustedNetwork)
         hooks.log({ log_level::Warning, "peers", "VMs are not authenticated: the settings trust the network", {} });
     absl::StatusOr<shared_key> key
-        = settings.trustedNetwork ? shared_key::ofTrustedNetwork() : shared_key::readFile(settings.sharedKeyFile);
+        = settings.trustedNetwork ? shared_key::forTrustedNetwork() : shared_key::readFile(settings.sharedKeyFile);
     if (!key.ok())
         return key.status();
     auto parts = std::make_unique<implementation>(loop, hooks, settings, options, std::move(*key));
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -209,7 +209,7 @@
     }
     const upstream_dialect& dialect = options.dialect;
     std::optional<upstream_answer> answer = takeCompleteAnswer(
-        request, { item.call.method == "HEAD", dialect.nameField, item.name, dialect.mayEndWithConnection });
+        request, { item.call.method == "HEAD", dialect.nameField, item.name, dialect.allowsCloseDelimitedBody });
     if (!answer) {
         fail(key, call_failure::Malformed);
         return;
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -102,7 +102,7 @@
         return;
     connection.dispatched = true;
     if (!std::exchange(connection.nagleDisabled, true))
-        sendWithoutDelay(socketOf(connection));
+        disableNagle(socketOf(connection));
     connection.owner->m_events.onDispatch(connection);
 }
 
--- a/src/services/upstream_dialect.h
+++ b/src/services/upstream_dialect.h
@@ -24,7 +24,7 @@
     /** Reads the metadata of an answer. */
     std::function<answer_metadata(const upstream_call&, const upstream_answer&)> metadataOf;
     /** Whether the body of an answer may be delimited by the end of the connection. */
-    bool mayEndWithConnection = false;
+    bool allowsCloseDelimitedBody = false;
 };
 
 /** The project's own dialect: X-Plantainlatch-Call and X-Request-Timeout in calls, and X-Plantainlatch-Not-Run in
--- a/test/correctness/alert_test.cpp
+++ b/test/correctness/alert_test.cpp
@@ -20,7 +20,7 @@
                 vm.root->add(services.back()->asService());
             })
         {
-            cluster.apply(apply_declaration { kurohaeDeclaration() });
+            cluster.apply(apply_declaration { threeRegionDeclaration() });
             cluster.runtime.advance(30s);
         }
 
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -27,15 +27,15 @@
 
 TEST_CASE_METHOD(change_fixture, "change.same_number_and_content.is_already_accepted")
 {
-    REQUIRE(apply(apply_declaration { kurohaeDeclaration() }).verdict == command_verdict::Accepted);
-    REQUIRE(apply(apply_declaration { kurohaeDeclaration() }).verdict == command_verdict::AlreadyAccepted);
+    REQUIRE(apply(apply_declaration { threeRegionDeclaration() }).verdict == command_verdict::Accepted);
+    REQUIRE(apply(apply_declaration { threeRegionDeclaration() }).verdict == command_verdict::AlreadyAccepted);
     REQUIRE(state().history.size() == 1);
     REQUIRE(state().config.services.size() == 2);
 }
 
 TEST_CASE_METHOD(change_fixture, "change.same_number_and_other_content.is_a_conflict_that_describes_the_difference")
 {
-    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { threeRegionDeclaration() });
     REQUIRE(apply(apply_declaration { withShare(2, 5) }).verdict == command_verdict::Accepted);
     const command_result second = apply(apply_declaration { withShare(2, 6) });
     REQUIRE(second.verdict == command_verdict::Conflict);
@@ -45,7 +45,7 @@
 
 TEST_CASE_METHOD(change_fixture, "change.replacing_an_earlier_configuration.is_a_conflict")
 {
-    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { threeRegionDeclaration() });
     apply(apply_declaration { withShare(2, 5) });
     declaration late = withShare(3, 6);
     late.replaces = change_number(1);
@@ -55,7 +55,7 @@
 
 TEST_CASE_METHOD(change_fixture, "merge.several_errors.are_all_reported_with_their_positions")
 {
-    declaration content = kurohaeDeclaration();
+    declaration content = threeRegionDeclaration();
     content.shares.added = { { { service_id("nothing"), failure_domain_id("kokura"), 1 }, { "n.yaml", 3, 1 } },
         { { service_id("booking"), failure_domain_id("nowhere"), 1 }, { "n.yaml", 4, 1 } } };
     content.services.withdrawn = { { content.services.added[0].value, { "n.yaml", 9, 1 } } };
@@ -68,7 +68,7 @@
 
 TEST_CASE_METHOD(change_fixture, "merge.withdrawal_of_a_used_region.is_reported_at_the_withdrawal")
 {
-    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { threeRegionDeclaration() });
     apply(apply_declaration { withShare(2, 5) });
     declaration content;
     content.number = change_number(3);
@@ -80,7 +80,7 @@
 
 TEST_CASE_METHOD(change_fixture, "history.difference_to_an_earlier_configuration.restores_it")
 {
-    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { threeRegionDeclaration() });
     const configuration earlier = state().config;
     apply(apply_declaration { withShare(2, 5) });
     declaration back = declarationBetween(state().config, earlier);
@@ -93,7 +93,7 @@
 
 TEST_CASE_METHOD(change_fixture, "proposal.resent.gets_the_first_result_and_changes_nothing")
 {
-    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { threeRegionDeclaration() });
     const proposal joined { { vm_id("b"), incarnation(5), 1 }, {}, upstream_joined { bookingUpstream("u", 9001) } };
     REQUIRE(port().apply(joined).verdict == command_verdict::Accepted);
     apply(upstream_left { upstream_id("u"), upstream_generation(1) });
@@ -109,7 +109,7 @@
     root->add(subject->asService());
     REQUIRE(root->start().ok());
     control_port& port = **root->services().find<control_port>(port_names::control);
-    port.apply({ { vm_id("a"), incarnation(1), 1 }, {}, apply_declaration { kurohaeDeclaration() } });
+    port.apply({ { vm_id("a"), incarnation(1), 1 }, {}, apply_declaration { threeRegionDeclaration() } });
     const proposal joined { { vm_id("b"), incarnation(5), 1 }, {}, upstream_joined { bookingUpstream("u", 9001) } };
     port.apply(joined);
     port.apply({ { vm_id("a"), incarnation(1), 2 }, {}, upstream_left { upstream_id("u"), upstream_generation(1) } });
@@ -120,7 +120,7 @@
 TEST_CASE_METHOD(change_fixture, "proposal.of_an_earlier_incarnation.is_refused")
 {
     const drain_target target { drain_kind::Region, "fukuoka" };
-    apply(apply_declaration { kurohaeDeclaration() });
+    apply(apply_declaration { threeRegionDeclaration() });
     port().apply({ { vm_id("b"), incarnation(5), 1 }, {}, set_drain { target, true } });
     port().apply({ { vm_id("b"), incarnation(6), 1 }, {}, set_drain { target, false } });
     const command_result late = port().apply({ { vm_id("b"), incarnation(5), 2 }, {}, set_drain { target, true } });
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -19,7 +19,7 @@
                 vm.root->add(services.back()->asService());
             })
         {
-            cluster.apply(apply_declaration { kurohaeDeclaration() });
+            cluster.apply(apply_declaration { threeRegionDeclaration() });
             cluster.runtime.advance(6s);
         }
 
--- a/test/correctness/entry_list_test.cpp
+++ b/test/correctness/entry_list_test.cpp
@@ -21,7 +21,7 @@
                 vm.root->add(services.back()->asService());
             })
         {
-            cluster.apply(apply_declaration { kurohaeDeclaration() });
+            cluster.apply(apply_declaration { threeRegionDeclaration() });
             cluster.runtime.advance(10s);
         }
 
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -14,7 +14,7 @@
         void begin(membership_options options = {})
         {
             cluster = std::make_unique<control_cluster>(7, 4, options);
-            cluster->apply(apply_declaration { kurohaeDeclaration() });
+            cluster->apply(apply_declaration { threeRegionDeclaration() });
         }
 
         membership_port& port(const std::string& name)
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -19,7 +19,7 @@
             : options(given)
             , cluster(5, 3, {}, [this](control_cluster& owner, cluster_vm& vm) { addServices(owner, vm); })
         {
-            cluster.apply(apply_declaration { kurohaeDeclaration() });
+            cluster.apply(apply_declaration { threeRegionDeclaration() });
             join("k1", 9001, "fukuoka", "kokura");
             join("t1", 9002, "kagoshima", "kirishima");
             cluster.runtime.advance(12s);
--- a/test/correctness/shift_test.cpp
+++ b/test/correctness/shift_test.cpp
@@ -16,7 +16,7 @@
         shift_fixture()
             : cluster(11, 3, {}, [this](control_cluster& owner, cluster_vm& vm) { addServices(owner, vm); })
         {
-            declaration content = kurohaeDeclaration();
+            declaration content = threeRegionDeclaration();
             content.shifts.added = { { { shift, service_id("booking"), kokura, kirishima, 60, 100, 20, 4s }, {} } };
             cluster.apply(apply_declaration { content });
             upstream_announcement target = bookingUpstream("t1", 9100);
--- a/test/error/codec_property_test.cpp
+++ b/test/error/codec_property_test.cpp
@@ -59,7 +59,7 @@
             ++complete;
         RC_ASSERT(scan->payloads
             == std::vector<std::string>(payloads.begin(), payloads.begin() + static_cast<std::ptrdiff_t>(complete)));
-        RC_ASSERT(scan->wholeBytes == (complete == 0 ? 0 : ends[complete - 1]));
+        RC_ASSERT(scan->validBytes == (complete == 0 ? 0 : ends[complete - 1]));
     }));
 }
 
--- a/test/error/declaration_writer_test.cpp
+++ b/test/error/declaration_writer_test.cpp
@@ -31,7 +31,7 @@
                 {} } };
         }
 
-        declaration content = kurohaeDeclaration();
+        declaration content = threeRegionDeclaration();
     };
 
 } // namespace
--- a/test/error/declaration_yaml_test.cpp
+++ b/test/error/declaration_yaml_test.cpp
@@ -66,7 +66,7 @@
     REQUIRE(result->regions.added[0].value.failureDomains.size() == 2);
     REQUIRE(result->links.changed[0].value.left == region_id("fukuoka"));
     REQUIRE(result->links.changed[0].value.budget == bytes_per_second(500'000'000));
-    REQUIRE(result->services.added[0].place.line == 13);
+    REQUIRE(result->services.added[0].position.line == 13);
     REQUIRE(result->services.added[0].value.keyRetention == std::chrono::hours(24));
     REQUIRE(result->services.added[0].value.routes[0].idempotent);
     REQUIRE(result->shares.withdrawn[0].value.failureDomain == failure_domain_id("kokura"));
--- a/test/error/log_test.cpp
+++ b/test/error/log_test.cpp
@@ -82,8 +82,8 @@
     REQUIRE(limiter.check("b", begin).passes);
     const line_limiter::verdict next = limiter.check("a", begin + 1s);
     REQUIRE(next.passes);
-    REQUIRE(next.leftOut == 2);
-    REQUIRE(limiter.check("a", begin + 1s).leftOut == 0);
+    REQUIRE(next.suppressed == 2);
+    REQUIRE(limiter.check("a", begin + 1s).suppressed == 0);
 }
 
 TEST_CASE("log_line.json_of_a_vm.is_parsed", "[log]")
@@ -119,7 +119,7 @@
     service.addObject("own_requests").add("u1", 3);
     const auto logged = std::make_shared<log_statistics>();
     logged->note({ log_level::Info, "requests", "caller-left", {} });
-    logged->noteLeftOut();
+    logged->countSuppressed();
     logged->setLost(4);
     const std::unique_ptr<metrics> numbers = metrics::create();
     exposeState(
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -149,7 +149,7 @@
     peer_hello hello { 1, vm_id("e1"), vm_id("e2"), "recorded nonce" };
     const shared_key key = *shared_key::create(goodKey);
     // Replays an earlier session: the proof is valid, but for another nonce of the accepting side.
-    frame_seal seal(key, handshake_role::Connecting, hello, "earlier nonce");
+    frame_authenticator seal(key, handshake_role::Connecting, hello, "earlier nonce");
     const std::string proof = handshakeProof(key, handshake_role::Connecting, hello, "earlier nonce");
     bool closed = false;
     std::unique_ptr<frame_stream> stream;
@@ -181,14 +181,14 @@
     REQUIRE_THAT(std::string(status.message()), Catch::Contains(formatAddress(vms[0].peerAddress)));
 }
 
-TEST_CASE("frame_seal.frame_reordered_changed_or_replayed.is_unauthenticated")
+TEST_CASE("frame_authenticator.frame_reordered_changed_or_replayed.is_unauthenticated")
 {
     const shared_key key = *shared_key::create("0123456789abcdef0123456789abcdef");
     const peer_hello hello { 1, vm_id("e1"), vm_id("e2"), "nonce" };
-    frame_seal sender(key, handshake_role::Connecting, hello, "other");
+    frame_authenticator sender(key, handshake_role::Connecting, hello, "other");
     const std::string first = sender.seal("one");
     const std::string second = sender.seal("two");
-    frame_seal receiver(key, handshake_role::Connecting, hello, "other");
+    frame_authenticator receiver(key, handshake_role::Connecting, hello, "other");
     REQUIRE_FALSE(receiver.open(second).ok());
     REQUIRE(*receiver.open(first) == "one");
     REQUIRE_FALSE(receiver.open(first).ok());
--- a/test/error/settings_yaml_test.cpp
+++ b/test/error/settings_yaml_test.cpp
@@ -76,7 +76,7 @@
     finding_list findings;
     REQUIRE_FALSE(parseSettings("vm: [e1]\nvms: none\ncolour: red\n", "e1.yaml", findings).ok());
     REQUIRE(findings.items().size() >= 4);
-    REQUIRE(findings.items().front().place.line <= findings.items().back().place.line);
+    REQUIRE(findings.items().front().position.line <= findings.items().back().position.line);
 }
 
 TEST_CASE_METHOD(settings_yaml_fixture, "settings_yaml.malformed_or_oversized_text.is_rejected")
@@ -95,7 +95,7 @@
     CHECK_THAT(findingsOf("vm: e1\n---\nvm: e2\n"), Contains("more than one document"));
     CHECK_THAT(findingsOf("vm: [e1\n"), Contains("invalid YAML"));
     CHECK_THAT(findingsOf(std::string("\0\xff\xfe", 3)), Contains("e1.yaml"));
-    CHECK_THAT(findingsOf(std::string(largestYamlText + 1, 'x')), Contains("bytes of YAML"));
+    CHECK_THAT(findingsOf(std::string(maximumYamlBytes + 1, 'x')), Contains("bytes of YAML"));
     std::string manyKeys;
     for (int i = 0; i < 1000; ++i)
         manyKeys += "k" + std::to_string(i) + ": 1\n";
--- a/test/random/shift_random_test.cpp
+++ b/test/random/shift_random_test.cpp
@@ -24,7 +24,7 @@
                     services.push_back(*shift_service::create(owner.runtime.hooks(), vm.settings, options));
                     vm.root->add(services.back()->asService());
                 });
-            declaration content = kurohaeDeclaration();
+            declaration content = threeRegionDeclaration();
             content.shifts.added = { { { shift, service_id("booking"), failure_domain_id("kokura"),
                                            failure_domain_id("kirishima"), 100, cap, 50, 2s },
                 {} } };
--- a/test/support/control_cluster.h
+++ b/test/support/control_cluster.h
@@ -43,7 +43,7 @@
     const control_snapshot& state() { return port<control_port>(port_names::control).state(); }
 };
 
-/** VMs "a", "b", "c" and so on, in the regions and failure domains of kurohaeDeclaration() in turn. */
+/** VMs "a", "b", "c" and so on, in the regions and failure domains of threeRegionDeclaration() in turn. */
 class control_cluster {
 public:
     /** `add` adds further services to each VM before it starts. */
--- a/test/support/control_fixture.cpp
+++ b/test/support/control_fixture.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-declaration kurohaeDeclaration()
+declaration threeRegionDeclaration()
 {
     declaration content;
     content.number = change_number(1);
--- a/test/support/control_fixture.h
+++ b/test/support/control_fixture.h
@@ -18,7 +18,7 @@
 namespace plantainlatch {
 
 /** Three regions with two failure domains each and two services, as change 1. */
-declaration kurohaeDeclaration();
+declaration threeRegionDeclaration();
 
 /** An announcement of an upstream of the service "booking" in the failure domain "kokura". */
 upstream_announcement bookingUpstream(const std::string& id, std::uint16_t port);
--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -66,13 +66,13 @@
             [](bufferevent* side, short events, void* argument) {
                 auto& closedBy = *static_cast<byte_stream*>(argument);
                 if ((events & BEV_EVENT_CONNECTED) != 0)
-                    sendWithoutDelay(bufferevent_getfd(side));
+                    disableNagle(bufferevent_getfd(side));
                 else
                     closedBy.owner->onSenderClosed(closedBy);
             },
             &stream);
     }
-    sendWithoutDelay(bufferevent_getfd(clientSide));
+    disableNagle(bufferevent_getfd(clientSide));
     const sockaddr_in address = toSocketAddress(target);
     if (bufferevent_socket_connect(targetSide, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
         m_hooks.schedule(duration::zero(), [this, alive = m_alive] {
