Reword comments and texts of decision services after a second reading

Cause: some comments and assertion texts needed a second reading, and two were imprecise (the entries that log_store keeps, the causes of crash_verdict::Refuse and claim_state::Unresolved). Change: comments, assertion and error texts; local names (situation -> input, atLeast -> elapsed, place -> target, raisedOnFlicker -> raisedWhileFlapping, willing -> acceptingRisk); names of three test cases. No test matches the texts.

--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -41,7 +41,8 @@
     duration electionTimeout = std::chrono::milliseconds(600);
     /** The maximum random time added to each election timeout. */
     duration electionJitter = std::chrono::milliseconds(400);
-    /** A candidate without a majority starts over after this and the jitter; two message round trips fit into it. */
+    /** A candidate without a majority starts another election after this plus the jitter. It allows for two message
+     * round trips. */
     duration electionRetry = std::chrono::milliseconds(250);
     /** The leader's lease is shorter than the election timeout by this, to tolerate clocks that run at different
      * rates. */
@@ -71,7 +72,7 @@
     std::size_t maximumVoterCount = 7;
     /** A voter that has not answered for this long may be replaced by an up-to-date replica that is not a voter. */
     duration replaceVoterAfter = std::chrono::seconds(3);
-    /** The maximum number of followers, as the leader sends to each one directly. Larger systems would need a relay in
+    /** The maximum number of followers. The leader sends to each one directly; larger systems would need a relay in
      * each region. */
     std::size_t maximumFollowerCount = 64;
 
--- a/src/decision/consensus/consensus_service.h
+++ b/src/decision/consensus/consensus_service.h
@@ -22,7 +22,8 @@
 
 namespace plantainlatch {
 
-/** Publishes consensus_port as "consensus". It needs "peer_router", "control", and "storage" on a replica. */
+/** Publishes consensus_port as "consensus". It depends on "peer_router" and "control", and on a replica also on
+ * "storage". */
 class consensus_service {
 public:
     /** InvalidArgument when the settings do not list this VM, or list a VM twice. */
--- a/src/decision/consensus/durable_writes.h
+++ b/src/decision/consensus/durable_writes.h
@@ -19,7 +19,8 @@
     std::uint64_t begin(log_index lastIndex);
     /** Marks a write as completed. Actions that wait for it run once all earlier writes are completed too. */
     void complete(std::uint64_t number);
-    /** Lowers the durable index of past and pending writes to before `index`, as later entries were replaced. */
+    /** Lowers the durable index, and those of pending writes, to at most `index` - 1, as the entries from `index` on
+     * were removed from the log. */
     void truncateFrom(log_index index);
     /** Runs `action` once all writes registered so far are durable; immediately if none is pending. */
     void whenDurable(std::function<void()> action);
@@ -41,7 +42,7 @@
 
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, pending_write> m_pending;
-    /** Deferred actions by the number of the last write that they wait for. */
+    /** Deferred actions; the key is the number of the last write that an action waits for. */
     std::multimap<std::uint64_t, std::function<void()>> m_waiting;
     log_index m_durableIndex;
 };
--- a/src/decision/consensus/log_joiner.h
+++ b/src/decision/consensus/log_joiner.h
@@ -14,10 +14,10 @@
 
 namespace plantainlatch {
 
-/** Bootstraps a new log when all replicas of the settings are blank, and asks other VMs for the log while this VM has
+/** Bootstraps a new log when all replicas in the settings are blank, and asks other VMs for the log while this VM has
  * no leader.
  *
- * The replica with the lowest name is the bootstrapper and sends a join request to all other replicas of the settings.
+ * The replica with the lowest name is the bootstrapper and sends a join request to all other replicas in the settings.
  * Each blank one answers with its identity and a random bootstrap token; a blank replica accepts a first entry only
  * with the last token that it issued. Once the bootstrapper has a token from every other replica, it writes the first
  * entry, which is the set of voters, in term 1. No election uses this term. From then on, each replica that has the
@@ -29,7 +29,7 @@
     log_joiner(replica& self, log_leader& leader);
 
     void start();
-    /** Replaces the seeds, which are initially the VMs of the settings. */
+    /** Replaces the seeds, which are initially the VMs in the settings. */
     void setSeeds(std::vector<vm_id> seeds) { m_seeds = std::move(seeds); }
     void onTick();
     void onJoinRequest(const vm_id& from, const join_request& request);
@@ -56,7 +56,7 @@
 
     replica& m_replica;
     log_leader& m_leader;
-    /** The other replicas of the settings. */
+    /** The other replicas in the settings. */
     std::vector<vm_id> m_otherReplicas;
     std::vector<vm_id> m_seeds;
     time_point m_nextRequestAt {};
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -201,7 +201,7 @@
 
 void log_leader::sendAppend(const vm_id& to, log_index previous, std::vector<log_entry> entries)
 {
-    // A follower whose log ends before the base rejects this message and is sent a snapshot then.
+    // A follower whose log ends before the base rejects this message and is then sent a snapshot.
     previous = std::max(previous, m_replica.log().base());
     m_replica.send(to,
         append_request { m_replica.term(), m_replica.self(), previous, *m_replica.log().termAt(previous),
@@ -319,7 +319,8 @@
         return;
     }
     internal_assert(answer.index <= m_replica.log().lastIndex())
-        << "follower " << answer.follower.vm.value() << " matched " << answer.index.value();
+        << "follower " << answer.follower.vm.value() << " matched beyond the end of the log, at "
+        << answer.index.value();
     progress.probing = false;
     if (answer.index <= progress.match)
         return;
--- a/src/decision/consensus/log_store.cpp
+++ b/src/decision/consensus/log_store.cpp
@@ -20,7 +20,8 @@
 const log_entry& log_store::at(log_index index) const
 {
     internal_assert(index > m_base && index <= lastIndex())
-        << "entry " << index.value() << " of " << m_base.value() << " to " << lastIndex().value();
+        << "entry " << index.value() << " requested from a log with base " << m_base.value() << " and last index "
+        << lastIndex().value();
     return m_entries[index.value() - m_base.value() - 1];
 }
 
@@ -35,8 +36,9 @@
 void log_store::append(log_entry entry)
 {
     internal_assert(entry.index == lastIndex().next())
-        << "entry " << entry.index.value() << " after " << lastIndex().value();
-    internal_assert(entry.term >= lastTerm()) << "term " << entry.term.value() << " after " << lastTerm().value();
+        << "entry " << entry.index.value() << " appended after entry " << lastIndex().value();
+    internal_assert(entry.term >= lastTerm())
+        << "entry of term " << entry.term.value() << " appended after term " << lastTerm().value();
     if (const auto* voters = std::get_if<voter_set>(&entry.content))
         m_voters.push_back({ entry.index, *voters });
     m_entries.push_back(std::move(entry));
@@ -44,7 +46,7 @@
 
 void log_store::truncateFrom(log_index index)
 {
-    internal_assert(index > m_base) << "truncation at " << index.value() << " within the snapshot";
+    internal_assert(index > m_base) << "truncation at " << index.value() << " would remove compacted entries";
     while (lastIndex() >= index)
         m_entries.pop_back();
     while (m_voters.size() > 1 && m_voters.back().index >= index)
@@ -76,7 +78,8 @@
 
 const voter_set& log_store::votersAt(log_index index) const
 {
-    internal_assert(index >= m_base) << "voters at " << index.value() << " before " << m_base.value();
+    internal_assert(index >= m_base) << "voters requested at " << index.value() << ", before the base "
+                                     << m_base.value();
     auto record = m_voters.rbegin();
     while (record->index > index)
         ++record;
--- a/src/decision/consensus/log_store.h
+++ b/src/decision/consensus/log_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The in-memory part of the replicated log: the entries after the snapshot that replaces the earlier ones.
+ * The in-memory part of the replicated log: the entries that have not been compacted into a snapshot.
  */
 
 #include <deque>
@@ -25,7 +25,7 @@
     std::optional<log_term> termAt(log_index index) const;
     /** The entry at an index after the base. */
     const log_entry& at(log_index index) const;
-    /** The first index in the log with the same term as `index`, but not before the base. */
+    /** The lowest index with the same term as the entry at `index`; the base if that term began there or earlier. */
     log_index firstOfTerm(log_index index) const;
 
     /** Appends an entry, whose index must be lastIndex() + 1. */
@@ -39,7 +39,7 @@
 
     /** The voters as of the last entry, which may be uncommitted. */
     const voter_set& voters() const { return m_voters.back().voters; }
-    /** The index of the entry that set voters(); the base if they come from the snapshot. */
+    /** The index of the entry that set voters(); the base if that entry was compacted. */
     log_index votersIndex() const { return m_voters.back().index; }
     /** The voters as of the entry at `index`, which must not be before the base. */
     const voter_set& votersAt(log_index index) const;
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -57,7 +57,7 @@
     m_rejections[sequence]
         = m_replica.hooks().schedule(duration::zero(), [this, sequence, callback = std::move(callback)] {
               m_rejections.erase(sequence);
-              callback(absl::UnavailableError("too many proposals wait for the log"));
+              callback(absl::UnavailableError("too many proposals are pending"));
           });
 }
 
@@ -90,9 +90,10 @@
         if (item == m_pending.end())
             continue;
         if (item->second.sent)
-            finish(sequence, absl::DeadlineExceededError("the log did not answer in time; it may still apply this"));
+            finish(
+                sequence, absl::DeadlineExceededError("the proposal got no result in time; it may still be applied"));
         else
-            finish(sequence, absl::UnavailableError("no leader of the log was known in time"));
+            finish(sequence, absl::UnavailableError("no leader of the log accepted the proposal in time"));
     }
 }
 
--- a/src/decision/consensus/proposal_queue.h
+++ b/src/decision/consensus/proposal_queue.h
@@ -47,7 +47,7 @@
         control_command command;
         result_callback callback;
         time_point deadline;
-        /** The leader's result does not finish the proposal; it must be applied on this VM. */
+        /** The proposal ends only when it is applied on this VM; the leader's result does not suffice. */
         bool requiresLocalApply = false;
         /** The proposal may have reached the leader's log. */
         bool sent = false;
--- a/src/decision/consensus/quorum.h
+++ b/src/decision/consensus/quorum.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Majority decisions of the voters.
+ * Majorities of a set of voters.
  */
 
 #include <algorithm>
--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -67,7 +67,7 @@
     internal_assert(m_leader == replica_id {} || m_leader == leader)
         << "two leaders of term " << m_term.value() << ": " << m_leader.vm.value() << " and " << leader.vm.value();
     internal_assert(m_role != replica_role::Leader)
-        << "term " << m_term.value() << " is led by " << leader.vm.value() << " too";
+        << "term " << m_term.value() << " has a second leader, " << leader.vm.value() << ", besides this VM";
     m_leader = leader;
     m_lastLeaderContact = m_hooks.now();
     m_role = replica_role::Follower;
@@ -75,7 +75,8 @@
 
 void replica::becomeLeader()
 {
-    internal_assert(m_leader == replica_id {}) << "term " << m_term.value() << " has leader " << m_leader.vm.value();
+    internal_assert(m_leader == replica_id {})
+        << "term " << m_term.value() << " already has the leader " << m_leader.vm.value();
     internal_assert(m_votedFor == m_self) << "leader of term " << m_term.value() << " without its own vote";
     m_role = replica_role::Leader;
     m_leader = m_self;
@@ -83,7 +84,7 @@
 
 void replica::adoptTerm(log_term term)
 {
-    internal_assert(term > m_term) << "term " << term.value() << " after " << m_term.value();
+    internal_assert(term > m_term) << "term " << term.value() << " adopted after term " << m_term.value();
     m_term = term;
     m_votedFor = replica_id {};
     m_role = replica_role::Follower;
@@ -95,7 +96,7 @@
 {
     internal_assert(m_votedFor == replica_id {} || m_votedFor == candidate)
         << "second vote in term " << m_term.value() << " for " << candidate.vm.value();
-    internal_assert(mayVote()) << "a vote without a log on a working disk";
+    internal_assert(mayVote()) << "vote of a replica without a log on a working disk";
     m_votedFor = candidate;
     writeState();
 }
@@ -144,7 +145,7 @@
 void replica::commitTo(log_index index)
 {
     internal_assert(index <= m_log.lastIndex())
-        << "commit of " << index.value() << " beyond " << m_log.lastIndex().value();
+        << "commit of " << index.value() << " beyond the last index " << m_log.lastIndex().value();
     if (index <= m_committed)
         return;
     m_committed = index;
@@ -221,7 +222,8 @@
     m_writes.abandon();
     m_role = replica_role::Follower;
     m_leader = replica_id {};
-    // Entries that it acknowledged may be missing after a restart, so it continues as a learner with a new identity.
+    // Entries that this replica acknowledged may be missing after a restart, so it continues as a learner with a new
+    // identity.
     m_self.disk = incarnation(m_hooks.random() | 1);
     if (m_onFailure)
         m_onFailure();
--- a/src/decision/consensus/vote_rules.h
+++ b/src/decision/consensus/vote_rules.h
@@ -16,8 +16,8 @@
     log_term lastTerm;
     /** The replica has a working disk and a log. */
     bool mayVote = false;
-    /** The last contact with a leader, or for a leader with a majority, is less than the minimum election timeout
-     * ago. */
+    /** Less than the minimum election timeout has passed since the last contact with the leader or, if this replica is
+     * the leader, with a majority. */
     bool underLease = false;
 };
 
@@ -29,8 +29,8 @@
     Grant,
 };
 
-/** Raft's election restriction: whether a log that ends with the first pair contains every entry that may be committed
- * in a log that ends with the second. */
+/** Raft's election restriction: whether a candidate's log, which ends with `lastTerm` and `lastIndex`, is at least as
+ * up to date as the voter's own log and therefore contains every committed entry of it. */
 bool isUpToDate(log_term lastTerm, log_index lastIndex, log_term ownLastTerm, log_index ownLastIndex);
 
 /** Decides on a request for a vote or a pre-vote; neither the term nor the vote changes on a pre-vote. */
--- a/src/decision/consensus/voter_changes.cpp
+++ b/src/decision/consensus/voter_changes.cpp
@@ -13,23 +13,23 @@
     }
 
     /** The voters without the former identity of a VM that came back with another one; none if there is no such VM. */
-    std::optional<voter_set> withoutFormerIdentity(const voter_change_input& situation)
+    std::optional<voter_set> withoutFormerIdentity(const voter_change_input& input)
     {
-        for (const replica_id& present : situation.upToDate) {
-            const auto former = voterOfVm(situation.current, present.vm);
-            if (former == situation.current.voters.end() || *former == present)
+        for (const replica_id& present : input.upToDate) {
+            const auto former = voterOfVm(input.current, present.vm);
+            if (former == input.current.voters.end() || *former == present)
                 continue;
-            voter_set next = situation.current;
+            voter_set next = input.current;
             next.voters.erase(*former);
             return next;
         }
         return std::nullopt;
     }
 
-    std::optional<replica_id> replicaToAdd(const voter_change_input& situation)
+    std::optional<replica_id> replicaToAdd(const voter_change_input& input)
     {
-        for (const replica_id& present : situation.upToDate) {
-            if (voterOfVm(situation.current, present.vm) == situation.current.voters.end())
+        for (const replica_id& present : input.upToDate) {
+            if (voterOfVm(input.current, present.vm) == input.current.voters.end())
                 return present;
         }
         return std::nullopt;
@@ -37,19 +37,19 @@
 
 } // namespace
 
-std::optional<voter_set> nextVoters(const voter_change_input& situation)
+std::optional<voter_set> nextVoters(const voter_change_input& input)
 {
-    if (std::optional<voter_set> next = withoutFormerIdentity(situation))
+    if (std::optional<voter_set> next = withoutFormerIdentity(input))
         return next;
-    const std::optional<replica_id> waiting = replicaToAdd(situation);
+    const std::optional<replica_id> waiting = replicaToAdd(input);
     if (!waiting)
         return std::nullopt;
-    voter_set next = situation.current;
-    if (next.voters.size() < situation.maximumCount) {
+    voter_set next = input.current;
+    if (next.voters.size() < input.maximumCount) {
         next.voters.insert(*waiting);
         return next;
     }
-    for (const replica_id& voter : situation.silent) {
+    for (const replica_id& voter : input.silent) {
         if (next.voters.erase(voter) > 0)
             return next;
     }
--- a/src/decision/consensus/voter_changes.h
+++ b/src/decision/consensus/voter_changes.h
@@ -25,6 +25,6 @@
 /** The voters after the next change; none if no change is needed. A voter whose VM came back with another identity is
  * removed first. Otherwise an up-to-date replica that is not a voter is added, or at the maximum count a silent voter
  * is removed to make room for it. */
-std::optional<voter_set> nextVoters(const voter_change_input& situation);
+std::optional<voter_set> nextVoters(const voter_change_input& input);
 
 } // namespace plantainlatch
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -40,11 +40,11 @@
 
 enum class crash_verdict {
     Allow,
-    /** Equal requests crashed upstreams, or too many of them are waiting, or another entry holds the permit. */
+    /** Equal requests crashed too many upstreams, too many of them are waiting, or the permit was not granted. */
     Refuse,
 };
 
-/** When equal requests are queued or refused. */
+/** Settings that determine when equal requests are queued or refused. */
 struct crash_guard_options {
     /** Equal requests are refused after crashes of this many upstreams. */
     std::size_t limit = crashedUpstreamThreshold;
--- a/src/decision/request/hedge_policy.h
+++ b/src/decision/request/hedge_policy.h
@@ -45,7 +45,8 @@
     static constexpr duration minimumDelay = std::chrono::milliseconds(5);
     /** The smoothing factor of the moving average of the share of attempts that waited for a slot. */
     static constexpr double waitingWeight = 1.0 / 16;
-    /** If a larger share of the attempts waits, slots are scarce and hedges would take them from first attempts. */
+    /** No hedges are allowed above this share, as slots are then scarce and hedges would take them from first attempts.
+     */
     static constexpr double maximumWaitingShare = 0.2;
 
     void observeLatency(const service_id& service, duration latency) { m_records[service].latencies.add(latency); }
@@ -54,7 +55,7 @@
 
     /** Whether the service has enough slots for hedges. */
     bool hasSpareSlots(const service_id& service) const;
-    /** How long after its dispatch an attempt may be hedged; none if there are too few samples. */
+    /** The time from the start of a call until it is hedged; none if there are too few samples. */
     std::optional<duration> delay(const service_id& service) const;
     /** The 95th percentile of the service's latencies; none if there are too few samples. */
     std::optional<duration> p95Latency(const service_id& service) const;
--- a/src/decision/request/key_claims.cpp
+++ b/src/decision/request/key_claims.cpp
@@ -125,7 +125,7 @@
         return;
     }
     // A proposal that was refused without a finding may have been applied earlier under the same id, and one that timed
-    // out may be applied later. Unavailable means that it never will be.
+    // out may be applied later. Unavailable means that it will never be applied.
     if (!absl::IsUnavailable(result.status()))
         watchLateClaim(held);
     claim.done({});
--- a/src/decision/request/key_claims.h
+++ b/src/decision/request/key_claims.h
@@ -32,7 +32,8 @@
     Reused,
     /** The replicated table of keys is full; nobody holds the key. */
     TableFull,
-    /** It could not be determined in time whether the key is held by this claim, by another one or not at all. */
+    /** It is not known whether this claim, another one or none holds the key, as the proposal failed or too many
+     * proposals are pending (see key_claims::maximumPending). */
     Unresolved,
 };
 
@@ -54,8 +55,8 @@
 /** Claims and settles idempotency keys for one VM. */
 class key_claims {
 public:
-    /** The maximum number of unapplied settlements and late claims together; when it is reached, a new claim that needs
-     * the log is Unresolved. */
+    /** The maximum number of pending settlements and late claims together. When it is reached, a claim that cannot be
+     * answered from this VM's copy of the state is Unresolved. */
     static constexpr std::size_t maximumPending = 1024;
     /** How long a settlement is retried, and how long a timed-out claim is watched for. */
     static constexpr duration pendingTimeout = std::chrono::minutes(10);
@@ -72,8 +73,8 @@
     key_claims(const key_claims&) = delete;
     key_claims& operator=(const key_claims&) = delete;
 
-    /** Claims a key. `done` is called once, possibly before claim() returns. If the proposal may still be applied after
-     * an Unresolved answer, the claim is released once it shows in the replicated state. */
+    /** Claims a key. `done` is called once, possibly before claim() returns. If a claim is applied after it was
+     * answered with Unresolved, it is released. */
     void claim(const claim_key& command, duration timeout, std::function<void(const claim_answer&)> done);
 
     /** Settles a held key with the outcome of its request; the answer is kept only if the outcome is Completed. */
--- a/src/decision/request/outcome_tracker.h
+++ b/src/decision/request/outcome_tracker.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * The state machine of one attempt to run a request on an upstream, and the outcome that a caller can be given when
- * none of the attempts of its request brought an answer.
+ * The state machine of one attempt to run a request on an upstream, and the outcome of a request none of whose attempts
+ * returned an answer.
  */
 
 #include <string_view>
@@ -44,14 +44,14 @@
 /** Whether an attempt in this state is certain neither to have run the request nor to run it later. */
 bool definitelyNotRun(attempt_state state);
 
-/** Combines the final states of a request's attempts: once one of them may have run, the outcome without an answer is
- * Unknown instead of NotRun. */
+/** Combines the final states of a request's attempts: if any upstream may have run the request, the outcome without an
+ * answer is Unknown instead of NotRun. */
 class outcome_tracker {
 public:
     /** Records the final state of an attempt; Prepared and Offered are internal errors. */
     void recordEnd(attempt_state state);
 
-    /** The outcome if no attempt brought an answer; valid when all attempts have ended. */
+    /** The outcome if no attempt returned an answer; valid when all attempts have ended. */
     outcome outcomeWithoutAnswer() const { return m_mayHaveRun ? outcome::Unknown : outcome::NotRun; }
 
 private:
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -9,11 +9,12 @@
 namespace {
 
     constexpr int statusUnavailable = 503;
-    /** Without latency samples, a call is expected to take the total deadline divided by this, up to the maximum. */
+    /** Without latency samples, the expected latency of a call is the request's total time divided by this, up to the
+     * maximum below. */
     constexpr int unknownLatencyDivisor = 4;
     constexpr duration maximumUnknownLatency = std::chrono::milliseconds(250);
-    /** The most remaining time that is required to start a call. Without this limit, a few timeouts would raise the
-     * expected latency until requests that could still be answered are refused. */
+    /** The maximum remaining time that can be required to start a call. Without this limit, a few timeouts would raise
+     * the expected latency until requests that could still be answered are refused. */
     constexpr duration maximumRequiredTime = std::chrono::milliseconds(750);
     constexpr const char* notRunHeader = "X-Plantainlatch-Not-Run";
 
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -228,8 +228,8 @@
 void request_run::abandonAttempts(abandon_cause cause)
 {
     const auto open = std::exchange(m_openAttempts, {});
-    // An abandoned attempt frees its slot, which may be granted to the next attempt in this list and end that one at
-    // once. The flag keeps onAttemptEnd() from acting on it.
+    // Abandoning an attempt frees its slot. If the slot is granted to a later attempt in this list, that attempt may
+    // end at once; the flag keeps onAttemptEnd() from acting on that.
     m_abandoning = true;
     for (const auto& attempt : open) {
         if (!attempt->hasEnded())
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -69,7 +69,7 @@
     void finish(caller_answer answer);
     void abandonAttempts(abandon_cause cause);
     void settleKey(const caller_answer& answer);
-    /** The outcome to report if no attempt brought an answer. */
+    /** The outcome to report if no attempt returned an answer. */
     outcome outcomeWithoutAnswer() const;
 
     crash_key crashKey() const { return { m_request.content.service, m_request.fingerprint }; }
--- a/src/decision/request/retry_window.cpp
+++ b/src/decision/request/retry_window.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /** The window is counted in this many slices. A retry leaves the window together with its slice, so at most one
-     * slice too late. */
+    /** The window is divided into this many slices. A retry leaves the window when its whole slice does, which is up to
+     * the length of one slice late. */
     constexpr int slicesPerWindow = 20;
 
 } // namespace
--- a/src/decision/request/retry_window.h
+++ b/src/decision/request/retry_window.h
@@ -19,7 +19,7 @@
     duration window = std::chrono::seconds(10);
     /** Allowed retries per request in the window. */
     double share = 0.2;
-    /** Retries that are allowed in the window in addition to the share; divided equally among the VMs. */
+    /** Retries that are allowed in the window in addition to the share, over all VMs; each VM gets an equal part. */
     double slack = 0;
 };
 
@@ -32,7 +32,8 @@
     void recordRequest(const service_id& service, time_point now);
     /** Charges one retry; returns false if the budget of the window is exhausted. `vmCount` VMs share the slack. */
     bool tryAcquire(const service_id& service, time_point now, std::size_t vmCount);
-    /** How many retries this VM may still make now; not rounded, and negative if the budget has shrunk. */
+    /** The number of retries that this VM may still make now. It may be fractional, and is negative if the budget fell
+     * below the number of retries already made in the window. */
     double remaining(const service_id& service, time_point now, std::size_t vmCount) const;
 
 private:
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -13,7 +13,7 @@
 
     constexpr int statusUnavailable = 503;
     constexpr int firstServerError = 500;
-    /** A call that timed out is recorded as a latency of this many times its duration. */
+    /** A call that timed out is added to the latency samples with this many times its duration. */
     constexpr int timeoutLatencyFactor = 2;
 
     bool isBeforeDispatch(call_failure failure)
@@ -115,11 +115,11 @@
 
 slot_result::kind upstream_attempt::recordTimeout() const
 {
-    // The answer would have taken longer than this. Without timed-out calls among the samples, the 95th percentile
-    // would become too low.
-    const duration atLeast = m_environment.hooks.now() - m_startedAt;
+    // The latency of the missing answer is at least the elapsed time. Without timed-out calls among the samples, the
+    // 95th percentile would become too low.
+    const duration elapsed = m_environment.hooks.now() - m_startedAt;
     if (m_environment.options.policies.recordsTimeoutLatencies())
-        m_environment.hedges.observeLatency(m_request.content.service, atLeast * timeoutLatencyFactor);
+        m_environment.hedges.observeLatency(m_request.content.service, elapsed * timeoutLatencyFactor);
     const bool countsAgainst = m_environment.options.policies.countsAgainstUpstream(timingAt(m_startedAt));
     return countsAgainst ? slot_result::kind::Timeout : slot_result::kind::Cancelled;
 }
--- a/src/decision/routes/route_table.cpp
+++ b/src/decision/routes/route_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    /** A target latency that exceeds the time limit by this much or more is taken for a mistake. */
+    /** A target latency that exceeds the time limit by this much or more is reported as an error. */
     constexpr duration maximumTargetLatencyExcess = std::chrono::minutes(1);
 
     std::string hostName(std::string_view host)
--- a/src/decision/routes/route_table.h
+++ b/src/decision/routes/route_table.h
@@ -24,8 +24,9 @@
      * The port and the case of the host are ignored. */
     const route_definition* find(std::string_view host, std::string_view target) const;
 
-    /** Chooses the service for the next request of a route by smooth weighted round robin. At any time, a service has
-     * received less than one request more than its weight's share; with two services, also less than one fewer. */
+    /** Chooses the service for the next request of a route by smooth weighted round robin. The number of requests that
+     * a service has received never exceeds its weight's share by one or more; with two services, it never falls short
+     * of the share by one or more either. */
     service_id chooseService(const route_definition& route);
 
 private:
@@ -37,7 +38,7 @@
     std::map<route_id, std::vector<double>> m_currentWeights;
 };
 
-/** Validates the routes of a proposed configuration and adds what is wrong to `findings`. */
+/** Validates the routes of a proposed configuration and adds each error to `findings`. */
 void checkRoutes(const configuration& config, const std::string& fileName, finding_list& findings);
 
 } // namespace plantainlatch
--- a/src/decision/vm/make_service.h
+++ b/src/decision/vm/make_service.h
@@ -14,15 +14,15 @@
 
 namespace plantainlatch {
 
-/** Creates a service and stores it in `place`. Does nothing if `status` is already an error; an error of the creation
- * is stored in `status`. */
+/** Creates a service and stores it in `target`. Does nothing if `status` is already an error. If the creation fails,
+ * its error is stored in `status`. */
 template <typename Service, typename Options>
-void makeService(absl::Status& status, std::unique_ptr<Service>& place, const kernel_hooks& hooks,
+void makeService(absl::Status& status, std::unique_ptr<Service>& target, const kernel_hooks& hooks,
     const vm_settings& settings, Options options)
 {
     if (!status.ok())
         return;
-    status = assignIfOk(Service::create(hooks, settings, std::move(options)), place);
+    status = assignIfOk(Service::create(hooks, settings, std::move(options)), target);
 }
 
 } // namespace plantainlatch
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    /** Equal requests are refused once three upstreams crashed while they ran one. */
+    /** Equal requests are refused once they have crashed this many upstreams. */
     constexpr std::size_t crashLimit = 3;
     /** The maximum number of attempts of one request, including those that reached no upstream. */
     constexpr std::size_t maximumAttempts = 6;
@@ -19,7 +19,7 @@
 
     /** The directory removes an upstream after this many missed renewals. */
     constexpr int missedRenewals = 4;
-    /** The share of the retry budget that is used; the rest is a margin, as each entry counts on its own and with a
+    /** The share of the retry budget that is used; the rest is a margin, as each entry counts separately and with a
      * delay. */
     constexpr double usedBudgetShare = 0.8;
 
@@ -49,7 +49,7 @@
     options.entryList.drainsCoverVms = false;
     options.requests.crashes = { crashLimit, false };
     options.requests.maximumAttempts = maximumAttempts;
-    // When this service stops, the front end has already answered its callers' requests.
+    // No lame-duck time is needed: the front end has answered all callers' requests before this service stops.
     options.requests.lameDuckTime = duration::zero();
     options.requests.policies = routedPolicies();
     options.requests.retryWindow = retry_window_options { bounds.retryWindow, bounds.retryShare * usedBudgetShare,
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * Assembles the decision services of one VM that steers by configured routes. Its upstreams report in a refusal
- * that they did not execute the request. Entries and the replicas of the control state may be different VMs.
+ * Assembles the decision services of one VM that routes requests by a configured route table. Its upstreams report in a
+ * refusal that they did not execute the request. Entries and the replicas of the control state may be different VMs.
  *
  * Compared with steering_vm, it has no leased slots, traffic shifts, alerts or declarations. The placement service
  * selects the upstream of each request, and the configuration service takes whole configurations from operators.
@@ -44,7 +44,7 @@
     double retryShare = 0;
     duration retryWindow {};
     double retrySlack = 0;
-    /** The limit on requests per second to a cold upstream: a multiple of its rate plus a constant. */
+    /** The limit on requests per second to a cold upstream: a multiple of the service's cold rate plus a constant. */
     cold_rate_limit cold;
     /** The number of replicas that may fail at the same time; 0 if not set. */
     std::size_t replicasThatMayFail = 0;
--- a/src/decision/vm/steering_vm.h
+++ b/src/decision/vm/steering_vm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Assembles the decision services of one VM that steers by leased slots.
+ * Assembles the decision services of one VM that assigns requests to leased slots of the upstreams.
  *
  * The services for network and disk ("peers", "upstreams", and "storage" on a replica) are added separately: the real
  * ones by `serve`, fakes by tests. The decision services are the same in both.
--- a/test/correctness/alert_test.cpp
+++ b/test/correctness/alert_test.cpp
@@ -46,7 +46,7 @@
     risk_condition condition(duration raiseAfter) { return { "id", "promise", "what", "action", raiseAfter }; }
 
     /** The number of alerts raised for a condition that holds in two of three ticks of 500 ms, for one minute. */
-    std::size_t raisedOnFlicker(alert_filter filter)
+    std::size_t raisedWhileFlapping(alert_filter filter)
     {
         alert_tracker tracker(filter);
         std::size_t raised = 0;
@@ -108,11 +108,11 @@
     REQUIRE(active() == std::vector<std::string> { "outcome:billing" });
 }
 
-TEST_CASE("alert_tracker.flickering_risk.is_raised_once_and_only_by_the_leaky_filter")
+TEST_CASE("alert_tracker.flapping_condition.is_raised_once_and_only_by_the_leaky_filter")
 {
-    REQUIRE(raisedOnFlicker(alert_filter::Leaky) == 1);
-    REQUIRE(raisedOnFlicker(alert_filter::Plain) == 40);
-    REQUIRE(raisedOnFlicker(alert_filter::Unbroken) == 0);
+    REQUIRE(raisedWhileFlapping(alert_filter::Leaky) == 1);
+    REQUIRE(raisedWhileFlapping(alert_filter::Plain) == 40);
+    REQUIRE(raisedWhileFlapping(alert_filter::Unbroken) == 0);
 }
 
 } // namespace plantainlatch
--- a/test/correctness/configuration_service_test.cpp
+++ b/test/correctness/configuration_service_test.cpp
@@ -39,7 +39,7 @@
 
         absl::Status put(const configuration& content)
         {
-            absl::Status answer = absl::UnknownError("not told");
+            absl::Status answer = absl::UnknownError("no answer");
             configurations->put(content, [&](const absl::Status& status) { answer = status; });
             runtime.advance(100ms);
             return answer;
@@ -47,7 +47,7 @@
 
         absl::StatusOr<configuration> read()
         {
-            absl::StatusOr<configuration> answer = absl::UnknownError("not told");
+            absl::StatusOr<configuration> answer = absl::UnknownError("no answer");
             configurations->read([&](const absl::StatusOr<configuration>& result) { answer = result; });
             return answer;
         }
@@ -107,7 +107,7 @@
 {
     put(makeConfiguration(7, "a")).IgnoreError();
     for (const bool begins : { true, true, false, false }) {
-        absl::Status answer = absl::UnknownError("not told");
+        absl::Status answer = absl::UnknownError("no answer");
         configurations->drain(
             { { drain_kind::FailureDomain, "kokura" }, begins }, [&](const absl::Status& status) { answer = status; });
         runtime.advance(100ms);
--- a/test/correctness/consensus_storage_test.cpp
+++ b/test/correctness/consensus_storage_test.cpp
@@ -66,9 +66,9 @@
             return true;
         }
 
-        /** Commits a change on two of three replicas and kills both, wipes the disk of one of them and starts it beside
-         * the third, which missed the change. Returns whether these two elect no leader; such a leader would not have
-         * the change. */
+        /** Commits a change on two of three replicas and kills both, wipes the disk of one of them and starts it
+         * together with the third, which missed the change. Returns whether these two elect no leader, as no leader of
+         * theirs could have the change. */
         bool changeSurvivesBlankVoter(consensus_mechanisms mechanisms)
         {
             consensus_options options;
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -116,9 +116,9 @@
 TEST_CASE_METHOD(operator_fixture, "drain.that_overloads_the_rest.is_refused_unless_forced")
 {
     load(17); // 102 requests/s, 5.1 concurrent: more than 85 percent of the 6 slots that would be left.
-    const command_result refusedOne = drain(drain_kind::Region, "fukuoka");
-    REQUIRE(refusedOne.verdict == command_verdict::Refused);
-    REQUIRE_THAT(refusedOne.message, Catch::Contains("region 'kagoshima' would run 5."));
+    const command_result refused = drain(drain_kind::Region, "fukuoka");
+    REQUIRE(refused.verdict == command_verdict::Refused);
+    REQUIRE_THAT(refused.message, Catch::Contains("region 'kagoshima' would run 5."));
     REQUIRE(drain(drain_kind::Region, "fukuoka", true).verdict == command_verdict::Accepted);
 }
 
@@ -149,16 +149,16 @@
     REQUIRE_THAT(drain(drain_kind::Region, "fukuoka").message, Catch::Contains("load is not known"));
 }
 
-TEST_CASE_METHOD(operator_fixture, "apply.change_that_overloads_a_region.needs_the_risk_by_name")
+TEST_CASE_METHOD(operator_fixture, "apply.change_that_overloads_a_region.requires_that_the_risk_is_accepted_by_name")
 {
     load(17);
     const command_result first = apply(allToKirishima());
     REQUIRE(first.verdict == command_verdict::Refused);
     REQUIRE_THAT(first.message, Catch::Contains("region-overload: region 'kagoshima'"));
-    declaration willing = allToKirishima();
-    willing.acceptedRisks = { accepted_risk::RegionOverload };
-    REQUIRE(apply(willing).verdict == command_verdict::Accepted);
-    REQUIRE(apply(willing, "b").verdict == command_verdict::AlreadyAccepted);
+    declaration acceptingRisk = allToKirishima();
+    acceptingRisk.acceptedRisks = { accepted_risk::RegionOverload };
+    REQUIRE(apply(acceptingRisk).verdict == command_verdict::Accepted);
+    REQUIRE(apply(acceptingRisk, "b").verdict == command_verdict::AlreadyAccepted);
 }
 
 TEST_CASE_METHOD(operator_fixture, "apply.two_operators_with_one_number.get_one_change_and_one_conflict")
--- a/test/correctness/voter_changes_test.cpp
+++ b/test/correctness/voter_changes_test.cpp
@@ -15,11 +15,11 @@
     protected:
         std::set<replica_id> next()
         {
-            const std::optional<voter_set> changed = nextVoters(situation);
-            return changed ? changed->voters : situation.current.voters;
+            const std::optional<voter_set> changed = nextVoters(input);
+            return changed ? changed->voters : input.current.voters;
         }
 
-        voter_change_input situation { { { replicaOf("a"), replicaOf("b"), replicaOf("c") } }, {}, {}, 3 };
+        voter_change_input input { { { replicaOf("a"), replicaOf("b"), replicaOf("c") } }, {}, {}, 3 };
     };
 
     /** Five replicas and two learners. Each VM knows the three seeds and itself, and finds the others through the
@@ -50,32 +50,32 @@
 
 } // namespace
 
-TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.replica_beside_the_maximum_of_live_voters.is_not_added")
+TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.further_replica_at_the_maximum_of_live_voters.is_not_added")
 {
-    situation.upToDate = { replicaOf("a"), replicaOf("d") };
-    REQUIRE_FALSE(nextVoters(situation));
+    input.upToDate = { replicaOf("a"), replicaOf("d") };
+    REQUIRE_FALSE(nextVoters(input));
 }
 
 TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.silent_voter.is_replaced_by_an_up_to_date_replica")
 {
-    situation.upToDate = { replicaOf("a"), replicaOf("b"), replicaOf("d") };
-    situation.silent = { replicaOf("c") };
-    situation.current.voters = next();
-    REQUIRE(situation.current.voters == std::set<replica_id> { replicaOf("a"), replicaOf("b") });
+    input.upToDate = { replicaOf("a"), replicaOf("b"), replicaOf("d") };
+    input.silent = { replicaOf("c") };
+    input.current.voters = next();
+    REQUIRE(input.current.voters == std::set<replica_id> { replicaOf("a"), replicaOf("b") });
     REQUIRE(next() == std::set<replica_id> { replicaOf("a"), replicaOf("b"), replicaOf("d") });
 }
 
 TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.silent_voter_without_a_replacement.stays")
 {
-    situation.upToDate = { replicaOf("a"), replicaOf("b") };
-    situation.silent = { replicaOf("c") };
-    REQUIRE_FALSE(nextVoters(situation));
+    input.upToDate = { replicaOf("a"), replicaOf("b") };
+    input.silent = { replicaOf("c") };
+    REQUIRE_FALSE(nextVoters(input));
 }
 
 TEST_CASE_METHOD(voter_changes_fixture, "voter_changes.lost_disk.is_removed_first")
 {
-    situation.upToDate = { replicaOf("c", 2), replicaOf("d") };
-    situation.silent = { replicaOf("b") };
+    input.upToDate = { replicaOf("c", 2), replicaOf("d") };
+    input.silent = { replicaOf("b") };
     REQUIRE(next() == std::set<replica_id> { replicaOf("a"), replicaOf("b") });
 }
 
