Rename vague locals and reword test names after a second reading

Cause: some locals had vague names (seen, left, slow, most, made, hasty), and three test names needed a second reading.

--- a/src/decision/consensus/voter_changes.cpp
+++ b/src/decision/consensus/voter_changes.cpp
@@ -41,12 +41,12 @@
 {
     if (std::optional<voter_set> next = withoutFormerIdentity(input))
         return next;
-    const std::optional<replica_id> waiting = replicaToAdd(input);
-    if (!waiting)
+    const std::optional<replica_id> added = replicaToAdd(input);
+    if (!added)
         return std::nullopt;
     voter_set next = input.current;
     if (next.voters.size() < input.maximumCount) {
-        next.voters.insert(*waiting);
+        next.voters.insert(*added);
         return next;
     }
     for (const replica_id& voter : input.silent) {
--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -125,8 +125,8 @@
 {
     if (isBlockedByCrashes(m_parts.control.state(), key, m_parts.hooks.wallNow(), m_parts.options.limit))
         return true;
-    const local_crash* seen = recentLocalCrash(key);
-    if (seen != nullptr && seen->refused)
+    const local_crash* crash = recentLocalCrash(key);
+    if (crash != nullptr && crash->refused)
         return true;
     return crashedUpstreams(key) >= m_parts.options.limit;
 }
@@ -141,8 +141,8 @@
 std::size_t crash_guard::crashedUpstreams(const crash_key& key) const
 {
     std::set<upstream_id> upstreams;
-    if (const local_crash* seen = recentLocalCrash(key))
-        upstreams = seen->upstreams;
+    if (const local_crash* crash = recentLocalCrash(key))
+        upstreams = crash->upstreams;
     const auto& crashes = m_parts.control.state().crashes;
     const auto replicated = crashes.find(key);
     if (replicated != crashes.end() && m_parts.hooks.wallNow() < replicated->second.lastSeen + crashRetention)
@@ -158,10 +158,10 @@
     }
     if (recentLocalCrash(key) == nullptr)
         m_localCrashes.erase(key);
-    local_crash& seen = m_localCrashes[key];
-    seen.lastSeen = m_parts.hooks.now();
-    if (seen.upstreams.size() < maximumCrashedUpstreams)
-        seen.upstreams.insert(upstream);
+    local_crash& crash = m_localCrashes[key];
+    crash.lastSeen = m_parts.hooks.now();
+    if (crash.upstreams.size() < maximumCrashedUpstreams)
+        crash.upstreams.insert(upstream);
 }
 
 void crash_guard::leave(crash_guard_ticket ticket, bool completed)
@@ -181,15 +181,15 @@
     const auto position = m_queues.find(key);
     if (position == m_queues.end())
         return;
-    fingerprint_queue& left = position->second;
-    if (left.running != ticket) {
-        std::erase_if(left.waiting, [ticket](const waiter& item) { return item.ticket == ticket; });
+    fingerprint_queue& queue = position->second;
+    if (queue.running != ticket) {
+        std::erase_if(queue.waiting, [ticket](const waiter& item) { return item.ticket == ticket; });
         return;
     }
-    if (left.permit)
-        m_parts.claims.settle(*left.permit, outcome::NotRun, std::nullopt);
-    left.permit.reset();
-    left.running = {};
+    if (queue.permit)
+        m_parts.claims.settle(*queue.permit, outcome::NotRun, std::nullopt);
+    queue.permit.reset();
+    queue.running = {};
     if (completed)
         admitAll(key);
     else
--- a/src/decision/request/hedge_policy.cpp
+++ b/src/decision/request/hedge_policy.cpp
@@ -30,8 +30,8 @@
 
 void hedge_policy::observeSlot(const service_id& service, bool waited)
 {
-    record& seen = m_records[service];
-    seen.waitingShare += waitingWeight * ((waited ? 1.0 : 0.0) - seen.waitingShare);
+    record& serviceRecord = m_records[service];
+    serviceRecord.waitingShare += waitingWeight * ((waited ? 1.0 : 0.0) - serviceRecord.waitingShare);
 }
 
 bool hedge_policy::hasSpareSlots(const service_id& service) const
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -34,9 +34,9 @@
     policies.unresolvedOutcome
         = [](const request_traits& traits) { return traits.needsClaim ? outcome::Unknown : outcome::NotRun; };
     policies.worthStarting = [](const dispatch_timing& timing) {
-        const duration unknown = std::min(timing.total / unknownLatencyDivisor, maximumUnknownLatency);
-        const duration likely = timing.p95Latency.value_or(unknown);
-        return timing.remaining >= std::min({ likely, timing.total * 3 / 4, maximumRequiredTime });
+        const duration defaultLatency = std::min(timing.total / unknownLatencyDivisor, maximumUnknownLatency);
+        const duration expectedLatency = timing.p95Latency.value_or(defaultLatency);
+        return timing.remaining >= std::min({ expectedLatency, timing.total * 3 / 4, maximumRequiredTime });
     };
     policies.countsAgainstUpstream = [](const dispatch_timing& timing) {
         return timing.remaining >= timing.p95Latency.value_or(timing.total / 2);
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -121,8 +121,8 @@
 {
     if (!m_environment.options.policies.hedges(m_request.traits))
         return;
-    const std::optional<duration> slow = m_environment.hedges.delay(m_request.content.service);
-    const duration delay = std::min(slow.value_or(remaining() / 2), remaining() / 2);
+    const std::optional<duration> hedgeDelay = m_environment.hedges.delay(m_request.content.service);
+    const duration delay = std::min(hedgeDelay.value_or(remaining() / 2), remaining() / 2);
     m_hedgeTimer = m_environment.hooks.schedule(delay, whileRunning(&request_run::onHedgeTime));
 }
 
@@ -208,9 +208,9 @@
 
 void request_run::onDeadline()
 {
-    const bool trying = !m_openAttempts.empty();
+    const bool hasOpenAttempts = !m_openAttempts.empty();
     abandonAttempts(abandon_cause::Deadline);
-    if (m_lastResult && !trying)
+    if (m_lastResult && !hasOpenAttempts)
         finishWithLastResult();
     else
         finish(systemAnswer(outcomeWithoutAnswer(), answer_reason::DeadlineExceeded));
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -196,10 +196,10 @@
     if (route != nullptr)
         admitted.policy = policyOf(*route, request);
     admitted.fingerprint = fingerprintOf(request);
-    const duration asked = request.deadline.value_or(definition.defaultDeadline);
+    const duration requested = request.deadline.value_or(definition.defaultDeadline);
     admitted.arrivedAt = m_hooks.now();
     const duration limit = route != nullptr ? route->timeLimit : definition.maximumDeadline;
-    admitted.deadline = admitted.arrivedAt + std::min(asked, limit);
+    admitted.deadline = admitted.arrivedAt + std::min(requested, limit);
     admitted.keyRetention = definition.keyRetention;
     admitted.connectionLimit = connectionShare(definition);
     admitted.content = std::move(request);
--- a/test/correctness/consensus_catch_up_test.cpp
+++ b/test/correctness/consensus_catch_up_test.cpp
@@ -37,12 +37,12 @@
         /** A replica and a learner are down while 500 changes are committed, and are then restarted. */
         void missChanges()
         {
-            const int late = cluster->leader() % 3 + 1;
-            cluster->kill(late);
+            const int killed = cluster->leader() % 3 + 1;
+            cluster->kill(killed);
             cluster->kill(4);
             proposeRange(1, 500, cluster->leader());
             snapshots = 0;
-            REQUIRE(cluster->start(late).ok());
+            REQUIRE(cluster->start(killed).ok());
             REQUIRE(cluster->start(4).ok());
         }
 
--- a/test/correctness/consensus_storage_test.cpp
+++ b/test/correctness/consensus_storage_test.cpp
@@ -31,7 +31,7 @@
                 cluster->kill(i);
         }
 
-        /** Kills and restarts all VMs; whether the change is still applied on all of them afterwards. */
+        /** Kills and restarts all VMs. Returns whether the change is applied on all of them again. */
         bool survivesCrashOfAll(std::uint64_t number)
         {
             killAll();
@@ -47,7 +47,7 @@
             REQUIRE(cluster->start(number).ok());
         }
 
-        /** Whether every VM is a voter, with the identity that its present disk has. */
+        /** Whether every VM is a voter, with the identity that is stored on its disk. */
         bool allVmsAreVoters()
         {
             const int leader = cluster->leader();
@@ -67,8 +67,8 @@
         }
 
         /** Commits a change on two of three replicas and kills both, wipes the disk of one of them and starts it
-         * together with the third, which missed the change. Returns whether these two elect no leader, as no leader of
-         * theirs could have the change. */
+         * together with the third, which missed the change. Returns whether these two elect no leader; any leader
+         * that they elect lacks the change. */
         bool changeSurvivesBlankVoter(consensus_mechanisms mechanisms)
         {
             consensus_options options;
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -176,7 +176,7 @@
 }
 
 TEST_CASE_METHOD(
-    directory_fixture, "directory.renewal_at_a_vm_without_leader_contact.is_refused_so_that_another_is_tried")
+    directory_fixture, "directory.renewal_at_a_vm_without_leader_contact.is_refused_and_another_vm_accepts_it")
 {
     REQUIRE(announce("c", first) == absl::StatusCode::kOk);
     cluster.cut("c");
--- a/test/correctness/entry_list_test.cpp
+++ b/test/correctness/entry_list_test.cpp
@@ -64,17 +64,17 @@
     REQUIRE(names.size() == 6);
     REQUIRE(names[0] == "d");
     REQUIRE(names[1] == "a");
-    const entry_list made = port().list(failure_domain_id("hakata"));
-    REQUIRE(made.entries[0].weight > made.entries[1].weight);
-    REQUIRE(made.entries[1].weight > made.entries[2].weight);
-    REQUIRE(made.cacheTime == 2s);
+    const entry_list result = port().list(failure_domain_id("hakata"));
+    REQUIRE(result.entries[0].weight > result.entries[1].weight);
+    REQUIRE(result.entries[1].weight > result.entries[2].weight);
+    REQUIRE(result.cacheTime == 2s);
 }
 
 TEST_CASE_METHOD(entry_list_fixture, "entries.for_an_unknown_failure_domain.have_equal_weights")
 {
-    const entry_list made = port().list({});
-    REQUIRE(made.entries.size() == 6);
-    REQUIRE(made.entries.front().weight == made.entries.back().weight);
+    const entry_list result = port().list({});
+    REQUIRE(result.entries.size() == 6);
+    REQUIRE(result.entries.front().weight == result.entries.back().weight);
 }
 
 TEST_CASE_METHOD(entry_list_fixture, "entries.drained_dead_or_stopping.are_left_out_and_each_change_is_notified_once")
--- a/test/correctness/membership_test.cpp
+++ b/test/correctness/membership_test.cpp
@@ -35,13 +35,13 @@
         /** The maximum number of VMs that were allocators of one region at the same time during the span. */
         std::size_t maximumAllocators(duration span)
         {
-            std::size_t most = 0;
+            std::size_t maximum = 0;
             for (duration passed {}; passed < span; passed += 10ms) {
                 cluster->runtime.advance(10ms);
                 for (const char* region : { "fukuoka", "kumamoto", "kagoshima" })
-                    most = std::max(most, allocatorsOf(region).size());
+                    maximum = std::max(maximum, allocatorsOf(region).size());
             }
-            return most;
+            return maximum;
         }
 
         std::unique_ptr<control_cluster> cluster;
@@ -88,13 +88,13 @@
     begin();
     maximumAllocators(6s);
     cluster->cut("b");
-    std::size_t most = 0;
+    std::size_t maximum = 0;
     for (const char* leader : { "c", "d", "a", "c" }) {
-        most = std::max(most, maximumAllocators(1700ms));
+        maximum = std::max(maximum, maximumAllocators(1700ms));
         cluster->setLeader(leader);
     }
-    most = std::max(most, maximumAllocators(10s));
-    REQUIRE(most == 1);
+    maximum = std::max(maximum, maximumAllocators(10s));
+    REQUIRE(maximum == 1);
     REQUIRE(allocatorsOf("kumamoto").size() == 1);
 }
 
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -178,11 +178,11 @@
     load(5);
     const declaration_plan plan = port().plan(allToKirishima());
     REQUIRE(plan.findings.empty());
-    const auto tellsNumbers = [](const std::string& line) {
+    const auto showsSlotsAndRequests = [](const std::string& line) {
         return line.starts_with("service 'booking' in 'kirishima': 6 slots for 1.")
             && line.ends_with("requests at once, before 6 for 0.0");
     };
-    REQUIRE(std::any_of(plan.changes.begin(), plan.changes.end(), tellsNumbers));
+    REQUIRE(std::any_of(plan.changes.begin(), plan.changes.end(), showsSlotsAndRequests));
 }
 
 TEST_CASE_METHOD(operator_fixture, "history.revert.is_a_new_change_to_the_earlier_configuration")
@@ -198,7 +198,7 @@
     REQUIRE(absl::IsNotFound(port().declarationBackTo(change_number(9)).status()));
 }
 
-TEST_CASE_METHOD(operator_fixture, "status.vm_behind.lowers_what_is_in_force_everywhere")
+TEST_CASE_METHOD(operator_fixture, "status.vm_behind.lowers_the_change_number_in_force_everywhere")
 {
     cluster.cut("b");
     apply(allToKirishima());
--- a/test/correctness/request_crash_test.cpp
+++ b/test/correctness/request_crash_test.cpp
@@ -40,7 +40,7 @@
             return cluster.upstreams.crashes;
         }
 
-        static std::size_t crashesOfOneWave(std::size_t resendsPerEntry)
+        static std::size_t crashesOfOneBurst(std::size_t resendsPerEntry)
         {
             request_cluster cluster(1, entryCount, upstreamCount, 3);
             crashOn(cluster, "/bad");
@@ -67,17 +67,17 @@
     request_options broken;
     broken.crashReportPropagationTime = 0ms;
     broken.maximumAttempts = 1;
-    request_options sound;
-    sound.maximumAttempts = 1;
+    request_options correct;
+    correct.maximumAttempts = 1;
     REQUIRE(crashesOfResends(broken) > 3);
-    REQUIRE(crashesOfResends(sound) <= 3);
+    REQUIRE(crashesOfResends(correct) <= 3);
 }
 
 TEST_CASE_METHOD(
     request_crash_fixture, "crash.sent_to_all_entries_at_once.crashes_at_most_one_upstream_per_entry_and_two_more")
 {
-    REQUIRE(crashesOfOneWave(1) <= entryCount + 2);
-    REQUIRE(crashesOfOneWave(5) <= entryCount + 2);
+    REQUIRE(crashesOfOneBurst(1) <= entryCount + 2);
+    REQUIRE(crashesOfOneBurst(5) <= entryCount + 2);
 }
 
 TEST_CASE_METHOD(request_crash_fixture, "crash.two_upstreams_crashed.equal_requests_are_refused_and_others_still_run")
--- a/test/correctness/request_key_test.cpp
+++ b/test/correctness/request_key_test.cpp
@@ -87,7 +87,8 @@
     REQUIRE(again.answer->result == outcome::Completed);
 }
 
-TEST_CASE_METHOD(request_key_fixture, "key.claim_applied_after_its_timeout.is_never_dispatched_and_released")
+TEST_CASE_METHOD(
+    request_key_fixture, "key.claim_applied_after_its_timeout.is_released_and_its_request_never_dispatched")
 {
     const auto staysTaken = [](bool broken) {
         request_options options;
--- a/test/correctness/request_limits_test.cpp
+++ b/test/correctness/request_limits_test.cpp
@@ -117,11 +117,11 @@
             cluster.post(0, std::to_string(i));
             cluster.runtime.advance(400ms);
         }
-        caller_request hasty;
-        hasty.method = "POST";
-        hasty.target = "/orders";
-        hasty.deadline = 100ms;
-        cluster.send(0, hasty);
+        caller_request shortRequest;
+        shortRequest.method = "POST";
+        shortRequest.target = "/orders";
+        shortRequest.deadline = 100ms;
+        cluster.send(0, shortRequest);
         cluster.runtime.advance(1s);
         return cluster.upstreams.released.back().ended == slot_result::kind::Timeout;
     };
@@ -132,7 +132,7 @@
 TEST_CASE_METHOD(request_limits_fixture,
     "dispatch.upstreams_became_slow.timeouts_raise_the_expected_latency_and_late_requests_are_refused")
 {
-    const auto keepsTrying = [](bool broken) {
+    const auto endsUnknown = [](bool broken) {
         request_options options;
         if (broken)
             options.policies.recordsTimeoutLatencies = [] { return false; };
@@ -152,8 +152,8 @@
         return std::any_of(cluster.sent.begin() + static_cast<std::ptrdiff_t>(last), cluster.sent.end(),
             [](const auto& sent) { return sent->answer->result == outcome::Unknown; });
     };
-    REQUIRE(keepsTrying(true));
-    REQUIRE_FALSE(keepsTrying(false));
+    REQUIRE(endsUnknown(true));
+    REQUIRE_FALSE(endsUnknown(false));
 }
 
 TEST_CASE_METHOD(request_limits_fixture, "admission.invalid_or_excess_requests.are_refused_without_a_call")
--- a/test/correctness/retry_window_test.cpp
+++ b/test/correctness/retry_window_test.cpp
@@ -12,11 +12,11 @@
     protected:
         static retry_window_options options()
         {
-            retry_window_options made;
-            made.window = 10s;
-            made.share = 0.2;
-            made.slack = 6;
-            return made;
+            retry_window_options result;
+            result.window = 10s;
+            result.share = 0.2;
+            result.slack = 6;
+            return result;
         }
 
         int spendAll()
@@ -56,10 +56,10 @@
         now += 100ms;
         while (subject.tryAcquire(booking, now, 2))
             spent.push_back(now);
-        int within = 0;
+        int inWindow = 0;
         for (const time_point at : spent)
-            within += at > now - 10s ? 1 : 0;
-        REQUIRE(within <= 3);
+            inWindow += at > now - 10s ? 1 : 0;
+        REQUIRE(inWindow <= 3);
     }
     REQUIRE(spent.size() >= 9);
 }
