Decision services: second reading of comments

Some sentences needed a second reading: clipped conditions ('a report without a grant'), reasons that were only hinted at, and figurative phrases. They now state the condition, its bound and the reason; the settle time is named where the allocator's reclaim time is described. Private locals 'usual' and 'part' are named averageLatency and hook.

--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -24,8 +24,8 @@
     /** How long the last announcement of an upstream that is not in the directory is kept. */
     constexpr duration unknownRetention = std::chrono::minutes(1);
 
-    /** Maps refusals that may not last to Unavailable. NotFound is one of them: another VM may already have applied the
-     * declaration that this one lacks. */
+    /** Maps refusals that may be temporary to Unavailable. This includes NotFound: this VM may not have applied the
+     * declaration yet. */
     absl::Status refusalStatus(const absl::Status& status)
     {
         const bool isTemporary
@@ -122,7 +122,7 @@
     if (isRenewal(offered)) {
         if (!m_membership->hasLeaderContact()) {
             // The renewal would not reach the VM that tracks it, which would then remove the upstream.
-            done(absl::UnavailableError("the leader is out of touch"));
+            done(absl::UnavailableError("no contact with the leader"));
             return;
         }
         forward(offered);
@@ -168,8 +168,8 @@
 
 void directory_service::leave(const upstream_id& id, upstream_generation generation, const answer& done)
 {
-    // Proposed even if the upstream is not in the directory here, as its join through another VM may not be applied
-    // yet.
+    // The removal is proposed even if the upstream is not in the directory here, as this VM may not have applied its
+    // join through another VM yet.
     const auto gone = m_control->state().departed.find(id);
     const bool isGone = gone != m_control->state().departed.end() && gone->second.deregistered
         && gone->second.generation == generation;
--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -42,7 +42,7 @@
     duration silenceTimeout = std::chrono::seconds(3);
     /** An upstream is removed from the directory when it has not been renewed for this long. */
     duration removalTimeout = std::chrono::seconds(10);
-    /** The least time between changes of the announced slots or connections of one generation. */
+    /** The minimum time between changes of the announced slots or connections of one generation. */
     duration changeInterval = std::chrono::seconds(5);
     duration proposalTimeout = std::chrono::seconds(2);
     renewal_owner renewalOwner = renewal_owner::Allocator;
--- a/src/decision/directory/liveness_tracker.h
+++ b/src/decision/directory/liveness_tracker.h
@@ -13,7 +13,7 @@
 
 namespace plantainlatch {
 
-/** How many upstreams are tracked; beyond that, the one with the oldest announcement is dropped. */
+/** Maximum number of tracked upstreams; when it is exceeded, the one with the oldest announcement is dropped. */
 inline constexpr std::size_t maximumTracked = 16384;
 
 /** Holds when each upstream was last announced, and since when this VM has tracked each region's renewals. */
--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    /** The weights by distance from the nearest entries of the list. */
+    /** The weights of entries, by how much farther they are than the nearest entries of the list. */
     constexpr std::uint32_t distanceWeights[] = { 100, 10, 1 };
 
     /** 0 for the same failure domain, 1 for the same region, 2 for others. */
@@ -112,7 +112,7 @@
             chosen.push_back(vm);
     }
     if (chosen.empty())
-        chosen = m_inputs.vms; // Listed entries may still answer; an empty list is of no use.
+        chosen = m_inputs.vms; // These entries may still answer, while an empty list is useless.
     const region_id nearRegion = regionOf(m_control->state().config, near);
     const auto rank = [&](const vm_record& vm) {
         return std::make_tuple(distanceOf(vm, near, nearRegion), spreadRankOf(vm, near), vm.id);
--- a/src/decision/lookup/block_table.h
+++ b/src/decision/lookup/block_table.h
@@ -32,7 +32,7 @@
 
 class block_table {
 public:
-    /** Maximum number of sites. */
+    /** Site indexes are stored in 16 bits, and the highest value marks addresses in no block. */
     static constexpr std::size_t maximumSiteCount = 65535;
 
     /** InvalidArgument for a prefix longer than 32 bits, address bits set beyond the prefix, a duplicate block, or a
--- a/src/decision/membership/allocator_leases.h
+++ b/src/decision/membership/allocator_leases.h
@@ -23,7 +23,7 @@
 };
 
 /** Grants leases to the allocator epochs of each region. Invariant: at most one epoch of a region holds a lease at any
- * time, also across a change of leader, as beginTerm() waits out the leases of earlier leaders. */
+ * time, also across a change of leader, because a new leader waits until the leases of earlier leaders have ended. */
 class allocator_leases {
 public:
     explicit allocator_leases(allocator_lease_options options)
@@ -31,12 +31,12 @@
     {
     }
 
-    /** This VM became leader. An earlier leader may have granted leases until now, so they are treated as held until a
-     * lease that was granted now would end. */
+    /** To be called when this VM becomes leader. An earlier leader may have granted leases until now, so every region's
+     * lease is treated as held until a lease that was granted now would end. */
     void beginTerm(time_point now);
 
-    /** A VM reported that it held this epoch's lease after the term began, which means that no other epoch of the
-     * region held one. */
+    /** Records the lease of an epoch whose holder reported it after the term began; no other epoch of the region can
+     * have held one then. */
     void adopt(const region_id& region, allocator_epoch epoch, time_point now);
 
     /** Grants or renews the epoch's lease, or returns false while another epoch may hold one. */
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    /** How many unanswered heartbeats are tracked; beyond that the oldest is dropped. */
+    /** Maximum number of unanswered heartbeats that are tracked; when it is exceeded, the oldest is dropped. */
     constexpr std::size_t maximumUnanswered = 64;
 
     bool isKnownStart(const control_snapshot& state, const vm_heartbeat& heartbeat)
@@ -72,7 +72,7 @@
         const auto known = m_control->state().vms.find(m_settings.self.id);
         return known != m_control->state().vms.end() && known->second.start == m_start;
     };
-    m_port.onSend = [this](auto part) { m_onSend.push_back(std::move(part)); };
+    m_port.onSend = [this](auto hook) { m_onSend.push_back(std::move(hook)); };
     m_port.onHeartbeat = [this](auto reader) { m_onHeartbeat.push_back(std::move(reader)); };
     m_port.onAnswer = [this](auto reader) { m_onAnswer.push_back(std::move(reader)); };
     m_port.onAvoidedChange = [this](auto listener) { m_onAvoided.push_back(std::move(listener)); };
@@ -155,13 +155,13 @@
         if (until > m_hooks.now() && !m_stopping)
             heartbeat.held.push_back(role);
     }
-    // Looked up on each heartbeat, as the measuring service starts after this one.
+    // Looked up for each heartbeat, as the service that publishes this port starts after this one.
     const auto measurements = m_services->find<measurement_port>(port_names::measurements);
     heartbeat.measured = measurements.ok();
     if (heartbeat.measured)
         heartbeat.measurements = (*measurements)->take();
-    for (const auto& part : m_onSend)
-        part(heartbeat);
+    for (const auto& hook : m_onSend)
+        hook(heartbeat);
     return heartbeat;
 }
 
@@ -231,7 +231,7 @@
     if (!m_appliedSamples.empty() && now - m_appliedSamples.back().at < m_options.appliedLag / 8)
         return;
     m_appliedSamples.push_back({ now, m_consensus->applied() });
-    // Keeps the latest sample that is at least appliedLag old as the first one.
+    // Drops older samples, so that the first is the latest one that is at least appliedLag old.
     while (m_appliedSamples.size() > 1 && m_appliedSamples[1].at <= now - m_options.appliedLag)
         m_appliedSamples.pop_front();
 }
--- a/src/decision/placement/cold_rate_limiter.cpp
+++ b/src/decision/placement/cold_rate_limiter.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /** Longer than the one second that the limit is stated for: delays vary, so that requests sent more than a second
-     * apart may still arrive within the same second. */
+    /** Longer than the one second that the limit is stated for, because delays vary: requests sent more than a second
+     * apart may still arrive within one second. */
     constexpr duration rateWindow = std::chrono::milliseconds(1200);
 
     std::uint64_t rankOf(const vm_id& vm, const upstream_id& upstream)
--- a/src/decision/placement/cold_rate_limiter.h
+++ b/src/decision/placement/cold_rate_limiter.h
@@ -21,8 +21,8 @@
     double slack = 0;
 };
 
-/** This entry's share of `total` requests per second, as a whole number. All entries get equal shares; the remainder
- * goes one request each to the entries with the lowest hash for the upstream. The shares never add up to more than
+/** This entry's share of `total` requests per second, as a whole number. All entries get equal shares, and the entries
+ * with the lowest hashes for the upstream get one request of the remainder each. The shares never add up to more than
  * `total`. */
 std::size_t coldShare(double total, const std::vector<vm_id>& entries, const vm_id& self, const upstream_id& upstream);
 
--- a/src/decision/placement/latency_model.cpp
+++ b/src/decision/placement/latency_model.cpp
@@ -10,7 +10,7 @@
     /** The expected latency of a route without observations, as a multiple of its target latency. */
     constexpr double initialKnownFactor = 0.5;
     constexpr double initialUnknownFactor = 1.4;
-    /** The least ratio of the latency for unknown objects to that for known ones. */
+    /** The minimum ratio of the latency for unknown objects to that for known ones. */
     constexpr double minimumUnknownRatio = 1.5;
 
     void updateAverage(duration& mean, duration sample)
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -122,7 +122,7 @@
     for (const drain_target& target : m_drains) {
         if (state.drains.contains(target) || target.kind != drain_kind::FailureDomain)
             continue;
-        // Upstreams without requests may have become cold during the drain, before they report it.
+        // The upstreams received no requests during the drain, so they may have become cold and not reported it yet.
         for (const auto& [id, record] : m_directory) {
             const auto service = state.config.services.find(record.announcement.service);
             if (record.announcement.failureDomain.value() == target.name && service != state.config.services.end())
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -74,7 +74,7 @@
         duration total {};
         /** The total, weighted for objects that the upstream doesn't know; the lowest cost wins. */
         duration cost {};
-        /** All slots are in use, so that the request would wait in the upstream's queue. */
+        /** All slots are in use, so the request would wait in the upstream's queue. */
         bool queued = false;
         std::uint32_t load = 0;
     };
@@ -84,8 +84,7 @@
         std::uint32_t outliers = 0;
         std::uint32_t cold = 0;
     };
-    /** The affinity orders of a service's objects, with the failure rate at which one of its upstreams is an outlier.
-     */
+    /** The affinity orders of a service's objects, and the failure rate from which an upstream is an outlier. */
     struct service_order {
         affinity_order order;
         /** A fraction of the requests; 0 until computed. */
--- a/src/decision/placement/upstream_stats.cpp
+++ b/src/decision/placement/upstream_stats.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    /** How long a load report counts. */
+    /** Older load reports are ignored. */
     constexpr duration reportLifetime = std::chrono::milliseconds(1500);
     /** The first ejection lasts this long; each further failure in a row doubles it, up to the maximum. */
     constexpr duration minimumEjection = std::chrono::milliseconds(300);
--- a/src/decision/placement/upstream_stats.h
+++ b/src/decision/placement/upstream_stats.h
@@ -28,7 +28,7 @@
 
     /** Counts a request that is sent. */
     void noteRequest() { ++m_ownRequests; }
-    /** Records the result of a request; `expected` is its expected latency, or zero if it must not count for the
+    /** Records the result of a request. `expected` is its expected latency; zero excludes the request from the
      * slowness. */
     void noteResult(const slot_result& result, std::uint64_t object, duration expected, time_point now);
 
--- a/src/decision/slots/allocator_client.cpp
+++ b/src/decision/slots/allocator_client.cpp
@@ -146,7 +146,7 @@
     state.reportAgain = holdings.awaitingGrant() && now - holdings.reportedAt() < m_options.reportTimeout;
     if (!state.reportAgain)
         send(holdings, state, now);
-    // Unless its grant arrives first, the last report is replaced by a new one after the time-out.
+    // If no grant arrives before the time-out, a new report replaces the last one.
     scheduleReport(region, state, holdings.reportedAt() + m_options.reportTimeout - now);
 }
 
--- a/src/decision/slots/allocator_client.h
+++ b/src/decision/slots/allocator_client.h
@@ -23,7 +23,7 @@
     duration renewInterval = std::chrono::milliseconds(500);
     /** Interval of the reports while requests wait. */
     duration waitingReportInterval = std::chrono::milliseconds(50);
-    /** A report without a grant after this time is replaced by a new one. */
+    /** A report that was not answered by a grant within this time is replaced by a new one. */
     duration reportTimeout = std::chrono::milliseconds(300);
     /** Slots of other regions are returned after this time without use. */
     duration remoteIdleTime = std::chrono::seconds(1);
@@ -38,8 +38,8 @@
     const slot_queue& queue;
 };
 
-/** Reports to the allocator of each relevant region: the local one, those whose slots this VM holds or needs, and each
- * one with a new allocator until that has answered. */
+/** Reports to the allocator of each relevant region: the local region, regions whose slots this VM holds or needs, and
+ * regions whose new allocator has not answered yet. */
 class allocator_client {
 public:
     allocator_client(allocator_client_view view, allocator_client_options options);
@@ -62,7 +62,7 @@
     bool applyGrant(const slot_grant& grant);
     void scheduleNextReport(const slot_grant& grant);
 
-    /** Sends a report as soon as the last one has its grant. */
+    /** Sends a report as soon as the last one is answered by a grant or has timed out. */
     void reportSoon(const region_id& region);
     /** Reports to the local region if at least twice as many requests wait as were last reported. */
     void reportIfDemandGrew(const service_id& service);
@@ -80,9 +80,9 @@
     struct region_state {
         timer_id timer;
         bool isReportDue = false;
-        /** Another report is due once the last one has its grant. */
+        /** Another report is due once the last one is answered by a grant. */
         bool reportAgain = false;
-        /** Whether the allocator of this epoch has answered; it ignores reports while it has no lease of its own. */
+        /** Whether the allocator of this epoch has answered; it ignores reports while it has no allocator lease. */
         bool answered = false;
         std::map<service_id, std::uint32_t> reportedWaiting;
         std::map<service_id, std::uint32_t> requestedSlots;
--- a/src/decision/slots/allocator_host.cpp
+++ b/src/decision/slots/allocator_host.cpp
@@ -100,8 +100,8 @@
     const std::optional<time_point> leaseEnd = m_ports.membership->allocatorLeaseEnd(report.region);
     if (!leaseEnd || now >= *leaseEnd)
         return;
-    // An incarnation that is not in the log yet gets no slots: later incarnations of the VM could not know that
-    // requests of it may still run.
+    // An incarnation that is not in the log yet gets no slots: a later incarnation of the VM would not know that
+    // requests of this one may still run.
     const auto& members = m_ports.control->state().vms;
     const auto member = members.find(from);
     if (member == members.end() || member->second.start != report.start)
--- a/src/decision/slots/allocator_host.h
+++ b/src/decision/slots/allocator_host.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * Runs the slot allocators of the regions that the replicated log assigns to this VM, as long as this VM has the
- * leader's lease for the region.
+ * Runs the slot allocators of the regions that the replicated log assigns to this VM. An allocator sends grants only
+ * while this VM holds the region's allocator lease from the leader.
  */
 
 #include <functional>
--- a/src/decision/slots/link_budget.h
+++ b/src/decision/slots/link_budget.h
@@ -17,8 +17,8 @@
 
 /**
  * One token bucket for each other region and direction. The declared budget of a link is divided evenly among the VMs
- * of this region, so that they stay within it without coordination. The size of an answer is known only after the fact:
- * it may overdraw the bucket, and no request is sent over the link while the balance is negative.
+ * of this region, so that they stay within it without coordination. The size of an answer is known only when it has
+ * arrived, so it may overdraw the bucket; no request is sent over the link while the balance is negative.
  */
 class link_budget {
 public:
--- a/src/decision/slots/measurement_recorder.h
+++ b/src/decision/slots/measurement_recorder.h
@@ -24,7 +24,7 @@
     std::vector<service_measurement> take();
 
 private:
-    /** Latencies kept for each service and failure domain; further ones replace the oldest. */
+    /** Maximum number of latencies kept for each service and failure domain; further ones replace the oldest. */
     static constexpr std::size_t maximumLatencies = 512;
 
     struct domain_counts {
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -61,7 +61,8 @@
     std::set<holder_key> changed { key };
     for (const holder_key& other : allocateToWaitingHolders(&key, now))
         changed.insert(other);
-    // Waiting requests come first: otherwise the reserve would return a recalled slot to its holder at once.
+    // Waiting requests of other holders are served before the reserve, which could otherwise give a recalled slot back
+    // to the holder that has just returned it.
     allocateReserve(item);
     for (const auto& [service, wanted] : item.demands) {
         const std::uint32_t idle = wanted.idle;
@@ -97,7 +98,7 @@
     item.ejected = { report.ejected.begin(), report.ejected.end() };
     applyHeldSlots(item, isFirst, report.held);
     addWarmAnswers(report.warmAnswers);
-    // Otherwise requests of an earlier incarnation of the VM may still run.
+    // In all other cases, requests of an earlier incarnation of the VM may still run.
     if (from.earlierWorkEnded || report.uptime >= maximumUseTime())
         m_unaccountedVms.erase(key.vm);
     expireUnaccounted(now);
@@ -178,7 +179,8 @@
         return 0;
     const std::uint32_t warm = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
     const std::uint32_t limit = std::min(item.info.capacity, warm);
-    // A holder that does not know yet that the upstream restarted still sends requests to the same address.
+    // Slots of earlier generations count too: a holder that does not know yet that the upstream restarted still sends
+    // requests to the same address.
     const std::uint32_t used = allocatedInAllGenerations(item.info.announcement.id);
     return limit > used ? limit - used : 0;
 }
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -4,11 +4,11 @@
  * The slot allocator of a region. It leases the slots of the region's upstreams to VMs, each slot to one VM at a time.
  *
  * The allocator tracks an upper bound of the slots that each holder has. A report lowers the bound to the slots that
- * it lists; this is safe because a holder ignores every grant that answers any report but its latest. The slots of a
- * holder that stops reporting are reclaimed when its lease, the maximum clock drift, and the longest deadline of the
- * requests dispatched under the lease have passed. A new allocator does not know the allocations of its predecessors:
- * to it, a slot counts as allocated until a holder has reported and returned it, every VM has reported, or all earlier
- * allocations must have ended.
+ * it lists; this is safe because a holder ignores every grant that does not answer its latest report. The slots of a
+ * holder that stops reporting are reclaimed once its lease, the maximum clock drift, the longest request deadline and
+ * the settle time have passed, as all requests dispatched under the lease have ended by then. A new allocator does not
+ * know the allocations of its predecessors: it counts a slot as allocated until a holder has reported and returned it,
+ * every VM has reported, or all earlier allocations must have ended.
  */
 
 #include <cstdint>
@@ -28,7 +28,7 @@
 struct slot_allocator_options {
     /** How long after it sent a report a holder may dispatch requests. */
     duration lease = std::chrono::seconds(2);
-    /** Maximum clock drift between two VMs during a lease and a deadline. */
+    /** Maximum clock drift between two VMs over the length of a lease plus a request deadline. */
     duration drift = std::chrono::milliseconds(200);
     /** How long an upstream may need to stop a request after its deadline. */
     duration settleTime = std::chrono::milliseconds(500);
@@ -52,7 +52,7 @@
     vm_id vm;
     /** The VM is in the allocator's region, and so receives an equal share of the idle slots. */
     bool isLocal = false;
-    /** By the replicated log, no requests of earlier incarnations of the VM can still run. */
+    /** According to the replicated log, no requests of earlier incarnations of the VM can still run. */
     bool earlierWorkEnded = false;
 };
 
@@ -142,20 +142,20 @@
         holder& item, const service_id& service, const failure_domain_id& preferred, std::uint32_t count);
     /** Allocates slots for the waiting requests of a holder that exceed its idle slots. */
     void allocateForDemand(holder& item);
-    /** Fills up a holder of the region to its equal share. */
+    /** Allocates slots to a holder in the region until it has its equal share. */
     void allocateReserve(holder& item);
     std::vector<holder_key> allocateToWaitingHolders(const holder_key* excluded, time_point now);
     void reclaimFromSilentHolders(time_point now);
     std::vector<addressed_grant> makeGrants(const std::set<holder_key>& holders);
     /**
-     * Recalls up to `count` slots of other holders: those that their waiting requests leave idle and, if the requester
-     * has less than its equal share, those that exceed the other holder's share.
+     * Recalls up to `count` slots from other holders. A holder gives up the idle slots that its own waiting requests do
+     * not need or, if that is more and the requester has less than its equal share, its slots above the equal share.
      */
     std::vector<holder_key> recallFor(const holder_key& requester, const service_id& service, std::uint32_t count);
     std::uint32_t recallFrom(holder& item, const service_id& service, std::uint32_t count);
     addressed_grant makeGrant(const holder_key& key, holder& item);
     void reclaim(holder& item);
-    /** How long after a report its holder may use slots: the lease and the longest request dispatched under it. */
+    /** How long after a holder's report its requests may run: lease, clock drift, longest deadline and settle time. */
     duration maximumUseTime() const;
 
     region_id m_region;
--- a/src/decision/slots/slot_holdings.h
+++ b/src/decision/slots/slot_holdings.h
@@ -22,7 +22,7 @@
     upstream_generation generation;
     /** Granted slots. */
     std::uint32_t count = 0;
-    /** Slots in use; above `count` only after a grant lowered it, until the requests that run on them end. */
+    /** Slots in use. Exceeds `count` only when a grant has lowered `count` while requests still run on the slots. */
     std::uint32_t inUse = 0;
     /** Slots to return as soon as they are idle. */
     std::uint32_t recalled = 0;
@@ -42,8 +42,8 @@
 public:
     slot_holdings(region_id region, incarnation start, time_point startedAt);
 
-    /** Sets the allocator of the region by the replicated log. Later grants of its predecessor are ignored; held slots
-     * stay usable until their lease ends. */
+    /** Sets the region's allocator as recorded in the replicated log. Later grants of its predecessor are ignored; held
+     * slots stay usable until their lease ends. */
     void setAllocator(const allocator_record& record);
     /** None before the log assigns an allocator. */
     const std::optional<allocator_record>& allocator() const { return m_allocator; }
@@ -53,13 +53,13 @@
     time_point leaseUntil() const { return m_leaseUntil; }
     bool leased(time_point now) const { return now < m_leaseUntil; }
 
-    /** Whether the last report has no grant yet. */
+    /** Whether the last report has not been answered by a grant yet. */
     bool awaitingGrant() const { return m_awaitingGrant; }
     time_point reportedAt() const { return m_reportedAt; }
     bool holdsAny() const { return !m_holdings.empty(); }
 
-    /** Makes the next report; it returns recalled slots that are idle and, with `idleBefore`, the idle slots of
-     * upstreams not used since then. */
+    /** Makes the next report. It returns recalled slots that are idle and, if `idleBefore` is set, also the idle slots
+     * of upstreams that were last used before that time. */
     slot_report makeReport(time_point now, std::optional<time_point> idleBefore);
     /** Applies a grant; false when it does not answer the latest report of this incarnation in this epoch, or a grant
      * with its revision or a later one was applied before. */
--- a/src/decision/slots/slot_picker.h
+++ b/src/decision/slots/slot_picker.h
@@ -35,7 +35,7 @@
     /** Upstreams that are chosen only when no other has an idle slot. */
     std::vector<upstream_id> avoid;
     byte_count bodySize;
-    /** The failure domain whose upstreams come first; empty for any. */
+    /** The failure domain whose upstreams are preferred; empty for no preference. */
     failure_domain_id preferred;
     /** Whether upstreams of other regions may be chosen outside the preferred failure domain. */
     bool allowOtherRegions = false;
--- a/src/decision/slots/slot_queue.h
+++ b/src/decision/slots/slot_queue.h
@@ -22,7 +22,7 @@
     slot_ticket ticket;
     slot_request request;
     time_point queuedAt;
-    /** The failure domain whose upstreams come first; empty for any. */
+    /** The failure domain whose upstreams are preferred; empty for no preference. */
     failure_domain_id preferred;
     std::function<void(slot_answer)> answer;
 };
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -174,7 +174,7 @@
 
 bool slot_service::wouldMissDeadline(const slot_request& request, time_point now) const
 {
-    const duration usual = m_quality.serviceLatency(request.service);
+    const duration averageLatency = m_quality.serviceLatency(request.service);
     std::uint32_t held = 0;
     for (const auto& [region, holdings] : m_allocatorClient.holdings()) {
         for (const auto& [id, item] : holdings.holdings()) {
@@ -182,10 +182,10 @@
             held += upstream != nullptr && upstream->announcement.service == request.service ? item.count : 0;
         }
     }
-    if (!m_options.refusesEarly || held == 0 || usual == duration::zero())
+    if (!m_options.refusesEarly || held == 0 || averageLatency == duration::zero())
         return false;
-    const duration wait = usual * (m_queue.waiting(request.service) + 1) / held;
-    return now + wait + usual > request.deadline;
+    const duration wait = averageLatency * (m_queue.waiting(request.service) + 1) / held;
+    return now + wait + averageLatency > request.deadline;
 }
 
 slot_ticket slot_service::acquire(slot_request request, std::function<void(slot_answer)> answer)
@@ -200,7 +200,8 @@
     slot_waiter waiter { slot_ticket(++m_lastTicket), std::move(request), now, domain.failureDomain,
         std::move(answer) };
     if (domain.shift) {
-        // This asks the target's allocator for slots for later requests; this one needs a slot that is already held.
+        // Requests slots for later requests from the target's allocator; this request can only use a slot that is
+        // already held.
         const region_id target = regionOf(m_control->state().config, domain.failureDomain);
         m_allocatorClient.requestInDomain(target, waiter.request.service, domain.failureDomain);
     }
@@ -215,7 +216,8 @@
         refuse(waiter, slot_refusal::Overloaded);
         return {};
     }
-    // What was charged to the shift's cap counts only for an immediate dispatch, so a queued request leaves the shift.
+    // The charge to the shift's rate cap is valid only for an immediate dispatch, so a queued request goes back to the
+    // shift's source failure domain.
     if (domain.shift)
         waiter.preferred = sourceOf(*domain.shift);
     ++m_counters.waited;
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -53,8 +53,8 @@
      * round trip. */
     duration spilloverDelay = std::chrono::milliseconds(25);
     int spilloverLatencyFactor = 2;
-    /** While requests wait longer than that, slots are requested from the next of the other regions at this interval.
-     */
+    /** While requests have waited longer than that, slots are requested at this interval from the other regions,
+     * round-robin. */
     duration spilloverInterval = std::chrono::milliseconds(100);
     /** Maximum number of waiting requests of one service; further ones are refused. */
     std::uint32_t maximumQueueLength = 1024;
@@ -79,8 +79,8 @@
 private:
     struct use {
         upstream_announcement upstream;
-        /** The slot was released while its request may still run at the upstream; it becomes free when that must have
-         * ended. */
+        /** The slot was released while its request may still run at the upstream; it becomes free when the request must
+         * have ended. */
         bool settling = false;
     };
 
--- a/src/decision/slots/upstream_health.h
+++ b/src/decision/slots/upstream_health.h
@@ -35,7 +35,7 @@
     void noteMissingReport(const upstream_id& id);
     void noteAnswers(const upstream_id& id, time_point now);
 
-    /** Whether the upstream's last announcement is recent enough; one is assumed at `startedAt`. */
+    /** Whether the upstream's last announcement is recent enough; an announcement at `startedAt` is assumed. */
     bool recentlyAnnounced(const upstream_id& id, const liveness_port& liveness, time_point now) const;
     /** Whether the reports exclude the upstream from new requests. `members` are all upstreams of its service in the
      * region. */
--- a/src/decision/slots/upstream_quality.cpp
+++ b/src/decision/slots/upstream_quality.cpp
@@ -46,10 +46,10 @@
 
 bool upstream_quality::noteAnswer(record& item, const service_id& service, duration latency)
 {
-    duration& usual = m_serviceLatency[service];
-    const bool warm = usual == duration::zero() || latency <= usual * m_options.warmFactor;
+    duration& averageLatency = m_serviceLatency[service];
+    const bool warm = averageLatency == duration::zero() || latency <= averageLatency * m_options.warmFactor;
     item.latency = smoothed(item.latency, latency);
-    usual = smoothed(usual, latency);
+    averageLatency = smoothed(averageLatency, latency);
     item.consecutiveFailures = 0;
     item.ejections = 0;
     return warm;
@@ -98,8 +98,8 @@
 
 duration upstream_quality::serviceLatency(const service_id& service) const
 {
-    const auto usual = m_serviceLatency.find(service);
-    return usual == m_serviceLatency.end() ? duration::zero() : usual->second;
+    const auto averageLatency = m_serviceLatency.find(service);
+    return averageLatency == m_serviceLatency.end() ? duration::zero() : averageLatency->second;
 }
 
 void upstream_quality::keepOnly(const std::set<upstream_id>& known)
--- a/src/decision/slots/upstream_quality.h
+++ b/src/decision/slots/upstream_quality.h
@@ -40,7 +40,7 @@
     bool note(const upstream_announcement& upstream, const slot_result& result, time_point now);
 
     /** The ejected upstreams among `members`, the upstreams of a service in a region. If they exceed
-     * `maximumEjectedPercent`, only those whose ejections end last. */
+     * `maximumEjectedPercent`, only those whose ejections end last are returned. */
     std::set<upstream_id> ejected(const std::vector<upstream_id>& members, time_point now) const;
     /** Whether the upstream refused a request within the last `shedPause`. */
     bool paused(const upstream_id& id, time_point now) const;
