Test support and random tests: second reading of comments

Some comments needed a second reading ('follow after theirs', 'stops for good'), and three test names read oddly.

--- a/test/random/fake_callers.cpp
+++ b/test/random/fake_callers.cpp
@@ -9,7 +9,7 @@
     using namespace std::chrono_literals;
 
     constexpr int maximumAttempts = 4;
-    /** The crash guard blocks a request after two crashes; each attempt in flight then may crash one more. */
+    /** The crash guard blocks a request after two crashes; attempts in flight by then may crash one upstream each. */
     constexpr int maximumCrashes = 4;
     constexpr int statusOk = 200;
 
--- a/test/random/fake_upstreams.h
+++ b/test/random/fake_upstreams.h
@@ -25,7 +25,7 @@
     std::uint64_t slowPerMille = 0;
     /** Load polls that get no report. */
     std::uint64_t missingReportPerMille = 0;
-    /** Load reports that claim an idle upstream. */
+    /** Load reports that wrongly state that the upstream is idle. */
     std::uint64_t wrongReportPerMille = 0;
 };
 
--- a/test/random/outcome_property_test.cpp
+++ b/test/random/outcome_property_test.cpp
@@ -39,7 +39,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(outcome_property_fixture, "outcome.any_events_after_the_first_byte.not_run_only_by_a_marked_refusal")
+TEST_CASE_METHOD(
+    outcome_property_fixture, "outcome.any_events_after_the_first_byte.give_not_run_only_for_a_marked_refusal")
 {
     REQUIRE(rc::check("one attempt", [] {
         attempt_state state = attempt_state::Prepared;
@@ -51,7 +52,7 @@
     }));
 }
 
-TEST_CASE_METHOD(outcome_property_fixture, "outcome.several_attempts.not_run_only_when_none_may_have_run")
+TEST_CASE_METHOD(outcome_property_fixture, "outcome.several_attempts.give_not_run_only_if_none_may_have_run")
 {
     REQUIRE(rc::check("attempts of one request", [] {
         outcome_tracker tracker;
--- a/test/random/run_journal.h
+++ b/test/random/run_journal.h
@@ -45,7 +45,8 @@
             m_faults.pop_front();
     }
 
-    /** Hashes an event but keeps no line; for events so frequent that they would displace all others. */
+    /** Hashes an event without keeping its line; for events that are so frequent that they would displace all others.
+     */
     void hashOnly(const std::string& line)
     {
         add(static_cast<std::uint64_t>(m_runtime.now().time_since_epoch().count()));
--- a/test/random/shift_random_test.cpp
+++ b/test/random/shift_random_test.cpp
@@ -13,7 +13,7 @@
 
     using namespace std::chrono_literals;
 
-    /** VMs that use as much of one shift's rate cap as they can, with random changes of leader and partitions. */
+    /** VMs that use as much of one shift's rate cap as they can, under random leader changes and partitions. */
     class shift_random_fixture {
     protected:
         void begin(std::uint64_t seed, std::uint32_t cap, const shift_options& options)
@@ -118,7 +118,7 @@
     REQUIRE(mostInOneSecond > 140);
 }
 
-TEST_CASE_METHOD(shift_random_fixture, "shift.earlier_quotas_not_counted.exceed_the_cap")
+TEST_CASE_METHOD(shift_random_fixture, "shift.without_counting_earlier_quotas.exceeds_the_cap")
 {
     shift_options options;
     options.cap.countEarlierQuotas = false;
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -229,7 +229,7 @@
                     return seed;
                 requestsStarted += simulation.requestsStarted();
             }
-            // A pass proves little when only few requests ran; 12 slots for 60 s allow about 480 requests.
+            // Ensures that enough requests ran for a meaningful pass; 12 slots allow about 480 requests in 60 s.
             REQUIRE(requestsStarted > 100 * seedCount());
             return std::nullopt;
         }
--- a/test/support/broken_invariant.h
+++ b/test/support/broken_invariant.h
@@ -21,15 +21,15 @@
 class invariant_catcher {
 public:
     invariant_catcher()
-        : m_former(setInternalErrorHandler([](const std::string& text) { throw broken_invariant(text); }))
+        : m_previous(setInternalErrorHandler([](const std::string& text) { throw broken_invariant(text); }))
     {
     }
-    ~invariant_catcher() { setInternalErrorHandler(m_former); }
+    ~invariant_catcher() { setInternalErrorHandler(m_previous); }
     invariant_catcher(const invariant_catcher&) = delete;
     invariant_catcher& operator=(const invariant_catcher&) = delete;
 
 private:
-    internal_error_handler m_former;
+    internal_error_handler m_previous;
 };
 
 /** Whether `scenario` violates an invariant of the program, or returns true to report a violation that it found. */
--- a/test/support/control_cluster.h
+++ b/test/support/control_cluster.h
@@ -43,7 +43,7 @@
     const control_snapshot& state() { return port<control_port>(port_names::control).state(); }
 };
 
-/** VMs "a", "b", "c" and so on, in the regions and failure domains of threeRegionDeclaration() in turn. */
+/** VMs "a", "b", "c" and so on, assigned round-robin to the regions and failure domains of threeRegionDeclaration(). */
 class control_cluster {
 public:
     /** `add` adds further services to each VM before it starts. */
@@ -56,9 +56,9 @@
     void cut(const std::string& name) { m_cut.insert(vm_id(name)); }
     void heal(const std::string& name) { m_cut.erase(vm_id(name)); }
     bool isCut(const vm_id& vm) const { return m_cut.contains(vm); }
-    /** Applies a command at the leader without delay; the other VMs follow after theirs. */
+    /** Applies a command at the leader without delay; each other VM applies it after a random delay. */
     command_result apply(control_command command);
-    /** Stops a VM for good. */
+    /** Isolates a VM permanently, which the other VMs can't distinguish from a crash. */
     void kill(const std::string& name) { cut(name); }
 
     paused_runtime runtime;
--- a/test/support/fake_log.h
+++ b/test/support/fake_log.h
@@ -19,7 +19,7 @@
 
 /** How the log treats one proposal. */
 struct proposal_behaviour {
-    /** From the proposal until it is committed. */
+    /** The time from the proposal until it is committed. */
     duration delay = std::chrono::milliseconds(2);
     /** Whether the proposal is committed. */
     bool agreed = true;
@@ -46,7 +46,7 @@
         = [](const control_command&) { return proposal_behaviour(); };
     /** Whether this VM has leader contact. */
     bool isCurrent = true;
-    /** From the commit of an entry until this VM applies it. */
+    /** The time from the commit of an entry until this VM applies it. */
     duration applyLag {};
 
 private:
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -37,7 +37,7 @@
         = [](const vm_id&, const vm_id&) { return std::chrono::milliseconds(1); };
     /** Returns whether to drop a message; may be empty. */
     std::function<bool(const vm_id& from, const vm_id& to, const peer_message&)> drops;
-    /** Called for each message that is sent and that `drops` does not match; may be empty. */
+    /** Called for each message that `drops` does not drop, before it may be lost to faults or cuts; may be empty. */
     std::function<void(const vm_id& from, const vm_id& to, const peer_message&)> onSend;
 
     /** The peer port for one process. It receives messages while the process lives, until another one is attached under
--- a/test/support/owner_slots.cpp
+++ b/test/support/owner_slots.cpp
@@ -26,10 +26,10 @@
 slot_port owner_slots::portOf(std::size_t entry)
 {
     slot_port port;
-    port.acquire = [this, entry](const slot_request& asked, std::function<void(slot_answer)> given) {
+    port.acquire = [this, entry](const slot_request& request, std::function<void(slot_answer)> answer) {
         const slot_ticket ticket(++m_last);
-        m_waiting[ticket] = std::move(given);
-        ask(entry, ticket, asked.deadline, regionCount);
+        m_waiting[ticket] = std::move(answer);
+        requestSlot(entry, ticket, request.deadline, regionCount);
         return ticket;
     };
     port.cancelWait = [this](slot_ticket ticket) { m_waiting.erase(ticket); };
@@ -42,26 +42,26 @@
     return left == right ? duration::zero() : oneWay(regionOfNumber(left), regionOfNumber(right));
 }
 
-void owner_slots::ask(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft)
+void owner_slots::requestSlot(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft)
 {
-    const std::size_t asked = randomEntryIn(m_runtime, (entry + regionCount - regionsLeft) % regionCount);
-    m_runtime.schedule(delay(entry, asked), [this, entry, asked, ticket, deadline, regionsLeft] {
-        arrive(asked, { entry, ticket, deadline }, regionsLeft);
+    const std::size_t target = randomEntryIn(m_runtime, (entry + regionCount - regionsLeft) % regionCount);
+    m_runtime.schedule(delay(entry, target), [this, entry, target, ticket, deadline, regionsLeft] {
+        arrive(target, { entry, ticket, deadline }, regionsLeft);
     });
 }
 
-void owner_slots::arrive(std::size_t asked, const waiter& item, std::size_t regionsLeft)
+void owner_slots::arrive(std::size_t target, const waiter& item, std::size_t regionsLeft)
 {
-    owner& found = m_owners[asked];
+    owner& found = m_owners[target];
     const duration wait = meanServiceTime * (found.queue.size() + 1) / found.slots;
     if (!found.free.empty() || m_runtime.now() + wait * 2 < item.deadline) {
         found.queue.push_back(item);
-        serve(asked);
+        serve(target);
         return;
     }
-    m_runtime.schedule(delay(asked, item.entry), [this, item, regionsLeft] {
+    m_runtime.schedule(delay(target, item.entry), [this, item, regionsLeft] {
         if (regionsLeft > 1)
-            ask(item.entry, item.ticket, item.deadline, regionsLeft - 1);
+            requestSlot(item.entry, item.ticket, item.deadline, regionsLeft - 1);
         else
             deliver(item.ticket, { std::nullopt, slot_refusal::Overloaded });
     });
--- a/test/support/owner_slots.h
+++ b/test/support/owner_slots.h
@@ -37,10 +37,11 @@
 
     duration delay(std::size_t left, std::size_t right) const;
 
-    /** Asks a random owner in the entry's region, and after each refusal one in the next region. */
-    void ask(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft);
+    /** Requests a slot from a random owner in the entry's region, and after each refusal from one in the next region.
+     */
+    void requestSlot(std::size_t entry, slot_ticket ticket, time_point deadline, std::size_t regionsLeft);
 
-    void arrive(std::size_t asked, const waiter& item, std::size_t regionsLeft);
+    void arrive(std::size_t target, const waiter& item, std::size_t regionsLeft);
 
     void serve(std::size_t number);
 
--- a/test/support/process_hooks.h
+++ b/test/support/process_hooks.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The hooks of one simulated process on a shared simulated clock; its timers no longer fire once it was killed.
+ * The kernel hooks of a simulated process on a shared simulated clock. The timers of a process that has ended do not
+ * fire.
  */
 
 #include <memory>
@@ -10,7 +11,8 @@
 
 namespace plantainlatch {
 
-/** Released when the process ends; its hooks hold weak references to it. */
+/** Represents a running process: its owner resets it when the process ends, and the hooks of the process hold weak
+ * references to it. */
 using process_lifetime = std::shared_ptr<bool>;
 
 /** Hooks on the shared clock whose timers fire only while the process runs. */
--- a/test/support/simulated_upstreams.h
+++ b/test/support/simulated_upstreams.h
@@ -46,7 +46,7 @@
 
     void timeOut(const call_key& key);
 
-    /** Closes the connection; the upstream stops the request when it sees that. */
+    /** Closes the connection; the upstream stops the request when it notices the close. */
     void cancel(const call_key& key);
 
     static region_id regionOfUpstream(const upstream_id& id);
