Slots, placement, random tests: second reading, second part

Some local names and texts still needed a second reading: 'usual', 'given', 'asked', 'otherwise', the run's message 'no recovery after the faults ended: a declaration', and the stub's status 'cut off'. They now name the quantity or the condition.

--- a/src/decision/lookup/block_table.cpp
+++ b/src/decision/lookup/block_table.cpp
@@ -117,7 +117,7 @@
     const auto first = m_rangeStarts.begin() + m_index[upper];
     const auto last = m_rangeStarts.begin() + m_index[upper + 1];
     const auto after = std::upper_bound(first, last, address);
-    // A range always begins at address 0, so one begins at or before the address.
+    // The first range begins at address 0, so every address is in a range.
     const std::uint16_t site = m_sites[static_cast<std::size_t>(after - m_rangeStarts.begin()) - 1];
     return site == noSite ? fallback : site_index(site);
 }
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -209,8 +209,9 @@
         evaluated.state = object_state::Known;
     else if (!stats.isCold(now) && isHome)
         evaluated.state = object_state::Likely;
-    const duration usual = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency);
-    evaluated.runTime = scaled(usual, stats.slowness(now));
+    const duration expectedLatency
+        = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency);
+    evaluated.runTime = scaled(expectedLatency, stats.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
     const std::uint32_t load = stats.load(now);
     evaluated.load = load;
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -237,8 +237,8 @@
 std::uint32_t slot_allocator::allocate(
     holder& item, const service_id& service, const failure_domain_id& preferred, std::uint32_t count)
 {
-    std::uint32_t given = 0;
-    while (given < count) {
+    std::uint32_t added = 0;
+    while (added < count) {
         upstream_state* upstream = bestUpstream(service, item, preferred);
         if (upstream == nullptr)
             break;
@@ -247,9 +247,9 @@
         internal_assert(upstream->allocated + upstream->unaccounted <= upstream->info.capacity)
             << upstream->allocated << " slots of " << key.id.value() << " are allocated, above its capacity of "
             << upstream->info.capacity;
-        ++given;
+        ++added;
     }
-    return given;
+    return added;
 }
 
 void slot_allocator::allocateForDemand(holder& item)
@@ -278,15 +278,15 @@
         const bool isExcluded = excluded != nullptr && key == *excluded;
         if (isExcluded || now >= item.leaseEnd)
             continue;
-        bool given = false;
+        bool anyAllocated = false;
         for (auto& [service, wanted] : item.demands) {
             if (wanted.waiting <= wanted.idle)
                 continue;
             const std::uint32_t count = allocate(item, service, wanted.preferred, wanted.waiting - wanted.idle);
             wanted.idle += count;
-            given = given || count > 0;
+            anyAllocated = anyAllocated || count > 0;
         }
-        if (given)
+        if (anyAllocated)
             changed.push_back(key);
     }
     return changed;
--- a/src/decision/slots/slot_holdings.h
+++ b/src/decision/slots/slot_holdings.h
@@ -59,7 +59,7 @@
     bool holdsAny() const { return !m_holdings.empty(); }
 
     /** Makes the next report. It returns recalled slots that are idle and, if `idleBefore` is set, also the idle slots
-     * of upstreams that were last used before that time. */
+     * of upstreams that have not been used since that time. */
     slot_report makeReport(time_point now, std::optional<time_point> idleBefore);
     /** Applies a grant; false when it does not answer the latest report of this incarnation in this epoch, or a grant
      * with its revision or a later one was applied before. */
--- a/src/decision/slots/slot_picker.cpp
+++ b/src/decision/slots/slot_picker.cpp
@@ -81,7 +81,7 @@
         return nullptr;
     }
 
-    /** The declared weights of the local region, or all when none of them is positive. */
+    /** The positive weights of the local region; if it has none, the weights of all regions. */
     std::vector<domain_weight> effectiveWeights(
         const slot_picker_view& view, const configuration& config, std::vector<domain_weight> all)
     {
--- a/src/decision/slots/slot_picker.h
+++ b/src/decision/slots/slot_picker.h
@@ -55,7 +55,8 @@
     std::optional<shift_id> shift;
 };
 
-/** Draws a failure domain by the declared weights, those of the local region first, and then applies active shifts. */
+/** Draws a failure domain by the declared weights and then applies active shifts. If the local region has positive
+ * weights, only these count. */
 domain_choice drawDomain(
     const slot_picker_view& view, const configuration& config, const shift_port& shifts, const service_id& service);
 
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -226,10 +226,10 @@
         bool m_faultsOff = false;
     };
 
-    std::uint64_t fromEnvironment(const char* name, std::uint64_t otherwise)
+    std::uint64_t fromEnvironment(const char* name, std::uint64_t defaultValue)
     {
         const char* text = std::getenv(name);
-        return text != nullptr ? std::strtoull(text, nullptr, 10) : otherwise;
+        return text != nullptr ? std::strtoull(text, nullptr, 10) : defaultValue;
     }
 
     class request_random_fixture {
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -215,8 +215,8 @@
         /** The number of seeds to run; PLANTAINLATCH_SEEDS overrides it. */
         static std::uint64_t seedCount()
         {
-            const char* asked = std::getenv("PLANTAINLATCH_SEEDS");
-            return asked != nullptr ? std::strtoull(asked, nullptr, 10) : 30;
+            const char* text = std::getenv("PLANTAINLATCH_SEEDS");
+            return text != nullptr ? std::strtoull(text, nullptr, 10) : 30;
         }
 
         /** The first seed with which an upstream ran more requests than it has slots, or an invariant was violated. */
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -484,8 +484,8 @@
         const time_point end = m_runtime.now() + m_plan.recoveryTime;
         while (!isRecovered() || !m_pendingProbes.empty()) {
             if (m_runtime.now() >= end)
-                m_journal.reportViolation("no recovery after the faults ended: "
-                    + (m_pendingProbes.empty() ? std::string("VMs, leader or disks have not recovered")
+                m_journal.reportViolation("no recovery after the faults ended; still expected: "
+                    + (m_pendingProbes.empty() ? std::string("VMs, leader and disks recover")
                                                : *m_pendingProbes.begin()));
             if (isRecovered())
                 probeAll();
@@ -512,10 +512,10 @@
                 });
             }
         }
-        if (m_pendingProbes.contains("a declaration"))
+        if (m_pendingProbes.contains("a declaration is accepted"))
             m_operators.probe([this](bool accepted) {
                 if (accepted)
-                    m_pendingProbes.erase("a declaration");
+                    m_pendingProbes.erase("a declaration is accepted");
             });
     }
 
@@ -534,7 +534,7 @@
             checkStep();
         }
         endFaults();
-        m_pendingProbes = { "a declaration" };
+        m_pendingProbes = { "a declaration is accepted" };
         for (const auto& vm : m_vms) {
             m_pendingProbes.insert(vm->record.id.value() + " completes a GET");
             m_pendingProbes.insert(vm->record.id.value() + " completes a POST");
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -78,7 +78,8 @@
         proposal_id name { id, made.start, ++made.sequence };
         runtime.schedule(randomDelay(), [this, id, name, command, timeout, done] {
             if (isCut(id) || isCut(leader)) {
-                runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("cut off")); });
+                runtime.schedule(
+                    timeout, [done] { done(absl::DeadlineExceededError("the VM or the leader is isolated")); });
                 return;
             }
             append({ name, runtime.hooks().wallNow(), command }, [this, done](const command_result& result) {
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -129,10 +129,10 @@
     calls.push_back({ call, behaviour(call), m_runtime.now() });
     const call_behaviour& chosen = calls.back().behaviour;
     m_open.emplace(key, open_call { entry, calls.size() - 1, std::move(events), {}, {} });
-    const bool offered
+    const bool dispatched
         = chosen.ends != call_behaviour::kind::ConnectFailed && chosen.ends != call_behaviour::kind::ConnectionLimit;
     const bool crashed = m_upstreams.at(call.upstream).crashed;
-    if (offered && !crashed)
+    if (dispatched && !crashed)
         m_open.at(key).events.onDispatch();
     const bool runsWork = chosen.ends == call_behaviour::kind::Answer || chosen.ends == call_behaviour::kind::LostAnswer
         || chosen.ends == call_behaviour::kind::Crash;
