--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -122,7 +122,7 @@
     for (const drain_target& target : m_drains) {
         if (state.drains.contains(target) || target.kind != drain_kind::FailureDomain)
             continue;
-        // Upstreams without requests may have become cold during the drain, before they report it.
+        // The upstreams received no requests during the drain, so they may have become cold and not reported it yet.
         for (const auto& [id, record] : m_directory) {
             const auto service = state.config.services.find(record.announcement.service);
             if (record.announcement.failureDomain.value() == target.name && service != state.config.services.end())
@@ -209,8 +209,9 @@
         evaluated.state = object_state::Known;
     else if (!stats.isCold(now) && isHome)
         evaluated.state = object_state::Likely;
-    const duration usual = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency);
-    evaluated.runTime = scaled(usual, stats.slowness(now));
+    const duration expectedLatency
+        = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency);
+    evaluated.runTime = scaled(expectedLatency, stats.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
     const std::uint32_t load = stats.load(now);
     evaluated.load = load;
--- a/src/decision/slots/slot_picker.h
+++ b/src/decision/slots/slot_picker.h
@@ -35,7 +35,7 @@
     /** Upstreams that are chosen only when no other has an idle slot. */
     std::vector<upstream_id> avoid;
     byte_count bodySize;
-    /** The failure domain whose upstreams come first; empty for any. */
+    /** The failure domain whose upstreams are preferred; empty for no preference. */
     failure_domain_id preferred;
     /** Whether upstreams of other regions may be chosen outside the preferred failure domain. */
     bool allowOtherRegions = false;
@@ -55,7 +55,8 @@
     std::optional<shift_id> shift;
 };
 
-/** Draws a failure domain by the declared weights, those of the local region first, and then applies active shifts. */
+/** Draws a failure domain by the declared weights and then applies active shifts. If the local region has positive
+ * weights, only these count. */
 domain_choice drawDomain(
     const slot_picker_view& view, const configuration& config, const shift_port& shifts, const service_id& service);
 
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -215,8 +215,8 @@
         /** The number of seeds to run; PLANTAINLATCH_SEEDS overrides it. */
         static std::uint64_t seedCount()
         {
-            const char* asked = std::getenv("PLANTAINLATCH_SEEDS");
-            return asked != nullptr ? std::strtoull(asked, nullptr, 10) : 30;
+            const char* text = std::getenv("PLANTAINLATCH_SEEDS");
+            return text != nullptr ? std::strtoull(text, nullptr, 10) : 30;
         }
 
         /** The first seed with which an upstream ran more requests than it has slots, or an invariant was violated. */
@@ -229,7 +229,7 @@
                     return seed;
                 requestsStarted += simulation.requestsStarted();
             }
-            // A pass proves little when only few requests ran; 12 slots for 60 s allow about 480 requests.
+            // Ensures that enough requests ran for a meaningful pass; 12 slots allow about 480 requests in 60 s.
             REQUIRE(requestsStarted > 100 * seedCount());
             return std::nullopt;
         }
