Control and declarations: clearer results and conditions

Cause: some comments needed a second reading (results of checkChangeNumber, settlements of a key, which of two announcements is outdated). Change: comments; the private constant wholePercent is now hundredPercent.

--- a/src/decision/control/apply_change.h
+++ b/src/decision/control/apply_change.h
@@ -13,17 +13,19 @@
 /** The most declarations kept in the history; older ones are merged into `historyBase`. */
 inline constexpr std::size_t maximumHistory = 512;
 
-/** Merges the declaration into the configuration if the one that it replaces is in force. Returns AlreadyAccepted if
- * the same content was accepted under this number, Conflict if other content was or the numbers do not fit, and Refused
- * with all findings if the merged configuration is invalid. */
+/** Merges the declaration into the configuration if the number that it replaces is in force. Returns the result of
+ * checkChangeNumber() if that is not Accepted, and Refused with all findings if the merged configuration is invalid. */
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content);
 
 /** Replaces the configuration if the new number is higher than the one in force, and returns AlreadyAccepted otherwise.
  * Clears the history, since the declarations in it no longer lead to the configuration in force. */
 command_result applyReplacement(control_snapshot& state, const replace_configuration& command);
 
-/** Checks the declaration's number and the number that it replaces against the configuration in force and the history.
- * Returns Accepted, AlreadyAccepted or Conflict, and leaves the content to mergeDeclaration(). */
+/** Checks the declaration's number and the number that it replaces against the configuration in force and the history;
+ * mergeDeclaration() checks the content. Returns Accepted or one of:
+ * - AlreadyAccepted: a declaration with this number and the same content was accepted;
+ * - Conflict: one with this number and other content was accepted, the replaced number is not in force, or this number
+ * is not higher than the one in force. */
 command_result checkChangeNumber(const control_snapshot& state, const declaration& content);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -64,7 +64,7 @@
  * cold, the remaining cold time. Such a renewal needs no entry in the log. */
 bool hasSameContent(const upstream_announcement& left, const upstream_announcement& right);
 
-/** Whether `former` is of the same generation as `offered` and was sent after it. */
+/** Whether `offered` is of the same generation as `former` but has a lower sequence number, so it was sent earlier. */
 bool isStaleAnnouncement(const upstream_announcement& former, const upstream_announcement& offered);
 
 /** Registers or updates an upstream. Returns AlreadyAccepted without a change if the announcement is equal to the
--- a/src/decision/control/apply_drain.h
+++ b/src/decision/control/apply_drain.h
@@ -17,7 +17,7 @@
 /** Whether the target exists: a VM that has started, a registered upstream, or a declared failure domain or region. */
 bool isKnownTarget(const control_snapshot& state, const drain_target& target);
 
-/** The target for messages, such as `region 'fukuoka'`. */
+/** Formats the target for messages, such as `region 'fukuoka'`. */
 std::string describeTarget(const drain_target& target);
 
 /** Whether the upstream itself, its failure domain or its region is draining. */
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -20,7 +20,7 @@
 /** How long after the last crash a record is kept and equal requests are refused. */
 inline constexpr duration crashRetention = std::chrono::minutes(10);
 
-/** The most records kept; a new one beyond them evicts the record with the earliest last crash. */
+/** The most records kept. When the table is full, a new record evicts the one whose last crash is the earliest. */
 inline constexpr std::size_t maximumCrashRecords = 1024;
 
 /** The most upstreams kept in one record; further ones are not added. */
--- a/src/decision/control/key_table.h
+++ b/src/decision/control/key_table.h
@@ -30,8 +30,8 @@
 command_result applyClaim(std::map<key_name, key_record>& keys, const proposal& claimed, const claim_key& command,
     const key_table_limits& limits = {});
 
-/** Settles a claim with NotRun, which frees the key, Unknown, or Completed, which may also follow Unknown. Refused if
- * another claim holds the key or the claim has been settled otherwise. */
+/** Settles a claim with NotRun, Unknown or Completed. NotRun frees the key. A claim settled as Unknown can later be
+ * settled as Completed. Refused if another claim holds the key or the claim was settled with another outcome. */
 command_result applySettle(std::map<key_name, key_record>& keys, const proposal& settled, const settle_key& command,
     const key_table_limits& limits = {});
 
--- a/src/decision/declarations/configuration_check.cpp
+++ b/src/decision/declarations/configuration_check.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr std::uint32_t wholePercent = 100;
+    constexpr std::uint32_t hundredPercent = 100;
 
     template <typename Definition>
     const text_position* findPosition(const std::vector<declared<Definition>>& items, const Definition& wanted)
@@ -185,9 +185,9 @@
             requireDomain(changes, item, item.from);
             requireDomain(changes, item, item.to);
             require(changes, item, item.from != item.to, "moves traffic to where it is", "two failure domains");
-            require(changes, item, item.percent >= 1 && item.percent <= wholePercent,
+            require(changes, item, item.percent >= 1 && item.percent <= hundredPercent,
                 absl::StrCat("moves ", item.percent, " percent"), "1 to 100 percent");
-            require(changes, item, item.stepPercent >= 1 && item.stepPercent <= wholePercent,
+            require(changes, item, item.stepPercent >= 1 && item.stepPercent <= hundredPercent,
                 absl::StrCat("steps by ", item.stepPercent, " percent"), "1 to 100 percent");
             require(changes, item, item.capPerSecond > 0, "has a cap of 0", "a cap above 0 requests a second");
             require(changes, item, item.stepInterval > duration::zero(), "has no step interval", "an interval above 0");
--- a/src/decision/declarations/definition_names.h
+++ b/src/decision/declarations/definition_names.h
@@ -20,7 +20,7 @@
     return item.left < item.right ? link_key { item.left, item.right } : link_key { item.right, item.left };
 }
 
-/** The definition for messages, such as `region 'fukuoka'` or `share of 'booking' in 'kokura'`. */
+/** Formats the definition for messages, such as `region 'fukuoka'` or `share of 'booking' in 'kokura'`. */
 std::string describeName(const region_definition& item);
 std::string describeName(const service_definition& item);
 std::string describeName(const upstream_definition& item);
