Shifts: full sentences for the limiter's window and the steps

Cause: the reason of the 1100 ms window, the effect of the extra bucket and the timing of steps were only hinted at. Change: comments; private names wholePercent -> hundredPercent, slows -> p95s.

--- a/src/decision/shifts/measurement_window.cpp
+++ b/src/decision/shifts/measurement_window.cpp
@@ -22,7 +22,7 @@
         return {};
     domain_statistics sum;
     duration medians {};
-    duration slows {};
+    duration p95s {};
     for (const sample& item : found->second) {
         if (item.receivedAt + m_span <= now)
             continue;
@@ -31,12 +31,12 @@
         sum.requests += requests;
         sum.failed += measured.failed + measured.refused;
         medians += measured.medianLatency * requests;
-        slows += measured.p95Latency * requests;
+        p95s += measured.p95Latency * requests;
     }
     if (sum.requests == 0)
         return {};
     sum.medianLatency = medians / sum.requests;
-    sum.p95Latency = slows / sum.requests;
+    sum.p95Latency = p95s / sum.requests;
     sum.perSecond = static_cast<double>(sum.requests) / std::chrono::duration<double>(m_span).count();
     return sum;
 }
--- a/src/decision/shifts/shift_controller.h
+++ b/src/decision/shifts/shift_controller.h
@@ -15,8 +15,8 @@
 
 namespace plantainlatch {
 
-/** Controls all shifts during one term of one leader. Its state is not replicated: a new leader starts with an empty
- * one, and `termBegan` bounds the quotas that the previous leader may have leased. */
+/** Controls all shifts during one term of one leader. Its state is not replicated: a new leader starts without any, and
+ * derives from `termBegan` until when quotas leased by earlier leaders may still count. */
 class shift_controller {
 public:
     shift_controller(shift_cap_options cap, shift_gate_options gate, duration measurementSpan, time_point termBegan);
--- a/src/decision/shifts/shift_limiters.h
+++ b/src/decision/shifts/shift_limiters.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The rate limits of all shifts on one VM, with counts of requests for the leader.
+ * Limits the rates of all shifts on one VM, and counts their requests for the reports to the leader.
  */
 
 #include <cstddef>
--- a/src/decision/shifts/shift_quota_allocator.h
+++ b/src/decision/shifts/shift_quota_allocator.h
@@ -17,8 +17,8 @@
 
 /** Options of the distributed rate limit of a shift. */
 struct shift_cap_options {
-    /** The window of the rate limit at the VMs: the one second for which the cap holds at the target, and 100 ms for
-     * differences in network delay. */
+    /** The window over which the VMs limit the rate. The cap holds at the target for any second; the VMs add 100 ms to
+     * it because requests of different VMs reach the target after different network delays. */
     duration window = std::chrono::milliseconds(1100);
     /** How long a quota is valid, from the time when the VM sent its heartbeat. */
     duration lease = std::chrono::seconds(2);
@@ -43,7 +43,7 @@
     using holder = std::pair<vm_id, incarnation>;
 
     /** Leases a VM a quota of at most `requested` and at most the part of the cap that is not reserved by others. While
-     * a quota of an earlier leader may still count, the quota is also at most `held`, the one that the VM has. */
+     * quotas leased by an earlier leader may still count, the quota is also at most `held`, the VM's present quota. */
     std::uint32_t grant(
         const holder& vm, std::uint32_t requested, std::uint32_t held, std::uint32_t cap, time_point now);
 
--- a/src/decision/shifts/shift_rate_limiter.h
+++ b/src/decision/shifts/shift_rate_limiter.h
@@ -11,8 +11,8 @@
 
 namespace plantainlatch {
 
-/** A sliding-window rate limiter: admits at most the quota within any window. Requests are counted in buckets, which
- * cover one bucket more than the window, so that the error is on the strict side. */
+/** A sliding-window rate limiter: admits at most the quota within any window. Requests are counted in buckets. Together
+ * these cover one bucket more than the window, so that rounding to buckets never admits more than the quota. */
 class shift_rate_limiter {
 public:
     explicit shift_rate_limiter(duration window)
--- a/src/decision/shifts/shift_service.cpp
+++ b/src/decision/shifts/shift_service.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr double wholePercent = 100.0;
+    constexpr double hundredPercent = 100.0;
 
 } // namespace
 
@@ -117,7 +117,7 @@
         const auto record = state.shifts.find(id);
         if (definition.service != service || record == state.shifts.end() || record->second.percent == 0)
             continue;
-        found.push_back({ id, definition.from, definition.to, record->second.percent / wholePercent });
+        found.push_back({ id, definition.from, definition.to, record->second.percent / hundredPercent });
     }
     return found;
 }
--- a/src/decision/shifts/shift_step.cpp
+++ b/src/decision/shifts/shift_step.cpp
@@ -12,7 +12,7 @@
     /** The part of the target's slots that may be in use after a step. */
     constexpr double maximumUtilization = 0.85;
 
-    constexpr double wholePercent = 100.0;
+    constexpr double hundredPercent = 100.0;
 
     std::uint32_t percentAfter(const shift_definition& definition, const shift_record& record)
     {
@@ -72,9 +72,9 @@
         return false;
     if (!source.has_value())
         return target.has_value();
-    const double remaining = (wholePercent - record.percent) / wholePercent;
+    const double remaining = (hundredPercent - record.percent) / hundredPercent;
     const double sourceTotal = remaining > 0 ? source->perSecond / remaining : source->perSecond;
-    const double added = sourceTotal * (percentAfter(definition, record) - record.percent) / wholePercent;
+    const double added = sourceTotal * (percentAfter(definition, record) - record.percent) / hundredPercent;
     const double rate
         = std::min(added, static_cast<double>(definition.capPerSecond)) + (target.has_value() ? target->perSecond : 0);
     const duration latency = target.has_value() ? target->medianLatency : source->medianLatency;
--- a/src/decision/shifts/shift_step.h
+++ b/src/decision/shifts/shift_step.h
@@ -14,8 +14,8 @@
 /** If a step has to be undone after this many setbacks, the whole shift is reverted. */
 inline constexpr std::uint32_t maximumSetbacks = 3;
 
-/** The next step, or none. A step forward waits for the step interval to pass; undoing a step because of the gate does
- * not. */
+/** Returns the next step, if any. A step is undone as soon as the gate advises it; any other step is taken only after
+ * the step interval has passed. */
 std::optional<step_shift> decideStep(
     const shift_definition& definition, const shift_record& record, shift_advice advice, bool intervalPassed);
 
@@ -25,7 +25,7 @@
     const std::optional<domain_statistics>& target, const std::optional<domain_statistics>& source,
     std::uint64_t targetSlots);
 
-/** The phase for messages and dumps, such as `running`. */
+/** The name of the phase in messages and dumps, such as `running`. */
 const char* phaseName(shift_phase phase);
 
 } // namespace plantainlatch
