Operators and alerts: plain wording

Cause: load_view described a distribution of loads that the code does not have as if it had it; other comments were clipped. Change: comments; private names addBeliefs -> addPrecedingState, belief -> preceding, wholePercent -> hundredPercent, and the parameter order -> command in configuration_service.

--- a/src/decision/alerts/alert_service.h
+++ b/src/decision/alerts/alert_service.h
@@ -24,8 +24,8 @@
 struct alert_options {
     alert_filter filter = alert_filter::Leaky;
     duration tickInterval = std::chrono::milliseconds(500);
-    /** How often all idempotency keys are searched for unknown outcomes; less often than a tick because it visits every
-     * key. */
+    /** The interval at which all idempotency keys are searched for unknown outcomes; longer than a tick, since the
+     * search visits every key. */
     duration outcomeInterval = std::chrono::seconds(5);
 };
 
--- a/src/decision/alerts/alert_tracker.h
+++ b/src/decision/alerts/alert_tracker.h
@@ -32,7 +32,7 @@
 enum class alert_filter {
     /** Raised and resolved without delay. */
     Plain,
-    /** Raised after the condition has held without interruption; resolved as soon as it does not hold. */
+    /** Raised after the condition has held for `raiseAfter` without interruption; resolved as soon as it ends. */
     Unbroken,
     /** A leaky integrator: the score rises while the condition holds and falls while it does not. Raised when the score
      * reaches `raiseAfter`; resolved when the score is back at zero. */
--- a/src/decision/alerts/system_risks.cpp
+++ b/src/decision/alerts/system_risks.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    /** With fewer replicas than this, any loss stops the control log; that follows from the declared set of replicas
-     * and raises no alert. */
+    /** With fewer replicas than this, any loss stops the control log. No alert is raised for that, since it follows
+     * from the declared set of replicas. */
     constexpr std::size_t minimumReplicasToGuard = 3;
 
     constexpr duration quorumDelay = std::chrono::seconds(5);
--- a/src/decision/alerts/system_risks.h
+++ b/src/decision/alerts/system_risks.h
@@ -24,13 +24,13 @@
     wall_time now {};
 };
 
-/** The loss of one more replica would stop the control log. */
+/** A risk if the loss of one more replica would stop the control log. */
 std::vector<risk_condition> findQuorumRisk(const system_view& view);
 
-/** Regions whose demand exceeds their usable slots (see capacity_model.h); none while the loads are not known. */
+/** Regions that are overloaded (see capacity_model.h); none while the loads are not known. */
 std::vector<risk_condition> findCapacityRisks(const system_view& view);
 
-/** The newest configuration is not in force on every live VM. */
+/** A risk if the newest configuration is not in force on every live VM. */
 std::vector<risk_condition> findConfigurationRisk(const system_view& view);
 
 /** Regions without a live slot allocator. */
--- a/src/decision/operators/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    constexpr double wholePercent = 100.0;
+    constexpr double hundredPercent = 100.0;
 
     /** Tolerance for rounding errors in comparisons of demand. */
     constexpr double negligible = 1e-9;
@@ -123,7 +123,7 @@
         for (const auto& [id, shift] : input.config.shifts) {
             if (shift.service != service)
                 continue;
-            const double wanted = demand[shift.from] * shift.percent / wholePercent;
+            const double wanted = demand[shift.from] * shift.percent / hundredPercent;
             const double moved = std::min(wanted, shift.capPerSecond * latency);
             demand[shift.from] -= moved;
             demand[shift.to] += moved;
--- a/src/decision/operators/capacity_model.h
+++ b/src/decision/operators/capacity_model.h
@@ -24,7 +24,7 @@
     double demand = 0;
 };
 
-/** A region whose demand for a service would exceed its usable slots, or a service without any slot. */
+/** A region that would be overloaded by the demand for a service, or a service without any slot. */
 struct capacity_risk {
     accepted_risk kind = accepted_risk::RegionOverload;
     service_id service;
@@ -33,7 +33,7 @@
     double demand = 0;
 };
 
-/** The fraction of a region's slots above which the region counts as overloaded. */
+/** A region counts as overloaded if the demand for a service exceeds this fraction of its slots for the service. */
 inline constexpr double maximumRegionUtilization = 0.85;
 
 /** The configuration, drains and loads to estimate for; the directory comes from `state`. */
@@ -46,7 +46,7 @@
 
 /** Slots and demand of each service in each declared failure domain. Demand is distributed by the declared shares;
  * without them it stays where it was measured, except that demand in failure domains without slots moves to the others
- * of the region, or to all when the region has no slots. Shifts are taken as completed. */
+ * of the region, or to all when the region has no slots. All shifts are assumed to be completed. */
 std::vector<location_capacity> estimateCapacity(const capacity_input& input);
 
 /** The regions in which the demand for a service exceeds `maximumRegionUtilization` of its slots. */
--- a/src/decision/operators/configuration_service.cpp
+++ b/src/decision/operators/configuration_service.cpp
@@ -34,7 +34,7 @@
 {
     m_port.put = [this](configuration content, const done_handler& done) { put(std::move(content), done); };
     m_port.read = [this](const std::function<void(absl::StatusOr<configuration>)>& done) { read(done); };
-    m_port.drain = [this](const set_drain& order, const done_handler& done) { drain(order, done); };
+    m_port.drain = [this](const set_drain& command, const done_handler& done) { drain(command, done); };
 }
 
 service configuration_service::asService()
@@ -82,10 +82,10 @@
     });
 }
 
-void configuration_service::drain(const set_drain& order, const done_handler& done)
+void configuration_service::drain(const set_drain& command, const done_handler& done)
 {
-    propose(
-        order, absl::StrCat(order.draining ? "drain of " : "end of the drain of ", describeTarget(order.target)), done);
+    propose(command,
+        absl::StrCat(command.draining ? "drain of " : "end of the drain of ", describeTarget(command.target)), done);
 }
 
 void configuration_service::propose(control_command command, const std::string& what, const done_handler& done)
--- a/src/decision/operators/configuration_service.h
+++ b/src/decision/operators/configuration_service.h
@@ -19,7 +19,7 @@
 
 /** Options of configuration_service. */
 struct configuration_options {
-    /** Longer than the second after which callers without an answer ask another VM. */
+    /** Longer than 1 s, after which a caller without an answer asks another VM. */
     duration proposalTimeout = std::chrono::milliseconds(1500);
 };
 
@@ -40,7 +40,7 @@
     absl::Status start(registry& services);
     void put(configuration content, const done_handler& done);
     void read(const std::function<void(absl::StatusOr<configuration>)>& done);
-    void drain(const set_drain& order, const done_handler& done);
+    void drain(const set_drain& command, const done_handler& done);
     void propose(control_command command, const std::string& what, const done_handler& done);
 
     kernel_hooks m_hooks;
--- a/src/decision/operators/declaration_plan.h
+++ b/src/decision/operators/declaration_plan.h
@@ -12,15 +12,15 @@
 
 namespace plantainlatch {
 
-/** Measured loads. */
+/** The measured loads, as far as they are known. */
 struct known_loads {
     /** Whether the loads are fresh and complete, so that a failure domain without an entry has no load. */
     bool known = false;
     std::vector<service_load> loads;
 };
 
-/** The plan of a declaration on this state and these loads. While the loads are not known, the effect of a change that
- * moves traffic at once can't be estimated; such a change counts as a region overload. */
+/** Plans a declaration for the given state and loads. If the loads are not known, the effect of a change that moves
+ * traffic immediately can't be estimated, so such a change is reported as a risk of region overload. */
 declaration_plan planDeclaration(
     const control_snapshot& state, const declaration& content, const known_loads& measured);
 
--- a/src/decision/operators/load_view.h
+++ b/src/decision/operators/load_view.h
@@ -13,8 +13,8 @@
 namespace plantainlatch {
 
 /** On the leader it collects measurements; on every VM it holds the loads last received from the leader. The size of
- * those loads grows with services times failure domains; with 2,800 nodes they are sent down the tree of regions, once
- * for all VMs of a region. */
+ * the loads grows with the number of services times the number of failure domains. For 2,800 VMs, the leader should
+ * send them once per region, through the region's aggregator (see membership_service.h). */
 class load_view {
 public:
     load_view();
@@ -36,7 +36,7 @@
 
 private:
     measurement_window m_measurements;
-    /** Until then the measurements of some VM are missing from the window. */
+    /** Until this time, measurements of some VM may be missing from the window. */
     time_point m_incompleteUntil {};
     bool m_known = false;
     time_point m_receivedAt {};
--- a/src/decision/operators/operator_service.h
+++ b/src/decision/operators/operator_service.h
@@ -67,7 +67,7 @@
     log_term m_ledTerm;
 };
 
-/** The configuration after the change of that number; NotFound when the history does not hold it. */
+/** The configuration after the change with that number; NotFound if the history does not contain it. */
 absl::StatusOr<configuration> configurationAt(const control_snapshot& state, change_number number);
 
 } // namespace plantainlatch
--- a/src/decision/operators/request_explanation.cpp
+++ b/src/decision/operators/request_explanation.cpp
@@ -23,7 +23,7 @@
 
     /** Adds the last line before `decided` in which the same VM logged a change of its configuration, and the last in
      * which it logged a change of the upstream that `decided` names. */
-    void addBeliefs(std::vector<log_line>& chosen, const std::vector<log_line>& all, const log_line& decided)
+    void addPrecedingState(std::vector<log_line>& chosen, const std::vector<log_line>& all, const log_line& decided)
     {
         const log_line* upstream = nullptr;
         const log_line* configuration = nullptr;
@@ -35,9 +35,9 @@
             else if (!decided.field("upstream").empty() && line.field("upstream") == decided.field("upstream"))
                 upstream = &line;
         }
-        for (const log_line* belief : { configuration, upstream }) {
-            if (belief != nullptr)
-                chosen.push_back(*belief);
+        for (const log_line* preceding : { configuration, upstream }) {
+            if (preceding != nullptr)
+                chosen.push_back(*preceding);
         }
     }
 
@@ -110,7 +110,7 @@
     explained.cause = causeOf(own);
     explained.lines = own;
     for (const log_line& line : own)
-        addBeliefs(explained.lines, lines, line);
+        addPrecedingState(explained.lines, lines, line);
     std::sort(explained.lines.begin(), explained.lines.end(), isEarlier);
     const auto same = [](const log_line& left, const log_line& right) { return left.position == right.position; };
     explained.lines.erase(std::unique(explained.lines.begin(), explained.lines.end(), same), explained.lines.end());
--- a/src/decision/operators/request_explanation.h
+++ b/src/decision/operators/request_explanation.h
@@ -13,7 +13,7 @@
 
 /** The history and the cause of one request's result, as found in the logs. */
 struct request_explanation {
-    /** The lines of the request, and the preceding state changes of the configuration and of its upstreams on which the
+    /** The lines of the request, and the lines that show the configuration and the upstreams' state on which its
      * decisions were based, ordered by time. */
     std::vector<log_line> lines;
     /** The cause of the result, in one sentence. */
