--- a/src/kernel/hooks.h
+++ b/src/kernel/hooks.h
@@ -15,7 +15,7 @@
 
 namespace plantainlatch {
 
-/** A timer that was scheduled; 0 is none. */
+/** Identifies a scheduled timer; 0 is none. */
 using timer_id = strong_number<struct timer_tag>;
 
 enum class log_level { Debug, Info, Warning, Error };
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -21,7 +21,7 @@
 
 namespace plantainlatch {
 
-/** Identifies a proposal, so that one that is resent is applied only once. */
+/** Identifies a proposal, so that a resent proposal is applied only once. */
 struct proposal_id {
     vm_id vm;
     incarnation start;
@@ -231,8 +231,8 @@
 using control_command = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left,
     claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration>;
 
-/** A command as an entry of the log carries it. `proposedAt` is the leader's wall clock at the proposal. It serves as
- * the current time when the command is applied. */
+/** A command in an entry of the log. `proposedAt` is the leader's wall clock at the proposal. It serves as the current
+ * time when the command is applied. */
 struct proposal {
     proposal_id id;
     wall_time proposedAt {};
--- a/src/model/consensus_message.h
+++ b/src/model/consensus_message.h
@@ -145,7 +145,7 @@
     }
 };
 
-/** Sends a snapshot to a follower that needs entries which were compacted. */
+/** Sends a snapshot to a follower that needs entries removed by log compaction. */
 struct snapshot_request {
     log_term term;
     replica_id leader;
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -169,7 +169,7 @@
     }
 };
 
-/** A risk that a declaration is refused for unless it names the risk as accepted. */
+/** A risk for which a declaration is refused unless it lists the risk as accepted. */
 enum class accepted_risk {
     /** The load of a region may exceed its capacity. */
     RegionOverload,
--- a/src/model/slot_message.h
+++ b/src/model/slot_message.h
@@ -75,7 +75,8 @@
 };
 
 /**
- * All slots on which the holder may start requests until `lease` after it sent the report with this sequence number.
+ * All slots on which the holder may start requests. The grant is valid for `lease`, counted from the time when the
+ * holder sent the report with this sequence number.
  *
  * The holder ignores a grant that answers any report but its latest. The allocator may send several grants for one
  * report; the one with the highest revision replaces the others.
--- a/src/ports/consensus_port.h
+++ b/src/ports/consensus_port.h
@@ -44,7 +44,7 @@
     /** The index of the last entry that was applied on this VM. */
     std::function<log_index()> applied;
     std::function<voter_set()> voters;
-    /** Sets the VMs that this one contacts, beside the voters that it knows, to find the log when it has no leader. */
+    /** Sets the VMs that this one contacts, besides the voters that it knows, to find the log when it has no leader. */
     std::function<void(std::vector<vm_id>)> setSeeds;
     /** On the leader, the applied index that each follower last reported; empty on other VMs. */
     std::function<std::vector<std::pair<vm_id, log_index>>()> followerAppliedIndices;
--- a/src/ports/control_port.h
+++ b/src/ports/control_port.h
@@ -19,9 +19,9 @@
     std::function<void(std::function<void()>)> onChange;
     /** Like onChange, but skips commands that affect only idempotency keys or crash records, and no-ops. */
     std::function<void(std::function<void()>)> onSteeringChange;
-    /** Applies a committed proposal; only for the log. The result depends on the state and the proposal only. */
+    /** Applies a committed proposal; called only by the log. The result depends on the state and the proposal only. */
     std::function<command_result(const proposal&)> apply;
-    /** Replaces the state by a snapshot; only for the log. */
+    /** Replaces the state by a snapshot; called only by the log. */
     std::function<void(control_snapshot)> restore;
 };
 
--- a/src/ports/liveness_port.h
+++ b/src/ports/liveness_port.h
@@ -14,7 +14,7 @@
 
 /** When upstreams were last announced, as far as this VM knows. */
 struct liveness_port {
-    /** On this VM's clock; none when no announcement of the upstream is known here. */
+    /** The time of the upstream's last announcement, on this VM's clock; none if this VM knows of no announcement. */
     std::function<std::optional<time_point>(const upstream_id&)> lastSeen;
     /** An upstream gets no new requests when it has not been announced for this long. */
     std::function<duration()> silenceTimeout;
--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -18,13 +18,13 @@
 struct vm_report {
     vm_heartbeat last;
     time_point receivedAt {};
-    /** Since when heartbeats have arrived without a gap longer than the time-out for dead VMs. */
+    /** Since this time, no gap between heartbeats was longer than the time-out after which a VM counts as dead. */
     time_point aliveSince {};
 };
 
 /** The cluster's membership, as far as this VM knows it. */
 struct membership_port {
-    /** The random number of this start of this VM. */
+    /** The incarnation of this VM: a random number chosen at its start. */
     std::function<incarnation()> start;
     /** The VMs whose heartbeats reach the leader; empty on other VMs than the leader. */
     std::function<std::vector<vm_id>()> liveVms;
@@ -37,8 +37,8 @@
     std::function<bool()> stopping;
     /** Begins the graceful stop: callers are directed to other entries, and the allocator roles are given up. */
     std::function<void()> beginStop;
-    /** Called during the stop if requests of this VM may still run at upstreams when it ends; the stop is then not
-     * recorded as clean. */
+    /** Called during the stop if requests of this VM may still run at upstreams after the process has ended; the stop
+     * is then not recorded as clean. */
     std::function<void()> markUnfinishedWork;
     /** The VMs that callers should not be sent to because they are dead or stopping, as last reported by the leader. */
     std::function<std::vector<vm_id>()> avoided;
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -30,7 +30,7 @@
     std::string object;
     /** The only regions that may serve it; any if empty. */
     std::vector<region_id> allowedRegions;
-    /** An answer within this time has its full value. */
+    /** The latency that routing aims for; a later answer is still useful. */
     duration targetLatency {};
     /** 0 is the most urgent. */
     std::uint32_t priority = 0;
