Integration tests, soak and benchmarks: wording

Cause: a test name and a few comments needed a second reading. Change: comments; the test soak_schedule.same_seed.gives_as_many_events_... is now gives_the_same_event_count_...; private names delayOf -> delayFault, wave -> batch.

--- a/test/integration/test_system.h
+++ b/test/integration/test_system.h
@@ -58,7 +58,7 @@
     /** Sends SIGKILL and waits for the end of the process. */
     void killVm(int vm);
     void signalVm(int vm, int number);
-    /** Waits for the exit of a VM that was told to stop; the exit code, or -1 if it did not exit in time. */
+    /** Waits until a VM that was told to stop has exited; returns its exit code, or -1 if it did not exit in time. */
     int waitForExit(int vm);
     /** The number of the configuration in force at a VM; 0 if the VM does not answer. */
     std::uint64_t inForce(int vm);
@@ -72,8 +72,8 @@
     /** Runs `plantainlatch apply` for a declaration through one VM. Returns its exit code, or -1 if it runs 5 s longer
      * than `timeout`. */
     int apply(int vm, const std::string& yaml, duration timeout);
-    /** A declaration that only adds a region; `note` is its note and the region's name, and tells declarations with
-     * equal numbers apart. */
+    /** A declaration that only adds a region; `note` is its note and the region's name, and distinguishes
+     * declarations with equal numbers. */
     static std::string regionDeclaration(int number, int replaces, const std::string& note);
 
     /** Starts `count` upstreams of "work", assigned round-robin to the failure domains; in one process, or with
--- a/test/performance/consensus_benchmark.cpp
+++ b/test/performance/consensus_benchmark.cpp
@@ -1,7 +1,7 @@
 /** \file
  * Measures the replicated log: processor time for each change, commit latency, time to elect a new leader, and time and
- * bytes for a restarted VM to catch up. Latencies are simulated time, with the users' delays between regions (12 ms and
- * 55 ms) and 2 ms for each disk sync.
+ * bytes for a restarted VM to catch up. Latencies are simulated time, with network delays between regions of 12 ms
+ * and 55 ms, as in the users' deployment, and 2 ms for each disk sync.
  */
 
 #include <algorithm>
@@ -42,16 +42,16 @@
     void measureWork()
     {
         constexpr std::uint64_t changes = 20'000;
-        constexpr std::uint64_t wave = 200;
+        constexpr std::uint64_t batch = 200;
         consensus_cluster cluster(vmCount, replicaCount);
         cluster.startAll();
         cluster.waitForLeader();
         const int leader = cluster.leader();
         const auto began = std::chrono::steady_clock::now();
-        for (std::uint64_t first = 1; first <= changes; first += wave) {
-            for (std::uint64_t i = first; i < first + wave; ++i)
+        for (std::uint64_t first = 1; first <= changes; first += batch) {
+            for (std::uint64_t i = first; i < first + batch; ++i)
                 cluster.propose(leader, i);
-            cluster.until([&] { return cluster.results.size() == first + wave - 1; });
+            cluster.until([&] { return cluster.results.size() == first + batch - 1; });
         }
         const std::chrono::duration<double, std::micro> spent = std::chrono::steady_clock::now() - began;
         std::printf("work for one change, %d replicas and %d VMs together: %.1f us (%llu changes)\n", replicaCount,
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -19,7 +19,7 @@
     constexpr const char* stopUp = R"({"stop_up":true})";
     constexpr const char* stopBoth = R"({"stop_up":true,"stop_down":true})";
 
-    std::string delayOf(duration span)
+    std::string delayFault(duration span)
     {
         return absl::StrCat(
             R"({"delay_ms":)", std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), "}");
@@ -105,7 +105,7 @@
         m_system.signalVm(event.vm, SIGSTOP);
         return;
     case soak_fault::DelayPeers:
-        setPeerFaults(event.vm, delayOf(event.delay), delayOf(event.delay));
+        setPeerFaults(event.vm, delayFault(event.delay), delayFault(event.delay));
         return;
     case soak_fault::CutOneWay:
         setPeerFaults(event.vm, stopUp, noFaults);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -24,7 +24,7 @@
     /** Injects all faults, ends them, and checks that the system has recovered. Violations are in violations(). */
     void run();
 
-    /** The violated invariants; the journal gives their times. */
+    /** Descriptions of the violated invariants; the journal has the times of the violations. */
     const std::vector<std::string>& violations() const { return m_violations; }
     /** The events of the run with their times, to diagnose a failure. */
     const std::string& journal() const { return m_journal; }
--- a/test/soak/soak_schedule.h
+++ b/test/soak/soak_schedule.h
@@ -39,7 +39,7 @@
 /** One fault of a run. */
 struct soak_event {
     soak_fault fault = soak_fault::Kill;
-    /** From the start of the run. */
+    /** The time since the start of the run. */
     duration at {};
     duration length {};
     /** The affected VM, from 1. */
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -47,7 +47,7 @@
     }
 }
 
-TEST_CASE("soak_schedule.same_seed.gives_as_many_events_and_no_overlapping_process_faults")
+TEST_CASE("soak_schedule.same_seed.gives_the_same_event_count_and_no_overlapping_process_faults")
 {
     const std::vector<soak_event> events = generateSchedule(7, defaultSize);
     REQUIRE(events.size() == generateSchedule(7, defaultSize).size());
