Front ends: lame-duck time and plainer wording

serveBeforeStop read as a time before the stop, though it is the time for which a stopping VM still serves callers; it is lameDuckTime now. The local order of a parsed drain request is named parsed, that of an encoded one body.

--- a/src/main/drain_command.cpp
+++ b/src/main/drain_command.cpp
@@ -22,11 +22,11 @@
             std::fputs("KIND (vm, upstream, failure_domain or region) and NAME are expected (see --help)\n", stderr);
             return exit_code::badInput;
         }
-        const nlohmann::json order { { "kind", line.arguments()[0] }, { "name", line.arguments()[1] },
+        const nlohmann::json body { { "kind", line.arguments()[0] }, { "name", line.arguments()[1] },
             { "draining", draining }, { "force", line.given("force") } };
         operator_request request { "POST", "/v1/drains" };
         request.headers = { { "Content-Type", "application/json" } };
-        request.body = order.dump();
+        request.body = body.dump();
         return askAndPrint(line, request, [](const nlohmann::json& answer) {
             std::printf("%s %s\n", memberText(answer, "verdict").c_str(), memberText(answer, "message").c_str());
         });
--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -10,7 +10,7 @@
 caller_exchanges::caller_exchanges(caller_exchange_parts parts)
     : m_parts(std::move(parts))
 {
-    m_parts.numbers.addGauge("plantainlatch_requests_in_flight", "Requests that wait for their answers.",
+    m_parts.numbers.addGauge("plantainlatch_requests_in_flight", "Requests that are not answered yet.",
         [this] { return static_cast<double>(m_pending.size()); });
 }
 
@@ -66,7 +66,7 @@
     m_parts.server.closeAfterAnswers();
     if (m_parts.maximumStopTime)
         m_stopDeadline = m_parts.hooks.now() + *m_parts.maximumStopTime;
-    m_parts.hooks.schedule(m_parts.serveBeforeStop, [this, stopped = std::move(stopped)] {
+    m_parts.hooks.schedule(m_parts.lameDuckTime, [this, stopped = std::move(stopped)] {
         m_refusing = true;
         m_stopped = stopped;
         m_parts.server.stopListening();
--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -26,13 +26,14 @@
     /** Encodes an answer; `head` is set if the request was a HEAD. */
     std::function<http_answer(const caller_answer&, bool head)> encode;
     /** How long requests are still served after the stop began, for callers whose entry lists still contain this VM. */
-    duration serveBeforeStop {};
-    /** The maximum duration of the stop. The deadlines of requests that arrive during the stop are cut to the rest. */
+    duration lameDuckTime {};
+    /** The maximum duration of the stop. The deadlines of requests that arrive during the stop are shortened to
+     * its remaining time. */
     std::optional<duration> maximumStopTime;
 };
 
 /** Submits requests and answers each one once. The stop is graceful: each answer closes its connection, new requests
- * are served for `serveBeforeStop`, and requests in flight are finished. */
+ * are served for `lameDuckTime`, and requests in flight are finished. */
 class caller_exchanges {
 public:
     explicit caller_exchanges(caller_exchange_parts parts);
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -60,7 +60,7 @@
     const std::size_t nameStart = std::string_view(servicePrefix).size();
     const std::size_t nameEnd = std::min(path.find('/', nameStart), path.size());
     if (nameEnd == nameStart || nameEnd - nameStart > maximumServiceNameLength)
-        return absl::InvalidArgumentError("the path names no service");
+        return absl::InvalidArgumentError("the path contains no service name");
     caller_request result;
     result.service = service_id(std::string(path.substr(nameStart, nameEnd - nameStart)));
     result.method = request.method();
@@ -90,7 +90,7 @@
 caller_front::caller_front(const kernel_hooks& hooks, const vm_settings& settings, caller_front_options options)
     : m_hooks(hooks)
     , m_self(settings.self.id)
-    , m_serveBeforeStop(settings.lookupCacheTime + options.listPropagation)
+    , m_lameDuckTime(settings.lookupCacheTime + options.listPropagation)
 {
 }
 
@@ -121,7 +121,7 @@
     m_metrics = *numbers;
     m_entries.emplace(**entries, m_self);
     m_exchanges.emplace(caller_exchange_parts {
-        m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_serveBeforeStop, std::nullopt });
+        m_hooks, *m_server, **requests, *m_metrics, encodeCallerAnswer, m_lameDuckTime, std::nullopt });
     m_server->addRoute({ servicePrefix,
         [this](exchange_id exchange, const http_request_view& request) { handleRequest(exchange, request); },
         [this](exchange_id exchange) { m_exchanges->callerDisconnected(exchange); } });
--- a/src/services/caller_front.h
+++ b/src/services/caller_front.h
@@ -50,7 +50,7 @@
 
     kernel_hooks m_hooks;
     vm_id m_self;
-    duration m_serveBeforeStop;
+    duration m_lameDuckTime;
     http_server* m_server = nullptr;
     metrics* m_metrics = nullptr;
     std::optional<entry_answers> m_entries;
--- a/src/services/operator_front.cpp
+++ b/src/services/operator_front.cpp
@@ -123,12 +123,12 @@
 void operator_front::drain(exchange_id exchange, const http_request_view& request)
 {
     finding_list findings;
-    const absl::StatusOr<drain_request> order = parseDrainJson(request.body(), findings);
-    if (!order.ok()) {
+    const absl::StatusOr<drain_request> parsed = parseDrainJson(request.body(), findings);
+    if (!parsed.ok()) {
         m_server->respond(exchange, encodeFindings("the drain is not valid", findings));
         return;
     }
-    m_operators->drain(order->target, order->draining, order->force, answerWithResult(*m_server, exchange));
+    m_operators->drain(parsed->target, parsed->draining, parsed->force, answerWithResult(*m_server, exchange));
 }
 
 void operator_front::history(exchange_id exchange, const http_request_view& request)
