--- a/src/codec/frame_codec.cpp
+++ b/src/codec/frame_codec.cpp
@@ -8,7 +8,8 @@
 
     constexpr std::size_t lengthBytes = 4;
     constexpr unsigned bitsPerByte = 8;
-    /** The number of decoded bytes from which on they are erased from the buffer, which moves the rest. */
+    /** Decoded bytes are erased from the buffer only once there are this many, since erasing them moves all bytes that
+     * follow. */
     constexpr std::size_t compactionBytes = 64 * 1024;
 
     std::size_t readLength(const char* bytes)
--- a/src/codec/json_requests.cpp
+++ b/src/codec/json_requests.cpp
@@ -39,7 +39,7 @@
             , m_findings(findings)
         {
             if (!m_value.is_object())
-                m_findings.add({}, "the body is no JSON object", "an object");
+                m_findings.add({}, "the body is not a JSON object", "an object");
         }
 
         std::string name(const char* field)
@@ -60,7 +60,7 @@
                 return {};
             if (value->is_string())
                 return value->get<std::string>();
-            reportInvalid(field, "a text");
+            reportInvalid(field, "a string");
             return {};
         }
 
--- a/src/codec/yaml_reader.h
+++ b/src/codec/yaml_reader.h
@@ -60,7 +60,7 @@
     return valid;
 }
 
-/** Reads the fields of one map. A key that was never looked up is unknown, which finish() reports. */
+/** Reads the fields of one map. finish() reports all keys that were not looked up as unknown. */
 class yaml_map_reader {
 public:
     /** A node that is not a map adds one finding; its fields then count as missing without further findings. */
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -27,7 +27,7 @@
 
     void printUsage(std::FILE* out, const std::vector<subcommand>& items)
     {
-        std::fputs("plantainlatch steers requests from callers to upstreams in several regions.\n\n"
+        std::fputs("plantainlatch routes requests from callers to upstreams in several regions.\n\n"
                    "Usage: plantainlatch SUBCOMMAND [OPTION...]\n\n",
             out);
         for (const subcommand& item : items)
--- a/src/main/run_vm.h
+++ b/src/main/run_vm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Runs a VM as a process; shared by all programs that differ in the VM's front ends.
+ * Runs a VM as a process; shared by the subcommands `serve` and `platform`, whose VMs have different front ends.
  */
 
 #include <cstdio>
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -33,7 +33,8 @@
     }
 
     /** Creates an event base that collects changes of the watched events and passes them to epoll once per loop
-     * iteration, which saves system calls. This does not work with duplicated file descriptors, and there are none. */
+     * iteration, which saves system calls. This requires that no watched file descriptor is a duplicate of another one;
+     * the process duplicates none. */
     event_base* newBase()
     {
         event_config* config = event_config_new();
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -18,8 +18,8 @@
 /** A libevent loop with timers, signal handlers, clocks and a random source. */
 class event_loop {
 public:
-    /** `seed` is the seed of the random source; 0 takes a random seed from the operating system. SIGPIPE is ignored
-     * from then on. ResourceExhausted if libevent can't create a loop. */
+    /** `seed` is the seed of the random source; 0 takes a random seed from the operating system. Makes the process
+     * ignore SIGPIPE. ResourceExhausted if libevent can't create a loop. */
     static absl::StatusOr<std::unique_ptr<event_loop>> create(std::uint64_t seed);
     ~event_loop();
 
--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -105,7 +105,7 @@
 
 frame_stream::~frame_stream()
 {
-    // A callback may be running. It holds a reference to the implementation, which so stays alive until the callback
+    // A callback may be running. It holds a reference to the implementation, which thus stays alive until the callback
     // returns; after release() no further callback is called.
     m_parts->release();
 }
--- a/src/runtime/peer_handshake.h
+++ b/src/runtime/peer_handshake.h
@@ -88,8 +88,8 @@
  * times. */
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
-/** Adds and verifies the MACs of the frames in one direction of a session. Each end has an object of its own; both
- * count the frames. */
+/** Adds and verifies the MACs of the frames in one direction of a session. Each end of the
+ * connection has its own object, which counts the frames. */
 class frame_authenticator {
 public:
     frame_authenticator(
