--- a/src/services/bounded_sink.h
+++ b/src/services/bounded_sink.h
@@ -17,8 +17,8 @@
 /** Writes complete lines to a file descriptor, which it does not own. */
 class bounded_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
-    /** `capacity` is the size of the buffer in bytes. Once there is room again, a line of its own reports how many
-     * lines were dropped. */
+    /** `capacity` is the size of the buffer in bytes. Once there is room again, a separate line reports the
+     * number of dropped lines. */
     bounded_sink(int descriptor, std::size_t capacity);
 
     std::uint64_t lostLines() const { return m_lost; }
--- a/src/services/entry_answers.cpp
+++ b/src/services/entry_answers.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    /** When the cache is full it is cleared: only made-up names of failure domains can fill it. */
+    /** When the cache is full, it is cleared; only look-ups with unknown failure domains can fill it. */
     constexpr std::size_t maximumCachedAnswers = 256;
     constexpr int statusOk = 200;
 
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -65,8 +65,8 @@
             while (!entries.empty() && entries.back().index >= entry.index)
                 entries.pop_back();
             if (!entries.empty() && entries.back().index.next() != entry.index)
-                return absl::DataLossError(
-                    absl::StrCat("log entry ", entry.index.value(), " follows entry ", entries.back().index.value()));
+                return absl::DataLossError(absl::StrCat("log entry ", entry.index.value(),
+                    " is not the next one after entry ", entries.back().index.value()));
             entries.push_back(entry);
         }
         return absl::OkStatus();
@@ -79,8 +79,8 @@
         const log_index covered = recovered.snapshot->index;
         std::erase_if(recovered.entries, [covered](const log_entry& entry) { return entry.index <= covered; });
         if (!recovered.entries.empty() && recovered.entries.front().index != covered.next())
-            return absl::DataLossError(absl::StrCat(
-                "log entry ", recovered.entries.front().index.value(), " follows the snapshot at ", covered.value()));
+            return absl::DataLossError(absl::StrCat("log entry ", recovered.entries.front().index.value(),
+                " is not the next one after the snapshot at ", covered.value()));
         return absl::OkStatus();
     }
 
@@ -224,7 +224,7 @@
             return absl::OkStatus();
         if (!mayBeTorn)
             return damaged(
-                file, absl::DataLossError(absl::StrCat("a record is cut short at offset ", scan->validBytes)));
+                file, absl::DataLossError(absl::StrCat("a record is incomplete at offset ", scan->validBytes)));
         hooks.log({ log_level::Warning, "storage", "a torn tail was cut",
             { { "file", file }, { "offset", absl::StrCat(scan->validBytes) } } });
         return files.truncate(file, scan->validBytes);
--- a/src/services/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -119,7 +119,7 @@
     using enum answer_reason;
     switch (problem) {
     case http_problem::Malformed:
-        return encodeCallerAnswer(problemAnswer(400, MalformedRequest, "the request is no valid HTTP\n"), false);
+        return encodeCallerAnswer(problemAnswer(400, MalformedRequest, "the request is not valid HTTP\n"), false);
     case http_problem::HeadersTooLarge:
         return encodeCallerAnswer(problemAnswer(431, MalformedRequest, "the header fields are too large\n"), false);
     case http_problem::BodyTooLarge:
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -104,7 +104,8 @@
     const bool writes = self->m_state == state::Writing || self->m_state == state::WritingLast;
     const bool silent = (what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0;
     if (silent && (self->isAwaitingAnswer() || writes)) {
-        // No read time-out applies until the answer is written. Libevent disabled reading when the timer fired.
+        // No read time-out applies until the answer is written. Libevent disables reading when the timer fires, so it
+        // is enabled again.
         bufferevent_enable(self->m_channel, EV_READ);
         return;
     }
--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -12,14 +12,15 @@
 
 namespace {
 
-    /** The bytes of a header line beside name and value: ": " and CRLF. */
+    /** The bytes of a header line besides its name and value: ": " and CRLF. */
     constexpr std::size_t headerLineOverhead = 4;
     constexpr std::uint64_t noContentLength = std::numeric_limits<std::uint64_t>::max();
     constexpr int stopParsing = -1;
 
     bool isMethodLetter(char letter) { return letter >= 'A' && letter <= 'Z'; }
 
-    /** Whether the bytes begin like a method and a target; then only the method is unknown. */
+    /** Whether the bytes begin with uppercase letters and a path, as in a valid request line whose method is unknown.
+     */
     bool looksLikeRequestLine(std::string_view bytes)
     {
         const auto end = std::find_if_not(bytes.begin(), bytes.end(), isMethodLetter);
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    /** How much is buffered for a slow reader. */
+    /** The size in bytes of the buffer for lines that the reader has not taken yet. */
     constexpr std::size_t bufferBytes = 256 * 1024;
     /** The maximum number of lines of one kind in an interval; further ones are only counted. */
     constexpr std::uint64_t linesPerInterval = 400;
--- a/src/services/operator_client.cpp
+++ b/src/services/operator_client.cpp
@@ -15,7 +15,7 @@
     {
         switch (failure) {
         case call_failure::ConnectFailed:
-            return "could not be connected to";
+            return "could not be reached";
         case call_failure::ConnectionLimit:
             return "has too many connections";
         case call_failure::Lost:
--- a/src/services/peer_receiver.h
+++ b/src/services/peer_receiver.h
@@ -18,15 +18,15 @@
 
 namespace plantainlatch {
 
-/** Callbacks to the owner. onClosed is called at most once and is the last one; the receiver is not to be destroyed
+/** Callbacks to the owner. onClosed is called at most once and is the last one; the receiver must not be destroyed
  * within it. */
 struct peer_receiver_events {
     std::function<void(const vm_id& from, const std::string& encoded)> onMessage;
     std::function<void(const absl::Status& why)> onClosed;
 };
 
-/** Authenticates the peer, checks its frames and answers its pings. A peer that is not authenticated causes no event
- * but onClosed. */
+/** Authenticates the peer, checks its frames and answers its pings. Until the peer is authenticated, only
+ * onClosed can be called. */
 class peer_receiver {
 public:
     static std::unique_ptr<peer_receiver> create(event_loop& loop, const kernel_hooks& hooks, int socket,
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -113,7 +113,8 @@
     const evutil_socket_t socket = socketOf(connection);
     if (socket < 0)
         return false;
-    // Waiting input answers no request of this client, and an end of the stream means that the upstream has closed.
+    // Unread input can't belong to a request, as none is in flight, and the end of the stream means that the upstream
+    // has closed the connection.
     char byte = 0;
     return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
@@ -189,8 +190,8 @@
 void upstream_connections::freeLater(std::unique_ptr<upstream_connection> connection)
 {
     connection->closed = true;
-    // If the connection is established before it is freed, evhttp would send the request at once. Removing the
-    // callbacks keeps evhttp from noticing, and the shutdown keeps buffered bytes from being sent.
+    // The connection may still be established before it is freed, and evhttp would then send the request. Removing the
+    // callbacks prevents this, and the shutdown keeps buffered bytes from being sent.
     bufferevent* channel = evhttp_connection_get_bufferevent(connection->handle);
     bufferevent_setcb(channel, nullptr, nullptr, nullptr, nullptr);
     if (bufferevent_getfd(channel) >= 0)
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -83,7 +83,7 @@
     /** Closes the idle connections to all addresses. */
     void closeIdle();
 
-    /** User data for the request callbacks, which libevent gives only the connection. */
+    /** User data for the request callbacks, to which libevent passes only the connection. */
     void* user() const { return m_user; }
     void setUser(void* user) { m_user = user; }
 
