--- a/test/error/full_listener.h
+++ b/test/error/full_listener.h
@@ -11,7 +11,7 @@
 
 namespace plantainlatch {
 
-/** New connections stay in progress until makeRoom(). All functions block the calling thread. */
+/** Attempts to connect stay pending until makeRoom() is called. All functions block the calling thread. */
 class full_listener {
 public:
     full_listener();
--- a/tools/fault_proxy/fault_set.cpp
+++ b/tools/fault_proxy/fault_set.cpp
@@ -50,11 +50,11 @@
 {
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
     if (!json.is_object())
-        return absl::InvalidArgumentError("no JSON object");
+        return absl::InvalidArgumentError("the faults are not a JSON object");
     fault_set faults;
     for (const auto& [name, value] : json.items()) {
         if (!readFlag(name, value, faults) && !readNumber(name, value, faults))
-            return absl::InvalidArgumentError(absl::StrCat("'", name, "' is unknown or has a wrong value"));
+            return absl::InvalidArgumentError(absl::StrCat("'", name, "' is unknown or has an invalid value"));
     }
     return faults;
 }
--- a/tools/fault_proxy/main.cpp
+++ b/tools/fault_proxy/main.cpp
@@ -15,15 +15,16 @@
 
     command_spec proxyCommand()
     {
-        return { "fault_proxy", "Passes TCP connections on, with faults that are commanded over HTTP.",
+        return { "fault_proxy", "Forwards TCP connections and injects faults that are set over HTTP.",
             {
-                { "control", "IP:PORT", "where faults are commanded", {}, false, true },
-                { "route", "NAME=LISTEN/TARGET", "listens on one address and leads to the other", {}, true, true },
+                { "control", "IP:PORT", "address of the HTTP interface for setting faults", {}, false, true },
+                { "route", "NAME=LISTEN/TARGET", "a route, which listens on one address and forwards to the other", {},
+                    true, true },
             },
             {},
             "GET /routes; PUT /routes/NAME/faults with any of {\"delay_ms\":N, \"stop_up\":B, \"stop_down\":B,\n"
             "\"refuse\":B, \"half_open\":B, \"truncate_after\":N, \"rate\":N}; POST /routes/NAME/cut;\n"
-            "POST /routes/NAME/silence-open. NAME* stands for all routes that begin so." };
+            "POST /routes/NAME/silence-open. NAME* selects all routes with this prefix." };
     }
 
     int fail(const absl::Status& status, int code)
--- a/tools/fault_proxy/proxied_connection.h
+++ b/tools/fault_proxy/proxied_connection.h
@@ -24,8 +24,8 @@
 /** Forwards bytes in both directions between an accepted socket and a connection to the target. */
 class proxied_connection {
 public:
-    /** Takes ownership of the accepted socket. `onEnd` is called once, from a later iteration of the event loop than
-     * the event that ended the connection, so that it may destroy this object. */
+    /** Takes ownership of the accepted socket. `onEnd` is called once after the connection has ended, in a later
+     * iteration of the event loop, so it may destroy this object. */
     static std::unique_ptr<proxied_connection> create(event_base* base, const kernel_hooks& hooks, int accepted,
         const network_address& target, const fault_set& faults, std::function<void()> onEnd);
     ~proxied_connection();
--- a/tools/load_tool/load_options.cpp
+++ b/tools/load_tool/load_options.cpp
@@ -65,24 +65,24 @@
 
 command_spec loadCommand()
 {
-    return { "load_tool", "Sends requests at a fixed rate, whatever the answers, and reports what became of them.",
+    return { "load_tool", "Sends requests at a fixed rate, independently of the answers, and reports their results.",
         {
             { "entry", "IP:PORT", "an entry to ask for the list of entries", {}, true, true },
-            { "near", "FAILURE_DOMAIN", "where the callers are; several are taken in turn", {}, true },
+            { "near", "FAILURE_DOMAIN", "failure domain of the callers; several are used round-robin", {}, true },
             { "service", "NAME", "the service to call", {}, false, true },
-            { "rate", "N", "requests a second", "100" },
+            { "rate", "N", "requests per second", "100" },
             { "duration", "TIME", "how long to send", "10s" },
             { "mix", "I,K,U", "weights of idempotent, keyed and unkeyed requests", "70,30,0" },
-            { "get-path", "PATH", "of the idempotent requests", "/item" },
-            { "post-path", "PATH", "of the other requests", "/orders" },
-            { "body-bytes", "N", "size of each POST", "100" },
-            { "timeout", "TIME", "from the intended send time to the last answer", "5s" },
-            { "tries", "N", "how often a request is sent when that is safe", "5" },
-            { "json", "FILE", "writes the report as JSON too" },
-            { "seed", "N", "of the mix; 0 takes any", "0" },
-            { "require-all", "", "exit with 1 unless every request got its own whole answer" },
+            { "get-path", "PATH", "path of the idempotent requests", "/item" },
+            { "post-path", "PATH", "path of the other requests", "/orders" },
+            { "body-bytes", "N", "body size of each POST", "100" },
+            { "timeout", "TIME", "time limit of a request, from its scheduled send time", "5s" },
+            { "tries", "N", "maximum number of times that a request is sent; it is resent only if that is safe", "5" },
+            { "json", "FILE", "file to which the report is also written as JSON" },
+            { "seed", "N", "seed of the mix; 0 takes a random one", "0" },
+            { "require-all", "", "exit with 1 unless every request got a complete answer of its own" },
         },
-        {}, "Latency counts from the intended send time. Exit codes: 0 done, 1 failed, 2 wrong options." };
+        {}, "Latency is measured from the scheduled send time. Exit codes: 0 done, 1 failed, 2 invalid options." };
 }
 
 absl::StatusOr<load_options> readLoadOptions(const command_line& line)
--- a/tools/load_tool/load_options.h
+++ b/tools/load_tool/load_options.h
@@ -18,11 +18,11 @@
 
 /** The kinds of requests in the mix. */
 enum class work_kind {
-    /** A GET, which may be sent again. */
+    /** A GET, which can be resent safely. */
     Idempotent,
-    /** A POST with an idempotency key, which may be sent again with the same key. */
+    /** A POST with an idempotency key, which can be resent safely with the same key. */
     Keyed,
-    /** A POST without a key, which is sent again only if it is known not to have been executed. */
+    /** A POST without a key, which is resent only if it is known not to have been executed. */
     Unkeyed,
 };
 
--- a/tools/upstream_standin/run_record.h
+++ b/tools/upstream_standin/run_record.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A log of executed requests, from which requests that were executed twice are counted.
+ * A log of executed requests, in which requests that were executed twice can be found.
  */
 
 #include <memory>
--- a/tools/upstream_standin/standin.h
+++ b/tools/upstream_standin/standin.h
@@ -64,7 +64,7 @@
     void answer(std::uint64_t key, int status);
     void answerNotRun(std::uint64_t key);
     void onRequestEnded(evhtp_request* request);
-    /** Removes and returns an exchange; the end of its request is then ignored. */
+    /** Removes and returns an exchange; onRequestEnded() ignores its request from then on. */
     exchange removeExchange(std::uint64_t key);
     void sampleLoad();
 
--- a/tools/upstream_standin/standin_options.cpp
+++ b/tools/upstream_standin/standin_options.cpp
@@ -79,33 +79,38 @@
 
 command_spec standinCommand()
 {
-    return { "upstream_standin", "Stands in for upstreams: announces itself, runs requests in slots, sheds, drains.",
+    return {
+        "upstream_standin",
+        "Stands in for upstreams: announces them, executes requests in slots, sheds load and drains.",
         {
             { "service", "NAME", "the service that it offers", {}, false, true },
             { "id", "PREFIX", "upstreams are named PREFIX-1, PREFIX-2, ... (default: the service)" },
-            { "count", "N", "how many upstreams live in this process", "1" },
-            { "address", "IP:PORT", "of the first one; the next ones take the next ports", {}, false, true },
-            { "announce", "IP:PORT", "what to announce instead of --address, for a proxy before it" },
-            { "place", "REGION/FAILURE_DOMAIN", "where it is; several are taken in turn", {}, true, true },
+            { "count", "N", "number of upstreams in this process", "1" },
+            { "address", "IP:PORT", "address of the first upstream; the others use the ports after it", {}, false,
+                true },
+            { "announce", "IP:PORT", "address to announce instead of --address, such as that of a proxy" },
+            { "place", "REGION/FAILURE_DOMAIN", "location; several are assigned to the upstreams round-robin", {}, true,
+                true },
             { "entry", "IP:PORT", "an entry to announce to; the next one is tried when it fails", {}, true },
-            { "slots", "N", "requests that run at once", "4" },
-            { "connections", "N", "connections that it says it bears", "360" },
-            { "queue", "N", "requests that wait for a slot; further ones are shed", "8" },
-            { "service-time", "TIME", "mean time of one request", "10ms" },
+            { "slots", "N", "number of requests that are executed concurrently", "4" },
+            { "connections", "N", "connection limit that is announced", "360" },
+            { "queue", "N", "maximum number of requests that wait for a slot; further ones are shed", "8" },
+            { "service-time", "TIME", "mean execution time of a request", "10ms" },
             { "distribution", "NAME", "constant, exponential or lognormal", "constant" },
-            { "cold-requests", "N", "requests that warm a cold start", "0" },
-            { "cold-factor", "X", "how many times longer the first of them takes", "5" },
-            { "answer-bytes", "N", "padding of each answer", "0" },
-            { "load", "NAME", "what /load says: truth, idle, busy or silent", "truth" },
-            { "load-lag", "TIME", "how old the reported load is", "0ms" },
-            { "health", "NAME", "what /health says: ok or failing", "ok" },
-            { "drain-time", "TIME", "how long it still accepts work after SIGTERM", "2s" },
-            { "record", "FILE", "appends METHOD, request and key of each request that it runs" },
-            { "seed", "N", "of the service times; 0 takes any", "0" },
+            { "cold-requests", "N", "number of requests after the start that are slower", "0" },
+            { "cold-factor", "X", "factor on the service time of the first of them", "5" },
+            { "answer-bytes", "N", "number of padding bytes in each answer", "0" },
+            { "load", "NAME", "what /load reports: truth, idle, busy or silent", "truth" },
+            { "load-lag", "TIME", "age of the load that /load reports", "0ms" },
+            { "health", "NAME", "what /health reports: ok or failing", "ok" },
+            { "drain-time", "TIME", "how long requests are still accepted after SIGTERM", "2s" },
+            { "record", "FILE", "file to which upstream, method, request and key of each request are appended" },
+            { "seed", "N", "seed of the service times; 0 takes a random one", "0" },
         },
         {},
         "The request headers X-Standin-Crash: 1 (exit at once) and X-Standin-Hang: 1 (hold the request silently)\n"
-        "provoke faults. SIGTERM says goodbye, finishes what runs and exits with 0." };
+        "inject faults. On SIGTERM, the upstreams deregister, accepted requests are finished, and the exit code is 0."
+    };
 }
 
 absl::StatusOr<standin_options> readStandinOptions(const command_line& line)
--- a/tools/upstream_standin/work_queue.h
+++ b/tools/upstream_standin/work_queue.h
@@ -22,11 +22,11 @@
 struct work_events {
     /** The request got a slot and its execution begins. */
     std::function<void()> onRun;
-    /** Its service time is over. */
+    /** The request was executed for its service time. */
     std::function<void()> onDone;
-    /** The deadline passed while it was queued, so that it was not executed. */
+    /** The deadline passed while the request was queued, so it was not executed. */
     std::function<void()> onNotRun;
-    /** The deadline passed during its execution. */
+    /** The deadline passed while the request was executed. */
     std::function<void()> onDeadline;
 };
 
