Front ends: errors that name the rule, plainer private names

The error for a missing or too long service name said only that the path names none; the HTTP server's listen error spoke of callers though operators and upstreams use it as well; some local names were figurative (gone, notice, own, order).

--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -19,7 +19,7 @@
     constexpr std::size_t maximumServiceNameLength = 64;
     constexpr int statusBadRequest = 400;
     constexpr int statusUnavailable = 503;
-    constexpr duration retryElsewhere = std::chrono::seconds(1);
+    constexpr duration drainingRetryAfter = std::chrono::seconds(1);
 
     bool isVisible(char letter) { return letter > ' ' && letter <= '~'; }
 
@@ -60,7 +60,7 @@
     const std::size_t nameStart = std::string_view(servicePrefix).size();
     const std::size_t nameEnd = std::min(path.find('/', nameStart), path.size());
     if (nameEnd == nameStart || nameEnd - nameStart > maximumServiceNameLength)
-        return absl::InvalidArgumentError("the path contains no service name");
+        return absl::InvalidArgumentError("the path must contain a service name of 1 to 64 bytes");
     caller_request result;
     result.service = service_id(std::string(path.substr(nameStart, nameEnd - nameStart)));
     result.method = request.method();
@@ -134,7 +134,7 @@
 {
     if (m_exchanges->refusing()) {
         caller_answer answer = refusal(statusUnavailable, answer_reason::Draining, "this VM is shutting down");
-        answer.retryAfter = retryElsewhere;
+        answer.retryAfter = drainingRetryAfter;
         m_exchanges->refuse(exchange, answer, false);
         return;
     }
--- a/src/services/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -108,8 +108,8 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*answer.retryAfter).count();
         addField(text, http_fields::retryAfter, std::to_string(std::max<std::int64_t>(1, seconds)));
     }
-    const bool ownLength = !hasLength && !hasNoBody(content.status) && !(head && content.body.empty());
-    if (ownLength)
+    const bool addsLength = !hasLength && !hasNoBody(content.status) && !(head && content.body.empty());
+    if (addsLength)
         addField(text, http_fields::contentLength, std::to_string(content.body.size()));
     return { std::move(text), head ? std::string() : content.body };
 }
--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -52,15 +52,15 @@
 struct http_request_parser::callbacks {
     static http_request_parser& self(http_parser* parser) { return *static_cast<http_request_parser*>(parser->data); }
 
-    template <int (http_request_parser::*Take)(std::string_view)>
+    template <int (http_request_parser::*Handle)(std::string_view)>
     static int data(http_parser* parser, const char* bytes, std::size_t size)
     {
-        return (self(parser).*Take)({ bytes, size });
+        return (self(parser).*Handle)({ bytes, size });
     }
 
-    template <int (http_request_parser::*Take)()> static int notice(http_parser* parser)
+    template <int (http_request_parser::*Handle)()> static int notify(http_parser* parser)
     {
-        return (self(parser).*Take)();
+        return (self(parser).*Handle)();
     }
 
     static int begin(http_parser* parser)
@@ -77,9 +77,9 @@
         settings.on_url = data<&http_request_parser::addUrl>;
         settings.on_header_field = data<&http_request_parser::addFieldName>;
         settings.on_header_value = data<&http_request_parser::addFieldValue>;
-        settings.on_headers_complete = notice<&http_request_parser::finishHeaders>;
+        settings.on_headers_complete = notify<&http_request_parser::finishHeaders>;
         settings.on_body = data<&http_request_parser::addBody>;
-        settings.on_message_complete = notice<&http_request_parser::finishRequest>;
+        settings.on_message_complete = notify<&http_request_parser::finishRequest>;
         return settings;
     }
 };
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -100,7 +100,7 @@
         shared.base, take, this, flags, listenBacklog, reinterpret_cast<const sockaddr*>(&local), sizeof(local));
     if (listener == nullptr)
         return absl::UnavailableError(
-            absl::StrCat("can't listen for callers on ", formatAddress(wanted), ": ", std::strerror(errno)));
+            absl::StrCat("can't listen for HTTP connections on ", formatAddress(wanted), ": ", std::strerror(errno)));
     evconnlistener_set_error_cb(
         listener, [](evconnlistener*, void* argument) { static_cast<implementation*>(argument)->pauseAccepting(); });
     address = { wanted.host, portOf(listener) };
@@ -156,9 +156,9 @@
         return;
     const exchange_id number = found->second;
     exchangeIds.erase(found);
-    const auto left = exchanges.extract(number);
-    if (!left.empty() && left.mapped().route->onDisconnect)
-        left.mapped().route->onDisconnect(number);
+    const auto removed = exchanges.extract(number);
+    if (!removed.empty() && removed.mapped().route->onDisconnect)
+        removed.mapped().route->onDisconnect(number);
 }
 
 void http_server::implementation::closed(http_connection& connection)
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -46,7 +46,7 @@
                     if (answersAtOnce)
                         answer(exchange);
                 },
-                [this](exchange_id exchange) { gone.push_back(exchange); } });
+                [this](exchange_id exchange) { disconnected.push_back(exchange); } });
         }
 
         void answer(exchange_id exchange) { server->respond(exchange, encodeAnswer(200, {}, "lit")); }
@@ -62,7 +62,7 @@
 
         std::unique_ptr<http_server> server;
         std::vector<seen_request> seen;
-        std::vector<exchange_id> gone;
+        std::vector<exchange_id> disconnected;
         bool answersAtOnce = true;
     };
 
@@ -149,7 +149,7 @@
     runUntil([&] { return idle.ended && !seen.empty(); });
     runFor(400ms);
     REQUIRE_FALSE(waiting.ended);
-    REQUIRE(gone.empty());
+    REQUIRE(disconnected.empty());
     answer(seen.front().exchange);
     runUntil([&] { return waiting.received.ends_with("lit"); });
 }
@@ -162,7 +162,7 @@
     runUntil([&] { return !seen.empty(); });
     runFor(400ms);
     client.close();
-    runUntil([&] { return gone.size() == 1; });
+    runUntil([&] { return disconnected.size() == 1; });
     answer(seen.front().exchange);
     REQUIRE(server->inFlight() == 0);
 }
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -103,8 +103,8 @@
                 else
                     done(portStatus);
             };
-            configurations.drain = [this](const set_drain& order, const std::function<void(absl::Status)>& done) {
-                drainOrder = order;
+            configurations.drain = [this](const set_drain& change, const std::function<void(absl::Status)>& done) {
+                drainChange = change;
                 done(portStatus);
             };
             control.state = [this]() -> const control_snapshot& { return state; };
@@ -134,7 +134,7 @@
         std::string requestedDomain;
         upstream_announcement announced;
         configuration put;
-        set_drain drainOrder;
+        set_drain drainChange;
         absl::Status portStatus;
         bool joined = true;
         bool stopping = false;
@@ -341,10 +341,10 @@
 TEST_CASE_METHOD(platform_front_fixture, "platform_evacuation.known_and_unknown_zone.are_200_and_400")
 {
     REQUIRE_THAT(ask(control_front::server, "POST /Evacuations.Start/kokura HTTP/1.1"), StartsWith("HTTP/1.1 200"));
-    REQUIRE(drainOrder.target == drain_target { drain_kind::FailureDomain, "kokura" });
-    REQUIRE(drainOrder.draining);
+    REQUIRE(drainChange.target == drain_target { drain_kind::FailureDomain, "kokura" });
+    REQUIRE(drainChange.draining);
     REQUIRE_THAT(ask(control_front::server, "POST /Evacuations.End/kokura HTTP/1.1"), StartsWith("HTTP/1.1 200"));
-    REQUIRE_FALSE(drainOrder.draining);
+    REQUIRE_FALSE(drainChange.draining);
     REQUIRE_THAT(ask(control_front::server, "POST /Evacuations.Start/moon HTTP/1.1"), StartsWith("HTTP/1.1 400"));
     REQUIRE_THAT(ask(control_front::server, "GET /Evacuations.Start/kokura HTTP/1.1"), StartsWith("HTTP/1.1 405"));
 }
