Settings findings and error tests: plainer wording

'The address is already in use' read as a failed bind, though it is a duplicate in the settings; it is 'the address ... appears twice' now, changed together with the check in settings_yaml_test, which matches the whole text as before. Two test names and one private member of a fixture were odd.

--- a/src/codec/settings_yaml.cpp
+++ b/src/codec/settings_yaml.cpp
@@ -42,8 +42,8 @@
             findings.add(position, absl::StrCat("the VM '", record.id.value(), "' appears twice"), "each VM once");
         for (const network_address& address : { record.callerAddress, record.peerAddress }) {
             if (address.port != 0 && !seen.addresses.insert(address).second)
-                findings.add(position, absl::StrCat("the address ", formatAddress(address), " is already in use"),
-                    "a unique address");
+                findings.add(position, absl::StrCat("the address ", formatAddress(address), " appears twice"),
+                    "each address once");
         }
         const auto [known, added] = seen.regionOfDomain.emplace(record.failureDomain, record.region);
         if (!added && known->second != record.region)
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -149,7 +149,7 @@
 }
 
 TEST_CASE_METHOD(
-    platform_bodies_fixture, "platform_settings.restarted_vm_or_vm_that_is_no_seed.does_not_bootstrap_the_log")
+    platform_bodies_fixture, "platform_settings.restarted_vm_or_vm_that_is_not_a_seed.does_not_bootstrap_the_log")
 {
     REQUIRE_FALSE(readSettings(replaced(settingsText, "found_log: true", "found_log: false"))->vm.mayBootstrapLog);
     REQUIRE_FALSE(
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -278,7 +278,7 @@
 }
 
 TEST_CASE_METHOD(
-    platform_front_fixture, "platform_request.request_to_a_stopping_vm.has_its_deadline_cut_to_the_stop_time")
+    platform_front_fixture, "platform_request.request_to_a_stopping_vm.has_its_deadline_shortened_to_the_stop_time")
 {
     answer.content.status = 200;
     answer.result = outcome::Completed;
--- a/test/error/serve_vm_test.cpp
+++ b/test/error/serve_vm_test.cpp
@@ -51,11 +51,11 @@
         /** Whether the last status answer names the VM as the leader; asks for the status again if it does not. */
         bool leads()
         {
-            if (m_asked && m_asked->received.find("\"leader\":\"alone\"") != std::string::npos)
+            if (m_statusClient && m_statusClient->received.find("\"leader\":\"alone\"") != std::string::npos)
                 return true;
-            if (!m_asked || m_asked->ended) {
-                m_asked.emplace(loop->base(), settings.self.callerAddress);
-                m_asked->send("GET /v1/status HTTP/1.0\r\n\r\n");
+            if (!m_statusClient || m_statusClient->ended) {
+                m_statusClient.emplace(loop->base(), settings.self.callerAddress);
+                m_statusClient->send("GET /v1/status HTTP/1.0\r\n\r\n");
             }
             return false;
         }
@@ -64,7 +64,7 @@
         vm_settings settings;
 
     private:
-        std::optional<raw_client> m_asked;
+        std::optional<raw_client> m_statusClient;
     };
 
 } // namespace
--- a/test/error/settings_yaml_test.cpp
+++ b/test/error/settings_yaml_test.cpp
@@ -61,8 +61,7 @@
     CHECK_THAT(findingsWith("1500ms", "99999999999d"), Contains("expected at most"));
     CHECK_THAT(findingsWith("8KiB", "8 KiB"), Contains("'8 KiB', expected a whole number and one of B"));
     CHECK_THAT(findingsWith("127.0.1.2:8080", "localhost:80"), Contains("e1.yaml:4:73: 'localhost:80', expected"));
-    CHECK_THAT(
-        findingsWith("127.0.1.2:8081", "127.0.1.1:8081"), Contains("the address 127.0.1.1:8081 is already in use"));
+    CHECK_THAT(findingsWith("127.0.1.2:8081", "127.0.1.1:8081"), Contains("the address 127.0.1.1:8081 appears twice"));
     CHECK_THAT(findingsWith("vm: e2", "vm: e1"), Contains("the VM 'e1' appears twice"));
     CHECK_THAT(findingsWith("vm: e1\nvms", "vm: e3\nvms"), Contains("e1.yaml:1:5: 'e3' is not in 'vms'"));
     CHECK_THAT(findingsWith("replica: true", "replica: yes"), Contains("'yes', expected true or false"));
