--- a/src/services/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -108,8 +108,8 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*answer.retryAfter).count();
         addField(text, http_fields::retryAfter, std::to_string(std::max<std::int64_t>(1, seconds)));
     }
-    const bool ownLength = !hasLength && !hasNoBody(content.status) && !(head && content.body.empty());
-    if (ownLength)
+    const bool addsLength = !hasLength && !hasNoBody(content.status) && !(head && content.body.empty());
+    if (addsLength)
         addField(text, http_fields::contentLength, std::to_string(content.body.size()));
     return { std::move(text), head ? std::string() : content.body };
 }
@@ -119,7 +119,7 @@
     using enum answer_reason;
     switch (problem) {
     case http_problem::Malformed:
-        return encodeCallerAnswer(problemAnswer(400, MalformedRequest, "the request is no valid HTTP\n"), false);
+        return encodeCallerAnswer(problemAnswer(400, MalformedRequest, "the request is not valid HTTP\n"), false);
     case http_problem::HeadersTooLarge:
         return encodeCallerAnswer(problemAnswer(431, MalformedRequest, "the header fields are too large\n"), false);
     case http_problem::BodyTooLarge:
