--- a/src/services/exposed_state.cpp
+++ b/src/services/exposed_state.cpp
@@ -55,7 +55,7 @@
 void exposeState(metrics& numbers, std::function<state_dump()> dump, std::shared_ptr<const log_statistics> logged)
 {
     numbers.addFamily({ "plantainlatch_events_total",
-        "Log events by kind, whether their line was written "
+        "Decisions and changes of belief, whether their line was written "
         "or not.",
         "counter", [logged] { return eventSamples(*logged); } });
     numbers.addFamily({ "plantainlatch_log_lines_missing_total", "Lines that were not written.", "counter",
--- a/src/services/metrics.cpp
+++ b/src/services/metrics.cpp
@@ -170,11 +170,10 @@
 {
     std::string text;
     addSample(text, "plantainlatch_lookups_total", "Answered look-ups of entries.", m_parts->lookups);
-    addSample(
-        text, "plantainlatch_hang_ups_total", "Callers that disconnected before their answer.", m_parts->disconnects);
+    addSample(text, "plantainlatch_hang_ups_total", "Callers that left before their answer.", m_parts->disconnects);
     for (const metric_family& family : m_parts->families)
         addSamples(text, family);
-    addHeader(text, "plantainlatch_answer_seconds", "Time from the complete request to its answer.", "histogram");
+    addHeader(text, "plantainlatch_answer_seconds", "Time from a whole request to its answer.", "histogram");
     for (const auto& [key, series] : m_parts->answers)
         addSeries(text, key, series);
     return text;
