Reword comments of the crash guard and key claims

Cause: a reader new to the code had to read some sentences twice. Change: the bound and the limit of the crash guard name the options that they depend on; key_claims::m_settled, a callback, is m_onSettled.

Not built, no tests run.

--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -4,17 +4,18 @@
  * Limits the number of upstreams that a request which crashes its server ("query of death") can take down, even if
  * callers resend it through several entries.
  *
- * Requests with the same service and fingerprint count as equal. If an equal request completed at this entry recently,
- * a request is known good and runs without restriction. Of other equal requests, an entry runs one at a time and queues
- * the rest. When a connection is lost, the entry reports a crash to the replicated log before it retries or answers the
- * request. After the first reported crash, an entry needs a permit to run an equal request; the replicated log grants
- * it to one entry at a time. After crashes of two different upstreams, all entries refuse equal requests for
- * `crashRetention`.
+ * Requests with the same service and fingerprint count as equal. A request is known good, and runs without restriction,
+ * if an equal one completed at this entry recently. Equal requests that are not known good run one at a time at each
+ * entry; the others wait in a queue. When a connection is lost, the entry reports a crash to the replicated log before
+ * it retries or answers the request. After the first reported crash, an entry needs a permit to run an equal request;
+ * the replicated log grants it to one entry at a time. After crashes of `crash_guard_options::limit` different
+ * upstreams, all entries refuse equal requests for `crashRetention`.
  *
- * Bound: if E entries dispatched the request before they applied its first crash report, at most E + 2 upstreams crash:
- * E by the first attempts, one by the retry of the entry that reported first, and one by the permit. A caller that
- * resends only after it got an answer has E = 1, even if it resends to several entries at once; so at most 3 upstreams
- * crash. Each entry at which the request is known good, and each hedge of a first attempt, can add one.
+ * Bound with the default options: if E entries dispatched the request before they applied its first crash report, at
+ * most E + 2 upstreams crash: E by the first attempts, one by the retry of the entry that reported first, and one by
+ * the permit. For a caller that resends only after it got an answer, E = 1, even if it resends to several entries at
+ * once; so at most 3 upstreams crash. Each entry at which the request is known good can add one crash, and so can each
+ * hedge of a first attempt.
  */
 
 #include <cstdint>
@@ -48,7 +49,7 @@
 struct crash_guard_options {
     /** Equal requests are refused after crashes of this many upstreams. */
     std::size_t limit = crashedUpstreamThreshold;
-    /** Each entry runs equal requests one at a time unless they are known good. */
+    /** Each entry runs equal requests one at a time unless they are known good. If false, permits are not used. */
     bool serializeEqualRequests = true;
 };
 
@@ -85,8 +86,8 @@
         std::function<void(crash_verdict)> decided);
 
     /** Reports a crash of `upstream` to the replicated log. `reported` is called when the report was applied or timed
-     * out, possibly before report() returns; `counted` is false if nothing was reported, because this is the first
-     * connection lost under a known-good request. */
+     * out, possibly before report() returns. `counted` is false if nothing was reported because the request is known
+     * good and lost a connection for the first time since it completed. */
     void report(const crash_key& key, const upstream_id& upstream, std::function<void(bool counted)> reported);
 
     /** Whether requests with this fingerprint are refused now. */
--- a/src/decision/request/key_claims.cpp
+++ b/src/decision/request/key_claims.cpp
@@ -27,7 +27,7 @@
         case claim_result::TableFull:
             return claim_state::TableFull;
         }
-        internal_assert(false) << "claim finding " << static_cast<int>(finding);
+        internal_assert(false) << "invalid claim result " << static_cast<int>(finding);
         return claim_state::Unresolved;
     }
 
@@ -215,8 +215,8 @@
 void key_claims::removeSettlement(std::uint64_t number)
 {
     m_settlements.erase(number);
-    if (m_settlements.empty() && m_settled)
-        std::exchange(m_settled, nullptr)();
+    if (m_settlements.empty() && m_onSettled)
+        std::exchange(m_onSettled, nullptr)();
 }
 
 void key_claims::whenSettled(std::function<void()> settled)
@@ -225,7 +225,7 @@
         settled();
         return;
     }
-    m_settled = std::move(settled);
+    m_onSettled = std::move(settled);
 }
 
 std::function<void()> key_claims::ifAlive(std::function<void()> work) const
--- a/src/decision/request/key_claims.h
+++ b/src/decision/request/key_claims.h
@@ -58,7 +58,7 @@
     /** The maximum number of pending settlements and late claims together. When it is reached, a claim that cannot be
      * answered from this VM's copy of the state is Unresolved. */
     static constexpr std::size_t maximumPending = 1024;
-    /** How long a settlement is retried, and how long a timed-out claim is watched for. */
+    /** How long a settlement is retried, and how long after its timeout a claim is still released if it is applied. */
     static constexpr duration pendingTimeout = std::chrono::minutes(10);
     static constexpr duration proposalTimeout = std::chrono::seconds(2);
     static constexpr duration firstRetryDelay = std::chrono::milliseconds(200);
@@ -123,7 +123,7 @@
     std::map<std::uint64_t, pending_settlement> m_settlements;
     std::vector<late_claim> m_lateClaims;
     timer_id m_lateClaimTimer;
-    std::function<void()> m_settled;
+    std::function<void()> m_onSettled;
     /** Set to false by the destructor, for callbacks that outlive this object. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
