Reword comments of requests, attempts and retries

Cause: a reader new to the code had to read some sentences twice. Change: full sentences; which fields of an attempt's result are valid when; assertions on invalid enum values say that the value is invalid; the error for settings without VMs names the list.

Not built, no tests run.

--- a/src/decision/request/hedge_policy.h
+++ b/src/decision/request/hedge_policy.h
@@ -36,7 +36,8 @@
     std::optional<duration> m_p95;
 };
 
-/** Decides when to hedge, from the latencies and the slot waits of each service. */
+/** Decides whether and when to hedge, based on the latencies of each service and on how often its attempts wait for a
+ * slot. */
 class hedge_policy {
 public:
     /** The minimum delay before a hedge. An earlier hedge gains nothing, as the second attempt itself takes about as
--- a/src/decision/request/outcome_tracker.cpp
+++ b/src/decision/request/outcome_tracker.cpp
@@ -43,7 +43,7 @@
     case attempt_state::Lost:
         return "lost";
     }
-    internal_assert(false) << "attempt state " << static_cast<int>(value);
+    internal_assert(false) << "invalid attempt state " << static_cast<int>(value);
     return "unknown";
 }
 
--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -44,7 +44,7 @@
     time_point arrivedAt;
     time_point deadline;
     duration keyRetention {};
-    /** This VM's share of the connections that all VMs together may have to one upstream. */
+    /** This VM's share of the limit on connections from all VMs to one upstream. */
     std::uint32_t connectionLimit = 1;
 };
 
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -30,7 +30,7 @@
         case attempt_result::kind::Lost:
             return "lost";
         }
-        internal_assert(false) << "attempt end " << static_cast<int>(kind);
+        internal_assert(false) << "invalid attempt end " << static_cast<int>(kind);
         return "";
     }
 
@@ -48,7 +48,7 @@
         case call_failure::Malformed:
             return "malformed-answer";
         }
-        internal_assert(false) << "call failure " << static_cast<int>(failure);
+        internal_assert(false) << "invalid call failure " << static_cast<int>(failure);
         return "";
     }
 
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -20,14 +20,15 @@
 
 namespace plantainlatch {
 
-/** Properties of a request that follow from its route or its service's definition. */
+/** Properties of a request that its policies depend on. */
 struct request_traits {
     bool idempotent = false;
-    /** The request carries an idempotency key and is not idempotent. */
+    /** The request carries an idempotency key, is not idempotent and was not matched to a route. */
     bool needsClaim = false;
 };
 
-/** An attempt that ended without an answer to pass on; the input to the decision whether to retry. */
+/** The input of the retry policies: an attempt that failed before dispatch, was refused or shed by the upstream, or was
+ * lost. */
 struct failed_attempt {
     request_traits traits;
     attempt_state state = attempt_state::Lost;
@@ -101,7 +102,7 @@
 struct request_options {
     /** The maximum number of requests that run or wait for a slot. */
     std::size_t maximumRequests = 4096;
-    /** The maximum total size of their bodies. */
+    /** The maximum total size of the bodies of these requests. */
     byte_count maximumBodyBytes { 64 * 1024 * 1024 };
     /** The maximum number of attempts of one request, including hedges. */
     std::size_t maximumAttempts = 4;
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -269,7 +269,7 @@
     case attempt_result::kind::Lost:
         return answerForLostConnection();
     }
-    internal_assert(false) << "attempt end " << static_cast<int>(result.ended);
+    internal_assert(false) << "invalid attempt end " << static_cast<int>(result.ended);
     return systemAnswer(outcome::Unknown, answer_reason::ConnectionLost);
 }
 
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -31,7 +31,7 @@
     const admitted_request& request() const { return m_request; }
 
     /** Ends the run when its caller has disconnected. A request that holds a claimed key and has an open attempt
-     * continues, so that the caller gets its answer by resending it. */
+     * continues, so that the caller can resend the request to get the answer. */
     void callerLeft();
 
 private:
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -47,7 +47,7 @@
     const kernel_hooks& hooks, const vm_settings& settings, request_options options)
 {
     if (settings.vms.empty())
-        return absl::InvalidArgumentError("the settings name no VM");
+        return absl::InvalidArgumentError("the list of VMs in the settings is empty");
     return std::unique_ptr<request_service>(new request_service(hooks, settings, std::move(options)));
 }
 
--- a/src/decision/request/retry_window.cpp
+++ b/src/decision/request/retry_window.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /** The window is divided into this many slices. A retry leaves the window when its whole slice does, which is up to
-     * the length of one slice late. */
+    /** The window is divided into this many slices. Requests and retries leave the window by whole slices, so one may
+     * leave late by up to the length of a slice. */
     constexpr int slicesPerWindow = 20;
 
 } // namespace
--- a/src/decision/request/retry_window.h
+++ b/src/decision/request/retry_window.h
@@ -30,7 +30,8 @@
 
     /** Counts a new request; retries and hedges are not counted here. */
     void recordRequest(const service_id& service, time_point now);
-    /** Charges one retry; returns false if the budget of the window is exhausted. `vmCount` VMs share the slack. */
+    /** Charges one retry; returns false if the budget of the window is exhausted. The slack is divided among `vmCount`
+     * VMs. */
     bool tryAcquire(const service_id& service, time_point now, std::size_t vmCount);
     /** The number of retries that this VM may still make now. It may be fractional, and is negative if the budget fell
      * below the number of retries already made in the window. */
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -39,7 +39,7 @@
         case answer_reason::NotReady:
             return 503;
         }
-        internal_assert(false) << "answer reason " << static_cast<int>(reason);
+        internal_assert(false) << "invalid answer reason " << static_cast<int>(reason);
         return 500;
     }
 
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -34,7 +34,7 @@
         case call_failure::Malformed:
             return slot_result::kind::Lost;
         }
-        internal_assert(false) << "call failure " << static_cast<int>(failure);
+        internal_assert(false) << "invalid call failure " << static_cast<int>(failure);
         return slot_result::kind::Lost;
     }
 
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -31,15 +31,15 @@
     };
     kind ended = kind::NoSlot;
     attempt_state state = attempt_state::NotOffered;
-    /** Why no slot was granted, for NoSlot. */
+    /** Why no slot was granted; valid only for NoSlot. */
     slot_refusal refusal = slot_refusal::NoUpstream;
-    /** The inputs to the decision that no upstream fits, for NoSlot. */
+    /** The inputs to the decision that no upstream was suitable, for the log; set only for NoSlot. */
     std::vector<log_field> refusalInputs;
-    /** Why the call failed, for NotOffered and Lost. */
+    /** Why the call failed; valid only for NotOffered and Lost. */
     call_failure failure = call_failure::ConnectFailed;
     /** Empty if no slot was granted. */
     upstream_id upstream;
-    /** For Refused, Shed and Answered. */
+    /** Set only for Refused, Shed and Answered. */
     std::optional<upstream_answer> answer;
 };
 
--- a/src/decision/routes/route_table.h
+++ b/src/decision/routes/route_table.h
@@ -25,8 +25,8 @@
     const route_definition* find(std::string_view host, std::string_view target) const;
 
     /** Chooses the service for the next request of a route by smooth weighted round robin. The number of requests that
-     * a service has received never exceeds its weight's share by one or more; with two services, it never falls short
-     * of the share by one or more either. */
+     * a service has received is always less than one above its share by weight. With two services it is also always
+     * less than one below the share. */
     service_id chooseService(const route_definition& route);
 
 private:
