Reword comments of the replicated log

Cause: a reader new to the code had to read some sentences twice. Change: error codes are said to be returned; the reason for the limit on followers is given in full; the truncation assertion names both indices.

Not built, no tests run.

--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -41,11 +41,11 @@
     duration electionTimeout = std::chrono::milliseconds(600);
     /** The maximum random time added to each election timeout. */
     duration electionJitter = std::chrono::milliseconds(400);
-    /** A candidate without a majority starts another election after this plus the jitter. It allows for two message
-     * round trips. */
+    /** A candidate without a majority starts another election after this plus the jitter. The time suffices for two
+     * message round trips. */
     duration electionRetry = std::chrono::milliseconds(250);
-    /** The leader's lease is shorter than the election timeout by this, to tolerate clocks that run at different
-     * rates. */
+    /** The difference between the election timeout and the leader's lease, which is shorter; it tolerates clocks that
+     * run at different rates. */
     duration leaseMargin = std::chrono::milliseconds(100);
     /** Entries are resent to a follower whose matched index did not advance for this long. */
     duration retransmitAfter = std::chrono::milliseconds(500);
--- a/src/decision/consensus/consensus_service.h
+++ b/src/decision/consensus/consensus_service.h
@@ -26,7 +26,7 @@
  * "storage". */
 class consensus_service {
 public:
-    /** InvalidArgument when the settings do not list this VM, or list a VM twice. */
+    /** Returns InvalidArgument if the settings do not list this VM, or list a VM twice. */
     static absl::StatusOr<std::unique_ptr<consensus_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, consensus_options options = {});
     ~consensus_service();
--- a/src/decision/consensus/log_joiner.cpp
+++ b/src/decision/consensus/log_joiner.cpp
@@ -98,8 +98,8 @@
 {
     if (answer.requester != m_replica.self())
         return;
-    // A learner without contact to its leader still has that leader's name, so it sends a request only if the answer
-    // names another leader.
+    // A learner that lost contact with its leader still remembers it, and sends a join request only if the answer names
+    // another leader.
     const bool isOtherLeader = m_replica.leader() == replica_id {} || answer.leader != m_replica.leader().vm;
     if (!answer.leader.empty() && answer.leader != from && isOtherLeader)
         sendJoinRequest(answer.leader);
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -16,8 +16,8 @@
 
 namespace plantainlatch {
 
-/** Replicates the log while this VM is the leader. It sends to each follower directly and therefore refuses followers
- * beyond consensus_options::maximumFollowerCount. */
+/** Replicates the log while this VM is the leader. It sends to each follower directly, without relays, and therefore
+ * accepts at most consensus_options::maximumFollowerCount followers. */
 class log_leader {
 public:
     explicit log_leader(replica& self);
@@ -33,8 +33,8 @@
     void addFollower(const vm_id& vm);
 
     /** Appends a proposal to the log unless it is already there and not yet applied. A proposal that was applied
-     * earlier is appended again; the control state detects the duplicate. False when this VM is not the leader, is
-     * transferring leadership, or has maximumUncommitted proposals in progress. */
+     * earlier is appended again; the control state detects the duplicate. Returns false if this VM is not the leader,
+     * is transferring leadership, or has maximumUncommitted proposals in progress. */
     bool submit(const proposal_id& id, const control_command& command);
     void onApplied(const proposal_id& id) { m_unapplied.erase(id); }
 
--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -18,7 +18,7 @@
 absl::Status replica::load(dependencies services)
 {
     m_dependencies = services;
-    // Before its restart this VM may have extended a leader's lease, so it waits for a full election timeout again
+    // This VM may have extended a leader's lease just before it restarted, so it waits for a full election timeout
     // before it votes.
     m_lastLeaderContact = m_hooks.now();
     if (m_dependencies.storage == nullptr) {
@@ -112,8 +112,8 @@
 
 void replica::truncateFrom(log_index index)
 {
-    internal_assert(index > m_committed) << "committed entry " << index.value() << " of " << m_committed.value()
-                                         << " would be truncated";
+    internal_assert(index > m_committed) << "truncation from entry " << index.value() << " on, but entries up to "
+                                         << m_committed.value() << " are committed";
     m_log.truncateFrom(index);
     m_writes.truncateFrom(index);
 }
--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -38,7 +38,8 @@
 
     replica(kernel_hooks hooks, vm_settings settings, consensus_options options);
 
-    /** Restores the durable state. DataLoss for a damaged disk, InvalidArgument for the disk of another VM. */
+    /** Restores the durable state. Returns DataLoss for a damaged disk and InvalidArgument for the disk of another
+     * VM. */
     absl::Status load(dependencies services);
 
     const kernel_hooks& hooks() const { return m_hooks; }
