Reword comments of the VM assemblies

Cause: a reader new to the code had to read some sentences twice. Change: why idle connections may be reused and why only a share of the retry budget is used.

Not built, no tests run.

--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -19,16 +19,17 @@
 
     /** The directory removes an upstream after this many missed renewals. */
     constexpr int missedRenewals = 4;
-    /** The share of the retry budget that is used; the rest is a margin, as each entry counts separately and with a
-     * delay. */
+    /** The share of the configured retry budget that entries use. The rest is a margin for counting errors, as each
+     * entry counts on its own and with a delay. */
     constexpr double usedBudgetShare = 0.8;
 
     request_policies routedPolicies()
     {
         request_policies policies = defaultRequestPolicies();
         policies.worthStarting = [](const dispatch_timing& timing) { return timing.remaining > minimumRemaining; };
-        // Each request names its upstream, and a refusal reports that the upstream did not execute it. Idle connections
-        // can therefore be reused; a request is lost only if the peer of such a connection no longer answers.
+        // Idle connections can be reused: each request names its upstream, and if another one receives it, its refusal
+        // reports that it did not execute the request. A reused connection loses a request only if its peer no longer
+        // answers.
         policies.needsFreshConnection = [](const request_traits&) { return false; };
         policies.isExemptFromBudget
             = [](const failed_attempt& ended) { return ended.state == attempt_state::NotOffered; };
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * Assembles the decision services of one VM that routes requests by a configured route table. Its upstreams report in a
- * refusal that they did not execute the request. Entries and the replicas of the control state may be different VMs.
+ * Assembles the decision services of one VM that routes requests by a configured route table. An upstream that refuses
+ * a request reports that it did not execute it. Entries and the replicas of the control state may be different VMs.
  *
  * Compared with steering_vm, it has no leased slots, traffic shifts, alerts or declarations. The placement service
  * selects the upstream of each request, and the configuration service takes whole configurations from operators.
--- a/src/decision/vm/steering_vm.h
+++ b/src/decision/vm/steering_vm.h
@@ -43,7 +43,7 @@
 /** The decision services of one VM; they must not be destroyed before the kernel has stopped. */
 class steering_vm {
 public:
-    /** Creates all decision services; InvalidArgument when one of them rejects the settings. */
+    /** Creates all decision services; returns InvalidArgument if one of them rejects the settings. */
     static absl::StatusOr<std::unique_ptr<steering_vm>> create(
         const kernel_hooks& hooks, const vm_settings& settings, steering_options options = {});
 
