Reword comments and three names of correctness tests

Cause: a reader new to the code had to read some sentences twice. Change: full sentences; test names of one alert, explanation and VM stop test; the fixture's missChanges is commitWhileTwoVmsAreDown.

Not built, no tests run.

--- a/test/correctness/alert_test.cpp
+++ b/test/correctness/alert_test.cpp
@@ -90,7 +90,7 @@
     REQUIRE(logged("alert resolved", "quorum") == 1);
 }
 
-TEST_CASE_METHOD(alert_fixture, "alerts.vm_without_leader_contact.alerts_on_itself")
+TEST_CASE_METHOD(alert_fixture, "alerts.vm_without_leader_contact.raises_an_alert_about_itself")
 {
     cluster.cut("e");
     cluster.runtime.advance(20s);
--- a/test/correctness/consensus_catch_up_test.cpp
+++ b/test/correctness/consensus_catch_up_test.cpp
@@ -35,7 +35,7 @@
         }
 
         /** A replica and a learner are down while 500 changes are committed, and are then restarted. */
-        void missChanges()
+        void commitWhileTwoVmsAreDown()
         {
             const int killed = cluster->leader() % 3 + 1;
             cluster->kill(killed);
@@ -55,7 +55,7 @@
 TEST_CASE_METHOD(catch_up_fixture, "vm.that_missed_500_changes.catches_up_by_a_snapshot")
 {
     begin();
-    missChanges();
+    commitWhileTwoVmsAreDown();
     REQUIRE(cluster->until([&] { return cluster->allApplied(500); }, 5s));
     REQUIRE(snapshots >= 2);
     proposeRange(501, 510, 4);
@@ -67,7 +67,7 @@
     consensus_mechanisms mechanisms;
     mechanisms.snapshotCatchUp = false;
     begin(mechanisms);
-    missChanges();
+    commitWhileTwoVmsAreDown();
     REQUIRE_FALSE(cluster->until([&] { return cluster->allApplied(500); }, 5s));
 }
 
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -160,7 +160,7 @@
 TEST_CASE(
     "affinity_order.region_with_few_slots.is_home_to_the_share_of_objects_that_its_slots_suffice_for", "[placement]")
 {
-    // A tenth of the slots for half of the requests: one object in five has a local home.
+    // The region has a tenth of the slots and half of the requests, so one object in five has a local home.
     const affinity_order order(manyUpstreams(2, 18), region_id("here"), evenDemand);
     int local = 0;
     for (int i = 0; i < objects; ++i)
@@ -251,7 +251,7 @@
     changed();
     state.drains.clear();
     changed();
-    // The cold rate of 2 per second times the factor of 1.5, plus the slack of 1.
+    // The limit is the cold rate of 2 per second times the factor of 1.5, plus the slack of 1.
     int placed = 0;
     for (int i = 0; i < 20; ++i)
         placed += placedAt("court 7", 10s).empty() ? 0 : 1;
@@ -328,8 +328,8 @@
     slots->release(first.slot->handle, result);
     const slot_answer second = place("court 7");
     REQUIRE(second.slot->upstream.id == first.slot->upstream.id);
-    // The queue is so long that the other upstream is better, although its cost is doubled as it doesn't know the
-    // object.
+    // The queue is so long that the other upstream is better, although its cost is doubled because the object is
+    // unknown to it.
     result.metadata.load = load_report { true, false, 2, 20, 2 };
     slots->release(second.slot->handle, result);
     REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
@@ -361,7 +361,7 @@
         homes[object] = placed.slot->upstream.id.value();
         release(placed, slot_result::kind::Answered);
     }
-    // Every second request is refused, by whichever upstream gets it.
+    // Every second request is refused, whichever upstream receives it.
     for (int i = 0; i < 600; ++i) {
         release(place("o" + std::to_string(i / 2 % 60)),
             i % 2 == 0 ? slot_result::kind::Shed : slot_result::kind::Answered);
--- a/test/correctness/request_explanation_test.cpp
+++ b/test/correctness/request_explanation_test.cpp
@@ -8,7 +8,7 @@
 
     using Catch::Contains;
 
-    /** Builds log lines of entries, one per second. */
+    /** Builds log lines, one per second. */
     class request_explanation_fixture {
     protected:
         void add(const std::string& what, std::map<std::string, std::string> fields, const std::string& vm = "e1")
@@ -38,7 +38,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(request_explanation_fixture, "explanation.no_line.says_that_none_names_it")
+TEST_CASE_METHOD(request_explanation_fixture, "explanation.no_line_about_the_request.says_so")
 {
     add("request-answered", { { "request", "other" } });
     REQUIRE_THAT(cause(), Contains("no line names the request"));
--- a/test/correctness/vm_stop_test.cpp
+++ b/test/correctness/vm_stop_test.cpp
@@ -67,7 +67,7 @@
     REQUIRE(earlierWorkEnded());
 }
 
-TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.killed_start.leaves_work_until_a_later_start_ran_long")
+TEST_CASE_METHOD(vm_stop_fixture, "vm_stop.killed_vm.may_leave_work_until_a_later_start_has_run_long")
 {
     start(1);
     start(2);
