Reword comments of the slot services

Cause: a reading by a newcomer found sentences without a subject or with an unclear reference. Change: state the subject, and name ejection, pauses and the link budget in the choice of an upstream.

--- a/src/decision/slots/allocator_client.h
+++ b/src/decision/slots/allocator_client.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * The holder's client of the slot allocators of all regions: it sends the reports and applies the grants.
+ * The holder's client of the slot allocators: sends this VM's reports to the allocators of all regions and applies
+ * their grants.
  */
 
 #include <cstdint>
@@ -46,7 +47,8 @@
 
     /** Must be called before any report can be sent; an empty `send` disables the reports. */
     void start(incarnation start, std::function<void(const vm_id& to, slot_report)> send);
-    /** Sends last reports, which return all idle slots before their lease ends, and stops reporting. */
+    /** Sends a final report for each relevant region, which returns all idle slots before their lease ends, and stops
+     * reporting. */
     void stop();
 
     void setAllocators(const std::map<region_id, allocator_record>& allocators);
@@ -57,8 +59,8 @@
     /** The regions other than the local one that have an allocator. */
     std::vector<region_id> otherRegions() const;
 
-    /** Applies a grant; false when it is ignored. Otherwise scheduleNextReport() must be called after the granted slots
-     * were assigned to waiting requests. */
+    /** Applies a grant, or returns false if the grant is ignored. After an applied grant, the granted slots must be
+     * assigned to waiting requests and then scheduleNextReport() must be called. */
     bool applyGrant(const slot_grant& grant);
     void scheduleNextReport(const slot_grant& grant);
 
--- a/src/decision/slots/allocator_host.h
+++ b/src/decision/slots/allocator_host.h
@@ -27,7 +27,7 @@
     upstream_health_options health;
     /** Interval of slot_allocator::tick(). */
     duration tickInterval = std::chrono::milliseconds(100);
-    /** Interval and time-out of the requests to upstreams for their load. */
+    /** Interval and time-out of the polls of the upstreams for load reports. */
     duration pollInterval = std::chrono::seconds(1);
     duration pollTimeout = std::chrono::milliseconds(800);
     /** Polls the load of upstreams; only tests turn it off. */
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -61,8 +61,8 @@
     std::set<holder_key> changed { key };
     for (const holder_key& other : allocateToWaitingHolders(&key, now))
         changed.insert(other);
-    // Waiting requests of other holders are served before the reserve, which could otherwise give a recalled slot back
-    // to the holder that has just returned it.
+    // The waiting requests of other holders get slots before the reserve of this holder is filled; otherwise the
+    // reserve could give a recalled slot back to the holder that has just returned it.
     allocateReserve(item);
     for (const auto& [service, wanted] : item.demands) {
         const std::uint32_t idle = wanted.idle;
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -26,7 +26,8 @@
 namespace plantainlatch {
 
 struct slot_allocator_options {
-    /** How long after it sent a report a holder may dispatch requests. */
+    /** How long a holder may dispatch requests on its slots, counted from when it sent the report that the grant
+     * answers. */
     duration lease = std::chrono::seconds(2);
     /** Maximum clock drift between two VMs over the length of a lease plus a request deadline. */
     duration drift = std::chrono::milliseconds(200);
@@ -34,7 +35,7 @@
     duration settleTime = std::chrono::milliseconds(500);
     /** How many slots of a new upstream are allocated before its first warm answer. */
     std::uint32_t coldSlots = 1;
-    /** Warm answers for each further slot of a new upstream. */
+    /** How many warm answers of a new upstream allow the allocation of one more of its slots. */
     std::uint32_t warmAnswersPerSlot = 2;
     /** Waits for the end of earlier allocators' allocations; only tests turn it off. */
     bool waitForEarlierAllocations = true;
--- a/src/decision/slots/slot_holdings.h
+++ b/src/decision/slots/slot_holdings.h
@@ -66,7 +66,7 @@
     bool applyGrant(const slot_grant& grant);
 
     const std::map<upstream_id, slot_holding>& holdings() const { return m_holdings; }
-    /** The idle slots of an upstream of that generation; 0 after the lease. */
+    /** The number of idle slots of this generation of an upstream; 0 after the lease has ended. */
     std::uint32_t idle(const upstream_id& id, upstream_generation generation, time_point now) const;
     /** Marks an idle slot as in use. */
     void take(const upstream_id& id);
@@ -77,7 +77,7 @@
     state_dump dump(time_point now) const;
 
 private:
-    /** After the lease only slots in use are still held. */
+    /** Drops the idle slots if the lease has ended. */
     void dropIdleAfterLease(time_point now);
     void returnIdleSlots(slot_holding& item, std::optional<time_point> idleBefore);
 
@@ -91,7 +91,7 @@
     time_point m_reportedAt;
     time_point m_leaseUntil;
     std::map<upstream_id, slot_holding> m_holdings;
-    /** Slots in use of earlier generations of an upstream. */
+    /** The number of slots that are still in use on earlier generations of each upstream. */
     std::map<upstream_id, std::map<upstream_generation, std::uint32_t>> m_earlierGenerations;
 };
 
--- a/src/decision/slots/slot_picker.h
+++ b/src/decision/slots/slot_picker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Chooses an upstream among those of which this VM holds an idle slot.
+ * Chooses an upstream from those on which this VM holds an idle slot.
  */
 
 #include <functional>
@@ -42,9 +42,11 @@
 };
 
 /**
- * Returns an upstream in the preferred failure domain, otherwise in the local region, otherwise in another one; null
- * when none has an idle slot. Among these it draws two at random and takes the one with the lower average latency (the
- * power of two choices). The request's size is charged to the link budget when the upstream is in another region.
+ * Picks an upstream that has an idle slot and is neither ejected nor paused: from the preferred failure domain,
+ * otherwise from the local region, otherwise from other regions. Within each of these groups it draws two upstreams at
+ * random and takes the one with the lower average latency (the power of two choices). When that one is in another
+ * region, the request's size is charged to the link budget; if the budget does not allow it, the next group is tried.
+ * Returns null when no group yields an upstream.
  */
 const usable_upstream* pickUpstream(const slot_picker_view& view, const upstream_criteria& criteria, time_point now);
 
--- a/src/decision/slots/slot_queue.h
+++ b/src/decision/slots/slot_queue.h
@@ -27,7 +27,7 @@
     std::function<void(slot_answer)> answer;
 };
 
-/** All queued requests of this VM. Its user bounds the length. */
+/** All queued requests of this VM; slot_service limits their number. */
 class slot_queue {
 public:
     /** In order of arrival. */
--- a/src/decision/slots/upstream_health.h
+++ b/src/decision/slots/upstream_health.h
@@ -25,8 +25,8 @@
     std::uint32_t maximumUnhealthyPercent = 50;
 };
 
-/** A missing report counts as an unhealthy one. Recent answers override unhealthy reports, but not a report that the
- * upstream is draining. */
+/** The health of the upstreams of one region. A missing report counts as an unhealthy one. Recent answers override
+ * unhealthy reports, but not a report that the upstream is draining. */
 class upstream_health {
 public:
     upstream_health(upstream_health_options options, time_point startedAt);
