Reword comments of placement, membership and directory

Cause: some comments needed a second reading, such as the one on the first applied sample of a term. Change: full sentences with the reason.

--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -100,7 +100,7 @@
     std::map<std::uint64_t, pending_join> m_joining;
     std::uint64_t m_lastJoin = 0;
     std::set<upstream_id> m_removing;
-    /** The joins that m_liveness has recorded as announcements, by the time of the join. */
+    /** When each upstream joined, for the joins that were recorded in m_liveness as announcements. */
     std::map<upstream_id, wall_time> m_recordedJoins;
 };
 
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -240,7 +240,8 @@
 {
     if (!m_isCaughtUp || m_appliedSamples.empty())
         return std::nullopt;
-    // At the start of a term, the first sample covers all entries that earlier leaders may have committed.
+    // Early in a term, the first sample is younger than appliedLag. It is used nevertheless, as it was taken after this
+    // leader had applied all entries that earlier leaders could have committed.
     return m_appliedSamples.front().applied;
 }
 
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -37,7 +37,7 @@
     duration appliedLag = std::chrono::milliseconds(400);
     /** Enforces appliedLag; only tests turn it off. */
     bool leasesNeedApplied = true;
-    /** The longest wait, during a stop, for the stop to be committed to the log. */
+    /** How long a stopping VM waits for its stop to be committed to the log. */
     duration stopTimeout = std::chrono::seconds(1);
     /** Requests sent by an earlier start of this VM have ended once this start has run for the longest deadline of any
      * service plus this margin. */
@@ -111,7 +111,7 @@
     time_point m_startedAt;
     bool m_hasUnfinishedWork = false;
 
-    // State of every VM.
+    // State that every VM uses.
     std::uint64_t m_sequence = 0;
     std::deque<sent_heartbeat> m_sent;
     std::map<allocator_role, time_point> m_roles;
@@ -119,7 +119,7 @@
     std::optional<time_point> m_lastLeaderContact;
     std::vector<vm_id> m_avoided;
 
-    // State of the leader.
+    // State that only the leader uses.
     log_term m_term;
     bool m_isCaughtUp = false;
     time_point m_leaderSince {};
--- a/src/decision/placement/affinity_order.h
+++ b/src/decision/placement/affinity_order.h
@@ -25,9 +25,9 @@
     affinity_order() = default;
 
     /** `demand` is each region's share of the service's requests, between 0 and 1; a region that is not in the map has
-     * none. A region whose share of the slots is smaller than its share of the requests has local homes only for the
-     * fraction of its objects that its slots suffice for; the other objects have their homes in regions with spare
-     * slots. */
+     * none. If this region's share of the slots is smaller than its share of the requests, only a fraction of its
+     * objects (share of the slots / share of the requests) have their home in the region; the others have it in regions
+     * with spare slots. */
     affinity_order(std::vector<upstream_announcement> upstreams, const region_id& ownRegion,
         const std::map<region_id, double>& demand);
 
--- a/src/decision/placement/cold_rate_limiter.h
+++ b/src/decision/placement/cold_rate_limiter.h
@@ -21,9 +21,9 @@
     double slack = 0;
 };
 
-/** This entry's share of `total` requests per second, as a whole number. All entries get equal shares, and the entries
- * with the lowest hashes for the upstream get one request of the remainder each. The shares never add up to more than
- * `total`. */
+/** This entry's share of `total` requests per second, as a whole number. `total`, rounded down, is divided equally
+ * among the entries; if it does not divide evenly, the entries with the lowest hashes for the upstream get one request
+ * more. The shares never add up to more than `total`. */
 std::size_t coldShare(double total, const std::vector<vm_id>& entries, const vm_id& self, const upstream_id& upstream);
 
 /** Limits the number of requests in a sliding window. */
