--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -21,7 +21,7 @@
     constexpr duration step = std::chrono::milliseconds(20);
     constexpr int steps = 3000;
 
-    /** The waits of the allocator that are disabled, to check that the test finds the resulting overload. */
+    /** Which waits of the allocator are disabled; the test must then find an overload. */
     struct disabled_waits {
         bool earlierAllocations = false;
         bool silentHolders = false;
@@ -220,7 +220,7 @@
         }
 
         /** The first seed with which an upstream ran more requests than it has slots, or an invariant was violated. */
-        static std::optional<std::uint64_t> firstOverload(disabled_waits disabled)
+        static std::optional<std::uint64_t> firstSeedWithOverload(disabled_waits disabled)
         {
             std::uint64_t requestsStarted = 0;
             for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
@@ -239,19 +239,19 @@
 
 TEST_CASE_METHOD(slot_random_fixture, "slots.random_faults.never_more_requests_than_slots")
 {
-    const std::optional<std::uint64_t> seed = firstOverload({});
+    const std::optional<std::uint64_t> seed = firstSeedWithOverload({});
     INFO("seed " << seed.value_or(0));
     REQUIRE_FALSE(seed.has_value());
 }
 
 TEST_CASE_METHOD(slot_random_fixture, "slots.new_allocator_that_does_not_wait.overloads_upstreams")
 {
-    REQUIRE(firstOverload({ .earlierAllocations = true }).has_value());
+    REQUIRE(firstSeedWithOverload({ .earlierAllocations = true }).has_value());
 }
 
 TEST_CASE_METHOD(slot_random_fixture, "slots.slots_of_silent_holders_reclaimed_early.overloads_upstreams")
 {
-    REQUIRE(firstOverload({ .silentHolders = true }).has_value());
+    REQUIRE(firstSeedWithOverload({ .silentHolders = true }).has_value());
 }
 
 } // namespace plantainlatch
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -93,7 +93,8 @@
         int diskFaults();
 
         void endFaults();
-        /** Whether all VMs run, one of them leads, and all replicas have an intact disk. */
+        /** Whether all VMs run and have leader contact, exactly one of them leads, all replicas have an intact disk,
+         * and a declaration was accepted. */
         bool isRecovered();
         /** Reports a violation unless the VMs recover and all probes succeed within the recovery time. */
         void requireRecovery();
--- a/test/random/vm_runner.h
+++ b/test/random/vm_runner.h
@@ -2,8 +2,8 @@
 
 /** \file
  * Randomised simulation of several complete VMs in one process on a simulated clock. Faults of every kind are injected,
- * also several at once. Invariants are checked at every step. After the faults have ended, the system must recover and
- * serve requests again within a bounded time.
+ * some of them at the same time. Invariants are checked at every step. After the faults have ended, the system must
+ * recover and serve requests again within a bounded time.
  */
 
 #include <array>
--- a/test/support/control_cluster.h
+++ b/test/support/control_cluster.h
@@ -53,9 +53,9 @@
     cluster_vm& vm(const std::string& name) { return *vms.at(vm_id(name)); }
     void setLeader(const std::string& name);
     /** Isolates a VM from all others and from the log. */
-    void cut(const std::string& name) { m_cut.insert(vm_id(name)); }
-    void heal(const std::string& name) { m_cut.erase(vm_id(name)); }
-    bool isCut(const vm_id& vm) const { return m_cut.contains(vm); }
+    void cut(const std::string& name) { m_isolated.insert(vm_id(name)); }
+    void heal(const std::string& name) { m_isolated.erase(vm_id(name)); }
+    bool isCut(const vm_id& vm) const { return m_isolated.contains(vm); }
     /** Applies a command at the leader without delay; each other VM applies it after a random delay. */
     command_result apply(control_command command);
     /** Isolates a VM permanently, which the other VMs can't distinguish from a crash. */
@@ -65,7 +65,7 @@
     std::map<vm_id, std::unique_ptr<cluster_vm>> vms;
     vm_id leader;
     log_term term;
-    /** Messages and log entries are delivered after a random delay up to this. */
+    /** The maximum of the random delays of messages and log entries. */
     duration maximumDelay = std::chrono::milliseconds(40);
 
 private:
@@ -78,7 +78,7 @@
     duration randomDelay();
 
     std::vector<proposal> m_log;
-    std::set<vm_id> m_cut;
+    std::set<vm_id> m_isolated;
 };
 
 } // namespace plantainlatch
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -75,7 +75,7 @@
     /** How many times a request with each body ran. */
     std::map<std::string, int> runs;
     std::size_t crashes = 0;
-    /** The time after which a crashed upstream is available again; never if empty. */
+    /** How long a crashed upstream stays unavailable; if empty, it does not restart. */
     std::optional<duration> restartAfter;
     std::vector<slot_result> released;
     /** The highest number of requests that ran at one upstream at the same time. */
