State the conditions for a new slot allocator; rename two locals

Cause: the comment of chooseAllocator left out eligibility and which VM must be stable; "gone" and "isMeaningful" were vague.

--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -170,10 +170,10 @@
 {
     // The removal is proposed even if the upstream is not in the directory here, as this VM may not have applied its
     // join through another VM yet.
-    const auto gone = m_control->state().departed.find(id);
-    const bool isGone = gone != m_control->state().departed.end() && gone->second.deregistered
-        && gone->second.generation == generation;
-    if (isGone) {
+    const auto former = m_control->state().departed.find(id);
+    const bool isDeregistered = former != m_control->state().departed.end() && former->second.deregistered
+        && former->second.generation == generation;
+    if (isDeregistered) {
         done(absl::OkStatus());
         return;
     }
--- a/src/decision/membership/allocator_assignment.cpp
+++ b/src/decision/membership/allocator_assignment.cpp
@@ -15,8 +15,8 @@
 
     bool isEligible(const control_snapshot& state, const vm_report& report)
     {
-        // A drain of its failure domain or region does not move the role: the VM works, and a new allocator would have
-        // to wait until the earlier slot leases have ended.
+        // A drain of the VM's failure domain or region does not move the role: the VM itself still works, and a new
+        // allocator would have to wait until the earlier slot leases have ended.
         return !report.last.draining && !state.drains.contains({ drain_kind::Vm, report.last.vm.value() });
     }
 
--- a/src/decision/membership/allocator_assignment.h
+++ b/src/decision/membership/allocator_assignment.h
@@ -13,12 +13,13 @@
 
 namespace plantainlatch {
 
-/** A VM of another region hands the allocator role back once a VM of the region has been alive for this long. */
+/** How long a VM of the region must have been alive before it takes the allocator role back from a VM outside. */
 inline constexpr duration homeReturnDelay = std::chrono::seconds(30);
 
-/** Proposes a new allocator for the region if it has none, or if the current one is dead, stopping or drained, or is
- * outside the region while a VM inside has been alive for homeReturnDelay. Prefers VMs of the region, then those with
- * the fewest allocator roles. Returns none if the current allocator stays. */
+/** Proposes a new allocator for the region if it has none, if the current one is dead, if the current one is stopping
+ * or drained and another VM is neither, or if the current one is outside the region and the preferred VM is inside and
+ * has been alive for homeReturnDelay. Prefers VMs that are neither stopping nor drained, then VMs of the region, then
+ * those with the fewest allocator roles. Returns none if the current allocator stays or no VM is alive. */
 std::optional<assign_allocator> chooseAllocator(
     const control_snapshot& state, const region_id& region, const std::vector<vm_report>& live, time_point now);
 
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -329,8 +329,9 @@
     const auto stats = m_stats.find(placed.upstream);
     if (stats == m_stats.end())
         return;
-    const bool isMeaningful = !placed.queued && placed.state != object_state::Likely;
-    stats->second.noteResult(result, placed.object, isMeaningful ? placed.expected : duration::zero(), m_hooks.now());
+    const bool countsForSlowness = !placed.queued && placed.state != object_state::Likely;
+    stats->second.noteResult(
+        result, placed.object, countsForSlowness ? placed.expected : duration::zero(), m_hooks.now());
     if (result.ended == slot_result::kind::Answered && !placed.queued)
         m_latencies.observe(placed.route, placed.state, result.latency);
 }
