--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -23,8 +23,8 @@
         request_id id;
         caller_request content;
         std::optional<caller_answer> answer;
-        /** The caller left or the entry crashed, so no answer may arrive. */
-        bool gone = false;
+        /** The caller cancelled it or its entry crashed; an answer after that violates the guarantees. */
+        bool abandoned = false;
         int sends = 1;
     };
 
@@ -161,16 +161,16 @@
                 return;
             const std::size_t recent = std::min<std::size_t>(m_submissions.size(), 20);
             submission& left = *m_submissions[m_submissions.size() - 1 - below(recent)];
-            if (left.answer || left.gone)
+            if (left.answer || left.abandoned)
                 return;
-            left.gone = true;
+            left.abandoned = true;
             m_cluster.entries[left.entry].port->cancel(left.id);
         }
 
         void restart(std::size_t entry)
         {
             for (const auto& sent : m_submissions)
-                sent->gone = sent->gone || (sent->entry == entry && !sent->answer);
+                sent->abandoned = sent->abandoned || (sent->entry == entry && !sent->answer);
             m_cluster.kill(entry);
             m_cluster.start(entry);
             setFaults(entry);
@@ -180,7 +180,7 @@
 
         void onAnswer(submission& sent, caller_answer answer)
         {
-            internal_assert(!sent.answer && !sent.gone) << "unexpected answer to " << sent.content.body;
+            internal_assert(!sent.answer && !sent.abandoned) << "unexpected answer to " << sent.content.body;
             const bool order = sent.content.method == "POST";
             const bool ran = answer.result == outcome::Completed || answer.result == outcome::Replayed;
             if (answer.result == outcome::NotRun && order)
@@ -205,7 +205,7 @@
         void checkEnd()
         {
             for (const auto& sent : m_submissions)
-                internal_assert(sent->answer || sent->gone) << "no answer for " << sent->content.body;
+                internal_assert(sent->answer || sent->abandoned) << "no answer for " << sent->content.body;
             for (const auto& [body, count] : m_cluster.upstreams.runs)
                 internal_assert(body.empty() || count <= 1) << body << " ran " << count << " times";
             internal_assert(m_cluster.upstreams.heldSlots() == 0)
@@ -267,21 +267,21 @@
 
 TEST_CASE_METHOD(request_random_fixture, "requests.random_faults_with_a_mechanism_off.break_a_guarantee")
 {
-    request_options noClaims;
-    noClaims.policies.claimsKey = [](const request_traits&) { return false; };
-    REQUIRE(fails(1, 4000, noClaims));
-    request_options allRetries;
-    allRetries.policies.mayRetry = [](const failed_attempt&) { return true; };
-    REQUIRE(fails(1, 4000, allRetries));
-    request_options notRunUnresolved;
-    notRunUnresolved.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
-    REQUIRE(fails(1, 4000, notRunUnresolved));
-    request_options earlySlots;
-    earlySlots.policies.keepsSlotBusy = [](attempt_termination) { return false; };
-    REQUIRE(fails(1, 4000, earlySlots));
-    request_options noCrashes;
-    noCrashes.policies.mayBeCrash = [](call_failure) { return false; };
-    REQUIRE(fails(1, 4000, noCrashes));
+    request_options noKeyClaims;
+    noKeyClaims.policies.claimsKey = [](const request_traits&) { return false; };
+    REQUIRE(fails(1, 4000, noKeyClaims));
+    request_options alwaysRetries;
+    alwaysRetries.policies.mayRetry = [](const failed_attempt&) { return true; };
+    REQUIRE(fails(1, 4000, alwaysRetries));
+    request_options unresolvedAsNotRun;
+    unresolvedAsNotRun.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
+    REQUIRE(fails(1, 4000, unresolvedAsNotRun));
+    request_options earlySlotRelease;
+    earlySlotRelease.policies.keepsSlotBusy = [](attempt_termination) { return false; };
+    REQUIRE(fails(1, 4000, earlySlotRelease));
+    request_options noCrashDetection;
+    noCrashDetection.policies.mayBeCrash = [](call_failure) { return false; };
+    REQUIRE(fails(1, 4000, noCrashDetection));
 }
 
 } // namespace plantainlatch
--- a/test/random/shift_random_test.cpp
+++ b/test/random/shift_random_test.cpp
@@ -33,7 +33,8 @@
 
         std::uint64_t randomBelow(std::uint64_t bound) { return cluster->runtime.random() % bound; }
 
-        /** One millisecond of load: one VM at a time has a burst of requests, the others have a few at random. */
+        /** Sends the requests of one millisecond: two from the busy VM, which changes at random, and one from each
+         * other VM with a probability of 1/20. */
         void sendRequests()
         {
             if (randomBelow(400) == 0)
@@ -50,7 +51,7 @@
             }
             while (!admittedAt.empty() && admittedAt.front() + 1s <= cluster->runtime.now())
                 admittedAt.pop_front();
-            mostInOneSecond = std::max(mostInOneSecond, admittedAt.size());
+            peakInOneSecond = std::max(peakInOneSecond, admittedAt.size());
         }
 
         void injectFault()
@@ -92,7 +93,7 @@
         std::vector<std::unique_ptr<shift_service>> services;
         std::uint64_t busyVm = 0;
         std::deque<time_point> admittedAt;
-        std::size_t mostInOneSecond = 0;
+        std::size_t peakInOneSecond = 0;
         std::uint64_t totalAdmitted = 0;
     };
 
@@ -105,8 +106,8 @@
     INFO("seed " << seed);
     begin(seed, caps[seed % 5], {});
     run(60s, true);
-    INFO("most in one second " << mostInOneSecond << " of " << capPerSecond << ", admitted " << totalAdmitted);
-    REQUIRE(mostInOneSecond <= capPerSecond);
+    INFO("peak in one second " << peakInOneSecond << " of " << capPerSecond << ", admitted " << totalAdmitted);
+    REQUIRE(peakInOneSecond <= capPerSecond);
     REQUIRE(totalAdmitted > 0);
 }
 
@@ -114,8 +115,8 @@
 {
     begin(5, 200, {});
     run(20s, false);
-    REQUIRE(mostInOneSecond <= 200);
-    REQUIRE(mostInOneSecond > 140);
+    REQUIRE(peakInOneSecond <= 200);
+    REQUIRE(peakInOneSecond > 140);
 }
 
 TEST_CASE_METHOD(shift_random_fixture, "shift.without_counting_earlier_quotas.exceeds_the_cap")
@@ -124,7 +125,7 @@
     options.cap.countEarlierQuotas = false;
     begin(1, 40, options);
     run(60s, true);
-    REQUIRE(mostInOneSecond > 40);
+    REQUIRE(peakInOneSecond > 40);
 }
 
 } // namespace plantainlatch
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -60,15 +60,15 @@
         /** Runs the simulation and returns the maximum number of concurrent requests on one upstream. */
         std::uint32_t run()
         {
-            std::uint32_t largest = 0;
+            std::uint32_t peakRunning = 0;
             for (int i = 0; i < steps; ++i) {
                 act();
                 m_runtime.advance(step);
                 endRequests();
                 for (const auto& [id, ends] : m_running)
-                    largest = std::max(largest, static_cast<std::uint32_t>(ends.size()));
+                    peakRunning = std::max(peakRunning, static_cast<std::uint32_t>(ends.size()));
             }
-            return largest;
+            return peakRunning;
         }
 
         std::uint64_t requestsStarted() const { return m_requestsStarted; }
@@ -164,8 +164,8 @@
         {
             const int copies = draw(10) == 0 ? 0 : draw(10) == 0 ? 2 : 1;
             for (int i = 0; i < copies; ++i) {
-                const std::uint64_t longest = draw(20) == 0 ? 2000 : 30;
-                m_runtime.schedule(std::chrono::milliseconds(draw(longest)), deliver);
+                const std::uint64_t delayLimit = draw(20) == 0 ? 2000 : 30;
+                m_runtime.schedule(std::chrono::milliseconds(draw(delayLimit)), deliver);
             }
         }
 
@@ -229,7 +229,7 @@
                     return seed;
                 requestsStarted += simulation.requestsStarted();
             }
-            // Ensures that enough requests ran for a meaningful pass; 12 slots allow about 480 requests in 60 s.
+            // Too few requests could not cause an overload; 12 slots allow about 480 requests in 60 s.
             REQUIRE(requestsStarted > 100 * seedCount());
             return std::nullopt;
         }
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -18,12 +18,12 @@
 
     std::vector<vm_record> makeRecords(std::size_t size)
     {
-        const std::vector<std::pair<std::string, std::string>> places
+        const std::vector<std::pair<std::string, std::string>> locations
             = { { "fukuoka", "kokura" }, { "kumamoto", "chuo-ku" }, { "kagoshima", "tenmonkan" },
                   { "fukuoka", "hakata" }, { "kumamoto", "yatsushiro" }, { "kagoshima", "kirishima" } };
         std::vector<vm_record> records;
         for (std::size_t i = 0; i < size; ++i) {
-            const auto& [region, domain] = places[i % places.size()];
+            const auto& [region, domain] = locations[i % locations.size()];
             records.push_back(vmRecord(std::string(1, static_cast<char>('a' + i)), region, domain));
         }
         return records;
