--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -21,7 +21,7 @@
     constexpr duration step = std::chrono::milliseconds(20);
     constexpr int steps = 3000;
 
-    /** The waits of the allocator that are disabled, to check that the test finds the resulting overload. */
+    /** Which waits of the allocator are disabled; the test must then find an overload. */
     struct disabled_waits {
         bool earlierAllocations = false;
         bool silentHolders = false;
@@ -60,15 +60,15 @@
         /** Runs the simulation and returns the maximum number of concurrent requests on one upstream. */
         std::uint32_t run()
         {
-            std::uint32_t largest = 0;
+            std::uint32_t peakRunning = 0;
             for (int i = 0; i < steps; ++i) {
                 act();
                 m_runtime.advance(step);
                 endRequests();
                 for (const auto& [id, ends] : m_running)
-                    largest = std::max(largest, static_cast<std::uint32_t>(ends.size()));
+                    peakRunning = std::max(peakRunning, static_cast<std::uint32_t>(ends.size()));
             }
-            return largest;
+            return peakRunning;
         }
 
         std::uint64_t requestsStarted() const { return m_requestsStarted; }
@@ -164,8 +164,8 @@
         {
             const int copies = draw(10) == 0 ? 0 : draw(10) == 0 ? 2 : 1;
             for (int i = 0; i < copies; ++i) {
-                const std::uint64_t longest = draw(20) == 0 ? 2000 : 30;
-                m_runtime.schedule(std::chrono::milliseconds(draw(longest)), deliver);
+                const std::uint64_t delayLimit = draw(20) == 0 ? 2000 : 30;
+                m_runtime.schedule(std::chrono::milliseconds(draw(delayLimit)), deliver);
             }
         }
 
@@ -220,7 +220,7 @@
         }
 
         /** The first seed with which an upstream ran more requests than it has slots, or an invariant was violated. */
-        static std::optional<std::uint64_t> firstOverload(disabled_waits disabled)
+        static std::optional<std::uint64_t> firstSeedWithOverload(disabled_waits disabled)
         {
             std::uint64_t requestsStarted = 0;
             for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
@@ -229,7 +229,7 @@
                     return seed;
                 requestsStarted += simulation.requestsStarted();
             }
-            // Ensures that enough requests ran for a meaningful pass; 12 slots allow about 480 requests in 60 s.
+            // Too few requests could not cause an overload; 12 slots allow about 480 requests in 60 s.
             REQUIRE(requestsStarted > 100 * seedCount());
             return std::nullopt;
         }
@@ -239,19 +239,19 @@
 
 TEST_CASE_METHOD(slot_random_fixture, "slots.random_faults.never_more_requests_than_slots")
 {
-    const std::optional<std::uint64_t> seed = firstOverload({});
+    const std::optional<std::uint64_t> seed = firstSeedWithOverload({});
     INFO("seed " << seed.value_or(0));
     REQUIRE_FALSE(seed.has_value());
 }
 
 TEST_CASE_METHOD(slot_random_fixture, "slots.new_allocator_that_does_not_wait.overloads_upstreams")
 {
-    REQUIRE(firstOverload({ .earlierAllocations = true }).has_value());
+    REQUIRE(firstSeedWithOverload({ .earlierAllocations = true }).has_value());
 }
 
 TEST_CASE_METHOD(slot_random_fixture, "slots.slots_of_silent_holders_reclaimed_early.overloads_upstreams")
 {
-    REQUIRE(firstOverload({ .silentHolders = true }).has_value());
+    REQUIRE(firstSeedWithOverload({ .silentHolders = true }).has_value());
 }
 
 } // namespace plantainlatch
