--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -31,8 +31,8 @@
             record.acceptedThrough.value(), ": ", absl::StrJoin(describeDifference(record.content, content), "; ")));
     }
 
-    /** Creates shift records for added definitions and erases those of withdrawn ones. A changed definition resets
-     * phase, baseline and setbacks, and keeps the percentage up to its new maximum. */
+    /** Creates shift records for added definitions and erases those of withdrawn ones. For a changed definition,
+     * resets phase, baseline and setbacks, and limits the percentage to the new maximum. */
     void updateShifts(control_snapshot& state, const declaration& content, wall_time now)
     {
         for (const auto& item : content.shifts.added)
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -29,7 +29,8 @@
 inline constexpr duration initialFlapDelay = std::chrono::seconds(5);
 inline constexpr duration maximumFlapDelay = std::chrono::seconds(60);
 
-/** Rules for accepting announcements. They are part of the state machine, so all VMs of a system must use the same. */
+/** Rules for accepting announcements. They are part of the state machine, so all VMs of a system must use the same
+ * rules. */
 struct directory_rules {
     /** Refuses announcements whose service, region or failure domain is not declared. */
     bool requireDeclared = true;
--- a/src/decision/control/control_service.h
+++ b/src/decision/control/control_service.h
@@ -17,7 +17,8 @@
 
 namespace plantainlatch {
 
-/** Options of control_service. All VMs of a system must use the same, since they affect the results of commands. */
+/** Options of control_service. All VMs of a system must use the same options, since they affect the results of
+ * commands. */
 struct control_options {
     /** Returns the cached result for a resent proposal. If false, each copy is applied again. */
     bool deduplicateProposals = true;
--- a/src/decision/control/proposer_table.cpp
+++ b/src/decision/control/proposer_table.cpp
@@ -16,8 +16,8 @@
         return std::find(earlier.begin(), earlier.end(), start) != earlier.end();
     }
 
-    /** Copies the answer from the key table into the result of a claim that found Completed. Cached results carry no
-     * answers, which would be stored twice otherwise. */
+    /** Copies the answer from the key table into the result of a claim that found Completed. Cached results do not
+     * contain the answers, to avoid storing them twice. */
     void restoreAnswer(const control_snapshot& state, const proposal& item, command_result& result)
     {
         const claim_key* claim = std::get_if<claim_key>(&item.command);
--- a/src/decision/control/proposer_table.h
+++ b/src/decision/control/proposer_table.h
@@ -20,7 +20,7 @@
 inline constexpr std::size_t maximumFormerStarts = 16;
 
 /** The cached result if the proposal was applied before. Refused if the proposal is older than the cached results or
- * comes from an earlier incarnation, as it may or may not have been applied. None for a new proposal. */
+ * comes from an earlier incarnation, since it may or may not have been applied. None for a new proposal. */
 std::optional<command_result> findCachedResult(const control_snapshot& state, const proposal& item);
 
 /** Caches the result of an applied proposal and evicts the oldest one beyond the maximum. */
