Reword comments of shifts, operators and alerts

Cause: the sentences needed a second reading, had no subject or named the bound loosely. The quota allocator says when a quota stops being reserved, and that countsUntil bounds the end of windows.

--- a/src/decision/alerts/alert_tracker.h
+++ b/src/decision/alerts/alert_tracker.h
@@ -59,7 +59,7 @@
     std::vector<alert> active() const;
 
 private:
-    /** Further conditions are ignored until tracked ones have cleared. */
+    /** The most risks tracked at a time; further conditions are ignored until tracked ones have cleared. */
     static constexpr std::size_t maximumTracked = 256;
 
     struct tracked_risk {
--- a/src/decision/operators/configuration_service.h
+++ b/src/decision/operators/configuration_service.h
@@ -19,7 +19,7 @@
 
 /** Options of configuration_service. */
 struct configuration_options {
-    /** Longer than 1 s, after which a caller without an answer asks another VM. */
+    /** The time limit for a proposal; longer than 1 s, after which a caller without an answer asks another VM. */
     duration proposalTimeout = std::chrono::milliseconds(1500);
 };
 
--- a/src/decision/operators/declaration_plan.h
+++ b/src/decision/operators/declaration_plan.h
@@ -12,7 +12,7 @@
 
 namespace plantainlatch {
 
-/** The measured loads, as far as they are known. */
+/** The measured loads, and whether they can be relied on. */
 struct known_loads {
     /** Whether the loads are fresh and complete, so that a failure domain without an entry has no load. */
     bool known = false;
--- a/src/decision/shifts/measurement_window.h
+++ b/src/decision/shifts/measurement_window.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Collects the VMs' measurements of upstreams at the leader, over a sliding window.
+ * Aggregates the upstream measurements of all VMs on the leader, over a sliding window.
  */
 
 #include <deque>
@@ -14,7 +14,7 @@
 
 namespace plantainlatch {
 
-/** The measurements of all VMs of one service in one failure domain, aggregated over the window. */
+/** One service's measurements in one failure domain, aggregated over all VMs and the window. */
 struct domain_statistics {
     std::uint64_t requests = 0;
     /** Failed or refused requests. */
@@ -42,7 +42,7 @@
     void add(const vm_heartbeat& heartbeat, time_point now);
     void clear() { m_samples.clear(); }
 
-    /** The aggregate of one service in one failure domain; none without requests within the window. */
+    /** The aggregate of one service in one failure domain; none if the window contains no requests. */
     std::optional<domain_statistics> statistics(
         const service_id& service, const failure_domain_id& domain, time_point now) const;
 
--- a/src/decision/shifts/shift_controller.h
+++ b/src/decision/shifts/shift_controller.h
@@ -16,7 +16,7 @@
 namespace plantainlatch {
 
 /** Controls all shifts during one term of one leader. Its state is not replicated: a new leader starts without any, and
- * derives from `termBegan` until when quotas leased by earlier leaders may still count. */
+ * derives from `termBegan` how long quotas of earlier leaders may still count against the cap. */
 class shift_controller {
 public:
     shift_controller(shift_cap_options cap, shift_gate_options gate, duration measurementSpan, time_point termBegan);
--- a/src/decision/shifts/shift_gate.h
+++ b/src/decision/shifts/shift_gate.h
@@ -56,7 +56,7 @@
 private:
     enum class health {
         Healthy,
-        /** Between the watermarks. */
+        /** Between the low and the high watermark. */
         Marginal,
         Unhealthy,
     };
--- a/src/decision/shifts/shift_quota_allocator.h
+++ b/src/decision/shifts/shift_quota_allocator.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * Enforces the rate cap of a shift over all VMs: the leader leases each VM a quota, and counts every quota until no
- * request admitted under it can fall into a window that has not ended.
+ * Enforces the rate cap of a shift over all VMs: the leader leases each VM a quota, and keeps the quota reserved
+ * until every window that can contain a request admitted under it has ended.
  */
 
 #include <cstdint>
@@ -22,10 +22,10 @@
     duration window = std::chrono::milliseconds(1100);
     /** How long a quota is valid, from the time when the VM sent its heartbeat. */
     duration lease = std::chrono::seconds(2);
-    /** How much longer the leader counts a quota, for differences in clock rate. */
+    /** Added to the time for which the leader keeps a quota reserved, to tolerate differences in clock rate. */
     duration drift = std::chrono::milliseconds(100);
-    /** Counts a VM's earlier quotas until no window contains requests admitted under them. If false, only the latest
-     * quota counts, and the cap can be exceeded; tests use this to show that the counting is needed. */
+    /** Keeps a VM's earlier quotas reserved, too. If false, only the latest quota of each VM is reserved, and the cap
+     * can be exceeded; tests use this to show that the reservation is needed. */
     bool countEarlierQuotas = true;
 };
 
@@ -42,8 +42,8 @@
     /** One incarnation of a VM. */
     using holder = std::pair<vm_id, incarnation>;
 
-    /** Leases a VM a quota of at most `requested` and at most the part of the cap that is not reserved by others. While
-     * quotas leased by an earlier leader may still count, the quota is also at most `held`, the VM's present quota. */
+    /** Leases a VM a quota: `requested`, limited to the part of the cap that is not reserved by other VMs. While quotas
+     * of an earlier leader may still be reserved, the quota is also limited to `held`, the VM's present quota. */
     std::uint32_t grant(
         const holder& vm, std::uint32_t requested, std::uint32_t held, std::uint32_t cap, time_point now);
 
@@ -53,7 +53,7 @@
 private:
     struct quota_lease {
         std::uint32_t perWindow = 0;
-        /** Windows that begin after this contain no request admitted under the lease. */
+        /** Windows that end after this contain no request admitted under the lease. */
         time_point countsUntil {};
     };
 
--- a/src/decision/shifts/shift_step.h
+++ b/src/decision/shifts/shift_step.h
@@ -20,7 +20,7 @@
     const shift_definition& definition, const shift_record& record, shift_advice advice, bool intervalPassed);
 
 /** Whether the target has capacity for the next step: the expected concurrency, as rate times latency (Little's law),
- * stays below a fixed part of its slots. `target` is none before the target has traffic. */
+ * does not exceed a fixed part of its slots. `target` is none before the target has traffic. */
 bool hasCapacityForStep(const shift_definition& definition, const shift_record& record,
     const std::optional<domain_statistics>& target, const std::optional<domain_statistics>& source,
     std::uint64_t targetSlots);
