Reword comments of the model, the ports, the core and the kernel

Cause: the sentences needed a second reading, had no subject or named the bound loosely. The append_request comment says when round holds a bootstrap token.

--- a/src/core/findings.h
+++ b/src/core/findings.h
@@ -26,7 +26,7 @@
     std::string expected;
 };
 
-/** `file:line:column: what, expected ...`; unset parts are omitted. */
+/** Formats as `file:line:column: what, expected ...`; unset parts are omitted. */
 std::string formatFinding(const finding& item);
 
 /** How many findings a list stores; further ones are only counted. */
--- a/src/core/strong_id.h
+++ b/src/core/strong_id.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Distinct types for names and numbers, so that one kind cannot be passed for another.
+ * Distinct types for names and numbers, so that, for example, the id of a service cannot be passed as that of a region.
  */
 
 #include <compare>
@@ -11,7 +11,7 @@
 
 namespace plantainlatch {
 
-/** A name of one kind of thing; Tag makes the kinds distinct types. */
+/** A name; each Tag gives a distinct type. */
 template <typename Tag> class strong_name {
 public:
     strong_name() = default;
@@ -39,7 +39,7 @@
     std::string m_value;
 };
 
-/** A number of one kind of thing; Tag makes the kinds distinct types. */
+/** A number; each Tag gives a distinct type. */
 template <typename Tag> class strong_number {
 public:
     constexpr strong_number() = default;
--- a/src/kernel/state_dump.h
+++ b/src/kernel/state_dump.h
@@ -39,9 +39,9 @@
     /** Adds the time in milliseconds, with `_ms` appended to the name. */
     state_dump& add(std::string childName, duration span);
 
-    /** Adds an empty object and returns it; the reference holds until the next addition to this node. */
+    /** Adds an empty object and returns it; the reference is valid until the next addition to this node. */
     state_dump& addObject(std::string childName);
-    /** Adds an empty list and returns it; the reference holds until the next addition to this node. */
+    /** Adds an empty list and returns it; the reference is valid until the next addition to this node. */
     state_dump& addList(std::string childName);
 };
 
--- a/src/model/consensus_message.h
+++ b/src/model/consensus_message.h
@@ -116,8 +116,9 @@
     log_term previousTerm;
     std::vector<log_entry> entries;
     log_index committed;
-    /** The number of the leader's heartbeat round. An answer with it shows that the follower received a message that
-     * was sent after this round began. In a first entry (see log_joiner), the bootstrap token of the receiver. */
+    /** The number of the leader's heartbeat round. An answer with this number shows that the follower received a
+     * message sent after the round began. When the message replicates the first entry of a new log (see log_joiner),
+     * this is the receiver's bootstrap token instead. */
     std::uint64_t round = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -172,9 +173,9 @@
 /** Sent by a VM that has no leader, to find the log or, with a blank disk, to bootstrap one. */
 struct join_request {
     replica_id self;
-    /** The VM has a working disk. */
+    /** Whether the VM has a working disk. */
     bool replica = false;
-    /** The VM has no log. */
+    /** Whether the VM has no log. */
     bool blank = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -190,7 +191,8 @@
     vm_id leader;
     /** The sender of the request; answers to an earlier identity of the same VM are ignored. */
     replica_id requester;
-    /** Issued by a blank replica, which accepts the first entry of a new log only with its last token; 0 for none. */
+    /** Issued by a blank replica, which accepts the first entry of a new log only with the token that it issued last; 0
+     * for none. */
     std::uint64_t bootstrapToken = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -67,7 +67,7 @@
     }
 };
 
-/** One VM's use of its quota of a shift since the last heartbeat: admitted requests, and all that asked for admission.
+/** One VM's use of its quota of a shift since the last heartbeat: admitted requests, and all that requested admission.
  */
 struct shift_usage {
     shift_id shift;
@@ -98,7 +98,8 @@
     /** The allocator roles for which the VM has a valid lease when the heartbeat is sent. */
     std::vector<allocator_role> held;
     std::vector<shift_usage> shiftUsage;
-    /** The VM measures its upstreams. A failure domain without a measurement then had no traffic from this VM. */
+    /** Whether the VM measures its upstreams. If so, a failure domain without a measurement had no traffic from this
+     * VM. */
     bool measured = false;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
@@ -139,7 +140,8 @@
     std::vector<shift_quota> quotas;
     /** The incarnation of the VM that sent the heartbeat. */
     incarnation start;
-    /** The leader has recent measurements. A failure domain that is not in `loads` then has no load. */
+    /** Whether the leader has complete recent measurements. If so, a failure domain that is not in `loads` has no
+     * load. */
     bool loadsKnown = false;
     std::vector<service_load> loads;
     /** The lowest number of the configurations in force on live VMs. */
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -43,7 +43,7 @@
     proposal_id claim;
     request_fingerprint fingerprint;
     wall_time expiresAt {};
-    /** The work has ended by this time. A claim that is not settled by then counts as Unknown. */
+    /** The time by which the work has ended. A claim that is not settled by then counts as Unknown. */
     wall_time runsUntil {};
     outcome result = outcome::InProgress;
     std::optional<upstream_answer> answer;
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -103,7 +103,7 @@
     upstream_id id;
     service_id service;
     failure_domain_id failureDomain;
-    /** A lower limit than the service's. */
+    /** A limit for this upstream, at most the service's; none for the service's limit. */
     std::optional<slot_count> slots;
 
     friend bool operator==(const upstream_definition&, const upstream_definition&) = default;
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -54,7 +54,7 @@
     /** Another upstream now has the address; it did not run the request. */
     bool wrongInstance = false;
     std::optional<load_report> load;
-    /** The rest of the upstream's cold start, if it reports one. */
+    /** The remaining time of the upstream's cold start, if it reports one. */
     std::optional<duration> coldFor;
 };
 
@@ -72,7 +72,7 @@
     }
 };
 
-/** The source of an answer, or why the system answered itself; used in the reason header and the metrics. */
+/** Whether the upstream answered, or else why the system answered itself; used in the reason header and the metrics. */
 enum class answer_reason {
     /** The upstream answered. */
     Upstream,
--- a/src/model/route.h
+++ b/src/model/route.h
@@ -33,7 +33,7 @@
     std::string host;
     /** Begins and ends with a slash. If several routes match a path, the one with the longest prefix is used. */
     std::string pathPrefix;
-    /** Requests may run more than once, so they can be retried after any failure. */
+    /** Whether requests may run more than once, so they can be retried after any failure. */
     bool idempotent = false;
     /** Upper bound on a request's deadline, counted from its arrival. */
     duration timeLimit {};
@@ -43,8 +43,8 @@
     std::uint32_t priority = 0;
     /** The maximum number of upstreams that one request is sent to. */
     std::uint32_t maximumAttempts = 1;
-    /** Prefer the same upstream for all requests about an object, as it answers faster about objects that it handled
-     * recently. */
+    /** Prefer the same upstream for all requests about one object, since an upstream answers faster for objects that it
+     * handled recently. */
     bool sticky = false;
     /** The regions whose upstreams may be used; all regions if empty. */
     std::vector<region_id> allowedRegions;
--- a/src/model/vm_settings.h
+++ b/src/model/vm_settings.h
@@ -59,7 +59,7 @@
     membership_mode membership = membership_mode::Listed;
     /** Whether this VM may bootstrap a new log with the other replicas of `vms`. */
     bool mayBootstrapLog = true;
-    /** Peer connections are not authenticated; otherwise both sides prove that they have the shared key. */
+    /** If set, peer connections are not authenticated; otherwise both sides prove that they have the shared key. */
     bool trustedNetwork = false;
     /** The folder in which a replica stores its state; none on other VMs. */
     std::optional<std::string> dataFolder;
@@ -67,8 +67,8 @@
     std::string sharedKeyFile;
     caller_limits limits;
     std::string logLevel = "info";
-    /** How long callers may cache the list of entries; a VM that stops keeps serving callers (lame duck) for as long.
-     */
+    /** How long callers may cache the list of entries. For the same time, a stopping VM still serves callers (lame
+     * duck). */
     duration lookupCacheTime = std::chrono::seconds(2);
 };
 
--- a/src/ports/shift_port.h
+++ b/src/ports/shift_port.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The interface through which the choice of an upstream takes traffic shares and shifts into account.
+ * The interface through which upstream selection reads traffic shares and shifts, and enforces the rate caps of shifts.
  */
 
 #include <functional>
