Reword comments and one parameter of the benchmarks

Cause: betweenRegions named no quantity; the legend of the slot comparison and two comments needed a second reading.

--- a/test/integration/network_fault_test.cpp
+++ b/test/integration/network_fault_test.cpp
@@ -14,8 +14,8 @@
     protected:
         network_fault_fixture() { system.start(); }
 
-        /** Sets the faults of all connections between a VM and the others: `stopBoth` isolates it, `noFaults` ends
-         * that. */
+        /** Sets the faults of all connections between a VM and the others: `stopBoth` isolates the VM, `noFaults`
+         * reconnects it. */
         void setPartition(int vm, const std::string& faults)
         {
             system.setFaults(absl::StrCat("peer-", vm, "-*"), faults);
--- a/test/performance/consensus_benchmark.cpp
+++ b/test/performance/consensus_benchmark.cpp
@@ -24,10 +24,10 @@
 
     int regionOfVm(const vm_id& vm) { return (vm.value().back() - '1') % regionCount; }
 
-    void setDelays(consensus_cluster& cluster, duration betweenRegions)
+    void setDelays(consensus_cluster& cluster, duration interRegionDelay)
     {
-        cluster.network.delay = [betweenRegions](const vm_id& from, const vm_id& to) -> duration {
-            return regionOfVm(from) == regionOfVm(to) ? 1ms : betweenRegions;
+        cluster.network.delay = [interRegionDelay](const vm_id& from, const vm_id& to) -> duration {
+            return regionOfVm(from) == regionOfVm(to) ? 1ms : interRegionDelay;
         };
     }
 
@@ -72,10 +72,10 @@
         return latencies;
     }
 
-    void measureCommitLatency(duration betweenRegions)
+    void measureCommitLatency(duration interRegionDelay)
     {
         consensus_cluster cluster(vmCount, replicaCount);
-        setDelays(cluster, betweenRegions);
+        setDelays(cluster, interRegionDelay);
         cluster.startAll();
         cluster.waitForLeader();
         cluster.advance(1s);
@@ -87,17 +87,17 @@
             const char* where = through == leader ? "the leader" : isNear ? "the leader's region" : "another region";
             std::printf(
                 "commit latency, %.0f ms between regions, through vm%d in %s: median %.1f ms, slowest %.1f ms\n",
-                milliseconds(betweenRegions), through, where, milliseconds(quantile(latencies, 0.5)),
+                milliseconds(interRegionDelay), through, where, milliseconds(quantile(latencies, 0.5)),
                 milliseconds(quantile(latencies, 1)));
         }
     }
 
-    void measureNewLeader(duration betweenRegions, bool graceful)
+    void measureNewLeader(duration interRegionDelay, bool graceful)
     {
         std::vector<duration> spans;
         for (std::uint64_t seed = 1; seed <= 100; ++seed) {
             consensus_cluster cluster(vmCount, replicaCount, seed);
-            setDelays(cluster, betweenRegions);
+            setDelays(cluster, interRegionDelay);
             cluster.startAll();
             cluster.waitForLeader();
             cluster.advance(1s);
@@ -111,7 +111,7 @@
             spans.push_back(cluster.runtime.now() - began);
         }
         std::printf("new leader after a %s, %.0f ms between regions: median %.0f ms, 99%% %.0f ms, slowest %.0f ms\n",
-            graceful ? "graceful stop" : "kill", milliseconds(betweenRegions), milliseconds(quantile(spans, 0.5)),
+            graceful ? "graceful stop" : "kill", milliseconds(interRegionDelay), milliseconds(quantile(spans, 0.5)),
             milliseconds(quantile(spans, 0.99)), milliseconds(quantile(spans, 1)));
     }
 
--- a/test/performance/request_path_benchmark.cpp
+++ b/test/performance/request_path_benchmark.cpp
@@ -104,7 +104,7 @@
             m_port = *m_core->services().find<request_port>(port_names::requests);
         }
 
-        /** Nanoseconds for each request that `make` returns. */
+        /** Sends requests that `make` creates, and returns the mean time for one in nanoseconds. */
         template <typename Make> double measure(Make make)
         {
             for (int i = 0; i < warmUpRequests; ++i)
--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -269,7 +269,8 @@
 int main()
 {
     using namespace plantainlatch;
-    std::printf("useful: timely answers per capacity; refused, late, retries with hedges: per request sent;\n"
+    std::printf("useful: answers in time, relative to the capacity;\n"
+                "refused, late, retries (including hedges): per request sent;\n"
                 "in use: maximum concurrent requests of an upstream per slot; double: requests that ran twice;\n"
                 "p50 and p99 in ms\n");
     std::printf("%-20s load  useful  refused  late   retries  in use  double     p50     p99\n", "");
