Name locals of operators and alerts after what they hold

Cause: here, near, own, led, decided and behind name no value. Change: localSlots, regionalSlots, requestLines, currentLeadership, requestLine, laggingVms; the member m_ledTerm is m_leaderTerm.

--- a/src/decision/alerts/system_risks.cpp
+++ b/src/decision/alerts/system_risks.cpp
@@ -64,16 +64,16 @@
 
 std::vector<risk_condition> findConfigurationRisk(const system_view& view)
 {
-    std::string behind;
+    std::string laggingVms;
     for (const vm_report& report : view.reports) {
         if (report.last.inForce < view.state.config.number)
-            absl::StrAppend(
-                &behind, behind.empty() ? "" : ", ", report.last.vm.value(), " has ", report.last.inForce.value());
+            absl::StrAppend(&laggingVms, laggingVms.empty() ? "" : ", ", report.last.vm.value(), " has ",
+                report.last.inForce.value());
     }
-    if (behind.empty())
+    if (laggingVms.empty())
         return {};
     return { { "configuration", "a configuration is in force everywhere within seconds",
-        absl::StrCat("change ", view.state.config.number.value(), " is not in force everywhere: ", behind),
+        absl::StrCat("change ", view.state.config.number.value(), " is not in force everywhere: ", laggingVms),
         "the leader keeps sending the log, or a snapshot, to these VMs", configurationDelay } };
 }
 
--- a/src/decision/operators/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -94,12 +94,12 @@
     {
         domain_amounts demand;
         for (const auto& [domain, amount] : measured) {
-            const auto here = slots.find(domain);
-            const domain_amounts near = slotsInRegion(input.config, slots, regionOf(input.config, domain));
-            if (here != slots.end() && here->second > 0)
+            const auto localSlots = slots.find(domain);
+            const domain_amounts regionalSlots = slotsInRegion(input.config, slots, regionOf(input.config, domain));
+            if (localSlots != slots.end() && localSlots->second > 0)
                 demand[domain] += amount;
             else
-                spread(demand, amount, sumOf(near) > 0 ? near : slots);
+                spread(demand, amount, sumOf(regionalSlots) > 0 ? regionalSlots : slots);
         }
         return demand;
     }
--- a/src/decision/operators/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -81,7 +81,7 @@
 
 void operator_service::answerHeartbeat(const vm_heartbeat& heartbeat, heartbeat_answer& reply)
 {
-    if (std::exchange(m_ledTerm, reply.term) != reply.term)
+    if (std::exchange(m_leaderTerm, reply.term) != reply.term)
         m_loads.beginTerm(m_hooks.now());
     m_loads.handleHeartbeat(m_control->state().config, heartbeat, reply, m_hooks.now());
     reply.lowestInForce = findLowestInForce();
@@ -164,11 +164,11 @@
 
 system_status operator_service::status() const
 {
-    const leadership led = m_consensus->state();
+    const leadership currentLeadership = m_consensus->state();
     system_status shown;
     shown.answeredBy = m_self;
-    shown.leader = led.leader;
-    shown.current = led.current;
+    shown.leader = currentLeadership.leader;
+    shown.current = currentLeadership.current;
     shown.inForceHere = m_control->state().config.number;
     shown.inForceEverywhere = m_membership->isCaughtUpLeader() ? findLowestInForce() : m_loads.lowestInForce();
     const auto alerts = m_services->find<alert_port>(port_names::alerts);
--- a/src/decision/operators/operator_service.h
+++ b/src/decision/operators/operator_service.h
@@ -64,7 +64,7 @@
     consensus_port* m_consensus = nullptr;
     membership_port* m_membership = nullptr;
     load_view m_loads;
-    log_term m_ledTerm;
+    log_term m_leaderTerm;
 };
 
 /** The configuration after the change with that number; NotFound if the history does not contain it. */
--- a/src/decision/operators/request_explanation.cpp
+++ b/src/decision/operators/request_explanation.cpp
@@ -21,18 +21,18 @@
         return found != lines.rend() ? &*found : nullptr;
     }
 
-    /** Adds the last line before `decided` in which the same VM logged a change of its configuration, and the last in
-     * which it logged a change of the upstream that `decided` names. */
-    void addPrecedingState(std::vector<log_line>& chosen, const std::vector<log_line>& all, const log_line& decided)
+    /** Adds the last line before `requestLine` in which the same VM logged a change of its configuration, and the last
+     * in which it logged a change of the upstream to which `requestLine` refers. */
+    void addPrecedingState(std::vector<log_line>& chosen, const std::vector<log_line>& all, const log_line& requestLine)
     {
         const log_line* upstream = nullptr;
         const log_line* configuration = nullptr;
         for (const log_line& line : all) {
-            if (line.service != "beliefs" || line.vm != decided.vm || !isEarlier(line, decided))
+            if (line.service != "beliefs" || line.vm != requestLine.vm || !isEarlier(line, requestLine))
                 continue;
             if (line.what == "configuration-in-force")
                 configuration = &line;
-            else if (!decided.field("upstream").empty() && line.field("upstream") == decided.field("upstream"))
+            else if (!requestLine.field("upstream").empty() && line.field("upstream") == requestLine.field("upstream"))
                 upstream = &line;
         }
         for (const log_line* preceding : { configuration, upstream }) {
@@ -101,15 +101,15 @@
 request_explanation explainRequest(std::vector<log_line> lines, const std::string& name)
 {
     std::sort(lines.begin(), lines.end(), isEarlier);
-    std::vector<log_line> own;
+    std::vector<log_line> requestLines;
     for (const log_line& line : lines) {
         if (line.field("request") == name)
-            own.push_back(line);
+            requestLines.push_back(line);
     }
     request_explanation explained;
-    explained.cause = causeOf(own);
-    explained.lines = own;
-    for (const log_line& line : own)
+    explained.cause = causeOf(requestLines);
+    explained.lines = requestLines;
+    for (const log_line& line : requestLines)
         addPrecedingState(explained.lines, lines, line);
     std::sort(explained.lines.begin(), explained.lines.end(), isEarlier);
     const auto same = [](const log_line& left, const log_line& right) { return left.position == right.position; };
