--- a/test/performance/capacity_benchmark.cpp
+++ b/test/performance/capacity_benchmark.cpp
@@ -145,7 +145,7 @@
     showMessage("forwarded_announcement", control_message(forwarded_announcement { makeAnnouncement(1) }));
 }
 
-void showStateSlope(const char* name, int count, const std::function<void(control_snapshot&, int)>& addOne)
+void showMarginalStateCost(const char* name, int count, const std::function<void(control_snapshot&, int)>& addOne)
 {
     control_snapshot state;
     const std::size_t empty = msgpack_codec::encode(state).size();
@@ -162,17 +162,17 @@
 {
     constexpr int count = 20000;
     std::puts("snapshot of the control state:");
-    showStateSlope("upstream in the directory", count, [](control_snapshot& state, int i) {
+    showMarginalStateCost("upstream in the directory", count, [](control_snapshot& state, int i) {
         state.directory[makeAnnouncement(i).id].announcement = makeAnnouncement(i);
     });
-    showStateSlope("idempotency key without answer", count, [](control_snapshot& state, int i) {
+    showMarginalStateCost("idempotency key without answer", count, [](control_snapshot& state, int i) {
         state.keys[{ service_id("billing"), idempotency_key("0123456789abcdef0123456789a" + std::to_string(i)) }]
             = key_record { { vm_id("e1"), incarnation(7), 9 } };
     });
-    showStateSlope("change in the history", count, [](control_snapshot& state, int i) {
+    showMarginalStateCost("change in the history", count, [](control_snapshot& state, int i) {
         state.history.push_back({ makeChange(static_cast<std::uint64_t>(i) + 1), {}, vm_id("e1") });
     });
-    showStateSlope("VM", count, [](control_snapshot& state, int i) {
+    showMarginalStateCost("VM", count, [](control_snapshot& state, int i) {
         const vm_id id("e" + std::to_string(i));
         state.vms[id] = { { id, region_id("fukuoka"), failure_domain_id("hakata"), { "10.20.30.40", 7080 },
             { "10.20.30.40", 7070 }, false } };
--- a/test/performance/consensus_benchmark.cpp
+++ b/test/performance/consensus_benchmark.cpp
@@ -54,8 +54,9 @@
             cluster.until([&] { return cluster.results.size() == first + batch - 1; });
         }
         const std::chrono::duration<double, std::micro> spent = std::chrono::steady_clock::now() - began;
-        std::printf("work for one change, %d replicas and %d VMs together: %.1f us (%llu changes)\n", replicaCount,
-            vmCount, spent.count() / static_cast<double>(changes), static_cast<unsigned long long>(changes));
+        std::printf("processor time for one change, %d replicas and %d VMs together: %.1f us (%llu changes)\n",
+            replicaCount, vmCount, spent.count() / static_cast<double>(changes),
+            static_cast<unsigned long long>(changes));
     }
 
     std::vector<duration> latenciesThrough(consensus_cluster& cluster, int through, std::uint64_t& number)
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -11,7 +11,7 @@
 
     constexpr double loadRate = 40;
     constexpr const char* loadMix = "60,30,10";
-    constexpr duration step = std::chrono::milliseconds(100);
+    constexpr duration pollInterval = std::chrono::milliseconds(100);
     constexpr duration applyTimeout = std::chrono::seconds(1);
     /** How long the load continues after the last fault. */
     constexpr duration recoveryLoad = std::chrono::seconds(2);
@@ -67,7 +67,7 @@
             active.push_back(*next);
         }
         checkNumbers();
-        pause(step);
+        pause(pollInterval);
     }
     for (const soak_event& event : active)
         end(event);
