Plainer comments in the codecs and the runtime

Cause: some sentences needed a second reading or named a thing only by a hint. Change: comments only. File handles, the default effect of SIGHUP and the frames that the MAC rejects are stated directly.

--- a/src/codec/json_codec.h
+++ b/src/codec/json_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * JSON bodies of the answers to callers, upstreams and operators.
+ * Encodes the JSON bodies of answers to callers, upstreams and operators.
  */
 
 #include <string>
--- a/src/codec/msgpack_codec.h
+++ b/src/codec/msgpack_codec.h
@@ -305,7 +305,7 @@
     try {
         std::size_t offset = 0;
         // The library allocates the announced number of elements before it reads them. Each element takes at least one
-        // byte, so a larger number than there are bytes is rejected before the allocation.
+        // byte, so a number of elements above the number of bytes is rejected before the allocation.
         const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), 0, maximumDepth);
         const msgpack::object_handle handle
             = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
--- a/src/codec/record_codec.h
+++ b/src/codec/record_codec.h
@@ -28,7 +28,7 @@
 /**
  * Reads all records. A write that was interrupted by a crash leaves a torn tail: an incomplete record, a last record
  * with a wrong checksum, or nothing but zero bytes. The scan ends before such a tail without an error. Any other
- * corruption gives DataLoss with its offset.
+ * corruption gives DataLoss with the offset of the damaged record.
  */
 absl::StatusOr<record_scan> scanRecords(std::string_view bytes);
 
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -31,7 +31,7 @@
     /** Calls `handler` from the loop on SIGTERM and SIGINT. */
     absl::Status onTerminate(std::function<void()> handler);
 
-    /** Calls `handler` from the loop on SIGHUP, whose default action terminates the process. */
+    /** Calls `handler` from the loop on SIGHUP, which terminates the process if no handler is set. */
     absl::Status onReload(std::function<void()> handler);
 
     /** Kernel hooks that use this loop, with `log` as the log hook. The loop must outlive them. */
--- a/src/runtime/file_hooks.h
+++ b/src/runtime/file_hooks.h
@@ -23,7 +23,7 @@
     /** The names of the entries in the folder. */
     std::function<absl::StatusOr<std::vector<std::string>>(const std::string& folder)> list;
     std::function<absl::StatusOr<std::string>(const std::string& path)> read;
-    /** Opens a file for appending, creating it if it is missing. The result identifies it in append, sync and close. */
+    /** Opens a file for appending, creating it if it is missing. Returns a handle for append, sync and close. */
     std::function<absl::StatusOr<int>(const std::string& path)> open;
     std::function<absl::Status(int file, std::string_view bytes)> append;
     std::function<absl::Status(int file)> sync;
--- a/src/runtime/peer_handshake.h
+++ b/src/runtime/peer_handshake.h
@@ -7,8 +7,8 @@
  * its own nonce and a proof, and the connecting side answers with its proof. Both proofs are HMAC-SHA256 under the
  * shared key over the role, the protocol version, both names and both nonces, so that a recorded handshake can't be
  * replayed. A session key for each direction is derived from the same values. Each later frame carries an HMAC-SHA256
- * under that key, truncated to 16 bytes, over its sequence number and payload, so that changed, reordered, replayed and
- * foreign frames are rejected. Frames are authenticated, but not encrypted.
+ * under that key, truncated to 16 bytes, over its sequence number and payload, so that frames that were changed,
+ * reordered, replayed or taken from another session are rejected. Frames are authenticated, but not encrypted.
  */
 
 #include <array>
