--- a/src/main/drain_command.cpp
+++ b/src/main/drain_command.cpp
@@ -11,14 +11,14 @@
 
 namespace {
 
-    bool isKind(const std::string& text)
+    bool isDrainKind(const std::string& text)
     {
         return text == "vm" || text == "upstream" || text == "failure_domain" || text == "region";
     }
 
     int runDrain(const command_line& line, bool draining)
     {
-        if (line.arguments().size() != 2 || !isKind(line.arguments()[0])) {
+        if (line.arguments().size() != 2 || !isDrainKind(line.arguments()[0])) {
             std::fputs("KIND (vm, upstream, failure_domain or region) and NAME are expected (see --help)\n", stderr);
             return exit_code::badInput;
         }
--- a/src/services/exposed_state.cpp
+++ b/src/services/exposed_state.cpp
@@ -25,7 +25,7 @@
     {
         if (const std::optional<double> number = numberOf(node.value))
             samples.push_back({ { { "service", service }, { "item", path } }, *number });
-        // The items of a list come and go and have no stable name that could be a label.
+        // Values within a list are not exported, because list items have no stable name to use as a label.
         if (node.isList)
             return;
         for (const state_dump& child : node.children)
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -17,7 +17,7 @@
     constexpr int noContent = 204;
     constexpr int notModified = 304;
 
-    /** How the header fields delimit the body (RFC 9112, 6). */
+    /** How the header fields delimit the body (RFC 9112, section 6). */
     struct body_framing {
         std::optional<std::size_t> length;
         bool chunked = false;
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -102,8 +102,8 @@
 {
     const auto self = static_cast<http_connection*>(argument)->shared_from_this();
     const bool writes = self->m_state == state::Writing || self->m_state == state::WritingLast;
-    const bool silent = (what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0;
-    if (silent && (self->isAwaitingAnswer() || writes)) {
+    const bool readTimedOut = (what & BEV_EVENT_TIMEOUT) != 0 && (what & BEV_EVENT_READING) != 0;
+    if (readTimedOut && (self->isAwaitingAnswer() || writes)) {
         // No read time-out applies until the answer is written. Libevent disables reading when the timer fires, so it
         // is enabled again.
         bufferevent_enable(self->m_channel, EV_READ);
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -31,7 +31,7 @@
     std::function<void(http_connection&)> onRequest;
     /** The caller disconnected before its request was answered. */
     std::function<void(http_connection&)> onDisconnect;
-    /** The connection has ended, and its owner releases it. */
+    /** The connection has ended, and its owner must release it. */
     std::function<void(http_connection&)> onClosed;
 };
 
--- a/src/services/metrics.h
+++ b/src/services/metrics.h
@@ -51,8 +51,8 @@
     /** The kernel service; the metrics must outlive the kernel. */
     service asService();
 
-    /** Counts an answer to a caller and its latency. Beyond a limit on the number of names, further routes and services
-     * are counted together as "other". */
+    /** Counts an answer to a caller and its latency. Once the number of names has reached its limit, new routes and
+     * services are counted together as "other". */
     void recordAnswer(const answer_source& source, outcome result, answer_reason reason, duration latency);
     /** Counts a caller that disconnected before its answer. */
     void recordDisconnect();
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -32,7 +32,7 @@
     std::unique_ptr<frame_listener> listener;
     std::map<vm_id, std::unique_ptr<peer_sender>> senders;
     std::map<std::uint64_t, std::unique_ptr<peer_receiver>> receivers;
-    std::uint64_t lastReceiver = 0;
+    std::uint64_t lastReceiverNumber = 0;
     std::uint64_t malformed = 0;
 
     implementation(event_loop& eventLoop, const kernel_hooks& kernelHooks, const vm_settings& vmSettings,
@@ -85,8 +85,8 @@
             sender->send(encodePeerMessage(message));
     }
 
-    /** The connection to a VM; null if it is unknown. With seeded membership, a VM that is not in the settings is
-     * connected to by its id, which is its peer address. */
+    /** The connection to a VM; null if the VM is unknown. With seeded membership, the id of a VM is its peer address,
+     * so a VM that is not in the settings can be reached as well. */
     peer_sender* senderTo(const vm_id& to)
     {
         const auto found = senders.find(to);
@@ -114,7 +114,7 @@
             frame_stream::accept(loop, socket, maximumHandshakeBytes, {});
             return;
         }
-        const std::uint64_t number = ++lastReceiver;
+        const std::uint64_t number = ++lastReceiverNumber;
         peer_receiver_events events;
         events.onMessage = [this](const vm_id& from, const std::string& encoded) { received(from, encoded); };
         events.onClosed = [this, number](const absl::Status& why) { closed(number, why); };
--- a/src/services/serve_vm.h
+++ b/src/services/serve_vm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * One VM of the system as a process: the decision code together with the services that do its input and output.
+ * Assembles one VM of the system as a process: the decision code and the services that perform its input and output.
  */
 
 #include <memory>
@@ -50,7 +50,7 @@
     vm_settings m_settings;
     std::shared_ptr<log_statistics> m_logged;
     kernel_hooks m_hooks;
-    // Order matters: the kernel is declared after the services, so that it is destroyed before those that it refers to.
+    // The kernel refers to the services, so it is declared after them and thus destroyed before them.
     std::unique_ptr<file_storage> m_storage;
     std::unique_ptr<peer_transport> m_peers;
     std::unique_ptr<upstream_client> m_upstreams;
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -41,7 +41,7 @@
         return found != methods.end() ? std::optional(found->second) : std::nullopt;
     }
 
-    call_failure failureOf(evhttp_request_error error)
+    call_failure toCallFailure(evhttp_request_error error)
     {
         switch (error) {
         case EVREQ_HTTP_INVALID_HEADER:
@@ -193,7 +193,7 @@
 {
     const auto found = exchanges.find(connection.exchange);
     if (!connection.closed && found != exchanges.end())
-        found->second->failure = failureOf(error);
+        found->second->failure = toCallFailure(error);
 }
 
 void upstream_client::implementation::requestDone(upstream_connection& connection, evhttp_request* request)
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -113,8 +113,8 @@
     const evutil_socket_t socket = socketOf(connection);
     if (socket < 0)
         return false;
-    // Unread input can't belong to a request, as none is in flight, and the end of the stream means that the upstream
-    // has closed the connection.
+    // A connection with unread input is not reused, because no request is in flight that the input could answer. An
+    // end of the stream means that the upstream has closed the connection.
     char byte = 0;
     return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
