--- a/tools/fault_proxy/proxied_connection.cpp
+++ b/tools/fault_proxy/proxied_connection.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-    /** A direction with this number of undelivered bytes stops reading. */
+    /** While this number of bytes is undelivered in one direction, no more bytes are read from its sender. */
     constexpr std::size_t maximumBuffered = 1024 * 1024;
     constexpr std::size_t readSize = 64 * 1024;
     constexpr duration pollInterval = std::chrono::milliseconds(5);
--- a/tools/fault_proxy/proxied_connection.h
+++ b/tools/fault_proxy/proxied_connection.h
@@ -76,7 +76,7 @@
     bool m_closed = false;
     std::array<byte_stream, 2> m_streams;
     ev_token_bucket_cfg* m_rate = nullptr;
-    /** False after the destructor; timers that fire later check it. */
+    /** Set to false by the destructor; timers that fire later check it. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tools/load_tool/entry_source.h
+++ b/tools/load_tool/entry_source.h
@@ -32,7 +32,7 @@
      * there is another one. Requires that the first list has arrived. */
     network_address pick(std::uint32_t tryNumber, const network_address& lastTried);
 
-    /** Reports that an entry could not be used; picks avoid it for a second, and a new list is looked up. */
+    /** Reports that an entry could not be used: pick() avoids it for a second, and a new list is looked up. */
     void reportFailure(const network_address& address);
 
     std::uint64_t lookups() const { return m_lookups; }
--- a/tools/load_tool/load_generator.cpp
+++ b/tools/load_tool/load_generator.cpp
@@ -26,8 +26,8 @@
         return field != nullptr ? field->value : "";
     }
 
-    /** Whether header and body both name the request. Detects answers that belong, in whole or in part, to another
-     * request. */
+    /** Whether header and body both contain the name of the request. If not, the answer or a part of it belongs to
+     * another request. */
     bool isAnswerTo(const std::string& requestName, const upstream_answer& answer)
     {
         const nlohmann::json json = nlohmann::json::parse(answer.body, nullptr, false);
@@ -156,7 +156,7 @@
     ended.status = answer.status;
     ended.latency = m_hooks.now() - item->intended;
     ended.ownAnswer = isAnswerTo(absl::StrCat(m_runName, "-", item->number), answer);
-    // The entry is stopping or not ready. A request without an idempotency key is sent again only if the answer states
+    // The entry is stopping or not ready. A POST without an idempotency key is sent again only if the answer states
     // that it was not executed.
     const bool isUnavailable = ended.reason == "draining" || ended.reason == "not-ready";
     const bool maySendAgain = ended.outcome == "not-run" || item->kind != work_kind::Unkeyed;
--- a/tools/load_tool/load_generator.h
+++ b/tools/load_tool/load_generator.h
@@ -17,7 +17,7 @@
 
 namespace plantainlatch {
 
-/** Sends all requests of a run, and resends failed ones if that can't execute a request twice. */
+/** Sends all requests of a run. A failed request is sent again only if that is safe (see work_kind). */
 class load_generator {
 public:
     load_generator(const kernel_hooks& hooks, upstream_port& client, const load_options& options, run_report& report);
--- a/tools/load_tool/load_options.cpp
+++ b/tools/load_tool/load_options.cpp
@@ -80,7 +80,8 @@
             { "tries", "N", "maximum number of times that a request is sent; it is resent only if that is safe", "5" },
             { "json", "FILE", "file to which the report is also written as JSON" },
             { "seed", "N", "seed of the mix; 0 takes a random one", "0" },
-            { "require-all", "", "exit with 1 unless every request got a complete answer of its own" },
+            { "require-all", "",
+                "exit with 1 unless every request got its own complete answer with a status below 300" },
         },
         {}, "Latency is measured from the scheduled send time. Exit codes: 0 done, 1 failed, 2 invalid options." };
 }
--- a/tools/load_tool/load_options.h
+++ b/tools/load_tool/load_options.h
@@ -53,7 +53,7 @@
     std::uint32_t tries = 1;
     std::string jsonFile;
     std::uint64_t seed = 0;
-    /** Whether the run fails if any request did not get a complete answer of its own. */
+    /** Whether the run fails unless every request was served (see run_report::allServed()). */
     bool requireAll = false;
 };
 
--- a/tools/load_tool/run_report.h
+++ b/tools/load_tool/run_report.h
@@ -41,7 +41,8 @@
     void setLookups(std::uint64_t all, std::uint64_t failed);
     void setElapsed(duration elapsed) { m_elapsed = elapsed; }
 
-    /** Whether every request that was sent got a complete answer of its own from an upstream. */
+    /** Whether every request that was sent was served (an upstream's complete answer that names the request, with a
+     * status below 300) and no answer named another request. */
     bool allServed() const;
 
     std::string json() const;
--- a/tools/upstream_standin/standin_options.cpp
+++ b/tools/upstream_standin/standin_options.cpp
@@ -129,7 +129,7 @@
     if (!announced.empty())
         options.announcedAddress = announced.front();
     if (options.firstAddress.port + options.count > std::numeric_limits<std::uint16_t>::max())
-        reader.fail("--address leaves too few ports");
+        reader.fail("--address leaves too few ports for --count upstreams");
     readLocations(reader, options);
     options.entries = line.addresses("entry", reader.status);
     readWork(reader, options);
--- a/tools/upstream_standin/standin_options.h
+++ b/tools/upstream_standin/standin_options.h
@@ -55,7 +55,7 @@
     std::uint32_t queueLength = 0;
     duration serviceTime {};
     time_distribution distribution = time_distribution::Constant;
-    /** The number of requests after a start until the service time is normal; 0 for a warm start. */
+    /** The number of requests after a start that take longer than the service time; 0 for a warm start. */
     std::uint32_t coldRequests = 0;
     /** The factor on the service time of the first request; it falls linearly to 1 over the cold requests. */
     double coldFactor = 1;
