Plainer comments on cached answers, stops and the proxy's limit

Cause: m_stopDeadline was described as a bound on all requests in flight, while only requests that arrive during the stop are bounded; three other comments were clipped. Change: comments only.

--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -32,8 +32,8 @@
     std::optional<duration> maximumStopTime;
 };
 
-/** Submits requests and answers each one once. The stop is graceful: each answer closes its connection, new requests
- * are served for `lameDuckTime`, and requests in flight are finished. */
+/** Submits requests and answers each one exactly once. The stop is graceful: each answer closes its connection, new
+ * requests are served for `lameDuckTime`, and requests in flight are finished. */
 class caller_exchanges {
 public:
     explicit caller_exchanges(caller_exchange_parts parts);
@@ -65,7 +65,7 @@
     caller_exchange_parts m_parts;
     absl::flat_hash_map<exchange_id, pending_request> m_pending;
     bool m_refusing = false;
-    /** Set by a stop with a maximum duration: requests in flight must have ended by then. */
+    /** Set by a stop with a maximum duration; requests that arrive during the stop get no later deadline. */
     std::optional<time_point> m_stopDeadline;
     std::function<void()> m_stopped;
 };
--- a/src/services/entry_answers.h
+++ b/src/services/entry_answers.h
@@ -12,7 +12,7 @@
 
 namespace plantainlatch {
 
-/** The cache; cleared whenever the entry list changes. */
+/** A cache of encoded answers that is cleared whenever the entry list changes. */
 class entry_answers {
 public:
     /** `self` is this VM, which excludeSelf() removes from the answers. */
@@ -21,7 +21,7 @@
     /** The answer for callers near that failure domain; for an unknown one, the answer without a preferred location. */
     const http_answer& answerFor(const std::string& failureDomain);
 
-    /** Removes this VM from the answers from now on, as it is stopping. */
+    /** Excludes this VM, which is stopping, from all further answers. */
     void excludeSelf();
 
 private:
--- a/tools/fault_proxy/proxy_route.cpp
+++ b/tools/fault_proxy/proxy_route.cpp
@@ -15,7 +15,7 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
-    /** Above this number, new connections are reset. */
+    /** The maximum number of open connections; further ones are reset. */
     constexpr std::size_t maximumOpenConnections = 10'000;
 
     void resetSocket(int socket)
