State when a caller's request gets no answer

Cause: the comment claimed an answer to each request, but a request whose caller disconnects is cancelled without one. Change: comment only.

--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -32,8 +32,8 @@
     std::optional<duration> maximumStopTime;
 };
 
-/** Submits requests and answers each one exactly once. The stop is graceful: each answer closes its connection, new
- * requests are served for `lameDuckTime`, and requests in flight are finished. */
+/** Submits requests and answers each one once, unless its caller disconnects. The stop is graceful: each answer closes
+ * its connection, new requests are served for `lameDuckTime`, and requests in flight are finished. */
 class caller_exchanges {
 public:
     explicit caller_exchanges(caller_exchange_parts parts);
