Reword comments of the request and consensus code that needed a second reading

Cause: a fresh reading found comments with unclear references ("those are too", "which ends its lease", "no longer is") and locals with vague names (asked, cancelled, isClose, isLate, isEnough, keepLater). Change: comments reworded, locals renamed in their own files; no behaviour changes.

--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -263,9 +263,9 @@
 {
     const time_point now = m_replica.hooks().now();
     for (auto& [vm, progress] : m_followers) {
-        const bool isLate = progress.match < m_replica.log().lastIndex()
+        const bool needsRetransmission = progress.match < m_replica.log().lastIndex()
             && now >= progress.lastProgress + m_replica.options().retransmitAfter;
-        if (!isLate || !isResponsive(progress))
+        if (!needsRetransmission || !isResponsive(progress))
             continue;
         progress.lastProgress = now;
         progress.probing = true;
@@ -369,8 +369,8 @@
         return;
     std::set<replica_id> upToDate { m_replica.self() };
     for (const auto& [vm, progress] : m_followers) {
-        const bool isClose = progress.match.value() + upToDateLag >= m_replica.log().lastIndex().value();
-        if (progress.durable && isResponsive(progress) && isClose && progress.match > log_index(0))
+        const bool isWithinLag = progress.match.value() + upToDateLag >= m_replica.log().lastIndex().value();
+        if (progress.durable && isResponsive(progress) && isWithinLag && progress.match > log_index(0))
             upToDate.insert(progress.id);
     }
     std::optional<voter_set> next
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -29,8 +29,8 @@
 
 void proposal_queue::readBarrier(duration timeout, std::function<void(absl::Status)> callback)
 {
-    // The no-op entry follows every command that was accepted before it was proposed, so once it is applied here, those
-    // are too.
+    // Every command that was accepted before the no-op command was proposed precedes it in the log. So once the no-op
+    // command is applied here, all of them are.
     pending_proposal item;
     item.command = noop_command {};
     item.callback
@@ -125,8 +125,8 @@
 void proposal_queue::onAnswer(const propose_answer& answer)
 {
     const auto item = m_pending.find(answer.id.sequence);
-    const bool isEnough = item != m_pending.end() && !item->second.requiresLocalApply;
-    if (answer.result && isEnough)
+    const bool finishesProposal = item != m_pending.end() && !item->second.requiresLocalApply;
+    if (answer.result && finishesProposal)
         onResult(answer.id, *answer.result);
 }
 
--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -122,8 +122,8 @@
 {
     internal_assert(snapshot.index > m_applied)
         << "applied index " << m_applied.value() << " would go back to " << snapshot.index.value();
-    const bool keepLater = m_log.termAt(snapshot.index) == snapshot.term;
-    if (keepLater) {
+    const bool keepLaterEntries = m_log.termAt(snapshot.index) == snapshot.term;
+    if (keepLaterEntries) {
         m_log.compactTo(snapshot.index);
     } else {
         m_writes.truncateFrom(snapshot.index);
@@ -136,7 +136,7 @@
     writeState();
     const std::uint64_t number = m_writes.begin(snapshot.index);
     m_dependencies.storage->saveSnapshot(
-        snapshot, keepLater, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
+        snapshot, keepLaterEntries, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
             if (!alive.expired())
                 finishWrite(number, status);
         });
--- a/src/decision/consensus/vote_rules.cpp
+++ b/src/decision/consensus/vote_rules.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /** Whether the leader of the current term asked for this election, which ends its lease. */
+    /** Whether the leader of the current term asked the candidate to start this election and so gave up its lease. */
     bool leaderGaveUpLease(const voter_state& voter, const vote_request& request)
     {
         return request.transfer && request.term == voter.term.next();
--- a/src/decision/request/known_good_requests.h
+++ b/src/decision/request/known_good_requests.h
@@ -25,8 +25,8 @@
 
     bool contains(const crash_key& key, time_point now) const;
     void add(const crash_key& key, time_point now);
-    /** Counts a connection that was lost while the request ran. Returns true if the request is not known good, or no
-     * longer is. */
+    /** Counts a connection that was lost while the request ran. Returns false if the request is still known good after
+     * this loss, true otherwise. */
     bool countLoss(const crash_key& key, time_point now);
 
 private:
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -229,7 +229,7 @@
 {
     const auto open = std::exchange(m_openAttempts, {});
     // Abandoning an attempt frees its slot. If the slot is granted to a later attempt in this list, that attempt may
-    // end at once; the flag keeps onAttemptEnd() from acting on that.
+    // end at once; m_abandoning then prevents a retry or an answer in onAttemptEnd().
     m_abandoning = true;
     for (const auto& attempt : open) {
         if (!attempt->hasEnded())
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -63,11 +63,11 @@
 
 void upstream_attempt::start(const std::vector<upstream_id>& avoid)
 {
-    slot_request asked { m_request.content.service, m_request.deadline, avoid,
+    slot_request request { m_request.content.service, m_request.deadline, avoid,
         byte_count(m_request.content.body.size()), m_request.policy };
     slot_port& slots = m_environment.slots;
     const slot_ticket ticket
-        = slots.acquire(std::move(asked), [weak = weak_from_this(), &slots](const slot_answer& answer) {
+        = slots.acquire(std::move(request), [weak = weak_from_this(), &slots](const slot_answer& answer) {
               const auto self = weak.lock();
               if (self && !self->m_ended)
                   self->onSlot(answer);
@@ -252,10 +252,10 @@
     if (!m_environment.options.policies.keepsSlotBusy(termination))
         return std::nullopt;
     const time_point now = m_environment.hooks.now();
-    const time_point cancelled = now + m_environment.options.cancellationGrace;
+    const time_point cancelledWorkEnd = now + m_environment.options.cancellationGrace;
     if (termination == attempt_termination::Lost)
-        return std::max(m_request.deadline, cancelled);
-    return cancelled;
+        return std::max(m_request.deadline, cancelledWorkEnd);
+    return cancelledWorkEnd;
 }
 
 void upstream_attempt::end(attempt_result result)
--- a/src/decision/routes/route_table.h
+++ b/src/decision/routes/route_table.h
@@ -25,8 +25,8 @@
     const route_definition* find(std::string_view host, std::string_view target) const;
 
     /** Chooses the service for the next request of a route by smooth weighted round robin. The number of requests that
-     * a service has received is always less than one above its share by weight. With two services it is also always
-     * less than one below the share. */
+     * a service has received exceeds its share by weight by less than one. With two services, it also falls short of
+     * the share by less than one. */
     service_id chooseService(const route_definition& route);
 
 private:
