--- a/test/correctness/consensus_election_test.cpp
+++ b/test/correctness/consensus_election_test.cpp
@@ -62,7 +62,7 @@
     REQUIRE(sawTwoLeaders(5s));
 }
 
-TEST_CASE_METHOD(election_fixture, "voter.in_contact_with_the_leader.refuses_a_candidate_that_is_not")
+TEST_CASE_METHOD(election_fixture, "voter.in_contact_with_the_leader.refuses_a_candidate_without_leader_contact")
 {
     begin();
     cutOffFromLeaderOnly();
--- a/test/correctness/consensus_storage_test.cpp
+++ b/test/correctness/consensus_storage_test.cpp
@@ -67,8 +67,8 @@
         }
 
         /** Commits a change on two of three replicas and kills both, wipes the disk of one of them and starts it
-         * together with the third, which missed the change. Returns whether these two elect no leader; any leader
-         * that they elect lacks the change. */
+         * together with the third, which missed the change. Returns whether these two elect no leader: neither has the
+         * change, so a leader elected by them would lose it. */
         bool changeSurvivesBlankVoter(consensus_mechanisms mechanisms)
         {
             consensus_options options;
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -47,7 +47,7 @@
         }
 
         /** Lets each VM measure this many requests of 50 ms in kokura every half second. */
-        void load(std::uint64_t requests)
+        void measureRequests(std::uint64_t requests)
         {
             measured = { { service_id("booking"), failure_domain_id("kokura"), requests, 0, 0, 50ms, 80ms } };
             cluster.runtime.advance(12s);
@@ -103,7 +103,7 @@
 
 TEST_CASE_METHOD(operator_fixture, "drain.within_the_remaining_capacity.is_accepted_and_shown_with_progress")
 {
-    load(5);
+    measureRequests(5);
     REQUIRE(drain(drain_kind::FailureDomain, "kokura").verdict == command_verdict::Accepted);
     REQUIRE(cluster.vm("a").state().drains.size() == 1);
     const system_status shown = port().status();
@@ -115,7 +115,7 @@
 
 TEST_CASE_METHOD(operator_fixture, "drain.that_overloads_the_rest.is_refused_unless_forced")
 {
-    load(17); // 102 requests/s, 5.1 concurrent: more than 85 percent of the 6 slots that would be left.
+    measureRequests(17); // 102 requests/s, 5.1 concurrent: more than 85 percent of the 6 slots that would be left.
     const command_result refused = drain(drain_kind::Region, "fukuoka");
     REQUIRE(refused.verdict == command_verdict::Refused);
     REQUIRE_THAT(refused.message, Catch::Contains("region 'kagoshima' would run 5."));
@@ -124,7 +124,7 @@
 
 TEST_CASE_METHOD(unguarded_fixture, "drain.without_the_check.overloads_the_rest")
 {
-    load(17);
+    measureRequests(17);
     REQUIRE(drain(drain_kind::Region, "fukuoka").verdict == command_verdict::Accepted);
 }
 
@@ -151,7 +151,7 @@
 
 TEST_CASE_METHOD(operator_fixture, "apply.change_that_overloads_a_region.requires_that_the_risk_is_accepted_by_name")
 {
-    load(17);
+    measureRequests(17);
     const command_result first = apply(allToKirishima());
     REQUIRE(first.verdict == command_verdict::Refused);
     REQUIRE_THAT(first.message, Catch::Contains("region-overload: region 'kagoshima'"));
@@ -175,7 +175,7 @@
 
 TEST_CASE_METHOD(operator_fixture, "plan.of_a_change.shows_slots_and_requests_before_and_after")
 {
-    load(5);
+    measureRequests(5);
     const declaration_plan plan = port().plan(allToKirishima());
     REQUIRE(plan.findings.empty());
     const auto showsSlotsAndRequests = [](const std::string& line) {
