Name locals of the request and consensus code after what they hold

Cause: left, giveUpAt, whenUnneeded and hasFreeVote needed a look at their uses. Change: renamed within their own files to remaining, deadline, resultIfUnneeded and canVoteForCandidate; the field left_ms stays.

--- a/src/decision/consensus/vote_rules.cpp
+++ b/src/decision/consensus/vote_rules.cpp
@@ -29,8 +29,9 @@
     if (request.preVote)
         return isUpToDateLog && request.term > voter.term ? vote_decision::Grant : vote_decision::Refuse;
     const bool isNewTerm = request.term > voter.term;
-    const bool hasFreeVote = isNewTerm || voter.votedFor == replica_id {} || voter.votedFor == request.candidate;
-    if (isUpToDateLog && hasFreeVote)
+    const bool canVoteForCandidate
+        = isNewTerm || voter.votedFor == replica_id {} || voter.votedFor == request.candidate;
+    if (isUpToDateLog && canVoteForCandidate)
         return vote_decision::Grant;
     return isNewTerm ? vote_decision::RefuseAndAdoptTerm : vote_decision::Refuse;
 }
--- a/src/decision/request/key_claims.cpp
+++ b/src/decision/request/key_claims.cpp
@@ -150,7 +150,7 @@
     std::vector<held_key> found;
     std::erase_if(m_lateClaims, [&](const late_claim& late) {
         if (!isApplied(late))
-            return late.giveUpAt <= m_hooks.now();
+            return late.deadline <= m_hooks.now();
         found.push_back(late.held);
         return true;
     });
@@ -171,7 +171,7 @@
 {
     pending_settlement pending;
     pending.command = { held.name.service, held.name.key, held.claim, result, std::move(answer) };
-    pending.giveUpAt = m_hooks.now() + pendingTimeout;
+    pending.deadline = m_hooks.now() + pendingTimeout;
     const std::uint64_t number = ++m_lastSettlement;
     m_settlements.emplace(number, std::move(pending));
     proposeSettlement(number);
@@ -196,7 +196,7 @@
     if (position == m_settlements.end())
         return;
     pending_settlement& pending = position->second;
-    if (isDone(pending, result) || pending.giveUpAt <= m_hooks.now()) {
+    if (isDone(pending, result) || pending.deadline <= m_hooks.now()) {
         removeSettlement(number);
         return;
     }
--- a/src/decision/request/key_claims.h
+++ b/src/decision/request/key_claims.h
@@ -91,13 +91,13 @@
     struct open_claim;
     struct pending_settlement {
         settle_key command;
-        time_point giveUpAt;
+        time_point deadline;
         duration nextDelay = firstRetryDelay;
         int refusals = 0;
     };
     struct late_claim {
         held_key held;
-        time_point giveUpAt;
+        time_point deadline;
     };
 
     key_claims(const kernel_hooks& hooks, consensus_port& consensus, control_port& control,
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -68,14 +68,14 @@
 } // namespace
 
 log_event attemptBegan(
-    const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration left)
+    const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration remaining)
 {
     log_event event { log_level::Info, serviceName, "attempt-began", fieldsOf(request) };
     event.fields.push_back({ "upstream", slot.upstream.id.value() });
     event.fields.push_back({ "upstream_region", slot.upstream.region.value() });
     for (const log_field& input : inputs)
         event.fields.push_back(input);
-    event.fields.push_back({ "left_ms", milliseconds(left) });
+    event.fields.push_back({ "left_ms", milliseconds(remaining) });
     return event;
 }
 
--- a/src/decision/request/request_log.h
+++ b/src/decision/request/request_log.h
@@ -9,9 +9,9 @@
 
 namespace plantainlatch {
 
-/** A call to an upstream was started; `left` is the time until the deadline. */
+/** A call to an upstream was started; `remaining` is the time until the deadline. */
 log_event attemptBegan(
-    const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration left);
+    const admitted_request& request, const held_slot& slot, const std::vector<log_field>& inputs, duration remaining);
 
 /** An attempt ended, with or without a call. */
 log_event attemptEnded(const admitted_request& request, const attempt_result& result, duration took);
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -225,9 +225,9 @@
     if (m_holdsSlot) {
         m_environment.upstreams.cancel(m_call);
         const bool offered = m_state == attempt_state::Offered;
-        const auto atDeadline = offered ? recordTimeout() : slot_result::kind::ConnectFailed;
-        const auto whenUnneeded = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
-        release(cause == abandon_cause::Deadline ? atDeadline : whenUnneeded,
+        const auto resultAtDeadline = offered ? recordTimeout() : slot_result::kind::ConnectFailed;
+        const auto resultIfUnneeded = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
+        release(cause == abandon_cause::Deadline ? resultAtDeadline : resultIfUnneeded,
             offered ? attempt_termination::Cancelled : attempt_termination::Finished);
     }
     const bool offered = m_state == attempt_state::Offered;
