--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -47,9 +47,9 @@
 {
     apply(apply_declaration { threeRegionDeclaration() });
     apply(apply_declaration { withShare(2, 5) });
-    declaration late = withShare(3, 6);
-    late.replaces = change_number(1);
-    REQUIRE(apply(apply_declaration { late }).verdict == command_verdict::Conflict);
+    declaration stale = withShare(3, 6);
+    stale.replaces = change_number(1);
+    REQUIRE(apply(apply_declaration { stale }).verdict == command_verdict::Conflict);
     REQUIRE(state().config.number == change_number(2));
 }
 
@@ -83,10 +83,10 @@
     apply(apply_declaration { threeRegionDeclaration() });
     const configuration earlier = state().config;
     apply(apply_declaration { withShare(2, 5) });
-    declaration back = declarationBetween(state().config, earlier);
-    back.number = change_number(3);
-    back.replaces = change_number(2);
-    REQUIRE(apply(apply_declaration { back }).verdict == command_verdict::Accepted);
+    declaration revert = declarationBetween(state().config, earlier);
+    revert.number = change_number(3);
+    revert.replaces = change_number(2);
+    REQUIRE(apply(apply_declaration { revert }).verdict == command_verdict::Accepted);
     REQUIRE(state().config.shares.empty());
     REQUIRE(state().config.number == change_number(3));
 }
@@ -123,8 +123,8 @@
     apply(apply_declaration { threeRegionDeclaration() });
     port().apply({ { vm_id("b"), incarnation(5), 1 }, {}, set_drain { target, true } });
     port().apply({ { vm_id("b"), incarnation(6), 1 }, {}, set_drain { target, false } });
-    const command_result late = port().apply({ { vm_id("b"), incarnation(5), 2 }, {}, set_drain { target, true } });
-    REQUIRE(late.verdict == command_verdict::Refused);
+    const command_result result = port().apply({ { vm_id("b"), incarnation(5), 2 }, {}, set_drain { target, true } });
+    REQUIRE(result.verdict == command_verdict::Refused);
     REQUIRE(state().drains.empty());
 }
 
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -165,10 +165,10 @@
 
 TEST_CASE_METHOD(directory_fixture, "directory.deregistration_that_overtakes_its_join.keeps_the_upstream_out")
 {
-    absl::StatusCode left = absl::StatusCode::kUnknown;
-    port("b").leave(first.id, first.generation, [&](const absl::Status& status) { left = status.code(); });
+    absl::StatusCode leaveStatus = absl::StatusCode::kUnknown;
+    port("b").leave(first.id, first.generation, [&](const absl::Status& status) { leaveStatus = status.code(); });
     cluster.runtime.advance(300ms);
-    REQUIRE(left == absl::StatusCode::kOk);
+    REQUIRE(leaveStatus == absl::StatusCode::kOk);
     REQUIRE(announce("c", first) == absl::StatusCode::kPermissionDenied);
     REQUIRE_FALSE(isKnown("u1"));
     first.generation = first.generation.next();
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -88,25 +88,25 @@
             slots = *core->services().find<slot_port>(port_names::slots);
         }
 
-        slot_answer place(const std::string& object, duration left = 3s, std::vector<upstream_id> avoid = {})
+        slot_answer place(const std::string& object, duration remaining = 3s, std::vector<upstream_id> avoid = {})
         {
             slot_request request;
             request.service = service_id("booking");
-            request.deadline = runtime.now() + left;
+            request.deadline = runtime.now() + remaining;
             request.avoid = std::move(avoid);
             request.policy.route = route_id("r");
             request.policy.object = object;
             request.policy.targetLatency = 600ms;
             request.policy.allowedRegions = allowed;
-            slot_answer got;
-            slots->acquire(request, [&](const slot_answer& answer) { got = answer; });
-            return got;
+            slot_answer result;
+            slots->acquire(request, [&](const slot_answer& answer) { result = answer; });
+            return result;
         }
 
-        std::string placedAt(const std::string& object, duration left = 3s)
+        std::string placedAt(const std::string& object, duration remaining = 3s)
         {
-            const slot_answer got = place(object, left);
-            return got.slot ? got.slot->upstream.id.value() : "";
+            const slot_answer answer = place(object, remaining);
+            return answer.slot ? answer.slot->upstream.id.value() : "";
         }
 
         void release(const slot_answer& placed, slot_result::kind ended, duration latency = 200ms)
--- a/test/correctness/request_key_test.cpp
+++ b/test/correctness/request_key_test.cpp
@@ -35,15 +35,15 @@
         trial.upstreams.behaviour = slowAnswer;
         const caller_record& first = trial.post(0, "order", "k");
         trial.runtime.advance(50ms);
-        const caller_record& early = trial.post(1, "order", "k");
+        const caller_record& beforeAnswer = trial.post(1, "order", "k");
         trial.runtime.advance(200ms);
-        const caller_record& late = trial.post(1, "order", "k");
+        const caller_record& afterAnswer = trial.post(1, "order", "k");
         trial.runtime.advance(200ms);
         REQUIRE(first.answer->result == outcome::Completed);
         if (!broken) {
-            REQUIRE(early.answer->result == outcome::InProgress);
-            REQUIRE(late.answer->result == outcome::Replayed);
-            REQUIRE(late.answer->content.body == first.answer->content.body);
+            REQUIRE(beforeAnswer.answer->result == outcome::InProgress);
+            REQUIRE(afterAnswer.answer->result == outcome::Replayed);
+            REQUIRE(afterAnswer.answer->content.body == first.answer->content.body);
         }
         return trial.upstreams.runs["order"] > 1;
     };
@@ -90,7 +90,7 @@
 TEST_CASE_METHOD(
     request_key_fixture, "key.claim_applied_after_its_timeout.is_released_and_its_request_never_dispatched")
 {
-    const auto staysTaken = [](bool broken) {
+    const auto staysClaimed = [](bool broken) {
         request_options options;
         if (broken)
             options.policies.releasesLateClaims = [] { return false; };
@@ -98,17 +98,17 @@
         trial.entries[0].log->behaviour = [](const control_command& command) {
             return proposal_behaviour { std::holds_alternative<claim_key>(command) ? 3000ms : 2ms };
         };
-        const caller_record& late = trial.post(0, "order", "k");
+        const caller_record& first = trial.post(0, "order", "k");
         trial.runtime.advance(1s);
-        REQUIRE(late.answer->result == outcome::Unknown);
+        REQUIRE(first.answer->result == outcome::Unknown);
         trial.runtime.advance(4s);
         REQUIRE(trial.upstreams.calls.empty());
         const caller_record& again = trial.post(1, "order", "k");
         trial.runtime.advance(2s);
         return again.answer->result != outcome::Completed;
     };
-    REQUIRE(staysTaken(true));
-    REQUIRE_FALSE(staysTaken(false));
+    REQUIRE(staysClaimed(true));
+    REQUIRE_FALSE(staysClaimed(false));
 }
 
 TEST_CASE_METHOD(request_key_fixture, "key.resent_to_an_entry_without_the_log.is_not_reported_as_not_run")
@@ -140,12 +140,12 @@
     cluster.runtime.advance(50ms);
     cluster.kill(0);
     cluster.start(0);
-    const caller_record& soon = cluster.post(0, "order", "k");
+    const caller_record& beforeRunLimit = cluster.post(0, "order", "k");
     cluster.runtime.advance(2s);
-    const caller_record& later = cluster.post(1, "order", "k");
+    const caller_record& afterRunLimit = cluster.post(1, "order", "k");
     cluster.runtime.advance(2s);
-    REQUIRE(soon.answer->result == outcome::InProgress);
-    REQUIRE(later.answer->result == outcome::Unknown);
+    REQUIRE(beforeRunLimit.answer->result == outcome::InProgress);
+    REQUIRE(afterRunLimit.answer->result == outcome::Unknown);
     REQUIRE(cluster.upstreams.runs["order"] == 1);
 }
 
@@ -157,13 +157,13 @@
             options.policies.continuesWithoutCaller = [](const request_traits&) { return false; };
         request_cluster trial(1, 2, 3, 2, options);
         trial.upstreams.behaviour = slowAnswer;
-        const caller_record& left = trial.post(0, "order", "k");
+        const caller_record& abandoned = trial.post(0, "order", "k");
         trial.runtime.advance(50ms);
-        trial.entries[0].port->cancel(left.id);
+        trial.entries[0].port->cancel(abandoned.id);
         trial.runtime.advance(1s);
         const caller_record& again = trial.post(1, "order", "k");
         trial.runtime.advance(1s);
-        REQUIRE(left.answers == 0);
+        REQUIRE(abandoned.answers == 0);
         return again.answer->result != outcome::Replayed;
     };
     REQUIRE(losesAnswer(true));
@@ -172,8 +172,8 @@
 
 TEST_CASE_METHOD(request_key_fixture, "key.caller_left_before_the_claim_was_applied.frees_the_key")
 {
-    const caller_record& left = cluster.post(0, "order", "k");
-    cluster.entries[0].port->cancel(left.id);
+    const caller_record& abandoned = cluster.post(0, "order", "k");
+    cluster.entries[0].port->cancel(abandoned.id);
     cluster.runtime.advance(1s);
     REQUIRE(record(cluster, "k") == nullptr);
     REQUIRE(cluster.upstreams.calls.empty());
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -155,13 +155,13 @@
             options.policies.keepsSlotBusy = [](attempt_termination) { return false; };
         request_cluster cluster(1, 1, 1, 1, options);
         cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 100ms }; };
-        const caller_record& left = cluster.post(0, "first");
+        const caller_record& abandoned = cluster.post(0, "first");
         const caller_record& waiting = cluster.post(0, "second");
         cluster.runtime.advance(50ms);
-        cluster.entries[0].port->cancel(left.id);
+        cluster.entries[0].port->cancel(abandoned.id);
         REQUIRE(cluster.upstreams.calls.front().cancelled);
         cluster.runtime.advance(1s);
-        REQUIRE(left.answers == 0);
+        REQUIRE(abandoned.answers == 0);
         REQUIRE(waiting.answers == 1);
         return cluster.upstreams.peakRunning > 1;
     };
