State when a follower's identity is replaced, and name hasNewEntries

Cause: the comment in identifyFollower() did not say which round "later" refers to; isNew did not say what is new. Change: comment reworded; isNew is hasNewEntries in log_follower.cpp.

--- a/src/decision/consensus/log_follower.cpp
+++ b/src/decision/consensus/log_follower.cpp
@@ -35,10 +35,10 @@
         answer(from, request.round, false, matchHint(previous));
         return;
     }
-    const bool isNew = appendNewEntries(request);
+    const bool hasNewEntries = appendNewEntries(request);
     const log_index matched(std::max(previous.value() + request.entries.size(), m_replica.log().base().value()));
     m_replica.commitTo(std::min(request.committed, matched));
-    if (!isNew && m_replica.writesIdle()) {
+    if (!hasNewEntries && m_replica.writesIdle()) {
         answer(from, request.round, true, std::min(matched, m_replica.durableIndex()));
         return;
     }
@@ -60,9 +60,9 @@
             m_replica.truncateFrom(entry.index);
         added.push_back(entry);
     }
-    const bool isNew = !added.empty();
+    const bool hasNewEntries = !added.empty();
     m_replica.append(std::move(added));
-    return isNew;
+    return hasNewEntries;
 }
 
 log_index log_follower::matchHint(log_index previous) const
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -300,8 +300,8 @@
 
 void log_leader::identifyFollower(follower_progress& progress, const append_answer& answer)
 {
-    // Only an answer to a later round may change the identity. A delayed answer from an earlier identity of the VM is
-    // for an earlier round, so it cannot replace the current identity.
+    // The VM's identity is replaced only by an answer to a later round than the last one answered. So a delayed answer
+    // from an earlier identity of the VM, which is to an earlier round, cannot replace the current identity.
     if (progress.id == answer.follower || answer.round <= progress.ackedRound)
         return;
     progress = follower_progress {};
