State spill-over, grants and settling of slots precisely in comments

Cause: some comments needed a second reading ("this long and", "an earlier start", "a VM outside"). Change: comments reworded; two locals renamed (hadEarlierAllocator, isBelowFairShare).

--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    /** The weights of entries, by how much farther they are than the nearest entries of the list. */
+    /** The weights of entries, indexed by how much farther an entry is than the nearest one in the list. */
     constexpr std::uint32_t distanceWeights[] = { 100, 10, 1 };
 
     /** 0 for the same failure domain, 1 for the same region, 2 for others. */
--- a/src/decision/lookup/block_table.h
+++ b/src/decision/lookup/block_table.h
@@ -35,8 +35,8 @@
     /** Site indexes are stored in 16 bits, and the highest value marks addresses in no block. */
     static constexpr std::size_t maximumSiteCount = 65535;
 
-    /** InvalidArgument for a prefix longer than 32 bits, address bits set beyond the prefix, a duplicate block, or a
-     * site index of `maximumSiteCount` or more. */
+    /** Returns InvalidArgument for a prefix longer than 32 bits, address bits set beyond the prefix, a duplicate
+     * block, or a site index of `maximumSiteCount` or more. */
     static absl::StatusOr<std::unique_ptr<const block_table>> create(std::vector<client_block> blocks);
 
     /** The site of the block with the longest prefix that contains the address; `fallback` when no block does. */
--- a/src/decision/membership/allocator_assignment.h
+++ b/src/decision/membership/allocator_assignment.h
@@ -13,7 +13,8 @@
 
 namespace plantainlatch {
 
-/** How long a VM of the region must have been alive before it takes the allocator role back from a VM outside. */
+/** How long a VM of the region must have been alive before it takes the allocator role over from a VM of another
+ * region. */
 inline constexpr duration homeReturnDelay = std::chrono::seconds(30);
 
 /** Proposes a new allocator for the region if it has none, if the current one is dead, if the current one is stopping
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -39,8 +39,8 @@
     bool leasesNeedApplied = true;
     /** How long a stopping VM waits for its stop to be committed to the log. */
     duration stopTimeout = std::chrono::seconds(1);
-    /** Requests sent by an earlier start of this VM have ended once this start has run for the longest deadline of any
-     * service plus this margin. */
+    /** All requests of this VM's earlier incarnations have ended once this incarnation has run for the longest deadline
+     * of any service plus this margin. */
     duration earlierWorkMargin = std::chrono::seconds(10);
     allocator_lease_options leases;
     /** The leader assigns slot allocators to the regions. */
--- a/src/decision/slots/allocator_host.cpp
+++ b/src/decision/slots/allocator_host.cpp
@@ -61,9 +61,9 @@
 {
     const time_point now = m_hooks.now();
     std::set<vm_id> earlierHolders;
-    const bool hadEarlier = epoch > allocator_epoch(1);
+    const bool hadEarlierAllocator = epoch > allocator_epoch(1);
     for (const vm_record& vm : m_settings.vms) {
-        if (hadEarlier)
+        if (hadEarlierAllocator)
             earlierHolders.insert(vm.id);
     }
     auto item = std::make_unique<hosted>(hosted {
--- a/src/decision/slots/link_budget.cpp
+++ b/src/decision/slots/link_budget.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /** The capacity of a bucket, as the time in which the budget fills it. */
+    /** A bucket holds at most the bytes that its budget provides in this time. */
     constexpr duration burstDuration = std::chrono::milliseconds(250);
 
     double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -98,7 +98,7 @@
     item.ejected = { report.ejected.begin(), report.ejected.end() };
     applyHeldSlots(item, isFirst, report.held);
     addWarmAnswers(report.warmAnswers);
-    // In all other cases, requests of an earlier incarnation of the VM may still run.
+    // Unless one of these holds, requests of an earlier incarnation of the VM may still run.
     if (from.earlierWorkEnded || report.uptime >= maximumUseTime())
         m_unaccountedVms.erase(key.vm);
     expireUnaccounted(now);
@@ -296,7 +296,7 @@
     const holder_key& requester, const service_id& service, std::uint32_t count)
 {
     const std::uint32_t fair = fairShare(service);
-    const bool isBelowFair = heldOf(m_holders.at(requester), service) < fair;
+    const bool isBelowFairShare = heldOf(m_holders.at(requester), service) < fair;
     std::vector<holder_key> changed;
     for (auto& [key, item] : m_holders) {
         if (key == requester || count == 0)
@@ -307,7 +307,7 @@
             ? wanted->second.idle - wanted->second.waiting
             : 0;
         const std::uint32_t held = heldOf(item, service);
-        if (isBelowFair && held > fair)
+        if (isBelowFairShare && held > fair)
             spare = std::max(spare, held - fair);
         const std::uint32_t recalled = recallFrom(item, service, std::min(spare, count));
         if (recalled == 0)
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -71,9 +71,9 @@
     void setUsable(std::function<bool(const upstream_id&)> usable) { m_usable = std::move(usable); }
 
     /**
-     * Processes a report and returns the grants to send: one to the reporting VM, and others to holders that receive
-     * slots which the report returned or that should return slots. Reports of another epoch and reports that are not
-     * newer than the last one are ignored.
+     * Processes a report and returns the grants to send: one to the reporting VM, one to each holder that receives
+     * slots which the report returned, and one to each holder whose slots are recalled. Reports of another epoch and
+     * reports that are not newer than the last one are ignored.
      */
     std::vector<addressed_grant> report(const reporting_vm& from, const slot_report& report, time_point now);
 
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -48,12 +48,12 @@
     allocator_host_options host;
     upstream_quality_options quality;
     allocator_client_options allocatorClient;
-    /** A request spills over to other regions after it has waited this long and `spilloverLatencyFactor` times the
-     * average latency of its service. The wait avoids needless moves: a slot that moves between regions is idle for a
-     * round trip. */
+    /** A request spills over to other regions after it has waited for the longer of this time and
+     * `spilloverLatencyFactor` times the average latency of its service. The wait avoids needless moves: a slot that
+     * moves between regions is idle for a round trip. */
     duration spilloverDelay = std::chrono::milliseconds(25);
     int spilloverLatencyFactor = 2;
-    /** While requests have waited longer than that, slots are requested at this interval from the other regions,
+    /** While any request has waited for that long, slots are requested from one other region per interval,
      * round-robin. */
     duration spilloverInterval = std::chrono::milliseconds(100);
     /** Maximum number of waiting requests of one service; further ones are refused. */
@@ -79,8 +79,8 @@
 private:
     struct use {
         upstream_announcement upstream;
-        /** The slot was released while its request may still run at the upstream; it becomes free when the request must
-         * have ended. */
+        /** The slot was released, but its request may still run at the upstream; the slot becomes free at
+         * slot_result::busyUntil. */
         bool settling = false;
     };
 
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -89,7 +89,8 @@
         void crashRegion();
         void partitionRegions();
         void disturbUpstreams();
-        /** The number of replicas whose disk is failing or does not hold the state of a voter. */
+        /** The number of replicas whose disk fails or does not hold the state of a voter; without a leader,
+         * maximumDiskFaults. */
         int diskFaults();
 
         void endFaults();
--- a/test/support/control_fixture.h
+++ b/test/support/control_fixture.h
@@ -17,7 +17,7 @@
 
 namespace plantainlatch {
 
-/** Three regions with two failure domains each and two services, as change 1. */
+/** Declaration number 1: three regions with two failure domains each, and two services. */
 declaration threeRegionDeclaration();
 
 /** An announcement of an upstream of the service "booking" in the failure domain "kokura". */
