Name locals of membership, health checks and the lookup table after what they hold

Cause: led, heard, made, shown, isHere and answersNow needed a second reading. Change: private names only; the dump key "heard" stays.

--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -125,14 +125,14 @@
     if (m_options.regionOnlyThreshold > 0 && nearCount >= m_options.regionOnlyThreshold)
         chosen.erase(firstFar, chosen.end());
     chosen.resize(std::min(chosen.size(), m_options.maximumEntries));
-    entry_list made;
-    made.cacheTime = m_settings.lookupCacheTime;
+    entry_list result;
+    result.cacheTime = m_settings.lookupCacheTime;
     const std::size_t nearest = chosen.empty() ? 0 : distanceOf(chosen.front(), near, nearRegion);
     for (vm_record& vm : chosen) {
         const std::size_t farther = distanceOf(vm, near, nearRegion) - nearest;
-        made.entries.push_back({ std::move(vm), distanceWeights[farther] });
+        result.entries.push_back({ std::move(vm), distanceWeights[farther] });
     }
-    return made;
+    return result;
 }
 
 } // namespace plantainlatch
--- a/src/decision/lookup/block_table.cpp
+++ b/src/decision/lookup/block_table.cpp
@@ -25,13 +25,14 @@
 
     absl::Status checkBlock(const client_block& block)
     {
-        const std::string shown = absl::StrCat(block.address, "/", static_cast<int>(block.prefixBits));
+        const std::string blockText = absl::StrCat(block.address, "/", static_cast<int>(block.prefixBits));
         if (block.prefixBits > addressBits)
-            return absl::InvalidArgumentError(absl::StrCat("block ", shown, " has more than 32 prefix bits"));
+            return absl::InvalidArgumentError(absl::StrCat("block ", blockText, " has more than 32 prefix bits"));
         if ((block.address & (blockSize(block) - 1)) != 0)
-            return absl::InvalidArgumentError(absl::StrCat("block ", shown, " has address bits set beyond its prefix"));
+            return absl::InvalidArgumentError(
+                absl::StrCat("block ", blockText, " has address bits set beyond its prefix"));
         if (block.site.value() >= block_table::maximumSiteCount)
-            return absl::InvalidArgumentError(absl::StrCat("block ", shown, " has a site index above the maximum"));
+            return absl::InvalidArgumentError(absl::StrCat("block ", blockText, " has a site index above the maximum"));
         return absl::OkStatus();
     }
 
--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -114,7 +114,7 @@
     m_consensus = *services.find<consensus_port>(port_names::consensus);
     m_router = *services.find<peer_router>(port_names::peerRouter);
     m_router->subscribeControl([this](const vm_id& from, const control_message& message) { receive(from, message); });
-    m_consensus->onLeadership([this](const leadership& led) { updateLeadership(led); });
+    m_consensus->onLeadership([this](const leadership& leadershipState) { updateLeadership(leadershipState); });
     m_timer = m_hooks.schedule(duration::zero(), [this] { tick(); });
     return services.publish(port_names::membership, m_port);
 }
@@ -141,7 +141,7 @@
         [this](const absl::StatusOr<command_result>&) { m_startProposed = false; });
 }
 
-vm_heartbeat membership_service::makeHeartbeat(const leadership& led)
+vm_heartbeat membership_service::makeHeartbeat(const leadership& leadershipState)
 {
     vm_heartbeat heartbeat;
     heartbeat.vm = m_settings.self.id;
@@ -150,7 +150,7 @@
     heartbeat.applied = m_consensus->applied();
     heartbeat.inForce = m_control->state().config.number;
     heartbeat.draining = m_stopping;
-    heartbeat.term = led.term;
+    heartbeat.term = leadershipState.term;
     for (const auto& [role, until] : m_roles) {
         if (until > m_hooks.now() && !m_stopping)
             heartbeat.held.push_back(role);
@@ -167,16 +167,16 @@
 
 void membership_service::sendHeartbeat()
 {
-    const leadership led = m_consensus->state();
-    if (led.leader.empty())
+    const leadership leadershipState = m_consensus->state();
+    if (leadershipState.leader.empty())
         return;
-    const vm_heartbeat heartbeat = makeHeartbeat(led);
+    const vm_heartbeat heartbeat = makeHeartbeat(leadershipState);
     m_sent.push_back({ heartbeat.sequence, m_hooks.now() });
     if (m_sent.size() > maximumUnanswered)
         m_sent.pop_front();
-    if (led.leader != m_settings.self.id)
-        m_router->send(led.leader, control_message(heartbeat));
-    else if (led.leading)
+    if (leadershipState.leader != m_settings.self.id)
+        m_router->send(leadershipState.leader, control_message(heartbeat));
+    else if (leadershipState.leading)
         receiveAnswer(answerHeartbeat(heartbeat));
 }
 
@@ -293,9 +293,9 @@
         listener();
 }
 
-void membership_service::updateLeadership(const leadership& led)
+void membership_service::updateLeadership(const leadership& leadershipState)
 {
-    if (!led.leading) {
+    if (!leadershipState.leading) {
         m_term = log_term();
         m_isCaughtUp = false;
         m_reports.clear();
@@ -303,9 +303,9 @@
         m_appliedSamples.clear();
         return;
     }
-    if (led.term == m_term)
+    if (leadershipState.term == m_term)
         return;
-    m_term = led.term;
+    m_term = leadershipState.term;
     m_isCaughtUp = false;
     m_reports.clear();
     m_assigning.clear();
@@ -386,8 +386,8 @@
 
 bool membership_service::isCaughtUpLeader() const
 {
-    const leadership led = m_consensus->state();
-    return led.leading && led.term == m_term && m_isCaughtUp;
+    const leadership leadershipState = m_consensus->state();
+    return leadershipState.leading && leadershipState.term == m_term && m_isCaughtUp;
 }
 
 state_dump membership_service::dump() const
@@ -402,9 +402,9 @@
     state_dump& avoided = shown.addList("avoided");
     for (const vm_id& vm : m_avoided)
         avoided.add("vm", vm.value());
-    state_dump& heard = shown.addObject("heard");
+    state_dump& heartbeatAges = shown.addObject("heard");
     for (const auto& [vm, report] : m_reports)
-        heard.add(vm.value(), m_hooks.now() - report.receivedAt);
+        heartbeatAges.add(vm.value(), m_hooks.now() - report.receivedAt);
     return shown;
 }
 
--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -76,7 +76,7 @@
     void tick();
     void proposeStart();
     void stop(std::function<void()> stopped);
-    vm_heartbeat makeHeartbeat(const leadership& led);
+    vm_heartbeat makeHeartbeat(const leadership& leadershipState);
     void sendHeartbeat();
     void receive(const vm_id& from, const control_message& message);
     heartbeat_answer answerHeartbeat(const vm_heartbeat& heartbeat);
@@ -88,7 +88,7 @@
     void grantRoleLeases(const vm_heartbeat& heartbeat, heartbeat_answer& answer);
     void receiveAnswer(const heartbeat_answer& answer);
     void setAvoided(std::vector<vm_id> avoided);
-    void updateLeadership(const leadership& led);
+    void updateLeadership(const leadership& leadershipState);
     void assignAllocators();
     std::vector<vm_report> reports() const;
     std::vector<vm_id> findAvoided() const;
--- a/src/decision/slots/allocator_host.cpp
+++ b/src/decision/slots/allocator_host.cpp
@@ -38,8 +38,8 @@
         return record == state.allocators.end() || record->second.epoch != item.second->epoch;
     });
     for (const auto& [region, record] : state.allocators) {
-        const bool isHere = record.vm == m_settings.self.id && record.start == start;
-        if (isHere && !m_hosted.contains(region))
+        const bool isThisIncarnation = record.vm == m_settings.self.id && record.start == start;
+        if (isThisIncarnation && !m_hosted.contains(region))
             startAllocator(region, record.epoch);
     }
     const duration longest = longestDeadline(state.config);
--- a/src/decision/slots/upstream_health.cpp
+++ b/src/decision/slots/upstream_health.cpp
@@ -20,10 +20,10 @@
 {
     record& item = m_records[id];
     item.draining = report.draining;
-    item.badReports = report.healthy ? 0 : item.badReports + 1;
+    item.unhealthyReports = report.healthy ? 0 : item.unhealthyReports + 1;
 }
 
-void upstream_health::noteMissingReport(const upstream_id& id) { ++m_records[id].badReports; }
+void upstream_health::noteMissingReport(const upstream_id& id) { ++m_records[id].unhealthyReports; }
 
 void upstream_health::noteAnswers(const upstream_id& id, time_point now)
 {
@@ -46,8 +46,8 @@
         return false;
     if (found->second.draining)
         return true;
-    const bool answersNow = found->second.answered && now - found->second.answeredAt < m_options.recentAnswerTime;
-    return found->second.badReports >= m_options.unhealthyThreshold && !answersNow;
+    const bool answeredRecently = found->second.answered && now - found->second.answeredAt < m_options.recentAnswerTime;
+    return found->second.unhealthyReports >= m_options.unhealthyThreshold && !answeredRecently;
 }
 
 bool upstream_health::isUnhealthy(const upstream_id& id, const std::vector<upstream_id>& members, time_point now) const
--- a/src/decision/slots/upstream_health.h
+++ b/src/decision/slots/upstream_health.h
@@ -43,7 +43,7 @@
 
 private:
     struct record {
-        std::uint32_t badReports = 0;
+        std::uint32_t unhealthyReports = 0;
         bool draining = false;
         time_point answeredAt;
         bool answered = false;
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -39,10 +39,10 @@
     for (std::size_t i = 0; i < size; ++i)
         makeVm(records, i, options);
     setLeader("a");
-    for (auto& [id, made] : vms) {
+    for (auto& [id, created] : vms) {
         if (add)
-            add(*this, *made);
-        const absl::Status status = made->root->start();
+            add(*this, *created);
+        const absl::Status status = created->root->start();
         if (!status.ok())
             throw std::runtime_error(std::string(status.message()));
     }
@@ -50,8 +50,8 @@
 
 void control_cluster::makeVm(const std::vector<vm_record>& records, std::size_t position, membership_options options)
 {
-    auto made = std::make_unique<cluster_vm>();
-    cluster_vm& item = *made;
+    auto created = std::make_unique<cluster_vm>();
+    cluster_vm& item = *created;
     item.settings.self = records[position];
     item.settings.vms = records;
     item.start = incarnation(runtime.random());
@@ -68,14 +68,14 @@
     item.root->add(item.control->asService());
     item.root->add(item.router->asService());
     item.root->add(item.membership->asService());
-    vms[id] = std::move(made);
+    vms[id] = std::move(created);
 }
 
-void control_cluster::makeConsensus(cluster_vm& made)
+void control_cluster::makeConsensus(cluster_vm& created)
 {
-    const vm_id id = made.settings.self.id;
-    made.consensus.propose = [this, &made, id](const control_command& command, duration timeout, auto done) {
-        proposal_id name { id, made.start, ++made.sequence };
+    const vm_id id = created.settings.self.id;
+    created.consensus.propose = [this, &created, id](const control_command& command, duration timeout, auto done) {
+        proposal_id name { id, created.start, ++created.sequence };
         runtime.schedule(randomDelay(), [this, id, name, command, timeout, done] {
             if (isCut(id) || isCut(leader)) {
                 runtime.schedule(
@@ -88,16 +88,17 @@
         });
         return name;
     };
-    made.consensus.state = [this, id] { return stateOf(id); };
-    made.consensus.onLeadership = [&made](auto listener) { made.leadershipListeners.push_back(std::move(listener)); };
-    made.consensus.applied = [&made] { return log_index(made.applied); };
-    made.consensus.voters = [this] {
+    created.consensus.state = [this, id] { return stateOf(id); };
+    created.consensus.onLeadership
+        = [&created](auto listener) { created.leadershipListeners.push_back(std::move(listener)); };
+    created.consensus.applied = [&created] { return log_index(created.applied); };
+    created.consensus.voters = [this] {
         voter_set set;
         for (const auto& [vm, item] : vms)
             set.voters.insert({ vm, incarnation(1) });
         return set;
     };
-    made.consensus.followerAppliedIndices = [] { return std::vector<std::pair<vm_id, log_index>>(); };
+    created.consensus.followerAppliedIndices = [] { return std::vector<std::pair<vm_id, log_index>>(); };
 }
 
 leadership control_cluster::stateOf(const vm_id& vm) const
--- a/test/support/control_cluster.h
+++ b/test/support/control_cluster.h
@@ -70,7 +70,7 @@
 
 private:
     void makeVm(const std::vector<vm_record>& records, std::size_t position, membership_options options);
-    void makeConsensus(cluster_vm& made);
+    void makeConsensus(cluster_vm& created);
     void send(const vm_id& from, const vm_id& to, const peer_message& message);
     void append(const proposal& item, std::function<void(command_result)> applied);
     void catchUp(cluster_vm& follower);
