--- a/src/decision/membership/membership_service.h
+++ b/src/decision/membership/membership_service.h
@@ -39,8 +39,8 @@
     bool leasesNeedApplied = true;
     /** How long a stopping VM waits for its stop to be committed to the log. */
     duration stopTimeout = std::chrono::seconds(1);
-    /** Requests sent by an earlier start of this VM have ended once this start has run for the longest deadline of any
-     * service plus this margin. */
+    /** All requests of this VM's earlier incarnations have ended once this incarnation has run for the longest deadline
+     * of any service plus this margin. */
     duration earlierWorkMargin = std::chrono::seconds(10);
     allocator_lease_options leases;
     /** The leader assigns slot allocators to the regions. */
@@ -76,7 +76,7 @@
     void tick();
     void proposeStart();
     void stop(std::function<void()> stopped);
-    vm_heartbeat makeHeartbeat(const leadership& led);
+    vm_heartbeat makeHeartbeat(const leadership& leadershipState);
     void sendHeartbeat();
     void receive(const vm_id& from, const control_message& message);
     heartbeat_answer answerHeartbeat(const vm_heartbeat& heartbeat);
@@ -88,7 +88,7 @@
     void grantRoleLeases(const vm_heartbeat& heartbeat, heartbeat_answer& answer);
     void receiveAnswer(const heartbeat_answer& answer);
     void setAvoided(std::vector<vm_id> avoided);
-    void updateLeadership(const leadership& led);
+    void updateLeadership(const leadership& leadershipState);
     void assignAllocators();
     std::vector<vm_report> reports() const;
     std::vector<vm_id> findAvoided() const;
--- a/src/decision/slots/allocator_host.cpp
+++ b/src/decision/slots/allocator_host.cpp
@@ -38,8 +38,8 @@
         return record == state.allocators.end() || record->second.epoch != item.second->epoch;
     });
     for (const auto& [region, record] : state.allocators) {
-        const bool isHere = record.vm == m_settings.self.id && record.start == start;
-        if (isHere && !m_hosted.contains(region))
+        const bool isThisIncarnation = record.vm == m_settings.self.id && record.start == start;
+        if (isThisIncarnation && !m_hosted.contains(region))
             startAllocator(region, record.epoch);
     }
     const duration longest = longestDeadline(state.config);
@@ -61,9 +61,9 @@
 {
     const time_point now = m_hooks.now();
     std::set<vm_id> earlierHolders;
-    const bool hadEarlier = epoch > allocator_epoch(1);
+    const bool hadEarlierAllocator = epoch > allocator_epoch(1);
     for (const vm_record& vm : m_settings.vms) {
-        if (hadEarlier)
+        if (hadEarlierAllocator)
             earlierHolders.insert(vm.id);
     }
     auto item = std::make_unique<hosted>(hosted {
