--- a/src/codec/declaration_writer.cpp
+++ b/src/codec/declaration_writer.cpp
@@ -22,7 +22,7 @@
         return micros % 1000 == 0 ? absl::StrCat(micros / 1000, "ms") : absl::StrCat(micros, "us");
     }
 
-    /** Emits one map in YAML's flow style, from construction to destruction. */
+    /** Emits a map in YAML's flow style: the constructor begins the map, and the destructor ends it. */
     class map_writer {
     public:
         explicit map_writer(YAML::Emitter& out)
--- a/src/main/explain_command.cpp
+++ b/src/main/explain_command.cpp
@@ -18,7 +18,7 @@
     struct read_result {
         std::vector<log_line> lines;
         std::uint64_t unreadable = 0;
-        /** The number of the first unreadable line, from 1. */
+        /** The number of the first unreadable line, counted from 1; 0 if there is none. */
         std::uint64_t firstUnreadable = 0;
     };
 
--- a/src/services/bounded_sink.h
+++ b/src/services/bounded_sink.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * A log sink that never blocks: lines that the reader has not taken yet are kept in a bounded buffer, and lines that
+ * A log sink that never blocks: lines that can't be written yet are kept in a bounded buffer, and lines that
  * do not fit there are dropped and counted.
  */
 
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -29,8 +29,8 @@
         return { whole.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - whole).count() };
     }
 
-    /** Sends the parts directly if the output buffer is empty, which saves an iteration of the event loop; what the
-     * socket does not take is added to the output buffer. */
+    /** Sends the parts directly if the output buffer is empty, which saves an iteration of the event loop; bytes that
+     * the socket does not accept are added to the output buffer. */
     void sendOrBuffer(bufferevent* channel, std::array<std::string_view, 3> parts)
     {
         evbuffer* output = bufferevent_get_output(channel);
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -23,8 +23,8 @@
 struct http_connection_parts {
     event_base* base = nullptr;
     caller_limits limits;
-    /** The connection is closed if for this time no byte of the next request arrives, or the caller takes no byte of an
-     * answer. */
+    /** The connection is closed after this time in which no byte of the next request arrived, or no byte of an answer
+     * could be written. */
     duration idleTimeout {};
     lingering_close& closing;
     /** A request is complete. The handler calls answer() at once or later. */
--- a/src/services/json_log.cpp
+++ b/src/services/json_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    /** The size in bytes of the buffer for lines that the reader has not taken yet. */
+    /** The size in bytes of the buffer for lines that can't be written yet. */
     constexpr std::size_t bufferBytes = 256 * 1024;
     /** The maximum number of lines of one kind in an interval; further ones are only counted. */
     constexpr std::uint64_t linesPerInterval = 400;
--- a/tools/load_tool/main.cpp
+++ b/tools/load_tool/main.cpp
@@ -13,8 +13,8 @@
     constexpr int exitOk = 0;
     constexpr int exitFailed = 1;
     constexpr int exitBadInput = 2;
-    /** Time beyond the duration and the time-out of the load that a run may take for the first list of entries and for
-     * late answers. */
+    /** How much longer a run may take than its send duration plus the request time-out, since it also waits for the
+     * first list of entries and for late answers. */
     constexpr duration maximumOverrun = std::chrono::seconds(20);
 
     int fail(const absl::Status& status, int code)
