Name two private members of the tools after what they hold

Cause: m_waiting and m_waitingSources don't say what waits, or for what. Change: m_queued (requests in the queue), m_sourcesWithoutList (sources without their first list of entries); the comment on randomSpacing says what the factor does.

--- a/tools/load_tool/load_generator.cpp
+++ b/tools/load_tool/load_generator.cpp
@@ -53,14 +53,14 @@
 void load_generator::start(std::function<void()> done)
 {
     m_done = std::move(done);
-    m_waitingSources = m_options.near.size();
+    m_sourcesWithoutList = m_options.near.size();
     for (const std::string& near : m_options.near) {
         m_sources.push_back(std::make_unique<entry_source>(
             m_hooks, m_client, m_options.entries, near, [this] { return call_id(++m_lastCall); }));
     }
     for (const auto& source : m_sources) {
         source->start([this] {
-            if (--m_waitingSources == 0)
+            if (--m_sourcesWithoutList == 0)
                 begin();
         });
     }
--- a/tools/load_tool/load_generator.h
+++ b/tools/load_tool/load_generator.h
@@ -56,7 +56,7 @@
     run_report& m_report;
     std::function<void()> m_done;
     std::vector<std::unique_ptr<entry_source>> m_sources;
-    std::size_t m_waitingSources = 0;
+    std::size_t m_sourcesWithoutList = 0;
     std::string m_runName;
     std::string m_body;
     time_point m_start;
--- a/tools/upstream_standin/work_queue.cpp
+++ b/tools/upstream_standin/work_queue.cpp
@@ -13,7 +13,7 @@
 
     /** Spread of the lognormal distribution: p99 is about 5 times the median. */
     constexpr double lognormalSigma = 0.7;
-    /** 2^-53: the spacing of 53 random bits in [0, 1). */
+    /** 2^-53, the factor that scales a random integer of 53 bits to [0, 1). */
     constexpr double randomSpacing = 0x1.0p-53;
     constexpr unsigned droppedRandomBits = 11;
 
@@ -34,7 +34,7 @@
     added.events = std::move(events);
     added.holdsSlot = holdsSlot;
     added.deadline = m_hooks.schedule(timeout, [this, id] { expire(id); });
-    m_waiting.push_back(id);
+    m_queued.push_back(id);
     m_hooks.schedule(duration::zero(), [this] { startWaiting(); });
     return id;
 }
@@ -49,9 +49,9 @@
 
 void work_queue::startWaiting()
 {
-    while (m_running < m_options.slots && !m_waiting.empty()) {
-        const work_id id = m_waiting.front();
-        m_waiting.pop_front();
+    while (m_running < m_options.slots && !m_queued.empty()) {
+        const work_id id = m_queued.front();
+        m_queued.pop_front();
         run(id);
     }
 }
@@ -97,7 +97,7 @@
     if (ended.isRunning)
         --m_running;
     else
-        m_waiting.remove(id);
+        m_queued.remove(id);
     return ended;
 }
 
--- a/tools/upstream_standin/work_queue.h
+++ b/tools/upstream_standin/work_queue.h
@@ -44,7 +44,7 @@
     void cancel(work_id id);
 
     std::uint32_t running() const { return m_running; }
-    std::uint32_t queued() const { return static_cast<std::uint32_t>(m_waiting.size()); }
+    std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queued.size()); }
     std::uint64_t runCount() const { return m_runCount; }
 
 private:
@@ -69,7 +69,7 @@
     const standin_options& m_options;
     std::uint64_t m_lastWork = 0;
     std::map<work_id, work> m_work;
-    std::list<work_id> m_waiting;
+    std::list<work_id> m_queued;
     std::uint32_t m_running = 0;
     std::uint64_t m_runCount = 0;
 };
