Name the peer check and the disconnect flag of the peer services plainly

Cause: nothing joins in the peer handshake, and m_reported does not say what was reported. Change: mayJoin -> isAllowedPeer (with seeded membership it also accepts addresses that are not in the settings); m_reported -> m_disconnectLogged.

--- a/src/services/peer_receiver.cpp
+++ b/src/services/peer_receiver.cpp
@@ -6,10 +6,11 @@
 namespace plantainlatch {
 
 std::unique_ptr<peer_receiver> peer_receiver::create(event_loop& loop, const kernel_hooks& hooks, int socket,
-    const vm_id& self, const std::function<bool(const vm_id&)>& mayJoin, const shared_key& key,
+    const vm_id& self, const std::function<bool(const vm_id&)>& isAllowedPeer, const shared_key& key,
     const peer_transport_options& options, peer_receiver_events events)
 {
-    std::unique_ptr<peer_receiver> receiver(new peer_receiver(hooks, self, mayJoin, key, options, std::move(events)));
+    std::unique_ptr<peer_receiver> receiver(
+        new peer_receiver(hooks, self, isAllowedPeer, key, options, std::move(events)));
     peer_receiver* raw = receiver.get();
     frame_stream_events streamEvents;
     streamEvents.onFrame = [raw](const std::string& payload) { raw->receive(payload); };
@@ -19,11 +20,12 @@
     return receiver;
 }
 
-peer_receiver::peer_receiver(const kernel_hooks& hooks, vm_id self, const std::function<bool(const vm_id&)>& mayJoin,
-    const shared_key& key, const peer_transport_options& options, peer_receiver_events events)
+peer_receiver::peer_receiver(const kernel_hooks& hooks, vm_id self,
+    const std::function<bool(const vm_id&)>& isAllowedPeer, const shared_key& key,
+    const peer_transport_options& options, peer_receiver_events events)
     : m_hooks(hooks)
     , m_self(std::move(self))
-    , m_mayJoin(mayJoin)
+    , m_isAllowedPeer(isAllowedPeer)
     , m_key(key)
     , m_options(options)
     , m_events(std::move(events))
@@ -64,7 +66,7 @@
 {
     absl::StatusOr<peer_hello> hello = msgpack_codec::decode<peer_hello>(payload);
     const bool acceptable
-        = hello.ok() && hello->version == peerProtocolVersion && hello->to == m_self && m_mayJoin(hello->from);
+        = hello.ok() && hello->version == peerProtocolVersion && hello->to == m_self && m_isAllowedPeer(hello->from);
     if (!acceptable) {
         fail(absl::UnauthenticatedError("the hello is not from a known VM to this VM in this protocol version"));
         return;
--- a/src/services/peer_receiver.h
+++ b/src/services/peer_receiver.h
@@ -30,12 +30,12 @@
 class peer_receiver {
 public:
     static std::unique_ptr<peer_receiver> create(event_loop& loop, const kernel_hooks& hooks, int socket,
-        const vm_id& self, const std::function<bool(const vm_id&)>& mayJoin, const shared_key& key,
+        const vm_id& self, const std::function<bool(const vm_id&)>& isAllowedPeer, const shared_key& key,
         const peer_transport_options& options, peer_receiver_events events);
     ~peer_receiver();
 
 private:
-    peer_receiver(const kernel_hooks& hooks, vm_id self, const std::function<bool(const vm_id&)>& mayJoin,
+    peer_receiver(const kernel_hooks& hooks, vm_id self, const std::function<bool(const vm_id&)>& isAllowedPeer,
         const shared_key& key, const peer_transport_options& options, peer_receiver_events events);
 
     void receive(const std::string& payload);
@@ -47,7 +47,7 @@
 
     const kernel_hooks& m_hooks;
     vm_id m_self;
-    const std::function<bool(const vm_id&)>& m_mayJoin;
+    const std::function<bool(const vm_id&)>& m_isAllowedPeer;
     const shared_key& m_key;
     const peer_transport_options& m_options;
     peer_receiver_events m_events;
--- a/src/services/peer_sender.cpp
+++ b/src/services/peer_sender.cpp
@@ -71,10 +71,10 @@
     m_stream.reset();
     m_outgoing.reset();
     m_incoming.reset();
-    if (!m_reported)
+    if (!m_disconnectLogged)
         m_hooks.log({ log_level::Warning, "peers", "no connection to a VM",
             { { "to", m_peer.id.value() }, { "why", std::string(why.message()) } } });
-    m_reported = true;
+    m_disconnectLogged = true;
     setTimer(m_reconnectDelay, &peer_sender::connect);
     m_reconnectDelay = std::min(m_reconnectDelay * 2, m_options.maximumReconnectDelay);
 }
@@ -114,7 +114,7 @@
     m_incoming.emplace(m_key, handshake_role::Accepting, m_hello, challenge->nonce);
     m_lastAnswer = m_hooks.now();
     m_reconnectDelay = m_options.minimumReconnectDelay;
-    m_reported = false;
+    m_disconnectLogged = false;
     m_hooks.log({ log_level::Info, "peers", "connected to a VM", { { "to", m_peer.id.value() } } });
     setTimer(m_options.pingInterval, &peer_sender::ping);
 }
--- a/src/services/peer_sender.h
+++ b/src/services/peer_sender.h
@@ -67,7 +67,7 @@
     timer_id m_timer;
     time_point m_lastAnswer;
     duration m_reconnectDelay;
-    bool m_reported = false;
+    bool m_disconnectLogged = false;
     std::uint64_t m_dropped = 0;
 };
 
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -26,7 +26,7 @@
     peer_transport_options options;
     shared_key key;
     std::set<vm_id> known;
-    std::function<bool(const vm_id&)> mayJoin;
+    std::function<bool(const vm_id&)> isAllowedPeer;
     peer_port port;
     std::function<void(const vm_id&, peer_message)> deliver;
     std::unique_ptr<frame_listener> listener;
@@ -45,7 +45,7 @@
     {
         for (const vm_record& vm : settings.vms)
             known.insert(vm.id);
-        mayJoin = [this](const vm_id& vm) {
+        isAllowedPeer = [this](const vm_id& vm) {
             return known.contains(vm)
                 || (settings.membership == membership_mode::Seeded && parseAddress(vm.value()).ok());
         };
@@ -118,8 +118,8 @@
         peer_receiver_events events;
         events.onMessage = [this](const vm_id& from, const std::string& encoded) { received(from, encoded); };
         events.onClosed = [this, number](const absl::Status& why) { closed(number, why); };
-        receivers[number]
-            = peer_receiver::create(loop, hooks, socket, settings.self.id, mayJoin, key, options, std::move(events));
+        receivers[number] = peer_receiver::create(
+            loop, hooks, socket, settings.self.id, isAllowedPeer, key, options, std::move(events));
     }
 
     void received(const vm_id& from, const std::string& encoded)
