Call the measured time of the benchmarks wall time

Cause: the consensus, capacity and request path benchmarks called a figure processor time, but measure it with a steady clock. Change: comments and printed labels say wall time. No test or tool matches the labels.

--- a/test/performance/capacity_benchmark.cpp
+++ b/test/performance/capacity_benchmark.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Measures the unit costs in docs/CAPACITY.md: bytes and processor time of each control message, and of the control
- * state for each additional VM, upstream, change and key.
+ * Measures the unit costs in docs/CAPACITY.md: bytes and wall time of each control message, and of the control state
+ * for each additional VM, upstream, change and key.
  */
 
 #include <chrono>
@@ -36,7 +36,8 @@
     const std::string bytes = encodePeerMessage(message);
     const double encodeTime = nanosecondsEach(rounds, [&] { encodePeerMessage(message); });
     const double decodeTime = nanosecondsEach(rounds, [&] { decodePeerMessage(bytes).IgnoreError(); });
-    std::printf("%-44s %8zu bytes %9.0f ns encode %9.0f ns decode\n", name, bytes.size(), encodeTime, decodeTime);
+    std::printf(
+        "%-44s %8zu bytes %9.0f ns encode %9.0f ns decode (wall time)\n", name, bytes.size(), encodeTime, decodeTime);
 }
 
 upstream_announcement makeAnnouncement(int number)
@@ -154,7 +155,7 @@
     const std::string bytes = msgpack_codec::encode(state);
     const double encodeTime = nanosecondsEach(3, [&] { msgpack_codec::encode(state); });
     const double decodeTime = nanosecondsEach(3, [&] { msgpack_codec::decode<control_snapshot>(bytes).IgnoreError(); });
-    std::printf("%-44s %8.0f bytes %9.0f ns encode %9.0f ns decode, each of %d\n", name,
+    std::printf("%-44s %8.0f bytes %9.0f ns encode %9.0f ns decode (wall time), each of %d\n", name,
         static_cast<double>(bytes.size() - empty) / count, encodeTime / count, decodeTime / count, count);
 }
 
@@ -187,7 +188,7 @@
         std::printf("refused: %s\n", result.message.c_str());
 }
 
-/** Prints the time to apply commands on one VM with `upstreams` entries in its directory. */
+/** Prints the wall time to apply commands on one VM with `upstreams` entries in its directory. */
 void showApply(int upstreams)
 {
     paused_runtime runtime(1);
@@ -233,8 +234,8 @@
         applyAccepted(port, ++sequence, command);
     });
     const double table = nanosecondsEach(20, [&] { makeUpstreamTable(port.state()); });
-    std::printf("with %5d upstreams: declaration %8.0f ns, claim %6.0f ns, table of upstreams %10.0f ns\n", upstreams,
-        change, claim, table);
+    std::printf("wall time with %5d upstreams: declaration %8.0f ns, claim %6.0f ns, table of upstreams %10.0f ns\n",
+        upstreams, change, claim, table);
 }
 
 } // namespace
--- a/test/performance/consensus_benchmark.cpp
+++ b/test/performance/consensus_benchmark.cpp
@@ -1,7 +1,8 @@
 /** \file
- * Measures the replicated log: processor time for each change, commit latency, time to elect a new leader, and time and
- * bytes for a restarted VM to catch up. Latencies are simulated time, with network delays between regions of 12 ms
- * and 55 ms, as in the users' deployment, and 2 ms for each disk sync.
+ * Measures the replicated log: wall time for each change, commit latency, time to elect a new leader, and time and
+ * bytes for a restarted VM to catch up. The wall time is that of the simulation of all VMs on one thread. All other
+ * times are simulated, with network delays between regions of 12 ms and 55 ms, as in the users' deployment, and 2 ms
+ * for each disk sync.
  */
 
 #include <algorithm>
@@ -54,9 +55,8 @@
             cluster.until([&] { return cluster.results.size() == first + batch - 1; });
         }
         const std::chrono::duration<double, std::micro> spent = std::chrono::steady_clock::now() - began;
-        std::printf("processor time for one change, %d replicas and %d VMs together: %.1f us (%llu changes)\n",
-            replicaCount, vmCount, spent.count() / static_cast<double>(changes),
-            static_cast<unsigned long long>(changes));
+        std::printf("wall time for one change, %d replicas and %d VMs together: %.1f us (%llu changes)\n", replicaCount,
+            vmCount, spent.count() / static_cast<double>(changes), static_cast<unsigned long long>(changes));
     }
 
     std::vector<duration> latenciesThrough(consensus_cluster& cluster, int through, std::uint64_t& number)
--- a/test/performance/request_path_benchmark.cpp
+++ b/test/performance/request_path_benchmark.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Measures the processor time of the decision code for one request, with ports that answer immediately.
+ * Measures the wall time of the decision code for one request, with ports that answer immediately.
  */
 
 #include <chrono>
@@ -104,7 +104,7 @@
             m_port = *m_core->services().find<request_port>(port_names::requests);
         }
 
-        /** Sends requests that `make` creates, and returns the mean time for one in nanoseconds. */
+        /** Sends requests that `make` creates, and returns the mean wall time for one in nanoseconds. */
         template <typename Make> double measure(Make make)
         {
             for (int i = 0; i < warmUpRequests; ++i)
@@ -143,7 +143,10 @@
         return request;
     }
 
-    void print(const char* what, double nanoseconds) { std::printf("%-44s %8.0f ns a request\n", what, nanoseconds); }
+    void print(const char* what, double nanoseconds)
+    {
+        std::printf("%-44s %8.0f ns of wall time per request\n", what, nanoseconds);
+    }
 
     double fingerprintCost()
     {
