--- a/src/decision/alerts/alert_tracker.cpp
+++ b/src/decision/alerts/alert_tracker.cpp
@@ -28,8 +28,8 @@
     for (auto& [id, item] : m_tracked)
         item.holds = false;
     for (const risk_condition& condition : conditions) {
-        const bool hasRoom = m_tracked.size() < maximumTracked || m_tracked.contains(condition.id);
-        if (!hasRoom)
+        const bool canTrack = m_tracked.size() < maximumTracked || m_tracked.contains(condition.id);
+        if (!canTrack)
             continue;
         tracked_risk& item = m_tracked[condition.id];
         item.condition = condition;
@@ -38,29 +38,29 @@
     internal_assert(m_tracked.size() <= maximumTracked) << m_tracked.size();
 }
 
-void alert_tracker::updateScore(tracked_risk& item, duration passed) const
+void alert_tracker::updateScore(tracked_risk& item, duration elapsed) const
 {
-    const duration top = std::max(item.condition.raiseAfter, minimumClearTime);
+    const duration maximumScore = std::max(item.condition.raiseAfter, minimumClearTime);
     if (m_filter == alert_filter::Plain)
-        item.score = item.holds ? top : duration::zero();
+        item.score = item.holds ? maximumScore : duration::zero();
     else if (item.holds)
-        item.score = std::min(item.score + passed, top);
+        item.score = std::min(item.score + elapsed, maximumScore);
     else if (m_filter == alert_filter::Unbroken)
         item.score = duration::zero();
     else
-        item.score = std::max(item.score - passed, duration::zero());
+        item.score = std::max(item.score - elapsed, duration::zero());
 }
 
 bool alert_tracker::hasCleared(const tracked_risk& item) const { return !item.holds && item.score == duration::zero(); }
 
 alert_changes alert_tracker::update(const std::vector<risk_condition>& conditions, time_point now, wall_time wallNow)
 {
-    const duration passed = std::min(now - m_updatedAt, maximumElapsed);
+    const duration elapsed = std::min(now - m_updatedAt, maximumElapsed);
     m_updatedAt = now;
     track(conditions);
     alert_changes changes;
     for (auto& [id, item] : m_tracked) {
-        updateScore(item, passed);
+        updateScore(item, elapsed);
         if (!item.raised && item.holds && item.score >= item.condition.raiseAfter) {
             item.raised = true;
             item.since = wallNow;
--- a/src/decision/alerts/alert_tracker.h
+++ b/src/decision/alerts/alert_tracker.h
@@ -72,7 +72,7 @@
     };
 
     void track(const std::vector<risk_condition>& conditions);
-    void updateScore(tracked_risk& item, duration passed) const;
+    void updateScore(tracked_risk& item, duration elapsed) const;
     bool hasCleared(const tracked_risk& item) const;
     static alert toAlert(const tracked_risk& item);
 
--- a/src/decision/control/key_table.cpp
+++ b/src/decision/control/key_table.cpp
@@ -114,9 +114,9 @@
     if (existing != keys.end())
         return existingClaim(existing->second, claimed, command);
     if (keys.size() >= limits.keys) {
-        command_result full = refused(absl::StrCat("the table of idempotency keys is full at ", limits.keys));
-        full.claim = claim_result::TableFull;
-        return full;
+        command_result tableFull = refused(absl::StrCat("the table of idempotency keys is full at ", limits.keys));
+        tableFull.claim = claim_result::TableFull;
+        return tableFull;
     }
     keys.emplace(name, newRecord(claimed, command));
     return resultWith(claim_result::Claimed);
--- a/src/decision/control/proposer_table.cpp
+++ b/src/decision/control/proposer_table.cpp
@@ -57,8 +57,8 @@
         restoreAnswer(state, item, earlier);
         return earlier;
     }
-    const bool full = record.results.size() >= maximumResultsPerProposer;
-    if (full && item.id.sequence < record.results.begin()->first)
+    const bool isFull = record.results.size() >= maximumResultsPerProposer;
+    if (isFull && item.id.sequence < record.results.begin()->first)
         return refusal("the proposal is older than the results that are kept");
     return {};
 }
--- a/src/decision/declarations/configuration_check.cpp
+++ b/src/decision/declarations/configuration_check.cpp
@@ -171,8 +171,8 @@
             const auto found = merged.services.find(item.service);
             if (!item.slots.has_value() || found == merged.services.end())
                 continue;
-            const bool fits = item.slots->value() > 0 && *item.slots <= found->second.slots;
-            require(content.upstreams, item, fits, absl::StrCat("has ", item.slots->value(), " slots"),
+            const bool isWithinLimit = item.slots->value() > 0 && *item.slots <= found->second.slots;
+            require(content.upstreams, item, isWithinLimit, absl::StrCat("has ", item.slots->value(), " slots"),
                 absl::StrCat("1 to ", found->second.slots.value(), ", the limit of its service"));
         }
     }
--- a/src/decision/declarations/declaration_difference.cpp
+++ b/src/decision/declarations/declaration_difference.cpp
@@ -37,7 +37,7 @@
     }
 
     template <typename Definition>
-    void describeKind(const definition_changes<Definition>& acceptedItems,
+    void describeChanges(const definition_changes<Definition>& acceptedItems,
         const definition_changes<Definition>& offeredItems, std::vector<std::string>& clauses)
     {
         describeList(acceptedItems.added, offeredItems.added, "adds", clauses);
@@ -69,7 +69,7 @@
     if (existing.replaces != offered.replaces)
         clauses.push_back(absl::StrCat(
             "the accepted one replaces ", existing.replaces.value(), ", yours replaces ", offered.replaces.value()));
-    forEachKind(existing, offered, [&](const auto& left, const auto& right) { describeKind(left, right, clauses); });
+    forEachKind(existing, offered, [&](const auto& left, const auto& right) { describeChanges(left, right, clauses); });
     if (existing.note != offered.note)
         clauses.push_back(absl::StrCat("the accepted one's note is '", existing.note, "'"));
     if (existing.acceptedRisks != offered.acceptedRisks)
@@ -79,19 +79,19 @@
 
 declaration declarationBetween(const configuration& from, const configuration& to)
 {
-    declaration between;
-    collectChanges(between.regions, from.regions, to.regions);
-    collectChanges(between.links, from.links, to.links);
-    collectChanges(between.services, from.services, to.services);
-    collectChanges(between.shares, from.shares, to.shares);
-    collectChanges(between.upstreams, from.upstreams, to.upstreams);
-    collectChanges(between.shifts, from.shifts, to.shifts);
+    declaration difference;
+    collectChanges(difference.regions, from.regions, to.regions);
+    collectChanges(difference.links, from.links, to.links);
+    collectChanges(difference.services, from.services, to.services);
+    collectChanges(difference.shares, from.shares, to.shares);
+    collectChanges(difference.upstreams, from.upstreams, to.upstreams);
+    collectChanges(difference.shifts, from.shifts, to.shifts);
     for (const upstream_id& id : to.withdrawnUpstreams) {
-        const bool listed = from.withdrawnUpstreams.contains(id) || from.upstreams.contains(id);
-        if (!listed)
-            between.upstreams.withdrawn.push_back({ { id, {}, {}, {} }, {} });
+        const bool isKnown = from.withdrawnUpstreams.contains(id) || from.upstreams.contains(id);
+        if (!isKnown)
+            difference.upstreams.withdrawn.push_back({ { id, {}, {}, {} }, {} });
     }
-    return between;
+    return difference;
 }
 
 } // namespace plantainlatch
--- a/src/decision/declarations/declaration_merge.cpp
+++ b/src/decision/declarations/declaration_merge.cpp
@@ -90,17 +90,17 @@
 absl::StatusOr<configuration> mergeDeclaration(
     const configuration& config, const declaration& content, finding_list& findings)
 {
-    finding_list own;
+    finding_list newFindings;
     configuration merged = config;
     if (content.number == change_number())
-        own.add({}, "the change has the number 0", "a number of at least 1");
-    forEachKind(content, merged, [&](const auto& changes, auto& map) { mergeKind(changes, map, own); });
-    withdrawUpstreams(content.upstreams, merged, own);
-    checkConfiguration(merged, content, own);
+        newFindings.add({}, "the change has the number 0", "a number of at least 1");
+    forEachKind(content, merged, [&](const auto& changes, auto& map) { mergeKind(changes, map, newFindings); });
+    withdrawUpstreams(content.upstreams, merged, newFindings);
+    checkConfiguration(merged, content, newFindings);
     merged.number = content.number;
-    findings.append(own);
-    if (!own.empty())
-        return own.toStatus();
+    findings.append(newFindings);
+    if (!newFindings.empty())
+        return newFindings.toStatus();
     return merged;
 }
 
--- a/src/decision/operators/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -16,7 +16,7 @@
     constexpr double hundredPercent = 100.0;
 
     /** Tolerance for rounding errors in comparisons of demand. */
-    constexpr double negligible = 1e-9;
+    constexpr double roundingTolerance = 1e-9;
 
     using domain_amounts = std::map<failure_domain_id, double>;
 
@@ -40,16 +40,16 @@
         domain_amounts slots;
         for (const auto& [id, record] : input.state.directory) {
             const upstream_announcement& upstream = record.announcement;
-            const bool counts = upstream.service == service && !input.config.withdrawnUpstreams.contains(id)
+            const bool isUsable = upstream.service == service && !input.config.withdrawnUpstreams.contains(id)
                 && isLocationDeclared(input.config, upstream) && !isDrained(input.drains, upstream);
-            if (counts)
+            if (isUsable)
                 slots[upstream.failureDomain] += static_cast<double>(effectiveSlots(input.config, upstream).value());
         }
         return slots;
     }
 
     /** Distributes `amount` over the failure domains in proportion to their weights; adds nothing when all are 0. */
-    void spread(domain_amounts& demand, double amount, const domain_amounts& weights)
+    void distribute(domain_amounts& demand, double amount, const domain_amounts& weights)
     {
         const double total = sumOf(weights);
         if (total <= 0)
@@ -99,7 +99,7 @@
             if (localSlots != slots.end() && localSlots->second > 0)
                 demand[domain] += amount;
             else
-                spread(demand, amount, sumOf(regionalSlots) > 0 ? regionalSlots : slots);
+                distribute(demand, amount, sumOf(regionalSlots) > 0 ? regionalSlots : slots);
         }
         return demand;
     }
@@ -123,8 +123,8 @@
         for (const auto& [id, shift] : input.config.shifts) {
             if (shift.service != service)
                 continue;
-            const double wanted = demand[shift.from] * shift.percent / hundredPercent;
-            const double moved = std::min(wanted, shift.capPerSecond * latency);
+            const double uncapped = demand[shift.from] * shift.percent / hundredPercent;
+            const double moved = std::min(uncapped, shift.capPerSecond * latency);
             demand[shift.from] -= moved;
             demand[shift.to] += moved;
         }
@@ -136,7 +136,7 @@
         const domain_amounts weights = sharesOf(input, service, slots);
         domain_amounts demand;
         if (sumOf(weights) > 0)
-            spread(demand, sumOf(measured), weights);
+            distribute(demand, sumOf(measured), weights);
         else
             demand = redirectDemand(input, measured, slots);
         applyShifts(input, service, demand);
@@ -160,7 +160,7 @@
 
     bool isOverloaded(const capacity_risk& sum)
     {
-        return sum.demand > negligible && sum.demand > maximumRegionUtilization * sum.slots;
+        return sum.demand > roundingTolerance && sum.demand > maximumRegionUtilization * sum.slots;
     }
 
     std::map<service_id, double> slotsByService(const std::vector<location_capacity>& locations)
@@ -181,10 +181,10 @@
         const domain_amounts demand = demandOf(input, service, slots);
         for (const auto& [region, regionDefinition] : input.config.regions) {
             for (const failure_domain_id& domain : regionDefinition.failureDomains) {
-                const auto slot = slots.find(domain);
-                const auto asked = demand.find(domain);
-                locations.push_back({ service, region, domain, slot == slots.end() ? 0 : slot->second,
-                    asked == demand.end() ? 0 : asked->second });
+                const auto domainSlots = slots.find(domain);
+                const auto domainDemand = demand.find(domain);
+                locations.push_back({ service, region, domain, domainSlots == slots.end() ? 0 : domainSlots->second,
+                    domainDemand == demand.end() ? 0 : domainDemand->second });
             }
         }
     }
@@ -209,7 +209,7 @@
     for (const capacity_risk& risk : findRisks(after)) {
         const auto former = sumsBefore.find({ risk.service, risk.region });
         const bool wasSame = former != sumsBefore.end() && isOverloaded(former->second)
-            && former->second.demand * risk.slots + negligible >= risk.demand * former->second.slots;
+            && former->second.demand * risk.slots + roundingTolerance >= risk.demand * former->second.slots;
         if (!wasSame)
             risks.push_back(risk);
     }
--- a/src/decision/operators/declaration_plan.cpp
+++ b/src/decision/operators/declaration_plan.cpp
@@ -43,7 +43,7 @@
     }
 
     template <typename Definition>
-    void describeKind(const definition_changes<Definition>& changes, std::vector<std::string>& sentences)
+    void describeChanges(const definition_changes<Definition>& changes, std::vector<std::string>& sentences)
     {
         for (const auto& item : changes.added)
             sentences.push_back(absl::StrCat("adds ", describeName(item.value), describeValue(item.value)));
@@ -62,13 +62,13 @@
         for (const location_capacity& location : before)
             former[{ location.service, location.failureDomain }] = location;
         for (const location_capacity& location : after) {
-            const location_capacity& was = former[{ location.service, location.failureDomain }];
-            if (was.slots == location.slots && was.demand == location.demand)
+            const location_capacity& formerCapacity = former[{ location.service, location.failureDomain }];
+            if (formerCapacity.slots == location.slots && formerCapacity.demand == location.demand)
                 continue;
             sentences.push_back(
                 absl::StrFormat("service '%s' in '%s': %.0f slots for %.1f requests at once, before %.0f for %.1f",
                     location.service.value(), location.failureDomain.value(), location.slots, location.demand,
-                    was.slots, was.demand));
+                    formerCapacity.slots, formerCapacity.demand));
         }
     }
 
@@ -103,14 +103,15 @@
 declaration_plan planDeclaration(const control_snapshot& state, const declaration& content, const known_loads& measured)
 {
     declaration_plan plan;
-    const command_result numbers = checkChangeNumber(state, content);
-    if (numbers.verdict == command_verdict::AlreadyAccepted) {
-        plan.changes.push_back(numbers.message);
+    const command_result numberCheck = checkChangeNumber(state, content);
+    if (numberCheck.verdict == command_verdict::AlreadyAccepted) {
+        plan.changes.push_back(numberCheck.message);
         return plan;
     }
-    if (numbers.verdict == command_verdict::Conflict)
-        plan.findings.add({}, numbers.message, absl::StrCat("a change that replaces ", state.config.number.value()));
-    forEachKind(content, content, [&](const auto& changes, const auto&) { describeKind(changes, plan.changes); });
+    if (numberCheck.verdict == command_verdict::Conflict)
+        plan.findings.add(
+            {}, numberCheck.message, absl::StrCat("a change that replaces ", state.config.number.value()));
+    forEachKind(content, content, [&](const auto& changes, const auto&) { describeChanges(changes, plan.changes); });
     const absl::StatusOr<configuration> merged = mergeDeclaration(state.config, content, plan.findings);
     if (!merged.ok())
         return plan;
--- a/src/decision/operators/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -101,9 +101,9 @@
     if (content.replaces > state.config.number)
         return absl::UnavailableError(absl::StrCat("change ", content.replaces.value(),
             " is not in force on this VM yet; the VM has change ", state.config.number.value()));
-    const command_result numbers = checkChangeNumber(state, content);
-    if (numbers.verdict != command_verdict::Accepted)
-        return numbers;
+    const command_result numberCheck = checkChangeNumber(state, content);
+    if (numberCheck.verdict != command_verdict::Accepted)
+        return numberCheck;
     const declaration_plan planned = plan(content);
     if (!planned.findings.empty())
         return refused(planned.findings.format());
@@ -123,8 +123,8 @@
 
 void operator_service::apply(const declaration& content, const result_handler& done)
 {
-    if (const auto decided = decideLocally(content)) {
-        done(*decided);
+    if (const auto localResult = decideLocally(content)) {
+        done(*localResult);
         return;
     }
     m_consensus->propose(apply_declaration { content }, m_options.proposalTimeout, done);
@@ -155,11 +155,11 @@
     const absl::StatusOr<configuration> wanted = configurationAt(state, earlier);
     if (!wanted.ok())
         return wanted.status();
-    declaration back = declarationBetween(state.config, *wanted);
-    back.number = state.config.number.next();
-    back.replaces = state.config.number;
-    back.note = absl::StrCat("back to change ", earlier.value());
-    return back;
+    declaration reversion = declarationBetween(state.config, *wanted);
+    reversion.number = state.config.number.next();
+    reversion.replaces = state.config.number;
+    reversion.note = absl::StrCat("back to change ", earlier.value());
+    return reversion;
 }
 
 system_status operator_service::status() const
--- a/test/integration/network_fault_test.cpp
+++ b/test/integration/network_fault_test.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-    const std::string stopBoth = R"({"stop_up":true,"stop_down":true})";
+    const std::string dropBoth = R"({"stop_up":true,"stop_down":true})";
     const std::string noFaults = "{}";
 
     class network_fault_fixture {
     protected:
         network_fault_fixture() { system.start(); }
 
-        /** Sets the faults of all connections between a VM and the others: `stopBoth` isolates the VM, `noFaults`
+        /** Sets the faults of all connections between a VM and the others: `dropBoth` isolates the VM, `noFaults`
          * reconnects it. */
         void setPartition(int vm, const std::string& faults)
         {
@@ -46,7 +46,7 @@
     const int leader = system.leaderKnownBy(4);
     REQUIRE(leader > 0);
     const int other = leader == 1 ? 2 : 1;
-    setPartition(leader, stopBoth);
+    setPartition(leader, dropBoth);
     test_system::waitUntil("another leader", std::chrono::seconds(15), [&] {
         const int known = system.leaderKnownBy(other);
         return known != 0 && known != leader;
--- a/test/integration/platform_path_test.cpp
+++ b/test/integration/platform_path_test.cpp
@@ -43,7 +43,8 @@
             };
             for (int i = 1; i <= controlCount + entryCount; ++i)
                 start(i, true);
-            REQUIRE(eventually([this] { return ask(1, controlPort, "POST /Config.Put", document(1)) == 200; }));
+            REQUIRE(
+                eventually([this] { return requestStatus(1, controlPort, "POST /Config.Put", document(1)) == 200; }));
             REQUIRE(eventually([this] { return sendHeartbeat(1); }));
             REQUIRE(eventually([this] { return isReady(4) && isReady(5); }));
         }
@@ -64,7 +65,7 @@
         static std::string host(int number) { return absl::StrCat(network, number); }
 
         /** Starts a VM: 1 to 3 are control VMs, 4 and 5 are entries. */
-        void start(int number, bool first)
+        void start(int number, bool bootstrapsLog)
         {
             const bool isControl = number <= controlCount;
             std::string text = absl::StrCat("machine: \"m", number, "\"\naddress: \"", host(number),
@@ -72,7 +73,7 @@
                 "internal_ports: [7660,7675]\nseeds: [");
             for (int i = 1; i <= controlCount; ++i)
                 absl::StrAppend(&text, i > 1 ? "," : "", "\"", host(i), ":", controlPort, "\"");
-            absl::StrAppend(&text, "]\nfound_log: ", first ? "true" : "false",
+            absl::StrAppend(&text, "]\nfound_log: ", bootstrapsLog ? "true" : "false",
                 "\nreplicas_that_may_fail: 1\nrenewal_milliseconds: 60000\nbounds: {\"retry-budget-slack\":60}\n");
             if (isControl)
                 absl::StrAppend(&text, "data_folder: \"", (folder / std::to_string(number)).string(),
@@ -97,7 +98,8 @@
         }
 
         /** Returns the status of the answer, or 0 if none arrives within 2 s. */
-        int ask(int number, int port, const std::string& call, const std::string& body = {}, const std::string& id = {})
+        int requestStatus(
+            int number, int port, const std::string& call, const std::string& body = {}, const std::string& id = {})
         {
             raw_client client(loop->base(), { host(number), static_cast<std::uint16_t>(port) });
             client.send(absl::StrCat(call, " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: ",
@@ -115,13 +117,13 @@
                 R"(","born":1000,"info":{"service":"s","version":"v1","zone":"north-a","slots":4},"status":{"state":")",
                 state, R"(","sequence":)", sequence, R"(,"cold-left-ms":0}})");
             for (int number = 1; number <= controlCount; ++number) {
-                if (ask(number, controlPort, "POST /Instances.Heartbeat/i-1", body) == 200)
+                if (requestStatus(number, controlPort, "POST /Instances.Heartbeat/i-1", body) == 200)
                     return true;
             }
             return false;
         }
 
-        bool isReady(int number) { return ask(number, readyPort, "GET /ready") == 200; }
+        bool isReady(int number) { return requestStatus(number, readyPort, "GET /ready") == 200; }
 
         bool eventually(const std::function<bool()>& condition, duration limit = 20s)
         {
@@ -136,8 +138,8 @@
 
         bool serves(int version)
         {
-            return ask(4, callerPort, absl::StrCat("POST /v", version, "/x"), "work") == 200
-                && ask(5, callerPort, absl::StrCat("POST /v", version, "/x"), "work") == 200;
+            return requestStatus(4, callerPort, absl::StrCat("POST /v", version, "/x"), "work") == 200
+                && requestStatus(5, callerPort, absl::StrCat("POST /v", version, "/x"), "work") == 200;
         }
 
         std::filesystem::path folder = makeFolder();
@@ -152,11 +154,11 @@
 
 TEST_CASE_METHOD(platform_path_fixture, "platform_path.request.reaches_the_upstream_once_and_is_answered")
 {
-    REQUIRE(ask(4, callerPort, "POST /v1/x", "work", "one") == 200);
+    REQUIRE(requestStatus(4, callerPort, "POST /v1/x", "work", "one") == 200);
     REQUIRE(lastAnswer.find("X-Server-Stamp: s") != std::string::npos);
     REQUIRE(runsById["one"] == 1);
-    REQUIRE(ask(4, callerPort, "POST /none/x", "work") == 404);
-    REQUIRE(ask(1, lookupPort, "GET /resolve?name=h&region=north&zone=north-a") == 200);
+    REQUIRE(requestStatus(4, callerPort, "POST /none/x", "work") == 404);
+    REQUIRE(requestStatus(1, lookupPort, "GET /resolve?name=h&region=north&zone=north-a") == 200);
     REQUIRE(lastAnswer.find(host(4)) != std::string::npos);
     REQUIRE(lastAnswer.find(host(1)) == std::string::npos);
 }
@@ -166,15 +168,16 @@
     for (int killed = 1; killed <= controlCount; ++killed) {
         vms[killed]->kill();
         const int version = killed + 1;
-        REQUIRE(eventually(
-            [&] { return ask(killed % controlCount + 1, controlPort, "POST /Config.Put", document(version)) == 200; }));
+        REQUIRE(eventually([&] {
+            return requestStatus(killed % controlCount + 1, controlPort, "POST /Config.Put", document(version)) == 200;
+        }));
         REQUIRE(eventually([&] { return serves(version); }, 5s));
         start(killed, false);
-        REQUIRE(eventually([&] { return ask(killed, controlPort, "GET /Config.Get") == 200; }));
+        REQUIRE(eventually([&] { return requestStatus(killed, controlPort, "GET /Config.Get") == 200; }));
         REQUIRE(lastAnswer.find(absl::StrCat("\"r", version, "\"")) != std::string::npos);
     }
     vms[4]->kill();
-    REQUIRE(ask(5, callerPort, "POST /v4/x", "work") == 200);
+    REQUIRE(requestStatus(5, callerPort, "POST /v4/x", "work") == 200);
     start(4, false);
     REQUIRE(eventually([&] { return isReady(4); }));
     REQUIRE(serves(4));
@@ -182,40 +185,40 @@
 
 TEST_CASE_METHOD(platform_path_fixture, "platform_path.all_vms_killed_at_once.keep_acknowledged_changes")
 {
-    REQUIRE(ask(2, controlPort, "POST /Config.Put", document(7)) == 200);
-    REQUIRE(ask(2, controlPort, "POST /Evacuations.Start/north-a") == 200);
+    REQUIRE(requestStatus(2, controlPort, "POST /Config.Put", document(7)) == 200);
+    REQUIRE(requestStatus(2, controlPort, "POST /Evacuations.Start/north-a") == 200);
     for (auto& [number, vm] : vms)
         vm->kill();
     for (int i = 1; i <= controlCount + entryCount; ++i)
         start(i, false);
-    REQUIRE(eventually([&] { return ask(3, controlPort, "GET /Config.Get") == 200; }));
+    REQUIRE(eventually([&] { return requestStatus(3, controlPort, "GET /Config.Get") == 200; }));
     REQUIRE(lastAnswer.find("\"r7\"") != std::string::npos);
     REQUIRE(eventually([&] { return isReady(4); }));
-    REQUIRE(ask(4, callerPort, "POST /v7/x", "work") == 503);
+    REQUIRE(requestStatus(4, callerPort, "POST /v7/x", "work") == 503);
     REQUIRE(lastAnswer.find("Retry-After") != std::string::npos);
-    REQUIRE(eventually([&] { return ask(1, controlPort, "POST /Evacuations.End/north-a") == 200; }));
-    REQUIRE(eventually([&] { return ask(4, callerPort, "POST /v7/x", "work") == 200; }, 5s));
+    REQUIRE(eventually([&] { return requestStatus(1, controlPort, "POST /Evacuations.End/north-a") == 200; }));
+    REQUIRE(eventually([&] { return requestStatus(4, callerPort, "POST /v7/x", "work") == 200; }, 5s));
 }
 
 TEST_CASE_METHOD(platform_path_fixture, "platform_path.acknowledged_draining.stops_new_requests")
 {
-    REQUIRE(ask(4, callerPort, "POST /v1/x", "work") == 200);
+    REQUIRE(requestStatus(4, callerPort, "POST /v1/x", "work") == 200);
     REQUIRE(sendHeartbeat(5, "draining"));
-    REQUIRE(eventually([&] { return ask(4, callerPort, "POST /v1/x", "work") == 503; }, 2s));
+    REQUIRE(eventually([&] { return requestStatus(4, callerPort, "POST /v1/x", "work") == 503; }, 2s));
     // A delayed heartbeat with a lower sequence number is accepted but does not end the draining.
     REQUIRE(sendHeartbeat(3, "ready"));
     runFor(300ms);
-    REQUIRE(ask(4, callerPort, "POST /v1/x", "work") == 503);
+    REQUIRE(requestStatus(4, callerPort, "POST /v1/x", "work") == 503);
 }
 
 TEST_CASE_METHOD(platform_path_fixture, "platform_path.stopping_entry.still_serves_and_leaves_the_list")
 {
     vms[4]->terminate();
-    REQUIRE(eventually([&] { return ask(4, readyPort, "GET /ready") != 200; }, 2s));
-    REQUIRE(ask(4, callerPort, "POST /v1/x", "work") == 200);
+    REQUIRE(eventually([&] { return requestStatus(4, readyPort, "GET /ready") != 200; }, 2s));
+    REQUIRE(requestStatus(4, callerPort, "POST /v1/x", "work") == 200);
     REQUIRE(eventually(
         [&] {
-            return ask(1, lookupPort, "GET /resolve?name=h&region=north&zone=north-a") == 200
+            return requestStatus(1, lookupPort, "GET /resolve?name=h&region=north&zone=north-a") == 200
                 && lastAnswer.find(host(4)) == std::string::npos;
         },
         3s));
--- a/test/performance/alert_benchmark.cpp
+++ b/test/performance/alert_benchmark.cpp
@@ -28,7 +28,7 @@
         }
 
         bool isReal() const { return m_realTicks > 0; }
-        int ticksSinceReal() const { return m_sinceReal; }
+        int ticksSinceReal() const { return m_ticksSinceReal; }
         bool beganNow() const { return m_began; }
 
         bool observe()
@@ -36,10 +36,10 @@
             m_began = false;
             if (m_realTicks > 0) {
                 --m_realTicks;
-                m_sinceReal = 0;
+                m_ticksSinceReal = 0;
             } else {
-                ++m_sinceReal;
-                m_began = m_sinceReal > 400 && m_begins(m_random);
+                ++m_ticksSinceReal;
+                m_began = m_ticksSinceReal > 400 && m_begins(m_random);
                 if (m_began)
                     m_realTicks = m_length(m_random);
             }
@@ -57,7 +57,7 @@
         std::bernoulli_distribution m_misreadBegins { 0.05 };
         std::uniform_int_distribution<int> m_misreadLength { 1, 6 };
         int m_realTicks = 0;
-        int m_sinceReal = 100000;
+        int m_ticksSinceReal = 100000;
         int m_misreadTicks = 0;
         bool m_began = false;
     };
@@ -75,25 +75,25 @@
         noisy_risk risk(seed);
         time_point now {};
         int raisedForRisk = 0;
-        bool open = false;
+        bool isOpen = false;
         for (int i = 0; i < ticksOfRun; ++i) {
             now += tick;
-            const bool seen = risk.observe();
+            const bool observed = risk.observe();
             if (risk.beganNow()) {
                 ++score.risks;
                 raisedForRisk = 0;
-                open = true;
+                isOpen = true;
             }
             std::vector<risk_condition> found;
-            if (seen)
+            if (observed)
                 found.push_back({ "risk", "", "", "", raiseAfter });
             const int raised = static_cast<int>(tracker.update(found, now, {}).raised.size());
             const bool attributed = risk.isReal() || risk.ticksSinceReal() <= attributionTicks;
             (attributed ? raisedForRisk : score.falseAlerts) += raised;
-            if (open && !attributed) {
+            if (isOpen && !attributed) {
                 score.missed += raisedForRisk == 0 ? 1 : 0;
                 score.repeated += raisedForRisk > 1 ? raisedForRisk - 1 : 0;
-                open = false;
+                isOpen = false;
             }
         }
     }
--- a/test/performance/consensus_benchmark.cpp
+++ b/test/performance/consensus_benchmark.cpp
@@ -40,7 +40,7 @@
         return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
     }
 
-    void measureWork()
+    void measureTimePerChange()
     {
         constexpr std::uint64_t changes = 20'000;
         constexpr std::uint64_t batch = 200;
@@ -59,12 +59,12 @@
             vmCount, spent.count() / static_cast<double>(changes), static_cast<unsigned long long>(changes));
     }
 
-    std::vector<duration> latenciesThrough(consensus_cluster& cluster, int through, std::uint64_t& number)
+    std::vector<duration> commitLatencies(consensus_cluster& cluster, int proposer, std::uint64_t& number)
     {
         std::vector<duration> latencies;
         for (int i = 0; i < 40; ++i) {
             const time_point began = cluster.runtime.now();
-            cluster.propose(through, ++number);
+            cluster.propose(proposer, ++number);
             while (!cluster.results.contains(number))
                 cluster.advance(100us);
             latencies.push_back(cluster.runtime.now() - began);
@@ -82,13 +82,15 @@
         cluster.advance(1s);
         const int leader = cluster.leader();
         std::uint64_t number = 0;
-        for (int through = 1; through <= vmCount; ++through) {
-            const std::vector<duration> latencies = latenciesThrough(cluster, through, number);
-            const bool isNear = regionOfVm(cluster.name(through)) == regionOfVm(cluster.name(leader));
-            const char* where = through == leader ? "the leader" : isNear ? "the leader's region" : "another region";
+        for (int proposer = 1; proposer <= vmCount; ++proposer) {
+            const std::vector<duration> latencies = commitLatencies(cluster, proposer, number);
+            const bool isNear = regionOfVm(cluster.name(proposer)) == regionOfVm(cluster.name(leader));
+            const char* location = proposer == leader ? "the leader"
+                : isNear                              ? "the leader's region"
+                                                      : "another region";
             std::printf(
-                "commit latency, %.0f ms between regions, through vm%d in %s: median %.1f ms, slowest %.1f ms\n",
-                milliseconds(interRegionDelay), through, where, milliseconds(quantile(latencies, 0.5)),
+                "commit latency, %.0f ms between regions, proposed by vm%d (%s): median %.1f ms, slowest %.1f ms\n",
+                milliseconds(interRegionDelay), proposer, location, milliseconds(quantile(latencies, 0.5)),
                 milliseconds(quantile(latencies, 1)));
         }
     }
@@ -165,7 +167,7 @@
 
     void runAll()
     {
-        measureWork();
+        measureTimePerChange();
         measureCommitLatency(12ms);
         measureCommitLatency(55ms);
         for (const duration delay : { duration(12ms), duration(55ms) }) {
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -16,8 +16,8 @@
     /** How long the load continues after the last fault. */
     constexpr duration recoveryLoad = std::chrono::seconds(2);
     constexpr const char* noFaults = "{}";
-    constexpr const char* stopUp = R"({"stop_up":true})";
-    constexpr const char* stopBoth = R"({"stop_up":true,"stop_down":true})";
+    constexpr const char* dropOutgoing = R"({"stop_up":true})";
+    constexpr const char* dropBoth = R"({"stop_up":true,"stop_down":true})";
 
     std::string delayFault(duration span)
     {
@@ -57,10 +57,10 @@
     while (steadyNow() < m_startTime + m_size.length) {
         const duration now = steadyNow() - m_startTime;
         std::erase_if(active, [&](const soak_event& event) {
-            const bool over = now >= event.at + event.length;
-            if (over)
+            const bool hasEnded = now >= event.at + event.length;
+            if (hasEnded)
                 end(event);
-            return over;
+            return hasEnded;
         });
         for (; next != m_schedule.end() && next->at <= now; ++next) {
             begin(*next);
@@ -108,10 +108,10 @@
         setPeerFaults(event.vm, delayFault(event.delay), delayFault(event.delay));
         return;
     case soak_fault::CutOneWay:
-        setPeerFaults(event.vm, stopUp, noFaults);
+        setPeerFaults(event.vm, dropOutgoing, noFaults);
         return;
     case soak_fault::CutPeers:
-        setPeerFaults(event.vm, stopBoth, stopBoth);
+        setPeerFaults(event.vm, dropBoth, dropBoth);
         return;
     case soak_fault::SilenceUpstreams:
         m_system.commandProxy("upstream-*", "silence-open");
@@ -215,8 +215,8 @@
     const nlohmann::json report = m_system.finishLoad(load);
     if (report["served"] != report["sent"])
         reportViolation(absl::StrCat("not all requests were served after the faults: ", report.dump()));
-    if (const std::size_t twice = m_system.requestsRunTwice(); twice != 0)
-        reportViolation(absl::StrCat(twice, " requests ran more than once"));
+    if (const std::size_t repeatedCount = m_system.requestsRunTwice(); repeatedCount != 0)
+        reportViolation(absl::StrCat(repeatedCount, " requests ran more than once"));
 }
 
 } // namespace plantainlatch
