State some comments of ports and limits in full

Cause: comments without a subject or with an unclear reference needed a second reading. Change: comments only; reasons and numbers kept.

--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -21,7 +21,7 @@
 /** If more than this time passes between two departures of an upstream, its count of expirations starts again at 0. */
 inline constexpr duration flapResetTime = std::chrono::minutes(5);
 
-/** How many expirations are allowed before an upstream has to wait before it can register again. */
+/** The number of expirations up to which an upstream can register again without a delay. */
 inline constexpr std::uint32_t allowedExpirations = 2;
 
 /** The delay before an upstream can register again after the first expiration beyond the allowed ones. Each further
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -14,7 +14,7 @@
 
 namespace plantainlatch {
 
-/** Requests are refused once equal ones have crashed this many distinct upstreams. */
+/** A request is refused once equal requests have crashed this many distinct upstreams. */
 inline constexpr std::size_t crashedUpstreamThreshold = 2;
 
 /** How long after the last crash a record is kept and equal requests are refused. */
--- a/src/decision/shifts/shift_quota_allocator.h
+++ b/src/decision/shifts/shift_quota_allocator.h
@@ -17,8 +17,8 @@
 
 /** Options of the distributed rate limit of a shift. */
 struct shift_cap_options {
-    /** The window over which the VMs limit the rate. The cap holds at the target for any second; the VMs add 100 ms to
-     * it because requests of different VMs reach the target after different network delays. */
+    /** The window over which the VMs limit the rate. The target must not receive more than the cap in any second. The
+     * window is 100 ms longer than a second, since requests of different VMs have different network delays. */
     duration window = std::chrono::milliseconds(1100);
     /** How long a quota is valid, from the time when the VM sent its heartbeat. */
     duration lease = std::chrono::seconds(2);
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -81,7 +81,7 @@
     UnknownRoute,
     MalformedRequest,
     BodyTooLarge,
-    /** No slot became free before the deadline, or none was expected to. */
+    /** No slot became free before the deadline, or none was expected to become free in time. */
     Overloaded,
     /** No healthy upstream is known. */
     NoUpstream,
--- a/src/ports/consensus_port.h
+++ b/src/ports/consensus_port.h
@@ -22,7 +22,7 @@
      * everything that earlier leaders committed. */
     bool leading = false;
     /** This VM is the leader with a valid lease; or it had contact with the leader within the lease time and has
-     * applied everything that the leader then reported as committed. */
+     * applied everything that the leader reported as committed at that time. */
     bool current = false;
 };
 
--- a/src/ports/request_port.h
+++ b/src/ports/request_port.h
@@ -15,7 +15,7 @@
     /** Submits a request. The callback receives the answer once, possibly before submit() returns. */
     std::function<request_id(caller_request, std::function<void(caller_answer)>)> submit;
     /** Cancels a request whose caller has disconnected. Its callback is not called any more. Calls in flight are
-     * cancelled too, except that a request with a claimed idempotency key and an open attempt runs to its end. */
+     * cancelled too, except that a request with a claimed idempotency key and an open attempt is completed. */
     std::function<void(request_id)> cancel;
 };
 
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -61,7 +61,7 @@
 enum class slot_refusal {
     /** No usable upstream of the service is known. */
     NoUpstream,
-    /** No slot became free before the deadline, or none was expected to. */
+    /** No slot became free before the deadline, or none was expected to become free in time. */
     Overloaded,
 };
 
@@ -86,7 +86,8 @@
     duration latency {};
     /** The size of the answer; charged to the link budget when the upstream is in another region. */
     byte_count answerSize;
-    /** Until when the request may still run at the upstream, on this VM's clock; the slot is not reused before. */
+    /** The time until which the request may still run at the upstream, on this VM's clock. The slot is not reused
+     * before that time. */
     std::optional<time_point> busyUntil;
     /** What the upstream reported about itself with its answer. */
     answer_metadata metadata;
--- a/src/ports/storage_port.h
+++ b/src/ports/storage_port.h
@@ -26,7 +26,7 @@
 /** One durable write. */
 struct storage_write {
     std::optional<hard_state> state;
-    /** Replace all stored entries from the index of the first one on. */
+    /** These entries replace all stored entries from the index of the first one on. */
     std::vector<log_entry> entries;
 };
 
@@ -39,8 +39,8 @@
      * share one sync. */
     std::function<void(storage_write, std::function<void(absl::Status)>)> write;
     /** Replaces all entries up to the snapshot's index, and the later ones too unless `keepLaterEntries` is set. The
-     * replaced entries do not reappear after a restart, even if the process ends during the call. Becomes durable in
-     * the same order as calls of write(). */
+     * replaced entries do not reappear after a restart, even if the process ends during the call. Calls of
+     * saveSnapshot() and write() become durable in the order in which they are made. */
     std::function<void(log_snapshot, bool keepLaterEntries, std::function<void(absl::Status)>)> saveSnapshot;
 };
 
--- a/test/integration/http_caller.h
+++ b/test/integration/http_caller.h
@@ -16,7 +16,7 @@
 
 namespace plantainlatch {
 
-/** A request of a test. */
+/** An HTTP request to send. */
 struct test_request {
     std::string method = "GET";
     std::string target;
