Name cached results and soak counters after what they hold

Cause: earlier, kept, most and m_acknowledged did not say which value they hold. Change: private identifiers only.

--- a/src/decision/control/proposer_table.cpp
+++ b/src/decision/control/proposer_table.cpp
@@ -12,8 +12,8 @@
 
     bool isFormerStart(const proposer_record& record, incarnation start)
     {
-        const auto& earlier = record.formerStarts;
-        return std::find(earlier.begin(), earlier.end(), start) != earlier.end();
+        const auto& starts = record.formerStarts;
+        return std::find(starts.begin(), starts.end(), start) != starts.end();
     }
 
     /** Copies the answer from the key table into the result of a claim that found Completed. Cached results do not
@@ -53,9 +53,9 @@
     }
     const auto result = record.results.find(item.id.sequence);
     if (result != record.results.end()) {
-        command_result earlier = result->second;
-        restoreAnswer(state, item, earlier);
-        return earlier;
+        command_result cached = result->second;
+        restoreAnswer(state, item, cached);
+        return cached;
     }
     const bool isFull = record.results.size() >= maximumResultsPerProposer;
     if (isFull && item.id.sequence < record.results.begin()->first)
@@ -68,9 +68,9 @@
     proposer_record& record = proposers[id.vm];
     if (record.start != id.start)
         beginIncarnation(record, id.start);
-    command_result kept = result;
-    kept.answer.reset();
-    record.results[id.sequence] = std::move(kept);
+    command_result cached = result;
+    cached.answer.reset();
+    record.results[id.sequence] = std::move(cached);
     if (record.results.size() > maximumResultsPerProposer)
         record.results.erase(record.results.begin());
     internal_assert(record.results.size() <= maximumResultsPerProposer) << id.vm.value();
--- a/src/decision/shifts/shift_quota_allocator.cpp
+++ b/src/decision/shifts/shift_quota_allocator.cpp
@@ -8,12 +8,12 @@
 
 std::uint32_t shift_quota_allocator::reservedBy(const std::vector<quota_lease>& leases, time_point now) const
 {
-    std::uint32_t most = 0;
+    std::uint32_t maximum = 0;
     for (const quota_lease& item : leases) {
         if (item.countsUntil > now)
-            most = std::max(most, item.perWindow);
+            maximum = std::max(maximum, item.perWindow);
     }
-    return most;
+    return maximum;
 }
 
 std::uint32_t shift_quota_allocator::reservedByOthers(const holder& vm, time_point now) const
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -133,14 +133,14 @@
     note(absl::StrCat("end of ", nameOf(event.fault), " e", event.vm, " upstream ", event.upstream));
     switch (event.fault) {
     case soak_fault::Kill:
-        m_inForce.erase(event.vm);
+        m_highestInForce.erase(event.vm);
         m_system.startVm(event.vm);
         m_unavailable.erase(event.vm);
         return;
     case soak_fault::Stop:
         if (m_system.waitForExit(event.vm) != 0)
             reportViolation(absl::StrCat("e", event.vm, " did not exit with code 0 after SIGTERM"));
-        m_inForce.erase(event.vm);
+        m_highestInForce.erase(event.vm);
         m_system.startVm(event.vm);
         m_unavailable.erase(event.vm);
         return;
@@ -180,7 +180,7 @@
         return;
     }
     m_lastNumber = number;
-    m_acknowledged = number;
+    m_acknowledgedNumber = number;
     note(absl::StrCat("acknowledged ", number));
 }
 
@@ -190,7 +190,7 @@
         if (m_unavailable.contains(vm))
             continue;
         const std::uint64_t number = m_system.inForce(vm);
-        std::uint64_t& highest = m_inForce[vm];
+        std::uint64_t& highest = m_highestInForce[vm];
         // inForce() is 0 when the VM does not answer or has no configuration yet.
         if (number != 0 && number < highest)
             reportViolation(
@@ -209,7 +209,7 @@
 void soak_run::checkRecovery()
 {
     for (int vm = 1; vm <= m_size.vms; ++vm)
-        m_system.waitUntilCurrent(vm, m_acknowledged);
+        m_system.waitUntilCurrent(vm, m_acknowledgedNumber);
     m_system.waitUntilServed();
     load_run load = m_system.startLoad(loadRate, recoveryLoad, "100,0,0");
     const nlohmann::json report = m_system.finishLoad(load);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -46,9 +46,9 @@
     test_system m_system;
     time_point m_startTime;
     std::set<int> m_unavailable;
-    std::map<int, std::uint64_t> m_inForce;
+    std::map<int, std::uint64_t> m_highestInForce;
     std::uint64_t m_lastNumber = 1;
-    std::uint64_t m_acknowledged = 1;
+    std::uint64_t m_acknowledgedNumber = 1;
     std::vector<std::string> m_violations;
     std::string m_journal;
 };
