Plainer comments and private names in ports, model, control and benchmarks

Cause: a further reading found comments without a subject or with a private word, and vague local names. Change: comments in src/model, src/ports and src/decision/alerts; private names in control, shifts, operators, the integration tests and the benchmarks. shift_gate_benchmark: half -> runsOfEachKind. Nothing was built.

--- a/src/decision/alerts/alert_service.h
+++ b/src/decision/alerts/alert_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * The service that alerts operators when a promise of the system is at risk.
+ * The service that alerts operators when a guarantee of the system is at risk.
  */
 
 #include <memory>
--- a/src/decision/alerts/alert_tracker.h
+++ b/src/decision/alerts/alert_tracker.h
@@ -15,7 +15,7 @@
 
 namespace plantainlatch {
 
-/** A condition that currently puts a promise (a guarantee of the system) at risk. */
+/** A condition that currently puts a guarantee of the system (its `promise`) at risk. */
 struct risk_condition {
     /** Identifies the risk; it stays the same over time and across changes of the leader. */
     std::string id;
--- a/src/decision/alerts/system_risks.h
+++ b/src/decision/alerts/system_risks.h
@@ -39,7 +39,7 @@
 /** Shifts that are held, are being reverted or were reverted. */
 std::vector<risk_condition> findShiftRisks(const system_view& view);
 
-/** Services with keyed requests whose outcome is unknown. Visits every idempotency key in the state. */
+/** Services with idempotency keys whose outcome is unknown. Visits every key in the state. */
 std::vector<risk_condition> findOutcomeRisks(const system_view& view);
 
 } // namespace plantainlatch
--- a/src/decision/control/apply_shift.cpp
+++ b/src/decision/control/apply_shift.cpp
@@ -17,15 +17,15 @@
     if (command.percent > definition->second.percent)
         return refused(
             absl::StrCat("shift '", command.shift.value(), "' moves at most ", definition->second.percent, " percent"));
-    shift_record& stepped = record->second;
-    if (command.percent < stepped.percent && command.phase != shift_phase::Reverting)
-        ++stepped.setbacks;
-    if (stepped.baseline == duration::zero())
-        stepped.baseline = command.baseline;
-    stepped.step = command.afterStep + 1;
-    stepped.percent = command.percent;
-    stepped.phase = command.phase;
-    stepped.steppedAt = item.proposedAt;
+    shift_record& shiftState = record->second;
+    if (command.percent < shiftState.percent && command.phase != shift_phase::Reverting)
+        ++shiftState.setbacks;
+    if (shiftState.baseline == duration::zero())
+        shiftState.baseline = command.baseline;
+    shiftState.step = command.afterStep + 1;
+    shiftState.percent = command.percent;
+    shiftState.phase = command.phase;
+    shiftState.steppedAt = item.proposedAt;
     return accepted();
 }
 
--- a/src/decision/control/key_table.cpp
+++ b/src/decision/control/key_table.cpp
@@ -28,8 +28,8 @@
     void sweepExpired(key_map& keys, const key_name& start, wall_time now, std::size_t length)
     {
         auto position = keys.lower_bound(start);
-        const std::size_t checks = std::min(length, keys.size());
-        for (std::size_t i = 0; i < checks && !keys.empty(); ++i) {
+        const std::size_t checkCount = std::min(length, keys.size());
+        for (std::size_t i = 0; i < checkCount && !keys.empty(); ++i) {
             if (position == keys.end())
                 position = keys.begin();
             position = expired(position->second, now) ? keys.erase(position) : std::next(position);
--- a/src/decision/operators/capacity_model.cpp
+++ b/src/decision/operators/capacity_model.cpp
@@ -208,9 +208,9 @@
     const auto sumsBefore = sumByRegion(before);
     for (const capacity_risk& risk : findRisks(after)) {
         const auto former = sumsBefore.find({ risk.service, risk.region });
-        const bool wasSame = former != sumsBefore.end() && isOverloaded(former->second)
+        const bool wasAsSevere = former != sumsBefore.end() && isOverloaded(former->second)
             && former->second.demand * risk.slots + roundingTolerance >= risk.demand * former->second.slots;
-        if (!wasSame)
+        if (!wasAsSevere)
             risks.push_back(risk);
     }
     const auto slotsAfter = slotsByService(after);
--- a/src/decision/operators/drain_check.cpp
+++ b/src/decision/operators/drain_check.cpp
@@ -19,7 +19,7 @@
         return state.vms.empty();
     }
 
-    bool isWithin(const control_snapshot& state, const failure_domain_id& domain, const drain_target& target)
+    bool isInTarget(const control_snapshot& state, const failure_domain_id& domain, const drain_target& target)
     {
         switch (target.kind) {
         case drain_kind::Vm:
@@ -57,7 +57,7 @@
 {
     double sum = 0;
     for (const service_load& load : loads) {
-        if (isWithin(state, load.failureDomain, target))
+        if (isInTarget(state, load.failureDomain, target))
             sum += load.perSecond;
     }
     return sum;
--- a/src/decision/shifts/split_cap.cpp
+++ b/src/decision/shifts/split_cap.cpp
@@ -29,11 +29,11 @@
     std::uint32_t assigned = 0;
     std::vector<remainder> remainders;
     for (const auto& [vm, demand] : demands) {
-        const double exact = cap * (demand + baseDemand) / total;
-        const double whole = std::floor(exact);
+        const double exactPart = cap * (demand + baseDemand) / total;
+        const double whole = std::floor(exactPart);
         shares[vm] = static_cast<std::uint32_t>(whole);
         assigned += shares[vm];
-        remainders.push_back({ vm, exact - whole });
+        remainders.push_back({ vm, exactPart - whole });
     }
     std::stable_sort(remainders.begin(), remainders.end(),
         [](const remainder& left, const remainder& right) { return left.part > right.part; });
--- a/src/model/approximate_size.h
+++ b/src/model/approximate_size.h
@@ -19,7 +19,7 @@
 
 namespace detail {
 
-    /** Bytes of a number, or of the length prefix of a string or collection. */
+    /** The size assumed for a number, or for the length prefix of a string or collection, in bytes. */
     constexpr std::size_t scalarSize = 5;
 
     struct size_adder;
--- a/src/model/declaration.h
+++ b/src/model/declaration.h
@@ -156,7 +156,7 @@
 template <typename Definition> struct definition_changes {
     std::vector<declared<Definition>> added;
     std::vector<declared<Definition>> changed;
-    /** Only the fields of the key are used. */
+    /** Of these definitions, only the fields that form the key are used. */
     std::vector<declared<Definition>> withdrawn;
 
     bool empty() const { return added.empty() && changed.empty() && withdrawn.empty(); }
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -63,7 +63,7 @@
     int status = 0;
     std::vector<header_field> headers;
     std::string body;
-    /** Not stored with the answers that are kept for idempotency keys. */
+    /** This field is not encoded with the answer, so it is not stored for idempotency keys either. */
     answer_metadata metadata;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
--- a/src/ports/operator_port.h
+++ b/src/ports/operator_port.h
@@ -27,7 +27,7 @@
     std::vector<std::string> riskTexts;
 };
 
-/** A promise (a guarantee of the system) that is at risk, and how the system reacts. */
+/** A guarantee of the system (its `promise`) that is at risk, and how the system reacts. */
 struct alert {
     std::string id;
     std::string promise;
--- a/test/integration/platform_path_test.cpp
+++ b/test/integration/platform_path_test.cpp
@@ -136,7 +136,7 @@
             return true;
         }
 
-        bool serves(int version)
+        bool servesRequests(int version)
         {
             return requestStatus(4, callerPort, absl::StrCat("POST /v", version, "/x"), "work") == 200
                 && requestStatus(5, callerPort, absl::StrCat("POST /v", version, "/x"), "work") == 200;
@@ -171,7 +171,7 @@
         REQUIRE(eventually([&] {
             return requestStatus(killed % controlCount + 1, controlPort, "POST /Config.Put", document(version)) == 200;
         }));
-        REQUIRE(eventually([&] { return serves(version); }, 5s));
+        REQUIRE(eventually([&] { return servesRequests(version); }, 5s));
         start(killed, false);
         REQUIRE(eventually([&] { return requestStatus(killed, controlPort, "GET /Config.Get") == 200; }));
         REQUIRE(lastAnswer.find(absl::StrCat("\"r", version, "\"")) != std::string::npos);
@@ -180,7 +180,7 @@
     REQUIRE(requestStatus(5, callerPort, "POST /v4/x", "work") == 200);
     start(4, false);
     REQUIRE(eventually([&] { return isReady(4); }));
-    REQUIRE(serves(4));
+    REQUIRE(servesRequests(4));
 }
 
 TEST_CASE_METHOD(platform_path_fixture, "platform_path.all_vms_killed_at_once.keep_acknowledged_changes")
@@ -230,7 +230,7 @@
     for (int number = 1; number <= controlCount + entryCount; ++number)
         vms[number]->signal(SIGHUP);
     runFor(200ms);
-    REQUIRE(serves(1));
+    REQUIRE(servesRequests(1));
 }
 
 } // namespace plantainlatch
--- a/test/performance/alert_benchmark.cpp
+++ b/test/performance/alert_benchmark.cpp
@@ -29,7 +29,7 @@
 
         bool isReal() const { return m_realTicks > 0; }
         int ticksSinceReal() const { return m_ticksSinceReal; }
-        bool beganNow() const { return m_began; }
+        bool hasJustBegun() const { return m_began; }
 
         bool observe()
         {
@@ -79,7 +79,7 @@
         for (int i = 0; i < ticksOfRun; ++i) {
             now += tick;
             const bool observed = risk.observe();
-            if (risk.beganNow()) {
+            if (risk.hasJustBegun()) {
                 ++score.risks;
                 raisedForRisk = 0;
                 isOpen = true;
--- a/test/performance/capacity_benchmark.cpp
+++ b/test/performance/capacity_benchmark.cpp
@@ -23,7 +23,7 @@
 
 constexpr int rounds = 2000;
 
-double nanosecondsEach(int count, const std::function<void()>& action)
+double meanNanoseconds(int count, const std::function<void()>& action)
 {
     const auto begun = clock_type::now();
     for (int i = 0; i < count; ++i)
@@ -34,8 +34,8 @@
 void showMessage(const char* name, const peer_message& message)
 {
     const std::string bytes = encodePeerMessage(message);
-    const double encodeTime = nanosecondsEach(rounds, [&] { encodePeerMessage(message); });
-    const double decodeTime = nanosecondsEach(rounds, [&] { decodePeerMessage(bytes).IgnoreError(); });
+    const double encodeTime = meanNanoseconds(rounds, [&] { encodePeerMessage(message); });
+    const double decodeTime = meanNanoseconds(rounds, [&] { decodePeerMessage(bytes).IgnoreError(); });
     std::printf(
         "%-44s %8zu bytes %9.0f ns encode %9.0f ns decode (wall time)\n", name, bytes.size(), encodeTime, decodeTime);
 }
@@ -146,15 +146,15 @@
     showMessage("forwarded_announcement", control_message(forwarded_announcement { makeAnnouncement(1) }));
 }
 
-void showMarginalStateCost(const char* name, int count, const std::function<void(control_snapshot&, int)>& addOne)
+void showMarginalStateCost(const char* name, int count, const std::function<void(control_snapshot&, int)>& addItem)
 {
     control_snapshot state;
     const std::size_t empty = msgpack_codec::encode(state).size();
     for (int i = 0; i < count; ++i)
-        addOne(state, i);
+        addItem(state, i);
     const std::string bytes = msgpack_codec::encode(state);
-    const double encodeTime = nanosecondsEach(3, [&] { msgpack_codec::encode(state); });
-    const double decodeTime = nanosecondsEach(3, [&] { msgpack_codec::decode<control_snapshot>(bytes).IgnoreError(); });
+    const double encodeTime = meanNanoseconds(3, [&] { msgpack_codec::encode(state); });
+    const double decodeTime = meanNanoseconds(3, [&] { msgpack_codec::decode<control_snapshot>(bytes).IgnoreError(); });
     std::printf("%-44s %8.0f bytes %9.0f ns encode %9.0f ns decode (wall time), each of %d\n", name,
         static_cast<double>(bytes.size() - empty) / count, encodeTime / count, decodeTime / count, count);
 }
@@ -189,7 +189,7 @@
 }
 
 /** Prints the wall time to apply commands on one VM with `upstreams` entries in its directory. */
-void showApply(int upstreams)
+void showApplyTimes(int upstreams)
 {
     paused_runtime runtime(1);
     const kernel_hooks hooks = runtime.hooks();
@@ -223,17 +223,17 @@
     for (int i = 0; i < upstreams; ++i)
         applyAccepted(port, ++sequence, upstream_joined { makeAnnouncement(i) });
     std::uint64_t number = 1;
-    const double change = nanosecondsEach(200, [&] {
+    const double change = meanNanoseconds(200, [&] {
         ++number;
         applyAccepted(port, ++sequence, apply_declaration { makeChange(number) });
     });
     std::uint64_t key = 0;
-    const double claim = nanosecondsEach(rounds, [&] {
+    const double claim = meanNanoseconds(rounds, [&] {
         claim_key command { service_id("booking"), idempotency_key("key" + std::to_string(++key)),
             request_fingerprint(1), std::chrono::hours(1) };
         applyAccepted(port, ++sequence, command);
     });
-    const double table = nanosecondsEach(20, [&] { makeUpstreamTable(port.state()); });
+    const double table = meanNanoseconds(20, [&] { makeUpstreamTable(port.state()); });
     std::printf("wall time with %5d upstreams: declaration %8.0f ns, claim %6.0f ns, table of upstreams %10.0f ns\n",
         upstreams, change, claim, table);
 }
@@ -246,6 +246,6 @@
     showState();
     std::puts("applying a command:");
     for (const int upstreams : { 36, 360, 3600 })
-        showApply(upstreams);
+        showApplyTimes(upstreams);
     return 0;
 }
--- a/test/performance/hop_benchmark.cpp
+++ b/test/performance/hop_benchmark.cpp
@@ -48,7 +48,7 @@
     }
 
     /** Removes one message with a head and a body of `body` bytes; false if it has not arrived completely. */
-    bool takeMessage(evbuffer* input, std::size_t body)
+    bool removeMessage(evbuffer* input, std::size_t body)
     {
         const evbuffer_ptr end = evbuffer_search(input, headEnd.data(), headEnd.size(), nullptr);
         if (end.pos < 0)
@@ -73,7 +73,7 @@
             bufferevent_setcb(
                 channel,
                 [](bufferevent* handle, void*) {
-                    while (takeMessage(bufferevent_get_input(handle), 0))
+                    while (removeMessage(bufferevent_get_input(handle), 0))
                         bufferevent_write(handle, upstreamAnswer.data(), upstreamAnswer.size());
                 },
                 nullptr, [](bufferevent* handle, short, void*) { bufferevent_free(handle); }, nullptr);
@@ -247,7 +247,7 @@
 
         static void received(channel& item)
         {
-            if (!takeMessage(bufferevent_get_input(item.handle), item.owner->m_answerBody))
+            if (!removeMessage(bufferevent_get_input(item.handle), item.owner->m_answerBody))
                 return;
             const duration latency = item.owner->m_hooks.now() - item.sent;
             item.owner->m_latencies.push_back(std::chrono::duration<double, std::micro>(latency).count());
--- a/test/performance/shift_gate_benchmark.cpp
+++ b/test/performance/shift_gate_benchmark.cpp
@@ -110,12 +110,12 @@
         gate_score score;
         for (int seed = 0; seed < runs; ++seed)
             runOnce(options, static_cast<std::uint64_t>(seed), seed % 2 == 1, score);
-        const int half = runs / 2;
-        const int finished = std::max(1, half - score.unfinished);
+        const int runsOfEachKind = runs / 2;
+        const int finished = std::max(1, runsOfEachKind - score.unfinished);
         std::printf("%-34s %6.2f false undos per run, %6.1f s overloaded per limited run, %6.1f s to finish, %3d of %d "
                     "unfinished\n",
-            name.c_str(), score.falseUndos / runs, score.overloadedSeconds / half, score.secondsToFinish / finished,
-            score.unfinished, half);
+            name.c_str(), score.falseUndos / runs, score.overloadedSeconds / runsOfEachKind,
+            score.secondsToFinish / finished, score.unfinished, runsOfEachKind);
     }
 
     shift_gate_options singleThresholdGate()
