Clearer private names in the shift quota, the key table and two benchmarks

Cause: local names that need a second reading (countsUntil, expired, doubleRuns, isOpen, order). Change: reservedUntil, isExpired, repeatedRuns, isUnscored, isOrder; the start-up error for the window of a rate cap is a plain sentence (no test or tool matches it). Nothing was built.

--- a/src/decision/control/key_table.cpp
+++ b/src/decision/control/key_table.cpp
@@ -22,7 +22,7 @@
         return start + std::chrono::ceil<std::chrono::milliseconds>(span);
     }
 
-    bool expired(const key_record& record, wall_time now) { return record.expiresAt <= now; }
+    bool isExpired(const key_record& record, wall_time now) { return record.expiresAt <= now; }
 
     /** Checks `length` records from `start` on, wrapping around at the end, and removes the expired ones. */
     void sweepExpired(key_map& keys, const key_name& start, wall_time now, std::size_t length)
@@ -32,7 +32,7 @@
         for (std::size_t i = 0; i < checkCount && !keys.empty(); ++i) {
             if (position == keys.end())
                 position = keys.begin();
-            position = expired(position->second, now) ? keys.erase(position) : std::next(position);
+            position = isExpired(position->second, now) ? keys.erase(position) : std::next(position);
         }
     }
 
--- a/src/decision/shifts/shift_quota_allocator.cpp
+++ b/src/decision/shifts/shift_quota_allocator.cpp
@@ -10,7 +10,7 @@
 {
     std::uint32_t maximum = 0;
     for (const quota_lease& item : leases) {
-        if (item.countsUntil > now)
+        if (item.reservedUntil > now)
             maximum = std::max(maximum, item.perWindow);
     }
     return maximum;
@@ -38,7 +38,7 @@
 void shift_quota_allocator::prune(time_point now)
 {
     for (auto& [vm, leases] : m_leases)
-        std::erase_if(leases, [&](const quota_lease& item) { return item.countsUntil <= now; });
+        std::erase_if(leases, [&](const quota_lease& item) { return item.reservedUntil <= now; });
     std::erase_if(m_leases, [](const auto& entry) { return entry.second.empty(); });
 }
 
--- a/src/decision/shifts/shift_quota_allocator.h
+++ b/src/decision/shifts/shift_quota_allocator.h
@@ -54,7 +54,7 @@
     struct quota_lease {
         std::uint32_t perWindow = 0;
         /** Windows that end after this contain no request admitted under the lease. */
-        time_point countsUntil {};
+        time_point reservedUntil {};
     };
 
     void prune(time_point now);
--- a/src/decision/shifts/shift_service.cpp
+++ b/src/decision/shifts/shift_service.cpp
@@ -16,7 +16,7 @@
     const kernel_hooks& hooks, const vm_settings&, shift_options options)
 {
     if (options.cap.window < std::chrono::seconds(1))
-        return absl::InvalidArgumentError("the window of a cap per second has to be at least one second");
+        return absl::InvalidArgumentError("the window for enforcing a cap per second must be at least one second");
     return std::unique_ptr<shift_service>(new shift_service(hooks, options));
 }
 
--- a/test/performance/alert_benchmark.cpp
+++ b/test/performance/alert_benchmark.cpp
@@ -75,14 +75,14 @@
         noisy_risk risk(seed);
         time_point now {};
         int raisedForRisk = 0;
-        bool isOpen = false;
+        bool isUnscored = false;
         for (int i = 0; i < ticksOfRun; ++i) {
             now += tick;
             const bool observed = risk.observe();
             if (risk.hasJustBegun()) {
                 ++score.risks;
                 raisedForRisk = 0;
-                isOpen = true;
+                isUnscored = true;
             }
             std::vector<risk_condition> found;
             if (observed)
@@ -90,10 +90,10 @@
             const int raised = static_cast<int>(tracker.update(found, now, {}).raised.size());
             const bool attributed = risk.isReal() || risk.ticksSinceReal() <= attributionTicks;
             (attributed ? raisedForRisk : score.falseAlerts) += raised;
-            if (isOpen && !attributed) {
+            if (isUnscored && !attributed) {
                 score.missed += raisedForRisk == 0 ? 1 : 0;
                 score.repeated += raisedForRisk > 1 ? raisedForRisk - 1 : 0;
-                isOpen = false;
+                isUnscored = false;
             }
         }
     }
--- a/test/performance/slot_comparison_benchmark.cpp
+++ b/test/performance/slot_comparison_benchmark.cpp
@@ -63,7 +63,7 @@
         std::uint64_t late = 0;
         std::uint64_t extraAttempts = 0;
         double maximumLoad = 0;
-        int doubleRuns = 0;
+        int repeatedRuns = 0;
         std::vector<duration> latencies;
     };
 
@@ -117,7 +117,7 @@
             m_runtime.advance(callerDeadline);
             m_row.maximumLoad = m_upstreams.maximumLoad;
             for (const auto& [body, count] : m_upstreams.runs)
-                m_row.doubleRuns += count > 1 ? 1 : 0;
+                m_row.repeatedRuns += count > 1 ? 1 : 0;
             return m_row;
         }
 
@@ -192,10 +192,10 @@
             caller_request request;
             request.service = service_id("catalogo");
             const std::string number = std::to_string(++m_sent);
-            const bool order = static_cast<double>(m_runtime.random() % 1000) < orderShare * 1000;
-            request.method = order ? "POST" : "GET";
-            request.target = order ? "/orders" : "/frames/" + number;
-            if (order) {
+            const bool isOrder = static_cast<double>(m_runtime.random() % 1000) < orderShare * 1000;
+            request.method = isOrder ? "POST" : "GET";
+            request.target = isOrder ? "/orders" : "/frames/" + number;
+            if (isOrder) {
                 request.body = "order-" + number;
                 request.key = idempotency_key("key-" + number);
             }
@@ -258,7 +258,7 @@
         std::printf("%-20s %4.1f  %6.3f  %7.3f  %5.3f  %7.3f  %6.2f  %6d  %6.0f  %6.0f\n", sharingName(mode), load,
             static_cast<double>(row.useful) / (capacityPerSecond * seconds), static_cast<double>(row.refused) / sent,
             static_cast<double>(row.late) / sent, static_cast<double>(row.extraAttempts) / sent, row.maximumLoad,
-            row.doubleRuns, milliseconds(row.latencies, 50), milliseconds(row.latencies, 99));
+            row.repeatedRuns, milliseconds(row.latencies, 50), milliseconds(row.latencies, 99));
         std::fflush(stdout);
     }
 
