Plain private names in system_risks

Cause: isUnknown and minimumReplicasToGuard need a second reading. Change: hasUnknownOutcome, minimumReplicasForAlert. Nothing was built.

--- a/src/decision/alerts/system_risks.cpp
+++ b/src/decision/alerts/system_risks.cpp
@@ -13,7 +13,7 @@
 
     /** With fewer replicas than this, any loss stops the control log. No alert is raised for that, since it follows
      * from the declared set of replicas. */
-    constexpr std::size_t minimumReplicasToGuard = 3;
+    constexpr std::size_t minimumReplicasForAlert = 3;
 
     constexpr duration quorumDelay = std::chrono::seconds(5);
     constexpr duration capacityDelay = std::chrono::seconds(10);
@@ -29,7 +29,7 @@
             reports.begin(), reports.end(), [&](const vm_report& report) { return report.last.vm == vm; });
     }
 
-    bool isUnknown(const key_record& record, wall_time now)
+    bool hasUnknownOutcome(const key_record& record, wall_time now)
     {
         return record.result == outcome::Unknown || (record.result == outcome::InProgress && record.runsUntil < now);
     }
@@ -42,7 +42,7 @@
     const auto live = static_cast<std::size_t>(std::count_if(
         voters.begin(), voters.end(), [&](const replica_id& voter) { return isLive(view.reports, voter.vm); }));
     const std::size_t majority = voters.size() / 2 + 1;
-    if (voters.size() < minimumReplicasToGuard || live > majority)
+    if (voters.size() < minimumReplicasForAlert || live > majority)
         return {};
     return { { "quorum", "control survives the loss of a VM",
         absl::StrCat(live, " of ", voters.size(), " replicas answer; ", majority, " are needed for a majority"),
@@ -112,7 +112,7 @@
 {
     std::map<service_id, std::size_t> unknown;
     for (const auto& [name, record] : view.state.keys) {
-        if (isUnknown(record, view.now))
+        if (hasUnknownOutcome(record, view.now))
             ++unknown[name.service];
     }
     std::vector<risk_condition> found;
