Reword comments and private names in codec, runtime and services

Cause: some comments and local names needed a second reading (keep, mark, shorter, letter for any character, askOne). Change: comments reworded; locals and one private member function renamed. Nothing built.

--- a/src/codec/declaration_yaml.h
+++ b/src/codec/declaration_yaml.h
@@ -14,7 +14,7 @@
 
 /**
  * Parses a declaration and records the text position of each definition. All errors are added to `findings`, and the
- * status is InvalidArgument if there are any. References to existing definitions are not checked here but when the
+ * status is InvalidArgument if there are any. References to existing definitions are checked later, when the
  * declaration is merged into the configuration.
  */
 absl::StatusOr<declaration> parseDeclaration(
--- a/src/codec/http_fields.h
+++ b/src/codec/http_fields.h
@@ -33,7 +33,7 @@
 /** The first field of that name, or null. */
 const header_field* find(const std::vector<header_field>& fields, std::string_view name);
 
-/** Whether a field applies to one connection only (RFC 9110, section 7.6.1) or is generated anew for each hop. */
+/** Whether a field applies to one connection only (RFC 9110, section 7.6.1) or is generated again for each hop. */
 bool isHopByHop(std::string_view name);
 
 /** Whether `name` is listed in the comma-separated `list`. */
@@ -42,7 +42,7 @@
 /** Removes the hop-by-hop fields and the fields that are listed in a Connection field. */
 void keepEndToEnd(std::vector<header_field>& fields);
 
-/** Parses decimal seconds, above 0 and at most one day; none for anything else. */
+/** Parses a decimal number of seconds. Returns none unless it is above 0 and at most one day. */
 std::optional<duration> parseSeconds(std::string_view text);
 
 /** Formats decimal seconds, rounded down to milliseconds, but at least 0.001. */
--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -73,21 +73,21 @@
 
     static void onRead(bufferevent*, void* argument)
     {
-        const auto keep = static_cast<implementation*>(argument)->shared_from_this();
-        keep->receive();
+        const auto self = static_cast<implementation*>(argument)->shared_from_this();
+        self->receive();
     }
 
     static void onEvent(bufferevent*, short what, void* argument)
     {
-        const auto keep = static_cast<implementation*>(argument)->shared_from_this();
+        const auto self = static_cast<implementation*>(argument)->shared_from_this();
         if ((what & BEV_EVENT_CONNECTED) != 0) {
-            disableNagle(bufferevent_getfd(keep->connection));
-            if (keep->events.onConnected)
-                keep->events.onConnected();
+            disableNagle(bufferevent_getfd(self->connection));
+            if (self->events.onConnected)
+                self->events.onConnected();
             return;
         }
         const bool failed = (what & BEV_EVENT_ERROR) != 0;
-        keep->closed(absl::UnavailableError(
+        self->closed(absl::UnavailableError(
             failed ? evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()) : "the peer closed the connection"));
     }
 
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -21,7 +21,7 @@
     constexpr int statusUnavailable = 503;
     constexpr duration drainingRetryAfter = std::chrono::seconds(1);
 
-    bool isVisible(char letter) { return letter > ' ' && letter <= '~'; }
+    bool isVisible(char character) { return character > ' ' && character <= '~'; }
 
     bool isKey(const std::string& text)
     {
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -17,7 +17,8 @@
 struct answered_request {
     /** A HEAD request: the answer has no body even if it has a Content-Length. */
     bool head = false;
-    /** The header field with the name of the call. If the answer has this field, its value must be `name`. */
+    /** The header field that carries the name of the call. An answer with this field is accepted only if its value is
+     * `name`. */
     const char* nameField;
     const std::string& name;
     /** Accepts an answer whose body is delimited by an orderly close of the connection. */
--- a/src/services/http_request_view.cpp
+++ b/src/services/http_request_view.cpp
@@ -12,8 +12,9 @@
 
 std::string_view http_request_view::query() const
 {
-    const std::size_t mark = m_request.target.find('?');
-    return mark == std::string::npos ? std::string_view() : std::string_view(m_request.target).substr(mark + 1);
+    const std::size_t questionMark = m_request.target.find('?');
+    return questionMark == std::string::npos ? std::string_view()
+                                             : std::string_view(m_request.target).substr(questionMark + 1);
 }
 
 const char* http_request_view::header(const char* name) const
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -209,9 +209,9 @@
 void http_server::addRoute(http_route route)
 {
     auto& routes = m_parts->routes;
-    const auto shorter = std::find_if(
+    const auto insertionPoint = std::find_if(
         routes.begin(), routes.end(), [&](const auto& other) { return other->prefix.size() < route.prefix.size(); });
-    routes.insert(shorter, std::make_unique<http_route>(std::move(route)));
+    routes.insert(insertionPoint, std::make_unique<http_route>(std::move(route)));
 }
 
 void http_server::respond(exchange_id exchange, const http_answer& answer)
--- a/src/services/log_statistics.h
+++ b/src/services/log_statistics.h
@@ -15,7 +15,7 @@
 /** Also counts the lines that were not written, because of the rate limit or a slow reader. */
 class log_statistics {
 public:
-    /** Events that agree in all of these are counted together. */
+    /** Events with equal values of these fields are counted together. */
     struct event_kind {
         std::string service;
         std::string what;
--- a/src/services/metrics.cpp
+++ b/src/services/metrics.cpp
@@ -64,10 +64,10 @@
     std::string escaped(const std::string& value)
     {
         std::string text;
-        for (const char letter : value) {
-            if (letter == '"' || letter == '\\')
+        for (const char character : value) {
+            if (character == '"' || character == '\\')
                 text += '\\';
-            text += letter == '\n' ? ' ' : letter;
+            text += character == '\n' ? ' ' : character;
         }
         return text;
     }
--- a/src/services/operator_client.cpp
+++ b/src/services/operator_client.cpp
@@ -55,7 +55,7 @@
 {
     std::string failures;
     for (const network_address& entry : m_entries) {
-        absl::StatusOr<operator_answer> answer = askOne(entry, request);
+        absl::StatusOr<operator_answer> answer = sendTo(entry, request);
         if (answer.ok() && !isUnavailable(answer->status))
             return answer;
         const std::string reason = answer.ok() ? absl::StrCat("answered ", answer->status, " ", answer->body)
@@ -65,7 +65,7 @@
     return absl::UnavailableError(failures);
 }
 
-absl::StatusOr<operator_answer> operator_client::askOne(const network_address& entry, const operator_request& request)
+absl::StatusOr<operator_answer> operator_client::sendTo(const network_address& entry, const operator_request& request)
 {
     absl::StatusOr<operator_answer> result = absl::UnavailableError("did not answer");
     upstream_call call;
--- a/src/services/operator_client.h
+++ b/src/services/operator_client.h
@@ -46,7 +46,7 @@
 private:
     operator_client(std::unique_ptr<event_loop> loop, std::vector<network_address> entries, duration timeout);
 
-    absl::StatusOr<operator_answer> askOne(const network_address& entry, const operator_request& request);
+    absl::StatusOr<operator_answer> sendTo(const network_address& entry, const operator_request& request);
 
     std::unique_ptr<event_loop> m_loop;
     kernel_hooks m_hooks;
