Reword three comments in src/services

Cause: "caller" meant a calling function, and the rule for discarded log entries needed a second reading. Change: comments only.

--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -97,8 +97,8 @@
     file_hooks files;
     storage_port port;
     std::uint64_t generation = 0;
-    /** Log entries in state files of earlier generations are discarded. This is the generation of the snapshot if it
-     * was saved without the entries after it, else 0. */
+    /** Log entries in state files of earlier generations are discarded. Equal to the generation of the snapshot if that
+     * was saved without the log entries after it; otherwise 0, and no entries are discarded. */
     std::uint64_t firstValidGeneration = 0;
     std::optional<int> stateFile;
     absl::Status failure = absl::OkStatus();
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -139,7 +139,7 @@
         if (absl::IsUnauthenticated(why))
             hooks.log({ log_level::Warning, "peers", "a connection was not authenticated",
                 { { "why", std::string(why.message()) } } });
-        // The receiver is the caller of this function, so it is destroyed only in the next iteration of the event loop.
+        // The receiver is calling this function, so it is destroyed only in the next iteration of the event loop.
         hooks.schedule(duration::zero(), [this, number] { receivers.erase(number); });
     }
 
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -22,7 +22,7 @@
 
     /** Polls share the table of exchanges with calls; this bit distinguishes their keys. */
     constexpr std::uint64_t pollBit = std::uint64_t(1) << 63U;
-    /** Polls have a limit of their own, so that they are not refused when calls have reached the upstream's connection
+    /** Polls have a separate limit, so that they are not refused when calls have reached the upstream's connection
      * limit; they need only a few connections. */
     constexpr std::uint32_t pollConnectionLimit = 1U << 16U;
     constexpr int statusOk = 200;
