--- a/src/services/caller_front.h
+++ b/src/services/caller_front.h
@@ -27,7 +27,7 @@
 
 /** Translates `/s/{service}/...` to request_port and `GET /v1/entries` to entry_list_port.
  *
- * The stop is graceful (lame duck): this VM is removed from the entry lists that it gives out, each answer closes its
+ * The stop is graceful (lame duck): this VM is removed from the entry lists that it returns, each answer closes its
  * connection, requests are served until no caller can still hold a cached list with this VM (`lookupCacheTime` plus
  * `listPropagation`), and the requests in flight are finished. */
 class caller_front {
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -23,8 +23,8 @@
 struct http_connection_parts {
     event_base* base = nullptr;
     caller_limits limits;
-    /** The connection is closed after this time in which no byte of the next request arrived, or no byte of an answer
-     * could be written. */
+    /** The connection is closed if for this time no byte of the next request arrives or no byte of an answer can be
+     * written. */
     duration idleTimeout {};
     lingering_close& closing;
     /** A request is complete. The handler calls answer() at once or later. */
@@ -47,7 +47,7 @@
     const received_request& request() const { return m_parser.request(); }
     /** Whether a request has been received and not been answered. */
     bool isAwaitingAnswer() const { return m_state == state::Handling; }
-    /** Whether a request has begun to arrive, or its answer is not written completely. */
+    /** Whether a request has begun to arrive and its answer is not completely written yet. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
 
     /** Answers the current request; `last` closes the connection after the answer. */
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -35,8 +35,8 @@
 struct http_server_options {
     caller_limits limits;
     std::size_t maximumConnections = 10'000;
-    /** A connection is closed after this time in which no byte of the next request arrived, or no byte of an answer
-     * could be written. */
+    /** A connection is closed if for this time no byte of the next request arrives or no byte of an answer can be
+     * written. */
     duration idleTimeout = std::chrono::seconds(60);
     /** During a stop, connections whose request is still incomplete after this time are closed. */
     duration unfinishedGrace = std::chrono::seconds(5);
