Reword comments and rename identifiers of the request path

Cause: some comments and names needed a second reading. Change: comments on dispatch timing, retry window, hedging limit and attempt states reworded; worthStarting is now shouldStartCall, with its use in request_limits_test, and four private names are more specific.

--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -88,10 +88,10 @@
 void crash_guard::onPermit(const crash_key& key, const waiter& next, const claim_answer& answer)
 {
     const bool permitted = answer.state == claim_state::Claimed;
-    const bool stillOpen = m_tickets.contains(next.ticket);
-    if (permitted && !stillOpen)
+    const bool ticketIsOpen = m_tickets.contains(next.ticket);
+    if (permitted && !ticketIsOpen)
         m_parts.claims.settle(answer.held, outcome::NotRun, std::nullopt);
-    if (!stillOpen)
+    if (!ticketIsOpen)
         return;
     if (permitted)
         m_queues[key].permit = answer.held;
--- a/src/decision/request/hedge_policy.cpp
+++ b/src/decision/request/hedge_policy.cpp
@@ -22,9 +22,9 @@
     else
         m_samples[m_next] = latency;
     m_next = (m_next + 1) % size;
-    if (++m_sinceUpdate < samplesPerUpdate || m_samples.size() < minimumSamples)
+    if (++m_samplesSinceUpdate < samplesPerUpdate || m_samples.size() < minimumSamples)
         return;
-    m_sinceUpdate = 0;
+    m_samplesSinceUpdate = 0;
     m_p95 = percentile95(m_samples);
 }
 
--- a/src/decision/request/hedge_policy.h
+++ b/src/decision/request/hedge_policy.h
@@ -32,7 +32,7 @@
 private:
     std::vector<duration> m_samples;
     std::size_t m_next = 0;
-    std::size_t m_sinceUpdate = 0;
+    std::size_t m_samplesSinceUpdate = 0;
     std::optional<duration> m_p95;
 };
 
@@ -46,8 +46,8 @@
     static constexpr duration minimumDelay = std::chrono::milliseconds(5);
     /** The smoothing factor of the moving average of the share of attempts that waited for a slot. */
     static constexpr double waitingWeight = 1.0 / 16;
-    /** No hedges are allowed above this share, as slots are then scarce and hedges would take them from first attempts.
-     */
+    /** The maximum share of attempts that waited for a slot at which hedges are allowed. Above it, slots are scarce and
+     * hedges would take them from first attempts. */
     static constexpr double maximumWaitingShare = 0.2;
 
     void observeLatency(const service_id& service, duration latency) { m_records[service].latencies.add(latency); }
--- a/src/decision/request/outcome_tracker.h
+++ b/src/decision/request/outcome_tracker.h
@@ -41,7 +41,7 @@
 /** Returns the state after an event. A transition that is not in the table is an internal error. */
 attempt_state nextState(attempt_state state, attempt_event event);
 
-/** Whether an attempt in this state is certain neither to have run the request nor to run it later. */
+/** Whether an attempt in this state cannot have run the request, and cannot run it later. */
 bool definitelyNotRun(attempt_state state);
 
 /** Combines the final states of a request's attempts: if any upstream may have run the request, the outcome without an
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -33,7 +33,7 @@
     policies.claimsKey = [](const request_traits& traits) { return traits.needsClaim; };
     policies.unresolvedOutcome
         = [](const request_traits& traits) { return traits.needsClaim ? outcome::Unknown : outcome::NotRun; };
-    policies.worthStarting = [](const dispatch_timing& timing) {
+    policies.shouldStartCall = [](const dispatch_timing& timing) {
         const duration defaultLatency = std::min(timing.total / unknownLatencyDivisor, maximumUnknownLatency);
         const duration expectedLatency = timing.p95Latency.value_or(defaultLatency);
         return timing.remaining >= std::min({ expectedLatency, timing.total * 3 / 4, maximumRequiredTime });
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -46,7 +46,7 @@
     Cancelled,
 };
 
-/** The times that are known when a slot was granted and a call could be started. */
+/** The input of the decision whether to start a call after its slot was granted. */
 struct dispatch_timing {
     /** Time from now until the request's deadline. */
     duration remaining {};
@@ -65,7 +65,7 @@
      * run. */
     std::function<outcome(const request_traits&)> unresolvedOutcome;
     /** Whether a call should be started, given the likelihood of an answer before the deadline. */
-    std::function<bool(const dispatch_timing&)> worthStarting;
+    std::function<bool(const dispatch_timing&)> shouldStartCall;
     /** Whether the timeout of a call that was started with these times counts as a failure of the upstream. */
     std::function<bool(const dispatch_timing&)> countsAgainstUpstream;
     /** Whether calls that timed out are added to the latency samples. */
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -183,8 +183,9 @@
         finishWithLastResult();
         return;
     }
-    const duration propagation = std::min(m_environment.options.crashReportPropagationTime, remaining());
-    m_crashReportTimer = m_environment.hooks.schedule(propagation, whileRunning(&request_run::finishWithLastResult));
+    const duration propagationTime = std::min(m_environment.options.crashReportPropagationTime, remaining());
+    m_crashReportTimer
+        = m_environment.hooks.schedule(propagationTime, whileRunning(&request_run::finishWithLastResult));
 }
 
 bool request_run::tryRetry(const attempt_result& result)
--- a/src/decision/request/retry_budget.h
+++ b/src/decision/request/retry_budget.h
@@ -30,7 +30,7 @@
     std::uint64_t m_spent = 0;
     /** The saved budget in units of requests. The first retry is granted in advance; so the first `requestsPerRetry`
      * requests add nothing. */
-    std::uint64_t m_saved = requestsPerRetry;
+    std::uint64_t m_savedBudget = requestsPerRetry;
 };
 
 } // namespace plantainlatch
--- a/src/decision/request/retry_window.cpp
+++ b/src/decision/request/retry_window.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /** The window is divided into this many slices. Requests and retries leave the window by whole slices, so one may
-     * leave late by up to the length of a slice. */
+    /** The window is divided into this many slices. Counts expire one slice at a time, so a request or retry may be
+     * counted for up to the length of a slice too long. */
     constexpr int slicesPerWindow = 20;
 
 } // namespace
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -96,7 +96,7 @@
     m_gotSlot = true;
     const time_point now = m_environment.hooks.now();
     m_startedAt = now;
-    if (now < m_slot.dispatchBefore && m_environment.options.policies.worthStarting(timingAt(now))) {
+    if (now < m_slot.dispatchBefore && m_environment.options.policies.shouldStartCall(timingAt(now))) {
         call();
         return;
     }
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -26,7 +26,7 @@
     request_policies routedPolicies()
     {
         request_policies policies = defaultRequestPolicies();
-        policies.worthStarting = [](const dispatch_timing& timing) { return timing.remaining > minimumRemaining; };
+        policies.shouldStartCall = [](const dispatch_timing& timing) { return timing.remaining > minimumRemaining; };
         // Idle connections can be reused: each request names its upstream, and if another one receives it, its refusal
         // reports that it did not execute the request. A reused connection loses a request only if its peer no longer
         // answers.
--- a/test/correctness/request_limits_test.cpp
+++ b/test/correctness/request_limits_test.cpp
@@ -93,7 +93,7 @@
     const auto endsUnknown = [](bool broken) {
         request_options options;
         if (broken)
-            options.policies.worthStarting = [](const dispatch_timing&) { return true; };
+            options.policies.shouldStartCall = [](const dispatch_timing&) { return true; };
         request_cluster cluster(1, 1, 1, 1, options);
         cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 950ms }; };
         cluster.post(0, "first");
