--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -49,7 +49,7 @@
     duration leaseMargin = std::chrono::milliseconds(100);
     /** Entries are resent to a follower whose matched index did not advance for this long. */
     duration retransmitAfter = std::chrono::milliseconds(500);
-    /** A snapshot that was not acknowledged is resent after this. */
+    /** The time after which an unacknowledged snapshot is resent. */
     duration snapshotRetry = std::chrono::seconds(2);
     duration proposalResendInterval = std::chrono::milliseconds(700);
     duration joinInterval = std::chrono::milliseconds(300);
--- a/src/decision/consensus/durable_writes.h
+++ b/src/decision/consensus/durable_writes.h
@@ -19,8 +19,8 @@
     std::uint64_t begin(log_index lastIndex);
     /** Marks a write as completed. Actions that wait for it run once all earlier writes are completed too. */
     void complete(std::uint64_t number);
-    /** Lowers the durable index, and those of pending writes, to at most `index` - 1, as the entries from `index` on
-     * were removed from the log. */
+    /** Handles the removal of the entries from `index` on: limits the durable index, and the last index of each pending
+     * write, to `index` - 1. */
     void truncateFrom(log_index index);
     /** Runs `action` once all writes registered so far are durable; immediately if none is pending. */
     void whenDurable(std::function<void()> action);
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -50,7 +50,8 @@
     time_point leaseStart() const;
     /** Whether the lease is valid, so that no other leader can have been elected. */
     bool holdsLease() const;
-    /** Whether the first entry of the current term is applied, and with it everything that earlier leaders committed.
+    /** Whether the first entry of the current term is applied, and therefore all entries that earlier leaders
+     * committed.
      */
     bool hasAppliedOwnTerm() const { return m_replica.applied() >= m_firstOfTerm; }
 
