--- a/test/correctness/consensus_election_test.cpp
+++ b/test/correctness/consensus_election_test.cpp
@@ -31,7 +31,7 @@
         bool isLedByAnother() { return cluster->leader() != 0 && cluster->leader() != first; }
 
         /** Cuts the connection between `first` and `other` in both directions; all other connections work. */
-        void cutOffFromLeaderOnly()
+        void disconnectFromLeaderOnly()
         {
             cluster->network.cut(cluster->name(first), cluster->name(other));
             cluster->network.cut(cluster->name(other), cluster->name(first));
@@ -65,7 +65,7 @@
 TEST_CASE_METHOD(election_fixture, "voter.in_contact_with_the_leader.refuses_a_candidate_without_leader_contact")
 {
     begin();
-    cutOffFromLeaderOnly();
+    disconnectFromLeaderOnly();
     REQUIRE_FALSE(sawTwoLeaders(10s));
     REQUIRE(cluster->leader() == first);
 }
@@ -75,7 +75,7 @@
     consensus_mechanisms mechanisms;
     mechanisms.voteRefusalUnderLease = false;
     begin(mechanisms);
-    cutOffFromLeaderOnly();
+    disconnectFromLeaderOnly();
     REQUIRE(sawTwoLeaders(10s));
 }
 
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -12,7 +12,7 @@
     protected:
         change_fixture() { startWith({}); }
 
-        declaration withShare(std::uint64_t number, std::uint32_t weight)
+        declaration declarationWithShare(std::uint64_t number, std::uint32_t weight)
         {
             declaration content;
             content.number = change_number(number);
@@ -36,8 +36,8 @@
 TEST_CASE_METHOD(change_fixture, "change.same_number_and_other_content.is_a_conflict_that_describes_the_difference")
 {
     apply(apply_declaration { threeRegionDeclaration() });
-    REQUIRE(apply(apply_declaration { withShare(2, 5) }).verdict == command_verdict::Accepted);
-    const command_result second = apply(apply_declaration { withShare(2, 6) });
+    REQUIRE(apply(apply_declaration { declarationWithShare(2, 5) }).verdict == command_verdict::Accepted);
+    const command_result second = apply(apply_declaration { declarationWithShare(2, 6) });
     REQUIRE(second.verdict == command_verdict::Conflict);
     REQUIRE_THAT(second.message, Catch::Contains("share of 'booking' in 'kokura', but with other values"));
     REQUIRE(state().config.shares.begin()->second.weight == 5);
@@ -46,8 +46,8 @@
 TEST_CASE_METHOD(change_fixture, "change.replacing_an_earlier_configuration.is_a_conflict")
 {
     apply(apply_declaration { threeRegionDeclaration() });
-    apply(apply_declaration { withShare(2, 5) });
-    declaration stale = withShare(3, 6);
+    apply(apply_declaration { declarationWithShare(2, 5) });
+    declaration stale = declarationWithShare(3, 6);
     stale.replaces = change_number(1);
     REQUIRE(apply(apply_declaration { stale }).verdict == command_verdict::Conflict);
     REQUIRE(state().config.number == change_number(2));
@@ -69,7 +69,7 @@
 TEST_CASE_METHOD(change_fixture, "merge.withdrawal_of_a_used_region.is_reported_at_the_withdrawal")
 {
     apply(apply_declaration { threeRegionDeclaration() });
-    apply(apply_declaration { withShare(2, 5) });
+    apply(apply_declaration { declarationWithShare(2, 5) });
     declaration content;
     content.number = change_number(3);
     content.regions.withdrawn = { { { region_id("fukuoka"), {} }, { "n.yaml", 2, 5 } } };
@@ -82,7 +82,7 @@
 {
     apply(apply_declaration { threeRegionDeclaration() });
     const configuration earlier = state().config;
-    apply(apply_declaration { withShare(2, 5) });
+    apply(apply_declaration { declarationWithShare(2, 5) });
     declaration revert = declarationBetween(state().config, earlier);
     revert.number = change_number(3);
     revert.replaces = change_number(2);
--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -11,7 +11,7 @@
 
     /** Any service and failure domain may join, a later generation takes over an address, and flapping is not damped.
      */
-    constexpr directory_rules openRules { false, true, false };
+    constexpr directory_rules permissiveRules { false, true, false };
 
     class directory_state_fixture {
     protected:
@@ -19,7 +19,7 @@
         {
             proposal item;
             item.proposedAt = now;
-            return applyJoin(state, item, { offered }, openRules).verdict;
+            return applyJoin(state, item, { offered }, permissiveRules).verdict;
         }
 
         command_verdict leave(const upstream_announcement& offered, bool deregistered)
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -155,10 +155,10 @@
     const command_result first = apply(allToKirishima());
     REQUIRE(first.verdict == command_verdict::Refused);
     REQUIRE_THAT(first.message, Catch::Contains("region-overload: region 'kagoshima'"));
-    declaration acceptingRisk = allToKirishima();
-    acceptingRisk.acceptedRisks = { accepted_risk::RegionOverload };
-    REQUIRE(apply(acceptingRisk).verdict == command_verdict::Accepted);
-    REQUIRE(apply(acceptingRisk, "b").verdict == command_verdict::AlreadyAccepted);
+    declaration withAcceptedRisk = allToKirishima();
+    withAcceptedRisk.acceptedRisks = { accepted_risk::RegionOverload };
+    REQUIRE(apply(withAcceptedRisk).verdict == command_verdict::Accepted);
+    REQUIRE(apply(withAcceptedRisk, "b").verdict == command_verdict::AlreadyAccepted);
 }
 
 TEST_CASE_METHOD(operator_fixture, "apply.two_operators_with_one_number.get_one_change_and_one_conflict")
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -50,7 +50,8 @@
             settings.self.region = region_id("here");
             control.state = [this]() -> const control_snapshot& { return state; };
             control.onSteeringChange = [this](std::function<void()> listener) { changed = std::move(listener); };
-            upstreams.closeIdleConnections = [this](const network_address& address) { forgotten.insert(address); };
+            upstreams.closeIdleConnections
+                = [this](const network_address& address) { addressesWithClosedConnections.insert(address); };
             state.config.services[service_id("booking")].coldTime = 3s;
             state.config.services[service_id("booking")].coldRate = 2;
             for (const char* region : { "here", "there" }) {
@@ -124,7 +125,7 @@
         control_port control;
         upstream_port upstreams;
         std::function<void()> changed;
-        std::set<network_address> forgotten;
+        std::set<network_address> addressesWithClosedConnections;
         std::vector<region_id> allowed;
         std::unique_ptr<placement_service> subject;
         std::unique_ptr<kernel> core;
@@ -343,7 +344,7 @@
     const slot_answer held = place("court 7");
     state.directory.clear();
     changed();
-    REQUIRE(forgotten.contains(upstream.address));
+    REQUIRE(addressesWithClosedConnections.contains(upstream.address));
     REQUIRE(placedAt("court 7").empty());
     release(held, slot_result::kind::Answered);
 }
@@ -403,7 +404,7 @@
 {
     add(makeUpstream("local0", "here"));
     start();
-    const auto expectedOf = [](const slot_answer& placed) {
+    const auto expectedMilliseconds = [](const slot_answer& placed) {
         for (const log_field& input : placed.inputs) {
             if (input.name == "expected_ms")
                 return input.value;
@@ -416,7 +417,7 @@
     release(before, slot_result::kind::Unused);
     for (int i = 0; i < 12; ++i)
         release(place("new" + std::to_string(i)), slot_result::kind::Answered, 900ms);
-    REQUIRE(expectedOf(place("known")) == expectedOf(before));
+    REQUIRE(expectedMilliseconds(place("known")) == expectedLatencyOf(before));
 }
 
 } // namespace plantainlatch
--- a/test/correctness/request_crash_test.cpp
+++ b/test/correctness/request_crash_test.cpp
@@ -14,7 +14,7 @@
         static constexpr std::size_t entryCount = 7;
         static constexpr std::size_t upstreamCount = 12;
 
-        static void crashOn(request_cluster& cluster, const std::string& target)
+        static void crashUpstreamsOnTarget(request_cluster& cluster, const std::string& target)
         {
             cluster.upstreams.behaviour = [target](const upstream_call& call) {
                 return call_behaviour { call.target == target ? kind::Crash : kind::Answer, 20ms };
@@ -28,7 +28,7 @@
         static std::size_t crashesOfResends(const request_options& options)
         {
             request_cluster cluster(1, entryCount, upstreamCount, 3, options);
-            crashOn(cluster, "/bad");
+            crashUpstreamsOnTarget(cluster, "/bad");
             cluster.get(0, "/bad");
             for (int round = 0; round < 20; ++round) {
                 while (!cluster.sent.back()->answer)
@@ -43,7 +43,7 @@
         static std::size_t crashesOfOneBurst(std::size_t resendsPerEntry)
         {
             request_cluster cluster(1, entryCount, upstreamCount, 3);
-            crashOn(cluster, "/bad");
+            crashUpstreamsOnTarget(cluster, "/bad");
             for (std::size_t i = 0; i < entryCount * resendsPerEntry; ++i)
                 cluster.get(i % entryCount, "/bad");
             cluster.runtime.advance(3s);
@@ -67,10 +67,10 @@
     request_options broken;
     broken.crashReportPropagationTime = 0ms;
     broken.maximumAttempts = 1;
-    request_options correct;
-    correct.maximumAttempts = 1;
+    request_options withPropagationTime;
+    withPropagationTime.maximumAttempts = 1;
     REQUIRE(crashesOfResends(broken) > 3);
-    REQUIRE(crashesOfResends(correct) <= 3);
+    REQUIRE(crashesOfResends(withPropagationTime) <= 3);
 }
 
 TEST_CASE_METHOD(
@@ -83,7 +83,7 @@
 TEST_CASE_METHOD(request_crash_fixture, "crash.two_upstreams_crashed.equal_requests_are_refused_and_others_still_run")
 {
     request_cluster cluster(1, 2, upstreamCount, 3);
-    crashOn(cluster, "/bad");
+    crashUpstreamsOnTarget(cluster, "/bad");
     cluster.get(0, "/bad");
     cluster.runtime.advance(2s);
     const caller_record& refused = cluster.get(1, "/bad");
@@ -97,7 +97,7 @@
 TEST_CASE_METHOD(request_crash_fixture, "crash.log_unavailable.is_still_refused_at_the_entry_that_observed_it")
 {
     request_cluster cluster(1, 1, upstreamCount, 3);
-    crashOn(cluster, "/bad");
+    crashUpstreamsOnTarget(cluster, "/bad");
     cluster.entries[0].log->behaviour = [](const control_command&) { return proposal_behaviour { 0ms, false }; };
     for (int i = 0; i < 20; ++i) {
         cluster.get(0, "/bad");
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -13,7 +13,7 @@
 
     class request_outcome_fixture {
     protected:
-        void firstCallEnds(request_cluster& cluster, kind ends)
+        void setFirstCallEnd(request_cluster& cluster, kind ends)
         {
             cluster.upstreams.behaviour = [&cluster, ends](const upstream_call&) {
                 return call_behaviour { cluster.upstreams.calls.empty() ? ends : kind::Answer, 20ms };
@@ -23,7 +23,7 @@
         caller_answer answerTo(const std::string& method, kind ends)
         {
             request_cluster cluster(1, 1, 3, 2);
-            firstCallEnds(cluster, ends);
+            setFirstCallEnd(cluster, ends);
             const caller_record& sent = method == "GET" ? cluster.get(0, "/frames/7") : cluster.post(0, "order");
             cluster.runtime.advance(11s);
             REQUIRE(sent.answers == 1);
--- a/test/correctness/retry_window_test.cpp
+++ b/test/correctness/retry_window_test.cpp
@@ -19,7 +19,7 @@
             return result;
         }
 
-        int spendAll()
+        int countAllowedRetries()
         {
             int spent = 0;
             while (subject.tryAcquire(booking, now, 2))
@@ -34,18 +34,21 @@
 
 } // namespace
 
-TEST_CASE_METHOD(retry_window_fixture, "retry_window.no_requests.allows_only_the_slack") { REQUIRE(spendAll() == 3); }
+TEST_CASE_METHOD(retry_window_fixture, "retry_window.no_requests.allows_only_the_slack")
+{
+    REQUIRE(countAllowedRetries() == 3);
+}
 
 TEST_CASE_METHOD(retry_window_fixture, "retry_window.requests.add_their_share")
 {
     for (int i = 0; i < 50; ++i)
         subject.recordRequest(booking, now);
-    REQUIRE(spendAll() == 13);
+    REQUIRE(countAllowedRetries() == 13);
 }
 
 TEST_CASE_METHOD(retry_window_fixture, "retry_window.two_services.have_separate_budgets")
 {
-    REQUIRE(spendAll() == 3);
+    REQUIRE(countAllowedRetries() == 3);
     REQUIRE(subject.tryAcquire(service_id("billing"), now, 2));
 }
 
--- a/test/correctness/slot_allocator_test.cpp
+++ b/test/correctness/slot_allocator_test.cpp
@@ -17,7 +17,7 @@
             subject = std::make_unique<slot_allocator>(
                 region_id("r"), allocator_epoch(1), std::set<vm_id> {}, now, options);
             setGeneration(1);
-            REQUIRE(grantedTo("holder", 1, warmSlots, {}) == warmSlots);
+            REQUIRE(grantedSlots("holder", 1, warmSlots, {}) == warmSlots);
         }
 
         void setGeneration(std::uint64_t generation)
@@ -34,7 +34,7 @@
         }
 
         /** Sends a report of a VM and returns how many slots the grant gives it. */
-        std::uint32_t grantedTo(
+        std::uint32_t grantedSlots(
             const std::string& vm, std::uint64_t sequence, std::uint32_t waiting, std::vector<per_upstream_count> held)
         {
             slot_report report;
@@ -66,18 +66,18 @@
 {
     begin(4);
     setGeneration(2);
-    REQUIRE(grantedTo("other", 1, 2, {}) == 0);
-    grantedTo("holder", 2, 0, {});
-    REQUIRE(grantedTo("other", 2, 2, {}) == 2);
+    REQUIRE(grantedSlots("other", 1, 2, {}) == 0);
+    grantedSlots("holder", 2, 0, {});
+    REQUIRE(grantedSlots("other", 2, 2, {}) == 2);
 }
 
 TEST_CASE_METHOD(
     slot_allocator_fixture, "slot_allocator.recalled_slot.is_allocated_to_the_waiting_vm_not_to_its_former_holder")
 {
     begin(1);
-    REQUIRE(grantedTo("other", 1, 1, {}) == 0);
-    REQUIRE(grantedTo("holder", 2, 0, {}) == 0);
-    REQUIRE(grantedTo("other", 2, 1, { { upstream_id("u"), upstream_generation(1), 1 } }) == 1);
+    REQUIRE(grantedSlots("other", 1, 1, {}) == 0);
+    REQUIRE(grantedSlots("holder", 2, 0, {}) == 0);
+    REQUIRE(grantedSlots("other", 2, 1, { { upstream_id("u"), upstream_generation(1), 1 } }) == 1);
 }
 
 } // namespace plantainlatch
