--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.undeclared_service.joins_under_open_rules")
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.undeclared_service.joins_under_permissive_rules")
 {
     REQUIRE(join(first) == command_verdict::Accepted);
 }
@@ -89,7 +89,8 @@
     REQUIRE(state.directory.empty());
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.return_after_expiration.is_not_delayed_under_open_rules")
+TEST_CASE_METHOD(
+    directory_state_fixture, "directory_state.return_after_expiration.is_not_delayed_under_permissive_rules")
 {
     for (int i = 0; i < 10; ++i) {
         first.generation = upstream_generation(100 + static_cast<std::uint64_t>(i));
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -417,7 +417,7 @@
     release(before, slot_result::kind::Unused);
     for (int i = 0; i < 12; ++i)
         release(place("new" + std::to_string(i)), slot_result::kind::Answered, 900ms);
-    REQUIRE(expectedMilliseconds(place("known")) == expectedLatencyOf(before));
+    REQUIRE(expectedMilliseconds(place("known")) == expectedMilliseconds(before));
 }
 
 } // namespace plantainlatch
