--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -11,7 +11,7 @@
 
     /** Any service and failure domain may join, a later generation takes over an address, and flapping is not damped.
      */
-    constexpr directory_rules openRules { false, true, false };
+    constexpr directory_rules permissiveRules { false, true, false };
 
     class directory_state_fixture {
     protected:
@@ -19,7 +19,7 @@
         {
             proposal item;
             item.proposedAt = now;
-            return applyJoin(state, item, { offered }, openRules).verdict;
+            return applyJoin(state, item, { offered }, permissiveRules).verdict;
         }
 
         command_verdict leave(const upstream_announcement& offered, bool deregistered)
@@ -36,7 +36,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.undeclared_service.joins_under_open_rules")
+TEST_CASE_METHOD(directory_state_fixture, "directory_state.undeclared_service.joins_under_permissive_rules")
 {
     REQUIRE(join(first) == command_verdict::Accepted);
 }
@@ -89,7 +89,8 @@
     REQUIRE(state.directory.empty());
 }
 
-TEST_CASE_METHOD(directory_state_fixture, "directory_state.return_after_expiration.is_not_delayed_under_open_rules")
+TEST_CASE_METHOD(
+    directory_state_fixture, "directory_state.return_after_expiration.is_not_delayed_under_permissive_rules")
 {
     for (int i = 0; i < 10; ++i) {
         first.generation = upstream_generation(100 + static_cast<std::uint64_t>(i));
