Reword comments and rename vague private names in slots, placement and test fixtures

Some comments left their referent open ("there", "until then"), and names such as isOld, nearCount, inTime and agreed were vague. They now name the thing.

--- a/src/decision/entries/entry_list_service.cpp
+++ b/src/decision/entries/entry_list_service.cpp
@@ -24,7 +24,8 @@
         return !nearRegion.empty() && vm.region == nearRegion ? 1 : 2;
     }
 
-    /** Orders entries of equal distance differently for each failure domain, which spreads the callers over them. */
+    /** Orders entries of equal distance differently for each failure domain, which spreads the callers over the
+     * entries. */
     std::size_t spreadRankOf(const vm_record& vm, const failure_domain_id& near)
     {
         return absl::HashOf(vm.id.value(), near.value());
@@ -119,11 +120,11 @@
     };
     std::sort(chosen.begin(), chosen.end(),
         [&](const vm_record& left, const vm_record& right) { return rank(left) < rank(right); });
-    const auto isFar = [&](const vm_record& vm) { return nearRegion.empty() || vm.region != nearRegion; };
-    const auto firstFar = std::find_if(chosen.begin(), chosen.end(), isFar);
-    const auto nearCount = static_cast<std::size_t>(firstFar - chosen.begin());
-    if (m_options.regionOnlyThreshold > 0 && nearCount >= m_options.regionOnlyThreshold)
-        chosen.erase(firstFar, chosen.end());
+    const auto isOutsideRegion = [&](const vm_record& vm) { return nearRegion.empty() || vm.region != nearRegion; };
+    const auto firstOutsideRegion = std::find_if(chosen.begin(), chosen.end(), isOutsideRegion);
+    const auto inRegionCount = static_cast<std::size_t>(firstOutsideRegion - chosen.begin());
+    if (m_options.regionOnlyThreshold > 0 && inRegionCount >= m_options.regionOnlyThreshold)
+        chosen.erase(firstOutsideRegion, chosen.end());
     chosen.resize(std::min(chosen.size(), m_options.maximumEntries));
     entry_list result;
     result.cacheTime = m_settings.lookupCacheTime;
--- a/src/decision/lookup/block_table.h
+++ b/src/decision/lookup/block_table.h
@@ -51,7 +51,7 @@
     void addRange(client_address first, std::uint16_t site);
     void buildIndex();
 
-    /** The first address of each range, which ends before the next range. */
+    /** The first address of each range; a range extends to the start of the next one. */
     std::vector<client_address> m_rangeStarts;
     std::vector<std::uint16_t> m_sites;
     /** For each value of the upper 16 bits of an address, the first range that begins at or after it. */
--- a/src/decision/membership/allocator_assignment.cpp
+++ b/src/decision/membership/allocator_assignment.cpp
@@ -52,7 +52,7 @@
         const control_snapshot& state, const region_id& region, const vm_report& report, time_point now)
     {
         return isEligible(state, report) && isOfRegion(state, report.last.vm, region)
-            && now - report.aliveSince >= homeReturnDelay;
+            && now - report.aliveSince >= localTakeoverDelay;
     }
 
     assign_allocator assignmentTo(const vm_report& report, const region_id& region, allocator_epoch current)
--- a/src/decision/membership/allocator_leases.h
+++ b/src/decision/membership/allocator_leases.h
@@ -32,7 +32,7 @@
     }
 
     /** To be called when this VM becomes leader. An earlier leader may have granted leases until now, so every region's
-     * lease is treated as held until a lease that was granted now would end. */
+     * lease is treated as held until a lease granted at `now` would have ended. */
     void beginTerm(time_point now);
 
     /** Records the lease of an epoch whose holder reported it after the term began; no other epoch of the region can
--- a/src/decision/placement/latency_model.h
+++ b/src/decision/placement/latency_model.h
@@ -16,7 +16,7 @@
 enum class object_state {
     /** It recently answered a request of this entry for the object. */
     Known,
-    /** It is the object's home, so that other entries may have sent requests for the object there. */
+    /** It is the object's home, so other entries may have sent requests for the object to it. */
     Likely,
     Unknown,
 };
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -272,8 +272,8 @@
     answer.inputs = inputsOf(request, chosen, excluded);
     const bool isEmpty = orderFor({ request.service, request.policy.allowedRegions }).order.empty();
     answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
-    const bool inTime = chosen.upstream != nullptr && chosen.total < timeLimit(request);
-    if (!inTime) {
+    const bool meetsTimeLimit = chosen.upstream != nullptr && chosen.total < timeLimit(request);
+    if (!meetsTimeLimit) {
         ++m_refused;
         done(answer);
         return {};
--- a/src/decision/placement/upstream_stats.h
+++ b/src/decision/placement/upstream_stats.h
@@ -18,7 +18,7 @@
 /** Tracks load, slowness, failures, ejection and the cold start of one upstream. */
 class upstream_stats {
 public:
-    /** Marks the upstream as cold at least until then. */
+    /** Marks the upstream as cold at least until `until`. */
     void extendColdUntil(time_point until);
     /** Sets the end of the cold start, as the upstream reported it. */
     void setColdUntil(time_point until) { m_coldUntil = until; }
--- a/src/decision/slots/allocator_client.h
+++ b/src/decision/slots/allocator_client.h
@@ -66,7 +66,7 @@
 
     /** Sends a report as soon as the last one is answered by a grant or has timed out. */
     void reportSoon(const region_id& region);
-    /** Reports to the local region if at least twice as many requests wait as were last reported. */
+    /** Reports to the local region's allocator if at least twice as many requests wait as the last report stated. */
     void reportIfDemandGrew(const service_id& service);
     /** Requests slots of a service from another region; replaces an earlier request for that region and service. */
     void requestSlots(const region_id& region, const service_id& service, std::uint32_t count);
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -53,8 +53,8 @@
 {
     const holder_key key { from.vm, report.start };
     const auto known = m_holders.find(key);
-    const bool isOld = known != m_holders.end() && report.sequence <= known->second.sequence;
-    if (report.epoch != m_epoch || isOld)
+    const bool isOutdated = known != m_holders.end() && report.sequence <= known->second.sequence;
+    if (report.epoch != m_epoch || isOutdated)
         return {};
     holder& item = applyReport(key, from, report, now);
     allocateForDemand(item);
@@ -395,17 +395,17 @@
     shown.add("unaccounted_vms", static_cast<std::uint64_t>(m_unaccountedVms.size()));
     state_dump& upstreams = shown.addObject("upstreams");
     for (const auto& [key, item] : m_upstreams) {
-        state_dump& shownUpstream = upstreams.addObject(key.id.value());
-        shownUpstream.add("capacity", static_cast<std::uint64_t>(item.info.capacity));
-        shownUpstream.add("lent", static_cast<std::uint64_t>(item.allocated));
-        shownUpstream.add("unaccounted", static_cast<std::uint64_t>(item.unaccounted));
-        shownUpstream.add("available", static_cast<std::uint64_t>(available(item)));
+        state_dump& upstreamDump = upstreams.addObject(key.id.value());
+        upstreamDump.add("capacity", static_cast<std::uint64_t>(item.info.capacity));
+        upstreamDump.add("lent", static_cast<std::uint64_t>(item.allocated));
+        upstreamDump.add("unaccounted", static_cast<std::uint64_t>(item.unaccounted));
+        upstreamDump.add("available", static_cast<std::uint64_t>(available(item)));
     }
     state_dump& holders = shown.addObject("holders");
     for (const auto& [key, item] : m_holders) {
-        state_dump& shownHolder = holders.addObject(key.vm.value());
-        shownHolder.add("lease_left", duration(item.leaseEnd - now));
-        shownHolder.add("upstreams", static_cast<std::uint64_t>(item.held.size()));
+        state_dump& holderDump = holders.addObject(key.vm.value());
+        holderDump.add("lease_left", duration(item.leaseEnd - now));
+        holderDump.add("upstreams", static_cast<std::uint64_t>(item.held.size()));
     }
     return shown;
 }
--- a/src/decision/slots/slot_holdings.cpp
+++ b/src/decision/slots/slot_holdings.cpp
@@ -150,10 +150,10 @@
     shown.add("lease_left", duration(m_leaseUntil - now));
     state_dump& list = shown.addObject("upstreams");
     for (const auto& [id, item] : m_holdings) {
-        state_dump& shownItem = list.addObject(id.value());
-        shownItem.add("held", static_cast<std::uint64_t>(item.count));
-        shownItem.add("in_use", static_cast<std::uint64_t>(item.inUse));
-        shownItem.add("recalled", static_cast<std::uint64_t>(item.recalled));
+        state_dump& upstreamDump = list.addObject(id.value());
+        upstreamDump.add("held", static_cast<std::uint64_t>(item.count));
+        upstreamDump.add("in_use", static_cast<std::uint64_t>(item.inUse));
+        upstreamDump.add("recalled", static_cast<std::uint64_t>(item.recalled));
     }
     return shown;
 }
--- a/src/decision/slots/slot_picker.h
+++ b/src/decision/slots/slot_picker.h
@@ -53,7 +53,7 @@
 /** The failure domain that a request of a service should go to. */
 struct domain_choice {
     failure_domain_id failureDomain;
-    /** The shift that moved the request there, if any. */
+    /** The shift that moved the request to `failureDomain`, if any. */
     std::optional<shift_id> shift;
 };
 
--- a/src/decision/slots/slot_service.cpp
+++ b/src/decision/slots/slot_service.cpp
@@ -92,7 +92,7 @@
         finishStop();
         stopped();
     };
-    if (m_uses.empty()) {
+    if (m_slotsInUse.empty()) {
         std::exchange(m_onIdle, nullptr)();
         return;
     }
@@ -259,7 +259,7 @@
     slot_holdings& holdings = m_allocatorClient.holdingsOf(region);
     holdings.take(upstream.announcement.id);
     const slot_handle handle(++m_lastHandle);
-    m_uses[handle] = { upstream.announcement, false };
+    m_slotsInUse[handle] = { upstream.announcement, false };
     ++m_counters.given;
     m_counters.spilledOver += region == m_settings.self.region ? 0 : 1;
     return { handle, upstream.announcement, holdings.leaseUntil() };
@@ -269,8 +269,8 @@
 
 void slot_service::release(slot_handle handle, const slot_result& result)
 {
-    const auto found = m_uses.find(handle);
-    internal_assert(found != m_uses.end() && !found->second.settling)
+    const auto found = m_slotsInUse.find(handle);
+    internal_assert(found != m_slotsInUse.end() && !found->second.settling)
         << "slot handle " << handle.value() << " is released twice";
     const time_point now = m_hooks.now();
     const upstream_announcement upstream = found->second.upstream;
@@ -289,10 +289,10 @@
 
 void slot_service::freeSlot(slot_handle handle)
 {
-    const auto found = m_uses.find(handle);
-    internal_assert(found != m_uses.end()) << "slot handle " << handle.value() << " is freed twice";
+    const auto found = m_slotsInUse.find(handle);
+    internal_assert(found != m_slotsInUse.end()) << "slot handle " << handle.value() << " is freed twice";
     const upstream_announcement upstream = found->second.upstream;
-    m_uses.erase(found);
+    m_slotsInUse.erase(found);
     if (m_stopped)
         return;
     slot_holdings& holdings = m_allocatorClient.holdingsOf(upstream.region);
@@ -301,7 +301,7 @@
     if (item != holdings.holdings().end() && item->second.recalled > 0)
         m_allocatorClient.reportSoon(upstream.region);
     serveFront(upstream.service, m_hooks.now());
-    if (m_uses.empty() && m_onIdle)
+    if (m_slotsInUse.empty() && m_onIdle)
         std::exchange(m_onIdle, nullptr)();
 }
 
@@ -400,7 +400,7 @@
     shown.add("left_region", m_counters.spilledOver);
     shown.add("reports", m_allocatorClient.reportsSent());
     shown.add("grants", m_allocatorClient.grantsApplied());
-    shown.add("in_use", static_cast<std::uint64_t>(m_uses.size()));
+    shown.add("in_use", static_cast<std::uint64_t>(m_slotsInUse.size()));
     state_dump& regions = shown.addObject("regions");
     for (const auto& [region, holdings] : m_allocatorClient.holdings())
         regions.children.push_back(holdings.dump(m_hooks.now()));
--- a/src/decision/slots/slot_service.h
+++ b/src/decision/slots/slot_service.h
@@ -53,7 +53,7 @@
      * moves between regions is idle for a round trip. */
     duration spilloverDelay = std::chrono::milliseconds(25);
     int spilloverLatencyFactor = 2;
-    /** While any request has waited for that long, slots are requested from one other region per interval,
+    /** While any request has waited long enough to spill over, slots are requested from one other region per interval,
      * round-robin. */
     duration spilloverInterval = std::chrono::milliseconds(100);
     /** Maximum number of waiting requests of one service; further ones are refused. */
@@ -142,7 +142,7 @@
     allocator_host m_host;
     slot_queue m_queue;
     allocator_client m_allocatorClient;
-    std::map<slot_handle, use> m_uses;
+    std::map<slot_handle, use> m_slotsInUse;
     std::map<service_id, timer_id> m_spilloverTimers;
     std::map<service_id, std::size_t> m_spilloverRotation;
     timer_id m_expiryTimer;
--- a/src/decision/slots/upstream_table.h
+++ b/src/decision/slots/upstream_table.h
@@ -37,7 +37,7 @@
 /** Combines the directory with the limits, withdrawals and drains that apply to each upstream. */
 upstream_table makeUpstreamTable(const control_snapshot& state);
 
-/** The longest deadline of any service, and so the longest time that a request may run after its dispatch. */
+/** The longest deadline of any service, which also bounds how long a request may run after its dispatch. */
 duration longestDeadline(const configuration& config);
 
 } // namespace plantainlatch
--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -102,7 +102,7 @@
         if (open->ended || open->life.expired())
             return;
         const bool isRefused = isTooLate || open->upstream == nullptr || !open->upstream->up;
-        if (isTooLate || (!isPooled && (isRefused || !reachesNow(*open))))
+        if (isTooLate || (!isPooled && (isRefused || !isReachable(*open))))
             fail(open, call_failure::ConnectFailed);
         else
             dispatch(open);
@@ -112,7 +112,7 @@
 void fake_upstreams::dispatch(const call_pointer& call)
 {
     call->events.onDispatch();
-    if (call->ended || m_silentConnections.contains({ call->vm, call->call.upstream }) || !reachesNow(*call))
+    if (call->ended || m_silentConnections.contains({ call->vm, call->call.upstream }) || !isReachable(*call))
         return;
     m_runtime.schedule(networkDelay, [this, call] { arrive(call); });
 }
@@ -204,10 +204,10 @@
 
 void fake_upstreams::answer(const call_pointer& call, upstream_answer content)
 {
-    if (!reachesNow(*call))
+    if (!isReachable(*call))
         return;
     m_runtime.schedule(networkDelay, [this, call, content = std::move(content)] {
-        if (call->ended || call->life.expired() || !reachesNow(*call))
+        if (call->ended || call->life.expired() || !isReachable(*call))
             return;
         call->ended = true;
         m_calls.erase({ call->vm, call->call.id });
@@ -234,7 +234,7 @@
     call->ended = true;
     // The upstream notices the closed connection after the network delay. Across a partition it does not notice, and
     // the request's timeout bounds how long it runs.
-    if (call->upstream != nullptr && reachesNow(*call))
+    if (call->upstream != nullptr && isReachable(*call))
         m_runtime.schedule(networkDelay, [this, call] { stopRunning(call); });
 }
 
@@ -250,7 +250,7 @@
     upstream.runningCalls.clear();
     std::vector<call_pointer> lost;
     for (const auto& [key, call] : m_calls) {
-        if (call->upstream == &upstream && call->running && reachesNow(*call))
+        if (call->upstream == &upstream && call->running && isReachable(*call))
             lost.push_back(call);
     }
     for (const call_pointer& call : lost)
--- a/test/random/fake_upstreams.h
+++ b/test/random/fake_upstreams.h
@@ -58,7 +58,7 @@
     void noteDrain(const upstream_id& id, bool draining);
     /** Makes pooled connections from the VM to the upstream drop requests until a new connection is opened. */
     void silence(const vm_id& vm, const upstream_id& id) { m_silentConnections.insert({ vm, id }); }
-    /** Ends the faults in `faults` and restores silent connections. */
+    /** Ends the faults in `faults` and makes silent connections answer again. */
     void endFaults();
 
     /** How often the request with this target ran. */
@@ -103,7 +103,7 @@
     upstream_state* findAddress(const network_address& address);
     /** True with a probability of `perMille` / 1000. */
     bool happens(std::uint64_t perMille) { return perMille > 0 && m_runtime.random() % 1000 < perMille; }
-    bool reachesNow(const open_call& call) const { return reaches(call.vm, call.upstream->announced.region); }
+    bool isReachable(const open_call& call) const { return reaches(call.vm, call.upstream->announced.region); }
     void announce(const upstream_id& id);
     void restart(const upstream_id& id);
     void start(const vm_id& vm, const std::weak_ptr<bool>& life, upstream_call call, call_events events);
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -72,7 +72,7 @@
                 return behaviour;
             if (oneIn(20))
                 behaviour.delay = std::chrono::milliseconds(below(4000));
-            behaviour.agreed = !oneIn(30);
+            behaviour.committed = !oneIn(30);
             behaviour.answered = !oneIn(30);
             return behaviour;
         }
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -21,7 +21,7 @@
     constexpr duration step = std::chrono::milliseconds(20);
     constexpr int steps = 3000;
 
-    /** Which waits of the allocator are disabled; the test must then find an overload. */
+    /** The waits of the allocator that are disabled; with any of them disabled, the test must find an overload. */
     struct disabled_waits {
         bool earlierAllocations = false;
         bool silentHolders = false;
--- a/test/support/control_fixture.h
+++ b/test/support/control_fixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * A fixture with a control service on a simulated clock and a stub of the replicated log that applies commands at once;
- * and the declarations, announcements and VM records that tests share.
+ * A fixture with a control service on a simulated clock and a stub of the replicated log that applies commands at once.
+ * Also provides the declarations, announcements and VM records that tests share.
  */
 
 #include <memory>
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -43,19 +43,19 @@
     const proposal item { m_last, {}, std::move(command) };
     const proposal_behaviour decided = behaviour(item.command);
     paused_runtime& runtime = m_log.m_runtime;
-    const bool inTime = decided.agreed && decided.answered && decided.delay <= timeout;
-    if (decided.agreed) {
-        runtime.schedule(decided.delay, [log = &m_log, item, inTime, done, refused = decided.refused] {
+    const bool answersInTime = decided.committed && decided.answered && decided.delay <= timeout;
+    if (decided.committed) {
+        runtime.schedule(decided.delay, [log = &m_log, item, answersInTime, done, refused = decided.refused] {
             command_result result;
             if (refused)
                 result.verdict = command_verdict::Refused;
             else
                 result = log->append(item);
-            if (inTime)
+            if (answersInTime)
                 done(result);
         });
     }
-    if (!inTime)
+    if (!answersInTime)
         runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("no answer from the log")); });
     return m_last;
 }
--- a/test/support/fake_log.h
+++ b/test/support/fake_log.h
@@ -22,7 +22,7 @@
     /** The time from the proposal until it is committed. */
     duration delay = std::chrono::milliseconds(2);
     /** Whether the proposal is committed. */
-    bool agreed = true;
+    bool committed = true;
     /** Whether the proposer gets the result; otherwise it gets DeadlineExceeded. */
     bool answered = true;
     /** The log refuses the proposal without applying it, as it does when the proposal is too old to detect duplicates.
