Name the locals of the slot allocator and the allocator assignment

Locals such as now (a map), open, fair, already, more and after were vague; the code says equal share in its comments.

--- a/src/decision/membership/allocator_assignment.cpp
+++ b/src/decision/membership/allocator_assignment.cpp
@@ -33,19 +33,19 @@
         return found == live.end() ? nullptr : &*found;
     }
 
-    const vm_report* findBest(
+    const vm_report* findPreferred(
         const control_snapshot& state, const region_id& region, const std::vector<vm_report>& live)
     {
-        const vm_report* best = nullptr;
+        const vm_report* preferred = nullptr;
         const auto rank = [&](const vm_report& report) {
             return std::make_tuple(!isEligible(state, report), !isOfRegion(state, report.last.vm, region),
                 roleCount(state, report.last.vm), report.last.vm);
         };
         for (const vm_report& report : live) {
-            if (best == nullptr || rank(report) < rank(*best))
-                best = &report;
+            if (preferred == nullptr || rank(report) < rank(*preferred))
+                preferred = &report;
         }
-        return best;
+        return preferred;
     }
 
     bool isStableInRegion(
@@ -65,20 +65,20 @@
 std::optional<assign_allocator> chooseAllocator(
     const control_snapshot& state, const region_id& region, const std::vector<vm_report>& live, time_point now)
 {
-    const vm_report* best = findBest(state, region, live);
-    if (best == nullptr)
+    const vm_report* preferred = findPreferred(state, region, live);
+    if (preferred == nullptr)
         return {};
     const auto current = state.allocators.find(region);
     if (current == state.allocators.end())
-        return assignmentTo(*best, region, allocator_epoch());
+        return assignmentTo(*preferred, region, allocator_epoch());
     const allocator_record& record = current->second;
     const vm_report* holder = findReport(live, record);
-    const bool canImprove = isEligible(state, *best) || holder == nullptr;
-    if (holder == nullptr || (!isEligible(state, *holder) && canImprove && best != holder))
-        return assignmentTo(*best, region, record.epoch);
+    const bool canImprove = isEligible(state, *preferred) || holder == nullptr;
+    if (holder == nullptr || (!isEligible(state, *holder) && canImprove && preferred != holder))
+        return assignmentTo(*preferred, region, record.epoch);
     const bool isOutside = !isOfRegion(state, record.vm, region);
-    if (isOutside && isStableInRegion(state, region, *best, now))
-        return assignmentTo(*best, region, record.epoch);
+    if (isOutside && isStableInRegion(state, region, *preferred, now))
+        return assignmentTo(*preferred, region, record.epoch);
     return {};
 }
 
--- a/src/decision/slots/slot_allocator.cpp
+++ b/src/decision/slots/slot_allocator.cpp
@@ -107,17 +107,17 @@
 
 void slot_allocator::applyHeldSlots(holder& item, bool isFirst, const std::vector<per_upstream_count>& held)
 {
-    std::map<upstream_key, std::uint32_t> now;
+    std::map<upstream_key, std::uint32_t> reported;
     for (const per_upstream_count& entry : held)
-        now[{ entry.upstream, entry.generation }] += entry.count;
-    const auto before = item.held;
-    for (const auto& [key, count] : before) {
-        if (!now.contains(key))
+        reported[{ entry.upstream, entry.generation }] += entry.count;
+    const auto previouslyHeld = item.held;
+    for (const auto& [key, count] : previouslyHeld) {
+        if (!reported.contains(key))
             setHeld(item, key, 0);
     }
-    for (const auto& [key, count] : now) {
-        const auto previous = before.find(key);
-        const std::uint32_t maximum = previous == before.end() ? 0 : previous->second;
+    for (const auto& [key, count] : reported) {
+        const auto previous = previouslyHeld.find(key);
+        const std::uint32_t maximum = previous == previouslyHeld.end() ? 0 : previous->second;
         internal_assert(isFirst || count <= maximum)
             << "a holder reports " << count << " slots of " << key.id.value() << " but its allocation is " << maximum;
         setHeld(item, key, count);
@@ -177,15 +177,15 @@
 {
     if (item.info.capacity == 0 || (m_usable && !m_usable(item.info.announcement.id)))
         return 0;
-    const std::uint32_t warm = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
-    const std::uint32_t limit = std::min(item.info.capacity, warm);
+    const std::uint32_t warmSlots = m_options.coldSlots + item.warmAnswers / m_options.warmAnswersPerSlot;
+    const std::uint32_t limit = std::min(item.info.capacity, warmSlots);
     // Slots of earlier generations count too: a holder that does not know yet that the upstream restarted still sends
     // requests to the same address.
     const std::uint32_t used = allocatedInAllGenerations(item.info.announcement.id);
     return limit > used ? limit - used : 0;
 }
 
-std::uint32_t slot_allocator::fairShare(const service_id& service) const
+std::uint32_t slot_allocator::equalShare(const service_id& service) const
 {
     const auto keys = m_byService.find(service);
     if (keys == m_byService.end())
@@ -193,10 +193,10 @@
     std::uint32_t capacity = 0;
     for (const upstream_key& key : keys->second)
         capacity += m_upstreams.at(key).info.capacity;
-    std::uint32_t sharers = 0;
+    std::uint32_t holdersWithShare = 0;
     for (const auto& [key, item] : m_holders)
-        sharers += item.isLocal || item.demands.contains(service) ? 1 : 0;
-    return sharers == 0 ? capacity : (capacity + sharers - 1) / sharers;
+        holdersWithShare += item.isLocal || item.demands.contains(service) ? 1 : 0;
+    return holdersWithShare == 0 ? capacity : (capacity + holdersWithShare - 1) / holdersWithShare;
 }
 
 std::uint32_t slot_allocator::heldOf(const holder& item, const service_id& service) const
@@ -223,9 +223,10 @@
         upstream_state& candidate = m_upstreams.at(keys->second[(first + i) % count]);
         if (item.ejected.contains(candidate.info.announcement.id))
             continue;
-        const std::uint32_t open = available(candidate);
+        const std::uint32_t availableSlots = available(candidate);
         const bool isPreferred = !preferred.empty() && candidate.info.announcement.failureDomain == preferred;
-        const std::uint32_t score = open == 0 ? 0 : open + (isPreferred ? candidate.info.capacity : 0);
+        const std::uint32_t score
+            = availableSlots == 0 ? 0 : availableSlots + (isPreferred ? candidate.info.capacity : 0);
         if (score > bestScore) {
             best = &candidate;
             bestScore = score;
@@ -264,9 +265,9 @@
 {
     for (auto& [service, wanted] : item.demands) {
         const std::uint32_t held = heldOf(item, service);
-        const std::uint32_t fair = item.isLocal ? fairShare(service) : 0;
-        if (fair > held)
-            wanted.idle += allocate(item, service, wanted.preferred, fair - held);
+        const std::uint32_t share = item.isLocal ? equalShare(service) : 0;
+        if (share > held)
+            wanted.idle += allocate(item, service, wanted.preferred, share - held);
     }
 }
 
@@ -295,8 +296,8 @@
 std::vector<slot_allocator::holder_key> slot_allocator::recallFor(
     const holder_key& requester, const service_id& service, std::uint32_t count)
 {
-    const std::uint32_t fair = fairShare(service);
-    const bool isBelowFairShare = heldOf(m_holders.at(requester), service) < fair;
+    const std::uint32_t share = equalShare(service);
+    const bool isBelowEqualShare = heldOf(m_holders.at(requester), service) < share;
     std::vector<holder_key> changed;
     for (auto& [key, item] : m_holders) {
         if (key == requester || count == 0)
@@ -307,8 +308,8 @@
             ? wanted->second.idle - wanted->second.waiting
             : 0;
         const std::uint32_t held = heldOf(item, service);
-        if (isBelowFairShare && held > fair)
-            spare = std::max(spare, held - fair);
+        if (isBelowEqualShare && held > share)
+            spare = std::max(spare, held - share);
         const std::uint32_t recalled = recallFrom(item, service, std::min(spare, count));
         if (recalled == 0)
             continue;
@@ -324,10 +325,10 @@
     for (const auto& [key, held] : item.held) {
         if (m_upstreams.at(key).info.announcement.service != service)
             continue;
-        std::uint32_t& already = item.recalled[key];
-        const std::uint32_t more = std::min(held - std::min(held, already), count - recalled);
-        already += more;
-        recalled += more;
+        std::uint32_t& alreadyRecalled = item.recalled[key];
+        const std::uint32_t additional = std::min(held - std::min(held, alreadyRecalled), count - recalled);
+        alreadyRecalled += additional;
+        recalled += additional;
     }
     return recalled;
 }
@@ -369,9 +370,10 @@
 
 void slot_allocator::reclaimFromSilentHolders(time_point now)
 {
-    const duration after = m_options.waitForSilentHolders ? maximumUseTime() - m_options.lease : duration::zero();
+    const duration reclaimDelay
+        = m_options.waitForSilentHolders ? maximumUseTime() - m_options.lease : duration::zero();
     for (auto position = m_holders.begin(); position != m_holders.end();) {
-        if (now < position->second.leaseEnd + after) {
+        if (now < position->second.leaseEnd + reclaimDelay) {
             ++position;
             continue;
         }
--- a/src/decision/slots/slot_allocator.h
+++ b/src/decision/slots/slot_allocator.h
@@ -136,7 +136,7 @@
 
     std::uint32_t allocatedInAllGenerations(const upstream_id& id) const;
     std::uint32_t available(const upstream_state& item) const;
-    std::uint32_t fairShare(const service_id& service) const;
+    std::uint32_t equalShare(const service_id& service) const;
     std::uint32_t heldOf(const holder& item, const service_id& service) const;
     upstream_state* bestUpstream(const service_id& service, const holder& item, const failure_domain_id& preferred);
     std::uint32_t allocate(
