--- a/src/decision/lookup/block_table.cpp
+++ b/src/decision/lookup/block_table.cpp
@@ -66,20 +66,21 @@
     std::unique_ptr<block_table> table(new block_table);
     table->addRange(0, noSite);
     // The blocks that contain the current address, each nested in the one before it.
-    std::vector<client_block> open;
+    std::vector<client_block> enclosing;
     const auto closeBlocksUpTo = [&](std::uint64_t address) {
-        while (!open.empty() && blockEnd(open.back()) <= address) {
-            const std::uint64_t end = blockEnd(open.back());
-            open.pop_back();
-            const std::uint16_t outer = open.empty() ? noSite : static_cast<std::uint16_t>(open.back().site.value());
+        while (!enclosing.empty() && blockEnd(enclosing.back()) <= address) {
+            const std::uint64_t end = blockEnd(enclosing.back());
+            enclosing.pop_back();
+            const std::uint16_t outerSite
+                = enclosing.empty() ? noSite : static_cast<std::uint16_t>(enclosing.back().site.value());
             if (end <= std::numeric_limits<client_address>::max())
-                table->addRange(static_cast<client_address>(end), outer);
+                table->addRange(static_cast<client_address>(end), outerSite);
         }
     };
     for (const client_block& block : blocks) {
         closeBlocksUpTo(block.address);
         table->addRange(block.address, static_cast<std::uint16_t>(block.site.value()));
-        open.push_back(block);
+        enclosing.push_back(block);
     }
     closeBlocksUpTo(std::uint64_t { 1 } << addressBits);
     table->m_rangeStarts.shrink_to_fit();
@@ -117,9 +118,9 @@
     const std::size_t upper = address >> (addressBits - indexBits);
     const auto first = m_rangeStarts.begin() + m_index[upper];
     const auto last = m_rangeStarts.begin() + m_index[upper + 1];
-    const auto after = std::upper_bound(first, last, address);
+    const auto nextRange = std::upper_bound(first, last, address);
     // The first range begins at address 0, so every address is in a range.
-    const std::uint16_t site = m_sites[static_cast<std::size_t>(after - m_rangeStarts.begin()) - 1];
+    const std::uint16_t site = m_sites[static_cast<std::size_t>(nextRange - m_rangeStarts.begin()) - 1];
     return site == noSite ? fallback : site_index(site);
 }
 
--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -291,11 +291,11 @@
 
 duration placement_service::timeLimit(const slot_request& request) const
 {
-    const duration left = request.deadline - m_hooks.now();
-    const bool urgent = request.policy.priority < m_options.sheddablePriority;
-    if (urgent || request.policy.targetLatency <= duration::zero())
-        return left;
-    return std::min(left, scaled(request.policy.targetLatency, m_options.sheddableTimeFactor));
+    const duration remaining = request.deadline - m_hooks.now();
+    const bool isUrgent = request.policy.priority < m_options.sheddablePriority;
+    if (isUrgent || request.policy.targetLatency <= duration::zero())
+        return remaining;
+    return std::min(remaining, scaled(request.policy.targetLatency, m_options.sheddableTimeFactor));
 }
 
 std::vector<log_field> placement_service::inputsOf(
--- a/src/decision/placement/upstream_stats.cpp
+++ b/src/decision/placement/upstream_stats.cpp
@@ -103,9 +103,9 @@
 
 void upstream_stats::updateSlowness(double ratio, time_point now)
 {
-    const double seen = std::clamp(ratio, 1 / maximumSlowness, maximumSlowness);
-    const double before = slowness(now);
-    m_slowness = before + slownessWeight * (seen - before);
+    const double clampedRatio = std::clamp(ratio, 1 / maximumSlowness, maximumSlowness);
+    const double current = slowness(now);
+    m_slowness = current + slownessWeight * (clampedRatio - current);
     m_slownessAt = now;
 }
 
--- a/src/decision/slots/slot_picker.cpp
+++ b/src/decision/slots/slot_picker.cpp
@@ -98,10 +98,10 @@
         double total = 0;
         for (const domain_weight& item : weights)
             total += item.weight;
-        double rest = fraction * total;
+        double remaining = fraction * total;
         for (const domain_weight& item : weights) {
-            rest -= item.weight;
-            if (rest < 0)
+            remaining -= item.weight;
+            if (remaining < 0)
                 return item.failureDomain;
         }
         return {};
--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -153,18 +153,18 @@
 void fake_upstreams::checkStart(const open_call& call)
 {
     const upstream_state& upstream = *call.upstream;
-    const std::string where = upstream.announced.id.value() + " from " + call.vm.value() + " for " + call.call.target;
-    m_journal.note("run on " + where);
+    const std::string details = upstream.announced.id.value() + " from " + call.vm.value() + " for " + call.call.target;
+    m_journal.note("run on " + details);
     if (upstream.running >= upstream.announced.slots.value()) {
         noteRunning(upstream);
-        m_journal.reportViolation("more running requests than slots on " + where);
+        m_journal.reportViolation("more running requests than slots on " + details);
     }
     if (upstream.quiescedFrom && m_runtime.now() > *upstream.quiescedFrom)
-        m_journal.reportViolation("new request after deregistration or drain on " + where);
+        m_journal.reportViolation("new request after deregistration or drain on " + details);
     if (isWrite(call.call) && m_runs[call.call.target] > 0)
-        m_journal.reportViolation("second run of a write on " + where);
+        m_journal.reportViolation("second run of a write on " + details);
     if (m_notRun.contains(call.call.target))
-        m_journal.reportViolation("run after the answer not-run on " + where);
+        m_journal.reportViolation("run after the answer not-run on " + details);
 }
 
 void fake_upstreams::noteRunning(const upstream_state& upstream)
--- a/test/random/slot_random_test.cpp
+++ b/test/random/slot_random_test.cpp
@@ -62,7 +62,7 @@
         {
             std::uint32_t peakRunning = 0;
             for (int i = 0; i < steps; ++i) {
-                act();
+                performRandomActions();
                 m_runtime.advance(step);
                 endRequests();
                 for (const auto& [id, ends] : m_running)
@@ -88,39 +88,40 @@
             std::vector<running_request> running;
         };
 
-        std::uint64_t draw(std::uint64_t bound) { return m_runtime.random() % bound; }
+        std::uint64_t randomBelow(std::uint64_t bound) { return m_runtime.random() % bound; }
 
         void replaceAllocator()
         {
             m_epoch = m_epoch.next();
-            std::set<vm_id> members;
+            std::set<vm_id> earlierHolders;
             for (const holder_vm& holder : m_holders) {
                 if (m_epoch > allocator_epoch(1))
-                    members.insert(holder.id);
+                    earlierHolders.insert(holder.id);
             }
-            m_allocator = std::make_unique<slot_allocator>(m_region, m_epoch, members, m_runtime.now(), m_options);
+            m_allocator
+                = std::make_unique<slot_allocator>(m_region, m_epoch, earlierHolders, m_runtime.now(), m_options);
             m_allocator->setUpstreams(m_table, maximumRequestTime, m_runtime.now());
             for (holder_vm& holder : m_holders)
                 holder.holdings.setAllocator({ vm_id("e0"), incarnation(1), m_epoch });
         }
 
-        void act()
+        void performRandomActions()
         {
             for (std::size_t i = 0; i < m_holders.size(); ++i) {
                 holder_vm& holder = m_holders[i];
                 if (m_runtime.now() < holder.frozenUntil)
                     continue;
-                if (draw(4) == 0)
+                if (randomBelow(4) == 0)
                     report(i);
                 startRequests(holder);
-                if (draw(400) == 0)
-                    holder.frozenUntil = m_runtime.now() + std::chrono::milliseconds(draw(9000));
-                if (draw(500) == 0)
+                if (randomBelow(400) == 0)
+                    holder.frozenUntil = m_runtime.now() + std::chrono::milliseconds(randomBelow(9000));
+                if (randomBelow(500) == 0)
                     restart(holder);
             }
-            if (draw(50) == 0)
+            if (randomBelow(50) == 0)
                 sendGrants(m_allocator->tick(m_runtime.now()));
-            if (draw(700) == 0)
+            if (randomBelow(700) == 0)
                 replaceAllocator();
         }
 
@@ -137,12 +138,12 @@
             slot_report message = holder.holdings.makeReport(m_runtime.now(), std::nullopt);
             slot_demand demand;
             demand.service = m_service;
-            demand.waiting = static_cast<std::uint32_t>(draw(6));
+            demand.waiting = static_cast<std::uint32_t>(randomBelow(6));
             for (const auto& [id, item] : holder.holdings.holdings())
                 demand.idle += item.idle();
             message.demands.push_back(demand);
-            for (const per_upstream_count& share : message.held)
-                message.warmAnswers.push_back(share);
+            for (const per_upstream_count& held : message.held)
+                message.warmAnswers.push_back(held);
             sendOverNetwork([this, from, message] {
                 sendGrants(m_allocator->report({ m_holders[from].id, true, false }, message, m_runtime.now()));
             });
@@ -162,20 +163,21 @@
 
         void sendOverNetwork(const std::function<void()>& deliver)
         {
-            const int copies = draw(10) == 0 ? 0 : draw(10) == 0 ? 2 : 1;
+            const int copies = randomBelow(10) == 0 ? 0 : randomBelow(10) == 0 ? 2 : 1;
             for (int i = 0; i < copies; ++i) {
-                const std::uint64_t delayLimit = draw(20) == 0 ? 2000 : 30;
-                m_runtime.schedule(std::chrono::milliseconds(draw(delayLimit)), deliver);
+                const std::uint64_t delayLimit = randomBelow(20) == 0 ? 2000 : 30;
+                m_runtime.schedule(std::chrono::milliseconds(randomBelow(delayLimit)), deliver);
             }
         }
 
         void startRequests(holder_vm& holder)
         {
             for (const auto& [id, item] : holder.holdings.holdings()) {
-                const bool starts = draw(3) == 0 && holder.holdings.idle(id, item.generation, m_runtime.now()) > 0;
+                const bool starts
+                    = randomBelow(3) == 0 && holder.holdings.idle(id, item.generation, m_runtime.now()) > 0;
                 if (!starts)
                     continue;
-                const duration length = std::chrono::milliseconds(1 + draw(3000));
+                const duration length = std::chrono::milliseconds(1 + randomBelow(3000));
                 const time_point end = m_runtime.now() + std::min<duration>(length, maximumRequestTime);
                 holder.holdings.take(id);
                 holder.running.push_back({ id, item.generation, end });
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -65,7 +65,7 @@
         void connect();
         void startVm(simulated_vm& vm);
         /** Makes each quota acquisition of a VM check the cap of the shift over all VMs. */
-        void checkCap(simulated_vm& vm);
+        void installCapCheck(simulated_vm& vm);
         void checkStep();
         void checkVm(simulated_vm& vm);
 
@@ -219,10 +219,10 @@
             "start of " + vm.record.id.value() + (status.ok() ? "" : ": " + std::string(status.message())));
         if (!status.ok())
             m_journal.reportViolation("a VM did not start: " + std::string(status.message()));
-        checkCap(vm);
+        installCapCheck(vm);
     }
 
-    void simulation_run::checkCap(simulated_vm& vm)
+    void simulation_run::installCapCheck(simulated_vm& vm)
     {
         if (vm.shifts == nullptr)
             return;
