--- a/test/random/fake_upstreams.cpp
+++ b/test/random/fake_upstreams.cpp
@@ -102,7 +102,7 @@
         if (open->ended || open->life.expired())
             return;
         const bool isRefused = isTooLate || open->upstream == nullptr || !open->upstream->up;
-        if (isTooLate || (!isPooled && (isRefused || !reachesNow(*open))))
+        if (isTooLate || (!isPooled && (isRefused || !isReachable(*open))))
             fail(open, call_failure::ConnectFailed);
         else
             dispatch(open);
@@ -112,7 +112,7 @@
 void fake_upstreams::dispatch(const call_pointer& call)
 {
     call->events.onDispatch();
-    if (call->ended || m_silentConnections.contains({ call->vm, call->call.upstream }) || !reachesNow(*call))
+    if (call->ended || m_silentConnections.contains({ call->vm, call->call.upstream }) || !isReachable(*call))
         return;
     m_runtime.schedule(networkDelay, [this, call] { arrive(call); });
 }
@@ -153,18 +153,18 @@
 void fake_upstreams::checkStart(const open_call& call)
 {
     const upstream_state& upstream = *call.upstream;
-    const std::string where = upstream.announced.id.value() + " from " + call.vm.value() + " for " + call.call.target;
-    m_journal.note("run on " + where);
+    const std::string details = upstream.announced.id.value() + " from " + call.vm.value() + " for " + call.call.target;
+    m_journal.note("run on " + details);
     if (upstream.running >= upstream.announced.slots.value()) {
         noteRunning(upstream);
-        m_journal.reportViolation("more running requests than slots on " + where);
+        m_journal.reportViolation("more running requests than slots on " + details);
     }
     if (upstream.quiescedFrom && m_runtime.now() > *upstream.quiescedFrom)
-        m_journal.reportViolation("new request after deregistration or drain on " + where);
+        m_journal.reportViolation("new request after deregistration or drain on " + details);
     if (isWrite(call.call) && m_runs[call.call.target] > 0)
-        m_journal.reportViolation("second run of a write on " + where);
+        m_journal.reportViolation("second run of a write on " + details);
     if (m_notRun.contains(call.call.target))
-        m_journal.reportViolation("run after the answer not-run on " + where);
+        m_journal.reportViolation("run after the answer not-run on " + details);
 }
 
 void fake_upstreams::noteRunning(const upstream_state& upstream)
@@ -204,10 +204,10 @@
 
 void fake_upstreams::answer(const call_pointer& call, upstream_answer content)
 {
-    if (!reachesNow(*call))
+    if (!isReachable(*call))
         return;
     m_runtime.schedule(networkDelay, [this, call, content = std::move(content)] {
-        if (call->ended || call->life.expired() || !reachesNow(*call))
+        if (call->ended || call->life.expired() || !isReachable(*call))
             return;
         call->ended = true;
         m_calls.erase({ call->vm, call->call.id });
@@ -234,7 +234,7 @@
     call->ended = true;
     // The upstream notices the closed connection after the network delay. Across a partition it does not notice, and
     // the request's timeout bounds how long it runs.
-    if (call->upstream != nullptr && reachesNow(*call))
+    if (call->upstream != nullptr && isReachable(*call))
         m_runtime.schedule(networkDelay, [this, call] { stopRunning(call); });
 }
 
@@ -250,7 +250,7 @@
     upstream.runningCalls.clear();
     std::vector<call_pointer> lost;
     for (const auto& [key, call] : m_calls) {
-        if (call->upstream == &upstream && call->running && reachesNow(*call))
+        if (call->upstream == &upstream && call->running && isReachable(*call))
             lost.push_back(call);
     }
     for (const call_pointer& call : lost)
