--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -10,7 +10,7 @@
 caller_exchanges::caller_exchanges(caller_exchange_parts parts)
     : m_parts(std::move(parts))
 {
-    m_parts.numbers.addGauge("plantainlatch_requests_in_flight", "Requests that are not answered yet.",
+    m_parts.numbers.addGauge("plantainlatch_requests_in_flight", "Requests that wait for their answers.",
         [this] { return static_cast<double>(m_pending.size()); });
 }
 
