--- a/test/support/fake_network.cpp
+++ b/test/support/fake_network.cpp
@@ -1,5 +1,9 @@
 #include "support/fake_network.h"
 
+#include <algorithm>
+
+#include "model/approximate_size.h"
+
 namespace plantainlatch {
 
 peer_port fake_network::attach(const vm_id& vm, const process_lifetime& life)
@@ -36,13 +40,24 @@
     const auto shared = std::make_shared<const peer_message>(std::move(message));
     const int copies = happens(faults.duplicatedPerMille) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        duration span = delay(from, to);
+        duration span = delay(from, to) + transferTime(to, *shared);
         if (happens(faults.delayedPerMille))
             span += duration(m_runtime.random() % static_cast<std::uint64_t>(faults.maximumExtraDelay.count()));
         deliverAfter(span, from, to, shared);
     }
 }
 
+duration fake_network::transferTime(const vm_id& to, const peer_message& message)
+{
+    const std::uint64_t rate = bytesPerSecond ? bytesPerSecond(to) : 0;
+    if (rate == 0)
+        return duration::zero();
+    const std::chrono::duration<double> span(static_cast<double>(approximateSize(message)) / static_cast<double>(rate));
+    time_point& freeAt = m_linkFreeAt[to];
+    freeAt = std::max(freeAt, m_runtime.now()) + std::chrono::duration_cast<duration>(span);
+    return freeAt - m_runtime.now();
+}
+
 void fake_network::deliverAfter(
     duration span, const vm_id& from, const vm_id& to, std::shared_ptr<const peer_message> message)
 {
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -35,6 +35,9 @@
     /** The one-way latency from one VM to another. */
     std::function<duration(const vm_id& from, const vm_id& to)> delay
         = [](const vm_id&, const vm_id&) { return std::chrono::milliseconds(1); };
+    /** The bandwidth of the link of a receiving VM in bytes per second, which its messages share; may be empty, and 0
+     * is unlimited. */
+    std::function<std::uint64_t(const vm_id& to)> bytesPerSecond;
     /** Returns whether to drop a message; may be empty. */
     std::function<bool(const vm_id& from, const vm_id& to, const peer_message&)> drops;
     /** Called for each message that `drops` does not drop, before it may be lost to faults or cuts; may be empty. */
@@ -61,6 +64,8 @@
 
     void send(const vm_id& from, const vm_id& to, peer_message message);
     void deliverAfter(duration span, const vm_id& from, const vm_id& to, std::shared_ptr<const peer_message> message);
+    /** How long the message waits for and occupies the link of its receiver. */
+    duration transferTime(const vm_id& to, const peer_message& message);
     bool happens(std::uint64_t perMille) { return perMille > 0 && m_runtime.random() % 1000 < perMille; }
     bool isCut(const vm_id& from, const vm_id& to) const;
 
@@ -68,6 +73,8 @@
     std::map<vm_id, attached_process> m_processes;
     std::set<std::pair<vm_id, vm_id>> m_cuts;
     std::set<vm_id> m_isolated;
+    /** When the link of each VM has transferred all messages sent so far. */
+    std::map<vm_id, time_point> m_linkFreeAt;
 };
 
 } // namespace plantainlatch
