Log followers of the log that were behind, and count what was sent again

Ruled out: logging at the follower, which learns of new entries only after the bytes that delay it. Test: follower.behind_for_a_second.is_logged_by_the_leader.

--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -252,6 +252,14 @@
     root.add("committed", m_replica.committed().value());
     root.add("applied", m_replica.applied().value());
     root.add("pending_proposals", static_cast<std::uint64_t>(m_proposals.size()));
+    const replication_statistics replication = m_leader.statistics();
+    const auto longestLag = std::chrono::duration_cast<std::chrono::milliseconds>(replication.longestLag).count();
+    root.add("followers", replication.followers);
+    root.add("followers_behind", replication.followersBehind);
+    root.add("longest_lag_ms", static_cast<std::uint64_t>(longestLag));
+    root.add("entry_bytes_sent", replication.sentBytes);
+    root.add("entry_bytes_resent", replication.resentBytes);
+    root.add("snapshots_sent", replication.snapshotsSent);
     state_dump& voters = root.addList("voters");
     for (const replica_id& voter : m_replica.log().voters().voters)
         voters.add("", voter.vm.value());
--- a/src/decision/consensus/follower_progress.h
+++ b/src/decision/consensus/follower_progress.h
@@ -12,6 +12,14 @@
 
 namespace plantainlatch {
 
+/** What was sent to a follower since it has not had all entries. Sizes are approximate. */
+struct follower_lag {
+    time_point since {};
+    std::uint64_t sentBytes = 0;
+    /** The part of sentBytes that had been sent before. */
+    std::uint64_t resentBytes = 0;
+};
+
 /** The replication progress of one follower. */
 struct follower_progress {
     /** Empty until the follower has answered. */
@@ -33,6 +41,10 @@
     /** When the snapshot that is not acknowledged yet was sent; none if there is no such snapshot. */
     std::optional<time_point> snapshotSentAt;
     log_index applied;
+    /** One past the last entry that was ever sent. */
+    log_index sentEnd { 1 };
+    /** None while the follower has acknowledged all that was sent. */
+    std::optional<follower_lag> lag;
 };
 
 } // namespace plantainlatch
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
 #include "decision/consensus/quorum.h"
 #include "decision/consensus/voter_changes.h"
@@ -15,6 +16,8 @@
     constexpr std::size_t rememberedRounds = 64;
     /** A replica counts as up to date if at most this many entries are missing. */
     constexpr std::uint64_t upToDateLag = 256;
+    /** A follower that took at least this long to acknowledge entries is logged. */
+    constexpr duration loggedLag = std::chrono::seconds(1);
 
 } // namespace
 
@@ -231,31 +234,63 @@
     }
     const std::uint64_t window = m_replica.options().maximumWindow;
     while (progress.next <= m_replica.log().lastIndex() && progress.next.value() <= progress.match.value() + window) {
-        std::vector<log_entry> batch = batchFrom(progress.next);
+        entry_batch batch = batchFrom(progress.next);
+        recordSent(progress, batch);
         const log_index previous(progress.next.value() - 1);
-        const log_index next(progress.next.value() + batch.size());
-        sendAppend(to, previous, std::move(batch));
+        const log_index next(progress.next.value() + batch.entries.size());
+        sendAppend(to, previous, std::move(batch.entries));
         if (progress.probing)
             return;
         progress.next = next;
     }
 }
 
-std::vector<log_entry> log_leader::batchFrom(log_index first) const
+log_leader::entry_batch log_leader::batchFrom(log_index first) const
 {
     const consensus_options& options = m_replica.options();
     const log_store& log = m_replica.log();
-    std::vector<log_entry> batch;
-    std::size_t bytes = 0;
-    for (log_index i = first; i <= log.lastIndex() && batch.size() < options.maximumBatch; i = i.next()) {
-        bytes += approximateSize(log.at(i));
-        if (!batch.empty() && bytes > options.maximumBatchBytes)
+    entry_batch batch;
+    for (log_index i = first; i <= log.lastIndex() && batch.entries.size() < options.maximumBatch; i = i.next()) {
+        const std::size_t size = approximateSize(log.at(i));
+        if (!batch.entries.empty() && batch.bytes + size > options.maximumBatchBytes)
             break;
-        batch.push_back(log.at(i));
+        batch.bytes += size;
+        batch.entries.push_back(log.at(i));
     }
     return batch;
 }
 
+void log_leader::recordSent(follower_progress& progress, const entry_batch& batch)
+{
+    std::uint64_t resent = 0;
+    for (const log_entry& entry : batch.entries)
+        resent += entry.index < progress.sentEnd ? approximateSize(entry) : 0;
+    if (!progress.lag)
+        progress.lag = follower_lag { m_replica.hooks().now() };
+    progress.lag->sentBytes += batch.bytes;
+    progress.lag->resentBytes += resent;
+    m_sentBytes += batch.bytes;
+    m_resentBytes += resent;
+    progress.sentEnd = std::max(progress.sentEnd, batch.entries.back().index.next());
+}
+
+void log_leader::endLag(const vm_id& follower, follower_progress& progress)
+{
+    if (!progress.lag || progress.match.next() < progress.sentEnd)
+        return;
+    const follower_lag lag = *progress.lag;
+    progress.lag.reset();
+    const duration span = m_replica.hooks().now() - lag.since;
+    if (span < loggedLag)
+        return;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    m_replica.report(log_level::Warning, "a follower was behind",
+        { { "follower", follower.value() }, { "took_ms", absl::StrCat(milliseconds) },
+            { "sent_bytes", absl::StrCat(lag.sentBytes) }, { "resent_bytes", absl::StrCat(lag.resentBytes) },
+            { "matched", absl::StrCat(progress.match.value()) },
+            { "applied", absl::StrCat(progress.applied.value()) } });
+}
+
 void log_leader::sendSnapshot(const vm_id& to, follower_progress& progress)
 {
     const consensus_options& options = m_replica.options();
@@ -266,6 +301,7 @@
     if (static_cast<std::size_t>(inFlight) >= options.maximumSnapshotsInFlight)
         return;
     progress.snapshotSentAt = m_replica.hooks().now();
+    ++m_snapshotsSent;
     m_replica.send(to,
         snapshot_request {
             m_replica.term(), m_replica.self(), m_replica.snapshot(), m_firstRound + m_rounds.size() - 1 });
@@ -317,6 +353,7 @@
         progress.ackedRoundStart = std::max(progress.ackedRoundStart, roundStart(answer.round));
     }
     updateMatch(progress, answer);
+    endLag(from, progress);
     advanceCommitIndex();
     sendEntries(from, progress);
 }
@@ -428,4 +465,22 @@
     return result;
 }
 
+replication_statistics log_leader::statistics() const
+{
+    replication_statistics result;
+    result.sentBytes = m_sentBytes;
+    result.resentBytes = m_resentBytes;
+    result.snapshotsSent = m_snapshotsSent;
+    if (!leads())
+        return result;
+    result.followers = m_followers.size();
+    for (const auto& [vm, progress] : m_followers) {
+        if (!progress.lag)
+            continue;
+        ++result.followersBehind;
+        result.longestLag = std::max(result.longestLag, m_replica.hooks().now() - progress.lag->since);
+    }
+    return result;
+}
+
 } // namespace plantainlatch
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -16,6 +16,17 @@
 
 namespace plantainlatch {
 
+/** How far the followers are, and what was sent to them since this VM started. Sizes are approximate. */
+struct replication_statistics {
+    std::uint64_t followers = 0;
+    /** Followers that have not acknowledged all entries that were sent, and the longest time for which that is so. */
+    std::uint64_t followersBehind = 0;
+    duration longestLag {};
+    std::uint64_t sentBytes = 0;
+    std::uint64_t resentBytes = 0;
+    std::uint64_t snapshotsSent = 0;
+};
+
 /** Replicates the log while this VM is the leader. It sends to each follower directly, without relays, and therefore
  * accepts at most consensus_options::maximumFollowerCount followers. */
 class log_leader {
@@ -56,8 +67,15 @@
     bool hasAppliedOwnTerm() const { return m_replica.applied() >= m_firstOfTerm; }
 
     std::vector<std::pair<vm_id, log_index>> followerAppliedIndices() const;
+    replication_statistics statistics() const;
 
 private:
+    /** Entries of one message, and their approximate encoded size. */
+    struct entry_batch {
+        std::vector<log_entry> entries;
+        std::size_t bytes = 0;
+    };
+
     /** Adds the VMs of the control state as followers. */
     void addKnownVms();
     /** Does so again when the entries of earlier terms are applied: after a restart of all VMs, the state of a new
@@ -79,7 +97,10 @@
     /** Sends a snapshot unless one is on its way to the follower or too many to others are; the follower's answer to
      * the next heartbeat tries again. */
     void sendSnapshot(const vm_id& to, follower_progress& progress);
-    std::vector<log_entry> batchFrom(log_index first) const;
+    entry_batch batchFrom(log_index first) const;
+    void recordSent(follower_progress& progress, const entry_batch& batch);
+    /** Ends the lag of a follower that has acknowledged all that was sent, and logs it if it was long. */
+    void endLag(const vm_id& follower, follower_progress& progress);
     void retransmitLate();
     void identifyFollower(follower_progress& progress, const append_answer& answer);
     void updateMatch(follower_progress& progress, const append_answer& answer);
@@ -100,6 +121,9 @@
     /** Proposals that wait for the next flush, which writes and sends them as one batch. */
     std::vector<proposal> m_buffered;
     timer_id m_flush;
+    std::uint64_t m_sentBytes = 0;
+    std::uint64_t m_resentBytes = 0;
+    std::uint64_t m_snapshotsSent = 0;
     bool m_hasAddedVms = false;
     bool m_transferring = false;
 };
--- a/test/correctness/configuration_delivery_test.cpp
+++ b/test/correctness/configuration_delivery_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "decision/vm/routed_vm.h"
@@ -253,4 +255,14 @@
     REQUIRE(sentToEntry < approximateSize(large) * 3 / 2);
 }
 
+TEST_CASE_METHOD(configuration_delivery_fixture, "follower.behind_for_a_second.is_logged_by_the_leader")
+{
+    put(makeConfiguration(1, formerRouteCount, 1));
+    REQUIRE(until([&] { return inForceOnEntry() == change_number(1); }, 60s));
+    const auto namesEntry = [this](const log_event& line) {
+        return line.what == "a follower was behind" && line.fields.at(0).value == vms.back()->record.id.value();
+    };
+    REQUIRE(until([&] { return std::any_of(runtime.logLines.begin(), runtime.logLines.end(), namesEntry); }));
+}
+
 } // namespace plantainlatch
