Resend log entries only when an answer shows that they are missing

Answers to heartbeats that were sent before them also led to a second copy while the matching index was not known.

Messages of a connection arrive in order, and each heartbeat names the index before the next entry, so a follower that misses entries rejects the next heartbeat. The leader now goes back only on such a rejection of a round that began after the last entries were sent, or of these entries themselves, and has no timer. Ruled out: a longer timer, which only moves the size at which a link is flooded, and repairs real losses later.

--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -47,10 +47,8 @@
     /** The difference between the election timeout and the leader's lease, which is shorter; it tolerates clocks that
      * run at different rates. */
     duration leaseMargin = std::chrono::milliseconds(100);
-    /** Entries are resent to a follower whose matched index did not advance for this long. */
-    duration retransmitAfter = std::chrono::milliseconds(500);
-    /** The time after which an unacknowledged snapshot is resent. */
-    duration snapshotRetry = std::chrono::seconds(2);
+    /** The time after which an unacknowledged snapshot does not count against maximumSnapshotsInFlight. */
+    duration snapshotTimeout = std::chrono::seconds(2);
     /** The maximum number of unacknowledged snapshots. After a restart of all VMs, every follower without a disk needs
      * one; sending all at once would delay the heartbeats, so that the leader would lose its lease. */
     std::size_t maximumSnapshotsInFlight = 16;
--- a/src/decision/consensus/follower_progress.h
+++ b/src/decision/consensus/follower_progress.h
@@ -32,19 +32,25 @@
     log_index next { 1 };
     /** The matching index is not known yet, so entries are sent one message at a time. */
     bool probing = true;
+    /** The round in which entries or a snapshot were last sent, 0 for none, and the index before those entries. */
+    std::uint64_t sentRound = 0;
+    log_index sentPrevious;
     /** The latest heartbeat round that the follower answered, and when that round started. */
     std::uint64_t ackedRound = 0;
     time_point ackedRoundStart = time_point::min();
     time_point lastAnswer = time_point::min();
-    /** When `match` last advanced or entries were resent. */
-    time_point lastProgress {};
-    /** When the snapshot that is not acknowledged yet was sent; none if there is no such snapshot. */
+    /** When the snapshot that is not known to have arrived or to be lost was sent; none if there is no such snapshot.
+     */
     std::optional<time_point> snapshotSentAt;
     log_index applied;
     /** One past the last entry that was ever sent. */
     log_index sentEnd { 1 };
     /** None while the follower has acknowledged all that was sent. */
     std::optional<follower_lag> lag;
+
+    /** What was sent last may still be on its way: messages arrive in order, and no answer to a later round came yet.
+     */
+    bool mayBeInTransit() const { return sentRound != 0 && ackedRound <= sentRound; }
 };
 
 } // namespace plantainlatch
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -83,7 +83,6 @@
     }
     follower_progress progress;
     progress.next = m_replica.log().lastIndex().next();
-    progress.lastProgress = m_replica.hooks().now();
     m_followers.emplace(vm, progress);
 }
 
@@ -106,7 +105,6 @@
     }
     if (now >= m_nextRound)
         beginRound();
-    retransmitLate();
     changeVoters();
     if (m_transferring)
         tryTransfer();
@@ -223,7 +221,7 @@
     previous = std::max(previous, m_replica.log().base());
     m_replica.send(to,
         append_request { m_replica.term(), m_replica.self(), previous, *m_replica.log().termAt(previous),
-            std::move(entries), m_replica.committed(), m_firstRound + m_rounds.size() - 1 });
+            std::move(entries), m_replica.committed(), currentRound() });
 }
 
 void log_leader::sendEntries(const vm_id& to, follower_progress& progress)
@@ -234,14 +232,16 @@
     }
     const std::uint64_t window = m_replica.options().maximumWindow;
     while (progress.next <= m_replica.log().lastIndex() && progress.next.value() <= progress.match.value() + window) {
+        if (progress.probing && progress.mayBeInTransit())
+            return;
         entry_batch batch = batchFrom(progress.next);
         recordSent(progress, batch);
         const log_index previous(progress.next.value() - 1);
         const log_index next(progress.next.value() + batch.entries.size());
-        sendAppend(to, previous, std::move(batch.entries));
-        if (progress.probing)
-            return;
+        progress.sentRound = currentRound();
+        progress.sentPrevious = previous;
         progress.next = next;
+        sendAppend(to, previous, std::move(batch.entries));
     }
 }
 
@@ -294,23 +294,25 @@
 void log_leader::sendSnapshot(const vm_id& to, follower_progress& progress)
 {
     const consensus_options& options = m_replica.options();
-    if (awaitsSnapshotAnswer(progress) || !m_replica.mechanisms().snapshotCatchUp)
+    const bool isOnItsWay = progress.snapshotSentAt && progress.mayBeInTransit();
+    if (isOnItsWay || !m_replica.mechanisms().snapshotCatchUp)
         return;
-    const auto inFlight = std::count_if(
-        m_followers.begin(), m_followers.end(), [this](const auto& item) { return awaitsSnapshotAnswer(item.second); });
+    const auto inFlight = std::count_if(m_followers.begin(), m_followers.end(),
+        [this](const auto& item) { return countsAsSnapshotInFlight(item.second); });
     if (static_cast<std::size_t>(inFlight) >= options.maximumSnapshotsInFlight)
         return;
     progress.snapshotSentAt = m_replica.hooks().now();
+    progress.sentRound = currentRound();
+    progress.sentPrevious = log_index();
     ++m_snapshotsSent;
-    m_replica.send(to,
-        snapshot_request {
-            m_replica.term(), m_replica.self(), m_replica.snapshot(), m_firstRound + m_rounds.size() - 1 });
+    m_replica.send(to, snapshot_request { m_replica.term(), m_replica.self(), m_replica.snapshot(), currentRound() });
 }
 
-bool log_leader::awaitsSnapshotAnswer(const follower_progress& progress) const
+bool log_leader::countsAsSnapshotInFlight(const follower_progress& progress) const
 {
-    const duration retry = m_replica.options().snapshotRetry;
-    return progress.snapshotSentAt && m_replica.hooks().now() < *progress.snapshotSentAt + retry;
+    const duration timeout = m_replica.options().snapshotTimeout;
+    return progress.snapshotSentAt && progress.mayBeInTransit()
+        && m_replica.hooks().now() < *progress.snapshotSentAt + timeout;
 }
 
 bool log_leader::isResponsive(const follower_progress& progress) const
@@ -318,21 +320,6 @@
     return m_replica.hooks().now() < progress.lastAnswer + m_replica.options().electionTimeout;
 }
 
-void log_leader::retransmitLate()
-{
-    const time_point now = m_replica.hooks().now();
-    for (auto& [vm, progress] : m_followers) {
-        const bool needsRetransmission = progress.match < m_replica.log().lastIndex()
-            && now >= progress.lastProgress + m_replica.options().retransmitAfter;
-        if (!needsRetransmission || !isResponsive(progress))
-            continue;
-        progress.lastProgress = now;
-        progress.probing = true;
-        progress.next = progress.match.next();
-        sendEntries(vm, progress);
-    }
-}
-
 void log_leader::onAppendAnswer(const vm_id& from, const append_answer& answer)
 {
     if (answer.term > m_replica.term()) {
@@ -368,14 +355,12 @@
     progress.id = answer.follower;
     progress.durable = answer.durable;
     progress.next = m_replica.log().lastIndex().next();
-    progress.lastProgress = m_replica.hooks().now();
 }
 
 void log_leader::updateMatch(follower_progress& progress, const append_answer& answer)
 {
     if (!answer.matched) {
-        progress.next = std::max(progress.match.next(), std::min(progress.next, answer.index.next()));
-        progress.probing = true;
+        goBack(progress, answer);
         return;
     }
     internal_assert(answer.index <= m_replica.log().lastIndex())
@@ -385,11 +370,23 @@
     if (answer.index <= progress.match)
         return;
     progress.match = answer.index;
-    progress.lastProgress = m_replica.hooks().now();
     progress.next = std::max(progress.next, progress.match.next());
     progress.snapshotSentAt.reset();
 }
 
+void log_leader::goBack(follower_progress& progress, const append_answer& answer)
+{
+    // A rejection of a message that was sent before the last entries tells nothing about these. The follower rejected
+    // the last entries themselves if it can't match the index before them.
+    const bool rejectsLastSent = answer.index < progress.sentPrevious;
+    if (answer.round <= progress.sentRound && !rejectsLastSent)
+        return;
+    progress.next = std::max(progress.match.next(), std::min(progress.next, answer.index.next()));
+    progress.probing = true;
+    progress.sentRound = 0;
+    progress.snapshotSentAt.reset();
+}
+
 void log_leader::advanceCommitIndex()
 {
     if (!leads())
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -88,7 +88,8 @@
     void scheduleFlush();
     void appendVoters(voter_set next);
     void appendBuffered();
-    bool awaitsSnapshotAnswer(const follower_progress& progress) const;
+    std::uint64_t currentRound() const { return m_firstRound + m_rounds.size() - 1; }
+    bool countsAsSnapshotInFlight(const follower_progress& progress) const;
     bool isResponsive(const follower_progress& progress) const;
     void flush();
     void sendEntries(const vm_id& to, follower_progress& progress);
@@ -101,9 +102,10 @@
     void recordSent(follower_progress& progress, const entry_batch& batch);
     /** Ends the lag of a follower that has acknowledged all that was sent, and logs it if it was long. */
     void endLag(const vm_id& follower, follower_progress& progress);
-    void retransmitLate();
     void identifyFollower(follower_progress& progress, const append_answer& answer);
     void updateMatch(follower_progress& progress, const append_answer& answer);
+    /** Goes back to the entries that the follower misses, if the answer shows that they will not arrive. */
+    void goBack(follower_progress& progress, const append_answer& answer);
     void advanceCommitIndex();
     void changeVoters();
     void tryTransfer();
--- a/test/correctness/configuration_delivery_test.cpp
+++ b/test/correctness/configuration_delivery_test.cpp
@@ -241,6 +241,7 @@
     runtime.advance(propagationLimit);
     REQUIRE(reachesUpstream("/a/other"));
     REQUIRE_FALSE(reachesUpstream("/a/" + std::to_string(formerRouteCount + 1) + "/x"));
+    REQUIRE(inForceOnEntry() == change_number(3));
 }
 
 TEST_CASE_METHOD(
