Send a change of the configuration as a difference

Each change was sent to every VM as the whole configuration, as the operator's text and as decoded routes: 1.25 MB at 4,223 routes, twice within a second. What a change costs grew with the state and not with the change.

A proposal is now amend_configuration, a difference to the configuration in force: removed, changed and added routes, and edits of the operator's text. It is used only where it restores the configuration exactly and is smaller; if another configuration is in force, it is refused, made again after a read barrier, and then replaced by the whole. Ruled out: the text only at VMs that serve reads, which would give VMs different states; a VM that refuses while it knows that it is behind, since it learns that only after the bytes that delay it.

--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -7,6 +7,7 @@
 #include "core/internal_assert.h"
 #include "decision/control/apply_directory.h"
 #include "decision/control/command_results.h"
+#include "decision/declarations/configuration_difference.h"
 #include "decision/declarations/declaration_difference.h"
 #include "decision/declarations/declaration_merge.h"
 
@@ -105,6 +106,20 @@
     return accepted();
 }
 
+command_result applyAmendment(control_snapshot& state, const amend_configuration& command)
+{
+    const change_number number = command.difference.other.number;
+    if (number <= state.config.number)
+        return alreadyAccepted();
+    if (command.base != state.config.number)
+        return conflict(absl::StrCat("configuration ", number.value(), " is based on ", command.base.value(), ", but ",
+            state.config.number.value(), " is in force"));
+    absl::StatusOr<configuration> amended = applyDifference(state.config, command.difference);
+    if (!amended.ok())
+        return conflict(std::string(amended.status().message()));
+    return applyReplacement(state, { *std::move(amended) });
+}
+
 command_result applyChange(control_snapshot& state, const proposal& item, const declaration& content)
 {
     command_result checked = checkChangeNumber(state, content);
--- a/src/decision/control/apply_change.h
+++ b/src/decision/control/apply_change.h
@@ -21,6 +21,10 @@
  * Clears the history, since the declarations in it no longer lead to the configuration in force. */
 command_result applyReplacement(control_snapshot& state, const replace_configuration& command);
 
+/** Applies a change of the whole configuration that is described by a difference. Conflict if the configuration in
+ * force is another one than the difference was made from. */
+command_result applyAmendment(control_snapshot& state, const amend_configuration& command);
+
 /** Checks the declaration's number and the number that it replaces against the configuration in force and the history;
  * mergeDeclaration() checks the content. Returns Accepted or one of:
  * - AlreadyAccepted: a declaration with this number and the same content was accepted;
--- a/src/decision/control/apply_command.cpp
+++ b/src/decision/control/apply_command.cpp
@@ -43,6 +43,7 @@
         {
             return applyReplacement(state, command);
         }
+        command_result operator()(const amend_configuration& command) const { return applyAmendment(state, command); }
     };
 
 } // namespace
--- a/src/decision/operators/configuration_service.cpp
+++ b/src/decision/operators/configuration_service.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "decision/control/apply_drain.h"
+#include "decision/declarations/configuration_difference.h"
 #include "decision/routes/route_table.h"
 #include "ports/port_names.h"
 
@@ -11,6 +12,8 @@
 
 namespace {
 
+    std::string nameOf(const configuration& content) { return absl::StrCat("configuration ", content.number.value()); }
+
     absl::Status statusOf(const absl::StatusOr<command_result>& result)
     {
         if (!result.ok())
@@ -66,8 +69,44 @@
         done(absl::OkStatus());
         return;
     }
-    const std::string what = absl::StrCat("configuration ", content.number.value());
-    propose(replace_configuration { std::move(content) }, what, done);
+    amend(std::make_shared<const configuration>(std::move(content)), true, done);
+}
+
+void configuration_service::amend(
+    const std::shared_ptr<const configuration>& content, bool mayRetry, const done_handler& done)
+{
+    const configuration& inForce = m_control->state().config;
+    std::optional<configuration_difference> difference = differenceBetween(inForce, *content);
+    if (!difference) {
+        replace(content, done);
+        return;
+    }
+    m_consensus->propose(amend_configuration { inForce.number, std::move(*difference) }, m_options.proposalTimeout,
+        [this, content, mayRetry, done](const absl::StatusOr<command_result>& result) {
+            const bool hasOtherBase = result.ok() && result->verdict == command_verdict::Conflict;
+            if (!hasOtherBase)
+                report(nameOf(*content), statusOf(result), done);
+            else if (mayRetry)
+                amendOnceCaughtUp(content, done);
+            else
+                replace(content, done);
+        });
+}
+
+void configuration_service::amendOnceCaughtUp(
+    const std::shared_ptr<const configuration>& content, const done_handler& done)
+{
+    m_consensus->readBarrier(m_options.proposalTimeout, [this, content, done](const absl::Status& status) {
+        if (status.ok())
+            amend(content, false, done);
+        else
+            replace(content, done);
+    });
+}
+
+void configuration_service::replace(const std::shared_ptr<const configuration>& content, const done_handler& done)
+{
+    propose(replace_configuration { *content }, nameOf(*content), done);
 }
 
 void configuration_service::read(const std::function<void(absl::StatusOr<configuration>)>& done)
@@ -91,12 +130,14 @@
 void configuration_service::propose(control_command command, const std::string& what, const done_handler& done)
 {
     m_consensus->propose(std::move(command), m_options.proposalTimeout,
-        [this, what, done](const absl::StatusOr<command_result>& result) {
-            const absl::Status status = statusOf(result);
-            m_hooks.log({ log_level::Info, "configurations", status.ok() ? "accepted" : "not accepted",
-                { { "order", what }, { "why", std::string(status.message()) } } });
-            done(status);
-        });
+        [this, what, done](const absl::StatusOr<command_result>& result) { report(what, statusOf(result), done); });
+}
+
+void configuration_service::report(const std::string& what, const absl::Status& status, const done_handler& done)
+{
+    m_hooks.log({ log_level::Info, "configurations", status.ok() ? "accepted" : "not accepted",
+        { { "order", what }, { "why", std::string(status.message()) } } });
+    done(status);
 }
 
 } // namespace plantainlatch
--- a/src/decision/operators/configuration_service.h
+++ b/src/decision/operators/configuration_service.h
@@ -39,9 +39,15 @@
 
     absl::Status start(registry& services);
     void put(configuration content, const done_handler& done);
+    /** Proposes the difference between the configuration in force on this VM and `content`; if another one is in force
+     * by then, tries once more after this VM has caught up, if `mayRetry`, and else proposes the whole. */
+    void amend(const std::shared_ptr<const configuration>& content, bool mayRetry, const done_handler& done);
+    void amendOnceCaughtUp(const std::shared_ptr<const configuration>& content, const done_handler& done);
+    void replace(const std::shared_ptr<const configuration>& content, const done_handler& done);
     void read(const std::function<void(absl::StatusOr<configuration>)>& done);
     void drain(const set_drain& command, const done_handler& done);
     void propose(control_command command, const std::string& what, const done_handler& done);
+    void report(const std::string& what, const absl::Status& status, const done_handler& done);
 
     kernel_hooks m_hooks;
     configuration_options m_options;
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -14,6 +14,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "model/configuration.h"
+#include "model/configuration_difference.h"
 #include "model/declaration.h"
 #include "model/http.h"
 #include "model/upstream.h"
@@ -60,6 +61,18 @@
     }
 };
 
+/** Has the effect of replace_configuration, and is as large as the change. Changes nothing if another configuration
+ * than `base` is in force. */
+struct amend_configuration {
+    change_number base;
+    configuration_difference difference;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.base, self.difference);
+    }
+};
+
 enum class drain_kind {
     Vm,
     Upstream,
@@ -228,8 +241,9 @@
 };
 
 /** Any command. New alternatives are added at the end, since stored entries identify a command by its index. */
-using control_command = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left,
-    claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration>;
+using control_command
+    = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left, claim_key, settle_key,
+        report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration, amend_configuration>;
 
 /** A command in an entry of the log. `proposedAt` is the leader's wall clock at the proposal. It serves as the current
  * time when the command is applied. */
@@ -249,7 +263,7 @@
     Accepted,
     /** The command had taken effect before, or was superseded; it changes nothing. */
     AlreadyAccepted,
-    /** A declaration with another content has this number, or its number does not follow the configuration in force.
+    /** A declaration with another content has this number, or the change is not based on the configuration in force.
      * The message has the details. */
     Conflict,
     /** The command is invalid in the current state. The message has the reason. */
--- /dev/null
+++ b/test/correctness/configuration_difference_test.cpp
@@ -0,0 +1,150 @@
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "decision/control/apply_change.h"
+#include "decision/declarations/configuration_difference.h"
+#include "decision/declarations/text_difference.h"
+#include "model/approximate_size.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    class configuration_difference_fixture {
+    protected:
+        configuration_difference_fixture()
+        {
+            former.number = change_number(3);
+            former.services[service_id("booking")].id = service_id("booking");
+            for (int i = 0; i < 1000; ++i)
+                former.routes.push_back(makeRoute(i));
+            former.document = "[1][22][333]";
+            later = former;
+            later.number = change_number(4);
+        }
+
+        static route_definition makeRoute(int number)
+        {
+            route_definition route;
+            route.id = route_id("route-" + std::to_string(number));
+            route.host = "bookings.example";
+            route.pathPrefix = "/" + std::to_string(number) + "/";
+            route.services = { { service_id("booking"), 1 } };
+            return route;
+        }
+
+        /** Whether the difference between `former` and `later` restores `later`. */
+        bool restoresLater() const
+        {
+            const std::optional<configuration_difference> difference = differenceBetween(former, later);
+            if (!difference)
+                return false;
+            const absl::StatusOr<configuration> restored = applyDifference(former, *difference);
+            return restored.ok() && *restored == later;
+        }
+
+        configuration former;
+        configuration later;
+    };
+
+    class text_difference_fixture {
+    protected:
+        /** A text of a few short pieces, many of them equal. */
+        std::string randomText()
+        {
+            const std::string pieces[]
+                = { "[\"route-a\",\"host\",1]", "[\"route-b\",\"host\",22]", "]", "}\n", "x", "" };
+            std::string text;
+            for (std::size_t i = random() % 30; i > 0; --i)
+                text += pieces[random() % std::size(pieces)];
+            return text;
+        }
+
+        std::mt19937_64 random { 5 };
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(configuration_difference_fixture, "difference.of_one_changed_route_among_many.is_small")
+{
+    later.routes[500].services[0].weight = 2;
+    REQUIRE(restoresLater());
+    REQUIRE(approximateSize(*differenceBetween(former, later)) < 1000);
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "difference.of_added_changed_and_removed_routes.restores_them")
+{
+    later.routes.erase(later.routes.begin() + 10);
+    later.routes[20].idempotent = true;
+    later.routes.push_back(makeRoute(5000));
+    later.services[service_id("billing")].id = service_id("billing");
+    later.document = "[22][1][4444]";
+    REQUIRE(restoresLater());
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "difference.with_reordered_routes.does_not_exist")
+{
+    std::swap(later.routes.front(), later.routes.back());
+    REQUIRE_FALSE(differenceBetween(former, later));
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "difference.with_two_routes_of_one_name.does_not_lose_one")
+{
+    later.routes.push_back(makeRoute(3));
+    later.routes.back().host = "other.example";
+    REQUIRE_FALSE(differenceBetween(former, later));
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "difference.as_large_as_the_whole.does_not_exist")
+{
+    former.routes.clear();
+    former.document.clear();
+    REQUIRE_FALSE(differenceBetween(former, later));
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "difference.applied_to_another_configuration.is_an_error")
+{
+    later.routes[500].idempotent = true;
+    const std::optional<configuration_difference> difference = differenceBetween(former, later);
+    former.routes.resize(400);
+    REQUIRE(absl::IsInvalidArgument(applyDifference(former, *difference).status()));
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "amendment.of_another_base.is_a_conflict_and_changes_nothing")
+{
+    const amend_configuration command { change_number(3), *differenceBetween(former, later) };
+    control_snapshot state;
+    state.config = former;
+    state.config.number = change_number(2);
+    REQUIRE(applyAmendment(state, command).verdict == command_verdict::Conflict);
+    REQUIRE(state.config.number == change_number(2));
+}
+
+TEST_CASE_METHOD(configuration_difference_fixture, "amendment.applied_again.changes_nothing")
+{
+    const amend_configuration command { change_number(3), *differenceBetween(former, later) };
+    control_snapshot state;
+    state.config = former;
+    REQUIRE(applyAmendment(state, command).verdict == command_verdict::Accepted);
+    REQUIRE(state.config == later);
+    REQUIRE(applyAmendment(state, command).verdict == command_verdict::AlreadyAccepted);
+}
+
+TEST_CASE_METHOD(text_difference_fixture, "text_difference.of_random_texts.restores_the_later_one")
+{
+    for (int i = 0; i < 1000; ++i) {
+        const std::string from = randomText();
+        const std::string to = randomText();
+        REQUIRE(*applyTextDifference(from, textDifference(from, to)) == to);
+    }
+}
+
+TEST_CASE_METHOD(text_difference_fixture, "text_difference.with_a_copy_beyond_the_former_text.is_an_error")
+{
+    REQUIRE(absl::IsInvalidArgument(applyTextDifference("abc", { { 2, 2, "" } }).status()));
+    REQUIRE(absl::IsInvalidArgument(applyTextDifference("abc", { { 4, 0, "" } }).status()));
+    REQUIRE(absl::IsInvalidArgument(applyTextDifference("abc", { { 1, UINT64_MAX, "" } }).status()));
+}
+
+} // namespace plantainlatch
--- a/test/correctness/configuration_service_test.cpp
+++ b/test/correctness/configuration_service_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "decision/control/apply_change.h"
@@ -52,6 +54,25 @@
             return answer;
         }
 
+        /** A configuration with so many routes that a change of one is proposed as a difference. */
+        static configuration makeLargeConfiguration(std::uint64_t number, const std::string& host)
+        {
+            configuration config = makeConfiguration(number, host);
+            for (int i = 0; i < 100; ++i) {
+                route_definition route = config.routes[0];
+                route.id = route_id("r" + std::to_string(i));
+                route.host = "unchanged";
+                config.routes.push_back(route);
+            }
+            return config;
+        }
+
+        template <typename Command> std::size_t proposedCount() const
+        {
+            return static_cast<std::size_t>(std::count_if(proposed.begin(), proposed.end(),
+                [](const control_command& command) { return std::holds_alternative<Command>(command); }));
+        }
+
         absl::Status caughtUp;
         std::unique_ptr<configuration_service> subject;
         configuration_port* configurations = nullptr;
@@ -116,4 +137,43 @@
     }
 }
 
+TEST_CASE_METHOD(configuration_service_fixture, "configuration.small_change.is_proposed_as_a_difference")
+{
+    REQUIRE(put(makeLargeConfiguration(7, "a")).ok());
+    REQUIRE(put(makeLargeConfiguration(9, "b")).ok());
+    REQUIRE(proposedCount<replace_configuration>() == 1);
+    REQUIRE(proposedCount<amend_configuration>() == 1);
+    REQUIRE(*read() == makeLargeConfiguration(9, "b"));
+}
+
+TEST_CASE_METHOD(
+    configuration_service_fixture, "configuration.difference_from_an_outdated_one.is_made_again_after_catching_up")
+{
+    REQUIRE(put(makeLargeConfiguration(7, "a")).ok());
+    bool otherIsFirst = true;
+    log.propose = [this, &otherIsFirst, propose = log.propose](control_command command, duration limit, auto done) {
+        if (std::exchange(otherIsFirst, false))
+            apply(replace_configuration { makeLargeConfiguration(8, "other") });
+        return propose(std::move(command), limit, done);
+    };
+    REQUIRE(put(makeLargeConfiguration(9, "b")).ok());
+    REQUIRE(proposedCount<amend_configuration>() == 2);
+    REQUIRE(*read() == makeLargeConfiguration(9, "b"));
+}
+
+TEST_CASE_METHOD(
+    configuration_service_fixture, "configuration.difference_that_is_outdated_again_and_again.is_replaced_by_the_whole")
+{
+    REQUIRE(put(makeLargeConfiguration(7, "a")).ok());
+    std::uint64_t other = 8;
+    log.propose = [this, &other, propose = log.propose](control_command command, duration limit, auto done) {
+        apply(replace_configuration { makeLargeConfiguration(other++, "other") });
+        return propose(std::move(command), limit, done);
+    };
+    REQUIRE(put(makeLargeConfiguration(20, "b")).ok());
+    REQUIRE(proposedCount<amend_configuration>() == 2);
+    REQUIRE(proposedCount<replace_configuration>() == 2);
+    REQUIRE(*read() == makeLargeConfiguration(20, "b"));
+}
+
 } // namespace plantainlatch
