Keep the base of the history only once there is a history

The base is needed only to merge the declarations of the history into it. A replacement now leaves it empty, and the first declaration moves the configuration that it replaces there. Without a history, configurationAt() starts from the configuration in force. Ruled out: an optional base, which changes the encoding.

--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -102,7 +102,7 @@
         return alreadyAccepted();
     state.config = command.content;
     state.history.clear();
-    state.historyBase = state.config;
+    state.historyBase = {};
     return accepted();
 }
 
@@ -129,6 +129,8 @@
     absl::StatusOr<configuration> merged = mergeDeclaration(state.config, content, findings);
     if (!merged.ok())
         return refused(findings.format());
+    if (state.history.empty())
+        state.historyBase = std::move(state.config);
     state.config = *std::move(merged);
     updateShifts(state, content, item.proposedAt);
     removeWithdrawnUpstreams(state, content);
--- a/src/decision/operators/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -22,7 +22,7 @@
 
 absl::StatusOr<configuration> configurationAt(const control_snapshot& state, change_number number)
 {
-    configuration config = state.historyBase;
+    configuration config = state.history.empty() ? state.config : state.historyBase;
     if (config.number == number && number != change_number())
         return config;
     for (const history_record& record : state.history) {
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -180,7 +180,7 @@
     std::map<vm_id, vm_start_record> vms;
     std::map<vm_id, proposer_record> proposers;
     std::map<upstream_id, departed_record> departed;
-    /** The configuration that the first declaration in the history was merged into. */
+    /** The configuration that the first declaration in the history was merged into; unused without a history. */
     configuration historyBase;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -2,6 +2,8 @@
 
 #include "decision/declarations/declaration_difference.h"
 #include "decision/declarations/declaration_merge.h"
+#include "decision/operators/operator_service.h"
+#include "model/approximate_size.h"
 #include "support/control_fixture.h"
 
 namespace plantainlatch {
@@ -21,6 +23,15 @@
                 = { { { service_id("booking"), failure_domain_id("kokura"), weight }, { "note.yaml", 7, 3 } } };
             return content;
         }
+
+        /** Configuration number 1, whose text is large. */
+        static configuration largeConfiguration()
+        {
+            finding_list findings;
+            configuration content = *mergeDeclaration({}, threeRegionDeclaration(), findings);
+            content.document = std::string(100'000, 'x');
+            return content;
+        }
     };
 
 } // namespace
@@ -91,6 +102,38 @@
     REQUIRE(state().config.number == change_number(3));
 }
 
+TEST_CASE_METHOD(change_fixture, "replacement.without_a_declaration_on_top.is_once_in_the_snapshot")
+{
+    apply(apply_declaration { threeRegionDeclaration() });
+    configuration second = largeConfiguration();
+    second.number = change_number(2);
+    REQUIRE(apply(replace_configuration { second }).verdict == command_verdict::Accepted);
+    REQUIRE(approximateSize(state()) < approximateSize(second) * 3 / 2);
+    REQUIRE(*configurationAt(state(), change_number(2)) == second);
+    REQUIRE_FALSE(configurationAt(state(), change_number(1)).ok());
+}
+
+TEST_CASE_METHOD(change_fixture, "history.declaration_on_top_of_a_replacement.leads_back_to_it")
+{
+    const configuration replaced = largeConfiguration();
+    apply(replace_configuration { replaced });
+    REQUIRE(apply(apply_declaration { declarationWithShare(2, 5) }).verdict == command_verdict::Accepted);
+    REQUIRE(*configurationAt(state(), change_number(1)) == replaced);
+    REQUIRE(*configurationAt(state(), change_number(2)) == state().config);
+}
+
+TEST_CASE_METHOD(change_fixture, "history.snapshot_with_the_base_of_an_empty_history.leads_back_to_the_same")
+{
+    control_snapshot former;
+    former.config = largeConfiguration();
+    former.historyBase = former.config;
+    port().restore(former);
+    REQUIRE(*configurationAt(state(), change_number(1)) == former.config);
+    REQUIRE(apply(apply_declaration { declarationWithShare(2, 5) }).verdict == command_verdict::Accepted);
+    REQUIRE(*configurationAt(state(), change_number(1)) == former.config);
+    REQUIRE(*configurationAt(state(), change_number(2)) == state().config);
+}
+
 TEST_CASE_METHOD(change_fixture, "proposal.resent.gets_the_first_result_and_changes_nothing")
 {
     apply(apply_declaration { threeRegionDeclaration() });
