Reject answers without a name on a reused connection, and answers with two names

What callers saw: a faulty upstream wrote an earlier refusal once more on a kept connection, without the request id. The client took it for the answer to the next call. A request that is not idempotent was then reported as not run or sent to a second upstream, although the first one had received it.

Cause: an answer that echoes another name was rejected, but one that echoes no name was accepted on any connection, and of two names only the first was compared.

Every name must be the call's. A rejected answer ends the call as Malformed after its dispatch, so the outcome is unknown, and closes the connection.

Why it works: on a connection's first call no earlier answer exists that could be repeated.

Ruled out by tests that passed before and stay: refusals that echo their own earlier name, that arrive while the connection is idle, or in the same segment as the earlier answer; an answer cut after any byte, with and without a length and chunked, closed by FIN or reset, is complete only if it is whole.

--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -63,6 +63,19 @@
         return *framing.length == answer.body.size();
     }
 
+    bool belongsToCall(const std::vector<header_field>& fields, const answered_request& request)
+    {
+        bool isNamed = false;
+        for (const header_field& field : fields) {
+            if (!http_fields::sameName(field.name, request.nameField))
+                continue;
+            if (field.value != request.name)
+                return false;
+            isNamed = true;
+        }
+        return isNamed || !request.requiresName;
+    }
+
     std::vector<header_field> copyFields(evhttp_request* answer)
     {
         std::vector<header_field> fields;
@@ -89,8 +102,7 @@
     if (result.status < firstFinalStatus)
         return std::nullopt;
     result.headers = copyFields(answer);
-    const header_field* echoed = http_fields::find(result.headers, request.nameField);
-    if (echoed != nullptr && echoed->value != request.name)
+    if (!belongsToCall(result.headers, request))
         return std::nullopt;
     result.body = moveBody(answer);
     if (!isComplete(result, framingOf(result.headers), request))
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -17,16 +17,17 @@
 struct answered_request {
     /** A HEAD request: the answer has no body even if it has a Content-Length. */
     bool head = false;
-    /** The header field that carries the name of the call. An answer with this field is accepted only if its value is
-     * `name`. */
+    /** The header field that carries the name of the call. Each such field of an answer must have the value `name`. */
     const char* nameField;
     const std::string& name;
+    /** Rejects an answer without the name. */
+    bool requiresName = false;
     /** Accepts an answer whose body is delimited by an orderly close of the connection. */
     bool allowsCloseDelimitedBody = false;
 };
 
 /** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. None if the answer is
- * incomplete, has contradictory framing fields, or echoes the name of another call. */
+ * incomplete, has contradictory framing fields, echoes the name of another call, or lacks a required name. */
 std::optional<upstream_answer> takeCompleteAnswer(evhttp_request* answer, const answered_request& request);
 
 } // namespace plantainlatch
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -217,8 +217,9 @@
         return;
     }
     const upstream_dialect& dialect = options.dialect;
-    std::optional<upstream_answer> answer = takeCompleteAnswer(
-        request, { item.call.method == "HEAD", dialect.nameField, item.name, dialect.allowsCloseDelimitedBody });
+    const bool requiresName = dialect.upstreamsEchoName && connection.isReused;
+    std::optional<upstream_answer> answer = takeCompleteAnswer(request,
+        { item.call.method == "HEAD", dialect.nameField, item.name, requiresName, dialect.allowsCloseDelimitedBody });
     if (!answer) {
         fail(key, call_failure::Malformed);
         return;
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -73,6 +73,7 @@
         }
         candidate.idle = false;
         candidate.dispatched = false;
+        candidate.isReused = true;
         --m_idle;
         return &candidate;
     }
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -32,6 +32,8 @@
     std::uint64_t exchange = 0;
     /** Whether the request's first byte has entered the output buffer. */
     bool dispatched = false;
+    /** Whether the connection has carried an earlier request. */
+    bool isReused = false;
     bool nagleDisabled = false;
     bool closed = false;
     bool idle = false;
--- a/src/services/upstream_dialect.h
+++ b/src/services/upstream_dialect.h
@@ -17,6 +17,9 @@
 struct upstream_dialect {
     /** The header field with the name of the call, which upstreams may echo in the answer. */
     const char* nameField = nullptr;
+    /** Whether upstreams echo the name in their answers. An answer without it is then accepted only on a connection
+     * that has carried no other call: elsewhere, a faulty upstream may have repeated the answer to an earlier one. */
+    bool upstreamsEchoName = false;
     /** Returns the name of a call; `generated` is a unique name that it can use. */
     std::function<std::string(const upstream_call&, const std::string& generated)> nameOf;
     /** Returns further header fields of the call; they replace fields of the same name in the caller's request. */
--- a/test/error/raw_upstream.cpp
+++ b/test/error/raw_upstream.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 namespace plantainlatch {
 
@@ -96,6 +97,15 @@
         closeNow(item);
 }
 
+void raw_upstream::reset(std::size_t connection)
+{
+    bufferevent* handle = m_channels[connection]->handle;
+    const linger immediately { 1, 0 };
+    if (handle != nullptr)
+        setsockopt(bufferevent_getfd(handle), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    close(connection);
+}
+
 void raw_upstream::closeNow(channel& from)
 {
     if (from.handle != nullptr)
--- a/test/error/raw_upstream.h
+++ b/test/error/raw_upstream.h
@@ -35,6 +35,8 @@
     void send(std::size_t connection, const std::string& bytes);
     /** Closes the connection once all bytes are sent. */
     void close(std::size_t connection);
+    /** Resets the connection once all bytes are passed to the operating system. */
+    void reset(std::size_t connection);
     /** Stops accepting connections and frees the port. */
     void stopListening();
 
