Never answer a request that may have run with a status that says that it did not

What callers saw, on routed VMs: an upstream's 503 without the mark of a refusal was passed on to the caller of a request that is not idempotent, and an unmarked 408 or 429 counted as its answer. A request that crashed the third upstream was answered 503 as well, although it had run there. Callers take 408, 421, 429 and 503 as a statement that the request did not run, and send it again.

Cause: the outcome was Unknown, but the status of the answer did not depend on it.

Change: the policy statesNotRun names the statuses that callers take for such a statement. An unmarked answer with one of them leaves the outcome open, like 503 before. At the end of a request that is not idempotent, an answer whose outcome is Unknown and whose status is one of them is replaced with 502. Requests to the project's own interface keep their answers, as their callers read the outcome from a header field; idempotent requests keep theirs, as they may be sent again.

Why it works: each answer passes request_run::finish, after the outcome is known.

--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -48,6 +48,8 @@
     policies.isMarkedRefusal = [](const upstream_answer& answer) {
         return answer.metadata.notRun || (answer.status == statusUnavailable && hasNotRunHeader(answer));
     };
+    // Callers read the outcome from its own header field.
+    policies.statesNotRun = [](int) { return false; };
     policies.needsFreshConnection = [](const request_traits& traits) { return !traits.idempotent; };
     policies.mayBeCrash = [](call_failure failure) { return failure == call_failure::Lost; };
     policies.limitsRetries = [] { return true; };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -74,6 +74,9 @@
     std::function<bool(const failed_attempt&)> mayRetry;
     /** Whether an answer is a marked refusal, that is, states that the upstream did not run the request. */
     std::function<bool(const upstream_answer&)> isMarkedRefusal;
+    /** Whether callers take an answer with this status as a statement that their request did not run. A request that is
+     * not idempotent and may have run is never answered with such a status. */
+    std::function<bool(int status)> statesNotRun;
     /** Whether a call must use a new connection instead of an idle one. */
     std::function<bool(const request_traits&)> needsFreshConnection;
     /** Whether a failed call may mean that the upstream crashed. */
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -288,6 +288,8 @@
     internal_assert(!m_finished) << "request " << m_request.id.value() << " is answered twice";
     const auto self = shared_from_this();
     m_finished = true;
+    if (contradictsOutcome(answer))
+        answer = systemAnswer(outcome::Unknown, answer_reason::ConnectionLost);
     for (const timer_id timer : { m_deadlineTimer, m_hedgeTimer, m_crashReportTimer })
         m_environment.hooks.cancel(timer);
     abandonAttempts(abandon_cause::NoLongerNeeded);
@@ -297,6 +299,12 @@
     m_done(m_request, std::move(answer));
 }
 
+bool request_run::contradictsOutcome(const caller_answer& answer) const
+{
+    return answer.result == outcome::Unknown && !m_request.traits.idempotent
+        && m_environment.options.policies.statesNotRun(answer.content.status);
+}
+
 void request_run::settleKey(const caller_answer& answer)
 {
     if (!m_heldKey)
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -68,6 +68,8 @@
     caller_answer answerForLostConnection() const;
     void finish(caller_answer answer);
     void abandonAttempts(abandon_cause cause);
+    /** Whether the status would tell the caller that the request did not run, although it may have run. */
+    bool contradictsOutcome(const caller_answer& answer) const;
     void settleKey(const caller_answer& answer);
     /** The outcome to report if no attempt returned an answer. */
     outcome outcomeWithoutAnswer() const;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -185,7 +185,7 @@
         result.ended = attempt_result::kind::Refused;
         kind = slot_result::kind::Shed;
         event = attempt_event::Refuse;
-    } else if (answer.status == statusUnavailable) {
+    } else if (answer.status == statusUnavailable || m_environment.options.policies.statesNotRun(answer.status)) {
         result.ended = attempt_result::kind::Shed;
         kind = slot_result::kind::Shed;
         event = m_request.traits.idempotent ? attempt_event::Answer : attempt_event::Lose;
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -23,7 +23,8 @@
         NotOffered,
         /** The upstream answered with a marked refusal. */
         Refused,
-        /** The upstream answered 503 without stating that the request did not run. */
+        /** The upstream answered 503, or another status that callers take as a statement that the request did not run,
+         * without the mark of a refusal. */
         Shed,
         Answered,
         /** The call ended after dispatch and without a complete answer. */
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -1,5 +1,7 @@
 #include "decision/vm/routed_vm.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "decision/vm/make_service.h"
@@ -23,9 +25,16 @@
      * entry counts on its own and with a delay. */
     constexpr double usedBudgetShare = 0.8;
 
+    /** The statuses that tell a caller that its request did not run: timeout while reading it, wrong upstream, too many
+     * requests, and unavailable. */
+    constexpr std::array notRunStatuses { 408, 421, 429, 503 };
+
     request_policies routedPolicies()
     {
         request_policies policies = defaultRequestPolicies();
+        policies.statesNotRun = [](int status) {
+            return std::find(notRunStatuses.begin(), notRunStatuses.end(), status) != notRunStatuses.end();
+        };
         policies.shouldStartCall = [](const dispatch_timing& timing) { return timing.remaining > minimumRemaining; };
         // Idle connections can be reused: each request names its upstream, and if another one receives it, its refusal
         // reports that it did not execute the request. A reused connection loses a request only if its peer no longer
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "decision/request/outcome_tracker.h"
+#include "decision/vm/routed_vm.h"
 #include "support/broken_invariant.h"
 #include "support/request_cluster.h"
 
@@ -114,6 +115,41 @@
     REQUIRE_FALSE(breaksInvariant([&] { return runsTwice(false); }));
 }
 
+TEST_CASE_METHOD(request_outcome_fixture,
+    "request.unmarked_refusal_of_a_routed_request_that_is_not_idempotent.is_not_answered_with_its_status")
+{
+    const int status = GENERATE(408, 429, 503);
+    request_cluster cluster(1, 1, 3, 2, routedOptionsFor({}).requests);
+    cluster.upstreams.behaviour = [status](const upstream_call&) {
+        return call_behaviour { kind::UnmarkedRefusal, 20ms, status };
+    };
+    const caller_record& sent = cluster.post(0, "order");
+    cluster.runtime.advance(3s);
+    REQUIRE(cluster.upstreams.calls.size() == 1);
+    REQUIRE(sent.answer->result == outcome::Unknown);
+    REQUIRE(sent.answer->content.status == 502);
+    REQUIRE(sent.answer->content.body.empty());
+}
+
+TEST_CASE_METHOD(request_outcome_fixture,
+    "request.crash_of_a_routed_request_that_is_not_idempotent.is_never_answered_with_a_promise_that_it_did_not_run")
+{
+    request_cluster cluster(1, 1, 12, 2, routedOptionsFor({}).requests);
+    cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Crash, 20ms }; };
+    int refusals = 0;
+    for (std::size_t i = 0; i < 6; ++i) {
+        const std::size_t callsBefore = cluster.upstreams.calls.size();
+        const caller_record& sent = cluster.post(0, "order");
+        cluster.runtime.advance(3s);
+        const bool wasSent = cluster.upstreams.calls.size() > callsBefore;
+        CAPTURE(i, wasSent);
+        REQUIRE(sent.answer->result == (wasSent ? outcome::Unknown : outcome::NotRun));
+        REQUIRE(sent.answer->content.status == (wasSent ? 502 : 503));
+        refusals += wasSent ? 0 : 1;
+    }
+    REQUIRE(refusals > 0);
+}
+
 TEST_CASE_METHOD(
     request_outcome_fixture, "request.idle_connection_is_dead.is_sent_on_a_new_connection_if_not_idempotent")
 {
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -210,10 +210,10 @@
         events.onFailure(call_failure::ConnectionLimit);
         return;
     case call_behaviour::kind::MarkedRefusal:
-        events.onAnswer({ 503, { { "x-plantainlatch-not-run", "1" } }, "full" });
+        events.onAnswer({ seen.behaviour.refusalStatus, { { "x-plantainlatch-not-run", "1" } }, "full" });
         return;
     case call_behaviour::kind::UnmarkedRefusal:
-        events.onAnswer({ 503, {}, "full" });
+        events.onAnswer({ seen.behaviour.refusalStatus, {}, "full" });
         return;
     case call_behaviour::kind::Crash:
     case call_behaviour::kind::LostRequest:
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -36,6 +36,8 @@
     };
     kind ends = kind::Answer;
     duration delay = std::chrono::milliseconds(20);
+    /** The status of a refusal. */
+    int refusalStatus = 503;
 };
 
 /** A call to an upstream and how it was handled. */
