Send a request again to the same address only on a new connection

What callers could see: an upstream refuses a request, and the request goes to the same address again, either because no other upstream is free or because another upstream now has the address. If the upstream then repeats the first refusal, it carries the name of the request on its way, and the request was reported as not run, or sent again, while it ran.

Cause: all calls of one request have the same name, so on one connection it does not tell their answers apart.

Change: a request remembers the addresses to which it was sent; a further call to one of them uses a new connection.

Why it works: on a new connection no earlier answer exists that could be repeated. It compares addresses, as connections are pooled by address and an address can pass to another upstream.

Measured: request.refused_and_sent_again_to_the_same_address.uses_a_new_connection failed before (the second call did not ask for a new connection) and passes now.

--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -108,7 +108,7 @@
     const auto attempt = upstream_attempt::create(m_environment, m_request, std::move(events));
     *slot = attempt;
     m_openAttempts.push_back(attempt);
-    attempt->start(m_upstreamsToAvoid);
+    attempt->start(m_upstreamsToAvoid, m_usedAddresses);
 }
 
 void request_run::onAttemptStarted()
@@ -145,8 +145,10 @@
     m_outcome.recordEnd(result.state);
     const bool offered
         = result.ended != attempt_result::kind::NoSlot && result.ended != attempt_result::kind::NotOffered;
-    if (offered)
+    if (offered) {
         ++m_dispatchCount;
+        m_usedAddresses.push_back(result.address);
+    }
     if (m_abandoning)
         return;
     if (result.ended != attempt_result::kind::NoSlot || !m_lastResult)
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -96,6 +96,8 @@
     std::size_t m_dispatchCount = 0;
     std::vector<std::shared_ptr<upstream_attempt>> m_openAttempts;
     std::vector<upstream_id> m_upstreamsToAvoid;
+    /** The addresses to which the request was sent by attempts that have ended. */
+    std::vector<network_address> m_usedAddresses;
     /** The result from which the answer is made if no further attempt follows. The result of a call is not replaced by
      * a later attempt that got no slot. */
     std::optional<attempt_result> m_lastResult;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -61,8 +61,9 @@
 {
 }
 
-void upstream_attempt::start(const std::vector<upstream_id>& avoid)
+void upstream_attempt::start(const std::vector<upstream_id>& avoid, std::vector<network_address> usedAddresses)
 {
+    m_usedAddresses = std::move(usedAddresses);
     slot_request request { m_request.content.service, m_request.deadline, avoid,
         byte_count(m_request.content.body.size()), m_request.policy };
     slot_port& slots = m_environment.slots;
@@ -160,12 +161,18 @@
     call.body = m_request.content.body;
     call.timeout = m_request.deadline - now;
     call.dispatchTimeout = std::min(call.timeout, slot.dispatchBefore - now);
-    call.freshConnection = m_environment.options.policies.needsFreshConnection(m_request.traits);
+    call.freshConnection = needsFreshConnection();
     call.connectionLimit = m_request.connectionLimit;
     call.requestName = m_request.content.name;
     return call;
 }
 
+bool upstream_attempt::needsFreshConnection() const
+{
+    const auto used = std::find(m_usedAddresses.begin(), m_usedAddresses.end(), m_slot.upstream.address);
+    return used != m_usedAddresses.end() || m_environment.options.policies.needsFreshConnection(m_request.traits);
+}
+
 void upstream_attempt::onDispatch()
 {
     m_state = nextState(m_state, attempt_event::Dispatch);
@@ -264,6 +271,7 @@
     m_ended = true;
     result.state = m_state;
     result.upstream = m_slot.upstream.id;
+    result.address = m_slot.upstream.address;
     m_environment.hooks.log(
         attemptEnded(m_request, result, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
     m_events.onEnd(result);
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -40,6 +40,8 @@
     call_failure failure = call_failure::ConnectFailed;
     /** Empty if no slot was granted. */
     upstream_id upstream;
+    /** The address of the upstream; valid only if a slot was granted. */
+    network_address address;
     /** Set only for Refused, Shed and Answered. */
     std::optional<upstream_answer> answer;
 };
@@ -66,8 +68,9 @@
         request_environment& environment, const admitted_request& request, attempt_events events);
 
     /** Waits for a slot and starts the call. Upstreams in `avoid`, and those in their failure domains, are used only if
-     * no other one has a free slot. */
-    void start(const std::vector<upstream_id>& avoid);
+     * no other one has a free slot. A call to one of `usedAddresses`, to which the request was sent before, uses a new
+     * connection: on an old one, a repeated answer to the earlier call could be taken for the answer to this one. */
+    void start(const std::vector<upstream_id>& avoid, std::vector<network_address> usedAddresses);
 
     bool hasEnded() const { return m_ended; }
 
@@ -87,6 +90,7 @@
     slot_result::kind recordTimeout() const;
     void call();
     upstream_call callFor(const held_slot& slot) const;
+    bool needsFreshConnection() const;
     void onDispatch();
     void onAnswer(upstream_answer answer);
     void onFailure(call_failure failure);
@@ -99,6 +103,7 @@
     attempt_events m_events;
     attempt_state m_state = attempt_state::Prepared;
     bool m_ended = false;
+    std::vector<network_address> m_usedAddresses;
     std::optional<slot_ticket> m_ticket;
     held_slot m_slot;
     bool m_gotSlot = false;
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -150,6 +150,21 @@
     REQUIRE(refusals > 0);
 }
 
+TEST_CASE_METHOD(request_outcome_fixture, "request.refused_and_sent_again_to_the_same_address.uses_a_new_connection")
+{
+    routed_bounds bounds;
+    bounds.retryWindow = 10s;
+    bounds.retrySlack = 10;
+    request_cluster cluster(1, 1, 1, 2, routedOptionsFor(bounds).requests);
+    setFirstCallEnd(cluster, kind::MarkedRefusal);
+    const caller_record& sent = cluster.post(0, "order");
+    cluster.runtime.advance(3s);
+    REQUIRE(sent.answer->result == outcome::Completed);
+    REQUIRE(cluster.upstreams.calls.size() == 2);
+    REQUIRE_FALSE(cluster.upstreams.calls[0].call.freshConnection);
+    REQUIRE(cluster.upstreams.calls[1].call.freshConnection);
+}
+
 TEST_CASE_METHOD(
     request_outcome_fixture, "request.idle_connection_is_dead.is_sent_on_a_new_connection_if_not_idempotent")
 {
