--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -108,7 +108,7 @@
     const auto attempt = upstream_attempt::create(m_environment, m_request, std::move(events));
     *slot = attempt;
     m_openAttempts.push_back(attempt);
-    attempt->start(m_upstreamsToAvoid);
+    attempt->start(m_upstreamsToAvoid, m_usedAddresses);
 }
 
 void request_run::onAttemptStarted()
@@ -145,8 +145,10 @@
     m_outcome.recordEnd(result.state);
     const bool offered
         = result.ended != attempt_result::kind::NoSlot && result.ended != attempt_result::kind::NotOffered;
-    if (offered)
+    if (offered) {
         ++m_dispatchCount;
+        m_usedAddresses.push_back(result.address);
+    }
     if (m_abandoning)
         return;
     if (result.ended != attempt_result::kind::NoSlot || !m_lastResult)
@@ -288,6 +290,8 @@
     internal_assert(!m_finished) << "request " << m_request.id.value() << " is answered twice";
     const auto self = shared_from_this();
     m_finished = true;
+    if (contradictsOutcome(answer))
+        answer = systemAnswer(outcome::Unknown, answer_reason::ConnectionLost);
     for (const timer_id timer : { m_deadlineTimer, m_hedgeTimer, m_crashReportTimer })
         m_environment.hooks.cancel(timer);
     abandonAttempts(abandon_cause::NoLongerNeeded);
@@ -297,6 +301,12 @@
     m_done(m_request, std::move(answer));
 }
 
+bool request_run::contradictsOutcome(const caller_answer& answer) const
+{
+    return answer.result == outcome::Unknown && !m_request.traits.idempotent
+        && m_environment.options.policies.statesNotRun(answer.content.status);
+}
+
 void request_run::settleKey(const caller_answer& answer)
 {
     if (!m_heldKey)
