Describe a changed list of routes by the runs that it shares with the former one

Routes are now compared like pieces of the text: runs copied from the former list, and new or changed routes between them, in any order.

--- a/src/decision/declarations/configuration_difference.cpp
+++ b/src/decision/declarations/configuration_difference.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "decision/declarations/text_difference.h"
 #include "model/approximate_size.h"
@@ -12,16 +11,6 @@
 
 namespace {
 
-    using routes_by_id = absl::flat_hash_map<route_id, const route_definition*>;
-
-    routes_by_id indexRoutes(const std::vector<route_definition>& routes)
-    {
-        routes_by_id index;
-        for (const route_definition& route : routes)
-            index.emplace(route.id, &route);
-        return index;
-    }
-
     configuration withoutRoutesAndDocument(const configuration& config)
     {
         configuration other;
@@ -36,42 +25,41 @@
         return other;
     }
 
-    void compareRoutes(const configuration& from, const configuration& to, configuration_difference& difference)
+    std::vector<route_edit> compareRoutes(
+        const std::vector<route_definition>& from, const std::vector<route_definition>& to)
     {
-        const routes_by_id former = indexRoutes(from.routes);
-        const routes_by_id later = indexRoutes(to.routes);
-        for (const route_definition& route : from.routes) {
-            if (!later.contains(route.id))
-                difference.removedRoutes.push_back(route.id);
-        }
-        for (const route_definition& route : to.routes) {
-            const auto found = former.find(route.id);
-            if (found == former.end())
-                difference.addedRoutes.push_back(route);
-            else if (!(*found->second == route))
-                difference.changedRoutes.push_back(route);
+        absl::flat_hash_map<route_id, std::size_t> positions;
+        for (std::size_t i = 0; i < from.size(); ++i)
+            positions.emplace(from[i].id, i);
+        std::vector<route_edit> edits(1);
+        for (const route_definition& route : to) {
+            route_edit& last = edits.back();
+            const std::size_t copyEnd = last.copyFrom + last.copyCount;
+            if (last.added.empty() && copyEnd < from.size() && from[copyEnd] == route) {
+                ++last.copyCount;
+                continue;
+            }
+            const auto found = positions.find(route.id);
+            if (found != positions.end() && from[found->second] == route)
+                edits.push_back({ found->second, 1, {} });
+            else
+                last.added.push_back(route);
         }
+        return edits;
     }
 
     absl::StatusOr<std::vector<route_definition>> applyRoutes(
-        const std::vector<route_definition>& from, const configuration_difference& difference)
+        const std::vector<route_definition>& from, const std::vector<route_edit>& edits)
     {
-        const absl::flat_hash_set<route_id> removed(difference.removedRoutes.begin(), difference.removedRoutes.end());
-        const routes_by_id changed = indexRoutes(difference.changedRoutes);
         std::vector<route_definition> routes;
-        routes.reserve(from.size() + difference.addedRoutes.size());
-        std::size_t replaced = 0;
-        for (const route_definition& route : from) {
-            if (removed.contains(route.id))
-                continue;
-            const auto found = changed.find(route.id);
-            replaced += found != changed.end() ? 1 : 0;
-            routes.push_back(found != changed.end() ? *found->second : route);
+        for (const route_edit& edit : edits) {
+            if (edit.copyFrom > from.size() || edit.copyCount > from.size() - edit.copyFrom)
+                return absl::InvalidArgumentError(absl::StrCat(
+                    "an edit copies ", edit.copyCount, " routes from ", edit.copyFrom, " of a list of ", from.size()));
+            const auto begin = from.begin() + static_cast<std::ptrdiff_t>(edit.copyFrom);
+            routes.insert(routes.end(), begin, begin + static_cast<std::ptrdiff_t>(edit.copyCount));
+            routes.insert(routes.end(), edit.added.begin(), edit.added.end());
         }
-        if (replaced != changed.size())
-            return absl::InvalidArgumentError(
-                absl::StrCat(changed.size(), " routes change, and ", replaced, " of them exist"));
-        routes.insert(routes.end(), difference.addedRoutes.begin(), difference.addedRoutes.end());
         return routes;
     }
 
@@ -81,19 +69,16 @@
 {
     configuration_difference difference;
     difference.other = withoutRoutesAndDocument(to);
-    compareRoutes(from, to, difference);
+    difference.routes = compareRoutes(from.routes, to.routes);
     difference.document = textDifference(from.document, to.document);
     if (approximateSize(difference) >= approximateSize(to))
         return std::nullopt;
-    const absl::StatusOr<configuration> restored = applyDifference(from, difference);
-    if (!restored.ok() || !(*restored == to))
-        return std::nullopt;
     return difference;
 }
 
 absl::StatusOr<configuration> applyDifference(const configuration& from, const configuration_difference& difference)
 {
-    absl::StatusOr<std::vector<route_definition>> routes = applyRoutes(from.routes, difference);
+    absl::StatusOr<std::vector<route_definition>> routes = applyRoutes(from.routes, difference.routes);
     if (!routes.ok())
         return routes.status();
     absl::StatusOr<std::string> document = applyTextDifference(from.document, difference.document);
--- a/src/decision/declarations/configuration_difference.h
+++ b/src/decision/declarations/configuration_difference.h
@@ -11,8 +11,7 @@
 
 namespace plantainlatch {
 
-/** The difference that turns `from` into `to`; none if the difference can't express the change, as when routes were
- * reordered, or would not be smaller than `to`. */
+/** The difference that turns `from` into `to`; none if it would not be smaller than `to`. */
 std::optional<configuration_difference> differenceBetween(const configuration& from, const configuration& to);
 
 /** Applies a difference; InvalidArgument if it was not made from `from`. */
--- a/src/model/configuration_difference.h
+++ b/src/model/configuration_difference.h
@@ -24,19 +24,27 @@
     }
 };
 
+/** A part of a list of routes: routes copied from the former list, followed by new or changed ones. */
+struct route_edit {
+    std::uint64_t copyFrom = 0;
+    std::uint64_t copyCount = 0;
+    std::vector<route_definition> added;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.copyFrom, self.copyCount, self.added);
+    }
+};
+
 struct configuration_difference {
     /** The later configuration without its routes and its document. */
     configuration other;
-    std::vector<route_id> removedRoutes;
-    /** Routes that keep their position. */
-    std::vector<route_definition> changedRoutes;
-    /** Routes that follow all others. */
-    std::vector<route_definition> addedRoutes;
+    std::vector<route_edit> routes;
     std::vector<text_edit> document;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.other, self.removedRoutes, self.changedRoutes, self.addedRoutes, self.document);
+        visit(self.other, self.routes, self.document);
     }
 };
 
