Refuse requests that the stop of an entry would likely cut off

What callers and upstreams saw: a request that arrived during the stop was dispatched with the stop's remaining time as its deadline.

Cause: the deadline of the stop was treated like a deadline of the caller. A caller that sets a deadline accepts the risk; one that meets a stopping entry can be served by another entry at once.

Change: caller_exchanges tells the request when the VM stops. If the request's own limit lies after that, request_run compares the remaining time with the longest of the last 128 requests of its route and service, before each attempt; with fewer than 16 samples, with four target latencies. What may take longer is refused as draining: not-run, with a Retry-After of 50 ms, as another entry can serve it. A request that is read after the end of the stop (a VM that was frozen) gets the same answer in place of one without Retry-After. Requests whose own limit fits into the stop are served as before.

Ruled out: a later deadline for non-idempotent requests (SIGKILL comes anyway); refusing everything that could be cut off in theory (time limits exceed the stop, so the lame duck would serve nothing).

On the code before, with only the new field (correctness_tests "stop.*"): stop.request_that_may_outlast_it: REQUIRE(result == NotRun), 1 (Unknown) == 0 stop.request_of_an_unknown_duration: REQUIRE(reason == Draining), 7 == 13 stop.retry_that_may_outlast_it: REQUIRE(calls == calls + 1), 42 == 41 They pass with the change.

--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -6,10 +6,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "decision/request/crash_guard.h"
 #include "decision/request/hedge_policy.h"
 #include "decision/request/key_claims.h"
+#include "decision/request/request_durations.h"
 #include "decision/request/request_options.h"
 #include "kernel/hooks.h"
 #include "ports/slot_port.h"
@@ -43,6 +45,8 @@
     request_fingerprint fingerprint;
     time_point arrivedAt;
     time_point deadline;
+    /** When this VM stops, if the request arrived during its stop. */
+    std::optional<time_point> stopAt;
     duration keyRetention {};
     /** This VM's share of the limit on connections from all VMs to one upstream. */
     std::uint32_t connectionLimit = 1;
@@ -59,6 +63,7 @@
     /** Charges one retry or hedge to the service's retry budget; false if the budget is exhausted. */
     std::function<bool(const service_id&)> tryAcquireRetry;
     hedge_policy& hedges;
+    request_durations& durations;
     request_statistics& statistics;
     /** Returns a call id that was not used before. */
     std::function<call_id()> nextCall;
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -16,6 +16,8 @@
     /** The maximum remaining time that can be required to start a call. Without this limit, a few timeouts would raise
      * the expected latency until requests that could still be answered are refused. */
     constexpr duration maximumRequiredTime = std::chrono::milliseconds(750);
+    /** Without samples, a request is expected to take at most its target latency times this. */
+    constexpr int unknownDurationFactor = 4;
     constexpr const char* notRunHeader = "X-Plantainlatch-Not-Run";
 
     bool hasNotRunHeader(const upstream_answer& answer)
@@ -38,6 +40,12 @@
         const duration expectedLatency = timing.p95Latency.value_or(defaultLatency);
         return timing.remaining >= std::min({ expectedLatency, timing.total * 3 / 4, maximumRequiredTime });
     };
+    policies.shouldStartBeforeStop = [](const stop_timing& timing) {
+        if (timing.longestRecent)
+            return timing.remaining > *timing.longestRecent;
+        return timing.targetLatency > duration::zero()
+            && timing.remaining > timing.targetLatency * unknownDurationFactor;
+    };
     policies.countsAgainstUpstream = [](const dispatch_timing& timing) {
         return timing.remaining >= timing.p95Latency.value_or(timing.total / 2);
     };
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -56,6 +56,16 @@
     std::optional<duration> p95Latency;
 };
 
+/** The input of the decision whether to start a request whose deadline lies after this VM's stop. */
+struct stop_timing {
+    /** Time from now until the VM stops. */
+    duration remaining {};
+    /** Zero if the request has none. */
+    duration targetLatency {};
+    /** The longest duration of recent requests of its kind, if there are enough samples. */
+    std::optional<duration> longestRecent;
+};
+
 /** The policies of the request path. Each has a default and can be replaced; tests do so to show which failure a policy
  * prevents. */
 struct request_policies {
@@ -66,6 +76,9 @@
     std::function<outcome(const request_traits&)> unresolvedOutcome;
     /** Whether a call should be started, given the likelihood of an answer before the deadline. */
     std::function<bool(const dispatch_timing&)> shouldStartCall;
+    /** Whether a request whose deadline lies after the VM's stop should be started, given the likelihood of an answer
+     * before the stop. */
+    std::function<bool(const stop_timing&)> shouldStartBeforeStop;
     /** Whether the timeout of a call that was started with these times counts as a failure of the upstream. */
     std::function<bool(const dispatch_timing&)> countsAgainstUpstream;
     /** Whether calls that timed out are added to the latency samples. */
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -83,7 +83,10 @@
 void request_run::onCrashVerdict(crash_verdict verdict)
 {
     if (verdict == crash_verdict::Allow) {
-        startAttempt();
+        if (mayOutlastStop())
+            finish(systemAnswer(outcomeWithoutAnswer(), answer_reason::Draining));
+        else
+            startAttempt();
         return;
     }
     caller_answer answer = systemAnswer(outcomeWithoutAnswer(), answer_reason::CrashingRequest);
@@ -200,6 +203,8 @@
         return false;
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
         return false;
+    if (mayOutlastStop())
+        return false;
     const bool charged = options.policies.limitsRetries() && !options.policies.isExemptFromBudget(failed);
     if (charged && !m_environment.tryAcquireRetry(m_request.content.service))
         return false;
@@ -207,6 +212,15 @@
     return true;
 }
 
+bool request_run::mayOutlastStop() const
+{
+    if (!m_request.stopAt || m_request.deadline < *m_request.stopAt)
+        return false;
+    const request_kind kind { m_request.policy.route, m_request.content.service };
+    return !m_environment.options.policies.shouldStartBeforeStop({ *m_request.stopAt - m_environment.hooks.now(),
+        m_request.policy.targetLatency, m_environment.durations.longest(kind) });
+}
+
 void request_run::onDeadline()
 {
     const bool hasOpenAttempts = !m_openAttempts.empty();
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -59,6 +59,8 @@
     void onCrashReported(bool counted);
     void continueOrFinish();
     bool tryRetry(const attempt_result& result);
+    /** Whether the stop of this VM would likely cut off an attempt that starts now. */
+    bool mayOutlastStop() const;
     void scheduleHedge();
     void onHedgeTime();
 
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -92,7 +92,7 @@
         { m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout, m_options.crashes });
     m_environment = std::make_unique<request_environment>(request_environment { m_hooks, m_options, *slots, *upstreams,
         *m_claims, *m_crashes, [this](const service_id& service) { return tryAcquireRetry(service); }, m_hedges,
-        m_statistics, [this] { return call_id(++m_lastCall); } });
+        m_durations, m_statistics, [this] { return call_id(++m_lastCall); } });
     return services.publish(port_names::requests, m_port);
 }
 
@@ -172,7 +172,8 @@
 std::optional<answer_reason> request_service::refusalReason(
     const caller_request& request, const service_definition* definition)
 {
-    if (m_lifecycle == lifecycle::Draining)
+    const bool hasStopped = request.stopsIn && *request.stopsIn <= duration::zero();
+    if (m_lifecycle == lifecycle::Draining || hasStopped)
         return answer_reason::Draining;
     if (definition == nullptr)
         return hasCurrentConfiguration() ? answer_reason::UnknownService : answer_reason::NotReady;
@@ -200,6 +201,8 @@
     admitted.arrivedAt = m_hooks.now();
     const duration limit = route != nullptr ? route->timeLimit : definition.maximumDeadline;
     admitted.deadline = admitted.arrivedAt + std::min(requested, limit);
+    if (request.stopsIn)
+        admitted.stopAt = admitted.arrivedAt + *request.stopsIn;
     admitted.keyRetention = definition.keyRetention;
     admitted.connectionLimit = connectionShare(definition);
     admitted.content = std::move(request);
@@ -232,6 +235,8 @@
     const std::function<void(caller_answer)> deliver = std::move(position->second.deliver);
     m_running.erase(position);
     m_bodyBytes -= request.content.body.size();
+    if (answer.result == outcome::Completed || answer.result == outcome::Unknown)
+        m_durations.observe({ request.policy.route, request.content.service }, m_hooks.now() - request.arrivedAt);
     if (deliver) {
         answer.route = request.policy.route;
         answer.service = request.content.service;
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -84,6 +84,7 @@
     std::optional<retry_window> m_retryWindow;
     route_table m_routes;
     hedge_policy m_hedges;
+    request_durations m_durations;
     request_statistics m_statistics;
     std::unique_ptr<request_environment> m_environment;
     std::uint64_t m_lastRequest = 0;
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -50,9 +50,10 @@
         case answer_reason::NoUpstream:
         case answer_reason::KeyUnavailable:
         case answer_reason::KeyTaken:
-        case answer_reason::Draining:
         case answer_reason::NotReady:
             return shortRetryAfter;
+        case answer_reason::Draining:
+            return otherEntryRetryAfter;
         case answer_reason::CrashingRequest:
             return crashRetention;
         default:
--- a/src/decision/request/system_answers.h
+++ b/src/decision/request/system_answers.h
@@ -13,6 +13,8 @@
 
 /** The Retry-After time for refusals with a cause that is expected to pass soon. */
 inline constexpr duration shortRetryAfter = std::chrono::seconds(1);
+/** The Retry-After time for refusals of a VM that is stopping, as another entry can most likely serve at once. */
+inline constexpr duration otherEntryRetryAfter = std::chrono::milliseconds(50);
 
 /** Generates an answer without a body; the reason determines its status and Retry-After time. */
 caller_answer systemAnswer(outcome result, answer_reason reason);
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -44,6 +44,8 @@
     /** How long the caller waits, counted from the arrival of the request; by default the service's default deadline.
      */
     std::optional<duration> deadline;
+    /** If the VM is stopping: the time, counted from the arrival of the request, by which it must be answered. */
+    std::optional<duration> stopsIn;
     std::optional<idempotency_key> key;
 };
 
--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -19,6 +19,7 @@
     if (m_stopDeadline) {
         const duration left = *m_stopDeadline - m_parts.hooks.now();
         request.deadline = std::min(request.deadline.value_or(left), left);
+        request.stopsIn = left;
     }
     pending_request& added = m_pending[exchange];
     added.service = request.service;
--- /dev/null
+++ b/test/correctness/request_stop_test.cpp
@@ -0,0 +1,112 @@
+#include <catch2/catch.hpp>
+
+#include "decision/request/system_answers.h"
+#include "support/request_cluster.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration usualTime = 200ms;
+    constexpr duration longTime = 1500ms;
+    constexpr duration callerDeadline = 10s;
+
+    /** An entry whose requests take `usualTime`, and one in ten of them `longTime`. */
+    class request_stop_fixture {
+    protected:
+        request_stop_fixture()
+        {
+            cluster.upstreams.behaviour = [this](const upstream_call&) {
+                const bool takesLong = cluster.upstreams.calls.size() % 10 == 5;
+                return call_behaviour { call_behaviour::kind::Answer, takesLong ? longTime : usualTime };
+            };
+        }
+
+        void serveRequests(int count)
+        {
+            for (int i = 0; i < count; ++i) {
+                send(std::nullopt);
+                cluster.runtime.advance(longTime);
+            }
+        }
+
+        caller_record& send(std::optional<duration> stopsIn, duration deadline = callerDeadline)
+        {
+            caller_request request;
+            request.method = "POST";
+            request.target = "/orders";
+            request.body = "order " + std::to_string(cluster.sent.size());
+            request.deadline = stopsIn ? std::min(deadline, *stopsIn) : deadline;
+            request.stopsIn = stopsIn;
+            return cluster.send(0, std::move(request));
+        }
+
+        request_cluster cluster { 1, 1, 3, 2 };
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(request_stop_fixture, "stop.request_that_may_outlast_it.is_refused_before_it_is_dispatched")
+{
+    serveRequests(40);
+    const std::size_t calls = cluster.upstreams.calls.size();
+    cluster.upstreams.behaviour = [](const upstream_call&) {
+        return call_behaviour { call_behaviour::kind::Answer, longTime };
+    };
+    const caller_record& late = send(longTime - 100ms);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(late.answers == 1);
+    REQUIRE(late.answer->result == outcome::NotRun);
+    REQUIRE(late.answer->reason == answer_reason::Draining);
+    REQUIRE(late.answer->retryAfter == otherEntryRetryAfter);
+    REQUIRE(cluster.upstreams.calls.size() == calls);
+}
+
+TEST_CASE_METHOD(request_stop_fixture, "stop.request_that_usually_ends_before_it.is_served")
+{
+    serveRequests(40);
+    const caller_record& early = send(longTime + 100ms);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(early.answer->result == outcome::Completed);
+}
+
+TEST_CASE_METHOD(request_stop_fixture, "stop.request_whose_deadline_ends_before_it.is_served")
+{
+    serveRequests(40);
+    const caller_record& impatient = send(longTime - 100ms, 400ms);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(impatient.answer->result == outcome::Completed);
+}
+
+TEST_CASE_METHOD(request_stop_fixture, "stop.request_of_an_unknown_duration.is_refused")
+{
+    const caller_record& first = send(longTime);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(first.answer->reason == answer_reason::Draining);
+    REQUIRE(cluster.upstreams.calls.empty());
+}
+
+TEST_CASE_METHOD(request_stop_fixture, "stop.request_read_after_its_end.is_refused_with_a_time_to_return")
+{
+    const caller_record& tooLate = send(-1ms);
+    REQUIRE(tooLate.answer->result == outcome::NotRun);
+    REQUIRE(tooLate.answer->reason == answer_reason::Draining);
+    REQUIRE(tooLate.answer->retryAfter == otherEntryRetryAfter);
+}
+
+TEST_CASE_METHOD(request_stop_fixture, "stop.retry_that_may_outlast_it.is_not_dispatched")
+{
+    serveRequests(40);
+    const std::size_t calls = cluster.upstreams.calls.size();
+    cluster.upstreams.behaviour = [](const upstream_call&) {
+        return call_behaviour { call_behaviour::kind::ConnectFailed, 500ms };
+    };
+    const caller_record& retried = send(longTime + 100ms);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(cluster.upstreams.calls.size() == calls + 1);
+    REQUIRE(retried.answer->result == outcome::NotRun);
+}
+
+} // namespace plantainlatch
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -298,6 +298,7 @@
         StartsWith("HTTP/1.1 200") && Contains("Connection: close"));
     REQUIRE(submitted.back().deadline <= 6s);
     REQUIRE(submitted.back().deadline > 4s);
+    REQUIRE(submitted.back().stopsIn == submitted.back().deadline);
 }
 
 TEST_CASE_METHOD(platform_front_fixture, "platform_request.header_field_of_twelve_kibibytes.is_accepted")
