Let a stopping server finish the answers that it is writing

What callers saw: five seconds after the front end had stopped, http_server closed every connection that did not wait for an answer, also those whose answer was still being written to a slow reader. The answer ended early.

Cause: closeUnfinished() meant incomplete requests, as its option says, but matched all states except Handling.

Change: only connections that wait for a request or its rest are closed. An answer that makes no progress still ends with the idle time-out, so the stop remains bounded.

http_server.answer_to_a_slow_reader.is_delivered_completely_during_a_stop on the code before: REQUIRE(received > body.size()), 3919872 > 8388608. It passes with the change. The fixture's receiveAll() now reads all that is available at each check, as 4 KiB each millisecond took longer than the test may.

--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -47,6 +47,8 @@
     const received_request& request() const { return m_parser.request(); }
     /** Whether a request has been received and not been answered. */
     bool isAwaitingAnswer() const { return m_state == state::Handling; }
+    /** Whether the connection waits for a request or for the rest of one. */
+    bool isReadingRequest() const { return m_state == state::Reading; }
     /** Whether the operating system has received bytes that were not read yet, most likely a request. */
     bool hasUnreadInput() const;
     /** Whether a request has begun to arrive and its answer is not completely written yet. */
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -247,7 +247,7 @@
 
 void http_server::closeUnfinished()
 {
-    m_parts->closeIf([](const http_connection& connection) { return !connection.isAwaitingAnswer(); });
+    m_parts->closeIf([](const http_connection& connection) { return connection.isReadingRequest(); });
 }
 
 void http_server::stopListening()
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -42,6 +42,7 @@
             http_server_options options;
             options.limits = { byte_count(headerLimit), byte_count(bodyLimit) };
             options.idleTimeout = 300ms;
+            options.unfinishedGrace = 100ms;
             server = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, options);
             server->addRoute({ "/",
                 [this](exchange_id exchange, const http_request_view& request) {
@@ -85,10 +86,12 @@
             std::string received;
             bool ended = false;
             runUntil([&] {
-                char buffer[4096];
-                const ssize_t count = ::recv(socket, buffer, sizeof(buffer), MSG_DONTWAIT);
-                if (count > 0)
+                char buffer[64 * 1024];
+                ssize_t count = ::recv(socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+                while (count > 0) {
                     received.append(buffer, static_cast<std::size_t>(count));
+                    count = ::recv(socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+                }
                 ended = count == 0 || (count < 0 && errno != EAGAIN);
                 return ended;
             });
@@ -238,6 +241,20 @@
     REQUIRE_THAT(received, EndsWith("lit"));
 }
 
+TEST_CASE_METHOD(server_fixture, "http_server.answer_to_a_slow_reader.is_delivered_completely_during_a_stop")
+{
+    answersAtOnce = false;
+    const int caller = sendUnseen("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return seen.size() == 1; });
+    const std::string body(8 * 1024 * 1024, 'y');
+    server->respond(seen.front().exchange, encodeAnswer(200, {}, body));
+    bool stopped = false;
+    server->asService().stop([&] { stopped = true; });
+    runFor(200ms);
+    REQUIRE(receiveAll(caller).size() > body.size());
+    runUntil([&] { return stopped; });
+}
+
 TEST_CASE_METHOD(loop_fixture, "event_loop.clock.counts_the_time_during_which_the_machine_was_suspended")
 {
     timespec moment {};
