Answer pipelined requests during a stop instead of closing on them

What callers saw: during a stop each answer closed its connection, also when the caller had sent its next request behind the one that was answered. That request had been read, and ended with the connection and without an answer.

Change: if bytes of a next request have arrived, the answer keeps the connection open, and the answer to the last request closes it.

http_server.pipelined_request.is_answered_during_a_stop on the code before: REQUIRE(seen.size() == 2), 1 == 2. It passes with the change.

--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -152,11 +152,16 @@
     m_parts.onRequest(*this);
 }
 
+bool http_connection::hasPipelinedInput() const
+{
+    return evbuffer_get_length(bufferevent_get_input(m_channel)) > 0 || hasUnreadInput();
+}
+
 void http_connection::answer(const http_answer& answer, bool last)
 {
     internal_assert(m_state == state::Handling) << "a connection without a request is answered";
     const auto self = shared_from_this();
-    write(answer, last || !m_parser.request().keepsConnection);
+    write(answer, (last && !hasPipelinedInput()) || !m_parser.request().keepsConnection);
     if (m_state == state::Reading)
         readRequests();
 }
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -54,7 +54,8 @@
     /** Whether a request has begun to arrive and its answer is not completely written yet. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
 
-    /** Answers the current request; `last` closes the connection after the answer. */
+    /** Answers the current request; `last` closes the connection after the answer, or, if the caller has already sent
+     * the next request, after the answer to that one. */
     void answer(const http_answer& answer, bool last);
     void close();
 
@@ -80,6 +81,8 @@
     void begin();
     void readRequests();
     void handleParsed();
+    /** Whether the caller has sent bytes after the current request. */
+    bool hasPipelinedInput() const;
     void write(const http_answer& answer, bool last);
     void outputWritten();
     void fail();
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -255,6 +255,20 @@
     runUntil([&] { return stopped; });
 }
 
+TEST_CASE_METHOD(server_fixture, "http_server.pipelined_request.is_answered_during_a_stop")
+{
+    answersAtOnce = false;
+    const int caller = sendUnseen("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+    runUntil([&] { return seen.size() == 1; });
+    server->closeAfterAnswers();
+    answersAtOnce = true;
+    answer(seen.front().exchange);
+    const std::string received = receiveAll(caller);
+    REQUIRE(seen.size() == 2);
+    REQUIRE(received.find("Connection: close") > received.find("lit"));
+    REQUIRE_THAT(received, EndsWith("Connection: close\r\n\r\nlit"));
+}
+
 TEST_CASE_METHOD(loop_fixture, "event_loop.clock.counts_the_time_during_which_the_machine_was_suspended")
 {
     timespec moment {};
