--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -47,12 +47,15 @@
     const received_request& request() const { return m_parser.request(); }
     /** Whether a request has been received and not been answered. */
     bool isAwaitingAnswer() const { return m_state == state::Handling; }
+    /** Whether the connection waits for a request or for the rest of one. */
+    bool isReadingRequest() const { return m_state == state::Reading; }
     /** Whether the operating system has received bytes that were not read yet, most likely a request. */
     bool hasUnreadInput() const;
     /** Whether a request has begun to arrive and its answer is not completely written yet. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
 
-    /** Answers the current request; `last` closes the connection after the answer. */
+    /** Answers the current request; `last` closes the connection after the answer, or, if the caller has already sent
+     * the next request, after the answer to that one. */
     void answer(const http_answer& answer, bool last);
     void close();
 
@@ -78,6 +81,8 @@
     void begin();
     void readRequests();
     void handleParsed();
+    /** Whether the caller has sent bytes after the current request. */
+    bool hasPipelinedInput() const;
     void write(const http_answer& answer, bool last);
     void outputWritten();
     void fail();
