Send nothing to an upstream that answered that it is draining

Upstreams state in all their answers that they will end soon. Entries ignored the statement and went on sending until the announcement reached the leader and the leader's log reached the entry; an entry without leader contact sent until the upstream was gone.

The platform's dialect now decodes the statement into the answer's metadata, at any status, and placement removes the upstream from its affinity orders as soon as the slot is released, so that the first choice, the second one with outliers, and new orders all leave it out. As many upstreams are remembered as the directory knows at most.

An answer of another upstream at the same address is not counted against the expected one.

The new tests of placement failed before: "REQUIRE( placed.slot->upstream.id != leaving )", "REQUIRE_FALSE( refused.slot )", "REQUIRE( placedAt("court 7").empty() )", "logged == 1: 0 == 1"; they pass after it, as do the other tests of placement and of the platform's calls.

--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -87,8 +87,10 @@
 {
     const control_snapshot& state = m_control->state();
     if (change.scope == steering_scope::Upstreams) {
-        for (const upstream_id& id : change.upstreams)
-            updateUpstream(id);
+        for (const upstream_id& id : change.upstreams) {
+            copyRecord(id);
+            updateOrders(id);
+        }
         return;
     }
     m_entries = knownEntries(state);
@@ -123,9 +125,8 @@
     }
 }
 
-void placement_service::updateUpstream(const upstream_id& id)
+void placement_service::updateOrders(const upstream_id& id)
 {
-    copyRecord(id);
     const auto known = m_directory.find(id);
     for (auto& [key, service] : m_orders) {
         if (known != m_directory.end() && isEligible(key, known->second.announcement))
@@ -139,7 +140,8 @@
 {
     const bool allowed = key.allowed.empty()
         || std::find(key.allowed.begin(), key.allowed.end(), upstream.region) != key.allowed.end();
-    const bool draining = upstream.draining || isUpstreamDraining(m_control->state(), upstream);
+    const bool draining = upstream.draining || m_unavailability.isDraining(upstream.id, upstream.generation)
+        || isUpstreamDraining(m_control->state(), upstream);
     return upstream.service == key.service && allowed && !draining;
 }
 
@@ -338,8 +340,8 @@
     admit(chosen);
     const slot_handle handle(++m_lastHandle);
     m_held.emplace(handle,
-        placed_request {
-            chosen.upstream->id, request.policy.route, object, chosen.state, chosen.runTime, chosen.queued });
+        placed_request { chosen.upstream->id, chosen.upstream->generation, request.policy.route, object, chosen.state,
+            chosen.runTime, chosen.queued });
     m_stats[chosen.upstream->id].noteRequest();
     answer.slot = held_slot { handle, *chosen.upstream, request.deadline };
     done(answer);
@@ -383,6 +385,7 @@
     internal_assert(found != m_held.end()) << "slot handle " << handle.value() << " is released twice";
     const placed_request placed = found->second;
     m_held.erase(found);
+    noteUnavailability(placed, result.metadata);
     const auto stats = m_stats.find(placed.upstream);
     if (stats == m_stats.end())
         return;
@@ -393,12 +396,25 @@
         m_latencies.observe(placed.route, placed.state, result.latency);
 }
 
+void placement_service::noteUnavailability(const placed_request& placed, const answer_metadata& metadata)
+{
+    if (metadata.wrongInstance || !metadata.draining)
+        return;
+    if (!m_unavailability.noteDraining(placed.upstream, placed.generation, m_hooks.now()))
+        return;
+    ++m_reportedDraining;
+    m_hooks.log({ log_level::Info, port_names::slots, "upstream-answered-draining",
+        { { "upstream", placed.upstream.value() }, { "generation", absl::StrCat(placed.generation.value()) } } });
+    updateOrders(placed.upstream);
+}
+
 state_dump placement_service::dump() const
 {
     state_dump shown(port_names::slots);
     shown.add("placed", m_placed);
     shown.add("refused", m_refused);
     shown.add("orders_computed", m_ordersComputed);
+    shown.add("reported_draining", m_reportedDraining);
     state_dump& upstreams = shown.addObject("own_requests");
     for (const auto& [id, record] : m_directory) {
         const auto stats = m_stats.find(id);
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -18,6 +18,7 @@
 #include "decision/placement/affinity_order.h"
 #include "decision/placement/cold_rate_limiter.h"
 #include "decision/placement/latency_model.h"
+#include "decision/placement/reported_unavailability.h"
 #include "decision/placement/upstream_stats.h"
 #include "kernel/hooks.h"
 #include "kernel/service.h"
@@ -58,6 +59,7 @@
     /** A placed request that has not been released. */
     struct placed_request {
         upstream_id upstream;
+        upstream_generation generation;
         route_id route;
         std::uint64_t object = 0;
         object_state state = object_state::Unknown;
@@ -109,14 +111,16 @@
     void onControlChange(const steering_change& change);
     /** Takes over an upstream's record from the control state, or its removal. */
     void copyRecord(const upstream_id& id);
-    /** The same, and updates the affinity orders. */
-    void updateUpstream(const upstream_id& id);
+    /** Puts the upstream into the affinity orders to which it belongs, and removes it from the others. */
+    void updateOrders(const upstream_id& id);
     /** Whether requests of this key may go to the upstream, apart from its health. */
     bool isEligible(const order_key& key, const upstream_announcement& upstream) const;
     void noteAnnouncement(const upstream_announcement& upstream);
     void markColdAfterDrains();
     slot_ticket acquire(const slot_request& request, const std::function<void(slot_answer)>& done);
     void release(slot_handle handle, const slot_result& result);
+    /** Takes over what the upstream stated about requests that it doesn't want. */
+    void noteUnavailability(const placed_request& placed, const answer_metadata& metadata);
     service_order& orderFor(const order_key& key);
     double outlierThreshold(service_order& service);
     std::map<region_id, double> demand(const order_key& key) const;
@@ -148,12 +152,14 @@
     std::vector<vm_id> m_entries;
     std::map<order_key, service_order> m_orders;
     absl::flat_hash_map<upstream_id, upstream_stats> m_stats;
+    reported_unavailability m_unavailability;
     latency_model m_latencies;
     absl::flat_hash_map<slot_handle, placed_request> m_held;
     std::uint64_t m_lastHandle = 0;
     std::uint64_t m_placed = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_ordersComputed = 0;
+    std::uint64_t m_reportedDraining = 0;
 };
 
 } // namespace plantainlatch
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -51,8 +51,10 @@
 struct answer_metadata {
     /** The upstream guarantees that it did not run the request. */
     bool notRun = false;
-    /** Another upstream now has the address; it did not run the request. */
+    /** Another upstream now has the address; it did not run the request. The rest of the metadata is that one's. */
     bool wrongInstance = false;
+    /** The upstream will end soon and wants no further requests. */
+    bool draining = false;
     std::optional<load_report> load;
     /** The remaining time of the upstream's cold start, if it reports one. */
     std::optional<duration> coldFor;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -135,14 +137,33 @@
             return answer.slot ? answer.slot->upstream.id.value() : "";
         }
 
-        void release(const slot_answer& placed, slot_result::kind ended, duration latency = 200ms)
+        void release(const slot_answer& placed, slot_result::kind ended, duration latency = 200ms,
+            const answer_metadata& metadata = {})
         {
             slot_result result;
             result.ended = ended;
             result.latency = latency;
+            result.metadata = metadata;
             slots->release(placed.slot->handle, result);
         }
 
+        /** A number at the top level of the service's state dump; none if it is missing. */
+        std::optional<std::int64_t> dumped(const std::string& name) const
+        {
+            for (const state_dump& item : subject->asService().dump().children) {
+                if (item.name == name)
+                    return std::get<std::int64_t>(item.value);
+            }
+            return std::nullopt;
+        }
+
+        void releaseAsDraining(const slot_answer& placed, slot_result::kind ended = slot_result::kind::Answered)
+        {
+            answer_metadata metadata;
+            metadata.draining = true;
+            release(placed, ended, 200ms, metadata);
+        }
+
         paused_runtime runtime { 1 };
         vm_settings settings;
         placement_options options;
@@ -279,6 +300,118 @@
     REQUIRE(got.refusal == slot_refusal::NoUpstream);
 }
 
+TEST_CASE_METHOD(placement_fixture, "placement.answer_of_a_draining_upstream.ends_requests_to_it_at_once")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const upstream_id leaving = first.slot->upstream.id;
+    releaseAsDraining(first, GENERATE(slot_result::kind::Answered, slot_result::kind::Shed, slot_result::kind::Failed));
+    for (int i = 0; i < 20; ++i) {
+        const slot_answer placed = place("court " + std::to_string(i));
+        REQUIRE(placed.slot);
+        REQUIRE(placed.slot->upstream.id != leaving);
+        release(placed, slot_result::kind::Answered);
+    }
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.last_upstream_answers_that_it_drains.requests_are_refused")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    releaseAsDraining(place("court 7"));
+    const slot_answer refused = place("court 7");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE(refused.refusal == slot_refusal::NoUpstream);
+}
+
+TEST_CASE_METHOD(
+    placement_fixture, "placement.upstream_that_answered_that_it_drains.is_used_again_only_in_a_later_generation")
+{
+    upstream_announcement upstream = makeUpstream("u", "here");
+    const steering_change change { steering_scope::Upstreams, { upstream.id } };
+    add(upstream);
+    start();
+    releaseAsDraining(place("court 7"));
+
+    // An announcement from before, which arrives late.
+    upstream.sequence = 1;
+    add(upstream);
+    notify(change);
+    REQUIRE(placedAt("court 7").empty());
+
+    // Its record expires, and a late announcement adds it again.
+    state.directory.clear();
+    notify(change);
+    add(upstream);
+    notify(change);
+    REQUIRE(placedAt("court 7").empty());
+
+    // A snapshot replaces the control state.
+    changed();
+    REQUIRE(placedAt("court 7").empty());
+
+    upstream.generation = upstream_generation(2);
+    add(upstream);
+    notify(change);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.late_answer_of_an_earlier_generation.does_not_drain_the_later_one")
+{
+    upstream_announcement upstream = makeUpstream("u", "here");
+    add(upstream);
+    start();
+    const slot_answer early = place("court 7");
+    upstream.generation = upstream_generation(2);
+    add(upstream);
+    notify({ steering_scope::Upstreams, { upstream.id } });
+    releaseAsDraining(early);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(
+    placement_fixture, "placement.answer_of_another_upstream_at_the_address.does_not_drain_the_expected_one")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    answer_metadata metadata;
+    metadata.wrongInstance = true;
+    metadata.notRun = true;
+    metadata.draining = true;
+    release(place("court 7"), slot_result::kind::Shed, 5ms, metadata);
+    runtime.advance(1s);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.answer_of_a_draining_upstream.is_logged_and_counted")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7");
+    releaseAsDraining(first);
+    releaseAsDraining(second);
+    const auto logged = std::count_if(runtime.logLines.begin(), runtime.logLines.end(),
+        [](const log_event& line) { return line.what == "upstream-answered-draining"; });
+    REQUIRE(logged == 1);
+    REQUIRE(dumped("reported_draining") == 1);
+}
+
+TEST_CASE("reported_unavailability.too_many_upstreams.forgets_the_earliest_recorded", "[placement]")
+{
+    constexpr std::size_t limit = 3;
+    reported_unavailability subject(limit);
+    const upstream_generation generation(1);
+    for (int i = 0; i < 5; ++i)
+        subject.noteDraining(upstream_id(std::to_string(i)), generation, time_point() + i * 1s);
+    REQUIRE(subject.size() == limit);
+    REQUIRE_FALSE(subject.isDraining(upstream_id("1"), generation));
+    REQUIRE(subject.isDraining(upstream_id("2"), generation));
+    REQUIRE(subject.isDraining(upstream_id("4"), generation));
+}
+
 TEST_CASE_METHOD(placement_fixture, "placement.drained_failure_domain.gets_no_requests_until_the_drain_ends")
 {
     add(makeUpstream("u", "here"));
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -413,4 +413,15 @@
     REQUIRE(call(okAnswerHead + "X-Cold-Ms: 1250\r\n\r\nok")->metadata.coldFor == 1250ms);
 }
 
+TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.leaving_field.reports_a_draining_upstream_at_any_status")
+{
+    for (const std::string status : { "200 OK", "404 x", "429 x", "500 x", "503 x" }) {
+        const std::string head = "HTTP/1.1 " + status + "\r\nX-Request-Id: abc\r\nContent-Length: 2\r\n";
+        CAPTURE(status);
+        REQUIRE(call(head + "server-leaving: 1\r\n\r\nok")->metadata.draining);
+        REQUIRE_FALSE(call(head + "Server-Leaving: 0\r\n\r\nok")->metadata.draining);
+        REQUIRE_FALSE(call(head + "\r\nok")->metadata.draining);
+    }
+}
+
 } // namespace plantainlatch::platform
