Send nothing to an upstream for the time that its Retry-After names

An upstream that refuses a request with 503 may name a time for which it wants nothing from this VM. Entries ignored it: a refusal only raised the upstream's failure rate, and requests and probes followed at once, which the upstream had to refuse again.

Placement leaves the upstream out until the time has passed, in the first choice, in the second one with outliers, and for probes, and remembers the time for the generation of the upstream as it does the statement that it drains. The longest time stands.

If all upstreams that may serve a request ask for a pause, the request is refused at once, as not run, and the caller is told when the first pause ends: before that it would be refused again, and after it the request can be served. In all other cases the caller is told what it was told before.

Six tests of placement failed before: "paused != paused", a slot where the request should have been refused (three), a missing pause after the record returned, and a missing log line; they pass after it, in a program of the changed objects and the placement tests alone.

--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -36,6 +36,11 @@
         return "";
     }
 
+    std::string milliseconds(duration span)
+    {
+        return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    }
+
     bool contains(const std::vector<upstream_id>& items, const upstream_id& wanted)
     {
         return std::find(items.begin(), items.end(), wanted) != items.end();
@@ -240,6 +245,10 @@
     const upstream_stats& stats = m_stats[upstream.id];
     if (contains(request.avoid, upstream.id))
         return false;
+    if (remainingPause(upstream) > duration::zero()) {
+        ++excluded.paused;
+        return false;
+    }
     if (stats.isEjected(now)) {
         ++excluded.ejected;
         return false;
@@ -329,10 +338,12 @@
         chosen = choose(request, object, true, excluded);
     slot_answer answer;
     answer.inputs = inputsOf(request, chosen, excluded);
-    const bool isEmpty = orderFor({ request.service, request.policy.allowedRegions }).order.empty();
-    answer.refusal = isEmpty ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
+    const affinity_order& order = orderFor({ request.service, request.policy.allowedRegions }).order;
+    answer.refusal = order.empty() ? slot_refusal::NoUpstream : slot_refusal::Overloaded;
     if (!chosen.inTime) {
         ++m_refused;
+        if (excluded.paused > 0)
+            answer.retryAfter = pauseOfAll(order);
         done(answer);
         return {};
     }
@@ -360,14 +371,12 @@
 std::vector<log_field> placement_service::inputsOf(
     const slot_request& request, const candidate& chosen, const excluded_counts& excluded)
 {
-    const auto milliseconds = [](duration span) {
-        return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-    };
     std::vector<log_field> inputs { { "configuration", absl::StrCat(m_control->state().config.number.value()) },
         { "patience_ms", milliseconds(timeLimit(request)) } };
-    if (excluded.ejected + excluded.outliers + excluded.cold > 0)
+    if (excluded.ejected + excluded.outliers + excluded.cold + excluded.paused > 0)
         inputs.push_back({ "left_out",
-            absl::StrCat("ejected ", excluded.ejected, ", outliers ", excluded.outliers, ", cold ", excluded.cold) });
+            absl::StrCat("ejected ", excluded.ejected, ", outliers ", excluded.outliers, ", cold ", excluded.cold,
+                ", paused ", excluded.paused) });
     if (chosen.upstream == nullptr)
         return inputs;
     const upstream_stats& stats = m_stats[chosen.upstream->id];
@@ -398,8 +407,16 @@
 
 void placement_service::noteUnavailability(const placed_request& placed, const answer_metadata& metadata)
 {
-    if (metadata.wrongInstance || !metadata.draining)
+    if (metadata.wrongInstance)
         return;
+    if (metadata.draining)
+        noteDraining(placed);
+    if (metadata.retryAfter)
+        notePause(placed, *metadata.retryAfter);
+}
+
+void placement_service::noteDraining(const placed_request& placed)
+{
     if (!m_unavailability.noteDraining(placed.upstream, placed.generation, m_hooks.now()))
         return;
     ++m_reportedDraining;
@@ -408,6 +425,33 @@
     updateOrders(placed.upstream);
 }
 
+void placement_service::notePause(const placed_request& placed, duration pause)
+{
+    if (!m_unavailability.notePause(placed.upstream, placed.generation, pause, m_hooks.now()))
+        return;
+    ++m_pauses;
+    m_hooks.log({ log_level::Info, port_names::slots, "upstream-paused",
+        { { "upstream", placed.upstream.value() }, { "generation", absl::StrCat(placed.generation.value()) },
+            { "pause_ms", milliseconds(pause) } } });
+}
+
+duration placement_service::remainingPause(const upstream_announcement& upstream) const
+{
+    return m_unavailability.remainingPause(upstream.id, upstream.generation, m_hooks.now());
+}
+
+std::optional<duration> placement_service::pauseOfAll(const affinity_order& order) const
+{
+    std::optional<duration> shortest;
+    for (const upstream_announcement* upstream : order.all()) {
+        const duration pause = remainingPause(*upstream);
+        if (pause == duration::zero())
+            return std::nullopt;
+        shortest = std::min(pause, shortest.value_or(pause));
+    }
+    return shortest;
+}
+
 state_dump placement_service::dump() const
 {
     state_dump shown(port_names::slots);
@@ -415,6 +459,7 @@
     shown.add("refused", m_refused);
     shown.add("orders_computed", m_ordersComputed);
     shown.add("reported_draining", m_reportedDraining);
+    shown.add("pauses", m_pauses);
     state_dump& upstreams = shown.addObject("own_requests");
     for (const auto& [id, record] : m_directory) {
         const auto stats = m_stats.find(id);
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -89,6 +90,8 @@
         std::uint32_t ejected = 0;
         std::uint32_t outliers = 0;
         std::uint32_t cold = 0;
+        /** They asked for a pause. */
+        std::uint32_t paused = 0;
     };
     /** The affinity orders of a service's objects, and the failure rate from which an upstream is an outlier. */
     struct service_order {
@@ -121,6 +124,11 @@
     void release(slot_handle handle, const slot_result& result);
     /** Takes over what the upstream stated about requests that it doesn't want. */
     void noteUnavailability(const placed_request& placed, const answer_metadata& metadata);
+    void noteDraining(const placed_request& placed);
+    void notePause(const placed_request& placed, duration pause);
+    duration remainingPause(const upstream_announcement& upstream) const;
+    /** The time until the first of the upstreams wants requests again; none unless all of them asked for a pause. */
+    std::optional<duration> pauseOfAll(const affinity_order& order) const;
     service_order& orderFor(const order_key& key);
     double outlierThreshold(service_order& service);
     std::map<region_id, double> demand(const order_key& key) const;
@@ -160,6 +168,7 @@
     std::uint64_t m_refused = 0;
     std::uint64_t m_ordersComputed = 0;
     std::uint64_t m_reportedDraining = 0;
+    std::uint64_t m_pauses = 0;
 };
 
 } // namespace plantainlatch
--- a/src/decision/placement/reported_unavailability.cpp
+++ b/src/decision/placement/reported_unavailability.cpp
@@ -22,6 +22,24 @@
     return item != nullptr && item->draining;
 }
 
+bool reported_unavailability::notePause(
+    const upstream_id& id, upstream_generation generation, duration pause, time_point now)
+{
+    record* item = recordOf(id, generation, now);
+    if (item == nullptr)
+        return false;
+    const bool wasPaused = now < item->pausedUntil;
+    item->pausedUntil = std::max(item->pausedUntil, now + pause);
+    return !wasPaused;
+}
+
+duration reported_unavailability::remainingPause(
+    const upstream_id& id, upstream_generation generation, time_point now) const
+{
+    const record* item = find(id, generation);
+    return item == nullptr ? duration::zero() : std::max(duration::zero(), item->pausedUntil - now);
+}
+
 reported_unavailability::record* reported_unavailability::recordOf(
     const upstream_id& id, upstream_generation generation, time_point now)
 {
--- a/src/decision/placement/reported_unavailability.h
+++ b/src/decision/placement/reported_unavailability.h
@@ -29,6 +29,12 @@
     /** Whether the upstream stated that it is draining. */
     bool isDraining(const upstream_id& id, upstream_generation generation) const;
 
+    /** Records that a generation of an upstream wants no requests for this time. Returns whether it wanted some until
+     * now. */
+    bool notePause(const upstream_id& id, upstream_generation generation, duration pause, time_point now);
+    /** For how long the upstream wants no requests; zero if it wants some. */
+    duration remainingPause(const upstream_id& id, upstream_generation generation, time_point now) const;
+
     /** The number of upstreams with statements. */
     std::size_t size() const { return m_records.size(); }
 
@@ -37,6 +43,7 @@
         upstream_generation generation;
         time_point recordedAt;
         bool draining = false;
+        time_point pausedUntil {};
     };
 
     /** The record of this generation, new if necessary; null if a later generation has a record. */
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -255,8 +255,7 @@
     const attempt_result& result = *m_lastResult;
     switch (result.ended) {
     case attempt_result::kind::NoSlot:
-        return systemAnswer(outcomeWithoutAnswer(),
-            result.refusal == slot_refusal::NoUpstream ? answer_reason::NoUpstream : answer_reason::Overloaded);
+        return answerWithoutSlot();
     case attempt_result::kind::NotOffered:
         return systemAnswer(outcomeWithoutAnswer(),
             result.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
@@ -276,6 +275,17 @@
     return systemAnswer(outcome::Unknown, answer_reason::ConnectionLost);
 }
 
+caller_answer request_run::answerWithoutSlot() const
+{
+    const bool noUpstream = m_lastResult->refusal == slot_refusal::NoUpstream;
+    caller_answer answer
+        = systemAnswer(outcomeWithoutAnswer(), noUpstream ? answer_reason::NoUpstream : answer_reason::Overloaded);
+    // A whole number of milliseconds, rounded up: a caller that returns too early is refused again.
+    if (m_lastResult->retryAfter)
+        answer.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*m_lastResult->retryAfter);
+    return answer;
+}
+
 caller_answer request_run::answerForLostConnection() const
 {
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -65,6 +65,7 @@
     void onDeadline();
     void finishWithLastResult();
     caller_answer answerForLastResult() const;
+    caller_answer answerWithoutSlot() const;
     caller_answer answerForLostConnection() const;
     void finish(caller_answer answer);
     void abandonAttempts(abandon_cause cause);
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -87,6 +87,7 @@
         m_state = nextState(m_state, attempt_event::FailBeforeDispatch);
         attempt_result result;
         result.refusal = answer.refusal;
+        result.retryAfter = answer.retryAfter;
         result.refusalInputs = answer.inputs;
         end(std::move(result));
         return;
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -34,6 +34,8 @@
     attempt_state state = attempt_state::NotOffered;
     /** Why no slot was granted; valid only for NoSlot. */
     slot_refusal refusal = slot_refusal::NoUpstream;
+    /** When a slot can be expected, if that is known; set only for NoSlot. */
+    std::optional<duration> retryAfter;
     /** The inputs to the decision that no upstream was suitable, for the log; set only for NoSlot. */
     std::vector<log_field> refusalInputs;
     /** Why the call failed; valid only for NotOffered and Lost. */
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -55,6 +55,8 @@
     bool wrongInstance = false;
     /** The upstream will end soon and wants no further requests. */
     bool draining = false;
+    /** How long the upstream, which refused the request, wants no requests from this VM. */
+    std::optional<duration> retryAfter;
     std::optional<load_report> load;
     /** The remaining time of the upstream's cold start, if it reports one. */
     std::optional<duration> coldFor;
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -97,6 +97,8 @@
 struct slot_answer {
     std::optional<held_slot> slot;
     slot_refusal refusal = slot_refusal::NoUpstream;
+    /** When a slot can be expected, if that is known. */
+    std::optional<duration> retryAfter;
     /** Log fields with the inputs of the decision. */
     std::vector<log_field> inputs;
 };
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -116,6 +116,14 @@
             slots = *core->services().find<slot_port>(port_names::slots);
         }
 
+        void releaseWithRetryAfter(const slot_answer& placed, duration pause)
+        {
+            answer_metadata metadata;
+            metadata.notRun = true;
+            metadata.retryAfter = pause;
+            release(placed, slot_result::kind::Shed, 5ms, metadata);
+        }
+
         slot_answer place(const std::string& object, duration remaining = 3s, std::vector<upstream_id> avoid = {})
         {
             slot_request request;
@@ -412,6 +420,112 @@
     REQUIRE(subject.isDraining(upstream_id("4"), generation));
 }
 
+TEST_CASE_METHOD(placement_fixture, "placement.refusal_with_retry_after.pauses_requests_to_the_upstream")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const std::string paused = first.slot->upstream.id.value();
+    releaseWithRetryAfter(first, 4s);
+    // Longer than the interval between the probes of an outlier.
+    for (int i = 0; i < 39; ++i) {
+        runtime.advance(100ms);
+        const slot_answer placed = place("court 7");
+        REQUIRE(placed.slot);
+        REQUIRE(placed.slot->upstream.id.value() != paused);
+        release(placed, slot_result::kind::Answered);
+    }
+    runtime.advance(100ms);
+    REQUIRE(place("court 7", 3s, { upstream_id(paused == "u" ? "v" : "u") }).slot);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.all_upstreams_pause_requests.refuses_until_the_first_pause_ends")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    add(makeUpstream("w", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7", 3s, { first.slot->upstream.id });
+    const slot_answer third = place("court 7", 3s, { first.slot->upstream.id, second.slot->upstream.id });
+    releaseWithRetryAfter(first, 2s);
+    releaseWithRetryAfter(second, 500ms);
+    releaseAsDraining(third);
+    runtime.advance(100ms);
+    const slot_answer refused = place("court 7");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE(refused.refusal == slot_refusal::Overloaded);
+    REQUIRE(refused.retryAfter == duration(400ms));
+    runtime.advance(400ms);
+    REQUIRE(placedAt("court 7") == second.slot->upstream.id.value());
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.refusal_for_other_reasons.states_no_time")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7", 3s, { first.slot->upstream.id });
+    releaseWithRetryAfter(first, 30s);
+    release(second, slot_result::kind::Lost);
+    const slot_answer refused = place("court 7");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE_FALSE(refused.retryAfter);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.shorter_retry_after.does_not_end_a_longer_pause")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7");
+    releaseWithRetryAfter(first, 2s);
+    releaseWithRetryAfter(second, 100ms);
+    runtime.advance(1s);
+    REQUIRE(placedAt("court 7").empty());
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.paused_upstream.is_used_again_in_a_later_generation_only")
+{
+    upstream_announcement upstream = makeUpstream("u", "here");
+    const steering_change change { steering_scope::Upstreams, { upstream.id } };
+    add(upstream);
+    start();
+    const slot_answer late = place("court 7");
+    releaseWithRetryAfter(place("court 7"), 10s);
+    state.directory.clear();
+    notify(change);
+    add(upstream);
+    notify(change);
+    changed();
+    REQUIRE(placedAt("court 7").empty());
+    upstream.generation = upstream_generation(2);
+    add(upstream);
+    notify(change);
+    releaseWithRetryAfter(late, 10s);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.pause.is_logged_and_counted_and_named_as_a_reason")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    releaseWithRetryAfter(place("court 7"), 1500ms);
+    const auto logged = std::find_if(runtime.logLines.begin(), runtime.logLines.end(),
+        [](const log_event& line) { return line.what == "upstream-paused"; });
+    REQUIRE(logged != runtime.logLines.end());
+    REQUIRE(logged->fields.back().name == "pause_ms");
+    REQUIRE(logged->fields.back().value == "1500");
+    REQUIRE(dumped("pauses") == 1);
+    const slot_answer refused = place("court 7");
+    const auto reason = std::find_if(
+        refused.inputs.begin(), refused.inputs.end(), [](const log_field& field) { return field.name == "left_out"; });
+    REQUIRE(reason != refused.inputs.end());
+    REQUIRE(reason->value == "ejected 0, outliers 0, cold 0, paused 1");
+}
+
 TEST_CASE_METHOD(placement_fixture, "placement.drained_failure_domain.gets_no_requests_until_the_drain_ends")
 {
     add(makeUpstream("u", "here"));
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -424,4 +424,31 @@
     }
 }
 
+TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.retry_after_of_a_503.is_read_as_seconds")
+{
+    const auto [text, expected] = GENERATE(table<std::string, std::optional<duration>>({
+        { "2", 2s },
+        { "0.25", 250ms },
+        { " 1.5 ", 1500ms },
+        { "100000000000000000000000", 24h },
+        { "1e300", 24h },
+        { "0", std::nullopt },
+        { "-3", std::nullopt },
+        { "nan", std::nullopt },
+        { "", std::nullopt },
+        { "soon", std::nullopt },
+        { "2 seconds", std::nullopt },
+        { "Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt },
+    }));
+    CAPTURE(text);
+    const std::string head = "HTTP/1.1 503 x\r\nX-Request-Id: abc\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n";
+    REQUIRE(call(head + "Retry-After: " + text + "\r\n\r\n")->metadata.retryAfter == expected);
+}
+
+TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.retry_after_of_another_status.is_ignored")
+{
+    REQUIRE_FALSE(call(okAnswerHead + "Retry-After: 2\r\n\r\nok")->metadata.retryAfter);
+    REQUIRE_FALSE(call(okAnswerHead + "\r\nok")->metadata.retryAfter);
+}
+
 } // namespace plantainlatch::platform
