Place requests anew that wait for an upstream that wants none

When an upstream asks for a pause, or answers that it is draining, requests of the same entry may still wait for a connection to it. They were sent to it as soon as the connection was established, up to half a second later on the platform, against the upstream's wish.

Placement now revokes the slots of that generation of the upstream. An attempt whose call has not been dispatched cancels it, releases its slot as unused and ends as revoked; the request goes on to another upstream at once, without a charge to the retry budget on the platform, as nothing was sent. A call that has been dispatched is left alone. The slots are revoked from the event loop, in the order in which they were acquired, as a release can be part of another request's progress. If no upstream is left then, the caller gets the answer for that reason.

Ruled out: a check at dispatch, which would make the request wait for its connection for nothing, and a new kind of call failure, which the upstream port would never report.

The test of placement failed before, "revoked == 1: 0 == 1"; that of the attempt was not run on the unfixed code. Both pass after it.

--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -352,7 +352,7 @@
     const slot_handle handle(++m_lastHandle);
     m_held.emplace(handle,
         placed_request { chosen.upstream->id, chosen.upstream->generation, request.policy.route, object, chosen.state,
-            chosen.runTime, chosen.queued });
+            chosen.runTime, chosen.queued, request.onRevoked });
     m_stats[chosen.upstream->id].noteRequest();
     answer.slot = held_slot { handle, *chosen.upstream, request.deadline };
     done(answer);
@@ -423,6 +423,7 @@
     m_hooks.log({ log_level::Info, port_names::slots, "upstream-answered-draining",
         { { "upstream", placed.upstream.value() }, { "generation", absl::StrCat(placed.generation.value()) } } });
     updateOrders(placed.upstream);
+    revokeSlots(placed.upstream, placed.generation);
 }
 
 void placement_service::notePause(const placed_request& placed, duration pause)
@@ -433,6 +434,18 @@
     m_hooks.log({ log_level::Info, port_names::slots, "upstream-paused",
         { { "upstream", placed.upstream.value() }, { "generation", absl::StrCat(placed.generation.value()) },
             { "pause_ms", milliseconds(pause) } } });
+    revokeSlots(placed.upstream, placed.generation);
+}
+
+void placement_service::revokeSlots(const upstream_id& id, upstream_generation generation)
+{
+    std::map<slot_handle, std::function<void()>> inOrderOfAcquisition;
+    for (const auto& [handle, placed] : m_held) {
+        if (placed.upstream == id && placed.generation == generation && placed.onRevoked)
+            inOrderOfAcquisition.emplace(handle, placed.onRevoked);
+    }
+    for (const auto& [handle, onRevoked] : inOrderOfAcquisition)
+        m_hooks.schedule(duration::zero(), onRevoked);
 }
 
 duration placement_service::remainingPause(const upstream_announcement& upstream) const
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -66,6 +66,7 @@
         object_state state = object_state::Unknown;
         duration expected {};
         bool queued = false;
+        std::function<void()> onRevoked;
     };
     /** An upstream that a request may go to, with the estimates for it. */
     struct candidate {
@@ -126,6 +127,8 @@
     void noteUnavailability(const placed_request& placed, const answer_metadata& metadata);
     void noteDraining(const placed_request& placed);
     void notePause(const placed_request& placed, duration pause);
+    /** Revokes the slots of this generation of the upstream, whose requests may still wait for a connection. */
+    void revokeSlots(const upstream_id& id, upstream_generation generation);
     duration remainingPause(const upstream_announcement& upstream) const;
     /** The time until the first of the upstreams wants requests again; none unless all of them asked for a pause. */
     std::optional<duration> pauseOfAll(const affinity_order& order) const;
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -21,6 +21,8 @@
             return "no-slot";
         case attempt_result::kind::NotOffered:
             return "not-offered";
+        case attempt_result::kind::Revoked:
+            return "revoked";
         case attempt_result::kind::Refused:
             return "refused";
         case attempt_result::kind::Shed:
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -143,15 +143,14 @@
 {
     std::erase(m_openAttempts, attempt);
     m_outcome.recordEnd(result.state);
-    const bool offered
-        = result.ended != attempt_result::kind::NoSlot && result.ended != attempt_result::kind::NotOffered;
-    if (offered) {
+    if (result.state != attempt_state::NotOffered) {
         ++m_dispatchCount;
         m_usedAddresses.push_back(result.address);
     }
     if (m_abandoning)
         return;
-    if (result.ended != attempt_result::kind::NoSlot || !m_lastResult)
+    const bool hasCallResult = m_lastResult && m_lastResult->ended != attempt_result::kind::Revoked;
+    if (result.ended != attempt_result::kind::NoSlot || !hasCallResult)
         m_lastResult = result;
     if (result.ended == attempt_result::kind::Answered) {
         finishWithLastResult();
@@ -259,6 +258,8 @@
     case attempt_result::kind::NotOffered:
         return systemAnswer(outcomeWithoutAnswer(),
             result.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
+    case attempt_result::kind::Revoked:
+        return systemAnswer(outcomeWithoutAnswer(), answer_reason::Overloaded);
     case attempt_result::kind::Refused:
         if (result.answer->metadata.wrongInstance)
             return systemAnswer(outcomeWithoutAnswer(), answer_reason::NoUpstream);
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -65,7 +65,10 @@
 {
     m_usedAddresses = std::move(usedAddresses);
     slot_request request { m_request.content.service, m_request.deadline, avoid,
-        byte_count(m_request.content.body.size()), m_request.policy };
+        byte_count(m_request.content.body.size()), m_request.policy, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->onRevoked();
+        } };
     slot_port& slots = m_environment.slots;
     const slot_ticket ticket
         = slots.acquire(std::move(request), [weak = weak_from_this(), &slots](const slot_answer& answer) {
@@ -109,6 +112,19 @@
     end(std::move(result));
 }
 
+void upstream_attempt::onRevoked()
+{
+    const bool waitsForDispatch = m_holdsSlot && m_state == attempt_state::Prepared;
+    if (!waitsForDispatch)
+        return;
+    m_environment.upstreams.cancel(m_call);
+    release(slot_result::kind::Unused, attempt_termination::Finished);
+    m_state = nextState(m_state, attempt_event::FailBeforeDispatch);
+    attempt_result result;
+    result.ended = attempt_result::kind::Revoked;
+    end(std::move(result));
+}
+
 dispatch_timing upstream_attempt::timingAt(time_point begin) const
 {
     return { m_request.deadline - begin, m_request.deadline - m_request.arrivedAt,
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -21,6 +21,8 @@
         NoSlot,
         /** The call ended before it was dispatched. */
         NotOffered,
+        /** The slot was revoked before the call was dispatched. */
+        Revoked,
         /** The upstream answered with a marked refusal. */
         Refused,
         /** The upstream answered 503, or another status that callers take as a statement that the request did not run,
@@ -86,6 +88,7 @@
     upstream_attempt(request_environment& environment, const admitted_request& request, attempt_events events);
 
     void onSlot(const slot_answer& answer);
+    void onRevoked();
     dispatch_timing timingAt(time_point begin) const;
     /** Adds a timed-out call to the latency samples and returns the result with which its slot is released: Timeout if
      * it counts as a failure of the upstream, Cancelled otherwise. */
--- a/src/ports/slot_port.h
+++ b/src/ports/slot_port.h
@@ -48,6 +48,9 @@
     /** Bytes to send; charged to the link budget when the upstream is in another region. */
     byte_count bodySize;
     routing_policy policy;
+    /** Called when an acquired slot should not be used to begin a dispatch any more, because the upstream wants no
+     * further requests. May also be called after the slot was released. */
+    std::function<void()> onRevoked;
 };
 
 /** An acquired slot; it must be released. */
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -134,6 +134,7 @@
             request.policy.object = object;
             request.policy.targetLatency = 600ms;
             request.policy.allowedRegions = allowed;
+            request.onRevoked = [this] { ++revoked; };
             slot_answer result;
             slots->acquire(request, [&](const slot_answer& answer) { result = answer; });
             return result;
@@ -181,6 +182,7 @@
         std::function<void(const steering_change&)> notify;
         std::set<network_address> addressesWithClosedConnections;
         std::vector<region_id> allowed;
+        int revoked = 0;
         std::unique_ptr<placement_service> subject;
         std::unique_ptr<kernel> core;
         slot_port* slots = nullptr;
@@ -526,6 +528,24 @@
     REQUIRE(reason->value == "ejected 0, outliers 0, cold 0, paused 1");
 }
 
+TEST_CASE_METHOD(placement_fixture, "placement.upstream_wants_no_requests.revokes_its_slots_and_no_others")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7", 3s, { first.slot->upstream.id });
+    const slot_answer third = place("court 7", 3s, { second.slot->upstream.id });
+    if (GENERATE(true, false))
+        releaseWithRetryAfter(first, 2s);
+    else
+        releaseAsDraining(first);
+    runtime.advance(0ms);
+    REQUIRE(revoked == 1);
+    release(second, slot_result::kind::Answered);
+    release(third, slot_result::kind::Unused);
+}
+
 TEST_CASE_METHOD(placement_fixture, "placement.drained_failure_domain.gets_no_requests_until_the_drain_ends")
 {
     add(makeUpstream("u", "here"));
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -197,6 +197,37 @@
     REQUIRE(cluster.upstreams.calls.size() == 1);
 }
 
+TEST_CASE_METHOD(request_outcome_fixture, "request.slot_revoked_before_dispatch.is_sent_to_another_upstream_at_once")
+{
+    request_cluster cluster(1, 1, 3, 2);
+    cluster.upstreams.behaviour = [&cluster](const upstream_call&) {
+        return cluster.upstreams.calls.empty() ? call_behaviour { kind::ConnectFailed, 500ms } : call_behaviour();
+    };
+    const caller_record& sent = cluster.post(0, "order");
+    cluster.runtime.advance(100ms);
+    cluster.upstreams.revokeSlots();
+    cluster.runtime.advance(100ms);
+    REQUIRE(sent.answers == 1);
+    REQUIRE(sent.answer->result == outcome::Completed);
+    REQUIRE(cluster.upstreams.calls.size() == 2);
+    REQUIRE(cluster.upstreams.calls.front().cancelled);
+    REQUIRE(cluster.upstreams.calls[0].call.upstream != cluster.upstreams.calls[1].call.upstream);
+    REQUIRE(cluster.upstreams.released.front().ended == slot_result::kind::Unused);
+}
+
+TEST_CASE_METHOD(request_outcome_fixture, "request.slot_revoked_after_dispatch.is_answered_by_its_upstream")
+{
+    request_cluster cluster(1, 1, 3, 2);
+    cluster.upstreams.behaviour = [](const upstream_call&) { return call_behaviour { kind::Answer, 200ms }; };
+    const caller_record& sent = cluster.post(0, "order");
+    cluster.runtime.advance(100ms);
+    cluster.upstreams.revokeSlots();
+    cluster.runtime.advance(200ms);
+    REQUIRE(sent.answers == 1);
+    REQUIRE(sent.answer->result == outcome::Completed);
+    REQUIRE(cluster.upstreams.calls.size() == 1);
+}
+
 TEST_CASE_METHOD(
     request_outcome_fixture, "request.caller_left.cancels_the_call_and_frees_the_slot_when_the_work_has_ended")
 {
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -53,6 +53,12 @@
         release(handle, returned);
 }
 
+void fake_upstreams::revokeSlots()
+{
+    for (const auto& [handle, holder] : m_heldSlots)
+        m_runtime.schedule(duration::zero(), holder.onRevoked);
+}
+
 slot_ticket fake_upstreams::acquire(std::size_t entry, slot_request request, std::function<void(slot_answer)> onSlot)
 {
     const std::uint64_t ticket = ++m_lastId;
@@ -88,7 +94,7 @@
         if (!chosen)
             return;
         auto waiter = m_waiters.extract(position);
-        waiter.mapped().onSlot(grant(waiter.mapped().entry, *chosen));
+        waiter.mapped().onSlot(grant(waiter.mapped(), *chosen));
         position = m_waiters.begin();
     }
 }
@@ -113,12 +119,12 @@
     return best->announcement.id;
 }
 
-slot_answer fake_upstreams::grant(std::size_t entry, const upstream_id& chosen)
+slot_answer fake_upstreams::grant(const slot_waiter& waiter, const upstream_id& chosen)
 {
     upstream_record& record = m_upstreams.at(chosen);
     ++record.inUse;
     const slot_handle handle(++m_lastId);
-    m_heldSlots.emplace(handle, slot_holder { entry, chosen });
+    m_heldSlots.emplace(handle, slot_holder { waiter.entry, chosen, waiter.request.onRevoked });
     return { held_slot { handle, record.announcement, m_runtime.now() + std::chrono::seconds(2) }, {} };
 }
 
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -65,6 +65,9 @@
     /** Ends an entry's calls without callbacks, as if its process had crashed. Its slots become free after `lease`. */
     void killEntry(std::size_t entry, duration lease = std::chrono::seconds(12));
 
+    /** Revokes all slots that entries hold. */
+    void revokeSlots();
+
     /** The number of slots that entries hold. */
     std::size_t heldSlots() const { return m_heldSlots.size(); }
     /** Called before each call starts. */
@@ -106,6 +109,7 @@
     struct slot_holder {
         std::size_t entry;
         upstream_id upstream;
+        std::function<void()> onRevoked;
     };
     using call_key = std::pair<std::size_t, std::uint64_t>;
 
@@ -113,7 +117,7 @@
     void release(slot_handle handle, const slot_result& result);
     void serveWaiters();
     std::optional<upstream_id> choose(const slot_request& request) const;
-    slot_answer grant(std::size_t entry, const upstream_id& chosen);
+    slot_answer grant(const slot_waiter& waiter, const upstream_id& chosen);
     void start(std::size_t entry, const upstream_call& call, call_events events);
     void runWork(open_call& open, const recorded_call& seen);
     void stopWork(const open_call& open);
