--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -146,15 +146,14 @@
 {
     std::erase(m_openAttempts, attempt);
     m_outcome.recordEnd(result.state);
-    const bool offered
-        = result.ended != attempt_result::kind::NoSlot && result.ended != attempt_result::kind::NotOffered;
-    if (offered) {
+    if (result.state != attempt_state::NotOffered) {
         ++m_dispatchCount;
         m_usedAddresses.push_back(result.address);
     }
     if (m_abandoning)
         return;
-    if (result.ended != attempt_result::kind::NoSlot || !m_lastResult)
+    const bool hasCallResult = m_lastResult && m_lastResult->ended != attempt_result::kind::Revoked;
+    if (result.ended != attempt_result::kind::NoSlot || !hasCallResult)
         m_lastResult = result;
     if (result.ended == attempt_result::kind::Answered) {
         finishWithLastResult();
@@ -269,11 +268,12 @@
     const attempt_result& result = *m_lastResult;
     switch (result.ended) {
     case attempt_result::kind::NoSlot:
-        return systemAnswer(outcomeWithoutAnswer(),
-            result.refusal == slot_refusal::NoUpstream ? answer_reason::NoUpstream : answer_reason::Overloaded);
+        return answerWithoutSlot();
     case attempt_result::kind::NotOffered:
         return systemAnswer(outcomeWithoutAnswer(),
             result.failure == call_failure::ConnectFailed ? answer_reason::NoUpstream : answer_reason::Overloaded);
+    case attempt_result::kind::Revoked:
+        return systemAnswer(outcomeWithoutAnswer(), answer_reason::Overloaded);
     case attempt_result::kind::Refused:
         if (result.answer->metadata.wrongInstance)
             return systemAnswer(outcomeWithoutAnswer(), answer_reason::NoUpstream);
@@ -290,6 +290,17 @@
     return systemAnswer(outcome::Unknown, answer_reason::ConnectionLost);
 }
 
+caller_answer request_run::answerWithoutSlot() const
+{
+    const bool noUpstream = m_lastResult->refusal == slot_refusal::NoUpstream;
+    caller_answer answer
+        = systemAnswer(outcomeWithoutAnswer(), noUpstream ? answer_reason::NoUpstream : answer_reason::Overloaded);
+    // A whole number of milliseconds, rounded up: a caller that returns too early is refused again.
+    if (m_lastResult->retryAfter)
+        answer.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*m_lastResult->retryAfter);
+    return answer;
+}
+
 caller_answer request_run::answerForLostConnection() const
 {
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -53,8 +53,12 @@
 struct answer_metadata {
     /** The upstream guarantees that it did not run the request. */
     bool notRun = false;
-    /** Another upstream now has the address; it did not run the request. */
+    /** Another upstream now has the address; it did not run the request. The rest of the metadata is that one's. */
     bool wrongInstance = false;
+    /** The upstream will end soon and wants no further requests. */
+    bool draining = false;
+    /** How long the upstream, which refused the request, wants no requests from this VM. */
+    std::optional<duration> retryAfter;
     std::optional<load_report> load;
     /** The remaining time of the upstream's cold start, if it reports one. */
     std::optional<duration> coldFor;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -114,6 +116,14 @@
             slots = *core->services().find<slot_port>(port_names::slots);
         }
 
+        void releaseWithRetryAfter(const slot_answer& placed, duration pause)
+        {
+            answer_metadata metadata;
+            metadata.notRun = true;
+            metadata.retryAfter = pause;
+            release(placed, slot_result::kind::Shed, 5ms, metadata);
+        }
+
         slot_answer place(const std::string& object, duration remaining = 3s, std::vector<upstream_id> avoid = {})
         {
             slot_request request;
@@ -124,6 +134,7 @@
             request.policy.object = object;
             request.policy.targetLatency = 600ms;
             request.policy.allowedRegions = allowed;
+            request.onRevoked = [this] { ++revoked; };
             slot_answer result;
             slots->acquire(request, [&](const slot_answer& answer) { result = answer; });
             return result;
@@ -135,14 +146,33 @@
             return answer.slot ? answer.slot->upstream.id.value() : "";
         }
 
-        void release(const slot_answer& placed, slot_result::kind ended, duration latency = 200ms)
+        void release(const slot_answer& placed, slot_result::kind ended, duration latency = 200ms,
+            const answer_metadata& metadata = {})
         {
             slot_result result;
             result.ended = ended;
             result.latency = latency;
+            result.metadata = metadata;
             slots->release(placed.slot->handle, result);
         }
 
+        /** A number at the top level of the service's state dump; none if it is missing. */
+        std::optional<std::int64_t> dumped(const std::string& name) const
+        {
+            for (const state_dump& item : subject->asService().dump().children) {
+                if (item.name == name)
+                    return std::get<std::int64_t>(item.value);
+            }
+            return std::nullopt;
+        }
+
+        void releaseAsDraining(const slot_answer& placed, slot_result::kind ended = slot_result::kind::Answered)
+        {
+            answer_metadata metadata;
+            metadata.draining = true;
+            release(placed, ended, 200ms, metadata);
+        }
+
         paused_runtime runtime { 1 };
         vm_settings settings;
         placement_options options;
@@ -152,6 +182,7 @@
         std::function<void(const steering_change&)> notify;
         std::set<network_address> addressesWithClosedConnections;
         std::vector<region_id> allowed;
+        int revoked = 0;
         std::unique_ptr<placement_service> subject;
         std::unique_ptr<kernel> core;
         slot_port* slots = nullptr;
@@ -279,6 +310,242 @@
     REQUIRE(got.refusal == slot_refusal::NoUpstream);
 }
 
+TEST_CASE_METHOD(placement_fixture, "placement.answer_of_a_draining_upstream.ends_requests_to_it_at_once")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const upstream_id leaving = first.slot->upstream.id;
+    releaseAsDraining(first, GENERATE(slot_result::kind::Answered, slot_result::kind::Shed, slot_result::kind::Failed));
+    for (int i = 0; i < 20; ++i) {
+        const slot_answer placed = place("court " + std::to_string(i));
+        REQUIRE(placed.slot);
+        REQUIRE(placed.slot->upstream.id != leaving);
+        release(placed, slot_result::kind::Answered);
+    }
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.last_upstream_answers_that_it_drains.requests_are_refused")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    releaseAsDraining(place("court 7"));
+    const slot_answer refused = place("court 7");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE(refused.refusal == slot_refusal::NoUpstream);
+}
+
+TEST_CASE_METHOD(
+    placement_fixture, "placement.upstream_that_answered_that_it_drains.is_used_again_only_in_a_later_generation")
+{
+    upstream_announcement upstream = makeUpstream("u", "here");
+    const steering_change change { steering_scope::Upstreams, { upstream.id } };
+    add(upstream);
+    start();
+    releaseAsDraining(place("court 7"));
+
+    // An announcement from before, which arrives late.
+    upstream.sequence = 1;
+    add(upstream);
+    notify(change);
+    REQUIRE(placedAt("court 7").empty());
+
+    // Its record expires, and a late announcement adds it again.
+    state.directory.clear();
+    notify(change);
+    add(upstream);
+    notify(change);
+    REQUIRE(placedAt("court 7").empty());
+
+    // A snapshot replaces the control state.
+    changed();
+    REQUIRE(placedAt("court 7").empty());
+
+    upstream.generation = upstream_generation(2);
+    add(upstream);
+    notify(change);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.late_answer_of_an_earlier_generation.does_not_drain_the_later_one")
+{
+    upstream_announcement upstream = makeUpstream("u", "here");
+    add(upstream);
+    start();
+    const slot_answer early = place("court 7");
+    upstream.generation = upstream_generation(2);
+    add(upstream);
+    notify({ steering_scope::Upstreams, { upstream.id } });
+    releaseAsDraining(early);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(
+    placement_fixture, "placement.answer_of_another_upstream_at_the_address.does_not_drain_the_expected_one")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    answer_metadata metadata;
+    metadata.wrongInstance = true;
+    metadata.notRun = true;
+    metadata.draining = true;
+    release(place("court 7"), slot_result::kind::Shed, 5ms, metadata);
+    runtime.advance(1s);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.answer_of_a_draining_upstream.is_logged_and_counted")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7");
+    releaseAsDraining(first);
+    releaseAsDraining(second);
+    const auto logged = std::count_if(runtime.logLines.begin(), runtime.logLines.end(),
+        [](const log_event& line) { return line.what == "upstream-answered-draining"; });
+    REQUIRE(logged == 1);
+    REQUIRE(dumped("reported_draining") == 1);
+}
+
+TEST_CASE("reported_unavailability.too_many_upstreams.forgets_the_earliest_recorded", "[placement]")
+{
+    constexpr std::size_t limit = 3;
+    reported_unavailability subject(limit);
+    const upstream_generation generation(1);
+    for (int i = 0; i < 5; ++i)
+        subject.noteDraining(upstream_id(std::to_string(i)), generation, time_point() + i * 1s);
+    REQUIRE(subject.size() == limit);
+    REQUIRE_FALSE(subject.isDraining(upstream_id("1"), generation));
+    REQUIRE(subject.isDraining(upstream_id("2"), generation));
+    REQUIRE(subject.isDraining(upstream_id("4"), generation));
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.refusal_with_retry_after.pauses_requests_to_the_upstream")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const std::string paused = first.slot->upstream.id.value();
+    releaseWithRetryAfter(first, 4s);
+    // Longer than the interval between the probes of an outlier.
+    for (int i = 0; i < 39; ++i) {
+        runtime.advance(100ms);
+        const slot_answer placed = place("court 7");
+        REQUIRE(placed.slot);
+        REQUIRE(placed.slot->upstream.id.value() != paused);
+        release(placed, slot_result::kind::Answered);
+    }
+    runtime.advance(100ms);
+    REQUIRE(place("court 7", 3s, { upstream_id(paused == "u" ? "v" : "u") }).slot);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.all_upstreams_pause_requests.refuses_until_the_first_pause_ends")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    add(makeUpstream("w", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7", 3s, { first.slot->upstream.id });
+    const slot_answer third = place("court 7", 3s, { first.slot->upstream.id, second.slot->upstream.id });
+    releaseWithRetryAfter(first, 2s);
+    releaseWithRetryAfter(second, 500ms);
+    releaseAsDraining(third);
+    runtime.advance(100ms);
+    const slot_answer refused = place("court 7");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE(refused.refusal == slot_refusal::Overloaded);
+    REQUIRE(refused.retryAfter == duration(400ms));
+    runtime.advance(400ms);
+    REQUIRE(placedAt("court 7") == second.slot->upstream.id.value());
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.refusal_for_other_reasons.states_no_time")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7", 3s, { first.slot->upstream.id });
+    releaseWithRetryAfter(first, 30s);
+    release(second, slot_result::kind::Lost);
+    const slot_answer refused = place("court 7");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE_FALSE(refused.retryAfter);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.shorter_retry_after.does_not_end_a_longer_pause")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7");
+    releaseWithRetryAfter(first, 2s);
+    releaseWithRetryAfter(second, 100ms);
+    runtime.advance(1s);
+    REQUIRE(placedAt("court 7").empty());
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.paused_upstream.is_used_again_in_a_later_generation_only")
+{
+    upstream_announcement upstream = makeUpstream("u", "here");
+    const steering_change change { steering_scope::Upstreams, { upstream.id } };
+    add(upstream);
+    start();
+    const slot_answer late = place("court 7");
+    releaseWithRetryAfter(place("court 7"), 10s);
+    state.directory.clear();
+    notify(change);
+    add(upstream);
+    notify(change);
+    changed();
+    REQUIRE(placedAt("court 7").empty());
+    upstream.generation = upstream_generation(2);
+    add(upstream);
+    notify(change);
+    releaseWithRetryAfter(late, 10s);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.pause.is_logged_and_counted_and_named_as_a_reason")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    releaseWithRetryAfter(place("court 7"), 1500ms);
+    const auto logged = std::find_if(runtime.logLines.begin(), runtime.logLines.end(),
+        [](const log_event& line) { return line.what == "upstream-paused"; });
+    REQUIRE(logged != runtime.logLines.end());
+    REQUIRE(logged->fields.back().name == "pause_ms");
+    REQUIRE(logged->fields.back().value == "1500");
+    REQUIRE(dumped("pauses") == 1);
+    const slot_answer refused = place("court 7");
+    const auto reason = std::find_if(
+        refused.inputs.begin(), refused.inputs.end(), [](const log_field& field) { return field.name == "left_out"; });
+    REQUIRE(reason != refused.inputs.end());
+    REQUIRE(reason->value == "ejected 0, outliers 0, cold 0, paused 1");
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.upstream_wants_no_requests.revokes_its_slots_and_no_others")
+{
+    add(makeUpstream("u", "here"));
+    add(makeUpstream("v", "here"));
+    start();
+    const slot_answer first = place("court 7");
+    const slot_answer second = place("court 7", 3s, { first.slot->upstream.id });
+    const slot_answer third = place("court 7", 3s, { second.slot->upstream.id });
+    if (GENERATE(true, false))
+        releaseWithRetryAfter(first, 2s);
+    else
+        releaseAsDraining(first);
+    runtime.advance(0ms);
+    REQUIRE(revoked == 1);
+    release(second, slot_result::kind::Answered);
+    release(third, slot_result::kind::Unused);
+}
+
 TEST_CASE_METHOD(placement_fixture, "placement.drained_failure_domain.gets_no_requests_until_the_drain_ends")
 {
     add(makeUpstream("u", "here"));
