Answer bytes of a message that is still on its way

A VM pings another every 500 ms, and the pings wait in the TCP stream behind messages. On a link of 5 Mbit/s, messages of more than about 0.7 MB in a row delay the answer beyond the time-out of 2 s. The sender then closed a connection that worked, and the log sent what was lost again from its beginning, which may never end.

The receiver now also answers received bytes if it has sent no answer for a ping's interval, and the sender counts every answer, as before. An answer means that the other VM's process reads, so one that is frozen or cut off is still disconnected after the time-out, whatever is queued. Ruled out: progress of the sender's queue, as the socket buffers of both sides hold megabytes that it doesn't see, and as they still fill up when the other VM is frozen; a time-out that grows with the bytes sent, which finds a frozen VM later and assumes a rate.

peer_transport.messages_that_take_longer_than_the_time_out.keep_the_connection failed before (the last messages did not arrive within 5 s) and passes. peer_that_freezes.is_disconnected_with_its_backlog_full also failed before, as the connection was closed before the freeze; it bounds the time until a frozen VM is found with 12.8 MB queued. The fixture's runUntil ran forever if its condition held at once, since a stop before the loop runs has no effect.

--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -55,6 +55,8 @@
             decoder.feed({ chunk.data(), size });
             deliver();
         }
+        if (connection != nullptr && events.onBytes)
+            events.onBytes();
     }
 
     void deliver()
--- a/src/runtime/frame_stream.h
+++ b/src/runtime/frame_stream.h
@@ -22,6 +22,8 @@
     /** The connection is established; only for streams that are created by connect(). */
     std::function<void()> onConnected;
     std::function<void(std::string payload)> onFrame;
+    /** Bytes were received; the frames that they complete were passed to onFrame before. */
+    std::function<void()> onBytes;
     /** The peer closed the connection, the connection failed, or a frame was too large; not called when the stream is
      * destroyed. */
     std::function<void(absl::Status)> onClosed;
--- a/src/services/peer_receiver.cpp
+++ b/src/services/peer_receiver.cpp
@@ -14,6 +14,7 @@
     peer_receiver* raw = receiver.get();
     frame_stream_events streamEvents;
     streamEvents.onFrame = [raw](const std::string& payload) { raw->receive(payload); };
+    streamEvents.onBytes = [raw] { raw->receivedBytes(); };
     streamEvents.onClosed = [raw](const absl::Status& why) { raw->fail(why); };
     receiver->m_stream = frame_stream::accept(loop, socket, maximumHandshakeBytes, std::move(streamEvents));
     receiver->restartSilenceTimer(options.handshakeTimeout);
@@ -89,6 +90,7 @@
     m_outgoing.emplace(m_key, handshake_role::Accepting, *m_hello, m_nonce);
     m_stream->setMaximumPayload(m_options.maximumFrame);
     restartSilenceTimer(m_options.silenceTimeout);
+    m_lastAnswer = m_hooks.now();
     m_events.onConnected(m_hello->from);
 }
 
@@ -101,10 +103,24 @@
     }
     restartSilenceTimer(m_options.silenceTimeout);
     if (frame->front() == static_cast<char>(peer_frame_kind::Ping)) {
-        m_stream->send(m_outgoing->seal(*frame));
+        answer();
         return;
     }
     m_events.onMessage(m_hello->from, frame->substr(1));
 }
 
+void peer_receiver::receivedBytes()
+{
+    if (m_failed || !m_incoming)
+        return;
+    if (m_hooks.now() - m_lastAnswer >= m_options.pingInterval)
+        answer();
+}
+
+void peer_receiver::answer()
+{
+    m_lastAnswer = m_hooks.now();
+    m_stream->send(m_outgoing->seal(std::string(1, static_cast<char>(peer_frame_kind::Ping))));
+}
+
 } // namespace plantainlatch
--- a/src/services/peer_receiver.h
+++ b/src/services/peer_receiver.h
@@ -27,8 +27,9 @@
     std::function<void(const absl::Status& why)> onClosed;
 };
 
-/** Authenticates the peer, checks its frames and answers its pings. Until the peer is authenticated, only
- * onClosed can be called. */
+/** Authenticates the peer, checks its frames and answers its pings. A ping waits behind the messages that were sent
+ * before it, so bytes are answered too if there was no answer for a ping's interval: messages that take long on a slow
+ * link don't look like a VM that stopped. Until the peer is authenticated, only onClosed can be called. */
 class peer_receiver {
 public:
     static std::unique_ptr<peer_receiver> create(event_loop& loop, const kernel_hooks& hooks, int socket,
@@ -44,6 +45,8 @@
     void handleHello(const std::string& payload);
     void handleProof(const std::string& payload);
     void handleFrame(const std::string& payload);
+    void receivedBytes();
+    void answer();
     void restartSilenceTimer(duration timeout);
     void fail(const absl::Status& why);
 
@@ -59,6 +62,7 @@
     std::optional<frame_authenticator> m_incoming;
     std::optional<frame_authenticator> m_outgoing;
     timer_id m_timer;
+    time_point m_lastAnswer;
     bool m_failed = false;
 };
 
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -8,6 +10,7 @@
 
 #include "codec/msgpack_codec.h"
 #include "codec/peer_message_codec.h"
+#include "error/slow_relay.h"
 #include "kernel/kernel.h"
 #include "ports/port_names.h"
 #include "runtime/frame_stream.h"
@@ -36,9 +39,7 @@
             for (const char* id : { "e1", "e2" }) {
                 vm_record record;
                 record.id = vm_id(id);
-                const auto position = static_cast<std::uint16_t>(vms.size());
-                record.peerAddress
-                    = { "127.0.0.1", static_cast<std::uint16_t>(firstPort + position + (getpid() % 2000) * 4) };
+                record.peerAddress = addressAt(vms.size());
                 vms.push_back(record);
             }
         }
@@ -51,6 +52,12 @@
             }
         }
 
+        /** Four addresses of this process; the VMs have the first two. */
+        static network_address addressAt(std::size_t position)
+        {
+            return { "127.0.0.1", static_cast<std::uint16_t>(firstPort + position + (getpid() % 2000) * 4) };
+        }
+
         void start(const std::string& id, const std::string& key)
         {
             node& item = nodes[id];
@@ -84,7 +91,7 @@
                 else
                     hooks.schedule(std::chrono::milliseconds(5), poll);
             };
-            poll();
+            hooks.schedule(duration::zero(), poll);
             loop->run();
             return condition();
         }
@@ -113,8 +120,66 @@
         const std::string goodKey = "0123456789abcdef0123456789abcdef";
     };
 
+    /** VMs e1 and e2 with short time-outs; what e1 sends to e2 passes through a relay with limited bandwidth. */
+    class slow_link_fixture : public peer_transport_fixture {
+    protected:
+        static constexpr std::size_t bytesPerSecond = 800'000;
+
+        slow_link_fixture()
+        {
+            options.pingInterval = std::chrono::milliseconds(50);
+            options.silenceTimeout = std::chrono::milliseconds(500);
+            start("e2", goodKey);
+            vms[1].peerAddress = relayAddress;
+            start("e1", goodKey);
+            portOf("e1").send(vm_id("e2"), numbered(1));
+            REQUIRE(runUntil([&] { return nodes["e2"].received.size() == 1; }));
+        }
+
+        /** Sends a message of `count` random bytes, which compression doesn't shorten. */
+        void sendBytes(std::size_t count)
+        {
+            std::string bytes(count, '\0');
+            std::ranges::generate(bytes, [this] { return static_cast<char>(random()); });
+            forwarded_announcement message;
+            message.announcement.id = upstream_id(std::move(bytes));
+            portOf("e1").send(vm_id("e2"), control_message(message));
+        }
+
+        bool sawSilence() const
+        {
+            return std::ranges::any_of(logLines, [](const log_event& event) {
+                return event.fields.back().value == "no ping was answered within the time-out";
+            });
+        }
+
+        std::mt19937 random { 7 };
+        const network_address relayAddress = addressAt(2);
+        slow_relay relay { *loop, relayAddress, vms[1].peerAddress, bytesPerSecond };
+    };
+
 } // namespace
 
+TEST_CASE_METHOD(slow_link_fixture, "peer_transport.messages_that_take_longer_than_the_time_out.keep_the_connection")
+{
+    constexpr std::size_t count = 20;
+    for (std::size_t sent = 0; sent < count; ++sent)
+        sendBytes(bytesPerSecond / 16);
+    REQUIRE(runUntil([&] { return nodes["e2"].received.size() == 1 + count; }));
+    REQUIRE(relay.accepted() == 1);
+}
+
+TEST_CASE_METHOD(slow_link_fixture, "peer_transport.peer_that_freezes.is_disconnected_with_its_backlog_full")
+{
+    // More than the socket buffers hold, so that bytes wait in the stream as well.
+    for (int sent = 0; sent < 64; ++sent)
+        sendBytes(bytesPerSecond / 4);
+    REQUIRE_FALSE(runUntil([&] { return sawSilence(); }, options.silenceTimeout * 3 / 2));
+    REQUIRE(relay.accepted() == 1);
+    relay.freeze();
+    REQUIRE(runUntil([&] { return sawSilence(); }, options.silenceTimeout * 3 / 2));
+}
+
 TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.two_vms_with_the_same_key.exchange_messages_in_order")
 {
     start("e1", goodKey);
