Count the bytes of an unfinished message as a sign of the peer

A VM closed a connection on which no complete frame arrived for 2 s.

The receiver's time-out now starts again with received bytes, from the moment when the peer is authenticated; the handshake's time-out stays absolute. Ruled out: smaller messages, which would move the size and leave the fault.

--- a/src/services/peer_receiver.cpp
+++ b/src/services/peer_receiver.cpp
@@ -101,7 +101,6 @@
         fail(frame.ok() ? absl::InvalidArgumentError("the frame is empty") : frame.status());
         return;
     }
-    restartSilenceTimer(m_options.silenceTimeout);
     if (frame->front() == static_cast<char>(peer_frame_kind::Ping)) {
         answer();
         return;
@@ -111,8 +110,10 @@
 
 void peer_receiver::receivedBytes()
 {
+    // The time-out of the handshake holds for a peer that sends slowly, too.
     if (m_failed || !m_incoming)
         return;
+    restartSilenceTimer(m_options.silenceTimeout);
     if (m_hooks.now() - m_lastAnswer >= m_options.pingInterval)
         answer();
 }
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -169,6 +169,27 @@
     REQUIRE(relay.accepted() == 1);
 }
 
+TEST_CASE_METHOD(slow_link_fixture, "peer_transport.message_that_takes_longer_than_the_time_out.is_delivered")
+{
+    sendBytes(bytesPerSecond);
+    REQUIRE(runUntil([&] { return nodes["e2"].received.size() == 2; }));
+    REQUIRE(relay.accepted() == 1);
+}
+
+TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.handshake_of_single_bytes.ends_at_its_time_out")
+{
+    options.handshakeTimeout = std::chrono::milliseconds(300);
+    start("e2", goodKey);
+    slow_relay trickle(*loop, addressAt(3), vms[1].peerAddress, 50);
+    bool closed = false;
+    frame_stream_events events;
+    events.onClosed = [&](const absl::Status&) { closed = true; };
+    const auto stream = *frame_stream::connect(*loop, addressAt(3), 1024, events);
+    stream->send(
+        msgpack_codec::encode(peer_hello { peerProtocolVersion, vm_id("e1"), vm_id("e2"), std::string(900, 'x') }));
+    REQUIRE(runUntil([&] { return closed; }, options.handshakeTimeout * 3));
+}
+
 TEST_CASE_METHOD(slow_link_fixture, "peer_transport.peer_that_freezes.is_disconnected_with_its_backlog_full")
 {
     // More than the socket buffers hold, so that bytes wait in the stream as well.
