Answer a resent proposal from the applied state

The leader now answers a proposal that is applied with its result. Ruled out: a longer interval, which delays proposals that were lost.

--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -1,8 +1,11 @@
 #include "decision/consensus/proposal_queue.h"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "decision/control/proposer_table.h"
+
 namespace plantainlatch {
 
 proposal_queue::proposal_queue(replica& self, log_leader& leader, incarnation start)
@@ -118,6 +121,16 @@
 
 void proposal_queue::onRequest(const vm_id& from, const propose_request& request)
 {
+    // A read barrier needs an entry that its VM has not applied yet; a snapshot may have contained the first one.
+    const bool isBarrier = std::holds_alternative<noop_command>(request.command);
+    if (m_replica.role() == replica_role::Leader && !isBarrier) {
+        const std::optional<command_result> applied
+            = findCachedResult(m_replica.state(), { request.id, {}, request.command });
+        if (applied) {
+            m_replica.send(from, propose_answer { request.id, *applied, m_replica.vm() });
+            return;
+        }
+    }
     if (!m_leader.submit(request.id, request.command))
         m_replica.send(from, propose_answer { request.id, std::nullopt, m_replica.leader().vm });
 }
--- a/test/correctness/consensus_catch_up_test.cpp
+++ b/test/correctness/consensus_catch_up_test.cpp
@@ -157,6 +157,20 @@
     REQUIRE(cluster->results.at(1).status().code() == absl::StatusCode::kDeadlineExceeded);
 }
 
+TEST_CASE_METHOD(catch_up_fixture, "proposal.resent_after_it_was_applied.is_answered_without_another_entry")
+{
+    begin();
+    const int leader = cluster->leader();
+    cluster->network.cut(cluster->name(leader), cluster->name(4));
+    const std::uint64_t before = cluster->vm(leader).port->applied().value();
+    cluster->propose(4, 1, 10s);
+    cluster->advance(5s);
+    REQUIRE(cluster->vm(leader).port->applied().value() == before + 1);
+    cluster->network.healAll();
+    REQUIRE(cluster->until([&] { return cluster->results.contains(1) && cluster->results.at(1).ok(); }));
+    REQUIRE(cluster->vm(leader).port->applied().value() == before + 1);
+}
+
 TEST_CASE_METHOD(catch_up_fixture, "proposals.duplicated_and_delayed.are_applied_once")
 {
     begin();
