--- a/src/decision/consensus/follower_progress.h
+++ b/src/decision/consensus/follower_progress.h
@@ -12,14 +12,23 @@
 
 namespace plantainlatch {
 
-/** What was sent to a follower since it has not had all entries. Sizes are approximate. */
+/** A sample of how long a follower takes to acknowledge entries, and what was sent to it meanwhile. Sizes are
+ * approximate. */
 struct follower_lag {
+    /** The sample ends when the follower has acknowledged this entry. */
+    log_index until;
     time_point since {};
     std::uint64_t sentBytes = 0;
     /** The part of sentBytes that had been sent before. */
     std::uint64_t resentBytes = 0;
 };
 
+/** A snapshot that was sent and is not known to have arrived or to be lost. */
+struct pending_snapshot {
+    log_index index;
+    time_point sentAt {};
+};
+
 /** The replication progress of one follower. */
 struct follower_progress {
     /** Empty until the follower has answered. */
@@ -39,13 +48,11 @@
     std::uint64_t ackedRound = 0;
     time_point ackedRoundStart = time_point::min();
     time_point lastAnswer = time_point::min();
-    /** When the snapshot that is not known to have arrived or to be lost was sent; none if there is no such snapshot.
-     */
-    std::optional<time_point> snapshotSentAt;
+    std::optional<pending_snapshot> snapshot;
     log_index applied;
     /** One past the last entry that was ever sent. */
     log_index sentEnd { 1 };
-    /** None while the follower has acknowledged all that was sent. */
+    /** None if all that was sent is acknowledged. */
     std::optional<follower_lag> lag;
 
     /** What was sent last may still be on its way: messages arrive in order, and no answer to a later round came yet.
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -16,8 +16,10 @@
     constexpr std::size_t rememberedRounds = 64;
     /** A replica counts as up to date if at most this many entries are missing. */
     constexpr std::uint64_t upToDateLag = 256;
-    /** A follower that took at least this long to acknowledge entries is logged. */
-    constexpr duration loggedLag = std::chrono::seconds(1);
+    /** A follower that takes at least this long to acknowledge an entry counts as behind. */
+    constexpr duration behindAfter = std::chrono::seconds(1);
+    /** A follower without an answer for this long counts as silent and not as behind. */
+    constexpr duration silentAfter = std::chrono::seconds(10);
 
 } // namespace
 
@@ -266,7 +268,7 @@
     for (const log_entry& entry : batch.entries)
         resent += entry.index < progress.sentEnd ? approximateSize(entry) : 0;
     if (!progress.lag)
-        progress.lag = follower_lag { m_replica.hooks().now() };
+        progress.lag = follower_lag { batch.entries.back().index, m_replica.hooks().now() };
     progress.lag->sentBytes += batch.bytes;
     progress.lag->resentBytes += resent;
     m_sentBytes += batch.bytes;
@@ -276,12 +278,12 @@
 
 void log_leader::endLag(const vm_id& follower, follower_progress& progress)
 {
-    if (!progress.lag || progress.match.next() < progress.sentEnd)
+    if (!progress.lag || progress.match < progress.lag->until)
         return;
     const follower_lag lag = *progress.lag;
     progress.lag.reset();
     const duration span = m_replica.hooks().now() - lag.since;
-    if (span < loggedLag)
+    if (span < behindAfter)
         return;
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
     m_replica.report(log_level::Warning, "a follower was behind",
@@ -294,14 +296,15 @@
 void log_leader::sendSnapshot(const vm_id& to, follower_progress& progress)
 {
     const consensus_options& options = m_replica.options();
-    const bool isOnItsWay = progress.snapshotSentAt && progress.mayBeInTransit();
+    const bool isOnItsWay = progress.snapshot && progress.mayBeInTransit();
     if (isOnItsWay || !m_replica.mechanisms().snapshotCatchUp)
         return;
     const auto inFlight = std::count_if(m_followers.begin(), m_followers.end(),
         [this](const auto& item) { return countsAsSnapshotInFlight(item.second); });
     if (static_cast<std::size_t>(inFlight) >= options.maximumSnapshotsInFlight)
         return;
-    progress.snapshotSentAt = m_replica.hooks().now();
+    progress.snapshot = pending_snapshot { m_replica.applied(), m_replica.hooks().now() };
+    progress.next = m_replica.applied().next();
     progress.sentRound = currentRound();
     progress.sentPrevious = log_index();
     ++m_snapshotsSent;
@@ -311,8 +314,8 @@
 bool log_leader::countsAsSnapshotInFlight(const follower_progress& progress) const
 {
     const duration timeout = m_replica.options().snapshotTimeout;
-    return progress.snapshotSentAt && progress.mayBeInTransit()
-        && m_replica.hooks().now() < *progress.snapshotSentAt + timeout;
+    return progress.snapshot && progress.mayBeInTransit()
+        && m_replica.hooks().now() < progress.snapshot->sentAt + timeout;
 }
 
 bool log_leader::isResponsive(const follower_progress& progress) const
@@ -371,7 +374,8 @@
         return;
     progress.match = answer.index;
     progress.next = std::max(progress.next, progress.match.next());
-    progress.snapshotSentAt.reset();
+    if (progress.snapshot && progress.snapshot->index <= progress.match)
+        progress.snapshot.reset();
 }
 
 void log_leader::goBack(follower_progress& progress, const append_answer& answer)
@@ -384,7 +388,7 @@
     progress.next = std::max(progress.match.next(), std::min(progress.next, answer.index.next()));
     progress.probing = true;
     progress.sentRound = 0;
-    progress.snapshotSentAt.reset();
+    progress.snapshot.reset();
 }
 
 void log_leader::advanceCommitIndex()
@@ -472,10 +476,13 @@
         return result;
     result.followers = m_followers.size();
     for (const auto& [vm, progress] : m_followers) {
-        if (!progress.lag)
+        const time_point now = m_replica.hooks().now();
+        const bool isBehind
+            = progress.lag && now >= progress.lag->since + behindAfter && now < progress.lastAnswer + silentAfter;
+        if (!isBehind)
             continue;
         ++result.followersBehind;
-        result.longestLag = std::max(result.longestLag, m_replica.hooks().now() - progress.lag->since);
+        result.longestLag = std::max(result.longestLag, now - progress.lag->since);
     }
     return result;
 }
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -19,7 +19,7 @@
 /** How far the followers are, and what was sent to them since this VM started. Sizes are approximate. */
 struct replication_statistics {
     std::uint64_t followers = 0;
-    /** Followers that have not acknowledged all entries that were sent, and the longest time for which that is so. */
+    /** Followers that answer, but have not acknowledged an entry for a second or more, and the longest such time. */
     std::uint64_t followersBehind = 0;
     duration longestLag {};
     std::uint64_t sentBytes = 0;
@@ -100,7 +100,7 @@
     void sendSnapshot(const vm_id& to, follower_progress& progress);
     entry_batch batchFrom(log_index first) const;
     void recordSent(follower_progress& progress, const entry_batch& batch);
-    /** Ends the lag of a follower that has acknowledged all that was sent, and logs it if it was long. */
+    /** Ends the sample of a follower's lag once its entry is acknowledged, and logs it if it was long. */
     void endLag(const vm_id& follower, follower_progress& progress);
     void identifyFollower(follower_progress& progress, const append_answer& answer);
     void updateMatch(follower_progress& progress, const append_answer& answer);
--- a/test/correctness/configuration_delivery_test.cpp
+++ b/test/correctness/configuration_delivery_test.cpp
@@ -44,14 +44,19 @@
     /** Three replicas and an entry in region "near" whose link is slow. The only upstream is in region "far". */
     class configuration_delivery_fixture {
     protected:
-        configuration_delivery_fixture()
+        explicit configuration_delivery_fixture(std::uint64_t entriesPerSnapshot = 1000, std::uint64_t window = 2048)
+            : snapshotEvery(entriesPerSnapshot)
+            , maximumWindow(window)
         {
             network.delay = [](const vm_id&, const vm_id&) { return 55ms; };
             network.bytesPerSecond
                 = [this](const vm_id& to) { return to == vms.back()->record.id ? entryBandwidth : 0; };
             network.onSend = [this](const vm_id&, const vm_id& to, const peer_message& message) {
-                if (to == vms.back()->record.id)
-                    sentToEntry += approximateSize(message);
+                if (to != vms.back()->record.id)
+                    return;
+                sentToEntry += approximateSize(message);
+                const auto* item = std::get_if<consensus_message>(&message);
+                snapshotsToEntry += item != nullptr && std::holds_alternative<snapshot_request>(*item) ? 1 : 0;
             };
             for (int i = 1; i <= replicaCount + 1; ++i)
                 addVm(i);
@@ -88,7 +93,11 @@
             }
             routed_bounds bounds;
             bounds.renewalInterval = 1h;
-            vm.decisions = *routed_vm::create(hooks, settings, routedOptionsFor(bounds));
+            routed_options options = routedOptionsFor(bounds);
+            options.consensus.snapshotEvery = snapshotEvery;
+            options.consensus.trailingEntries = snapshotEvery / 5;
+            options.consensus.maximumWindow = maximumWindow;
+            vm.decisions = *routed_vm::create(hooks, settings, options);
             vm.core = *kernel::create(hooks);
             publish(vm, port_names::peers, vm.peers);
             publish(vm, port_names::upstreams, vm.upstreams);
@@ -220,11 +229,36 @@
             return port<control_port>(*vms.back(), port_names::control).state().config.number;
         }
 
+        std::uint64_t snapshotEvery;
+        std::uint64_t maximumWindow;
         paused_runtime runtime { 7 };
         fake_network network { runtime };
         std::vector<std::unique_ptr<delivery_vm>> vms;
         std::vector<upstream_call> called;
         std::size_t sentToEntry = 0;
+        int snapshotsToEntry = 0;
+    };
+
+    /** The log is compacted while entries are still on their way to the slow entry. */
+    class frequent_snapshots_fixture : public configuration_delivery_fixture {
+    protected:
+        frequent_snapshots_fixture()
+            : configuration_delivery_fixture(100, 64)
+        {
+        }
+
+        /** Proposes a crash report, which is an entry of a few hundred bytes. */
+        void proposeSmall(int number)
+        {
+            report_crash command;
+            command.service = service_id("booking");
+            command.upstream = upstream_id(std::string(500, 'u') + std::to_string(number % 3));
+            port<consensus_port>(*vms[0], port_names::consensus).propose(command, 20s, [this](const auto& result) {
+                applied += result.ok() ? 1 : 0;
+            });
+        }
+
+        int applied = 0;
     };
 
 } // namespace
@@ -266,4 +300,36 @@
     REQUIRE(until([&] { return std::any_of(runtime.logLines.begin(), runtime.logLines.end(), namesEntry); }));
 }
 
+TEST_CASE_METHOD(configuration_delivery_fixture, "follower.that_answers_each_entry_at_once.is_not_logged_as_behind")
+{
+    put(makeConfiguration(1, 1, 1));
+    REQUIRE(until([&] { return inForceOnEntry() == change_number(1); }));
+    runtime.logLines.clear();
+    for (int i = 0; i < 500; ++i) {
+        port<consensus_port>(*vms[0], port_names::consensus).propose(noop_command {}, 5s, [](const auto&) {});
+        runtime.advance(20ms);
+    }
+    REQUIRE(std::none_of(runtime.logLines.begin(), runtime.logLines.end(),
+        [](const log_event& line) { return line.what == "a follower was behind"; }));
+}
+
+TEST_CASE_METHOD(
+    frequent_snapshots_fixture, "follower.whose_entries_are_compacted_on_their_way.gets_few_snapshots_and_catches_up")
+{
+    constexpr int count = 600;
+    put(makeConfiguration(1, 300, 1));
+    REQUIRE(until([&] { return inForceOnEntry() == change_number(1); }));
+    runtime.advance(5s);
+    snapshotsToEntry = 0;
+    network.bytesPerSecond = [this](const vm_id& to) { return to == vms.back()->record.id ? 20'000 : 0; };
+    for (int i = 0; i < count; ++i) {
+        proposeSmall(i);
+        runtime.advance(5ms);
+    }
+    REQUIRE(until([&] { return applied == count; }));
+    const log_index last = port<consensus_port>(*vms[0], port_names::consensus).applied();
+    REQUIRE(until([&] { return port<consensus_port>(*vms.back(), port_names::consensus).applied() >= last; }, 120s));
+    REQUIRE(snapshotsToEntry <= 3);
+}
+
 } // namespace plantainlatch
