Bound the durations that are kept of routes

Found on the last reading: the durations by which a stopping VM judges late requests were kept for every route that ever served one, so that routes which come and go by the thousand would pile up at 1 KB each. Ruled out: forgetting routes with each configuration, which would forget all durations before a stop that comes with one.

--- a/src/decision/request/request_durations.cpp
+++ b/src/decision/request/request_durations.cpp
@@ -6,6 +6,8 @@
 
 void request_durations::observe(const request_kind& kind, duration elapsed)
 {
+    if (m_windows.size() >= maximumKinds && !m_windows.contains(kind))
+        m_windows.clear();
     window& kept = m_windows[kind];
     if (kept.samples.size() < size)
         kept.samples.push_back(elapsed);
--- a/src/decision/request/request_durations.h
+++ b/src/decision/request/request_durations.h
@@ -30,12 +30,17 @@
     static constexpr std::size_t size = 128;
     /** The minimum number of durations needed for longest(). */
     static constexpr std::size_t minimumSamples = 16;
+    /** The maximum number of kinds. Beyond it all are forgotten, so that those of removed routes don't pile up. */
+    static constexpr std::size_t maximumKinds = 4096;
 
     void observe(const request_kind& kind, duration elapsed);
 
     /** The longest duration kept; none if there are too few. */
     std::optional<duration> longest(const request_kind& kind) const;
 
+    /** The number of kinds with durations. */
+    std::size_t kinds() const { return m_windows.size(); }
+
 private:
     struct window {
         std::vector<duration> samples;
--- a/test/correctness/request_stop_test.cpp
+++ b/test/correctness/request_stop_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "decision/request/request_durations.h"
 #include "decision/request/system_answers.h"
 #include "support/request_cluster.h"
 
@@ -109,4 +110,13 @@
     REQUIRE(retried.answer->result == outcome::NotRun);
 }
 
+TEST_CASE("request_durations.of_more_routes_than_are_kept.stay_bounded", "[requests]")
+{
+    request_durations durations;
+    for (std::size_t i = 0; i < 3 * request_durations::maximumKinds; ++i) {
+        durations.observe({ route_id("route-" + std::to_string(i)), service_id("booking") }, std::chrono::seconds(1));
+        REQUIRE(durations.kinds() <= request_durations::maximumKinds);
+    }
+}
+
 } // namespace plantainlatch
