--- a/review/standins.py
+++ b/review/standins.py
@@ -9,7 +9,6 @@
 import http.client
 import json
 import os
-import queue
 import random
 import re
 import shutil
@@ -475,6 +474,12 @@
     """Runs `play(record, trouble)`, which returns whether the rule held, and ends with the exit code of the case."""
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    def end(number, frame):
+        raise NotRun("ended by a signal")
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
     record.write("trouble: %s" % ("yes" if trouble else "no"))
     try:
         held = play(record, trouble)
