--- a/src/codec/msgpack_codec.h
+++ b/src/codec/msgpack_codec.h
@@ -270,15 +270,30 @@
                 return false;
             field_counter counter;
             Value::visitFields(value, counter);
-            if (in.via.array.size != counter.count)
+            const std::uint32_t size = in.via.array.size;
+            if (size > counter.count || size < requiredFields(counter.count))
                 return false;
             bool unpacked = true;
-            Value::visitFields(value, [&in, &unpacked](auto&... fields) {
+            Value::visitFields(value, [&in, &unpacked, size](auto&... fields) {
                 [[maybe_unused]] std::uint32_t position = 0;
-                ((unpacked = unpacked && msgpack_codec::unpack(in.via.array.ptr[position++], fields)), ...);
+                ((unpacked
+                     = unpacked && (position >= size || msgpack_codec::unpack(in.via.array.ptr[position], fields)),
+                     ++position),
+                    ...);
             });
             return unpacked;
         }
+
+    private:
+        /** Data folders are read by later versions: a struct to which fields were added at the end names how many it
+         * had before, and the added ones keep their defaults if they are missing. */
+        static std::uint32_t requiredFields(std::uint32_t all)
+        {
+            if constexpr (requires { Value::requiredFields; })
+                return Value::requiredFields;
+            else
+                return all;
+        }
     };
 
 } // namespace detail
--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -26,6 +26,8 @@
     bool newIdentityOnBlankDisk = true;
     /** A replica stops voting after a failed write. */
     bool stopAfterFailedWrite = true;
+    /** A replica votes again once its whole state is on disk after a failed write. */
+    bool rewriteFailedDisk = true;
     /** Followers that need compacted entries are sent a snapshot. */
     bool snapshotCatchUp = true;
     /** Unanswered proposals are resent to the current leader. */
@@ -54,6 +56,8 @@
     std::size_t maximumSnapshotsInFlight = 16;
     duration proposalResendInterval = std::chrono::milliseconds(700);
     duration joinInterval = std::chrono::milliseconds(300);
+    /** How often a replica whose disk failed tries to write its whole state to it. */
+    duration diskRetryInterval = std::chrono::milliseconds(250);
     /** How long a stopping leader waits for another leader. */
     duration transferTimeout = std::chrono::seconds(3);
 
--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -137,6 +137,7 @@
 void consensus_service::onTick()
 {
     m_tick = m_hooks.schedule(m_replica.options().tick, [this] { onTick(); });
+    m_replica.onTick();
     m_leader.onTick();
     m_election.onTick();
     m_joiner.onTick();
--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -216,19 +216,54 @@
 
 void replica::fail(const absl::Status& status)
 {
-    report(
-        log_level::Error, "the disk failed; this VM no longer votes", { { "status", std::string(status.message()) } });
+    if (!m_isRewriting)
+        report(log_level::Error, "the disk failed; this VM does not vote until it is rewritten",
+            { { "status", std::string(status.message()) } });
     m_failed = true;
+    m_nextRewriteAt = m_hooks.now() + m_options.diskRetryInterval;
     m_writes.abandon();
     m_role = replica_role::Follower;
     m_leader = replica_id {};
-    // Entries that this replica acknowledged may be missing after a restart, so it continues as a learner with a new
-    // identity.
+    // Entries that this replica acknowledges from now on may be missing after a restart, so it continues as a learner
+    // with another identity.
+    m_selfOnDisk = m_self;
     m_self.disk = incarnation(m_hooks.random() | 1);
     if (m_onFailure)
         m_onFailure();
 }
 
+void replica::onTick()
+{
+    if (m_failed && m_hooks.now() >= m_nextRewriteAt && mechanisms().rewriteFailedDisk)
+        rewriteDisk();
+}
+
+void replica::rewriteDisk()
+{
+    // Memory holds every vote and entry that this replica acknowledged. Once all of it is durable, the replica is like
+    // one whose last write took long, and keeps its identity.
+    m_self = m_selfOnDisk;
+    m_failed = false;
+    m_isRewriting = true;
+    recovered_state content { hardState(), snapshot(), {} };
+    for (log_index i = m_applied.next(); i <= m_log.lastIndex(); i = i.next())
+        content.entries.push_back(m_log.at(i));
+    const std::uint64_t number = m_writes.begin(m_log.lastIndex());
+    m_dependencies.storage->rewrite(
+        std::move(content), [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
+            if (!alive.expired())
+                finishRewrite(number, status);
+        });
+}
+
+void replica::finishRewrite(std::uint64_t number, const absl::Status& status)
+{
+    finishWrite(number, status);
+    m_isRewriting = false;
+    if (!m_failed)
+        report(log_level::Info, "the disk was rewritten; this VM votes again");
+}
+
 void replica::whenDurable(std::function<void()> action)
 {
     if (hasDisk() && mechanisms().durableBeforeAnswer)
--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -38,6 +38,9 @@
 
     replica(kernel_hooks hooks, vm_settings settings, consensus_options options);
 
+    /** Tries at intervals to make a failed disk durable again. */
+    void onTick();
+
     /** Restores the durable state. Returns DataLoss for a damaged disk and InvalidArgument for the disk of another
      * VM. */
     absl::Status load(dependencies services);
@@ -56,7 +59,6 @@
     log_index applied() const { return m_applied; }
     /** Whether this VM has a working disk; without one it is a learner. */
     bool hasDisk() const { return m_dependencies.storage != nullptr && !m_failed; }
-    bool failed() const { return m_failed; }
     bool blank() const { return m_log.empty(); }
     /** Whether this replica may vote. A blank disk may have lost a vote or acknowledged entries, so its replica does
      * not vote until it has a log again. */
@@ -113,6 +115,10 @@
     hard_state hardState() const { return { m_self, m_term, m_votedFor }; }
     void finishWrite(std::uint64_t number, const absl::Status& status);
     void fail(const absl::Status& status);
+    /** Writes everything that this replica holds in memory to the failed disk, and takes part as a voter again; its
+     * answers wait until the write is durable. */
+    void rewriteDisk();
+    void finishRewrite(std::uint64_t number, const absl::Status& status);
     void applyEntry(const log_entry& entry);
     void compact();
 
@@ -134,7 +140,12 @@
     log_index m_applied;
     log_index m_snapshotIndex;
     bool m_applying = false;
+    /** A write to the disk failed, and the disk was not rewritten since. */
     bool m_failed = false;
+    bool m_isRewriting = false;
+    time_point m_nextRewriteAt {};
+    /** The identity under which this replica voted before its disk failed. */
+    replica_id m_selfOnDisk;
 
     applied_listener m_onApplied;
     std::function<void()> m_onFailure;
--- a/src/ports/storage_port.h
+++ b/src/ports/storage_port.h
@@ -14,7 +14,7 @@
 
 namespace plantainlatch {
 
-/** The durable state that was read at startup. */
+/** The durable state of a replica. */
 struct recovered_state {
     /** None on a blank disk. */
     std::optional<hard_state> state;
@@ -30,7 +30,7 @@
     std::vector<log_entry> entries;
 };
 
-/** Durable storage. Writes become durable in order; after a failed write, all later ones fail too. */
+/** Durable storage. Writes become durable in order; after a failed write, all later ones fail too until a rewrite. */
 struct storage_port {
     /** Reads the stored state. An incomplete last record, as a crash leaves it, is dropped; DataLoss names the file and
      * offset of any other damage. */
@@ -42,6 +42,9 @@
      * replaced entries do not reappear after a restart, even if the process ends during the call. Calls of
      * saveSnapshot() and write() become durable in the order in which they are made. */
     std::function<void(log_snapshot, bool keepLaterEntries, std::function<void(absl::Status)>)> saveSnapshot;
+    /** Replaces everything that is stored, and ends the failure of a write. Until the new content is synced and was
+     * read back, the former one stays in place. May be called again after it failed. */
+    std::function<void(recovered_state, std::function<void(absl::Status)>)> rewrite;
 };
 
 } // namespace plantainlatch
--- a/src/services/file_storage.h
+++ b/src/services/file_storage.h
@@ -3,11 +3,13 @@
 /** \file
  * Stores the durable state of a consensus replica in one folder; implements the service "storage".
  *
- * `state.N` is an append-only log of hard states and log entries, as records of length, checksum and payload;
- * `snapshot.N` holds a single record. A snapshot is written to a temporary file, synced and renamed, and its folder is
- * synced. Then a new `state.N` is written that begins with the entries after the snapshot, and the older files are
- * removed. An incomplete record at the end of the newest state file was never acknowledged and is truncated. Any other
- * corruption is reported with file and offset, and nothing is loaded.
+ * `state.N` is an append-only log of hard states and log entries, as records of length, checksum and payload.
+ * `snapshot.N` holds a single record: a snapshot, the hard state and the log entries after the snapshot, so that it
+ * replaces all files of earlier generations. It is written to a temporary file, synced and renamed, and its folder is
+ * synced. Then an empty `state.N` follows, and the older files are removed. An incomplete record at the end of the
+ * newest state file was never acknowledged and is truncated. Any other corruption is reported with file and offset, and
+ * nothing is loaded. After a failed write the state file is not written any more; a rewrite begins the next generation,
+ * whose snapshot is read back before it gets its name.
  */
 
 #include <memory>
--- a/test/correctness/consensus_storage_test.cpp
+++ b/test/correctness/consensus_storage_test.cpp
@@ -177,6 +177,42 @@
     REQUIRE_FALSE(cluster->until([&] { return cluster->leader() != 0; }, 10s));
 }
 
+// Guards against a replica that stays without a vote for the life of its process after its disk was full for a while.
+TEST_CASE_METHOD(storage_fixture, "full_disks.in_turn_on_three_of_five.leave_a_log_that_accepts_changes")
+{
+    const auto survivesFullDisks = [this](bool rewrites) {
+        consensus_options options;
+        options.mechanisms.rewriteFailedDisk = rewrites;
+        begin(5, options);
+        std::uint64_t change = 0;
+        for (int i = 1; i <= 3; ++i) {
+            cluster->vm(i).disk->failing = true;
+            proposeAndWait(++change, 5);
+            cluster->advance(4s);
+            cluster->vm(i).disk->failing = false;
+            cluster->advance(6s);
+        }
+        const bool accepts = proposeAndWait(++change, 5) && cluster->until([&] { return allVmsAreVoters(); });
+        return accepts && survivesCrashOfAll(change);
+    };
+    REQUIRE(survivesFullDisks(true));
+    REQUIRE_FALSE(survivesFullDisks(false));
+}
+
+TEST_CASE_METHOD(storage_fixture, "full_disks.of_a_majority_at_once.are_used_again_without_a_restart")
+{
+    begin(3);
+    REQUIRE(proposeAndWait(1, 1));
+    for (int i = 1; i <= 3; ++i)
+        cluster->vm(i).disk->failing = true;
+    REQUIRE_FALSE(proposeAndWait(2, 1, 3s));
+    for (int i = 1; i <= 3; ++i)
+        cluster->vm(i).disk->failing = false;
+    REQUIRE(cluster->waitForLeader());
+    REQUIRE(proposeAndWait(3, 1));
+    REQUIRE(survivesCrashOfAll(3));
+}
+
 TEST_CASE_METHOD(storage_fixture, "single_replica.with_a_full_disk.acknowledges_nothing")
 {
     begin(1);
--- a/test/error/file_storage_test.cpp
+++ b/test/error/file_storage_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "codec/msgpack_codec.h"
+#include "codec/record_codec.h"
 #include "services/file_storage.h"
 #include "support/fake_files.h"
 #include "support/paused_runtime.h"
@@ -10,6 +12,17 @@
 
 namespace {
 
+    /** The payload of a snapshot file as former versions wrote it. */
+    struct former_record {
+        log_snapshot snapshot;
+        bool keepsLaterEntries = true;
+
+        template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+        {
+            visit(self.snapshot, self.keepsLaterEntries);
+        }
+    };
+
     class file_storage_fixture {
     protected:
         absl::StatusOr<recovered_state> restart()
@@ -44,6 +57,16 @@
             return result;
         }
 
+        /** Rewrites the storage with a state of this term and no entries. */
+        absl::Status rewrite(std::uint64_t term)
+        {
+            recovered_state content;
+            content.state = hard_state { { vm_id("e1"), incarnation(5) }, log_term(term), {} };
+            absl::Status result = absl::UnknownError("not called");
+            storage->port().rewrite(content, [&result](const absl::Status& status) { result = status; });
+            return result;
+        }
+
         std::string& stateBytes(const std::string& name) { return disk.files["data/" + name].bytes; }
 
         paused_runtime runtime { 1 };
@@ -137,6 +160,50 @@
     REQUIRE(write(1, 1, 1).code() == absl::StatusCode::kResourceExhausted);
 }
 
+// Guards against a disk that stays unused for the life of the process after it was full for some seconds.
+TEST_CASE_METHOD(file_storage_fixture, "file_storage.rewrite_after_a_full_disk.makes_later_writes_durable_again")
+{
+    REQUIRE(restart().ok());
+    REQUIRE(write(1, 1, 3).ok());
+    disk.appendStatus = absl::ResourceExhaustedError("no space left");
+    REQUIRE_FALSE(write(1, 4, 4).ok());
+    REQUIRE_FALSE(rewrite(2).ok());
+    REQUIRE(disk.files.size() == 1);
+    disk.appendStatus = absl::OkStatus();
+    REQUIRE_FALSE(write(1, 4, 4).ok());
+    REQUIRE(rewrite(2).ok());
+    REQUIRE(write(2, 1, 2).ok());
+    disk.losePower(0);
+    const auto recovered = restart();
+    REQUIRE(recovered->state->term == log_term(2));
+    REQUIRE(recovered->entries.size() == 2);
+}
+
+TEST_CASE_METHOD(file_storage_fixture, "file_storage.rewrite_that_reads_back_differently.leaves_the_former_content")
+{
+    REQUIRE(restart().ok());
+    REQUIRE(write(1, 1, 3).ok());
+    disk.syncStatus = absl::UnavailableError("I/O error");
+    REQUIRE_FALSE(write(1, 4, 4).ok());
+    disk.syncStatus = absl::OkStatus();
+    disk.garbles = true;
+    REQUIRE(absl::IsDataLoss(rewrite(2)));
+    REQUIRE_FALSE(write(1, 4, 4).ok());
+    disk.losePower(0);
+    REQUIRE(restart()->entries.size() == 3);
+}
+
+TEST_CASE_METHOD(file_storage_fixture, "file_storage.snapshot_of_a_former_version.is_read_with_its_state_file")
+{
+    REQUIRE(restart().ok());
+    REQUIRE(write(3, 1, 10).ok());
+    former_record former;
+    former.snapshot.index = log_index(7);
+    disk.files["data/snapshot.1"].bytes = encodeRecord(msgpack_codec::encode(former));
+    REQUIRE(restart()->snapshot->index == log_index(7));
+    REQUIRE(restart()->entries.size() == 3);
+}
+
 TEST_CASE_METHOD(
     file_storage_fixture, "file_storage.snapshot.replaces_the_entries_that_it_covers_and_older_files_are_removed")
 {
--- a/test/support/fake_disk.cpp
+++ b/test/support/fake_disk.cpp
@@ -58,6 +58,11 @@
                   recovered_state& content) { applySnapshot(content, snapshot, keepLater); },
             std::move(done), alive });
     };
+    port.rewrite = [this, alive = std::weak_ptr<bool>(life)](
+                       recovered_state replacement, std::function<void(absl::Status)> done) {
+        add({ [replacement = std::move(replacement)](recovered_state& content) { content = replacement; },
+            std::move(done), alive });
+    };
     return port;
 }
 
--- a/test/support/fake_files.h
+++ b/test/support/fake_files.h
@@ -27,6 +27,8 @@
     std::map<std::string, file> files;
     absl::Status appendStatus = absl::OkStatus();
     absl::Status syncStatus = absl::OkStatus();
+    /** Appends store other bytes than they were given. */
+    bool garbles = false;
     int syncs = 0;
 
 private:
