--- a/src/decision/control/apply_drain.cpp
+++ b/src/decision/control/apply_drain.cpp
@@ -1,5 +1,7 @@
 #include "decision/control/apply_drain.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
 #include "decision/control/command_results.h"
@@ -15,6 +17,24 @@
             || state.drains.contains({ drain_kind::FailureDomain, failureDomain.value() });
     }
 
+    std::uint64_t lastOrderFor(const drain_order_table& orders, const drain_target& target)
+    {
+        const auto found = orders.lastByTarget.find(target);
+        return found != orders.lastByTarget.end() ? found->second : orders.forgotten;
+    }
+
+    /** Orders that change nothing count as well: the state that they confirm must not be changed by an earlier one. */
+    void recordOrder(drain_order_table& orders, const drain_target& target)
+    {
+        orders.lastByTarget[target] = ++orders.last;
+        if (orders.lastByTarget.size() <= maximumDrainOrders)
+            return;
+        const auto earliest = std::min_element(orders.lastByTarget.begin(), orders.lastByTarget.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; });
+        orders.forgotten = earliest->second;
+        orders.lastByTarget.erase(earliest);
+    }
+
 } // namespace
 
 std::string describeTarget(const drain_target& target)
@@ -51,16 +71,19 @@
 
 command_result applyDrain(control_snapshot& state, const set_drain& command)
 {
+    if (command.after && lastOrderFor(state.drainOrders, command.target) > *command.after)
+        return conflict(absl::StrCat("a later order for ", describeTarget(command.target), " was accepted"));
     const bool isDraining = state.drains.contains(command.target);
+    const bool begins = command.draining && !isDraining;
+    if (begins && !isKnownTarget(state, command.target))
+        return refused(absl::StrCat(describeTarget(command.target), " is not known"));
+    recordOrder(state.drainOrders, command.target);
     if (isDraining == command.draining)
         return alreadyAccepted();
-    if (!command.draining) {
+    if (begins)
+        state.drains.insert(command.target);
+    else
         state.drains.erase(command.target);
-        return accepted();
-    }
-    if (!isKnownTarget(state, command.target))
-        return refused(absl::StrCat(describeTarget(command.target), " is not known"));
-    state.drains.insert(command.target);
     return accepted();
 }
 
--- a/src/decision/control/apply_drain.h
+++ b/src/decision/control/apply_drain.h
@@ -10,8 +10,8 @@
 
 namespace plantainlatch {
 
-/** Starts or ends a drain. Returns AlreadyAccepted if the target is in that state already, and Refused if the target of
- * a new drain is unknown. */
+/** Starts or ends a drain. Returns AlreadyAccepted if the target is in that state already, Refused if the target of a
+ * new drain is unknown, and Conflict if an order later than `command.after` was accepted for the target. */
 command_result applyDrain(control_snapshot& state, const set_drain& command);
 
 /** Whether the target exists: a VM that has started, a registered upstream, or a declared failure domain or region. */
--- a/src/decision/operators/configuration_service.cpp
+++ b/src/decision/operators/configuration_service.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "decision/control/apply_drain.h"
 #include "decision/declarations/configuration_difference.h"
+#include "decision/operators/drain_order.h"
 #include "decision/routes/route_table.h"
 #include "ports/port_names.h"
 
@@ -37,7 +38,10 @@
 {
     m_port.put = [this](configuration content, const done_handler& done) { put(std::move(content), done); };
     m_port.read = [this](const std::function<void(absl::StatusOr<configuration>)>& done) { read(done); };
-    m_port.drain = [this](const set_drain& command, const done_handler& done) { drain(command, done); };
+    m_port.drain
+        = [this](const drain_target& target, bool draining, const caller_check& senderWaits, const done_handler& done) {
+              drain({ target, draining, {} }, senderWaits, done);
+          };
 }
 
 service configuration_service::asService()
@@ -121,10 +125,12 @@
     });
 }
 
-void configuration_service::drain(const set_drain& command, const done_handler& done)
+void configuration_service::drain(const set_drain& order, const caller_check& senderWaits, const done_handler& done)
 {
-    propose(command,
-        absl::StrCat(command.draining ? "drain of " : "end of the drain of ", describeTarget(command.target)), done);
+    const std::string what
+        = absl::StrCat(order.draining ? "drain of " : "end of the drain of ", describeTarget(order.target));
+    proposeDrain({ m_consensus, m_control, m_options.proposalTimeout }, order, senderWaits,
+        [this, what, done](const absl::StatusOr<command_result>& result) { report(what, statusOf(result), done); });
 }
 
 void configuration_service::propose(control_command command, const std::string& what, const done_handler& done)
--- a/src/decision/operators/configuration_service.h
+++ b/src/decision/operators/configuration_service.h
@@ -45,7 +45,7 @@
     void amendOnceCaughtUp(const std::shared_ptr<const configuration>& content, const done_handler& done);
     void replace(const std::shared_ptr<const configuration>& content, const done_handler& done);
     void read(const std::function<void(absl::StatusOr<configuration>)>& done);
-    void drain(const set_drain& command, const done_handler& done);
+    void drain(const set_drain& order, const caller_check& senderWaits, const done_handler& done);
     void propose(control_command command, const std::string& what, const done_handler& done);
     void report(const std::string& what, const absl::Status& status, const done_handler& done);
 
--- a/src/decision/operators/operator_service.cpp
+++ b/src/decision/operators/operator_service.cpp
@@ -14,6 +14,7 @@
 #include "decision/operators/capacity_model.h"
 #include "decision/operators/declaration_plan.h"
 #include "decision/operators/drain_check.h"
+#include "decision/operators/drain_order.h"
 #include "decision/shifts/shift_step.h"
 #include "ports/alert_port.h"
 #include "ports/port_names.h"
@@ -49,8 +50,9 @@
 {
     m_port.apply = [this](const declaration& content, const result_handler& done) { apply(content, done); };
     m_port.plan = [this](const declaration& content) { return plan(content); };
-    m_port.drain = [this](const drain_target& target, bool draining, bool force, const result_handler& done) {
-        drain(target, draining, force, done);
+    m_port.drain = [this](const drain_target& target, bool draining, bool force, const caller_check& senderWaits,
+                       const result_handler& done) {
+        drain({ target, draining, {} }, force, senderWaits, done);
     };
     m_port.status = [this] { return status(); };
     m_port.history = [this] { return m_control->state().history; };
@@ -130,14 +132,14 @@
     m_consensus->propose(apply_declaration { content }, m_options.proposalTimeout, done);
 }
 
-void operator_service::drain(const drain_target& target, bool draining, bool force, const result_handler& done)
+void operator_service::drain(
+    const set_drain& order, bool force, const caller_check& senderWaits, const result_handler& done)
 {
     const control_snapshot& state = m_control->state();
-    if (draining && !isKnownTarget(state, target)) {
-        done(refused(absl::StrCat(describeTarget(target), " is not known")));
-        return;
-    }
-    if (draining && !force && m_options.refuseRisks && !state.drains.contains(target)) {
+    const drain_target& target = order.target;
+    // Whether the target exists is decided when the order is applied, as this VM may not have applied its start yet.
+    const bool begins = order.draining && !state.drains.contains(target) && isKnownTarget(state, target);
+    if (begins && !force && m_options.refuseRisks) {
         std::vector<std::string> reasons = findDrainRisks(state, target, m_loads.loads());
         if (!m_loads.known(m_hooks.now()) && target.kind != drain_kind::Vm)
             reasons.emplace_back("the load is not known now, so the remaining capacity cannot be checked");
@@ -146,7 +148,7 @@
             return;
         }
     }
-    m_consensus->propose(set_drain { target, draining }, m_options.proposalTimeout, done);
+    proposeDrain({ m_consensus, m_control, m_options.proposalTimeout }, order, senderWaits, done);
 }
 
 absl::StatusOr<declaration> operator_service::declarationBackTo(change_number earlier) const
--- a/src/decision/operators/operator_service.h
+++ b/src/decision/operators/operator_service.h
@@ -46,7 +46,7 @@
     void apply(const declaration& content, const result_handler& done);
     /** The result if the change can be answered or refused without the log; none if it is to be proposed. */
     std::optional<absl::StatusOr<command_result>> decideLocally(const declaration& content) const;
-    void drain(const drain_target& target, bool draining, bool force, const result_handler& done);
+    void drain(const set_drain& order, bool force, const caller_check& senderWaits, const result_handler& done);
     absl::StatusOr<declaration> declarationBackTo(change_number earlier) const;
     system_status status() const;
     void addDetails(state_dump& details) const;
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -95,12 +95,18 @@
 
 /** Starts or ends a drain. */
 struct set_drain {
+    /** The fields of log entries that were written before `after` was added. */
+    static constexpr std::uint32_t requiredFields = 2;
+
     drain_target target;
     bool draining = false;
+    /** The number of the last drain order that the proposing VM had applied when it found the sender still waiting. The
+     * command changes nothing if a later order for the target was applied. None: it is applied in any case. */
+    std::optional<std::uint64_t> after;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.target, self.draining);
+        visit(self.target, self.draining, self.after);
     }
 };
 
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -167,8 +167,29 @@
     }
 };
 
+/** The limit on drain_order_table::lastByTarget. */
+inline constexpr std::size_t maximumDrainOrders = 4096;
+
+/** The numbers of the accepted drain orders, by which an order that arrives late is recognised. */
+struct drain_order_table {
+    /** The number of the last order for any target. */
+    std::uint64_t last = 0;
+    /** The number of the last order for each target. */
+    std::map<drain_target, std::uint64_t> lastByTarget;
+    /** The highest number that was removed from `lastByTarget`; counts as the last order of each target not in it. */
+    std::uint64_t forgotten = 0;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.last, self.lastByTarget, self.forgotten);
+    }
+};
+
 /** The whole replicated control state. */
 struct control_snapshot {
+    /** The fields of snapshots that were written before `drainOrders` was added. */
+    static constexpr std::uint32_t requiredFields = 12;
+
     configuration config;
     std::vector<history_record> history;
     std::map<upstream_id, directory_record> directory;
@@ -182,11 +203,12 @@
     std::map<upstream_id, departed_record> departed;
     /** The configuration that the first declaration in the history was merged into; unused without a history. */
     configuration historyBase;
+    drain_order_table drainOrders;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.config, self.history, self.directory, self.drains, self.keys, self.crashes, self.allocators,
-            self.shifts, self.vms, self.proposers, self.departed, self.historyBase);
+            self.shifts, self.vms, self.proposers, self.departed, self.historyBase, self.drainOrders);
     }
 };
 
--- a/src/ports/configuration_port.h
+++ b/src/ports/configuration_port.h
@@ -10,6 +10,7 @@
 #include "core/findings.h"
 #include "model/command.h"
 #include "model/configuration.h"
+#include "ports/caller_check.h"
 
 namespace plantainlatch {
 
@@ -21,9 +22,9 @@
     /** Calls back with the latest committed configuration, or with Unavailable if there is none or this VM cannot
      * confirm that its own is the latest. */
     std::function<void(std::function<void(absl::StatusOr<configuration>)>)> read;
-    /** Starts or ends a drain, and calls back with OK once that is committed or FailedPrecondition if the target of a
-     * new drain is unknown. */
-    std::function<void(set_drain, std::function<void(absl::Status)>)> drain;
+    /** Starts or ends a drain, and calls back with OK once that is committed, FailedPrecondition if the target of a new
+     * drain is unknown, and Unavailable if nothing changed because the sender is gone or a later order was accepted. */
+    std::function<void(drain_target, bool draining, caller_check, std::function<void(absl::Status)>)> drain;
 };
 
 } // namespace plantainlatch
--- a/src/ports/operator_port.h
+++ b/src/ports/operator_port.h
@@ -14,6 +14,7 @@
 #include "model/command.h"
 #include "model/control_snapshot.h"
 #include "model/declaration.h"
+#include "ports/caller_check.h"
 
 namespace plantainlatch {
 
@@ -54,7 +55,10 @@
 struct operator_port {
     std::function<void(declaration, std::function<void(absl::StatusOr<command_result>)>)> apply;
     std::function<declaration_plan(const declaration&)> plan;
-    std::function<void(drain_target, bool draining, bool force, std::function<void(absl::StatusOr<command_result>)>)>
+    /** Starts or ends a drain; Unavailable if nothing changed because the sender is gone or a later order was accepted.
+     */
+    std::function<void(
+        drain_target, bool draining, bool force, caller_check, std::function<void(absl::StatusOr<command_result>)>)>
         drain;
     std::function<system_status()> status;
     std::function<std::vector<history_record>()> history;
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "services/http_connection.h"
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -68,6 +69,13 @@
     return recv(bufferevent_getfd(m_channel), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool http_connection::isClosedByCaller() const
+{
+    char byte = 0;
+    const ssize_t result = recv(bufferevent_getfd(m_channel), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return result == 0 || (result < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 http_connection::http_connection(const http_connection_parts& parts, int socket)
     : m_parts(parts)
     , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -51,6 +51,8 @@
     bool isReadingRequest() const { return m_state == state::Reading; }
     /** Whether the operating system has received bytes that were not read yet, most likely a request. */
     bool hasUnreadInput() const;
+    /** Whether the operating system has received the end of the connection from the caller, or its reset. */
+    bool isClosedByCaller() const;
     /** Whether a request has begun to arrive and its answer is not completely written yet. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
 
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -64,6 +64,9 @@
     /** Answers a request; no effect if its caller has disconnected. */
     void respond(exchange_id exchange, const http_answer& answer);
 
+    /** Whether the sender of a request still waits for its answer, as far as its connection shows. */
+    bool isAwaited(exchange_id exchange) const;
+
     /** From now on each answer closes its connection. */
     void closeAfterAnswers();
     /** Stops accepting connections and closes the idle ones. */
--- a/test/correctness/configuration_service_test.cpp
+++ b/test/correctness/configuration_service_test.cpp
@@ -47,6 +47,16 @@
             return answer;
         }
 
+        /** Orders the start or end of the drain of "kokura". */
+        absl::Status drain(bool begins)
+        {
+            absl::Status answer = absl::UnknownError("no answer");
+            configurations->drain(
+                kokura, begins, [this] { return senderWaits; }, [&](const absl::Status& status) { answer = status; });
+            runtime.advance(100ms);
+            return answer;
+        }
+
         absl::StatusOr<configuration> read()
         {
             absl::StatusOr<configuration> answer = absl::UnknownError("no answer");
@@ -73,6 +83,8 @@
                 [](const control_command& command) { return std::holds_alternative<Command>(command); }));
         }
 
+        const drain_target kokura { drain_kind::FailureDomain, "kokura" };
+        bool senderWaits = true;
         absl::Status caughtUp;
         std::unique_ptr<configuration_service> subject;
         configuration_port* configurations = nullptr;
@@ -128,15 +140,67 @@
 {
     put(makeConfiguration(7, "a")).IgnoreError();
     for (const bool begins : { true, true, false, false }) {
-        absl::Status answer = absl::UnknownError("no answer");
-        configurations->drain(
-            { { drain_kind::FailureDomain, "kokura" }, begins }, [&](const absl::Status& status) { answer = status; });
-        runtime.advance(100ms);
-        REQUIRE(answer.ok());
+        REQUIRE(drain(begins).ok());
         REQUIRE(state().drains.size() == (begins ? 1 : 0));
     }
 }
 
+// Guards against a VM that was frozen withdrawing a newer evacuation with an order that it reads when it wakes.
+TEST_CASE_METHOD(configuration_service_fixture, "drain_order.of_a_sender_that_is_gone.is_not_proposed")
+{
+    put(makeConfiguration(7, "a")).IgnoreError();
+    REQUIRE(drain(true).ok());
+    senderWaits = false;
+    REQUIRE(absl::IsUnavailable(drain(false)));
+    REQUIRE(state().drains.size() == 1);
+}
+
+TEST_CASE_METHOD(
+    configuration_service_fixture, "drain_order.overtaken_by_a_later_one_after_the_sender_left.has_no_effect")
+{
+    put(makeConfiguration(7, "a")).IgnoreError();
+    REQUIRE(drain(true).ok());
+    bool isFirst = true;
+    log.propose = [this, &isFirst, propose = log.propose](control_command command, duration limit, auto done) {
+        if (std::exchange(isFirst, false)) {
+            senderWaits = false;
+            apply(set_drain { kokura, false, {} });
+            apply(set_drain { kokura, true, {} });
+        }
+        return propose(std::move(command), limit, done);
+    };
+    REQUIRE(absl::IsUnavailable(drain(false)));
+    REQUIRE(state().drains.size() == 1);
+}
+
+TEST_CASE_METHOD(
+    configuration_service_fixture, "drain_order.overtaken_while_its_sender_waits.is_proposed_again_after_catching_up")
+{
+    put(makeConfiguration(7, "a")).IgnoreError();
+    bool isFirst = true;
+    log.propose = [this, &isFirst, propose = log.propose](control_command command, duration limit, auto done) {
+        if (std::exchange(isFirst, false))
+            apply(set_drain { kokura, true, {} });
+        return propose(std::move(command), limit, done);
+    };
+    REQUIRE(drain(false).ok());
+    REQUIRE(state().drains.empty());
+    REQUIRE(proposedCount<set_drain>() == 2);
+}
+
+TEST_CASE_METHOD(
+    configuration_service_fixture, "drain_order.later_than_many_for_other_targets.still_overrides_old_ones")
+{
+    put(makeConfiguration(7, "a")).IgnoreError();
+    REQUIRE(drain(true).ok());
+    const std::uint64_t seen = state().drainOrders.last;
+    REQUIRE(drain(true).ok());
+    for (std::size_t i = 0; i < maximumDrainOrders; ++i)
+        apply(set_drain { { drain_kind::Upstream, std::to_string(i) }, false, {} });
+    REQUIRE(apply(set_drain { kokura, false, seen }).verdict == command_verdict::Conflict);
+    REQUIRE(drain(false).ok());
+}
+
 TEST_CASE_METHOD(configuration_service_fixture, "configuration.small_change.is_proposed_as_a_difference")
 {
     REQUIRE(put(makeLargeConfiguration(7, "a")).ok());
--- a/test/correctness/operator_test.cpp
+++ b/test/correctness/operator_test.cpp
@@ -61,7 +61,8 @@
         command_result drain(drain_kind kind, const std::string& name, bool force = false)
         {
             command_result found;
-            port().drain({ kind, name }, true, force, [&](auto result) { found = *result; });
+            port().drain(
+                { kind, name }, true, force, [] { return true; }, [&](auto result) { found = *result; });
             cluster.runtime.advance(1s);
             return found;
         }
--- a/test/error/http_front_test.cpp
+++ b/test/error/http_front_test.cpp
@@ -79,9 +79,10 @@
                 done(directoryStatus);
             };
             directory.renewalInterval = [] { return std::chrono::seconds(1); };
-            operators.drain = [](drain_target, bool, bool, std::function<void(absl::StatusOr<command_result>)> done) {
-                done(command_result { command_verdict::Refused, "no upstream would be left", {}, {} });
-            };
+            operators.drain
+                = [](drain_target, bool, bool, caller_check, std::function<void(absl::StatusOr<command_result>)> done) {
+                      done(command_result { command_verdict::Refused, "no upstream would be left", {}, {} });
+                  };
             operators.status = [] { return system_status {}; };
         }
 
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "error/loop_fixture.h"
 #include "error/raw_client.h"
@@ -9,6 +11,7 @@
 #include "platform/request_front.h"
 #include "platform/upstream_fields.h"
 #include "ports/port_names.h"
+#include "runtime/sockets.h"
 #include "services/upstream_client.h"
 
 namespace plantainlatch::platform {
@@ -103,8 +106,10 @@
                 else
                     done(portStatus);
             };
-            configurations.drain = [this](const set_drain& change, const std::function<void(absl::Status)>& done) {
-                drainChange = change;
+            configurations.drain = [this](const drain_target& target, bool draining, const caller_check& senderWaits,
+                                       const std::function<void(absl::Status)>& done) {
+                drainChange = { target, draining, {} };
+                wasAwaited = senderWaits();
                 done(portStatus);
             };
             control.state = [this]() -> const control_snapshot& { return state; };
@@ -123,6 +128,16 @@
         }
 
         platform_settings settings = makeSettings();
+        /** Sends a request and closes the connection before the server has read anything. */
+        void sendAndClose(const char* server, const std::string& request)
+        {
+            const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            const sockaddr_in remote = toSocketAddress(servers.at(server)->address());
+            REQUIRE(::connect(socket, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) == 0);
+            REQUIRE(::send(socket, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+            ::close(socket);
+        }
+
         control_snapshot state;
         request_port requests;
         entry_list_port entries;
@@ -137,6 +152,8 @@
         configuration put;
         set_drain drainChange;
         absl::Status portStatus;
+        std::optional<upstream_generation> leavingGeneration;
+        std::optional<bool> wasAwaited;
         bool joined = true;
         bool stopping = false;
         bool hasLeaderContact = true;
--- a/test/random/fake_operators.cpp
+++ b/test/random/fake_operators.cpp
@@ -1,5 +1,7 @@
 #include "fake_operators.h"
 
+#include "decision/operators/drain_order.h"
+
 namespace plantainlatch {
 
 namespace {
@@ -7,6 +9,7 @@
     using namespace std::chrono_literals;
 
     constexpr duration proposalTimeout = 4s;
+    constexpr duration maximumReadDelay = 8s;
 
     bool isAccepted(const absl::StatusOr<command_result>& result)
     {
@@ -26,9 +29,9 @@
 
 void fake_operators::declareFirst(const declaration& first)
 {
-    consensus_port* log = pickLog();
-    if (log != nullptr) {
-        log->propose(apply_declaration { first }, proposalTimeout, [this, first](const auto& result) {
+    const operated_vm vm = pickVm();
+    if (vm.log != nullptr) {
+        vm.log->propose(apply_declaration { first }, proposalTimeout, [this, first](const auto& result) {
             if (result.ok() && result->verdict == command_verdict::Refused)
                 m_journal.reportViolation("the first declaration was refused: " + result->message);
             if (isAccepted(result))
@@ -58,16 +61,16 @@
     m_runtime.schedule(500ms + duration(m_runtime.random() % duration(4s).count()), [this] { act(); });
 }
 
-declaration fake_operators::nextDeclaration()
+declaration fake_operators::nextDeclaration(const control_snapshot& state)
 {
     declaration content;
-    content.replaces = pickedState().config.number;
+    content.replaces = state.config.number;
     content.number = content.replaces.next();
     content.note = "note " + std::to_string(++m_lastNote);
     // Starts the shift, or withdraws it if it exists; the runner checks that its cap is kept.
     shift_definition shift { shift_id("move"), service_id("booking"), failure_domain_id("a1"), failure_domain_id("b1"),
         50, 5, 25, 1s };
-    const bool exists = pickedState().config.shifts.contains(shift.id);
+    const bool exists = state.config.shifts.contains(shift.id);
     (exists ? content.shifts.withdrawn : content.shifts.added).push_back({ shift, {} });
     return content;
 }
@@ -76,18 +79,19 @@
 {
     const int proposals = m_runtime.random() % 2 == 0 ? 2 : 1;
     for (int i = 0; i < proposals; ++i) {
-        if (pickLog() != nullptr)
-            apply(nextDeclaration(), 2);
+        const operated_vm vm = pickVm();
+        if (vm.log != nullptr)
+            apply(nextDeclaration(vm.control->state()), 2);
     }
 }
 
 void fake_operators::apply(const declaration& content, int resends)
 {
-    consensus_port* log = pickLog();
-    if (log == nullptr)
+    const operated_vm vm = pickVm();
+    if (vm.log == nullptr)
         return;
     m_journal.note("operator declares " + std::to_string(content.number.value()) + ", " + content.note);
-    log->propose(apply_declaration { content }, proposalTimeout, [this, content, resends](const auto& result) {
+    vm.log->propose(apply_declaration { content }, proposalTimeout, [this, content, resends](const auto& result) {
         if (isAccepted(result))
             accept(content);
         // The answer may have been lost. Resending an accepted declaration must have no effect.
@@ -104,18 +108,27 @@
 
 void fake_operators::setDrain(const upstream_id& id, bool draining)
 {
-    consensus_port* log = pickLog();
-    if (log == nullptr)
+    const operated_vm vm = pickVm();
+    if (vm.log == nullptr)
         return;
     if (!draining)
         m_upstreams.noteDrain(id, false);
     m_drains[id] = draining;
     m_journal.note(std::string(draining ? "drain of " : "end of the drain of ") + id.value());
-    log->propose(set_drain { { drain_kind::Upstream, id.value() }, draining }, proposalTimeout,
-        [this, id, draining](const auto& result) {
-            if (isAccepted(result) && draining && m_drains[id])
-                m_upstreams.noteDrain(id, true);
-        });
+    const std::uint64_t order = ++m_drainOrders[id];
+    const auto senderWaits = [this, id, order] { return m_drainOrders[id] == order; };
+    // A VM that was suspended reads an order when it wakes, perhaps after the operator has given later ones elsewhere.
+    const bool isReadLate = m_runtime.random() % 3 == 0;
+    const duration readAfter(isReadLate ? m_runtime.random() % duration(maximumReadDelay).count() : 0);
+    m_runtime.schedule(readAfter, [this, vm, id, draining, senderWaits] {
+        if (vm.life.expired())
+            return;
+        proposeDrain({ vm.log, vm.control, proposalTimeout }, { { drain_kind::Upstream, id.value() }, draining, {} },
+            senderWaits, [this, id, draining, senderWaits](const auto& result) {
+                if (isAccepted(result) && draining && senderWaits())
+                    m_upstreams.noteDrain(id, true);
+            });
+    });
 }
 
 void fake_operators::endDrains()
@@ -126,13 +139,13 @@
 
 void fake_operators::probe(std::function<void(bool accepted)> done)
 {
-    consensus_port* log = pickLog();
-    if (log == nullptr) {
+    const operated_vm vm = pickVm();
+    if (vm.log == nullptr) {
         done(false);
         return;
     }
-    const declaration content = nextDeclaration();
-    log->propose(apply_declaration { content }, proposalTimeout, [this, content, done](const auto& result) {
+    const declaration content = nextDeclaration(vm.control->state());
+    vm.log->propose(apply_declaration { content }, proposalTimeout, [this, content, done](const auto& result) {
         if (isAccepted(result))
             accept(content);
         done(isAccepted(result));
--- a/test/random/fake_operators.h
+++ b/test/random/fake_operators.h
@@ -7,12 +7,21 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 
 #include "fake_upstreams.h"
 #include "ports/consensus_port.h"
+#include "ports/control_port.h"
 
 namespace plantainlatch {
 
+/** The ports of a VM; null when it does not serve. They are gone with the life of its process. */
+struct operated_vm {
+    consensus_port* log = nullptr;
+    control_port* control = nullptr;
+    std::weak_ptr<bool> life;
+};
+
 /** All operators of one run. */
 class fake_operators {
 public:
@@ -23,10 +32,8 @@
     {
     }
 
-    /** Chooses a VM and returns its consensus port; null when the VM does not serve. */
-    std::function<consensus_port*()> pickLog;
-    /** The control state of the VM that pickLog() chose last; pickLog() must have returned a port. */
-    std::function<const control_snapshot&()> pickedState;
+    /** Chooses a VM. */
+    std::function<operated_vm()> pickVm;
 
     /** Proposes `first`, and again after each time-out until it is accepted. */
     void declareFirst(const declaration& first);
@@ -46,7 +53,7 @@
 private:
     void act();
     void proposeCompeting();
-    declaration nextDeclaration();
+    declaration nextDeclaration(const control_snapshot& state);
     void apply(const declaration& content, int resends);
     void drainUpstream();
     void setDrain(const upstream_id& id, bool draining);
@@ -59,6 +66,8 @@
     std::uint64_t m_lastNote = 0;
     std::map<change_number, declaration> m_accepted;
     std::map<upstream_id, bool> m_drains;
+    /** The number of orders for each upstream; its operator waits for the answer to the last one only. */
+    std::map<upstream_id, std::uint64_t> m_drainOrders;
 };
 
 } // namespace plantainlatch
--- a/test/random/vm_runner.cpp
+++ b/test/random/vm_runner.cpp
@@ -110,7 +110,6 @@
         fake_operators m_operators { m_runtime, m_journal, m_upstreams };
         std::vector<vm_record> m_records;
         std::vector<std::unique_ptr<simulated_vm>> m_vms;
-        simulated_vm* m_pickedVm = nullptr;
         std::set<std::pair<region_id, region_id>> m_partitioned;
         std::deque<time_point> m_acquisitions;
         bool m_injecting = false;
@@ -167,11 +166,10 @@
             simulated_vm* vm = randomServingVm();
             return vm == nullptr ? reachable_entry {} : reachable_entry { vm->requests, vm->life, vm->record.id };
         };
-        m_operators.pickLog = [this] {
-            m_pickedVm = randomServingVm();
-            return m_pickedVm == nullptr ? nullptr : m_pickedVm->log;
+        m_operators.pickVm = [this]() -> operated_vm {
+            simulated_vm* vm = randomServingVm();
+            return vm == nullptr ? operated_vm {} : operated_vm { vm->log, vm->control, vm->life };
         };
-        m_operators.pickedState = [this]() -> const control_snapshot& { return m_pickedVm->control->state(); };
     }
 
     void simulation_run::addVms()
