--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -61,8 +61,12 @@
     , m_options(options)
 {
     m_port.announce = [this](const upstream_announcement& offered, const answer& done) { announce(offered, done); };
-    m_port.leave = [this](const upstream_id& id, upstream_generation generation, const answer& done) {
-        leave(id, generation, done);
+    m_port.leave = [this](const upstream_id& id, std::optional<upstream_generation> generation,
+                       const caller_check& senderWaits, const answer& done) {
+        if (generation)
+            leave(id, *generation, done);
+        else
+            leaveOnceCaughtUp(id, senderWaits, done);
     };
     m_port.renewalInterval = [this] { return m_options.renewalInterval; };
     m_livenessPort.lastSeen = [this](const upstream_id& id) { return lastSeen(id); };
@@ -166,6 +170,24 @@
         done(status);
 }
 
+void directory_service::leaveOnceCaughtUp(const upstream_id& id, const caller_check& senderWaits, const answer& done)
+{
+    m_consensus->readBarrier(m_options.proposalTimeout, [this, id, senderWaits, done](const absl::Status& status) {
+        if (!status.ok()) {
+            done(absl::UnavailableError(status.message()));
+            return;
+        }
+        // A call that is read late must not deregister a generation that joined after its sender gave up.
+        if (!senderWaits()) {
+            done(absl::UnavailableError("the sender of the call is gone"));
+            return;
+        }
+        const auto known = m_control->state().directory.find(id);
+        const bool isKnown = known != m_control->state().directory.end();
+        leave(id, isKnown ? known->second.announcement.generation : upstream_generation(), done);
+    });
+}
+
 void directory_service::leave(const upstream_id& id, upstream_generation generation, const answer& done)
 {
     // The removal is proposed even if the upstream is not in the directory here, as this VM may not have applied its
--- a/src/decision/directory/directory_service.h
+++ b/src/decision/directory/directory_service.h
@@ -76,6 +76,8 @@
     void finishJoin(std::uint64_t number, const absl::StatusOr<command_result>& result);
     /** The VM that tracks the renewals of a region's upstreams; empty while there is none. */
     vm_id renewalOwnerOf(const region_id& region) const;
+    /** Deregisters the generation that is registered once everything committed before the call is applied here. */
+    void leaveOnceCaughtUp(const upstream_id& id, const caller_check& senderWaits, const answer& done);
     void leave(const upstream_id& id, upstream_generation generation, const answer& done);
     bool isRenewal(const upstream_announcement& offered) const;
     void forward(const upstream_announcement& offered);
--- a/test/support/control_cluster.cpp
+++ b/test/support/control_cluster.cpp
@@ -88,6 +88,16 @@
         });
         return name;
     };
+    created.consensus.readBarrier = [this, &created, id](duration timeout, std::function<void(absl::Status)> done) {
+        runtime.schedule(randomDelay(), [this, &created, id, timeout, done] {
+            if (isCut(id) || isCut(leader)) {
+                runtime.schedule(timeout, [done] { done(absl::DeadlineExceededError("no leader")); });
+                return;
+            }
+            catchUp(created);
+            done(absl::OkStatus());
+        });
+    };
     created.consensus.state = [this, id] { return stateOf(id); };
     created.consensus.onLeadership
         = [&created](auto listener) { created.leadershipListeners.push_back(std::move(listener)); };
