Limit the incomplete answers of all upstreams together

Beyond 64 MiB of incomplete answers, the largest one is now given up as malformed, with a log line; the others go on. Ruled out: pausing all connections, as endless answers would hold up the proper ones until their deadlines. Test: upstream_client.incomplete_answers_too_large_together.end_the_largest (without the limit the larger call stays open).

--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -360,6 +360,7 @@
     item.dump = [this] {
         state_dump dump;
         dump.add("calls_in_flight", static_cast<std::uint64_t>(m_parts->exchanges.size()));
+        dump.add("incomplete_answer_bytes", static_cast<std::uint64_t>(m_parts->connections.receivedBytes()));
         dump.add("connections_open", static_cast<std::uint64_t>(m_parts->connections.openCount()));
         dump.add("connections_idle", static_cast<std::uint64_t>(m_parts->connections.idleCount()));
         return dump;
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
 #include "runtime/sockets.h"
 
@@ -122,9 +123,44 @@
 {
     auto& connection = *static_cast<upstream_connection*>(argument);
     upstream_connections& owner = *connection.owner;
-    const bool isFlooded = info->n_added > 0 && evbuffer_get_length(buffer) >= owner.maximumInput();
-    if (isFlooded && !connection.closed && connection.exchange != 0)
+    if (info->n_added == 0 || connection.closed || connection.exchange == 0)
+        return;
+    if (evbuffer_get_length(buffer) >= owner.maximumInput())
         owner.m_events.onFlood(connection);
+    owner.countReceived(connection, info->n_added);
+}
+
+void upstream_connections::countReceived(upstream_connection& connection, std::size_t bytes)
+{
+    if (connection.flooded)
+        return;
+    connection.received += bytes;
+    m_received += bytes;
+    if (m_received > m_limits.maximumReceived.value())
+        endLargest();
+}
+
+void upstream_connections::forgetReceived(upstream_connection& connection)
+{
+    m_received -= std::exchange(connection.received, 0);
+}
+
+void upstream_connections::endLargest()
+{
+    upstream_connection* largest = nullptr;
+    for (const auto& [address, connections] : m_pools) {
+        for (const auto& connection : connections.all) {
+            if (largest == nullptr || connection->received > largest->received)
+                largest = connection.get();
+        }
+    }
+    internal_assert(largest != nullptr && largest->received > 0) << m_received << " bytes received by no connection";
+    m_hooks.log({ log_level::Warning, "upstreams", "an answer is given up, as those that are incomplete are too large",
+        { { "upstream", formatAddress(largest->address) }, { "received_bytes", absl::StrCat(largest->received) },
+            { "all_bytes", absl::StrCat(m_received) } } });
+    forgetReceived(*largest);
+    largest->flooded = true;
+    m_events.onFlood(*largest);
 }
 
 bool upstream_connections::isReusable(const upstream_connection& connection) const
@@ -143,10 +179,11 @@
 void upstream_connections::release(upstream_connection& connection)
 {
     internal_assert(!connection.idle) << "connection to " << formatAddress(connection.address) << " released twice";
+    forgetReceived(connection);
     connection.exchange = 0;
     bufferevent* channel = evhttp_connection_get_bufferevent(connection.handle);
     const bool unread = evbuffer_get_length(bufferevent_get_input(channel)) > 0;
-    if (bufferevent_getfd(channel) < 0 || unread || m_idle >= m_limits.maximumIdle) {
+    if (bufferevent_getfd(channel) < 0 || unread || connection.flooded || m_idle >= m_limits.maximumIdle) {
         discard(connection);
         return;
     }
@@ -164,6 +201,7 @@
     const auto position
         = std::find_if(all.begin(), all.end(), [&](const auto& item) { return item.get() == &connection; });
     internal_assert(position != all.end()) << "connection to " << formatAddress(connection.address) << " closed twice";
+    forgetReceived(connection);
     if (connection.idle)
         --m_idle;
     --m_open;
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -37,6 +37,10 @@
     bool nagleDisabled = false;
     bool closed = false;
     bool idle = false;
+    /** The bytes received for the current exchange; they are buffered until its answer is complete. */
+    std::size_t received = 0;
+    /** The exchange is to be failed, as it received too much; its further bytes are not counted. */
+    bool flooded = false;
     time_point idleSince {};
 };
 
@@ -48,14 +52,16 @@
     std::size_t maximumIdle = 4096;
     byte_count maximumAnswerHeaders { 64 * 1024 };
     byte_count maximumAnswerBody { 8 * 1024 * 1024 };
+    /** The limit on the bytes of all incomplete answers together, which are held in memory. */
+    byte_count maximumReceived { 64 * 1024 * 1024 };
 };
 
 struct upstream_connection_events {
     /** Called when the first byte of the request enters the output buffer, before any byte is passed to the operating
      * system. */
     std::function<void(upstream_connection&)> onDispatch;
-    /** Called at least once, in the next iterations of the event loop, when more bytes have arrived than an answer may
-     * have and the library has not consumed them. */
+    /** Called at least once when more bytes have arrived than an answer may have and the library has not consumed them,
+     * or when the incomplete answers exceed their limit together and this one is the largest. */
     std::function<void(upstream_connection&)> onFlood;
 };
 
@@ -94,6 +100,8 @@
 
     std::size_t openCount() const { return m_open; }
     std::size_t idleCount() const { return m_idle; }
+    /** The bytes of all incomplete answers together. */
+    std::size_t receivedBytes() const { return m_received; }
 
 private:
     struct pool {
@@ -102,6 +110,10 @@
 
     static void outputChanged(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
     static void inputChanged(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
+    void countReceived(upstream_connection& connection, std::size_t bytes);
+    void forgetReceived(upstream_connection& connection);
+    /** Fails the exchange that has received the most bytes. */
+    void endLargest();
 
     /** The limit on received bytes that the library has not consumed, in bytes: a complete answer waits for its last
      * byte. */
@@ -124,6 +136,8 @@
     timer_id m_freeTimer;
     timer_id m_expiryTimer;
     void* m_user = nullptr;
+    /** The sum of upstream_connection::received. */
+    std::size_t m_received = 0;
     std::size_t m_open = 0;
     std::size_t m_idle = 0;
 };
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -15,6 +15,7 @@
 
     constexpr std::size_t headerLimit = 16 * 1024;
     constexpr std::size_t bodyLimit = 256 * 1024;
+    constexpr std::size_t receivedLimit = 400 * 1024;
 
     /** The callbacks that one call received. */
     struct call_record {
@@ -34,6 +35,7 @@
             options.connectTimeout = std::chrono::milliseconds(500);
             options.connections.maximumAnswerHeaders = byte_count(headerLimit);
             options.connections.maximumAnswerBody = byte_count(bodyLimit);
+            options.connections.maximumReceived = byte_count(receivedLimit);
             subject = upstream_client::create(loop->base(), hooks, options);
         }
 
@@ -205,6 +207,33 @@
     REQUIRE(runAgainstEndless(head, repeated).failure);
 }
 
+// Guards against upstreams that send without end on many connections at once, until the VM is out of memory.
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.incomplete_answers_too_large_together.end_the_largest")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyLimit) + "\r\n\r\n";
+    const std::size_t missing = 100 * 1024;
+    std::vector<std::size_t> connections;
+    upstream.onRequest = [&, this](std::size_t connection, const std::string&) {
+        connections.push_back(connection);
+        const std::size_t kept = connections.size() == 1 ? missing : 1;
+        upstream.send(connection, head + std::string(bodyLimit - kept, 'x'));
+    };
+    call_record smaller;
+    call_record larger;
+    subject->port().start(callTo(upstream.address()), recordIn(smaller));
+    runUntil([&] { return connections.size() == 1; });
+    runFor(std::chrono::milliseconds(50));
+    subject->port().start(callTo(upstream.address()), recordIn(larger));
+    runUntil([&] { return larger.ended(); });
+    REQUIRE(larger.failure == call_failure::Malformed);
+    REQUIRE_FALSE(smaller.ended());
+    upstream.send(connections.front(), std::string(missing, 'x'));
+    runUntil([&] { return smaller.ended(); });
+    REQUIRE(smaller.answer->body.size() == bodyLimit);
+    upstream.onRequest = [this](std::size_t connection, const std::string&) { upstream.send(connection, smallAnswer); };
+    REQUIRE(run(callTo(upstream.address())).answer.has_value());
+}
+
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.call_name_sent_by_the_caller.is_not_passed_on")
 {
     std::string received;
