Serve a route again after its upstreams were slow for a while

What callers see: one route refused at an entry for the life of its process, although its upstreams are quick again. Cause: a request is refused if its expected latency is above its limit, and the average behind that is lowered by answers only; once all requests of the route are refused, there are none. Fix: after 3 s without an answer, an average counts for no more than the initial estimate, and a lower answer replaces it. Ruled out: letting single requests through as probes: each would wait for an answer that may come too late, one by one. Test: placement.route_whose_upstreams_were_slow_for_a_while failed before; latency_model.* for the rule.

--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -288,7 +288,7 @@
     else if (!stats.isCold(now) && isHome)
         evaluated.state = object_state::Likely;
     const duration expectedLatency
-        = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency);
+        = m_latencies.expected(request.policy.route, evaluated.state, request.policy.targetLatency, now);
     evaluated.runTime = scaled(expectedLatency, stats.slowness(now));
     const auto slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, upstream.slots.value()));
     const std::uint32_t load = stats.load(now);
@@ -402,7 +402,7 @@
     stats->second.noteResult(
         result, placed.object, countsForSlowness ? placed.expected : duration::zero(), m_hooks.now());
     if (result.ended == slot_result::kind::Answered && !placed.queued)
-        m_latencies.observe(placed.route, placed.state, result.latency);
+        m_latencies.observe(placed.route, placed.state, result.latency, m_hooks.now());
 }
 
 void placement_service::noteUnavailability(const placed_request& placed, const answer_metadata& metadata)
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -706,13 +706,48 @@
     }
 }
 
+// Guards against a route that is refused for the life of the process once its answers were slow for a while.
+TEST_CASE_METHOD(placement_fixture, "placement.route_whose_upstreams_were_slow_for_a_while.is_served_again")
+{
+    add(makeUpstream("u", "here"));
+    start();
+    int placed = 0;
+    for (slot_answer got = place("court 7"); got.slot && placed < 100; got = place("court 7"), ++placed) {
+        runtime.advance(100ms);
+        release(got, slot_result::kind::Answered, 5s);
+    }
+    REQUIRE(placed < 100);
+    runtime.advance(30s);
+    REQUIRE(placedAt("court 7") == "u");
+}
+
+TEST_CASE("latency_model.high_average_without_new_answers.is_replaced_by_the_next_one", "[placement]")
+{
+    const time_point begin;
+    for (const object_state state : { object_state::Known, object_state::Unknown }) {
+        latency_model subject;
+        subject.observe(route_id("r"), state, 5s, begin);
+        REQUIRE(subject.expected(route_id("r"), state, 600ms, begin + 1s) >= duration(5s));
+        REQUIRE(subject.expected(route_id("r"), state, 600ms, begin + 10s) < duration(1s));
+        subject.observe(route_id("r"), state, 900ms, begin + 10s);
+        REQUIRE(subject.expected(route_id("r"), state, 600ms, begin + 10s) == duration(900ms));
+    }
+}
+
+TEST_CASE("latency_model.low_average_without_new_answers.is_kept", "[placement]")
+{
+    latency_model subject;
+    subject.observe(route_id("r"), object_state::Known, 50ms, {});
+    REQUIRE(subject.expected(route_id("r"), object_state::Known, 600ms, time_point() + 1h) == duration(50ms));
+}
+
 TEST_CASE("latency_model.answer_for_a_likely_known_object.does_not_change_the_averages", "[placement]")
 {
     latency_model subject;
-    subject.observe(route_id("r"), object_state::Known, 200ms);
-    subject.observe(route_id("r"), object_state::Likely, 900ms);
-    REQUIRE(subject.expected(route_id("r"), object_state::Known, 600ms) == duration(200ms));
-    REQUIRE(subject.expected(route_id("r"), object_state::Likely, 600ms) == duration(200ms));
+    subject.observe(route_id("r"), object_state::Known, 200ms, {});
+    subject.observe(route_id("r"), object_state::Likely, 900ms, {});
+    REQUIRE(subject.expected(route_id("r"), object_state::Known, 600ms, {}) == duration(200ms));
+    REQUIRE(subject.expected(route_id("r"), object_state::Likely, 600ms, {}) == duration(200ms));
 }
 
 TEST_CASE_METHOD(
