--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -38,13 +38,13 @@
 
     replica(kernel_hooks hooks, vm_settings settings, consensus_options options);
 
-    /** Tries at intervals to make a failed disk durable again. */
-    void onTick();
-
     /** Restores the durable state. Returns DataLoss for a damaged disk and InvalidArgument for the disk of another
      * VM. */
     absl::Status load(dependencies services);
 
+    /** While the disk is failed, tries at intervals to rewrite it. */
+    void onTick();
+
     const kernel_hooks& hooks() const { return m_hooks; }
     const vm_settings& settings() const { return m_settings; }
     const consensus_options& options() const { return m_options; }
@@ -142,6 +142,7 @@
     bool m_applying = false;
     /** A write to the disk failed, and the disk was not rewritten since. */
     bool m_failed = false;
+    /** A rewrite was begun and has not ended yet. */
     bool m_isRewriting = false;
     time_point m_nextRewriteAt {};
     /** The identity under which this replica voted before its disk failed. */
--- a/test/soak/platform_soak.cpp
+++ b/test/soak/platform_soak.cpp
@@ -94,7 +94,8 @@
         for (const auto& [domain, region] : ajusteLayout().places) {
             m_upstreams.push_back(std::make_unique<soak_upstream>());
             soak_upstream& added = *m_upstreams.back();
-            added = { service + "-" + domain, service, domain, std::make_unique<raw_upstream>(m_loop->base()), 0 };
+            added = { absl::StrCat(service, "-", domain), service, domain,
+                std::make_unique<raw_upstream>(m_loop->base()), 0 };
             added.server->onRequest = [this, &added](std::size_t connection, const std::string& request) {
                 serve(added, connection, request);
             };
