--- a/test/integration/platform_processes.h
+++ b/test/integration/platform_processes.h
@@ -36,6 +36,7 @@
     static constexpr std::uint16_t readyPort = 8140;
     static constexpr std::uint16_t controlPort = 8146;
     static constexpr std::uint16_t lookupPort = 8143;
+    static constexpr std::uint16_t inspectionPort = 7661;
 
     explicit platform_processes(platform_layout layout);
     ~platform_processes();
--- a/test/soak/platform_soak.cpp
+++ b/test/soak/platform_soak.cpp
@@ -24,6 +24,8 @@
     constexpr duration heartbeatInterval = 1500ms;
     constexpr duration callTimeout = 1s;
     constexpr duration maximumWork = 400ms;
+    /** The callers' deadline of 4 s, and a margin for a busy machine. */
+    constexpr duration answerLimit = 6s;
     constexpr duration stopLimit = 8s;
     constexpr duration recoveryLimit = 20s;
     constexpr int statusOk = 200;
@@ -73,7 +75,7 @@
 {
     addUpstreams();
     for (int i = 0; i < entries * callersPerEntry; ++i)
-        m_callers.push_back({ controls + 1 + i % entries, nullptr, {}, 0, m_hooks.now() });
+        m_callers.push_back({ controls + 1 + i % entries, nullptr, {}, 0, m_hooks.now(), m_hooks.now() });
 }
 
 void platform_soak::note(const std::string& what)
@@ -167,6 +169,7 @@
             caller.connection = std::make_unique<raw_client>(
                 m_loop->base(), m_vms.address(caller.entry, platform_processes::callerPort));
         caller.request = absl::StrCat("c", ++m_lastRequest);
+        caller.sentAt = m_hooks.now();
         caller.answerBegin = caller.connection->received.size();
         const char* call = below(2) == 0 ? "GET /lookup/x" : "PUT /deposit/x";
         caller.connection->send(absl::StrCat(call, " HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 4000\r\nX-Request-Id: ",
@@ -182,9 +185,12 @@
         finishAnswer(caller, answer);
         return;
     }
-    if (!caller.connection->ended)
+    const bool isLate = m_hooks.now() > caller.sentAt + answerLimit;
+    if (!caller.connection->ended && !isLate)
         return;
-    if (m_runs.contains(caller.request))
+    if (isLate)
+        reportViolation(absl::StrCat("request ", caller.request, " got no answer from m", caller.entry));
+    else if (m_runs.contains(caller.request))
         reportViolation(
             absl::StrCat("request ", caller.request, " ran, and m", caller.entry, " closed its connection"));
     caller.request.clear();
@@ -423,12 +429,35 @@
     for (int vm = 1; vm <= controls; ++vm)
         readConfiguration(vm);
     runFor(2s);
-    const std::uint64_t runsBefore = m_runsByDomain[evacuatedDomain];
+    checkEvacuation();
+}
+
+void platform_soak::checkEvacuation()
+{
+    const std::map<std::string, std::uint64_t> before = m_runsByDomain;
     runFor(3s);
-    const bool hasRuns = m_runsByDomain[evacuatedDomain] > runsBefore;
-    if (hasRuns == m_isEvacuated)
-        reportViolation(absl::StrCat("the evacuation is ", m_isEvacuated ? "acknowledged" : "taken back", ", and ",
-            evacuatedDomain, hasRuns ? " gets requests" : " gets none"));
+    std::string runs;
+    for (const auto& [domain, count] : m_runsByDomain)
+        absl::StrAppend(&runs, " ", domain, ": ", count - (before.contains(domain) ? before.at(domain) : 0));
+    note(absl::StrCat("requests that ran in three seconds:", runs));
+    const auto evacuated = before.find(evacuatedDomain);
+    const bool hasRuns = m_runsByDomain[evacuatedDomain] > (evacuated != before.end() ? evacuated->second : 0);
+    if (hasRuns != m_isEvacuated)
+        return;
+    noteStates();
+    reportViolation(absl::StrCat("the evacuation is ", m_isEvacuated ? "acknowledged" : "taken back", ", and ",
+        evacuatedDomain, hasRuns ? " gets requests" : " gets none"));
+}
+
+void platform_soak::noteStates()
+{
+    for (int vm = 1; vm <= m_vms.size(); ++vm) {
+        call(vm, platform_processes::inspectionPort, "GET /v1/dump", {}, [this, vm](int, const std::string& answer) {
+            const std::size_t at = answer.find("\"control\":");
+            note(absl::StrCat("m", vm, ": ", at == std::string::npos ? answer : answer.substr(at, 1500)));
+        });
+    }
+    runFor(2s);
 }
 
 } // namespace plantainlatch
--- a/test/soak/platform_soak.h
+++ b/test/soak/platform_soak.h
@@ -59,6 +59,7 @@
         /** The request on its way; empty if there is none. */
         std::string request;
         std::size_t answerBegin = 0;
+        time_point sentAt;
         time_point nextAt;
     };
 
@@ -85,6 +86,9 @@
     void stopEntry(int vm);
     void endFaults();
     void checkRecovery();
+    void checkEvacuation();
+    /** Notes what each VM knows of the drains and the upstreams. */
+    void noteStates();
 
     void runUntil(const std::string& what, duration limit, const std::function<bool()>& isDone);
     void runFor(duration span);
