Close the test's connections in the processes that it starts

Children now close all but their standard streams. The soak also notes the orders and leaders that control VMs logged.

--- a/test/integration/child_process.cpp
+++ b/test/integration/child_process.cpp
@@ -33,6 +33,8 @@
             _exit(startFailed);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // A connection of the test that a child inherits would stay open after the test has closed it.
+        closefrom(STDERR_FILENO + 1);
         // setDiskFull() lets writes fail with this signal, which would otherwise end the process.
         std::signal(SIGXFSZ, SIG_IGN);
         execv(path.c_str(), pointers.data());
--- a/test/soak/platform_soak.cpp
+++ b/test/soak/platform_soak.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 
 #include <unistd.h>
 
@@ -458,6 +459,13 @@
         });
     }
     runFor(2s);
+    for (int vm = 1; vm <= controls; ++vm) {
+        std::ifstream log(m_vms.logFile(vm));
+        for (std::string line; std::getline(log, line);) {
+            if (absl::StrContains(line, "\"order\":") || absl::StrContains(line, "\"consensus\""))
+                note(absl::StrCat("log of m", vm, ": ", line));
+        }
+    }
 }
 
 } // namespace plantainlatch
--- a/test/soak/platform_soak.h
+++ b/test/soak/platform_soak.h
@@ -87,7 +87,8 @@
     void endFaults();
     void checkRecovery();
     void checkEvacuation();
-    /** Notes what each VM knows of the drains and the upstreams. */
+    /** Notes what each VM knows of the drains and the upstreams, and which orders and leaders the control VMs logged.
+     */
     void noteStates();
 
     void runUntil(const std::string& what, duration limit, const std::function<bool()>& isDone);
