--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -135,11 +135,8 @@
         return;
     writeState();
     const std::uint64_t number = m_writes.begin(snapshot.index);
-    m_dependencies.storage->saveSnapshot(
-        snapshot, keepLaterEntries, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
-            if (!alive.expired())
-                finishWrite(number, status);
-        });
+    m_dependencies.storage->saveSnapshot(snapshot, keepLaterEntries,
+        whileAlive([this, number](const absl::Status& status) { finishWrite(number, status); }));
 }
 
 void replica::commitTo(log_index index)
@@ -176,10 +173,7 @@
     if (hasDisk()) {
         const std::uint64_t number = m_writes.begin(log_index(0));
         m_dependencies.storage->saveSnapshot(
-            snapshot(), true, [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
-                if (!alive.expired())
-                    finishWrite(number, status);
-            });
+            snapshot(), true, whileAlive([this, number](const absl::Status& status) { finishWrite(number, status); }));
     }
     if (m_applied.value() > m_options.trailingEntries)
         m_log.compactTo(log_index(m_applied.value() - m_options.trailingEntries));
@@ -198,10 +192,15 @@
         return;
     const std::uint64_t number = m_writes.begin(lastIndex);
     m_dependencies.storage->write(
-        std::move(content), [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
-            if (!alive.expired())
-                finishWrite(number, status);
-        });
+        std::move(content), whileAlive([this, number](const absl::Status& status) { finishWrite(number, status); }));
+}
+
+replica::storage_callback replica::whileAlive(storage_callback action) const
+{
+    return [action = std::move(action), alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
+        if (!alive.expired())
+            action(status);
+    };
 }
 
 void replica::finishWrite(std::uint64_t number, const absl::Status& status)
@@ -250,10 +249,7 @@
         content.entries.push_back(m_log.at(i));
     const std::uint64_t number = m_writes.begin(m_log.lastIndex());
     m_dependencies.storage->rewrite(
-        std::move(content), [this, number, alive = std::weak_ptr<bool>(m_alive)](const absl::Status& status) {
-            if (!alive.expired())
-                finishRewrite(number, status);
-        });
+        std::move(content), whileAlive([this, number](const absl::Status& status) { finishRewrite(number, status); }));
 }
 
 void replica::finishRewrite(std::uint64_t number, const absl::Status& status)
--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -108,11 +108,15 @@
     void setFailureListener(std::function<void()> listener) { m_onFailure = std::move(listener); }
 
 private:
+    using storage_callback = std::function<void(const absl::Status&)>;
+
     absl::Status restore(recovered_state found);
     void assignNewIdentity();
     void write(storage_write content, log_index lastIndex);
     void writeState();
     hard_state hardState() const { return { m_self, m_term, m_votedFor }; }
+    /** Wraps a callback for the storage, which may call it after this object was destroyed. */
+    storage_callback whileAlive(storage_callback action) const;
     void finishWrite(std::uint64_t number, const absl::Status& status);
     void fail(const absl::Status& status);
     /** Writes everything that this replica holds in memory to the failed disk, and takes part as a voter again; its
--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -1,5 +1,7 @@
 #include "runtime/sockets.h"
 
+#include <cerrno>
+
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -15,6 +17,16 @@
     return result;
 }
 
+socket_input peekInput(int socket)
+{
+    char byte = 0;
+    const ssize_t result = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (result > 0)
+        return socket_input::Bytes;
+    const bool isWaiting = result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return isWaiting ? socket_input::None : socket_input::End;
+}
+
 void disableNagle(int socket)
 {
     const int on = 1;
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -13,6 +13,17 @@
 /** Converts a numeric IPv4 address. */
 sockaddr_in toSocketAddress(const network_address& address);
 
+/** What the operating system holds for the reader of a socket. */
+enum class socket_input {
+    None,
+    Bytes,
+    /** The peer has closed or reset the connection, and all bytes before that were read. */
+    End,
+};
+
+/** Looks at the input of a connected socket without reading it. */
+socket_input peekInput(int socket);
+
 /** Disables Nagle's algorithm, which would delay small messages (TCP_NODELAY). */
 void disableNagle(int socket);
 
--- a/src/services/announcement_front.cpp
+++ b/src/services/announcement_front.cpp
@@ -89,8 +89,7 @@
         return;
     }
     const std::string_view id = request.path().substr(std::string_view(upstreamsPath).size() + 1);
-    m_directory->leave(
-        upstream_id(std::string(id)), generation, [this, exchange] { return m_server->isAwaited(exchange); },
+    m_directory->leave(upstream_id(std::string(id)), generation, m_server->senderCheck(exchange),
         [this, exchange](const absl::Status& status) {
             m_server->respond(exchange, status.ok() ? encodeJsonAnswer(statusOk, "{}\n") : encodeStatus(status));
         });
--- a/src/services/file_storage.cpp
+++ b/src/services/file_storage.cpp
@@ -102,9 +102,9 @@
     file_hooks files;
     storage_port port;
     std::uint64_t generation = 0;
-    /** The newest snapshot file replaces all earlier state files. */
-    bool hasWholeSnapshot = false;
-    /** Without it: log entries in state files of earlier generations are discarded. */
+    /** State files of earlier generations are not read: the snapshot file contains what they held. */
+    std::uint64_t firstStateFile = 0;
+    /** Log entries in state files of earlier generations are discarded. */
     std::uint64_t firstValidGeneration = 0;
     std::optional<int> stateFile;
     absl::Status failure = absl::OkStatus();
@@ -189,29 +189,29 @@
         if (!record.ok())
             return damaged(file, record.status());
         recovered.snapshot = std::move(record->snapshot);
-        firstValidGeneration = record->keepsLaterEntries ? 0 : generation;
         if (record->after) {
             recovered.state = std::move(record->after->state);
             recovered.entries = std::move(record->after->entries);
+            firstStateFile = generation;
+        } else if (!record->keepsLaterEntries) {
+            firstValidGeneration = generation;
         }
-        hasWholeSnapshot = record->after.has_value();
         return absl::OkStatus();
     }
 
     absl::Status loadStates(const std::vector<std::string>& names, recovered_state& recovered)
     {
         std::vector<std::uint64_t> numbers = generationsOf(names, statePrefix);
-        if (hasWholeSnapshot)
-            std::erase_if(numbers, [this](std::uint64_t number) { return number < generation; });
+        std::erase_if(numbers, [this](std::uint64_t number) { return number < firstStateFile; });
         for (const std::uint64_t number : numbers) {
             const bool isLast = number == numbers.back();
-            if (!hasWholeSnapshot && number <= firstValidGeneration)
+            if (number <= firstValidGeneration)
                 recovered.entries.clear();
             absl::Status status = loadState(path(statePrefix, number), isLast, recovered);
             if (!status.ok())
                 return status;
         }
-        if (!hasWholeSnapshot && !numbers.empty() && numbers.back() < firstValidGeneration)
+        if (!numbers.empty() && numbers.back() < firstValidGeneration)
             recovered.entries.clear();
         if (!numbers.empty())
             generation = std::max(generation, numbers.back());
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -1,7 +1,6 @@
 #include "services/http_connection.h"
 
 #include <array>
-#include <cerrno>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -63,18 +62,9 @@
     return connection;
 }
 
-bool http_connection::hasUnreadInput() const
-{
-    char byte = 0;
-    return recv(bufferevent_getfd(m_channel), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
+bool http_connection::hasUnreadInput() const { return peekInput(bufferevent_getfd(m_channel)) == socket_input::Bytes; }
 
-bool http_connection::isClosedByCaller() const
-{
-    char byte = 0;
-    const ssize_t result = recv(bufferevent_getfd(m_channel), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return result == 0 || (result < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
+bool http_connection::isClosedByCaller() const { return peekInput(bufferevent_getfd(m_channel)) == socket_input::End; }
 
 http_connection::http_connection(const http_connection_parts& parts, int socket)
     : m_parts(parts)
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -231,10 +231,12 @@
     connection.answer(answer, m_parts->closing);
 }
 
-bool http_server::isAwaited(exchange_id exchange) const
+caller_check http_server::senderCheck(exchange_id exchange) const
 {
-    const auto found = m_parts->exchanges.find(exchange);
-    return found != m_parts->exchanges.end() && !found->second.connection->isClosedByCaller();
+    return [this, exchange] {
+        const auto found = m_parts->exchanges.find(exchange);
+        return found != m_parts->exchanges.end() && !found->second.connection->isClosedByCaller();
+    };
 }
 
 void http_server::closeAfterAnswers() { m_parts->closing = true; }
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -14,6 +14,7 @@
 #include "kernel/hooks.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
+#include "ports/caller_check.h"
 #include "services/http_answer.h"
 #include "services/http_request_view.h"
 
@@ -64,8 +65,9 @@
     /** Answers a request; no effect if its caller has disconnected. */
     void respond(exchange_id exchange, const http_answer& answer);
 
-    /** Whether the sender of a request still waits for its answer, as far as its connection shows. */
-    bool isAwaited(exchange_id exchange) const;
+    /** Returns a check whether the sender of a request still waits for its answer, as far as its connection shows. The
+     * server must outlive it. */
+    caller_check senderCheck(exchange_id exchange) const;
 
     /** From now on each answer closes its connection. */
     void closeAfterAnswers();
--- a/src/services/operator_front.cpp
+++ b/src/services/operator_front.cpp
@@ -128,8 +128,7 @@
         m_server->respond(exchange, encodeFindings("the drain is not valid", findings));
         return;
     }
-    m_operators->drain(
-        parsed->target, parsed->draining, parsed->force, [this, exchange] { return m_server->isAwaited(exchange); },
+    m_operators->drain(parsed->target, parsed->draining, parsed->force, m_server->senderCheck(exchange),
         answerWithResult(*m_server, exchange));
 }
 
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -172,8 +172,7 @@
         return false;
     // A connection with unread input is not reused, because no request is in flight that the input could answer. An
     // end of the stream means that the upstream has closed the connection.
-    char byte = 0;
-    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return peekInput(socket) == socket_input::None;
 }
 
 void upstream_connections::release(upstream_connection& connection)
--- a/test/soak/platform_soak.cpp
+++ b/test/soak/platform_soak.cpp
@@ -28,6 +28,13 @@
     /** The callers' deadline of 4 s, and a margin for a busy machine. */
     constexpr duration answerLimit = 6s;
     constexpr duration stopLimit = 8s;
+    constexpr duration stopPollInterval = 50ms;
+    constexpr int controlFaultCount = 3;
+    constexpr duration minimumFaultTime = 300ms;
+    constexpr duration maximumFaultTime = 6s;
+    constexpr duration maximumDownTime = 1s;
+    /** A VM counts as disturbed until it has caught up. */
+    constexpr duration catchUpTime = 2s;
     constexpr duration recoveryLimit = 20s;
     constexpr int statusOk = 200;
     constexpr int statusBadGateway = 502;
@@ -139,6 +146,14 @@
     m_calls.push_back({ std::move(client), m_hooks.now() + callTimeout, std::move(done) });
 }
 
+void platform_soak::poll()
+{
+    pollCalls();
+    if (m_acknowledgedVersion > 0)
+        pollCallers();
+    m_hooks.schedule(pollInterval, [this] { poll(); });
+}
+
 void platform_soak::pollCalls()
 {
     std::vector<pending_call> ended;
@@ -301,30 +316,51 @@
     if (m_disturbed.contains(vm) || m_disturbed.size() >= tolerance)
         return;
     m_disturbed.insert(vm);
-    const int kind = below(3);
-    note(absl::StrCat(kind == 0 ? "kill of m" : kind == 1 ? "freeze of m" : "full disk of m", vm));
-    if (kind == 0) {
+    const auto fault = static_cast<control_fault>(below(controlFaultCount));
+    beginFault(fault, vm);
+    const duration longest = fault == control_fault::Kill ? maximumDownTime : maximumFaultTime;
+    m_hooks.schedule(minimumFaultTime + upTo(longest), [this, vm, fault] {
+        if (!m_disturbed.contains(vm))
+            return;
+        endFault(fault, vm);
+        m_hooks.schedule(catchUpTime, [this, vm] { m_disturbed.erase(vm); });
+    });
+}
+
+void platform_soak::beginFault(control_fault fault, int vm)
+{
+    switch (fault) {
+    case control_fault::Kill:
+        note(absl::StrCat("kill of m", vm));
         m_vms.at(vm).kill();
-    } else if (kind == 1) {
+        return;
+    case control_fault::Freeze:
+        note(absl::StrCat("freeze of m", vm));
         m_frozen.insert(vm);
         m_vms.at(vm).signal(SIGSTOP);
-    } else {
+        return;
+    case control_fault::FullDisk:
+        note(absl::StrCat("full disk of m", vm));
         m_vms.at(vm).setDiskFull(true);
+        return;
     }
-    m_hooks.schedule(300ms + upTo(kind == 0 ? 1s : 6s), [this, vm, kind] {
-        if (!m_disturbed.contains(vm))
-            return;
-        note(absl::StrCat("end of the disruption of m", vm));
-        if (kind == 0)
-            m_vms.start(vm, false);
-        else if (kind == 1)
-            m_vms.at(vm).signal(SIGCONT);
-        else
-            m_vms.at(vm).setDiskFull(false);
+}
+
+void platform_soak::endFault(control_fault fault, int vm)
+{
+    note(absl::StrCat("end of the disruption of m", vm));
+    switch (fault) {
+    case control_fault::Kill:
+        m_vms.start(vm, false);
+        return;
+    case control_fault::Freeze:
+        m_vms.at(vm).signal(SIGCONT);
         m_frozen.erase(vm);
-        // The VM counts as lost until it has caught up.
-        m_hooks.schedule(2s, [this, vm] { m_disturbed.erase(vm); });
-    });
+        return;
+    case control_fault::FullDisk:
+        m_vms.at(vm).setDiskFull(false);
+        return;
+    }
 }
 
 void platform_soak::killAllControls()
@@ -349,20 +385,20 @@
         return;
     note(absl::StrCat("stop of m", vm));
     m_vms.at(vm).terminate();
-    auto check = std::make_shared<std::function<void()>>();
-    *check = [this, vm, check, end = m_hooks.now() + stopLimit] {
-        const bool isRunning = m_vms.at(vm).isRunning();
-        if (isRunning && m_hooks.now() < end) {
-            m_hooks.schedule(50ms, *check);
-            return;
-        }
-        if (isRunning || m_vms.at(vm).waitForExit(duration::zero()) != 0)
-            reportViolation(absl::StrCat("m", vm, " did not stop in time, or failed"));
-        m_vms.start(vm, false);
-        m_hooks.schedule(1s, [this, vm] { m_stopping.erase(vm); });
-        m_hooks.schedule(duration::zero(), [check] { *check = nullptr; });
-    };
-    (*check)();
+    awaitStop(vm, m_hooks.now() + stopLimit);
+}
+
+void platform_soak::awaitStop(int vm, time_point end)
+{
+    const bool isRunning = m_vms.at(vm).isRunning();
+    if (isRunning && m_hooks.now() < end) {
+        m_hooks.schedule(stopPollInterval, [this, vm, end] { awaitStop(vm, end); });
+        return;
+    }
+    if (isRunning || m_vms.at(vm).waitForExit(duration::zero()) != 0)
+        reportViolation(absl::StrCat("m", vm, " did not stop in time, or failed"));
+    m_vms.start(vm, false);
+    m_hooks.schedule(1s, [this, vm] { m_stopping.erase(vm); });
 }
 
 void platform_soak::runFor(duration span)
@@ -386,12 +422,6 @@
 void platform_soak::run()
 {
     m_vms.startAll(true);
-    std::function<void()> poll = [this, &poll] {
-        pollCalls();
-        if (m_acknowledgedVersion > 0)
-            pollCallers();
-        m_hooks.schedule(pollInterval, poll);
-    };
     poll();
     putNext(1000);
     runUntil("the first configuration", recoveryLimit, [this] { return m_acknowledgedVersion > 0; });
--- a/test/soak/platform_soak.h
+++ b/test/soak/platform_soak.h
@@ -37,6 +37,8 @@
 private:
     using answer_handler = std::function<void(int status, const std::string& answer)>;
 
+    enum class control_fault { Kill, Freeze, FullDisk };
+
     /** A call on a connection of its own. */
     struct pending_call {
         std::unique_ptr<raw_client> client;
@@ -67,6 +69,8 @@
     void serve(soak_upstream& upstream, std::size_t connection, const std::string& request);
     void announceAll();
     void call(int vm, std::uint16_t port, const std::string& head, const std::string& body, answer_handler done);
+    /** Handles what has arrived, and schedules itself again. */
+    void poll();
     void pollCalls();
     void pollCallers();
     void pollCaller(soak_caller& caller);
@@ -82,9 +86,12 @@
 
     void disturb();
     void disturbControl(int vm);
+    void beginFault(control_fault fault, int vm);
+    void endFault(control_fault fault, int vm);
     void killAllControls();
     void stopEntry(int vm);
-    void endFaults();
+    /** Starts a stopping entry again once it has ended; it must do so by `end`. */
+    void awaitStop(int vm, time_point end);
     void checkRecovery();
     void checkEvacuation();
     /** Notes what each VM knows of the drains and the upstreams, and which orders and leaders the control VMs logged.
