Log who limited a request, which calls were given up, and answers that were lost

Cause: the logs could not tell the four sentences of LOST apart afterwards. A call that was given up at its deadline wrote no line, so an own answer in place of an upstream at work looked like a request that was never sent; an answer did not say whose limit it reached; a connection that ended before its answer was written left no line of the server and no cause. Change: attempt-abandoned (with dispatched), limited_by in request-answered, answer-lost (cause, partly or not at all, stopping). All are counted in plantainlatch_events_total as well. Ruled out: a counter of its own for each sentence, as events are counted by kind and detail already.

--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -36,6 +36,15 @@
     std::uint64_t lateDispatches = 0;
 };
 
+/** Whose limit is the earliest, and so is the deadline of a request. */
+enum class deadline_source {
+    Caller,
+    /** The time limit of the route, or the maximum or default deadline of the service. */
+    Declaration,
+    /** The end of this VM's stop. */
+    Stop,
+};
+
 /** A request that was admitted, with its routing policy and limits. */
 struct admitted_request {
     request_id id;
@@ -45,6 +54,7 @@
     request_fingerprint fingerprint;
     time_point arrivedAt;
     time_point deadline;
+    deadline_source limitedBy = deadline_source::Declaration;
     /** When this VM stops, if the request arrived during its stop. */
     std::optional<time_point> stopAt;
     duration keyRetention {};
--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -54,6 +54,32 @@
         return "";
     }
 
+    std::string_view nameOf(abandon_cause cause)
+    {
+        switch (cause) {
+        case abandon_cause::Deadline:
+            return "deadline";
+        case abandon_cause::NoLongerNeeded:
+            return "no-longer-needed";
+        }
+        internal_assert(false) << "invalid cause " << static_cast<int>(cause);
+        return "";
+    }
+
+    std::string_view nameOf(deadline_source source)
+    {
+        switch (source) {
+        case deadline_source::Caller:
+            return "caller";
+        case deadline_source::Declaration:
+            return "declaration";
+        case deadline_source::Stop:
+            return "stop";
+        }
+        internal_assert(false) << "invalid deadline source " << static_cast<int>(source);
+        return "";
+    }
+
     std::vector<log_field> fieldsOf(const admitted_request& request)
     {
         return { { "request", request.content.name }, { "route", request.policy.route.value() },
@@ -98,12 +124,24 @@
     return event;
 }
 
+log_event attemptAbandoned(
+    const admitted_request& request, const held_slot& slot, abandon_cause cause, bool dispatched, duration took)
+{
+    log_event event { log_level::Info, serviceName, "attempt-abandoned", fieldsOf(request) };
+    event.fields.push_back({ "upstream", slot.upstream.id.value() });
+    event.fields.push_back({ "failure", std::string(nameOf(cause)) });
+    event.fields.push_back({ "dispatched", dispatched ? "yes" : "no" });
+    event.fields.push_back({ "took_ms", milliseconds(took) });
+    return event;
+}
+
 log_event requestAnswered(const admitted_request& request, const caller_answer& answer, duration took)
 {
     log_event event { log_level::Info, serviceName, "request-answered", fieldsOf(request) };
     addAnswer(event.fields, answer);
     event.fields.push_back({ "took_ms", milliseconds(took) });
     event.fields.push_back({ "limit_ms", milliseconds(request.deadline - request.arrivedAt) });
+    event.fields.push_back({ "limited_by", std::string(nameOf(request.limitedBy)) });
     return event;
 }
 
--- a/src/decision/request/request_log.h
+++ b/src/decision/request/request_log.h
@@ -16,6 +16,11 @@
 /** An attempt ended, with or without a call. */
 log_event attemptEnded(const admitted_request& request, const attempt_result& result, duration took);
 
+/** An attempt that held a slot was given up before its call ended; `dispatched` states whether its upstream may be at
+ * work. */
+log_event attemptAbandoned(
+    const admitted_request& request, const held_slot& slot, abandon_cause cause, bool dispatched, duration took);
+
 /** The request was answered. */
 log_event requestAnswered(const admitted_request& request, const caller_answer& answer, duration took);
 
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -41,6 +41,15 @@
         return policy;
     }
 
+    /** `declared` is the limit of the route or service. */
+    deadline_source deadlineSourceOf(const caller_request& request, duration declared)
+    {
+        if (!request.deadline || *request.deadline >= declared)
+            return deadline_source::Declaration;
+        return request.stopsIn && *request.deadline >= *request.stopsIn ? deadline_source::Stop
+                                                                        : deadline_source::Caller;
+    }
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<request_service>> request_service::create(
@@ -201,6 +210,7 @@
     admitted.arrivedAt = m_hooks.now();
     const duration limit = route != nullptr ? route->timeLimit : definition.maximumDeadline;
     admitted.deadline = admitted.arrivedAt + std::min(requested, limit);
+    admitted.limitedBy = deadlineSourceOf(request, limit);
     if (request.stopsIn)
         admitted.stopAt = admitted.arrivedAt + *request.stopsIn;
     admitted.keyRetention = definition.keyRetention;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -246,15 +246,16 @@
     m_ended = true;
     if (m_ticket)
         m_environment.slots.cancelWait(*m_ticket);
+    const bool offered = m_state == attempt_state::Offered;
     if (m_holdsSlot) {
         m_environment.upstreams.cancel(m_call);
-        const bool offered = m_state == attempt_state::Offered;
+        m_environment.hooks.log(
+            attemptAbandoned(m_request, m_slot, cause, offered, m_environment.hooks.now() - m_startedAt));
         const auto resultAtDeadline = offered ? recordTimeout() : slot_result::kind::ConnectFailed;
         const auto resultIfUnneeded = offered ? slot_result::kind::Cancelled : slot_result::kind::Unused;
         release(cause == abandon_cause::Deadline ? resultAtDeadline : resultIfUnneeded,
             offered ? attempt_termination::Cancelled : attempt_termination::Finished);
     }
-    const bool offered = m_state == attempt_state::Offered;
     m_state = nextState(m_state, offered ? attempt_event::Lose : attempt_event::FailBeforeDispatch);
     return m_state;
 }
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -29,6 +29,13 @@
         return { whole.count(), std::chrono::duration_cast<std::chrono::microseconds>(span - whole).count() };
     }
 
+    answer_loss lossOf(short event)
+    {
+        if ((event & BEV_EVENT_EOF) != 0)
+            return answer_loss::CallerClosed;
+        return (event & BEV_EVENT_TIMEOUT) != 0 ? answer_loss::WriteTimeout : answer_loss::ConnectionFailed;
+    }
+
     /** Sends the parts directly if the output buffer is empty, which saves an iteration of the event loop; bytes that
      * the socket does not accept are added to the output buffer. */
     void sendOrBuffer(bufferevent* channel, std::array<std::string_view, 3> parts)
@@ -118,7 +125,7 @@
         self->m_callerClosed = true;
         return;
     }
-    self->fail();
+    self->fail(lossOf(what));
 }
 
 void http_connection::readRequests()
@@ -200,8 +207,10 @@
     finish();
 }
 
-void http_connection::fail()
+void http_connection::fail(answer_loss cause)
 {
+    if (m_state != state::Reading)
+        m_parts.onAnswerLost(*this, cause);
     if (m_state == state::Handling) {
         m_state = state::Closed;
         m_parts.onDisconnect(*this);
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -19,6 +19,15 @@
 class http_connection;
 class lingering_close;
 
+/** Why a connection ended before the answer to a complete request was written. */
+enum class answer_loss {
+    CallerClosed,
+    /** The caller reset the connection, or the connection failed. */
+    ConnectionFailed,
+    /** The caller read nothing of the answer for the idle timeout. */
+    WriteTimeout,
+};
+
 /** Shared by all connections of a server; must outlive them. */
 struct http_connection_parts {
     event_base* base = nullptr;
@@ -31,6 +40,8 @@
     std::function<void(http_connection&)> onRequest;
     /** The caller disconnected before its request was answered. */
     std::function<void(http_connection&)> onDisconnect;
+    /** The connection ends before the answer to the current request is written. Called before `onDisconnect`. */
+    std::function<void(const http_connection&, answer_loss)> onAnswerLost;
     /** The connection has ended, and its owner must release it. */
     std::function<void(http_connection&)> onClosed;
 };
@@ -87,7 +98,7 @@
     bool hasPipelinedInput() const;
     void write(const http_answer& answer, bool last);
     void outputWritten();
-    void fail();
+    void fail(answer_loss cause);
     void finish();
 
     const http_connection_parts& m_parts;
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -27,6 +27,20 @@
     /** How long accepting pauses after accept() failed, usually because there are no file descriptors left. */
     constexpr duration acceptPause = std::chrono::milliseconds(100);
 
+    const char* nameOf(answer_loss cause)
+    {
+        switch (cause) {
+        case answer_loss::CallerClosed:
+            return "caller-closed";
+        case answer_loss::ConnectionFailed:
+            return "connection-failed";
+        case answer_loss::WriteTimeout:
+            return "write-timeout";
+        }
+        internal_assert(false) << "invalid answer loss " << static_cast<int>(cause);
+        return "";
+    }
+
     std::uint16_t portOf(evconnlistener* listener)
     {
         sockaddr_in local {};
@@ -45,6 +59,7 @@
         , shared { base, options.limits, options.idleTimeout, lingering,
             [this](http_connection& connection) { dispatch(connection); },
             [this](http_connection& connection) { callerDisconnected(connection); },
+            [this](const http_connection& connection, answer_loss cause) { logLoss(connection, cause); },
             [this](http_connection& connection) { closed(connection); } }
     {
     }
@@ -67,6 +82,7 @@
     void pauseAccepting();
     void dispatch(http_connection& connection);
     void callerDisconnected(const http_connection& connection);
+    void logLoss(const http_connection& connection, answer_loss cause) const;
     void closed(http_connection& connection);
     void closeIf(const std::function<bool(const http_connection&)>& matches);
     const http_route* routeOf(std::string_view path) const;
@@ -168,6 +184,14 @@
         removed.mapped().route->onDisconnect(number);
 }
 
+void http_server::implementation::logLoss(const http_connection& connection, answer_loss cause) const
+{
+    hooks.log({ log_level::Info, options.name, "answer-lost",
+        { { "target", connection.request().target }, { "failure", nameOf(cause) },
+            { "answered", connection.isAwaitingAnswer() ? "no" : "partly" },
+            { "stopping", closing ? "yes" : "no" } } });
+}
+
 void http_server::implementation::closed(http_connection& connection)
 {
     exchangeIds.erase(&connection);
--- a/test/correctness/request_stop_test.cpp
+++ b/test/correctness/request_stop_test.cpp
@@ -1,7 +1,10 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "decision/request/request_durations.h"
 #include "decision/request/system_answers.h"
+#include "support/log_fields.h"
 #include "support/request_cluster.h"
 
 namespace plantainlatch {
@@ -44,6 +47,15 @@
             return cluster.send(0, std::move(request));
         }
 
+        const log_event& lastLine(const std::string& what) const
+        {
+            const auto& lines = cluster.runtime.logLines;
+            const auto found = std::find_if(
+                lines.rbegin(), lines.rend(), [&what](const log_event& line) { return line.what == what; });
+            REQUIRE(found != lines.rend());
+            return *found;
+        }
+
         request_cluster cluster { 1, 1, 3, 2 };
     };
 
@@ -81,6 +93,23 @@
     REQUIRE(impatient.answer->result == outcome::Completed);
 }
 
+TEST_CASE_METHOD(request_stop_fixture, "stop.request_that_is_cut_off_at_work.is_logged_with_the_limit_that_ended_it")
+{
+    serveRequests(40);
+    cluster.upstreams.behaviour = [](const upstream_call&) {
+        return call_behaviour { call_behaviour::kind::Answer, callerDeadline };
+    };
+    const auto limitedBy = [this](duration stopsIn, duration deadline) {
+        send(stopsIn, deadline);
+        cluster.runtime.advance(callerDeadline);
+        REQUIRE(fieldOf(lastLine("attempt-abandoned"), "failure") == "deadline");
+        REQUIRE(fieldOf(lastLine("attempt-abandoned"), "dispatched") == "yes");
+        return fieldOf(lastLine("request-answered"), "limited_by");
+    };
+    REQUIRE(limitedBy(longTime + 100ms, callerDeadline) == "stop");
+    REQUIRE(limitedBy(longTime + 100ms, 400ms) == "caller");
+}
+
 TEST_CASE_METHOD(request_stop_fixture, "stop.request_of_an_unknown_duration.is_refused")
 {
     const caller_record& first = send(longTime);
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -11,6 +11,7 @@
 #include "error/raw_client.h"
 #include "runtime/sockets.h"
 #include "services/http_server.h"
+#include "support/log_fields.h"
 
 namespace plantainlatch {
 
@@ -43,6 +44,7 @@
             options.limits = { byte_count(headerLimit), byte_count(bodyLimit) };
             options.idleTimeout = 300ms;
             options.unfinishedGrace = 100ms;
+            hooks.log = [this](const log_event& event) { logged.push_back(event); };
             server = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, options);
             server->addRoute({ "/",
                 [this](exchange_id exchange, const http_request_view& request) {
@@ -102,6 +104,7 @@
         std::unique_ptr<http_server> server;
         std::vector<seen_request> seen;
         std::vector<exchange_id> disconnected;
+        std::vector<log_event> logged;
         bool answersAtOnce = true;
     };
 
@@ -206,6 +209,20 @@
     REQUIRE(server->inFlight() == 0);
 }
 
+TEST_CASE_METHOD(server_fixture, "http_server.answer_that_its_caller_does_not_get.is_logged_with_the_cause")
+{
+    answersAtOnce = false;
+    raw_client client(loop->base(), server->address());
+    client.send("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return !seen.empty(); });
+    client.close();
+    runUntil([&] { return !logged.empty(); });
+    REQUIRE(logged.front().what == "answer-lost");
+    REQUIRE(fieldOf(logged.front(), "failure") == "caller-closed");
+    REQUIRE(fieldOf(logged.front(), "answered") == "no");
+    REQUIRE(fieldOf(logged.front(), "stopping") == "no");
+}
+
 TEST_CASE_METHOD(server_fixture, "http_server.answer_larger_than_the_socket_buffer.is_delivered_completely")
 {
     answersAtOnce = false;
