End no timer before it is due

What callers saw: a 504 of the entry's own up to 4 ms before the time limit of the route, in place of the answer of an upstream at work; within the stop of an entry that is LOST. Cause: libevent's timers run on a coarse clock that is up to a tick behind the one on which time limits are set and compared, and are counted from the begin of the loop's round. The class: a bound that is set on one clock and enforced on another. Change: each timer keeps its due time and waits for the rest if libevent ends it early. It holds for everything that uses kernel_hooks::schedule: time limits, dispatch limits, slots that are freed, stops, pauses. Ruled out: EVENT_BASE_FLAG_PRECISE_TIMER, which sets a timerfd in each round of the loop and still counts from the begin of the round; comparing deadlines in each service, which leaves the next service to forget it.

--- a/src/kernel/hooks.h
+++ b/src/kernel/hooks.h
@@ -40,7 +40,7 @@
     std::function<time_point()> now;
     /** The wall clock of this VM; it may jump. */
     std::function<wall_time()> wallNow;
-    /** Calls `fire` once on the event loop after `delay`; a negative delay counts as 0. */
+    /** Calls `fire` once on the event loop after `delay`, never earlier by `now`; a negative delay counts as 0. */
     std::function<timer_id(duration delay, std::function<void()> fire)> schedule;
     /** Cancels a timer; has no effect on one that has fired or was cancelled. */
     std::function<void(timer_id)> cancel;
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -53,6 +53,7 @@
     struct timer {
         implementation* owner = nullptr;
         std::uint64_t id = 0;
+        time_point due;
         event* handle = nullptr;
         std::function<void()> fire;
     };
@@ -69,6 +70,12 @@
     {
         auto* fired = static_cast<timer*>(argument);
         implementation* owner = fired->owner;
+        // Libevent's clock is coarse and read once in an iteration, so the timer may end too early.
+        const duration remaining = fired->due - bootTimeNow();
+        if (remaining > duration::zero()) {
+            arm(*fired, remaining);
+            return;
+        }
         const std::function<void()> fire = std::move(fired->fire);
         owner->removeTimer(fired->id);
         fire();
@@ -91,15 +98,21 @@
         return absl::OkStatus();
     }
 
+    static void arm(const timer& armed, duration delay)
+    {
+        const timeval span = toTimeval(delay);
+        evtimer_add(armed.handle, &span);
+    }
+
     timer_id addTimer(duration delay, std::function<void()> fire)
     {
         auto added = std::make_unique<timer>();
         added->owner = this;
         added->id = ++lastTimer;
+        added->due = bootTimeNow() + delay;
         added->fire = std::move(fire);
         added->handle = evtimer_new(base, timerFired, added.get());
-        const timeval due = toTimeval(delay);
-        evtimer_add(added->handle, &due);
+        arm(*added, delay);
         const timer_id id(added->id);
         timers.emplace(added->id, std::move(added));
         return id;
