--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -75,8 +75,10 @@
     /** The maximum number of proposals of this VM that wait for a result; more fail with Unavailable. */
     std::size_t maximumPending = 1024;
     std::size_t maximumVoterCount = 7;
-    /** A voter that has not answered for this long may be replaced by an up-to-date replica that is not a voter. */
-    duration replaceVoterAfter = std::chrono::seconds(3);
+    /** A voter that has not answered for this long, nor since the leader was elected, may be replaced by an up-to-date
+     * replica that is not a voter. A machine counts as replaced 4 s after its successor has started, also if it was the
+     * leader, so an election and two changes of the voters must fit into the rest of that time. */
+    duration replaceVoterAfter = std::chrono::milliseconds(1500);
     /** The maximum number of followers. The leader sends to each one directly; larger systems would need a relay in
      * each region. */
     std::size_t maximumFollowerCount = 4096;
