--- a/src/decision/consensus/voter_changes.cpp
+++ b/src/decision/consensus/voter_changes.cpp
@@ -41,19 +41,19 @@
 {
     if (std::optional<voter_set> next = withoutFormerIdentity(input))
         return next;
-    const std::optional<replica_id> added = replicaToAdd(input);
-    if (!added)
-        return std::nullopt;
     voter_set next = input.current;
-    if (next.voters.size() < input.maximumCount) {
-        next.voters.insert(*added);
-        return next;
-    }
-    for (const replica_id& voter : input.silent) {
-        if (next.voters.erase(voter) > 0)
-            return next;
+    if (next.voters.size() > input.maximumCount) {
+        for (const replica_id& voter : input.silent) {
+            if (next.voters.erase(voter) > 0)
+                return next;
+        }
+        return std::nullopt;
     }
-    return std::nullopt;
+    const std::optional<replica_id> added = replicaToAdd(input);
+    if (!added || (next.voters.size() == input.maximumCount && input.silent.empty()))
+        return std::nullopt;
+    next.voters.insert(*added);
+    return next;
 }
 
 } // namespace plantainlatch
--- a/src/decision/consensus/voter_changes.h
+++ b/src/decision/consensus/voter_changes.h
@@ -18,13 +18,14 @@
     std::set<replica_id> upToDate;
     /** Voters that have not answered for consensus_options::replaceVoterAfter. */
     std::set<replica_id> silent;
-    /** The maximum number of voters. When it is reached, another replica can only replace a silent voter. */
+    /** The maximum number of voters, apart from one that is being replaced. */
     std::size_t maximumCount = 0;
 };
 
 /** The voters after the next change; none if no change is needed. A voter whose VM came back with another identity is
- * removed first. Otherwise an up-to-date replica that is not a voter is added, or at the maximum count a silent voter
- * is removed to make room for it. */
+ * removed first. Otherwise an up-to-date replica that is not a voter is added, at the maximum count only if a voter is
+ * silent, which is removed afterwards: a silent voter may still have its disk, and without its vote one voter fewer
+ * could be lost until the other replica has one. */
 std::optional<voter_set> nextVoters(const voter_change_input& input);
 
 } // namespace plantainlatch
--- a/test/correctness/final_fault_test.cpp
+++ b/test/correctness/final_fault_test.cpp
@@ -227,4 +227,25 @@
     }
 }
 
+// Guards against a vote that is taken from a machine which is only down, before another machine has one in its place.
+TEST_CASE_METHOD(final_fault_fixture, "replacement_of_a_voter.interrupted_by_a_second_removal.loses_nothing")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        begin(seed);
+        acknowledgeChanges(3);
+        const int down = follower(1);
+        const int second = follower(3);
+        cluster->kill(down);
+        cluster->advance(2s);
+        remove(follower(2));
+        startSuccessor();
+        const std::set<replica_id> former = voters();
+        REQUIRE(cluster->until([&] { return cluster->leader() != 0 && voters() != former; }));
+        remove(second);
+        REQUIRE(cluster->start(down).ok());
+        CAPTURE(seed);
+        REQUIRE(readsBack());
+    }
+}
+
 } // namespace plantainlatch
