--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -49,8 +49,8 @@
     bool submit(const proposal_id& id, const control_command& command);
     void onApplied(const proposal_id& id) { m_unapplied.erase(id); }
 
-    /** Voters that have not answered for consensus_options::replaceVoterAfter. */
-    std::set<replica_id> silentVoters() const;
+    /** Voters that have not answered for consensus_options::replaceVoterAfter, the first to be replaced first. */
+    std::vector<replica_id> silentVoters() const;
 
     /** Stops accepting proposals and waits for a voter to be up to date; then asks it to start an election and steps
      * down. */
@@ -108,6 +108,10 @@
     void goBack(follower_progress& progress, const append_answer& answer);
     void advanceCommitIndex();
     void changeVoters();
+    /** The place of a silent voter in the order of replacement; the lowest is replaced first. */
+    int replacementRank(const replica_id& voter) const;
+    /** Whether another voter is in the failure domain of this one, as the successor of a lost machine is. */
+    bool sharesFailureDomain(const replica_id& voter) const;
     void tryTransfer();
 
     replica& m_replica;
--- a/src/decision/consensus/voter_changes.h
+++ b/src/decision/consensus/voter_changes.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "model/consensus_message.h"
 
@@ -16,8 +17,8 @@
     voter_set current;
     /** Replicas with a working disk that miss at most a few of the latest entries. */
     std::set<replica_id> upToDate;
-    /** Voters that have not answered for consensus_options::replaceVoterAfter. */
-    std::set<replica_id> silent;
+    /** Voters that have not answered for consensus_options::replaceVoterAfter, the first to be replaced first. */
+    std::vector<replica_id> silent;
     /** The maximum number of voters, apart from one that is being replaced. */
     std::size_t maximumCount = 0;
 };
--- a/test/correctness/final_fault_test.cpp
+++ b/test/correctness/final_fault_test.cpp
@@ -47,12 +47,24 @@
             mayBootstrap = true;
             replicas = { 1, 2, 3, 4, 5 };
             acknowledged.clear();
+            for (int number = 1; number <= cluster->size(); ++number)
+                cluster->vm(number).record.failureDomain = domainOf(number);
             startAll();
             REQUIRE(cluster->until([this] { return cluster->leader() != 0 && voters().size() == 5; }));
             mayBootstrap = false;
+            for (int number : replicas)
+                recordStart(number);
             cluster->advance(1s);
         }
 
+        static failure_domain_id domainOf(int number) { return failure_domain_id("d" + std::to_string(number)); }
+        /** Has the log record a start of the VM, as its membership service does. */
+        void recordStart(int number)
+        {
+            const consensus_vm& started = cluster->vm(number);
+            started.port->propose(vm_started { started.record, incarnation(1) }, 5s, [](const auto&) {});
+        }
+
         void startAll()
         {
             for (int number : replicas)
@@ -104,10 +116,13 @@
             cluster->kill(number);
             replicas.erase(number);
         }
-        void startSuccessor()
+        /** Starts the successor of a removed machine, in the same failure domain. */
+        void startSuccessorOf(int removed)
         {
             replicas.insert(6);
+            cluster->vm(6).record.failureDomain = domainOf(removed);
             REQUIRE(cluster->start(6).ok());
+            recordStart(6);
         }
 
         /** All machines lose power at once, and `lost` their disks. Returns whether each replica reads all acknowledged
@@ -190,8 +205,9 @@
             } },
         { "the leader was replaced by another machine",
             [this] {
-                remove(cluster->leader());
-                startSuccessor();
+                const int leader = cluster->leader();
+                remove(leader);
+                startSuccessorOf(leader);
                 cluster->advance(catchUpTime);
             } },
     };
@@ -218,7 +234,7 @@
         begin(seed);
         const int leader = cluster->leader();
         remove(leader);
-        startSuccessor();
+        startSuccessorOf(leader);
         cluster->advance(catchUpTime);
         CAPTURE(seed);
         REQUIRE(cluster->leader() != 0);
@@ -237,8 +253,9 @@
         const int second = follower(3);
         cluster->kill(down);
         cluster->advance(2s);
-        remove(follower(2));
-        startSuccessor();
+        const int first = follower(2);
+        remove(first);
+        startSuccessorOf(first);
         const std::set<replica_id> former = voters();
         REQUIRE(cluster->until([&] { return cluster->leader() != 0 && voters() != former; }));
         remove(second);
@@ -248,4 +265,28 @@
     }
 }
 
+// Guards against a successor that takes the vote of a machine with a sound disk, while the removed one keeps its own.
+TEST_CASE_METHOD(final_fault_fixture, "successor.beside_another_silent_voter.replaces_the_removed_one")
+{
+    for (int distance = 1; distance <= 4; ++distance) {
+        for (const bool hasFullDisk : { false, true }) {
+            begin(distance);
+            const int removed = follower(distance);
+            const int other = follower(distance % 4 + 1);
+            if (hasFullDisk)
+                cluster->vm(other).disk->failing = true;
+            else
+                cluster->kill(other);
+            remove(removed);
+            cluster->advance(2s);
+            startSuccessorOf(removed);
+            cluster->advance(1s);
+            CAPTURE(removed, other, hasFullDisk);
+            REQUIRE(isVoter(6));
+            REQUIRE(isVoter(other));
+            REQUIRE_FALSE(isVoter(removed));
+        }
+    }
+}
+
 } // namespace plantainlatch
