--- a/test/error/file_storage_test.cpp
+++ b/test/error/file_storage_test.cpp
@@ -253,4 +253,50 @@
     REQUIRE(restart()->entries.size() == 2);
 }
 
+// Guards against an order of writes, syncs, renames and removals that leaves too little at some moment of a power loss.
+TEST_CASE_METHOD(file_storage_fixture, "file_storage.power_loss_at_any_operation.leaves_what_was_acknowledged")
+{
+    struct power_loss { };
+    for (int operation = 1; operation < 60; ++operation) {
+        for (int outcome = 0; outcome < 40; ++outcome) {
+            disk = fake_files {};
+            int operations = 0;
+            disk.onChange = [&] {
+                if (++operations == operation)
+                    throw power_loss {};
+            };
+            std::uint64_t acknowledged = 0;
+            std::uint64_t acknowledgedTerm = 0;
+            // Outside of assertions, which would take the exception for a failure.
+            bool allSucceeded = true;
+            try {
+                allSucceeded = restart().ok();
+                for (std::uint64_t round = 1; round <= 3; ++round) {
+                    for (const std::uint64_t index : { 4 * round - 3, 4 * round - 1 }) {
+                        allSucceeded = write(round, index, index + 1).ok() && allSucceeded;
+                        acknowledged = index + 1;
+                        acknowledgedTerm = round;
+                    }
+                    allSucceeded = snapshotAt(4 * round - 1).ok() && allSucceeded;
+                    if (round == 2)
+                        allSucceeded = restart().ok() && allSucceeded;
+                }
+            } catch (const power_loss&) {
+                // The next process finds what the loss of power left.
+            }
+            disk.onChange = nullptr;
+            disk.losePowerAtRandom([this] { return runtime.random(); });
+            CAPTURE(operation, outcome);
+            REQUIRE(allSucceeded);
+            const auto recovered = restart();
+            REQUIRE(recovered.ok());
+            const std::uint64_t snapshot = recovered->snapshot ? recovered->snapshot->index.value() : 0;
+            REQUIRE(snapshot + recovered->entries.size() >= acknowledged);
+            REQUIRE((acknowledged == 0 || recovered->state->term >= log_term(acknowledgedTerm)));
+            const std::uint64_t next = snapshot + recovered->entries.size() + 1;
+            REQUIRE(write(4, next, next).ok());
+        }
+    }
+}
+
 } // namespace plantainlatch
