Pause accepting peers while no descriptor is free

A VM without free descriptors to which another VM connected used a whole core until a descriptor was free. If nobody read its standard error output, it blocked there for good: it answered nothing more, lost the requests that it had passed on, and didn't end on SIGTERM.

Cause: the listener for peers had no error callback. For a failed accept(), libevent then only writes a warning, the socket stays readable, and the event loop spins; the warnings fill the pipe. The HTTP servers paused after such a failure, but had a listener of their own.

Change: tcp_listener is the listener of both. It pauses for 100 ms after a failed accept(), and its owner logs that.

--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -1,14 +1,11 @@
 #include "runtime/frame_stream.h"
 
 #include <array>
-#include <cerrno>
-#include <cstring>
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 
 #include "absl/strings/str_cat.h"
 #include "codec/frame_codec.h"
@@ -19,7 +16,6 @@
 namespace {
 
     constexpr std::size_t readChunkBytes = 64 * 1024;
-    constexpr int listenBacklog = 512;
 
 } // namespace
 
@@ -155,38 +151,4 @@
 
 void frame_stream::setMaximumPayload(std::size_t bytes) { m_parts->decoder.setMaximumPayload(bytes); }
 
-struct frame_listener::implementation {
-    evconnlistener* listener = nullptr;
-    std::function<void(int socket)> onAccept;
-
-    static void accepted(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument)
-    {
-        static_cast<implementation*>(argument)->onAccept(socket);
-    }
-};
-
-frame_listener::frame_listener(std::unique_ptr<implementation> parts)
-    : m_parts(std::move(parts))
-{
-}
-
-frame_listener::~frame_listener() { evconnlistener_free(m_parts->listener); }
-
-absl::StatusOr<std::unique_ptr<frame_listener>> frame_listener::create(
-    event_loop& loop, const network_address& address, std::function<void(int socket)> onAccept)
-{
-    auto parts = std::make_unique<implementation>();
-    parts->onAccept = std::move(onAccept);
-    const sockaddr_in local = toSocketAddress(address);
-    const unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
-    parts->listener = evconnlistener_new_bind(loop.base(), implementation::accepted, parts.get(), flags, listenBacklog,
-        reinterpret_cast<const sockaddr*>(&local), sizeof(local));
-    if (parts->listener == nullptr) {
-        const int error = errno;
-        const std::string text = absl::StrCat("can't listen on ", formatAddress(address), ": ", std::strerror(error));
-        return error == EADDRINUSE ? absl::AlreadyExistsError(text) : absl::UnavailableError(text);
-    }
-    return std::unique_ptr<frame_listener>(new frame_listener(std::move(parts)));
-}
-
 } // namespace plantainlatch
--- a/src/runtime/frame_stream.h
+++ b/src/runtime/frame_stream.h
@@ -53,19 +53,4 @@
     std::shared_ptr<implementation> m_parts;
 };
 
-/** A listening TCP socket. Destroying it closes the socket. */
-class frame_listener {
-public:
-    /** AlreadyExists when the address is in use, Unavailable when it can't be bound for another reason. `onAccept` owns
-     * the socket that it is given. */
-    static absl::StatusOr<std::unique_ptr<frame_listener>> create(
-        event_loop& loop, const network_address& address, std::function<void(int socket)> onAccept);
-    ~frame_listener();
-
-private:
-    struct implementation;
-    explicit frame_listener(std::unique_ptr<implementation> parts);
-    std::unique_ptr<implementation> m_parts;
-};
-
 } // namespace plantainlatch
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -1,42 +1,21 @@
 #include "services/http_server.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <cstring>
 #include <utility>
 #include <vector>
 
-#include <arpa/inet.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
-#include "runtime/sockets.h"
+#include "runtime/tcp_listener.h"
 #include "services/http_connection.h"
 #include "services/lingering_close.h"
 
 namespace plantainlatch {
 
-namespace {
-
-    constexpr int listenBacklog = 1024;
-    /** How long accepting pauses after accept() failed, usually because there are no file descriptors left. */
-    constexpr duration acceptPause = std::chrono::milliseconds(100);
-
-    std::uint16_t portOf(evconnlistener* listener)
-    {
-        sockaddr_in local {};
-        socklen_t size = sizeof(local);
-        getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr*>(&local), &size);
-        return ntohs(local.sin_port);
-    }
-
-} // namespace
-
 struct http_server::implementation {
     implementation(event_base* base, const kernel_hooks& kernelHooks, http_server_options serverOptions)
         : hooks(kernelHooks)
@@ -49,11 +28,7 @@
     {
     }
 
-    ~implementation()
-    {
-        hooks.cancel(resumeTimer);
-        stopListening();
-    }
+    ~implementation() { stopListening(); }
 
     /** A request that is not answered yet. */
     struct exchange {
@@ -64,7 +39,6 @@
     absl::Status listen(const network_address& wanted);
     void stopListening();
     void accepted(int socket);
-    void pauseAccepting();
     void dispatch(http_connection& connection);
     void callerDisconnected(const http_connection& connection);
     void closed(http_connection& connection);
@@ -75,9 +49,8 @@
     http_server_options options;
     lingering_close lingering;
     http_connection_parts shared;
-    evconnlistener* listener = nullptr;
+    std::unique_ptr<tcp_listener> listener;
     network_address address;
-    timer_id resumeTimer;
     bool closing = false;
     /** Called once after the last connection has ended. */
     std::function<void()> onEmpty;
@@ -90,20 +63,17 @@
 
 absl::Status http_server::implementation::listen(const network_address& wanted)
 {
-    const sockaddr_in local = toSocketAddress(wanted);
-    const unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
-    const auto take = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
-        static_cast<implementation*>(argument)->accepted(socket);
+    tcp_listener_events events;
+    events.onAccept = [this](int socket) { accepted(socket); };
+    events.onPause = [this](int error) {
+        hooks.log({ log_level::Warning, options.name, "accepts nothing for now",
+            { { "why", std::strerror(error) }, { "connections", absl::StrCat(connections.size()) } } });
     };
-    errno = 0;
-    listener = evconnlistener_new_bind(
-        shared.base, take, this, flags, listenBacklog, reinterpret_cast<const sockaddr*>(&local), sizeof(local));
-    if (listener == nullptr)
-        return absl::UnavailableError(
-            absl::StrCat("can't listen for HTTP connections on ", formatAddress(wanted), ": ", std::strerror(errno)));
-    evconnlistener_set_error_cb(
-        listener, [](evconnlistener*, void* argument) { static_cast<implementation*>(argument)->pauseAccepting(); });
-    address = { wanted.host, portOf(listener) };
+    auto created = tcp_listener::create(shared.base, hooks, wanted, std::move(events));
+    if (!created.ok())
+        return absl::UnavailableError(created.status().message());
+    listener = std::move(*created);
+    address = listener->address();
     return absl::OkStatus();
 }
 
@@ -112,23 +82,8 @@
     if (listener == nullptr)
         return;
     // Callers may have sent requests on connections that wait to be accepted; closing the listener would reset them.
-    int socket = accept4(evconnlistener_get_fd(listener), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    while (socket >= 0) {
-        accepted(socket);
-        socket = accept4(evconnlistener_get_fd(listener), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    }
-    evconnlistener_free(std::exchange(listener, nullptr));
-}
-
-void http_server::implementation::pauseAccepting()
-{
-    hooks.log({ log_level::Warning, options.name, "accepts nothing for now",
-        { { "why", std::strerror(errno) }, { "connections", absl::StrCat(connections.size()) } } });
-    evconnlistener_disable(listener);
-    resumeTimer = hooks.schedule(acceptPause, [this] {
-        if (listener != nullptr)
-            evconnlistener_enable(listener);
-    });
+    listener->acceptPending();
+    listener.reset();
 }
 
 void http_server::implementation::accepted(int socket)
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "services/peer_transport.h"
 
+#include <cstring>
 #include <map>
 #include <set>
 #include <utility>
@@ -7,6 +8,7 @@
 #include "codec/peer_message_codec.h"
 #include "ports/port_names.h"
 #include "runtime/frame_stream.h"
+#include "runtime/tcp_listener.h"
 #include "services/peer_receiver.h"
 #include "services/peer_sender.h"
 
@@ -30,7 +32,7 @@
     std::function<bool(const vm_id&)> isAllowedPeer;
     peer_port port;
     std::function<void(const vm_id&, peer_message)> deliver;
-    std::unique_ptr<frame_listener> listener;
+    std::unique_ptr<tcp_listener> listener;
     std::map<vm_id, std::unique_ptr<peer_sender>> senders;
     std::map<std::uint64_t, std::unique_ptr<peer_receiver>> receivers;
     std::uint64_t lastReceiverNumber = 0;
@@ -55,8 +57,13 @@
 
     absl::Status start(registry& services)
     {
-        absl::StatusOr<std::unique_ptr<frame_listener>> created
-            = frame_listener::create(loop, settings.self.peerAddress, [this](int socket) { accepted(socket); });
+        tcp_listener_events events;
+        events.onAccept = [this](int socket) { accepted(socket); };
+        events.onPause = [this](int error) {
+            hooks.log({ log_level::Warning, "peers", "accepts nothing for now", { { "why", std::strerror(error) } } });
+        };
+        absl::StatusOr<std::unique_ptr<tcp_listener>> created
+            = tcp_listener::create(loop.base(), hooks, settings.self.peerAddress, std::move(events));
         if (!created.ok())
             return created.status();
         listener = std::move(*created);
--- /dev/null
+++ b/test/error/descriptor_limit.cpp
@@ -0,0 +1,35 @@
+#include "error/descriptor_limit.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "core/internal_assert.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    void setLimit(rlim_t count)
+    {
+        rlimit limit {};
+        getrlimit(RLIMIT_NOFILE, &limit);
+        limit.rlim_cur = count;
+        internal_assert(setrlimit(RLIMIT_NOFILE, &limit) == 0) << "the limit on file descriptors can't be set";
+    }
+
+} // namespace
+
+descriptor_limit::descriptor_limit()
+{
+    rlimit former {};
+    getrlimit(RLIMIT_NOFILE, &former);
+    m_former = former.rlim_cur;
+    const int lowestFree = dup(STDIN_FILENO);
+    internal_assert(lowestFree >= 0) << "there is no free file descriptor";
+    close(lowestFree);
+    setLimit(static_cast<rlim_t>(lowestFree));
+}
+
+descriptor_limit::~descriptor_limit() { setLimit(m_former); }
+
+} // namespace plantainlatch
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -1,19 +1,23 @@
 #include <algorithm>
 #include <cstdio>
+#include <ctime>
 #include <fstream>
 #include <random>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "codec/msgpack_codec.h"
 #include "codec/peer_message_codec.h"
+#include "error/descriptor_limit.h"
 #include "error/slow_relay.h"
 #include "kernel/kernel.h"
 #include "ports/port_names.h"
 #include "runtime/frame_stream.h"
+#include "runtime/sockets.h"
 #include "services/peer_sender.h"
 #include "services/peer_transport.h"
 
@@ -103,15 +107,23 @@
             return control_message(answer);
         }
 
-        bool sawUnauthenticated() const
+        /** The number of connections that a VM has accepted. */
+        std::int64_t receiverCount(const std::string& id)
         {
-            for (const log_event& event : logLines) {
-                if (event.what == "a connection was not authenticated")
-                    return true;
-            }
-            return false;
+            const state_dump dump = nodes[id].transport->asService().dump();
+            const auto receivers = std::find_if(dump.children.begin(), dump.children.end(),
+                [](const state_dump& child) { return child.name == "receivers"; });
+            return std::get<std::int64_t>(receivers->value);
         }
 
+        bool logged(const std::string& what) const
+        {
+            return std::any_of(
+                logLines.begin(), logLines.end(), [&](const log_event& event) { return event.what == what; });
+        }
+
+        bool sawUnauthenticated() const { return logged("a connection was not authenticated"); }
+
         std::unique_ptr<event_loop> loop = *event_loop::create(7);
         std::vector<vm_record> vms;
         peer_transport_options options;
@@ -309,6 +321,27 @@
     REQUIRE(sawUnauthenticated());
 }
 
+TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.connection_without_a_free_descriptor.waits_until_there_is_one")
+{
+    // Without another VM, no connection attempt of e1 frees a descriptor.
+    vms.resize(1);
+    start("e1", goodKey);
+    const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in remote = toSocketAddress(vms[0].peerAddress);
+    REQUIRE(connect(caller, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) == 0);
+    {
+        const descriptor_limit limit;
+        const std::clock_t before = std::clock();
+        runUntil([] { return false; }, std::chrono::milliseconds(400));
+        const double processorSeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+        REQUIRE(processorSeconds < 0.1);
+    }
+    REQUIRE(logged("accepts nothing for now"));
+    REQUIRE(receiverCount("e1") == 0);
+    REQUIRE(runUntil([this] { return receiverCount("e1") == 1; }));
+    close(caller);
+}
+
 TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.address_in_use.fails_the_start_with_the_address")
 {
     start("e1", goodKey);
--- a/test/error/slow_relay.cpp
+++ b/test/error/slow_relay.cpp
@@ -26,7 +26,8 @@
 {
     const std::size_t bytesPerTick = bytesPerSecond / ticksPerSecond;
     m_limit = ev_token_bucket_cfg_new(bytesPerTick, bytesPerTick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
-    auto listener = frame_listener::create(loop, address, [this](int socket) { accept(socket); });
+    auto listener = tcp_listener::create(
+        loop.base(), loop.hooks([](const log_event&) {}), address, { [this](int socket) { accept(socket); }, nullptr });
     internal_assert(listener.ok()) << "the relay can't listen on " << formatAddress(address);
     m_listener = std::move(*listener);
 }
--- a/test/error/slow_relay.h
+++ b/test/error/slow_relay.h
@@ -10,7 +10,8 @@
 #include <memory>
 
 #include "model/address.h"
-#include "runtime/frame_stream.h"
+#include "runtime/event_loop.h"
+#include "runtime/tcp_listener.h"
 
 struct bufferevent;
 struct ev_token_bucket_cfg;
@@ -44,7 +45,7 @@
     event_loop& m_loop;
     network_address m_target;
     ev_token_bucket_cfg* m_limit = nullptr;
-    std::unique_ptr<frame_listener> m_listener;
+    std::unique_ptr<tcp_listener> m_listener;
     std::list<connection> m_connections;
 };
 
