Stop reading a connection whose input is at its limit

A caller that had sent 64 KiB or more behind a request at work kept a core busy until its answers were written, and all other callers of the entry waited for their turns.

Cause: libevent suspends reading at the high watermark of the input, but while the input stays there, it calls the read callback again in each iteration of the event loop (bufferevent_inbuf_wm_check), unless reading is disabled.

Change: http_connection disables reading while its input is at the limit and enables it again once it is below. Neither before nor after does it notice in that state that the caller closes the connection.

--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -134,6 +134,20 @@
         handleParsed();
     }
     m_reading = false;
+    if (m_channel != nullptr)
+        limitInput();
+}
+
+void http_connection::limitInput()
+{
+    // While the input is at its limit, libevent calls readable() in each iteration of the event loop unless reading is
+    // disabled.
+    const bool full = evbuffer_get_length(bufferevent_get_input(m_channel)) >= pipelinedBytes;
+    const bool reads = (bufferevent_get_enabled(m_channel) & EV_READ) != 0;
+    if (full && reads)
+        bufferevent_disable(m_channel, EV_READ);
+    else if (!full && !reads)
+        bufferevent_enable(m_channel, EV_READ);
 }
 
 void http_connection::handleParsed()
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -82,6 +82,8 @@
 
     void begin();
     void readRequests();
+    /** Stops reading while too much input waits behind the current request. */
+    void limitInput();
     void handleParsed();
     /** Whether the caller has sent bytes after the current request. */
     bool hasPipelinedInput() const;
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -1,3 +1,4 @@
+#include <ctime>
 #include <optional>
 #include <string>
 #include <vector>
@@ -179,6 +180,26 @@
     REQUIRE_THAT(answer, Contains("Connection: keep-alive\r\n"));
 }
 
+TEST_CASE_METHOD(server_fixture, "http_server.pipelined_input_beyond_its_limit.waits_without_using_the_processor")
+{
+    answersAtOnce = false;
+    constexpr std::size_t requestCount = 300;
+    const std::string request = "PUT /a HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+    raw_client client(loop->base(), server->address());
+    for (std::size_t i = 0; i < requestCount; ++i)
+        client.send(request);
+    runUntil([&] { return seen.size() == 1; });
+    runFor(50ms);
+    const std::clock_t before = std::clock();
+    runFor(400ms);
+    const double processorSeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    REQUIRE(processorSeconds < 0.05);
+    answersAtOnce = true;
+    answer(seen.front().exchange);
+    runUntil([&] { return seen.size() == requestCount; });
+    client.close();
+}
+
 TEST_CASE_METHOD(server_fixture, "http_server.idle_connection.is_closed_but_one_that_waits_for_an_answer_is_not")
 {
     answersAtOnce = false;
