Write the messages of libevent to the log

libevent writes its warnings to the standard error output with writes that block, while the log doesn't block: an entry whose output nobody reads stopped for good once such warnings had filled the pipe.

Change: the event loop passes the messages of libevent to the log of its hooks, which is bounded.

The test failed before: nothing in the log.

--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -33,6 +33,20 @@
         return value;
     }
 
+    log_level toLogLevel(int severity)
+    {
+        switch (severity) {
+        case EVENT_LOG_ERR:
+            return log_level::Error;
+        case EVENT_LOG_WARN:
+            return log_level::Warning;
+        case EVENT_LOG_MSG:
+            return log_level::Info;
+        default:
+            return log_level::Debug;
+        }
+    }
+
     /** Creates an event base that collects changes of the watched events and passes them to epoll once per loop
      * iteration, which saves system calls. This requires that no watched file descriptor is a duplicate of another one;
      * the process duplicates none. */
@@ -63,8 +77,12 @@
     std::vector<event*> signals;
     std::function<void()> terminate;
     std::function<void()> reload;
+    std::function<void(const log_event&)> log;
     std::mt19937_64 random;
 
+    /** The loop whose log gets the messages of libevent, which has one log callback for the process. */
+    static implementation* logging;
+
     static void timerFired(evutil_socket_t, short, void* argument)
     {
         auto* fired = static_cast<timer*>(argument);
@@ -82,6 +100,20 @@
             handler();
     }
 
+    static void logMessage(int severity, const char* message)
+    {
+        if (logging != nullptr)
+            logging->log({ toLogLevel(severity), "libevent", message, {} });
+    }
+
+    /** By default, libevent writes to the standard error output, and a write to a pipe that nobody reads blocks. */
+    void logLibrary(std::function<void(const log_event&)> to)
+    {
+        log = std::move(to);
+        logging = this;
+        event_set_log_callback(logMessage);
+    }
+
     absl::Status watch(int number)
     {
         event* item = evsignal_new(base, number, signalled, this);
@@ -116,6 +148,8 @@
 
     ~implementation()
     {
+        if (logging == this)
+            logging = nullptr;
         for (auto& [id, item] : timers)
             event_free(item->handle);
         for (event* item : signals)
@@ -125,6 +159,8 @@
     }
 };
 
+event_loop::implementation* event_loop::implementation::logging = nullptr;
+
 event_loop::event_loop(std::unique_ptr<implementation> parts)
     : m_parts(std::move(parts))
 {
@@ -172,6 +208,7 @@
         = [parts](duration delay, std::function<void()> fire) { return parts->addTimer(delay, std::move(fire)); };
     hooks.cancel = [parts](timer_id timer) { parts->removeTimer(timer.value()); };
     hooks.random = [parts] { return parts->random(); };
+    parts->logLibrary(log);
     hooks.log = std::move(log);
     return hooks;
 }
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -34,7 +34,8 @@
     /** Calls `handler` from the loop on SIGHUP, which terminates the process if no handler is set. */
     absl::Status onReload(std::function<void()> handler);
 
-    /** Kernel hooks that use this loop, with `log` as the log hook. The loop must outlive them. */
+    /** Kernel hooks that use this loop, with `log` as the log hook. Messages of libevent go to the `log` of the last
+     * call, too. The loop must outlive the hooks. */
     kernel_hooks hooks(std::function<void(const log_event&)> log);
 
     event_base* base() const;
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -290,6 +291,20 @@
     REQUIRE_THAT(received, EndsWith("Connection: close\r\n\r\nlit"));
 }
 
+TEST_CASE_METHOD(loop_fixture, "event_loop.warning_of_the_library.goes_to_the_log_of_the_hooks")
+{
+    std::vector<log_event> lines;
+    const kernel_hooks logging = loop->hooks([&](const log_event& line) { lines.push_back(line); });
+    logging.schedule(duration::zero(), [this] {
+        // A loop within a loop is refused with a warning.
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+        loop->stop();
+    });
+    loop->run();
+    REQUIRE(lines.size() == 1);
+    REQUIRE(lines.front().level == log_level::Warning);
+}
+
 TEST_CASE_METHOD(loop_fixture, "event_loop.clock.counts_the_time_during_which_the_machine_was_suspended")
 {
     timespec moment {};
