Limit an HTTP server to half of the descriptors

Callers whose idle connections used up the descriptors of an entry left none for others: requests on new connections were not read until the callers gave up, requests were refused as the connection to their upstream failed, the readiness check got no answer, and other VMs couldn't connect.

Cause: the limit of 10,000 connections is above the descriptors of the process (3,900 on the smallest entry), and an idle connection kept its descriptor for up to 60 s while new callers waited.

Change: a server takes at most half of the descriptors, as each request needs a second one for its upstream. Beyond its limit, it closes the connection that is idle longest in place of the new one. If none is idle, the new one is closed unread, as before, so that its caller may go elsewhere at once.

Both new tests of the limit failed with the former limit and order; the one with all connections busy holds for both.

No request was LOST by this: one that was read whole is answered.

--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -1,9 +1,11 @@
 #include "runtime/sockets.h"
 
 #include <cerrno>
+#include <limits>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace plantainlatch {
@@ -27,6 +29,14 @@
     return isWaiting ? socket_input::None : socket_input::End;
 }
 
+std::size_t maximumDescriptors()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return std::numeric_limits<std::size_t>::max();
+    return limit.rlim_cur;
+}
+
 void disableNagle(int socket)
 {
     const int on = 1;
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -4,6 +4,8 @@
  * Helpers for TCP sockets.
  */
 
+#include <cstddef>
+
 #include <netinet/in.h>
 
 #include "model/address.h"
@@ -24,6 +26,9 @@
 /** Looks at the input of a connected socket without reading it. */
 socket_input peekInput(int socket);
 
+/** The maximum number of file descriptors that the process may have open. */
+std::size_t maximumDescriptors();
+
 /** Disables Nagle's algorithm, which would delay small messages (TCP_NODELAY). */
 void disableNagle(int socket);
 
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -70,6 +70,7 @@
     : m_parts(parts)
     , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
     , m_parser(parts.limits)
+    , m_idleSince(parts.now())
 {
     internal_assert(m_channel != nullptr) << "no memory for a connection";
     disableNagle(socket);
@@ -196,6 +197,7 @@
     if (m_state == state::Writing) {
         m_parser.next();
         m_state = state::Reading;
+        m_idleSince = m_parts.now();
         readRequests();
         return;
     }
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -27,6 +27,7 @@
      * written. */
     duration idleTimeout {};
     lingering_close& closing;
+    std::function<time_point()> now;
     /** A request is complete. The handler calls answer() at once or later. */
     std::function<void(http_connection&)> onRequest;
     /** The caller disconnected before its request was answered. */
@@ -55,6 +56,8 @@
     bool isClosedByCaller() const;
     /** Whether a request has begun to arrive and its answer is not completely written yet. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
+    /** When the last answer was written, or the connection accepted. */
+    time_point idleSince() const { return m_idleSince; }
 
     /** Answers the current request; `last` closes the connection after the answer, or, if the caller has already sent
      * the next request, after the answer to that one. */
@@ -98,6 +101,7 @@
     state m_state = state::Reading;
     bool m_reading = false;
     bool m_callerClosed = false;
+    time_point m_idleSince;
 };
 
 } // namespace plantainlatch
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -10,18 +10,27 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
+#include "runtime/sockets.h"
 #include "runtime/tcp_listener.h"
 #include "services/http_connection.h"
 #include "services/lingering_close.h"
 
 namespace plantainlatch {
 
+namespace {
+
+    /** Each request also needs a connection to its upstream, and other VMs must be able to connect. */
+    std::size_t connectionLimit(std::size_t wanted) { return std::min(wanted, maximumDescriptors() / 2); }
+
+} // namespace
+
 struct http_server::implementation {
     implementation(event_base* base, const kernel_hooks& kernelHooks, http_server_options serverOptions)
         : hooks(kernelHooks)
         , options(std::move(serverOptions))
         , lingering(hooks)
-        , shared { base, options.limits, options.idleTimeout, lingering,
+        , maximumConnections(connectionLimit(options.maximumConnections))
+        , shared { base, options.limits, options.idleTimeout, lingering, hooks.now,
             [this](http_connection& connection) { dispatch(connection); },
             [this](http_connection& connection) { callerDisconnected(connection); },
             [this](http_connection& connection) { closed(connection); } }
@@ -39,6 +48,8 @@
     absl::Status listen(const network_address& wanted);
     void stopListening();
     void accepted(int socket);
+    /** Returns whether there was an idle connection. */
+    bool closeLongestIdle();
     void dispatch(http_connection& connection);
     void callerDisconnected(const http_connection& connection);
     void closed(http_connection& connection);
@@ -48,6 +59,7 @@
     const kernel_hooks hooks;
     http_server_options options;
     lingering_close lingering;
+    std::size_t maximumConnections;
     http_connection_parts shared;
     std::unique_ptr<tcp_listener> listener;
     network_address address;
@@ -88,7 +100,7 @@
 
 void http_server::implementation::accepted(int socket)
 {
-    if (connections.size() >= options.maximumConnections) {
+    if (connections.size() >= maximumConnections && !closeLongestIdle()) {
         ::close(socket);
         return;
     }
@@ -97,6 +109,20 @@
     connections.emplace(key, std::move(connection));
 }
 
+bool http_server::implementation::closeLongestIdle()
+{
+    std::shared_ptr<http_connection> longest;
+    for (const auto& [key, connection] : connections) {
+        const bool isLonger = longest == nullptr || connection->idleSince() < longest->idleSince();
+        if (isLonger && !connection->isBusy() && !connection->hasUnreadInput())
+            longest = connection;
+    }
+    if (longest == nullptr)
+        return false;
+    longest->close();
+    return true;
+}
+
 void http_server::implementation::dispatch(http_connection& connection)
 {
     const http_request_view view(connection.request());
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -35,6 +35,7 @@
 
 struct http_server_options {
     caller_limits limits;
+    /** When there are more connections, the one that is idle longest is closed, or the new one if all are busy. */
     std::size_t maximumConnections = 10'000;
     /** A connection is closed if for this time no byte of the next request arrives or no byte of an answer can be
      * written. */
--- a/test/error/descriptor_limit.cpp
+++ b/test/error/descriptor_limit.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-descriptor_limit::descriptor_limit()
+descriptor_limit::descriptor_limit(std::size_t free)
 {
     rlimit former {};
     getrlimit(RLIMIT_NOFILE, &former);
@@ -27,7 +27,8 @@
     const int lowestFree = dup(STDIN_FILENO);
     internal_assert(lowestFree >= 0) << "there is no free file descriptor";
     close(lowestFree);
-    setLimit(static_cast<rlim_t>(lowestFree));
+    m_count = static_cast<std::size_t>(lowestFree) + free;
+    setLimit(m_count);
 }
 
 descriptor_limit::~descriptor_limit() { setLimit(m_former); }
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "error/descriptor_limit.h"
 #include "error/loop_fixture.h"
 #include "error/raw_client.h"
 #include "runtime/sockets.h"
@@ -39,9 +40,10 @@
             std::vector<header_field> headers;
         };
 
-        server_fixture()
+        explicit server_fixture(std::size_t maximumConnections = 100)
         {
             http_server_options options;
+            options.maximumConnections = maximumConnections;
             options.limits = { byte_count(headerLimit), byte_count(bodyLimit) };
             options.idleTimeout = 300ms;
             options.unfinishedGrace = 100ms;
@@ -107,8 +109,63 @@
         bool answersAtOnce = true;
     };
 
+    class two_connections_fixture : protected server_fixture {
+    protected:
+        two_connections_fixture()
+            : server_fixture(2)
+        {
+        }
+    };
+
 } // namespace
 
+TEST_CASE_METHOD(two_connections_fixture, "http_server.connection_beyond_the_limit.replaces_the_one_idle_longest")
+{
+    const std::string request = "GET /a HTTP/1.1\r\n\r\n";
+    raw_client first(loop->base(), server->address());
+    raw_client second(loop->base(), server->address());
+    for (raw_client* client : { &first, &second }) {
+        client->send(request);
+        runUntil([&] { return client->received.ends_with("lit"); });
+        runFor(2ms);
+    }
+    raw_client third(loop->base(), server->address());
+    third.send(request);
+    runUntil([&] { return third.received.ends_with("lit") && first.ended; });
+    REQUIRE_FALSE(second.ended);
+    REQUIRE_FALSE(third.ended);
+}
+
+TEST_CASE_METHOD(two_connections_fixture, "http_server.connection_beyond_the_limit_while_all_are_busy.is_closed")
+{
+    answersAtOnce = false;
+    raw_client first(loop->base(), server->address());
+    raw_client second(loop->base(), server->address());
+    first.send("GET /a HTTP/1.1\r\n\r\n");
+    second.send("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return seen.size() == 2; });
+    raw_client third(loop->base(), server->address());
+    runUntil([&] { return third.ended; });
+    REQUIRE(disconnected.empty());
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.connections_beyond_half_of_the_descriptors.replace_idle_ones")
+{
+    std::size_t descriptors = 0;
+    std::unique_ptr<http_server> limited;
+    {
+        const descriptor_limit limit(1);
+        descriptors = limit.count();
+        limited = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, {});
+    }
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (std::size_t i = 0; i < descriptors; ++i)
+        clients.push_back(std::make_unique<raw_client>(loop->base(), limited->address()));
+    runUntil([&] { return limited->connections() >= descriptors / 2; });
+    runFor(20ms);
+    REQUIRE(limited->connections() == descriptors / 2);
+}
+
 TEST_CASE_METHOD(server_fixture, "http_server.request_sent_byte_by_byte.is_parsed_like_one_sent_at_once")
 {
     raw_client client(loop->base(), server->address());
