--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -77,6 +77,7 @@
     : m_parts(parts)
     , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
     , m_parser(parts.limits)
+    , m_idleSince(parts.now())
 {
     internal_assert(m_channel != nullptr) << "no memory for a connection";
     disableNagle(socket);
@@ -141,6 +142,20 @@
         handleParsed();
     }
     m_reading = false;
+    if (m_channel != nullptr)
+        limitInput();
+}
+
+void http_connection::limitInput()
+{
+    // While the input is at its limit, libevent calls readable() in each iteration of the event loop unless reading is
+    // disabled.
+    const bool full = evbuffer_get_length(bufferevent_get_input(m_channel)) >= pipelinedBytes;
+    const bool reads = (bufferevent_get_enabled(m_channel) & EV_READ) != 0;
+    if (full && reads)
+        bufferevent_disable(m_channel, EV_READ);
+    else if (!full && !reads)
+        bufferevent_enable(m_channel, EV_READ);
 }
 
 void http_connection::handleParsed()
@@ -189,6 +204,7 @@
     if (m_state == state::Writing) {
         m_parser.next();
         m_state = state::Reading;
+        m_idleSince = m_parts.now();
         readRequests();
         return;
     }
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -1,12 +1,15 @@
+#include <ctime>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "error/descriptor_limit.h"
 #include "error/loop_fixture.h"
 #include "error/raw_client.h"
 #include "runtime/sockets.h"
@@ -38,9 +41,10 @@
             std::vector<header_field> headers;
         };
 
-        server_fixture()
+        explicit server_fixture(std::size_t maximumConnections = 100)
         {
             http_server_options options;
+            options.maximumConnections = maximumConnections;
             options.limits = { byte_count(headerLimit), byte_count(bodyLimit) };
             options.idleTimeout = 300ms;
             options.unfinishedGrace = 100ms;
@@ -108,8 +112,63 @@
         bool answersAtOnce = true;
     };
 
+    class two_connections_fixture : protected server_fixture {
+    protected:
+        two_connections_fixture()
+            : server_fixture(2)
+        {
+        }
+    };
+
 } // namespace
 
+TEST_CASE_METHOD(two_connections_fixture, "http_server.connection_beyond_the_limit.replaces_the_one_idle_longest")
+{
+    const std::string request = "GET /a HTTP/1.1\r\n\r\n";
+    raw_client first(loop->base(), server->address());
+    raw_client second(loop->base(), server->address());
+    for (raw_client* client : { &first, &second }) {
+        client->send(request);
+        runUntil([&] { return client->received.ends_with("lit"); });
+        runFor(2ms);
+    }
+    raw_client third(loop->base(), server->address());
+    third.send(request);
+    runUntil([&] { return third.received.ends_with("lit") && first.ended; });
+    REQUIRE_FALSE(second.ended);
+    REQUIRE_FALSE(third.ended);
+}
+
+TEST_CASE_METHOD(two_connections_fixture, "http_server.connection_beyond_the_limit_while_all_are_busy.is_closed")
+{
+    answersAtOnce = false;
+    raw_client first(loop->base(), server->address());
+    raw_client second(loop->base(), server->address());
+    first.send("GET /a HTTP/1.1\r\n\r\n");
+    second.send("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return seen.size() == 2; });
+    raw_client third(loop->base(), server->address());
+    runUntil([&] { return third.ended; });
+    REQUIRE(disconnected.empty());
+}
+
+TEST_CASE_METHOD(server_fixture, "http_server.connections_beyond_half_of_the_descriptors.replace_idle_ones")
+{
+    std::size_t descriptors = 0;
+    std::unique_ptr<http_server> limited;
+    {
+        const descriptor_limit limit(1);
+        descriptors = limit.count();
+        limited = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, {});
+    }
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (std::size_t i = 0; i < descriptors; ++i)
+        clients.push_back(std::make_unique<raw_client>(loop->base(), limited->address()));
+    runUntil([&] { return limited->connections() >= descriptors / 2; });
+    runFor(20ms);
+    REQUIRE(limited->connections() == descriptors / 2);
+}
+
 TEST_CASE_METHOD(server_fixture, "http_server.request_sent_byte_by_byte.is_parsed_like_one_sent_at_once")
 {
     raw_client client(loop->base(), server->address());
@@ -182,6 +241,26 @@
     REQUIRE_THAT(answer, Contains("Connection: keep-alive\r\n"));
 }
 
+TEST_CASE_METHOD(server_fixture, "http_server.pipelined_input_beyond_its_limit.waits_without_using_the_processor")
+{
+    answersAtOnce = false;
+    constexpr std::size_t requestCount = 300;
+    const std::string request = "PUT /a HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+    raw_client client(loop->base(), server->address());
+    for (std::size_t i = 0; i < requestCount; ++i)
+        client.send(request);
+    runUntil([&] { return seen.size() == 1; });
+    runFor(50ms);
+    const std::clock_t before = std::clock();
+    runFor(400ms);
+    const double processorSeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    REQUIRE(processorSeconds < 0.05);
+    answersAtOnce = true;
+    answer(seen.front().exchange);
+    runUntil([&] { return seen.size() == requestCount; });
+    client.close();
+}
+
 TEST_CASE_METHOD(server_fixture, "http_server.idle_connection.is_closed_but_one_that_waits_for_an_answer_is_not")
 {
     answersAtOnce = false;
@@ -286,6 +365,20 @@
     REQUIRE_THAT(received, EndsWith("Connection: close\r\n\r\nlit"));
 }
 
+TEST_CASE_METHOD(loop_fixture, "event_loop.warning_of_the_library.goes_to_the_log_of_the_hooks")
+{
+    std::vector<log_event> lines;
+    const kernel_hooks logging = loop->hooks([&](const log_event& line) { lines.push_back(line); });
+    logging.schedule(duration::zero(), [this] {
+        // A loop within a loop is refused with a warning.
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+        loop->stop();
+    });
+    loop->run();
+    REQUIRE(lines.size() == 1);
+    REQUIRE(lines.front().level == log_level::Warning);
+}
+
 TEST_CASE_METHOD(loop_fixture, "event_loop.clock.counts_the_time_during_which_the_machine_was_suspended")
 {
     timespec moment {};
