Skip every informational answer of an upstream, not only 100 (Continue)

What callers saw: where an upstream sent 102 or 103 before its answer, each request got a 502 of the entry's own while the upstream was still at work on it, and safe ones ran up to max-attempts times.

Cause: evhttp reads on after 100 only and hands any other 1xx over as the final answer, which takeCompleteAnswer() refuses as malformed. It also keeps the header fields of a 100 and mixes them with those of the final answer.

Evidence: upstream_client.informational_answers failed before for 102, 103 and a series of them (6 of 8 cases), in one segment with the answer and apart; all 8 pass now.

Why it works: evhttp calls the header hook before it looks at the status. The hook drops the fields of an informational answer and marks it as 100, which evhttp reads past. 101 stays invalid, as no request asks for an upgrade.

--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -25,8 +25,23 @@
     /** Polls have a separate limit, so that they are not refused when calls have reached the upstream's connection
      * limit; they need only a few connections. */
     constexpr std::uint32_t pollConnectionLimit = 1U << 16U;
+    constexpr int statusContinue = 100;
+    constexpr int firstSkippedStatus = 102;
     constexpr int statusOk = 200;
 
+    /** Lets evhttp read on after an informational answer. It does so only after 100 (Continue), and takes any other one
+     * for the final answer. 101 is not skipped, as no request asks for another protocol. */
+    int skipInformationalAnswer(evhttp_request* answer, void*)
+    {
+        const int status = evhttp_request_get_response_code(answer);
+        const bool isSkipped = status == statusContinue || (status >= firstSkippedStatus && status < statusOk);
+        if (!isSkipped)
+            return 0;
+        evhttp_clear_headers(evhttp_request_get_input_headers(answer));
+        answer->response_code = statusContinue;
+        return 0;
+    }
+
     std::optional<evhttp_cmd_type> methodOf(const std::string& name)
     {
         static const absl::flat_hash_map<std::string, evhttp_cmd_type> methods {
@@ -156,6 +171,7 @@
         auto* self = static_cast<implementation*>(connection.owner->user());
         self->requestFailed(connection, error);
     });
+    evhttp_request_set_header_cb(request, skipInformationalAnswer);
     evkeyvalq* output = evhttp_request_get_output_headers(request);
     std::vector<header_field> own = options.dialect.fieldsOf(item.call);
     own.push_back({ options.dialect.nameField, item.name });
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -183,6 +183,30 @@
     REQUIRE(upstream.accepted == 2);
 }
 
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.informational_answers.are_skipped_up_to_the_final_one")
+{
+    const std::string informational = GENERATE("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nX-Court: 7\r\nContent-Length: 9\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n");
+    const duration pause = GENERATE(duration::zero(), duration(std::chrono::milliseconds(20)));
+    CAPTURE(informational, pause.count());
+    upstream.onRequest = [&](std::size_t connection, const std::string&) {
+        if (pause == duration::zero()) {
+            upstream.send(connection, informational + smallAnswer);
+            return;
+        }
+        upstream.send(connection, informational);
+        hooks.schedule(pause, [&, connection] { upstream.send(connection, smallAnswer); });
+    };
+    const call_record record = run(callTo(upstream.address()));
+    REQUIRE(record.answer);
+    CHECK(record.answer->status == 200);
+    CHECK(record.answer->body == "light");
+    CHECK(record.answer->headers.empty());
+    REQUIRE(run(callTo(upstream.address())).answer);
+    REQUIRE(upstream.accepted == 1);
+}
+
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.answer_without_end.fails_before_its_time_out")
 {
     const std::string part(8 * 1024, 'x');
