End a process within its grace time beside incomplete requests

Cause: a server waits up to 5 s for incomplete requests before it closes their connections. At an entry this begins when the last answer is given, 3.7 s or more after the signal, and the servers of a VM do so one after another: up to 10 s at a core VM.

Evidence: platform_request.incomplete_request and platform_path.incomplete_requests failed before (no end within 3 s of a grace time of 2 s; no exit within 6 s) and pass now.

Why it works: at the end of the time that a stop may take, the caller exchanges close what is incomplete; no answer depends on it, as nothing of it was passed on.

--- a/src/services/caller_exchanges.cpp
+++ b/src/services/caller_exchanges.cpp
@@ -65,8 +65,10 @@
 void caller_exchanges::stop(std::function<void()> stopped)
 {
     m_parts.server.closeAfterAnswers();
-    if (m_parts.maximumStopTime)
+    if (m_parts.maximumStopTime) {
         m_stopDeadline = m_parts.hooks.now() + *m_parts.maximumStopTime;
+        m_parts.hooks.schedule(*m_parts.maximumStopTime, [this] { m_parts.server.closeUnfinished(); });
+    }
     m_parts.hooks.schedule(m_parts.lameDuckTime, [this, stopped = std::move(stopped)] {
         m_refusing = true;
         m_stopped = stopped;
--- a/src/services/caller_exchanges.h
+++ b/src/services/caller_exchanges.h
@@ -28,7 +28,7 @@
     /** How long requests are still served after the stop began, for callers whose entry lists still contain this VM. */
     duration lameDuckTime {};
     /** The maximum duration of the stop. The deadlines of requests that arrive during the stop are shortened to
-     * its remaining time. */
+     * its remaining time, and requests that are still incomplete at its end are not awaited. */
     std::optional<duration> maximumStopTime;
 };
 
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -73,6 +73,8 @@
     void closeAfterAnswers();
     /** Stops accepting connections and closes the idle ones. */
     void stopListening();
+    /** Closes the connections whose request is still incomplete. */
+    void closeUnfinished();
 
     /** The address it listens on, with the port that the operating system chose if 0 was given. */
     network_address address() const;
@@ -85,7 +87,6 @@
     explicit http_server(std::unique_ptr<implementation> parts);
 
     void stop(std::function<void()> stopped);
-    void closeUnfinished();
 
     std::unique_ptr<implementation> m_parts;
 };
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -25,7 +25,8 @@
     /** All front ends of the platform, with fakes of the ports that they call. */
     class platform_front_fixture : protected loop_fixture {
     protected:
-        platform_front_fixture()
+        explicit platform_front_fixture(const platform_settings& chosen = makeSettings())
+            : settings(chosen)
         {
             state.config.number = change_number(3);
             makeFakes();
@@ -138,7 +139,7 @@
             ::close(socket);
         }
 
-        platform_settings settings = makeSettings();
+        platform_settings settings;
         control_snapshot state;
         request_port requests;
         entry_list_port entries;
@@ -161,11 +162,28 @@
         std::map<std::string, std::unique_ptr<http_server>> servers;
         std::unique_ptr<metrics> metricsService = metrics::create();
         std::unique_ptr<kernel> subject = *kernel::create(hooks);
-        std::unique_ptr<request_front> requestFront = request_front::create(hooks, settings.vm, 6s);
+        std::unique_ptr<request_front> requestFront = request_front::create(hooks, settings.vm, settings.grace);
         std::unique_ptr<control_front> controlFront = control_front::create(hooks, settings);
         std::unique_ptr<lookup_front> lookupFront = lookup_front::create();
     };
 
+    /** All front ends of a platform that stops quickly. */
+    class quick_stop_fixture : protected platform_front_fixture {
+    protected:
+        quick_stop_fixture()
+            : platform_front_fixture(makeQuickSettings())
+        {
+        }
+
+        static platform_settings makeQuickSettings()
+        {
+            platform_settings result = makeSettings();
+            result.vm.lookupCacheTime = 10ms;
+            result.grace = 2s;
+            return result;
+        }
+    };
+
     /** Sends calls with the platform's header fields to a fake upstream. */
     class platform_dialect_fixture : protected loop_fixture {
     protected:
@@ -286,6 +304,19 @@
     REQUIRE_THAT(ask(request_front::callerServer, "GET /a/1 HTTP/1.1"), StartsWith("HTTP/1.1 200"));
 }
 
+TEST_CASE_METHOD(quick_stop_fixture, "platform_request.incomplete_request.does_not_hold_up_a_stop_beyond_its_grace")
+{
+    raw_client client(loop->base(), servers.at(request_front::callerServer)->address());
+    client.send("POST /a/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\nhalf");
+    runFor(20ms);
+    const time_point begin = hooks.now();
+    bool stopped = false;
+    subject->stop([&] { stopped = true; });
+    runUntil([&] { return stopped; });
+    REQUIRE(hooks.now() - begin < settings.grace);
+    REQUIRE(submitted.empty());
+}
+
 TEST_CASE_METHOD(platform_front_fixture, "platform_request.chunked_body.is_submitted_decoded")
 {
     answer.content.status = 200;
--- a/test/integration/platform_path_test.cpp
+++ b/test/integration/platform_path_test.cpp
@@ -179,6 +179,23 @@
     REQUIRE(vms.at(4).waitForExit(8s) == 0);
 }
 
+TEST_CASE_METHOD(platform_path_fixture, "platform_path.incomplete_requests.do_not_hold_up_the_end_of_a_process")
+{
+    const std::vector<std::pair<int, std::uint16_t>> servers { { 1, controlPort }, { 1, lookupPort },
+        { 1, platform_processes::inspectionPort }, { 4, callerPort }, { 4, readyPort } };
+    std::vector<std::unique_ptr<raw_client>> callers;
+    for (const auto& [number, port] : servers) {
+        callers.push_back(std::make_unique<raw_client>(loop->base(), vms.address(number, port)));
+        callers.back()->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+    }
+    runFor(100ms);
+    for (const int number : { 1, 4 })
+        vms.at(number).terminate();
+    const time_point end = hooks.now() + 6s;
+    REQUIRE(vms.at(1).waitForExit(end - hooks.now()) == 0);
+    REQUIRE(vms.at(4).waitForExit(end - hooks.now()) == 0);
+}
+
 TEST_CASE_METHOD(platform_path_fixture, "platform_path.sighup.does_not_interrupt_the_service")
 {
     for (int number = 1; number <= controlCount + entryCount; ++number)
