Handle signals that arrive while a VM starts

Cause: the handlers were set after all services had started, so after the settings were read, the ports were opened and, at a replica, the data folder was synced twice (strace). A slow disk makes that time longer.

In strace the handlers now come before the first listen and the first sync. What is left is the time until main() and the reading of the settings: about 20 ms on an idle machine, most of it dynamic linking.

Why it works: the handlers are set before anything else is created. libevent keeps a signal until the loop runs, which is after the start.

--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -22,7 +22,10 @@
 absl::StatusOr<std::unique_ptr<serve_vm>> serve_vm::create(event_loop& loop, const vm_settings& settings)
 {
     std::unique_ptr<serve_vm> vm(new serve_vm(loop, settings));
-    const absl::Status status = vm->createParts();
+    // A signal that arrives during the start is handled once the loop runs; without a handler it would end the process.
+    absl::Status status = loop.onTerminate([created = vm.get()] { created->beginStop(); });
+    if (status.ok())
+        status = vm->createParts();
     if (!status.ok())
         return status;
     vm->addServices();
@@ -80,9 +83,6 @@
 absl::Status serve_vm::start()
 {
     absl::Status status = m_kernel->start();
-    if (!status.ok())
-        return status;
-    status = m_loop.onTerminate([this] { beginStop(); });
     if (status.ok())
         log(log_level::Info, "started");
     return status;
--- a/test/error/serve_vm_test.cpp
+++ b/test/error/serve_vm_test.cpp
@@ -97,6 +97,22 @@
     REQUIRE_THAT(std::string(status.message()), Contains(*settings.dataFolder) && !Contains("\n"));
 }
 
+TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.terminated_during_its_start.stops_gracefully")
+{
+    const auto subject = serve_vm::create(*loop, settings);
+    REQUIRE(subject.ok());
+    std::raise(SIGTERM);
+    REQUIRE((*subject)->start().ok());
+    bool stopped = true;
+    hooks.schedule(std::chrono::seconds(20), [&] {
+        stopped = false;
+        loop->stop();
+    });
+    loop->run();
+    REQUIRE(stopped);
+    (*subject)->checkIdle();
+}
+
 TEST_CASE_METHOD(serve_vm_fixture, "serve_vm.terminated_twice.answers_requests_until_the_end_of_one_graceful_stop")
 {
     const auto subject = serve_vm::create(*loop, settings);
