platform_soak: SIGHUP of entries, and further signals while an entry stops

Cause: the soak had one SIGTERM per stop and no SIGHUP.

Change: one disturbance in nine is a SIGHUP of an entry; a stopping entry gets a second SIGTERM or a SIGHUP about once a second until it has ended, so also close to its end. It must still exit with 0 in time.

--- a/test/soak/platform_soak.cpp
+++ b/test/soak/platform_soak.cpp
@@ -30,6 +30,8 @@
     constexpr duration maximumRemakeWork = platform_callers::remakeLimit + 300ms;
     constexpr duration stopLimit = 8s;
     constexpr duration stopPollInterval = 50ms;
+    /** One in so many polls of a stopping entry sends it another signal. */
+    constexpr int pollsPerSignal = 20;
     constexpr int controlFaultCount = 3;
     constexpr duration minimumFaultTime = 300ms;
     constexpr duration maximumFaultTime = 6s;
@@ -250,11 +252,13 @@
 {
     if (!m_isActive)
         return;
-    const int kind = below(8);
+    const int kind = below(9);
     if (kind == 0)
         killAllControls();
     else if (kind <= 2)
         stopEntry(controls + 1 + below(entries));
+    else if (kind == 3)
+        reloadEntry(controls + 1 + below(entries));
     else
         disturbControl(1 + below(controls));
     m_hooks.schedule(200ms + upTo(2500ms), [this] { disturb(); });
@@ -328,6 +332,15 @@
     });
 }
 
+void platform_soak::reloadEntry(int vm)
+{
+    if (m_stopping.contains(vm))
+        return;
+    note(absl::StrCat("SIGHUP of m", vm));
+    m_callers.work().noteReload(vm, m_hooks.now());
+    m_vms.at(vm).signal(SIGHUP);
+}
+
 void platform_soak::stopEntry(int vm)
 {
     if (m_stopping.size() >= tolerance || !m_stopping.insert(vm).second)
@@ -342,6 +355,8 @@
 {
     const bool isRunning = m_vms.at(vm).isRunning();
     if (isRunning && m_hooks.now() < end) {
+        if (below(pollsPerSignal) == 0)
+            m_vms.at(vm).signal(below(2) == 0 ? SIGTERM : SIGHUP);
         m_hooks.schedule(stopPollInterval, [this, vm, end] { awaitStop(vm, end); });
         return;
     }
--- a/test/soak/platform_soak.h
+++ b/test/soak/platform_soak.h
@@ -3,7 +3,8 @@
 /** \file
  * A soak run with the deployment of ajuste-mx on the users' platform: five control VMs and seven entries as processes,
  * upstreams and callers that keep their connections in the test, and an operator. Control VMs are killed, frozen,
- * started again and have full disks in turn; entries are stopped one after another; orders go to frozen VMs first.
+ * started again and have full disks in turn; entries are stopped one after another, get a SIGHUP, and further signals
+ * while they stop; orders go to frozen VMs first.
  */
 
 #include <cstdint>
@@ -77,8 +78,9 @@
     void beginFault(control_fault fault, int vm);
     void endFault(control_fault fault, int vm);
     void killAllControls();
+    void reloadEntry(int vm);
     void stopEntry(int vm);
-    /** Starts a stopping entry again once it has ended; it must do so by `end`. */
+    /** Sends further signals to a stopping entry, and starts it again once it has ended; it must do so by `end`. */
     void awaitStop(int vm, time_point end);
     void checkRecovery();
     void checkEvacuation();
