platform_soak: callers also open connections to stopping entries

Cause: a caller whose connection a stopping entry had closed waited for the entry's next start, so no request came later than the first answer after a SIGTERM.

--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -88,10 +88,10 @@
 
 void platform_callers::beginRequests(soak_caller& caller)
 {
-    const bool isClosed = caller.connection == nullptr || caller.connection->ended;
-    if (m_hooks.now() < caller.nextAt || (isClosed && m_parts.isStopping(caller.entry)))
+    if (m_hooks.now() < caller.nextAt)
         return;
-    if (isClosed)
+    // Stopping entries are called too: the callers' lists of entries lag behind.
+    if (caller.connection == nullptr || caller.connection->ended)
         connect(caller);
     caller.answerBegin = caller.connection->received.size();
     caller.firstByteAt.reset();
@@ -212,6 +212,7 @@
     caller.pending.clear();
     caller.pieces.clear();
     caller.connection.reset();
+    caller.nextAt = m_hooks.now() + upTo(maximumPause);
 }
 
 void platform_callers::judgeLoss(const soak_caller& caller, const caller_request& request)
