platform_soak: a pause of the test doesn't make a close later

Cause: sentence 2 of LOST was judged by the time at which the test saw the close.

Change: judged is the last time at which the connection was surely open.

--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -46,8 +46,10 @@
 
 void platform_callers::poll()
 {
+    const time_point now = m_hooks.now();
     for (soak_caller& caller : m_callers)
         pollCaller(caller);
+    m_polledAt = now;
 }
 
 void platform_callers::stop()
@@ -94,6 +96,7 @@
         loseConnection(caller);
         return;
     }
+    caller.lastOpenAt = m_polledAt;
     if (!caller.pieces.empty() && m_hooks.now() >= caller.nextPieceAt)
         sendPiece(caller);
     const std::optional<time_point> sentAt = caller.pending.front().sentAt;
@@ -236,14 +239,13 @@
 
 void platform_callers::judgeLoss(const soak_caller& caller, const caller_request& request)
 {
-    const time_point now = m_hooks.now();
     const bool ran = m_parts.hasRun(request.id);
     ++m_ends[absl::StrCat(nameOf(caller.kind), " closed", ran ? " after a run" : "")];
     if (ran)
         m_parts.reportViolation(caller.entry, request.id, "LOST 1: it ran, and the entry closed its connection");
-    if (!request.sentAt || !m_work.isAround(caller.entry, *request.sentAt, now))
+    if (!request.sentAt || !m_work.isAround(caller.entry, *request.sentAt, m_hooks.now()))
         return;
-    if (ran || now > *request.sentAt + lossSlack)
+    if (ran || caller.lastOpenAt > *request.sentAt + lossSlack)
         m_parts.reportViolation(caller.entry, request.id, "LOST 2, around planned work: it got no complete answer");
 }
 
--- a/test/soak/platform_callers.h
+++ b/test/soak/platform_callers.h
@@ -72,6 +72,8 @@
         time_point nextPieceAt;
         std::size_t answerBegin = 0;
         std::optional<time_point> firstByteAt;
+        /** A time at which the connection was still open. A pause of this process makes it earlier, never later. */
+        time_point lastOpenAt;
         time_point nextAt;
     };
 
@@ -97,6 +99,8 @@
     planned_work m_work;
     /** Callbacks hold pointers to the items. */
     std::deque<soak_caller> m_callers;
+    /** When the poll before this one began; events until then have been handled. */
+    time_point m_polledAt;
     std::uint64_t m_lastRequest = 0;
     /** How many requests of each kind ended with which status, and whose answer it was. */
     std::map<std::string, std::uint64_t> m_ends;
