--- a/test/soak/platform_soak.h
+++ b/test/soak/platform_soak.h
@@ -3,7 +3,8 @@
 /** \file
  * A soak run with the deployment of ajuste-mx on the users' platform: five control VMs and seven entries as processes,
  * upstreams and callers that keep their connections in the test, and an operator. Control VMs are killed, frozen,
- * started again and have full disks in turn; entries are stopped one after another; orders go to frozen VMs first.
+ * started again and have full disks in turn; entries are stopped one after another, get a SIGHUP, and further signals
+ * while they stop; orders go to frozen VMs first.
  */
 
 #include <cstdint>
@@ -19,6 +20,7 @@
 #include "error/raw_upstream.h"
 #include "integration/platform_processes.h"
 #include "runtime/event_loop.h"
+#include "soak/platform_callers.h"
 
 namespace plantainlatch {
 
@@ -54,27 +56,15 @@
         int sequence = 0;
     };
 
-    /** A caller with a connection that it keeps as long as the entry does. */
-    struct soak_caller {
-        int entry = 0;
-        std::unique_ptr<raw_client> connection;
-        /** The request on its way; empty if there is none. */
-        std::string request;
-        std::size_t answerBegin = 0;
-        time_point sentAt;
-        time_point nextAt;
-    };
-
+    caller_hooks hooksOfCallers();
     void addUpstreams();
     void serve(soak_upstream& upstream, std::size_t connection, const std::string& request);
+    duration workOf(const std::string& request);
     void announceAll();
     void call(int vm, std::uint16_t port, const std::string& head, const std::string& body, answer_handler done);
     /** Handles what has arrived, and schedules itself again. */
     void poll();
     void pollCalls();
-    void pollCallers();
-    void pollCaller(soak_caller& caller);
-    void finishAnswer(soak_caller& caller, const std::string& answer);
 
     /** Sends an order until it is acknowledged or `attempts` VMs were asked. Frozen VMs are asked first. */
     void order(const std::string& path, const std::string& body, int attempts, std::function<void(bool)> done);
@@ -89,8 +79,9 @@
     void beginFault(control_fault fault, int vm);
     void endFault(control_fault fault, int vm);
     void killAllControls();
+    void reloadEntry(int vm);
     void stopEntry(int vm);
-    /** Starts a stopping entry again once it has ended; it must do so by `end`. */
+    /** Sends further signals to a stopping entry, and starts it again once it has ended; it must do so by `end`. */
     void awaitStop(int vm, time_point end);
     void checkRecovery();
     void checkEvacuation();
@@ -104,6 +95,9 @@
     duration upTo(duration limit) { return duration(m_random() % static_cast<std::uint64_t>(limit.count())); }
     void note(const std::string& what);
     void reportViolation(const std::string& what);
+    void reportViolation(int entry, const std::string& request, const std::string& what);
+    /** Notes what the entries logged on the requests of violations. */
+    void noteLogs();
 
     std::mt19937_64 m_random;
     duration m_length;
@@ -111,7 +105,7 @@
     kernel_hooks m_hooks = m_loop->hooks([](const log_event&) {});
     platform_processes m_vms;
     std::vector<std::unique_ptr<soak_upstream>> m_upstreams;
-    std::vector<soak_caller> m_callers;
+    platform_callers m_callers;
     std::vector<pending_call> m_calls;
     /** The domain in which each request ran. */
     std::map<std::string, std::string> m_runs;
@@ -120,7 +114,6 @@
     std::set<int> m_frozen;
     std::set<int> m_stopping;
     std::uint64_t m_lastRequest = 0;
-    std::uint64_t m_served = 0;
     int m_sentVersion = 1;
     int m_acknowledgedVersion = 0;
     /** The last evacuation order that was acknowledged. */
@@ -128,6 +121,8 @@
     bool m_isActive = true;
     bool m_isOrdering = false;
     std::vector<std::string> m_violations;
+    /** The requests of violations, and their entries. */
+    std::map<std::string, int> m_violating;
     std::string m_journal;
     time_point m_began = m_hooks.now();
 };
