Call timers in the order in which they are due

What callers saw: nothing known. Cause: each timer was a timer of libevent, whose clock says nothing about the order by ours. Change: timer_queue holds all timers by due time; one libevent timer wakes the loop for the first of them. A delay beyond the clock's range is cut instead of overflowing. Ruled out: promising no order in hooks.h, as simulated tests would keep showing another one than the real loop.

--- a/src/kernel/hooks.h
+++ b/src/kernel/hooks.h
@@ -40,7 +40,8 @@
     std::function<time_point()> now;
     /** The wall clock of this VM; it may jump. */
     std::function<wall_time()> wallNow;
-    /** Calls `fire` once on the event loop after `delay`, never earlier by `now`; a negative delay counts as 0. */
+    /** Calls `fire` once on the event loop after `delay`, never earlier by `now`; a negative delay counts as 0. Timers
+     * are called in the order in which they are due, and those with equal times in the order in which they were set. */
     std::function<timer_id(duration delay, std::function<void()> fire)> schedule;
     /** Cancels a timer; has no effect on one that has fired or was cancelled. */
     std::function<void(timer_id)> cancel;
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -7,7 +7,7 @@
 #include <event2/event.h>
 #include <time.h>
 
-#include "absl/container/flat_hash_map.h"
+#include "runtime/timer_queue.h"
 
 namespace plantainlatch {
 
@@ -64,17 +64,10 @@
 } // namespace
 
 struct event_loop::implementation {
-    struct timer {
-        implementation* owner = nullptr;
-        std::uint64_t id = 0;
-        time_point due;
-        event* handle = nullptr;
-        std::function<void()> fire;
-    };
-
     event_base* base = nullptr;
-    std::uint64_t lastTimer = 0;
-    absl::flat_hash_map<std::uint64_t, std::unique_ptr<timer>> timers;
+    /** Ends when the first timer is due. */
+    event* wakeUp = nullptr;
+    timer_queue timers;
     std::vector<event*> signals;
     std::function<void()> terminate;
     std::function<void()> reload;
@@ -84,19 +77,34 @@
     /** The loop whose log gets the messages of libevent, which has one log callback for the process. */
     static implementation* logging;
 
-    static void timerFired(evutil_socket_t, short, void* argument)
+    static void wokenUp(evutil_socket_t, short, void* argument)
     {
-        auto* fired = static_cast<timer*>(argument);
-        implementation* owner = fired->owner;
-        // Libevent's clock is coarse and read once in an iteration, so the timer may end too early.
-        const duration remaining = fired->due - bootTimeNow();
-        if (remaining > duration::zero()) {
-            arm(*fired, remaining);
-            return;
+        static_cast<implementation*>(argument)->fireDueTimers();
+    }
+
+    void fireDueTimers()
+    {
+        const time_point now = bootTimeNow();
+        const timer_id last = timers.last();
+        // After stop(), the others wait until the loop runs again.
+        while (event_base_got_break(base) == 0) {
+            const std::function<void()> fire = timers.takeDue(now, last);
+            if (!fire)
+                break;
+            fire();
         }
-        const std::function<void()> fire = std::move(fired->fire);
-        owner->removeTimer(fired->id);
-        fire();
+        scheduleWakeUp();
+    }
+
+    /** Libevent's clock is coarse and read once in an iteration, so the wake-up may come before the first timer is due;
+     * another one is scheduled then. */
+    void scheduleWakeUp()
+    {
+        const std::optional<time_point> due = timers.nextDue();
+        if (!due)
+            return;
+        const timeval delay = toTimeval(*due - bootTimeNow());
+        evtimer_add(wakeUp, &delay);
     }
 
     static void signalled(evutil_socket_t number, short, void* argument)
@@ -130,41 +138,23 @@
         return absl::OkStatus();
     }
 
-    static void arm(const timer& armed, duration delay)
-    {
-        const timeval span = toTimeval(delay);
-        evtimer_add(armed.handle, &span);
-    }
-
     timer_id addTimer(duration delay, std::function<void()> fire)
     {
-        auto added = std::make_unique<timer>();
-        added->owner = this;
-        added->id = ++lastTimer;
-        added->due = bootTimeNow() + delay;
-        added->fire = std::move(fire);
-        added->handle = evtimer_new(base, timerFired, added.get());
-        arm(*added, delay);
-        const timer_id id(added->id);
-        timers.emplace(added->id, std::move(added));
-        return id;
-    }
-
-    void removeTimer(std::uint64_t id)
-    {
-        const auto found = timers.find(id);
-        if (found == timers.end())
-            return;
-        event_free(found->second->handle);
-        timers.erase(found);
+        const time_point now = bootTimeNow();
+        const time_point due = now + std::clamp(delay, duration::zero(), time_point::max() - now);
+        const bool isFirst = due < timers.nextDue().value_or(time_point::max());
+        const timer_id added = timers.add(due, std::move(fire));
+        if (isFirst)
+            scheduleWakeUp();
+        return added;
     }
 
     ~implementation()
     {
         if (logging == this)
             logging = nullptr;
-        for (auto& [id, item] : timers)
-            event_free(item->handle);
+        if (wakeUp != nullptr)
+            event_free(wakeUp);
         for (event* item : signals)
             event_free(item);
         if (base != nullptr)
@@ -185,7 +175,9 @@
 {
     auto parts = std::make_unique<implementation>();
     parts->base = newBase();
-    if (parts->base == nullptr)
+    if (parts->base != nullptr)
+        parts->wakeUp = evtimer_new(parts->base, implementation::wokenUp, parts.get());
+    if (parts->wakeUp == nullptr)
         return absl::ResourceExhaustedError("the event loop can't be created");
     std::random_device device;
     parts->random.seed(seed != 0 ? seed : (static_cast<std::uint64_t>(device()) << 32U) | device());
@@ -219,7 +211,7 @@
     hooks.wallNow = [] { return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now()); };
     hooks.schedule
         = [parts](duration delay, std::function<void()> fire) { return parts->addTimer(delay, std::move(fire)); };
-    hooks.cancel = [parts](timer_id timer) { parts->removeTimer(timer.value()); };
+    hooks.cancel = [parts](timer_id timer) { parts->timers.cancel(timer); };
     hooks.random = [parts] { return parts->random(); };
     parts->logLibrary(log);
     hooks.log = std::move(log);
