Name the request in answer-lost, and give times of requests in fractions

Cause: a lost answer could not be joined with the other lines of its request, and a limit that is enforced less than a millisecond too early did not show in whole milliseconds (review of the former log lines). Change: the server reads the name from a field that the front end chooses; took_ms and limit_ms are not truncated any more.

--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -11,7 +11,7 @@
 
     std::string milliseconds(duration span)
     {
-        return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+        return absl::StrCat(std::chrono::duration<double, std::milli>(span).count());
     }
 
     std::string_view nameOf(attempt_result::kind kind)
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "codec/http_fields.h"
 #include "core/internal_assert.h"
 #include "runtime/sockets.h"
 #include "runtime/tcp_listener.h"
@@ -167,9 +168,10 @@
 
 void http_server::implementation::logLoss(const http_connection& connection, answer_loss cause) const
 {
+    const header_field* name = http_fields::find(connection.request().headers, options.nameField);
     hooks.log({ log_level::Info, options.name, "answer-lost",
-        { { "target", connection.request().target }, { "failure", nameOf(cause) },
-            { "answered", connection.isAwaitingAnswer() ? "no" : "partly" },
+        { { "request", name != nullptr ? name->value : "" }, { "target", connection.request().target },
+            { "failure", nameOf(cause) }, { "answered", connection.isAwaitingAnswer() ? "no" : "partly" },
             { "stopping", closing ? "yes" : "no" } } });
 }
 
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -42,6 +42,8 @@
     duration idleTimeout = std::chrono::seconds(60);
     /** During a stop, connections whose request is still incomplete after this time are closed. */
     duration unfinishedGrace = std::chrono::seconds(5);
+    /** The header field whose value names a request in log lines; empty for none. */
+    std::string nameField;
     /** The name under which the server is published. */
     std::string name = "http_server";
 };
--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -48,6 +48,7 @@
             options.limits = { byte_count(headerLimit), byte_count(bodyLimit) };
             options.idleTimeout = 300ms;
             options.unfinishedGrace = 100ms;
+            options.nameField = "X-Name";
             hooks.log = [this](const log_event& event) { logged.push_back(event); };
             server = *http_server::create(loop->base(), hooks, { "127.0.0.1", 0 }, options);
             server->addRoute({ "/",
@@ -292,12 +293,13 @@
 {
     answersAtOnce = false;
     raw_client client(loop->base(), server->address());
-    client.send("GET /a HTTP/1.1\r\n\r\n");
+    client.send("GET /a HTTP/1.1\r\nX-Name: seven\r\n\r\n");
     runUntil([&] { return !seen.empty(); });
     client.close();
     runUntil([&] { return !logged.empty(); });
     REQUIRE(logged.front().what == "answer-lost");
     REQUIRE(fieldOf(logged.front(), "failure") == "caller-closed");
+    REQUIRE(fieldOf(logged.front(), "request") == "seven");
     REQUIRE(fieldOf(logged.front(), "answered") == "no");
     REQUIRE(fieldOf(logged.front(), "stopping") == "no");
 }
