Start no request late in a stop that it may outlast

What callers saw: a request sent 3.0 to 3.7 s after the SIGTERM of its entry was run, and at 5.5 s, at the end of the stop, got a 504 of the entry's own while its upstream was at work (LOST). Cause: such a request is started if the longest of the last 128 requests of its kind would end before the stop does, and one that lasts longer than those is cut. The class: a promise that rests on an estimate. Change: in the last 2.7 s of a stop, only requests whose own limit ends before it are started; others are refused as not run, with a Retry-After. Earlier in the stop the estimate stays: callers may still hold a list that names this entry, and a second is left. Ruled out: refusing all that may outlast the stop from its begin, as most requests of 4 s would be refused though they take 0.9 s. Test: failed before (dispatched and completed, not refused). The other tests of the fixture had 1.5 s as their long work, which is now below the limit; they demand the same with 3 s.

--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -18,6 +18,9 @@
     constexpr duration maximumRequiredTime = std::chrono::milliseconds(750);
     /** Without samples, a request is expected to take at most its target latency times this. */
     constexpr int unknownDurationFactor = 4;
+    /** A request that may outlast the stop of its VM is started only if at least this time is left. Callers that send
+     * later have had the time to learn of other entries, so it is refused, which is better than a cut-off. */
+    constexpr duration minimumTimeBeforeStop = std::chrono::milliseconds(2700);
     constexpr const char* notRunHeader = "X-Plantainlatch-Not-Run";
 
     bool hasNotRunHeader(const upstream_answer& answer)
@@ -41,6 +44,8 @@
         return timing.remaining >= std::min({ expectedLatency, timing.total * 3 / 4, maximumRequiredTime });
     };
     policies.shouldStartBeforeStop = [](const stop_timing& timing) {
+        if (timing.remaining < minimumTimeBeforeStop)
+            return false;
         if (timing.longestRecent)
             return timing.remaining > *timing.longestRecent;
         return timing.targetLatency > duration::zero()
--- a/test/correctness/request_stop_test.cpp
+++ b/test/correctness/request_stop_test.cpp
@@ -14,7 +14,9 @@
     using namespace std::chrono_literals;
 
     constexpr duration usualTime = 200ms;
-    constexpr duration longTime = 1500ms;
+    constexpr duration longTime = 3s;
+    /** Less than the time before the stop that a request of uncertain length must have left. */
+    constexpr duration lateInStop = 2600ms;
     constexpr duration callerDeadline = 10s;
 
     /** An entry whose requests take `usualTime`, and one in ten of them `longTime`. */
@@ -85,6 +87,25 @@
     REQUIRE(early.answer->result == outcome::Completed);
 }
 
+/** A request sent late in a stop was cut off at the end of the stop while its upstream was at work (LOST). */
+TEST_CASE_METHOD(
+    request_stop_fixture, "stop.request_that_arrives_late_and_may_outlast_it.is_refused_before_its_dispatch")
+{
+    cluster.upstreams.behaviour = [](const upstream_call&) {
+        return call_behaviour { call_behaviour::kind::Answer, usualTime };
+    };
+    serveRequests(40);
+    const std::size_t calls = cluster.upstreams.calls.size();
+    const caller_record& late = send(lateInStop);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(late.answer->reason == answer_reason::Draining);
+    REQUIRE(late.answer->retryAfter == otherEntryRetryAfter);
+    REQUIRE(cluster.upstreams.calls.size() == calls);
+    const caller_record& shorter = send(lateInStop, lateInStop - 100ms);
+    cluster.runtime.advance(callerDeadline);
+    REQUIRE(shorter.answer->result == outcome::Completed);
+}
+
 TEST_CASE_METHOD(request_stop_fixture, "stop.request_whose_deadline_ends_before_it.is_served")
 {
     serveRequests(40);
