Count the crashes of an upstream by generation

Cause: the records of crashes, replicated and local, are sets of upstream ids. A further crash of one that was there already did not count, so the limit was never reached. Change: the records hold the id and the generation of the upstream that crashed. Two requests that are lost with the same start of an upstream still count once. Data folders of before are read: their records count as they did. Ruled out: counting reports, as one crash loses several equal requests.

--- a/src/decision/control/crash_table.cpp
+++ b/src/decision/control/crash_table.cpp
@@ -37,9 +37,9 @@
     crash_record& record = crashes[key];
     record.lastSeen = std::max(record.lastSeen, reported.proposedAt);
     if (record.upstreams.size() < maximumCrashedUpstreams)
-        record.upstreams.insert(command.upstream);
+        record.upstreams.insert({ command.upstream, command.generation });
     command_result result;
-    result.crashedUpstreams = record.upstreams.size();
+    result.crashedUpstreams = record.crashes();
     return result;
 }
 
@@ -48,7 +48,7 @@
     const auto position = state.crashes.find(key);
     if (position == state.crashes.end())
         return false;
-    return position->second.upstreams.size() >= limit && isRetained(position->second, now);
+    return position->second.crashes() >= limit && isRetained(position->second, now);
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -69,7 +69,7 @@
     queue.running = next.ticket;
     if (refuses(key))
         next.decided(crash_verdict::Refuse);
-    else if (crashedUpstreams(key) > 0)
+    else if (crashes(key) > 0)
         requestPermit(key, std::move(next));
     else
         next.decided(crash_verdict::Allow);
@@ -98,14 +98,15 @@
     next.decided(permitted && !refuses(key) ? crash_verdict::Allow : crash_verdict::Refuse);
 }
 
-void crash_guard::report(const crash_key& key, const upstream_id& upstream, std::function<void(bool)> reported)
+void crash_guard::report(const crash_key& key, const crashed_upstream& upstream, std::function<void(bool)> reported)
 {
     if (!m_knownGood.countLoss(key, m_parts.hooks.now())) {
         reported(false);
         return;
     }
     recordLocalCrash(key, upstream);
-    m_parts.consensus.propose(report_crash { key.service, key.fingerprint, upstream }, m_parts.reportTimeout,
+    m_parts.consensus.propose(report_crash { key.service, key.fingerprint, upstream.id, upstream.generation },
+        m_parts.reportTimeout,
         [this, alive = m_alive, key, reported = std::move(reported)](const absl::StatusOr<command_result>& result) {
             if (!*alive)
                 return;
@@ -128,7 +129,7 @@
     const local_crash* crash = recentLocalCrash(key);
     if (crash != nullptr && crash->refused)
         return true;
-    return crashedUpstreams(key) >= m_parts.options.limit;
+    return crashes(key) >= m_parts.options.limit;
 }
 
 const crash_guard::local_crash* crash_guard::recentLocalCrash(const crash_key& key) const
@@ -138,19 +139,20 @@
     return recent ? &seen->second : nullptr;
 }
 
-std::size_t crash_guard::crashedUpstreams(const crash_key& key) const
+std::size_t crash_guard::crashes(const crash_key& key) const
 {
-    std::set<upstream_id> upstreams;
+    std::set<crashed_upstream> upstreams;
     if (const local_crash* crash = recentLocalCrash(key))
         upstreams = crash->upstreams;
-    const auto& crashes = m_parts.control.state().crashes;
-    const auto replicated = crashes.find(key);
-    if (replicated != crashes.end() && m_parts.hooks.wallNow() < replicated->second.lastSeen + crashRetention)
-        upstreams.insert(replicated->second.upstreams.begin(), replicated->second.upstreams.end());
-    return upstreams.size();
+    const auto& records = m_parts.control.state().crashes;
+    const auto replicated = records.find(key);
+    if (replicated == records.end() || m_parts.hooks.wallNow() >= replicated->second.lastSeen + crashRetention)
+        return upstreams.size();
+    upstreams.insert(replicated->second.upstreams.begin(), replicated->second.upstreams.end());
+    return upstreams.size() + replicated->second.withoutGeneration.size();
 }
 
-void crash_guard::recordLocalCrash(const crash_key& key, const upstream_id& upstream)
+void crash_guard::recordLocalCrash(const crash_key& key, const crashed_upstream& upstream)
 {
     if (!m_localCrashes.contains(key) && m_localCrashes.size() >= maximumLocalCrashes) {
         m_localCrashes.erase(std::min_element(m_localCrashes.begin(), m_localCrashes.end(),
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -8,8 +8,8 @@
  * if an equal one completed at this entry recently. Equal requests that are not known good run one at a time at each
  * entry; the others wait in a queue. When a connection is lost, the entry reports a crash to the replicated log before
  * it retries or answers the request. After the first reported crash, an entry needs a permit to run an equal request;
- * the replicated log grants it to one entry at a time. After crashes of `crash_guard_options::limit` different
- * upstreams, all entries refuse equal requests for `crashRetention`.
+ * the replicated log grants it to one entry at a time. After crashes of `crash_guard_options::limit` upstreams, where
+ * one that crashes again after its restart counts again, all entries refuse equal requests for `crashRetention`.
  *
  * Bound with the default options: if E entries dispatched the request before they applied its first crash report, at
  * most E + 2 upstreams crash: E by the first attempts, one by the retry of the entry that reported first, and one by
@@ -88,7 +88,7 @@
     /** Reports a crash of `upstream` to the replicated log. `reported` is called when the report was applied or timed
      * out, possibly before report() returns. `counted` is false if nothing was reported because the request is known
      * good and lost a connection for the first time since it completed. */
-    void report(const crash_key& key, const upstream_id& upstream, std::function<void(bool counted)> reported);
+    void report(const crash_key& key, const crashed_upstream& upstream, std::function<void(bool counted)> reported);
 
     /** Whether requests with this fingerprint are refused now. */
     bool refuses(const crash_key& key) const;
@@ -112,7 +112,7 @@
         std::deque<waiter> waiting;
     };
     struct local_crash {
-        std::set<upstream_id> upstreams;
+        std::set<crashed_upstream> upstreams;
         time_point lastSeen;
         /** The replicated log answered a report by refusing equal requests; this VM's copy of the state may not show
          * that yet. */
@@ -122,7 +122,7 @@
     explicit crash_guard(const crash_guard_parts& parts);
 
     const local_crash* recentLocalCrash(const crash_key& key) const;
-    std::size_t crashedUpstreams(const crash_key& key) const;
+    std::size_t crashes(const crash_key& key) const;
     void admit(const crash_key& key, waiter next);
     void requestPermit(const crash_key& key, waiter next);
     void onPermit(const crash_key& key, const waiter& next, const claim_answer& answer);
@@ -130,7 +130,7 @@
     void admitNext(const crash_key& key);
     void admitAll(const crash_key& key);
     void onReported(const crash_key& key, const absl::StatusOr<command_result>& result);
-    void recordLocalCrash(const crash_key& key, const upstream_id& upstream);
+    void recordLocalCrash(const crash_key& key, const crashed_upstream& upstream);
 
     crash_guard_parts m_parts;
     std::uint64_t m_lastTicket = 0;
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -164,7 +164,8 @@
     const bool crashed
         = result.ended == attempt_result::kind::Lost && m_environment.options.policies.mayBeCrash(result.failure);
     if (crashed)
-        m_environment.crashes.report(crashKey(), result.upstream, whileRunning(&request_run::onCrashReported));
+        m_environment.crashes.report(
+            crashKey(), { result.upstream, result.generation }, whileRunning(&request_run::onCrashReported));
     else
         continueOrFinish();
 }
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -289,6 +289,7 @@
     m_ended = true;
     result.state = m_state;
     result.upstream = m_slot.upstream.id;
+    result.generation = m_slot.upstream.generation;
     result.address = m_slot.upstream.address;
     m_environment.hooks.log(
         attemptEnded(m_request, result, m_gotSlot ? m_environment.hooks.now() - m_startedAt : duration::zero()));
--- a/src/decision/request/upstream_attempt.h
+++ b/src/decision/request/upstream_attempt.h
@@ -44,6 +44,8 @@
     call_failure failure = call_failure::ConnectFailed;
     /** Empty if no slot was granted. */
     upstream_id upstream;
+    /** The generation of the upstream; valid only if a slot was granted. */
+    upstream_generation generation;
     /** The address of the upstream; valid only if a slot was granted. */
     network_address address;
     /** Set only for Refused, Shed and Answered. */
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -170,13 +170,18 @@
 
 /** Reports that an upstream crashed while it ran a request with this fingerprint. */
 struct report_crash {
+    /** The fields of log entries that were written before `generation` was added. */
+    static constexpr std::uint32_t requiredFields = 3;
+
     service_id service;
     request_fingerprint fingerprint;
     upstream_id upstream;
+    /** Which start of the upstream crashed. */
+    upstream_generation generation;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.service, self.fingerprint, self.upstream);
+        visit(self.service, self.fingerprint, self.upstream, self.generation);
     }
 };
 
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -67,14 +67,34 @@
     }
 };
 
+/** One start of an upstream that crashed. It may start again under its id. */
+struct crashed_upstream {
+    upstream_id id;
+    upstream_generation generation;
+
+    friend auto operator<=>(const crashed_upstream&, const crashed_upstream&) = default;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.id, self.generation);
+    }
+};
+
 /** Upstreams that crashed while they ran equal requests. */
 struct crash_record {
-    std::set<upstream_id> upstreams;
+    /** The fields of snapshots that were written before `upstreams` was added. */
+    static constexpr std::uint32_t requiredFields = 2;
+
+    /** Only read from such snapshots, which don't state the generations. */
+    std::set<upstream_id> withoutGeneration;
     wall_time lastSeen {};
+    std::set<crashed_upstream> upstreams;
+
+    std::size_t crashes() const { return withoutGeneration.size() + upstreams.size(); }
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.upstreams, self.lastSeen);
+        visit(self.withoutGeneration, self.lastSeen, self.upstreams);
     }
 };
 
