Keep the timers of the loop and of the simulated runtime in one queue

Cause: the queue by due times that the loop got stood already in the tests' runtime, line by line. Change: timer_queue moves to the kernel, and paused_runtime uses it; what tests simulate is the order that the real loop keeps. Ruled out: leaving the queue in the runtime, which the decision tests do not link.

--- a/src/runtime/timer_queue.cpp
+++ b/src/kernel/timer_queue.cpp
@@ -1,4 +1,4 @@
-#include "runtime/timer_queue.h"
+#include "kernel/timer_queue.h"
 
 namespace plantainlatch {
 
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -7,7 +7,7 @@
 #include <event2/event.h>
 #include <time.h>
 
-#include "runtime/timer_queue.h"
+#include "kernel/timer_queue.h"
 
 namespace plantainlatch {
 
--- a/test/support/paused_runtime.cpp
+++ b/test/support/paused_runtime.cpp
@@ -1,6 +1,8 @@
 #include "support/paused_runtime.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace plantainlatch {
 
@@ -24,37 +26,25 @@
 
 timer_id paused_runtime::schedule(duration delay, std::function<void()> fire)
 {
-    const timer_id timer(++m_lastTimer);
-    const time_point due = m_now + std::max(delay, duration::zero());
-    m_queue.emplace(queue_key(due, timer.value()), std::move(fire));
-    m_due.emplace(timer.value(), due);
-    return timer;
+    return m_timers.add(m_now + std::max(delay, duration::zero()), std::move(fire));
 }
 
-void paused_runtime::cancel(timer_id timer)
-{
-    const auto due = m_due.find(timer.value());
-    if (due == m_due.end())
-        return;
-    m_queue.erase(queue_key(due->second, timer.value()));
-    m_due.erase(due);
-}
+void paused_runtime::cancel(timer_id timer) { m_timers.cancel(timer); }
 
 bool paused_runtime::step()
 {
-    if (m_queue.empty())
+    const std::optional<time_point> due = m_timers.nextDue();
+    if (!due)
         return false;
-    auto first = m_queue.extract(m_queue.begin());
-    m_now = first.key().first;
-    m_due.erase(first.key().second);
-    first.mapped()();
+    m_now = *due;
+    m_timers.takeDue(m_now, m_timers.last())();
     return true;
 }
 
 void paused_runtime::advance(duration span)
 {
     const time_point end = m_now + span;
-    while (!m_queue.empty() && m_queue.begin()->first.first <= end)
+    while (m_timers.nextDue().value_or(time_point::max()) <= end)
         step();
     m_now = end;
 }
--- a/test/support/paused_runtime.h
+++ b/test/support/paused_runtime.h
@@ -6,13 +6,12 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <random>
-#include <utility>
 #include <vector>
 
 #include "core/clock.h"
 #include "kernel/hooks.h"
+#include "kernel/timer_queue.h"
 
 namespace plantainlatch {
 
@@ -37,12 +36,8 @@
     std::vector<log_event> logLines;
 
 private:
-    using queue_key = std::pair<time_point, std::uint64_t>;
-
     time_point m_now {};
-    std::uint64_t m_lastTimer = 0;
-    std::map<queue_key, std::function<void()>> m_queue;
-    std::map<std::uint64_t, time_point> m_due;
+    timer_queue m_timers;
     std::mt19937_64 m_random;
 };
 
