Wait for the end of a VM in one place of its tests

Cause: the test of a signal during the start repeated the wait of another one. Change: runUntilStopped() in the fixture; the time-out is cancelled after it. The checks are the same.

--- a/test/error/serve_vm_test.cpp
+++ b/test/error/serve_vm_test.cpp
@@ -60,6 +60,19 @@
             return false;
         }
 
+        /** Runs the loop until the VM has stopped; fails the test after 20 seconds. */
+        void runUntilStopped()
+        {
+            bool stopped = true;
+            const timer_id limit = hooks.schedule(std::chrono::seconds(20), [&] {
+                stopped = false;
+                loop->stop();
+            });
+            loop->run();
+            hooks.cancel(limit);
+            REQUIRE(stopped);
+        }
+
         std::filesystem::path folder = makeFolder();
         vm_settings settings;
 
@@ -103,13 +116,7 @@
     REQUIRE(subject.ok());
     std::raise(SIGTERM);
     REQUIRE((*subject)->start().ok());
-    bool stopped = true;
-    hooks.schedule(std::chrono::seconds(20), [&] {
-        stopped = false;
-        loop->stop();
-    });
-    loop->run();
-    REQUIRE(stopped);
+    runUntilStopped();
     (*subject)->checkIdle();
 }
 
@@ -124,13 +131,7 @@
     runFor(std::chrono::milliseconds(50));
     raw_client late(loop->base(), settings.self.callerAddress);
     late.send("GET /s/nothing/ HTTP/1.1\r\n\r\n");
-    bool stopped = true;
-    hooks.schedule(std::chrono::seconds(20), [&] {
-        stopped = false;
-        loop->stop();
-    });
-    loop->run();
-    REQUIRE(stopped);
+    runUntilStopped();
     REQUIRE_THAT(late.received, Contains("X-Plantainlatch-Reason: not-ready") && Contains("Connection: close"));
     (*subject)->checkIdle();
 }
