--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -250,6 +250,8 @@
     root.add("current", now.current);
     root.add("disk", m_replica.hasDisk());
     root.add("last_index", m_replica.log().lastIndex().value());
+    root.add("log_entries", m_replica.log().lastIndex().value() - m_replica.log().base().value());
+    root.add("log_bytes", m_replica.log().bytes());
     root.add("committed", m_replica.committed().value());
     root.add("applied", m_replica.applied().value());
     root.add("pending_proposals", static_cast<std::uint64_t>(m_proposals.size()));
--- a/src/decision/consensus/log_store.h
+++ b/src/decision/consensus/log_store.h
@@ -4,6 +4,7 @@
  * The in-memory part of the replicated log: the entries that have not been compacted into a snapshot.
  */
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -25,6 +26,12 @@
     std::optional<log_term> termAt(log_index index) const;
     /** The entry at an index after the base. */
     const log_entry& at(log_index index) const;
+    /** The approximate encoded size of the entries after `first`, up to and including `last`, in bytes. Neither index
+     * may be before the base. */
+    std::uint64_t bytesBetween(log_index first, log_index last) const;
+    /** The approximate encoded size of one entry, and of all entries, in bytes. */
+    std::uint64_t bytesOf(log_index index) const { return bytesBetween(log_index(index.value() - 1), index); }
+    std::uint64_t bytes() const { return bytesBetween(m_base, lastIndex()); }
     /** The lowest index with the same term as the entry at `index`; the base if that term began there or earlier. */
     log_index firstOfTerm(log_index index) const;
 
@@ -50,9 +57,19 @@
         voter_set voters;
     };
 
+    struct stored_entry {
+        log_entry entry;
+        /** The approximate size in bytes of this entry and of all that were stored before it. */
+        std::uint64_t endByte = 0;
+    };
+
+    std::uint64_t endByteAt(log_index index) const;
+
     log_index m_base;
     log_term m_baseTerm;
-    std::deque<log_entry> m_entries;
+    /** The value of stored_entry::endByte for the entry at the base. */
+    std::uint64_t m_baseByte = 0;
+    std::deque<stored_entry> m_entries;
     /** The voters at the base, followed by each later change. */
     std::vector<voters_record> m_voters { voters_record {} };
 };
