--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -61,10 +61,14 @@
     /** How long a stopping leader waits for another leader. */
     duration transferTimeout = std::chrono::seconds(3);
 
-    /** The log is compacted after this many applied entries. */
+    /** The log is compacted after this many applied entries, or after this many bytes of them if the last snapshot was
+     * not larger. Bytes of entries are approximate encoded sizes. */
     std::uint64_t snapshotEvery = 1000;
-    /** Entries before a snapshot that are kept in memory, so that slightly slow followers need no snapshot. */
+    std::uint64_t snapshotEveryBytes = 4 * 1024 * 1024;
+    /** Limits on the entries before a snapshot that are kept in memory, so that slightly slow followers need no
+     * snapshot, by number and by bytes. */
     std::uint64_t trailingEntries = 256;
+    std::uint64_t trailingBytes = 2 * 1024 * 1024;
     /** Limits on the entries of one message, by number and by approximate size. */
     std::size_t maximumBatch = 256;
     std::size_t maximumBatchBytes = 512 * 1024;
--- a/src/decision/consensus/replica.cpp
+++ b/src/decision/consensus/replica.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
+#include "model/approximate_size.h"
 
 namespace plantainlatch {
 
@@ -153,10 +154,18 @@
         applyEntry(m_log.at(m_applied));
     }
     m_applying = false;
-    if (m_applied.value() - m_snapshotIndex.value() >= m_options.snapshotEvery)
+    if (shouldCompact())
         compact();
 }
 
+bool replica::shouldCompact() const
+{
+    if (m_applied.value() - m_snapshotIndex.value() >= m_options.snapshotEvery)
+        return true;
+    // A snapshot is written only after as many bytes of entries, so that a large state at most doubles what is written.
+    return m_log.bytesBetween(m_snapshotIndex, m_applied) >= std::max(m_options.snapshotEveryBytes, m_snapshotBytes);
+}
+
 void replica::applyEntry(const log_entry& entry)
 {
     const auto* item = std::get_if<proposal>(&entry.content);
@@ -170,13 +179,22 @@
 void replica::compact()
 {
     m_snapshotIndex = m_applied;
+    m_snapshotBytes = approximateSize(m_dependencies.control->state());
     if (hasDisk()) {
         const std::uint64_t number = m_writes.begin(log_index(0));
         m_dependencies.storage->saveSnapshot(
             snapshot(), true, whileAlive([this, number](const absl::Status& status) { finishWrite(number, status); }));
     }
-    if (m_applied.value() > m_options.trailingEntries)
-        m_log.compactTo(log_index(m_applied.value() - m_options.trailingEntries));
+    m_log.compactTo(lastIndexToRemove());
+}
+
+log_index replica::lastIndexToRemove() const
+{
+    log_index first = m_applied;
+    while (first > m_log.base() && m_applied.value() - first.value() < m_options.trailingEntries
+        && m_log.bytesBetween(log_index(first.value() - 1), m_applied) <= m_options.trailingBytes)
+        first = log_index(first.value() - 1);
+    return first;
 }
 
 log_snapshot replica::snapshot() const
--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -124,7 +124,10 @@
     void rewriteDisk();
     void finishRewrite(std::uint64_t number, const absl::Status& status);
     void applyEntry(const log_entry& entry);
+    bool shouldCompact() const;
     void compact();
+    /** The last index that is removed from memory once the entries up to applied() are in a snapshot. */
+    log_index lastIndexToRemove() const;
 
     kernel_hooks m_hooks;
     vm_settings m_settings;
@@ -143,6 +146,8 @@
     log_index m_committed;
     log_index m_applied;
     log_index m_snapshotIndex;
+    /** The approximate encoded size of the state in the last snapshot, in bytes. */
+    std::uint64_t m_snapshotBytes = 0;
     bool m_applying = false;
     /** A write to the disk failed, and the disk was not rewritten since. */
     bool m_failed = false;
