--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -72,12 +72,18 @@
     /** Limits on the entries of one message, by number and by approximate size. */
     std::size_t maximumBatch = 256;
     std::size_t maximumBatchBytes = 512 * 1024;
-    /** The maximum number of unacknowledged entries in flight to one follower. */
+    /** Limits on the unacknowledged entries in flight to one follower, by number and by bytes; a single entry may be
+     * larger. */
     std::uint64_t maximumWindow = 2048;
-    /** The maximum number of proposals that a leader has accepted and not yet applied; more are refused. */
+    std::uint64_t maximumWindowBytes = 1024 * 1024;
+    /** Limits on the proposals that a leader has accepted and not yet applied, by number and by bytes; more are
+     * refused, but a single one may be larger. */
     std::uint64_t maximumUncommitted = 8192;
-    /** The maximum number of proposals of this VM that wait for a result; more fail with Unavailable. */
+    std::uint64_t maximumUncommittedBytes = 16 * 1024 * 1024;
+    /** Limits on the proposals of this VM that wait for a result, by number and by bytes; more fail with Unavailable,
+     * but a single one may be larger. */
     std::size_t maximumPending = 1024;
+    std::uint64_t maximumPendingBytes = 16 * 1024 * 1024;
     std::size_t maximumVoterCount = 7;
     /** A voter that has not answered for this long, nor since the leader was elected, may be replaced by an up-to-date
      * replica that is not a voter. A machine counts as replaced 4 s after its successor has started, also if it was the
--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -37,7 +37,7 @@
     m_electedAt = m_replica.hooks().now();
     m_nextRound = m_electedAt;
     m_transferring = false;
-    m_buffered.clear();
+    clearBuffered();
     m_unapplied.clear();
     m_followers.clear();
     m_hasAddedVms = false;
@@ -93,7 +93,7 @@
     m_replica.report(log_level::Info, "steps down", { { "why", why } });
     m_replica.setRole(replica_role::Follower);
     m_replica.clearLeader();
-    m_buffered.clear();
+    clearBuffered();
 }
 
 void log_leader::onTick()
@@ -159,14 +159,24 @@
         return false;
     if (m_unapplied.contains(id))
         return true;
-    if (m_unapplied.size() >= m_replica.options().maximumUncommitted)
+    const std::uint64_t bytes = approximateSize(command);
+    const bool hasRoom = m_unapplied.empty()
+        || (m_unapplied.size() < m_replica.options().maximumUncommitted
+            && unappliedBytes() + bytes <= m_replica.options().maximumUncommittedBytes);
+    if (!hasRoom)
         return false;
     m_unapplied.insert(id);
     m_buffered.push_back({ id, m_replica.hooks().wallNow(), command });
+    m_bufferedBytes += bytes;
     scheduleFlush();
     return true;
 }
 
+std::uint64_t log_leader::unappliedBytes() const
+{
+    return m_bufferedBytes + m_replica.log().bytesBetween(m_replica.applied(), m_replica.log().lastIndex());
+}
+
 void log_leader::scheduleFlush()
 {
     if (m_flush != timer_id {})
@@ -196,11 +206,17 @@
         index = index.next();
         entries.push_back({ m_replica.term(), index, std::move(item) });
     }
-    m_buffered.clear();
+    clearBuffered();
     m_replica.append(std::move(entries));
     m_replica.whenDurable([this] { advanceCommitIndex(); });
 }
 
+void log_leader::clearBuffered()
+{
+    m_buffered.clear();
+    m_bufferedBytes = 0;
+}
+
 void log_leader::appendVoters(voter_set next)
 {
     m_replica.report(log_level::Info, "changes the voters");
@@ -232,8 +248,7 @@
         sendSnapshot(to, progress);
         return;
     }
-    const std::uint64_t window = m_replica.options().maximumWindow;
-    while (progress.next <= m_replica.log().lastIndex() && progress.next.value() <= progress.match.value() + window) {
+    while (progress.next <= m_replica.log().lastIndex() && hasRoomInWindow(progress)) {
         if (progress.probing && progress.mayBeInTransit())
             return;
         entry_batch batch = batchFrom(progress.next);
@@ -247,13 +262,23 @@
     }
 }
 
+bool log_leader::hasRoomInWindow(const follower_progress& progress) const
+{
+    const log_store& log = m_replica.log();
+    const consensus_options& options = m_replica.options();
+    if (progress.next.value() > progress.match.value() + options.maximumWindow)
+        return false;
+    const log_index acknowledged = std::max(progress.match, log.base());
+    return log.bytesBetween(acknowledged, log_index(progress.next.value() - 1)) < options.maximumWindowBytes;
+}
+
 log_leader::entry_batch log_leader::batchFrom(log_index first) const
 {
     const consensus_options& options = m_replica.options();
     const log_store& log = m_replica.log();
     entry_batch batch;
     for (log_index i = first; i <= log.lastIndex() && batch.entries.size() < options.maximumBatch; i = i.next()) {
-        const std::size_t size = approximateSize(log.at(i));
+        const std::uint64_t size = log.bytesOf(i);
         if (!batch.entries.empty() && batch.bytes + size > options.maximumBatchBytes)
             break;
         batch.bytes += size;
@@ -266,7 +291,7 @@
 {
     std::uint64_t resent = 0;
     for (const log_entry& entry : batch.entries)
-        resent += entry.index < progress.sentEnd ? approximateSize(entry) : 0;
+        resent += entry.index < progress.sentEnd ? m_replica.log().bytesOf(entry.index) : 0;
     if (!progress.lag)
         progress.lag = follower_lag { batch.entries.back().index, m_replica.hooks().now() };
     progress.lag->sentBytes += batch.bytes;
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -45,7 +45,7 @@
 
     /** Appends a proposal to the log unless it is already there and not yet applied. A proposal that was applied
      * earlier is appended again; the control state detects the duplicate. Returns false if this VM is not the leader,
-     * is transferring leadership, or has maximumUncommitted proposals in progress. */
+     * is transferring leadership, or has too many proposals or bytes in progress. */
     bool submit(const proposal_id& id, const control_command& command);
     void onApplied(const proposal_id& id) { m_unapplied.erase(id); }
 
@@ -73,7 +73,7 @@
     /** Entries of one message, and their approximate encoded size. */
     struct entry_batch {
         std::vector<log_entry> entries;
-        std::size_t bytes = 0;
+        std::uint64_t bytes = 0;
     };
 
     /** Adds the VMs of the control state as followers. */
@@ -88,11 +88,16 @@
     void scheduleFlush();
     void appendVoters(voter_set next);
     void appendBuffered();
+    void clearBuffered();
+    /** The approximate size in bytes of the proposals that are not applied yet. */
+    std::uint64_t unappliedBytes() const;
     std::uint64_t currentRound() const { return m_firstRound + m_rounds.size() - 1; }
     bool countsAsSnapshotInFlight(const follower_progress& progress) const;
     bool isResponsive(const follower_progress& progress) const;
     void flush();
     void sendEntries(const vm_id& to, follower_progress& progress);
+    /** Whether the limits on unacknowledged entries allow sending the next one. */
+    bool hasRoomInWindow(const follower_progress& progress) const;
     void sendHeartbeat(const vm_id& to, const follower_progress& progress);
     void sendAppend(const vm_id& to, log_index previous, std::vector<log_entry> entries);
     /** Sends a snapshot unless one is on its way to the follower or too many to others are; the follower's answer to
@@ -126,6 +131,8 @@
     std::set<proposal_id> m_unapplied;
     /** Proposals that wait for the next flush, which writes and sends them as one batch. */
     std::vector<proposal> m_buffered;
+    /** The approximate size of m_buffered in bytes. */
+    std::uint64_t m_bufferedBytes = 0;
     timer_id m_flush;
     std::uint64_t m_sentBytes = 0;
     std::uint64_t m_resentBytes = 0;
--- a/src/decision/consensus/proposal_queue.cpp
+++ b/src/decision/consensus/proposal_queue.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "decision/control/proposer_table.h"
+#include "model/approximate_size.h"
 
 namespace plantainlatch {
 
@@ -46,14 +47,23 @@
 proposal_id proposal_queue::add(pending_proposal item)
 {
     const std::uint64_t sequence = ++m_lastSequence;
-    if (m_pending.size() >= m_replica.options().maximumPending) {
+    item.bytes = approximateSize(item.command);
+    if (!hasRoomFor(item)) {
         rejectLater(std::move(item.callback));
         return idOf(sequence);
     }
+    m_pendingBytes += item.bytes;
     trySend(sequence, m_pending.emplace(sequence, std::move(item)).first->second);
     return idOf(sequence);
 }
 
+bool proposal_queue::hasRoomFor(const pending_proposal& item) const
+{
+    const consensus_options& options = m_replica.options();
+    return m_pending.empty()
+        || (m_pending.size() < options.maximumPending && m_pendingBytes + item.bytes <= options.maximumPendingBytes);
+}
+
 void proposal_queue::rejectLater(result_callback callback)
 {
     const std::uint64_t sequence = m_lastSequence;
@@ -115,8 +125,10 @@
 void proposal_queue::finish(std::uint64_t sequence, absl::StatusOr<command_result> result)
 {
     auto item = m_pending.extract(sequence);
-    if (!item.empty())
-        item.mapped().callback(std::move(result));
+    if (item.empty())
+        return;
+    m_pendingBytes -= item.mapped().bytes;
+    item.mapped().callback(std::move(result));
 }
 
 void proposal_queue::onRequest(const vm_id& from, const propose_request& request)
--- a/src/decision/consensus/proposal_queue.h
+++ b/src/decision/consensus/proposal_queue.h
@@ -45,6 +45,8 @@
 private:
     struct pending_proposal {
         control_command command;
+        /** The approximate encoded size of the command. */
+        std::uint64_t bytes = 0;
         result_callback callback;
         time_point deadline;
         /** The proposal ends only when it is applied on this VM; the leader's result does not suffice. */
@@ -58,6 +60,7 @@
     void trySend(std::uint64_t sequence, pending_proposal& item);
     void finish(std::uint64_t sequence, absl::StatusOr<command_result> result);
     proposal_id add(pending_proposal item);
+    bool hasRoomFor(const pending_proposal& item) const;
     void rejectLater(result_callback callback);
 
     replica& m_replica;
@@ -65,6 +68,8 @@
     incarnation m_start;
     std::uint64_t m_lastSequence = 0;
     std::map<std::uint64_t, pending_proposal> m_pending;
+    /** The sum of pending_proposal::bytes. */
+    std::uint64_t m_pendingBytes = 0;
     std::map<std::uint64_t, timer_id> m_rejections;
 };
 
--- a/test/correctness/consensus_memory_test.cpp
+++ b/test/correctness/consensus_memory_test.cpp
@@ -61,6 +61,20 @@
             return true;
         }
 
+        /** Counts the bytes of entries that are sent to a VM from now on. */
+        void countEntriesTo(int number)
+        {
+            sentBytes = 0;
+            cluster.network.onSend
+                = [this, counted = cluster.name(number)](const vm_id&, const vm_id& to, const peer_message& message) {
+                      const auto* item = std::get_if<consensus_message>(&message);
+                      const auto* append = item != nullptr ? std::get_if<append_request>(item) : nullptr;
+                      if (append != nullptr && to == counted)
+                          sentBytes += approximateSize(append->entries);
+                  };
+        }
+
+        std::uint64_t sentBytes = 0;
         consensus_cluster cluster { 4, 3, 7 };
         std::map<std::uint64_t, absl::StatusOr<command_result>> results;
     };
@@ -93,4 +107,52 @@
     REQUIRE(cluster.until([&] { return allHaveApplied(last); }, 5s));
 }
 
+// Guards against a leader that holds all entries once more for each VM that is cut off.
+TEST_CASE_METHOD(large_change_fixture, "follower.that_does_not_answer.is_sent_a_limited_number_of_bytes")
+{
+    begin();
+    countEntriesTo(4);
+    cluster.network.isolate(cluster.name(4));
+    change(1, 12);
+    REQUIRE(sentBytes <= cluster.options.maximumWindowBytes + cluster.options.maximumBatchBytes + changeBytes);
+    cluster.network.rejoin(cluster.name(4));
+    const log_index last = cluster.vm(cluster.leader()).port->applied();
+    REQUIRE(cluster.until([&] { return allHaveApplied(last); }, 5s));
+}
+
+// Guards against memory that grows with each change that a leader accepts while no majority stores them.
+TEST_CASE_METHOD(large_change_fixture, "leader.whose_entries_get_lost.accepts_a_limited_number_of_bytes")
+{
+    begin();
+    const int leader = cluster.leader();
+    cluster.network.drops = [](const vm_id&, const vm_id&, const peer_message& message) {
+        const auto* item = std::get_if<consensus_message>(&message);
+        const auto* append = item != nullptr ? std::get_if<append_request>(item) : nullptr;
+        return append != nullptr && !append->entries.empty();
+    };
+    for (int through = 1; through <= cluster.size(); ++through) {
+        for (std::uint64_t i = 0; i < 20; ++i)
+            propose(through, static_cast<std::uint64_t>(through) * 100 + i);
+    }
+    cluster.advance(2s);
+    REQUIRE(cluster.leader() == leader);
+    REQUIRE(logBytes(leader) <= cluster.options.maximumUncommittedBytes + changeBytes);
+}
+
+// Guards against memory that grows with each change that waits for a leader.
+TEST_CASE_METHOD(large_change_fixture, "proposals.without_a_leader.are_refused_at_once_beyond_a_number_of_bytes")
+{
+    begin();
+    for (int i = 1; i <= 3; ++i)
+        cluster.kill(i);
+    for (std::uint64_t number = 1; number <= 100; ++number)
+        propose(4, number);
+    cluster.advance(1ms);
+    const std::uint64_t waiting = 100 - results.size();
+    REQUIRE(waiting * changeBytes <= cluster.options.maximumPendingBytes);
+    REQUIRE(waiting > 0);
+    for (const auto& [number, result] : results)
+        REQUIRE(result.status().code() == absl::StatusCode::kUnavailable);
+}
+
 } // namespace plantainlatch
