--- a/src/decision/control/apply_change.cpp
+++ b/src/decision/control/apply_change.cpp
@@ -10,6 +10,7 @@
 #include "decision/declarations/configuration_difference.h"
 #include "decision/declarations/declaration_difference.h"
 #include "decision/declarations/declaration_merge.h"
+#include "model/approximate_size.h"
 
 namespace plantainlatch {
 
@@ -66,11 +67,8 @@
         });
     }
 
-    void addToHistory(control_snapshot& state, const proposal& item, const declaration& content)
+    void mergeOldestIntoBase(control_snapshot& state)
     {
-        state.history.push_back({ content, item.proposedAt, item.id.vm });
-        if (state.history.size() <= maximumHistory)
-            return;
         finding_list findings;
         absl::StatusOr<configuration> base
             = mergeDeclaration(state.historyBase, state.history.front().content, findings);
@@ -80,6 +78,20 @@
         state.history.erase(state.history.begin());
     }
 
+    bool isHistoryTooLarge(const control_snapshot& state)
+    {
+        if (state.history.size() <= 1)
+            return false;
+        return state.history.size() > maximumHistory || approximateSize(state.history) > maximumHistoryBytes;
+    }
+
+    void addToHistory(control_snapshot& state, const proposal& item, const declaration& content)
+    {
+        state.history.push_back({ content, item.proposedAt, item.id.vm });
+        while (isHistoryTooLarge(state))
+            mergeOldestIntoBase(state);
+    }
+
 } // namespace
 
 command_result checkChangeNumber(const control_snapshot& state, const declaration& content)
--- a/src/decision/control/apply_change.h
+++ b/src/decision/control/apply_change.h
@@ -10,8 +10,10 @@
 
 namespace plantainlatch {
 
-/** The most declarations kept in the history; older ones are merged into `historyBase`. */
+/** Limits on the declarations kept in the history, by number and by approximate encoded bytes; older ones are merged
+ * into `historyBase`. The last one is kept whatever its size. */
 inline constexpr std::size_t maximumHistory = 512;
+inline constexpr std::size_t maximumHistoryBytes = 4 * 1024 * 1024;
 
 /** Merges the declaration into the configuration if the number that it replaces is in force. Returns the result of
  * checkChangeNumber() if that is not Accepted, and Refused with all findings if the merged configuration is invalid. */
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "decision/control/apply_change.h"
 #include "decision/declarations/declaration_difference.h"
 #include "decision/declarations/declaration_merge.h"
 #include "decision/operators/operator_service.h"
@@ -122,6 +123,27 @@
     REQUIRE(*configurationAt(state(), change_number(2)) == state().config);
 }
 
+// Guards against a state that grows with each large declaration, as the history was limited by number alone.
+TEST_CASE_METHOD(change_fixture, "history.of_large_declarations.is_limited_in_bytes_and_still_leads_back")
+{
+    constexpr std::size_t noteBytes = 256 * 1024;
+    apply(apply_declaration { threeRegionDeclaration() });
+    for (std::uint64_t number = 2; number <= 40; ++number) {
+        declaration content = declarationWithShare(number, static_cast<std::uint32_t>(number));
+        if (number > 2)
+            std::swap(content.shares.added, content.shares.changed);
+        content.note = std::string(noteBytes, 'x');
+        REQUIRE(apply(apply_declaration { content }).verdict == command_verdict::Accepted);
+    }
+    REQUIRE(approximateSize(state().history) <= maximumHistoryBytes);
+    REQUIRE(state().history.size() > 10);
+    configuration rebuilt = state().historyBase;
+    finding_list findings;
+    for (const history_record& record : state().history)
+        rebuilt = *mergeDeclaration(rebuilt, record.content, findings);
+    REQUIRE(rebuilt == state().config);
+}
+
 TEST_CASE_METHOD(change_fixture, "history.snapshot_with_the_base_of_an_empty_history.leads_back_to_the_same")
 {
     control_snapshot former;
