--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -50,6 +50,12 @@
         return framing;
     }
 
+    bool agrees(const http_answer_validator& validator, const upstream_answer& answer)
+    {
+        return validator.status().ok() && validator.isComplete() && validator.code() == answer.status
+            && validator.bodyBytes() == answer.body.size();
+    }
+
     bool isComplete(const upstream_answer& answer, const body_framing& framing, const answered_request& request)
     {
         if (framing.contradictory)
@@ -95,7 +101,8 @@
 
 } // namespace
 
-std::optional<upstream_answer> takeCompleteAnswer(evhttp_request* answer, const answered_request& request)
+std::optional<upstream_answer> takeCompleteAnswer(
+    evhttp_request* answer, const http_answer_validator& validator, const answered_request& request)
 {
     upstream_answer result;
     result.status = evhttp_request_get_response_code(answer);
@@ -105,7 +112,7 @@
     if (!belongsToCall(result.headers, request))
         return std::nullopt;
     result.body = moveBody(answer);
-    if (!isComplete(result, framingOf(result.headers), request))
+    if (!agrees(validator, result) || !isComplete(result, framingOf(result.headers), request))
         return std::nullopt;
     const std::optional<std::size_t> length = framingOf(result.headers).length;
     http_fields::keepEndToEnd(result.headers);
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "model/http.h"
+#include "services/http_answer_validator.h"
 
 struct evhttp_request;
 
@@ -27,7 +28,9 @@
 };
 
 /** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. None if the answer is
- * incomplete, has contradictory framing fields, echoes the name of another call, or lacks a required name. */
-std::optional<upstream_answer> takeCompleteAnswer(evhttp_request* answer, const answered_request& request);
+ * incomplete, has contradictory framing fields, echoes the name of another call, or lacks a required name, or if
+ * `validator`, which has read the same bytes, has not read the same answer. */
+std::optional<upstream_answer> takeCompleteAnswer(
+    evhttp_request* answer, const http_answer_validator& validator, const answered_request& request);
 
 } // namespace plantainlatch
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -91,7 +91,7 @@
         , namePrefix(absl::StrCat(kernelHooks.random(), "-"))
         , connections(base, hooks, clientOptions.connections,
               { [this](upstream_connection& connection) { beginDispatch(connection.exchange); },
-                  [this](upstream_connection& connection) { endFlood(connection.exchange); } })
+                  [this](upstream_connection& connection) { rejectInput(connection.exchange); } })
     {
     }
 
@@ -99,8 +99,8 @@
     duration dispatchTimeoutOf(const upstream_call& call) const;
     evhttp_request* makeRequest(const exchange& item);
     void beginDispatch(std::uint64_t key);
-    /** Fails the call as malformed, as more bytes have arrived for it than an answer may have. */
-    void endFlood(std::uint64_t key);
+    /** Fails the call as malformed, as what has arrived for it can't become an answer. */
+    void rejectInput(std::uint64_t key);
     void requestDone(upstream_connection& connection, evhttp_request* request);
     void requestFailed(upstream_connection& connection, evhttp_request_error error);
     void timedOut(std::uint64_t key);
@@ -138,7 +138,7 @@
     item.events = std::move(events);
     item.connection = connection;
     item.name = options.dialect.nameOf(item.call, absl::StrCat(namePrefix, key));
-    connection->exchange = key;
+    connections.beginExchange(*connection, key, item.call.method == "HEAD");
     exchanges.emplace(key, std::move(added));
     const duration dispatchTimeout = dispatchTimeoutOf(item.call);
     item.dispatchDeadline = hooks.now() + dispatchTimeout;
@@ -209,7 +209,7 @@
         onDispatch();
 }
 
-void upstream_client::implementation::endFlood(std::uint64_t key)
+void upstream_client::implementation::rejectInput(std::uint64_t key)
 {
     hooks.schedule(duration::zero(), [this, key] { fail(key, call_failure::Malformed); });
 }
@@ -234,7 +234,8 @@
     }
     const upstream_dialect& dialect = options.dialect;
     const bool requiresName = dialect.upstreamsEchoName && connection.isReused;
-    std::optional<upstream_answer> answer = takeCompleteAnswer(request,
+    connection.validator->endOfStream();
+    std::optional<upstream_answer> answer = takeCompleteAnswer(request, *connection.validator,
         { item.call.method == "HEAD", dialect.nameField, item.name, requiresName, dialect.allowsCloseDelimitedBody });
     if (!answer) {
         fail(key, call_failure::Malformed);
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -125,11 +125,31 @@
     upstream_connections& owner = *connection.owner;
     if (info->n_added == 0 || connection.closed || connection.exchange == 0)
         return;
-    if (evbuffer_get_length(buffer) >= owner.maximumInput())
-        owner.m_events.onFlood(connection);
+    if (!owner.validate(connection, buffer, info->n_added) || evbuffer_get_length(buffer) >= owner.maximumInput())
+        owner.m_events.onUnusableInput(connection);
     owner.countReceived(connection, info->n_added);
 }
 
+bool upstream_connections::validate(upstream_connection& connection, evbuffer* buffer, std::size_t addedBytes) const
+{
+    http_answer_validator& validator = *connection.validator;
+    if (!validator.status().ok())
+        return false;
+    // What was added is at the end of the buffer; the library has not consumed any of it yet.
+    evbuffer_ptr added {};
+    evbuffer_ptr_set(buffer, &added, evbuffer_get_length(buffer) - addedBytes, EVBUFFER_PTR_SET);
+    const int count = evbuffer_peek(buffer, -1, &added, nullptr, 0);
+    std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(count));
+    evbuffer_peek(buffer, -1, &added, pieces.data(), count);
+    for (const evbuffer_iovec& piece : pieces)
+        validator.feed({ static_cast<const char*>(piece.iov_base), piece.iov_len });
+    if (validator.status().ok())
+        return true;
+    m_hooks.log({ log_level::Warning, "upstreams", "an answer is not valid HTTP",
+        { { "upstream", formatAddress(connection.address) }, { "why", std::string(validator.status().message()) } } });
+    return false;
+}
+
 void upstream_connections::countReceived(upstream_connection& connection, std::size_t bytes)
 {
     if (connection.flooded)
@@ -160,7 +180,7 @@
             { "all_bytes", absl::StrCat(m_received) } } });
     forgetReceived(*largest);
     largest->flooded = true;
-    m_events.onFlood(*largest);
+    m_events.onUnusableInput(*largest);
 }
 
 bool upstream_connections::isReusable(const upstream_connection& connection) const
@@ -175,11 +195,18 @@
     return peekInput(socket) == socket_input::None;
 }
 
+void upstream_connections::beginExchange(upstream_connection& connection, std::uint64_t exchange, bool head) const
+{
+    connection.exchange = exchange;
+    connection.validator = std::make_unique<http_answer_validator>(head, m_limits.maximumAnswerHeaders.value());
+}
+
 void upstream_connections::release(upstream_connection& connection)
 {
     internal_assert(!connection.idle) << "connection to " << formatAddress(connection.address) << " released twice";
     forgetReceived(connection);
     connection.exchange = 0;
+    connection.validator.reset();
     bufferevent* channel = evhttp_connection_get_bufferevent(connection.handle);
     const bool unread = evbuffer_get_length(bufferevent_get_input(channel)) > 0;
     if (bufferevent_getfd(channel) < 0 || unread || connection.flooded || m_idle >= m_limits.maximumIdle) {
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -13,6 +13,7 @@
 #include "core/units.h"
 #include "kernel/hooks.h"
 #include "model/address.h"
+#include "services/http_answer_validator.h"
 
 struct event_base;
 struct evhttp_connection;
@@ -41,6 +42,8 @@
     std::size_t received = 0;
     /** The exchange is to be failed, as it received too much; its further bytes are not counted. */
     bool flooded = false;
+    /** Reads all that is received for the current exchange; null without one. */
+    std::unique_ptr<http_answer_validator> validator;
     time_point idleSince {};
 };
 
@@ -60,9 +63,10 @@
     /** Called when the first byte of the request enters the output buffer, before any byte is passed to the operating
      * system. */
     std::function<void(upstream_connection&)> onDispatch;
-    /** Called at least once when more bytes have arrived than an answer may have and the library has not consumed them,
-     * or when the incomplete answers exceed their limit together and this one is the largest. */
-    std::function<void(upstream_connection&)> onFlood;
+    /** Called at least once when what has arrived can't become an answer: it is not valid HTTP, more bytes have arrived
+     * than an answer may have and the library has not consumed them, or the incomplete answers exceed their limit
+     * together and this one is the largest. */
+    std::function<void(upstream_connection&)> onUnusableInput;
 };
 
 /** Opens, reuses and closes connections. */
@@ -75,9 +79,13 @@
     upstream_connections& operator=(const upstream_connections&) = delete;
 
     /** Returns a connection for one request: an idle one that can be reused, or a new one, which connects when the
-     * request is made. `fresh` requires a new one. Null if `limit` connections to the address are in use. */
+     * request is made. `fresh` requires a new one. Null if `limit` connections to the address are in use. The caller
+     * sets the exchange with beginExchange(). */
     upstream_connection* acquire(const network_address& address, std::uint32_t limit, bool fresh);
 
+    /** Begins an exchange on an acquired connection. `head` is set for a HEAD request. */
+    void beginExchange(upstream_connection& connection, std::uint64_t exchange, bool head) const;
+
     /** Returns a connection to its pool after the complete answer was read. It is closed instead if the upstream closes
      * it or has sent further bytes, or if there are too many idle connections. */
     void release(upstream_connection& connection);
@@ -110,6 +118,9 @@
 
     static void outputChanged(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
     static void inputChanged(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
+    /** Lets the validator read the bytes that were added to the buffer, and logs the first that are not valid. Returns
+     * whether all of the exchange's bytes are valid so far. */
+    bool validate(upstream_connection& connection, evbuffer* buffer, std::size_t addedBytes) const;
     void countReceived(upstream_connection& connection, std::size_t bytes);
     void forgetReceived(upstream_connection& connection);
     /** Fails the exchange that has received the most bytes. */
--- a/test/error/faulty_upstream_test.cpp
+++ b/test/error/faulty_upstream_test.cpp
@@ -198,6 +198,28 @@
     REQUIRE(upstream.accepted == 2);
 }
 
+// Guards against spoiled answers that are passed on to callers as a success with another body, or as invalid bytes.
+TEST_CASE_METHOD(faulty_upstream_fixture, "upstream_answer.that_is_not_valid_http.is_malformed_at_once")
+{
+    const std::string fields = "X-Request-Id: abc\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string rest = "Content-Length: 5\r\n\r\nlight";
+    const auto bytes = GENERATE_COPY(as<std::string> {}, chunked + "5\r\nligh\r\n3\r\nt++\r\n0\r\n\r\n",
+        chunked + "4\r\nlight\r\n0\r\n\r\n", chunked + "5 \x01\r\nlight\r\n0\r\n\r\n",
+        chunked + "-5\r\nlight\r\n0\r\n\r\n", chunked + "5\r\nlight\r\n0\r\nX Court: 7\r\n\r\n",
+        "HTTP/1.1 2000OK\r\n" + fields + rest, "HTTP/1.1 0200 OK\r\n" + fields + rest,
+        "HTTP/1.1 20 OK\r\n" + fields + rest, "HTTP/1.1 600 OK\r\n" + fields + rest,
+        "HTTP/1.1 200 O\x01\r\n" + fields + rest, "HTTQ/1.1 200 OK\r\n" + fields + rest,
+        head + "X-Server Stamp: 1\r\n" + rest, head + "X-Server-Stamp : 1\r\n" + rest,
+        head + "X-S\x80rver: 1\r\n" + rest, head + "X-Server: \x01\r\n" + rest, head + "X-Server\r\n" + rest,
+        head + "Content-Length: +5\r\n\r\nlight", head + "Content-Length: 4\r\n" + rest,
+        head + "Transfer-Encoding: zip\r\n\r\nlight", head + "Transfer-Encoding: chunked\r\n" + rest);
+    answerWith(bytes);
+    CAPTURE(bytes);
+    requireNotAnswered(call("abc"));
+}
+
 TEST_CASE_METHOD(faulty_upstream_fixture, "upstream_answer.earlier_refusal_on_an_idle_connection.closes_the_connection")
 {
     openConnection();
