--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -43,4 +43,18 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void setResetOnClose(int socket, bool resets)
+{
+    const linger option { resets ? 1 : 0, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+void resetConnection(int socket)
+{
+    // Linux resets a TCP connection whose socket is dissociated from its peer.
+    sockaddr none {};
+    none.sa_family = AF_UNSPEC;
+    connect(socket, &none, sizeof(none));
+}
+
 } // namespace plantainlatch
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -32,4 +32,11 @@
 /** Disables Nagle's algorithm, which would delay small messages (TCP_NODELAY). */
 void disableNagle(int socket);
 
+/** Sets whether the end of the socket, by close() or with its process, resets the connection. The operating system then
+ * drops what it has not delivered, instead of sending it again until it is acknowledged (SO_LINGER). */
+void setResetOnClose(int socket, bool resets);
+
+/** Resets the connection at once; the socket stays open. */
+void resetConnection(int socket);
+
 } // namespace plantainlatch
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -26,6 +26,19 @@
         return bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle));
     }
 
+    /** Prepares a socket for its end. A connection with a request that was not answered is reset, as the library would
+     * close it in the ordinary way. */
+    void endSocket(const upstream_connection& connection)
+    {
+        const evutil_socket_t socket = socketOf(connection);
+        if (socket < 0)
+            return;
+        if (connection.exchange != 0)
+            resetConnection(socket);
+        else
+            setResetOnClose(socket, false);
+    }
+
 } // namespace
 
 upstream_connections::upstream_connections(
@@ -43,8 +56,10 @@
     m_hooks.cancel(m_expiryTimer);
     freeClosed();
     for (auto& [address, connections] : m_pools) {
-        for (const auto& connection : connections.all)
+        for (const auto& connection : connections.all) {
+            endSocket(*connection);
             evhttp_connection_free(connection->handle);
+        }
     }
 }
 
@@ -109,8 +124,11 @@
     if (info->n_added == 0 || connection.dispatched || connection.closed)
         return;
     connection.dispatched = true;
-    if (!std::exchange(connection.nagleDisabled, true))
+    if (!std::exchange(connection.configured, true)) {
         disableNagle(socketOf(connection));
+        // A request that is given up must not wait in the network and arrive later.
+        setResetOnClose(socketOf(connection), true);
+    }
     connection.owner->m_events.onDispatch(connection);
 }
 
@@ -276,11 +294,11 @@
 {
     connection->closed = true;
     // The connection may still be established before it is freed, and evhttp would then send the request. Removing the
-    // callbacks prevents this, and the shutdown keeps buffered bytes from being sent.
+    // callbacks prevents this, and buffered bytes are not sent once writing is disabled.
     bufferevent* channel = evhttp_connection_get_bufferevent(connection->handle);
     bufferevent_setcb(channel, nullptr, nullptr, nullptr, nullptr);
-    if (bufferevent_getfd(channel) >= 0)
-        shutdown(bufferevent_getfd(channel), SHUT_RDWR);
+    bufferevent_disable(channel, EV_READ | EV_WRITE);
+    endSocket(*connection);
     m_closed.push_back(std::move(connection));
     if (m_freeTimer == timer_id())
         m_freeTimer = m_hooks.schedule(duration::zero(), [this] { freeClosed(); });
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -35,7 +35,8 @@
     bool dispatched = false;
     /** Whether the connection has carried an earlier request. */
     bool isReused = false;
-    bool nagleDisabled = false;
+    /** Whether the options of the socket are set. */
+    bool configured = false;
     bool closed = false;
     bool idle = false;
     /** The bytes received for the current exchange; they are buffered until its answer is complete. */
@@ -90,7 +91,8 @@
      * it or has sent further bytes, or if there are too many idle connections. */
     void release(upstream_connection& connection);
 
-    /** Closes a connection. It is freed in the next iteration of the event loop. */
+    /** Closes a connection. It is freed in the next iteration of the event loop. If a request was dispatched on it and
+     * not answered, the connection is reset, so that the request can't arrive after its call has ended. */
     void discard(upstream_connection& connection);
 
     /** Shuts down the socket of a connection whose request is in the output buffer, so that no byte of it is sent; the
--- a/test/error/raw_upstream.cpp
+++ b/test/error/raw_upstream.cpp
@@ -59,9 +59,10 @@
             if (from.closing)
                 from.owner->closeNow(from);
         },
-        [](bufferevent*, short, void* item) {
+        [](bufferevent*, short events, void* item) {
             auto& from = *static_cast<channel*>(item);
             ++from.owner->closedByPeer;
+            from.owner->resetByPeer += (events & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNRESET ? 1 : 0;
             from.owner->closeNow(from);
         },
         added.get());
--- a/test/error/raw_upstream.h
+++ b/test/error/raw_upstream.h
@@ -42,8 +42,9 @@
 
     std::vector<std::string> requests;
     std::size_t accepted = 0;
-    /** The number of connections that the client closed. */
+    /** The number of connections that the client closed or reset, and of those that it reset. */
     std::size_t closedByPeer = 0;
+    std::size_t resetByPeer = 0;
 
 private:
     struct channel {
--- a/test/error/upstream_client_test.cpp
+++ b/test/error/upstream_client_test.cpp
@@ -365,6 +365,39 @@
     REQUIRE_FALSE(record.ended());
 }
 
+// Guards against a request that its call has given up, but that waits in the network and runs at its upstream later.
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.call_that_ends_without_an_answer.resets_its_connection")
+{
+    const bool isCancelled = GENERATE(true, false);
+    call_record record;
+    const upstream_call call = callTo(upstream.address(), std::chrono::milliseconds(100));
+    subject->port().start(call, recordIn(record));
+    runUntil([&] { return !upstream.requests.empty(); });
+    if (isCancelled)
+        subject->port().cancel(call.id);
+    runUntil([&] { return upstream.closedByPeer == 1; });
+    REQUIRE(upstream.resetByPeer == 1);
+}
+
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.connection_after_an_answer.is_closed_without_a_reset")
+{
+    REQUIRE(runAgainst(smallAnswer, false).answer);
+    subject->port().closeIdleConnections(upstream.address());
+    runUntil([&] { return upstream.closedByPeer == 1; });
+    REQUIRE(upstream.resetByPeer == 0);
+}
+
+// Guards against the same at the end of the process, which ends calls without any other sign.
+TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.destroyed_during_a_call.resets_the_connection")
+{
+    call_record record;
+    subject->port().start(callTo(upstream.address()), recordIn(record));
+    runUntil([&] { return !upstream.requests.empty(); });
+    subject.reset();
+    runUntil([&] { return upstream.closedByPeer == 1; });
+    REQUIRE(upstream.resetByPeer == 1);
+}
+
 TEST_CASE_METHOD(upstream_client_fixture, "upstream_client.polled_upstream.reports_health_and_load_or_fails")
 {
     std::string load = R"({"running":2,"queued":1,"draining":true})";
