--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -167,6 +167,17 @@
     return former.generation == offered.generation && offered.sequence < former.sequence;
 }
 
+std::optional<upstream_generation> lastKnownGeneration(const control_snapshot& state, const upstream_id& id)
+{
+    const auto registered = state.directory.find(id);
+    if (registered != state.directory.end())
+        return registered->second.announcement.generation;
+    const auto departure = state.departed.find(id);
+    if (departure != state.departed.end())
+        return departure->second.generation;
+    return std::nullopt;
+}
+
 bool hasSameContent(const upstream_announcement& left, const upstream_announcement& right)
 {
     upstream_announcement comparable = right;
--- a/src/decision/control/apply_directory.h
+++ b/src/decision/control/apply_directory.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 
 #include "absl/status/status.h"
 #include "model/control_snapshot.h"
@@ -61,6 +62,9 @@
 /** Whether the announcement's service is declared, and its failure domain belongs to its region. */
 bool isLocationDeclared(const configuration& config, const upstream_announcement& announcement);
 
+/** The generation that is registered, or the last one that was; none if the upstream is not known. */
+std::optional<upstream_generation> lastKnownGeneration(const control_snapshot& state, const upstream_id& id);
+
 /** Whether two announcements of one generation are equal apart from their sequence numbers and, if both upstreams are
  * cold, the remaining cold time. Such a renewal needs no entry in the log. */
 bool hasSameContent(const upstream_announcement& left, const upstream_announcement& right);
--- a/src/decision/directory/directory_service.cpp
+++ b/src/decision/directory/directory_service.cpp
@@ -182,9 +182,11 @@
             done(absl::UnavailableError("the sender of the call is gone"));
             return;
         }
-        const auto known = m_control->state().directory.find(id);
-        const bool isKnown = known != m_control->state().directory.end();
-        leave(id, isKnown ? known->second.announcement.generation : upstream_generation(), done);
+        const std::optional<upstream_generation> generation = lastKnownGeneration(m_control->state(), id);
+        if (generation)
+            leave(id, *generation, done);
+        else
+            done(absl::UnavailableError("the upstream is not known, so its generation could join later"));
     });
 }
 
--- a/test/correctness/directory_test.cpp
+++ b/test/correctness/directory_test.cpp
@@ -33,6 +33,15 @@
             return code;
         }
 
+        absl::StatusCode leaveWithoutGeneration(const std::string& vm)
+        {
+            absl::StatusCode code = absl::StatusCode::kUnknown;
+            port(vm).leave(
+                first.id, std::nullopt, isAwaited, [&](const absl::Status& status) { code = status.code(); });
+            cluster.runtime.advance(300ms);
+            return code;
+        }
+
         void renewFor(const std::string& vm, const upstream_announcement& offered, duration span)
         {
             for (duration passed {}; passed < span; passed += 1s) {
@@ -180,6 +189,29 @@
     }
 }
 
+// Guards against a leave that is acknowledged and not recorded, after which a late announcement registers the upstream.
+TEST_CASE_METHOD(
+    directory_fixture, "directory.leave_without_generation_after_expiration.keeps_out_the_generation_that_expired")
+{
+    REQUIRE(announce("b", first) == absl::StatusCode::kOk);
+    cluster.runtime.advance(14s);
+    REQUIRE_FALSE(isKnown("u1"));
+    REQUIRE(leaveWithoutGeneration("c") == absl::StatusCode::kOk);
+    REQUIRE(announce("b", first) == absl::StatusCode::kPermissionDenied);
+    REQUIRE_FALSE(isKnown("u1"));
+    first.generation = first.generation.next();
+    REQUIRE(announce("b", first) == absl::StatusCode::kOk);
+}
+
+// Guards against the same for an upstream whose announcements are all late, so that its generation is not known yet.
+TEST_CASE_METHOD(directory_fixture, "directory.leave_without_generation_of_an_unknown_upstream.is_not_acknowledged")
+{
+    REQUIRE(leaveWithoutGeneration("c") == absl::StatusCode::kUnavailable);
+    REQUIRE(announce("b", first) == absl::StatusCode::kOk);
+    REQUIRE(leaveWithoutGeneration("c") == absl::StatusCode::kOk);
+    REQUIRE(announce("b", first) == absl::StatusCode::kPermissionDenied);
+}
+
 TEST_CASE_METHOD(directory_fixture, "directory.leave_without_generation_and_without_a_leader.is_not_acknowledged")
 {
     announce("b", first);
