--- a/src/decision/control/apply_directory.cpp
+++ b/src/decision/control/apply_directory.cpp
@@ -87,15 +87,6 @@
         return absl::OkStatus();
     }
 
-    /** Removes other upstreams at this address, which checkIdentity() found to be of earlier generations. They are not
-     * recorded as deregistered: the announcement that claims the address may be wrong, and they may be alive. */
-    void removeFormerAddressOwners(control_snapshot& state, const upstream_announcement& offered)
-    {
-        std::erase_if(state.directory, [&offered](const auto& item) {
-            return item.first != offered.id && item.second.announcement.address == offered.address;
-        });
-    }
-
     absl::Status checkAdmission(const control_snapshot& state, const upstream_announcement& offered, wall_time now,
         const directory_rules& rules)
     {
@@ -135,6 +126,21 @@
         internal_assert(state.departed.size() <= maximumDeparted) << state.departed.size();
     }
 
+    /** Removes other upstreams at this address, which checkIdentity() found to be of earlier generations. They are not
+     * recorded as deregistered: the announcement that claims the address may be wrong, and they may be alive. */
+    void removeFormerAddressOwners(control_snapshot& state, const upstream_announcement& offered, wall_time now)
+    {
+        std::vector<upstream_left> removed;
+        for (const auto& [id, record] : state.directory) {
+            if (id != offered.id && record.announcement.address == offered.address)
+                removed.push_back({ id, record.announcement.generation, false });
+        }
+        for (const upstream_left& item : removed) {
+            state.directory.erase(item.id);
+            recordDeparture(state, item, now);
+        }
+    }
+
 } // namespace
 
 duration flapDelay(std::uint32_t expirations)
@@ -223,7 +229,7 @@
             recordDeparture(state, { offered.id, former, false }, item.proposedAt);
     }
     if (rules.latestOwnsAddress)
-        removeFormerAddressOwners(state, offered);
+        removeFormerAddressOwners(state, offered, item.proposedAt);
     state.directory[offered.id] = { offered, item.proposedAt };
     internal_assert(state.directory.size() <= maximumUpstreams) << state.directory.size();
     return accepted();
--- a/test/correctness/directory_state_test.cpp
+++ b/test/correctness/directory_state_test.cpp
@@ -154,4 +154,20 @@
     REQUIRE(join(first) == command_verdict::Accepted);
 }
 
+// Guards against a leave without effect after the address of the upstream was taken over, so that it had no record.
+TEST_CASE_METHOD(
+    directory_state_fixture, "directory_state.upstream_that_left_after_its_address_was_taken_over.does_not_come_back")
+{
+    first.generation = upstream_generation(100);
+    join(first);
+    upstream_announcement second = bookingUpstream("u2", 9001);
+    second.generation = upstream_generation(200);
+    join(second);
+    REQUIRE(lastKnownGeneration(state, first.id) == first.generation);
+    leave(first, true);
+    leave(second, true);
+    first.sequence = 9;
+    REQUIRE(join(first) == command_verdict::Refused);
+}
+
 } // namespace plantainlatch
