platform_soak: add pipelined requests in a stated order

g++ on x86-64 evaluated the two calls that add pipelined requests in the other order than on arm64, so the first request got the id of the second and the soak reported crossed answers in every run.

--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -147,10 +147,14 @@
     case caller_kind::ExpectsContinue:
         caller.pieces = { addRequest(caller, "PUT /deposit/x", "Content-Length: 4\r\nExpect: 100-continue"), "body" };
         return;
-    case caller_kind::Pipelines:
-        caller.pieces = { addRequest(caller, "GET /lookup/x", empty) + addRequest(caller, "GET /lookup/y", empty) };
+    case caller_kind::Pipelines: {
+        // Answers are expected in the order in which the requests are added.
+        const std::string first = addRequest(caller, "GET /lookup/x", empty);
+        const std::string second = addRequest(caller, "GET /lookup/y", empty);
+        caller.pieces = { first + second };
         return;
     }
+    }
 }
 
 std::string platform_callers::addRequest(soak_caller& caller, const std::string& start, const std::string& framing)
