--- a/src/decision/consensus/log_leader.cpp
+++ b/src/decision/consensus/log_leader.cpp
@@ -6,6 +6,7 @@
 #include "core/internal_assert.h"
 #include "decision/consensus/quorum.h"
 #include "decision/consensus/voter_changes.h"
+#include "decision/consensus/voter_replacement.h"
 #include "model/approximate_size.h"
 
 namespace plantainlatch {
@@ -438,43 +439,21 @@
 {
     const time_point now = m_replica.hooks().now();
     const duration silence = m_replica.options().replaceVoterAfter;
-    std::vector<replica_id> silent;
-    for (const replica_id& voter : m_replica.log().voters().voters) {
+    if (now < m_electedAt + silence)
+        return {};
+    const voter_set& voters = m_replica.log().voters();
+    std::vector<silent_voter> silent;
+    for (const replica_id& voter : voters.voters) {
         const auto progress = m_followers.find(voter.vm);
-        const bool hasAnswered = progress != m_followers.end() && progress->second.id == voter
+        const bool isKnown = progress != m_followers.end();
+        const bool hasAnswered = isKnown && progress->second.id == voter
             && now < std::max(progress->second.lastAnswer, m_electedAt) + silence;
-        if (voter != m_replica.self() && !hasAnswered && now >= m_electedAt + silence)
-            silent.push_back(voter);
+        if (voter == m_replica.self() || hasAnswered)
+            continue;
+        const bool vmAnswers = isKnown && isResponsive(progress->second);
+        silent.push_back({ voter, vmAnswers, sharesFailureDomain(voter, voters, m_replica.state().vms) });
     }
-    std::stable_sort(silent.begin(), silent.end(), [this](const replica_id& left, const replica_id& right) {
-        return replacementRank(left) < replacementRank(right);
-    });
-    return silent;
-}
-
-int log_leader::replacementRank(const replica_id& voter) const
-{
-    const auto progress = m_followers.find(voter.vm);
-    const bool vmAnswers = progress != m_followers.end() && isResponsive(progress->second);
-    // A VM that answers under another identity has a failed disk, which still holds the voter's log and is rewritten
-    // once it takes writes.
-    if (vmAnswers)
-        return 2;
-    return sharesFailureDomain(voter) ? 0 : 1;
-}
-
-bool log_leader::sharesFailureDomain(const replica_id& voter) const
-{
-    const auto& vms = m_replica.state().vms;
-    const auto found = vms.find(voter.vm);
-    if (found == vms.end())
-        return false;
-    const std::set<replica_id>& voters = m_replica.log().voters().voters;
-    return std::any_of(voters.begin(), voters.end(), [&](const replica_id& other) {
-        const auto record = vms.find(other.vm);
-        return other.vm != voter.vm && record != vms.end()
-            && record->second.record.failureDomain == found->second.record.failureDomain;
-    });
+    return orderOfReplacement(std::move(silent));
 }
 
 void log_leader::changeVoters()
--- a/src/decision/consensus/log_leader.h
+++ b/src/decision/consensus/log_leader.h
@@ -113,10 +113,6 @@
     void goBack(follower_progress& progress, const append_answer& answer);
     void advanceCommitIndex();
     void changeVoters();
-    /** The place of a silent voter in the order of replacement; the lowest is replaced first. */
-    int replacementRank(const replica_id& voter) const;
-    /** Whether another voter is in the failure domain of this one, as the successor of a lost machine is. */
-    bool sharesFailureDomain(const replica_id& voter) const;
     void tryTransfer();
 
     replica& m_replica;
