--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -49,6 +49,8 @@
             return "timeout";
         case call_failure::Malformed:
             return "malformed-answer";
+        case call_failure::OtherAnswer:
+            return "other-answer";
         }
         internal_assert(false) << "invalid call failure " << static_cast<int>(failure);
         return "";
--- a/src/decision/request/request_options.cpp
+++ b/src/decision/request/request_options.cpp
@@ -56,6 +56,9 @@
     };
     policies.recordsTimeoutLatencies = [] { return true; };
     policies.mayRetry = [](const failed_attempt& attempt) {
+        // The caller learns at once that the request has run to its end, and decides whether it runs again.
+        if (attempt.hasUnusableAnswer)
+            return false;
         return attempt.remaining > duration::zero() && (attempt.traits.idempotent || definitelyNotRun(attempt.state));
     };
     policies.isMarkedRefusal = [](const upstream_answer& answer) {
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -32,6 +32,8 @@
 struct failed_attempt {
     request_traits traits;
     attempt_state state = attempt_state::Lost;
+    /** The upstream ran the request and gave an answer that can't be passed on. */
+    bool hasUnusableAnswer = false;
     /** Time until the request's deadline. */
     duration remaining {};
 };
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -200,7 +200,9 @@
         return false;
     if (m_request.policy.maximumAttempts != 0 && m_dispatchCount >= m_request.policy.maximumAttempts)
         return false;
-    const failed_attempt failed { m_request.traits, result.state, remaining() };
+    const bool hasUnusableAnswer
+        = result.ended == attempt_result::kind::Lost && result.failure == call_failure::Malformed;
+    const failed_attempt failed { m_request.traits, result.state, hasUnusableAnswer, remaining() };
     if (!options.policies.mayRetry(failed))
         return false;
     if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -32,6 +32,7 @@
             return slot_result::kind::Timeout;
         case call_failure::Lost:
         case call_failure::Malformed:
+        case call_failure::OtherAnswer:
             return slot_result::kind::Lost;
         }
         internal_assert(false) << "invalid call failure " << static_cast<int>(failure);
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -46,8 +46,10 @@
     /** The connection closed after dispatch and before the answer was complete. */
     Lost,
     Timeout,
-    /** The answer is invalid, incomplete or too large, or it belongs to another request. */
+    /** The answer is not valid HTTP, or it is too large. */
     Malformed,
+    /** The answer is that to another call, or may be. */
+    OtherAnswer,
 };
 
 /** Callbacks of a call. onAnswer or onFailure is the last one. */
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -52,7 +52,7 @@
 
     bool agrees(const http_answer_validator& validator, const upstream_answer& answer)
     {
-        return validator.status().ok() && validator.isComplete() && validator.code() == answer.status
+        return validator.isComplete() && validator.code() == answer.status
             && validator.bodyBytes() == answer.body.size();
     }
 
@@ -101,19 +101,19 @@
 
 } // namespace
 
-std::optional<upstream_answer> takeCompleteAnswer(
+std::variant<upstream_answer, call_failure> takeCompleteAnswer(
     evhttp_request* answer, const http_answer_validator& validator, const answered_request& request)
 {
     upstream_answer result;
     result.status = evhttp_request_get_response_code(answer);
-    if (result.status < firstFinalStatus)
-        return std::nullopt;
     result.headers = copyFields(answer);
+    if (result.status < firstFinalStatus || !validator.status().ok())
+        return call_failure::Malformed;
     if (!belongsToCall(result.headers, request))
-        return std::nullopt;
+        return call_failure::OtherAnswer;
     result.body = moveBody(answer);
     if (!agrees(validator, result) || !isComplete(result, framingOf(result.headers), request))
-        return std::nullopt;
+        return call_failure::Malformed;
     const std::optional<std::size_t> length = framingOf(result.headers).length;
     http_fields::keepEndToEnd(result.headers);
     if (request.head && length)
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -4,10 +4,11 @@
  * Checks that an answer received by evhttp is complete and belongs to its request.
  */
 
-#include <optional>
 #include <string>
+#include <variant>
 
 #include "model/http.h"
+#include "ports/upstream_port.h"
 #include "services/http_answer_validator.h"
 
 struct evhttp_request;
@@ -27,10 +28,10 @@
     bool allowsCloseDelimitedBody = false;
 };
 
-/** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. None if the answer is
- * incomplete, has contradictory framing fields, echoes the name of another call, or lacks a required name, or if
- * `validator`, which has read the same bytes, has not read the same answer. */
-std::optional<upstream_answer> takeCompleteAnswer(
+/** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. OtherAnswer if the answer
+ * echoes the name of another call or lacks a required name; Malformed if it is incomplete or has contradictory framing
+ * fields, or if `validator`, which has read the same bytes, has not read the same answer. */
+std::variant<upstream_answer, call_failure> takeCompleteAnswer(
     evhttp_request* answer, const http_answer_validator& validator, const answered_request& request);
 
 } // namespace plantainlatch
--- a/src/services/operator_client.cpp
+++ b/src/services/operator_client.cpp
@@ -24,6 +24,8 @@
             return "did not answer in time";
         case call_failure::Malformed:
             return "gave an invalid answer";
+        case call_failure::OtherAnswer:
+            return "gave the answer to another call";
         }
         return "failed";
     }
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -29,6 +29,10 @@
         LostRequest,
         /** The request runs, and the connection is lost before the answer. */
         LostAnswer,
+        /** The request runs, and its answer is not valid HTTP. */
+        MalformedAnswer,
+        /** The request runs, and the answer to another call comes in its place. */
+        OtherAnswer,
         /** The request does not run, and the connection stays open without an answer. */
         Silent,
         /** The upstream crashes while it runs the request; the connections of all calls to it are lost. */
