--- a/src/decision/consensus/voter_replacement.cpp
+++ b/src/decision/consensus/voter_replacement.cpp
@@ -32,6 +32,7 @@
     std::stable_sort(voters.begin(), voters.end(),
         [](const silent_voter& left, const silent_voter& right) { return rankOf(left) < rankOf(right); });
     std::vector<replica_id> order;
+    order.reserve(voters.size());
     for (const silent_voter& voter : voters)
         order.push_back(voter.id);
     return order;
