--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -51,10 +51,11 @@
 
 void resetConnection(int socket)
 {
-    // Linux resets a TCP connection whose socket is dissociated from its peer.
+    // Linux resets a TCP connection whose socket is dissociated from its peer. A socket that has no connection any more
+    // has nothing to reset.
     sockaddr none {};
     none.sa_family = AF_UNSPEC;
-    connect(socket, &none, sizeof(none));
+    static_cast<void>(connect(socket, &none, sizeof(none)));
 }
 
 } // namespace plantainlatch
--- a/test/error/http_answer_validator_test.cpp
+++ b/test/error/http_answer_validator_test.cpp
@@ -1,3 +1,5 @@
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "services/http_answer_validator.h"
