Decide the framing of an answer in one place

http_answer_check read Content-Length and Transfer-Encoding once more beside the validator. The validator now says whether the end of the connection ends the body, and refuses a Content-Length that is no number; the second reading is gone.

--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -1,6 +1,6 @@
 #include "services/http_answer_check.h"
 
-#include <charconv>
+#include <optional>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -14,41 +14,6 @@
 namespace {
 
     constexpr int firstFinalStatus = 200;
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-
-    /** How the header fields delimit the body (RFC 9112, section 6). */
-    struct body_framing {
-        std::optional<std::size_t> length;
-        bool chunked = false;
-        bool contradictory = false;
-    };
-
-    std::optional<std::size_t> parseLength(const std::string& text)
-    {
-        std::size_t value = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (error != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return value;
-    }
-
-    body_framing framingOf(const std::vector<header_field>& fields)
-    {
-        body_framing framing;
-        for (const header_field& field : fields) {
-            if (http_fields::sameName(field.name, http_fields::contentLength)) {
-                const std::optional<std::size_t> length = parseLength(field.value);
-                framing.contradictory |= !length || (framing.length && framing.length != length);
-                framing.length = length;
-            } else if (http_fields::sameName(field.name, http_fields::transferEncoding)) {
-                framing.contradictory |= framing.chunked || !http_fields::sameName(field.value, "chunked");
-                framing.chunked = true;
-            }
-        }
-        framing.contradictory |= framing.chunked && framing.length.has_value();
-        return framing;
-    }
 
     bool agrees(const http_answer_validator& validator, const upstream_answer& answer)
     {
@@ -56,19 +21,6 @@
             && validator.bodyBytes() == answer.body.size();
     }
 
-    bool isComplete(const upstream_answer& answer, const body_framing& framing, const answered_request& request)
-    {
-        if (framing.contradictory)
-            return false;
-        if (request.head || answer.status == noContent || answer.status == notModified)
-            return answer.body.empty();
-        if (framing.chunked)
-            return true;
-        if (!framing.length.has_value())
-            return request.allowsCloseDelimitedBody;
-        return *framing.length == answer.body.size();
-    }
-
     bool belongsToCall(const std::vector<header_field>& fields, const answered_request& request)
     {
         bool isNamed = false;
@@ -112,12 +64,14 @@
     if (!belongsToCall(result.headers, request))
         return call_failure::OtherAnswer;
     result.body = moveBody(answer);
-    if (!agrees(validator, result) || !isComplete(result, framingOf(result.headers), request))
+    const bool hasAllowedEnd = request.allowsCloseDelimitedBody || !validator.isDelimitedByClose();
+    if (!agrees(validator, result) || !hasAllowedEnd)
         return call_failure::Malformed;
-    const std::optional<std::size_t> length = framingOf(result.headers).length;
+    const header_field* found = http_fields::find(result.headers, http_fields::contentLength);
+    const std::optional<header_field> length = found != nullptr ? std::optional(*found) : std::nullopt;
     http_fields::keepEndToEnd(result.headers);
     if (request.head && length)
-        result.headers.push_back({ http_fields::contentLength, std::to_string(*length) });
+        result.headers.push_back(*length);
     return result;
 }
 
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -17,7 +17,7 @@
 
 /** The properties of a request that decide whether an answer is valid. */
 struct answered_request {
-    /** A HEAD request: the answer has no body even if it has a Content-Length. */
+    /** A HEAD request: a Content-Length is passed on, although the answer has no body. */
     bool head = false;
     /** The header field that carries the name of the call. Each such field of an answer must have the value `name`. */
     const char* nameField;
@@ -29,8 +29,8 @@
 };
 
 /** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. OtherAnswer if the answer
- * echoes the name of another call or lacks a required name; Malformed if it is incomplete or has contradictory framing
- * fields, or if `validator`, which has read the same bytes, has not read the same answer. */
+ * echoes the name of another call or lacks a required name; Malformed if `validator`, which has read the same bytes,
+ * has not read the same complete answer, or if the end of the connection ends the body and may not. */
 std::variant<upstream_answer, call_failure> takeCompleteAnswer(
     evhttp_request* answer, const http_answer_validator& validator, const answered_request& request);
 
--- a/src/services/http_answer_validator.cpp
+++ b/src/services/http_answer_validator.cpp
@@ -1,5 +1,6 @@
 #include "services/http_answer_validator.h"
 
+#include <algorithm>
 #include <limits>
 #include <optional>
 #include <string>
@@ -23,6 +24,11 @@
 
     bool isInformational(int code) { return code < firstFinalStatus && code != statusSwitchingProtocols; }
 
+    bool isNumber(text value)
+    {
+        return !value.empty() && std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
+    }
+
     /** Parses one answer and counts its body. */
     class answer_parser : public http::basic_parser<false> {
     public:
@@ -54,6 +60,8 @@
                 = name == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked");
             if (isUnknownCoding)
                 error = http::error::bad_transfer_encoding;
+            if (name == http::field::content_length && !isNumber(value))
+                error = http::error::bad_content_length;
         }
 
         void on_header_impl(error_code&) override { }
@@ -148,6 +156,7 @@
 
 const absl::Status& http_answer_validator::status() const { return m_parts->status; }
 bool http_answer_validator::isComplete() const { return m_parts->isComplete(); }
+bool http_answer_validator::isDelimitedByClose() const { return m_parts->parser->need_eof(); }
 int http_answer_validator::code() const { return m_parts->parser->code(); }
 std::uint64_t http_answer_validator::bodyBytes() const { return m_parts->parser->bodyBytes(); }
 
--- a/src/services/http_answer_validator.h
+++ b/src/services/http_answer_validator.h
@@ -34,6 +34,8 @@
     const absl::Status& status() const;
     /** Whether the whole final answer was read. */
     bool isComplete() const;
+    /** Whether only the end of the connection ends the body; valid once the answer is complete. */
+    bool isDelimitedByClose() const;
     /** The status code of the final answer; 0 until its head was read. */
     int code() const;
     /** The size of the final answer's body without its framing, as far as it was read. */
--- a/test/error/faulty_upstream_test.cpp
+++ b/test/error/faulty_upstream_test.cpp
@@ -213,8 +213,9 @@
         "HTTP/1.1 200 O\x01\r\n" + fields + rest, "HTTQ/1.1 200 OK\r\n" + fields + rest,
         head + "X-Server Stamp: 1\r\n" + rest, head + "X-Server-Stamp : 1\r\n" + rest,
         head + "X-S\x80rver: 1\r\n" + rest, head + "X-Server: \x01\r\n" + rest, head + "X-Server\r\n" + rest,
-        head + "Content-Length: +5\r\n\r\nlight", head + "Content-Length: 4\r\n" + rest,
-        head + "Transfer-Encoding: zip\r\n\r\nlight", head + "Transfer-Encoding: chunked\r\n" + rest);
+        head + "Content-Length: +5\r\n\r\nlight", head + "Content-Length: 5, 5\r\n\r\nlight",
+        head + "Content-Length: 4\r\n" + rest, head + "Transfer-Encoding: zip\r\n\r\nlight",
+        head + "Transfer-Encoding: chunked\r\n" + rest);
     answerWith(bytes);
     CAPTURE(bytes);
     requireNotAnswered(call("abc"), call_failure::Malformed);
