--- a/src/decision/consensus/replica.h
+++ b/src/decision/consensus/replica.h
@@ -146,7 +146,7 @@
     log_index m_committed;
     log_index m_applied;
     log_index m_snapshotIndex;
-    /** The approximate encoded size of the state in the last snapshot, in bytes. */
+    /** The approximate encoded size of the state in the last snapshot that this process made, in bytes; 0 before. */
     std::uint64_t m_snapshotBytes = 0;
     bool m_applying = false;
     /** A write to the disk failed, and the disk was not rewritten since. */
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -32,7 +32,7 @@
 struct failed_attempt {
     request_traits traits;
     attempt_state state = attempt_state::Lost;
-    /** The upstream ran the request and gave an answer that can't be passed on. */
+    /** The upstream has begun to answer, and its answer can't be passed on (call_failure::Malformed). */
     bool hasUnusableAnswer = false;
     /** Time until the request's deadline. */
     duration remaining {};
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -46,7 +46,8 @@
     /** The connection closed after dispatch and before the answer was complete. */
     Lost,
     Timeout,
-    /** The answer is not valid HTTP, or it is too large. */
+    /** What arrived can't become an answer: it is not valid HTTP, it is too large, or it has no end but that of the
+     * connection where this is not allowed. */
     Malformed,
     /** The answer is that to another call, or may be. */
     OtherAnswer,
--- a/src/services/upstream_client.h
+++ b/src/services/upstream_client.h
@@ -20,13 +20,12 @@
     upstream_dialect dialect = ownDialect();
 };
 
-/** Calls upstreams with evhttp and checks that each answer is complete.
+/** Calls upstreams with evhttp and checks that each answer is valid HTTP (http_answer_validator) and complete.
  *
- * An answer is complete if its body matches the Content-Length, if its last chunk has arrived, or if it can have no
- * body (HEAD, 204, 304). A body that is delimited only by the end of the connection can't be distinguished
- * from a truncated one, so the answer is Malformed unless the dialect allows such bodies. Each call has a unique
- * name, by default in X-Plantainlatch-Call; an answer that echoes another name is Malformed. If the dialect
- * says that upstreams echo the name, so is an answer without it on a connection that has carried an earlier call. */
+ * A body that is delimited only by the end of the connection can't be distinguished from a truncated one, so the answer
+ * is Malformed unless the dialect allows such bodies. Each call has a unique name, by default in X-Plantainlatch-Call;
+ * an answer that echoes another name fails the call with OtherAnswer. If the dialect says that upstreams echo the name,
+ * so does an answer without it on a connection that has carried an earlier call. */
 class upstream_client {
 public:
     static std::unique_ptr<upstream_client> create(
