Add the types of client accounts and quotas, and the memory limit of the settings

Callers of two new deployments send credentials of accounts with quotas, and clients that nobody controls ended a process by memory. Nothing uses them yet.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -19,6 +19,8 @@
 using failure_domain_id = strong_name<struct failure_domain_tag>;
 using service_id = strong_name<struct service_tag>;
 using route_id = strong_name<struct route_tag>;
+/** A client account, whose requests carry its credentials. */
+using account_id = strong_name<struct account_tag>;
 using upstream_id = strong_name<struct upstream_tag>;
 
 /** One start of one upstream; after a restart it announces a new generation. */
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -17,6 +17,10 @@
         case answer_reason::UnknownService:
         case answer_reason::UnknownRoute:
             return 404;
+        case answer_reason::UnknownCredential:
+            return 401;
+        case answer_reason::QuotaExceeded:
+            return 429;
         case answer_reason::MalformedRequest:
             return 400;
         case answer_reason::BodyTooLarge:
@@ -51,6 +55,7 @@
         case answer_reason::KeyUnavailable:
         case answer_reason::KeyTaken:
         case answer_reason::NotReady:
+        case answer_reason::QuotaExceeded:
             return shortRetryAfter;
         case answer_reason::Draining:
             return otherEntryRetryAfter;
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "model/client_account.h"
 #include "model/declaration.h"
 #include "model/route.h"
 
@@ -31,15 +32,20 @@
     std::set<upstream_id> withdrawnUpstreams;
     std::map<shift_id, shift_definition> shifts;
     std::vector<route_definition> routes;
+    /** Without any, requests need no credential. */
+    std::map<account_id, client_account> accounts;
     /** The source text of a configuration that was set as a whole; empty otherwise. */
     std::string document;
 
+    /** The number of fields before `accounts` was added. */
+    static constexpr std::uint32_t requiredFields = 10;
+
     friend bool operator==(const configuration&, const configuration&) = default;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.number, self.regions, self.links, self.services, self.shares, self.upstreams,
-            self.withdrawnUpstreams, self.shifts, self.routes, self.document);
+            self.withdrawnUpstreams, self.shifts, self.routes, self.document, self.accounts);
     }
 };
 
--- a/src/model/http.cpp
+++ b/src/model/http.cpp
@@ -39,6 +39,10 @@
         return "answer-not-kept";
     case answer_reason::NotReady:
         return "not-ready";
+    case answer_reason::UnknownCredential:
+        return "unknown-credential";
+    case answer_reason::QuotaExceeded:
+        return "quota-exceeded";
     }
     internal_assert(false) << "answer reason " << static_cast<int>(value);
     return "unknown";
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -47,6 +47,10 @@
     /** If the VM is stopping: the time, counted from the arrival of the request, by which it must be answered. */
     std::optional<duration> stopsIn;
     std::optional<idempotency_key> key;
+    /** Identifies the client account; empty if there is none. A secret: never logged or passed on. */
+    std::string credential;
+    /** The account that has the credential; empty until it is known, and for requests without an account. */
+    account_id account;
 };
 
 /** What an upstream reports about itself and the request together with its answer. */
@@ -108,6 +112,10 @@
     AnswerNotKept,
     /** This VM does not have the current configuration; another VM may have it. */
     NotReady,
+    /** No account has the request's credential. */
+    UnknownCredential,
+    /** The account's quota is used up. */
+    QuotaExceeded,
 };
 
 /** The value of the reason header: lower case with hyphens. */
--- a/src/model/route.h
+++ b/src/model/route.h
@@ -48,15 +48,20 @@
     bool sticky = false;
     /** The regions whose upstreams may be used; all regions if empty. */
     std::vector<region_id> allowedRegions;
+    /** Requests need no credential, also where the configuration has client accounts. */
+    bool isPublic = false;
     /** One service, or several among which the requests are split by weight. */
     std::vector<weighted_service> services;
 
+    /** The number of fields before `isPublic` was added. */
+    static constexpr std::uint32_t requiredFields = 11;
+
     friend bool operator==(const route_definition&, const route_definition&) = default;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.id, self.host, self.pathPrefix, self.idempotent, self.timeLimit, self.targetLatency, self.priority,
-            self.maximumAttempts, self.sticky, self.allowedRegions, self.services);
+            self.maximumAttempts, self.sticky, self.allowedRegions, self.services, self.isPublic);
     }
 };
 
--- a/src/model/vm_settings.h
+++ b/src/model/vm_settings.h
@@ -66,6 +66,8 @@
     /** The file with the key that all VMs share; at least 32 bytes. */
     std::string sharedKeyFile;
     caller_limits limits;
+    /** The memory that the process may use; none if the settings state no limit. */
+    std::optional<byte_count> memoryLimit;
     std::string logLevel = "info";
     /** How long callers may cache the list of entries. For the same time, a stopping VM still serves callers (lame
      * duck). */
--- a/src/ports/port_names.h
+++ b/src/ports/port_names.h
@@ -38,6 +38,9 @@
 /** shift_port: traffic shares and shifts. */
 inline constexpr const char* shifts = "shifts";
 
+/** quota_port: the quotas of client accounts. */
+inline constexpr const char* quotas = "quotas";
+
 /** configuration_port: whole configurations, and drains. */
 inline constexpr const char* configurations = "configurations";
 
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -37,6 +37,8 @@
     std::uint32_t connectionLimit = 1;
     /** The caller's X-Request-Id; empty if there is none. */
     std::string requestName;
+    /** The client account for which the request is made; empty if there is none. */
+    account_id account;
 };
 
 /** Why a call failed. Only ConnectFailed and ConnectionLimit guarantee that the call was not dispatched. */
