--- a/src/model/upstream.h
+++ b/src/model/upstream.h
@@ -47,6 +47,9 @@
     std::uint32_t queued = 0;
     /** 0 if the upstream does not report it. */
     std::uint32_t slots = 0;
+    /** How long work takes on the upstream's machine at this moment, relative to the usual; other work on the machine
+     * changes it many times a second. 1 if the upstream does not report it. */
+    double workTimeFactor = 1;
 };
 
 } // namespace plantainlatch
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -440,6 +440,24 @@
     REQUIRE(upstream.requests.at(0).find("99999") == std::string::npos);
 }
 
+// Guards against a load report that is dropped as a whole because of a figure after the counts.
+TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.load_report_with_a_work_time.is_read_with_its_counts")
+{
+    const auto loadIn = [this](const std::string& value) {
+        return call(okAnswerHead + "X-Server-Load: " + value + "\r\n\r\nok")->metadata.load;
+    };
+    const std::optional<load_report> complete = loadIn("3,2,6,250");
+    REQUIRE(complete->running == 3);
+    REQUIRE(complete->queued == 2);
+    REQUIRE(complete->slots == 6);
+    REQUIRE(complete->workTimeFactor == 2.5);
+    REQUIRE(loadIn("3,2,6")->workTimeFactor == 1);
+    for (const char* unusable : { "3,2,6,", "3,2,6,-5", "3,2,6,0", "3,2,6,nan", "3,2,6,inf" })
+        REQUIRE(loadIn(unusable)->workTimeFactor == 1);
+    for (const char* unreadable : { "3,2", "3,2,6,100,1", "a,2,6,100" })
+        REQUIRE_FALSE(loadIn(unreadable));
+}
+
 TEST_CASE_METHOD(platform_dialect_fixture, "platform_call.refusal_with_not_run_field.reports_that_it_was_not_executed")
 {
     const auto refused = call("HTTP/1.1 503 x\r\nX-Request-Id: abc\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
