--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -294,7 +294,7 @@
     const std::uint32_t load = stats.load(now);
     evaluated.load = load;
     evaluated.queued = load >= slots;
-    evaluated.total = evaluated.runTime;
+    evaluated.total = evaluated.runTime + stats.slowMachineDelay(evaluated.runTime, now);
     if (evaluated.queued)
         evaluated.total += scaled(evaluated.runTime, static_cast<double>(load - slots + 1) / slots);
     if (upstream.region != m_region)
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -74,7 +74,8 @@
         object_state state = object_state::Unknown;
         /** The expected time that the request runs at the upstream. */
         duration runTime {};
-        /** The run time, the wait in the upstream's queue and the extra latency to another region. */
+        /** The run time, the delay by a slow machine, the wait in the upstream's queue and the extra latency to another
+         * region. */
         duration total {};
         /** The total, weighted for objects that the upstream doesn't know; the lowest cost wins. */
         duration cost {};
--- a/src/decision/placement/upstream_stats.cpp
+++ b/src/decision/placement/upstream_stats.cpp
@@ -9,6 +9,10 @@
 
     /** Older load reports are ignored. */
     constexpr duration reportLifetime = std::chrono::milliseconds(1500);
+    /** A report of a slow machine says that it stays slow for about this long, since other work on the machine comes
+     * and goes within half a second; the estimate is halved with the age of the report. */
+    constexpr duration slowMachineSpan = std::chrono::milliseconds(250);
+    constexpr duration slowMachineHalfLife = std::chrono::milliseconds(200);
     /** The first ejection lasts this long; each further failure in a row doubles it, up to the maximum. */
     constexpr duration minimumEjection = std::chrono::milliseconds(300);
     constexpr duration maximumEjection = std::chrono::seconds(3);
@@ -48,6 +52,7 @@
         m_reportedLoad = result.metadata.load->running + result.metadata.load->queued;
         m_ownAtReport = m_ownRequests;
         m_reportedAt = now;
+        m_reportedWorkTimeFactor = result.metadata.load->workTimeFactor;
     }
     if (result.metadata.coldFor)
         m_coldUntil = now + *result.metadata.coldFor;
@@ -93,6 +98,17 @@
     return 1 + (m_slowness - 1) * std::exp2(-halfLives);
 }
 
+duration upstream_stats::slowMachineDelay(duration runTime, time_point now) const
+{
+    if (!m_reportedAt || m_reportedWorkTimeFactor <= 1)
+        return {};
+    const double halfLives = std::chrono::duration<double>(now - *m_reportedAt) / slowMachineHalfLife;
+    const duration slowFor = scaled(slowMachineSpan, std::exp2(-halfLives));
+    // While the machine is slow, the run progresses by only 1 / factor of the time that passes.
+    const double lostShare = 1 - 1 / m_reportedWorkTimeFactor;
+    return std::min(scaled(runTime, m_reportedWorkTimeFactor - 1), scaled(slowFor, lostShare));
+}
+
 void upstream_stats::updateSlowness(double ratio, time_point now)
 {
     const double clampedRatio = std::clamp(ratio, 1 / maximumSlowness, maximumSlowness);
--- a/src/decision/placement/upstream_stats.h
+++ b/src/decision/placement/upstream_stats.h
@@ -46,6 +46,9 @@
     std::uint32_t ownRequests() const { return m_ownRequests; }
     /** The ratio of its latency to the expected one; decays to 1 without new observations. */
     double slowness(time_point now) const;
+    /** How much longer a run of the usual time `runTime` is expected to take because the upstream's machine is slow at
+     * the moment, by its last report. */
+    duration slowMachineDelay(duration runTime, time_point now) const;
     /** Whether the upstream recently answered a request of this entry for the object. */
     bool hasHandled(std::uint64_t object, time_point now) const;
 
@@ -63,6 +66,7 @@
     std::uint32_t m_reportedLoad = 0;
     std::uint32_t m_ownAtReport = 0;
     std::optional<time_point> m_reportedAt;
+    double m_reportedWorkTimeFactor = 1;
     time_point m_coldUntil {};
     cold_rate_limiter m_coldLimiter;
     time_point m_ejectedUntil {};
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -651,6 +651,30 @@
     REQUIRE(placedAt("court 7") != first.slot->upstream.id.value());
 }
 
+// Guards against work that is sent to a machine which has just reported that it is slow, and against avoiding it for
+// longer than such a state lasts.
+TEST_CASE("upstream_stats.report_of_a_slow_machine.delays_runs_for_a_short_while", "[placement]")
+{
+    upstream_stats stats;
+    const time_point start = time_point() + 1h;
+    const auto report = [&](double factor) {
+        slot_result result;
+        result.ended = slot_result::kind::Answered;
+        result.metadata.load = load_report { true, false, 1, 0, 6, factor };
+        stats.noteRequest();
+        stats.noteResult(result, 1, {}, start);
+    };
+    report(1);
+    REQUIRE(stats.slowMachineDelay(300ms, start) == duration::zero());
+    report(2.5);
+    REQUIRE(stats.slowMachineDelay(300ms, start) == 150ms);
+    REQUIRE(stats.slowMachineDelay(20ms, start) == 30ms);
+    REQUIRE(stats.slowMachineDelay(300ms, start + 200ms) == 75ms);
+    REQUIRE(stats.slowMachineDelay(300ms, start + 2s) < 1ms);
+    report(1);
+    REQUIRE(stats.slowMachineDelay(300ms, start) == duration::zero());
+}
+
 TEST_CASE_METHOD(placement_fixture, "placement.removed_upstream.gets_no_requests_and_has_its_connections_closed")
 {
     const upstream_announcement upstream = makeUpstream("u", "here");
