Read client accounts and public routes from the platform's configuration

Cause: the table 'tenants' and the column 'public' were ignored. Each finding names row and column and contains no credential; the name of an account is left out where a row with exchanged columns may have a credential as its name.

--- a/src/codec/http_fields.cpp
+++ b/src/codec/http_fields.cpp
@@ -15,14 +15,6 @@
 
     char lower(char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter; }
 
-    std::string_view trimmed(std::string_view text)
-    {
-        const std::size_t first = text.find_first_not_of(" \t");
-        if (first == std::string_view::npos)
-            return {};
-        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-    }
-
 } // namespace
 
 bool sameName(std::string_view left, std::string_view right)
@@ -48,6 +40,25 @@
     return std::any_of(names.begin(), names.end(), [&](std::string_view item) { return sameName(item, name); });
 }
 
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool isFieldValue(std::string_view value)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    const bool isPrintable = std::all_of(value.begin(), value.end(), [](char item) {
+        const auto byte = static_cast<unsigned char>(item);
+        return item == '\t' || (byte >= firstPrintable && byte != deleteCharacter);
+    });
+    return isPrintable && trimmed(value).size() == value.size();
+}
+
 bool listContains(std::string_view list, std::string_view name)
 {
     while (!list.empty()) {
--- a/src/codec/http_fields.h
+++ b/src/codec/http_fields.h
@@ -36,6 +36,13 @@
 /** Whether a field applies to one connection only (RFC 9110, section 7.6.1) or is generated again for each hop. */
 bool isHopByHop(std::string_view name);
 
+/** Whether a field can have this value, so that a receiver reads the same: without control characters other than tabs,
+ * and without spaces and tabs at its ends. */
+bool isFieldValue(std::string_view value);
+
+/** Removes spaces and tabs at both ends. */
+std::string_view trimmed(std::string_view text);
+
 /** Whether `name` is listed in the comma-separated `list`. */
 bool listContains(std::string_view list, std::string_view name);
 
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -47,6 +47,15 @@
         /** Nested lists, far deeper than a recursive reader's stack allows. */
         const std::string deeplyNested = std::string(200'000, '[') + std::string(200'000, ']');
 
+        /** The document with accounts in these rows. */
+        std::string withTenants(const std::string& rows) const
+        {
+            return replaced(document, "\"limits\"",
+                R"("tenants":{"columns":["name","api-keys","priority","rate-per-s","burst","allowed-regions"],)"
+                R"("rows":[)"
+                    + rows + "]},\"limits\"");
+        }
+
         absl::StatusOr<configuration> readDocument(const std::string& body)
         {
             finding_list findings;
@@ -115,6 +124,56 @@
     REQUIRE(findings.toStatus().message() == "route 'a' has no valid 'kind', expected safe or unsafe or download");
 }
 
+TEST_CASE_METHOD(platform_bodies_fixture, "platform_configuration.tenants_and_public_routes.are_read")
+{
+    const configuration config = *readDocument(replaced(withTenants(R"(["shop",["k1","k2"],2,10.5,20,["fukuoka"]],)"
+                                                                    R"(["lab",null,null,null,null,null])"),
+        R"("sticky",)", R"("public",)"));
+    REQUIRE(config.routes[0].isPublic);
+    REQUIRE_FALSE(config.routes[1].isPublic);
+    const client_account shop { account_id("shop"), { "k1", "k2" }, 2, { 10.5, 20 }, { region_id("fukuoka") } };
+    REQUIRE(config.accounts.at(account_id("shop")) == shop);
+    REQUIRE(config.accounts.at(account_id("lab")) == client_account { account_id("lab"), {}, {}, {}, {} });
+    REQUIRE(readDocument(document)->accounts.empty());
+    const std::string missingColumns = R"("tenants":{"columns":["name"],"rows":[["lab"]]},"limits")";
+    REQUIRE(readDocument(replaced(document, "\"limits\"", missingColumns))->accounts.size() == 1);
+}
+
+// Guards against accounts that can't be told apart or limited, and against findings that show a credential.
+TEST_CASE_METHOD(platform_bodies_fixture, "platform_configuration.invalid_tenant.is_a_finding_with_row_and_column")
+{
+    const auto [row, column] = GENERATE(table<std::string, std::string>({
+        { R"([null,["secret"],0,1,1,[]])", "name" },
+        { R"(["",["secret"],0,1,1,[]])", "name" },
+        { R"(["first",["secret"],0,1,1,[]])", "name" },
+        { R"(["a\nb",["secret"],0,1,1,[]])", "name" },
+        { R"(["a",["first-secret"],0,1,1,[]])", "api-keys" },
+        { R"(["a","secret",0,1,1,[]])", "api-keys" },
+        { R"(["a",["secret",7],0,1,1,[]])", "api-keys" },
+        { R"(["a",["secret",""],0,1,1,[]])", "api-keys" },
+        { R"(["a",["secret\r\nX: y"],0,1,1,[]])", "api-keys" },
+        { R"(["a",["secret\u0000"],0,1,1,[]])", "api-keys" },
+        { R"(["a",["secret )" + std::string(4096, 'x') + R"("],0,1,1,[]])", "api-keys" },
+        { R"(["a",["secret"],-1,1,1,[]])", "priority" },
+        { R"(["a",["secret"],0,-1,1,[]])", "rate-per-s" },
+        { R"(["a",["secret"],0,1e999,1,[]])", "rate-per-s" },
+        { R"(["a",["secret"],0,"1",1,[]])", "rate-per-s" },
+        { R"(["a",["secret"],0,1,-0.5,[]])", "burst" },
+        { R"(["a",["secret"],0,1,-1e999,[]])", "burst" },
+        { R"(["a",["secret"],0,1,true,[]])", "burst" },
+        { R"(["a",["secret"],0,1,1,"fukuoka"])", "allowed-regions" },
+        { R"(["secret","a",0,1,1,[]])", "api-keys" },
+    }));
+    finding_list findings;
+    const std::string body = withTenants(R"(["first",["first-secret"],0,1,1,[]],)" + row);
+    REQUIRE_FALSE(readConfiguration(body, regionByDomain, findings).ok());
+    CAPTURE(row, findings.format());
+    REQUIRE(findings.items().size() == 1);
+    REQUIRE(findings.format().find("row 2 of tenants") == 0);
+    REQUIRE(findings.format().find("'" + column + "'") != std::string::npos);
+    REQUIRE(findings.format().find("secret") == std::string::npos);
+}
+
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_configuration.deeply_nested_value.is_rejected")
 {
     REQUIRE_FALSE(readDocument(replaced(document, "\"limits\":{}", "\"limits\":" + deeplyNested)).ok());
