--- a/src/decision/declarations/configuration_difference.cpp
+++ b/src/decision/declarations/configuration_difference.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    configuration withoutRoutesAndDocument(const configuration& config)
+    configuration withoutComparedParts(const configuration& config)
     {
         configuration other;
         other.number = config.number;
@@ -63,14 +63,41 @@
         return routes;
     }
 
+    void compareAccounts(const std::map<account_id, client_account>& from,
+        const std::map<account_id, client_account>& to, configuration_difference& difference)
+    {
+        for (const auto& [id, account] : to) {
+            const auto former = from.find(id);
+            if (former == from.end() || !(former->second == account))
+                difference.changedAccounts.push_back(account);
+        }
+        for (const auto& [id, account] : from) {
+            if (!to.contains(id))
+                difference.removedAccounts.push_back(id);
+        }
+    }
+
+    absl::StatusOr<std::map<account_id, client_account>> applyAccounts(
+        std::map<account_id, client_account> accounts, const configuration_difference& difference)
+    {
+        for (const account_id& id : difference.removedAccounts) {
+            if (accounts.erase(id) == 0)
+                return absl::InvalidArgumentError("an edit removes an account that does not exist");
+        }
+        for (const client_account& account : difference.changedAccounts)
+            accounts[account.id] = account;
+        return accounts;
+    }
+
 } // namespace
 
 std::optional<configuration_difference> differenceBetween(const configuration& from, const configuration& to)
 {
     configuration_difference difference;
-    difference.other = withoutRoutesAndDocument(to);
+    difference.other = withoutComparedParts(to);
     difference.routes = compareRoutes(from.routes, to.routes);
     difference.document = textDifference(from.document, to.document);
+    compareAccounts(from.accounts, to.accounts, difference);
     if (approximateSize(difference) >= approximateSize(to))
         return std::nullopt;
     return difference;
@@ -84,7 +111,11 @@
     absl::StatusOr<std::string> document = applyTextDifference(from.document, difference.document);
     if (!document.ok())
         return document.status();
+    absl::StatusOr<std::map<account_id, client_account>> accounts = applyAccounts(from.accounts, difference);
+    if (!accounts.ok())
+        return accounts.status();
     configuration result = difference.other;
+    result.accounts = std::move(*accounts);
     result.routes = std::move(*routes);
     result.document = std::move(*document);
     return result;
--- a/src/model/configuration_difference.h
+++ b/src/model/configuration_difference.h
@@ -37,14 +37,20 @@
 };
 
 struct configuration_difference {
-    /** The later configuration without its routes and its document. */
+    /** The later configuration without its routes, its accounts and its document. */
     configuration other;
     std::vector<route_edit> routes;
     std::vector<text_edit> document;
+    /** The accounts that are new or differ. */
+    std::vector<client_account> changedAccounts;
+    std::vector<account_id> removedAccounts;
+
+    /** The number of fields before `changedAccounts` was added. */
+    static constexpr std::uint32_t requiredFields = 3;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.other, self.routes, self.document);
+        visit(self.other, self.routes, self.document, self.changedAccounts, self.removedAccounts);
     }
 };
 
--- a/test/correctness/configuration_difference_test.cpp
+++ b/test/correctness/configuration_difference_test.cpp
@@ -66,6 +66,22 @@
 
 } // namespace
 
+// Guards against accounts that a difference drops, and against a size that grows with the number of accounts.
+TEST_CASE_METHOD(configuration_difference_fixture, "configuration_difference.changed_accounts.are_sent_alone")
+{
+    for (int i = 0; i < 3000; ++i) {
+        const account_id id("account-" + std::to_string(i));
+        former.accounts[id] = { id, { "key-" + std::to_string(i) }, {}, { 5, 5 }, {} };
+    }
+    later.accounts = former.accounts;
+    later.accounts.erase(account_id("account-7"));
+    later.accounts[account_id("account-8")].credentials.emplace_back("next");
+    later.accounts[account_id("new")].id = account_id("new");
+    REQUIRE(restoresLater());
+    REQUIRE(approximateSize(*differenceBetween(former, later)) < 1000);
+    REQUIRE_FALSE(applyDifference(later, *differenceBetween(former, later)).ok());
+}
+
 TEST_CASE_METHOD(configuration_difference_fixture, "difference.of_one_changed_route_among_many.is_small")
 {
     later.routes[500].services[0].weight = 2;
