Find the account of a request by its credential

Cause: requests had no account. Without a common region the request is refused, as an empty list allows any region in placement. Log lines of requests name the account. The fake log applies whole configurations.

--- a/src/decision/request/request_log.cpp
+++ b/src/decision/request/request_log.cpp
@@ -82,10 +82,18 @@
         return "";
     }
 
+    void addAccount(std::vector<log_field>& fields, const caller_request& request)
+    {
+        if (!request.account.empty())
+            fields.push_back({ "account", request.account.value() });
+    }
+
     std::vector<log_field> fieldsOf(const admitted_request& request)
     {
-        return { { "request", request.content.name }, { "route", request.policy.route.value() },
+        std::vector<log_field> fields { { "request", request.content.name }, { "route", request.policy.route.value() },
             { "upstream_service", request.content.service.value() } };
+        addAccount(fields, request.content);
+        return fields;
     }
 
     void addAnswer(std::vector<log_field>& fields, const caller_answer& answer)
@@ -151,13 +159,16 @@
 {
     log_event event { log_level::Info, serviceName, "request-refused",
         { { "request", request.name }, { "host", request.host }, { "target", request.target } } };
+    addAccount(event.fields, request);
     addAnswer(event.fields, answer);
     return event;
 }
 
-log_event callerLeft(const std::string& name)
+log_event callerLeft(const caller_request& request)
 {
-    return { log_level::Info, serviceName, "caller-left", { { "request", name } } };
+    log_event event { log_level::Info, serviceName, "caller-left", { { "request", request.name } } };
+    addAccount(event.fields, request);
+    return event;
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/request_log.h
+++ b/src/decision/request/request_log.h
@@ -28,6 +28,6 @@
 log_event requestRefused(const caller_request& request, const caller_answer& answer);
 
 /** The caller disconnected before it was answered. */
-log_event callerLeft(const std::string& name);
+log_event callerLeft(const caller_request& request);
 
 } // namespace plantainlatch
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -28,7 +28,13 @@
         return traits;
     }
 
-    routing_policy policyOf(const route_definition& route, const caller_request& request)
+    /** No region may be used if the route and the account have no allowed region in common. */
+    bool haveCommonRegion(const route_definition& route, const client_account& account)
+    {
+        return commonRegions(route.allowedRegions, account.allowedRegions).has_value();
+    }
+
+    routing_policy policyOf(const route_definition& route, const client_account* account, const caller_request& request)
     {
         routing_policy policy;
         policy.route = route.id;
@@ -38,6 +44,11 @@
         policy.targetLatency = route.targetLatency;
         policy.priority = route.priority;
         policy.maximumAttempts = route.maximumAttempts;
+        if (account == nullptr)
+            return policy;
+        internal_assert(haveCommonRegion(route, *account)) << "an empty list would allow all regions";
+        policy.allowedRegions = *commonRegions(route.allowedRegions, account->allowedRegions);
+        policy.priority = account->priority.value_or(route.priority);
         return policy;
     }
 
@@ -124,29 +135,44 @@
 {
     if (!request.host.empty())
         return submitRouted(std::move(request), std::move(deliver));
-    return submitTo(nullptr, std::move(request), std::move(deliver));
+    return submitTo(nullptr, nullptr, std::move(request), std::move(deliver));
 }
 
 request_id request_service::submitRouted(caller_request request, std::function<void(caller_answer)> deliver)
 {
     m_routes.update(m_control->state().config);
+    m_accounts.update(m_control->state().config);
     const route_definition* route = m_routes.find(request.host, request.target);
-    if (route == nullptr) {
-        const request_id id(++m_lastRequest);
-        ++m_statistics.requests;
-        const auto reason = hasCurrentConfiguration() ? answer_reason::UnknownRoute : answer_reason::NotReady;
-        caller_answer answer = systemAnswer(outcome::NotRun, reason);
-        m_hooks.log(requestRefused(request, answer));
-        countAnswer(answer);
-        deliver(std::move(answer));
-        return id;
+    if (route == nullptr)
+        return refuse(request, currentOrNotReady(answer_reason::UnknownRoute), deliver);
+    const client_account* account = nullptr;
+    if (!m_accounts.empty() && !route->isPublic) {
+        account = m_accounts.find(request.credential);
+        if (account == nullptr)
+            return refuse(request, currentOrNotReady(answer_reason::UnknownCredential), deliver);
+        request.account = account->id;
+        if (!haveCommonRegion(*route, *account))
+            return refuse(request, answer_reason::NoUpstream, deliver);
     }
+    request.credential.clear();
     request.service = m_routes.chooseService(*route);
-    return submitTo(route, std::move(request), std::move(deliver));
+    return submitTo(route, account, std::move(request), std::move(deliver));
+}
+
+request_id request_service::refuse(
+    const caller_request& request, answer_reason reason, const std::function<void(caller_answer)>& deliver)
+{
+    const request_id id(++m_lastRequest);
+    ++m_statistics.requests;
+    caller_answer answer = systemAnswer(outcome::NotRun, reason);
+    m_hooks.log(requestRefused(request, answer));
+    countAnswer(answer);
+    deliver(std::move(answer));
+    return id;
 }
 
-request_id request_service::submitTo(
-    const route_definition* route, caller_request request, std::function<void(caller_answer)> deliver)
+request_id request_service::submitTo(const route_definition* route, const client_account* account,
+    caller_request request, std::function<void(caller_answer)> deliver)
 {
     const request_id id(++m_lastRequest);
     ++m_statistics.requests;
@@ -163,7 +189,7 @@
     }
     creditRetryBudget(request.service);
     m_bodyBytes += request.body.size();
-    admitted_request admitted = admit(std::move(request), route, *definition);
+    admitted_request admitted = admit(std::move(request), route, account, *definition);
     admitted.id = id;
     admitted.traits = traits;
     const auto run = request_run::create(*m_environment, std::move(admitted),
@@ -178,6 +204,11 @@
     return m_control->state().config.number > change_number() && m_consensus->state().current;
 }
 
+answer_reason request_service::currentOrNotReady(answer_reason reason) const
+{
+    return hasCurrentConfiguration() ? reason : answer_reason::NotReady;
+}
+
 std::optional<answer_reason> request_service::refusalReason(
     const caller_request& request, const service_definition* definition)
 {
@@ -185,7 +216,7 @@
     if (m_lifecycle == lifecycle::Draining || hasStopped)
         return answer_reason::Draining;
     if (definition == nullptr)
-        return hasCurrentConfiguration() ? answer_reason::UnknownService : answer_reason::NotReady;
+        return currentOrNotReady(answer_reason::UnknownService);
     if (request.body.size() > definition->maximumBody.value())
         return answer_reason::BodyTooLarge;
     if (request.key && request.key->empty())
@@ -199,12 +230,12 @@
     return std::nullopt;
 }
 
-admitted_request request_service::admit(
-    caller_request request, const route_definition* route, const service_definition& definition)
+admitted_request request_service::admit(caller_request request, const route_definition* route,
+    const client_account* account, const service_definition& definition)
 {
     admitted_request admitted;
     if (route != nullptr)
-        admitted.policy = policyOf(*route, request);
+        admitted.policy = policyOf(*route, account, request);
     admitted.fingerprint = fingerprintOf(request);
     const duration requested = request.deadline.value_or(definition.defaultDeadline);
     admitted.arrivedAt = m_hooks.now();
@@ -234,7 +265,7 @@
     position->second.deliver = nullptr;
     ++m_statistics.abandoned;
     const std::shared_ptr<request_run> run = position->second.run;
-    m_hooks.log(callerLeft(run->request().content.name));
+    m_hooks.log(callerLeft(run->request().content));
     run->callerLeft();
 }
 
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
+#include "decision/accounts/account_table.h"
 #include "decision/request/request_environment.h"
 #include "decision/request/request_run.h"
 #include "decision/request/retry_budget.h"
@@ -59,15 +60,22 @@
 
     request_id submit(caller_request request, std::function<void(caller_answer)> deliver);
     request_id submitRouted(caller_request request, std::function<void(caller_answer)> deliver);
-    request_id submitTo(
-        const route_definition* route, caller_request request, std::function<void(caller_answer)> deliver);
+    /** `account` is null for requests without an account. */
+    request_id submitTo(const route_definition* route, const client_account* account, caller_request request,
+        std::function<void(caller_answer)> deliver);
+    /** Answers a request that is not admitted. */
+    request_id refuse(
+        const caller_request& request, answer_reason reason, const std::function<void(caller_answer)>& deliver);
     void creditRetryBudget(const service_id& service);
     bool tryAcquireRetry(const service_id& service);
     void cancel(request_id id);
     /** Whether this VM's configuration is up to date, so that a service or route missing from it does not exist. */
     bool hasCurrentConfiguration() const;
+    /** `reason`, which says that the configuration lacks something, if the configuration is up to date. */
+    answer_reason currentOrNotReady(answer_reason reason) const;
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
-    admitted_request admit(caller_request request, const route_definition* route, const service_definition& definition);
+    admitted_request admit(caller_request request, const route_definition* route, const client_account* account,
+        const service_definition& definition);
     void onDone(const admitted_request& request, caller_answer answer);
     void countAnswer(const caller_answer& answer);
     std::uint32_t connectionShare(const service_definition& definition) const;
@@ -83,6 +91,7 @@
     retry_budget m_budget;
     std::optional<retry_window> m_retryWindow;
     route_table m_routes;
+    account_table m_accounts;
     hedge_policy m_hedges;
     request_durations m_durations;
     request_statistics m_statistics;
--- a/src/decision/request/upstream_attempt.cpp
+++ b/src/decision/request/upstream_attempt.cpp
@@ -182,6 +182,7 @@
     call.freshConnection = needsFreshConnection();
     call.connectionLimit = m_request.connectionLimit;
     call.requestName = m_request.content.name;
+    call.account = m_request.content.account;
     return call;
 }
 
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    constexpr duration barrierDelay = std::chrono::milliseconds(2);
+
     command_result applyTo(control_snapshot& state, const proposal& item)
     {
         if (const auto* claim = std::get_if<claim_key>(&item.command))
@@ -15,6 +17,8 @@
             return applySettle(state.keys, item, *settle);
         if (const auto* crash = std::get_if<report_crash>(&item.command))
             return applyCrashReport(state.crashes, item, *crash);
+        if (const auto* replacement = std::get_if<replace_configuration>(&item.command))
+            state.config = replacement->content;
         return {};
     }
 
@@ -30,6 +34,10 @@
         = [this](control_command command, duration timeout, std::function<void(absl::StatusOr<command_result>)> done) {
               return propose(std::move(command), timeout, std::move(done));
           };
+    consensus.readBarrier = [this](duration timeout, const std::function<void(absl::Status)>& done) {
+        const absl::Status status = isCurrent ? absl::OkStatus() : absl::UnavailableError("no leader contact");
+        m_log.m_runtime.schedule(isCurrent ? barrierDelay + applyLag : timeout, [done, status] { done(status); });
+    };
     control.state = [this]() -> const control_snapshot& { return m_state; };
     control.onChange = [this](std::function<void()> listener) { m_listeners.push_back(std::move(listener)); };
     control.onSteeringChange = [](const std::function<void(const steering_change&)>&) {};
