Report the age of the last leader contact

Cause: strict revocation needs a limit of its own on the age of the contact; hasLeaderContact has a fixed one. Change: membership_port::leaderContactAge, from when the last answered heartbeat was sent.

--- a/src/decision/membership/membership_service.cpp
+++ b/src/decision/membership/membership_service.cpp
@@ -68,6 +68,11 @@
     m_port.hasLeaderContact = [this] {
         return m_lastLeaderContact && m_hooks.now() - *m_lastLeaderContact <= m_options.leaderContactTimeout;
     };
+    m_port.leaderContactAge = [this]() -> std::optional<duration> {
+        if (!m_lastLeaderContact)
+            return std::nullopt;
+        return m_hooks.now() - *m_lastLeaderContact;
+    };
     m_port.joined = [this] {
         const auto known = m_control->state().vms.find(m_settings.self.id);
         return known != m_control->state().vms.end() && known->second.start == m_start;
--- a/src/ports/membership_port.h
+++ b/src/ports/membership_port.h
@@ -48,6 +48,8 @@
     std::function<bool()> isCaughtUpLeader;
     /** Whether the leader recently answered a heartbeat of this VM, so that messages pass in both directions. */
     std::function<bool()> hasLeaderContact;
+    /** How long ago the last heartbeat that the leader answered was sent; none if it answered none. */
+    std::function<std::optional<duration>()> leaderContactAge;
     /** Whether this VM has applied the log entry that records its own start, and so all entries committed before it. */
     std::function<bool()> joined;
     /** Adds a function that fills in its part of each heartbeat that this VM sends. */
