Refuse credentials only by a state that is recent enough

Cause: an entry that has heard from the leader counts as current for a while after a change was acknowledged, and answered 401 to a caller that used the new credential. An entry without contact served removed credentials. Change: a request with an unknown credential waits for a read barrier and is looked up again. Barriers are shared by all requests of the entry, at most ten a second, and the number and bytes of waiting requests are bounded. With a revocation time, requests that need a credential are refused when the last answered heartbeat is too old; heartbeats are then sent at least four times in that time.

--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -138,6 +138,17 @@
     crash_guard_options crashes;
     /** Limits retries within a sliding window. By default the budget is based on all requests since the start. */
     std::optional<retry_window_options> retryWindow;
+    /** If set, requests that need a credential are refused when the last heartbeat that the leader answered was sent
+     * longer ago: credentials may have been removed since. */
+    std::optional<duration> maximumContactAge;
+    /** The minimum time between the read barriers after which unknown credentials are looked up again. Each costs a
+     * command of the log, and callers can cause them. */
+    duration accountBarrierInterval = std::chrono::milliseconds(100);
+    duration accountBarrierTimeout = std::chrono::seconds(1);
+    /** The maximum number of requests that wait for such a barrier, and of their bodies' bytes unless only one waits.
+     * Further ones are answered by the configuration that this VM has. */
+    std::size_t maximumUnidentified = 256;
+    byte_count maximumUnidentifiedBytes { 8 * 1024 * 1024 };
     /** How long a stop waits for pending key settlements after the last request ended. */
     duration settlementStopTimeout = std::chrono::seconds(5);
     request_policies policies = defaultRequestPolicies();
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -89,6 +89,8 @@
     service item;
     item.name = port_names::requests;
     item.dependencies = { port_names::control, port_names::consensus, port_names::slots, port_names::upstreams };
+    if (m_options.maximumContactAge)
+        item.dependencies.push_back(port_names::membership);
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return dump(); };
@@ -104,9 +106,14 @@
     status.Update(services.findInto(port_names::consensus, consensus));
     status.Update(services.findInto(port_names::slots, slots));
     status.Update(services.findInto(port_names::upstreams, upstreams));
+    if (m_options.maximumContactAge)
+        status.Update(services.findInto(port_names::membership, m_membership));
     if (!status.ok())
         return status;
     m_consensus = consensus;
+    m_accountBarrier = shared_read_barrier::create(m_hooks, *consensus, m_options.accountBarrierInterval,
+        m_options.accountBarrierTimeout,
+        [this](std::uint64_t number, const absl::Status& ended) { onBarrierEnd(number, ended); });
     m_claims = key_claims::create(m_hooks, *consensus, *m_control, m_options.policies.releasesLateClaims);
     m_crashes = crash_guard::create(
         { m_hooks, *consensus, *m_control, *m_claims, m_options.crashReportTimeout, m_options.crashes });
@@ -133,49 +140,131 @@
 
 request_id request_service::submit(caller_request request, std::function<void(caller_answer)> deliver)
 {
+    const request_id id(++m_lastRequest);
+    ++m_statistics.requests;
     if (!request.host.empty())
-        return submitRouted(std::move(request), std::move(deliver));
-    return submitTo(nullptr, nullptr, std::move(request), std::move(deliver));
+        submitRouted(id, std::move(request), std::move(deliver));
+    else
+        submitTo(id, nullptr, nullptr, std::move(request), std::move(deliver));
+    return id;
 }
 
-request_id request_service::submitRouted(caller_request request, std::function<void(caller_answer)> deliver)
+void request_service::submitRouted(
+    request_id id, caller_request request, std::function<void(caller_answer)> deliver, account_lookup lookup)
 {
     m_routes.update(m_control->state().config);
     m_accounts.update(m_control->state().config);
     const route_definition* route = m_routes.find(request.host, request.target);
-    if (route == nullptr)
-        return refuse(request, currentOrNotReady(answer_reason::UnknownRoute), deliver);
+    if (route == nullptr) {
+        refuse(request, currentOrNotReady(answer_reason::UnknownRoute), deliver);
+        return;
+    }
     const client_account* account = nullptr;
     if (!m_accounts.empty() && !route->isPublic) {
         account = m_accounts.find(request.credential);
-        if (account == nullptr)
-            return refuse(request, currentOrNotReady(answer_reason::UnknownCredential), deliver);
+        if (!hasRequiredContact()) {
+            refuse(request, answer_reason::NotReady, deliver);
+            return;
+        }
+        if (account == nullptr && lookup == account_lookup::First && mayWaitForAccount(request)) {
+            waitForAccount(id, *route, std::move(request), std::move(deliver));
+            return;
+        }
+        if (account == nullptr) {
+            refuse(request, currentOrNotReady(answer_reason::UnknownCredential), deliver);
+            return;
+        }
         request.account = account->id;
-        if (!haveCommonRegion(*route, *account))
-            return refuse(request, answer_reason::NoUpstream, deliver);
+        if (!haveCommonRegion(*route, *account)) {
+            refuse(request, answer_reason::NoUpstream, deliver);
+            return;
+        }
     }
     request.credential.clear();
     request.service = m_routes.chooseService(*route);
-    return submitTo(route, account, std::move(request), std::move(deliver));
+    submitTo(id, route, account, std::move(request), std::move(deliver));
+}
+
+bool request_service::hasRequiredContact() const
+{
+    if (m_membership == nullptr)
+        return true;
+    const std::optional<duration> age = m_membership->leaderContactAge();
+    return age && *age <= *m_options.maximumContactAge;
+}
+
+bool request_service::mayWaitForAccount(const caller_request& request) const
+{
+    if (request.credential.empty() || m_lifecycle == lifecycle::Draining || !hasCurrentConfiguration())
+        return false;
+    const bool hasRoom = m_unidentified.size() < m_options.maximumUnidentified
+        && m_unidentifiedBytes + request.body.size() <= m_options.maximumUnidentifiedBytes.value();
+    return hasRoom || m_unidentified.empty();
+}
+
+void request_service::waitForAccount(
+    request_id id, const route_definition& route, caller_request request, std::function<void(caller_answer)> deliver)
+{
+    request.deadline = std::min(request.deadline.value_or(route.timeLimit), route.timeLimit);
+    unidentified_request waiting;
+    waiting.arrivedAt = m_hooks.now();
+    waiting.barrier = m_accountBarrier->join();
+    waiting.deadlineTimer = m_hooks.schedule(std::max(duration::zero(), *request.deadline),
+        [this, id] { refuseUnidentified(id, answer_reason::DeadlineExceeded); });
+    waiting.content = std::move(request);
+    waiting.deliver = std::move(deliver);
+    m_unidentifiedBytes += waiting.content.body.size();
+    m_unidentified.emplace(id, std::move(waiting));
+}
+
+std::optional<request_service::unidentified_request> request_service::takeUnidentified(request_id id)
+{
+    auto removed = m_unidentified.extract(id);
+    if (removed.empty())
+        return std::nullopt;
+    unidentified_request waiting = std::move(removed.mapped());
+    m_hooks.cancel(waiting.deadlineTimer);
+    m_unidentifiedBytes -= waiting.content.body.size();
+    const duration waited = m_hooks.now() - waiting.arrivedAt;
+    *waiting.content.deadline -= waited;
+    if (waiting.content.stopsIn)
+        *waiting.content.stopsIn -= waited;
+    return waiting;
+}
+
+void request_service::refuseUnidentified(request_id id, answer_reason reason)
+{
+    if (const std::optional<unidentified_request> waiting = takeUnidentified(id))
+        refuse(waiting->content, reason, waiting->deliver);
+}
+
+void request_service::onBarrierEnd(std::uint64_t number, const absl::Status& status)
+{
+    std::vector<request_id> ended;
+    for (const auto& [id, waiting] : m_unidentified) {
+        if (waiting.barrier <= number)
+            ended.push_back(id);
+    }
+    for (const request_id id : ended) {
+        if (!status.ok())
+            refuseUnidentified(id, answer_reason::NotReady);
+        else if (std::optional<unidentified_request> waiting = takeUnidentified(id))
+            submitRouted(id, std::move(waiting->content), std::move(waiting->deliver), account_lookup::AfterBarrier);
+    }
 }
 
-request_id request_service::refuse(
+void request_service::refuse(
     const caller_request& request, answer_reason reason, const std::function<void(caller_answer)>& deliver)
 {
-    const request_id id(++m_lastRequest);
-    ++m_statistics.requests;
     caller_answer answer = systemAnswer(outcome::NotRun, reason);
     m_hooks.log(requestRefused(request, answer));
     countAnswer(answer);
     deliver(std::move(answer));
-    return id;
 }
 
-request_id request_service::submitTo(const route_definition* route, const client_account* account,
+void request_service::submitTo(request_id id, const route_definition* route, const client_account* account,
     caller_request request, std::function<void(caller_answer)> deliver)
 {
-    const request_id id(++m_lastRequest);
-    ++m_statistics.requests;
     const auto& services = m_control->state().config.services;
     const auto found = services.find(request.service);
     const service_definition* definition = found != services.end() ? &found->second : nullptr;
@@ -185,7 +274,7 @@
         m_hooks.log(requestRefused(request, answer));
         countAnswer(answer);
         deliver(std::move(answer));
-        return id;
+        return;
     }
     creditRetryBudget(request.service);
     m_bodyBytes += request.body.size();
@@ -196,7 +285,6 @@
         [this](const admitted_request& ended, caller_answer answer) { onDone(ended, std::move(answer)); });
     m_running.emplace(id, running_request { run, std::move(deliver) });
     run->begin();
-    return id;
 }
 
 bool request_service::hasCurrentConfiguration() const
@@ -259,6 +347,11 @@
 
 void request_service::cancel(request_id id)
 {
+    if (const std::optional<unidentified_request> waiting = takeUnidentified(id)) {
+        ++m_statistics.abandoned;
+        m_hooks.log(callerLeft(waiting->content));
+        return;
+    }
     const auto position = m_running.find(id);
     if (position == m_running.end())
         return;
@@ -321,6 +414,8 @@
 {
     if (m_options.policies.refusesWhileStopping())
         m_lifecycle = lifecycle::Draining;
+    while (!m_unidentified.empty())
+        refuseUnidentified(m_unidentified.begin()->first, answer_reason::Draining);
     if (m_running.empty())
         finishStop();
 }
@@ -347,6 +442,7 @@
     state_dump root;
     root.add("in_flight", static_cast<std::uint64_t>(m_running.size()));
     root.add("body_bytes", m_bodyBytes);
+    root.add("waiting_for_account", static_cast<std::uint64_t>(m_unidentified.size()));
     root.add("draining", m_lifecycle != lifecycle::Serving);
     root.add("requests", m_statistics.requests);
     root.add("completed", m_statistics.completed);
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -25,6 +25,14 @@
      * entry counts on its own and with a delay. */
     constexpr double usedBudgetShare = 0.8;
 
+    /** With a revocation time, the heartbeat interval is at most this part of it, so that a lost heartbeat or two don't
+     * make an entry refuse requests. */
+    constexpr int revocationHeartbeats = 4;
+    /** The part of the revocation time that is left for the delivery of a change after the last answered heartbeat. */
+    constexpr int revocationMargins = 8;
+    /** Shorter ones could not be told from the round trip to another region. */
+    constexpr duration minimumRevocationTime = std::chrono::milliseconds(200);
+
     /** The statuses that tell a caller that its request did not run: timeout while reading it, wrong upstream, too many
      * requests, and unavailable. */
     constexpr std::array notRunStatuses { 408, 421, 429, 503 };
@@ -65,6 +73,12 @@
     options.requests.retryWindow = retry_window_options { bounds.retryWindow, bounds.retryShare * usedBudgetShare,
         bounds.retrySlack * usedBudgetShare };
     options.placement.cold = bounds.cold;
+    if (bounds.revocationTime) {
+        const duration revocation = std::max(*bounds.revocationTime, minimumRevocationTime);
+        duration& heartbeat = options.membership.heartbeatInterval;
+        heartbeat = std::min(heartbeat, revocation / revocationHeartbeats);
+        options.requests.maximumContactAge = revocation - heartbeat - revocation / revocationMargins;
+    }
     if (bounds.replicasThatMayFail > 0)
         options.consensus.maximumVoterCount = 2 * bounds.replicasThatMayFail + 1;
     if (bounds.renewalInterval > duration::zero()) {
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -50,6 +50,9 @@
     std::size_t replicasThatMayFail = 0;
     /** The interval at which upstreams renew their registration; zero if not set. */
     duration renewalInterval {};
+    /** If set, a removed credential is refused by every entry after this time, also by those without contact with the
+     * leader, which then refuse all requests that need one. */
+    std::optional<duration> revocationTime;
 };
 
 /** The options for a routed VM within the given bounds. */
--- a/test/correctness/client_account_test.cpp
+++ b/test/correctness/client_account_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "decision/accounts/account_table.h"
+#include "decision/vm/routed_vm.h"
 #include "support/log_fields.h"
 #include "support/request_cluster.h"
 
@@ -19,8 +20,9 @@
     /** Two entries with the routes "/shop/" of priority 3, "/north/" in that region only, and the public one "/open/".
      */
     class client_account_fixture {
-    protected:
-        client_account_fixture()
+    public:
+        explicit client_account_fixture(const request_options& options = {})
+            : cluster(1, 2, 2, 4, options)
         {
             for (const char* name : { "shop", "north", "open" }) {
                 route_definition route;
@@ -75,7 +77,7 @@
             return record.answer->content.status;
         }
 
-        request_cluster cluster { 1, 2, 2, 4 };
+        request_cluster cluster;
         configuration config = cluster.log.state.config;
         std::vector<routing_policy> policies;
     };
@@ -166,6 +168,93 @@
     REQUIRE(statusOf("/shop/1", secret) == 401);
 }
 
+// Guards against a 401 from an entry that has not applied an acknowledged change yet: it has heard from the leader
+// recently, so it counts as current.
+TEST_CASE_METHOD(client_account_fixture, "client_account.new_credential_at_an_entry_that_lags.is_looked_up_again")
+{
+    cluster.entries[1].log->applyLag = 200ms;
+    shop().credentials = { secret, "next" };
+    put(5ms);
+    const caller_record& early = send(1, "/shop/1", "next");
+    REQUIRE(early.answers == 0);
+    cluster.runtime.advance(1s);
+    REQUIRE(early.answer->content.status == 200);
+    REQUIRE(cluster.upstreams.calls.at(0).call.account == account_id("shop"));
+}
+
+// Guards against callers that make an entry write to the log with each request, or hold it up with requests that wait.
+TEST_CASE_METHOD(client_account_fixture, "client_account.many_unknown_credentials.share_few_barriers")
+{
+    int barriers = 0;
+    auto& readBarrier = cluster.entries[0].log->consensus.readBarrier;
+    readBarrier = [&barriers, inner = readBarrier](duration timeout, auto done) {
+        ++barriers;
+        inner(timeout, std::move(done));
+    };
+    for (int i = 0; i < 1000; ++i) {
+        send(0, "/shop/1", "unknown");
+        cluster.runtime.advance(1ms);
+    }
+    send(0, "/shop/1", "");
+    cluster.runtime.advance(200ms);
+    REQUIRE(barriers >= 10);
+    REQUIRE(barriers <= 11);
+    for (int i = 0; i < 1000; ++i)
+        send(0, "/shop/1", "unknown");
+    const auto isRefused = [](const auto& record) { return record->answer && record->answer->content.status == 401; };
+    REQUIRE(std::count_if(cluster.sent.begin(), cluster.sent.end(), isRefused) == 1001 + 1000 - 256);
+    cluster.runtime.advance(200ms);
+    REQUIRE(std::count_if(cluster.sent.begin(), cluster.sent.end(), isRefused) == 2001);
+}
+
+TEST_CASE_METHOD(
+    client_account_fixture, "client_account.request_that_waits_for_its_account.ends_with_caller_and_deadline")
+{
+    cluster.entries[0].log->applyLag = 500ms;
+    const caller_record& left = send(0, "/shop/1", "unknown");
+    cluster.entries[0].port->cancel(left.id);
+    caller_request request;
+    request.host = "h";
+    request.target = "/shop/1";
+    request.credential = "unknown";
+    request.deadline = 100ms;
+    const caller_record& impatient = cluster.send(0, request);
+    cluster.runtime.advance(110ms);
+    REQUIRE(impatient.answer->reason == answer_reason::DeadlineExceeded);
+    REQUIRE(impatient.answer->result == outcome::NotRun);
+    cluster.runtime.advance(2s);
+    REQUIRE(impatient.answers == 1);
+    REQUIRE(left.answers == 0);
+    REQUIRE(cluster.entries[0].requests->statistics().abandoned == 1);
+}
+
+// Guards against an entry that serves a credential which was removed since it last heard from the leader.
+TEST_CASE("client_account.entry_without_recent_contact.refuses_all_requests_that_need_a_credential")
+{
+    request_options options;
+    options.maximumContactAge = 1s;
+    client_account_fixture entry(options);
+    entry.cluster.contactAge = 1s;
+    REQUIRE(entry.statusOf("/shop/1", secret) == 200);
+    for (const std::optional<duration> age : { std::optional<duration>(1001ms), std::optional<duration>() }) {
+        entry.cluster.contactAge = age;
+        REQUIRE(entry.statusOf("/shop/1", secret) == 503);
+        REQUIRE(entry.statusOf("/shop/1", "other") == 503);
+        REQUIRE(entry.statusOf("/open/1", "") == 200);
+    }
+}
+
+TEST_CASE("client_account.bounds_of_revocation.leave_time_for_a_heartbeat_and_a_change")
+{
+    routed_bounds bounds;
+    REQUIRE_FALSE(routedOptionsFor(bounds).requests.maximumContactAge);
+    const auto [revocation, heartbeat, age] = GENERATE(table<duration, duration, duration>(
+        { { 10s, 500ms, 8250ms }, { 2s, 500ms, 1250ms }, { 800ms, 200ms, 500ms }, { 0s, 50ms, 125ms } }));
+    bounds.revocationTime = revocation;
+    REQUIRE(routedOptionsFor(bounds).membership.heartbeatInterval == heartbeat);
+    REQUIRE(routedOptionsFor(bounds).requests.maximumContactAge == age);
+}
+
 // Guards against secrets in logs, and against log lines that don't tell whose request it was.
 TEST_CASE_METHOD(client_account_fixture, "client_account.log_lines.name_the_account_and_no_credential")
 {
--- a/test/support/request_cluster.cpp
+++ b/test/support/request_cluster.cpp
@@ -67,6 +67,8 @@
     started.core->add(portService(port_names::consensus, started.log->consensus));
     started.core->add(portService(port_names::slots, started.ports.slots));
     started.core->add(portService(port_names::upstreams, started.ports.upstreams));
+    started.membership.leaderContactAge = [this] { return contactAge; };
+    started.core->add(portService(port_names::membership, started.membership));
     started.core->add(started.requests->asService());
     const absl::Status status = started.core->start();
     internal_assert(status.ok()) << status.message();
--- a/test/support/request_cluster.h
+++ b/test/support/request_cluster.h
@@ -30,6 +30,7 @@
     std::unique_ptr<kernel> core;
     std::unique_ptr<fake_log_member> log;
     fake_upstreams::entry_ports ports;
+    membership_port membership;
     std::unique_ptr<request_service> requests;
     request_port* port = nullptr;
     std::size_t portsIndex = 0;
@@ -55,6 +56,8 @@
     fake_log log;
     fake_upstreams upstreams;
     request_options options;
+    /** The age of the last leader contact of every entry. */
+    std::optional<duration> contactAge;
     std::vector<std::unique_ptr<caller_record>> sent;
     std::vector<fake_entry> entries;
 
