--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -263,6 +263,18 @@
     REQUIRE_FALSE(readLeavingGeneration("{\"born\":\"x\"}"));
 }
 
+TEST_CASE_METHOD(platform_bodies_fixture, "platform_settings.revocation_bounds.apply_if_revocation_is_strict")
+{
+    const auto revocationWith = [this](const std::string& bounds) {
+        return readSettings(replaced(settingsText, "\"cold-slack\":5", bounds))->bounds.revocationTime;
+    };
+    REQUIRE(revocationWith(R"("strict-revoke":true,"revoke-ms":1500)") == 1500ms);
+    REQUIRE(revocationWith(R"("strict-revoke":1)") == 5s);
+    REQUIRE_FALSE(revocationWith(R"("strict-revoke":false,"revoke-ms":1500)"));
+    REQUIRE_FALSE(revocationWith(R"("revoke-ms":1500)"));
+    REQUIRE_FALSE(readSettings(replaced(settingsText, "\"cold-slack\":5", R"("strict-revoke":"perhaps")")).ok());
+}
+
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_settings.control_vm.takes_its_id_from_its_peer_address")
 {
     const platform_settings settings = *readSettings(settingsText);
