Enforce the quotas of client accounts over all entries

A limit on an account's requests has to hold for the sum of all entries, also while entries, links or the leader fail.

Each quota is a token bucket that is divided into shares: one half evenly among the entries, the other leased by the leader by demand with its answers to heartbeats. The leader keeps a lease reserved until it has ended or the entry has acknowledged a later one. Requests beyond the quota are answered 429, and those that reached no upstream are refunded.

--- /dev/null
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -0,0 +1,218 @@
+#include "decision/quotas/entry_quotas.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decision/quotas/quota_division.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    /** The weight of the last interval in the average demand. With an interval of 0.5 s the average follows a change
+     * within about 1.5 s, and an account of a few requests a second is not granted something else in each answer. */
+    constexpr double newestWeight = 0.3;
+    /** Heartbeats that are sent between the regular ones don't end an interval of measurement, which would be too short
+     * for a rate. */
+    constexpr duration minimumInterval = std::chrono::milliseconds(250);
+    /** A lease is asked for if the demand exceeds this part of the base share, and returned below half of that. */
+    constexpr double askingPart = 0.5;
+    /** An account with less demand, in requests a second, is not in use. */
+    constexpr double negligibleDemand = 0.02;
+    /** The Retry-After time of an entry without a usable share: after two heartbeats it can have a lease. */
+    constexpr duration shareRetryAfter = std::chrono::seconds(1);
+    /** The number of accounts whose refused requests are counted by name. */
+    constexpr std::size_t maximumNames = 50;
+    /** An account begins to be refused if it was not refused for this long. */
+    constexpr duration refusalGap = std::chrono::seconds(10);
+
+    double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
+
+    quota_share sumOf(const quota_share& left, const quota_share& right)
+    {
+        return { left.ratePerSecond + right.ratePerSecond, left.capacity + right.capacity };
+    }
+
+    quota_share smallerOf(const quota_share& left, const quota_share& right)
+    {
+        return { std::min(left.ratePerSecond, right.ratePerSecond), std::min(left.capacity, right.capacity) };
+    }
+
+} // namespace
+
+void entry_quotas::applyShare(account_quota& item, time_point now)
+{
+    item.bucket.setShare(sumOf(item.base, item.lease), now);
+}
+
+void entry_quotas::settle(account_quota& item, time_point now)
+{
+    if (item.grant == 0 || now < item.leaseEnds)
+        return;
+    item.lease = {};
+    item.grant = 0;
+    applyShare(item, item.leaseEnds);
+}
+
+void entry_quotas::update(
+    const std::map<account_id, client_account>& accounts, std::vector<vm_id> entries, time_point now)
+{
+    m_entries = std::move(entries);
+    std::erase_if(m_accounts, [&](const auto& entry) {
+        const auto account = accounts.find(entry.first);
+        return account == accounts.end() || account->second.quota.ratePerSecond <= 0;
+    });
+    for (auto& [id, item] : m_accounts) {
+        settle(item, now);
+        item.limit = accounts.at(id).quota;
+        item.base = baseShare(item.limit, id, m_entries, m_self);
+        item.lease = smallerOf(item.lease, leasablePart(item.limit));
+        applyShare(item, now);
+    }
+    std::erase_if(m_refused, [&](const auto& entry) { return !accounts.contains(entry.first); });
+}
+
+entry_quotas::account_quota* entry_quotas::find(
+    const std::map<account_id, client_account>& accounts, const account_id& id, time_point now)
+{
+    const auto known = m_accounts.find(id);
+    if (known != m_accounts.end()) {
+        settle(known->second, now);
+        return &known->second;
+    }
+    const auto account = accounts.find(id);
+    if (account == accounts.end() || account->second.quota.ratePerSecond <= 0)
+        return nullptr;
+    const request_quota& limit = account->second.quota;
+    const quota_share base = baseShare(limit, id, m_entries, m_self);
+    // An earlier process of this VM may have used up the share just before it ended, so it begins empty.
+    const double tokens = base.ratePerSecond * seconds(now - m_startedAt);
+    account_quota created { .limit = limit, .base = base, .bucket = quota_bucket(base, tokens, now) };
+    return &m_accounts.emplace(id, std::move(created)).first->second;
+}
+
+quota_charge entry_quotas::acquire(
+    const std::map<account_id, client_account>& accounts, const account_id& account, time_point now)
+{
+    quota_charge charge;
+    account_quota* item = find(accounts, account, now);
+    if (item == nullptr)
+        return charge;
+    ++item->requests;
+    charge.verdict.admitted = item->bucket.tryAcquire(now);
+    if (charge.verdict.admitted)
+        return charge;
+    charge.verdict.retryAfter
+        = item->bucket.canAdmit() ? std::min(shareRetryAfter, item->bucket.untilNext(now)) : shareRetryAfter;
+    charge.beginsToRefuse = noteRefusal(account, now);
+    return charge;
+}
+
+bool entry_quotas::noteRefusal(const account_id& account, time_point now)
+{
+    const auto known = m_refused.find(account);
+    if (known != m_refused.end()) {
+        ++known->second.count;
+        return now - std::exchange(known->second.last, now) >= refusalGap;
+    }
+    if (m_refused.size() >= maximumNames) {
+        ++m_otherRefused;
+        return false;
+    }
+    m_refused[account] = { 1, now };
+    return true;
+}
+
+void entry_quotas::refund(const account_id& account, time_point now)
+{
+    const auto found = m_accounts.find(account);
+    if (found == m_accounts.end())
+        return;
+    settle(found->second, now);
+    found->second.bucket.refund(now);
+}
+
+std::vector<account_demand> entry_quotas::report(time_point now)
+{
+    const duration interval = now - m_reportedAt;
+    const bool measures = interval >= minimumInterval;
+    if (measures)
+        m_reportedAt = now;
+    std::vector<account_demand> demands;
+    for (auto position = m_accounts.begin(); position != m_accounts.end();) {
+        auto& [id, item] = *position;
+        settle(item, now);
+        if (measures) {
+            const double last = static_cast<double>(std::exchange(item.requests, 0)) / seconds(interval);
+            item.demand = item.isMeasured ? item.demand + newestWeight * (last - item.demand) : last;
+            item.isMeasured = true;
+        }
+        const bool holdsLease = item.grant != 0 && item.lease != quota_share();
+        const double asksAbove = item.base.ratePerSecond * askingPart * (holdsLease ? 0.5 : 1);
+        const bool asks = item.demand > std::max(asksAbove, negligibleDemand);
+        if (asks || holdsLease || item.reportsEndOfLease) {
+            demands.push_back(
+                { id, asks ? item.demand : 0, item.lease.ratePerSecond, item.lease.capacity, item.grant });
+        } else if (item.isMeasured && item.requests == 0 && item.demand <= negligibleDemand
+            && item.bucket.isFull(now)) {
+            position = m_accounts.erase(position);
+            continue;
+        }
+        item.reportsEndOfLease = false;
+        ++position;
+    }
+    return demands;
+}
+
+void entry_quotas::receive(const heartbeat_answer& answer, time_point sentAt, time_point now)
+{
+    const time_point ends = sentAt + answer.accountLease;
+    for (const account_lease& granted : answer.accountLeases) {
+        const auto found = m_accounts.find(granted.account);
+        if (found == m_accounts.end() || ends <= now)
+            continue;
+        account_quota& item = found->second;
+        settle(item, now);
+        const bool heldLease = item.lease != quota_share();
+        item.lease = smallerOf({ granted.ratePerSecond, granted.capacity }, leasablePart(item.limit));
+        item.leaseEnds = ends;
+        item.grant = answer.sequence;
+        item.reportsEndOfLease = heldLease && item.lease == quota_share();
+        applyShare(item, now);
+    }
+}
+
+quota_share entry_quotas::shareOf(const account_id& account, time_point now)
+{
+    const auto found = m_accounts.find(account);
+    if (found == m_accounts.end())
+        return {};
+    settle(found->second, now);
+    return found->second.bucket.share();
+}
+
+void entry_quotas::dumpTo(state_dump& shown, time_point now) const
+{
+    quota_share base;
+    quota_share leased;
+    std::uint64_t leases = 0;
+    for (const auto& [id, item] : m_accounts) {
+        base = sumOf(base, item.base);
+        if (item.grant == 0 || item.leaseEnds <= now || item.lease == quota_share())
+            continue;
+        leased = sumOf(leased, item.lease);
+        ++leases;
+    }
+    shown.add("active_accounts", static_cast<std::uint64_t>(m_accounts.size()));
+    shown.add("leases", leases);
+    shown.add("base_rate", base.ratePerSecond);
+    shown.add("leased_rate", leased.ratePerSecond);
+    shown.add("base_capacity", base.capacity);
+    shown.add("leased_capacity", leased.capacity);
+    state_dump& refused = shown.addObject("refused");
+    for (const auto& [id, item] : m_refused)
+        refused.add(id.value(), item.count);
+    shown.add("refused_others", m_otherRefused);
+}
+
+} // namespace plantainlatch
--- /dev/null
+++ b/src/decision/quotas/quota_division.h
@@ -0,0 +1,105 @@
+#pragma once
+
+/** \file
+ * Divides the quota of an account among the entries: base shares, which need no message, and leases by demand.
+ */
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "decision/quotas/quota_bucket.h"
+#include "model/client_account.h"
+#include "model/control_message.h"
+
+namespace plantainlatch {
+
+/** Options of the division of quotas. */
+struct quota_division_options {
+    /** How long a lease is valid, from the time when the entry sent its heartbeat. */
+    duration lease = std::chrono::seconds(2);
+    /** Added to the time for which the leader keeps a lease reserved, to tolerate differences in clock rate. */
+    duration drift = std::chrono::milliseconds(100);
+    /** Keeps earlier leases of a holder reserved until they have ended or are superseded. If false, only the latest
+     * one is reserved, and a quota can be exceeded; tests use this to show that the reservation is needed. */
+    bool reservesEarlierLeases = true;
+};
+
+/** The part of a quota that all base shares have together. The capacity is a whole number, as less than one token
+ * admits no request. */
+quota_share baseTotal(const request_quota& quota);
+
+/** The part of a quota that is leased by demand. */
+quota_share leasablePart(const request_quota& quota);
+
+/** The base share of an entry: an even part of baseTotal(), or nothing if the entry is not in the list. With fewer
+ * tokens than entries, those with the lowest hashes for the account share it, with one token each. */
+quota_share baseShare(
+    const request_quota& quota, const account_id& account, const std::vector<vm_id>& entries, const vm_id& self);
+
+/** An entry that reports demand for an account. */
+struct quota_asker {
+    double perSecond = 0;
+    bool holdsLease = false;
+};
+
+/** The lease that `askers[index]` should have. Each asker gets what its demand, with headroom, exceeds the base share
+ * by, or a proportional part if that is too much; the rest is divided evenly. */
+quota_share leaseTarget(
+    const quota_share& leasable, double baseRate, const std::vector<quota_asker>& askers, std::size_t index);
+
+/** The leader's leases. At every moment the leases of an account that entries may hold add up to at most the leasable
+ * part, also across a change of leader. */
+class quota_leases {
+public:
+    quota_leases(quota_division_options options, time_point termBegan)
+        : m_options(options)
+        , m_earlierLeasesEnd(termBegan + options.lease + options.drift)
+    {
+    }
+
+    /** Answers the demand in a heartbeat. Until the leases of an earlier leader must have ended, an entry is granted at
+     * most what it holds. */
+    void answer(const std::map<account_id, client_account>& accounts, std::size_t entryCount,
+        const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now);
+
+    /** The sum of the leases of an account that entries may hold. */
+    quota_share reserved(const account_id& account, time_point now) const;
+    std::size_t accounts() const { return m_accounts.size(); }
+
+private:
+    /** One incarnation of an entry. */
+    using holder = std::pair<vm_id, incarnation>;
+
+    struct granted_lease {
+        /** The sequence of the heartbeat that was answered. */
+        std::uint64_t sequence = 0;
+        quota_share share;
+        time_point reservedUntil {};
+    };
+
+    struct holder_record {
+        double perSecond = 0;
+        /** The demand is not counted after this, if no later heartbeat reports it. */
+        time_point demandEnds {};
+        std::uint64_t lastSequence = 0;
+        std::vector<granted_lease> leases;
+    };
+
+    using account_record = std::map<holder, holder_record>;
+
+    void prune(time_point now);
+    quota_share reservedBy(const holder_record& item, time_point now) const;
+    quota_share grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
+        const account_demand& demand, time_point now);
+
+    quota_division_options m_options;
+    time_point m_earlierLeasesEnd;
+    time_point m_prunedAt {};
+    std::map<account_id, account_record> m_accounts;
+};
+
+} // namespace plantainlatch
--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -136,6 +136,8 @@
      * cache time of the VM's settings. */
     std::optional<duration> lameDuckTime;
     crash_guard_options crashes;
+    /** Charges requests of client accounts to their quotas; the service "quotas" is then needed. */
+    bool chargesQuotas = false;
     /** Limits retries within a sliding window. By default the budget is based on all requests since the start. */
     std::optional<retry_window_options> retryWindow;
     /** How long a stop waits for pending key settlements after the last request ended. */
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -145,7 +145,7 @@
 void request_run::onAttemptEnd(const std::shared_ptr<upstream_attempt>& attempt, const attempt_result& result)
 {
     std::erase(m_openAttempts, attempt);
-    m_outcome.recordEnd(result.state);
+    recordEnd(result.state);
     if (result.state != attempt_state::NotOffered) {
         ++m_dispatchCount;
         m_usedAddresses.push_back(result.address);
@@ -252,11 +252,17 @@
     m_abandoning = true;
     for (const auto& attempt : open) {
         if (!attempt->hasEnded())
-            m_outcome.recordEnd(attempt->abandon(cause));
+            recordEnd(attempt->abandon(cause));
     }
     m_abandoning = false;
 }
 
+void request_run::recordEnd(attempt_state state)
+{
+    m_outcome.recordEnd(state);
+    m_reachedUpstream = m_reachedUpstream || state != attempt_state::NotOffered;
+}
+
 outcome request_run::outcomeWithoutAnswer() const
 {
     if (m_claimsKey && !m_claimResolved)
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -29,6 +29,8 @@
 
     void begin();
     const admitted_request& request() const { return m_request; }
+    /** Whether an upstream may have received the request; valid once the run has ended. */
+    bool reachedUpstream() const { return m_reachedUpstream; }
 
     /** Ends the run when its caller has disconnected. A request that holds a claimed key and has an open attempt
      * continues, so that the caller can resend the request to get the answer. */
@@ -71,6 +73,7 @@
     caller_answer answerForLostConnection() const;
     void finish(caller_answer answer);
     void abandonAttempts(abandon_cause cause);
+    void recordEnd(attempt_state state);
     /** Whether the status would tell the caller that the request did not run, although it may have run. */
     bool contradictsOutcome(const caller_answer& answer) const;
     void settleKey(const caller_answer& answer);
@@ -94,6 +97,7 @@
     std::optional<held_key> m_heldKey;
     crash_guard_ticket m_crashGuardTicket;
     outcome_tracker m_outcome;
+    bool m_reachedUpstream = false;
     std::size_t m_attemptCount = 0;
     /** The number of attempts that an upstream may have received. */
     std::size_t m_dispatchCount = 0;
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -78,6 +78,8 @@
     service item;
     item.name = port_names::requests;
     item.dependencies = { port_names::control, port_names::consensus, port_names::slots, port_names::upstreams };
+    if (m_options.chargesQuotas)
+        item.dependencies.emplace_back(port_names::quotas);
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return dump(); };
@@ -93,6 +95,8 @@
     status.Update(services.findInto(port_names::consensus, consensus));
     status.Update(services.findInto(port_names::slots, slots));
     status.Update(services.findInto(port_names::upstreams, upstreams));
+    if (m_options.chargesQuotas)
+        status.Update(services.findInto(port_names::quotas, m_quotas));
     if (!status.ok())
         return status;
     m_consensus = consensus;
@@ -135,10 +139,7 @@
         const request_id id(++m_lastRequest);
         ++m_statistics.requests;
         const auto reason = hasCurrentConfiguration() ? answer_reason::UnknownRoute : answer_reason::NotReady;
-        caller_answer answer = systemAnswer(outcome::NotRun, reason);
-        m_hooks.log(requestRefused(request, answer));
-        countAnswer(answer);
-        deliver(std::move(answer));
+        refuse(request, systemAnswer(outcome::NotRun, reason), deliver);
         return id;
     }
     request.service = m_routes.chooseService(*route);
@@ -155,10 +156,11 @@
     const service_definition* definition = found != services.end() ? &found->second : nullptr;
     const request_traits traits = traitsOf(request, route, definition);
     if (const std::optional<answer_reason> reason = refusalReason(request, definition)) {
-        caller_answer answer = systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason);
-        m_hooks.log(requestRefused(request, answer));
-        countAnswer(answer);
-        deliver(std::move(answer));
+        refuse(request, systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason), deliver);
+        return id;
+    }
+    if (std::optional<caller_answer> answer = chargeQuota(request, traits)) {
+        refuse(request, *std::move(answer), deliver);
         return id;
     }
     creditRetryBudget(request.service);
@@ -173,6 +175,28 @@
     return id;
 }
 
+std::optional<caller_answer> request_service::chargeQuota(const caller_request& request, const request_traits& traits)
+{
+    if (m_quotas == nullptr || request.account.empty())
+        return std::nullopt;
+    const quota_verdict verdict = m_quotas->acquire(request.account);
+    if (verdict.admitted)
+        return std::nullopt;
+    caller_answer answer = systemAnswer(m_options.policies.unresolvedOutcome(traits), answer_reason::QuotaExceeded);
+    // A whole number of milliseconds, rounded up: a caller that returns too early is refused again.
+    if (verdict.retryAfter)
+        answer.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*verdict.retryAfter);
+    return answer;
+}
+
+void request_service::refuse(
+    const caller_request& request, caller_answer answer, const std::function<void(caller_answer)>& deliver)
+{
+    m_hooks.log(requestRefused(request, answer));
+    countAnswer(answer);
+    deliver(std::move(answer));
+}
+
 bool request_service::hasCurrentConfiguration() const
 {
     return m_control->state().config.number > change_number() && m_consensus->state().current;
@@ -243,6 +267,8 @@
     const auto position = m_running.find(request.id);
     internal_assert(position != m_running.end()) << "request " << request.id.value() << " ends twice";
     const std::function<void(caller_answer)> deliver = std::move(position->second.deliver);
+    if (m_quotas != nullptr && !request.content.account.empty() && !position->second.run->reachedUpstream())
+        m_quotas->refund(request.content.account);
     m_running.erase(position);
     m_bodyBytes -= request.content.body.size();
     if (answer.result == outcome::Completed || answer.result == outcome::Unknown)
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -17,6 +17,7 @@
 #include "decision/routes/route_table.h"
 #include "kernel/service.h"
 #include "model/vm_settings.h"
+#include "ports/quota_port.h"
 #include "ports/request_port.h"
 
 namespace plantainlatch {
@@ -27,7 +28,8 @@
     static absl::StatusOr<std::unique_ptr<request_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, request_options options = {});
 
-    /** The kernel service, which depends on "control", "consensus", "slots" and "upstreams". */
+    /** The kernel service, which depends on "control", "consensus", "slots" and "upstreams", and on "quotas" if
+     * requests are charged. */
     service asService();
 
     const request_statistics& statistics() const { return m_statistics; }
@@ -66,6 +68,9 @@
     void cancel(request_id id);
     /** Whether this VM's configuration is up to date, so that a service or route missing from it does not exist. */
     bool hasCurrentConfiguration() const;
+    /** Charges the request to the quota of its account, and returns the answer if the quota is used up. */
+    std::optional<caller_answer> chargeQuota(const caller_request& request, const request_traits& traits);
+    void refuse(const caller_request& request, caller_answer answer, const std::function<void(caller_answer)>& deliver);
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
     admitted_request admit(caller_request request, const route_definition* route, const service_definition& definition);
     void onDone(const admitted_request& request, caller_answer answer);
@@ -78,6 +83,8 @@
     request_port m_port;
     control_port* m_control = nullptr;
     consensus_port* m_consensus = nullptr;
+    /** Not set if requests are not charged. */
+    quota_port* m_quotas = nullptr;
     std::unique_ptr<key_claims> m_claims;
     std::unique_ptr<crash_guard> m_crashes;
     retry_budget m_budget;
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -62,6 +62,7 @@
     // No lame-duck time is needed: the front end has answered all callers' requests before this service stops.
     options.requests.lameDuckTime = duration::zero();
     options.requests.policies = routedPolicies();
+    options.requests.chargesQuotas = true;
     options.requests.retryWindow = retry_window_options { bounds.retryWindow, bounds.retryShare * usedBudgetShare,
         bounds.retrySlack * usedBudgetShare };
     options.placement.cold = bounds.cold;
@@ -88,6 +89,7 @@
     makeService(status, vm->m_directory, hooks, settings, options.directory);
     makeService(status, vm->m_entryList, hooks, settings, options.entryList);
     makeService(status, vm->m_configurations, hooks, settings, options.configurations);
+    makeService(status, vm->m_quotas, hooks, settings, options.quotas);
     if (settings.self.entry) {
         makeService(status, vm->m_placement, hooks, settings, options.placement);
         makeService(status, vm->m_requests, hooks, settings, std::move(options.requests));
@@ -107,6 +109,7 @@
     core.add(m_directory->asService());
     core.add(m_entryList->asService());
     core.add(m_configurations->asService());
+    core.add(m_quotas->asService());
     if (m_placement != nullptr)
         core.add(m_placement->asService());
     if (m_requests != nullptr)
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -20,6 +20,7 @@
 #include "decision/operators/configuration_service.h"
 #include "decision/peers/peer_router.h"
 #include "decision/placement/placement_service.h"
+#include "decision/quotas/quota_service.h"
 #include "decision/request/request_service.h"
 #include "kernel/kernel.h"
 
@@ -35,6 +36,7 @@
     request_options requests;
     entry_list_options entryList;
     configuration_options configurations;
+    quota_division_options quotas;
 };
 
 /** Limits and system properties that operators set for a routed VM. */
@@ -76,6 +78,7 @@
     std::unique_ptr<directory_service> m_directory;
     std::unique_ptr<entry_list_service> m_entryList;
     std::unique_ptr<configuration_service> m_configurations;
+    std::unique_ptr<quota_service> m_quotas;
     std::unique_ptr<placement_service> m_placement;
     std::unique_ptr<request_service> m_requests;
 };
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -82,6 +82,35 @@
     }
 };
 
+/** An entry's demand for the quota of a client account, and the lease that it holds when the heartbeat is sent. */
+struct account_demand {
+    account_id account;
+    /** Requests a second, also those beyond the quota; 0 to give the lease back. */
+    double perSecond = 0;
+    double heldRate = 0;
+    double heldCapacity = 0;
+    /** The sequence of the heartbeat whose answer granted the lease; 0 if the entry holds none. The entry ignores the
+     * answers to earlier heartbeats. */
+    std::uint64_t grant = 0;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.account, self.perSecond, self.heldRate, self.heldCapacity, self.grant);
+    }
+};
+
+/** The part of an account's quota that the leader leases to an entry, in addition to its base share. */
+struct account_lease {
+    account_id account;
+    double ratePerSecond = 0;
+    double capacity = 0;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.account, self.ratePerSecond, self.capacity);
+    }
+};
+
 /** A VM's periodic report to the leader. */
 struct vm_heartbeat {
     vm_id vm;
@@ -101,11 +130,16 @@
     /** Whether the VM measures its upstreams. If so, a failure domain without a measurement had no traffic from this
      * VM. */
     bool measured = false;
+    /** The accounts that are in demand at this entry, or whose quota it holds a lease of. */
+    std::vector<account_demand> accountDemand;
+
+    /** The number of fields before `accountDemand` was added. */
+    static constexpr std::uint32_t requiredFields = 12;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.vm, self.start, self.sequence, self.applied, self.inForce, self.draining, self.requestsInFlight,
-            self.measurements, self.term, self.held, self.shiftUsage, self.measured);
+            self.measurements, self.term, self.held, self.shiftUsage, self.measured, self.accountDemand);
     }
 };
 
@@ -146,11 +180,18 @@
     std::vector<service_load> loads;
     /** The lowest number of the configurations in force on live VMs. */
     change_number lowestInForce;
+    /** The duration of the lease of `accountLeases`. */
+    duration accountLease {};
+    /** One for each account of the heartbeat. */
+    std::vector<account_lease> accountLeases;
+
+    /** The number of fields before `accountLease` was added. */
+    static constexpr std::uint32_t requiredFields = 11;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.sequence, self.term, self.allocatorLease, self.leased, self.avoided, self.quotaLease, self.quotas,
-            self.start, self.loadsKnown, self.loads, self.lowestInForce);
+            self.start, self.loadsKnown, self.loads, self.lowestInForce, self.accountLease, self.accountLeases);
     }
 };
 
