--- a/src/decision/quotas/entry_quotas.cpp
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -11,7 +11,7 @@
 
     /** The weight of the last interval in the average demand. With an interval of 0.5 s the average follows a change
      * within about 1.5 s, and an account of a few requests a second is not granted something else in each answer. */
-    constexpr double newestWeight = 0.3;
+    constexpr double newestWeight = 0.2;
     /** Heartbeats that are sent between the regular ones don't end an interval of measurement, which would be too short
      * for a rate. */
     constexpr duration minimumInterval = std::chrono::milliseconds(250);
--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /** Leases are sized for this much more than the demand, since demand is random and its average lags behind. */
-    constexpr double headroom = 1.25;
+    constexpr double headroom = 1.1;
     /** Makes the choice of holders stable if there are fewer tokens than entries with demand. */
     constexpr double preferenceOfHolders = 2;
     /** Records are pruned this often; a lease that has ended is not counted in between. */
@@ -100,7 +100,7 @@
     const auto count = static_cast<double>(askers.size());
     const double rate = total <= leasable.ratePerSecond ? excess[index] + (leasable.ratePerSecond - total) / count
                                                         : leasable.ratePerSecond * excess[index] / total;
-    return { rate, 1 + (leasable.capacity - count) * rate / leasable.ratePerSecond };
+    return { rate, leasable.capacity / count };
 }
 
 quota_share quota_leases::reservedBy(const holder_record& item, time_point now) const
