--- a/src/decision/request/request_options.h
+++ b/src/decision/request/request_options.h
@@ -136,6 +136,8 @@
      * cache time of the VM's settings. */
     std::optional<duration> lameDuckTime;
     crash_guard_options crashes;
+    /** Charges requests of client accounts to their quotas; the service "quotas" is then needed. */
+    bool chargesQuotas = false;
     /** Limits retries within a sliding window. By default the budget is based on all requests since the start. */
     std::optional<retry_window_options> retryWindow;
     /** If set, requests that need a credential are refused when the last heartbeat that the leader answered was sent
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -91,6 +91,8 @@
     item.dependencies = { port_names::control, port_names::consensus, port_names::slots, port_names::upstreams };
     if (m_options.maximumContactAge)
         item.dependencies.push_back(port_names::membership);
+    if (m_options.chargesQuotas)
+        item.dependencies.emplace_back(port_names::quotas);
     item.start = [this](registry& services) { return start(services); };
     item.stop = [this](std::function<void()> stopped) { stop(std::move(stopped)); };
     item.dump = [this] { return dump(); };
@@ -108,6 +110,8 @@
     status.Update(services.findInto(port_names::upstreams, upstreams));
     if (m_options.maximumContactAge)
         status.Update(services.findInto(port_names::membership, m_membership));
+    if (m_options.chargesQuotas)
+        status.Update(services.findInto(port_names::quotas, m_quotas));
     if (!status.ok())
         return status;
     m_consensus = consensus;
@@ -156,14 +160,14 @@
     m_accounts.update(m_control->state().config);
     const route_definition* route = m_routes.find(request.host, request.target);
     if (route == nullptr) {
-        refuse(request, currentOrNotReady(answer_reason::UnknownRoute), deliver);
+        refuse(request, systemAnswer(outcome::NotRun, currentOrNotReady(answer_reason::UnknownRoute)), deliver);
         return;
     }
     const client_account* account = nullptr;
     if (!m_accounts.empty() && !route->isPublic) {
         account = m_accounts.find(request.credential);
         if (!hasRequiredContact()) {
-            refuse(request, answer_reason::NotReady, deliver);
+            refuse(request, systemAnswer(outcome::NotRun, answer_reason::NotReady), deliver);
             return;
         }
         if (account == nullptr && lookup == account_lookup::First && mayWaitForAccount(request)) {
@@ -171,12 +175,13 @@
             return;
         }
         if (account == nullptr) {
-            refuse(request, currentOrNotReady(answer_reason::UnknownCredential), deliver);
+            refuse(
+                request, systemAnswer(outcome::NotRun, currentOrNotReady(answer_reason::UnknownCredential)), deliver);
             return;
         }
         request.account = account->id;
         if (!haveCommonRegion(*route, *account)) {
-            refuse(request, answer_reason::NoUpstream, deliver);
+            refuse(request, systemAnswer(outcome::NotRun, answer_reason::NoUpstream), deliver);
             return;
         }
     }
@@ -235,7 +240,7 @@
 void request_service::refuseUnidentified(request_id id, answer_reason reason)
 {
     if (const std::optional<unidentified_request> waiting = takeUnidentified(id))
-        refuse(waiting->content, reason, waiting->deliver);
+        refuse(waiting->content, systemAnswer(outcome::NotRun, reason), waiting->deliver);
 }
 
 void request_service::onBarrierEnd(std::uint64_t number, const absl::Status& status)
@@ -253,15 +258,6 @@
     }
 }
 
-void request_service::refuse(
-    const caller_request& request, answer_reason reason, const std::function<void(caller_answer)>& deliver)
-{
-    caller_answer answer = systemAnswer(outcome::NotRun, reason);
-    m_hooks.log(requestRefused(request, answer));
-    countAnswer(answer);
-    deliver(std::move(answer));
-}
-
 void request_service::submitTo(request_id id, const route_definition* route, const client_account* account,
     caller_request request, std::function<void(caller_answer)> deliver)
 {
@@ -270,10 +266,11 @@
     const service_definition* definition = found != services.end() ? &found->second : nullptr;
     const request_traits traits = traitsOf(request, route, definition);
     if (const std::optional<answer_reason> reason = refusalReason(request, definition)) {
-        caller_answer answer = systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason);
-        m_hooks.log(requestRefused(request, answer));
-        countAnswer(answer);
-        deliver(std::move(answer));
+        refuse(request, systemAnswer(m_options.policies.unresolvedOutcome(traits), *reason), deliver);
+        return;
+    }
+    if (std::optional<caller_answer> answer = chargeQuota(request, traits)) {
+        refuse(request, *std::move(answer), deliver);
         return;
     }
     creditRetryBudget(request.service);
@@ -287,6 +284,28 @@
     run->begin();
 }
 
+std::optional<caller_answer> request_service::chargeQuota(const caller_request& request, const request_traits& traits)
+{
+    if (m_quotas == nullptr || request.account.empty())
+        return std::nullopt;
+    const quota_verdict verdict = m_quotas->acquire(request.account);
+    if (verdict.admitted)
+        return std::nullopt;
+    caller_answer answer = systemAnswer(m_options.policies.unresolvedOutcome(traits), answer_reason::QuotaExceeded);
+    // A whole number of milliseconds, rounded up: a caller that returns too early is refused again.
+    if (verdict.retryAfter)
+        answer.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*verdict.retryAfter);
+    return answer;
+}
+
+void request_service::refuse(
+    const caller_request& request, caller_answer answer, const std::function<void(caller_answer)>& deliver)
+{
+    m_hooks.log(requestRefused(request, answer));
+    countAnswer(answer);
+    deliver(std::move(answer));
+}
+
 bool request_service::hasCurrentConfiguration() const
 {
     return m_control->state().config.number > change_number() && m_consensus->state().current;
@@ -367,6 +386,8 @@
     const auto position = m_running.find(request.id);
     internal_assert(position != m_running.end()) << "request " << request.id.value() << " ends twice";
     const std::function<void(caller_answer)> deliver = std::move(position->second.deliver);
+    if (m_quotas != nullptr && !request.content.account.empty() && !position->second.run->reachedUpstream())
+        m_quotas->refund(request.content.account);
     m_running.erase(position);
     m_bodyBytes -= request.content.body.size();
     if (answer.result == outcome::Completed || answer.result == outcome::Unknown)
--- a/src/decision/request/request_service.h
+++ b/src/decision/request/request_service.h
@@ -20,6 +20,7 @@
 #include "kernel/service.h"
 #include "model/vm_settings.h"
 #include "ports/membership_port.h"
+#include "ports/quota_port.h"
 #include "ports/request_port.h"
 
 namespace plantainlatch {
@@ -30,8 +31,8 @@
     static absl::StatusOr<std::unique_ptr<request_service>> create(
         const kernel_hooks& hooks, const vm_settings& settings, request_options options = {});
 
-    /** The kernel service, which depends on "control", "consensus", "slots" and "upstreams", and on "membership" if the
-     * age of the leader contact is limited. */
+    /** The kernel service, which depends on "control", "consensus", "slots" and "upstreams", on "membership" if the age
+     * of the leader contact is limited, and on "quotas" if requests are charged. */
     service asService();
 
     const request_statistics& statistics() const { return m_statistics; }
@@ -78,8 +79,6 @@
     /** `account` is null for requests without an account. */
     void submitTo(request_id id, const route_definition* route, const client_account* account, caller_request request,
         std::function<void(caller_answer)> deliver);
-    /** Answers a request that is not admitted. */
-    void refuse(const caller_request& request, answer_reason reason, const std::function<void(caller_answer)>& deliver);
     /** Whether the leader answered a heartbeat of this VM recently enough to serve requests that need a credential. */
     bool hasRequiredContact() const;
     bool mayWaitForAccount(const caller_request& request) const;
@@ -97,6 +96,10 @@
     bool hasCurrentConfiguration() const;
     /** `reason`, which says that the configuration lacks something, if the configuration is up to date. */
     answer_reason currentOrNotReady(answer_reason reason) const;
+    /** Charges the request to the quota of its account, and returns the answer if the quota is used up. */
+    std::optional<caller_answer> chargeQuota(const caller_request& request, const request_traits& traits);
+    /** Answers a request that is not admitted. */
+    void refuse(const caller_request& request, caller_answer answer, const std::function<void(caller_answer)>& deliver);
     std::optional<answer_reason> refusalReason(const caller_request& request, const service_definition* definition);
     admitted_request admit(caller_request request, const route_definition* route, const client_account* account,
         const service_definition& definition);
@@ -112,6 +115,8 @@
     consensus_port* m_consensus = nullptr;
     /** Null if the age of the leader contact is not limited. */
     membership_port* m_membership = nullptr;
+    /** Not set if requests are not charged. */
+    quota_port* m_quotas = nullptr;
     std::unique_ptr<key_claims> m_claims;
     std::unique_ptr<crash_guard> m_crashes;
     retry_budget m_budget;
