Lend the base shares of idle entries to entries in demand

An account whose callers use a few of many entries could use little more than half of its quota, as the other entries' base shares stay unused. If the demand exceeds what can be leased, the leader asks all entries to lend 7/8 of their base share for 6 s, and leases that part once an entry has confirmed it. A process that starts has the rest only for 6 s, since its predecessor may have lent the share. Requests of accounts in the request path are tested with a stand-in for the quotas.

--- a/src/decision/quotas/entry_quotas.cpp
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -28,30 +28,41 @@
 
     double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
-    quota_share sumOf(const quota_share& left, const quota_share& right)
-    {
-        return { left.ratePerSecond + right.ratePerSecond, left.capacity + right.capacity };
-    }
-
-    quota_share smallerOf(const quota_share& left, const quota_share& right)
-    {
-        return { std::min(left.ratePerSecond, right.ratePerSecond), std::min(left.capacity, right.capacity) };
-    }
-
 } // namespace
 
+quota_share entry_quotas::baseInForce(const account_quota& item)
+{
+    return item.isLent ? keptShare(item.base) : item.base;
+}
+
 void entry_quotas::applyShare(account_quota& item, time_point now)
 {
-    item.bucket.setShare(sumOf(item.base, item.lease), now);
+    item.bucket.setShare(baseInForce(item) + item.lease, now);
 }
 
 void entry_quotas::settle(account_quota& item, time_point now)
 {
-    if (item.grant == 0 || now < item.leaseEnds)
-        return;
-    item.lease = {};
-    item.grant = 0;
-    applyShare(item, item.leaseEnds);
+    const auto endLease = [&] {
+        if (item.grant == 0 || now < item.leaseEnds)
+            return;
+        item.lease = {};
+        item.grant = 0;
+        applyShare(item, item.leaseEnds);
+    };
+    const auto endLoan = [&] {
+        if (!item.isLent || now < item.loanEnds)
+            return;
+        item.isLent = false;
+        applyShare(item, item.loanEnds);
+    };
+    // In the order of time, as the bucket is filled up to each change at the former rate.
+    if (item.leaseEnds <= item.loanEnds) {
+        endLease();
+        endLoan();
+    } else {
+        endLoan();
+        endLease();
+    }
 }
 
 void entry_quotas::update(
@@ -66,7 +77,7 @@
         settle(item, now);
         item.limit = accounts.at(id).quota;
         item.base = baseShare(item.limit, id, m_entries, m_self);
-        item.lease = smallerOf(item.lease, leasablePart(item.limit));
+        item.lease = smallerOf(item.lease, { item.limit.ratePerSecond, capacityOf(item.limit) });
         applyShare(item, now);
     }
     std::erase_if(m_refused, [&](const auto& entry) { return !accounts.contains(entry.first); });
@@ -85,10 +96,12 @@
         return nullptr;
     const request_quota& limit = account->second.quota;
     const quota_share base = baseShare(limit, id, m_entries, m_self);
-    // An earlier process of this VM may have used up the share just before it ended, so it begins empty.
-    const double tokens = base.ratePerSecond * seconds(now - m_startedAt);
-    account_quota created { .limit = limit, .base = base, .bucket = quota_bucket(base, tokens, now) };
-    return &m_accounts.emplace(id, std::move(created)).first->second;
+    // An earlier process of this VM may have used up or lent its share just before it ended.
+    account_quota created { .limit = limit, .base = base, .bucket = quota_bucket(keptShare(base), 0, m_startedAt) };
+    created.loanEnds = m_startedAt + m_lending;
+    account_quota& item = m_accounts.emplace(id, std::move(created)).first->second;
+    settle(item, now);
+    return &item;
 }
 
 quota_charge entry_quotas::acquire(
@@ -132,6 +145,12 @@
     found->second.bucket.refund(now);
 }
 
+bool entry_quotas::isUnused(account_quota& item, time_point now)
+{
+    return item.isMeasured && item.requests == 0 && item.demand <= negligibleDemand && !item.isLent
+        && item.bucket.isFull(now);
+}
+
 std::vector<account_demand> entry_quotas::report(time_point now)
 {
     const duration interval = now - m_reportedAt;
@@ -148,13 +167,14 @@
             item.isMeasured = true;
         }
         const bool holdsLease = item.grant != 0 && item.lease != quota_share();
-        const double asksAbove = item.base.ratePerSecond * askingPart * (holdsLease ? 0.5 : 1);
+        const bool lends = item.grant != 0 && item.isAskedToLend;
+        const double asksAbove = baseInForce(item).ratePerSecond * askingPart * (holdsLease ? 0.5 : 1);
         const bool asks = item.demand > std::max(asksAbove, negligibleDemand);
-        if (asks || holdsLease || item.reportsEndOfLease) {
-            demands.push_back(
-                { id, asks ? item.demand : 0, item.lease.ratePerSecond, item.lease.capacity, item.grant });
-        } else if (item.isMeasured && item.requests == 0 && item.demand <= negligibleDemand
-            && item.bucket.isFull(now)) {
+        if (asks || holdsLease || lends || item.reportsEndOfLease) {
+            const quota_share kept = lends ? baseInForce(item) : item.base;
+            demands.push_back({ id, asks ? item.demand : 0, item.lease.ratePerSecond, item.lease.capacity, item.grant,
+                item.base.ratePerSecond - kept.ratePerSecond, item.base.capacity - kept.capacity });
+        } else if (isUnused(item, now)) {
             position = m_accounts.erase(position);
             continue;
         }
@@ -164,43 +184,43 @@
     return demands;
 }
 
-void entry_quotas::receive(const heartbeat_answer& answer, time_point sentAt, time_point now)
+void entry_quotas::receive(const std::map<account_id, client_account>& accounts, const heartbeat_answer& answer,
+    time_point sentAt, time_point now)
 {
     const time_point ends = sentAt + answer.accountLease;
+    if (ends <= now)
+        return;
     for (const account_lease& granted : answer.accountLeases) {
-        const auto found = m_accounts.find(granted.account);
-        if (found == m_accounts.end() || ends <= now)
+        const bool isInUse = m_accounts.contains(granted.account);
+        account_quota* item = isInUse || granted.lendsBase ? find(accounts, granted.account, now) : nullptr;
+        if (item == nullptr)
             continue;
-        account_quota& item = found->second;
-        settle(item, now);
-        const bool heldLease = item.lease != quota_share();
-        item.lease = smallerOf({ granted.ratePerSecond, granted.capacity }, leasablePart(item.limit));
-        item.leaseEnds = ends;
-        item.grant = answer.sequence;
-        item.reportsEndOfLease = heldLease && item.lease == quota_share();
-        applyShare(item, now);
+        const bool heldLease = item->lease != quota_share();
+        item->lease = smallerOf(
+            { granted.ratePerSecond, granted.capacity }, { item->limit.ratePerSecond, capacityOf(item->limit) });
+        item->leaseEnds = ends;
+        item->grant = answer.sequence;
+        item->reportsEndOfLease = heldLease && item->lease == quota_share();
+        item->isAskedToLend = granted.lendsBase;
+        if (granted.lendsBase) {
+            item->isLent = true;
+            item->loanEnds = std::max(item->loanEnds, now + m_lending);
+        }
+        applyShare(*item, now);
     }
 }
 
-quota_share entry_quotas::shareOf(const account_id& account, time_point now)
-{
-    const auto found = m_accounts.find(account);
-    if (found == m_accounts.end())
-        return {};
-    settle(found->second, now);
-    return found->second.bucket.share();
-}
-
 void entry_quotas::dumpTo(state_dump& shown, time_point now) const
 {
     quota_share base;
     quota_share leased;
     std::uint64_t leases = 0;
-    for (const auto& [id, item] : m_accounts) {
-        base = sumOf(base, item.base);
-        if (item.grant == 0 || item.leaseEnds <= now || item.lease == quota_share())
+    for (auto [id, item] : m_accounts) {
+        settle(item, now);
+        base = base + baseInForce(item);
+        if (item.lease == quota_share())
             continue;
-        leased = sumOf(leased, item.lease);
+        leased = leased + item.lease;
         ++leases;
     }
     shown.add("active_accounts", static_cast<std::uint64_t>(m_accounts.size()));
--- a/src/decision/quotas/entry_quotas.h
+++ b/src/decision/quotas/entry_quotas.h
@@ -29,9 +29,11 @@
  * memory here after a while. */
 class entry_quotas {
 public:
-    /** No earlier process of this VM has charged a request after `startedAt`. */
-    entry_quotas(vm_id self, time_point startedAt)
+    /** No earlier process of this VM has charged a request after `startedAt`. `lending` is that of the options of the
+     * division. */
+    entry_quotas(vm_id self, time_point startedAt, duration lending)
         : m_self(std::move(self))
+        , m_lending(lending)
         , m_startedAt(startedAt)
         , m_reportedAt(startedAt)
     {
@@ -47,10 +49,9 @@
     /** The demand to report in a heartbeat that is sent now. Forgets accounts that are no longer in use. */
     std::vector<account_demand> report(time_point now);
     /** Applies the leases in the answer to a heartbeat. */
-    void receive(const heartbeat_answer& answer, time_point sentAt, time_point now);
+    void receive(const std::map<account_id, client_account>& accounts, const heartbeat_answer& answer,
+        time_point sentAt, time_point now);
 
-    /** The share of the account that is in force; nothing if the account is not in use. */
-    quota_share shareOf(const account_id& account, time_point now);
     void dumpTo(state_dump& shown, time_point now) const;
 
 private:
@@ -62,6 +63,11 @@
         /** The sequence of the heartbeat whose answer granted the lease; 0 without a lease. */
         std::uint64_t grant = 0;
         quota_bucket bucket;
+        /** Most of the base share is lent until `loanEnds`. */
+        bool isLent = true;
+        time_point loanEnds {};
+        /** The answer that granted the lease asks for the loan. */
+        bool isAskedToLend = false;
         std::uint64_t requests = 0;
         /** Requests a second, averaged. */
         double demand = 0;
@@ -72,12 +78,16 @@
 
     account_quota* find(
         const std::map<account_id, client_account>& accounts, const account_id& account, time_point now);
-    /** Ends the lease if it is over. */
+    /** Ends the lease and the loan if they are over. */
     static void settle(account_quota& item, time_point now);
+    static quota_share baseInForce(const account_quota& item);
+    /** Nothing is lost if the account is forgotten. */
+    static bool isUnused(account_quota& item, time_point now);
     static void applyShare(account_quota& item, time_point now);
     bool noteRefusal(const account_id& account, time_point now);
 
     vm_id m_self;
+    duration m_lending;
     time_point m_startedAt;
     time_point m_reportedAt;
     std::vector<vm_id> m_entries;
--- a/src/decision/quotas/quota_bucket.h
+++ b/src/decision/quotas/quota_bucket.h
@@ -4,6 +4,7 @@
  * A token bucket that is one share of a quota.
  */
 
+#include <algorithm>
 #include <cstdint>
 
 #include "core/clock.h"
@@ -18,6 +19,17 @@
     friend bool operator==(const quota_share&, const quota_share&) = default;
 };
 
+inline quota_share operator+(const quota_share& left, const quota_share& right)
+{
+    return { left.ratePerSecond + right.ratePerSecond, left.capacity + right.capacity };
+}
+
+/** The smaller of the rates and of the capacities. */
+inline quota_share smallerOf(const quota_share& left, const quota_share& right)
+{
+    return { std::min(left.ratePerSecond, right.ratePerSecond), std::min(left.capacity, right.capacity) };
+}
+
 /** Admits requests within a share whose size may change. As long as the shares of a quota never add up to more than the
  * quota, the admitted requests of all of them stay within it in every window: no change of a share adds tokens, and the
  * tokens never exceed the share's capacity. Times must not decrease between calls. */
--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 #include <xxhash.h>
 
@@ -15,6 +16,10 @@
     constexpr double preferenceOfHolders = 2;
     /** Records are pruned this often; a lease that has ended is not counted in between. */
     constexpr duration pruneInterval = std::chrono::seconds(1);
+    /** The part of its base share that an entry keeps while it lends the rest, for requests that begin suddenly. */
+    constexpr double keptPart = 0.125;
+    /** Loans end when the demand is below this part of what can be leased without them. */
+    constexpr double endOfLoans = 0.8;
 
     std::uint64_t rankOf(const vm_id& vm, const account_id& account)
     {
@@ -22,8 +27,6 @@
         return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), seed);
     }
 
-    double capacityOf(const request_quota& quota) { return std::max(1.0, quota.burst); }
-
     /** Whether there are at least `limit` askers that are preferred to the one at `index`. */
     bool isBehind(const std::vector<quota_asker>& askers, std::size_t index, std::size_t limit)
     {
@@ -37,22 +40,15 @@
         return before >= limit;
     }
 
-    std::vector<double> excessDemands(double baseRate, const std::vector<quota_asker>& askers)
+    double excessOf(double baseRate, const quota_asker& asker)
     {
-        std::vector<double> excess;
-        excess.reserve(askers.size());
-        for (const quota_asker& asker : askers)
-            excess.push_back(std::max(0.0, asker.perSecond * headroom - baseRate));
-        return excess;
-    }
-
-    quota_share smallerOf(const quota_share& left, const quota_share& right)
-    {
-        return { std::min(left.ratePerSecond, right.ratePerSecond), std::min(left.capacity, right.capacity) };
+        return std::max(0.0, asker.perSecond * headroom - baseRate);
     }
 
 } // namespace
 
+double capacityOf(const request_quota& quota) { return std::max(1.0, quota.burst); }
+
 quota_share baseTotal(const request_quota& quota)
 {
     const double capacity = std::floor(capacityOf(quota) / 2);
@@ -82,6 +78,17 @@
     return { total.ratePerSecond / total.capacity, 1 };
 }
 
+quota_share keptShare(const quota_share& base)
+{
+    return { base.ratePerSecond * keptPart, std::min(base.capacity, std::max(1.0, base.capacity * keptPart)) };
+}
+
+double excessDemand(double baseRate, const std::vector<quota_asker>& askers)
+{
+    return std::accumulate(askers.begin(), askers.end(), 0.0,
+        [=](double sum, const quota_asker& asker) { return sum + excessOf(baseRate, asker); });
+}
+
 quota_share leaseTarget(
     const quota_share& leasable, double baseRate, const std::vector<quota_asker>& askers, std::size_t index)
 {
@@ -93,13 +100,11 @@
         const auto holders = static_cast<double>(maximumHolders);
         return { leasable.ratePerSecond / holders, leasable.capacity / holders };
     }
-    const std::vector<double> excess = excessDemands(baseRate, askers);
-    double total = 0;
-    for (const double item : excess)
-        total += item;
+    const double total = excessDemand(baseRate, askers);
+    const double excess = excessOf(baseRate, askers[index]);
     const auto count = static_cast<double>(askers.size());
-    const double rate = total <= leasable.ratePerSecond ? excess[index] + (leasable.ratePerSecond - total) / count
-                                                        : leasable.ratePerSecond * excess[index] / total;
+    const double rate = total <= leasable.ratePerSecond ? excess + (leasable.ratePerSecond - total) / count
+                                                        : leasable.ratePerSecond * excess / total;
     return { rate, leasable.capacity / count };
 }
 
@@ -123,11 +128,8 @@
     const auto found = m_accounts.find(account);
     if (found == m_accounts.end())
         return sum;
-    for (const auto& [vm, item] : found->second) {
-        const quota_share one = reservedBy(item, now);
-        sum.ratePerSecond += one.ratePerSecond;
-        sum.capacity += one.capacity;
-    }
+    for (const auto& [vm, item] : found->second.holders)
+        sum = sum + reservedBy(item, now);
     return sum;
 }
 
@@ -137,68 +139,121 @@
         return;
     m_prunedAt = now;
     for (auto& [account, record] : m_accounts) {
-        for (auto& [vm, item] : record)
+        for (auto& [vm, item] : record.holders)
             std::erase_if(item.leases, [&](const granted_lease& lease) { return lease.reservedUntil <= now; });
-        std::erase_if(
-            record, [&](const auto& entry) { return entry.second.leases.empty() && entry.second.demandEnds <= now; });
+        std::erase_if(record.holders, [&](const auto& entry) {
+            const holder_record& item = entry.second;
+            return item.leases.empty() && item.demandEnds <= now && item.lentUntil <= now;
+        });
+    }
+    std::erase_if(m_accounts, [](const auto& entry) { return entry.second.holders.empty(); });
+}
+
+void quota_leases::updateEntries(const std::vector<vm_id>& entries)
+{
+    if (entries == m_entries)
+        return;
+    m_entries = entries;
+    for (auto& [account, record] : m_accounts) {
+        for (auto& [vm, item] : record.holders) {
+            if (std::find(entries.begin(), entries.end(), vm.first) == entries.end())
+                item.lent = {};
+        }
     }
-    std::erase_if(m_accounts, [](const auto& entry) { return entry.second.empty(); });
 }
 
-void quota_leases::answer(const std::map<account_id, client_account>& accounts, std::size_t entryCount,
+void quota_leases::answer(const std::map<account_id, client_account>& accounts, const std::vector<vm_id>& entries,
     const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now)
 {
+    if (std::find(entries.begin(), entries.end(), heartbeat.vm) == entries.end())
+        return;
     prune(now);
+    updateEntries(entries);
     answer.accountLease = m_options.lease;
-    for (const account_demand& demand : heartbeat.accountDemand) {
+    const auto add = [&](const account_demand& demand) {
         const auto account = accounts.find(demand.account);
-        if (account == accounts.end() || account->second.quota.ratePerSecond <= 0)
-            continue;
-        const quota_share granted = grant(account->second.quota, entryCount, heartbeat, demand, now);
-        answer.accountLeases.push_back({ demand.account, granted.ratePerSecond, granted.capacity });
+        if (account != accounts.end() && account->second.quota.ratePerSecond > 0)
+            answer.accountLeases.push_back(grant(account->second.quota, entries.size(), heartbeat, demand, now));
+    };
+    for (const account_demand& demand : heartbeat.accountDemand)
+        add(demand);
+    for (const auto& [id, record] : m_accounts) {
+        const bool isReported = std::any_of(heartbeat.accountDemand.begin(), heartbeat.accountDemand.end(),
+            [&name = id](const account_demand& demand) { return demand.account == name; });
+        if (record.needsLoans && !isReported)
+            add({ .account = id });
+    }
+}
+
+void quota_leases::noteLoan(holder_record& item, const account_demand& demand) const
+{
+    const quota_share lent { demand.lentRate, demand.lentCapacity };
+    const auto asked = std::find_if(item.leases.begin(), item.leases.end(),
+        [&](const granted_lease& lease) { return lease.sequence == demand.grant && lease.lendsBase; });
+    if (asked == item.leases.end()) {
+        item.lent = smallerOf(item.lent, lent);
+        return;
     }
+    // The entry received the answer after it was sent, and lends from then on.
+    item.lent = lent;
+    item.lentUntil = asked->answeredAt + m_options.lending - m_options.drift;
 }
 
-quota_share quota_leases::grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
+quota_share quota_leases::pool(const request_quota& quota, const account_record& record, time_point now) const
+{
+    quota_share lent;
+    for (const auto& [vm, item] : record.holders) {
+        if (item.lentUntil >= now + m_options.lease + m_options.drift)
+            lent = lent + item.lent;
+    }
+    // The loans may be stated for a limit that was lowered since.
+    const quota_share base = baseTotal(quota);
+    return leasablePart(quota) + smallerOf(lent, { base.ratePerSecond * (1 - keptPart), base.capacity });
+}
+
+account_lease quota_leases::grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
     const account_demand& demand, time_point now)
 {
     account_record& record = m_accounts[demand.account];
-    holder_record& own = record[{ heartbeat.vm, heartbeat.start }];
+    holder_record& own = record.holders[{ heartbeat.vm, heartbeat.start }];
     // A heartbeat that arrives after a later one: its answer may come after the later one's, and is then ignored.
     if (heartbeat.sequence <= own.lastSequence)
-        return {};
+        return { .account = demand.account };
     own.lastSequence = heartbeat.sequence;
     own.perSecond = demand.perSecond;
     own.demandEnds = now + m_options.lease;
+    noteLoan(own, demand);
     std::erase_if(own.leases, [&](const granted_lease& lease) { return lease.sequence < demand.grant; });
 
     quota_share others;
     std::vector<quota_asker> askers;
     std::size_t index = 0;
-    for (const auto& [vm, item] : record) {
+    for (const auto& [vm, item] : record.holders) {
         const quota_share reservedShare = reservedBy(item, now);
-        if (&item == &own) {
+        if (&item == &own)
             index = askers.size();
-        } else {
-            others.ratePerSecond += reservedShare.ratePerSecond;
-            others.capacity += reservedShare.capacity;
-        }
+        else
+            others = others + reservedShare;
         if (item.perSecond > 0 && item.demandEnds > now)
             askers.push_back({ item.perSecond, reservedShare.capacity > 0 });
     }
-    const quota_share leasable = leasablePart(quota);
+    const quota_share base = baseTotal(quota);
+    const double baseRate = base.ratePerSecond / static_cast<double>(entryCount);
+    const double limit = leasablePart(quota).ratePerSecond * (record.needsLoans ? endOfLoans : 1);
+    record.needsLoans = excessDemand(baseRate, askers) > limit;
     quota_share granted;
     if (demand.perSecond > 0) {
-        const double baseRate
-            = baseTotal(quota).ratePerSecond / static_cast<double>(std::max<std::size_t>(1, entryCount));
-        const quota_share available { std::max(0.0, leasable.ratePerSecond - others.ratePerSecond),
-            std::max(0.0, leasable.capacity - others.capacity) };
-        granted = smallerOf(leaseTarget(leasable, baseRate, askers, index), available);
+        const quota_share total = pool(quota, record, now);
+        const double keptRate = record.needsLoans ? baseRate * keptPart : baseRate;
+        const quota_share available { std::max(0.0, total.ratePerSecond - others.ratePerSecond),
+            std::max(0.0, total.capacity - others.capacity) };
+        granted = smallerOf(leaseTarget(total, keptRate, askers, index), available);
     }
     if (now < m_earlierLeasesEnd)
         granted = smallerOf(granted, { demand.heldRate, demand.heldCapacity });
-    own.leases.push_back({ heartbeat.sequence, granted, now + m_options.lease + m_options.drift });
-    return granted;
+    own.leases.push_back(
+        { heartbeat.sequence, granted, now, now + m_options.lease + m_options.drift, record.needsLoans });
+    return { demand.account, granted.ratePerSecond, granted.capacity, record.needsLoans };
 }
 
 } // namespace plantainlatch
--- a/src/decision/quotas/quota_division.h
+++ b/src/decision/quotas/quota_division.h
@@ -23,11 +23,18 @@
     duration lease = std::chrono::seconds(2);
     /** Added to the time for which the leader keeps a lease reserved, to tolerate differences in clock rate. */
     duration drift = std::chrono::milliseconds(100);
+    /** How long an entry lends its base share after it has received an answer that asks for it. Long enough for leases
+     * of the lent part to end before, and short, as an entry that starts has only the part that is never lent for this
+     * long: its earlier process may have lent the rest. */
+    duration lending = std::chrono::seconds(6);
     /** Keeps earlier leases of a holder reserved until they have ended or are superseded. If false, only the latest
      * one is reserved, and a quota can be exceeded; tests use this to show that the reservation is needed. */
     bool reservesEarlierLeases = true;
 };
 
+/** The burst of a quota; at least one token, as no request is admitted without. */
+double capacityOf(const request_quota& quota);
+
 /** The part of a quota that all base shares have together. The capacity is a whole number, as less than one token
  * admits no request. */
 quota_share baseTotal(const request_quota& quota);
@@ -40,19 +47,26 @@
 quota_share baseShare(
     const request_quota& quota, const account_id& account, const std::vector<vm_id>& entries, const vm_id& self);
 
+/** The part of a base share that an entry keeps while it lends the rest. */
+quota_share keptShare(const quota_share& base);
+
 /** An entry that reports demand for an account. */
 struct quota_asker {
     double perSecond = 0;
     bool holdsLease = false;
 };
 
+/** By how much the demand of all askers together, with headroom, exceeds their base shares, in requests a second. */
+double excessDemand(double baseRate, const std::vector<quota_asker>& askers);
+
 /** The lease that `askers[index]` should have. Each asker gets what its demand, with headroom, exceeds the base share
  * by, or a proportional part if that is too much; the rest is divided evenly. */
 quota_share leaseTarget(
     const quota_share& leasable, double baseRate, const std::vector<quota_asker>& askers, std::size_t index);
 
 /** The leader's leases. At every moment the leases of an account that entries may hold add up to at most the leasable
- * part, also across a change of leader. */
+ * part and what entries lend of their base shares, also across a change of leader. If the demand exceeds the leasable
+ * part, all entries are asked to lend. */
 class quota_leases {
 public:
     quota_leases(quota_division_options options, time_point termBegan)
@@ -63,7 +77,7 @@
 
     /** Answers the demand in a heartbeat. Until the leases of an earlier leader must have ended, an entry is granted at
      * most what it holds. */
-    void answer(const std::map<account_id, client_account>& accounts, std::size_t entryCount,
+    void answer(const std::map<account_id, client_account>& accounts, const std::vector<vm_id>& entries,
         const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now);
 
     /** The sum of the leases of an account that entries may hold. */
@@ -78,7 +92,9 @@
         /** The sequence of the heartbeat that was answered. */
         std::uint64_t sequence = 0;
         quota_share share;
+        time_point answeredAt {};
         time_point reservedUntil {};
+        bool lendsBase = false;
     };
 
     struct holder_record {
@@ -87,18 +103,31 @@
         time_point demandEnds {};
         std::uint64_t lastSequence = 0;
         std::vector<granted_lease> leases;
+        /** What the entry lends of its base share until `lentUntil` at least. */
+        quota_share lent;
+        time_point lentUntil {};
     };
 
-    using account_record = std::map<holder, holder_record>;
+    struct account_record {
+        std::map<holder, holder_record> holders;
+        /** The demand exceeds the leasable part, so base shares are lent. */
+        bool needsLoans = false;
+    };
 
     void prune(time_point now);
+    /** Drops the loans of entries that left the list: their base shares have passed to the others. */
+    void updateEntries(const std::vector<vm_id>& entries);
     quota_share reservedBy(const holder_record& item, time_point now) const;
-    quota_share grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
+    void noteLoan(holder_record& item, const account_demand& demand) const;
+    /** What can be leased until a lease that is granted now ends: the leasable part and the loans. */
+    quota_share pool(const request_quota& quota, const account_record& record, time_point now) const;
+    account_lease grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
         const account_demand& demand, time_point now);
 
     quota_division_options m_options;
     time_point m_earlierLeasesEnd;
     time_point m_prunedAt {};
+    std::vector<vm_id> m_entries;
     std::map<account_id, account_record> m_accounts;
 };
 
--- a/src/decision/quotas/quota_service.cpp
+++ b/src/decision/quotas/quota_service.cpp
@@ -10,8 +10,9 @@
 absl::StatusOr<std::unique_ptr<quota_service>> quota_service::create(
     const kernel_hooks& hooks, const vm_settings& settings, quota_division_options options)
 {
-    if (options.lease <= duration::zero() || options.drift < duration::zero())
-        return absl::InvalidArgumentError("the lease of quotas must be positive, and the drift not negative");
+    if (options.lease <= duration::zero() || options.drift < duration::zero() || options.lending < 2 * options.lease)
+        return absl::InvalidArgumentError(
+            "the lease of quotas must be positive, the drift not negative, and the lending at least twice the lease");
     return std::unique_ptr<quota_service>(new quota_service(hooks, settings, options));
 }
 
@@ -43,19 +44,20 @@
         return status;
     m_membership->onHeartbeat([this](const vm_heartbeat& heartbeat, heartbeat_answer& answer) {
         const control_snapshot& state = m_control->state();
-        leases().answer(state.config.accounts, knownEntries(state).size(), heartbeat, answer, m_hooks.now());
+        leases().answer(state.config.accounts, knownEntries(state), heartbeat, answer, m_hooks.now());
     });
     if (!m_settings.self.entry)
         return absl::OkStatus();
-    m_entry.emplace(m_settings.self.id, m_hooks.now());
+    m_entry.emplace(m_settings.self.id, m_hooks.now(), m_options.lending);
     update();
     m_control->onSteeringChange([this](const steering_change& change) {
         if (change.scope != steering_scope::Upstreams)
             update();
     });
     m_membership->onSend([this](vm_heartbeat& heartbeat) { heartbeat.accountDemand = m_entry->report(m_hooks.now()); });
-    m_membership->onAnswer(
-        [this](const heartbeat_answer& answer, time_point sentAt) { m_entry->receive(answer, sentAt, m_hooks.now()); });
+    m_membership->onAnswer([this](const heartbeat_answer& answer, time_point sentAt) {
+        m_entry->receive(m_control->state().config.accounts, answer, sentAt, m_hooks.now());
+    });
     return services.publish(port_names::quotas, m_port);
 }
 
--- a/test/support/request_cluster.cpp
+++ b/test/support/request_cluster.cpp
@@ -46,6 +46,11 @@
 {
     log.state.config.number = change_number(1);
     log.state.config.services.emplace(service_id("taller"), tallerDefinition());
+    m_quotas.acquire = [this](const account_id& account) {
+        charged.push_back(account);
+        return quotaVerdict;
+    };
+    m_quotas.refund = [this](const account_id& account) { refunded.push_back(account); };
     for (std::size_t i = 0; i < entryCount; ++i)
         start(i);
 }
@@ -67,6 +72,7 @@
     started.core->add(portService(port_names::consensus, started.log->consensus));
     started.core->add(portService(port_names::slots, started.ports.slots));
     started.core->add(portService(port_names::upstreams, started.ports.upstreams));
+    started.core->add(portService(port_names::quotas, m_quotas));
     started.core->add(started.requests->asService());
     const absl::Status status = started.core->start();
     internal_assert(status.ok()) << status.message();
--- a/test/support/request_cluster.h
+++ b/test/support/request_cluster.h
@@ -11,6 +11,7 @@
 
 #include "decision/request/request_service.h"
 #include "kernel/kernel.h"
+#include "ports/quota_port.h"
 #include "support/fake_log.h"
 #include "support/fake_upstreams.h"
 
@@ -57,8 +58,14 @@
     request_options options;
     std::vector<std::unique_ptr<caller_record>> sent;
     std::vector<fake_entry> entries;
+    /** The accounts of the requests that were charged and refunded, if `options.chargesQuotas` is set, and the answer
+     * to each charge. */
+    std::vector<account_id> charged;
+    std::vector<account_id> refunded;
+    quota_verdict quotaVerdict;
 
 private:
+    quota_port m_quotas;
     std::uint64_t m_starts = 0;
     std::size_t m_portsCount = 0;
     /** The fakes of killed entries, kept because scheduled events still refer to them. */
