Grant leases of an idle quota with the tokens that were not leased

A lease began empty, so a sudden burst at one entry had only the tokens of its base share. The leader fills a bucket with the part that it has not leased and gives its tokens with leases of that capacity.

--- a/src/decision/quotas/entry_quotas.cpp
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -207,6 +207,7 @@
             item->loanEnds = std::max(item->loanEnds, now + m_lending);
         }
         applyShare(*item, now);
+        item->bucket.put(granted.tokens, now);
     }
 }
 
--- a/src/decision/quotas/quota_bucket.cpp
+++ b/src/decision/quotas/quota_bucket.cpp
@@ -54,6 +54,21 @@
     return true;
 }
 
+void quota_bucket::put(double tokens, time_point now)
+{
+    refill(now);
+    m_tokens += tokens;
+    limitTokens();
+}
+
+double quota_bucket::take(double maximum, time_point now)
+{
+    refill(now);
+    const double taken = std::clamp(maximum, 0.0, m_tokens);
+    m_tokens -= taken;
+    return taken;
+}
+
 void quota_bucket::refund(time_point now)
 {
     refill(now);
--- a/src/decision/quotas/quota_bucket.h
+++ b/src/decision/quotas/quota_bucket.h
@@ -40,6 +40,10 @@
     /** Changes the share. Tokens beyond a smaller capacity are lost; a larger capacity fills at the rate. */
     void setShare(const quota_share& share, time_point now);
     bool tryAcquire(time_point now);
+    /** Adds tokens that were taken from another share of the quota. */
+    void put(double tokens, time_point now);
+    /** Removes up to `maximum` tokens and returns how many. */
+    double take(double maximum, time_point now);
     /** Returns the token of an admitted request, except if tokens were lost since at the capacity: without the request,
      * one more would have been lost. */
     void refund(time_point now);
--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -45,6 +45,12 @@
         return std::max(0.0, asker.perSecond * headroom - baseRate);
     }
 
+    quota_share remainder(const quota_share& whole, const quota_share& used)
+    {
+        return { std::max(0.0, whole.ratePerSecond - used.ratePerSecond),
+            std::max(0.0, whole.capacity - used.capacity) };
+    }
+
 } // namespace
 
 double capacityOf(const request_quota& quota) { return std::max(1.0, quota.burst); }
@@ -122,17 +128,6 @@
     return maximum;
 }
 
-quota_share quota_leases::reserved(const account_id& account, time_point now) const
-{
-    quota_share sum;
-    const auto found = m_accounts.find(account);
-    if (found == m_accounts.end())
-        return sum;
-    for (const auto& [vm, item] : found->second.holders)
-        sum = sum + reservedBy(item, now);
-    return sum;
-}
-
 void quota_leases::prune(time_point now)
 {
     if (now < m_prunedAt + pruneInterval)
@@ -146,7 +141,12 @@
             return item.leases.empty() && item.demandEnds <= now && item.lentUntil <= now;
         });
     }
-    std::erase_if(m_accounts, [](const auto& entry) { return entry.second.holders.empty(); });
+    for (auto position = m_accounts.begin(); position != m_accounts.end();) {
+        account_record& record = position->second;
+        if (record.holders.empty())
+            record.unleased.setShare(record.leasable, now);
+        position = record.holders.empty() && record.unleased.isFull(now) ? m_accounts.erase(position) : ++position;
+    }
 }
 
 void quota_leases::updateEntries(const std::vector<vm_id>& entries)
@@ -211,10 +211,21 @@
     return leasablePart(quota) + smallerOf(lent, { base.ratePerSecond * (1 - keptPart), base.capacity });
 }
 
+quota_leases::account_record& quota_leases::recordOf(const account_id& account, const request_quota& quota)
+{
+    const auto found = m_accounts.find(account);
+    if (found != m_accounts.end())
+        return found->second;
+    // Nothing was leased since the leases of an earlier leader ended, as a record is kept until `unleased` is full.
+    account_record created { .unleased = quota_bucket(leasablePart(quota), 0, m_earlierLeasesEnd) };
+    return m_accounts.emplace(account, std::move(created)).first->second;
+}
+
 account_lease quota_leases::grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
     const account_demand& demand, time_point now)
 {
-    account_record& record = m_accounts[demand.account];
+    account_record& record = recordOf(demand.account, quota);
+    record.leasable = leasablePart(quota);
     holder_record& own = record.holders[{ heartbeat.vm, heartbeat.start }];
     // A heartbeat that arrives after a later one: its answer may come after the later one's, and is then ignored.
     if (heartbeat.sequence <= own.lastSequence)
@@ -222,6 +233,7 @@
     own.lastSequence = heartbeat.sequence;
     own.perSecond = demand.perSecond;
     own.demandEnds = now + m_options.lease;
+    const quota_share ownBefore = reservedBy(own, now);
     noteLoan(own, demand);
     std::erase_if(own.leases, [&](const granted_lease& lease) { return lease.sequence < demand.grant; });
 
@@ -239,21 +251,23 @@
     }
     const quota_share base = baseTotal(quota);
     const double baseRate = base.ratePerSecond / static_cast<double>(entryCount);
-    const double limit = leasablePart(quota).ratePerSecond * (record.needsLoans ? endOfLoans : 1);
+    const double limit = record.leasable.ratePerSecond * (record.needsLoans ? endOfLoans : 1);
     record.needsLoans = excessDemand(baseRate, askers) > limit;
     quota_share granted;
     if (demand.perSecond > 0) {
         const quota_share total = pool(quota, record, now);
         const double keptRate = record.needsLoans ? baseRate * keptPart : baseRate;
-        const quota_share available { std::max(0.0, total.ratePerSecond - others.ratePerSecond),
-            std::max(0.0, total.capacity - others.capacity) };
-        granted = smallerOf(leaseTarget(total, keptRate, askers, index), available);
+        granted = smallerOf(leaseTarget(total, keptRate, askers, index), remainder(total, others));
     }
     if (now < m_earlierLeasesEnd)
         granted = smallerOf(granted, { demand.heldRate, demand.heldCapacity });
     own.leases.push_back(
         { heartbeat.sequence, granted, now, now + m_options.lease + m_options.drift, record.needsLoans });
-    return { demand.account, granted.ratePerSecond, granted.capacity, record.needsLoans };
+    // Tokens only for capacity that the entry could not have filled under an earlier lease.
+    const quota_share ownReserved = reservedBy(own, now);
+    const double tokens = record.unleased.take(granted.capacity - ownBefore.capacity, now);
+    record.unleased.setShare(remainder(record.leasable, others + ownReserved), now);
+    return { demand.account, granted.ratePerSecond, granted.capacity, record.needsLoans, tokens };
 }
 
 } // namespace plantainlatch
--- a/src/decision/quotas/quota_division.h
+++ b/src/decision/quotas/quota_division.h
@@ -80,8 +80,6 @@
     void answer(const std::map<account_id, client_account>& accounts, const std::vector<vm_id>& entries,
         const vm_heartbeat& heartbeat, heartbeat_answer& answer, time_point now);
 
-    /** The sum of the leases of an account that entries may hold. */
-    quota_share reserved(const account_id& account, time_point now) const;
     std::size_t accounts() const { return m_accounts.size(); }
 
 private:
@@ -112,6 +110,9 @@
         std::map<holder, holder_record> holders;
         /** The demand exceeds the leasable part, so base shares are lent. */
         bool needsLoans = false;
+        /** Fills with the part of the leasable part that is not reserved. */
+        quota_bucket unleased;
+        quota_share leasable;
     };
 
     void prune(time_point now);
@@ -121,6 +122,7 @@
     void noteLoan(holder_record& item, const account_demand& demand) const;
     /** What can be leased until a lease that is granted now ends: the leasable part and the loans. */
     quota_share pool(const request_quota& quota, const account_record& record, time_point now) const;
+    account_record& recordOf(const account_id& account, const request_quota& quota);
     account_lease grant(const request_quota& quota, std::size_t entryCount, const vm_heartbeat& heartbeat,
         const account_demand& demand, time_point now);
 
--- a/src/model/control_message.h
+++ b/src/model/control_message.h
@@ -110,10 +110,12 @@
     double capacity = 0;
     /** The entry is to lend most of its base share, as the demand elsewhere exceeds what can be leased. */
     bool lendsBase = false;
+    /** Tokens that accumulated while the capacity was not leased. */
+    double tokens = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.account, self.ratePerSecond, self.capacity, self.lendsBase);
+        visit(self.account, self.ratePerSecond, self.capacity, self.lendsBase, self.tokens);
     }
 };
 
--- a/test/correctness/account_quota_test.cpp
+++ b/test/correctness/account_quota_test.cpp
@@ -249,6 +249,25 @@
     REQUIRE(staysWithinQuota());
 }
 
+// Guards against leases that begin empty although the account was idle, and against tokens that are given out twice.
+TEST_CASE_METHOD(account_quota_fixture, "account_quota.burst_after_idle_time.has_the_unleased_tokens_and_no_more")
+{
+    begin(40, 400);
+    const auto burst = [&](std::size_t first) {
+        const std::size_t before = admitted.size();
+        send(3s, [first](std::size_t entry, double) { return entry - first < 3 ? 300.0 : 0.0; });
+        return admitted.size() - before;
+    };
+    REQUIRE(burst(2) > 200);
+    REQUIRE(burst(7) < 200);
+    cluster->setLeader("b");
+    burst(12);
+    cluster->runtime.advance(1min);
+    REQUIRE(burst(17) > 200);
+    INFO(mostInWindow() << " in a window, shares of " << mostShared);
+    REQUIRE(staysWithinQuota());
+}
+
 // Guards against heartbeats that grow with the number of configured accounts, also after each was used once.
 TEST_CASE_METHOD(account_quota_fixture, "account_quota.thousands_of_idle_accounts.cost_no_bytes_in_heartbeats")
 {
