--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -150,7 +150,7 @@
         { R"(["a",["secret )" + std::string(4096, 'x') + R"("],0,1,1,[]])", "api-keys" },
         { R"(["a",["secret"],-1,1,1,[]])", "priority" },
         { R"(["a",["secret"],0,-1,1,[]])", "rate-per-s" },
-        { R"(["a",["secret"],0,1e999,1,[]])", "rate-per-s" },
+        { R"(["a",["secret"],0,"5",1,[]])", "rate-per-s" },
         { R"(["a",["secret"],0,1,-0.5,[]])", "burst" },
         { R"(["a",["secret"],0,1,true,[]])", "burst" },
         { R"(["a",["secret"],0,1,1,"fukuoka"])", "allowed-regions" },
@@ -182,6 +182,7 @@
     REQUIRE(readDocument(replaced(document, "\"booking\",2,", "\"booking\",4294967296,"))->routes[0].maximumAttempts
         == 0xffffffffU);
     REQUIRE_FALSE(readDocument(replaced(document, "3000", "1e999")).ok());
+    REQUIRE_FALSE(readDocument(withTenants(R"(["a",["secret"],0,1e999,1,[]])")).ok());
 }
 
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_configuration.unknown_fields.are_ignored")
--- a/test/error/platform_front_test.cpp
+++ b/test/error/platform_front_test.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "codec/http_fields.h"
+#include "decision/request/system_answers.h"
 #include "error/loop_fixture.h"
 #include "error/raw_client.h"
 #include "error/raw_upstream.h"
@@ -290,6 +291,16 @@
     REQUIRE_THAT(got, Contains("Retry-After: 0.250"));
 }
 
+// Guards against callers that wait a whole second although their quota has room after a few milliseconds.
+TEST_CASE_METHOD(platform_front_fixture, "platform_request.quota_exceeded.is_429_with_a_fractional_retry_after")
+{
+    answer = systemAnswer(outcome::NotRun, answer_reason::QuotaExceeded);
+    answer.retryAfter = 250ms;
+    const std::string got = ask(request_front::callerServer, "GET /a/1 HTTP/1.1");
+    REQUIRE_THAT(got, StartsWith("HTTP/1.1 429"));
+    REQUIRE_THAT(got, Contains("Retry-After: 0.250"));
+}
+
 TEST_CASE_METHOD(platform_front_fixture, "platform_request.unknown_outcome.is_never_503")
 {
     answer.result = outcome::Unknown;
