--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -16,6 +16,9 @@
     constexpr double preferenceOfHolders = 2;
     /** Records are pruned this often; a lease that has ended is not counted in between. */
     constexpr duration pruneInterval = std::chrono::seconds(1);
+    /** The requests of an account with fewer tokens come to an entry one at a time, so a lease by demand arrives too
+     * late for them: all of its quota is base shares. */
+    constexpr double smallQuota = 50;
     /** The part of its base share that an entry keeps while it lends the rest, for requests that begin suddenly. */
     constexpr double keptPart = 0.125;
     /** An entry that holds no lease gets at most this part of what is available, as the first heartbeats of others
@@ -58,8 +61,17 @@
 
 double capacityOf(const request_quota& quota) { return std::max(1.0, quota.burst); }
 
+std::map<account_id, client_account> withSlack(std::map<account_id, client_account> accounts, double slack)
+{
+    for (auto& [id, account] : accounts)
+        account.quota.burst += slack;
+    return accounts;
+}
+
 quota_share baseTotal(const request_quota& quota)
 {
+    if (capacityOf(quota) < smallQuota)
+        return { quota.ratePerSecond, std::floor(capacityOf(quota)) };
     const double capacity = std::floor(capacityOf(quota) / 2);
     return { capacity > 0 ? quota.ratePerSecond / 2 : 0, capacity };
 }
@@ -255,7 +267,8 @@
     const quota_share base = baseTotal(quota);
     const double baseRate = base.ratePerSecond / static_cast<double>(entryCount);
     const double limit = record.leasable.ratePerSecond * (record.needsLoans ? endOfLoans : 1);
-    record.needsLoans = excessDemand(baseRate, askers) > limit;
+    // Without a leasable part, base shares stay where they are: requests of a small account come to all entries.
+    record.needsLoans = record.leasable.capacity >= 1 && excessDemand(baseRate, askers) > limit;
     quota_share granted;
     if (demand.perSecond > 0) {
         const quota_share total = pool(quota, record, now);
--- a/src/decision/quotas/quota_division.h
+++ b/src/decision/quotas/quota_division.h
@@ -27,6 +27,9 @@
      * of the lent part to end before, and short, as an entry that starts has only the part that is never lent for this
      * long: its earlier process may have lent the rest. */
     duration lending = std::chrono::seconds(6);
+    /** Requests by which the sum of all entries may exceed the burst. They are divided like the burst, so that an entry
+     * has a token for the occasional request of a small account. */
+    double slack = 0;
     /** Keeps earlier leases of a holder reserved until they have ended or are superseded. If false, only the latest
      * one is reserved, and a quota can be exceeded; tests use this to show that the reservation is needed. */
     bool reservesEarlierLeases = true;
@@ -35,6 +38,9 @@
 /** The burst of a quota; at least one token, as no request is admitted without. */
 double capacityOf(const request_quota& quota);
 
+/** Adds the slack to the burst of each account. */
+std::map<account_id, client_account> withSlack(std::map<account_id, client_account> accounts, double slack);
+
 /** The part of a quota that all base shares have together. The capacity is a whole number, as less than one token
  * admits no request. */
 quota_share baseTotal(const request_quota& quota);
--- a/src/decision/quotas/quota_service.cpp
+++ b/src/decision/quotas/quota_service.cpp
@@ -10,9 +10,10 @@
 absl::StatusOr<std::unique_ptr<quota_service>> quota_service::create(
     const kernel_hooks& hooks, const vm_settings& settings, quota_division_options options)
 {
-    if (options.lease <= duration::zero() || options.drift < duration::zero() || options.lending < 2 * options.lease)
-        return absl::InvalidArgumentError(
-            "the lease of quotas must be positive, the drift not negative, and the lending at least twice the lease");
+    if (options.lease <= duration::zero() || options.drift < duration::zero() || options.lending < 2 * options.lease
+        || options.slack < 0)
+        return absl::InvalidArgumentError("the lease of quotas must be positive, the drift and the slack not negative, "
+                                          "and the lending at least twice the lease");
     return std::unique_ptr<quota_service>(new quota_service(hooks, settings, options));
 }
 
@@ -43,10 +44,8 @@
     if (!status.ok())
         return status;
     m_membership->onHeartbeat([this](const vm_heartbeat& heartbeat, heartbeat_answer& answer) {
-        const control_snapshot& state = m_control->state();
-        if (state.config.accounts.empty())
-            return;
-        leases().answer(state.config.accounts, knownEntries(state), heartbeat, answer, m_hooks.now());
+        if (!accounts().empty())
+            leases().answer(accounts(), knownEntries(m_control->state()), heartbeat, answer, m_hooks.now());
     });
     if (!m_settings.self.entry)
         return absl::OkStatus();
@@ -58,20 +57,26 @@
     });
     m_membership->onSend([this](vm_heartbeat& heartbeat) { heartbeat.accountDemand = m_entry->report(m_hooks.now()); });
     m_membership->onAnswer([this](const heartbeat_answer& answer, time_point sentAt) {
-        m_entry->receive(m_control->state().config.accounts, answer, sentAt, m_hooks.now());
+        m_entry->receive(accounts(), answer, sentAt, m_hooks.now());
     });
     return services.publish(port_names::quotas, m_port);
 }
 
-void quota_service::update()
+void quota_service::update() { m_entry->update(accounts(), knownEntries(m_control->state()), m_hooks.now()); }
+
+const std::map<account_id, client_account>& quota_service::accounts()
 {
-    const control_snapshot& state = m_control->state();
-    m_entry->update(state.config.accounts, knownEntries(state), m_hooks.now());
+    const configuration& config = m_control->state().config;
+    if (m_accountsNumber != config.number) {
+        m_accountsNumber = config.number;
+        m_accounts = withSlack(config.accounts, m_options.slack);
+    }
+    return m_accounts;
 }
 
 quota_verdict quota_service::acquire(const account_id& account)
 {
-    const quota_charge charge = m_entry->acquire(m_control->state().config.accounts, account, m_hooks.now());
+    const quota_charge charge = m_entry->acquire(accounts(), account, m_hooks.now());
     if (charge.beginsToRefuse) {
         m_hooks.log(
             { log_level::Info, port_names::quotas, "account-exceeds-quota", { { "account", account.value() } } });
--- a/src/decision/quotas/quota_service.h
+++ b/src/decision/quotas/quota_service.h
@@ -35,6 +35,8 @@
 
     absl::Status start(registry& services);
     void update();
+    /** The accounts of the configuration in force, with the slack added to their quotas. */
+    const std::map<account_id, client_account>& accounts();
     quota_verdict acquire(const account_id& account);
     /** The leases that this VM grants as the leader of the present term. */
     quota_leases& leases();
@@ -47,6 +49,8 @@
     control_port* m_control = nullptr;
     consensus_port* m_consensus = nullptr;
     membership_port* m_membership = nullptr;
+    std::map<account_id, client_account> m_accounts;
+    change_number m_accountsNumber;
     std::optional<entry_quotas> m_entry;
     std::optional<quota_leases> m_leases;
     log_term m_leasesTerm;
--- a/src/decision/vm/routed_vm.cpp
+++ b/src/decision/vm/routed_vm.cpp
@@ -24,6 +24,9 @@
     /** The share of the configured retry budget that entries use. The rest is a margin for counting errors, as each
      * entry counts on its own and with a delay. */
     constexpr double usedBudgetShare = 0.8;
+    /** The share of the slack of quotas that entries use. The rest is a margin for requests that are admitted in one
+     * window and reach their upstreams in the next. */
+    constexpr double usedQuotaSlack = 0.8;
 
     /** With a revocation time, the heartbeat interval is at most this part of it, so that a lost heartbeat or two don't
      * make an entry refuse requests. */
@@ -71,6 +74,7 @@
     options.requests.lameDuckTime = duration::zero();
     options.requests.policies = routedPolicies();
     options.requests.chargesQuotas = true;
+    options.quotas.slack = bounds.quotaSlack * usedQuotaSlack;
     options.requests.retryWindow = retry_window_options { bounds.retryWindow, bounds.retryShare * usedBudgetShare,
         bounds.retrySlack * usedBudgetShare };
     options.placement.cold = bounds.cold;
--- a/src/decision/vm/routed_vm.h
+++ b/src/decision/vm/routed_vm.h
@@ -48,6 +48,8 @@
     double retrySlack = 0;
     /** The limit on requests per second to a cold upstream: a multiple of the service's cold rate plus a constant. */
     cold_rate_limit cold;
+    /** Requests by which an account may exceed its quota within a window, over all VMs together. */
+    double quotaSlack = 0;
     /** The number of replicas that may fail at the same time; 0 if not set. */
     std::size_t replicasThatMayFail = 0;
     /** The interval at which upstreams renew their registration; zero if not set. */
--- a/test/correctness/account_quota_test.cpp
+++ b/test/correctness/account_quota_test.cpp
@@ -205,6 +205,21 @@
 }
 
 // Guards against leases of a leader, holder or link that fails halfway being granted again before they have ended.
+// Load: an account with fewer requests than there are entries, spread at random. Guards against a quota whose tokens
+// are at other entries than the requests, and against a slack that each entry uses in full.
+TEST_CASE_METHOD(account_quota_fixture, "account_quota.small_account.is_served_and_stays_within_the_slack")
+{
+    quota_division_options division;
+    division.slack = 16;
+    begin(8, 8, division);
+    const double demand = GENERATE(5.0, 35.0);
+    send(72s, [&](std::size_t, double) { return demand / entryCount; });
+    INFO("refused " << 100 * refusedShare() << " %, " << mostInWindow() << " in a window");
+    REQUIRE(static_cast<double>(mostInWindow()) <= allowedInWindow() + division.slack);
+    if (demand < quota.ratePerSecond)
+        REQUIRE(refusedShare() < 0.5);
+}
+
 TEST_CASE_METHOD(account_quota_fixture, "account_quota.hot_account_during_failures.stays_within_rate_and_burst")
 {
     begin(100, 100);
