Serve accounts whose quota states no burst

A bucket without capacity admits no request. A quota without a burst has a capacity of half a second of its rate, and 9/10 of the rate, so that a window of 5 s admits no more than 5 s of the rate.

--- a/src/decision/quotas/entry_quotas.cpp
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -79,7 +79,7 @@
         settle(item, now);
         item.limit = accounts.at(id).quota;
         item.base = baseShare(item.limit, id, m_entries, m_self);
-        item.lease = smallerOf(item.lease, { item.limit.ratePerSecond, capacityOf(item.limit) });
+        item.lease = smallerOf(item.lease, wholeShare(item.limit));
         applyShare(item, now);
     }
     std::erase_if(m_refused, [&](const auto& entry) { return !accounts.contains(entry.first); });
@@ -199,8 +199,7 @@
         if (item == nullptr)
             continue;
         const bool heldLease = item->lease != quota_share();
-        item->lease = smallerOf(
-            { granted.ratePerSecond, granted.capacity }, { item->limit.ratePerSecond, capacityOf(item->limit) });
+        item->lease = smallerOf({ granted.ratePerSecond, granted.capacity }, wholeShare(item->limit));
         item->leaseEnds = ends;
         item->grant = answer.sequence;
         item->reportsEndOfLease = heldLease && item->lease == quota_share();
--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -21,6 +21,10 @@
     /** An entry that holds no lease gets at most this part of what is available, as the first heartbeats of others
      * whose demand began at the same time are still to come. */
     constexpr double firstPart = 0.25;
+    /** The capacity of a quota without a burst, in seconds of its rate. Its rate is lowered by a tenth, so that a
+     * window of 5 s admits no more than without the capacity. */
+    constexpr double secondsWithoutBurst = 0.5;
+    constexpr double windowSeconds = 5;
     /** Loans end when the demand is below this part of what can be leased without them. */
     constexpr double endOfLoans = 0.8;
 
@@ -56,20 +60,24 @@
 
 } // namespace
 
-double capacityOf(const request_quota& quota) { return std::max(1.0, quota.burst); }
-
-quota_share baseTotal(const request_quota& quota)
+quota_share wholeShare(const request_quota& quota)
 {
-    const double capacity = std::floor(capacityOf(quota) / 2);
-    return { capacity > 0 ? quota.ratePerSecond / 2 : 0, capacity };
+    if (quota.burst >= 1)
+        return { quota.ratePerSecond, quota.burst };
+    const double capacity = std::max(1.0, quota.ratePerSecond * secondsWithoutBurst);
+    const double rate = quota.ratePerSecond - (capacity - quota.burst) / windowSeconds;
+    return { std::max(rate, quota.ratePerSecond / 2), capacity };
 }
 
-quota_share leasablePart(const request_quota& quota)
+quota_share baseTotal(const request_quota& quota)
 {
-    const quota_share base = baseTotal(quota);
-    return { quota.ratePerSecond - base.ratePerSecond, capacityOf(quota) - base.capacity };
+    const quota_share whole = wholeShare(quota);
+    const double capacity = std::floor(whole.capacity / 2);
+    return { capacity > 0 ? whole.ratePerSecond / 2 : 0, capacity };
 }
 
+quota_share leasablePart(const request_quota& quota) { return remainder(wholeShare(quota), baseTotal(quota)); }
+
 quota_share baseShare(
     const request_quota& quota, const account_id& account, const std::vector<vm_id>& entries, const vm_id& self)
 {
--- a/src/decision/quotas/quota_division.h
+++ b/src/decision/quotas/quota_division.h
@@ -32,8 +32,9 @@
     bool reservesEarlierLeases = true;
 };
 
-/** The burst of a quota; at least one token, as no request is admitted without. */
-double capacityOf(const request_quota& quota);
+/** The token bucket of a quota. Without a burst it would admit no request; such a quota has a bucket that stays within
+ * the rate in windows of 5 s. */
+quota_share wholeShare(const request_quota& quota);
 
 /** The part of a quota that all base shares have together. The capacity is a whole number, as less than one token
  * admits no request. */
--- a/test/correctness/account_quota_test.cpp
+++ b/test/correctness/account_quota_test.cpp
@@ -194,6 +194,18 @@
     REQUIRE(static_cast<double>(admitted.size()) > 0.65 * 66 * quota.ratePerSecond);
 }
 
+// Guards against accounts without a burst that are refused everywhere but at one entry.
+TEST_CASE_METHOD(account_quota_fixture, "account_quota.no_burst.stays_within_the_rate_and_serves_less_demand")
+{
+    begin(400, 0);
+    send(20s, [](std::size_t entry, double at) { return wave(200, entry, at); });
+    INFO("refused " << 100 * refusedShare() << " % of " << sent);
+    REQUIRE(refusedShare() < 0.02);
+    send(20s, movingDemand(2800));
+    INFO(mostInWindow() << " in a window");
+    REQUIRE(static_cast<double>(mostInWindow()) <= allowedInWindow());
+}
+
 // Guards against shares that stay with entries that no longer need them.
 TEST_CASE_METHOD(account_quota_fixture, "account_quota.demand_within_quota_that_moves_by_region.is_not_refused")
 {
