--- a/test/correctness/configuration_delivery_test.cpp
+++ b/test/correctness/configuration_delivery_test.cpp
@@ -332,4 +332,33 @@
     REQUIRE(snapshotsToEntry <= 3);
 }
 
+// Guards against an assembly in which the leader, which is not an entry, leases nothing, or requests are not charged.
+TEST_CASE_METHOD(
+    configuration_delivery_fixture, "account_quota.entry_of_a_routed_system.gets_leases_and_refuses_beyond_the_quota")
+{
+    configuration content = makeConfiguration(1, 0, 1);
+    const account_id account("acme");
+    content.accounts[account] = { .id = account, .quota = { 40, 40 } };
+    put(content);
+    REQUIRE(until([&] { return inForceOnEntry() == change_number(1); }));
+    runtime.advance(8s);
+    quota_port& quotas = port<quota_port>(*vms.back(), port_names::quotas);
+    int refused = 0;
+    for (int i = 0; i < 35 * 8; ++i) {
+        refused += quotas.acquire(account).admitted ? 0 : 1;
+        runtime.advance(duration(1s) / 35);
+    }
+    REQUIRE(refused == 0);
+    while (quotas.acquire(account).admitted) { }
+    caller_request request;
+    request.service = service_id("booking");
+    request.account = account;
+    request.deadline = 3s;
+    std::optional<caller_answer> answer;
+    port<request_port>(*vms.back(), port_names::requests).submit(request, [&](caller_answer got) { answer = got; });
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->content.status == 429);
+    REQUIRE(answer->retryAfter > 0s);
+}
+
 } // namespace plantainlatch
