Hold one copy of a request's body from the parser to the output buffer

It is now a shared_body: immutable, moved once out of the parsed request, shared by all attempts, and referenced by libevent's output buffer until it is written.

Test: request.body.is_shared_by_all_attempts.

--- a/src/decision/request/request_fingerprint.cpp
+++ b/src/decision/request/request_fingerprint.cpp
@@ -17,7 +17,7 @@
 {
     const XXH64_hash_t method = hashField(request.method, 0);
     const XXH64_hash_t target = hashField(request.target, method);
-    return request_fingerprint(hashField(request.body, target));
+    return request_fingerprint(hashField(request.body.bytes(), target));
 }
 
 } // namespace plantainlatch
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/outcome.h"
+#include "model/shared_body.h"
 #include "model/upstream.h"
 
 namespace plantainlatch {
@@ -40,7 +41,7 @@
     /** Path and query, beginning with `/`; if the caller names the service, without the prefix `/s/{service}`. */
     std::string target;
     std::vector<header_field> headers;
-    std::string body;
+    shared_body body;
     /** How long the caller waits, counted from the arrival of the request; by default the service's default deadline.
      */
     std::optional<duration> deadline;
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -24,7 +24,7 @@
     std::string method;
     std::string target;
     std::vector<header_field> headers;
-    std::string body;
+    shared_body body;
     /** The call fails with Timeout after this time. It is also sent to the upstream as the deadline. */
     duration timeout {};
     /** The call fails with ConnectFailed if it is not dispatched within this time. Zero means that only `timeout`
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -57,6 +57,7 @@
     http_connection& operator=(const http_connection&) = delete;
 
     const received_request& request() const { return m_parser.request(); }
+    received_request& request() { return m_parser.request(); }
     /** Whether a request has been received and not been answered. */
     bool isAwaitingAnswer() const { return m_state == state::Handling; }
     /** Whether the connection waits for a request or for the rest of one. */
--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -48,6 +48,7 @@
     /** What is wrong with the request. After a problem nothing more can be parsed from the connection. */
     http_problem problem() const { return m_problem; }
     const received_request& request() const { return m_request; }
+    received_request& request() { return m_request; }
 
     /** Whether the caller expects "100 Continue" before it sends the body; true only once for each request. */
     bool takeWaitsForContinue();
--- a/src/services/http_request_view.h
+++ b/src/services/http_request_view.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "services/http_request_parser.h"
@@ -15,7 +16,7 @@
 /** A complete request; valid only during the call of its handler. */
 class http_request_view {
 public:
-    explicit http_request_view(const received_request& request)
+    explicit http_request_view(received_request& request)
         : m_request(request)
     {
     }
@@ -31,9 +32,11 @@
     const char* header(const char* name) const;
     const std::vector<header_field>& headers() const { return m_request.headers; }
     const std::string& body() const { return m_request.body; }
+    /** Moves the body out of the received request, which is empty from then on. */
+    shared_body takeBody() const { return std::move(m_request.body); }
 
 private:
-    const received_request& m_request;
+    received_request& m_request;
 };
 
 } // namespace plantainlatch
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -15,6 +15,7 @@
 #include "codec/load_report_json.h"
 #include "core/internal_assert.h"
 #include "ports/port_names.h"
+#include "services/body_output.h"
 #include "services/http_answer_check.h"
 
 namespace plantainlatch {
@@ -186,7 +187,7 @@
         evhttp_add_header(output, field.name.c_str(), field.value.c_str());
     if (!item.call.body.empty()) {
         evhttp_add_header(output, http_fields::contentLength, absl::StrCat(item.call.body.size()).c_str());
-        evbuffer_add(evhttp_request_get_output_buffer(request), item.call.body.data(), item.call.body.size());
+        addBody(evhttp_request_get_output_buffer(request), item.call.body);
     }
     return request;
 }
--- a/test/correctness/request_outcome_test.cpp
+++ b/test/correctness/request_outcome_test.cpp
@@ -52,6 +52,23 @@
     REQUIRE_THROWS_AS(tracker.recordEnd(attempt_state::Offered), broken_invariant);
 }
 
+// Guards against a copy of the body for each attempt, which let a few long bodies use several times their size.
+TEST_CASE_METHOD(request_outcome_fixture, "request.body.is_shared_by_all_attempts")
+{
+    request_cluster cluster(1, 1, 3, 2);
+    setFirstCallEnd(cluster, kind::ConnectFailed);
+    caller_request request;
+    request.method = "POST";
+    request.target = "/orders";
+    request.body = std::string(1000, 'x');
+    const char* original = request.body.bytes().data();
+    cluster.send(0, std::move(request));
+    cluster.runtime.advance(1s);
+    REQUIRE(cluster.upstreams.calls.size() == 2);
+    for (const auto& seen : cluster.upstreams.calls)
+        REQUIRE(seen.call.body.bytes().data() == original);
+}
+
 TEST_CASE_METHOD(request_outcome_fixture, "request.answer_of_the_upstream.is_passed_on_unchanged")
 {
     const caller_answer answer = answerTo("POST", kind::Answer);
@@ -114,7 +131,7 @@
             options.policies.isMarkedRefusal = [](const upstream_answer& answer) { return answer.status == 503; };
         request_cluster cluster(1, 1, 3, 2, options);
         cluster.upstreams.behaviour = [&](const upstream_call& call) {
-            ++cluster.upstreams.runs[call.body]; // the upstream ran the request before it answered 503
+            ++cluster.upstreams.runs[call.body.bytes()]; // the upstream ran the request before it answered 503
             return call_behaviour { kind::UnmarkedRefusal, 20ms };
         };
         cluster.post(0, "order");
--- a/test/performance/request_path_benchmark.cpp
+++ b/test/performance/request_path_benchmark.cpp
@@ -151,11 +151,12 @@
     double fingerprintCost()
     {
         caller_request request = requestOf("POST", "/orders");
-        request.body.assign(1024, 'x');
+        std::string body(1024, 'x');
         std::uint64_t sum = 0;
         const auto begin = std::chrono::steady_clock::now();
         for (int i = 0; i < measuredRequests; ++i) {
-            request.body[0] = static_cast<char>(i);
+            body[0] = static_cast<char>(i);
+            request.body = body;
             sum += fingerprintOf(request).value();
         }
         const std::chrono::duration<double, std::nano> span = std::chrono::steady_clock::now() - begin;
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -176,20 +176,20 @@
             setFaults(entry);
         }
 
-        int runsOf(const submission& sent) { return m_cluster.upstreams.runs[sent.content.body]; }
+        int runsOf(const submission& sent) { return m_cluster.upstreams.runs[sent.content.body.bytes()]; }
 
         void onAnswer(submission& sent, caller_answer answer)
         {
-            internal_assert(!sent.answer && !sent.abandoned) << "unexpected answer to " << sent.content.body;
+            internal_assert(!sent.answer && !sent.abandoned) << "unexpected answer to " << sent.content.body.bytes();
             const bool order = sent.content.method == "POST";
             const bool ran = answer.result == outcome::Completed || answer.result == outcome::Replayed;
             if (answer.result == outcome::NotRun && order)
-                internal_assert(runsOf(sent) == 0) << sent.content.body << " ran, but was reported as not run";
+                internal_assert(runsOf(sent) == 0) << sent.content.body.bytes() << " ran, but was reported as not run";
             if (ran && order)
-                internal_assert(runsOf(sent) == 1) << sent.content.body << " ran " << runsOf(sent) << " times";
+                internal_assert(runsOf(sent) == 1) << sent.content.body.bytes() << " ran " << runsOf(sent) << " times";
             if (ran && answer.content.status == 200)
-                internal_assert(answer.content.body == "answer to " + sent.content.target + sent.content.body)
-                    << sent.content.body << " got " << answer.content.body;
+                internal_assert(answer.content.body == "answer to " + sent.content.target + sent.content.body.bytes())
+                    << sent.content.body.bytes() << " got " << answer.content.body;
             sent.answer = std::move(answer);
             ++answered;
         }
@@ -197,15 +197,15 @@
         void checkCall(const upstream_call& call)
         {
             const submission& sent = *m_submissions[std::stoul(call.headers.front().value)];
-            internal_assert(!sent.answer) << "a call for " << sent.content.body << " after its answer";
+            internal_assert(!sent.answer) << "a call for " << sent.content.body.bytes() << " after its answer";
             if (call.method == "POST")
-                internal_assert(runsOf(sent) == 0) << sent.content.body << " is sent again after it ran";
+                internal_assert(runsOf(sent) == 0) << sent.content.body.bytes() << " is sent again after it ran";
         }
 
         void checkEnd()
         {
             for (const auto& sent : m_submissions)
-                internal_assert(sent->answer || sent->abandoned) << "no answer for " << sent->content.body;
+                internal_assert(sent->answer || sent->abandoned) << "no answer for " << sent->content.body.bytes();
             for (const auto& [body, count] : m_cluster.upstreams.runs)
                 internal_assert(body.empty() || count <= 1) << body << " ran " << count << " times";
             internal_assert(m_cluster.upstreams.heldSlots() == 0)
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -160,7 +160,7 @@
 
 void fake_upstreams::runWork(open_call& open, const recorded_call& seen)
 {
-    ++runs[seen.call.body];
+    ++runs[seen.call.body.bytes()];
     upstream_record& record = m_upstreams.at(seen.call.upstream);
     peakRunning = std::max(peakRunning, ++record.running);
     const duration span = std::min(seen.behaviour.delay, seen.call.timeout);
@@ -208,7 +208,7 @@
     const call_events& events = open.mapped().events;
     switch (seen.behaviour.ends) {
     case call_behaviour::kind::Answer:
-        events.onAnswer({ 200, {}, "answer to " + seen.call.target + seen.call.body });
+        events.onAnswer({ 200, {}, "answer to " + seen.call.target + seen.call.body.bytes() });
         return;
     case call_behaviour::kind::ConnectFailed:
         events.onFailure(call_failure::ConnectFailed);
--- a/test/support/request_cluster.cpp
+++ b/test/support/request_cluster.cpp
@@ -86,7 +86,7 @@
     sent.push_back(std::make_unique<caller_record>());
     caller_record& record = *sent.back();
     record.entry = entry;
-    record.body = request.target + request.body;
+    record.body = request.target + request.body.bytes();
     request.service = request.service.empty() ? service_id("taller") : request.service;
     record.id = entries[entry].port->submit(std::move(request), [&record](caller_answer answer) {
         record.answer = std::move(answer);
--- a/test/support/simulated_upstreams.cpp
+++ b/test/support/simulated_upstreams.cpp
@@ -31,7 +31,7 @@
     events.onDispatch();
     m_open.emplace(key, open_call { call.upstream, std::move(events), delay, {} });
     m_runtime.schedule(call.timeout, [this, key] { timeOut(key); });
-    m_runtime.schedule(delay, [this, key, body = call.body] {
+    m_runtime.schedule(delay, [this, key, body = call.body.bytes()] {
         if (m_open.contains(key))
             arrive(key, body);
     });
