Bound the bodies in flight from an entry to one upstream

An upstream ends if the requests that it holds exceed its memory, and nothing limited the bodies that an entry sent to one at once. Placement now skips an upstream if its bodies in flight and the new one exceed 32 MiB (placement_options::maximumBytesInFlight), unless it has none in flight. Bodies up to 64 KiB have a sum of their own, so that long ones don't exclude them, and requests without a body are never skipped.

Tests: placement.bodies_in_flight_to_an_upstream.stay_within_their_limit, placement.body_above_the_limit.is_placed_if_it_is_the_only_long_one, placement.short_bodies_in_flight.have_a_limit_of_their_own.

--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -134,6 +134,7 @@
             request.policy.object = object;
             request.policy.targetLatency = 600ms;
             request.policy.allowedRegions = allowed;
+            request.bodySize = bodySize;
             request.onRevoked = [this] { ++revoked; };
             slot_answer result;
             slots->acquire(request, [&](const slot_answer& answer) { result = answer; });
@@ -182,6 +183,7 @@
         std::function<void(const steering_change&)> notify;
         std::set<network_address> addressesWithClosedConnections;
         std::vector<region_id> allowed;
+        byte_count bodySize;
         int revoked = 0;
         std::unique_ptr<placement_service> subject;
         std::unique_ptr<kernel> core;
@@ -847,4 +849,62 @@
     REQUIRE(placedAt("court 7", 10s) == "u");
 }
 
+// Guards against upstreams that end because the bodies sent to them at once exceed their memory.
+TEST_CASE_METHOD(placement_fixture, "placement.bodies_in_flight_to_an_upstream.stay_within_their_limit", "[placement]")
+{
+    add(makeUpstream("a", "here"));
+    add(makeUpstream("b", "here"));
+    start();
+    bodySize = byte_count(12 * 1024 * 1024);
+    std::map<std::string, int> placed;
+    slot_answer last;
+    for (int i = 0; i < 4; ++i) {
+        last = place("1");
+        REQUIRE(last.slot);
+        ++placed[last.slot->upstream.id.value()];
+    }
+    REQUIRE(placed == std::map<std::string, int> { { "a", 2 }, { "b", 2 } });
+    const slot_answer refused = place("1");
+    REQUIRE_FALSE(refused.slot);
+    REQUIRE(refused.refusal == slot_refusal::Overloaded);
+    const std::string freed = last.slot->upstream.id.value();
+    release(last, slot_result::kind::Answered);
+    REQUIRE(placedAt("1") == freed);
+    // Short bodies and requests without one are placed all the same.
+    for (const std::uint64_t size : { 0, 1, 64 * 1024 }) {
+        bodySize = byte_count(size);
+        REQUIRE(place("1").slot);
+    }
+}
+
+TEST_CASE_METHOD(
+    placement_fixture, "placement.body_above_the_limit.is_placed_if_it_is_the_only_long_one", "[placement]")
+{
+    add(makeUpstream("a", "here"));
+    start();
+    bodySize = byte_count(100);
+    REQUIRE(place("1").slot);
+    bodySize = byte_count(60 * 1024 * 1024);
+    const slot_answer only = place("1");
+    REQUIRE(only.slot);
+    REQUIRE_FALSE(place("1").slot);
+    release(only, slot_result::kind::Lost);
+    runtime.advance(1s);
+    REQUIRE(place("1").slot);
+}
+
+TEST_CASE_METHOD(placement_fixture, "placement.short_bodies_in_flight.have_a_limit_of_their_own", "[placement]")
+{
+    options.maximumBytesInFlight = byte_count(1000);
+    options.smallBody = byte_count(400);
+    add(makeUpstream("a", "here"));
+    start();
+    bodySize = byte_count(400);
+    REQUIRE(place("1").slot);
+    REQUIRE(place("1").slot);
+    REQUIRE_FALSE(place("1").slot);
+    bodySize = byte_count();
+    REQUIRE(place("1").slot);
+}
+
 } // namespace plantainlatch
