--- a/test/error/http_connection_test.cpp
+++ b/test/error/http_connection_test.cpp
@@ -317,6 +317,39 @@
     REQUIRE_FALSE(client.ended);
 }
 
+// Guards against answers that stay in memory for callers that never read them.
+TEST_CASE_METHOD(server_fixture, "http_server.caller_that_reads_nothing_for_the_write_timeout.is_disconnected")
+{
+    answersAtOnce = false;
+    const int caller = sendUnseen("GET /a HTTP/1.1\r\n\r\n");
+    runUntil([&] { return seen.size() == 1; });
+    server->respond(seen.front().exchange, encodeAnswer(200, {}, std::string(16 * 1024 * 1024, 'y')));
+    runFor(100ms);
+    REQUIRE(server->connections() == 1);
+    runUntil([&] { return server->connections() == 0; });
+    REQUIRE(logged.back().what == "answer-lost");
+    REQUIRE(fieldOf(logged.back(), "failure") == "write-timeout");
+    ::close(caller);
+}
+
+// Guards against a second answer that is damaged or lost because the socket was full when it was written.
+TEST_CASE_METHOD(server_fixture, "http_server.large_answers_on_one_connection.are_delivered_in_order_and_unchanged")
+{
+    answersAtOnce = false;
+    raw_client client(loop->base(), server->address());
+    client.send("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+    std::string expected;
+    for (const char filler : { 'y', 'z' }) {
+        const std::size_t answered = filler == 'y' ? 0 : 1;
+        runUntil([&] { return seen.size() == answered + 1; });
+        const std::string body(8 * 1024 * 1024, filler);
+        expected += "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n" + body;
+        server->respond(seen.back().exchange, encodeAnswer(200, {}, body));
+    }
+    runUntil([&] { return client.received.size() >= expected.size(); });
+    REQUIRE((client.received == expected));
+}
+
 TEST_CASE_METHOD(server_fixture, "http_server.request_on_a_connection_in_the_backlog.is_answered_during_a_stop")
 {
     const int caller = sendUnseen("GET /a HTTP/1.1\r\n\r\n");
