--- a/test/error/http_answer_validator_test.cpp
+++ b/test/error/http_answer_validator_test.cpp
@@ -81,7 +81,8 @@
     const auto before = GENERATE(as<std::string> {}, "", "HTTP/1.1 103 x\r\nLink: a\r\n\r\n");
     CAPTURE(status, before);
     http_answer_validator subject(false, headLimit);
-    for (const char& byte : before + "HTTP/1.1 " + status + " x\r\n\r\n")
+    const std::string bytes = before + "HTTP/1.1 " + status + " x\r\n\r\n";
+    for (const char& byte : bytes)
         subject.feed({ &byte, 1 });
     REQUIRE_FALSE(subject.status().ok());
     subject.feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
