--- a/test/integration/child_process.h
+++ b/test/integration/child_process.h
@@ -36,6 +36,7 @@
     /** The exit code, or 128 plus the signal number if a signal ended the process; none if it still runs after `limit`.
      */
     std::optional<int> waitForExit(duration limit);
+    pid_t id() const { return m_id; }
     bool isRunning() { return !waitForExit(duration::zero()).has_value(); }
 
 private:
--- a/test/integration/platform_processes.cpp
+++ b/test/integration/platform_processes.cpp
@@ -4,6 +4,8 @@
 #include <filesystem>
 #include <fstream>
 
+#include <sys/resource.h>
+
 #include "absl/strings/str_cat.h"
 #include "core/internal_assert.h"
 
@@ -12,6 +14,26 @@
 namespace {
 
     constexpr int seedCount = 3;
+    constexpr std::uint64_t bytesPerKibibyte = 1024;
+
+    /** Lowers the limit on open descriptors, which a child process inherits, while it exists. */
+    class inherited_descriptor_limit {
+    public:
+        explicit inherited_descriptor_limit(std::size_t count)
+        {
+            getrlimit(RLIMIT_NOFILE, &m_former);
+            rlimit lowered = m_former;
+            if (count != 0)
+                lowered.rlim_cur = count;
+            internal_assert(setrlimit(RLIMIT_NOFILE, &lowered) == 0) << "the limit on descriptors can't be set";
+        }
+        ~inherited_descriptor_limit() { setrlimit(RLIMIT_NOFILE, &m_former); }
+        inherited_descriptor_limit(const inherited_descriptor_limit&) = delete;
+        inherited_descriptor_limit& operator=(const inherited_descriptor_limit&) = delete;
+
+    private:
+        rlimit m_former {};
+    };
 
     std::string makeFolder()
     {
@@ -57,6 +79,8 @@
     absl::StrAppend(&text, "]\nfound_log: ", bootstrapsLog ? "true" : "false",
         "\nreplicas_that_may_fail: ", m_layout.replicasThatMayFail,
         "\nrenewal_milliseconds: ", m_layout.renewalMilliseconds, "\nbounds: ", m_layout.bounds, "\n");
+    if (m_layout.memoryMegabytes != 0)
+        absl::StrAppend(&text, "memory_megabytes: ", m_layout.memoryMegabytes, "\n");
     if (isControl(number))
         absl::StrAppend(&text, "data_folder: \"", m_folder, "/", number, "\"\ncontrol_address: ", quoted(controlPort),
             "lookup_address: ", quoted(lookupPort));
@@ -69,6 +93,7 @@
 {
     const std::string path = absl::StrCat(m_folder, "/m", number, ".yaml");
     std::ofstream(path) << settingsOf(number, bootstrapsLog);
+    const inherited_descriptor_limit limit(m_layout.maximumDescriptors);
     m_processes[number]
         = child_process::start("plantainlatch", { "platform", "--settings", path }, m_folder, logFile(number));
 }
@@ -79,6 +104,26 @@
         start(number, bootstrapsLog);
 }
 
+byte_count platform_processes::peakMemory(int number) const
+{
+    std::ifstream status(absl::StrCat("/proc/", m_processes.at(number)->id(), "/status"));
+    std::string key;
+    std::uint64_t kibibytes = 0;
+    while (status >> key) {
+        if (key == "VmHWM:" && status >> kibibytes)
+            return byte_count(kibibytes * bytesPerKibibyte);
+    }
+    return byte_count(0);
+}
+
+std::size_t platform_processes::openDescriptors(int number) const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator folder(
+        absl::StrCat("/proc/", m_processes.at(number)->id(), "/fd"), error);
+    return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
+}
+
 void platform_processes::killAll()
 {
     for (auto& [number, process] : m_processes)
--- a/test/integration/platform_processes.h
+++ b/test/integration/platform_processes.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/units.h"
 #include "integration/child_process.h"
 #include "model/address.h"
 
@@ -27,6 +28,10 @@
     std::vector<std::pair<std::string, std::string>> places;
     /** The bounds of the settings, as a YAML map. */
     std::string bounds;
+    /** The memory limit that the settings state; 0 for none. */
+    int memoryMegabytes = 0;
+    /** The limit on open descriptors of each process; 0 for that of the test. */
+    std::size_t maximumDescriptors = 0;
 };
 
 /** Starts and holds the processes; its destructor kills them and removes their files. */
@@ -53,6 +58,9 @@
     void killAll();
     /** The file to which a process logs. */
     std::string logFile(int number) const;
+    /** The largest resident memory that a process has had so far; 0 if it has ended. */
+    byte_count peakMemory(int number) const;
+    std::size_t openDescriptors(int number) const;
 
 private:
     std::string settingsOf(int number, bool bootstrapsLog) const;
