--- a/src/main/run_vm.h
+++ b/src/main/run_vm.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/statusor.h"
 #include "main/exit_code.h"
+#include "runtime/allocator.h"
 #include "runtime/event_loop.h"
 
 namespace plantainlatch {
@@ -28,6 +29,7 @@
 int runVm(const char* command, const std::function<absl::StatusOr<std::unique_ptr<Vm>>(event_loop&)>& make,
     const std::function<void(Vm&)>& stopped)
 {
+    returnFreedMemory();
     const absl::StatusOr<std::unique_ptr<event_loop>> loop = event_loop::create(0);
     if (!loop.ok())
         return failCommand(command, loop.status(), exit_code::failed);
--- /dev/null
+++ b/src/runtime/allocator.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/** \file
+ * Settings of the memory allocator of the process.
+ */
+
+namespace plantainlatch {
+
+/** Lets the allocator return large blocks to the operating system as soon as they are freed. By default, its threshold
+ * for separate mappings grows with the blocks that are freed, and it kept up to 215 MB after a load had ended. */
+void returnFreedMemory();
+
+} // namespace plantainlatch
--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -37,6 +37,12 @@
     return limit.rlim_cur;
 }
 
+void limitUnread(int socket, std::size_t bytes)
+{
+    const int size = static_cast<int>(bytes);
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+}
+
 void disableNagle(int socket)
 {
     const int on = 1;
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -29,6 +29,9 @@
 /** The maximum number of file descriptors that the process may have open. */
 std::size_t maximumDescriptors();
 
+/** Lets the operating system buffer only about so many unread bytes; by default, it buffers up to some megabytes. */
+void limitUnread(int socket, std::size_t bytes);
+
 /** Disables Nagle's algorithm, which would delay small messages (TCP_NODELAY). */
 void disableNagle(int socket);
 
--- a/src/services/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -14,6 +14,8 @@
     constexpr int noContent = 204;
     constexpr int notModified = 304;
     constexpr std::size_t initialHeadCapacity = 512;
+    /** After this time, a large request without progress can be closed for another one. */
+    constexpr duration memoryRetryAfter = std::chrono::seconds(1);
 
     bool hasNoBody(int status) { return status == noContent || status == notModified; }
 
@@ -61,6 +63,7 @@
         { 403, "Forbidden" },
         { 404, "Not Found" },
         { 405, "Method Not Allowed" },
+        { 408, "Request Timeout" },
         { 409, "Conflict" },
         { 413, "Content Too Large" },
         { 422, "Unprocessable Content" },
@@ -128,6 +131,13 @@
         return encodeCallerAnswer(problemAnswer(501, MalformedRequest, "the method is not supported\n"), false);
     case http_problem::UnknownPath:
         return encodeCallerAnswer(problemAnswer(404, UnknownService, "nothing is served at this path\n"), false);
+    case http_problem::NoMemory: {
+        caller_answer answer = problemAnswer(503, Overloaded, "there is no memory for the request now\n");
+        answer.retryAfter = memoryRetryAfter;
+        return encodeCallerAnswer(answer, false);
+    }
+    case http_problem::BodyTimeout:
+        return encodeCallerAnswer(problemAnswer(408, MalformedRequest, "the body did not arrive in time\n"), false);
     case http_problem::None:
         break;
     }
--- a/src/services/http_answer.h
+++ b/src/services/http_answer.h
@@ -27,6 +27,10 @@
     BodyTooLarge,
     UnsupportedMethod,
     UnknownPath,
+    /** There is no memory for the request now. */
+    NoMemory,
+    /** No byte of the body has arrived for too long. */
+    BodyTimeout,
 };
 
 /** The standard reason phrase of a status code; "Status" for a code that is not listed. */
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "services/http_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -21,6 +22,13 @@
 
     /** The maximum number of unread bytes that are buffered while a request is handled. */
     constexpr std::size_t pipelinedBytes = 64 * 1024;
+    /** The head of a request that is not complete is counted in such steps. */
+    constexpr std::size_t headStep = 4 * 1024;
+    /** A body makes progress when so many bytes have arrived; otherwise, one byte now and then would be enough to keep
+     * the memory. */
+    constexpr std::size_t progressStep = 16 * 1024;
+    /** Less output than this is not counted. */
+    constexpr std::size_t uncountedOutput = 1024;
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
     timeval toTimeval(duration span)
@@ -77,7 +85,9 @@
     : m_parts(parts)
     , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
     , m_parser(parts.limits)
-    , m_idleSince(parts.now())
+    , m_waitingSince(parts.now())
+    , m_requestLease(parts.budget, [this] { refuse(http_problem::NoMemory); })
+    , m_outputLease(parts.budget, [this] { fail(answer_loss::NoMemory); })
 {
     internal_assert(m_channel != nullptr) << "no memory for a connection";
     disableNagle(socket);
@@ -126,6 +136,10 @@
         self->m_callerClosed = true;
         return;
     }
+    if (readTimedOut && self->m_parser.isReadingBody()) {
+        self->refuse(http_problem::BodyTimeout);
+        return;
+    }
     self->fail(lossOf(what));
 }
 
@@ -152,26 +166,103 @@
     // disabled.
     const bool full = evbuffer_get_length(bufferevent_get_input(m_channel)) >= pipelinedBytes;
     const bool reads = (bufferevent_get_enabled(m_channel) & EV_READ) != 0;
-    if (full && reads)
+    if (full && reads) {
         bufferevent_disable(m_channel, EV_READ);
-    else if (!full && !reads)
+        limitUnread(bufferevent_getfd(m_channel), pipelinedBytes);
+    } else if (!full && !reads)
         bufferevent_enable(m_channel, EV_READ);
 }
 
 void http_connection::handleParsed()
 {
     if (m_parser.problem() != http_problem::None) {
-        write(encodeProblem(m_parser.problem()), true);
+        refuse(m_parser.problem());
+        return;
+    }
+    if (!holdRequest()) {
+        refuse(http_problem::NoMemory);
         return;
     }
     if (m_parser.takeWaitsForContinue() && !m_parser.isComplete())
         sendOrBuffer(m_channel, { continueResponse, {}, {} });
-    if (!m_parser.isComplete())
+    if (!m_parser.isComplete()) {
+        recordProgress();
         return;
+    }
+    if (std::exchange(m_hasBodyTimeout, false))
+        setReadTimeout(m_parts.idleTimeout);
+    m_requestLease.keep();
     m_state = state::Handling;
     m_parts.onRequest(*this);
 }
 
+bool http_connection::holdRequest()
+{
+    if (m_parser.isComplete() && m_parser.request().body.empty()) {
+        m_requestLease.release();
+        return true;
+    }
+    std::size_t needed = m_parser.neededBytes();
+    if (!m_parser.isReadingBody() && !m_parser.isComplete())
+        needed = (needed + headStep - 1) / headStep * headStep;
+    return needed <= m_requestLease.bytes() || m_requestLease.resize(needed, true);
+}
+
+void http_connection::recordProgress()
+{
+    if (!m_parser.isReadingBody())
+        return;
+    const std::size_t size = m_parser.request().body.size();
+    if (!std::exchange(m_hasBodyTimeout, true))
+        setReadTimeout(std::min(m_parts.idleTimeout, m_parts.bodyTimeout));
+    else if (size < m_progressSize + progressStep)
+        return;
+    m_progressSize = size;
+    m_waitingSince = m_parts.now();
+    m_requestLease.recordProgress();
+}
+
+void http_connection::setReadTimeout(duration limit)
+{
+    const timeval read = toTimeval(limit);
+    const timeval write = toTimeval(m_parts.idleTimeout);
+    bufferevent_set_timeouts(m_channel, &read, &write);
+}
+
+void http_connection::refuse(http_problem problem)
+{
+    const auto self = shared_from_this();
+    write(encodeProblem(problem), true);
+}
+
+void http_connection::holdOutput()
+{
+    evbuffer* output = bufferevent_get_output(m_channel);
+    const std::size_t length = evbuffer_get_length(output);
+    if (length <= uncountedOutput)
+        return;
+    if (m_outputLease.resize(length, true))
+        evbuffer_add_cb(output, outputChanged, this);
+    else
+        fail(answer_loss::NoMemory);
+}
+
+void http_connection::outputChanged(evbuffer* output, const evbuffer_cb_info* change, void* argument)
+{
+    if (change->n_deleted == 0)
+        return;
+    auto& lease = static_cast<http_connection*>(argument)->m_outputLease;
+    lease.resize(evbuffer_get_length(output), true);
+    lease.recordProgress();
+}
+
+void http_connection::releaseOutput()
+{
+    if (m_channel != nullptr)
+        evbuffer_remove_cb(bufferevent_get_output(m_channel), outputChanged, this);
+    m_outputLease.release();
+}
+
 bool http_connection::hasPipelinedInput() const
 {
     return evbuffer_get_length(bufferevent_get_input(m_channel)) > 0 || hasUnreadInput();
@@ -194,17 +285,23 @@
     else if (m_parser.request().isVersion10)
         headEnd = "Connection: keep-alive\r\n\r\n";
     m_state = last ? state::WritingLast : state::Writing;
+    m_parser.dropBody();
+    m_requestLease.release();
     sendOrBuffer(m_channel, { answer.head, headEnd, answer.body });
     if (evbuffer_get_length(bufferevent_get_output(m_channel)) == 0)
         outputWritten();
+    else
+        holdOutput();
 }
 
 void http_connection::outputWritten()
 {
+    releaseOutput();
     if (m_state == state::Writing) {
         m_parser.next();
         m_state = state::Reading;
-        m_idleSince = m_parts.now();
+        m_progressSize = 0;
+        m_waitingSince = m_parts.now();
         readRequests();
         return;
     }
@@ -219,10 +316,19 @@
 {
     if (m_state == state::Closed)
         return;
+    releaseOutput();
     m_parts.closing.add(std::exchange(m_channel, nullptr));
     finish();
 }
 
+void http_connection::closeUnanswered()
+{
+    if (m_parser.hasBegun())
+        refuse(http_problem::NoMemory);
+    else
+        close();
+}
+
 void http_connection::fail(answer_loss cause)
 {
     if (m_state != state::Reading)
@@ -238,6 +344,8 @@
 {
     const auto self = shared_from_this();
     m_state = state::Closed;
+    m_requestLease.release();
+    releaseOutput();
     if (m_channel != nullptr)
         bufferevent_free(std::exchange(m_channel, nullptr));
     m_parts.onClosed(*this);
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -7,10 +7,13 @@
 #include <functional>
 #include <memory>
 
+#include "services/buffer_budget.h"
 #include "services/http_answer.h"
 #include "services/http_request_parser.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct event_base;
 struct timeval;
 
@@ -26,6 +29,8 @@
     ConnectionFailed,
     /** The caller read nothing of the answer for the idle timeout. */
     WriteTimeout,
+    /** There was no memory for an answer that its caller did not read fast enough. */
+    NoMemory,
 };
 
 /** Shared by all connections of a server; must outlive them. */
@@ -35,7 +40,10 @@
     /** The connection is closed if for this time no byte of the next request arrives or no byte of an answer can be
      * written. */
     duration idleTimeout {};
+    /** A request is answered 408 if for this time no byte of its body arrives. */
+    duration bodyTimeout {};
     lingering_close& closing;
+    buffer_budget& budget;
     std::function<time_point()> now;
     /** A request is complete. The handler calls answer() at once or later. */
     std::function<void(http_connection&)> onRequest;
@@ -67,13 +75,15 @@
     bool isClosedByCaller() const;
     /** Whether a request has begun to arrive and its answer is not completely written yet. */
     bool isBusy() const { return m_state != state::Reading || m_parser.hasBegun(); }
-    /** When the last answer was written, or the connection accepted. */
-    time_point idleSince() const { return m_idleSince; }
+    /** When the last answer was written, the connection was accepted, or a part of the current body arrived. */
+    time_point waitingSince() const { return m_waitingSince; }
 
     /** Answers the current request; `last` closes the connection after the answer, or, if the caller has already sent
      * the next request, after the answer to that one. */
     void answer(const http_answer& answer, bool last);
     void close();
+    /** Closes a connection that is idle or reads a request, which is answered as not run. */
+    void closeUnanswered();
 
 private:
     enum class state {
@@ -99,10 +109,21 @@
     /** Stops reading while too much input waits behind the current request. */
     void limitInput();
     void handleParsed();
+    /** Counts the memory of the current request; false if there is no room for it. */
+    bool holdRequest();
+    void recordProgress();
+    void setReadTimeout(duration limit);
+    /** Answers a request that was not dispatched, and closes the connection. */
+    void refuse(http_problem problem);
+    /** Counts the memory of output that the socket did not accept; closes the connection if there is no room for it. */
+    void holdOutput();
+    static void outputChanged(evbuffer* output, const evbuffer_cb_info* change, void* argument);
     /** Whether the caller has sent bytes after the current request. */
     bool hasPipelinedInput() const;
     void write(const http_answer& answer, bool last);
     void outputWritten();
+    /** Ends the count of output, before the channel is freed or passed on. */
+    void releaseOutput();
     void fail(answer_loss cause);
     void finish();
 
@@ -112,7 +133,12 @@
     state m_state = state::Reading;
     bool m_reading = false;
     bool m_callerClosed = false;
-    time_point m_idleSince;
+    bool m_hasBodyTimeout = false;
+    time_point m_waitingSince;
+    /** The size of the body at the last progress. */
+    std::size_t m_progressSize = 0;
+    buffer_lease m_requestLease;
+    buffer_lease m_outputLease;
 };
 
 } // namespace plantainlatch
--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -126,6 +126,7 @@
     http_parser_init(m_parser.get(), HTTP_REQUEST);
     m_request = {};
     m_headerBytes = 0;
+    m_statedLength = 0;
     m_begun = false;
     m_inValue = false;
     m_headersDone = false;
@@ -197,6 +198,7 @@
     const std::uint64_t length = m_parser->content_length;
     if (length != noContentLength && length > m_limits.maximumBody.value())
         return fail(http_problem::BodyTooLarge);
+    m_statedLength = length != noContentLength ? length : 0;
     m_request.method = http_method_str(static_cast<http_method>(m_parser->method));
     m_request.isVersion10 = m_parser->http_major == 1 && m_parser->http_minor == 0;
     const header_field* expected = http_fields::find(m_request.headers, "Expect");
@@ -209,10 +211,29 @@
 {
     if (m_request.body.size() + bytes.size() > m_limits.maximumBody.value())
         return fail(http_problem::BodyTooLarge);
+    reserveBody(bytes.size());
     m_request.body.append(bytes);
     return 0;
 }
 
+void http_request_parser::reserveBody(std::size_t more)
+{
+    // Reserved memory is used only as far as bytes arrive, so a stated length costs nothing by itself. A body that
+    // grows by doubling needs no more than the new capacity while it is copied.
+    std::string& body = m_request.body;
+    const std::size_t needed = body.size() + more;
+    if (needed <= body.capacity())
+        return;
+    const std::size_t doubled = std::min<std::size_t>(2 * body.capacity(), m_limits.maximumBody.value());
+    body.reserve(std::max({ needed, m_statedLength, doubled }));
+}
+
+std::size_t http_request_parser::neededBytes() const
+{
+    const std::size_t body = m_request.body.empty() ? 0 : m_request.body.capacity();
+    return m_headerBytes + std::max(m_statedLength, body);
+}
+
 int http_request_parser::finishRequest()
 {
     m_request.keepsConnection = http_should_keep_alive(m_parser.get()) != 0;
--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -48,6 +48,12 @@
     /** What is wrong with the request. After a problem nothing more can be parsed from the connection. */
     http_problem problem() const { return m_problem; }
     const received_request& request() const { return m_request; }
+    /** The memory that the request needs: its fields, and its stated length or what is reserved for its chunks. */
+    std::size_t neededBytes() const;
+    /** Whether the body is being received. */
+    bool isReadingBody() const { return m_headersDone && !m_complete; }
+    /** Frees the body of a request that was handled or refused. */
+    void dropBody() { m_request.body = {}; }
 
     /** Whether the caller expects "100 Continue" before it sends the body; true only once for each request. */
     bool takeWaitsForContinue();
@@ -64,6 +70,7 @@
     int addFieldValue(std::string_view bytes);
     int finishHeaders();
     int addBody(std::string_view bytes);
+    void reserveBody(std::size_t more);
     int finishRequest();
     int countHeaderBytes(std::size_t bytes);
     void checkFraming(const header_field& field);
@@ -73,6 +80,8 @@
     std::unique_ptr<http_parser> m_parser;
     received_request m_request;
     std::uint64_t m_headerBytes = 0;
+    /** 0 for chunks. */
+    std::size_t m_statedLength = 0;
     bool m_begun = false;
     bool m_inValue = false;
     bool m_headersDone = false;
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -1,7 +1,9 @@
 #include "services/http_server.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -20,8 +22,19 @@
 
 namespace {
 
+    /** The longest waiting connections are searched for once for so many new connections, since a search for each one
+     * would take most of the time while there are thousands. */
+    constexpr std::size_t searchBatch = 64;
+    /** The connections that are closed but not ended yet may use this part of the descriptors of the others. */
+    constexpr std::size_t closingPart = 8;
+
     /** Each request also needs a connection to its upstream, and other VMs must be able to connect. */
-    std::size_t connectionLimit(std::size_t wanted) { return std::min(wanted, maximumDescriptors() / 2); }
+    std::size_t connectionLimit(const http_server_options& options)
+    {
+        const double share = static_cast<double>(maximumDescriptors()) * options.descriptorShare;
+        return share < static_cast<double>(options.maximumConnections) ? static_cast<std::size_t>(share)
+                                                                       : options.maximumConnections;
+    }
 
     const char* nameOf(answer_loss cause)
     {
@@ -32,6 +45,8 @@
             return "connection-failed";
         case answer_loss::WriteTimeout:
             return "write-timeout";
+        case answer_loss::NoMemory:
+            return "no-memory";
         }
         internal_assert(false) << "invalid answer loss " << static_cast<int>(cause);
         return "";
@@ -43,9 +58,12 @@
     implementation(event_base* base, const kernel_hooks& kernelHooks, http_server_options serverOptions)
         : hooks(kernelHooks)
         , options(std::move(serverOptions))
-        , lingering(hooks)
-        , maximumConnections(connectionLimit(options.maximumConnections))
-        , shared { base, options.limits, options.idleTimeout, lingering, hooks.now,
+        , maximumConnections(connectionLimit(options))
+        , lingering(hooks, maximumConnections / closingPart + 1)
+        , ownBudget(options.budget == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt))
+                                              : nullptr)
+        , shared { base, options.limits, options.idleTimeout, options.bodyTimeout, lingering,
+            ownBudget != nullptr ? *ownBudget : *options.budget, hooks.now,
             [this](http_connection& connection) { dispatch(connection); },
             [this](http_connection& connection) { callerDisconnected(connection); },
             [this](const http_connection& connection, answer_loss cause) { logLoss(connection, cause); },
@@ -64,8 +82,9 @@
     absl::Status listen(const network_address& wanted);
     void stopListening();
     void accepted(int socket);
-    /** Returns whether there was an idle connection. */
-    bool closeLongestIdle();
+    /** Closes the connection that has been idle or unfinished for longest; returns whether there was one. */
+    bool closeLongestWaiting();
+    void findLongestWaiting();
     void dispatch(http_connection& connection);
     void callerDisconnected(const http_connection& connection);
     void logLoss(const http_connection& connection, answer_loss cause) const;
@@ -75,8 +94,9 @@
 
     const kernel_hooks hooks;
     http_server_options options;
-    lingering_close lingering;
     std::size_t maximumConnections;
+    lingering_close lingering;
+    std::unique_ptr<buffer_budget> ownBudget;
     http_connection_parts shared;
     std::unique_ptr<tcp_listener> listener;
     network_address address;
@@ -85,6 +105,12 @@
     std::function<void()> onEmpty;
     std::vector<std::unique_ptr<http_route>> routes;
     absl::flat_hash_map<const http_connection*, std::shared_ptr<http_connection>> connections;
+    struct waiting_connection {
+        time_point since;
+        std::weak_ptr<http_connection> connection;
+    };
+    /** The result of the last search, the longest waiting last. */
+    std::vector<waiting_connection> longestWaiting;
     absl::flat_hash_map<const http_connection*, exchange_id> exchangeIds;
     absl::flat_hash_map<exchange_id, exchange> exchanges;
     std::uint64_t lastExchange = 0;
@@ -97,6 +123,8 @@
     events.onPause = [this](int error) {
         hooks.log({ log_level::Warning, options.name, "accepts nothing for now",
             { { "why", std::strerror(error) }, { "connections", absl::StrCat(connections.size()) } } });
+        if (error == EMFILE)
+            closeLongestWaiting();
     };
     auto created = tcp_listener::create(shared.base, hooks, wanted, std::move(events));
     if (!created.ok())
@@ -117,7 +145,7 @@
 
 void http_server::implementation::accepted(int socket)
 {
-    if (connections.size() >= maximumConnections && !closeLongestIdle()) {
+    if (connections.size() >= maximumConnections && !closeLongestWaiting()) {
         ::close(socket);
         return;
     }
@@ -126,18 +154,39 @@
     connections.emplace(key, std::move(connection));
 }
 
-bool http_server::implementation::closeLongestIdle()
+bool http_server::implementation::closeLongestWaiting()
+{
+    bool searched = false;
+    while (true) {
+        if (longestWaiting.empty() && !std::exchange(searched, true))
+            findLongestWaiting();
+        if (longestWaiting.empty())
+            return false;
+        const waiting_connection found = std::move(longestWaiting.back());
+        longestWaiting.pop_back();
+        const std::shared_ptr<http_connection> connection = found.connection.lock();
+        const bool stillWaits = connection != nullptr && connection->isReadingRequest()
+            && connection->waitingSince() == found.since && !connection->hasUnreadInput();
+        if (stillWaits) {
+            connection->closeUnanswered();
+            return true;
+        }
+    }
+}
+
+void http_server::implementation::findLongestWaiting()
 {
-    std::shared_ptr<http_connection> longest;
+    const auto isLonger
+        = [](const waiting_connection& left, const waiting_connection& right) { return left.since < right.since; };
     for (const auto& [key, connection] : connections) {
-        const bool isLonger = longest == nullptr || connection->idleSince() < longest->idleSince();
-        if (isLonger && !connection->isBusy() && !connection->hasUnreadInput())
-            longest = connection;
+        if (connection->isReadingRequest())
+            longestWaiting.push_back({ connection->waitingSince(), connection });
     }
-    if (longest == nullptr)
-        return false;
-    longest->close();
-    return true;
+    const std::size_t kept = std::min(searchBatch, longestWaiting.size());
+    std::partial_sort(longestWaiting.begin(), longestWaiting.begin() + static_cast<std::ptrdiff_t>(kept),
+        longestWaiting.end(), isLonger);
+    longestWaiting.resize(kept);
+    std::reverse(longestWaiting.begin(), longestWaiting.end());
 }
 
 void http_server::implementation::dispatch(http_connection& connection)
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -15,6 +15,7 @@
 #include "kernel/service.h"
 #include "model/vm_settings.h"
 #include "ports/caller_check.h"
+#include "services/buffer_budget.h"
 #include "services/http_answer.h"
 #include "services/http_request_view.h"
 
@@ -35,17 +36,24 @@
 
 struct http_server_options {
     caller_limits limits;
-    /** When there are more connections, the one that is idle longest is closed, or the new one if all are busy. */
+    /** When there are more connections, the one that has been idle or unfinished for longest is closed, or the new one
+     * if all requests are being handled. */
     std::size_t maximumConnections = 10'000;
+    /** The share of the process's descriptors that connections may use. */
+    double descriptorShare = 0.5;
     /** A connection is closed if for this time no byte of the next request arrives or no byte of an answer can be
      * written. */
     duration idleTimeout = std::chrono::seconds(60);
+    /** A request is answered 408 if for this time no byte of its body arrives. */
+    duration bodyTimeout = std::chrono::seconds(20);
     /** During a stop, connections whose request is still incomplete after this time are closed. */
     duration unfinishedGrace = std::chrono::seconds(5);
     /** The header field whose value names a request in log lines; empty for none. */
     std::string nameField;
     /** The name under which the server is published. */
     std::string name = "http_server";
+    /** Shared by the servers of a VM, and must outlive them; if it is null, the server has one of its own. */
+    buffer_budget* budget = nullptr;
 };
 
 /** Published as "http_server" or under the name in its options. Malformed and oversized requests are answered by the
--- a/src/services/lingering_close.cpp
+++ b/src/services/lingering_close.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-lingering_close::lingering_close(const kernel_hooks& hooks)
+lingering_close::lingering_close(const kernel_hooks& hooks, std::size_t maximum)
     : m_hooks(hooks)
+    , m_maximum(maximum)
 {
 }
 
@@ -30,8 +31,12 @@
     bufferevent_setcb(channel, dropInput, nullptr, ended, this);
     bufferevent_set_timeouts(channel, nullptr, nullptr);
     bufferevent_enable(channel, EV_READ);
-    m_channels[channel] = m_hooks.schedule(maximumLinger, [this, channel] { free(channel); });
+    const std::uint64_t number = ++m_lastNumber;
+    m_channels[channel] = { m_hooks.schedule(maximumLinger, [this, channel] { free(channel); }), number };
+    m_order[number] = channel;
     dropInput(channel, this);
+    if (m_channels.size() > m_maximum)
+        free(m_order.begin()->second);
 }
 
 void lingering_close::dropInput(bufferevent* channel, void*)
@@ -50,7 +55,8 @@
     const auto found = m_channels.find(channel);
     if (found == m_channels.end())
         return;
-    m_hooks.cancel(found->second);
+    m_hooks.cancel(found->second.timer);
+    m_order.erase(found->second.number);
     m_channels.erase(found);
     bufferevent_free(channel);
 }
--- a/src/services/lingering_close.h
+++ b/src/services/lingering_close.h
@@ -4,6 +4,7 @@
  * Closes TCP connections in a way that lets the peer still read the last answer.
  */
 
+#include <cstdint>
 #include <map>
 
 #include "kernel/hooks.h"
@@ -16,7 +17,8 @@
  * Closing a socket that has unread input would reset the connection, and the reset can overtake the last answer. */
 class lingering_close {
 public:
-    explicit lingering_close(const kernel_hooks& hooks);
+    /** When more than `maximum` connections wait for their end, the first of them is closed at once. */
+    lingering_close(const kernel_hooks& hooks, std::size_t maximum);
     ~lingering_close();
     lingering_close(const lingering_close&) = delete;
     lingering_close& operator=(const lingering_close&) = delete;
@@ -29,8 +31,17 @@
     static void ended(bufferevent* channel, short what, void* argument);
     void free(bufferevent* channel);
 
+    struct waiting_channel {
+        timer_id timer;
+        std::uint64_t number = 0;
+    };
+
     const kernel_hooks& m_hooks;
-    std::map<bufferevent*, timer_id> m_channels;
+    std::size_t m_maximum;
+    std::map<bufferevent*, waiting_channel> m_channels;
+    /** In the order in which they were added. */
+    std::map<std::uint64_t, bufferevent*> m_order;
+    std::uint64_t m_lastNumber = 0;
 };
 
 } // namespace plantainlatch
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -34,6 +34,7 @@
 
 absl::Status serve_vm::createParts()
 {
+    m_budget = std::make_unique<buffer_budget>(m_hooks, bufferLimitsFor(m_settings.memoryLimit));
     absl::Status status = assignIfOk(kernel::create(m_hooks), m_kernel);
     if (status.ok())
         status = createStorage();
@@ -43,6 +44,7 @@
         status = assignIfOk(steering_vm::create(m_hooks, m_settings), m_steering);
     http_server_options options;
     options.limits = m_settings.limits;
+    options.budget = m_budget.get();
     if (status.ok())
         status
             = assignIfOk(http_server::create(m_loop.base(), m_hooks, m_settings.self.callerAddress, options), m_server);
@@ -69,6 +71,7 @@
 {
     if (m_storage != nullptr)
         m_kernel->add(m_storage->asService());
+    m_kernel->add(m_budget->asService());
     m_kernel->add(m_peers->asService());
     m_kernel->add(m_upstreams->asService());
     m_steering->addTo(*m_kernel);
--- a/src/services/serve_vm.h
+++ b/src/services/serve_vm.h
@@ -13,6 +13,7 @@
 #include "model/vm_settings.h"
 #include "runtime/event_loop.h"
 #include "services/announcement_front.h"
+#include "services/buffer_budget.h"
 #include "services/caller_front.h"
 #include "services/file_storage.h"
 #include "services/http_server.h"
@@ -51,6 +52,7 @@
     std::shared_ptr<log_statistics> m_logged;
     kernel_hooks m_hooks;
     // The kernel refers to the services, so it is declared after them and thus destroyed before them.
+    std::unique_ptr<buffer_budget> m_budget;
     std::unique_ptr<file_storage> m_storage;
     std::unique_ptr<peer_transport> m_peers;
     std::unique_ptr<upstream_client> m_upstreams;
