--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -89,6 +89,7 @@
     , m_requestLease(parts.budget, [this] { refuse(http_problem::NoMemory); })
     , m_outputLease(parts.budget, [this] { fail(answer_loss::NoMemory); })
 {
+    m_parser.setHold([this](std::size_t bytes) { return hold(bytes); });
     internal_assert(m_channel != nullptr) << "no memory for a connection";
     disableNagle(socket);
 }
@@ -205,7 +206,12 @@
     std::size_t needed = m_parser.neededBytes();
     if (!m_parser.isReadingBody() && !m_parser.isComplete())
         needed = (needed + headStep - 1) / headStep * headStep;
-    return needed <= m_requestLease.bytes() || m_requestLease.resize(needed, true);
+    return hold(needed);
+}
+
+bool http_connection::hold(std::size_t bytes)
+{
+    return bytes <= m_requestLease.bytes() || m_requestLease.resize(bytes, true);
 }
 
 void http_connection::recordProgress()
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -111,6 +111,7 @@
     void handleParsed();
     /** Counts the memory of the current request; false if there is no room for it. */
     bool holdRequest();
+    bool hold(std::size_t bytes);
     void recordProgress();
     void setReadTimeout(duration limit);
     /** Answers a request that was not dispatched, and closes the connection. */
--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -16,6 +16,8 @@
     constexpr std::size_t headerLineOverhead = 4;
     constexpr std::uint64_t noContentLength = std::numeric_limits<std::uint64_t>::max();
     constexpr int stopParsing = -1;
+    /** A power of two, so that doubling it reaches the usual limits exactly. */
+    constexpr std::size_t smallestCapacity = 4096;
 
     bool isMethodLetter(char letter) { return letter >= 'A' && letter <= 'Z'; }
 
@@ -211,27 +213,31 @@
 {
     if (m_request.body.size() + bytes.size() > m_limits.maximumBody.value())
         return fail(http_problem::BodyTooLarge);
-    reserveBody(bytes.size());
+    if (!reserveBody(bytes.size()))
+        return fail(http_problem::NoMemory);
     m_request.body.append(bytes);
     return 0;
 }
 
-void http_request_parser::reserveBody(std::size_t more)
+bool http_request_parser::reserveBody(std::size_t more)
 {
     // Reserved memory is used only as far as bytes arrive, so a stated length costs nothing by itself. A body that
     // grows by doubling needs no more than the new capacity while it is copied.
     std::string& body = m_request.body;
     const std::size_t needed = body.size() + more;
     if (needed <= body.capacity())
-        return;
-    const std::size_t doubled = std::min<std::size_t>(2 * body.capacity(), m_limits.maximumBody.value());
-    body.reserve(std::max({ needed, m_statedLength, doubled }));
+        return true;
+    const std::size_t doubled = std::max(2 * body.capacity(), smallestCapacity);
+    const std::size_t capacity = std::max({ needed, m_statedLength, doubled });
+    if (m_hold && !m_hold(neededBytes(capacity)))
+        return false;
+    body.reserve(capacity);
+    return true;
 }
 
-std::size_t http_request_parser::neededBytes() const
+std::size_t http_request_parser::neededBytes(std::size_t capacity) const
 {
-    const std::size_t body = m_request.body.empty() ? 0 : m_request.body.capacity();
-    return m_headerBytes + std::max(m_statedLength, body);
+    return m_headerBytes + std::max(m_statedLength, std::min<std::size_t>(capacity, m_limits.maximumBody.value()));
 }
 
 int http_request_parser::finishRequest()
--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -5,9 +5,11 @@
  */
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "model/http.h"
@@ -49,7 +51,10 @@
     http_problem problem() const { return m_problem; }
     const received_request& request() const { return m_request; }
     /** The memory that the request needs: its fields, and its stated length or what is reserved for its chunks. */
-    std::size_t neededBytes() const;
+    std::size_t neededBytes() const { return neededBytes(m_request.body.empty() ? 0 : m_request.body.capacity()); }
+    /** Sets a function that is called with the memory that a request will need, before its body grows; if it returns
+     * false, the request has the problem NoMemory. */
+    void setHold(std::function<bool(std::size_t)> hold) { m_hold = std::move(hold); }
     /** Whether the body is being received. */
     bool isReadingBody() const { return m_headersDone && !m_complete; }
     /** Frees the body of a request that was handled or refused. */
@@ -70,7 +75,8 @@
     int addFieldValue(std::string_view bytes);
     int finishHeaders();
     int addBody(std::string_view bytes);
-    void reserveBody(std::size_t more);
+    bool reserveBody(std::size_t more);
+    std::size_t neededBytes(std::size_t capacity) const;
     int finishRequest();
     int countHeaderBytes(std::size_t bytes);
     void checkFraming(const header_field& field);
@@ -78,6 +84,7 @@
 
     caller_limits m_limits;
     std::unique_ptr<http_parser> m_parser;
+    std::function<bool(std::size_t)> m_hold;
     received_request m_request;
     std::uint64_t m_headerBytes = 0;
     /** 0 for chunks. */
