--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -27,6 +27,8 @@
     /** A body makes progress when so many bytes have arrived; otherwise, one byte now and then would be enough to keep
      * the memory. */
     constexpr std::size_t progressStep = 16 * 1024;
+    /** Complete requests without a body and with no more fields than this are not counted. */
+    constexpr std::size_t uncountedHead = 1024;
     /** Less output than this is not counted. */
     constexpr std::size_t uncountedOutput = 1024;
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -87,6 +89,7 @@
     , m_parser(parts.limits)
     , m_waitingSince(parts.now())
     , m_requestLease(parts.budget, [this] { refuse(http_problem::NoMemory); })
+    , m_inputLease(parts.budget, {})
     , m_outputLease(parts.budget, [this] { fail(answer_loss::NoMemory); })
 {
     m_parser.setHold([this](std::size_t bytes) { return hold(bytes); });
@@ -165,7 +168,8 @@
 {
     // While the input is at its limit, libevent calls readable() in each iteration of the event loop unless reading is
     // disabled.
-    const bool full = evbuffer_get_length(bufferevent_get_input(m_channel)) >= pipelinedBytes;
+    const std::size_t waiting = evbuffer_get_length(bufferevent_get_input(m_channel));
+    const bool full = waiting >= pipelinedBytes || !m_inputLease.resize(waiting, false);
     const bool reads = (bufferevent_get_enabled(m_channel) & EV_READ) != 0;
     if (full && reads) {
         bufferevent_disable(m_channel, EV_READ);
@@ -199,11 +203,11 @@
 
 bool http_connection::holdRequest()
 {
-    if (m_parser.isComplete() && m_parser.request().body.empty()) {
+    std::size_t needed = m_parser.neededBytes();
+    if (m_parser.isComplete() && needed <= uncountedHead) {
         m_requestLease.release();
         return true;
     }
-    std::size_t needed = m_parser.neededBytes();
     if (!m_parser.isReadingBody() && !m_parser.isComplete())
         needed = (needed + headStep - 1) / headStep * headStep;
     return hold(needed);
@@ -351,6 +355,7 @@
     const auto self = shared_from_this();
     m_state = state::Closed;
     m_requestLease.release();
+    m_inputLease.release();
     releaseOutput();
     if (m_channel != nullptr)
         bufferevent_free(std::exchange(m_channel, nullptr));
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -139,6 +139,8 @@
     /** The size of the body at the last progress. */
     std::size_t m_progressSize = 0;
     buffer_lease m_requestLease;
+    /** Input behind the current request; never reclaimed, as that request may be running. */
+    buffer_lease m_inputLease;
     buffer_lease m_outputLease;
 };
 
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -25,6 +25,8 @@
     /** The longest waiting connections are searched for once for so many new connections, since a search for each one
      * would take most of the time while there are thousands. */
     constexpr std::size_t searchBatch = 64;
+    /** While all requests are being handled, a search for each new connection would take most of the time. */
+    constexpr duration fruitlessSearchPause = std::chrono::milliseconds(10);
     /** The connections that are closed but not ended yet may use this part of the descriptors of the others. */
     constexpr std::size_t closingPart = 8;
 
@@ -111,6 +113,7 @@
     };
     /** The result of the last search, the longest waiting last. */
     std::vector<waiting_connection> longestWaiting;
+    time_point nextSearch {};
     absl::flat_hash_map<const http_connection*, exchange_id> exchangeIds;
     absl::flat_hash_map<exchange_id, exchange> exchanges;
     std::uint64_t lastExchange = 0;
@@ -158,7 +161,7 @@
 {
     bool searched = false;
     while (true) {
-        if (longestWaiting.empty() && !std::exchange(searched, true))
+        if (longestWaiting.empty() && !std::exchange(searched, true) && hooks.now() >= nextSearch)
             findLongestWaiting();
         if (longestWaiting.empty())
             return false;
@@ -182,6 +185,8 @@
         if (connection->isReadingRequest())
             longestWaiting.push_back({ connection->waitingSince(), connection });
     }
+    if (longestWaiting.empty())
+        nextSearch = hooks.now() + fruitlessSearchPause;
     const std::size_t kept = std::min(searchBatch, longestWaiting.size());
     std::partial_sort(longestWaiting.begin(), longestWaiting.begin() + static_cast<std::ptrdiff_t>(kept),
         longestWaiting.end(), isLonger);
--- /dev/null
+++ b/test/error/buffer_budget_test.cpp
@@ -0,0 +1,139 @@
+#include <memory>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "services/buffer_budget.h"
+
+namespace plantainlatch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    constexpr std::size_t smallSize = 4096;
+
+    /** A budget of 10 MiB for large and 8 KiB for small holdings, and holders that release their lease when asked. */
+    class buffer_budget_fixture {
+    protected:
+        buffer_budget_fixture()
+        {
+            hooks.now = [this] { return now; };
+            hooks.log = [this](const log_event&) { ++lines; };
+            budget = std::make_unique<buffer_budget>(
+                hooks, buffer_budget_limits { byte_count(10 * mebibyte), byte_count(2 * smallSize) });
+        }
+
+        /** Adds a holder, which is numbered from 0. */
+        buffer_lease& addHolder()
+        {
+            const std::size_t number = holders.size();
+            holders.push_back(std::make_unique<buffer_lease>(*budget, [this, number] {
+                asked.push_back(number);
+                holders[number]->release();
+            }));
+            return *holders.back();
+        }
+
+        time_point now {};
+        kernel_hooks hooks;
+        int lines = 0;
+        std::unique_ptr<buffer_budget> budget;
+        std::vector<std::unique_ptr<buffer_lease>> holders;
+        std::vector<std::size_t> asked;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.lease_that_ends.returns_its_bytes")
+{
+    REQUIRE(addHolder().resize(10 * mebibyte, false));
+    REQUIRE_FALSE(addHolder().resize(mebibyte, false));
+    REQUIRE(budget->refused() == 1);
+    holders.front().reset();
+    REQUIRE(budget->held() == 0);
+    REQUIRE(holders.back()->resize(mebibyte, false));
+    REQUIRE(budget->held() == mebibyte);
+}
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.large_holding_without_progress.is_reclaimed_longest_first")
+{
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(addHolder().resize(3 * mebibyte, true));
+        now += 10ms;
+    }
+    now += 2s;
+    holders[0]->recordProgress();
+    REQUIRE(addHolder().resize(3 * mebibyte, true));
+    REQUIRE(asked == std::vector<std::size_t> { 1 });
+    REQUIRE(budget->held() == 9 * mebibyte);
+}
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.large_holding_with_progress.is_not_reclaimed")
+{
+    REQUIRE(addHolder().resize(6 * mebibyte, true));
+    REQUIRE_FALSE(addHolder().resize(6 * mebibyte, true));
+    REQUIRE(asked.empty());
+}
+
+// Requests that are being handled may have run, so that their callers must not be told that they did not.
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.kept_holding.is_not_reclaimed")
+{
+    REQUIRE(addHolder().resize(6 * mebibyte, true));
+    holders.front()->keep();
+    now += 60s;
+    REQUIRE_FALSE(addHolder().resize(6 * mebibyte, true));
+    REQUIRE(asked.empty());
+}
+
+// A holding that is given up for one which is refused anyway would serve nobody.
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.reclaiming_that_does_not_suffice.is_not_done")
+{
+    REQUIRE(addHolder().resize(2 * mebibyte, true));
+    REQUIRE(addHolder().resize(6 * mebibyte, false));
+    now += 60s;
+    REQUIRE_FALSE(addHolder().resize(5 * mebibyte, true));
+    REQUIRE(asked.empty());
+}
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.small_holding_beside_large_ones.has_room_of_its_own")
+{
+    REQUIRE(addHolder().resize(10 * mebibyte, false));
+    REQUIRE(addHolder().resize(smallSize, true));
+    REQUIRE(addHolder().resize(smallSize, true));
+    REQUIRE(addHolder().resize(smallSize, true));
+    REQUIRE(asked == std::vector<std::size_t> { 1 });
+}
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.holding_that_grows.moves_to_the_room_of_large_ones")
+{
+    buffer_lease& grows = addHolder();
+    REQUIRE(grows.resize(smallSize, true));
+    REQUIRE(grows.resize(9 * mebibyte, true));
+    REQUIRE(addHolder().resize(smallSize, false));
+    REQUIRE(addHolder().resize(smallSize, false));
+    REQUIRE(asked.empty());
+    REQUIRE_FALSE(grows.resize(11 * mebibyte, true));
+    REQUIRE(grows.bytes() == 9 * mebibyte);
+    REQUIRE(grows.resize(smallSize, true));
+    REQUIRE(budget->held() == 3 * smallSize);
+}
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.many_refusals.are_logged_once")
+{
+    for (int i = 0; i < 100; ++i)
+        REQUIRE_FALSE(addHolder().resize(11 * mebibyte, true));
+    REQUIRE(budget->refused() == 100);
+    REQUIRE(lines == 1);
+}
+
+// The smallest entry must still serve a single body of the largest legal size.
+TEST_CASE("buffer_limits.smallest_entry.has_room_for_the_largest_body")
+{
+    constexpr std::size_t largestRequest = 64 * mebibyte + 16 * 1024;
+    REQUIRE(bufferLimitsFor(byte_count(112'000'000)).large.value() >= largestRequest);
+    REQUIRE(bufferLimitsFor(std::nullopt).large.value() >= 10 * largestRequest);
+}
+
+} // namespace plantainlatch
