--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -199,6 +199,9 @@
     m_requestLease.keep();
     m_state = state::Handling;
     m_parts.onRequest(*this);
+    // The handler has taken what it needs; another copy of the body would stay until the answer.
+    if (m_state == state::Handling)
+        m_parser.dropBody();
 }
 
 bool http_connection::holdRequest()
