--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -330,6 +330,8 @@
 
 std::size_t http_server::inFlight() const { return m_parts->exchanges.size(); }
 
+buffer_budget& http_server::budget() { return m_parts->shared.budget; }
+
 std::size_t http_server::connections() const { return m_parts->connections.size(); }
 
 service http_server::asService()
--- a/src/services/http_server.h
+++ b/src/services/http_server.h
@@ -92,6 +92,8 @@
     /** The number of requests that are not answered yet. */
     std::size_t inFlight() const;
     std::size_t connections() const;
+    /** The budget that counts the requests; their handlers can count what they need besides. */
+    buffer_budget& budget();
 
 private:
     struct implementation;
--- a/test/integration/caller_crowd_test.cpp
+++ b/test/integration/caller_crowd_test.cpp
@@ -288,6 +288,17 @@
     checkBounds(1);
 }
 
+// A list of numbers takes 25 times as much memory as its text when it is parsed.
+TEST_CASE_METHOD(caller_crowd_fixture, "caller_crowd.configuration_of_many_values.leaves_the_control_vm_serving")
+{
+    std::string body = R"({"version":"r2","x":[)";
+    for (std::size_t i = 0; i < 8 * mebibyte; ++i)
+        body += "0,";
+    CHECK(statusOf(1, controlPort, "POST /Config.Put", body + "0]}") != 200);
+    CHECK(statusWithRetries(1, controlPort, "GET /Config.Get") == 200);
+    checkBounds(1);
+}
+
 TEST_CASE_METHOD(caller_crowd_fixture, "caller_crowd.idle_and_unfinished_connections.leave_the_entry_serving")
 {
     load(entry, callerPort, 200, { "POST /v1/x HTTP/1.1\r\nHost: h\r\n" });
