--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -31,6 +31,9 @@
     constexpr std::size_t uncountedHead = 1024;
     /** Less output than this is not counted. */
     constexpr std::size_t uncountedOutput = 1024;
+    /** The unread bytes of a large body that the operating system buffers. They are memory of the VM too, and by
+     * default there can be tens of megabytes on each connection. */
+    constexpr std::size_t unreadBodyBytes = 256 * 1024;
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
     timeval toTimeval(duration span)
@@ -218,7 +221,14 @@
 
 bool http_connection::hold(std::size_t bytes)
 {
-    return bytes <= m_requestLease.bytes() || m_requestLease.resize(bytes, true);
+    const std::size_t former = m_requestLease.bytes();
+    if (bytes <= former)
+        return true;
+    if (!m_requestLease.resize(bytes, true))
+        return false;
+    if (former <= buffer_budget::maximumSmall && bytes > buffer_budget::maximumSmall)
+        limitUnread(bufferevent_getfd(m_channel), unreadBodyBytes);
+    return true;
 }
 
 void http_connection::recordProgress()
