--- a/src/decision/quotas/entry_quotas.cpp
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -46,7 +46,9 @@
 void entry_quotas::applyShare(const account_id& account, account_quota& item, time_point now) const
 {
     const quota_share open = openShare(item.limit, m_options.openFactor, account, m_entries, m_self);
-    item.bucket.setShare(isLimited(item, now) ? baseInForce(item) + item.lease : open, now);
+    const bool limited = isLimited(item, now);
+    item.bucket.setShare(limited ? baseInForce(item) + item.lease : open, now);
+    item.bucket.setOverdraft(limited ? 0 : openOverdraft(item.limit, m_entries.size()));
 }
 
 void entry_quotas::settle(const account_id& account, account_quota& item, time_point now) const
@@ -175,7 +177,9 @@
         settle(id, item, now);
         if (measures) {
             const double last = static_cast<double>(std::exchange(item.requests, 0)) / seconds(interval);
-            item.demand = item.isMeasured ? item.demand + newestWeight * (last - item.demand) : last;
+            // A single request must not count as two a second, which would limit a small account.
+            const bool averages = item.isMeasured || !isLimited(item, now);
+            item.demand = averages ? item.demand + newestWeight * (last - item.demand) : last;
             item.isMeasured = true;
         }
         const bool holdsLease = item.grant != 0 && item.lease != quota_share();
--- a/src/decision/quotas/quota_bucket.cpp
+++ b/src/decision/quotas/quota_bucket.cpp
@@ -47,9 +47,11 @@
 bool quota_bucket::tryAcquire(time_point now)
 {
     refill(now);
-    if (m_tokens < oneToken)
+    if (m_tokens + m_overdraft < oneToken)
         return false;
-    m_tokens = std::max(0.0, m_tokens - 1);
+    m_tokens -= 1;
+    if (m_overdraft <= 0)
+        m_tokens = std::max(0.0, m_tokens);
     ++m_refundable;
     return true;
 }
@@ -64,7 +66,7 @@
 double quota_bucket::take(double maximum, time_point now)
 {
     refill(now);
-    const double taken = std::clamp(maximum, 0.0, m_tokens);
+    const double taken = std::clamp(maximum, 0.0, std::max(0.0, m_tokens));
     m_tokens -= taken;
     return taken;
 }
@@ -78,12 +80,12 @@
     m_tokens = std::min(m_share.capacity, m_tokens + 1);
 }
 
-bool quota_bucket::canAdmit() const { return m_share.ratePerSecond > 0 && m_share.capacity >= oneToken; }
+bool quota_bucket::canAdmit() const { return m_share.ratePerSecond > 0 && m_share.capacity + m_overdraft >= oneToken; }
 
 duration quota_bucket::untilNext(time_point now)
 {
     refill(now);
-    const double missing = std::max(0.0, 1 - m_tokens);
+    const double missing = std::max(0.0, 1 - m_tokens - m_overdraft);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(missing / m_share.ratePerSecond));
 }
 
--- a/src/decision/quotas/quota_bucket.h
+++ b/src/decision/quotas/quota_bucket.h
@@ -39,6 +39,9 @@
 
     /** Changes the share. Tokens beyond a smaller capacity are lost; a larger capacity fills at the rate. */
     void setShare(const quota_share& share, time_point now);
+    /** Lets requests be admitted for up to so many tokens that the bucket doesn't have; these are repaid at the rate
+     * before further requests are admitted without an overdraft. */
+    void setOverdraft(double tokens) { m_overdraft = tokens; }
     bool tryAcquire(time_point now);
     /** Adds tokens that were taken from another share of the quota. */
     void put(double tokens, time_point now);
@@ -59,7 +62,9 @@
     void limitTokens();
 
     quota_share m_share;
+    /** Negative if requests were admitted under an overdraft. */
     double m_tokens = 0;
+    double m_overdraft = 0;
     time_point m_refilledAt;
     /** The number of requests admitted since tokens were last lost at the capacity. */
     std::uint64_t m_refundable = 0;
--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -22,6 +22,11 @@
     /** An account is limited if its reported demand exceeds this part of its rate. Entries with little demand don't
      * report it; together they have at most an eighth of the rate. */
     constexpr double limitingDemand = 0.9;
+    /** The tokens that each entry should have for random requests while an account is not limited. */
+    constexpr double openTokens = 3;
+    /** An overdraft must be repaid at the rate of the quota within what is left of a window of 5 s when the account is
+     * limited, which takes up to 1.2 s. */
+    constexpr double overdraftTime = 3.8;
     /** The part of its base share that an entry keeps while it lends the rest, for requests that begin suddenly. */
     constexpr double keptPart = 0.125;
     /** An entry that holds no lease gets at most this part of what is available, as the first heartbeats of others
@@ -103,7 +108,22 @@
     const std::vector<vm_id>& entries, const vm_id& self)
 {
     const quota_share whole = wholeShare(quota);
-    return evenShare({ whole.ratePerSecond * factor, std::floor(whole.capacity) }, account, entries, self);
+    if (openOverdraft(quota, entries.size()) <= 0)
+        return evenShare({ whole.ratePerSecond * factor, std::floor(whole.capacity) }, account, entries, self);
+    if (std::find(entries.begin(), entries.end(), self) == entries.end())
+        return {};
+    const auto count = static_cast<double>(entries.size());
+    return { whole.ratePerSecond * factor / count, whole.capacity / count };
+}
+
+double openOverdraft(const request_quota& quota, std::size_t entryCount)
+{
+    if (entryCount == 0)
+        return 0;
+    const quota_share whole = wholeShare(quota);
+    const auto count = static_cast<double>(entryCount);
+    const double missing = openTokens * count - whole.capacity;
+    return std::max(0.0, std::min(missing, whole.ratePerSecond * overdraftTime)) / count;
 }
 
 quota_share evenShare(
--- a/src/decision/quotas/quota_division.h
+++ b/src/decision/quotas/quota_division.h
@@ -67,6 +67,10 @@
 quota_share openShare(const request_quota& quota, double factor, const account_id& account,
     const std::vector<vm_id>& entries, const vm_id& self);
 
+/** By how many tokens an entry may overdraw its open share: a small account has fewer tokens than entries, but its
+ * requests come to any of them. An account that is limited repays them first, so no window admits more by them. */
+double openOverdraft(const request_quota& quota, std::size_t entryCount);
+
 /** An even part of `total`; with fewer tokens than entries, one token at those with the lowest hashes for the account.
  */
 quota_share evenShare(
