--- a/src/decision/quotas/entry_quotas.cpp
+++ b/src/decision/quotas/entry_quotas.cpp
@@ -39,8 +39,7 @@
 
 bool entry_quotas::isLimited(const account_quota& item, time_point now) const
 {
-    return m_options.openFactor <= 0 || now < std::max(m_limitedUntil, item.limitedUntil)
-        || now > m_lastContact + m_options.contactLimit;
+    return m_options.openFactor <= 0 || now < item.limitedUntil || now > m_lastContact + m_options.contactLimit;
 }
 
 void entry_quotas::applyShare(const account_id& account, account_quota& item, time_point now) const
@@ -112,6 +111,13 @@
     // An earlier process of this VM may have used up or lent its share just before it ended.
     account_quota created { .limit = limit, .base = base, .bucket = quota_bucket(keptShare(base), 0, m_startedAt) };
     created.loanEnds = m_startedAt + m_options.lending;
+    if (m_options.openFactor > 0) {
+        // Base shares are not lent. An earlier process may have used its tokens and its overdraft.
+        created.isLent = false;
+        const double overdraft = openOverdraft(limit, m_entries.size());
+        created.bucket
+            = quota_bucket(openShare(limit, m_options.openFactor, id, m_entries, m_self), -overdraft, m_startedAt);
+    }
     account_quota& item = m_accounts.emplace(id, created).first->second;
     settle(id, item, now);
     return &item;
@@ -200,20 +206,13 @@
     return demands;
 }
 
-void entry_quotas::noteContact(time_point sentAt, time_point now)
-{
-    if (now > m_lastContact + m_options.contactLimit)
-        m_limitedUntil = std::max(m_limitedUntil, now + m_options.limiting);
-    m_lastContact = std::max(m_lastContact, sentAt);
-}
-
 void entry_quotas::receive(const std::map<account_id, client_account>& accounts, const heartbeat_answer& answer,
     time_point sentAt, time_point now)
 {
     const time_point ends = sentAt + answer.accountLease;
     if (ends <= now)
         return;
-    noteContact(sentAt, now);
+    m_lastContact = std::max(m_lastContact, sentAt);
     for (const account_id& id : answer.limitedAccounts) {
         if (account_quota* item = find(accounts, id, now))
             item->limitedUntil = now + m_options.limiting;
--- a/src/decision/quotas/entry_quotas.h
+++ b/src/decision/quotas/entry_quotas.h
@@ -34,7 +34,6 @@
     entry_quotas(vm_id self, time_point startedAt, const quota_division_options& options)
         : m_self(std::move(self))
         , m_options(options)
-        , m_limitedUntil(startedAt + options.limiting)
         , m_startedAt(startedAt)
         , m_reportedAt(startedAt)
     {
@@ -90,13 +89,10 @@
     static bool isUnused(account_quota& item, time_point now);
     void applyShare(const account_id& account, account_quota& item, time_point now) const;
     bool noteRefusal(const account_id& account, time_point now);
-    /** Notes the answer to a heartbeat that was sent at `sentAt`. */
-    void noteContact(time_point sentAt, time_point now);
 
     vm_id m_self;
     quota_division_options m_options;
-    /** All accounts are limited until then, also if no contact to the leader is lost. */
-    time_point m_limitedUntil;
+    /** When the last heartbeat was sent that the leader answered. */
     time_point m_lastContact {};
     time_point m_startedAt;
     time_point m_reportedAt;
--- a/src/decision/quotas/quota_bucket.cpp
+++ b/src/decision/quotas/quota_bucket.cpp
@@ -15,7 +15,7 @@
 
 quota_bucket::quota_bucket(const quota_share& share, double tokens, time_point now)
     : m_share(share)
-    , m_tokens(std::clamp(tokens, 0.0, share.capacity))
+    , m_tokens(std::min(tokens, share.capacity))
     , m_refilledAt(now)
 {
 }
--- a/src/decision/quotas/quota_bucket.h
+++ b/src/decision/quotas/quota_bucket.h
@@ -35,6 +35,7 @@
  * tokens never exceed the share's capacity. Times must not decrease between calls. */
 class quota_bucket {
 public:
+    /** `tokens` may be negative, as after an overdraft. */
     quota_bucket(const quota_share& share, double tokens, time_point now);
 
     /** Changes the share. Tokens beyond a smaller capacity are lost; a larger capacity fills at the rate. */
--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -314,12 +314,14 @@
     const quota_share base = baseTotal(quota);
     const double baseRate = base.ratePerSecond / static_cast<double>(entryCount);
     const double limit = record.leasable.ratePerSecond * (record.needsLoans ? endOfLoans : 1);
-    // Without a leasable part, base shares stay where they are: requests of a small account come to all entries.
     const double demanded = std::accumulate(
         askers.begin(), askers.end(), 0.0, [](double sum, const quota_asker& asker) { return sum + asker.perSecond; });
     if (demanded > wholeShare(quota).ratePerSecond * limitingDemand)
         record.limitedUntil = now + m_options.limiting;
-    record.needsLoans = record.leasable.capacity >= 1 && excessDemand(baseRate, askers) > limit;
+    // Without a leasable part, base shares stay where they are: requests of a small account come to all entries. Where
+    // accounts are open below their rate, loans would only take the base shares of entries that lose the leader.
+    record.needsLoans
+        = m_options.openFactor <= 0 && record.leasable.capacity >= 1 && excessDemand(baseRate, askers) > limit;
     quota_share granted;
     if (demand.perSecond > 0) {
         const quota_share total = pool(quota, record, now);
--- a/src/decision/quotas/quota_division.h
+++ b/src/decision/quotas/quota_division.h
@@ -34,8 +34,8 @@
      * 0 if accounts are always limited. An account whose demand rises suddenly is limited after two heartbeats; until
      * then it exceeds the rate by at most this factor, which the tolerance of the deployment must allow. */
     double openFactor = 0;
-    /** How long an account stays limited after its demand has fallen, and on an entry after the leader last said so,
-     * after the contact to the leader was lost, and after the start: the window over which quotas are counted. */
+    /** How long an account stays limited after its demand has fallen, and on an entry after the leader last said so:
+     * the window over which quotas are counted. */
     duration limiting = std::chrono::seconds(5);
     /** An entry without an answer of the leader for this long limits all accounts. */
     duration contactLimit = std::chrono::milliseconds(1200);
--- a/test/correctness/account_quota_test.cpp
+++ b/test/correctness/account_quota_test.cpp
@@ -254,6 +254,29 @@
     REQUIRE(static_cast<double>(mostInWindow()) <= allowedInWindow() * 1.1 + 20);
 }
 
+// Guards against a second burst and overdraft of an entry that was killed, and against one that refuses for seconds.
+TEST_CASE_METHOD(
+    account_quota_fixture, "account_quota.restarted_open_entry.begins_without_tokens_and_fills_at_its_rate")
+{
+    quota_division_options division;
+    division.openFactor = 1.4;
+    const double rate = GENERATE(8.0, 250.0);
+    begin(rate, rate, division);
+    const configuration& config = cluster->vm("d").state().config;
+    const time_point start = cluster->runtime.now();
+    entry_quotas restarted(vm_id("d"), start, division);
+    restarted.update(config.accounts, knownEntries(cluster->vm("d").state()), start);
+    heartbeat_answer answer;
+    answer.accountLease = 2s;
+    int count = 0;
+    for (time_point now = start; now < start + 5s; now += 10ms) {
+        restarted.receive(config.accounts, answer, now, now);
+        count += restarted.acquire(config.accounts, account, now).verdict.admitted ? 1 : 0;
+    }
+    REQUIRE(count <= 1.4 * rate * 5 / entryCount);
+    REQUIRE(count >= 1.4 * rate * 5 / entryCount - 2);
+}
+
 TEST_CASE_METHOD(account_quota_fixture, "account_quota.hot_account_during_failures.stays_within_rate_and_burst")
 {
     begin(100, 100);
