--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -8,6 +8,7 @@
 #include "core/internal_assert.h"
 #include "decision/control/apply_drain.h"
 #include "decision/entries/known_entries.h"
+#include "decision/placement/return_time.h"
 #include "ports/port_names.h"
 
 namespace plantainlatch {
@@ -378,6 +379,9 @@
         ++m_refused;
         if (excluded.paused > 0)
             answer.retryAfter = pauseOfAll(order);
+        if (!answer.retryAfter && chosen.upstream != nullptr)
+            answer.retryAfter
+                = returnTime(chosen.total - timeLimit(request), request.deadline - m_hooks.now(), m_hooks.random());
         done(answer);
         return {};
     }
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "decision/placement/placement_service.h"
+#include "decision/placement/return_time.h"
 #include "ports/port_names.h"
 #include "support/control_fixture.h"
 
@@ -479,6 +480,35 @@
     REQUIRE_FALSE(refused.retryAfter);
 }
 
+// Load: a burst of requests that are refused in the same moment. Guards against callers that all return at once and are
+// refused again, and against times beyond what they wait.
+TEST_CASE_METHOD(placement_fixture, "placement.requests_refused_together.return_spread_over_a_third_of_their_time")
+{
+    add(makeUpstream("u", "here", 1));
+    start();
+    while (place("court 7", 3s).slot) { }
+    std::map<duration, int> returns;
+    for (int i = 0; i < 300; ++i) {
+        const slot_answer refused = place("court 7", 3s);
+        REQUIRE_FALSE(refused.slot);
+        REQUIRE(refused.retryAfter);
+        REQUIRE(*refused.retryAfter <= 1s);
+        ++returns[*refused.retryAfter / 100ms * 100ms];
+    }
+    for (const auto& [time, count] : returns)
+        REQUIRE(count < 75);
+}
+
+TEST_CASE("return_time.wait_and_remaining_time.bound_the_times", "[placement]")
+{
+    const std::uint64_t last = ~0ULL;
+    REQUIRE(returnTime(400ms, 6s, 0) == 400ms);
+    REQUIRE(returnTime(400ms, 6s, last) <= 2s);
+    REQUIRE(returnTime(9s, 6s, 0) == 1500ms);
+    REQUIRE(returnTime(-1s, 6s, 0) == 50ms);
+    REQUIRE(returnTime(1s, 30ms, last) == 50ms);
+}
+
 TEST_CASE_METHOD(placement_fixture, "placement.shorter_retry_after.does_not_end_a_longer_pause")
 {
     add(makeUpstream("u", "here"));
