--- a/src/decision/quotas/quota_division.cpp
+++ b/src/decision/quotas/quota_division.cpp
@@ -123,7 +123,9 @@
     const quota_share whole = wholeShare(quota);
     const auto count = static_cast<double>(entryCount);
     const double missing = openTokens * count - whole.capacity;
-    return std::max(0.0, std::min(missing, whole.ratePerSecond * overdraftTime)) / count;
+    const double overdraft = std::max(0.0, std::min(missing, whole.ratePerSecond * overdraftTime));
+    // Less than one token admits no request; whole tokens at some of the entries are better.
+    return whole.capacity + overdraft >= count ? overdraft / count : 0;
 }
 
 quota_share evenShare(
--- a/test/correctness/account_quota_test.cpp
+++ b/test/correctness/account_quota_test.cpp
@@ -254,6 +254,24 @@
     REQUIRE(static_cast<double>(mostInWindow()) <= allowedInWindow() * 1.1 + 20);
 }
 
+// Guards against a quota that is divided into so many parts that no entry can admit a request.
+TEST_CASE("account_quota.more_entries_than_tokens.leaves_whole_tokens_at_some")
+{
+    const request_quota small { 8, 24 };
+    const account_id account("acme");
+    std::vector<vm_id> entries;
+    for (int i = 0; i < 110; ++i)
+        entries.emplace_back("e" + std::to_string(i));
+    double tokens = 0;
+    for (const vm_id& entry : entries) {
+        const quota_share share = openShare(small, 1.4, account, entries, entry);
+        const double usable = share.capacity + openOverdraft(small, entries.size());
+        REQUIRE((usable == 0 || usable >= 1));
+        tokens += usable;
+    }
+    REQUIRE(tokens == 24);
+}
+
 // Guards against a second burst and overdraft of an entry that was killed, and against one that refuses for seconds.
 TEST_CASE_METHOD(
     account_quota_fixture, "account_quota.restarted_open_entry.begins_without_tokens_and_fills_at_its_rate")
