Move the bound on bodies in flight out of the placement service

They are now a decision of their own, placement/bytes_in_flight. No change of behaviour: the placement tests pass as before.

--- a/src/decision/placement/placement_service.cpp
+++ b/src/decision/placement/placement_service.cpp
@@ -62,6 +62,7 @@
     , m_self(settings.self.id)
     , m_region(settings.self.region)
     , m_options(options)
+    , m_bytesInFlight(options.bytesInFlight)
 {
     m_port.acquire = [this](const slot_request& request, const std::function<void(slot_answer)>& done) {
         return acquire(request, done);
@@ -262,43 +263,13 @@
         ++excluded.cold;
         return false;
     }
-    if (!hasRoomFor(upstream.id, request.bodySize)) {
+    if (!m_bytesInFlight.hasRoomFor(upstream.id, request.bodySize)) {
         ++excluded.full;
         return false;
     }
     return true;
 }
 
-std::uint64_t& placement_service::bytesInFlight(const upstream_id& upstream, byte_count bodySize)
-{
-    bytes_in_flight& sums = m_bytesInFlight[upstream];
-    return bodySize > m_options.smallBody ? sums.large : sums.small;
-}
-
-bool placement_service::hasRoomFor(const upstream_id& upstream, byte_count bodySize)
-{
-    if (bodySize == byte_count() || !m_bytesInFlight.contains(upstream))
-        return true;
-    const std::uint64_t inFlight = bytesInFlight(upstream, bodySize);
-    return inFlight == 0 || inFlight + bodySize.value() <= m_options.maximumBytesInFlight.value();
-}
-
-void placement_service::addBytesInFlight(const upstream_id& upstream, byte_count bodySize)
-{
-    if (bodySize > byte_count())
-        bytesInFlight(upstream, bodySize) += bodySize.value();
-}
-
-void placement_service::removeBytesInFlight(const upstream_id& upstream, byte_count bodySize)
-{
-    if (bodySize == byte_count())
-        return;
-    bytesInFlight(upstream, bodySize) -= bodySize.value();
-    const bytes_in_flight& left = m_bytesInFlight[upstream];
-    if (left.small + left.large == 0)
-        m_bytesInFlight.erase(upstream);
-}
-
 void placement_service::admit(const candidate& chosen)
 {
     const time_point now = m_hooks.now();
@@ -391,7 +362,7 @@
     m_held.emplace(handle,
         placed_request { chosen.upstream->id, chosen.upstream->generation, request.policy.route, object, chosen.state,
             chosen.runTime, chosen.queued, request.bodySize, request.onRevoked });
-    addBytesInFlight(chosen.upstream->id, request.bodySize);
+    m_bytesInFlight.add(chosen.upstream->id, request.bodySize);
     m_stats[chosen.upstream->id].noteRequest();
     answer.slot = held_slot { handle, *chosen.upstream, request.deadline };
     done(answer);
@@ -434,7 +405,7 @@
     internal_assert(found != m_held.end()) << "slot handle " << handle.value() << " is released twice";
     const placed_request placed = found->second;
     m_held.erase(found);
-    removeBytesInFlight(placed.upstream, placed.bodySize);
+    m_bytesInFlight.remove(placed.upstream, placed.bodySize);
     noteUnavailability(placed, result.metadata);
     const auto stats = m_stats.find(placed.upstream);
     if (stats == m_stats.end())
@@ -520,9 +491,7 @@
         if (stats != m_stats.end())
             upstreams.add(id.value(), static_cast<std::uint64_t>(stats->second.ownRequests()));
     }
-    state_dump& bytes = shown.addObject("body_bytes_in_flight");
-    for (const auto& [id, sums] : std::map(m_bytesInFlight.begin(), m_bytesInFlight.end()))
-        bytes.add(id.value(), sums.small + sums.large);
+    m_bytesInFlight.dumpTo(shown.addObject("body_bytes_in_flight"));
     state_dump& cold = shown.addObject("sent_to_cold");
     for (const auto& [id, record] : m_directory) {
         const auto stats = m_stats.find(id);
--- a/src/decision/placement/placement_service.h
+++ b/src/decision/placement/placement_service.h
@@ -17,6 +17,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
 #include "decision/placement/affinity_order.h"
+#include "decision/placement/bytes_in_flight.h"
 #include "decision/placement/cold_rate_limiter.h"
 #include "decision/placement/latency_model.h"
 #include "decision/placement/reported_unavailability.h"
@@ -45,11 +46,7 @@
     double sheddableTimeFactor = 2;
     /** The extra latency expected of a request to another region. */
     duration crossRegionPenalty = std::chrono::milliseconds(60);
-    /** An upstream ends if the requests that it holds exceed its memory. A request that would raise the bodies in
-     * flight from this entry to an upstream above this sum goes elsewhere, unless it is the only one there. */
-    byte_count maximumBytesInFlight { 32 * 1024 * 1024 };
-    /** Bodies up to this size are summed up by themselves, so that long bodies don't exclude them. */
-    byte_count smallBody { 64 * 1024 };
+    bytes_in_flight_limits bytesInFlight;
 };
 
 /** Chooses upstreams; published as "slots". */
@@ -74,11 +71,6 @@
         byte_count bodySize;
         std::function<void()> onRevoked;
     };
-    /** The bodies of this entry's placed requests at one upstream. */
-    struct bytes_in_flight {
-        std::uint64_t small = 0;
-        std::uint64_t large = 0;
-    };
     /** An upstream that a request may go to, with the estimates for it. */
     struct candidate {
         const upstream_announcement* upstream = nullptr;
@@ -158,11 +150,6 @@
     /** Whether the upstream can be considered at all; if not, the reason is counted. */
     bool isUsable(
         const slot_request& request, const upstream_announcement& upstream, bool isOutlier, excluded_counts& excluded);
-    /** The sum of bodies in flight to the upstream to which a body of this size belongs. */
-    std::uint64_t& bytesInFlight(const upstream_id& upstream, byte_count bodySize);
-    bool hasRoomFor(const upstream_id& upstream, byte_count bodySize);
-    void addBytesInFlight(const upstream_id& upstream, byte_count bodySize);
-    void removeBytesInFlight(const upstream_id& upstream, byte_count bodySize);
     /** Counts the request in the limits for cold upstreams and for probes. */
     void admit(const candidate& chosen);
     std::vector<log_field> inputsOf(
@@ -185,8 +172,7 @@
     reported_unavailability m_unavailability;
     latency_model m_latencies;
     absl::flat_hash_map<slot_handle, placed_request> m_held;
-    /** Only upstreams with bodies in flight. */
-    absl::flat_hash_map<upstream_id, bytes_in_flight> m_bytesInFlight;
+    bytes_in_flight m_bytesInFlight;
     std::uint64_t m_lastHandle = 0;
     std::uint64_t m_placed = 0;
     std::uint64_t m_refused = 0;
--- a/test/correctness/account_quota_test.cpp
+++ b/test/correctness/account_quota_test.cpp
@@ -260,6 +260,7 @@
     const request_quota small { 8, 24 };
     const account_id account("acme");
     std::vector<vm_id> entries;
+    entries.reserve(110);
     for (int i = 0; i < 110; ++i)
         entries.emplace_back("e" + std::to_string(i));
     double tokens = 0;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -925,8 +925,8 @@
 
 TEST_CASE_METHOD(placement_fixture, "placement.short_bodies_in_flight.have_a_limit_of_their_own", "[placement]")
 {
-    options.maximumBytesInFlight = byte_count(1000);
-    options.smallBody = byte_count(400);
+    options.bytesInFlight.maximum = byte_count(1000);
+    options.bytesInFlight.smallBody = byte_count(400);
     add(makeUpstream("a", "here"));
     start();
     bodySize = byte_count(400);
