--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -39,8 +39,8 @@
 
 void limitUnread(int socket, std::size_t bytes)
 {
-    // A fixed receive buffer would be allocated at once to its full size by a fast sender; in a trial of 100 senders
-    // that was more than the automatic one. The clamp only limits how far the automatic one grows.
+    // A fast sender fills a fixed receive buffer to its full size, so many of them can hold more than automatic ones.
+    // The clamp only limits how far the automatic one grows.
     const int size = static_cast<int>(bytes);
     setsockopt(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, &size, sizeof(size));
 }
--- a/src/services/buffer_budget.cpp
+++ b/src/services/buffer_budget.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     constexpr byte_count defaultMemory { 1024ULL * 1024 * 1024 };
-    /** What a process uses without any load; 14 to 15 MB were measured. */
+    /** What a process uses without any load, 14 to 15 MB, with a margin. */
     constexpr std::uint64_t ownMemory = 20'000'000;
     /** Below this limit the shares would be useless, so they are taken as if the limit were this. */
     constexpr std::uint64_t minimumMemory = 2 * ownMemory;
