--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cstdio>
 #include <ctime>
 #include <fstream>
 #include <random>
@@ -20,6 +19,7 @@
 #include "runtime/sockets.h"
 #include "services/peer_sender.h"
 #include "services/peer_transport.h"
+#include "support/temporary_folder.h"
 
 namespace plantainlatch {
 
@@ -50,10 +50,8 @@
 
         ~peer_transport_fixture()
         {
-            for (auto& [id, item] : nodes) {
+            for (auto& [id, item] : nodes)
                 item.core->stop([] {});
-                std::remove(item.keyFile.c_str());
-            }
         }
 
         /** Four addresses of this process; the VMs have the first two. */
@@ -65,7 +63,7 @@
         void start(const std::string& id, const std::string& key)
         {
             node& item = nodes[id];
-            item.keyFile = "peer_transport_test." + std::to_string(getpid()) + "." + id + ".key";
+            item.keyFile = folder.file(id + ".key");
             std::ofstream(item.keyFile) << key;
             vm_settings settings;
             settings.vms = vms;
@@ -124,6 +122,7 @@
 
         bool sawUnauthenticated() const { return logged("a connection was not authenticated"); }
 
+        temporary_folder folder;
         std::unique_ptr<event_loop> loop = *event_loop::create(7);
         std::vector<vm_record> vms;
         peer_transport_options options;
--- a/test/error/serve_vm_test.cpp
+++ b/test/error/serve_vm_test.cpp
@@ -1,5 +1,4 @@
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -10,6 +9,7 @@
 #include "error/raw_client.h"
 #include "error/raw_upstream.h"
 #include "services/serve_vm.h"
+#include "support/temporary_folder.h"
 
 namespace plantainlatch {
 
@@ -22,8 +22,8 @@
     protected:
         serve_vm_fixture()
         {
-            std::ofstream(folder / "shared.key") << std::string(64, 'k');
-            std::filesystem::permissions(folder / "shared.key", std::filesystem::perms::owner_read);
+            std::ofstream(folder.file("shared.key")) << std::string(64, 'k');
+            std::filesystem::permissions(folder.file("shared.key"), std::filesystem::perms::owner_read);
             settings.self.id = vm_id("alone");
             settings.self.region = region_id("fukuoka");
             settings.self.failureDomain = failure_domain_id("hakata");
@@ -31,23 +31,14 @@
             settings.self.peerAddress = freeAddress();
             settings.self.replica = true;
             settings.vms = { settings.self };
-            settings.dataFolder = (folder / "state").string();
-            settings.sharedKeyFile = (folder / "shared.key").string();
+            settings.dataFolder = folder.file("state");
+            settings.sharedKeyFile = folder.file("shared.key");
             settings.lookupCacheTime = std::chrono::milliseconds(100);
             settings.logLevel = "error";
         }
 
-        ~serve_vm_fixture() { std::filesystem::remove_all(folder); }
-
         network_address freeAddress() { return raw_upstream(loop->base()).address(); }
 
-        static std::filesystem::path makeFolder()
-        {
-            std::string name = (std::filesystem::temp_directory_path() / "plantainlatch-serve.XXXXXX").string();
-            REQUIRE(mkdtemp(name.data()) != nullptr);
-            return name;
-        }
-
         /** Whether the last status answer names the VM as the leader; asks for the status again if it does not. */
         bool leads()
         {
@@ -73,7 +64,7 @@
             REQUIRE(stopped);
         }
 
-        std::filesystem::path folder = makeFolder();
+        temporary_folder folder;
         vm_settings settings;
 
     private:
--- a/test/integration/platform_processes.cpp
+++ b/test/integration/platform_processes.cpp
@@ -1,6 +1,5 @@
 #include "integration/platform_processes.h"
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
@@ -35,33 +34,21 @@
         rlimit m_former {};
     };
 
-    std::string makeFolder()
-    {
-        std::string name = (std::filesystem::temp_directory_path() / "plantainlatch-platform.XXXXXX").string();
-        internal_assert(mkdtemp(name.data()) != nullptr) << "no temporary folder";
-        return name;
-    }
-
 } // namespace
 
 platform_processes::platform_processes(platform_layout layout)
     : m_layout(std::move(layout))
-    , m_folder(makeFolder())
 {
 }
 
-platform_processes::~platform_processes()
-{
-    m_processes.clear();
-    std::filesystem::remove_all(m_folder);
-}
+platform_processes::~platform_processes() = default;
 
 network_address platform_processes::address(int number, std::uint16_t port) const
 {
     return { absl::StrCat(m_layout.network, number), port };
 }
 
-std::string platform_processes::logFile(int number) const { return absl::StrCat(m_folder, "/m", number, ".log"); }
+std::string platform_processes::logFile(int number) const { return m_folder.file(absl::StrCat("m", number, ".log")); }
 
 std::string platform_processes::settingsOf(int number, bool bootstrapsLog) const
 {
@@ -82,7 +69,7 @@
     if (m_layout.memoryMegabytes != 0)
         absl::StrAppend(&text, "memory_megabytes: ", m_layout.memoryMegabytes, "\n");
     if (isControl(number))
-        absl::StrAppend(&text, "data_folder: \"", m_folder, "/", number, "\"\ncontrol_address: ", quoted(controlPort),
+        absl::StrAppend(&text, "data_folder: \"", m_folder.path(), "/", number, "\"\ncontrol_address: ", quoted(controlPort),
             "lookup_address: ", quoted(lookupPort));
     else
         absl::StrAppend(&text, "caller_address: ", quoted(callerPort), "readiness_address: ", quoted(readyPort));
@@ -91,11 +78,11 @@
 
 void platform_processes::start(int number, bool bootstrapsLog)
 {
-    const std::string path = absl::StrCat(m_folder, "/m", number, ".yaml");
+    const std::string path = m_folder.file(absl::StrCat("m", number, ".yaml"));
     std::ofstream(path) << settingsOf(number, bootstrapsLog);
     const inherited_descriptor_limit limit(m_layout.maximumDescriptors);
     m_processes[number]
-        = child_process::start("plantainlatch", { "platform", "--settings", path }, m_folder, logFile(number));
+        = child_process::start("plantainlatch", { "platform", "--settings", path }, m_folder.path(), logFile(number));
 }
 
 void platform_processes::startAll(bool bootstrapsLog)
--- a/test/integration/platform_processes.h
+++ b/test/integration/platform_processes.h
@@ -13,6 +13,7 @@
 #include "core/units.h"
 #include "integration/child_process.h"
 #include "model/address.h"
+#include "support/temporary_folder.h"
 
 namespace plantainlatch {
 
@@ -66,7 +67,7 @@
     std::string settingsOf(int number, bool bootstrapsLog) const;
 
     platform_layout m_layout;
-    std::string m_folder;
+    temporary_folder m_folder;
     std::map<int, std::unique_ptr<child_process>> m_processes;
 };
 
--- a/test/integration/test_system.cpp
+++ b/test/integration/test_system.cpp
@@ -1,7 +1,6 @@
 #include "integration/test_system.h"
 
 #include <algorithm>
-#include <filesystem>
 #include <fstream>
 #include <random>
 
@@ -98,9 +97,6 @@
         m_network = absl::StrCat("127.", 20 + device() % 200, ".", device() % 250);
         m_networkLock = tryLock(m_network);
     }
-    std::string pattern = (std::filesystem::temp_directory_path() / "plantainlatch-test.XXXXXX").string();
-    REQUIRE(mkdtemp(pattern.data()) != nullptr);
-    m_folder = pattern;
     writeFile("shared.key", std::string(48, 'k'));
     if (m_options.throughProxy)
         startProxy();
@@ -116,10 +112,10 @@
     m_vms.clear();
     m_proxy.reset();
     close(m_networkLock);
-    if (std::uncaught_exceptions() > 0)
-        std::fprintf(stderr, "logs are kept in %s\n", m_folder.c_str());
-    else
-        std::filesystem::remove_all(m_folder);
+    if (std::uncaught_exceptions() > 0) {
+        std::fprintf(stderr, "logs are kept in %s\n", m_folder.path().c_str());
+        m_folder.keep();
+    }
 }
 
 void test_system::writeStateDumps()
@@ -190,7 +186,7 @@
     }
     for (int i = 0; i < maximumUpstreamCount; ++i)
         addRoute(absl::StrCat("upstream-", i), upstreamRoute(i), upstreamAddress(i));
-    m_proxy = child_process::start("fault_proxy", arguments, m_folder, file("proxy.log"));
+    m_proxy = child_process::start("fault_proxy", arguments, m_folder.path(), file("proxy.log"));
     waitUntil("the fault proxy", startLimit, [this] {
         return m_caller.send({ host(proxyHost), proxyPort }, { "GET", "/routes" }).has_value();
     });
@@ -221,7 +217,7 @@
 void test_system::startVm(int vm)
 {
     m_vms[vm] = child_process::start("plantainlatch", { "serve", "--settings", absl::StrCat("e", vm, ".yaml") },
-        m_folder, file(absl::StrCat("e", vm, ".log")));
+        m_folder.path(), file(absl::StrCat("e", vm, ".log")));
 }
 
 int test_system::stopVm(int vm)
@@ -272,7 +268,7 @@
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
     const auto process = child_process::start("plantainlatch",
         { "apply", "--entry", formatAddress(callerAddress(vm)), "--timeout", absl::StrCat(milliseconds, "ms"), name },
-        m_folder, file("apply.log"));
+        m_folder.path(), file("apply.log"));
     return process->waitForExit(timeout + std::chrono::seconds(5)).value_or(-1);
 }
 
@@ -300,7 +296,7 @@
         const std::vector<std::string> entries = entryOptions();
         arguments.insert(arguments.end(), entries.begin(), entries.end());
         arguments.insert(arguments.end(), extraOptions.begin(), extraOptions.end());
-        m_upstreams.push_back(child_process::start("upstream_standin", arguments, m_folder, file("upstreams.log")));
+        m_upstreams.push_back(child_process::start("upstream_standin", arguments, m_folder.path(), file("upstreams.log")));
         m_upstreamCount += separateProcesses ? 1 : count;
     }
     REQUIRE(m_upstreamCount <= maximumUpstreamCount);
@@ -336,7 +332,7 @@
         arguments.insert(arguments.end(), { "--near", domain });
     const std::vector<std::string> entries = entryOptions();
     arguments.insert(arguments.end(), entries.begin(), entries.end());
-    load.process = child_process::start("load_tool", arguments, m_folder, file("load.log"));
+    load.process = child_process::start("load_tool", arguments, m_folder.path(), file("load.log"));
     return load;
 }
 
--- a/test/integration/test_system.h
+++ b/test/integration/test_system.h
@@ -16,6 +16,7 @@
 #include "integration/child_process.h"
 #include "integration/http_caller.h"
 #include "model/address.h"
+#include "support/temporary_folder.h"
 
 namespace plantainlatch {
 
@@ -109,7 +110,7 @@
     network_address upstreamAddress(int number) const;
     network_address upstreamRoute(int number) const;
     std::string host(int number) const;
-    std::string file(const std::string& name) const { return m_folder + "/" + name; }
+    std::string file(const std::string& name) const { return m_folder.file(name); }
     /** The text of the VM's settings file. */
     std::string settingsOf(int vm) const;
     void writeFile(const std::string& name, const std::string& text) const;
@@ -119,7 +120,7 @@
     std::vector<std::string> entryOptions() const;
 
     test_system_options m_options;
-    std::string m_folder;
+    temporary_folder m_folder;
     std::string m_network;
     int m_networkLock = -1;
     http_caller m_caller;
