--- a/src/runtime/sockets.cpp
+++ b/src/runtime/sockets.cpp
@@ -29,6 +29,14 @@
     return isWaiting ? socket_input::None : socket_input::End;
 }
 
+std::uint32_t remoteHost(int socket)
+{
+    sockaddr_in peer {};
+    socklen_t size = sizeof(peer);
+    const bool isKnown = getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+    return isKnown && peer.sin_family == AF_INET ? ntohl(peer.sin_addr.s_addr) : 0;
+}
+
 std::size_t maximumDescriptors()
 {
     rlimit limit {};
--- a/src/runtime/sockets.h
+++ b/src/runtime/sockets.h
@@ -5,6 +5,7 @@
  */
 
 #include <cstddef>
+#include <cstdint>
 
 #include <netinet/in.h>
 
@@ -26,6 +27,9 @@
 /** Looks at the input of a connected socket without reading it. */
 socket_input peekInput(int socket);
 
+/** The IPv4 address of the peer of a connected socket as a number; 0 if it has none. */
+std::uint32_t remoteHost(int socket);
+
 /** The maximum number of file descriptors that the process may have open. */
 std::size_t maximumDescriptors();
 
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -25,9 +25,6 @@
     constexpr std::size_t pipelinedBytes = 64 * 1024;
     /** The head of a request that is not complete is counted in such steps. */
     constexpr std::size_t headStep = 4 * 1024;
-    /** A body makes progress when so many bytes have arrived; otherwise, one byte now and then would be enough to keep
-     * the memory. */
-    constexpr std::size_t progressStep = 16 * 1024;
     /** Complete requests without a body and with no more fields than this are not counted. */
     constexpr std::size_t uncountedHead = 1024;
     /** Less output than this is not counted. */
@@ -83,9 +80,10 @@
 
 } // namespace
 
-std::shared_ptr<http_connection> http_connection::accept(const http_connection_parts& parts, int socket)
+std::shared_ptr<http_connection> http_connection::accept(
+    const http_connection_parts& parts, int socket, buffer_owner caller)
 {
-    std::shared_ptr<http_connection> connection(new http_connection(parts, socket));
+    std::shared_ptr<http_connection> connection(new http_connection(parts, socket, caller));
     connection->begin();
     return connection;
 }
@@ -94,14 +92,16 @@
 
 bool http_connection::isClosedByCaller() const { return peekInput(bufferevent_getfd(m_channel)) == socket_input::End; }
 
-http_connection::http_connection(const http_connection_parts& parts, int socket)
+http_connection::http_connection(const http_connection_parts& parts, int socket, buffer_owner caller)
     : m_parts(parts)
     , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
     , m_parser(parts.limits)
     , m_waitingSince(parts.now())
-    , m_requestLease(parts.budget, [this] { refuse(http_problem::NoMemory); })
-    , m_inputLease(parts.budget, {})
-    , m_outputLease(parts.budget, [this] { fail(answer_loss::NoMemory); })
+    , m_requestLease(
+          parts.budget, buffer_use::Request, [this] { refuse(http_problem::NoMemory); }, caller)
+    , m_inputLease(parts.budget, buffer_use::PipelinedInput, {}, caller)
+    , m_outputLease(
+          parts.budget, buffer_use::Output, [this] { fail(answer_loss::NoMemory); }, caller)
 {
     m_parser.setHold([this](std::size_t bytes) { return hold(bytes); });
     internal_assert(m_channel != nullptr) << "no memory for a connection";
@@ -244,13 +244,13 @@
     if (!m_parser.isReadingBody())
         return;
     const std::size_t size = m_parser.request().body.size();
+    m_requestLease.recordProgress(size - std::exchange(m_progressSize, size));
     if (!std::exchange(m_hasBodyTimeout, true))
         setReadTimeout(std::min(m_parts.idleTimeout, m_parts.bodyTimeout));
-    else if (size < m_progressSize + progressStep)
+    else if (size < m_stepSize + buffer_lease::progressStep)
         return;
-    m_progressSize = size;
+    m_stepSize = size;
     m_waitingSince = m_parts.now();
-    m_requestLease.recordProgress();
 }
 
 void http_connection::setReadTimeout(duration limit)
@@ -284,7 +284,7 @@
         return;
     auto& lease = static_cast<http_connection*>(argument)->m_outputLease;
     lease.resize(evbuffer_get_length(output), true);
-    lease.recordProgress();
+    lease.recordProgress(change->n_deleted);
 }
 
 void http_connection::releaseOutput()
@@ -332,6 +332,7 @@
         m_parser.next();
         m_state = state::Reading;
         m_progressSize = 0;
+        m_stepSize = 0;
         m_waitingSince = m_parts.now();
         readRequests();
         return;
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -59,7 +59,8 @@
  * disconnected. */
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
-    static std::shared_ptr<http_connection> accept(const http_connection_parts& parts, int socket);
+    /** `caller` is the address for which the connection holds bytes. */
+    static std::shared_ptr<http_connection> accept(const http_connection_parts& parts, int socket, buffer_owner caller);
     ~http_connection();
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
@@ -99,7 +100,7 @@
         Closed,
     };
 
-    http_connection(const http_connection_parts& parts, int socket);
+    http_connection(const http_connection_parts& parts, int socket, buffer_owner caller);
 
     static void readable(bufferevent*, void* argument);
     static void written(bufferevent*, void* argument);
@@ -137,8 +138,9 @@
     bool m_callerClosed = false;
     bool m_hasBodyTimeout = false;
     time_point m_waitingSince;
-    /** The size of the body at the last progress. */
+    /** The size of the body at the last progress, and at the last that counts for the limit on connections. */
     std::size_t m_progressSize = 0;
+    std::size_t m_stepSize = 0;
     buffer_lease m_requestLease;
     /** Input behind the current request; never reclaimed, as that request may be running. */
     buffer_lease m_inputLease;
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -29,6 +29,8 @@
     constexpr duration fruitlessSearchPause = std::chrono::milliseconds(10);
     /** The connections that are closed but not ended yet may use this part of the descriptors of the others. */
     constexpr std::size_t closingPart = 8;
+    /** What an open connection takes without a request. */
+    constexpr std::size_t connectionBytes = 2048;
 
     /** Each request also needs a connection to its upstream, and other VMs must be able to connect. */
     std::size_t connectionLimit(const http_server_options& options)
@@ -70,6 +72,7 @@
             [this](http_connection& connection) { callerDisconnected(connection); },
             [this](const http_connection& connection, answer_loss cause) { logLoss(connection, cause); },
             [this](http_connection& connection) { closed(connection); } }
+        , connectionLease(shared.budget, buffer_use::Connections, {})
     {
     }
 
@@ -84,6 +87,8 @@
     absl::Status listen(const network_address& wanted);
     void stopListening();
     void accepted(int socket);
+    /** Counts the memory of so many connections; false if there is no room for them. */
+    bool holdConnections(std::size_t count);
     /** Closes the connection that has been idle or unfinished for longest; returns whether there was one. */
     bool closeLongestWaiting();
     void findLongestWaiting();
@@ -100,6 +105,8 @@
     lingering_close lingering;
     std::unique_ptr<buffer_budget> ownBudget;
     http_connection_parts shared;
+    /** Counts all open connections. */
+    buffer_lease connectionLease;
     std::unique_ptr<tcp_listener> listener;
     network_address address;
     bool closing = false;
@@ -148,13 +155,21 @@
 
 void http_server::implementation::accepted(int socket)
 {
-    if (connections.size() >= maximumConnections && !closeLongestWaiting()) {
+    const bool isFull = connections.size() >= maximumConnections || !holdConnections(connections.size() + 1);
+    if (isFull && !closeLongestWaiting()) {
         ::close(socket);
         return;
     }
-    std::shared_ptr<http_connection> connection = http_connection::accept(shared, socket);
+    std::shared_ptr<http_connection> connection
+        = http_connection::accept(shared, socket, buffer_owner(remoteHost(socket)));
     const http_connection* key = connection.get();
     connections.emplace(key, std::move(connection));
+    holdConnections(connections.size());
+}
+
+bool http_server::implementation::holdConnections(std::size_t count)
+{
+    return connectionLease.resize(count * connectionBytes, false);
 }
 
 bool http_server::implementation::closeLongestWaiting()
@@ -233,6 +248,7 @@
 {
     exchangeIds.erase(&connection);
     connections.erase(&connection);
+    holdConnections(connections.size());
     if (connections.empty() && onEmpty)
         hooks.schedule(duration::zero(), std::exchange(onEmpty, nullptr));
 }
--- a/test/error/buffer_budget_test.cpp
+++ b/test/error/buffer_budget_test.cpp
@@ -29,7 +29,7 @@
         buffer_lease& addHolder()
         {
             const std::size_t number = holders.size();
-            holders.push_back(std::make_unique<buffer_lease>(*budget, [this, number] {
+            holders.push_back(std::make_unique<buffer_lease>(*budget, buffer_use::Request, [this, number] {
                 asked.push_back(number);
                 holders[number]->release();
             }));
--- a/test/integration/platform_processes.cpp
+++ b/test/integration/platform_processes.cpp
@@ -69,8 +69,8 @@
     if (m_layout.memoryMegabytes != 0)
         absl::StrAppend(&text, "memory_megabytes: ", m_layout.memoryMegabytes, "\n");
     if (isControl(number))
-        absl::StrAppend(&text, "data_folder: \"", m_folder.path(), "/", number, "\"\ncontrol_address: ", quoted(controlPort),
-            "lookup_address: ", quoted(lookupPort));
+        absl::StrAppend(&text, "data_folder: \"", m_folder.path(), "/", number,
+            "\"\ncontrol_address: ", quoted(controlPort), "lookup_address: ", quoted(lookupPort));
     else
         absl::StrAppend(&text, "caller_address: ", quoted(callerPort), "readiness_address: ", quoted(readyPort));
     return text;
