--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -25,8 +25,12 @@
     constexpr std::size_t pipelinedBytes = 64 * 1024;
     /** The head of a request that is not complete is counted in such steps. */
     constexpr std::size_t headStep = 4 * 1024;
-    /** Complete requests without a body and with no more fields than this are not counted. */
-    constexpr std::size_t uncountedHead = 1024;
+    /** Complete requests that are not larger than this and have no more fields are not counted. */
+    constexpr std::size_t uncountedRequest = 1024;
+    constexpr std::size_t uncountedFields = 32;
+    /** While a request is handled, its head is held as it was received, as the caller's request, as the call to the
+     * upstream and as output to it. */
+    constexpr std::size_t headCopies = 4;
     /** Less output than this is not counted. */
     constexpr std::size_t uncountedOutput = 1024;
     /** The unread bytes of a large body that the operating system buffers. They are memory of the VM too, and by
@@ -217,14 +221,21 @@
 
 bool http_connection::holdRequest()
 {
-    std::size_t needed = m_parser.neededBytes();
-    if (m_parser.isComplete() && needed <= uncountedHead) {
+    if (m_parser.isComplete()) {
+        const std::size_t received = m_parser.headSize() + m_parser.request().body.size();
+        const bool isCounted = received > uncountedRequest || m_parser.request().headers.size() > uncountedFields;
+        if (isCounted)
+            return hold(handledBytes());
         m_requestLease.release();
         return true;
     }
-    if (!m_parser.isReadingBody() && !m_parser.isComplete())
-        needed = (needed + headStep - 1) / headStep * headStep;
-    return hold(needed);
+    const std::size_t needed = m_parser.neededBytes();
+    return hold(m_parser.isReadingBody() ? needed : (needed + headStep - 1) / headStep * headStep);
+}
+
+std::size_t http_connection::handledBytes() const
+{
+    return m_parser.neededBytes() + (headCopies - 1) * m_parser.headMemory();
 }
 
 bool http_connection::hold(std::size_t bytes)
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -113,6 +113,8 @@
     void handleParsed();
     /** Counts the memory of the current request; false if there is no room for it. */
     bool holdRequest();
+    /** What the current request takes while it is handled. */
+    std::size_t handledBytes() const;
     bool hold(std::size_t bytes);
     void recordProgress();
     void setReadTimeout(duration limit);
--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -237,7 +237,7 @@
 
 std::size_t http_request_parser::neededBytes(std::size_t capacity) const
 {
-    return m_headerBytes + std::max(m_statedLength, std::min<std::size_t>(capacity, m_limits.maximumBody.value()));
+    return headMemory() + std::max(m_statedLength, std::min<std::size_t>(capacity, m_limits.maximumBody.value()));
 }
 
 int http_request_parser::finishRequest()
--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -51,7 +51,11 @@
     http_problem problem() const { return m_problem; }
     const received_request& request() const { return m_request; }
     received_request& request() { return m_request; }
-    /** The memory that the request needs: its fields, and its stated length or what is reserved for its chunks. */
+    /** The number of bytes of the head that were received. */
+    std::size_t headSize() const { return m_headerBytes; }
+    /** The memory that the target and the header fields take; many short fields take far more than was received. */
+    std::size_t headMemory() const { return m_headerBytes + m_request.headers.size() * fieldMemory; }
+    /** The memory that the request needs: its head, and its stated length or what is reserved for its chunks. */
     std::size_t neededBytes() const { return neededBytes(m_request.body.empty() ? 0 : m_request.body.capacity()); }
     /** Sets a function that is called with the memory that a request will need, before its body grows; if it returns
      * false, the request has the problem NoMemory. */
@@ -70,6 +74,9 @@
 private:
     struct callbacks;
 
+    /** A field in a list whose capacity doubles, while the former list is copied. */
+    static constexpr std::size_t fieldMemory = 2 * sizeof(header_field);
+
     int fail(http_problem problem);
     int addUrl(std::string_view bytes);
     int addFieldName(std::string_view bytes);
