--- a/src/runtime/allocator.cpp
+++ b/src/runtime/allocator.cpp
@@ -17,4 +17,6 @@
     mallopt(M_TRIM_THRESHOLD, threshold);
 }
 
+void releaseUnusedPages() { malloc_trim(0); }
+
 } // namespace plantainlatch
--- a/src/services/http_answer_check.cpp
+++ b/src/services/http_answer_check.cpp
@@ -1,8 +1,8 @@
 #include "services/http_answer_check.h"
 
 #include <optional>
+#include <utility>
 
-#include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -43,18 +43,10 @@
         return fields;
     }
 
-    std::string moveBody(evhttp_request* answer)
-    {
-        evbuffer* input = evhttp_request_get_input_buffer(answer);
-        std::string body(evbuffer_get_length(input), '\0');
-        evbuffer_remove(input, body.data(), body.size());
-        return body;
-    }
-
 } // namespace
 
 std::variant<upstream_answer, call_failure> takeCompleteAnswer(
-    evhttp_request* answer, const http_answer_validator& validator, const answered_request& request)
+    evhttp_request* answer, std::string body, const http_answer_validator& validator, const answered_request& request)
 {
     upstream_answer result;
     result.status = evhttp_request_get_response_code(answer);
@@ -63,7 +55,7 @@
         return call_failure::Malformed;
     if (!belongsToCall(result.headers, request))
         return call_failure::OtherAnswer;
-    result.body = moveBody(answer);
+    result.body = std::move(body);
     const bool hasAllowedEnd = request.allowsCloseDelimitedBody || !validator.isDelimitedByClose();
     if (!agrees(validator, result) || !hasAllowedEnd)
         return call_failure::Malformed;
--- a/src/services/http_answer_check.h
+++ b/src/services/http_answer_check.h
@@ -28,10 +28,10 @@
     bool allowsCloseDelimitedBody = false;
 };
 
-/** Returns the answer without its hop-by-hop fields; its body is moved out of `answer`. OtherAnswer if the answer
+/** Returns the answer with that body and without its hop-by-hop fields. OtherAnswer if the answer
  * echoes the name of another call or lacks a required name; Malformed if `validator`, which has read the same bytes,
  * has not read the same complete answer, or if the end of the connection ends the body and may not. */
 std::variant<upstream_answer, call_failure> takeCompleteAnswer(
-    evhttp_request* answer, const http_answer_validator& validator, const answered_request& request);
+    evhttp_request* answer, std::string body, const http_answer_validator& validator, const answered_request& request);
 
 } // namespace plantainlatch
--- a/src/services/http_answer_validator.cpp
+++ b/src/services/http_answer_validator.cpp
@@ -44,6 +44,7 @@
 
         int code() const { return m_code; }
         std::uint64_t bodyBytes() const { return m_bodyBytes; }
+        const std::optional<std::uint64_t>& statedLength() const { return m_statedLength; }
 
     private:
         void on_request_impl(http::verb, text, text, int, error_code&) override { }
@@ -66,7 +67,11 @@
         }
 
         void on_header_impl(error_code&) override { }
-        void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override { }
+        void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code&) override
+        {
+            if (length)
+                m_statedLength = *length;
+        }
         std::size_t on_body_impl(text body, error_code&) override { return count(body); }
         void on_chunk_header_impl(std::uint64_t, text, error_code&) override { }
         std::size_t on_chunk_body_impl(std::uint64_t, text body, error_code&) override { return count(body); }
@@ -80,6 +85,7 @@
 
         int m_code = 0;
         std::uint64_t m_bodyBytes = 0;
+        std::optional<std::uint64_t> m_statedLength;
     };
 
 } // namespace
@@ -159,6 +165,7 @@
 bool http_answer_validator::isComplete() const { return m_parts->isComplete(); }
 bool http_answer_validator::isDelimitedByClose() const { return m_parts->parser->need_eof(); }
 int http_answer_validator::code() const { return m_parts->parser->code(); }
+std::optional<std::uint64_t> http_answer_validator::statedLength() const { return m_parts->parser->statedLength(); }
 std::uint64_t http_answer_validator::bodyBytes() const { return m_parts->parser->bodyBytes(); }
 
 } // namespace plantainlatch
--- a/src/services/http_answer_validator.h
+++ b/src/services/http_answer_validator.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "absl/status/status.h"
@@ -38,6 +39,8 @@
     bool isDelimitedByClose() const;
     /** The status code of the final answer; 0 until its head was read. */
     int code() const;
+    /** The body's length as the head states it; none before the head was read, or if it doesn't. */
+    std::optional<std::uint64_t> statedLength() const;
     /** The size of the final answer's body without its framing, as far as it was read. */
     std::uint64_t bodyBytes() const;
 
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -36,6 +36,7 @@
     /** The unread bytes of a large body that the operating system buffers. They are memory of the VM too, and by
      * default there can be tens of megabytes on each connection. */
     constexpr std::size_t unreadBodyBytes = 256 * 1024;
+    constexpr std::size_t outputBlock = 64 * 1024;
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
     timeval toTimeval(duration span)
@@ -53,6 +54,13 @@
 
     iovec toVector(std::string_view bytes) { return { const_cast<char*>(bytes.data()), bytes.size() }; }
 
+    /** Copies bytes to blocks that are freed one by one as they are written. */
+    void addCopy(evbuffer* output, std::string_view bytes)
+    {
+        for (; !bytes.empty(); bytes.remove_prefix(std::min(bytes.size(), outputBlock)))
+            evbuffer_add(output, bytes.data(), std::min(bytes.size(), outputBlock));
+    }
+
     /** Sends the parts directly if the output buffer is empty, which saves an iteration of the event loop; bytes that
      * the socket does not accept are added to the output buffer. */
     void sendOrBuffer(bufferevent* channel, std::array<std::string_view, 2> head, const shared_body& body)
@@ -77,7 +85,7 @@
         // readers of 7 MB, the peak was 141 to 150 MB with references and 112 to 116 MB with copies of the rest.
         const std::string_view rest = std::string_view(body.bytes()).substr(sent);
         if (sent > 0)
-            evbuffer_add(output, rest.data(), rest.size());
+            addCopy(output, rest);
         else
             addBody(output, body);
     }
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -50,7 +50,9 @@
             = assignIfOk(http_server::create(m_loop.base(), m_hooks, m_settings.self.callerAddress, options), m_server);
     if (!status.ok())
         return status;
-    m_upstreams = upstream_client::create(m_loop.base(), m_hooks);
+    upstream_client_options upstreams;
+    upstreams.budget = m_budget.get();
+    m_upstreams = upstream_client::create(m_loop.base(), m_hooks, std::move(upstreams));
     m_metrics = metrics::create();
     exposeState(
         *m_metrics, [this] { return m_kernel->dump(); }, m_logged);
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -91,7 +91,9 @@
         : hooks(kernelHooks)
         , options(clientOptions)
         , namePrefix(absl::StrCat(kernelHooks.random(), "-"))
-        , connections(base, hooks, clientOptions.connections,
+        , ownBudget(options.budget == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt))
+                                              : nullptr)
+        , connections(base, hooks, ownBudget != nullptr ? *ownBudget : *options.budget, clientOptions.connections,
               { [this](upstream_connection& connection) { beginDispatch(connection.exchange); },
                   [this](upstream_connection& connection) { rejectInput(connection.exchange); } })
     {
@@ -118,6 +120,7 @@
     kernel_hooks hooks;
     upstream_client_options options;
     std::string namePrefix;
+    std::unique_ptr<buffer_budget> ownBudget;
     upstream_connections connections;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<exchange>> exchanges;
     std::uint64_t lastPoll = 0;
@@ -174,6 +177,10 @@
         self->requestFailed(connection, error);
     });
     evhttp_request_set_header_cb(request, skipInformationalAnswer);
+    evhttp_request_set_chunked_cb(request, [](evhttp_request* answer, void* argument) {
+        auto& connection = *static_cast<upstream_connection*>(argument);
+        connection.answer->takeBody(evhttp_request_get_input_buffer(answer));
+    });
     evkeyvalq* output = evhttp_request_get_output_headers(request);
     std::vector<header_field> own = options.dialect.fieldsOf(item.call);
     own.push_back({ options.dialect.nameField, item.name });
@@ -236,8 +243,10 @@
     }
     const upstream_dialect& dialect = options.dialect;
     const bool requiresName = dialect.upstreamsEchoName && connection.isReused;
-    connection.validator->endOfStream();
-    std::variant<upstream_answer, call_failure> result = takeCompleteAnswer(request, *connection.validator,
+    http_answer_validator& validator = connection.answer->validator();
+    validator.endOfStream();
+    std::variant<upstream_answer, call_failure> result = takeCompleteAnswer(request,
+        std::move(connection.answer->body()), validator,
         { item.call.method == "HEAD", dialect.nameField, item.name, requiresName, dialect.allowsCloseDelimitedBody });
     if (const auto* failure = std::get_if<call_failure>(&result)) {
         fail(key, *failure);
--- a/src/services/upstream_client.h
+++ b/src/services/upstream_client.h
@@ -18,6 +18,8 @@
     /** The maximum time to establish a connection, even if the call has more time left. */
     duration connectTimeout = std::chrono::seconds(1);
     upstream_dialect dialect = ownDialect();
+    /** Counts the answers, and must outlive the client; if it is null, the client has one of its own. */
+    buffer_budget* budget = nullptr;
 };
 
 /** Calls upstreams with evhttp and checks that each answer is valid HTTP (http_answer_validator) and complete.
--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -20,6 +20,10 @@
 
     /** Replaces evhttp's shorter default. Each call has its own timer, which fires long before this time-out. */
     constexpr timeval libraryTimeout { 3600, 0 };
+    /** How often it is checked whether there is memory for answers that are not read. */
+    constexpr duration resumeInterval = std::chrono::milliseconds(20);
+    /** The unread bytes of an answer that the operating system buffers while it is not read. */
+    constexpr std::size_t unreadAnswerBytes = 64 * 1024;
 
     evutil_socket_t socketOf(const upstream_connection& connection)
     {
@@ -41,10 +45,11 @@
 
 } // namespace
 
-upstream_connections::upstream_connections(
-    event_base* base, const kernel_hooks& hooks, upstream_connection_limits limits, upstream_connection_events events)
+upstream_connections::upstream_connections(event_base* base, const kernel_hooks& hooks, buffer_budget& budget,
+    upstream_connection_limits limits, upstream_connection_events events)
     : m_base(base)
     , m_hooks(hooks)
+    , m_budget(budget)
     , m_limits(limits)
     , m_events(std::move(events))
 {
@@ -54,6 +59,7 @@
 {
     m_hooks.cancel(m_freeTimer);
     m_hooks.cancel(m_expiryTimer);
+    m_hooks.cancel(m_resumeTimer);
     freeClosed();
     for (auto& [address, connections] : m_pools) {
         for (const auto& connection : connections.all) {
@@ -107,6 +113,8 @@
     connection->handle = handle;
     connection->address = address;
     connection->owner = this;
+    connection->answer = std::make_unique<received_answer>(
+        m_budget, m_limits.maximumAnswerBody, [this, raw = connection.get()] { giveUp(*raw); });
     evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(handle)), outputChanged, connection.get());
     // evhttp waits for the end of a line that begins a chunk, however long it is. Beyond the high-water mark, reading
     // from the socket pauses.
@@ -150,7 +158,7 @@
 
 bool upstream_connections::validate(upstream_connection& connection, evbuffer* buffer, std::size_t addedBytes) const
 {
-    http_answer_validator& validator = *connection.validator;
+    http_answer_validator& validator = connection.answer->validator();
     if (!validator.status().ok())
         return false;
     // What was added is at the end of the buffer; the library has not consumed any of it yet.
@@ -172,15 +180,54 @@
 {
     if (connection.flooded)
         return;
-    connection.received += bytes;
+    connection.answer->addReceived(bytes);
     m_received += bytes;
     if (m_received > m_limits.maximumReceived.value())
         endLargest();
+    if (connection.flooded)
+        return;
+    if (connection.answer->hold())
+        connection.answer->recordProgress(bytes);
+    else
+        pause(connection);
+}
+
+void upstream_connections::pause(upstream_connection& connection)
+{
+    if (std::exchange(connection.paused, true))
+        return;
+    bufferevent_disable(evhttp_connection_get_bufferevent(connection.handle), EV_READ);
+    limitUnread(socketOf(connection), unreadAnswerBytes);
+    m_paused.push_back(&connection);
+    if (m_resumeTimer == timer_id())
+        m_resumeTimer = m_hooks.schedule(resumeInterval, [this] { resumePaused(); });
+}
+
+void upstream_connections::resume(upstream_connection& connection)
+{
+    if (!std::exchange(connection.paused, false))
+        return;
+    std::erase(m_paused, &connection);
+    bufferevent_enable(evhttp_connection_get_bufferevent(connection.handle), EV_READ);
+}
+
+void upstream_connections::resumePaused()
+{
+    m_resumeTimer = timer_id();
+    // Holding the memory of one may give up another, but no connection ends before the next iteration of the event
+    // loop.
+    for (upstream_connection* connection : std::vector(m_paused)) {
+        if (connection->flooded || connection->answer->hold())
+            resume(*connection);
+    }
+    if (!m_paused.empty())
+        m_resumeTimer = m_hooks.schedule(resumeInterval, [this] { resumePaused(); });
 }
 
 void upstream_connections::forgetReceived(upstream_connection& connection)
 {
-    m_received -= std::exchange(connection.received, 0);
+    m_received -= connection.answer->received();
+    connection.answer->release();
 }
 
 void upstream_connections::endLargest()
@@ -188,17 +235,24 @@
     upstream_connection* largest = nullptr;
     for (const auto& [address, connections] : m_pools) {
         for (const auto& connection : connections.all) {
-            if (largest == nullptr || connection->received > largest->received)
+            if (largest == nullptr || connection->answer->received() > largest->answer->received())
                 largest = connection.get();
         }
     }
-    internal_assert(largest != nullptr && largest->received > 0) << m_received << " bytes received by no connection";
+    internal_assert(largest != nullptr && largest->answer->received() > 0)
+        << m_received << " bytes received by no connection";
     m_hooks.log({ log_level::Warning, "upstreams", "an answer is given up, as those that are incomplete are too large",
-        { { "upstream", formatAddress(largest->address) }, { "received_bytes", absl::StrCat(largest->received) },
+        { { "upstream", formatAddress(largest->address) },
+            { "received_bytes", absl::StrCat(largest->answer->received()) },
             { "all_bytes", absl::StrCat(m_received) } } });
-    forgetReceived(*largest);
-    largest->flooded = true;
-    m_events.onUnusableInput(*largest);
+    giveUp(*largest);
+}
+
+void upstream_connections::giveUp(upstream_connection& connection)
+{
+    forgetReceived(connection);
+    connection.flooded = true;
+    m_events.onUnusableInput(connection);
 }
 
 bool upstream_connections::isReusable(const upstream_connection& connection) const
@@ -216,15 +270,15 @@
 void upstream_connections::beginExchange(upstream_connection& connection, std::uint64_t exchange, bool head) const
 {
     connection.exchange = exchange;
-    connection.validator = std::make_unique<http_answer_validator>(head, m_limits.maximumAnswerHeaders.value());
+    connection.answer->begin(head, m_limits.maximumAnswerHeaders.value());
 }
 
 void upstream_connections::release(upstream_connection& connection)
 {
     internal_assert(!connection.idle) << "connection to " << formatAddress(connection.address) << " released twice";
     forgetReceived(connection);
+    resume(connection);
     connection.exchange = 0;
-    connection.validator.reset();
     bufferevent* channel = evhttp_connection_get_bufferevent(connection.handle);
     const bool unread = evbuffer_get_length(bufferevent_get_input(channel)) > 0;
     if (bufferevent_getfd(channel) < 0 || unread || connection.flooded || m_idle >= m_limits.maximumIdle) {
@@ -246,6 +300,7 @@
         = std::find_if(all.begin(), all.end(), [&](const auto& item) { return item.get() == &connection; });
     internal_assert(position != all.end()) << "connection to " << formatAddress(connection.address) << " closed twice";
     forgetReceived(connection);
+    resume(connection);
     if (connection.idle)
         --m_idle;
     --m_open;
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -13,7 +13,8 @@
 #include "core/units.h"
 #include "kernel/hooks.h"
 #include "model/address.h"
-#include "services/http_answer_validator.h"
+#include "services/buffer_budget.h"
+#include "services/received_answer.h"
 
 struct event_base;
 struct evhttp_connection;
@@ -39,12 +40,12 @@
     bool configured = false;
     bool closed = false;
     bool idle = false;
-    /** The bytes received for the current exchange; they are buffered until its answer is complete. */
-    std::size_t received = 0;
+    /** What was received for the current exchange. */
+    std::unique_ptr<received_answer> answer;
+    /** Nothing is read for now, as there is no memory for more of the answer. */
+    bool paused = false;
     /** The exchange is to be failed, as it received too much; its further bytes are not counted. */
     bool flooded = false;
-    /** Reads all that is received for the current exchange; null without one. */
-    std::unique_ptr<http_answer_validator> validator;
     time_point idleSince {};
 };
 
@@ -54,8 +55,8 @@
     duration idleReuse = std::chrono::seconds(4);
     /** The maximum number of idle connections to all upstreams together; further ones are closed. */
     std::size_t maximumIdle = 4096;
-    byte_count maximumAnswerHeaders { 64 * 1024 };
-    byte_count maximumAnswerBody { 8 * 1024 * 1024 };
+    byte_count maximumAnswerHeaders = maximumAnswerHead;
+    byte_count maximumAnswerBody = plantainlatch::maximumAnswerBody;
     /** The limit on the bytes of all incomplete answers together, which are held in memory. */
     byte_count maximumReceived { 64 * 1024 * 1024 };
 };
@@ -65,16 +66,19 @@
      * system. */
     std::function<void(upstream_connection&)> onDispatch;
     /** Called at least once when what has arrived can't become an answer: it is not valid HTTP, more bytes have arrived
-     * than an answer may have and the library has not consumed them, or the incomplete answers exceed their limit
-     * together and this one is the largest. */
+     * than an answer may have and the library has not consumed them, the incomplete answers exceed their limit
+     * together and this one is the largest, or its memory is needed for others. */
     std::function<void(upstream_connection&)> onUnusableInput;
 };
 
-/** Opens, reuses and closes connections. */
+/** Opens, reuses and closes connections. The memory of an answer is counted from its first byte, with its whole length
+ * if that is stated. While there is none, the answer is not read, so that its upstream stops sending; it is given up if
+ * others need the memory that it has. */
 class upstream_connections {
 public:
-    upstream_connections(event_base* base, const kernel_hooks& hooks, upstream_connection_limits limits,
-        upstream_connection_events events);
+    /** The budget must outlive the connections. */
+    upstream_connections(event_base* base, const kernel_hooks& hooks, buffer_budget& budget,
+        upstream_connection_limits limits, upstream_connection_events events);
     ~upstream_connections();
     upstream_connections(const upstream_connections&) = delete;
     upstream_connections& operator=(const upstream_connections&) = delete;
@@ -127,6 +131,13 @@
     void forgetReceived(upstream_connection& connection);
     /** Fails the exchange that has received the most bytes. */
     void endLargest();
+    /** Fails an exchange, and releases the memory of its answer at once. */
+    void giveUp(upstream_connection& connection);
+    /** Reads nothing more for now. */
+    void pause(upstream_connection& connection);
+    void resume(upstream_connection& connection);
+    /** Reads on where there is memory now. */
+    void resumePaused();
 
     /** The limit on received bytes that the library has not consumed, in bytes: a complete answer waits for its last
      * byte. */
@@ -142,14 +153,17 @@
 
     event_base* m_base;
     const kernel_hooks& m_hooks;
+    buffer_budget& m_budget;
     upstream_connection_limits m_limits;
     upstream_connection_events m_events;
     std::map<network_address, pool> m_pools;
     std::vector<std::unique_ptr<upstream_connection>> m_closed;
     timer_id m_freeTimer;
     timer_id m_expiryTimer;
+    std::vector<upstream_connection*> m_paused;
+    timer_id m_resumeTimer;
     void* m_user = nullptr;
-    /** The sum of upstream_connection::received. */
+    /** The sum of received_answer::received(). */
     std::size_t m_received = 0;
     std::size_t m_open = 0;
     std::size_t m_idle = 0;
--- a/test/integration/caller_crowd_fixture.cpp
+++ b/test/integration/caller_crowd_fixture.cpp
@@ -10,6 +10,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -55,6 +56,15 @@
         std::optional<std::string> m_former;
     };
 
+    /** A socket whose unread bytes stay with the sender. */
+    int socketWithoutBuffer()
+    {
+        constexpr int smallest = 1;
+        const int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &smallest, sizeof(smallest));
+        return handle;
+    }
+
     std::string configurationWith(int connections)
     {
         return absl::StrCat(R"({"version":"r1","routes":{"columns":["name","host","path-prefix","kind","timeout-ms",)",
@@ -67,7 +77,7 @@
 
 crowd_client::crowd_client(event_base* base, const network_address& address, client_load load)
     : m_load(std::move(load))
-    , m_handle(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
+    , m_handle(bufferevent_socket_new(base, m_load.reads ? -1 : socketWithoutBuffer(), BEV_OPT_CLOSE_ON_FREE))
 {
     bufferevent_setcb(
         m_handle,
--- a/test/integration/held_bytes_test.cpp
+++ b/test/integration/held_bytes_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    constexpr std::size_t largeAnswer = 7 * mebibyte;
+    /** Answers of that size that an entry receives at once without giving any up. */
+    constexpr std::size_t answersAtOnce = 8;
     /** Below the limit of an entry with 2,870 descriptors, so that no connection is closed to make room for another. */
     constexpr std::size_t manyClients = 900;
 
@@ -27,6 +30,26 @@
             };
         }
 
+        /** The upstream sends all of each answer but its last byte. */
+        void answerOneByteShort(std::size_t size)
+        {
+            upstream.onRequest = [this, size](std::size_t connection, const std::string&) {
+                upstream.send(connection,
+                    absl::StrCat("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: ", size, "\r\n\r\n",
+                        std::string(size - 1, 'a')));
+            };
+        }
+
+        /** A client that sends so many requests without waiting, and reads nothing. */
+        static client_load unreadRequests(std::size_t count, const std::string& call = "POST /v1/x")
+        {
+            client_load load;
+            for (std::size_t i = 0; i < count; ++i)
+                load.head += headOf(call, absl::StrCat("X-Request-Id: u", i, "\r\nContent-Length: 0"));
+            load.reads = false;
+            return load;
+        }
+
         void answerNothing()
         {
             upstream.onRequest = [](std::size_t, const std::string&) {};
@@ -76,4 +99,21 @@
     checkServing();
 }
 
+TEST_CASE_METHOD(held_bytes_fixture, "held_bytes.large_answers_that_nobody_reads.leave_the_entry_serving")
+{
+    answerWith(std::string(largeAnswer, 'a'));
+    for (int i = 0; i < 5; ++i)
+        load(entry, callerPort, answersAtOnce, unreadRequests(10));
+    answerOneByteShort(largeAnswer);
+    load(entry, callerPort, answersAtOnce, unreadRequests(1));
+    checkServing();
+}
+
+TEST_CASE_METHOD(held_bytes_fixture, "held_bytes.answers_of_64_kib_that_nobody_reads.leave_the_entry_serving")
+{
+    answerWith(std::string(64 * kibibyte, 'a'));
+    load(entry, callerPort, manyClients, unreadRequests(100));
+    checkServing();
+}
+
 } // namespace plantainlatch
--- a/test/integration/platform_processes.cpp
+++ b/test/integration/platform_processes.cpp
@@ -91,13 +91,13 @@
         start(number, bootstrapsLog);
 }
 
-byte_count platform_processes::peakMemory(int number) const
+byte_count platform_processes::memoryFigure(int number, const std::string& name) const
 {
     std::ifstream status(absl::StrCat("/proc/", m_processes.at(number)->id(), "/status"));
     std::string key;
     std::uint64_t kibibytes = 0;
     while (status >> key) {
-        if (key == "VmHWM:" && status >> kibibytes)
+        if (key == name && status >> kibibytes)
             return byte_count(kibibytes * bytesPerKibibyte);
     }
     return byte_count(0);
--- a/test/integration/platform_processes.h
+++ b/test/integration/platform_processes.h
@@ -60,11 +60,14 @@
     /** The file to which a process logs. */
     std::string logFile(int number) const;
     /** The largest resident memory that a process has had so far; 0 if it has ended. */
-    byte_count peakMemory(int number) const;
+    byte_count peakMemory(int number) const { return memoryFigure(number, "VmHWM:"); }
+    /** The resident memory that a process has now; 0 if it has ended. */
+    byte_count residentMemory(int number) const { return memoryFigure(number, "VmRSS:"); }
     std::size_t openDescriptors(int number) const;
 
 private:
     std::string settingsOf(int number, bool bootstrapsLog) const;
+    byte_count memoryFigure(int number, const std::string& name) const;
 
     platform_layout m_layout;
     temporary_folder m_folder;
--- a/test/integration/test_system.cpp
+++ b/test/integration/test_system.cpp
@@ -296,7 +296,8 @@
         const std::vector<std::string> entries = entryOptions();
         arguments.insert(arguments.end(), entries.begin(), entries.end());
         arguments.insert(arguments.end(), extraOptions.begin(), extraOptions.end());
-        m_upstreams.push_back(child_process::start("upstream_standin", arguments, m_folder.path(), file("upstreams.log")));
+        m_upstreams.push_back(
+            child_process::start("upstream_standin", arguments, m_folder.path(), file("upstreams.log")));
         m_upstreamCount += separateProcesses ? 1 : count;
     }
     REQUIRE(m_upstreamCount <= maximumUpstreamCount);
