--- a/src/decision/consensus/consensus_options.h
+++ b/src/decision/consensus/consensus_options.h
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "core/clock.h"
+#include "core/units.h"
 
 namespace plantainlatch {
 
@@ -96,4 +98,7 @@
     consensus_mechanisms mechanisms;
 };
 
+/** The options with their limits on proposals and entries reduced to a part of the memory that the process may use. */
+consensus_options withinMemory(consensus_options options, std::optional<byte_count> memoryLimit);
+
 } // namespace plantainlatch
--- a/src/decision/consensus/consensus_service.cpp
+++ b/src/decision/consensus/consensus_service.cpp
@@ -58,7 +58,7 @@
 
 consensus_service::consensus_service(const kernel_hooks& hooks, const vm_settings& settings, consensus_options options)
     : m_hooks(hooks)
-    , m_replica(hooks, settings, options)
+    , m_replica(hooks, settings, withinMemory(options, settings.memoryLimit))
     , m_leader(m_replica)
     , m_follower(m_replica, [this] { m_election.resetElectionTimeout(); })
     , m_election(
--- a/src/services/buffer_limits.cpp
+++ b/src/services/buffer_limits.cpp
@@ -20,8 +20,9 @@
     constexpr std::uint64_t peerShares = 3;
     constexpr std::uint64_t connectionShares = 2;
     static_assert(largeShares + smallShares + answerShares + peerShares + connectionShares == shares);
-    /** A configuration takes up to nine times its size while it takes effect. */
-    constexpr std::uint64_t configurationDivisor = 32;
+    /** A configuration takes up to nine times its size while it takes effect, and the VMs with the least memory have to
+     * hold it too. */
+    constexpr std::uint64_t configurationDivisor = 64;
 
     std::uint64_t memoryOf(std::optional<byte_count> limit)
     {
--- a/test/correctness/consensus_memory_test.cpp
+++ b/test/correctness/consensus_memory_test.cpp
@@ -155,4 +155,18 @@
         REQUIRE(result.status().code() == absl::StatusCode::kUnavailable);
 }
 
+// Guards against proposals that fill the memory of a small VM before their own limit is reached.
+TEST_CASE_METHOD(large_change_fixture, "proposals.on_a_small_vm.are_limited_by_its_memory")
+{
+    constexpr byte_count memory { 64'000'000 };
+    cluster.adjustSettings = [&](vm_settings& settings) { settings.memoryLimit = memory; };
+    begin();
+    for (int i = 1; i <= 3; ++i)
+        cluster.kill(i);
+    for (std::uint64_t number = 1; number <= 100; ++number)
+        propose(4, number);
+    cluster.advance(1ms);
+    REQUIRE((100 - results.size()) * changeBytes <= memory.value() / 16);
+}
+
 } // namespace plantainlatch
--- a/test/integration/held_bytes_test.cpp
+++ b/test/integration/held_bytes_test.cpp
@@ -66,6 +66,21 @@
             return head;
         }
 
+        /** A configuration that takes effect, with a value of that size which has no meaning. */
+        std::string configurationWithValue(int version, std::size_t size) const
+        {
+            std::string document = configuration;
+            document.replace(document.find("\"r1\""), 4, absl::StrCat("\"r", version, "\""));
+            document.insert(1, absl::StrCat("\"note\":\"", std::string(size, 'n'), "\","));
+            return document;
+        }
+
+        void checkControl(int number)
+        {
+            CHECK(statusWithRetries(number, controlPort, "GET /Config.Get") == 200);
+            checkBounds(number);
+        }
+
         /** The upstream answers again, and an ordinary caller is served beside the crowd. */
         void checkServing()
         {
@@ -116,4 +131,23 @@
     checkServing();
 }
 
+TEST_CASE_METHOD(held_bytes_fixture, "held_bytes.configuration_with_a_large_value.leaves_all_vms_serving")
+{
+    statusOf(1, controlPort, "POST /Config.Put", configurationWithValue(2, 24 * mebibyte));
+    for (int number = 1; number <= controlCount; ++number)
+        checkControl(number);
+    checkEntry();
+}
+
+TEST_CASE_METHOD(held_bytes_fixture, "held_bytes.configurations_in_series.leave_all_vms_serving")
+{
+    for (int version = 2; version < 30; ++version)
+        CHECK(statusWithRetries(1 + version % controlCount, controlPort, "POST /Config.Put",
+                  configurationWithValue(version, mebibyte))
+            == 200);
+    for (int number = 1; number <= controlCount; ++number)
+        checkControl(number);
+    checkEntry();
+}
+
 } // namespace plantainlatch
