--- a/src/codec/frame_codec.cpp
+++ b/src/codec/frame_codec.cpp
@@ -62,4 +62,9 @@
     return std::optional<std::string>(std::move(payload));
 }
 
+std::size_t frame_decoder::incompleteLength() const
+{
+    return m_buffer.size() - m_consumed < lengthBytes ? 0 : readLength(m_buffer.data() + m_consumed);
+}
+
 } // namespace plantainlatch
--- a/src/codec/frame_codec.h
+++ b/src/codec/frame_codec.h
@@ -32,6 +32,9 @@
      * too large. */
     absl::StatusOr<std::optional<std::string>> next();
 
+    /** The payload's length that the next frame states while it is not complete; 0 if it is not known yet. */
+    std::size_t incompleteLength() const;
+
 private:
     std::size_t m_maximumPayload;
     std::string m_buffer;
--- a/src/runtime/frame_stream.cpp
+++ b/src/runtime/frame_stream.cpp
@@ -63,12 +63,27 @@
                 closed(frame.status());
                 return;
             }
-            if (!frame->has_value())
+            if (!frame->has_value()) {
+                checkMemory();
                 return;
+            }
             events.onFrame(std::move(**frame));
         }
     }
 
+    void checkMemory()
+    {
+        if (events.onIncompleteFrame && !events.onIncompleteFrame(decoder.incompleteLength()))
+            closed(absl::ResourceExhaustedError("there is no memory for a message"));
+    }
+
+    static void onWritten(bufferevent*, void* argument)
+    {
+        const auto self = static_cast<implementation*>(argument)->shared_from_this();
+        if (self->events.onDrained)
+            self->events.onDrained();
+    }
+
     static void onRead(bufferevent*, void* argument)
     {
         const auto self = static_cast<implementation*>(argument)->shared_from_this();
@@ -91,7 +106,7 @@
 
     void begin()
     {
-        bufferevent_setcb(connection, onRead, nullptr, onEvent, this);
+        bufferevent_setcb(connection, onRead, onWritten, onEvent, this);
         bufferevent_enable(connection, EV_READ | EV_WRITE);
     }
 };
--- a/src/runtime/frame_stream.h
+++ b/src/runtime/frame_stream.h
@@ -22,6 +22,11 @@
     /** The connection is established; only for streams that are created by connect(). */
     std::function<void()> onConnected;
     std::function<void(std::string payload)> onFrame;
+    /** A frame with a payload of so many bytes has begun to arrive, or 0 if none has. If it returns false, there is no
+     * memory for the frame, and the stream is closed. May be empty. */
+    std::function<bool(std::size_t bytes)> onIncompleteFrame;
+    /** All queued bytes were passed to the operating system. May be empty. */
+    std::function<void()> onDrained;
     /** Bytes were received; the frames that they complete were passed to onFrame before. */
     std::function<void()> onBytes;
     /** The peer closed the connection, the connection failed, or a frame was too large; not called when the stream is
--- a/src/services/peer_receiver.cpp
+++ b/src/services/peer_receiver.cpp
@@ -7,13 +7,14 @@
 
 std::unique_ptr<peer_receiver> peer_receiver::create(event_loop& loop, const kernel_hooks& hooks, int socket,
     const vm_id& self, const std::function<bool(const vm_id&)>& isAllowedPeer, const shared_key& key,
-    const peer_transport_options& options, peer_receiver_events events)
+    const peer_transport_options& options, buffer_budget& budget, peer_receiver_events events)
 {
     std::unique_ptr<peer_receiver> receiver(
-        new peer_receiver(hooks, self, isAllowedPeer, key, options, std::move(events)));
+        new peer_receiver(hooks, self, isAllowedPeer, key, options, budget, std::move(events)));
     peer_receiver* raw = receiver.get();
     frame_stream_events streamEvents;
     streamEvents.onFrame = [raw](const std::string& payload) { raw->receive(payload); };
+    streamEvents.onIncompleteFrame = [raw](std::size_t bytes) { return raw->holdFrame(bytes); };
     streamEvents.onBytes = [raw] { raw->receivedBytes(); };
     streamEvents.onClosed = [raw](const absl::Status& why) { raw->fail(why); };
     receiver->m_stream = frame_stream::accept(loop, socket, maximumHandshakeBytes, std::move(streamEvents));
@@ -23,13 +24,14 @@
 
 peer_receiver::peer_receiver(const kernel_hooks& hooks, vm_id self,
     const std::function<bool(const vm_id&)>& isAllowedPeer, const shared_key& key,
-    const peer_transport_options& options, peer_receiver_events events)
+    const peer_transport_options& options, buffer_budget& budget, peer_receiver_events events)
     : m_hooks(hooks)
     , m_self(std::move(self))
     , m_isAllowedPeer(isAllowedPeer)
     , m_key(key)
     , m_options(options)
     , m_events(std::move(events))
+    , m_lease(budget, buffer_use::PeerInput, {})
 {
 }
 
@@ -108,6 +110,11 @@
     m_events.onMessage(m_hello->from, frame->substr(1));
 }
 
+bool peer_receiver::holdFrame(std::size_t bytes)
+{
+    return m_lease.resize(bytes > m_options.uncountedBytes ? bytes : 0, false);
+}
+
 void peer_receiver::receivedBytes()
 {
     // The time-out of the handshake holds for a peer that sends slowly, too.
--- a/src/services/peer_receiver.h
+++ b/src/services/peer_receiver.h
@@ -34,18 +34,21 @@
 public:
     static std::unique_ptr<peer_receiver> create(event_loop& loop, const kernel_hooks& hooks, int socket,
         const vm_id& self, const std::function<bool(const vm_id&)>& isAllowedPeer, const shared_key& key,
-        const peer_transport_options& options, peer_receiver_events events);
+        const peer_transport_options& options, buffer_budget& budget, peer_receiver_events events);
     ~peer_receiver();
 
 private:
     peer_receiver(const kernel_hooks& hooks, vm_id self, const std::function<bool(const vm_id&)>& isAllowedPeer,
-        const shared_key& key, const peer_transport_options& options, peer_receiver_events events);
+        const shared_key& key, const peer_transport_options& options, buffer_budget& budget,
+        peer_receiver_events events);
 
     void receive(const std::string& payload);
     void handleHello(const std::string& payload);
     void handleProof(const std::string& payload);
     void handleFrame(const std::string& payload);
     void receivedBytes();
+    /** Counts a message that has begun to arrive; false if there is no memory for it. */
+    bool holdFrame(std::size_t bytes);
     void answer();
     void restartSilenceTimer(duration timeout);
     void fail(const absl::Status& why);
@@ -56,6 +59,7 @@
     const shared_key& m_key;
     const peer_transport_options& m_options;
     peer_receiver_events m_events;
+    buffer_lease m_lease;
     std::unique_ptr<frame_stream> m_stream;
     std::optional<peer_hello> m_hello;
     std::string m_nonce;
--- a/src/services/peer_sender.cpp
+++ b/src/services/peer_sender.cpp
@@ -15,15 +15,15 @@
 } // namespace
 
 std::unique_ptr<peer_sender> peer_sender::create(event_loop& loop, const kernel_hooks& hooks, const vm_id& self,
-    const vm_record& peer, const shared_key& key, const peer_transport_options& options)
+    const vm_record& peer, const shared_key& key, const peer_transport_options& options, buffer_budget& budget)
 {
-    std::unique_ptr<peer_sender> sender(new peer_sender(loop, hooks, self, peer, key, options));
+    std::unique_ptr<peer_sender> sender(new peer_sender(loop, hooks, self, peer, key, options, budget));
     sender->connect();
     return sender;
 }
 
 peer_sender::peer_sender(event_loop& loop, const kernel_hooks& hooks, vm_id self, vm_record peer, const shared_key& key,
-    const peer_transport_options& options)
+    const peer_transport_options& options, buffer_budget& budget)
     : m_loop(loop)
     , m_hooks(hooks)
     , m_self(std::move(self))
@@ -32,6 +32,7 @@
     , m_options(options)
     , m_reconnectDelay(options.minimumReconnectDelay)
     , m_connectTimeout(std::min(options.minimumConnectTimeout, options.handshakeTimeout))
+    , m_lease(budget, buffer_use::PeerOutput, {})
 {
 }
 
@@ -39,12 +40,15 @@
 
 void peer_sender::send(const std::string& encoded)
 {
-    if (!m_outgoing && m_stream != nullptr && m_waiting.size() < maximumWaiting) {
-        m_waiting.push_back(encoded);
+    const bool mayWait = !m_outgoing && m_stream != nullptr && m_waiting.size() < maximumWaiting;
+    const bool maySend = m_outgoing && m_stream->backlog() <= m_options.maximumBacklog;
+    if ((!mayWait && !maySend) || !holdOutput(encoded.size())) {
+        ++m_dropped;
         return;
     }
-    if (!m_outgoing || m_stream->backlog() > m_options.maximumBacklog) {
-        ++m_dropped;
+    if (mayWait) {
+        m_waiting.push_back(encoded);
+        m_waitingBytes += encoded.size();
         return;
     }
     std::string payload(1, static_cast<char>(peer_frame_kind::Message));
@@ -52,6 +56,12 @@
     m_stream->send(m_outgoing->seal(payload));
 }
 
+bool peer_sender::holdOutput(std::size_t bytes)
+{
+    const std::size_t needed = m_waitingBytes + m_stream->backlog() + bytes;
+    return needed <= m_options.uncountedBytes || m_lease.resize(needed, false);
+}
+
 void peer_sender::setTimer(duration delay, void (peer_sender::*fire)())
 {
     m_hooks.cancel(m_timer);
@@ -63,6 +73,10 @@
     frame_stream_events events;
     events.onConnected = [this] { sendHello(); };
     events.onFrame = [this](const std::string& payload) { receive(payload); };
+    events.onDrained = [this] {
+        if (m_waitingBytes == 0)
+            m_lease.release();
+    };
     events.onClosed = [this](const absl::Status& why) { disconnected(why); };
     absl::StatusOr<std::unique_ptr<frame_stream>> stream
         = frame_stream::connect(m_loop, m_peer.peerAddress, maximumHandshakeBytes, std::move(events));
@@ -101,6 +115,8 @@
     m_incoming.reset();
     m_established = false;
     m_dropped += std::exchange(m_waiting, {}).size();
+    m_waitingBytes = 0;
+    m_lease.release();
     if (!m_disconnectLogged)
         m_hooks.log({ log_level::Warning, "peers", "no connection to a VM",
             { { "to", m_peer.id.value() }, { "why", std::string(why.message()) } } });
@@ -150,6 +166,7 @@
     m_disconnectLogged = false;
     m_hooks.log({ log_level::Info, "peers", "connected to a VM", { { "to", m_peer.id.value() } } });
     setTimer(m_options.pingInterval, &peer_sender::ping);
+    m_waitingBytes = 0;
     for (const std::string& encoded : std::exchange(m_waiting, {}))
         send(encoded);
 }
--- a/src/services/peer_sender.h
+++ b/src/services/peer_sender.h
@@ -32,11 +32,12 @@
 class peer_sender {
 public:
     static std::unique_ptr<peer_sender> create(event_loop& loop, const kernel_hooks& hooks, const vm_id& self,
-        const vm_record& peer, const shared_key& key, const peer_transport_options& options);
+        const vm_record& peer, const shared_key& key, const peer_transport_options& options, buffer_budget& budget);
     ~peer_sender();
 
     /** Sends an encoded message. While a connection attempt is in progress, a limited number of messages waits for it;
-     * others, and those of a failed attempt, are dropped, as are those beyond the backlog. */
+     * others, and those of a failed attempt, are dropped, as are those beyond the backlog and those for which there is
+     * no memory. */
     void send(const std::string& encoded);
 
     bool connected() const { return m_outgoing.has_value(); }
@@ -48,9 +49,11 @@
 
 private:
     peer_sender(event_loop& loop, const kernel_hooks& hooks, vm_id self, vm_record peer, const shared_key& key,
-        const peer_transport_options& options);
+        const peer_transport_options& options, buffer_budget& budget);
 
     void connect();
+    /** Counts what waits on the connection with so many bytes more; false if there is no memory for them. */
+    bool holdOutput(std::size_t bytes);
     void disconnected(const absl::Status& why);
     void sendHello();
     void receive(const std::string& payload);
@@ -78,8 +81,10 @@
     /** The connection is established; the handshake may not have finished. */
     bool m_established = false;
     bool m_disconnectLogged = false;
-    /** Messages that wait for the handshake. */
+    /** Messages that wait for the handshake, and their size. */
     std::vector<std::string> m_waiting;
+    std::size_t m_waitingBytes = 0;
+    buffer_lease m_lease;
     std::uint64_t m_dropped = 0;
 };
 
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "services/peer_transport.h"
 
+#include <algorithm>
 #include <cstring>
 #include <map>
 #include <set>
@@ -18,15 +19,24 @@
 
     /** The maximum number of accepted connections; further ones are closed at once. */
     constexpr std::size_t maximumReceivers = 4096;
+    constexpr std::size_t unauthenticatedDivisor = 32;
+    constexpr std::size_t leastUnauthenticated = 8;
 
 } // namespace
 
+std::size_t unauthenticatedLimit(std::size_t maximumDescriptors)
+{
+    return std::clamp(maximumDescriptors / unauthenticatedDivisor, leastUnauthenticated, maximumReceivers);
+}
+
 struct peer_transport::implementation {
     event_loop& loop;
     const kernel_hooks& hooks;
     vm_settings settings;
     peer_transport_options options;
     shared_key key;
+    std::unique_ptr<buffer_budget> ownBudget;
+    buffer_budget& budget;
     std::unique_ptr<peer_message_codec> codec;
     std::set<vm_id> known;
     std::function<bool(const vm_id&)> isAllowedPeer;
@@ -36,6 +46,8 @@
     std::map<vm_id, std::unique_ptr<peer_sender>> senders;
     std::map<std::uint64_t, std::unique_ptr<peer_receiver>> receivers;
     std::uint64_t lastReceiverNumber = 0;
+    /** The numbers of the receivers whose peers are not authenticated, in the order of their arrival. */
+    std::set<std::uint64_t> unauthenticated;
     std::uint64_t malformed = 0;
 
     implementation(event_loop& eventLoop, const kernel_hooks& kernelHooks, const vm_settings& vmSettings,
@@ -45,6 +57,9 @@
         , settings(vmSettings)
         , options(transportOptions)
         , key(std::move(sharedKey))
+        , ownBudget(options.budget == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt))
+                                              : nullptr)
+        , budget(ownBudget != nullptr ? *ownBudget : *options.budget)
         , codec(std::move(messageCodec))
     {
         for (const vm_record& vm : settings.vms)
@@ -69,7 +84,7 @@
         listener = std::move(*created);
         for (const vm_record& vm : settings.vms) {
             if (vm.id != settings.self.id)
-                senders[vm.id] = peer_sender::create(loop, hooks, settings.self.id, vm, key, options);
+                senders[vm.id] = peer_sender::create(loop, hooks, settings.self.id, vm, key, options, budget);
         }
         port.send = [this](const vm_id& to, const peer_message& message) { send(to, message); };
         port.setReceiver
@@ -82,6 +97,7 @@
         listener.reset();
         senders.clear();
         receivers.clear();
+        unauthenticated.clear();
     }
 
     void send(const vm_id& to, const peer_message& message)
@@ -107,7 +123,7 @@
         vm_record peer;
         peer.id = to;
         peer.peerAddress = *address;
-        return senders.emplace(to, peer_sender::create(loop, hooks, settings.self.id, peer, key, options))
+        return senders.emplace(to, peer_sender::create(loop, hooks, settings.self.id, peer, key, options, budget))
             .first->second.get();
     }
 
@@ -123,16 +139,20 @@
             frame_stream::accept(loop, socket, maximumHandshakeBytes, {});
             return;
         }
+        if (unauthenticated.size() >= options.maximumUnauthenticated)
+            remove(*unauthenticated.begin());
         const std::uint64_t number = ++lastReceiverNumber;
+        unauthenticated.insert(number);
         peer_receiver_events events;
-        events.onConnected = [this](const vm_id& from) {
+        events.onConnected = [this, number](const vm_id& from) {
+            unauthenticated.erase(number);
             if (peer_sender* sender = senderTo(from))
                 sender->onPeerConnected();
         };
         events.onMessage = [this](const vm_id& from, const std::string& encoded) { received(from, encoded); };
         events.onClosed = [this, number](const absl::Status& why) { closed(number, why); };
         receivers[number] = peer_receiver::create(
-            loop, hooks, socket, settings.self.id, isAllowedPeer, key, options, std::move(events));
+            loop, hooks, socket, settings.self.id, isAllowedPeer, key, options, budget, std::move(events));
     }
 
     void received(const vm_id& from, const std::string& encoded)
@@ -153,7 +173,13 @@
             hooks.log({ log_level::Warning, "peers", "a connection was not authenticated",
                 { { "why", std::string(why.message()) } } });
         // The receiver is calling this function, so it is destroyed only in the next iteration of the event loop.
-        hooks.schedule(duration::zero(), [this, number] { receivers.erase(number); });
+        hooks.schedule(duration::zero(), [this, number] { remove(number); });
+    }
+
+    void remove(std::uint64_t number)
+    {
+        receivers.erase(number);
+        unauthenticated.erase(number);
     }
 
     state_dump dump() const
@@ -167,6 +193,7 @@
             item.add("dropped", sender->dropped());
         }
         root.add("receivers", static_cast<std::uint64_t>(receivers.size()));
+        root.add("unauthenticated", static_cast<std::uint64_t>(unauthenticated.size()));
         root.add("malformed", malformed);
         root.add("codec_bytes", static_cast<std::uint64_t>(codec->keptMemory()));
         return root;
--- a/src/services/peer_transport.h
+++ b/src/services/peer_transport.h
@@ -15,6 +15,7 @@
 #include "ports/peer_port.h"
 #include "runtime/event_loop.h"
 #include "runtime/peer_handshake.h"
+#include "services/buffer_budget.h"
 
 namespace plantainlatch {
 
@@ -32,8 +33,18 @@
     std::size_t maximumFrame = maximumCompressedContent;
     /** Messages to a VM are dropped while more bytes than this are waiting to be sent to it. */
     std::size_t maximumBacklog = 80 * 1024 * 1024;
+    /** Messages above this size are counted by the budget, as are the messages that wait on a connection above it. */
+    std::size_t uncountedBytes = 64 * 1024;
+    /** The maximum number of accepted connections whose peers are not authenticated. At the limit, the earliest one is
+     * closed. */
+    std::size_t maximumUnauthenticated = 1024;
+    /** Counts the messages, and must outlive the transport; if it is null, the transport has one of its own. */
+    buffer_budget* budget = nullptr;
 };
 
+/** The number of connections of unauthenticated peers that leaves the other descriptors to those that are known. */
+std::size_t unauthenticatedLimit(std::size_t maximumDescriptors);
+
 /**
  * Each VM opens one connection to each VM that it sends to. Delivery is not guaranteed: messages in transit are lost
  * with their connection, and the senders have to repeat them. Messages to the VM itself are delivered through the event
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -6,6 +6,7 @@
 #include "kernel/assign_if_ok.h"
 #include "ports/membership_port.h"
 #include "ports/port_names.h"
+#include "runtime/sockets.h"
 #include "services/exposed_state.h"
 #include "services/json_log.h"
 
@@ -36,10 +37,13 @@
 {
     m_budget = std::make_unique<buffer_budget>(m_hooks, bufferLimitsFor(m_settings.memoryLimit));
     absl::Status status = assignIfOk(kernel::create(m_hooks), m_kernel);
+    peer_transport_options peers;
+    peers.budget = m_budget.get();
+    peers.maximumUnauthenticated = unauthenticatedLimit(maximumDescriptors());
     if (status.ok())
         status = createStorage();
     if (status.ok())
-        status = assignIfOk(peer_transport::create(m_loop, m_hooks, m_settings), m_peers);
+        status = assignIfOk(peer_transport::create(m_loop, m_hooks, m_settings, peers), m_peers);
     if (status.ok())
         status = assignIfOk(steering_vm::create(m_hooks, m_settings), m_steering);
     http_server_options options;
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -105,6 +105,17 @@
             return control_message(answer);
         }
 
+        /** A message of so many bytes that stays as large when it is compressed. */
+        static peer_message incompressible(std::size_t size)
+        {
+            std::mt19937 random(1);
+            snapshot_request request;
+            std::string& document = request.snapshot.state.config.document;
+            while (document.size() < size)
+                document += static_cast<char>(random());
+            return consensus_message(std::move(request));
+        }
+
         /** The number of connections that a VM has accepted. */
         std::int64_t receiverCount(const std::string& id)
         {
@@ -341,6 +352,73 @@
     close(caller);
 }
 
+// Guards against strangers that use up the descriptors of a VM, and against their replacing VMs that are known.
+TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.unauthenticated_connections.replace_each_other")
+{
+    options.maximumUnauthenticated = 4;
+    start("e1", goodKey);
+    start("e2", goodKey);
+    const auto messageArrives = [&] {
+        portOf("e2").send(vm_id("e1"), numbered(1));
+        return !nodes["e1"].received.empty();
+    };
+    REQUIRE(runUntil(messageArrives));
+    std::vector<std::unique_ptr<frame_stream>> strangers;
+    for (int i = 0; i < 20; ++i)
+        strangers.push_back(*frame_stream::connect(*loop, vms[0].peerAddress, 1024, {}));
+    runUntil([] { return false; }, std::chrono::milliseconds(200));
+    REQUIRE(receiverCount("e1") == 5);
+    nodes["e1"].received.clear();
+    REQUIRE(runUntil(messageArrives));
+}
+
+// Guards against messages to slow VMs that take the memory of the process.
+TEST_CASE_METHOD(
+    peer_transport_fixture, "peer_transport.message_without_memory.is_dropped_and_small_ones_are_delivered")
+{
+    buffer_budget budget(loop->hooks([](const log_event&) {}), { byte_count(0), byte_count(0), {}, byte_count(1'000) });
+    buffer_lease others(budget, buffer_use::PeerOutput, {});
+    REQUIRE(others.resize(1'000, false));
+    options.budget = &budget;
+    start("e1", goodKey);
+    start("e2", goodKey);
+    REQUIRE(runUntil([&] {
+        portOf("e1").send(vm_id("e2"), incompressible(200'000));
+        portOf("e1").send(vm_id("e2"), numbered(1));
+        return nodes["e2"].received.size() >= 3;
+    }));
+    const auto isLarge = [](const peer_message& message) { return std::holds_alternative<consensus_message>(message); };
+    REQUIRE(std::none_of(nodes["e2"].received.begin(), nodes["e2"].received.end(), isLarge));
+    others.release();
+    REQUIRE(runUntil([&] {
+        portOf("e1").send(vm_id("e2"), incompressible(200'000));
+        return std::any_of(nodes["e2"].received.begin(), nodes["e2"].received.end(), isLarge);
+    }));
+    REQUIRE(runUntil([&] { return budget.held() == 0; }));
+}
+
+// Guards against messages that arrive from many VMs at once and take the memory of the process.
+TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.incoming_message_without_memory.closes_its_connection")
+{
+    buffer_budget budget(loop->hooks([](const log_event&) {}), { byte_count(0), byte_count(0), {}, byte_count(1'000) });
+    buffer_lease others(budget, buffer_use::PeerInput, {});
+    start("e1", goodKey);
+    options.budget = &budget;
+    start("e2", goodKey);
+    REQUIRE(others.resize(1'000, false));
+    REQUIRE(runUntil([&] {
+        portOf("e1").send(vm_id("e2"), incompressible(200'000));
+        return budget.refused() > 0;
+    }));
+    REQUIRE(nodes["e2"].received.empty());
+    others.release();
+    REQUIRE(runUntil([&] {
+        portOf("e1").send(vm_id("e2"), incompressible(200'000));
+        return !nodes["e2"].received.empty();
+    }));
+    REQUIRE(runUntil([&] { return budget.held() == 0; }));
+}
+
 TEST_CASE_METHOD(peer_transport_fixture, "peer_transport.address_in_use.fails_the_start_with_the_address")
 {
     start("e1", goodKey);
