--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -20,6 +20,8 @@
 
     /** Replaces evhttp's shorter default. Each call has its own timer, which fires long before this time-out. */
     constexpr timeval libraryTimeout { 3600, 0 };
+    constexpr std::size_t descriptorDivisor = 8;
+    constexpr std::size_t descriptorShare = 3;
     /** How often it is checked whether there is memory for answers that are not read. */
     constexpr duration resumeInterval = std::chrono::milliseconds(20);
     /** The unread bytes of an answer that the operating system buffers while it is not read. */
@@ -45,6 +47,8 @@
 
 } // namespace
 
+std::size_t openConnectionLimit() { return maximumDescriptors() / descriptorDivisor * descriptorShare; }
+
 upstream_connections::upstream_connections(event_base* base, const kernel_hooks& hooks, buffer_budget& budget,
     upstream_connection_limits limits, upstream_connection_events events)
     : m_base(base)
@@ -80,6 +84,8 @@
         closeOneIdle(connections);
     if (connections.all.size() >= limit)
         return nullptr;
+    if (m_open >= m_limits.maximumOpen)
+        closeAnyIdle();
     return open(connections, address);
 }
 
@@ -322,6 +328,16 @@
         discard(**position);
 }
 
+void upstream_connections::closeAnyIdle()
+{
+    const auto hasIdle = [](const auto& item) {
+        return std::any_of(item.second.all.begin(), item.second.all.end(), [](const auto& one) { return one->idle; });
+    };
+    const auto found = m_idle > 0 ? std::find_if(m_pools.begin(), m_pools.end(), hasIdle) : m_pools.end();
+    if (found != m_pools.end())
+        closeOneIdle(found->second);
+}
+
 void upstream_connections::closeIdleConnections(const network_address& address)
 {
     const auto found = m_pools.find(address);
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -49,12 +49,17 @@
     time_point idleSince {};
 };
 
+/** The connections to upstreams that leave enough descriptors for those of callers and other VMs. */
+std::size_t openConnectionLimit();
+
 struct upstream_connection_limits {
     /** Connections that were idle for longer are not reused, as a firewall or NAT on the way may have dropped their
      * state. */
     duration idleReuse = std::chrono::seconds(4);
     /** The maximum number of idle connections to all upstreams together; further ones are closed. */
     std::size_t maximumIdle = 4096;
+    /** While so many connections are open, a new one replaces an idle one. */
+    std::size_t maximumOpen = openConnectionLimit();
     byte_count maximumAnswerHeaders = maximumAnswerHead;
     byte_count maximumAnswerBody = plantainlatch::maximumAnswerBody;
     /** The limit on the bytes of all incomplete answers together, which are held in memory. */
@@ -146,6 +151,8 @@
     upstream_connection* open(pool& into, const network_address& address);
     bool isReusable(const upstream_connection& connection) const;
     void closeOneIdle(pool& from);
+    /** Closes an idle connection to any address, if there is one. */
+    void closeAnyIdle();
     void freeLater(std::unique_ptr<upstream_connection> connection);
     void freeClosed();
     void closeExpired();
--- a/test/integration/caller_crowd_fixture.cpp
+++ b/test/integration/caller_crowd_fixture.cpp
@@ -212,10 +212,15 @@
     return true;
 }
 
-void caller_crowd_fixture::load(int number, std::uint16_t port, std::size_t clients, const client_load& each)
+void caller_crowd_fixture::addClients(int number, std::uint16_t port, std::size_t clients, const client_load& each)
 {
     for (std::size_t i = 0; i < clients; ++i)
         crowd.push_back(std::make_unique<crowd_client>(loop->base(), vms.address(number, port), each));
+}
+
+void caller_crowd_fixture::load(int number, std::uint16_t port, std::size_t clients, const client_load& each)
+{
+    addClients(number, port, clients, each);
     const time_point end = hooks.now() + 60s;
     std::size_t formerProgress = 0;
     time_point lastProgress = hooks.now();
--- a/test/integration/caller_crowd_fixture.h
+++ b/test/integration/caller_crowd_fixture.h
@@ -94,6 +94,8 @@
     bool sendHeartbeat();
     bool eventually(const std::function<bool()>& condition);
 
+    void addClients(int number, std::uint16_t port, std::size_t clients, const client_load& each);
+
     /** Adds clients and runs until none of them could send anything for a while. */
     void load(int number, std::uint16_t port, std::size_t clients, const client_load& each);
 
