--- a/src/services/lingering_close.cpp
+++ b/src/services/lingering_close.cpp
@@ -1,5 +1,7 @@
 #include "services/lingering_close.h"
 
+#include <algorithm>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -9,7 +11,10 @@
 
 namespace {
 
-    constexpr duration maximumLinger = std::chrono::milliseconds(500);
+    /** A peer that has sent nothing for this time has read the answer, or is gone. */
+    constexpr duration quietTime = std::chrono::milliseconds(500);
+    /** Enough for a body of the largest size at 7 MB/s. */
+    constexpr duration maximumLinger = std::chrono::seconds(10);
 
 } // namespace
 
@@ -32,17 +37,34 @@
     bufferevent_set_timeouts(channel, nullptr, nullptr);
     bufferevent_enable(channel, EV_READ);
     const std::uint64_t number = ++m_lastNumber;
-    m_channels[channel] = { m_hooks.schedule(maximumLinger, [this, channel] { free(channel); }), number };
+    const time_point now = m_hooks.now();
+    const timer_id timer = m_hooks.schedule(quietTime, [this, channel] { check(channel); });
+    m_channels[channel] = { timer, number, now, now };
     m_order[number] = channel;
     dropInput(channel, this);
     if (m_channels.size() > m_maximum)
         free(m_order.begin()->second);
 }
 
-void lingering_close::dropInput(bufferevent* channel, void*)
+void lingering_close::check(bufferevent* channel)
+{
+    waiting_channel& item = m_channels.at(channel);
+    const time_point end = std::min(item.lastInput + quietTime, item.addedAt + maximumLinger);
+    const time_point now = m_hooks.now();
+    if (now >= end)
+        free(channel);
+    else
+        item.timer = m_hooks.schedule(end - now, [this, channel] { check(channel); });
+}
+
+void lingering_close::dropInput(bufferevent* channel, void* argument)
 {
     evbuffer* input = bufferevent_get_input(channel);
-    evbuffer_drain(input, evbuffer_get_length(input));
+    const std::size_t size = evbuffer_get_length(input);
+    auto* self = static_cast<lingering_close*>(argument);
+    if (size > 0)
+        self->m_channels.at(channel).lastInput = self->m_hooks.now();
+    evbuffer_drain(input, size);
 }
 
 void lingering_close::ended(bufferevent* channel, short, void* argument)
--- a/src/services/lingering_close.h
+++ b/src/services/lingering_close.h
@@ -13,8 +13,9 @@
 
 namespace plantainlatch {
 
-/** Closes the sending side at once, and discards input until the peer closes too or a time-out of 500 ms has passed.
- * Closing a socket that has unread input would reset the connection, and the reset can overtake the last answer. */
+/** Closes the sending side at once, and discards input until the peer closes too, has sent nothing for 500 ms, or 10 s
+ * have passed. Closing a socket that has unread input would reset the connection, and the reset can overtake the last
+ * answer, or discard it before a peer reads it that sends its whole request first. */
 class lingering_close {
 public:
     /** When more than `maximum` connections wait for their end, the first of them is closed at once. */
@@ -29,11 +30,15 @@
 private:
     static void dropInput(bufferevent* channel, void* argument);
     static void ended(bufferevent* channel, short what, void* argument);
+    /** Ends a channel whose time has passed, or looks at it again later. */
+    void check(bufferevent* channel);
     void free(bufferevent* channel);
 
     struct waiting_channel {
         timer_id timer;
         std::uint64_t number = 0;
+        time_point addedAt {};
+        time_point lastInput {};
     };
 
     const kernel_hooks& m_hooks;
--- a/test/error/http_memory_test.cpp
+++ b/test/error/http_memory_test.cpp
@@ -225,4 +225,29 @@
     REQUIRE_FALSE(second->ended);
 }
 
+// A caller that reads only after it has sent its whole body would find its connection reset, and not learn that its
+// request did not run.
+TEST_CASE_METHOD(http_memory_fixture, "http_server.sender_that_goes_on_after_its_refusal.gets_it")
+{
+    const auto first = connect(headOf(3 * mebibyte));
+    runUntil([&] { return budget->held() >= 3 * mebibyte; });
+    const int sender = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = toSocketAddress(server->address());
+    REQUIRE(::connect(sender, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    const std::string head = headOf(3 * mebibyte);
+    const std::string piece(64 * 1024, 'x');
+    REQUIRE(send(sender, head.data(), head.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(head.size()));
+    for (std::size_t sent = 0; sent < 3 * mebibyte; sent += piece.size()) {
+        CHECK(send(sender, piece.data(), piece.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0);
+        runFor(40ms);
+    }
+    std::string received(1024, '\0');
+    const ssize_t size = recv(sender, received.data(), received.size(), MSG_DONTWAIT);
+    CHECK(size > 0);
+    CHECK_THAT(received, StartsWith(refused));
+    CHECK_THAT(received, Contains("not-run"));
+    CHECK(bodies.empty());
+    close(sender);
+}
+
 } // namespace plantainlatch
