--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -54,7 +54,7 @@
     /** The number of bytes of the head that were received. */
     std::size_t headSize() const { return m_headerBytes; }
     /** The memory that the target and the header fields take; many short fields take far more than was received. */
-    std::size_t headMemory() const { return m_headerBytes + m_request.headers.size() * fieldMemory; }
+    std::size_t headMemory() const { return textFactor * m_headerBytes + m_request.headers.size() * fieldMemory; }
     /** The memory that the request needs: its head, and its stated length or what is reserved for its chunks. */
     std::size_t neededBytes() const { return neededBytes(m_request.body.empty() ? 0 : m_request.body.capacity()); }
     /** Sets a function that is called with the memory that a request will need, before its body grows; if it returns
@@ -74,6 +74,8 @@
 private:
     struct callbacks;
 
+    /** A string grows by doubling its capacity. */
+    static constexpr std::size_t textFactor = 2;
     /** A field in a list whose capacity doubles, while the former list is copied. */
     static constexpr std::size_t fieldMemory = 2 * sizeof(header_field);
 
--- a/test/error/buffer_budget_test.cpp
+++ b/test/error/buffer_budget_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -13,6 +14,9 @@
 
     constexpr std::size_t mebibyte = 1024 * 1024;
     constexpr std::size_t smallSize = 4096;
+    constexpr buffer_owner crowd { 1 };
+    constexpr buffer_owner rare { 2 };
+    constexpr buffer_owner newcomer { 3 };
 
     /** A budget of 10 MiB for large and 8 KiB for small holdings, and holders that release their lease when asked. */
     class buffer_budget_fixture {
@@ -26,13 +30,16 @@
         }
 
         /** Adds a holder, which is numbered from 0. */
-        buffer_lease& addHolder()
+        buffer_lease& addHolder(buffer_owner owner = {})
         {
             const std::size_t number = holders.size();
-            holders.push_back(std::make_unique<buffer_lease>(*budget, buffer_use::Request, [this, number] {
-                asked.push_back(number);
-                holders[number]->release();
-            }));
+            holders.push_back(std::make_unique<buffer_lease>(
+                *budget, buffer_use::Request,
+                [this, number] {
+                    asked.push_back(number);
+                    holders[number]->release();
+                },
+                owner));
             return *holders.back();
         }
 
@@ -120,6 +127,65 @@
     REQUIRE(budget->held() == 3 * smallSize);
 }
 
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.owner_that_holds_most.is_the_first_to_lose")
+{
+    REQUIRE(addHolder(rare).resize(2 * mebibyte, true));
+    REQUIRE(addHolder(crowd).resize(4 * mebibyte, true));
+    REQUIRE(addHolder(crowd).resize(4 * mebibyte, true));
+    now += 5s;
+    REQUIRE(addHolder(newcomer).resize(3 * mebibyte, true));
+    REQUIRE(asked == std::vector<std::size_t> { 1 });
+}
+
+// Guards against a crowd that takes the memory of a caller whose legal upload is slow but steady.
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.slow_upload_beside_a_crowd.is_kept")
+{
+    buffer_lease& slow = addHolder(rare);
+    REQUIRE(slow.resize(mebibyte, true));
+    for (int second = 0; second < 30; ++second) {
+        for (int i = 0; i < 10; ++i)
+            addHolder(crowd).resize(2 * mebibyte, true);
+        for (int i = 0; i < 4; ++i) {
+            now += 250ms;
+            slow.recordProgress(1024);
+        }
+    }
+    REQUIRE(asked.size() > 50);
+    REQUIRE(std::count(asked.begin(), asked.end(), 0) == 0);
+}
+
+// A caller that sends a byte now and then must not keep others out, whoever it is.
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.upload_that_nearly_stopped.is_reclaimed_for_a_crowd")
+{
+    buffer_lease& stopped = addHolder(rare);
+    REQUIRE(stopped.resize(6 * mebibyte, true));
+    for (int i = 0; i < 20; ++i) {
+        now += 250ms;
+        stopped.recordProgress(1);
+    }
+    REQUIRE(addHolder(crowd).resize(6 * mebibyte, true));
+    REQUIRE(asked == std::vector<std::size_t> { 0 });
+}
+
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.pipelined_input.uses_a_part_of_the_room_for_small_holdings")
+{
+    buffer_lease input(*budget, buffer_use::PipelinedInput, {});
+    REQUIRE_FALSE(input.resize(smallSize, false));
+    REQUIRE(input.resize(smallSize / 2, false));
+    REQUIRE(budget->held(buffer_use::PipelinedInput) == smallSize / 2);
+}
+
+// Without it, a VM could never receive a state that is larger than the room for messages.
+TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.single_message_between_vms.may_be_larger_than_its_room")
+{
+    buffer_lease message(*budget, buffer_use::PeerInput, {});
+    buffer_lease second(*budget, buffer_use::PeerOutput, {});
+    REQUIRE(message.resize(20 * mebibyte, false));
+    REQUIRE_FALSE(second.resize(1, false));
+    message.release();
+    REQUIRE(second.resize(20 * mebibyte, false));
+}
+
 TEST_CASE_METHOD(buffer_budget_fixture, "buffer_budget.many_refusals.are_logged_once")
 {
     for (int i = 0; i < 100; ++i)
@@ -136,4 +202,13 @@
     REQUIRE(bufferLimitsFor(std::nullopt).large.value() >= 10 * largestRequest);
 }
 
+TEST_CASE("buffer_limits.memory_needed.is_the_least_that_has_room_for_the_largest_request")
+{
+    const caller_limits limits { byte_count(16 * 1024), byte_count(64 * mebibyte) };
+    const std::uint64_t needed = memoryNeededFor(limits).value();
+    const std::uint64_t largestRequest = limits.maximumHeaders.value() + limits.maximumBody.value();
+    REQUIRE(bufferLimitsFor(byte_count(needed)).large.value() >= largestRequest);
+    REQUIRE(bufferLimitsFor(byte_count(needed - 1000)).large.value() < largestRequest);
+}
+
 } // namespace plantainlatch
