--- a/src/services/http_request_parser.cpp
+++ b/src/services/http_request_parser.cpp
@@ -126,7 +126,9 @@
 void http_request_parser::next()
 {
     http_parser_init(m_parser.get(), HTTP_REQUEST);
-    m_request = {};
+    // The assignment of an empty string would keep the memory of the former one.
+    received_request empty;
+    std::swap(m_request, empty);
     m_headerBytes = 0;
     m_statedLength = 0;
     m_begun = false;
--- a/src/services/http_request_parser.h
+++ b/src/services/http_request_parser.h
@@ -63,7 +63,7 @@
     /** Whether the body is being received. */
     bool isReadingBody() const { return m_headersDone && !m_complete; }
     /** Frees the body of a request that was handled or refused. */
-    void dropBody() { m_request.body = {}; }
+    void dropBody() { std::string().swap(m_request.body); }
 
     /** Whether the caller expects "100 Continue" before it sends the body; true only once for each request. */
     bool takeWaitsForContinue();
