--- a/src/services/buffer_budget.cpp
+++ b/src/services/buffer_budget.cpp
@@ -31,6 +31,14 @@
 
 } // namespace
 
+std::unique_ptr<buffer_budget> buffer_budget::createFor(
+    const kernel_hooks& hooks, std::optional<byte_count> memoryLimit, const caller_limits& limits)
+{
+    if (const std::optional<log_event> warning = checkMemory(memoryLimit, limits))
+        hooks.log(*warning);
+    return std::make_unique<buffer_budget>(hooks, bufferLimitsFor(memoryLimit));
+}
+
 buffer_budget::buffer_budget(kernel_hooks hooks, buffer_budget_limits limits)
     : m_hooks(std::move(hooks))
     , m_large(limits.large.value(), largeStallTime)
--- a/src/services/buffer_budget.h
+++ b/src/services/buffer_budget.h
@@ -8,6 +8,8 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 
 #include "kernel/hooks.h"
 #include "kernel/service.h"
@@ -24,6 +26,11 @@
     /** The largest holding that counts as small: a body of 64 KiB with its header fields. */
     static constexpr std::size_t maximumSmall = std::size_t { 80 } * 1024;
 
+    /** The budget of a process that may use so much memory. Logs a warning if that is too little for the largest
+     * request that `limits` allow. */
+    static std::unique_ptr<buffer_budget> createFor(
+        const kernel_hooks& hooks, std::optional<byte_count> memoryLimit, const caller_limits& limits);
+
     buffer_budget(kernel_hooks hooks, buffer_budget_limits limits);
     ~buffer_budget();
     buffer_budget(const buffer_budget&) = delete;
--- a/src/services/buffer_limits.cpp
+++ b/src/services/buffer_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
+
 namespace plantainlatch {
 
 namespace {
@@ -46,6 +48,17 @@
     return byte_count(ownMemory + (request + largeShares - 1) / largeShares * shares);
 }
 
+std::optional<log_event> checkMemory(std::optional<byte_count> memoryLimit, const caller_limits& limits)
+{
+    const byte_count needed = memoryNeededFor(limits);
+    const byte_count available(memoryOf(memoryLimit));
+    if (available >= needed)
+        return std::nullopt;
+    return log_event { log_level::Warning, "buffer_budget", "the memory limit is too small for the largest request",
+        { { "memory_bytes", absl::StrCat(available.value()) }, { "needed_bytes", absl::StrCat(needed.value()) },
+            { "maximum_body", absl::StrCat(limits.maximumBody.value()) } } };
+}
+
 byte_count maximumConfiguration(std::optional<byte_count> memoryLimit)
 {
     return byte_count(memoryOf(memoryLimit) / configurationDivisor);
--- a/src/services/buffer_limits.h
+++ b/src/services/buffer_limits.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/units.h"
+#include "kernel/hooks.h"
 #include "model/vm_settings.h"
 
 namespace plantainlatch {
@@ -37,6 +38,10 @@
 /** The least memory with which a VM has room for one request of the largest size that `limits` allow. */
 byte_count memoryNeededFor(const caller_limits& limits);
 
+/** A warning that says what memory is needed, if the process may use too little for the largest request that `limits`
+ * allow. Such a VM serves smaller requests, and refuses larger ones. */
+std::optional<log_event> checkMemory(std::optional<byte_count> memoryLimit, const caller_limits& limits);
+
 /** The largest configuration that a VM with so much memory accepts. Each VM holds several copies of a configuration
  * while it takes effect. */
 byte_count maximumConfiguration(std::optional<byte_count> memoryLimit);
--- a/src/services/serve_vm.cpp
+++ b/src/services/serve_vm.cpp
@@ -35,7 +35,7 @@
 
 absl::Status serve_vm::createParts()
 {
-    m_budget = std::make_unique<buffer_budget>(m_hooks, bufferLimitsFor(m_settings.memoryLimit));
+    m_budget = buffer_budget::createFor(m_hooks, m_settings.memoryLimit, m_settings.limits);
     absl::Status status = assignIfOk(kernel::create(m_hooks), m_kernel);
     peer_transport_options peers;
     peers.budget = m_budget.get();
--- a/test/error/buffer_budget_test.cpp
+++ b/test/error/buffer_budget_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "services/buffer_budget.h"
 
 namespace plantainlatch {
@@ -46,6 +47,7 @@
         time_point now {};
         kernel_hooks hooks;
         int lines = 0;
+        std::vector<log_event> started;
         std::unique_ptr<buffer_budget> budget;
         std::vector<std::unique_ptr<buffer_lease>> holders;
         std::vector<std::size_t> asked;
@@ -211,4 +213,18 @@
     REQUIRE(bufferLimitsFor(byte_count(needed - 1000)).large.value() < largestRequest);
 }
 
+// Guards against a VM whose memory is too small for a legal request, and whose operator doesn't learn it.
+TEST_CASE_METHOD(
+    buffer_budget_fixture, "buffer_budget.memory_too_small_for_the_largest_request.is_reported_at_the_start")
+{
+    const caller_limits limits { byte_count(16 * 1024), byte_count(64 * mebibyte) };
+    hooks.log = [this](const log_event& event) { started.push_back(event); };
+    buffer_budget::createFor(hooks, byte_count(112'000'000), limits);
+    REQUIRE(started.empty());
+    buffer_budget::createFor(hooks, byte_count(64'000'000), limits);
+    REQUIRE(started.size() == 1);
+    REQUIRE(started.front().fields[1].name == "needed_bytes");
+    REQUIRE(started.front().fields[1].value == absl::StrCat(memoryNeededFor(limits).value()));
+}
+
 } // namespace plantainlatch
--- a/test/integration/held_bytes_test.cpp
+++ b/test/integration/held_bytes_test.cpp
@@ -1,3 +1,5 @@
+#include <cstdlib>
+#include <limits>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -12,6 +14,8 @@
     constexpr std::size_t largeAnswer = 7 * mebibyte;
     /** Answers of that size that an entry receives at once without giving any up. */
     constexpr std::size_t answersAtOnce = 8;
+    /** What the limits of the budget assume for a process without load. */
+    constexpr byte_count memoryWithoutLoad { 20'000'000 };
     /** Below the limit of an entry with 2,870 descriptors, so that no connection is closed to make room for another. */
     constexpr std::size_t manyClients = 900;
 
@@ -81,6 +85,40 @@
             checkBounds(number);
         }
 
+        /** The bytes that the budget of a process counts, but for its connections; the largest number if it does not
+         * say. */
+        std::size_t heldBytes(int number)
+        {
+            std::size_t held = std::numeric_limits<std::size_t>::max();
+            if (statusOf(number, inspectionPort, "GET /v1/dump") != 200)
+                return held;
+            const std::string field = "\"held_bytes\":";
+            const std::size_t at = lastAnswer.find(field);
+            if (at != std::string::npos)
+                held = std::strtoull(lastAnswer.c_str() + at + field.size(), nullptr, 10);
+            return held;
+        }
+
+        /** Clients of an entry and of a control VM that hold bytes in every way. */
+        void addCrowdsOfAllKinds()
+        {
+            constexpr std::size_t each = 30;
+            upstream.onRequest = [this](std::size_t connection, const std::string& request) {
+                answer(connection, request, std::string(mebibyte, 'a'));
+            };
+            addClients(entry, callerPort, each, bodyOneByteShort("POST /v1/x", 8 * mebibyte));
+            addClients(entry, callerPort, each, chunksOneByteShort("POST /v1/x", 16 * kibibyte, 512));
+            addClients(entry, callerPort, each, chunksOneByteShort("POST /v1/x", 1, 64 * kibibyte));
+            addClients(entry, callerPort, each, { headOfManyFields() });
+            addClients(entry, callerPort, each, { headOfManyFields() + "\r\n" });
+            addClients(entry, callerPort, each, unreadRequests(5));
+            addClients(entry, callerPort, each, {});
+            addClients(entry, inspectionPort, each, unreadRequests(5, "GET /metrics"));
+            addClients(1, controlPort, each, bodyOneByteShort("POST /Config.Put", mebibyte));
+            addClients(1, controlPort, each, bodyOneByteShort("POST /Instances.Heartbeat/i-2", 256 * kibibyte));
+            addClients(1, controlPort, each, unreadRequests(5, "GET /Config.Get"));
+        }
+
         /** The upstream answers again, and an ordinary caller is served beside the crowd. */
         void checkServing()
         {
@@ -157,4 +195,23 @@
     checkControl(1);
 }
 
+// Guards against leases that are not returned and memory that stays when crowds of all kinds come together, and again
+// and again.
+TEST_CASE_METHOD(held_bytes_fixture, "held_bytes.crowds_of_all_kinds_in_turn.leave_nothing_behind")
+{
+    for (int round = 0; round < 3; ++round) {
+        addCrowdsOfAllKinds();
+        load(1, lookupPort, 20, bodyOneByteShort("POST /resolve?name=h", mebibyte));
+        for (int number = 1; number <= vms.size(); ++number)
+            checkBounds(number);
+        crowd.clear();
+        checkServing();
+    }
+    for (int number = 1; number <= vms.size(); ++number) {
+        CHECK(eventually([&] { return heldBytes(number) == 0; }));
+        CHECK(eventually(
+            [&] { return vms.residentMemory(number).value() < memoryWithoutLoad.value() + sanitizerMemory[number]; }));
+    }
+}
+
 } // namespace plantainlatch
