Name members and fill a list as the lint check asks

The random model of the budget named its members without m_, and a test of peer_transport appended to a list in a loop.

--- a/test/error/buffer_budget_random_test.cpp
+++ b/test/error/buffer_budget_random_test.cpp
@@ -33,14 +33,14 @@
     public:
         budget_model()
         {
-            hooks.now = [this] { return now; };
-            hooks.log = [](const log_event&) {};
-            budget = std::make_unique<buffer_budget>(hooks, limits);
+            m_hooks.now = [this] { return m_now; };
+            m_hooks.log = [](const log_event&) {};
+            m_budget = std::make_unique<buffer_budget>(m_hooks, limits);
             for (std::size_t i = 0; i < holders; ++i) {
-                model_holding& item = items[i];
+                model_holding& item = m_items[i];
                 item.use = static_cast<buffer_use>(i % bufferUseCount);
                 item.lease = std::make_unique<buffer_lease>(
-                    *budget, item.use, [this, i] { reclaim(i); }, buffer_owner(i % 3));
+                    *m_budget, item.use, [this, i] { reclaim(i); }, buffer_owner(i % 3));
             }
         }
 
@@ -60,26 +60,26 @@
                 recordProgress(number, *rc::gen::inRange<std::size_t>(0, 20 * kibibyte));
                 break;
             case 5:
-                items[number].lease->keep();
-                items[number].reclaimable = false;
+                m_items[number].lease->keep();
+                m_items[number].reclaimable = false;
                 break;
             case 6:
-                items[number].lease->release();
-                items[number].bytes = 0;
+                m_items[number].lease->release();
+                m_items[number].bytes = 0;
                 break;
             default:
-                now += std::chrono::milliseconds(*rc::gen::inRange(0, 1500));
+                m_now += std::chrono::milliseconds(*rc::gen::inRange(0, 1500));
             }
             compare();
         }
 
         void releaseAll()
         {
-            for (model_holding& item : items)
+            for (model_holding& item : m_items)
                 item.lease.reset();
-            RC_ASSERT(budget->held() == 0);
+            RC_ASSERT(m_budget->held() == 0);
             for (std::size_t use = 0; use < bufferUseCount; ++use)
-                RC_ASSERT(budget->held(static_cast<buffer_use>(use)) == 0);
+                RC_ASSERT(m_budget->held(static_cast<buffer_use>(use)) == 0);
         }
 
     private:
@@ -91,9 +91,9 @@
 
         void resize(std::size_t number, std::size_t bytes)
         {
-            model_holding& item = items[number];
+            model_holding& item = m_items[number];
             const bool reclaimable = isReclaimedByOthers(item.use) && *rc::gen::inRange(0, 2) == 1;
-            resizing = number;
+            m_resizing = number;
             const std::size_t former = item.bytes;
             const bool hadRoom = item.lease->resize(bytes, reclaimable);
             RC_ASSERT(hadRoom || bytes > former);
@@ -101,27 +101,27 @@
             if (!hadRoom)
                 return;
             if (former == 0 || reclaimable != item.reclaimable)
-                item.lastStep = now;
+                item.lastStep = m_now;
             item.bytes = bytes;
             item.reclaimable = bytes > 0 && reclaimable;
         }
 
         void recordProgress(std::size_t number, std::size_t bytes)
         {
-            model_holding& item = items[number];
+            model_holding& item = m_items[number];
             item.lease->recordProgress(bytes);
             if (bytes >= buffer_lease::progressStep)
-                item.lastStep = now;
+                item.lastStep = m_now;
         }
 
         void reclaim(std::size_t number)
         {
-            model_holding& item = items[number];
-            RC_ASSERT(number != resizing);
+            model_holding& item = m_items[number];
+            RC_ASSERT(number != m_resizing);
             RC_ASSERT(item.reclaimable);
             RC_ASSERT(item.bytes > 0);
             const bool isLarge = item.bytes > buffer_budget::maximumSmall;
-            RC_ASSERT(!isLarge || now - item.lastStep >= 1s);
+            RC_ASSERT(!isLarge || m_now - item.lastStep >= 1s);
             item.lease->release();
             item.bytes = 0;
             item.reclaimable = false;
@@ -131,24 +131,24 @@
         {
             std::array<std::size_t, bufferUseCount> byUse {};
             std::size_t all = 0;
-            for (const model_holding& item : items) {
+            for (const model_holding& item : m_items) {
                 RC_ASSERT(item.lease->bytes() == item.bytes);
                 byUse[static_cast<std::size_t>(item.use)] += item.bytes;
                 all += item.use != buffer_use::Connections ? item.bytes : 0;
             }
             for (std::size_t use = 0; use < bufferUseCount; ++use)
-                RC_ASSERT(budget->held(static_cast<buffer_use>(use)) == byUse[use]);
-            RC_ASSERT(budget->held() == all);
-            RC_ASSERT(budget->held(buffer_use::Connections) <= limits.connections.value());
-            const std::size_t peers = budget->held(buffer_use::PeerInput) + budget->held(buffer_use::PeerOutput);
+                RC_ASSERT(m_budget->held(static_cast<buffer_use>(use)) == byUse[use]);
+            RC_ASSERT(m_budget->held() == all);
+            RC_ASSERT(m_budget->held(buffer_use::Connections) <= limits.connections.value());
+            const std::size_t peers = m_budget->held(buffer_use::PeerInput) + m_budget->held(buffer_use::PeerOutput);
             RC_ASSERT(all - peers <= limits.large.value() + limits.small.value() + limits.answer.value());
         }
 
-        time_point now {};
-        kernel_hooks hooks;
-        std::unique_ptr<buffer_budget> budget;
-        std::array<model_holding, holders> items;
-        std::size_t resizing = 0;
+        time_point m_now {};
+        kernel_hooks m_hooks;
+        std::unique_ptr<buffer_budget> m_budget;
+        std::array<model_holding, holders> m_items;
+        std::size_t m_resizing = 0;
     };
 
 } // namespace
--- a/test/error/peer_transport_test.cpp
+++ b/test/error/peer_transport_test.cpp
@@ -363,9 +363,9 @@
         return !nodes["e1"].received.empty();
     };
     REQUIRE(runUntil(messageArrives));
-    std::vector<std::unique_ptr<frame_stream>> strangers;
-    for (int i = 0; i < 20; ++i)
-        strangers.push_back(*frame_stream::connect(*loop, vms[0].peerAddress, 1024, {}));
+    std::vector<std::unique_ptr<frame_stream>> strangers(20);
+    for (auto& stranger : strangers)
+        stranger = *frame_stream::connect(*loop, vms[0].peerAddress, 1024, {});
     runUntil([] { return false; }, std::chrono::milliseconds(200));
     REQUIRE(receiverCount("e1") == 5);
     nodes["e1"].received.clear();
