--- a/src/services/received_answer.cpp
+++ b/src/services/received_answer.cpp
@@ -29,7 +29,7 @@
 void received_answer::release()
 {
     m_received = 0;
-    m_body = {};
+    std::string().swap(m_body);
     m_lease.release();
 }
 
