Name an exchange that is to be failed for what it is, and share a test's start

The flag for an answer that was too large also stands for one whose memory others need since answers are counted, so it is called givenUp. Two tests of proposals without a leader share their start. No behaviour and no check changed: 9 tests of proposals and the log and 36 of upstreams pass.

--- a/src/services/upstream_connections.cpp
+++ b/src/services/upstream_connections.cpp
@@ -184,13 +184,13 @@
 
 void upstream_connections::countReceived(upstream_connection& connection, std::size_t bytes)
 {
-    if (connection.flooded)
+    if (connection.givenUp)
         return;
     connection.answer->addReceived(bytes);
     m_received += bytes;
     if (m_received > m_limits.maximumReceived.value())
         endLargest();
-    if (connection.flooded)
+    if (connection.givenUp)
         return;
     if (connection.answer->hold())
         connection.answer->recordProgress(bytes);
@@ -223,7 +223,7 @@
     // Holding the memory of one may give up another, but no connection ends before the next iteration of the event
     // loop.
     for (upstream_connection* connection : std::vector(m_paused)) {
-        if (connection->flooded || connection->answer->hold())
+        if (connection->givenUp || connection->answer->hold())
             resume(*connection);
     }
     if (!m_paused.empty())
@@ -257,7 +257,7 @@
 void upstream_connections::giveUp(upstream_connection& connection)
 {
     forgetReceived(connection);
-    connection.flooded = true;
+    connection.givenUp = true;
     m_events.onUnusableInput(connection);
 }
 
@@ -287,7 +287,7 @@
     connection.exchange = 0;
     bufferevent* channel = evhttp_connection_get_bufferevent(connection.handle);
     const bool unread = evbuffer_get_length(bufferevent_get_input(channel)) > 0;
-    if (bufferevent_getfd(channel) < 0 || unread || connection.flooded || m_idle >= m_limits.maximumIdle) {
+    if (bufferevent_getfd(channel) < 0 || unread || connection.givenUp || m_idle >= m_limits.maximumIdle) {
         discard(connection);
         return;
     }
--- a/src/services/upstream_connections.h
+++ b/src/services/upstream_connections.h
@@ -44,8 +44,9 @@
     std::unique_ptr<received_answer> answer;
     /** Nothing is read for now, as there is no memory for more of the answer. */
     bool paused = false;
-    /** The exchange is to be failed, as it received too much; its further bytes are not counted. */
-    bool flooded = false;
+    /** The exchange is to be failed, as its answer is too large or its memory is needed; further bytes are not counted.
+     */
+    bool givenUp = false;
     time_point idleSince {};
 };
 
--- a/test/correctness/consensus_memory_test.cpp
+++ b/test/correctness/consensus_memory_test.cpp
@@ -41,6 +41,18 @@
             }
         }
 
+        /** Kills all replicas, proposes 100 changes, and returns how many of them wait for a result. */
+        std::uint64_t waitingWithoutLeader()
+        {
+            begin();
+            for (int i = 1; i <= 3; ++i)
+                cluster.kill(i);
+            for (std::uint64_t number = 1; number <= 100; ++number)
+                propose(4, number);
+            cluster.advance(1ms);
+            return 100 - results.size();
+        }
+
         std::uint64_t logBytes(int number)
         {
             const state_dump dump = cluster.vm(number).subject->asService().dump();
@@ -142,13 +154,7 @@
 // Guards against memory that grows with each change that waits for a leader.
 TEST_CASE_METHOD(large_change_fixture, "proposals.without_a_leader.are_refused_at_once_beyond_a_number_of_bytes")
 {
-    begin();
-    for (int i = 1; i <= 3; ++i)
-        cluster.kill(i);
-    for (std::uint64_t number = 1; number <= 100; ++number)
-        propose(4, number);
-    cluster.advance(1ms);
-    const std::uint64_t waiting = 100 - results.size();
+    const std::uint64_t waiting = waitingWithoutLeader();
     REQUIRE(waiting * changeBytes <= cluster.options.maximumPendingBytes);
     REQUIRE(waiting > 0);
     for (const auto& [number, result] : results)
@@ -160,13 +166,7 @@
 {
     constexpr byte_count memory { 64'000'000 };
     cluster.adjustSettings = [&](vm_settings& settings) { settings.memoryLimit = memory; };
-    begin();
-    for (int i = 1; i <= 3; ++i)
-        cluster.kill(i);
-    for (std::uint64_t number = 1; number <= 100; ++number)
-        propose(4, number);
-    cluster.advance(1ms);
-    REQUIRE((100 - results.size()) * changeBytes <= memory.value() / 16);
+    REQUIRE(waitingWithoutLeader() * changeBytes <= memory.value() / 16);
 }
 
 } // namespace plantainlatch
