--- a/src/decision/accounts/account_table.h
+++ b/src/decision/accounts/account_table.h
@@ -21,8 +21,6 @@
      * returned become invalid. */
     void update(const configuration& config);
 
-    bool empty() const { return m_accounts.empty(); }
-
     /** Returns the account with this credential, or null; in constant time. */
     const client_account* find(const std::string& credential) const;
 
--- a/src/decision/control/change_log.cpp
+++ b/src/decision/control/change_log.cpp
@@ -65,7 +65,9 @@
     if (state.config.number != m_number) {
         write("configuration-in-force",
             { { "configuration", absl::StrCat(state.config.number.value()) },
-                { "former", absl::StrCat(m_number.value()) }, { "routes", absl::StrCat(state.config.routes.size()) } });
+                { "former", absl::StrCat(m_number.value()) }, { "routes", absl::StrCat(state.config.routes.size()) },
+                { "accounts", absl::StrCat(state.config.accounts.size()) },
+                { "needs-credential", needsCredential(state.config) ? "yes" : "no" } });
     }
     m_number = state.config.number;
     compareUpstreams(state);
--- a/src/decision/control/control_service.cpp
+++ b/src/decision/control/control_service.cpp
@@ -46,11 +46,11 @@
 absl::StatusOr<std::unique_ptr<control_service>> control_service::create(
     const kernel_hooks&, const vm_settings&, control_options options)
 {
-    return std::unique_ptr<control_service>(new control_service(options));
+    return std::unique_ptr<control_service>(new control_service(std::move(options)));
 }
 
 control_service::control_service(control_options options)
-    : m_options(options)
+    : m_options(std::move(options))
 {
     m_port.state = [this]() -> const control_snapshot& { return m_state; };
     m_port.onChange = [this](std::function<void()> listener) { m_listeners.push_back(std::move(listener)); };
@@ -79,6 +79,7 @@
     const change_number before = m_state.config.number;
     const steering_change change = changeBy(item.command, m_state);
     command_result result = applyCommand(m_state, item, m_options.directory);
+    completeAdmission();
     internal_assert(m_state.config.number >= before)
         << "the configuration number decreased from " << before.value() << " to " << m_state.config.number.value();
     cacheResult(m_state.proposers, item.id, result);
@@ -92,9 +93,20 @@
         << "snapshot with configuration " << state.config.number.value() << " is older than configuration "
         << m_state.config.number.value();
     m_state = std::move(state);
+    completeAdmission();
     notifyListeners(steering_change {});
 }
 
+/** Commands and snapshots that an earlier version stored lack the admission, and an empty list of accounts does not
+ * tell whether requests need a credential. */
+void control_service::completeAdmission()
+{
+    configuration& config = m_state.config;
+    const bool isMissing = config.admission == caller_admission::Unrecorded && !config.document.empty();
+    if (isMissing && m_options.readAdmission)
+        config.admission = m_options.readAdmission(config.document);
+}
+
 void control_service::notifyListeners(const std::optional<steering_change>& change) const
 {
     for (const auto& listener : m_listeners)
@@ -114,6 +126,7 @@
     shown.add("services", static_cast<std::uint64_t>(m_state.config.services.size()));
     shown.add("keys", static_cast<std::uint64_t>(m_state.keys.size()));
     shown.add("crashes", static_cast<std::uint64_t>(m_state.crashes.size()));
+    shown.add("needs_credential", needsCredential(m_state.config));
     state_dump& drains = shown.addList("drains");
     for (const drain_target& target : m_state.drains)
         drains.add("drain", target.name);
--- a/src/decision/control/control_service.h
+++ b/src/decision/control/control_service.h
@@ -24,6 +24,9 @@
     /** Returns the cached result for a resent proposal. If false, each copy is applied again. */
     bool deduplicateProposals = true;
     directory_rules directory;
+    /** Reads the admission from the document of a configuration that was stored without it. Must not be empty if
+     * configurations have documents that an earlier version stored. */
+    std::function<caller_admission(const std::string& document)> readAdmission;
 };
 
 /** Holds this VM's copy of the control state and applies committed proposals to it; published as "control". */
@@ -40,6 +43,7 @@
 
     command_result apply(const proposal& item);
     void restore(control_snapshot state);
+    void completeAdmission();
     /** `change` is empty if the command does not concern steering. */
     void notifyListeners(const std::optional<steering_change>& change) const;
     state_dump dump() const;
--- a/src/decision/declarations/configuration_difference.cpp
+++ b/src/decision/declarations/configuration_difference.cpp
@@ -22,6 +22,7 @@
         other.upstreams = config.upstreams;
         other.withdrawnUpstreams = config.withdrawnUpstreams;
         other.shifts = config.shifts;
+        other.admission = config.admission;
         return other;
     }
 
--- a/src/decision/quotas/quota_service.cpp
+++ b/src/decision/quotas/quota_service.cpp
@@ -44,7 +44,7 @@
     if (!status.ok())
         return status;
     m_membership->onHeartbeat([this](const vm_heartbeat& heartbeat, heartbeat_answer& answer) {
-        if (!accounts().empty())
+        if (needsCredential(m_control->state().config))
             leases().answer(accounts(), knownEntries(m_control->state()), heartbeat, answer, m_hooks.now());
     });
     if (!m_settings.self.entry)
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -164,7 +164,7 @@
         return;
     }
     const client_account* account = nullptr;
-    if (!m_accounts.empty() && !route->isPublic) {
+    if (needsCredential(m_control->state().config) && !route->isPublic) {
         account = m_accounts.find(request.credential);
         if (!hasRequiredContact()) {
             refuse(request, systemAnswer(outcome::NotRun, answer_reason::NotReady), deliver);
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -15,6 +15,11 @@
 
 } // namespace
 
+bool needsCredential(const configuration& config)
+{
+    return config.admission == caller_admission::AccountHolders || !config.accounts.empty();
+}
+
 region_id regionOf(const configuration& config, const failure_domain_id& domain)
 {
     for (const auto& [id, region] : config.regions) {
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -20,6 +20,17 @@
 /** Identifies a link by its two regions in ascending order. */
 using link_key = std::pair<region_id, region_id>;
 
+/** Whose requests a configuration admits. */
+enum class caller_admission {
+    /** The configuration was stored before this field was added. */
+    Unrecorded,
+    /** Requests need no credential. */
+    Everyone,
+    /** Requests need a credential of an account, except on public routes. Without accounts, no credential is accepted.
+     */
+    AccountHolders,
+};
+
 /** All definitions by key. */
 struct configuration {
     change_number number;
@@ -32,10 +43,11 @@
     std::set<upstream_id> withdrawnUpstreams;
     std::map<shift_id, shift_definition> shifts;
     std::vector<route_definition> routes;
-    /** Without any, requests need no credential. */
     std::map<account_id, client_account> accounts;
     /** The source text of a configuration that was set as a whole; empty otherwise. */
     std::string document;
+    /** Use needsCredential() to decide on a request. */
+    caller_admission admission = caller_admission::Unrecorded;
 
     /** The number of fields before `accounts` was added. */
     static constexpr std::uint32_t requiredFields = 10;
@@ -45,10 +57,13 @@
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
         visit(self.number, self.regions, self.links, self.services, self.shares, self.upstreams,
-            self.withdrawnUpstreams, self.shifts, self.routes, self.document, self.accounts);
+            self.withdrawnUpstreams, self.shifts, self.routes, self.document, self.accounts, self.admission);
     }
 };
 
+/** Whether requests need a credential of an account, except on public routes. */
+bool needsCredential(const configuration& config);
+
 /** The region of a failure domain; empty if no region contains it. */
 region_id regionOf(const configuration& config, const failure_domain_id& domain);
 
--- a/src/model/configuration_difference.h
+++ b/src/model/configuration_difference.h
@@ -37,7 +37,7 @@
 };
 
 struct configuration_difference {
-    /** The later configuration without its routes, its accounts and its document. */
+    /** The later configuration without its routes, its accounts and its document, with its admission. */
     configuration other;
     std::vector<route_edit> routes;
     std::vector<text_edit> document;
--- a/src/services/peer_sender.h
+++ b/src/services/peer_sender.h
@@ -25,7 +25,7 @@
     Message = 'm',
 };
 
-inline constexpr std::uint32_t peerProtocolVersion = 6;
+inline constexpr std::uint32_t peerProtocolVersion = 7;
 /** The maximum payload of a frame in bytes before the peer is authenticated. */
 inline constexpr std::size_t maximumHandshakeBytes = 1024;
 
--- a/test/correctness/client_account_test.cpp
+++ b/test/correctness/client_account_test.cpp
@@ -102,6 +102,45 @@
     REQUIRE(lastAccount().empty());
 }
 
+// Guards against the removal of the last account admitting every caller.
+TEST_CASE_METHOD(client_account_fixture, "client_account.credential.is_needed_while_there_are_no_accounts")
+{
+    config.admission = caller_admission::AccountHolders;
+    config.accounts.clear();
+    put();
+    for (const char* credential : { "", "other", secret.c_str() })
+        REQUIRE(statusOf("/shop/1", credential) == 401);
+    REQUIRE(cluster.upstreams.calls.empty());
+    REQUIRE(statusOf("/open/1", secret) == 200);
+    config.accounts[account_id("shop")] = { account_id("shop"), { secret }, {}, {}, {} };
+    put();
+    REQUIRE(statusOf("/shop/1", secret) == 200);
+}
+
+// Guards against a request being refused or losing its account because a change came while it waited for its account.
+TEST_CASE_METHOD(client_account_fixture, "client_account.request_that_waits_during_a_change.is_judged_by_the_later_one")
+{
+    cluster.entries[0].log->applyLag = 200ms;
+    config.admission = caller_admission::Everyone;
+    config.accounts.clear();
+    put();
+    const caller_record& opened = send(0, "/shop/1", "other");
+    REQUIRE(opened.answers == 0);
+    cluster.runtime.advance(1s);
+    REQUIRE(opened.answer->content.status == 200);
+    REQUIRE(lastAccount().empty());
+    config.admission = caller_admission::AccountHolders;
+    config.accounts[account_id("shop")] = { account_id("shop"), { secret }, {}, {}, {} };
+    put();
+    cluster.runtime.advance(1s);
+    config.accounts.clear();
+    put();
+    const caller_record& closed = send(0, "/shop/1", "other");
+    REQUIRE(closed.answers == 0);
+    cluster.runtime.advance(1s);
+    REQUIRE(closed.answer->content.status == 401);
+}
+
 // Guards against a 401 from a VM that may lack the account.
 TEST_CASE_METHOD(client_account_fixture, "client_account.unknown_credential_without_the_current_configuration.is_503")
 {
--- a/test/correctness/configuration_difference_test.cpp
+++ b/test/correctness/configuration_difference_test.cpp
@@ -66,6 +66,21 @@
 
 } // namespace
 
+// Guards against a change that removes the last account being applied like one that needs no credential.
+TEST_CASE_METHOD(configuration_difference_fixture, "configuration_difference.admission.is_sent_in_both_directions")
+{
+    former.admission = caller_admission::AccountHolders;
+    former.accounts[account_id("last")] = { account_id("last"), { "key" }, {}, {}, {} };
+    later.admission = caller_admission::AccountHolders;
+    REQUIRE(restoresLater());
+    std::swap(former.accounts, later.accounts);
+    later.accounts.clear();
+    later.admission = caller_admission::Everyone;
+    REQUIRE(restoresLater());
+    std::swap(former.admission, later.admission);
+    REQUIRE(restoresLater());
+}
+
 // Guards against accounts that a difference drops, and against a size that grows with the number of accounts.
 TEST_CASE_METHOD(configuration_difference_fixture, "configuration_difference.changed_accounts.are_sent_alone")
 {
--- a/test/correctness/control_change_test.cpp
+++ b/test/correctness/control_change_test.cpp
@@ -166,6 +166,33 @@
     REQUIRE(state().directory.empty());
 }
 
+// Guards against an upgrade that admits everybody, or nobody, since former versions did not store the admission.
+TEST_CASE("configuration.stored_without_its_admission.is_completed_from_its_document")
+{
+    const bool isRestored = GENERATE(true, false);
+    const auto [document, admission] = GENERATE(table<std::string, caller_admission>(
+        { { "accounts", caller_admission::AccountHolders }, { "none", caller_admission::Everyone } }));
+    paused_runtime runtime { 1 };
+    auto root = *kernel::create(runtime.hooks());
+    control_options options;
+    options.readAdmission = [](const std::string& text) {
+        return text == "accounts" ? caller_admission::AccountHolders : caller_admission::Everyone;
+    };
+    auto subject = *control_service::create(runtime.hooks(), {}, options);
+    root->add(subject->asService());
+    REQUIRE(root->start().ok());
+    control_port& port = **root->services().find<control_port>(port_names::control);
+    control_snapshot stored;
+    stored.config.number = change_number(4);
+    stored.config.document = document;
+    if (isRestored)
+        port.restore(stored);
+    else
+        port.apply({ { vm_id("a"), incarnation(1), 1 }, {}, replace_configuration { stored.config } });
+    REQUIRE(port.state().config.admission == admission);
+    REQUIRE(needsCredential(port.state().config) == (admission == caller_admission::AccountHolders));
+}
+
 TEST_CASE("proposal.resent_without_deduplication.is_applied_again")
 {
     paused_runtime runtime { 1 };
--- a/test/error/peer_message_codec_test.cpp
+++ b/test/error/peer_message_codec_test.cpp
@@ -14,6 +14,18 @@
 
 namespace {
 
+    /** A configuration as it was stored before it had its admission. */
+    struct former_configuration {
+        configuration content;
+
+        template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+        {
+            auto& from = self.content;
+            visit(from.number, from.regions, from.links, from.services, from.shares, from.upstreams,
+                from.withdrawnUpstreams, from.shifts, from.routes, from.document, from.accounts);
+        }
+    };
+
     class peer_message_codec_fixture {
     protected:
         static peer_message snapshotMessage()
@@ -90,6 +102,21 @@
     REQUIRE(request.snapshot.state.keys.begin()->second.answer->body == "done");
 }
 
+// Guards against an upgrade that can't read a configuration of a version without the admission, or drops its accounts.
+TEST_CASE("msgpack_codec.configuration_of_a_former_version.needs_a_credential_if_it_has_accounts")
+{
+    former_configuration former;
+    former.content.admission = caller_admission::Everyone;
+    for (const bool hasAccounts : { false, true }) {
+        if (hasAccounts)
+            former.content.accounts[account_id("shop")].id = account_id("shop");
+        const auto decoded = msgpack_codec::decode<configuration>(msgpack_codec::encode(former));
+        REQUIRE(decoded.ok());
+        REQUIRE(decoded->admission == caller_admission::Unrecorded);
+        REQUIRE(needsCredential(*decoded) == hasAccounts);
+    }
+}
+
 TEST_CASE_METHOD(peer_message_codec_fixture, "peer_message_codec.truncated_or_malformed_bytes.are_rejected")
 {
     const std::string bytes = codec->encode(snapshotMessage());
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -136,6 +136,22 @@
     REQUIRE(config.accounts.at(account_id("lab")) == client_account { account_id("lab"), {}, {}, {}, {} });
 }
 
+// Guards against a table of tenants without rows being read like none, which admits everybody.
+TEST_CASE_METHOD(platform_bodies_fixture, "platform_configuration.tenants_without_rows.admit_nobody")
+{
+    const std::string null = replaced(document, "\"limits\"", R"("tenants":null,"limits")");
+    const std::string noColumns = replaced(document, "\"limits\"", R"("tenants":{"columns":[],"rows":[]},"limits")");
+    for (const std::string& body : { document, null }) {
+        REQUIRE(readDocument(body)->admission == caller_admission::Everyone);
+        REQUIRE(readAdmission(body) == caller_admission::Everyone);
+    }
+    for (const std::string& body : { withTenants(""), withTenants(R"(["lab",[],null,0,0,[]])"), noColumns }) {
+        REQUIRE(needsCredential(*readDocument(body)));
+        REQUIRE(readAdmission(body) == caller_admission::AccountHolders);
+    }
+    REQUIRE(readAdmission("[1") == caller_admission::Unrecorded);
+}
+
 // Guards against accounts that can't be told apart or limited, and against findings that show a credential.
 TEST_CASE_METHOD(platform_bodies_fixture, "platform_configuration.invalid_tenant.is_a_finding_with_row_and_column")
 {
--- a/test/integration/platform_path_test.cpp
+++ b/test/integration/platform_path_test.cpp
@@ -123,15 +123,20 @@
 
         /** Puts a configuration with the account "shop" in force, which has these credentials, and a public route. */
         bool putAccounts(int version, const std::string& credentials)
+        {
+            return putTable(version,
+                absl::StrCat(R"("tenants":{"columns":["name","api-keys"],"rows":[["shop",)", credentials, "]]},"));
+        }
+
+        /** Puts a configuration with this table of accounts in force, or without one if it is empty. */
+        bool putTable(int version, const std::string& table)
         {
             const std::string body = absl::StrReplaceAll(document(version),
                 { { R"("sticky"])", R"("sticky","public"])" },
                     { absl::StrCat("/v", version, R"(/","unsafe",2000,500,1,"s",2,true])"),
                         R"(/v1/","unsafe",2000,500,1,"s",2,true,null],)"
                         R"(["b","h","/open/","safe",2000,500,1,"s",2,true,true])" },
-                    { R"("limits":{})",
-                        absl::StrCat(
-                            R"("tenants":{"columns":["name","api-keys"],"rows":[["shop",)", credentials, "]]}") } });
+                    { R"("limits":{})", absl::StrCat(table, R"("limits":{})") } });
             lastPut = body;
             return requestStatus(1, controlPort, "POST /Config.Put", body) == 200;
         }
@@ -142,6 +147,19 @@
                 number, callerPort, absl::StrCat("POST /v1/x HTTP/1.1\r\nX-Api-Key: ", credential), "work", id);
         }
 
+        /** Whether both entries refuse the credential within the bound of a configuration. */
+        bool isRefused(const std::string& credential)
+        {
+            return eventually([&] { return askWith(4, credential) == 401 && askWith(5, credential) == 401; }, 3s);
+        }
+
+        bool isServed(const std::string& credential)
+        {
+            return eventually([&] { return askWith(4, credential) == 200 && askWith(5, credential) == 200; }, 3s);
+        }
+
+        static constexpr const char* emptyTable = R"("tenants":{"columns":["name","api-keys"],"rows":[]},)";
+
         std::string lastPut;
     };
 
@@ -282,6 +300,43 @@
     }
 }
 
+// Guards against the removal of the last account opening the service to everybody, also after restarts.
+TEST_CASE_METHOD(platform_account_fixture, "platform_path.table_of_accounts_without_rows.admits_nobody")
+{
+    REQUIRE(putAccounts(2, R"(["first-key"])"));
+    REQUIRE(isServed("first-key"));
+    REQUIRE(putTable(3, emptyTable));
+    for (const char* credential : { "first-key", "other-key", "" })
+        REQUIRE(isRefused(credential));
+    REQUIRE(requestStatus(4, callerPort, "GET /open/x HTTP/1.1\r\nX-Api-Key: other-key") == 200);
+    REQUIRE_FALSE(absl::StrContains(lastRequest, "other-key"));
+    for (int number = 1; number <= controlCount + entryCount; ++number)
+        vms.at(number).kill();
+    for (int number = 1; number <= controlCount + entryCount; ++number)
+        vms.start(number, false);
+    REQUIRE(eventually([&] { return requestStatus(4, callerPort, "GET /open/x") == 200; }));
+    REQUIRE(isRefused("first-key"));
+    REQUIRE(putAccounts(4, R"(["first-key"])"));
+    REQUIRE(isServed("first-key"));
+    REQUIRE(putAccounts(5, "[]"));
+    REQUIRE(isRefused("first-key"));
+}
+
+// Guards against a configuration without the table being taken for one whose table has no rows, and the reverse.
+TEST_CASE_METHOD(platform_account_fixture, "platform_path.table_of_accounts.may_be_added_emptied_and_dropped")
+{
+    REQUIRE(putTable(2, ""));
+    REQUIRE(isServed("other-key"));
+    REQUIRE(absl::StrContains(lastRequest, "X-Api-Key: other-key"));
+    REQUIRE(putTable(3, emptyTable));
+    REQUIRE(isRefused("other-key"));
+    REQUIRE(putTable(4, ""));
+    REQUIRE(isServed("other-key"));
+    REQUIRE(putAccounts(5, R"(["first-key"])"));
+    REQUIRE(isRefused("other-key"));
+    REQUIRE(isServed("first-key"));
+}
+
 // Guards against an entry that keeps serving credentials which may have been removed since it lost the leader.
 TEST_CASE_METHOD(platform_account_fixture, "platform_path.strict_revocation.refuses_requests_without_leader_contact")
 {
