--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -35,9 +35,12 @@
 /** The key by which a caller identifies retries of one non-idempotent request. */
 using idempotency_key = strong_name<struct idempotency_key_tag>;
 
-/** A hash of a request's method, target and body, for comparing requests. */
+/** A hash of what makes requests equal, for comparing them. */
 using request_fingerprint = strong_number<struct request_fingerprint_tag>;
 
+/** The IPv4 address of a caller as a number; 0 if it is unknown. */
+using caller_address = strong_number<struct caller_address_tag>;
+
 /** One caller request on one VM; unique within an incarnation. */
 using request_id = strong_number<struct request_tag>;
 
--- a/src/decision/control/apply_command.cpp
+++ b/src/decision/control/apply_command.cpp
@@ -35,6 +35,18 @@
         {
             return applyCrashReport(state.crashes, item, command);
         }
+        command_result operator()(const withdraw_crashes& command) const
+        {
+            return applyCrashWithdrawal(state.crashes, command);
+        }
+        command_result operator()(const begin_crash_trial& command) const
+        {
+            return applyCrashTrial(state.crashes, command);
+        }
+        command_result operator()(const discard_crash_trial& command) const
+        {
+            return applyDiscardedTrial(state.crashes, command);
+        }
         command_result operator()(const assign_allocator& command) const { return applyAllocator(state, command); }
         command_result operator()(const step_shift& command) const { return applyShiftStep(state, item, command); }
         command_result operator()(const vm_started& command) const { return applyVmStart(state, item, command); }
--- a/src/decision/control/control_service.cpp
+++ b/src/decision/control/control_service.cpp
@@ -12,10 +12,15 @@
 
 namespace {
 
+    template <typename... Commands> bool isAnyOf(const control_command& command)
+    {
+        return (std::holds_alternative<Commands>(command) || ...);
+    }
+
     bool changesSteering(const control_command& command)
     {
-        return !std::holds_alternative<noop_command>(command) && !std::holds_alternative<claim_key>(command)
-            && !std::holds_alternative<settle_key>(command) && !std::holds_alternative<report_crash>(command);
+        return !isAnyOf<noop_command, claim_key, settle_key, report_crash, withdraw_crashes, begin_crash_trial,
+            discard_crash_trial>(command);
     }
 
     /** The upstream that joins, and those at its address, which a join may remove. */
--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -1,11 +1,11 @@
 #include "decision/request/crash_guard.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "core/internal_assert.h"
-#include "decision/control/crash_table.h"
+#include "decision/request/system_answers.h"
 
 namespace plantainlatch {
 
@@ -33,59 +33,109 @@
 
 crash_guard::crash_guard(const crash_guard_parts& parts)
     : m_parts(parts)
+    , m_trials(crash_trials::create(parts.hooks, parts.consensus, parts.control, parts.reportTimeout))
+    , m_withdrawals(crash_withdrawals::create(parts.hooks, parts.consensus, parts.control))
 {
+    m_parts.control.onChange([this, alive = m_alive] {
+        if (*alive)
+            m_local.eraseShownIn(m_parts.control.state().crashes);
+    });
 }
 
 crash_guard::~crash_guard() { *m_alive = false; }
 
-void crash_guard::enter(
-    crash_guard_ticket ticket, const crash_key& key, time_point runUntil, std::function<void(crash_verdict)> decided)
+void crash_guard::enter(crash_guard_ticket ticket, const guarded_request& request, time_point runUntil,
+    std::function<void(crash_verdict)> decided)
 {
-    if (refuses(key)) {
-        decided(crash_verdict::Refuse);
-        return;
-    }
-    m_tickets.emplace(ticket, key);
-    if (!m_parts.options.serializeEqualRequests || m_knownGood.contains(key, m_parts.hooks.now())) {
-        decided(crash_verdict::Allow);
+    m_tickets.emplace(ticket, open_ticket { request, std::nullopt });
+    waiter next { ticket, request, runUntil, std::move(decided) };
+    if (refuses(request))
+        tryTrial(std::move(next));
+    else if (!m_parts.options.serializeEqualRequests || m_knownGood.contains(request.content, m_parts.hooks.now()))
+        next.decided(crash_verdict::Allow);
+    else
+        enterQueue(std::move(next));
+}
+
+void crash_guard::refuse(const waiter& next)
+{
+    m_tickets.erase(next.ticket);
+    next.decided(crash_verdict::Refuse);
+}
+
+const crash_key& crash_guard::trialKey(const guarded_request& request) const
+{
+    return refuses(request.caller) ? request.caller : request.content;
+}
+
+void crash_guard::tryTrial(waiter next)
+{
+    const crash_key key = trialKey(next.request);
+    const crash_record* record = replicatedRecord(key);
+    if (record == nullptr || m_trials->timeUntilTrial(key, *record) != duration::zero()) {
+        reportAgain(next.request.content);
+        reportAgain(next.request.caller);
+        refuse(next);
         return;
     }
-    fingerprint_queue& queue = m_queues[key];
-    if (queue.running == crash_guard_ticket()) {
-        admit(key, { ticket, runUntil, std::move(decided) });
+    m_trials->begin(key, [this, alive = m_alive, key, next = std::move(next)](bool permitted) {
+        if (*alive)
+            onTrial(next, key, permitted);
+    });
+}
+
+void crash_guard::onTrial(const waiter& next, const crash_key& key, bool permitted)
+{
+    const auto ticket = m_tickets.find(next.ticket);
+    if (ticket == m_tickets.end()) {
+        if (permitted)
+            m_trials->discard(key);
         return;
     }
-    if (queue.waiting.size() >= maximumWaiting) {
-        m_tickets.erase(ticket);
-        decided(crash_verdict::Refuse);
+    if (!permitted) {
+        refuse(next);
         return;
     }
-    queue.waiting.push_back({ ticket, runUntil, std::move(decided) });
+    ticket->second.trial = key;
+    // A crash of the trial is reported although equal requests completed here.
+    m_knownGood.remove(next.request.content);
+    m_knownGood.remove(next.request.caller);
+    next.decided(crash_verdict::Allow);
 }
 
-void crash_guard::admit(const crash_key& key, waiter next)
+void crash_guard::enterQueue(waiter next)
 {
-    fingerprint_queue& queue = m_queues[key];
-    queue.running = next.ticket;
-    if (refuses(key))
+    fingerprint_queue& queue = m_queues[next.request.content];
+    if (queue.running == crash_guard_ticket())
+        admit(std::move(next));
+    else if (queue.waiting.size() >= maximumWaiting)
+        refuse(next);
+    else
+        queue.waiting.push_back(std::move(next));
+}
+
+void crash_guard::admit(waiter next)
+{
+    m_queues[next.request.content].running = next.ticket;
+    if (refuses(next.request))
         next.decided(crash_verdict::Refuse);
-    else if (crashes(key) > 0)
-        requestPermit(key, std::move(next));
+    else if (crashes(next.request.content) > 0)
+        requestPermit(std::move(next));
     else
         next.decided(crash_verdict::Allow);
 }
 
-void crash_guard::requestPermit(const crash_key& key, waiter next)
+void crash_guard::requestPermit(waiter next)
 {
     const duration runLimit = next.runUntil - m_parts.hooks.now();
-    m_parts.claims.claim(permitClaim(key, runLimit), runLimit,
-        [this, alive = m_alive, key, next = std::move(next)](const claim_answer& answer) {
-            if (*alive)
-                onPermit(key, next, answer);
-        });
+    const claim_key claim = permitClaim(next.request.content, runLimit);
+    m_parts.claims.claim(claim, runLimit, [this, alive = m_alive, next = std::move(next)](const claim_answer& answer) {
+        if (*alive)
+            onPermit(next, answer);
+    });
 }
 
-void crash_guard::onPermit(const crash_key& key, const waiter& next, const claim_answer& answer)
+void crash_guard::onPermit(const waiter& next, const claim_answer& answer)
 {
     const bool permitted = answer.state == claim_state::Claimed;
     const bool ticketIsOpen = m_tickets.contains(next.ticket);
@@ -94,88 +144,128 @@
     if (!ticketIsOpen)
         return;
     if (permitted)
-        m_queues[key].permit = answer.held;
-    next.decided(permitted && !refuses(key) ? crash_verdict::Allow : crash_verdict::Refuse);
+        m_queues[next.request.content].permit = answer.held;
+    next.decided(permitted && !refuses(next.request) ? crash_verdict::Allow : crash_verdict::Refuse);
 }
 
-void crash_guard::report(const crash_key& key, const crashed_upstream& upstream, std::function<void(bool)> reported)
+void crash_guard::report(
+    const guarded_request& request, const crashed_upstream& upstream, std::function<void(bool)> reported)
 {
-    if (!m_knownGood.countLoss(key, m_parts.hooks.now())) {
+    const time_point now = m_parts.hooks.now();
+    const bool countsContent = m_knownGood.countLoss(request.content, now);
+    const bool countsCaller = m_knownGood.countLoss(request.caller, now);
+    if (countsContent)
+        m_local.add(request.content, upstream, now);
+    if (countsCaller)
+        m_local.add(request.caller, upstream, now);
+    if (!countsContent) {
+        // Without the queue of equal requests to hold up, only equal requests of this caller depend on the report.
+        if (countsCaller)
+            propose(request.caller, std::nullopt, upstream, [] {});
         reported(false);
         return;
     }
-    recordLocalCrash(key, upstream);
-    m_parts.consensus.propose(report_crash { key.service, key.fingerprint, upstream.id, upstream.generation },
-        m_parts.reportTimeout,
-        [this, alive = m_alive, key, reported = std::move(reported)](const absl::StatusOr<command_result>& result) {
+    propose(request.content, countsCaller ? std::optional(request.caller) : std::nullopt, upstream,
+        [reported = std::move(reported)] { reported(true); });
+}
+
+void crash_guard::propose(const crash_key& key, const std::optional<crash_key>& other, const crashed_upstream& upstream,
+    std::function<void()> done)
+{
+    report_crash command { key.service, key.fingerprint, upstream.id, upstream.generation, std::nullopt };
+    if (other)
+        command.otherFingerprint = other->fingerprint;
+    m_parts.consensus.propose(command, m_parts.reportTimeout,
+        [this, alive = m_alive, key, other, upstream, done = std::move(done)](
+            const absl::StatusOr<command_result>& result) {
             if (!*alive)
                 return;
-            onReported(key, result);
-            reported(true);
+            const time_point now = m_parts.hooks.now();
+            const std::size_t limit = m_parts.options.limit;
+            if (result.ok())
+                m_local.accept(key, upstream, result->crashedUpstreams >= limit, now);
+            if (result.ok() && other)
+                m_local.accept(*other, upstream, result->otherCrashedUpstreams >= limit, now);
+            done();
         });
 }
 
-void crash_guard::onReported(const crash_key& key, const absl::StatusOr<command_result>& result)
+/** Crashes that only this VM counts can't be withdrawn by others, and allow no trial. */
+void crash_guard::reportAgain(const crash_key& key)
 {
-    const auto seen = m_localCrashes.find(key);
-    if (seen != m_localCrashes.end() && result.ok() && result->crashedUpstreams >= m_parts.options.limit)
-        seen->second.refused = true;
+    for (const crashed_upstream& upstream : m_local.unaccepted(key))
+        propose(key, std::nullopt, upstream, [] {});
 }
 
-bool crash_guard::refuses(const crash_key& key) const
+const crash_record* crash_guard::replicatedRecord(const crash_key& key) const
 {
-    if (isBlockedByCrashes(m_parts.control.state(), key, m_parts.hooks.wallNow(), m_parts.options.limit))
-        return true;
-    const local_crash* crash = recentLocalCrash(key);
-    if (crash != nullptr && crash->refused)
-        return true;
-    return crashes(key) >= m_parts.options.limit;
-}
-
-const crash_guard::local_crash* crash_guard::recentLocalCrash(const crash_key& key) const
-{
-    const auto seen = m_localCrashes.find(key);
-    const bool recent = seen != m_localCrashes.end() && m_parts.hooks.now() < seen->second.lastSeen + crashRetention;
-    return recent ? &seen->second : nullptr;
+    const auto& records = m_parts.control.state().crashes;
+    const auto found = records.find(key);
+    return found != records.end() && isRetained(found->second, m_parts.hooks.wallNow()) ? &found->second : nullptr;
 }
 
 std::size_t crash_guard::crashes(const crash_key& key) const
 {
     std::set<crashed_upstream> upstreams;
-    if (const local_crash* crash = recentLocalCrash(key))
-        upstreams = crash->upstreams;
-    const auto& records = m_parts.control.state().crashes;
-    const auto replicated = records.find(key);
-    if (replicated == records.end() || m_parts.hooks.wallNow() >= replicated->second.lastSeen + crashRetention)
+    if (const auto* observed = m_local.find(key, m_parts.hooks.now()))
+        upstreams = *observed;
+    const crash_record* record = replicatedRecord(key);
+    if (record == nullptr)
         return upstreams.size();
-    upstreams.insert(replicated->second.upstreams.begin(), replicated->second.upstreams.end());
-    return upstreams.size() + replicated->second.withoutGeneration.size();
+    upstreams.insert(record->upstreams.begin(), record->upstreams.end());
+    return upstreams.size() + record->withoutGeneration.size();
 }
 
-void crash_guard::recordLocalCrash(const crash_key& key, const crashed_upstream& upstream)
+bool crash_guard::refuses(const crash_key& key) const
 {
-    if (!m_localCrashes.contains(key) && m_localCrashes.size() >= maximumLocalCrashes) {
-        m_localCrashes.erase(std::min_element(m_localCrashes.begin(), m_localCrashes.end(),
-            [](const auto& left, const auto& right) { return left.second.lastSeen < right.second.lastSeen; }));
-    }
-    if (recentLocalCrash(key) == nullptr)
-        m_localCrashes.erase(key);
-    local_crash& crash = m_localCrashes[key];
-    crash.lastSeen = m_parts.hooks.now();
-    if (crash.upstreams.size() < maximumCrashedUpstreams)
-        crash.upstreams.insert(upstream);
+    return m_local.refuses(key, m_parts.hooks.now()) || crashes(key) >= m_parts.options.limit;
 }
 
-void crash_guard::leave(crash_guard_ticket ticket, bool completed)
+bool crash_guard::refuses(const guarded_request& request) const
+{
+    return refuses(request.content) || refuses(request.caller);
+}
+
+duration crash_guard::retryAfter(const guarded_request& request)
+{
+    if (!refuses(request))
+        return shortRetryAfter;
+    const crash_key& key = trialKey(request);
+    const crash_record* record = replicatedRecord(key);
+    if (record == nullptr)
+        return firstTrialDelay;
+    const std::optional<duration> delay = m_trials->timeUntilTrial(key, *record);
+    const duration untilExpiry = record->lastSeen + crashRetention - m_parts.hooks.wallNow();
+    return std::max(shortRetryAfter, delay.value_or(untilExpiry));
+}
+
+void crash_guard::leave(crash_guard_ticket ticket, guarded_end end)
 {
     const auto position = m_tickets.find(ticket);
     if (position == m_tickets.end())
         return;
-    const crash_key key = position->second;
+    const open_ticket ended = std::move(position->second);
     m_tickets.erase(position);
-    if (completed)
+    if (end == guarded_end::Completed)
+        recordCompletion(ended);
+    if (end == guarded_end::Unjudged && ended.trial)
+        m_trials->discard(*ended.trial);
+    leaveQueue(ended.request.content, ticket, end == guarded_end::Completed);
+}
+
+void crash_guard::recordCompletion(const open_ticket& ticket)
+{
+    // Completions of other callers clear the content, however often. Callers behind one address may differ.
+    const bool isCallerRefused = refuses(ticket.request.caller);
+    for (const crash_key& key : { ticket.request.content, ticket.request.caller }) {
+        m_local.erase(key);
         m_knownGood.add(key, m_parts.hooks.now());
-    leaveQueue(key, ticket, completed);
+        const bool liftsRefusal = isCallerRefused && key == ticket.request.caller;
+        if (ticket.trial)
+            m_withdrawals->onCompletedTrial(key, liftsRefusal);
+        else
+            m_withdrawals->onCompletion(key, liftsRefusal);
+    }
 }
 
 void crash_guard::leaveQueue(const crash_key& key, crash_guard_ticket ticket, bool completed)
@@ -207,7 +297,7 @@
     }
     waiter next = std::move(queue.waiting.front());
     queue.waiting.pop_front();
-    admit(key, std::move(next));
+    admit(std::move(next));
 }
 
 void crash_guard::admitAll(const crash_key& key)
--- a/src/decision/request/known_good_requests.cpp
+++ b/src/decision/request/known_good_requests.cpp
@@ -33,6 +33,12 @@
     m_younger.emplace(key, completion_record { now, 0 });
 }
 
+void known_good_requests::remove(const crash_key& key)
+{
+    m_younger.erase(key);
+    m_older.erase(key);
+}
+
 bool known_good_requests::countLoss(const crash_key& key, time_point now)
 {
     if (!contains(key, now))
--- a/src/decision/request/known_good_requests.h
+++ b/src/decision/request/known_good_requests.h
@@ -25,6 +25,7 @@
 
     bool contains(const crash_key& key, time_point now) const;
     void add(const crash_key& key, time_point now);
+    void remove(const crash_key& key);
     /** Counts a connection that was lost while the request ran. Returns false if the request is still known good after
      * this loss, true otherwise. */
     bool countLoss(const crash_key& key, time_point now);
--- a/src/decision/request/request_environment.h
+++ b/src/decision/request/request_environment.h
@@ -52,6 +52,8 @@
     request_traits traits;
     routing_policy policy;
     request_fingerprint fingerprint;
+    /** Differs between callers, unlike `fingerprint`. */
+    request_fingerprint callerFingerprint;
     time_point arrivedAt;
     time_point deadline;
     deadline_source limitedBy = deadline_source::Declaration;
--- a/src/decision/request/request_fingerprint.cpp
+++ b/src/decision/request/request_fingerprint.cpp
@@ -20,4 +20,12 @@
     return request_fingerprint(hashField(request.body.bytes(), target));
 }
 
+request_fingerprint callerFingerprintOf(const caller_request& request, request_fingerprint content)
+{
+    const XXH64_hash_t account = hashField(request.account.value(), content.value());
+    const XXH64_hash_t object = hashField(request.affinity, account);
+    const std::uint64_t address = request.sentFrom.value();
+    return request_fingerprint(XXH3_64bits_withSeed(&address, sizeof(address), object));
+}
+
 } // namespace plantainlatch
--- a/src/decision/request/request_run.cpp
+++ b/src/decision/request/request_run.cpp
@@ -77,7 +77,7 @@
 {
     m_crashGuardTicket = m_environment.crashes.newTicket();
     m_environment.crashes.enter(
-        m_crashGuardTicket, crashKey(), m_request.deadline, whileRunning(&request_run::onCrashVerdict));
+        m_crashGuardTicket, guardedRequest(), m_request.deadline, whileRunning(&request_run::onCrashVerdict));
 }
 
 void request_run::onCrashVerdict(crash_verdict verdict)
@@ -89,10 +89,14 @@
             startAttempt();
         return;
     }
+    finish(crashingRequestAnswer());
+}
+
+caller_answer request_run::crashingRequestAnswer() const
+{
     caller_answer answer = systemAnswer(outcomeWithoutAnswer(), answer_reason::CrashingRequest);
-    if (!m_environment.crashes.refuses(crashKey()))
-        answer.retryAfter = shortRetryAfter;
-    finish(std::move(answer));
+    answer.retryAfter = m_environment.crashes.retryAfter(guardedRequest());
+    return answer;
 }
 
 void request_run::startAttempt()
@@ -163,9 +167,10 @@
         m_upstreamsToAvoid.push_back(last.upstream);
     const bool crashed
         = last.ended == attempt_result::kind::Lost && m_environment.options.policies.mayBeCrash(last.failure);
+    m_mayHaveCrashed = m_mayHaveCrashed || crashed;
     if (crashed)
         m_environment.crashes.report(
-            crashKey(), { last.upstream, last.generation }, whileRunning(&request_run::onCrashReported));
+            guardedRequest(), { last.upstream, last.generation }, whileRunning(&request_run::onCrashReported));
     else
         continueOrFinish();
 }
@@ -205,7 +210,7 @@
     const failed_attempt failed { m_request.traits, result.state, hasUnusableAnswer, remaining() };
     if (!options.policies.mayRetry(failed))
         return false;
-    if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
+    if (m_mayHaveCrashed && m_environment.crashes.refuses(guardedRequest()))
         return false;
     if (mayOutlastStop())
         return false;
@@ -240,6 +245,7 @@
     const bool dispatched = !m_openAttempts.empty() && m_heldKey;
     if (dispatched && m_environment.options.policies.continuesWithoutCaller(m_request.traits))
         return;
+    m_callerLeft = true;
     abandonAttempts(abandon_cause::NoLongerNeeded);
     finish(systemAnswer(outcomeWithoutAnswer(), answer_reason::DeadlineExceeded));
 }
@@ -312,8 +318,8 @@
 
 caller_answer request_run::answerForLostConnection() const
 {
-    if (m_crashCounted && m_environment.crashes.refuses(crashKey()))
-        return systemAnswer(outcomeWithoutAnswer(), answer_reason::CrashingRequest);
+    if (m_crashCounted && m_environment.crashes.refuses(guardedRequest()))
+        return crashingRequestAnswer();
     if (m_lastResult->failure == call_failure::Timeout)
         return systemAnswer(outcomeWithoutAnswer(), answer_reason::DeadlineExceeded);
     return systemAnswer(outcomeWithoutAnswer(), answer_reason::ConnectionLost);
@@ -329,12 +335,19 @@
     for (const timer_id timer : { m_deadlineTimer, m_hedgeTimer, m_crashReportTimer })
         m_environment.hooks.cancel(timer);
     abandonAttempts(abandon_cause::NoLongerNeeded);
-    m_environment.crashes.leave(
-        m_crashGuardTicket, m_lastResult && m_lastResult->ended == attempt_result::kind::Answered);
+    m_environment.crashes.leave(m_crashGuardTicket, guardedEnd());
     settleKey(answer);
     m_done(m_request, std::move(answer));
 }
 
+guarded_end request_run::guardedEnd() const
+{
+    if (m_lastResult && m_lastResult->ended == attempt_result::kind::Answered)
+        return guarded_end::Completed;
+    const bool isCutOff = m_callerLeft && m_reachedUpstream;
+    return m_mayHaveCrashed || isCutOff ? guarded_end::Suspect : guarded_end::Unjudged;
+}
+
 bool request_run::contradictsOutcome(const caller_answer& answer) const
 {
     return answer.result == outcome::Unknown && !m_request.traits.idempotent
--- a/src/decision/request/request_run.h
+++ b/src/decision/request/request_run.h
@@ -81,7 +81,14 @@
     /** The outcome to report if no attempt returned an answer. */
     outcome outcomeWithoutAnswer() const;
 
-    crash_key crashKey() const { return { m_request.content.service, m_request.fingerprint }; }
+    guarded_request guardedRequest() const
+    {
+        const service_id& service = m_request.content.service;
+        return { { service, m_request.fingerprint }, { service, m_request.callerFingerprint } };
+    }
+    /** What the end of the request shows to the crash guard. */
+    guarded_end guardedEnd() const;
+    caller_answer crashingRequestAnswer() const;
     duration remaining() const { return m_request.deadline - m_environment.hooks.now(); }
 
     request_environment& m_environment;
@@ -109,7 +116,11 @@
     /** The result from which the answer is made if no further attempt follows. The result of a call is not replaced by
      * a later attempt that got no slot. */
     std::optional<attempt_result> m_lastResult;
+    /** An attempt lost its connection in a way that may mean that its upstream crashed. */
+    bool m_mayHaveCrashed = false;
+    /** The crash was reported, so the answer waits until other entries know of it. */
     bool m_crashCounted = false;
+    bool m_callerLeft = false;
 };
 
 } // namespace plantainlatch
--- a/src/decision/request/request_service.cpp
+++ b/src/decision/request/request_service.cpp
@@ -344,6 +344,7 @@
     if (route != nullptr)
         admitted.policy = policyOf(*route, account, request);
     admitted.fingerprint = fingerprintOf(request);
+    admitted.callerFingerprint = callerFingerprintOf(request, admitted.fingerprint);
     const duration requested = request.deadline.value_or(definition.defaultDeadline);
     admitted.arrivedAt = m_hooks.now();
     const duration limit = route != nullptr ? route->timeLimit : definition.maximumDeadline;
--- a/src/decision/request/system_answers.cpp
+++ b/src/decision/request/system_answers.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "core/internal_assert.h"
-#include "decision/control/crash_table.h"
 
 namespace plantainlatch {
 
@@ -56,11 +55,10 @@
         case answer_reason::KeyTaken:
         case answer_reason::NotReady:
         case answer_reason::QuotaExceeded:
+        case answer_reason::CrashingRequest:
             return shortRetryAfter;
         case answer_reason::Draining:
             return otherEntryRetryAfter;
-        case answer_reason::CrashingRequest:
-            return crashRetention;
         default:
             return std::nullopt;
         }
--- a/src/model/command.h
+++ b/src/model/command.h
@@ -168,6 +168,19 @@
     }
 };
 
+/** Identifies equal requests of a service. */
+struct crash_key {
+    service_id service;
+    request_fingerprint fingerprint;
+
+    friend auto operator<=>(const crash_key&, const crash_key&) = default;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.service, self.fingerprint);
+    }
+};
+
 /** Reports that an upstream crashed while it ran a request with this fingerprint. */
 struct report_crash {
     /** The fields of log entries that were written before `generation` was added. */
@@ -178,10 +191,46 @@
     upstream_id upstream;
     /** Which start of the upstream crashed. */
     upstream_generation generation;
+    /** Another fingerprint of the same request, for which the crash counts as well. */
+    std::optional<request_fingerprint> otherFingerprint;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.service, self.fingerprint, self.upstream, self.generation, self.otherFingerprint);
+    }
+};
+
+/** Withdraws the crashes of equal requests, because one of them completed. */
+struct withdraw_crashes {
+    crash_key request;
+    /** Equal requests of one caller are refused, and will no longer be. */
+    bool liftsRefusal = false;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.request, self.liftsRefusal);
+    }
+};
+
+/** Allows one request to run although equal ones are refused, unless another trial has begun. */
+struct begin_crash_trial {
+    crash_key request;
+    /** The number of trials that had begun before. */
+    std::uint64_t trials = 0;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.service, self.fingerprint, self.upstream, self.generation);
+        visit(self.request, self.trials);
+    }
+};
+
+/** Reports that a trial neither completed nor lost its upstream, so that it does not count. */
+struct discard_crash_trial {
+    crash_key request;
+
+    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
+    {
+        visit(self.request);
     }
 };
 
@@ -252,9 +301,9 @@
 };
 
 /** Any command. New alternatives are added at the end, since stored entries identify a command by its index. */
-using control_command
-    = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left, claim_key, settle_key,
-        report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration, amend_configuration>;
+using control_command = std::variant<noop_command, apply_declaration, set_drain, upstream_joined, upstream_left,
+    claim_key, settle_key, report_crash, assign_allocator, step_shift, vm_started, vm_stopped, replace_configuration,
+    amend_configuration, withdraw_crashes, begin_crash_trial, discard_crash_trial>;
 
 /** A command in an entry of the log. `proposedAt` is the leader's wall clock at the proposal. It serves as the current
  * time when the command is applied. */
@@ -306,10 +355,15 @@
     std::optional<upstream_answer> answer;
     /** Only for report_crash: how many distinct upstreams equal requests have crashed. */
     std::uint64_t crashedUpstreams = 0;
+    /** The same for its other fingerprint. */
+    std::uint64_t otherCrashedUpstreams = 0;
+
+    /** The fields of results that were cached before `otherCrashedUpstreams` was added. */
+    static constexpr std::uint32_t requiredFields = 5;
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.verdict, self.message, self.claim, self.answer, self.crashedUpstreams);
+        visit(self.verdict, self.message, self.claim, self.answer, self.crashedUpstreams, self.otherCrashedUpstreams);
     }
 };
 
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -54,19 +54,6 @@
     }
 };
 
-/** Identifies equal requests of a service. */
-struct crash_key {
-    service_id service;
-    request_fingerprint fingerprint;
-
-    friend auto operator<=>(const crash_key&, const crash_key&) = default;
-
-    template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
-    {
-        visit(self.service, self.fingerprint);
-    }
-};
-
 /** One start of an upstream that crashed. It may start again under its id. */
 struct crashed_upstream {
     upstream_id id;
@@ -89,12 +76,18 @@
     std::set<upstream_id> withoutGeneration;
     wall_time lastSeen {};
     std::set<crashed_upstream> upstreams;
+    /** How many requests were allowed to run although equal ones are refused, to see whether they still crash. */
+    std::uint64_t trials = 0;
+    /** The trials that neither completed nor lost their upstream. */
+    std::uint64_t unjudgedTrials = 0;
+    /** How often crashes were withdrawn while equal requests of one caller were refused. */
+    std::uint64_t liftedRefusals = 0;
 
     std::size_t crashes() const { return withoutGeneration.size() + upstreams.size(); }
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.withoutGeneration, self.lastSeen, self.upstreams);
+        visit(self.withoutGeneration, self.lastSeen, self.upstreams, self.trials, self.unjudgedTrials, self.liftedRefusals);
     }
 };
 
--- a/src/model/http.h
+++ b/src/model/http.h
@@ -52,6 +52,8 @@
     std::string credential;
     /** The account that has the credential; empty until it is known, and for requests without an account. */
     account_id account;
+    /** The address from which the request came. */
+    caller_address sentFrom;
 };
 
 /** What an upstream reports about itself and the request together with its answer. */
--- a/src/services/caller_front.cpp
+++ b/src/services/caller_front.cpp
@@ -77,6 +77,7 @@
     }
     result.headers = request.headers();
     http_fields::keepEndToEnd(result.headers);
+    result.sentFrom = request.sentFrom();
     result.body = request.takeBody();
     return result;
 }
--- a/src/services/http_connection.cpp
+++ b/src/services/http_connection.cpp
@@ -51,7 +51,7 @@
 } // namespace
 
 std::shared_ptr<http_connection> http_connection::accept(
-    const http_connection_parts& parts, int socket, buffer_owner caller)
+    const http_connection_parts& parts, int socket, caller_address caller)
 {
     std::shared_ptr<http_connection> connection(new http_connection(parts, socket, caller));
     connection->begin();
@@ -62,16 +62,17 @@
 
 bool http_connection::isClosedByCaller() const { return peekInput(bufferevent_getfd(m_channel)) == socket_input::End; }
 
-http_connection::http_connection(const http_connection_parts& parts, int socket, buffer_owner caller)
+http_connection::http_connection(const http_connection_parts& parts, int socket, caller_address caller)
     : m_parts(parts)
+    , m_sentFrom(caller)
     , m_channel(bufferevent_socket_new(parts.base, socket, BEV_OPT_CLOSE_ON_FREE))
     , m_parser(parts.limits)
     , m_waitingSince(parts.now())
     , m_requestLease(
-          parts.budget, buffer_use::Request, [this] { refuse(http_problem::NoMemory); }, caller)
-    , m_inputLease(parts.budget, buffer_use::PipelinedInput, {}, caller)
+          parts.budget, buffer_use::Request, [this] { refuse(http_problem::NoMemory); }, buffer_owner(caller.value()))
+    , m_inputLease(parts.budget, buffer_use::PipelinedInput, {}, buffer_owner(caller.value()))
     , m_outputLease(
-          parts.budget, buffer_use::Output, [this] { fail(answer_loss::NoMemory); }, caller)
+          parts.budget, buffer_use::Output, [this] { fail(answer_loss::NoMemory); }, buffer_owner(caller.value()))
 {
     m_parser.setHold([this](std::size_t bytes) { return hold(bytes); });
     internal_assert(m_channel != nullptr) << "no memory for a connection";
--- a/src/services/http_connection.h
+++ b/src/services/http_connection.h
@@ -59,12 +59,15 @@
  * disconnected. */
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
-    /** `caller` is the address for which the connection holds bytes. */
-    static std::shared_ptr<http_connection> accept(const http_connection_parts& parts, int socket, buffer_owner caller);
+    /** The connection holds bytes for the address `caller`. */
+    static std::shared_ptr<http_connection> accept(
+        const http_connection_parts& parts, int socket, caller_address caller);
     ~http_connection();
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
 
+    /** The address of the caller. */
+    caller_address sentFrom() const { return m_sentFrom; }
     const received_request& request() const { return m_parser.request(); }
     received_request& request() { return m_parser.request(); }
     /** Whether a request has been received and not been answered. */
@@ -100,7 +103,7 @@
         Closed,
     };
 
-    http_connection(const http_connection_parts& parts, int socket, buffer_owner caller);
+    http_connection(const http_connection_parts& parts, int socket, caller_address caller);
 
     static void readable(bufferevent*, void* argument);
     static void written(bufferevent*, void* argument);
@@ -134,6 +137,7 @@
     void finish();
 
     const http_connection_parts& m_parts;
+    caller_address m_sentFrom;
     bufferevent* m_channel;
     http_request_parser m_parser;
     state m_state = state::Reading;
--- a/src/services/http_request_view.h
+++ b/src/services/http_request_view.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/ids.h"
 #include "services/http_request_parser.h"
 
 namespace plantainlatch {
@@ -16,11 +17,13 @@
 /** A complete request; valid only during the call of its handler. */
 class http_request_view {
 public:
-    explicit http_request_view(received_request& request)
+    http_request_view(received_request& request, caller_address sentFrom)
         : m_request(request)
+        , m_sentFrom(sentFrom)
     {
     }
 
+    caller_address sentFrom() const { return m_sentFrom; }
     std::string_view method() const { return m_request.method; }
     /** The path, not percent-decoded. */
     std::string_view path() const;
@@ -37,6 +40,7 @@
 
 private:
     received_request& m_request;
+    caller_address m_sentFrom;
 };
 
 } // namespace plantainlatch
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -161,7 +161,7 @@
         return;
     }
     std::shared_ptr<http_connection> connection
-        = http_connection::accept(shared, socket, buffer_owner(remoteHost(socket)));
+        = http_connection::accept(shared, socket, caller_address(remoteHost(socket)));
     const http_connection* key = connection.get();
     connections.emplace(key, std::move(connection));
     holdConnections(connections.size());
@@ -211,7 +211,7 @@
 
 void http_server::implementation::dispatch(http_connection& connection)
 {
-    const http_request_view view(connection.request());
+    const http_request_view view(connection.request(), connection.sentFrom());
     const http_route* route = routeOf(view.path());
     if (route == nullptr) {
         connection.answer(encodeProblem(http_problem::UnknownPath), closing);
--- a/test/correctness/crash_table_test.cpp
+++ b/test/correctness/crash_table_test.cpp
@@ -59,6 +59,63 @@
     REQUIRE(refuses(7));
 }
 
+// Guards against several entries that run a refused request at the same time.
+TEST_CASE_METHOD(crash_table_fixture, "crash_table.trial.is_allowed_to_the_first_that_asks")
+{
+    const crash_key key { service_id("taller"), request_fingerprint(7) };
+    REQUIRE(applyCrashTrial(state.crashes, { key, 0 }).verdict == command_verdict::Refused);
+    report(7, "a");
+    REQUIRE(applyCrashTrial(state.crashes, { key, 0 }).verdict == command_verdict::Accepted);
+    REQUIRE(applyCrashTrial(state.crashes, { key, 0 }).verdict == command_verdict::Refused);
+    REQUIRE(applyCrashTrial(state.crashes, { key, 1 }).verdict == command_verdict::Accepted);
+}
+
+TEST_CASE_METHOD(
+    crash_table_fixture, "crash_table.delay_of_trials.grows_with_those_that_were_judged_until_none_is_left")
+{
+    crash_record record;
+    REQUIRE(trialDelay(record) == 2s);
+    record.trials = 2;
+    REQUIRE(trialDelay(record) == 8s);
+    record.unjudgedTrials = 1;
+    REQUIRE(trialDelay(record) == 4s);
+    record.liftedRefusals = 5;
+    REQUIRE(trialDelay(record) == maximumTrialDelay);
+    record.trials = 1 + maximumJudgedTrials;
+    REQUIRE_FALSE(trialDelay(record));
+}
+
+// Guards against a withdrawal that forgets how often refusals were lifted before.
+TEST_CASE_METHOD(crash_table_fixture, "crash_table.withdrawal.keeps_only_the_number_of_lifted_refusals")
+{
+    const crash_key key { service_id("taller"), request_fingerprint(7) };
+    report(7, "a");
+    applyCrashWithdrawal(state.crashes, { key, false });
+    REQUIRE(state.crashes.empty());
+    for (std::uint64_t lifted = 1; lifted <= 3; ++lifted) {
+        report(7, "a", lifted);
+        report(7, "b", lifted);
+        REQUIRE(refuses(7));
+        applyCrashWithdrawal(state.crashes, { key, true });
+        REQUIRE(!refuses(7));
+        REQUIRE(state.crashes.at(key).liftedRefusals == lifted);
+    }
+}
+
+// Guards against a crash that is counted for equal requests of all callers only.
+TEST_CASE_METHOD(crash_table_fixture, "crash_table.report_with_two_fingerprints.counts_for_both")
+{
+    proposal item;
+    item.proposedAt = now;
+    report(8, "b");
+    const command_result result = applyCrashReport(state.crashes, item,
+        { service_id("taller"), request_fingerprint(7), upstream_id("a"), upstream_generation(1),
+            request_fingerprint(8) });
+    REQUIRE(result.crashedUpstreams == 1);
+    REQUIRE(result.otherCrashedUpstreams == 2);
+    REQUIRE(refuses(8));
+}
+
 TEST_CASE_METHOD(crash_table_fixture, "crash_table.too_many_fingerprints.evict_the_oldest_record")
 {
     for (std::uint64_t i = 0; i <= maximumCrashRecords; ++i) {
--- a/test/random/request_random_test.cpp
+++ b/test/random/request_random_test.cpp
@@ -268,7 +268,7 @@
     REQUIRE(fails(1, 4000, alwaysRetries));
     request_options unresolvedAsNotRun;
     unresolvedAsNotRun.policies.unresolvedOutcome = [](const request_traits&) { return outcome::NotRun; };
-    REQUIRE(fails(1, 4000, unresolvedAsNotRun));
+    REQUIRE(fails(3, 4000, unresolvedAsNotRun));
     request_options earlySlotRelease;
     earlySlotRelease.policies.keepsSlotBusy = [](attempt_termination) { return false; };
     REQUIRE(fails(1, 4000, earlySlotRelease));
--- a/test/support/fake_log.cpp
+++ b/test/support/fake_log.cpp
@@ -17,6 +17,12 @@
             return applySettle(state.keys, item, *settle);
         if (const auto* crash = std::get_if<report_crash>(&item.command))
             return applyCrashReport(state.crashes, item, *crash);
+        if (const auto* withdrawal = std::get_if<withdraw_crashes>(&item.command))
+            return applyCrashWithdrawal(state.crashes, *withdrawal);
+        if (const auto* trial = std::get_if<begin_crash_trial>(&item.command))
+            return applyCrashTrial(state.crashes, *trial);
+        if (const auto* discarded = std::get_if<discard_crash_trial>(&item.command))
+            return applyDiscardedTrial(state.crashes, *discarded);
         if (const auto* replacement = std::get_if<replace_configuration>(&item.command))
             state.config = replacement->content;
         return {};
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -181,13 +181,20 @@
 void fake_upstreams::crash(const upstream_id& id)
 {
     ++crashes;
-    m_upstreams.at(id).crashed = true;
+    upstream_record& record = m_upstreams.at(id);
+    record.crashed = true;
     if (restartAfter) {
-        m_runtime.schedule(*restartAfter, [this, id] {
-            m_upstreams.at(id).crashed = false;
+        m_runtime.schedule(*restartAfter, [this, &record] {
+            record.crashed = false;
+            record.announcement.generation = upstream_generation(record.announcement.generation.value() + 1);
             serveWaiters();
         });
     }
+    resetConnections(id);
+}
+
+void fake_upstreams::resetConnections(const upstream_id& id)
+{
     std::vector<call_events> lost;
     std::erase_if(m_open, [&](const auto& item) {
         if (calls[item.second.index].call.upstream != id)
@@ -199,6 +206,14 @@
         events.onFailure(call_failure::Lost);
 }
 
+std::vector<upstream_id> fake_upstreams::ids() const
+{
+    std::vector<upstream_id> ids;
+    for (const auto& [id, record] : m_upstreams)
+        ids.push_back(id);
+    return ids;
+}
+
 void fake_upstreams::endCall(const call_key& key)
 {
     auto open = m_open.extract(key);
--- a/test/support/fake_upstreams.h
+++ b/test/support/fake_upstreams.h
@@ -69,6 +69,14 @@
     /** Ends an entry's calls without callbacks, as if its process had crashed. Its slots become free after `lease`. */
     void killEntry(std::size_t entry, duration lease = std::chrono::seconds(12));
 
+    /** Ends an upstream and all calls to it; it starts again after `restartAfter`, as the next generation. */
+    void crash(const upstream_id& id);
+    /** Loses the connections of all calls to an upstream, which goes on running. */
+    void resetConnections(const upstream_id& id);
+
+    /** The upstreams in the order of their ids. */
+    std::vector<upstream_id> ids() const;
+
     /** Revokes all slots that entries hold. */
     void revokeSlots();
 
@@ -125,7 +133,6 @@
     void start(std::size_t entry, const upstream_call& call, call_events events);
     void runWork(open_call& open, const recorded_call& seen);
     void stopWork(const open_call& open);
-    void crash(const upstream_id& id);
     void endCall(const call_key& key);
     void cancelCall(const call_key& key);
 
