--- a/src/decision/request/crash_guard.cpp
+++ b/src/decision/request/crash_guard.cpp
@@ -159,7 +159,7 @@
     if (countsCaller)
         m_local.add(request.caller, upstream, now);
     if (!countsContent) {
-        // Without the queue of equal requests to hold up, only equal requests of this caller depend on the report.
+        // Equal requests of other callers may go on, so the retry does not wait for the report.
         if (countsCaller)
             propose(request.caller, std::nullopt, upstream, [] {});
         reported(false);
@@ -193,8 +193,10 @@
 /** Crashes that only this VM counts can't be withdrawn by others, and allow no trial. */
 void crash_guard::reportAgain(const crash_key& key)
 {
-    for (const crashed_upstream& upstream : m_local.unaccepted(key))
-        propose(key, std::nullopt, upstream, [] {});
+    const std::optional<crashed_upstream> upstream = m_local.firstUnaccepted(key);
+    if (!upstream || !m_reportedAgain.insert(key).second)
+        return;
+    propose(key, std::nullopt, *upstream, [this, key] { m_reportedAgain.erase(key); });
 }
 
 const crash_record* crash_guard::replicatedRecord(const crash_key& key) const
--- a/src/decision/request/crash_guard.h
+++ b/src/decision/request/crash_guard.h
@@ -29,6 +29,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "decision/control/crash_table.h"
 #include "decision/request/crash_trials.h"
@@ -168,6 +169,7 @@
     void recordCompletion(const open_ticket& ticket);
     void propose(const crash_key& key, const std::optional<crash_key>& other, const crashed_upstream& upstream,
         std::function<void()> done);
+    /** Reports one of the crashes that the log has not accepted, unless that is in progress. */
     void reportAgain(const crash_key& key);
 
     crash_guard_parts m_parts;
@@ -175,6 +177,8 @@
     std::map<crash_guard_ticket, open_ticket> m_tickets;
     std::map<crash_key, fingerprint_queue> m_queues;
     local_crashes m_local;
+    /** The fingerprints for which a repeated report is in progress. */
+    std::set<crash_key> m_reportedAgain;
     known_good_requests m_knownGood;
     std::unique_ptr<crash_trials> m_trials;
     std::unique_ptr<crash_withdrawals> m_withdrawals;
--- a/src/decision/request/local_crashes.cpp
+++ b/src/decision/request/local_crashes.cpp
@@ -68,12 +68,12 @@
     return item != nullptr && item->refusesEqual;
 }
 
-std::vector<crashed_upstream> local_crashes::unaccepted(const crash_key& key) const
+std::optional<crashed_upstream> local_crashes::firstUnaccepted(const crash_key& key) const
 {
     const auto found = m_records.find(key);
-    if (found == m_records.end())
-        return {};
-    return { found->second.unaccepted.begin(), found->second.unaccepted.end() };
+    if (found == m_records.end() || found->second.unaccepted.empty())
+        return std::nullopt;
+    return *found->second.unaccepted.begin();
 }
 
 } // namespace plantainlatch
--- a/src/decision/request/local_crashes.h
+++ b/src/decision/request/local_crashes.h
@@ -6,8 +6,8 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
-#include <vector>
 
 #include "core/clock.h"
 #include "model/control_snapshot.h"
@@ -37,8 +37,8 @@
     const std::set<crashed_upstream>* find(const crash_key& key, time_point now) const;
     /** Whether the log counts enough crashes to refuse equal requests. */
     bool refuses(const crash_key& key, time_point now) const;
-    /** The crashes that the log has not accepted. */
-    std::vector<crashed_upstream> unaccepted(const crash_key& key) const;
+    /** One of the crashes that the log has not accepted. */
+    std::optional<crashed_upstream> firstUnaccepted(const crash_key& key) const;
 
 private:
     struct record {
--- a/src/model/control_snapshot.h
+++ b/src/model/control_snapshot.h
@@ -87,7 +87,8 @@
 
     template <typename Self, typename Visitor> static void visitFields(Self& self, Visitor&& visit)
     {
-        visit(self.withoutGeneration, self.lastSeen, self.upstreams, self.trials, self.unjudgedTrials, self.liftedRefusals);
+        visit(self.withoutGeneration, self.lastSeen, self.upstreams, self.trials, self.unjudgedTrials,
+            self.liftedRefusals);
     }
 };
 
