--- a/src/services/buffer_budget.cpp
+++ b/src/services/buffer_budget.cpp
@@ -237,6 +237,12 @@
             { "large", absl::StrCat(m_large.held()) }, { "suppressed", absl::StrCat(verdict.suppressed) } } });
 }
 
+given_or_own_budget::given_or_own_budget(const kernel_hooks& hooks, buffer_budget* given)
+    : m_own(given == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt)) : nullptr)
+    , m_budget(m_own != nullptr ? *m_own : *given)
+{
+}
+
 buffer_lease::buffer_lease(buffer_budget& budget, buffer_use use, std::function<void()> reclaim, buffer_owner owner)
     : m_budget(budget)
     , m_use(use)
--- a/src/services/buffer_budget.h
+++ b/src/services/buffer_budget.h
@@ -84,6 +84,19 @@
     line_limiter m_lines;
 };
 
+/** The budget that was given to a service, or one of its own without a limit on the process if none was. */
+class given_or_own_budget {
+public:
+    /** `given` may be null; otherwise it must outlive this object. */
+    given_or_own_budget(const kernel_hooks& hooks, buffer_budget* given);
+
+    buffer_budget& operator*() const { return m_budget; }
+
+private:
+    std::unique_ptr<buffer_budget> m_own;
+    buffer_budget& m_budget;
+};
+
 /** A number of bytes that count as held until the lease ends. The budget must outlive it. */
 class buffer_lease {
 public:
--- a/src/services/http_server.cpp
+++ b/src/services/http_server.cpp
@@ -64,10 +64,8 @@
         , options(std::move(serverOptions))
         , maximumConnections(connectionLimit(options))
         , lingering(hooks, maximumConnections / closingPart + 1)
-        , ownBudget(options.budget == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt))
-                                              : nullptr)
-        , shared { base, options.limits, options.idleTimeout, options.bodyTimeout, lingering,
-            ownBudget != nullptr ? *ownBudget : *options.budget, hooks.now,
+        , budget(hooks, options.budget)
+        , shared { base, options.limits, options.idleTimeout, options.bodyTimeout, lingering, *budget, hooks.now,
             [this](http_connection& connection) { dispatch(connection); },
             [this](http_connection& connection) { callerDisconnected(connection); },
             [this](const http_connection& connection, answer_loss cause) { logLoss(connection, cause); },
@@ -103,7 +101,7 @@
     http_server_options options;
     std::size_t maximumConnections;
     lingering_close lingering;
-    std::unique_ptr<buffer_budget> ownBudget;
+    given_or_own_budget budget;
     http_connection_parts shared;
     /** Counts all open connections. */
     buffer_lease connectionLease;
--- a/src/services/peer_transport.cpp
+++ b/src/services/peer_transport.cpp
@@ -35,8 +35,7 @@
     vm_settings settings;
     peer_transport_options options;
     shared_key key;
-    std::unique_ptr<buffer_budget> ownBudget;
-    buffer_budget& budget;
+    given_or_own_budget budget;
     std::unique_ptr<peer_message_codec> codec;
     std::set<vm_id> known;
     std::function<bool(const vm_id&)> isAllowedPeer;
@@ -57,9 +56,7 @@
         , settings(vmSettings)
         , options(transportOptions)
         , key(std::move(sharedKey))
-        , ownBudget(options.budget == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt))
-                                              : nullptr)
-        , budget(ownBudget != nullptr ? *ownBudget : *options.budget)
+        , budget(hooks, options.budget)
         , codec(std::move(messageCodec))
     {
         for (const vm_record& vm : settings.vms)
@@ -84,7 +81,7 @@
         listener = std::move(*created);
         for (const vm_record& vm : settings.vms) {
             if (vm.id != settings.self.id)
-                senders[vm.id] = peer_sender::create(loop, hooks, settings.self.id, vm, key, options, budget);
+                senders[vm.id] = peer_sender::create(loop, hooks, settings.self.id, vm, key, options, *budget);
         }
         port.send = [this](const vm_id& to, const peer_message& message) { send(to, message); };
         port.setReceiver
@@ -123,7 +120,7 @@
         vm_record peer;
         peer.id = to;
         peer.peerAddress = *address;
-        return senders.emplace(to, peer_sender::create(loop, hooks, settings.self.id, peer, key, options, budget))
+        return senders.emplace(to, peer_sender::create(loop, hooks, settings.self.id, peer, key, options, *budget))
             .first->second.get();
     }
 
@@ -152,7 +149,7 @@
         events.onMessage = [this](const vm_id& from, const std::string& encoded) { received(from, encoded); };
         events.onClosed = [this, number](const absl::Status& why) { closed(number, why); };
         receivers[number] = peer_receiver::create(
-            loop, hooks, socket, settings.self.id, isAllowedPeer, key, options, budget, std::move(events));
+            loop, hooks, socket, settings.self.id, isAllowedPeer, key, options, *budget, std::move(events));
     }
 
     void received(const vm_id& from, const std::string& encoded)
--- a/src/services/upstream_client.cpp
+++ b/src/services/upstream_client.cpp
@@ -91,9 +91,8 @@
         : hooks(kernelHooks)
         , options(clientOptions)
         , namePrefix(absl::StrCat(kernelHooks.random(), "-"))
-        , ownBudget(options.budget == nullptr ? std::make_unique<buffer_budget>(hooks, bufferLimitsFor(std::nullopt))
-                                              : nullptr)
-        , connections(base, hooks, ownBudget != nullptr ? *ownBudget : *options.budget, clientOptions.connections,
+        , budget(hooks, options.budget)
+        , connections(base, hooks, *budget, clientOptions.connections,
               { [this](upstream_connection& connection) { beginDispatch(connection.exchange); },
                   [this](upstream_connection& connection) { rejectInput(connection.exchange); } })
     {
@@ -120,7 +119,7 @@
     kernel_hooks hooks;
     upstream_client_options options;
     std::string namePrefix;
-    std::unique_ptr<buffer_budget> ownBudget;
+    given_or_own_budget budget;
     upstream_connections connections;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<exchange>> exchanges;
     std::uint64_t lastPoll = 0;
