--- a/src/decision/control/crash_table.cpp
+++ b/src/decision/control/crash_table.cpp
@@ -100,12 +100,4 @@
     return std::min(maximumTrialDelay, firstTrialDelay * (1U << doublings));
 }
 
-bool isBlockedByCrashes(const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit)
-{
-    const auto position = state.crashes.find(key);
-    if (position == state.crashes.end())
-        return false;
-    return position->second.crashes() >= limit && isRetained(position->second, now);
-}
-
 } // namespace plantainlatch
--- a/src/decision/control/crash_table.h
+++ b/src/decision/control/crash_table.h
@@ -61,9 +61,4 @@
 /** Whether the last crash is within the retention at `now`. */
 bool isRetained(const crash_record& record, wall_time now);
 
-/** Whether requests of this fingerprint are refused at `now`: at least `limit` upstreams have crashed, the
- * last one within the retention. */
-bool isBlockedByCrashes(
-    const control_snapshot& state, const crash_key& key, wall_time now, std::size_t limit = crashedUpstreamThreshold);
-
 } // namespace plantainlatch
--- a/test/correctness/crash_table_test.cpp
+++ b/test/correctness/crash_table_test.cpp
@@ -21,7 +21,9 @@
 
         bool refuses(std::uint64_t fingerprint) const
         {
-            return isBlockedByCrashes(state, { service_id("taller"), request_fingerprint(fingerprint) }, now);
+            const auto found = state.crashes.find({ service_id("taller"), request_fingerprint(fingerprint) });
+            return found != state.crashes.end() && found->second.crashes() >= crashedUpstreamThreshold
+                && isRetained(found->second, now);
         }
 
         control_snapshot state;
